--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# The commands a contributor needs. `make test` is the whole of CI.
+.PHONY: all build vet format lint test generate demo faults policy capacity bench
+
+all: build
+
+build:
+	go build -o bin/ ./cmd/...
+
+vet:
+	go vet ./...
+
+format:
+	./scripts/format.sh
+
+lint:
+	./scripts/lint.sh
+
+test:
+	./scripts/test.sh
+
+generate:
+	./scripts/generate.sh
+
+demo: build
+	./bin/demo --bin bin
+
+faults: build
+	./bin/faults --bin bin
+
+policy:
+	./scripts/policy.sh
+
+capacity:
+	./scripts/capacity.sh
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/carrier/schema.go
@@ -0,0 +1,133 @@
+// Package carrier holds the messages that entries send to each other.
+// This file is the schema; schema_gen.go is generated from it by scripts/generate.sh.
+package carrier
+
+//go:generate msgp -file schema.go -o schema_gen.go -tests=false
+
+//msgp:tuple Member EndpointLoad AccountUse Record
+
+// Kind tells which message a frame carries.
+type Kind uint8
+
+// The kinds of frame between entries.
+const (
+	KindChallenge Kind = iota + 1
+	KindProof
+	KindHeartbeat
+	KindRecordsCall
+	KindRecords
+	KindOutcomeCall
+	KindOutcome
+	KindHandover
+)
+
+// Challenge opens a connection in both directions: the peer must prove that it knows the shared key.
+type Challenge struct {
+	Nonce []byte `msg:"nonce,limit=64"`
+	Entry string `msg:"entry,limit=128"`
+}
+
+// Proof answers a Challenge with an HMAC-SHA256 over both nonces and the sender's name.
+type Proof struct {
+	Mac []byte `msg:"mac,limit=64"`
+}
+
+// Member is what an entry believes of another entry.
+type Member struct {
+	Name          string
+	Zone          string
+	CallerAddress string
+	PeerAddress   string
+	Incarnation   uint64
+	State         uint8
+	ConfigOffset  int64
+	InFlight      int32
+}
+
+// EndpointLoad is one entry's calls in flight and its opinion of an endpoint.
+type EndpointLoad struct {
+	Address  string
+	InFlight int32
+	Ejected  bool
+	Leaving  bool
+}
+
+// AccountUse is one entry's share of one client account's use since its last heartbeats.
+type AccountUse struct {
+	Account string
+	// Rate is admitted requests a second, Demand is offered requests a second.
+	Rate   float32
+	Demand float32
+	// CostRate is endpoint milliseconds a second.
+	CostRate float32
+	InFlight int32
+	Backlog  int32
+}
+
+// CrashMark counts the endpoints that were lost while a request with this digest ran alone or beside others.
+type CrashMark struct {
+	Digest  []byte `msg:"digest,limit=32"`
+	Crashes int32  `msg:"crashes"`
+}
+
+// Heartbeat is what an entry tells its peers, several times a second.
+type Heartbeat struct {
+	From      Member         `msg:"from"`
+	Sequence  uint64         `msg:"sequence"`
+	Members   []Member       `msg:"members,limit=4096"`
+	Endpoints []EndpointLoad `msg:"endpoints,limit=16384"`
+	Accounts  []AccountUse   `msg:"accounts,limit=65536"`
+	Crashes   []CrashMark    `msg:"crashes,limit=1024"`
+}
+
+// Record is one log record that a peer passes on.
+type Record struct {
+	Offset   int64
+	AtMillis int64
+	Data     []byte
+}
+
+// RecordsCall asks a peer for records of a log stream that this entry has not seen.
+type RecordsCall struct {
+	CallID uint64 `msg:"callId"`
+	Stream string `msg:"stream,limit=64"`
+	From   int64  `msg:"from"`
+}
+
+// Records answers a RecordsCall.
+type Records struct {
+	CallID  uint64   `msg:"callId"`
+	Stream  string   `msg:"stream,limit=64"`
+	First   int64    `msg:"first"`
+	Next    int64    `msg:"next"`
+	Records []Record `msg:"records,limit=10000"`
+}
+
+// OutcomeCall asks a peer for the outcome of a request by account and idempotency key.
+type OutcomeCall struct {
+	CallID  uint64 `msg:"callId"`
+	Account string `msg:"account,limit=128"`
+	Key     string `msg:"key,limit=128"`
+	// Wait asks for the reply to be held until the request has ended.
+	WaitMillis int32 `msg:"waitMillis"`
+}
+
+// Outcome answers an OutcomeCall, and hands over a result in a Handover.
+type Outcome struct {
+	CallID  uint64 `msg:"callId"`
+	Account string `msg:"account,limit=128"`
+	Key     string `msg:"key,limit=128"`
+	State   uint8  `msg:"state"`
+	Answer  string `msg:"answer,limit=1048576"`
+	Parts   int32  `msg:"parts"`
+	Code    string `msg:"code,limit=64"`
+	Message string `msg:"message,limit=1024"`
+	// AgeMillis is how long ago the request ended.
+	AgeMillis int64 `msg:"ageMillis"`
+}
+
+// Handover gives the outcomes that callers may still ask for to a peer, before the sender exits.
+type Handover struct {
+	CallID   uint64    `msg:"callId"`
+	Outcomes []Outcome `msg:"outcomes,limit=100000"`
+}
--- /dev/null
+++ b/cmd/geraniumline/main.go
@@ -0,0 +1,5 @@
+// Command geraniumline runs an entry and carries the operator's commands.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,5 @@
+// Command standin runs one stand-in of the platform or of an endpoint.
+package main
+
+func main() {
+}
