--- /dev/null
+++ b/carrier/message.go
@@ -0,0 +1,72 @@
+package carrier
+
+import (
+	"fmt"
+
+	"github.com/tinylib/msgp/msgp"
+)
+
+// Message is one of the messages that entries send to each other.
+type Message interface {
+	msgp.Marshaler
+	msgp.Unmarshaler
+	// Kind tells which message it is, for the frame's first byte.
+	Kind() Kind
+}
+
+// UnknownKindError tells of a frame whose first byte names no message.
+type UnknownKindError struct {
+	Value Kind
+}
+
+func (e *UnknownKindError) Error() string {
+	return fmt.Sprintf("frame of unknown kind %d", e.Value)
+}
+
+// Kind tells that c is a challenge.
+func (c *Challenge) Kind() Kind { return KindChallenge }
+
+// Kind tells that p is a proof.
+func (p *Proof) Kind() Kind { return KindProof }
+
+// Kind tells that h is a heartbeat.
+func (h *Heartbeat) Kind() Kind { return KindHeartbeat }
+
+// Kind tells that c is a call for records.
+func (c *RecordsCall) Kind() Kind { return KindRecordsCall }
+
+// Kind tells that r answers a call for records.
+func (r *Records) Kind() Kind { return KindRecords }
+
+// Kind tells that c is a call for an outcome.
+func (c *OutcomeCall) Kind() Kind { return KindOutcomeCall }
+
+// Kind tells that o answers a call for an outcome.
+func (o *Outcome) Kind() Kind { return KindOutcome }
+
+// Kind tells that h hands outcomes over.
+func (h *Handover) Kind() Kind { return KindHandover }
+
+// NewMessage gives an empty message of the kind, to decode a frame into.
+func NewMessage(kind Kind) (Message, error) {
+	switch kind {
+	case KindChallenge:
+		return &Challenge{}, nil
+	case KindProof:
+		return &Proof{}, nil
+	case KindHeartbeat:
+		return &Heartbeat{}, nil
+	case KindRecordsCall:
+		return &RecordsCall{}, nil
+	case KindRecords:
+		return &Records{}, nil
+	case KindOutcomeCall:
+		return &OutcomeCall{}, nil
+	case KindOutcome:
+		return &Outcome{}, nil
+	case KindHandover:
+		return &Handover{}, nil
+	default:
+		return nil, &UnknownKindError{Value: kind}
+	}
+}
