Let members carry a sequence that only they raise

Cause: an age alone can't be passed on safely: each hop that holds it back makes a dead member look younger. A counter raised only by its owner can't be made fresh by anyone else, so a peer's word is evidence of life and never of death. Age stays beside it, to date the first word of an unknown member.

--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -42,6 +42,10 @@
 	State         uint8
 	ConfigOffset  int64
 	InFlight      int32
+	// Sequence counts the steps of the member's own loop in this incarnation; only the member itself raises it.
+	Sequence uint64
+	// AgeMillis is how long ago the sender of the message last saw Sequence rise.
+	AgeMillis uint32
 }
 
 // EndpointLoad is one entry's calls in flight and its opinion of an endpoint.
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -1351,8 +1351,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Name, err = dc.ReadString()
@@ -1395,13 +1395,23 @@
 		err = msgp.WrapError(err, "InFlight")
 		return
 	}
+	z.Sequence, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 8
-	err = en.Append(0x98)
+	// array header, size 10
+	err = en.Append(0x9a)
 	if err != nil {
 		return
 	}
@@ -1445,14 +1455,24 @@
 		err = msgp.WrapError(err, "InFlight")
 		return
 	}
+	err = en.WriteUint64(z.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	err = en.WriteUint32(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendString(o, z.Name)
 	o = msgp.AppendString(o, z.Zone)
 	o = msgp.AppendString(o, z.CallerAddress)
@@ -1461,6 +1481,8 @@
 	o = msgp.AppendUint8(o, z.State)
 	o = msgp.AppendInt64(o, z.ConfigOffset)
 	o = msgp.AppendInt32(o, z.InFlight)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendUint32(o, z.AgeMillis)
 	return
 }
 
@@ -1472,8 +1494,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Name, bts, err = msgp.ReadStringBytes(bts)
@@ -1516,13 +1538,23 @@
 		err = msgp.WrapError(err, "InFlight")
 		return
 	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Member) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.Zone) + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.Uint64Size + msgp.Uint8Size + msgp.Int64Size + msgp.Int32Size
+	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.Zone) + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.Uint64Size + msgp.Uint8Size + msgp.Int64Size + msgp.Int32Size + msgp.Uint64Size + msgp.Uint32Size
 	return
 }
 
