Detect entries by the highest step that any path brings

Weighed: SWIM's suspicion and refutation messages. They need a belief in another's death to travel, and a counter to take it back; here nobody's word can make a member dead, so neither is needed.

--- /dev/null
+++ b/detector/evidence.go
@@ -0,0 +1,155 @@
+package detector
+
+import (
+	"time"
+
+	"geraniumline/carrier"
+)
+
+// gapPart is the part of SuspectAfter from which a standstill of the own loop is not counted as silence of others.
+const gapPart = 4
+
+// step notices a standstill of this entry's own loop.
+// A paused process reads nothing, so after the pause all peers look silent and it would give up all of them at once.
+// The standstill is added to the time that each was last heard, so a peer is judged only by silence that this
+// entry was awake to hear; peers that died meanwhile are found SuspectAfter later.
+func (d *Detector) step(now time.Time) []Transition {
+	last := d.lastStep
+	if now.After(last) {
+		d.lastStep = now
+	}
+	if last.IsZero() {
+		d.lastPeer = now
+		return nil
+	}
+	gap := now.Sub(last)
+	if gap <= d.cfg.SuspectAfter/gapPart {
+		return nil
+	}
+	for _, r := range d.members {
+		r.member.LastHeard = r.member.LastHeard.Add(gap)
+	}
+	d.lastPeer = d.lastPeer.Add(gap)
+	if gap < d.cfg.SuspectAfter {
+		return nil
+	}
+	return []Transition{{Member: d.self, From: d.self.State, To: d.self.State, Away: gap}}
+}
+
+// hearDirect takes what the sender of a heartbeat says of itself.
+func (d *Detector) hearDirect(w *carrier.Member, now time.Time, out []Transition) []Transition {
+	if w.Name == d.self.Name {
+		d.hearSelf(w)
+		return out
+	}
+	r, known := d.members[w.Name]
+	if known && !r.newer(w) {
+		return out
+	}
+	out = d.hear(w, now, now, out)
+	d.members[w.Name].member.DirectHeard = now
+	d.lastPeer = now
+	return out
+}
+
+// hearIndirect takes what a peer passes on of another member.
+func (d *Detector) hearIndirect(w *carrier.Member, now time.Time, out []Transition) []Transition {
+	if w.Name == d.self.Name {
+		d.hearSelf(w)
+		return out
+	}
+	r, known := d.members[w.Name]
+	if known && !r.newer(w) {
+		return out
+	}
+	age := time.Duration(w.AgeMillis) * time.Millisecond
+	if !known && age > d.cfg.DeadAfter {
+		return out
+	}
+	return d.hear(w, now.Add(-age), now, out)
+}
+
+// hear takes a step of a member that is newer than the one known.
+func (d *Detector) hear(w *carrier.Member, heard, now time.Time, out []Transition) []Transition {
+	r, known := d.members[w.Name]
+	if !known {
+		r = &record{member: Member{Name: w.Name}}
+		d.members[w.Name] = r
+	}
+	r.take(w, heard)
+	if h, hinted := d.hints[w.PeerAddress]; hinted {
+		r.member.Leaving = h.leaving
+	}
+	return d.judge(r, now, out)
+}
+
+// hearSelf notices that a newer process has this entry's name. Two processes under one name would answer for
+// each other's requests; the older one gives way, since only it can know that it is older.
+func (d *Detector) hearSelf(w *carrier.Member) {
+	if w.Incarnation > d.self.Incarnation {
+		d.superseded = true
+	}
+}
+
+// judge sets a member's state from what it said and from its silence.
+func (d *Detector) judge(r *record, now time.Time, out []Transition) []Transition {
+	from := r.member.State
+	to := d.assess(r, now)
+	if from == to {
+		return out
+	}
+	r.member.State = to
+	return append(out, Transition{Member: r.member, From: from, To: to})
+}
+
+func (d *Detector) assess(r *record, now time.Time) State {
+	silence := now.Sub(r.member.LastHeard)
+	switch {
+	case r.declared == Stopped:
+		return Stopped
+	case silence > d.cfg.DeadAfter:
+		return Dead
+	case r.declared == Stopping:
+		return Stopping
+	case silence > d.cfg.SuspectAfter:
+		return Suspect
+	default:
+		return r.declared
+	}
+}
+
+// updateSelf reports a change of this entry's own state.
+func (d *Detector) updateSelf(now time.Time, out []Transition) []Transition {
+	from := d.self.State
+	to := d.assessSelf(now)
+	if from == to {
+		return out
+	}
+	d.self.State = to
+	return append(out, Transition{Member: d.self, From: from, To: to})
+}
+
+// assessSelf judges this entry. An entry that knows peers but hears none of them can't learn of configuration
+// or shares, although its own heartbeats may still arrive: it says Suspect of itself, so that peers stop
+// giving it to callers.
+func (d *Detector) assessSelf(now time.Time) State {
+	switch {
+	case d.superseded:
+		return Dead
+	case d.declared != Live:
+		return d.declared
+	case d.expectsPeers() && now.Sub(d.lastPeer) > d.cfg.SuspectAfter:
+		return Suspect
+	default:
+		return Live
+	}
+}
+
+func (d *Detector) expectsPeers() bool {
+	for _, r := range d.members {
+		if r.declared != Stopped {
+			return true
+		}
+	}
+	return false
+}
