--- /dev/null
+++ b/messenger/connection.go
@@ -0,0 +1,54 @@
+package messenger
+
+import (
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// timedReader gives each read of a connection its own time limit, and counts the bytes.
+type timedReader struct {
+	conn    net.Conn
+	timeout time.Duration
+	count   metrics.Counter
+}
+
+func (r *timedReader) Read(p []byte) (int, error) {
+	if err := r.conn.SetReadDeadline(time.Now().Add(r.timeout)); err != nil {
+		return 0, err
+	}
+	n, err := r.conn.Read(p)
+	r.count.Inc(int64(n))
+	return n, err
+}
+
+// pending holds the accepted connections that have not proved themselves, oldest first.
+type pending struct {
+	mu    sync.Mutex
+	limit int
+	conns []net.Conn
+}
+
+// add keeps conn, and gives the oldest one if it has to make room.
+func (p *pending) add(conn net.Conn) net.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns = append(p.conns, conn)
+	if len(p.conns) <= p.limit {
+		return nil
+	}
+	oldest := p.conns[0]
+	p.conns = slices.Delete(p.conns, 0, 1)
+	return oldest
+}
+
+func (p *pending) remove(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.conns, conn); i >= 0 {
+		p.conns = slices.Delete(p.conns, i, i+1)
+	}
+}
--- /dev/null
+++ b/messenger/messenger_test.go
@@ -0,0 +1,67 @@
+package messenger
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/carrier"
+)
+
+const testKey = "0123456789abcdef0123456789abcdef"
+
+// received is a message with the name that its sender proved.
+type received struct {
+	from string
+	m    carrier.Message
+}
+
+// startMessenger serves on loopback until the test ends.
+func startMessenger(t *testing.T, cfg Config) (*Messenger, string, <-chan received) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	in := make(chan received, 1000)
+	cfg.Listen = ln
+	if cfg.Key == nil {
+		cfg.Key = []byte(testKey)
+	}
+	if cfg.Handler == nil {
+		cfg.Handler = func(from string, m carrier.Message) { in <- received{from: from, m: m} }
+	}
+	m := New(cfg)
+	served := make(chan error, 1)
+	go func() { served <- m.Serve(t.Context()) }()
+	t.Cleanup(func() {
+		_ = m.Close()
+		require.NoError(t, <-served)
+	})
+	return m, ln.Addr().String(), in
+}
+
+func receive(t *testing.T, in <-chan received) received {
+	t.Helper()
+	select {
+	case r := <-in:
+		return r
+	case <-time.After(20 * time.Second):
+		require.FailNow(t, "no message arrived")
+		return received{}
+	}
+}
+
+func TestMessagesArriveInOrderWithTheProvedName(t *testing.T) {
+	_, address, in := startMessenger(t, Config{Name: "b"})
+	a, _, _ := startMessenger(t, Config{Name: "a"})
+	for i := range 100 {
+		a.Send(address, &carrier.OutcomeCall{CallID: uint64(i), Account: "wards"})
+	}
+	for i := range 100 {
+		got := receive(t, in)
+		require.Equal(t, "a", got.from)
+		require.Equal(t, &carrier.OutcomeCall{CallID: uint64(i), Account: "wards"}, got.m)
+	}
+	require.NoError(t, a.Flush(t.Context()))
+}
