Prove the detector under kills, freezes, cuts and restarts

Cause: an entry that hears its peers but that none hears went on giving itself to callers (scenario 'not heard by any peer' failed: handed out for the whole 6 s). Change: peers' digests echo the own step; no recent echo makes an entry a suspect by its own word. This also covers an entry that hears nobody, so the first version's separate rule for that went out.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -38,12 +38,15 @@
 	cfg     Config
 	self    Member
 	members map[string]*record
-	hints   map[string]*hint
+	// order holds the members in the order of their names.
+	order []*record
+	hints map[string]*hint
 	// lastStep is the time of the newest call that brought a time; zero before the first.
 	lastStep time.Time
-	// lastPeer is when any other member was last heard directly.
-	lastPeer   time.Time
-	declared   State
+	echo     echo
+	// declared is what SetSelf set.
+	declared State
+	// superseded is set once a newer process with this entry's name was heard of.
 	superseded bool
 }
 
@@ -98,13 +101,11 @@
 	out := d.step(now)
 	d.self.Sequence++
 	d.self.LastHeard = now
-	for _, name := range d.names() {
-		r := d.members[name]
+	d.echo.made(d.self.Sequence, now)
+	for _, r := range d.order {
 		out = d.judge(r, now, out)
-		if now.Sub(r.member.LastHeard) > d.cfg.ForgetAfter {
-			delete(d.members, name)
-		}
 	}
+	d.forget(now)
 	d.dropHints(now)
 	return d.updateSelf(now, out)
 }
@@ -119,12 +120,11 @@
 	return &carrier.Heartbeat{From: d.Self(), Sequence: d.self.Sequence, Members: d.Digest(now)}
 }
 
-// Digest gives what this entry knows of the other members that it doesn't take for dead.
-// Dead members are left out, so that an entry that has forgotten one can't learn it again from old news.
+// Digest gives what this entry knows of the other members. Dead ones are left out: no word of them is news.
 func (d *Detector) Digest(now time.Time) []carrier.Member {
-	out := make([]carrier.Member, 0, len(d.members))
-	for _, name := range d.names() {
-		if r := d.members[name]; r.member.State != Dead {
+	out := make([]carrier.Member, 0, len(d.order))
+	for _, r := range d.order {
+		if r.member.State != Dead {
 			out = append(out, r.wire(now))
 		}
 	}
@@ -133,12 +133,15 @@
 
 // Members gives all known members, this entry included, in the order of their names.
 func (d *Detector) Members() []Member {
-	out := make([]Member, 0, len(d.members)+1)
+	out := make([]Member, 0, len(d.order)+1)
+	own, _ := d.find(d.self.Name)
+	for _, r := range d.order[:own] {
+		out = append(out, r.member)
+	}
 	out = append(out, d.self)
-	for _, r := range d.members {
+	for _, r := range d.order[own:] {
 		out = append(out, r.member)
 	}
-	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
@@ -154,11 +157,32 @@
 	return r.member, true
 }
 
-func (d *Detector) names() []string {
-	out := make([]string, 0, len(d.members))
-	for name := range d.members {
-		out = append(out, name)
+// find gives the place of a name in the order, and whether it is there.
+func (d *Detector) find(name string) (int, bool) {
+	return slices.BinarySearchFunc(d.order, name, func(r *record, name string) int {
+		return strings.Compare(r.member.Name, name)
+	})
+}
+
+// add gives the record of a member, a new one if it is unknown.
+func (d *Detector) add(name string) *record {
+	if r, ok := d.members[name]; ok {
+		return r
 	}
-	slices.Sort(out)
-	return out
+	r := &record{member: Member{Name: name}}
+	at, _ := d.find(name)
+	d.order = slices.Insert(d.order, at, r)
+	d.members[name] = r
+	return r
+}
+
+// forget drops the members that have been silent for ForgetAfter.
+func (d *Detector) forget(now time.Time) {
+	d.order = slices.DeleteFunc(d.order, func(r *record) bool {
+		silent := now.Sub(r.member.LastHeard) > d.cfg.ForgetAfter
+		if silent {
+			delete(d.members, r.member.Name)
+		}
+		return silent
+	})
 }
--- a/detector/evidence.go
+++ b/detector/evidence.go
@@ -19,17 +19,17 @@
 		d.lastStep = now
 	}
 	if last.IsZero() {
-		d.lastPeer = now
+		d.echo.heardAt = now
 		return nil
 	}
 	gap := now.Sub(last)
 	if gap <= d.cfg.SuspectAfter/gapPart {
 		return nil
 	}
-	for _, r := range d.members {
+	for _, r := range d.order {
 		r.member.LastHeard = r.member.LastHeard.Add(gap)
 	}
-	d.lastPeer = d.lastPeer.Add(gap)
+	d.echo.heardAt = d.echo.heardAt.Add(gap)
 	if gap < d.cfg.SuspectAfter {
 		return nil
 	}
@@ -48,7 +48,6 @@
 	}
 	out = d.hear(w, now, now, out)
 	d.members[w.Name].member.DirectHeard = now
-	d.lastPeer = now
 	return out
 }
 
@@ -71,11 +70,7 @@
 
 // hear takes a step of a member that is newer than the one known.
 func (d *Detector) hear(w *carrier.Member, heard, now time.Time, out []Transition) []Transition {
-	r, known := d.members[w.Name]
-	if !known {
-		r = &record{member: Member{Name: w.Name}}
-		d.members[w.Name] = r
-	}
+	r := d.add(w.Name)
 	r.take(w, heard)
 	if h, hinted := d.hints[w.PeerAddress]; hinted {
 		r.member.Leaving = h.leaving
@@ -83,11 +78,15 @@
 	return d.judge(r, now, out)
 }
 
-// hearSelf notices that a newer process has this entry's name. Two processes under one name would answer for
-// each other's requests; the older one gives way, since only it can know that it is older.
+// hearSelf takes what a peer says of this entry: the newest own step that it knows of, or that a newer process has
+// this entry's name. Two processes under one name would answer for each other's requests; the older one gives way,
+// since only it can know that it is older.
 func (d *Detector) hearSelf(w *carrier.Member) {
-	if w.Incarnation > d.self.Incarnation {
+	switch {
+	case w.Incarnation > d.self.Incarnation:
 		d.superseded = true
+	case w.Incarnation == d.self.Incarnation:
+		d.echo.heard(w.Sequence)
 	}
 }
 
@@ -129,16 +128,16 @@
 	return append(out, Transition{Member: d.self, From: from, To: to})
 }
 
-// assessSelf judges this entry. An entry that knows peers but hears none of them can't learn of configuration
-// or shares, although its own heartbeats may still arrive: it says Suspect of itself, so that peers stop
-// giving it to callers.
+// assessSelf judges this entry. If no peer's word shows a recent own step, either no peer hears this entry or it
+// hears no peer: it can't take part in limits or learn of configuration, although the other direction may still
+// work. It says Suspect of itself, so that neither peers nor it give it to callers.
 func (d *Detector) assessSelf(now time.Time) State {
 	switch {
 	case d.superseded:
 		return Dead
 	case d.declared != Live:
 		return d.declared
-	case d.expectsPeers() && now.Sub(d.lastPeer) > d.cfg.SuspectAfter:
+	case d.expectsPeers() && now.Sub(d.echo.heardAt) > d.cfg.SuspectAfter:
 		return Suspect
 	default:
 		return Live
@@ -146,7 +145,7 @@
 }
 
 func (d *Detector) expectsPeers() bool {
-	for _, r := range d.members {
+	for _, r := range d.order {
 		if r.declared != Stopped {
 			return true
 		}
--- /dev/null
+++ b/detector/membership_test.go
@@ -0,0 +1,292 @@
+package detector
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// settled starts seven entries and lets them find each other.
+func settled(t require.TestingT, seed uint64) *mesh {
+	m := newMesh(7, seed, testConfig())
+	m.run(3 * time.Second)
+	require.True(t, m.agreed())
+	return m
+}
+
+func (m *mesh) elapsed() time.Duration { return m.now.Sub(m.start) }
+
+func TestMembershipUnderFaults(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		run      func(t *testing.T, m *mesh)
+	}{
+		// An entry can't reach one peer. That peer hears of its steps from the five others; callers keep both.
+		{"one-way cut from one peer", func(t *testing.T, m *mesh) {
+			from := m.elapsed()
+			m.cut[[2]int{0, 1}] = true
+			m.run(time.Minute)
+			require.Zero(t, m.count(Suspect, from))
+			require.True(t, m.agreed())
+			member, _ := m.nodes[1].d.Member(name(0))
+			require.Greater(t, m.now.Sub(member.DirectHeard), 50*time.Second)
+		}},
+		// Between a kill and its notice callers may be given a dead address; then all peers agree on its death.
+		{"kill", func(t *testing.T, m *mesh) {
+			from := m.elapsed()
+			m.kill(3)
+			m.run(4 * time.Second)
+			require.Equal(t, 6, m.count(Dead, from))
+			require.True(t, m.agreed())
+		}},
+		// A process is paused, its peers give it up, and it wakes believing that no time went by. It must say how
+		// long it was away, must not give up its peers for its own silence, and is live again within a second.
+		{"freeze and wake", func(t *testing.T, m *mesh) {
+			from := m.elapsed()
+			m.freeze(3, 10*time.Second)
+			m.run(10 * time.Second)
+			require.Equal(t, 6, m.count(Dead, from))
+			woken := m.elapsed()
+			m.run(time.Second)
+			require.Equal(t, []int{3}, m.woke(from, 9*time.Second))
+			require.Zero(t, m.count(Dead, woken))
+			require.True(t, m.agreed())
+		}},
+		// A switch parts the system. Each half serves on with its own entries and finds the other again, also
+		// after both have forgotten each other, since the settings' seeds are tried for ever.
+		{"partition in two halves and heal", func(t *testing.T, m *mesh) {
+			m.partition(3)
+			m.run(10 * time.Second)
+			require.Equal(t, Live, m.state(0, 2))
+			require.Equal(t, Dead, m.state(0, 3))
+			require.Equal(t, Live, m.state(5, 3))
+			m.run(2 * time.Minute)
+			require.Equal(t, Unknown, m.state(0, 3))
+			m.heal()
+			m.run(3 * time.Second)
+			require.True(t, m.agreed())
+		}},
+		// An entry is cut off alone. It hears nobody, so it can't tell whether it or all others are lost, and
+		// says so: it is the last to be given to callers, but it is given when there is nothing else.
+		{"alone", func(t *testing.T, m *mesh) {
+			m.cutAll(6, true, true)
+			m.run(5 * time.Second)
+			require.Equal(t, Suspect, m.state(6, 6))
+			require.Equal(t, Dead, m.state(0, 6))
+			require.Equal(t, Live, m.state(0, 0))
+		}},
+		// A VM is replaced under its old name. The late words of peers about the old process change nothing.
+		{"restart with a higher incarnation", func(t *testing.T, m *mesh) {
+			old := *m.nodes[4].d.Heartbeat(m.now)
+			m.kill(4)
+			m.run(500 * time.Millisecond)
+			m.boot(4, 2)
+			m.run(2 * time.Second)
+			require.True(t, m.agreed())
+			require.Empty(t, m.nodes[0].d.Receive(&old, m.now))
+			member, _ := m.nodes[0].d.Member(name(4))
+			require.Equal(t, uint64(2), member.Incarnation)
+		}},
+		// A process was paused so long that its VM was replaced under the same name, and wakes. Two processes would
+		// answer for one name; the older one hears of the newer and says that it is dead.
+		{"superseded while frozen", func(t *testing.T, m *mesh) {
+			old := m.nodes[4].d
+			m.boot(4, 2)
+			m.run(2 * time.Second)
+			old.Receive(m.nodes[0].d.Heartbeat(m.now), m.now)
+			self, _ := old.Member(name(4))
+			require.Equal(t, Dead, self.State)
+			require.Equal(t, Live, m.state(0, 4))
+		}},
+		// The VM list lags: it names a VM that is gone and lacks one that lives. Neither is believed.
+		{"VM list names a gone VM and lacks a live one", func(t *testing.T, m *mesh) {
+			from := m.elapsed()
+			m.kill(5)
+			m.run(10*time.Second, func() { m.nodes[0].d.Hint(address(5), zone(5), false, m.now) })
+			require.Equal(t, Dead, m.state(0, 5))
+			require.Equal(t, Live, m.state(0, 6))
+			require.Equal(t, 6, m.count(Dead, from))
+			require.True(t, m.agreed())
+		}},
+		// The seeds are gone, and a new VM is known to the VM list only: the hint brings it in.
+		{"VM list names a new VM", func(t *testing.T, m *mesh) {
+			m.kill(0)
+			m.kill(1)
+			m.kill(6)
+			m.run(70 * time.Second)
+			m.boot(6, 2)
+			m.run(2 * time.Second)
+			require.Equal(t, Unknown, m.state(2, 6))
+			m.nodes[2].d.Hint(address(6), zone(6), false, m.now)
+			m.run(2 * time.Second)
+			require.True(t, m.agreed())
+		}},
+		// Planned stops of all entries, one after another: none may ever look lost.
+		{"all seven restarted one after another", func(t *testing.T, m *mesh) {
+			from := m.elapsed()
+			for i := range 7 {
+				m.nodes[i].d.SetSelf(Stopping, 0, 0)
+				m.run(time.Second)
+				require.Equal(t, Stopping, m.state((i+1)%7, i))
+				m.nodes[i].d.SetSelf(Stopped, 0, 0)
+				m.run(meshHeartbeat)
+				m.kill(i)
+				m.run(5 * time.Second)
+				require.Equal(t, Stopped, m.state((i+1)%7, i))
+				m.boot(i, 2)
+				m.run(time.Second)
+				require.True(t, m.agreed())
+			}
+			require.Zero(t, m.count(Dead, from))
+			require.Zero(t, m.count(Suspect, from))
+		}},
+		// The seeds' VMs are long gone when a switch parts the rest for a while. The halves still know each other's
+		// addresses and probe them, so they find each other without anybody's help.
+		{"partition heals without seeds", func(t *testing.T, m *mesh) {
+			m.kill(0)
+			m.kill(1)
+			m.partition(4)
+			m.run(10 * time.Second)
+			require.Equal(t, Dead, m.state(2, 6))
+			m.heal()
+			m.run(3 * time.Second)
+			require.True(t, m.agreed())
+		}},
+		// An entry in its planned stop falls silent. It must not turn into a suspect, which callers may still be
+		// given when there is nothing else.
+		{"stopping entry falls silent", func(t *testing.T, m *mesh) {
+			m.nodes[2].d.SetSelf(Stopping, 0, 0)
+			m.run(time.Second)
+			m.kill(2)
+			from := m.elapsed()
+			m.run(5 * time.Second)
+			require.Equal(t, Dead, m.state(0, 2))
+			require.Zero(t, m.count(Suspect, from))
+		}},
+		// Peers forget a stopped entry at different times. One that has forgotten it must not learn it anew from
+		// one that hasn't, or it would report again and again an entry that has long gone.
+		{"stopped entry is forgotten for good", func(t *testing.T, m *mesh) {
+			m.nodes[2].d.SetSelf(Stopped, 0, 0)
+			m.run(meshHeartbeat)
+			m.kill(2)
+			m.run(time.Second)
+			from := m.elapsed()
+			m.run(70 * time.Second)
+			require.Equal(t, Unknown, m.state(0, 2))
+			require.Zero(t, m.count(Stopped, from))
+		}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			for seed := range uint64(4) {
+				s.run(t, settled(t, seed))
+			}
+		})
+	}
+}
+
+// woke gives the entries that reported a pause of at least the given length.
+func (m *mesh) woke(after, least time.Duration) []int {
+	var out []int
+	for _, s := range m.seen {
+		if s.at > after && s.Woke() && s.Away >= least && s.Member.Name == name(s.observer) {
+			out = append(out, s.observer)
+		}
+	}
+	return out
+}
+
+func TestVMListMarksLeavingMembers(t *testing.T) {
+	m := settled(t, 1)
+	d := m.nodes[0].d
+	d.Hint(address(3), zone(3), true, m.now)
+	d.Hint(address(0), zone(0), true, m.now)
+	member, _ := d.Member(name(3))
+	require.True(t, member.Leaving)
+	require.Equal(t, Live, member.State)
+	self, _ := d.Member(name(0))
+	require.True(t, self.Leaving)
+	m.run(d.cfg.ForgetAfter + time.Second)
+	member, _ = d.Member(name(3))
+	require.False(t, member.Leaving, "a hint that is no longer repeated lapses")
+}
+
+// Any faults come in any order; then all are mended. No view may ever go back to an earlier process or step of a
+// member, and all views must agree a few seconds after the last fault.
+func TestViewsConvergeAfterAnyFaults(t *testing.T) {
+	steps, faults := 0, 0
+	rapid.Check(t, func(r *rapid.T) {
+		m := settled(r, rapid.Uint64().Draw(r, "seed"))
+		incarnations := make([]uint64, 7)
+		watch := newWatch(m)
+		for range rapid.IntRange(1, 8).Draw(r, "faults") {
+			faults++
+			i := rapid.IntRange(0, 6).Draw(r, "entry")
+			switch rapid.SampledFrom([]string{"kill", "boot", "freeze", "cut", "partition", "stop", "heal"}).Draw(r, "fault") {
+			case "kill":
+				m.kill(i)
+			case "boot":
+				incarnations[i]++
+				m.boot(i, 1+incarnations[i])
+			case "freeze":
+				m.freeze(i, time.Duration(rapid.IntRange(0, 5000).Draw(r, "ms"))*time.Millisecond)
+			case "cut":
+				m.cut[[2]int{i, rapid.IntRange(0, 6).Draw(r, "to")}] = true
+			case "partition":
+				m.partition(i)
+			case "stop":
+				m.nodes[i].d.SetSelf(Stopping, 0, 0)
+			case "heal":
+				m.heal()
+			}
+			m.run(time.Duration(rapid.IntRange(0, 5000).Draw(r, "ms"))*time.Millisecond, func() { watch.check(r) })
+		}
+		m.heal()
+		for i := range m.nodes {
+			m.nodes[i].d.SetSelf(Live, 0, 0)
+		}
+		m.run(12*time.Second, func() { watch.check(r) })
+		require.True(r, m.agreed())
+		steps += int(m.elapsed() / meshStep)
+	})
+	t.Logf("%d steps of 7 entries, %d faults", steps, faults)
+}
+
+// watch holds the newest process and step that each entry has seen of each other.
+type watch struct {
+	m    *mesh
+	last [][]Member
+	of   []*Detector
+}
+
+func newWatch(m *mesh) *watch {
+	w := &watch{m: m, of: make([]*Detector, len(m.nodes))}
+	for range m.nodes {
+		w.last = append(w.last, make([]Member, len(m.nodes)))
+	}
+	return w
+}
+
+func (w *watch) check(t require.TestingT) {
+	for i, n := range w.m.nodes {
+		if w.of[i] != n.d {
+			w.of[i] = n.d
+			clear(w.last[i])
+		}
+		for j := range w.m.nodes {
+			now, ok := n.d.Member(name(j))
+			if !ok {
+				continue
+			}
+			before := w.last[i][j]
+			back := now.Incarnation < before.Incarnation ||
+				now.Incarnation == before.Incarnation && now.Sequence < before.Sequence
+			if back {
+				require.Fail(t, "a view went back", "entry %d saw %v after %v", i, now, before)
+			}
+			w.last[i][j] = now
+		}
+	}
+}
--- /dev/null
+++ b/detector/mesh_test.go
@@ -0,0 +1,225 @@
+package detector
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"geraniumline/carrier"
+)
+
+const (
+	meshStep      = 10 * time.Millisecond
+	meshHeartbeat = 200 * time.Millisecond
+)
+
+// mesh steps the detectors of several entries over links that a test can delay and cut.
+type mesh struct {
+	now    time.Time
+	start  time.Time
+	rnd    *rand.Rand
+	cfg    Config
+	nodes  []*node
+	byAddr map[string]int
+	// cut holds the links (from, to) that lose what is sent.
+	cut map[[2]int]bool
+	// delay gives the time that a message is under way.
+	delay func() time.Duration
+	seen  []sighting
+}
+
+// node is one entry's place: its process may be replaced.
+type node struct {
+	d       *Detector
+	running bool
+	// frozenUntil is when a paused process goes on; it reads its mail only then.
+	frozenUntil time.Time
+	nextBeat    time.Time
+	inbox       []mail
+}
+
+type mail struct {
+	at time.Time
+	hb *carrier.Heartbeat
+}
+
+// sighting is a transition with its place and time.
+type sighting struct {
+	at       time.Duration
+	observer int
+	Transition
+}
+
+func newMesh(n int, seed uint64, cfg Config) *mesh {
+	m := &mesh{
+		now:    time.Unix(1_700_000_000, 0),
+		rnd:    rand.New(rand.NewPCG(seed, 1)),
+		cfg:    cfg,
+		byAddr: make(map[string]int),
+		cut:    make(map[[2]int]bool),
+	}
+	m.start = m.now
+	m.delay = func() time.Duration { return time.Duration(1+m.rnd.IntN(5)) * time.Millisecond }
+	for i := range n {
+		m.byAddr[address(i)] = i
+		m.nodes = append(m.nodes, &node{})
+		m.boot(i, 1)
+	}
+	return m
+}
+
+// testConfig has the times that the settings give by default.
+func testConfig() Config {
+	return Config{
+		SuspectAfter: 1200 * time.Millisecond,
+		DeadAfter:    3 * time.Second,
+		ForgetAfter:  time.Minute,
+		Seeds:        []string{address(0), address(1)},
+	}
+}
+
+func name(i int) string    { return "entry-" + strconv.Itoa(100+i) }
+func zone(i int) string    { return "zone-" + strconv.Itoa(i%3) }
+func address(i int) string { return "10.0.0." + strconv.Itoa(i) + ":7003" }
+
+// boot starts a new process for entry i, which knows only the seeds.
+func (m *mesh) boot(i int, incarnation uint64) {
+	cfg := m.cfg
+	cfg.Self = carrier.Member{Name: name(i), Zone: zone(i), PeerAddress: address(i), Incarnation: incarnation}
+	phase := time.Duration(m.rnd.Int64N(int64(meshHeartbeat)))
+	*m.nodes[i] = node{d: New(cfg), running: true, nextBeat: m.now.Add(phase)}
+}
+
+func (m *mesh) kill(i int) { m.nodes[i].running = false }
+
+func (m *mesh) freeze(i int, d time.Duration) { m.nodes[i].frozenUntil = m.now.Add(d) }
+
+// awake tells whether entry i's process runs now.
+func (m *mesh) awake(i int) bool {
+	return m.nodes[i].running && !m.now.Before(m.nodes[i].frozenUntil)
+}
+
+func (m *mesh) run(d time.Duration, each ...func()) {
+	for end := m.now.Add(d); m.now.Before(end); {
+		m.now = m.now.Add(meshStep)
+		for _, i := range m.rnd.Perm(len(m.nodes)) {
+			if m.awake(i) {
+				m.step(i)
+			}
+		}
+		for _, f := range each {
+			f()
+		}
+	}
+}
+
+// step lets one process do its work in either order: a loop that wakes may tick before it reads.
+func (m *mesh) step(i int) {
+	if m.rnd.IntN(2) == 0 {
+		m.beat(i)
+		m.read(i)
+		return
+	}
+	m.read(i)
+	m.beat(i)
+}
+
+func (m *mesh) read(i int) {
+	n := m.nodes[i]
+	if len(n.inbox) == 0 {
+		return
+	}
+	var later []mail
+	for _, x := range n.inbox {
+		if x.at.After(m.now) {
+			later = append(later, x)
+			continue
+		}
+		m.note(i, n.d.Receive(x.hb, m.now))
+	}
+	n.inbox = later
+}
+
+func (m *mesh) beat(i int) {
+	n := m.nodes[i]
+	if m.now.Before(n.nextBeat) {
+		return
+	}
+	n.nextBeat = m.now.Add(meshHeartbeat)
+	m.note(i, n.d.Tick(m.now))
+	hb := n.d.Heartbeat(m.now)
+	for _, to := range n.d.Targets(m.now) {
+		j, ok := m.byAddr[to]
+		if !ok || m.cut[[2]int{i, j}] || !m.nodes[j].running {
+			continue
+		}
+		m.nodes[j].inbox = append(m.nodes[j].inbox, mail{at: m.now.Add(m.delay()), hb: hb})
+	}
+}
+
+func (m *mesh) note(i int, ts []Transition) {
+	for _, t := range ts {
+		m.seen = append(m.seen, sighting{at: m.now.Sub(m.start), observer: i, Transition: t})
+	}
+}
+
+// gives tells whether any process that runs, the victim's own included, would give the victim to a caller.
+func (m *mesh) gives(victim int) bool {
+	for i := range m.nodes {
+		if m.awake(i) && m.state(i, victim) == Live {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *mesh) state(observer, of int) State {
+	member, ok := m.nodes[observer].d.Member(name(of))
+	if !ok {
+		return Unknown
+	}
+	return member.State
+}
+
+// count counts the sightings of a state after the given time.
+func (m *mesh) count(to State, after time.Duration) int {
+	n := 0
+	for _, s := range m.seen {
+		if s.To == to && s.From != to && s.at > after {
+			n++
+		}
+	}
+	return n
+}
+
+// agreed tells whether every process that runs sees every one that runs as live, and no other.
+func (m *mesh) agreed() bool {
+	for i := range m.nodes {
+		for j := range m.nodes {
+			if m.awake(i) && (m.state(i, j) == Live) != m.awake(j) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (m *mesh) cutAll(victim int, out, in bool) {
+	for i := range m.nodes {
+		if i == victim {
+			continue
+		}
+		m.cut[[2]int{victim, i}] = out
+		m.cut[[2]int{i, victim}] = in
+	}
+}
+
+func (m *mesh) partition(left int) {
+	for i := range m.nodes {
+		for j := range m.nodes {
+			m.cut[[2]int{i, j}] = (i < left) != (j < left)
+		}
+	}
+}
+
+func (m *mesh) heal() { clear(m.cut) }
--- /dev/null
+++ b/detector/silence_test.go
@@ -0,0 +1,79 @@
+package detector
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The bounds on the time until an entry is no longer given to callers are set from the run of this test:
+// SuspectAfter of 1.2 s, up to one heartbeat until the next judgement, and a hop.
+const (
+	handedOutP50   = 1300 * time.Millisecond
+	handedOutWorst = 1500 * time.Millisecond
+)
+
+// A caller asks for addresses just after an entry was lost, and gets the lost one among them. Its peers hear no
+// further step of it, by no path; each ends handing it out once the silence reaches SuspectAfter. Where only one
+// direction is lost, the entry itself must end it too: it hears nobody, or no peer says that it was heard.
+func TestLostEntryIsNoLongerHandedOut(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		lose     func(m *mesh, victim int)
+	}{
+		{"killed", func(m *mesh, victim int) { m.kill(victim) }},
+		{"frozen", func(m *mesh, victim int) { m.freeze(victim, time.Hour) }},
+		{"not heard by any peer", func(m *mesh, victim int) { m.cutAll(victim, true, false) }},
+		{"hears no peer", func(m *mesh, victim int) { m.cutAll(victim, false, true) }},
+		{"cut both ways", func(m *mesh, victim int) { m.cutAll(victim, true, true) }},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			var took []time.Duration
+			for seed := range uint64(100) {
+				took = append(took, timeHandedOut(t, seed, s.lose))
+			}
+			slices.Sort(took)
+			p50, worst := took[len(took)/2], took[len(took)-1]
+			t.Logf("7 entries, %d losses: handed out for p50 %v, worst %v", len(took), p50, worst)
+			require.LessOrEqual(t, p50, handedOutP50)
+			require.LessOrEqual(t, worst, handedOutWorst)
+		})
+	}
+}
+
+func timeHandedOut(t *testing.T, seed uint64, lose func(m *mesh, victim int)) time.Duration {
+	m := newMesh(7, seed, testConfig())
+	m.run(3*time.Second + time.Duration(m.rnd.IntN(20))*meshStep)
+	require.True(t, m.agreed())
+	victim := int(seed % 7)
+	lose(m, victim)
+	lostAt := m.now
+	var last time.Duration
+	m.run(6*time.Second, func() {
+		if m.gives(victim) {
+			last = m.now.Sub(lostAt)
+		}
+	})
+	return last
+}
+
+// The network delays heartbeats and each process pauses now and then, always for less than SuspectAfter less a
+// heartbeat. Every entry is alive all the time, so no caller may lose one from its answer.
+func TestNoFalseDeathOverALongRun(t *testing.T) {
+	m := newMesh(7, 42, testConfig())
+	m.delay = func() time.Duration { return time.Duration(1+m.rnd.ExpFloat64()*20) * time.Millisecond }
+	m.run(2 * time.Second)
+	pauses := 0
+	for range 600 {
+		m.freeze(m.rnd.IntN(7), time.Duration(m.rnd.IntN(900))*time.Millisecond)
+		pauses++
+		m.run(time.Second)
+	}
+	dead, suspect := m.count(Dead, 2*time.Second), m.count(Suspect, 2*time.Second)
+	t.Logf("7 entries, 602 s, %d pauses below 0.9 s: false deaths %d, false suspicions %d", pauses, dead, suspect)
+	require.Zero(t, dead)
+	require.Zero(t, suspect)
+}
--- a/detector/target.go
+++ b/detector/target.go
@@ -31,10 +31,10 @@
 // Targets gives the peer addresses to send the next heartbeat to: all members that are not dead, and now and then
 // the dead ones, the hints and the seeds, so that a healed partition and a new VM are found.
 func (d *Detector) Targets(now time.Time) []string {
-	known := make(map[string]bool, len(d.members)+1)
+	known := make(map[string]bool, len(d.order)+1)
 	known[d.self.PeerAddress] = true
 	var out []string
-	for _, r := range d.members {
+	for _, r := range d.order {
 		address := r.member.PeerAddress
 		if known[address] || !d.reachable(r, now) {
 			continue
@@ -72,7 +72,7 @@
 		d.self.Leaving = leaving
 		return
 	}
-	for _, r := range d.members {
+	for _, r := range d.order {
 		if r.member.PeerAddress == peerAddress {
 			r.member.Leaving = leaving
 		}
