Pick an account's entries without sorting all of them

Cause: ranking sorted every member for each answer. Change: each pick scans for the best member left; zones are indexes.

--- a/addresser/addresser.go
+++ b/addresser/addresser.go
@@ -6,12 +6,8 @@
 package addresser
 
 import (
-	"slices"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"geraniumline/detector"
 )
 
@@ -51,15 +47,15 @@
 // Answer gives the account's addresses: primaries spread over availability zones, then spares, from zones
 // without a primary first. Only live members are given; if there are none, those that may still be alive.
 func (a *Addresser) Answer(account string, members []detector.Member) Answer {
-	p := &picker{zones: make(map[string]*zoneUse), ranked: rank(account, usable(members))}
-	primaries := p.pick(a.cfg.SubsetSize)
-	spares := p.pick(a.cfg.Spares)
-	addresses := make([]Address, 0, len(primaries)+len(spares))
-	for _, m := range primaries {
-		addresses = append(addresses, Address{Address: m.CallerAddress, Zone: m.Zone})
-	}
-	for _, m := range spares {
-		addresses = append(addresses, Address{Address: m.CallerAddress, Zone: m.Zone, Spare: true})
+	p := newPicker(account, usable(members))
+	addresses := make([]Address, 0, a.cfg.SubsetSize+a.cfg.Spares)
+	for len(addresses) < cap(addresses) {
+		m := p.next()
+		if m == nil {
+			break
+		}
+		spare := len(addresses) >= a.cfg.SubsetSize
+		addresses = append(addresses, Address{Address: m.CallerAddress, Zone: m.Zone, Spare: spare})
 	}
 	return Answer{TTL: a.cfg.TTL, Addresses: addresses}
 }
@@ -88,87 +84,3 @@
 		return suspect
 	}
 }
-
-type candidate struct {
-	member *detector.Member
-	score  uint64
-	picked bool
-}
-
-// rank orders the members by their rendezvous score for the account, highest first.
-func rank(account string, members []*detector.Member) []candidate {
-	seed := xxhash.Sum64String(account)
-	out := make([]candidate, len(members))
-	for i, m := range members {
-		out[i] = candidate{member: m, score: mix(seed ^ xxhash.Sum64String(m.Name))}
-	}
-	slices.SortFunc(out, func(x, y candidate) int {
-		switch {
-		case x.score > y.score:
-			return -1
-		case x.score < y.score:
-			return 1
-		default:
-			return strings.Compare(x.member.Name, y.member.Name)
-		}
-	})
-	return out
-}
-
-// mix is the finaliser of SplitMix64: every bit of the input changes half of the output's bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return x
-}
-
-type zoneUse struct {
-	picked int
-}
-
-// picker takes candidates in ranked order, always from a zone that was used least so far.
-type picker struct {
-	ranked []candidate
-	zones  map[string]*zoneUse
-}
-
-func (p *picker) pick(n int) []*detector.Member {
-	out := make([]*detector.Member, 0, n)
-	for len(out) < n {
-		c := p.best()
-		if c == nil {
-			return out
-		}
-		c.picked = true
-		p.use(c.member.Zone).picked++
-		out = append(out, c.member)
-	}
-	return out
-}
-
-// best gives the highest ranked candidate that is left among those whose zones were used least.
-func (p *picker) best() *candidate {
-	var found *candidate
-	for i := range p.ranked {
-		c := &p.ranked[i]
-		if c.picked {
-			continue
-		}
-		if found == nil || p.use(c.member.Zone).picked < p.use(found.member.Zone).picked {
-			found = c
-		}
-	}
-	return found
-}
-
-func (p *picker) use(zone string) *zoneUse {
-	u, ok := p.zones[zone]
-	if !ok {
-		u = &zoneUse{}
-		p.zones[zone] = u
-	}
-	return u
-}
