--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -74,8 +74,30 @@
 	buf    []byte
 }
 
-// next reads one frame. The limit is checked before memory is taken for the body.
+// next reads one frame and its message.
 func (f *frameReader) next() (carrier.Message, error) {
+	content, err := f.read()
+	if err != nil {
+		return nil, err
+	}
+	return decode(carrier.Kind(content[0]), content[kindSize:])
+}
+
+// nextOf reads one frame of the kind. No other kind is decoded: a peer that has not proved itself could claim a
+// list of many thousand elements in a few bytes, and memory would be taken for them all.
+func (f *frameReader) nextOf(kind carrier.Kind) (carrier.Message, error) {
+	content, err := f.read()
+	if err != nil {
+		return nil, err
+	}
+	if got := carrier.Kind(content[0]); got != kind {
+		return nil, &HandshakeError{Reason: fmt.Sprintf("frame of kind %d instead of %d", got, kind)}
+	}
+	return decode(kind, content[kindSize:])
+}
+
+// read gives a frame's kind and body. The limit is checked before memory is taken for them.
+func (f *frameReader) read() ([]byte, error) {
 	var head [lengthSize]byte
 	if _, err := io.ReadFull(f.r, head[:]); err != nil {
 		return nil, err
@@ -88,13 +110,10 @@
 	if _, err := io.ReadFull(f.r, content); err != nil {
 		return nil, err
 	}
-	if f.opener != nil {
-		var err error
-		if content, err = f.opener.open(content); err != nil {
-			return nil, err
-		}
+	if f.opener == nil {
+		return content, nil
 	}
-	return decode(carrier.Kind(content[0]), content[kindSize:])
+	return f.opener.open(content)
 }
 
 func (f *frameReader) least() int {
--- a/messenger/handshake.go
+++ b/messenger/handshake.go
@@ -107,14 +107,12 @@
 }
 
 func (h *handshake) readChallenge() error {
-	m, err := h.frames.next()
+	m, err := h.frames.nextOf(carrier.KindChallenge)
 	if err != nil {
 		return err
 	}
-	c, ok := m.(*carrier.Challenge)
+	c := m.(*carrier.Challenge)
 	switch {
-	case !ok:
-		return &HandshakeError{Reason: "no challenge"}
 	case len(c.Nonce) != nonceSize:
 		return &HandshakeError{Reason: "nonce of a wrong length"}
 	case c.Entry == "" || len(c.Entry) > maxName:
@@ -125,15 +123,11 @@
 }
 
 func (h *handshake) check(want []byte) error {
-	m, err := h.frames.next()
+	m, err := h.frames.nextOf(carrier.KindProof)
 	if err != nil {
 		return err
 	}
-	p, ok := m.(*carrier.Proof)
-	if !ok {
-		return &HandshakeError{Reason: "no proof"}
-	}
-	if !hmac.Equal(p.Mac, want) {
+	if !hmac.Equal(m.(*carrier.Proof).Mac, want) {
 		return &ProofError{Entry: h.peer.Entry}
 	}
 	return nil
--- /dev/null
+++ b/messenger/hostile_test.go
@@ -0,0 +1,139 @@
+package messenger
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/carrier"
+)
+
+func encode(t testing.TB, m carrier.Message) []byte {
+	t.Helper()
+	body, err := m.MarshalMsg(nil)
+	require.NoError(t, err)
+	return appendFrame(nil, m.Kind(), body, nil)
+}
+
+func count(r metrics.Registry, name string) int64 {
+	return metrics.GetOrRegisterCounter("peers."+name, r).Count()
+}
+
+// Somebody who doesn't know the shared key connects to the peers' port. Whatever it sends, the connection must be
+// closed and counted, and no message may reach the entry.
+func TestStrangersAreRefused(t *testing.T) {
+	challenge := &carrier.Challenge{Nonce: bytes.Repeat([]byte{7}, nonceSize), Entry: "a"}
+	manyAccounts := append([]byte{0x81, 0xa8}, append([]byte("accounts"), 0xdd, 0, 1, 0, 0)...)
+	scenarios := []struct {
+		testName string
+		sent     []byte
+		// timeout is the handshake's; an hour where the bytes themselves must end the connection.
+		timeout time.Duration
+	}{
+		{"nothing, for longer than a handshake may take", nil, 100 * time.Millisecond},
+		{"half a frame", encode(t, challenge)[:10], 100 * time.Millisecond},
+		{"garbage", bytes.Repeat([]byte("GET / HTTP/1.1\r\n"), 100), time.Hour},
+		{"oversize length", binary.BigEndian.AppendUint32(nil, handshakeLimit+1), time.Hour},
+		{"largest length", binary.BigEndian.AppendUint32(nil, 1<<32-1), time.Hour},
+		{"empty frame", make([]byte, lengthSize), time.Hour},
+		{"unknown kind", appendFrame(nil, 200, nil, nil), time.Hour},
+		{"short nonce", encode(t, &carrier.Challenge{Nonce: []byte{1}, Entry: "a"}), time.Hour},
+		{"no name", encode(t, &carrier.Challenge{Nonce: challenge.Nonce}), time.Hour},
+		{"heartbeat before the proof", encode(t, &carrier.Heartbeat{From: carrier.Member{Name: "a"}}), time.Hour},
+		{"list of 65,536 claimed before the proof", appendFrame(nil, carrier.KindHeartbeat, manyAccounts, nil), time.Hour},
+		{"heartbeat in place of the proof", append(encode(t, challenge), encode(t, &carrier.Heartbeat{})...), time.Hour},
+		{"wrong proof", append(encode(t, challenge), encode(t, &carrier.Proof{Mac: make([]byte, 32)})...), time.Hour},
+		{"empty proof", append(encode(t, challenge), encode(t, &carrier.Proof{})...), time.Hour},
+		{"two challenges", append(encode(t, challenge), encode(t, challenge)...), time.Hour},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			registry := metrics.NewRegistry()
+			_, address, in := startMessenger(t, Config{Name: "b", Registry: registry, HandshakeTimeout: s.timeout})
+			conn, err := net.Dial("tcp", address)
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = conn.Write(s.sent)
+			require.NoError(t, err)
+			_, _ = io.Copy(io.Discard, conn)
+			require.Eventually(t, func() bool { return count(registry, "connectionsRefused") == 1 }, 20*time.Second, time.Millisecond)
+			require.Empty(t, in)
+		})
+	}
+}
+
+// An entry of another system, with another key, is configured with this one's address by mistake.
+func TestEntriesWithDifferentKeysDoNotTalk(t *testing.T) {
+	here, there := metrics.NewRegistry(), metrics.NewRegistry()
+	_, address, in := startMessenger(t, Config{Name: "b", Registry: here})
+	other, _, _ := startMessenger(t, Config{Name: "a", Registry: there, Key: bytes.Repeat([]byte{1}, 32)})
+	other.Send(address, &carrier.OutcomeCall{CallID: 1})
+	require.Eventually(t, func() bool {
+		return count(here, "connectionsRefused") == 1 && count(there, "messagesLost") == 1
+	}, 20*time.Second, time.Millisecond)
+	require.Empty(t, in)
+}
+
+// A stranger has an entry dial it, and sends the entry's own challenge and proof back (reflection). The proof is
+// right for a dialer, but the entry wants a listener's.
+func TestReflectedProofIsRefused(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }()
+	go func() {
+		defer func() { _ = far.Close() }()
+		_, _ = io.Copy(far, far)
+	}()
+	buffered := &bufferedConn{Conn: near, writes: make(chan []byte, 10)}
+	go buffered.run()
+	_, _, err := newHandshake(buffered, []byte(testKey), "a").dial()
+	var proof *ProofError
+	require.ErrorAs(t, err, &proof)
+	close(buffered.writes)
+}
+
+// bufferedConn lets writes return at once, as a socket's do.
+type bufferedConn struct {
+	net.Conn
+	writes chan []byte
+}
+
+func (c *bufferedConn) Write(p []byte) (int, error) {
+	c.writes <- bytes.Clone(p)
+	return len(p), nil
+}
+
+func (c *bufferedConn) run() {
+	for p := range c.writes {
+		_, _ = c.Conn.Write(p)
+	}
+}
+
+// Strangers hold hundreds of connections open and send nothing. The oldest of them give way, so an honest peer,
+// whose handshake takes milliseconds, gets in, and the number that is held stays bounded.
+func TestIdleStrangersDoNotKeepPeersOut(t *testing.T) {
+	const places = 8
+	registry := metrics.NewRegistry()
+	m, address, in := startMessenger(t, Config{Name: "b", Registry: registry, MaxPending: places, HandshakeTimeout: time.Hour})
+	for range 200 {
+		conn, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+	}
+	require.Eventually(t, func() bool { return count(registry, "connectionsEvicted") == 200-places }, 20*time.Second, time.Millisecond)
+	a, _, _ := startMessenger(t, Config{Name: "a"})
+	a.Send(address, &carrier.OutcomeCall{CallID: 1})
+	require.Equal(t, "a", receive(t, in).from)
+	require.Eventually(t, func() bool { return m.open() <= places+1 }, 20*time.Second, time.Millisecond)
+}
+
+func (m *Messenger) open() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.conns)
+}
