--- /dev/null
+++ b/detector/bench_test.go
@@ -0,0 +1,89 @@
+package detector
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"geraniumline/carrier"
+)
+
+// benchMesh gives a detector that knows n-1 others with real-sized names and addresses, and one of the others.
+func benchMesh(n int) (d, other *Detector, now time.Time) {
+	now = time.Unix(1_700_000_000, 0)
+	detectors := make([]*Detector, n)
+	for i := range detectors {
+		cfg := testConfig()
+		host := "10.20." + strconv.Itoa(i/200) + "." + strconv.Itoa(20+i%200)
+		cfg.Self = carrier.Member{
+			Name: "entry-" + strconv.Itoa(1000+i), Zone: "zone-" + strconv.Itoa(i%3),
+			CallerAddress: host + ":7001", PeerAddress: host + ":7003",
+			Incarnation: uint64(now.UnixNano()), ConfigOffset: 100_000, InFlight: 100,
+		}
+		detectors[i] = New(cfg)
+		detectors[i].self.Sequence = 100_000
+		detectors[i].Tick(now)
+	}
+	d, other = detectors[0], detectors[1]
+	for _, x := range detectors[1:] {
+		hb := &carrier.Heartbeat{From: x.Self()}
+		d.Receive(hb, now)
+		other.Receive(hb, now)
+	}
+	return d, other, now
+}
+
+var benchSizes = []int{7, 50, 200}
+
+// BenchmarkHeartbeat makes and encodes one heartbeat, and reports its size.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, n := range benchSizes {
+		d, _, now := benchMesh(n)
+		b.Run(strconv.Itoa(n)+" members", func(b *testing.B) {
+			b.ReportAllocs()
+			var buf []byte
+			for b.Loop() {
+				buf, _ = d.Heartbeat(now).MarshalMsg(buf[:0])
+			}
+			b.ReportMetric(float64(len(buf)), "B/heartbeat")
+		})
+	}
+}
+
+// BenchmarkReceive decodes and takes one heartbeat in which every member has made a step.
+func BenchmarkReceive(b *testing.B) {
+	for _, n := range benchSizes {
+		d, other, now := benchMesh(n)
+		hb := other.Heartbeat(now)
+		b.Run(strconv.Itoa(n)+" members", func(b *testing.B) {
+			b.ReportAllocs()
+			var got carrier.Heartbeat
+			var buf []byte
+			for b.Loop() {
+				b.StopTimer()
+				hb.From.Sequence++
+				for i := range hb.Members {
+					hb.Members[i].Sequence++
+				}
+				buf, _ = hb.MarshalMsg(buf[:0])
+				b.StartTimer()
+				_, _ = got.UnmarshalMsg(buf)
+				d.Receive(&got, now)
+			}
+		})
+	}
+}
+
+// BenchmarkTick judges all members once.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range benchSizes {
+		d, _, now := benchMesh(n)
+		b.Run(strconv.Itoa(n)+" members", func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				d.Tick(now)
+				d.Targets(now)
+			}
+		})
+	}
+}
