Tell known members by pulses of 13 bytes

Cause: a heartbeat named every member in full, 74 bytes each, several times a second. Change: peers that know a member get its pulse (hash of name and incarnation, sequence, age, state); a member is named in full when it was just learned, in turn, to newcomers, and if its hash is shared. Detector.Heartbeat builds this; Digest still names all in full. The detector's proofs pass with unchanged bounds. With the safeguards for shared hashes off, TestTwinsInPulseIDDoNotKeepEachOtherAlive fails.

--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -file schema.go -o schema_gen.go -tests=false
 
-//msgp:tuple Member EndpointLoad AccountUse Record
+//msgp:tuple Member Pulse EndpointLoad AccountUse Record
 
 // Kind tells which message a frame carries.
 type Kind uint8
@@ -48,6 +48,15 @@
 	AgeMillis uint32
 }
 
+// Pulse is the short form of a Member that the receiver already knows.
+type Pulse struct {
+	// ID is a hash of the member's name and incarnation.
+	ID        uint32
+	Sequence  uint64
+	AgeMillis uint32
+	State     uint8
+}
+
 // EndpointLoad is one entry's calls in flight and its opinion of an endpoint.
 type EndpointLoad struct {
 	Address  string
@@ -79,6 +88,7 @@
 	From      Member         `msg:"from"`
 	Sequence  uint64         `msg:"sequence"`
 	Members   []Member       `msg:"members,limit=4096"`
+	Pulses    []Pulse        `msg:"pulses,limit=4096"`
 	Endpoints []EndpointLoad `msg:"endpoints,limit=16384"`
 	Accounts  []AccountUse   `msg:"accounts,limit=65536"`
 	Crashes   []CrashMark    `msg:"crashes,limit=1024"`
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -802,106 +802,129 @@
 					return
 				}
 			}
-		case "endpoints":
+		case "pulses":
 			var zb0003 uint32
 			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Endpoints")
+				err = msgp.WrapError(err, "Pulses")
 				return
 			}
-			if zb0003 > 16384 {
+			if zb0003 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Endpoints) >= int(zb0003) {
-				z.Endpoints = (z.Endpoints)[:zb0003]
+			if cap(z.Pulses) >= int(zb0003) {
+				z.Pulses = (z.Pulses)[:zb0003]
 			} else {
-				z.Endpoints = make([]EndpointLoad, zb0003)
+				z.Pulses = make([]Pulse, zb0003)
 			}
-			for za0002 := range z.Endpoints {
-				err = z.Endpoints[za0002].DecodeMsg(dc)
+			for za0002 := range z.Pulses {
+				err = z.Pulses[za0002].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Endpoints", za0002)
+					err = msgp.WrapError(err, "Pulses", za0002)
 					return
 				}
 			}
-		case "accounts":
+		case "endpoints":
 			var zb0004 uint32
 			zb0004, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Accounts")
+				err = msgp.WrapError(err, "Endpoints")
 				return
 			}
-			if zb0004 > 65536 {
+			if zb0004 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Accounts) >= int(zb0004) {
-				z.Accounts = (z.Accounts)[:zb0004]
+			if cap(z.Endpoints) >= int(zb0004) {
+				z.Endpoints = (z.Endpoints)[:zb0004]
 			} else {
-				z.Accounts = make([]AccountUse, zb0004)
+				z.Endpoints = make([]EndpointLoad, zb0004)
 			}
-			for za0003 := range z.Accounts {
-				err = z.Accounts[za0003].DecodeMsg(dc)
+			for za0003 := range z.Endpoints {
+				err = z.Endpoints[za0003].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Accounts", za0003)
+					err = msgp.WrapError(err, "Endpoints", za0003)
 					return
 				}
 			}
-		case "crashes":
+		case "accounts":
 			var zb0005 uint32
 			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Accounts")
+				return
+			}
+			if zb0005 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Accounts) >= int(zb0005) {
+				z.Accounts = (z.Accounts)[:zb0005]
+			} else {
+				z.Accounts = make([]AccountUse, zb0005)
+			}
+			for za0004 := range z.Accounts {
+				err = z.Accounts[za0004].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0004)
+					return
+				}
+			}
+		case "crashes":
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Crashes")
 				return
 			}
-			if zb0005 > 1024 {
+			if zb0006 > 1024 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Crashes) >= int(zb0005) {
-				z.Crashes = (z.Crashes)[:zb0005]
+			if cap(z.Crashes) >= int(zb0006) {
+				z.Crashes = (z.Crashes)[:zb0006]
 			} else {
-				z.Crashes = make([]CrashMark, zb0005)
+				z.Crashes = make([]CrashMark, zb0006)
 			}
-			for za0004 := range z.Crashes {
-				var zb0006 uint32
-				zb0006, err = dc.ReadMapHeader()
+			for za0005 := range z.Crashes {
+				var zb0007 uint32
+				zb0007, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Crashes", za0004)
+					err = msgp.WrapError(err, "Crashes", za0005)
 					return
 				}
-				if zb0006 > 1024 {
+				if zb0007 > 1024 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0007 > 0 {
+					zb0007--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "Crashes", za0004)
+						err = msgp.WrapError(err, "Crashes", za0005)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "digest":
-						z.Crashes[za0004].Digest, err = dc.ReadBytesLimit(z.Crashes[za0004].Digest, 32)
-						if err == nil && z.Crashes[za0004].Digest == nil {
-							z.Crashes[za0004].Digest = []byte{}
+						z.Crashes[za0005].Digest, err = dc.ReadBytesLimit(z.Crashes[za0005].Digest, 32)
+						if err == nil && z.Crashes[za0005].Digest == nil {
+							z.Crashes[za0005].Digest = []byte{}
 						}
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004, "Digest")
+							err = msgp.WrapError(err, "Crashes", za0005, "Digest")
 							return
 						}
 					case "crashes":
-						z.Crashes[za0004].Crashes, err = dc.ReadInt32()
+						z.Crashes[za0005].Crashes, err = dc.ReadInt32()
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004, "Crashes")
+							err = msgp.WrapError(err, "Crashes", za0005, "Crashes")
 							return
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004)
+							err = msgp.WrapError(err, "Crashes", za0005)
 							return
 						}
 					}
@@ -920,9 +943,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 7
 	// write "from"
-	err = en.Append(0x86, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	err = en.Append(0x87, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	if err != nil {
 		return
 	}
@@ -958,6 +981,23 @@
 			return
 		}
 	}
+	// write "pulses"
+	err = en.Append(0xa6, 0x70, 0x75, 0x6c, 0x73, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Pulses)))
+	if err != nil {
+		err = msgp.WrapError(err, "Pulses")
+		return
+	}
+	for za0002 := range z.Pulses {
+		err = z.Pulses[za0002].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Pulses", za0002)
+			return
+		}
+	}
 	// write "endpoints"
 	err = en.Append(0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
 	if err != nil {
@@ -968,10 +1008,10 @@
 		err = msgp.WrapError(err, "Endpoints")
 		return
 	}
-	for za0002 := range z.Endpoints {
-		err = z.Endpoints[za0002].EncodeMsg(en)
+	for za0003 := range z.Endpoints {
+		err = z.Endpoints[za0003].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Endpoints", za0002)
+			err = msgp.WrapError(err, "Endpoints", za0003)
 			return
 		}
 	}
@@ -985,10 +1025,10 @@
 		err = msgp.WrapError(err, "Accounts")
 		return
 	}
-	for za0003 := range z.Accounts {
-		err = z.Accounts[za0003].EncodeMsg(en)
+	for za0004 := range z.Accounts {
+		err = z.Accounts[za0004].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Accounts", za0003)
+			err = msgp.WrapError(err, "Accounts", za0004)
 			return
 		}
 	}
@@ -1002,16 +1042,16 @@
 		err = msgp.WrapError(err, "Crashes")
 		return
 	}
-	for za0004 := range z.Crashes {
+	for za0005 := range z.Crashes {
 		// map header, size 2
 		// write "digest"
 		err = en.Append(0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
 		if err != nil {
 			return
 		}
-		err = en.WriteBytes(z.Crashes[za0004].Digest)
+		err = en.WriteBytes(z.Crashes[za0005].Digest)
 		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0004, "Digest")
+			err = msgp.WrapError(err, "Crashes", za0005, "Digest")
 			return
 		}
 		// write "crashes"
@@ -1019,9 +1059,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteInt32(z.Crashes[za0004].Crashes)
+		err = en.WriteInt32(z.Crashes[za0005].Crashes)
 		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0004, "Crashes")
+			err = msgp.WrapError(err, "Crashes", za0005, "Crashes")
 			return
 		}
 	}
@@ -1031,9 +1071,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "from"
-	o = append(o, 0x86, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = append(o, 0x87, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -1052,37 +1092,47 @@
 			return
 		}
 	}
+	// string "pulses"
+	o = append(o, 0xa6, 0x70, 0x75, 0x6c, 0x73, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Pulses)))
+	for za0002 := range z.Pulses {
+		o, err = z.Pulses[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Pulses", za0002)
+			return
+		}
+	}
 	// string "endpoints"
 	o = append(o, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
-	for za0002 := range z.Endpoints {
-		o, err = z.Endpoints[za0002].MarshalMsg(o)
+	for za0003 := range z.Endpoints {
+		o, err = z.Endpoints[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Endpoints", za0002)
+			err = msgp.WrapError(err, "Endpoints", za0003)
 			return
 		}
 	}
 	// string "accounts"
 	o = append(o, 0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Accounts)))
-	for za0003 := range z.Accounts {
-		o, err = z.Accounts[za0003].MarshalMsg(o)
+	for za0004 := range z.Accounts {
+		o, err = z.Accounts[za0004].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Accounts", za0003)
+			err = msgp.WrapError(err, "Accounts", za0004)
 			return
 		}
 	}
 	// string "crashes"
 	o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
-	for za0004 := range z.Crashes {
+	for za0005 := range z.Crashes {
 		// map header, size 2
 		// string "digest"
 		o = append(o, 0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
-		o = msgp.AppendBytes(o, z.Crashes[za0004].Digest)
+		o = msgp.AppendBytes(o, z.Crashes[za0005].Digest)
 		// string "crashes"
 		o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
-		o = msgp.AppendInt32(o, z.Crashes[za0004].Crashes)
+		o = msgp.AppendInt32(o, z.Crashes[za0005].Crashes)
 	}
 	return
 }
@@ -1140,119 +1190,142 @@
 					return
 				}
 			}
-		case "endpoints":
+		case "pulses":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Endpoints")
+				err = msgp.WrapError(err, "Pulses")
 				return
 			}
-			if zb0003 > 16384 {
+			if zb0003 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Endpoints) >= int(zb0003) {
-				z.Endpoints = (z.Endpoints)[:zb0003]
+			if cap(z.Pulses) >= int(zb0003) {
+				z.Pulses = (z.Pulses)[:zb0003]
 			} else {
-				z.Endpoints = make([]EndpointLoad, zb0003)
+				z.Pulses = make([]Pulse, zb0003)
 			}
-			for za0002 := range z.Endpoints {
-				bts, err = z.Endpoints[za0002].UnmarshalMsg(bts)
+			for za0002 := range z.Pulses {
+				bts, err = z.Pulses[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Endpoints", za0002)
+					err = msgp.WrapError(err, "Pulses", za0002)
 					return
 				}
 			}
-		case "accounts":
+		case "endpoints":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Accounts")
+				err = msgp.WrapError(err, "Endpoints")
 				return
 			}
-			if zb0004 > 65536 {
+			if zb0004 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Accounts) >= int(zb0004) {
-				z.Accounts = (z.Accounts)[:zb0004]
+			if cap(z.Endpoints) >= int(zb0004) {
+				z.Endpoints = (z.Endpoints)[:zb0004]
 			} else {
-				z.Accounts = make([]AccountUse, zb0004)
+				z.Endpoints = make([]EndpointLoad, zb0004)
 			}
-			for za0003 := range z.Accounts {
-				bts, err = z.Accounts[za0003].UnmarshalMsg(bts)
+			for za0003 := range z.Endpoints {
+				bts, err = z.Endpoints[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Accounts", za0003)
+					err = msgp.WrapError(err, "Endpoints", za0003)
 					return
 				}
 			}
-		case "crashes":
+		case "accounts":
 			var zb0005 uint32
 			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accounts")
+				return
+			}
+			if zb0005 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Accounts) >= int(zb0005) {
+				z.Accounts = (z.Accounts)[:zb0005]
+			} else {
+				z.Accounts = make([]AccountUse, zb0005)
+			}
+			for za0004 := range z.Accounts {
+				bts, err = z.Accounts[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0004)
+					return
+				}
+			}
+		case "crashes":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Crashes")
 				return
 			}
-			if zb0005 > 1024 {
+			if zb0006 > 1024 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Crashes) >= int(zb0005) {
-				z.Crashes = (z.Crashes)[:zb0005]
+			if cap(z.Crashes) >= int(zb0006) {
+				z.Crashes = (z.Crashes)[:zb0006]
 			} else {
-				z.Crashes = make([]CrashMark, zb0005)
+				z.Crashes = make([]CrashMark, zb0006)
 			}
-			for za0004 := range z.Crashes {
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0005 := range z.Crashes {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Crashes", za0004)
+					err = msgp.WrapError(err, "Crashes", za0005)
 					return
 				}
-				if zb0006 > 1024 {
+				if zb0007 > 1024 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0007 > 0 {
+					zb0007--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Crashes", za0004)
+						err = msgp.WrapError(err, "Crashes", za0005)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "digest":
-						var zb0007 uint32
-						zb0007, bts, err = msgp.ReadBytesHeader(bts)
+						var zb0008 uint32
+						zb0008, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004, "Digest")
+							err = msgp.WrapError(err, "Crashes", za0005, "Digest")
 							return
 						}
-						if zb0007 > 32 {
+						if zb0008 > 32 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
-						if z.Crashes[za0004].Digest == nil || uint32(cap(z.Crashes[za0004].Digest)) < zb0007 {
-							z.Crashes[za0004].Digest = make([]byte, zb0007)
+						if z.Crashes[za0005].Digest == nil || uint32(cap(z.Crashes[za0005].Digest)) < zb0008 {
+							z.Crashes[za0005].Digest = make([]byte, zb0008)
 						} else {
-							z.Crashes[za0004].Digest = z.Crashes[za0004].Digest[:zb0007]
+							z.Crashes[za0005].Digest = z.Crashes[za0005].Digest[:zb0008]
 						}
-						if uint32(len(bts)) < zb0007 {
+						if uint32(len(bts)) < zb0008 {
 							err = msgp.ErrShortBytes
 							return
 						}
-						copy(z.Crashes[za0004].Digest, bts[:zb0007])
-						bts = bts[zb0007:]
+						copy(z.Crashes[za0005].Digest, bts[:zb0008])
+						bts = bts[zb0008:]
 					case "crashes":
-						z.Crashes[za0004].Crashes, bts, err = msgp.ReadInt32Bytes(bts)
+						z.Crashes[za0005].Crashes, bts, err = msgp.ReadInt32Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004, "Crashes")
+							err = msgp.WrapError(err, "Crashes", za0005, "Crashes")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004)
+							err = msgp.WrapError(err, "Crashes", za0005)
 							return
 						}
 					}
@@ -1276,17 +1349,21 @@
 	for za0001 := range z.Members {
 		s += z.Members[za0001].Msgsize()
 	}
+	s += 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Pulses {
+		s += z.Pulses[za0002].Msgsize()
+	}
 	s += 10 + msgp.ArrayHeaderSize
-	for za0002 := range z.Endpoints {
-		s += z.Endpoints[za0002].Msgsize()
+	for za0003 := range z.Endpoints {
+		s += z.Endpoints[za0003].Msgsize()
 	}
 	s += 9 + msgp.ArrayHeaderSize
-	for za0003 := range z.Accounts {
-		s += z.Accounts[za0003].Msgsize()
+	for za0004 := range z.Accounts {
+		s += z.Accounts[za0004].Msgsize()
 	}
 	s += 8 + msgp.ArrayHeaderSize
-	for za0004 := range z.Crashes {
-		s += 1 + 7 + msgp.BytesPrefixSize + len(z.Crashes[za0004].Digest) + 8 + msgp.Int32Size
+	for za0005 := range z.Crashes {
+		s += 1 + 7 + msgp.BytesPrefixSize + len(z.Crashes[za0005].Digest) + 8 + msgp.Int32Size
 	}
 	return
 }
@@ -2161,6 +2238,125 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Pulse) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Sequence, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	z.State, err = dc.ReadUint8()
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Pulse) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteUint64(z.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	err = en.WriteUint32(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	err = en.WriteUint8(z.State)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Pulse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint32(o, z.ID)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendUint32(o, z.AgeMillis)
+	o = msgp.AppendUint8(o, z.State)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Pulse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	z.State, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Pulse) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint8Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Record) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
--- a/detector/bench_test.go
+++ b/detector/bench_test.go
@@ -33,12 +33,21 @@
 	return d, other, now
 }
 
+// steadyHeartbeat passes over the heartbeats that introduce everybody.
+func steadyHeartbeat(d *Detector, now time.Time) *carrier.Heartbeat {
+	for range introductions + 1 {
+		d.Heartbeat(now)
+	}
+	return d.Heartbeat(now)
+}
+
 var benchSizes = []int{7, 50, 200}
 
 // BenchmarkHeartbeat makes and encodes one heartbeat, and reports its size.
 func BenchmarkHeartbeat(b *testing.B) {
 	for _, n := range benchSizes {
 		d, _, now := benchMesh(n)
+		steadyHeartbeat(d, now)
 		b.Run(strconv.Itoa(n)+" members", func(b *testing.B) {
 			b.ReportAllocs()
 			var buf []byte
@@ -54,7 +63,7 @@
 func BenchmarkReceive(b *testing.B) {
 	for _, n := range benchSizes {
 		d, other, now := benchMesh(n)
-		hb := other.Heartbeat(now)
+		hb := steadyHeartbeat(other, now)
 		b.Run(strconv.Itoa(n)+" members", func(b *testing.B) {
 			b.ReportAllocs()
 			var got carrier.Heartbeat
@@ -65,6 +74,9 @@
 				for i := range hb.Members {
 					hb.Members[i].Sequence++
 				}
+				for i := range hb.Pulses {
+					hb.Pulses[i].Sequence++
+				}
 				buf, _ = hb.MarshalMsg(buf[:0])
 				b.StartTimer()
 				_, _ = got.UnmarshalMsg(buf)
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -14,9 +14,14 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"geraniumline/carrier"
 )
 
+// phaseShift keeps the phase small, so that sums with it don't overflow.
+const phaseShift = 32
+
 // Config holds the times of a Detector.
 type Config struct {
 	// Self is this entry: name, zone, addresses and incarnation.
@@ -40,7 +45,16 @@
 	members map[string]*record
 	// order holds the members in the order of their names.
 	order []*record
+	index index
 	hints map[string]*hint
+	// id is this entry's own pulse id.
+	id uint32
+	// newcomer is set when a heartbeat came from a member that was unknown: the next heartbeat tells it all.
+	newcomer bool
+	// greet holds the addresses of newcomers, which get the next heartbeat in any case.
+	greet []string
+	// turn counts heartbeats, and phase sets entries apart in whom they name in full.
+	turn, phase uint64
 	// lastStep is the time of the newest call that brought a time; zero before the first.
 	lastStep time.Time
 	echo     echo
@@ -58,6 +72,9 @@
 	d := &Detector{
 		cfg:      cfg,
 		members:  make(map[string]*record),
+		index:    newIndex(),
+		id:       pulseID(cfg.Self.Name, cfg.Self.Incarnation),
+		phase:    mix(xxhash.Sum64String(cfg.Self.Name)) >> phaseShift,
 		hints:    make(map[string]*hint),
 		declared: Live,
 		self: Member{
@@ -71,6 +88,7 @@
 			State:         Live,
 		},
 	}
+	d.index.put(&record{id: d.id})
 	for _, address := range cfg.Seeds {
 		d.hints[address] = &hint{seed: true}
 	}
@@ -92,6 +110,9 @@
 	for i := range hb.Members {
 		out = d.hearIndirect(&hb.Members[i], now, out)
 	}
+	for i := range hb.Pulses {
+		out = d.hearPulse(&hb.Pulses[i], now, out)
+	}
 	return d.updateSelf(now, out)
 }
 
@@ -115,11 +136,6 @@
 	return wireMember(&d.self)
 }
 
-// Heartbeat gives a heartbeat with the membership filled in.
-func (d *Detector) Heartbeat(now time.Time) *carrier.Heartbeat {
-	return &carrier.Heartbeat{From: d.Self(), Sequence: d.self.Sequence, Members: d.Digest(now)}
-}
-
 // Digest gives what this entry knows of the other members. Dead ones are left out: no word of them is news.
 func (d *Detector) Digest(now time.Time) []carrier.Member {
 	out := make([]carrier.Member, 0, len(d.order))
@@ -164,11 +180,8 @@
 	})
 }
 
-// add gives the record of a member, a new one if it is unknown.
+// add makes the record of a member that is unknown.
 func (d *Detector) add(name string) *record {
-	if r, ok := d.members[name]; ok {
-		return r
-	}
 	r := &record{member: Member{Name: name}}
 	at, _ := d.find(name)
 	d.order = slices.Insert(d.order, at, r)
@@ -182,6 +195,7 @@
 		silent := now.Sub(r.member.LastHeard) > d.cfg.ForgetAfter
 		if silent {
 			delete(d.members, r.member.Name)
+			d.index.remove(r)
 		}
 		return silent
 	})
--- a/detector/evidence.go
+++ b/detector/evidence.go
@@ -43,6 +43,11 @@
 		return out
 	}
 	r, known := d.members[w.Name]
+	if !known || w.Incarnation != r.member.Incarnation {
+		// A newer process knows nobody yet, and an older one must hear that it was replaced.
+		d.newcomer = true
+		d.greet = append(d.greet, w.PeerAddress)
+	}
 	if known && !r.newer(w) {
 		return out
 	}
@@ -70,7 +75,13 @@
 
 // hear takes a step of a member that is newer than the one known.
 func (d *Detector) hear(w *carrier.Member, heard, now time.Time, out []Transition) []Transition {
-	r := d.add(w.Name)
+	r, known := d.members[w.Name]
+	if !known {
+		r = d.add(w.Name)
+	}
+	if !known || w.Incarnation > r.member.Incarnation {
+		d.renew(r, w.Incarnation)
+	}
 	r.take(w, heard)
 	if h, hinted := d.hints[w.PeerAddress]; hinted {
 		r.member.Leaving = h.leaving
@@ -78,6 +89,16 @@
 	return d.judge(r, now, out)
 }
 
+// renew makes r stand for a new process of its name.
+func (d *Detector) renew(r *record, incarnation uint64) {
+	d.index.remove(r)
+	r.member.Incarnation = incarnation
+	r.member.DirectHeard = time.Time{}
+	r.id = pulseID(r.member.Name, incarnation)
+	r.introductions = introductions
+	d.index.put(r)
+}
+
 // hearSelf takes what a peer says of this entry: the newest own step that it knows of, or that a newer process has
 // this entry's name. Two processes under one name would answer for each other's requests; the older one gives way,
 // since only it can know that it is older.
--- a/detector/member.go
+++ b/detector/member.go
@@ -49,6 +49,10 @@
 	// declared is the state that the member itself gave with its newest sequence.
 	declared State
 	probedAt time.Time
+	// id is the pulse id of the member's present process.
+	id uint32
+	// introductions is how many more heartbeats name the member in full.
+	introductions int
 }
 
 func (r *record) wire(now time.Time) carrier.Member {
@@ -68,17 +72,18 @@
 
 // take copies what the member said at its newest step.
 func (r *record) take(w *carrier.Member, heard time.Time) {
-	if w.Incarnation > r.member.Incarnation {
-		r.member.DirectHeard = time.Time{}
-	}
 	r.member.Zone = w.Zone
 	r.member.CallerAddress = w.CallerAddress
 	r.member.PeerAddress = w.PeerAddress
-	r.member.Incarnation = w.Incarnation
-	r.member.Sequence = w.Sequence
 	r.member.ConfigOffset = w.ConfigOffset
 	r.member.InFlight = w.InFlight
-	r.declared = declared(w.State)
+	r.advance(w.Sequence, w.State, heard)
+}
+
+// advance notes a later step of the same process.
+func (r *record) advance(sequence uint64, state uint8, heard time.Time) {
+	r.member.Sequence = sequence
+	r.declared = declared(state)
 	if heard.After(r.member.LastHeard) {
 		r.member.LastHeard = heard
 	}
--- a/detector/membership_test.go
+++ b/detector/membership_test.go
@@ -95,6 +95,8 @@
 			old := m.nodes[4].d
 			m.boot(4, 2)
 			m.run(2 * time.Second)
+			old.Tick(m.now)
+			m.nodes[0].d.Receive(old.Heartbeat(m.now), m.now)
 			old.Receive(m.nodes[0].d.Heartbeat(m.now), m.now)
 			self, _ := old.Member(name(4))
 			require.Equal(t, Dead, self.State)
--- a/detector/target.go
+++ b/detector/target.go
@@ -34,6 +34,13 @@
 	known := make(map[string]bool, len(d.order)+1)
 	known[d.self.PeerAddress] = true
 	var out []string
+	for _, address := range d.greet {
+		if !known[address] {
+			known[address] = true
+			out = append(out, address)
+		}
+	}
+	d.greet = nil
 	for _, r := range d.order {
 		address := r.member.PeerAddress
 		if known[address] || !d.reachable(r, now) {
