--- /dev/null
+++ b/loader/check.go
@@ -0,0 +1,241 @@
+package loader
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+// minKeyBytes is the least length of the peers' shared key, the output size of SHA-256.
+const minKeyBytes = 32
+
+var labelPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// checks are the rules that the check tags of Settings name. Each returns what is wrong, or nothing.
+var checks = map[string]func(text string) string{
+	"label":    checkLabel,
+	"address":  checkAddress,
+	"url":      checkURL,
+	"key":      checkKey,
+	"sha256":   checkSHA256,
+	"logLevel": checkLogLevel,
+}
+
+// check applies the tags of every field below the target, then the rules between fields.
+func (d *decoder) check(settings *Settings) {
+	d.checkStruct("", reflect.ValueOf(*settings))
+	d.checkTogether(settings)
+}
+
+func (d *decoder) checkStruct(path string, target reflect.Value) {
+	for i := range target.NumField() {
+		f := target.Type().Field(i)
+		d.checkField(join(path, f.Tag.Get("json")), target.Field(i), f.Tag)
+	}
+}
+
+func (d *decoder) checkField(path string, value reflect.Value, tag reflect.StructTag) {
+	switch value.Kind() {
+	case reflect.Struct:
+		d.checkStruct(path, value)
+	case reflect.Slice:
+		for i := range value.Len() {
+			d.checkItem(fmt.Sprintf("%s[%d]", path, i), value.Index(i), tag)
+		}
+	case reflect.String:
+		d.checkText(path, reflect.ValueOf(value.String()).String(), tag.Get("check"))
+	case reflect.Int64:
+		d.checkRange(path, value.Int(), tag)
+	}
+}
+
+func (d *decoder) checkItem(path string, value reflect.Value, tag reflect.StructTag) {
+	if value.Kind() == reflect.Struct {
+		d.checkStruct(path, value)
+		return
+	}
+	d.checkText(path, value.String(), tag.Get("check"))
+}
+
+// checkText applies a check tag: a rule's name, "optional", or both with a comma between.
+func (d *decoder) checkText(path, text, tag string) {
+	rule, optional := strings.CutSuffix(tag, ",optional")
+	optional = optional || rule == "optional"
+	if text == "" {
+		if !optional {
+			d.missing(path)
+		}
+		return
+	}
+	apply, ok := checks[rule]
+	if !ok {
+		return
+	}
+	if wrong := apply(text); wrong != "" {
+		d.faultAt(path, "%s", wrong)
+	}
+}
+
+func (d *decoder) checkRange(path string, n int64, tag reflect.StructTag) {
+	low, _ := strconv.ParseInt(tag.Get("min"), 10, 64)
+	high, _ := strconv.ParseInt(tag.Get("max"), 10, 64)
+	if n < low || n > high {
+		d.faultAt(path, "want%s %d to %d, got %d", unitOf(path), low, high, n)
+	}
+}
+
+// faultAt blames the value at the path, or its parent's place where the file lacks it. A value that
+// already has a fault gets no second one.
+func (d *decoder) faultAt(path, format string, args ...any) {
+	for _, f := range d.faults {
+		if f.Path == path {
+			return
+		}
+	}
+	offset, ok := d.positions[path]
+	if !ok {
+		d.faults = append(d.faults, Fault{Path: path, Message: fmt.Sprintf(format, args...)})
+		return
+	}
+	d.fault(path, offset, format, args...)
+}
+
+func (d *decoder) missing(path string) {
+	if _, given := d.positions[path]; given {
+		d.faultAt(path, "must not be empty")
+		return
+	}
+	parent := path[:max(strings.LastIndexByte(path, '.'), 0)]
+	for _, f := range d.faults {
+		if f.Path == path || (parent != "" && f.Path == parent) {
+			return
+		}
+	}
+	offset := d.positions[parent]
+	d.fault(path, offset, "missing; every settings file must give it")
+}
+
+// checkTogether holds the rules between fields.
+func (d *decoder) checkTogether(s *Settings) {
+	d.checkDistinct([]named{
+		{"callerAddress", s.CallerAddress},
+		{"operatorAddress", s.OperatorAddress},
+		{"peerAddress", s.PeerAddress},
+	}, "callers, operators and peers need separate addresses")
+	d.checkOrder(s)
+	d.checkCertificate("tls.caller", s.TLS.Caller)
+	d.checkCertificate("tls.operator", s.TLS.Operator)
+	if s.SharedKey != "" && s.SharedKeyFile != "" {
+		d.faultAt("sharedKeyFile", "give sharedKey or sharedKeyFile, not both")
+	}
+	if s.SharedKey == "" && s.SharedKeyFile == "" {
+		d.missing("sharedKey")
+	}
+	operators := make([]named, len(s.Operators))
+	for i, o := range s.Operators {
+		operators[i] = named{fmt.Sprintf("operators[%d].name", i), o.Name}
+	}
+	d.checkDistinct(operators, "each operator needs a name of its own")
+	if len(s.Operators) == 0 {
+		d.missing("operators")
+	}
+}
+
+func (d *decoder) checkOrder(s *Settings) {
+	if s.SuspectMillis < 2*s.HeartbeatMillis {
+		d.faultAt("suspectMillis", "want at least twice heartbeatMillis (%d), got %d", s.HeartbeatMillis, s.SuspectMillis)
+	}
+	if s.DeadMillis <= s.SuspectMillis {
+		d.faultAt("deadMillis", "want more than suspectMillis (%d), got %d", s.SuspectMillis, s.DeadMillis)
+	}
+}
+
+func (d *decoder) checkCertificate(path string, c Certificate) {
+	if c.CertFile != "" && c.KeyFile == "" {
+		d.faultAt(path+".keyFile", "missing beside certFile")
+	}
+	if c.KeyFile != "" && c.CertFile == "" {
+		d.faultAt(path+".certFile", "missing beside keyFile")
+	}
+}
+
+// named is a value under its path.
+type named struct {
+	path  string
+	value string
+}
+
+func (d *decoder) checkDistinct(values []named, why string) {
+	first := map[string]string{}
+	for _, v := range values {
+		if v.value == "" {
+			continue
+		}
+		if other, taken := first[v.value]; taken {
+			d.faultAt(v.path, "same as %s; %s", other, why)
+			continue
+		}
+		first[v.value] = v.path
+	}
+}
+
+func checkLabel(text string) string {
+	if labelPattern.MatchString(text) {
+		return ""
+	}
+	return "want 1 to 64 letters, digits, dots, dashes or underscores, beginning with a letter or digit"
+}
+
+func checkAddress(text string) string {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return fmt.Sprintf("want an IP number and port such as 10.0.0.7:8080, got %q", text)
+	}
+	if address.Port() == 0 {
+		return "want a port above 0"
+	}
+	return ""
+}
+
+func checkURL(text string) string {
+	u, err := url.Parse(text)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return "want a URL such as http://10.0.0.9:9000"
+	}
+	if u.User != nil {
+		return "want a URL without a user name or password"
+	}
+	return ""
+}
+
+func checkKey(text string) string {
+	key, err := hex.DecodeString(text)
+	if err != nil {
+		return "want hex digits, two for each byte"
+	}
+	if len(key) < minKeyBytes {
+		return fmt.Sprintf("want at least %d bytes as %d hex digits, got %d bytes", minKeyBytes, 2*minKeyBytes, len(key))
+	}
+	return ""
+}
+
+func checkSHA256(text string) string {
+	sum, err := hex.DecodeString(text)
+	if err != nil || len(sum) != minKeyBytes {
+		return "want the 64 hex digits that `geraniumline credential new` prints"
+	}
+	return ""
+}
+
+func checkLogLevel(text string) string {
+	switch text {
+	case "debug", "info", "warn", "error":
+		return ""
+	}
+	return `want "debug", "info", "warn" or "error"`
+}
--- /dev/null
+++ b/meter/definition.go
@@ -0,0 +1,192 @@
+package meter
+
+// Name is the name of a metric. The constants below are all there are.
+type Name string
+
+// Kind tells how a metric is counted.
+type Kind string
+
+// The kinds of metric.
+const (
+	KindCounter   Kind = "counter"
+	KindGauge     Kind = "gauge"
+	KindHistogram Kind = "histogram"
+)
+
+// Definition says what a metric counts. docs/METRICS.md is made from these.
+type Definition struct {
+	Name Name
+	Kind Kind
+	// Unit of one count, such as requests or microseconds.
+	Unit string
+	// Label is what the metric is split by, empty where it is not.
+	Label string
+	// Help says when it is counted.
+	Help string
+}
+
+// Requests, by client account.
+const (
+	RequestsReceived  Name = "requests_received"
+	RequestsAnswered  Name = "requests_answered"
+	RequestsInTime    Name = "requests_in_time"
+	RequestsNotRun    Name = "requests_not_run"
+	RequestsUnknown   Name = "requests_unknown"
+	RequestsRepeated  Name = "requests_repeated"
+	RequestsInFlight  Name = "requests_in_flight"
+	RequestMicros     Name = "request_micros"
+	FirstPartMicros   Name = "first_part_micros"
+	QueueMicros       Name = "queue_micros"
+	CostMillis        Name = "cost_millis"
+	WastedMillis      Name = "wasted_millis"
+	PoisonRefused     Name = "poison_refused"
+	OutcomesAsked     Name = "outcomes_asked"
+	OutcomesHandedOff Name = "outcomes_handed_off"
+)
+
+// Stage calls, by stage.
+const (
+	StageCalls      Name = "stage_calls"
+	StageFailures   Name = "stage_failures"
+	StageRetries    Name = "stage_retries"
+	StageHedges     Name = "stage_hedges"
+	StageCancels    Name = "stage_cancels"
+	StageMicros     Name = "stage_micros"
+	RepliesLate     Name = "replies_late"
+	RepliesForeign  Name = "replies_foreign"
+	StreamGaps      Name = "stream_gaps"
+	StreamOverlaps  Name = "stream_overlaps"
+	EndpointsLive   Name = "endpoints_live"
+	EndpointsGone   Name = "endpoints_ejected"
+	CacheHitTokens  Name = "cache_hit_tokens"
+	CacheEventsLost Name = "cache_events_lost"
+)
+
+// The platform's log, by stream.
+const (
+	LogAppends      Name = "log_appends"
+	LogAppendErrors Name = "log_append_errors"
+	LogAppendMicros Name = "log_append_micros"
+	LogReads        Name = "log_reads"
+	LogReadErrors   Name = "log_read_errors"
+	ClaimsAppended  Name = "claims_appended"
+	ClaimsWon       Name = "claims_won"
+	ClaimsLost      Name = "claims_lost"
+	ClaimMicros     Name = "claim_micros"
+	ConfigOffset    Name = "config_offset"
+	ClaimsOffset    Name = "claims_offset"
+	ConfigAccepted  Name = "config_accepted"
+	ConfigConflicts Name = "config_conflicts"
+	ConfigInvalid   Name = "config_invalid"
+)
+
+// Peers.
+const (
+	HeartbeatsSent     Name = "heartbeats_sent"
+	HeartbeatsReceived Name = "heartbeats_received"
+	PeerBytesSent      Name = "peer_bytes_sent"
+	PeerBytesReceived  Name = "peer_bytes_received"
+	PeersRefused       Name = "peers_refused"
+	PeerFramesBad      Name = "peer_frames_bad"
+	PeersLive          Name = "peers_live"
+)
+
+// Listening sockets, by socket.
+const (
+	ConnectionsOpen      Name = "connections_open"
+	ConnectionsRefused   Name = "connections_refused"
+	CredentialsWrong     Name = "credentials_wrong"
+	CredentialsThrottled Name = "credentials_throttled"
+	BodiesTooLarge       Name = "bodies_too_large"
+)
+
+// The process itself.
+const (
+	EventsReduced Name = "events_reduced"
+	ReduceMicros  Name = "reduce_micros"
+	SpansDropped  Name = "spans_dropped"
+	SpansExported Name = "spans_exported"
+	LabelsDropped Name = "labels_dropped"
+)
+
+const (
+	byAccount = "account"
+	byStage   = "stage"
+	byStream  = "stream"
+	bySocket  = "socket"
+	byPool    = "pool"
+)
+
+// definitions are listed in the order of the page.
+var definitions = []Definition{
+	{RequestsReceived, KindCounter, "requests", byAccount, "A request whose credential and body were read."},
+	{RequestsAnswered, KindCounter, "requests", byAccount, "A request whose whole answer was given."},
+	{RequestsInTime, KindCounter, "requests", byAccount, "A request whose whole answer was given within its deadline. Attainment is this over requests_received."},
+	{RequestsNotRun, KindCounter, "requests", byAccount, "A request that was told notRun."},
+	{RequestsUnknown, KindCounter, "requests", byAccount, "A request that was told unknown."},
+	{RequestsRepeated, KindCounter, "requests", byAccount, "A request under a key that was already known, answered by the first one's outcome."},
+	{RequestsInFlight, KindGauge, "requests", "", "Requests that this entry is running or holding in its queue."},
+	{RequestMicros, KindHistogram, "microseconds", "", "From a request's arrival to the end of its answer."},
+	{FirstPartMicros, KindHistogram, "microseconds", "", "From a streamed request's arrival to the first part of its answer."},
+	{QueueMicros, KindHistogram, "microseconds", "", "From a request's admission to its first stage call."},
+	{CostMillis, KindCounter, "endpoint milliseconds", byAccount, "Endpoint time used by stage calls."},
+	{WastedMillis, KindCounter, "endpoint milliseconds", byAccount, "The part of cost_millis that went to cancelled, hedged and retried calls whose result was not used."},
+	{PoisonRefused, KindCounter, "requests", byAccount, "A request refused because its content had crashed endpoints before."},
+	{OutcomesAsked, KindCounter, "calls", "", "A call for the outcome of an earlier request."},
+	{OutcomesHandedOff, KindCounter, "outcomes", "", "An outcome given to a peer at a planned stop."},
+
+	{StageCalls, KindCounter, "calls", byStage, "A call sent to an endpoint."},
+	{StageFailures, KindCounter, "calls", byStage, "A call that ended without a whole reply."},
+	{StageRetries, KindCounter, "calls", byStage, "A call sent again after a failure."},
+	{StageHedges, KindCounter, "calls", byStage, "A second call sent beside a slow first one."},
+	{StageCancels, KindCounter, "calls", byStage, "A call cancelled because its result was no longer wanted."},
+	{StageMicros, KindHistogram, "microseconds", byStage, "From a call's dispatch to the end of its reply."},
+	{RepliesLate, KindCounter, "replies", byStage, "A reply dropped because another attempt had already been taken."},
+	{RepliesForeign, KindCounter, "replies", byStage, "A reply dropped because its ids were not those of the call."},
+	{StreamGaps, KindCounter, "parts", byStage, "A hole found in a stream's sequence numbers."},
+	{StreamOverlaps, KindCounter, "parts", byStage, "A part of a stream that had come before and was cut."},
+	{EndpointsLive, KindGauge, "endpoints", byPool, "Endpoints that get new work."},
+	{EndpointsGone, KindCounter, "endpoints", byPool, "An endpoint taken out because it did worse than its pool."},
+	{CacheHitTokens, KindCounter, "tokens", byPool, "Prompt tokens that an engine found in its prefix cache."},
+	{CacheEventsLost, KindCounter, "events", byPool, "Cache events missed, seen as a hole in their sequence numbers."},
+
+	{LogAppends, KindCounter, "appends", byStream, "An append sent to the log service."},
+	{LogAppendErrors, KindCounter, "appends", byStream, "An append refused, failed or without a reply."},
+	{LogAppendMicros, KindHistogram, "microseconds", byStream, "From an append's sending to its reply."},
+	{LogReads, KindCounter, "reads", byStream, "A read sent to the log service."},
+	{LogReadErrors, KindCounter, "reads", byStream, "A read that failed."},
+	{ClaimsAppended, KindCounter, "claims", "", "A claim put into an append."},
+	{ClaimsWon, KindCounter, "claims", "", "A claim read back as the first valid one for its key."},
+	{ClaimsLost, KindCounter, "claims", "", "A claim read back behind another's."},
+	{ClaimMicros, KindHistogram, "microseconds", "", "From a claim's making to its verdict."},
+	{ConfigOffset, KindGauge, "offset", "", "Log offset up to which configuration is in force."},
+	{ClaimsOffset, KindGauge, "offset", "", "Log offset up to which claims are known."},
+	{ConfigAccepted, KindCounter, "changes", "", "A change of configuration that won."},
+	{ConfigConflicts, KindCounter, "changes", "", "A change of configuration that was based on an older version."},
+	{ConfigInvalid, KindCounter, "changes", "", "A change of configuration with faults in its body."},
+
+	{HeartbeatsSent, KindCounter, "heartbeats", "", "A heartbeat sent to a peer."},
+	{HeartbeatsReceived, KindCounter, "heartbeats", "", "A heartbeat taken from a peer."},
+	{PeerBytesSent, KindCounter, "bytes", "", "Bytes written to peers."},
+	{PeerBytesReceived, KindCounter, "bytes", "", "Bytes read from peers."},
+	{PeersRefused, KindCounter, "connections", "", "A connection at the peers' socket that did not prove the shared key."},
+	{PeerFramesBad, KindCounter, "frames", "", "A frame that was too large or could not be decoded."},
+	{PeersLive, KindGauge, "entries", "", "Other entries heard of lately."},
+
+	{ConnectionsOpen, KindGauge, "connections", bySocket, "Open connections."},
+	{ConnectionsRefused, KindCounter, "connections", bySocket, "A connection closed at once because too many were open."},
+	{CredentialsWrong, KindCounter, "requests", bySocket, "A request with a wrong credential."},
+	{CredentialsThrottled, KindCounter, "requests", bySocket, "A request with a wrong credential from an address that had sent too many; its connection was closed."},
+	{BodiesTooLarge, KindCounter, "requests", bySocket, "A request whose body was over the limit."},
+
+	{EventsReduced, KindCounter, "events", "", "An event given to the reducer."},
+	{ReduceMicros, KindHistogram, "microseconds", "", "Time to reduce one event."},
+	{SpansDropped, KindCounter, "spans", "", "A span not exported because the queue was full or the export failed."},
+	{SpansExported, KindCounter, "spans", "", "A span taken by the trace collector."},
+	{LabelsDropped, KindCounter, "counts", "", "A count put under the label \"other\" because its metric had too many labels."},
+}
+
+// Definitions returns what every metric counts, in the order of the page.
+func Definitions() []Definition {
+	return append([]Definition(nil), definitions...)
+}
