--- /dev/null
+++ b/admitter/admitter.go
@@ -0,0 +1,153 @@
+// Package admitter decides by deadlines: whether a request can still finish in time, how
+// much of the time left belongs to the stage at hand, and when to give up. Work that
+// can't be answered in time is refused at the door, where it has cost nothing.
+package admitter
+
+import (
+	"math"
+	"time"
+)
+
+// Config sets an Admitter up. Zero values take the defaults.
+type Config struct {
+	// Window is the length of each of the rotated windows that service times are kept in.
+	Window time.Duration
+	// Margin is the part by which the expected time must fall short of the time left.
+	Margin float64
+	// MaxStages bounds the stages that are remembered.
+	MaxStages int
+}
+
+// The defaults of Config.
+const (
+	DefaultWindow    = 20 * time.Second
+	DefaultMargin    = 0.10
+	DefaultMaxStages = 2048
+)
+
+// StageAsk is what a stage that is still to run asks of its pool.
+type StageAsk struct {
+	Stage, Pool string
+	// Expected is the service time to assume while none has been observed.
+	Expected time.Duration
+	// Ahead is the cost that the pool serves first, in endpoint milliseconds.
+	Ahead float64
+	// Capacity is the cost a millisecond that this entry may count on in the pool.
+	Capacity float64
+}
+
+// Admitter remembers service times and waits. It is not safe for concurrent use: the
+// reducer owns it.
+type Admitter struct {
+	cfg    Config
+	stages map[string]*stage
+	waits  map[string]*wait
+}
+
+// New makes an Admitter that has observed nothing.
+func New(cfg Config) *Admitter {
+	if cfg.Window <= 0 {
+		cfg.Window = DefaultWindow
+	}
+	if cfg.Margin <= 0 {
+		cfg.Margin = DefaultMargin
+	}
+	if cfg.MaxStages <= 0 {
+		cfg.MaxStages = DefaultMaxStages
+	}
+	return &Admitter{cfg: cfg, stages: map[string]*stage{}, waits: map[string]*wait{}}
+}
+
+// Observe takes in the service time and cost of a stage call that ended well.
+func (a *Admitter) Observe(name string, service time.Duration, cost float64, now time.Time) {
+	s, ok := a.stages[name]
+	if !ok {
+		if len(a.stages) >= a.cfg.MaxStages {
+			return
+		}
+		s = newStage(now)
+		a.stages[name] = s
+	}
+	s.observe(service, cost, a.cfg.Window, now)
+}
+
+// ObserveWait takes in how long an item waited in a pool's queue before it was dispatched.
+func (a *Admitter) ObserveWait(pool string, waited time.Duration, now time.Time) {
+	w, ok := a.waits[pool]
+	if !ok {
+		w = &wait{}
+		a.waits[pool] = w
+	}
+	w.observe(waited, now)
+}
+
+// Admit tells whether a request with these stages is expected to finish by the deadline.
+func (a *Admitter) Admit(stages []StageAsk, deadline time.Time, now time.Time) Verdict {
+	f := a.forecast(stages, now)
+	needed := f.likely() * (1 + a.cfg.Margin)
+	left := float64(deadline.Sub(now))
+	if needed <= left {
+		return Admitted{}
+	}
+	return refuse(time.Duration(needed - left))
+}
+
+// Budget gives the time that the first of the stages may take so that the ones after it
+// are still expected to finish by the deadline. The last stage gets all that is left.
+func (a *Admitter) Budget(stages []StageAsk, deadline, now time.Time) time.Duration {
+	left := deadline.Sub(now)
+	if len(stages) <= 1 {
+		return max(left, 0)
+	}
+	rest := a.forecast(stages[1:], now)
+	return max(left-time.Duration(rest.mean), 0)
+}
+
+// Hopeless tells that the stages can't finish by the deadline even if they go well.
+func (a *Admitter) Hopeless(stages []StageAsk, deadline, now time.Time) bool {
+	f := a.forecast(stages, now)
+	return f.best() > float64(deadline.Sub(now))
+}
+
+// ExpectedCost is the mean cost of the stage in endpoint milliseconds, or fallback while
+// none has been observed.
+func (a *Admitter) ExpectedCost(name string, fallback float64) float64 {
+	s, ok := a.stages[name]
+	if !ok || s.count == 0 {
+		return fallback
+	}
+	return s.cost
+}
+
+// forecast is the expected time of a run of stages, in nanoseconds.
+type forecast struct {
+	mean float64
+	// above and below are sums of squares of the distances from the mean to the high and low
+	// quantiles: stages vary independently, so their spreads add as squares. Adding the
+	// quantiles themselves would refuse requests that finish.
+	above, below float64
+}
+
+func (f forecast) likely() float64 { return f.mean + math.Sqrt(f.above) }
+
+func (f forecast) best() float64 { return f.mean - math.Sqrt(f.below) }
+
+func (a *Admitter) forecast(stages []StageAsk, now time.Time) forecast {
+	var f forecast
+	for i := range stages {
+		low, mean, high := a.service(&stages[i])
+		f.mean += mean + a.wait(&stages[i], now)
+		f.above += (high - mean) * (high - mean)
+		f.below += (mean - low) * (mean - low)
+	}
+	return f
+}
+
+func (a *Admitter) service(ask *StageAsk) (low, mean, high float64) {
+	s, ok := a.stages[ask.Stage]
+	if !ok || s.count == 0 {
+		expected := float64(ask.Expected)
+		return expected, expected, expected
+	}
+	return float64(s.low), float64(s.mean), float64(s.high)
+}
--- /dev/null
+++ b/admitter/verdict.go
@@ -0,0 +1,36 @@
+package admitter
+
+import (
+	"time"
+
+	"geraniumline/pacer"
+)
+
+// Verdict is Admitted or Refused.
+type Verdict interface{ verdict() }
+
+// Admitted tells that the request is expected to finish by its deadline.
+type Admitted struct{}
+
+// Refused tells that the request is not expected to finish, and when another try may be.
+type Refused struct {
+	RetryAfter time.Duration
+}
+
+func (Admitted) verdict() {}
+func (Refused) verdict()  {}
+
+// refusals holds every refusal as a ready interface value, so that none is allocated.
+var refusals = makeRefusals()
+
+func makeRefusals() []Verdict {
+	var made []Verdict
+	for step := range pacer.Count() {
+		made = append(made, Refused{RetryAfter: pacer.At(step)})
+	}
+	return made
+}
+
+func refuse(wait time.Duration) Verdict {
+	return refusals[pacer.StepFor(wait)]
+}
--- /dev/null
+++ b/limiter/limiter.go
@@ -0,0 +1,165 @@
+// Package limiter decides whether an entry may admit a request under limits that hold for
+// the whole system. Each entry takes a part of a client account's limits by its own demand
+// and by what its peers report in heartbeats, so no entry has to ask another for leave.
+package limiter
+
+import (
+	"time"
+)
+
+// Limits are one client account's limits over the whole system.
+type Limits struct {
+	// RatePerSecond is admitted requests a second.
+	RatePerSecond float64
+	// Burst is how many requests may be admitted at once after a quiet time.
+	Burst float64
+	// Concurrency is how many requests may be in flight at once; 0 sets no limit.
+	Concurrency int
+	// CostPerSecond is endpoint milliseconds a second; 0 sets no limit.
+	CostPerSecond float64
+}
+
+// Config sets a Limiter up. Zero values take the defaults.
+type Config struct {
+	// Entry is this entry's name.
+	Entry string
+	// FloorShare is the part of each limit that is always split evenly over the entries, so
+	// that an entry with no known demand can answer its first requests.
+	FloorShare float64
+	// PeerSilence is how long a peer may be unheard before its part is taken to be an even one.
+	PeerSilence time.Duration
+	// UseLifetime is how long a peer's report on an account holds without being repeated.
+	UseLifetime time.Duration
+	// UseRefresh is how often an unchanged use is repeated to peers.
+	UseRefresh time.Duration
+	// MaxUses bounds the uses in one heartbeat.
+	MaxUses int
+}
+
+// The defaults of Config.
+const (
+	DefaultFloorShare  = 0.05
+	DefaultPeerSilence = 700 * time.Millisecond
+	DefaultUseLifetime = 3 * time.Second
+	DefaultUseRefresh  = time.Second
+	DefaultMaxUses     = 4096
+)
+
+func (cfg Config) withDefaults() Config {
+	if cfg.FloorShare <= 0 {
+		cfg.FloorShare = DefaultFloorShare
+	}
+	if cfg.PeerSilence <= 0 {
+		cfg.PeerSilence = DefaultPeerSilence
+	}
+	if cfg.UseLifetime <= 0 {
+		cfg.UseLifetime = DefaultUseLifetime
+	}
+	if cfg.UseRefresh <= 0 {
+		cfg.UseRefresh = DefaultUseRefresh
+	}
+	if cfg.MaxUses <= 0 {
+		cfg.MaxUses = DefaultMaxUses
+	}
+	return cfg
+}
+
+// Limiter holds one entry's view of every client account's use. It is not safe for
+// concurrent use: the reducer owns it.
+type Limiter struct {
+	cfg      Config
+	accounts map[string]*account
+	// active lists the accounts with a use to report, in the order they became active.
+	active  []*account
+	peers   map[string]*peer
+	entries int
+}
+
+// New makes a Limiter that knows no account and no peer.
+func New(cfg Config) *Limiter {
+	return &Limiter{
+		cfg:      cfg.withDefaults(),
+		accounts: map[string]*account{},
+		peers:    map[string]*peer{},
+		entries:  1,
+	}
+}
+
+// SetLimits sets an account's limits, keeping what it has in use.
+func (l *Limiter) SetLimits(name string, limits Limits, now time.Time) {
+	if limits.Burst < 1 {
+		limits.Burst = 1
+	}
+	a, ok := l.accounts[name]
+	if !ok {
+		a = newAccount(name, now)
+		l.accounts[name] = a
+		a.limits = limits
+		a.setShare(1/float64(l.entries), 1/float64(l.entries))
+		a.fill()
+		return
+	}
+	a.refill(now)
+	a.limits = limits
+	a.clip()
+}
+
+// Remove forgets an account. Its requests in flight end without a Release counting.
+func (l *Limiter) Remove(name string) {
+	a, ok := l.accounts[name]
+	if !ok {
+		return
+	}
+	delete(l.accounts, name)
+	a.removed = true
+}
+
+// Admit decides on one request of the account with the expected cost in endpoint
+// milliseconds. An admitted request counts as in flight until Release.
+func (l *Limiter) Admit(name string, cost float64, now time.Time) Verdict {
+	a, ok := l.accounts[name]
+	if !ok {
+		return refuse(ReasonUnknownAccount, retryUnknownAccount)
+	}
+	a.offered(now)
+	l.activate(a)
+	l.update(a, now)
+	if verdict := a.check(cost, l.slots(a, now)); verdict != nil {
+		return verdict
+	}
+	a.take(cost)
+	return Admitted{}
+}
+
+// Release ends a request that was admitted and sets its cost right.
+func (l *Limiter) Release(name string, estimatedCost, actualCost float64, now time.Time) {
+	a, ok := l.accounts[name]
+	if !ok {
+		return
+	}
+	a.refill(now)
+	if a.inFlight > 0 {
+		a.inFlight--
+	}
+	a.costTokens -= actualCost - estimatedCost
+	a.cost.add(now, actualCost-estimatedCost)
+}
+
+// Share gives the part of the account's limits that this entry may use now, the rate in
+// requests a second that it admits, and its requests in flight.
+func (l *Limiter) Share(name string, now time.Time) (share float64, rate float64, inFlight int) {
+	a, ok := l.accounts[name]
+	if !ok {
+		return 0, 0, 0
+	}
+	l.update(a, now)
+	return a.share, a.admitted.at(now), a.inFlight
+}
+
+func (l *Limiter) activate(a *account) {
+	if a.active {
+		return
+	}
+	a.active = true
+	l.active = append(l.active, a)
+}
--- /dev/null
+++ b/scheduler/heap.go
@@ -0,0 +1,75 @@
+package scheduler
+
+// indexed is a binary heap whose elements know their place, so that any of them can be
+// removed or moved in O(log n). container/heap would box each element in an interface.
+type indexed[T any] struct {
+	items  []T
+	before func(a, b T) bool
+	place  func(item T, index int)
+}
+
+func (h *indexed[T]) len() int { return len(h.items) }
+
+func (h *indexed[T]) push(item T) {
+	h.items = append(h.items, item)
+	h.place(item, len(h.items)-1)
+	h.up(len(h.items) - 1)
+}
+
+func (h *indexed[T]) removeAt(index int) {
+	last := len(h.items) - 1
+	h.swap(index, last)
+	var zero T
+	h.place(h.items[last], -1)
+	h.items[last] = zero
+	h.items = h.items[:last]
+	if index < last {
+		h.fix(index)
+	}
+}
+
+// fix restores the order after the element at index has changed.
+func (h *indexed[T]) fix(index int) {
+	if !h.down(index) {
+		h.up(index)
+	}
+}
+
+func (h *indexed[T]) swap(i, j int) {
+	if i == j {
+		return
+	}
+	h.items[i], h.items[j] = h.items[j], h.items[i]
+	h.place(h.items[i], i)
+	h.place(h.items[j], j)
+}
+
+func (h *indexed[T]) up(index int) {
+	for index > 0 {
+		parent := (index - 1) / 2
+		if !h.before(h.items[index], h.items[parent]) {
+			return
+		}
+		h.swap(index, parent)
+		index = parent
+	}
+}
+
+func (h *indexed[T]) down(index int) bool {
+	start := index
+	for {
+		child := 2*index + 1
+		if child >= len(h.items) {
+			break
+		}
+		if child+1 < len(h.items) && h.before(h.items[child+1], h.items[child]) {
+			child++
+		}
+		if !h.before(h.items[child], h.items[index]) {
+			break
+		}
+		h.swap(index, child)
+		index = child
+	}
+	return index > start
+}
--- /dev/null
+++ b/scheduler/pool.go
@@ -0,0 +1,159 @@
+package scheduler
+
+import "time"
+
+// account holds one account's flows in a pool.
+type account struct {
+	name  string
+	flows [urgencyCount]*flow
+	// served is the class that the account was last served in.
+	served Urgency
+}
+
+// pool is the queue of one pool of endpoints.
+type pool struct {
+	name     string
+	classes  [urgencyCount]*class
+	accounts map[string]*account
+	nodes    map[uint64]*node
+	expiry   indexed[*node]
+	// guarantees is the part of the work that each class gets while it has items.
+	guarantees [urgencyCount]float64
+}
+
+func newPool(name string, guarantees [urgencyCount]float64) *pool {
+	p := &pool{
+		name:       name,
+		accounts:   map[string]*account{},
+		nodes:      map[uint64]*node{},
+		guarantees: guarantees,
+		expiry: indexed[*node]{
+			before: (*node).before,
+			place:  func(n *node, index int) { n.expiryIdx = index },
+		},
+	}
+	for i := range p.classes {
+		p.classes[i] = newClass()
+	}
+	return p
+}
+
+func (p *pool) account(name string) *account {
+	a, ok := p.accounts[name]
+	if !ok {
+		a = &account{name: name}
+		p.accounts[name] = a
+	}
+	return a
+}
+
+func (p *pool) flow(name string, urgency Urgency) *flow {
+	a := p.account(name)
+	if a.flows[urgency] == nil {
+		a.flows[urgency] = newFlow(a, p.classes[urgency])
+	}
+	return a.flows[urgency]
+}
+
+func (p *pool) push(n *node) {
+	urgency := min(n.item.Urgency, Relaxed)
+	n.flow = p.flow(n.item.Account, urgency)
+	p.nodes[n.item.ID] = n
+	p.expiry.push(n)
+	p.classes[urgency].add(n.flow, n)
+}
+
+// next gives the class to serve, or nil: the most urgent one with items, but a class whose
+// guarantee has earned it its next item goes first. Without that a lasting surge of
+// urgent work would leave a relaxed request waiting for ever.
+func (p *pool) next() *class {
+	var chosen *class
+	for i := len(p.classes) - 1; i >= 0; i-- {
+		c := p.classes[i]
+		if c.flows.len() == 0 {
+			c.credit = 0
+			continue
+		}
+		if c.credit >= c.flows.items[0].waiting.items[0].item.Cost {
+			return c
+		}
+		chosen = c
+	}
+	return chosen
+}
+
+func (p *pool) pop() *node {
+	c := p.next()
+	if c == nil {
+		return nil
+	}
+	n := c.serve()
+	n.flow.account.served = min(n.item.Urgency, Relaxed)
+	p.earn(c, n.item.Cost)
+	p.forget(n)
+	return n
+}
+
+// earn credits the classes that wait with their guaranteed part of the work just given out.
+func (p *pool) earn(served *class, cost float64) {
+	for i, c := range p.classes {
+		if c == served {
+			c.credit = max(0, c.credit-cost)
+			continue
+		}
+		if c.flows.len() > 0 {
+			c.credit += cost * p.guarantees[i]
+		}
+	}
+}
+
+// forget takes an item that has left its flow out of the pool's other books.
+func (p *pool) forget(n *node) {
+	p.expiry.removeAt(n.expiryIdx)
+	delete(p.nodes, n.item.ID)
+}
+
+func (p *pool) remove(n *node) {
+	n.flow.class.drop(n)
+	p.forget(n)
+}
+
+func (p *pool) expired(now time.Time) *node {
+	if p.expiry.len() == 0 {
+		return nil
+	}
+	n := p.expiry.items[0]
+	if n.item.Deadline.After(now) {
+		return nil
+	}
+	return n
+}
+
+func (p *pool) backlog() float64 {
+	total := 0.0
+	for _, c := range p.classes {
+		total += c.cost
+	}
+	return total
+}
+
+func (p *pool) ahead(item Item) float64 {
+	urgency := min(item.Urgency, Relaxed)
+	total := 0.0
+	for i := range urgency {
+		total += p.classes[i].cost
+	}
+	c := p.classes[urgency]
+	own, weights := 0.0, c.weight
+	if a, ok := p.accounts[item.Account]; ok && a.flows[urgency] != nil {
+		own = a.flows[urgency].cost
+	}
+	if own == 0 {
+		weights += item.Weight
+	}
+	fair := (own + item.Cost) * weights / max(item.Weight, minimumWeight)
+	return total + min(c.cost, fair)
+}
+
+// minimumWeight keeps the division by a weight finite.
+const minimumWeight = 1e-9
