--- /dev/null
+++ b/faker/control.go
@@ -0,0 +1,56 @@
+package faker
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// Paths by which a test drives a stand-in. They are no part of the interfaces that the product sees.
+const (
+	faultsPath  = "/control/faults"
+	ledgerPath  = "/control/ledger"
+	vmsPath     = "/control/vms"
+	trimPath    = "/control/trim"
+	controlBody = 1 << 20
+)
+
+type controlError struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The reader may have gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, controlBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		writeJSON(w, http.StatusBadRequest, controlError{Code: "badCall", Message: err.Error()})
+		return false
+	}
+	return true
+}
+
+// handleSwitches serves GET and PUT of a whole set of switches; a PUT replaces all of them.
+func handleSwitches[T any](mux *http.ServeMux, s *switches[T], check func(T) error) {
+	mux.HandleFunc("GET "+faultsPath, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.get())
+	})
+	mux.HandleFunc("PUT "+faultsPath, func(w http.ResponseWriter, r *http.Request) {
+		var value T
+		if !readJSON(w, r, &value) {
+			return
+		}
+		if err := check(value); err != nil {
+			writeJSON(w, http.StatusBadRequest, controlError{Code: "badCall", Message: err.Error()})
+			return
+		}
+		s.set(value)
+		writeJSON(w, http.StatusOK, value)
+	})
+}
--- /dev/null
+++ b/faker/endpoint.go
@@ -0,0 +1,273 @@
+package faker
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"geraniumline/endpointserver"
+)
+
+// maxStageBody bounds the body of a call to an endpoint, in bytes.
+const maxStageBody = 1 << 20
+
+// EndpointConfig is what engines and services have in common. Zero fields take the defaults in brackets.
+type EndpointConfig struct {
+	// Name begins the ids of the endpoint's streams [endpoint].
+	Name string
+	// Slots is how many calls run at the same time [8].
+	Slots int
+	// MaxWaiting is how many more calls may wait [256]; the next is refused with code overloaded.
+	MaxWaiting int
+	// LoadLag is how old a load report is [200 ms].
+	LoadLag time.Duration
+	// Seed feeds what varies: service times, faults by rate and cache event gaps.
+	Seed uint64
+	// Faults are the switches at the start.
+	Faults Faults
+	// OnCrash is called in place of the process's end when a call's input contains CrashOnInput.
+	OnCrash func()
+}
+
+func (cfg EndpointConfig) withDefaults() EndpointConfig {
+	cfg.Name = defaultTo(cfg.Name, "endpoint")
+	cfg.Slots = defaultTo(cfg.Slots, 8)
+	cfg.MaxWaiting = defaultTo(cfg.MaxWaiting, 256)
+	cfg.LoadLag = defaultTo(cfg.LoadLag, 200*time.Millisecond)
+	return cfg
+}
+
+// Endpoint is a running stand-in of an engine or a service.
+type Endpoint struct {
+	cfg     EndpointConfig
+	work    work
+	faults  *switches[Faults]
+	ledger  *ledger
+	streams *streamStore
+	queue   *slotQueue
+	load    *loadHistory
+	fences  *fenceTable
+	handler http.Handler
+	ctx     context.Context
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+	rngMu   sync.Mutex
+	rng     *rand.Rand
+}
+
+func newEndpoint(cfg EndpointConfig, work work) *Endpoint {
+	cfg = cfg.withDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Endpoint{
+		cfg:     cfg,
+		work:    work,
+		faults:  newSwitches(cfg.Faults),
+		ledger:  &ledger{},
+		streams: newStreamStore(streamPrefix(cfg.Name, time.Now())),
+		load:    &loadHistory{},
+		fences:  &fenceTable{results: make(map[fencedKey]fencedResult)},
+		ctx:     ctx,
+		stop:    stop,
+		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+	}
+	e.queue = &slotQueue{slots: cfg.Slots, maxWaiting: cfg.MaxWaiting, onChange: func(running, waiting int) {
+		e.load.record(time.Now(), running, waiting)
+	}}
+	e.handler = e.newHandler()
+	return e
+}
+
+// streamPrefix differs from start to start. Else a restarted endpoint would give a stream's id a second
+// time, and who resumes the first would get another request's parts.
+func streamPrefix(name string, now time.Time) string {
+	return name + "-" + strconv.FormatInt(now.UnixNano(), 36)
+}
+
+func (e *Endpoint) newHandler() http.Handler {
+	server, err := endpointserver.NewServer(e, e, endpointserver.WithErrorHandler(writeBadCall))
+	if err != nil {
+		panic(err) // Only a broken global metrics provider makes it fail.
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", http.MaxBytesHandler(server, maxStageBody))
+	handleSwitches(mux, e.faults, Faults.check)
+	e.ledger.handle(mux)
+	return mux
+}
+
+// Handler serves the endpoint's interface and its control paths.
+func (e *Endpoint) Handler() http.Handler { return e.handler }
+
+// Faults returns the present switches.
+func (e *Endpoint) Faults() Faults { return e.faults.get() }
+
+// SetFaults replaces all switches.
+func (e *Endpoint) SetFaults(faults Faults) { e.faults.set(faults) }
+
+// Ledger returns all executions since the start or the last clearing.
+func (e *Endpoint) Ledger() LedgerPage { return e.ledger.page() }
+
+// ClearLedger forgets all executions.
+func (e *Endpoint) ClearLedger() { e.ledger.clear() }
+
+// Close cancels what runs and waits for its end.
+func (e *Endpoint) Close() {
+	e.stop()
+	e.wg.Wait()
+}
+
+// RunStage takes in one call and sends its parts as they come.
+func (e *Endpoint) RunStage(ctx context.Context, call *endpointserver.StageCall, w http.ResponseWriter) error {
+	faults := e.faults.get()
+	if err := e.admit(call, faults); err != nil {
+		return err
+	}
+	s, err := e.startOrFind(call, faults)
+	if err != nil {
+		return err
+	}
+	reply := &reply{endpoint: e, w: w, stream: s, attempt: call.Attempt, faults: faults}
+	return reply.run(ctx)
+}
+
+// ResumeStream sends a kept stream's parts from a sequence number on.
+func (e *Endpoint) ResumeStream(
+	ctx context.Context, params endpointserver.ResumeStreamParams, w http.ResponseWriter,
+) error {
+	s := e.streams.find(params.StreamId)
+	if s == nil {
+		return refuse(endpointserver.RefusalCodeUnknownStream, "no stream "+params.StreamId)
+	}
+	faults := e.faults.get()
+	faults.CutStreamAfterParts = 0
+	faults.DropReplyAfterRun = false
+	reply := &reply{endpoint: e, w: w, stream: s, attempt: s.call.Attempt, from: params.From, faults: faults}
+	return reply.run(ctx)
+}
+
+// CancelStream ends a stream's work and frees its slot.
+func (e *Endpoint) CancelStream(_ context.Context, params endpointserver.CancelStreamParams) error {
+	if s := e.streams.find(params.StreamId); s != nil {
+		s.cancel()
+	}
+	return nil
+}
+
+// admit refuses what must not run, and lets the switches have their way.
+func (e *Endpoint) admit(call *endpointserver.StageCall, faults Faults) error {
+	if err := e.checkCall(call); err != nil {
+		return err
+	}
+	e.crashOn(call.Input, faults.CrashOnInput)
+	if faults.Leaving {
+		return refuse(endpointserver.RefusalCodeLeaving, "the endpoint is leaving")
+	}
+	if faults.RefuseAll {
+		return refuse(endpointserver.RefusalCodeOverloaded, "refused by switch")
+	}
+	if faults.FailFast || e.chance(faults.ErrorRate) {
+		return refuse(endpointserver.RefusalCodeFailed, "failed by switch")
+	}
+	return nil
+}
+
+func (e *Endpoint) checkCall(call *endpointserver.StageCall) error {
+	if call.RequestId == "" || call.Stage == "" {
+		return refuse(endpointserver.RefusalCodeBadCall, "requestId and stage must be given")
+	}
+	switch work := e.work.(type) {
+	case *generator:
+		return work.check(call)
+	default:
+		return nil
+	}
+}
+
+func (e *Endpoint) startOrFind(call *endpointserver.StageCall, faults Faults) (*stream, error) {
+	start := func() (*stream, error) { return e.start(call) }
+	if faults.IgnoreFence {
+		return start()
+	}
+	return e.fences.startOnce(call, start)
+}
+
+// start queues the call and runs it apart from the connection, which may break meanwhile.
+func (e *Endpoint) start(call *endpointserver.StageCall) (*stream, error) {
+	if e.ctx.Err() != nil {
+		return nil, refuse(endpointserver.RefusalCodeLeaving, "the endpoint has stopped")
+	}
+	place, ok := e.queue.enqueue(call.Priority.Or(0))
+	if !ok {
+		return nil, refuse(endpointserver.RefusalCodeOverloaded, "the queue is full")
+	}
+	ctx, cancel := context.WithCancel(e.ctx)
+	s := e.streams.add(call, cancel, time.Now())
+	e.wg.Go(func() {
+		defer cancel()
+		e.execute(ctx, s, place)
+	})
+	return s, nil
+}
+
+func (e *Endpoint) execute(ctx context.Context, s *stream, place *waiter) {
+	if err := e.queue.wait(ctx, place); err != nil {
+		s.finish(result{}, "cancelled before it ran", 0, time.Now())
+		return
+	}
+	defer e.queue.release()
+	if err := e.faults.waitUntil(ctx, func(f Faults) bool { return !f.Hang }); err != nil {
+		s.finish(result{}, "cancelled before it ran", 0, time.Now())
+		return
+	}
+	started := time.Now()
+	execution := e.ledger.begin(s.call, started)
+	r, err := e.runWork(ctx, s)
+	if err == nil && e.chance(e.faults.get().RunErrorRate) {
+		err = errFailedBySwitch
+	}
+	ended := time.Now()
+	cost := float64(ended.Sub(started)) / float64(time.Millisecond)
+	outcome, failure := outcomeOf(err)
+	e.ledger.end(execution, outcome, cost, ended)
+	s.finish(r, failure, cost, ended)
+}
+
+var errFailedBySwitch = errors.New("failed by switch after it ran")
+
+func outcomeOf(err error) (Outcome, string) {
+	switch {
+	case err == nil:
+		return OutcomeDone, ""
+	case errors.Is(err, context.Canceled):
+		return OutcomeCancelled, "cancelled"
+	default:
+		return OutcomeFailed, err.Error()
+	}
+}
+
+func (e *Endpoint) crashOn(input, mark string) {
+	if mark == "" || !containsMark(input, mark) {
+		return
+	}
+	if e.cfg.OnCrash != nil {
+		e.cfg.OnCrash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (e *Endpoint) chance(rate float64) bool {
+	if rate <= 0 {
+		return false
+	}
+	return e.random() < rate
+}
+
+func (e *Endpoint) random() float64 {
+	e.rngMu.Lock()
+	defer e.rngMu.Unlock()
+	return e.rng.Float64()
+}
--- /dev/null
+++ b/faker/enginecache.go
@@ -0,0 +1,143 @@
+package faker
+
+import (
+	"container/list"
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"geraniumline/endpointserver"
+)
+
+// BlockBytes is the size of the input blocks by which engines cache prompt prefixes: 16 tokens.
+const BlockBytes = 64
+
+// maxCacheEvents bounds the events kept for readers; an older sequence number meets a gap.
+const maxCacheEvents = 8192
+
+// PrefixHashes returns the hash of each whole-block prefix of the input, shortest first: the k-th is
+// xxhash64 of the first k*BlockBytes bytes, as 16 hex digits.
+func PrefixHashes(input string) []string {
+	digest := xxhash.New()
+	hashes := make([]string, 0, len(input)/BlockBytes)
+	for end := BlockBytes; end <= len(input); end += BlockBytes {
+		// A digest's write never fails.
+		_, _ = digest.WriteString(input[end-BlockBytes : end])
+		hashes = append(hashes, fmt.Sprintf("%016x", digest.Sum64()))
+	}
+	return hashes
+}
+
+type cacheEvent struct {
+	endpointserver.CacheEvent
+	at   time.Time
+	lost bool
+}
+
+// prefixCache keeps the least recently used prefixes of limited memory, and tells what it does by events.
+type prefixCache struct {
+	mu       sync.Mutex
+	capacity int
+	recent   *list.List
+	byHash   map[string]*list.Element
+	events   []cacheEvent
+	nextSeq  int64
+}
+
+func newPrefixCache(capacity int) *prefixCache {
+	return &prefixCache{capacity: capacity, recent: list.New(), byHash: make(map[string]*list.Element)}
+}
+
+// match returns how many leading blocks are held, and marks them as used.
+func (c *prefixCache) match(prefixes []string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, prefix := range prefixes {
+		element, held := c.byHash[prefix]
+		if !held {
+			return i
+		}
+		c.recent.MoveToFront(element)
+	}
+	return len(prefixes)
+}
+
+func (c *prefixCache) store(prefixes []string, now time.Time, gap func() bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, prefix := range prefixes {
+		if element, held := c.byHash[prefix]; held {
+			c.recent.MoveToFront(element)
+			continue
+		}
+		c.byHash[prefix] = c.recent.PushFront(prefix)
+		c.tell(endpointserver.CacheEventKindStored, prefix, now, gap())
+		c.evict(now, gap)
+	}
+}
+
+func (c *prefixCache) evict(now time.Time, gap func() bool) {
+	for c.recent.Len() > c.capacity {
+		oldest := c.recent.Back()
+		prefix := c.recent.Remove(oldest).(string)
+		delete(c.byHash, prefix)
+		c.tell(endpointserver.CacheEventKindEvicted, prefix, now, gap())
+	}
+}
+
+// clear drops all prefixes, as when another model is loaded.
+func (c *prefixCache) clear(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recent.Init()
+	clear(c.byHash)
+	c.tell(endpointserver.CacheEventKindCleared, "", now, false)
+}
+
+func (c *prefixCache) tell(kind endpointserver.CacheEventKind, prefix string, now time.Time, lost bool) {
+	if len(c.events) >= maxCacheEvents {
+		c.events = append(c.events[:0:0], c.events[maxCacheEvents/2:]...)
+	}
+	event := endpointserver.CacheEvent{Seq: c.nextSeq, Kind: kind, Prefix: prefix}
+	c.events = append(c.events, cacheEvent{CacheEvent: event, at: now, lost: lost})
+	c.nextSeq++
+}
+
+// since returns the events from a sequence number on that happened until the cutoff.
+func (c *prefixCache) since(from int64, cutoff time.Time) *endpointserver.CacheEventPage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	page := &endpointserver.CacheEventPage{Events: []endpointserver.CacheEvent{}}
+	for _, event := range c.events {
+		if event.at.After(cutoff) {
+			break
+		}
+		page.Next = event.Seq + 1
+		if event.Seq >= from && !event.lost {
+			page.Events = append(page.Events, event.CacheEvent)
+		}
+	}
+	return page
+}
+
+func (e *Endpoint) cacheEventLost() bool {
+	return e.chance(e.faults.get().CacheEventGapRate)
+}
+
+// ListCacheEvents returns an engine's events, late and perhaps with gaps. A service has none.
+func (e *Endpoint) ListCacheEvents(
+	_ context.Context, params endpointserver.ListCacheEventsParams,
+) (*endpointserver.CacheEventPage, error) {
+	g, ok := e.work.(*generator)
+	if !ok {
+		return &endpointserver.CacheEventPage{Events: []endpointserver.CacheEvent{}}, nil
+	}
+	delay := g.cfg.CacheEventDelay
+	if n := e.faults.get().CacheEventDelayMillis; n > 0 {
+		delay = time.Duration(n) * time.Millisecond
+	}
+	return g.cache.since(params.From, time.Now().Add(-delay)), nil
+}
--- /dev/null
+++ b/faker/fence.go
@@ -0,0 +1,74 @@
+package faker
+
+import (
+	"fmt"
+	"sync"
+
+	"geraniumline/endpointserver"
+)
+
+const maxFencedKeys = 65_536
+
+// fencedKey is one side effect, for which the endpoint remembers the highest fence and its result.
+type fencedKey struct {
+	account        string
+	idempotencyKey string
+	stage          string
+}
+
+type fencedResult struct {
+	fence  int64
+	stream *stream
+}
+
+// fenceTable makes a call under an old claim harmless: a lower fence than the highest seen is refused,
+// an equal one gets the stored result, and only a higher one runs.
+type fenceTable struct {
+	mu      sync.Mutex
+	results map[fencedKey]fencedResult
+	order   []fencedKey
+}
+
+func keyOf(call *endpointserver.StageCall) (fencedKey, bool) {
+	key := fencedKey{account: call.Account, idempotencyKey: call.IdempotencyKey.Or(""), stage: call.Stage}
+	fenced := key.idempotencyKey != "" && call.Fence.Or(0) > 0
+	return key, fenced
+}
+
+// startOnce returns the stored stream of an equal fence, or has start make the stream of a higher one.
+// The table is locked over start, so that two equal calls at one moment cannot both run.
+func (t *fenceTable) startOnce(call *endpointserver.StageCall, start func() (*stream, error)) (*stream, error) {
+	key, fenced := keyOf(call)
+	if !fenced {
+		return start()
+	}
+	fence := call.Fence.Or(0)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, found := t.results[key]
+	if found && fence < known.fence {
+		message := fmt.Sprintf("fence %d is below %d", fence, known.fence)
+		return nil, refuse(endpointserver.RefusalCodeStaleFence, message)
+	}
+	if found && fence == known.fence {
+		return known.stream, nil
+	}
+	s, err := start()
+	if err != nil {
+		return nil, err
+	}
+	t.store(key, fencedResult{fence: fence, stream: s}, found)
+	return s, nil
+}
+
+func (t *fenceTable) store(key fencedKey, result fencedResult, found bool) {
+	t.results[key] = result
+	if found {
+		return
+	}
+	t.order = append(t.order, key)
+	if len(t.order) > maxFencedKeys {
+		delete(t.results, t.order[0])
+		t.order = t.order[1:]
+	}
+}
--- /dev/null
+++ b/faker/ledger.go
@@ -0,0 +1,138 @@
+package faker
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"geraniumline/endpointserver"
+)
+
+// maxLedgerEntries bounds a ledger's memory; the oldest entries go first and are counted.
+const maxLedgerEntries = 200_000
+
+// Outcome is how an execution ended, as the ledger tells it.
+type Outcome string
+
+// The outcomes of an execution.
+const (
+	OutcomeRunning   Outcome = "running"
+	OutcomeDone      Outcome = "done"
+	OutcomeFailed    Outcome = "failed"
+	OutcomeCancelled Outcome = "cancelled"
+)
+
+// Execution is one run of a stage call, from its first work to its end. Refused calls have none, and
+// a stored result that is sent again has none either. Times are Unix milliseconds.
+type Execution struct {
+	RequestID      string  `json:"requestId"`
+	Account        string  `json:"account"`
+	Stage          string  `json:"stage"`
+	Attempt        int     `json:"attempt"`
+	IdempotencyKey string  `json:"idempotencyKey"`
+	Fence          int64   `json:"fence"`
+	Repeatable     bool    `json:"repeatable"`
+	StartMillis    int64   `json:"startMillis"`
+	EndMillis      int64   `json:"endMillis"`
+	Cost           float64 `json:"cost"`
+	Outcome        Outcome `json:"outcome"`
+}
+
+// LedgerPage is the whole ledger of one endpoint.
+type LedgerPage struct {
+	Executions []Execution `json:"executions"`
+	// Started counts all executions since the last clearing, also those dropped for room.
+	Started int64 `json:"started"`
+	Dropped int64 `json:"dropped"`
+}
+
+type ledger struct {
+	mu      sync.Mutex
+	kept    []*Execution
+	started int64
+	dropped int64
+}
+
+func (l *ledger) begin(call *endpointserver.StageCall, now time.Time) *Execution {
+	execution := &Execution{
+		RequestID:      call.RequestId,
+		Account:        call.Account,
+		Stage:          call.Stage,
+		Attempt:        call.Attempt,
+		IdempotencyKey: call.IdempotencyKey.Or(""),
+		Fence:          call.Fence.Or(0),
+		Repeatable:     call.Repeatable.Or(true),
+		StartMillis:    now.UnixMilli(),
+		Outcome:        OutcomeRunning,
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.kept) >= maxLedgerEntries {
+		l.kept = append(l.kept[:0:0], l.kept[maxLedgerEntries/2:]...)
+		l.dropped += maxLedgerEntries / 2
+	}
+	l.kept = append(l.kept, execution)
+	l.started++
+	return execution
+}
+
+func (l *ledger) end(execution *Execution, outcome Outcome, cost float64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	execution.Outcome = outcome
+	execution.Cost = cost
+	execution.EndMillis = now.UnixMilli()
+}
+
+func (l *ledger) page() LedgerPage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	page := LedgerPage{Executions: make([]Execution, 0, len(l.kept)), Started: l.started, Dropped: l.dropped}
+	for _, execution := range l.kept {
+		page.Executions = append(page.Executions, *execution)
+	}
+	return page
+}
+
+func (l *ledger) clear() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.kept = nil
+	l.started = 0
+	l.dropped = 0
+}
+
+func (l *ledger) handle(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+ledgerPath, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, l.page())
+	})
+	mux.HandleFunc("DELETE "+ledgerPath, func(w http.ResponseWriter, _ *http.Request) {
+		l.clear()
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
+// SideEffect names the work of one stage that may happen once at most.
+type SideEffect struct {
+	Account        string
+	IdempotencyKey string
+	Stage          string
+}
+
+// Doubled returns the side effects that the executions, gathered from all endpoints, contain more than
+// once, with their counts. Executions without a key or marked repeatable are passed over.
+func Doubled(executions []Execution) map[SideEffect]int {
+	counts := make(map[SideEffect]int)
+	for _, execution := range executions {
+		if execution.Repeatable || execution.IdempotencyKey == "" {
+			continue
+		}
+		counts[SideEffect{execution.Account, execution.IdempotencyKey, execution.Stage}]++
+	}
+	for effect, n := range counts {
+		if n < 2 {
+			delete(counts, effect)
+		}
+	}
+	return counts
+}
--- /dev/null
+++ b/faker/log.go
@@ -0,0 +1,217 @@
+package faker
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"geraniumline/platformserver"
+)
+
+const maxLogStreams = 256
+
+// LogConfig describes the log service. Zero fields take the defaults in brackets.
+type LogConfig struct {
+	// AppendsPerSecond limits the appends of all streams together [500].
+	AppendsPerSecond float64
+	// AppendBurst is how many appends may come at one moment [a tenth of AppendsPerSecond].
+	AppendBurst int
+	// KeepRecords bounds the records that each stream keeps [100,000].
+	KeepRecords int
+	// KeepFor bounds their age [no bound].
+	KeepFor time.Duration
+	// KeepBytes bounds the bytes that each stream keeps [64 MiB].
+	KeepBytes int64
+	// HoleRate is the share of appends before which offsets are left out.
+	HoleRate float64
+	// Seed feeds the holes and the replies lost by rate.
+	Seed   uint64
+	Faults LogFaults
+}
+
+func (cfg LogConfig) withDefaults() LogConfig {
+	cfg.AppendsPerSecond = defaultTo(cfg.AppendsPerSecond, 500)
+	cfg.AppendBurst = defaultTo(cfg.AppendBurst, max(1, int(cfg.AppendsPerSecond/10)))
+	cfg.KeepRecords = defaultTo(cfg.KeepRecords, 100_000)
+	cfg.KeepBytes = defaultTo(cfg.KeepBytes, 64<<20)
+	return cfg
+}
+
+// Log is a running stand-in of the append-only log service.
+type Log struct {
+	unserved
+	cfg     LogConfig
+	faults  *switches[LogFaults]
+	limit   *rate.Limiter
+	handler http.Handler
+	ctx     context.Context
+	stop    context.CancelFunc
+	mu      sync.Mutex
+	streams map[string]*logStream
+	rng     *rand.Rand
+	ledger  LogLedger
+}
+
+// NewLog starts a log service without records.
+func NewLog(cfg LogConfig) *Log {
+	cfg = cfg.withDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	l := &Log{
+		cfg:     cfg,
+		faults:  newSwitches(cfg.Faults),
+		limit:   rate.NewLimiter(rate.Limit(cfg.AppendsPerSecond), cfg.AppendBurst),
+		ctx:     ctx,
+		stop:    stop,
+		streams: make(map[string]*logStream),
+		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+	}
+	mux := platformMux(l)
+	handleSwitches(mux, l.faults, LogFaults.check)
+	l.handleLedger(mux)
+	l.handler = mux
+	return l
+}
+
+// Handler serves the log's interface and its control paths.
+func (l *Log) Handler() http.Handler { return l.handler }
+
+// Close ends the reads that wait and the appends that are held back.
+func (l *Log) Close() { l.stop() }
+
+// Faults returns the present switches.
+func (l *Log) Faults() LogFaults { return l.faults.get() }
+
+// SetFaults replaces all switches.
+func (l *Log) SetFaults(faults LogFaults) { l.faults.set(faults) }
+
+// AppendRecord adds a record to a stream.
+func (l *Log) AppendRecord(
+	ctx context.Context, call *platformserver.AppendCall, params platformserver.AppendRecordParams,
+) (*platformserver.AppendReply, error) {
+	if err := l.failInOutage(ctx); err != nil {
+		return nil, err
+	}
+	if err := l.limitAppends(time.Now()); err != nil {
+		return nil, err
+	}
+	faults := l.faults.get()
+	// The service's own context: an append held back lands even if its caller has gone.
+	if err := sleep(l.ctx, millis(faults.SlowAppendMillis)); err != nil {
+		return nil, errOutage
+	}
+	offset, err := l.append(params.Stream, call.Data, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	l.loseReply()
+	// The effect stands; a caller who has gone needs no reply.
+	_ = sleep(ctx, millis(faults.SlowAppendReplyMillis))
+	return &platformserver.AppendReply{Offset: offset}, nil
+}
+
+func (l *Log) limitAppends(now time.Time) error {
+	reservation := l.limit.ReserveN(now, 1)
+	wait := reservation.DelayFrom(now)
+	if wait == 0 {
+		return nil
+	}
+	reservation.CancelAt(now)
+	l.count(func(ledger *LogLedger) { ledger.RateLimited++ })
+	return &PlatformFailedError{
+		Code:             codeRateLimited,
+		Message:          "too many appends",
+		RetryAfterMillis: wait.Milliseconds() + 1,
+	}
+}
+
+func (l *Log) append(name string, data []byte, now time.Time) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, err := l.stream(name)
+	if err != nil {
+		return 0, err
+	}
+	l.ledger.Appends++
+	l.ledger.AppendedBytes += int64(len(data))
+	return s.append(data, l.hole(), now), nil
+}
+
+// hole returns how many offsets to leave out before the next record.
+func (l *Log) hole() int64 {
+	if l.cfg.HoleRate <= 0 || l.rng.Float64() >= l.cfg.HoleRate {
+		return 0
+	}
+	return 1 + l.rng.Int64N(3)
+}
+
+func (l *Log) stream(name string) (*logStream, error) {
+	if s, ok := l.streams[name]; ok {
+		return s, nil
+	}
+	if len(l.streams) >= maxLogStreams {
+		return nil, &PlatformFailedError{Code: codeFailed, Message: "too many streams"}
+	}
+	s := newLogStream(retention{age: l.cfg.KeepFor, records: l.cfg.KeepRecords, bytes: l.cfg.KeepBytes})
+	l.streams[name] = s
+	return s, nil
+}
+
+// ReadRecords returns records from an offset on, and waits for the first as long as it is told to.
+func (l *Log) ReadRecords(
+	ctx context.Context, params platformserver.ReadRecordsParams,
+) (*platformserver.RecordPage, error) {
+	if err := l.failInOutage(ctx); err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, millis(l.faults.get().SlowReadMillis)); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, millis(int64(params.WaitMillis.Or(0))))
+	defer cancel()
+	l.count(func(ledger *LogLedger) { ledger.Reads++ })
+	for {
+		page, changed, err := l.read(params, time.Now())
+		if err != nil || len(page.Records) > 0 {
+			return page, err
+		}
+		if !l.waitForChange(ctx, changed) {
+			return page, l.failInOutage(ctx)
+		}
+	}
+}
+
+func (l *Log) read(
+	params platformserver.ReadRecordsParams, now time.Time,
+) (*platformserver.RecordPage, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, err := l.stream(params.Stream)
+	if err != nil {
+		return nil, nil, err
+	}
+	return s.read(params.From, params.Limit.Or(defaultPageRecords), now), s.changed, nil
+}
+
+func (l *Log) waitForChange(ctx context.Context, changed <-chan struct{}) bool {
+	select {
+	case <-changed:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-l.ctx.Done():
+		return false
+	}
+}
+
+func (l *Log) chance(rate float64) bool {
+	if rate <= 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rng.Float64() < rate
+}
--- /dev/null
+++ b/faker/logledger.go
@@ -0,0 +1,94 @@
+package faker
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+)
+
+// LogLedger counts what the log service did since its start or the last clearing.
+type LogLedger struct {
+	Appends       int64         `json:"appends"`
+	AppendedBytes int64         `json:"appendedBytes"`
+	Reads         int64         `json:"reads"`
+	RateLimited   int64         `json:"rateLimited"`
+	Refused       int64         `json:"refused"`
+	LostReplies   int64         `json:"lostReplies"`
+	Streams       []StreamState `json:"streams"`
+}
+
+// StreamState is one stream's extent and its appends since the start of the service.
+type StreamState struct {
+	Name          string `json:"name"`
+	First         int64  `json:"first"`
+	Next          int64  `json:"next"`
+	Kept          int    `json:"kept"`
+	KeptBytes     int64  `json:"keptBytes"`
+	Appends       int64  `json:"appends"`
+	AppendedBytes int64  `json:"appendedBytes"`
+}
+
+// TrimCall drops a stream's records below an offset, as if retention had run.
+type TrimCall struct {
+	Stream string `json:"stream"`
+	Before int64  `json:"before"`
+}
+
+func (l *Log) count(change func(*LogLedger)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(&l.ledger)
+}
+
+// Ledger returns the counts and the state of each stream.
+func (l *Log) Ledger() LogLedger {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ledger := l.ledger
+	ledger.Streams = make([]StreamState, 0, len(l.streams))
+	for name, s := range l.streams {
+		ledger.Streams = append(ledger.Streams, StreamState{
+			Name:          name,
+			First:         s.first,
+			Next:          s.next,
+			Kept:          len(s.records),
+			KeptBytes:     s.bytes,
+			Appends:       s.appended,
+			AppendedBytes: s.sumBytes,
+		})
+	}
+	slices.SortFunc(ledger.Streams, func(a, b StreamState) int { return strings.Compare(a.Name, b.Name) })
+	return ledger
+}
+
+// ClearLedger sets the counts to 0; the streams stay.
+func (l *Log) ClearLedger() {
+	l.count(func(ledger *LogLedger) { *ledger = LogLedger{} })
+}
+
+// Trim drops a stream's records below an offset, as if retention had run.
+func (l *Log) Trim(call TrimCall) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s, ok := l.streams[call.Stream]; ok {
+		s.trim(call.Before)
+	}
+}
+
+func (l *Log) handleLedger(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+ledgerPath, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, l.Ledger())
+	})
+	mux.HandleFunc("DELETE "+ledgerPath, func(w http.ResponseWriter, _ *http.Request) {
+		l.ClearLedger()
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("POST "+trimPath, func(w http.ResponseWriter, r *http.Request) {
+		var call TrimCall
+		if !readJSON(w, r, &call) {
+			return
+		}
+		l.Trim(call)
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
--- /dev/null
+++ b/faker/logstream.go
@@ -0,0 +1,110 @@
+package faker
+
+import (
+	"time"
+
+	"geraniumline/platformserver"
+)
+
+// firstOffset is where a stream begins, so that 0 can stand for no offset.
+const firstOffset = 1
+
+// Bounds of one page of records.
+const (
+	defaultPageRecords = 1000
+	maxPageBytes       = 4 << 20
+)
+
+// retention is how long and how many records a stream keeps.
+type retention struct {
+	age     time.Duration
+	records int
+	bytes   int64
+}
+
+// logStream is one named stream of records. Its offsets only grow and may have holes.
+type logStream struct {
+	records   []platformserver.LogRecord
+	bytes     int64
+	next      int64
+	first     int64
+	appended  int64
+	sumBytes  int64
+	changed   chan struct{}
+	retention retention
+}
+
+func newLogStream(r retention) *logStream {
+	return &logStream{next: firstOffset, changed: make(chan struct{}), retention: r}
+}
+
+// append adds a record after a hole of so many offsets, and wakes the readers.
+func (s *logStream) append(data []byte, hole int64, now time.Time) int64 {
+	offset := s.next + hole
+	s.next = offset + 1
+	s.records = append(s.records, platformserver.LogRecord{Offset: offset, AtMillis: now.UnixMilli(), Data: data})
+	s.bytes += int64(len(data))
+	s.appended++
+	s.sumBytes += int64(len(data))
+	s.expire(now)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return offset
+}
+
+// expire drops from the oldest on what retention no longer covers.
+func (s *logStream) expire(now time.Time) {
+	oldest := now.Add(-s.retention.age).UnixMilli()
+	for len(s.records) > 0 {
+		tooOld := s.retention.age > 0 && s.records[0].AtMillis < oldest
+		tooMany := len(s.records) > s.retention.records || s.bytes > s.retention.bytes
+		if !tooOld && !tooMany {
+			return
+		}
+		s.dropOldest()
+	}
+}
+
+// trim drops the records below an offset, as if retention had run.
+func (s *logStream) trim(before int64) {
+	for len(s.records) > 0 && s.records[0].Offset < before {
+		s.dropOldest()
+	}
+}
+
+func (s *logStream) dropOldest() {
+	s.bytes -= int64(len(s.records[0].Data))
+	s.first = s.records[0].Offset + 1
+	s.records[0] = platformserver.LogRecord{}
+	s.records = s.records[1:]
+}
+
+// read returns up to limit records from an offset on. First is one past the last record dropped, 0
+// while none was, so that a reader who asks for less has missed something and no hole looks like that.
+func (s *logStream) read(from int64, limit int, now time.Time) *platformserver.RecordPage {
+	s.expire(now)
+	page := &platformserver.RecordPage{Records: []platformserver.LogRecord{}, First: s.first, Next: max(from, s.first)}
+	size := 0
+	for _, record := range s.records[s.search(from):] {
+		size += len(record.Data)
+		if len(page.Records) >= limit || (size > maxPageBytes && len(page.Records) > 0) {
+			break
+		}
+		page.Records = append(page.Records, record)
+		page.Next = record.Offset + 1
+	}
+	return page
+}
+
+func (s *logStream) search(from int64) int {
+	low, high := 0, len(s.records)
+	for low < high {
+		middle := (low + high) / 2
+		if s.records[middle].Offset < from {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
--- /dev/null
+++ b/faker/service.go
@@ -0,0 +1,56 @@
+package faker
+
+import (
+	"context"
+	"time"
+
+	"geraniumline/endpointserver"
+)
+
+// ServiceConfig describes an encoder, a retriever, a reranker or a plain service.
+type ServiceConfig struct {
+	EndpointConfig
+	// ServiceTime is the work of one call [5 ms].
+	ServiceTime time.Duration
+	// Variation is the share by which the work varies up and down, from 0 to 1.
+	Variation float64
+}
+
+// NewService starts a stand-in of a service, which answers each call by one final part.
+func NewService(cfg ServiceConfig) *Endpoint {
+	answerer := &answerer{
+		serviceTime: defaultTo(cfg.ServiceTime, 5*time.Millisecond),
+		variation:   cfg.Variation,
+	}
+	return newEndpoint(cfg.EndpointConfig, answerer)
+}
+
+type answerer struct {
+	serviceTime time.Duration
+	variation   float64
+}
+
+// answer works for the service time, varied by random, which is from 0 to 1.
+func (a *answerer) answer(ctx context.Context, s *stream, slow, random float64) (result, error) {
+	factor := slow * (1 + a.variation*(2*random-1))
+	if err := sleep(ctx, scale(a.serviceTime, factor)); err != nil {
+		return result{}, err
+	}
+	return result{lastText: a.texts(s.call)[0]}, nil
+}
+
+func (a *answerer) texts(call *endpointserver.StageCall) []string {
+	return outputParts(call.Stage, call.RequestId, call.Input, 1)
+}
+
+// texts returns the texts of all parts that the call's answer has.
+func (e *Endpoint) texts(call *endpointserver.StageCall) []string {
+	switch work := e.work.(type) {
+	case *generator:
+		return work.texts(call)
+	case *answerer:
+		return work.texts(call)
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/faker/stream.go
@@ -0,0 +1,205 @@
+package faker
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"geraniumline/endpointserver"
+)
+
+// Bounds of the streams that an endpoint keeps for those who resume them.
+const (
+	maxStreams    = 16_384
+	streamKeptFor = 60 * time.Second
+)
+
+// stream is what one execution has produced so far. It outlives the connection that asked for it.
+type stream struct {
+	id     string
+	call   *endpointserver.StageCall
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	texts   []string
+	done    bool
+	endedAt time.Time
+	failure string
+	cost    float64
+	cached  int
+	changed chan struct{}
+}
+
+func newStream(id string, call *endpointserver.StageCall, cancel context.CancelFunc) *stream {
+	return &stream{id: id, call: call, cancel: cancel, changed: make(chan struct{})}
+}
+
+func (s *stream) push(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.texts = append(s.texts, text)
+	s.wake()
+}
+
+// finish adds the final part.
+func (s *stream) finish(r result, failure string, cost float64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.texts = append(s.texts, r.lastText)
+	s.cached = r.cachedTokens
+	s.failure = failure
+	s.cost = cost
+	s.done = true
+	s.endedAt = now
+	s.wake()
+}
+
+func (s *stream) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// next returns the parts from a sequence number on, and waits for the first of them. It returns none
+// once the stream has ended before that number.
+func (s *stream) next(ctx context.Context, from int) ([]Part, error) {
+	for {
+		s.mu.Lock()
+		parts, done, changed := s.partsLocked(from), s.done, s.changed
+		s.mu.Unlock()
+		if len(parts) > 0 || done {
+			return parts, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (s *stream) partsLocked(from int) []Part {
+	var parts []Part
+	for seq := from; seq < len(s.texts); seq++ {
+		parts = append(parts, s.partLocked(seq))
+	}
+	return parts
+}
+
+func (s *stream) partLocked(seq int) Part {
+	part := Part{
+		RequestID: s.call.RequestId,
+		Stage:     s.call.Stage,
+		Attempt:   s.call.Attempt,
+		StreamID:  s.id,
+		Seq:       seq,
+		Text:      s.texts[seq],
+	}
+	if !s.done || seq != len(s.texts)-1 {
+		return part
+	}
+	part.Final = true
+	part.Total = len(s.texts)
+	part.Cost = s.cost
+	part.CachedTokens = s.cached
+	if s.failure != "" {
+		part.Error = s.failure
+	}
+	return part
+}
+
+// waitDone returns when the stream has its final part.
+func (s *stream) waitDone(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		done, changed := s.done, s.changed
+		s.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *stream) endedBefore(cutoff time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.done && s.endedAt.Before(cutoff)
+}
+
+func (s *stream) isDone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.done
+}
+
+// streamStore keeps streams by id, in the order of their start.
+type streamStore struct {
+	mu     sync.Mutex
+	prefix string
+	starts int
+	byID   map[string]*stream
+	order  []*stream
+}
+
+func newStreamStore(prefix string) *streamStore {
+	return &streamStore{prefix: prefix, byID: make(map[string]*stream)}
+}
+
+func (t *streamStore) add(call *endpointserver.StageCall, cancel context.CancelFunc, now time.Time) *stream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prune(now)
+	t.starts++
+	s := newStream(t.prefix+"-"+strconv.Itoa(t.starts), call, cancel)
+	t.byID[s.id] = s
+	t.order = append(t.order, s)
+	return s
+}
+
+// prune drops streams from the oldest on that are past their time, and any ended ones over the bound.
+func (t *streamStore) prune(now time.Time) {
+	cutoff := now.Add(-streamKeptFor)
+	for len(t.order) > 0 {
+		oldest := t.order[0]
+		full := len(t.order) >= maxStreams && oldest.isDone()
+		if !full && !oldest.endedBefore(cutoff) {
+			return
+		}
+		delete(t.byID, oldest.id)
+		t.order[0] = nil
+		t.order = t.order[1:]
+	}
+}
+
+func (t *streamStore) find(id string) *stream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byID[id]
+}
+
+// other returns a stream of another request than s: one in flight if there is, else the newest.
+func (t *streamStore) other(s *stream) *stream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var newest *stream
+	for i := len(t.order) - 1; i >= 0 && len(t.order)-i <= maxSwapSearch; i-- {
+		candidate := t.order[i]
+		if candidate.call.RequestId == s.call.RequestId {
+			continue
+		}
+		if !candidate.isDone() {
+			return candidate
+		}
+		if newest == nil {
+			newest = candidate
+		}
+	}
+	return newest
+}
+
+const maxSwapSearch = 256
--- /dev/null
+++ b/faker/switches.go
@@ -0,0 +1,52 @@
+package faker
+
+import (
+	"context"
+	"sync"
+)
+
+// switches holds one set of fault switches and wakes those who wait for a change of them.
+type switches[T any] struct {
+	mu      sync.Mutex
+	value   T
+	changed chan struct{}
+}
+
+func newSwitches[T any](value T) *switches[T] {
+	return &switches[T]{value: value, changed: make(chan struct{})}
+}
+
+func (s *switches[T]) get() T {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.value
+}
+
+func (s *switches[T]) set(value T) {
+	s.update(func(v *T) { *v = value })
+}
+
+func (s *switches[T]) update(change func(*T)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.value)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// waitUntil returns when the switches satisfy ok, or with the context's error.
+func (s *switches[T]) waitUntil(ctx context.Context, ok func(T) bool) error {
+	for {
+		s.mu.Lock()
+		value, changed := s.value, s.changed
+		s.mu.Unlock()
+		if ok(value) {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/faker/vms.go
@@ -0,0 +1,173 @@
+package faker
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"geraniumline/platformserver"
+)
+
+const maxVMs = 10_000
+
+// VMsConfig describes the list of VMs.
+type VMsConfig struct {
+	// Lag is how long a change stays unseen by readers [1 s].
+	Lag time.Duration
+	// VMs are seen from the start.
+	VMs    []platformserver.VM
+	Faults VMFaults
+}
+
+// VMFaults are the switches of the VM list's stand-in.
+type VMFaults struct {
+	Outage     Outage `json:"outage"`
+	SlowMillis int64  `json:"slowMillis"`
+	// LagMillis replaces the configured lag if it is over 0.
+	LagMillis int64 `json:"lagMillis"`
+}
+
+func (f VMFaults) check() error {
+	return firstError(
+		f.Outage.check(),
+		checkNotNegative("slowMillis", f.SlowMillis),
+		checkNotNegative("lagMillis", f.LagMillis),
+	)
+}
+
+// VMs is a running stand-in of the platform's lagging list of VMs.
+type VMs struct {
+	unserved
+	lag     time.Duration
+	faults  *switches[VMFaults]
+	handler http.Handler
+	history *vmHistory
+}
+
+// NewVMs starts a list with the configured VMs.
+func NewVMs(cfg VMsConfig) *VMs {
+	v := &VMs{
+		lag:     defaultTo(cfg.Lag, time.Second),
+		faults:  newSwitches(cfg.Faults),
+		history: &vmHistory{},
+	}
+	v.history.set(cfg.VMs, time.Time{})
+	mux := platformMux(v)
+	handleSwitches(mux, v.faults, VMFaults.check)
+	v.handleVMs(mux)
+	v.handler = mux
+	return v
+}
+
+// Handler serves the list and its control paths.
+func (v *VMs) Handler() http.Handler { return v.handler }
+
+// SetFaults replaces all switches.
+func (v *VMs) SetFaults(faults VMFaults) { v.faults.set(faults) }
+
+// Set replaces the whole list; readers see it one lag later.
+func (v *VMs) Set(vms []platformserver.VM, now time.Time) { v.history.set(vms, now) }
+
+// ListVms returns the list as it was one lag ago.
+func (v *VMs) ListVms(ctx context.Context) (*platformserver.VmList, error) {
+	faults := v.faults.get()
+	switch faults.Outage {
+	case OutageFail:
+		return nil, errOutage
+	case OutageHang:
+		// The caller's going and the outage's end are the same to the reply: the call failed.
+		_ = v.faults.waitUntil(ctx, func(f VMFaults) bool { return f.Outage != OutageHang })
+		return nil, errOutage
+	}
+	if err := sleep(ctx, millis(faults.SlowMillis)); err != nil {
+		return nil, err
+	}
+	return &platformserver.VmList{Vms: v.history.at(time.Now().Add(-v.presentLag(faults)))}, nil
+}
+
+func (v *VMs) presentLag(faults VMFaults) time.Duration {
+	if faults.LagMillis > 0 {
+		return millis(faults.LagMillis)
+	}
+	return v.lag
+}
+
+func (v *VMs) handleVMs(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+vmsPath, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, platformserver.VmList{Vms: v.history.newest()})
+	})
+	mux.HandleFunc("PUT "+vmsPath, func(w http.ResponseWriter, r *http.Request) {
+		var list vmList
+		if !readJSON(w, r, &list) {
+			return
+		}
+		if err := CheckVMs(list.VMs); err != nil {
+			writeJSON(w, http.StatusBadRequest, controlError{Code: "badCall", Message: err.Error()})
+			return
+		}
+		v.Set(list.VMs, time.Now())
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
+// vmList is the body of the control path. The generated type decodes itself and skips unknown fields.
+type vmList struct {
+	VMs []platformserver.VM `json:"vms"`
+}
+
+// CheckVMs returns a ConfigError for a list that the platform would never give.
+func CheckVMs(vms []platformserver.VM) error {
+	if len(vms) > maxVMs {
+		return &ConfigError{Field: "vms", Value: len(vms), Want: "10000 at most"}
+	}
+	for _, vm := range vms {
+		if _, _, err := net.SplitHostPort(vm.Address); err != nil {
+			return &ConfigError{Field: "address", Value: vm.Address, Want: "host:port"}
+		}
+		if vm.State.Validate() != nil {
+			return &ConfigError{Field: "state", Value: vm.State, Want: "live or leaving"}
+		}
+	}
+	return nil
+}
+
+type vmVersion struct {
+	at  time.Time
+	vms []platformserver.VM
+}
+
+const maxVMVersions = 1024
+
+// vmHistory answers what the list was at some time.
+type vmHistory struct {
+	mu       sync.Mutex
+	versions []vmVersion
+}
+
+func (h *vmHistory) set(vms []platformserver.VM, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.versions = append(h.versions, vmVersion{at: now, vms: append([]platformserver.VM{}, vms...)})
+	if len(h.versions) > maxVMVersions {
+		h.versions = append(h.versions[:0:0], h.versions[1:]...)
+	}
+}
+
+func (h *vmHistory) at(cutoff time.Time) []platformserver.VM {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := len(h.versions) - 1; i > 0; i-- {
+		if !h.versions[i].at.After(cutoff) {
+			return h.versions[i].vms
+		}
+	}
+	return h.versions[0].vms
+}
+
+func (h *vmHistory) newest() []platformserver.VM {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.versions[len(h.versions)-1].vms
+}
--- /dev/null
+++ b/faker/weights.go
@@ -0,0 +1,133 @@
+package faker
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"geraniumline/platformserver"
+)
+
+const maxCountedModels = 1024
+
+// WeightsConfig describes the weight store. Zero fields take the defaults in brackets.
+type WeightsConfig struct {
+	// LoadsPerSecond limits the loads that begin [2], with a burst of Burst [2].
+	LoadsPerSecond float64
+	Burst          int
+	// TransferTime is how long one load takes [300 ms].
+	TransferTime time.Duration
+	// Bytes is the size that the store reports for each model [1 GiB].
+	Bytes  int64
+	Faults WeightFaults
+}
+
+// WeightFaults are the switches of the weight store's stand-in.
+type WeightFaults struct {
+	Outage     Outage `json:"outage"`
+	SlowMillis int64  `json:"slowMillis"`
+}
+
+func (f WeightFaults) check() error {
+	return firstError(f.Outage.check(), checkNotNegative("slowMillis", f.SlowMillis))
+}
+
+// WeightLedger counts the loads that began, by model@version, and those refused.
+type WeightLedger struct {
+	Loads       map[string]int64 `json:"loads"`
+	RateLimited int64            `json:"rateLimited"`
+}
+
+// Weights is a running stand-in of the rate-limited weight store.
+type Weights struct {
+	unserved
+	cfg     WeightsConfig
+	faults  *switches[WeightFaults]
+	limit   *rate.Limiter
+	handler http.Handler
+	mu      sync.Mutex
+	ledger  WeightLedger
+}
+
+// NewWeights starts a weight store that has every model.
+func NewWeights(cfg WeightsConfig) *Weights {
+	cfg.LoadsPerSecond = defaultTo(cfg.LoadsPerSecond, 2)
+	cfg.Burst = defaultTo(cfg.Burst, 2)
+	cfg.TransferTime = defaultTo(cfg.TransferTime, 300*time.Millisecond)
+	cfg.Bytes = defaultTo(cfg.Bytes, 1<<30)
+	s := &Weights{
+		cfg:    cfg,
+		faults: newSwitches(cfg.Faults),
+		limit:  rate.NewLimiter(rate.Limit(cfg.LoadsPerSecond), cfg.Burst),
+		ledger: WeightLedger{Loads: make(map[string]int64)},
+	}
+	mux := platformMux(s)
+	handleSwitches(mux, s.faults, WeightFaults.check)
+	mux.HandleFunc("GET "+ledgerPath, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Ledger())
+	})
+	s.handler = mux
+	return s
+}
+
+// Handler serves the store and its control paths.
+func (s *Weights) Handler() http.Handler { return s.handler }
+
+// SetFaults replaces all switches.
+func (s *Weights) SetFaults(faults WeightFaults) { s.faults.set(faults) }
+
+// Ledger returns the counts since the start.
+func (s *Weights) Ledger() WeightLedger {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ledger := WeightLedger{Loads: make(map[string]int64, len(s.ledger.Loads)), RateLimited: s.ledger.RateLimited}
+	for model, n := range s.ledger.Loads {
+		ledger.Loads[model] = n
+	}
+	return ledger
+}
+
+// GetWeights takes as long as the transfer of a model's weights.
+func (s *Weights) GetWeights(
+	ctx context.Context, params platformserver.GetWeightsParams,
+) (*platformserver.Weights, error) {
+	faults := s.faults.get()
+	switch faults.Outage {
+	case OutageFail:
+		return nil, errOutage
+	case OutageHang:
+		// The caller's going and the outage's end are the same to the reply: the call failed.
+		_ = s.faults.waitUntil(ctx, func(f WeightFaults) bool { return f.Outage != OutageHang })
+		return nil, errOutage
+	}
+	if err := s.begin(params, time.Now()); err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, s.cfg.TransferTime+millis(faults.SlowMillis)); err != nil {
+		return nil, err
+	}
+	return &platformserver.Weights{Model: params.Model, Version: params.Version, Bytes: s.cfg.Bytes}, nil
+}
+
+func (s *Weights) begin(params platformserver.GetWeightsParams, now time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reservation := s.limit.ReserveN(now, 1)
+	if wait := reservation.DelayFrom(now); wait > 0 {
+		reservation.CancelAt(now)
+		s.ledger.RateLimited++
+		return &PlatformFailedError{
+			Code:             codeRateLimited,
+			Message:          "too many loads",
+			RetryAfterMillis: wait.Milliseconds() + 1,
+		}
+	}
+	model := params.Model + "@" + params.Version
+	if _, known := s.ledger.Loads[model]; known || len(s.ledger.Loads) < maxCountedModels {
+		s.ledger.Loads[model]++
+	}
+	return nil
+}
