--- a/faker/logfaults.go
+++ b/faker/logfaults.go
@@ -32,17 +32,12 @@
 	)
 }
 
-// failInOutage returns an error while the outage lasts, at once or, when hanging, at its end.
 func (l *Log) failInOutage(ctx context.Context) error {
-	switch l.faults.get().Outage {
-	case OutageNone:
-		return nil
-	case OutageHang:
-		// The caller's going and the outage's end are the same to the reply: the call failed.
-		_ = l.faults.waitUntil(ctx, func(f LogFaults) bool { return f.Outage != OutageHang })
+	err := failInOutage(ctx, l.faults, func(f LogFaults) Outage { return f.Outage })
+	if err != nil {
+		l.count(func(ledger *LogLedger) { ledger.Refused++ })
 	}
-	l.count(func(ledger *LogLedger) { ledger.Refused++ })
-	return errOutage
+	return err
 }
 
 // loseReply closes the connection in place of a reply, if the switches say so.
--- a/faker/platform.go
+++ b/faker/platform.go
@@ -41,6 +41,18 @@
 	}
 }
 
+// failInOutage returns an error while the outage lasts: at once, or when hanging at its end. If the
+// caller goes before that, the reply is the same to nobody.
+func failInOutage[T any](ctx context.Context, faults *switches[T], outage func(T) Outage) error {
+	switch outage(faults.get()) {
+	case OutageNone:
+		return nil
+	case OutageHang:
+		_ = faults.waitUntil(ctx, func(f T) bool { return outage(f) != OutageHang })
+	}
+	return errOutage
+}
+
 // PlatformFailedError is a platform service's refusal.
 type PlatformFailedError struct {
 	Code             string
--- a/faker/vms.go
+++ b/faker/vms.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"geraniumline/platformserver"
@@ -72,15 +71,11 @@
 
 // ListVms returns the list as it was one lag ago.
 func (v *VMs) ListVms(ctx context.Context) (*platformserver.VmList, error) {
-	faults := v.faults.get()
-	switch faults.Outage {
-	case OutageFail:
-		return nil, errOutage
-	case OutageHang:
-		// The caller's going and the outage's end are the same to the reply: the call failed.
-		_ = v.faults.waitUntil(ctx, func(f VMFaults) bool { return f.Outage != OutageHang })
-		return nil, errOutage
+	err := failInOutage(ctx, v.faults, func(f VMFaults) Outage { return f.Outage })
+	if err != nil {
+		return nil, err
 	}
+	faults := v.faults.get()
 	if err := sleep(ctx, millis(faults.SlowMillis)); err != nil {
 		return nil, err
 	}
@@ -132,42 +127,3 @@
 	}
 	return nil
 }
-
-type vmVersion struct {
-	at  time.Time
-	vms []platformserver.VM
-}
-
-const maxVMVersions = 1024
-
-// vmHistory answers what the list was at some time.
-type vmHistory struct {
-	mu       sync.Mutex
-	versions []vmVersion
-}
-
-func (h *vmHistory) set(vms []platformserver.VM, now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.versions = append(h.versions, vmVersion{at: now, vms: append([]platformserver.VM{}, vms...)})
-	if len(h.versions) > maxVMVersions {
-		h.versions = append(h.versions[:0:0], h.versions[1:]...)
-	}
-}
-
-func (h *vmHistory) at(cutoff time.Time) []platformserver.VM {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for i := len(h.versions) - 1; i > 0; i-- {
-		if !h.versions[i].at.After(cutoff) {
-			return h.versions[i].vms
-		}
-	}
-	return h.versions[0].vms
-}
-
-func (h *vmHistory) newest() []platformserver.VM {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.versions[len(h.versions)-1].vms
-}
--- a/faker/weights.go
+++ b/faker/weights.go
@@ -94,15 +94,11 @@
 func (s *Weights) GetWeights(
 	ctx context.Context, params platformserver.GetWeightsParams,
 ) (*platformserver.Weights, error) {
-	faults := s.faults.get()
-	switch faults.Outage {
-	case OutageFail:
-		return nil, errOutage
-	case OutageHang:
-		// The caller's going and the outage's end are the same to the reply: the call failed.
-		_ = s.faults.waitUntil(ctx, func(f WeightFaults) bool { return f.Outage != OutageHang })
-		return nil, errOutage
+	err := failInOutage(ctx, s.faults, func(f WeightFaults) Outage { return f.Outage })
+	if err != nil {
+		return nil, err
 	}
+	faults := s.faults.get()
 	if err := s.begin(params, time.Now()); err != nil {
 		return nil, err
 	}
