--- /dev/null
+++ b/performer/loop.go
@@ -0,0 +1,125 @@
+// Package performer carries out the core's effects and brings it the events: one goroutine reduces,
+// others speak HTTP to callers, operators, endpoints and the platform, and TCP to peers.
+// It holds no policy.
+package performer
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumline/reducer"
+)
+
+const (
+	// eventQueue is how many events may wait for the reducer before those who bring them wait.
+	eventQueue = 4096
+	// tickEvery is the core's resolution of time.
+	tickEvery = 10 * time.Millisecond
+)
+
+// Performer is one entry's loop and its connections.
+type Performer struct {
+	cfg     Config
+	core    *reducer.Core
+	events  chan reducer.Event
+	replies *replies
+	stages  *stages
+	log     *zap.Logger
+	exited  chan struct{}
+	ids     idSource
+	// ctx ends the work that effects started.
+	ctx context.Context
+}
+
+// New makes a performer around a core. Run starts it.
+func New(cfg Config, core *reducer.Core) *Performer {
+	p := &Performer{
+		cfg:     cfg,
+		core:    core,
+		events:  make(chan reducer.Event, eventQueue),
+		replies: newReplies(),
+		log:     cfg.Log,
+		exited:  make(chan struct{}),
+	}
+	p.stages = newStages(cfg, p.Post, p.replies)
+	return p
+}
+
+// Post brings the core an event. It waits while too many events wait already, so that load is
+// held back at its sources.
+func (p *Performer) Post(event reducer.Event) {
+	select {
+	case p.events <- event:
+	case <-p.exited:
+	}
+}
+
+// Run reduces events until ctx ends or the core has ended its planned stop.
+func (p *Performer) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer close(p.exited)
+	p.ctx = ctx
+	p.stages.ctx = ctx
+	p.startReaders(ctx)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		var event reducer.Event
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case event = <-p.events:
+		case <-ticker.C:
+			event = reducer.Ticked{}
+		}
+		for _, effect := range p.core.Reduce(event, time.Now()) {
+			if _, exit := effect.(reducer.Exit); exit {
+				return nil
+			}
+			p.perform(effect)
+		}
+	}
+}
+
+// perform starts one effect. It never waits.
+func (p *Performer) perform(effect reducer.Effect) {
+	switch e := effect.(type) {
+	case *reducer.CallStage:
+		p.stages.call(e)
+	case reducer.ResumeStage:
+		p.stages.resume(e)
+	case reducer.CancelStage:
+		p.stages.cancel(e)
+	case reducer.SendPart:
+		p.replies.put(e.ID, e)
+	case reducer.SendAnswer:
+		p.replies.put(e.ID, e)
+	case reducer.SendFailure:
+		p.replies.put(e.ID, e)
+	case reducer.SendAddresses:
+		p.replies.put(e.ID, e)
+	case reducer.SendOutcome:
+		p.replies.put(e.ID, e)
+	case reducer.SendVerdict:
+		p.replies.put(e.ID, e)
+	case reducer.SendRefusal:
+		p.replies.put(e.ID, e)
+	case reducer.SendConfig:
+		p.replies.put(e.ID, e)
+	case reducer.SendHistory:
+		p.replies.put(e.ID, e)
+	case reducer.SendStatus:
+		p.replies.put(e.ID, e)
+	case reducer.SendStop:
+		p.replies.put(e.ID, e)
+	case reducer.Append:
+		go p.append(e)
+	case reducer.SendPeer:
+		p.cfg.Messenger.Send(e.Address, e.Message)
+	case reducer.LogChange:
+		p.log.Info(e.Message, zap.String("subject", e.Subject), zap.String("from", e.From), zap.String("to", e.To))
+	}
+}
--- /dev/null
+++ b/performer/readers.go
@@ -0,0 +1,175 @@
+package performer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"geraniumline/appender"
+	"geraniumline/carrier"
+	"geraniumline/endpointserver"
+	"geraniumline/platformserver"
+	"geraniumline/publisher"
+	"geraniumline/reducer"
+	"geraniumline/router"
+)
+
+const (
+	// entryPool is the name under which the platform's list shows entries.
+	entryPool = "entry"
+	// platformTimeout bounds one reading of the list of VMs.
+	platformTimeout = 2 * time.Second
+	// loadTimeout bounds one reading of an endpoint's load.
+	loadTimeout = time.Second
+	// loadReaders is how many endpoints are asked at a time.
+	loadReaders = 16
+)
+
+// startReaders starts the goroutines that follow the log, the list of VMs and the endpoints' loads.
+func (p *Performer) startReaders(ctx context.Context) {
+	for _, stream := range []reducer.Stream{reducer.StreamConfig, reducer.StreamClaims} {
+		go p.follow(ctx, stream)
+	}
+	go p.listVMs(ctx)
+}
+
+// follow tails one stream of the log.
+func (p *Performer) follow(ctx context.Context, stream reducer.Stream) {
+	sink := func(page appender.Page) {
+		p.Post(logReadOf(stream, page))
+	}
+	status := func(err error) {
+		if err != nil {
+			p.Post(reducer.LogFailed{Stream: stream, Reason: err.Error()})
+		}
+	}
+	p.cfg.Appender.Tail(ctx, string(stream), 0, sink, status)
+}
+
+func logReadOf(stream reducer.Stream, page appender.Page) reducer.LogRead {
+	records := make([]publisher.Record, 0, len(page.Records))
+	for _, record := range page.Records {
+		records = append(records, publisher.Record(record))
+	}
+	return reducer.LogRead{Stream: stream, Records: records, First: page.First, Next: page.Next, AtEnd: page.AtEnd}
+}
+
+// append carries out an append and tells the core how it ended.
+func (p *Performer) append(e reducer.Append) {
+	_, err := p.cfg.Appender.Append(p.ctx, string(e.Stream), e.Data)
+	p.Post(reducer.Appended{Stream: e.Stream, BatchID: e.BatchID, Result: appendResult(err)})
+}
+
+// TakePeer brings the core a peer's message. It is the messenger's handler.
+func (p *Performer) TakePeer(from string, message carrier.Message) {
+	p.Post(reducer.PeerMessageArrived{From: from, Message: message})
+}
+
+// listVMs reads the platform's list of VMs over and over. It lags, so it is only a hint.
+func (p *Performer) listVMs(ctx context.Context) {
+	loads := newLoadReader(p)
+	everyVM := time.NewTicker(p.cfg.VMListEvery)
+	defer everyVM.Stop()
+	everyLoad := time.NewTicker(p.cfg.LoadReportEvery)
+	defer everyLoad.Stop()
+	p.readVMs(ctx, loads)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-everyVM.C:
+			p.readVMs(ctx, loads)
+		case <-everyLoad.C:
+			loads.read(ctx)
+		}
+	}
+}
+
+func (p *Performer) readVMs(ctx context.Context, loads *loadReader) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	list, err := p.cfg.VMs.ListVms(ctx)
+	if err != nil {
+		return
+	}
+	event := vmsListedOf(list)
+	loads.addresses = loads.addresses[:0]
+	for _, vm := range event.Endpoints {
+		loads.addresses = append(loads.addresses, vm.Address)
+	}
+	p.Post(event)
+}
+
+func vmsListedOf(list *platformserver.VmList) reducer.VMsListed {
+	var event reducer.VMsListed
+	for _, vm := range list.Vms {
+		leaving := vm.State == platformserver.VmStateLeaving
+		if vm.Pool == entryPool {
+			event.Entries = append(event.Entries, reducer.EntryHint{PeerAddress: vm.Address, Zone: vm.Zone, Leaving: leaving})
+			continue
+		}
+		event.Endpoints = append(event.Endpoints, router.VM{Address: vm.Address, Zone: vm.Zone, Pool: vm.Pool, Leaving: leaving})
+	}
+	return event
+}
+
+// loadReader asks endpoints for their load.
+type loadReader struct {
+	performer *Performer
+	addresses []string
+	busy      sync.Mutex
+}
+
+func newLoadReader(p *Performer) *loadReader {
+	return &loadReader{performer: p}
+}
+
+// read asks all endpoints once, some at a time. A round that is still under way is not doubled.
+func (l *loadReader) read(ctx context.Context) {
+	if !l.busy.TryLock() {
+		return
+	}
+	addresses := append([]string(nil), l.addresses...)
+	go func() {
+		defer l.busy.Unlock()
+		var wg sync.WaitGroup
+		slots := make(chan struct{}, loadReaders)
+		for _, address := range addresses {
+			wg.Add(1)
+			slots <- struct{}{}
+			go func() {
+				defer wg.Done()
+				defer func() { <-slots }()
+				l.ask(ctx, address)
+			}()
+		}
+		wg.Wait()
+	}()
+}
+
+func (l *loadReader) ask(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
+	if err != nil {
+		return
+	}
+	response, err := l.performer.cfg.Endpoints.Do(request)
+	if err != nil {
+		return
+	}
+	defer drain(response)
+	var report endpointserver.LoadReport
+	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&report) != nil {
+		return
+	}
+	l.performer.Post(reducer.LoadReported{Address: address, Report: router.Report{
+		AsOf:    time.UnixMilli(report.AsOfMillis),
+		Running: report.Running,
+		Waiting: report.Waiting,
+		Slots:   report.Slots,
+		Leaving: report.Leaving,
+	}})
+}
