--- /dev/null
+++ b/appender/tail.go
@@ -0,0 +1,57 @@
+package appender
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+)
+
+// Tail reads a stream from an offset on until ctx ends. Each page goes to sink, in order, empty ones included,
+// since First matters in each. Status is told of each failed read, and with nil of the first good one after.
+func (a *Appender) Tail(ctx context.Context, stream string, from int64, sink func(Page), status func(error)) {
+	backoff := a.cfg.MinBackoff
+	failing := false
+	for ctx.Err() == nil {
+		page, err := a.Read(ctx, stream, from, a.cfg.PageRecords, a.cfg.PollWait)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			failing = true
+			status(err)
+			pause(ctx, max(jitter(backoff), wish(err)))
+			backoff = min(2*backoff, a.cfg.MaxBackoff)
+			continue
+		}
+		if failing {
+			failing = false
+			status(nil)
+		}
+		backoff = a.cfg.MinBackoff
+		sink(page)
+		from = max(from, page.Next)
+	}
+}
+
+func wish(err error) time.Duration {
+	var failed *ReadError
+	if errors.As(err, &failed) {
+		return failed.RetryAfter
+	}
+	return 0
+}
+
+// jitter keeps the entries from all coming back at once when the log does.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2+1)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/claimer/decision.go
@@ -0,0 +1,85 @@
+package claimer
+
+// Decision is what the log has settled: Won, Lost, Voided, Unproved, ForeignOutcome, Freed, ClosedOwner or Landed.
+type Decision interface {
+	decision()
+}
+
+// Won tells that the own claim is the first valid one for its key: this incarnation, and no other ever, may
+// dispatch. Offset is the claim's, and serves as fencing number.
+type Won struct {
+	Key     Key
+	ClaimID uint64
+	Offset  int64
+}
+
+// Lost tells that the key belongs to another claim.
+type Lost struct {
+	Key     Key
+	ClaimID uint64
+	Holder  Holding
+	// SameDigest tells that the holder's request has the same body; if not, the key was used for two requests.
+	SameDigest bool
+}
+
+// VoidReason tells why no reader takes a claim.
+type VoidReason uint8
+
+// Why a claim is void.
+const (
+	// VoidClosed is for a claim after its own incarnation was closed.
+	VoidClosed VoidReason = iota + 1
+	// VoidTooOld is for a claim that landed after its key's horizon.
+	VoidTooOld
+	// VoidFromFuture is for a claim whose key is born later than clocks may differ.
+	VoidFromFuture
+	// VoidBadKey is for a claim whose key is not a UUIDv7.
+	VoidBadKey
+	// VoidSpent is for a claim that had lost or been released before this copy of it landed.
+	VoidSpent
+)
+
+// Voided tells that the own claim holds nothing, for anyone: the request did not run under it.
+type Voided struct {
+	Key     Key
+	ClaimID uint64
+	Reason  VoidReason
+}
+
+// Unproved tells that the own claim is the first one this table knows, but that it may have missed earlier ones.
+// It must not be dispatched, nor released: others may take it for the holder or may not.
+type Unproved struct {
+	Key     Key
+	ClaimID uint64
+}
+
+// ForeignOutcome tells that a request of another claim ended.
+type ForeignOutcome struct {
+	Key     Key
+	Holding Holding
+}
+
+// Freed tells that a claim was released: nothing ran under the key, and it may be claimed again.
+type Freed struct {
+	Key Key
+}
+
+// ClosedOwner tells that an incarnation was closed: its claims without outcome are of unknown outcome.
+type ClosedOwner struct {
+	Entry       string
+	Incarnation uint64
+}
+
+// Landed tells that an own batch is in the log.
+type Landed struct {
+	BatchID uint64
+}
+
+func (Won) decision()            {}
+func (Lost) decision()           {}
+func (Voided) decision()         {}
+func (Unproved) decision()       {}
+func (ForeignOutcome) decision() {}
+func (Freed) decision()          {}
+func (ClosedOwner) decision()    {}
+func (Landed) decision()         {}
--- /dev/null
+++ b/claimer/table.go
@@ -0,0 +1,300 @@
+package claimer
+
+import (
+	"math"
+	"time"
+
+	"geraniumline/recorder"
+)
+
+// Config says whose table this is and how long a key is remembered.
+type Config struct {
+	Entry       string
+	Incarnation uint64
+	// Horizon is the age to which a key may be claimed. It must be well below the log's retention, or an
+	// entry that starts anew finds no key that it may claim.
+	Horizon time.Duration
+	// AnswerBytes bounds the answers that are held; older ones are dropped and can be read from the log again.
+	AnswerBytes int
+}
+
+const (
+	defaultHorizon     = 10 * time.Minute
+	defaultAnswerBytes = 8 << 20
+)
+
+// never is a log time that no record reaches.
+const never = math.MaxInt64
+
+// Table is what one entry has read of the claims stream.
+type Table struct {
+	cfg   Config
+	names names
+	// next is the lowest offset that was not read.
+	next int64
+	// logMillis is the highest log time read. All ages are reckoned by it, so that all tables agree.
+	logMillis int64
+	// sinceMillis is the log time after which this table has read every record.
+	sinceMillis int64
+	// started tells that the first page's start is known.
+	started bool
+	// lapsed tells that records were cut before this table read them, after it had started.
+	lapsed bool
+	// afterGap tells that the next record is the first one that was kept.
+	afterGap bool
+	closed   map[owner]bool
+	slots    map[slot]*holding
+	expiries expiries
+	// expired is the last range of expiries that was forgotten.
+	expired int64
+	answers answers
+	bad     int
+	ignored int
+}
+
+// New gives a table that has read nothing and so can prove nothing.
+func New(cfg Config) *Table {
+	if cfg.Horizon <= 0 {
+		cfg.Horizon = defaultHorizon
+	}
+	if cfg.AnswerBytes <= 0 {
+		cfg.AnswerBytes = defaultAnswerBytes
+	}
+	return &Table{
+		cfg:         cfg,
+		names:       newNames(),
+		sinceMillis: never,
+		closed:      make(map[owner]bool),
+		slots:       make(map[slot]*holding),
+		expiries:    make(expiries),
+	}
+}
+
+// Gap takes the log's oldest kept offset, once before each page's records. It tells whether records were cut
+// before this table could read them: from then on the table proves nothing about older keys.
+// If that happens after the start, the incarnation itself may have been closed in the part that is lost.
+// Symptom without it: the entry goes on to dispatch claims that all others hold void, and a request runs twice.
+// So it may win no claim any more, until the process takes a new incarnation, which nobody can have closed yet.
+func (t *Table) Gap(first int64) bool {
+	fresh := !t.started
+	t.started = true
+	if first <= max(t.next, 1) {
+		if fresh {
+			t.sinceMillis = math.MinInt64
+		}
+		return false
+	}
+	t.lapsed = !fresh
+	t.sinceMillis = never
+	t.afterGap = true
+	t.next = first
+	return true
+}
+
+// Apply takes the stream's next record and gives what it settled, in order. A record read before settles nothing.
+func (t *Table) Apply(r recorder.Record) []Decision {
+	if r.Offset < t.next {
+		return nil
+	}
+	t.next = r.Offset + 1
+	t.logMillis = max(t.logMillis, r.AtMillis)
+	if t.afterGap {
+		// Records that were cut may bear the same millisecond as the first one kept.
+		t.afterGap = false
+		t.sinceMillis = t.logMillis
+	}
+	t.expire()
+	batch, err := Decode(r.Data)
+	if err != nil {
+		t.bad++
+		return nil
+	}
+	return t.applyBatch(r.Offset, &batch)
+}
+
+func (t *Table) applyBatch(offset int64, batch *Batch) []Decision {
+	by := owner{entry: t.names.id(batch.Entry), incarnation: batch.Incarnation}
+	own := batch.Entry == t.cfg.Entry && batch.Incarnation == t.cfg.Incarnation
+	var out []Decision
+	for _, record := range batch.Records {
+		var d Decision
+		switch r := record.(type) {
+		case Release:
+			d = t.applyRelease(by, r)
+		case Outcome:
+			d = t.applyOutcome(offset, by, own, r)
+		case Closed:
+			d = t.applyClosed(r)
+		case Claim:
+			d = t.applyClaim(offset, by, own, r)
+		}
+		if d != nil {
+			out = append(out, d)
+		}
+	}
+	if own {
+		out = append(out, Landed{BatchID: batch.BatchID})
+	}
+	return out
+}
+
+func (t *Table) applyClosed(r Closed) Decision {
+	o := owner{entry: t.names.id(r.Entry), incarnation: r.Incarnation}
+	if t.closed[o] {
+		return nil
+	}
+	t.closed[o] = true
+	return ClosedOwner(r)
+}
+
+func (t *Table) applyClaim(offset int64, by owner, own bool, c Claim) Decision {
+	id, err := parseKey(c.Key.Key)
+	if err != nil {
+		return t.voided(own, c, VoidBadKey)
+	}
+	birth := birthMillis(id)
+	if reason := t.voidReason(by, birth); reason != 0 {
+		return t.voided(own, c, reason)
+	}
+	s := slot{account: t.names.id(c.Key.Account), id: id}
+	claim := claimIdentity{owner: by, claimID: c.ClaimID}
+	h := t.slots[s]
+	if h == nil {
+		h = &holding{}
+		t.slots[s] = h
+		t.expiries.add(s, birth+t.cfg.Horizon.Milliseconds())
+	}
+	if h.isSpent(claim) {
+		return t.voided(own, c, VoidSpent)
+	}
+	if h.held {
+		return t.lost(h, claim, own, c)
+	}
+	h.hold(claim, offset, c.Digest)
+	if !own {
+		return nil
+	}
+	if !t.proves(birth) {
+		return Unproved{Key: c.Key, ClaimID: c.ClaimID}
+	}
+	return Won{Key: c.Key, ClaimID: c.ClaimID, Offset: offset}
+}
+
+// voidReason tells why no table takes the claim, or 0. It depends on the log alone: a claim that lands after
+// the tables have forgotten its key must not find the key free.
+func (t *Table) voidReason(by owner, birth int64) VoidReason {
+	switch {
+	case t.closed[by]:
+		return VoidClosed
+	case t.logMillis > birth+t.cfg.Horizon.Milliseconds():
+		return VoidTooOld
+	case birth > t.logMillis+MaxSkew.Milliseconds():
+		return VoidFromFuture
+	default:
+		return 0
+	}
+}
+
+func (t *Table) voided(own bool, c Claim, reason VoidReason) Decision {
+	t.ignored++
+	if !own {
+		return nil
+	}
+	return Voided{Key: c.Key, ClaimID: c.ClaimID, Reason: reason}
+}
+
+func (t *Table) lost(h *holding, claim claimIdentity, own bool, c Claim) Decision {
+	if h.claim == claim {
+		// A second copy of the holder's own claim: its append was sent again after a lost reply.
+		return nil
+	}
+	h.spend(claim)
+	if !own {
+		return nil
+	}
+	return Lost{Key: c.Key, ClaimID: c.ClaimID, Holder: t.view(h), SameDigest: h.digest == c.Digest}
+}
+
+// proves tells that no earlier claim for a key of this birth can have been missed. Claims that land more than
+// MaxSkew before their key's birth are void, so earlier parts of the log do not matter.
+func (t *Table) proves(birth int64) bool {
+	return !t.lapsed && t.sinceMillis < birth-MaxSkew.Milliseconds()
+}
+
+func (t *Table) applyRelease(by owner, r Release) Decision {
+	h := t.find(r.Key)
+	if h == nil || !h.held || h.ended() || h.claim != (claimIdentity{owner: by, claimID: r.ClaimID}) {
+		t.ignored++
+		return nil
+	}
+	h.release()
+	return Freed{Key: r.Key}
+}
+
+func (t *Table) applyOutcome(offset int64, by owner, own bool, r Outcome) Decision {
+	h := t.find(r.Key)
+	if h == nil || !h.held || h.ended() || h.claim != (claimIdentity{owner: by, claimID: r.ClaimID}) {
+		t.ignored++
+		return nil
+	}
+	h.end(offset, r)
+	t.answers.keep(h, t.cfg.AnswerBytes)
+	if own {
+		return nil
+	}
+	return ForeignOutcome{Key: r.Key, Holding: t.view(h)}
+}
+
+func (t *Table) find(k Key) *holding {
+	id, err := parseKey(k.Key)
+	if err != nil {
+		return nil
+	}
+	account, ok := t.names.find(k.Account)
+	if !ok {
+		return nil
+	}
+	return t.slots[slot{account: account, id: id}]
+}
+
+// Lookup tells what the log says of a key; false if no valid claim for it was read.
+func (t *Table) Lookup(k Key) (Holding, bool) {
+	h := t.find(k)
+	if h == nil {
+		return Holding{}, false
+	}
+	return t.view(h), true
+}
+
+// CheckProvable refuses a key that a claim could not be proved for, with a *KeyUnprovableError.
+// It spares the append; Apply asks the same again.
+func (t *Table) CheckProvable(birth time.Time) error {
+	if t.proves(birth.UnixMilli()) {
+		return nil
+	}
+	return &KeyUnprovableError{Birth: birth, Lapsed: t.lapsed}
+}
+
+// Offset gives the last offset read.
+func (t *Table) Offset() int64 { return t.next - 1 }
+
+// Next gives the offset to read from.
+func (t *Table) Next() int64 { return t.next }
+
+// Len gives the number of keys that are remembered.
+func (t *Table) Len() int { return len(t.slots) }
+
+// Bad counts records that are no batches and were passed over.
+func (t *Table) Bad() int { return t.bad }
+
+// Ignored counts claims that were void, and releases and outcomes that were not their holder's.
+func (t *Table) Ignored() int { return t.ignored }
+
+// Lapsed tells that this incarnation may win no claim any more: the process must take a new one.
+func (t *Table) Lapsed() bool { return t.lapsed }
+
+// IsClosed tells whether an incarnation was closed, as far as this table has read.
+func (t *Table) IsClosed(entry string, incarnation uint64) bool {
+	id, ok := t.names.find(entry)
+	return ok && t.closed[owner{entry: id, incarnation: incarnation}]
+}
--- /dev/null
+++ b/publisher/state.go
@@ -0,0 +1,169 @@
+package publisher
+
+import (
+	"fmt"
+	"slices"
+)
+
+// objectID names one object.
+type objectID struct {
+	kind, name string
+}
+
+// entryOf is an object as published and in its typed form.
+type entryOf struct {
+	object Object
+	parsed parsed
+}
+
+// state is the configuration after some offset, with the verdicts that are remembered.
+type state struct {
+	objects map[objectID]*entryOf
+	history history
+}
+
+func newState() *state {
+	return &state{objects: make(map[objectID]*entryOf), history: newHistory()}
+}
+
+func (s *state) version(id objectID) int64 {
+	if e, ok := s.objects[id]; ok {
+		return e.object.Version
+	}
+	return 0
+}
+
+// apply folds one change in and gives its verdict; a known operation id gets its first verdict again.
+func (s *state) apply(offset, atMillis int64, c *Change) Verdict {
+	if first, ok := s.history.find(c.OperationID); ok {
+		return first
+	}
+	v := s.decide(offset, c)
+	v.AtMillis = atMillis
+	s.history.add(v)
+	return v
+}
+
+func (s *state) decide(offset int64, c *Change) Verdict {
+	id := objectID{kind: c.Kind, name: c.Name}
+	current := s.version(id)
+	v := Verdict{OperationID: c.OperationID, Operator: c.Operator, Kind: c.Kind, Name: c.Name, Version: current}
+	if c.BaseVersion != current {
+		v.State = Conflict
+		v.Message = fmt.Sprintf("based on version %d, but version %d is in force", c.BaseVersion, current)
+		return v
+	}
+	p, faults := s.check(c)
+	if len(faults) > 0 {
+		v.State = Invalid
+		v.Message = clip(faults[0].String())
+		return v
+	}
+	v.State = Accepted
+	if c.Remove {
+		delete(s.objects, id)
+		v.Version = 0
+		return v
+	}
+	object := Object{Kind: c.Kind, Name: c.Name, Version: offset, Body: c.Body}
+	s.objects[id] = &entryOf{object: object, parsed: p}
+	v.Version = offset
+	return v
+}
+
+// clip keeps a message inside the limit of the record's schema.
+func clip(message string) string {
+	if len(message) > maxMessageBytes {
+		return message[:maxMessageBytes]
+	}
+	return message
+}
+
+// check gives the change's typed object and every fault, references included.
+func (s *state) check(c *Change) (parsed, []Fault) {
+	if c.Remove {
+		return parsed{}, s.checkRemoval(c)
+	}
+	p, faults := parse(c.Kind, c.Name, c.Body)
+	if p.pipeline != nil {
+		faults = append(faults, s.missingPools(p.pipeline)...)
+	}
+	if p.contract != nil {
+		faults = append(faults, s.missingPipelines(p.contract)...)
+	}
+	return p, faults
+}
+
+func (s *state) missingPools(p *Pipeline) []Fault {
+	var faults []Fault
+	for i, stage := range p.Stages {
+		if s.version(objectID{kind: KindPool, name: stage.Pool}) == 0 {
+			path := fmt.Sprintf("stages[%d].pool", i)
+			faults = append(faults, Fault{Path: path, Message: fmt.Sprintf("there is no pool %q", stage.Pool)})
+		}
+	}
+	return faults
+}
+
+func (s *state) missingPipelines(c *Contract) []Fault {
+	var faults []Fault
+	for i, name := range c.Pipelines {
+		if s.version(objectID{kind: KindPipeline, name: name}) == 0 {
+			path := fmt.Sprintf("pipelines[%d]", i)
+			faults = append(faults, Fault{Path: path, Message: fmt.Sprintf("there is no pipeline %q", name)})
+		}
+	}
+	return faults
+}
+
+func (s *state) checkRemoval(c *Change) []Fault {
+	id := objectID{kind: c.Kind, name: c.Name}
+	if len(c.Body) > 0 {
+		return []Fault{{Message: "a removal has no body"}}
+	}
+	if s.version(id) == 0 {
+		return []Fault{{Message: fmt.Sprintf("there is no %s %q", c.Kind, c.Name)}}
+	}
+	var faults []Fault
+	for _, user := range s.sorted(userKind(c.Kind)) {
+		if user.parsed.uses(id) {
+			message := fmt.Sprintf("is used by %s %q", user.object.Kind, user.object.Name)
+			faults = append(faults, Fault{Message: message})
+		}
+	}
+	return faults
+}
+
+// userKind gives the kind of object that refers to objects of the kind.
+func userKind(kind string) string {
+	switch kind {
+	case KindPool:
+		return KindPipeline
+	case KindPipeline:
+		return KindContract
+	default:
+		return ""
+	}
+}
+
+func (p parsed) uses(id objectID) bool {
+	if p.pipeline != nil {
+		return slices.ContainsFunc(p.pipeline.Stages, func(s Stage) bool { return s.Pool == id.name })
+	}
+	if p.contract != nil {
+		return slices.Contains(p.contract.Pipelines, id.name)
+	}
+	return false
+}
+
+// sorted gives the objects of a kind by name; an empty kind means none.
+func (s *state) sorted(kind string) []*entryOf {
+	var entries []*entryOf
+	for id, e := range s.objects {
+		if id.kind == kind {
+			entries = append(entries, e)
+		}
+	}
+	slices.SortFunc(entries, func(a, b *entryOf) int { return compareObjects(a.object, b.object) })
+	return entries
+}
--- /dev/null
+++ b/recorder/schema.go
@@ -0,0 +1,114 @@
+// Package recorder holds the records that entries keep in the platform's log.
+// This file is the schema; schema_gen.go is generated from it by scripts/generate.sh.
+package recorder
+
+//go:generate msgp -file schema.go -o schema_gen.go -tests=false
+
+//msgp:tuple Claim Release Outcome Closed Change Object Verdict
+//msgp:ignore Record
+
+// Record is one record of a log stream, as the log gave it out.
+type Record struct {
+	Offset int64
+	// AtMillis is the log's own time of the append, in Unix milliseconds.
+	AtMillis int64
+	Data     []byte
+}
+
+// Claim says that one incarnation of an entry wants to be the only one that dispatches a key's request.
+type Claim struct {
+	Account string `msg:",limit=128"`
+	Key     string `msg:",limit=128"`
+	// Digest is the SHA-256 of the request's body.
+	Digest  [32]byte
+	ClaimID uint64
+}
+
+// Release says that the claim's owner dispatched nothing under it and never will.
+type Release struct {
+	Account string `msg:",limit=128"`
+	Key     string `msg:",limit=128"`
+	ClaimID uint64
+}
+
+// Outcome says how the request of a claim ended.
+type Outcome struct {
+	Account string `msg:",limit=128"`
+	Key     string `msg:",limit=128"`
+	ClaimID uint64
+	State   uint8
+	Answer  string `msg:",limit=1048576"`
+	Parts   int32
+	Code    string `msg:",limit=64"`
+	Message string `msg:",limit=1024"`
+}
+
+// Closed says that later claims of an entry's incarnation are void.
+type Closed struct {
+	Entry       string `msg:",limit=128"`
+	Incarnation uint64
+}
+
+// ClaimBatch is one append to the claims stream. A reader takes the releases first,
+// then the outcomes, the closed incarnations and the claims.
+type ClaimBatch struct {
+	Entry       string    `msg:"entry,limit=128"`
+	Incarnation uint64    `msg:"incarnation"`
+	BatchID     uint64    `msg:"batchId"`
+	Releases    []Release `msg:"releases,limit=8192,omitempty"`
+	Outcomes    []Outcome `msg:"outcomes,limit=8192,omitempty"`
+	Closed      []Closed  `msg:"closed,limit=8192,omitempty"`
+	Claims      []Claim   `msg:"claims,limit=8192,omitempty"`
+}
+
+// Change is one operator's change of one configuration object.
+type Change struct {
+	OperationID string `msg:",limit=64"`
+	Operator    string `msg:",limit=128"`
+	Kind        string `msg:",limit=64"`
+	Name        string `msg:",limit=64"`
+	BaseVersion int64
+	Remove      bool
+	// Body is the object as JSON.
+	Body     []byte `msg:",limit=262144"`
+	AtMillis int64
+}
+
+// Object is a configuration object in force; its version is the offset of the change that put it in force.
+type Object struct {
+	Kind    string `msg:",limit=64"`
+	Name    string `msg:",limit=64"`
+	Version int64
+	Body    []byte `msg:",limit=262144"`
+}
+
+// Verdict is the fold's word on one change.
+type Verdict struct {
+	OperationID string `msg:",limit=64"`
+	Operator    string `msg:",limit=128"`
+	Kind        string `msg:",limit=64"`
+	Name        string `msg:",limit=64"`
+	State       uint8
+	Version     int64
+	Message     string `msg:",limit=1024"`
+	AtMillis    int64
+}
+
+// SnapshotPart is one of the records that together hold the whole configuration.
+type SnapshotPart struct {
+	// SnapshotID is the same in all parts of one snapshot.
+	SnapshotID string `msg:"snapshotId,limit=128"`
+	Part       int    `msg:"part"`
+	Parts      int    `msg:"parts"`
+	// ThroughOffset is the offset up to which changes are in the snapshot. It is below the part's own offset,
+	// and changes of others may lie between the two.
+	ThroughOffset int64     `msg:"throughOffset"`
+	Objects       []Object  `msg:"objects,limit=8192"`
+	Verdicts      []Verdict `msg:"verdicts,limit=2048"`
+}
+
+// ConfigRecord is one append to the configuration stream: a change or a part of a snapshot.
+type ConfigRecord struct {
+	Change   *Change       `msg:"change,omitempty"`
+	Snapshot *SnapshotPart `msg:"snapshot,omitempty"`
+}
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -10,3 +10,4 @@
 	"$bin/ogen" --target "${api}server" --package "${api}server" --clean "schema/$api.yaml"
 done
 "$bin/msgp" -file carrier/schema.go -o carrier/schema_gen.go -tests=false
+"$bin/msgp" -file recorder/schema.go -o recorder/schema_gen.go -tests=false
