Join reducer, performer, receivers and assembler

Cause: the parts were written against agreed signatures; the deciders that landed differ in places. Change: the core calls the deciders as they are; StagePart is generated, by a content type alias, so that no second definition of it is kept.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -30,11 +30,13 @@
 	MaxBackoff time.Duration
 }
 
+// DefaultPageRecords is how many records Tail asks for at once: a shorter page reaches the stream's end.
+const DefaultPageRecords = 1000
+
 const (
 	defaultAppendTimeout = time.Second
 	defaultReadTimeout   = 2 * time.Second
 	defaultPollWait      = 5 * time.Second
-	defaultPageRecords   = 1000
 	defaultMinBackoff    = 100 * time.Millisecond
 	defaultMaxBackoff    = 2 * time.Second
 )
@@ -44,7 +46,7 @@
 		c.HTTP = &http.Client{}
 	}
 	if c.PageRecords <= 0 {
-		c.PageRecords = defaultPageRecords
+		c.PageRecords = DefaultPageRecords
 	}
 	setDuration(&c.AppendTimeout, defaultAppendTimeout)
 	setDuration(&c.ReadTimeout, defaultReadTimeout)
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -88,6 +88,10 @@
 	if err != nil {
 		return nil, oops.In("assembler").Wrap(err)
 	}
+	logs, err := appender.New(appender.Config{URL: s.LogURL, AppendTimeout: appendTimeout})
+	if err != nil {
+		return nil, oops.In("assembler").Wrap(err)
+	}
 	incarnation := uint64(now.UnixMicro())
 	core := reducer.New(coreConfig(s, incarnation), now)
 	e.messenger = messenger.New(messenger.Config{
@@ -101,7 +105,7 @@
 	e.performer = performer.New(performer.Config{
 		Entry:           s.Name,
 		Incarnation:     incarnation,
-		Appender:        appender.New(appender.Config{URL: s.LogURL, AppendTimeout: appendTimeout}),
+		Appender:        logs,
 		VMs:             vms,
 		Messenger:       e.messenger,
 		Endpoints:       &http.Client{Transport: performer.EndpointTransport()},
--- a/biller/bill.go
+++ b/biller/bill.go
@@ -25,13 +25,18 @@
 
 // Attainment is the part of the requests that were answered in time; 1 when there were none.
 func (c Counts) Attainment() float64 {
-	total := c.InTime + c.Late + c.NotRun + c.Unknown
+	total := c.Sum()
 	if total == 0 {
 		return 1
 	}
 	return float64(c.InTime) / float64(total)
 }
 
+// Sum is the number of requests.
+func (c Counts) Sum() uint64 {
+	return c.InTime + c.Late + c.NotRun + c.Unknown
+}
+
 func (c *Counts) add(other Counts) {
 	c.InTime += other.InTime
 	c.Late += other.Late
@@ -75,3 +80,12 @@
 	Relaxed Counts      `json:"relaxed"`
 	Stages  []StageCost `json:"stages"`
 }
+
+// Counts are the requests of all urgency classes.
+func (b Bill) Counts() Counts {
+	var all Counts
+	all.add(b.Urgent)
+	all.add(b.Normal)
+	all.add(b.Relaxed)
+	return all
+}
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -105,6 +105,8 @@
 	First   int64    `msg:"first"`
 	Next    int64    `msg:"next"`
 	Records []Record `msg:"records,limit=10000"`
+	// Snapshot holds the parts of a snapshot when the records are no longer kept one by one.
+	Snapshot [][]byte `msg:"snapshot,limit=4096"`
 }
 
 // OutcomeCall asks a peer for the outcome of a request by account and idempotency key.
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -2397,6 +2397,32 @@
 					return
 				}
 			}
+		case "snapshot":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Snapshot")
+				return
+			}
+			if zb0004 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Snapshot) >= int(zb0004) {
+				z.Snapshot = (z.Snapshot)[:zb0004]
+			} else {
+				z.Snapshot = make([][]byte, zb0004)
+			}
+			for za0002 := range z.Snapshot {
+				z.Snapshot[za0002], err = dc.ReadBytesLimit(z.Snapshot[za0002], 4096)
+				if err == nil && z.Snapshot[za0002] == nil {
+					z.Snapshot[za0002] = []byte{}
+				}
+				if err != nil {
+					err = msgp.WrapError(err, "Snapshot", za0002)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2410,9 +2436,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Records) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "callId"
-	err = en.Append(0x85, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	err = en.Append(0x86, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	if err != nil {
 		return
 	}
@@ -2483,15 +2509,32 @@
 			return
 		}
 	}
+	// write "snapshot"
+	err = en.Append(0xa8, 0x73, 0x6e, 0x61, 0x70, 0x73, 0x68, 0x6f, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Snapshot)))
+	if err != nil {
+		err = msgp.WrapError(err, "Snapshot")
+		return
+	}
+	for za0002 := range z.Snapshot {
+		err = en.WriteBytes(z.Snapshot[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Snapshot", za0002)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Records) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "callId"
-	o = append(o, 0x85, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = append(o, 0x86, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	o = msgp.AppendUint64(o, z.CallID)
 	// string "stream"
 	o = append(o, 0xa6, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
@@ -2512,6 +2555,12 @@
 		o = msgp.AppendInt64(o, z.Records[za0001].AtMillis)
 		o = msgp.AppendBytes(o, z.Records[za0001].Data)
 	}
+	// string "snapshot"
+	o = append(o, 0xa8, 0x73, 0x6e, 0x61, 0x70, 0x73, 0x68, 0x6f, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Snapshot)))
+	for za0002 := range z.Snapshot {
+		o = msgp.AppendBytes(o, z.Snapshot[za0002])
+	}
 	return
 }
 
@@ -2600,6 +2649,45 @@
 					return
 				}
 			}
+		case "snapshot":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Snapshot")
+				return
+			}
+			if zb0004 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Snapshot) >= int(zb0004) {
+				z.Snapshot = (z.Snapshot)[:zb0004]
+			} else {
+				z.Snapshot = make([][]byte, zb0004)
+			}
+			for za0002 := range z.Snapshot {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadBytesHeader(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Snapshot", za0002)
+					return
+				}
+				if zb0005 > 4096 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if z.Snapshot[za0002] == nil || uint32(cap(z.Snapshot[za0002])) < zb0005 {
+					z.Snapshot[za0002] = make([]byte, zb0005)
+				} else {
+					z.Snapshot[za0002] = z.Snapshot[za0002][:zb0005]
+				}
+				if uint32(len(bts)) < zb0005 {
+					err = msgp.ErrShortBytes
+					return
+				}
+				copy(z.Snapshot[za0002], bts[:zb0005])
+				bts = bts[zb0005:]
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2618,6 +2706,10 @@
 	for za0001 := range z.Records {
 		s += 1 + msgp.Int64Size + msgp.Int64Size + msgp.BytesPrefixSize + len(z.Records[za0001].Data)
 	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.Snapshot {
+		s += msgp.BytesPrefixSize + len(z.Snapshot[za0002])
+	}
 	return
 }
 
--- a/endpointserver/oas_json_gen.go
+++ b/endpointserver/oas_json_gen.go
@@ -954,6 +954,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes float64 as json.
+func (o OptFloat64) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Float64(float64(o.Value))
+}
+
+// Decode decodes float64 from json.
+func (o *OptFloat64) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptFloat64 to nil")
+	}
+	o.Set = true
+	v, err := d.Float64()
+	if err != nil {
+		return err
+	}
+	o.Value = float64(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptFloat64) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptFloat64) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes int as json.
 func (o OptInt) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -1520,3 +1555,270 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *StagePart) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *StagePart) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("requestId")
+		e.Str(s.RequestId)
+	}
+	{
+		e.FieldStart("stage")
+		e.Str(s.Stage)
+	}
+	{
+		e.FieldStart("attempt")
+		e.Int(s.Attempt)
+	}
+	{
+		e.FieldStart("streamId")
+		e.Str(s.StreamId)
+	}
+	{
+		e.FieldStart("seq")
+		e.Int(s.Seq)
+	}
+	{
+		e.FieldStart("text")
+		e.Str(s.Text)
+	}
+	{
+		e.FieldStart("final")
+		e.Bool(s.Final)
+	}
+	{
+		if s.Total.Set {
+			e.FieldStart("total")
+			s.Total.Encode(e)
+		}
+	}
+	{
+		if s.Cost.Set {
+			e.FieldStart("cost")
+			s.Cost.Encode(e)
+		}
+	}
+	{
+		if s.CachedTokens.Set {
+			e.FieldStart("cachedTokens")
+			s.CachedTokens.Encode(e)
+		}
+	}
+	{
+		if s.Error.Set {
+			e.FieldStart("error")
+			s.Error.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfStagePart = [11]string{
+	0:  "requestId",
+	1:  "stage",
+	2:  "attempt",
+	3:  "streamId",
+	4:  "seq",
+	5:  "text",
+	6:  "final",
+	7:  "total",
+	8:  "cost",
+	9:  "cachedTokens",
+	10: "error",
+}
+
+// Decode decodes StagePart from json.
+func (s *StagePart) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode StagePart to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "requestId":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.RequestId = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"requestId\"")
+			}
+		case "stage":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Stage = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"stage\"")
+			}
+		case "attempt":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.Attempt = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"attempt\"")
+			}
+		case "streamId":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.StreamId = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"streamId\"")
+			}
+		case "seq":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int()
+				s.Seq = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"seq\"")
+			}
+		case "text":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Str()
+				s.Text = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"text\"")
+			}
+		case "final":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Bool()
+				s.Final = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"final\"")
+			}
+		case "total":
+			if err := func() error {
+				s.Total.Reset()
+				if err := s.Total.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"total\"")
+			}
+		case "cost":
+			if err := func() error {
+				s.Cost.Reset()
+				if err := s.Cost.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"cost\"")
+			}
+		case "cachedTokens":
+			if err := func() error {
+				s.CachedTokens.Reset()
+				if err := s.CachedTokens.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"cachedTokens\"")
+			}
+		case "error":
+			if err := func() error {
+				s.Error.Reset()
+				if err := s.Error.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"error\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode StagePart")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b01111111,
+		0b00000000,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfStagePart) {
+					name = jsonFieldsNameOfStagePart[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *StagePart) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *StagePart) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/endpointserver/oas_schemas_gen.go
+++ b/endpointserver/oas_schemas_gen.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 
 	"github.com/go-faster/errors"
@@ -460,6 +459,52 @@
 	return d
 }
 
+// NewOptFloat64 returns new OptFloat64 with value set to v.
+func NewOptFloat64(v float64) OptFloat64 {
+	return OptFloat64{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptFloat64 is optional float64.
+type OptFloat64 struct {
+	Value float64
+	Set   bool
+}
+
+// IsSet returns true if OptFloat64 was set.
+func (o OptFloat64) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptFloat64) Reset() {
+	var v float64
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptFloat64) SetTo(v float64) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptFloat64) Get() (v float64, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptFloat64) Or(d float64) float64 {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptInt returns new OptInt with value set to v.
 func NewOptInt(v int) OptInt {
 	return OptInt{
@@ -737,20 +782,6 @@
 	s.Response = val
 }
 
-type ResumeStreamOK struct {
-	Data io.Reader
-}
-
-// Read reads data from the Data reader.
-//
-// Kept to satisfy the io.Reader interface.
-func (s ResumeStreamOK) Read(p []byte) (n int, err error) {
-	if s.Data == nil {
-		return 0, io.EOF
-	}
-	return s.Data.Read(p)
-}
-
 // ResumeStreamOKRawApplicationXNdjson represents raw HTTP response for ResumeStream application/x-ndjson.
 type ResumeStreamOKRawApplicationXNdjson struct {
 	Response *http.Response `json:"-"`
@@ -768,20 +799,6 @@
 
 func (*ResumeStreamOKRawApplicationXNdjson) resumeStreamRes() {}
 
-type RunStageOK struct {
-	Data io.Reader
-}
-
-// Read reads data from the Data reader.
-//
-// Kept to satisfy the io.Reader interface.
-func (s RunStageOK) Read(p []byte) (n int, err error) {
-	if s.Data == nil {
-		return 0, io.EOF
-	}
-	return s.Data.Read(p)
-}
-
 // RunStageOKRawApplicationXNdjson represents raw HTTP response for RunStage application/x-ndjson.
 type RunStageOKRawApplicationXNdjson struct {
 	Response *http.Response `json:"-"`
@@ -937,3 +954,130 @@
 func (s *StageCall) SetRepeatable(val OptBool) {
 	s.Repeatable = val
 }
+
+// Ref: #/components/schemas/StagePart
+type StagePart struct {
+	RequestId string `json:"requestId"`
+	Stage     string `json:"stage"`
+	Attempt   int    `json:"attempt"`
+	StreamId  string `json:"streamId"`
+	Seq       int    `json:"seq"`
+	Text      string `json:"text"`
+	Final     bool   `json:"final"`
+	// Count of parts.
+	Total OptInt `json:"total"`
+	// Endpoint milliseconds of work.
+	Cost         OptFloat64 `json:"cost"`
+	CachedTokens OptInt     `json:"cachedTokens"`
+	Error        OptString  `json:"error"`
+}
+
+// GetRequestId returns the value of RequestId.
+func (s *StagePart) GetRequestId() string {
+	return s.RequestId
+}
+
+// GetStage returns the value of Stage.
+func (s *StagePart) GetStage() string {
+	return s.Stage
+}
+
+// GetAttempt returns the value of Attempt.
+func (s *StagePart) GetAttempt() int {
+	return s.Attempt
+}
+
+// GetStreamId returns the value of StreamId.
+func (s *StagePart) GetStreamId() string {
+	return s.StreamId
+}
+
+// GetSeq returns the value of Seq.
+func (s *StagePart) GetSeq() int {
+	return s.Seq
+}
+
+// GetText returns the value of Text.
+func (s *StagePart) GetText() string {
+	return s.Text
+}
+
+// GetFinal returns the value of Final.
+func (s *StagePart) GetFinal() bool {
+	return s.Final
+}
+
+// GetTotal returns the value of Total.
+func (s *StagePart) GetTotal() OptInt {
+	return s.Total
+}
+
+// GetCost returns the value of Cost.
+func (s *StagePart) GetCost() OptFloat64 {
+	return s.Cost
+}
+
+// GetCachedTokens returns the value of CachedTokens.
+func (s *StagePart) GetCachedTokens() OptInt {
+	return s.CachedTokens
+}
+
+// GetError returns the value of Error.
+func (s *StagePart) GetError() OptString {
+	return s.Error
+}
+
+// SetRequestId sets the value of RequestId.
+func (s *StagePart) SetRequestId(val string) {
+	s.RequestId = val
+}
+
+// SetStage sets the value of Stage.
+func (s *StagePart) SetStage(val string) {
+	s.Stage = val
+}
+
+// SetAttempt sets the value of Attempt.
+func (s *StagePart) SetAttempt(val int) {
+	s.Attempt = val
+}
+
+// SetStreamId sets the value of StreamId.
+func (s *StagePart) SetStreamId(val string) {
+	s.StreamId = val
+}
+
+// SetSeq sets the value of Seq.
+func (s *StagePart) SetSeq(val int) {
+	s.Seq = val
+}
+
+// SetText sets the value of Text.
+func (s *StagePart) SetText(val string) {
+	s.Text = val
+}
+
+// SetFinal sets the value of Final.
+func (s *StagePart) SetFinal(val bool) {
+	s.Final = val
+}
+
+// SetTotal sets the value of Total.
+func (s *StagePart) SetTotal(val OptInt) {
+	s.Total = val
+}
+
+// SetCost sets the value of Cost.
+func (s *StagePart) SetCost(val OptFloat64) {
+	s.Cost = val
+}
+
+// SetCachedTokens sets the value of CachedTokens.
+func (s *StagePart) SetCachedTokens(val OptInt) {
+	s.CachedTokens = val
+}
+
+// SetError sets the value of Error.
+func (s *StagePart) SetError(val OptString) {
+	s.Error = val
+}
--- a/endpointserver/oas_validators_gen.go
+++ b/endpointserver/oas_validators_gen.go
@@ -223,3 +223,33 @@
 	}
 	return nil
 }
+
+func (s *StagePart) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if value, ok := s.Cost.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "cost",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
--- a/performer/readers.go
+++ b/performer/readers.go
@@ -3,15 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
 
 	"geraniumline/appender"
 	"geraniumline/carrier"
+	"geraniumline/claimer"
 	"geraniumline/endpointserver"
 	"geraniumline/platformserver"
-	"geraniumline/publisher"
 	"geraniumline/reducer"
 	"geraniumline/router"
 )
@@ -49,11 +50,13 @@
 }
 
 func logReadOf(stream reducer.Stream, page appender.Page) reducer.LogRead {
-	records := make([]publisher.Record, 0, len(page.Records))
-	for _, record := range page.Records {
-		records = append(records, publisher.Record(record))
+	return reducer.LogRead{
+		Stream:  stream,
+		Records: page.Records,
+		First:   page.First,
+		Next:    page.Next,
+		AtEnd:   len(page.Records) < appender.DefaultPageRecords,
 	}
-	return reducer.LogRead{Stream: stream, Records: records, First: page.First, Next: page.Next, AtEnd: page.AtEnd}
 }
 
 // append carries out an append and tells the core how it ended.
@@ -62,6 +65,18 @@
 	p.Post(reducer.Appended{Stream: e.Stream, BatchID: e.BatchID, Result: appendResult(err)})
 }
 
+// appendResult tells what an append's error says of the record.
+func appendResult(err error) claimer.AppendResult {
+	if err == nil {
+		return claimer.AppendDone{}
+	}
+	var refused *appender.RefusedError
+	if errors.As(err, &refused) {
+		return claimer.AppendRefused{RetryAfter: refused.RetryAfter}
+	}
+	return claimer.AppendUncertain{}
+}
+
 // TakePeer brings the core a peer's message. It is the messenger's handler.
 func (p *Performer) TakePeer(from string, message carrier.Message) {
 	p.Post(reducer.PeerMessageArrived{From: from, Message: message})
@@ -105,7 +120,7 @@
 func vmsListedOf(list *platformserver.VmList) reducer.VMsListed {
 	var event reducer.VMsListed
 	for _, vm := range list.Vms {
-		leaving := vm.State == platformserver.VmStateLeaving
+		leaving := vm.State == platformserver.VMStateLeaving
 		if vm.Pool == entryPool {
 			event.Entries = append(event.Entries, reducer.EntryHint{PeerAddress: vm.Address, Zone: vm.Zone, Leaving: leaving})
 			continue
--- a/reducer/ask.go
+++ b/reducer/ask.go
@@ -55,22 +55,23 @@
 	}
 	holding, held := c.table.Lookup(key)
 	if held && holding.Ended {
-		return outcomeOf(holding), true
+		return outcomeOf(key, holding), true
 	}
 	return Outcome{}, false
 }
 
-func outcomeOf(holding claimer.Holding) Outcome {
+func outcomeOf(key claimer.Key, holding claimer.Holding) Outcome {
+	state := stateOfClaim(holding.Outcome.State)
 	return Outcome{
-		State:  State(holding.Outcome.State),
+		State:  state,
 		Answer: holding.Outcome.Answer,
 		Parts:  holding.Outcome.Parts,
 		Digest: holding.Digest,
 		Failure: Failure{
 			Code:    Code(holding.Outcome.Code),
 			Message: holding.Outcome.Message,
-			State:   State(holding.Outcome.State),
-			Key:     holding.Outcome.Key.Key,
+			State:   state,
+			Key:     key.Key,
 		},
 	}
 }
@@ -82,11 +83,11 @@
 		return
 	}
 	if holding.Ended {
-		c.sendOutcome(id, key, outcomeOf(holding))
+		c.sendOutcome(id, key, outcomeOf(key, holding))
 		return
 	}
 	owner, known := c.detector.Member(holding.Entry)
-	alive := known && owner.Incarnation == holding.Incarnation && owner.State != detector.Dead && owner.State != detector.Stopped
+	alive := known && !holding.OwnerClosed && owner.Incarnation == holding.Incarnation && owner.State != detector.Dead && owner.State != detector.Stopped
 	if !alive || holding.Entry == c.cfg.Entry {
 		c.emit(SendFailure{ID: id, Failure: ownerLost(key)})
 		return
@@ -235,7 +236,7 @@
 		c.emit(SendFailure{ID: ask.id, Failure: ownerLost(ask.key)})
 		return
 	}
-	if _, held := c.table.Lookup(ask.key); held {
+	if holding, known := c.table.Lookup(ask.key); known && holding.Held {
 		c.emit(SendOutcome{ID: ask.id, Key: ask.key.Key, Outcome: Outcome{State: StateUnknown, Failure: ownerLost(ask.key), Ended: now}})
 		return
 	}
@@ -269,11 +270,7 @@
 			continue
 		}
 		delete(c.asked, call)
-		holding, held := c.table.Lookup(d.Key)
-		if !held {
-			continue
-		}
-		outcome := outcomeOf(holding)
+		outcome := outcomeOf(d.Key, d.Holding)
 		if ask.outcomeOnly {
 			c.emit(SendOutcome{ID: ask.id, Key: ask.key.Key, Outcome: outcome})
 			continue
--- a/reducer/claim.go
+++ b/reducer/claim.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"geraniumline/claimer"
@@ -32,31 +34,21 @@
 	return health.caughtUp && !health.failing && now.Sub(health.readAt) < logSilence
 }
 
-// claimDelay is how long a claim made now will take to be read back: the mean of late ones, or the age
-// of the oldest that still waits if that is greater.
+// claimDelay is how long a claim made now will take to be read back: the mean of recent ones, or what the
+// batcher expects if that is greater.
 func (c *Core) claimDelay(now time.Time) time.Duration {
-	delay := c.claimMean
-	if at, waiting := c.batcher.Oldest(); waiting {
-		delay = max(delay, now.Sub(at))
-	}
-	return delay
+	return max(c.claimMean, c.batcher.Delay(now))
 }
 
 // claim appends the request's claim. Nothing is dispatched before it is read back as the key's first.
 func (c *Core) claim(r *request, now time.Time) {
 	c.nextClaim++
-	r.claimID = claimer.ClaimID(c.nextClaim)
+	r.claimID = c.nextClaim
 	r.phase = phaseClaiming
 	c.claiming[r.claimID] = r
 	c.counters.ClaimsSent++
-	c.batcher.Add(claimer.Claim{
-		Key:         r.key,
-		Digest:      r.digest,
-		ClaimID:     r.claimID,
-		Entry:       c.cfg.Entry,
-		Incarnation: c.cfg.Incarnation,
-	}, now)
-	c.schedule(timer{at: now.Add(c.claimTimeout(r, now)), kind: timerClaim, subject: uint64(r.claimID)})
+	c.batcher.Add(claimer.Claim{Key: r.key, Digest: r.digest, ClaimID: r.claimID})
+	c.schedule(timer{at: now.Add(c.claimTimeout(r, now)), kind: timerClaim, subject: r.claimID})
 }
 
 // claimTimeout leaves the stages the time that they need after the claim.
@@ -69,7 +61,7 @@
 // passClaimTimeout gives up a request whose claim was not read back in time, and says so at once.
 // The claim may still land: it is then never dispatched, since its request is gone, and released.
 func (c *Core) passClaimTimeout(subject uint64, now time.Time) {
-	r, waiting := c.claiming[claimer.ClaimID(subject)]
+	r, waiting := c.claiming[subject]
 	if !waiting {
 		return
 	}
@@ -86,7 +78,7 @@
 		data, err := claimer.Encode(batch)
 		if err != nil {
 			c.emit(LogChange{Message: "claims can't be encoded", Subject: err.Error()})
-			c.batcher.Appended(batch.BatchID, err, now)
+			c.batcher.Appended(batch.BatchID, claimer.AppendDone{}, now)
 			continue
 		}
 		c.counters.Appends++
@@ -100,40 +92,40 @@
 		c.takeConfigAppended(e, now)
 		return
 	}
-	for _, id := range c.batcher.Appended(e.BatchID, appendError(e.Result), now) {
-		c.refuseClaim(id, now)
-	}
-}
-
-func appendError(result AppendResult) error {
-	switch result {
-	case AppendDone:
-		return nil
-	case AppendRefused:
-		return claimer.ErrNotAppended
-	default:
-		return claimer.ErrUncertain
+	c.batcher.Appended(e.BatchID, e.Result, now)
+	if refused, no := e.Result.(claimer.AppendRefused); no {
+		c.refuseClaims(max(refused.RetryAfter, logRetryAfter), now)
 	}
 }
 
-// refuseClaim gives up a request whose claim surely is not in the log.
-func (c *Core) refuseClaim(id claimer.ClaimID, now time.Time) {
-	r, waiting := c.claiming[id]
-	if !waiting {
-		return
+// refuseClaims gives up, at once, the requests whose claims are surely not in the log: holding them while
+// the log refuses appends would only make their callers wait for the same answer.
+func (c *Core) refuseClaims(retryAfter time.Duration, now time.Time) {
+	ids := slices.Sorted(maps.Keys(c.claiming))
+	for _, id := range ids {
+		if c.batcher.Withdraw(id) {
+			c.fail(c.claiming[id], CodeLogUnavailable, "the log refused the claim", retryAfter, now)
+		}
 	}
-	c.fail(r, CodeLogUnavailable, "the log refused the claim", logRetryAfter, now)
 }
 
-// takeClaimRecord folds one record of the claims stream and acts on what it decides.
+// takeClaimDecision acts on what a record of the claims stream has settled.
 func (c *Core) takeClaimDecision(decision claimer.Decision, now time.Time) {
 	switch d := decision.(type) {
 	case claimer.Won:
 		c.takeWon(d, now)
 	case claimer.Lost:
 		c.takeLost(d, now)
+	case claimer.Voided:
+		c.takeVoided(d.ClaimID, voidCode(d.Reason), now)
+	case claimer.Unproved:
+		c.takeVoided(d.ClaimID, CodeNotReady, now)
 	case claimer.ForeignOutcome:
 		c.takeForeignOutcome(d, now)
+	case claimer.ClosedOwner:
+		c.ownerDied(d.Entry)
+	case claimer.Landed:
+		c.batcher.Landed(d.BatchID)
 	}
 }
 
@@ -145,7 +137,7 @@
 		// again; with it nobody can run it twice, since this entry never dispatches a claim
 		// whose request is gone.
 		c.counters.ClaimsLate++
-		c.batcher.Add(claimer.Release{Key: d.Key, ClaimID: d.ClaimID, Entry: c.cfg.Entry, Incarnation: c.cfg.Incarnation}, now)
+		c.batcher.Add(claimer.Release{Key: d.Key, ClaimID: d.ClaimID})
 		return
 	}
 	c.counters.ClaimsWon++
@@ -170,7 +162,7 @@
 	callers := append([]uint64{r.id}, r.joined...)
 	c.drop(r, now)
 	for _, id := range callers {
-		c.answerHeld(id, r.key, r.digest, d.Holding, r.deadline, now)
+		c.answerHeld(id, r.key, r.digest, d.Holder, r.deadline, now)
 	}
 }
 
@@ -193,20 +185,18 @@
 		return
 	}
 	if outcome.State == StateNotRun {
-		c.batcher.Add(claimer.Release{Key: r.key, ClaimID: r.claimID, Entry: c.cfg.Entry, Incarnation: c.cfg.Incarnation}, now)
+		c.batcher.Add(claimer.Release{Key: r.key, ClaimID: r.claimID})
 		return
 	}
 	c.batcher.Add(claimer.Outcome{
-		Key:         r.key,
-		ClaimID:     r.claimID,
-		Entry:       c.cfg.Entry,
-		Incarnation: c.cfg.Incarnation,
-		State:       uint8(outcome.State),
-		Answer:      outcome.Answer,
-		Parts:       outcome.Parts,
-		Code:        string(outcome.Failure.Code),
-		Message:     outcome.Failure.Message,
-	}, now)
+		Key:     r.key,
+		ClaimID: r.claimID,
+		State:   claimState(outcome.State),
+		Answer:  outcome.Answer,
+		Parts:   outcome.Parts,
+		Code:    string(outcome.Failure.Code),
+		Message: outcome.Failure.Message,
+	})
 }
 
 func ageFailure(err error) *Failure {
@@ -216,3 +206,39 @@
 	}
 	return &Failure{Code: CodeKeyFromFuture, Message: err.Error(), State: StateNotRun}
 }
+
+// takeVoided ends a request whose claim holds nothing, for anyone.
+func (c *Core) takeVoided(claimID uint64, code Code, now time.Time) {
+	r, waiting := c.claiming[claimID]
+	if !waiting {
+		return
+	}
+	c.fail(r, code, "the claim does not hold; nothing ran", 0, now)
+}
+
+func voidCode(reason claimer.VoidReason) Code {
+	switch reason {
+	case claimer.VoidTooOld:
+		return CodeKeyTooOld
+	case claimer.VoidFromFuture:
+		return CodeKeyFromFuture
+	case claimer.VoidBadKey:
+		return CodeUnsupportedKey
+	default:
+		return CodeNotReady
+	}
+}
+
+func claimState(state State) claimer.State {
+	if state == StateAnswered {
+		return claimer.StateAnswered
+	}
+	return claimer.StateUnknown
+}
+
+func stateOfClaim(state claimer.State) State {
+	if state == claimer.StateAnswered {
+		return StateAnswered
+	}
+	return StateUnknown
+}
--- a/reducer/config.go
+++ b/reducer/config.go
@@ -1,13 +1,17 @@
 package reducer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/go-faster/jx"
 
+	"geraniumline/claimer"
 	"geraniumline/limiter"
 	"geraniumline/operatorserver"
 	"geraniumline/publisher"
+	"geraniumline/recorder"
 )
 
 const (
@@ -19,32 +23,42 @@
 
 // recordRing keeps the newest configuration records, to pass on to peers.
 type recordRing struct {
-	limit   int
-	records []publisher.Record
+	limit int
+	// floor is the offset past which every record is kept.
+	floor   int64
+	records []recorder.Record
 }
 
 func newRecordRing(limit int) *recordRing {
 	return &recordRing{limit: limit}
 }
 
-func (r *recordRing) add(record publisher.Record) {
+func (r *recordRing) add(record recorder.Record) {
 	if n := len(r.records); n > 0 && record.Offset <= r.records[n-1].Offset {
 		return
 	}
 	r.records = append(r.records, record)
 	if len(r.records) > r.limit {
+		r.floor = r.records[0].Offset
 		r.records = r.records[1:]
 	}
 }
 
+// restart forgets all records: those past the floor that are added from now on are whole again.
+func (r *recordRing) restart(floor int64) {
+	r.floor = floor
+	r.records = nil
+}
+
 // after gives the records past an offset, or false if some of them are no longer kept.
-func (r *recordRing) after(offset int64) ([]publisher.Record, bool) {
-	for i, record := range r.records {
-		if record.Offset > offset {
-			return r.records[i:], i > 0
-		}
+func (r *recordRing) after(offset int64) ([]recorder.Record, bool) {
+	if offset < r.floor {
+		return nil, false
 	}
-	return nil, true
+	at, _ := slices.BinarySearchFunc(r.records, offset+1, func(record recorder.Record, from int64) int {
+		return cmp.Compare(record.Offset, from)
+	})
+	return r.records[at:], true
 }
 
 // pendingChange is an operator's change whose verdict has not been read back.
@@ -103,7 +117,7 @@
 
 // takeConfigAppended refuses a change that surely is not in the log. One that may be in it waits on.
 func (c *Core) takeConfigAppended(e Appended, _ time.Time) {
-	if e.Result != AppendRefused {
+	if _, refused := e.Result.(claimer.AppendRefused); !refused {
 		return
 	}
 	for operation, pending := range c.publishes {
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -75,7 +75,7 @@
 	applied   map[string]*publisher.Contract
 	claimMean time.Duration
 	running   map[claimer.Key]*request
-	claiming  map[claimer.ClaimID]*request
+	claiming  map[uint64]*request
 	outcomes  *outcomeStore
 	asked     map[uint64]*pendingAsk
 	publishes map[string]*pendingChange
@@ -102,7 +102,7 @@
 	c := &Core{
 		cfg:       cfg,
 		rand:      random,
-		fold:      publisher.New(publisher.Config{}),
+		fold:      publisher.New(publisher.Config{Entry: cfg.Entry}),
 		table:     claimer.New(claimer.Config{Entry: cfg.Entry, Incarnation: cfg.Incarnation, Horizon: cfg.KeyHorizon}),
 		batcher:   claimer.NewBatcher(claimer.BatcherConfig{Entry: cfg.Entry, Incarnation: cfg.Incarnation, Window: cfg.ClaimWindow, AppendTimeout: cfg.AppendTimeout}),
 		addresser: addresser.New(addresser.Config{TTL: cfg.AddressTTL}),
@@ -117,7 +117,7 @@
 		plans:     map[string]*plan{},
 		applied:   map[string]*publisher.Contract{},
 		running:   map[claimer.Key]*request{},
-		claiming:  map[claimer.ClaimID]*request{},
+		claiming:  map[uint64]*request{},
 		outcomes:  newOutcomeStore(cfg.OutcomesKept),
 		asked:     map[uint64]*pendingAsk{},
 		publishes: map[string]*pendingChange{},
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -4,8 +4,10 @@
 	"time"
 
 	"geraniumline/carrier"
+	"geraniumline/claimer"
 	"geraniumline/endpointserver"
 	"geraniumline/publisher"
+	"geraniumline/recorder"
 	"geraniumline/router"
 )
 
@@ -93,7 +95,7 @@
 // LogRead carries records of a stream of the platform's log.
 type LogRead struct {
 	Stream  Stream
-	Records []publisher.Record
+	Records []recorder.Record
 	// First is the oldest offset that the log still keeps, Next the one to read next.
 	First int64
 	Next  int64
@@ -112,21 +114,9 @@
 	Stream Stream
 	// BatchID is the one that the Append effect carried.
 	BatchID uint64
-	Result  AppendResult
+	Result  claimer.AppendResult
 }
 
-// AppendResult tells what is known of an append.
-type AppendResult uint8
-
-// What is known of an append.
-const (
-	AppendDone AppendResult = iota
-	// AppendRefused means that the record surely is not in the log and never will be.
-	AppendRefused
-	// AppendUncertain means that the record may be in the log, or may still come to be in it.
-	AppendUncertain
-)
-
 // PeerMessageArrived is a message from another entry.
 type PeerMessageArrived struct {
 	// From is the sender's name, proved by the shared key.
--- a/reducer/log.go
+++ b/reducer/log.go
@@ -3,8 +3,7 @@
 import (
 	"time"
 
-	"geraniumline/claimer"
-	"geraniumline/publisher"
+	"geraniumline/recorder"
 )
 
 // takeLogRead folds the records of a page, in order.
@@ -25,9 +24,11 @@
 }
 
 func (c *Core) foldClaims(e LogRead, now time.Time) {
-	c.table.Oldest(e.First)
+	if c.table.Gap(e.First) {
+		c.emit(LogChange{Message: "the log cut claims before they were read", Subject: string(StreamClaims)})
+	}
 	for _, record := range e.Records {
-		for _, decision := range c.table.Apply(claimer.Record(record)) {
+		for _, decision := range c.table.Apply(record) {
 			c.takeClaimDecision(decision, now)
 		}
 	}
@@ -44,17 +45,17 @@
 }
 
 // foldConfig applies configuration records from the log or from a peer.
-func (c *Core) foldConfig(records []publisher.Record, first int64, now time.Time) {
-	if first > 0 && c.fold.Gap(first) {
+func (c *Core) foldConfig(records []recorder.Record, first int64, now time.Time) {
+	if first > 0 && c.fold.Gap(first) && len(records) > 0 {
+		c.configs.restart(first - 1)
 		c.emit(LogChange{Message: "the log lost configuration that no snapshot covers", Subject: string(StreamConfig)})
 	}
 	for _, record := range records {
-		verdict, decided := c.fold.Apply(record)
+		verdicts := c.fold.Apply(record)
 		c.configs.add(record)
-		if !decided {
-			continue
+		for _, verdict := range verdicts {
+			c.takeVerdict(verdict)
 		}
-		c.takeVerdict(verdict)
 	}
 	if len(records) > 0 {
 		c.applyContracts(now)
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -6,7 +6,7 @@
 	"geraniumline/carrier"
 	"geraniumline/claimer"
 	"geraniumline/detector"
-	"geraniumline/publisher"
+	"geraniumline/recorder"
 )
 
 const (
@@ -22,7 +22,7 @@
 	case *carrier.Heartbeat:
 		c.takeHeartbeat(message, now)
 	case *carrier.RecordsCall:
-		c.takeRecordsCall(e.From, message)
+		c.takeRecordsCall(e.From, message, now)
 	case *carrier.Records:
 		c.takeRecords(message, now)
 	case *carrier.OutcomeCall:
@@ -54,7 +54,7 @@
 }
 
 // takeRecordsCall passes configuration on: the records if they are still kept, else a snapshot.
-func (c *Core) takeRecordsCall(from string, call *carrier.RecordsCall) {
+func (c *Core) takeRecordsCall(from string, call *carrier.RecordsCall, now time.Time) {
 	member, known := c.detector.Member(from)
 	if !known || call.Stream != string(StreamConfig) || c.fold.Offset() < call.From {
 		return
@@ -62,7 +62,12 @@
 	answer := &carrier.Records{CallID: call.CallID, Stream: call.Stream, Next: c.fold.Offset() + 1}
 	records, whole := c.configs.after(call.From - 1)
 	if !whole {
-		records = []publisher.Record{{Offset: c.fold.Offset(), Data: c.fold.Snapshot()}}
+		snapshot, err := c.fold.Snapshot(now)
+		if err != nil {
+			return
+		}
+		answer.Snapshot = snapshot
+		records = nil
 	}
 	for _, record := range records[:min(len(records), recordsPerMessage)] {
 		answer.Records = append(answer.Records, carrier.Record(record))
@@ -74,11 +79,15 @@
 	if message.Stream != string(StreamConfig) {
 		return
 	}
-	records := make([]publisher.Record, 0, len(message.Records))
+	records := make([]recorder.Record, 0, len(message.Records))
 	for _, record := range message.Records {
-		records = append(records, publisher.Record(record))
+		records = append(records, recorder.Record(record))
 	}
 	before := c.fold.Offset()
+	if len(message.Snapshot) > 0 && c.fold.Restore(message.Snapshot, now) {
+		c.configs.restart(c.fold.Offset())
+		c.applyContracts(now)
+	}
 	c.foldConfig(records, 0, now)
 	if c.fold.Offset() > before {
 		c.counters.ConfigFromPeers++
@@ -88,6 +97,9 @@
 // takeTransitions acts on what the detector has found out about members.
 func (c *Core) takeTransitions(transitions []detector.Transition, now time.Time) {
 	for _, t := range transitions {
+		if t.Woke() {
+			c.counters.PausesNoticed++
+		}
 		c.emit(LogChange{Message: "entry", Subject: t.Member.Name, From: t.From.String(), To: t.To.String()})
 		if t.To != detector.Dead && t.To != detector.Stopped {
 			continue
--- a/reducer/request.go
+++ b/reducer/request.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"geraniumline/admitter"
 	"geraniumline/biller"
 	"geraniumline/claimer"
 	"geraniumline/limiter"
@@ -41,7 +42,7 @@
 	stream   bool
 	phase    phase
 
-	claimID claimer.ClaimID
+	claimID uint64
 	claimed bool
 	fence   int64
 
@@ -100,7 +101,7 @@
 		return
 	}
 	if failure := c.checkAdmission(e, contract, plan, now); failure != nil {
-		c.biller.Outcome(key.Account, biller.NotRun)
+		c.biller.Outcome(key.Account, urgencyOf(contract, e.Pipeline), biller.NotRun)
 		c.refuse(e.ID, e.Key, *failure)
 		return
 	}
@@ -160,8 +161,8 @@
 	if !plan.sideEffect {
 		return false
 	}
-	holding, held := c.table.Lookup(key)
-	if !held {
+	holding, known := c.table.Lookup(key)
+	if !known || !holding.Held {
 		return false
 	}
 	c.answerHeld(e.ID, key, e.Digest, holding, now.Add(e.Deadline), now)
@@ -183,24 +184,22 @@
 		}
 	}
 	asks := c.asks(plan, 0, now)
-	verdict := c.admitter.Admit(asks, now.Add(e.Deadline), now)
-	if !verdict.Admitted {
-		return &Failure{Code: CodeCannotFinish, Message: "the stages cannot end by the deadline", State: StateNotRun, RetryAfter: verdict.RetryAfter}
+	if refused, no := c.admitter.Admit(asks, now.Add(e.Deadline), now).(admitter.Refused); no {
+		return &Failure{Code: CodeCannotFinish, Message: "the stages cannot end by the deadline", State: StateNotRun, RetryAfter: refused.RetryAfter}
 	}
-	limit := c.limiter.Admit(contract.Account, c.expectedCost(plan), now)
-	if limit.Admitted {
-		return nil
+	if refused, no := c.limiter.Admit(contract.Account, c.expectedCost(plan), now).(limiter.Refused); no {
+		return &Failure{Code: limitCode(refused.Reason), Message: "the contract's limit is reached", State: StateNotRun, RetryAfter: refused.RetryAfter}
 	}
-	return &Failure{Code: limitCode(limit.Reason), Message: "the contract's limit is reached", State: StateNotRun, RetryAfter: limit.RetryAfter}
+	return nil
 }
 
 func limitCode(reason limiter.Reason) Code {
 	switch reason {
-	case limiter.Concurrency:
+	case limiter.ReasonConcurrency:
 		return CodeConcurrency
-	case limiter.Cost:
+	case limiter.ReasonCost:
 		return CodeCostLimited
-	case limiter.UnknownAccount:
+	case limiter.ReasonUnknownAccount:
 		return CodeUnknownAccount
 	default:
 		return CodeRateLimited
@@ -217,10 +216,16 @@
 		return ageFailure(err)
 	}
 	if !c.claimsReady(now) {
-		return &Failure{Code: CodeLogUnavailable, Message: "the log is not available, so the request cannot be claimed", State: StateNotRun, RetryAfter: logRetryAfter}
+		return &Failure{Code: CodeLogUnavailable, Message: "the log can't be read, so the request can't be claimed", State: StateNotRun, RetryAfter: logRetryAfter}
+	}
+	if err := c.table.CheckProvable(birth); err != nil {
+		return &Failure{Code: CodeNotReady, Message: "this entry has not read the claims from the time of the key", State: StateNotRun, RetryAfter: logRetryAfter}
+	}
+	if wait, available := c.batcher.Available(now); !available {
+		return &Failure{Code: CodeLogUnavailable, Message: "the log takes no appends, so the request can't be claimed", State: StateNotRun, RetryAfter: wait}
 	}
-	if c.claimDelay(now) > e.Deadline {
-		return &Failure{Code: CodeLogUnavailable, Message: "the log is too slow to claim the request by its deadline", State: StateNotRun, RetryAfter: logRetryAfter}
+	if delay := c.claimDelay(now); delay > e.Deadline {
+		return &Failure{Code: CodeLogUnavailable, Message: "the log is too slow to claim the request by its deadline", State: StateNotRun, RetryAfter: delay}
 	}
 	return nil
 }
@@ -268,9 +273,9 @@
 		name = own
 	}
 	switch name {
-	case publisher.UrgencyUrgent:
+	case publisher.Urgent:
 		return scheduler.Urgent
-	case publisher.UrgencyRelaxed:
+	case publisher.Relaxed:
 		return scheduler.Relaxed
 	default:
 		return scheduler.Normal
@@ -311,7 +316,7 @@
 	delete(c.requests, r.id)
 	delete(c.running, r.key)
 	c.outcomes.put(r.key, outcome)
-	c.biller.Outcome(r.key.Account, result)
+	c.biller.Outcome(r.key.Account, r.urgency, result)
 	c.limiter.Release(r.key.Account, r.estimated, r.cost, now)
 	c.endClaim(r, outcome, now)
 	if !r.callerGone {
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -75,20 +75,21 @@
 }
 
 func accountStatusOf(account string, share, rate float64, inFlight int, bill biller.Bill) operatorserver.AccountStatus {
+	counts := bill.Counts()
 	status := operatorserver.AccountStatus{
 		Account:       account,
 		Share:         share,
 		RatePerSecond: rate,
 		InFlight:      inFlight,
-		Sent:          int64(bill.Sent()),
-		Answered:      int64(bill.Answered()),
-		InTime:        int64(bill.InTime()),
-		NotRun:        int64(bill.NotRun()),
-		Unknown:       int64(bill.Unknown()),
-		Attainment:    bill.Attainment(),
+		Sent:          int64(counts.Sum()),
+		Answered:      int64(counts.InTime + counts.Late),
+		InTime:        int64(counts.InTime),
+		NotRun:        int64(counts.NotRun),
+		Unknown:       int64(counts.Unknown),
+		Attainment:    counts.Attainment(),
 		Stages:        []operatorserver.StageCost{},
 	}
-	for _, stage := range bill.Stages() {
+	for _, stage := range bill.Stages {
 		status.Stages = append(status.Stages, operatorserver.StageCost{Stage: stage.Stage, Cost: stage.Cost, Wasted: stage.Wasted})
 	}
 	return status
