Serve the whole path over separate processes

Cause: nothing had been served from end to end. Found on the way: the detector forgot seeds whose ForgetAfter was left at zero (no heartbeat was ever sent); an address answer without a subset size was empty; the claims stream counted as unreadable since a long poll outlasted the silence allowed (5 s against 3 s).

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -36,6 +36,9 @@
 	stageTimeout = 5 * time.Second
 	// appendTimeout is how long an append to the log may take before its end is uncertain.
 	appendTimeout = 2 * time.Second
+	// pollWait is how long one reading of the log waits for a record. It is well under the silence after which
+	// the core takes the log for unreadable.
+	pollWait = time.Second
 )
 
 // Config holds what an entry is built from.
@@ -88,7 +91,7 @@
 	if err != nil {
 		return nil, oops.In("assembler").Wrap(err)
 	}
-	logs, err := appender.New(appender.Config{URL: s.LogURL, AppendTimeout: appendTimeout})
+	logs, err := appender.New(appender.Config{URL: s.LogURL, AppendTimeout: appendTimeout, PollWait: pollWait})
 	if err != nil {
 		return nil, oops.In("assembler").Wrap(err)
 	}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -148,7 +148,7 @@
 		SuspectMillis:     1000,
 		DeadMillis:        3000,
 		AddressTTLMillis:  5000,
-		ClaimWindowMillis: 20,
+		ClaimWindowMillis: 40,
 		KeyHorizonMillis:  3_600_000,
 		VMListMillis:      1000,
 		LoadReportMillis:  250,
--- a/receiver/writer.go
+++ b/receiver/writer.go
@@ -36,7 +36,7 @@
 	case reducer.SendPart:
 		return false, o.event("part", part{Text: e.Text})
 	case reducer.SendAnswer:
-		answer := callerserver.Answer{RequestId: o.traceID, Key: e.Key, Answer: e.Answer, TotalParts: e.Parts}
+		answer := callerserver.Answer{RequestId: e.Request, Key: e.Key, Answer: e.Answer, TotalParts: e.Parts}
 		if o.stream {
 			return true, o.event("answer", &answer)
 		}
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -50,6 +50,16 @@
 	OutcomesKept int
 }
 
+// subsetSize and subsetSpares are how many entries one client account is told of: few, so that an entry's state
+// follows the accounts that it serves; some, so that the loss of one is hardly felt.
+const (
+	subsetSize   = 3
+	subsetSpares = 2
+)
+
+// forgetAfter is how long a silent entry, or an address that nobody names, is remembered.
+const forgetAfter = 10 * time.Minute
+
 // Core is the state of one entry. It is not safe for concurrent use: one goroutine calls Reduce.
 type Core struct {
 	cfg  Config
@@ -105,7 +115,7 @@
 		fold:      publisher.New(publisher.Config{Entry: cfg.Entry}),
 		table:     claimer.New(claimer.Config{Entry: cfg.Entry, Incarnation: cfg.Incarnation, Horizon: cfg.KeyHorizon}),
 		batcher:   claimer.NewBatcher(claimer.BatcherConfig{Entry: cfg.Entry, Incarnation: cfg.Incarnation, Window: cfg.ClaimWindow, AppendTimeout: cfg.AppendTimeout}),
-		addresser: addresser.New(addresser.Config{TTL: cfg.AddressTTL}),
+		addresser: addresser.New(addresser.Config{SubsetSize: subsetSize, Spares: subsetSpares, TTL: cfg.AddressTTL}),
 		drainer:   drainer.New(drainer.Config{AddressTTL: cfg.AddressTTL, Grace: cfg.DrainGrace}),
 		limiter:   limiter.New(limiter.Config{Entry: cfg.Entry}),
 		scheduler: scheduler.New(scheduler.Config{}),
@@ -139,10 +149,9 @@
 		},
 		SuspectAfter: cfg.SuspectAfter,
 		DeadAfter:    cfg.DeadAfter,
+		ForgetAfter:  forgetAfter,
+		Seeds:        cfg.SeedPeers,
 	})
-	for _, address := range cfg.SeedPeers {
-		c.detector.Hint(address, "", false, now)
-	}
 	return c
 }
 
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -60,10 +60,12 @@
 
 // SendAnswer ends a request with its whole answer.
 type SendAnswer struct {
-	ID     uint64
-	Key    string
-	Answer string
-	Parts  int
+	ID uint64
+	// Request is the name under which endpoints saw the request; empty when another entry served it.
+	Request string
+	Key     string
+	Answer  string
+	Parts   int
 }
 
 // SendFailure ends a request, or another question of a caller, without an answer.
--- a/reducer/failure.go
+++ b/reducer/failure.go
@@ -59,7 +59,9 @@
 
 // Outcome is what is known of a request by its key.
 type Outcome struct {
-	State   State
+	State State
+	// Request is the name under which endpoints saw the request.
+	Request string
 	Answer  string
 	Parts   int
 	Failure Failure
--- a/reducer/request.go
+++ b/reducer/request.go
@@ -285,7 +285,7 @@
 // answer ends a request with its whole answer.
 func (c *Core) answer(r *request, text string, parts int, now time.Time) {
 	c.counters.RequestsAnswered++
-	outcome := Outcome{State: StateAnswered, Answer: text, Parts: parts, Ended: now, Digest: r.digest}
+	outcome := Outcome{State: StateAnswered, Request: r.name, Answer: text, Parts: parts, Ended: now, Digest: r.digest}
 	result := biller.AnsweredInTime
 	if now.After(r.deadline) {
 		result = biller.AnsweredLate
@@ -305,7 +305,7 @@
 	} else {
 		c.counters.RequestsUnknown++
 	}
-	c.end(r, Outcome{State: failure.State, Failure: failure, Ended: now, Digest: r.digest}, result, now)
+	c.end(r, Outcome{State: failure.State, Request: r.name, Failure: failure, Ended: now, Digest: r.digest}, result, now)
 }
 
 func (c *Core) end(r *request, outcome Outcome, result biller.Outcome, now time.Time) {
@@ -333,7 +333,7 @@
 // sendOutcome answers a caller by what is known of its request.
 func (c *Core) sendOutcome(id uint64, key claimer.Key, outcome Outcome) {
 	if outcome.State == StateAnswered {
-		c.emit(SendAnswer{ID: id, Key: key.Key, Answer: outcome.Answer, Parts: outcome.Parts})
+		c.emit(SendAnswer{ID: id, Request: outcome.Request, Key: key.Key, Answer: outcome.Answer, Parts: outcome.Parts})
 		return
 	}
 	c.emit(SendFailure{ID: id, Failure: outcome.Failure})
--- /dev/null
+++ b/starter/settings.go
@@ -0,0 +1,57 @@
+package starter
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"os"
+
+	"geraniumline/operatorserver"
+	"geraniumline/verifier"
+)
+
+// writeSettings writes an entry's settings file.
+func (f *Fleet) writeSettings(entry *Entry) error {
+	var seeds []string
+	for _, other := range f.entries {
+		seeds = append(seeds, other.PeerAddress)
+	}
+	settings := map[string]any{
+		"name":            entry.name,
+		"zone":            entry.Zone,
+		"region":          "region-1",
+		"callerAddress":   entry.CallerAddress,
+		"operatorAddress": entry.OperatorAddress,
+		"peerAddress":     entry.PeerAddress,
+		"seedPeers":       seeds,
+		"logUrl":          "http://" + f.log.address,
+		"vmsUrl":          "http://" + f.vms.address,
+		"weightsUrl":      "http://" + f.weights.address,
+		"sharedKey":       f.sharedKey,
+		"operators": []map[string]string{
+			{"name": OperatorName, "credentialSha256": verifier.HashCredential(f.operator)},
+		},
+	}
+	maps.Copy(settings, f.cfg.Settings)
+	data, err := json.MarshalIndent(settings, "", "\t")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(entry.settings, data, 0o600)
+}
+
+// operatorCredential proves the fleet's operator.
+type operatorCredential struct{ credential string }
+
+// BasicAuth is for the generated client.
+func (o operatorCredential) BasicAuth(context.Context, operatorserver.OperationName) (operatorserver.BasicAuth, error) {
+	return operatorserver.BasicAuth{Username: OperatorName, Password: o.credential}, nil
+}
+
+// Operator is a client of an entry's operators' interface.
+func (f *Fleet) Operator(entry *Entry) (*operatorserver.Client, error) {
+	return operatorserver.NewClient("http://"+entry.OperatorAddress, operatorCredential{credential: f.operator})
+}
+
+// OperatorCredential proves the operator to the command line.
+func (f *Fleet) OperatorCredential() string { return f.operator }
