Test the stand-ins: effects, orders, fences and refusals

Cause: a proof against a stand-in is worth no more than the stand-in. Change: scenario tables over each kind, golden files of the replies under each fault, goleak over the package. None asserts a duration.

--- /dev/null
+++ b/faker/log_test.go
@@ -0,0 +1,220 @@
+package faker_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/faker"
+	"geraniumline/platformserver"
+)
+
+func serveLog(t *testing.T, cfg faker.LogConfig) (*faker.Log, *platformserver.Client, *faker.Driver) {
+	l := faker.NewLog(cfg)
+	url := serve(t, l.Handler(), l.Close)
+	client, err := platformserver.NewClient(url)
+	require.NoError(t, err)
+	return l, client, faker.NewDriver(url[len("http://"):])
+}
+
+func appendTo(ctx context.Context, client *platformserver.Client, text string) (int64, error) {
+	params := platformserver.AppendRecordParams{Stream: "claims"}
+	reply, err := client.AppendRecord(ctx, &platformserver.AppendCall{Data: []byte(text)}, params)
+	if err != nil {
+		return 0, err
+	}
+	return reply.Offset, nil
+}
+
+func readFrom(
+	ctx context.Context, client *platformserver.Client, from int64, wait time.Duration,
+) (*platformserver.RecordPage, error) {
+	return client.ReadRecords(ctx, platformserver.ReadRecordsParams{
+		Stream:     "claims",
+		From:       from,
+		WaitMillis: platformserver.NewOptInt(int(wait.Milliseconds())),
+	})
+}
+
+func texts(page *platformserver.RecordPage) []string {
+	list := []string{}
+	for _, record := range page.Records {
+		list = append(list, string(record.Data))
+	}
+	return list
+}
+
+func platformCode(t *testing.T, err error) string {
+	var failed *platformserver.PlatformErrorStatusCode
+	require.True(t, errors.As(err, &failed), "%v", err)
+	return failed.Response.Code
+}
+
+func TestLogRetention(t *testing.T) {
+	scenarios := []struct {
+		testName      string
+		cfg           faker.LogConfig
+		trimBefore    int64
+		expectedFirst int64
+		expectedTexts []string
+	}{
+		{"nothing dropped", faker.LogConfig{}, 0, 0, []string{"a", "b", "c", "d"}},
+		{"by count", faker.LogConfig{KeepRecords: 2}, 0, 3, []string{"c", "d"}},
+		{"by bytes", faker.LogConfig{KeepBytes: 1}, 0, 4, []string{"d"}},
+		{"by trim", faker.LogConfig{}, 3, 3, []string{"c", "d"}},
+		{"all trimmed", faker.LogConfig{}, 99, 5, []string{}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			ctx := testContext(t)
+			_, client, driver := serveLog(t, s.cfg)
+			for i, text := range []string{"a", "b", "c", "d"} {
+				offset, err := appendTo(ctx, client, text)
+				require.NoError(t, err)
+				require.Equal(t, int64(i+1), offset)
+			}
+			require.NoError(t, driver.Trim(ctx, faker.TrimCall{Stream: "claims", Before: s.trimBefore}))
+			page, err := readFrom(ctx, client, 0, 0)
+			require.NoError(t, err)
+			require.Equal(t, s.expectedFirst, page.First)
+			require.Equal(t, s.expectedTexts, texts(page))
+			require.Equal(t, int64(5), page.Next)
+		})
+	}
+}
+
+// A reader asks on from the next offset of each page. Offsets grow with holes, pages are short, and
+// no record may be missed or read twice; a hole must not look like records lost to retention.
+func TestLogOffsetsHaveHoles(t *testing.T) {
+	ctx := testContext(t)
+	_, client, _ := serveLog(t, faker.LogConfig{HoleRate: 0.5, Seed: 7})
+	var appended []int64
+	for range 20 {
+		offset, err := appendTo(ctx, client, "x")
+		require.NoError(t, err)
+		appended = append(appended, offset)
+	}
+	require.Greater(t, appended[19], int64(20))
+	var read []int64
+	for from := int64(0); len(read) < len(appended); {
+		page, err := client.ReadRecords(ctx, platformserver.ReadRecordsParams{
+			Stream: "claims", From: from, Limit: platformserver.NewOptInt(3),
+		})
+		require.NoError(t, err)
+		require.NotEmpty(t, page.Records)
+		require.LessOrEqual(t, page.First, from)
+		for _, record := range page.Records {
+			read = append(read, record.Offset)
+		}
+		from = page.Next
+	}
+	require.Equal(t, appended, read)
+}
+
+// The caller sees its connection closed and no offset. The record is in the log all the same, once,
+// and the next append gets its reply.
+func TestLogLosesReplyAfterEffect(t *testing.T) {
+	ctx := testContext(t)
+	l, client, driver := serveLog(t, faker.LogConfig{})
+	require.NoError(t, driver.SetFaults(ctx, faker.LogFaults{LoseReplies: 1}))
+	_, err := appendTo(ctx, client, "lost")
+	require.Error(t, err)
+	offset, err := appendTo(ctx, client, "kept")
+	require.NoError(t, err)
+	require.Equal(t, int64(2), offset)
+	page, err := readFrom(ctx, client, 0, 0)
+	require.NoError(t, err)
+	require.Equal(t, []string{"lost", "kept"}, texts(page))
+	ledger, err := driver.LogLedger(ctx)
+	require.NoError(t, err)
+	require.Equal(t, int64(2), ledger.Appends)
+	require.Equal(t, int64(len("lost")+len("kept")), ledger.AppendedBytes)
+	require.Equal(t, int64(1), ledger.LostReplies)
+	require.Zero(t, l.Faults().LoseReplies)
+}
+
+// In an outage each call fails, at once or when the outage ends, and nothing was appended meanwhile.
+func TestLogOutage(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		outage   faker.Outage
+	}{
+		{"fails at once", faker.OutageFail},
+		{"hangs until its end", faker.OutageHang},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			ctx := testContext(t)
+			l, client, _ := serveLog(t, faker.LogConfig{Faults: faker.LogFaults{Outage: s.outage}})
+			failed := make(chan error, 1)
+			go func() {
+				_, err := appendTo(ctx, client, "x")
+				failed <- err
+			}()
+			if s.outage == faker.OutageHang {
+				l.SetFaults(faker.LogFaults{Outage: faker.OutageHang})
+				require.Empty(t, failed)
+				l.SetFaults(faker.LogFaults{Outage: faker.OutageFail})
+			}
+			require.Equal(t, "outage", platformCode(t, <-failed))
+			_, err := readFrom(ctx, client, 0, 0)
+			require.Equal(t, "outage", platformCode(t, err))
+			l.SetFaults(faker.LogFaults{})
+			page, err := readFrom(ctx, client, 0, 0)
+			require.NoError(t, err)
+			require.Empty(t, page.Records)
+		})
+	}
+}
+
+func TestLogWakesWaitingReader(t *testing.T) {
+	ctx := testContext(t)
+	l, client, _ := serveLog(t, faker.LogConfig{})
+	pages := make(chan *platformserver.RecordPage, 1)
+	go func() {
+		page, _ := readFrom(ctx, client, 1, 20*time.Second)
+		pages <- page
+	}()
+	eventually(t, func() bool { return l.Ledger().Reads == 1 })
+	_, err := appendTo(ctx, client, "awaited")
+	require.NoError(t, err)
+	require.Equal(t, []string{"awaited"}, texts(<-pages))
+}
+
+// A claim's append is slow, its sender gives up and tells its caller that nothing ran. The record
+// lands afterwards all the same.
+func TestLogSlowAppendLandsAfterItsCallerLeft(t *testing.T) {
+	l := faker.NewLog(faker.LogConfig{Faults: faker.LogFaults{SlowAppendMillis: 1}})
+	ctx, leave := context.WithCancel(testContext(t))
+	url := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		leave()
+		<-r.Context().Done()
+		l.Handler().ServeHTTP(w, r)
+	}), l.Close)
+	client, err := platformserver.NewClient(url)
+	require.NoError(t, err)
+	_, err = appendTo(ctx, client, "late")
+	require.ErrorIs(t, err, context.Canceled)
+	eventually(t, func() bool { return l.Ledger().Appends == 1 })
+}
+
+func TestLogLimitsAppends(t *testing.T) {
+	ctx := testContext(t)
+	_, client, _ := serveLog(t, faker.LogConfig{AppendsPerSecond: 0.001, AppendBurst: 1})
+	_, err := appendTo(ctx, client, "first")
+	require.NoError(t, err)
+	_, err = appendTo(ctx, client, "second")
+	require.Equal(t, "rateLimited", platformCode(t, err))
+	var failed *platformserver.PlatformErrorStatusCode
+	require.True(t, errors.As(err, &failed))
+	require.Equal(t, http.StatusTooManyRequests, failed.StatusCode)
+	require.Positive(t, failed.Response.RetryAfterMillis.Or(0))
+}
--- /dev/null
+++ b/faker/main_test.go
@@ -0,0 +1,142 @@
+package faker_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"geraniumline/endpointserver"
+	"geraniumline/faker"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// waitLimit bounds a wait for something that must come; no test asserts how long it took.
+const waitLimit = 30 * time.Second
+
+// serve starts a server and returns its URL. Everything is closed at the test's end.
+func serve(t *testing.T, handler http.Handler, closeHandler func()) string {
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		closeHandler()
+		server.CloseClientConnections()
+		server.Close()
+		http.DefaultClient.CloseIdleConnections()
+	})
+	return server.URL
+}
+
+func serveEndpoint(t *testing.T, e *faker.Endpoint) string {
+	return serve(t, e.Handler(), e.Close)
+}
+
+func stageCall(requestID string) *endpointserver.StageCall {
+	return &endpointserver.StageCall{
+		RequestId:      requestID,
+		Stage:          "generate",
+		Attempt:        1,
+		Account:        "club",
+		Input:          "input of " + requestID,
+		DeadlineMillis: 6000,
+	}
+}
+
+// sideEffect is a call that must not be repeated, under a claim's fence.
+func sideEffect(requestID string, fence int64) *endpointserver.StageCall {
+	call := stageCall(requestID)
+	call.IdempotencyKey = endpointserver.NewOptString("key")
+	call.Repeatable = endpointserver.NewOptBool(false)
+	call.Fence = endpointserver.NewOptInt64(fence)
+	return call
+}
+
+// partReader reads the parts of one reply as they come.
+type partReader struct {
+	resp  *http.Response
+	lines *bufio.Scanner
+}
+
+func openCall(t *testing.T, url string, call *endpointserver.StageCall) *partReader {
+	body, err := call.MarshalJSON()
+	require.NoError(t, err)
+	resp, err := http.Post(url+"/v1/stages", "application/json", bytes.NewReader(body))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return newPartReader(resp)
+}
+
+func newPartReader(resp *http.Response) *partReader {
+	return &partReader{resp: resp, lines: bufio.NewScanner(resp.Body)}
+}
+
+// next returns the next part, or false at the reply's end or the connection's.
+func (r *partReader) next(t *testing.T) (faker.Part, bool) {
+	var part faker.Part
+	if !r.lines.Scan() {
+		return part, false
+	}
+	require.NoError(t, json.Unmarshal(r.lines.Bytes(), &part))
+	return part, true
+}
+
+func (r *partReader) rest(t *testing.T) []faker.Part {
+	var parts []faker.Part
+	for {
+		part, ok := r.next(t)
+		if !ok {
+			return parts
+		}
+		parts = append(parts, part)
+	}
+}
+
+func runCall(t *testing.T, url string, call *endpointserver.StageCall) []faker.Part {
+	reader := openCall(t, url, call)
+	require.Equal(t, http.StatusOK, reader.resp.StatusCode)
+	return reader.rest(t)
+}
+
+func textOf(parts []faker.Part) string {
+	var text strings.Builder
+	for _, part := range parts {
+		text.WriteString(part.Text)
+	}
+	return text.String()
+}
+
+func refusalCode(t *testing.T, reader *partReader) endpointserver.RefusalCode {
+	var refusal endpointserver.Refusal
+	require.NoError(t, json.NewDecoder(reader.resp.Body).Decode(&refusal))
+	return refusal.Code
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// eventually waits for what another goroutine does; it fails only if that never comes.
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	require.Eventually(t, ok, waitLimit, time.Millisecond)
+}
+
+func outcomes(e *faker.Endpoint) []faker.Outcome {
+	list := []faker.Outcome{}
+	for _, execution := range e.Ledger().Executions {
+		list = append(list, execution.Outcome)
+	}
+	return list
+}
--- /dev/null
+++ b/faker/reply_test.go
@@ -0,0 +1,48 @@
+package faker_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/faker"
+)
+
+// One request is answered after another one, under each fault of replies. The golden files show what
+// an entry has to see through; costs and stream ids vary and are left out.
+func TestReplyFaults(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		faults   faker.Faults
+	}{
+		{"none", faker.Faults{}},
+		{"duplicated", faker.Faults{DuplicateParts: true}},
+		{"outOfOrder", faker.Faults{OutOfOrder: true}},
+		{"swapped", faker.Faults{SwapReplies: true}},
+		{"cut", faker.Faults{CutStreamAfterParts: 3}},
+	}
+	golden := goldie.New(t)
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			e := faker.NewEngine(fastEngine())
+			url := serveEndpoint(t, e)
+			runCall(t, url, stageCall("other"))
+			e.SetFaults(s.faults)
+			golden.Assert(t, s.testName, lines(t, runCall(t, url, stageCall("own"))))
+		})
+	}
+}
+
+func lines(t *testing.T, parts []faker.Part) []byte {
+	var text bytes.Buffer
+	encoder := json.NewEncoder(&text)
+	for _, part := range parts {
+		part.Cost = 0
+		part.StreamID = ""
+		require.NoError(t, encoder.Encode(part))
+	}
+	return text.Bytes()
+}
