--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -1351,8 +1351,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Name, err = dc.ReadString()
@@ -1395,13 +1395,23 @@
 		err = msgp.WrapError(err, "InFlight")
 		return
 	}
+	z.Sequence, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 8
-	err = en.Append(0x98)
+	// array header, size 10
+	err = en.Append(0x9a)
 	if err != nil {
 		return
 	}
@@ -1445,14 +1455,24 @@
 		err = msgp.WrapError(err, "InFlight")
 		return
 	}
+	err = en.WriteUint64(z.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	err = en.WriteUint32(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendString(o, z.Name)
 	o = msgp.AppendString(o, z.Zone)
 	o = msgp.AppendString(o, z.CallerAddress)
@@ -1461,6 +1481,8 @@
 	o = msgp.AppendUint8(o, z.State)
 	o = msgp.AppendInt64(o, z.ConfigOffset)
 	o = msgp.AppendInt32(o, z.InFlight)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendUint32(o, z.AgeMillis)
 	return
 }
 
@@ -1472,8 +1494,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Name, bts, err = msgp.ReadStringBytes(bts)
@@ -1516,13 +1538,23 @@
 		err = msgp.WrapError(err, "InFlight")
 		return
 	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Member) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.Zone) + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.Uint64Size + msgp.Uint8Size + msgp.Int64Size + msgp.Int32Size
+	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.Zone) + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.Uint64Size + msgp.Uint8Size + msgp.Int64Size + msgp.Int32Size + msgp.Uint64Size + msgp.Uint32Size
 	return
 }
 
@@ -1598,6 +1630,15 @@
 				err = msgp.WrapError(err, "AgeMillis")
 				return
 			}
+		case "digest":
+			z.Digest, err = dc.ReadBytesLimit(z.Digest, 32)
+			if err == nil && z.Digest == nil {
+				z.Digest = []byte{}
+			}
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1611,9 +1652,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Outcome) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
+	// map header, size 10
 	// write "callId"
-	err = en.Append(0x89, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	err = en.Append(0x8a, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	if err != nil {
 		return
 	}
@@ -1702,15 +1743,25 @@
 		err = msgp.WrapError(err, "AgeMillis")
 		return
 	}
+	// write "digest"
+	err = en.Append(0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Digest)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Outcome) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "callId"
-	o = append(o, 0x89, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = append(o, 0x8a, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	o = msgp.AppendUint64(o, z.CallID)
 	// string "account"
 	o = append(o, 0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
@@ -1736,6 +1787,9 @@
 	// string "ageMillis"
 	o = append(o, 0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.AgeMillis)
+	// string "digest"
+	o = append(o, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	o = msgp.AppendBytes(o, z.Digest)
 	return
 }
 
@@ -1811,6 +1865,28 @@
 				err = msgp.WrapError(err, "AgeMillis")
 				return
 			}
+		case "digest":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+			if zb0002 > 32 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Digest == nil || uint32(cap(z.Digest)) < zb0002 {
+				z.Digest = make([]byte, zb0002)
+			} else {
+				z.Digest = z.Digest[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Digest, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1825,7 +1901,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Outcome) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Account) + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.Uint8Size + 7 + msgp.StringPrefixSize + len(z.Answer) + 6 + msgp.Int32Size + 5 + msgp.StringPrefixSize + len(z.Code) + 8 + msgp.StringPrefixSize + len(z.Message) + 10 + msgp.Int64Size
+	s = 1 + 7 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Account) + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.Uint8Size + 7 + msgp.StringPrefixSize + len(z.Answer) + 6 + msgp.Int32Size + 5 + msgp.StringPrefixSize + len(z.Code) + 8 + msgp.StringPrefixSize + len(z.Message) + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Digest)
 	return
 }
 
@@ -2321,6 +2397,32 @@
 					return
 				}
 			}
+		case "snapshot":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Snapshot")
+				return
+			}
+			if zb0004 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Snapshot) >= int(zb0004) {
+				z.Snapshot = (z.Snapshot)[:zb0004]
+			} else {
+				z.Snapshot = make([][]byte, zb0004)
+			}
+			for za0002 := range z.Snapshot {
+				z.Snapshot[za0002], err = dc.ReadBytesLimit(z.Snapshot[za0002], 4096)
+				if err == nil && z.Snapshot[za0002] == nil {
+					z.Snapshot[za0002] = []byte{}
+				}
+				if err != nil {
+					err = msgp.WrapError(err, "Snapshot", za0002)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2334,9 +2436,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Records) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "callId"
-	err = en.Append(0x85, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	err = en.Append(0x86, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	if err != nil {
 		return
 	}
@@ -2407,15 +2509,32 @@
 			return
 		}
 	}
+	// write "snapshot"
+	err = en.Append(0xa8, 0x73, 0x6e, 0x61, 0x70, 0x73, 0x68, 0x6f, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Snapshot)))
+	if err != nil {
+		err = msgp.WrapError(err, "Snapshot")
+		return
+	}
+	for za0002 := range z.Snapshot {
+		err = en.WriteBytes(z.Snapshot[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Snapshot", za0002)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Records) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "callId"
-	o = append(o, 0x85, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = append(o, 0x86, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	o = msgp.AppendUint64(o, z.CallID)
 	// string "stream"
 	o = append(o, 0xa6, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
@@ -2436,6 +2555,12 @@
 		o = msgp.AppendInt64(o, z.Records[za0001].AtMillis)
 		o = msgp.AppendBytes(o, z.Records[za0001].Data)
 	}
+	// string "snapshot"
+	o = append(o, 0xa8, 0x73, 0x6e, 0x61, 0x70, 0x73, 0x68, 0x6f, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Snapshot)))
+	for za0002 := range z.Snapshot {
+		o = msgp.AppendBytes(o, z.Snapshot[za0002])
+	}
 	return
 }
 
@@ -2524,6 +2649,45 @@
 					return
 				}
 			}
+		case "snapshot":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Snapshot")
+				return
+			}
+			if zb0004 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Snapshot) >= int(zb0004) {
+				z.Snapshot = (z.Snapshot)[:zb0004]
+			} else {
+				z.Snapshot = make([][]byte, zb0004)
+			}
+			for za0002 := range z.Snapshot {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadBytesHeader(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Snapshot", za0002)
+					return
+				}
+				if zb0005 > 4096 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if z.Snapshot[za0002] == nil || uint32(cap(z.Snapshot[za0002])) < zb0005 {
+					z.Snapshot[za0002] = make([]byte, zb0005)
+				} else {
+					z.Snapshot[za0002] = z.Snapshot[za0002][:zb0005]
+				}
+				if uint32(len(bts)) < zb0005 {
+					err = msgp.ErrShortBytes
+					return
+				}
+				copy(z.Snapshot[za0002], bts[:zb0005])
+				bts = bts[zb0005:]
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2542,6 +2706,10 @@
 	for za0001 := range z.Records {
 		s += 1 + msgp.Int64Size + msgp.Int64Size + msgp.BytesPrefixSize + len(z.Records[za0001].Data)
 	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.Snapshot {
+		s += msgp.BytesPrefixSize + len(z.Snapshot[za0002])
+	}
 	return
 }
 
