--- a/faker/engine_test.go
+++ b/faker/engine_test.go
@@ -61,11 +61,11 @@
 	require.Len(t, parts, 6)
 	for i, part := range parts {
 		require.Equal(t, i, part.Seq)
-		require.Equal(t, "r1", part.RequestID)
+		require.Equal(t, "r1", part.RequestId)
 		require.Equal(t, i == 5, part.Final)
 	}
-	require.Equal(t, 6, parts[5].Total)
-	require.Positive(t, parts[5].Cost)
+	require.Equal(t, 6, parts[5].Total.Value)
+	require.Positive(t, parts[5].Cost.Value)
 	require.Equal(t, faker.Expect("generate", "r1", "input of r1", 6), textOf(parts))
 	require.Equal(t, []faker.Outcome{faker.OutcomeDone}, outcomes(e))
 }
@@ -79,12 +79,12 @@
 	first, ok := reader.next(t)
 	require.True(t, ok)
 	require.Equal(t, []faker.Outcome{faker.OutcomeRunning}, outcomes(e))
-	require.Equal(t, first.StreamID, reader.resp.Header.Get(faker.StreamIDHeader))
-	cancelStream(t, url, first.StreamID)
+	require.Equal(t, first.StreamId, reader.resp.Header.Get(faker.StreamIDHeader))
+	cancelStream(t, url, first.StreamId)
 	rest := reader.rest(t)
 	last := rest[len(rest)-1]
 	require.True(t, last.Final)
-	require.Equal(t, "cancelled", last.Error)
+	require.Equal(t, "cancelled", last.Error.Value)
 	runCall(t, url, stageCall("r2"))
 	require.Equal(t, []faker.Outcome{faker.OutcomeCancelled, faker.OutcomeDone}, outcomes(e))
 }
@@ -98,7 +98,7 @@
 	url := serveEndpoint(t, e)
 	parts := runCall(t, url, stageCall("r1"))
 	require.Len(t, parts, 2)
-	parts = append(parts, resume(t, url, parts[0].StreamID, 2).rest(t)...)
+	parts = append(parts, resume(t, url, parts[0].StreamId, 2).rest(t)...)
 	require.Equal(t, faker.Expect("generate", "r1", "input of r1", 6), textOf(parts))
 	require.Len(t, e.Ledger().Executions, 1)
 	unknown := resume(t, url, "nothing", 0)
@@ -145,7 +145,7 @@
 	})
 	cancelStream(t, url, waiting.resp.Header.Get(faker.StreamIDHeader))
 	parts := waiting.rest(t)
-	require.Equal(t, "cancelled before it ran", parts[0].Error)
+	require.Equal(t, "cancelled before it ran", parts[0].Error.Value)
 	require.Len(t, e.Ledger().Executions, 1)
 }
 
@@ -160,7 +160,7 @@
 		call := stageCall(fmt.Sprintf("r%d", i))
 		call.Input = input
 		parts := runCall(t, url, call)
-		cached = append(cached, parts[len(parts)-1].CachedTokens)
+		cached = append(cached, parts[len(parts)-1].CachedTokens.Value)
 	}
 	require.Equal(t, []int{0, 320, 0, 0}, cached)
 	eventually(t, func() bool {
--- a/faker/main_test.go
+++ b/faker/main_test.go
@@ -81,8 +81,8 @@
 }
 
 // next returns the next part, or false at the reply's end or the connection's.
-func (r *partReader) next(t *testing.T) (faker.Part, bool) {
-	var part faker.Part
+func (r *partReader) next(t *testing.T) (endpointserver.StagePart, bool) {
+	var part endpointserver.StagePart
 	if !r.lines.Scan() {
 		return part, false
 	}
@@ -90,8 +90,8 @@
 	return part, true
 }
 
-func (r *partReader) rest(t *testing.T) []faker.Part {
-	var parts []faker.Part
+func (r *partReader) rest(t *testing.T) []endpointserver.StagePart {
+	var parts []endpointserver.StagePart
 	for {
 		part, ok := r.next(t)
 		if !ok {
@@ -101,13 +101,13 @@
 	}
 }
 
-func runCall(t *testing.T, url string, call *endpointserver.StageCall) []faker.Part {
+func runCall(t *testing.T, url string, call *endpointserver.StageCall) []endpointserver.StagePart {
 	reader := openCall(t, url, call)
 	require.Equal(t, http.StatusOK, reader.resp.StatusCode)
 	return reader.rest(t)
 }
 
-func textOf(parts []faker.Part) string {
+func textOf(parts []endpointserver.StagePart) string {
 	var text strings.Builder
 	for _, part := range parts {
 		text.WriteString(part.Text)
--- a/faker/reply.go
+++ b/faker/reply.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
+
+	"github.com/go-faster/jx"
+
+	"geraniumline/endpointserver"
 )
 
 // StreamIDHeader names the stream before its first part, so that a waiting call can be cancelled. Only
@@ -20,7 +23,8 @@
 	from     int
 	faults   Faults
 	sent     int
-	held     *Part
+	held     *endpointserver.StagePart
+	encoder  jx.Encoder
 }
 
 func (p *reply) run(ctx context.Context) error {
@@ -65,7 +69,7 @@
 	}
 }
 
-func (p *reply) send(part Part) {
+func (p *reply) send(part endpointserver.StagePart) {
 	part.Attempt = p.attempt
 	if p.faults.SwapReplies {
 		part = p.swapped(part)
@@ -79,13 +83,13 @@
 }
 
 // swapped gives the part another request's ids and text.
-func (p *reply) swapped(part Part) Part {
+func (p *reply) swapped(part endpointserver.StagePart) endpointserver.StagePart {
 	other := p.endpoint.streams.other(p.stream)
 	if other == nil {
 		return part
 	}
 	texts := p.endpoint.texts(other.call)
-	part.RequestID = other.call.RequestId
+	part.RequestId = other.call.RequestId
 	part.Stage = other.call.Stage
 	part.Attempt = other.call.Attempt
 	part.Text = texts[min(part.Seq, len(texts)-1)]
@@ -101,7 +105,7 @@
 	p.write(held)
 }
 
-func (p *reply) write(part Part) {
+func (p *reply) write(part endpointserver.StagePart) {
 	p.writeLine(part)
 	if p.faults.DuplicateParts {
 		p.writeLine(part)
@@ -112,8 +116,11 @@
 	}
 }
 
-func (p *reply) writeLine(part Part) {
-	if err := json.NewEncoder(p.w).Encode(part); err != nil {
+func (p *reply) writeLine(part endpointserver.StagePart) {
+	p.encoder.Reset()
+	part.Encode(&p.encoder)
+	line := append(p.encoder.Bytes(), '\n')
+	if _, err := p.w.Write(line); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	if !part.Final {
--- a/faker/reply_test.go
+++ b/faker/reply_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
 
+	"geraniumline/endpointserver"
 	"geraniumline/faker"
 )
 
@@ -36,13 +36,14 @@
 	}
 }
 
-func lines(t *testing.T, parts []faker.Part) []byte {
+func lines(t *testing.T, parts []endpointserver.StagePart) []byte {
 	var text bytes.Buffer
-	encoder := json.NewEncoder(&text)
 	for _, part := range parts {
-		part.Cost = 0
-		part.StreamID = ""
-		require.NoError(t, encoder.Encode(part))
+		part.Cost.Reset()
+		part.StreamId = ""
+		line, err := part.MarshalJSON()
+		require.NoError(t, err)
+		text.Write(append(line, '\n'))
 	}
 	return text.Bytes()
 }
--- a/faker/service_test.go
+++ b/faker/service_test.go
@@ -129,7 +129,7 @@
 func TestHangingServiceRunsLater(t *testing.T) {
 	e := faker.NewService(serviceConfig(faker.Faults{Hang: true}))
 	url := serveEndpoint(t, e)
-	answers := make(chan []faker.Part, 1)
+	answers := make(chan []endpointserver.StagePart, 1)
 	go func() { answers <- runCall(t, url, stageCall("r1")) }()
 	eventually(t, func() bool {
 		load, err := e.GetLoad(testContext(t))
@@ -144,7 +144,7 @@
 	e := faker.NewService(serviceConfig(faker.Faults{RunErrorRate: 1}))
 	parts := runCall(t, serveEndpoint(t, e), stageCall("r1"))
 	require.True(t, parts[0].Final)
-	require.NotEmpty(t, parts[0].Error)
+	require.NotEmpty(t, parts[0].Error.Value)
 	require.Equal(t, []faker.Outcome{faker.OutcomeFailed}, outcomes(e))
 }
 
--- a/faker/stream.go
+++ b/faker/stream.go
@@ -62,7 +62,7 @@
 
 // next returns the parts from a sequence number on, and waits for the first of them. It returns none
 // once the stream has ended before that number.
-func (s *stream) next(ctx context.Context, from int) ([]Part, error) {
+func (s *stream) next(ctx context.Context, from int) ([]endpointserver.StagePart, error) {
 	for {
 		s.mu.Lock()
 		parts, done, changed := s.partsLocked(from), s.done, s.changed
@@ -78,20 +78,20 @@
 	}
 }
 
-func (s *stream) partsLocked(from int) []Part {
-	var parts []Part
+func (s *stream) partsLocked(from int) []endpointserver.StagePart {
+	var parts []endpointserver.StagePart
 	for seq := from; seq < len(s.texts); seq++ {
 		parts = append(parts, s.partLocked(seq))
 	}
 	return parts
 }
 
-func (s *stream) partLocked(seq int) Part {
-	part := Part{
-		RequestID: s.call.RequestId,
+func (s *stream) partLocked(seq int) endpointserver.StagePart {
+	part := endpointserver.StagePart{
+		RequestId: s.call.RequestId,
 		Stage:     s.call.Stage,
 		Attempt:   s.call.Attempt,
-		StreamID:  s.id,
+		StreamId:  s.id,
 		Seq:       seq,
 		Text:      s.texts[seq],
 	}
@@ -99,11 +99,11 @@
 		return part
 	}
 	part.Final = true
-	part.Total = len(s.texts)
-	part.Cost = s.cost
-	part.CachedTokens = s.cached
+	part.Total = endpointserver.NewOptInt(len(s.texts))
+	part.Cost = endpointserver.NewOptFloat64(s.cost)
+	part.CachedTokens = endpointserver.NewOptInt(s.cached)
 	if s.failure != "" {
-		part.Error = s.failure
+		part.Error = endpointserver.NewOptString(s.failure)
 	}
 	return part
 }
