Bound what the stand-ins remember, and let services keep a prefix

Cause: a kept stream held its call's input (up to 1 MiB), one hanging call kept all later streams from being dropped, and 256 log streams of 64 MiB are more than a mistake should take. Separately, answers without any of their input never let an engine's prefix cache be used behind other stages.

--- a/cmd/standin/endpoint.go
+++ b/cmd/standin/endpoint.go
@@ -70,6 +70,7 @@
 			&cli.StringFlag{Name: "kind", Value: "plain", Usage: "encoder, retriever, reranker or plain"},
 			&cli.DurationFlag{Name: "service-time", Usage: "of one call; 0 takes the kind's own"},
 			&cli.FloatFlag{Name: "variation", Value: 0.2, Usage: "share by which it varies up and down"},
+			&cli.IntFlag{Name: "keep-prefix", Usage: "bytes of the input that an answer begins with"},
 		),
 		Action: runService,
 	}
@@ -85,6 +86,7 @@
 		EndpointConfig: endpointConfig(cmd),
 		ServiceTime:    cmd.Duration("service-time"),
 		Variation:      cmd.Float("variation"),
+		KeepPrefix:     cmd.Int("keep-prefix"),
 	}
 	if cfg.ServiceTime == 0 {
 		cfg.ServiceTime = ownTime
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -19,6 +19,7 @@
 			&cli.FloatFlag{Name: "appends-per-second", Value: 500, Usage: "limit over all streams"},
 			&cli.IntFlag{Name: "append-burst", Usage: "appends at one moment; 0 takes a tenth of the limit"},
 			&cli.IntFlag{Name: "keep-records", Value: 100_000, Usage: "records kept by each stream"},
+			&cli.Int64Flag{Name: "keep-bytes", Value: 64 << 20, Usage: "bytes kept by each stream"},
 			&cli.DurationFlag{Name: "keep-for", Usage: "age of the oldest record kept; 0 for no bound"},
 			&cli.FloatFlag{Name: "hole-rate", Usage: "share of appends before which offsets are left out"},
 			seedFlag(),
@@ -33,6 +34,7 @@
 		AppendBurst:      cmd.Int("append-burst"),
 		KeepRecords:      cmd.Int("keep-records"),
 		KeepFor:          cmd.Duration("keep-for"),
+		KeepBytes:        cmd.Int64("keep-bytes"),
 		HoleRate:         cmd.Float("hole-rate"),
 		Seed:             cmd.Uint64("seed"),
 	}
--- a/faker/check.go
+++ b/faker/check.go
@@ -58,6 +58,7 @@
 		cfg.EndpointConfig.Check(),
 		checkDuration("serviceTime", cfg.ServiceTime),
 		checkRate("variation", cfg.Variation),
+		checkNotNegative("keepPrefix", cfg.KeepPrefix),
 	)
 }
 
--- a/faker/endpoint.go
+++ b/faker/endpoint.go
@@ -205,15 +205,15 @@
 		return nil, refuse(endpointserver.RefusalCodeOverloaded, "the queue is full")
 	}
 	ctx, cancel := context.WithCancel(e.ctx)
-	s := e.streams.add(call, cancel, time.Now())
+	s := e.streams.add(call, e.outputOf(call), cancel, time.Now())
 	e.wg.Go(func() {
 		defer cancel()
-		e.execute(ctx, s, place)
+		e.execute(ctx, s, call.Input, place)
 	})
 	return s, nil
 }
 
-func (e *Endpoint) execute(ctx context.Context, s *stream, place *waiter) {
+func (e *Endpoint) execute(ctx context.Context, s *stream, input string, place *waiter) {
 	if err := e.queue.wait(ctx, place); err != nil {
 		s.finish(result{}, "cancelled before it ran", 0, time.Now())
 		return
@@ -225,7 +225,7 @@
 	}
 	started := time.Now()
 	execution := e.ledger.begin(s.call, started)
-	r, err := e.runWork(ctx, s)
+	r, err := e.runWork(ctx, s, input)
 	if err == nil && e.chance(e.faults.get().RunErrorRate) {
 		err = errFailedBySwitch
 	}
--- a/faker/engine.go
+++ b/faker/engine.go
@@ -63,6 +63,7 @@
 
 // generation is what a run needs to know of its endpoint while it goes on.
 type generation struct {
+	input   string
 	slow    func() float64
 	running func() int
 	gap     func() bool
@@ -77,11 +78,11 @@
 }
 
 func (g *generator) generate(ctx context.Context, s *stream, run generation) (result, error) {
-	cached, err := g.prefill(ctx, s.call, run)
+	cached, err := g.prefill(ctx, run)
 	if err != nil {
 		return result{cachedTokens: cached}, err
 	}
-	texts := g.texts(s.call)
+	texts := s.output.parts()
 	due := time.Now()
 	for i, text := range texts {
 		due = due.Add(g.tokenTime(run))
@@ -96,9 +97,9 @@
 }
 
 // prefill works off the part of the input that the prefix cache does not hold, then stores it there.
-func (g *generator) prefill(ctx context.Context, call *endpointserver.StageCall, run generation) (int, error) {
-	prefixes := PrefixHashes(call.Input)
-	total := (len(call.Input) + bytesPerToken - 1) / bytesPerToken
+func (g *generator) prefill(ctx context.Context, run generation) (int, error) {
+	prefixes := PrefixHashes(run.input)
+	total := (len(run.input) + bytesPerToken - 1) / bytesPerToken
 	cached := g.cache.match(prefixes) * BlockBytes / bytesPerToken
 	uncached := float64(total - cached)
 	if err := sleep(ctx, scale(g.cfg.PrefillTime, uncached*run.slow())); err != nil {
@@ -112,7 +113,3 @@
 	growth := g.cfg.TokenTimeGrowth * float64(run.running()-1)
 	return scale(g.cfg.TokenTime, run.slow()*(1+growth))
 }
-
-func (g *generator) texts(call *endpointserver.StageCall) []string {
-	return outputParts(call.Stage, call.RequestId, call.Input, call.MaxTokens.Or(g.cfg.Tokens))
-}
--- a/faker/log.go
+++ b/faker/log.go
@@ -12,7 +12,8 @@
 	"geraniumline/platformserver"
 )
 
-const maxLogStreams = 256
+// maxLogStreams bounds the memory, together with each stream's KeepBytes.
+const maxLogStreams = 32
 
 // LogConfig describes the log service. Zero fields take the defaults in brackets.
 type LogConfig struct {
--- a/faker/main_test.go
+++ b/faker/main_test.go
@@ -26,7 +26,7 @@
 const waitLimit = 30 * time.Second
 
 // serve starts a server and returns its URL. Everything is closed at the test's end.
-func serve(t *testing.T, handler http.Handler, closeHandler func()) string {
+func serve(t testing.TB, handler http.Handler, closeHandler func()) string {
 	server := httptest.NewServer(handler)
 	t.Cleanup(func() {
 		closeHandler()
@@ -37,7 +37,7 @@
 	return server.URL
 }
 
-func serveEndpoint(t *testing.T, e *faker.Endpoint) string {
+func serveEndpoint(t testing.TB, e *faker.Endpoint) string {
 	return serve(t, e.Handler(), e.Close)
 }
 
@@ -67,7 +67,7 @@
 	lines *bufio.Scanner
 }
 
-func openCall(t *testing.T, url string, call *endpointserver.StageCall) *partReader {
+func openCall(t testing.TB, url string, call *endpointserver.StageCall) *partReader {
 	body, err := call.MarshalJSON()
 	require.NoError(t, err)
 	resp, err := http.Post(url+"/v1/stages", "application/json", bytes.NewReader(body))
@@ -81,7 +81,7 @@
 }
 
 // next returns the next part, or false at the reply's end or the connection's.
-func (r *partReader) next(t *testing.T) (endpointserver.StagePart, bool) {
+func (r *partReader) next(t testing.TB) (endpointserver.StagePart, bool) {
 	var part endpointserver.StagePart
 	if !r.lines.Scan() {
 		return part, false
@@ -90,7 +90,7 @@
 	return part, true
 }
 
-func (r *partReader) rest(t *testing.T) []endpointserver.StagePart {
+func (r *partReader) rest(t testing.TB) []endpointserver.StagePart {
 	var parts []endpointserver.StagePart
 	for {
 		part, ok := r.next(t)
@@ -101,7 +101,7 @@
 	}
 }
 
-func runCall(t *testing.T, url string, call *endpointserver.StageCall) []endpointserver.StagePart {
+func runCall(t testing.TB, url string, call *endpointserver.StageCall) []endpointserver.StagePart {
 	reader := openCall(t, url, call)
 	require.Equal(t, http.StatusOK, reader.resp.StatusCode)
 	return reader.rest(t)
@@ -115,20 +115,20 @@
 	return text.String()
 }
 
-func refusalCode(t *testing.T, reader *partReader) endpointserver.RefusalCode {
+func refusalCode(t testing.TB, reader *partReader) endpointserver.RefusalCode {
 	var refusal endpointserver.Refusal
 	require.NoError(t, json.NewDecoder(reader.resp.Body).Decode(&refusal))
 	return refusal.Code
 }
 
-func testContext(t *testing.T) context.Context {
+func testContext(t testing.TB) context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	t.Cleanup(cancel)
 	return ctx
 }
 
 // eventually waits for what another goroutine does; it fails only if that never comes.
-func eventually(t *testing.T, ok func() bool) {
+func eventually(t testing.TB, ok func() bool) {
 	t.Helper()
 	require.Eventually(t, ok, waitLimit, time.Millisecond)
 }
--- a/faker/reply.go
+++ b/faker/reply.go
@@ -88,7 +88,7 @@
 	if other == nil {
 		return part
 	}
-	texts := p.endpoint.texts(other.call)
+	texts := other.output.parts()
 	part.RequestId = other.call.RequestId
 	part.Stage = other.call.Stage
 	part.Attempt = other.call.Attempt
--- a/faker/service.go
+++ b/faker/service.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"geraniumline/endpointserver"
 )
 
 // ServiceConfig describes an encoder, a retriever, a reranker or a plain service.
@@ -14,6 +12,9 @@
 	ServiceTime time.Duration
 	// Variation is the share by which the work varies up and down, from 0 to 1.
 	Variation float64
+	// KeepPrefix is how many bytes of the input an answer begins with, as the instructions of an
+	// account pass through the stages before generation.
+	KeepPrefix int
 }
 
 // NewService starts a stand-in of a service, which answers each call by one final part.
@@ -21,6 +22,7 @@
 	answerer := &answerer{
 		serviceTime: defaultTo(cfg.ServiceTime, 5*time.Millisecond),
 		variation:   cfg.Variation,
+		keepPrefix:  cfg.KeepPrefix,
 	}
 	return newEndpoint(cfg.EndpointConfig, answerer)
 }
@@ -28,6 +30,7 @@
 type answerer struct {
 	serviceTime time.Duration
 	variation   float64
+	keepPrefix  int
 }
 
 // answer works for the service time, varied by random, which is from 0 to 1.
@@ -36,21 +39,5 @@
 	if err := sleep(ctx, scale(a.serviceTime, factor)); err != nil {
 		return result{}, err
 	}
-	return result{lastText: a.texts(s.call)[0]}, nil
-}
-
-func (a *answerer) texts(call *endpointserver.StageCall) []string {
-	return outputParts(call.Stage, call.RequestId, call.Input, 1)
-}
-
-// texts returns the texts of all parts that the call's answer has.
-func (e *Endpoint) texts(call *endpointserver.StageCall) []string {
-	switch work := e.work.(type) {
-	case *generator:
-		return work.texts(call)
-	case *answerer:
-		return work.texts(call)
-	default:
-		return nil
-	}
+	return result{lastText: s.output.parts()[0]}, nil
 }
--- a/faker/service_test.go
+++ b/faker/service_test.go
@@ -140,6 +140,19 @@
 	require.Equal(t, faker.Expect("generate", "r1", "input of r1", 1), textOf(<-answers))
 }
 
+// The stages before generation keep the account's instructions at the front, so that engines can have
+// them cached. No character may be cut in two.
+func TestServiceKeepsPrefix(t *testing.T) {
+	cfg := serviceConfig(faker.Faults{})
+	cfg.KeepPrefix = 5
+	call := stageCall("r1")
+	call.Input = "Bé é rule"
+	parts := runCall(t, serveEndpoint(t, faker.NewService(cfg)), call)
+	stages := []faker.ExpectedStage{{Name: "generate", Tokens: 1, KeepPrefix: 5}}
+	require.Equal(t, faker.ExpectPipeline("r1", call.Input, stages), textOf(parts))
+	require.Equal(t, "Bé generate:r1:", textOf(parts)[:len("Bé generate:r1:")])
+}
+
 func TestRunErrorIsInTheFinalPart(t *testing.T) {
 	e := faker.NewService(serviceConfig(faker.Faults{RunErrorRate: 1}))
 	parts := runCall(t, serveEndpoint(t, e), stageCall("r1"))
--- a/faker/stream.go
+++ b/faker/stream.go
@@ -18,7 +18,8 @@
 // stream is what one execution has produced so far. It outlives the connection that asked for it.
 type stream struct {
 	id     string
-	call   *endpointserver.StageCall
+	call   *endpointserver.StageCall // Without its input, which may be large.
+	output output
 	cancel context.CancelFunc
 
 	mu      sync.Mutex
@@ -31,10 +32,6 @@
 	changed chan struct{}
 }
 
-func newStream(id string, call *endpointserver.StageCall, cancel context.CancelFunc) *stream {
-	return &stream{id: id, call: call, cancel: cancel, changed: make(chan struct{})}
-}
-
 func (s *stream) push(text string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -150,30 +147,52 @@
 	return &streamStore{prefix: prefix, byID: make(map[string]*stream)}
 }
 
-func (t *streamStore) add(call *endpointserver.StageCall, cancel context.CancelFunc, now time.Time) *stream {
+func (t *streamStore) add(
+	call *endpointserver.StageCall, o output, cancel context.CancelFunc, now time.Time,
+) *stream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prune(now)
 	t.starts++
-	s := newStream(t.prefix+"-"+strconv.Itoa(t.starts), call, cancel)
+	s := &stream{
+		id:      t.prefix + "-" + strconv.Itoa(t.starts),
+		call:    withoutInput(call),
+		output:  o,
+		cancel:  cancel,
+		changed: make(chan struct{}),
+	}
 	t.byID[s.id] = s
 	t.order = append(t.order, s)
 	return s
 }
 
-// prune drops streams from the oldest on that are past their time, and any ended ones over the bound.
+func withoutInput(call *endpointserver.StageCall) *endpointserver.StageCall {
+	kept := *call
+	kept.Input = ""
+	return &kept
+}
+
+// prune drops streams from the oldest on that are past their time. If there are still too many, the
+// ended ones of the older half go; those in flight are bounded by the endpoint's queue.
 func (t *streamStore) prune(now time.Time) {
 	cutoff := now.Add(-streamKeptFor)
-	for len(t.order) > 0 {
-		oldest := t.order[0]
-		full := len(t.order) >= maxStreams && oldest.isDone()
-		if !full && !oldest.endedBefore(cutoff) {
-			return
-		}
-		delete(t.byID, oldest.id)
+	for len(t.order) > 0 && t.order[0].endedBefore(cutoff) {
+		delete(t.byID, t.order[0].id)
 		t.order[0] = nil
 		t.order = t.order[1:]
 	}
+	if len(t.order) < maxStreams {
+		return
+	}
+	kept := make([]*stream, 0, len(t.order))
+	for i, s := range t.order {
+		if i < maxStreams/2 && s.isDone() {
+			delete(t.byID, s.id)
+			continue
+		}
+		kept = append(kept, s)
+	}
+	t.order = kept
 }
 
 func (t *streamStore) find(id string) *stream {
--- a/faker/work.go
+++ b/faker/work.go
@@ -18,11 +18,16 @@
 	cachedTokens int
 }
 
-func (e *Endpoint) runWork(ctx context.Context, s *stream) (result, error) {
+func (e *Endpoint) runWork(ctx context.Context, s *stream, input string) (result, error) {
 	slow := func() float64 { return e.faults.get().slowFactor() }
 	switch work := e.work.(type) {
 	case *generator:
-		return work.generate(ctx, s, generation{slow: slow, running: e.queue.runningNow, gap: e.cacheEventLost})
+		return work.generate(ctx, s, generation{
+			input:   input,
+			slow:    slow,
+			running: e.queue.runningNow,
+			gap:     e.cacheEventLost,
+		})
 	case *answerer:
 		return work.answer(ctx, s, slow(), e.random())
 	default:
