--- a/loader/check.go
+++ b/loader/check.go
@@ -48,7 +48,7 @@
 			d.checkItem(fmt.Sprintf("%s[%d]", path, i), value.Index(i), tag)
 		}
 	case reflect.String:
-		d.checkText(path, reflect.ValueOf(value.String()).String(), tag.Get("check"))
+		d.checkText(path, value.String(), tag.Get("check"))
 	case reflect.Int64:
 		d.checkRange(path, value.Int(), tag)
 	}
@@ -89,35 +89,39 @@
 	}
 }
 
-// faultAt blames the value at the path, or its parent's place where the file lacks it. A value that
-// already has a fault gets no second one.
+// faultAt blames the value at the path, or what encloses it where the file lacks it. A value that
+// already has a fault gets no second one, nor does what an ill-formed object should have held.
 func (d *decoder) faultAt(path, format string, args ...any) {
 	for _, f := range d.faults {
 		if f.Path == path {
 			return
 		}
 	}
-	offset, ok := d.positions[path]
-	if !ok {
-		d.faults = append(d.faults, Fault{Path: path, Message: fmt.Sprintf(format, args...)})
-		return
+	offset, given := d.positions[path]
+	for place := path; !given && place != ""; {
+		place = parentOf(place)
+		offset, given = d.positions[place]
 	}
 	d.fault(path, offset, format, args...)
 }
 
+// missing tells of a value that the file lacks or leaves empty.
 func (d *decoder) missing(path string) {
 	if _, given := d.positions[path]; given {
 		d.faultAt(path, "must not be empty")
 		return
 	}
-	parent := path[:max(strings.LastIndexByte(path, '.'), 0)]
 	for _, f := range d.faults {
-		if f.Path == path || (parent != "" && f.Path == parent) {
+		if f.Path == parentOf(path) {
 			return
 		}
 	}
-	offset := d.positions[parent]
-	d.fault(path, offset, "missing; every settings file must give it")
+	d.faultAt(path, "missing; every settings file must give it")
+}
+
+// parentOf returns the path of the object that holds the field.
+func parentOf(path string) string {
+	return path[:max(strings.LastIndexByte(path, '.'), 0)]
 }
 
 // checkTogether holds the rules between fields.
@@ -148,11 +152,21 @@
 
 func (d *decoder) checkOrder(s *Settings) {
 	if s.SuspectMillis < 2*s.HeartbeatMillis {
-		d.faultAt("suspectMillis", "want at least twice heartbeatMillis (%d), got %d", s.HeartbeatMillis, s.SuspectMillis)
+		d.faultAt(d.given("suspectMillis", "heartbeatMillis"),
+			"suspectMillis (%d) must be at least twice heartbeatMillis (%d)", s.SuspectMillis, s.HeartbeatMillis)
 	}
 	if s.DeadMillis <= s.SuspectMillis {
-		d.faultAt("deadMillis", "want more than suspectMillis (%d), got %d", s.SuspectMillis, s.DeadMillis)
+		d.faultAt(d.given("deadMillis", "suspectMillis"),
+			"deadMillis (%d) must be more than suspectMillis (%d)", s.DeadMillis, s.SuspectMillis)
+	}
+}
+
+// given returns the path that the file gives, the first where it gives both.
+func (d *decoder) given(path, other string) string {
+	if _, ok := d.positions[path]; ok {
+		return path
 	}
+	return other
 }
 
 func (d *decoder) checkCertificate(path string, c Certificate) {
--- a/loader/decode.go
+++ b/loader/decode.go
@@ -57,7 +57,7 @@
 }
 
 func (d *decoder) member(path string, m hujson.ObjectMember, target reflect.Value, fields []field) {
-	name := m.Name.Value.(hujson.Literal).String()
+	name := printable(m.Name.Value.(hujson.Literal).String())
 	memberPath := join(path, name)
 	i := indexOf(fields, name)
 	if i < 0 {
@@ -103,7 +103,7 @@
 	target.SetInt(n)
 }
 
-// kindOf names what was found. It shows a number but never text, which may be a secret.
+// kindOf names what was found. It never shows the value, which may be a secret in the wrong place.
 func kindOf(v hujson.Value) string {
 	switch value := v.Value.(type) {
 	case *hujson.Object:
@@ -111,14 +111,23 @@
 	case *hujson.Array:
 		return "a list"
 	case hujson.Literal:
-		if value.Kind() == '"' {
-			return "text"
-		}
-		return string(value)
+		return kindOfLiteral(value)
 	}
 	return "nothing"
 }
 
+func kindOfLiteral(value hujson.Literal) string {
+	switch value.Kind() {
+	case '"':
+		return "text"
+	case '0':
+		return "a number of another kind"
+	case 'n':
+		return "null"
+	}
+	return "true or false"
+}
+
 // unitOf returns the unit that a number's name ends in.
 func unitOf(path string) string {
 	switch {
@@ -188,6 +197,20 @@
 	return path + "." + name
 }
 
+// maxNameBytes bounds how much of a field's name is shown.
+const maxNameBytes = 64
+
+// printable keeps a field's name from breaking the lines or the terminal that it is shown on.
+func printable(name string) string {
+	if len(name) > maxNameBytes {
+		name = name[:maxNameBytes]
+	}
+	if labelPattern.MatchString(name) {
+		return name
+	}
+	return strconv.Quote(name)
+}
+
 // syntaxFault turns the parser's error into a fault. The parser's own words are left out where they
 // quote the file, since what they quote may be a secret.
 func syntaxFault(err error) Fault {
--- a/loader/fault.go
+++ b/loader/fault.go
@@ -10,7 +10,8 @@
 type Fault struct {
 	// Path names the field, as in operators[1].name; it is empty for a fault of syntax.
 	Path string `json:"path"`
-	// Line and Column count from 1; both are 0 where the file lacks a field that it needs.
+	// Line and Column count from 1; both are 0 where the fault is of the whole file. A field that the
+	// file lacks is blamed on what should hold it.
 	Line   int `json:"line"`
 	Column int `json:"column"`
 	// Message says what is wrong and what is wanted. It never holds a secret.
--- /dev/null
+++ b/tracer/tracer_test.go
@@ -0,0 +1,163 @@
+package tracer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var start = time.Unix(1000, 0)
+
+func newTracer(t *testing.T, cfg Config) *Tracer {
+	t.Helper()
+	tr, err := New(cfg)
+	require.NoError(t, err)
+	return tr
+}
+
+func TestSpansCarryOnTheCallersTrace(t *testing.T) {
+	const (
+		traceID = "4bf92f3577b34da6a3ce929d0e0e4736"
+		parent  = "00f067aa0ba902b7"
+	)
+	tr := newTracer(t, Config{Kept: 4})
+	root := tr.Start("00-"+traceID+"-"+parent+"-00", "request", "r-1", start)
+	child := root.Child("stage", start.Add(time.Millisecond))
+	child.Set("attempt", "1")
+	child.End(start.Add(3 * time.Millisecond))
+	root.End(start.Add(4 * time.Millisecond))
+
+	require.Equal(t, traceID, root.TraceID())
+	require.Contains(t, child.Traceparent(), "00-"+traceID+"-")
+	for _, id := range []string{traceID, "r-1"} {
+		found, ok := tr.Find(id)
+		require.True(t, ok)
+		require.Len(t, found.Spans, 2)
+		require.Equal(t, "request", found.Spans[0].Name)
+		require.Equal(t, parent, found.Spans[0].ParentID)
+		require.Equal(t, found.Spans[0].SpanID, found.Spans[1].ParentID)
+		require.Equal(t, 2*time.Millisecond, found.Spans[1].Duration)
+		require.Equal(t, "1", found.Spans[1].Attributes["attempt"])
+	}
+}
+
+func TestIllFormedTraceparentBeginsATrace(t *testing.T) {
+	tr := newTracer(t, Config{Kept: 4})
+	for i, header := range []string{"", "junk", "00-00000000000000000000000000000000-0000000000000000-01"} {
+		id := fmt.Sprintf("r-%d", i)
+		span := tr.Start(header, "request", id, start)
+		span.End(start)
+		found, ok := tr.Find(id)
+		require.True(t, ok)
+		require.Empty(t, found.Spans[0].ParentID)
+	}
+}
+
+func TestNilTracerDoesNothing(t *testing.T) {
+	var tr *Tracer
+	span := tr.Start("", "request", "r-1", start).Child("stage", start)
+	span.Set("a", "b")
+	span.End(start)
+	require.Empty(t, span.Traceparent())
+	require.Empty(t, span.TraceID())
+	_, ok := tr.Find("r-1")
+	require.False(t, ok)
+	require.NoError(t, tr.Close(context.Background()))
+}
+
+// A caller sends every request under one traceparent, and others send more traces than are kept. The
+// memory stays bounded: spans past the bound are counted, and the oldest trace is forgotten whole, with
+// the request ids that led to it.
+func TestKeptTracesAreBounded(t *testing.T) {
+	const header = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
+	tr := newTracer(t, Config{Kept: 3})
+	for i := range 1000 {
+		tr.Start(header, "request", fmt.Sprintf("same-%d", i), start).End(start)
+	}
+	found, ok := tr.Find("same-0")
+	require.True(t, ok)
+	require.Len(t, found.Spans, maxSpans)
+	require.Equal(t, 1000-maxSpans, found.Dropped)
+
+	for i := range 10 {
+		tr.Start("", "request", fmt.Sprintf("r-%d", i), start).End(start)
+	}
+	_, ok = tr.Find("same-0")
+	require.False(t, ok)
+	_, ok = tr.Find("r-9")
+	require.True(t, ok)
+	require.Len(t, tr.kept.traces, 3)
+	require.Len(t, tr.kept.requests, 3)
+}
+
+// stuckExporter holds every export until it is let go, then fails or takes it.
+type stuckExporter struct {
+	release chan error
+	mu      sync.Mutex
+	taken   int
+}
+
+func (e *stuckExporter) ExportSpans(ctx context.Context, spans []sdktrace.ReadOnlySpan) error {
+	select {
+	case err := <-e.release:
+		if err != nil {
+			return err
+		}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.taken += len(spans)
+	return nil
+}
+
+func (e *stuckExporter) Shutdown(context.Context) error { return nil }
+
+// The trace collector stops answering while requests go on. No request waits for it: the queue fills,
+// then each further span is dropped and counted. When the collector answers again, what waited is sent,
+// and every span is accounted for as either sent or dropped.
+func TestStuckCollectorDropsAndCounts(t *testing.T) {
+	exporter := &stuckExporter{release: make(chan error)}
+	var mu sync.Mutex
+	var dropped, exported int
+	tr := newTracer(t, Config{
+		Exporter:  exporter,
+		QueueSize: 8,
+		Dropped:   func(n int) { mu.Lock(); dropped += n; mu.Unlock() },
+		Exported:  func(n int) { mu.Lock(); exported += n; mu.Unlock() },
+	})
+	const spans = 1000
+	for range spans {
+		tr.Start("", "request", "r", start).End(start) // would hang here, were OnEnd to wait
+	}
+	mu.Lock()
+	require.GreaterOrEqual(t, dropped, spans-8-batchSize)
+	mu.Unlock()
+	close(exporter.release)
+	require.NoError(t, tr.Close(context.Background()))
+	require.Equal(t, spans, dropped+exported)
+	require.Equal(t, exported, exporter.taken)
+	require.Positive(t, exported)
+}
+
+func BenchmarkRequestOfFiveSpans(b *testing.B) {
+	tr, err := New(Config{Kept: 256})
+	require.NoError(b, err)
+	b.ReportAllocs()
+	for b.Loop() {
+		root := tr.Start("", "request", "r", start)
+		for range 4 {
+			root.Child("stage", start).End(start)
+		}
+		root.End(start)
+	}
+}
