Guard the listening sockets

Cause: with net/http alone a slow or flooding caller holds connections without end, and a wrong credential costs nothing. Ruled out: ReadTimeout (it runs on while an answer is streamed and then cancels the request), WriteTimeout (it bounds the whole answer), leaving connections in the kernel's queue when full (looks like a hang).

--- /dev/null
+++ b/guarder/guard.go
@@ -0,0 +1,156 @@
+package guarder
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"geraniumline/meter"
+	"geraniumline/verifier"
+)
+
+// guard is the handler around a socket's own handler.
+type guard struct {
+	cfg       Config
+	next      http.Handler
+	verifier  *verifier.Verifier
+	wrong     metrics.Counter
+	throttled metrics.Counter
+	tooLarge  metrics.Counter
+}
+
+func newGuard(cfg Config) *guard {
+	return &guard{
+		cfg:       cfg,
+		next:      cfg.Handler,
+		verifier:  cfg.Verifier,
+		wrong:     cfg.Meter.Counter(meter.CredentialsWrong, cfg.Socket),
+		throttled: cfg.Meter.Counter(meter.CredentialsThrottled, cfg.Socket),
+		tooLarge:  cfg.Meter.Counter(meter.BodiesTooLarge, cfg.Socket),
+	}
+}
+
+// ServeHTTP answers a body of too great a declared length at once, and bounds the reading of any other.
+func (g *guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	writer := &writer{ResponseWriter: w, guard: g, remote: r.RemoteAddr, control: http.NewResponseController(w)}
+	// What the handler leaves in net/http's buffer is written after it returns.
+	defer writer.limit()
+	if r.ContentLength > g.cfg.MaxBodyBytes {
+		g.tooLarge.Inc(1)
+		w.Header().Set("Connection", "close")
+		http.Error(writer, "the request's body is too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	g.boundBody(writer, r)
+	g.next.ServeHTTP(writer, r)
+}
+
+// boundBody bounds the body's length, and the time until its end.
+//
+// http.Server's ReadTimeout would do the second too, but it goes on running while the answer is
+// streamed, and then cancels the request in the middle of its answer. This deadline ends with the body.
+func (g *guard) boundBody(w *writer, r *http.Request) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return
+	}
+	// An error means that the connection has gone; the reading will say so.
+	_ = w.control.SetReadDeadline(time.Now().Add(g.cfg.BodyTimeout))
+	r.Body = &body{
+		ReadCloser: http.MaxBytesReader(w.ResponseWriter, r.Body, g.cfg.MaxBodyBytes),
+		guard:      g,
+		control:    w.control,
+	}
+}
+
+// body lifts the read deadline when the last byte has been read.
+type body struct {
+	io.ReadCloser
+	guard   *guard
+	control *http.ResponseController
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(err, io.EOF):
+		_ = b.control.SetReadDeadline(time.Time{})
+	case errors.As(err, &tooLarge):
+		b.guard.tooLarge.Inc(1)
+	}
+	return n, err
+}
+
+// writer bounds each writing, and turns the answer to a throttled address's wrong credential into 429.
+type writer struct {
+	http.ResponseWriter
+	guard   *guard
+	remote  string
+	control *http.ResponseController
+	replace bool // the handler's body is dropped: another answer was given in its place
+}
+
+// tooManyWrong is the whole answer to a throttled address.
+const tooManyWrong = `{"code":"tooManyWrongCredentials","message":"too many wrong credentials from this address","outcome":"notRun"}` + "\n"
+
+// retryAfterSeconds is when a throttled address has some of its allowance back.
+const retryAfterSeconds = "60"
+
+// Unwrap lets http.ResponseController reach net/http.
+func (w *writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader counts a wrong credential and closes the connection of a throttled address.
+func (w *writer) WriteHeader(code int) {
+	if code != http.StatusUnauthorized {
+		w.ResponseWriter.WriteHeader(code)
+		return
+	}
+	w.guard.wrong.Inc(1)
+	if !w.guard.verifier.Wrong(parseAddress(w.remote).String(), w.guard.cfg.Now()) {
+		w.ResponseWriter.WriteHeader(code)
+		return
+	}
+	w.guard.throttled.Inc(1)
+	w.replace = true
+	header := w.Header()
+	header.Del("Content-Length")
+	header.Set("Content-Type", "application/json")
+	header.Set("Connection", "close")
+	header.Set("Retry-After", retryAfterSeconds)
+	w.ResponseWriter.WriteHeader(http.StatusTooManyRequests)
+	_, _ = io.WriteString(w.ResponseWriter, tooManyWrong)
+}
+
+// Write writes within WriteTimeout.
+func (w *writer) Write(p []byte) (int, error) {
+	if w.replace {
+		return len(p), nil
+	}
+	w.limit()
+	defer w.unlimit()
+	return w.ResponseWriter.Write(p)
+}
+
+// Flush sends what net/http holds in its buffer.
+func (w *writer) Flush() {
+	w.limit()
+	defer w.unlimit()
+	_ = w.control.Flush() // an error shows at the next Write
+}
+
+// limit gives the caller WriteTimeout from now to read.
+//
+// A caller that never reads its streamed answer would hold its connection and its buffers for ever; the
+// write fails instead, and the handler sees that the caller has gone.
+func (w *writer) limit() {
+	_ = w.control.SetWriteDeadline(time.Now().Add(w.guard.cfg.WriteTimeout))
+}
+
+// unlimit lets the handler think for as long as it needs: on HTTP/2 a deadline that passes between two
+// writes would reset the stream.
+func (w *writer) unlimit() {
+	_ = w.control.SetWriteDeadline(time.Time{})
+}
