--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -42,6 +42,10 @@
 	State         uint8
 	ConfigOffset  int64
 	InFlight      int32
+	// Sequence counts the steps of the member's own loop in this incarnation; only the member itself raises it.
+	Sequence uint64
+	// AgeMillis is how long ago the sender of the message last saw Sequence rise.
+	AgeMillis uint32
 }
 
 // EndpointLoad is one entry's calls in flight and its opinion of an endpoint.
@@ -124,6 +128,8 @@
 	Message string `msg:"message,limit=1024"`
 	// AgeMillis is how long ago the request ended.
 	AgeMillis int64 `msg:"ageMillis"`
+	// Digest is that of the request, so that a key used for another request is noticed.
+	Digest []byte `msg:"digest,limit=32"`
 }
 
 // Handover gives the outcomes that callers may still ask for to a peer, before the sender exits.
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -1351,8 +1351,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Name, err = dc.ReadString()
@@ -1395,13 +1395,23 @@
 		err = msgp.WrapError(err, "InFlight")
 		return
 	}
+	z.Sequence, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 8
-	err = en.Append(0x98)
+	// array header, size 10
+	err = en.Append(0x9a)
 	if err != nil {
 		return
 	}
@@ -1445,14 +1455,24 @@
 		err = msgp.WrapError(err, "InFlight")
 		return
 	}
+	err = en.WriteUint64(z.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	err = en.WriteUint32(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendString(o, z.Name)
 	o = msgp.AppendString(o, z.Zone)
 	o = msgp.AppendString(o, z.CallerAddress)
@@ -1461,6 +1481,8 @@
 	o = msgp.AppendUint8(o, z.State)
 	o = msgp.AppendInt64(o, z.ConfigOffset)
 	o = msgp.AppendInt32(o, z.InFlight)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendUint32(o, z.AgeMillis)
 	return
 }
 
@@ -1472,8 +1494,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Name, bts, err = msgp.ReadStringBytes(bts)
@@ -1516,13 +1538,23 @@
 		err = msgp.WrapError(err, "InFlight")
 		return
 	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Member) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.Zone) + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.Uint64Size + msgp.Uint8Size + msgp.Int64Size + msgp.Int32Size
+	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.Zone) + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.Uint64Size + msgp.Uint8Size + msgp.Int64Size + msgp.Int32Size + msgp.Uint64Size + msgp.Uint32Size
 	return
 }
 
@@ -1598,6 +1630,15 @@
 				err = msgp.WrapError(err, "AgeMillis")
 				return
 			}
+		case "digest":
+			z.Digest, err = dc.ReadBytesLimit(z.Digest, 32)
+			if err == nil && z.Digest == nil {
+				z.Digest = []byte{}
+			}
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1611,9 +1652,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Outcome) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
+	// map header, size 10
 	// write "callId"
-	err = en.Append(0x89, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	err = en.Append(0x8a, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	if err != nil {
 		return
 	}
@@ -1702,15 +1743,25 @@
 		err = msgp.WrapError(err, "AgeMillis")
 		return
 	}
+	// write "digest"
+	err = en.Append(0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Digest)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Outcome) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "callId"
-	o = append(o, 0x89, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = append(o, 0x8a, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	o = msgp.AppendUint64(o, z.CallID)
 	// string "account"
 	o = append(o, 0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
@@ -1736,6 +1787,9 @@
 	// string "ageMillis"
 	o = append(o, 0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.AgeMillis)
+	// string "digest"
+	o = append(o, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	o = msgp.AppendBytes(o, z.Digest)
 	return
 }
 
@@ -1811,6 +1865,28 @@
 				err = msgp.WrapError(err, "AgeMillis")
 				return
 			}
+		case "digest":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+			if zb0002 > 32 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Digest == nil || uint32(cap(z.Digest)) < zb0002 {
+				z.Digest = make([]byte, zb0002)
+			} else {
+				z.Digest = z.Digest[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Digest, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1825,7 +1901,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Outcome) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Account) + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.Uint8Size + 7 + msgp.StringPrefixSize + len(z.Answer) + 6 + msgp.Int32Size + 5 + msgp.StringPrefixSize + len(z.Code) + 8 + msgp.StringPrefixSize + len(z.Message) + 10 + msgp.Int64Size
+	s = 1 + 7 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Account) + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.Uint8Size + 7 + msgp.StringPrefixSize + len(z.Answer) + 6 + msgp.Int32Size + 5 + msgp.StringPrefixSize + len(z.Code) + 8 + msgp.StringPrefixSize + len(z.Message) + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Digest)
 	return
 }
 
