--- /dev/null
+++ b/presenter/config.go
@@ -0,0 +1,44 @@
+package presenter
+
+import (
+	"strings"
+	"time"
+
+	"geraniumline/operatorserver"
+)
+
+// HistoryText returns changes of configuration as a table, in the order given.
+func HistoryText(history operatorserver.ConfigHistory, coloured bool) string {
+	t := newTable("at", "verdict", "kind", "name", "version", "operator", "message")
+	for _, c := range history.Changes {
+		at := ""
+		if millis, ok := c.AtMillis.Get(); ok {
+			at = time.UnixMilli(millis).UTC().Format(time.RFC3339)
+		}
+		t.add(at, verdictCell(c.Verdict), c.Kind, c.Name, c.Version, c.Operator.Or(""), c.Message.Or(""))
+	}
+	var b strings.Builder
+	t.write(&b, coloured)
+	return b.String()
+}
+
+// ObjectsText returns the names and versions of configuration objects as a table.
+func ObjectsText(view operatorserver.ConfigView, coloured bool) string {
+	t := newTable("kind", "name", "version")
+	for _, o := range view.Objects {
+		t.add(o.Kind, o.Name, o.Version)
+	}
+	var b strings.Builder
+	t.write(&b, coloured)
+	return b.String()
+}
+
+func verdictCell(verdict operatorserver.ConfigVerdictVerdict) cell {
+	switch verdict {
+	case operatorserver.ConfigVerdictVerdictAccepted:
+		return cell{string(verdict), Green}
+	case operatorserver.ConfigVerdictVerdictPending:
+		return cell{string(verdict), Yellow}
+	}
+	return cell{string(verdict), Red}
+}
