limiter: pay from a part or from an estimate of the whole system's bucket

Cause: parts by demand alone left 6-14% of a contract unused and refused small accounts at random, since a seventh of a small burst is less than a request. Change: each limit has a local part and an estimate of the system's bucket that peers' reports correct; borrowing from it is bounded for each heartbeat. Silent peers' parts are set aside as last known and become even ones in 4 s.

--- a/limiter/account.go
+++ b/limiter/account.go
@@ -9,119 +9,140 @@
 	retryUnknownAccount = 5 * time.Second
 	// retryConcurrency is told when no slot is free: a slot's end can't be foreseen here.
 	retryConcurrency = 250 * time.Millisecond
+	retryShortest    = 5 * time.Millisecond
+	// retryLongest bounds the wait that a refusal tells: shares move within seconds, so a
+	// longer wait would be a guess.
+	retryLongest = 10 * time.Second
 	// costBurst is how many seconds of an account's cost limit may be used at once.
 	costBurst = 2.0
-	// shareAge is how long a computed share is used before peers' reports are looked at anew.
-	shareAge = 100 * time.Millisecond
 )
 
+// portion is the part of an account's limits that this entry reckons with.
+type portion struct {
+	// share is the part of the limits for this entry.
+	share float64
+	// heard is the part for this entry and all peers that are heard.
+	heard float64
+	// entries is the number of those.
+	entries float64
+}
+
 // account is one client account's state at this entry.
 type account struct {
-	name     string
-	limits   Limits
-	inFlight int
+	name   string
+	limits Limits
 
-	// tokens and costTokens may be below 0: a request is admitted when a part of a token is
-	// there, since an entry's part of a small burst is less than one request.
-	tokens     float64
-	costTokens float64
-	filledAt   time.Time
+	requests bucket
+	cost     bucket
+	filledAt time.Time
+	// lentAt is when the borrowed amounts were last set to 0.
+	lentAt time.Time
 
-	demand   rate
-	admitted rate
-	cost     rate
+	inFlight      int
+	borrowedSlots int
 
-	share     float64
-	even      float64
-	sharedAt  time.Time
+	demand   rate
+	rate     rate
+	costRate rate
+
+	portion  portion
+	sharedAt time.Time
+	// idleShare is what an entry without demand was left when all peers were last heard, at idleAt.
+	idleShare float64
+	idleAt    time.Time
 	stale     bool
 	peerUses  []peerUse
-	advertise advertised
+	told      told
 
 	active  bool
 	removed bool
 }
 
-// advertised is what peers were told last of this entry's use.
-type advertised struct {
-	at       time.Time
-	demand   float64
-	previous float64
-	inFlight int
-}
-
 func newAccount(name string, now time.Time) *account {
 	return &account{name: name, filledAt: now, stale: true}
 }
 
-func (a *account) setShare(share, even float64) {
-	a.share = share
-	a.even = even
-	a.clip()
-}
-
-// capacity is the most tokens that this entry may hold.
-func (a *account) capacity() float64 { return a.share * a.limits.Burst }
-
-func (a *account) costCapacity() float64 { return a.share * a.limits.CostPerSecond * costBurst }
-
-func (a *account) fill() {
-	a.tokens = a.capacity()
-	a.costTokens = a.costCapacity()
-}
-
-func (a *account) clip() {
-	a.tokens = math.Min(a.tokens, a.capacity())
-	a.costTokens = math.Min(a.costTokens, a.costCapacity())
+func (a *account) setLimits(limits Limits) {
+	a.limits = limits
+	a.requests.set(limits.RatePerSecond, limits.Burst)
+	a.cost.set(limits.CostPerSecond, limits.CostPerSecond*costBurst)
+	a.demand.span = rateSpan(limits.RatePerSecond)
+	a.rate.span = longestSpan
+	a.costRate.span = longestSpan
+	a.stale = true
 }
 
 func (a *account) refill(now time.Time) {
-	elapsed := now.Sub(a.filledAt).Seconds()
-	if elapsed <= 0 {
-		return
+	elapsed := max(0, now.Sub(a.filledAt).Seconds())
+	if elapsed > 0 {
+		a.filledAt = now
 	}
-	a.filledAt = now
-	a.tokens += elapsed * a.share * a.limits.RatePerSecond
-	a.costTokens += elapsed * a.share * a.limits.CostPerSecond
-	a.clip()
+	a.requests.refill(elapsed, a.portion)
+	a.cost.refill(elapsed, a.portion)
 }
 
-func (a *account) offered(now time.Time) {
-	a.demand.add(now, 1)
-	a.refill(now)
+// lend allows borrowing anew in each heartbeat.
+func (a *account) lend(heartbeat time.Duration, now time.Time) {
+	if now.Sub(a.lentAt) < heartbeat {
+		return
+	}
+	a.lentAt = now
+	a.requests.borrowed = 0
+	a.cost.borrowed = 0
+	a.borrowedSlots = 0
 }
 
-// check gives the refusal, or nil.
-func (a *account) check(cost float64, slots int) Verdict {
-	if a.limits.Concurrency > 0 && a.inFlight >= slots {
+// admit decides and, when it admits, takes.
+func (a *account) admit(cost float64) Verdict {
+	slot := a.slot()
+	if slot == fromNothing {
 		return refuse(ReasonConcurrency, retryConcurrency)
 	}
-	if a.limits.CostPerSecond > 0 {
-		needed := math.Min(cost, a.costCapacity())
-		if a.costTokens < needed {
-			return refuse(ReasonCost, a.until(needed-a.costTokens, a.limits.CostPerSecond))
-		}
+	work := a.cost.pay(cost, a.portion)
+	if work == fromNothing {
+		return refuse(ReasonCost, a.cost.until(cost, a.portion))
 	}
-	needed := math.Min(1, a.capacity())
-	if a.tokens < needed {
-		return refuse(ReasonRate, a.until(needed-a.tokens, a.limits.RatePerSecond))
+	request := a.requests.pay(1, a.portion)
+	if request == fromNothing {
+		return refuse(ReasonRate, a.requests.until(1, a.portion))
 	}
-	return nil
+	a.requests.take(1, request)
+	a.cost.take(cost, work)
+	a.inFlight++
+	if slot == fromSystem {
+		a.borrowedSlots++
+	}
+	return Admitted{}
 }
 
-// until gives the time in which this entry's part of the limit brings the missing tokens.
-func (a *account) until(missing, perSecond float64) time.Duration {
-	gain := perSecond * a.share
-	if gain <= 0 {
-		return math.MaxInt64
+// slot tells whether one more request may be in flight. Requests that run at a peer go on
+// after the share has moved here, so the peers' reports bound even the entry's own part.
+func (a *account) slot() source {
+	if a.limits.Concurrency <= 0 {
+		return fromPart
+	}
+	limit := float64(a.limits.Concurrency)
+	free := limit*a.portion.heard - float64(a.inFlight)
+	for i := range a.peerUses {
+		if a.peerUses[i].counted {
+			free -= float64(a.peerUses[i].inFlight)
+		}
+	}
+	if free < 1 {
+		return fromNothing
+	}
+	if float64(a.inFlight+1) <= math.Floor(a.portion.share*limit) {
+		return fromPart
 	}
-	return time.Duration(missing / gain * float64(time.Second))
+	if a.borrowedSlots > 0 && float64(a.borrowedSlots+1) > free/a.portion.entries {
+		return fromNothing
+	}
+	return fromSystem
 }
 
-func (a *account) take(cost float64) {
-	a.inFlight++
-	a.tokens--
-	a.costTokens -= cost
-	a.admitted.add(a.filledAt, 1)
-	a.cost.add(a.filledAt, cost)
+func (a *account) release(extraCost float64) {
+	if a.inFlight > 0 {
+		a.inFlight--
+	}
+	a.cost.correct(extraCost)
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -26,8 +26,12 @@
 	// FloorShare is the part of each limit that is always split evenly over the entries, so
 	// that an entry with no known demand can answer its first requests.
 	FloorShare float64
-	// PeerSilence is how long a peer may be unheard before its part is taken to be an even one.
+	// PeerSilence is how long a peer may be unheard before its part is set aside for it.
 	PeerSilence time.Duration
+	// PeerDecay is how long a silent peer's part takes to become an even one after that.
+	PeerDecay time.Duration
+	// Heartbeat is how often peers report; borrowing is bounded for each.
+	Heartbeat time.Duration
 	// UseLifetime is how long a peer's report on an account holds without being repeated.
 	UseLifetime time.Duration
 	// UseRefresh is how often an unchanged use is repeated to peers.
@@ -39,7 +43,9 @@
 // The defaults of Config.
 const (
 	DefaultFloorShare  = 0.05
-	DefaultPeerSilence = 700 * time.Millisecond
+	DefaultPeerSilence = 500 * time.Millisecond
+	DefaultPeerDecay   = 4 * time.Second
+	DefaultHeartbeat   = 200 * time.Millisecond
 	DefaultUseLifetime = 3 * time.Second
 	DefaultUseRefresh  = time.Second
 	DefaultMaxUses     = 4096
@@ -52,6 +58,12 @@
 	if cfg.PeerSilence <= 0 {
 		cfg.PeerSilence = DefaultPeerSilence
 	}
+	if cfg.PeerDecay <= 0 {
+		cfg.PeerDecay = DefaultPeerDecay
+	}
+	if cfg.Heartbeat <= 0 {
+		cfg.Heartbeat = DefaultHeartbeat
+	}
 	if cfg.UseLifetime <= 0 {
 		cfg.UseLifetime = DefaultUseLifetime
 	}
@@ -70,8 +82,12 @@
 	cfg      Config
 	accounts map[string]*account
 	// active lists the accounts with a use to report, in the order they became active.
-	active  []*account
-	peers   map[string]*peer
+	active []*account
+
+	peers      map[string]*peer
+	silent     []*peer
+	listenedAt time.Time
+	// entries is how many entries there are, this one included.
 	entries int
 }
 
@@ -87,21 +103,19 @@
 
 // SetLimits sets an account's limits, keeping what it has in use.
 func (l *Limiter) SetLimits(name string, limits Limits, now time.Time) {
-	if limits.Burst < 1 {
-		limits.Burst = 1
-	}
+	limits.Burst = max(limits.Burst, 1)
 	a, ok := l.accounts[name]
-	if !ok {
-		a = newAccount(name, now)
-		l.accounts[name] = a
-		a.limits = limits
-		a.setShare(1/float64(l.entries), 1/float64(l.entries))
-		a.fill()
+	if ok {
+		a.refill(now)
+		a.setLimits(limits)
 		return
 	}
-	a.refill(now)
-	a.limits = limits
-	a.clip()
+	a = newAccount(name, now)
+	a.setLimits(limits)
+	l.accounts[name] = a
+	l.update(a, now)
+	a.requests.fill(a.portion)
+	a.cost.fill(a.portion)
 }
 
 // Remove forgets an account. Its requests in flight end without a Release counting.
@@ -121,14 +135,15 @@
 	if !ok {
 		return refuse(ReasonUnknownAccount, retryUnknownAccount)
 	}
-	a.offered(now)
 	l.activate(a)
+	a.demand.add(now, 1)
 	l.update(a, now)
-	if verdict := a.check(cost, l.slots(a, now)); verdict != nil {
-		return verdict
+	verdict := a.admit(cost)
+	if _, admitted := verdict.(Admitted); admitted {
+		a.rate.add(now, 1)
+		a.costRate.add(now, cost)
 	}
-	a.take(cost)
-	return Admitted{}
+	return verdict
 }
 
 // Release ends a request that was admitted and sets its cost right.
@@ -137,12 +152,9 @@
 	if !ok {
 		return
 	}
+	l.activate(a)
 	a.refill(now)
-	if a.inFlight > 0 {
-		a.inFlight--
-	}
-	a.costTokens -= actualCost - estimatedCost
-	a.cost.add(now, actualCost-estimatedCost)
+	a.release(actualCost - estimatedCost)
 }
 
 // Share gives the part of the account's limits that this entry may use now, the rate in
@@ -153,7 +165,7 @@
 		return 0, 0, 0
 	}
 	l.update(a, now)
-	return a.share, a.admitted.at(now), a.inFlight
+	return a.portion.share, a.rate.at(now), a.inFlight
 }
 
 func (l *Limiter) activate(a *account) {
--- a/limiter/peers.go
+++ b/limiter/peers.go
@@ -1,7 +1,6 @@
 package limiter
 
 import (
-	"math"
 	"time"
 
 	"geraniumline/carrier"
@@ -11,6 +10,7 @@
 type peer struct {
 	name    string
 	heardAt time.Time
+	silent  bool
 	gone    bool
 }
 
@@ -19,34 +19,35 @@
 	peer     *peer
 	at       time.Time
 	demand   float64
+	rate     float64
+	costRate float64
 	inFlight int
+	// share is the peer's part of the limits when it was last heard.
+	share float64
+	// counted tells that rate and costRate are in the buckets' predictions.
+	counted bool
 }
 
 // PeerUses takes in what a peer reports in a heartbeat. An account that it leaves out is
 // unchanged; a report that is not repeated lapses after Config.UseLifetime.
 func (l *Limiter) PeerUses(name string, uses []carrier.AccountUse, now time.Time) {
-	p := l.peer(name)
-	p.heardAt = now
-	p.gone = false
-	for i := range uses {
-		a, ok := l.accounts[uses[i].Account]
-		if !ok {
-			continue
-		}
-		a.report(p, &uses[i], now)
-	}
-}
-
-func (l *Limiter) peer(name string) *peer {
 	p, ok := l.peers[name]
 	if !ok {
 		p = &peer{name: name}
 		l.peers[name] = p
 	}
-	return p
+	p.heardAt = now
+	p.silent = false
+	for i := range uses {
+		if a, ok := l.accounts[uses[i].Account]; ok {
+			l.update(a, now)
+			a.learn(p, &uses[i], l.cfg.UseRefresh, now)
+		}
+	}
 }
 
-// PeerGone drops a peer that is known to have ended: its part is free at once.
+// PeerGone drops a peer that is known to have ended: its part is free at once. Silence is
+// not enough to call it, or both sides of a partition would take the whole limit.
 func (l *Limiter) PeerGone(name string, _ time.Time) {
 	p, ok := l.peers[name]
 	if !ok {
@@ -54,98 +55,70 @@
 	}
 	p.gone = true
 	delete(l.peers, name)
+	l.listenedAt = time.Time{}
 }
 
-// SetPeers sets how many entries are live, this one included.
+// SetPeers sets how many entries there are, this one included: those that are live and
+// those that are silent but not known to have ended.
 func (l *Limiter) SetPeers(n int, _ time.Time) {
 	l.entries = max(n, 1)
+	l.listenedAt = time.Time{}
 }
 
-func (a *account) report(p *peer, use *carrier.AccountUse, now time.Time) {
-	a.stale = true
-	for i := range a.peerUses {
-		if a.peerUses[i].peer == p {
-			a.peerUses[i].take(use, now)
-			return
+// listenEach is how often peers are looked over for silence.
+const listenEach = 50 * time.Millisecond
+
+// listen finds the silent peers, at most once in listenEach for all accounts.
+func (l *Limiter) listen(now time.Time) {
+	if now.Sub(l.listenedAt) < listenEach {
+		return
+	}
+	l.listenedAt = now
+	l.silent = l.silent[:0]
+	for _, p := range l.peers {
+		p.silent = now.Sub(p.heardAt) >= l.cfg.PeerSilence
+		if p.silent {
+			l.silent = append(l.silent, p)
 		}
 	}
-	a.peerUses = append(a.peerUses, peerUse{peer: p})
-	a.peerUses[len(a.peerUses)-1].take(use, now)
 }
 
-func (u *peerUse) take(use *carrier.AccountUse, now time.Time) {
+// learn takes in a peer's report on the account.
+func (a *account) learn(p *peer, use *carrier.AccountUse, refresh time.Duration, now time.Time) {
+	a.stale = true
+	u := a.usedBy(p)
+	elapsed := min(now.Sub(u.at), refresh).Seconds()
+	predicted, predictedCost := u.rate, u.costRate
+	if !u.counted {
+		predicted, predictedCost = 0, 0
+	}
+	a.requests.learn(predicted, float64(use.Rate), elapsed)
+	a.cost.learn(predictedCost, float64(use.CostRate), elapsed)
 	u.at = now
 	u.demand = float64(use.Demand)
+	u.rate = float64(use.Rate)
+	u.costRate = float64(use.CostRate)
 	u.inFlight = int(use.InFlight)
+	u.counted = true
 }
 
-// Uses gives what peers have to know of this entry's use: accounts whose use has changed or
-// was not repeated for Config.UseRefresh, at most Config.MaxUses of them.
-func (l *Limiter) Uses(now time.Time) []carrier.AccountUse {
-	var uses []carrier.AccountUse
-	kept := l.active[:0]
-	for _, a := range l.active {
-		if a.removed {
-			continue
-		}
-		if len(uses) < l.cfg.MaxUses && l.due(a, now) {
-			uses = append(uses, a.use(now))
-			a.advertised(now)
-		}
-		if a.quiet() {
-			a.active = false
-			continue
+// usedBy gives the peer's report on the account, a new one when there is none.
+func (a *account) usedBy(p *peer) *peerUse {
+	for i := range a.peerUses {
+		if a.peerUses[i].peer == p {
+			return &a.peerUses[i]
 		}
-		kept = append(kept, a)
-	}
-	l.active = kept
-	return uses
-}
-
-// due tells whether peers' view of the account is out of date.
-func (l *Limiter) due(a *account, now time.Time) bool {
-	if now.Sub(a.advertise.at) >= l.cfg.UseRefresh {
-		return true
-	}
-	if a.inFlight != a.advertise.inFlight {
-		return true
-	}
-	change := math.Abs(a.demand.at(now) - a.advertise.demand)
-	return change > changeWorthTelling*math.Max(a.advertise.demand, a.limits.RatePerSecond/float64(l.entries))
-}
-
-// changeWorthTelling is the part by which a use must change to be told before it is due.
-const changeWorthTelling = 0.05
-
-// quietDemand is the demand a second below which an account has nothing to say.
-const quietDemand = 0.01
-
-func (a *account) use(now time.Time) carrier.AccountUse {
-	return carrier.AccountUse{
-		Account:  a.name,
-		Rate:     float32(a.admitted.at(now)),
-		Demand:   float32(a.demandNow(now)),
-		CostRate: float32(a.cost.at(now)),
-		InFlight: int32(a.inFlight),
 	}
+	a.peerUses = append(a.peerUses, peerUse{peer: p})
+	return &a.peerUses[len(a.peerUses)-1]
 }
 
-func (a *account) demandNow(now time.Time) float64 {
-	demand := a.demand.at(now)
-	if demand < quietDemand {
-		return 0
+// uncount takes a report out of the predictions, as its peer is silent or says no more.
+func (a *account) uncount(u *peerUse) {
+	if !u.counted {
+		return
 	}
-	return demand
-}
-
-func (a *account) advertised(now time.Time) {
-	a.advertise.at = now
-	a.advertise.previous = a.advertise.demand
-	a.advertise.demand = a.demandNow(now)
-	a.advertise.inFlight = a.inFlight
-	a.stale = true
-}
-
-func (a *account) quiet() bool {
-	return a.advertise.demand == 0 && a.advertise.inFlight == 0 && a.inFlight == 0
+	u.counted = false
+	a.requests.peerUse = max(0, a.requests.peerUse-u.rate)
+	a.cost.peerUse = max(0, a.cost.peerUse-u.costRate)
 }
