--- a/measurer/limits_test.go
+++ b/measurer/limits_test.go
@@ -41,12 +41,12 @@
 
 	admitted, offered []time.Duration
 	// work is the cost of each admitted request, by index in admitted.
-	work              []float64
-	inFlight          int
-	maxInFlight       int
-	slotTime          float64
-	excessTime        float64
-	slotSince         time.Time
+	work        []float64
+	inFlight    int
+	maxInFlight int
+	slotTime    float64
+	excessTime  float64
+	slotSince   time.Time
 }
 
 type gateKind int
--- a/reducer/stage.go
+++ b/reducer/stage.go
@@ -26,9 +26,8 @@
 	nextSeq  int
 	text     strings.Builder
 	// early holds parts that arrived before their predecessor.
-	early    map[int]endpointserver.StagePart
-	resuming bool
-	hedge    bool
+	early map[int]endpointserver.StagePart
+	hedge bool
 }
 
 // enqueue lets the request's present stage wait for an endpoint.
--- a/starter/fleet.go
+++ b/starter/fleet.go
@@ -211,7 +211,7 @@
 func (f *Fleet) Stop() error {
 	var errs []error
 	for _, entry := range f.entries {
-		if entry.Process.command == nil {
+		if entry.command == nil {
 			continue
 		}
 		errs = append(errs, entry.Kill())
