End waiting reads of the log stand-in when its outage begins

Cause: a reader that waited when the outage began stayed for up to 30 s and saw it only then; a cut after a final part left that part in net/http's buffer, so that one part was sent fewer than the switch says. Change: waiting reads watch the switches; the cut flushes first.

--- a/faker/log.go
+++ b/faker/log.go
@@ -171,16 +171,21 @@
 	if err := sleep(ctx, millis(l.faults.get().SlowReadMillis)); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, millis(int64(params.WaitMillis.Or(0))))
+	waitCtx, cancel := context.WithTimeout(ctx, millis(int64(params.WaitMillis.Or(0))))
 	defer cancel()
 	l.count(func(ledger *LogLedger) { ledger.Reads++ })
 	for {
-		page, changed, err := l.read(params, time.Now())
+		// The switches are watched from before the read, so that no change falls between the two.
+		_, switched := l.faults.watch()
+		page, appended, err := l.read(params, time.Now())
 		if err != nil || len(page.Records) > 0 {
 			return page, err
 		}
-		if !l.waitForChange(ctx, changed) {
-			return page, l.failInOutage(ctx)
+		if !l.waitForChange(waitCtx, appended, switched) {
+			return page, nil
+		}
+		if err := l.failInOutage(ctx); err != nil {
+			return nil, err
 		}
 	}
 }
@@ -197,9 +202,11 @@
 	return s.read(params.From, params.Limit.Or(defaultPageRecords), now), s.changed, nil
 }
 
-func (l *Log) waitForChange(ctx context.Context, changed <-chan struct{}) bool {
+func (l *Log) waitForChange(ctx context.Context, appended, switched <-chan struct{}) bool {
 	select {
-	case <-changed:
+	case <-appended:
+		return true
+	case <-switched:
 		return true
 	case <-ctx.Done():
 		return false
--- a/faker/log_test.go
+++ b/faker/log_test.go
@@ -173,18 +173,44 @@
 	}
 }
 
+// A reader waits for longer than the test may take; an append or an outage ends its wait.
 func TestLogWakesWaitingReader(t *testing.T) {
-	ctx := testContext(t)
-	l, client, _ := serveLog(t, faker.LogConfig{})
-	pages := make(chan *platformserver.RecordPage, 1)
-	go func() {
-		page, _ := readFrom(ctx, client, 1, 20*time.Second)
-		pages <- page
-	}()
-	eventually(t, func() bool { return l.Ledger().Reads == 1 })
-	_, err := appendTo(ctx, client, "awaited")
-	require.NoError(t, err)
-	require.Equal(t, []string{"awaited"}, texts(<-pages))
+	scenarios := []struct {
+		testName      string
+		wake          func(ctx context.Context, l *faker.Log, client *platformserver.Client) error
+		expectedTexts []string
+	}{
+		{"append", func(ctx context.Context, _ *faker.Log, client *platformserver.Client) error {
+			_, err := appendTo(ctx, client, "awaited")
+			return err
+		}, []string{"awaited"}},
+		{"outage", func(_ context.Context, l *faker.Log, _ *platformserver.Client) error {
+			l.SetFaults(faker.LogFaults{Outage: faker.OutageFail})
+			return nil
+		}, nil},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			ctx := testContext(t)
+			l, client, _ := serveLog(t, faker.LogConfig{})
+			woken := make(chan error, 1)
+			var page *platformserver.RecordPage
+			go func() {
+				var err error
+				page, err = readFrom(ctx, client, 1, waitLimit)
+				woken <- err
+			}()
+			eventually(t, func() bool { return l.Ledger().Reads == 1 })
+			require.NoError(t, s.wake(ctx, l, client))
+			err := <-woken
+			if s.expectedTexts == nil {
+				require.Equal(t, "outage", platformCode(t, err))
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, s.expectedTexts, texts(page))
+		})
+	}
 }
 
 // A claim's append is slow, its sender gives up and tells its caller that nothing ran. The record
--- a/faker/reply.go
+++ b/faker/reply.go
@@ -112,6 +112,7 @@
 	}
 	p.sent++
 	if p.faults.CutStreamAfterParts > 0 && p.sent >= p.faults.CutStreamAfterParts {
+		p.flush()
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/faker/switches.go
+++ b/faker/switches.go
@@ -34,12 +34,17 @@
 	s.changed = make(chan struct{})
 }
 
+// watch returns the switches and a channel that is closed at their next change.
+func (s *switches[T]) watch() (T, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.value, s.changed
+}
+
 // waitUntil returns when the switches satisfy ok, or with the context's error.
 func (s *switches[T]) waitUntil(ctx context.Context, ok func(T) bool) error {
 	for {
-		s.mu.Lock()
-		value, changed := s.value, s.changed
-		s.mu.Unlock()
+		value, changed := s.watch()
 		if ok(value) {
 			return nil
 		}
