Guard the entry's sockets and publish its metrics

Cause: the assembler opened plain servers without bounds, and nothing counted. Change: sockets by guarder, the status page and metrics behind an operator's credential, the core's counts copied into the registry once a second, request and stage histograms where the work is done. Ruled out: counting in the registry from the core; its numbers are shared between goroutines and the core keeps plain ones.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -22,7 +22,6 @@
 	"geraniumline/meter"
 	"geraniumline/performer"
 	"geraniumline/platformserver"
-	"geraniumline/receiver"
 	"geraniumline/reducer"
 	"geraniumline/tracer"
 )
@@ -54,55 +53,50 @@
 	tracer    *tracer.Tracer
 	messenger *messenger.Messenger
 	performer *performer.Performer
-	listeners listeners
 }
 
 // Run serves until ctx ends or a planned stop, begun by SIGTERM or by an operator, is done.
 func Run(ctx context.Context, cfg Config) error {
-	opened, err := listen(cfg.Settings)
+	e := &entry{cfg: cfg, meter: meter.New()}
+	peers, err := e.openPeers()
 	if err != nil {
 		return err
 	}
-	defer opened.close()
-	e, err := build(cfg, opened)
+	if err := e.build(peers); err != nil {
+		return errors.Join(err, peers.Close())
+	}
+	opened, err := e.openSockets()
 	if err != nil {
-		return err
+		return errors.Join(err, peers.Close())
 	}
-	return e.run(ctx)
+	return e.run(ctx, opened)
 }
 
 // build joins the parts.
-func build(cfg Config, opened listeners) (*entry, error) {
-	s := cfg.Settings
+func (e *entry) build(peers net.Listener) error {
+	s := e.cfg.Settings
 	now := time.Now()
-	e := &entry{cfg: cfg, meter: meter.New(), listeners: opened}
-	traces, err := tracer.New(tracer.Config{
-		Entry:     s.Name,
-		Zone:      s.Zone,
-		Kept:      int(s.Traces.Kept),
-		OTLPURL:   s.Traces.OTLPURL,
-		QueueSize: int(s.Traces.QueueSize),
-	})
+	traces, err := tracer.New(e.traceConfig())
 	if err != nil {
-		return nil, oops.In("assembler").Wrap(err)
+		return oops.In("assembler").Wrap(err)
 	}
 	e.tracer = traces
 	vms, err := platformserver.NewClient(s.VMsURL)
 	if err != nil {
-		return nil, oops.In("assembler").Wrap(err)
+		return oops.In("assembler").Wrap(err)
 	}
 	logs, err := appender.New(appender.Config{URL: s.LogURL, AppendTimeout: appendTimeout, PollWait: pollWait})
 	if err != nil {
-		return nil, oops.In("assembler").Wrap(err)
+		return oops.In("assembler").Wrap(err)
 	}
 	incarnation := uint64(now.UnixMicro())
 	core := reducer.New(coreConfig(s, incarnation), now)
 	e.messenger = messenger.New(messenger.Config{
-		Listen:   opened.peer,
+		Listen:   peers,
 		Name:     s.Name,
 		Key:      s.Key(),
 		Handler:  func(from string, m carrier.Message) { e.performer.TakePeer(from, m) },
-		Log:      cfg.Log,
+		Log:      e.cfg.Log,
 		Registry: e.meter.Registry(),
 	})
 	e.performer = performer.New(performer.Config{
@@ -114,11 +108,24 @@
 		Endpoints:       &http.Client{Transport: performer.EndpointTransport()},
 		Meter:           e.meter,
 		Tracer:          traces,
-		Log:             cfg.Log,
+		Log:             e.cfg.Log,
 		VMListEvery:     s.VMListMillis.Duration(),
 		LoadReportEvery: s.LoadReportMillis.Duration(),
 	}, core)
-	return e, nil
+	return nil
+}
+
+func (e *entry) traceConfig() tracer.Config {
+	s := e.cfg.Settings
+	return tracer.Config{
+		Entry:     s.Name,
+		Zone:      s.Zone,
+		Kept:      int(s.Traces.Kept),
+		OTLPURL:   s.Traces.OTLPURL,
+		QueueSize: int(s.Traces.QueueSize),
+		Dropped:   func(spans int) { e.meter.Counter(meter.SpansDropped).Inc(int64(spans)) },
+		Exported:  func(spans int) { e.meter.Counter(meter.SpansExported).Inc(int64(spans)) },
+	}
 }
 
 func coreConfig(s loader.Settings, incarnation uint64) reducer.Config {
@@ -144,31 +151,21 @@
 }
 
 // run serves until the core is done, then ends the sockets.
-func (e *entry) run(ctx context.Context) error {
-	callers, err := receiver.NewCallers(receiver.CallersConfig{Core: e.performer, Tracer: e.tracer})
-	if err != nil {
-		return oops.In("assembler").Wrap(err)
-	}
-	operators, err := receiver.NewOperators(receiver.OperatorsConfig{Core: e.performer, Tracer: e.tracer, Hashes: operatorHashes(e.cfg.Settings)})
-	if err != nil {
-		return oops.In("assembler").Wrap(err)
-	}
-	callerServer := e.server(callers)
-	operatorServer := e.server(e.operatorPages(operators))
+func (e *entry) run(ctx context.Context, opened sockets) error {
 	served, stopServing := context.WithCancel(ctx)
 	defer stopServing()
 	group, groupCtx := errgroup.WithContext(served)
-	group.Go(func() error { return serve(callerServer, e.listeners.caller) })
-	group.Go(func() error { return serve(operatorServer, e.listeners.operator) })
+	group.Go(opened.callers.Serve)
+	group.Go(opened.operators.Serve)
 	group.Go(func() error { return ignoreEnd(e.messenger.Serve(groupCtx)) })
 	go e.watchSignals(groupCtx)
 	group.Go(func() error {
 		defer stopServing()
 		err := e.performer.Run(groupCtx)
-		e.shutDown(callerServer, operatorServer)
+		e.shutDown(opened)
 		return ignoreEnd(err)
 	})
-	e.cfg.Log.Info("entry", zap.String("subject", e.cfg.Settings.Name), zap.String("to", "serving"), zap.String("callers", e.cfg.Settings.CallerAddress))
+	e.cfg.Log.Info("entry", zap.String("subject", e.cfg.Settings.Name), zap.String("to", "serving"), zap.String("callers", opened.callers.Address()))
 	return group.Wait()
 }
 
@@ -189,22 +186,19 @@
 }
 
 // shutDown lets the last replies reach their callers.
-func (e *entry) shutDown(servers ...*http.Server) {
+func (e *entry) shutDown(opened sockets) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	for _, server := range servers {
-		_ = server.Shutdown(ctx)
-	}
-	_ = e.messenger.Flush(ctx)
-	_ = e.messenger.Close()
-	_ = e.tracer.Close(ctx)
-}
-
-func serve(server *http.Server, l net.Listener) error {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return oops.In("assembler").Wrap(err)
+	err := errors.Join(
+		opened.callers.Shutdown(ctx),
+		opened.operators.Shutdown(ctx),
+		e.messenger.Flush(ctx),
+		e.messenger.Close(),
+		e.tracer.Close(ctx),
+	)
+	if err != nil {
+		e.cfg.Log.Warn("entry", zap.String("subject", e.cfg.Settings.Name), zap.String("to", "stopped"), zap.Error(err))
 	}
-	return nil
 }
 
 func ignoreEnd(err error) error {
@@ -213,11 +207,3 @@
 	}
 	return err
 }
-
-func operatorHashes(s loader.Settings) map[string]string {
-	hashes := map[string]string{}
-	for _, operator := range s.Operators {
-		hashes[operator.Name] = operator.CredentialSHA256
-	}
-	return hashes
-}
--- a/assembler/sockets.go
+++ b/assembler/sockets.go
@@ -1,86 +1,127 @@
 package assembler
 
 import (
-	"fmt"
+	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/samber/oops"
+
+	"geraniumline/guarder"
 	"geraniumline/loader"
+	"geraniumline/operatorserver"
+	"geraniumline/presenter"
+	"geraniumline/receiver"
+	"geraniumline/verifier"
 )
 
+// The labels of the sockets in metrics.
 const (
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 16 << 10
+	socketCaller   = "caller"
+	socketOperator = "operator"
+	socketPeer     = "peer"
 )
 
-// ListenError tells which setting's address could not be listened on.
-type ListenError struct {
-	Field   string
-	Address string
-	Err     error
+// sockets are an entry's listening sockets.
+type sockets struct {
+	callers   *guarder.Server
+	operators *guarder.Server
 }
 
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("%s: can't listen on %s: %v", e.Field, e.Address, e.Err)
+// openPeers opens the peers' socket. The messenger bounds what its connections may do.
+func (e *entry) openPeers() (net.Listener, error) {
+	s := e.cfg.Settings
+	return guarder.Listen(guarder.ListenConfig{
+		Field:          "peerAddress",
+		Socket:         socketPeer,
+		Address:        s.PeerAddress,
+		MaxConnections: int(s.MaxConnections),
+		Meter:          e.meter,
+	})
 }
 
-// Unwrap gives the cause.
-func (e *ListenError) Unwrap() error { return e.Err }
-
-// listeners are an entry's sockets.
-type listeners struct {
-	caller, operator, peer net.Listener
-}
-
-// listen opens all sockets, or none.
-func listen(s loader.Settings) (listeners, error) {
-	var l listeners
-	sockets := []struct {
-		field, address string
-		to             *net.Listener
-	}{
-		{"callerAddress", s.CallerAddress, &l.caller},
-		{"operatorAddress", s.OperatorAddress, &l.operator},
-		{"peerAddress", s.PeerAddress, &l.peer},
+// openSockets opens the callers' and the operators' sockets, or neither.
+func (e *entry) openSockets() (sockets, error) {
+	callers, operators, err := e.handlers()
+	if err != nil {
+		return sockets{}, oops.In("assembler").Wrap(err)
 	}
-	for _, socket := range sockets {
-		opened, err := net.Listen("tcp", socket.address)
-		if err != nil {
-			l.close()
-			return listeners{}, &ListenError{Field: socket.field, Address: socket.address, Err: err}
-		}
-		*socket.to = opened
+	s := e.cfg.Settings
+	wrong := verifier.New(verifier.Config{})
+	var opened sockets
+	opened.callers, err = guarder.Open(e.socket("callerAddress", socketCaller, s.CallerAddress, s.TLS.Caller, wrong, callers))
+	if err != nil {
+		return sockets{}, err
+	}
+	opened.operators, err = guarder.Open(e.socket("operatorAddress", socketOperator, s.OperatorAddress, s.TLS.Operator, wrong, operators))
+	if err != nil {
+		return sockets{}, errors.Join(err, opened.callers.Close())
 	}
-	return l, nil
+	return opened, nil
 }
 
-func (l listeners) close() {
-	for _, socket := range []net.Listener{l.caller, l.operator, l.peer} {
-		if socket != nil {
-			_ = socket.Close()
-		}
+func (e *entry) socket(field, label, address string, certificate loader.Certificate, wrong *verifier.Verifier, handler http.Handler) guarder.Config {
+	return guarder.Config{
+		ListenConfig: guarder.ListenConfig{
+			Field:          field,
+			Socket:         label,
+			Address:        address,
+			MaxConnections: int(e.cfg.Settings.MaxConnections),
+			Meter:          e.meter,
+		},
+		Certificate:  guarder.CertificateConfig{CertFile: certificate.CertFile, KeyFile: certificate.KeyFile},
+		Handler:      handler,
+		MaxBodyBytes: e.cfg.Settings.MaxBodyBytes,
+		Verifier:     wrong,
+		Log:          e.cfg.Log,
 	}
 }
 
-// server bounds what one connection may cost.
-func (e *entry) server(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           http.MaxBytesHandler(handler, e.cfg.Settings.MaxBodyBytes),
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+// handlers makes what the sockets serve.
+func (e *entry) handlers() (callers, operators http.Handler, err error) {
+	callers, err = receiver.NewCallers(receiver.CallersConfig{Core: e.performer, Tracer: e.tracer, Meter: e.meter})
+	if err != nil {
+		return nil, nil, err
+	}
+	served := receiver.NewOperators(receiver.OperatorsConfig{
+		Core:   e.performer,
+		Tracer: e.tracer,
+		Hashes: operatorHashes(e.cfg.Settings),
+	})
+	api, err := served.Handler()
+	if err != nil {
+		return nil, nil, err
 	}
+	return callers, e.operatorPages(served, api), nil
 }
 
-// operatorPages adds the metrics to the operators' interface.
-func (e *entry) operatorPages(operators http.Handler) http.Handler {
+// operatorPages adds the status page and the metrics to the operators' interface. All need an operator's
+// credential: metrics name client accounts.
+func (e *entry) operatorPages(operators *receiver.Operators, api http.Handler) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/v1/metrics", e.meter.JSONHandler())
-	mux.Handle("/metrics", e.meter.PrometheusHandler())
-	mux.Handle("/", operators)
+	mux.Handle("GET /{$}", operators.Authenticated(presenter.Handler(statusOf(operators), time.Now)))
+	mux.Handle("GET /v1/metrics", operators.Authenticated(e.meter.JSONHandler()))
+	mux.Handle("GET /metrics", operators.Authenticated(e.meter.PrometheusHandler()))
+	mux.Handle("/", api)
 	return mux
 }
+
+func statusOf(operators *receiver.Operators) func(context.Context) (operatorserver.Status, error) {
+	return func(ctx context.Context) (operatorserver.Status, error) {
+		status, err := operators.GetStatus(ctx)
+		if err != nil {
+			return operatorserver.Status{}, err
+		}
+		return *status, nil
+	}
+}
+
+func operatorHashes(s loader.Settings) map[string]string {
+	hashes := map[string]string{}
+	for _, operator := range s.Operators {
+		hashes[operator.Name] = operator.CredentialSHA256
+	}
+	return hashes
+}
--- a/performer/loop.go
+++ b/performer/loop.go
@@ -7,8 +7,10 @@
 	"context"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"geraniumline/meter"
 	"geraniumline/reducer"
 )
 
@@ -29,6 +31,12 @@
 	log     *zap.Logger
 	exited  chan struct{}
 	ids     idSource
+
+	// published are the counts that the registry has already, publishedAt when it got them.
+	published    reducer.Counters
+	publishedAt  time.Time
+	reduced      metrics.Counter
+	reduceMicros metrics.Histogram
 	// ctx ends the work that effects started.
 	ctx context.Context
 }
@@ -42,6 +50,9 @@
 		replies: newReplies(),
 		log:     cfg.Log,
 		exited:  make(chan struct{}),
+
+		reduced:      cfg.Meter.Counter(meter.EventsReduced),
+		reduceMicros: cfg.Meter.Histogram(meter.ReduceMicros),
 	}
 	p.stages = newStages(cfg, p.Post, p.replies)
 	return p
@@ -75,7 +86,10 @@
 		case <-ticker.C:
 			event = reducer.Ticked{}
 		}
-		for _, effect := range p.core.Reduce(event, time.Now()) {
+		now := time.Now()
+		effects := p.core.Reduce(event, now)
+		p.measure(event, now)
+		for _, effect := range effects {
 			if _, exit := effect.(reducer.Exit); exit {
 				return nil
 			}
@@ -84,6 +98,15 @@
 	}
 }
 
+// measure notes the time of one event's reduction, and publishes counts now and then.
+func (p *Performer) measure(event reducer.Event, start time.Time) {
+	p.reduced.Inc(1)
+	if _, tick := event.(reducer.Ticked); tick {
+		p.reduceMicros.Update(time.Since(start).Microseconds())
+		p.publish(start)
+	}
+}
+
 // perform starts one effect. It never waits.
 func (p *Performer) perform(effect reducer.Effect) {
 	switch e := effect.(type) {
--- a/performer/readers.go
+++ b/performer/readers.go
@@ -12,6 +12,7 @@
 	"geraniumline/carrier"
 	"geraniumline/claimer"
 	"geraniumline/endpointserver"
+	"geraniumline/meter"
 	"geraniumline/platformserver"
 	"geraniumline/reducer"
 	"geraniumline/router"
@@ -39,10 +40,12 @@
 // follow tails one stream of the log.
 func (p *Performer) follow(ctx context.Context, stream reducer.Stream) {
 	sink := func(page appender.Page) {
+		p.cfg.Meter.Counter(meter.LogReads, string(stream)).Inc(1)
 		p.Post(logReadOf(stream, page))
 	}
 	status := func(err error) {
 		if err != nil {
+			p.cfg.Meter.Counter(meter.LogReadErrors, string(stream)).Inc(1)
 			p.Post(reducer.LogFailed{Stream: stream, Reason: err.Error()})
 		}
 	}
@@ -61,7 +64,13 @@
 
 // append carries out an append and tells the core how it ended.
 func (p *Performer) append(e reducer.Append) {
+	start := time.Now()
 	_, err := p.cfg.Appender.Append(p.ctx, string(e.Stream), e.Data)
+	p.cfg.Meter.Counter(meter.LogAppends, string(e.Stream)).Inc(1)
+	p.cfg.Meter.Histogram(meter.LogAppendMicros, string(e.Stream)).Update(time.Since(start).Microseconds())
+	if err != nil {
+		p.cfg.Meter.Counter(meter.LogAppendErrors, string(e.Stream)).Inc(1)
+	}
 	p.Post(reducer.Appended{Stream: e.Stream, BatchID: e.BatchID, Result: appendResult(err)})
 }
 
--- a/performer/stages.go
+++ b/performer/stages.go
@@ -18,6 +18,7 @@
 	"github.com/go-faster/jx"
 
 	"geraniumline/endpointserver"
+	"geraniumline/meter"
 	"geraniumline/reducer"
 	"geraniumline/tracer"
 )
@@ -43,6 +44,7 @@
 	client  *http.Client
 	post    func(reducer.Event)
 	replies *replies
+	meter   *meter.Meter
 	ctx     context.Context
 
 	mu      sync.Mutex
@@ -54,6 +56,7 @@
 		client:  cfg.Endpoints,
 		post:    post,
 		replies: replies,
+		meter:   cfg.Meter,
 		running: map[reducer.CallID]context.CancelFunc{},
 	}
 }
@@ -84,8 +87,11 @@
 	span.Set("endpoint", e.Address)
 	span.Set("attempt", strconv.Itoa(e.Body.Attempt))
 	go func() {
+		start := time.Now()
 		body := encodeCall(e.Body)
 		s.run(ctx, e.Call, span, http.MethodPost, "http://"+e.Address+"/v1/stages", body)
+		s.meter.Counter(meter.StageCalls, e.Body.Stage).Inc(1)
+		s.meter.Histogram(meter.StageMicros, e.Body.Stage).Update(time.Since(start).Microseconds())
 	}()
 }
 
--- a/receiver/callers.go
+++ b/receiver/callers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"geraniumline/callerserver"
+	"geraniumline/meter"
 	"geraniumline/reducer"
 	"geraniumline/tracer"
 	"geraniumline/verifier"
@@ -17,17 +18,19 @@
 type Callers struct {
 	core   Core
 	tracer *tracer.Tracer
+	meter  *meter.Meter
 }
 
 // CallersConfig holds what the callers' interface needs.
 type CallersConfig struct {
 	Core   Core
 	Tracer *tracer.Tracer
+	Meter  *meter.Meter
 }
 
 // NewCallers makes the handler of the callers' interface.
 func NewCallers(cfg CallersConfig) (http.Handler, error) {
-	callers := &Callers{core: cfg.Core, tracer: cfg.Tracer}
+	callers := &Callers{core: cfg.Core, tracer: cfg.Tracer, meter: cfg.Meter}
 	return callerserver.NewServer(callers, callers, security{}, callerserver.WithErrorHandler(writeFailure))
 }
 
@@ -136,6 +139,7 @@
 		Deadline:    time.Duration(req.DeadlineMillis) * time.Millisecond,
 		Stream:      req.Stream.Value,
 	})
+	counts := newCounts(c.meter, credentials.Account, now())
 	out := newWriter(w, req.Stream.Value, span.TraceID())
 	for {
 		select {
@@ -145,6 +149,7 @@
 		case <-reply.Signal():
 		}
 		for _, effect := range reply.Take() {
+			counts.count(effect, now())
 			if done, err := out.write(effect); done || err != nil {
 				return err
 			}
--- /dev/null
+++ b/receiver/counts.go
@@ -0,0 +1,58 @@
+package receiver
+
+import (
+	"time"
+
+	"geraniumline/meter"
+	"geraniumline/reducer"
+)
+
+// counts counts one request's way through this entry.
+type counts struct {
+	meter   *meter.Meter
+	account string
+	arrived time.Time
+	parts   int
+}
+
+// newCounts begins a request's counts. The account is only a label once the core has known it, since a
+// caller may send any name.
+func newCounts(m *meter.Meter, account string, now time.Time) *counts {
+	return &counts{meter: m, account: account, arrived: now}
+}
+
+// count takes one answer to the request.
+func (c *counts) count(effect reducer.Effect, now time.Time) {
+	switch e := effect.(type) {
+	case reducer.SendPart:
+		c.part(now)
+	case reducer.SendAnswer:
+		c.end(meter.RequestsAnswered, now)
+	case reducer.SendFailure:
+		c.fail(e.Failure, now)
+	}
+}
+
+func (c *counts) part(now time.Time) {
+	c.parts++
+	if c.parts == 1 {
+		c.meter.Histogram(meter.FirstPartMicros).Update(now.Sub(c.arrived).Microseconds())
+	}
+}
+
+func (c *counts) fail(failure reducer.Failure, now time.Time) {
+	if failure.Code == reducer.CodeUnknownAccount || failure.Code == reducer.CodeWrongCredential {
+		return
+	}
+	if failure.State == reducer.StateUnknown {
+		c.end(meter.RequestsUnknown, now)
+		return
+	}
+	c.end(meter.RequestsNotRun, now)
+}
+
+func (c *counts) end(name meter.Name, now time.Time) {
+	c.meter.Counter(meter.RequestsReceived, c.account).Inc(1)
+	c.meter.Counter(name, c.account).Inc(1)
+	c.meter.Histogram(meter.RequestMicros).Update(now.Sub(c.arrived).Microseconds())
+}
--- a/receiver/failure.go
+++ b/receiver/failure.go
@@ -100,7 +100,8 @@
 		return http.StatusRequestEntityTooLarge, codeBodyTooLarge
 	}
 	var security *ogenerrors.SecurityError
-	if errors.As(err, &security) {
+	var wrong *WrongCredentialError
+	if errors.As(err, &security) || errors.As(err, &wrong) {
 		return http.StatusUnauthorized, codeNoCredential
 	}
 	if status := ogenerrors.ErrorCode(err); status != http.StatusInternalServerError {
--- a/receiver/operators.go
+++ b/receiver/operators.go
@@ -29,10 +29,27 @@
 	Hashes map[string]string
 }
 
-// NewOperators makes the handler of the operators' interface.
-func NewOperators(cfg OperatorsConfig) (http.Handler, error) {
-	operators := &Operators{core: cfg.Core, tracer: cfg.Tracer, hashes: cfg.Hashes}
-	return operatorserver.NewServer(operators, operators, operatorserver.WithErrorHandler(writeRefusal))
+// NewOperators makes the operators' interface.
+func NewOperators(cfg OperatorsConfig) *Operators {
+	return &Operators{core: cfg.Core, tracer: cfg.Tracer, hashes: cfg.Hashes}
+}
+
+// Handler serves the interface.
+func (o *Operators) Handler() (http.Handler, error) {
+	return operatorserver.NewServer(o, o, operatorserver.WithErrorHandler(writeRefusal))
+}
+
+// Authenticated lets only known operators pass to a handler of pages that the schema does not have.
+func (o *Operators) Authenticated(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name, credential, _ := r.BasicAuth()
+		if hash, known := o.hashes[name]; !known || !verifier.Matches(credential, hash) {
+			w.Header().Set("WWW-Authenticate", `Basic realm="geraniumline"`)
+			writeRefusal(r.Context(), w, r, &WrongCredentialError{Operator: name})
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
 }
 
 // WrongCredentialError tells that an operator did not prove its name.
--- a/reducer/counters.go
+++ b/reducer/counters.go
@@ -1,5 +1,23 @@
 package reducer
 
+// Gauges are this core's present sizes.
+type Gauges struct {
+	InFlight     int
+	ConfigOffset int64
+	ClaimsOffset int64
+	PeersLive    int
+}
+
+// Gauges gives this core's present sizes.
+func (c *Core) Gauges() Gauges {
+	return Gauges{
+		InFlight:     len(c.requests),
+		ConfigOffset: c.fold.Offset(),
+		ClaimsOffset: c.table.Offset(),
+		PeersLive:    c.liveEntries - 1,
+	}
+}
+
 // Counters are this core's counts since its start. The performer copies them into the metrics registry.
 type Counters struct {
 	RequestsTaken     uint64
