Measure limits over 7 entries against an even split, local limits and one bucket

Cause: the limiter's choices need figures, and regressions have to be seen. Shares of silent peers are set aside by their recent mean; demand is judged by the tightest limit; the last free slot goes to the entry that leads.

--- a/limiter/account.go
+++ b/limiter/account.go
@@ -134,12 +134,26 @@
 	if float64(a.inFlight+1) <= math.Floor(a.portion.share*limit) {
 		return fromPart
 	}
+	if free < 2 && !a.leads() {
+		return fromNothing
+	}
 	if a.borrowedSlots > 0 && float64(a.borrowedSlots+1) > free/a.portion.entries {
 		return fromNothing
 	}
 	return fromSystem
 }
 
+// leads tells that no peer that is heard has a greater part of the limits. The last free
+// slot goes to the entry that leads: two that took it at once would be over the limit.
+func (a *account) leads() bool {
+	for i := range a.peerUses {
+		if a.peerUses[i].counted && a.peerUses[i].share > a.portion.share {
+			return false
+		}
+	}
+	return true
+}
+
 func (a *account) release(extraCost float64) {
 	if a.inFlight > 0 {
 		a.inFlight--
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -44,7 +44,7 @@
 const (
 	DefaultFloorShare  = 0.05
 	DefaultPeerSilence = 500 * time.Millisecond
-	DefaultPeerDecay   = 4 * time.Second
+	DefaultPeerDecay   = 5 * time.Second
 	DefaultHeartbeat   = 200 * time.Millisecond
 	DefaultUseLifetime = 3 * time.Second
 	DefaultUseRefresh  = time.Second
--- a/limiter/peers.go
+++ b/limiter/peers.go
@@ -22,8 +22,9 @@
 	rate     float64
 	costRate float64
 	inFlight int
-	// share is the peer's part of the limits when it was last heard.
-	share float64
+	// share is the peer's part of the limits, and usual the mean of its recent ones, which is
+	// set aside for it when it falls silent.
+	share, usual float64
 	// counted tells that rate and costRate are in the buckets' predictions.
 	counted bool
 }
--- a/limiter/share.go
+++ b/limiter/share.go
@@ -63,7 +63,7 @@
 	split := splitter{limit: a.tightest(total) * part, demand: total.demand, entries: heard, floor: l.cfg.FloorShare}
 	for i := range a.peerUses {
 		if a.peerUses[i].counted {
-			a.peerUses[i].share = part * split.share(a.peerUses[i].demand)
+			a.peerUses[i].setShare(part * split.share(a.peerUses[i].demand))
 		}
 	}
 	if heard == n {
@@ -73,6 +73,21 @@
 	return portion{share: part * split.share(own), heard: part, entries: heard}
 }
 
+// shareWeight is the weight of a peer's newest share in the one that is set aside for it.
+const shareWeight = 0.05
+
+// setShare keeps a mean of the peer's shares too. Each entry computes them from its own moment's
+// reports, so single ones differ from entry to entry, and what all set aside for each
+// other in a partition would not add up.
+func (u *peerUse) setShare(share float64) {
+	u.share = share
+	if u.usual == 0 {
+		u.usual = share
+		return
+	}
+	u.usual += shareWeight * (share - u.usual)
+}
+
 // total sums up this entry's use of an account and that of the peers that are heard.
 type total struct {
 	demand, rate, costRate, inFlight float64
@@ -131,7 +146,7 @@
 	}
 	for i := range a.peerUses {
 		if a.peerUses[i].peer == p {
-			last = a.peerUses[i].share
+			last = a.peerUses[i].usual
 		}
 	}
 	silence := now.Sub(p.heardAt) - l.cfg.PeerSilence
--- a/measurer/limits_test.go
+++ b/measurer/limits_test.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	entryCount      = 7
-	heartbeat       = 200 * time.Millisecond
-	heartbeatDelay  = 2 * time.Millisecond
-	limitedAccount  = "wallcare"
-	limiterTestSeed = 5
+	entryCount     = 7
+	heartbeat      = 200 * time.Millisecond
+	heartbeatDelay = 2 * time.Millisecond
+	limitedAccount = "wallcare"
+	slotService    = 500 * time.Millisecond
 )
 
 // gate is one entry's decision on limits, ours or a baseline's.
@@ -32,7 +32,7 @@
 	side []int
 	dead []bool
 	// demand gives the offered requests a second of an entry.
-	demand  func(entry int, elapsed time.Duration) float64
+	demand  demandFunc
 	service time.Duration
 	cost    float64
 
@@ -41,12 +41,12 @@
 
 	admitted, offered []time.Duration
 	// work is the cost of each admitted request, by index in admitted.
-	work              []float64
-	inFlight          int
-	maxInFlight       int
-	slotTime          float64
-	excessTime        float64
-	slotSince         time.Time
+	work       []float64
+	inFlight   int
+	slotTime   float64
+	excessTime float64
+	slotSince  time.Time
+	slotsFrom  time.Time
 }
 
 type gateKind int
@@ -58,10 +58,10 @@
 	central
 )
 
-func newLimitTrial(kind gateKind, limits limiter.Limits, demand func(int, time.Duration) float64) *limitTrial {
+func newLimitTrial(kind gateKind, limits limiter.Limits, demand demandFunc, seed uint64) *limitTrial {
 	tr := &limitTrial{
 		clock:   newClock(),
-		rng:     rand.New(rand.NewPCG(limiterTestSeed, 1)),
+		rng:     rand.New(rand.NewPCG(seed, 1)),
 		limits:  limits,
 		side:    make([]int, entryCount),
 		dead:    make([]bool, entryCount),
@@ -69,6 +69,9 @@
 		service: 100 * time.Millisecond,
 		cost:    100,
 	}
+	if limits.Concurrency > 0 {
+		tr.service = slotService
+	}
 	tr.slotSince = tr.clock.now
 	for i := range entryCount {
 		tr.gates = append(tr.gates, tr.newGate(kind, i))
@@ -165,7 +168,26 @@
 	tr.excessTime += float64(max(0, tr.inFlight-tr.limits.Concurrency)) * elapsed
 	tr.slotSince = tr.clock.now
 	tr.inFlight += change
-	tr.maxInFlight = max(tr.maxInFlight, tr.inFlight)
+}
+
+// resetSlots begins the count of slots in use anew.
+func (tr *limitTrial) resetSlots() {
+	tr.slotTime, tr.excessTime = 0, 0
+	tr.slotSince, tr.slotsFrom = tr.clock.now, tr.clock.now
+}
+
+// slotsOver is the mean number of requests in flight beyond the limit, as a part of it.
+func (tr *limitTrial) slotsOver() float64 {
+	return tr.excessTime / tr.slotAllowance()
+}
+
+// slotsUsable is the mean number in flight within the limit, as a part of it.
+func (tr *limitTrial) slotsUsable() float64 {
+	return (tr.slotTime - tr.excessTime) / tr.slotAllowance()
+}
+
+func (tr *limitTrial) slotAllowance() float64 {
+	return float64(tr.limits.Concurrency) * tr.clock.now.Sub(tr.slotsFrom).Seconds()
 }
 
 // die ends an entry; its peers learn of it only after tr.deathNotice.
@@ -204,7 +226,7 @@
 	return within(tr.admitted, from, to) / min(allowed, within(tr.offered, from, to))
 }
 
-// workOver is over for the limit on cost.
+// workRate is the work that was admitted in the window, as a part of the limit on cost.
 func (tr *limitTrial) workRate(from, to time.Duration) float64 {
 	total := 0.0
 	for i, t := range tr.admitted {
