Prove the claims by a model of entries and one log, event by event

Cause: at most once rests on the log's order, and its failures lie in the order of events. A rapid state machine drives three entries (table, batcher and the owner's duties) and one log with holes, lost replies, late and doubled appends, kills, freezes, false deaths, releases, waits and retention above and below the horizon; scenarios state each rule by itself. Removed on the way: the memory of lost and released claims. The model passes without it, since an owner releases a late copy of a claim that it has answered for, so it only cost memory.

--- a/claimer/decision.go
+++ b/claimer/decision.go
@@ -6,7 +6,8 @@
 }
 
 // Won tells that the own claim is the first valid one for its key: this incarnation, and no other ever, may
-// dispatch. Offset is the claim's, and serves as fencing number.
+// dispatch. Offset is the claim's, and serves as fencing number. An owner that has already given its caller an
+// answer must release instead; so must one that no longer knows the claim, which may be a late second copy.
 type Won struct {
 	Key     Key
 	ClaimID uint64
@@ -35,8 +36,6 @@
 	VoidFromFuture
 	// VoidBadKey is for a claim whose key is not a UUIDv7.
 	VoidBadKey
-	// VoidSpent is for a claim that had lost or been released before this copy of it landed.
-	VoidSpent
 )
 
 // Voided tells that the own claim holds nothing, for anyone: the request did not run under it.
--- a/claimer/holding.go
+++ b/claimer/holding.go
@@ -68,18 +68,12 @@
 	claimID uint64
 }
 
-// maxSpent bounds the claims remembered for one key as lost or released.
-const maxSpent = 64
-
 // holding is what is kept of one key. Its expiry is by the key's birth, so no time is kept.
 type holding struct {
 	claim  claimIdentity
 	offset int64
 	digest [32]byte
 	held   bool
-	// spent are the claims that lost or were released. A second copy of such a claim may land after the key
-	// came free; were it taken for a claim, the key would be held by one that nobody will ever dispatch.
-	spent []claimIdentity
 	// ending is nil until the outcome is recorded.
 	ending *Ending
 }
@@ -93,27 +87,6 @@
 
 func (h *holding) ended() bool { return h.ending != nil }
 
-func (h *holding) isSpent(claim claimIdentity) bool {
-	for _, s := range h.spent {
-		if s == claim {
-			return true
-		}
-	}
-	// Past the bound nothing new may hold the key: it might be a copy of one that is no longer remembered.
-	return len(h.spent) >= maxSpent && claim != h.claim
-}
-
-func (h *holding) spend(claim claimIdentity) {
-	if len(h.spent) < maxSpent {
-		h.spent = append(h.spent, claim)
-	}
-}
-
-func (h *holding) release() {
-	h.spend(h.claim)
-	h.held = false
-}
-
 func (h *holding) end(offset int64, r Outcome) {
 	h.ending = &Ending{
 		State:   r.State,
--- /dev/null
+++ b/claimer/property_test.go
@@ -0,0 +1,190 @@
+package claimer
+
+import (
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// The runs of CI: the same seed gives the same verdict. Override on the command line to search further.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.nofailfile": "true", "rapid.seed": "20", "rapid.checks": "1500", "rapid.steps": "400"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// Callers send one key to several entries, again and again, while appends are lost, doubled, delayed by minutes or
+// land without a reply, entries are killed, frozen and declared dead though they live, and old records are cut.
+// The endpoints' ledger must never show a key twice, nor an attempt whose caller was told that it did not run.
+func TestAtMostOnceUnderAnyOrderOfEvents(t *testing.T) {
+	totals := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		retention := rapid.SampledFrom([]time.Duration{13 * time.Minute, 3 * time.Minute}).Draw(t, "retention")
+		w := newWorld(retention, "a", "b", "c")
+		w.newKey(0)
+		t.Repeat(actions(w, totals))
+		for name, n := range w.faults {
+			totals[name] += n
+		}
+		for _, runs := range w.ledger {
+			totals["runs"] += len(runs)
+		}
+	})
+	t.Logf("steps and faults tried: %v", totals)
+	for _, name := range []string{"runs", "kill", "freeze", "replyLost", "late", "copied", "closeLive", "gap", "lapsed", "gaveUpInFlight"} {
+		require.NotZero(t, totals[name], "the run must have tried %s", name)
+	}
+}
+
+func actions(w *world, totals map[string]int) map[string]func(*rapid.T) {
+	step := func(f func(t *rapid.T, p *process)) func(*rapid.T) {
+		return func(t *rapid.T) {
+			totals["steps"]++
+			p := w.entries[rapid.SampledFrom(w.names).Draw(t, "entry")]
+			if p.frozen > 0 {
+				p.frozen--
+				return
+			}
+			f(t, p)
+			w.emitAll()
+		}
+	}
+	send := step(func(t *rapid.T, p *process) {
+		w.send(p, w.drawKey(t), [32]byte{byte(rapid.IntRange(1, 2).Draw(t, "body"))})
+	})
+	read := step(func(t *rapid.T, p *process) { w.read(p, rapid.IntRange(1, 40).Draw(t, "limit")) })
+	land := step(func(t *rapid.T, _ *process) { w.landOne(t, true) })
+	return map[string]func(*rapid.T){
+		"send": send, "sendAgain": send, "read": read, "readMore": read, "readOn": read, "land": land, "landMore": land,
+		"landWithoutReply": step(func(t *rapid.T, _ *process) { w.landOne(t, false) }),
+		"finish":           step(func(_ *rapid.T, p *process) { w.finish(p) }),
+		"giveUp":           step(func(t *rapid.T, p *process) { w.giveUpOne(t, p) }),
+		"newKey": step(func(t *rapid.T, _ *process) {
+			w.newKey(time.Duration(rapid.IntRange(-40, 40).Draw(t, "skew")) * time.Second)
+		}),
+		"lose":   step(func(t *rapid.T, _ *process) { w.loseOne(t) }),
+		"freeze": step(func(t *rapid.T, p *process) { w.freezeOne(t, p) }),
+		"kill":   step(func(t *rapid.T, p *process) { w.killOne(t, p) }),
+		"close":  step(func(t *rapid.T, p *process) { w.closeOne(t, p) }),
+		"wait":   step(func(t *rapid.T, _ *process) { w.wait(t) }),
+		"": func(t *rapid.T) {
+			require.Empty(t, w.faulty)
+		},
+	}
+}
+
+// seldom is true once in n draws.
+func seldom(t *rapid.T, n int) bool { return rapid.IntRange(1, n).Draw(t, "seldom") == n }
+
+func (w *world) drawKey(t *rapid.T) Key {
+	// Mostly the newest keys: the others are past their horizon after a while.
+	back := min(len(w.keys), rapid.IntRange(1, 4).Draw(t, "back"))
+	return w.keys[len(w.keys)-back]
+}
+
+func (w *world) emitAll() {
+	for _, name := range w.names {
+		if p := w.entries[name]; p.frozen == 0 {
+			w.emit(p)
+		}
+	}
+}
+
+func (w *world) drawPending(t *rapid.T) (int, bool) {
+	if len(w.pending) == 0 {
+		return 0, false
+	}
+	return rapid.IntRange(0, len(w.pending)-1).Draw(t, "append"), true
+}
+
+func (w *world) landOne(t *rapid.T, reply bool) {
+	i, ok := w.drawPending(t)
+	if !ok {
+		return
+	}
+	copied := rapid.IntRange(0, 9).Draw(t, "copied") == 0
+	if copied {
+		w.faults["copied"]++
+	}
+	if w.pending[i].told {
+		w.faults["late"]++
+	}
+	w.land(i, reply, copied, int64(rapid.IntRange(0, 2).Draw(t, "hole")))
+}
+
+func (w *world) loseOne(t *rapid.T) {
+	i, ok := w.drawPending(t)
+	if !ok {
+		return
+	}
+	switch rapid.IntRange(0, 3).Draw(t, "how") {
+	case 0:
+		w.faults["lost"]++
+		w.drop(i, AppendUncertain{})
+	case 1:
+		if !w.pending[i].told {
+			w.faults["refused"]++
+			w.drop(i, AppendRefused{})
+		}
+	default:
+		w.delay(i)
+	}
+}
+
+func (w *world) giveUpOne(t *rapid.T, p *process) {
+	var ids []uint64
+	for id, a := range p.attempts {
+		if !a.dispatched && a.told == "" {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) > 0 {
+		slices.Sort(ids)
+		w.giveUp(p, rapid.SampledFrom(ids).Draw(t, "attempt"))
+	}
+}
+
+func (w *world) freezeOne(t *rapid.T, p *process) {
+	if seldom(t, 3) {
+		w.faults["freeze"]++
+		p.frozen = rapid.IntRange(1, 40).Draw(t, "steps")
+	}
+}
+
+func (w *world) killOne(t *rapid.T, p *process) {
+	if seldom(t, 4) {
+		w.faults["kill"]++
+		w.kill(p.name)
+	}
+}
+
+// closeOne lets p declare some incarnation dead: a former one, or one that in truth lives.
+func (w *world) closeOne(t *rapid.T, p *process) {
+	if !seldom(t, 6) {
+		return
+	}
+	other := w.entries[rapid.SampledFrom(w.names).Draw(t, "other")]
+	inc := rapid.Uint64Range(1, other.inc).Draw(t, "incarnation")
+	if inc == other.inc {
+		w.faults["closeLive"]++
+	}
+	p.batcher.Add(Closed{Entry: other.name, Incarnation: inc})
+}
+
+func (w *world) wait(t *rapid.T) {
+	waits := []time.Duration{50 * time.Millisecond, time.Second, 5 * time.Second, time.Minute, 5 * time.Minute, 14 * time.Minute}
+	long := len(waits) - 1
+	if !seldom(t, 12) {
+		long = 2
+	}
+	w.now = w.now.Add(waits[rapid.IntRange(0, long).Draw(t, "wait")])
+	w.log.cut(w.now)
+}
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -85,7 +85,6 @@
 		return false
 	}
 	t.lapsed = !fresh
-	t.sinceMillis = never
 	t.afterGap = true
 	t.next = first
 	return true
@@ -164,9 +163,6 @@
 		t.slots[s] = h
 		t.expiries.add(s, birth+t.cfg.Horizon.Milliseconds())
 	}
-	if h.isSpent(claim) {
-		return t.voided(own, c, VoidSpent)
-	}
 	if h.held {
 		return t.lost(h, claim, own, c)
 	}
@@ -208,7 +204,6 @@
 		// A second copy of the holder's own claim: its append was sent again after a lost reply.
 		return nil
 	}
-	h.spend(claim)
 	if !own {
 		return nil
 	}
@@ -227,7 +222,7 @@
 		t.ignored++
 		return nil
 	}
-	h.release()
+	h.held = false
 	return Freed{Key: r.Key}
 }
 
