--- a/loader/check.go
+++ b/loader/check.go
@@ -116,7 +116,7 @@
 			return
 		}
 	}
-	d.faultAt(path, "missing; every settings file must give it")
+	d.faultAt(path, "missing")
 }
 
 // parentOf returns the path of the object that holds the field.
--- a/loader/load.go
+++ b/loader/load.go
@@ -43,13 +43,9 @@
 }
 
 func parse(src []byte, readFile func(string) ([]byte, error)) (Settings, error) {
-	if len(src) > MaxFileBytes {
-		message := fmt.Sprintf("want at most %d bytes, got %d", MaxFileBytes, len(src))
-		return Settings{}, &FaultsError{Faults: []Fault{{Message: message}}}
-	}
-	tree, err := hujson.Parse(src)
+	tree, err := parseTree(src, MaxFileBytes)
 	if err != nil {
-		return Settings{}, &FaultsError{Faults: []Fault{syntaxFault(err)}}
+		return Settings{}, err
 	}
 	settings := Defaults()
 	d := decoder{src: src, positions: map[string]int{}}
@@ -65,6 +61,19 @@
 	return settings, nil
 }
 
+// parseTree fails with a *FaultsError for a text that is too long or no JSON with comments.
+func parseTree(src []byte, maxBytes int) (hujson.Value, error) {
+	if len(src) > maxBytes {
+		message := fmt.Sprintf("want at most %d bytes, got %d", maxBytes, len(src))
+		return hujson.Value{}, &FaultsError{Faults: []Fault{{Message: message}}}
+	}
+	tree, err := hujson.Parse(src)
+	if err != nil {
+		return hujson.Value{}, &FaultsError{Faults: []Fault{syntaxFault(err)}}
+	}
+	return tree, nil
+}
+
 // readKey takes the shared key from its file.
 func (d *decoder) readKey(s *Settings, readFile func(string) ([]byte, error)) {
 	text, err := readFile(s.SharedKeyFile)
--- /dev/null
+++ b/loader/objects.go
@@ -0,0 +1,158 @@
+package loader
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"reflect"
+
+	"github.com/tailscale/hujson"
+)
+
+// MaxObjectsBytes bounds a file of configuration objects.
+const MaxObjectsBytes = 4 << 20
+
+// Object is a configuration object from a file: a pool, a pipeline or a contract.
+type Object struct {
+	// Kind is pool, pipeline or contract. It is not checked here, nor is the body.
+	Kind string
+	Name string
+	// BaseVersion is the version that the change is based on, where the file gives it.
+	BaseVersion int64
+	HasVersion  bool
+	// Body is the object's body as JSON without comments.
+	Body json.RawMessage
+
+	path string
+	in   *decoder
+}
+
+// objectHead is what a file says about an object beside its body.
+type objectHead struct {
+	Kind        string `json:"kind" check:"label"`
+	Name        string `json:"name" check:"label"`
+	BaseVersion int64  `json:"baseVersion" min:"0" max:"9223372036854775807"`
+}
+
+// bodyField is the member that holds an object's body, which the package publisher checks.
+const bodyField = "body"
+
+// LoadObjects reads a file with one configuration object or a list of them, as JSON with comments.
+// It fails with a *FaultsError or an *UnreadableError.
+func LoadObjects(path string) ([]Object, error) {
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &UnreadableError{File: path, Err: err}
+	}
+	return ParseObjects(src)
+}
+
+// ParseObjects reads the text of a file as LoadObjects does.
+func ParseObjects(src []byte) ([]Object, error) {
+	tree, err := parseTree(src, MaxObjectsBytes)
+	if err != nil {
+		return nil, err
+	}
+	d := &decoder{src: src, positions: map[string]int{}}
+	var objects []Object
+	if array, ok := tree.Value.(*hujson.Array); ok {
+		for i, element := range array.Elements {
+			objects = append(objects, d.configObject(fmt.Sprintf("[%d]", i), element))
+		}
+	} else {
+		objects = append(objects, d.configObject("", tree))
+	}
+	if len(d.faults) > 0 {
+		sortFaults(d.faults)
+		return nil, &FaultsError{Faults: d.faults}
+	}
+	return objects, nil
+}
+
+// HoldsObjects tells whether the text looks like a file of configuration objects rather than settings.
+func HoldsObjects(src []byte) bool {
+	tree, err := hujson.Parse(src)
+	if err != nil {
+		return false
+	}
+	switch value := tree.Value.(type) {
+	case *hujson.Array:
+		return true
+	case *hujson.Object:
+		for _, m := range value.Members {
+			if m.Name.Value.(hujson.Literal).String() == "kind" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Fault places a fault of the object, whose path begins at its body, in the file.
+func (o Object) Fault(path, message string) Fault {
+	place := join(o.path, bodyField)
+	if path != "" {
+		place += "." + path
+	}
+	d := &decoder{src: o.in.src, positions: o.in.positions}
+	d.faultAt(place, "%s", message)
+	return d.faults[0]
+}
+
+func (d *decoder) configObject(path string, v hujson.Value) Object {
+	d.positions[path] = v.StartOffset
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.fault(path, v.StartOffset, "want an object in braces, got %s", kindOf(v))
+		return Object{}
+	}
+	var head objectHead
+	target := reflect.ValueOf(&head).Elem()
+	var body *hujson.Value
+	for _, m := range object.Members {
+		if m.Name.Value.(hujson.Literal).String() == bodyField && body == nil {
+			body = &m.Value
+			d.place(join(path, bodyField), m.Value)
+			continue
+		}
+		d.member(path, m, target, fieldsOf(target.Type()))
+	}
+	d.checkStruct(path, target)
+	if body == nil {
+		d.faultAt(join(path, bodyField), "missing")
+		return Object{}
+	}
+	_, hasVersion := d.positions[join(path, "baseVersion")]
+	return Object{
+		Kind: head.Kind, Name: head.Name,
+		BaseVersion: head.BaseVersion, HasVersion: hasVersion,
+		Body: standard(*body), path: path, in: d,
+	}
+}
+
+// place records where each value below v begins.
+func (d *decoder) place(path string, v hujson.Value) {
+	d.positions[path] = v.StartOffset
+	switch value := v.Value.(type) {
+	case *hujson.Object:
+		for _, m := range value.Members {
+			name := m.Name.Value.(hujson.Literal).String()
+			memberPath := path + "." + name
+			if _, twice := d.positions[memberPath]; twice {
+				d.fault(path+"."+printable(name), m.Name.StartOffset, "field given twice")
+			}
+			d.place(memberPath, m.Value)
+		}
+	case *hujson.Array:
+		for i, element := range value.Elements {
+			d.place(fmt.Sprintf("%s[%d]", path, i), element)
+		}
+	}
+}
+
+func standard(v hujson.Value) json.RawMessage {
+	v = v.Clone()
+	v.BeforeExtra, v.AfterExtra = nil, nil
+	v.Minimize()
+	return json.RawMessage(v.Pack())
+}
