Carry the operators' and callers' commands

Cause: operators and callers need the system's answers on a command line, with exit codes that a script can trust. A change that may have been sent is looked up by its operation id and never sent twice; a request that was cut off is asked after by its key, since a later try's notRun says nothing of the first. Command suggestions stay off: the library would run the suggested command, and a mistyped one must not become a stop.

--- a/guarder/guard.go
+++ b/guarder/guard.go
@@ -40,8 +40,7 @@
 	defer writer.limit()
 	if r.ContentLength > g.cfg.MaxBodyBytes {
 		g.tooLarge.Inc(1)
-		w.Header().Set("Connection", "close")
-		http.Error(writer, "the request's body is too large", http.StatusRequestEntityTooLarge)
+		refuse(w, http.StatusRequestEntityTooLarge, bodyTooLarge)
 		return
 	}
 	g.boundBody(writer, r)
@@ -93,8 +92,22 @@
 	replace bool // the handler's body is dropped: another answer was given in its place
 }
 
-// tooManyWrong is the whole answer to a throttled address.
-const tooManyWrong = `{"code":"tooManyWrongCredentials","message":"too many wrong credentials from this address","outcome":"notRun"}` + "\n"
+// The whole answers that the guard gives itself, in the form that callers and operators get from the
+// handlers behind it.
+const (
+	bodyTooLarge = `{"code":"bodyTooLarge","message":"the request's body is too large","outcome":"notRun"}` + "\n"
+	tooManyWrong = `{"code":"tooManyWrongCredentials","message":"too many wrong credentials from this address","outcome":"notRun"}` + "\n"
+)
+
+// refuse answers and closes the connection.
+func refuse(w http.ResponseWriter, code int, answer string) {
+	header := w.Header()
+	header.Del("Content-Length")
+	header.Set("Content-Type", "application/json")
+	header.Set("Connection", "close")
+	w.WriteHeader(code)
+	_, _ = io.WriteString(w, answer) // an error means that the caller has gone
+}
 
 // retryAfterSeconds is when a throttled address has some of its allowance back.
 const retryAfterSeconds = "60"
@@ -115,13 +128,8 @@
 	}
 	w.guard.throttled.Inc(1)
 	w.replace = true
-	header := w.Header()
-	header.Del("Content-Length")
-	header.Set("Content-Type", "application/json")
-	header.Set("Connection", "close")
-	header.Set("Retry-After", retryAfterSeconds)
-	w.ResponseWriter.WriteHeader(http.StatusTooManyRequests)
-	_, _ = io.WriteString(w.ResponseWriter, tooManyWrong)
+	w.Header().Set("Retry-After", retryAfterSeconds)
+	refuse(w.ResponseWriter, http.StatusTooManyRequests, tooManyWrong)
 }
 
 // Write writes within WriteTimeout.
--- /dev/null
+++ b/launcher/launcher.go
@@ -0,0 +1,155 @@
+// Package launcher is the command line: it parses commands, calls an entry's interfaces and prints what
+// they answer. It decides nothing about requests.
+package launcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+
+	"geraniumline/loader"
+)
+
+// Config is what the command line gets from its surroundings.
+type Config struct {
+	Version string
+	// RunEntry runs an entry until its planned stop is done.
+	RunEntry func(ctx context.Context, settings loader.Settings, log *zap.Logger) error
+
+	Stdin  io.Reader
+	Stdout io.Writer
+	Stderr io.Writer
+	// Terminal tells whether Stdout is a terminal, and so may be coloured.
+	Terminal bool
+	// Now is the clock; nil takes the system's.
+	Now func() time.Time
+	// Wait waits between two questions to an entry; nil sleeps.
+	Wait func(ctx context.Context, d time.Duration) error
+}
+
+// app is the command line while it runs.
+type app struct {
+	cfg Config
+	out io.Writer
+	err io.Writer
+}
+
+// Run runs one command and returns the process's exit code. args begins with the program's name.
+func Run(ctx context.Context, cfg Config, args []string) ExitCode {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Wait == nil {
+		cfg.Wait = sleep
+	}
+	a := &app{cfg: cfg, out: cfg.Stdout, err: cfg.Stderr}
+	err := a.root().Run(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	var failure *failureError
+	if !errors.As(err, &failure) {
+		err = &UsageError{Message: err.Error()}
+	}
+	if text := err.Error(); text != "" {
+		a.complain(text)
+	}
+	return exitCodeOf(err)
+}
+
+const description = `geraniumline serves multi-stage model pipelines. Every entry VM runs "geraniumline entry";
+the other commands are for operators and callers.
+
+Commands that ask an entry take its address, the user's name and the file with the user's credential from
+flags or from the environment. A credential is never given as a flag: other users of the machine could
+read it in the list of processes.
+
+Exit codes:
+  0  done
+  1  failed, or two things differ that were compared, or a change lost to another
+  2  wrong usage, or faults in a file
+  3  notRun: nothing ran, and the attempt never will
+  4  unknown: it may have run; ask again with the key or the operation id that was printed`
+
+func (a *app) root() *cli.Command {
+	return &cli.Command{
+		Name:                  "geraniumline",
+		Usage:                 "serve multi-stage model pipelines",
+		Description:           description,
+		Version:               a.cfg.Version,
+		EnableShellCompletion: true,
+		Writer:                a.out,
+		ErrWriter:             a.err,
+		Reader:                a.cfg.Stdin,
+		// The exit code is ours to give, after the message is printed.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError:   usageError,
+		Action:         noCommand,
+		ConfigureShellCompletionCommand: func(c *cli.Command) {
+			c.Hidden = false
+		},
+		Commands: []*cli.Command{
+			a.entryCommand(),
+			a.checkCommand(),
+			a.configCommand(),
+			a.contractCommand(),
+			a.stopCommand(),
+			a.statusCommand(),
+			a.requestCommand(),
+			a.traceCommand(),
+			a.credentialCommand(),
+			a.keyCommand(),
+			a.docsCommand(),
+		},
+	}
+}
+
+// usageError keeps the library from printing a whole help text for a mistyped flag.
+func usageError(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+	return &UsageError{Message: err.Error(), Command: cmd.FullName()}
+}
+
+// noCommand answers a command that only has subcommands.
+func noCommand(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return &UsageError{Message: fmt.Sprintf("there is no command %q", cmd.Args().First()), Command: cmd.FullName()}
+	}
+	return cli.ShowSubcommandHelp(cmd)
+}
+
+// action marks the errors of a command's own work, apart from those of its usage.
+func action(run func(ctx context.Context, cmd *cli.Command) error) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		if err := run(ctx, cmd); err != nil {
+			return &failureError{err: err}
+		}
+		return nil
+	}
+}
+
+// group is a command that only has subcommands.
+func group(name, usage string, commands ...*cli.Command) *cli.Command {
+	return &cli.Command{
+		Name:         name,
+		Usage:        usage,
+		Commands:     commands,
+		OnUsageError: usageError,
+		Action:       noCommand,
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/launcher/request.go
@@ -0,0 +1,153 @@
+package launcher
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"geraniumline/callerserver"
+)
+
+// followGrace is how long after a request's deadline its outcome is still waited for.
+const followGrace = 5 * time.Second
+
+func (a *app) requestCommand() *cli.Command {
+	flags := connectionFlags(envCallerAddress, "any entry's caller address, asked which entries to use,")
+	flags = append(flags,
+		jsonFlag(),
+		&cli.StringFlag{Name: "account", Usage: "client account's `NAME`", Sources: cli.EnvVars(envAccount)},
+		&cli.StringFlag{Name: "pipeline", Usage: "pipeline's `NAME`"},
+		&cli.StringFlag{Name: "key", Usage: "idempotency `KEY`, a UUID of version 7; without it a new one is made"},
+		&cli.DurationFlag{Name: "deadline", Usage: "`TIME` until the answer is of no more use", Value: 6 * time.Second},
+		&cli.BoolFlag{Name: "stream", Usage: "print the answer's parts as they come"},
+		&cli.StringFlag{Name: "input-file", Usage: "`FILE` with the input, - for the standard input, in place of arguments"},
+	)
+	return &cli.Command{
+		Name:      "request",
+		Usage:     "send one request and follow it to its outcome",
+		ArgsUsage: "[INPUT...]",
+		Description: `Asks which entries to use, sends the request to the best, and goes on to the next where one does not answer,
+always under the same key, so that it runs at most once. A request told notRun with a time to come back is
+sent again while its deadline lasts. A request whose answer was cut off is asked after by its key.
+Exits 0 with the answer, 3 for notRun and 4 for unknown; the key is printed to the standard error output.
+
+Examples:
+  geraniumline request --address 10.0.0.1:8001 --account kilima --credential-file kilima.credential \
+    --pipeline digest "June readings"
+  echo "Is ticket 12 logged?" | geraniumline request --pipeline confirm --input-file - --deadline 2s --json`,
+		Flags:        flags,
+		OnUsageError: usageError,
+		Action:       action(a.request),
+	}
+}
+
+func (a *app) request(ctx context.Context, cmd *cli.Command) error {
+	r, err := a.newRequest(cmd)
+	if err != nil {
+		return err
+	}
+	a.complain("key " + r.key)
+	ctx, cancel := context.WithTimeout(ctx, r.deadline+followGrace)
+	defer cancel()
+	result := r.run(ctx)
+	if cmd.Bool("json") {
+		if err := a.printJSON(result); err != nil {
+			return err
+		}
+	}
+	return a.finish(cmd, result)
+}
+
+func (a *app) newRequest(cmd *cli.Command) (*request, error) {
+	if cmd.String("pipeline") == "" {
+		return nil, &UsageError{Message: "--pipeline is not given", Command: cmd.FullName()}
+	}
+	c, err := a.connect(cmd, "account")
+	if err != nil {
+		return nil, err
+	}
+	input, err := a.inputOf(cmd)
+	if err != nil {
+		return nil, err
+	}
+	key := cmd.String("key")
+	if key == "" {
+		key = uuid.Must(uuid.NewV7()).String()
+	}
+	deadline := cmd.Duration("deadline")
+	if deadline < time.Millisecond {
+		return nil, &UsageError{Message: "--deadline must be at least 1ms"}
+	}
+	r := &request{
+		app: a, connection: c,
+		pipeline: cmd.String("pipeline"), input: input, key: key,
+		traceparent: newTraceparent(), deadline: deadline, begun: a.cfg.Now(),
+		stream: cmd.Bool("stream"),
+	}
+	if r.stream && !cmd.Bool("json") {
+		r.part = a.printText
+	}
+	return r, nil
+}
+
+func (a *app) inputOf(cmd *cli.Command) (string, error) {
+	file := cmd.String("input-file")
+	if file == "" {
+		return strings.Join(cmd.Args().Slice(), " "), nil
+	}
+	if cmd.Args().Present() {
+		return "", &UsageError{Message: "give the input as arguments or by --input-file, not both"}
+	}
+	text, err := a.readInput(file)
+	if err != nil {
+		return "", &UsageError{Message: fmt.Sprintf("--input-file: %v", err)}
+	}
+	return string(text), nil
+}
+
+// newTraceparent begins a trace, so that `trace` finds the request's hops.
+func newTraceparent() string {
+	var ids [24]byte
+	_, _ = rand.Read(ids[:]) // crypto/rand never returns an error
+	return fmt.Sprintf("00-%x-%x-01", ids[:16], ids[16:])
+}
+
+// result is what became of a request.
+type result struct {
+	Key              string                    `json:"key"`
+	Outcome          callerserver.OutcomeState `json:"outcome"`
+	Answer           string                    `json:"answer,omitempty"`
+	RequestID        string                    `json:"requestId,omitempty"`
+	Code             string                    `json:"code,omitempty"`
+	Message          string                    `json:"message,omitempty"`
+	RetryAfterMillis int64                     `json:"retryAfterMillis,omitempty"`
+	Address          string                    `json:"address,omitempty"`
+	Tries            int                       `json:"tries"`
+
+	printed string // what of the answer was printed as it came
+}
+
+func (a *app) finish(cmd *cli.Command, r result) error {
+	if r.Outcome != callerserver.OutcomeStateAnswered {
+		return &OutcomeError{
+			Unknown: r.Outcome != callerserver.OutcomeStateNotRun,
+			Key:     r.Key,
+			Message: r.Message,
+		}
+	}
+	if cmd.Bool("json") {
+		return nil
+	}
+	rest, goesOn := strings.CutPrefix(r.Answer, r.printed)
+	if !goesOn {
+		rest = "\n" + r.Answer
+	}
+	a.printText(rest)
+	a.print("\n")
+	return nil
+}
--- a/presenter/config.go
+++ b/presenter/config.go
@@ -42,3 +42,22 @@
 	}
 	return cell{string(verdict), Red}
 }
+
+// DifferenceLine returns one field that differs between an object in force and a file. An empty side
+// lacks the field.
+func DifferenceLine(kind, name, path, inForce, inFile string, coloured bool) string {
+	var b strings.Builder
+	b.WriteString(clean(kind + " " + name + " " + strings.TrimPrefix(path, ".") + ": "))
+	writeCell(&b, cell{"", Red}, orNone(inForce), coloured)
+	b.WriteString(" -> ")
+	writeCell(&b, cell{"", Green}, orNone(inFile), coloured)
+	b.WriteByte('\n')
+	return b.String()
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "(none)"
+	}
+	return clean(text)
+}
