--- a/reducer/claim.go
+++ b/reducer/claim.go
@@ -14,6 +14,8 @@
 	logRetryAfter = time.Second
 	// logSilence is how long the claims stream may be silent before this entry stops claiming.
 	logSilence = 3 * time.Second
+	// uncertainGrace is how long a claim may take to be read back once its append's end is uncertain.
+	uncertainGrace = 300 * time.Millisecond
 	// claimDelayDecay is the weight of the newest claim in the mean of claims' delays.
 	claimDelayDecay = 0.2
 )
@@ -82,6 +84,7 @@
 			continue
 		}
 		c.counters.Appends++
+		c.appending++
 		c.emit(Append{Stream: StreamClaims, BatchID: batch.BatchID, Data: data})
 	}
 }
@@ -92,9 +95,22 @@
 		c.takeConfigAppended(e, now)
 		return
 	}
+	c.appending--
 	c.batcher.Appended(e.BatchID, e.Result, now)
-	if refused, no := e.Result.(claimer.AppendRefused); no {
-		c.refuseClaims(max(refused.RetryAfter, logRetryAfter), now)
+	switch result := e.Result.(type) {
+	case claimer.AppendRefused:
+		c.refuseClaims(max(result.RetryAfter, logRetryAfter), now)
+	case claimer.AppendUncertain:
+		c.refuseClaims(logRetryAfter, now)
+		c.hurryClaims(now)
+	}
+}
+
+// hurryClaims gives claims whose append's end is uncertain a short time to be read back. A lost reply shows
+// within that time; an append that hangs would otherwise hold its callers to the end of their deadlines.
+func (c *Core) hurryClaims(now time.Time) {
+	for id := range c.claiming {
+		c.schedule(timer{at: now.Add(uncertainGrace), kind: timerClaim, subject: id})
 	}
 }
 
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -93,11 +93,14 @@
 	logs      map[Stream]*logHealth
 	configs   *recordRing
 
-	heartbeatAt   time.Time
-	heartbeats    uint64
-	lastTick      time.Time
-	stopped       bool
-	liveEntries   int
+	heartbeatAt time.Time
+	heartbeats  uint64
+	lastTick    time.Time
+	stopped     bool
+	liveEntries int
+	// appending counts the appends to the claims stream that have not ended.
+	appending     int
+	snapshotDue   time.Time
 	nextClaim     uint64
 	nextBatch     uint64
 	nextPeerCall  uint64
--- a/reducer/plan.go
+++ b/reducer/plan.go
@@ -6,6 +6,7 @@
 
 	"geraniumline/admitter"
 	"geraniumline/publisher"
+	"geraniumline/scheduler"
 )
 
 // plan is what the core works out once of a pipeline in force.
@@ -48,14 +49,15 @@
 }
 
 // asks describes the stages from a stage on to the admitter. The slice is the plan's own, valid until the next call.
-func (c *Core) asks(p *plan, from int, now time.Time) []admitter.StageAsk {
+func (c *Core) asks(p *plan, contract *publisher.Contract, from int, now time.Time) []admitter.StageAsk {
+	item := scheduler.Item{Account: contract.Account, Weight: contract.Weight, Urgency: urgencyOf(contract, p.pipeline.Name)}
 	for i := from; i < len(p.asks); i++ {
 		stage := &p.pipeline.Stages[i]
 		p.asks[i] = admitter.StageAsk{
 			Stage:    p.stageNames[i],
 			Pool:     stage.Pool,
 			Expected: time.Duration(stage.ExpectedMillis) * time.Millisecond,
-			Ahead:    c.scheduler.Backlog(stage.Pool),
+			Ahead:    c.scheduler.Ahead(stage.Pool, item),
 			Capacity: c.router.Capacity(stage.Pool, c.liveEntries, now),
 		}
 	}
--- a/reducer/request.go
+++ b/reducer/request.go
@@ -183,7 +183,7 @@
 			return failure
 		}
 	}
-	asks := c.asks(plan, 0, now)
+	asks := c.asks(plan, contract, 0, now)
 	if refused, no := c.admitter.Admit(asks, now.Add(e.Deadline), now).(admitter.Refused); no {
 		return &Failure{Code: CodeCannotFinish, Message: "the stages cannot end by the deadline", State: StateNotRun, RetryAfter: refused.RetryAfter}
 	}
--- a/reducer/stage.go
+++ b/reducer/stage.go
@@ -58,7 +58,9 @@
 			continue
 		}
 		c.admitter.ObserveWait(pool, now.Sub(r.queuedAt), now)
-		if c.admitter.Hopeless(c.asks(r.plan, r.stage, now), r.deadline, now) {
+		asks := c.asks(r.plan, r.contract, r.stage, now)
+		asks[0].Ahead = 0 // its turn has come
+		if c.admitter.Hopeless(asks, r.deadline, now) {
 			c.fail(r, CodeCannotFinish, "the stages that are left cannot end by the deadline", c.retryAfter(pool), now)
 			continue
 		}
--- a/reducer/tick.go
+++ b/reducer/tick.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"geraniumline/detector"
 )
 
 // tick lets time pass: timers, heartbeats, the planned stop, snapshots.
@@ -28,8 +30,16 @@
 func (c *Core) snapshot(now time.Time) {
 	health := c.logs[StreamConfig]
 	if health.failing || !health.caughtUp || !c.fold.SnapshotDue(now) {
+		c.snapshotDue = time.Time{}
 		return
 	}
+	if c.snapshotDue.IsZero() {
+		c.snapshotDue = now
+	}
+	if now.Sub(c.snapshotDue) < time.Duration(c.rank())*snapshotStagger {
+		return
+	}
+	c.snapshotDue = time.Time{}
 	parts, err := c.fold.Snapshot(now)
 	if err != nil {
 		c.emit(LogChange{Message: "the snapshot can't be encoded", Subject: err.Error()})
@@ -41,6 +51,21 @@
 	}
 }
 
+// snapshotStagger is how long the next entry in order waits for the one before to append the snapshot. One is
+// enough, and all of them at once would take up the log; but the first may be cut from the log.
+const snapshotStagger = 2 * time.Second
+
+// rank is this entry's place among the live ones, by name.
+func (c *Core) rank() int {
+	rank := 0
+	for _, member := range c.detector.Members() {
+		if member.Name < c.cfg.Entry && member.State == detector.Live {
+			rank++
+		}
+	}
+	return rank
+}
+
 // takeVMs takes the platform's lagging list.
 func (c *Core) takeVMs(e VMsListed, now time.Time) {
 	c.router.List(e.Endpoints, now)
