--- a/meter/definition.go
+++ b/meter/definition.go
@@ -23,6 +23,8 @@
 	Label string
 	// Help says when it is counted.
 	Help string
+	// Registry is the name in the go-metrics registry, where the package that counts does not know Name.
+	Registry string
 }
 
 // Requests, by client account.
@@ -84,10 +86,17 @@
 const (
 	HeartbeatsSent     Name = "heartbeats_sent"
 	HeartbeatsReceived Name = "heartbeats_received"
+	HeartbeatsReplaced Name = "heartbeats_replaced"
+	PeerFramesSent     Name = "peer_frames_sent"
+	PeerFramesReceived Name = "peer_frames_received"
+	PeerFramesBad      Name = "peer_frames_bad"
 	PeerBytesSent      Name = "peer_bytes_sent"
 	PeerBytesReceived  Name = "peer_bytes_received"
+	PeerSendsDropped   Name = "peer_messages_dropped"
+	PeerSendsLost      Name = "peer_messages_lost"
 	PeersRefused       Name = "peers_refused"
-	PeerFramesBad      Name = "peer_frames_bad"
+	PeersEvicted       Name = "peers_evicted"
+	PeerAcceptErrors   Name = "peer_accept_errors"
 	PeersLive          Name = "peers_live"
 )
 
@@ -119,71 +128,78 @@
 
 // definitions are listed in the order of the page.
 var definitions = []Definition{
-	{RequestsReceived, KindCounter, "requests", byAccount, "A request whose credential and body were read."},
-	{RequestsAnswered, KindCounter, "requests", byAccount, "A request whose whole answer was given."},
-	{RequestsInTime, KindCounter, "requests", byAccount, "A request whose whole answer was given within its deadline. Attainment is this over requests_received."},
-	{RequestsNotRun, KindCounter, "requests", byAccount, "A request that was told notRun."},
-	{RequestsUnknown, KindCounter, "requests", byAccount, "A request that was told unknown."},
-	{RequestsRepeated, KindCounter, "requests", byAccount, "A request under a key that was already known, answered by the first one's outcome."},
-	{RequestsInFlight, KindGauge, "requests", "", "Requests that this entry is running or holding in its queue."},
-	{RequestMicros, KindHistogram, "microseconds", "", "From a request's arrival to the end of its answer."},
-	{FirstPartMicros, KindHistogram, "microseconds", "", "From a streamed request's arrival to the first part of its answer."},
-	{QueueMicros, KindHistogram, "microseconds", "", "From a request's admission to its first stage call."},
-	{CostMillis, KindCounter, "endpoint milliseconds", byAccount, "Endpoint time used by stage calls."},
-	{WastedMillis, KindCounter, "endpoint milliseconds", byAccount, "The part of cost_millis that went to cancelled, hedged and retried calls whose result was not used."},
-	{PoisonRefused, KindCounter, "requests", byAccount, "A request refused because its content had crashed endpoints before."},
-	{OutcomesAsked, KindCounter, "calls", "", "A call for the outcome of an earlier request."},
-	{OutcomesHandedOff, KindCounter, "outcomes", "", "An outcome given to a peer at a planned stop."},
-
-	{StageCalls, KindCounter, "calls", byStage, "A call sent to an endpoint."},
-	{StageFailures, KindCounter, "calls", byStage, "A call that ended without a whole reply."},
-	{StageRetries, KindCounter, "calls", byStage, "A call sent again after a failure."},
-	{StageHedges, KindCounter, "calls", byStage, "A second call sent beside a slow first one."},
-	{StageCancels, KindCounter, "calls", byStage, "A call cancelled because its result was no longer wanted."},
-	{StageMicros, KindHistogram, "microseconds", byStage, "From a call's dispatch to the end of its reply."},
-	{RepliesLate, KindCounter, "replies", byStage, "A reply dropped because another attempt had already been taken."},
-	{RepliesForeign, KindCounter, "replies", byStage, "A reply dropped because its ids were not those of the call."},
-	{StreamGaps, KindCounter, "parts", byStage, "A hole found in a stream's sequence numbers."},
-	{StreamOverlaps, KindCounter, "parts", byStage, "A part of a stream that had come before and was cut."},
-	{EndpointsLive, KindGauge, "endpoints", byPool, "Endpoints that get new work."},
-	{EndpointsGone, KindCounter, "endpoints", byPool, "An endpoint taken out because it did worse than its pool."},
-	{CacheHitTokens, KindCounter, "tokens", byPool, "Prompt tokens that an engine found in its prefix cache."},
-	{CacheEventsLost, KindCounter, "events", byPool, "Cache events missed, seen as a hole in their sequence numbers."},
-
-	{LogAppends, KindCounter, "appends", byStream, "An append sent to the log service."},
-	{LogAppendErrors, KindCounter, "appends", byStream, "An append refused, failed or without a reply."},
-	{LogAppendMicros, KindHistogram, "microseconds", byStream, "From an append's sending to its reply."},
-	{LogReads, KindCounter, "reads", byStream, "A read sent to the log service."},
-	{LogReadErrors, KindCounter, "reads", byStream, "A read that failed."},
-	{ClaimsAppended, KindCounter, "claims", "", "A claim put into an append."},
-	{ClaimsWon, KindCounter, "claims", "", "A claim read back as the first valid one for its key."},
-	{ClaimsLost, KindCounter, "claims", "", "A claim read back behind another's."},
-	{ClaimMicros, KindHistogram, "microseconds", "", "From a claim's making to its verdict."},
-	{ConfigOffset, KindGauge, "offset", "", "Log offset up to which configuration is in force."},
-	{ClaimsOffset, KindGauge, "offset", "", "Log offset up to which claims are known."},
-	{ConfigAccepted, KindCounter, "changes", "", "A change of configuration that won."},
-	{ConfigConflicts, KindCounter, "changes", "", "A change of configuration that was based on an older version."},
-	{ConfigInvalid, KindCounter, "changes", "", "A change of configuration with faults in its body."},
-
-	{HeartbeatsSent, KindCounter, "heartbeats", "", "A heartbeat sent to a peer."},
-	{HeartbeatsReceived, KindCounter, "heartbeats", "", "A heartbeat taken from a peer."},
-	{PeerBytesSent, KindCounter, "bytes", "", "Bytes written to peers."},
-	{PeerBytesReceived, KindCounter, "bytes", "", "Bytes read from peers."},
-	{PeersRefused, KindCounter, "connections", "", "A connection at the peers' socket that did not prove the shared key."},
-	{PeerFramesBad, KindCounter, "frames", "", "A frame that was too large or could not be decoded."},
-	{PeersLive, KindGauge, "entries", "", "Other entries heard of lately."},
-
-	{ConnectionsOpen, KindGauge, "connections", bySocket, "Open connections."},
-	{ConnectionsRefused, KindCounter, "connections", bySocket, "A connection closed at once because too many were open."},
-	{CredentialsWrong, KindCounter, "requests", bySocket, "A request with a wrong credential."},
-	{CredentialsThrottled, KindCounter, "requests", bySocket, "A request with a wrong credential from an address that had sent too many; its connection was closed."},
-	{BodiesTooLarge, KindCounter, "requests", bySocket, "A request whose body was over the limit."},
-
-	{EventsReduced, KindCounter, "events", "", "An event given to the reducer."},
-	{ReduceMicros, KindHistogram, "microseconds", "", "Time to reduce one event."},
-	{SpansDropped, KindCounter, "spans", "", "A span not exported because the queue was full or the export failed."},
-	{SpansExported, KindCounter, "spans", "", "A span taken by the trace collector."},
-	{LabelsDropped, KindCounter, "counts", "", "A count put under the label \"other\" because its metric had too many labels."},
+	{RequestsReceived, KindCounter, "requests", byAccount, "A request whose credential and body were read.", ""},
+	{RequestsAnswered, KindCounter, "requests", byAccount, "A request whose whole answer was given.", ""},
+	{RequestsInTime, KindCounter, "requests", byAccount, "A request whose whole answer was given within its deadline. Attainment is this over requests_received.", ""},
+	{RequestsNotRun, KindCounter, "requests", byAccount, "A request that was told notRun.", ""},
+	{RequestsUnknown, KindCounter, "requests", byAccount, "A request that was told unknown.", ""},
+	{RequestsRepeated, KindCounter, "requests", byAccount, "A request under a key that was already known, answered by the first one's outcome.", ""},
+	{RequestsInFlight, KindGauge, "requests", "", "Requests that this entry is running or holding in its queue.", ""},
+	{RequestMicros, KindHistogram, "microseconds", "", "From a request's arrival to the end of its answer.", ""},
+	{FirstPartMicros, KindHistogram, "microseconds", "", "From a streamed request's arrival to the first part of its answer.", ""},
+	{QueueMicros, KindHistogram, "microseconds", "", "From a request's admission to its first stage call.", ""},
+	{CostMillis, KindCounter, "endpoint milliseconds", byAccount, "Endpoint time used by stage calls.", ""},
+	{WastedMillis, KindCounter, "endpoint milliseconds", byAccount, "The part of cost_millis that went to cancelled, hedged and retried calls whose result was not used.", ""},
+	{PoisonRefused, KindCounter, "requests", byAccount, "A request refused because its content had crashed endpoints before.", ""},
+	{OutcomesAsked, KindCounter, "calls", "", "A call for the outcome of an earlier request.", ""},
+	{OutcomesHandedOff, KindCounter, "outcomes", "", "An outcome given to a peer at a planned stop.", ""},
+
+	{StageCalls, KindCounter, "calls", byStage, "A call sent to an endpoint.", ""},
+	{StageFailures, KindCounter, "calls", byStage, "A call that ended without a whole reply.", ""},
+	{StageRetries, KindCounter, "calls", byStage, "A call sent again after a failure.", ""},
+	{StageHedges, KindCounter, "calls", byStage, "A second call sent beside a slow first one.", ""},
+	{StageCancels, KindCounter, "calls", byStage, "A call cancelled because its result was no longer wanted.", ""},
+	{StageMicros, KindHistogram, "microseconds", byStage, "From a call's dispatch to the end of its reply.", ""},
+	{RepliesLate, KindCounter, "replies", byStage, "A reply dropped because another attempt had already been taken.", ""},
+	{RepliesForeign, KindCounter, "replies", byStage, "A reply dropped because its ids were not those of the call.", ""},
+	{StreamGaps, KindCounter, "parts", byStage, "A hole found in a stream's sequence numbers.", ""},
+	{StreamOverlaps, KindCounter, "parts", byStage, "A part of a stream that had come before and was cut.", ""},
+	{EndpointsLive, KindGauge, "endpoints", byPool, "Endpoints that get new work.", ""},
+	{EndpointsGone, KindCounter, "endpoints", byPool, "An endpoint taken out because it did worse than its pool.", ""},
+	{CacheHitTokens, KindCounter, "tokens", byPool, "Prompt tokens that an engine found in its prefix cache.", ""},
+	{CacheEventsLost, KindCounter, "events", byPool, "Cache events missed, seen as a hole in their sequence numbers.", ""},
+
+	{LogAppends, KindCounter, "appends", byStream, "An append sent to the log service.", ""},
+	{LogAppendErrors, KindCounter, "appends", byStream, "An append refused, failed or without a reply.", ""},
+	{LogAppendMicros, KindHistogram, "microseconds", byStream, "From an append's sending to its reply.", ""},
+	{LogReads, KindCounter, "reads", byStream, "A read sent to the log service.", ""},
+	{LogReadErrors, KindCounter, "reads", byStream, "A read that failed.", ""},
+	{ClaimsAppended, KindCounter, "claims", "", "A claim put into an append.", ""},
+	{ClaimsWon, KindCounter, "claims", "", "A claim read back as the first valid one for its key.", ""},
+	{ClaimsLost, KindCounter, "claims", "", "A claim read back behind another's.", ""},
+	{ClaimMicros, KindHistogram, "microseconds", "", "From a claim's making to its verdict.", ""},
+	{ConfigOffset, KindGauge, "offset", "", "Log offset up to which configuration is in force.", ""},
+	{ClaimsOffset, KindGauge, "offset", "", "Log offset up to which claims are known.", ""},
+	{ConfigAccepted, KindCounter, "changes", "", "A change of configuration that won.", ""},
+	{ConfigConflicts, KindCounter, "changes", "", "A change of configuration that was based on an older version.", ""},
+	{ConfigInvalid, KindCounter, "changes", "", "A change of configuration with faults in its body.", ""},
+
+	{HeartbeatsSent, KindCounter, "heartbeats", "", "A heartbeat sent to a peer.", ""},
+	{HeartbeatsReceived, KindCounter, "heartbeats", "", "A heartbeat taken from a peer.", ""},
+	{HeartbeatsReplaced, KindCounter, "heartbeats", "", "A heartbeat that gave way to a newer one before it was sent.", "peers.heartbeatsReplaced"},
+	{PeerFramesSent, KindCounter, "frames", "", "A frame written to a peer.", "peers.framesSent"},
+	{PeerFramesReceived, KindCounter, "frames", "", "A frame read from a peer.", "peers.framesReceived"},
+	{PeerFramesBad, KindCounter, "frames", "", "A frame that was too large or could not be decoded; its connection was closed.", "peers.badFrames"},
+	{PeerBytesSent, KindCounter, "bytes", "", "Bytes written to peers.", "peers.bytesSent"},
+	{PeerBytesReceived, KindCounter, "bytes", "", "Bytes read from peers.", "peers.bytesReceived"},
+	{PeerSendsDropped, KindCounter, "messages", "", "A message that found no room in the queue for its peer.", "peers.messagesDropped"},
+	{PeerSendsLost, KindCounter, "messages", "", "A message for a peer that could not be reached.", "peers.messagesLost"},
+	{PeersRefused, KindCounter, "connections", "", "A connection at the peers' socket that did not prove the shared key.", "peers.connectionsRefused"},
+	{PeersEvicted, KindCounter, "connections", "", "A connection at the peers' socket closed in favour of a newer one.", "peers.connectionsEvicted"},
+	{PeerAcceptErrors, KindCounter, "failures", "", "A failure to accept a connection at the peers' socket.", "peers.acceptFailures"},
+	{PeersLive, KindGauge, "entries", "", "Other entries heard of lately.", ""},
+
+	{ConnectionsOpen, KindGauge, "connections", bySocket, "Open connections.", ""},
+	{ConnectionsRefused, KindCounter, "connections", bySocket, "A connection closed at once because too many were open.", ""},
+	{CredentialsWrong, KindCounter, "requests", bySocket, "A request with a wrong credential.", ""},
+	{CredentialsThrottled, KindCounter, "requests", bySocket, "A request with a wrong credential from an address that had sent too many; its connection was closed.", ""},
+	{BodiesTooLarge, KindCounter, "requests", bySocket, "A request whose body was over the limit.", ""},
+
+	{EventsReduced, KindCounter, "events", "", "An event given to the reducer.", ""},
+	{ReduceMicros, KindHistogram, "microseconds", "", "Time to reduce one event.", ""},
+	{SpansDropped, KindCounter, "spans", "", "A span not exported because the queue was full or the export failed.", ""},
+	{SpansExported, KindCounter, "spans", "", "A span taken by the trace collector.", ""},
+	{LabelsDropped, KindCounter, "counts", "", "A count put under the label \"other\" because its metric had too many labels.", ""},
 }
 
 // Definitions returns what every metric counts, in the order of the page.
--- a/meter/handler.go
+++ b/meter/handler.go
@@ -79,7 +79,7 @@
 
 func writeReading(b *strings.Builder, d Definition, r reading) {
 	var pairs []string
-	if d.Label != "" {
+	if r.Label != "" {
 		pairs = append(pairs, pair(d.Label, r.Label))
 	}
 	if r.Value != nil {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -35,7 +35,8 @@
 	label string
 }
 
-// New returns a Meter with every metric that has no label at zero.
+// New returns a Meter with every metric that has no label at zero. Packages that count by name in its
+// registry meet the same metrics there.
 func New() *Meter {
 	m := &Meter{
 		registry: metrics.NewRegistry(),
@@ -116,6 +117,9 @@
 }
 
 func registryName(key series) string {
+	if d, ok := definitionOf(key.name); ok && d.Registry != "" {
+		return d.Registry
+	}
 	if key.label == "" {
 		return string(key.name)
 	}
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
+
+	"geraniumline/messenger"
 )
 
 func TestBothForms(t *testing.T) {
@@ -46,6 +48,17 @@
 	require.Panics(t, func() { m.Counter("made_up") })
 }
 
+// The messenger counts by name in the registry. A name that the meter does not define would be counted
+// and never served.
+func TestMessengersCountsAreServed(t *testing.T) {
+	m := New()
+	peers := messenger.New(messenger.Config{Registry: m.Registry(), Key: make([]byte, 32)})
+	require.NoError(t, peers.Close())
+	registered := 0
+	m.Registry().Each(func(string, any) { registered++ })
+	require.Len(t, m.series, registered)
+}
+
 // Tens of thousands of client accounts would each get a series of their own. Past the bound they share
 // one, no count is lost, and the metrics say that it happened.
 func TestLabelsAreBounded(t *testing.T) {
