--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -52,7 +53,9 @@
 // and never served.
 func TestMessengersCountsAreServed(t *testing.T) {
 	m := New()
-	peers := messenger.New(messenger.Config{Registry: m.Registry(), Key: make([]byte, 32)})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	peers := messenger.New(messenger.Config{Listen: listener, Registry: m.Registry(), Key: make([]byte, 32)})
 	require.NoError(t, peers.Close())
 	registered := 0
 	m.Registry().Each(func(string, any) { registered++ })
