admitter: bound the wait and see what was admitted but has not come to its queue yet

Change: scheduler.Announce and Withdraw; the expected wait may take half of a request's slack; refused callers get places in a queue outside the door; slower mean cost; p99. Ruled out: a queue as deep as the deadline allows: it serves no more, and any shift of shares makes what waits late.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -12,17 +12,22 @@
 type Config struct {
 	// Window is the length of each of the rotated windows that service times are kept in.
 	Window time.Duration
-	// Margin is the part by which the expected time must fall short of the time left.
-	Margin float64
+	// WaitPart is the part of a request's slack, the time left beyond its service, that it may
+	// be expected to wait. A deeper queue serves no more, and when another account takes
+	// up its share, what waits already would be late.
+	WaitPart float64
+	// LongestReturn bounds the time after which a refused caller is told to come back.
+	LongestReturn time.Duration
 	// MaxStages bounds the stages that are remembered.
 	MaxStages int
 }
 
 // The defaults of Config.
 const (
-	DefaultWindow    = 20 * time.Second
-	DefaultMargin    = 0.10
-	DefaultMaxStages = 2048
+	DefaultWindow        = 20 * time.Second
+	DefaultWaitPart      = 0.5
+	DefaultLongestReturn = 30 * time.Second
+	DefaultMaxStages     = 2048
 )
 
 // StageAsk is what a stage that is still to run asks of its pool.
@@ -41,7 +46,7 @@
 type Admitter struct {
 	cfg    Config
 	stages map[string]*stage
-	waits  map[string]*wait
+	pools  map[string]*pool
 }
 
 // New makes an Admitter that has observed nothing.
@@ -49,13 +54,16 @@
 	if cfg.Window <= 0 {
 		cfg.Window = DefaultWindow
 	}
-	if cfg.Margin <= 0 {
-		cfg.Margin = DefaultMargin
+	if cfg.WaitPart <= 0 {
+		cfg.WaitPart = DefaultWaitPart
+	}
+	if cfg.LongestReturn <= 0 {
+		cfg.LongestReturn = DefaultLongestReturn
 	}
 	if cfg.MaxStages <= 0 {
 		cfg.MaxStages = DefaultMaxStages
 	}
-	return &Admitter{cfg: cfg, stages: map[string]*stage{}, waits: map[string]*wait{}}
+	return &Admitter{cfg: cfg, stages: map[string]*stage{}, pools: map[string]*pool{}}
 }
 
 // Observe takes in the service time and cost of a stage call that ended well.
@@ -72,24 +80,20 @@
 }
 
 // ObserveWait takes in how long an item waited in a pool's queue before it was dispatched.
-func (a *Admitter) ObserveWait(pool string, waited time.Duration, now time.Time) {
-	w, ok := a.waits[pool]
-	if !ok {
-		w = &wait{}
-		a.waits[pool] = w
-	}
-	w.observe(waited, now)
+func (a *Admitter) ObserveWait(name string, waited time.Duration, _ time.Time) {
+	p := a.pool(name)
+	p.wait += waitWeight * (float64(waited) - p.wait)
 }
 
 // Admit tells whether a request with these stages is expected to finish by the deadline.
 func (a *Admitter) Admit(stages []StageAsk, deadline time.Time, now time.Time) Verdict {
-	f := a.forecast(stages, now)
-	needed := f.likely() * (1 + a.cfg.Margin)
-	left := float64(deadline.Sub(now))
-	if needed <= left {
+	f := a.forecast(stages)
+	slack := float64(deadline.Sub(now)) - f.service - math.Sqrt(f.above)
+	excess := f.wait - a.cfg.WaitPart*slack
+	if excess <= 0 {
 		return Admitted{}
 	}
-	return refuse(time.Duration(needed - left))
+	return refuse(a.comeBack(stages, time.Duration(excess), now))
 }
 
 // Budget gives the time that the first of the stages may take so that the ones after it
@@ -99,14 +103,15 @@
 	if len(stages) <= 1 {
 		return max(left, 0)
 	}
-	rest := a.forecast(stages[1:], now)
-	return max(left-time.Duration(rest.mean), 0)
+	rest := a.forecast(stages[1:])
+	return max(left-time.Duration(rest.service+rest.wait), 0)
 }
 
 // Hopeless tells that the stages can't finish by the deadline even if they go well.
 func (a *Admitter) Hopeless(stages []StageAsk, deadline, now time.Time) bool {
-	f := a.forecast(stages, now)
-	return f.best() > float64(deadline.Sub(now))
+	f := a.forecast(stages)
+	best := f.service + f.wait - math.Sqrt(f.below)
+	return best > float64(deadline.Sub(now))
 }
 
 // ExpectedCost is the mean cost of the stage in endpoint milliseconds, or fallback while
@@ -121,22 +126,20 @@
 
 // forecast is the expected time of a run of stages, in nanoseconds.
 type forecast struct {
-	mean float64
+	// service and wait are means.
+	service, wait float64
 	// above and below are sums of squares of the distances from the mean to the high and low
 	// quantiles: stages vary independently, so their spreads add as squares. Adding the
 	// quantiles themselves would refuse requests that finish.
 	above, below float64
 }
 
-func (f forecast) likely() float64 { return f.mean + math.Sqrt(f.above) }
-
-func (f forecast) best() float64 { return f.mean - math.Sqrt(f.below) }
-
-func (a *Admitter) forecast(stages []StageAsk, now time.Time) forecast {
+func (a *Admitter) forecast(stages []StageAsk) forecast {
 	var f forecast
 	for i := range stages {
 		low, mean, high := a.service(&stages[i])
-		f.mean += mean + a.wait(&stages[i], now)
+		f.service += mean
+		f.wait += stages[i].wait()
 		f.above += (high - mean) * (high - mean)
 		f.below += (mean - low) * (mean - low)
 	}
--- a/admitter/stage.go
+++ b/admitter/stage.go
@@ -15,14 +15,15 @@
 	figures = 1
 	// windows is how many histograms make up the remembered past.
 	windows = 3
-	// costWeight is the weight of a new observation in the mean cost.
-	costWeight = 0.05
+	// costWeight is the least weight of a new observation in the mean cost. A greater one
+	// makes every expected wait swing with the last few costs.
+	costWeight = 0.01
 )
 
 // The quantiles of a stage's service time that decisions rest on.
 const (
 	lowQuantile  = 10
-	highQuantile = 95
+	highQuantile = 99
 )
 
 // stage is what is known of one stage's service.
@@ -67,11 +68,8 @@
 )
 
 func (s *stage) learnCost(cost float64) {
-	if s.count == 0 {
-		s.cost = cost
-		return
-	}
-	s.cost += costWeight * (cost - s.cost)
+	weight := max(costWeight, 1/float64(s.count+1))
+	s.cost += weight * (cost - s.cost)
 }
 
 func (s *stage) compute(now time.Time) {
--- a/admitter/wait.go
+++ b/admitter/wait.go
@@ -8,24 +8,57 @@
 // waitWeight is the weight of a new observation.
 const waitWeight = 0.2
 
-// wait is the recent time in a pool's queue.
-type wait struct {
-	mean float64
-	last time.Time
+// pool is what is known of one pool's queue.
+type pool struct {
+	wait float64
+	// returnAt is when the callers that were refused so far will all have been served, should
+	// each come back at the time that it was told.
+	returnAt time.Time
 }
 
-func (w *wait) observe(waited time.Duration, now time.Time) {
-	w.mean += waitWeight * (float64(waited) - w.mean)
-	w.last = now
+func (a *Admitter) pool(name string) *pool {
+	p, ok := a.pools[name]
+	if !ok {
+		p = &pool{}
+		a.pools[name] = p
+	}
+	return p
 }
 
-// wait is the expected time in the queue: the cost ahead over the capacity.
-func (a *Admitter) wait(ask *StageAsk, _ time.Time) float64 {
+// wait is the expected time in the queue, in nanoseconds: the cost ahead over the capacity.
+func (ask *StageAsk) wait() float64 {
 	if ask.Ahead <= 0 {
 		return 0
 	}
 	if ask.Capacity <= 0 {
-		return math.MaxInt64 / 4
+		return math.MaxInt32 * float64(time.Second)
 	}
 	return ask.Ahead / ask.Capacity * float64(time.Millisecond)
 }
+
+// comeBack gives each refused caller a place in a queue outside the door, at the pool that
+// it would wait for longest. If all were told just the excess wait, a crowd of ten times
+// what can be served would be back together in a few milliseconds.
+func (a *Admitter) comeBack(stages []StageAsk, excess time.Duration, now time.Time) time.Duration {
+	longest := &stages[0]
+	for i := range stages {
+		if stages[i].wait() > longest.wait() {
+			longest = &stages[i]
+		}
+	}
+	p := a.pool(longest.Pool)
+	turn := float64(longest.Expected)
+	if cost := a.ExpectedCost(longest.Stage, 0); cost > 0 && longest.Capacity > 0 {
+		turn = cost / longest.Capacity * float64(time.Millisecond)
+	}
+	earliest := now.Add(excess)
+	if p.returnAt.Before(earliest) {
+		p.returnAt = earliest
+	}
+	p.returnAt = p.returnAt.Add(time.Duration(turn))
+	latest := now.Add(a.cfg.LongestReturn)
+	if p.returnAt.After(latest) {
+		p.returnAt = latest
+	}
+	return p.returnAt.Sub(now)
+}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -137,23 +137,23 @@
 	return total
 }
 
+// minimumWeight keeps the division by a weight finite.
+const minimumWeight = 1e-9
+
 func (p *pool) ahead(item Item) float64 {
 	urgency := min(item.Urgency, Relaxed)
 	total := 0.0
 	for i := range urgency {
-		total += p.classes[i].cost
+		total += p.classes[i].cost + p.classes[i].announced
 	}
 	c := p.classes[urgency]
 	own, weights := 0.0, c.weight
-	if a, ok := p.accounts[item.Account]; ok && a.flows[urgency] != nil {
-		own = a.flows[urgency].cost
-	}
-	if own == 0 {
+	if a, ok := p.accounts[item.Account]; ok && a.flows[urgency] != nil && a.flows[urgency].present {
+		f := a.flows[urgency]
+		own = f.cost + f.announced
+	} else {
 		weights += item.Weight
 	}
 	fair := (own + item.Cost) * weights / max(item.Weight, minimumWeight)
-	return total + min(c.cost, fair)
+	return total + min(c.cost+c.announced, fair)
 }
-
-// minimumWeight keeps the division by a weight finite.
-const minimumWeight = 1e-9
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -50,12 +50,7 @@
 
 // Push lets an item wait in the pool. An item whose ID waits there already is ignored.
 func (s *Scheduler) Push(poolName string, item Item, _ time.Time) {
-	p, ok := s.pools[poolName]
-	if !ok {
-		p = newPool(poolName, s.guarantees)
-		s.pools[poolName] = p
-		s.names = append(s.names, poolName)
-	}
+	p := s.pool(poolName)
 	if _, waits := p.nodes[item.ID]; waits {
 		return
 	}
@@ -154,9 +149,28 @@
 // Pools lists the pools that have held an item, in the order in which they came to be.
 func (s *Scheduler) Pools() []string { return s.names }
 
+// Announce tells that the item will come to the pool after its earlier stages. Without it
+// all that is admitted while the first of them are still on their way would see an empty
+// queue. Withdraw takes the announcement back, when the item is pushed or its request ends.
+func (s *Scheduler) Announce(poolName string, item Item) {
+	s.announce(s.pool(poolName), item, item.Cost)
+}
+
+// Withdraw takes an announcement back; the item must be the one that was announced.
+func (s *Scheduler) Withdraw(poolName string, item Item) {
+	if p, ok := s.pools[poolName]; ok {
+		s.announce(p, item, -item.Cost)
+	}
+}
+
+func (s *Scheduler) announce(p *pool, item Item, cost float64) {
+	f := p.flow(item.Account, min(item.Urgency, Relaxed))
+	f.class.announce(f, cost, max(item.Weight, minimumWeight))
+}
+
 // Ahead is the expected cost that the pool serves before a new item of the account: the
-// account's own backlog in the class, what others may be served meanwhile by their
-// weights, at most what they have waiting, and all more urgent work.
+// account's own work in the class, waiting or announced, what others may be served
+// meanwhile by their weights, at most what they have, and all more urgent work.
 func (s *Scheduler) Ahead(poolName string, item Item) float64 {
 	p, ok := s.pools[poolName]
 	if !ok {
@@ -165,6 +179,16 @@
 	return p.ahead(item)
 }
 
+func (s *Scheduler) pool(name string) *pool {
+	p, ok := s.pools[name]
+	if !ok {
+		p = newPool(name, s.guarantees)
+		s.pools[name] = p
+		s.names = append(s.names, name)
+	}
+	return p
+}
+
 func (s *Scheduler) node(item Item) *node {
 	n := s.unused
 	if n == nil {
