Measure fair share, deadlines and surges against first come, first served

Cause: the scheduler's and admitter's choices need figures. Change: measurer's site trials; Ahead counts present accounts one by one, discounts by what more urgent classes were served, and gives the worst case in which all take up their shares.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -16,6 +16,10 @@
 	// be expected to wait. A deeper queue serves no more, and when another account takes
 	// up its share, what waits already would be late.
 	WaitPart float64
+	// WorstPart is the part of the slack that a request may be expected to wait even if every
+	// account takes up its share. An account within its share is admitted by this, when the
+	// queue is otherwise long.
+	WorstPart float64
 	// LongestReturn bounds the time after which a refused caller is told to come back.
 	LongestReturn time.Duration
 	// MaxStages bounds the stages that are remembered.
@@ -25,7 +29,8 @@
 // The defaults of Config.
 const (
 	DefaultWindow        = 20 * time.Second
-	DefaultWaitPart      = 0.5
+	DefaultWaitPart      = 0.4
+	DefaultWorstPart     = 0.8
 	DefaultLongestReturn = 30 * time.Second
 	DefaultMaxStages     = 2048
 )
@@ -37,6 +42,8 @@
 	Expected time.Duration
 	// Ahead is the cost that the pool serves first, in endpoint milliseconds.
 	Ahead float64
+	// Worst is Ahead for the case that every account takes up its share; 0 if not known.
+	Worst float64
 	// Capacity is the cost a millisecond that this entry may count on in the pool.
 	Capacity float64
 }
@@ -57,6 +64,9 @@
 	if cfg.WaitPart <= 0 {
 		cfg.WaitPart = DefaultWaitPart
 	}
+	if cfg.WorstPart <= 0 {
+		cfg.WorstPart = DefaultWorstPart
+	}
 	if cfg.LongestReturn <= 0 {
 		cfg.LongestReturn = DefaultLongestReturn
 	}
@@ -90,7 +100,7 @@
 	f := a.forecast(stages)
 	slack := float64(deadline.Sub(now)) - f.service - math.Sqrt(f.above)
 	excess := f.wait - a.cfg.WaitPart*slack
-	if excess <= 0 {
+	if excess <= 0 || f.worst <= a.cfg.WorstPart*slack {
 		return Admitted{}
 	}
 	return refuse(a.comeBack(stages, time.Duration(excess), now))
@@ -126,8 +136,8 @@
 
 // forecast is the expected time of a run of stages, in nanoseconds.
 type forecast struct {
-	// service and wait are means.
-	service, wait float64
+	// service and wait are means; worst is the wait when every account takes up its share.
+	service, wait, worst float64
 	// above and below are sums of squares of the distances from the mean to the high and low
 	// quantiles: stages vary independently, so their spreads add as squares. Adding the
 	// quantiles themselves would refuse requests that finish.
@@ -140,6 +150,7 @@
 		low, mean, high := a.service(&stages[i])
 		f.service += mean
 		f.wait += stages[i].wait()
+		f.worst += stages[i].waitFor(max(stages[i].Ahead, stages[i].Worst))
 		f.above += (high - mean) * (high - mean)
 		f.below += (mean - low) * (mean - low)
 	}
--- a/admitter/wait.go
+++ b/admitter/wait.go
@@ -26,14 +26,16 @@
 }
 
 // wait is the expected time in the queue, in nanoseconds: the cost ahead over the capacity.
-func (ask *StageAsk) wait() float64 {
-	if ask.Ahead <= 0 {
+func (ask *StageAsk) wait() float64 { return ask.waitFor(ask.Ahead) }
+
+func (ask *StageAsk) waitFor(ahead float64) float64 {
+	if ahead <= 0 {
 		return 0
 	}
 	if ask.Capacity <= 0 {
 		return math.MaxInt32 * float64(time.Second)
 	}
-	return ask.Ahead / ask.Capacity * float64(time.Millisecond)
+	return ahead / ask.Capacity * float64(time.Millisecond)
 }
 
 // comeBack gives each refused caller a place in a queue outside the door, at the pool that
--- /dev/null
+++ b/measurer/policysurge_test.go
@@ -0,0 +1,104 @@
+package measurer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"geraniumline/measurer"
+	"geraniumline/scheduler"
+)
+
+const (
+	surgeAt     = 60 * time.Second
+	surgeEnd    = 100 * time.Second
+	surgeTimes  = 20
+	smallCount  = 10
+	recoverTo   = 0.95
+	recoverStep = time.Second
+)
+
+// surgeLoad is quiet until surgeAt and then 20 times that within a second. Large and middle
+// accounts then send three times their shares, the small ones 0.8 of theirs.
+func surgeLoad() []callers {
+	const weights = 10 + 5 + 5 + smallCount
+	add := func(load []callers, account string, weight, surge float64) []callers {
+		full := surge * weight / weights * siteCapacity()
+		return append(load, callers{
+			account: account, weight: weight, urgency: scheduler.Normal, deadline: normalDeadline,
+			perSecond: func(elapsed time.Duration) float64 {
+				ramp := min(1, max(0, (elapsed-surgeAt).Seconds()))
+				return full * (1 + (surgeTimes-1)*ramp) / surgeTimes
+			},
+		})
+	}
+	load := add(nil, "large", 10, 3)
+	load = add(load, "middle1", 5, 3)
+	load = add(load, "middle2", 5, 3)
+	for i := range smallCount {
+		load = add(load, fmt.Sprintf("small%d", i), 1, 0.8)
+	}
+	return load
+}
+
+func smallTally(s *site, from, to time.Duration) tally {
+	var t tally
+	for _, j := range s.jobs {
+		if at := j.arrived.Sub(start); at >= from && at < to && j.from.weight == 1 {
+			t.add(j)
+		}
+	}
+	return t
+}
+
+// recovery is how many seconds after the surge began the small accounts are answered in time
+// again and stay so for the next three seconds.
+func recovery(s *site) float64 {
+	good := 0
+	for from := surgeAt; from < surgeEnd-normalDeadline; from += recoverStep {
+		if smallTally(s, from, from+recoverStep).attainment() < recoverTo {
+			good = 0
+			continue
+		}
+		good++
+		if good == 3 {
+			return (from - 2*recoverStep - surgeAt).Seconds()
+		}
+	}
+	return (surgeEnd - surgeAt).Seconds()
+}
+
+// TestPolicySurge measures a surge from quiet to twenty times within a second: whether the
+// small accounts are served on through it, and what is answered in all.
+func TestPolicySurge(t *testing.T) {
+	ways := []way{oursWay, fifoWay, boundWay, fairWay}
+	var runs [][]*site
+	for _, w := range ways {
+		var sites []*site
+		for _, seed := range siteSeeds {
+			s := newSite(w.make(), seed, surgeLoad())
+			s.clock.runTo(surgeEnd + normalDeadline)
+			sites = append(sites, s)
+		}
+		runs = append(runs, sites)
+	}
+	row := func(measure string, read func(*site) float64, bound measurer.Limit, goal *measurer.Limit) {
+		check(t, measurer.Row{Case: "surge/quietTo20x", Measure: measure, Ours: mean(runs[0], read),
+			Baselines: baselines(read, ways[1:], runs[1:]...), Bound: bound, Goal: goal})
+	}
+	during := func(read func(tally) float64) func(*site) float64 {
+		return func(s *site) float64 { return read(s.tally(surgeAt, surgeEnd, "")) }
+	}
+	row("smallRecoverySeconds", recovery, atMost(1), nil)
+	row("smallAttainment", func(s *site) float64 {
+		return smallTally(s, surgeAt, surgeEnd).attainment()
+	}, atLeast(0.98), nil)
+	row("largeAttainment", func(s *site) float64 {
+		return s.tally(surgeAt, surgeEnd, "large").attainment()
+	}, atLeast(0.2), nil)
+	row("admittedAttainment", during(tally.admittedAttainment), atLeast(0.98), goal(atLeast(0.99)))
+	row("wasted", during(tally.wastedPart), atMost(0.03), goal(atMost(0.03)))
+	row("goodput", during(func(t tally) float64 {
+		return float64(t.inTime) / (surgeEnd - surgeAt).Seconds() / siteCapacity()
+	}), atLeast(0.95), nil)
+}
--- a/measurer/site_test.go
+++ b/measurer/site_test.go
@@ -56,7 +56,6 @@
 	spent    float64
 	started  time.Time
 	expected float64
-	attempt  int
 	end      ending
 	ended    time.Time
 	entered  time.Time
@@ -95,7 +94,9 @@
 	jobs  []*job
 
 	idleBacklog, idle float64
-	since             time.Time
+	// idleUntil is idle at the end of the window that is counted.
+	idleUntil float64
+	since     time.Time
 }
 
 func newSite(d dispatcher, seed uint64, load []callers) *site {
@@ -302,7 +303,8 @@
 		spec := pipeline[i]
 		ask := admitter.StageAsk{Stage: spec.name, Pool: spec.name, Expected: spec.mean, Capacity: float64(spec.slots)}
 		if queued || i > from {
-			ask.Ahead = p.scheduler.Ahead(spec.name, p.item(j, i))
+			ahead := p.scheduler.Ahead(spec.name, p.item(j, i))
+			ask.Ahead, ask.Worst = ahead.Present, ahead.Worst
 		}
 		asks = append(asks, ask)
 	}
--- a/scheduler/flow.go
+++ b/scheduler/flow.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "time"
+
 // flow is one account's waiting items in one class of one pool.
 type flow struct {
 	account *account
@@ -12,12 +14,12 @@
 	announced float64
 	waiting   indexed[*node]
 	index     int
-	// present tells that the flow's weight counts in its class.
-	present bool
+	// presentIndex is the flow's place in its class's list of present flows, or -1.
+	presentIndex int
 }
 
 func newFlow(a *account, c *class) *flow {
-	return &flow{account: a, class: c, index: -1, waiting: indexed[*node]{
+	return &flow{account: a, class: c, index: -1, presentIndex: -1, waiting: indexed[*node]{
 		before: (*node).before,
 		place:  func(n *node, index int) { n.flowIndex = index },
 	}}
@@ -35,11 +37,18 @@
 type class struct {
 	flows indexed[*flow]
 	// now is the virtual time: the start of the item served last.
-	now       float64
+	now float64
+	// past and recent are earlier virtual times, the latter as of markedAt.
+	past, recent float64
+	markedAt     time.Time
+
 	cost      float64
 	announced float64
-	// weight is the sum over the flows that have items waiting or announced.
-	weight float64
+	// weight is the sum over the flows that have items waiting or announced, known that over
+	// all flows.
+	weight, known float64
+	// present are the flows that have items waiting or announced.
+	present []*flow
 	// credit is the work that the class is owed by its guarantee.
 	credit float64
 }
@@ -51,8 +60,23 @@
 	}}
 }
 
-// add lets the flow take part once it has an item. A flow that was idle starts at the
-// present virtual time: idle time earns nothing.
+// earliest is the least virtual time at which a flow that was idle may start: the virtual
+// time of about Config.IdleCredit ago. A flow with few items and no credit pays for the
+// chance of two coming together with a wait of its whole turn; with credit for all its
+// idle time it could hold up the others for as long.
+func (c *class) earliest() float64 { return c.past }
+
+// mark notes the virtual time, so that c.past is from half a span to a span ago.
+func (c *class) mark(span time.Duration, now time.Time) {
+	if now.Sub(c.markedAt) < span/2 {
+		return
+	}
+	c.markedAt = now
+	c.past = c.recent
+	c.recent = c.now
+}
+
+// add lets the flow take part once it has an item.
 func (c *class) add(f *flow, n *node) {
 	c.cost += n.item.Cost
 	f.cost += n.item.Cost
@@ -61,16 +85,19 @@
 	if f.index >= 0 {
 		return
 	}
-	f.tag = max(f.tag, c.now)
+	f.tag = max(f.tag, c.earliest())
 	c.flows.push(f)
 }
 
 // weigh counts the flow in its class with the newest weight.
 func (c *class) weigh(f *flow, weight float64) {
-	if f.present {
+	if f.presentIndex >= 0 {
 		c.weight -= f.weight
+	} else {
+		f.presentIndex = len(c.present)
+		c.present = append(c.present, f)
 	}
-	f.present = true
+	c.known += weight - f.weight
 	f.weight = weight
 	c.weight += weight
 }
@@ -78,12 +105,18 @@
 // leave takes a flow with nothing waiting or announced out of the sums. The sums start from 0
 // again when nothing is left, so that rounding errors don't add up.
 func (c *class) leave(f *flow) {
-	if f.waiting.len() > 0 || f.announced > 0 || !f.present {
+	if f.waiting.len() > 0 || f.announced > 0 || f.presentIndex < 0 {
 		return
 	}
-	f.present = false
+	last := len(c.present) - 1
+	moved := c.present[last]
+	c.present[f.presentIndex] = moved
+	moved.presentIndex = f.presentIndex
+	c.present[last] = nil
+	c.present = c.present[:last]
+	f.presentIndex = -1
 	c.weight -= f.weight
-	if c.flows.len() == 0 && c.announced <= 0 {
+	if last == 0 {
 		c.cost, c.announced, c.weight = 0, 0, 0
 	}
 }
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // account holds one account's flows in a pool.
 type account struct {
@@ -19,14 +22,22 @@
 	expiry   indexed[*node]
 	// guarantees is the part of the work that each class gets while it has items.
 	guarantees [urgencyCount]float64
+	idleCredit time.Duration
+	// served is the work that each class was lately served, as of servedAt, forgotten with
+	// the time constant servedTime.
+	served   [urgencyCount]float64
+	servedAt time.Time
 }
 
-func newPool(name string, guarantees [urgencyCount]float64) *pool {
+const servedTime = 5 * time.Second
+
+func newPool(name string, guarantees [urgencyCount]float64, idleCredit time.Duration) *pool {
 	p := &pool{
 		name:       name,
 		accounts:   map[string]*account{},
 		nodes:      map[uint64]*node{},
 		guarantees: guarantees,
+		idleCredit: idleCredit,
 		expiry: indexed[*node]{
 			before: (*node).before,
 			place:  func(n *node, index int) { n.expiryIdx = index },
@@ -55,8 +66,9 @@
 	return a.flows[urgency]
 }
 
-func (p *pool) push(n *node) {
+func (p *pool) push(n *node, now time.Time) {
 	urgency := min(n.item.Urgency, Relaxed)
+	p.classes[urgency].mark(p.idleCredit, now)
 	n.flow = p.flow(n.item.Account, urgency)
 	p.nodes[n.item.ID] = n
 	p.expiry.push(n)
@@ -82,7 +94,7 @@
 	return chosen
 }
 
-func (p *pool) pop() *node {
+func (p *pool) pop(now time.Time) *node {
 	c := p.next()
 	if c == nil {
 		return nil
@@ -90,10 +102,23 @@
 	n := c.serve()
 	n.flow.account.served = min(n.item.Urgency, Relaxed)
 	p.earn(c, n.item.Cost)
+	p.note(n.flow.account.served, n.item.Cost, now)
 	p.forget(n)
 	return n
 }
 
+// note adds to the work that the class was served.
+func (p *pool) note(urgency Urgency, cost float64, now time.Time) {
+	if elapsed := now.Sub(p.servedAt); elapsed > 0 {
+		kept := math.Exp(-float64(elapsed) / float64(servedTime))
+		for i := range p.served {
+			p.served[i] *= kept
+		}
+		p.servedAt = now
+	}
+	p.served[urgency] += cost
+}
+
 // earn credits the classes that wait with their guaranteed part of the work just given out.
 func (p *pool) earn(served *class, cost float64) {
 	for i, c := range p.classes {
@@ -136,24 +161,3 @@
 	}
 	return total
 }
-
-// minimumWeight keeps the division by a weight finite.
-const minimumWeight = 1e-9
-
-func (p *pool) ahead(item Item) float64 {
-	urgency := min(item.Urgency, Relaxed)
-	total := 0.0
-	for i := range urgency {
-		total += p.classes[i].cost + p.classes[i].announced
-	}
-	c := p.classes[urgency]
-	own, weights := 0.0, c.weight
-	if a, ok := p.accounts[item.Account]; ok && a.flows[urgency] != nil && a.flows[urgency].present {
-		f := a.flows[urgency]
-		own = f.cost + f.announced
-	} else {
-		weights += item.Weight
-	}
-	fair := (own + item.Cost) * weights / max(item.Weight, minimumWeight)
-	return total + min(c.cost+c.announced, fair)
-}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,18 +14,23 @@
 	// get while they have items, however much more urgent work waits.
 	NormalGuarantee  float64
 	RelaxedGuarantee float64
+	// IdleCredit is the idle time that an account is made up for: its turn may come as much
+	// earlier as if it had begun to wait then.
+	IdleCredit time.Duration
 }
 
 // The defaults of Config.
 const (
 	DefaultNormalGuarantee  = 0.20
 	DefaultRelaxedGuarantee = 0.05
+	DefaultIdleCredit       = 1 * time.Second
 )
 
 // Scheduler holds the queues of all pools. It is not safe for concurrent use: the reducer
 // owns it.
 type Scheduler struct {
 	guarantees [urgencyCount]float64
+	idleCredit time.Duration
 	pools      map[string]*pool
 	names      []string
 	backlogs   map[string]int
@@ -41,7 +46,11 @@
 	if cfg.RelaxedGuarantee <= 0 {
 		cfg.RelaxedGuarantee = DefaultRelaxedGuarantee
 	}
+	if cfg.IdleCredit <= 0 {
+		cfg.IdleCredit = DefaultIdleCredit
+	}
 	return &Scheduler{
+		idleCredit: cfg.IdleCredit,
 		guarantees: [urgencyCount]float64{Normal: cfg.NormalGuarantee, Relaxed: cfg.RelaxedGuarantee},
 		pools:      map[string]*pool{},
 		backlogs:   map[string]int{},
@@ -49,7 +58,7 @@
 }
 
 // Push lets an item wait in the pool. An item whose ID waits there already is ignored.
-func (s *Scheduler) Push(poolName string, item Item, _ time.Time) {
+func (s *Scheduler) Push(poolName string, item Item, now time.Time) {
 	p := s.pool(poolName)
 	if _, waits := p.nodes[item.ID]; waits {
 		return
@@ -58,17 +67,17 @@
 		item.Weight = 1
 	}
 	s.backlogs[item.Account]++
-	p.push(s.node(item))
+	p.push(s.node(item), now)
 }
 
 // Pop takes out the item that goes next. Expired items are not passed over: PopExpired
 // takes them out first.
-func (s *Scheduler) Pop(poolName string, _ time.Time) (Item, bool) {
+func (s *Scheduler) Pop(poolName string, now time.Time) (Item, bool) {
 	p, ok := s.pools[poolName]
 	if !ok {
 		return Item{}, false
 	}
-	n := p.pop()
+	n := p.pop(now)
 	if n == nil {
 		return Item{}, false
 	}
@@ -119,7 +128,7 @@
 	if f == nil || f.weight <= 0 {
 		return
 	}
-	f.tag = max(f.tag+extraCost/f.weight, f.class.now)
+	f.tag = max(f.tag+extraCost/f.weight, f.class.earliest())
 	if f.index >= 0 {
 		f.class.flows.fix(f.index)
 	}
@@ -168,21 +177,10 @@
 	f.class.announce(f, cost, max(item.Weight, minimumWeight))
 }
 
-// Ahead is the expected cost that the pool serves before a new item of the account: the
-// account's own work in the class, waiting or announced, what others may be served
-// meanwhile by their weights, at most what they have, and all more urgent work.
-func (s *Scheduler) Ahead(poolName string, item Item) float64 {
-	p, ok := s.pools[poolName]
-	if !ok {
-		return 0
-	}
-	return p.ahead(item)
-}
-
 func (s *Scheduler) pool(name string) *pool {
 	p, ok := s.pools[name]
 	if !ok {
-		p = newPool(name, s.guarantees)
+		p = newPool(name, s.guarantees, s.idleCredit)
 		s.pools[name] = p
 		s.names = append(s.names, name)
 	}
