Judge, choose, hedge and quarantine: deciders of routing and their hooks

Cause: Choose and Free looked at the whole pool, reports were not used, a leaving mark stuck to an address for ever, slow or silent endpoints were not found, hedges and the quarantine of crashing content were missing. A cut stream whose resuming found nobody was counted as not run, so that a stage that must not be repeated could be run again. Change: router by lists kept up with each change; ejector, quarantiner new; retrier with one budget for retries and hedges; timers in a heap that does not allocate.

--- /dev/null
+++ b/ejector/ejector.go
@@ -0,0 +1,194 @@
+// Package ejector finds the endpoints of a pool that serve worse than their peers, takes them out of
+// use for a while and lets them back after a probe. It is pure: the present time is given to it.
+//
+// An endpoint is judged by comparison only. Each call's end is good or bad: bad is an error, a silence
+// past the patience of the stage, or a time far over the pool's own median. A pool whose endpoints are
+// all slow or all failing has another cause than one endpoint, and ejecting would only make it smaller.
+package ejector
+
+import "time"
+
+// Defaults of Config.
+const (
+	DefaultMaxShare    = 1.0 / 3
+	DefaultEjection    = time.Second
+	DefaultMaxEjection = 16 * time.Second
+)
+
+const (
+	// recordWeight is the weight of the newest end in an endpoint's share of bad ends: three bad
+	// ends in a row pass ejectAt.
+	recordWeight = 0.3
+	ejectAt      = 0.6
+	// ejectDoubtedAt is the bound when peers have ejected the endpoint already: one bad end passes it.
+	ejectDoubtedAt = 0.25
+	// poolWeight is the weight of the newest end in the pool's share of bad ends.
+	poolWeight = 0.02
+	// worseBy is how much worse than its pool an endpoint must be.
+	worseBy = 0.3
+	// afterProbe is the share of bad ends that an endpoint begins with after a good probe: the next
+	// two bad ends eject it again.
+	afterProbe = 0.3
+	// forgiveAfter is how long an endpoint must stay in use for its earlier ejections to be forgotten.
+	forgiveAfter = time.Minute
+)
+
+// Config sets a Pool up. Zero fields take the defaults above.
+type Config struct {
+	// MaxShare is the greatest part of a pool that may be out of use at once; one endpoint always may,
+	// if the pool has another.
+	MaxShare float64
+	// Ejection is how long the first ejection lasts; each further one doubles it, up to MaxEjection.
+	Ejection    time.Duration
+	MaxEjection time.Duration
+}
+
+// Pool is what is known of a pool as a whole.
+type Pool struct {
+	cfg   Config
+	size  int
+	out   int
+	bad   float64
+	speed median
+}
+
+// NewPool makes a pool without endpoints.
+func NewPool(cfg Config) Pool {
+	if cfg.MaxShare == 0 {
+		cfg.MaxShare = DefaultMaxShare
+	}
+	if cfg.Ejection == 0 {
+		cfg.Ejection = DefaultEjection
+	}
+	if cfg.MaxEjection == 0 {
+		cfg.MaxEjection = DefaultMaxEjection
+	}
+	return Pool{cfg: cfg}
+}
+
+// State tells whether an endpoint is in use.
+type State uint8
+
+// The states of an endpoint.
+const (
+	// InUse is an endpoint like any other.
+	InUse State = iota
+	// Ejected gets no calls.
+	Ejected
+	// Probing gets one call at a time, whose end decides.
+	Probing
+)
+
+// Record is what is known of one endpoint. Its zero value is an endpoint in use with no past.
+type Record struct {
+	state     State
+	bad       float64
+	level     float64
+	until     time.Time
+	ejections int
+}
+
+// State is the endpoint's state as of the last call of Advance.
+func (r *Record) State() State { return r.state }
+
+// Until is when an ejection ends.
+func (r *Record) Until() time.Time { return r.until }
+
+// Add counts a new endpoint of the pool.
+func (p *Pool) Add() { p.size++ }
+
+// Remove forgets an endpoint of the pool.
+func (p *Pool) Remove(r *Record) {
+	p.size--
+	if r.state != InUse {
+		p.out--
+	}
+	*r = Record{}
+}
+
+// Out is how many endpoints are ejected or on probe.
+func (p *Pool) Out() int { return p.out }
+
+// Advance lets an ejection end in a probe when its time has come, and tells whether it did.
+func (p *Pool) Advance(r *Record, now time.Time) bool {
+	if r.state != Ejected || now.Before(r.until) {
+		return false
+	}
+	r.state = Probing
+	return true
+}
+
+// Restore lets an ejection end in a probe at once: no other endpoint is left.
+func (p *Pool) Restore(r *Record) {
+	if r.state == Ejected {
+		r.state = Probing
+	}
+}
+
+// End is how a call ended, as far as it tells something of the endpoint.
+type End uint8
+
+// The ends of calls.
+const (
+	Good End = iota
+	Bad
+	// Down is a refused connection: nothing serves at the address, so one is enough.
+	Down
+)
+
+// Ended takes a call's end and tells whether the endpoint's state has changed by it.
+// doubted tells that a peer has ejected the endpoint.
+func (p *Pool) Ended(r *Record, end End, doubted bool, now time.Time) bool {
+	badness := 1.0
+	if end == Good {
+		badness = 0
+	}
+	p.bad += poolWeight * (badness - p.bad)
+	r.bad += recordWeight * (badness - r.bad)
+	if end == Down {
+		r.bad = max(r.bad, ejectAt)
+	}
+	switch r.state {
+	case Probing:
+		return p.endProbe(r, end, now)
+	case Ejected:
+		return false
+	}
+	bound := ejectAt
+	if doubted {
+		bound = ejectDoubtedAt
+	}
+	if r.bad < bound || r.bad < p.bad+worseBy || !p.mayEject() {
+		return false
+	}
+	p.out++
+	p.eject(r, now)
+	return true
+}
+
+// mayEject bounds what is out of use: ejecting most of a pool would turn slow answers into none.
+func (p *Pool) mayEject() bool {
+	return p.out+1 <= max(1, int(p.cfg.MaxShare*float64(p.size))) && p.size > 1
+}
+
+func (p *Pool) eject(r *Record, now time.Time) {
+	if now.Sub(r.until) > forgiveAfter {
+		r.ejections = 0
+	}
+	length := p.cfg.Ejection << min(r.ejections, 16)
+	r.until = now.Add(min(length, p.cfg.MaxEjection))
+	r.ejections++
+	r.state = Ejected
+}
+
+func (p *Pool) endProbe(r *Record, end End, now time.Time) bool {
+	if end != Good {
+		p.eject(r, now)
+		return true
+	}
+	r.state = InUse
+	r.bad = afterProbe
+	r.level = 0
+	p.out--
+	return true
+}
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -16,6 +16,7 @@
 	"geraniumline/drainer"
 	"geraniumline/limiter"
 	"geraniumline/publisher"
+	"geraniumline/quarantiner"
 	"geraniumline/retrier"
 	"geraniumline/router"
 	"geraniumline/scheduler"
@@ -80,6 +81,10 @@
 	retrier   *retrier.Retrier
 	biller    *biller.Biller
 
+	quarantiner *quarantiner.Quarantiner
+	// lone are the runs of suspect requests by pool.
+	lone map[string][]loneRun
+
 	requests  map[uint64]*request
 	plans     map[string]*plan
 	applied   map[string]*publisher.Contract
@@ -123,6 +128,10 @@
 		router:    router.New(router.Config{Rand: random}),
 		retrier:   retrier.New(retrier.Config{}),
 		biller:    biller.New(),
+
+		quarantiner: quarantiner.New(quarantiner.Config{}),
+		lone:        map[string][]loneRun{},
+
 		requests:  map[uint64]*request{},
 		plans:     map[string]*plan{},
 		applied:   map[string]*publisher.Contract{},
@@ -185,6 +194,8 @@
 		c.takeVMs(e, now)
 	case LoadReported:
 		c.router.Report(e.Address, e.Report, now)
+	case CacheEventsRead:
+		c.router.CacheEvents(e.Address, e.Events, e.Next, now)
 	case ChangeAsked:
 		c.takeChange(e, now)
 	case OperationAsked:
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -143,6 +143,13 @@
 	Report  router.Report
 }
 
+// CacheEventsRead is a page of an endpoint's cache events; Next is the number that follows it.
+type CacheEventsRead struct {
+	Address string
+	Events  []router.CacheEvent
+	Next    int64
+}
+
 // ChangeAsked is an operator's change of configuration.
 type ChangeAsked struct {
 	ID     uint64
@@ -195,6 +202,7 @@
 func (PeerMessageArrived) event() {}
 func (VMsListed) event()          {}
 func (LoadReported) event()       {}
+func (CacheEventsRead) event()    {}
 func (ChangeAsked) event()        {}
 func (OperationAsked) event()     {}
 func (ConfigAsked) event()        {}
--- a/reducer/fault.go
+++ b/reducer/fault.go
@@ -18,6 +18,16 @@
 		return
 	}
 	address := k.address
+	result := resultOf(e.Fault.Kind)
+	if k.resumed {
+		// The endpoint took the call before it was cut. That it is unreachable, or does not know the
+		// stream, when the reply is read on must not pass for "not run": a stage that must not be
+		// repeated would be run again. It is what a cut without resuming is.
+		e.Fault.Kind = FaultCut
+	}
+	if e.Fault.Kind == FaultCut && c.countCrash(r, address, now) {
+		return
+	}
 	hedgesLeft := len(r.calls) > 1
 	if surelyNotRun(e.Fault.Kind) {
 		r.possible--
@@ -27,7 +37,7 @@
 	if e.Fault.Kind == FaultTimeout {
 		c.emit(CancelStage{Call: e.Call, Address: address, StreamID: k.streamID})
 	}
-	c.router.Ended(address, resultOf(e.Fault.Kind), now)
+	c.endCall(address, router.End{Result: result}, now)
 	r.calls = slices.Delete(r.calls, at, at+1)
 	r.tried = append(r.tried, address)
 	pool := r.stageConfig().Pool
@@ -44,6 +54,7 @@
 		return false
 	}
 	r.resumes++
+	k.resumed = true
 	c.counters.StageResumes++
 	clear(k.early)
 	k.lastPart = now
@@ -65,6 +76,8 @@
 	switch kind {
 	case FaultLeaving:
 		return router.RefusedLeaving
+	case FaultNotSent:
+		return router.Unreachable
 	case FaultBusy:
 		return router.RefusedBusy
 	case FaultStaleFence, FaultBadCall:
@@ -86,6 +99,10 @@
 	case fault.Kind == FaultLeaving && len(r.tried) < maxLeavingTries:
 		// A leaving endpoint's refusal is no sign of trouble in the pool, so it costs no retry.
 		c.enqueue(r, now)
+	case fault.Kind == FaultCut && r.attempts < maxLoneTries:
+		// The next try runs alone, and few at a time do, so it needs no budget against a storm.
+		c.counters.StageRetries++
+		c.enqueue(r, now)
 	case c.retrier.Retry(stage.Pool, r.attempts, now):
 		c.counters.StageRetries++
 		c.enqueue(r, now)
@@ -94,23 +111,20 @@
 	}
 }
 
-const maxLeavingTries = 8
+const (
+	maxLeavingTries = 8
+	// maxLoneTries bounds the attempts of a stage whose calls were cut.
+	maxLoneTries = 3
+)
 
-// passStageTimeout ends a call that has been silent for too long. A call of a stage that must not be
-// repeated is left to its deadline, since ending it early gains nothing: it can't be tried elsewhere.
-func (c *Core) passStageTimeout(id CallID, now time.Time) {
-	r, at := c.find(id)
-	if r == nil {
-		return
+// endCall tells the router of a call's end.
+func (c *Core) endCall(address string, end router.End, now time.Time) {
+	if c.router.Ended(address, end, now) {
+		c.noteEjected(address)
 	}
-	k := &r.calls[at]
-	due := k.lastPart.Add(c.cfg.StageTimeout)
-	if now.Before(due) {
-		c.schedule(timer{at: due, kind: timerStage, call: id})
-		return
-	}
-	if !r.stageConfig().Repeatable {
-		return
-	}
-	c.takeFault(StageFailed{Call: id, Fault: StageFault{Kind: FaultTimeout, Message: "the endpoint was silent for too long"}}, now)
+}
+
+func (c *Core) noteEjected(address string) {
+	c.counters.EndpointsEjected++
+	c.emit(LogChange{Message: "endpoint", Subject: address, From: "live", To: "ejected"})
 }
--- a/reducer/log.go
+++ b/reducer/log.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"geraniumline/publisher"
 	"geraniumline/recorder"
 )
 
@@ -59,6 +60,14 @@
 	}
 	if len(records) > 0 {
 		c.applyContracts(now)
+		c.applyPools()
+	}
+}
+
+// applyPools hands the pools in force to the router.
+func (c *Core) applyPools() {
+	for _, pool := range c.fold.Pools() {
+		c.router.SetPool(pool.Name, pool.SlotsPerEndpoint, pool.Kind == publisher.PoolEngine)
 	}
 }
 
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -38,6 +38,7 @@
 	c.counters.HeartbeatsTaken++
 	c.takeTransitions(c.detector.Receive(message, now), now)
 	c.router.PeerLoads(message.From.Name, message.Endpoints, now)
+	c.takeCrashes(message.Crashes, now)
 	c.limiter.PeerUses(message.From.Name, message.Accounts, now)
 	c.callForRecords(message.From, now)
 }
@@ -87,6 +88,7 @@
 	if len(message.Snapshot) > 0 && c.fold.Restore(message.Snapshot, now) {
 		c.configs.restart(c.fold.Offset())
 		c.applyContracts(now)
+		c.applyPools()
 	}
 	c.foldConfig(records, 0, now)
 	if c.fold.Offset() > before {
@@ -122,6 +124,7 @@
 	}
 	c.liveEntries = max(live, 1)
 	c.limiter.SetPeers(c.liveEntries, now)
+	c.router.SetEntries(c.liveEntries)
 }
 
 // beat sends a heartbeat to the peers that the detector names.
@@ -134,6 +137,7 @@
 		Members:   c.detector.Digest(now),
 		Endpoints: c.router.Loads(now),
 		Accounts:  c.limiter.Uses(now),
+		Crashes:   c.quarantiner.Marks(now),
 	}
 	for _, address := range c.detector.Targets(now) {
 		c.counters.HeartbeatsSent++
--- a/reducer/request.go
+++ b/reducer/request.go
@@ -12,6 +12,7 @@
 	"geraniumline/claimer"
 	"geraniumline/limiter"
 	"geraniumline/publisher"
+	"geraniumline/router"
 	"geraniumline/scheduler"
 )
 
@@ -46,8 +47,10 @@
 	claimed bool
 	fence   int64
 
-	stage    int
-	input    string
+	stage int
+	input string
+	// prefix is that of input, for the choice of an endpoint.
+	prefix   router.Prefix
 	attempts int
 	tried    []string
 	calls    []call
@@ -178,6 +181,9 @@
 	if !c.drainer.AcceptsWork(now) {
 		return &Failure{Code: CodeStopping, Message: "this entry is stopping; ask for addresses again", State: StateNotRun}
 	}
+	if failure := c.checkQuarantine(e.Digest, now); failure != nil {
+		return failure
+	}
 	if plan.sideEffect {
 		if failure := c.checkClaimable(e, now); failure != nil {
 			return failure
@@ -285,6 +291,7 @@
 // answer ends a request with its whole answer.
 func (c *Core) answer(r *request, text string, parts int, now time.Time) {
 	c.counters.RequestsAnswered++
+	c.quarantiner.Answered(r.digest, now)
 	outcome := Outcome{State: StateAnswered, Request: r.name, Answer: text, Parts: parts, Ended: now, Digest: r.digest}
 	result := biller.AnsweredInTime
 	if now.After(r.deadline) {
--- a/reducer/stage.go
+++ b/reducer/stage.go
@@ -26,13 +26,19 @@
 	nextSeq  int
 	text     strings.Builder
 	// early holds parts that arrived before their predecessor.
-	early    map[int]endpointserver.StagePart
-	resuming bool
-	hedge    bool
+	early map[int]endpointserver.StagePart
+	// resumed tells that the reply is being read on after a cut: the endpoint has acted on the call,
+	// whatever is said to the resuming.
+	resumed bool
+	hedge   bool
+	watch   watch
 }
 
 // enqueue lets the request's present stage wait for an endpoint.
 func (c *Core) enqueue(r *request, now time.Time) {
+	if c.divert(r, now) {
+		return
+	}
 	stage := r.stageConfig()
 	r.phase = phaseQueued
 	r.queuedAt = now
@@ -49,6 +55,7 @@
 
 // pump hands waiting stages to free endpoints of the pool.
 func (c *Core) pump(pool string, now time.Time) {
+	c.pumpLone(pool, now)
 	for c.scheduler.Len(pool) > 0 && c.router.Free(pool, now) {
 		item, ok := c.scheduler.Pop(pool, now)
 		if !ok {
@@ -58,6 +65,9 @@
 		if !running {
 			continue
 		}
+		if c.divert(r, now) {
+			continue
+		}
 		c.admitter.ObserveWait(pool, now.Sub(r.queuedAt), now)
 		if c.admitter.Hopeless(c.asks(r.plan, r.stage, now), r.deadline, now) {
 			c.fail(r, CodeCannotFinish, "the stages that are left cannot end by the deadline", c.retryAfter(pool), now)
@@ -73,7 +83,9 @@
 }
 
 func (c *Core) askOf(r *request) router.Ask {
-	return router.Ask{Pool: r.stageConfig().Pool, Prefix: router.PrefixOf(r.input), Avoid: r.tried}
+	stage := r.stageConfig()
+	r.prefix = c.prefixOf(r)
+	return router.Ask{Pool: stage.Pool, Prefix: r.prefix, Avoid: r.tried, NoProbe: !stage.Repeatable}
 }
 
 // retryAfter tells a caller when the backlog of a pool will have been worked off.
@@ -90,13 +102,13 @@
 	stage := r.stageConfig()
 	r.attempts++
 	if r.attempts == 1 {
-		c.retrier.First(stage.Pool, now)
+		c.retrier.First(stage.Pool, c.busy(stage.Pool), now)
 	}
 	r.phase = phaseRunning
 	r.possible++
 	r.calls = append(r.calls, call{attempt: r.attempts, address: address, started: now, lastPart: now, hedge: hedge})
 	c.counters.StageCalls++
-	c.router.Started(address, now)
+	c.router.Started(address, &r.prefix, now)
 	id := CallID{Request: r.id, Stage: r.stage, Attempt: r.attempts}
 	body := &endpointserver.StageCall{
 		RequestId:      r.name,
@@ -119,7 +131,7 @@
 		body.Fence = endpointserver.NewOptInt64(r.fence)
 	}
 	c.emit(&CallStage{Call: id, Address: address, Body: body})
-	c.schedule(timer{at: now.Add(c.cfg.StageTimeout), kind: timerStage, call: id})
+	c.watchCall(r, id, now)
 }
 
 // find gives the request and the index of the call that an id names, if both are still of interest.
@@ -238,7 +250,8 @@
 	k := r.calls[at]
 	stage := r.stageConfig()
 	cost := part.Cost.Value
-	c.router.Ended(k.address, router.Succeeded, now)
+	usual, _ := c.usual(r)
+	c.endCall(k.address, router.End{Result: router.Succeeded, Took: now.Sub(k.started), Expected: usual}, now)
 	c.admitter.Observe(r.plan.stageNames[r.stage], now.Sub(k.started), cost, now)
 	c.scheduler.Charge(stage.Pool, r.key.Account, cost-c.admitter.ExpectedCost(r.plan.stageNames[r.stage], cost))
 	c.biller.Work(r.key.Account, stage.Name, cost)
@@ -264,7 +277,7 @@
 	for i := range r.calls {
 		k := &r.calls[i]
 		c.emit(CancelStage{Call: CallID{Request: r.id, Stage: r.stage, Attempt: k.attempt}, Address: k.address, StreamID: k.streamID})
-		c.router.Ended(k.address, router.Cancelled, now)
+		c.endCall(k.address, router.End{Result: router.Cancelled}, now)
 		c.waste(r, k, now)
 	}
 	r.calls = r.calls[:0]
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -1,7 +1,6 @@
 package reducer
 
 import (
-	"container/heap"
 	"time"
 )
 
@@ -26,39 +25,70 @@
 	name    string
 }
 
+// timerHeap is a binary heap with the earliest timer first. It is not container/heap, which would
+// allocate for each timer that goes through its interface.
 type timerHeap []timer
 
-func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
-func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) push(t timer) {
+	*h = append(*h, t)
+	s := *h
+	i := len(s) - 1
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !s[i].at.Before(s[parent].at) {
+			return
+		}
+		s[i], s[parent] = s[parent], s[i]
+		i = parent
+	}
+}
 
-// Push is for container/heap.
-func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
+func (h *timerHeap) pop() timer {
+	s := *h
+	first := s[0]
+	last := len(s) - 1
+	s[0] = s[last]
+	s[last] = timer{}
+	*h = s[:last]
+	h.sink()
+	return first
+}
 
-// Pop is for container/heap.
-func (h *timerHeap) Pop() any {
-	last := len(*h) - 1
-	t := (*h)[last]
-	(*h)[last] = timer{}
-	*h = (*h)[:last]
-	return t
+// sink takes the first timer down to its place.
+func (h *timerHeap) sink() {
+	s := *h
+	i := 0
+	for {
+		child := 2*i + 1
+		if child >= len(s) {
+			return
+		}
+		if right := child + 1; right < len(s) && s[right].at.Before(s[child].at) {
+			child = right
+		}
+		if !s[child].at.Before(s[i].at) {
+			return
+		}
+		s[i], s[child] = s[child], s[i]
+		i = child
+	}
 }
 
 func (c *Core) schedule(t timer) {
-	heap.Push(&c.timers, t)
+	c.timers.push(t)
 }
 
 // runTimers handles all that is due.
 func (c *Core) runTimers(now time.Time) {
 	for len(c.timers) > 0 && !c.timers[0].at.After(now) {
-		t := heap.Pop(&c.timers).(timer)
+		t := c.timers.pop()
 		switch t.kind {
 		case timerDeadline:
 			c.passDeadline(t.subject, now)
 		case timerClaim:
 			c.passClaimTimeout(t.subject, now)
 		case timerStage:
-			c.passStageTimeout(t.call, now)
+			c.passWatch(t.call, now)
 		case timerAsk:
 			c.passAskTimeout(t.subject, now)
 		case timerChange:
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -1,21 +1,24 @@
-// Package retrier decides whether a stage call may be tried again, from a budget for each pool.
-// It is pure: the present time is given to it.
+// Package retrier decides whether a stage call may be tried again, or hedged by a second call beside
+// it, from one budget of extra work for each pool. It is pure: the present time is given to it.
 package retrier
 
 import "time"
 
 // Defaults of Config.
 const (
-	DefaultRatio    = 0.1
-	DefaultReserve  = 10
-	DefaultAttempts = 3
+	DefaultRatio     = 0.04
+	DefaultBusyRatio = 0.004
+	DefaultReserve   = 10
+	DefaultAttempts  = 3
 )
 
 // Config sets a Retrier up. Zero fields take the defaults above.
 type Config struct {
-	// Ratio is the part of first attempts that may be tried again.
-	Ratio float64
-	// Reserve is the most retries that quiet times may save up.
+	// Ratio is the part of first attempts that may be made again while the pool has slots to spare,
+	// BusyRatio that while work waits for it.
+	Ratio     float64
+	BusyRatio float64
+	// Reserve is the most extra calls that quiet times may save up.
 	Reserve float64
 	// Attempts is the most attempts of one stage.
 	Attempts int
@@ -24,46 +27,73 @@
 // Retrier holds the budgets.
 type Retrier struct {
 	cfg     Config
-	budgets map[string]float64
+	budgets map[string]*budget
 }
 
+type budget struct{ left float64 }
+
 // New makes a retrier whose pools begin with a full reserve.
 func New(cfg Config) *Retrier {
 	if cfg.Ratio == 0 {
 		cfg.Ratio = DefaultRatio
 	}
+	if cfg.BusyRatio == 0 {
+		cfg.BusyRatio = DefaultBusyRatio
+	}
 	if cfg.Reserve == 0 {
 		cfg.Reserve = DefaultReserve
 	}
 	if cfg.Attempts == 0 {
 		cfg.Attempts = DefaultAttempts
 	}
-	return &Retrier{cfg: cfg, budgets: map[string]float64{}}
+	return &Retrier{cfg: cfg, budgets: map[string]*budget{}}
 }
 
-// First notes a first attempt, which earns a part of a retry.
-func (r *Retrier) First(pool string, _ time.Time) {
-	r.budgets[pool] = min(r.budget(pool)+r.cfg.Ratio, r.cfg.Reserve)
+func (r *Retrier) budget(pool string) *budget {
+	b, known := r.budgets[pool]
+	if !known {
+		b = &budget{left: r.cfg.Reserve}
+		r.budgets[pool] = b
+	}
+	return b
 }
 
-func (r *Retrier) budget(pool string) float64 {
-	budget, known := r.budgets[pool]
-	if !known {
-		return r.cfg.Reserve
+// First notes a first attempt, which earns a part of an extra call: hardly any while the pool is
+// busy, since there each extra call takes the place of a first one.
+func (r *Retrier) First(pool string, busy bool, _ time.Time) {
+	ratio := r.cfg.Ratio
+	if busy {
+		ratio = r.cfg.BusyRatio
 	}
-	return budget
+	b := r.budget(pool)
+	b.left = min(b.left+ratio, r.cfg.Reserve)
+}
+
+// Allows tells whether Retry would allow one more attempt now.
+func (r *Retrier) Allows(pool string, attempts int) bool {
+	return attempts < r.cfg.Attempts && r.budget(pool).left >= 1
 }
 
-// Retry spends one retry of the pool's budget, if attempts so far and the budget allow it.
+// Retry spends one extra call of the pool's budget, if attempts so far and the budget allow it.
 // Without the budget a pool that comes back is met by all the retries of its absence at once.
 func (r *Retrier) Retry(pool string, attempts int, _ time.Time) bool {
-	if attempts >= r.cfg.Attempts {
+	if !r.Allows(pool, attempts) {
+		return false
+	}
+	r.budget(pool).left--
+	return true
+}
+
+// Hedge spends one extra call on a second call beside a silent one. A busy pool has none to spare,
+// and half of the reserve is left for calls that failed.
+func (r *Retrier) Hedge(pool string, attempts int, busy bool, _ time.Time) bool {
+	if busy || attempts >= r.cfg.Attempts {
 		return false
 	}
-	budget := r.budget(pool)
-	if budget < 1 {
+	b := r.budget(pool)
+	if b.left-1 < r.cfg.Reserve/2 {
 		return false
 	}
-	r.budgets[pool] = budget - 1
+	b.left--
 	return true
 }
--- /dev/null
+++ b/router/call.go
@@ -0,0 +1,95 @@
+package router
+
+import (
+	"time"
+
+	"geraniumline/ejector"
+)
+
+// Result tells how a call to an endpoint ended.
+type Result uint8
+
+// The ways in which a call ends.
+const (
+	Succeeded Result = iota
+	Failed
+	// Unreachable means that nothing took the connection.
+	Unreachable
+	Cancelled
+	RefusedBusy
+	RefusedLeaving
+)
+
+// End is a call's end.
+type End struct {
+	Result Result
+	// Took is the call's time, Expected the usual time of its stage; both are used when it succeeded.
+	Took     time.Duration
+	Expected time.Duration
+}
+
+// Started counts a call as in flight.
+func (r *Router) Started(address string, prefix *Prefix, now time.Time) {
+	e, known := r.endpoints[address]
+	if !known {
+		return
+	}
+	e.inFlight++
+	e.pool.calls++
+	e.past.note(e.calls(), now)
+	r.refresh(e)
+	if prefix != nil {
+		r.predict(e, prefix)
+	}
+}
+
+// Ended takes a call's end, and tells whether the endpoint was ejected by it.
+func (r *Router) Ended(address string, end End, now time.Time) bool {
+	e, known := r.endpoints[address]
+	if !known {
+		return false
+	}
+	if e.inFlight > 0 {
+		e.inFlight--
+		e.pool.calls--
+	}
+	e.past.note(e.calls(), now)
+	ejected := r.judge(e, end, now)
+	r.refresh(e)
+	return ejected
+}
+
+func (r *Router) judge(e *endpoint, end End, now time.Time) bool {
+	doubted := e.peerEjected > 0
+	verdict := ejector.Good
+	switch end.Result {
+	case Succeeded:
+		e.succeeded = now
+		verdict = e.pool.health.Took(&e.health, end.Took, end.Expected)
+	case Failed:
+		verdict = ejector.Bad
+	case Unreachable:
+		verdict = ejector.Down
+	case RefusedLeaving:
+		e.selfLeaving = true
+		e.selfLeavingAt = now
+		return false
+	default:
+		return false
+	}
+	changed := e.pool.health.Ended(&e.health, verdict, doubted, now)
+	return changed && e.health.State() == ejector.Ejected
+}
+
+// Overdue notes that a call is silent for longer than the pool's patience, and tells whether its
+// endpoint was ejected by it. Waiting for the call's end would give an endpoint that takes calls and
+// never answers all the time until the first deadline.
+func (r *Router) Overdue(address string, now time.Time) bool {
+	e, known := r.endpoints[address]
+	if !known {
+		return false
+	}
+	changed := e.pool.health.Ended(&e.health, ejector.Bad, e.peerEjected > 0, now)
+	r.refresh(e)
+	return changed && e.health.State() == ejector.Ejected
+}
--- /dev/null
+++ b/router/choose.go
@@ -0,0 +1,134 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"geraniumline/ejector"
+)
+
+const (
+	// homes is how many endpoints on the ring a prompt's prefix may be at home at.
+	homes = 2
+	// homeReuse is the reuse that is assumed at a home whose cache is not known to hold the prefix:
+	// enough that entries which know nothing send the same prefix to the same endpoint.
+	homeReuse = 0.25
+)
+
+// Ask says what a stage call needs of an endpoint.
+type Ask struct {
+	Pool string
+	// Prefix is of the prompt, for pools that cache prompts.
+	Prefix Prefix
+	// Avoid holds the addresses that were tried already.
+	Avoid []string
+	// NoProbe keeps the call from an endpoint that is on probe: for a stage that must not be repeated
+	// a failed probe would leave the outcome unknown.
+	NoProbe bool
+}
+
+// candidate is the best endpoint seen so far.
+type candidate struct {
+	endpoint *endpoint
+	score    float64
+}
+
+// Choose names a free endpoint of the pool, or none if all are full, leaving or ejected.
+// An address to avoid is named only when no other is free.
+//
+// It looks at a few free endpoints at random and at the homes of the prompt's prefix, and takes the
+// one with the least load less what its cache is worth. A few at random is what keeps entries that
+// all see the same lagging loads from choosing the same endpoint.
+func (r *Router) Choose(ask Ask, now time.Time) (string, bool) {
+	p, known := r.pools[ask.Pool]
+	if !known {
+		return "", false
+	}
+	r.advance(p, now)
+	if e := r.probe(p, &ask); e != nil {
+		return e.address, true
+	}
+	best := r.sample(p, &ask, now)
+	if best.endpoint == nil {
+		best = r.any(p, &ask)
+	}
+	if best.endpoint == nil {
+		return "", false
+	}
+	return best.endpoint.address, true
+}
+
+// probe gives an endpoint that waits for its probe. It goes before better ones, since otherwise a
+// quiet pool would never try it again.
+func (r *Router) probe(p *pool, ask *Ask) *endpoint {
+	if ask.NoProbe || len(p.out) == 0 || len(ask.Avoid) > 0 {
+		return nil
+	}
+	for _, e := range p.out {
+		if e.health.State() == ejector.Probing && e.freeIndex >= 0 {
+			return e
+		}
+	}
+	return nil
+}
+
+func (r *Router) sample(p *pool, ask *Ask, now time.Time) candidate {
+	best := candidate{}
+	n := len(p.available)
+	if n == 0 {
+		return best
+	}
+	for range min(r.cfg.Candidates, n) {
+		r.weigh(&best, p.available[r.cfg.Rand.IntN(n)], ask, 0, now)
+	}
+	if !p.caches || ask.Prefix.count == 0 {
+		return best
+	}
+	at, _ := slices.BinarySearchFunc(p.ring, ask.Prefix.home(), byRing)
+	for i := range min(homes, len(p.ring)) {
+		e := p.ring[(at+i)%len(p.ring)]
+		if e.freeIndex >= 0 {
+			r.weigh(&best, e, ask, homeReuse/float64(i+1), now)
+		}
+	}
+	return best
+}
+
+// weigh takes an endpoint as the best if its score is lower.
+func (r *Router) weigh(best *candidate, e *endpoint, ask *Ask, assumed float64, now time.Time) {
+	if e.health.State() != ejector.InUse || slices.Contains(ask.Avoid, e.address) {
+		return
+	}
+	score := e.load(now)
+	if e.pool.caches {
+		score -= r.cfg.ReuseWeight * max(ask.Prefix.reuse(e.cache), assumed)
+	}
+	if best.endpoint == nil || score < best.score {
+		*best = candidate{endpoint: e, score: score}
+	}
+}
+
+// any gives a free endpoint when the sample held none that may be taken: first one that was not tried.
+func (r *Router) any(p *pool, ask *Ask) candidate {
+	var tried, onProbe *endpoint
+	n := len(p.available)
+	if n == 0 {
+		return candidate{}
+	}
+	start := r.cfg.Rand.IntN(n)
+	for i := range n {
+		e := p.available[(start+i)%n]
+		switch {
+		case e.health.State() != ejector.InUse:
+			onProbe = e
+		case slices.Contains(ask.Avoid, e.address):
+			tried = e
+		default:
+			return candidate{endpoint: e}
+		}
+	}
+	if tried == nil && p.usableSlots == 0 {
+		return candidate{endpoint: onProbe}
+	}
+	return candidate{endpoint: tried}
+}
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -4,60 +4,119 @@
 	"slices"
 	"strings"
 	"time"
-)
-
-const (
-	failuresToEject = 3
-	ejection        = 2 * time.Second
-)
 
-// Result tells how a call to an endpoint ended.
-type Result uint8
+	"github.com/cespare/xxhash/v2"
 
-// The ways in which a call ends.
-const (
-	Succeeded Result = iota
-	Failed
-	Cancelled
-	RefusedBusy
-	RefusedLeaving
+	"geraniumline/ejector"
 )
 
+// endpoint is what is known of one endpoint.
 type endpoint struct {
 	address string
-	pool    string
+	pool    *pool
 	zone    string
-	slots   int
-	// inFlight counts this entry's calls, peers those of other entries by their heartbeats.
-	inFlight     int
-	peers        map[string]int
-	leaving      bool
-	failures     int
-	ejectedUntil time.Time
-	listed       time.Time
-	succeeded    time.Time
-	reported     time.Time
-	report       Report
+	// ring is the hash of the address, its place on the pool's ring.
+	ring uint64
+
+	// slots is what the endpoint reported; 0 until then.
+	slots int
+	// inFlight counts this entry's calls, peerCalls those of other entries by their heartbeats.
+	inFlight  int
+	peerCalls int
+	// foreign is what a report counted beyond the calls that were known of at its time.
+	foreign   float64
+	foreignAt time.Time
+	past      past
+	reported  time.Time
+	succeeded time.Time
+	listed    time.Time
+	waiting   int
+
+	// listLeaving is the VM list's word, selfLeaving the endpoint's own as of selfLeavingAt,
+	// peerLeaving counts the peers that know it at first hand.
+	listLeaving   bool
+	selfLeaving   bool
+	selfLeavingAt time.Time
+	peerLeaving   int
+
+	health ejector.Record
+	// peerEjected counts the peers that have ejected the endpoint.
+	peerEjected int
+
+	cache     *cacheMap
+	cacheNext int64
+
+	// reserved tells that the endpoint is kept for one call that runs alone.
+	reserved  bool
+	forgotten bool
+
+	// usable tells that its slots are counted in the pool's capacity, as countedSlots.
+	usable       bool
+	countedSlots int
+	allIndex     int
+	freeIndex    int
+	outIndex     int
+	activeIndex  int
 }
 
-func (e *endpoint) calls() int {
-	n := e.inFlight
-	for _, peer := range e.peers {
-		n += peer
+func newEndpoint(vm VM, p *pool, now time.Time) *endpoint {
+	return &endpoint{
+		address:     vm.Address,
+		pool:        p,
+		zone:        vm.Zone,
+		ring:        xxhash.Sum64String(vm.Address),
+		listed:      now,
+		freeIndex:   -1,
+		outIndex:    -1,
+		activeIndex: -1,
 	}
-	return n
 }
 
-func (e *endpoint) load() float64 {
-	return float64(e.calls()) / float64(max(e.slots, 1))
+func (e *endpoint) leaving() bool {
+	return e.listLeaving || e.selfLeaving || e.peerLeaving > 0
 }
 
-func (e *endpoint) usable(now time.Time) bool {
-	return !e.leaving && !now.Before(e.ejectedUntil)
+func (e *endpoint) capacity() int {
+	if e.slots > 0 {
+		return e.slots
+	}
+	return e.pool.slots
+}
+
+func (e *endpoint) calls() int { return e.inFlight + e.peerCalls }
+
+// load is the estimated calls at the endpoint for each of its slots, with one more call.
+func (e *endpoint) load(now time.Time) float64 {
+	calls := float64(e.calls()+1) + e.foreignCalls(now)
+	return calls / float64(e.capacity()) * e.health.Slowness()
+}
+
+// free tells whether the endpoint can take a call of an entry that shares it with others.
+//
+// What peers have in flight is as old as their heartbeats. Taken at its word it would leave slots idle
+// that they freed since, and could keep one entry from an endpoint for ever; so each entry may have its
+// even share of the slots in flight whatever the peers say.
+func (e *endpoint) free(entries int) bool {
+	if e.leaving() || e.forgotten || e.reserved {
+		return false
+	}
+	switch e.health.State() {
+	case ejector.Ejected:
+		return false
+	case ejector.Probing:
+		return e.inFlight == 0
+	default:
+		slots := e.capacity()
+		return e.calls() < slots || e.inFlight < max(slots/entries, 1)
+	}
 }
 
-func (e *endpoint) free(now time.Time) bool {
-	return e.usable(now) && e.calls() < e.slots
+// gone tells whether nothing speaks for the endpoint any more.
+func (e *endpoint) gone(now time.Time, after time.Duration) bool {
+	return e.inFlight == 0 &&
+		now.Sub(e.listed) > after &&
+		now.Sub(e.succeeded) > after &&
+		now.Sub(e.reported) > after
 }
 
 // Status is an endpoint as operators see it.
@@ -72,28 +131,31 @@
 
 // Endpoints lists all known endpoints by pool and address.
 func (r *Router) Endpoints(now time.Time) []Status {
-	var all []Status
+	all := make([]Status, 0, len(r.endpoints))
 	for _, e := range r.endpoints {
 		all = append(all, Status{
 			Address:  e.address,
-			Pool:     e.pool,
+			Pool:     e.pool.name,
 			Zone:     e.zone,
-			State:    e.state(now),
+			State:    e.state(),
 			InFlight: e.inFlight,
-			Queued:   e.report.Waiting,
+			Queued:   e.waiting,
 		})
 	}
 	slices.SortFunc(all, func(a, b Status) int {
-		return strings.Compare(a.Pool+"/"+a.Address, b.Pool+"/"+b.Address)
+		if order := strings.Compare(a.Pool, b.Pool); order != 0 {
+			return order
+		}
+		return strings.Compare(a.Address, b.Address)
 	})
 	return all
 }
 
-func (e *endpoint) state(now time.Time) string {
+func (e *endpoint) state() string {
 	switch {
-	case e.leaving:
+	case e.leaving():
 		return "leaving"
-	case now.Before(e.ejectedUntil):
+	case e.health.State() != ejector.InUse:
 		return "ejected"
 	default:
 		return "live"
--- /dev/null
+++ b/router/pool.go
@@ -0,0 +1,196 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"geraniumline/ejector"
+)
+
+// pool is the endpoints that can take each other's calls. Its sums and lists are kept up with each
+// change of an endpoint, so that no decision has to look at all of them.
+type pool struct {
+	name   string
+	slots  int
+	caches bool
+	all    []*endpoint
+	// ring is all endpoints by the hash of their address.
+	ring []*endpoint
+	// available are the endpoints that can take a call now.
+	available []*endpoint
+	// out are the endpoints that are ejected or on probe.
+	out       []*endpoint
+	advanceAt time.Time
+	health    ejector.Pool
+	// usableSlots are the slots of all endpoints that are neither leaving nor ejected.
+	usableSlots int
+	// calls is the sum of all entries' calls in flight.
+	calls    int
+	reserved int
+}
+
+func (p *pool) add(e *endpoint) {
+	e.allIndex = len(p.all)
+	p.all = append(p.all, e)
+	at, _ := slices.BinarySearchFunc(p.ring, e.ring, byRing)
+	p.ring = slices.Insert(p.ring, at, e)
+	p.health.Add()
+}
+
+func (p *pool) remove(e *endpoint) {
+	last := len(p.all) - 1
+	p.all[e.allIndex] = p.all[last]
+	p.all[e.allIndex].allIndex = e.allIndex
+	p.all[last] = nil
+	p.all = p.all[:last]
+	p.ring = slices.DeleteFunc(p.ring, func(other *endpoint) bool { return other == e })
+	p.health.Remove(&e.health)
+	p.listOut(e)
+}
+
+func byRing(e *endpoint, hash uint64) int { return cmp.Compare(e.ring, hash) }
+
+// refresh brings the pool's sums and lists up to an endpoint's present state.
+func (r *Router) refresh(e *endpoint) {
+	p := e.pool
+	p.listFree(e, e.free(r.entries))
+	p.listOut(e)
+	usable := !e.leaving() && !e.forgotten && e.health.State() == ejector.InUse
+	if e.usable {
+		p.usableSlots -= e.countedSlots
+	}
+	e.usable = usable
+	e.countedSlots = e.capacity()
+	if usable {
+		p.usableSlots += e.countedSlots
+	}
+	r.active.set(e, e.inFlight > 0 || e.firstHandLeaving() || e.health.State() != ejector.InUse)
+}
+
+func (r *Router) refreshPool(p *pool) {
+	for _, e := range p.all {
+		r.refresh(e)
+	}
+}
+
+func (p *pool) listFree(e *endpoint, free bool) {
+	switch {
+	case free && e.freeIndex < 0:
+		e.freeIndex = len(p.available)
+		p.available = append(p.available, e)
+	case !free && e.freeIndex >= 0:
+		last := len(p.available) - 1
+		moved := p.available[last]
+		p.available[e.freeIndex] = moved
+		moved.freeIndex = e.freeIndex
+		p.available[last] = nil
+		p.available = p.available[:last]
+		e.freeIndex = -1
+	}
+}
+
+func (p *pool) listOut(e *endpoint) {
+	out := e.health.State() != ejector.InUse
+	switch {
+	case out && e.outIndex < 0:
+		e.outIndex = len(p.out)
+		p.out = append(p.out, e)
+	case !out && e.outIndex >= 0:
+		last := len(p.out) - 1
+		moved := p.out[last]
+		p.out[e.outIndex] = moved
+		moved.outIndex = e.outIndex
+		p.out[last] = nil
+		p.out = p.out[:last]
+		e.outIndex = -1
+	}
+	if out && e.health.State() == ejector.Ejected && (p.advanceAt.IsZero() || e.health.Until().Before(p.advanceAt)) {
+		p.advanceAt = e.health.Until()
+	}
+}
+
+// advance lets ejections end in probes when their time has come, or at once when nothing else is left.
+func (r *Router) advance(p *pool, now time.Time) {
+	if len(p.out) == 0 {
+		return
+	}
+	if p.usableSlots == 0 {
+		r.restoreAll(p)
+		return
+	}
+	if p.advanceAt.IsZero() || now.Before(p.advanceAt) {
+		return
+	}
+	p.advanceAt = time.Time{}
+	for _, e := range p.out {
+		p.health.Advance(&e.health, now)
+		r.refresh(e)
+	}
+}
+
+// restoreAll lets the ejected endpoints be probed when all others have left: a doubtful endpoint is
+// better than none.
+func (r *Router) restoreAll(p *pool) {
+	for _, e := range p.out {
+		p.health.Restore(&e.health)
+		r.refresh(e)
+	}
+}
+
+// Free tells whether any endpoint of the pool can take a call.
+func (r *Router) Free(name string, now time.Time) bool {
+	p, known := r.pools[name]
+	if !known {
+		return false
+	}
+	r.advance(p, now)
+	return len(p.available) > 0
+}
+
+// Capacity is the count of slots of the pool that this entry may count on when entries live entries share it.
+func (r *Router) Capacity(name string, entries int, _ time.Time) float64 {
+	p, known := r.pools[name]
+	if !known {
+		return 0
+	}
+	return float64(p.usableSlots) / float64(max(entries, 1))
+}
+
+// Load is the part of the pool's slots that all entries' calls fill.
+func (r *Router) Load(name string) float64 {
+	p, known := r.pools[name]
+	if !known || p.usableSlots == 0 {
+		return 1
+	}
+	return float64(p.calls) / float64(p.usableSlots)
+}
+
+// Patience is the time after which a silent call of a stage, which usually takes expected, counts
+// against its endpoint; 0 while the pool's usual time is not known.
+func (r *Router) Patience(name string, expected time.Duration) time.Duration {
+	p, known := r.pools[name]
+	if !known {
+		return 0
+	}
+	return p.health.Patience(expected)
+}
+
+// active is the list of endpoints that peers are told of.
+type active struct{ all []*endpoint }
+
+func (a *active) set(e *endpoint, on bool) {
+	switch {
+	case on && e.activeIndex < 0:
+		e.activeIndex = len(a.all)
+		a.all = append(a.all, e)
+	case !on && e.activeIndex >= 0:
+		last := len(a.all) - 1
+		moved := a.all[last]
+		a.all[e.activeIndex] = moved
+		moved.activeIndex = e.activeIndex
+		a.all[last] = nil
+		a.all = a.all[:last]
+		e.activeIndex = -1
+	}
+}
--- /dev/null
+++ b/router/report.go
@@ -0,0 +1,94 @@
+package router
+
+import "time"
+
+const (
+	// pastKept and pastEvery bound how far back this entry knows its own view of an endpoint's calls:
+	// more than the greatest lag of a report, 5 s.
+	pastKept  = 16
+	pastEvery = 400 * time.Millisecond
+	// foreignWeight is the weight of the newest report in what is held for others' calls.
+	foreignWeight = 0.5
+	// foreignFor is how long a report's count of others' calls is believed.
+	foreignFor = 5 * time.Second
+	// reportSkew is how far the clocks of entries and endpoints may differ.
+	reportSkew = time.Second
+)
+
+// Report is an endpoint's word on its load as it was at AsOf.
+type Report struct {
+	AsOf    time.Time
+	Running int
+	Waiting int
+	Slots   int
+	Leaving bool
+}
+
+// Report takes an endpoint's own, lagging word on its load.
+//
+// The count itself is old, and entries that all follow it would send to the same endpoint. So it is
+// compared with what this entry knew at that time: what is over are calls that no entry answers for,
+// such as those of an entry that died, and only these are added to what is known now.
+func (r *Router) Report(address string, report Report, now time.Time) {
+	e, known := r.endpoints[address]
+	if !known {
+		return
+	}
+	e.reported = now
+	e.waiting = report.Waiting
+	if report.Slots > 0 {
+		e.slots = report.Slots
+	}
+	r.takeLeavingWord(e, report, now)
+	over := float64(report.Running+report.Waiting) - e.past.at(report.AsOf, e.calls())
+	e.foreign = max(e.foreignCalls(now)*(1-foreignWeight)+foreignWeight*over, 0)
+	e.foreignAt = now
+	e.past.note(e.calls(), now)
+	r.refresh(e)
+}
+
+// foreignCalls is the calls that no entry answers for, fading with the age of the last report.
+func (e *endpoint) foreignCalls(now time.Time) float64 {
+	if e.foreign == 0 {
+		return 0
+	}
+	age := now.Sub(e.foreignAt)
+	if age >= foreignFor {
+		return 0
+	}
+	return e.foreign * float64(foreignFor-age) / float64(foreignFor)
+}
+
+// past is a short history of the calls that were known of at an endpoint.
+type past struct {
+	times [pastKept]time.Time
+	calls [pastKept]int32
+	next  int
+}
+
+// note keeps the present count, at most one in pastEvery.
+func (p *past) note(calls int, now time.Time) {
+	last := (p.next + pastKept - 1) % pastKept
+	if !p.times[last].IsZero() && now.Sub(p.times[last]) < pastEvery {
+		return
+	}
+	p.times[p.next] = now
+	p.calls[p.next] = int32(calls)
+	p.next = (p.next + 1) % pastKept
+}
+
+// at is the count as of a time: the mean of the samples around it, else the present count.
+func (p *past) at(t time.Time, present int) float64 {
+	after := float64(present)
+	for i := range pastKept {
+		k := (p.next + pastKept - 1 - i) % pastKept
+		if p.times[k].IsZero() {
+			break
+		}
+		if !p.times[k].After(t) {
+			return (after + float64(p.calls[k])) / 2
+		}
+		after = float64(p.calls[k])
+	}
+	return after
+}
