--- /dev/null
+++ b/reducer/reply_test.go
@@ -0,0 +1,82 @@
+package reducer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/endpointserver"
+)
+
+// An endpoint answers a call in a way that is wrong, twice, out of order or cut. The caller sees either its own
+// whole answer or a plain failure, and a stage that must not be repeated never runs a second time for it.
+func TestReplies(t *testing.T) {
+	for _, s := range []struct {
+		testName string
+		stage    string
+		how      string
+		want     State
+		runs     int
+	}{
+		{"repeatable stage: foreign reply", "draft", "foreign", StateAnswered, 2},
+		{"repeatable stage: parts doubled", "draft", "double", StateAnswered, 1},
+		{"repeatable stage: parts in turned order", "draft", "swapped", StateAnswered, 1},
+		{"repeatable stage: cut and resumed", "draft", "cutMidway", StateAnswered, 1},
+		{"repeatable stage: reply lost", "draft", "cutAfterRun", StateAnswered, 2},
+		{"repeatable stage: refused as leaving", "draft", "leaving", StateAnswered, 1},
+		{"repeatable stage: silent", "draft", "silent", StateAnswered, 2},
+		{"side effect: foreign reply", "log", "foreign", StateUnknown, 1},
+		{"side effect: parts doubled", "log", "double", StateAnswered, 1},
+		{"side effect: parts in turned order", "log", "swapped", StateAnswered, 1},
+		{"side effect: cut and resumed", "log", "cutMidway", StateAnswered, 1},
+		{"side effect: reply lost", "log", "cutAfterRun", StateUnknown, 1},
+		{"side effect: refused as busy", "log", "busy", StateAnswered, 1},
+		{"side effect: not sent", "log", "notSent", StateAnswered, 1},
+		{"side effect: silent", "log", "silent", StateUnknown, 1},
+	} {
+		t.Run(s.testName, func(t *testing.T) {
+			w := serving(t, 2)
+			faults := 0
+			w.stage = func(call *endpointserver.StageCall) string {
+				if call.Stage != s.stage || faults > 0 {
+					return ""
+				}
+				faults++
+				return s.how
+			}
+			key := keyAt(w.now, 1)
+			state, _, _ := w.awaitEnd(w.send(0, ticket, key, "wall 7", deadline).id)
+			require.Equal(t, s.want, state)
+			w.run(time.Second)
+			again, _, _ := w.awaitEnd(w.send(1, ticket, key, "wall 7", deadline).id)
+			require.Equal(t, s.want, again, "the other entry tells the same")
+			require.Equal(t, s.runs, w.runs(key, s.stage))
+			w.check()
+		})
+	}
+}
+
+// A part of an earlier attempt arrives after the stage has gone on: it is counted and changes nothing.
+func TestLateReplyIsDropped(t *testing.T) {
+	w := serving(t, 1)
+	var late *StagePartArrived
+	w.hook = func(f flight) bool {
+		part, is := f.event.(*StagePartArrived)
+		if is && late == nil && part.Part.Stage == "draft" && part.Part.Final {
+			late = part
+			w.back(f, StageFailed{Call: part.Call, Fault: StageFault{Kind: FaultFailed}})
+			return false
+		}
+		return true
+	}
+	a := w.send(0, summary, "case-1", "case 3", deadline)
+	w.until("the stage's second attempt", func() bool { return w.runs("case-1", "draft") == 2 })
+	w.give(0, late)
+	state, _, text := w.awaitEnd(a.id)
+	require.Equal(t, StateAnswered, state)
+	require.Equal(t, wantText(summary, "case 3"), text)
+	w.give(0, late)
+	require.Positive(t, w.nodes[0].core.Counters().PartsLate)
+	w.check()
+}
