reducer: a resumption that fails is no call that was never sent

Cause: takeFault judged the failure of a resumption by its kind alone. A side effect's stream cut after its first part, whose endpoint then refused the connection (or was busy, or leaving), counted as not sent: the stage was tried at another endpoint, and with no endpoint left the caller was told notRun. Ruled out: the performer's telling of sent from not sent, which is right for each single exchange. Change: once a part of a call has arrived, no later fault of that call is taken for not sent. TestResumeThatFails before: the side effect ran 3, 3 and 2 times (connection refused, busy, leaving); after: once in all five cases, and the caller is told unknown at once.

--- a/reducer/fault.go
+++ b/reducer/fault.go
@@ -19,6 +19,12 @@
 	}
 	address := k.address
 	hedgesLeft := len(r.calls) > 1
+	result := resultOf(e.Fault.Kind)
+	if k.begun() && surelyNotRun(e.Fault.Kind) {
+		// The call was acted on, whatever became of reading the rest of its stream. Taking a resumption
+		// that could not be sent for a call that was not sent would run a side effect again.
+		e.Fault.Kind = FaultFailed
+	}
 	if surelyNotRun(e.Fault.Kind) {
 		r.possible--
 	} else {
@@ -27,7 +33,7 @@
 	if e.Fault.Kind == FaultTimeout {
 		c.emit(CancelStage{Call: e.Call, Address: address, StreamID: k.streamID})
 	}
-	c.router.Ended(address, resultOf(e.Fault.Kind), now)
+	c.router.Ended(address, result, now)
 	r.calls = slices.Delete(r.calls, at, at+1)
 	r.tried = append(r.tried, address)
 	pool := r.stageConfig().Pool
@@ -51,6 +57,9 @@
 	return true
 }
 
+// begun tells whether a part of the call's stream has arrived.
+func (k *call) begun() bool { return k.streamID != "" }
+
 // surelyNotRun tells whether the endpoint certainly did not act on the call.
 func surelyNotRun(kind FaultKind) bool {
 	switch kind {
--- a/reducer/reply_test.go
+++ b/reducer/reply_test.go
@@ -57,6 +57,46 @@
 	}
 }
 
+// A side effect's stream is cut after its first part and its endpoint can't be reached to read the rest.
+// The first part proves that the stage ran, so the failed resumption must not count as a call that was never sent:
+// otherwise the stage is tried at another endpoint and runs twice.
+func TestResumeThatFails(t *testing.T) {
+	for _, s := range []struct {
+		testName string
+		kind     FaultKind
+	}{
+		{"connection refused", FaultNotSent},
+		{"endpoint busy", FaultBusy},
+		{"endpoint leaving", FaultLeaving},
+		{"stream unknown", FaultBadCall},
+		{"cut again", FaultCut},
+	} {
+		t.Run(s.testName, func(t *testing.T) {
+			w := serving(t, 2)
+			w.stage = func(call *endpointserver.StageCall) string {
+				if call.Stage == "log" {
+					return "cutMidway"
+				}
+				return ""
+			}
+			w.hook = func(f flight) bool {
+				resume, is := f.effect.(ResumeStage)
+				if is {
+					w.back(f, StageFailed{Call: resume.Call, Fault: StageFault{Kind: s.kind}})
+				}
+				return !is
+			}
+			key := keyAt(w.now, 1)
+			a := w.send(0, ticket, key, "wall 7", deadline)
+			state, _, _ := w.awaitEnd(a.id)
+			require.Equal(t, StateUnknown, state)
+			require.Equal(t, 1, w.runs(key, "log"))
+			require.Less(t, w.now.Sub(a.sent), time.Second)
+			w.check()
+		})
+	}
+}
+
 // A part of an earlier attempt arrives after the stage has gone on: it is counted and changes nothing.
 func TestLateReplyIsDropped(t *testing.T) {
 	w := serving(t, 1)
