reducer: notRun at one entry is not the last word on a key

Cause: the outcome store of an entry that gave a request up before anything ran was asked first, and a peer's notRun ended the question. The caller had sent the request again to another entry, where it ran; whoever asked for its outcome was told notRun, for requests that may be repeated and for those that may not. Ruled out: the claims table, which had the outcome already. Change: an answer, or that it runs, is final; any other word is kept until all peers have answered, and a claim that is held by an entry which has not said notRun itself makes the outcome unknown. A handover does not replace an answer by less. TestOutcomeAfterNotRunElsewhere before: 2 of 2 told notRun at the first entry; after: answered at all three. TestOutcomeAfterOwnerDied before: notRun after a side effect ran; after: unknown.

--- a/reducer/ask.go
+++ b/reducer/ask.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"time"
 
 	"geraniumline/carrier"
@@ -21,6 +22,10 @@
 	// outcomeOnly tells that the caller asked for the outcome, and not to run a request.
 	outcomeOnly bool
 	waiting     int
+	// best is the best that is known so far; its state is StateNone while nothing is.
+	best Outcome
+	// notRunBy are the entries that gave a request under the key up before anything ran.
+	notRunBy []string
 }
 
 func (c *Core) takeAddressesAsked(e AddressesAsked, now time.Time) {
@@ -31,33 +36,47 @@
 	c.emit(SendAddresses{ID: e.ID, Answer: c.addresser.Answer(e.Credentials.Account, c.detector.Members())})
 }
 
-// takeOutcomeAsked answers by what this entry knows, else by what its peers know.
+// takeOutcomeAsked answers by what this entry knows, else by what its peers know. That a request ended here
+// without an answer is not the last word: its caller may have sent it again to another entry, where it ran.
 func (c *Core) takeOutcomeAsked(e OutcomeAsked, now time.Time) {
 	if _, failure := c.authenticate(e.Credentials); failure != nil {
 		c.refuse(e.ID, e.Key, *failure)
 		return
 	}
 	key := claimer.Key{Account: e.Credentials.Account, Key: e.Key}
-	if outcome, known := c.localOutcome(key); known {
+	outcome, _ := c.localOutcome(key)
+	if outcome.State == StateAnswered || outcome.State == StateRunning {
 		c.emit(SendOutcome{ID: e.ID, Key: e.Key, Outcome: outcome})
 		return
 	}
-	c.askPeers(&pendingAsk{id: e.ID, key: key, outcomeOnly: true}, now.Add(outcomeWait), now)
+	ask := &pendingAsk{id: e.ID, key: key, outcomeOnly: true, best: outcome}
+	if outcome.State == StateNotRun {
+		ask.notRunBy = []string{c.cfg.Entry}
+	}
+	c.askPeers(ask, now.Add(outcomeWait), now)
+}
+
+// better tells which of two entries' words on a key says more: an answer, that it runs, that it may have run,
+// that it did not run, nothing.
+func better(a, b Outcome) Outcome {
+	rank := map[State]int{StateAnswered: 4, StateRunning: 3, StateUnknown: 2, StateNotRun: 1}
+	if rank[b.State] > rank[a.State] {
+		return b
+	}
+	return a
 }
 
-// localOutcome is what this entry knows of a key without asking: its own requests first, then the claims table.
+// localOutcome is what this entry knows of a key without asking: its own requests, and the claims table.
 func (c *Core) localOutcome(key claimer.Key) (Outcome, bool) {
 	if _, running := c.running[key]; running {
 		return Outcome{State: StateRunning}, true
 	}
-	if outcome, known := c.outcomes.get(key); known {
-		return outcome, true
-	}
+	outcome, known := c.outcomes.get(key)
 	holding, held := c.table.Lookup(key)
 	if held && holding.Ended {
-		return outcomeOf(key, holding), true
+		return better(outcome, outcomeOf(key, holding)), true
 	}
-	return Outcome{}, false
+	return outcome, known
 }
 
 func outcomeOf(key claimer.Key, holding claimer.Holding) Outcome {
@@ -194,12 +213,18 @@
 }
 
 // takePeerOutcome takes a peer's answer.
-func (c *Core) takePeerOutcome(message *carrier.Outcome, now time.Time) {
+func (c *Core) takePeerOutcome(from string, message *carrier.Outcome, now time.Time) {
 	ask, waiting := c.asked[message.CallID]
 	if !waiting || ask.key != (claimer.Key{Account: message.Account, Key: message.Key}) {
 		return
 	}
-	if State(message.State) == StateNone {
+	outcome := outcomeOfWire(message, now)
+	ask.best = better(ask.best, outcome)
+	if outcome.State == StateNotRun {
+		ask.notRunBy = append(ask.notRunBy, from)
+	}
+	final := outcome.State == StateAnswered || outcome.State == StateRunning
+	if outcome.State == StateNone || ask.outcomeOnly && !final {
 		ask.waiting--
 		if ask.waiting > 0 {
 			return
@@ -209,7 +234,6 @@
 		return
 	}
 	delete(c.asked, message.CallID)
-	outcome := outcomeOfWire(message, now)
 	if ask.outcomeOnly {
 		c.emit(SendOutcome{ID: ask.id, Key: ask.key.Key, Outcome: outcome})
 		return
@@ -230,13 +254,20 @@
 	c.endAsk(ask, now)
 }
 
-// endAsk answers when no peer knows. A claim without an outcome means unknown.
+// endAsk answers when no peer knows of an answer. A claim without an outcome means unknown, unless its entry
+// has said that nothing ran; its release may then still be on the way.
 func (c *Core) endAsk(ask *pendingAsk, now time.Time) {
 	if !ask.outcomeOnly {
 		c.emit(SendFailure{ID: ask.id, Failure: ownerLost(ask.key)})
 		return
 	}
-	if holding, known := c.table.Lookup(ask.key); known && holding.Held {
+	holding, known := c.table.Lookup(ask.key)
+	held := known && holding.Held && !slices.Contains(ask.notRunBy, holding.Entry)
+	if ask.best.State != StateNone && (ask.best.State != StateNotRun || !held) {
+		c.emit(SendOutcome{ID: ask.id, Key: ask.key.Key, Outcome: ask.best})
+		return
+	}
+	if held {
 		c.emit(SendOutcome{ID: ask.id, Key: ask.key.Key, Outcome: Outcome{State: StateUnknown, Failure: ownerLost(ask.key), Ended: now}})
 		return
 	}
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -28,7 +28,7 @@
 	case *carrier.OutcomeCall:
 		c.takeOutcomeCall(e.From, message, now)
 	case *carrier.Outcome:
-		c.takePeerOutcome(message, now)
+		c.takePeerOutcome(e.From, message, now)
 	case *carrier.Handover:
 		c.takeHandover(message, now)
 	}
@@ -146,9 +146,7 @@
 	for i := range message.Outcomes {
 		wire := &message.Outcomes[i]
 		key := claimer.Key{Account: wire.Account, Key: wire.Key}
-		if _, known := c.outcomes.get(key); known {
-			continue
-		}
-		c.outcomes.put(key, outcomeOfWire(wire, now))
+		known, _ := c.outcomes.get(key)
+		c.outcomes.put(key, better(known, outcomeOfWire(wire, now)))
 	}
 }
--- a/reducer/reply_test.go
+++ b/reducer/reply_test.go
@@ -97,6 +97,57 @@
 	}
 }
 
+// A repeatable request was given up at one entry before anything ran, and its caller had it answered at another.
+// Whoever asks for its outcome, at any entry, must not be told notRun: it did run.
+func TestOutcomeAfterNotRunElsewhere(t *testing.T) {
+	for _, s := range []struct {
+		testName string
+		pipeline string
+	}{
+		{"repeatable", summary},
+		{"must not be repeated", ticket},
+	} {
+		t.Run(s.testName, func(t *testing.T) {
+			w := serving(t, 3)
+			key := keyAt(w.now, 1)
+			w.stage = func(*endpointserver.StageCall) string { return "busy" }
+			state, _, _ := w.awaitEnd(w.send(0, s.pipeline, key, "wall 7", deadline).id)
+			require.Equal(t, StateNotRun, state)
+			w.stage = nil
+			w.run(10 * time.Second)
+			state, _, _ = w.awaitEnd(w.send(1, s.pipeline, key, "wall 7", deadline).id)
+			require.Equal(t, StateAnswered, state)
+			w.run(time.Second)
+			for i := range w.nodes {
+				state, _, text := w.awaitEnd(w.ask(i, key))
+				require.Equal(t, StateAnswered, state, "asked at %s", entryName(i))
+				require.Equal(t, wantText(s.pipeline, "wall 7"), text)
+			}
+			w.check()
+		})
+	}
+}
+
+// An entry gave a request up before anything ran; its caller sent it to another, which died while it ran.
+// The first entry's notRun is not the last word on the key: asked anywhere, the outcome is unknown.
+func TestOutcomeAfterOwnerDied(t *testing.T) {
+	w := serving(t, 3)
+	key := keyAt(w.now, 1)
+	w.stage = func(*endpointserver.StageCall) string { return "busy" }
+	state, _, _ := w.awaitEnd(w.send(0, ticket, key, "wall 7", deadline).id)
+	require.Equal(t, StateNotRun, state)
+	w.run(10 * time.Second)
+	w.stage = func(call *endpointserver.StageCall) string { return map[string]string{"log": "silent"}[call.Stage] }
+	w.send(1, ticket, key, "wall 7", deadline)
+	w.until("the side effect", func() bool { return w.runs(key, "log") == 1 })
+	w.kill(1)
+	w.run(time.Second)
+	for _, i := range []int{0, 2} {
+		state, _, _ := w.awaitEnd(w.ask(i, key))
+		require.Equal(t, StateUnknown, state, "asked at %s", entryName(i))
+	}
+}
+
 // A part of an earlier attempt arrives after the stage has gone on: it is counted and changes nothing.
 func TestLateReplyIsDropped(t *testing.T) {
 	w := serving(t, 1)
