--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -50,7 +50,19 @@
 		return
 	}
 	c.recordsCalled = now
-	c.emit(SendPeer{Address: from.PeerAddress, Message: &carrier.RecordsCall{Stream: string(StreamConfig), From: c.fold.Offset() + 1}})
+	c.emit(SendPeer{Address: from.PeerAddress, Message: &carrier.RecordsCall{Stream: string(StreamConfig), From: c.recordsFrom()}})
+}
+
+// wholeSnapshot is the offset to ask from for a snapshot in place of records.
+const wholeSnapshot = 0
+
+// recordsFrom gives the offset to ask peers from. Behind a gap the fold has read records past what it lacks, so
+// it would pass over the older ones if they were sent: only a snapshot closes the gap.
+func (c *Core) recordsFrom() int64 {
+	if !c.fold.Complete() {
+		return wholeSnapshot
+	}
+	return c.fold.Offset() + 1
 }
 
 // takeRecordsCall passes configuration on: the records if they are still kept, else a snapshot.
@@ -61,7 +73,7 @@
 	}
 	answer := &carrier.Records{CallID: call.CallID, Stream: call.Stream, Next: c.fold.Offset() + 1}
 	records, whole := c.configs.after(call.From - 1)
-	if !whole {
+	if !whole || call.From == wholeSnapshot {
 		snapshot, err := c.fold.Snapshot(now)
 		if err != nil {
 			return
