Announce stages to come to the scheduler

Cause: the scheduler's estimate of what is ahead needs the stages that admitted requests are still to run; the core told it only of those that wait.

--- a/reducer/claim.go
+++ b/reducer/claim.go
@@ -185,8 +185,7 @@
 // drop forgets a request that another claim serves.
 func (c *Core) drop(r *request, now time.Time) {
 	delete(c.claiming, r.claimID)
-	delete(c.requests, r.id)
-	delete(c.running, r.key)
+	c.forget(r)
 	c.limiter.Release(r.key.Account, r.estimated, 0, now)
 }
 
--- a/reducer/request.go
+++ b/reducer/request.go
@@ -53,8 +53,10 @@
 	prefix   router.Prefix
 	attempts int
 	tried    []string
-	calls    []call
-	queuedAt time.Time
+	// announced is the cost of each stage to come that the scheduler was told of; 0 for none.
+	announced [publisher.MaxStages]float64
+	calls     []call
+	queuedAt  time.Time
 	// possible counts the calls that an endpoint may have acted on.
 	possible int
 	// sent is the text of the last stage that the caller has been sent already.
@@ -255,6 +257,7 @@
 	c.requests[r.id] = r
 	c.running[key] = r
 	c.schedule(timer{at: r.deadline, kind: timerDeadline, subject: r.id})
+	c.announce(r)
 	if plan.sideEffect {
 		c.claim(r, now)
 		return
@@ -320,8 +323,7 @@
 	if r.phase == phaseQueued {
 		c.scheduler.Remove(r.stageConfig().Pool, r.id)
 	}
-	delete(c.requests, r.id)
-	delete(c.running, r.key)
+	c.forget(r)
 	c.outcomes.put(r.key, outcome)
 	c.biller.Outcome(r.key.Account, r.urgency, result)
 	c.limiter.Release(r.key.Account, r.estimated, r.cost, now)
@@ -337,6 +339,15 @@
 	}
 }
 
+// forget takes a request out of this entry's state.
+func (c *Core) forget(r *request) {
+	for i := range r.plan.pipeline.Stages {
+		c.withdraw(r, i)
+	}
+	delete(c.requests, r.id)
+	delete(c.running, r.key)
+}
+
 // sendOutcome answers a caller by what is known of its request.
 func (c *Core) sendOutcome(id uint64, key claimer.Key, outcome Outcome) {
 	if outcome.State == StateAnswered {
--- a/reducer/stage.go
+++ b/reducer/stage.go
@@ -36,21 +36,45 @@
 
 // enqueue lets the request's present stage wait for an endpoint.
 func (c *Core) enqueue(r *request, now time.Time) {
+	c.withdraw(r, r.stage)
 	if c.divert(r, now) {
 		return
 	}
 	stage := r.stageConfig()
 	r.phase = phaseQueued
 	r.queuedAt = now
-	c.scheduler.Push(stage.Pool, scheduler.Item{
+	c.scheduler.Push(stage.Pool, r.item(c.expectedStageCost(r.plan, r.stage)), now)
+	c.pump(stage.Pool, now)
+}
+
+// item is the request's present stage as the scheduler sees it.
+func (r *request) item(cost float64) scheduler.Item {
+	return scheduler.Item{
 		ID:       r.id,
 		Account:  r.key.Account,
 		Weight:   r.contract.Weight,
 		Urgency:  r.urgency,
-		Cost:     c.admitter.ExpectedCost(r.plan.stageNames[r.stage], float64(stage.ExpectedMillis)),
+		Cost:     cost,
 		Deadline: r.deadline,
-	}, now)
-	c.pump(stage.Pool, now)
+	}
+}
+
+// announce tells the scheduler of the stages to come. Without it all that is admitted while earlier stages
+// are under way would see empty queues, and a burst would be let in that can't end in time.
+func (c *Core) announce(r *request) {
+	for i := range r.plan.pipeline.Stages {
+		r.announced[i] = c.expectedStageCost(r.plan, i)
+		c.scheduler.Announce(r.plan.pipeline.Stages[i].Pool, r.item(r.announced[i]))
+	}
+}
+
+// withdraw takes the announcement of a stage back, once.
+func (c *Core) withdraw(r *request, stage int) {
+	if r.announced[stage] == 0 {
+		return
+	}
+	c.scheduler.Withdraw(r.plan.pipeline.Stages[stage].Pool, r.item(r.announced[stage]))
+	r.announced[stage] = 0
 }
 
 // pump hands waiting stages to free endpoints of the pool.
