--- a/reducer/core.go
+++ b/reducer/core.go
@@ -49,6 +49,11 @@
 	StageTimeout time.Duration
 	// OutcomesKept bounds the outcomes that callers may still ask for.
 	OutcomesKept int
+
+	// Router, Retrier and Quarantiner set these deciders up; their zero values take the defaults.
+	Router      router.Config
+	Retrier     retrier.Config
+	Quarantiner quarantiner.Config
 }
 
 // subsetSize and subsetSpares are how many entries one client account is told of: few, so that an entry's state
@@ -114,6 +119,7 @@
 // New makes the core of an entry that knows nothing yet.
 func New(cfg Config, now time.Time) *Core {
 	random := rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation))
+	cfg.Router.Rand = random
 	c := &Core{
 		cfg:       cfg,
 		rand:      random,
@@ -125,11 +131,11 @@
 		limiter:   limiter.New(limiter.Config{Entry: cfg.Entry}),
 		scheduler: scheduler.New(scheduler.Config{}),
 		admitter:  admitter.New(admitter.Config{}),
-		router:    router.New(router.Config{Rand: random}),
-		retrier:   retrier.New(retrier.Config{}),
+		router:    router.New(cfg.Router),
+		retrier:   retrier.New(cfg.Retrier),
 		biller:    biller.New(),
 
-		quarantiner: quarantiner.New(quarantiner.Config{}),
+		quarantiner: quarantiner.New(cfg.Quarantiner),
 		lone:        map[string][]loneRun{},
 
 		requests:  map[uint64]*request{},
--- /dev/null
+++ b/reducer/hedge_test.go
@@ -0,0 +1,64 @@
+package reducer_test
+
+import (
+	"testing"
+	"time"
+
+	"geraniumline/measurer"
+	"geraniumline/reducer"
+)
+
+// extraShare is the part of the calls that were hedges and retries.
+func extraShare(before, after reducer.Counters) float64 {
+	extra := after.StageHedges + after.StageRetries - before.StageHedges - before.StageRetries
+	return float64(extra) / float64(after.StageCalls-before.StageCalls)
+}
+
+// Extra calls help while a pool has slots to spare. In a surge each takes the place of a first call, and
+// makes the wait longer that causes it: their budget must fall to nothing.
+func TestPolicyHedgeBudget(t *testing.T) {
+	tests := []struct {
+		testName string
+		rate     float64
+		goal     measurer.Limit
+		bound    measurer.Limit
+	}{
+		{"quiet", quietRate, atMost(0.05), atMost(0.025)},
+		{"surge3x", 6 * quietRate, atMost(0.01), atMost(0.002)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.testName, func(t *testing.T) {
+			s := newSystem(t, threePools(2))
+			s.load(quietRate, 5*time.Second, testDeadline)
+			s.runFor(5 * time.Second)
+			before := s.counters()
+			s.load(tt.rate, 5*time.Second, testDeadline)
+			s.runFor(6 * time.Second)
+			check(t, measurer.Row{Case: "hedge." + tt.testName, Measure: "extraCallShare", Ours: extraShare(before, s.counters()), Bound: tt.bound, Goal: &tt.goal})
+		})
+	}
+}
+
+// A whole pool is away for 3 s and comes back. All requests of that time fail and would be tried again
+// at once, so that the pool meets a storm; the budget must hold retries down to a small part.
+func TestPolicyPoolReturns(t *testing.T) {
+	s := newSystem(t, threePools(3))
+	sent := s.load(quietRate, 18*time.Second, testDeadline)
+	s.runFor(5 * time.Second)
+	for _, e := range s.order[10:20] {
+		e.lose()
+	}
+	s.runFor(3 * time.Second)
+	for _, e := range s.order[10:20] {
+		e.dead = false
+	}
+	before := s.counters()
+	back := s.now
+	s.runFor(11 * time.Second)
+	check(t, measurer.Row{Case: "poolReturns", Measure: "extraCallShare", Ours: extraShare(before, s.counters()), Bound: atMost(0.025)})
+	goal := atLeast(0.99)
+	check(t, measurer.Row{
+		Case: "poolReturns", Measure: "attainmentFirstSecond",
+		Ours: attainment(*sent, back, back.Add(time.Second), testDeadline), Bound: atLeast(0.99), Goal: &goal,
+	})
+}
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -116,15 +116,18 @@
 }
 
 func (c *Core) countEntries(now time.Time) {
-	live := 0
+	live, index := 0, 0
 	for _, member := range c.detector.Members() {
 		if member.State == detector.Live || member.State == detector.Suspect {
 			live++
+			if member.Name < c.cfg.Entry {
+				index++
+			}
 		}
 	}
 	c.liveEntries = max(live, 1)
 	c.limiter.SetPeers(c.liveEntries, now)
-	c.router.SetEntries(c.liveEntries)
+	c.router.SetEntries(index, c.liveEntries)
 }
 
 // beat sends a heartbeat to the peers that the detector names.
--- a/reducer/quarantine.go
+++ b/reducer/quarantine.go
@@ -13,6 +13,8 @@
 type loneRun struct {
 	request uint64
 	stage   int
+	// from is this entry's turn, where entries share an endpoint for such runs.
+	from time.Time
 	// address is the endpoint that is kept for it; empty while it has none.
 	address string
 	// attempt is the call that runs there; 0 while the endpoint has others to end.
@@ -74,7 +76,8 @@
 		r.phase = phaseQueued
 		r.queuedAt = now
 		pool := r.stageConfig().Pool
-		c.lone[pool] = append(c.lone[pool], loneRun{request: r.id, stage: r.stage})
+		from := now.Add(time.Duration(c.router.Turn(pool)) * c.loneTurn(r))
+		c.lone[pool] = append(c.lone[pool], loneRun{request: r.id, stage: r.stage, from: from})
 		c.pumpLone(pool, now)
 		return true
 	default:
@@ -82,6 +85,12 @@
 	}
 }
 
+// loneTurn is how long a lone run of a request's present stage usually takes at the most.
+func (c *Core) loneTurn(r *request) time.Duration {
+	_, high := c.usual(r)
+	return max(time.Duration(patienceOver*float64(high)), minWatch)
+}
+
 // pumpLone runs suspects of a pool, each alone at an endpoint that is kept for it, so that the one
 // which loses endpoints loses no other request beside it, and the others are answered and cleared.
 func (c *Core) pumpLone(pool string, now time.Time) {
@@ -116,7 +125,7 @@
 func (c *Core) stepLone(pool string, i int, now time.Time) {
 	l := &c.lone[pool][i]
 	r, running := c.requests[l.request]
-	if !running || l.attempt > 0 {
+	if !running || l.attempt > 0 || now.Before(l.from) {
 		return
 	}
 	if l.address == "" {
--- a/router/isolate.go
+++ b/router/isolate.go
@@ -7,30 +7,20 @@
 	"geraniumline/ejector"
 )
 
-const (
-	// maxReservedShare is the greatest part of a pool that is kept for calls that run alone.
-	maxReservedShare = 0.3
-	// reserveCandidates is how many endpoints are looked at for one that is idle.
-	reserveCandidates = 16
-)
-
 // Reserve keeps an endpoint for one call that is to run alone, and tells which. It gets no other call of
-// this entry until Release; what it has in flight ends first, see Idle. It prefers one that has no call
-// of any entry.
+// this entry until Release; what it has in flight ends first, see Idle.
+//
+// The call may end its endpoint's process. When one was lost, all entries that had calls there choose at
+// the same moment: each takes from its own part of the pool, so that an innocent call of one is not lost
+// with the guilty call of another. A pool with fewer endpoints than entries needs turns besides, see Turn.
 func (r *Router) Reserve(name string, avoid []string, now time.Time) (string, bool) {
 	p, known := r.pools[name]
-	if !known || len(p.all) == 0 {
+	if !known {
 		return "", false
 	}
 	r.advance(p, now)
-	if p.reserved+1 > max(1, int(maxReservedShare*float64(len(p.all)))) {
-		return "", false
-	}
 	best := r.leastCalls(p, avoid)
-	if best == nil && len(avoid) > 0 {
-		best = r.leastCalls(p, nil)
-	}
-	if best == nil {
+	if best == nil || best.reserved {
 		return "", false
 	}
 	best.reserved = true
@@ -39,26 +29,42 @@
 	return best.address, true
 }
 
+// leastCalls gives the endpoint of this entry's part of the pool that suits a lone call best.
 func (r *Router) leastCalls(p *pool, avoid []string) *endpoint {
+	n := 0
+	for _, e := range p.ring {
+		if e.suitsLone(avoid) {
+			n++
+		}
+	}
 	var best *endpoint
-	start := r.cfg.Rand.IntN(len(p.all))
-	seen := 0
-	for i := range p.all {
-		e := p.all[(start+i)%len(p.all)]
-		if e.leaving() || e.reserved || e.health.State() != ejector.InUse || slices.Contains(avoid, e.address) {
+	place := 0
+	for _, e := range p.ring {
+		if !e.suitsLone(avoid) {
 			continue
 		}
-		if best == nil || e.calls() < best.calls() {
+		mine := place%r.entries == r.index%min(n, r.entries)
+		place++
+		if mine && (best == nil || best.reserved || !e.reserved && e.calls() < best.calls()) {
 			best = e
 		}
-		seen++
-		if seen == reserveCandidates || best.calls() == 0 {
-			break
-		}
 	}
 	return best
 }
 
+func (e *endpoint) suitsLone(avoid []string) bool {
+	return !e.leaving() && e.health.State() == ejector.InUse && !slices.Contains(avoid, e.address)
+}
+
+// Turn is how many other entries use the same part of the pool for lone calls before this one.
+func (r *Router) Turn(name string) int {
+	p, known := r.pools[name]
+	if !known || len(p.all) < 2 {
+		return 0
+	}
+	return r.index / (len(p.all) - 1)
+}
+
 // Idle tells whether a reserved endpoint has no call of this entry left, and so can take the call that
 // it is kept for; usable is false when it must not be waited for.
 func (r *Router) Idle(address string) (idle, usable bool) {
--- a/router/router.go
+++ b/router/router.go
@@ -44,8 +44,9 @@
 	peers     map[string]*peer
 	// active are the endpoints that peers are told of.
 	active active
-	// entries is how many live entries share the pools.
+	// entries is how many live entries share the pools, index this one's place among them.
 	entries   int
+	index     int
 	cacheMaps int
 }
 
@@ -132,8 +133,9 @@
 	r.refreshPool(p)
 }
 
-// SetEntries tells how many live entries share the pools.
-func (r *Router) SetEntries(n int) {
+// SetEntries tells how many live entries share the pools, and this one's place among them by name.
+func (r *Router) SetEntries(index, n int) {
+	r.index = index
 	if r.entries == max(n, 1) {
 		return
 	}
