scheduler: forget idle accounts and start level after each busy time

Cause: flows of all accounts ever seen stayed in memory, and the worst case counted them all. Change: flows that are worth no more than new ones are dropped, one look a push; the worst case takes the usual weights; classes start level when nothing waits.

--- a/scheduler/ahead.go
+++ b/scheduler/ahead.go
@@ -12,7 +12,7 @@
 type Ahead struct {
 	// Present counts the accounts that have work waiting or announced.
 	Present float64
-	// Worst counts every account that was seen lately, as if all took up their shares now.
+	// Worst counts the weights that are usually there, as if all took up their shares now.
 	Worst float64
 }
 
@@ -43,11 +43,11 @@
 // guarantees of less urgent classes that wait.
 func (p *pool) part(urgency Urgency) float64 {
 	part := 1.0
-	for i, c := range p.classes {
+	for i := range p.classes {
 		switch {
 		case Urgency(i) < urgency:
 			part -= ratio(p.served[i], p.servedTotal())
-		case Urgency(i) > urgency && c.flows.len() > 0:
+		case Urgency(i) > urgency && p.classes[i].flows.len() > 0:
 			part -= p.guarantees[i]
 		}
 	}
@@ -74,13 +74,12 @@
 
 // ahead is the work within the class before a new item of the flow, which may be nil.
 func (c *class) ahead(own *flow, weight float64) Ahead {
-	starts, known := c.earliest(), c.known+weight
+	starts := c.earliest()
 	if own != nil {
 		starts = max(own.tag, starts) + (own.cost+own.announced)/weight
-		known = c.known
 	}
 	present := c.served(starts)
-	return Ahead{Present: present, Worst: max(present, (starts-c.now)*known)}
+	return Ahead{Present: present, Worst: max(present, (starts-c.now)*max(c.weight, c.usual))}
 }
 
 // served is the work that the class serves until its virtual time has come to starts.
--- a/scheduler/heap.go
+++ b/scheduler/heap.go
@@ -1,26 +1,31 @@
 package scheduler
 
+// order compares the elements of a heap and tells them their places in it; -1 is out of it.
+type order[T any] interface {
+	before(a, b T) bool
+	place(item T, index int)
+}
+
 // indexed is a binary heap whose elements know their place, so that any of them can be
 // removed or moved in O(log n). container/heap would box each element in an interface.
-type indexed[T any] struct {
-	items  []T
-	before func(a, b T) bool
-	place  func(item T, index int)
+type indexed[T any, O order[T]] struct {
+	items []T
+	order O
 }
 
-func (h *indexed[T]) len() int { return len(h.items) }
+func (h *indexed[T, O]) len() int { return len(h.items) }
 
-func (h *indexed[T]) push(item T) {
+func (h *indexed[T, O]) push(item T) {
 	h.items = append(h.items, item)
-	h.place(item, len(h.items)-1)
+	h.order.place(item, len(h.items)-1)
 	h.up(len(h.items) - 1)
 }
 
-func (h *indexed[T]) removeAt(index int) {
+func (h *indexed[T, O]) removeAt(index int) {
 	last := len(h.items) - 1
 	h.swap(index, last)
 	var zero T
-	h.place(h.items[last], -1)
+	h.order.place(h.items[last], -1)
 	h.items[last] = zero
 	h.items = h.items[:last]
 	if index < last {
@@ -29,25 +34,25 @@
 }
 
 // fix restores the order after the element at index has changed.
-func (h *indexed[T]) fix(index int) {
+func (h *indexed[T, O]) fix(index int) {
 	if !h.down(index) {
 		h.up(index)
 	}
 }
 
-func (h *indexed[T]) swap(i, j int) {
+func (h *indexed[T, O]) swap(i, j int) {
 	if i == j {
 		return
 	}
 	h.items[i], h.items[j] = h.items[j], h.items[i]
-	h.place(h.items[i], i)
-	h.place(h.items[j], j)
+	h.order.place(h.items[i], i)
+	h.order.place(h.items[j], j)
 }
 
-func (h *indexed[T]) up(index int) {
+func (h *indexed[T, O]) up(index int) {
 	for index > 0 {
 		parent := (index - 1) / 2
-		if !h.before(h.items[index], h.items[parent]) {
+		if !h.order.before(h.items[index], h.items[parent]) {
 			return
 		}
 		h.swap(index, parent)
@@ -55,17 +60,17 @@
 	}
 }
 
-func (h *indexed[T]) down(index int) bool {
+func (h *indexed[T, O]) down(index int) bool {
 	start := index
 	for {
 		child := 2*index + 1
 		if child >= len(h.items) {
 			break
 		}
-		if child+1 < len(h.items) && h.before(h.items[child+1], h.items[child]) {
+		if child+1 < len(h.items) && h.order.before(h.items[child+1], h.items[child]) {
 			child++
 		}
-		if !h.before(h.items[child], h.items[index]) {
+		if !h.order.before(h.items[child], h.items[index]) {
 			break
 		}
 		h.swap(index, child)
--- a/scheduler/item.go
+++ b/scheduler/item.go
@@ -42,12 +42,12 @@
 
 // node is an item in its two heaps.
 type node struct {
-	item       Item
-	sequence   uint64
-	flow       *flow
-	flowIndex  int
-	expiryIdx  int
-	nextUnused *node
+	item        Item
+	sequence    uint64
+	flow        *flow
+	flowIndex   int
+	expiryIndex int
+	nextUnused  *node
 }
 
 // before orders by deadline, then by arrival.
@@ -57,3 +57,15 @@
 	}
 	return n.item.Deadline.Before(other.item.Deadline)
 }
+
+// inFlow orders a flow's items by deadline.
+type inFlow struct{}
+
+func (inFlow) before(a, b *node) bool   { return a.before(b) }
+func (inFlow) place(n *node, index int) { n.flowIndex = index }
+
+// byExpiry orders all items of a pool by deadline.
+type byExpiry struct{}
+
+func (byExpiry) before(a, b *node) bool   { return a.before(b) }
+func (byExpiry) place(n *node, index int) { n.expiryIndex = index }
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -9,6 +9,8 @@
 type account struct {
 	name  string
 	flows [urgencyCount]*flow
+	// known has a bit for each class in which the flow counts.
+	known uint8
 	// served is the class that the account was last served in.
 	served Urgency
 }
@@ -16,10 +18,11 @@
 // pool is the queue of one pool of endpoints.
 type pool struct {
 	name     string
-	classes  [urgencyCount]*class
+	classes  [urgencyCount]class
 	accounts map[string]*account
+	unused   []*account
 	nodes    map[uint64]*node
-	expiry   indexed[*node]
+	expiry   indexed[*node, byExpiry]
 	// guarantees is the part of the work that each class gets while it has items.
 	guarantees [urgencyCount]float64
 	idleCredit time.Duration
@@ -32,43 +35,71 @@
 const servedTime = 5 * time.Second
 
 func newPool(name string, guarantees [urgencyCount]float64, idleCredit time.Duration) *pool {
-	p := &pool{
+	return &pool{
 		name:       name,
 		accounts:   map[string]*account{},
 		nodes:      map[uint64]*node{},
 		guarantees: guarantees,
 		idleCredit: idleCredit,
-		expiry: indexed[*node]{
-			before: (*node).before,
-			place:  func(n *node, index int) { n.expiryIdx = index },
-		},
 	}
-	for i := range p.classes {
-		p.classes[i] = newClass()
-	}
-	return p
 }
 
 func (p *pool) account(name string) *account {
 	a, ok := p.accounts[name]
-	if !ok {
-		a = &account{name: name}
-		p.accounts[name] = a
+	if ok {
+		return a
+	}
+	a = p.unusedAccount()
+	a.name = name
+	p.accounts[name] = a
+	return a
+}
+
+func (p *pool) unusedAccount() *account {
+	last := len(p.unused) - 1
+	if last < 0 {
+		return &account{}
 	}
+	a := p.unused[last]
+	p.unused = p.unused[:last]
 	return a
 }
 
+// flow gives the account's flow in the class, and makes it if need be.
 func (p *pool) flow(name string, urgency Urgency) *flow {
 	a := p.account(name)
-	if a.flows[urgency] == nil {
-		a.flows[urgency] = newFlow(a, p.classes[urgency])
+	f := a.flows[urgency]
+	if f == nil {
+		f = &flow{account: a, class: &p.classes[urgency], index: -1, presentIndex: -1}
+		a.flows[urgency] = f
 	}
-	return a.flows[urgency]
+	a.known |= 1 << urgency
+	return f
+}
+
+// forgetFlows drops flows that are worth no more than new ones, so that memory follows the
+// accounts that are active and not all that ever were. An account keeps its flows' memory
+// for the next one that comes.
+func (p *pool) forgetFlows(urgency Urgency) {
+	f := p.classes[urgency].forgettable()
+	if f == nil {
+		return
+	}
+	f.tag, f.cost, f.announced = 0, 0, 0
+	a := f.account
+	a.known &^= 1 << urgency
+	if a.known != 0 {
+		return
+	}
+	delete(p.accounts, a.name)
+	a.name = ""
+	p.unused = append(p.unused, a)
 }
 
 func (p *pool) push(n *node, now time.Time) {
 	urgency := min(n.item.Urgency, Relaxed)
 	p.classes[urgency].mark(p.idleCredit, now)
+	p.forgetFlows(urgency)
 	n.flow = p.flow(n.item.Account, urgency)
 	p.nodes[n.item.ID] = n
 	p.expiry.push(n)
@@ -81,7 +112,7 @@
 func (p *pool) next() *class {
 	var chosen *class
 	for i := len(p.classes) - 1; i >= 0; i-- {
-		c := p.classes[i]
+		c := &p.classes[i]
 		if c.flows.len() == 0 {
 			c.credit = 0
 			continue
@@ -121,7 +152,8 @@
 
 // earn credits the classes that wait with their guaranteed part of the work just given out.
 func (p *pool) earn(served *class, cost float64) {
-	for i, c := range p.classes {
+	for i := range p.classes {
+		c := &p.classes[i]
 		if c == served {
 			c.credit = max(0, c.credit-cost)
 			continue
@@ -134,12 +166,14 @@
 
 // forget takes an item that has left its flow out of the pool's other books.
 func (p *pool) forget(n *node) {
-	p.expiry.removeAt(n.expiryIdx)
+	p.expiry.removeAt(n.expiryIndex)
 	delete(p.nodes, n.item.ID)
 }
 
 func (p *pool) remove(n *node) {
-	n.flow.class.drop(n)
+	c := n.flow.class
+	c.drop(n)
+	c.level()
 	p.forget(n)
 }
 
@@ -156,8 +190,8 @@
 
 func (p *pool) backlog() float64 {
 	total := 0.0
-	for _, c := range p.classes {
-		total += c.cost
+	for i := range p.classes {
+		total += p.classes[i].cost
 	}
 	return total
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -128,10 +128,7 @@
 	if f == nil || f.weight <= 0 {
 		return
 	}
-	f.tag = max(f.tag+extraCost/f.weight, f.class.earliest())
-	if f.index >= 0 {
-		f.class.flows.fix(f.index)
-	}
+	f.class.charge(f, extraCost)
 }
 
 // Len is the number of items that wait in the pool.
