--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -144,13 +144,16 @@
 	above, below float64
 }
 
+// forecast adds up the stages. What is ahead in a pool now is worked off while the request is still at earlier
+// stages: counted in full, a pool at half its load would seem to have a queue, made of requests that reach
+// it one by one.
 func (a *Admitter) forecast(stages []StageAsk) forecast {
 	var f forecast
 	for i := range stages {
 		low, mean, high := a.service(&stages[i])
+		f.wait += max(0, stages[i].wait()-f.service-f.wait)
+		f.worst += max(0, stages[i].waitFor(max(stages[i].Ahead, stages[i].Worst))-f.service-f.worst)
 		f.service += mean
-		f.wait += stages[i].wait()
-		f.worst += stages[i].waitFor(max(stages[i].Ahead, stages[i].Worst))
 		f.above += (high - mean) * (high - mean)
 		f.below += (mean - low) * (mean - low)
 	}
