--- a/starter/process.go
+++ b/starter/process.go
@@ -160,3 +160,6 @@
 	}
 	return p.Kill()
 }
+
+// PID is the process's number.
+func (p *Process) PID() int { return p.command.Process.Pid }
