--- /dev/null
+++ b/admitter/bench_test.go
@@ -0,0 +1,95 @@
+package admitter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/admitter"
+	"geraniumline/measurer"
+)
+
+// stageCounts are the stages that are known: a pipeline of four, and 34 models in 30 stages.
+var stageCounts = []int{4, 1020}
+
+var began = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const pipelineLength = 4
+
+// history is an admitter that has observed many stages.
+type history struct {
+	a    *admitter.Admitter
+	asks []admitter.StageAsk
+	now  time.Time
+	n    int
+}
+
+func newHistory(stages int) *history {
+	h := &history{a: admitter.New(admitter.Config{}), now: began}
+	for i := range stages {
+		name := fmt.Sprintf("pipeline/stage%d", i)
+		h.asks = append(h.asks, admitter.StageAsk{Stage: name, Pool: name, Expected: time.Second, Ahead: 100, Worst: 200, Capacity: 40})
+		for k := range 100 {
+			h.a.Observe(name, time.Duration(50+k)*time.Millisecond, 60, h.now)
+		}
+	}
+	return h
+}
+
+// step is the decisions on one request: at the door, before a stage, and after it.
+func (h *history) step() {
+	h.now = h.now.Add(50 * time.Microsecond)
+	h.n = (h.n + pipelineLength) % len(h.asks)
+	asks := h.asks[h.n : h.n+pipelineLength]
+	h.a.Admit(asks, h.now.Add(time.Duration(h.n%7)*time.Second), h.now)
+	h.a.Hopeless(asks, h.now.Add(time.Second), h.now)
+	h.a.Budget(asks, h.now.Add(time.Second), h.now)
+}
+
+// TestAdmitAllocatesNothing covers admissions and refusals.
+func TestAdmitAllocatesNothing(t *testing.T) {
+	h := newHistory(8 * pipelineLength)
+	require.Zero(t, testing.AllocsPerRun(1000, h.step))
+	require.Zero(t, testing.AllocsPerRun(1000, func() {
+		h.a.Observe(h.asks[0].Stage, 70*time.Millisecond, 60, h.now)
+	}))
+}
+
+func BenchmarkDecisions(b *testing.B) {
+	for _, n := range stageCounts {
+		b.Run(fmt.Sprintf("stages=%d", n), func(b *testing.B) {
+			h := newHistory(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				h.step()
+			}
+		})
+	}
+}
+
+func BenchmarkObserve(b *testing.B) {
+	for _, n := range stageCounts {
+		b.Run(fmt.Sprintf("stages=%d", n), func(b *testing.B) {
+			h := newHistory(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				h.now = h.now.Add(100 * time.Microsecond)
+				h.n = (h.n + 1) % n
+				h.a.Observe(h.asks[h.n].Stage, 70*time.Millisecond, 60, h.now)
+			}
+		})
+	}
+}
+
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{30, 300, 1020} {
+		b.Run(fmt.Sprintf("stages=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				held := measurer.HeapBytes(func() any { return newHistory(n).a })
+				b.ReportMetric(float64(held)/float64(n), "B/stage")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/biller/bench_test.go
@@ -0,0 +1,66 @@
+package biller_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/biller"
+	"geraniumline/measurer"
+	"geraniumline/scheduler"
+)
+
+var stages = []string{"chat/encode", "chat/retrieve", "chat/rerank", "chat/generate"}
+
+func billed(accounts int) *biller.Biller {
+	b := biller.New()
+	for i := range accounts {
+		account := fmt.Sprintf("account%d", i)
+		for _, stage := range stages {
+			b.Work(account, stage, 10)
+		}
+		b.Outcome(account, scheduler.Normal, biller.AnsweredInTime)
+	}
+	return b
+}
+
+// TestBillingAllocatesNothing covers what is called for each stage and each request.
+func TestBillingAllocatesNothing(t *testing.T) {
+	b := billed(1)
+	require.Zero(t, testing.AllocsPerRun(1000, func() {
+		b.Work("account0", stages[3], 900)
+		b.Wasted("account0", stages[3], 30)
+		b.Outcome("account0", scheduler.Urgent, biller.AnsweredLate)
+	}))
+}
+
+func BenchmarkWork(b *testing.B) {
+	for _, n := range []int{5, 43_000} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			bills := billed(n)
+			names := make([]string, n)
+			for i := range names {
+				names[i] = fmt.Sprintf("account%d", i)
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i = (i + 1) % n
+				bills.Work(names[i], stages[i%len(stages)], 10)
+			}
+		})
+	}
+}
+
+// BenchmarkMemory is an account with work in four stages.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{1000, 10_000, 43_000} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				held := measurer.HeapBytes(func() any { return billed(n) })
+				b.ReportMetric(float64(held)/float64(n), "B/account")
+			}
+		})
+	}
+}
--- a/cmd/policyreport/picture.go
+++ b/cmd/policyreport/picture.go
@@ -22,13 +22,14 @@
 
 // figure is one of the plots of the picture.
 type figure struct {
-	label string
-	read  func(p measurer.Point) float64
+	label      string
+	legendLeft bool
+	read       func(p measurer.Point) float64
 }
 
 var figures = []figure{
-	{"attainment of offered requests", func(p measurer.Point) float64 { return p.Attainment }},
-	{"endpoint ms for an answer in time", func(p measurer.Point) float64 { return p.Cost }},
+	{"attainment of offered requests", false, func(p measurer.Point) float64 { return p.Attainment }},
+	{"endpoint ms for an answer in time", true, func(p measurer.Point) float64 { return p.Cost }},
 }
 
 // drawPicture draws attainment and cost against load, a line for each way.
@@ -54,6 +55,7 @@
 	p.Y.Label.Text = f.label
 	p.Y.Min = 0
 	p.Legend.Top = true
+	p.Legend.Left = f.legendLeft
 	var lines []any
 	for _, way := range ways(points) {
 		lines = append(lines, way, f.line(points, way))
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -84,7 +84,10 @@
 	// active lists the accounts with a use to report, in the order they became active.
 	active []*account
 
-	peers      map[string]*peer
+	peers map[string]*peer
+	// order lists the peers in the order in which they were first heard: sums over them must
+	// come out the same in a replay.
+	order      []*peer
 	silent     []*peer
 	listenedAt time.Time
 	// entries is how many entries there are, this one included.
--- a/limiter/peers.go
+++ b/limiter/peers.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"slices"
 	"time"
 
 	"geraniumline/carrier"
@@ -36,6 +37,7 @@
 	if !ok {
 		p = &peer{name: name}
 		l.peers[name] = p
+		l.order = append(l.order, p)
 	}
 	p.heardAt = now
 	p.silent = false
@@ -56,6 +58,7 @@
 	}
 	p.gone = true
 	delete(l.peers, name)
+	l.order = slices.DeleteFunc(l.order, func(other *peer) bool { return other == p })
 	l.listenedAt = time.Time{}
 }
 
@@ -76,7 +79,7 @@
 	}
 	l.listenedAt = now
 	l.silent = l.silent[:0]
-	for _, p := range l.peers {
+	for _, p := range l.order {
 		p.silent = now.Sub(p.heardAt) >= l.cfg.PeerSilence
 		if p.silent {
 			l.silent = append(l.silent, p)
