reducer: an answer to this address's former process is dropped

Cause: a peer's answer to a call for configuration could arrive after the entry that had asked was replaced. The new process, which had read nothing, folded records that began past the ones it lacked, and passed over those when it read them from the log: newest offset, most of the configuration missing, for good. Change: each call has a number of its own process, and only its answer is folded.

--- a/reducer/core.go
+++ b/reducer/core.go
@@ -102,6 +102,8 @@
 	nextBatch     uint64
 	nextPeerCall  uint64
 	recordsCalled time.Time
+	// recordsCall names the last call for records, unlike those of other processes.
+	recordsCall uint64
 	counters      Counters
 	effects       []Effect
 }
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -50,7 +50,8 @@
 		return
 	}
 	c.recordsCalled = now
-	c.emit(SendPeer{Address: from.PeerAddress, Message: &carrier.RecordsCall{Stream: string(StreamConfig), From: c.recordsFrom()}})
+	c.recordsCall = c.rand.Uint64()
+	c.emit(SendPeer{Address: from.PeerAddress, Message: &carrier.RecordsCall{CallID: c.recordsCall, Stream: string(StreamConfig), From: c.recordsFrom()}})
 }
 
 // wholeSnapshot is the offset to ask from for a snapshot in place of records.
@@ -87,8 +88,10 @@
 	c.emit(SendPeer{Address: member.PeerAddress, Message: answer})
 }
 
+// takeRecords folds what a peer passes on. An answer to the process that had this address before is dropped: its
+// records begin past what this process has, and the fold would pass over the missing ones for good.
 func (c *Core) takeRecords(message *carrier.Records, now time.Time) {
-	if message.Stream != string(StreamConfig) {
+	if message.Stream != string(StreamConfig) || message.CallID != c.recordsCall {
 		return
 	}
 	records := make([]recorder.Record, 0, len(message.Records))
--- a/reducer/publish_test.go
+++ b/reducer/publish_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"geraniumline/carrier"
 	"geraniumline/operatorserver"
 	"geraniumline/publisher"
 )
@@ -271,3 +272,32 @@
 		})
 	}
 }
+
+// An entry asks a peer for configuration and is replaced before the answer arrives at its address. The answer
+// begins past what the new process has read. Folding it would skip the records before it for good: the entry would
+// show the newest offset and lack most of the configuration.
+func TestAnswerToPredecessorIsDropped(t *testing.T) {
+	w := serving(t, 2)
+	w.nodes[1].noLog = true
+	var answer *flight
+	w.hook = func(f flight) bool {
+		message, is := f.event.(PeerMessageArrived)
+		_, records := message.Message.(*carrier.Records)
+		if !is || !records || f.node != 1 || answer != nil {
+			return true
+		}
+		answer = &f
+		return false
+	}
+	require.Equal(t, operatorserver.ConfigVerdictVerdictAccepted, w.verdict(w.change(0, "late-1", contract(3), w.version())).Verdict)
+	w.until("the peer's answer", func() bool { return answer != nil })
+	w.kill(1)
+	w.start(1)
+	w.give(1, answer.event)
+	w.run(time.Second)
+	require.Equal(t, w.nodes[0].core.fold.Offset(), w.nodes[1].core.fold.Offset())
+	require.InDelta(t, 3, w.weight(1), 0)
+	require.Len(t, w.nodes[1].core.fold.Objects("", ""), len(w.nodes[0].core.fold.Objects("", "")))
+	_, known := w.nodes[1].core.fold.Pipeline(ticket)
+	require.True(t, known)
+}
