Sharpen the core's proofs: each safeguard switched off in a trial must fail one

The tests now hold side effects over the lapse of the address answers, let appends hang in the outage, send again after the owner's death, ask for handed over outcomes and cut a reply short of its total.

--- a/reducer/claim_test.go
+++ b/reducer/claim_test.go
@@ -85,6 +85,9 @@
 			require.Less(t, w.now.Sub(again.sent), time.Second, "given up is told at once, not at the deadline")
 			asked, _, _ := w.awaitEnd(w.ask(2, key))
 			require.Equal(t, s.want, asked, "any entry tells the outcome")
+			w.run(time.Second)
+			late, _, _ := w.awaitEnd(w.send(2, ticket, key, "wall 7", deadline).id)
+			require.Equal(t, s.want, late, "the owner is known to be dead")
 			require.Equal(t, s.runs, w.runs(key, "log"))
 			w.check()
 		})
@@ -247,11 +250,15 @@
 	}
 }
 
-// The log is down: non-repeatable requests are refused within the same event, with when to come back;
+// The log is down and appends hang: non-repeatable requests are refused within the same event, with when to come back;
 // repeatable ones go on. When the log is back, the key that was refused can be run.
 func TestLogOutage(t *testing.T) {
 	w := serving(t, 2)
 	w.logDown = true
+	w.hook = func(f flight) bool {
+		_, is := f.effect.(Append)
+		return !is
+	}
 	w.run(100 * time.Millisecond)
 	key := keyAt(w.now, 1)
 	refused := w.send(0, ticket, key, "wall 7", deadline)
@@ -266,7 +273,7 @@
 	w.run(10 * time.Minute / 20)
 	state, _, _ = w.awaitEnd(w.send(1, summary, keyAt(w.now, 3), "case 4", deadline).id)
 	require.Equal(t, StateAnswered, state)
-	w.logDown = false
+	w.logDown, w.hook = false, nil
 	w.run(5 * time.Second)
 	state, _, _ = w.awaitEnd(w.send(0, ticket, key, "wall 7", deadline).id)
 	require.Equal(t, StateAnswered, state)
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -104,8 +104,8 @@
 	recordsCalled time.Time
 	// recordsCall names the last call for records, unlike those of other processes.
 	recordsCall uint64
-	counters      Counters
-	effects       []Effect
+	counters    Counters
+	effects     []Effect
 }
 
 // New makes the core of an entry that knows nothing yet.
--- a/reducer/publish_test.go
+++ b/reducer/publish_test.go
@@ -208,15 +208,31 @@
 func TestPlannedStop(t *testing.T) {
 	w := serving(t, 3)
 	var sent []attempt
+	var held []flight
 	begun := w.now
+	// The last side effects take until long after the address answers have lapsed.
+	w.hook = func(f flight) bool {
+		part, is := f.event.(*StagePartArrived)
+		age := w.now.Sub(begun)
+		if !is || part.Part.Stage != "log" || age < 900*time.Millisecond || age > 2*time.Second {
+			return true
+		}
+		held = append(held, f)
+		return false
+	}
 	w.give(0, StopSignalled{})
 	for i := uint16(0); !w.nodes[0].dead; i++ {
 		if w.now.Sub(begun) < time.Second {
 			sent = append(sent, w.send(0, ticket, keyAt(w.now, i), fmt.Sprintf("wall %d", i), deadline))
+			sent = append(sent, w.send(0, summary, fmt.Sprintf("case-%d", i), fmt.Sprintf("case %d", i), deadline))
 		}
 		if w.now.Sub(begun) == 500*time.Millisecond {
 			w.give(0, StopSignalled{})
 		}
+		if w.now.Sub(begun) > 2*time.Second {
+			w.queue = append(w.queue, held...)
+			held = nil
+		}
 		w.step()
 		require.Less(t, w.now.Sub(begun), time.Minute)
 	}
@@ -226,7 +242,7 @@
 		require.Equal(t, StateAnswered, state, code)
 		asked, _, text := w.awaitEnd(w.ask(1, a.key))
 		require.Equal(t, StateAnswered, asked)
-		require.Equal(t, wantText(ticket, a.body), text)
+		require.Equal(t, wantText(a.pipeline, a.body), text, "the outcome was handed over")
 	}
 	w.check()
 }
--- a/reducer/reply_test.go
+++ b/reducer/reply_test.go
@@ -25,6 +25,7 @@
 		{"repeatable stage: cut and resumed", "draft", "cutMidway", StateAnswered, 1},
 		{"repeatable stage: reply lost", "draft", "cutAfterRun", StateAnswered, 2},
 		{"repeatable stage: refused as leaving", "draft", "leaving", StateAnswered, 1},
+		{"repeatable stage: total differs", "draft", "short", StateAnswered, 2},
 		{"repeatable stage: silent", "draft", "silent", StateAnswered, 2},
 		{"side effect: foreign reply", "log", "foreign", StateUnknown, 1},
 		{"side effect: parts doubled", "log", "double", StateAnswered, 1},
@@ -33,6 +34,7 @@
 		{"side effect: reply lost", "log", "cutAfterRun", StateUnknown, 1},
 		{"side effect: refused as busy", "log", "busy", StateAnswered, 1},
 		{"side effect: not sent", "log", "notSent", StateAnswered, 1},
+		{"side effect: total differs", "log", "short", StateUnknown, 1},
 		{"side effect: silent", "log", "silent", StateUnknown, 1},
 	} {
 		t.Run(s.testName, func(t *testing.T) {
--- a/reducer/world_test.go
+++ b/reducer/world_test.go
@@ -238,7 +238,8 @@
 
 // callStage lets an endpoint take a call: "" runs and answers; "busy", "leaving" and "notSent" do not run;
 // "cutAfterRun" runs and loses the whole reply, "cutMidway" its second part; "silent" runs and never answers;
-// "foreign" answers another request's parts, "double" each part twice, "swapped" the parts in turned order.
+// "foreign" answers another request's parts, "double" each part twice, "swapped" the parts in
+// turned order, "short" fewer parts than its total.
 func (w *world) callStage(f flight, e *CallStage) {
 	how := ""
 	if w.stage != nil {
@@ -267,6 +268,9 @@
 	case "foreign":
 		head.RequestId, head.Text = "entry-9.1.1", "foreign"
 		w.sendParts(f, e.Call, []endpointserver.StagePart{head, tail})
+	case "short":
+		tail.Total.Value = 3
+		w.sendParts(f, e.Call, []endpointserver.StagePart{head, tail})
 	case "double":
 		w.sendParts(f, e.Call, []endpointserver.StagePart{head, head, tail, tail})
 	case "swapped":
