--- a/cmd/geraniumline/main.go
+++ b/cmd/geraniumline/main.go
@@ -3,37 +3,46 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
+	"runtime/debug"
 
-	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
 	"geraniumline/assembler"
+	"geraniumline/launcher"
 	"geraniumline/loader"
 )
 
 func main() {
-	app := &cli.Command{
-		Name: "geraniumline",
-		Commands: []*cli.Command{{
-			Name:  "entry",
-			Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Required: true}},
-			Action: func(ctx context.Context, cmd *cli.Command) error {
-				settings, err := loader.Load(cmd.String("settings"))
-				if err != nil {
-					return err
-				}
-				log, err := zap.NewProduction()
-				if err != nil {
-					return err
-				}
-				return assembler.Run(ctx, assembler.Config{Settings: settings, Log: log})
-			},
-		}},
+	cfg := launcher.Config{
+		Version:  version(),
+		RunEntry: runEntry,
+		Stdin:    os.Stdin,
+		Stdout:   os.Stdout,
+		Stderr:   os.Stderr,
+		Terminal: coloured(os.Stdout),
 	}
-	if err := app.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	os.Exit(int(launcher.Run(context.Background(), cfg, os.Args)))
+}
+
+func runEntry(ctx context.Context, settings loader.Settings, log *zap.Logger) error {
+	return assembler.Run(ctx, assembler.Config{Settings: settings, Log: log})
+}
+
+// version returns what the build recorded of itself.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
+
+// coloured tells whether the file is a terminal that wants colours.
+func coloured(f *os.File) bool {
+	if os.Getenv("NO_COLOR") != "" || os.Getenv("TERM") == "dumb" {
+		return false
 	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
 }
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -16,6 +16,7 @@
 	"geraniumline/drainer"
 	"geraniumline/limiter"
 	"geraniumline/publisher"
+	"geraniumline/quarantiner"
 	"geraniumline/retrier"
 	"geraniumline/router"
 	"geraniumline/scheduler"
@@ -48,6 +49,11 @@
 	StageTimeout time.Duration
 	// OutcomesKept bounds the outcomes that callers may still ask for.
 	OutcomesKept int
+
+	// Router, Retrier and Quarantiner set these deciders up; their zero values take the defaults.
+	Router      router.Config
+	Retrier     retrier.Config
+	Quarantiner quarantiner.Config
 }
 
 // subsetSize and subsetSpares are how many entries one client account is told of: few, so that an entry's state
@@ -80,6 +86,10 @@
 	retrier   *retrier.Retrier
 	biller    *biller.Biller
 
+	quarantiner *quarantiner.Quarantiner
+	// lone are the runs of suspect requests by pool.
+	lone map[string][]loneRun
+
 	requests  map[uint64]*request
 	plans     map[string]*plan
 	applied   map[string]*publisher.Contract
@@ -93,11 +103,14 @@
 	logs      map[Stream]*logHealth
 	configs   *recordRing
 
-	heartbeatAt   time.Time
-	heartbeats    uint64
-	lastTick      time.Time
-	stopped       bool
-	liveEntries   int
+	heartbeatAt time.Time
+	heartbeats  uint64
+	lastTick    time.Time
+	stopped     bool
+	liveEntries int
+	// appending counts the appends to the claims stream that have not ended.
+	appending     int
+	snapshotDue   time.Time
 	nextClaim     uint64
 	nextBatch     uint64
 	nextPeerCall  uint64
@@ -111,6 +124,7 @@
 // New makes the core of an entry that knows nothing yet.
 func New(cfg Config, now time.Time) *Core {
 	random := rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation))
+	cfg.Router.Rand = random
 	c := &Core{
 		cfg:       cfg,
 		rand:      random,
@@ -122,9 +136,13 @@
 		limiter:   limiter.New(limiter.Config{Entry: cfg.Entry}),
 		scheduler: scheduler.New(scheduler.Config{}),
 		admitter:  admitter.New(admitter.Config{}),
-		router:    router.New(router.Config{Rand: random}),
-		retrier:   retrier.New(retrier.Config{}),
+		router:    router.New(cfg.Router),
+		retrier:   retrier.New(cfg.Retrier),
 		biller:    biller.New(),
+
+		quarantiner: quarantiner.New(cfg.Quarantiner),
+		lone:        map[string][]loneRun{},
+
 		requests:  map[uint64]*request{},
 		plans:     map[string]*plan{},
 		applied:   map[string]*publisher.Contract{},
@@ -187,6 +205,8 @@
 		c.takeVMs(e, now)
 	case LoadReported:
 		c.router.Report(e.Address, e.Report, now)
+	case CacheEventsRead:
+		c.router.CacheEvents(e.Address, e.Events, e.Next, now)
 	case ChangeAsked:
 		c.takeChange(e, now)
 	case OperationAsked:
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -38,6 +38,7 @@
 	c.counters.HeartbeatsTaken++
 	c.takeTransitions(c.detector.Receive(message, now), now)
 	c.router.PeerLoads(message.From.Name, message.Endpoints, now)
+	c.takeCrashes(message.Crashes, now)
 	c.limiter.PeerUses(message.From.Name, message.Accounts, now)
 	c.callForRecords(message.From, now)
 }
@@ -102,6 +103,7 @@
 	if len(message.Snapshot) > 0 && c.fold.Restore(message.Snapshot, now) {
 		c.configs.restart(c.fold.Offset())
 		c.applyContracts(now)
+		c.applyPools()
 	}
 	c.foldConfig(records, 0, now)
 	if c.fold.Offset() > before {
@@ -129,14 +131,18 @@
 }
 
 func (c *Core) countEntries(now time.Time) {
-	live := 0
+	live, index := 0, 0
 	for _, member := range c.detector.Members() {
 		if member.State == detector.Live || member.State == detector.Suspect {
 			live++
+			if member.Name < c.cfg.Entry {
+				index++
+			}
 		}
 	}
 	c.liveEntries = max(live, 1)
 	c.limiter.SetPeers(c.liveEntries, now)
+	c.router.SetEntries(index, c.liveEntries)
 }
 
 // beat sends a heartbeat to the peers that the detector names.
@@ -149,6 +155,7 @@
 		Members:   c.detector.Digest(now),
 		Endpoints: c.router.Loads(now),
 		Accounts:  c.limiter.Uses(now),
+		Crashes:   c.quarantiner.Marks(now),
 	}
 	for _, address := range c.detector.Targets(now) {
 		c.counters.HeartbeatsSent++
