reducer: a hedge beside a stream that has begun no longer ends the process

Cause: a request's calls are held by value with a strings.Builder inside. Starting a second attempt moved the first in memory, and its next part panicked (illegal use of non-zero Builder copied by value): the whole entry fell, with all its requests. Ruled out: the test's model; the panic comes from takeInOrder alone. Change: the builder is held by pointer. TestHedgeBesideAStalledStream before: panic; after: the whole answer.

--- a/performer/stages_test.go
+++ b/performer/stages_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"geraniumline/endpointserver"
+	"geraniumline/meter"
 	"geraniumline/reducer"
 )
 
@@ -44,7 +45,7 @@
 			}
 		}
 	}
-	s = newStages(Config{Endpoints: server.Client()}, post, newReplies())
+	s = newStages(Config{Endpoints: server.Client(), Meter: meter.New()}, post, newReplies())
 	s.ctx = context.Background()
 	s.call(&reducer.CallStage{Call: id, Address: address, Body: &endpointserver.StageCall{RequestId: "r", Stage: "s", Attempt: 1}})
 	select {
--- a/reducer/reply_test.go
+++ b/reducer/reply_test.go
@@ -173,3 +173,28 @@
 	require.Positive(t, w.nodes[0].core.Counters().PartsLate)
 	w.check()
 }
+
+// A stage's endpoint has sent a part and then stalls, so a second attempt is started beside it. Its record moves in
+// memory with the first's text in it; the first then goes on. The entry must not fall over: it would take all its
+// other requests down with it.
+func TestHedgeBesideAStalledStream(t *testing.T) {
+	w := serving(t, 1)
+	var stalled *flight
+	w.hook = func(f flight) bool {
+		part, is := f.event.(*StagePartArrived)
+		if !is || stalled != nil || part.Part.Stage != "draft" || !part.Part.Final {
+			return true
+		}
+		stalled = &f
+		return false
+	}
+	a := w.send(0, summary, "case-1", "case 3", deadline)
+	w.until("the stall", func() bool { return stalled != nil })
+	r := w.nodes[0].core.requests[a.id]
+	w.nodes[0].core.dispatch(r, "e2", true, w.now)
+	w.queue = append(w.queue, *stalled)
+	state, _, text := w.awaitEnd(a.id)
+	require.Equal(t, StateAnswered, state)
+	require.Equal(t, wantText(summary, "case 3"), text)
+	w.check()
+}
--- a/reducer/stage.go
+++ b/reducer/stage.go
@@ -24,7 +24,7 @@
 	lastPart time.Time
 	streamID string
 	nextSeq  int
-	text     strings.Builder
+	text     *strings.Builder
 	// early holds parts that arrived before their predecessor.
 	early map[int]endpointserver.StagePart
 	// resumed tells that the reply is being read on after a cut: the endpoint has acted on the call,
@@ -132,7 +132,7 @@
 	}
 	r.phase = phaseRunning
 	r.possible++
-	r.calls = append(r.calls, call{attempt: r.attempts, address: address, started: now, lastPart: now, hedge: hedge})
+	r.calls = append(r.calls, call{attempt: r.attempts, address: address, started: now, lastPart: now, hedge: hedge, text: &strings.Builder{}})
 	c.counters.StageCalls++
 	c.router.Started(address, &r.prefix, now)
 	id := CallID{Request: r.id, Stage: r.stage, Attempt: r.attempts}
