--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -304,6 +304,93 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *CrashLoss) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Address, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.AgeMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z CrashLoss) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Address)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	err = en.WriteInt64(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z CrashLoss) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Address)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CrashLoss) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Address, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z CrashLoss) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.Int64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *CrashMark) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -331,12 +418,48 @@
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
-		case "crashes":
-			z.Crashes, err = dc.ReadInt32()
+		case "losses":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Crashes")
+				err = msgp.WrapError(err, "Losses")
 				return
 			}
+			if zb0002 > 16 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Losses) >= int(zb0002) {
+				z.Losses = (z.Losses)[:zb0002]
+			} else {
+				z.Losses = make([]CrashLoss, zb0002)
+			}
+			for za0001 := range z.Losses {
+				var zb0003 uint32
+				zb0003, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Losses", za0001)
+					return
+				}
+				if zb0003 > 16 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Losses[za0001].Address, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Losses", za0001, "Address")
+					return
+				}
+				z.Losses[za0001].AgeMillis, err = dc.ReadInt64()
+				if err != nil {
+					err = msgp.WrapError(err, "Losses", za0001, "AgeMillis")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -361,16 +484,33 @@
 		err = msgp.WrapError(err, "Digest")
 		return
 	}
-	// write "crashes"
-	err = en.Append(0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
+	// write "losses"
+	err = en.Append(0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt32(z.Crashes)
+	err = en.WriteArrayHeader(uint32(len(z.Losses)))
 	if err != nil {
-		err = msgp.WrapError(err, "Crashes")
+		err = msgp.WrapError(err, "Losses")
 		return
 	}
+	for za0001 := range z.Losses {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Losses[za0001].Address)
+		if err != nil {
+			err = msgp.WrapError(err, "Losses", za0001, "Address")
+			return
+		}
+		err = en.WriteInt64(z.Losses[za0001].AgeMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "Losses", za0001, "AgeMillis")
+			return
+		}
+	}
 	return
 }
 
@@ -381,9 +521,15 @@
 	// string "digest"
 	o = append(o, 0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
 	o = msgp.AppendBytes(o, z.Digest)
-	// string "crashes"
-	o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
-	o = msgp.AppendInt32(o, z.Crashes)
+	// string "losses"
+	o = append(o, 0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Losses)))
+	for za0001 := range z.Losses {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Losses[za0001].Address)
+		o = msgp.AppendInt64(o, z.Losses[za0001].AgeMillis)
+	}
 	return
 }
 
@@ -427,12 +573,44 @@
 			}
 			copy(z.Digest, bts[:zb0002])
 			bts = bts[zb0002:]
-		case "crashes":
-			z.Crashes, bts, err = msgp.ReadInt32Bytes(bts)
+		case "losses":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Crashes")
+				err = msgp.WrapError(err, "Losses")
 				return
 			}
+			if zb0003 > 16 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Losses) >= int(zb0003) {
+				z.Losses = (z.Losses)[:zb0003]
+			} else {
+				z.Losses = make([]CrashLoss, zb0003)
+			}
+			for za0001 := range z.Losses {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Losses", za0001)
+					return
+				}
+				if zb0004 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+					return
+				}
+				z.Losses[za0001].Address, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Losses", za0001, "Address")
+					return
+				}
+				z.Losses[za0001].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Losses", za0001, "AgeMillis")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -447,7 +625,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *CrashMark) Msgsize() (s int) {
-	s = 1 + 7 + msgp.BytesPrefixSize + len(z.Digest) + 8 + msgp.Int32Size
+	s = 1 + 7 + msgp.BytesPrefixSize + len(z.Digest) + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Losses {
+		s += 1 + msgp.StringPrefixSize + len(z.Losses[za0001].Address) + msgp.Int64Size
+	}
 	return
 }
 
@@ -915,12 +1096,48 @@
 							err = msgp.WrapError(err, "Crashes", za0005, "Digest")
 							return
 						}
-					case "crashes":
-						z.Crashes[za0005].Crashes, err = dc.ReadInt32()
+					case "losses":
+						var zb0008 uint32
+						zb0008, err = dc.ReadArrayHeader()
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0005, "Crashes")
+							err = msgp.WrapError(err, "Crashes", za0005, "Losses")
+							return
+						}
+						if zb0008 > 16 {
+							err = msgp.ErrLimitExceeded
 							return
 						}
+						if cap(z.Crashes[za0005].Losses) >= int(zb0008) {
+							z.Crashes[za0005].Losses = (z.Crashes[za0005].Losses)[:zb0008]
+						} else {
+							z.Crashes[za0005].Losses = make([]CrashLoss, zb0008)
+						}
+						for za0006 := range z.Crashes[za0005].Losses {
+							var zb0009 uint32
+							zb0009, err = dc.ReadArrayHeader()
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006)
+								return
+							}
+							if zb0009 > 16 {
+								err = msgp.ErrLimitExceeded
+								return
+							}
+							if zb0009 != 2 {
+								err = msgp.ArrayError{Wanted: 2, Got: zb0009}
+								return
+							}
+							z.Crashes[za0005].Losses[za0006].Address, err = dc.ReadString()
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
+								return
+							}
+							z.Crashes[za0005].Losses[za0006].AgeMillis, err = dc.ReadInt64()
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
+								return
+							}
+						}
 					default:
 						err = dc.Skip()
 						if err != nil {
@@ -1054,16 +1271,33 @@
 			err = msgp.WrapError(err, "Crashes", za0005, "Digest")
 			return
 		}
-		// write "crashes"
-		err = en.Append(0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
+		// write "losses"
+		err = en.Append(0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
 		if err != nil {
 			return
 		}
-		err = en.WriteInt32(z.Crashes[za0005].Crashes)
+		err = en.WriteArrayHeader(uint32(len(z.Crashes[za0005].Losses)))
 		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0005, "Crashes")
+			err = msgp.WrapError(err, "Crashes", za0005, "Losses")
 			return
 		}
+		for za0006 := range z.Crashes[za0005].Losses {
+			// array header, size 2
+			err = en.Append(0x92)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Crashes[za0005].Losses[za0006].Address)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
+				return
+			}
+			err = en.WriteInt64(z.Crashes[za0005].Losses[za0006].AgeMillis)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
+				return
+			}
+		}
 	}
 	return
 }
@@ -1130,9 +1364,15 @@
 		// string "digest"
 		o = append(o, 0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
 		o = msgp.AppendBytes(o, z.Crashes[za0005].Digest)
-		// string "crashes"
-		o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
-		o = msgp.AppendInt32(o, z.Crashes[za0005].Crashes)
+		// string "losses"
+		o = append(o, 0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes[za0005].Losses)))
+		for za0006 := range z.Crashes[za0005].Losses {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendString(o, z.Crashes[za0005].Losses[za0006].Address)
+			o = msgp.AppendInt64(o, z.Crashes[za0005].Losses[za0006].AgeMillis)
+		}
 	}
 	return
 }
@@ -1316,12 +1556,44 @@
 						}
 						copy(z.Crashes[za0005].Digest, bts[:zb0008])
 						bts = bts[zb0008:]
-					case "crashes":
-						z.Crashes[za0005].Crashes, bts, err = msgp.ReadInt32Bytes(bts)
+					case "losses":
+						var zb0009 uint32
+						zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0005, "Crashes")
+							err = msgp.WrapError(err, "Crashes", za0005, "Losses")
 							return
 						}
+						if zb0009 > 16 {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if cap(z.Crashes[za0005].Losses) >= int(zb0009) {
+							z.Crashes[za0005].Losses = (z.Crashes[za0005].Losses)[:zb0009]
+						} else {
+							z.Crashes[za0005].Losses = make([]CrashLoss, zb0009)
+						}
+						for za0006 := range z.Crashes[za0005].Losses {
+							var zb0010 uint32
+							zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006)
+								return
+							}
+							if zb0010 != 2 {
+								err = msgp.ArrayError{Wanted: 2, Got: zb0010}
+								return
+							}
+							z.Crashes[za0005].Losses[za0006].Address, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
+								return
+							}
+							z.Crashes[za0005].Losses[za0006].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
+								return
+							}
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -1363,7 +1635,10 @@
 	}
 	s += 8 + msgp.ArrayHeaderSize
 	for za0005 := range z.Crashes {
-		s += 1 + 7 + msgp.BytesPrefixSize + len(z.Crashes[za0005].Digest) + 8 + msgp.Int32Size
+		s += 1 + 7 + msgp.BytesPrefixSize + len(z.Crashes[za0005].Digest) + 7 + msgp.ArrayHeaderSize
+		for za0006 := range z.Crashes[za0005].Losses {
+			s += 1 + msgp.StringPrefixSize + len(z.Crashes[za0005].Losses[za0006].Address) + msgp.Int64Size
+		}
 	}
 	return
 }
@@ -1707,6 +1982,15 @@
 				err = msgp.WrapError(err, "AgeMillis")
 				return
 			}
+		case "digest":
+			z.Digest, err = dc.ReadBytesLimit(z.Digest, 32)
+			if err == nil && z.Digest == nil {
+				z.Digest = []byte{}
+			}
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1720,9 +2004,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Outcome) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
+	// map header, size 10
 	// write "callId"
-	err = en.Append(0x89, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	err = en.Append(0x8a, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	if err != nil {
 		return
 	}
@@ -1811,15 +2095,25 @@
 		err = msgp.WrapError(err, "AgeMillis")
 		return
 	}
+	// write "digest"
+	err = en.Append(0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Digest)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Outcome) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "callId"
-	o = append(o, 0x89, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = append(o, 0x8a, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	o = msgp.AppendUint64(o, z.CallID)
 	// string "account"
 	o = append(o, 0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
@@ -1845,6 +2139,9 @@
 	// string "ageMillis"
 	o = append(o, 0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.AgeMillis)
+	// string "digest"
+	o = append(o, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	o = msgp.AppendBytes(o, z.Digest)
 	return
 }
 
@@ -1920,6 +2217,28 @@
 				err = msgp.WrapError(err, "AgeMillis")
 				return
 			}
+		case "digest":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+			if zb0002 > 32 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Digest == nil || uint32(cap(z.Digest)) < zb0002 {
+				z.Digest = make([]byte, zb0002)
+			} else {
+				z.Digest = z.Digest[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Digest, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1934,7 +2253,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Outcome) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Account) + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.Uint8Size + 7 + msgp.StringPrefixSize + len(z.Answer) + 6 + msgp.Int32Size + 5 + msgp.StringPrefixSize + len(z.Code) + 8 + msgp.StringPrefixSize + len(z.Message) + 10 + msgp.Int64Size
+	s = 1 + 7 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Account) + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.Uint8Size + 7 + msgp.StringPrefixSize + len(z.Answer) + 6 + msgp.Int32Size + 5 + msgp.StringPrefixSize + len(z.Code) + 8 + msgp.StringPrefixSize + len(z.Message) + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Digest)
 	return
 }
 
@@ -2549,6 +2868,32 @@
 					return
 				}
 			}
+		case "snapshot":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Snapshot")
+				return
+			}
+			if zb0004 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Snapshot) >= int(zb0004) {
+				z.Snapshot = (z.Snapshot)[:zb0004]
+			} else {
+				z.Snapshot = make([][]byte, zb0004)
+			}
+			for za0002 := range z.Snapshot {
+				z.Snapshot[za0002], err = dc.ReadBytesLimit(z.Snapshot[za0002], 4096)
+				if err == nil && z.Snapshot[za0002] == nil {
+					z.Snapshot[za0002] = []byte{}
+				}
+				if err != nil {
+					err = msgp.WrapError(err, "Snapshot", za0002)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2562,9 +2907,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Records) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "callId"
-	err = en.Append(0x85, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	err = en.Append(0x86, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	if err != nil {
 		return
 	}
@@ -2635,15 +2980,32 @@
 			return
 		}
 	}
+	// write "snapshot"
+	err = en.Append(0xa8, 0x73, 0x6e, 0x61, 0x70, 0x73, 0x68, 0x6f, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Snapshot)))
+	if err != nil {
+		err = msgp.WrapError(err, "Snapshot")
+		return
+	}
+	for za0002 := range z.Snapshot {
+		err = en.WriteBytes(z.Snapshot[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Snapshot", za0002)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Records) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "callId"
-	o = append(o, 0x85, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = append(o, 0x86, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	o = msgp.AppendUint64(o, z.CallID)
 	// string "stream"
 	o = append(o, 0xa6, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
@@ -2664,6 +3026,12 @@
 		o = msgp.AppendInt64(o, z.Records[za0001].AtMillis)
 		o = msgp.AppendBytes(o, z.Records[za0001].Data)
 	}
+	// string "snapshot"
+	o = append(o, 0xa8, 0x73, 0x6e, 0x61, 0x70, 0x73, 0x68, 0x6f, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Snapshot)))
+	for za0002 := range z.Snapshot {
+		o = msgp.AppendBytes(o, z.Snapshot[za0002])
+	}
 	return
 }
 
@@ -2752,6 +3120,45 @@
 					return
 				}
 			}
+		case "snapshot":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Snapshot")
+				return
+			}
+			if zb0004 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Snapshot) >= int(zb0004) {
+				z.Snapshot = (z.Snapshot)[:zb0004]
+			} else {
+				z.Snapshot = make([][]byte, zb0004)
+			}
+			for za0002 := range z.Snapshot {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadBytesHeader(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Snapshot", za0002)
+					return
+				}
+				if zb0005 > 4096 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if z.Snapshot[za0002] == nil || uint32(cap(z.Snapshot[za0002])) < zb0005 {
+					z.Snapshot[za0002] = make([]byte, zb0005)
+				} else {
+					z.Snapshot[za0002] = z.Snapshot[za0002][:zb0005]
+				}
+				if uint32(len(bts)) < zb0005 {
+					err = msgp.ErrShortBytes
+					return
+				}
+				copy(z.Snapshot[za0002], bts[:zb0005])
+				bts = bts[zb0005:]
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2770,6 +3177,10 @@
 	for za0001 := range z.Records {
 		s += 1 + msgp.Int64Size + msgp.Int64Size + msgp.BytesPrefixSize + len(z.Records[za0001].Data)
 	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.Snapshot {
+		s += msgp.BytesPrefixSize + len(z.Snapshot[za0002])
+	}
 	return
 }
 
