Spread heartbeats by gossip and zone relays beyond a full mesh

Cause: with a full mesh an entry's traffic grows with the square of the members: 240 at 13 bytes each, one heartbeat a second, would be 750 KB/s. Change: beyond Config.FullMesh a heartbeat goes to Fanout entries of the own zone in turn, and a zone's relays (rendezvous hash) also send to one relay of another zone; probes of dead members are bounded. At 7 entries nothing changes.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -36,6 +36,13 @@
 	ForgetAfter time.Duration
 	// ProbeEvery is how often dead members, hints and seeds are tried. Zero means SuspectAfter.
 	ProbeEvery time.Duration
+	// FullMesh is up to how many entries each sends its heartbeats to all others. Beyond it they spread by gossip,
+	// and SuspectAfter must allow for a dozen heartbeats. Zero means always.
+	FullMesh int
+	// Fanout is how many entries of the own availability zone get each heartbeat beyond FullMesh. Zero means 3.
+	Fanout int
+	// Relays is how many entries of each zone send to other zones beyond FullMesh. Zero means 2.
+	Relays int
 }
 
 // Detector holds the membership as this entry sees it.
@@ -55,6 +62,8 @@
 	greet []string
 	// turn counts heartbeats, and phase sets entries apart in whom they name in full.
 	turn, phase uint64
+	// round counts the choices of targets beyond FullMesh.
+	round uint64
 	// lastStep is the time of the newest call that brought a time; zero before the first.
 	lastStep time.Time
 	echo     echo
@@ -69,6 +78,12 @@
 	if cfg.ProbeEvery <= 0 {
 		cfg.ProbeEvery = cfg.SuspectAfter
 	}
+	if cfg.Fanout <= 0 {
+		cfg.Fanout = defaultFanout
+	}
+	if cfg.Relays <= 0 {
+		cfg.Relays = defaultRelays
+	}
 	d := &Detector{
 		cfg:      cfg,
 		members:  make(map[string]*record),
@@ -182,7 +197,7 @@
 
 // add makes the record of a member that is unknown.
 func (d *Detector) add(name string) *record {
-	r := &record{member: Member{Name: name}}
+	r := &record{member: Member{Name: name}, hash: xxhash.Sum64String(name)}
 	at, _ := d.find(name)
 	d.order = slices.Insert(d.order, at, r)
 	d.members[name] = r
--- a/detector/mesh_test.go
+++ b/detector/mesh_test.go
@@ -25,7 +25,11 @@
 	cut map[[2]int]bool
 	// delay gives the time that a message is under way.
 	delay func() time.Duration
-	seen  []sighting
+	// every is the time between heartbeats, each that between looks at the entries.
+	every, each time.Duration
+	// sent counts the encoded bytes of all heartbeats, if it is set.
+	sent *int
+	seen []sighting
 }
 
 // node is one entry's place: its process may be replaced.
@@ -57,6 +61,8 @@
 		cfg:    cfg,
 		byAddr: make(map[string]int),
 		cut:    make(map[[2]int]bool),
+		every:  meshHeartbeat,
+		each:   meshStep,
 	}
 	m.start = m.now
 	m.delay = func() time.Duration { return time.Duration(1+m.rnd.IntN(5)) * time.Millisecond }
@@ -86,7 +92,7 @@
 func (m *mesh) boot(i int, incarnation uint64) {
 	cfg := m.cfg
 	cfg.Self = carrier.Member{Name: name(i), Zone: zone(i), PeerAddress: address(i), Incarnation: incarnation}
-	phase := time.Duration(m.rnd.Int64N(int64(meshHeartbeat)))
+	phase := time.Duration(m.rnd.Int64N(int64(m.every)))
 	*m.nodes[i] = node{d: New(cfg), running: true, nextBeat: m.now.Add(phase)}
 }
 
@@ -101,7 +107,7 @@
 
 func (m *mesh) run(d time.Duration, each ...func()) {
 	for end := m.now.Add(d); m.now.Before(end); {
-		m.now = m.now.Add(meshStep)
+		m.now = m.now.Add(m.each)
 		for _, i := range m.rnd.Perm(len(m.nodes)) {
 			if m.awake(i) {
 				m.step(i)
@@ -145,10 +151,18 @@
 	if m.now.Before(n.nextBeat) {
 		return
 	}
-	n.nextBeat = m.now.Add(meshHeartbeat)
+	n.nextBeat = m.now.Add(m.every)
 	m.note(i, n.d.Tick(m.now))
 	hb := n.d.Heartbeat(m.now)
+	size := 0
+	if m.sent != nil {
+		body, _ := hb.MarshalMsg(nil)
+		size = len(body)
+	}
 	for _, to := range n.d.Targets(m.now) {
+		if m.sent != nil {
+			*m.sent += size
+		}
 		j, ok := m.byAddr[to]
 		if !ok || m.cut[[2]int{i, j}] || !m.nodes[j].running {
 			continue
--- a/detector/silence_test.go
+++ b/detector/silence_test.go
@@ -50,14 +50,7 @@
 	require.True(t, m.agreed())
 	victim := int(seed % 7)
 	lose(m, victim)
-	lostAt := m.now
-	var last time.Duration
-	m.run(6*time.Second, func() {
-		if m.gives(victim) {
-			last = m.now.Sub(lostAt)
-		}
-	})
-	return last
+	return m.timeGiven(victim, 6*time.Second)
 }
 
 // The network delays heartbeats and each process pauses now and then, always for less than SuspectAfter less a
--- a/detector/target.go
+++ b/detector/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -28,50 +29,95 @@
 	d.markLeaving(peerAddress, leaving)
 }
 
-// Targets gives the peer addresses to send the next heartbeat to: all members that are not dead, and now and then
+// Targets gives the peer addresses to send the next heartbeat to: members that are not dead, and now and then
 // the dead ones, the hints and the seeds, so that a healed partition and a new VM are found.
 func (d *Detector) Targets(now time.Time) []string {
-	known := make(map[string]bool, len(d.order)+1)
-	known[d.self.PeerAddress] = true
-	var out []string
+	t := targets{taken: map[string]bool{d.self.PeerAddress: true}}
 	for _, address := range d.greet {
-		if !known[address] {
-			known[address] = true
-			out = append(out, address)
-		}
+		t.add(address)
 	}
 	d.greet = nil
-	for _, r := range d.order {
-		address := r.member.PeerAddress
-		if known[address] || !d.reachable(r, now) {
-			continue
-		}
-		known[address] = true
-		out = append(out, address)
+	if d.fullMesh() {
+		t.addAll(d.reachable())
+	} else {
+		t.addAll(d.gossip())
 	}
-	for address, h := range d.hints {
-		if known[address] || now.Sub(h.probedAt) < d.cfg.ProbeEvery {
-			continue
+	for _, p := range d.probes(now) {
+		t.add(p.address)
+		*p.probedAt = now
+	}
+	slices.Sort(t.addresses)
+	return t.addresses
+}
+
+// targets is a list of addresses without doubles.
+type targets struct {
+	addresses []string
+	taken     map[string]bool
+}
+
+func (t *targets) add(address string) {
+	if t.taken[address] {
+		return
+	}
+	t.taken[address] = true
+	t.addresses = append(t.addresses, address)
+}
+
+func (t *targets) addAll(records []*record) {
+	for _, r := range records {
+		t.add(r.member.PeerAddress)
+	}
+}
+
+// reachable gives the members that heartbeats are sent to.
+func (d *Detector) reachable() []*record {
+	out := make([]*record, 0, len(d.order))
+	for _, r := range d.order {
+		if r.member.State != Dead && r.member.State != Stopped {
+			out = append(out, r)
 		}
-		h.probedAt = now
-		out = append(out, address)
 	}
-	slices.Sort(out)
 	return out
 }
 
-// reachable tells whether a member gets the next heartbeat, and notes a probe of a dead one.
-func (d *Detector) reachable(r *record, now time.Time) bool {
-	switch r.member.State {
-	case Stopped:
-		return false
-	case Dead:
-		if now.Sub(r.probedAt) < d.cfg.ProbeEvery {
-			return false
+// probe is an address that may or may not be an entry's.
+type probe struct {
+	address  string
+	probedAt *time.Time
+}
+
+// probes gives the addresses that are due to be tried, those that have waited longest first. When the system is too
+// large for a full mesh their number is bounded, or the loss of an availability zone would raise the traffic.
+func (d *Detector) probes(now time.Time) []probe {
+	var due []probe
+	for _, r := range d.order {
+		if r.member.State == Dead && now.Sub(r.probedAt) >= d.cfg.ProbeEvery {
+			due = append(due, probe{address: r.member.PeerAddress, probedAt: &r.probedAt})
 		}
-		r.probedAt = now
 	}
-	return true
+	for address, h := range d.hints {
+		if now.Sub(h.probedAt) >= d.cfg.ProbeEvery && !d.knows(address) {
+			due = append(due, probe{address: address, probedAt: &h.probedAt})
+		}
+	}
+	if d.fullMesh() || len(due) <= d.cfg.Fanout {
+		return due
+	}
+	slices.SortFunc(due, func(x, y probe) int {
+		if c := x.probedAt.Compare(*y.probedAt); c != 0 {
+			return c
+		}
+		return strings.Compare(x.address, y.address)
+	})
+	return due[:d.cfg.Fanout]
+}
+
+// knows tells whether a member that is not dead or stopped has the peer address, or this entry itself.
+func (d *Detector) knows(address string) bool {
+	return address == d.self.PeerAddress || slices.ContainsFunc(d.order, func(r *record) bool {
+		return r.member.PeerAddress == address && r.member.State != Dead && r.member.State != Stopped
+	})
 }
 
 func (d *Detector) markLeaving(peerAddress string, leaving bool) {
