--- a/admitter/wait.go
+++ b/admitter/wait.go
@@ -28,8 +28,12 @@
 // wait is the expected time in the queue, in nanoseconds: the cost ahead over the capacity.
 func (ask *StageAsk) wait() float64 { return ask.waitFor(ask.Ahead) }
 
+// rounding is the cost that sums of announcements made and withdrawn may be off by. Taken for work ahead of
+// a pool without capacity, it would refuse everything for good.
+const rounding = 1e-6
+
 func (ask *StageAsk) waitFor(ahead float64) float64 {
-	if ahead <= 0 {
+	if ahead <= rounding {
 		return 0
 	}
 	if ask.Capacity <= 0 {
--- a/router/pool.go
+++ b/router/pool.go
@@ -149,11 +149,18 @@
 }
 
 // Capacity is the count of slots of the pool that this entry may count on when entries live entries share it.
-func (r *Router) Capacity(name string, entries int, _ time.Time) float64 {
+// It lets ejections end, as Free does, and where nothing but probes is left it counts those: a pool that was
+// lost whole would else keep a capacity of nothing, the door would refuse all for it, and no call would ever
+// probe it.
+func (r *Router) Capacity(name string, entries int, now time.Time) float64 {
 	p, known := r.pools[name]
 	if !known {
 		return 0
 	}
+	r.advance(p, now)
+	if p.usableSlots == 0 {
+		return float64(len(p.available))
+	}
 	return float64(p.usableSlots) / float64(max(entries, 1))
 }
 
