--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -133,6 +133,16 @@
 	}
 }
 
+// Alive notes a word from the endpoint itself. One that refused connections is probed at once after it,
+// and not only when its ejection ends, and tells whether it is.
+func (p *Pool) Alive(r *Record) bool {
+	if r.state != Ejected || !r.down {
+		return false
+	}
+	r.state = Probing
+	return true
+}
+
 func (p *Pool) setDown(r *Record, down bool) {
 	if r.down == down {
 		return
@@ -199,10 +209,6 @@
 		r.ejections = 0
 	}
 	length := p.cfg.Ejection << min(r.ejections, 16)
-	if r.down {
-		// A probe of it costs nothing but the try, so it may come often.
-		length = p.cfg.Ejection
-	}
 	r.since = now
 	r.until = now.Add(min(length, p.cfg.MaxEjection))
 	r.ejections++
--- a/router/call.go
+++ b/router/call.go
@@ -34,6 +34,7 @@
 	if !known {
 		return
 	}
+	e.settle(now)
 	e.inFlight++
 	e.pool.calls++
 	e.past.note(e.calls(), now)
@@ -49,6 +50,7 @@
 	if !known {
 		return false
 	}
+	e.settle(now)
 	if e.inFlight > 0 {
 		e.inFlight--
 		e.pool.calls--
@@ -65,6 +67,7 @@
 	switch end.Result {
 	case Succeeded:
 		e.succeeded = now
+		e.pool.observe(end.Took)
 		verdict = e.pool.health.Took(&e.health, end.Took, end.Expected)
 	case Failed:
 		verdict = ejector.Bad
@@ -81,6 +84,16 @@
 	return changed && e.health.State() == ejector.Ejected
 }
 
+// callTimeWeight is the weight of the newest call in the mean time of a pool's calls.
+const callTimeWeight = 0.02
+
+func (p *pool) observe(took time.Duration) {
+	if p.callTime == 0 {
+		p.callTime = float64(took)
+	}
+	p.callTime += callTimeWeight * (float64(took) - p.callTime)
+}
+
 // Overdue notes that a call is silent for longer than the pool's patience, and tells whether its
 // endpoint was ejected by it. Waiting for the call's end would give an endpoint that takes calls and
 // never answers all the time until the first deadline.
--- a/router/choose.go
+++ b/router/choose.go
@@ -12,7 +12,7 @@
 	homes = 2
 	// homeReuse is the reuse that is assumed at a home whose cache is not known to hold the prefix:
 	// enough that entries which know nothing send the same prefix to the same endpoint.
-	homeReuse = 0.25
+	homeReuse = 0.5
 )
 
 // Ask says what a stage call needs of an endpoint.
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -23,6 +23,9 @@
 	// inFlight counts this entry's calls, peerCalls those of other entries by their heartbeats.
 	inFlight  int
 	peerCalls int
+	// peerMean is peerCalls smoothed, see settle.
+	peerMean   float64
+	peerMeanAt time.Time
 	// foreign is what a report counted beyond the calls that were known of at its time.
 	foreign   float64
 	foreignAt time.Time
@@ -72,6 +75,9 @@
 	}
 }
 
+// halfCall rounds an estimate of calls.
+const halfCall = 0.5
+
 func (e *endpoint) leaving() bool {
 	return e.listLeaving || e.selfLeaving || e.peerLeaving > 0
 }
@@ -85,9 +91,12 @@
 
 func (e *endpoint) calls() int { return e.inFlight + e.peerCalls }
 
+// estimate is the calls of all entries that are likely to be at the endpoint.
+func (e *endpoint) estimate() float64 { return float64(e.inFlight) + e.peerMean }
+
 // load is the estimated calls at the endpoint for each of its slots, with one more call.
 func (e *endpoint) load(now time.Time) float64 {
-	calls := float64(e.calls()+1) + e.foreignCalls(now)
+	calls := e.estimate() + 1 + e.foreignCalls(now)
 	return calls / float64(e.capacity()) * e.health.Slowness()
 }
 
@@ -107,7 +116,7 @@
 		return e.inFlight == 0
 	default:
 		slots := e.capacity()
-		return e.calls() < slots || e.inFlight < max(slots/entries, 1)
+		return e.estimate() < float64(slots)-halfCall || e.inFlight < max(slots/entries, 1)
 	}
 }
 
--- a/router/peer.go
+++ b/router/peer.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"time"
 
 	"geraniumline/carrier"
@@ -26,7 +27,7 @@
 		p = &peer{}
 		r.peers[name] = p
 	}
-	r.withdraw(p)
+	r.withdraw(p, now)
 	for i := range loads {
 		e, known := r.endpoints[loads[i].Address]
 		if !known {
@@ -34,24 +35,48 @@
 		}
 		load := peerLoad{endpoint: e, calls: max(int(loads[i].InFlight), 0), leaving: loads[i].Leaving, ejected: loads[i].Ejected}
 		p.loads = append(p.loads, load)
-		r.count(load, 1)
+		r.count(load, 1, now)
 	}
 }
 
 // withdraw takes back all that a peer said.
-func (r *Router) withdraw(p *peer) {
+func (r *Router) withdraw(p *peer, now time.Time) {
 	for _, load := range p.loads {
-		r.count(load, -1)
+		r.count(load, -1, now)
 	}
 	clear(p.loads)
 	p.loads = p.loads[:0]
 }
 
-func (r *Router) count(load peerLoad, sign int) {
+// heartbeatEvery is about how old a peer's word is.
+const heartbeatEvery = 200 * time.Millisecond
+
+// settle moves the smoothed count of peers' calls towards their word since it was last changed.
+//
+// Where calls are shorter than heartbeats are apart, the calls that a heartbeat counted have ended when
+// it is used. Entries that all follow the newest count then send to the endpoints that were light a
+// moment ago, and make them the heavy ones of the next heartbeat. Such counts are worth their mean over
+// many heartbeats; where calls are long the newest is right.
+func (e *endpoint) settle(now time.Time) {
+	past := now.Sub(e.peerMeanAt)
+	if past <= 0 {
+		return
+	}
+	e.peerMeanAt = now
+	e.peerMean += (float64(e.peerCalls) - e.peerMean) * (1 - math.Exp(-float64(past)/e.pool.settleTime()))
+}
+
+// settleTime is the time constant of settle, in nanoseconds.
+func (p *pool) settleTime() float64 {
+	return float64(heartbeatEvery) * float64(heartbeatEvery) / max(p.callTime, float64(time.Millisecond))
+}
+
+func (r *Router) count(load peerLoad, sign int, now time.Time) {
 	e := load.endpoint
 	if e.forgotten {
 		return
 	}
+	e.settle(now)
 	e.peerCalls += sign * load.calls
 	e.pool.calls += sign * load.calls
 	if load.leaving {
@@ -69,7 +94,7 @@
 	if !known {
 		return
 	}
-	r.withdraw(p)
+	r.withdraw(p, time.Time{})
 	delete(r.peers, name)
 }
 
--- a/router/pool.go
+++ b/router/pool.go
@@ -28,6 +28,8 @@
 	// calls is the sum of all entries' calls in flight.
 	calls    int
 	reserved int
+	// callTime is the mean time of a call in nanoseconds.
+	callTime float64
 }
 
 func (p *pool) add(e *endpoint) {
@@ -110,12 +112,12 @@
 	}
 }
 
-// advance lets ejections end in probes when their time has come, or at once when nothing else is left.
+// advance lets ejections end in probes when their time has come, or early when little else is left.
 func (r *Router) advance(p *pool, now time.Time) {
 	if len(p.out) == 0 {
 		return
 	}
-	if p.usableSlots == 0 {
+	if p.usableSlots == 0 || 2*len(p.out) > len(p.all) {
 		r.restoreAll(p, now)
 		return
 	}
@@ -129,8 +131,8 @@
 	}
 }
 
-// restoreAll lets the ejected endpoints be probed when all others have left: a doubtful endpoint is
-// better than none.
+// restoreAll lets the ejected endpoints be probed early: a doubtful endpoint is better than none, and a
+// pool that was away as a whole comes back as a whole.
 func (r *Router) restoreAll(p *pool, now time.Time) {
 	for _, e := range p.out {
 		p.health.Restore(&e.health, now)
--- a/router/report.go
+++ b/router/report.go
@@ -8,7 +8,7 @@
 	pastKept  = 16
 	pastEvery = 400 * time.Millisecond
 	// foreignWeight is the weight of the newest report in what is held for others' calls.
-	foreignWeight = 0.5
+	foreignWeight = 0.2
 	// foreignFor is how long a report's count of others' calls is believed.
 	foreignFor = 5 * time.Second
 	// reportSkew is how far the clocks of entries and endpoints may differ.
@@ -39,9 +39,10 @@
 	if report.Slots > 0 {
 		e.slots = report.Slots
 	}
+	e.pool.health.Alive(&e.health)
 	r.takeLeavingWord(e, report, now)
 	over := float64(report.Running+report.Waiting) - e.past.at(report.AsOf, e.calls())
-	e.foreign = max(e.foreignCalls(now)*(1-foreignWeight)+foreignWeight*over, 0)
+	e.foreign += foreignWeight * (over - e.foreign)
 	e.foreignAt = now
 	e.past.note(e.calls(), now)
 	r.refresh(e)
@@ -49,7 +50,7 @@
 
 // foreignCalls is the calls that no entry answers for, fading with the age of the last report.
 func (e *endpoint) foreignCalls(now time.Time) float64 {
-	if e.foreign == 0 {
+	if e.foreign <= 0 {
 		return 0
 	}
 	age := now.Sub(e.foreignAt)
--- a/router/router.go
+++ b/router/router.go
@@ -13,12 +13,12 @@
 // Defaults of Config.
 const (
 	DefaultSlots      = 8
-	DefaultCandidates = 3
+	DefaultCandidates = 4
 	// DefaultGoneAfter is how long an endpoint that the VM list no longer names is still used
 	// without a sign of life. The list lags, so a missing name alone proves nothing.
 	DefaultGoneAfter = 10 * time.Second
 	// DefaultReuseWeight is what a whole prompt found in an endpoint's cache is worth, in loads.
-	DefaultReuseWeight = 1
+	DefaultReuseWeight = 4
 	// DefaultCacheMaps bounds the endpoints whose cached prefixes are remembered, 16 KB each.
 	DefaultCacheMaps = 256
 )
