--- a/router/call.go
+++ b/router/call.go
@@ -63,7 +63,7 @@
 
 func (r *Router) judge(e *endpoint, end End, now time.Time) bool {
 	doubted := e.peerEjected > 0
-	verdict := ejector.Good
+	var verdict ejector.End
 	switch end.Result {
 	case Succeeded:
 		e.succeeded = now
