--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -12,17 +12,27 @@
 type Config struct {
 	// Window is the length of each of the rotated windows that service times are kept in.
 	Window time.Duration
-	// Margin is the part by which the expected time must fall short of the time left.
-	Margin float64
+	// WaitPart is the part of a request's slack, the time left beyond its service, that it may
+	// be expected to wait. A deeper queue serves no more, and when another account takes
+	// up its share, what waits already would be late.
+	WaitPart float64
+	// WorstPart is the part of the slack that a request may be expected to wait even if every
+	// account takes up its share. An account within its share is admitted by this, when the
+	// queue is otherwise long.
+	WorstPart float64
+	// LongestReturn bounds the time after which a refused caller is told to come back.
+	LongestReturn time.Duration
 	// MaxStages bounds the stages that are remembered.
 	MaxStages int
 }
 
 // The defaults of Config.
 const (
-	DefaultWindow    = 20 * time.Second
-	DefaultMargin    = 0.10
-	DefaultMaxStages = 2048
+	DefaultWindow        = 20 * time.Second
+	DefaultWaitPart      = 0.4
+	DefaultWorstPart     = 0.8
+	DefaultLongestReturn = 30 * time.Second
+	DefaultMaxStages     = 2048
 )
 
 // StageAsk is what a stage that is still to run asks of its pool.
@@ -32,6 +42,8 @@
 	Expected time.Duration
 	// Ahead is the cost that the pool serves first, in endpoint milliseconds.
 	Ahead float64
+	// Worst is Ahead for the case that every account takes up its share; 0 if not known.
+	Worst float64
 	// Capacity is the cost a millisecond that this entry may count on in the pool.
 	Capacity float64
 }
@@ -41,7 +53,7 @@
 type Admitter struct {
 	cfg    Config
 	stages map[string]*stage
-	waits  map[string]*wait
+	pools  map[string]*pool
 }
 
 // New makes an Admitter that has observed nothing.
@@ -49,13 +61,19 @@
 	if cfg.Window <= 0 {
 		cfg.Window = DefaultWindow
 	}
-	if cfg.Margin <= 0 {
-		cfg.Margin = DefaultMargin
+	if cfg.WaitPart <= 0 {
+		cfg.WaitPart = DefaultWaitPart
+	}
+	if cfg.WorstPart <= 0 {
+		cfg.WorstPart = DefaultWorstPart
+	}
+	if cfg.LongestReturn <= 0 {
+		cfg.LongestReturn = DefaultLongestReturn
 	}
 	if cfg.MaxStages <= 0 {
 		cfg.MaxStages = DefaultMaxStages
 	}
-	return &Admitter{cfg: cfg, stages: map[string]*stage{}, waits: map[string]*wait{}}
+	return &Admitter{cfg: cfg, stages: map[string]*stage{}, pools: map[string]*pool{}}
 }
 
 // Observe takes in the service time and cost of a stage call that ended well.
@@ -72,24 +90,20 @@
 }
 
 // ObserveWait takes in how long an item waited in a pool's queue before it was dispatched.
-func (a *Admitter) ObserveWait(pool string, waited time.Duration, now time.Time) {
-	w, ok := a.waits[pool]
-	if !ok {
-		w = &wait{}
-		a.waits[pool] = w
-	}
-	w.observe(waited, now)
+func (a *Admitter) ObserveWait(name string, waited time.Duration, _ time.Time) {
+	p := a.pool(name)
+	p.wait += waitWeight * (float64(waited) - p.wait)
 }
 
 // Admit tells whether a request with these stages is expected to finish by the deadline.
 func (a *Admitter) Admit(stages []StageAsk, deadline time.Time, now time.Time) Verdict {
-	f := a.forecast(stages, now)
-	needed := f.likely() * (1 + a.cfg.Margin)
-	left := float64(deadline.Sub(now))
-	if needed <= left {
+	f := a.forecast(stages)
+	slack := float64(deadline.Sub(now)) - f.service - math.Sqrt(f.above)
+	excess := f.wait - a.cfg.WaitPart*slack
+	if excess <= 0 || f.worst <= a.cfg.WorstPart*slack {
 		return Admitted{}
 	}
-	return refuse(time.Duration(needed - left))
+	return refuse(a.comeBack(stages, time.Duration(excess), now))
 }
 
 // Budget gives the time that the first of the stages may take so that the ones after it
@@ -99,14 +113,15 @@
 	if len(stages) <= 1 {
 		return max(left, 0)
 	}
-	rest := a.forecast(stages[1:], now)
-	return max(left-time.Duration(rest.mean), 0)
+	rest := a.forecast(stages[1:])
+	return max(left-time.Duration(rest.service+rest.wait), 0)
 }
 
 // Hopeless tells that the stages can't finish by the deadline even if they go well.
 func (a *Admitter) Hopeless(stages []StageAsk, deadline, now time.Time) bool {
-	f := a.forecast(stages, now)
-	return f.best() > float64(deadline.Sub(now))
+	f := a.forecast(stages)
+	best := f.service + f.wait - math.Sqrt(f.below)
+	return best > float64(deadline.Sub(now))
 }
 
 // ExpectedCost is the mean cost of the stage in endpoint milliseconds, or fallback while
@@ -121,22 +136,24 @@
 
 // forecast is the expected time of a run of stages, in nanoseconds.
 type forecast struct {
-	mean float64
+	// service and wait are means; worst is the wait when every account takes up its share.
+	service, wait, worst float64
 	// above and below are sums of squares of the distances from the mean to the high and low
 	// quantiles: stages vary independently, so their spreads add as squares. Adding the
 	// quantiles themselves would refuse requests that finish.
 	above, below float64
 }
 
-func (f forecast) likely() float64 { return f.mean + math.Sqrt(f.above) }
-
-func (f forecast) best() float64 { return f.mean - math.Sqrt(f.below) }
-
-func (a *Admitter) forecast(stages []StageAsk, now time.Time) forecast {
+// forecast adds up the stages. What is ahead in a pool now is worked off while the request is still at earlier
+// stages: counted in full, a pool at half its load would seem to have a queue, made of requests that reach
+// it one by one.
+func (a *Admitter) forecast(stages []StageAsk) forecast {
 	var f forecast
 	for i := range stages {
 		low, mean, high := a.service(&stages[i])
-		f.mean += mean + a.wait(&stages[i], now)
+		f.wait += max(0, stages[i].wait()-f.service-f.wait)
+		f.worst += max(0, stages[i].waitFor(max(stages[i].Ahead, stages[i].Worst))-f.service-f.worst)
+		f.service += mean
 		f.above += (high - mean) * (high - mean)
 		f.below += (mean - low) * (mean - low)
 	}
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -103,17 +103,22 @@
 	logs      map[Stream]*logHealth
 	configs   *recordRing
 
-	heartbeatAt   time.Time
-	heartbeats    uint64
-	lastTick      time.Time
-	stopped       bool
-	liveEntries   int
+	heartbeatAt time.Time
+	heartbeats  uint64
+	lastTick    time.Time
+	stopped     bool
+	liveEntries int
+	// appending counts the appends to the claims stream that have not ended.
+	appending     int
+	snapshotDue   time.Time
 	nextClaim     uint64
 	nextBatch     uint64
 	nextPeerCall  uint64
 	recordsCalled time.Time
-	counters      Counters
-	effects       []Effect
+	// recordsCall names the last call for records, unlike those of other processes.
+	recordsCall uint64
+	counters    Counters
+	effects     []Effect
 }
 
 // New makes the core of an entry that knows nothing yet.
--- a/reducer/hedge.go
+++ b/reducer/hedge.go
@@ -86,7 +86,7 @@
 // end within the stage's part of the deadline.
 func (c *Core) giveUpAfter(r *request, started, now time.Time) time.Duration {
 	patience := c.patience(r)
-	budget := c.admitter.Budget(c.asks(r.plan, r.stage, now), r.deadline, started)
+	budget := c.admitter.Budget(c.asks(r.plan, r.contract, r.stage, now), r.deadline, started)
 	return min(max(min(giveUpOver*patience, budget/2), patience), c.cfg.StageTimeout)
 }
 
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -28,7 +28,7 @@
 	case *carrier.OutcomeCall:
 		c.takeOutcomeCall(e.From, message, now)
 	case *carrier.Outcome:
-		c.takePeerOutcome(message, now)
+		c.takePeerOutcome(e.From, message, now)
 	case *carrier.Handover:
 		c.takeHandover(message, now)
 	}
@@ -51,7 +51,20 @@
 		return
 	}
 	c.recordsCalled = now
-	c.emit(SendPeer{Address: from.PeerAddress, Message: &carrier.RecordsCall{Stream: string(StreamConfig), From: c.fold.Offset() + 1}})
+	c.recordsCall = c.rand.Uint64()
+	c.emit(SendPeer{Address: from.PeerAddress, Message: &carrier.RecordsCall{CallID: c.recordsCall, Stream: string(StreamConfig), From: c.recordsFrom()}})
+}
+
+// wholeSnapshot is the offset to ask from for a snapshot in place of records.
+const wholeSnapshot = 0
+
+// recordsFrom gives the offset to ask peers from. Behind a gap the fold has read records past what it lacks, so
+// it would pass over the older ones if they were sent: only a snapshot closes the gap.
+func (c *Core) recordsFrom() int64 {
+	if !c.fold.Complete() {
+		return wholeSnapshot
+	}
+	return c.fold.Offset() + 1
 }
 
 // takeRecordsCall passes configuration on: the records if they are still kept, else a snapshot.
@@ -62,7 +75,7 @@
 	}
 	answer := &carrier.Records{CallID: call.CallID, Stream: call.Stream, Next: c.fold.Offset() + 1}
 	records, whole := c.configs.after(call.From - 1)
-	if !whole {
+	if !whole || call.From == wholeSnapshot {
 		snapshot, err := c.fold.Snapshot(now)
 		if err != nil {
 			return
@@ -76,8 +89,10 @@
 	c.emit(SendPeer{Address: member.PeerAddress, Message: answer})
 }
 
+// takeRecords folds what a peer passes on. An answer to the process that had this address before is dropped: its
+// records begin past what this process has, and the fold would pass over the missing ones for good.
 func (c *Core) takeRecords(message *carrier.Records, now time.Time) {
-	if message.Stream != string(StreamConfig) {
+	if message.Stream != string(StreamConfig) || message.CallID != c.recordsCall {
 		return
 	}
 	records := make([]recorder.Record, 0, len(message.Records))
@@ -153,9 +168,7 @@
 	for i := range message.Outcomes {
 		wire := &message.Outcomes[i]
 		key := claimer.Key{Account: wire.Account, Key: wire.Key}
-		if _, known := c.outcomes.get(key); known {
-			continue
-		}
-		c.outcomes.put(key, outcomeOfWire(wire, now))
+		known, _ := c.outcomes.get(key)
+		c.outcomes.put(key, better(known, outcomeOfWire(wire, now)))
 	}
 }
