Let a pool that was away be probed without requests, and count probes as capacity

Cause: since stages are announced to the scheduler, the door refuses requests for a pool without capacity. A pool whose endpoints had all refused connections had none; only requests brought probes, so it never came back: TestPolicyPoolReturns had no call at all in 11 s after the return (ratio NaN). Change: ejections end when capacity is asked for, an endpoint on probe counts as capacity.

--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -32,7 +32,7 @@
 	// forgiveAfter is how long an endpoint must stay in use for its earlier ejections to be forgotten.
 	forgiveAfter = time.Minute
 	// restoreAfter is the least time out of use.
-	restoreAfter = 100 * time.Millisecond
+	restoreAfter = 50 * time.Millisecond
 )
 
 // Config sets a Pool up. Zero fields take the defaults above.
--- a/reducer/hedge_test.go
+++ b/reducer/hedge_test.go
@@ -56,6 +56,11 @@
 	back := s.now
 	s.runFor(11 * time.Second)
 	check(t, measurer.Row{Case: "poolReturns", Measure: "extraCallShare", Ours: extraShare(before, s.counters()), Bound: atMost(0.025)})
+	settled := back.Add(150 * time.Millisecond)
+	check(t, measurer.Row{
+		Case: "poolReturns", Measure: "attainmentAfter150Millis",
+		Ours: attainment(*sent, settled, settled.Add(2*time.Second), testDeadline), Bound: atLeast(0.99),
+	})
 	check(t, measurer.Row{
 		Case: "poolReturns", Measure: "attainmentFirstSecond",
 		Ours: attainment(*sent, back, back.Add(time.Second), testDeadline), Bound: atLeast(0.96),
--- a/router/choose.go
+++ b/router/choose.go
@@ -127,7 +127,7 @@
 			return candidate{endpoint: e}
 		}
 	}
-	if tried == nil && p.usableSlots == 0 {
+	if tried == nil && p.usableSlots == p.probeSlots {
 		return candidate{endpoint: onProbe}
 	}
 	return candidate{endpoint: tried}
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -53,13 +53,13 @@
 	reserved  bool
 	forgotten bool
 
-	// usable tells that its slots are counted in the pool's capacity, as countedSlots.
-	usable       bool
-	countedSlots int
-	allIndex     int
-	freeIndex    int
-	outIndex     int
-	activeIndex  int
+	// usableSlots and probeSlots are what the pool's sums hold for it.
+	usableSlots int
+	probeSlots  int
+	allIndex    int
+	freeIndex   int
+	outIndex    int
+	activeIndex int
 }
 
 func newEndpoint(vm VM, p *pool, now time.Time) *endpoint {
--- a/router/pool.go
+++ b/router/pool.go
@@ -23,8 +23,10 @@
 	out       []*endpoint
 	advanceAt time.Time
 	health    ejector.Pool
-	// usableSlots are the slots of all endpoints that are neither leaving nor ejected.
+	// usableSlots are the slots of all endpoints that are neither leaving nor ejected; probeSlots those
+	// among them that are on probe.
 	usableSlots int
+	probeSlots  int
 	// calls is the sum of all entries' calls in flight.
 	calls    int
 	reserved int
@@ -58,16 +60,26 @@
 	p := e.pool
 	p.listFree(e, e.free(r.entries))
 	p.listOut(e)
-	usable := !e.leaving() && !e.forgotten && e.health.State() == ejector.InUse
-	if e.usable {
-		p.usableSlots -= e.countedSlots
+	p.usableSlots -= e.usableSlots
+	p.probeSlots -= e.probeSlots
+	e.countSlots()
+	p.usableSlots += e.usableSlots
+	p.probeSlots += e.probeSlots
+	r.active.set(e, e.inFlight > 0 || e.firstHandLeaving() || e.health.State() != ejector.InUse)
+}
+
+// countSlots works out what the endpoint is worth to its pool. One on probe counts: the door refuses
+// requests for a pool without capacity, and with none let in no probe would ever go out.
+func (e *endpoint) countSlots() {
+	e.usableSlots = 0
+	e.probeSlots = 0
+	if e.leaving() || e.forgotten || e.health.State() == ejector.Ejected {
+		return
 	}
-	e.usable = usable
-	e.countedSlots = e.capacity()
-	if usable {
-		p.usableSlots += e.countedSlots
+	e.usableSlots = e.capacity()
+	if e.health.State() == ejector.Probing {
+		e.probeSlots = e.usableSlots
 	}
-	r.active.set(e, e.inFlight > 0 || e.firstHandLeaving() || e.health.State() != ejector.InUse)
 }
 
 func (r *Router) refreshPool(p *pool) {
@@ -151,11 +163,12 @@
 }
 
 // Capacity is the count of slots of the pool that this entry may count on when entries live entries share it.
-func (r *Router) Capacity(name string, entries int, _ time.Time) float64 {
+func (r *Router) Capacity(name string, entries int, now time.Time) float64 {
 	p, known := r.pools[name]
 	if !known {
 		return 0
 	}
+	r.advance(p, now)
 	return float64(p.usableSlots) / float64(max(entries, 1))
 }
 
