--- a/launcher/caller.go
+++ b/launcher/caller.go
@@ -228,7 +228,7 @@
 // follow asks for the outcome of a request that was cut off, until it is known.
 func (r *request) follow(ctx context.Context) result {
 	last := result{Outcome: callerserver.OutcomeStateUnknown, Message: "no entry tells what became of it"}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && r.left() > -followGrace {
 		for _, address := range r.addresses(ctx) {
 			found, known := r.outcome(ctx, address)
 			if known {
--- a/launcher/publish.go
+++ b/launcher/publish.go
@@ -222,6 +222,7 @@
 	}
 	change := newChange(kind, name, inForce.Version)
 	change.Remove.SetTo(true)
+	change.Body = operatorserver.Body("null")
 	return a.publish(ctx, cmd, c, change)
 }
 
--- a/launcher/stream.go
+++ b/launcher/stream.go
@@ -21,12 +21,16 @@
 
 // streamClient lets the generated client hand out streamed answers. That client knows the raw answer
 // under the media type application/json only, and would refuse server-sent events.
+//
+// It also keeps net/http from trying by itself: on a broken connection that library sends a request with
+// an Idempotency-Key header again, unseen, while here each try is counted and goes to another entry.
 type streamClient struct {
 	*http.Client
 }
 
 // Do sends a request.
 func (c streamClient) Do(r *http.Request) (*http.Response, error) {
+	r.GetBody = nil // without it net/http can't send the body a second time
 	response, err := c.Client.Do(r)
 	if err != nil {
 		return nil, err
