--- a/limiter/account.go
+++ b/limiter/account.go
@@ -54,14 +54,9 @@
 	peerUses  []peerUse
 	told      told
 
-	active  bool
 	removed bool
 }
 
-func newAccount(name string, now time.Time) *account {
-	return &account{name: name, filledAt: now, stale: true}
-}
-
 func (a *account) setLimits(limits Limits) {
 	a.limits = limits
 	a.requests.set(limits.RatePerSecond, limits.Burst)
@@ -134,12 +129,26 @@
 	if float64(a.inFlight+1) <= math.Floor(a.portion.share*limit) {
 		return fromPart
 	}
+	if free < 2 && !a.leads() {
+		return fromNothing
+	}
 	if a.borrowedSlots > 0 && float64(a.borrowedSlots+1) > free/a.portion.entries {
 		return fromNothing
 	}
 	return fromSystem
 }
 
+// leads tells that no peer that is heard has a greater part of the limits. The last free
+// slot goes to the entry that leads: two that took it at once would be over the limit.
+func (a *account) leads() bool {
+	for i := range a.peerUses {
+		if a.peerUses[i].counted && a.peerUses[i].share > a.portion.share {
+			return false
+		}
+	}
+	return true
+}
+
 func (a *account) release(extraCost float64) {
 	if a.inFlight > 0 {
 		a.inFlight--
--- a/reducer/request.go
+++ b/reducer/request.go
@@ -12,6 +12,7 @@
 	"geraniumline/claimer"
 	"geraniumline/limiter"
 	"geraniumline/publisher"
+	"geraniumline/router"
 	"geraniumline/scheduler"
 )
 
@@ -46,12 +47,16 @@
 	claimed bool
 	fence   int64
 
-	stage    int
-	input    string
+	stage int
+	input string
+	// prefix is that of input, for the choice of an endpoint.
+	prefix   router.Prefix
 	attempts int
 	tried    []string
-	calls    []call
-	queuedAt time.Time
+	// announced is the cost of each stage to come that the scheduler was told of; 0 for none.
+	announced [publisher.MaxStages]float64
+	calls     []call
+	queuedAt  time.Time
 	// possible counts the calls that an endpoint may have acted on.
 	possible int
 	// sent is the text of the last stage that the caller has been sent already.
@@ -178,12 +183,15 @@
 	if !c.drainer.AcceptsWork(now) {
 		return &Failure{Code: CodeStopping, Message: "this entry is stopping; ask for addresses again", State: StateNotRun}
 	}
+	if failure := c.checkQuarantine(e.Digest, now); failure != nil {
+		return failure
+	}
 	if plan.sideEffect {
 		if failure := c.checkClaimable(e, now); failure != nil {
 			return failure
 		}
 	}
-	asks := c.asks(plan, 0, now)
+	asks := c.asks(plan, contract, 0, now)
 	if refused, no := c.admitter.Admit(asks, now.Add(e.Deadline), now).(admitter.Refused); no {
 		return &Failure{Code: CodeCannotFinish, Message: "the stages cannot end by the deadline", State: StateNotRun, RetryAfter: refused.RetryAfter}
 	}
@@ -249,6 +257,7 @@
 	c.requests[r.id] = r
 	c.running[key] = r
 	c.schedule(timer{at: r.deadline, kind: timerDeadline, subject: r.id})
+	c.announce(r)
 	if plan.sideEffect {
 		c.claim(r, now)
 		return
@@ -285,6 +294,7 @@
 // answer ends a request with its whole answer.
 func (c *Core) answer(r *request, text string, parts int, now time.Time) {
 	c.counters.RequestsAnswered++
+	c.quarantiner.Answered(r.digest, now)
 	outcome := Outcome{State: StateAnswered, Request: r.name, Answer: text, Parts: parts, Ended: now, Digest: r.digest}
 	result := biller.AnsweredInTime
 	if now.After(r.deadline) {
@@ -313,8 +323,7 @@
 	if r.phase == phaseQueued {
 		c.scheduler.Remove(r.stageConfig().Pool, r.id)
 	}
-	delete(c.requests, r.id)
-	delete(c.running, r.key)
+	c.forget(r)
 	c.outcomes.put(r.key, outcome)
 	c.biller.Outcome(r.key.Account, r.urgency, result)
 	c.limiter.Release(r.key.Account, r.estimated, r.cost, now)
@@ -330,6 +339,15 @@
 	}
 }
 
+// forget takes a request out of this entry's state.
+func (c *Core) forget(r *request) {
+	for i := range r.plan.pipeline.Stages {
+		c.withdraw(r, i)
+	}
+	delete(c.requests, r.id)
+	delete(c.running, r.key)
+}
+
 // sendOutcome answers a caller by what is known of its request.
 func (c *Core) sendOutcome(id uint64, key claimer.Key, outcome Outcome) {
 	if outcome.State == StateAnswered {
--- a/scheduler/flow.go
+++ b/scheduler/flow.go
@@ -6,89 +6,28 @@
 	class   *class
 	weight  float64
 	// tag is the virtual time at which the flow's next item starts.
-	tag     float64
-	cost    float64
-	waiting indexed[*node]
-	index   int
-}
-
-func newFlow(a *account, c *class) *flow {
-	return &flow{account: a, class: c, index: -1, waiting: indexed[*node]{
-		before: (*node).before,
-		place:  func(n *node, index int) { n.flowIndex = index },
-	}}
-}
-
-// before orders by virtual start, then by the account's name so that replays agree.
-func (f *flow) before(other *flow) bool {
-	if f.tag != other.tag {
-		return f.tag < other.tag
+	tag  float64
+	cost float64
+	// announced is the cost of items that are still at an earlier stage.
+	announced float64
+	waiting   indexed[*node, inFlow]
+	// index is the flow's place in its class's heap, presentIndex that in the list of present
+	// flows; -1 is out of it.
+	index, presentIndex int
+	// resting tells that the flow is in its class's list of flows to forget.
+	resting bool
+}
+
+func (f *flow) present() bool { return f.presentIndex >= 0 }
+
+// byStart orders flows by virtual start, then by the account's name so that replays agree.
+type byStart struct{}
+
+func (byStart) before(a, b *flow) bool {
+	if a.tag != b.tag {
+		return a.tag < b.tag
 	}
-	return f.account.name < other.account.name
+	return a.account.name < b.account.name
 }
 
-// class is one urgency class of a pool: its flows with work, ordered by virtual start.
-type class struct {
-	flows indexed[*flow]
-	// now is the virtual time: the start of the item served last.
-	now    float64
-	cost   float64
-	weight float64
-	// credit is the work that the class is owed by its guarantee.
-	credit float64
-}
-
-func newClass() *class {
-	return &class{flows: indexed[*flow]{
-		before: (*flow).before,
-		place:  func(f *flow, index int) { f.index = index },
-	}}
-}
-
-// add lets the flow take part once it has an item. A flow that was idle starts at the
-// present virtual time: idle time earns nothing.
-func (c *class) add(f *flow, n *node) {
-	c.cost += n.item.Cost
-	f.cost += n.item.Cost
-	f.waiting.push(n)
-	if f.index >= 0 {
-		c.weight += n.item.Weight - f.weight
-		f.weight = n.item.Weight
-		return
-	}
-	f.weight = n.item.Weight
-	c.weight += f.weight
-	f.tag = max(f.tag, c.now)
-	c.flows.push(f)
-}
-
-// drop takes an item out without charging the flow.
-func (c *class) drop(n *node) {
-	f := n.flow
-	c.cost -= n.item.Cost
-	f.cost -= n.item.Cost
-	f.waiting.removeAt(n.flowIndex)
-	if f.waiting.len() > 0 {
-		return
-	}
-	f.cost = 0
-	c.weight -= f.weight
-	c.flows.removeAt(f.index)
-	if c.flows.len() == 0 {
-		c.cost = 0
-		c.weight = 0
-	}
-}
-
-// serve takes out the next item and charges its flow.
-func (c *class) serve() *node {
-	f := c.flows.items[0]
-	n := f.waiting.items[0]
-	c.now = f.tag
-	f.tag += n.item.Cost / f.weight
-	c.drop(n)
-	if f.index >= 0 {
-		c.flows.fix(f.index)
-	}
-	return n
-}
+func (byStart) place(f *flow, index int) { f.index = index }
