--- a/launcher/credential.go
+++ b/launcher/credential.go
@@ -38,21 +38,30 @@
 }
 
 func (a *app) keyCommand() *cli.Command {
-	return group("key", "make the key that entries share", &cli.Command{
+	return group("key", "make keys", &cli.Command{
 		Name:  "new",
-		Usage: "make a key for sharedKey in the settings of all entries",
-		Description: `Prints a new random key of 32 bytes as hex. All entries of a system have the same one.
+		Usage: "make an idempotency key for a request, or the key that entries share",
+		Description: `Prints a new idempotency key, a UUID of version 7. With --shared it prints a new random key of 32 bytes as hex,
+for sharedKey in the settings; all entries of a system have the same one.
 
-Example:
-  geraniumline key new > /etc/geraniumline/shared.key`,
+Examples:
+  geraniumline key new
+  geraniumline key new --shared > /etc/geraniumline/shared.key`,
+		Flags:        []cli.Flag{&cli.BoolFlag{Name: "shared", Usage: "make the key that entries share"}},
 		OnUsageError: usageError,
-		Action: action(func(context.Context, *cli.Command) error {
-			a.print("%s\n", verifier.GenerateKey())
-			return nil
-		}),
+		Action:       action(a.newKey),
 	})
 }
 
+func (a *app) newKey(_ context.Context, cmd *cli.Command) error {
+	key := newIdempotencyKey()
+	if cmd.Bool("shared") {
+		key = verifier.GenerateKey()
+	}
+	a.print("%s\n", key)
+	return nil
+}
+
 // docsCommand prints the pages that are made from the code, for go generate.
 func (a *app) docsCommand() *cli.Command {
 	docs := group("docs", "print the pages that are made from the code",
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -183,7 +183,10 @@
 	code, stdout, _ := newConsole(t).run("credential", "new")
 	require.Equal(t, ExitOK, code)
 	require.Regexp(t, `^credential        [A-Za-z0-9_-]{43}\ncredentialSha256  [0-9a-f]{64}\n$`, stdout)
-	code, stdout, _ = newConsole(t).run("key", "new")
+	code, stdout, _ = newConsole(t).run("key", "new", "--shared")
 	require.Equal(t, ExitOK, code)
 	require.Regexp(t, `^[0-9a-f]{64}\n$`, stdout)
+	code, stdout, _ = newConsole(t).run("key", "new")
+	require.Equal(t, ExitOK, code)
+	require.Regexp(t, `^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-`, stdout)
 }
--- a/launcher/request.go
+++ b/launcher/request.go
@@ -77,7 +77,7 @@
 	}
 	key := cmd.String("key")
 	if key == "" {
-		key = uuid.Must(uuid.NewV7()).String()
+		key = newIdempotencyKey()
 	}
 	deadline := cmd.Duration("deadline")
 	if deadline < time.Millisecond {
@@ -110,6 +110,11 @@
 	return string(text), nil
 }
 
+// newIdempotencyKey returns a UUID of version 7: the system tells a key's age by the time in it.
+func newIdempotencyKey() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
+
 // newTraceparent begins a trace, so that `trace` finds the request's hops.
 func newTraceparent() string {
 	var ids [24]byte
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -63,7 +63,7 @@
 	WeightsURL string `json:"weightsUrl" check:"url,optional"`
 
 	// Key by which entries prove to each other that they belong together: at least 32 bytes as hex.
-	// Make one with `geraniumline key new`.
+	// Make one with `geraniumline key new --shared`. Give this or sharedKeyFile.
 	SharedKey Secret `json:"sharedKey" check:"key,optional"`
 	// File with the shared key as hex, in place of sharedKey.
 	SharedKeyFile string `json:"sharedKeyFile" check:"optional"`
