Prove the configuration's fold: one verdict everywhere, and never back

Cause: an accepted change must hold everywhere and for good, over races, lost replies, replaced VMs and retention. A batch that could not be encoded would have blocked all later ones: Batcher.Add now refuses such a record.

--- a/claimer/batcher.go
+++ b/claimer/batcher.go
@@ -108,9 +108,14 @@
 	return &Batcher{cfg: cfg.withDefaults(), flights: make(map[uint64]*flight)}
 }
 
-// Add puts a record in line.
-func (b *Batcher) Add(record ClaimRecord) {
+// Add puts a record in line, or gives a *RecordLimitError: one record that the log refuses for its size would be
+// refused again and again, and with it all others of its batch.
+func (b *Batcher) Add(record ClaimRecord) error {
+	if err := checkLimits(record); err != nil {
+		return err
+	}
 	b.waiting = append(b.waiting, record)
+	return nil
 }
 
 // Withdraw takes a claim back. It tells whether the claim was surely never appended and never will be, so that
--- a/claimer/record.go
+++ b/claimer/record.go
@@ -70,7 +70,7 @@
 	Records     []ClaimRecord
 }
 
-// Limits on one record, in bytes. They are the schema's, but for the answer's, which leaves room in the largest append.
+// Limits on one record, in bytes. The answer's leaves room for the rest of the record in the log's largest append.
 const (
 	MaxAnswerBytes  = 1_000_000
 	MaxMessageBytes = 1024
@@ -78,7 +78,7 @@
 	maxNameBytes    = 128
 )
 
-// RecordLimitError tells of a record that no reader would take.
+// RecordLimitError tells of a record that is too large to be kept.
 type RecordLimitError struct {
 	Field string
 	Bytes int
@@ -142,7 +142,7 @@
 	}
 }
 
-// checkLimits refuses what the schema's limits would make unreadable at every entry, the sender included.
+// checkLimits refuses what the log would refuse for its size, again and again, and the batch's other records with it.
 func checkLimits(record ClaimRecord) error {
 	switch r := record.(type) {
 	case Claim:
--- a/publisher/change.go
+++ b/publisher/change.go
@@ -50,8 +50,8 @@
 	AtMillis int64
 }
 
-// EncodeError tells of a change that readers would pass over: a field is longer than the schema allows, or
-// the operation id is missing.
+// EncodeError tells of a change that readers would pass over: a field is too long, or the
+// operation id is missing.
 type EncodeError struct {
 	OperationID string
 	Cause       error
--- a/publisher/check.go
+++ b/publisher/check.go
@@ -87,7 +87,7 @@
 	for i, raw := range stages {
 		path := fmt.Sprintf("stages[%d]", i)
 		stage := parseStage(path, raw, faults)
-		if seen[stage.Name] {
+		if stage.Name != "" && seen[stage.Name] {
 			r.fault(path+".name", "is used by an earlier stage")
 		}
 		seen[stage.Name] = true
--- a/publisher/fold.go
+++ b/publisher/fold.go
@@ -110,7 +110,8 @@
 var (
 	errTrailingBytes = errors.New("bytes follow the record")
 	errNotOneKind    = errors.New("the record must hold either a change or a part of a snapshot")
-	errNoOperationID = errors.New("the change has no operation id")
+	errOperationID   = errors.New("the change's operation id is missing or too long")
+	errOperator      = errors.New("the change's operator is too long")
 	errBadPart       = errors.New("the part's numbers do not fit together")
 )
 
@@ -124,14 +125,30 @@
 		return nil, errTrailingBytes
 	case (record.Change == nil) == (record.Snapshot == nil):
 		return nil, errNotOneKind
-	case record.Change != nil && record.Change.OperationID == "":
-		return nil, errNoOperationID
-	case record.Snapshot != nil && !wellFormed(record.Snapshot):
+	case record.Change != nil:
+		return &record, checkNames(record.Change)
+	case !wellFormed(record.Snapshot):
 		return nil, errBadPart
 	}
 	return &record, nil
 }
 
+// The limits on who changes what; they bound what is remembered of each verdict.
+const (
+	maxOperationIDBytes = 64
+	maxOperatorBytes    = 128
+)
+
+func checkNames(c *Change) error {
+	if c.OperationID == "" || len(c.OperationID) > maxOperationIDBytes {
+		return errOperationID
+	}
+	if len(c.Operator) > maxOperatorBytes {
+		return errOperator
+	}
+	return nil
+}
+
 // CheckChange gives every fault that a change would be refused for, references to other objects included.
 // It is asked before the append; the fold asks it again by log order.
 func (f *Fold) CheckChange(c Change) []Fault {
--- /dev/null
+++ b/publisher/property_test.go
@@ -0,0 +1,136 @@
+package publisher
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// The runs of CI: the same seed gives the same verdict. Override on the command line to search further.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{
+		"rapid.nofailfile": "true", "rapid.seed": "20", "rapid.checks": "300", "rapid.steps": "250",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// Operators publish at several entries at once, from versions that are in force or not, with operation ids sent
+// twice. Appends land late, out of order or never; entries are replaced, fall behind what the log keeps, and take
+// snapshots whose parts lie between others' changes, or a peer's. At every offset that an entry says is in force,
+// it must have what a reader had that missed nothing, and it must never go back.
+func TestEveryReaderHasTheSameConfiguration(t *testing.T) {
+	totals := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		retention := rapid.SampledFrom([]time.Duration{3 * time.Minute, 10 * time.Minute}).Draw(t, "retention")
+		w := newModel(retention, "a", "b", "c")
+		t.Repeat(actions(w))
+		for name, n := range w.counts {
+			totals[name] += n
+		}
+	})
+	t.Logf("steps and faults tried: %v", totals)
+	for _, name := range []string{"accepted", "conflict", "invalid", "doubled", "snapshots", "gap", "gapClosed", "restored", "replaced", "lost", "bad"} {
+		require.NotZero(t, totals[name], "the run must have tried %s", name)
+	}
+}
+
+func actions(w *world) map[string]func(*rapid.T) {
+	step := func(f func(t *rapid.T, name string)) func(*rapid.T) {
+		return func(t *rapid.T) {
+			w.counts["steps"]++
+			f(t, rapid.SampledFrom(w.names).Draw(t, "entry"))
+		}
+	}
+	publish := step(w.publishOne)
+	read := step(func(t *rapid.T, name string) { w.read(name, rapid.IntRange(1, 30).Draw(t, "limit")) })
+	land := step(func(t *rapid.T, _ string) { w.landOne(t) })
+	return map[string]func(*rapid.T){
+		"publish": publish, "publishMore": publish, "read": read, "readMore": read,
+		"land": land, "landMore": land, "landOn": land, "landAll": land,
+		"snapshot": step(func(_ *rapid.T, name string) { w.snapshot(name) }),
+		"restore":  step(func(t *rapid.T, name string) { w.restore(name, rapid.SampledFrom(w.names).Draw(t, "from")) }),
+		"replace":  step(w.replaceOne),
+		"lose":     step(func(t *rapid.T, _ string) { w.loseOne(t) }),
+		"wait": step(func(t *rapid.T, _ string) {
+			w.now = w.now.Add(time.Duration(rapid.IntRange(1, 50).Draw(t, "seconds")) * time.Second)
+			w.cut()
+		}),
+		"": func(t *rapid.T) { require.Empty(t, w.faulty) },
+	}
+}
+
+func (w *world) publishOne(t *rapid.T, name string) {
+	if rapid.IntRange(1, 20).Draw(t, "bad") == 1 {
+		w.counts["bad"]++
+		w.pending = append(w.pending, []byte("no record"))
+		return
+	}
+	doubled := rapid.IntRange(1, 10).Draw(t, "doubled") == 1 && w.ops > 0
+	id := w.ops
+	if doubled {
+		w.counts["doubled"]++
+		id = rapid.IntRange(0, w.ops-1).Draw(t, "operation")
+	} else {
+		w.ops++
+	}
+	w.publish(w.drawChange(t, name, fmt.Sprint("op", id)))
+}
+
+func (w *world) drawChange(t *rapid.T, entry, id string) Change {
+	type object struct{ kind, name, body string }
+	o := rapid.SampledFrom([]object{
+		{KindPool, "encoders", `{"kind":"encoder","slotsPerEndpoint":4}`},
+		{KindPool, "retrievers", `{"kind":"retriever","slotsPerEndpoint":4}`},
+		{KindPool, "engines", goodPool},
+		{KindPipeline, "digest", goodPipeline},
+		{KindContract, "kilima", goodContract},
+		{KindContract, "wallcare", goodContract},
+		{KindPool, "engines", `{"kind":"engine"}`},
+	}).Draw(t, "object")
+	c := Change{OperationID: id, Operator: entry, Kind: o.kind, Name: o.name, Body: []byte(o.body)}
+	if rapid.IntRange(1, 6).Draw(t, "remove") == 1 {
+		c.Remove = true
+		c.Body = nil
+	}
+	if objects := w.readers[entry].Objects(o.kind, o.name); len(objects) > 0 {
+		c.BaseVersion = objects[0].Version
+	}
+	if rapid.IntRange(1, 8).Draw(t, "stale") == 1 {
+		c.BaseVersion--
+	}
+	return c
+}
+
+func (w *world) landOne(t *rapid.T) {
+	if len(w.pending) == 0 {
+		return
+	}
+	// Mostly in order, else few snapshots would ever be whole.
+	i := rapid.SampledFrom([]int{0, 0, 0, len(w.pending) / 2}).Draw(t, "append")
+	w.land(i, int64(rapid.IntRange(0, 2).Draw(t, "hole")))
+}
+
+func (w *world) loseOne(t *rapid.T) {
+	if len(w.pending) == 0 || rapid.IntRange(1, 3).Draw(t, "lose") != 1 {
+		return
+	}
+	w.counts["lost"]++
+	w.pending = w.pending[:len(w.pending)-1]
+}
+
+// replaceOne kills an entry's VM; the new one keeps nothing.
+func (w *world) replaceOne(t *rapid.T, name string) {
+	if rapid.IntRange(1, 5).Draw(t, "replace") == 1 {
+		w.counts["replaced"]++
+		w.readers[name] = New(testConfig(name))
+	}
+}
--- a/recorder/schema.go
+++ b/recorder/schema.go
@@ -1,5 +1,6 @@
 // Package recorder holds the records that entries keep in the platform's log.
 // This file is the schema; schema_gen.go is generated from it by scripts/generate.sh.
+// Limits bound lists and byte fields. The generator has none for strings, which the record's own size bounds.
 package recorder
 
 //go:generate msgp -file schema.go -o schema_gen.go -tests=false
@@ -17,8 +18,8 @@
 
 // Claim says that one incarnation of an entry wants to be the only one that dispatches a key's request.
 type Claim struct {
-	Account string `msg:",limit=128"`
-	Key     string `msg:",limit=128"`
+	Account string
+	Key     string
 	// Digest is the SHA-256 of the request's body.
 	Digest  [32]byte
 	ClaimID uint64
@@ -26,33 +27,33 @@
 
 // Release says that the claim's owner dispatched nothing under it and never will.
 type Release struct {
-	Account string `msg:",limit=128"`
-	Key     string `msg:",limit=128"`
+	Account string
+	Key     string
 	ClaimID uint64
 }
 
 // Outcome says how the request of a claim ended.
 type Outcome struct {
-	Account string `msg:",limit=128"`
-	Key     string `msg:",limit=128"`
+	Account string
+	Key     string
 	ClaimID uint64
 	State   uint8
-	Answer  string `msg:",limit=1048576"`
+	Answer  string
 	Parts   int32
-	Code    string `msg:",limit=64"`
-	Message string `msg:",limit=1024"`
+	Code    string
+	Message string
 }
 
 // Closed says that later claims of an entry's incarnation are void.
 type Closed struct {
-	Entry       string `msg:",limit=128"`
+	Entry       string
 	Incarnation uint64
 }
 
 // ClaimBatch is one append to the claims stream. A reader takes the releases first,
 // then the outcomes, the closed incarnations and the claims.
 type ClaimBatch struct {
-	Entry       string    `msg:"entry,limit=128"`
+	Entry       string    `msg:"entry"`
 	Incarnation uint64    `msg:"incarnation"`
 	BatchID     uint64    `msg:"batchId"`
 	Releases    []Release `msg:"releases,limit=8192,omitempty"`
@@ -63,10 +64,10 @@
 
 // Change is one operator's change of one configuration object.
 type Change struct {
-	OperationID string `msg:",limit=64"`
-	Operator    string `msg:",limit=128"`
-	Kind        string `msg:",limit=64"`
-	Name        string `msg:",limit=64"`
+	OperationID string
+	Operator    string
+	Kind        string
+	Name        string
 	BaseVersion int64
 	Remove      bool
 	// Body is the object as JSON.
@@ -76,28 +77,28 @@
 
 // Object is a configuration object in force; its version is the offset of the change that put it in force.
 type Object struct {
-	Kind    string `msg:",limit=64"`
-	Name    string `msg:",limit=64"`
+	Kind    string
+	Name    string
 	Version int64
 	Body    []byte `msg:",limit=262144"`
 }
 
 // Verdict is the fold's word on one change.
 type Verdict struct {
-	OperationID string `msg:",limit=64"`
-	Operator    string `msg:",limit=128"`
-	Kind        string `msg:",limit=64"`
-	Name        string `msg:",limit=64"`
+	OperationID string
+	Operator    string
+	Kind        string
+	Name        string
 	State       uint8
 	Version     int64
-	Message     string `msg:",limit=1024"`
+	Message     string
 	AtMillis    int64
 }
 
 // SnapshotPart is one of the records that together hold the whole configuration.
 type SnapshotPart struct {
 	// SnapshotID is the same in all parts of one snapshot.
-	SnapshotID string `msg:"snapshotId,limit=128"`
+	SnapshotID string `msg:"snapshotId"`
 	Part       int    `msg:"part"`
 	Parts      int    `msg:"parts"`
 	// ThroughOffset is the offset up to which changes are in the snapshot. It is below the part's own offset,
