--- /dev/null
+++ b/appender/appender_test.go
@@ -0,0 +1,230 @@
+package appender
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"geraniumline/platformserver"
+	"geraniumline/recorder"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeLog is a log of one stream whose replies can be made to fail.
+type fakeLog struct {
+	platformserver.UnimplementedHandler
+	mu      sync.Mutex
+	records []platformserver.LogRecord
+	// status is the error that calls get, 0 for none; failures is how many get it.
+	status   int
+	failures int
+	// after is called once the call has taken effect and before it is answered.
+	after func()
+}
+
+func (l *fakeLog) fail() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failures == 0 {
+		return nil
+	}
+	l.failures--
+	reply := platformserver.PlatformError{Code: "fails", Message: "made to fail"}
+	reply.RetryAfterMillis.SetTo(7)
+	return &platformserver.PlatformErrorStatusCode{StatusCode: l.status, Response: reply}
+}
+
+func (l *fakeLog) AppendRecord(_ context.Context, call *platformserver.AppendCall, _ platformserver.AppendRecordParams) (*platformserver.AppendReply, error) {
+	if err := l.fail(); err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	offset := int64(3 * (len(l.records) + 1))
+	l.records = append(l.records, platformserver.LogRecord{Offset: offset, AtMillis: offset, Data: call.Data})
+	l.mu.Unlock()
+	if l.after != nil {
+		l.after()
+	}
+	return &platformserver.AppendReply{Offset: offset}, nil
+}
+
+func (l *fakeLog) ReadRecords(_ context.Context, p platformserver.ReadRecordsParams) (*platformserver.RecordPage, error) {
+	if err := l.fail(); err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	page := &platformserver.RecordPage{Records: []platformserver.LogRecord{}, First: 3, Next: p.From}
+	for _, r := range l.records {
+		if r.Offset >= p.From && len(page.Records) < p.Limit.Or(1) {
+			page.Records = append(page.Records, r)
+			page.Next = r.Offset + 1
+		}
+	}
+	return page, nil
+}
+
+func (l *fakeLog) NewError(_ context.Context, err error) *platformserver.PlatformErrorStatusCode {
+	var known *platformserver.PlatformErrorStatusCode
+	if errors.As(err, &known) {
+		return known
+	}
+	return &platformserver.PlatformErrorStatusCode{StatusCode: http.StatusInternalServerError}
+}
+
+func (l *fakeLog) len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records)
+}
+
+// serve starts the log on loopback and gives an appender for it.
+func serve(t *testing.T, l *fakeLog) (*Appender, *httptest.Server) {
+	t.Helper()
+	handler, err := platformserver.NewServer(l)
+	require.NoError(t, err)
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return newAppender(t, server.URL), server
+}
+
+func newAppender(t *testing.T, url string) *Appender {
+	t.Helper()
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	a, err := New(Config{
+		URL:        url,
+		HTTP:       &http.Client{Transport: transport},
+		PollWait:   time.Millisecond,
+		MinBackoff: time.Millisecond,
+	})
+	require.NoError(t, err)
+	return a
+}
+
+func TestAppendAndRead(t *testing.T) {
+	a, _ := serve(t, &fakeLog{})
+	for i, want := range []int64{3, 6} {
+		offset, err := a.Append(t.Context(), "claims", []byte{byte(i), 0xff})
+		require.NoError(t, err)
+		require.Equal(t, want, offset)
+	}
+	page, err := a.Read(t.Context(), "claims", 4, 10, time.Millisecond)
+	require.NoError(t, err)
+	require.Equal(t, Page{Records: []recorder.Record{{Offset: 6, AtMillis: 6, Data: []byte{1, 0xff}}}, First: 3, Next: 7}, page)
+}
+
+// The caller of a refused append may be told "not run"; after an uncertain one that might be untrue. So an error
+// is a refusal only if it proves that nothing was appended.
+func TestAppendErrors(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		status   int
+		refused  bool
+	}{
+		{"too many appends", http.StatusTooManyRequests, true},
+		{"bad call", http.StatusBadRequest, true},
+		{"too large", http.StatusRequestEntityTooLarge, true},
+		{"server error", http.StatusInternalServerError, false},
+		{"unavailable", http.StatusServiceUnavailable, false},
+		{"a gateway's timeout", http.StatusGatewayTimeout, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			a, _ := serve(t, &fakeLog{status: s.status, failures: 1})
+			_, err := a.Append(t.Context(), "claims", []byte("x"))
+			var refused *RefusedError
+			var uncertain *UncertainError
+			require.Equal(t, s.refused, errors.As(err, &refused))
+			require.Equal(t, !s.refused, errors.As(err, &uncertain))
+			if s.refused {
+				require.Equal(t, 7*time.Millisecond, refused.RetryAfter)
+			}
+		})
+	}
+}
+
+// The log appends the record and its reply is lost with the connection. To the entry it looks like a failure,
+// but the claim is in the log: it must not be taken for a refusal.
+func TestALostReplyIsUncertain(t *testing.T) {
+	l := &fakeLog{}
+	a, server := serve(t, l)
+	l.after = func() { server.CloseClientConnections() }
+	_, err := a.Append(t.Context(), "claims", []byte("x"))
+	var uncertain *UncertainError
+	require.True(t, errors.As(err, &uncertain), "%v", err)
+	require.Equal(t, 1, l.len())
+}
+
+// The log takes the record and then stalls for longer than the entry waits. The record is there all the same.
+func TestAStalledReplyIsUncertain(t *testing.T) {
+	l := &fakeLog{}
+	a, _ := serve(t, l)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	l.after = func() { cancel(); <-done }
+	_, err := a.Append(ctx, "claims", []byte("x"))
+	close(done)
+	var uncertain *UncertainError
+	require.True(t, errors.As(err, &uncertain), "%v", err)
+	require.Equal(t, 1, l.len())
+}
+
+// Nobody listens where the log should be: not a byte of the append was sent.
+func TestARefusedConnectionIsARefusal(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, err = newAppender(t, "http://"+address).Append(t.Context(), "claims", []byte("x"))
+	var refused *RefusedError
+	require.True(t, errors.As(err, &refused), "%v", err)
+}
+
+// The log fails for a while in the middle of a stream. The reader is told once of each failure and once when it is
+// back, misses no record and sees none twice.
+func TestTailOutlastsAFailure(t *testing.T) {
+	l := &fakeLog{status: http.StatusServiceUnavailable}
+	a, _ := serve(t, l)
+	for range 5 {
+		_, err := a.Append(t.Context(), "claims", []byte("x"))
+		require.NoError(t, err)
+	}
+	a.cfg.PageRecords = 2
+	ctx, cancel := context.WithCancel(t.Context())
+	var offsets []int64
+	var failed, back int
+	a.Tail(ctx, "claims", 0, func(p Page) {
+		for _, r := range p.Records {
+			offsets = append(offsets, r.Offset)
+		}
+		switch {
+		case len(offsets) == 4 && failed == 0:
+			l.mu.Lock()
+			l.failures = 3
+			l.mu.Unlock()
+		case len(offsets) == 5:
+			cancel()
+		}
+	}, func(err error) {
+		if err != nil {
+			var read *ReadError
+			require.True(t, errors.As(err, &read))
+			failed++
+			return
+		}
+		back++
+	})
+	require.Equal(t, []int64{3, 6, 9, 12, 15}, offsets)
+	require.Equal(t, 3, failed)
+	require.Equal(t, 1, back)
+}
