--- /dev/null
+++ b/assembler/assembler.go
@@ -0,0 +1,209 @@
+// Package assembler builds a whole entry out of its settings and runs it until it is stopped.
+package assembler
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"geraniumline/appender"
+	"geraniumline/carrier"
+	"geraniumline/loader"
+	"geraniumline/messenger"
+	"geraniumline/meter"
+	"geraniumline/performer"
+	"geraniumline/platformserver"
+	"geraniumline/reducer"
+	"geraniumline/tracer"
+)
+
+const (
+	// shutdownTimeout bounds the end of replies that the core has finished already.
+	shutdownTimeout = 5 * time.Second
+	// maxDeadline is the longest deadline that a caller may ask for.
+	maxDeadline = 10 * time.Minute
+	// stageTimeout is how long an endpoint may be silent within a call.
+	stageTimeout = 5 * time.Second
+	// appendTimeout is how long an append to the log may take before its end is uncertain.
+	appendTimeout = 2 * time.Second
+	// pollWait is how long one reading of the log waits for a record. It is well under the silence after which
+	// the core takes the log for unreadable.
+	pollWait = time.Second
+)
+
+// Config holds what an entry is built from.
+type Config struct {
+	Settings loader.Settings
+	Log      *zap.Logger
+}
+
+// entry is one running entry's parts.
+type entry struct {
+	cfg       Config
+	meter     *meter.Meter
+	tracer    *tracer.Tracer
+	messenger *messenger.Messenger
+	performer *performer.Performer
+}
+
+// Run serves until ctx ends or a planned stop, begun by SIGTERM or by an operator, is done.
+func Run(ctx context.Context, cfg Config) error {
+	e := &entry{cfg: cfg, meter: meter.New()}
+	peers, err := e.openPeers()
+	if err != nil {
+		return err
+	}
+	if err := e.build(peers); err != nil {
+		return errors.Join(err, peers.Close())
+	}
+	opened, err := e.openSockets()
+	if err != nil {
+		return errors.Join(err, peers.Close())
+	}
+	return e.run(ctx, opened)
+}
+
+// build joins the parts.
+func (e *entry) build(peers net.Listener) error {
+	s := e.cfg.Settings
+	now := time.Now()
+	traces, err := tracer.New(e.traceConfig())
+	if err != nil {
+		return oops.In("assembler").Wrap(err)
+	}
+	e.tracer = traces
+	vms, err := platformserver.NewClient(s.VMsURL)
+	if err != nil {
+		return oops.In("assembler").Wrap(err)
+	}
+	logs, err := appender.New(appender.Config{URL: s.LogURL, AppendTimeout: appendTimeout, PollWait: pollWait})
+	if err != nil {
+		return oops.In("assembler").Wrap(err)
+	}
+	incarnation := uint64(now.UnixMicro())
+	core := reducer.New(coreConfig(s, incarnation), now)
+	e.messenger = messenger.New(messenger.Config{
+		Listen:   peers,
+		Name:     s.Name,
+		Key:      s.Key(),
+		Handler:  func(from string, m carrier.Message) { e.performer.TakePeer(from, m) },
+		Log:      e.cfg.Log,
+		Registry: e.meter.Registry(),
+	})
+	e.performer = performer.New(performer.Config{
+		Entry:           s.Name,
+		Incarnation:     incarnation,
+		Appender:        logs,
+		VMs:             vms,
+		Messenger:       e.messenger,
+		Endpoints:       &http.Client{Transport: performer.EndpointTransport()},
+		Meter:           e.meter,
+		Tracer:          traces,
+		Log:             e.cfg.Log,
+		VMListEvery:     s.VMListMillis.Duration(),
+		LoadReportEvery: s.LoadReportMillis.Duration(),
+	}, core)
+	return nil
+}
+
+func (e *entry) traceConfig() tracer.Config {
+	s := e.cfg.Settings
+	return tracer.Config{
+		Entry:     s.Name,
+		Zone:      s.Zone,
+		Kept:      int(s.Traces.Kept),
+		OTLPURL:   s.Traces.OTLPURL,
+		QueueSize: int(s.Traces.QueueSize),
+		Dropped:   func(spans int) { e.meter.Counter(meter.SpansDropped).Inc(int64(spans)) },
+		Exported:  func(spans int) { e.meter.Counter(meter.SpansExported).Inc(int64(spans)) },
+	}
+}
+
+func coreConfig(s loader.Settings, incarnation uint64) reducer.Config {
+	return reducer.Config{
+		Entry:          s.Name,
+		Incarnation:    incarnation,
+		Zone:           s.Zone,
+		CallerAddress:  s.CallerAddressForOthers(),
+		PeerAddress:    s.PeerAddressForOthers(),
+		SeedPeers:      s.SeedPeers,
+		Seed:           incarnation,
+		HeartbeatEvery: s.HeartbeatMillis.Duration(),
+		SuspectAfter:   s.SuspectMillis.Duration(),
+		DeadAfter:      s.DeadMillis.Duration(),
+		AddressTTL:     s.AddressTTLMillis.Duration(),
+		DrainGrace:     s.DrainMillis.Duration(),
+		ClaimWindow:    s.ClaimWindowMillis.Duration(),
+		AppendTimeout:  appendTimeout,
+		KeyHorizon:     s.KeyHorizonMillis.Duration(),
+		MaxDeadline:    maxDeadline,
+		StageTimeout:   stageTimeout,
+	}
+}
+
+// run serves until the core is done, then ends the sockets.
+func (e *entry) run(ctx context.Context, opened sockets) error {
+	served, stopServing := context.WithCancel(ctx)
+	defer stopServing()
+	group, groupCtx := errgroup.WithContext(served)
+	group.Go(opened.callers.Serve)
+	group.Go(opened.operators.Serve)
+	group.Go(func() error { return ignoreEnd(e.messenger.Serve(groupCtx)) })
+	go e.watchSignals(groupCtx)
+	group.Go(func() error {
+		defer stopServing()
+		err := e.performer.Run(groupCtx)
+		e.shutDown(opened)
+		return ignoreEnd(err)
+	})
+	e.cfg.Log.Info("entry", zap.String("subject", e.cfg.Settings.Name), zap.String("to", "serving"), zap.String("callers", opened.callers.Address()))
+	return group.Wait()
+}
+
+// watchSignals makes SIGTERM and SIGINT a planned stop. A second one changes nothing: a stop that
+// hurries would cut requests in flight.
+func (e *entry) watchSignals(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			e.performer.Post(reducer.StopSignalled{})
+		}
+	}
+}
+
+// shutDown lets the last replies reach their callers.
+func (e *entry) shutDown(opened sockets) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	err := errors.Join(
+		opened.callers.Shutdown(ctx),
+		opened.operators.Shutdown(ctx),
+		e.messenger.Flush(ctx),
+		e.messenger.Close(),
+		e.tracer.Close(ctx),
+	)
+	if err != nil {
+		e.cfg.Log.Warn("entry", zap.String("subject", e.cfg.Settings.Name), zap.String("to", "stopped"), zap.Error(err))
+	}
+}
+
+func ignoreEnd(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -file schema.go -o schema_gen.go -tests=false
 
-//msgp:tuple Member EndpointLoad AccountUse Record
+//msgp:tuple Member EndpointLoad AccountUse Record CrashLoss
 
 // Kind tells which message a frame carries.
 type Kind uint8
@@ -42,6 +42,10 @@
 	State         uint8
 	ConfigOffset  int64
 	InFlight      int32
+	// Sequence counts the steps of the member's own loop in this incarnation; only the member itself raises it.
+	Sequence uint64
+	// AgeMillis is how long ago the sender of the message last saw Sequence rise.
+	AgeMillis uint32
 }
 
 // EndpointLoad is one entry's calls in flight and its opinion of an endpoint.
@@ -64,10 +68,18 @@
 	Backlog  int32
 }
 
-// CrashMark counts the endpoints that were lost while a request with this digest ran alone or beside others.
+// CrashLoss is the loss of one endpoint. Entries that saw the same loss tell the same address and
+// nearly the same age.
+type CrashLoss struct {
+	Address   string
+	AgeMillis int64
+}
+
+// CrashMark names the endpoints that were lost while a request with this digest ran there. They are named,
+// and not counted, so that losses seen by several entries add up and those told on do not.
 type CrashMark struct {
-	Digest  []byte `msg:"digest,limit=32"`
-	Crashes int32  `msg:"crashes"`
+	Digest []byte      `msg:"digest,limit=32"`
+	Losses []CrashLoss `msg:"losses,limit=16"`
 }
 
 // Heartbeat is what an entry tells its peers, several times a second.
@@ -101,6 +113,8 @@
 	First   int64    `msg:"first"`
 	Next    int64    `msg:"next"`
 	Records []Record `msg:"records,limit=10000"`
+	// Snapshot holds the parts of a snapshot when the records are no longer kept one by one.
+	Snapshot [][]byte `msg:"snapshot,limit=4096"`
 }
 
 // OutcomeCall asks a peer for the outcome of a request by account and idempotency key.
@@ -124,6 +138,8 @@
 	Message string `msg:"message,limit=1024"`
 	// AgeMillis is how long ago the request ended.
 	AgeMillis int64 `msg:"ageMillis"`
+	// Digest is that of the request, so that a key used for another request is noticed.
+	Digest []byte `msg:"digest,limit=32"`
 }
 
 // Handover gives the outcomes that callers may still ask for to a peer, before the sender exits.
--- /dev/null
+++ b/reducer/tick.go
@@ -0,0 +1,78 @@
+package reducer
+
+import (
+	"time"
+
+	"geraniumline/detector"
+)
+
+// tick lets time pass: timers, heartbeats, the planned stop, snapshots.
+func (c *Core) tick(now time.Time) {
+	c.lastTick = now
+	c.takeTransitions(c.detector.Tick(now), now)
+	c.runTimers(now)
+	c.pumpAll(now)
+	if !now.Before(c.heartbeatAt) {
+		c.heartbeatAt = now.Add(c.cfg.HeartbeatEvery)
+		c.beat(now)
+		c.snapshot(now)
+	}
+	c.stepStop(now)
+}
+
+func (c *Core) pumpAll(now time.Time) {
+	for _, pool := range c.fold.Pools() {
+		c.pump(pool.Name, now)
+	}
+}
+
+// snapshot appends the whole configuration well before the log drops its oldest records.
+func (c *Core) snapshot(now time.Time) {
+	health := c.logs[StreamConfig]
+	if health.failing || !health.caughtUp || !c.fold.SnapshotDue(now) {
+		c.snapshotDue = time.Time{}
+		return
+	}
+	if c.snapshotDue.IsZero() {
+		c.snapshotDue = now
+	}
+	if now.Sub(c.snapshotDue) < time.Duration(c.rank())*snapshotStagger {
+		return
+	}
+	c.snapshotDue = time.Time{}
+	parts, err := c.fold.Snapshot(now)
+	if err != nil {
+		c.emit(LogChange{Message: "the snapshot can't be encoded", Subject: err.Error()})
+		return
+	}
+	for _, part := range parts {
+		c.nextBatch++
+		c.emit(Append{Stream: StreamConfig, BatchID: c.nextBatch, Data: part})
+	}
+}
+
+// snapshotStagger is how long the next entry in order waits for the one before to append the snapshot. One is
+// enough, and all of them at once would take up the log; but the first may be cut from the log.
+const snapshotStagger = 2 * time.Second
+
+// rank is this entry's place among the live ones, by name.
+func (c *Core) rank() int {
+	rank := 0
+	for _, member := range c.detector.Members() {
+		if member.Name < c.cfg.Entry && member.State == detector.Live {
+			rank++
+		}
+	}
+	return rank
+}
+
+// takeVMs takes the platform's lagging list.
+func (c *Core) takeVMs(e VMsListed, now time.Time) {
+	c.router.List(e.Endpoints, now)
+	for _, hint := range e.Entries {
+		if hint.PeerAddress == c.cfg.PeerAddress {
+			continue
+		}
+		c.detector.Hint(hint.PeerAddress, hint.Zone, hint.Leaving, now)
+	}
+}
--- /dev/null
+++ b/reducer/timer.go
@@ -0,0 +1,98 @@
+package reducer
+
+import (
+	"time"
+)
+
+// timerKind says what is due.
+type timerKind uint8
+
+const (
+	timerDeadline timerKind = iota
+	timerClaim
+	timerStage
+	timerAsk
+	timerChange
+)
+
+// timer names what is due, and for whom. A timer whose subject has gone on is ignored when it is due,
+// so that none has to be taken out of the heap.
+type timer struct {
+	at      time.Time
+	kind    timerKind
+	call    CallID
+	subject uint64
+	name    string
+}
+
+// timerHeap is a binary heap with the earliest timer first. It is not container/heap, which would
+// allocate for each timer that goes through its interface.
+type timerHeap []timer
+
+func (h *timerHeap) push(t timer) {
+	*h = append(*h, t)
+	s := *h
+	i := len(s) - 1
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !s[i].at.Before(s[parent].at) {
+			return
+		}
+		s[i], s[parent] = s[parent], s[i]
+		i = parent
+	}
+}
+
+func (h *timerHeap) pop() timer {
+	s := *h
+	first := s[0]
+	last := len(s) - 1
+	s[0] = s[last]
+	s[last] = timer{}
+	*h = s[:last]
+	h.sink()
+	return first
+}
+
+// sink takes the first timer down to its place.
+func (h *timerHeap) sink() {
+	s := *h
+	i := 0
+	for {
+		child := 2*i + 1
+		if child >= len(s) {
+			return
+		}
+		if right := child + 1; right < len(s) && s[right].at.Before(s[child].at) {
+			child = right
+		}
+		if !s[child].at.Before(s[i].at) {
+			return
+		}
+		s[i], s[child] = s[child], s[i]
+		i = child
+	}
+}
+
+func (c *Core) schedule(t timer) {
+	c.timers.push(t)
+}
+
+// runTimers handles all that is due.
+func (c *Core) runTimers(now time.Time) {
+	for len(c.timers) > 0 && !c.timers[0].at.After(now) {
+		t := c.timers.pop()
+		switch t.kind {
+		case timerDeadline:
+			c.passDeadline(t.subject, now)
+		case timerClaim:
+			c.passClaimTimeout(t.subject, now)
+		case timerStage:
+			c.passWatch(t.call, now)
+		case timerAsk:
+			c.passAskTimeout(t.subject, now)
+		case timerChange:
+			c.passChangeTimeout(t.name, now)
+		}
+	}
+}
