Batcher: make an outcome fit the log rather than refuse it

Cause: Encode refuses an outcome whose answer or message is over the log's limits, and the reducer then lost the whole batch, other requests' claims included. Ruled out: an error from Add, which its callers can only drop. Add now leaves a too long answer out and marks the outcome answerNotKept, and cuts code and message.

--- a/claimer/batcher.go
+++ b/claimer/batcher.go
@@ -1,6 +1,9 @@
 package claimer
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // BatcherConfig says how records are grouped into appends.
 type BatcherConfig struct {
@@ -108,14 +111,24 @@
 	return &Batcher{cfg: cfg.withDefaults(), flights: make(map[uint64]*flight)}
 }
 
-// Add puts a record in line, or gives a *RecordLimitError: one record that the log refuses for its size would be
-// refused again and again, and with it all others of its batch.
-func (b *Batcher) Add(record ClaimRecord) error {
-	if err := checkLimits(record); err != nil {
-		return err
+// Add puts a record in line. An outcome's texts are cut to what the log takes: one record that is refused for its
+// size would be refused again and again, and with it all others of its batch, claims included.
+func (b *Batcher) Add(record ClaimRecord) {
+	if r, ok := record.(Outcome); ok {
+		record = fit(r)
 	}
 	b.waiting = append(b.waiting, record)
-	return nil
+}
+
+// fit leaves out an answer that is too long, as a whole: a caller must not take a part for the answer.
+func fit(r Outcome) Outcome {
+	if len(r.Answer) > MaxAnswerBytes {
+		r.Answer = ""
+		r.Code = CodeAnswerNotKept
+	}
+	r.Code = r.Code[:min(len(r.Code), MaxCodeBytes)]
+	r.Message = strings.ToValidUTF8(r.Message[:min(len(r.Message), MaxMessageBytes)], "")
+	return r
 }
 
 // Withdraw takes a claim back. It tells whether the claim was surely never appended and never will be, so that
--- a/claimer/record.go
+++ b/claimer/record.go
@@ -78,6 +78,9 @@
 	maxNameBytes    = 128
 )
 
+// CodeAnswerNotKept marks the outcome of a request that was answered, but whose answer was too long to be kept.
+const CodeAnswerNotKept = "answerNotKept"
+
 // RecordLimitError tells of a record that is too large to be kept.
 type RecordLimitError struct {
 	Field string
--- a/publisher/state.go
+++ b/publisher/state.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 )
 
 // objectID names one object.
@@ -74,7 +75,7 @@
 // clip keeps a message inside the limit of the record's schema.
 func clip(message string) string {
 	if len(message) > maxMessageBytes {
-		return message[:maxMessageBytes]
+		return strings.ToValidUTF8(message[:maxMessageBytes], "")
 	}
 	return message
 }
