--- a/claimer/model_test.go
+++ b/claimer/model_test.go
@@ -159,6 +159,10 @@
 		return
 	}
 	a.told = "notRun"
+	if len(w.ledger[a.key]) > 0 {
+		// True of this attempt, but another entry has run an earlier one that this table has not read of.
+		w.faults["notRunBesideARun"]++
+	}
 	if p.batcher.Withdraw(id) {
 		// Nothing of it may be heard of again.
 		delete(p.attempts, id)
@@ -253,7 +257,7 @@
 		w.tell(p, d.ClaimID, "unknown")
 	case Voided:
 		w.faults[fmt.Sprintf("void%d", d.Reason)]++
-		w.tell(p, d.ClaimID, "notRun")
+		w.tellVoided(p, d)
 	case Landed:
 		p.batcher.Landed(d.BatchID)
 	case Freed:
@@ -273,6 +277,16 @@
 	}
 }
 
+// tellVoided says "not run" only if the table knows no other claim that may have run.
+func (w *world) tellVoided(p *process, d Voided) {
+	if h, ok := p.table.Lookup(d.Key); ok && h.Held {
+		w.faults["voidedBesideHolder"]++
+		w.tell(p, d.ClaimID, "unknown")
+		return
+	}
+	w.tell(p, d.ClaimID, "notRun")
+}
+
 func (w *world) win(p *process, d Won) {
 	a := p.attempts[d.ClaimID]
 	if a == nil {
