scheduler: measure what a pool takes while items wait for it

Change: Drain, the work taken a millisecond while items waited, replaces the believed capacity when it is known.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -92,7 +92,17 @@
 // ObserveWait takes in how long an item waited in a pool's queue before it was dispatched.
 func (a *Admitter) ObserveWait(name string, waited time.Duration, _ time.Time) {
 	p := a.pool(name)
-	p.wait += waitWeight * (float64(waited) - p.wait)
+	p.waited += waitWeight * (float64(waited) - p.waited)
+}
+
+// Wait is the recent mean of the waits in a pool's queue, for operators. Decisions don't
+// rest on it: it is a mean over accounts whose waits differ by what they send.
+func (a *Admitter) Wait(name string) time.Duration {
+	p, ok := a.pools[name]
+	if !ok {
+		return 0
+	}
+	return time.Duration(p.waited)
 }
 
 // Admit tells whether a request with these stages is expected to finish by the deadline.
--- a/admitter/wait.go
+++ b/admitter/wait.go
@@ -5,12 +5,13 @@
 	"time"
 )
 
-// waitWeight is the weight of a new observation.
-const waitWeight = 0.2
+// waitWeight is the weight of a new wait in the mean.
+const waitWeight = 0.02
 
 // pool is what is known of one pool's queue.
 type pool struct {
-	wait float64
+	// waited is the recent mean of the waits, in nanoseconds.
+	waited float64
 	// returnAt is when the callers that were refused so far will all have been served, should
 	// each come back at the time that it was told.
 	returnAt time.Time
--- a/measurer/policydeadlines_test.go
+++ b/measurer/policydeadlines_test.go
@@ -134,3 +134,34 @@
 		Attainment: mean(run, offeredAttainment), Cost: mean(run, costPerAnswer), Goodput: mean(run, goodput),
 	}.String()
 }
+
+// TestPolicyWrongCapacity lets the entry believe that pools have twice or half their
+// capacity, as when endpoints slow down or other entries use them less.
+// Figures are means over the seeds.
+func TestPolicyWrongCapacity(t *testing.T) {
+	scenarios := []struct {
+		testName          string
+		belief            float64
+		admitted, goodput float64
+	}{
+		{"believedTwice", 2, 0.99, 0.97},
+		{"believedHalf", 0.5, 0.99, 0.97},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			w := way{"ours", func() dispatcher {
+				p := newPolicy()
+				p.belief = s.belief
+				return p
+			}}
+			load := mixedLoad(3)
+			run, right := runSites(w, load), runSites(oursWay, load)
+			row := func(measure string, read func(*site) float64, bound measurer.Limit, goal *measurer.Limit) {
+				check(t, measurer.Row{Case: "deadlines/" + s.testName, Measure: measure, Ours: mean(run, read),
+					Baselines: []measurer.Baseline{{Name: "rightCapacity", Value: mean(right, read)}}, Bound: bound, Goal: goal})
+			}
+			row("admittedAttainment", admittedAttainment, atLeast(s.admitted), goal(atLeast(0.99)))
+			row("goodput", goodput, atLeast(s.goodput), nil)
+		})
+	}
+}
--- a/measurer/site_test.go
+++ b/measurer/site_test.go
@@ -277,6 +277,8 @@
 	jobs      map[uint64]*job
 	// admitAll leaves out the refusal at the door.
 	admitAll bool
+	// belief is how many times its capacity each pool is believed to have.
+	belief float64
 }
 
 func newPolicy() *policy {
@@ -284,6 +286,7 @@
 		admitter:  admitter.New(admitter.Config{}),
 		scheduler: scheduler.New(scheduler.Config{}),
 		jobs:      map[uint64]*job{},
+		belief:    1,
 	}
 }
 
@@ -297,11 +300,14 @@
 }
 
 // asks describes the stages that are still to run; queued stages have their backlog ahead.
-func (p *policy) asks(j *job, from int, queued bool) []admitter.StageAsk {
+func (p *policy) asks(j *job, from int, queued bool, now time.Time) []admitter.StageAsk {
 	var asks []admitter.StageAsk
 	for i := from; i < len(pipeline); i++ {
 		spec := pipeline[i]
-		ask := admitter.StageAsk{Stage: spec.name, Pool: spec.name, Expected: spec.mean, Capacity: float64(spec.slots)}
+		ask := admitter.StageAsk{Stage: spec.name, Pool: spec.name, Expected: spec.mean, Capacity: p.belief * float64(spec.slots)}
+		if drain := p.scheduler.Drain(spec.name, now); drain > 0 {
+			ask.Capacity = drain
+		}
 		if queued || i > from {
 			ahead := p.scheduler.Ahead(spec.name, p.item(j, i))
 			ask.Ahead, ask.Worst = ahead.Present, ahead.Worst
@@ -315,7 +321,7 @@
 	if p.admitAll {
 		return true
 	}
-	if _, ok := p.admitter.Admit(p.asks(j, 0, true), j.deadline, s.clock.now).(admitter.Admitted); !ok {
+	if _, ok := p.admitter.Admit(p.asks(j, 0, true, s.clock.now), j.deadline, s.clock.now).(admitter.Admitted); !ok {
 		return false
 	}
 	for i := 1; i < len(pipeline); i++ {
@@ -362,7 +368,7 @@
 		}
 		j := p.jobs[item.ID]
 		p.admitter.ObserveWait(name, s.clock.now.Sub(j.entered), s.clock.now)
-		if p.admitter.Hopeless(p.asks(j, j.stage, false), j.deadline, s.clock.now) {
+		if p.admitter.Hopeless(p.asks(j, j.stage, false, s.clock.now), j.deadline, s.clock.now) {
 			p.scheduler.Charge(name, item.Account, -item.Cost)
 			s.finish(j, lost)
 			continue
@@ -374,7 +380,7 @@
 func (p *policy) backlog(pool int) int { return p.scheduler.Len(pipeline[pool].name) }
 
 func (p *policy) budget(s *site, j *job) time.Duration {
-	return p.admitter.Budget(p.asks(j, j.stage, false), j.deadline, s.clock.now)
+	return p.admitter.Budget(p.asks(j, j.stage, false, s.clock.now), j.deadline, s.clock.now)
 }
 
 func (p *policy) served(s *site, j *job, service time.Duration) {
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -30,6 +30,7 @@
 	// the time constant servedTime.
 	served   [urgencyCount]float64
 	servedAt time.Time
+	drain    drain
 }
 
 const servedTime = 5 * time.Second
@@ -134,6 +135,7 @@
 	n.flow.account.served = min(n.item.Urgency, Relaxed)
 	p.earn(c, n.item.Cost)
 	p.note(n.flow.account.served, n.item.Cost, now)
+	p.drain.take(n.item.Cost, p.expiry.len() > 1, now)
 	p.forget(n)
 	return n
 }
@@ -168,6 +170,9 @@
 func (p *pool) forget(n *node) {
 	p.expiry.removeAt(n.expiryIndex)
 	delete(p.nodes, n.item.ID)
+	if p.expiry.len() == 0 {
+		p.drain.waiting = false
+	}
 }
 
 func (p *pool) remove(n *node) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -129,6 +129,7 @@
 		return
 	}
 	f.class.charge(f, extraCost)
+	p.drain.work += extraCost
 }
 
 // Len is the number of items that wait in the pool.
