Prove on real processes what must always hold

make faults starts a fleet for each of 19 proofs, injects kills, freezes, cuts, outages and races, and counts at the endpoints' own ledgers, which honour no fences.

--- /dev/null
+++ b/prover/logs.go
@@ -0,0 +1,194 @@
+package prover
+
+import (
+	"context"
+	"time"
+
+	"geraniumline/faker"
+)
+
+const (
+	outageTime = 4 * time.Second
+	// outageNotice is how long an entry may take to notice that the log is silent.
+	outageNotice = 3500 * time.Millisecond
+	// atOnce bounds an answer that waits for nothing.
+	atOnce = 500 * time.Millisecond
+	// harm is the attainment, in points, that repeatable traffic may lose to an outage.
+	harm = 1.0
+)
+
+func logProofs() []Proof {
+	return []Proof{
+		{Name: "logOutageFail", Faults: "log refuses everything for 4 s", Entries: 3, Run: proveOutage(faker.OutageFail)},
+		{Name: "logOutageHang", Faults: "log is silent for 8 s", Entries: 3, Run: proveOutage(faker.OutageHang)},
+		{Name: "logSlow", Faults: "5 s an append", Entries: 3, Run: proveSlowLog},
+		{Name: "appendReplyLost", Faults: "half of the append replies lost", Entries: 3, Run: proveAppendReplyLost},
+		{Name: "retentionPassed", Faults: "log trimmed past all configuration, restarts", Entries: 5, Run: proveRetention},
+		{Name: "replacedInOutage", Faults: "log outage, all entries replaced", Entries: 5, Run: proveReplaced},
+	}
+}
+
+// The log is down. Requests that may be repeated go on as before; others are refused at once with notRun and
+// when to return, and nothing of them ever runs.
+func proveOutage(kind faker.Outage) func(context.Context, *bench) error {
+	return func(ctx context.Context, b *bench) error {
+		stopTickets, stopSummaries := b.traffic(ctx, ticket(), load), b.traffic(ctx, summary(), load)
+		start := time.Now()
+		time.Sleep(2 * time.Second)
+		down := time.Now()
+		err := b.fleet.Log().SetFaults(ctx, faker.LogFaults{Outage: kind})
+		length := outageTime
+		if kind == faker.OutageHang {
+			length *= 2
+		}
+		time.Sleep(length)
+		up := time.Now()
+		err = firstOf(err, b.fleet.Log().SetFaults(ctx, faker.LogFaults{}))
+		time.Sleep(2 * time.Second)
+		stopTickets()
+		stopSummaries()
+		before, during := attainment(b.between(summary(), start, down)), attainment(b.between(summary(), down, up))
+		noticed := down.Add(outageNotice)
+		var waits []time.Duration
+		for _, s := range b.between(ticket(), noticed, up) {
+			waits = append(waits, s.took)
+		}
+		p50, p99, worst := quantiles(waits)
+		b.say("repeatable %.1f%% before, %.1f%% during; non-repeatable %.1f%% during, told in p50 %d ms, p99 %d ms, worst %d ms once noticed",
+			before, during, attainment(b.between(ticket(), down, up)), p50.Milliseconds(), p99.Milliseconds(), worst.Milliseconds())
+		if during < before-harm {
+			err = firstOf(err, violated("repeatable traffic was harmed: %.1f%% before, %.1f%% during", before, during))
+		}
+		if p99 > atOnce {
+			err = firstOf(err, violated("a refusal took %v", p99))
+		}
+		for _, s := range b.between(ticket(), noticed, up) {
+			if failed := s.failure(); failed != nil && failed.Outcome == outcomeNotRun && failed.RetryAfter <= 0 {
+				return firstOf(err, violated("refused as %s without when to return", failed.Code))
+			}
+		}
+		return err
+	}
+}
+
+// Each append takes 5 s. A request with 3 s is given up before its claim lands, which then is never run; a
+// patient caller with 15 s is answered. Requests that may be repeated notice nothing.
+func proveSlowLog(ctx context.Context, b *bench) error {
+	if err := b.fleet.Log().SetFaults(ctx, faker.LogFaults{SlowAppendMillis: 5000}); err != nil {
+		return err
+	}
+	stopSummaries := b.traffic(ctx, summary(), load)
+	from := time.Now()
+	patient, err := b.request(ticket())
+	if err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		patient.answer, patient.err = b.sendOnce(ctx, patient, b.entry(0).CallerAddress, 15*time.Second, 16*time.Second)
+	}()
+	stopTickets := b.traffic(ctx, ticket(), load/4)
+	time.Sleep(5 * time.Second)
+	stopTickets()
+	<-done
+	stopSummaries()
+	b.say("repeatable %.1f%%", attainment(b.between(summary(), from, time.Now())))
+	time.Sleep(6 * time.Second) // Late claims land.
+	if patient.err != nil {
+		return violated("a patient caller got no answer: %v", patient.err)
+	}
+	return nil
+}
+
+// Half of the appends take effect and lose their reply. Entries read their claims back from the log, so every
+// request is answered and none runs twice.
+func proveAppendReplyLost(ctx context.Context, b *bench) error {
+	if err := b.fleet.Log().SetFaults(ctx, faker.LogFaults{LoseReplyRate: 0.5}); err != nil {
+		return err
+	}
+	from := time.Now()
+	stop := b.traffic(ctx, ticket(), load)
+	time.Sleep(5 * time.Second)
+	stop()
+	b.noteAttainment(from)
+	return nil
+}
+
+// The log drops all configuration records before any snapshot followed them, and every entry is replaced, one
+// after another. The configuration stays in force, from peers, and can be changed.
+func proveRetention(ctx context.Context, b *bench) error {
+	version, err := b.contractVersion(ctx, 0)
+	if err != nil {
+		return err
+	}
+	if err := b.fleet.Log().Trim(ctx, faker.TrimCall{Stream: "config", Before: version + 1}); err != nil {
+		return err
+	}
+	stop := b.traffic(ctx, summary(), load)
+	defer b.noteAttainment(time.Now())
+	defer stop()
+	if err := b.replaceEach(ctx, version); err != nil {
+		return err
+	}
+	verdict, err := b.changeContract(ctx, 0, "after-trim", version, 2)
+	if err != nil {
+		return err
+	}
+	if verdict.Verdict != accepted {
+		return violated("after the trim a change is %s: %s", verdict.Verdict, verdict.Message.Value)
+	}
+	return b.awaitContract(ctx, verdict.Version)
+}
+
+// replaceEach kills and starts each entry, and checks that the contract's version did not go back.
+func (b *bench) replaceEach(ctx context.Context, version int64) error {
+	for i, entry := range b.fleet.Entries() {
+		if err := entry.Kill(); err != nil {
+			return err
+		}
+		if err := b.restart(ctx, i); err != nil {
+			return err
+		}
+		if now, err := b.contractVersion(ctx, i); err != nil || now < version {
+			return firstOf(err, violated("%s went back to version %d from %d", entry.Name(), now, version))
+		}
+	}
+	return nil
+}
+
+// The log is down and every entry is replaced, one after another: each new one gets the configuration from its
+// peers. When all are killed at once nobody knows it any more, and a new entry is not ready and says so.
+func proveReplaced(ctx context.Context, b *bench) error {
+	version, err := b.contractVersion(ctx, 0)
+	if err != nil {
+		return err
+	}
+	if err := b.fleet.Log().SetFaults(ctx, faker.LogFaults{Outage: faker.OutageFail}); err != nil {
+		return err
+	}
+	from := time.Now()
+	stop := b.traffic(ctx, summary(), load)
+	err = b.replaceEach(ctx, version)
+	stop()
+	b.noteAttainment(from)
+	if err != nil {
+		return err
+	}
+	for _, entry := range b.fleet.Entries() {
+		if err := entry.Kill(); err != nil {
+			return err
+		}
+	}
+	if err := b.fleet.StartEntry(b.entry(0)); err != nil {
+		return err
+	}
+	if _, err := await("the last entry answers", readyTimeout, func() bool { return b.status(ctx, 0) != nil }); err != nil {
+		return err
+	}
+	if status := b.status(ctx, 0); status == nil || status.Ready || len(status.Alarms) == 0 {
+		return violated("an entry without configuration does not say so")
+	}
+	b.say("with nobody left: not ready, and says so")
+	return nil
+}
--- a/starter/settings.go
+++ b/starter/settings.go
@@ -33,6 +33,9 @@
 		},
 	}
 	maps.Copy(settings, f.cfg.Settings)
+	if f.cfg.EntrySettings != nil {
+		maps.Copy(settings, f.cfg.EntrySettings(entry.name, f.log.address))
+	}
 	data, err := json.MarshalIndent(settings, "", "\t")
 	if err != nil {
 		return err
