--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -128,10 +128,7 @@
 	if f == nil || f.weight <= 0 {
 		return
 	}
-	f.tag = max(f.tag+extraCost/f.weight, f.class.earliest())
-	if f.index >= 0 {
-		f.class.flows.fix(f.index)
-	}
+	f.class.charge(f, extraCost)
 }
 
 // Len is the number of items that wait in the pool.
@@ -155,6 +152,16 @@
 // AccountBacklog is the number of the account's items that wait in all pools.
 func (s *Scheduler) AccountBacklog(account string) int { return s.backlogs[account] }
 
+// Accounts is how many accounts the pool remembers: those with items waiting or announced, and
+// those that were served too lately to be forgotten.
+func (s *Scheduler) Accounts(poolName string) int {
+	p, ok := s.pools[poolName]
+	if !ok {
+		return 0
+	}
+	return len(p.accounts)
+}
+
 // Pools lists the pools that have held an item, in the order in which they came to be.
 func (s *Scheduler) Pools() []string { return s.names }
 
