--- a/Makefile
+++ b/Makefile
@@ -30,8 +30,8 @@
 policy:
 	./scripts/policy.sh
 
-capacity:
-	./scripts/capacity.sh
+capacity: build
+	./bin/capacity --bin bin
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/biller/biller.go
+++ b/biller/biller.go
@@ -82,3 +82,23 @@
 	}
 	return sum.bills()
 }
+
+// Incarnation is the bills of one incarnation of another entry.
+type Incarnation struct {
+	Entry       string
+	Incarnation uint64
+	Bills       []Bill
+}
+
+// Others gives the bills of other incarnations that are kept apart, in a fixed order, to be passed on: when an
+// entry has gone its peers are all that knows of its bills.
+func (b *Biller) Others() []Incarnation {
+	var others []Incarnation
+	for _, entry := range slices.Sorted(maps.Keys(b.peers)) {
+		s := b.peers[entry]
+		for _, incarnation := range slices.Sorted(maps.Keys(s.incarnations)) {
+			others = append(others, Incarnation{Entry: entry, Incarnation: incarnation, Bills: s.incarnations[incarnation].bills()})
+		}
+	}
+	return others
+}
--- a/carrier/message.go
+++ b/carrier/message.go
@@ -47,6 +47,9 @@
 // Kind tells that h hands outcomes over.
 func (h *Handover) Kind() Kind { return KindHandover }
 
+// Kind tells that b are bills.
+func (b *Bills) Kind() Kind { return KindBills }
+
 // NewMessage gives an empty message of the kind, to decode a frame into.
 func NewMessage(kind Kind) (Message, error) {
 	switch kind {
@@ -66,6 +69,8 @@
 		return &Outcome{}, nil
 	case KindHandover:
 		return &Handover{}, nil
+	case KindBills:
+		return &Bills{}, nil
 	default:
 		return nil, &UnknownKindError{Value: kind}
 	}
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -file schema.go -o schema_gen.go -tests=false
 
-//msgp:tuple Member Pulse EndpointLoad AccountUse Record CrashLoss
+//msgp:tuple AccountBill StageBill Member Pulse EndpointLoad AccountUse Record CrashLoss
 
 // Kind tells which message a frame carries.
 type Kind uint8
@@ -19,6 +19,7 @@
 	KindOutcomeCall
 	KindOutcome
 	KindHandover
+	KindBills
 )
 
 // Challenge opens a connection in both directions: the peer must prove that it knows the shared key.
@@ -157,3 +158,28 @@
 	CallID   uint64    `msg:"callId"`
 	Outcomes []Outcome `msg:"outcomes,limit=100000"`
 }
+
+// StageBill is the work of one stage in endpoint milliseconds.
+type StageBill struct {
+	Stage  string
+	Cost   float64
+	Wasted float64
+}
+
+// AccountBill is one account's running total at one incarnation of an entry.
+type AccountBill struct {
+	Account string
+	// Urgent, Normal and Relaxed count requests in time, late, not run and unknown.
+	Urgent  [4]uint64
+	Normal  [4]uint64
+	Relaxed [4]uint64
+	Stages  []StageBill
+}
+
+// Bills are the running totals of one incarnation of an entry. They only grow, so that they may come twice,
+// late or by way of another entry.
+type Bills struct {
+	Entry       string        `msg:"entry,limit=128"`
+	Incarnation uint64        `msg:"incarnation"`
+	Accounts    []AccountBill `msg:"accounts,limit=4096"`
+}
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -6,6 +6,341 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// DecodeMsg implements msgp.Decodable
+func (z *AccountBill) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Account, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Urgent")
+		return
+	}
+	if zb0002 != uint32(4) {
+		err = msgp.ArrayError{Wanted: uint32(4), Got: zb0002}
+		return
+	}
+	for za0001 := range z.Urgent {
+		z.Urgent[za0001], err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Urgent", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Normal")
+		return
+	}
+	if zb0003 != uint32(4) {
+		err = msgp.ArrayError{Wanted: uint32(4), Got: zb0003}
+		return
+	}
+	for za0002 := range z.Normal {
+		z.Normal[za0002], err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Normal", za0002)
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Relaxed")
+		return
+	}
+	if zb0004 != uint32(4) {
+		err = msgp.ArrayError{Wanted: uint32(4), Got: zb0004}
+		return
+	}
+	for za0003 := range z.Relaxed {
+		z.Relaxed[za0003], err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Relaxed", za0003)
+			return
+		}
+	}
+	var zb0005 uint32
+	zb0005, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Stages")
+		return
+	}
+	if cap(z.Stages) >= int(zb0005) {
+		z.Stages = (z.Stages)[:zb0005]
+	} else {
+		z.Stages = make([]StageBill, zb0005)
+	}
+	for za0004 := range z.Stages {
+		var zb0006 uint32
+		zb0006, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004)
+			return
+		}
+		if zb0006 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
+			return
+		}
+		z.Stages[za0004].Stage, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Stage")
+			return
+		}
+		z.Stages[za0004].Cost, err = dc.ReadFloat64()
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Cost")
+			return
+		}
+		z.Stages[za0004].Wasted, err = dc.ReadFloat64()
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Wasted")
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *AccountBill) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 5
+	err = en.Append(0x95)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Account)
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(4))
+	if err != nil {
+		err = msgp.WrapError(err, "Urgent")
+		return
+	}
+	for za0001 := range z.Urgent {
+		err = en.WriteUint64(z.Urgent[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Urgent", za0001)
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(4))
+	if err != nil {
+		err = msgp.WrapError(err, "Normal")
+		return
+	}
+	for za0002 := range z.Normal {
+		err = en.WriteUint64(z.Normal[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Normal", za0002)
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(4))
+	if err != nil {
+		err = msgp.WrapError(err, "Relaxed")
+		return
+	}
+	for za0003 := range z.Relaxed {
+		err = en.WriteUint64(z.Relaxed[za0003])
+		if err != nil {
+			err = msgp.WrapError(err, "Relaxed", za0003)
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Stages)))
+	if err != nil {
+		err = msgp.WrapError(err, "Stages")
+		return
+	}
+	for za0004 := range z.Stages {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Stages[za0004].Stage)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Stage")
+			return
+		}
+		err = en.WriteFloat64(z.Stages[za0004].Cost)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Cost")
+			return
+		}
+		err = en.WriteFloat64(z.Stages[za0004].Wasted)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Wasted")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *AccountBill) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendString(o, z.Account)
+	o = msgp.AppendArrayHeader(o, uint32(4))
+	for za0001 := range z.Urgent {
+		o = msgp.AppendUint64(o, z.Urgent[za0001])
+	}
+	o = msgp.AppendArrayHeader(o, uint32(4))
+	for za0002 := range z.Normal {
+		o = msgp.AppendUint64(o, z.Normal[za0002])
+	}
+	o = msgp.AppendArrayHeader(o, uint32(4))
+	for za0003 := range z.Relaxed {
+		o = msgp.AppendUint64(o, z.Relaxed[za0003])
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Stages)))
+	for za0004 := range z.Stages {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Stages[za0004].Stage)
+		o = msgp.AppendFloat64(o, z.Stages[za0004].Cost)
+		o = msgp.AppendFloat64(o, z.Stages[za0004].Wasted)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AccountBill) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Account, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Urgent")
+		return
+	}
+	if zb0002 != uint32(4) {
+		err = msgp.ArrayError{Wanted: uint32(4), Got: zb0002}
+		return
+	}
+	for za0001 := range z.Urgent {
+		z.Urgent[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Urgent", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Normal")
+		return
+	}
+	if zb0003 != uint32(4) {
+		err = msgp.ArrayError{Wanted: uint32(4), Got: zb0003}
+		return
+	}
+	for za0002 := range z.Normal {
+		z.Normal[za0002], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Normal", za0002)
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Relaxed")
+		return
+	}
+	if zb0004 != uint32(4) {
+		err = msgp.ArrayError{Wanted: uint32(4), Got: zb0004}
+		return
+	}
+	for za0003 := range z.Relaxed {
+		z.Relaxed[za0003], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Relaxed", za0003)
+			return
+		}
+	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Stages")
+		return
+	}
+	if cap(z.Stages) >= int(zb0005) {
+		z.Stages = (z.Stages)[:zb0005]
+	} else {
+		z.Stages = make([]StageBill, zb0005)
+	}
+	for za0004 := range z.Stages {
+		var zb0006 uint32
+		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004)
+			return
+		}
+		if zb0006 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
+			return
+		}
+		z.Stages[za0004].Stage, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Stage")
+			return
+		}
+		z.Stages[za0004].Cost, bts, err = msgp.ReadFloat64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Cost")
+			return
+		}
+		z.Stages[za0004].Wasted, bts, err = msgp.ReadFloat64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Wasted")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *AccountBill) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Account) + msgp.ArrayHeaderSize + (4 * (msgp.Uint64Size)) + msgp.ArrayHeaderSize + (4 * (msgp.Uint64Size)) + msgp.ArrayHeaderSize + (4 * (msgp.Uint64Size)) + msgp.ArrayHeaderSize
+	for za0004 := range z.Stages {
+		s += 1 + msgp.StringPrefixSize + len(z.Stages[za0004].Stage) + msgp.Float64Size + msgp.Float64Size
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *AccountUse) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -157,6 +492,210 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Bills) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "entry":
+			z.Entry, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Entry")
+				return
+			}
+		case "incarnation":
+			z.Incarnation, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "accounts":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Accounts")
+				return
+			}
+			if zb0002 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Accounts) >= int(zb0002) {
+				z.Accounts = (z.Accounts)[:zb0002]
+			} else {
+				z.Accounts = make([]AccountBill, zb0002)
+			}
+			for za0001 := range z.Accounts {
+				err = z.Accounts[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Bills) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "entry"
+	err = en.Append(0x83, 0xa5, 0x65, 0x6e, 0x74, 0x72, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Entry)
+	if err != nil {
+		err = msgp.WrapError(err, "Entry")
+		return
+	}
+	// write "incarnation"
+	err = en.Append(0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Incarnation)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	// write "accounts"
+	err = en.Append(0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Accounts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Accounts")
+		return
+	}
+	for za0001 := range z.Accounts {
+		err = z.Accounts[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Accounts", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Bills) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "entry"
+	o = append(o, 0x83, 0xa5, 0x65, 0x6e, 0x74, 0x72, 0x79)
+	o = msgp.AppendString(o, z.Entry)
+	// string "incarnation"
+	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	// string "accounts"
+	o = append(o, 0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Accounts)))
+	for za0001 := range z.Accounts {
+		o, err = z.Accounts[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Accounts", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Bills) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "entry":
+			z.Entry, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Entry")
+				return
+			}
+		case "incarnation":
+			z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "accounts":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accounts")
+				return
+			}
+			if zb0002 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Accounts) >= int(zb0002) {
+				z.Accounts = (z.Accounts)[:zb0002]
+			} else {
+				z.Accounts = make([]AccountBill, zb0002)
+			}
+			for za0001 := range z.Accounts {
+				bts, err = z.Accounts[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Bills) Msgsize() (s int) {
+	s = 1 + 6 + msgp.StringPrefixSize + len(z.Entry) + 12 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
+	for za0001 := range z.Accounts {
+		s += z.Accounts[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Challenge) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -3336,3 +3875,106 @@
 	s = 1 + 7 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Stream) + 5 + msgp.Int64Size
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *StageBill) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Stage, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Stage")
+		return
+	}
+	z.Cost, err = dc.ReadFloat64()
+	if err != nil {
+		err = msgp.WrapError(err, "Cost")
+		return
+	}
+	z.Wasted, err = dc.ReadFloat64()
+	if err != nil {
+		err = msgp.WrapError(err, "Wasted")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z StageBill) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Stage)
+	if err != nil {
+		err = msgp.WrapError(err, "Stage")
+		return
+	}
+	err = en.WriteFloat64(z.Cost)
+	if err != nil {
+		err = msgp.WrapError(err, "Cost")
+		return
+	}
+	err = en.WriteFloat64(z.Wasted)
+	if err != nil {
+		err = msgp.WrapError(err, "Wasted")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z StageBill) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Stage)
+	o = msgp.AppendFloat64(o, z.Cost)
+	o = msgp.AppendFloat64(o, z.Wasted)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StageBill) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Stage, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Stage")
+		return
+	}
+	z.Cost, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Cost")
+		return
+	}
+	z.Wasted, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Wasted")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StageBill) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Stage) + msgp.Float64Size + msgp.Float64Size
+	return
+}
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -104,6 +104,7 @@
 	configs   *recordRing
 
 	heartbeatAt time.Time
+	billsAt     time.Time
 	heartbeats  uint64
 	lastTick    time.Time
 	stopped     bool
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -31,6 +31,8 @@
 		c.takePeerOutcome(e.From, message, now)
 	case *carrier.Handover:
 		c.takeHandover(message, now)
+	case *carrier.Bills:
+		c.takeBills(message)
 	}
 }
 
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -59,10 +59,10 @@
 	return all
 }
 
-// accountStatus joins the contracts in force with this entry's bills.
+// accountStatus joins the contracts in force with the bills of the whole system, as far as peers have told them.
 func (c *Core) accountStatus(now time.Time) []operatorserver.AccountStatus {
 	bills := map[string]biller.Bill{}
-	for _, bill := range c.biller.Bills() {
+	for _, bill := range c.biller.Total() {
 		bills[bill.Account] = bill
 	}
 	all := []operatorserver.AccountStatus{}
--- a/reducer/stop.go
+++ b/reducer/stop.go
@@ -56,6 +56,8 @@
 		c.handOver(now)
 	case drainer.Done:
 		c.stopped = true
+		c.billsAt = time.Time{}
+		c.tellBills(now)
 		c.beat(now)
 		c.emit(Exit{})
 	}
--- a/reducer/tick.go
+++ b/reducer/tick.go
@@ -16,6 +16,7 @@
 		c.heartbeatAt = now.Add(c.cfg.HeartbeatEvery)
 		c.beat(now)
 		c.snapshot(now)
+		c.tellBills(now)
 	}
 	c.stepStop(now)
 }
--- a/surveyor/survey.go
+++ b/surveyor/survey.go
@@ -125,6 +125,3 @@
 	}
 	return os.WriteFile(path, append(data, '\n'), 0o600)
 }
-
-// Page is docs/CAPACITY.md.
-func (s Survey) Page() string { return "" }
