Fold: keep the sorted lists of objects between changes

Cause: the core asks for the pools at each tick, and each time all objects were walked, contracts included. The lists by kind are now made once and dropped by a change of that kind; an object asked for by name is no longer searched for.

--- a/publisher/bench_test.go
+++ b/publisher/bench_test.go
@@ -117,3 +117,13 @@
 		}
 	})
 }
+
+// BenchmarkPools asks for the pools beside many contracts, as the core does at each tick.
+func BenchmarkPools(b *testing.B) {
+	f := foldAll(benchRecords(b, 43_000))
+	for b.Loop() {
+		if len(f.Pools()) != 3 {
+			b.Fatal("three pools")
+		}
+	}
+}
--- a/publisher/check.go
+++ b/publisher/check.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"regexp"
+	"slices"
 )
 
 // Limits on configuration objects.
@@ -146,7 +148,7 @@
 		allowed[name] = true
 	}
 	r.read("pipelineUrgency", "an object of urgencies by pipeline", false, &c.PipelineUrgency)
-	for _, name := range sortedNames(c.PipelineUrgency) {
+	for _, name := range slices.Sorted(maps.Keys(c.PipelineUrgency)) {
 		field := "pipelineUrgency." + name
 		if !allowed[name] {
 			r.fault(field, "is not one of the contract's pipelines")
--- a/publisher/snapshot.go
+++ b/publisher/snapshot.go
@@ -142,7 +142,7 @@
 			if len(faults) > 0 {
 				return nil, false
 			}
-			s.objects[objectID{kind: object.Kind, name: object.Name}] = &entryOf{object: object, parsed: p}
+			s.set(objectID{kind: object.Kind, name: object.Name}, &entryOf{object: object, parsed: p})
 		}
 		for _, v := range part.Verdicts {
 			s.history.add(fromWire(v))
--- a/publisher/state.go
+++ b/publisher/state.go
@@ -21,10 +21,34 @@
 type state struct {
 	objects map[objectID]*entryOf
 	history history
+	// lists holds the objects by kind and name, for kinds that did not change since they were asked for.
+	lists map[string]*list
+}
+
+// list is the objects of one kind by name, also in their typed form.
+type list struct {
+	entries   []*entryOf
+	pools     []*Pool
+	pipelines []*Pipeline
+	contracts []*Contract
 }
 
 func newState() *state {
-	return &state{objects: make(map[objectID]*entryOf), history: newHistory()}
+	return &state{
+		objects: make(map[objectID]*entryOf),
+		history: newHistory(),
+		lists:   make(map[string]*list),
+	}
+}
+
+// set puts an object in force, or takes it out with a nil entry.
+func (s *state) set(id objectID, e *entryOf) {
+	delete(s.lists, id.kind)
+	if e == nil {
+		delete(s.objects, id)
+		return
+	}
+	s.objects[id] = e
 }
 
 func (s *state) version(id objectID) int64 {
@@ -62,12 +86,12 @@
 	}
 	v.State = Accepted
 	if c.Remove {
-		delete(s.objects, id)
+		s.set(id, nil)
 		v.Version = 0
 		return v
 	}
 	object := Object{Kind: c.Kind, Name: c.Name, Version: offset, Body: c.Body}
-	s.objects[id] = &entryOf{object: object, parsed: p}
+	s.set(id, &entryOf{object: object, parsed: p})
 	v.Version = offset
 	return v
 }
@@ -126,7 +150,7 @@
 		return []Fault{{Message: fmt.Sprintf("there is no %s %q", c.Kind, c.Name)}}
 	}
 	var faults []Fault
-	for _, user := range s.sorted(userKind(c.Kind)) {
+	for _, user := range s.list(userKind(c.Kind)).entries {
 		if user.parsed.uses(id) {
 			message := fmt.Sprintf("is used by %s %q", user.object.Kind, user.object.Name)
 			faults = append(faults, Fault{Message: message})
@@ -157,14 +181,33 @@
 	return false
 }
 
-// sorted gives the objects of a kind by name; an empty kind means none.
-func (s *state) sorted(kind string) []*entryOf {
-	var entries []*entryOf
+// list gives the objects of a kind by name; an empty kind means none. It is made once for many askers: the core
+// asks for the pools several times a second, beside tens of thousands of contracts.
+func (s *state) list(kind string) *list {
+	if l, ok := s.lists[kind]; ok {
+		return l
+	}
+	l := &list{}
 	for id, e := range s.objects {
 		if id.kind == kind {
-			entries = append(entries, e)
+			l.entries = append(l.entries, e)
 		}
 	}
-	slices.SortFunc(entries, func(a, b *entryOf) int { return compareObjects(a.object, b.object) })
-	return entries
+	slices.SortFunc(l.entries, func(a, b *entryOf) int { return strings.Compare(a.object.Name, b.object.Name) })
+	for _, e := range l.entries {
+		l.add(e.parsed)
+	}
+	s.lists[kind] = l
+	return l
+}
+
+func (l *list) add(p parsed) {
+	switch {
+	case p.pool != nil:
+		l.pools = append(l.pools, p.pool)
+	case p.pipeline != nil:
+		l.pipelines = append(l.pipelines, p.pipeline)
+	case p.contract != nil:
+		l.contracts = append(l.contracts, p.contract)
+	}
 }
--- a/publisher/view.go
+++ b/publisher/view.go
@@ -27,32 +27,14 @@
 	return e.parsed.contract, true
 }
 
-// Pools gives all pools by name.
-func (f *Fold) Pools() []*Pool {
-	var out []*Pool
-	for _, e := range f.state.sorted(KindPool) {
-		out = append(out, e.parsed.pool)
-	}
-	return out
-}
+// Pools gives all pools by name. The result must not be changed.
+func (f *Fold) Pools() []*Pool { return f.state.list(KindPool).pools }
 
-// Pipelines gives all pipelines by name.
-func (f *Fold) Pipelines() []*Pipeline {
-	var out []*Pipeline
-	for _, e := range f.state.sorted(KindPipeline) {
-		out = append(out, e.parsed.pipeline)
-	}
-	return out
-}
+// Pipelines gives all pipelines by name. The result must not be changed.
+func (f *Fold) Pipelines() []*Pipeline { return f.state.list(KindPipeline).pipelines }
 
-// Contracts gives all contracts by account.
-func (f *Fold) Contracts() []*Contract {
-	var out []*Contract
-	for _, e := range f.state.sorted(KindContract) {
-		out = append(out, e.parsed.contract)
-	}
-	return out
-}
+// Contracts gives all contracts by account. The result must not be changed.
+func (f *Fold) Contracts() []*Contract { return f.state.list(KindContract).contracts }
 
 // Objects gives the objects in force by kind and name; an empty kind or name stands for all.
 func (f *Fold) Objects(kind, name string) []Object {
@@ -61,11 +43,20 @@
 		if kind != "" && kind != k {
 			continue
 		}
-		for _, e := range f.state.sorted(k) {
-			if name == "" || name == e.object.Name {
-				out = append(out, e.object)
-			}
+		if name != "" {
+			out = f.state.appendObject(out, objectID{kind: k, name: name})
+			continue
+		}
+		for _, e := range f.state.list(k).entries {
+			out = append(out, e.object)
 		}
 	}
 	return out
 }
+
+func (s *state) appendObject(out []Object, id objectID) []Object {
+	if e, ok := s.objects[id]; ok {
+		return append(out, e.object)
+	}
+	return out
+}
