Claims: an answer that is no longer held is never taken for an empty one

Cause: the table bounds the answers that it holds; a dropped one kept the state 'answered' beside a flag, and the reducer, which does not read the flag, would have given a caller an empty text as the whole answer (found by reading, not by a run). The state itself now says it (StateAnswerNotKept), so that a reader who knows only 'answered' answers 'unknown'. TestMemoryIsBounded and TestAnOutcomeIsMadeToFit hold it.

--- a/claimer/batcher.go
+++ b/claimer/batcher.go
@@ -124,7 +124,7 @@
 func fit(r Outcome) Outcome {
 	if len(r.Answer) > MaxAnswerBytes {
 		r.Answer = ""
-		r.Code = CodeAnswerNotKept
+		r.State = StateAnswerNotKept
 	}
 	r.Code = r.Code[:min(len(r.Code), MaxCodeBytes)]
 	r.Message = strings.ToValidUTF8(r.Message[:min(len(r.Message), MaxMessageBytes)], "")
--- a/claimer/batcher_test.go
+++ b/claimer/batcher_test.go
@@ -86,7 +86,7 @@
 	require.NoError(t, err)
 	got := batch.Records[0].(Outcome)
 	require.Empty(t, got.Answer)
-	require.Equal(t, CodeAnswerNotKept, got.Code)
+	require.Equal(t, StateAnswerNotKept, got.State)
 }
 
 // The log refuses an append for its rate. Nothing of it was recorded, so its callers can still be told "not run",
--- a/claimer/expiry.go
+++ b/claimer/expiry.go
@@ -62,5 +62,6 @@
 	}
 	a.bytes -= len(h.ending.Answer)
 	h.ending.Answer = ""
-	h.ending.AnswerDropped = true
+	h.ending.State = StateAnswerNotKept
+	h.ending.AnswerInLog = true
 }
--- a/claimer/holding.go
+++ b/claimer/holding.go
@@ -46,8 +46,8 @@
 	Message string
 	// Offset is where in the log the outcome stands.
 	Offset int64
-	// AnswerDropped tells that the answer is no longer held and must be read from the log at Offset.
-	AnswerDropped bool
+	// AnswerInLog tells that the answer was let go of, with StateAnswerNotKept, and stands in the log at Offset.
+	AnswerInLog bool
 }
 
 // slot is a Key in the form in which it is held: a number for the account and the key's 16 bytes.
--- a/claimer/record.go
+++ b/claimer/record.go
@@ -36,6 +36,9 @@
 	StateAnswered State = iota + 1
 	// StateUnknown is for a request that may have run.
 	StateUnknown
+	// StateAnswerNotKept is for a request that was answered, but whose answer is not held here: a reader who took
+	// the empty text for the answer would hand its caller something other than the whole answer.
+	StateAnswerNotKept
 )
 
 // Outcome says how the request of the batch's incarnation's claim ended.
@@ -78,9 +81,6 @@
 	maxNameBytes    = 128
 )
 
-// CodeAnswerNotKept marks the outcome of a request that was answered, but whose answer was too long to be kept.
-const CodeAnswerNotKept = "answerNotKept"
-
 // RecordLimitError tells of a record that is too large to be kept.
 type RecordLimitError struct {
 	Field string
