Say notRun only where it is true of the key

A key past its horizon was told notRun as well. Ruled out: asking peers at every refusal (six calls for each under a surge). Change: while the claims stream is not current, peers are asked, and the word is unknown where one that may have served the key can't answer; Unproved claims and old keys are unknown; a void claim whose key another holds is answered as lost. Left: a stream that is current may still lag by some milliseconds.

--- a/receiver/failure.go
+++ b/receiver/failure.go
@@ -43,13 +43,13 @@
 		return http.StatusBadRequest
 	case reducer.CodeKeyReused:
 		return http.StatusConflict
-	case reducer.CodeKeyTooOld:
+	case reducer.CodeKeyTooOld, reducer.CodeAnswerNotKept:
 		return http.StatusGone
 	case reducer.CodeRateLimited, reducer.CodeConcurrency, reducer.CodeCostLimited:
 		return http.StatusTooManyRequests
 	case reducer.CodeDeadlinePassed:
 		return http.StatusGatewayTimeout
-	case reducer.CodeStageFailed, reducer.CodeOwnerLost, reducer.CodeQuarantined:
+	case reducer.CodeStageFailed, reducer.CodeOwnerLost, reducer.CodeMayHaveRun, reducer.CodeQuarantined:
 		return http.StatusBadGateway
 	default:
 		return http.StatusServiceUnavailable
--- a/reducer/ask.go
+++ b/reducer/ask.go
@@ -21,7 +21,12 @@
 	incarnation uint64
 	// outcomeOnly tells that the caller asked for the outcome, and not to run a request.
 	outcomeOnly bool
-	waiting     int
+	// refusal is what a refused request is told if no peer knows its key; nil for other questions.
+	refusal *Failure
+	digest  [32]byte
+	// lost tells that an entry which may have served the key can't be asked.
+	lost    bool
+	waiting int
 	// best is the best that is known so far; its state is StateNone while nothing is.
 	best Outcome
 	// notRunBy are the entries that gave a request under the key up before anything ran.
@@ -80,6 +85,9 @@
 }
 
 func outcomeOf(key claimer.Key, holding claimer.Holding) Outcome {
+	if holding.Outcome.State == claimer.StateAnswerNotKept {
+		return Outcome{State: StateUnknown, Digest: holding.Digest, Failure: answerNotKept(key)}
+	}
 	state := stateOfClaim(holding.Outcome.State)
 	return Outcome{
 		State:  state,
@@ -126,6 +134,16 @@
 	}
 }
 
+// answerNotKept is the truth about a key whose request was answered, when the answer was too large to keep.
+func answerNotKept(key claimer.Key) Failure {
+	return Failure{
+		Code:    CodeAnswerNotKept,
+		Message: "the request ran once and was answered; its answer is no longer kept",
+		State:   StateUnknown,
+		Key:     key.Key,
+	}
+}
+
 // askPeers asks all live peers.
 func (c *Core) askPeers(ask *pendingAsk, until, now time.Time) {
 	var addresses []string
@@ -148,7 +166,7 @@
 	id := c.nextPeerCall
 	c.asked[id] = ask
 	wait := int32(0)
-	if !ask.outcomeOnly {
+	if !ask.outcomeOnly && ask.refusal == nil {
 		wait = int32(until.Sub(now).Milliseconds())
 	}
 	for _, address := range addresses {
@@ -224,7 +242,7 @@
 		ask.notRunBy = append(ask.notRunBy, from)
 	}
 	final := outcome.State == StateAnswered || outcome.State == StateRunning
-	if outcome.State == StateNone || ask.outcomeOnly && !final {
+	if outcome.State == StateNone || (ask.outcomeOnly || ask.refusal != nil) && !final {
 		ask.waiting--
 		if ask.waiting > 0 {
 			return
@@ -234,6 +252,10 @@
 		return
 	}
 	delete(c.asked, message.CallID)
+	if ask.refusal != nil {
+		c.endDoubt(ask)
+		return
+	}
 	if ask.outcomeOnly {
 		c.emit(SendOutcome{ID: ask.id, Key: ask.key.Key, Outcome: outcome})
 		return
@@ -257,6 +279,10 @@
 // endAsk answers when no peer knows of an answer. A claim without an outcome means unknown, unless its entry
 // has said that nothing ran; its release may then still be on the way.
 func (c *Core) endAsk(ask *pendingAsk, now time.Time) {
+	if ask.refusal != nil {
+		c.endDoubt(ask)
+		return
+	}
 	if !ask.outcomeOnly {
 		c.emit(SendFailure{ID: ask.id, Failure: ownerLost(ask.key)})
 		return
--- a/reducer/claim.go
+++ b/reducer/claim.go
@@ -135,7 +135,7 @@
 	case claimer.Voided:
 		c.takeVoided(d.ClaimID, voidCode(d.Reason), now)
 	case claimer.Unproved:
-		c.takeVoided(d.ClaimID, CodeNotReady, now)
+		c.takeUnproved(d, now)
 	case claimer.ForeignOutcome:
 		c.takeForeignOutcome(d, now)
 	case claimer.ClosedOwner:
@@ -175,10 +175,15 @@
 		return
 	}
 	c.counters.ClaimsLost++
+	c.answerByHolder(r, d.Holder, now)
+}
+
+// answerByHolder answers the callers of a request that another claim serves.
+func (c *Core) answerByHolder(r *request, holder claimer.Holding, now time.Time) {
 	callers := append([]uint64{r.id}, r.joined...)
 	c.drop(r, now)
 	for _, id := range callers {
-		c.answerHeld(id, r.key, r.digest, d.Holder, r.deadline, now)
+		c.answerHeld(id, r.key, r.digest, holder, r.deadline, now)
 	}
 }
 
@@ -217,7 +222,8 @@
 func ageFailure(err error) *Failure {
 	var old *claimer.KeyTooOldError
 	if errors.As(err, &old) {
-		return &Failure{Code: CodeKeyTooOld, Message: old.Error(), State: StateNotRun}
+		// Whether it ran once is no longer known, so "not run" might be untrue. It did not run now.
+		return &Failure{Code: CodeKeyTooOld, Message: old.Error() + "; it was not run now", State: StateUnknown}
 	}
 	return &Failure{Code: CodeKeyFromFuture, Message: err.Error(), State: StateNotRun}
 }
@@ -228,7 +234,27 @@
 	if !waiting {
 		return
 	}
-	c.fail(r, code, "the claim does not hold; nothing ran", 0, now)
+	holding, known := c.table.Lookup(r.key)
+	if !known || !holding.Held {
+		c.fail(r, code, "the claim does not hold; nothing ran", 0, now)
+		return
+	}
+	c.answerByHolder(r, holding, now)
+}
+
+// takeUnproved ends a request whose claim is the first that this entry knows, although it may have missed
+// earlier ones. It is neither dispatched nor released, and an earlier claim may have run.
+func (c *Core) takeUnproved(d claimer.Unproved, now time.Time) {
+	r, waiting := c.claiming[d.ClaimID]
+	if !waiting {
+		return
+	}
+	callers := append([]uint64{r.id}, r.joined...)
+	c.drop(r, now)
+	for _, id := range callers {
+		c.counters.RequestsUnknown++
+		c.emit(SendFailure{ID: id, Failure: mayHaveRun(r.key, 0)})
+	}
 }
 
 func voidCode(reason claimer.VoidReason) Code {
--- /dev/null
+++ b/reducer/doubt.go
@@ -0,0 +1,79 @@
+package reducer
+
+import (
+	"time"
+
+	"geraniumline/claimer"
+	"geraniumline/detector"
+)
+
+// doubtWait bounds how long peers may take to say whether a key has run at them.
+const doubtWait = 300 * time.Millisecond
+
+// refuseKey answers callers whose request with side effects is refused or given up before its claim was won.
+//
+// "Not run" is a word on the key, not on this attempt: the caller may have sent the key to another entry
+// before, where it ran. While the claims stream is current the table would show that. While it is not, a
+// caller told notRun would send a new key and have its ticket twice; so the peers are asked, and where one
+// that may have served the key can't answer, the word is unknown.
+func (c *Core) refuseKey(ids []uint64, key claimer.Key, digest [32]byte, failure Failure, now time.Time) {
+	failure.Key = key.Key
+	for _, id := range ids {
+		if failure.State != StateNotRun || c.claimsCurrent(now) {
+			c.emit(SendFailure{ID: id, Failure: failure})
+			continue
+		}
+		c.askPeers(&pendingAsk{id: id, key: key, digest: digest, refusal: &failure, lost: c.lostSince(key)}, now.Add(doubtWait), now)
+	}
+}
+
+// claimsCurrent tells whether the table holds the claims of all other entries, but for the newest.
+func (c *Core) claimsCurrent(now time.Time) bool {
+	health := c.logs[StreamClaims]
+	return health.caughtUp && !health.failing && now.Sub(health.readAt) < claimsAge
+}
+
+// claimsAge is the longest time since the claims stream was last read to its end. A reading waits a second
+// for a record, so a healthy stream is never older than that by much.
+const claimsAge = 1500 * time.Millisecond
+
+// lostSince tells whether an entry that can't be asked any more was alive when the key may have been used.
+func (c *Core) lostSince(key claimer.Key) bool {
+	birth, err := claimer.Birth(key.Key)
+	if err != nil {
+		return false
+	}
+	for _, member := range c.detector.Members() {
+		if member.State == detector.Dead && member.LastHeard.After(birth.Add(-claimer.MaxSkew)) {
+			return true
+		}
+	}
+	return false
+}
+
+// endDoubt answers a refused request by what the peers have said.
+func (c *Core) endDoubt(ask *pendingAsk) {
+	best := ask.best
+	switch {
+	case best.State == StateAnswered && best.Digest != ask.digest:
+		c.refuse(ask.id, ask.key.Key, keyReused())
+	case best.State == StateAnswered:
+		c.sendOutcome(ask.id, ask.key, best)
+	case best.State == StateRunning || best.State == StateUnknown || ask.lost || ask.waiting > 0:
+		c.emit(SendFailure{ID: ask.id, Failure: mayHaveRun(ask.key, ask.refusal.RetryAfter)})
+	default:
+		c.counters.RequestsNotRun++
+		c.emit(SendFailure{ID: ask.id, Failure: *ask.refusal})
+	}
+}
+
+// mayHaveRun is the truth about a refused key that another entry may have served.
+func mayHaveRun(key claimer.Key, retryAfter time.Duration) Failure {
+	return Failure{
+		Code:       CodeMayHaveRun,
+		Message:    "this attempt did not run, but another entry may have served the key, and the log can't be read to tell",
+		State:      StateUnknown,
+		Key:        key.Key,
+		RetryAfter: retryAfter,
+	}
+}
--- /dev/null
+++ b/reducer/doubt_test.go
@@ -0,0 +1,48 @@
+package reducer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A caller sends a ticket to an entry, where it runs, and the same key to another, which is cut from the log (as a third is) and
+// so refuses it. Told notRun, it would file the ticket anew under another key, and two crews would come.
+// The second entry has not read the first's claim; it must ask its peers, and say unknown if one of them that
+// may have served the key is gone.
+func TestNotRunIsTrueOfTheKey(t *testing.T) {
+	for _, s := range []struct {
+		testName string
+		first    bool
+		kill     bool
+		want     State
+		code     Code
+	}{
+		{"nobody served it", false, false, StateNotRun, CodeLogUnavailable},
+		{"served by a live entry", true, false, StateAnswered, ""},
+		{"served by an entry that was lost", true, true, StateUnknown, CodeMayHaveRun},
+		{"an entry was lost that may have served it", false, true, StateUnknown, CodeMayHaveRun},
+	} {
+		t.Run(s.testName, func(t *testing.T) {
+			w := serving(t, 3)
+			key := keyAt(w.now, 1)
+			w.nodes[1].noLog, w.nodes[2].noLog = true, true
+			w.run(2 * time.Second)
+			if s.first {
+				state, _, _ := w.awaitEnd(w.send(0, ticket, key, "wall 7", deadline).id)
+				require.Equal(t, StateAnswered, state)
+			}
+			if s.kill {
+				w.kill(0)
+				w.run(time.Second)
+			}
+			sent := w.now
+			state, code, _ := w.awaitEnd(w.send(1, ticket, key, "wall 7", deadline).id)
+			require.Equal(t, s.want, state)
+			require.Equal(t, s.code, code)
+			require.LessOrEqual(t, w.now.Sub(sent), doubtWait+stepTime, "given up means answered at once")
+			w.check()
+		})
+	}
+}
--- a/reducer/failure.go
+++ b/reducer/failure.go
@@ -28,6 +28,8 @@
 	CodeNoEndpoint      Code = "noEndpoint"
 	CodeStageFailed     Code = "stageFailed"
 	CodeOwnerLost       Code = "ownerLost"
+	CodeMayHaveRun      Code = "mayHaveRun"
+	CodeAnswerNotKept   Code = "answerNotKept"
 	CodeQuarantined     Code = "crashesEndpoints"
 	CodeCallerGone      Code = "callerGone"
 )
--- a/reducer/request.go
+++ b/reducer/request.go
@@ -107,12 +107,21 @@
 	}
 	if failure := c.checkAdmission(e, contract, plan, now); failure != nil {
 		c.biller.Outcome(key.Account, urgencyOf(contract, e.Pipeline), biller.NotRun)
-		c.refuse(e.ID, e.Key, *failure)
+		c.refuseAdmission(e, key, plan, *failure, now)
 		return
 	}
 	c.admit(e, key, contract, plan, now)
 }
 
+// refuseAdmission answers a request that was not admitted.
+func (c *Core) refuseAdmission(e *RequestArrived, key claimer.Key, plan *plan, failure Failure, now time.Time) {
+	if plan.sideEffect && failure.Code != CodeUnsupportedKey {
+		c.refuseKey([]uint64{e.ID}, key, e.Digest, failure, now)
+		return
+	}
+	c.refuse(e.ID, e.Key, failure)
+}
+
 // authenticate finds the contract that the credentials prove.
 func (c *Core) authenticate(credentials Credentials) (*publisher.Contract, *Failure) {
 	if !c.ready() {
@@ -307,6 +316,10 @@
 // can have acted on any of the request's calls.
 func (c *Core) fail(r *request, code Code, message string, retryAfter time.Duration, now time.Time) {
 	failure := Failure{Code: code, Message: message, State: StateUnknown, Key: r.key.Key, RetryAfter: retryAfter}
+	if r.plan.sideEffect && !r.claimed {
+		c.failUnclaimed(r, failure, now)
+		return
+	}
 	result := biller.Unknown
 	if r.possible == 0 {
 		failure.State = StateNotRun
@@ -318,6 +331,20 @@
 	c.end(r, Outcome{State: failure.State, Request: r.name, Failure: failure, Ended: now, Digest: r.digest}, result, now)
 }
 
+// failUnclaimed ends a request whose claim was not won. This entry ran nothing for it and never will; its
+// callers are told what is true of the key.
+func (c *Core) failUnclaimed(r *request, failure Failure, now time.Time) {
+	failure.State = StateNotRun
+	callers := r.joined
+	if !r.callerGone {
+		callers = append(callers, r.id)
+	}
+	r.callerGone = true
+	r.joined = nil
+	c.end(r, Outcome{State: StateNotRun, Request: r.name, Failure: failure, Ended: now, Digest: r.digest}, biller.NotRun, now)
+	c.refuseKey(callers, r.key, r.digest, failure, now)
+}
+
 func (c *Core) end(r *request, outcome Outcome, result biller.Outcome, now time.Time) {
 	c.cancelCalls(r, now)
 	if r.phase == phaseQueued {
