--- a/admitter/wait.go
+++ b/admitter/wait.go
@@ -5,12 +5,13 @@
 	"time"
 )
 
-// waitWeight is the weight of a new observation.
-const waitWeight = 0.2
+// waitWeight is the weight of a new wait in the mean.
+const waitWeight = 0.02
 
 // pool is what is known of one pool's queue.
 type pool struct {
-	wait float64
+	// waited is the recent mean of the waits, in nanoseconds.
+	waited float64
 	// returnAt is when the callers that were refused so far will all have been served, should
 	// each come back at the time that it was told.
 	returnAt time.Time
@@ -28,8 +29,12 @@
 // wait is the expected time in the queue, in nanoseconds: the cost ahead over the capacity.
 func (ask *StageAsk) wait() float64 { return ask.waitFor(ask.Ahead) }
 
+// rounding is the cost that sums of announcements made and withdrawn may be off by. Taken for work ahead of
+// a pool without capacity, it would refuse everything for good.
+const rounding = 1e-6
+
 func (ask *StageAsk) waitFor(ahead float64) float64 {
-	if ahead <= 0 {
+	if ahead <= rounding {
 		return 0
 	}
 	if ask.Capacity <= 0 {
--- a/router/choose.go
+++ b/router/choose.go
@@ -12,7 +12,7 @@
 	homes = 2
 	// homeReuse is the reuse that is assumed at a home whose cache is not known to hold the prefix:
 	// enough that entries which know nothing send the same prefix to the same endpoint.
-	homeReuse = 0.25
+	homeReuse = 0.5
 )
 
 // Ask says what a stage call needs of an endpoint.
@@ -127,7 +127,7 @@
 			return candidate{endpoint: e}
 		}
 	}
-	if tried == nil && p.usableSlots == 0 {
+	if tried == nil && p.usableSlots == p.probeSlots {
 		return candidate{endpoint: onProbe}
 	}
 	return candidate{endpoint: tried}
