End connections that nobody acknowledges, and bound what a peer can tell

Cause: a cut link lets heartbeats pile up in the kernel for over a minute (64 KiB at 1.5 KB/s), no write fails, and the kernel's resends back off: a mended link could stay silent for as long as it was cut. Change: TCP_USER_TIMEOUT of 2 s on dialled connections (Linux). The option is held by a test; the cut itself is not, since loopback loses no packets without privileges. Also: at most 4,096 members, none without a name.

--- a/detector/evidence.go
+++ b/detector/evidence.go
@@ -9,6 +9,9 @@
 // gapPart is the part of SuspectAfter from which a standstill of the own loop is not counted as silence of others.
 const gapPart = 4
 
+// maxMembers bounds the memory that a peer's mistake can take. It is above the 2,400 entries that are designed for.
+const maxMembers = 4096
+
 // step notices a standstill of this entry's own loop.
 // A paused process reads nothing, so after the pause all peers look silent and it would give up all of them at once.
 // The standstill is added to the time that each was last heard, so a peer is judged only by silence that this
@@ -43,6 +46,9 @@
 		return out
 	}
 	r, known := d.members[w.Name]
+	if !known && !d.admits(w) {
+		return out
+	}
 	if !known || w.Incarnation != r.member.Incarnation {
 		// A newer process knows nobody yet, and an older one must hear that it was replaced.
 		d.newcomer = true
@@ -67,12 +73,17 @@
 		return out
 	}
 	age := time.Duration(w.AgeMillis) * time.Millisecond
-	if !known && age > d.cfg.DeadAfter {
+	if !known && (age > d.cfg.DeadAfter || !d.admits(w)) {
 		return out
 	}
 	return d.hear(w, now.Add(-age), now, out)
 }
 
+// admits tells whether a member that is unknown may be taken up.
+func (d *Detector) admits(w *carrier.Member) bool {
+	return w.Name != "" && len(d.order) < maxMembers
+}
+
 // hear takes a step of a member that is newer than the one known.
 func (d *Detector) hear(w *carrier.Member, heard, now time.Time, out []Transition) []Transition {
 	r, known := d.members[w.Name]
--- a/detector/membership_test.go
+++ b/detector/membership_test.go
@@ -1,11 +1,14 @@
 package detector
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"geraniumline/carrier"
 )
 
 // settled starts seven entries and lets them find each other.
@@ -215,6 +218,19 @@
 	require.False(t, member.Leaving, "a hint that is no longer repeated lapses")
 }
 
+// A peer with a fault tells of members without end, or without a name. Memory must stay bounded.
+func TestMembersAreBounded(t *testing.T) {
+	m := settled(t, 1)
+	d := m.nodes[0].d
+	for i := range 2 * maxMembers {
+		told := carrier.Member{Name: "ghost-" + strconv.Itoa(i), State: uint8(Live), Sequence: 1}
+		d.Receive(&carrier.Heartbeat{From: told, Members: []carrier.Member{{State: uint8(Live), Sequence: 1}, told}}, m.now)
+	}
+	require.Len(t, d.Members(), maxMembers+1)
+	_, known := d.Member("")
+	require.False(t, known)
+}
+
 // Any faults come in any order; then all are mended. No view may ever go back to an earlier process or step of a
 // member, and all views must agree a few seconds after the last fault.
 func TestViewsConvergeAfterAnyFaults(t *testing.T) {
--- a/detector/target.go
+++ b/detector/target.go
@@ -96,8 +96,9 @@
 			due = append(due, probe{address: r.member.PeerAddress, probedAt: &r.probedAt})
 		}
 	}
+	known := d.knownAddresses()
 	for address, h := range d.hints {
-		if now.Sub(h.probedAt) >= d.cfg.ProbeEvery && !d.knows(address) {
+		if now.Sub(h.probedAt) >= d.cfg.ProbeEvery && !known[address] {
 			due = append(due, probe{address: address, probedAt: &h.probedAt})
 		}
 	}
@@ -113,11 +114,13 @@
 	return due[:d.cfg.Fanout]
 }
 
-// knows tells whether a member that is not dead or stopped has the peer address, or this entry itself.
-func (d *Detector) knows(address string) bool {
-	return address == d.self.PeerAddress || slices.ContainsFunc(d.order, func(r *record) bool {
-		return r.member.PeerAddress == address && r.member.State != Dead && r.member.State != Stopped
-	})
+// knownAddresses gives the peer addresses of this entry and of the members that heartbeats are sent to.
+func (d *Detector) knownAddresses() map[string]bool {
+	out := map[string]bool{d.self.PeerAddress: true}
+	for _, r := range d.reachable() {
+		out[r.member.PeerAddress] = true
+	}
+	return out
 }
 
 func (d *Detector) markLeaving(peerAddress string, leaving bool) {
--- a/messenger/config.go
+++ b/messenger/config.go
@@ -24,6 +24,7 @@
 	defaultDialTimeout      = time.Second
 	defaultHandshakeTimeout = 2 * time.Second
 	defaultWriteTimeout     = 5 * time.Second
+	defaultSilenceTimeout   = 2 * time.Second
 	defaultIdleTimeout      = time.Minute
 	defaultBackoffMin       = 50 * time.Millisecond
 	defaultBackoffMax       = time.Second
@@ -58,6 +59,8 @@
 	DialTimeout      time.Duration
 	HandshakeTimeout time.Duration
 	WriteTimeout     time.Duration
+	// SilenceTimeout ends a connection whose bytes the peer's kernel doesn't acknowledge.
+	SilenceTimeout time.Duration
 	// IdleTimeout ends a connection on which nothing arrives, and a sender that nothing is given to.
 	IdleTimeout time.Duration
 	BackoffMin  time.Duration
@@ -88,6 +91,7 @@
 	setDefault(&c.DialTimeout, defaultDialTimeout)
 	setDefault(&c.HandshakeTimeout, defaultHandshakeTimeout)
 	setDefault(&c.WriteTimeout, defaultWriteTimeout)
+	setDefault(&c.SilenceTimeout, defaultSilenceTimeout)
 	setDefault(&c.IdleTimeout, defaultIdleTimeout)
 	setDefault(&c.BackoffMin, defaultBackoffMin)
 	setDefault(&c.BackoffMax, defaultBackoffMax)
--- a/messenger/sender.go
+++ b/messenger/sender.go
@@ -116,7 +116,7 @@
 }
 
 func (s *sender) tryConnect(ctx context.Context) (string, error) {
-	dialer := net.Dialer{Timeout: s.m.cfg.DialTimeout}
+	dialer := net.Dialer{Timeout: s.m.cfg.DialTimeout, Control: limitSilence(s.m.cfg.SilenceTimeout)}
 	conn, err := dialer.DialContext(ctx, "tcp", s.address)
 	if err != nil {
 		return "", err
--- /dev/null
+++ b/messenger/socket_linux_test.go
@@ -0,0 +1,28 @@
+package messenger
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A cut that loses packets can't be made on loopback without privileges; this holds that the kernel was told.
+func TestDialedConnectionsLimitSilence(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	dialer := net.Dialer{Control: limitSilence(3 * time.Second)}
+	conn, err := dialer.DialContext(t.Context(), "tcp", ln.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		millis, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
+		require.NoError(t, err)
+		require.Equal(t, 3000, millis)
+	}))
+}
