--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -145,6 +145,7 @@
 		ClaimWindow:    s.ClaimWindowMillis.Duration(),
 		AppendTimeout:  appendTimeout,
 		KeyHorizon:     s.KeyHorizonMillis.Duration(),
+		SnapshotEvery:  s.SnapshotMillis.Duration(),
 		MaxDeadline:    maxDeadline,
 		StageTimeout:   stageTimeout,
 	}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -86,6 +86,9 @@
 	ClaimWindowMillis Millis `json:"claimWindowMillis" min:"1" max:"10000"`
 	// How long an idempotency key is remembered. It must be shorter than the log's retention.
 	KeyHorizonMillis Millis `json:"keyHorizonMillis" min:"1000" max:"604800000"`
+	// Longest time between two snapshots of the configuration in the log. It must be at most a third of the
+	// log's retention, so that a whole snapshot is there before its predecessor expires.
+	SnapshotMillis Millis `json:"snapshotMillis" min:"100" max:"86400000"`
 	// Time between two readings of the platform's list of VMs.
 	VMListMillis Millis `json:"vmListMillis" min:"50" max:"600000"`
 	// Time between two readings of an endpoint's load.
@@ -150,6 +153,7 @@
 		AddressTTLMillis:  5000,
 		ClaimWindowMillis: 40,
 		KeyHorizonMillis:  3_600_000,
+		SnapshotMillis:    600_000,
 		VMListMillis:      1000,
 		LoadReportMillis:  250,
 		DrainMillis:       60_000,
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -43,6 +43,8 @@
 	AppendTimeout  time.Duration
 	// KeyHorizon is the greatest age of a key with side effects; the log keeps records for longer.
 	KeyHorizon time.Duration
+	// SnapshotEvery is the longest time between snapshots of the configuration.
+	SnapshotEvery time.Duration
 	// MaxDeadline is the longest deadline that a caller may ask for.
 	MaxDeadline time.Duration
 	// StageTimeout bounds the wait for an endpoint's next part.
@@ -105,7 +107,6 @@
 
 	heartbeatAt time.Time
 	billsAt     time.Time
-	heartbeats  uint64
 	lastTick    time.Time
 	stopped     bool
 	liveEntries int
@@ -129,7 +130,7 @@
 	c := &Core{
 		cfg:       cfg,
 		rand:      random,
-		fold:      publisher.New(publisher.Config{Entry: cfg.Entry}),
+		fold:      publisher.New(publisher.Config{Entry: cfg.Entry, SnapshotEvery: cfg.SnapshotEvery}),
 		table:     claimer.New(claimer.Config{Entry: cfg.Entry, Incarnation: cfg.Incarnation, Horizon: cfg.KeyHorizon}),
 		batcher:   claimer.NewBatcher(claimer.BatcherConfig{Entry: cfg.Entry, Incarnation: cfg.Incarnation, Window: cfg.ClaimWindow, AppendTimeout: cfg.AppendTimeout}),
 		addresser: addresser.New(addresser.Config{SubsetSize: subsetSize, Spares: subsetSpares, TTL: cfg.AddressTTL}),
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -150,15 +150,10 @@
 // beat sends a heartbeat to the peers that the detector names.
 func (c *Core) beat(now time.Time) {
 	c.detector.SetSelf(c.memberState(), c.fold.Offset(), int32(len(c.requests)))
-	c.heartbeats++
-	message := &carrier.Heartbeat{
-		From:      c.detector.Self(),
-		Sequence:  c.heartbeats,
-		Members:   c.detector.Digest(now),
-		Endpoints: c.router.Loads(now),
-		Accounts:  c.limiter.Uses(now),
-		Crashes:   c.quarantiner.Marks(now),
-	}
+	message := c.detector.Heartbeat(now)
+	message.Endpoints = c.router.Loads(now)
+	message.Accounts = c.limiter.Uses(now)
+	message.Crashes = c.quarantiner.Marks(now)
 	for _, address := range c.detector.Targets(now) {
 		c.counters.HeartbeatsSent++
 		c.emit(SendPeer{Address: address, Message: message})
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -106,6 +106,12 @@
 	if !c.ready() {
 		alarms = append(alarms, "this entry has no configuration")
 	}
+	if c.table.Lapsed() {
+		alarms = append(alarms, "the log cut claims before this entry read them: it serves no side effects until its process is replaced")
+	}
+	if !c.fold.Complete() {
+		alarms = append(alarms, "the log cut configuration that no snapshot covers: newer changes wait for a snapshot")
+	}
 	if !c.claimsReady(now) {
 		alarms = append(alarms, "requests with side effects are refused: the claims stream is not readable")
 	}
--- a/surveyor/measurements.go
+++ b/surveyor/measurements.go
@@ -68,7 +68,7 @@
 			return heap(func() any { return detectorOf(n) })
 		}},
 		{HeartbeatBytes, "bytes", "entry in a heartbeat", members, func(n int) float64 {
-			return wireSize(detectorOf(n).Heartbeat(epoch))
+			return wireSize(steadyHeartbeat(n))
 		}},
 		{HeartbeatMicros, "microseconds", "entry in a heartbeat taken", members, heartbeatMicros},
 		{AccountUseBytes, "bytes", "account in a heartbeat", accounts, func(n int) float64 {
@@ -191,10 +191,22 @@
 	return d
 }
 
+// introducing is how many heartbeats name new members in full, after which they have a short form.
+const introducing = 8
+
+// steadyHeartbeat is the heartbeat of an entry that its peers know already.
+func steadyHeartbeat(members int) *carrier.Heartbeat {
+	d := detectorOf(members)
+	for range introducing {
+		d.Heartbeat(epoch)
+	}
+	return d.Heartbeat(epoch)
+}
+
 func heartbeatMicros(n int) float64 {
 	const beats = 500
 	d := detectorOf(n)
-	heartbeat := detectorOf(n).Heartbeat(epoch)
+	heartbeat := steadyHeartbeat(n)
 	heartbeat.From = member(1)
 	return micros(func() {
 		for i := range beats {
