Let a planned stop end once no peer can still give the address out

The drainer adds drainMillis to the address answers' time to live; its setting said something else and defaulted to 60 s. Change: the setting says what it does, defaults to 1.5 s and must be at least suspectMillis, so that the socket never closes while a peer may hand it out. The stop command prints changes, and the clock every 5 s. Also: states are coloured by the names that the detector gives.

--- a/launcher/stop.go
+++ b/launcher/stop.go
@@ -11,8 +11,12 @@
 	"geraniumline/operatorserver"
 )
 
-// stopInterval is the time between two questions for a stop's progress.
-const stopInterval = 500 * time.Millisecond
+// stopInterval is the time between two questions for a stop's progress; while nothing but the clock
+// changes, a line is printed every showInterval.
+const (
+	stopInterval = 500 * time.Millisecond
+	showInterval = 5 * time.Second
+)
 
 // StopLostError tells that an entry went away before its planned stop was done.
 type StopLostError struct {
@@ -76,6 +80,8 @@
 	app  *app
 	json bool
 	last operatorserver.StopProgress
+	// shown is when a line was last printed.
+	shown time.Time
 }
 
 func (w *stopWatch) follow(ctx context.Context, c *connection) error {
@@ -89,8 +95,9 @@
 		if err != nil {
 			return w.ended(ctx, c.addresses[0], err)
 		}
-		if *progress != w.last {
-			w.last = *progress
+		changed := progress.Phase != w.last.Phase || progress.InFlight != w.last.InFlight
+		w.last = *progress
+		if changed || w.app.cfg.Now().Sub(w.shown) >= showInterval {
 			w.show()
 		}
 	}
@@ -114,6 +121,7 @@
 }
 
 func (w *stopWatch) show() {
+	w.shown = w.app.cfg.Now()
 	if w.json {
 		_ = w.app.printJSON(w.last)
 		return
--- a/launcher/trace.go
+++ b/launcher/trace.go
@@ -15,7 +15,7 @@
 		Name:      "trace",
 		Usage:     "show a request's hops",
 		ArgsUsage: "ID",
-		Description: `ID is a request's idempotency key, its request id or its trace id. An entry keeps only its own part of recent
+		Description: `ID is a request's idempotency key or its trace id. An entry keeps only its own part of recent
 traces; every address given is asked until one has it.
 
 Example:
--- a/loader/check.go
+++ b/loader/check.go
@@ -132,6 +132,7 @@
 		{"peerAddress", s.PeerAddress},
 	}, "callers, operators and peers need separate addresses")
 	d.checkOrder(s)
+	d.checkDrain(s)
 	d.checkCertificate("tls.caller", s.TLS.Caller)
 	d.checkCertificate("tls.operator", s.TLS.Operator)
 	if s.SharedKey != "" && s.SharedKeyFile != "" {
@@ -161,6 +162,15 @@
 	}
 }
 
+// checkDrain holds a planned stop to serving until no peer can still be giving the address out. With less,
+// a caller that was sent here would find the socket closed.
+func (d *decoder) checkDrain(s *Settings) {
+	if s.DrainMillis < s.SuspectMillis {
+		d.faultAt(d.given("drainMillis", "suspectMillis"),
+			"drainMillis (%d) must be at least suspectMillis (%d)", s.DrainMillis, s.SuspectMillis)
+	}
+}
+
 // given returns the path that the file gives, the first where it gives both.
 func (d *decoder) given(path, other string) string {
 	if _, ok := d.positions[path]; ok {
--- a/loader/load_test.go
+++ b/loader/load_test.go
@@ -55,6 +55,7 @@
 		{"two keys", `"region"`, `"sharedKeyFile": "key", "region"`},
 		{"operators of one name", `"operators": [`, `"operators": [{"name": "asha", "credentialSha256": "12"}, {"nam": "x"}, `},
 		{"silence shorter than heartbeats", `"region"`, `"heartbeatMillis": 800, "deadMillis": 900, "region"`},
+		{"stop shorter than peers may go on", `"region"`, `"drainMillis": 999, "region"`},
 		{"certificate without its key", `"region"`, `"tls": {"caller": {"certFile": "c.pem"}}, "region"`},
 		{"name that breaks a terminal", `"region"`, `"\u001b[31m` + strings.Repeat("x", 99) + `": 1, "region"`},
 	}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -90,8 +90,8 @@
 	VMListMillis Millis `json:"vmListMillis" min:"50" max:"600000"`
 	// Time between two readings of an endpoint's load.
 	LoadReportMillis Millis `json:"loadReportMillis" min:"10" max:"600000"`
-	// Time that a planned stop may take once no address answer is valid any more; then a request that
-	// still runs is reported, and the stop goes on waiting.
+	// How much longer than addressTtlMillis a planned stop goes on serving. Peers give this entry's address
+	// out until they hear of the stop: up to suspectMillis, where its own word does not reach them.
 	DrainMillis Millis `json:"drainMillis" min:"100" max:"86400000"`
 
 	// Largest body of a caller's or an operator's request.
@@ -152,7 +152,7 @@
 		KeyHorizonMillis:  3_600_000,
 		VMListMillis:      1000,
 		LoadReportMillis:  250,
-		DrainMillis:       60_000,
+		DrainMillis:       1500,
 		MaxBodyBytes:      1 << 20,
 		MaxConnections:    4096,
 		Traces:            Traces{QueueSize: 4096, Kept: 256},
--- a/presenter/presenter_test.go
+++ b/presenter/presenter_test.go
@@ -23,7 +23,7 @@
 		ConfigOffset: 412, ClaimsOffset: 90210,
 		Alarms: []string{"the log has not answered for 4.2 s", `peer "<script>alert(1)</script>" refused`},
 	}
-	states := []string{"alive", "alive", "suspect", "alive", "alive", "dead", "draining"}
+	states := []string{"live", "live", "suspect", "live", "live", "dead", "stopping"}
 	for i, state := range states {
 		status.Entries = append(status.Entries, operatorserver.EntryStatus{
 			Name: fmt.Sprintf("entry-%d", i+1), Zone: fmt.Sprintf("zone-%c", 'a'+i%3), State: state,
--- a/presenter/status.go
+++ b/presenter/status.go
@@ -105,9 +105,9 @@
 // stateCell colours the state of an entry or an endpoint.
 func stateCell(state string) cell {
 	switch state {
-	case "alive", "live", "serving":
+	case "live", "serving":
 		return cell{state, Green}
-	case "dead", "gone", "ejected":
+	case "dead", "stopped", "gone", "ejected":
 		return cell{state, Red}
 	}
 	return cell{state, Yellow}
