Bound the bodies in memory together

Cause: each body was bounded, their sum was not: 4,096 connections of 1 MiB each could fill the memory before a credential is looked at, which happens after the body is read. Change: a quota over the bodies of a socket's unanswered requests, half of it for one address at most, the same that bounds connections. Refused bodies get 503 notRun (declared length) or end the read (chunked).

--- a/guarder/guard.go
+++ b/guarder/guard.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -20,6 +21,8 @@
 	wrong     metrics.Counter
 	throttled metrics.Counter
 	tooLarge  metrics.Counter
+	refused   metrics.Counter
+	bodies    *quota
 }
 
 func newGuard(cfg Config) *guard {
@@ -30,6 +33,8 @@
 		wrong:     cfg.Meter.Counter(meter.CredentialsWrong, cfg.Socket),
 		throttled: cfg.Meter.Counter(meter.CredentialsThrottled, cfg.Socket),
 		tooLarge:  cfg.Meter.Counter(meter.BodiesTooLarge, cfg.Socket),
+		refused:   cfg.Meter.Counter(meter.BodiesRefused, cfg.Socket),
+		bodies:    newQuota(cfg.MaxBodiesBytes),
 	}
 }
 
@@ -43,36 +48,74 @@
 		refuse(w, http.StatusRequestEntityTooLarge, bodyTooLarge)
 		return
 	}
-	g.boundBody(writer, r)
-	g.next.ServeHTTP(writer, r)
+	g.serve(writer, r)
+}
+
+// serve hands the request on once there is room for its body.
+//
+// The bound on each body does not bound their sum: thousands of connections, each within it, could fill
+// the memory before a credential is looked at. A body of declared length takes its room before it is
+// read, a chunked one as it is read; the room is given back when the handler returns.
+func (g *guard) serve(w *writer, r *http.Request) {
+	address := parseAddress(r.RemoteAddr)
+	declared := max(r.ContentLength, 0)
+	if !g.bodies.take(address, declared) {
+		g.refused.Inc(1)
+		w.Header().Set("Retry-After", bodyRetrySeconds)
+		refuse(w.ResponseWriter, http.StatusServiceUnavailable, tooManyBodies)
+		return
+	}
+	bounded := g.boundBody(w, r)
+	defer func() { g.bodies.give(address, declared+bounded.taken) }()
+	g.next.ServeHTTP(w, r)
 }
 
 // boundBody bounds the body's length, and the time until its end.
 //
 // http.Server's ReadTimeout would do the second too, but it goes on running while the answer is
 // streamed, and then cancels the request in the middle of its answer. This deadline ends with the body.
-func (g *guard) boundBody(w *writer, r *http.Request) {
+func (g *guard) boundBody(w *writer, r *http.Request) *body {
+	bounded := &body{guard: g, control: w.control}
 	if r.Body == nil || r.Body == http.NoBody {
-		return
+		return bounded
 	}
 	// An error means that the connection has gone; the reading will say so.
 	_ = w.control.SetReadDeadline(time.Now().Add(g.cfg.BodyTimeout))
-	r.Body = &body{
-		ReadCloser: http.MaxBytesReader(w.ResponseWriter, r.Body, g.cfg.MaxBodyBytes),
-		guard:      g,
-		control:    w.control,
-	}
+	bounded.ReadCloser = http.MaxBytesReader(w.ResponseWriter, r.Body, g.cfg.MaxBodyBytes)
+	bounded.header = w.Header()
+	bounded.address = parseAddress(r.RemoteAddr)
+	bounded.chunked = r.ContentLength < 0
+	r.Body = bounded
+	return bounded
 }
 
-// body lifts the read deadline when the last byte has been read.
+// body lifts the read deadline when the last byte has been read, and takes room for a chunked body.
 type body struct {
 	io.ReadCloser
 	guard   *guard
 	control *http.ResponseController
+	header  http.Header
+	address netip.Addr
+	chunked bool
+	taken   int64
 }
 
+// NoRoomError tells that the bodies in memory leave no room for more of this one.
+type NoRoomError struct{}
+
+func (e *NoRoomError) Error() string { return "too many request bodies are in memory" }
+
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if b.chunked && n > 0 {
+		if !b.guard.bodies.take(b.address, int64(n)) {
+			b.guard.refused.Inc(1)
+			// Otherwise net/http would read the rest of the body before it sends the refusal.
+			b.header.Set("Connection", "close")
+			return 0, &NoRoomError{}
+		}
+		b.taken += int64(n)
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, io.EOF):
@@ -95,8 +138,9 @@
 // The whole answers that the guard gives itself, in the form that callers and operators get from the
 // handlers behind it.
 const (
-	bodyTooLarge = `{"code":"bodyTooLarge","message":"the request's body is too large","outcome":"notRun"}` + "\n"
-	tooManyWrong = `{"code":"tooManyWrongCredentials","message":"too many wrong credentials from this address","outcome":"notRun"}` + "\n"
+	bodyTooLarge  = `{"code":"bodyTooLarge","message":"the request's body is too large","outcome":"notRun"}` + "\n"
+	tooManyWrong  = `{"code":"tooManyWrongCredentials","message":"too many wrong credentials from this address","outcome":"notRun"}` + "\n"
+	tooManyBodies = `{"code":"tooManyBodies","message":"too many request bodies are being read","outcome":"notRun"}` + "\n"
 )
 
 // refuse answers and closes the connection.
@@ -112,6 +156,9 @@
 // retryAfterSeconds is when a throttled address has some of its allowance back.
 const retryAfterSeconds = "60"
 
+// bodyRetrySeconds is when some of the bodies in memory will have gone.
+const bodyRetrySeconds = "1"
+
 // Unwrap lets http.ResponseController reach net/http.
 func (w *writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
--- a/guarder/listener.go
+++ b/guarder/listener.go
@@ -74,25 +74,18 @@
 	return &boundedListener{
 		TCPListener: listener,
 
-		max:        cfg.MaxConnections,
-		perAddress: max(cfg.MaxConnections/2, 1),
-		open:       cfg.Meter.Gauge(meter.ConnectionsOpen, cfg.Socket),
-		refused:    cfg.Meter.Counter(meter.ConnectionsRefused, cfg.Socket),
-		addresses:  make(map[netip.Addr]int),
+		quota:   newQuota(int64(cfg.MaxConnections)),
+		open:    cfg.Meter.Gauge(meter.ConnectionsOpen, cfg.Socket),
+		refused: cfg.Meter.Counter(meter.ConnectionsRefused, cfg.Socket),
 	}, nil
 }
 
 // boundedListener counts the connections that it has given out.
 type boundedListener struct {
 	*net.TCPListener
-	max        int
-	perAddress int
-	open       metrics.Gauge
-	refused    metrics.Counter
-
-	mu        sync.Mutex
-	total     int
-	addresses map[netip.Addr]int
+	quota   *quota
+	open    metrics.Gauge
+	refused metrics.Counter
 }
 
 // Accept waits for the next connection within the bounds.
@@ -112,26 +105,16 @@
 }
 
 func (l *boundedListener) take(address netip.Addr) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.total >= l.max || l.addresses[address] >= l.perAddress {
+	if !l.quota.take(address, 1) {
 		return false
 	}
-	l.total++
-	l.addresses[address]++
-	l.open.Update(int64(l.total))
+	l.open.Update(l.quota.taken())
 	return true
 }
 
 func (l *boundedListener) release(address netip.Addr) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.total--
-	l.addresses[address]--
-	if l.addresses[address] == 0 {
-		delete(l.addresses, address)
-	}
-	l.open.Update(int64(l.total))
+	l.quota.give(address, 1)
+	l.open.Update(l.quota.taken())
 }
 
 // countedConn gives its place back when it is closed.
--- a/guarder/server.go
+++ b/guarder/server.go
@@ -22,6 +22,8 @@
 	DefaultWriteTimeout  = 20 * time.Second
 	DefaultIdleTimeout   = 60 * time.Second
 	DefaultMaxBodyBytes  = 1 << 20
+	// DefaultMaxBodiesBytes holds 64 bodies of the default bound, or thousands of ordinary ones.
+	DefaultMaxBodiesBytes = 64 << 20
 )
 
 // maxHeaderBytes bounds a request's line and headers; net/http adds 4 KB of its own.
@@ -39,6 +41,9 @@
 	Handler http.Handler
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
+	// MaxBodiesBytes bounds the sum of the bodies whose requests are not yet answered. It is raised to
+	// four times MaxBodyBytes where it is less, so that one body always fits.
+	MaxBodiesBytes int64
 	// Verifier counts wrong credentials by address. Sockets may share one.
 	Verifier *verifier.Verifier
 	// Log gets a line when the certificate changes.
@@ -62,6 +67,7 @@
 	c.WriteTimeout = orDefault(c.WriteTimeout, DefaultWriteTimeout)
 	c.IdleTimeout = orDefault(c.IdleTimeout, DefaultIdleTimeout)
 	c.MaxBodyBytes = orDefault(c.MaxBodyBytes, DefaultMaxBodyBytes)
+	c.MaxBodiesBytes = max(orDefault(c.MaxBodiesBytes, DefaultMaxBodiesBytes), 4*c.MaxBodyBytes)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -107,6 +107,7 @@
 	CredentialsWrong     Name = "credentials_wrong"
 	CredentialsThrottled Name = "credentials_throttled"
 	BodiesTooLarge       Name = "bodies_too_large"
+	BodiesRefused        Name = "bodies_refused"
 )
 
 // The process itself.
@@ -194,6 +195,7 @@
 	{CredentialsWrong, KindCounter, "requests", bySocket, "A request with a wrong credential.", ""},
 	{CredentialsThrottled, KindCounter, "requests", bySocket, "A request with a wrong credential from an address that had sent too many; its connection was closed.", ""},
 	{BodiesTooLarge, KindCounter, "requests", bySocket, "A request whose body was over the limit.", ""},
+	{BodiesRefused, KindCounter, "requests", bySocket, "A request refused because the bodies in memory left no room for its own.", ""},
 
 	{EventsReduced, KindCounter, "events", "", "An event given to the reducer.", ""},
 	{ReduceMicros, KindHistogram, "microseconds", "", "Time to reduce one event.", ""},
