--- a/loader/objects_test.go
+++ b/loader/objects_test.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"encoding/json"
 	"errors"
 	"testing"
 
@@ -46,3 +47,22 @@
 3:20: [1].nam: unknown field
 4:3: [2]: want an object in braces, got a number of another kind`, err.Error())
 }
+
+func FuzzParseObjects(f *testing.F) {
+	f.Add([]byte(twoObjects))
+	f.Add([]byte(`{"kind": "pool", "name": "x", "baseVersion": -1, "body": null}`))
+	f.Add([]byte(`[{"kind": "pool", "body": {"a": {"a": {}}}, "body": 1}, []]`))
+	f.Fuzz(func(t *testing.T, src []byte) {
+		objects, err := ParseObjects(src)
+		if err != nil {
+			var faults *FaultsError
+			require.True(t, errors.As(err, &faults))
+			require.NotEmpty(t, faults.Faults)
+			return
+		}
+		for _, o := range objects {
+			require.True(t, json.Valid(o.Body))
+			require.Positive(t, o.Fault("a.b[3].c", "x").Line)
+		}
+	})
+}
--- a/tracer/tracer_test.go
+++ b/tracer/tracer_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -149,6 +152,30 @@
 	require.Positive(t, exported)
 }
 
+func TestSpansAreSentByOTLP(t *testing.T) {
+	bodies := make(chan string, 1)
+	collector := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err == nil && r.URL.Path == "/v1/traces" {
+			bodies <- string(body)
+		}
+		w.Header().Set("Content-Type", "application/x-protobuf")
+	}))
+	defer collector.Close()
+	exported := 0
+	tr := newTracer(t, Config{
+		Entry: "entry-1", Zone: "zone-a", OTLPURL: collector.URL + "/v1/traces", QueueSize: 8,
+		Exported: func(n int) { exported += n },
+	})
+	tr.Start("", "request", "r-1", start).End(start)
+	require.NoError(t, tr.Close(context.Background()))
+	require.Equal(t, 1, exported)
+	body := <-bodies
+	for _, text := range []string{"entry-1", "zone-a", "request", "r-1"} {
+		require.Contains(t, body, text)
+	}
+}
+
 func BenchmarkRequestOfFiveSpans(b *testing.B) {
 	tr, err := New(Config{Kept: 256})
 	require.NoError(b, err)
