--- a/claimer/batcher.go
+++ b/claimer/batcher.go
@@ -1,6 +1,9 @@
 package claimer
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // BatcherConfig says how records are grouped into appends.
 type BatcherConfig struct {
@@ -92,6 +95,14 @@
 	retryAt  time.Time
 	// latency is the smoothed time of an append.
 	latency time.Duration
+	// doubted is the last batch whose append's fate was uncertain.
+	doubted doubt
+}
+
+// doubt is a batch whose append got no reply.
+type doubt struct {
+	batchID uint64
+	since   time.Time
 }
 
 // flight is a batch that was handed to an append and is not settled.
@@ -99,6 +110,8 @@
 	records   []ClaimRecord
 	since     time.Time
 	uncertain bool
+	// landed tells that the batch was read back before its append's end was known.
+	landed bool
 	// againAt is when an uncertain batch's records, but for its claims, are appended again.
 	againAt time.Time
 }
@@ -108,11 +121,26 @@
 	return &Batcher{cfg: cfg.withDefaults(), flights: make(map[uint64]*flight)}
 }
 
-// Add puts a record in line.
+// Add puts a record in line. An outcome's texts are cut to what the log takes: one record that is refused for its
+// size would be refused again and again, and with it all others of its batch, claims included.
 func (b *Batcher) Add(record ClaimRecord) {
+	if r, ok := record.(Outcome); ok {
+		record = fit(r)
+	}
 	b.waiting = append(b.waiting, record)
 }
 
+// fit leaves out an answer that is too long, as a whole: a caller must not take a part for the answer.
+func fit(r Outcome) Outcome {
+	if len(r.Answer) > MaxAnswerBytes {
+		r.Answer = ""
+		r.State = StateAnswerNotKept
+	}
+	r.Code = r.Code[:min(len(r.Code), MaxCodeBytes)]
+	r.Message = strings.ToValidUTF8(r.Message[:min(len(r.Message), MaxMessageBytes)], "")
+	return r
+}
+
 // Withdraw takes a claim back. It tells whether the claim was surely never appended and never will be, so that
 // "not run" is safe without a look at the log. A false leaves it to the owner never to dispatch the claim.
 func (b *Batcher) Withdraw(claimID uint64) bool {
@@ -204,7 +232,12 @@
 		delete(b.flights, batchID)
 		b.waiting = append(f.records, b.waiting...)
 	case AppendUncertain:
+		if f.landed {
+			delete(b.flights, batchID)
+			return
+		}
 		b.fail(now, 0)
+		b.doubted = doubt{batchID: batchID, since: f.since}
 		f.uncertain = true
 		f.records = withoutClaims(f.records)
 		f.againAt = b.retryAt
@@ -215,8 +248,16 @@
 }
 
 // Landed takes the word of the table that a batch was read back, whatever its append's reply was.
-func (b *Batcher) Landed(batchID uint64) {
-	if f, ok := b.flights[batchID]; ok && f.uncertain {
-		delete(b.flights, batchID)
+// A batch that was read back soon proves that the log takes appends and only its replies are lost. Without this a
+// lost reply would count as a failing log, and requests would be refused that could well be claimed.
+func (b *Batcher) Landed(batchID uint64, now time.Time) {
+	if f, ok := b.flights[batchID]; ok {
+		f.landed = true
+		if f.uncertain {
+			delete(b.flights, batchID)
+		}
+	}
+	if batchID == b.doubted.batchID && now.Sub(b.doubted.since) < b.cfg.AppendTimeout {
+		b.failures = 0
 	}
 }
--- a/publisher/check.go
+++ b/publisher/check.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"regexp"
+	"slices"
 )
 
 // Limits on configuration objects.
@@ -87,7 +89,7 @@
 	for i, raw := range stages {
 		path := fmt.Sprintf("stages[%d]", i)
 		stage := parseStage(path, raw, faults)
-		if seen[stage.Name] {
+		if stage.Name != "" && seen[stage.Name] {
 			r.fault(path+".name", "is used by an earlier stage")
 		}
 		seen[stage.Name] = true
@@ -146,7 +148,7 @@
 		allowed[name] = true
 	}
 	r.read("pipelineUrgency", "an object of urgencies by pipeline", false, &c.PipelineUrgency)
-	for _, name := range sortedNames(c.PipelineUrgency) {
+	for _, name := range slices.Sorted(maps.Keys(c.PipelineUrgency)) {
 		field := "pipelineUrgency." + name
 		if !allowed[name] {
 			r.fault(field, "is not one of the contract's pipelines")
