Read endpoints' cache events, and the load of endpoints that the list lacks

Cause: cache events were not read, and an endpoint that the lagging list lacked was no longer asked for its load, so that nothing could speak for it.

--- a/performer/readers.go
+++ b/performer/readers.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"net/http"
-	"sync"
 	"time"
 
 	"geraniumline/appender"
 	"geraniumline/carrier"
 	"geraniumline/claimer"
-	"geraniumline/endpointserver"
 	"geraniumline/meter"
 	"geraniumline/platformserver"
 	"geraniumline/reducer"
@@ -23,10 +19,6 @@
 	entryPool = "entry"
 	// platformTimeout bounds one reading of the list of VMs.
 	platformTimeout = 2 * time.Second
-	// loadTimeout bounds one reading of an endpoint's load.
-	loadTimeout = time.Second
-	// loadReaders is how many endpoints are asked at a time.
-	loadReaders = 16
 )
 
 // startReaders starts the goroutines that follow the log, the list of VMs and the endpoints' loads.
@@ -93,25 +85,25 @@
 
 // listVMs reads the platform's list of VMs over and over. It lags, so it is only a hint.
 func (p *Performer) listVMs(ctx context.Context) {
-	loads := newLoadReader(p)
+	endpoints := newEndpointReader(p)
 	everyVM := time.NewTicker(p.cfg.VMListEvery)
 	defer everyVM.Stop()
 	everyLoad := time.NewTicker(p.cfg.LoadReportEvery)
 	defer everyLoad.Stop()
-	p.readVMs(ctx, loads)
+	p.readVMs(ctx, endpoints)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-everyVM.C:
-			p.readVMs(ctx, loads)
+			p.readVMs(ctx, endpoints)
 		case <-everyLoad.C:
-			loads.read(ctx)
+			endpoints.read(ctx, time.Now())
 		}
 	}
 }
 
-func (p *Performer) readVMs(ctx context.Context, loads *loadReader) {
+func (p *Performer) readVMs(ctx context.Context, endpoints *endpointReader) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	list, err := p.cfg.VMs.ListVms(ctx)
@@ -119,10 +111,7 @@
 		return
 	}
 	event := vmsListedOf(list)
-	loads.addresses = loads.addresses[:0]
-	for _, vm := range event.Endpoints {
-		loads.addresses = append(loads.addresses, vm.Address)
-	}
+	endpoints.listed(event.Endpoints, time.Now())
 	p.Post(event)
 }
 
@@ -138,62 +127,3 @@
 	}
 	return event
 }
-
-// loadReader asks endpoints for their load.
-type loadReader struct {
-	performer *Performer
-	addresses []string
-	busy      sync.Mutex
-}
-
-func newLoadReader(p *Performer) *loadReader {
-	return &loadReader{performer: p}
-}
-
-// read asks all endpoints once, some at a time. A round that is still under way is not doubled.
-func (l *loadReader) read(ctx context.Context) {
-	if !l.busy.TryLock() {
-		return
-	}
-	addresses := append([]string(nil), l.addresses...)
-	go func() {
-		defer l.busy.Unlock()
-		var wg sync.WaitGroup
-		slots := make(chan struct{}, loadReaders)
-		for _, address := range addresses {
-			wg.Add(1)
-			slots <- struct{}{}
-			go func() {
-				defer wg.Done()
-				defer func() { <-slots }()
-				l.ask(ctx, address)
-			}()
-		}
-		wg.Wait()
-	}()
-}
-
-func (l *loadReader) ask(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
-	if err != nil {
-		return
-	}
-	response, err := l.performer.cfg.Endpoints.Do(request)
-	if err != nil {
-		return
-	}
-	defer drain(response)
-	var report endpointserver.LoadReport
-	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&report) != nil {
-		return
-	}
-	l.performer.Post(reducer.LoadReported{Address: address, Report: router.Report{
-		AsOf:    time.UnixMilli(report.AsOfMillis),
-		Running: report.Running,
-		Waiting: report.Waiting,
-		Slots:   report.Slots,
-		Leaving: report.Leaving,
-	}})
-}
--- a/router/prefix.go
+++ b/router/prefix.go
@@ -105,9 +105,11 @@
 		return
 	}
 	if next < e.cacheNext {
-		// The count began anew, so the endpoint did, and its cache is empty.
+		// The count began anew, so the endpoint did, and its cache was empty. What it has stored since
+		// is read from the beginning.
 		e.voidCache()
 		e.cacheNext = 0
+		return
 	}
 	for _, event := range events {
 		if event.Seq < e.cacheNext {
