--- a/reducer/system_test.go
+++ b/reducer/system_test.go
@@ -34,7 +34,7 @@
 
 // system is entries' real cores and small endpoints in simulated time, with a seed.
 type system struct {
-	t         *testing.T
+	t         testing.TB
 	rng       *rand.Rand
 	now       time.Time
 	events    eventHeap
@@ -81,7 +81,7 @@
 	unrepeatable string
 }
 
-func newSystem(t *testing.T, cfg simConfig) *system {
+func newSystem(t testing.TB, cfg simConfig) *system {
 	s := &system{
 		t:         t,
 		rng:       rand.New(rand.NewPCG(cfg.seed, 7)),
