--- a/claimer/batcher_test.go
+++ b/claimer/batcher_test.go
@@ -74,6 +74,21 @@
 	due(t, b, at(40), oneClaim(2))
 }
 
+// An endpoint's answer or error text is longer than the log takes. The batch must still be one that can be appended,
+// and the caller must be told that the answer was not kept, not be handed its first part.
+func TestAnOutcomeIsMadeToFit(t *testing.T) {
+	b := testBatcher()
+	long := string(make([]byte, MaxAnswerBytes+1))
+	b.Add(Outcome{Key: wall, ClaimID: 1, State: StateAnswered, Answer: long, Message: long})
+	batch, ok := b.Due(at(0))
+	require.True(t, ok)
+	_, err := Encode(batch)
+	require.NoError(t, err)
+	got := batch.Records[0].(Outcome)
+	require.Empty(t, got.Answer)
+	require.Equal(t, CodeAnswerNotKept, got.Code)
+}
+
 // The log refuses an append for its rate. Nothing of it was recorded, so its callers can still be told "not run",
 // and the rest goes in the old order when the log wishes.
 func TestARefusedAppendIsTriedAgain(t *testing.T) {
