--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -88,6 +88,7 @@
 	state     State
 	bad       float64
 	level     float64
+	excess    float64
 	since     time.Time
 	until     time.Time
 	ejections int
@@ -223,7 +224,7 @@
 	}
 	r.state = InUse
 	r.bad = afterProbe
-	r.level = 0
+	r.setLevel(0)
 	p.out--
 	return true
 }
--- a/ejector/speed.go
+++ b/ejector/speed.go
@@ -45,7 +45,7 @@
 	x := math.Log2(float64(took) / float64(expected))
 	p.speed.observe(x)
 	over := min(max(x-p.speed.value, -maxLevel), maxLevel)
-	r.level += levelWeight * (over - r.level)
+	r.setLevel(r.level + levelWeight*(over-r.level))
 	if over > slowLevel {
 		return Bad
 	}
@@ -63,9 +63,13 @@
 
 // Slowness is the factor by which the endpoint's calls take longer than its pool's; it is 1 for one
 // that is no slower.
-func (r *Record) Slowness() float64 {
-	if r.level <= 0 {
-		return 1
+func (r *Record) Slowness() float64 { return 1 + r.excess }
+
+// setLevel keeps the factor at hand: it is asked for more often than it changes.
+func (r *Record) setLevel(level float64) {
+	r.level = level
+	r.excess = 0
+	if level > 0 {
+		r.excess = math.Exp2(level) - 1
 	}
-	return math.Exp2(r.level)
 }
--- a/reducer/request.go
+++ b/reducer/request.go
@@ -56,6 +56,8 @@
 	// announced is the cost of each stage to come that the scheduler was told of; 0 for none.
 	announced [publisher.MaxStages]float64
 	calls     []call
+	// firstCall is the memory of calls while there is but one.
+	firstCall [1]call
 	queuedAt  time.Time
 	// possible counts the calls that an endpoint may have acted on.
 	possible int
@@ -254,6 +256,7 @@
 		input:     e.Input,
 		estimated: c.expectedCost(plan),
 	}
+	r.calls = r.firstCall[:0]
 	c.requests[r.id] = r
 	c.running[key] = r
 	c.schedule(timer{at: r.deadline, kind: timerDeadline, subject: r.id})
--- a/reducer/speed_test.go
+++ b/reducer/speed_test.go
@@ -72,7 +72,7 @@
 	}
 	perRequest := testing.AllocsPerRun(2000, p.request)
 	t.Logf("allocations a request %.1f, a step %.2f", perRequest, perRequest/4)
-	require.LessOrEqual(t, perRequest/4, 8.0)
+	require.LessOrEqual(t, perRequest/4, 3.0)
 }
 
 func BenchmarkReduceRequestEvent(b *testing.B) {
--- a/reducer/stage.go
+++ b/reducer/stage.go
@@ -24,7 +24,7 @@
 	lastPart time.Time
 	streamID string
 	nextSeq  int
-	text     *strings.Builder
+	text     partsText
 	// early holds parts that arrived before their predecessor.
 	early map[int]endpointserver.StagePart
 	// resumed tells that the reply is being read on after a cut: the endpoint has acted on the call,
@@ -132,11 +132,13 @@
 	}
 	r.phase = phaseRunning
 	r.possible++
-	r.calls = append(r.calls, call{attempt: r.attempts, address: address, started: now, lastPart: now, hedge: hedge, text: &strings.Builder{}})
+	r.calls = append(r.calls, call{attempt: r.attempts, address: address, started: now, lastPart: now, hedge: hedge})
 	c.counters.StageCalls++
 	c.router.Started(address, &r.prefix, now)
 	id := CallID{Request: r.id, Stage: r.stage, Attempt: r.attempts}
-	body := &endpointserver.StageCall{
+	effect := &stageCall{}
+	body := &effect.body
+	*body = endpointserver.StageCall{
 		RequestId:      r.name,
 		Stage:          stage.Name,
 		Attempt:        r.attempts,
@@ -156,10 +158,17 @@
 	if r.fence > 0 {
 		body.Fence = endpointserver.NewOptInt64(r.fence)
 	}
-	c.emit(&CallStage{Call: id, Address: address, Body: body})
+	effect.CallStage = CallStage{Call: id, Address: address, Body: body}
+	c.emit(&effect.CallStage)
 	c.watchCall(r, id, now)
 }
 
+// stageCall is a CallStage and its body in one piece of memory.
+type stageCall struct {
+	CallStage
+	body endpointserver.StageCall
+}
+
 // find gives the request and the index of the call that an id names, if both are still of interest.
 func (c *Core) find(id CallID) (*request, int) {
 	r, running := c.requests[id.Request]
@@ -220,7 +229,7 @@
 	k := &r.calls[at]
 	for {
 		k.nextSeq++
-		k.text.WriteString(part.Text)
+		k.text.write(part.Text)
 		if part.Final {
 			c.takeFinal(r, at, part, now)
 			return
@@ -239,10 +248,10 @@
 // A second attempt may give other text than the first: what was sent can't be taken back, so only
 // an attempt whose text begins with it may go on, see endStage.
 func (c *Core) forward(r *request, k *call, _ time.Time) {
-	if !r.stream || r.callerGone || !r.last() || k.text.Len() <= len(r.sent) {
+	if !r.stream || r.callerGone || !r.last() || k.text.size() <= len(r.sent) {
 		return
 	}
-	text := k.text.String()
+	text := k.text.whole()
 	if !strings.HasPrefix(text, r.sent) {
 		return
 	}
@@ -262,7 +271,7 @@
 		c.takeFault(StageFailed{Call: id, Fault: StageFault{Kind: FaultFailed, Message: "the reply's total differs from its parts"}}, now)
 		return
 	}
-	text := k.text.String()
+	text := k.text.whole()
 	if !strings.HasPrefix(text, r.sent) {
 		c.takeFault(StageFailed{Call: id, Fault: StageFault{Kind: FaultFailed, Message: "the reply differs from what was sent"}}, now)
 		return
--- /dev/null
+++ b/reducer/text.go
@@ -0,0 +1,36 @@
+package reducer
+
+import "strings"
+
+// partsText is the text of a reply's parts so far. A reply of one part needs no memory of its own.
+// The builder is held by pointer, since a call moves in memory when another is begun beside it.
+type partsText struct {
+	first string
+	rest  *strings.Builder
+}
+
+func (t *partsText) write(text string) {
+	if t.rest == nil && t.first == "" {
+		t.first = text
+		return
+	}
+	if t.rest == nil {
+		t.rest = &strings.Builder{}
+		t.rest.WriteString(t.first)
+	}
+	t.rest.WriteString(text)
+}
+
+func (t *partsText) size() int {
+	if t.rest == nil {
+		return len(t.first)
+	}
+	return t.rest.Len()
+}
+
+func (t *partsText) whole() string {
+	if t.rest == nil {
+		return t.first
+	}
+	return t.rest.String()
+}
--- a/router/peer.go
+++ b/router/peer.go
@@ -63,6 +63,9 @@
 		return
 	}
 	e.peerMeanAt = now
+	if e.peerMean == float64(e.peerCalls) {
+		return
+	}
 	e.peerMean += (float64(e.peerCalls) - e.peerMean) * (1 - math.Exp(-float64(past)/e.pool.settleTime()))
 }
 
--- a/scheduler/class.go
+++ b/scheduler/class.go
@@ -22,6 +22,8 @@
 	present []*flow
 	// resting are flows that left, oldest first, to be forgotten when they may.
 	resting []*flow
+	// restingStore is the start of resting's memory, so that a list that was emptied takes no new one.
+	restingStore []*flow
 	// credit is the work that the class is owed by its guarantee.
 	credit float64
 }
@@ -91,6 +93,9 @@
 	if !f.resting {
 		f.resting = true
 		c.resting = append(c.resting, f)
+		if len(c.resting) == 1 {
+			c.restingStore = c.resting
+		}
 	}
 }
 
@@ -116,6 +121,9 @@
 	}
 	c.resting[0] = nil
 	c.resting = c.resting[1:]
+	if len(c.resting) == 0 {
+		c.resting = c.restingStore[:0]
+	}
 	f.resting = false
 	if f.present() {
 		return nil
