--- /dev/null
+++ b/ejector/ejector_test.go
@@ -0,0 +1,94 @@
+package ejector_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/ejector"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// end gives the endpoints of a pool the same end, in turn, a number of times.
+func end(p *ejector.Pool, records []*ejector.Record, e ejector.End, times int, now time.Time) {
+	for range times {
+		for _, r := range records {
+			p.Ended(r, e, false, now)
+		}
+	}
+}
+
+func newPool(n int) (*ejector.Pool, []*ejector.Record) {
+	p := ejector.NewPool(ejector.Config{})
+	records := make([]*ejector.Record, n)
+	for i := range records {
+		records[i] = &ejector.Record{}
+		p.Add()
+	}
+	end(&p, records, ejector.Good, 20, start)
+	return &p, records
+}
+
+// Endpoints are ejected by comparison. When all turn bad the cause is not one endpoint, and at most a
+// third may be out; an endpoint that refuses connections is out in any case, since it answers nothing.
+func TestOut(t *testing.T) {
+	tests := []struct {
+		testName string
+		bad      int
+		end      ejector.End
+		times    int
+		out      int
+	}{
+		{"one bad end", 1, ejector.Bad, 1, 0},
+		{"one endpoint bad", 1, ejector.Bad, 3, 1},
+		{"three turn bad, more than may be out", 4, ejector.Bad, 50, 3},
+		{"all bad", 10, ejector.Bad, 50, 1},
+		{"one down", 1, ejector.Down, 1, 1},
+		{"all down", 10, ejector.Down, 1, 10},
+	}
+	for _, tt := range tests {
+		t.Run(tt.testName, func(t *testing.T) {
+			p, records := newPool(10)
+			end(p, records[:tt.bad], tt.end, tt.times, start)
+			require.Equal(t, tt.out, p.Out())
+		})
+	}
+}
+
+// An ejected endpoint is probed with one call when its time has come. Each failed probe doubles the time,
+// a good one brings it back.
+func TestProbes(t *testing.T) {
+	p, records := newPool(10)
+	r := records[0]
+	end(p, records[:1], ejector.Bad, 3, start)
+	now := start
+	for _, length := range []time.Duration{1, 2, 4, 8, 16, 16} {
+		require.Equal(t, ejector.Ejected, r.State())
+		require.Equal(t, length*time.Second, r.Until().Sub(now))
+		require.False(t, p.Advance(r, r.Until().Add(-1)))
+		now = r.Until()
+		require.True(t, p.Advance(r, now))
+		p.Ended(r, ejector.Bad, false, now)
+	}
+	now = r.Until()
+	p.Advance(r, now)
+	p.Ended(r, ejector.Good, false, now)
+	require.Equal(t, ejector.InUse, r.State())
+	require.Zero(t, p.Out())
+}
+
+// A straggler's calls count as bad by the pool's own median, whatever the stage was expected to take.
+func TestTookAgainstThePoolsMedian(t *testing.T) {
+	p, records := newPool(10)
+	const expected = 10 * time.Millisecond
+	for range 20 {
+		for _, r := range records {
+			require.Equal(t, ejector.Good, p.Took(r, 80*time.Millisecond, expected))
+		}
+	}
+	require.Equal(t, ejector.Good, p.Took(records[0], 200*time.Millisecond, expected))
+	require.Equal(t, ejector.Bad, p.Took(records[0], 800*time.Millisecond, expected))
+	require.Greater(t, records[0].Slowness(), 1.5)
+}
--- a/reducer/speed_test.go
+++ b/reducer/speed_test.go
@@ -18,7 +18,6 @@
 	entry *simEntry
 	now   time.Time
 	id    uint64
-	key   []byte
 	hash  string
 	// steps is how many events were reduced.
 	steps int
--- /dev/null
+++ b/retrier/retrier_test.go
@@ -0,0 +1,38 @@
+package retrier_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/retrier"
+)
+
+// A pool is away and every call fails. Retries stop when the reserve is spent, whatever the load, so that
+// the pool is not met by a storm when it returns; a busy pool earns hardly any back, and no hedge goes out.
+func TestBudget(t *testing.T) {
+	r := retrier.New(retrier.Config{})
+	now := time.Time{}
+	spend := func(calls int, busy bool) (retries, hedges int) {
+		for range calls {
+			r.First("pool", busy, now)
+			if r.Hedge("pool", 1, busy, now) {
+				hedges++
+			}
+			if r.Retry("pool", 1, now) {
+				retries++
+			}
+		}
+		return retries, hedges
+	}
+	retries, hedges := spend(1000, false)
+	require.LessOrEqual(t, retries+hedges, 10+40)
+	require.GreaterOrEqual(t, retries+hedges, 10+30)
+	retries, hedges = spend(1000, true)
+	require.LessOrEqual(t, retries, 5)
+	require.Zero(t, hedges)
+	require.False(t, r.Retry("pool", 3, now))
+	require.False(t, r.Allows("other", 3))
+	require.True(t, r.Allows("other", 1))
+}
