--- a/loader/settings.go
+++ b/loader/settings.go
@@ -86,12 +86,15 @@
 	ClaimWindowMillis Millis `json:"claimWindowMillis" min:"1" max:"10000"`
 	// How long an idempotency key is remembered. It must be shorter than the log's retention.
 	KeyHorizonMillis Millis `json:"keyHorizonMillis" min:"1000" max:"604800000"`
+	// Longest time between two snapshots of the configuration in the log. It must be at most a third of the
+	// log's retention, so that a whole snapshot is there before its predecessor expires.
+	SnapshotMillis Millis `json:"snapshotMillis" min:"100" max:"86400000"`
 	// Time between two readings of the platform's list of VMs.
 	VMListMillis Millis `json:"vmListMillis" min:"50" max:"600000"`
 	// Time between two readings of an endpoint's load.
 	LoadReportMillis Millis `json:"loadReportMillis" min:"10" max:"600000"`
-	// Time that a planned stop may take once no address answer is valid any more; then a request that
-	// still runs is reported, and the stop goes on waiting.
+	// How much longer than addressTtlMillis a planned stop goes on serving. Peers give this entry's address
+	// out until they hear of the stop: up to suspectMillis, where its own word does not reach them.
 	DrainMillis Millis `json:"drainMillis" min:"100" max:"86400000"`
 
 	// Largest body of a caller's or an operator's request.
@@ -150,9 +153,10 @@
 		AddressTTLMillis:  5000,
 		ClaimWindowMillis: 40,
 		KeyHorizonMillis:  3_600_000,
+		SnapshotMillis:    600_000,
 		VMListMillis:      1000,
 		LoadReportMillis:  250,
-		DrainMillis:       60_000,
+		DrainMillis:       1500,
 		MaxBodyBytes:      1 << 20,
 		MaxConnections:    4096,
 		Traces:            Traces{QueueSize: 4096, Kept: 256},
