Say what must come before FullMesh is set

Cause: uses and loads ride on heartbeats, and beyond a full mesh these reach only a few entries; whoever set FullMesh would starve the limits of news.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -37,7 +37,8 @@
 	// ProbeEvery is how often dead members, hints and seeds are tried. Zero means SuspectAfter.
 	ProbeEvery time.Duration
 	// FullMesh is up to how many entries each sends its heartbeats to all others. Beyond it they spread by gossip,
-	// and SuspectAfter must allow for a dozen heartbeats. Zero means always.
+	// and SuspectAfter must allow for a dozen heartbeats. What else a heartbeat carries then reaches only its
+	// targets, so shares and loads need a relay of their own before this is set. Zero means always.
 	FullMesh int
 	// Fanout is how many entries of the own availability zone get each heartbeat beyond FullMesh. Zero means 3.
 	Fanout int
