Take other keys from dialers, so that the shared key can be changed

Cause: entries with different keys don't talk, so changing the key by restarting one entry after another would have cut the system in two. Change: a listener takes a proof by any of OtherKeys too, and answers with the same. The test walks the four steps; without OtherKeys it would wait at the first mixed pair.

--- a/messenger/config.go
+++ b/messenger/config.go
@@ -40,10 +40,13 @@
 	// Name is this entry's name.
 	Name string
 	// Key is shared by all entries of the system; at least MinKey bytes.
-	Key      []byte
-	Handler  Handler
-	Log      *zap.Logger
-	Registry metrics.Registry
+	Key []byte
+	// OtherKeys may be proved by dialers too, so that the key can be changed with the entries restarted one after
+	// another: first all take the new key here, then all dial with it and take the old one here, then it goes.
+	OtherKeys [][]byte
+	Handler   Handler
+	Log       *zap.Logger
+	Registry  metrics.Registry
 
 	// MaxFrame is the most bytes of a frame after its length field.
 	MaxFrame int
@@ -76,6 +79,16 @@
 	return fmt.Sprintf("shared key has %d bytes, at least %d are needed", e.Length, MinKey)
 }
 
+// checkKeys gives a KeyError if a key is too short. An empty one would let anybody in.
+func (c Config) checkKeys() error {
+	for _, key := range append([][]byte{c.Key}, c.OtherKeys...) {
+		if len(key) < MinKey {
+			return &KeyError{Length: len(key)}
+		}
+	}
+	return nil
+}
+
 func (c Config) withDefaults() Config {
 	if c.Log == nil {
 		c.Log = zap.NewNop()
--- a/messenger/handshake.go
+++ b/messenger/handshake.go
@@ -48,6 +48,8 @@
 	conn   io.ReadWriter
 	frames *frameReader
 	key    []byte
+	// others are keys that a dialer may prove instead.
+	others [][]byte
 	own    carrier.Challenge
 	peer   carrier.Challenge
 }
@@ -88,7 +90,7 @@
 	if err := h.send(&h.own); err != nil {
 		return "", nil, err
 	}
-	if err := h.check(h.derive(dialerLabel, &h.peer, &h.own)); err != nil {
+	if err := h.checkAny(); err != nil {
 		return "", nil, err
 	}
 	if err := h.send(&carrier.Proof{Mac: h.derive(listenerLabel, &h.peer, &h.own)}); err != nil {
@@ -122,17 +124,41 @@
 	return nil
 }
 
+// check reads the listener's proof.
 func (h *handshake) check(want []byte) error {
-	m, err := h.frames.nextOf(carrier.KindProof)
+	proof, err := h.readProof()
 	if err != nil {
 		return err
 	}
-	if !hmac.Equal(m.(*carrier.Proof).Mac, want) {
+	if !hmac.Equal(proof, want) {
 		return &ProofError{Entry: h.peer.Entry}
 	}
 	return nil
 }
 
+// checkAny reads the dialer's proof, and goes on with the key that it proves.
+func (h *handshake) checkAny() error {
+	proof, err := h.readProof()
+	if err != nil {
+		return err
+	}
+	for _, key := range append([][]byte{h.key}, h.others...) {
+		h.key = key
+		if hmac.Equal(proof, h.derive(dialerLabel, &h.peer, &h.own)) {
+			return nil
+		}
+	}
+	return &ProofError{Entry: h.peer.Entry}
+}
+
+func (h *handshake) readProof() ([]byte, error) {
+	m, err := h.frames.nextOf(carrier.KindProof)
+	if err != nil {
+		return nil, err
+	}
+	return m.(*carrier.Proof).Mac, nil
+}
+
 // derive gives a value that only who knows the shared key can make, for this use and this connection.
 func (h *handshake) derive(label string, dialer, listener *carrier.Challenge) []byte {
 	mac := hmac.New(sha256.New, h.key)
--- a/messenger/hostile_test.go
+++ b/messenger/hostile_test.go
@@ -80,6 +80,28 @@
 	require.Empty(t, in)
 }
 
+// The operators change the key and restart the entries one after another. At each step two entries that are one step
+// apart must hear each other, or the system would fall into two.
+func TestKeyIsChangedWithoutACut(t *testing.T) {
+	before, after := bytes.Repeat([]byte{1}, 32), bytes.Repeat([]byte{2}, 32)
+	steps := []Config{
+		{Key: before},
+		{Key: before, OtherKeys: [][]byte{after}},
+		{Key: after, OtherKeys: [][]byte{before}},
+		{Key: after},
+	}
+	for i, step := range steps[1:] {
+		x, y := steps[i], step
+		x.Name, y.Name = "x", "y"
+		mx, addressX, inX := startMessenger(t, x)
+		my, addressY, inY := startMessenger(t, y)
+		mx.Send(addressY, &carrier.OutcomeCall{CallID: 1})
+		my.Send(addressX, &carrier.OutcomeCall{CallID: 2})
+		require.Equal(t, "y", receive(t, inX).from)
+		require.Equal(t, "x", receive(t, inY).from)
+	}
+}
+
 // A stranger has an entry dial it, and sends the entry's own challenge and proof back (reflection). The proof is
 // right for a dialer, but the entry wants a listener's.
 func TestReflectedProofIsRefused(t *testing.T) {
--- a/messenger/listener.go
+++ b/messenger/listener.go
@@ -18,8 +18,8 @@
 
 // Serve accepts peers until the context ends or the messenger is closed.
 func (m *Messenger) Serve(ctx context.Context) error {
-	if len(m.cfg.Key) < MinKey {
-		return &KeyError{Length: len(m.cfg.Key)}
+	if err := m.cfg.checkKeys(); err != nil {
+		return err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = m.cfg.Listen.Close() })
 	defer stop()
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -89,7 +89,7 @@
 	if s, ok := m.senders[address]; ok {
 		return s
 	}
-	if m.closed || len(m.senders) >= m.cfg.MaxPeers || len(m.cfg.Key) < MinKey {
+	if m.closed || len(m.senders) >= m.cfg.MaxPeers || m.cfg.checkKeys() != nil {
 		return nil
 	}
 	s := &sender{m: m, address: address, queue: newQueue(m.cfg.MaxQueue)}
@@ -180,7 +180,9 @@
 	if err := conn.SetDeadline(time.Now().Add(m.cfg.HandshakeTimeout)); err != nil {
 		return "", nil, err
 	}
-	name, s, err := side(newHandshake(conn, m.cfg.Key, m.cfg.Name))
+	h := newHandshake(conn, m.cfg.Key, m.cfg.Name)
+	h.others = m.cfg.OtherKeys
+	name, s, err := side(h)
 	if err != nil {
 		return "", nil, err
 	}
