Count what the metrics page names, and cancel calls that wait

Cause: seventeen metrics were defined and counted by nobody; a call that waited at an engine could not be cancelled, since its stream was named by a part only; the status page showed an account's present rate as its limit. Change: counts where the work is done, five definitions dropped that nothing measures, labels only where they are given; the reply's Stream-Id header names the stream; the page shows the contract's rate. Ruled out: keeping the undefined ones at zero, which reads as nothing happening.

--- a/meter/definition.go
+++ b/meter/definition.go
@@ -38,7 +38,6 @@
 	RequestsInFlight  Name = "requests_in_flight"
 	RequestMicros     Name = "request_micros"
 	FirstPartMicros   Name = "first_part_micros"
-	QueueMicros       Name = "queue_micros"
 	CostMillis        Name = "cost_millis"
 	WastedMillis      Name = "wasted_millis"
 	PoisonRefused     Name = "poison_refused"
@@ -48,20 +47,17 @@
 
 // Stage calls, by stage.
 const (
-	StageCalls      Name = "stage_calls"
-	StageFailures   Name = "stage_failures"
-	StageRetries    Name = "stage_retries"
-	StageHedges     Name = "stage_hedges"
-	StageCancels    Name = "stage_cancels"
-	StageMicros     Name = "stage_micros"
-	RepliesLate     Name = "replies_late"
-	RepliesForeign  Name = "replies_foreign"
-	StreamGaps      Name = "stream_gaps"
-	StreamOverlaps  Name = "stream_overlaps"
-	EndpointsLive   Name = "endpoints_live"
-	EndpointsGone   Name = "endpoints_ejected"
-	CacheHitTokens  Name = "cache_hit_tokens"
-	CacheEventsLost Name = "cache_events_lost"
+	StageCalls     Name = "stage_calls"
+	StageFailures  Name = "stage_failures"
+	StageRetries   Name = "stage_retries"
+	StageHedges    Name = "stage_hedges"
+	StageCancels   Name = "stage_cancels"
+	StageMicros    Name = "stage_micros"
+	RepliesLate    Name = "replies_late"
+	RepliesForeign Name = "replies_foreign"
+	StreamGaps     Name = "stream_gaps"
+	StreamOverlaps Name = "stream_overlaps"
+	EndpointsGone  Name = "endpoints_ejected"
 )
 
 // The platform's log, by stream.
@@ -74,7 +70,6 @@
 	ClaimsAppended  Name = "claims_appended"
 	ClaimsWon       Name = "claims_won"
 	ClaimsLost      Name = "claims_lost"
-	ClaimMicros     Name = "claim_micros"
 	ConfigOffset    Name = "config_offset"
 	ClaimsOffset    Name = "claims_offset"
 	ConfigAccepted  Name = "config_accepted"
@@ -134,31 +129,27 @@
 	{RequestsInTime, KindCounter, "requests", byAccount, "A request whose whole answer was given within its deadline. Attainment is this over requests_received.", ""},
 	{RequestsNotRun, KindCounter, "requests", byAccount, "A request that was told notRun.", ""},
 	{RequestsUnknown, KindCounter, "requests", byAccount, "A request that was told unknown.", ""},
-	{RequestsRepeated, KindCounter, "requests", byAccount, "A request under a key that was already known, answered by the first one's outcome.", ""},
+	{RequestsRepeated, KindCounter, "requests", "", "A request under a key that was already known, answered by the first one's outcome.", ""},
 	{RequestsInFlight, KindGauge, "requests", "", "Requests that this entry is running or holding in its queue.", ""},
 	{RequestMicros, KindHistogram, "microseconds", "", "From a request's arrival to the end of its answer.", ""},
 	{FirstPartMicros, KindHistogram, "microseconds", "", "From a streamed request's arrival to the first part of its answer.", ""},
-	{QueueMicros, KindHistogram, "microseconds", "", "From a request's admission to its first stage call.", ""},
 	{CostMillis, KindCounter, "endpoint milliseconds", byAccount, "Endpoint time used by stage calls.", ""},
 	{WastedMillis, KindCounter, "endpoint milliseconds", byAccount, "The part of cost_millis that went to cancelled, hedged and retried calls whose result was not used.", ""},
-	{PoisonRefused, KindCounter, "requests", byAccount, "A request refused because its content had crashed endpoints before.", ""},
+	{PoisonRefused, KindCounter, "requests", "", "A request refused because its content had crashed endpoints before.", ""},
 	{OutcomesAsked, KindCounter, "calls", "", "A call for the outcome of an earlier request.", ""},
 	{OutcomesHandedOff, KindCounter, "outcomes", "", "An outcome given to a peer at a planned stop.", ""},
 
 	{StageCalls, KindCounter, "calls", byStage, "A call sent to an endpoint.", ""},
 	{StageFailures, KindCounter, "calls", byStage, "A call that ended without a whole reply.", ""},
-	{StageRetries, KindCounter, "calls", byStage, "A call sent again after a failure.", ""},
-	{StageHedges, KindCounter, "calls", byStage, "A second call sent beside a slow first one.", ""},
+	{StageRetries, KindCounter, "calls", "", "A call sent again after a failure.", ""},
+	{StageHedges, KindCounter, "calls", "", "A second call sent beside a slow first one.", ""},
 	{StageCancels, KindCounter, "calls", byStage, "A call cancelled because its result was no longer wanted.", ""},
 	{StageMicros, KindHistogram, "microseconds", byStage, "From a call's dispatch to the end of its reply.", ""},
-	{RepliesLate, KindCounter, "replies", byStage, "A reply dropped because another attempt had already been taken.", ""},
-	{RepliesForeign, KindCounter, "replies", byStage, "A reply dropped because its ids were not those of the call.", ""},
-	{StreamGaps, KindCounter, "parts", byStage, "A hole found in a stream's sequence numbers.", ""},
-	{StreamOverlaps, KindCounter, "parts", byStage, "A part of a stream that had come before and was cut.", ""},
-	{EndpointsLive, KindGauge, "endpoints", byPool, "Endpoints that get new work.", ""},
-	{EndpointsGone, KindCounter, "endpoints", byPool, "An endpoint taken out because it did worse than its pool.", ""},
-	{CacheHitTokens, KindCounter, "tokens", byPool, "Prompt tokens that an engine found in its prefix cache.", ""},
-	{CacheEventsLost, KindCounter, "events", byPool, "Cache events missed, seen as a hole in their sequence numbers.", ""},
+	{RepliesLate, KindCounter, "replies", "", "A reply dropped because another attempt had already been taken.", ""},
+	{RepliesForeign, KindCounter, "replies", "", "A reply dropped because its ids were not those of the call.", ""},
+	{StreamGaps, KindCounter, "parts", "", "A hole found in a stream's sequence numbers.", ""},
+	{StreamOverlaps, KindCounter, "parts", "", "A part of a stream that had come before and was cut.", ""},
+	{EndpointsGone, KindCounter, "endpoints", "", "An endpoint taken out because it did worse than its pool.", ""},
 
 	{LogAppends, KindCounter, "appends", byStream, "An append sent to the log service.", ""},
 	{LogAppendErrors, KindCounter, "appends", byStream, "An append refused, failed or without a reply.", ""},
@@ -168,7 +159,6 @@
 	{ClaimsAppended, KindCounter, "claims", "", "A claim put into an append.", ""},
 	{ClaimsWon, KindCounter, "claims", "", "A claim read back as the first valid one for its key.", ""},
 	{ClaimsLost, KindCounter, "claims", "", "A claim read back behind another's.", ""},
-	{ClaimMicros, KindHistogram, "microseconds", "", "From a claim's making to its verdict.", ""},
 	{ConfigOffset, KindGauge, "offset", "", "Log offset up to which configuration is in force.", ""},
 	{ClaimsOffset, KindGauge, "offset", "", "Log offset up to which claims are known.", ""},
 	{ConfigAccepted, KindCounter, "changes", "", "A change of configuration that won.", ""},
--- a/performer/loop.go
+++ b/performer/loop.go
@@ -35,6 +35,7 @@
 	// published are the counts that the registry has already, publishedAt when it got them.
 	published    reducer.Counters
 	publishedAt  time.Time
+	billedAt     time.Time
 	reduced      metrics.Counter
 	reduceMicros metrics.Histogram
 	// ctx ends the work that effects started.
--- a/performer/metrics.go
+++ b/performer/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"geraniumline/meter"
 	"geraniumline/reducer"
 )
@@ -22,6 +24,7 @@
 		p.cfg.Meter.Counter(c.name).Inc(int64(c.value(&counters) - c.value(&p.published)))
 	}
 	p.published = counters
+	p.publishBills(now)
 	gauges := p.core.Gauges()
 	p.cfg.Meter.Gauge(meter.RequestsInFlight).Update(int64(gauges.InFlight))
 	p.cfg.Meter.Gauge(meter.ConfigOffset).Update(gauges.ConfigOffset)
@@ -29,6 +32,31 @@
 	p.cfg.Meter.Gauge(meter.PeersLive).Update(int64(gauges.PeersLive))
 }
 
+// billsEvery is how often the accounts' work is copied; a bill for each account is made for it.
+const billsEvery = 10 * time.Second
+
+// publishBills copies what this entry's endpoints have worked for each account.
+func (p *Performer) publishBills(now time.Time) {
+	if now.Sub(p.billedAt) < billsEvery {
+		return
+	}
+	p.billedAt = now
+	for _, bill := range p.core.Bills() {
+		cost, wasted := 0.0, 0.0
+		for _, stage := range bill.Stages {
+			cost += stage.Cost
+			wasted += stage.Wasted
+		}
+		raise(p.cfg.Meter.Counter(meter.CostMillis, bill.Account), int64(cost))
+		raise(p.cfg.Meter.Counter(meter.WastedMillis, bill.Account), int64(wasted))
+	}
+}
+
+// raise brings a counter up to a running total.
+func raise(counter metrics.Counter, total int64) {
+	counter.Inc(total - counter.Count())
+}
+
 // coreCounters lead each of the core's counts to its name.
 var coreCounters = []struct {
 	name  meter.Name
@@ -45,5 +73,12 @@
 	{meter.RepliesForeign, func(c *reducer.Counters) uint64 { return c.PartsForeign }},
 	{meter.StreamGaps, func(c *reducer.Counters) uint64 { return c.PartsAfterGap }},
 	{meter.StreamOverlaps, func(c *reducer.Counters) uint64 { return c.PartsOverlapping }},
+	{meter.ConfigAccepted, func(c *reducer.Counters) uint64 { return c.ConfigAccepted }},
+	{meter.ConfigConflicts, func(c *reducer.Counters) uint64 { return c.ConfigConflicts }},
+	{meter.ConfigInvalid, func(c *reducer.Counters) uint64 { return c.ConfigInvalid }},
+	{meter.OutcomesAsked, func(c *reducer.Counters) uint64 { return c.OutcomesAsked }},
+	{meter.OutcomesHandedOff, func(c *reducer.Counters) uint64 { return c.OutcomesHandedOff }},
+	{meter.PoisonRefused, func(c *reducer.Counters) uint64 { return c.PoisonRefused }},
+	{meter.EndpointsGone, func(c *reducer.Counters) uint64 { return c.EndpointsEjected }},
 	{meter.RequestsRepeated, func(c *reducer.Counters) uint64 { return c.RequestsJoined }},
 }
--- a/performer/stages.go
+++ b/performer/stages.go
@@ -48,41 +48,62 @@
 	ctx     context.Context
 
 	mu      sync.Mutex
-	running map[reducer.CallID]context.CancelFunc
+	running map[reducer.CallID]*flight
 }
 
+// flight is a call that is under way.
+type flight struct {
+	cancel context.CancelFunc
+	stage  string
+	// streamID is the name that the endpoint gave the reply in its header, before the first part.
+	streamID string
+}
+
+// streamHeader names a reply's stream, so that a call that still waits at its endpoint can be cancelled.
+const streamHeader = "Stream-Id"
+
 func newStages(cfg Config, post func(reducer.Event), replies *replies) *stages {
 	return &stages{
 		client:  cfg.Endpoints,
 		post:    post,
 		replies: replies,
 		meter:   cfg.Meter,
-		running: map[reducer.CallID]context.CancelFunc{},
+		running: map[reducer.CallID]*flight{},
 	}
 }
 
-// begin gives a context that cancel ends.
-func (s *stages) begin(id reducer.CallID) context.Context {
+// begin gives a context that end cancels.
+func (s *stages) begin(id reducer.CallID, stage string) context.Context {
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.mu.Lock()
-	s.running[id] = cancel
+	s.running[id] = &flight{cancel: cancel, stage: stage}
 	s.mu.Unlock()
 	return ctx
 }
 
-func (s *stages) end(id reducer.CallID) {
+// end forgets a call and gives what it was; nil if it had ended.
+func (s *stages) end(id reducer.CallID) *flight {
 	s.mu.Lock()
-	cancel, running := s.running[id]
+	f := s.running[id]
 	delete(s.running, id)
 	s.mu.Unlock()
-	if running {
-		cancel()
+	if f != nil {
+		f.cancel()
+	}
+	return f
+}
+
+func (s *stages) nameStream(id reducer.CallID, streamID string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f := s.running[id]; f != nil {
+		f.streamID = streamID
 	}
 }
 
 // call runs one attempt of a stage.
 func (s *stages) call(e *reducer.CallStage) {
-	ctx := s.begin(e.Call)
+	ctx := s.begin(e.Call, e.Body.Stage)
 	span := s.replies.span(e.Call.Request).Child("stage "+e.Body.Stage, time.Now())
 	span.Set("endpoint", e.Address)
 	span.Set("attempt", strconv.Itoa(e.Body.Attempt))
@@ -104,8 +125,11 @@
 
 // resume reads a stream on from a sequence number.
 func (s *stages) resume(e reducer.ResumeStage) {
-	s.end(e.Call)
-	ctx := s.begin(e.Call)
+	stage := ""
+	if f := s.end(e.Call); f != nil {
+		stage = f.stage
+	}
+	ctx := s.begin(e.Call, stage)
 	span := s.replies.span(e.Call.Request).Child("resume", time.Now())
 	span.Set("endpoint", e.Address)
 	address := "http://" + e.Address + "/v1/streams/" + url.PathEscape(e.StreamID) + "?from=" + strconv.Itoa(e.From)
@@ -114,7 +138,13 @@
 
 // cancel ends a call and tells the endpoint to stop its stream.
 func (s *stages) cancel(e reducer.CancelStage) {
-	s.end(e.Call)
+	f := s.end(e.Call)
+	if f != nil {
+		s.meter.Counter(meter.StageCancels, f.stage).Inc(1)
+	}
+	if e.StreamID == "" && f != nil {
+		e.StreamID = f.streamID
+	}
 	if e.StreamID == "" {
 		return
 	}
@@ -142,8 +172,11 @@
 	}
 	// The call ends before the core hears of it: the core may order the rest of the stream at once under
 	// the same id, and an end after that would cancel the order.
-	s.end(id)
+	f := s.end(id)
 	if !ended {
+		if f != nil {
+			s.meter.Counter(meter.StageFailures, f.stage).Inc(1)
+		}
 		span.Set("fault", fault.Message)
 		s.post(reducer.StageFailed{Call: id, Fault: fault})
 	}
@@ -171,6 +204,7 @@
 	if response.StatusCode != http.StatusOK {
 		return refusalFault(response), false
 	}
+	s.nameStream(id, response.Header.Get(streamHeader))
 	return s.readParts(id, response.Body)
 }
 
--- a/receiver/callers.go
+++ b/receiver/callers.go
@@ -126,6 +126,7 @@
 	span := c.tracer.Start(params.Traceparent.Value, "request "+params.Pipeline, params.IdempotencyKey, now())
 	defer func() { span.End(now()) }()
 	credentials := credentialsOf(ctx)
+	deadline := time.Duration(req.DeadlineMillis) * time.Millisecond
 	span.Set("account", credentials.Account)
 	id, reply := c.core.Open(span)
 	defer c.core.Close(id)
@@ -136,10 +137,10 @@
 		Key:         params.IdempotencyKey,
 		Input:       req.Input,
 		Digest:      digestOf(params.Pipeline, req.Input),
-		Deadline:    time.Duration(req.DeadlineMillis) * time.Millisecond,
+		Deadline:    deadline,
 		Stream:      req.Stream.Value,
 	})
-	counts := newCounts(c.meter, credentials.Account, now())
+	counts := newCounts(c.meter, credentials.Account, deadline, now())
 	out := newWriter(w, req.Stream.Value, span.TraceID())
 	for {
 		select {
--- a/receiver/counts.go
+++ b/receiver/counts.go
@@ -12,13 +12,15 @@
 	meter   *meter.Meter
 	account string
 	arrived time.Time
-	parts   int
+	// deadline is the time that the caller gave.
+	deadline time.Duration
+	parts    int
 }
 
 // newCounts begins a request's counts. The account is only a label once the core has known it, since a
 // caller may send any name.
-func newCounts(m *meter.Meter, account string, now time.Time) *counts {
-	return &counts{meter: m, account: account, arrived: now}
+func newCounts(m *meter.Meter, account string, deadline time.Duration, now time.Time) *counts {
+	return &counts{meter: m, account: account, deadline: deadline, arrived: now}
 }
 
 // count takes one answer to the request.
@@ -28,6 +30,9 @@
 		c.part(now)
 	case reducer.SendAnswer:
 		c.end(meter.RequestsAnswered, now)
+		if now.Sub(c.arrived) <= c.deadline {
+			c.meter.Counter(meter.RequestsInTime, c.account).Inc(1)
+		}
 	case reducer.SendFailure:
 		c.fail(e.Failure, now)
 	}
--- a/reducer/ask.go
+++ b/reducer/ask.go
@@ -48,6 +48,7 @@
 		c.refuse(e.ID, e.Key, *failure)
 		return
 	}
+	c.counters.OutcomesAsked++
 	key := claimer.Key{Account: e.Credentials.Account, Key: e.Key}
 	outcome, _ := c.localOutcome(key)
 	if outcome.State == StateAnswered || outcome.State == StateRunning {
--- a/reducer/bill.go
+++ b/reducer/bill.go
@@ -15,6 +15,9 @@
 	billsPerMessage = 256
 )
 
+// Bills are this entry's own running totals.
+func (c *Core) Bills() []biller.Bill { return c.biller.Bills() }
+
 // tellBills sends this entry's running totals to all live peers, with those of incarnations that are gone.
 // Without the latter the work that an entry did would vanish from the bills with its process.
 func (c *Core) tellBills(now time.Time) {
--- a/reducer/counters.go
+++ b/reducer/counters.go
@@ -39,6 +39,12 @@
 	ClaimsLate        uint64
 	Appends           uint64
 	ConfigBadRecords  uint64
+	ConfigAccepted    uint64
+	ConfigConflicts   uint64
+	ConfigInvalid     uint64
+	OutcomesAsked     uint64
+	OutcomesHandedOff uint64
+	PoisonRefused     uint64
 	ConfigFromPeers   uint64
 	HeartbeatsSent    uint64
 	HeartbeatsTaken   uint64
--- a/reducer/log.go
+++ b/reducer/log.go
@@ -55,6 +55,7 @@
 		verdicts := c.fold.Apply(record)
 		c.configs.add(record)
 		for _, verdict := range verdicts {
+			c.countVerdict(verdict)
 			c.takeVerdict(verdict)
 		}
 	}
@@ -71,6 +72,17 @@
 	}
 }
 
+func (c *Core) countVerdict(verdict publisher.Verdict) {
+	switch verdict.State {
+	case publisher.Accepted:
+		c.counters.ConfigAccepted++
+	case publisher.Conflict:
+		c.counters.ConfigConflicts++
+	default:
+		c.counters.ConfigInvalid++
+	}
+}
+
 // applyContracts hands the contracts in force to the limiter.
 func (c *Core) applyContracts(now time.Time) {
 	for _, contract := range c.fold.Contracts() {
--- a/reducer/quarantine.go
+++ b/reducer/quarantine.go
@@ -54,6 +54,7 @@
 	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
 		r := c.requests[id]
 		if r.digest == digest {
+			c.counters.PoisonRefused++
 			c.fail(r, CodeQuarantined, "the endpoints that ran this content were lost; it is not run again", 0, now)
 		}
 	}
@@ -74,6 +75,7 @@
 func (c *Core) divert(r *request, now time.Time) bool {
 	switch c.quarantiner.Verdict(r.digest, now) {
 	case quarantiner.Quarantined:
+		c.counters.PoisonRefused++
 		c.fail(r, CodeQuarantined, "the endpoints that ran this content were lost; it is not run again", 0, now)
 		return true
 	case quarantiner.Suspect:
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -5,6 +5,7 @@
 
 	"geraniumline/biller"
 	"geraniumline/operatorserver"
+	"geraniumline/publisher"
 )
 
 // status is the system as this entry sees it.
@@ -67,19 +68,19 @@
 	}
 	all := []operatorserver.AccountStatus{}
 	for _, contract := range c.fold.Contracts() {
-		share, rate, inFlight := c.limiter.Share(contract.Account, now)
+		share, _, inFlight := c.limiter.Share(contract.Account, now)
 		bill := bills[contract.Account]
-		all = append(all, accountStatusOf(contract.Account, share, rate, inFlight, bill))
+		all = append(all, accountStatusOf(contract, share, inFlight, bill))
 	}
 	return all
 }
 
-func accountStatusOf(account string, share, rate float64, inFlight int, bill biller.Bill) operatorserver.AccountStatus {
+func accountStatusOf(contract *publisher.Contract, share float64, inFlight int, bill biller.Bill) operatorserver.AccountStatus {
 	counts := bill.Counts()
 	status := operatorserver.AccountStatus{
-		Account:       account,
+		Account:       contract.Account,
 		Share:         share,
-		RatePerSecond: rate,
+		RatePerSecond: contract.RatePerSecond,
 		InFlight:      inFlight,
 		Sent:          int64(counts.Sum()),
 		Answered:      int64(counts.InTime + counts.Late),
--- a/reducer/stop.go
+++ b/reducer/stop.go
@@ -69,6 +69,7 @@
 	size := 0
 	for _, key := range c.outcomes.recent(now.Add(-handoverAge)) {
 		outcome, _ := c.outcomes.get(key)
+		c.counters.OutcomesHandedOff++
 		size += len(outcome.Answer) + len(outcome.Failure.Message)
 		message.Outcomes = append(message.Outcomes, *wireOutcome(0, key, outcome, now))
 		if size >= handoverBytes {
