--- a/scripts/policy.sh
+++ b/scripts/policy.sh
@@ -6,7 +6,7 @@
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
 status=0
-go test -count=1 -p 4 -run Policy -v ./... >"$out" || status=$?
+GERANIUMLINE_BASELINES=1 go test -count=1 -p 4 -run Policy -v ./... >"$out" || status=$?
 go run ./cmd/policyreport --picture docs/policy.svg <"$out" || status=$?
 if [ "$status" -ne 0 ]; then
 	grep -E '^ *--- FAIL|^FAIL' "$out" >&2 || true
