--- /dev/null
+++ b/cmd/policyreport/report_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/measurer"
+)
+
+// output is what a run prints whose second row is out of its bound: the row stands in the
+// test's log and again in its failure.
+func output() string {
+	rows := []measurer.Row{
+		{Case: "limits/steady", Measure: "over", Ours: 0.01, Bound: measurer.Limit{Direction: measurer.AtMost, Value: 0.02}},
+		{
+			Case: "fair/surge", Measure: "attainment", Ours: 0.5,
+			Baselines: []measurer.Baseline{{Name: "firstCome", Value: 0.25}, {Name: "fair", Value: 0.4}},
+			Bound:     measurer.Limit{Direction: measurer.AtLeast, Value: 0.9},
+			Goal:      &measurer.Limit{Direction: measurer.AtLeast, Value: 0.99},
+		},
+	}
+	point := measurer.Point{Way: "ours", Load: 10, Attainment: 0.1, Cost: 980, Goodput: 1}
+	return strings.Join([]string{
+		"=== RUN   TestPolicyLimits",
+		"    check_test.go:27: " + rows[0].String(),
+		"    check_test.go:27: " + rows[1].String(),
+		"        	Messages:   	" + rows[1].String(),
+		"    policydeadlines_test.go:99: " + point.String(),
+		"policy: cases=2 withinBounds=1",
+	}, "\n")
+}
+
+// TestTable holds the table that scripts/policy.sh prints to testdata/table.golden.
+func TestTable(t *testing.T) {
+	found, err := read(strings.NewReader(output()))
+	require.NoError(t, err)
+	require.Equal(t, []measurer.Point{{Way: "ours", Load: 10, Attainment: 0.1, Cost: 980, Goodput: 1}}, found.points)
+	require.Equal(t, 1, found.within())
+	var table bytes.Buffer
+	require.NoError(t, printTable(&table, found.rows))
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "table", table.Bytes())
+}
+
+// TestReadTellsTheField reads a row that was cut off.
+func TestReadTellsTheField(t *testing.T) {
+	_, err := read(strings.NewReader("policy: case=a measure=b ours=0.5 bound=<="))
+	var fieldErr *measurer.FieldError
+	require.ErrorAs(t, err, &fieldErr)
+	require.Equal(t, "bound=<=", fieldErr.Field)
+}
