--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -file schema.go -o schema_gen.go -tests=false
 
-//msgp:tuple Member EndpointLoad AccountUse Record
+//msgp:tuple AccountBill StageBill Member Pulse EndpointLoad AccountUse Record CrashLoss
 
 // Kind tells which message a frame carries.
 type Kind uint8
@@ -19,6 +19,7 @@
 	KindOutcomeCall
 	KindOutcome
 	KindHandover
+	KindBills
 )
 
 // Challenge opens a connection in both directions: the peer must prove that it knows the shared key.
@@ -42,6 +43,19 @@
 	State         uint8
 	ConfigOffset  int64
 	InFlight      int32
+	// Sequence counts the steps of the member's own loop in this incarnation; only the member itself raises it.
+	Sequence uint64
+	// AgeMillis is how long ago the sender of the message last saw Sequence rise.
+	AgeMillis uint32
+}
+
+// Pulse is the short form of a Member that the receiver already knows.
+type Pulse struct {
+	// ID is a hash of the member's name and incarnation.
+	ID        uint32
+	Sequence  uint64
+	AgeMillis uint32
+	State     uint8
 }
 
 // EndpointLoad is one entry's calls in flight and its opinion of an endpoint.
@@ -64,10 +78,18 @@
 	Backlog  int32
 }
 
-// CrashMark counts the endpoints that were lost while a request with this digest ran alone or beside others.
+// CrashLoss is the loss of one endpoint. Entries that saw the same loss tell the same address and
+// nearly the same age.
+type CrashLoss struct {
+	Address   string
+	AgeMillis int64
+}
+
+// CrashMark names the endpoints that were lost while a request with this digest ran there. They are named,
+// and not counted, so that losses seen by several entries add up and those told on do not.
 type CrashMark struct {
-	Digest  []byte `msg:"digest,limit=32"`
-	Crashes int32  `msg:"crashes"`
+	Digest []byte      `msg:"digest,limit=32"`
+	Losses []CrashLoss `msg:"losses,limit=16"`
 }
 
 // Heartbeat is what an entry tells its peers, several times a second.
@@ -75,6 +97,7 @@
 	From      Member         `msg:"from"`
 	Sequence  uint64         `msg:"sequence"`
 	Members   []Member       `msg:"members,limit=4096"`
+	Pulses    []Pulse        `msg:"pulses,limit=4096"`
 	Endpoints []EndpointLoad `msg:"endpoints,limit=16384"`
 	Accounts  []AccountUse   `msg:"accounts,limit=65536"`
 	Crashes   []CrashMark    `msg:"crashes,limit=1024"`
@@ -101,6 +124,8 @@
 	First   int64    `msg:"first"`
 	Next    int64    `msg:"next"`
 	Records []Record `msg:"records,limit=10000"`
+	// Snapshot holds the parts of a snapshot when the records are no longer kept one by one.
+	Snapshot [][]byte `msg:"snapshot,limit=4096"`
 }
 
 // OutcomeCall asks a peer for the outcome of a request by account and idempotency key.
@@ -124,6 +149,8 @@
 	Message string `msg:"message,limit=1024"`
 	// AgeMillis is how long ago the request ended.
 	AgeMillis int64 `msg:"ageMillis"`
+	// Digest is that of the request, so that a key used for another request is noticed.
+	Digest []byte `msg:"digest,limit=32"`
 }
 
 // Handover gives the outcomes that callers may still ask for to a peer, before the sender exits.
@@ -131,3 +158,28 @@
 	CallID   uint64    `msg:"callId"`
 	Outcomes []Outcome `msg:"outcomes,limit=100000"`
 }
+
+// StageBill is the work of one stage in endpoint milliseconds.
+type StageBill struct {
+	Stage  string
+	Cost   float64
+	Wasted float64
+}
+
+// AccountBill is one account's running total at one incarnation of an entry.
+type AccountBill struct {
+	Account string
+	// Urgent, Normal and Relaxed count requests in time, late, not run and unknown.
+	Urgent  [4]uint64
+	Normal  [4]uint64
+	Relaxed [4]uint64
+	Stages  []StageBill
+}
+
+// Bills are the running totals of one incarnation of an entry. They only grow, so that they may come twice,
+// late or by way of another entry.
+type Bills struct {
+	Entry       string        `msg:"entry,limit=128"`
+	Incarnation uint64        `msg:"incarnation"`
+	Accounts    []AccountBill `msg:"accounts,limit=4096"`
+}
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -6,6 +6,341 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// DecodeMsg implements msgp.Decodable
+func (z *AccountBill) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Account, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Urgent")
+		return
+	}
+	if zb0002 != uint32(4) {
+		err = msgp.ArrayError{Wanted: uint32(4), Got: zb0002}
+		return
+	}
+	for za0001 := range z.Urgent {
+		z.Urgent[za0001], err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Urgent", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Normal")
+		return
+	}
+	if zb0003 != uint32(4) {
+		err = msgp.ArrayError{Wanted: uint32(4), Got: zb0003}
+		return
+	}
+	for za0002 := range z.Normal {
+		z.Normal[za0002], err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Normal", za0002)
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Relaxed")
+		return
+	}
+	if zb0004 != uint32(4) {
+		err = msgp.ArrayError{Wanted: uint32(4), Got: zb0004}
+		return
+	}
+	for za0003 := range z.Relaxed {
+		z.Relaxed[za0003], err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Relaxed", za0003)
+			return
+		}
+	}
+	var zb0005 uint32
+	zb0005, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Stages")
+		return
+	}
+	if cap(z.Stages) >= int(zb0005) {
+		z.Stages = (z.Stages)[:zb0005]
+	} else {
+		z.Stages = make([]StageBill, zb0005)
+	}
+	for za0004 := range z.Stages {
+		var zb0006 uint32
+		zb0006, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004)
+			return
+		}
+		if zb0006 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
+			return
+		}
+		z.Stages[za0004].Stage, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Stage")
+			return
+		}
+		z.Stages[za0004].Cost, err = dc.ReadFloat64()
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Cost")
+			return
+		}
+		z.Stages[za0004].Wasted, err = dc.ReadFloat64()
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Wasted")
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *AccountBill) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 5
+	err = en.Append(0x95)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Account)
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(4))
+	if err != nil {
+		err = msgp.WrapError(err, "Urgent")
+		return
+	}
+	for za0001 := range z.Urgent {
+		err = en.WriteUint64(z.Urgent[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Urgent", za0001)
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(4))
+	if err != nil {
+		err = msgp.WrapError(err, "Normal")
+		return
+	}
+	for za0002 := range z.Normal {
+		err = en.WriteUint64(z.Normal[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Normal", za0002)
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(4))
+	if err != nil {
+		err = msgp.WrapError(err, "Relaxed")
+		return
+	}
+	for za0003 := range z.Relaxed {
+		err = en.WriteUint64(z.Relaxed[za0003])
+		if err != nil {
+			err = msgp.WrapError(err, "Relaxed", za0003)
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Stages)))
+	if err != nil {
+		err = msgp.WrapError(err, "Stages")
+		return
+	}
+	for za0004 := range z.Stages {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Stages[za0004].Stage)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Stage")
+			return
+		}
+		err = en.WriteFloat64(z.Stages[za0004].Cost)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Cost")
+			return
+		}
+		err = en.WriteFloat64(z.Stages[za0004].Wasted)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Wasted")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *AccountBill) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendString(o, z.Account)
+	o = msgp.AppendArrayHeader(o, uint32(4))
+	for za0001 := range z.Urgent {
+		o = msgp.AppendUint64(o, z.Urgent[za0001])
+	}
+	o = msgp.AppendArrayHeader(o, uint32(4))
+	for za0002 := range z.Normal {
+		o = msgp.AppendUint64(o, z.Normal[za0002])
+	}
+	o = msgp.AppendArrayHeader(o, uint32(4))
+	for za0003 := range z.Relaxed {
+		o = msgp.AppendUint64(o, z.Relaxed[za0003])
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Stages)))
+	for za0004 := range z.Stages {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Stages[za0004].Stage)
+		o = msgp.AppendFloat64(o, z.Stages[za0004].Cost)
+		o = msgp.AppendFloat64(o, z.Stages[za0004].Wasted)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AccountBill) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Account, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Urgent")
+		return
+	}
+	if zb0002 != uint32(4) {
+		err = msgp.ArrayError{Wanted: uint32(4), Got: zb0002}
+		return
+	}
+	for za0001 := range z.Urgent {
+		z.Urgent[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Urgent", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Normal")
+		return
+	}
+	if zb0003 != uint32(4) {
+		err = msgp.ArrayError{Wanted: uint32(4), Got: zb0003}
+		return
+	}
+	for za0002 := range z.Normal {
+		z.Normal[za0002], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Normal", za0002)
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Relaxed")
+		return
+	}
+	if zb0004 != uint32(4) {
+		err = msgp.ArrayError{Wanted: uint32(4), Got: zb0004}
+		return
+	}
+	for za0003 := range z.Relaxed {
+		z.Relaxed[za0003], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Relaxed", za0003)
+			return
+		}
+	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Stages")
+		return
+	}
+	if cap(z.Stages) >= int(zb0005) {
+		z.Stages = (z.Stages)[:zb0005]
+	} else {
+		z.Stages = make([]StageBill, zb0005)
+	}
+	for za0004 := range z.Stages {
+		var zb0006 uint32
+		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004)
+			return
+		}
+		if zb0006 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
+			return
+		}
+		z.Stages[za0004].Stage, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Stage")
+			return
+		}
+		z.Stages[za0004].Cost, bts, err = msgp.ReadFloat64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Cost")
+			return
+		}
+		z.Stages[za0004].Wasted, bts, err = msgp.ReadFloat64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0004, "Wasted")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *AccountBill) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Account) + msgp.ArrayHeaderSize + (4 * (msgp.Uint64Size)) + msgp.ArrayHeaderSize + (4 * (msgp.Uint64Size)) + msgp.ArrayHeaderSize + (4 * (msgp.Uint64Size)) + msgp.ArrayHeaderSize
+	for za0004 := range z.Stages {
+		s += 1 + msgp.StringPrefixSize + len(z.Stages[za0004].Stage) + msgp.Float64Size + msgp.Float64Size
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *AccountUse) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -157,6 +492,210 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Bills) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "entry":
+			z.Entry, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Entry")
+				return
+			}
+		case "incarnation":
+			z.Incarnation, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "accounts":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Accounts")
+				return
+			}
+			if zb0002 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Accounts) >= int(zb0002) {
+				z.Accounts = (z.Accounts)[:zb0002]
+			} else {
+				z.Accounts = make([]AccountBill, zb0002)
+			}
+			for za0001 := range z.Accounts {
+				err = z.Accounts[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Bills) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "entry"
+	err = en.Append(0x83, 0xa5, 0x65, 0x6e, 0x74, 0x72, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Entry)
+	if err != nil {
+		err = msgp.WrapError(err, "Entry")
+		return
+	}
+	// write "incarnation"
+	err = en.Append(0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Incarnation)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	// write "accounts"
+	err = en.Append(0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Accounts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Accounts")
+		return
+	}
+	for za0001 := range z.Accounts {
+		err = z.Accounts[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Accounts", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Bills) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "entry"
+	o = append(o, 0x83, 0xa5, 0x65, 0x6e, 0x74, 0x72, 0x79)
+	o = msgp.AppendString(o, z.Entry)
+	// string "incarnation"
+	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	// string "accounts"
+	o = append(o, 0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Accounts)))
+	for za0001 := range z.Accounts {
+		o, err = z.Accounts[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Accounts", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Bills) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "entry":
+			z.Entry, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Entry")
+				return
+			}
+		case "incarnation":
+			z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "accounts":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accounts")
+				return
+			}
+			if zb0002 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Accounts) >= int(zb0002) {
+				z.Accounts = (z.Accounts)[:zb0002]
+			} else {
+				z.Accounts = make([]AccountBill, zb0002)
+			}
+			for za0001 := range z.Accounts {
+				bts, err = z.Accounts[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Bills) Msgsize() (s int) {
+	s = 1 + 6 + msgp.StringPrefixSize + len(z.Entry) + 12 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
+	for za0001 := range z.Accounts {
+		s += z.Accounts[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Challenge) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -241,66 +780,153 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Challenge) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
+func (z *Challenge) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "nonce":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Nonce")
+				return
+			}
+			if zb0002 > 64 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Nonce == nil || uint32(cap(z.Nonce)) < zb0002 {
+				z.Nonce = make([]byte, zb0002)
+			} else {
+				z.Nonce = z.Nonce[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Nonce, bts[:zb0002])
+			bts = bts[zb0002:]
+		case "entry":
+			z.Entry, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Entry")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Challenge) Msgsize() (s int) {
+	s = 1 + 6 + msgp.BytesPrefixSize + len(z.Nonce) + 6 + msgp.StringPrefixSize + len(z.Entry)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *CrashLoss) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Address, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.AgeMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z CrashLoss) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Address)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	err = en.WriteInt64(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z CrashLoss) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Address)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CrashLoss) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "nonce":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Nonce")
-				return
-			}
-			if zb0002 > 64 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Nonce == nil || uint32(cap(z.Nonce)) < zb0002 {
-				z.Nonce = make([]byte, zb0002)
-			} else {
-				z.Nonce = z.Nonce[:zb0002]
-			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
-				return
-			}
-			copy(z.Nonce, bts[:zb0002])
-			bts = bts[zb0002:]
-		case "entry":
-			z.Entry, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Entry")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Address, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Challenge) Msgsize() (s int) {
-	s = 1 + 6 + msgp.BytesPrefixSize + len(z.Nonce) + 6 + msgp.StringPrefixSize + len(z.Entry)
+func (z CrashLoss) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.Int64Size
 	return
 }
 
@@ -331,12 +957,48 @@
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
-		case "crashes":
-			z.Crashes, err = dc.ReadInt32()
+		case "losses":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Crashes")
+				err = msgp.WrapError(err, "Losses")
+				return
+			}
+			if zb0002 > 16 {
+				err = msgp.ErrLimitExceeded
 				return
 			}
+			if cap(z.Losses) >= int(zb0002) {
+				z.Losses = (z.Losses)[:zb0002]
+			} else {
+				z.Losses = make([]CrashLoss, zb0002)
+			}
+			for za0001 := range z.Losses {
+				var zb0003 uint32
+				zb0003, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Losses", za0001)
+					return
+				}
+				if zb0003 > 16 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Losses[za0001].Address, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Losses", za0001, "Address")
+					return
+				}
+				z.Losses[za0001].AgeMillis, err = dc.ReadInt64()
+				if err != nil {
+					err = msgp.WrapError(err, "Losses", za0001, "AgeMillis")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -361,16 +1023,33 @@
 		err = msgp.WrapError(err, "Digest")
 		return
 	}
-	// write "crashes"
-	err = en.Append(0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
+	// write "losses"
+	err = en.Append(0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt32(z.Crashes)
+	err = en.WriteArrayHeader(uint32(len(z.Losses)))
 	if err != nil {
-		err = msgp.WrapError(err, "Crashes")
+		err = msgp.WrapError(err, "Losses")
 		return
 	}
+	for za0001 := range z.Losses {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Losses[za0001].Address)
+		if err != nil {
+			err = msgp.WrapError(err, "Losses", za0001, "Address")
+			return
+		}
+		err = en.WriteInt64(z.Losses[za0001].AgeMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "Losses", za0001, "AgeMillis")
+			return
+		}
+	}
 	return
 }
 
@@ -381,9 +1060,15 @@
 	// string "digest"
 	o = append(o, 0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
 	o = msgp.AppendBytes(o, z.Digest)
-	// string "crashes"
-	o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
-	o = msgp.AppendInt32(o, z.Crashes)
+	// string "losses"
+	o = append(o, 0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Losses)))
+	for za0001 := range z.Losses {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Losses[za0001].Address)
+		o = msgp.AppendInt64(o, z.Losses[za0001].AgeMillis)
+	}
 	return
 }
 
@@ -427,12 +1112,44 @@
 			}
 			copy(z.Digest, bts[:zb0002])
 			bts = bts[zb0002:]
-		case "crashes":
-			z.Crashes, bts, err = msgp.ReadInt32Bytes(bts)
+		case "losses":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Crashes")
+				err = msgp.WrapError(err, "Losses")
+				return
+			}
+			if zb0003 > 16 {
+				err = msgp.ErrLimitExceeded
 				return
 			}
+			if cap(z.Losses) >= int(zb0003) {
+				z.Losses = (z.Losses)[:zb0003]
+			} else {
+				z.Losses = make([]CrashLoss, zb0003)
+			}
+			for za0001 := range z.Losses {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Losses", za0001)
+					return
+				}
+				if zb0004 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+					return
+				}
+				z.Losses[za0001].Address, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Losses", za0001, "Address")
+					return
+				}
+				z.Losses[za0001].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Losses", za0001, "AgeMillis")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -447,7 +1164,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *CrashMark) Msgsize() (s int) {
-	s = 1 + 7 + msgp.BytesPrefixSize + len(z.Digest) + 8 + msgp.Int32Size
+	s = 1 + 7 + msgp.BytesPrefixSize + len(z.Digest) + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Losses {
+		s += 1 + msgp.StringPrefixSize + len(z.Losses[za0001].Address) + msgp.Int64Size
+	}
 	return
 }
 
@@ -802,106 +1522,165 @@
 					return
 				}
 			}
-		case "endpoints":
+		case "pulses":
 			var zb0003 uint32
 			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Endpoints")
+				err = msgp.WrapError(err, "Pulses")
 				return
 			}
-			if zb0003 > 16384 {
+			if zb0003 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Endpoints) >= int(zb0003) {
-				z.Endpoints = (z.Endpoints)[:zb0003]
+			if cap(z.Pulses) >= int(zb0003) {
+				z.Pulses = (z.Pulses)[:zb0003]
 			} else {
-				z.Endpoints = make([]EndpointLoad, zb0003)
+				z.Pulses = make([]Pulse, zb0003)
 			}
-			for za0002 := range z.Endpoints {
-				err = z.Endpoints[za0002].DecodeMsg(dc)
+			for za0002 := range z.Pulses {
+				err = z.Pulses[za0002].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Endpoints", za0002)
+					err = msgp.WrapError(err, "Pulses", za0002)
 					return
 				}
 			}
-		case "accounts":
+		case "endpoints":
 			var zb0004 uint32
 			zb0004, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Accounts")
+				err = msgp.WrapError(err, "Endpoints")
 				return
 			}
-			if zb0004 > 65536 {
+			if zb0004 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Accounts) >= int(zb0004) {
-				z.Accounts = (z.Accounts)[:zb0004]
+			if cap(z.Endpoints) >= int(zb0004) {
+				z.Endpoints = (z.Endpoints)[:zb0004]
 			} else {
-				z.Accounts = make([]AccountUse, zb0004)
+				z.Endpoints = make([]EndpointLoad, zb0004)
 			}
-			for za0003 := range z.Accounts {
-				err = z.Accounts[za0003].DecodeMsg(dc)
+			for za0003 := range z.Endpoints {
+				err = z.Endpoints[za0003].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Accounts", za0003)
+					err = msgp.WrapError(err, "Endpoints", za0003)
 					return
 				}
 			}
-		case "crashes":
+		case "accounts":
 			var zb0005 uint32
 			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Accounts")
+				return
+			}
+			if zb0005 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Accounts) >= int(zb0005) {
+				z.Accounts = (z.Accounts)[:zb0005]
+			} else {
+				z.Accounts = make([]AccountUse, zb0005)
+			}
+			for za0004 := range z.Accounts {
+				err = z.Accounts[za0004].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0004)
+					return
+				}
+			}
+		case "crashes":
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Crashes")
 				return
 			}
-			if zb0005 > 1024 {
+			if zb0006 > 1024 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Crashes) >= int(zb0005) {
-				z.Crashes = (z.Crashes)[:zb0005]
+			if cap(z.Crashes) >= int(zb0006) {
+				z.Crashes = (z.Crashes)[:zb0006]
 			} else {
-				z.Crashes = make([]CrashMark, zb0005)
+				z.Crashes = make([]CrashMark, zb0006)
 			}
-			for za0004 := range z.Crashes {
-				var zb0006 uint32
-				zb0006, err = dc.ReadMapHeader()
+			for za0005 := range z.Crashes {
+				var zb0007 uint32
+				zb0007, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Crashes", za0004)
+					err = msgp.WrapError(err, "Crashes", za0005)
 					return
 				}
-				if zb0006 > 1024 {
+				if zb0007 > 1024 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0007 > 0 {
+					zb0007--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "Crashes", za0004)
+						err = msgp.WrapError(err, "Crashes", za0005)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "digest":
-						z.Crashes[za0004].Digest, err = dc.ReadBytesLimit(z.Crashes[za0004].Digest, 32)
-						if err == nil && z.Crashes[za0004].Digest == nil {
-							z.Crashes[za0004].Digest = []byte{}
+						z.Crashes[za0005].Digest, err = dc.ReadBytesLimit(z.Crashes[za0005].Digest, 32)
+						if err == nil && z.Crashes[za0005].Digest == nil {
+							z.Crashes[za0005].Digest = []byte{}
 						}
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004, "Digest")
+							err = msgp.WrapError(err, "Crashes", za0005, "Digest")
 							return
 						}
-					case "crashes":
-						z.Crashes[za0004].Crashes, err = dc.ReadInt32()
+					case "losses":
+						var zb0008 uint32
+						zb0008, err = dc.ReadArrayHeader()
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004, "Crashes")
+							err = msgp.WrapError(err, "Crashes", za0005, "Losses")
+							return
+						}
+						if zb0008 > 16 {
+							err = msgp.ErrLimitExceeded
 							return
 						}
+						if cap(z.Crashes[za0005].Losses) >= int(zb0008) {
+							z.Crashes[za0005].Losses = (z.Crashes[za0005].Losses)[:zb0008]
+						} else {
+							z.Crashes[za0005].Losses = make([]CrashLoss, zb0008)
+						}
+						for za0006 := range z.Crashes[za0005].Losses {
+							var zb0009 uint32
+							zb0009, err = dc.ReadArrayHeader()
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006)
+								return
+							}
+							if zb0009 > 16 {
+								err = msgp.ErrLimitExceeded
+								return
+							}
+							if zb0009 != 2 {
+								err = msgp.ArrayError{Wanted: 2, Got: zb0009}
+								return
+							}
+							z.Crashes[za0005].Losses[za0006].Address, err = dc.ReadString()
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
+								return
+							}
+							z.Crashes[za0005].Losses[za0006].AgeMillis, err = dc.ReadInt64()
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
+								return
+							}
+						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004)
+							err = msgp.WrapError(err, "Crashes", za0005)
 							return
 						}
 					}
@@ -920,9 +1699,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 7
 	// write "from"
-	err = en.Append(0x86, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	err = en.Append(0x87, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	if err != nil {
 		return
 	}
@@ -958,6 +1737,23 @@
 			return
 		}
 	}
+	// write "pulses"
+	err = en.Append(0xa6, 0x70, 0x75, 0x6c, 0x73, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Pulses)))
+	if err != nil {
+		err = msgp.WrapError(err, "Pulses")
+		return
+	}
+	for za0002 := range z.Pulses {
+		err = z.Pulses[za0002].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Pulses", za0002)
+			return
+		}
+	}
 	// write "endpoints"
 	err = en.Append(0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
 	if err != nil {
@@ -968,10 +1764,10 @@
 		err = msgp.WrapError(err, "Endpoints")
 		return
 	}
-	for za0002 := range z.Endpoints {
-		err = z.Endpoints[za0002].EncodeMsg(en)
+	for za0003 := range z.Endpoints {
+		err = z.Endpoints[za0003].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Endpoints", za0002)
+			err = msgp.WrapError(err, "Endpoints", za0003)
 			return
 		}
 	}
@@ -985,10 +1781,10 @@
 		err = msgp.WrapError(err, "Accounts")
 		return
 	}
-	for za0003 := range z.Accounts {
-		err = z.Accounts[za0003].EncodeMsg(en)
+	for za0004 := range z.Accounts {
+		err = z.Accounts[za0004].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Accounts", za0003)
+			err = msgp.WrapError(err, "Accounts", za0004)
 			return
 		}
 	}
@@ -1002,28 +1798,45 @@
 		err = msgp.WrapError(err, "Crashes")
 		return
 	}
-	for za0004 := range z.Crashes {
+	for za0005 := range z.Crashes {
 		// map header, size 2
 		// write "digest"
 		err = en.Append(0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
 		if err != nil {
 			return
 		}
-		err = en.WriteBytes(z.Crashes[za0004].Digest)
+		err = en.WriteBytes(z.Crashes[za0005].Digest)
 		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0004, "Digest")
+			err = msgp.WrapError(err, "Crashes", za0005, "Digest")
 			return
 		}
-		// write "crashes"
-		err = en.Append(0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
+		// write "losses"
+		err = en.Append(0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
 		if err != nil {
 			return
 		}
-		err = en.WriteInt32(z.Crashes[za0004].Crashes)
+		err = en.WriteArrayHeader(uint32(len(z.Crashes[za0005].Losses)))
 		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0004, "Crashes")
+			err = msgp.WrapError(err, "Crashes", za0005, "Losses")
 			return
 		}
+		for za0006 := range z.Crashes[za0005].Losses {
+			// array header, size 2
+			err = en.Append(0x92)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Crashes[za0005].Losses[za0006].Address)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
+				return
+			}
+			err = en.WriteInt64(z.Crashes[za0005].Losses[za0006].AgeMillis)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
+				return
+			}
+		}
 	}
 	return
 }
@@ -1031,9 +1844,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "from"
-	o = append(o, 0x86, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = append(o, 0x87, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -1052,37 +1865,53 @@
 			return
 		}
 	}
+	// string "pulses"
+	o = append(o, 0xa6, 0x70, 0x75, 0x6c, 0x73, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Pulses)))
+	for za0002 := range z.Pulses {
+		o, err = z.Pulses[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Pulses", za0002)
+			return
+		}
+	}
 	// string "endpoints"
 	o = append(o, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
-	for za0002 := range z.Endpoints {
-		o, err = z.Endpoints[za0002].MarshalMsg(o)
+	for za0003 := range z.Endpoints {
+		o, err = z.Endpoints[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Endpoints", za0002)
+			err = msgp.WrapError(err, "Endpoints", za0003)
 			return
 		}
 	}
 	// string "accounts"
 	o = append(o, 0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Accounts)))
-	for za0003 := range z.Accounts {
-		o, err = z.Accounts[za0003].MarshalMsg(o)
+	for za0004 := range z.Accounts {
+		o, err = z.Accounts[za0004].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Accounts", za0003)
+			err = msgp.WrapError(err, "Accounts", za0004)
 			return
 		}
 	}
 	// string "crashes"
 	o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
-	for za0004 := range z.Crashes {
+	for za0005 := range z.Crashes {
 		// map header, size 2
 		// string "digest"
 		o = append(o, 0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
-		o = msgp.AppendBytes(o, z.Crashes[za0004].Digest)
-		// string "crashes"
-		o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
-		o = msgp.AppendInt32(o, z.Crashes[za0004].Crashes)
+		o = msgp.AppendBytes(o, z.Crashes[za0005].Digest)
+		// string "losses"
+		o = append(o, 0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes[za0005].Losses)))
+		for za0006 := range z.Crashes[za0005].Losses {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendString(o, z.Crashes[za0005].Losses[za0006].Address)
+			o = msgp.AppendInt64(o, z.Crashes[za0005].Losses[za0006].AgeMillis)
+		}
 	}
 	return
 }
@@ -1140,119 +1969,174 @@
 					return
 				}
 			}
-		case "endpoints":
+		case "pulses":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Endpoints")
+				err = msgp.WrapError(err, "Pulses")
 				return
 			}
-			if zb0003 > 16384 {
+			if zb0003 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Endpoints) >= int(zb0003) {
-				z.Endpoints = (z.Endpoints)[:zb0003]
+			if cap(z.Pulses) >= int(zb0003) {
+				z.Pulses = (z.Pulses)[:zb0003]
 			} else {
-				z.Endpoints = make([]EndpointLoad, zb0003)
+				z.Pulses = make([]Pulse, zb0003)
 			}
-			for za0002 := range z.Endpoints {
-				bts, err = z.Endpoints[za0002].UnmarshalMsg(bts)
+			for za0002 := range z.Pulses {
+				bts, err = z.Pulses[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Endpoints", za0002)
+					err = msgp.WrapError(err, "Pulses", za0002)
 					return
 				}
 			}
-		case "accounts":
+		case "endpoints":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Accounts")
+				err = msgp.WrapError(err, "Endpoints")
 				return
 			}
-			if zb0004 > 65536 {
+			if zb0004 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Accounts) >= int(zb0004) {
-				z.Accounts = (z.Accounts)[:zb0004]
+			if cap(z.Endpoints) >= int(zb0004) {
+				z.Endpoints = (z.Endpoints)[:zb0004]
 			} else {
-				z.Accounts = make([]AccountUse, zb0004)
+				z.Endpoints = make([]EndpointLoad, zb0004)
 			}
-			for za0003 := range z.Accounts {
-				bts, err = z.Accounts[za0003].UnmarshalMsg(bts)
+			for za0003 := range z.Endpoints {
+				bts, err = z.Endpoints[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Accounts", za0003)
+					err = msgp.WrapError(err, "Endpoints", za0003)
 					return
 				}
 			}
-		case "crashes":
+		case "accounts":
 			var zb0005 uint32
 			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accounts")
+				return
+			}
+			if zb0005 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Accounts) >= int(zb0005) {
+				z.Accounts = (z.Accounts)[:zb0005]
+			} else {
+				z.Accounts = make([]AccountUse, zb0005)
+			}
+			for za0004 := range z.Accounts {
+				bts, err = z.Accounts[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0004)
+					return
+				}
+			}
+		case "crashes":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Crashes")
 				return
 			}
-			if zb0005 > 1024 {
+			if zb0006 > 1024 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Crashes) >= int(zb0005) {
-				z.Crashes = (z.Crashes)[:zb0005]
+			if cap(z.Crashes) >= int(zb0006) {
+				z.Crashes = (z.Crashes)[:zb0006]
 			} else {
-				z.Crashes = make([]CrashMark, zb0005)
+				z.Crashes = make([]CrashMark, zb0006)
 			}
-			for za0004 := range z.Crashes {
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0005 := range z.Crashes {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Crashes", za0004)
+					err = msgp.WrapError(err, "Crashes", za0005)
 					return
 				}
-				if zb0006 > 1024 {
+				if zb0007 > 1024 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0007 > 0 {
+					zb0007--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Crashes", za0004)
+						err = msgp.WrapError(err, "Crashes", za0005)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "digest":
-						var zb0007 uint32
-						zb0007, bts, err = msgp.ReadBytesHeader(bts)
+						var zb0008 uint32
+						zb0008, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004, "Digest")
+							err = msgp.WrapError(err, "Crashes", za0005, "Digest")
 							return
 						}
-						if zb0007 > 32 {
+						if zb0008 > 32 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
-						if z.Crashes[za0004].Digest == nil || uint32(cap(z.Crashes[za0004].Digest)) < zb0007 {
-							z.Crashes[za0004].Digest = make([]byte, zb0007)
+						if z.Crashes[za0005].Digest == nil || uint32(cap(z.Crashes[za0005].Digest)) < zb0008 {
+							z.Crashes[za0005].Digest = make([]byte, zb0008)
 						} else {
-							z.Crashes[za0004].Digest = z.Crashes[za0004].Digest[:zb0007]
+							z.Crashes[za0005].Digest = z.Crashes[za0005].Digest[:zb0008]
 						}
-						if uint32(len(bts)) < zb0007 {
+						if uint32(len(bts)) < zb0008 {
 							err = msgp.ErrShortBytes
 							return
 						}
-						copy(z.Crashes[za0004].Digest, bts[:zb0007])
-						bts = bts[zb0007:]
-					case "crashes":
-						z.Crashes[za0004].Crashes, bts, err = msgp.ReadInt32Bytes(bts)
+						copy(z.Crashes[za0005].Digest, bts[:zb0008])
+						bts = bts[zb0008:]
+					case "losses":
+						var zb0009 uint32
+						zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004, "Crashes")
+							err = msgp.WrapError(err, "Crashes", za0005, "Losses")
+							return
+						}
+						if zb0009 > 16 {
+							err = msgp.ErrLimitExceeded
 							return
 						}
+						if cap(z.Crashes[za0005].Losses) >= int(zb0009) {
+							z.Crashes[za0005].Losses = (z.Crashes[za0005].Losses)[:zb0009]
+						} else {
+							z.Crashes[za0005].Losses = make([]CrashLoss, zb0009)
+						}
+						for za0006 := range z.Crashes[za0005].Losses {
+							var zb0010 uint32
+							zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006)
+								return
+							}
+							if zb0010 != 2 {
+								err = msgp.ArrayError{Wanted: 2, Got: zb0010}
+								return
+							}
+							z.Crashes[za0005].Losses[za0006].Address, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
+								return
+							}
+							z.Crashes[za0005].Losses[za0006].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
+								return
+							}
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004)
+							err = msgp.WrapError(err, "Crashes", za0005)
 							return
 						}
 					}
@@ -1276,17 +2160,24 @@
 	for za0001 := range z.Members {
 		s += z.Members[za0001].Msgsize()
 	}
+	s += 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Pulses {
+		s += z.Pulses[za0002].Msgsize()
+	}
 	s += 10 + msgp.ArrayHeaderSize
-	for za0002 := range z.Endpoints {
-		s += z.Endpoints[za0002].Msgsize()
+	for za0003 := range z.Endpoints {
+		s += z.Endpoints[za0003].Msgsize()
 	}
 	s += 9 + msgp.ArrayHeaderSize
-	for za0003 := range z.Accounts {
-		s += z.Accounts[za0003].Msgsize()
+	for za0004 := range z.Accounts {
+		s += z.Accounts[za0004].Msgsize()
 	}
 	s += 8 + msgp.ArrayHeaderSize
-	for za0004 := range z.Crashes {
-		s += 1 + 7 + msgp.BytesPrefixSize + len(z.Crashes[za0004].Digest) + 8 + msgp.Int32Size
+	for za0005 := range z.Crashes {
+		s += 1 + 7 + msgp.BytesPrefixSize + len(z.Crashes[za0005].Digest) + 7 + msgp.ArrayHeaderSize
+		for za0006 := range z.Crashes[za0005].Losses {
+			s += 1 + msgp.StringPrefixSize + len(z.Crashes[za0005].Losses[za0006].Address) + msgp.Int64Size
+		}
 	}
 	return
 }
@@ -1351,8 +2242,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Name, err = dc.ReadString()
@@ -1395,13 +2286,23 @@
 		err = msgp.WrapError(err, "InFlight")
 		return
 	}
+	z.Sequence, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 8
-	err = en.Append(0x98)
+	// array header, size 10
+	err = en.Append(0x9a)
 	if err != nil {
 		return
 	}
@@ -1445,14 +2346,24 @@
 		err = msgp.WrapError(err, "InFlight")
 		return
 	}
+	err = en.WriteUint64(z.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	err = en.WriteUint32(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendString(o, z.Name)
 	o = msgp.AppendString(o, z.Zone)
 	o = msgp.AppendString(o, z.CallerAddress)
@@ -1461,6 +2372,8 @@
 	o = msgp.AppendUint8(o, z.State)
 	o = msgp.AppendInt64(o, z.ConfigOffset)
 	o = msgp.AppendInt32(o, z.InFlight)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendUint32(o, z.AgeMillis)
 	return
 }
 
@@ -1472,8 +2385,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Name, bts, err = msgp.ReadStringBytes(bts)
@@ -1516,13 +2429,23 @@
 		err = msgp.WrapError(err, "InFlight")
 		return
 	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Member) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.Zone) + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.Uint64Size + msgp.Uint8Size + msgp.Int64Size + msgp.Int32Size
+	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.Zone) + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.Uint64Size + msgp.Uint8Size + msgp.Int64Size + msgp.Int32Size + msgp.Uint64Size + msgp.Uint32Size
 	return
 }
 
@@ -1598,6 +2521,15 @@
 				err = msgp.WrapError(err, "AgeMillis")
 				return
 			}
+		case "digest":
+			z.Digest, err = dc.ReadBytesLimit(z.Digest, 32)
+			if err == nil && z.Digest == nil {
+				z.Digest = []byte{}
+			}
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1611,9 +2543,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Outcome) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
+	// map header, size 10
 	// write "callId"
-	err = en.Append(0x89, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	err = en.Append(0x8a, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	if err != nil {
 		return
 	}
@@ -1697,9 +2629,19 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteInt64(z.AgeMillis)
+	err = en.WriteInt64(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	// write "digest"
+	err = en.Append(0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Digest)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Digest")
 		return
 	}
 	return
@@ -1708,9 +2650,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Outcome) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "callId"
-	o = append(o, 0x89, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = append(o, 0x8a, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	o = msgp.AppendUint64(o, z.CallID)
 	// string "account"
 	o = append(o, 0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
@@ -1736,6 +2678,9 @@
 	// string "ageMillis"
 	o = append(o, 0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.AgeMillis)
+	// string "digest"
+	o = append(o, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	o = msgp.AppendBytes(o, z.Digest)
 	return
 }
 
@@ -1811,6 +2756,28 @@
 				err = msgp.WrapError(err, "AgeMillis")
 				return
 			}
+		case "digest":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+			if zb0002 > 32 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Digest == nil || uint32(cap(z.Digest)) < zb0002 {
+				z.Digest = make([]byte, zb0002)
+			} else {
+				z.Digest = z.Digest[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Digest, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1825,7 +2792,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Outcome) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Account) + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.Uint8Size + 7 + msgp.StringPrefixSize + len(z.Answer) + 6 + msgp.Int32Size + 5 + msgp.StringPrefixSize + len(z.Code) + 8 + msgp.StringPrefixSize + len(z.Message) + 10 + msgp.Int64Size
+	s = 1 + 7 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Account) + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.Uint8Size + 7 + msgp.StringPrefixSize + len(z.Answer) + 6 + msgp.Int32Size + 5 + msgp.StringPrefixSize + len(z.Code) + 8 + msgp.StringPrefixSize + len(z.Message) + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Digest)
 	return
 }
 
@@ -2129,6 +3096,125 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Pulse) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Sequence, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	z.State, err = dc.ReadUint8()
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Pulse) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteUint64(z.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	err = en.WriteUint32(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	err = en.WriteUint8(z.State)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Pulse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint32(o, z.ID)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendUint32(o, z.AgeMillis)
+	o = msgp.AppendUint8(o, z.State)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Pulse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	z.State, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Pulse) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint8Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Record) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -2321,6 +3407,32 @@
 					return
 				}
 			}
+		case "snapshot":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Snapshot")
+				return
+			}
+			if zb0004 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Snapshot) >= int(zb0004) {
+				z.Snapshot = (z.Snapshot)[:zb0004]
+			} else {
+				z.Snapshot = make([][]byte, zb0004)
+			}
+			for za0002 := range z.Snapshot {
+				z.Snapshot[za0002], err = dc.ReadBytesLimit(z.Snapshot[za0002], 4096)
+				if err == nil && z.Snapshot[za0002] == nil {
+					z.Snapshot[za0002] = []byte{}
+				}
+				if err != nil {
+					err = msgp.WrapError(err, "Snapshot", za0002)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2334,9 +3446,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Records) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "callId"
-	err = en.Append(0x85, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	err = en.Append(0x86, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	if err != nil {
 		return
 	}
@@ -2407,15 +3519,32 @@
 			return
 		}
 	}
+	// write "snapshot"
+	err = en.Append(0xa8, 0x73, 0x6e, 0x61, 0x70, 0x73, 0x68, 0x6f, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Snapshot)))
+	if err != nil {
+		err = msgp.WrapError(err, "Snapshot")
+		return
+	}
+	for za0002 := range z.Snapshot {
+		err = en.WriteBytes(z.Snapshot[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Snapshot", za0002)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Records) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "callId"
-	o = append(o, 0x85, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = append(o, 0x86, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	o = msgp.AppendUint64(o, z.CallID)
 	// string "stream"
 	o = append(o, 0xa6, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
@@ -2436,6 +3565,12 @@
 		o = msgp.AppendInt64(o, z.Records[za0001].AtMillis)
 		o = msgp.AppendBytes(o, z.Records[za0001].Data)
 	}
+	// string "snapshot"
+	o = append(o, 0xa8, 0x73, 0x6e, 0x61, 0x70, 0x73, 0x68, 0x6f, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Snapshot)))
+	for za0002 := range z.Snapshot {
+		o = msgp.AppendBytes(o, z.Snapshot[za0002])
+	}
 	return
 }
 
@@ -2524,6 +3659,45 @@
 					return
 				}
 			}
+		case "snapshot":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Snapshot")
+				return
+			}
+			if zb0004 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Snapshot) >= int(zb0004) {
+				z.Snapshot = (z.Snapshot)[:zb0004]
+			} else {
+				z.Snapshot = make([][]byte, zb0004)
+			}
+			for za0002 := range z.Snapshot {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadBytesHeader(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Snapshot", za0002)
+					return
+				}
+				if zb0005 > 4096 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if z.Snapshot[za0002] == nil || uint32(cap(z.Snapshot[za0002])) < zb0005 {
+					z.Snapshot[za0002] = make([]byte, zb0005)
+				} else {
+					z.Snapshot[za0002] = z.Snapshot[za0002][:zb0005]
+				}
+				if uint32(len(bts)) < zb0005 {
+					err = msgp.ErrShortBytes
+					return
+				}
+				copy(z.Snapshot[za0002], bts[:zb0005])
+				bts = bts[zb0005:]
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2542,6 +3716,10 @@
 	for za0001 := range z.Records {
 		s += 1 + msgp.Int64Size + msgp.Int64Size + msgp.BytesPrefixSize + len(z.Records[za0001].Data)
 	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.Snapshot {
+		s += msgp.BytesPrefixSize + len(z.Snapshot[za0002])
+	}
 	return
 }
 
@@ -2697,3 +3875,106 @@
 	s = 1 + 7 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Stream) + 5 + msgp.Int64Size
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *StageBill) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Stage, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Stage")
+		return
+	}
+	z.Cost, err = dc.ReadFloat64()
+	if err != nil {
+		err = msgp.WrapError(err, "Cost")
+		return
+	}
+	z.Wasted, err = dc.ReadFloat64()
+	if err != nil {
+		err = msgp.WrapError(err, "Wasted")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z StageBill) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Stage)
+	if err != nil {
+		err = msgp.WrapError(err, "Stage")
+		return
+	}
+	err = en.WriteFloat64(z.Cost)
+	if err != nil {
+		err = msgp.WrapError(err, "Cost")
+		return
+	}
+	err = en.WriteFloat64(z.Wasted)
+	if err != nil {
+		err = msgp.WrapError(err, "Wasted")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z StageBill) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Stage)
+	o = msgp.AppendFloat64(o, z.Cost)
+	o = msgp.AppendFloat64(o, z.Wasted)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StageBill) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Stage, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Stage")
+		return
+	}
+	z.Cost, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Cost")
+		return
+	}
+	z.Wasted, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Wasted")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StageBill) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Stage) + msgp.Float64Size + msgp.Float64Size
+	return
+}
--- /dev/null
+++ b/publisher/state.go
@@ -0,0 +1,213 @@
+package publisher
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// objectID names one object.
+type objectID struct {
+	kind, name string
+}
+
+// entryOf is an object as published and in its typed form.
+type entryOf struct {
+	object Object
+	parsed parsed
+}
+
+// state is the configuration after some offset, with the verdicts that are remembered.
+type state struct {
+	objects map[objectID]*entryOf
+	history history
+	// lists holds the objects by kind and name, for kinds that did not change since they were asked for.
+	lists map[string]*list
+}
+
+// list is the objects of one kind by name, also in their typed form.
+type list struct {
+	entries   []*entryOf
+	pools     []*Pool
+	pipelines []*Pipeline
+	contracts []*Contract
+}
+
+func newState() *state {
+	return &state{
+		objects: make(map[objectID]*entryOf),
+		history: newHistory(),
+		lists:   make(map[string]*list),
+	}
+}
+
+// set puts an object in force, or takes it out with a nil entry.
+func (s *state) set(id objectID, e *entryOf) {
+	delete(s.lists, id.kind)
+	if e == nil {
+		delete(s.objects, id)
+		return
+	}
+	s.objects[id] = e
+}
+
+func (s *state) version(id objectID) int64 {
+	if e, ok := s.objects[id]; ok {
+		return e.object.Version
+	}
+	return 0
+}
+
+// apply folds one change in and gives its verdict; a known operation id gets its first verdict again.
+func (s *state) apply(offset, atMillis int64, c *Change) Verdict {
+	if first, ok := s.history.find(c.OperationID); ok {
+		return first
+	}
+	v := s.decide(offset, c)
+	v.AtMillis = atMillis
+	s.history.add(v)
+	return v
+}
+
+func (s *state) decide(offset int64, c *Change) Verdict {
+	id := objectID{kind: c.Kind, name: c.Name}
+	current := s.version(id)
+	v := Verdict{OperationID: c.OperationID, Operator: c.Operator, Kind: c.Kind, Name: c.Name, Version: current}
+	if c.BaseVersion != current {
+		v.State = Conflict
+		v.Message = fmt.Sprintf("based on version %d, but version %d is in force", c.BaseVersion, current)
+		return v
+	}
+	p, faults := s.check(c)
+	if len(faults) > 0 {
+		v.State = Invalid
+		v.Message = clip(faults[0].String())
+		return v
+	}
+	v.State = Accepted
+	if c.Remove {
+		s.set(id, nil)
+		v.Version = 0
+		return v
+	}
+	object := Object{Kind: c.Kind, Name: c.Name, Version: offset, Body: c.Body}
+	s.set(id, &entryOf{object: object, parsed: p})
+	v.Version = offset
+	return v
+}
+
+// clip keeps a message inside the limit of the record's schema.
+func clip(message string) string {
+	if len(message) > maxMessageBytes {
+		return strings.ToValidUTF8(message[:maxMessageBytes], "")
+	}
+	return message
+}
+
+// check gives the change's typed object and every fault, references included.
+func (s *state) check(c *Change) (parsed, []Fault) {
+	if c.Remove {
+		return parsed{}, s.checkRemoval(c)
+	}
+	p, faults := parse(c.Kind, c.Name, c.Body)
+	if p.pipeline != nil {
+		faults = append(faults, s.missingPools(p.pipeline)...)
+	}
+	if p.contract != nil {
+		faults = append(faults, s.missingPipelines(p.contract)...)
+	}
+	return p, faults
+}
+
+func (s *state) missingPools(p *Pipeline) []Fault {
+	var faults []Fault
+	for i, stage := range p.Stages {
+		if s.version(objectID{kind: KindPool, name: stage.Pool}) == 0 {
+			path := fmt.Sprintf("stages[%d].pool", i)
+			faults = append(faults, Fault{Path: path, Message: fmt.Sprintf("there is no pool %q", stage.Pool)})
+		}
+	}
+	return faults
+}
+
+func (s *state) missingPipelines(c *Contract) []Fault {
+	var faults []Fault
+	for i, name := range c.Pipelines {
+		if s.version(objectID{kind: KindPipeline, name: name}) == 0 {
+			path := fmt.Sprintf("pipelines[%d]", i)
+			faults = append(faults, Fault{Path: path, Message: fmt.Sprintf("there is no pipeline %q", name)})
+		}
+	}
+	return faults
+}
+
+func (s *state) checkRemoval(c *Change) []Fault {
+	id := objectID{kind: c.Kind, name: c.Name}
+	if len(c.Body) > 0 {
+		return []Fault{{Message: "a removal has no body"}}
+	}
+	if s.version(id) == 0 {
+		return []Fault{{Message: fmt.Sprintf("there is no %s %q", c.Kind, c.Name)}}
+	}
+	var faults []Fault
+	for _, user := range s.list(userKind(c.Kind)).entries {
+		if user.parsed.uses(id) {
+			message := fmt.Sprintf("is used by %s %q", user.object.Kind, user.object.Name)
+			faults = append(faults, Fault{Message: message})
+		}
+	}
+	return faults
+}
+
+// userKind gives the kind of object that refers to objects of the kind.
+func userKind(kind string) string {
+	switch kind {
+	case KindPool:
+		return KindPipeline
+	case KindPipeline:
+		return KindContract
+	default:
+		return ""
+	}
+}
+
+func (p parsed) uses(id objectID) bool {
+	if p.pipeline != nil {
+		return slices.ContainsFunc(p.pipeline.Stages, func(s Stage) bool { return s.Pool == id.name })
+	}
+	if p.contract != nil {
+		return slices.Contains(p.contract.Pipelines, id.name)
+	}
+	return false
+}
+
+// list gives the objects of a kind by name; an empty kind means none. It is made once for many askers: the core
+// asks for the pools several times a second, beside tens of thousands of contracts.
+func (s *state) list(kind string) *list {
+	if l, ok := s.lists[kind]; ok {
+		return l
+	}
+	l := &list{}
+	for id, e := range s.objects {
+		if id.kind == kind {
+			l.entries = append(l.entries, e)
+		}
+	}
+	slices.SortFunc(l.entries, func(a, b *entryOf) int { return strings.Compare(a.object.Name, b.object.Name) })
+	for _, e := range l.entries {
+		l.add(e.parsed)
+	}
+	s.lists[kind] = l
+	return l
+}
+
+func (l *list) add(p parsed) {
+	switch {
+	case p.pool != nil:
+		l.pools = append(l.pools, p.pool)
+	case p.pipeline != nil:
+		l.pipelines = append(l.pipelines, p.pipeline)
+	case p.contract != nil:
+		l.contracts = append(l.contracts, p.contract)
+	}
+}
--- /dev/null
+++ b/reducer/fault.go
@@ -0,0 +1,132 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+
+	"geraniumline/router"
+)
+
+// takeFault takes the failure of one call and decides what becomes of its stage.
+func (c *Core) takeFault(e StageFailed, now time.Time) {
+	r, at := c.find(e.Call)
+	if r == nil {
+		return
+	}
+	k := &r.calls[at]
+	if c.resume(r, k, e, now) {
+		return
+	}
+	address := k.address
+	result := resultOf(e.Fault.Kind)
+	if k.resumed {
+		// The endpoint took the call before it was cut. That it is unreachable, or does not know the
+		// stream, when the reply is read on must not pass for "not run": a stage that must not be
+		// repeated would be run again. It is what a cut without resuming is.
+		e.Fault.Kind = FaultCut
+	}
+	if e.Fault.Kind == FaultCut && c.countCrash(r, address, now) {
+		return
+	}
+	hedgesLeft := len(r.calls) > 1
+	if surelyNotRun(e.Fault.Kind) {
+		r.possible--
+	} else {
+		c.waste(r, k, now)
+	}
+	if e.Fault.Kind == FaultTimeout {
+		c.emit(CancelStage{Call: e.Call, Address: address, StreamID: k.streamID})
+	}
+	c.endCall(address, router.End{Result: result}, now)
+	r.calls = slices.Delete(r.calls, at, at+1)
+	r.tried = append(r.tried, address)
+	pool := r.stageConfig().Pool
+	if !hedgesLeft {
+		c.decideAfterFault(r, e.Fault, now)
+	}
+	c.pump(pool, now)
+}
+
+// resume reads the rest of a cut stream at its endpoint. It runs nothing again, so it may be done
+// for stages that must not be repeated too.
+func (c *Core) resume(r *request, k *call, e StageFailed, now time.Time) bool {
+	if e.Fault.Kind != FaultCut || k.streamID == "" || r.resumes >= maxResumes {
+		return false
+	}
+	r.resumes++
+	k.resumed = true
+	c.counters.StageResumes++
+	clear(k.early)
+	k.lastPart = now
+	c.emit(ResumeStage{Call: e.Call, Address: k.address, StreamID: k.streamID, From: k.nextSeq})
+	return true
+}
+
+// surelyNotRun tells whether the endpoint certainly did not act on the call.
+func surelyNotRun(kind FaultKind) bool {
+	switch kind {
+	case FaultNotSent, FaultLeaving, FaultBusy, FaultStaleFence, FaultBadCall:
+		return true
+	default:
+		return false
+	}
+}
+
+func resultOf(kind FaultKind) router.Result {
+	switch kind {
+	case FaultLeaving:
+		return router.RefusedLeaving
+	case FaultNotSent:
+		return router.Unreachable
+	case FaultBusy:
+		return router.RefusedBusy
+	case FaultStaleFence, FaultBadCall:
+		return router.Cancelled
+	default:
+		return router.Failed
+	}
+}
+
+// decideAfterFault tries the stage again where that is allowed, and else ends the request at once.
+func (c *Core) decideAfterFault(r *request, fault StageFault, now time.Time) {
+	stage := r.stageConfig()
+	switch {
+	case fault.Kind == FaultBadCall || fault.Kind == FaultStaleFence:
+		c.fail(r, CodeStageFailed, "an endpoint refused the call: "+fault.Message, 0, now)
+	case !surelyNotRun(fault.Kind) && !stage.Repeatable:
+		// The endpoint may have acted, and a second call might act twice.
+		c.fail(r, CodeStageFailed, "the outcome of a stage that must not be repeated is not known", 0, now)
+	case (fault.Kind == FaultLeaving || fault.Kind == FaultNotSent) && len(r.tried) < maxFreeTries:
+		// A leaving endpoint's refusal is no sign of trouble in the pool, so it costs no retry. Nor does a
+		// refused connection: it is no work for the pool, and the endpoint is out of use after it.
+		c.enqueue(r, now)
+	case fault.Kind == FaultCut && r.attempts < maxLoneTries:
+		// The next try runs alone, and few at a time do, so it needs no budget against a storm.
+		c.counters.StageRetries++
+		c.enqueue(r, now)
+	case c.retrier.Retry(stage.Pool, r.attempts, now):
+		c.counters.StageRetries++
+		c.enqueue(r, now)
+	default:
+		c.fail(r, CodeStageFailed, "no endpoint ran the stage: "+fault.Message, c.retryAfter(stage.Pool), now)
+	}
+}
+
+const (
+	// maxFreeTries bounds the tries of a stage that are no work for the pool.
+	maxFreeTries = 8
+	// maxLoneTries bounds the attempts of a stage whose calls were cut.
+	maxLoneTries = 3
+)
+
+// endCall tells the router of a call's end.
+func (c *Core) endCall(address string, end router.End, now time.Time) {
+	if c.router.Ended(address, end, now) {
+		c.noteEjected(address)
+	}
+}
+
+func (c *Core) noteEjected(address string) {
+	c.counters.EndpointsEjected++
+	c.emit(LogChange{Message: "endpoint", Subject: address, From: "live", To: "ejected"})
+}
