reducer: count on what a pool was found to take, and charge back what was not run

Items popped but not run were charged to their accounts and would count as work done by the pool. Change: scheduler.Drain before router.Capacity; Charge(-cost) for items not run; the policy's table in a fixed order.

--- a/cmd/policyreport/read.go
+++ b/cmd/policyreport/read.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"slices"
 	"strings"
 
 	"geraniumline/measurer"
@@ -48,6 +49,8 @@
 		seen[row.Case+" "+row.Measure] = true
 		found.rows = append(found.rows, row)
 	}
+	// Trials run at once and end in any order; a table in a fixed order can be compared.
+	slices.SortStableFunc(found.rows, func(a, b measurer.Row) int { return strings.Compare(a.Case, b.Case) })
 	return found, lines.Err()
 }
 
--- a/reducer/plan.go
+++ b/reducer/plan.go
@@ -60,12 +60,22 @@
 			Expected: time.Duration(stage.ExpectedMillis) * time.Millisecond,
 			Ahead:    ahead.Present,
 			Worst:    ahead.Worst,
-			Capacity: c.router.Capacity(stage.Pool, c.liveEntries, now),
+			Capacity: c.capacity(stage.Pool, now),
 		}
 	}
 	return p.asks[from:]
 }
 
+// capacity is the work in endpoint milliseconds a millisecond that this entry may count on in a pool: what the
+// pool was found to take while stages waited here, else an even part of its slots. When callers come to
+// some entries more than to others, an even part is wrong at each of them.
+func (c *Core) capacity(pool string, now time.Time) float64 {
+	if drain := c.scheduler.Drain(pool, now); drain > 0 {
+		return drain
+	}
+	return c.router.Capacity(pool, c.liveEntries, now)
+}
+
 // expectedCost is the cost of all stages, in endpoint milliseconds.
 func (c *Core) expectedCost(p *plan) float64 {
 	total := 0.0
--- a/reducer/stage.go
+++ b/reducer/stage.go
@@ -86,21 +86,21 @@
 			return
 		}
 		r, running := c.requests[item.ID]
-		if !running {
-			continue
-		}
-		if c.divert(r, now) {
+		if !running || c.divert(r, now) {
+			c.chargeBack(pool, item)
 			continue
 		}
 		c.admitter.ObserveWait(pool, now.Sub(r.queuedAt), now)
 		asks := c.asks(r.plan, r.contract, r.stage, now)
 		asks[0].Ahead = 0 // its turn has come
 		if c.admitter.Hopeless(asks, r.deadline, now) {
+			c.chargeBack(pool, item)
 			c.fail(r, CodeCannotFinish, "the stages that are left cannot end by the deadline", c.retryAfter(pool), now)
 			continue
 		}
 		address, found := c.router.Choose(c.askOf(r), now)
 		if !found {
+			c.chargeBack(pool, item)
 			c.scheduler.Push(pool, item, now)
 			return
 		}
@@ -108,6 +108,12 @@
 	}
 }
 
+// chargeBack takes the work of an item back that was popped but not run: it would be counted as done by the pool,
+// and as served to the account.
+func (c *Core) chargeBack(pool string, item scheduler.Item) {
+	c.scheduler.Charge(pool, item.Account, -item.Cost)
+}
+
 func (c *Core) askOf(r *request) router.Ask {
 	stage := r.stageConfig()
 	r.prefix = c.prefixOf(r)
@@ -116,7 +122,7 @@
 
 // retryAfter tells a caller when the backlog of a pool will have been worked off.
 func (c *Core) retryAfter(pool string) time.Duration {
-	capacity := max(c.router.Capacity(pool, c.liveEntries, c.lastTick), 1)
+	capacity := max(c.capacity(pool, c.lastTick), 1)
 	wait := time.Duration(c.scheduler.Backlog(pool)/capacity) * time.Millisecond
 	return max(wait, minRetryAfter)
 }
