Let the process-level proofs fail where a safeguard is missing

Trials with one safeguard off at a time showed proofs that held without it: cut streams that were run again or not answered, doubled parts that only cost attainment, one key at two entries at once, and a trimmed log without a record behind the gap. Repeatable requests now have to be answered in time (95 in 100; the runs show 100), cut streams all answered without being run again, twins are sent, and the log keeps the last change alone. Run: connectionCut, streamsCut, repliesMixed, entryKilled, endpointFrozen, retentionPassed hold.

--- a/prover/endpoints.go
+++ b/prover/endpoints.go
@@ -12,6 +12,9 @@
 // leavingBound is the time from the first sign after which a leaving endpoint gets no new work.
 const leavingBound = 3 * time.Second
 
+// rerunShare leaves room for a few hedges where cut streams must be resumed and not run again.
+const rerunShare = 1.05
+
 func endpointProofs() []Proof {
 	return []Proof{
 		{Name: "leavingBySign", Faults: "an engine refuses as leaving and says so in its load", Entries: 3, Run: proveLeavingBySign},
@@ -116,12 +119,9 @@
 	if err := b.all(ctx, "engines", faker.Faults{CutStreamAfterParts: 3}); err != nil {
 		return err
 	}
-	from := time.Now()
-	stopTickets, stopSummaries := b.traffic(ctx, ticket(), load), b.traffic(ctx, summary(), load)
-	time.Sleep(4 * time.Second)
-	stopTickets()
-	stopSummaries()
-	b.noteAttainment(from)
+	if err := b.underLoad(ctx, func() error { return sleep(4 * time.Second) }); err != nil {
+		return err
+	}
 	executions, err := b.fleet.Executions(ctx)
 	if err != nil {
 		return err
@@ -132,8 +132,11 @@
 			generated++
 		}
 	}
-	answered := b.count(ctx).Answered
-	b.say("%d generations for %d answers", generated, answered)
+	counts := b.count(ctx)
+	b.say("%d generations for %d answers", generated, counts.Answered)
+	if counts.Answered < counts.Requests || float64(generated) > rerunShare*float64(counts.Answered) {
+		return violated("%d of %d requests were answered with %d generations", counts.Answered, counts.Requests, generated)
+	}
 	return nil
 }
 
@@ -153,20 +156,21 @@
 	if err := b.fleet.Endpoints("tickets")[0].Driver.SetFaults(ctx, faker.Faults{SwapReplies: true, IgnoreFence: true}); err != nil {
 		return err
 	}
-	from := time.Now()
-	stopTickets, stopSummaries := b.traffic(ctx, ticket(), load), b.traffic(ctx, summary(), load)
-	time.Sleep(4 * time.Second)
-	stopTickets()
-	stopSummaries()
-	b.noteAttainment(from)
+	return b.underLoad(ctx, func() error { return sleep(4 * time.Second) })
+}
+
+func sleep(d time.Duration) error {
+	time.Sleep(d)
 	return nil
 }
 
 // A service whose calls must not be repeated and an engine stand still under load and go on later with what they
 // had taken. The service's calls are not run elsewhere meanwhile; the engine's are.
-func proveEndpointFrozen(ctx context.Context, b *bench) (err error) {
-	from := time.Now()
-	stopTickets, stopSummaries := b.traffic(ctx, ticket(), load), b.traffic(ctx, summary(), load)
+func proveEndpointFrozen(ctx context.Context, b *bench) error {
+	return b.underLoad(ctx, b.freezeEndpoints)
+}
+
+func (b *bench) freezeEndpoints() (err error) {
 	time.Sleep(time.Second)
 	frozen := []*starter.Endpoint{b.fleet.Endpoints("engines")[2], b.fleet.Endpoints("tickets")[1]}
 	for _, endpoint := range frozen {
@@ -177,8 +181,5 @@
 		err = firstOf(err, endpoint.Thaw())
 	}
 	time.Sleep(time.Second)
-	stopTickets()
-	stopSummaries()
-	b.noteAttainment(from)
 	return err
 }
--- a/prover/entries.go
+++ b/prover/entries.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"os"
+	"sync"
 	"time"
 
 	"geraniumline/relayer"
@@ -22,7 +23,7 @@
 	return []Proof{
 		{Name: "entryKilled", Faults: "kill -9 of 3 of 5 entries", Entries: 5, Run: proveEntryKilled},
 		{Name: "entryFrozen", Faults: "SIGSTOP of 2 of 5 entries, 2.5 s each", Entries: 5, Run: proveEntryFrozen},
-		{Name: "connectionCut", Faults: "callers cut after the request was sent", Entries: 3, Run: proveConnectionCut},
+		{Name: "connectionCut", Faults: "callers cut after the request was sent, twins", Entries: 3, Run: proveConnectionCut},
 		{Name: "plannedStop", Faults: "7 entries stopped one after another", Entries: 7, Run: provePlannedStop},
 		{Name: "deathFound", Faults: "2 kills, 2 freezes, 1 one-way cut", Entries: 7, Fleet: peerRelay(cutEntry), Run: proveDeathFound},
 	}
@@ -31,10 +32,20 @@
 // Entries die under load with requests that must not be repeated in every step. Callers see their connections
 // break and send the same key to another entry, which knows from the log alone what may have run.
 func proveEntryKilled(ctx context.Context, b *bench) error {
+	return b.underLoad(ctx, func() error { return b.killSome(ctx) })
+}
+
+// underLoad does something under load of both kinds. Repeatable requests have to be answered all the same.
+func (b *bench) underLoad(ctx context.Context, do func() error) error {
+	from := time.Now()
 	stopTickets, stopSummaries := b.traffic(ctx, ticket(), load), b.traffic(ctx, summary(), load)
-	defer b.noteAttainment(time.Now())
-	defer stopSummaries()
-	defer stopTickets()
+	err := do()
+	stopTickets()
+	stopSummaries()
+	return firstOf(err, b.noteAttainment(from))
+}
+
+func (b *bench) killSome(ctx context.Context) error {
 	for i := range 3 {
 		time.Sleep(time.Second)
 		if err := b.entry(i).Kill(); err != nil {
@@ -49,19 +60,28 @@
 	return nil
 }
 
+// leastAnswered is the share of repeatable requests, in percent, that must be answered in time whatever the fault:
+// they can always be run elsewhere. The runs show 100; the margin is for a busy machine.
+const leastAnswered = 95.0
+
 // noteAttainment notes the share of requests of each pipeline that were answered in time.
-func (b *bench) noteAttainment(from time.Time) {
+func (b *bench) noteAttainment(from time.Time) error {
 	now := time.Now()
-	b.say("attainment: repeatable %.1f%%, non-repeatable %.1f%%", attainment(b.between(summary(), from, now)), attainment(b.between(ticket(), from, now)))
+	repeatable := attainment(b.between(summary(), from, now))
+	b.say("attainment: repeatable %.1f%%, non-repeatable %.1f%%", repeatable, attainment(b.between(ticket(), from, now)))
+	if repeatable < leastAnswered {
+		return violated("only %.1f%% of the repeatable requests were answered in time", repeatable)
+	}
+	return nil
 }
 
 // An entry stands still with claims in the log, and callers send its keys elsewhere. It wakes after they were
 // answered and goes on with what it had begun: its claim is the key's only valid one.
 func proveEntryFrozen(ctx context.Context, b *bench) error {
-	stopTickets, stopSummaries := b.traffic(ctx, ticket(), load), b.traffic(ctx, summary(), load)
-	defer b.noteAttainment(time.Now())
-	defer stopSummaries()
-	defer stopTickets()
+	return b.underLoad(ctx, b.freezeSome)
+}
+
+func (b *bench) freezeSome() error {
 	for i := range 2 {
 		time.Sleep(time.Second)
 		if err := b.entry(i).Freeze(); err != nil {
@@ -77,33 +97,39 @@
 }
 
 // A caller's connection is cut some milliseconds after its request was sent; the caller sends the key again to
-// another entry, at any moment of the first try. The stage runs once and the second try tells its outcome.
+// another entry, at any moment of the first try, or to both at the same moment. The stage runs once, and the last
+// try tells its outcome.
 func proveConnectionCut(ctx context.Context, b *bench) error {
-	const cuts = 120
+	const cuts, twins = 120, 60
 	for i := range cuts {
 		s, err := b.request(ticket())
 		if err != nil {
 			return err
 		}
-		first, second := b.entry(i%3).CallerAddress, b.entry((i+1)%3).CallerAddress
-		_, s.err = b.sendOnce(ctx, s, first, defaultDeadline, time.Duration(i+1)*time.Millisecond)
+		_, s.err = b.sendOnce(ctx, s, b.entry(i%3).CallerAddress, defaultDeadline, time.Duration(i+1)*time.Millisecond)
 		if s.failure() == nil {
-			s.answer, s.err = b.sendOnce(ctx, s, second, defaultDeadline, defaultDeadline)
+			s.answer, s.err = b.sendOnce(ctx, s, b.entry((i+1)%3).CallerAddress, defaultDeadline, defaultDeadline)
+		}
+	}
+	for i := range twins {
+		s, err := b.request(ticket())
+		if err != nil {
+			return err
 		}
+		var twin sync.WaitGroup
+		twin.Go(func() { _, _ = b.sendOnce(ctx, s, b.entry(i%3).CallerAddress, defaultDeadline, defaultDeadline) })
+		s.answer, s.err = b.sendOnce(ctx, s, b.entry((i+1)%3).CallerAddress, defaultDeadline, defaultDeadline)
+		twin.Wait()
 	}
-	b.say("cut after 1 to %d ms", cuts)
+	b.say("cut after 1 to %d ms; %d sent to two entries at once", cuts, twins)
 	return nil
 }
 
 // All entries are stopped as planned and started again, one after another, under load. Callers with an old address
 // answer are served, nothing is cut, and each process ends with exit code 0.
 func provePlannedStop(ctx context.Context, b *bench) error {
-	stopTickets, stopSummaries := b.traffic(ctx, ticket(), load), b.traffic(ctx, summary(), load)
 	from := time.Now()
-	err := b.stopEach(ctx)
-	stopTickets()
-	stopSummaries()
-	b.noteAttainment(from)
+	err := b.underLoad(ctx, func() error { return b.stopEach(ctx) })
 	refused := 0
 	for _, s := range append(b.between(ticket(), from, time.Now()), b.between(summary(), from, time.Now())...) {
 		if s.err != nil {
--- a/prover/logs.go
+++ b/prover/logs.go
@@ -23,7 +23,7 @@
 		{Name: "logOutageHang", Faults: "log is silent for 8 s", Entries: 3, Run: proveOutage(faker.OutageHang)},
 		{Name: "logSlow", Faults: "5 s an append", Entries: 3, Run: proveSlowLog},
 		{Name: "appendReplyLost", Faults: "half of the append replies lost", Entries: 3, Run: proveAppendReplyLost},
-		{Name: "retentionPassed", Faults: "log trimmed past all configuration, restarts", Entries: 5, Run: proveRetention},
+		{Name: "retentionPassed", Faults: "log trimmed to the last change, all entries replaced", Entries: 5, Run: proveRetention},
 		{Name: "replacedInOutage", Faults: "log outage, all entries replaced", Entries: 5, Run: proveReplaced},
 	}
 }
@@ -119,34 +119,46 @@
 	stop := b.traffic(ctx, ticket(), load)
 	time.Sleep(5 * time.Second)
 	stop()
-	b.noteAttainment(from)
-	return nil
+	if answered := attainment(b.between(ticket(), from, time.Now())); answered < leastAnswered {
+		return violated("only %.1f%% were answered in time", answered)
+	}
+	return b.noteAttainment(from)
 }
 
-// The log drops all configuration records before any snapshot followed them, and every entry is replaced, one
-// after another. The configuration stays in force, from peers, and can be changed.
+// The log drops all configuration but the last change, before any snapshot, and every entry is replaced, one after
+// another. What a new entry reads alone makes no configuration: it takes the whole from its peers. It can be changed.
 func proveRetention(ctx context.Context, b *bench) error {
-	version, err := b.contractVersion(ctx, 0)
+	base, err := b.contractVersion(ctx, 0)
 	if err != nil {
 		return err
 	}
-	if err := b.fleet.Log().Trim(ctx, faker.TrimCall{Stream: "config", Before: version + 1}); err != nil {
+	last, err := b.acceptChange(ctx, "before-trim", base)
+	if err != nil {
 		return err
 	}
-	stop := b.traffic(ctx, summary(), load)
-	defer b.noteAttainment(time.Now())
-	defer stop()
-	if err := b.replaceEach(ctx, version); err != nil {
+	if err := b.fleet.Log().Trim(ctx, faker.TrimCall{Stream: "config", Before: last}); err != nil {
 		return err
 	}
-	verdict, err := b.changeContract(ctx, 0, "after-trim", version, 2)
+	if err := b.underLoad(ctx, func() error { return b.replaceEach(ctx, last) }); err != nil {
+		return err
+	}
+	version, err := b.acceptChange(ctx, "after-trim", last)
 	if err != nil {
 		return err
 	}
+	return b.awaitContract(ctx, version)
+}
+
+// acceptChange changes the contract at the first entry and gives its new version.
+func (b *bench) acceptChange(ctx context.Context, operation string, base int64) (int64, error) {
+	verdict, err := b.changeContract(ctx, 0, operation, base, 2)
+	if err != nil {
+		return 0, err
+	}
 	if verdict.Verdict != accepted {
-		return violated("after the trim a change is %s: %s", verdict.Verdict, verdict.Message.Value)
+		return 0, violated("%s is %s: %s", operation, verdict.Verdict, verdict.Message.Value)
 	}
-	return b.awaitContract(ctx, verdict.Version)
+	return verdict.Version, nil
 }
 
 // replaceEach kills and starts each entry, and checks that the contract's version did not go back.
@@ -175,12 +187,7 @@
 	if err := b.fleet.Log().SetFaults(ctx, faker.LogFaults{Outage: faker.OutageFail}); err != nil {
 		return err
 	}
-	from := time.Now()
-	stop := b.traffic(ctx, summary(), load)
-	err = b.replaceEach(ctx, version)
-	stop()
-	b.noteAttainment(from)
-	if err != nil {
+	if err := b.underLoad(ctx, func() error { return b.replaceEach(ctx, version) }); err != nil {
 		return err
 	}
 	for _, entry := range b.fleet.Entries() {
