Configuration: placements, which say what a pool's engines are to hold

Cause: models, adapters, versions and roles had no place in configuration, so no entry could tell what an engine should hold. A kind of its own, and not a field of the pool, since pools are changed by those who add VMs and placements by those who ship models; compare and set keeps the two from undoing each other.

An entry of an older version judges the kind invalid: publish the first placement when all entries run this one.

Also the record of the leases stream, generated from the schema. Golden file of faults: only added cases.

--- a/loader/objects.go
+++ b/loader/objects.go
@@ -12,9 +12,9 @@
 // MaxObjectsBytes bounds a file of configuration objects.
 const MaxObjectsBytes = 4 << 20
 
-// Object is a configuration object from a file: a pool, a pipeline or a contract.
+// Object is a configuration object from a file: a pool, a pipeline, a contract or a placement.
 type Object struct {
-	// Kind is pool, pipeline or contract. It is not checked here, nor is the body.
+	// Kind is pool, pipeline, contract or placement. It is not checked here, nor is the body.
 	Kind string
 	Name string
 	// BaseVersion is the version that the change is based on, where the file gives it.
--- a/operatorserver/oas_json_gen.go
+++ b/operatorserver/oas_json_gen.go
@@ -528,6 +528,8 @@
 		*s = ConfigChangeKindPipeline
 	case ConfigChangeKindContract:
 		*s = ConfigChangeKindContract
+	case ConfigChangeKindPlacement:
+		*s = ConfigChangeKindPlacement
 	default:
 		*s = ConfigChangeKind(v)
 	}
--- a/operatorserver/oas_schemas_gen.go
+++ b/operatorserver/oas_schemas_gen.go
@@ -250,9 +250,10 @@
 type ConfigChangeKind string
 
 const (
-	ConfigChangeKindPool     ConfigChangeKind = "pool"
-	ConfigChangeKindPipeline ConfigChangeKind = "pipeline"
-	ConfigChangeKindContract ConfigChangeKind = "contract"
+	ConfigChangeKindPool      ConfigChangeKind = "pool"
+	ConfigChangeKindPipeline  ConfigChangeKind = "pipeline"
+	ConfigChangeKindContract  ConfigChangeKind = "contract"
+	ConfigChangeKindPlacement ConfigChangeKind = "placement"
 )
 
 // AllValues returns all ConfigChangeKind values.
@@ -261,6 +262,7 @@
 		ConfigChangeKindPool,
 		ConfigChangeKindPipeline,
 		ConfigChangeKindContract,
+		ConfigChangeKindPlacement,
 	}
 }
 
@@ -273,6 +275,8 @@
 		return []byte(s), nil
 	case ConfigChangeKindContract:
 		return []byte(s), nil
+	case ConfigChangeKindPlacement:
+		return []byte(s), nil
 	default:
 		return nil, errors.Errorf("invalid value: %q", s)
 	}
@@ -290,6 +294,9 @@
 	case ConfigChangeKindContract:
 		*s = ConfigChangeKindContract
 		return nil
+	case ConfigChangeKindPlacement:
+		*s = ConfigChangeKindPlacement
+		return nil
 	default:
 		return errors.Errorf("invalid value: %q", data)
 	}
--- a/operatorserver/oas_validators_gen.go
+++ b/operatorserver/oas_validators_gen.go
@@ -180,6 +180,8 @@
 		return nil
 	case "contract":
 		return nil
+	case "placement":
+		return nil
 	default:
 		return errors.Errorf("invalid value: %v", s)
 	}
--- a/publisher/check.go
+++ b/publisher/check.go
@@ -35,9 +35,10 @@
 
 // parsed holds one object in its typed form; exactly one field is set.
 type parsed struct {
-	pool     *Pool
-	pipeline *Pipeline
-	contract *Contract
+	pool      *Pool
+	pipeline  *Pipeline
+	contract  *Contract
+	placement *Placement
 }
 
 func parse(kind, name string, body []byte) (parsed, []Fault) {
@@ -56,6 +57,8 @@
 		p.pipeline = parsePipeline(name, body, &faults)
 	case KindContract:
 		p.contract = parseContract(name, body, &faults)
+	case KindPlacement:
+		p.placement = parsePlacement(name, body, &faults)
 	default:
 		faults = append(faults, Fault{Message: fmt.Sprintf("%q is not a kind of object", kind)})
 	}
--- a/publisher/check_test.go
+++ b/publisher/check_test.go
@@ -17,6 +17,9 @@
 		{"name":"generate","pool":"engines","model":"summary-7b","maxTokens":400,"repeatable":false,"expectedMillis":900}]}`
 	goodContract = `{"credentialSha256":"` + credential + `","weight":2,"ratePerSecond":50,"burst":100,"concurrency":40,
 		"costPerSecond":9000,"urgency":"urgent","pipelines":["digest"],"pipelineUrgency":{"digest":"relaxed"}}`
+	goodPlacement = `{"pool":"engines","models":[
+		{"model":"summary-7b","version":"3","adapters":["nepali"],"role":"both","minCopies":2,"weight":4},
+		{"model":"chat-1b","version":"1","adapters":[],"role":"decode","minCopies":1,"weight":1}]}`
 	credential = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
 )
 
@@ -46,6 +49,11 @@
 			"ratePerSecond":-1,"burst":0.5,"concurrency":0,"costPerSecond":1e12,"urgency":"asap",
 			"pipelines":["digest","digest"],"pipelineUrgency":{"alerts":"urgent","digest":"soon"}}`},
 		{"contract without pipelines", KindContract, "kilima", strings.Replace(goodContract, `["digest"],"pipelineUrgency":{"digest":"relaxed"}`, `[]`, 1)},
+		{"good placement", KindPlacement, "engines", goodPlacement},
+		{"placement with many faults", KindPlacement, "engines", `{"models":[
+			{"model":"a","version":"1","role":"both","minCopies":-1,"weight":0,"adapters":["x","x"]},
+			{"model":"a","role":"writer","minCopies":1,"weight":1,"copies":2}]}`},
+		{"placement without models", KindPlacement, "engines", `{"pool":"engines","models":[]}`},
 		{"oversize", KindPool, "engines", `{"kind":"` + strings.Repeat("x", MaxBodyBytes) + `"}`},
 	}
 	var out strings.Builder
--- a/publisher/object.go
+++ b/publisher/object.go
@@ -9,6 +9,8 @@
 	KindPool     = "pool"
 	KindPipeline = "pipeline"
 	KindContract = "contract"
+	// KindPlacement says which models a pool's engines are to hold.
+	KindPlacement = "placement"
 )
 
 // The kinds of pool.
@@ -20,6 +22,13 @@
 	PoolService   = "service"
 )
 
+// The roles of an engine.
+const (
+	RolePrefill = "prefill"
+	RoleDecode  = "decode"
+	RoleBoth    = "both"
+)
+
 // The classes of urgency.
 const (
 	Urgent  = "urgent"
--- a/publisher/state.go
+++ b/publisher/state.go
@@ -27,10 +27,11 @@
 
 // list is the objects of one kind by name, also in their typed form.
 type list struct {
-	entries   []*entryOf
-	pools     []*Pool
-	pipelines []*Pipeline
-	contracts []*Contract
+	entries    []*entryOf
+	pools      []*Pool
+	pipelines  []*Pipeline
+	contracts  []*Contract
+	placements []*Placement
 }
 
 func newState() *state {
@@ -116,20 +117,27 @@
 	if p.contract != nil {
 		faults = append(faults, s.missingPipelines(p.contract)...)
 	}
+	if p.placement != nil {
+		faults = append(faults, s.missingPool("pool", p.placement.Pool)...)
+	}
 	return p, faults
 }
 
 func (s *state) missingPools(p *Pipeline) []Fault {
 	var faults []Fault
 	for i, stage := range p.Stages {
-		if s.version(objectID{kind: KindPool, name: stage.Pool}) == 0 {
-			path := fmt.Sprintf("stages[%d].pool", i)
-			faults = append(faults, Fault{Path: path, Message: fmt.Sprintf("there is no pool %q", stage.Pool)})
-		}
+		faults = append(faults, s.missingPool(fmt.Sprintf("stages[%d].pool", i), stage.Pool)...)
 	}
 	return faults
 }
 
+func (s *state) missingPool(path, name string) []Fault {
+	if s.version(objectID{kind: KindPool, name: name}) != 0 {
+		return nil
+	}
+	return []Fault{{Path: path, Message: fmt.Sprintf("there is no pool %q", name)}}
+}
+
 func (s *state) missingPipelines(c *Contract) []Fault {
 	var faults []Fault
 	for i, name := range c.Pipelines {
@@ -150,24 +158,26 @@
 		return []Fault{{Message: fmt.Sprintf("there is no %s %q", c.Kind, c.Name)}}
 	}
 	var faults []Fault
-	for _, user := range s.list(userKind(c.Kind)).entries {
-		if user.parsed.uses(id) {
-			message := fmt.Sprintf("is used by %s %q", user.object.Kind, user.object.Name)
-			faults = append(faults, Fault{Message: message})
+	for _, kind := range userKinds(c.Kind) {
+		for _, user := range s.list(kind).entries {
+			if user.parsed.uses(id) {
+				message := fmt.Sprintf("is used by %s %q", user.object.Kind, user.object.Name)
+				faults = append(faults, Fault{Message: message})
+			}
 		}
 	}
 	return faults
 }
 
-// userKind gives the kind of object that refers to objects of the kind.
-func userKind(kind string) string {
+// userKinds gives the kinds of object that refer to objects of the kind.
+func userKinds(kind string) []string {
 	switch kind {
 	case KindPool:
-		return KindPipeline
+		return []string{KindPipeline, KindPlacement}
 	case KindPipeline:
-		return KindContract
+		return []string{KindContract}
 	default:
-		return ""
+		return nil
 	}
 }
 
@@ -178,6 +188,9 @@
 	if p.contract != nil {
 		return slices.Contains(p.contract.Pipelines, id.name)
 	}
+	if p.placement != nil {
+		return p.placement.Pool == id.name
+	}
 	return false
 }
 
@@ -209,5 +222,7 @@
 		l.pipelines = append(l.pipelines, p.pipeline)
 	case p.contract != nil:
 		l.contracts = append(l.contracts, p.contract)
+	case p.placement != nil:
+		l.placements = append(l.placements, p.placement)
 	}
 }
--- a/publisher/view.go
+++ b/publisher/view.go
@@ -39,7 +39,7 @@
 // Objects gives the objects in force by kind and name; an empty kind or name stands for all.
 func (f *Fold) Objects(kind, name string) []Object {
 	var out []Object
-	for _, k := range []string{KindContract, KindPipeline, KindPool} {
+	for _, k := range []string{KindContract, KindPipeline, KindPlacement, KindPool} {
 		if kind != "" && kind != k {
 			continue
 		}
--- a/recorder/schema.go
+++ b/recorder/schema.go
@@ -5,7 +5,7 @@
 
 //go:generate msgp -file schema.go -o schema_gen.go -tests=false
 
-//msgp:tuple Claim Release Outcome Closed Change Object Verdict
+//msgp:tuple Claim Release Outcome Closed Change Object Verdict Lease
 //msgp:ignore Record
 
 // Record is one record of a log stream, as the log gave it out.
@@ -113,3 +113,15 @@
 	Change   *Change       `msg:"change,omitempty"`
 	Snapshot *SnapshotPart `msg:"snapshot,omitempty"`
 }
+
+// Lease is one append to the leases stream: an incarnation of an entry wants to be the one orderer of a pool, or to
+// stay it. The record's offset is the fencing number of the orders given under it.
+type Lease struct {
+	Pool        string
+	Entry       string
+	Incarnation uint64
+	// LeaseID is unique within the incarnation.
+	LeaseID uint64
+	// Millis is how long the lease lasts from the log's own time of the append.
+	Millis int64
+}
--- a/recorder/schema_gen.go
+++ b/recorder/schema_gen.go
@@ -1305,6 +1305,141 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Lease) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Pool, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Pool")
+		return
+	}
+	z.Entry, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Entry")
+		return
+	}
+	z.Incarnation, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	z.LeaseID, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "LeaseID")
+		return
+	}
+	z.Millis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Lease) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 5
+	err = en.Append(0x95)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Pool)
+	if err != nil {
+		err = msgp.WrapError(err, "Pool")
+		return
+	}
+	err = en.WriteString(z.Entry)
+	if err != nil {
+		err = msgp.WrapError(err, "Entry")
+		return
+	}
+	err = en.WriteUint64(z.Incarnation)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	err = en.WriteUint64(z.LeaseID)
+	if err != nil {
+		err = msgp.WrapError(err, "LeaseID")
+		return
+	}
+	err = en.WriteInt64(z.Millis)
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Lease) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendString(o, z.Pool)
+	o = msgp.AppendString(o, z.Entry)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	o = msgp.AppendUint64(o, z.LeaseID)
+	o = msgp.AppendInt64(o, z.Millis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Lease) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Pool, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pool")
+		return
+	}
+	z.Entry, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Entry")
+		return
+	}
+	z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	z.LeaseID, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LeaseID")
+		return
+	}
+	z.Millis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Lease) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Pool) + msgp.StringPrefixSize + len(z.Entry) + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Object) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
