--- /dev/null
+++ b/leaser/limit.go
@@ -0,0 +1,17 @@
+package leaser
+
+import "time"
+
+// limit is a span of time that began at an instant of this process's clock.
+type limit struct {
+	from   time.Time
+	length time.Duration
+}
+
+// left gives what is left of the span. The monotonic clock can't be set, but on some systems it stands still while
+// the whole VM is frozen, and a woken holder would then think its lease fresh. The clock of the day is set right
+// soon after, so whichever says that more time has passed is believed.
+func (l limit) left(now time.Time) time.Duration {
+	passed := max(now.Sub(l.from), now.Round(0).Sub(l.from.Round(0)))
+	return l.length - passed
+}
