--- /dev/null
+++ b/placer/bucket.go
@@ -0,0 +1,47 @@
+package placer
+
+import (
+	"math"
+	"time"
+)
+
+// bucket holds loads back to the rate that the weight store allows. A store that is asked for more refuses, and the
+// engines that it refused would ask again and again.
+type bucket struct {
+	rate, burst float64
+	tokens      float64
+	at          time.Time
+	blocked     time.Time
+}
+
+func newBucket(rate float64, burst int) bucket {
+	return bucket{rate: rate, burst: float64(burst)}
+}
+
+// restart begins with one token and not with the burst: the orderer before may have spent that a moment ago.
+func (b *bucket) restart() {
+	b.at = time.Time{}
+	b.tokens = 1
+}
+
+// fill adds the tokens of the time passed.
+func (b *bucket) fill(now time.Time) {
+	if !b.at.IsZero() {
+		b.tokens = math.Min(b.burst, b.tokens+b.rate*now.Sub(b.at).Seconds())
+	}
+	b.at = now
+}
+
+func (b *bucket) ready(now time.Time) bool {
+	return b.tokens >= 1 && !now.Before(b.blocked)
+}
+
+func (b *bucket) spend() { b.tokens-- }
+
+// block lets no load begin for a while, and none has been saved up when it ends.
+func (b *bucket) block(wait time.Duration, now time.Time) {
+	if until := now.Add(wait); until.After(b.blocked) {
+		b.blocked = until
+	}
+	b.tokens = math.Min(b.tokens, 1)
+}
--- /dev/null
+++ b/placer/engine.go
@@ -0,0 +1,59 @@
+package placer
+
+import (
+	"slices"
+	"time"
+
+	"geraniumline/publisher"
+)
+
+// Assignment is what an engine holds, or is to hold.
+type Assignment struct {
+	Model    string
+	Version  string
+	Adapters []string
+	Role     string
+	// Loading tells that the engine does not serve the model yet.
+	Loading bool
+	// Fence is the number of the last order that the engine took.
+	Fence int64
+}
+
+// sameWeights tells whether an engine may go from one assignment to the other without a load.
+func (a *Assignment) sameWeights(b *Assignment) bool {
+	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
+}
+
+// engine is what is known of one engine.
+type engine struct {
+	address string
+	state   Assignment
+	// readAt is when the state was asked for; zero while it never was read.
+	readAt time.Time
+	// wanted is the last order's state while it is not known whether the order took effect.
+	wanted *Assignment
+	// ended is when that order's end was told; zero while the order is under way.
+	ended time.Time
+	// told is the number of the last order that surely took effect: an engine that ignores numbers need not
+	// report the one that it was told.
+	told     int64
+	retryAt  time.Time
+	failures int
+}
+
+// expected is the state that the engine is in, or goes to if its last order takes effect.
+func (e *engine) expected() *Assignment {
+	if e.wanted != nil {
+		return e.wanted
+	}
+	return &e.state
+}
+
+// sure tells that the engine's state was read a short time ago and nothing is under way that changes it.
+func (e *engine) sure(now time.Time, freshFor time.Duration) bool {
+	return e.wanted == nil && !e.readAt.IsZero() && now.Sub(e.readAt) < freshFor
+}
+
+func wantedOf(m *publisher.PlacedModel) Assignment {
+	return Assignment{Model: m.Model, Version: m.Version, Adapters: m.Adapters, Role: m.Role}
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,170 @@
+package placer
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Placer decides about one pool's engines.
+type Placer struct {
+	cfg     Config
+	engines map[string]*engine
+	// addresses are the engines in use by address, so that a replay goes the same way.
+	addresses []string
+	demand    map[string]float64
+	demandAt  time.Time
+	// pressed tells since when a model has been due an engine of another.
+	pressed map[string]time.Time
+	loads   bucket
+	// granted is the lease under which the last orders were given.
+	granted int64
+}
+
+// New makes a placer that knows no engine yet.
+func New(cfg Config) *Placer {
+	cfg = cfg.withDefaults()
+	return &Placer{
+		cfg:     cfg,
+		engines: map[string]*engine{},
+		demand:  map[string]float64{},
+		pressed: map[string]time.Time{},
+		loads:   newBucket(cfg.LoadsPerSecond, cfg.LoadBurst),
+	}
+}
+
+// List takes the addresses of the engines that are in use: live and not leaving. Others are forgotten.
+func (p *Placer) List(addresses []string) {
+	p.addresses = slices.Sorted(slices.Values(addresses))
+	for address := range p.engines {
+		if _, listed := slices.BinarySearch(p.addresses, address); !listed {
+			delete(p.engines, address)
+		}
+	}
+	for _, address := range p.addresses {
+		if _, known := p.engines[address]; !known {
+			p.engines[address] = &engine{address: address}
+		}
+	}
+}
+
+// Demand takes the present backlog by model in endpoint milliseconds, and smooths it: a burst of a moment must not
+// move an engine, whose load takes longer than the burst.
+func (p *Placer) Demand(backlog map[string]float64, now time.Time) {
+	fade := 0.0
+	if !p.demandAt.IsZero() {
+		fade = math.Exp(-float64(now.Sub(p.demandAt)) / float64(p.cfg.Smooth))
+	}
+	p.demandAt = now
+	for model := range p.demand {
+		p.demand[model] *= fade
+	}
+	for model, cost := range backlog {
+		p.demand[model] += (1 - fade) * cost
+	}
+}
+
+// Observe takes an engine's state, read by a call that was sent at asked. One that was asked for before the last
+// order's end may be from before the order took effect, and says nothing.
+func (p *Placer) Observe(address string, state Assignment, asked, now time.Time) {
+	e, known := p.engines[address]
+	if !known || asked.Before(e.readAt) {
+		return
+	}
+	if e.wanted != nil && (e.ended.IsZero() || asked.Before(e.ended)) {
+		return
+	}
+	if e.wanted != nil {
+		e.settle(state, p.cfg.RetryAfter, now)
+	}
+	e.state = state
+	e.readAt = asked
+}
+
+// settle compares an engine's state with its last order.
+func (e *engine) settle(state Assignment, retryAfter time.Duration, now time.Time) {
+	taken := state.sameWeights(e.wanted) && state.Role == e.wanted.Role
+	fence := e.wanted.Fence
+	e.wanted = nil
+	if taken {
+		e.told = fence
+		e.failures = 0
+		e.retryAt = time.Time{}
+		return
+	}
+	e.backOff(retryAfter, now)
+}
+
+func (e *engine) backOff(first time.Duration, now time.Time) {
+	wait := min(first<<min(e.failures, 10), MaxRetryAfter)
+	e.failures++
+	e.retryAt = now.Add(wait)
+}
+
+// Result tells how an order ended. The set of results is closed.
+type Result interface{ result() }
+
+// Taken carries the state that the engine answered.
+type Taken struct{ State Assignment }
+
+// Refused means that the engine surely did not take the order, for RetryAfter if that is known.
+type Refused struct {
+	RetryAfter time.Duration
+	// Limited means that it or the weight store takes no more loads now.
+	Limited bool
+}
+
+// Uncertain means that the order may have taken effect. Only reading the engine back tells.
+type Uncertain struct{}
+
+func (Taken) result()     {}
+func (Refused) result()   {}
+func (Uncertain) result() {}
+
+// Ended takes the end of an order.
+func (p *Placer) Ended(address string, result Result, now time.Time) {
+	if r, refused := result.(Refused); refused && r.Limited {
+		p.loads.block(max(r.RetryAfter, p.cfg.RetryAfter), now)
+	}
+	e, known := p.engines[address]
+	if !known || e.wanted == nil {
+		return
+	}
+	switch r := result.(type) {
+	case Taken:
+		e.settle(r.State, p.cfg.RetryAfter, now)
+		e.state = r.State
+		e.readAt = now
+	case Refused:
+		e.wanted = nil
+		e.backOff(max(r.RetryAfter, p.cfg.RetryAfter), now)
+	case Uncertain:
+		e.ended = now
+	}
+}
+
+// Unsettled lists the engines whose last order's end is uncertain: they should be read back at once.
+func (p *Placer) Unsettled() []string {
+	var addresses []string
+	for _, address := range p.addresses {
+		if e := p.engines[address]; e.wanted != nil && !e.ended.IsZero() {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// Busy tells that an order to the engine is under way.
+func (p *Placer) Busy(address string) bool {
+	e, known := p.engines[address]
+	return known && e.wanted != nil && e.ended.IsZero()
+}
+
+// Lacks tells that an engine's state is known and is another model, or one that it is still loading.
+func (p *Placer) Lacks(address, model string) bool {
+	e, known := p.engines[address]
+	if !known || e.readAt.IsZero() || e.state.Model == "" {
+		return false
+	}
+	return e.state.Model != model || e.state.Loading
+}
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,214 @@
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"geraniumline/publisher"
+)
+
+func ab(least int) *publisher.Placement {
+	return placement(placed("a", least, 1), placed("b", least, 1))
+}
+
+// One model's backlog surges while the other is quiet. Engines move to it, at the weight store's rate and never the
+// quiet one's last; when the surge is over they come back, and no engine moves under a steady demand.
+func TestASurgeMovesCapacityAndBack(t *testing.T) {
+	w := newWorld(t, ab(1), append(repeat("a", 5), repeat("b", 5)...)...)
+	w.run(time.Minute)
+	require.Equal(t, []int{5, 5}, w.copies("a", "b"))
+	require.Empty(t, w.loads, "a quiet pool stays as it is")
+
+	w.demand["b"] = 50_000
+	w.run(DefaultHoldFor)
+	require.Empty(t, w.loads, "a burst moves nothing")
+	w.run(time.Minute)
+	require.Equal(t, []int{1, 9}, w.copies("a", "b"))
+	moved := len(w.loads)
+	w.run(10 * time.Minute)
+	require.Len(t, w.loads, moved, "a steady demand moves nothing")
+	require.Equal(t, 1, w.lowest["a"])
+
+	w.demand["b"] = 0
+	w.run(2 * time.Minute)
+	require.Equal(t, []int{4, 6}, w.copies("a", "b"), "back to within MoveRatio")
+	w.withinLimit(1, 2)
+}
+
+// Whatever the demand, placement and engines, a model in use that had an engine serving it always has one, the weight
+// store is never asked for more than its rate, and a steady demand comes to rest.
+func TestInvariants(t *testing.T) {
+	names := []string{"a", "b", "c", ""}
+	rapid.Check(t, func(r *rapid.T) {
+		holds := rapid.SliceOfN(rapid.SampledFrom(names), 1, 12).Draw(r, "holds")
+		var models []publisher.PlacedModel
+		for _, name := range names[:rapid.IntRange(1, 3).Draw(r, "models")] {
+			model := placed(name, rapid.IntRange(0, 4).Draw(r, "least"), float64(rapid.IntRange(1, 9).Draw(r, "weight")))
+			model.Version = rapid.SampledFrom([]string{"1", "2"}).Draw(r, "version")
+			models = append(models, model)
+		}
+		w := newWorld(t, placement(models...), holds...)
+		for range 4 {
+			for _, name := range names[:3] {
+				w.demand[name] = float64(rapid.IntRange(0, 100_000).Draw(r, "demand"))
+			}
+			w.run(rapid.SampledFrom([]time.Duration{time.Second, 20 * time.Second}).Draw(r, "span"))
+		}
+		w.run(2 * time.Minute)
+		before := len(w.loads)
+		w.run(2 * time.Minute)
+		if len(w.loads) != before {
+			r.Fatalf("%d loads under a steady demand", len(w.loads)-before)
+		}
+		for name, least := range w.lowest {
+			if least < 1 {
+				r.Fatalf("nothing served %s", name)
+			}
+		}
+		w.withinLimit(1, 2)
+	})
+}
+
+// A new orderer finds an empty pool with two models in demand. Each gets a first copy, and the rest goes
+// out in the order of the demand that it serves: one at once and then one a second, since the store's burst may have
+// been spent by the orderer before.
+func TestLoadsGoInOrderOfDemand(t *testing.T) {
+	w := newWorld(t, ab(0), repeat("", 6)...)
+	w.demand["a"], w.demand["b"] = 1_000, 20_000
+	w.inUse["a"], w.inUse["b"] = true, true
+	var served []string
+	w.deliver = func(o Order) (Result, bool) {
+		served = append(served, o.State.Model)
+		require.True(t, o.Load)
+		return nil, true
+	}
+	w.run(stepTime)
+	require.Equal(t, []string{"b"}, served)
+	w.run(10 * time.Second)
+	require.Equal(t, []string{"b", "a", "b", "b", "b", "b"}, served)
+	w.withinLimit(1, 2)
+}
+
+// The store says that it has had enough. No load of the pool is ordered until the time that it named.
+func TestALimitedStoreIsLeftAlone(t *testing.T) {
+	w := newWorld(t, ab(1), repeat("", 4)...)
+	orders := 0
+	w.deliver = func(Order) (Result, bool) {
+		orders++
+		return Refused{RetryAfter: 30 * time.Second, Limited: true}, false
+	}
+	w.run(29 * time.Second)
+	require.Equal(t, 1, orders)
+	w.deliver = nil
+	w.run(30 * time.Second)
+	require.Equal(t, []int{2, 2}, w.copies("a", "b"))
+}
+
+// Orders go wrong. In each case the pool ends as the placement says, and with no more loads than engines: an order
+// that took effect is not given again.
+func TestEndsOfOrders(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		result   Result
+		arrives  bool
+	}{
+		{"reply lost after it took effect", Uncertain{}, true},
+		{"lost on its way", Uncertain{}, false},
+		{"refused", Refused{}, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			w := newWorld(t, ab(2), repeat("", 4)...)
+			failures := 3
+			w.deliver = func(Order) (Result, bool) {
+				if failures--; failures < 0 {
+					return nil, true
+				}
+				return s.result, s.arrives
+			}
+			w.run(time.Minute)
+			require.Equal(t, []int{2, 2}, w.copies("a", "b"))
+			require.Len(t, w.loads, 4)
+		})
+	}
+}
+
+// An orderer was paused with an order on its way, and its successor has put another model there. Then the old order
+// arrives. An engine that honours the number refuses it, also one that the successor had no change for; one that
+// ignores it loads the wrong model, and the successor, which reads it back, sets the pool right.
+func TestALateOrderOfAnOlderOrderer(t *testing.T) {
+	for _, ignores := range []bool{false, true} {
+		t.Run(map[bool]string{false: "honours", true: "ignores"}[ignores], func(t *testing.T) {
+			w := newWorld(t, ab(2), "a", "a", "b", "b")
+			for _, e := range w.engines {
+				e.ignoreFence = ignores
+				e.state.Fence = 3
+			}
+			w.run(time.Second)
+			late := Assignment{Model: "b", Version: "1", Role: publisher.RoleBoth, Fence: 5}
+			require.Equal(t, ignores, w.engines["e00"].take(late, w.now))
+			w.run(time.Minute)
+			require.Equal(t, []int{2, 2}, w.copies("a", "b"))
+			if !ignores {
+				require.Equal(t, int64(7), w.engines["e00"].state.Fence, "told of the number without a change")
+				require.Empty(t, w.loads)
+			}
+		})
+	}
+}
+
+// This entry's lease is over, but it has not read so. An engine's number shows that a newer orderer is at work.
+func TestANewerOrderersEnginesAreLeftAlone(t *testing.T) {
+	w := newWorld(t, ab(2), "a", "a", "a", "a")
+	for _, e := range w.engines {
+		e.state.Fence = 8
+	}
+	w.run(time.Minute)
+	require.Empty(t, w.loads)
+}
+
+// The only copy of a model in use is of an old version. It goes on serving until another engine serves the new one.
+func TestTheOnlyCopyIsUpgradedBehindAnother(t *testing.T) {
+	p := placement(placed("a", 1, 1), placed("b", 1, 1))
+	p.Models[0].Version = "2"
+	w := newWorld(t, p, "a", "b", "b")
+	w.run(time.Minute)
+	require.Equal(t, 1, w.lowest["a"])
+	require.Equal(t, 1, w.lowest["b"])
+	for _, e := range w.engines {
+		if e.state.Model == "a" {
+			require.Equal(t, "2", e.state.Version)
+		}
+	}
+}
+
+// A role changes: no weights are loaded for it.
+func TestARoleNeedsNoLoad(t *testing.T) {
+	p := ab(1)
+	p.Models[0].Role = publisher.RolePrefill
+	w := newWorld(t, p, "a", "b")
+	w.run(time.Second)
+	require.Equal(t, publisher.RolePrefill, w.engines["e00"].state.Role)
+	require.Empty(t, w.loads)
+}
+
+// An engine was not heard of for a while. It may be gone, so the other one is the last copy and is not taken.
+func TestAnUnheardCopyDoesNotCount(t *testing.T) {
+	w := newWorld(t, ab(0), "a", "a", "b")
+	w.run(time.Second)
+	silent := w.now
+	for range 600 {
+		if w.now.Sub(silent) > DefaultFreshFor-DefaultHoldFor {
+			w.demand["b"] = 100_000
+		}
+		w.now = w.now.Add(stepTime)
+		w.placer.Demand(w.demand, w.now)
+		for _, address := range []string{"e01", "e02"} {
+			w.placer.Observe(address, w.engines[address].state, w.now, w.now)
+		}
+		require.Empty(t, w.placer.Orders(w.placed, w.inUse, w.lease, w.now))
+	}
+}
--- /dev/null
+++ b/placer/world_test.go
@@ -0,0 +1,167 @@
+package placer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/publisher"
+)
+
+const (
+	stepTime = 100 * time.Millisecond
+	loadTime = 2 * time.Second
+)
+
+// sim is an engine of the model: it loads, and it honours or ignores the fencing number.
+type sim struct {
+	state       Assignment
+	loadedAt    time.Time
+	ignoreFence bool
+	loads       int
+	orders      int
+}
+
+func (e *sim) take(state Assignment, now time.Time) bool {
+	if !e.ignoreFence && state.Fence < e.state.Fence {
+		return false
+	}
+	e.orders++
+	same := e.state.sameWeights(&state)
+	loading := e.state.Loading
+	e.state = state
+	e.state.Loading = loading
+	if !same {
+		e.loads++
+		e.state.Loading = true
+		e.loadedAt = now.Add(loadTime)
+	}
+	return true
+}
+
+// world is a pool whose engines are read back and ordered each step.
+type world struct {
+	t       *testing.T
+	now     time.Time
+	placer  *Placer
+	placed  *publisher.Placement
+	engines map[string]*sim
+	order   []string
+	demand  map[string]float64
+	inUse   map[string]bool
+	lease   Lease
+	// loads are the instants at which loads began.
+	loads []time.Time
+	// lowest is the least number of engines that served a model in use.
+	lowest map[string]int
+	// deliver says how an order ends, if a test cares; it tells whether the engine is to get it.
+	deliver func(o Order) (Result, bool)
+}
+
+func placement(models ...publisher.PlacedModel) *publisher.Placement {
+	return &publisher.Placement{Name: "engines", Pool: "engines", Models: models}
+}
+
+func placed(name string, least int, weight float64) publisher.PlacedModel {
+	return publisher.PlacedModel{Model: name, Version: "1", Role: publisher.RoleBoth, MinCopies: least, Weight: weight}
+}
+
+// newWorld has engines that hold the models named, in this order; an empty name is an engine without a model.
+func newWorld(t *testing.T, p *publisher.Placement, holds ...string) *world {
+	w := &world{
+		t: t, now: time.UnixMilli(1_800_000_000_000), placer: New(Config{LoadsPerSecond: 1, LoadBurst: 2}), placed: p,
+		engines: map[string]*sim{}, demand: map[string]float64{}, inUse: map[string]bool{},
+		lease: Lease{Fence: 7, Granted: 7}, lowest: map[string]int{},
+	}
+	for i, name := range holds {
+		address := fmt.Sprintf("e%02d", i)
+		w.order = append(w.order, address)
+		w.engines[address] = &sim{state: Assignment{Model: name, Version: "1", Role: publisher.RoleBoth}}
+		if name != "" {
+			w.inUse[name] = true
+			w.lowest[name] = len(holds)
+		}
+	}
+	return w
+}
+
+func (w *world) count(model string, serving bool) int {
+	n := 0
+	for _, e := range w.engines {
+		if e.state.Model == model && !(serving && e.state.Loading) {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) step() {
+	w.now = w.now.Add(stepTime)
+	for _, address := range w.order {
+		e := w.engines[address]
+		if e.state.Loading && !w.now.Before(e.loadedAt) {
+			e.state.Loading = false
+		}
+	}
+	w.placer.List(w.order)
+	w.placer.Demand(w.demand, w.now)
+	for _, address := range w.order {
+		w.placer.Observe(address, w.engines[address].state, w.now, w.now)
+	}
+	for _, o := range w.placer.Orders(w.placed, w.inUse, w.lease, w.now) {
+		w.carry(o)
+	}
+	for model, least := range w.lowest {
+		w.lowest[model] = min(least, w.count(model, true))
+	}
+}
+
+func (w *world) carry(o Order) {
+	e := w.engines[o.Address]
+	before := e.loads
+	var result Result
+	arrives := true
+	if w.deliver != nil {
+		result, arrives = w.deliver(o)
+	}
+	if arrives && !e.take(o.State, w.now) && result == nil {
+		result = Refused{}
+	}
+	if e.loads > before {
+		w.loads = append(w.loads, w.now)
+	}
+	if result == nil {
+		result = Taken{State: e.state}
+	}
+	w.placer.Ended(o.Address, result, w.now)
+}
+
+func (w *world) run(d time.Duration) {
+	for range int(d / stepTime) {
+		w.step()
+	}
+}
+
+// withinLimit tells that no span of time saw more loads than the weight store allows.
+func (w *world) withinLimit(rate float64, burst int) {
+	w.t.Helper()
+	for i := range w.loads {
+		for j := i; j < len(w.loads); j++ {
+			allowed := float64(burst) + rate*w.loads[j].Sub(w.loads[i]).Seconds()
+			require.LessOrEqual(w.t, float64(j-i+1), allowed+1e-6)
+		}
+	}
+}
+
+func (w *world) copies(models ...string) []int {
+	var counts []int
+	for _, model := range models {
+		counts = append(counts, w.count(model, true))
+	}
+	return counts
+}
+
+func repeat(name string, n int) []string { return slices.Repeat([]string{name}, n) }
