limits: keep a silent entry's part until it is known to be gone; allow a heartbeat's debt

Cause: an entry that was silent for 3 s was taken for dead and its part taken up, so that both sides of a longer cut gave out the whole contract. Under this test a second fault showed: with heartbeats in step, peers' use is known in one lump, the estimate of the system's bucket swung below its debt and all entries refused together. Change: reducer counts silent entries for limits until they have said that they stopped, or the list of VMs names them no more, or 10 minutes; the debt is three quarters of a heartbeat's use, at least half of the burst.

--- a/limiter/account.go
+++ b/limiter/account.go
@@ -57,8 +57,10 @@
 	removed bool
 }
 
-func (a *account) setLimits(limits Limits) {
+func (a *account) setLimits(limits Limits, heartbeat time.Duration) {
 	a.limits = limits
+	a.requests.lag = heartbeat.Seconds()
+	a.cost.lag = heartbeat.Seconds()
 	a.requests.set(limits.RatePerSecond, limits.Burst)
 	a.cost.set(limits.CostPerSecond, limits.CostPerSecond*costBurst)
 	a.demand.span = rateSpan(limits.RatePerSecond)
--- a/limiter/bucket.go
+++ b/limiter/bucket.go
@@ -16,6 +16,8 @@
 type bucket struct {
 	perSecond float64
 	burst     float64
+	// lag is the time in seconds after which peers' use is known.
+	lag float64
 
 	tokens float64
 	// system is the estimate of what the whole system may still use at once. Peers' use is
@@ -28,10 +30,19 @@
 	used float64
 }
 
-// debtPart is the part of the burst by which the system may be overdrawn before entries
-// refuse what their own parts allow. Peers' reports come in steps, so an estimate a little
-// under 0 is common and tells nothing.
-const debtPart = 0.5
+const (
+	// debtPart is the least part of the burst by which the system may be overdrawn.
+	debtPart = 0.5
+	// lagPart is the part of the system's use in one heartbeat by which it may be.
+	lagPart = 0.75
+)
+
+// debt is how far the system may be overdrawn before entries refuse what their own parts
+// allow. Peers' use is known a heartbeat late, so the estimate swings by what the system
+// uses in one. With a tighter bound all entries would stop and start together.
+func (b *bucket) debt() float64 {
+	return math.Max(debtPart*b.burst, lagPart*b.perSecond*b.lag)
+}
 
 // source tells what a bucket pays a request from.
 type source uint8
@@ -73,7 +84,7 @@
 func (b *bucket) clip(p portion) {
 	b.tokens = math.Min(b.tokens, b.capacity(p))
 	b.system = math.Min(b.system, p.heard*b.burst)
-	b.system = math.Max(b.system, -b.burst)
+	b.system = math.Max(b.system, -b.burst-b.debt())
 }
 
 // pay tells what the amount can be paid from.
@@ -81,7 +92,7 @@
 	if b.perSecond <= 0 {
 		return fromPart
 	}
-	if b.system < -debtPart*b.burst {
+	if b.system < -b.debt() {
 		return fromNothing
 	}
 	if b.tokens >= math.Min(amount, b.capacity(p)) {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -116,7 +116,7 @@
 	l.limits[name] = limits
 	if a, ok := l.accounts[name]; ok {
 		a.refill(now)
-		a.setLimits(limits)
+		a.setLimits(limits, l.cfg.Heartbeat)
 	}
 }
 
@@ -141,7 +141,7 @@
 	}
 	a := l.newAccount()
 	*a = account{name: name, filledAt: now, stale: true, peerUses: a.peerUses[:0]}
-	a.setLimits(limits)
+	a.setLimits(limits, l.cfg.Heartbeat)
 	l.accounts[name] = a
 	l.used = append(l.used, a)
 	l.update(a, now)
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -110,6 +110,8 @@
 	lastTick    time.Time
 	stopped     bool
 	liveEntries int
+	// silent are the entries that are taken for dead by their silence alone.
+	silent map[string]silentEntry
 	// appending counts the appends to the claims stream that have not ended.
 	appending     int
 	snapshotDue   time.Time
@@ -160,6 +162,7 @@
 		configs:     newRecordRing(recordsKept),
 		lastTick:    now,
 		liveEntries: 1,
+		silent:      map[string]silentEntry{},
 	}
 	c.detector = detector.New(detector.Config{
 		Self: carrier.Member{
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -120,11 +120,11 @@
 			c.counters.PausesNoticed++
 		}
 		c.emit(LogChange{Message: "entry", Subject: t.Member.Name, From: t.From.String(), To: t.To.String()})
+		c.keepPart(t, now)
 		if t.To != detector.Dead && t.To != detector.Stopped {
 			continue
 		}
 		c.router.PeerGone(t.Member.Name)
-		c.limiter.PeerGone(t.Member.Name, now)
 		c.ownerDied(t.Member.Name)
 	}
 	if len(transitions) > 0 {
@@ -143,7 +143,7 @@
 		}
 	}
 	c.liveEntries = max(live, 1)
-	c.limiter.SetPeers(c.liveEntries, now)
+	c.limiter.SetPeers(c.liveEntries+len(c.silent), now)
 	c.router.SetEntries(index, c.liveEntries)
 }
 
--- a/reducer/tick.go
+++ b/reducer/tick.go
@@ -76,4 +76,5 @@
 		}
 		c.detector.Hint(hint.PeerAddress, hint.Zone, hint.Leaving, now)
 	}
+	c.endParts(e.Entries, now)
 }
