--- /dev/null
+++ b/measurer/dispatchers_test.go
@@ -0,0 +1,168 @@
+package measurer_test
+
+import (
+	"time"
+
+	"geraniumline/admitter"
+	"geraniumline/scheduler"
+)
+
+// policy is ours: the admitter and the scheduler as the reducer calls them.
+type policy struct {
+	admitter  *admitter.Admitter
+	scheduler *scheduler.Scheduler
+	jobs      map[uint64]*job
+	// admitAll leaves out the refusal at the door.
+	admitAll bool
+	// belief is how many times its capacity each pool is believed to have.
+	belief float64
+}
+
+func newPolicy() *policy {
+	return &policy{
+		admitter:  admitter.New(admitter.Config{}),
+		scheduler: scheduler.New(scheduler.Config{}),
+		jobs:      map[uint64]*job{},
+		belief:    1,
+	}
+}
+
+func (p *policy) item(j *job, stage int) scheduler.Item {
+	spec := pipeline[stage]
+	return scheduler.Item{
+		ID: j.id, Account: j.from.account, Weight: j.from.weight, Urgency: j.from.urgency,
+		Cost:     p.admitter.ExpectedCost(spec.name, float64(spec.mean.Milliseconds())),
+		Deadline: j.deadline,
+	}
+}
+
+// asks describes the stages that are still to run; queued stages have their backlog ahead.
+func (p *policy) asks(j *job, from int, queued bool, now time.Time) []admitter.StageAsk {
+	var asks []admitter.StageAsk
+	for i := from; i < len(pipeline); i++ {
+		spec := pipeline[i]
+		ask := admitter.StageAsk{Stage: spec.name, Pool: spec.name, Expected: spec.mean, Capacity: p.belief * float64(spec.slots)}
+		if drain := p.scheduler.Drain(spec.name, now); drain > 0 {
+			ask.Capacity = drain
+		}
+		if queued || i > from {
+			ahead := p.scheduler.Ahead(spec.name, p.item(j, i))
+			ask.Ahead, ask.Worst = ahead.Present, ahead.Worst
+		}
+		asks = append(asks, ask)
+	}
+	return asks
+}
+
+func (p *policy) admit(s *site, j *job) bool {
+	if p.admitAll {
+		return true
+	}
+	if _, ok := p.admitter.Admit(p.asks(j, 0, true, s.clock.now), j.deadline, s.clock.now).(admitter.Admitted); !ok {
+		return false
+	}
+	for i := 1; i < len(pipeline); i++ {
+		item := p.item(j, i)
+		j.announced = append(j.announced, item)
+		p.scheduler.Announce(pipeline[i].name, item)
+	}
+	return true
+}
+
+// withdraw takes back what was announced for stages from the given one on.
+func (p *policy) withdraw(j *job, from, to int) {
+	if len(j.announced) == 0 {
+		return
+	}
+	for i := max(from, 1); i < to; i++ {
+		p.scheduler.Withdraw(pipeline[i].name, j.announced[i-1])
+	}
+}
+
+func (p *policy) ended(j *job) { p.withdraw(j, j.stage+1, len(pipeline)) }
+
+func (p *policy) push(s *site, pool int, j *job) {
+	p.jobs[j.id] = j
+	p.withdraw(j, pool, pool+1)
+	item := p.item(j, pool)
+	j.expected = item.Cost
+	p.scheduler.Push(pipeline[pool].name, item, s.clock.now)
+}
+
+func (p *policy) pop(s *site, pool int) *job {
+	name := pipeline[pool].name
+	for {
+		item, ok := p.scheduler.PopExpired(name, s.clock.now)
+		if !ok {
+			break
+		}
+		s.finish(p.jobs[item.ID], lost)
+	}
+	for {
+		item, ok := p.scheduler.Pop(name, s.clock.now)
+		if !ok {
+			return nil
+		}
+		j := p.jobs[item.ID]
+		p.admitter.ObserveWait(name, s.clock.now.Sub(j.entered), s.clock.now)
+		if p.admitter.Hopeless(p.asks(j, j.stage, false, s.clock.now), j.deadline, s.clock.now) {
+			p.scheduler.Charge(name, item.Account, -item.Cost)
+			s.finish(j, lost)
+			continue
+		}
+		return j
+	}
+}
+
+func (p *policy) backlog(pool int) int { return p.scheduler.Len(pipeline[pool].name) }
+
+func (p *policy) budget(s *site, j *job) time.Duration {
+	return p.admitter.Budget(p.asks(j, j.stage, false, s.clock.now), j.deadline, s.clock.now)
+}
+
+func (p *policy) served(s *site, j *job, service time.Duration) {
+	name, cost := pipeline[j.stage].name, float64(service)/float64(time.Millisecond)
+	p.admitter.Observe(name, service, cost, s.clock.now)
+	p.scheduler.Charge(name, j.from.account, cost-j.expected)
+}
+
+// firstCome is the baseline: first come, first served, cut at the deadline. A bound on the
+// queue refuses at the door; 0 admits all.
+type firstCome struct {
+	queues [][]*job
+	bound  int
+}
+
+func newFirstCome(bound int) *firstCome {
+	return &firstCome{queues: make([][]*job, len(pipeline)), bound: bound}
+}
+
+func (f *firstCome) admit(_ *site, _ *job) bool {
+	waiting := 0
+	for _, q := range f.queues {
+		waiting += len(q)
+	}
+	return f.bound == 0 || waiting < f.bound
+}
+
+func (f *firstCome) push(_ *site, pool int, j *job) { f.queues[pool] = append(f.queues[pool], j) }
+
+func (f *firstCome) pop(s *site, pool int) *job {
+	for len(f.queues[pool]) > 0 {
+		j := f.queues[pool][0]
+		f.queues[pool] = f.queues[pool][1:]
+		if j.deadline.After(s.clock.now) {
+			return j
+		}
+		s.finish(j, lost)
+	}
+	return nil
+}
+
+func (f *firstCome) backlog(pool int) int { return len(f.queues[pool]) }
+
+func (f *firstCome) budget(s *site, j *job) time.Duration { return j.deadline.Sub(s.clock.now) }
+
+func (f *firstCome) served(*site, *job, time.Duration) {}
+
+func (f *firstCome) ended(*job) {}
