Orders to engines: read back, lease, decide, order

Cause: an engine's models, adapters, versions and roles were set by hand. The pool's orderer now brings them to the placement in force. The reducer keeps one ordering for each placed pool: it reads engines back, bids for the lease, tells the orderer the demand by model, and emits orders with an instant by which they must be over. An instant and not a span, since a pause between the decision and the sending would lengthen a span past the lease.

Routing: an engine that was read back with another model, or that is still loading, is not chosen for a stage's model.

Demand goes to the orderer alone in a message of its own; heartbeats to all peers would carry it N times.

--- a/carrier/message.go
+++ b/carrier/message.go
@@ -50,6 +50,9 @@
 // Kind tells that b are bills.
 func (b *Bills) Kind() Kind { return KindBills }
 
+// Kind tells that d is demand by model.
+func (d *Demand) Kind() Kind { return KindDemand }
+
 // NewMessage gives an empty message of the kind, to decode a frame into.
 func NewMessage(kind Kind) (Message, error) {
 	switch kind {
@@ -71,6 +74,8 @@
 		return &Handover{}, nil
 	case KindBills:
 		return &Bills{}, nil
+	case KindDemand:
+		return &Demand{}, nil
 	default:
 		return nil, &UnknownKindError{Value: kind}
 	}
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -file schema.go -o schema_gen.go -tests=false
 
-//msgp:tuple AccountBill StageBill Member Pulse EndpointLoad AccountUse Record CrashLoss
+//msgp:tuple ModelDemand AccountBill StageBill Member Pulse EndpointLoad AccountUse Record CrashLoss
 
 // Kind tells which message a frame carries.
 type Kind uint8
@@ -20,6 +20,7 @@
 	KindOutcome
 	KindHandover
 	KindBills
+	KindDemand
 )
 
 // Challenge opens a connection in both directions: the peer must prove that it knows the shared key.
@@ -183,3 +184,15 @@
 	Incarnation uint64        `msg:"incarnation"`
 	Accounts    []AccountBill `msg:"accounts,limit=4096"`
 }
+
+// ModelDemand is the work that waits for a model, in endpoint milliseconds.
+type ModelDemand struct {
+	Model  string
+	Millis int64
+}
+
+// Demand tells a pool's orderer what waits at the sender for the pool's models.
+type Demand struct {
+	Pool   string        `msg:"pool,limit=128"`
+	Models []ModelDemand `msg:"models,limit=4096"`
+}
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -1171,6 +1171,228 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Demand) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "pool":
+			z.Pool, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Pool")
+				return
+			}
+		case "models":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Models")
+				return
+			}
+			if zb0002 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Models) >= int(zb0002) {
+				z.Models = (z.Models)[:zb0002]
+			} else {
+				z.Models = make([]ModelDemand, zb0002)
+			}
+			for za0001 := range z.Models {
+				var zb0003 uint32
+				zb0003, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Models", za0001)
+					return
+				}
+				if zb0003 > 4096 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Models[za0001].Model, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Models", za0001, "Model")
+					return
+				}
+				z.Models[za0001].Millis, err = dc.ReadInt64()
+				if err != nil {
+					err = msgp.WrapError(err, "Models", za0001, "Millis")
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Demand) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "pool"
+	err = en.Append(0x82, 0xa4, 0x70, 0x6f, 0x6f, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Pool)
+	if err != nil {
+		err = msgp.WrapError(err, "Pool")
+		return
+	}
+	// write "models"
+	err = en.Append(0xa6, 0x6d, 0x6f, 0x64, 0x65, 0x6c, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Models)))
+	if err != nil {
+		err = msgp.WrapError(err, "Models")
+		return
+	}
+	for za0001 := range z.Models {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Models[za0001].Model)
+		if err != nil {
+			err = msgp.WrapError(err, "Models", za0001, "Model")
+			return
+		}
+		err = en.WriteInt64(z.Models[za0001].Millis)
+		if err != nil {
+			err = msgp.WrapError(err, "Models", za0001, "Millis")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Demand) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "pool"
+	o = append(o, 0x82, 0xa4, 0x70, 0x6f, 0x6f, 0x6c)
+	o = msgp.AppendString(o, z.Pool)
+	// string "models"
+	o = append(o, 0xa6, 0x6d, 0x6f, 0x64, 0x65, 0x6c, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Models)))
+	for za0001 := range z.Models {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Models[za0001].Model)
+		o = msgp.AppendInt64(o, z.Models[za0001].Millis)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Demand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "pool":
+			z.Pool, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pool")
+				return
+			}
+		case "models":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Models")
+				return
+			}
+			if zb0002 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Models) >= int(zb0002) {
+				z.Models = (z.Models)[:zb0002]
+			} else {
+				z.Models = make([]ModelDemand, zb0002)
+			}
+			for za0001 := range z.Models {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Models", za0001)
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Models[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Models", za0001, "Model")
+					return
+				}
+				z.Models[za0001].Millis, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Models", za0001, "Millis")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Demand) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Pool) + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Models {
+		s += 1 + msgp.StringPrefixSize + len(z.Models[za0001].Model) + msgp.Int64Size
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *EndpointLoad) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -2449,6 +2671,93 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ModelDemand) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Model, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	z.Millis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ModelDemand) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Model)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	err = en.WriteInt64(z.Millis)
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ModelDemand) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Model)
+	o = msgp.AppendInt64(o, z.Millis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ModelDemand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Model, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	z.Millis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ModelDemand) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Model) + msgp.Int64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Outcome) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -120,7 +120,7 @@
 	}
 	h := l.fold.pools[record.Pool]
 	if h.until.from.Before(sent) {
-		h.until = limit{from: sent, length: h.length - l.cfg.Margin}
+		h.until = limitFrom(sent, h.length-l.cfg.Margin)
 	}
 }
 
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -118,11 +118,11 @@
 
 // The VM is frozen as a whole, and its monotonic clock with it. After the thaw the clock of the day is right again.
 func TestAFrozenMonotonicClock(t *testing.T) {
-	frozen := time.Now()
-	l := limit{from: frozen, length: DefaultDuration}
-	thawed := frozen.Round(0).Add(time.Minute)
-	require.Negative(t, l.left(thawed))
-	require.Equal(t, DefaultDuration, l.left(frozen))
+	now := time.Now()
+	l := limitFrom(now, DefaultDuration)
+	require.Equal(t, DefaultDuration, l.left(now))
+	l.day = l.day.Add(-time.Minute)
+	require.Negative(t, l.left(now))
 }
 
 // Appends go wrong in all ways. The lease must be held if and only if the record is in the log.
--- a/performer/loop.go
+++ b/performer/loop.go
@@ -28,6 +28,7 @@
 	events  chan reducer.Event
 	replies *replies
 	stages  *stages
+	orders  *orders
 	log     *zap.Logger
 	exited  chan struct{}
 	ids     idSource
@@ -55,6 +56,7 @@
 		reduceMicros: cfg.Meter.Histogram(meter.ReduceMicros),
 	}
 	p.stages = newStages(cfg, p.Post, p.replies)
+	p.orders = newOrders(cfg, p.Post)
 	return p
 }
 
@@ -74,6 +76,7 @@
 	defer close(p.exited)
 	p.ctx = ctx
 	p.stages.ctx = ctx
+	p.orders.ctx = ctx
 	p.startReaders(ctx)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
@@ -142,6 +145,10 @@
 		go p.append(e)
 	case reducer.SendPeer:
 		p.cfg.Messenger.Send(e.Address, e.Message)
+	case reducer.ReadAssignment:
+		go p.orders.read(e)
+	case reducer.OrderEngine:
+		go p.orders.order(e)
 	case reducer.LogChange:
 		p.log.Info(e.Message, zap.String("subject", e.Subject), zap.String("from", e.From), zap.String("to", e.To))
 	}
--- a/performer/readers.go
+++ b/performer/readers.go
@@ -31,7 +31,7 @@
 
 // startReaders starts the goroutines that follow the log, the list of VMs and the endpoints' loads.
 func (p *Performer) startReaders(ctx context.Context) {
-	for _, stream := range []reducer.Stream{reducer.StreamConfig, reducer.StreamClaims} {
+	for _, stream := range []reducer.Stream{reducer.StreamConfig, reducer.StreamClaims, reducer.StreamLeases} {
 		go p.follow(ctx, stream)
 	}
 	go p.listVMs(ctx)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -160,10 +160,11 @@
 	return known && e.wanted != nil && e.ended.IsZero()
 }
 
-// Lacks tells that an engine's state is known and is another model, or one that it is still loading.
-func (p *Placer) Lacks(address, model string) bool {
+// Lacks tells that an engine surely does not serve a model: its state was read a short time ago, and is another model
+// or one that it is still loading.
+func (p *Placer) Lacks(address, model string, now time.Time) bool {
 	e, known := p.engines[address]
-	if !known || e.readAt.IsZero() || e.state.Model == "" {
+	if !known || e.state.Model == "" || now.Sub(e.readAt) > p.cfg.FreshFor {
 		return false
 	}
 	return e.state.Model != model || e.state.Loading
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -166,8 +166,35 @@
 	for _, e := range w.engines {
 		e.state.Fence = 8
 	}
+	w.deliver = func(Order) (Result, bool) {
+		require.Fail(t, "an order was given")
+		return nil, false
+	}
 	w.run(time.Minute)
-	require.Empty(t, w.loads)
+}
+
+// An order is under way, or its reply was lost. Readings that were asked for before it ended show the state from
+// before: taken for the order's failure, they would have the same weights loaded once more.
+func TestOnlyALaterReadingSettlesAnOrder(t *testing.T) {
+	w := newWorld(t, placement(placed("a", 1, 1)), "")
+	old := w.engines["e00"].state
+	w.placer.List(w.order)
+	w.placer.Observe("e00", old, w.now, w.now)
+	orders := func() []Order { return w.placer.Orders(w.placed, w.inUse, w.lease, w.now) }
+	given := orders()
+	require.Len(t, given, 1)
+	asked := w.now.Add(time.Second)
+	w.now = w.now.Add(2 * time.Second)
+	w.placer.Observe("e00", old, asked, w.now)
+	require.Empty(t, orders(), "under way")
+	w.placer.Ended("e00", Uncertain{}, w.now)
+	w.placer.Observe("e00", old, asked, w.now)
+	require.Empty(t, orders(), "not read since")
+	require.Equal(t, []string{"e00"}, w.placer.Unsettled())
+	w.now = w.now.Add(time.Second)
+	w.placer.Observe("e00", given[0].State, w.now, w.now)
+	require.Empty(t, orders(), "it took effect")
+	require.Empty(t, w.placer.Unsettled())
 }
 
 // The only copy of a model in use is of an old version. It goes on serving until another engine serves the new one.
--- a/placer/world_test.go
+++ b/placer/world_test.go
@@ -91,7 +91,7 @@
 func (w *world) count(model string, serving bool) int {
 	n := 0
 	for _, e := range w.engines {
-		if e.state.Model == model && !(serving && e.state.Loading) {
+		if e.state.Model == model && (!serving || !e.state.Loading) {
 			n++
 		}
 	}
--- a/publisher/placement.go
+++ b/publisher/placement.go
@@ -81,6 +81,9 @@
 	return m
 }
 
+// Placements gives all placements by name. The result must not be changed.
+func (f *Fold) Placements() []*Placement { return f.state.list(KindPlacement).placements }
+
 // Placement gives the placement that a pool's orderer obeys: the first by name, so that two objects for one pool do
 // not have its engines load back and forth. The result must not be changed.
 func (f *Fold) Placement(pool string) (*Placement, bool) {
--- a/publisher/state.go
+++ b/publisher/state.go
@@ -118,7 +118,7 @@
 		faults = append(faults, s.missingPipelines(p.contract)...)
 	}
 	if p.placement != nil {
-		faults = append(faults, s.missingPool("pool", p.placement.Pool)...)
+		faults = append(faults, s.notEngines(p.placement.Pool)...)
 	}
 	return p, faults
 }
@@ -131,6 +131,15 @@
 	return faults
 }
 
+// notEngines refuses a placement of a pool whose endpoints hold no model.
+func (s *state) notEngines(pool string) []Fault {
+	e, known := s.objects[objectID{kind: KindPool, name: pool}]
+	if known && e.parsed.pool.Kind != PoolEngine {
+		return []Fault{{Path: "pool", Message: fmt.Sprintf("is a pool of kind %q, whose endpoints hold no model", e.parsed.pool.Kind)}}
+	}
+	return s.missingPool("pool", pool)
+}
+
 func (s *state) missingPool(path, name string) []Fault {
 	if s.version(objectID{kind: KindPool, name: name}) != 0 {
 		return nil
--- a/reducer/claim.go
+++ b/reducer/claim.go
@@ -91,9 +91,13 @@
 
 // takeAppended takes the end of an append.
 func (c *Core) takeAppended(e Appended, now time.Time) {
-	if e.Stream == StreamConfig {
+	switch e.Stream {
+	case StreamConfig:
 		c.takeConfigAppended(e, now)
 		return
+	case StreamLeases:
+		c.leaser.Ended(e.BatchID, e.Result, now)
+		return
 	}
 	c.appending--
 	c.batcher.Appended(e.BatchID, e.Result, now)
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -14,7 +14,9 @@
 	"geraniumline/claimer"
 	"geraniumline/detector"
 	"geraniumline/drainer"
+	"geraniumline/leaser"
 	"geraniumline/limiter"
+	"geraniumline/placer"
 	"geraniumline/publisher"
 	"geraniumline/quarantiner"
 	"geraniumline/retrier"
@@ -54,6 +56,9 @@
 	Router      router.Config
 	Retrier     retrier.Config
 	Quarantiner quarantiner.Config
+	// Leaser and Placer set up the orders to engines; their zero values take the defaults.
+	Leaser leaser.Config
+	Placer placer.Config
 }
 
 // subsetSize and subsetSpares are how many entries one client account is told of: few, so that an entry's state
@@ -90,6 +95,11 @@
 	// lone are the runs of suspect requests by pool.
 	lone map[string][]loneRun
 
+	leaser *leaser.Leaser
+	// orderings are the pools that a placement names.
+	orderings map[string]*ordering
+	orderAt   time.Time
+
 	requests  map[uint64]*request
 	plans     map[string]*plan
 	applied   map[string]*publisher.Contract
@@ -144,6 +154,9 @@
 		quarantiner: quarantiner.New(cfg.Quarantiner),
 		lone:        map[string][]loneRun{},
 
+		leaser:    leaser.New(leaserConfig(cfg)),
+		orderings: map[string]*ordering{},
+
 		requests:  map[uint64]*request{},
 		plans:     map[string]*plan{},
 		applied:   map[string]*publisher.Contract{},
@@ -155,6 +168,7 @@
 		logs: map[Stream]*logHealth{
 			StreamConfig: {},
 			StreamClaims: {},
+			StreamLeases: {},
 		},
 		configs:     newRecordRing(recordsKept),
 		lastTick:    now,
@@ -222,6 +236,10 @@
 		c.takeStopAsked(e, now)
 	case StopSignalled:
 		c.beginStop(now)
+	case AssignmentRead:
+		c.takeAssignment(e, now)
+	case OrderEnded:
+		c.takeOrderEnded(e, now)
 	case Ticked:
 		c.tick(now)
 	}
--- a/reducer/counters.go
+++ b/reducer/counters.go
@@ -45,4 +45,8 @@
 	PausesNoticed     uint64
 	EndpointsEjected  uint64
 	DigestsQuarantine uint64
+	OrdersSent        uint64
+	OrdersRefused     uint64
+	OrdersUncertain   uint64
+	LoadsOrdered      uint64
 }
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -7,6 +7,7 @@
 	"geraniumline/carrier"
 	"geraniumline/endpointserver"
 	"geraniumline/operatorserver"
+	"geraniumline/placer"
 )
 
 // Effect is something that the core wants done. The set of effects is closed.
@@ -19,6 +20,8 @@
 const (
 	StreamConfig Stream = "config"
 	StreamClaims Stream = "claims"
+	// StreamLeases says which entry orders which pool's engines.
+	StreamLeases Stream = "leases"
 )
 
 // CallID names one attempt of one stage of one request of this process.
@@ -138,6 +141,24 @@
 	Progress operatorserver.StopProgress
 }
 
+// ReadAssignment has an engine asked what it holds.
+type ReadAssignment struct {
+	Pool    string
+	Address string
+	// Asked is from before the question is sent.
+	Asked time.Time
+}
+
+// OrderEngine has an engine ordered to a state.
+type OrderEngine struct {
+	Pool    string
+	Address string
+	State   placer.Assignment
+	// Until is when the order must be over, inside the orderer's lease. It is an instant and not a span: a pause
+	// of the process between this effect and the sending would lengthen a span past the lease.
+	Until time.Time
+}
+
 // LogChange has a change of state written to the log of this process.
 type LogChange struct {
 	Message string
@@ -149,21 +170,23 @@
 // Exit ends the process: a planned stop is done.
 type Exit struct{}
 
-func (*CallStage) effect()    {}
-func (ResumeStage) effect()   {}
-func (CancelStage) effect()   {}
-func (SendPart) effect()      {}
-func (SendAnswer) effect()    {}
-func (SendFailure) effect()   {}
-func (SendAddresses) effect() {}
-func (SendOutcome) effect()   {}
-func (Append) effect()        {}
-func (SendPeer) effect()      {}
-func (SendVerdict) effect()   {}
-func (SendRefusal) effect()   {}
-func (SendConfig) effect()    {}
-func (SendHistory) effect()   {}
-func (SendStatus) effect()    {}
-func (SendStop) effect()      {}
-func (LogChange) effect()     {}
-func (Exit) effect()          {}
+func (*CallStage) effect()     {}
+func (ResumeStage) effect()    {}
+func (CancelStage) effect()    {}
+func (SendPart) effect()       {}
+func (SendAnswer) effect()     {}
+func (SendFailure) effect()    {}
+func (SendAddresses) effect()  {}
+func (SendOutcome) effect()    {}
+func (Append) effect()         {}
+func (SendPeer) effect()       {}
+func (SendVerdict) effect()    {}
+func (SendRefusal) effect()    {}
+func (SendConfig) effect()     {}
+func (SendHistory) effect()    {}
+func (SendStatus) effect()     {}
+func (SendStop) effect()       {}
+func (ReadAssignment) effect() {}
+func (OrderEngine) effect()    {}
+func (LogChange) effect()      {}
+func (Exit) effect()           {}
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -6,6 +6,7 @@
 	"geraniumline/carrier"
 	"geraniumline/claimer"
 	"geraniumline/endpointserver"
+	"geraniumline/placer"
 	"geraniumline/publisher"
 	"geraniumline/recorder"
 	"geraniumline/router"
@@ -187,6 +188,22 @@
 // StopSignalled is the process's signal to stop as planned.
 type StopSignalled struct{}
 
+// AssignmentRead is what an engine of a placed pool holds.
+type AssignmentRead struct {
+	Pool    string
+	Address string
+	// Asked is that of the effect ReadAssignment.
+	Asked time.Time
+	State placer.Assignment
+}
+
+// OrderEnded tells how an order to an engine ended.
+type OrderEnded struct {
+	Pool    string
+	Address string
+	Result  placer.Result
+}
+
 // Ticked lets time pass.
 type Ticked struct{}
 
@@ -210,4 +227,6 @@
 func (StatusAsked) event()        {}
 func (StopAsked) event()          {}
 func (StopSignalled) event()      {}
+func (AssignmentRead) event()     {}
+func (OrderEnded) event()         {}
 func (Ticked) event()             {}
--- a/reducer/log.go
+++ b/reducer/log.go
@@ -21,6 +21,8 @@
 		c.foldConfig(e.Records, e.First, now)
 	case StreamClaims:
 		c.foldClaims(e, now)
+	case StreamLeases:
+		c.foldLeases(e, now)
 	}
 }
 
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -33,6 +33,8 @@
 		c.takeHandover(message, now)
 	case *carrier.Bills:
 		c.takeBills(message)
+	case *carrier.Demand:
+		c.takeDemand(e.From, message, now)
 	}
 }
 
--- a/reducer/stage.go
+++ b/reducer/stage.go
@@ -78,8 +78,13 @@
 }
 
 // pump hands waiting stages to free endpoints of the pool.
+//
+// An item whose model no free endpoint holds is set aside and waits on: were it first in line until one is free, it
+// would hold up the items of other models while their endpoints idle.
 func (c *Core) pump(pool string, now time.Time) {
 	c.pumpLone(pool, now)
+	var aside setAside
+	defer c.putBack(pool, &aside, now)
 	for c.scheduler.Len(pool) > 0 && c.router.Free(pool, now) {
 		item, ok := c.scheduler.Pop(pool, now)
 		if !ok {
@@ -99,10 +104,12 @@
 			c.fail(r, CodeCannotFinish, "the stages that are left cannot end by the deadline", c.retryAfter(pool), now)
 			continue
 		}
-		address, found := c.router.Choose(c.askOf(r), now)
+		address, found := c.choose(r, &aside, now)
 		if !found {
-			c.scheduler.Push(pool, item, now)
-			return
+			if !c.setAside(pool, item, &aside) {
+				return
+			}
+			continue
 		}
 		c.dispatch(r, address, false, now)
 	}
@@ -111,7 +118,12 @@
 func (c *Core) askOf(r *request) router.Ask {
 	stage := r.stageConfig()
 	r.prefix = c.prefixOf(r)
-	return router.Ask{Pool: stage.Pool, Prefix: r.prefix, Avoid: r.tried, NoProbe: !stage.Repeatable}
+	ask := router.Ask{Pool: stage.Pool, Prefix: r.prefix, Avoid: r.tried, NoProbe: !stage.Repeatable}
+	if o, placed := c.orderings[stage.Pool]; placed {
+		ask.Model = stage.Model
+		ask.Lacks = o.lacks
+	}
+	return ask
 }
 
 // retryAfter tells a caller when the backlog of a pool will have been worked off.
--- a/reducer/tick.go
+++ b/reducer/tick.go
@@ -18,6 +18,7 @@
 		c.snapshot(now)
 		c.tellBills(now)
 	}
+	c.stepOrders(now)
 	c.stepStop(now)
 }
 
--- a/router/choose.go
+++ b/router/choose.go
@@ -25,6 +25,15 @@
 	// NoProbe keeps the call from an endpoint that is on probe: for a stage that must not be repeated
 	// a failed probe would leave the outcome unknown.
 	NoProbe bool
+	// Model is what the endpoint must hold. Lacks tells that an endpoint surely does not: it would refuse the
+	// call. Nil for pools whose endpoints' models are not known.
+	Model string
+	Lacks func(address, model string, now time.Time) bool
+}
+
+// lacks tells that the endpoint surely can't serve the call's model.
+func (a *Ask) lacks(e *endpoint, now time.Time) bool {
+	return a.Lacks != nil && a.Model != "" && a.Lacks(e.address, a.Model, now)
 }
 
 // candidate is the best endpoint seen so far.
@@ -45,12 +54,12 @@
 		return "", false
 	}
 	r.advance(p, now)
-	if e := r.probe(p, &ask); e != nil {
+	if e := r.probe(p, &ask, now); e != nil {
 		return e.address, true
 	}
 	best := r.sample(p, &ask, now)
 	if best.endpoint == nil {
-		best = r.any(p, &ask)
+		best = r.any(p, &ask, now)
 	}
 	if best.endpoint == nil {
 		return "", false
@@ -60,12 +69,12 @@
 
 // probe gives an endpoint that waits for its probe. It goes before better ones, since otherwise a
 // quiet pool would never try it again.
-func (r *Router) probe(p *pool, ask *Ask) *endpoint {
+func (r *Router) probe(p *pool, ask *Ask, now time.Time) *endpoint {
 	if ask.NoProbe || len(p.out) == 0 || len(ask.Avoid) > 0 {
 		return nil
 	}
 	for _, e := range p.out {
-		if e.health.State() == ejector.Probing && e.freeIndex >= 0 {
+		if e.health.State() == ejector.Probing && e.freeIndex >= 0 && !ask.lacks(e, now) {
 			return e
 		}
 	}
@@ -96,7 +105,7 @@
 
 // weigh takes an endpoint as the best if its score is lower.
 func (r *Router) weigh(best *candidate, e *endpoint, ask *Ask, assumed float64, now time.Time) {
-	if e.health.State() != ejector.InUse || slices.Contains(ask.Avoid, e.address) {
+	if e.health.State() != ejector.InUse || slices.Contains(ask.Avoid, e.address) || ask.lacks(e, now) {
 		return
 	}
 	score := e.load(now)
@@ -109,7 +118,7 @@
 }
 
 // any gives a free endpoint when the sample held none that may be taken: first one that was not tried.
-func (r *Router) any(p *pool, ask *Ask) candidate {
+func (r *Router) any(p *pool, ask *Ask, now time.Time) candidate {
 	var tried, onProbe *endpoint
 	n := len(p.available)
 	if n == 0 {
@@ -119,6 +128,7 @@
 	for i := range n {
 		e := p.available[(start+i)%n]
 		switch {
+		case ask.lacks(e, now):
 		case e.health.State() != ejector.InUse:
 			onProbe = e
 		case slices.Contains(ask.Avoid, e.address):
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -171,6 +171,22 @@
 	}
 }
 
+// InUse lists the endpoints of a pool that are not leaving, by address.
+func (r *Router) InUse(name string) []string {
+	p, known := r.pools[name]
+	if !known {
+		return nil
+	}
+	addresses := make([]string, 0, len(p.all))
+	for _, e := range p.all {
+		if !e.leaving() {
+			addresses = append(addresses, e.address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
 // Addresses lists the endpoints that a load report should be asked of.
 func (r *Router) Addresses() []string {
 	addresses := make([]string, 0, len(r.endpoints))
