Bound what a decision looks at in a pool with many endpoints out of use

Cause: with a third of 10000 endpoints out, the search for a probe and the end of ejections went through all of them for each call, and a pool that was away as a whole was restored as a whole for each question for its capacity.

--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -38,7 +38,8 @@
 // Config sets a Pool up. Zero fields take the defaults above.
 type Config struct {
 	// MaxShare is the greatest part of a pool that may be out of use at once for serving badly; one
-	// endpoint always may, if the pool has another. Endpoints that refuse connections are out besides.
+	// endpoint always may, if the pool has another; below 0 none may. Endpoints that refuse connections
+	// are out besides.
 	MaxShare float64
 	// Ejection is how long the first ejection lasts; each further one doubles it, up to MaxEjection.
 	Ejection    time.Duration
@@ -202,6 +203,9 @@
 // into none. An endpoint that refuses connections gives no answers at all, so its ejection has no bound.
 func (p *Pool) mayEject() bool {
 	up := p.size - p.down
+	if p.cfg.MaxShare < 0 {
+		return false
+	}
 	return p.out-p.down+1 <= max(1, int(p.cfg.MaxShare*float64(up))) && up > 1
 }
 
--- a/reducer/straggler_test.go
+++ b/reducer/straggler_test.go
@@ -34,8 +34,8 @@
 	return simConfig{entries: 7, pools: []string{"a", "b", "c"}, perPool: 10, service: testService, reportLag: time.Second, seed: seed}
 }
 
-// withoutEjection lets an ejection end as it begins; hedges and retries are as ever.
-func withoutEjection(cfg *reducer.Config) { cfg.Router.Ejector.Ejection = time.Nanosecond }
+// withoutEjection keeps all endpoints in use; hedges and retries are as ever.
+func withoutEjection(cfg *reducer.Config) { cfg.Router.Ejector.MaxShare = -1 }
 
 // withoutAny has neither ejection nor hedges nor retries.
 func withoutAny(cfg *reducer.Config) {
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -35,43 +35,47 @@
 	i := len(s) - 1
 	for i > 0 {
 		parent := (i - 1) / 2
-		if !s[i].at.Before(s[parent].at) {
-			return
+		if !t.at.Before(s[parent].at) {
+			break
 		}
-		s[i], s[parent] = s[parent], s[i]
+		s[i] = s[parent]
 		i = parent
 	}
+	s[i] = t
 }
 
 func (h *timerHeap) pop() timer {
 	s := *h
 	first := s[0]
 	last := len(s) - 1
-	s[0] = s[last]
+	moved := s[last]
 	s[last] = timer{}
 	*h = s[:last]
-	h.sink()
+	if last > 0 {
+		h.sink(moved)
+	}
 	return first
 }
 
-// sink takes the first timer down to its place.
-func (h *timerHeap) sink() {
+// sink puts a timer in the place of the first and takes it down to its own.
+func (h *timerHeap) sink(t timer) {
 	s := *h
 	i := 0
 	for {
 		child := 2*i + 1
 		if child >= len(s) {
-			return
+			break
 		}
 		if right := child + 1; right < len(s) && s[right].at.Before(s[child].at) {
 			child = right
 		}
-		if !s[child].at.Before(s[i].at) {
-			return
+		if !s[child].at.Before(t.at) {
+			break
 		}
-		s[i], s[child] = s[child], s[i]
+		s[i] = s[child]
 		i = child
 	}
+	s[i] = t
 }
 
 func (c *Core) schedule(t timer) {
--- a/router/choose.go
+++ b/router/choose.go
@@ -10,6 +10,8 @@
 const (
 	// homes is how many endpoints on the ring a prompt's prefix may be at home at.
 	homes = 2
+	// probeCandidates bounds the endpoints that are looked at for one that waits for its probe.
+	probeCandidates = 4
 	// homeReuse is the reuse that is assumed at a home whose cache is not known to hold the prefix:
 	// enough that entries which know nothing send the same prefix to the same endpoint.
 	homeReuse = 0.5
@@ -64,7 +66,10 @@
 	if ask.NoProbe || len(p.out) == 0 || len(ask.Avoid) > 0 {
 		return nil
 	}
-	for _, e := range p.out {
+	n := len(p.out)
+	start := r.cfg.Rand.IntN(n)
+	for i := range min(n, probeCandidates) {
+		e := p.out[(start+i)%n]
 		if e.health.State() == ejector.Probing && e.freeIndex >= 0 {
 			return e
 		}
--- a/router/pool.go
+++ b/router/pool.go
@@ -20,8 +20,10 @@
 	// available are the endpoints that can take a call now.
 	available []*endpoint
 	// out are the endpoints that are ejected or on probe.
-	out       []*endpoint
+	out []*endpoint
+	// advanceAt is when the next ejection ends, scannedAt when out was looked through last.
 	advanceAt time.Time
+	scannedAt time.Time
 	health    ejector.Pool
 	// usableSlots are the slots of all endpoints that are neither leaving nor ejected; probeSlots those
 	// among them that are on probe.
@@ -124,9 +126,13 @@
 	}
 }
 
+// scanEvery bounds how often the endpoints that are out are looked through: they may be thousands, and
+// each decision asks for it.
+const scanEvery = 10 * time.Millisecond
+
 // advance lets ejections end in probes when their time has come, or early when little else is left.
 func (r *Router) advance(p *pool, now time.Time) {
-	if len(p.out) == 0 {
+	if len(p.out) == 0 || now.Sub(p.scannedAt) < scanEvery {
 		return
 	}
 	if p.usableSlots == 0 || 2*len(p.out) > len(p.all) {
@@ -136,6 +142,7 @@
 	if p.advanceAt.IsZero() || now.Before(p.advanceAt) {
 		return
 	}
+	p.scannedAt = now
 	p.advanceAt = time.Time{}
 	for _, e := range p.out {
 		p.health.Advance(&e.health, now)
@@ -146,6 +153,7 @@
 // restoreAll lets the ejected endpoints be probed early: a doubtful endpoint is better than none, and a
 // pool that was away as a whole comes back as a whole.
 func (r *Router) restoreAll(p *pool, now time.Time) {
+	p.scannedAt = now
 	for _, e := range p.out {
 		p.health.Restore(&e.health, now)
 		r.refresh(e)
--- a/router/report.go
+++ b/router/report.go
@@ -62,7 +62,8 @@
 
 // past is a short history of the calls that were known of at an endpoint.
 type past struct {
-	times [pastKept]time.Time
+	// times are in Unix nanoseconds, 0 for a sample not taken yet.
+	times [pastKept]int64
 	calls [pastKept]int32
 	next  int
 }
@@ -70,10 +71,10 @@
 // note keeps the present count, at most one in pastEvery.
 func (p *past) note(calls int, now time.Time) {
 	last := (p.next + pastKept - 1) % pastKept
-	if !p.times[last].IsZero() && now.Sub(p.times[last]) < pastEvery {
+	if p.times[last] != 0 && now.UnixNano()-p.times[last] < int64(pastEvery) {
 		return
 	}
-	p.times[p.next] = now
+	p.times[p.next] = now.UnixNano()
 	p.calls[p.next] = int32(calls)
 	p.next = (p.next + 1) % pastKept
 }
@@ -83,10 +84,10 @@
 	after := float64(present)
 	for i := range pastKept {
 		k := (p.next + pastKept - 1 - i) % pastKept
-		if p.times[k].IsZero() {
+		if p.times[k] == 0 {
 			break
 		}
-		if !p.times[k].After(t) {
+		if p.times[k] <= t.UnixNano() {
 			return (after + float64(p.calls[k])) / 2
 		}
 		after = float64(p.calls[k])
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -197,6 +197,26 @@
 	}
 }
 
+// A third of the pool refuses connections and is out.
+func BenchmarkDecideWithThirdOut(b *testing.B) {
+	for _, n := range []int{50, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r, addresses := benchmarkRouter(n)
+			now := start
+			for _, a := range addresses[:n/3] {
+				now = now.Add(time.Millisecond)
+				r.Ended(a, router.End{Result: router.Unreachable}, now)
+			}
+			ask := &router.Ask{Pool: "engines", Prefix: router.PrefixOf(fmt.Sprintf("%03000d", 1)), NoProbe: true}
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(100 * time.Microsecond)
+				decide(r, ask, now)
+			}
+		})
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{50, 10000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
