--- /dev/null
+++ b/receiver/failure_test.go
@@ -0,0 +1,66 @@
+package receiver
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/reducer"
+)
+
+// constantsOf gives the string constants of a folder's files whose names begin with the prefix.
+func constantsOf(t *testing.T, folder, prefix string) map[string]string {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(folder, "*.go"))
+	require.NoError(t, err)
+	found := map[string]string{}
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		tree, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+		require.NoError(t, err)
+		ast.Inspect(tree, func(node ast.Node) bool {
+			spec, isValue := node.(*ast.ValueSpec)
+			if isValue && len(spec.Values) == 1 && strings.HasPrefix(spec.Names[0].Name, prefix) {
+				if literal, isLiteral := spec.Values[0].(*ast.BasicLit); isLiteral && literal.Kind == token.STRING {
+					found[spec.Names[0].Name], err = strconv.Unquote(literal.Value)
+					require.NoError(t, err)
+				}
+			}
+			return true
+		})
+	}
+	require.NotEmpty(t, found)
+	return found
+}
+
+// A caller that meets a code looks it up on the page. Each code has a row there that begins with it, and the
+// status that the code is served with stands in that row.
+func TestEveryCodeStandsOnThePage(t *testing.T) {
+	page, err := os.ReadFile("../docs/ERRORS.md")
+	require.NoError(t, err)
+	rows := map[string]string{}
+	for _, line := range strings.Split(string(page), "\n") {
+		if cells := strings.Split(line, "|"); len(cells) > 3 {
+			rows[strings.Trim(cells[1], " `")] = cells[2]
+		}
+	}
+	for name, code := range constantsOf(t, "../reducer", "Code") {
+		t.Run(name, func(t *testing.T) {
+			require.Contains(t, rows, code)
+			require.Contains(t, rows[code], fmt.Sprint(statusOf(reducer.Code(code))))
+		})
+	}
+	for name, code := range constantsOf(t, ".", "code") {
+		t.Run(name, func(t *testing.T) { require.Contains(t, rows, code) })
+	}
+}
