Change the peers' key one entry at a time, and stop when superseded

Cause: the messenger takes a second key that no setting gave; an entry that heard of a newer process under its name marked itself dead and went on serving; an account's spares could all lie in its primaries' zones. Change: otherSharedKey; a superseded entry begins its planned stop; two primaries and two spares, so that with three zones the first spare lies in the third.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -92,12 +92,13 @@
 	incarnation := uint64(now.UnixMicro())
 	core := reducer.New(coreConfig(s, incarnation), now)
 	e.messenger = messenger.New(messenger.Config{
-		Listen:   peers,
-		Name:     s.Name,
-		Key:      s.Key(),
-		Handler:  func(from string, m carrier.Message) { e.performer.TakePeer(from, m) },
-		Log:      e.cfg.Log,
-		Registry: e.meter.Registry(),
+		Listen:    peers,
+		Name:      s.Name,
+		Key:       s.Key(),
+		OtherKeys: s.OtherKeys(),
+		Handler:   func(from string, m carrier.Message) { e.performer.TakePeer(from, m) },
+		Log:       e.cfg.Log,
+		Registry:  e.meter.Registry(),
 	})
 	e.performer = performer.New(performer.Config{
 		Entry:           s.Name,
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -67,6 +67,10 @@
 	SharedKey Secret `json:"sharedKey" check:"key,optional"`
 	// File with the shared key as hex, in place of sharedKey.
 	SharedKeyFile string `json:"sharedKeyFile" check:"optional"`
+	// A second key, as hex, that peers may prove themselves by. It lets the shared key be changed with the
+	// entries restarted one after another: first all take the new key here, then all take it as sharedKey and
+	// the old one here, then it goes.
+	OtherSharedKey Secret `json:"otherSharedKey" check:"key,optional"`
 	// Who may use the operators' address.
 	Operators []Operator `json:"operators"`
 	// Certificates of the listening sockets. Without them callers and operators are served in the clear.
@@ -181,8 +185,18 @@
 }
 
 // Key returns the shared key's bytes. It is empty in settings that were not checked.
-func (s Settings) Key() []byte {
-	key, err := hex.DecodeString(s.SharedKey.Reveal())
+func (s Settings) Key() []byte { return keyBytes(s.SharedKey) }
+
+// OtherKeys returns the bytes of the keys beside the shared one that peers may prove themselves by.
+func (s Settings) OtherKeys() [][]byte {
+	if s.OtherSharedKey == "" {
+		return nil
+	}
+	return [][]byte{keyBytes(s.OtherSharedKey)}
+}
+
+func keyBytes(secret Secret) []byte {
+	key, err := hex.DecodeString(secret.Reveal())
 	if err != nil {
 		return nil
 	}
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -66,7 +66,7 @@
 // subsetSize and subsetSpares are how many entries one client account is told of: few, so that an entry's state
 // follows the accounts that it serves; some, so that the loss of one is hardly felt.
 const (
-	subsetSize   = 3
+	subsetSize   = 2
 	subsetSpares = 2
 )
 
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -122,6 +122,10 @@
 			c.counters.PausesNoticed++
 		}
 		c.emit(LogChange{Message: "entry", Subject: t.Member.Name, From: t.From.String(), To: t.To.String()})
+		if t.Member.Name == c.cfg.Entry {
+			c.takeOwnTransition(t, now)
+			continue
+		}
 		c.keepPart(t, now)
 		if t.To != detector.Dead && t.To != detector.Stopped {
 			continue
@@ -134,6 +138,15 @@
 	}
 }
 
+// takeOwnTransition acts on what the detector says of this entry itself. Dead means that a newer process serves
+// under its name: the VM was replaced while this process lived on. Two of one name would each take the other's
+// heartbeats, claims and shares for its own, so the older one stops, as planned, and cuts nothing.
+func (c *Core) takeOwnTransition(t detector.Transition, now time.Time) {
+	if t.To == detector.Dead {
+		c.beginStop(now)
+	}
+}
+
 func (c *Core) countEntries(now time.Time) {
 	live, index := 0, 0
 	for _, member := range c.detector.Members() {
