Bill a refused request as what its caller was told

Cause: a request refused at the door was billed as not run before its caller was perhaps told unknown (found by the docs' trial); noEndpoint was given by nothing. Change: the bill follows the answer; the code is gone.

--- a/reducer/ask.go
+++ b/reducer/ask.go
@@ -23,7 +23,7 @@
 	outcomeOnly bool
 	// refusal is what a refused request is told if no peer knows its key; nil for other questions.
 	refusal *Failure
-	digest  [32]byte
+	refused refusedKey
 	// lost tells that an entry which may have served the key can't be asked.
 	lost    bool
 	waiting int
--- a/reducer/doubt.go
+++ b/reducer/doubt.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"geraniumline/biller"
 	"geraniumline/claimer"
 	"geraniumline/detector"
+	"geraniumline/scheduler"
 )
 
 // doubtWait bounds how long peers may take to say whether a key has run at them.
@@ -16,17 +18,38 @@
 // before, where it ran. While the claims stream is current the table would show that. While it is not, a
 // caller told notRun would send a new key and have its ticket twice; so the peers are asked, and where one
 // that may have served the key can't answer, the word is unknown.
-func (c *Core) refuseKey(ids []uint64, key claimer.Key, digest [32]byte, failure Failure, now time.Time) {
-	failure.Key = key.Key
+func (c *Core) refuseKey(ids []uint64, refused refusedKey, failure Failure, now time.Time) {
+	failure.Key = refused.key.Key
 	for _, id := range ids {
 		if failure.State != StateNotRun || c.claimsCurrent(now) {
-			c.emit(SendFailure{ID: id, Failure: failure})
+			c.tellRefusal(id, refused, failure)
 			continue
 		}
-		c.askPeers(&pendingAsk{id: id, key: key, digest: digest, refusal: &failure, lost: c.lostSince(key)}, now.Add(doubtWait), now)
+		ask := &pendingAsk{id: id, key: refused.key, refused: refused, refusal: &failure, lost: c.lostSince(refused.key)}
+		c.askPeers(ask, now.Add(doubtWait), now)
 	}
 }
 
+// refusedKey is what is kept of a request that is refused.
+type refusedKey struct {
+	key     claimer.Key
+	digest  [32]byte
+	urgency scheduler.Urgency
+}
+
+// tellRefusal answers a refused request and counts it as what its caller was told.
+func (c *Core) tellRefusal(id uint64, refused refusedKey, failure Failure) {
+	result := biller.NotRun
+	if failure.State == StateUnknown {
+		result = biller.Unknown
+		c.counters.RequestsUnknown++
+	} else {
+		c.counters.RequestsNotRun++
+	}
+	c.biller.Outcome(refused.key.Account, refused.urgency, result)
+	c.emit(SendFailure{ID: id, Failure: failure})
+}
+
 // claimsCurrent tells whether the table holds the claims of all other entries, but for the newest.
 func (c *Core) claimsCurrent(now time.Time) bool {
 	health := c.logs[StreamClaims]
@@ -55,15 +78,14 @@
 func (c *Core) endDoubt(ask *pendingAsk) {
 	best := ask.best
 	switch {
-	case best.State == StateAnswered && best.Digest != ask.digest:
+	case best.State == StateAnswered && best.Digest != ask.refused.digest:
 		c.refuse(ask.id, ask.key.Key, keyReused())
 	case best.State == StateAnswered:
 		c.sendOutcome(ask.id, ask.key, best)
 	case best.State == StateRunning || best.State == StateUnknown || ask.lost || ask.waiting > 0:
-		c.emit(SendFailure{ID: ask.id, Failure: mayHaveRun(ask.key, ask.refusal.RetryAfter)})
+		c.tellRefusal(ask.id, ask.refused, mayHaveRun(ask.key, ask.refusal.RetryAfter))
 	default:
-		c.counters.RequestsNotRun++
-		c.emit(SendFailure{ID: ask.id, Failure: *ask.refusal})
+		c.tellRefusal(ask.id, ask.refused, *ask.refusal)
 	}
 }
 
--- a/reducer/failure.go
+++ b/reducer/failure.go
@@ -25,7 +25,6 @@
 	CodeLogUnavailable  Code = "logUnavailable"
 	CodeNotReady        Code = "notReady"
 	CodeStopping        Code = "stopping"
-	CodeNoEndpoint      Code = "noEndpoint"
 	CodeStageFailed     Code = "stageFailed"
 	CodeOwnerLost       Code = "ownerLost"
 	CodeMayHaveRun      Code = "mayHaveRun"
--- a/reducer/request.go
+++ b/reducer/request.go
@@ -108,19 +108,19 @@
 		return
 	}
 	if failure := c.checkAdmission(e, contract, plan, now); failure != nil {
-		c.biller.Outcome(key.Account, urgencyOf(contract, e.Pipeline), biller.NotRun)
-		c.refuseAdmission(e, key, plan, *failure, now)
+		c.refuseAdmission(e, key, plan, urgencyOf(contract, e.Pipeline), *failure, now)
 		return
 	}
 	c.admit(e, key, contract, plan, now)
 }
 
 // refuseAdmission answers a request that was not admitted.
-func (c *Core) refuseAdmission(e *RequestArrived, key claimer.Key, plan *plan, failure Failure, now time.Time) {
+func (c *Core) refuseAdmission(e *RequestArrived, key claimer.Key, plan *plan, urgency scheduler.Urgency, failure Failure, now time.Time) {
 	if plan.sideEffect && failure.Code != CodeUnsupportedKey {
-		c.refuseKey([]uint64{e.ID}, key, e.Digest, failure, now)
+		c.refuseKey([]uint64{e.ID}, refusedKey{key: key, digest: e.Digest, urgency: urgency}, failure, now)
 		return
 	}
+	c.biller.Outcome(key.Account, urgency, biller.NotRun)
 	c.refuse(e.ID, e.Key, failure)
 }
 
@@ -312,7 +312,8 @@
 	if now.After(r.deadline) {
 		result = biller.AnsweredLate
 	}
-	c.end(r, outcome, result, now)
+	c.biller.Outcome(r.key.Account, r.urgency, result)
+	c.end(r, outcome, now)
 }
 
 // fail ends a request without an answer, at once. What it tells is notRun only if no endpoint
@@ -331,7 +332,8 @@
 	} else {
 		c.counters.RequestsUnknown++
 	}
-	c.end(r, Outcome{State: failure.State, Request: r.name, Failure: failure, Ended: now, Digest: r.digest}, result, now)
+	c.biller.Outcome(r.key.Account, r.urgency, result)
+	c.end(r, Outcome{State: failure.State, Request: r.name, Failure: failure, Ended: now, Digest: r.digest}, now)
 }
 
 // failUnclaimed ends a request whose claim was not won. This entry ran nothing for it and never will; its
@@ -344,18 +346,17 @@
 	}
 	r.callerGone = true
 	r.joined = nil
-	c.end(r, Outcome{State: StateNotRun, Request: r.name, Failure: failure, Ended: now, Digest: r.digest}, biller.NotRun, now)
-	c.refuseKey(callers, r.key, r.digest, failure, now)
+	c.end(r, Outcome{State: StateNotRun, Request: r.name, Failure: failure, Ended: now, Digest: r.digest}, now)
+	c.refuseKey(callers, refusedKey{key: r.key, digest: r.digest, urgency: r.urgency}, failure, now)
 }
 
-func (c *Core) end(r *request, outcome Outcome, result biller.Outcome, now time.Time) {
+func (c *Core) end(r *request, outcome Outcome, now time.Time) {
 	c.cancelCalls(r, now)
 	if r.phase == phaseQueued {
 		c.scheduler.Remove(r.stageConfig().Pool, r.id)
 	}
 	c.forget(r)
 	c.outcomes.put(r.key, outcome)
-	c.biller.Outcome(r.key.Account, r.urgency, result)
 	c.limiter.Release(r.key.Account, r.estimated, r.cost, now)
 	c.endClaim(r, outcome, now)
 	if !r.callerGone {
