--- a/reducer/ask.go
+++ b/reducer/ask.go
@@ -254,7 +254,7 @@
 	}
 	delete(c.asked, message.CallID)
 	if ask.refusal != nil {
-		c.endDoubt(ask)
+		c.endRefusal(ask)
 		return
 	}
 	if ask.outcomeOnly {
@@ -281,7 +281,7 @@
 // has said that nothing ran; its release may then still be on the way.
 func (c *Core) endAsk(ask *pendingAsk, now time.Time) {
 	if ask.refusal != nil {
-		c.endDoubt(ask)
+		c.endRefusal(ask)
 		return
 	}
 	if !ask.outcomeOnly {
--- a/reducer/doubt.go
+++ b/reducer/refusal.go
@@ -9,8 +9,8 @@
 	"geraniumline/scheduler"
 )
 
-// doubtWait bounds how long peers may take to say whether a key has run at them.
-const doubtWait = 300 * time.Millisecond
+// refusalWait bounds how long peers may take to say whether a key has run at them.
+const refusalWait = 300 * time.Millisecond
 
 // refuseKey answers callers whose request with side effects is refused or given up before its claim was won.
 //
@@ -26,7 +26,7 @@
 			continue
 		}
 		ask := &pendingAsk{id: id, key: refused.key, refused: refused, refusal: &failure, lost: c.lostSince(refused.key)}
-		c.askPeers(ask, now.Add(doubtWait), now)
+		c.askPeers(ask, now.Add(refusalWait), now)
 	}
 }
 
@@ -74,8 +74,8 @@
 	return false
 }
 
-// endDoubt answers a refused request by what the peers have said.
-func (c *Core) endDoubt(ask *pendingAsk) {
+// endRefusal answers a refused request by what the peers have said.
+func (c *Core) endRefusal(ask *pendingAsk) {
 	best := ask.best
 	switch {
 	case best.State == StateAnswered && best.Digest != ask.refused.digest:
