--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -33,6 +33,8 @@
 		c.takeHandover(message, now)
 	case *carrier.Bills:
 		c.takeBills(message)
+	case *carrier.Demand:
+		c.takeDemand(e.From, message, now)
 	}
 }
 
@@ -120,11 +122,11 @@
 			c.counters.PausesNoticed++
 		}
 		c.emit(LogChange{Message: "entry", Subject: t.Member.Name, From: t.From.String(), To: t.To.String()})
+		c.keepPart(t, now)
 		if t.To != detector.Dead && t.To != detector.Stopped {
 			continue
 		}
 		c.router.PeerGone(t.Member.Name)
-		c.limiter.PeerGone(t.Member.Name, now)
 		c.ownerDied(t.Member.Name)
 	}
 	if len(transitions) > 0 {
@@ -143,7 +145,7 @@
 		}
 	}
 	c.liveEntries = max(live, 1)
-	c.limiter.SetPeers(c.liveEntries, now)
+	c.limiter.SetPeers(c.liveEntries+len(c.silent), now)
 	c.router.SetEntries(index, c.liveEntries)
 }
 
--- a/reducer/quarantine.go
+++ b/reducer/quarantine.go
@@ -138,8 +138,9 @@
 		if c.lostBeside(pool, r) {
 			return
 		}
-		avoid := append(c.quarantiner.Lost(r.digest), r.tried...)
-		address, found := c.router.Reserve(pool, avoid, now)
+		ask := c.askOf(r)
+		ask.Avoid = append(c.quarantiner.Lost(r.digest), r.tried...)
+		address, found := c.router.Reserve(ask, now)
 		if !found {
 			return
 		}
@@ -155,7 +156,6 @@
 		return
 	}
 	l.attempt = r.attempts + 1
-	r.prefix = c.prefixOf(r)
 	c.dispatch(r, l.address, false, now)
 }
 
--- a/reducer/tick.go
+++ b/reducer/tick.go
@@ -18,6 +18,7 @@
 		c.snapshot(now)
 		c.tellBills(now)
 	}
+	c.stepOrders(now)
 	c.stepStop(now)
 }
 
@@ -76,4 +77,5 @@
 		}
 		c.detector.Hint(hint.PeerAddress, hint.Zone, hint.Leaving, now)
 	}
+	c.endParts(e.Entries, now)
 }
