--- a/reducer/hedge_test.go
+++ b/reducer/hedge_test.go
@@ -63,6 +63,6 @@
 	})
 	check(t, measurer.Row{
 		Case: "poolReturns", Measure: "attainmentFirstSecond",
-		Ours: attainment(*sent, back, back.Add(time.Second), testDeadline), Bound: atLeast(0.96),
+		Ours: attainment(*sent, back, back.Add(time.Second), testDeadline), Bound: atLeast(0.98),
 	})
 }
--- a/reducer/straggler_test.go
+++ b/reducer/straggler_test.go
@@ -121,3 +121,20 @@
 		})
 	}
 }
+
+// An endpoint that hung answers again. Each entry probes it with one call at a time, less and less often
+// while it hangs; all use it again within the longest ejection of that time.
+func TestEjectedEndpointComesBack(t *testing.T) {
+	s := newSystem(t, threePools(1))
+	s.load(quietRate, 10*time.Second, testDeadline)
+	s.runFor(time.Second)
+	harmed := s.endpoints["b-3"]
+	harmed.hanging = true
+	s.runFor(3 * time.Second)
+	require.InDelta(t, 0.1, s.ejected("b"), 0.001)
+	harmed.hanging = false
+	harmed.run()
+	s.runFor(5 * time.Second)
+	require.Zero(t, s.ejected("b"))
+	require.NotEmpty(t, harmed.calls)
+}
