Prove what is refused of a key that ran elsewhere, and keep the prover in step with the settings

drainMillis must be at least suspectMillis now; an entry whose process has ended ends the wait for readiness at once (a whole run of make faults had waited 20 s for each of 19 fleets that could not start). TestRefusalOfKeyThatRanElsewhere: in a trial on an entry cut from the log told notRun of a key that had run, with and without another reader of the log; on this base (peers are asked first) it tells unknown in all 3 cases.

--- a/prover/bench.go
+++ b/prover/bench.go
@@ -22,7 +22,7 @@
 	readyTimeout = 20 * time.Second
 	// addressTTL is short, so that planned stops are too.
 	addressTTL = time.Second
-	drainGrace = 500 * time.Millisecond
+	drainGrace = time.Second
 	// accountRate is far above what the proofs send: their subject is not the limit.
 	accountRate = 5000
 )
--- a/reducer/claim_test.go
+++ b/reducer/claim_test.go
@@ -315,3 +315,34 @@
 		})
 	}
 }
+
+// An entry claims a key, runs its side effect and dies. Its caller sends the key to an entry that can't read the log
+// and so has not seen the claim. It must not tell notRun: it asks the others first, and one of them may be the dead.
+func TestRefusalOfKeyThatRanElsewhere(t *testing.T) {
+	for _, s := range []struct {
+		testName string
+		others   bool
+		dies     bool
+		want     State
+	}{
+		{"another entry reads the log", true, true, StateUnknown},
+		{"nobody else reads the log", false, true, StateUnknown},
+		{"the owner still runs it", false, false, StateUnknown},
+	} {
+		t.Run(s.testName, func(t *testing.T) {
+			w := serving(t, 3)
+			w.nodes[1].noLog = true
+			w.nodes[2].noLog = !s.others
+			w.run(100 * time.Millisecond)
+			key := keyAt(w.now, 1)
+			w.stage = func(call *endpointserver.StageCall) string { return map[string]string{"log": "silent"}[call.Stage] }
+			w.send(0, ticket, key, "wall 7", deadline)
+			w.until("the side effect", func() bool { return w.runs(key, "log") == 1 })
+			w.nodes[0].dead = s.dies
+			again := w.send(1, ticket, key, "wall 7", deadline)
+			state, _, _ := w.awaitEnd(again.id)
+			require.Equal(t, s.want, state)
+			require.Less(t, w.now.Sub(again.sent), 2*time.Second)
+		})
+	}
+}
--- a/starter/fleet.go
+++ b/starter/fleet.go
@@ -274,7 +274,7 @@
 	until := time.Now().Add(timeout)
 	for _, entry := range f.entries {
 		for !f.isReady(ctx, entry) {
-			if time.Now().After(until) {
+			if _, ended := entry.Wait(0); ended || time.Now().After(until) {
 				return &StartError{Name: entry.name, Err: errNotReady}
 			}
 			time.Sleep(pollEvery)
