--- a/placer/bucket.go
+++ b/placer/bucket.go
@@ -18,6 +18,12 @@
 	return bucket{rate: rate, burst: float64(burst)}
 }
 
+// share leaves this pool its part of the rate.
+func (b *bucket) share(rate float64, burst, pools int) {
+	b.rate = rate / float64(pools)
+	b.burst = math.Max(float64(burst)/float64(pools), 1)
+}
+
 // restart begins with one token and not with the burst: the orderer before may have spent that a moment ago.
 func (b *bucket) restart() {
 	b.at = time.Time{}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -33,6 +33,12 @@
 	}
 }
 
+// Share tells how many pools load from the weight store: its rate is for all of them together, and each pool's
+// orderer may be another entry.
+func (p *Placer) Share(pools int) {
+	p.loads.share(p.cfg.LoadsPerSecond, p.cfg.LoadBurst, max(pools, 1))
+}
+
 // List takes the addresses of the engines that are in use: live and not leaving. Others are forgotten.
 func (p *Placer) List(addresses []string) {
 	p.addresses = slices.Sorted(slices.Values(addresses))
--- a/reducer/order.go
+++ b/reducer/order.go
@@ -74,7 +74,8 @@
 		}
 		c.stepOrdering(o, placement, now)
 	}
-	for pool := range c.orderings {
+	for pool, o := range c.orderings {
+		o.placer.Share(len(placed))
 		if !placed[pool] {
 			delete(c.orderings, pool)
 		}
