Settings: the weight store's rate; metrics of orders

Cause: the rate could only be set in code. Two numbers beside weightsUrl, whose text promised that no load is ordered without it; entries never call the store, so the text now says what the numbers do.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -21,6 +21,7 @@
 	"geraniumline/messenger"
 	"geraniumline/meter"
 	"geraniumline/performer"
+	"geraniumline/placer"
 	"geraniumline/platformserver"
 	"geraniumline/reducer"
 	"geraniumline/tracer"
@@ -147,6 +148,10 @@
 		KeyHorizon:     s.KeyHorizonMillis.Duration(),
 		MaxDeadline:    maxDeadline,
 		StageTimeout:   stageTimeout,
+		Placer: placer.Config{
+			LoadsPerSecond: float64(s.WeightLoadsPerMinute) / time.Minute.Seconds(),
+			LoadBurst:      int(s.WeightLoadBurst),
+		},
 	}
 }
 
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -59,8 +59,13 @@
 	LogURL string `json:"logUrl" check:"url"`
 	// Where the platform's list of VMs answers.
 	VMsURL string `json:"vmsUrl" check:"url"`
-	// Where the platform's weight store answers; without it no order to load weights is given.
+	// Where the platform's weight store answers. Engines load from it, not entries: the two settings that
+	// follow hold the orders to load back to what it allows.
 	WeightsURL string `json:"weightsUrl" check:"url,optional"`
+	// Loads a minute that the weight store allows, all pools and engines together.
+	WeightLoadsPerMinute int64 `json:"weightLoadsPerMinute" min:"1" max:"600000"`
+	// Loads that the weight store allows at once when it was left alone for a while.
+	WeightLoadBurst int64 `json:"weightLoadBurst" min:"1" max:"10000"`
 
 	// Key by which entries prove to each other that they belong together: at least 32 bytes as hex.
 	// Make one with `geraniumline key new --shared`. Give this or sharedKeyFile.
@@ -144,19 +149,21 @@
 // Defaults returns the settings that a file need not name.
 func Defaults() Settings {
 	return Settings{
-		HeartbeatMillis:   200,
-		SuspectMillis:     1000,
-		DeadMillis:        3000,
-		AddressTTLMillis:  5000,
-		ClaimWindowMillis: 40,
-		KeyHorizonMillis:  3_600_000,
-		VMListMillis:      1000,
-		LoadReportMillis:  250,
-		DrainMillis:       60_000,
-		MaxBodyBytes:      1 << 20,
-		MaxConnections:    4096,
-		Traces:            Traces{QueueSize: 4096, Kept: 256},
-		LogLevel:          "info",
+		HeartbeatMillis:      200,
+		SuspectMillis:        1000,
+		DeadMillis:           3000,
+		AddressTTLMillis:     5000,
+		ClaimWindowMillis:    40,
+		KeyHorizonMillis:     3_600_000,
+		WeightLoadsPerMinute: 60,
+		WeightLoadBurst:      2,
+		VMListMillis:         1000,
+		LoadReportMillis:     250,
+		DrainMillis:          60_000,
+		MaxBodyBytes:         1 << 20,
+		MaxConnections:       4096,
+		Traces:               Traces{QueueSize: 4096, Kept: 256},
+		LogLevel:             "info",
 	}
 }
 
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -64,6 +64,14 @@
 	CacheEventsLost Name = "cache_events_lost"
 )
 
+// Orders to engines.
+const (
+	OrdersSent      Name = "orders_sent"
+	OrdersRefused   Name = "orders_refused"
+	OrdersUncertain Name = "orders_uncertain"
+	LoadsOrdered    Name = "loads_ordered"
+)
+
 // The platform's log, by stream.
 const (
 	LogAppends      Name = "log_appends"
@@ -159,6 +167,11 @@
 	{CacheHitTokens, KindCounter, "tokens", byPool, "Prompt tokens that an engine found in its prefix cache.", ""},
 	{CacheEventsLost, KindCounter, "events", byPool, "Cache events missed, seen as a hole in their sequence numbers.", ""},
 
+	{OrdersSent, KindCounter, "orders", "", "An order sent to an engine.", ""},
+	{OrdersRefused, KindCounter, "orders", "", "An order that the engine surely did not take.", ""},
+	{OrdersUncertain, KindCounter, "orders", "", "An order without a readable answer; the engine is read back.", ""},
+	{LoadsOrdered, KindCounter, "loads", "", "An order for which the engine loads weights.", ""},
+
 	{LogAppends, KindCounter, "appends", byStream, "An append sent to the log service.", ""},
 	{LogAppendErrors, KindCounter, "appends", byStream, "An append refused, failed or without a reply.", ""},
 	{LogAppendMicros, KindHistogram, "microseconds", byStream, "From an append's sending to its reply.", ""},
--- a/performer/metrics.go
+++ b/performer/metrics.go
@@ -45,5 +45,9 @@
 	{meter.RepliesForeign, func(c *reducer.Counters) uint64 { return c.PartsForeign }},
 	{meter.StreamGaps, func(c *reducer.Counters) uint64 { return c.PartsAfterGap }},
 	{meter.StreamOverlaps, func(c *reducer.Counters) uint64 { return c.PartsOverlapping }},
+	{meter.OrdersSent, func(c *reducer.Counters) uint64 { return c.OrdersSent }},
+	{meter.OrdersRefused, func(c *reducer.Counters) uint64 { return c.OrdersRefused }},
+	{meter.OrdersUncertain, func(c *reducer.Counters) uint64 { return c.OrdersUncertain }},
+	{meter.LoadsOrdered, func(c *reducer.Counters) uint64 { return c.LoadsOrdered }},
 	{meter.RequestsRepeated, func(c *reducer.Counters) uint64 { return c.RequestsJoined }},
 }
