--- a/performer/metrics.go
+++ b/performer/metrics.go
@@ -80,5 +80,9 @@
 	{meter.OutcomesHandedOff, func(c *reducer.Counters) uint64 { return c.OutcomesHandedOff }},
 	{meter.PoisonRefused, func(c *reducer.Counters) uint64 { return c.PoisonRefused }},
 	{meter.EndpointsGone, func(c *reducer.Counters) uint64 { return c.EndpointsEjected }},
+	{meter.OrdersSent, func(c *reducer.Counters) uint64 { return c.OrdersSent }},
+	{meter.OrdersRefused, func(c *reducer.Counters) uint64 { return c.OrdersRefused }},
+	{meter.OrdersUncertain, func(c *reducer.Counters) uint64 { return c.OrdersUncertain }},
+	{meter.LoadsOrdered, func(c *reducer.Counters) uint64 { return c.LoadsOrdered }},
 	{meter.RequestsRepeated, func(c *reducer.Counters) uint64 { return c.RequestsJoined }},
 }
--- a/reducer/order.go
+++ b/reducer/order.go
@@ -74,7 +74,8 @@
 		}
 		c.stepOrdering(o, placement, now)
 	}
-	for pool := range c.orderings {
+	for pool, o := range c.orderings {
+		o.placer.Share(len(placed))
 		if !placed[pool] {
 			delete(c.orderings, pool)
 		}
@@ -194,7 +195,7 @@
 		for i := r.stage; i < len(r.plan.pipeline.Stages); i++ {
 			stage := &r.plan.pipeline.Stages[i]
 			if stage.Pool == pool && stage.Model != "" {
-				demand[stage.Model] += int64(c.expectedStageCost(r.plan, i))
+				demand[stage.Model] += max(int64(c.expectedStageCost(r.plan, i)), 1)
 			}
 		}
 	}
