--- a/reducer/claim_test.go
+++ b/reducer/claim_test.go
@@ -252,8 +252,9 @@
 	}
 }
 
-// The log is down and appends hang: non-repeatable requests are refused within the same event, with when to come back;
-// repeatable ones go on. When the log is back, the key that was refused can be run.
+// The log is down for ten minutes and appends hang. All through it a request that needs a claim is refused without any
+// time passing, with when to come back, and repeatable requests are answered as before, 100 in 100. When the log is
+// back, the last key that was refused can be run.
 func TestLogOutage(t *testing.T) {
 	w := serving(t, 2)
 	w.logDown = true
@@ -262,22 +263,23 @@
 		return !is
 	}
 	w.run(100 * time.Millisecond)
-	key := keyAt(w.now, 1)
-	refused := w.send(0, ticket, key, "wall 7", deadline)
-	w.drain()
-	require.Len(t, w.replies[refused.id], 1)
-	failure := w.replies[refused.id][0].effect.(SendFailure).Failure
-	require.Equal(t, CodeLogUnavailable, failure.Code)
-	require.Equal(t, StateNotRun, failure.State)
-	require.Positive(t, failure.RetryAfter)
-	state, _, _ := w.awaitEnd(w.send(1, summary, keyAt(w.now, 2), "case 3", deadline).id)
-	require.Equal(t, StateAnswered, state)
-	w.run(10 * time.Minute / 20)
-	state, _, _ = w.awaitEnd(w.send(1, summary, keyAt(w.now, 3), "case 4", deadline).id)
-	require.Equal(t, StateAnswered, state)
+	var key string
+	for i := range uint16(20) {
+		key = keyAt(w.now, i)
+		refused := w.send(0, ticket, key, "wall 7", deadline)
+		w.drain()
+		require.Len(t, w.replies[refused.id], 1)
+		failure := w.replies[refused.id][0].effect.(SendFailure).Failure
+		require.Equal(t, CodeLogUnavailable, failure.Code)
+		require.Equal(t, StateNotRun, failure.State)
+		require.Positive(t, failure.RetryAfter)
+		state, _, _ := w.awaitEnd(w.send(1, summary, keyAt(w.now, 100+i), "case 3", deadline).id)
+		require.Equal(t, StateAnswered, state)
+		w.run(30 * time.Second)
+	}
 	w.logDown, w.hook = false, nil
 	w.run(5 * time.Second)
-	state, _, _ = w.awaitEnd(w.send(0, ticket, key, "wall 7", deadline).id)
+	state, _, _ := w.awaitEnd(w.send(0, ticket, key, "wall 7", deadline).id)
 	require.Equal(t, StateAnswered, state)
 	w.check()
 }
