--- a/placer/engine.go
+++ b/placer/engine.go
@@ -30,6 +30,8 @@
 	state   Assignment
 	// readAt is when the state was asked for; zero while it never was read.
 	readAt time.Time
+	// doubted tells that the engine failed a call since its state was read.
+	doubted bool
 	// wanted is the last order's state while it is not known whether the order took effect.
 	wanted *Assignment
 	// ended is when that order's end was told; zero while the order is under way.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -85,6 +85,7 @@
 	}
 	e.state = state
 	e.readAt = asked
+	e.doubted = false
 }
 
 // settle compares an engine's state with its last order.
@@ -166,12 +167,19 @@
 	return known && e.wanted != nil && e.ended.IsZero()
 }
 
-// Lacks tells that an engine surely does not serve a model: its state was read a short time ago, and is another model
-// or one that it is still loading.
+// Doubt tells that an engine failed a call, as one does that was given another model.
+func (p *Placer) Doubt(address string) {
+	if e, known := p.engines[address]; known {
+		e.doubted = true
+	}
+}
+
+// Lacks tells that an engine does not serve a model: its state was read a short time ago, and is another model or one
+// that it is still loading; or it failed a call since, and is to be read before it gets another.
 func (p *Placer) Lacks(address, model string, now time.Time) bool {
 	e, known := p.engines[address]
 	if !known || e.state.Model == "" || now.Sub(e.readAt) > p.cfg.FreshFor {
 		return false
 	}
-	return e.state.Model != model || e.state.Loading
+	return e.doubted || e.state.Model != model || e.state.Loading
 }
--- a/reducer/fault.go
+++ b/reducer/fault.go
@@ -41,6 +41,9 @@
 	r.calls = slices.Delete(r.calls, at, at+1)
 	r.tried = append(r.tried, address)
 	pool := r.stageConfig().Pool
+	if e.Fault.Kind == FaultFailed {
+		c.readAgain(pool, address, now)
+	}
 	if !hedgesLeft {
 		c.decideAfterFault(r, e.Fault, now)
 	}
--- a/reducer/order.go
+++ b/reducer/order.go
@@ -20,6 +20,8 @@
 	orderEvery = 500 * time.Millisecond
 	// readAssignmentEvery is how often an engine is asked what it holds.
 	readAssignmentEvery = 2 * time.Second
+	// readAgainEvery bounds the readings of all engines after failed calls.
+	readAgainEvery = 200 * time.Millisecond
 	// orderTimeout bounds one order, and leastOrderTime is what must be left of the lease to begin one.
 	orderTimeout   = 2 * time.Second
 	leastOrderTime = 500 * time.Millisecond
@@ -34,7 +36,9 @@
 	// lacks is the placer's, kept so that no choice of an endpoint has to make it.
 	lacks func(address, model string, now time.Time) bool
 	asked map[string]time.Time
-	peers map[string]peerDemand
+	// doubted is when a failed call last had all engines read.
+	doubted time.Time
+	peers   map[string]peerDemand
 }
 
 type peerDemand struct {
@@ -130,6 +134,24 @@
 	o.asked = asked
 }
 
+// readAgain has a pool's engines read back at once when one of them failed a call: it may hold another model than it
+// did, and the model that the call needs may be elsewhere. Until it is read the engine gets no calls: a stage that is
+// tried again would go to it, be refused and have no tries left before the truth is known.
+func (c *Core) readAgain(pool, address string, now time.Time) {
+	o, placed := c.orderings[pool]
+	if !placed {
+		return
+	}
+	o.placer.Doubt(address)
+	o.asked[address] = time.Time{}
+	if now.Sub(o.doubted) < readAgainEvery {
+		return
+	}
+	o.doubted = now
+	clear(o.asked)
+	c.readBack(o, now)
+}
+
 // bidForLease appends to the leases stream if a bid or a renewal is due. An entry that can't read the stream would
 // not see its own record, and one that is stopping leaves the lease to others.
 func (c *Core) bidForLease(pool string, now time.Time) {
--- a/reducer/order_test.go
+++ b/reducer/order_test.go
@@ -141,6 +141,8 @@
 	state := f.engines[e.Address].read(f.now)
 	if state.Model != e.Body.Model.Value || state.Loading {
 		f.misplaced++
+		f.back(at, StageFailed{Call: e.Call, Fault: StageFault{Kind: FaultFailed}})
+		return false
 	}
 	f.running = append(f.running, runningCall{call: at, ends: f.now.Add(callTime)})
 	return false
@@ -316,3 +318,40 @@
 	require.Equal(t, StateAnswered, state)
 	require.Zero(t, f.misplaced)
 }
+
+// Another orderer has given two engines each other's model, and this entry has not read them since. Its next call is
+// refused, and an answer to the question what they hold takes a moment. Were the call tried again meanwhile, it would
+// be refused at the same engine until its tries are used up, and end unknown.
+func TestARefusalHasTheEnginesReadBack(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.awaitCopies(1, 1)
+	f.widen()
+	var slow []flight
+	carry := f.hook
+	f.hook = func(at flight) bool {
+		if _, read := at.effect.(ReadAssignment); read {
+			slow = append(slow, at)
+			return false
+		}
+		return carry(at)
+	}
+	f.until("a reading", func() bool { return len(slow) > 0 })
+	f.run(stepTime)
+	for _, at := range slow {
+		carry(at)
+	}
+	f.drain()
+	slow = nil
+	g0, g1 := f.engines["g0"], f.engines["g1"]
+	g0.state.Model, g1.state.Model = g1.state.Model, g0.state.Model
+	asked := f.send(0, "long-"+summary, keyAt(f.now, 1), "text", time.Minute)
+	for f.now.Before(asked.sent.Add(2 * orderEvery)) {
+		f.serve()
+		for _, at := range slow {
+			carry(at)
+		}
+		slow = nil
+	}
+	state, _, _ := f.ended(asked.id)
+	require.Equal(t, StateAnswered, state)
+}
