--- a/router/policy_test.go
+++ b/router/policy_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"container/list"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -69,49 +68,6 @@
 	began  time.Time
 }
 
-type engine struct {
-	at      int
-	running int
-	queue   []*job
-	// cached is the blocks held, used the same with the least recently used first.
-	cached map[uint64]*list.Element
-	used   *list.List
-	log    []cacheLog
-}
-
-type cacheLog struct {
-	at    time.Time
-	event router.CacheEvent
-	lost  bool
-}
-
-// store caches a prompt's blocks and gives how many of its leading ones were held.
-func (e *engine) store(tr *trial, j *job) int {
-	hit := 0
-	for hit < len(j.hashes) && e.cached[j.hashes[hit]] != nil {
-		hit++
-	}
-	for _, hash := range slices.Backward(j.hashes) {
-		if held := e.cached[hash]; held != nil {
-			e.used.MoveToBack(held)
-			continue
-		}
-		e.note(tr, router.CacheStored, hash)
-		e.cached[hash] = e.used.PushBack(hash)
-	}
-	for len(e.cached) > cacheBlocks {
-		oldest := e.used.Remove(e.used.Front()).(uint64)
-		delete(e.cached, oldest)
-		e.note(tr, router.CacheEvicted, oldest)
-	}
-	return hit
-}
-
-func (e *engine) note(tr *trial, kind router.CacheEventKind, hash uint64) {
-	event := router.CacheEvent{Seq: int64(len(e.log)), Kind: kind, Hash: hash}
-	e.log = append(e.log, cacheLog{at: tr.now, event: event, lost: tr.rng.Float64() < gapRate/50})
-}
-
 func (tr *trial) begin(e *engine) {
 	for e.running < slots && len(e.queue) > 0 {
 		j := e.queue[0]
@@ -172,7 +128,7 @@
 func runTrial(newChooser func(entry int) chooser, lag time.Duration, perSecond float64, seed uint64) figures {
 	tr := &trial{now: start, rng: rand.New(rand.NewPCG(seed, 3)), lag: lag, waiting: make([][]*job, entryCount)}
 	for i := range engines {
-		tr.engines = append(tr.engines, &engine{at: i, cached: map[uint64]*list.Element{}, used: list.New()})
+		tr.engines = append(tr.engines, newEngine(i))
 	}
 	for i := range entryCount {
 		tr.choosers = append(tr.choosers, newChooser(i))
@@ -393,31 +349,3 @@
 		})
 	}
 }
-
-type simEvent struct {
-	at       time.Time
-	sequence int
-	run      func()
-}
-
-type simHeap []simEvent
-
-func (h simHeap) Len() int { return len(h) }
-
-func (h simHeap) Less(i, j int) bool {
-	if h[i].at.Equal(h[j].at) {
-		return h[i].sequence < h[j].sequence
-	}
-	return h[i].at.Before(h[j].at)
-}
-
-func (h simHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-func (h *simHeap) Push(x any) { *h = append(*h, x.(simEvent)) }
-
-func (h *simHeap) Pop() any {
-	last := len(*h) - 1
-	e := (*h)[last]
-	*h = (*h)[:last]
-	return e
-}
