Find a dead endpoint by its refused load report

Change: a refused connection on the question for its load is the same evidence as on a call; status tells probing from ejected. Spans of callers that have not proved their account are not kept.

--- a/performer/endpoints.go
+++ b/performer/endpoints.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"geraniumline/endpointserver"
@@ -99,7 +101,11 @@
 }
 
 func (l *endpointReader) ask(ctx context.Context, e *readEndpoint, now time.Time) {
-	if !l.askLoad(ctx, e.address) {
+	err := l.askLoad(ctx, e.address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		l.performer.Post(reducer.EndpointRefused{Address: e.address})
+	}
+	if err != nil {
 		return
 	}
 	l.mu.Lock()
@@ -113,29 +119,34 @@
 	}
 }
 
-// get reads a JSON report, and tells whether there was one.
-func (l *endpointReader) get(ctx context.Context, url string, report any) bool {
+// StatusError tells that an endpoint answered a question with another status than 200.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string { return "status " + strconv.Itoa(e.Status) }
+
+// get reads a JSON report.
+func (l *endpointReader) get(ctx context.Context, url string, report any) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return false
+		return err
 	}
 	response, err := l.performer.cfg.Endpoints.Do(request)
 	if err != nil {
-		return false
+		return err
 	}
 	defer drain(response)
 	if response.StatusCode != http.StatusOK {
-		return false
+		return &StatusError{Status: response.StatusCode}
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxReport)).Decode(report) == nil
+	return json.NewDecoder(io.LimitReader(response.Body, maxReport)).Decode(report)
 }
 
-func (l *endpointReader) askLoad(ctx context.Context, address string) bool {
+func (l *endpointReader) askLoad(ctx context.Context, address string) error {
 	var report endpointserver.LoadReport
-	if !l.get(ctx, "http://"+address+"/v1/load", &report) {
-		return false
+	if err := l.get(ctx, "http://"+address+"/v1/load", &report); err != nil {
+		return err
 	}
 	l.performer.Post(reducer.LoadReported{Address: address, Report: router.Report{
 		AsOf:    time.UnixMilli(report.AsOfMillis),
@@ -144,12 +155,12 @@
 		Slots:   report.Slots,
 		Leaving: report.Leaving,
 	}})
-	return true
+	return nil
 }
 
 func (l *endpointReader) askCache(ctx context.Context, e *readEndpoint) bool {
 	var page endpointserver.CacheEventPage
-	if !l.get(ctx, "http://"+e.address+"/v1/cacheEvents?from="+strconv.FormatInt(e.cacheNext, 10), &page) {
+	if l.get(ctx, "http://"+e.address+"/v1/cacheEvents?from="+strconv.FormatInt(e.cacheNext, 10), &page) != nil {
 		return false
 	}
 	restarted := page.Next < e.cacheNext
--- a/receiver/callers.go
+++ b/receiver/callers.go
@@ -124,7 +124,8 @@
 // RunPipeline runs a request and writes its answer, in parts when the caller asked for a stream.
 func (c *Callers) RunPipeline(ctx context.Context, req *callerserver.PipelineRequest, params callerserver.RunPipelineParams, w http.ResponseWriter) error {
 	span := c.tracer.Start(params.Traceparent.Value, "request "+params.Pipeline, params.IdempotencyKey, now())
-	defer func() { span.End(now()) }()
+	known := true
+	defer func() { endKnown(span, known) }()
 	credentials := credentialsOf(ctx)
 	deadline := time.Duration(req.DeadlineMillis) * time.Millisecond
 	span.Set("account", credentials.Account)
@@ -151,6 +152,7 @@
 		}
 		for _, effect := range reply.Take() {
 			counts.count(effect, now())
+			known = known && !isUnauthorized(effect)
 			if done, err := out.write(effect); done || err != nil {
 				return err
 			}
@@ -158,6 +160,14 @@
 	}
 }
 
+// endKnown ends the span of a request whose caller has proved its account. One that is not ended is neither
+// kept nor exported: a flood of wrong credentials would else push the traces of real requests out.
+func endKnown(span *tracer.Span, known bool) {
+	if known {
+		span.End(now())
+	}
+}
+
 // digestOf tells two requests under one key apart. A caller may choose both, so the hash must not collide.
 func digestOf(pipeline, input string) [sha256.Size]byte {
 	h := sha256.New()
--- a/receiver/counts.go
+++ b/receiver/counts.go
@@ -34,10 +34,18 @@
 			c.meter.Counter(meter.RequestsInTime, c.account).Inc(1)
 		}
 	case reducer.SendFailure:
-		c.fail(e.Failure, now)
+		if !isUnauthorized(e) {
+			c.fail(e.Failure, now)
+		}
 	}
 }
 
+// isUnauthorized tells whether an answer refuses a caller that has not proved its account.
+func isUnauthorized(effect reducer.Effect) bool {
+	e, failed := effect.(reducer.SendFailure)
+	return failed && (e.Failure.Code == reducer.CodeUnknownAccount || e.Failure.Code == reducer.CodeWrongCredential)
+}
+
 func (c *counts) part(now time.Time) {
 	c.parts++
 	if c.parts == 1 {
@@ -46,9 +54,6 @@
 }
 
 func (c *counts) fail(failure reducer.Failure, now time.Time) {
-	if failure.Code == reducer.CodeUnknownAccount || failure.Code == reducer.CodeWrongCredential {
-		return
-	}
 	if failure.State == reducer.StateUnknown {
 		c.end(meter.RequestsUnknown, now)
 		return
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -222,6 +222,8 @@
 		c.takePeerMessage(e, now)
 	case VMsListed:
 		c.takeVMs(e, now)
+	case EndpointRefused:
+		c.takeEndpointRefused(e, now)
 	case LoadReported:
 		c.router.Report(e.Address, e.Report, now)
 	case CacheEventsRead:
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -151,6 +151,9 @@
 	Next    int64
 }
 
+// EndpointRefused tells that nothing serves at an endpoint's address: it refused the question for its load.
+type EndpointRefused struct{ Address string }
+
 // ChangeAsked is an operator's change of configuration.
 type ChangeAsked struct {
 	ID     uint64
@@ -218,6 +221,7 @@
 func (Appended) event()           {}
 func (PeerMessageArrived) event() {}
 func (VMsListed) event()          {}
+func (EndpointRefused) event()    {}
 func (LoadReported) event()       {}
 func (CacheEventsRead) event()    {}
 func (ChangeAsked) event()        {}
--- a/reducer/fault.go
+++ b/reducer/fault.go
@@ -126,6 +126,13 @@
 	}
 }
 
+// takeEndpointRefused takes a sign that an endpoint is down which no call of a request had to find out.
+func (c *Core) takeEndpointRefused(e EndpointRefused, now time.Time) {
+	if c.router.Unreachable(e.Address, now) {
+		c.noteEjected(e.Address)
+	}
+}
+
 func (c *Core) noteEjected(address string) {
 	c.counters.EndpointsEjected++
 	c.emit(LogChange{Message: "endpoint", Subject: address, From: "live", To: "ejected"})
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -164,8 +164,10 @@
 	switch {
 	case e.leaving():
 		return "leaving"
-	case e.health.State() != ejector.InUse:
+	case e.health.State() == ejector.Ejected:
 		return "ejected"
+	case e.health.State() == ejector.Probing:
+		return "probing"
 	default:
 		return "live"
 	}
--- a/router/report.go
+++ b/router/report.go
@@ -48,6 +48,18 @@
 	r.refresh(e)
 }
 
+// Unreachable takes a refused connection by which an endpoint was to be asked for its load: nothing serves at the
+// address. Without it a dead endpoint would be shown as live, and chosen, until a call has failed by it.
+func (r *Router) Unreachable(address string, now time.Time) bool {
+	e, known := r.endpoints[address]
+	if !known {
+		return false
+	}
+	ejected := r.judge(e, End{Result: Unreachable}, now)
+	r.refresh(e)
+	return ejected
+}
+
 // foreignCalls is the calls that no entry answers for, fading with the age of the last report.
 func (e *endpoint) foreignCalls(now time.Time) float64 {
 	if e.foreign <= 0 {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -93,6 +93,26 @@
 	require.Zero(t, r.Capacity("engines", 1, start))
 }
 
+// An endpoint's process dies while no call is in flight. The next question for its load is refused: it must be shown
+// as out of use and get no call at once, and be tried again when it answers.
+func TestRefusedQuestionEjects(t *testing.T) {
+	other := router.VM{Address: "10.0.0.2:80", Pool: "engines"}
+	r := newRouter(listed(false), other)
+	require.True(t, r.Unreachable(target, at(time.Second)))
+	require.False(t, r.Unreachable(target, at(2*time.Second)), "told once")
+	require.Equal(t, "ejected", r.Endpoints(at(2 * time.Second))[0].State)
+	for range 20 {
+		address, found := r.Choose(router.Ask{Pool: "engines", NoProbe: true}, at(2*time.Second))
+		require.True(t, found)
+		require.Equal(t, other.Address, address)
+	}
+	r.Report(target, router.Report{AsOf: at(3 * time.Second)}, at(3*time.Second))
+	require.Equal(t, "probing", r.Endpoints(at(3 * time.Second))[0].State)
+	address, found := r.Choose(router.Ask{Pool: "engines"}, at(3*time.Second))
+	require.True(t, found)
+	require.Equal(t, target, address)
+}
+
 // Cache events come late and with gaps. Without a gap a prompt goes where its prefix is, past an endpoint
 // with as many calls; after a gap nothing is known and it goes anywhere, but it goes.
 func TestCacheEventsWithGap(t *testing.T) {
