--- a/loader/settings.go
+++ b/loader/settings.go
@@ -72,6 +72,10 @@
 	SharedKey Secret `json:"sharedKey" check:"key,optional"`
 	// File with the shared key as hex, in place of sharedKey.
 	SharedKeyFile string `json:"sharedKeyFile" check:"optional"`
+	// A second key, as hex, that peers may prove themselves by. It lets the shared key be changed with the
+	// entries restarted one after another: first all take the new key here, then all take it as sharedKey and
+	// the old one here, then it goes.
+	OtherSharedKey Secret `json:"otherSharedKey" check:"key,optional"`
 	// Who may use the operators' address.
 	Operators []Operator `json:"operators"`
 	// Certificates of the listening sockets. Without them callers and operators are served in the clear.
@@ -91,12 +95,15 @@
 	ClaimWindowMillis Millis `json:"claimWindowMillis" min:"1" max:"10000"`
 	// How long an idempotency key is remembered. It must be shorter than the log's retention.
 	KeyHorizonMillis Millis `json:"keyHorizonMillis" min:"1000" max:"604800000"`
+	// Longest time between two snapshots of the configuration in the log. It must be at most a third of the
+	// log's retention, so that a whole snapshot is there before its predecessor expires.
+	SnapshotMillis Millis `json:"snapshotMillis" min:"100" max:"86400000"`
 	// Time between two readings of the platform's list of VMs.
 	VMListMillis Millis `json:"vmListMillis" min:"50" max:"600000"`
 	// Time between two readings of an endpoint's load.
 	LoadReportMillis Millis `json:"loadReportMillis" min:"10" max:"600000"`
-	// Time that a planned stop may take once no address answer is valid any more; then a request that
-	// still runs is reported, and the stop goes on waiting.
+	// How much longer than addressTtlMillis a planned stop goes on serving. Peers give this entry's address
+	// out until they hear of the stop: up to suspectMillis, where its own word does not reach them.
 	DrainMillis Millis `json:"drainMillis" min:"100" max:"86400000"`
 
 	// Largest body of a caller's or an operator's request.
@@ -155,11 +162,12 @@
 		AddressTTLMillis:     5000,
 		ClaimWindowMillis:    40,
 		KeyHorizonMillis:     3_600_000,
+		SnapshotMillis:       600_000,
 		WeightLoadsPerMinute: 60,
 		WeightLoadBurst:      2,
 		VMListMillis:         1000,
 		LoadReportMillis:     250,
-		DrainMillis:          60_000,
+		DrainMillis:          1500,
 		MaxBodyBytes:         1 << 20,
 		MaxConnections:       4096,
 		Traces:               Traces{QueueSize: 4096, Kept: 256},
@@ -184,8 +192,18 @@
 }
 
 // Key returns the shared key's bytes. It is empty in settings that were not checked.
-func (s Settings) Key() []byte {
-	key, err := hex.DecodeString(s.SharedKey.Reveal())
+func (s Settings) Key() []byte { return keyBytes(s.SharedKey) }
+
+// OtherKeys returns the bytes of the keys beside the shared one that peers may prove themselves by.
+func (s Settings) OtherKeys() [][]byte {
+	if s.OtherSharedKey == "" {
+		return nil
+	}
+	return [][]byte{keyBytes(s.OtherSharedKey)}
+}
+
+func keyBytes(secret Secret) []byte {
+	key, err := hex.DecodeString(secret.Reveal())
 	if err != nil {
 		return nil
 	}
--- a/messenger/config.go
+++ b/messenger/config.go
@@ -24,6 +24,7 @@
 	defaultDialTimeout      = time.Second
 	defaultHandshakeTimeout = 2 * time.Second
 	defaultWriteTimeout     = 5 * time.Second
+	defaultSilenceTimeout   = 2 * time.Second
 	defaultIdleTimeout      = time.Minute
 	defaultBackoffMin       = 50 * time.Millisecond
 	defaultBackoffMax       = time.Second
@@ -39,10 +40,13 @@
 	// Name is this entry's name.
 	Name string
 	// Key is shared by all entries of the system; at least MinKey bytes.
-	Key      []byte
-	Handler  Handler
-	Log      *zap.Logger
-	Registry metrics.Registry
+	Key []byte
+	// OtherKeys may be proved by dialers too, so that the key can be changed with the entries restarted one after
+	// another: first all take the new key here, then all dial with it and take the old one here, then it goes.
+	OtherKeys [][]byte
+	Handler   Handler
+	Log       *zap.Logger
+	Registry  metrics.Registry
 
 	// MaxFrame is the most bytes of a frame after its length field.
 	MaxFrame int
@@ -58,6 +62,8 @@
 	DialTimeout      time.Duration
 	HandshakeTimeout time.Duration
 	WriteTimeout     time.Duration
+	// SilenceTimeout ends a connection whose bytes the peer's kernel doesn't acknowledge.
+	SilenceTimeout time.Duration
 	// IdleTimeout ends a connection on which nothing arrives, and a sender that nothing is given to.
 	IdleTimeout time.Duration
 	BackoffMin  time.Duration
@@ -73,6 +79,16 @@
 	return fmt.Sprintf("shared key has %d bytes, at least %d are needed", e.Length, MinKey)
 }
 
+// checkKeys gives a KeyError if a key is too short. An empty one would let anybody in.
+func (c Config) checkKeys() error {
+	for _, key := range append([][]byte{c.Key}, c.OtherKeys...) {
+		if len(key) < MinKey {
+			return &KeyError{Length: len(key)}
+		}
+	}
+	return nil
+}
+
 func (c Config) withDefaults() Config {
 	if c.Log == nil {
 		c.Log = zap.NewNop()
@@ -88,6 +104,7 @@
 	setDefault(&c.DialTimeout, defaultDialTimeout)
 	setDefault(&c.HandshakeTimeout, defaultHandshakeTimeout)
 	setDefault(&c.WriteTimeout, defaultWriteTimeout)
+	setDefault(&c.SilenceTimeout, defaultSilenceTimeout)
 	setDefault(&c.IdleTimeout, defaultIdleTimeout)
 	setDefault(&c.BackoffMin, defaultBackoffMin)
 	setDefault(&c.BackoffMax, defaultBackoffMax)
--- a/reducer/aside.go
+++ b/reducer/aside.go
@@ -30,14 +30,12 @@
 	return address, found
 }
 
-// setAside tells whether the pump may look for items of other models behind one that found no endpoint. The account
-// is given back what the item was charged, since it waits on.
+// setAside tells whether the pump may look for items of other models behind one that found no endpoint.
 func (c *Core) setAside(pool string, item scheduler.Item, aside *setAside) bool {
 	aside.items = append(aside.items, item)
 	if _, placed := c.orderings[pool]; !placed {
 		return false
 	}
-	c.scheduler.Charge(pool, item.Account, -item.Cost)
 	return len(aside.items) < maxSetAside
 }
 
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -45,6 +45,8 @@
 	AppendTimeout  time.Duration
 	// KeyHorizon is the greatest age of a key with side effects; the log keeps records for longer.
 	KeyHorizon time.Duration
+	// SnapshotEvery is the longest time between snapshots of the configuration.
+	SnapshotEvery time.Duration
 	// MaxDeadline is the longest deadline that a caller may ask for.
 	MaxDeadline time.Duration
 	// StageTimeout bounds the wait for an endpoint's next part.
@@ -64,7 +66,7 @@
 // subsetSize and subsetSpares are how many entries one client account is told of: few, so that an entry's state
 // follows the accounts that it serves; some, so that the loss of one is hardly felt.
 const (
-	subsetSize   = 3
+	subsetSize   = 2
 	subsetSpares = 2
 )
 
@@ -115,10 +117,11 @@
 
 	heartbeatAt time.Time
 	billsAt     time.Time
-	heartbeats  uint64
 	lastTick    time.Time
 	stopped     bool
 	liveEntries int
+	// silent are the entries that are taken for dead by their silence alone.
+	silent map[string]silentEntry
 	// appending counts the appends to the claims stream that have not ended.
 	appending     int
 	snapshotDue   time.Time
@@ -139,7 +142,7 @@
 	c := &Core{
 		cfg:       cfg,
 		rand:      random,
-		fold:      publisher.New(publisher.Config{Entry: cfg.Entry}),
+		fold:      publisher.New(publisher.Config{Entry: cfg.Entry, SnapshotEvery: cfg.SnapshotEvery}),
 		table:     claimer.New(claimer.Config{Entry: cfg.Entry, Incarnation: cfg.Incarnation, Horizon: cfg.KeyHorizon}),
 		batcher:   claimer.NewBatcher(claimer.BatcherConfig{Entry: cfg.Entry, Incarnation: cfg.Incarnation, Window: cfg.ClaimWindow, AppendTimeout: cfg.AppendTimeout}),
 		addresser: addresser.New(addresser.Config{SubsetSize: subsetSize, Spares: subsetSpares, TTL: cfg.AddressTTL}),
@@ -173,6 +176,7 @@
 		configs:     newRecordRing(recordsKept),
 		lastTick:    now,
 		liveEntries: 1,
+		silent:      map[string]silentEntry{},
 	}
 	c.detector = detector.New(detector.Config{
 		Self: carrier.Member{
@@ -218,6 +222,8 @@
 		c.takePeerMessage(e, now)
 	case VMsListed:
 		c.takeVMs(e, now)
+	case EndpointRefused:
+		c.takeEndpointRefused(e, now)
 	case LoadReported:
 		c.router.Report(e.Address, e.Report, now)
 	case CacheEventsRead:
--- a/reducer/failure.go
+++ b/reducer/failure.go
@@ -25,9 +25,10 @@
 	CodeLogUnavailable  Code = "logUnavailable"
 	CodeNotReady        Code = "notReady"
 	CodeStopping        Code = "stopping"
-	CodeNoEndpoint      Code = "noEndpoint"
 	CodeStageFailed     Code = "stageFailed"
 	CodeOwnerLost       Code = "ownerLost"
+	CodeMayHaveRun      Code = "mayHaveRun"
+	CodeAnswerNotKept   Code = "answerNotKept"
 	CodeQuarantined     Code = "crashesEndpoints"
 	CodeCallerGone      Code = "callerGone"
 )
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -122,11 +122,15 @@
 			c.counters.PausesNoticed++
 		}
 		c.emit(LogChange{Message: "entry", Subject: t.Member.Name, From: t.From.String(), To: t.To.String()})
+		if t.Member.Name == c.cfg.Entry {
+			c.takeOwnTransition(t, now)
+			continue
+		}
+		c.keepPart(t, now)
 		if t.To != detector.Dead && t.To != detector.Stopped {
 			continue
 		}
 		c.router.PeerGone(t.Member.Name)
-		c.limiter.PeerGone(t.Member.Name, now)
 		c.ownerDied(t.Member.Name)
 	}
 	if len(transitions) > 0 {
@@ -134,6 +138,15 @@
 	}
 }
 
+// takeOwnTransition acts on what the detector says of this entry itself. Dead means that a newer process serves
+// under its name: the VM was replaced while this process lived on. Two of one name would each take the other's
+// heartbeats, claims and shares for its own, so the older one stops, as planned, and cuts nothing.
+func (c *Core) takeOwnTransition(t detector.Transition, now time.Time) {
+	if t.To == detector.Dead {
+		c.beginStop(now)
+	}
+}
+
 func (c *Core) countEntries(now time.Time) {
 	live, index := 0, 0
 	for _, member := range c.detector.Members() {
@@ -145,22 +158,17 @@
 		}
 	}
 	c.liveEntries = max(live, 1)
-	c.limiter.SetPeers(c.liveEntries, now)
+	c.limiter.SetPeers(c.liveEntries+len(c.silent), now)
 	c.router.SetEntries(index, c.liveEntries)
 }
 
 // beat sends a heartbeat to the peers that the detector names.
 func (c *Core) beat(now time.Time) {
 	c.detector.SetSelf(c.memberState(), c.fold.Offset(), int32(len(c.requests)))
-	c.heartbeats++
-	message := &carrier.Heartbeat{
-		From:      c.detector.Self(),
-		Sequence:  c.heartbeats,
-		Members:   c.detector.Digest(now),
-		Endpoints: c.router.Loads(now),
-		Accounts:  c.limiter.Uses(now),
-		Crashes:   c.quarantiner.Marks(now),
-	}
+	message := c.detector.Heartbeat(now)
+	message.Endpoints = c.router.Loads(now)
+	message.Accounts = c.limiter.Uses(now)
+	message.Crashes = c.quarantiner.Marks(now)
 	for _, address := range c.detector.Targets(now) {
 		c.counters.HeartbeatsSent++
 		c.emit(SendPeer{Address: address, Message: message})
--- a/reducer/quarantine.go
+++ b/reducer/quarantine.go
@@ -54,6 +54,7 @@
 	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
 		r := c.requests[id]
 		if r.digest == digest {
+			c.counters.PoisonRefused++
 			c.fail(r, CodeQuarantined, "the endpoints that ran this content were lost; it is not run again", 0, now)
 		}
 	}
@@ -74,6 +75,7 @@
 func (c *Core) divert(r *request, now time.Time) bool {
 	switch c.quarantiner.Verdict(r.digest, now) {
 	case quarantiner.Quarantined:
+		c.counters.PoisonRefused++
 		c.fail(r, CodeQuarantined, "the endpoints that ran this content were lost; it is not run again", 0, now)
 		return true
 	case quarantiner.Suspect:
@@ -136,8 +138,9 @@
 		if c.lostBeside(pool, r) {
 			return
 		}
-		avoid := append(c.quarantiner.Lost(r.digest), r.tried...)
-		address, found := c.router.Reserve(pool, avoid, now)
+		ask := c.askOf(r)
+		ask.Avoid = append(c.quarantiner.Lost(r.digest), r.tried...)
+		address, found := c.router.Reserve(ask, now)
 		if !found {
 			return
 		}
@@ -153,7 +156,6 @@
 		return
 	}
 	l.attempt = r.attempts + 1
-	r.prefix = c.prefixOf(r)
 	c.dispatch(r, l.address, false, now)
 }
 
--- a/reducer/request.go
+++ b/reducer/request.go
@@ -56,6 +56,8 @@
 	// announced is the cost of each stage to come that the scheduler was told of; 0 for none.
 	announced [publisher.MaxStages]float64
 	calls     []call
+	// firstCall is the memory of calls while there is but one.
+	firstCall [1]call
 	queuedAt  time.Time
 	// possible counts the calls that an endpoint may have acted on.
 	possible int
@@ -106,13 +108,22 @@
 		return
 	}
 	if failure := c.checkAdmission(e, contract, plan, now); failure != nil {
-		c.biller.Outcome(key.Account, urgencyOf(contract, e.Pipeline), biller.NotRun)
-		c.refuse(e.ID, e.Key, *failure)
+		c.refuseAdmission(e, key, plan, urgencyOf(contract, e.Pipeline), *failure, now)
 		return
 	}
 	c.admit(e, key, contract, plan, now)
 }
 
+// refuseAdmission answers a request that was not admitted.
+func (c *Core) refuseAdmission(e *RequestArrived, key claimer.Key, plan *plan, urgency scheduler.Urgency, failure Failure, now time.Time) {
+	if plan.sideEffect && failure.Code != CodeUnsupportedKey {
+		c.refuseKey([]uint64{e.ID}, refusedKey{key: key, digest: e.Digest, urgency: urgency}, failure, now)
+		return
+	}
+	c.biller.Outcome(key.Account, urgency, biller.NotRun)
+	c.refuse(e.ID, e.Key, failure)
+}
+
 // authenticate finds the contract that the credentials prove.
 func (c *Core) authenticate(credentials Credentials) (*publisher.Contract, *Failure) {
 	if !c.ready() {
@@ -254,6 +265,7 @@
 		input:     e.Input,
 		estimated: c.expectedCost(plan),
 	}
+	r.calls = r.firstCall[:0]
 	c.requests[r.id] = r
 	c.running[key] = r
 	c.schedule(timer{at: r.deadline, kind: timerDeadline, subject: r.id})
@@ -300,13 +312,18 @@
 	if now.After(r.deadline) {
 		result = biller.AnsweredLate
 	}
-	c.end(r, outcome, result, now)
+	c.biller.Outcome(r.key.Account, r.urgency, result)
+	c.end(r, outcome, now)
 }
 
 // fail ends a request without an answer, at once. What it tells is notRun only if no endpoint
 // can have acted on any of the request's calls.
 func (c *Core) fail(r *request, code Code, message string, retryAfter time.Duration, now time.Time) {
 	failure := Failure{Code: code, Message: message, State: StateUnknown, Key: r.key.Key, RetryAfter: retryAfter}
+	if r.plan.sideEffect && !r.claimed {
+		c.failUnclaimed(r, failure, now)
+		return
+	}
 	result := biller.Unknown
 	if r.possible == 0 {
 		failure.State = StateNotRun
@@ -315,17 +332,31 @@
 	} else {
 		c.counters.RequestsUnknown++
 	}
-	c.end(r, Outcome{State: failure.State, Request: r.name, Failure: failure, Ended: now, Digest: r.digest}, result, now)
+	c.biller.Outcome(r.key.Account, r.urgency, result)
+	c.end(r, Outcome{State: failure.State, Request: r.name, Failure: failure, Ended: now, Digest: r.digest}, now)
 }
 
-func (c *Core) end(r *request, outcome Outcome, result biller.Outcome, now time.Time) {
+// failUnclaimed ends a request whose claim was not won. This entry ran nothing for it and never will; its
+// callers are told what is true of the key.
+func (c *Core) failUnclaimed(r *request, failure Failure, now time.Time) {
+	failure.State = StateNotRun
+	callers := r.joined
+	if !r.callerGone {
+		callers = append(callers, r.id)
+	}
+	r.callerGone = true
+	r.joined = nil
+	c.end(r, Outcome{State: StateNotRun, Request: r.name, Failure: failure, Ended: now, Digest: r.digest}, now)
+	c.refuseKey(callers, refusedKey{key: r.key, digest: r.digest, urgency: r.urgency}, failure, now)
+}
+
+func (c *Core) end(r *request, outcome Outcome, now time.Time) {
 	c.cancelCalls(r, now)
 	if r.phase == phaseQueued {
 		c.scheduler.Remove(r.stageConfig().Pool, r.id)
 	}
 	c.forget(r)
 	c.outcomes.put(r.key, outcome)
-	c.biller.Outcome(r.key.Account, r.urgency, result)
 	c.limiter.Release(r.key.Account, r.estimated, r.cost, now)
 	c.endClaim(r, outcome, now)
 	if !r.callerGone {
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -5,6 +5,7 @@
 
 	"geraniumline/biller"
 	"geraniumline/operatorserver"
+	"geraniumline/publisher"
 )
 
 // status is the system as this entry sees it.
@@ -67,19 +68,19 @@
 	}
 	all := []operatorserver.AccountStatus{}
 	for _, contract := range c.fold.Contracts() {
-		share, rate, inFlight := c.limiter.Share(contract.Account, now)
+		share, _, inFlight := c.limiter.Share(contract.Account, now)
 		bill := bills[contract.Account]
-		all = append(all, accountStatusOf(contract.Account, share, rate, inFlight, bill))
+		all = append(all, accountStatusOf(contract, share, inFlight, bill))
 	}
 	return all
 }
 
-func accountStatusOf(account string, share, rate float64, inFlight int, bill biller.Bill) operatorserver.AccountStatus {
+func accountStatusOf(contract *publisher.Contract, share float64, inFlight int, bill biller.Bill) operatorserver.AccountStatus {
 	counts := bill.Counts()
 	status := operatorserver.AccountStatus{
-		Account:       account,
+		Account:       contract.Account,
 		Share:         share,
-		RatePerSecond: rate,
+		RatePerSecond: contract.RatePerSecond,
 		InFlight:      inFlight,
 		Sent:          int64(counts.Sum()),
 		Answered:      int64(counts.InTime + counts.Late),
@@ -106,6 +107,12 @@
 	if !c.ready() {
 		alarms = append(alarms, "this entry has no configuration")
 	}
+	if c.table.Lapsed() {
+		alarms = append(alarms, "the log cut claims before this entry read them: it serves no side effects until its process is replaced")
+	}
+	if !c.fold.Complete() {
+		alarms = append(alarms, "the log cut configuration that no snapshot covers: newer changes wait for a snapshot")
+	}
 	if !c.claimsReady(now) {
 		alarms = append(alarms, "requests with side effects are refused: the claims stream is not readable")
 	}
--- a/starter/fleet.go
+++ b/starter/fleet.go
@@ -35,8 +35,8 @@
 	LogArgs  []string
 	// Settings are changed or added in each entry's file.
 	Settings map[string]any
-	// EntrySettings are changed or added in one entry's file; the log is where the log's stand-in serves.
-	EntrySettings func(entry, log string) map[string]any
+	// EntrySettings are changed or added in one entry's file, when all addresses are chosen.
+	EntrySettings func(*Fleet, *Entry) (map[string]any, error)
 }
 
 // Fleet is a system of entries and stand-ins, each a process of its own.
@@ -274,7 +274,7 @@
 	until := time.Now().Add(timeout)
 	for _, entry := range f.entries {
 		for !f.isReady(ctx, entry) {
-			if time.Now().After(until) {
+			if _, ended := entry.Wait(0); ended || time.Now().After(until) {
 				return &StartError{Name: entry.name, Err: errNotReady}
 			}
 			time.Sleep(pollEvery)
