--- a/performer/loop.go
+++ b/performer/loop.go
@@ -17,8 +17,10 @@
 const (
 	// eventQueue is how many events may wait for the reducer before those who bring them wait.
 	eventQueue = 4096
-	// tickEvery is the core's resolution of time.
-	tickEvery = 10 * time.Millisecond
+	// tickEvery is the core's resolution of time while it has requests, idleTickEvery while it has none: an idle
+	// entry's cost is mostly that of being woken.
+	tickEvery     = 10 * time.Millisecond
+	idleTickEvery = 50 * time.Millisecond
 )
 
 // Performer is one entry's loop and its connections.
@@ -79,8 +81,9 @@
 	p.stages.ctx = ctx
 	p.orders.ctx = ctx
 	p.startReaders(ctx)
-	ticker := time.NewTicker(tickEvery)
+	ticker := time.NewTicker(idleTickEvery)
 	defer ticker.Stop()
+	every := idleTickEvery
 	for {
 		var event reducer.Event
 		select {
@@ -99,7 +102,19 @@
 			}
 			p.perform(effect)
 		}
+		if wanted := p.pace(); wanted != every {
+			every = wanted
+			ticker.Reset(every)
+		}
+	}
+}
+
+// pace is how often the core wants to be told that time passes.
+func (p *Performer) pace() time.Duration {
+	if p.core.Busy() {
+		return tickEvery
 	}
+	return idleTickEvery
 }
 
 // measure notes the time of one event's reduction, and publishes counts now and then.
