--- a/reducer/outcome.go
+++ b/reducer/outcome.go
@@ -7,13 +7,18 @@
 )
 
 // outcomeStore keeps the outcomes of ended requests that callers may still ask for, the oldest going first.
+// It is bounded in count and in bytes: a few thousand long summaries would else fill a small VM.
 type outcomeStore struct {
 	limit int
+	bytes int
 	byKey map[claimer.Key]Outcome
 	order []claimer.Key
 }
 
-const defaultOutcomesKept = 4096
+const (
+	defaultOutcomesKept = 4096
+	maxOutcomeBytes     = 16 << 20
+)
 
 func newOutcomeStore(limit int) *outcomeStore {
 	if limit <= 0 {
@@ -23,16 +28,29 @@
 }
 
 func (s *outcomeStore) put(key claimer.Key, outcome Outcome) {
-	if _, known := s.byKey[key]; !known {
+	known, again := s.byKey[key]
+	if !again {
 		s.order = append(s.order, key)
 	}
+	s.bytes += outcome.size() - known.size()
 	s.byKey[key] = outcome
-	for len(s.order) > s.limit {
-		delete(s.byKey, s.order[0])
-		s.order = s.order[1:]
+	for len(s.order) > s.limit || s.bytes > maxOutcomeBytes && len(s.order) > 1 {
+		s.dropOldest()
 	}
 }
 
+func (s *outcomeStore) dropOldest() {
+	oldest := s.order[0]
+	s.bytes -= s.byKey[oldest].size()
+	delete(s.byKey, oldest)
+	s.order = s.order[1:]
+}
+
+// size is the bytes of an outcome's texts.
+func (o Outcome) size() int {
+	return len(o.Answer) + len(o.Failure.Message)
+}
+
 func (s *outcomeStore) get(key claimer.Key) (Outcome, bool) {
 	outcome, known := s.byKey[key]
 	return outcome, known
