Do not say notRun where earlier claims may have been missed

Cause: an entry without configuration, and one whose log was cut before it started, told notRun of keys that may have run elsewhere (read-through). Change: unknown for keys that allow side effects while not ready; peers are asked for keys whose claims may have been missed.

--- a/reducer/refusal.go
+++ b/reducer/refusal.go
@@ -21,7 +21,7 @@
 func (c *Core) refuseKey(ids []uint64, refused refusedKey, failure Failure, now time.Time) {
 	failure.Key = refused.key.Key
 	for _, id := range ids {
-		if failure.State != StateNotRun || c.claimsCurrent(now) {
+		if failure.State != StateNotRun || c.claimsCurrent(now) && c.provable(refused.key) {
 			c.tellRefusal(id, refused, failure)
 			continue
 		}
@@ -56,6 +56,13 @@
 	return health.caughtUp && !health.failing && now.Sub(health.readAt) < claimsAge
 }
 
+// provable tells whether no claim for the key can have been missed: an entry that started at a log whose oldest
+// records were cut does not know the claims of that time.
+func (c *Core) provable(key claimer.Key) bool {
+	birth, err := claimer.Birth(key.Key)
+	return err == nil && c.table.CheckProvable(birth) == nil
+}
+
 // claimsAge is the longest time since the claims stream was last read to its end. A reading waits a second
 // for a record, so a healthy stream is never older than that by much.
 const claimsAge = 1500 * time.Millisecond
--- a/reducer/refusal_test.go
+++ b/reducer/refusal_test.go
@@ -46,3 +46,24 @@
 		})
 	}
 }
+
+// A caller whose entry was lost sends its ticket again to a VM that has just been started. That one knows no
+// configuration, so it can't tell whether the key has run; notRun might be untrue. A key that can't have
+// side effects is told notRun.
+func TestAnEntryThatIsNotReadyDoesNotSayNotRun(t *testing.T) {
+	for _, s := range []struct {
+		testName string
+		key      func(now time.Time) string
+		want     State
+	}{
+		{"key for side effects", func(now time.Time) string { return keyAt(now, 1) }, StateUnknown},
+		{"other key", func(time.Time) string { return "first-1" }, StateNotRun},
+	} {
+		t.Run(s.testName, func(t *testing.T) {
+			w := newWorld(t, 1)
+			state, code, _ := w.awaitEnd(w.send(0, ticket, s.key(w.now), "wall 7", deadline).id)
+			require.Equal(t, s.want, state)
+			require.Equal(t, CodeNotReady, code)
+		})
+	}
+}
--- a/reducer/request.go
+++ b/reducer/request.go
@@ -92,7 +92,7 @@
 	c.counters.RequestsTaken++
 	contract, failure := c.authenticate(e.Credentials)
 	if failure != nil {
-		c.refuse(e.ID, e.Key, *failure)
+		c.refuse(e.ID, e.Key, notKnown(*failure, e.Key))
 		return
 	}
 	key := claimer.Key{Account: e.Credentials.Account, Key: e.Key}
@@ -114,6 +114,16 @@
 	c.admit(e, key, contract, plan, now)
 }
 
+// notKnown makes the refusal of an entry that has no configuration yet true of the key too: it can't tell whether
+// the pipeline has side effects, nor whether another entry has run them under a key that allows them.
+func notKnown(failure Failure, key string) Failure {
+	if _, err := claimer.Birth(key); failure.Code == CodeNotReady && err == nil {
+		failure.State = StateUnknown
+		failure.Message += "; this attempt did not run"
+	}
+	return failure
+}
+
 // refuseAdmission answers a request that was not admitted.
 func (c *Core) refuseAdmission(e *RequestArrived, key claimer.Key, plan *plan, urgency scheduler.Urgency, failure Failure, now time.Time) {
 	if plan.sideEffect && failure.Code != CodeUnsupportedKey {
