--- a/loader/settings.go
+++ b/loader/settings.go
@@ -59,14 +59,23 @@
 	LogURL string `json:"logUrl" check:"url"`
 	// Where the platform's list of VMs answers.
 	VMsURL string `json:"vmsUrl" check:"url"`
-	// Where the platform's weight store answers; without it no order to load weights is given.
+	// Where the platform's weight store answers. Engines load from it, not entries: the two settings that
+	// follow hold the orders to load back to what it allows.
 	WeightsURL string `json:"weightsUrl" check:"url,optional"`
+	// Loads a minute that the weight store allows, all pools and engines together.
+	WeightLoadsPerMinute int64 `json:"weightLoadsPerMinute" min:"1" max:"600000"`
+	// Loads that the weight store allows at once when it was left alone for a while.
+	WeightLoadBurst int64 `json:"weightLoadBurst" min:"1" max:"10000"`
 
 	// Key by which entries prove to each other that they belong together: at least 32 bytes as hex.
 	// Make one with `geraniumline key new --shared`. Give this or sharedKeyFile.
 	SharedKey Secret `json:"sharedKey" check:"key,optional"`
 	// File with the shared key as hex, in place of sharedKey.
 	SharedKeyFile string `json:"sharedKeyFile" check:"optional"`
+	// A second key, as hex, that peers may prove themselves by. It lets the shared key be changed with the
+	// entries restarted one after another: first all take the new key here, then all take it as sharedKey and
+	// the old one here, then it goes.
+	OtherSharedKey Secret `json:"otherSharedKey" check:"key,optional"`
 	// Who may use the operators' address.
 	Operators []Operator `json:"operators"`
 	// Certificates of the listening sockets. Without them callers and operators are served in the clear.
@@ -147,20 +156,22 @@
 // Defaults returns the settings that a file need not name.
 func Defaults() Settings {
 	return Settings{
-		HeartbeatMillis:   200,
-		SuspectMillis:     1000,
-		DeadMillis:        3000,
-		AddressTTLMillis:  5000,
-		ClaimWindowMillis: 40,
-		KeyHorizonMillis:  3_600_000,
-		SnapshotMillis:    600_000,
-		VMListMillis:      1000,
-		LoadReportMillis:  250,
-		DrainMillis:       1500,
-		MaxBodyBytes:      1 << 20,
-		MaxConnections:    4096,
-		Traces:            Traces{QueueSize: 4096, Kept: 256},
-		LogLevel:          "info",
+		HeartbeatMillis:      200,
+		SuspectMillis:        1000,
+		DeadMillis:           3000,
+		AddressTTLMillis:     5000,
+		ClaimWindowMillis:    40,
+		KeyHorizonMillis:     3_600_000,
+		SnapshotMillis:       600_000,
+		WeightLoadsPerMinute: 60,
+		WeightLoadBurst:      2,
+		VMListMillis:         1000,
+		LoadReportMillis:     250,
+		DrainMillis:          1500,
+		MaxBodyBytes:         1 << 20,
+		MaxConnections:       4096,
+		Traces:               Traces{QueueSize: 4096, Kept: 256},
+		LogLevel:             "info",
 	}
 }
 
@@ -181,8 +192,18 @@
 }
 
 // Key returns the shared key's bytes. It is empty in settings that were not checked.
-func (s Settings) Key() []byte {
-	key, err := hex.DecodeString(s.SharedKey.Reveal())
+func (s Settings) Key() []byte { return keyBytes(s.SharedKey) }
+
+// OtherKeys returns the bytes of the keys beside the shared one that peers may prove themselves by.
+func (s Settings) OtherKeys() [][]byte {
+	if s.OtherSharedKey == "" {
+		return nil
+	}
+	return [][]byte{keyBytes(s.OtherSharedKey)}
+}
+
+func keyBytes(secret Secret) []byte {
+	key, err := hex.DecodeString(secret.Reveal())
 	if err != nil {
 		return nil
 	}
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -60,6 +60,14 @@
 	EndpointsGone  Name = "endpoints_ejected"
 )
 
+// Orders to engines.
+const (
+	OrdersSent      Name = "orders_sent"
+	OrdersRefused   Name = "orders_refused"
+	OrdersUncertain Name = "orders_uncertain"
+	LoadsOrdered    Name = "loads_ordered"
+)
+
 // The platform's log, by stream.
 const (
 	LogAppends      Name = "log_appends"
@@ -151,6 +159,11 @@
 	{StreamOverlaps, KindCounter, "parts", "", "A part of a stream that had come before and was cut.", ""},
 	{EndpointsGone, KindCounter, "endpoints", "", "An endpoint taken out because it did worse than its pool.", ""},
 
+	{OrdersSent, KindCounter, "orders", "", "An order sent to an engine.", ""},
+	{OrdersRefused, KindCounter, "orders", "", "An order that the engine surely did not take.", ""},
+	{OrdersUncertain, KindCounter, "orders", "", "An order without a readable answer; the engine is read back.", ""},
+	{LoadsOrdered, KindCounter, "loads", "", "An order for which the engine loads weights.", ""},
+
 	{LogAppends, KindCounter, "appends", byStream, "An append sent to the log service.", ""},
 	{LogAppendErrors, KindCounter, "appends", byStream, "An append refused, failed or without a reply.", ""},
 	{LogAppendMicros, KindHistogram, "microseconds", byStream, "From an append's sending to its reply.", ""},
--- a/performer/loop.go
+++ b/performer/loop.go
@@ -17,8 +17,10 @@
 const (
 	// eventQueue is how many events may wait for the reducer before those who bring them wait.
 	eventQueue = 4096
-	// tickEvery is the core's resolution of time.
-	tickEvery = 10 * time.Millisecond
+	// tickEvery is the core's resolution of time while it has requests, idleTickEvery while it has none: an idle
+	// entry's cost is mostly that of being woken.
+	tickEvery     = 10 * time.Millisecond
+	idleTickEvery = 50 * time.Millisecond
 )
 
 // Performer is one entry's loop and its connections.
@@ -28,6 +30,7 @@
 	events  chan reducer.Event
 	replies *replies
 	stages  *stages
+	orders  *orders
 	log     *zap.Logger
 	exited  chan struct{}
 	ids     idSource
@@ -56,6 +59,7 @@
 		reduceMicros: cfg.Meter.Histogram(meter.ReduceMicros),
 	}
 	p.stages = newStages(cfg, p.Post, p.replies)
+	p.orders = newOrders(cfg, p.Post)
 	return p
 }
 
@@ -75,9 +79,11 @@
 	defer close(p.exited)
 	p.ctx = ctx
 	p.stages.ctx = ctx
+	p.orders.ctx = ctx
 	p.startReaders(ctx)
-	ticker := time.NewTicker(tickEvery)
+	ticker := time.NewTicker(idleTickEvery)
 	defer ticker.Stop()
+	every := idleTickEvery
 	for {
 		var event reducer.Event
 		select {
@@ -96,7 +102,19 @@
 			}
 			p.perform(effect)
 		}
+		if wanted := p.pace(); wanted != every {
+			every = wanted
+			ticker.Reset(every)
+		}
+	}
+}
+
+// pace is how often the core wants to be told that time passes.
+func (p *Performer) pace() time.Duration {
+	if p.core.Busy() {
+		return tickEvery
 	}
+	return idleTickEvery
 }
 
 // measure notes the time of one event's reduction, and publishes counts now and then.
@@ -143,6 +161,10 @@
 		go p.append(e)
 	case reducer.SendPeer:
 		p.cfg.Messenger.Send(e.Address, e.Message)
+	case reducer.ReadAssignment:
+		go p.orders.read(e)
+	case reducer.OrderEngine:
+		go p.orders.order(e)
 	case reducer.LogChange:
 		p.log.Info(e.Message, zap.String("subject", e.Subject), zap.String("from", e.From), zap.String("to", e.To))
 	}
--- a/reducer/ask.go
+++ b/reducer/ask.go
@@ -23,7 +23,7 @@
 	outcomeOnly bool
 	// refusal is what a refused request is told if no peer knows its key; nil for other questions.
 	refusal *Failure
-	digest  [32]byte
+	refused refusedKey
 	// lost tells that an entry which may have served the key can't be asked.
 	lost    bool
 	waiting int
@@ -254,7 +254,7 @@
 	}
 	delete(c.asked, message.CallID)
 	if ask.refusal != nil {
-		c.endDoubt(ask)
+		c.endRefusal(ask)
 		return
 	}
 	if ask.outcomeOnly {
@@ -281,7 +281,7 @@
 // has said that nothing ran; its release may then still be on the way.
 func (c *Core) endAsk(ask *pendingAsk, now time.Time) {
 	if ask.refusal != nil {
-		c.endDoubt(ask)
+		c.endRefusal(ask)
 		return
 	}
 	if !ask.outcomeOnly {
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -14,7 +14,9 @@
 	"geraniumline/claimer"
 	"geraniumline/detector"
 	"geraniumline/drainer"
+	"geraniumline/leaser"
 	"geraniumline/limiter"
+	"geraniumline/placer"
 	"geraniumline/publisher"
 	"geraniumline/quarantiner"
 	"geraniumline/retrier"
@@ -56,12 +58,15 @@
 	Router      router.Config
 	Retrier     retrier.Config
 	Quarantiner quarantiner.Config
+	// Leaser and Placer set up the orders to engines; their zero values take the defaults.
+	Leaser leaser.Config
+	Placer placer.Config
 }
 
 // subsetSize and subsetSpares are how many entries one client account is told of: few, so that an entry's state
 // follows the accounts that it serves; some, so that the loss of one is hardly felt.
 const (
-	subsetSize   = 3
+	subsetSize   = 2
 	subsetSpares = 2
 )
 
@@ -92,6 +97,11 @@
 	// lone are the runs of suspect requests by pool.
 	lone map[string][]loneRun
 
+	leaser *leaser.Leaser
+	// orderings are the pools that a placement names.
+	orderings map[string]*ordering
+	orderAt   time.Time
+
 	requests  map[uint64]*request
 	plans     map[string]*plan
 	applied   map[string]*publisher.Contract
@@ -110,6 +120,8 @@
 	lastTick    time.Time
 	stopped     bool
 	liveEntries int
+	// silent are the entries that are taken for dead by their silence alone.
+	silent map[string]silentEntry
 	// appending counts the appends to the claims stream that have not ended.
 	appending     int
 	snapshotDue   time.Time
@@ -145,6 +157,9 @@
 		quarantiner: quarantiner.New(cfg.Quarantiner),
 		lone:        map[string][]loneRun{},
 
+		leaser:    leaser.New(leaserConfig(cfg)),
+		orderings: map[string]*ordering{},
+
 		requests:  map[uint64]*request{},
 		plans:     map[string]*plan{},
 		applied:   map[string]*publisher.Contract{},
@@ -156,10 +171,12 @@
 		logs: map[Stream]*logHealth{
 			StreamConfig: {},
 			StreamClaims: {},
+			StreamLeases: {},
 		},
 		configs:     newRecordRing(recordsKept),
 		lastTick:    now,
 		liveEntries: 1,
+		silent:      map[string]silentEntry{},
 	}
 	c.detector = detector.New(detector.Config{
 		Self: carrier.Member{
@@ -205,6 +222,8 @@
 		c.takePeerMessage(e, now)
 	case VMsListed:
 		c.takeVMs(e, now)
+	case EndpointRefused:
+		c.takeEndpointRefused(e, now)
 	case LoadReported:
 		c.router.Report(e.Address, e.Report, now)
 	case CacheEventsRead:
@@ -223,6 +242,10 @@
 		c.takeStopAsked(e, now)
 	case StopSignalled:
 		c.beginStop(now)
+	case AssignmentRead:
+		c.takeAssignment(e, now)
+	case OrderEnded:
+		c.takeOrderEnded(e, now)
 	case Ticked:
 		c.tick(now)
 	}
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -6,6 +6,7 @@
 	"geraniumline/carrier"
 	"geraniumline/claimer"
 	"geraniumline/endpointserver"
+	"geraniumline/placer"
 	"geraniumline/publisher"
 	"geraniumline/recorder"
 	"geraniumline/router"
@@ -150,6 +151,9 @@
 	Next    int64
 }
 
+// EndpointRefused tells that nothing serves at an endpoint's address: it refused the question for its load.
+type EndpointRefused struct{ Address string }
+
 // ChangeAsked is an operator's change of configuration.
 type ChangeAsked struct {
 	ID     uint64
@@ -187,6 +191,22 @@
 // StopSignalled is the process's signal to stop as planned.
 type StopSignalled struct{}
 
+// AssignmentRead is what an engine of a placed pool holds.
+type AssignmentRead struct {
+	Pool    string
+	Address string
+	// Asked is that of the effect ReadAssignment.
+	Asked time.Time
+	State placer.Assignment
+}
+
+// OrderEnded tells how an order to an engine ended.
+type OrderEnded struct {
+	Pool    string
+	Address string
+	Result  placer.Result
+}
+
 // Ticked lets time pass.
 type Ticked struct{}
 
@@ -201,6 +221,7 @@
 func (Appended) event()           {}
 func (PeerMessageArrived) event() {}
 func (VMsListed) event()          {}
+func (EndpointRefused) event()    {}
 func (LoadReported) event()       {}
 func (CacheEventsRead) event()    {}
 func (ChangeAsked) event()        {}
@@ -210,4 +231,6 @@
 func (StatusAsked) event()        {}
 func (StopAsked) event()          {}
 func (StopSignalled) event()      {}
+func (AssignmentRead) event()     {}
+func (OrderEnded) event()         {}
 func (Ticked) event()             {}
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -33,6 +33,8 @@
 		c.takeHandover(message, now)
 	case *carrier.Bills:
 		c.takeBills(message)
+	case *carrier.Demand:
+		c.takeDemand(e.From, message, now)
 	}
 }
 
@@ -120,11 +122,15 @@
 			c.counters.PausesNoticed++
 		}
 		c.emit(LogChange{Message: "entry", Subject: t.Member.Name, From: t.From.String(), To: t.To.String()})
+		if t.Member.Name == c.cfg.Entry {
+			c.takeOwnTransition(t, now)
+			continue
+		}
+		c.keepPart(t, now)
 		if t.To != detector.Dead && t.To != detector.Stopped {
 			continue
 		}
 		c.router.PeerGone(t.Member.Name)
-		c.limiter.PeerGone(t.Member.Name, now)
 		c.ownerDied(t.Member.Name)
 	}
 	if len(transitions) > 0 {
@@ -132,6 +138,15 @@
 	}
 }
 
+// takeOwnTransition acts on what the detector says of this entry itself. Dead means that a newer process serves
+// under its name: the VM was replaced while this process lived on. Two of one name would each take the other's
+// heartbeats, claims and shares for its own, so the older one stops, as planned, and cuts nothing.
+func (c *Core) takeOwnTransition(t detector.Transition, now time.Time) {
+	if t.To == detector.Dead {
+		c.beginStop(now)
+	}
+}
+
 func (c *Core) countEntries(now time.Time) {
 	live, index := 0, 0
 	for _, member := range c.detector.Members() {
@@ -143,7 +158,7 @@
 		}
 	}
 	c.liveEntries = max(live, 1)
-	c.limiter.SetPeers(c.liveEntries, now)
+	c.limiter.SetPeers(c.liveEntries+len(c.silent), now)
 	c.router.SetEntries(index, c.liveEntries)
 }
 
--- a/router/isolate.go
+++ b/router/isolate.go
@@ -13,13 +13,13 @@
 // The call may end its endpoint's process. When one was lost, all entries that had calls there choose at
 // the same moment: each takes from its own part of the pool, so that an innocent call of one is not lost
 // with the guilty call of another. A pool with fewer endpoints than entries needs turns besides, see Turn.
-func (r *Router) Reserve(name string, avoid []string, now time.Time) (string, bool) {
-	p, known := r.pools[name]
+func (r *Router) Reserve(ask Ask, now time.Time) (string, bool) {
+	p, known := r.pools[ask.Pool]
 	if !known {
 		return "", false
 	}
 	r.advance(p, now)
-	best := r.leastCalls(p, avoid)
+	best := r.leastCalls(p, &ask, now)
 	if best == nil || best.reserved {
 		return "", false
 	}
@@ -30,17 +30,17 @@
 }
 
 // leastCalls gives the endpoint of this entry's part of the pool that suits a lone call best.
-func (r *Router) leastCalls(p *pool, avoid []string) *endpoint {
+func (r *Router) leastCalls(p *pool, ask *Ask, now time.Time) *endpoint {
 	n := 0
 	for _, e := range p.ring {
-		if e.suitsLone(avoid) {
+		if e.suitsLone(ask, now) {
 			n++
 		}
 	}
 	var best *endpoint
 	place := 0
 	for _, e := range p.ring {
-		if !e.suitsLone(avoid) {
+		if !e.suitsLone(ask, now) {
 			continue
 		}
 		mine := place%r.entries == r.index%min(n, r.entries)
@@ -52,8 +52,8 @@
 	return best
 }
 
-func (e *endpoint) suitsLone(avoid []string) bool {
-	return !e.leaving() && e.health.State() == ejector.InUse && !slices.Contains(avoid, e.address)
+func (e *endpoint) suitsLone(ask *Ask, now time.Time) bool {
+	return !e.leaving() && e.health.State() == ejector.InUse && !slices.Contains(ask.Avoid, e.address) && !ask.lacks(e, now)
 }
 
 // Turn is how many other entries use the same part of the pool for lone calls before this one.
