Leaser: a reader without the stream's beginning takes no lease for valid without proof

Cause: a property test (TestOneHolderAtATime) found two holders at once. An entry whose stream had lost its beginning took a losing bid for valid; further late bids of the same loser kept that lease alive in its view, past the 40 s for which it held back; the true holder's renewals looked void to it, and at last its own bid valid. Ruled out: waiting longer, since late bids can go on; a time limit alone, since the view is wrong and not late. Change: a record names the newest valid record that its sender knows of. It decides nothing, but proves that record to a reader that has not the ones before. Other proofs: a silence of the longest lease in the log's time, and an own record sent after two of them without another.

--- a/leaser/bid.go
+++ b/leaser/bid.go
@@ -11,9 +11,6 @@
 // passed, else a bid when the lease has lapsed as far as this entry can tell. Rank is this entry's place among those
 // that would bid: the first bids at once, and the others only if it does not.
 func (l *Leaser) Bid(pool string, rank int, now time.Time) (data []byte, id uint64, due bool) {
-	if now.Before(l.blindUntil) {
-		return nil, 0, false
-	}
 	b := l.bid(pool)
 	if now.Before(b.next) || now.Before(l.dueAt(pool, rank, b, now)) {
 		return nil, 0, false
@@ -22,9 +19,13 @@
 }
 
 // dueAt gives when this entry should append for the pool's lease.
-func (l *Leaser) dueAt(pool string, rank int, b *bid, now time.Time) time.Time {
-	h := l.fold.pools[pool]
+func (l *Leaser) dueAt(name string, rank int, b *bid, now time.Time) time.Time {
+	p := l.fold.pool(name)
+	h := p.holder
 	wait := time.Duration(rank) * l.cfg.Stagger
+	if !p.known {
+		return p.readAt.Add(silence + wait)
+	}
 	if h == nil {
 		if b.next.IsZero() {
 			b.next = now.Add(wait)
@@ -46,6 +47,7 @@
 		Incarnation: l.cfg.Incarnation,
 		LeaseID:     l.nextID + 1,
 		Millis:      l.cfg.Duration.Milliseconds(),
+		Base:        l.base(pool),
 	}
 	data, err := record.MarshalMsg(nil)
 	if err != nil {
@@ -58,6 +60,12 @@
 	return data, l.nextID, true
 }
 
+// base is the offset of the pool's newest valid record, 0 while that is not known.
+func (l *Leaser) base(pool string) int64 {
+	_, fence := l.Holder(pool)
+	return fence
+}
+
 // forget drops the starts of bids whose lease would have lapsed by now.
 func (b *bid) forget(now time.Time) {
 	for id, sent := range b.sent {
--- a/leaser/fold.go
+++ b/leaser/fold.go
@@ -11,7 +11,21 @@
 	offset int64
 	// logMillis is the log's time, the greatest of any record read: one that goes back shortens no lease.
 	logMillis int64
-	pools     map[string]*holding
+	// lost tells that records before some offset were never read, and lostAt when that was noticed.
+	lost   bool
+	lostAt time.Time
+	pools  map[string]*pool
+}
+
+// pool is the lease on one pool.
+type pool struct {
+	// known tells that the holder is surely that of a reader with all records.
+	known  bool
+	holder *holding
+	// kept are the records read while the holder is not known.
+	kept []lease
+	// readAt is when the pool's last record was read.
+	readAt time.Time
 }
 
 // holding is the newest valid lease of a pool.
@@ -30,51 +44,77 @@
 	until limit
 }
 
+// lease is one record as it was read. Millis is the log's time.
+type lease struct {
+	record *recorder.Lease
+	offset int64
+	millis int64
+	readAt time.Time
+}
+
 func newFold() fold {
-	return fold{pools: map[string]*holding{}}
+	return fold{pools: map[string]*pool{}}
 }
 
 // gap forgets all leases if records were dropped that had not been read.
-func (f *fold) gap(first int64) bool {
+func (f *fold) gap(first int64, now time.Time) bool {
 	if first <= f.offset+1 {
 		return false
 	}
 	clear(f.pools)
 	f.offset = first - 1
+	f.lost = true
+	f.lostAt = now
 	return true
 }
 
-// apply takes one record. It gives nothing for one that was read before or is malformed.
-func (f *fold) apply(r recorder.Record, now time.Time) (record *recorder.Lease, valid bool) {
+func (f *fold) pool(name string) *pool {
+	p, met := f.pools[name]
+	if !met {
+		p = &pool{known: !f.lost, readAt: f.lostAt}
+		f.pools[name] = p
+	}
+	return p
+}
+
+// read gives the lease of the stream's next record, or false for one that was read before or is malformed.
+func (f *fold) read(r recorder.Record, now time.Time) (lease, bool) {
 	if r.Offset <= f.offset {
-		return nil, false
+		return lease{}, false
 	}
 	f.offset = r.Offset
 	f.logMillis = max(f.logMillis, r.AtMillis)
-	record = decode(r.Data)
-	if record == nil {
-		return nil, false
+	record := decode(r.Data)
+	return lease{record: record, offset: r.Offset, millis: f.logMillis, readAt: now}, record != nil
+}
+
+// apply takes a pool's next record and tells whether it is surely valid. After tells that it was sent when all leases
+// that this reader can't know of had lapsed.
+func (p *pool) apply(l lease, after bool) bool {
+	p.readAt = l.readAt
+	if !p.known {
+		return p.learn(l, after)
 	}
-	return record, f.decide(record, r.Offset, now)
+	return p.decide(l)
 }
 
 // decide tells whether a record is a valid lease: it is if no other holder's lease is unexpired by the log's time.
-func (f *fold) decide(record *recorder.Lease, offset int64, now time.Time) bool {
-	h := f.pools[record.Pool]
-	same := h != nil && h.entry == record.Entry && h.incarnation == record.Incarnation
-	if h != nil && !same && f.logMillis < h.expiresMillis {
+func (p *pool) decide(l lease) bool {
+	h := p.holder
+	same := h != nil && h.entry == l.record.Entry && h.incarnation == l.record.Incarnation
+	lapsed := h == nil || l.millis >= h.expiresMillis
+	if !same && !lapsed {
 		return false
 	}
-	if h == nil || !same || f.logMillis >= h.expiresMillis {
-		// A holder that let its lease lapse begins anew: another may have held it meanwhile in a part of the
-		// stream that this reader has not, and the engines are to hear the new number.
-		h = &holding{entry: record.Entry, incarnation: record.Incarnation, granted: offset}
-		f.pools[record.Pool] = h
+	if !same || lapsed {
+		// A holder that let its lease lapse begins anew, and the engines are to hear the new number.
+		h = &holding{entry: l.record.Entry, incarnation: l.record.Incarnation, granted: l.offset}
+		p.holder = h
 	}
-	h.fence = offset
-	h.expiresMillis = max(h.expiresMillis, f.logMillis+record.Millis)
-	h.readAt = now
-	h.length = time.Duration(record.Millis) * time.Millisecond
+	h.fence = l.offset
+	h.expiresMillis = max(h.expiresMillis, l.millis+l.record.Millis)
+	h.readAt = l.readAt
+	h.length = time.Duration(l.record.Millis) * time.Millisecond
 	return true
 }
 
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -28,10 +28,9 @@
 // renewals is how many appends fall into one lease: two may be lost, and the third comes too late.
 const renewals = 3
 
-// blindLeases is how many of the longest leases a reader that lacks the stream's beginning waits. Within the first,
-// a lease that it can't know of may still hold, and it may take a record for valid that is not; within the second
-// the true holder renews and is taken for it, or its lease has lapsed.
-const blindLeases = 2
+// silence is how long a reader that lacks a pool's earlier records waits for others before it bids: any lease that it
+// can't know of has then lapsed.
+const silence = 2 * MaxDuration
 
 // Config sets a Leaser up. Zero durations take the defaults above.
 type Config struct {
@@ -44,12 +43,10 @@
 
 // Leaser is the fold over the leases stream, with this entry's own bids and leases.
 type Leaser struct {
-	cfg  Config
-	fold fold
-	// blindUntil is until when this entry does not bid, since records before those that it read are lost.
-	blindUntil time.Time
-	bids       map[string]*bid
-	nextID     uint64
+	cfg    Config
+	fold   fold
+	bids   map[string]*bid
+	nextID uint64
 }
 
 // bid is this entry's appends for a pool's lease that have not been read back, and when the next may be made.
@@ -77,27 +74,27 @@
 // Gap tells the leaser the oldest offset that the log still keeps, and whether records were lost to it is told back.
 // All leases are then unknown, this entry's own ones too.
 func (l *Leaser) Gap(first int64, now time.Time) bool {
-	if !l.fold.gap(first) {
-		return false
-	}
-	l.blindUntil = now.Add(blindLeases * MaxDuration)
-	return true
+	return l.fold.gap(first, now)
 }
 
 // Apply folds the stream's next record in. It tells whether the pool's holder is another than before.
 func (l *Leaser) Apply(r recorder.Record, now time.Time) (Change, bool) {
-	record, valid := l.fold.apply(r, now)
-	if record == nil {
+	read, ok := l.fold.read(r, now)
+	if !ok {
 		return Change{}, false
 	}
-	if record.Entry == l.cfg.Entry && record.Incarnation == l.cfg.Incarnation {
-		l.takeOwn(record, valid)
+	record := read.record
+	p := l.fold.pool(record.Pool)
+	before := p.holder
+	sent, own := l.takeBid(record)
+	valid := p.apply(read, own && !sent.Before(l.fold.lostAt.Add(silence)))
+	if own && valid {
+		l.hold(p.holder, sent)
 	}
-	if !valid {
+	if p.holder == before {
 		return Change{}, false
 	}
-	h := l.fold.pools[record.Pool]
-	return Change{Pool: record.Pool, Entry: record.Entry, Fence: h.granted}, h.granted == r.Offset
+	return Change{Pool: record.Pool, Entry: p.holder.entry, Fence: p.holder.granted}, true
 }
 
 // Change says that a pool has another holder than before.
@@ -108,17 +105,20 @@
 	Fence int64
 }
 
-// takeOwn notes what became of this entry's bid. The time limit counts from before the append was sent: the log's
-// time of the record is later, so the limit ends before the log would let another in.
-func (l *Leaser) takeOwn(record *recorder.Lease, valid bool) {
+// takeBid gives the instant before a record was sent, if it is a bid of this entry that has not been forgotten.
+func (l *Leaser) takeBid(record *recorder.Lease) (sent time.Time, own bool) {
+	if record.Entry != l.cfg.Entry || record.Incarnation != l.cfg.Incarnation {
+		return time.Time{}, false
+	}
 	b := l.bid(record.Pool)
-	sent, known := b.sent[record.LeaseID]
+	sent, own = b.sent[record.LeaseID]
 	delete(b.sent, record.LeaseID)
-	if !known || !valid {
-		// The start of a bid that was forgotten is not known. In the fold it only makes others wait.
-		return
-	}
-	h := l.fold.pools[record.Pool]
+	return sent, own
+}
+
+// hold notes the time limit of this entry's lease. It counts from before the append was sent: the log's time of the
+// record is later, so the limit ends before the log would let another in.
+func (l *Leaser) hold(h *holding, sent time.Time) {
 	if h.until.from.Before(sent) {
 		h.until = limitFrom(sent, h.length-l.cfg.Margin)
 	}
@@ -149,8 +149,8 @@
 
 // Held gives this entry's lease on a pool, or false if it holds none now.
 func (l *Leaser) Held(pool string, now time.Time) (Lease, bool) {
-	h := l.fold.pools[pool]
-	if !l.own(h) || now.Before(l.blindUntil) {
+	h := l.fold.pool(pool).holder
+	if !l.own(h) {
 		return Lease{}, false
 	}
 	left := h.until.left(now)
@@ -159,7 +159,7 @@
 
 // Holder names a pool's orderer as far as the stream tells; its lease may have lapsed.
 func (l *Leaser) Holder(pool string) (entry string, fence int64) {
-	h := l.fold.pools[pool]
+	h := l.fold.pool(pool).holder
 	if h == nil {
 		return "", 0
 	}
--- a/recorder/schema.go
+++ b/recorder/schema.go
@@ -124,4 +124,7 @@
 	LeaseID uint64
 	// Millis is how long the lease lasts from the log's own time of the append.
 	Millis int64
+	// Base is the offset of the pool's newest valid record that the sender knew of, 0 for none. It decides nothing,
+	// but proves that record's validity to a reader that has not the ones before it.
+	Base int64
 }
--- a/recorder/schema_gen.go
+++ b/recorder/schema_gen.go
@@ -1313,8 +1313,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Pool, err = dc.ReadString()
@@ -1342,13 +1342,18 @@
 		err = msgp.WrapError(err, "Millis")
 		return
 	}
+	z.Base, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Base")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Lease) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
@@ -1377,19 +1382,25 @@
 		err = msgp.WrapError(err, "Millis")
 		return
 	}
+	err = en.WriteInt64(z.Base)
+	if err != nil {
+		err = msgp.WrapError(err, "Base")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Lease) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendString(o, z.Pool)
 	o = msgp.AppendString(o, z.Entry)
 	o = msgp.AppendUint64(o, z.Incarnation)
 	o = msgp.AppendUint64(o, z.LeaseID)
 	o = msgp.AppendInt64(o, z.Millis)
+	o = msgp.AppendInt64(o, z.Base)
 	return
 }
 
@@ -1401,8 +1412,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Pool, bts, err = msgp.ReadStringBytes(bts)
@@ -1430,13 +1441,18 @@
 		err = msgp.WrapError(err, "Millis")
 		return
 	}
+	z.Base, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Base")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Lease) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Pool) + msgp.StringPrefixSize + len(z.Entry) + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Pool) + msgp.StringPrefixSize + len(z.Entry) + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
