--- a/receiver/failure_test.go
+++ b/receiver/failure_test.go
@@ -64,3 +64,32 @@
 		t.Run(name, func(t *testing.T) { require.Contains(t, rows, code) })
 	}
 }
+
+// An operator who sees an alarm looks up what to do. Each text that the status can show stands in the operators' page.
+func TestEveryAlarmStandsOnThePage(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATING.md")
+	require.NoError(t, err)
+	tree, err := parser.ParseFile(token.NewFileSet(), "../reducer/status.go", nil, 0)
+	require.NoError(t, err)
+	alarms := 0
+	ast.Inspect(tree, func(node ast.Node) bool {
+		function, isFunction := node.(*ast.FuncDecl)
+		if !isFunction {
+			return true
+		}
+		if function.Name.Name != "alarms" {
+			return false
+		}
+		ast.Inspect(function, func(node ast.Node) bool {
+			if literal, isLiteral := node.(*ast.BasicLit); isLiteral && literal.Kind == token.STRING {
+				alarms++
+				text, err := strconv.Unquote(literal.Value)
+				require.NoError(t, err)
+				require.Contains(t, string(page), text)
+			}
+			return true
+		})
+		return false
+	})
+	require.Positive(t, alarms)
+}
