One client: the command line sends requests through caller

Cause: the loop of tries stood twice, in launcher and in caller, and they had come apart. caller told notRun of the last try also where an earlier one was cut off after it was sent, which may run yet; it read no streams; and it let net/http send a broken request again unseen. launcher printed a piece of text twice when a cut stream was streamed again from its start.

Ruled out: sharing only the loop by an interface, which would have kept two HTTP clients and the media type rewritten for the generated one.

Change: caller holds the address answer, the tries, the outcome asked for by the key, and the reading of streams; launcher gives it clock, wait and grace, and prints.

Run: go test -race ./caller ./launcher, ok; launcher's assertions unchanged, TestReadStream moved with its code.

--- a/launcher/connection.go
+++ b/launcher/connection.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -83,7 +82,7 @@
 		addresses:  cmd.StringSlice("address"),
 		user:       cmd.String(userFlag),
 		credential: strings.TrimSpace(string(credential)),
-		scheme:     "http://",
+		scheme:     "http",
 	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	// A proxy from the environment would take the credential to a host that isn't an entry.
@@ -94,7 +93,7 @@
 			return nil, &UsageError{Message: fmt.Sprintf("--ca-file: %v", err)}
 		}
 		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
-		c.scheme = "https://"
+		c.scheme = "https"
 	}
 	c.client = &http.Client{Transport: transport, CheckRedirect: noRedirect}
 	return c, nil
@@ -128,7 +127,7 @@
 }
 
 func (c *connection) operator(address string) (*operatorserver.Client, error) {
-	return operatorserver.NewClient(c.scheme+address, c, operatorserver.WithClient(c.client))
+	return operatorserver.NewClient(c.scheme+"://"+address, c, operatorserver.WithClient(c.client))
 }
 
 // UnreachableError tells that no address answered.
@@ -188,9 +187,3 @@
 	}
 	return &RefusedError{Address: address, Failure: failure.Response}
 }
-
-// notSent tells whether a call failed before any byte of it could have left.
-func notSent(err error) bool {
-	var netErr *net.OpError
-	return errors.As(err, &netErr) && netErr.Op == "dial"
-}
--- a/launcher/credential.go
+++ b/launcher/credential.go
@@ -5,6 +5,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"geraniumline/caller"
 	"geraniumline/documenter"
 	"geraniumline/verifier"
 )
@@ -54,7 +55,10 @@
 }
 
 func (a *app) newKey(_ context.Context, cmd *cli.Command) error {
-	key := newIdempotencyKey()
+	key, err := caller.NewKey()
+	if err != nil {
+		return err
+	}
 	if cmd.Bool("shared") {
 		key = verifier.GenerateKey()
 	}
--- a/launcher/publish.go
+++ b/launcher/publish.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 
+	"geraniumline/caller"
 	"geraniumline/loader"
 	"geraniumline/operatorserver"
 	"geraniumline/presenter"
@@ -136,7 +137,7 @@
 		if refused := refusalOf(address, err); refused != nil {
 			return nil, refused
 		}
-		if !notSent(err) {
+		if !caller.NotSent(err) {
 			return nil, &maybeSentError{err: err}
 		}
 		last = err
--- a/launcher/request.go
+++ b/launcher/request.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"fmt"
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 
+	"geraniumline/caller"
 	"geraniumline/callerserver"
 )
 
@@ -47,52 +48,69 @@
 }
 
 func (a *app) request(ctx context.Context, cmd *cli.Command) error {
-	r, err := a.newRequest(cmd)
+	request, err := a.newRequest(cmd)
 	if err != nil {
 		return err
 	}
-	a.complain("key " + r.key)
-	ctx, cancel := context.WithTimeout(ctx, r.deadline+followGrace)
-	defer cancel()
-	result := r.run(ctx)
+	c, err := a.connect(cmd, "account")
+	if err != nil {
+		return err
+	}
+	a.complain("key " + request.Key)
+	var printed strings.Builder
+	if request.Stream && !cmd.Bool("json") {
+		request.Part = func(text string) {
+			a.printText(text)
+			printed.WriteString(text)
+		}
+	}
+	result := resultOf(a.newCaller(c).Send(ctx, request))
+	result.Key = request.Key
 	if cmd.Bool("json") {
 		if err := a.printJSON(result); err != nil {
 			return err
 		}
 	}
-	return a.finish(cmd, result)
+	return a.finish(cmd, result, printed.String())
 }
 
-func (a *app) newRequest(cmd *cli.Command) (*request, error) {
+func (a *app) newCaller(c *connection) *caller.Caller {
+	return caller.New(caller.Config{
+		Account:    c.user,
+		Credential: c.credential,
+		Entries:    c.addresses,
+		HTTP:       c.client,
+		Scheme:     c.scheme,
+		Grace:      followGrace,
+		Now:        a.cfg.Now,
+		Wait:       a.cfg.Wait,
+	})
+}
+
+func (a *app) newRequest(cmd *cli.Command) (caller.Request, error) {
 	if cmd.String("pipeline") == "" {
-		return nil, &UsageError{Message: "--pipeline is not given", Command: cmd.FullName()}
+		return caller.Request{}, &UsageError{Message: "--pipeline is not given", Command: cmd.FullName()}
 	}
-	c, err := a.connect(cmd, "account")
-	if err != nil {
-		return nil, err
+	deadline := cmd.Duration("deadline")
+	if deadline < time.Millisecond {
+		return caller.Request{}, &UsageError{Message: "--deadline must be at least 1ms"}
 	}
 	input, err := a.inputOf(cmd)
 	if err != nil {
-		return nil, err
+		return caller.Request{}, err
 	}
 	key := cmd.String("key")
 	if key == "" {
-		key = newIdempotencyKey()
-	}
-	deadline := cmd.Duration("deadline")
-	if deadline < time.Millisecond {
-		return nil, &UsageError{Message: "--deadline must be at least 1ms"}
-	}
-	r := &request{
-		app: a, connection: c,
-		pipeline: cmd.String("pipeline"), input: input, key: key,
-		traceparent: newTraceparent(), deadline: deadline, begun: a.cfg.Now(),
-		stream: cmd.Bool("stream"),
-	}
-	if r.stream && !cmd.Bool("json") {
-		r.part = a.printText
-	}
-	return r, nil
+		key, err = caller.NewKey()
+	}
+	return caller.Request{
+		Pipeline:    cmd.String("pipeline"),
+		Key:         key,
+		Input:       input,
+		Deadline:    deadline,
+		Traceparent: newTraceparent(),
+		Stream:      cmd.Bool("stream"),
+	}, err
 }
 
 func (a *app) inputOf(cmd *cli.Command) (string, error) {
@@ -110,11 +128,6 @@
 	return string(text), nil
 }
 
-// newIdempotencyKey returns a UUID of version 7: the system tells a key's age by the time in it.
-func newIdempotencyKey() string {
-	return uuid.Must(uuid.NewV7()).String()
-}
-
 // newTraceparent begins a trace, so that `trace` finds the request's hops.
 func newTraceparent() string {
 	var ids [24]byte
@@ -133,11 +146,36 @@
 	RetryAfterMillis int64                     `json:"retryAfterMillis,omitempty"`
 	Address          string                    `json:"address,omitempty"`
 	Tries            int                       `json:"tries"`
+}
 
-	printed string // what of the answer was printed as it came
+// resultOf takes what Send returns. Its errors but FailedError come before anything is sent.
+func resultOf(answer caller.Answer, err error) result {
+	var failed *caller.FailedError
+	switch {
+	case err == nil:
+		return result{
+			Outcome:   callerserver.OutcomeStateAnswered,
+			Answer:    answer.Text,
+			RequestID: answer.RequestID,
+			Address:   answer.Entry,
+			Tries:     answer.Attempts,
+		}
+	case errors.As(err, &failed):
+		return result{
+			Outcome:          callerserver.OutcomeState(failed.Outcome),
+			Code:             failed.Code,
+			Message:          failed.Message,
+			RetryAfterMillis: failed.RetryAfter.Milliseconds(),
+			Address:          failed.Entry,
+			Tries:            failed.Attempts,
+		}
+	default:
+		return result{Outcome: callerserver.OutcomeStateNotRun, Message: err.Error()}
+	}
 }
 
-func (a *app) finish(cmd *cli.Command, r result) error {
+// finish prints the answer but for what of it was printed as it came.
+func (a *app) finish(cmd *cli.Command, r result, printed string) error {
 	if r.Outcome != callerserver.OutcomeStateAnswered {
 		return &OutcomeError{
 			Unknown: r.Outcome != callerserver.OutcomeStateNotRun,
@@ -148,7 +186,7 @@
 	if cmd.Bool("json") {
 		return nil
 	}
-	rest, goesOn := strings.CutPrefix(r.Answer, r.printed)
+	rest, goesOn := strings.CutPrefix(r.Answer, printed)
 	if !goesOn {
 		rest = "\n" + r.Answer
 	}
--- a/launcher/request_test.go
+++ b/launcher/request_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -233,29 +232,3 @@
 	require.Contains(t, stderr, "notRun: no entry could be reached")
 	require.Contains(t, stderr, "key 0190a1b2-7c3d-7e4f-8a5b-6c7d8e9f0a1b\n")
 }
-
-func TestReadStream(t *testing.T) {
-	scenarios := []struct {
-		testName string
-		text     string
-		want     string
-		wantErr  string
-	}{
-		{"cut before its end", "event: part\ndata: {\"text\": \"a\"}\n\n", "", "the stream ended"},
-		{"unknown event and comment", ": hello\n\nevent: later\ndata: {}\n\nevent: answer\ndata: {\"requestId\":\"r\",\"key\":\"k\",\"answer\":\"x\",\"totalParts\":1}\n\n", "x", ""},
-		{"failure after a part", "event: part\ndata: {\"text\": \"a\"}\n\nevent: failure\ndata: {\"code\":\"stageFailed\",\"message\":\"m\",\"outcome\":\"unknown\"}\n\n", "", "stageFailed: m"},
-		{"part that is no JSON", "event: part\ndata: nonsense\n\n", "", "read a part"},
-		{"endless line", "data: " + strings.Repeat("x", maxEventBytes+1), "", "read the stream"},
-	}
-	for _, s := range scenarios {
-		t.Run(s.testName, func(t *testing.T) {
-			answer, err := readStream(io.NopCloser(strings.NewReader(s.text)), func(string) {})
-			if s.wantErr != "" {
-				require.ErrorContains(t, err, s.wantErr)
-				return
-			}
-			require.NoError(t, err)
-			require.Equal(t, s.want, answer.Answer)
-		})
-	}
-}
