Lint for more of what the Code Review Comments ask

Cause: the linters found unused errors and wrong comments but not parameters and results that nobody reads, a builtin's name taken for a variable, os.Exit that skips a deferred call, or an assertion on errors.As that does not print the error it got.

Ruled out: intrange, which would have read len(c.lone[pool]) once in a loop whose steps may shorten it; recvcheck, contextcheck, exhaustive, noctx, prealloc and thelper, whose findings here are all by intent; go-require and expected-actual, with one finding each in tests (faker/service_test.go would hang, not fail, where its call from a goroutine fails).

Assertions stay as strict: require.True of errors.As became require.ErrorAs, Len 0 became Empty.

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -80,7 +80,7 @@
 func TestBudgetAndHopeless(t *testing.T) {
 	a := observed()
 	asks := chat(0, 0)
-	left := func(d time.Duration) time.Time { return began.Add(d) }
+	left := began.Add
 	// The histogram keeps one significant figure.
 	require.InDelta(t, 600*time.Millisecond, a.Budget(asks, left(time.Second), began), float64(40*time.Millisecond))
 	require.Equal(t, time.Second, a.Budget(asks[1:], left(time.Second), began), "the last stage has all that is left")
--- a/appender/appender_test.go
+++ b/appender/appender_test.go
@@ -159,7 +159,7 @@
 	l.after = func() { server.CloseClientConnections() }
 	_, err := a.Append(t.Context(), "claims", []byte("x"))
 	var uncertain *UncertainError
-	require.True(t, errors.As(err, &uncertain), "%v", err)
+	require.ErrorAs(t, err, &uncertain, "%v", err)
 	require.Equal(t, 1, l.len())
 }
 
@@ -173,7 +173,7 @@
 	_, err := a.Append(ctx, "claims", []byte("x"))
 	close(done)
 	var uncertain *UncertainError
-	require.True(t, errors.As(err, &uncertain), "%v", err)
+	require.ErrorAs(t, err, &uncertain, "%v", err)
 	require.Equal(t, 1, l.len())
 }
 
@@ -185,7 +185,7 @@
 	require.NoError(t, listener.Close())
 	_, err = newAppender(t, "http://"+address).Append(t.Context(), "claims", []byte("x"))
 	var refused *RefusedError
-	require.True(t, errors.As(err, &refused), "%v", err)
+	require.ErrorAs(t, err, &refused, "%v", err)
 }
 
 // The log fails for a while in the middle of a stream. The reader is told once of each failure and once when it is
@@ -216,7 +216,7 @@
 	}, func(err error) {
 		if err != nil {
 			var read *ReadError
-			require.True(t, errors.As(err, &read))
+			require.ErrorAs(t, err, &read)
 			failed++
 			return
 		}
--- a/claimer/key_test.go
+++ b/claimer/key_test.go
@@ -1,7 +1,6 @@
 package claimer
 
 import (
-	"errors"
 	"testing"
 	"time"
 
@@ -24,7 +23,7 @@
 		t.Run(s.testName, func(t *testing.T) {
 			var format *KeyFormatError
 			_, err := Birth(s.key)
-			require.True(t, errors.As(err, &format))
+			require.ErrorAs(t, err, &format)
 		})
 	}
 }
@@ -34,7 +33,7 @@
 	require.NoError(t, CheckAge(now.Add(-10*time.Minute), now, 10*time.Minute))
 	require.NoError(t, CheckAge(now.Add(MaxSkew), now, 10*time.Minute))
 	var old *KeyTooOldError
-	require.True(t, errors.As(CheckAge(now.Add(-10*time.Minute-time.Millisecond), now, 10*time.Minute), &old))
+	require.ErrorAs(t, CheckAge(now.Add(-10*time.Minute-time.Millisecond), now, 10*time.Minute), &old)
 	var future *KeyFromFutureError
-	require.True(t, errors.As(CheckAge(now.Add(MaxSkew+time.Millisecond), now, 10*time.Minute), &future))
+	require.ErrorAs(t, CheckAge(now.Add(MaxSkew+time.Millisecond), now, 10*time.Minute), &future)
 }
--- a/claimer/record_test.go
+++ b/claimer/record_test.go
@@ -1,7 +1,6 @@
 package claimer
 
 import (
-	"errors"
 	"strings"
 	"testing"
 
@@ -41,7 +40,7 @@
 	} {
 		var limit *RecordLimitError
 		_, err := Encode(Batch{Records: []ClaimRecord{record}})
-		require.True(t, errors.As(err, &limit), "%T", record)
+		require.ErrorAs(t, err, &limit, "%T", record)
 	}
 }
 
@@ -56,12 +55,12 @@
 		batch, err := Decode(data)
 		if err != nil {
 			var decode *DecodeError
-			require.True(t, errors.As(err, &decode))
+			require.ErrorAs(t, err, &decode)
 			return
 		}
 		if _, err := Encode(batch); err != nil {
 			var limit *RecordLimitError
-			require.True(t, errors.As(err, &limit))
+			require.ErrorAs(t, err, &limit)
 		}
 	})
 }
--- a/claimer/table_test.go
+++ b/claimer/table_test.go
@@ -1,7 +1,6 @@
 package claimer
 
 import (
-	"errors"
 	"testing"
 	"time"
 
@@ -221,7 +220,7 @@
 	require.True(t, table.Lapsed())
 
 	var unprovable *KeyUnprovableError
-	require.True(t, errors.As(table.CheckProvable(time.UnixMilli(bornMillis).Add(time.Hour)), &unprovable))
+	require.ErrorAs(t, table.CheckProvable(time.UnixMilli(bornMillis).Add(time.Hour)), &unprovable)
 	require.True(t, unprovable.Lapsed, "no key at all, under this incarnation")
 }
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -32,8 +32,9 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	os.Exit(run(ctx, os.Args, os.Stdout, os.Stderr))
+	code := run(ctx, os.Args, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
 }
 
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -64,9 +64,9 @@
 	r := records[0]
 	end(p, records[:1], ejector.Bad, 3, start)
 	now := start
-	for _, length := range []time.Duration{1, 2, 4, 8, 16, 16} {
+	for _, seconds := range []int{1, 2, 4, 8, 16, 16} {
 		require.Equal(t, ejector.Ejected, r.State())
-		require.Equal(t, length*time.Second, r.Until().Sub(now))
+		require.Equal(t, time.Duration(seconds)*time.Second, r.Until().Sub(now))
 		require.False(t, p.Advance(r, r.Until().Add(-1)))
 		now = r.Until()
 		require.True(t, p.Advance(r, now))
--- a/faker/config.go
+++ b/faker/config.go
@@ -1,6 +1,9 @@
 package faker
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // ConfigError tells which setting or switch of a stand-in is out of its range.
 type ConfigError struct {
@@ -22,7 +25,7 @@
 }
 
 func checkNotNegative[T int | int64 | float64](field string, n T) error {
-	if n < 0 || n != n {
+	if n < 0 || math.IsNaN(float64(n)) {
 		return &ConfigError{Field: field, Value: n, Want: "0 or more"}
 	}
 	return nil
--- a/faker/log_test.go
+++ b/faker/log_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"testing"
@@ -52,7 +51,7 @@
 
 func platformCode(t *testing.T, err error) string {
 	var failed *platformserver.PlatformErrorStatusCode
-	require.True(t, errors.As(err, &failed), "%v", err)
+	require.ErrorAs(t, err, &failed, "%v", err)
 	return failed.Response.Code
 }
 
@@ -240,7 +239,7 @@
 	_, err = appendTo(ctx, client, "second")
 	require.Equal(t, "rateLimited", platformCode(t, err))
 	var failed *platformserver.PlatformErrorStatusCode
-	require.True(t, errors.As(err, &failed))
+	require.ErrorAs(t, err, &failed)
 	require.Equal(t, http.StatusTooManyRequests, failed.StatusCode)
 	require.Positive(t, failed.Response.RetryAfterMillis.Or(0))
 }
--- a/faker/reply.go
+++ b/faker/reply.go
@@ -63,8 +63,7 @@
 	p.w.Header().Set("Content-Type", "application/x-ndjson")
 	p.w.Header().Set(StreamIDHeader, p.stream.id)
 	p.w.WriteHeader(http.StatusOK)
-	switch p.endpoint.work.(type) {
-	case *generator:
+	if _, generates := p.endpoint.work.(*generator); generates {
 		p.flush()
 	}
 }
--- a/guarder/guarder_test.go
+++ b/guarder/guarder_test.go
@@ -94,7 +94,7 @@
 
 func askOn(t *testing.T, conn net.Conn, password, body string) (int, string) {
 	t.Helper()
-	r, err := http.NewRequest("POST", "http://entry/", strings.NewReader(body))
+	r, err := http.NewRequest(http.MethodPost, "http://entry/", strings.NewReader(body))
 	require.NoError(t, err)
 	r.SetBasicAuth("kilima", password)
 	require.NoError(t, r.Write(conn))
@@ -344,7 +344,7 @@
 		WriteTimeout: 50 * time.Millisecond,
 	})
 	conn := dial(t, server, friendly)
-	r, err := http.NewRequest("POST", "http://entry/stream", strings.NewReader("body"))
+	r, err := http.NewRequest(http.MethodPost, "http://entry/stream", strings.NewReader("body"))
 	require.NoError(t, err)
 	r.SetBasicAuth("kilima", credential)
 	require.NoError(t, r.Write(conn))
@@ -367,7 +367,7 @@
 	release := make(chan struct{})
 	server := open(t, Config{Handler: echo(release)})
 	conn := dial(t, server, friendly)
-	r, err := http.NewRequest("GET", "http://entry/stream", nil)
+	r, err := http.NewRequest(http.MethodGet, "http://entry/stream", nil)
 	require.NoError(t, err)
 	r.SetBasicAuth("kilima", credential)
 	require.NoError(t, r.Write(conn))
--- a/launcher/objectfile.go
+++ b/launcher/objectfile.go
@@ -43,25 +43,25 @@
 
 // differences compares two bodies field by field; a body of nil has none.
 func differences(kind, name string, inForce, inFile []byte) ([]difference, error) {
-	old, err := fieldsOf(inForce)
+	before, err := fieldsOf(inForce)
 	if err != nil {
 		return nil, fmt.Errorf("%s %s in force: %w", kind, name, err)
 	}
-	new, err := fieldsOf(inFile)
+	after, err := fieldsOf(inFile)
 	if err != nil {
 		return nil, fmt.Errorf("%s %s in the file: %w", kind, name, err)
 	}
 	paths := map[string]bool{}
-	for path := range old {
+	for path := range before {
 		paths[path] = true
 	}
-	for path := range new {
+	for path := range after {
 		paths[path] = true
 	}
 	var found []difference
 	for _, path := range slices.Sorted(maps.Keys(paths)) {
-		if old[path] != new[path] {
-			found = append(found, difference{kind, name, path, old[path], new[path]})
+		if before[path] != after[path] {
+			found = append(found, difference{kind, name, path, before[path], after[path]})
 		}
 	}
 	return found, nil
--- a/loader/load_test.go
+++ b/loader/load_test.go
@@ -1,7 +1,6 @@
 package loader
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -148,7 +147,7 @@
 			return
 		}
 		var faults *FaultsError
-		require.True(t, errors.As(err, &faults))
+		require.ErrorAs(t, err, &faults)
 		require.NotEmpty(t, faults.Faults)
 		lines := strings.Count(string(src), "\n") + 1
 		for _, fault := range faults.Faults {
--- a/loader/objects_test.go
+++ b/loader/objects_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -39,7 +38,7 @@
 		7,
 	]`))
 	var faults *FaultsError
-	require.True(t, errors.As(err, &faults))
+	require.ErrorAs(t, err, &faults)
 	require.Equal(t, `2:28: [0].name: want 1 to 64 letters, digits, dots, dashes or underscores, beginning with a letter or digit
 2:52: [0].body.x: field given twice
 3:3: [1].name: missing
@@ -56,7 +55,7 @@
 		objects, err := ParseObjects(src)
 		if err != nil {
 			var faults *FaultsError
-			require.True(t, errors.As(err, &faults))
+			require.ErrorAs(t, err, &faults)
 			require.NotEmpty(t, faults.Faults)
 			return
 		}
--- a/messenger/relay_test.go
+++ b/messenger/relay_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -66,10 +67,11 @@
 		if _, err := io.ReadFull(r, head); err != nil {
 			return
 		}
-		frame := append(head, make([]byte, binary.BigEndian.Uint32(head))...)
-		if _, err := io.ReadFull(r, frame[lengthSize:]); err != nil {
+		body := make([]byte, binary.BigEndian.Uint32(head))
+		if _, err := io.ReadFull(r, body); err != nil {
 			return
 		}
+		frame := slices.Concat(head, body)
 		if _, err := w.Write(change(number, frame)); err != nil {
 			return
 		}
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -25,7 +26,7 @@
 	golden := goldie.New(t)
 	golden.Assert(t, "prometheus", []byte(m.Prometheus()))
 	w := httptest.NewRecorder()
-	m.JSONHandler().ServeHTTP(w, httptest.NewRequest("GET", "/v1/metrics", nil))
+	m.JSONHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/metrics", nil))
 	golden.Assert(t, "json", w.Body.Bytes())
 }
 
--- a/presenter/presenter_test.go
+++ b/presenter/presenter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -125,13 +126,13 @@
 	var failure error
 	handler := Handler(func(context.Context) (operatorserver.Status, error) { return surge(), failure }, func() time.Time { return at })
 	w := httptest.NewRecorder()
-	handler.ServeHTTP(w, httptest.NewRequest("GET", "/", nil))
+	handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
 	require.Equal(t, 200, w.Code)
 	require.Contains(t, w.Header().Get("Content-Security-Policy"), "default-src 'none'")
 
 	failure = errors.New("the reducer is behind")
 	w = httptest.NewRecorder()
-	handler.ServeHTTP(w, httptest.NewRequest("GET", "/", nil))
+	handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
 	require.Equal(t, 503, w.Code)
 	require.NotContains(t, w.Body.String(), "reducer")
 }
--- a/publisher/check.go
+++ b/publisher/check.go
@@ -120,11 +120,11 @@
 	defer r.close()
 	c := &Contract{
 		Account:       r.optionalName("account", name),
-		Weight:        r.positive("weight", maxQuantity),
-		RatePerSecond: r.positive("ratePerSecond", maxQuantity),
-		Burst:         r.positive("burst", maxQuantity),
+		Weight:        r.positive("weight"),
+		RatePerSecond: r.positive("ratePerSecond"),
+		Burst:         r.positive("burst"),
 		Concurrency:   int(r.integer("concurrency", true, 1, maxQuantity)),
-		CostPerSecond: r.positive("costPerSecond", maxQuantity),
+		CostPerSecond: r.positive("costPerSecond"),
 		Urgency:       r.oneOf("urgency", Urgent, Normal, Relaxed),
 	}
 	if r.read("credentialSha256", "a string", true, &c.CredentialSha256) && !credentialPattern.MatchString(c.CredentialSha256) {
--- a/publisher/fields.go
+++ b/publisher/fields.go
@@ -106,10 +106,10 @@
 }
 
 // positive reads a number above zero.
-func (r *fieldReader) positive(field string, most float64) float64 {
+func (r *fieldReader) positive(field string) float64 {
 	var x float64
-	if r.read(field, "a number", true, &x) && (x <= 0 || x > most) {
-		r.fault(field, "must be above 0 and at most %s", strconv.FormatFloat(most, 'f', -1, 64))
+	if r.read(field, "a number", true, &x) && (x <= 0 || x > maxQuantity) {
+		r.fault(field, "must be above 0 and at most %s", strconv.FormatFloat(maxQuantity, 'f', -1, 64))
 	}
 	return x
 }
--- a/publisher/fold_test.go
+++ b/publisher/fold_test.go
@@ -1,7 +1,6 @@
 package publisher
 
 import (
-	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -140,7 +139,7 @@
 func TestCheckChange(t *testing.T) {
 	f, _ := folded(t, base()...)
 	require.Empty(t, f.CheckChange(set("x", KindContract, "wallcare", 0, goodContract)))
-	require.Len(t, f.CheckChange(set("x", KindPipeline, "alert", 0, strings.ReplaceAll(goodPipeline, "er\"", "ers\""))), 0)
+	require.Empty(t, f.CheckChange(set("x", KindPipeline, "alert", 0, strings.ReplaceAll(goodPipeline, "er\"", "ers\""))))
 	bad := strings.NewReplacer("encoders", "coders", "retrievers", "fetchers", "900", "0").Replace(goodPipeline)
 	require.Len(t, f.CheckChange(set("x", KindPipeline, "alert", 0, bad)), 3)
 	require.Len(t, f.CheckChange(remove("x", KindPipeline, "digest", 8)), 1)
@@ -161,7 +160,7 @@
 			c(&change)
 			var encode *EncodeError
 			_, err := EncodeChange(change)
-			require.True(t, errors.As(err, &encode))
+			require.ErrorAs(t, err, &encode)
 		})
 	}
 }
--- a/publisher/placement.go
+++ b/publisher/placement.go
@@ -65,7 +65,7 @@
 		Version:   r.name("version", true),
 		Role:      r.oneOf("role", RolePrefill, RoleDecode, RoleBoth),
 		MinCopies: int(r.integer("minCopies", true, 0, maxCopies)),
-		Weight:    r.positive("weight", maxQuantity),
+		Weight:    r.positive("weight"),
 	}
 	r.read("adapters", "a list of adapter names", false, &m.Adapters)
 	if len(m.Adapters) > maxAdapters {
--- a/receiver/counts.go
+++ b/receiver/counts.go
@@ -7,7 +7,7 @@
 	"geraniumline/reducer"
 )
 
-// counts counts one request's way through this entry.
+// counts holds the counts of one request's way through this entry.
 type counts struct {
 	meter   *meter.Meter
 	account string
--- a/reducer/ask.go
+++ b/reducer/ask.go
@@ -33,7 +33,7 @@
 	notRunBy []string
 }
 
-func (c *Core) takeAddressesAsked(e AddressesAsked, now time.Time) {
+func (c *Core) takeAddressesAsked(e AddressesAsked, _ time.Time) {
 	if _, failure := c.authenticate(e.Credentials); failure != nil {
 		c.refuse(e.ID, "", *failure)
 		return
@@ -50,7 +50,7 @@
 	}
 	c.counters.OutcomesAsked++
 	key := claimer.Key{Account: e.Credentials.Account, Key: e.Key}
-	outcome, _ := c.localOutcome(key)
+	outcome := c.localOutcome(key)
 	if outcome.State == StateAnswered || outcome.State == StateRunning {
 		c.emit(SendOutcome{ID: e.ID, Key: e.Key, Outcome: outcome})
 		return
@@ -73,16 +73,16 @@
 }
 
 // localOutcome is what this entry knows of a key without asking: its own requests, and the claims table.
-func (c *Core) localOutcome(key claimer.Key) (Outcome, bool) {
+func (c *Core) localOutcome(key claimer.Key) Outcome {
 	if _, running := c.running[key]; running {
-		return Outcome{State: StateRunning}, true
+		return Outcome{State: StateRunning}
 	}
-	outcome, known := c.outcomes.get(key)
+	outcome, _ := c.outcomes.get(key)
 	holding, held := c.table.Lookup(key)
 	if held && holding.Ended {
-		return better(outcome, outcomeOf(key, holding)), true
+		return better(outcome, outcomeOf(key, holding))
 	}
-	return outcome, known
+	return outcome
 }
 
 func outcomeOf(key claimer.Key, holding claimer.Holding) Outcome {
@@ -187,7 +187,7 @@
 		r.peers = append(r.peers, peerWaiter{address: member.PeerAddress, callID: call.CallID})
 		return
 	}
-	outcome, _ := c.localOutcome(key)
+	outcome := c.localOutcome(key)
 	c.sendPeerOutcome(member.PeerAddress, call.CallID, key, outcome, now)
 }
 
--- a/reducer/claim.go
+++ b/reducer/claim.go
@@ -199,7 +199,7 @@
 }
 
 // endClaim records a claimed request's end, so that any entry can answer for it.
-func (c *Core) endClaim(r *request, outcome Outcome, now time.Time) {
+func (c *Core) endClaim(r *request, outcome Outcome) {
 	if !r.plan.sideEffect {
 		return
 	}
--- a/reducer/claim_test.go
+++ b/reducer/claim_test.go
@@ -184,7 +184,7 @@
 	require.Equal(t, StateNotRun, state)
 	w.land(StreamClaims, late)
 	w.run(time.Second)
-	require.Zero(t, len(w.ledger))
+	require.Empty(t, w.ledger)
 	again, _, _ := w.awaitEnd(w.send(1, ticket, key, "wall 7", deadline).id)
 	require.Equal(t, StateAnswered, again)
 	require.Equal(t, 1, w.runs(key, "log"))
--- a/reducer/request.go
+++ b/reducer/request.go
@@ -358,7 +358,7 @@
 	c.forget(r)
 	c.outcomes.put(r.key, outcome)
 	c.limiter.Release(r.key.Account, r.estimated, r.cost, now)
-	c.endClaim(r, outcome, now)
+	c.endClaim(r, outcome)
 	if !r.callerGone {
 		c.sendOutcome(r.id, r.key, outcome)
 	}
