Test streaming through a whole entry

Cause: no test took a streamed answer through sockets, entry and engine at once.

Change: an engine's stand-in is held after its first token, so the order of events is sure without a clock: the caller has the token, GET says running, a second request under the key joins, another account is answered, then the whole answer comes once for both, under the caller's trace id. A second test has 16 callers each hold half a body, no body, too large a one or an unread stream while others are answered. No fault was found.

--- a/assembler/harness_test.go
+++ b/assembler/harness_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -43,14 +44,27 @@
 // startEntry runs an entry until the test ends. Its pipelines are "summary", whose stages may all be repeated,
 // and "ticket", whose last stage may not.
 func startEntry(t testing.TB, slots int) *testEntry {
-	e := &testEntry{}
-	var vms []platformserver.VM
-	for _, pool := range []string{"encoders", "retrievers", "rerankers", "engines", "tickets"} {
+	return startEntryWith(t, slots, newServices(slots))
+}
+
+// newServices gives each pool a stand-in that answers at once.
+func newServices(slots int) func(pool string) (*faker.Endpoint, http.Handler) {
+	return func(string) (*faker.Endpoint, http.Handler) {
 		endpoint := faker.NewService(faker.ServiceConfig{
 			EndpointConfig: faker.EndpointConfig{Slots: slots, MaxWaiting: slots},
 			ServiceTime:    2 * time.Millisecond,
 		})
-		server := httptest.NewServer(endpoint.Handler())
+		return endpoint, endpoint.Handler()
+	}
+}
+
+// startEntryWith has newEndpoint make each pool's one endpoint, and the handler that it is reached by.
+func startEntryWith(t testing.TB, slots int, newEndpoint func(pool string) (*faker.Endpoint, http.Handler)) *testEntry {
+	e := &testEntry{}
+	var vms []platformserver.VM
+	for _, pool := range []string{"encoders", "retrievers", "rerankers", "engines", "tickets"} {
+		endpoint, handler := newEndpoint(pool)
+		server := httptest.NewServer(handler)
 		t.Cleanup(func() { server.Close(); endpoint.Close() })
 		address := strings.TrimPrefix(server.URL, "http://")
 		vms = append(vms, platformserver.VM{Address: address, Zone: "zone-a", Pool: pool, State: platformserver.VMStateLive})
