Let the proof of a killed entry fail without the claim

Cause: entryKilled held with claims left out altogether, since its kills seldom met a side effect under way (8 ms). Change: the side effect takes some 240 ms there.

--- a/prover/entries.go
+++ b/prover/entries.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"geraniumline/faker"
 	"geraniumline/relayer"
 )
 
@@ -30,11 +31,18 @@
 }
 
 // Entries die under load with requests that must not be repeated in every step. Callers see their connections
-// break and send the same key to another entry, which knows from the log alone what may have run.
+// break and send the same key to another entry, which knows from the log alone what may have run. The stage
+// that must not be repeated takes long, so that each death finds some of it under way.
 func proveEntryKilled(ctx context.Context, b *bench) error {
+	if err := b.all(ctx, "tickets", faker.Faults{SlowFactor: longStage}); err != nil {
+		return err
+	}
 	return b.underLoad(ctx, func() error { return b.killSome(ctx) })
 }
 
+// longStage makes the stage that must not be repeated take some 240 ms.
+const longStage = 30
+
 // underLoad does something under load of both kinds. Repeatable requests have to be answered all the same.
 func (b *bench) underLoad(ctx context.Context, do func() error) error {
 	from := time.Now()
