Publish seven counts that nobody could see, and drop five that nobody read

Cause: the core counted resumed streams, late claims, configuration from peers, pauses and contents found to crash endpoints, and the folds counted unreadable records, but none of it led to a metric; ConfigBadRecords was never counted, and RequestsTaken, RequestsNotRun, RequestsUnknown and Appends stood beside metrics of receiver and performer.

Change: stage_resumes, claims_late, claims_records_bad, config_records_bad, config_from_peers, pauses_noticed and poison_found. A test holds each of the core's counts to exactly one metric, but for the two that other packages count by label. The streaming test no longer waits for ever where the request fails before its first token.

--- a/assembler/stream_test.go
+++ b/assembler/stream_test.go
@@ -114,7 +114,12 @@
 	e, g := startGatedEntry(t)
 	first := make(chan string, 1)
 	streamed := e.send(t, caller.Request{Key: "k", Input: "readings", Stream: true, Traceparent: "00-" + traceID + "-b7ad6b7169203331-01"}, first)
-	token := <-first
+	token := ""
+	select {
+	case token = <-first:
+	case early := <-streamed:
+		require.Fail(t, "the request ended before its first token", "%v", early.err)
+	}
 	require.NotEmpty(t, token)
 	require.Empty(t, streamed, "the answer is not whole yet")
 
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -40,6 +40,7 @@
 	FirstPartMicros   Name = "first_part_micros"
 	CostMillis        Name = "cost_millis"
 	WastedMillis      Name = "wasted_millis"
+	PoisonFound       Name = "poison_found"
 	PoisonRefused     Name = "poison_refused"
 	OutcomesAsked     Name = "outcomes_asked"
 	OutcomesHandedOff Name = "outcomes_handed_off"
@@ -51,6 +52,7 @@
 	StageFailures  Name = "stage_failures"
 	StageRetries   Name = "stage_retries"
 	StageHedges    Name = "stage_hedges"
+	StageResumes   Name = "stage_resumes"
 	StageCancels   Name = "stage_cancels"
 	StageMicros    Name = "stage_micros"
 	RepliesLate    Name = "replies_late"
@@ -70,19 +72,23 @@
 
 // The platform's log, by stream.
 const (
-	LogAppends      Name = "log_appends"
-	LogAppendErrors Name = "log_append_errors"
-	LogAppendMicros Name = "log_append_micros"
-	LogReads        Name = "log_reads"
-	LogReadErrors   Name = "log_read_errors"
-	ClaimsAppended  Name = "claims_appended"
-	ClaimsWon       Name = "claims_won"
-	ClaimsLost      Name = "claims_lost"
-	ConfigOffset    Name = "config_offset"
-	ClaimsOffset    Name = "claims_offset"
-	ConfigAccepted  Name = "config_accepted"
-	ConfigConflicts Name = "config_conflicts"
-	ConfigInvalid   Name = "config_invalid"
+	LogAppends       Name = "log_appends"
+	LogAppendErrors  Name = "log_append_errors"
+	LogAppendMicros  Name = "log_append_micros"
+	LogReads         Name = "log_reads"
+	LogReadErrors    Name = "log_read_errors"
+	ClaimsAppended   Name = "claims_appended"
+	ClaimsWon        Name = "claims_won"
+	ClaimsLost       Name = "claims_lost"
+	ClaimsLate       Name = "claims_late"
+	ConfigOffset     Name = "config_offset"
+	ClaimsOffset     Name = "claims_offset"
+	ConfigAccepted   Name = "config_accepted"
+	ConfigConflicts  Name = "config_conflicts"
+	ConfigInvalid    Name = "config_invalid"
+	ClaimsRecordsBad Name = "claims_records_bad"
+	ConfigRecordsBad Name = "config_records_bad"
+	ConfigFromPeers  Name = "config_from_peers"
 )
 
 // Peers.
@@ -101,6 +107,7 @@
 	PeersEvicted       Name = "peers_evicted"
 	PeerAcceptErrors   Name = "peer_accept_errors"
 	PeersLive          Name = "peers_live"
+	PausesNoticed      Name = "pauses_noticed"
 )
 
 // Listening sockets, by socket.
@@ -143,6 +150,7 @@
 	{FirstPartMicros, KindHistogram, "microseconds", "", "From a streamed request's arrival to the first part of its answer.", ""},
 	{CostMillis, KindCounter, "endpoint milliseconds", byAccount, "Endpoint time used by stage calls.", ""},
 	{WastedMillis, KindCounter, "endpoint milliseconds", byAccount, "The part of cost_millis that went to cancelled, hedged and retried calls whose result was not used.", ""},
+	{PoisonFound, KindCounter, "contents", "", "A content that lost two endpoints that ran it and is not run again.", ""},
 	{PoisonRefused, KindCounter, "requests", "", "A request refused because its content had crashed endpoints before.", ""},
 	{OutcomesAsked, KindCounter, "calls", "", "A call for the outcome of an earlier request.", ""},
 	{OutcomesHandedOff, KindCounter, "outcomes", "", "An outcome given to a peer at a planned stop.", ""},
@@ -151,6 +159,7 @@
 	{StageFailures, KindCounter, "calls", byStage, "A call that ended without a whole reply.", ""},
 	{StageRetries, KindCounter, "calls", "", "A call sent again after a failure.", ""},
 	{StageHedges, KindCounter, "calls", "", "A second call sent beside a slow first one.", ""},
+	{StageResumes, KindCounter, "calls", "", "A cut stream that was read on at its endpoint.", ""},
 	{StageCancels, KindCounter, "calls", byStage, "A call cancelled because its result was no longer wanted.", ""},
 	{StageMicros, KindHistogram, "microseconds", byStage, "From a call's dispatch to the end of its reply.", ""},
 	{RepliesLate, KindCounter, "replies", "", "A reply dropped because another attempt had already been taken.", ""},
@@ -172,11 +181,15 @@
 	{ClaimsAppended, KindCounter, "claims", "", "A claim put into an append.", ""},
 	{ClaimsWon, KindCounter, "claims", "", "A claim read back as the first valid one for its key.", ""},
 	{ClaimsLost, KindCounter, "claims", "", "A claim read back behind another's.", ""},
+	{ClaimsLate, KindCounter, "claims", "", "A claim won after its caller had been told notRun; it was released and not run.", ""},
+	{ClaimsRecordsBad, KindCounter, "records", "", "A record of claims that could not be read and was passed over.", ""},
 	{ConfigOffset, KindGauge, "offset", "", "Log offset up to which configuration is in force.", ""},
 	{ClaimsOffset, KindGauge, "offset", "", "Log offset up to which claims are known.", ""},
 	{ConfigAccepted, KindCounter, "changes", "", "A change of configuration that won.", ""},
 	{ConfigConflicts, KindCounter, "changes", "", "A change of configuration that was based on an older version.", ""},
 	{ConfigInvalid, KindCounter, "changes", "", "A change of configuration with faults in its body.", ""},
+	{ConfigRecordsBad, KindCounter, "records", "", "A record of configuration that could not be read and was passed over.", ""},
+	{ConfigFromPeers, KindCounter, "messages", "", "A peer's message that brought configuration up to a higher offset than the log had yet.", ""},
 
 	{HeartbeatsSent, KindCounter, "heartbeats", "", "A heartbeat sent to a peer.", ""},
 	{HeartbeatsReceived, KindCounter, "heartbeats", "", "A heartbeat taken from a peer.", ""},
@@ -192,6 +205,7 @@
 	{PeersEvicted, KindCounter, "connections", "", "A connection at the peers' socket closed in favour of a newer one.", "peers.connectionsEvicted"},
 	{PeerAcceptErrors, KindCounter, "failures", "", "A failure to accept a connection at the peers' socket.", "peers.acceptFailures"},
 	{PeersLive, KindGauge, "entries", "", "Other entries heard of lately.", ""},
+	{PausesNoticed, KindCounter, "pauses", "", "A pause of this entry that was so long that its peers may have taken it for dead.", ""},
 
 	{ConnectionsOpen, KindGauge, "connections", bySocket, "Open connections.", ""},
 	{ConnectionsRefused, KindCounter, "connections", bySocket, "A connection closed at once because too many were open.", ""},
--- a/performer/metrics.go
+++ b/performer/metrics.go
@@ -84,5 +84,12 @@
 	{meter.OrdersRefused, func(c *reducer.Counters) uint64 { return c.OrdersRefused }},
 	{meter.OrdersUncertain, func(c *reducer.Counters) uint64 { return c.OrdersUncertain }},
 	{meter.LoadsOrdered, func(c *reducer.Counters) uint64 { return c.LoadsOrdered }},
+	{meter.StageResumes, func(c *reducer.Counters) uint64 { return c.StageResumes }},
+	{meter.ClaimsLate, func(c *reducer.Counters) uint64 { return c.ClaimsLate }},
+	{meter.ClaimsRecordsBad, func(c *reducer.Counters) uint64 { return c.ClaimsRecordsBad }},
+	{meter.ConfigRecordsBad, func(c *reducer.Counters) uint64 { return c.ConfigRecordsBad }},
+	{meter.ConfigFromPeers, func(c *reducer.Counters) uint64 { return c.ConfigFromPeers }},
+	{meter.PausesNoticed, func(c *reducer.Counters) uint64 { return c.PausesNoticed }},
+	{meter.PoisonFound, func(c *reducer.Counters) uint64 { return c.PoisonFound }},
 	{meter.RequestsRepeated, func(c *reducer.Counters) uint64 { return c.RequestsJoined }},
 }
--- /dev/null
+++ b/performer/metrics_test.go
@@ -0,0 +1,33 @@
+package performer
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/reducer"
+)
+
+// A count that leads to no metric is seen by nobody.
+func TestEveryCountOfTheCoreIsPublished(t *testing.T) {
+	elsewhere := map[string]string{
+		"RequestsAnswered": "counted by account in receiver",
+		"StageCalls":       "counted by stage in this package",
+	}
+	fields := reflect.TypeFor[reducer.Counters]()
+	for i := range fields.NumField() {
+		name := fields.Field(i).Name
+		var counters reducer.Counters
+		reflect.ValueOf(&counters).Elem().Field(i).SetUint(1)
+		published := 0
+		for _, c := range coreCounters {
+			published += int(c.value(&counters))
+		}
+		if elsewhere[name] != "" {
+			require.Zero(t, published, name)
+			continue
+		}
+		require.Equal(t, 1, published, name)
+	}
+}
--- a/reducer/claim.go
+++ b/reducer/claim.go
@@ -83,7 +83,6 @@
 			c.batcher.Appended(batch.BatchID, claimer.AppendDone{}, now)
 			continue
 		}
-		c.counters.Appends++
 		c.appending++
 		c.emit(Append{Stream: StreamClaims, BatchID: batch.BatchID, Data: data})
 	}
@@ -256,7 +255,6 @@
 	callers := append([]uint64{r.id}, r.joined...)
 	c.drop(r, now)
 	for _, id := range callers {
-		c.counters.RequestsUnknown++
 		c.emit(SendFailure{ID: id, Failure: mayHaveRun(r.key, 0)})
 	}
 }
--- a/reducer/counters.go
+++ b/reducer/counters.go
@@ -28,10 +28,7 @@
 
 // Counters are this core's counts since its start. The performer copies them into the metrics registry.
 type Counters struct {
-	RequestsTaken     uint64
 	RequestsAnswered  uint64
-	RequestsNotRun    uint64
-	RequestsUnknown   uint64
 	RequestsJoined    uint64
 	StageCalls        uint64
 	StageRetries      uint64
@@ -45,8 +42,8 @@
 	ClaimsWon         uint64
 	ClaimsLost        uint64
 	ClaimsLate        uint64
-	Appends           uint64
-	ConfigBadRecords  uint64
+	ClaimsRecordsBad  uint64
+	ConfigRecordsBad  uint64
 	ConfigAccepted    uint64
 	ConfigConflicts   uint64
 	ConfigInvalid     uint64
@@ -58,7 +55,7 @@
 	HeartbeatsTaken   uint64
 	PausesNoticed     uint64
 	EndpointsEjected  uint64
-	DigestsQuarantine uint64
+	PoisonFound       uint64
 	OrdersSent        uint64
 	OrdersRefused     uint64
 	OrdersUncertain   uint64
--- a/reducer/log.go
+++ b/reducer/log.go
@@ -35,6 +35,7 @@
 			c.takeClaimDecision(decision, now)
 		}
 	}
+	c.counters.ClaimsRecordsBad = uint64(c.table.Bad())
 }
 
 // takeLogFailed notes that a stream can't be read now.
@@ -61,6 +62,7 @@
 			c.takeVerdict(verdict)
 		}
 	}
+	c.counters.ConfigRecordsBad = uint64(c.fold.Bad())
 	if len(records) > 0 {
 		c.applyContracts(now)
 		c.applyPools()
--- a/reducer/quarantine.go
+++ b/reducer/quarantine.go
@@ -50,7 +50,7 @@
 
 // quarantine ends all requests with the content.
 func (c *Core) quarantine(digest [32]byte, now time.Time) {
-	c.counters.DigestsQuarantine++
+	c.counters.PoisonFound++
 	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
 		r := c.requests[id]
 		if r.digest == digest {
--- a/reducer/refusal.go
+++ b/reducer/refusal.go
@@ -42,9 +42,6 @@
 	result := biller.NotRun
 	if failure.State == StateUnknown {
 		result = biller.Unknown
-		c.counters.RequestsUnknown++
-	} else {
-		c.counters.RequestsNotRun++
 	}
 	c.biller.Outcome(refused.key.Account, refused.urgency, result)
 	c.emit(SendFailure{ID: id, Failure: failure})
--- a/reducer/request.go
+++ b/reducer/request.go
@@ -89,7 +89,6 @@
 
 // takeRequest admits a request or answers it at once.
 func (c *Core) takeRequest(e *RequestArrived, now time.Time) {
-	c.counters.RequestsTaken++
 	contract, failure := c.authenticate(e.Credentials)
 	if failure != nil {
 		c.refuse(e.ID, e.Key, notKnown(*failure, e.Key))
@@ -338,9 +337,6 @@
 	if r.possible == 0 {
 		failure.State = StateNotRun
 		result = biller.NotRun
-		c.counters.RequestsNotRun++
-	} else {
-		c.counters.RequestsUnknown++
 	}
 	c.biller.Outcome(r.key.Account, r.urgency, result)
 	c.end(r, Outcome{State: failure.State, Request: r.name, Failure: failure, Ended: now, Digest: r.digest}, now)
@@ -399,7 +395,6 @@
 }
 
 func (c *Core) refuse(id uint64, key string, failure Failure) {
-	c.counters.RequestsNotRun++
 	failure.Key = key
 	c.emit(SendFailure{ID: id, Failure: failure})
 }
