Take a refused connection as an entry's death

Ruled out: the refusal alone, which a firewall between two entries may give. Change: refused, and no step heard by anyone since nor for half of SuspectAfter: dead, and its part is freed at once; a silent one keeps its part as before.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -98,6 +98,7 @@
 		Key:       s.Key(),
 		OtherKeys: s.OtherKeys(),
 		Handler:   func(from string, m carrier.Message) { e.performer.TakePeer(from, m) },
+		Refused:   func(address string) { e.performer.RefusePeer(address) },
 		Log:       e.cfg.Log,
 		Registry:  e.meter.Registry(),
 	})
--- a/detector/evidence.go
+++ b/detector/evidence.go
@@ -130,7 +130,27 @@
 		return out
 	}
 	r.member.State = to
-	return append(out, Transition{Member: r.member, From: from, To: to})
+	return append(out, Transition{Member: r.member, From: from, To: to, Refused: to == Dead && d.refused(r, now)})
+}
+
+// Refuse takes the word of the network that no process listens at a peer address.
+func (d *Detector) Refuse(peerAddress string, now time.Time) []Transition {
+	var out []Transition
+	for _, r := range d.order {
+		if r.member.PeerAddress != peerAddress {
+			continue
+		}
+		r.refusedAt = now
+		out = d.judge(r, now, out)
+	}
+	return out
+}
+
+// refused tells whether a member's process has ended, by two signs that no silence alone gives: its address refuses
+// connections, and nobody has heard a step of it since, nor for half of the time that makes it suspect. A firewall
+// between two entries may refuse as well; then a third still hears the member, and its word keeps it alive.
+func (d *Detector) refused(r *record, now time.Time) bool {
+	return r.refusedAt.After(r.member.LastHeard) && now.Sub(r.member.LastHeard) > d.cfg.SuspectAfter/2
 }
 
 func (d *Detector) assess(r *record, now time.Time) State {
@@ -138,7 +158,7 @@
 	switch {
 	case r.declared == Stopped:
 		return Stopped
-	case silence > d.cfg.DeadAfter:
+	case silence > d.cfg.DeadAfter, d.refused(r, now):
 		return Dead
 	case r.declared == Stopping:
 		return Stopping
--- a/detector/member.go
+++ b/detector/member.go
@@ -35,6 +35,9 @@
 	// Away is how long this entry's own loop stood still. It is set only on the transition that reports
 	// the pause, whose Member is this entry itself.
 	Away time.Duration
+	// Refused tells that a member is taken for dead since its address refuses connections: its process has ended,
+	// and it can't be on the far side of a cut.
+	Refused bool
 }
 
 // Woke tells that this entry was paused for so long that its peers may have taken it for dead.
@@ -49,6 +52,8 @@
 	// declared is the state that the member itself gave with its newest sequence.
 	declared State
 	probedAt time.Time
+	// refusedAt is when the member's address last refused a connection.
+	refusedAt time.Time
 	// id is the pulse id of the member's present process.
 	id uint32
 	// hash is of the member's name.
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -65,3 +65,21 @@
 	}
 	require.NoError(t, a.Flush(t.Context()))
 }
+
+// A peer's process has ended. The sender's next try to connect is refused, and whoever judges the peers must be told:
+// silence alone would take seconds to show it.
+func TestARefusedConnectionIsTold(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := closed.Addr().String()
+	require.NoError(t, closed.Close())
+	refused := make(chan string, 1)
+	m, _, _ := startMessenger(t, Config{Name: "a", Refused: func(address string) {
+		select {
+		case refused <- address:
+		default:
+		}
+	}})
+	m.Send(address, &carrier.Heartbeat{Sequence: 1})
+	require.Equal(t, address, <-refused)
+}
--- a/messenger/sender.go
+++ b/messenger/sender.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -118,6 +120,9 @@
 func (s *sender) tryConnect(ctx context.Context) (string, error) {
 	dialer := net.Dialer{Timeout: s.m.cfg.DialTimeout, Control: limitSilence(s.m.cfg.SilenceTimeout)}
 	conn, err := dialer.DialContext(ctx, "tcp", s.address)
+	if errors.Is(err, syscall.ECONNREFUSED) && s.m.cfg.Refused != nil {
+		s.m.cfg.Refused(s.address)
+	}
 	if err != nil {
 		return "", err
 	}
--- a/performer/readers.go
+++ b/performer/readers.go
@@ -83,6 +83,15 @@
 	p.Post(reducer.PeerMessageArrived{From: from, Message: message})
 }
 
+// RefusePeer tells the core that no process listens at a peer address. It does not wait: the messenger's senders
+// must go on, and the word comes again with their next try.
+func (p *Performer) RefusePeer(address string) {
+	select {
+	case p.events <- reducer.PeerRefused{Address: address}:
+	default:
+	}
+}
+
 // listVMs reads the platform's list of VMs over and over. It lags, so it is only a hint.
 func (p *Performer) listVMs(ctx context.Context) {
 	endpoints := newEndpointReader(p)
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -222,6 +222,8 @@
 		c.takePeerMessage(e, now)
 	case VMsListed:
 		c.takeVMs(e, now)
+	case PeerRefused:
+		c.takeTransitions(c.detector.Refuse(e.Address, now), now)
 	case EndpointRefused:
 		c.takeEndpointRefused(e, now)
 	case LoadReported:
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -151,6 +151,9 @@
 	Next    int64
 }
 
+// PeerRefused tells that no process listens at a peer address.
+type PeerRefused struct{ Address string }
+
 // EndpointRefused tells that nothing serves at an endpoint's address: it refused the question for its load.
 type EndpointRefused struct{ Address string }
 
@@ -221,6 +224,7 @@
 func (Appended) event()           {}
 func (PeerMessageArrived) event() {}
 func (VMsListed) event()          {}
+func (PeerRefused) event()        {}
 func (EndpointRefused) event()    {}
 func (LoadReported) event()       {}
 func (CacheEventsRead) event()    {}
--- a/reducer/silence.go
+++ b/reducer/silence.go
@@ -21,6 +21,10 @@
 	name := t.Member.Name
 	switch t.To {
 	case detector.Dead:
+		if t.Refused {
+			c.limiter.PeerGone(name, now)
+			return
+		}
 		c.silent[name] = silentEntry{peerAddress: t.Member.PeerAddress, since: now}
 	case detector.Stopped:
 		delete(c.silent, name)
