--- a/addresser/picker.go
+++ b/addresser/picker.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"geraniumline/detector"
+	"geraniumline/hasher"
 )
 
 // picker takes members for one account, one after another.
@@ -33,7 +34,7 @@
 			zones[m.Zone] = zone
 			p.taken = append(p.taken, 0)
 		}
-		p.candidates[i] = candidate{member: m, zone: zone, score: mix(seed ^ xxhash.Sum64String(m.Name))}
+		p.candidates[i] = candidate{member: m, zone: zone, score: hasher.Mix(seed ^ xxhash.Sum64String(m.Name))}
 	}
 	return p
 }
@@ -67,13 +68,3 @@
 		return x.member.Name < y.member.Name
 	}
 }
-
-// mix is the finaliser of SplitMix64: each bit of the input changes about half of the output's bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return x
-}
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -122,6 +122,7 @@
 	return tracer.Config{
 		Entry:     s.Name,
 		Zone:      s.Zone,
+		Region:    s.Region,
 		Kept:      int(s.Traces.Kept),
 		OTLPURL:   s.Traces.OTLPURL,
 		QueueSize: int(s.Traces.QueueSize),
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -17,6 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"geraniumline/carrier"
+	"geraniumline/hasher"
 )
 
 // phaseShift keeps the phase small, so that sums with it don't overflow.
@@ -90,7 +91,7 @@
 		members:  make(map[string]*record),
 		index:    newIndex(),
 		id:       pulseID(cfg.Self.Name, cfg.Self.Incarnation),
-		phase:    mix(xxhash.Sum64String(cfg.Self.Name)) >> phaseShift,
+		phase:    hasher.Mix(xxhash.Sum64String(cfg.Self.Name)) >> phaseShift,
 		hints:    make(map[string]*hint),
 		declared: Live,
 		self: Member{
--- a/detector/gossip.go
+++ b/detector/gossip.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"geraniumline/hasher"
 )
 
 const (
@@ -45,7 +47,7 @@
 	}
 	self := xxhash.Sum64String(d.self.Name)
 	ranked := slices.Clone(own)
-	slices.SortFunc(ranked, func(x, y *record) int { return cmp.Compare(mix(self^x.hash), mix(self^y.hash)) })
+	slices.SortFunc(ranked, func(x, y *record) int { return cmp.Compare(hasher.Mix(self^x.hash), hasher.Mix(self^y.hash)) })
 	out := make([]*record, d.cfg.Fanout)
 	for i := range out {
 		out[i] = ranked[(d.round*uint64(d.cfg.Fanout)+uint64(i))%uint64(len(ranked))]
@@ -78,6 +80,6 @@
 // a zone has a relay more or less, and steps go on spreading through the others.
 func (d *Detector) relays(members []*record) []*record {
 	live := slices.DeleteFunc(slices.Clone(members), func(r *record) bool { return r.member.State != Live })
-	slices.SortFunc(live, func(x, y *record) int { return cmp.Compare(mix(x.hash), mix(y.hash)) })
+	slices.SortFunc(live, func(x, y *record) int { return cmp.Compare(hasher.Mix(x.hash), hasher.Mix(y.hash)) })
 	return live[:min(len(live), d.cfg.Relays)]
 }
--- a/detector/pulse.go
+++ b/detector/pulse.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"geraniumline/carrier"
+	"geraniumline/hasher"
 )
 
 const (
@@ -20,17 +21,7 @@
 // pulses are never taken for its successor's.
 func pulseID(name string, incarnation uint64) uint32 {
 	h := xxhash.Sum64String(name)
-	return uint32(mix(h ^ mix(incarnation)))
-}
-
-// mix is the finaliser of SplitMix64: each bit of the input changes about half of the output's bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return x
+	return uint32(hasher.Mix(h ^ hasher.Mix(incarnation)))
 }
 
 // index finds members by their pulse id.
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -20,6 +20,7 @@
 	serviceKey = "service.name"
 	entryKey   = "service.instance.id"
 	zoneKey    = "cloud.availability_zone"
+	regionKey  = "cloud.region"
 	requestKey = "geraniumline.request.id"
 	service    = "geraniumline"
 )
@@ -29,9 +30,10 @@
 
 // Config says what is kept and exported. A zero Kept keeps nothing, an empty OTLPURL exports nothing.
 type Config struct {
-	// Entry and Zone are written on each exported span.
-	Entry string
-	Zone  string
+	// Entry, Zone and Region are written on each exported span.
+	Entry  string
+	Zone   string
+	Region string
 	// Kept is how many recent traces are kept for Find.
 	Kept int
 	// OTLPURL is where spans are sent by OTLP over HTTP.
@@ -69,6 +71,7 @@
 			attribute.String(serviceKey, service),
 			attribute.String(entryKey, cfg.Entry),
 			attribute.String(zoneKey, cfg.Zone),
+			attribute.String(regionKey, cfg.Region),
 		)),
 		sdktrace.WithRawSpanLimits(limits()),
 		sdktrace.WithSpanProcessor(kept),
--- a/tracer/tracer_test.go
+++ b/tracer/tracer_test.go
@@ -164,14 +164,14 @@
 	defer collector.Close()
 	exported := 0
 	tr := newTracer(t, Config{
-		Entry: "entry-1", Zone: "zone-a", OTLPURL: collector.URL + "/v1/traces", QueueSize: 8,
+		Entry: "entry-1", Zone: "zone-a", Region: "region-1", OTLPURL: collector.URL + "/v1/traces", QueueSize: 8,
 		Exported: func(n int) { exported += n },
 	})
 	tr.Start("", "request", "r-1", start).End(start)
 	require.NoError(t, tr.Close(context.Background()))
 	require.Equal(t, 1, exported)
 	body := <-bodies
-	for _, text := range []string{"entry-1", "zone-a", "request", "r-1"} {
+	for _, text := range []string{"entry-1", "zone-a", "cloud.region", "region-1", "request", "r-1"} {
 		require.Contains(t, body, text)
 	}
 }
