Unexport bounds and defaults that no other package reads

Cause: 47 constants were exported for no reader outside their package. Change: names only. Types in exported signatures stay exported.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -28,11 +28,11 @@
 
 // The defaults of Config.
 const (
-	DefaultWindow        = 20 * time.Second
-	DefaultWaitPart      = 0.4
-	DefaultWorstPart     = 0.8
+	defaultWindow        = 20 * time.Second
+	defaultWaitPart      = 0.4
+	defaultWorstPart     = 0.8
 	DefaultLongestReturn = 30 * time.Second
-	DefaultMaxStages     = 2048
+	defaultMaxStages     = 2048
 )
 
 // StageAsk is what a stage that is still to run asks of its pool.
@@ -59,19 +59,19 @@
 // New makes an Admitter that has observed nothing.
 func New(cfg Config) *Admitter {
 	if cfg.Window <= 0 {
-		cfg.Window = DefaultWindow
+		cfg.Window = defaultWindow
 	}
 	if cfg.WaitPart <= 0 {
-		cfg.WaitPart = DefaultWaitPart
+		cfg.WaitPart = defaultWaitPart
 	}
 	if cfg.WorstPart <= 0 {
-		cfg.WorstPart = DefaultWorstPart
+		cfg.WorstPart = defaultWorstPart
 	}
 	if cfg.LongestReturn <= 0 {
 		cfg.LongestReturn = DefaultLongestReturn
 	}
 	if cfg.MaxStages <= 0 {
-		cfg.MaxStages = DefaultMaxStages
+		cfg.MaxStages = defaultMaxStages
 	}
 	return &Admitter{cfg: cfg, stages: map[string]*stage{}, pools: map[string]*pool{}}
 }
--- a/claimer/batcher.go
+++ b/claimer/batcher.go
@@ -132,12 +132,12 @@
 
 // fit leaves out an answer that is too long, as a whole: a caller must not take a part for the answer.
 func fit(r Outcome) Outcome {
-	if len(r.Answer) > MaxAnswerBytes {
+	if len(r.Answer) > maxAnswerBytes {
 		r.Answer = ""
 		r.State = StateAnswerNotKept
 	}
-	r.Code = r.Code[:min(len(r.Code), MaxCodeBytes)]
-	r.Message = strings.ToValidUTF8(r.Message[:min(len(r.Message), MaxMessageBytes)], "")
+	r.Code = r.Code[:min(len(r.Code), maxCodeBytes)]
+	r.Message = strings.ToValidUTF8(r.Message[:min(len(r.Message), maxMessageBytes)], "")
 	return r
 }
 
--- a/claimer/batcher_test.go
+++ b/claimer/batcher_test.go
@@ -78,7 +78,7 @@
 // and the caller must be told that the answer was not kept, not be handed its first part.
 func TestAnOutcomeIsMadeToFit(t *testing.T) {
 	b := testBatcher()
-	long := string(make([]byte, MaxAnswerBytes+1))
+	long := string(make([]byte, maxAnswerBytes+1))
 	b.Add(Outcome{Key: wall, ClaimID: 1, State: StateAnswered, Answer: long, Message: long})
 	batch, ok := b.Due(at(0))
 	require.True(t, ok)
--- a/claimer/record.go
+++ b/claimer/record.go
@@ -75,9 +75,9 @@
 
 // Limits on one record, in bytes. The answer's leaves room for the rest of the record in the log's largest append.
 const (
-	MaxAnswerBytes  = 1_000_000
-	MaxMessageBytes = 1024
-	MaxCodeBytes    = 64
+	maxAnswerBytes  = 1_000_000
+	maxMessageBytes = 1024
+	maxCodeBytes    = 64
 	maxNameBytes    = 128
 )
 
@@ -157,9 +157,9 @@
 	case Outcome:
 		return firstError(
 			checkKey(r.Key),
-			checkField("answer", r.Answer, MaxAnswerBytes),
-			checkField("code", r.Code, MaxCodeBytes),
-			checkField("message", r.Message, MaxMessageBytes),
+			checkField("answer", r.Answer, maxAnswerBytes),
+			checkField("code", r.Code, maxCodeBytes),
+			checkField("message", r.Message, maxMessageBytes),
 		)
 	}
 	return nil
--- a/claimer/record_test.go
+++ b/claimer/record_test.go
@@ -29,7 +29,7 @@
 // One record past the log's largest append would be refused again and again, and every other record of its batch
 // with it: no claim of this entry would ever land.
 func TestEncodeRefusesWhatTheLogWould(t *testing.T) {
-	long := strings.Repeat("x", MaxAnswerBytes+1)
+	long := strings.Repeat("x", maxAnswerBytes+1)
 	for _, record := range []ClaimRecord{
 		Claim{Key: Key{Account: long, Key: testKey}},
 		Release{Key: Key{Account: "a", Key: long}},
--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -10,9 +10,9 @@
 
 // Defaults of Config.
 const (
-	DefaultMaxShare    = 1.0 / 3
-	DefaultEjection    = time.Second
-	DefaultMaxEjection = 16 * time.Second
+	defaultMaxShare    = 1.0 / 3
+	defaultEjection    = time.Second
+	defaultMaxEjection = 16 * time.Second
 )
 
 const (
@@ -60,13 +60,13 @@
 // NewPool makes a pool without endpoints.
 func NewPool(cfg Config) Pool {
 	if cfg.MaxShare == 0 {
-		cfg.MaxShare = DefaultMaxShare
+		cfg.MaxShare = defaultMaxShare
 	}
 	if cfg.Ejection == 0 {
-		cfg.Ejection = DefaultEjection
+		cfg.Ejection = defaultEjection
 	}
 	if cfg.MaxEjection == 0 {
-		cfg.MaxEjection = DefaultMaxEjection
+		cfg.MaxEjection = defaultMaxEjection
 	}
 	return Pool{cfg: cfg}
 }
--- a/guarder/listener.go
+++ b/guarder/listener.go
@@ -44,14 +44,14 @@
 	Socket string
 	// Address is an IP and a port.
 	Address string
-	// MaxConnections bounds the open connections; 0 takes DefaultMaxConnections.
+	// MaxConnections bounds the open connections; 0 takes defaultMaxConnections.
 	MaxConnections int
 	// Meter counts open and refused connections.
 	Meter *meter.Meter
 }
 
-// DefaultMaxConnections bounds a socket whose settings give no bound.
-const DefaultMaxConnections = 4096
+// defaultMaxConnections bounds a socket whose settings give no bound.
+const defaultMaxConnections = 4096
 
 // Listen opens a TCP socket that holds at most MaxConnections connections, and of those at most half
 // from one remote address.
@@ -61,7 +61,7 @@
 // bound by address keeps one host's flood from shutting out all others.
 func Listen(cfg ListenConfig) (net.Listener, error) {
 	if cfg.MaxConnections <= 0 {
-		cfg.MaxConnections = DefaultMaxConnections
+		cfg.MaxConnections = defaultMaxConnections
 	}
 	address, err := netip.ParseAddrPort(cfg.Address)
 	if err != nil {
--- a/guarder/server.go
+++ b/guarder/server.go
@@ -17,13 +17,13 @@
 
 // The bounds of a socket that Config leaves at zero.
 const (
-	DefaultHeaderTimeout = 5 * time.Second
-	DefaultBodyTimeout   = 20 * time.Second
-	DefaultWriteTimeout  = 20 * time.Second
-	DefaultIdleTimeout   = 60 * time.Second
-	DefaultMaxBodyBytes  = 1 << 20
-	// DefaultMaxBodiesBytes holds 64 bodies of the default bound, or thousands of ordinary ones.
-	DefaultMaxBodiesBytes = 64 << 20
+	defaultHeaderTimeout = 5 * time.Second
+	defaultBodyTimeout   = 20 * time.Second
+	defaultWriteTimeout  = 20 * time.Second
+	defaultIdleTimeout   = 60 * time.Second
+	defaultMaxBodyBytes  = 1 << 20
+	// defaultMaxBodiesBytes holds 64 bodies of the default bound, or thousands of ordinary ones.
+	defaultMaxBodiesBytes = 64 << 20
 )
 
 // maxHeaderBytes bounds a request's line and headers; net/http adds 4 KB of its own.
@@ -62,12 +62,12 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.HeaderTimeout = orDefault(c.HeaderTimeout, DefaultHeaderTimeout)
-	c.BodyTimeout = orDefault(c.BodyTimeout, DefaultBodyTimeout)
-	c.WriteTimeout = orDefault(c.WriteTimeout, DefaultWriteTimeout)
-	c.IdleTimeout = orDefault(c.IdleTimeout, DefaultIdleTimeout)
-	c.MaxBodyBytes = orDefault(c.MaxBodyBytes, DefaultMaxBodyBytes)
-	c.MaxBodiesBytes = max(orDefault(c.MaxBodiesBytes, DefaultMaxBodiesBytes), 4*c.MaxBodyBytes)
+	c.HeaderTimeout = orDefault(c.HeaderTimeout, defaultHeaderTimeout)
+	c.BodyTimeout = orDefault(c.BodyTimeout, defaultBodyTimeout)
+	c.WriteTimeout = orDefault(c.WriteTimeout, defaultWriteTimeout)
+	c.IdleTimeout = orDefault(c.IdleTimeout, defaultIdleTimeout)
+	c.MaxBodyBytes = orDefault(c.MaxBodyBytes, defaultMaxBodyBytes)
+	c.MaxBodiesBytes = max(orDefault(c.MaxBodiesBytes, defaultMaxBodiesBytes), 4*c.MaxBodyBytes)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -42,36 +42,36 @@
 
 // The defaults of Config.
 const (
-	DefaultFloorShare  = 0.05
-	DefaultPeerSilence = 500 * time.Millisecond
-	DefaultPeerDecay   = 5 * time.Second
-	DefaultHeartbeat   = 200 * time.Millisecond
-	DefaultUseLifetime = 3 * time.Second
-	DefaultUseRefresh  = time.Second
-	DefaultMaxUses     = 4096
+	defaultFloorShare  = 0.05
+	defaultPeerSilence = 500 * time.Millisecond
+	defaultPeerDecay   = 5 * time.Second
+	defaultHeartbeat   = 200 * time.Millisecond
+	defaultUseLifetime = 3 * time.Second
+	defaultUseRefresh  = time.Second
+	defaultMaxUses     = 4096
 )
 
 func (cfg Config) withDefaults() Config {
 	if cfg.FloorShare <= 0 {
-		cfg.FloorShare = DefaultFloorShare
+		cfg.FloorShare = defaultFloorShare
 	}
 	if cfg.PeerSilence <= 0 {
-		cfg.PeerSilence = DefaultPeerSilence
+		cfg.PeerSilence = defaultPeerSilence
 	}
 	if cfg.PeerDecay <= 0 {
-		cfg.PeerDecay = DefaultPeerDecay
+		cfg.PeerDecay = defaultPeerDecay
 	}
 	if cfg.Heartbeat <= 0 {
-		cfg.Heartbeat = DefaultHeartbeat
+		cfg.Heartbeat = defaultHeartbeat
 	}
 	if cfg.UseLifetime <= 0 {
-		cfg.UseLifetime = DefaultUseLifetime
+		cfg.UseLifetime = defaultUseLifetime
 	}
 	if cfg.UseRefresh <= 0 {
-		cfg.UseRefresh = DefaultUseRefresh
+		cfg.UseRefresh = defaultUseRefresh
 	}
 	if cfg.MaxUses <= 0 {
-		cfg.MaxUses = DefaultMaxUses
+		cfg.MaxUses = defaultMaxUses
 	}
 	return cfg
 }
--- a/loader/load.go
+++ b/loader/load.go
@@ -10,8 +10,8 @@
 	"github.com/tailscale/hujson"
 )
 
-// MaxFileBytes bounds a settings file; the parser's depth and memory follow from it.
-const MaxFileBytes = 256 << 10
+// maxFileBytes bounds a settings file; the parser's depth and memory follow from it.
+const maxFileBytes = 256 << 10
 
 // UnreadableError tells that a file could not be read.
 type UnreadableError struct {
@@ -43,7 +43,7 @@
 }
 
 func parse(src []byte, readFile func(string) ([]byte, error)) (Settings, error) {
-	tree, err := parseTree(src, MaxFileBytes)
+	tree, err := parseTree(src, maxFileBytes)
 	if err != nil {
 		return Settings{}, err
 	}
--- a/loader/objects.go
+++ b/loader/objects.go
@@ -9,8 +9,8 @@
 	"github.com/tailscale/hujson"
 )
 
-// MaxObjectsBytes bounds a file of configuration objects.
-const MaxObjectsBytes = 4 << 20
+// maxObjectsBytes bounds a file of configuration objects.
+const maxObjectsBytes = 4 << 20
 
 // Object is a configuration object from a file: a pool, a pipeline, a contract or a placement.
 type Object struct {
@@ -49,7 +49,7 @@
 
 // ParseObjects reads the text of a file as LoadObjects does.
 func ParseObjects(src []byte) ([]Object, error) {
-	tree, err := parseTree(src, MaxObjectsBytes)
+	tree, err := parseTree(src, maxObjectsBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/messenger/config.go
+++ b/messenger/config.go
@@ -11,9 +11,9 @@
 	"geraniumline/carrier"
 )
 
-// MinKey is the least length of the shared key, in bytes. Whoever makes a peer prove itself can try keys
+// minKey is the least length of the shared key, in bytes. Whoever makes a peer prove itself can try keys
 // offline against that proof, so the key must be random and not a word.
-const MinKey = 16
+const minKey = 16
 
 const (
 	defaultMaxFrame         = 1 << 20
@@ -39,7 +39,7 @@
 	Listen net.Listener
 	// Name is this entry's name.
 	Name string
-	// Key is shared by all entries of the system; at least MinKey bytes.
+	// Key is shared by all entries of the system; at least minKey bytes.
 	Key []byte
 	// OtherKeys may be proved by dialers too, so that the key can be changed with the entries restarted one after
 	// another: first all take the new key here, then all dial with it and take the old one here, then it goes.
@@ -76,13 +76,13 @@
 }
 
 func (e *KeyError) Error() string {
-	return fmt.Sprintf("shared key has %d bytes, at least %d are needed", e.Length, MinKey)
+	return fmt.Sprintf("shared key has %d bytes, at least %d are needed", e.Length, minKey)
 }
 
 // checkKeys gives a KeyError if a key is too short. An empty one would let anybody in.
 func (c Config) checkKeys() error {
 	for _, key := range append([][]byte{c.Key}, c.OtherKeys...) {
-		if len(key) < MinKey {
+		if len(key) < minKey {
 			return &KeyError{Length: len(key)}
 		}
 	}
--- a/publisher/check.go
+++ b/publisher/check.go
@@ -10,10 +10,10 @@
 
 // Limits on configuration objects.
 const (
-	// MaxBodyBytes is the largest body of one object.
-	MaxBodyBytes = 64 << 10
-	// MinStages and MaxStages bound a pipeline's length.
-	MinStages = 3
+	// maxBodyBytes is the largest body of one object.
+	maxBodyBytes = 64 << 10
+	// minStages and MaxStages bound a pipeline's length.
+	minStages = 3
 	MaxStages = 6
 
 	maxQuantity       = 1e9
@@ -46,8 +46,8 @@
 	if !namePattern.MatchString(name) {
 		faults = append(faults, Fault{Message: fmt.Sprintf("the object's name must match %s", namePattern)})
 	}
-	if len(body) > MaxBodyBytes {
-		return parsed{}, append(faults, Fault{Message: fmt.Sprintf("has %d bytes, more than %d", len(body), MaxBodyBytes)})
+	if len(body) > maxBodyBytes {
+		return parsed{}, append(faults, Fault{Message: fmt.Sprintf("has %d bytes, more than %d", len(body), maxBodyBytes)})
 	}
 	var p parsed
 	switch kind {
@@ -84,8 +84,8 @@
 	if !r.read("stages", "a list of stages", true, &stages) {
 		return p
 	}
-	if len(stages) < MinStages || len(stages) > MaxStages {
-		r.fault("stages", "must have from %d to %d stages", MinStages, MaxStages)
+	if len(stages) < minStages || len(stages) > MaxStages {
+		r.fault("stages", "must have from %d to %d stages", minStages, MaxStages)
 		return p
 	}
 	seen := make(map[string]bool)
--- a/publisher/check_test.go
+++ b/publisher/check_test.go
@@ -54,7 +54,7 @@
 			{"model":"a","version":"1","role":"both","minCopies":-1,"weight":0,"adapters":["x","x"]},
 			{"model":"a","role":"writer","minCopies":1,"weight":1,"copies":2}]}`},
 		{"placement without models", KindPlacement, "engines", `{"pool":"engines","models":[]}`},
-		{"oversize", KindPool, "engines", `{"kind":"` + strings.Repeat("x", MaxBodyBytes) + `"}`},
+		{"oversize", KindPool, "engines", `{"kind":"` + strings.Repeat("x", maxBodyBytes) + `"}`},
 	}
 	var out strings.Builder
 	for _, s := range scenarios {
--- a/publisher/fold_test.go
+++ b/publisher/fold_test.go
@@ -191,7 +191,7 @@
 	}
 	late := New(Config{Entry: "c"})
 	require.True(t, late.Gap(11))
-	for range HistoryLimit + 50 {
+	for range historyLimit + 50 {
 		r := next()
 		old.Apply(r)
 		late.Apply(r)
@@ -210,5 +210,5 @@
 	require.Equal(t, fingerprint(old), fingerprint(fresh))
 	_, ok := fresh.Verdict("op1")
 	require.False(t, ok)
-	require.Len(t, fresh.History(HistoryLimit+1), HistoryLimit)
+	require.Len(t, fresh.History(historyLimit+1), historyLimit)
 }
--- a/publisher/history.go
+++ b/publisher/history.go
@@ -1,8 +1,8 @@
 package publisher
 
-// HistoryLimit is how many verdicts every entry remembers. It is the same everywhere and forever: the verdict on
+// historyLimit is how many verdicts every entry remembers. It is the same everywhere and forever: the verdict on
 // a doubled operation id depends on it, and two entries that remembered differently would part for good.
-const HistoryLimit = 1024
+const historyLimit = 1024
 
 const maxMessageBytes = 1024
 
@@ -21,7 +21,7 @@
 func (h *history) add(v Verdict) {
 	h.byID[v.OperationID] = h.dropped + len(h.verdicts)
 	h.verdicts = append(h.verdicts, v)
-	if len(h.verdicts) > HistoryLimit {
+	if len(h.verdicts) > historyLimit {
 		delete(h.byID, h.verdicts[0].OperationID)
 		h.verdicts = h.verdicts[1:]
 		h.dropped++
--- a/publisher/model_test.go
+++ b/publisher/model_test.go
@@ -53,7 +53,7 @@
 	for _, o := range f.Objects("", "") {
 		out += fmt.Sprintf("%s/%s@%d=%s\n", o.Kind, o.Name, o.Version, o.Body)
 	}
-	return out + fmt.Sprint(f.History(HistoryLimit))
+	return out + fmt.Sprint(f.History(historyLimit))
 }
 
 func (w *world) violate(format string, args ...any) {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -14,9 +14,9 @@
 
 // Defaults of Config.
 const (
-	DefaultSuspectFor    = time.Minute
-	DefaultQuarantineFor = 10 * time.Minute
-	DefaultMaxMarks      = 4096
+	defaultSuspectFor    = time.Minute
+	defaultQuarantineFor = 10 * time.Minute
+	defaultMaxMarks      = 4096
 )
 
 const (
@@ -95,13 +95,13 @@
 // New makes a quarantiner without marks.
 func New(cfg Config) *Quarantiner {
 	if cfg.SuspectFor == 0 {
-		cfg.SuspectFor = DefaultSuspectFor
+		cfg.SuspectFor = defaultSuspectFor
 	}
 	if cfg.QuarantineFor == 0 {
-		cfg.QuarantineFor = DefaultQuarantineFor
+		cfg.QuarantineFor = defaultQuarantineFor
 	}
 	if cfg.MaxMarks == 0 {
-		cfg.MaxMarks = DefaultMaxMarks
+		cfg.MaxMarks = defaultMaxMarks
 	}
 	return &Quarantiner{cfg: cfg, marks: map[Digest]*mark{}}
 }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -6,10 +6,10 @@
 
 // Defaults of Config.
 const (
-	DefaultRatio     = 0.04
-	DefaultBusyRatio = 0.004
-	DefaultReserve   = 10
-	DefaultAttempts  = 3
+	defaultRatio     = 0.04
+	defaultBusyRatio = 0.004
+	defaultReserve   = 10
+	defaultAttempts  = 3
 )
 
 // Config sets a Retrier up. Zero fields take the defaults above.
@@ -35,16 +35,16 @@
 // New makes a retrier whose pools begin with a full reserve.
 func New(cfg Config) *Retrier {
 	if cfg.Ratio == 0 {
-		cfg.Ratio = DefaultRatio
+		cfg.Ratio = defaultRatio
 	}
 	if cfg.BusyRatio == 0 {
-		cfg.BusyRatio = DefaultBusyRatio
+		cfg.BusyRatio = defaultBusyRatio
 	}
 	if cfg.Reserve == 0 {
-		cfg.Reserve = DefaultReserve
+		cfg.Reserve = defaultReserve
 	}
 	if cfg.Attempts == 0 {
-		cfg.Attempts = DefaultAttempts
+		cfg.Attempts = defaultAttempts
 	}
 	return &Retrier{cfg: cfg, budgets: map[string]*budget{}}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -12,15 +12,15 @@
 
 // Defaults of Config.
 const (
-	DefaultSlots      = 8
-	DefaultCandidates = 4
+	defaultSlots      = 8
+	defaultCandidates = 4
 	// DefaultGoneAfter is how long an endpoint that the VM list no longer names is still used
 	// without a sign of life. The list lags, so a missing name alone proves nothing.
 	DefaultGoneAfter = 10 * time.Second
-	// DefaultReuseWeight is what a whole prompt found in an endpoint's cache is worth, in loads.
-	DefaultReuseWeight = 4
-	// DefaultCacheMaps bounds the endpoints whose cached prefixes are remembered, 16 KB each.
-	DefaultCacheMaps = 256
+	// defaultReuseWeight is what a whole prompt found in an endpoint's cache is worth, in loads.
+	defaultReuseWeight = 4
+	// defaultCacheMaps bounds the endpoints whose cached prefixes are remembered, 16 KB each.
+	defaultCacheMaps = 256
 )
 
 // Config sets a Router up. Zero fields take the defaults above.
@@ -53,16 +53,16 @@
 // New makes a router that knows no endpoint yet.
 func New(cfg Config) *Router {
 	if cfg.Candidates == 0 {
-		cfg.Candidates = DefaultCandidates
+		cfg.Candidates = defaultCandidates
 	}
 	if cfg.GoneAfter == 0 {
 		cfg.GoneAfter = DefaultGoneAfter
 	}
 	if cfg.ReuseWeight == 0 {
-		cfg.ReuseWeight = DefaultReuseWeight
+		cfg.ReuseWeight = defaultReuseWeight
 	}
 	if cfg.CacheMaps == 0 {
-		cfg.CacheMaps = DefaultCacheMaps
+		cfg.CacheMaps = defaultCacheMaps
 	}
 	return &Router{
 		cfg:       cfg,
@@ -111,7 +111,7 @@
 func (r *Router) pool(name string) *pool {
 	p, known := r.pools[name]
 	if !known {
-		p = &pool{name: name, slots: DefaultSlots, health: ejector.NewPool(r.cfg.Ejector)}
+		p = &pool{name: name, slots: defaultSlots, health: ejector.NewPool(r.cfg.Ejector)}
 		r.pools[name] = p
 		r.order = append(r.order, p)
 	}
@@ -123,7 +123,7 @@
 func (r *Router) SetPool(name string, slots int, caches bool) {
 	p := r.pool(name)
 	if slots <= 0 {
-		slots = DefaultSlots
+		slots = defaultSlots
 	}
 	p.caches = caches
 	if p.slots == slots {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -21,9 +21,9 @@
 
 // The defaults of Config.
 const (
-	DefaultNormalGuarantee  = 0.20
-	DefaultRelaxedGuarantee = 0.05
-	DefaultIdleCredit       = 1 * time.Second
+	defaultNormalGuarantee  = 0.20
+	defaultRelaxedGuarantee = 0.05
+	defaultIdleCredit       = 1 * time.Second
 )
 
 // Scheduler holds the queues of all pools. It is not safe for concurrent use: the reducer
@@ -41,13 +41,13 @@
 // New makes a Scheduler with no pool; a pool comes to be with its first item.
 func New(cfg Config) *Scheduler {
 	if cfg.NormalGuarantee <= 0 {
-		cfg.NormalGuarantee = DefaultNormalGuarantee
+		cfg.NormalGuarantee = defaultNormalGuarantee
 	}
 	if cfg.RelaxedGuarantee <= 0 {
-		cfg.RelaxedGuarantee = DefaultRelaxedGuarantee
+		cfg.RelaxedGuarantee = defaultRelaxedGuarantee
 	}
 	if cfg.IdleCredit <= 0 {
-		cfg.IdleCredit = DefaultIdleCredit
+		cfg.IdleCredit = defaultIdleCredit
 	}
 	return &Scheduler{
 		idleCredit: cfg.IdleCredit,
--- a/verifier/throttle.go
+++ b/verifier/throttle.go
@@ -8,9 +8,9 @@
 
 // The throttle's defaults.
 const (
-	DefaultBurst        = 20
-	DefaultPerMinute    = 60
-	DefaultMaxAddresses = 4096
+	defaultBurst        = 20
+	defaultPerMinute    = 60
+	defaultMaxAddresses = 4096
 )
 
 // Config says how many wrong credentials an address may send. Zero fields take the defaults.
@@ -42,13 +42,13 @@
 // New returns a Verifier that has seen no wrong credential yet.
 func New(cfg Config) *Verifier {
 	if cfg.Burst <= 0 {
-		cfg.Burst = DefaultBurst
+		cfg.Burst = defaultBurst
 	}
 	if cfg.PerMinute <= 0 {
-		cfg.PerMinute = DefaultPerMinute
+		cfg.PerMinute = defaultPerMinute
 	}
 	if cfg.MaxAddresses <= 0 {
-		cfg.MaxAddresses = DefaultMaxAddresses
+		cfg.MaxAddresses = defaultMaxAddresses
 	}
 	return &Verifier{
 		cfg:       cfg,
