End work whose last caller has left

Cause: a caller that had joined a running request and left stayed on its list, so a repeatable request ran on with nobody to read it (found by the read-through). Change: joined callers are known by their ids and taken out.

--- a/reducer/core.go
+++ b/reducer/core.go
@@ -102,7 +102,9 @@
 	orderings map[string]*ordering
 	orderAt   time.Time
 
-	requests  map[uint64]*request
+	requests map[uint64]*request
+	// joined leads the callers that joined a running request to its first caller's id.
+	joined    map[uint64]uint64
 	plans     map[string]*plan
 	applied   map[string]*publisher.Contract
 	claimMean time.Duration
@@ -161,6 +163,7 @@
 		orderings: map[string]*ordering{},
 
 		requests:  map[uint64]*request{},
+		joined:    map[uint64]uint64{},
 		plans:     map[string]*plan{},
 		applied:   map[string]*publisher.Contract{},
 		running:   map[claimer.Key]*request{},
--- a/reducer/end.go
+++ b/reducer/end.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"time"
 
 	"geraniumline/biller"
@@ -41,6 +42,7 @@
 // callers are told what is true of the key.
 func (c *Core) failUnclaimed(r *request, failure Failure, now time.Time) {
 	failure.State = StateNotRun
+	c.unjoin(r)
 	callers := r.joined
 	if !r.callerGone {
 		callers = append(callers, r.id)
@@ -76,10 +78,18 @@
 	for i := range r.plan.pipeline.Stages {
 		c.withdraw(r, i)
 	}
+	c.unjoin(r)
 	delete(c.requests, r.id)
 	delete(c.running, r.key)
 }
 
+// unjoin forgets who joined the request.
+func (c *Core) unjoin(r *request) {
+	for _, id := range r.joined {
+		delete(c.joined, id)
+	}
+}
+
 // sendOutcome answers a caller by what is known of its request.
 func (c *Core) sendOutcome(id uint64, key claimer.Key, outcome Outcome) {
 	if outcome.State == StateAnswered {
@@ -107,13 +117,26 @@
 // its caller may ask for its outcome by the key.
 func (c *Core) takeCallerGone(e CallerGone, now time.Time) {
 	r, running := c.requests[e.ID]
+	if first, joined := c.joined[e.ID]; joined {
+		delete(c.joined, e.ID)
+		r, running = c.requests[first]
+	}
 	if !running {
 		c.forgetAsk(e.ID)
 		return
 	}
-	r.callerGone = true
-	if r.plan.sideEffect || len(r.joined) > 0 || len(r.peers) > 0 {
+	r.leave(e.ID)
+	if !r.callerGone || r.plan.sideEffect || len(r.joined) > 0 || len(r.peers) > 0 {
 		return
 	}
 	c.fail(r, CodeCallerGone, "the caller closed its connection", 0, now)
 }
+
+// leave takes a caller out of those that wait for the request.
+func (r *request) leave(id uint64) {
+	if id == r.id {
+		r.callerGone = true
+		return
+	}
+	r.joined = slices.DeleteFunc(r.joined, func(joined uint64) bool { return joined == id })
+}
--- a/reducer/request.go
+++ b/reducer/request.go
@@ -173,6 +173,7 @@
 		}
 		c.counters.RequestsJoined++
 		r.joined = append(r.joined, e.ID)
+		c.joined[e.ID] = r.id
 		return true
 	}
 	if outcome, known := c.outcomes.get(key); known && (outcome.State == StateAnswered || plan.sideEffect && outcome.State != StateNotRun) {
