Cancel a repeatable request once its last caller has left, joined ones included

Cause: a caller that joined a running request under its key was never taken out of its list when it left: only the first caller's id led to the request. So a repeatable request ran on to its end although nobody waited, endpoint time that a surge lacks, and the core still sent outcomes to connections that were closed.

Ruled out: an index from a joined id to its request, one more thing to keep right at each end; the search runs only when a connection breaks before its answer, over the requests in flight, as forgetAsk does over the asks.

Change: leave finds the caller in either place; the request is cancelled when neither the first, nor a joined caller, nor a peer waits. Side effects go on as before.

--- a/reducer/end.go
+++ b/reducer/end.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"time"
 
 	"geraniumline/biller"
@@ -106,14 +107,28 @@
 // takeCallerGone cancels work that nobody waits for. A request with side effects goes on:
 // its caller may ask for its outcome by the key.
 func (c *Core) takeCallerGone(e CallerGone, now time.Time) {
-	r, running := c.requests[e.ID]
-	if !running {
+	r := c.leave(e.ID)
+	if r == nil {
 		c.forgetAsk(e.ID)
 		return
 	}
-	r.callerGone = true
-	if r.plan.sideEffect || len(r.joined) > 0 || len(r.peers) > 0 {
+	if r.plan.sideEffect || !r.callerGone || len(r.joined) > 0 || len(r.peers) > 0 {
 		return
 	}
 	c.fail(r, CodeCallerGone, "the caller closed its connection", 0, now)
 }
+
+// leave takes a caller from the running request that it waits for; nil if it waits for none.
+func (c *Core) leave(id uint64) *request {
+	if r, first := c.requests[id]; first {
+		r.callerGone = true
+		return r
+	}
+	for _, r := range c.requests {
+		if i := slices.Index(r.joined, id); i >= 0 {
+			r.joined = slices.Delete(r.joined, i, i+1)
+			return r
+		}
+	}
+	return nil
+}
