--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -1,6 +1,6 @@
 // Package admitter decides by deadlines: whether a request can still finish in time, how
 // much of the time left belongs to the stage at hand, and when to give up. Work that
-// can't be answered in time is refused at the door, where it has cost nothing.
+// can't be answered in time is refused at admission, where it has cost nothing.
 package admitter
 
 import (
--- a/admitter/bench_test.go
+++ b/admitter/bench_test.go
@@ -38,7 +38,7 @@
 	return h
 }
 
-// step is the decisions on one request: at the door, before a stage, and after it.
+// step is the decisions on one request: at admission, before a stage, and after it.
 func (h *history) step() {
 	h.now = h.now.Add(50 * time.Microsecond)
 	h.n = (h.n + pipelineLength) % len(h.asks)
--- a/measurer/dispatchers_test.go
+++ b/measurer/dispatchers_test.go
@@ -12,7 +12,7 @@
 	admitter  *admitter.Admitter
 	scheduler *scheduler.Scheduler
 	jobs      map[uint64]*job
-	// admitAll leaves out the refusal at the door.
+	// admitAll leaves out the refusal at admission.
 	admitAll bool
 	// belief is how many times its capacity each pool is believed to have.
 	belief float64
@@ -127,7 +127,7 @@
 }
 
 // firstCome is the baseline: first come, first served, cut at the deadline. A bound on the
-// queue refuses at the door; 0 admits all.
+// queue refuses at admission; 0 admits all.
 type firstCome struct {
 	queues [][]*job
 	bound  int
