Answer wrong paths in the interface's form, and try on where an entry is not ready

Change: codes unknownPath and wrongMethod; notReady and mayHaveRun let the caller try on under the same key.

--- a/assembler/refusal_test.go
+++ b/assembler/refusal_test.go
@@ -120,3 +120,30 @@
 	require.NoError(t, err)
 	require.NotEqual(t, answer.Text, own.Text)
 }
+
+// A caller that mistakes a path or a method gets the interface's own form of a failure, not a text page.
+func TestWrongPathAndMethod(t *testing.T) {
+	e := startEntry(t, 8)
+	for _, s := range []struct {
+		testName, method, path string
+		status                 int
+		code                   string
+	}{
+		{"unknown path", http.MethodGet, "/v2/addresses", 404, "unknownPath"},
+		{"wrong method", http.MethodDelete, "/v1/addresses", 405, "wrongMethod"},
+	} {
+		t.Run(s.testName, func(t *testing.T) {
+			request, err := http.NewRequest(s.method, "http://"+e.caller+s.path, nil)
+			require.NoError(t, err)
+			request.SetBasicAuth(testAccount, testAccount+testCredential)
+			response, err := http.DefaultClient.Do(request)
+			require.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			var failure struct{ Code, Outcome string }
+			require.NoError(t, json.NewDecoder(response.Body).Decode(&failure))
+			require.Equal(t, s.status, response.StatusCode)
+			require.Equal(t, s.code, failure.Code)
+			require.Equal(t, "notRun", failure.Outcome)
+		})
+	}
+}
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -156,6 +156,7 @@
 		{"comes back at the time named", []http.HandlerFunc{refuses(429, "rateLimited", "notRun", 700), answers("x")}, nil, "x", "", 2, 1, 700 * time.Millisecond},
 		{"does not wait for a time past the deadline", []http.HandlerFunc{refuses(429, "rateLimited", "notRun", 9000)}, nil, "notRun: no", "", 1, 1, 0},
 		{"busy elsewhere too", []http.HandlerFunc{refuses(503, "busy", "notRun", 0), refuses(503, "busy", "notRun", 0), answers("x")}, nil, "x", "", 3, 1, retryPause},
+		{"tries on where an entry is not ready", []http.HandlerFunc{refuses(503, "notReady", "unknown", 0), answers("x")}, nil, "x", "", 2, 1, 0},
 		{"asks for addresses again of a stopping entry", []http.HandlerFunc{refuses(503, "stopping", "notRun", 0), answers("x")}, nil, "x", "", 2, 2, 0},
 		{"asks again after a round without outcomes", []http.HandlerFunc{cuts, cuts, answers("x")}, nil, "x", "", 3, 2, retryPause},
 		{"gives up after a bounded number of tries", slices.Repeat([]http.HandlerFunc{refuses(503, "busy", "notRun", 0)}, maxAttempts+1), nil, "notRun: no", "", maxAttempts, 1, 4 * retryPause},
--- a/caller/send.go
+++ b/caller/send.go
@@ -24,8 +24,13 @@
 	outcomeUnknown = string(callerserver.FailureOutcomeUnknown)
 )
 
-// codeStopping is the refusal of an entry in its planned stop: the kept addresses are out of date.
-const codeStopping = "stopping"
+// The codes that decide about another try.
+const (
+	// codeStopping is the refusal of an entry in its planned stop: the kept addresses are out of date.
+	codeStopping   = "stopping"
+	codeNotReady   = "notReady"
+	codeMayHaveRun = "mayHaveRun"
+)
 
 // sending is one request on its way to its outcome.
 type sending struct {
@@ -145,13 +150,16 @@
 	return failed
 }
 
-// mayPass tells whether another try may do better: no entry gave an outcome, or it refused for the moment.
+// mayPass tells whether another try may do better: no entry gave an outcome, or it refused for the moment. An entry
+// that is not ready, or can't read the log, says unknown of the key though it ran nothing; under the same key
+// another try is safe, and may meet an entry that knows.
 func mayPass(failed *FailedError) bool {
 	if failed.Status == 0 {
 		return true
 	}
 	ofTheMoment := failed.Status == http.StatusTooManyRequests || failed.Status >= http.StatusInternalServerError
-	return failed.Outcome == outcomeNotRun && ofTheMoment
+	knowsNothing := failed.Code == codeNotReady || failed.Code == codeMayHaveRun
+	return ofTheMoment && (failed.Outcome == outcomeNotRun || knowsNothing)
 }
 
 // pause waits until the next try, and tells whether the deadline leaves time for one.
--- a/receiver/callers.go
+++ b/receiver/callers.go
@@ -31,7 +31,8 @@
 // NewCallers makes the handler of the callers' interface.
 func NewCallers(cfg CallersConfig) (http.Handler, error) {
 	callers := &Callers{core: cfg.Core, tracer: cfg.Tracer, meter: cfg.Meter}
-	return callerserver.NewServer(callers, callers, security{}, callerserver.WithErrorHandler(writeFailure))
+	return callerserver.NewServer(callers, callers, security{}, callerserver.WithErrorHandler(writeFailure),
+		callerserver.WithNotFound(writeUnknownPath), callerserver.WithMethodNotAllowed(writeWrongMethod))
 }
 
 type credentialsKey struct{}
--- a/receiver/failure.go
+++ b/receiver/failure.go
@@ -19,6 +19,8 @@
 	codeBodyTooLarge = "bodyTooLarge"
 	codeNoCredential = "noCredential"
 	codeInternal     = "internal"
+	codeUnknownPath  = "unknownPath"
+	codeWrongMethod  = "wrongMethod"
 )
 
 // FailureError is a core's Failure on its way to the caller.
@@ -86,11 +88,7 @@
 		return failureOf(failed.Failure)
 	}
 	status, code := classify(err)
-	return &callerserver.FailureStatusCode{StatusCode: status, Response: callerserver.Failure{
-		Code:    code,
-		Message: err.Error(),
-		Outcome: callerserver.FailureOutcomeNotRun,
-	}}
+	return notRunFailure(status, code, err.Error())
 }
 
 // classify names what is wrong with a call that the core has not seen.
@@ -110,6 +108,25 @@
 	return http.StatusInternalServerError, codeInternal
 }
 
+// writeUnknownPath answers a call to a path that the interface does not have.
+func writeUnknownPath(w http.ResponseWriter, _ *http.Request) {
+	write(w, notRunFailure(http.StatusNotFound, codeUnknownPath, "the interface has no such path"))
+}
+
+// writeWrongMethod answers a call by a method that the path does not have.
+func writeWrongMethod(w http.ResponseWriter, _ *http.Request, allowed string) {
+	w.Header().Set("Allow", allowed)
+	write(w, notRunFailure(http.StatusMethodNotAllowed, codeWrongMethod, "the path takes "+allowed))
+}
+
+func notRunFailure(status int, code, message string) *callerserver.FailureStatusCode {
+	return &callerserver.FailureStatusCode{StatusCode: status, Response: callerserver.Failure{
+		Code:    code,
+		Message: message,
+		Outcome: callerserver.FailureOutcomeNotRun,
+	}}
+}
+
 // writeFailure answers calls that fail before their handler.
 func writeFailure(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
 	write(w, failureOfError(err))
