--- a/launcher/examples_test.go
+++ b/launcher/examples_test.go
@@ -14,7 +14,7 @@
 func TestTheExamplesHaveNoFaults(t *testing.T) {
 	files, err := filepath.Glob("../docs/examples/*.json")
 	require.NoError(t, err)
-	require.Len(t, files, 4)
+	require.Len(t, files, 5)
 	for _, file := range files {
 		t.Run(filepath.Base(file), func(t *testing.T) {
 			src, err := os.ReadFile(file)
