Remove accessors without a reader, and a wait without an end in a test

Cause: Certificate.Enabled, Fleet.OperatorCredential, Table.Ignored with its count and Table.IsClosed had no caller, not in a test either. TestHangingServiceRunsLater would have hung until go test's timeout where its call failed, since require ends only the goroutine that it runs in.

Change: removed; starter.OperatorName unexported; the channel is closed when that goroutine ends.

--- a/claimer/table.go
+++ b/claimer/table.go
@@ -49,7 +49,6 @@
 	expired int64
 	answers answers
 	bad     int
-	ignored int
 }
 
 // New gives a table that has read nothing and so can prove nothing.
@@ -149,11 +148,11 @@
 func (t *Table) applyClaim(offset int64, by owner, own bool, c Claim) Decision {
 	id, err := parseKey(c.Key.Key)
 	if err != nil {
-		return t.voided(own, c, VoidBadKey)
+		return voided(own, c, VoidBadKey)
 	}
 	birth := birthMillis(id)
 	if reason := t.voidReason(by, birth); reason != 0 {
-		return t.voided(own, c, reason)
+		return voided(own, c, reason)
 	}
 	s := slot{account: t.names.id(c.Key.Account), id: id}
 	claim := claimIdentity{owner: by, claimID: c.ClaimID}
@@ -191,8 +190,7 @@
 	}
 }
 
-func (t *Table) voided(own bool, c Claim, reason VoidReason) Decision {
-	t.ignored++
+func voided(own bool, c Claim, reason VoidReason) Decision {
 	if !own {
 		return nil
 	}
@@ -219,7 +217,6 @@
 func (t *Table) applyRelease(by owner, r Release) Decision {
 	h := t.find(r.Key)
 	if h == nil || !h.held || h.ended() || h.claim != (claimIdentity{owner: by, claimID: r.ClaimID}) {
-		t.ignored++
 		return nil
 	}
 	h.held = false
@@ -229,7 +226,6 @@
 func (t *Table) applyOutcome(offset int64, by owner, own bool, r Outcome) Decision {
 	h := t.find(r.Key)
 	if h == nil || !h.held || h.ended() || h.claim != (claimIdentity{owner: by, claimID: r.ClaimID}) {
-		t.ignored++
 		return nil
 	}
 	h.end(offset, r)
@@ -282,14 +278,5 @@
 // Bad counts records that are no batches and were passed over.
 func (t *Table) Bad() int { return t.bad }
 
-// Ignored counts claims that were void, and releases and outcomes that were not their holder's.
-func (t *Table) Ignored() int { return t.ignored }
-
 // Lapsed tells that this incarnation may win no claim any more: the process must take a new one.
 func (t *Table) Lapsed() bool { return t.lapsed }
-
-// IsClosed tells whether an incarnation was closed, as far as this table has read.
-func (t *Table) IsClosed(entry string, incarnation uint64) bool {
-	id, ok := t.names.find(entry)
-	return ok && t.closed[owner{entry: id, incarnation: incarnation}]
-}
--- a/faker/service_test.go
+++ b/faker/service_test.go
@@ -130,7 +130,10 @@
 	e := faker.NewService(serviceConfig(faker.Faults{Hang: true}))
 	url := serveEndpoint(t, e)
 	answers := make(chan []endpointserver.StagePart, 1)
-	go func() { answers <- runCall(t, url, stageCall("r1")) }()
+	go func() {
+		defer close(answers) // a failed call ends the goroutine without an answer
+		answers <- runCall(t, url, stageCall("r1"))
+	}()
 	eventually(t, func() bool {
 		load, err := e.GetLoad(testContext(t))
 		return err == nil && load.Running == 1
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -140,9 +140,6 @@
 	KeyFile string `json:"keyFile" check:"optional"`
 }
 
-// Enabled tells whether a certificate is named.
-func (c Certificate) Enabled() bool { return c.CertFile != "" }
-
 // Traces says what is kept and exported of traces.
 type Traces struct {
 	// Where spans are sent by OTLP over HTTP; without it they are only kept.
--- a/starter/fleet.go
+++ b/starter/fleet.go
@@ -13,8 +13,8 @@
 	"geraniumline/verifier"
 )
 
-// OperatorName is the operator that every fleet knows.
-const OperatorName = "operator"
+// operatorName is the operator that every fleet knows.
+const operatorName = "operator"
 
 // Pool describes the stand-ins of one pool.
 type Pool struct {
--- a/starter/metric.go
+++ b/starter/metric.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return 0, err
 	}
-	request.SetBasicAuth(OperatorName, f.operator)
+	request.SetBasicAuth(operatorName, f.operator)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, err
--- a/starter/settings.go
+++ b/starter/settings.go
@@ -29,7 +29,7 @@
 		"weightsUrl":      "http://" + f.weights.address,
 		"sharedKey":       f.sharedKey,
 		"operators": []map[string]string{
-			{"name": OperatorName, "credentialSha256": verifier.HashCredential(f.operator)},
+			{"name": operatorName, "credentialSha256": verifier.HashCredential(f.operator)},
 		},
 	}
 	maps.Copy(settings, f.cfg.Settings)
@@ -52,13 +52,10 @@
 
 // BasicAuth is for the generated client.
 func (o operatorCredential) BasicAuth(context.Context, operatorserver.OperationName) (operatorserver.BasicAuth, error) {
-	return operatorserver.BasicAuth{Username: OperatorName, Password: o.credential}, nil
+	return operatorserver.BasicAuth{Username: operatorName, Password: o.credential}, nil
 }
 
 // Operator is a client of an entry's operators' interface.
 func (f *Fleet) Operator(entry *Entry) (*operatorserver.Client, error) {
 	return operatorserver.NewClient("http://"+entry.OperatorAddress, operatorCredential{credential: f.operator})
 }
-
-// OperatorCredential proves the operator to the command line.
-func (f *Fleet) OperatorCredential() string { return f.operator }
