--- a/reducer/end.go
+++ b/reducer/end.go
@@ -42,6 +42,7 @@
 // callers are told what is true of the key.
 func (c *Core) failUnclaimed(r *request, failure Failure, now time.Time) {
 	failure.State = StateNotRun
+	c.unjoin(r)
 	callers := r.joined
 	if !r.callerGone {
 		callers = append(callers, r.id)
@@ -77,10 +78,18 @@
 	for i := range r.plan.pipeline.Stages {
 		c.withdraw(r, i)
 	}
+	c.unjoin(r)
 	delete(c.requests, r.id)
 	delete(c.running, r.key)
 }
 
+// unjoin forgets who joined the request.
+func (c *Core) unjoin(r *request) {
+	for _, id := range r.joined {
+		delete(c.joined, id)
+	}
+}
+
 // sendOutcome answers a caller by what is known of its request.
 func (c *Core) sendOutcome(id uint64, key claimer.Key, outcome Outcome) {
 	if outcome.State == StateAnswered {
@@ -107,28 +116,27 @@
 // takeCallerGone cancels work that nobody waits for. A request with side effects goes on:
 // its caller may ask for its outcome by the key.
 func (c *Core) takeCallerGone(e CallerGone, now time.Time) {
-	r := c.leave(e.ID)
-	if r == nil {
+	r, running := c.requests[e.ID]
+	if first, joined := c.joined[e.ID]; joined {
+		delete(c.joined, e.ID)
+		r, running = c.requests[first]
+	}
+	if !running {
 		c.forgetAsk(e.ID)
 		return
 	}
-	if r.plan.sideEffect || !r.callerGone || len(r.joined) > 0 || len(r.peers) > 0 {
+	r.leave(e.ID)
+	if !r.callerGone || r.plan.sideEffect || len(r.joined) > 0 || len(r.peers) > 0 {
 		return
 	}
 	c.fail(r, CodeCallerGone, "the caller closed its connection", 0, now)
 }
 
-// leave takes a caller from the running request that it waits for; nil if it waits for none.
-func (c *Core) leave(id uint64) *request {
-	if r, first := c.requests[id]; first {
+// leave takes a caller out of those that wait for the request.
+func (r *request) leave(id uint64) {
+	if id == r.id {
 		r.callerGone = true
-		return r
-	}
-	for _, r := range c.requests {
-		if i := slices.Index(r.joined, id); i >= 0 {
-			r.joined = slices.Delete(r.joined, i, i+1)
-			return r
-		}
+		return
 	}
-	return nil
+	r.joined = slices.DeleteFunc(r.joined, func(joined uint64) bool { return joined == id })
 }
