--- a/reducer/core.go
+++ b/reducer/core.go
@@ -102,39 +102,55 @@
 	orderings map[string]*ordering
 	orderAt   time.Time
 
+	// requests are those in flight, by the id of their first caller; running are the same by their key.
 	requests map[uint64]*request
+	running  map[claimer.Key]*request
 	// joined leads the callers that joined a running request to its first caller's id.
-	joined    map[uint64]uint64
-	plans     map[string]*plan
-	applied   map[string]*publisher.Contract
+	joined map[uint64]uint64
+	// claiming are the requests whose claim has not been read back, by claim id.
+	claiming map[uint64]*request
+	// claimMean is how long recent claims took from the request's arrival until they were read back.
 	claimMean time.Duration
-	running   map[claimer.Key]*request
-	claiming  map[uint64]*request
-	outcomes  *outcomeStore
-	asked     map[uint64]*pendingAsk
+	// outcomes are those of ended requests that callers may still ask for.
+	outcomes *outcomeStore
+	// asked are the questions that peers have not answered yet, by call id.
+	asked  map[uint64]*pendingAsk
+	timers timerHeap
+
+	// plans are worked out of the pipelines in force, by name.
+	plans map[string]*plan
+	// applied are the contracts that the limiter was given, by account.
+	applied map[string]*publisher.Contract
+	// publishes are the operators' changes whose verdict has not been read back, by operation id.
 	publishes map[string]*pendingChange
-	timers    timerHeap
-	logs      map[Stream]*logHealth
-	configs   *recordRing
+	// logs is what is known of each stream's health, configs the newest configuration records for peers.
+	logs    map[Stream]*logHealth
+	configs *recordRing
+	// appending counts the appends to the claims stream that have not ended.
+	appending int
+	// snapshotDue is since when a snapshot of the configuration has been due; zero while none is.
+	snapshotDue time.Time
 
+	// liveEntries counts the entries that share the pools, this one included.
+	liveEntries int
+	// silent are the entries that are taken for dead by their silence alone.
+	silent      map[string]silentEntry
 	heartbeatAt time.Time
 	billsAt     time.Time
 	lastTick    time.Time
-	stopped     bool
-	liveEntries int
-	// silent are the entries that are taken for dead by their silence alone.
-	silent map[string]silentEntry
-	// appending counts the appends to the claims stream that have not ended.
-	appending     int
-	snapshotDue   time.Time
-	nextClaim     uint64
-	nextBatch     uint64
-	nextPeerCall  uint64
+	// recordsCalled is when a peer was last asked for configuration, recordsCall the name of that call, unlike
+	// those of other processes.
 	recordsCalled time.Time
-	// recordsCall names the last call for records, unlike those of other processes.
-	recordsCall uint64
-	counters    Counters
-	effects     []Effect
+	recordsCall   uint64
+	// stopped tells that the planned stop is done.
+	stopped bool
+
+	nextClaim    uint64
+	nextBatch    uint64
+	nextPeerCall uint64
+	counters     Counters
+	// effects is the slice that Reduce gives; it is used again for the next event.
+	effects []Effect
 }
 
 // New makes the core of an entry that knows nothing yet.
