Show who orders and what engines hold, and check a whole configuration offline

Cause: status had neither orderers nor assignments; check looked at each object by itself, so a contract for a pipeline that is nowhere passed.

--- a/launcher/check.go
+++ b/launcher/check.go
@@ -50,8 +50,12 @@
 
 Examples:
   geraniumline check settings.json contracts/*.json
+  geraniumline check --whole pools.json pipelines.json contracts/*.json
   geraniumline check --json settings.json | jq '.[].faults[].path'`,
-		Flags:        []cli.Flag{jsonFlag()},
+		Flags: []cli.Flag{jsonFlag(), &cli.BoolFlag{
+			Name:  "whole",
+			Usage: "the files hold the whole configuration: check that what objects refer to is there",
+		}},
 		OnUsageError: usageError,
 		Action:       action(a.check),
 	}
@@ -70,8 +74,16 @@
 	}
 	faulty := false
 	results := []checked{}
+	missing := map[string]error{}
+	if cmd.Bool("whole") {
+		missing = checkWhole(cmd.Args().Slice())
+	}
 	for _, file := range cmd.Args().Slice() {
 		result, err := checkFile(file)
+		if err == nil && missing[file] != nil {
+			err = missing[file]
+			result.Faults = faultsOf(err)
+		}
 		faulty = faulty || err != nil
 		results = append(results, result)
 		if !cmd.Bool("json") {
@@ -89,6 +101,38 @@
 	return nil
 }
 
+// checkWhole checks the objects of all files together, and gives an error for each file whose objects refer to
+// what none of them holds. Files with faults of their own are left out: they are told apart.
+func checkWhole(files []string) map[string]error {
+	var all []loader.Object
+	var whole []publisher.Object
+	var from []string
+	for _, file := range files {
+		src, err := os.ReadFile(file)
+		if err != nil || !loader.HoldsObjects(src) {
+			continue
+		}
+		objects, err := checkedObjects(src)
+		if err != nil {
+			continue
+		}
+		for _, o := range objects {
+			all = append(all, o)
+			whole = append(whole, publisher.Object{Kind: o.Kind, Name: o.Name, Body: o.Body})
+			from = append(from, file)
+		}
+	}
+	faults := map[string][]loader.Fault{}
+	for _, f := range publisher.CheckWhole(whole) {
+		faults[from[f.Index]] = append(faults[from[f.Index]], all[f.Index].Fault(f.Fault.Path, f.Fault.Message))
+	}
+	errs := map[string]error{}
+	for file, found := range faults {
+		errs[file] = inFile(file, &loader.FaultsError{Faults: found})
+	}
+	return errs
+}
+
 func (a *app) printCheck(result checked, err error) {
 	if err != nil {
 		a.complain(err.Error())
--- a/launcher/examples_test.go
+++ b/launcher/examples_test.go
@@ -28,3 +28,25 @@
 		})
 	}
 }
+
+// An operator's contract names pipelines that are in no file. Published, it would be refused one by one; checked as
+// a whole before, the fault is named with its place.
+func TestCheckOfTheWholeConfiguration(t *testing.T) {
+	const pools, pipelines, contract = "../docs/examples/pools.json", "../docs/examples/pipelines.json", "../docs/examples/contract.json"
+	for _, s := range []struct {
+		testName string
+		args     []string
+		code     ExitCode
+		told     string
+	}{
+		{"whole", []string{"--whole", contract, pipelines, pools}, ExitOK, ""},
+		{"pipelines are missing", []string{"--whole", contract, pools}, ExitUsage, `contract.json:11:16: body.pipelines[0]: there is no pipeline "case-summary"`},
+		{"each file by itself", []string{contract, pools}, ExitOK, ""},
+	} {
+		t.Run(s.testName, func(t *testing.T) {
+			code, _, stderr := newConsole(t).run(append([]string{"check"}, s.args...)...)
+			require.Equal(t, s.code, code)
+			require.Contains(t, stderr, s.told)
+		})
+	}
+}
--- a/operatorserver/oas_json_gen.go
+++ b/operatorserver/oas_json_gen.go
@@ -1214,15 +1214,22 @@
 		e.FieldStart("queued")
 		e.Int(s.Queued)
 	}
+	{
+		if s.Assignment.Set {
+			e.FieldStart("assignment")
+			s.Assignment.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfEndpointStatus = [6]string{
+var jsonFieldsNameOfEndpointStatus = [7]string{
 	0: "address",
 	1: "pool",
 	2: "zone",
 	3: "state",
 	4: "inFlight",
 	5: "queued",
+	6: "assignment",
 }
 
 // Decode decodes EndpointStatus from json.
@@ -1304,6 +1311,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"queued\"")
 			}
+		case "assignment":
+			if err := func() error {
+				s.Assignment.Reset()
+				if err := s.Assignment.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"assignment\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -1903,6 +1920,119 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *OrdererStatus) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *OrdererStatus) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("pool")
+		e.Str(s.Pool)
+	}
+	{
+		e.FieldStart("entry")
+		e.Str(s.Entry)
+	}
+}
+
+var jsonFieldsNameOfOrdererStatus = [2]string{
+	0: "pool",
+	1: "entry",
+}
+
+// Decode decodes OrdererStatus from json.
+func (s *OrdererStatus) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode OrdererStatus to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "pool":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Pool = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"pool\"")
+			}
+		case "entry":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Entry = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"entry\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode OrdererStatus")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfOrdererStatus) {
+					name = jsonFieldsNameOfOrdererStatus[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *OrdererStatus) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OrdererStatus) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Span) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2335,19 +2465,30 @@
 		}
 		e.ArrEnd()
 	}
+	{
+		if s.Orderers != nil {
+			e.FieldStart("orderers")
+			e.ArrStart()
+			for _, elem := range s.Orderers {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
 }
 
-var jsonFieldsNameOfStatus = [10]string{
-	0: "entry",
-	1: "zone",
-	2: "phase",
-	3: "ready",
-	4: "configOffset",
-	5: "claimsOffset",
-	6: "entries",
-	7: "endpoints",
-	8: "accounts",
-	9: "alarms",
+var jsonFieldsNameOfStatus = [11]string{
+	0:  "entry",
+	1:  "zone",
+	2:  "phase",
+	3:  "ready",
+	4:  "configOffset",
+	5:  "claimsOffset",
+	6:  "entries",
+	7:  "endpoints",
+	8:  "accounts",
+	9:  "alarms",
+	10: "orderers",
 }
 
 // Decode decodes Status from json.
@@ -2505,6 +2646,23 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"alarms\"")
 			}
+		case "orderers":
+			if err := func() error {
+				s.Orderers = make([]OrdererStatus, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem OrdererStatus
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Orderers = append(s.Orderers, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"orderers\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/operatorserver/oas_schemas_gen.go
+++ b/operatorserver/oas_schemas_gen.go
@@ -547,6 +547,8 @@
 	State    EndpointStatusState `json:"state"`
 	InFlight int                 `json:"inFlight"`
 	Queued   int                 `json:"queued"`
+	// Model and version that an engine was last read to hold.
+	Assignment OptString `json:"assignment"`
 }
 
 // GetAddress returns the value of Address.
@@ -579,6 +581,11 @@
 	return s.Queued
 }
 
+// GetAssignment returns the value of Assignment.
+func (s *EndpointStatus) GetAssignment() OptString {
+	return s.Assignment
+}
+
 // SetAddress sets the value of Address.
 func (s *EndpointStatus) SetAddress(val string) {
 	s.Address = val
@@ -609,6 +616,11 @@
 	s.Queued = val
 }
 
+// SetAssignment sets the value of Assignment.
+func (s *EndpointStatus) SetAssignment(val OptString) {
+	s.Assignment = val
+}
+
 type EndpointStatusState string
 
 const (
@@ -1056,6 +1068,33 @@
 	return d
 }
 
+// Ref: #/components/schemas/OrdererStatus
+type OrdererStatus struct {
+	Pool string `json:"pool"`
+	// The entry whose lease the log last showed.
+	Entry string `json:"entry"`
+}
+
+// GetPool returns the value of Pool.
+func (s *OrdererStatus) GetPool() string {
+	return s.Pool
+}
+
+// GetEntry returns the value of Entry.
+func (s *OrdererStatus) GetEntry() string {
+	return s.Entry
+}
+
+// SetPool sets the value of Pool.
+func (s *OrdererStatus) SetPool(val string) {
+	s.Pool = val
+}
+
+// SetEntry sets the value of Entry.
+func (s *OrdererStatus) SetEntry(val string) {
+	s.Entry = val
+}
+
 // Ref: #/components/schemas/Span
 type Span struct {
 	Name           string            `json:"name"`
@@ -1186,6 +1225,7 @@
 	Endpoints    []EndpointStatus `json:"endpoints"`
 	Accounts     []AccountStatus  `json:"accounts"`
 	Alarms       []string         `json:"alarms"`
+	Orderers     []OrdererStatus  `json:"orderers"`
 }
 
 // GetEntry returns the value of Entry.
@@ -1238,6 +1278,11 @@
 	return s.Alarms
 }
 
+// GetOrderers returns the value of Orderers.
+func (s *Status) GetOrderers() []OrdererStatus {
+	return s.Orderers
+}
+
 // SetEntry sets the value of Entry.
 func (s *Status) SetEntry(val string) {
 	s.Entry = val
@@ -1288,6 +1333,11 @@
 	s.Alarms = val
 }
 
+// SetOrderers sets the value of Orderers.
+func (s *Status) SetOrderers(val []OrdererStatus) {
+	s.Orderers = val
+}
+
 // Ref: #/components/schemas/StopProgress
 type StopProgress struct {
 	Phase    StopProgressPhase `json:"phase"`
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -70,6 +70,15 @@
 	}
 }
 
+// Assignment gives what an engine was last read to hold; false if it was not read yet.
+func (p *Placer) Assignment(address string) (Assignment, bool) {
+	e, known := p.engines[address]
+	if !known || e.readAt.IsZero() {
+		return Assignment{}, false
+	}
+	return e.state, true
+}
+
 // Observe takes an engine's state, read by a call that was sent at asked. One that was asked for before the last
 // order's end may be from before the order took effect, and says nothing.
 func (p *Placer) Observe(address string, state Assignment, asked, now time.Time) {
--- a/presenter/presenter_test.go
+++ b/presenter/presenter_test.go
@@ -45,6 +45,9 @@
 			Zone: fmt.Sprintf("zone-%c", 'a'+i%3), State: state, InFlight: i, Queued: i / 2,
 		})
 	}
+	status.Endpoints[0].Assignment.SetTo("writer@3")
+	status.Endpoints[3].Assignment.SetTo("<b>chat</b>@1 loading")
+	status.Orderers = []operatorserver.OrdererStatus{{Pool: "engine", Entry: "entry-2"}}
 	status.Accounts = []operatorserver.AccountStatus{
 		{Account: "ward-offices", Share: 0.5, RatePerSecond: 120, InFlight: 40, Sent: 10000, Answered: 9990, InTime: 9950, NotRun: 9, Unknown: 1, Attainment: 0.995,
 			Stages: []operatorserver.StageCost{{Stage: "encode", Cost: 1200.4}, {Stage: "generate", Cost: 88000, Wasted: 310.25}}},
--- a/presenter/status.go
+++ b/presenter/status.go
@@ -24,6 +24,9 @@
 	section(&b, "pools", s.poolTable(), coloured)
 	section(&b, "endpoints", s.endpointTable(), coloured)
 	more(&b, s.MoreEndpoints, "endpoints")
+	for _, o := range status.Orderers {
+		fmt.Fprintf(&b, "\norders to %s by %s\n", clean(o.Pool), clean(o.Entry))
+	}
 	return b.String()
 }
 
@@ -97,11 +100,19 @@
 func (s summary) endpointTable() *table {
 	t := newTable("endpoint", "state", "pool", "zone", "in flight", "queued")
 	for _, e := range s.Listed {
-		t.add(e.Address, stateCell(string(e.State)), e.Pool, e.Zone, e.InFlight, e.Queued)
+		t.add(e.Address, stateCell(string(e.State)), poolOf(e), e.Zone, e.InFlight, e.Queued)
 	}
 	return t
 }
 
+// poolOf names an endpoint's pool, and what an engine holds where it is known.
+func poolOf(e operatorserver.EndpointStatus) string {
+	if held := e.Assignment.Value; held != "" {
+		return e.Pool + " (" + held + ")"
+	}
+	return e.Pool
+}
+
 // stateCell colours the state of an entry or an endpoint.
 func stateCell(state string) cell {
 	switch state {
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"geraniumline/biller"
@@ -21,9 +23,37 @@
 		Endpoints:    c.endpointStatus(now),
 		Accounts:     c.accountStatus(now),
 		Alarms:       c.alarms(now),
+		Orderers:     c.ordererStatus(),
 	}
 }
 
+// ordererStatus names who gives orders to the engines of each placed pool.
+func (c *Core) ordererStatus() []operatorserver.OrdererStatus {
+	var all []operatorserver.OrdererStatus
+	for _, pool := range slices.Sorted(maps.Keys(c.orderings)) {
+		entry, _ := c.leaser.Holder(pool)
+		all = append(all, operatorserver.OrdererStatus{Pool: pool, Entry: entry})
+	}
+	return all
+}
+
+// assignmentStatus tells what an engine of a placed pool holds, as far as this entry has read it.
+func (c *Core) assignmentStatus(pool, address string) operatorserver.OptString {
+	o, placed := c.orderings[pool]
+	if !placed {
+		return operatorserver.OptString{}
+	}
+	assignment, read := o.placer.Assignment(address)
+	if !read {
+		return operatorserver.OptString{}
+	}
+	text := assignment.Model + "@" + assignment.Version
+	if assignment.Loading {
+		text += " loading"
+	}
+	return operatorserver.NewOptString(text)
+}
+
 func (c *Core) entryStatus(now time.Time) []operatorserver.EntryStatus {
 	all := []operatorserver.EntryStatus{}
 	for _, member := range c.detector.Members() {
@@ -49,12 +79,13 @@
 	all := []operatorserver.EndpointStatus{}
 	for _, endpoint := range c.router.Endpoints(now) {
 		all = append(all, operatorserver.EndpointStatus{
-			Address:  endpoint.Address,
-			Pool:     endpoint.Pool,
-			Zone:     endpoint.Zone,
-			State:    operatorserver.EndpointStatusState(endpoint.State),
-			InFlight: endpoint.InFlight,
-			Queued:   endpoint.Queued,
+			Address:    endpoint.Address,
+			Pool:       endpoint.Pool,
+			Zone:       endpoint.Zone,
+			State:      operatorserver.EndpointStatusState(endpoint.State),
+			InFlight:   endpoint.InFlight,
+			Queued:     endpoint.Queued,
+			Assignment: c.assignmentStatus(endpoint.Pool, endpoint.Address),
 		})
 	}
 	return all
