--- a/launcher/check.go
+++ b/launcher/check.go
@@ -66,28 +66,27 @@
 	File   string         `json:"file"`
 	Holds  string         `json:"holds"`
 	Faults []loader.Fault `json:"faults"`
+
+	objects []loader.Object
+	err     error
 }
 
 func (a *app) check(_ context.Context, cmd *cli.Command) error {
 	if !cmd.Args().Present() {
 		return &UsageError{Message: "name the files to check", Command: cmd.FullName()}
 	}
-	faulty := false
 	results := []checked{}
-	missing := map[string]error{}
+	for _, file := range cmd.Args().Slice() {
+		results = append(results, checkFile(file))
+	}
 	if cmd.Bool("whole") {
-		missing = checkWhole(cmd.Args().Slice())
+		checkWhole(results)
 	}
-	for _, file := range cmd.Args().Slice() {
-		result, err := checkFile(file)
-		if err == nil && missing[file] != nil {
-			err = missing[file]
-			result.Faults = faultsOf(err)
-		}
-		faulty = faulty || err != nil
-		results = append(results, result)
+	faulty := false
+	for _, result := range results {
+		faulty = faulty || result.err != nil
 		if !cmd.Bool("json") {
-			a.printCheck(result, err)
+			a.printCheck(result)
 		}
 	}
 	if cmd.Bool("json") {
@@ -101,64 +100,51 @@
 	return nil
 }
 
-// checkWhole checks the objects of all files together, and gives an error for each file whose objects refer to
-// what none of them holds. Files with faults of their own are left out: they are told apart.
-func checkWhole(files []string) map[string]error {
-	var all []loader.Object
+// checkWhole checks the objects of all files together, and adds to each file's faults what its objects refer to and
+// none of the files holds. Files with faults of their own have no objects here: they are told apart.
+func checkWhole(results []checked) {
 	var whole []publisher.Object
-	var from []string
-	for _, file := range files {
-		src, err := os.ReadFile(file)
-		if err != nil || !loader.HoldsObjects(src) {
-			continue
-		}
-		objects, err := checkedObjects(src)
-		if err != nil {
-			continue
-		}
-		for _, o := range objects {
-			all = append(all, o)
+	var from []*checked
+	var objects []loader.Object
+	for i := range results {
+		for _, o := range results[i].objects {
 			whole = append(whole, publisher.Object{Kind: o.Kind, Name: o.Name, Body: o.Body})
-			from = append(from, file)
+			from = append(from, &results[i])
+			objects = append(objects, o)
 		}
 	}
-	faults := map[string][]loader.Fault{}
 	for _, f := range publisher.CheckWhole(whole) {
-		faults[from[f.Index]] = append(faults[from[f.Index]], all[f.Index].Fault(f.Fault.Path, f.Fault.Message))
+		result := from[f.Index]
+		result.Faults = append(result.Faults, objects[f.Index].Fault(f.Fault.Path, f.Fault.Message))
+		result.err = inFile(result.File, &loader.FaultsError{Faults: result.Faults})
 	}
-	errs := map[string]error{}
-	for file, found := range faults {
-		errs[file] = inFile(file, &loader.FaultsError{Faults: found})
-	}
-	return errs
 }
 
-func (a *app) printCheck(result checked, err error) {
-	if err != nil {
-		a.complain(err.Error())
+func (a *app) printCheck(result checked) {
+	if result.err != nil {
+		a.complain(result.err.Error())
 		return
 	}
 	a.print("%s: %s, no faults\n", result.File, result.Holds)
 }
 
-func checkFile(file string) (checked, error) {
+func checkFile(file string) checked {
 	result := checked{File: file, Holds: "settings", Faults: []loader.Fault{}}
 	src, err := os.ReadFile(file)
 	switch {
 	case err != nil:
 		err = &loader.UnreadableError{File: file, Err: err}
 	case loader.HoldsObjects(src):
-		var objects []loader.Object
-		objects, err = checkedObjects(src)
-		result.Holds = fmt.Sprintf("%d configuration objects", len(objects))
+		result.objects, err = checkedObjects(src)
+		result.Holds = fmt.Sprintf("%d configuration objects", len(result.objects))
 	default:
 		_, err = loader.Load(file)
 	}
-	if err == nil {
-		return result, nil
+	if err != nil {
+		result.Faults = faultsOf(err)
+		result.err = inFile(file, err)
 	}
-	result.Faults = faultsOf(err)
-	return result, inFile(file, err)
+	return result
 }
 
 func faultsOf(err error) []loader.Fault {
