Answer those who wait for a process that was replaced

Ruled out: a transition of the detector for each new incarnation, which others read as a change of state. Change: a heartbeat of a later incarnation answers them unknown, at once.

--- a/reducer/ask.go
+++ b/reducer/ask.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -18,6 +19,8 @@
 	key claimer.Key
 	// owner is the entry that holds the claim; empty when all peers were asked.
 	owner string
+	// incarnation is the owner's process that holds the claim.
+	incarnation uint64
 	// outcomeOnly tells that the caller asked for the outcome, and not to run a request.
 	outcomeOnly bool
 	// refusal is what a refused request is told if no peer knows its key; nil for other questions.
@@ -119,7 +122,7 @@
 		c.emit(SendFailure{ID: id, Failure: ownerLost(key)})
 		return
 	}
-	ask := &pendingAsk{id: id, key: key, owner: holding.Entry, waiting: 1}
+	ask := &pendingAsk{id: id, key: key, owner: holding.Entry, incarnation: holding.Incarnation, waiting: 1}
 	c.sendAsk(ask, []string{owner.PeerAddress}, until, now)
 }
 
@@ -310,9 +313,14 @@
 }
 
 // ownerDied answers at once those who wait for an entry that has died.
-func (c *Core) ownerDied(name string) {
+func (c *Core) ownerDied(name string) { c.ownerReplaced(name, math.MaxUint64) }
+
+// ownerReplaced answers at once those who wait for an earlier process of an entry than the one that lives. A process
+// that is started again at once is never taken for dead, and its successor knows nothing of what it was asked:
+// its callers would be held to their deadlines.
+func (c *Core) ownerReplaced(name string, incarnation uint64) {
 	for call, ask := range c.asked {
-		if ask.owner != name {
+		if ask.owner != name || ask.incarnation >= incarnation {
 			continue
 		}
 		delete(c.asked, call)
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -41,6 +41,7 @@
 func (c *Core) takeHeartbeat(message *carrier.Heartbeat, now time.Time) {
 	c.counters.HeartbeatsTaken++
 	c.takeTransitions(c.detector.Receive(message, now), now)
+	c.ownerReplaced(message.From.Name, message.From.Incarnation)
 	c.router.PeerLoads(message.From.Name, message.Endpoints, now)
 	c.takeCrashes(message.Crashes, now)
 	c.limiter.PeerUses(message.From.Name, message.Accounts, now)
