--- a/carrier/message.go
+++ b/carrier/message.go
@@ -53,6 +53,36 @@
 // Kind tells that d is demand by model.
 func (d *Demand) Kind() Kind { return KindDemand }
 
+// Kind tells that m asks for pieces.
+func (m *PieceAsk) Kind() Kind { return KindPieceAsk }
+
+// Kind tells that m acknowledges an ask for pieces.
+func (m *PieceTaken) Kind() Kind { return KindPieceTaken }
+
+// Kind tells that m brings results of pieces.
+func (m *PieceResults) Kind() Kind { return KindPieceResults }
+
+// Kind tells that m withdraws pieces.
+func (m *PieceWithdraw) Kind() Kind { return KindPieceWithdraw }
+
+// Kind tells that m frees results.
+func (m *PieceFree) Kind() Kind { return KindPieceFree }
+
+// Kind tells that m tells the sender's work under way.
+func (m *Work) Kind() Kind { return KindWork }
+
+// Kind tells that m calls for the configuration.
+func (m *ConfigCall) Kind() Kind { return KindConfigCall }
+
+// Kind tells that m brings a configuration.
+func (m *ConfigReply) Kind() Kind { return KindConfigReply }
+
+// Kind tells that m calls for the list of endpoints.
+func (m *EndpointsCall) Kind() Kind { return KindEndpointsCall }
+
+// Kind tells that m brings a list of endpoints.
+func (m *EndpointsReply) Kind() Kind { return KindEndpointsReply }
+
 // NewMessage gives an empty message of the kind, to decode a frame into.
 func NewMessage(kind Kind) (Message, error) {
 	switch kind {
@@ -76,6 +106,26 @@
 		return &Bills{}, nil
 	case KindDemand:
 		return &Demand{}, nil
+	case KindPieceAsk:
+		return &PieceAsk{}, nil
+	case KindPieceTaken:
+		return &PieceTaken{}, nil
+	case KindPieceResults:
+		return &PieceResults{}, nil
+	case KindPieceWithdraw:
+		return &PieceWithdraw{}, nil
+	case KindPieceFree:
+		return &PieceFree{}, nil
+	case KindWork:
+		return &Work{}, nil
+	case KindConfigCall:
+		return &ConfigCall{}, nil
+	case KindConfigReply:
+		return &ConfigReply{}, nil
+	case KindEndpointsCall:
+		return &EndpointsCall{}, nil
+	case KindEndpointsReply:
+		return &EndpointsReply{}, nil
 	default:
 		return nil, &UnknownKindError{Value: kind}
 	}
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -file schema.go -o schema_gen.go -tests=false
 
-//msgp:tuple ModelDemand AccountBill StageBill Member Pulse EndpointLoad AccountUse Record CrashLoss
+//msgp:tuple PieceResult MadeResult EndpointWork StageWait EndpointEntry ModelDemand AccountBill StageBill Member Pulse EndpointLoad AccountUse Record CrashLoss
 
 // Kind tells which message a frame carries.
 type Kind uint8
@@ -21,6 +21,16 @@
 	KindHandover
 	KindBills
 	KindDemand
+	KindPieceAsk
+	KindPieceTaken
+	KindPieceResults
+	KindPieceWithdraw
+	KindPieceFree
+	KindWork
+	KindConfigCall
+	KindConfigReply
+	KindEndpointsCall
+	KindEndpointsReply
 )
 
 // Challenge opens a connection in both directions: the peer must prove that it knows the shared key.
@@ -196,3 +206,110 @@
 	Pool   string        `msg:"pool,limit=128"`
 	Models []ModelDemand `msg:"models,limit=4096"`
 }
+
+// PieceAsk asks the entry that collects for a stage's service for pieces of a request.
+type PieceAsk struct {
+	Service string   `msg:"service,limit=128"`
+	Request string   `msg:"request,limit=128"`
+	Stage   int32    `msg:"stage"`
+	Numbers []int32  `msg:"numbers,limit=4096"`
+	Key     string   `msg:"key,limit=256"`
+	Inputs  []string `msg:"inputs,limit=4096"`
+	// DueMillis and DeadlineMillis are counted from the sending: clocks of entries differ.
+	DueMillis      int64  `msg:"dueMillis"`
+	DeadlineMillis int64  `msg:"deadlineMillis"`
+	Priority       int32  `msg:"priority"`
+	Account        string `msg:"account,limit=128"`
+	ResultBytes    int64  `msg:"resultBytes"`
+}
+
+// PieceTaken tells that a PieceAsk has come to an entry that collects.
+type PieceTaken struct {
+	Service string `msg:"service,limit=128"`
+	Request string `msg:"request,limit=128"`
+	Stage   int32  `msg:"stage"`
+}
+
+// PieceResult is a piece's result, or the reason why there is none.
+type PieceResult struct {
+	Number  int32
+	Reason  uint8
+	Handle  string
+	Address string
+	Zone    string
+}
+
+// PieceResults brings the results of pieces.
+type PieceResults struct {
+	Service string        `msg:"service,limit=128"`
+	Request string        `msg:"request,limit=128"`
+	Stage   int32         `msg:"stage"`
+	Results []PieceResult `msg:"results,limit=4096"`
+}
+
+// PieceWithdraw tells that a request needs no more pieces of a service.
+type PieceWithdraw struct {
+	Service string `msg:"service,limit=128"`
+	Request string `msg:"request,limit=128"`
+}
+
+// MadeResult is a result and the endpoint where it lies.
+type MadeResult struct {
+	Handle  string
+	Address string
+}
+
+// PieceFree names results that are not needed any more.
+type PieceFree struct {
+	Service string       `msg:"service,limit=128"`
+	Results []MadeResult `msg:"results,limit=4096"`
+}
+
+// EndpointWork is the work that an entry has under way at an endpoint, in prompt tokens.
+type EndpointWork struct {
+	ID     string
+	Tokens int32
+}
+
+// StageWait is how long a piece would wait at the entry that collects for the service.
+type StageWait struct {
+	Service string
+	Millis  int32
+}
+
+// Work is what an entry has under way. It replaces the sender's earlier word.
+type Work struct {
+	Endpoints []EndpointWork `msg:"endpoints,limit=16384"`
+	Stages    []StageWait    `msg:"stages,limit=1024"`
+}
+
+// ConfigCall asks a peer for the newest configuration that it knows.
+type ConfigCall struct{}
+
+// ConfigReply brings a configuration as the operator wrote it.
+type ConfigReply struct {
+	Version int64  `msg:"version"`
+	Data    []byte `msg:"data,limit=8388608"`
+}
+
+// EndpointsCall asks a peer for the list of endpoints.
+type EndpointsCall struct{}
+
+// EndpointEntry is the newest entry of one endpoint.
+type EndpointEntry struct {
+	ID       string
+	Offset   int64
+	Service  string
+	Address  string
+	Zone     string
+	Slots    int32
+	Draining bool
+}
+
+// EndpointsReply brings the list of endpoints as the sender knows it.
+type EndpointsReply struct {
+	// Next is the offset up to which the list is whole, AgeMillis how long ago the store's word was read.
+	Next      int64           `msg:"next"`
+	AgeMillis int64           `msg:"ageMillis"`
+	Entries   []EndpointEntry `msg:"entries,limit=65536"`
+}
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -843,6 +843,238 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ConfigCall) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ConfigCall) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 0
+	_ = z
+	err = en.Append(0x80)
+	if err != nil {
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ConfigCall) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 0
+	_ = z
+	o = append(o, 0x80)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ConfigCall) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ConfigCall) Msgsize() (s int) {
+	s = 1
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ConfigReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "version":
+			z.Version, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "data":
+			z.Data, err = dc.ReadBytesLimit(z.Data, 8388608)
+			if err == nil && z.Data == nil {
+				z.Data = []byte{}
+			}
+			if err != nil {
+				err = msgp.WrapError(err, "Data")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ConfigReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "version"
+	err = en.Append(0x82, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	// write "data"
+	err = en.Append(0xa4, 0x64, 0x61, 0x74, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Data)
+	if err != nil {
+		err = msgp.WrapError(err, "Data")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ConfigReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "version"
+	o = append(o, 0x82, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt64(o, z.Version)
+	// string "data"
+	o = append(o, 0xa4, 0x64, 0x61, 0x74, 0x61)
+	o = msgp.AppendBytes(o, z.Data)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ConfigReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "version":
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "data":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Data")
+				return
+			}
+			if zb0002 > 8388608 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Data == nil || uint32(cap(z.Data)) < zb0002 {
+				z.Data = make([]byte, zb0002)
+			} else {
+				z.Data = z.Data[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Data, bts[:zb0002])
+			bts = bts[zb0002:]
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ConfigReply) Msgsize() (s int) {
+	s = 1 + 8 + msgp.Int64Size + 5 + msgp.BytesPrefixSize + len(z.Data)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *CrashLoss) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -1394,15 +1626,30 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *EndpointLoad) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *EndpointEntry) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Offset, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Offset")
+		return
+	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
 		return
 	}
 	z.Address, err = dc.ReadString()
@@ -1410,29 +1657,44 @@
 		err = msgp.WrapError(err, "Address")
 		return
 	}
-	z.InFlight, err = dc.ReadInt32()
+	z.Zone, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "InFlight")
+		err = msgp.WrapError(err, "Zone")
 		return
 	}
-	z.Ejected, err = dc.ReadBool()
+	z.Slots, err = dc.ReadInt32()
 	if err != nil {
-		err = msgp.WrapError(err, "Ejected")
+		err = msgp.WrapError(err, "Slots")
 		return
 	}
-	z.Leaving, err = dc.ReadBool()
+	z.Draining, err = dc.ReadBool()
 	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
+		err = msgp.WrapError(err, "Draining")
 		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *EndpointLoad) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+func (z *EndpointEntry) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 7
+	err = en.Append(0x97)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteInt64(z.Offset)
+	if err != nil {
+		err = msgp.WrapError(err, "Offset")
+		return
+	}
+	err = en.WriteString(z.Service)
 	if err != nil {
+		err = msgp.WrapError(err, "Service")
 		return
 	}
 	err = en.WriteString(z.Address)
@@ -1440,80 +1702,2273 @@
 		err = msgp.WrapError(err, "Address")
 		return
 	}
-	err = en.WriteInt32(z.InFlight)
+	err = en.WriteString(z.Zone)
 	if err != nil {
-		err = msgp.WrapError(err, "InFlight")
+		err = msgp.WrapError(err, "Zone")
 		return
 	}
-	err = en.WriteBool(z.Ejected)
+	err = en.WriteInt32(z.Slots)
 	if err != nil {
-		err = msgp.WrapError(err, "Ejected")
+		err = msgp.WrapError(err, "Slots")
 		return
 	}
-	err = en.WriteBool(z.Leaving)
+	err = en.WriteBool(z.Draining)
 	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
+		err = msgp.WrapError(err, "Draining")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *EndpointLoad) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *EndpointEntry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 7
+	o = append(o, 0x97)
+	o = msgp.AppendString(o, z.ID)
+	o = msgp.AppendInt64(o, z.Offset)
+	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendString(o, z.Address)
-	o = msgp.AppendInt32(o, z.InFlight)
-	o = msgp.AppendBool(o, z.Ejected)
-	o = msgp.AppendBool(o, z.Leaving)
+	o = msgp.AppendString(o, z.Zone)
+	o = msgp.AppendInt32(o, z.Slots)
+	o = msgp.AppendBool(o, z.Draining)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *EndpointLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *EndpointEntry) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
-	z.Address, bts, err = msgp.ReadStringBytes(bts)
+	z.ID, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Address")
+		err = msgp.WrapError(err, "ID")
 		return
 	}
-	z.InFlight, bts, err = msgp.ReadInt32Bytes(bts)
+	z.Offset, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "InFlight")
+		err = msgp.WrapError(err, "Offset")
 		return
 	}
-	z.Ejected, bts, err = msgp.ReadBoolBytes(bts)
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Ejected")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+	z.Address, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
+		err = msgp.WrapError(err, "Address")
 		return
 	}
-	o = bts
+	z.Zone, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	z.Slots, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Slots")
+		return
+	}
+	z.Draining, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Draining")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *EndpointEntry) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone) + msgp.Int32Size + msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *EndpointLoad) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Address, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.InFlight, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "InFlight")
+		return
+	}
+	z.Ejected, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Ejected")
+		return
+	}
+	z.Leaving, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *EndpointLoad) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Address)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	err = en.WriteInt32(z.InFlight)
+	if err != nil {
+		err = msgp.WrapError(err, "InFlight")
+		return
+	}
+	err = en.WriteBool(z.Ejected)
+	if err != nil {
+		err = msgp.WrapError(err, "Ejected")
+		return
+	}
+	err = en.WriteBool(z.Leaving)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *EndpointLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendString(o, z.Address)
+	o = msgp.AppendInt32(o, z.InFlight)
+	o = msgp.AppendBool(o, z.Ejected)
+	o = msgp.AppendBool(o, z.Leaving)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EndpointLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Address, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.InFlight, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "InFlight")
+		return
+	}
+	z.Ejected, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ejected")
+		return
+	}
+	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *EndpointLoad) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *EndpointWork) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Tokens, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z EndpointWork) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteInt32(z.Tokens)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z EndpointWork) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.ID)
+	o = msgp.AppendInt32(o, z.Tokens)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EndpointWork) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Tokens, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z EndpointWork) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Int32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *EndpointsCall) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z EndpointsCall) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 0
+	_ = z
+	err = en.Append(0x80)
+	if err != nil {
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z EndpointsCall) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 0
+	_ = z
+	o = append(o, 0x80)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EndpointsCall) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z EndpointsCall) Msgsize() (s int) {
+	s = 1
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *EndpointsReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "next":
+			z.Next, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		case "ageMillis":
+			z.AgeMillis, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMillis")
+				return
+			}
+		case "entries":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Entries")
+				return
+			}
+			if zb0002 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Entries) >= int(zb0002) {
+				z.Entries = (z.Entries)[:zb0002]
+			} else {
+				z.Entries = make([]EndpointEntry, zb0002)
+			}
+			for za0001 := range z.Entries {
+				err = z.Entries[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *EndpointsReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "next"
+	err = en.Append(0x83, 0xa4, 0x6e, 0x65, 0x78, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Next)
+	if err != nil {
+		err = msgp.WrapError(err, "Next")
+		return
+	}
+	// write "ageMillis"
+	err = en.Append(0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	// write "entries"
+	err = en.Append(0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Entries)))
+	if err != nil {
+		err = msgp.WrapError(err, "Entries")
+		return
+	}
+	for za0001 := range z.Entries {
+		err = z.Entries[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *EndpointsReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "next"
+	o = append(o, 0x83, 0xa4, 0x6e, 0x65, 0x78, 0x74)
+	o = msgp.AppendInt64(o, z.Next)
+	// string "ageMillis"
+	o = append(o, 0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	// string "entries"
+	o = append(o, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+	for za0001 := range z.Entries {
+		o, err = z.Entries[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EndpointsReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "next":
+			z.Next, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		case "ageMillis":
+			z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMillis")
+				return
+			}
+		case "entries":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries")
+				return
+			}
+			if zb0002 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Entries) >= int(zb0002) {
+				z.Entries = (z.Entries)[:zb0002]
+			} else {
+				z.Entries = make([]EndpointEntry, zb0002)
+			}
+			for za0001 := range z.Entries {
+				bts, err = z.Entries[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *EndpointsReply) Msgsize() (s int) {
+	s = 1 + 5 + msgp.Int64Size + 10 + msgp.Int64Size + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Entries {
+		s += z.Entries[za0001].Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Handover) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "callId":
+			z.CallID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "CallID")
+				return
+			}
+		case "outcomes":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Outcomes")
+				return
+			}
+			if zb0002 > 100000 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Outcomes) >= int(zb0002) {
+				z.Outcomes = (z.Outcomes)[:zb0002]
+			} else {
+				z.Outcomes = make([]Outcome, zb0002)
+			}
+			for za0001 := range z.Outcomes {
+				err = z.Outcomes[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Outcomes", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Handover) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "callId"
+	err = en.Append(0x82, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.CallID)
+	if err != nil {
+		err = msgp.WrapError(err, "CallID")
+		return
+	}
+	// write "outcomes"
+	err = en.Append(0xa8, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Outcomes)))
+	if err != nil {
+		err = msgp.WrapError(err, "Outcomes")
+		return
+	}
+	for za0001 := range z.Outcomes {
+		err = z.Outcomes[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Outcomes", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Handover) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "callId"
+	o = append(o, 0x82, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = msgp.AppendUint64(o, z.CallID)
+	// string "outcomes"
+	o = append(o, 0xa8, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Outcomes)))
+	for za0001 := range z.Outcomes {
+		o, err = z.Outcomes[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Outcomes", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Handover) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "callId":
+			z.CallID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CallID")
+				return
+			}
+		case "outcomes":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Outcomes")
+				return
+			}
+			if zb0002 > 100000 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Outcomes) >= int(zb0002) {
+				z.Outcomes = (z.Outcomes)[:zb0002]
+			} else {
+				z.Outcomes = make([]Outcome, zb0002)
+			}
+			for za0001 := range z.Outcomes {
+				bts, err = z.Outcomes[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Outcomes", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Handover) Msgsize() (s int) {
+	s = 1 + 7 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
+	for za0001 := range z.Outcomes {
+		s += z.Outcomes[za0001].Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Heartbeat) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "from":
+			err = z.From.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "sequence":
+			z.Sequence, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
+		case "members":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if zb0002 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Members) >= int(zb0002) {
+				z.Members = (z.Members)[:zb0002]
+			} else {
+				z.Members = make([]Member, zb0002)
+			}
+			for za0001 := range z.Members {
+				err = z.Members[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0001)
+					return
+				}
+			}
+		case "pulses":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Pulses")
+				return
+			}
+			if zb0003 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Pulses) >= int(zb0003) {
+				z.Pulses = (z.Pulses)[:zb0003]
+			} else {
+				z.Pulses = make([]Pulse, zb0003)
+			}
+			for za0002 := range z.Pulses {
+				err = z.Pulses[za0002].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Pulses", za0002)
+					return
+				}
+			}
+		case "endpoints":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoints")
+				return
+			}
+			if zb0004 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Endpoints) >= int(zb0004) {
+				z.Endpoints = (z.Endpoints)[:zb0004]
+			} else {
+				z.Endpoints = make([]EndpointLoad, zb0004)
+			}
+			for za0003 := range z.Endpoints {
+				err = z.Endpoints[za0003].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0003)
+					return
+				}
+			}
+		case "accounts":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Accounts")
+				return
+			}
+			if zb0005 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Accounts) >= int(zb0005) {
+				z.Accounts = (z.Accounts)[:zb0005]
+			} else {
+				z.Accounts = make([]AccountUse, zb0005)
+			}
+			for za0004 := range z.Accounts {
+				err = z.Accounts[za0004].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0004)
+					return
+				}
+			}
+		case "crashes":
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes")
+				return
+			}
+			if zb0006 > 1024 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Crashes) >= int(zb0006) {
+				z.Crashes = (z.Crashes)[:zb0006]
+			} else {
+				z.Crashes = make([]CrashMark, zb0006)
+			}
+			for za0005 := range z.Crashes {
+				var zb0007 uint32
+				zb0007, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Crashes", za0005)
+					return
+				}
+				if zb0007 > 1024 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0007 > 0 {
+					zb0007--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Crashes", za0005)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "digest":
+						z.Crashes[za0005].Digest, err = dc.ReadBytesLimit(z.Crashes[za0005].Digest, 32)
+						if err == nil && z.Crashes[za0005].Digest == nil {
+							z.Crashes[za0005].Digest = []byte{}
+						}
+						if err != nil {
+							err = msgp.WrapError(err, "Crashes", za0005, "Digest")
+							return
+						}
+					case "losses":
+						var zb0008 uint32
+						zb0008, err = dc.ReadArrayHeader()
+						if err != nil {
+							err = msgp.WrapError(err, "Crashes", za0005, "Losses")
+							return
+						}
+						if zb0008 > 16 {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if cap(z.Crashes[za0005].Losses) >= int(zb0008) {
+							z.Crashes[za0005].Losses = (z.Crashes[za0005].Losses)[:zb0008]
+						} else {
+							z.Crashes[za0005].Losses = make([]CrashLoss, zb0008)
+						}
+						for za0006 := range z.Crashes[za0005].Losses {
+							var zb0009 uint32
+							zb0009, err = dc.ReadArrayHeader()
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006)
+								return
+							}
+							if zb0009 > 16 {
+								err = msgp.ErrLimitExceeded
+								return
+							}
+							if zb0009 != 2 {
+								err = msgp.ArrayError{Wanted: 2, Got: zb0009}
+								return
+							}
+							z.Crashes[za0005].Losses[za0006].Address, err = dc.ReadString()
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
+								return
+							}
+							z.Crashes[za0005].Losses[za0006].AgeMillis, err = dc.ReadInt64()
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
+								return
+							}
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Crashes", za0005)
+							return
+						}
+					}
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 7
+	// write "from"
+	err = en.Append(0x87, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	if err != nil {
+		return
+	}
+	err = z.From.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	// write "sequence"
+	err = en.Append(0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	// write "members"
+	err = en.Append(0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Members)))
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	for za0001 := range z.Members {
+		err = z.Members[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
+	// write "pulses"
+	err = en.Append(0xa6, 0x70, 0x75, 0x6c, 0x73, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Pulses)))
+	if err != nil {
+		err = msgp.WrapError(err, "Pulses")
+		return
+	}
+	for za0002 := range z.Pulses {
+		err = z.Pulses[za0002].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Pulses", za0002)
+			return
+		}
+	}
+	// write "endpoints"
+	err = en.Append(0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Endpoints)))
+	if err != nil {
+		err = msgp.WrapError(err, "Endpoints")
+		return
+	}
+	for za0003 := range z.Endpoints {
+		err = z.Endpoints[za0003].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Endpoints", za0003)
+			return
+		}
+	}
+	// write "accounts"
+	err = en.Append(0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Accounts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Accounts")
+		return
+	}
+	for za0004 := range z.Accounts {
+		err = z.Accounts[za0004].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Accounts", za0004)
+			return
+		}
+	}
+	// write "crashes"
+	err = en.Append(0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Crashes)))
+	if err != nil {
+		err = msgp.WrapError(err, "Crashes")
+		return
+	}
+	for za0005 := range z.Crashes {
+		// map header, size 2
+		// write "digest"
+		err = en.Append(0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteBytes(z.Crashes[za0005].Digest)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0005, "Digest")
+			return
+		}
+		// write "losses"
+		err = en.Append(0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Crashes[za0005].Losses)))
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0005, "Losses")
+			return
+		}
+		for za0006 := range z.Crashes[za0005].Losses {
+			// array header, size 2
+			err = en.Append(0x92)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Crashes[za0005].Losses[za0006].Address)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
+				return
+			}
+			err = en.WriteInt64(z.Crashes[za0005].Losses[za0006].AgeMillis)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
+				return
+			}
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 7
+	// string "from"
+	o = append(o, 0x87, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o, err = z.From.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	// string "sequence"
+	o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	o = msgp.AppendUint64(o, z.Sequence)
+	// string "members"
+	o = append(o, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+	for za0001 := range z.Members {
+		o, err = z.Members[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
+	// string "pulses"
+	o = append(o, 0xa6, 0x70, 0x75, 0x6c, 0x73, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Pulses)))
+	for za0002 := range z.Pulses {
+		o, err = z.Pulses[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Pulses", za0002)
+			return
+		}
+	}
+	// string "endpoints"
+	o = append(o, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
+	for za0003 := range z.Endpoints {
+		o, err = z.Endpoints[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Endpoints", za0003)
+			return
+		}
+	}
+	// string "accounts"
+	o = append(o, 0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Accounts)))
+	for za0004 := range z.Accounts {
+		o, err = z.Accounts[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Accounts", za0004)
+			return
+		}
+	}
+	// string "crashes"
+	o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+	for za0005 := range z.Crashes {
+		// map header, size 2
+		// string "digest"
+		o = append(o, 0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+		o = msgp.AppendBytes(o, z.Crashes[za0005].Digest)
+		// string "losses"
+		o = append(o, 0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes[za0005].Losses)))
+		for za0006 := range z.Crashes[za0005].Losses {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendString(o, z.Crashes[za0005].Losses[za0006].Address)
+			o = msgp.AppendInt64(o, z.Crashes[za0005].Losses[za0006].AgeMillis)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Heartbeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "from":
+			bts, err = z.From.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "sequence":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
+		case "members":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if zb0002 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Members) >= int(zb0002) {
+				z.Members = (z.Members)[:zb0002]
+			} else {
+				z.Members = make([]Member, zb0002)
+			}
+			for za0001 := range z.Members {
+				bts, err = z.Members[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0001)
+					return
+				}
+			}
+		case "pulses":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pulses")
+				return
+			}
+			if zb0003 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Pulses) >= int(zb0003) {
+				z.Pulses = (z.Pulses)[:zb0003]
+			} else {
+				z.Pulses = make([]Pulse, zb0003)
+			}
+			for za0002 := range z.Pulses {
+				bts, err = z.Pulses[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pulses", za0002)
+					return
+				}
+			}
+		case "endpoints":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoints")
+				return
+			}
+			if zb0004 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Endpoints) >= int(zb0004) {
+				z.Endpoints = (z.Endpoints)[:zb0004]
+			} else {
+				z.Endpoints = make([]EndpointLoad, zb0004)
+			}
+			for za0003 := range z.Endpoints {
+				bts, err = z.Endpoints[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0003)
+					return
+				}
+			}
+		case "accounts":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accounts")
+				return
+			}
+			if zb0005 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Accounts) >= int(zb0005) {
+				z.Accounts = (z.Accounts)[:zb0005]
+			} else {
+				z.Accounts = make([]AccountUse, zb0005)
+			}
+			for za0004 := range z.Accounts {
+				bts, err = z.Accounts[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0004)
+					return
+				}
+			}
+		case "crashes":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes")
+				return
+			}
+			if zb0006 > 1024 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Crashes) >= int(zb0006) {
+				z.Crashes = (z.Crashes)[:zb0006]
+			} else {
+				z.Crashes = make([]CrashMark, zb0006)
+			}
+			for za0005 := range z.Crashes {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Crashes", za0005)
+					return
+				}
+				if zb0007 > 1024 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0007 > 0 {
+					zb0007--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Crashes", za0005)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "digest":
+						var zb0008 uint32
+						zb0008, bts, err = msgp.ReadBytesHeader(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Crashes", za0005, "Digest")
+							return
+						}
+						if zb0008 > 32 {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if z.Crashes[za0005].Digest == nil || uint32(cap(z.Crashes[za0005].Digest)) < zb0008 {
+							z.Crashes[za0005].Digest = make([]byte, zb0008)
+						} else {
+							z.Crashes[za0005].Digest = z.Crashes[za0005].Digest[:zb0008]
+						}
+						if uint32(len(bts)) < zb0008 {
+							err = msgp.ErrShortBytes
+							return
+						}
+						copy(z.Crashes[za0005].Digest, bts[:zb0008])
+						bts = bts[zb0008:]
+					case "losses":
+						var zb0009 uint32
+						zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Crashes", za0005, "Losses")
+							return
+						}
+						if zb0009 > 16 {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if cap(z.Crashes[za0005].Losses) >= int(zb0009) {
+							z.Crashes[za0005].Losses = (z.Crashes[za0005].Losses)[:zb0009]
+						} else {
+							z.Crashes[za0005].Losses = make([]CrashLoss, zb0009)
+						}
+						for za0006 := range z.Crashes[za0005].Losses {
+							var zb0010 uint32
+							zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006)
+								return
+							}
+							if zb0010 != 2 {
+								err = msgp.ArrayError{Wanted: 2, Got: zb0010}
+								return
+							}
+							z.Crashes[za0005].Losses[za0006].Address, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
+								return
+							}
+							z.Crashes[za0005].Losses[za0006].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
+								return
+							}
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Crashes", za0005)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Heartbeat) Msgsize() (s int) {
+	s = 1 + 5 + z.From.Msgsize() + 9 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Members {
+		s += z.Members[za0001].Msgsize()
+	}
+	s += 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Pulses {
+		s += z.Pulses[za0002].Msgsize()
+	}
+	s += 10 + msgp.ArrayHeaderSize
+	for za0003 := range z.Endpoints {
+		s += z.Endpoints[za0003].Msgsize()
+	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0004 := range z.Accounts {
+		s += z.Accounts[za0004].Msgsize()
+	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0005 := range z.Crashes {
+		s += 1 + 7 + msgp.BytesPrefixSize + len(z.Crashes[za0005].Digest) + 7 + msgp.ArrayHeaderSize
+		for za0006 := range z.Crashes[za0005].Losses {
+			s += 1 + msgp.StringPrefixSize + len(z.Crashes[za0005].Losses[za0006].Address) + msgp.Int64Size
+		}
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Kind) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 uint8
+		zb0001, err = dc.ReadUint8()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = Kind(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Kind) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteUint8(uint8(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Kind) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint8(o, uint8(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Kind) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint8
+		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = Kind(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Kind) Msgsize() (s int) {
+	s = msgp.Uint8Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *MadeResult) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Handle, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Handle")
+		return
+	}
+	z.Address, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z MadeResult) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Handle)
+	if err != nil {
+		err = msgp.WrapError(err, "Handle")
+		return
+	}
+	err = en.WriteString(z.Address)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z MadeResult) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Handle)
+	o = msgp.AppendString(o, z.Address)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *MadeResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Handle, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Handle")
+		return
+	}
+	z.Address, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z MadeResult) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Handle) + msgp.StringPrefixSize + len(z.Address)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Member) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+		return
+	}
+	z.Name, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	z.Zone, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	z.CallerAddress, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "CallerAddress")
+		return
+	}
+	z.PeerAddress, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "PeerAddress")
+		return
+	}
+	z.Incarnation, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	z.State, err = dc.ReadUint8()
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	z.ConfigOffset, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigOffset")
+		return
+	}
+	z.InFlight, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "InFlight")
+		return
+	}
+	z.Sequence, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 10
+	err = en.Append(0x9a)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	err = en.WriteString(z.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	err = en.WriteString(z.CallerAddress)
+	if err != nil {
+		err = msgp.WrapError(err, "CallerAddress")
+		return
+	}
+	err = en.WriteString(z.PeerAddress)
+	if err != nil {
+		err = msgp.WrapError(err, "PeerAddress")
+		return
+	}
+	err = en.WriteUint64(z.Incarnation)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	err = en.WriteUint8(z.State)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	err = en.WriteInt64(z.ConfigOffset)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigOffset")
+		return
+	}
+	err = en.WriteInt32(z.InFlight)
+	if err != nil {
+		err = msgp.WrapError(err, "InFlight")
+		return
+	}
+	err = en.WriteUint64(z.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	err = en.WriteUint32(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 10
+	o = append(o, 0x9a)
+	o = msgp.AppendString(o, z.Name)
+	o = msgp.AppendString(o, z.Zone)
+	o = msgp.AppendString(o, z.CallerAddress)
+	o = msgp.AppendString(o, z.PeerAddress)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	o = msgp.AppendUint8(o, z.State)
+	o = msgp.AppendInt64(o, z.ConfigOffset)
+	o = msgp.AppendInt32(o, z.InFlight)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendUint32(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+		return
+	}
+	z.Name, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	z.Zone, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CallerAddress")
+		return
+	}
+	z.PeerAddress, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PeerAddress")
+		return
+	}
+	z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	z.State, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	z.ConfigOffset, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigOffset")
+		return
+	}
+	z.InFlight, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "InFlight")
+		return
+	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Member) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.Zone) + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.Uint64Size + msgp.Uint8Size + msgp.Int64Size + msgp.Int32Size + msgp.Uint64Size + msgp.Uint32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ModelDemand) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Model, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	z.Millis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ModelDemand) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Model)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	err = en.WriteInt64(z.Millis)
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ModelDemand) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Model)
+	o = msgp.AppendInt64(o, z.Millis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ModelDemand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Model, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	z.Millis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ModelDemand) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Model) + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Outcome) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "callId":
+			z.CallID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "CallID")
+				return
+			}
+		case "account":
+			z.Account, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Account")
+				return
+			}
+		case "key":
+			z.Key, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "state":
+			z.State, err = dc.ReadUint8()
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
+			}
+		case "answer":
+			z.Answer, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Answer")
+				return
+			}
+		case "parts":
+			z.Parts, err = dc.ReadInt32()
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+		case "code":
+			z.Code, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Code")
+				return
+			}
+		case "message":
+			z.Message, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Message")
+				return
+			}
+		case "ageMillis":
+			z.AgeMillis, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMillis")
+				return
+			}
+		case "digest":
+			z.Digest, err = dc.ReadBytesLimit(z.Digest, 32)
+			if err == nil && z.Digest == nil {
+				z.Digest = []byte{}
+			}
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Outcome) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 10
+	// write "callId"
+	err = en.Append(0x8a, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.CallID)
+	if err != nil {
+		err = msgp.WrapError(err, "CallID")
+		return
+	}
+	// write "account"
+	err = en.Append(0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Account)
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
+	}
+	// write "key"
+	err = en.Append(0xa3, 0x6b, 0x65, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	// write "state"
+	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint8(z.State)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	// write "answer"
+	err = en.Append(0xa6, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Answer)
+	if err != nil {
+		err = msgp.WrapError(err, "Answer")
+		return
+	}
+	// write "parts"
+	err = en.Append(0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt32(z.Parts)
+	if err != nil {
+		err = msgp.WrapError(err, "Parts")
+		return
+	}
+	// write "code"
+	err = en.Append(0xa4, 0x63, 0x6f, 0x64, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Code)
+	if err != nil {
+		err = msgp.WrapError(err, "Code")
+		return
+	}
+	// write "message"
+	err = en.Append(0xa7, 0x6d, 0x65, 0x73, 0x73, 0x61, 0x67, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Message)
+	if err != nil {
+		err = msgp.WrapError(err, "Message")
+		return
+	}
+	// write "ageMillis"
+	err = en.Append(0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	// write "digest"
+	err = en.Append(0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Digest)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Outcome) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 10
+	// string "callId"
+	o = append(o, 0x8a, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = msgp.AppendUint64(o, z.CallID)
+	// string "account"
+	o = append(o, 0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendString(o, z.Account)
+	// string "key"
+	o = append(o, 0xa3, 0x6b, 0x65, 0x79)
+	o = msgp.AppendString(o, z.Key)
+	// string "state"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	o = msgp.AppendUint8(o, z.State)
+	// string "answer"
+	o = append(o, 0xa6, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72)
+	o = msgp.AppendString(o, z.Answer)
+	// string "parts"
+	o = append(o, 0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
+	o = msgp.AppendInt32(o, z.Parts)
+	// string "code"
+	o = append(o, 0xa4, 0x63, 0x6f, 0x64, 0x65)
+	o = msgp.AppendString(o, z.Code)
+	// string "message"
+	o = append(o, 0xa7, 0x6d, 0x65, 0x73, 0x73, 0x61, 0x67, 0x65)
+	o = msgp.AppendString(o, z.Message)
+	// string "ageMillis"
+	o = append(o, 0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.AgeMillis)
+	// string "digest"
+	o = append(o, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	o = msgp.AppendBytes(o, z.Digest)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Outcome) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "callId":
+			z.CallID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CallID")
+				return
+			}
+		case "account":
+			z.Account, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Account")
+				return
+			}
+		case "key":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "state":
+			z.State, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
+			}
+		case "answer":
+			z.Answer, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Answer")
+				return
+			}
+		case "parts":
+			z.Parts, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+		case "code":
+			z.Code, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Code")
+				return
+			}
+		case "message":
+			z.Message, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Message")
+				return
+			}
+		case "ageMillis":
+			z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMillis")
+				return
+			}
+		case "digest":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+			if zb0002 > 32 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Digest == nil || uint32(cap(z.Digest)) < zb0002 {
+				z.Digest = make([]byte, zb0002)
+			} else {
+				z.Digest = z.Digest[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Digest, bts[:zb0002])
+			bts = bts[zb0002:]
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *EndpointLoad) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize
+func (z *Outcome) Msgsize() (s int) {
+	s = 1 + 7 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Account) + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.Uint8Size + 7 + msgp.StringPrefixSize + len(z.Answer) + 6 + msgp.Int32Size + 5 + msgp.StringPrefixSize + len(z.Code) + 8 + msgp.StringPrefixSize + len(z.Message) + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Digest)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Handover) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *OutcomeCall) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1536,28 +3991,23 @@
 				err = msgp.WrapError(err, "CallID")
 				return
 			}
-		case "outcomes":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+		case "account":
+			z.Account, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Outcomes")
+				err = msgp.WrapError(err, "Account")
 				return
 			}
-			if zb0002 > 100000 {
-				err = msgp.ErrLimitExceeded
+		case "key":
+			z.Key, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
 				return
 			}
-			if cap(z.Outcomes) >= int(zb0002) {
-				z.Outcomes = (z.Outcomes)[:zb0002]
-			} else {
-				z.Outcomes = make([]Outcome, zb0002)
-			}
-			for za0001 := range z.Outcomes {
-				err = z.Outcomes[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Outcomes", za0001)
-					return
-				}
+		case "waitMillis":
+			z.WaitMillis, err = dc.ReadInt32()
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMillis")
+				return
 			}
 		default:
 			err = dc.Skip()
@@ -1571,10 +4021,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Handover) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+func (z *OutcomeCall) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
 	// write "callId"
-	err = en.Append(0x82, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	err = en.Append(0x84, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	if err != nil {
 		return
 	}
@@ -1583,48 +4033,60 @@
 		err = msgp.WrapError(err, "CallID")
 		return
 	}
-	// write "outcomes"
-	err = en.Append(0xa8, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65, 0x73)
+	// write "account"
+	err = en.Append(0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Outcomes)))
+	err = en.WriteString(z.Account)
 	if err != nil {
-		err = msgp.WrapError(err, "Outcomes")
+		err = msgp.WrapError(err, "Account")
 		return
 	}
-	for za0001 := range z.Outcomes {
-		err = z.Outcomes[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Outcomes", za0001)
-			return
-		}
+	// write "key"
+	err = en.Append(0xa3, 0x6b, 0x65, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	// write "waitMillis"
+	err = en.Append(0xaa, 0x77, 0x61, 0x69, 0x74, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt32(z.WaitMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMillis")
+		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Handover) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *OutcomeCall) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 4
 	// string "callId"
-	o = append(o, 0x82, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = append(o, 0x84, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	o = msgp.AppendUint64(o, z.CallID)
-	// string "outcomes"
-	o = append(o, 0xa8, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Outcomes)))
-	for za0001 := range z.Outcomes {
-		o, err = z.Outcomes[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Outcomes", za0001)
-			return
-		}
-	}
+	// string "account"
+	o = append(o, 0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendString(o, z.Account)
+	// string "key"
+	o = append(o, 0xa3, 0x6b, 0x65, 0x79)
+	o = msgp.AppendString(o, z.Key)
+	// string "waitMillis"
+	o = append(o, 0xaa, 0x77, 0x61, 0x69, 0x74, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt32(o, z.WaitMillis)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Handover) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *OutcomeCall) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1647,28 +4109,23 @@
 				err = msgp.WrapError(err, "CallID")
 				return
 			}
-		case "outcomes":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "account":
+			z.Account, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Outcomes")
+				err = msgp.WrapError(err, "Account")
 				return
 			}
-			if zb0002 > 100000 {
-				err = msgp.ErrLimitExceeded
+		case "key":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
 				return
 			}
-			if cap(z.Outcomes) >= int(zb0002) {
-				z.Outcomes = (z.Outcomes)[:zb0002]
-			} else {
-				z.Outcomes = make([]Outcome, zb0002)
-			}
-			for za0001 := range z.Outcomes {
-				bts, err = z.Outcomes[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Outcomes", za0001)
-					return
-				}
+		case "waitMillis":
+			z.WaitMillis, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMillis")
+				return
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -1683,16 +4140,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Handover) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size + 9 + msgp.ArrayHeaderSize
-	for za0001 := range z.Outcomes {
-		s += z.Outcomes[za0001].Msgsize()
-	}
+func (z *OutcomeCall) Msgsize() (s int) {
+	s = 1 + 7 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Account) + 4 + msgp.StringPrefixSize + len(z.Key) + 11 + msgp.Int32Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Heartbeat) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *PieceAsk) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1709,204 +4163,105 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "from":
-			err = z.From.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "sequence":
-			z.Sequence, err = dc.ReadUint64()
+		case "service":
+			z.Service, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Sequence")
-				return
-			}
-		case "members":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Members")
+				err = msgp.WrapError(err, "Service")
 				return
 			}
-			if zb0002 > 4096 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Members) >= int(zb0002) {
-				z.Members = (z.Members)[:zb0002]
-			} else {
-				z.Members = make([]Member, zb0002)
-			}
-			for za0001 := range z.Members {
-				err = z.Members[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Members", za0001)
-					return
-				}
-			}
-		case "pulses":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+		case "request":
+			z.Request, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Pulses")
-				return
-			}
-			if zb0003 > 4096 {
-				err = msgp.ErrLimitExceeded
+				err = msgp.WrapError(err, "Request")
 				return
 			}
-			if cap(z.Pulses) >= int(zb0003) {
-				z.Pulses = (z.Pulses)[:zb0003]
-			} else {
-				z.Pulses = make([]Pulse, zb0003)
-			}
-			for za0002 := range z.Pulses {
-				err = z.Pulses[za0002].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Pulses", za0002)
-					return
-				}
-			}
-		case "endpoints":
-			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
+		case "stage":
+			z.Stage, err = dc.ReadInt32()
 			if err != nil {
-				err = msgp.WrapError(err, "Endpoints")
+				err = msgp.WrapError(err, "Stage")
 				return
 			}
-			if zb0004 > 16384 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Endpoints) >= int(zb0004) {
-				z.Endpoints = (z.Endpoints)[:zb0004]
-			} else {
-				z.Endpoints = make([]EndpointLoad, zb0004)
-			}
-			for za0003 := range z.Endpoints {
-				err = z.Endpoints[za0003].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Endpoints", za0003)
-					return
-				}
-			}
-		case "accounts":
-			var zb0005 uint32
-			zb0005, err = dc.ReadArrayHeader()
+		case "numbers":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Accounts")
+				err = msgp.WrapError(err, "Numbers")
 				return
 			}
-			if zb0005 > 65536 {
+			if zb0002 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Accounts) >= int(zb0005) {
-				z.Accounts = (z.Accounts)[:zb0005]
+			if cap(z.Numbers) >= int(zb0002) {
+				z.Numbers = (z.Numbers)[:zb0002]
 			} else {
-				z.Accounts = make([]AccountUse, zb0005)
+				z.Numbers = make([]int32, zb0002)
 			}
-			for za0004 := range z.Accounts {
-				err = z.Accounts[za0004].DecodeMsg(dc)
+			for za0001 := range z.Numbers {
+				z.Numbers[za0001], err = dc.ReadInt32()
 				if err != nil {
-					err = msgp.WrapError(err, "Accounts", za0004)
+					err = msgp.WrapError(err, "Numbers", za0001)
 					return
 				}
 			}
-		case "crashes":
-			var zb0006 uint32
-			zb0006, err = dc.ReadArrayHeader()
+		case "key":
+			z.Key, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Crashes")
+				err = msgp.WrapError(err, "Key")
 				return
 			}
-			if zb0006 > 1024 {
+		case "inputs":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Inputs")
+				return
+			}
+			if zb0003 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Crashes) >= int(zb0006) {
-				z.Crashes = (z.Crashes)[:zb0006]
+			if cap(z.Inputs) >= int(zb0003) {
+				z.Inputs = (z.Inputs)[:zb0003]
 			} else {
-				z.Crashes = make([]CrashMark, zb0006)
+				z.Inputs = make([]string, zb0003)
 			}
-			for za0005 := range z.Crashes {
-				var zb0007 uint32
-				zb0007, err = dc.ReadMapHeader()
+			for za0002 := range z.Inputs {
+				z.Inputs[za0002], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Crashes", za0005)
-					return
-				}
-				if zb0007 > 1024 {
-					err = msgp.ErrLimitExceeded
+					err = msgp.WrapError(err, "Inputs", za0002)
 					return
 				}
-				for zb0007 > 0 {
-					zb0007--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Crashes", za0005)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "digest":
-						z.Crashes[za0005].Digest, err = dc.ReadBytesLimit(z.Crashes[za0005].Digest, 32)
-						if err == nil && z.Crashes[za0005].Digest == nil {
-							z.Crashes[za0005].Digest = []byte{}
-						}
-						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0005, "Digest")
-							return
-						}
-					case "losses":
-						var zb0008 uint32
-						zb0008, err = dc.ReadArrayHeader()
-						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0005, "Losses")
-							return
-						}
-						if zb0008 > 16 {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if cap(z.Crashes[za0005].Losses) >= int(zb0008) {
-							z.Crashes[za0005].Losses = (z.Crashes[za0005].Losses)[:zb0008]
-						} else {
-							z.Crashes[za0005].Losses = make([]CrashLoss, zb0008)
-						}
-						for za0006 := range z.Crashes[za0005].Losses {
-							var zb0009 uint32
-							zb0009, err = dc.ReadArrayHeader()
-							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006)
-								return
-							}
-							if zb0009 > 16 {
-								err = msgp.ErrLimitExceeded
-								return
-							}
-							if zb0009 != 2 {
-								err = msgp.ArrayError{Wanted: 2, Got: zb0009}
-								return
-							}
-							z.Crashes[za0005].Losses[za0006].Address, err = dc.ReadString()
-							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
-								return
-							}
-							z.Crashes[za0005].Losses[za0006].AgeMillis, err = dc.ReadInt64()
-							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
-								return
-							}
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0005)
-							return
-						}
-					}
-				}
+			}
+		case "dueMillis":
+			z.DueMillis, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "DueMillis")
+				return
+			}
+		case "deadlineMillis":
+			z.DeadlineMillis, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "DeadlineMillis")
+				return
+			}
+		case "priority":
+			z.Priority, err = dc.ReadInt32()
+			if err != nil {
+				err = msgp.WrapError(err, "Priority")
+				return
+			}
+		case "account":
+			z.Account, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Account")
+				return
+			}
+		case "resultBytes":
+			z.ResultBytes, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "ResultBytes")
+				return
 			}
 		default:
 			err = dc.Skip()
@@ -1920,226 +4275,183 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
-	// write "from"
-	err = en.Append(0x87, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+func (z *PieceAsk) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 11
+	// write "service"
+	err = en.Append(0x8b, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
-	err = z.From.EncodeMsg(en)
+	err = en.WriteString(z.Service)
 	if err != nil {
-		err = msgp.WrapError(err, "From")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	// write "sequence"
-	err = en.Append(0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	// write "request"
+	err = en.Append(0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Sequence)
+	err = en.WriteString(z.Request)
 	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
+		err = msgp.WrapError(err, "Request")
 		return
 	}
-	// write "members"
-	err = en.Append(0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+	// write "stage"
+	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Members)))
+	err = en.WriteInt32(z.Stage)
 	if err != nil {
-		err = msgp.WrapError(err, "Members")
+		err = msgp.WrapError(err, "Stage")
 		return
 	}
-	for za0001 := range z.Members {
-		err = z.Members[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
-			return
-		}
-	}
-	// write "pulses"
-	err = en.Append(0xa6, 0x70, 0x75, 0x6c, 0x73, 0x65, 0x73)
+	// write "numbers"
+	err = en.Append(0xa7, 0x6e, 0x75, 0x6d, 0x62, 0x65, 0x72, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Pulses)))
+	err = en.WriteArrayHeader(uint32(len(z.Numbers)))
 	if err != nil {
-		err = msgp.WrapError(err, "Pulses")
+		err = msgp.WrapError(err, "Numbers")
 		return
 	}
-	for za0002 := range z.Pulses {
-		err = z.Pulses[za0002].EncodeMsg(en)
+	for za0001 := range z.Numbers {
+		err = en.WriteInt32(z.Numbers[za0001])
 		if err != nil {
-			err = msgp.WrapError(err, "Pulses", za0002)
+			err = msgp.WrapError(err, "Numbers", za0001)
 			return
 		}
 	}
-	// write "endpoints"
-	err = en.Append(0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
+	// write "key"
+	err = en.Append(0xa3, 0x6b, 0x65, 0x79)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Endpoints)))
+	err = en.WriteString(z.Key)
 	if err != nil {
-		err = msgp.WrapError(err, "Endpoints")
+		err = msgp.WrapError(err, "Key")
 		return
 	}
-	for za0003 := range z.Endpoints {
-		err = z.Endpoints[za0003].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Endpoints", za0003)
-			return
-		}
-	}
-	// write "accounts"
-	err = en.Append(0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+	// write "inputs"
+	err = en.Append(0xa6, 0x69, 0x6e, 0x70, 0x75, 0x74, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Accounts)))
+	err = en.WriteArrayHeader(uint32(len(z.Inputs)))
 	if err != nil {
-		err = msgp.WrapError(err, "Accounts")
+		err = msgp.WrapError(err, "Inputs")
 		return
 	}
-	for za0004 := range z.Accounts {
-		err = z.Accounts[za0004].EncodeMsg(en)
+	for za0002 := range z.Inputs {
+		err = en.WriteString(z.Inputs[za0002])
 		if err != nil {
-			err = msgp.WrapError(err, "Accounts", za0004)
+			err = msgp.WrapError(err, "Inputs", za0002)
 			return
 		}
 	}
-	// write "crashes"
-	err = en.Append(0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
+	// write "dueMillis"
+	err = en.Append(0xa9, 0x64, 0x75, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Crashes)))
+	err = en.WriteInt64(z.DueMillis)
 	if err != nil {
-		err = msgp.WrapError(err, "Crashes")
+		err = msgp.WrapError(err, "DueMillis")
 		return
 	}
-	for za0005 := range z.Crashes {
-		// map header, size 2
-		// write "digest"
-		err = en.Append(0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteBytes(z.Crashes[za0005].Digest)
-		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0005, "Digest")
-			return
-		}
-		// write "losses"
-		err = en.Append(0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteArrayHeader(uint32(len(z.Crashes[za0005].Losses)))
-		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0005, "Losses")
-			return
-		}
-		for za0006 := range z.Crashes[za0005].Losses {
-			// array header, size 2
-			err = en.Append(0x92)
-			if err != nil {
-				return
-			}
-			err = en.WriteString(z.Crashes[za0005].Losses[za0006].Address)
-			if err != nil {
-				err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
-				return
-			}
-			err = en.WriteInt64(z.Crashes[za0005].Losses[za0006].AgeMillis)
-			if err != nil {
-				err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
-				return
-			}
-		}
+	// write "deadlineMillis"
+	err = en.Append(0xae, 0x64, 0x65, 0x61, 0x64, 0x6c, 0x69, 0x6e, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	if err != nil {
+		return
 	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "from"
-	o = append(o, 0x87, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
-	o, err = z.From.MarshalMsg(o)
+	err = en.WriteInt64(z.DeadlineMillis)
 	if err != nil {
-		err = msgp.WrapError(err, "From")
+		err = msgp.WrapError(err, "DeadlineMillis")
 		return
 	}
-	// string "sequence"
-	o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
-	o = msgp.AppendUint64(o, z.Sequence)
-	// string "members"
-	o = append(o, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-	for za0001 := range z.Members {
-		o, err = z.Members[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
-			return
-		}
+	// write "priority"
+	err = en.Append(0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
+	if err != nil {
+		return
 	}
-	// string "pulses"
-	o = append(o, 0xa6, 0x70, 0x75, 0x6c, 0x73, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Pulses)))
-	for za0002 := range z.Pulses {
-		o, err = z.Pulses[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Pulses", za0002)
-			return
-		}
+	err = en.WriteInt32(z.Priority)
+	if err != nil {
+		err = msgp.WrapError(err, "Priority")
+		return
+	}
+	// write "account"
+	err = en.Append(0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Account)
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
 	}
-	// string "endpoints"
-	o = append(o, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
-	for za0003 := range z.Endpoints {
-		o, err = z.Endpoints[za0003].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Endpoints", za0003)
-			return
-		}
+	// write "resultBytes"
+	err = en.Append(0xab, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
+	if err != nil {
+		return
 	}
-	// string "accounts"
-	o = append(o, 0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Accounts)))
-	for za0004 := range z.Accounts {
-		o, err = z.Accounts[za0004].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Accounts", za0004)
-			return
-		}
+	err = en.WriteInt64(z.ResultBytes)
+	if err != nil {
+		err = msgp.WrapError(err, "ResultBytes")
+		return
 	}
-	// string "crashes"
-	o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
-	for za0005 := range z.Crashes {
-		// map header, size 2
-		// string "digest"
-		o = append(o, 0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
-		o = msgp.AppendBytes(o, z.Crashes[za0005].Digest)
-		// string "losses"
-		o = append(o, 0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes[za0005].Losses)))
-		for za0006 := range z.Crashes[za0005].Losses {
-			// array header, size 2
-			o = append(o, 0x92)
-			o = msgp.AppendString(o, z.Crashes[za0005].Losses[za0006].Address)
-			o = msgp.AppendInt64(o, z.Crashes[za0005].Losses[za0006].AgeMillis)
-		}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PieceAsk) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 11
+	// string "service"
+	o = append(o, 0x8b, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "request"
+	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	o = msgp.AppendString(o, z.Request)
+	// string "stage"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+	o = msgp.AppendInt32(o, z.Stage)
+	// string "numbers"
+	o = append(o, 0xa7, 0x6e, 0x75, 0x6d, 0x62, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Numbers)))
+	for za0001 := range z.Numbers {
+		o = msgp.AppendInt32(o, z.Numbers[za0001])
 	}
+	// string "key"
+	o = append(o, 0xa3, 0x6b, 0x65, 0x79)
+	o = msgp.AppendString(o, z.Key)
+	// string "inputs"
+	o = append(o, 0xa6, 0x69, 0x6e, 0x70, 0x75, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Inputs)))
+	for za0002 := range z.Inputs {
+		o = msgp.AppendString(o, z.Inputs[za0002])
+	}
+	// string "dueMillis"
+	o = append(o, 0xa9, 0x64, 0x75, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.DueMillis)
+	// string "deadlineMillis"
+	o = append(o, 0xae, 0x64, 0x65, 0x61, 0x64, 0x6c, 0x69, 0x6e, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.DeadlineMillis)
+	// string "priority"
+	o = append(o, 0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
+	o = msgp.AppendInt32(o, z.Priority)
+	// string "account"
+	o = append(o, 0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendString(o, z.Account)
+	// string "resultBytes"
+	o = append(o, 0xab, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
+	o = msgp.AppendInt64(o, z.ResultBytes)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Heartbeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *PieceAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2156,321 +4468,380 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "from":
-			bts, err = z.From.UnmarshalMsg(bts)
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "From")
+				err = msgp.WrapError(err, "Service")
 				return
 			}
-		case "sequence":
-			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+		case "request":
+			z.Request, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Sequence")
+				err = msgp.WrapError(err, "Request")
 				return
 			}
-		case "members":
+		case "stage":
+			z.Stage, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
+		case "numbers":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Members")
+				err = msgp.WrapError(err, "Numbers")
 				return
 			}
 			if zb0002 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Members) >= int(zb0002) {
-				z.Members = (z.Members)[:zb0002]
+			if cap(z.Numbers) >= int(zb0002) {
+				z.Numbers = (z.Numbers)[:zb0002]
 			} else {
-				z.Members = make([]Member, zb0002)
+				z.Numbers = make([]int32, zb0002)
 			}
-			for za0001 := range z.Members {
-				bts, err = z.Members[za0001].UnmarshalMsg(bts)
+			for za0001 := range z.Numbers {
+				z.Numbers[za0001], bts, err = msgp.ReadInt32Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Members", za0001)
+					err = msgp.WrapError(err, "Numbers", za0001)
 					return
 				}
 			}
-		case "pulses":
+		case "key":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "inputs":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Pulses")
+				err = msgp.WrapError(err, "Inputs")
 				return
 			}
 			if zb0003 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Pulses) >= int(zb0003) {
-				z.Pulses = (z.Pulses)[:zb0003]
+			if cap(z.Inputs) >= int(zb0003) {
+				z.Inputs = (z.Inputs)[:zb0003]
 			} else {
-				z.Pulses = make([]Pulse, zb0003)
+				z.Inputs = make([]string, zb0003)
 			}
-			for za0002 := range z.Pulses {
-				bts, err = z.Pulses[za0002].UnmarshalMsg(bts)
+			for za0002 := range z.Inputs {
+				z.Inputs[za0002], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Pulses", za0002)
+					err = msgp.WrapError(err, "Inputs", za0002)
 					return
 				}
 			}
-		case "endpoints":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "dueMillis":
+			z.DueMillis, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Endpoints")
+				err = msgp.WrapError(err, "DueMillis")
 				return
 			}
-			if zb0004 > 16384 {
-				err = msgp.ErrLimitExceeded
+		case "deadlineMillis":
+			z.DeadlineMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DeadlineMillis")
 				return
 			}
-			if cap(z.Endpoints) >= int(zb0004) {
-				z.Endpoints = (z.Endpoints)[:zb0004]
-			} else {
-				z.Endpoints = make([]EndpointLoad, zb0004)
-			}
-			for za0003 := range z.Endpoints {
-				bts, err = z.Endpoints[za0003].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Endpoints", za0003)
-					return
-				}
+		case "priority":
+			z.Priority, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Priority")
+				return
 			}
-		case "accounts":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "account":
+			z.Account, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Accounts")
+				err = msgp.WrapError(err, "Account")
 				return
 			}
-			if zb0005 > 65536 {
-				err = msgp.ErrLimitExceeded
+		case "resultBytes":
+			z.ResultBytes, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ResultBytes")
 				return
 			}
-			if cap(z.Accounts) >= int(zb0005) {
-				z.Accounts = (z.Accounts)[:zb0005]
-			} else {
-				z.Accounts = make([]AccountUse, zb0005)
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
 			}
-			for za0004 := range z.Accounts {
-				bts, err = z.Accounts[za0004].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Accounts", za0004)
-					return
-				}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PieceAsk) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 6 + msgp.Int32Size + 8 + msgp.ArrayHeaderSize + (len(z.Numbers) * (msgp.Int32Size)) + 4 + msgp.StringPrefixSize + len(z.Key) + 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Inputs {
+		s += msgp.StringPrefixSize + len(z.Inputs[za0002])
+	}
+	s += 10 + msgp.Int64Size + 15 + msgp.Int64Size + 9 + msgp.Int32Size + 8 + msgp.StringPrefixSize + len(z.Account) + 12 + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *PieceFree) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
 			}
-		case "crashes":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "results":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Crashes")
+				err = msgp.WrapError(err, "Results")
 				return
 			}
-			if zb0006 > 1024 {
+			if zb0002 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Crashes) >= int(zb0006) {
-				z.Crashes = (z.Crashes)[:zb0006]
+			if cap(z.Results) >= int(zb0002) {
+				z.Results = (z.Results)[:zb0002]
 			} else {
-				z.Crashes = make([]CrashMark, zb0006)
+				z.Results = make([]MadeResult, zb0002)
 			}
-			for za0005 := range z.Crashes {
-				var zb0007 uint32
-				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Crashes", za0005)
-					return
-				}
-				if zb0007 > 1024 {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0007 > 0 {
-					zb0007--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Crashes", za0005)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "digest":
-						var zb0008 uint32
-						zb0008, bts, err = msgp.ReadBytesHeader(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0005, "Digest")
-							return
-						}
-						if zb0008 > 32 {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if z.Crashes[za0005].Digest == nil || uint32(cap(z.Crashes[za0005].Digest)) < zb0008 {
-							z.Crashes[za0005].Digest = make([]byte, zb0008)
-						} else {
-							z.Crashes[za0005].Digest = z.Crashes[za0005].Digest[:zb0008]
-						}
-						if uint32(len(bts)) < zb0008 {
-							err = msgp.ErrShortBytes
-							return
-						}
-						copy(z.Crashes[za0005].Digest, bts[:zb0008])
-						bts = bts[zb0008:]
-					case "losses":
-						var zb0009 uint32
-						zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0005, "Losses")
-							return
-						}
-						if zb0009 > 16 {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if cap(z.Crashes[za0005].Losses) >= int(zb0009) {
-							z.Crashes[za0005].Losses = (z.Crashes[za0005].Losses)[:zb0009]
-						} else {
-							z.Crashes[za0005].Losses = make([]CrashLoss, zb0009)
-						}
-						for za0006 := range z.Crashes[za0005].Losses {
-							var zb0010 uint32
-							zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006)
-								return
-							}
-							if zb0010 != 2 {
-								err = msgp.ArrayError{Wanted: 2, Got: zb0010}
-								return
-							}
-							z.Crashes[za0005].Losses[za0006].Address, bts, err = msgp.ReadStringBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
-								return
-							}
-							z.Crashes[za0005].Losses[za0006].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
-								return
-							}
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0005)
-							return
-						}
-					}
+			for za0001 := range z.Results {
+				var zb0003 uint32
+				zb0003, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001)
+					return
+				}
+				if zb0003 > 4096 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Results[za0001].Handle, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001, "Handle")
+					return
+				}
+				z.Results[za0001].Address, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001, "Address")
+					return
 				}
 			}
 		default:
-			bts, err = msgp.Skip(bts)
+			err = dc.Skip()
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
-	o = bts
 	return
 }
 
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + 5 + z.From.Msgsize() + 9 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize
-	for za0001 := range z.Members {
-		s += z.Members[za0001].Msgsize()
+// EncodeMsg implements msgp.Encodable
+func (z *PieceFree) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "service"
+	err = en.Append(0x82, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	if err != nil {
+		return
 	}
-	s += 7 + msgp.ArrayHeaderSize
-	for za0002 := range z.Pulses {
-		s += z.Pulses[za0002].Msgsize()
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
 	}
-	s += 10 + msgp.ArrayHeaderSize
-	for za0003 := range z.Endpoints {
-		s += z.Endpoints[za0003].Msgsize()
+	// write "results"
+	err = en.Append(0xa7, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x73)
+	if err != nil {
+		return
 	}
-	s += 9 + msgp.ArrayHeaderSize
-	for za0004 := range z.Accounts {
-		s += z.Accounts[za0004].Msgsize()
+	err = en.WriteArrayHeader(uint32(len(z.Results)))
+	if err != nil {
+		err = msgp.WrapError(err, "Results")
+		return
 	}
-	s += 8 + msgp.ArrayHeaderSize
-	for za0005 := range z.Crashes {
-		s += 1 + 7 + msgp.BytesPrefixSize + len(z.Crashes[za0005].Digest) + 7 + msgp.ArrayHeaderSize
-		for za0006 := range z.Crashes[za0005].Losses {
-			s += 1 + msgp.StringPrefixSize + len(z.Crashes[za0005].Losses[za0006].Address) + msgp.Int64Size
+	for za0001 := range z.Results {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
 		}
-	}
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Kind) DecodeMsg(dc *msgp.Reader) (err error) {
-	{
-		var zb0001 uint8
-		zb0001, err = dc.ReadUint8()
+		err = en.WriteString(z.Results[za0001].Handle)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "Results", za0001, "Handle")
+			return
+		}
+		err = en.WriteString(z.Results[za0001].Address)
+		if err != nil {
+			err = msgp.WrapError(err, "Results", za0001, "Address")
 			return
 		}
-		(*z) = Kind(zb0001)
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Kind) EncodeMsg(en *msgp.Writer) (err error) {
-	err = en.WriteUint8(uint8(z))
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Kind) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *PieceFree) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	o = msgp.AppendUint8(o, uint8(z))
+	// map header, size 2
+	// string "service"
+	o = append(o, 0x82, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "results"
+	o = append(o, 0xa7, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Results)))
+	for za0001 := range z.Results {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Results[za0001].Handle)
+		o = msgp.AppendString(o, z.Results[za0001].Address)
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Kind) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	{
-		var zb0001 uint8
-		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+func (z *PieceFree) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
-		(*z) = Kind(zb0001)
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "results":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Results")
+				return
+			}
+			if zb0002 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Results) >= int(zb0002) {
+				z.Results = (z.Results)[:zb0002]
+			} else {
+				z.Results = make([]MadeResult, zb0002)
+			}
+			for za0001 := range z.Results {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001)
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Results[za0001].Handle, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001, "Handle")
+					return
+				}
+				z.Results[za0001].Address, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001, "Address")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Kind) Msgsize() (s int) {
-	s = msgp.Uint8Size
+func (z *PieceFree) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Results {
+		s += 1 + msgp.StringPrefixSize + len(z.Results[za0001].Handle) + msgp.StringPrefixSize + len(z.Results[za0001].Address)
+	}
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Member) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *PieceResult) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
-	z.Name, err = dc.ReadString()
+	z.Number, err = dc.ReadInt32()
 	if err != nil {
-		err = msgp.WrapError(err, "Name")
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	z.Reason, err = dc.ReadUint8()
+	if err != nil {
+		err = msgp.WrapError(err, "Reason")
+		return
+	}
+	z.Handle, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Handle")
+		return
+	}
+	z.Address, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
 		return
 	}
 	z.Zone, err = dc.ReadString()
@@ -2478,288 +4849,616 @@
 		err = msgp.WrapError(err, "Zone")
 		return
 	}
-	z.CallerAddress, err = dc.ReadString()
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *PieceResult) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
-		err = msgp.WrapError(err, "CallerAddress")
 		return
 	}
-	z.PeerAddress, err = dc.ReadString()
+	err = en.WriteInt32(z.Number)
 	if err != nil {
-		err = msgp.WrapError(err, "PeerAddress")
+		err = msgp.WrapError(err, "Number")
 		return
 	}
-	z.Incarnation, err = dc.ReadUint64()
+	err = en.WriteUint8(z.Reason)
 	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
+		err = msgp.WrapError(err, "Reason")
 		return
 	}
-	z.State, err = dc.ReadUint8()
+	err = en.WriteString(z.Handle)
 	if err != nil {
-		err = msgp.WrapError(err, "State")
+		err = msgp.WrapError(err, "Handle")
 		return
 	}
-	z.ConfigOffset, err = dc.ReadInt64()
+	err = en.WriteString(z.Address)
 	if err != nil {
-		err = msgp.WrapError(err, "ConfigOffset")
+		err = msgp.WrapError(err, "Address")
 		return
 	}
-	z.InFlight, err = dc.ReadInt32()
+	err = en.WriteString(z.Zone)
 	if err != nil {
-		err = msgp.WrapError(err, "InFlight")
+		err = msgp.WrapError(err, "Zone")
 		return
 	}
-	z.Sequence, err = dc.ReadUint64()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PieceResult) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendInt32(o, z.Number)
+	o = msgp.AppendUint8(o, z.Reason)
+	o = msgp.AppendString(o, z.Handle)
+	o = msgp.AppendString(o, z.Address)
+	o = msgp.AppendString(o, z.Zone)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PieceResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
+		err = msgp.WrapError(err)
 		return
 	}
-	z.AgeMillis, err = dc.ReadUint32()
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Number, bts, err = msgp.ReadInt32Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	z.Reason, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Reason")
+		return
+	}
+	z.Handle, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Handle")
+		return
+	}
+	z.Address, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.Zone, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PieceResult) Msgsize() (s int) {
+	s = 1 + msgp.Int32Size + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Handle) + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *PieceResults) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
 		return
 	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "request":
+			z.Request, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "stage":
+			z.Stage, err = dc.ReadInt32()
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
+		case "results":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Results")
+				return
+			}
+			if zb0002 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Results) >= int(zb0002) {
+				z.Results = (z.Results)[:zb0002]
+			} else {
+				z.Results = make([]PieceResult, zb0002)
+			}
+			for za0001 := range z.Results {
+				err = z.Results[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 10
-	err = en.Append(0x9a)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Name)
-	if err != nil {
-		err = msgp.WrapError(err, "Name")
-		return
-	}
-	err = en.WriteString(z.Zone)
+func (z *PieceResults) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "service"
+	err = en.Append(0x84, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
-		err = msgp.WrapError(err, "Zone")
 		return
 	}
-	err = en.WriteString(z.CallerAddress)
+	err = en.WriteString(z.Service)
 	if err != nil {
-		err = msgp.WrapError(err, "CallerAddress")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	err = en.WriteString(z.PeerAddress)
+	// write "request"
+	err = en.Append(0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 	if err != nil {
-		err = msgp.WrapError(err, "PeerAddress")
 		return
 	}
-	err = en.WriteUint64(z.Incarnation)
+	err = en.WriteString(z.Request)
 	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
+		err = msgp.WrapError(err, "Request")
 		return
 	}
-	err = en.WriteUint8(z.State)
+	// write "stage"
+	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
 	if err != nil {
-		err = msgp.WrapError(err, "State")
 		return
 	}
-	err = en.WriteInt64(z.ConfigOffset)
+	err = en.WriteInt32(z.Stage)
 	if err != nil {
-		err = msgp.WrapError(err, "ConfigOffset")
+		err = msgp.WrapError(err, "Stage")
 		return
 	}
-	err = en.WriteInt32(z.InFlight)
+	// write "results"
+	err = en.Append(0xa7, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x73)
 	if err != nil {
-		err = msgp.WrapError(err, "InFlight")
 		return
 	}
-	err = en.WriteUint64(z.Sequence)
+	err = en.WriteArrayHeader(uint32(len(z.Results)))
 	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
+		err = msgp.WrapError(err, "Results")
 		return
 	}
-	err = en.WriteUint32(z.AgeMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
+	for za0001 := range z.Results {
+		err = z.Results[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Results", za0001)
+			return
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *PieceResults) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
-	o = msgp.AppendString(o, z.Name)
-	o = msgp.AppendString(o, z.Zone)
-	o = msgp.AppendString(o, z.CallerAddress)
-	o = msgp.AppendString(o, z.PeerAddress)
-	o = msgp.AppendUint64(o, z.Incarnation)
-	o = msgp.AppendUint8(o, z.State)
-	o = msgp.AppendInt64(o, z.ConfigOffset)
-	o = msgp.AppendInt32(o, z.InFlight)
-	o = msgp.AppendUint64(o, z.Sequence)
-	o = msgp.AppendUint32(o, z.AgeMillis)
+	// map header, size 4
+	// string "service"
+	o = append(o, 0x84, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "request"
+	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	o = msgp.AppendString(o, z.Request)
+	// string "stage"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+	o = msgp.AppendInt32(o, z.Stage)
+	// string "results"
+	o = append(o, 0xa7, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Results)))
+	for za0001 := range z.Results {
+		o, err = z.Results[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Results", za0001)
+			return
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *PieceResults) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "request":
+			z.Request, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "stage":
+			z.Stage, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
+		case "results":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Results")
+				return
+			}
+			if zb0002 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Results) >= int(zb0002) {
+				z.Results = (z.Results)[:zb0002]
+			} else {
+				z.Results = make([]PieceResult, zb0002)
+			}
+			for za0001 := range z.Results {
+				bts, err = z.Results[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	z.Name, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Name")
-		return
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PieceResults) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 6 + msgp.Int32Size + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Results {
+		s += z.Results[za0001].Msgsize()
 	}
-	z.Zone, bts, err = msgp.ReadStringBytes(bts)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *PieceTaken) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Zone")
+		err = msgp.WrapError(err)
 		return
 	}
-	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "CallerAddress")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "request":
+			z.Request, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "stage":
+			z.Stage, err = dc.ReadInt32()
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	z.PeerAddress, bts, err = msgp.ReadStringBytes(bts)
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z PieceTaken) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "service"
+	err = en.Append(0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
-		err = msgp.WrapError(err, "PeerAddress")
 		return
 	}
-	z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+	err = en.WriteString(z.Service)
 	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	z.State, bts, err = msgp.ReadUint8Bytes(bts)
+	// write "request"
+	err = en.Append(0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 	if err != nil {
-		err = msgp.WrapError(err, "State")
 		return
 	}
-	z.ConfigOffset, bts, err = msgp.ReadInt64Bytes(bts)
+	err = en.WriteString(z.Request)
 	if err != nil {
-		err = msgp.WrapError(err, "ConfigOffset")
+		err = msgp.WrapError(err, "Request")
 		return
 	}
-	z.InFlight, bts, err = msgp.ReadInt32Bytes(bts)
+	// write "stage"
+	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
 	if err != nil {
-		err = msgp.WrapError(err, "InFlight")
 		return
 	}
-	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	err = en.WriteInt32(z.Stage)
 	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
+		err = msgp.WrapError(err, "Stage")
 		return
 	}
-	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z PieceTaken) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "service"
+	o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "request"
+	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	o = msgp.AppendString(o, z.Request)
+	// string "stage"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+	o = msgp.AppendInt32(o, z.Stage)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PieceTaken) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err)
 		return
 	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "request":
+			z.Request, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "stage":
+			z.Stage, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Member) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.Zone) + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.Uint64Size + msgp.Uint8Size + msgp.Int64Size + msgp.Int32Size + msgp.Uint64Size + msgp.Uint32Size
+func (z PieceTaken) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 6 + msgp.Int32Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *ModelDemand) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *PieceWithdraw) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
+	zb0001, err = dc.ReadMapHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.Model, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "Model")
-		return
-	}
-	z.Millis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "Millis")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "request":
+			z.Request, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z ModelDemand) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+func (z PieceWithdraw) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "service"
+	err = en.Append(0x82, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Model)
+	err = en.WriteString(z.Service)
 	if err != nil {
-		err = msgp.WrapError(err, "Model")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	err = en.WriteInt64(z.Millis)
+	// write "request"
+	err = en.Append(0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 	if err != nil {
-		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	err = en.WriteString(z.Request)
+	if err != nil {
+		err = msgp.WrapError(err, "Request")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ModelDemand) MarshalMsg(b []byte) (o []byte, err error) {
+func (z PieceWithdraw) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendString(o, z.Model)
-	o = msgp.AppendInt64(o, z.Millis)
+	// map header, size 2
+	// string "service"
+	o = append(o, 0x82, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "request"
+	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	o = msgp.AppendString(o, z.Request)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ModelDemand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *PieceWithdraw) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.Model, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Model")
-		return
-	}
-	z.Millis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Millis")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "request":
+			z.Request, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ModelDemand) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Model) + msgp.Int64Size
+func (z PieceWithdraw) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Outcome) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Proof) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2776,337 +5475,334 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "callId":
-			z.CallID, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "CallID")
-				return
-			}
-		case "account":
-			z.Account, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Account")
-				return
-			}
-		case "key":
-			z.Key, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "state":
-			z.State, err = dc.ReadUint8()
-			if err != nil {
-				err = msgp.WrapError(err, "State")
-				return
-			}
-		case "answer":
-			z.Answer, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Answer")
-				return
+		case "mac":
+			z.Mac, err = dc.ReadBytesLimit(z.Mac, 64)
+			if err == nil && z.Mac == nil {
+				z.Mac = []byte{}
 			}
-		case "parts":
-			z.Parts, err = dc.ReadInt32()
 			if err != nil {
-				err = msgp.WrapError(err, "Parts")
+				err = msgp.WrapError(err, "Mac")
 				return
 			}
-		case "code":
-			z.Code, err = dc.ReadString()
+		default:
+			err = dc.Skip()
 			if err != nil {
-				err = msgp.WrapError(err, "Code")
+				err = msgp.WrapError(err)
 				return
 			}
-		case "message":
-			z.Message, err = dc.ReadString()
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Proof) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "mac"
+	err = en.Append(0x81, 0xa3, 0x6d, 0x61, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Mac)
+	if err != nil {
+		err = msgp.WrapError(err, "Mac")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Proof) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "mac"
+	o = append(o, 0x81, 0xa3, 0x6d, 0x61, 0x63)
+	o = msgp.AppendBytes(o, z.Mac)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Proof) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "mac":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Message")
+				err = msgp.WrapError(err, "Mac")
 				return
 			}
-		case "ageMillis":
-			z.AgeMillis, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "AgeMillis")
+			if zb0002 > 64 {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-		case "digest":
-			z.Digest, err = dc.ReadBytesLimit(z.Digest, 32)
-			if err == nil && z.Digest == nil {
-				z.Digest = []byte{}
+			if z.Mac == nil || uint32(cap(z.Mac)) < zb0002 {
+				z.Mac = make([]byte, zb0002)
+			} else {
+				z.Mac = z.Mac[:zb0002]
 			}
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
 				return
 			}
+			copy(z.Mac, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Proof) Msgsize() (s int) {
+	s = 1 + 4 + msgp.BytesPrefixSize + len(z.Mac)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Pulse) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Sequence, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.AgeMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	z.State, err = dc.ReadUint8()
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Outcome) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
-	// write "callId"
-	err = en.Append(0x8a, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+func (z *Pulse) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.CallID)
+	err = en.WriteUint32(z.ID)
 	if err != nil {
-		err = msgp.WrapError(err, "CallID")
+		err = msgp.WrapError(err, "ID")
 		return
 	}
-	// write "account"
-	err = en.Append(0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	err = en.WriteUint64(z.Sequence)
 	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
 		return
 	}
-	err = en.WriteString(z.Account)
+	err = en.WriteUint32(z.AgeMillis)
 	if err != nil {
-		err = msgp.WrapError(err, "Account")
+		err = msgp.WrapError(err, "AgeMillis")
 		return
 	}
-	// write "key"
-	err = en.Append(0xa3, 0x6b, 0x65, 0x79)
+	err = en.WriteUint8(z.State)
 	if err != nil {
+		err = msgp.WrapError(err, "State")
 		return
 	}
-	err = en.WriteString(z.Key)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Pulse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint32(o, z.ID)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendUint32(o, z.AgeMillis)
+	o = msgp.AppendUint8(o, z.State)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Pulse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Key")
+		err = msgp.WrapError(err)
 		return
 	}
-	// write "state"
-	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-	if err != nil {
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
-	err = en.WriteUint8(z.State)
+	z.ID, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "State")
+		err = msgp.WrapError(err, "ID")
 		return
 	}
-	// write "answer"
-	err = en.Append(0xa6, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72)
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
 		return
 	}
-	err = en.WriteString(z.Answer)
+	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Answer")
+		err = msgp.WrapError(err, "AgeMillis")
 		return
 	}
-	// write "parts"
-	err = en.Append(0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
+	z.State, bts, err = msgp.ReadUint8Bytes(bts)
 	if err != nil {
+		err = msgp.WrapError(err, "State")
 		return
 	}
-	err = en.WriteInt32(z.Parts)
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Pulse) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint8Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Record) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Parts")
+		err = msgp.WrapError(err)
 		return
 	}
-	// write "code"
-	err = en.Append(0xa4, 0x63, 0x6f, 0x64, 0x65)
-	if err != nil {
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
-	err = en.WriteString(z.Code)
+	z.Offset, err = dc.ReadInt64()
 	if err != nil {
-		err = msgp.WrapError(err, "Code")
+		err = msgp.WrapError(err, "Offset")
 		return
 	}
-	// write "message"
-	err = en.Append(0xa7, 0x6d, 0x65, 0x73, 0x73, 0x61, 0x67, 0x65)
+	z.AtMillis, err = dc.ReadInt64()
 	if err != nil {
+		err = msgp.WrapError(err, "AtMillis")
 		return
 	}
-	err = en.WriteString(z.Message)
+	z.Data, err = dc.ReadBytes(z.Data)
 	if err != nil {
-		err = msgp.WrapError(err, "Message")
+		err = msgp.WrapError(err, "Data")
 		return
 	}
-	// write "ageMillis"
-	err = en.Append(0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Record) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt64(z.AgeMillis)
+	err = en.WriteInt64(z.Offset)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
+		err = msgp.WrapError(err, "Offset")
 		return
 	}
-	// write "digest"
-	err = en.Append(0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	err = en.WriteInt64(z.AtMillis)
 	if err != nil {
+		err = msgp.WrapError(err, "AtMillis")
 		return
 	}
-	err = en.WriteBytes(z.Digest)
+	err = en.WriteBytes(z.Data)
 	if err != nil {
-		err = msgp.WrapError(err, "Digest")
+		err = msgp.WrapError(err, "Data")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Outcome) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Record) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
-	// string "callId"
-	o = append(o, 0x8a, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
-	o = msgp.AppendUint64(o, z.CallID)
-	// string "account"
-	o = append(o, 0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
-	o = msgp.AppendString(o, z.Account)
-	// string "key"
-	o = append(o, 0xa3, 0x6b, 0x65, 0x79)
-	o = msgp.AppendString(o, z.Key)
-	// string "state"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-	o = msgp.AppendUint8(o, z.State)
-	// string "answer"
-	o = append(o, 0xa6, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72)
-	o = msgp.AppendString(o, z.Answer)
-	// string "parts"
-	o = append(o, 0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
-	o = msgp.AppendInt32(o, z.Parts)
-	// string "code"
-	o = append(o, 0xa4, 0x63, 0x6f, 0x64, 0x65)
-	o = msgp.AppendString(o, z.Code)
-	// string "message"
-	o = append(o, 0xa7, 0x6d, 0x65, 0x73, 0x73, 0x61, 0x67, 0x65)
-	o = msgp.AppendString(o, z.Message)
-	// string "ageMillis"
-	o = append(o, 0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	o = msgp.AppendInt64(o, z.AgeMillis)
-	// string "digest"
-	o = append(o, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
-	o = msgp.AppendBytes(o, z.Digest)
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt64(o, z.Offset)
+	o = msgp.AppendInt64(o, z.AtMillis)
+	o = msgp.AppendBytes(o, z.Data)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Outcome) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
+func (z *Record) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "callId":
-			z.CallID, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "CallID")
-				return
-			}
-		case "account":
-			z.Account, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Account")
-				return
-			}
-		case "key":
-			z.Key, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "state":
-			z.State, bts, err = msgp.ReadUint8Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "State")
-				return
-			}
-		case "answer":
-			z.Answer, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Answer")
-				return
-			}
-		case "parts":
-			z.Parts, bts, err = msgp.ReadInt32Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Parts")
-				return
-			}
-		case "code":
-			z.Code, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Code")
-				return
-			}
-		case "message":
-			z.Message, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Message")
-				return
-			}
-		case "ageMillis":
-			z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "AgeMillis")
-				return
-			}
-		case "digest":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-			if zb0002 > 32 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Digest == nil || uint32(cap(z.Digest)) < zb0002 {
-				z.Digest = make([]byte, zb0002)
-			} else {
-				z.Digest = z.Digest[:zb0002]
-			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
-				return
-			}
-			copy(z.Digest, bts[:zb0002])
-			bts = bts[zb0002:]
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Offset, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Offset")
+		return
+	}
+	z.AtMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AtMillis")
+		return
+	}
+	z.Data, bts, err = msgp.ReadBytesBytes(bts, z.Data)
+	if err != nil {
+		err = msgp.WrapError(err, "Data")
+		return
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Outcome) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Account) + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.Uint8Size + 7 + msgp.StringPrefixSize + len(z.Answer) + 6 + msgp.Int32Size + 5 + msgp.StringPrefixSize + len(z.Code) + 8 + msgp.StringPrefixSize + len(z.Message) + 10 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Digest)
+func (z *Record) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.Int64Size + msgp.BytesPrefixSize + len(z.Data)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *OutcomeCall) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Records) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3129,24 +5825,97 @@
 				err = msgp.WrapError(err, "CallID")
 				return
 			}
-		case "account":
-			z.Account, err = dc.ReadString()
+		case "stream":
+			z.Stream, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Account")
+				err = msgp.WrapError(err, "Stream")
 				return
 			}
-		case "key":
-			z.Key, err = dc.ReadString()
+		case "first":
+			z.First, err = dc.ReadInt64()
 			if err != nil {
-				err = msgp.WrapError(err, "Key")
+				err = msgp.WrapError(err, "First")
 				return
 			}
-		case "waitMillis":
-			z.WaitMillis, err = dc.ReadInt32()
+		case "next":
+			z.Next, err = dc.ReadInt64()
 			if err != nil {
-				err = msgp.WrapError(err, "WaitMillis")
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		case "records":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Records")
+				return
+			}
+			if zb0002 > 10000 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Records) >= int(zb0002) {
+				z.Records = (z.Records)[:zb0002]
+			} else {
+				z.Records = make([]Record, zb0002)
+			}
+			for za0001 := range z.Records {
+				var zb0003 uint32
+				zb0003, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001)
+					return
+				}
+				if zb0003 > 10000 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+					return
+				}
+				z.Records[za0001].Offset, err = dc.ReadInt64()
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001, "Offset")
+					return
+				}
+				z.Records[za0001].AtMillis, err = dc.ReadInt64()
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001, "AtMillis")
+					return
+				}
+				z.Records[za0001].Data, err = dc.ReadBytes(z.Records[za0001].Data)
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001, "Data")
+					return
+				}
+			}
+		case "snapshot":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Snapshot")
+				return
+			}
+			if zb0004 > 4096 {
+				err = msgp.ErrLimitExceeded
 				return
 			}
+			if cap(z.Snapshot) >= int(zb0004) {
+				z.Snapshot = (z.Snapshot)[:zb0004]
+			} else {
+				z.Snapshot = make([][]byte, zb0004)
+			}
+			for za0002 := range z.Snapshot {
+				z.Snapshot[za0002], err = dc.ReadBytesLimit(z.Snapshot[za0002], 4096)
+				if err == nil && z.Snapshot[za0002] == nil {
+					z.Snapshot[za0002] = []byte{}
+				}
+				if err != nil {
+					err = msgp.WrapError(err, "Snapshot", za0002)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3159,10 +5928,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *OutcomeCall) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+func (z *Records) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 6
 	// write "callId"
-	err = en.Append(0x84, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	err = en.Append(0x86, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	if err != nil {
 		return
 	}
@@ -3171,60 +5940,125 @@
 		err = msgp.WrapError(err, "CallID")
 		return
 	}
-	// write "account"
-	err = en.Append(0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	// write "stream"
+	err = en.Append(0xa6, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Account)
+	err = en.WriteString(z.Stream)
 	if err != nil {
-		err = msgp.WrapError(err, "Account")
+		err = msgp.WrapError(err, "Stream")
 		return
 	}
-	// write "key"
-	err = en.Append(0xa3, 0x6b, 0x65, 0x79)
+	// write "first"
+	err = en.Append(0xa5, 0x66, 0x69, 0x72, 0x73, 0x74)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Key)
+	err = en.WriteInt64(z.First)
 	if err != nil {
-		err = msgp.WrapError(err, "Key")
+		err = msgp.WrapError(err, "First")
 		return
 	}
-	// write "waitMillis"
-	err = en.Append(0xaa, 0x77, 0x61, 0x69, 0x74, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	// write "next"
+	err = en.Append(0xa4, 0x6e, 0x65, 0x78, 0x74)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt32(z.WaitMillis)
+	err = en.WriteInt64(z.Next)
 	if err != nil {
-		err = msgp.WrapError(err, "WaitMillis")
+		err = msgp.WrapError(err, "Next")
 		return
 	}
+	// write "records"
+	err = en.Append(0xa7, 0x72, 0x65, 0x63, 0x6f, 0x72, 0x64, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Records)))
+	if err != nil {
+		err = msgp.WrapError(err, "Records")
+		return
+	}
+	for za0001 := range z.Records {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.Records[za0001].Offset)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001, "Offset")
+			return
+		}
+		err = en.WriteInt64(z.Records[za0001].AtMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001, "AtMillis")
+			return
+		}
+		err = en.WriteBytes(z.Records[za0001].Data)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001, "Data")
+			return
+		}
+	}
+	// write "snapshot"
+	err = en.Append(0xa8, 0x73, 0x6e, 0x61, 0x70, 0x73, 0x68, 0x6f, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Snapshot)))
+	if err != nil {
+		err = msgp.WrapError(err, "Snapshot")
+		return
+	}
+	for za0002 := range z.Snapshot {
+		err = en.WriteBytes(z.Snapshot[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Snapshot", za0002)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *OutcomeCall) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Records) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 6
 	// string "callId"
-	o = append(o, 0x84, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = append(o, 0x86, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	o = msgp.AppendUint64(o, z.CallID)
-	// string "account"
-	o = append(o, 0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
-	o = msgp.AppendString(o, z.Account)
-	// string "key"
-	o = append(o, 0xa3, 0x6b, 0x65, 0x79)
-	o = msgp.AppendString(o, z.Key)
-	// string "waitMillis"
-	o = append(o, 0xaa, 0x77, 0x61, 0x69, 0x74, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	o = msgp.AppendInt32(o, z.WaitMillis)
+	// string "stream"
+	o = append(o, 0xa6, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
+	o = msgp.AppendString(o, z.Stream)
+	// string "first"
+	o = append(o, 0xa5, 0x66, 0x69, 0x72, 0x73, 0x74)
+	o = msgp.AppendInt64(o, z.First)
+	// string "next"
+	o = append(o, 0xa4, 0x6e, 0x65, 0x78, 0x74)
+	o = msgp.AppendInt64(o, z.Next)
+	// string "records"
+	o = append(o, 0xa7, 0x72, 0x65, 0x63, 0x6f, 0x72, 0x64, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
+	for za0001 := range z.Records {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendInt64(o, z.Records[za0001].Offset)
+		o = msgp.AppendInt64(o, z.Records[za0001].AtMillis)
+		o = msgp.AppendBytes(o, z.Records[za0001].Data)
+	}
+	// string "snapshot"
+	o = append(o, 0xa8, 0x73, 0x6e, 0x61, 0x70, 0x73, 0x68, 0x6f, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Snapshot)))
+	for za0002 := range z.Snapshot {
+		o = msgp.AppendBytes(o, z.Snapshot[za0002])
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *OutcomeCall) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Records) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3247,23 +6081,105 @@
 				err = msgp.WrapError(err, "CallID")
 				return
 			}
-		case "account":
-			z.Account, bts, err = msgp.ReadStringBytes(bts)
+		case "stream":
+			z.Stream, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stream")
+				return
+			}
+		case "first":
+			z.First, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "First")
+				return
+			}
+		case "next":
+			z.Next, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		case "records":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Records")
+				return
+			}
+			if zb0002 > 10000 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Records) >= int(zb0002) {
+				z.Records = (z.Records)[:zb0002]
+			} else {
+				z.Records = make([]Record, zb0002)
+			}
+			for za0001 := range z.Records {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001)
+					return
+				}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+					return
+				}
+				z.Records[za0001].Offset, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001, "Offset")
+					return
+				}
+				z.Records[za0001].AtMillis, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001, "AtMillis")
+					return
+				}
+				z.Records[za0001].Data, bts, err = msgp.ReadBytesBytes(bts, z.Records[za0001].Data)
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001, "Data")
+					return
+				}
+			}
+		case "snapshot":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Account")
+				err = msgp.WrapError(err, "Snapshot")
 				return
 			}
-		case "key":
-			z.Key, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
+			if zb0004 > 4096 {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-		case "waitMillis":
-			z.WaitMillis, bts, err = msgp.ReadInt32Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "WaitMillis")
-				return
+			if cap(z.Snapshot) >= int(zb0004) {
+				z.Snapshot = (z.Snapshot)[:zb0004]
+			} else {
+				z.Snapshot = make([][]byte, zb0004)
+			}
+			for za0002 := range z.Snapshot {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadBytesHeader(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Snapshot", za0002)
+					return
+				}
+				if zb0005 > 4096 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if z.Snapshot[za0002] == nil || uint32(cap(z.Snapshot[za0002])) < zb0005 {
+					z.Snapshot[za0002] = make([]byte, zb0005)
+				} else {
+					z.Snapshot[za0002] = z.Snapshot[za0002][:zb0005]
+				}
+				if uint32(len(bts)) < zb0005 {
+					err = msgp.ErrShortBytes
+					return
+				}
+				copy(z.Snapshot[za0002], bts[:zb0005])
+				bts = bts[zb0005:]
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -3278,13 +6194,20 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *OutcomeCall) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Account) + 4 + msgp.StringPrefixSize + len(z.Key) + 11 + msgp.Int32Size
+func (z *Records) Msgsize() (s int) {
+	s = 1 + 7 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Stream) + 6 + msgp.Int64Size + 5 + msgp.Int64Size + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Records {
+		s += 1 + msgp.Int64Size + msgp.Int64Size + msgp.BytesPrefixSize + len(z.Records[za0001].Data)
+	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.Snapshot {
+		s += msgp.BytesPrefixSize + len(z.Snapshot[za0002])
+	}
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Proof) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *RecordsCall) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3301,231 +6224,143 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "mac":
-			z.Mac, err = dc.ReadBytesLimit(z.Mac, 64)
-			if err == nil && z.Mac == nil {
-				z.Mac = []byte{}
-			}
+		case "callId":
+			z.CallID, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Mac")
+				err = msgp.WrapError(err, "CallID")
 				return
 			}
-		default:
-			err = dc.Skip()
+		case "stream":
+			z.Stream, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "Stream")
 				return
 			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Proof) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "mac"
-	err = en.Append(0x81, 0xa3, 0x6d, 0x61, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Mac)
-	if err != nil {
-		err = msgp.WrapError(err, "Mac")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Proof) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "mac"
-	o = append(o, 0x81, 0xa3, 0x6d, 0x61, 0x63)
-	o = msgp.AppendBytes(o, z.Mac)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Proof) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "mac":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+		case "from":
+			z.From, err = dc.ReadInt64()
 			if err != nil {
-				err = msgp.WrapError(err, "Mac")
-				return
-			}
-			if zb0002 > 64 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Mac == nil || uint32(cap(z.Mac)) < zb0002 {
-				z.Mac = make([]byte, zb0002)
-			} else {
-				z.Mac = z.Mac[:zb0002]
-			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
+				err = msgp.WrapError(err, "From")
 				return
 			}
-			copy(z.Mac, bts[:zb0002])
-			bts = bts[zb0002:]
 		default:
-			bts, err = msgp.Skip(bts)
+			err = dc.Skip()
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Proof) Msgsize() (s int) {
-	s = 1 + 4 + msgp.BytesPrefixSize + len(z.Mac)
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Pulse) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	z.ID, err = dc.ReadUint32()
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Sequence, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
-		return
-	}
-	z.AgeMillis, err = dc.ReadUint32()
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
-	}
-	z.State, err = dc.ReadUint8()
+// EncodeMsg implements msgp.Encodable
+func (z RecordsCall) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "callId"
+	err = en.Append(0x83, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	if err != nil {
-		err = msgp.WrapError(err, "State")
 		return
 	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Pulse) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	err = en.WriteUint64(z.CallID)
 	if err != nil {
+		err = msgp.WrapError(err, "CallID")
 		return
 	}
-	err = en.WriteUint32(z.ID)
+	// write "stream"
+	err = en.Append(0xa6, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
 	if err != nil {
-		err = msgp.WrapError(err, "ID")
 		return
 	}
-	err = en.WriteUint64(z.Sequence)
+	err = en.WriteString(z.Stream)
 	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
+		err = msgp.WrapError(err, "Stream")
 		return
 	}
-	err = en.WriteUint32(z.AgeMillis)
+	// write "from"
+	err = en.Append(0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
 		return
 	}
-	err = en.WriteUint8(z.State)
+	err = en.WriteInt64(z.From)
 	if err != nil {
-		err = msgp.WrapError(err, "State")
+		err = msgp.WrapError(err, "From")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Pulse) MarshalMsg(b []byte) (o []byte, err error) {
+func (z RecordsCall) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
-	o = msgp.AppendUint32(o, z.ID)
-	o = msgp.AppendUint64(o, z.Sequence)
-	o = msgp.AppendUint32(o, z.AgeMillis)
-	o = msgp.AppendUint8(o, z.State)
+	// map header, size 3
+	// string "callId"
+	o = append(o, 0x83, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = msgp.AppendUint64(o, z.CallID)
+	// string "stream"
+	o = append(o, 0xa6, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
+	o = msgp.AppendString(o, z.Stream)
+	// string "from"
+	o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = msgp.AppendInt64(o, z.From)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Pulse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *RecordsCall) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
-		return
-	}
-	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
-	}
-	z.State, bts, err = msgp.ReadUint8Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "State")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "callId":
+			z.CallID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CallID")
+				return
+			}
+		case "stream":
+			z.Stream, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stream")
+				return
+			}
+		case "from":
+			z.From, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Pulse) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint8Size
+func (z RecordsCall) Msgsize() (s int) {
+	s = 1 + 7 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Stream) + 5 + msgp.Int64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Record) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *StageBill) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -3536,62 +6371,62 @@
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
-	z.Offset, err = dc.ReadInt64()
+	z.Stage, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "Offset")
+		err = msgp.WrapError(err, "Stage")
 		return
 	}
-	z.AtMillis, err = dc.ReadInt64()
+	z.Cost, err = dc.ReadFloat64()
 	if err != nil {
-		err = msgp.WrapError(err, "AtMillis")
+		err = msgp.WrapError(err, "Cost")
 		return
 	}
-	z.Data, err = dc.ReadBytes(z.Data)
+	z.Wasted, err = dc.ReadFloat64()
 	if err != nil {
-		err = msgp.WrapError(err, "Data")
+		err = msgp.WrapError(err, "Wasted")
 		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Record) EncodeMsg(en *msgp.Writer) (err error) {
+func (z StageBill) EncodeMsg(en *msgp.Writer) (err error) {
 	// array header, size 3
 	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt64(z.Offset)
+	err = en.WriteString(z.Stage)
 	if err != nil {
-		err = msgp.WrapError(err, "Offset")
+		err = msgp.WrapError(err, "Stage")
 		return
 	}
-	err = en.WriteInt64(z.AtMillis)
+	err = en.WriteFloat64(z.Cost)
 	if err != nil {
-		err = msgp.WrapError(err, "AtMillis")
+		err = msgp.WrapError(err, "Cost")
 		return
 	}
-	err = en.WriteBytes(z.Data)
+	err = en.WriteFloat64(z.Wasted)
 	if err != nil {
-		err = msgp.WrapError(err, "Data")
+		err = msgp.WrapError(err, "Wasted")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Record) MarshalMsg(b []byte) (o []byte, err error) {
+func (z StageBill) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 3
 	o = append(o, 0x93)
-	o = msgp.AppendInt64(o, z.Offset)
-	o = msgp.AppendInt64(o, z.AtMillis)
-	o = msgp.AppendBytes(o, z.Data)
+	o = msgp.AppendString(o, z.Stage)
+	o = msgp.AppendFloat64(o, z.Cost)
+	o = msgp.AppendFloat64(o, z.Wasted)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Record) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *StageBill) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -3602,19 +6437,19 @@
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
-	z.Offset, bts, err = msgp.ReadInt64Bytes(bts)
+	z.Stage, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Offset")
+		err = msgp.WrapError(err, "Stage")
 		return
 	}
-	z.AtMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	z.Cost, bts, err = msgp.ReadFloat64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "AtMillis")
+		err = msgp.WrapError(err, "Cost")
 		return
 	}
-	z.Data, bts, err = msgp.ReadBytesBytes(bts, z.Data)
+	z.Wasted, bts, err = msgp.ReadFloat64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Data")
+		err = msgp.WrapError(err, "Wasted")
 		return
 	}
 	o = bts
@@ -3622,452 +6457,200 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Record) Msgsize() (s int) {
-	s = 1 + msgp.Int64Size + msgp.Int64Size + msgp.BytesPrefixSize + len(z.Data)
+func (z StageBill) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Stage) + msgp.Float64Size + msgp.Float64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Records) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
+func (z *StageWait) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "callId":
-			z.CallID, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "CallID")
-				return
-			}
-		case "stream":
-			z.Stream, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Stream")
-				return
-			}
-		case "first":
-			z.First, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "First")
-				return
-			}
-		case "next":
-			z.Next, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "Next")
-				return
-			}
-		case "records":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Records")
-				return
-			}
-			if zb0002 > 10000 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Records) >= int(zb0002) {
-				z.Records = (z.Records)[:zb0002]
-			} else {
-				z.Records = make([]Record, zb0002)
-			}
-			for za0001 := range z.Records {
-				var zb0003 uint32
-				zb0003, err = dc.ReadArrayHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Records", za0001)
-					return
-				}
-				if zb0003 > 10000 {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				if zb0003 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-					return
-				}
-				z.Records[za0001].Offset, err = dc.ReadInt64()
-				if err != nil {
-					err = msgp.WrapError(err, "Records", za0001, "Offset")
-					return
-				}
-				z.Records[za0001].AtMillis, err = dc.ReadInt64()
-				if err != nil {
-					err = msgp.WrapError(err, "Records", za0001, "AtMillis")
-					return
-				}
-				z.Records[za0001].Data, err = dc.ReadBytes(z.Records[za0001].Data)
-				if err != nil {
-					err = msgp.WrapError(err, "Records", za0001, "Data")
-					return
-				}
-			}
-		case "snapshot":
-			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Snapshot")
-				return
-			}
-			if zb0004 > 4096 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Snapshot) >= int(zb0004) {
-				z.Snapshot = (z.Snapshot)[:zb0004]
-			} else {
-				z.Snapshot = make([][]byte, zb0004)
-			}
-			for za0002 := range z.Snapshot {
-				z.Snapshot[za0002], err = dc.ReadBytesLimit(z.Snapshot[za0002], 4096)
-				if err == nil && z.Snapshot[za0002] == nil {
-					z.Snapshot[za0002] = []byte{}
-				}
-				if err != nil {
-					err = msgp.WrapError(err, "Snapshot", za0002)
-					return
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Records) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
-	// write "callId"
-	err = en.Append(0x86, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.CallID)
-	if err != nil {
-		err = msgp.WrapError(err, "CallID")
-		return
-	}
-	// write "stream"
-	err = en.Append(0xa6, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
-	if err != nil {
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
-	err = en.WriteString(z.Stream)
+	z.Service, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "Stream")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	// write "first"
-	err = en.Append(0xa5, 0x66, 0x69, 0x72, 0x73, 0x74)
+	z.Millis, err = dc.ReadInt32()
 	if err != nil {
+		err = msgp.WrapError(err, "Millis")
 		return
 	}
-	err = en.WriteInt64(z.First)
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z StageWait) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
 	if err != nil {
-		err = msgp.WrapError(err, "First")
 		return
 	}
-	// write "next"
-	err = en.Append(0xa4, 0x6e, 0x65, 0x78, 0x74)
+	err = en.WriteString(z.Service)
 	if err != nil {
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	err = en.WriteInt64(z.Next)
+	err = en.WriteInt32(z.Millis)
 	if err != nil {
-		err = msgp.WrapError(err, "Next")
+		err = msgp.WrapError(err, "Millis")
 		return
 	}
-	// write "records"
-	err = en.Append(0xa7, 0x72, 0x65, 0x63, 0x6f, 0x72, 0x64, 0x73)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z StageWait) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendInt32(o, z.Millis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StageWait) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
+		err = msgp.WrapError(err)
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Records)))
-	if err != nil {
-		err = msgp.WrapError(err, "Records")
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
-	for za0001 := range z.Records {
-		// array header, size 3
-		err = en.Append(0x93)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt64(z.Records[za0001].Offset)
-		if err != nil {
-			err = msgp.WrapError(err, "Records", za0001, "Offset")
-			return
-		}
-		err = en.WriteInt64(z.Records[za0001].AtMillis)
-		if err != nil {
-			err = msgp.WrapError(err, "Records", za0001, "AtMillis")
-			return
-		}
-		err = en.WriteBytes(z.Records[za0001].Data)
-		if err != nil {
-			err = msgp.WrapError(err, "Records", za0001, "Data")
-			return
-		}
-	}
-	// write "snapshot"
-	err = en.Append(0xa8, 0x73, 0x6e, 0x61, 0x70, 0x73, 0x68, 0x6f, 0x74)
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Snapshot)))
+	z.Millis, bts, err = msgp.ReadInt32Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Snapshot")
+		err = msgp.WrapError(err, "Millis")
 		return
 	}
-	for za0002 := range z.Snapshot {
-		err = en.WriteBytes(z.Snapshot[za0002])
-		if err != nil {
-			err = msgp.WrapError(err, "Snapshot", za0002)
-			return
-		}
-	}
+	o = bts
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z *Records) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "callId"
-	o = append(o, 0x86, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
-	o = msgp.AppendUint64(o, z.CallID)
-	// string "stream"
-	o = append(o, 0xa6, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
-	o = msgp.AppendString(o, z.Stream)
-	// string "first"
-	o = append(o, 0xa5, 0x66, 0x69, 0x72, 0x73, 0x74)
-	o = msgp.AppendInt64(o, z.First)
-	// string "next"
-	o = append(o, 0xa4, 0x6e, 0x65, 0x78, 0x74)
-	o = msgp.AppendInt64(o, z.Next)
-	// string "records"
-	o = append(o, 0xa7, 0x72, 0x65, 0x63, 0x6f, 0x72, 0x64, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
-	for za0001 := range z.Records {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendInt64(o, z.Records[za0001].Offset)
-		o = msgp.AppendInt64(o, z.Records[za0001].AtMillis)
-		o = msgp.AppendBytes(o, z.Records[za0001].Data)
-	}
-	// string "snapshot"
-	o = append(o, 0xa8, 0x73, 0x6e, 0x61, 0x70, 0x73, 0x68, 0x6f, 0x74)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Snapshot)))
-	for za0002 := range z.Snapshot {
-		o = msgp.AppendBytes(o, z.Snapshot[za0002])
-	}
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StageWait) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Int32Size
 	return
 }
 
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Records) UnmarshalMsg(bts []byte) (o []byte, err error) {
+// DecodeMsg implements msgp.Decodable
+func (z *Work) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, err = dc.ReadMapHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
 	for zb0001 > 0 {
 		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+		field, err = dc.ReadMapKeyPtr()
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "callId":
-			z.CallID, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "CallID")
-				return
-			}
-		case "stream":
-			z.Stream, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Stream")
-				return
-			}
-		case "first":
-			z.First, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "First")
-				return
-			}
-		case "next":
-			z.Next, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Next")
-				return
-			}
-		case "records":
+		case "endpoints":
 			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Records")
+				err = msgp.WrapError(err, "Endpoints")
 				return
 			}
-			if zb0002 > 10000 {
+			if zb0002 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Records) >= int(zb0002) {
-				z.Records = (z.Records)[:zb0002]
+			if cap(z.Endpoints) >= int(zb0002) {
+				z.Endpoints = (z.Endpoints)[:zb0002]
 			} else {
-				z.Records = make([]Record, zb0002)
+				z.Endpoints = make([]EndpointWork, zb0002)
 			}
-			for za0001 := range z.Records {
+			for za0001 := range z.Endpoints {
 				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Records", za0001)
-					return
-				}
-				if zb0003 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-					return
-				}
-				z.Records[za0001].Offset, bts, err = msgp.ReadInt64Bytes(bts)
+				zb0003, err = dc.ReadArrayHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Records", za0001, "Offset")
+					err = msgp.WrapError(err, "Endpoints", za0001)
 					return
 				}
-				z.Records[za0001].AtMillis, bts, err = msgp.ReadInt64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Records", za0001, "AtMillis")
+				if zb0003 > 16384 {
+					err = msgp.ErrLimitExceeded
 					return
 				}
-				z.Records[za0001].Data, bts, err = msgp.ReadBytesBytes(bts, z.Records[za0001].Data)
-				if err != nil {
-					err = msgp.WrapError(err, "Records", za0001, "Data")
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
 					return
 				}
-			}
-		case "snapshot":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Snapshot")
-				return
-			}
-			if zb0004 > 4096 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Snapshot) >= int(zb0004) {
-				z.Snapshot = (z.Snapshot)[:zb0004]
-			} else {
-				z.Snapshot = make([][]byte, zb0004)
-			}
-			for za0002 := range z.Snapshot {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadBytesHeader(bts)
+				z.Endpoints[za0001].ID, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Snapshot", za0002)
+					err = msgp.WrapError(err, "Endpoints", za0001, "ID")
+					return
+				}
+				z.Endpoints[za0001].Tokens, err = dc.ReadInt32()
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0001, "Tokens")
 					return
 				}
-				if zb0005 > 4096 {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				if z.Snapshot[za0002] == nil || uint32(cap(z.Snapshot[za0002])) < zb0005 {
-					z.Snapshot[za0002] = make([]byte, zb0005)
-				} else {
-					z.Snapshot[za0002] = z.Snapshot[za0002][:zb0005]
-				}
-				if uint32(len(bts)) < zb0005 {
-					err = msgp.ErrShortBytes
-					return
-				}
-				copy(z.Snapshot[za0002], bts[:zb0005])
-				bts = bts[zb0005:]
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Records) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Stream) + 6 + msgp.Int64Size + 5 + msgp.Int64Size + 8 + msgp.ArrayHeaderSize
-	for za0001 := range z.Records {
-		s += 1 + msgp.Int64Size + msgp.Int64Size + msgp.BytesPrefixSize + len(z.Records[za0001].Data)
-	}
-	s += 9 + msgp.ArrayHeaderSize
-	for za0002 := range z.Snapshot {
-		s += msgp.BytesPrefixSize + len(z.Snapshot[za0002])
-	}
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *RecordsCall) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "callId":
-			z.CallID, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "CallID")
-				return
 			}
-		case "stream":
-			z.Stream, err = dc.ReadString()
+		case "stages":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Stream")
+				err = msgp.WrapError(err, "Stages")
 				return
 			}
-		case "from":
-			z.From, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
+			if zb0004 > 1024 {
+				err = msgp.ErrLimitExceeded
 				return
 			}
+			if cap(z.Stages) >= int(zb0004) {
+				z.Stages = (z.Stages)[:zb0004]
+			} else {
+				z.Stages = make([]StageWait, zb0004)
+			}
+			for za0002 := range z.Stages {
+				var zb0005 uint32
+				zb0005, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Stages", za0002)
+					return
+				}
+				if zb0005 > 1024 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0005 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0005}
+					return
+				}
+				z.Stages[za0002].Service, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Stages", za0002, "Service")
+					return
+				}
+				z.Stages[za0002].Millis, err = dc.ReadInt32()
+				if err != nil {
+					err = msgp.WrapError(err, "Stages", za0002, "Millis")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4080,59 +6663,92 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z RecordsCall) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "callId"
-	err = en.Append(0x83, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+func (z *Work) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "endpoints"
+	err = en.Append(0x82, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.CallID)
+	err = en.WriteArrayHeader(uint32(len(z.Endpoints)))
 	if err != nil {
-		err = msgp.WrapError(err, "CallID")
+		err = msgp.WrapError(err, "Endpoints")
 		return
 	}
-	// write "stream"
-	err = en.Append(0xa6, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
-	if err != nil {
-		return
+	for za0001 := range z.Endpoints {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Endpoints[za0001].ID)
+		if err != nil {
+			err = msgp.WrapError(err, "Endpoints", za0001, "ID")
+			return
+		}
+		err = en.WriteInt32(z.Endpoints[za0001].Tokens)
+		if err != nil {
+			err = msgp.WrapError(err, "Endpoints", za0001, "Tokens")
+			return
+		}
 	}
-	err = en.WriteString(z.Stream)
+	// write "stages"
+	err = en.Append(0xa6, 0x73, 0x74, 0x61, 0x67, 0x65, 0x73)
 	if err != nil {
-		err = msgp.WrapError(err, "Stream")
 		return
 	}
-	// write "from"
-	err = en.Append(0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	err = en.WriteArrayHeader(uint32(len(z.Stages)))
 	if err != nil {
+		err = msgp.WrapError(err, "Stages")
 		return
 	}
-	err = en.WriteInt64(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
+	for za0002 := range z.Stages {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Stages[za0002].Service)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0002, "Service")
+			return
+		}
+		err = en.WriteInt32(z.Stages[za0002].Millis)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0002, "Millis")
+			return
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z RecordsCall) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Work) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "callId"
-	o = append(o, 0x83, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
-	o = msgp.AppendUint64(o, z.CallID)
-	// string "stream"
-	o = append(o, 0xa6, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
-	o = msgp.AppendString(o, z.Stream)
-	// string "from"
-	o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
-	o = msgp.AppendInt64(o, z.From)
+	// map header, size 2
+	// string "endpoints"
+	o = append(o, 0x82, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
+	for za0001 := range z.Endpoints {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Endpoints[za0001].ID)
+		o = msgp.AppendInt32(o, z.Endpoints[za0001].Tokens)
+	}
+	// string "stages"
+	o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x67, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Stages)))
+	for za0002 := range z.Stages {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Stages[za0002].Service)
+		o = msgp.AppendInt32(o, z.Stages[za0002].Millis)
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *RecordsCall) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Work) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4149,24 +6765,82 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "callId":
-			z.CallID, bts, err = msgp.ReadUint64Bytes(bts)
+		case "endpoints":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "CallID")
+				err = msgp.WrapError(err, "Endpoints")
 				return
 			}
-		case "stream":
-			z.Stream, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Stream")
+			if zb0002 > 16384 {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-		case "from":
-			z.From, bts, err = msgp.ReadInt64Bytes(bts)
+			if cap(z.Endpoints) >= int(zb0002) {
+				z.Endpoints = (z.Endpoints)[:zb0002]
+			} else {
+				z.Endpoints = make([]EndpointWork, zb0002)
+			}
+			for za0001 := range z.Endpoints {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0001)
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Endpoints[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0001, "ID")
+					return
+				}
+				z.Endpoints[za0001].Tokens, bts, err = msgp.ReadInt32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0001, "Tokens")
+					return
+				}
+			}
+		case "stages":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "From")
+				err = msgp.WrapError(err, "Stages")
+				return
+			}
+			if zb0004 > 1024 {
+				err = msgp.ErrLimitExceeded
 				return
 			}
+			if cap(z.Stages) >= int(zb0004) {
+				z.Stages = (z.Stages)[:zb0004]
+			} else {
+				z.Stages = make([]StageWait, zb0004)
+			}
+			for za0002 := range z.Stages {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Stages", za0002)
+					return
+				}
+				if zb0005 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0005}
+					return
+				}
+				z.Stages[za0002].Service, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Stages", za0002, "Service")
+					return
+				}
+				z.Stages[za0002].Millis, bts, err = msgp.ReadInt32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Stages", za0002, "Millis")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4180,110 +6854,14 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z RecordsCall) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Stream) + 5 + msgp.Int64Size
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *StageBill) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.Stage, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "Stage")
-		return
-	}
-	z.Cost, err = dc.ReadFloat64()
-	if err != nil {
-		err = msgp.WrapError(err, "Cost")
-		return
-	}
-	z.Wasted, err = dc.ReadFloat64()
-	if err != nil {
-		err = msgp.WrapError(err, "Wasted")
-		return
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z StageBill) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Stage)
-	if err != nil {
-		err = msgp.WrapError(err, "Stage")
-		return
-	}
-	err = en.WriteFloat64(z.Cost)
-	if err != nil {
-		err = msgp.WrapError(err, "Cost")
-		return
-	}
-	err = en.WriteFloat64(z.Wasted)
-	if err != nil {
-		err = msgp.WrapError(err, "Wasted")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z StageBill) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
-	o = msgp.AppendString(o, z.Stage)
-	o = msgp.AppendFloat64(o, z.Cost)
-	o = msgp.AppendFloat64(o, z.Wasted)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *StageBill) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.Stage, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Stage")
-		return
-	}
-	z.Cost, bts, err = msgp.ReadFloat64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Cost")
-		return
+func (z *Work) Msgsize() (s int) {
+	s = 1 + 10 + msgp.ArrayHeaderSize
+	for za0001 := range z.Endpoints {
+		s += 1 + msgp.StringPrefixSize + len(z.Endpoints[za0001].ID) + msgp.Int32Size
 	}
-	z.Wasted, bts, err = msgp.ReadFloat64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Wasted")
-		return
+	s += 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Stages {
+		s += 1 + msgp.StringPrefixSize + len(z.Stages[za0002].Service) + msgp.Int32Size
 	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z StageBill) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Stage) + msgp.Float64Size + msgp.Float64Size
 	return
 }
--- /dev/null
+++ b/cataloger/service.go
@@ -0,0 +1,62 @@
+package cataloger
+
+import "time"
+
+// StagePool says how the endpoints of a service that works on stages take calls. Each value is for one endpoint.
+type StagePool struct {
+	// Slots is how many calls an endpoint works on at a time, Queue how many more may wait there.
+	Slots int
+	Queue int
+	// Batch is the most pieces of one call.
+	Batch int
+	// CallTime is what a call takes besides its pieces, ItemTime what a piece adds.
+	CallTime time.Duration
+	ItemTime time.Duration
+	// RoomBytes is the space for results that have not been freed.
+	RoomBytes int64
+	// ResultTTL is how long a result is kept that is not freed.
+	ResultTTL time.Duration
+}
+
+// CallDuration is the usual time of a call with n pieces.
+func (p *StagePool) CallDuration(n int) time.Duration {
+	return p.CallTime + time.Duration(n)*p.ItemTime
+}
+
+// ModelPool says what a model engine holds.
+type ModelPool struct {
+	// Slots is how many requests run at a time in one engine.
+	Slots int
+	// CapacityTokens is the memory that running requests and cached prompt parts share.
+	CapacityTokens int
+}
+
+// Service is a pool of endpoints that do the same work.
+type Service struct {
+	Name string
+	// HealthPath answers health checks.
+	HealthPath string
+	// MaxConnections is what one endpoint accepts from all entries together.
+	MaxConnections int
+	// Model is set for model engines, Stage for services that work on stages; neither for plain services.
+	Model *ModelPool
+	Stage *StagePool
+}
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection may stay without a request.
+	IdleTimeout time.Duration
+}
+
+// Account is a client account.
+type Account struct {
+	Name string
+	Keys []string
+	// Priority goes before the route's where HasPriority is set.
+	Priority    int
+	HasPriority bool
+}
--- a/cmd/geraniumline/main.go
+++ b/cmd/geraniumline/main.go
@@ -15,12 +15,13 @@
 
 func main() {
 	cfg := launcher.Config{
-		Version:  version(),
-		RunEntry: runEntry,
-		Stdin:    os.Stdin,
-		Stdout:   os.Stdout,
-		Stderr:   os.Stderr,
-		Terminal: coloured(os.Stdout),
+		Version:    version(),
+		RunEntry:   runEntry,
+		RunForward: assembler.RunForwarding,
+		Stdin:      os.Stdin,
+		Stdout:     os.Stdout,
+		Stderr:     os.Stderr,
+		Terminal:   coloured(os.Stdout),
 	}
 	os.Exit(int(launcher.Run(context.Background(), cfg, os.Args)))
 }
