--- /dev/null
+++ b/collector/call.go
@@ -0,0 +1,264 @@
+package collector
+
+import (
+	"slices"
+	"time"
+
+	"geraniumline/ejector"
+	"geraniumline/registrar"
+)
+
+// endpoint is one endpoint of the pool.
+type endpoint struct {
+	registrar.Endpoint
+	health ejector.Record
+	// calls is how many of this pool's calls are there.
+	calls int
+	// used is the space that results take there, those of calls under way too.
+	used int64
+	// pausedUntil keeps calls from an endpoint that was full.
+	pausedUntil time.Time
+	gone        bool
+}
+
+func (e *endpoint) free(slots int, now time.Time) bool {
+	return e.calls < slots && !now.Before(e.pausedUntil)
+}
+
+// call is one call under way.
+type call struct {
+	id       uint64
+	endpoint *endpoint
+	pieces   []member
+	bytes    int64
+	began    time.Time
+	expected time.Duration
+	// patience is when the pieces are asked for elsewhere.
+	patience time.Time
+	overdue  bool
+}
+
+// member is a piece as part of a call.
+type member struct {
+	id      GroupID
+	segment int
+	bytes   int64
+}
+
+// result is a result that lies at its maker.
+type result struct {
+	maker   *endpoint
+	bytes   int64
+	expires time.Time
+}
+
+// sendCalls fills calls to the endpoints that can take one, the fastest first.
+func (p *Pool) sendCalls(now time.Time) {
+	if len(p.groups) == 0 {
+		return
+	}
+	free := p.freeEndpoints(now)
+	if len(free) == 0 {
+		return
+	}
+	waiting := p.ordered(now)
+	for _, e := range free {
+		waiting = slices.DeleteFunc(waiting, func(g *group) bool { return len(g.waiting) == 0 })
+		if len(waiting) == 0 {
+			return
+		}
+		p.fillCall(e, waiting, now)
+	}
+}
+
+func (p *Pool) freeEndpoints(now time.Time) []*endpoint {
+	var free []*endpoint
+	for _, e := range p.endpoints {
+		p.health.Advance(&e.health, now)
+		out := e.health.State() == ejector.Ejected || e.health.State() == ejector.Probing && e.calls > 0
+		if !out && e.free(p.cfg.Stage.Slots, now) {
+			free = append(free, e)
+		}
+	}
+	slices.SortStableFunc(free, func(a, b *endpoint) int {
+		switch {
+		case a.health.Slowness() < b.health.Slowness():
+			return -1
+		case a.health.Slowness() > b.health.Slowness():
+			return 1
+		default:
+			return 0
+		}
+	})
+	return free
+}
+
+// fillCall takes waiting pieces in their order for as long as the call and the endpoint's space have room.
+func (p *Pool) fillCall(e *endpoint, waiting []*group, now time.Time) {
+	room := int64(float64(p.cfg.Stage.RoomBytes)*roomShare) - e.used
+	c := &call{endpoint: e, began: now}
+	var pieces []Piece
+	for _, g := range waiting {
+		for len(g.waiting) > 0 && len(pieces) < p.cfg.Stage.Batch && g.ResultBytes <= room {
+			segment := g.waiting[0]
+			g.waiting = g.waiting[1:]
+			g.tries[segment]++
+			room -= g.ResultBytes
+			c.bytes += g.ResultBytes
+			c.pieces = append(c.pieces, member{id: g.ID, segment: segment, bytes: g.ResultBytes})
+			pieces = append(pieces, g.piece(segment))
+		}
+	}
+	if len(pieces) == 0 {
+		return
+	}
+	p.lastCall++
+	c.id = p.lastCall
+	c.expected = p.cfg.Stage.CallDuration(len(pieces))
+	c.patience = now.Add(patienceFactor*c.expected + patienceMargin)
+	e.calls++
+	e.used += c.bytes
+	p.calls[c.id] = c
+	p.emit(SendCall{Call: c.id, Endpoint: e.Endpoint, Pieces: pieces, Timeout: timeoutFactor * c.expected})
+}
+
+func (g *group) piece(segment int) Piece {
+	return Piece{
+		Request:  g.ID.Request,
+		Stage:    g.ID.Stage,
+		Segment:  segment,
+		Key:      g.Key,
+		Inputs:   g.Inputs,
+		Deadline: g.Deadline,
+	}
+}
+
+// takeOverdue asks for the pieces of a silent call elsewhere. A piece may be made again, and the one that comes first
+// is used; without this a stalled endpoint would hold its requests until their deadline.
+func (p *Pool) takeOverdue(c *call, now time.Time) {
+	c.overdue = true
+	p.judge(c.endpoint, ejector.Bad, Broken, now)
+	for _, m := range c.pieces {
+		if g, known := p.groups[m.id]; known {
+			p.requeue(g, m.segment, Failed)
+		}
+	}
+}
+
+func (p *Pool) takeEnd(e CallEnded, now time.Time) {
+	c, known := p.calls[e.Call]
+	if !known {
+		return
+	}
+	delete(p.calls, e.Call)
+	c.endpoint.calls--
+	c.endpoint.used -= c.bytes
+	if e.End == Answered && len(e.Results) == len(c.pieces) {
+		p.takeResults(c, e.Results, now)
+		return
+	}
+	p.judgeFailure(c, e.End, now)
+	for _, m := range c.pieces {
+		if g, known := p.groups[m.id]; known {
+			if e.End == Refused || e.End == Unreachable {
+				// The endpoint took no work on, so the try does not count.
+				g.tries[m.segment]--
+			}
+			p.requeue(g, m.segment, Failed)
+		}
+	}
+}
+
+func (p *Pool) judgeFailure(c *call, end CallEnd, now time.Time) {
+	switch end {
+	case Refused:
+		c.endpoint.pausedUntil = now.Add(refusedPause)
+	case Unreachable:
+		p.judge(c.endpoint, ejector.Down, end, now)
+	default:
+		if !c.overdue {
+			p.judge(c.endpoint, ejector.Bad, Broken, now)
+		}
+	}
+}
+
+func (p *Pool) judge(e *endpoint, end ejector.End, why CallEnd, now time.Time) {
+	if e.gone {
+		return
+	}
+	if p.health.Ended(&e.health, end, false, now) {
+		p.emit(Judged{Endpoint: e.Endpoint, Out: e.health.State() != ejector.InUse, Why: why})
+	}
+}
+
+func (p *Pool) takeResults(c *call, results []PieceResult, now time.Time) {
+	if !c.overdue && !c.endpoint.gone {
+		p.judge(c.endpoint, p.health.Took(&c.endpoint.health, now.Sub(c.began), c.expected), Answered, now)
+	}
+	var unused []string
+	for i, r := range results {
+		m := c.pieces[i]
+		g, wanted := p.groups[m.id]
+		wanted = wanted && !g.made[m.segment]
+		if r.Handle == "" {
+			p.takeReason(c, g, wanted, m.segment, r.Reason, now)
+			continue
+		}
+		if !wanted {
+			unused = append(unused, r.Handle)
+			continue
+		}
+		p.keepResult(c.endpoint, r.Handle, m.bytes, now)
+		p.dropWaiting(g, m.segment)
+		p.deliver(g, m.segment, r, c.endpoint)
+	}
+	if len(unused) > 0 {
+		p.emit(FreeResults{Address: c.endpoint.Address, Handles: unused})
+	}
+}
+
+// takeReason decides what becomes of a piece without a result. Only what another call can mend is tried again.
+func (p *Pool) takeReason(c *call, g *group, wanted bool, segment int, why Reason, now time.Time) {
+	if !wanted {
+		return
+	}
+	switch why {
+	case InputGone, Late:
+		p.dropWaiting(g, segment)
+		p.deliver(g, segment, PieceResult{Reason: why}, nil)
+	case NoRoom:
+		c.endpoint.pausedUntil = now.Add(refusedPause)
+		p.requeue(g, segment, why)
+	default:
+		p.requeue(g, segment, why)
+	}
+}
+
+func (p *Pool) dropWaiting(g *group, segment int) {
+	g.waiting = slices.DeleteFunc(g.waiting, func(s int) bool { return s == segment })
+}
+
+func (p *Pool) keepResult(maker *endpoint, handle string, bytes int64, now time.Time) {
+	maker.used += bytes
+	p.results[handle] = &result{maker: maker, bytes: bytes, expires: now.Add(p.cfg.Stage.ResultTTL)}
+}
+
+// free gives results back, one call for each maker. Results that another entry collected are freed at their maker too:
+// after a change of the collecting entry nobody else knows of them.
+func (p *Pool) free(made []Made) {
+	byMaker := make(map[string][]string)
+	var order []string
+	for _, m := range made {
+		if r, known := p.results[m.Handle]; known {
+			r.maker.used -= r.bytes
+			delete(p.results, m.Handle)
+		}
+		if len(byMaker[m.Address]) == 0 {
+			order = append(order, m.Address)
+		}
+		byMaker[m.Address] = append(byMaker[m.Address], m.Handle)
+	}
+	for _, address := range order {
+		p.emit(FreeResults{Address: address, Handles: byMaker[address]})
+	}
+}
--- /dev/null
+++ b/collector/collector.go
@@ -0,0 +1,162 @@
+// Package collector makes calls of many requests' pieces to the endpoints of one stage's service. One entry collects
+// for all: a call takes long before its first piece, so calls that each entry fills alone waste most of the pool.
+//
+// Pieces wait here and not at endpoints, where nothing could be put before them. They are ordered by whether they can
+// still be on time, by priority, and by when they are due. The package is pure: events and the present time go in,
+// effects come out.
+package collector
+
+import (
+	"time"
+
+	"geraniumline/cataloger"
+	"geraniumline/ejector"
+	"geraniumline/registrar"
+)
+
+const (
+	// maxTries is how many calls one piece may be part of.
+	maxTries = 4
+	// patienceFactor is how much longer than usual a call may take before its pieces are asked for elsewhere. The
+	// slowest sound endpoints take 1.6 times as long as the fastest.
+	patienceFactor = 2
+	// timeoutFactor is how much longer than usual a call may take before its connection is closed.
+	timeoutFactor = 6
+	// patienceMargin covers the way there and back and the fetching of inputs.
+	patienceMargin = 60 * time.Millisecond
+	// roomShare is the part of an endpoint's space that is planned for; frees are on their way for some ms.
+	roomShare = 0.95
+	// refusedPause is how long an endpoint that was full gets no call: about half of a usual call.
+	refusedPause = 80 * time.Millisecond
+)
+
+// Config sets a Pool up.
+type Config struct {
+	Service string
+	Stage   cataloger.StagePool
+	Ejector ejector.Config
+}
+
+// Pool is the state of one stage service.
+type Pool struct {
+	cfg       Config
+	health    ejector.Pool
+	endpoints []*endpoint
+	groups    map[GroupID]*group
+	calls     map[uint64]*call
+	results   map[string]*result
+	lastCall  uint64
+	effects   []Effect
+}
+
+// New makes a pool without endpoints.
+func New(cfg Config) *Pool {
+	return &Pool{
+		cfg:     cfg,
+		health:  ejector.NewPool(cfg.Ejector),
+		groups:  make(map[GroupID]*group),
+		calls:   make(map[uint64]*call),
+		results: make(map[string]*result),
+	}
+}
+
+// SetStage takes what a newer configuration says of the service.
+func (p *Pool) SetStage(stage cataloger.StagePool) { p.cfg.Stage = stage }
+
+// Reduce takes an event and gives what is to be done.
+func (p *Pool) Reduce(ev Event, now time.Time) []Effect {
+	p.effects = nil
+	switch e := ev.(type) {
+	case Arrived:
+		p.takeGroup(e.Group)
+	case Withdrawn:
+		p.withdraw(func(id GroupID) bool { return id.Origin == e.Origin && id.Request == e.Request })
+	case OriginLost:
+		p.withdraw(func(id GroupID) bool { return id.Origin == e.Origin })
+	case CallEnded:
+		p.takeEnd(e, now)
+	case Freed:
+		p.free(e.Results)
+	case EndpointsChanged:
+		p.setEndpoints(e.Endpoints)
+	case Ticked:
+		p.tick(now)
+	}
+	p.sendCalls(now)
+	return p.effects
+}
+
+func (p *Pool) emit(e Effect) { p.effects = append(p.effects, e) }
+
+// Waiting is how many pieces are in no call.
+func (p *Pool) Waiting() int {
+	n := 0
+	for _, g := range p.groups {
+		n += len(g.waiting)
+	}
+	return n
+}
+
+// Wait predicts how long a piece that comes now would wait for its call to begin.
+func (p *Pool) Wait(now time.Time) time.Duration {
+	usable, free := 0, 0
+	for _, e := range p.endpoints {
+		if e.health.State() != ejector.InUse {
+			continue
+		}
+		usable++
+		if e.free(p.cfg.Stage.Slots, now) {
+			free++
+		}
+	}
+	if usable == 0 {
+		return p.cfg.Stage.CallDuration(p.cfg.Stage.Batch)
+	}
+	batches := (p.Waiting() + p.cfg.Stage.Batch) / p.cfg.Stage.Batch
+	if batches <= free {
+		return 0
+	}
+	return time.Duration(batches-free) * p.cfg.Stage.CallDuration(p.cfg.Stage.Batch) / time.Duration(usable)
+}
+
+func (p *Pool) setEndpoints(all []registrar.Endpoint) {
+	known := make(map[string]*endpoint, len(p.endpoints))
+	for _, e := range p.endpoints {
+		known[e.ID] = e
+	}
+	list := make([]*endpoint, 0, len(all))
+	for _, e := range all {
+		if old, ok := known[e.ID]; ok {
+			old.Endpoint = e
+			list = append(list, old)
+			delete(known, e.ID)
+			continue
+		}
+		p.health.Add()
+		list = append(list, &endpoint{Endpoint: e})
+	}
+	for _, gone := range known {
+		p.health.Remove(&gone.health)
+		gone.gone = true
+	}
+	p.endpoints = list
+}
+
+// tick ends what has waited too long, and gives back the space of results that have lapsed.
+func (p *Pool) tick(now time.Time) {
+	for _, c := range p.calls {
+		if !c.overdue && now.After(c.patience) {
+			p.takeOverdue(c, now)
+		}
+	}
+	p.expireGroups(now)
+	for handle, r := range p.results {
+		if now.After(r.expires) {
+			r.maker.used -= r.bytes
+			delete(p.results, handle)
+		}
+	}
+}
+
+// Busy tells whether any piece is wanted.
+func (p *Pool) Busy() bool { return len(p.groups) > 0 }
--- /dev/null
+++ b/collector/event.go
@@ -0,0 +1,182 @@
+package collector
+
+import (
+	"time"
+
+	"geraniumline/registrar"
+)
+
+// GroupID names the pieces of one stage of one request.
+type GroupID struct {
+	// Origin is the entry that has the request.
+	Origin  string
+	Request string
+	Stage   int
+}
+
+// Group is pieces of one stage of one request that are to be made.
+type Group struct {
+	ID GroupID
+	// Segments number the pieces.
+	Segments []int
+	// Key is the input of pieces whose stage comes first; Inputs are the results that all others take.
+	Key    string
+	Inputs []string
+	// Due is when the results are needed for an answer on time, Deadline when they are of no use any more.
+	Due      time.Time
+	Deadline time.Time
+	Priority int
+	Account  string
+	// ResultBytes is the size of one result.
+	ResultBytes int64
+}
+
+// Piece is one piece within a call.
+type Piece struct {
+	Request  string
+	Stage    int
+	Segment  int
+	Key      string
+	Inputs   []string
+	Deadline time.Time
+}
+
+// Reason tells why a piece has no result.
+type Reason uint8
+
+// The reasons. None stands with a result.
+const (
+	None Reason = iota
+	// Late pieces could not be made before their deadline.
+	Late
+	// InputGone pieces need a result that is no longer there.
+	InputGone
+	// NoRoom pieces found no space for their result.
+	NoRoom
+	// Failed pieces were tried as often as allowed.
+	Failed
+	// Overload pieces would wait longer than their deadline allows.
+	Overload
+)
+
+// String gives the reason as logs and metrics name it.
+func (r Reason) String() string {
+	switch r {
+	case Late:
+		return "late"
+	case InputGone:
+		return "inputGone"
+	case NoRoom:
+		return "noRoom"
+	case Failed:
+		return "failed"
+	case Overload:
+		return "overload"
+	default:
+		return "none"
+	}
+}
+
+// PieceResult is what a call brought for one piece.
+type PieceResult struct {
+	Handle string
+	Reason Reason
+}
+
+// CallEnd tells how a call went.
+type CallEnd uint8
+
+// The ends of calls.
+const (
+	// Answered calls have a result or a reason for each piece.
+	Answered CallEnd = iota
+	// Refused calls were turned away unrun by an endpoint that is full or leaving.
+	Refused
+	// Unreachable endpoints take no connection.
+	Unreachable
+	// Broken calls ended without an answer.
+	Broken
+)
+
+// Event is what can happen to a pool.
+type Event interface{ event() }
+
+// Arrived brings pieces to be made.
+type Arrived struct{ Group Group }
+
+// Withdrawn tells that a request needs no more pieces.
+type Withdrawn struct{ Origin, Request string }
+
+// CallEnded brings the end of a call.
+type CallEnded struct {
+	Call    uint64
+	End     CallEnd
+	Results []PieceResult
+}
+
+// Made is a result and where it lies.
+type Made struct {
+	Handle string
+	// Address is that of the endpoint that made it.
+	Address string
+}
+
+// Freed names results that are not needed any more.
+type Freed struct{ Results []Made }
+
+// EndpointsChanged brings the endpoints that may get work.
+type EndpointsChanged struct{ Endpoints []registrar.Endpoint }
+
+// OriginLost tells that an entry has ended: its requests need no more pieces.
+type OriginLost struct{ Origin string }
+
+// Ticked lets time pass.
+type Ticked struct{}
+
+func (Arrived) event()          {}
+func (Withdrawn) event()        {}
+func (CallEnded) event()        {}
+func (Freed) event()            {}
+func (EndpointsChanged) event() {}
+func (OriginLost) event()       {}
+func (Ticked) event()           {}
+
+// Effect is what is to be done.
+type Effect interface{ effect() }
+
+// SendCall asks for a call to an endpoint.
+type SendCall struct {
+	Call     uint64
+	Endpoint registrar.Endpoint
+	Pieces   []Piece
+	// Timeout is when the call is given up.
+	Timeout time.Duration
+}
+
+// Deliver hands a piece's result, or the reason why there is none, to the entry that has the request.
+type Deliver struct {
+	ID      GroupID
+	Segment int
+	Result  PieceResult
+	// Address and Zone are those of the endpoint where the result lies.
+	Address string
+	Zone    string
+}
+
+// FreeResults gives the space of results back at their maker.
+type FreeResults struct {
+	Address string
+	Handles []string
+}
+
+// Judged tells that an endpoint was taken out of use or let back.
+type Judged struct {
+	Endpoint registrar.Endpoint
+	Out      bool
+	Why      CallEnd
+}
+
+func (SendCall) effect()    {}
+func (Deliver) effect()     {}
+func (FreeResults) effect() {}
+func (Judged) effect()      {}
--- /dev/null
+++ b/collector/group.go
@@ -0,0 +1,112 @@
+package collector
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// group is a Group with how far its pieces are.
+type group struct {
+	Group
+	// waiting are the segments in no call.
+	waiting []int
+	// made are the segments whose result was delivered.
+	made map[int]bool
+	// tries counts the calls of each segment.
+	tries map[int]int
+}
+
+func (p *Pool) takeGroup(g Group) {
+	if _, known := p.groups[g.ID]; known {
+		// The entry asks again since it missed the word that the first ask has come.
+		return
+	}
+	p.groups[g.ID] = &group{
+		Group:   g,
+		waiting: slices.Clone(g.Segments),
+		made:    make(map[int]bool, len(g.Segments)),
+		tries:   make(map[int]int, len(g.Segments)),
+	}
+}
+
+func (p *Pool) withdraw(matches func(GroupID) bool) {
+	for id := range p.groups {
+		if matches(id) {
+			delete(p.groups, id)
+		}
+	}
+}
+
+// deliver hands over a piece's result and drops the group with its last one.
+func (p *Pool) deliver(g *group, segment int, r PieceResult, maker *endpoint) {
+	g.made[segment] = true
+	d := Deliver{ID: g.ID, Segment: segment, Result: r}
+	if maker != nil {
+		d.Address = maker.Address
+		d.Zone = maker.Zone
+	}
+	p.emit(d)
+	if len(g.made) == len(g.Segments) {
+		delete(p.groups, g.ID)
+	}
+}
+
+// requeue lets a piece wait again after a call that did not make it. The last reason is told when its tries are used
+// up.
+func (p *Pool) requeue(g *group, segment int, why Reason) {
+	if g.made[segment] || slices.Contains(g.waiting, segment) {
+		return
+	}
+	if g.tries[segment] >= maxTries {
+		p.deliver(g, segment, PieceResult{Reason: why}, nil)
+		return
+	}
+	g.waiting = append(g.waiting, segment)
+}
+
+// expireGroups tells the pieces that can't be made before their deadline. Held until then they would only keep the
+// caller from coming back in time.
+func (p *Pool) expireGroups(now time.Time) {
+	shortest := p.cfg.Stage.CallDuration(1)
+	for _, g := range p.groups {
+		if len(g.waiting) == 0 || now.Add(shortest).Before(g.Deadline) {
+			continue
+		}
+		for _, segment := range g.waiting {
+			p.deliver(g, segment, PieceResult{Reason: Late}, nil)
+		}
+		g.waiting = nil
+	}
+}
+
+// ordered lists the groups that wait, first what should be made first.
+//
+// Groups that can no longer be on time go last: under a surge, work in the order of arrival or of due times alone makes
+// every answer late, since each call then serves what is just too late already.
+func (p *Pool) ordered(now time.Time) []*group {
+	list := make([]*group, 0, len(p.groups))
+	for _, g := range p.groups {
+		if len(g.waiting) > 0 {
+			list = append(list, g)
+		}
+	}
+	soonest := now.Add(p.cfg.Stage.CallDuration(1))
+	slices.SortFunc(list, func(a, b *group) int {
+		lateA, lateB := a.Due.Before(soonest), b.Due.Before(soonest)
+		if lateA != lateB {
+			if lateB {
+				return -1
+			}
+			return 1
+		}
+		if a.Priority != b.Priority {
+			return a.Priority - b.Priority
+		}
+		if c := a.Due.Compare(b.Due); c != 0 {
+			return c
+		}
+		return strings.Compare(a.ID.Request, b.ID.Request)
+	})
+	return list
+}
--- a/messenger/socket_linux.go
+++ b/dialer/silence_linux.go
@@ -1,4 +1,4 @@
-package messenger
+package dialer
 
 import (
 	"syscall"
@@ -9,7 +9,7 @@
 const tcpUserTimeout = 0x12
 
 // limitSilence ends a connection whose sent bytes are not acknowledged for the time.
-// When a link is cut, heartbeats fit into the kernel's buffer for more than a minute, so no write fails; the kernel
+// When a link is cut, small messages fit into the kernel's buffer for more than a minute, so no write fails; the kernel
 // waits twice as long before each resend, and after the link is mended a healthy peer would seem lost for as long
 // as the cut was. A connection that ends is opened anew within BackoffMax.
 func limitSilence(timeout time.Duration) func(network, address string, c syscall.RawConn) error {
--- a/messenger/socket_linux_test.go
+++ b/dialer/silence_linux_test.go
@@ -1,4 +1,4 @@
-package messenger
+package dialer
 
 import (
 	"net"
@@ -14,8 +14,8 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = ln.Close() }()
-	dialer := net.Dialer{Control: limitSilence(3 * time.Second)}
-	conn, err := dialer.DialContext(t.Context(), "tcp", ln.Addr().String())
+	d := New(time.Second, 3*time.Second)
+	conn, err := d.DialContext(t.Context(), "tcp", ln.Addr().String())
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
 	raw, err := conn.(*net.TCPConn).SyscallConn()
--- a/messenger/socket_other.go
+++ b/dialer/silence_other.go
@@ -1,6 +1,6 @@
 //go:build !linux
 
-package messenger
+package dialer
 
 import (
 	"syscall"
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,218 @@
+// Package forwarder takes callers' requests, has the stages before them done, passes them on to endpoints, and hands
+// the answers back as they come. What has to be decided is decided by pure packages under one lock (registrar,
+// selector, collector, detector, retrier); this package carries their decisions out.
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumline/carrier"
+	"geraniumline/cataloger"
+	"geraniumline/collector"
+	"geraniumline/connector"
+	"geraniumline/detector"
+	"geraniumline/ejector"
+	"geraniumline/registrar"
+	"geraniumline/retrier"
+	"geraniumline/selector"
+)
+
+const (
+	// tickEvery is the resolution of what waits: a tenth of the shortest objective.
+	tickEvery = 10 * time.Millisecond
+	// heartbeatEvery is how often peers hear of this entry. Three heartbeats may be lost before SuspectAfter.
+	heartbeatEvery = 150 * time.Millisecond
+	// suspectAfter and deadAfter are the silences after which a peer gets no work and is taken for dead.
+	suspectAfter = 700 * time.Millisecond
+	deadAfter    = 2 * time.Second
+	// forgetAfter is how long a dead peer's name is kept.
+	forgetAfter = time.Minute
+	// fullMesh is up to how many entries each hears all others directly.
+	fullMesh = 128
+	// sweepEvery is how often idle connections are looked at.
+	sweepEvery = 500 * time.Millisecond
+	// retryShare is the part of the shared budget of extra calls that entries plan with: their counts of each
+	// other lag, and a restarted entry begins anew.
+	retryShare = 0.6
+)
+
+// Sender passes messages to peers. It never waits.
+type Sender interface {
+	Send(peerAddress string, m carrier.Message)
+}
+
+// Config holds a Forwarder's parts.
+type Config struct {
+	Name          string
+	Zone          string
+	CallerAddress string
+	PeerAddress   string
+	Seeds         []string
+	// Incarnation tells the processes of this name apart; a later start has a higher one.
+	Incarnation uint64
+	// AddressTTL is how long callers may keep the answer to which entries to use.
+	AddressTTL time.Duration
+	// RetryRatio and RetrySlack bound the extra calls of all entries together.
+	RetryRatio float64
+	RetrySlack float64
+
+	Wire   Wire
+	Client *connector.Client
+	// DecodeConfig decodes a configuration as the operator wrote it.
+	DecodeConfig func(data []byte) (*cataloger.Catalog, error)
+	Log          *zap.Logger
+}
+
+// Forwarder is one entry's state and request path.
+type Forwarder struct {
+	cfg    Config
+	log    *zap.Logger
+	sender Sender
+	began  time.Time
+
+	// mu guards all deciders below.
+	mu       sync.Mutex
+	catalog  *cataloger.Catalog
+	raw      []byte
+	registry *registrar.Registry
+	selector *selector.Selector
+	detector *detector.Detector
+	retrier  *retrier.Retrier
+	pools    map[string]*collector.Pool
+	asks     map[askID]*ask
+	// waits are what peers say of the stage pools that they collect for.
+	waits map[string]stageWait
+	// addresses are the peers' addresses by name.
+	addresses map[string]string
+	// asked is when each kind of question to peers was last put.
+	askedConfig    time.Time
+	askedEndpoints time.Time
+	behindSince    time.Time
+
+	inFlight    atomic.Int64
+	lastRequest atomic.Int64
+	stopping    atomic.Bool
+}
+
+// New makes a forwarder that knows nothing yet.
+func New(cfg Config, now time.Time) *Forwarder {
+	random := rand.New(rand.NewPCG(cfg.Incarnation, uint64(len(cfg.Name))))
+	return &Forwarder{
+		cfg:      cfg,
+		log:      cfg.Log,
+		began:    now,
+		registry: registrar.New(registrar.Config{}),
+		selector: selector.New(selector.Config{Rand: random, Ejector: ejector.Config{MaxShare: maxOut}}),
+		detector: detector.New(detector.Config{
+			Self: carrier.Member{
+				Name:          cfg.Name,
+				Zone:          cfg.Zone,
+				CallerAddress: cfg.CallerAddress,
+				PeerAddress:   cfg.PeerAddress,
+				Incarnation:   cfg.Incarnation,
+				State:         uint8(detector.Live),
+			},
+			Seeds:        cfg.Seeds,
+			SuspectAfter: suspectAfter,
+			DeadAfter:    deadAfter,
+			ForgetAfter:  forgetAfter,
+			FullMesh:     fullMesh,
+		}),
+		retrier: retrier.New(retrier.Config{
+			Ratio:    cfg.RetryRatio * retryShare,
+			Reserve:  max(1, cfg.RetrySlack*retryShare/usualEntries),
+			Attempts: maxEndpoints,
+		}),
+		pools:     make(map[string]*collector.Pool),
+		asks:      make(map[askID]*ask),
+		waits:     make(map[string]stageWait),
+		addresses: make(map[string]string),
+	}
+}
+
+const (
+	// maxOut is the part of a pool that may be out of use for serving badly.
+	maxOut = 0.5
+	// usualEntries divides the slack of the retry budget: the entries of today's deployments.
+	usualEntries = 7
+	// maxEndpoints bounds the endpoints that one request is offered to, those that turn it away too.
+	maxEndpoints = 6
+)
+
+// SetSender sets where messages to peers go. It must be called before Run.
+func (f *Forwarder) SetSender(s Sender) { f.sender = s }
+
+// Run lets time pass until the context ends.
+func (f *Forwarder) Run(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	var beat, sweep time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := time.Now()
+		f.tick(now)
+		if now.Sub(beat) >= heartbeatEvery {
+			beat = now
+			f.heartbeat(now)
+		}
+		if now.Sub(sweep) >= sweepEvery {
+			sweep = now
+			f.cfg.Client.Sweep(now)
+		}
+	}
+}
+
+func (f *Forwarder) tick(now time.Time) {
+	f.mu.Lock()
+	var todo []func()
+	for service, p := range f.pools {
+		todo = append(todo, f.performAll(service, p, p.Reduce(collector.Ticked{}, now))...)
+	}
+	todo = append(todo, f.checkAsks(now)...)
+	if f.registry.Tick(now) {
+		todo = append(todo, f.endpointsChanged(now)...)
+	}
+	f.mu.Unlock()
+	run(todo)
+}
+
+// run carries out what was decided under the lock.
+func run(todo []func()) {
+	for _, do := range todo {
+		do()
+	}
+}
+
+// Ready tells whether this entry can serve: it knows the configuration and the endpoints, and is not stopping.
+func (f *Forwarder) Ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.catalog != nil && f.registry.Known() && !f.stopping.Load()
+}
+
+// ServeReady answers whether the entry takes callers.
+func (f *Forwarder) ServeReady(w http.ResponseWriter, _ *http.Request) {
+	if !f.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Catalog gives the configuration in force, or nil.
+func (f *Forwarder) Catalog() *cataloger.Catalog {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.catalog
+}
--- /dev/null
+++ b/forwarder/handler.go
@@ -0,0 +1,272 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"geraniumline/cataloger"
+	"geraniumline/guarder"
+	"geraniumline/registrar"
+	"geraniumline/selector"
+)
+
+const (
+	// defaultTimeout holds for routes that name none.
+	defaultTimeout = 30 * time.Second
+	// shortReturn is when a caller may come back that was refused for what is over in a moment: a start, a full
+	// endpoint. It is spread by as much again, so that callers refused together do not come back together.
+	shortReturn = 250 * time.Millisecond
+	// bodyTimeout bounds the reading of a request's body.
+	bodyTimeout = 10 * time.Second
+)
+
+// exchange is one request on its way.
+type exchange struct {
+	f       *Forwarder
+	w       http.ResponseWriter
+	in      *http.Request
+	ctx     context.Context
+	req     Request
+	route   *cataloger.Route
+	version int64
+	service *cataloger.Service
+	account string
+	// priority is the client account's or the route's, 0 first.
+	priority int
+	keepKey  bool
+	body     []byte
+	began    time.Time
+	// due is when an answer is on time, deadline when it must be final.
+	due      time.Time
+	deadline time.Time
+
+	tried []string
+	// runs is how many endpoints may have run the request.
+	runs int
+	// sends is how many endpoints it was sent to.
+	sends int
+	// headed is set once the answer's header has gone to the caller.
+	headed bool
+}
+
+// ServeHTTP answers callers' requests.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	f.inFlight.Add(1)
+	f.lastRequest.Store(now.UnixNano())
+	defer f.inFlight.Add(-1)
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{f: f, w: w, in: r, ctx: r.Context(), began: now}
+	failure := x.serve()
+	x.log(failure)
+	if failure == nil {
+		return
+	}
+	if x.headed {
+		// The answer has begun: only a connection that ends shows the caller that it is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	failure.send(w)
+}
+
+// serve carries the request out. It gives the failure that the caller is to be told, or nil once the caller has its
+// answer.
+func (x *exchange) serve() *Failure {
+	if failure := x.check(); failure != nil {
+		return failure
+	}
+	if failure := x.readBody(); failure != nil {
+		return failure
+	}
+	ctx, cancel := context.WithDeadline(x.in.Context(), x.deadline)
+	defer cancel()
+	x.ctx = ctx
+	if x.route.Kind == cataloger.Streaming {
+		return x.serveStream()
+	}
+	return x.servePlain()
+}
+
+// check finds the route, the client account and the deadline.
+func (x *exchange) check() *Failure {
+	if guarder.Ambiguous(x.in.Context()) {
+		// Two lengths of one body: where the next request begins is in doubt, and a hidden one could follow.
+		x.w.Header().Set("Connection", "close")
+		return &Failure{Status: http.StatusBadRequest, Reason: "ambiguousLength"}
+	}
+	x.f.mu.Lock()
+	catalog, known := x.f.catalog, x.f.registry.Known()
+	x.f.mu.Unlock()
+	if catalog == nil || !known {
+		return notRun("starting", spread(shortReturn))
+	}
+	x.version = catalog.Version()
+	path, _, _ := strings.Cut(x.in.RequestURI, "?")
+	route, found := catalog.Match(x.in.Host, path)
+	if !found {
+		return &Failure{Status: http.StatusNotFound, Reason: "noRoute"}
+	}
+	x.route = route
+	var err error
+	if x.req, err = x.f.cfg.Wire.ReadRequest(x.in.Header); err != nil {
+		return &Failure{Status: http.StatusBadRequest, Reason: "badHeader"}
+	}
+	if failure := x.checkKey(catalog); failure != nil {
+		return failure
+	}
+	x.setTimes()
+	service, known := catalog.Service(route.Target(xxhash.Sum64String(x.req.ID)))
+	if !known {
+		return notRun("unknownService", spread(shortReturn))
+	}
+	x.service = service
+	if limit := catalog.Limits().BodyBytes; limit > 0 {
+		if x.in.ContentLength > limit {
+			x.w.Header().Set("Connection", "close")
+			return &Failure{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
+		}
+		x.in.Body = http.MaxBytesReader(x.w, x.in.Body, limit)
+	}
+	return nil
+}
+
+func (x *exchange) checkKey(catalog *cataloger.Catalog) *Failure {
+	x.priority = x.route.Priority
+	if !catalog.NeedsKeys() {
+		x.keepKey = true
+		return nil
+	}
+	account, known := catalog.Account(x.req.Key)
+	if !known {
+		if x.route.Anonymous {
+			return nil
+		}
+		return &Failure{Status: http.StatusUnauthorized, Reason: "unknownKey"}
+	}
+	x.account = account.Name
+	if account.HasPriority {
+		x.priority = account.Priority
+	}
+	return nil
+}
+
+func (x *exchange) setTimes() {
+	timeout := x.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if x.req.Patience > 0 {
+		timeout = min(timeout, x.req.Patience)
+	}
+	x.deadline = x.began.Add(timeout)
+	x.due = x.began.Add(x.route.Objective)
+}
+
+func (x *exchange) readBody() *Failure {
+	if x.in.ContentLength == 0 {
+		return nil
+	}
+	// An error means that the connection takes no deadline; then the server's own bound holds.
+	_ = http.NewResponseController(x.w).SetReadDeadline(x.began.Add(bodyTimeout))
+	body, err := io.ReadAll(x.in.Body)
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		x.w.Header().Set("Connection", "close")
+		return &Failure{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
+	}
+	if err != nil {
+		x.w.Header().Set("Connection", "close")
+		return &Failure{Status: http.StatusBadRequest, Reason: "bodyCut"}
+	}
+	x.body = body
+	return nil
+}
+
+// spread gives a time between d and twice d.
+func spread(d time.Duration) time.Duration {
+	return d + rand.N(d)
+}
+
+// choose picks the next endpoint for the request and counts the call there.
+func (x *exchange) choose(ask selector.Ask) (selector.Choice, bool) {
+	now := time.Now()
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	ask.Service = x.service.Name
+	ask.Avoid = x.tried
+	ask.NoProbe = !x.route.Repeatable()
+	choice, found := x.f.selector.Choose(ask, now)
+	if found {
+		x.f.selector.Started(choice, ask.Parts)
+	}
+	return choice, found
+}
+
+// mayTryAgain spends a part of the budget of extra calls.
+func (x *exchange) mayTryAgain() bool {
+	if x.sends >= maxEndpoints {
+		return false
+	}
+	now := time.Now()
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	if x.sends == 0 {
+		x.f.retrier.First(x.service.Name, false, now)
+		return true
+	}
+	return x.f.retrier.Retry(x.service.Name, x.sends, now)
+}
+
+// callInfo is what a call to the endpoint says.
+func (x *exchange) callInfo(e registrar.Endpoint, now time.Time) CallInfo {
+	return CallInfo{
+		Patience:    x.deadline.Sub(now),
+		Instance:    e.ID,
+		Account:     x.account,
+		KeepKey:     x.keepKey,
+		Priority:    x.priority,
+		HasPriority: x.service.Model != nil,
+	}
+}
+
+// left tells how long the request may still take.
+func (x *exchange) left(now time.Time) time.Duration { return x.deadline.Sub(now) }
+
+// callerGone tells that nobody waits for the answer any more.
+func (x *exchange) callerGone() bool { return x.in.Context().Err() != nil }
+
+// log writes one line for the request's end.
+func (x *exchange) log(failure *Failure) {
+	fields := []zap.Field{
+		zap.String("request", x.req.ID),
+		zap.Duration("took", time.Since(x.began)),
+		zap.Int64("version", x.version),
+		zap.Int("sends", x.sends),
+	}
+	if x.route != nil {
+		fields = append(fields, zap.String("route", x.route.Name), zap.String("account", x.account))
+	}
+	if len(x.tried) > 0 {
+		fields = append(fields, zap.Strings("endpoints", x.tried))
+	}
+	switch {
+	case failure == nil:
+		x.f.log.Debug("request answered", fields...)
+	case x.callerGone():
+		x.f.log.Info("request left by its caller", fields...)
+	default:
+		fields = append(fields, zap.Int("status", failure.Status), zap.String("reason", failure.Reason))
+		x.f.log.Info("request failed", fields...)
+	}
+}
--- /dev/null
+++ b/forwarder/knowledge.go
@@ -0,0 +1,129 @@
+package forwarder
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumline/cataloger"
+	"geraniumline/collector"
+	"geraniumline/registrar"
+)
+
+// TakeConfig takes a configuration that was read from the store or told by a peer. An older one than that in force is
+// dropped: a stale read must not bring back a route or key that was taken away.
+func (f *Forwarder) TakeConfig(data []byte, source string, now time.Time) error {
+	catalog, err := f.cfg.DecodeConfig(data)
+	if err != nil {
+		f.log.Error("configuration can't be used", zap.String("source", source), zap.Error(err))
+		return err
+	}
+	f.mu.Lock()
+	before := int64(-1)
+	if f.catalog != nil {
+		before = f.catalog.Version()
+	}
+	if catalog.Version() <= before {
+		f.mu.Unlock()
+		return nil
+	}
+	f.catalog = catalog
+	f.raw = data
+	f.behindSince = time.Time{}
+	for service, p := range f.pools {
+		if s, known := catalog.Service(service); known && s.Stage != nil {
+			p.SetStage(*s.Stage)
+		}
+	}
+	todo := f.endpointsChanged(now)
+	f.mu.Unlock()
+	run(todo)
+	f.log.Info("configuration in force",
+		zap.Int64("version", catalog.Version()),
+		zap.Int64("before", before),
+		zap.String("source", source))
+	return nil
+}
+
+// TakeEndpoints takes changes of endpoints' entries up to the offset next.
+func (f *Forwarder) TakeEndpoints(changes []registrar.Change, next int64, now time.Time) {
+	f.withRegistry(now, func() { f.registry.Apply(changes, next, now) })
+}
+
+// ReplaceEndpoints takes the newest entry of every endpoint.
+func (f *Forwarder) ReplaceEndpoints(all []registrar.Change, next int64, now time.Time) {
+	f.withRegistry(now, func() { f.registry.Replace(all, next, now) })
+}
+
+func (f *Forwarder) withRegistry(now time.Time, change func()) {
+	f.mu.Lock()
+	change()
+	todo := f.endpointsChanged(now)
+	f.mu.Unlock()
+	run(todo)
+}
+
+// StoreHeard notes that the store has answered.
+func (f *Forwarder) StoreHeard(now time.Time) {
+	f.mu.Lock()
+	news := f.registry.Heard(now)
+	f.mu.Unlock()
+	if news {
+		f.log.Info("store answers again")
+	}
+}
+
+// StoreLost notes that the store does not answer.
+func (f *Forwarder) StoreLost(err error) {
+	f.mu.Lock()
+	news := f.registry.Lost()
+	f.mu.Unlock()
+	if news {
+		f.log.Warn("store does not answer", zap.Error(err))
+	}
+}
+
+// endpointsChanged hands the usable endpoints to those that choose among them. The lock is held.
+func (f *Forwarder) endpointsChanged(now time.Time) []func() {
+	usable := f.registry.Usable()
+	if f.catalog == nil {
+		return nil
+	}
+	var direct []registrar.Endpoint
+	byStage := make(map[string][]registrar.Endpoint)
+	for _, e := range usable {
+		service, known := f.catalog.Service(e.Service)
+		if known && service.Stage != nil {
+			byStage[e.Service] = append(byStage[e.Service], e)
+			continue
+		}
+		direct = append(direct, e)
+	}
+	f.selector.SetEndpoints(direct)
+	var todo []func()
+	for service, p := range f.pools {
+		effects := p.Reduce(collector.EndpointsChanged{Endpoints: byStage[service]}, now)
+		todo = append(todo, f.performAll(service, p, effects)...)
+	}
+	return todo
+}
+
+// stageEndpoints lists the usable endpoints of a stage's service. The lock is held.
+func (f *Forwarder) stageEndpoints(service string) []registrar.Endpoint {
+	var list []registrar.Endpoint
+	for _, e := range f.registry.Usable() {
+		if e.Service == service {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// stageService gives what the configuration says of a stage's service. The lock is held.
+func (f *Forwarder) stageService(name string) (*cataloger.Service, bool) {
+	if f.catalog == nil {
+		return nil, false
+	}
+	s, known := f.catalog.Service(name)
+	return s, known && s.Stage != nil
+}
--- /dev/null
+++ b/forwarder/peers.go
@@ -0,0 +1,263 @@
+package forwarder
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumline/carrier"
+	"geraniumline/collector"
+	"geraniumline/detector"
+	"geraniumline/registrar"
+)
+
+const (
+	// configPatience is how long this entry may know of a newer configuration at a peer before it asks for it: its
+	// own reading of the store usually brings it first.
+	configPatience = 150 * time.Millisecond
+	// endpointsPatience is the age of the own list of endpoints from which peers are asked for theirs: two readings
+	// of the store were missed.
+	endpointsPatience = 1500 * time.Millisecond
+	// askEvery is how often peers are asked.
+	askEvery = 500 * time.Millisecond
+)
+
+// stageWait is a peer's word on how long pieces of a service wait.
+type stageWait struct {
+	wait time.Duration
+	at   time.Time
+}
+
+// heartbeat tells peers of this entry and asks them for what it lacks.
+func (f *Forwarder) heartbeat(now time.Time) {
+	f.mu.Lock()
+	f.setSelf()
+	transitions := f.detector.Tick(now)
+	beat := f.detector.Heartbeat(now)
+	targets := f.detector.Targets(now)
+	work := f.work(now)
+	questions := f.questions(now)
+	todo := f.takeTransitions(transitions, now)
+	f.mu.Unlock()
+	run(todo)
+	for _, address := range targets {
+		f.sender.Send(address, beat)
+		f.sender.Send(address, work)
+	}
+	for address, list := range questions {
+		for _, m := range list {
+			f.sender.Send(address, m)
+		}
+	}
+}
+
+// setSelf sets what this entry says of itself. The lock is held.
+func (f *Forwarder) setSelf() {
+	state := detector.Live
+	switch {
+	case f.stopping.Load():
+		state = detector.Stopping
+	case f.catalog == nil || !f.registry.Known():
+		state = detector.Suspect
+	}
+	f.detector.SetSelf(state, f.version(), int32(f.inFlight.Load()))
+}
+
+func (f *Forwarder) version() int64 {
+	if f.catalog == nil {
+		return 0
+	}
+	return f.catalog.Version()
+}
+
+// work tells what this entry has under way. The lock is held.
+func (f *Forwarder) work(now time.Time) *carrier.Work {
+	w := &carrier.Work{}
+	for id, tokens := range f.selector.Work() {
+		w.Endpoints = append(w.Endpoints, carrier.EndpointWork{ID: id, Tokens: int32(tokens)})
+	}
+	for service, p := range f.pools {
+		if owner, ok := f.owner(service, nil); ok && owner == f.cfg.Name {
+			wait := p.Wait(now).Milliseconds()
+			w.Stages = append(w.Stages, carrier.StageWait{Service: service, Millis: int32(wait)})
+		}
+	}
+	return w
+}
+
+// questions asks peers for a newer configuration, or for the list of endpoints while the store can't be read here.
+// The lock is held.
+func (f *Forwarder) questions(now time.Time) map[string][]carrier.Message {
+	asked := make(map[string][]carrier.Message)
+	newest, offset := "", f.version()
+	var anyPeer string
+	for _, m := range f.detector.Members() {
+		if m.Name == f.cfg.Name || m.State == detector.Dead || m.State == detector.Stopped {
+			continue
+		}
+		anyPeer = m.PeerAddress
+		if m.ConfigOffset > offset {
+			newest, offset = m.PeerAddress, m.ConfigOffset
+		}
+	}
+	if newest == "" {
+		f.behindSince = time.Time{}
+	} else if f.behindSince.IsZero() {
+		f.behindSince = now
+	}
+	behind := newest != "" && (f.catalog == nil || now.Sub(f.behindSince) >= configPatience)
+	if behind && now.Sub(f.askedConfig) >= askEvery {
+		f.askedConfig = now
+		asked[newest] = append(asked[newest], &carrier.ConfigCall{})
+	}
+	stale := !f.registry.Known() || f.registry.Age(now) > endpointsPatience
+	if stale && anyPeer != "" && now.Sub(f.askedEndpoints) >= askEvery {
+		f.askedEndpoints = now
+		for _, m := range f.detector.Members() {
+			if m.Name != f.cfg.Name && m.State == detector.Live {
+				asked[m.PeerAddress] = append(asked[m.PeerAddress], &carrier.EndpointsCall{})
+			}
+		}
+	}
+	return asked
+}
+
+// TakeMessage takes a message from the peer that proved the name.
+func (f *Forwarder) TakeMessage(from string, m carrier.Message) {
+	now := time.Now()
+	switch m := m.(type) {
+	case *carrier.Heartbeat:
+		f.locked(func() []func() { return f.takeTransitions(f.detector.Receive(m, now), now) })
+	case *carrier.Work:
+		f.locked(func() []func() { f.takeWork(from, m, now); return nil })
+	case *carrier.ConfigCall:
+		f.locked(func() []func() { return f.replyConfig(from) })
+	case *carrier.ConfigReply:
+		// An error was logged, and the next heartbeat asks again.
+		_ = f.TakeConfig(m.Data, from, now)
+	case *carrier.EndpointsCall:
+		f.locked(func() []func() { return f.replyEndpoints(from, now) })
+	case *carrier.EndpointsReply:
+		f.takeEndpointsReply(m, now)
+	case *carrier.PieceAsk:
+		f.locked(func() []func() { return f.takeAsk(from, m, now) })
+	case *carrier.PieceTaken:
+		f.locked(func() []func() { f.takeTaken(from, m); return nil })
+	case *carrier.PieceResults:
+		f.locked(func() []func() { return f.takeResults(from, m) })
+	case *carrier.PieceWithdraw:
+		f.locked(func() []func() { return f.takeWithdraw(from, m, now) })
+	case *carrier.PieceFree:
+		f.locked(func() []func() { return f.takeFree(m, now) })
+	default:
+		f.log.Warn("peer sent a message of no use here", zap.String("peer", from), zap.Uint8("kind", uint8(m.Kind())))
+	}
+}
+
+// locked decides under the lock and carries out after it.
+func (f *Forwarder) locked(decide func() []func()) {
+	f.mu.Lock()
+	todo := decide()
+	f.mu.Unlock()
+	run(todo)
+}
+
+// RefusedPeer takes the word of the network that no process listens at a peer address.
+func (f *Forwarder) RefusedPeer(address string) {
+	now := time.Now()
+	f.locked(func() []func() { return f.takeTransitions(f.detector.Refuse(address, now), now) })
+}
+
+// takeTransitions logs changes of peers' states, and drops the work of those that have ended. The lock is held.
+func (f *Forwarder) takeTransitions(transitions []detector.Transition, now time.Time) []func() {
+	var todo []func()
+	for _, t := range transitions {
+		f.addresses[t.Member.Name] = t.Member.PeerAddress
+		f.log.Info("peer changed",
+			zap.String("peer", t.Member.Name),
+			zap.Stringer("from", t.From),
+			zap.Stringer("to", t.To),
+			zap.Bool("refused", t.Refused),
+			zap.Duration("away", t.Away))
+		if t.To != detector.Dead && t.To != detector.Stopped {
+			continue
+		}
+		f.selector.SetPeer(t.Member.Name, nil)
+		for service, p := range f.pools {
+			effects := p.Reduce(collector.OriginLost{Origin: t.Member.Name}, now)
+			todo = append(todo, f.performAll(service, p, effects)...)
+		}
+	}
+	return todo
+}
+
+func (f *Forwarder) takeWork(from string, m *carrier.Work, now time.Time) {
+	tokens := make(map[string]int, len(m.Endpoints))
+	for _, e := range m.Endpoints {
+		tokens[e.ID] = int(e.Tokens)
+	}
+	f.selector.SetPeer(from, tokens)
+	for _, s := range m.Stages {
+		f.waits[s.Service] = stageWait{wait: time.Duration(s.Millis) * time.Millisecond, at: now}
+	}
+}
+
+func (f *Forwarder) replyConfig(from string) []func() {
+	if f.catalog == nil {
+		return nil
+	}
+	reply := &carrier.ConfigReply{Version: f.catalog.Version(), Data: f.raw}
+	return []func(){f.sendTo(from, reply)}
+}
+
+func (f *Forwarder) replyEndpoints(from string, now time.Time) []func() {
+	if !f.registry.Known() {
+		return nil
+	}
+	reply := &carrier.EndpointsReply{Next: f.registry.Next(), AgeMillis: f.registry.Age(now).Milliseconds()}
+	for _, c := range f.registry.Changes() {
+		e := c.Endpoint
+		reply.Entries = append(reply.Entries, carrier.EndpointEntry{
+			ID:       c.ID,
+			Offset:   c.Offset,
+			Service:  e.Service,
+			Address:  e.Address,
+			Zone:     e.Zone,
+			Slots:    int32(e.Slots),
+			Draining: e.Draining,
+		})
+	}
+	return []func(){f.sendTo(from, reply)}
+}
+
+func (f *Forwarder) takeEndpointsReply(m *carrier.EndpointsReply, now time.Time) {
+	all := make([]registrar.Change, len(m.Entries))
+	for i, e := range m.Entries {
+		all[i] = registrar.Change{ID: e.ID, Offset: e.Offset, Endpoint: &registrar.Endpoint{
+			ID:       e.ID,
+			Service:  e.Service,
+			Address:  e.Address,
+			Zone:     e.Zone,
+			Slots:    int(e.Slots),
+			Draining: e.Draining,
+		}}
+	}
+	f.ReplaceEndpoints(all, m.Next, now)
+}
+
+// sendTo sends a message to the peer of the name.
+func (f *Forwarder) sendTo(name string, m carrier.Message) func() {
+	address := f.peerAddress(name)
+	return func() {
+		if address != "" {
+			f.sender.Send(address, m)
+		}
+	}
+}
+
+func (f *Forwarder) peerAddress(name string) string {
+	if m, known := f.detector.Member(name); known {
+		return m.PeerAddress
+	}
+	return f.addresses[name]
+}
--- /dev/null
+++ b/forwarder/pieces.go
@@ -0,0 +1,427 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"geraniumline/carrier"
+	"geraniumline/collector"
+	"geraniumline/connector"
+	"geraniumline/detector"
+	"geraniumline/hasher"
+	"geraniumline/registrar"
+)
+
+const (
+	// takenPatience is how long the entry that collects may leave an ask without a word. It is some thirty times the
+	// way there and back.
+	takenPatience = 150 * time.Millisecond
+	// maxPiecesAnswer bounds the answer to a call for pieces: 100 bytes for each of some thousand.
+	maxPiecesAnswer = 1 << 20
+	// freeTimeout bounds a call that frees results, which lapse by themselves.
+	freeTimeout = time.Second
+)
+
+// askID names one stage of one of this entry's requests.
+type askID struct {
+	request string
+	stage   int
+}
+
+// ask is what one of this entry's requests waits for.
+type ask struct {
+	service string
+	group   collector.Group
+	// left are the segments without a result.
+	left map[int]bool
+	// owner is the entry that was asked, avoid those that did not answer.
+	owner string
+	avoid []string
+	sent  time.Time
+	taken bool
+	// results takes one Deliver for each segment.
+	results chan collector.Deliver
+}
+
+// owner gives the entry that collects for a service: the live one with the highest rank. The lock is held.
+func (f *Forwarder) owner(service string, avoid []string) (string, bool) {
+	seed := xxhash.Sum64String(service)
+	best, bestRank := "", uint64(0)
+	for _, m := range f.detector.Members() {
+		if m.State != detector.Live || slices.Contains(avoid, m.Name) {
+			continue
+		}
+		rank := hasher.Mix(seed ^ xxhash.Sum64String(m.Name))
+		if best == "" || rank > bestRank {
+			best, bestRank = m.Name, rank
+		}
+	}
+	return best, best != ""
+}
+
+// askPieces asks for the pieces of one stage. The results come on the ask's channel.
+func (f *Forwarder) askPieces(service string, g collector.Group) *ask {
+	a := &ask{
+		service: service,
+		group:   g,
+		left:    make(map[int]bool, len(g.Segments)),
+		results: make(chan collector.Deliver, len(g.Segments)),
+	}
+	for _, s := range g.Segments {
+		a.left[s] = true
+	}
+	now := time.Now()
+	f.locked(func() []func() {
+		f.asks[askID{g.ID.Request, g.ID.Stage}] = a
+		return f.place(a, now)
+	})
+	return a
+}
+
+// place gives an ask to the entry that collects. With no other one left, this entry does it itself. The lock is held.
+func (f *Forwarder) place(a *ask, now time.Time) []func() {
+	owner, known := f.owner(a.service, a.avoid)
+	if !known {
+		owner = f.cfg.Name
+	}
+	a.owner = owner
+	a.sent = now
+	a.taken = false
+	g := a.group
+	g.Segments = make([]int, 0, len(a.left))
+	for _, s := range a.group.Segments {
+		if a.left[s] {
+			g.Segments = append(g.Segments, s)
+		}
+	}
+	if owner == f.cfg.Name {
+		a.taken = true
+		return f.collect(a.service, g, now)
+	}
+	return []func(){f.sendTo(owner, askMessage(a.service, &g, now))}
+}
+
+func askMessage(service string, g *collector.Group, now time.Time) *carrier.PieceAsk {
+	m := &carrier.PieceAsk{
+		Service:        service,
+		Request:        g.ID.Request,
+		Stage:          int32(g.ID.Stage),
+		Key:            g.Key,
+		Inputs:         g.Inputs,
+		DueMillis:      g.Due.Sub(now).Milliseconds(),
+		DeadlineMillis: g.Deadline.Sub(now).Milliseconds(),
+		Priority:       int32(g.Priority),
+		Account:        g.Account,
+		ResultBytes:    g.ResultBytes,
+	}
+	for _, s := range g.Segments {
+		m.Numbers = append(m.Numbers, int32(s))
+	}
+	return m
+}
+
+// checkAsks places asks anew whose collecting entry is silent or gone. The lock is held.
+func (f *Forwarder) checkAsks(now time.Time) []func() {
+	var todo []func()
+	for _, a := range f.asks {
+		if a.owner == f.cfg.Name {
+			continue
+		}
+		m, known := f.detector.Member(a.owner)
+		lost := !known || m.State != detector.Live && m.State != detector.Stopping
+		silent := !a.taken && now.Sub(a.sent) > takenPatience
+		if !lost && !silent {
+			continue
+		}
+		f.log.Warn("pieces asked for elsewhere",
+			zap.String("request", a.group.ID.Request),
+			zap.String("service", a.service),
+			zap.String("peer", a.owner),
+			zap.Bool("lost", lost))
+		a.avoid = append(a.avoid, a.owner)
+		todo = append(todo, f.place(a, now)...)
+	}
+	return todo
+}
+
+// endAsk withdraws what is left of an ask.
+func (f *Forwarder) endAsk(a *ask) {
+	now := time.Now()
+	f.locked(func() []func() {
+		delete(f.asks, askID{a.group.ID.Request, a.group.ID.Stage})
+		if len(a.left) == 0 {
+			return nil
+		}
+		if a.owner != f.cfg.Name {
+			return []func(){f.sendTo(a.owner, &carrier.PieceWithdraw{Service: a.service, Request: a.group.ID.Request})}
+		}
+		return f.reduce(a.service, collector.Withdrawn{Origin: f.cfg.Name, Request: a.group.ID.Request}, now)
+	})
+}
+
+// freePieces gives the space of results back.
+func (f *Forwarder) freePieces(service string, made []collector.Made) {
+	if len(made) == 0 {
+		return
+	}
+	now := time.Now()
+	f.locked(func() []func() {
+		owner, known := f.owner(service, nil)
+		if !known || owner == f.cfg.Name {
+			return f.reduce(service, collector.Freed{Results: made}, now)
+		}
+		m := &carrier.PieceFree{Service: service}
+		for _, r := range made {
+			m.Results = append(m.Results, carrier.MadeResult{Handle: r.Handle, Address: r.Address})
+		}
+		return []func(){f.sendTo(owner, m)}
+	})
+}
+
+// collect takes pieces into the pool of this entry. The lock is held.
+func (f *Forwarder) collect(service string, g collector.Group, now time.Time) []func() {
+	return f.reduce(service, collector.Arrived{Group: g}, now)
+}
+
+// reduce hands an event to this entry's pool of a service. The lock is held.
+func (f *Forwarder) reduce(service string, ev collector.Event, now time.Time) []func() {
+	p, known := f.pool(service, now)
+	if !known {
+		f.log.Warn("pieces of an unknown service", zap.String("service", service))
+		return nil
+	}
+	return f.performAll(service, p, p.Reduce(ev, now))
+}
+
+func (f *Forwarder) pool(service string, now time.Time) (*collector.Pool, bool) {
+	if p, known := f.pools[service]; known {
+		return p, true
+	}
+	s, known := f.stageService(service)
+	if !known {
+		return nil, false
+	}
+	p := collector.New(collector.Config{Service: service, Stage: *s.Stage})
+	p.Reduce(collector.EndpointsChanged{Endpoints: f.stageEndpoints(service)}, now)
+	f.pools[service] = p
+	return p, true
+}
+
+// takeAsk takes a peer's ask. An entry that does not know the service leaves it unanswered, and the peer asks
+// elsewhere. The lock is held.
+func (f *Forwarder) takeAsk(from string, m *carrier.PieceAsk, now time.Time) []func() {
+	if _, known := f.pool(m.Service, now); !known {
+		return nil
+	}
+	g := collector.Group{
+		ID:          collector.GroupID{Origin: from, Request: m.Request, Stage: int(m.Stage)},
+		Key:         m.Key,
+		Inputs:      m.Inputs,
+		Due:         now.Add(time.Duration(m.DueMillis) * time.Millisecond),
+		Deadline:    now.Add(time.Duration(m.DeadlineMillis) * time.Millisecond),
+		Priority:    int(m.Priority),
+		Account:     m.Account,
+		ResultBytes: m.ResultBytes,
+	}
+	for _, n := range m.Numbers {
+		g.Segments = append(g.Segments, int(n))
+	}
+	taken := &carrier.PieceTaken{Service: m.Service, Request: m.Request, Stage: m.Stage}
+	return append([]func(){f.sendTo(from, taken)}, f.collect(m.Service, g, now)...)
+}
+
+func (f *Forwarder) takeTaken(from string, m *carrier.PieceTaken) {
+	if a, known := f.asks[askID{m.Request, int(m.Stage)}]; known && a.owner == from {
+		a.taken = true
+	}
+}
+
+func (f *Forwarder) takeResults(from string, m *carrier.PieceResults) []func() {
+	var todo []func()
+	for _, r := range m.Results {
+		todo = append(todo, f.takeDelivery(m.Service, collector.Deliver{
+			ID:      collector.GroupID{Origin: f.cfg.Name, Request: m.Request, Stage: int(m.Stage)},
+			Segment: int(r.Number),
+			Result:  collector.PieceResult{Handle: r.Handle, Reason: collector.Reason(r.Reason)},
+			Address: r.Address,
+			Zone:    r.Zone,
+		}, from)...)
+	}
+	return todo
+}
+
+func (f *Forwarder) takeWithdraw(from string, m *carrier.PieceWithdraw, now time.Time) []func() {
+	if _, known := f.pools[m.Service]; !known {
+		return nil
+	}
+	return f.reduce(m.Service, collector.Withdrawn{Origin: from, Request: m.Request}, now)
+}
+
+func (f *Forwarder) takeFree(m *carrier.PieceFree, now time.Time) []func() {
+	made := make([]collector.Made, len(m.Results))
+	for i, r := range m.Results {
+		made[i] = collector.Made{Handle: r.Handle, Address: r.Address}
+	}
+	return f.reduce(m.Service, collector.Freed{Results: made}, now)
+}
+
+// takeDelivery gives a result to the request that waits for it. One that nobody waits for is freed: it came twice, or
+// after its request had ended. The lock is held.
+func (f *Forwarder) takeDelivery(service string, d collector.Deliver, from string) []func() {
+	a, known := f.asks[askID{d.ID.Request, d.ID.Stage}]
+	if known && a.left[d.Segment] {
+		delete(a.left, d.Segment)
+		a.results <- d
+		return nil
+	}
+	if d.Result.Handle == "" {
+		return nil
+	}
+	made := collector.Made{Handle: d.Result.Handle, Address: d.Address}
+	if from != f.cfg.Name {
+		free := &carrier.PieceFree{Service: service, Results: []carrier.MadeResult{{Handle: made.Handle, Address: made.Address}}}
+		return []func(){f.sendTo(from, free)}
+	}
+	return f.reduce(service, collector.Freed{Results: []collector.Made{made}}, time.Now())
+}
+
+// performAll turns a pool's effects into what is to be done after the lock. The lock is held.
+func (f *Forwarder) performAll(service string, p *collector.Pool, effects []collector.Effect) []func() {
+	var todo []func()
+	away := make(map[collector.GroupID]*carrier.PieceResults)
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case collector.SendCall:
+			todo = append(todo, func() { go f.callPieces(service, p, e) })
+		case collector.FreeResults:
+			todo = append(todo, func() { go f.callFree(e) })
+		case collector.Judged:
+			f.logJudged(service, e.Endpoint, e.Out)
+		case collector.Deliver:
+			if e.ID.Origin == f.cfg.Name {
+				todo = append(todo, f.takeDelivery(service, e, f.cfg.Name)...)
+				continue
+			}
+			m, known := away[e.ID]
+			if !known {
+				m = &carrier.PieceResults{Service: service, Request: e.ID.Request, Stage: int32(e.ID.Stage)}
+				away[e.ID] = m
+				todo = append(todo, f.sendTo(e.ID.Origin, m))
+			}
+			m.Results = append(m.Results, carrier.PieceResult{
+				Number:  int32(e.Segment),
+				Reason:  uint8(e.Result.Reason),
+				Handle:  e.Result.Handle,
+				Address: e.Address,
+				Zone:    e.Zone,
+			})
+		}
+	}
+	return todo
+}
+
+func (f *Forwarder) logJudged(service string, e registrar.Endpoint, out bool) {
+	f.log.Warn("endpoint judged",
+		zap.String("service", service),
+		zap.String("endpoint", e.ID),
+		zap.String("address", e.Address),
+		zap.Bool("out", out))
+}
+
+// callPieces makes a call for pieces and tells the pool how it ended.
+func (f *Forwarder) callPieces(service string, p *collector.Pool, e collector.SendCall) {
+	end, results := f.exchangePieces(service, e)
+	now := time.Now()
+	f.locked(func() []func() {
+		return f.performAll(service, p, p.Reduce(collector.CallEnded{Call: e.Call, End: end, Results: results}, now))
+	})
+}
+
+func (f *Forwarder) exchangePieces(service string, e collector.SendCall) (collector.CallEnd, []collector.PieceResult) {
+	body, err := f.cfg.Wire.EncodePieces(e.Pieces, time.Now())
+	if err != nil {
+		f.logPieces(service, e, err)
+		return collector.Broken, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), e.Timeout)
+	defer cancel()
+	answer, err := f.cfg.Client.Do(ctx, &connector.Call{
+		Address: e.Endpoint.Address,
+		Method:  http.MethodPost,
+		Target:  f.cfg.Wire.PiecesTarget(),
+		Host:    e.Endpoint.Address,
+		Header:  f.cfg.Wire.InstanceHeader(e.Endpoint.ID),
+		Body:    body,
+	})
+	var unsent *connector.UnsentError
+	if errors.As(err, &unsent) {
+		f.logPieces(service, e, err)
+		return collector.Unreachable, nil
+	}
+	if err != nil {
+		f.logPieces(service, e, err)
+		return collector.Broken, nil
+	}
+	data, err := answer.ReadWhole(maxPiecesAnswer)
+	if err != nil {
+		f.logPieces(service, e, err)
+		return collector.Broken, nil
+	}
+	if f.cfg.Wire.ReadAnswer(answer.Status(), answer.Header()).NotRun {
+		return collector.Refused, nil
+	}
+	if answer.Status() != http.StatusOK {
+		f.logPieces(service, e, &statusError{status: answer.Status()})
+		return collector.Broken, nil
+	}
+	results, err := f.cfg.Wire.DecodePieces(bytes.TrimSpace(data))
+	if err != nil {
+		f.logPieces(service, e, err)
+		return collector.Broken, nil
+	}
+	return collector.Answered, results
+}
+
+func (f *Forwarder) logPieces(service string, e collector.SendCall, err error) {
+	requests := make([]string, 0, len(e.Pieces))
+	for _, p := range e.Pieces {
+		requests = append(requests, p.Request)
+	}
+	f.log.Warn("call for pieces failed",
+		zap.String("service", service),
+		zap.String("endpoint", e.Endpoint.ID),
+		zap.Strings("requests", slices.Compact(requests)),
+		zap.Error(err))
+}
+
+// callFree gives results back at their maker. A failure costs their space until they lapse.
+func (f *Forwarder) callFree(e collector.FreeResults) {
+	body, err := f.cfg.Wire.EncodeFree(e.Handles)
+	if err != nil {
+		f.log.Warn("results not freed", zap.String("address", e.Address), zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	answer, err := f.cfg.Client.Do(ctx, &connector.Call{
+		Address: e.Address,
+		Method:  http.MethodPost,
+		Target:  f.cfg.Wire.FreeTarget(),
+		Host:    e.Address,
+		Header:  f.cfg.Wire.InstanceHeader(""),
+		Body:    body,
+	})
+	if err == nil {
+		_, err = answer.ReadWhole(maxPiecesAnswer)
+	}
+	if err != nil {
+		f.log.Debug("results not freed", zap.String("address", e.Address), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/forwarder/stages.go
@@ -0,0 +1,252 @@
+package forwarder
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumline/collector"
+)
+
+// modelTime is kept for the model engine after the last stage: the reading of a prompt that is half cached.
+const modelTime = 250 * time.Millisecond
+
+// stageWork is the stages of one request.
+type stageWork struct {
+	x      *exchange
+	counts []int
+	// made holds each stage's results by segment.
+	made [][]collector.Made
+	// missing is how many results each stage lacks.
+	missing []int
+	asked   []bool
+	freed   []bool
+	asks    []*ask
+	zones   map[string]int64
+}
+
+// stageEnd is the result of one piece of any of the request's stages.
+type stageEnd struct {
+	stage int
+	collector.Deliver
+}
+
+// counts gives the pieces of each stage. A stage that the caller names no number for has one piece.
+func (x *exchange) counts() []int {
+	counts := make([]int, len(x.route.Stages))
+	for i := range counts {
+		counts[i] = 1
+		if i < len(x.req.PieceCounts) {
+			counts[i] = x.req.PieceCounts[i]
+		}
+	}
+	return counts
+}
+
+func newStageWork(x *exchange) *stageWork {
+	n := len(x.route.Stages)
+	s := &stageWork{
+		x:       x,
+		counts:  x.counts(),
+		made:    make([][]collector.Made, n),
+		missing: make([]int, n),
+		asked:   make([]bool, n),
+		freed:   make([]bool, n),
+		zones:   make(map[string]int64),
+	}
+	for i, count := range s.counts {
+		s.made[i] = make([]collector.Made, count)
+		s.missing[i] = count
+	}
+	return s
+}
+
+// run has all stages done, each as soon as those before it are.
+func (s *stageWork) run() *Failure {
+	ends := make(chan stageEnd, 1)
+	quit := make(chan struct{})
+	defer close(quit)
+	for {
+		s.askReady(ends, quit)
+		if s.done() {
+			return nil
+		}
+		select {
+		case end := <-ends:
+			if failure := s.take(end); failure != nil {
+				return failure
+			}
+		case <-s.x.ctx.Done():
+			return notRun("stagesTimedOut", spread(shortReturn))
+		}
+	}
+}
+
+func (s *stageWork) done() bool {
+	for _, n := range s.missing {
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// askReady asks for the pieces of each stage whose inputs are all made.
+func (s *stageWork) askReady(ends chan<- stageEnd, quit <-chan struct{}) {
+	for i := range s.counts {
+		if s.asked[i] || s.counts[i] == 0 || !s.ready(i) {
+			continue
+		}
+		s.asked[i] = true
+		a := s.x.f.askPieces(s.x.route.Stages[i].Service, s.group(i))
+		s.asks = append(s.asks, a)
+		go pump(i, a, ends, quit)
+	}
+}
+
+// pump passes an ask's results on.
+func pump(stage int, a *ask, ends chan<- stageEnd, quit <-chan struct{}) {
+	for range cap(a.results) {
+		select {
+		case d := <-a.results:
+			select {
+			case ends <- stageEnd{stage: stage, Deliver: d}:
+			case <-quit:
+				return
+			}
+		case <-quit:
+			return
+		}
+	}
+}
+
+func (s *stageWork) ready(stage int) bool {
+	for _, before := range s.x.route.Stages[stage].After {
+		if s.missing[before] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *stageWork) group(stage int) collector.Group {
+	x := s.x
+	g := collector.Group{
+		ID:          collector.GroupID{Origin: x.f.cfg.Name, Request: x.req.ID, Stage: stage},
+		Due:         x.due.Add(-modelTime - s.after(stage)),
+		Deadline:    x.deadline.Add(-s.after(stage)),
+		Priority:    x.priority,
+		Account:     x.account,
+		ResultBytes: x.route.Stages[stage].ResultBytes,
+	}
+	for n := range s.counts[stage] {
+		g.Segments = append(g.Segments, n)
+	}
+	after := x.route.Stages[stage].After
+	if len(after) == 0 {
+		g.Key = x.req.PieceKey
+	}
+	for _, before := range after {
+		for _, made := range s.made[before] {
+			g.Inputs = append(g.Inputs, made.Handle)
+		}
+	}
+	return g
+}
+
+// after is the least time of the stages that follow one.
+func (s *stageWork) after(stage int) time.Duration {
+	longest := time.Duration(0)
+	for i, next := range s.x.route.Stages {
+		if s.counts[i] == 0 {
+			continue
+		}
+		for _, before := range next.After {
+			if before == stage {
+				longest = max(longest, s.callTime(i)+s.after(i))
+			}
+		}
+	}
+	return longest
+}
+
+func (s *stageWork) callTime(stage int) time.Duration {
+	s.x.f.mu.Lock()
+	defer s.x.f.mu.Unlock()
+	service, known := s.x.f.stageService(s.x.route.Stages[stage].Service)
+	if !known {
+		return 0
+	}
+	return service.Stage.CallDuration(min(s.counts[stage], service.Stage.Batch))
+}
+
+// take takes one piece's result.
+func (s *stageWork) take(end stageEnd) *Failure {
+	if end.Result.Handle == "" {
+		s.x.f.log.Info("stage failed",
+			zap.String("request", s.x.req.ID),
+			zap.Int("stage", end.stage),
+			zap.Stringer("reason", end.Result.Reason))
+		return notRun("stage"+end.Result.Reason.String(), spread(shortReturn))
+	}
+	s.made[end.stage][end.Segment] = collector.Made{Handle: end.Result.Handle, Address: end.Address}
+	s.missing[end.stage]--
+	s.zones[end.Zone] += s.x.route.Stages[end.stage].ResultBytes
+	if s.missing[end.stage] == 0 {
+		s.freeInputs(end.stage)
+	}
+	return nil
+}
+
+// freeInputs frees the results that only a stage which is done has needed.
+func (s *stageWork) freeInputs(stage int) {
+	for _, before := range s.x.route.Stages[stage].After {
+		needed := false
+		for i, next := range s.x.route.Stages {
+			for _, b := range next.After {
+				needed = needed || b == before && s.counts[i] > 0 && s.missing[i] > 0
+			}
+		}
+		if !needed {
+			s.free(before)
+		}
+	}
+}
+
+func (s *stageWork) free(stage int) {
+	if s.freed[stage] {
+		return
+	}
+	s.freed[stage] = true
+	var made []collector.Made
+	for _, m := range s.made[stage] {
+		if m.Handle != "" {
+			made = append(made, m)
+		}
+	}
+	s.x.f.freePieces(s.x.route.Stages[stage].Service, made)
+}
+
+// freeAll ends the request's stages: nothing of them is needed any more.
+func (s *stageWork) freeAll() {
+	for _, a := range s.asks {
+		s.x.f.endAsk(a)
+	}
+	for i := range s.counts {
+		s.free(i)
+	}
+}
+
+// inputs lists the results that the request itself takes.
+func (s *stageWork) inputs() []string {
+	var handles []string
+	for _, stage := range s.x.route.LastStages(s.counts) {
+		for _, m := range s.made[stage] {
+			handles = append(handles, m.Handle)
+		}
+	}
+	return handles
+}
+
+// zoneBytes tells where the inputs lie.
+func (s *stageWork) zoneBytes() map[string]int64 { return s.zones }
--- /dev/null
+++ b/forwarder/stop.go
@@ -0,0 +1,60 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// quietTime is how long no request may have come before a stopping entry ends: callers with old addresses still
+	// come.
+	quietTime = 400 * time.Millisecond
+	// stopPoll is how often a stopping entry looks whether it may end.
+	stopPoll = 25 * time.Millisecond
+)
+
+// Stop begins a planned stop and waits until no request is in flight and callers' old addresses have lapsed, or until
+// limit is over. New requests are served meanwhile.
+func (f *Forwarder) Stop(ctx context.Context, limit time.Duration) {
+	begun := time.Now()
+	f.stopping.Store(true)
+	f.log.Info("planned stop begun", zap.Int64("inFlight", f.inFlight.Load()))
+	f.heartbeat(begun)
+	lapse := begun.Add(f.cfg.AddressTTL + quietTime)
+	poll := time.NewTicker(stopPoll)
+	defer poll.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-poll.C:
+			if f.mayEnd(now, lapse) || now.Sub(begun) >= limit {
+				f.log.Info("planned stop done",
+					zap.Duration("took", now.Sub(begun)),
+					zap.Int64("inFlight", f.inFlight.Load()))
+				return
+			}
+		}
+	}
+}
+
+func (f *Forwarder) mayEnd(now, lapse time.Time) bool {
+	if f.inFlight.Load() > 0 || now.Before(lapse) || f.collecting() {
+		return false
+	}
+	return now.UnixNano()-f.lastRequest.Load() >= int64(quietTime)
+}
+
+// collecting tells whether peers still wait for pieces here.
+func (f *Forwarder) collecting() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.pools {
+		if p.Busy() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/forwarder/stream.go
@@ -0,0 +1,249 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumline/connector"
+	"geraniumline/ejector"
+	"geraniumline/selector"
+	"geraniumline/splitter"
+)
+
+const (
+	// stallFactor is how many times the longest good pause a stream that may be resumed may be silent.
+	stallFactor = 4
+	// leastStall keeps short pauses from being taken for a stall.
+	leastStall = time.Second
+	// streamBuffer takes some dozens of events.
+	streamBuffer = 16 << 10
+)
+
+// streamer passes the events of one request on.
+type streamer struct {
+	x      *exchange
+	stages *stageWork
+	// last is the number of the last event that the caller has.
+	last    int64
+	hasLast bool
+}
+
+// serveStream has the stages done and passes the model's events on.
+func (x *exchange) serveStream() *Failure {
+	stages := newStageWork(x)
+	defer stages.freeAll()
+	if failure := stages.run(); failure != nil {
+		return failure
+	}
+	s := &streamer{x: x, stages: stages}
+	for {
+		if !x.mayTryAgain() {
+			return x.giveUp("noEndpointTook")
+		}
+		choice, found := x.choose(selector.Ask{Parts: x.req.Parts, ZoneBytes: stages.zoneBytes()})
+		if !found {
+			return x.giveUp("noEndpoint")
+		}
+		done, failure := s.try(choice)
+		if done {
+			return failure
+		}
+	}
+}
+
+// try has the stream from one endpoint. It tells whether the request has ended.
+func (s *streamer) try(choice selector.Choice) (bool, *Failure) {
+	x := s.x
+	began := time.Now()
+	x.sends++
+	x.tried = append(x.tried, choice.Endpoint.ID)
+	info := x.callInfo(choice.Endpoint, began)
+	info.Inputs = s.stages.inputs()
+	if s.hasLast {
+		info.LastEvent = strconv.FormatInt(s.last, 10)
+	}
+	ctx, cancel := context.WithCancel(x.ctx)
+	defer cancel()
+	stall := s.watch(cancel, began)
+	defer stall.Stop()
+	answer, err := x.f.cfg.Client.Do(ctx, x.call(choice, info))
+	if err != nil {
+		return s.failed(choice, err)
+	}
+	defer answer.Close()
+	if x.f.cfg.Wire.ReadAnswer(answer.Status(), answer.Header()).NotRun {
+		return s.refused(choice, answer)
+	}
+	if answer.Status() != http.StatusOK {
+		return s.other(choice, answer)
+	}
+	return s.follow(&choice, answer, stall)
+}
+
+// watch ends a silent attempt at a stream that may go on at another endpoint. An attempt that may not is left alone:
+// its silence is no reason to end the answer.
+func (s *streamer) watch(cancel context.CancelFunc, now time.Time) *time.Timer {
+	if !s.mayResume() {
+		return time.NewTimer(s.x.left(now) + time.Hour)
+	}
+	return time.AfterFunc(max(leastStall, s.x.route.Objective/2), cancel)
+}
+
+func (s *streamer) mayResume() bool {
+	return s.x.route.Repeatable() && s.x.runs+1 < s.x.route.MaxAttempts
+}
+
+func (s *streamer) stallTime() time.Duration {
+	return max(leastStall, stallFactor*s.x.route.EventGap)
+}
+
+// refused passes over an endpoint that did not run the request.
+func (s *streamer) refused(choice selector.Choice, answer *connector.Answer) (bool, *Failure) {
+	info := s.x.f.cfg.Wire.ReadAnswer(answer.Status(), answer.Header())
+	if _, err := answer.ReadWhole(maxPlainAnswer); err != nil {
+		s.x.f.log.Debug("refusal cut short", zap.String("request", s.x.req.ID), zap.Error(err))
+	}
+	s.x.cancel(choice)
+	if info.InputGone {
+		return true, s.x.giveUp("stageResultGone")
+	}
+	return false, nil
+}
+
+// other passes on an answer that is no stream.
+func (s *streamer) other(choice selector.Choice, answer *connector.Answer) (bool, *Failure) {
+	x := s.x
+	body, err := answer.ReadWhole(maxPlainAnswer)
+	if err != nil {
+		return s.failed(choice, err)
+	}
+	x.runs++
+	x.end(choice, ejector.Bad, true)
+	if x.againAfterRun() {
+		return false, nil
+	}
+	if x.headed {
+		return true, mayHaveRun("endpointFailed")
+	}
+	x.sendWhole(answer, body)
+	return true, nil
+}
+
+// failed decides what follows an attempt that broke off.
+func (s *streamer) failed(choice selector.Choice, err error) (bool, *Failure) {
+	x := s.x
+	if x.callerGone() {
+		x.cancel(choice)
+		return true, mayHaveRun("callerGone")
+	}
+	var unsent *connector.UnsentError
+	if errors.As(err, &unsent) {
+		x.end(choice, ejector.Down, true)
+		x.sends--
+		if x.ctx.Err() != nil {
+			return true, x.giveUp("timeout")
+		}
+		return false, nil
+	}
+	x.runs++
+	x.end(choice, ejector.Bad, true)
+	x.f.log.Info("stream broke off",
+		zap.String("request", x.req.ID),
+		zap.String("endpoint", choice.Endpoint.ID),
+		zap.Int64("lastEvent", s.last),
+		zap.Error(err))
+	if x.ctx.Err() != nil {
+		return true, timedOut()
+	}
+	if x.againAfterRun() {
+		return false, nil
+	}
+	return true, mayHaveRun("endpointBroke")
+}
+
+// follow passes whole events on until the stream ends.
+func (s *streamer) follow(choice *selector.Choice, answer *connector.Answer, stall *time.Timer) (bool, *Failure) {
+	split := splitter.New(0)
+	buf := make([]byte, streamBuffer)
+	first := true
+	for {
+		n, err := answer.Read(buf)
+		if n > 0 {
+			events, splitErr := split.Feed(buf[:n])
+			if splitErr != nil {
+				return s.failed(*choice, splitErr)
+			}
+			if len(events) > 0 && first {
+				first = false
+				s.begin(choice, answer)
+			}
+			s.send(events)
+			if s.mayResume() {
+				stall.Reset(s.stallTime())
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return s.finish(*choice, answer, split.Rest(), first)
+		}
+		if err != nil {
+			return s.failed(*choice, err)
+		}
+	}
+}
+
+// begin passes the header on with the first event: until then another endpoint can take over unseen. The inputs have
+// been read by then, so their space is given back.
+func (s *streamer) begin(choice *selector.Choice, answer *connector.Answer) {
+	x := s.x
+	x.f.mu.Lock()
+	x.f.selector.Read(choice)
+	x.f.mu.Unlock()
+	for _, stage := range x.route.LastStages(s.stages.counts) {
+		s.stages.free(stage)
+	}
+	s.head(answer)
+}
+
+func (s *streamer) head(answer *connector.Answer) {
+	if s.x.headed {
+		return
+	}
+	s.x.headed = true
+	s.x.copyHeader(answer.Header())
+	s.x.w.WriteHeader(answer.Status())
+}
+
+// send passes events on that the caller does not have yet.
+func (s *streamer) send(events []splitter.Event) {
+	if len(events) == 0 {
+		return
+	}
+	for _, e := range events {
+		if e.HasID {
+			if s.hasLast && e.ID <= s.last {
+				continue
+			}
+			s.last, s.hasLast = e.ID, true
+		}
+		// An error means that the caller has gone; the request's context then ends the exchange.
+		_, _ = s.x.w.Write(e.Data)
+	}
+	_ = http.NewResponseController(s.x.w).Flush()
+}
+
+// finish ends a whole stream.
+func (s *streamer) finish(choice selector.Choice, answer *connector.Answer, rest []byte, empty bool) (bool, *Failure) {
+	s.x.runs++
+	s.x.end(choice, ejector.Good, false)
+	s.head(answer)
+	if len(rest) > 0 || empty {
+		_, _ = s.x.w.Write(rest)
+	}
+	return true, nil
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"geraniumline/loader"
+	"geraniumline/platform"
 )
 
 // Config is what the command line gets from its surroundings.
@@ -20,6 +21,8 @@
 	Version string
 	// RunEntry runs an entry until its planned stop is done.
 	RunEntry func(ctx context.Context, settings loader.Settings, log *zap.Logger) error
+	// RunForward runs an entry on the users' platform until its planned stop is done.
+	RunForward func(ctx context.Context, settings platform.Settings, log *zap.Logger) error
 
 	Stdin  io.Reader
 	Stdout io.Writer
@@ -95,6 +98,7 @@
 		},
 		Commands: []*cli.Command{
 			a.entryCommand(),
+			a.forwardCommand(),
 			a.checkCommand(),
 			a.configCommand(),
 			a.contractCommand(),
--- a/messenger/sender.go
+++ b/messenger/sender.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"geraniumline/dialer"
 )
 
 // socketBuffer bounds what the kernel holds for a peer that doesn't read, so that a peer which was frozen
@@ -118,8 +120,8 @@
 }
 
 func (s *sender) tryConnect(ctx context.Context) (string, error) {
-	dialer := net.Dialer{Timeout: s.m.cfg.DialTimeout, Control: limitSilence(s.m.cfg.SilenceTimeout)}
-	conn, err := dialer.DialContext(ctx, "tcp", s.address)
+	d := dialer.New(s.m.cfg.DialTimeout, s.m.cfg.SilenceTimeout)
+	conn, err := d.DialContext(ctx, "tcp", s.address)
 	if errors.Is(err, syscall.ECONNREFUSED) && s.m.cfg.Refused != nil {
 		s.m.cfg.Refused(s.address)
 	}
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,211 @@
+// Package registrar folds the endpoints' own entries in the platform's store into the list of those that may take
+// work. It is pure: the present time is given to it.
+package registrar
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// DefaultReturnTime is how long after the store's return an endpoint's missing entry is not yet believed.
+// Entries lapse while the store is away although their endpoints live, and living endpoints write theirs again within
+// about two seconds of its return. Without the wait an outage would empty the pools of a healthy system.
+const DefaultReturnTime = 2200 * time.Millisecond
+
+// Endpoint is one process that takes calls.
+type Endpoint struct {
+	// ID names this start of the process; a restart has another.
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	// Draining endpoints take no new work.
+	Draining bool
+	// ColdUntil is when the endpoint's slow start ends.
+	ColdUntil time.Time
+}
+
+// Change is one record of an endpoint's entry.
+type Change struct {
+	ID string
+	// Offset orders the changes.
+	Offset int64
+	// Endpoint is nil where the entry was removed.
+	Endpoint *Endpoint
+}
+
+// Config sets a Registry up.
+type Config struct {
+	// ReturnTime is how long after the store's return missing entries are not believed; 0 takes DefaultReturnTime.
+	ReturnTime time.Duration
+}
+
+// entry is what is known of one endpoint.
+type entry struct {
+	endpoint Endpoint
+	offset   int64
+	// removedAt is set while the entry is missing but not yet believed to be gone.
+	removedAt time.Time
+}
+
+// Registry is the list of endpoints as the store's records tell it.
+type Registry struct {
+	returnTime time.Duration
+	entries    map[string]*entry
+	// next is the offset after the newest change.
+	next int64
+	// away is set while the store does not answer; returned is when it last began to answer again.
+	away     bool
+	returned time.Time
+	// heard is when the store's word was last read, here or by the peer that passed it on.
+	heard time.Time
+	known bool
+}
+
+// New makes a registry that knows no endpoint.
+func New(cfg Config) *Registry {
+	if cfg.ReturnTime == 0 {
+		cfg.ReturnTime = DefaultReturnTime
+	}
+	return &Registry{returnTime: cfg.ReturnTime, entries: make(map[string]*entry)}
+}
+
+// Next is the offset from which changes are not yet known.
+func (r *Registry) Next() int64 { return r.next }
+
+// Known tells whether a whole list was ever read.
+func (r *Registry) Known() bool { return r.known }
+
+// Age is how long ago the store's word was read.
+func (r *Registry) Age(now time.Time) time.Duration { return now.Sub(r.heard) }
+
+// Lost notes that the store does not answer, and tells whether that is news.
+func (r *Registry) Lost() bool {
+	news := !r.away
+	r.away = true
+	return news
+}
+
+// Heard notes that the store has answered, and tells whether it had been lost.
+func (r *Registry) Heard(now time.Time) bool {
+	news := r.away
+	if news {
+		r.returned = now
+	}
+	r.away = false
+	r.heard = now
+	return news
+}
+
+// Apply takes changes that follow the ones before, up to the offset next.
+func (r *Registry) Apply(changes []Change, next int64, now time.Time) {
+	for _, c := range changes {
+		r.apply(c, now)
+	}
+	r.next = max(r.next, next)
+}
+
+// Replace takes the newest change of every endpoint. One that it lacks has been removed, unless its change is
+// newer than the list's end.
+func (r *Registry) Replace(all []Change, next int64, now time.Time) {
+	if next < r.next {
+		// The answer is older than what is known: a stale read would bring removed endpoints back.
+		return
+	}
+	named := make(map[string]bool, len(all))
+	for _, c := range all {
+		named[c.ID] = true
+		r.apply(c, now)
+	}
+	for id, e := range r.entries {
+		if !named[id] && e.offset < next {
+			r.remove(id, next-1, now)
+		}
+	}
+	r.next = next
+	r.known = true
+}
+
+func (r *Registry) apply(c Change, now time.Time) {
+	if c.Endpoint == nil {
+		r.remove(c.ID, c.Offset, now)
+		return
+	}
+	e, known := r.entries[c.ID]
+	if known && c.Offset < e.offset {
+		return
+	}
+	r.evict(c)
+	r.entries[c.ID] = &entry{endpoint: *c.Endpoint, offset: c.Offset}
+}
+
+// evict drops an older endpoint at the change's address. Addresses are used again after an endpoint has ended, also
+// by other services; its old entry may stay until it lapses, and calls would go to the wrong process.
+func (r *Registry) evict(c Change) {
+	for id, e := range r.entries {
+		if id != c.ID && e.endpoint.Address == c.Endpoint.Address && e.offset < c.Offset {
+			delete(r.entries, id)
+		}
+	}
+}
+
+func (r *Registry) remove(id string, offset int64, now time.Time) {
+	e, known := r.entries[id]
+	if !known || offset < e.offset {
+		return
+	}
+	e.offset = offset
+	if !r.doubtful(now) {
+		delete(r.entries, id)
+		return
+	}
+	if e.removedAt.IsZero() {
+		e.removedAt = now
+	}
+}
+
+// doubtful tells that a missing entry may belong to an endpoint that lives.
+func (r *Registry) doubtful(now time.Time) bool {
+	return r.away || !r.returned.IsZero() && now.Sub(r.returned) < r.returnTime
+}
+
+// Tick drops the endpoints whose removal is no longer in doubt, and tells whether there were any.
+func (r *Registry) Tick(now time.Time) bool {
+	if r.doubtful(now) {
+		return false
+	}
+	dropped := false
+	for id, e := range r.entries {
+		if !e.removedAt.IsZero() {
+			delete(r.entries, id)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// Usable lists the endpoints that may take work, in the order of their ids.
+func (r *Registry) Usable() []Endpoint {
+	usable := make([]Endpoint, 0, len(r.entries))
+	for _, e := range r.entries {
+		if !e.endpoint.Draining {
+			usable = append(usable, e.endpoint)
+		}
+	}
+	slices.SortFunc(usable, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	return usable
+}
+
+// Changes lists the newest change of every endpoint, for a peer that can't reach the store. Endpoints whose removal
+// is in doubt are among them; the peer judges that by its own sight of the store.
+func (r *Registry) Changes() []Change {
+	all := make([]Change, 0, len(r.entries))
+	for id, e := range r.entries {
+		endpoint := e.endpoint
+		all = append(all, Change{ID: id, Offset: e.offset, Endpoint: &endpoint})
+	}
+	slices.SortFunc(all, func(a, b Change) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
--- /dev/null
+++ b/selector/selector.go
@@ -0,0 +1,333 @@
+// Package selector chooses the endpoint of a service that a call goes to, by the work that waits at each and by the
+// prompt parts that each is likely to hold. It is pure: the present time and the random source are given to it.
+package selector
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"geraniumline/ejector"
+	"geraniumline/hasher"
+	"geraniumline/registrar"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// DefaultCallTokens is what a call counts beside its prompt: it delays the tokens of all calls beside it
+	// about as much as this many prompt tokens, at a step of 5 ms and 40 prompt tokens a millisecond.
+	DefaultCallTokens = 400
+	// DefaultFarTokens is what a megabyte of stage results that must cross availability zones counts, in prompt
+	// tokens: a result of 3 MB should not move unless a second of prompt reading is saved.
+	DefaultFarTokens = 2000
+	// homes is how many endpoints of a zone a prompt's shared parts are kept at while nothing else is known.
+	homes = 1
+	// maxRemembered bounds the prompt parts that are remembered of one endpoint.
+	maxRemembered = 512
+)
+
+// Part is one part of a prompt; endpoints keep parts that several requests share.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Ask says what a call needs.
+type Ask struct {
+	Service string
+	// Parts are the prompt's parts in order; empty for plain calls.
+	Parts []Part
+	// Avoid are the endpoints that were tried already.
+	Avoid []string
+	// NoProbe keeps the call from an endpoint on probe: the failure of a call that must not be repeated would
+	// reach its caller.
+	NoProbe bool
+	// ZoneBytes are the stage results that the endpoint will fetch, by the zone in which they lie.
+	ZoneBytes map[string]int64
+}
+
+// Choice is the endpoint chosen.
+type Choice struct {
+	Endpoint registrar.Endpoint
+	// Tokens is the work that the call adds there, to be given back when it has ended.
+	Tokens int
+	// Cached is how much of the prompt the endpoint is believed to hold.
+	Cached int
+}
+
+// Config sets a Selector up. Zero fields take the defaults above.
+type Config struct {
+	Rand       *rand.Rand
+	CallTokens int
+	FarTokens  int
+	Ejector    ejector.Config
+}
+
+// Selector knows the endpoints of all services and the work under way at each.
+type Selector struct {
+	cfg   Config
+	pools map[string]*pool
+	byID  map[string]*endpoint
+	peers map[string]map[string]int
+}
+
+type pool struct {
+	endpoints []*endpoint
+	health    ejector.Pool
+}
+
+type endpoint struct {
+	registrar.Endpoint
+	hash   uint64
+	pool   *pool
+	health ejector.Record
+	// calls and tokens are this entry's own work there; peerTokens is that of the others.
+	calls      int
+	tokens     int
+	peerTokens int
+	cache      memory
+}
+
+// New makes a selector that knows no endpoint.
+func New(cfg Config) *Selector {
+	if cfg.CallTokens == 0 {
+		cfg.CallTokens = DefaultCallTokens
+	}
+	if cfg.FarTokens == 0 {
+		cfg.FarTokens = DefaultFarTokens
+	}
+	return &Selector{
+		cfg:   cfg,
+		pools: make(map[string]*pool),
+		byID:  make(map[string]*endpoint),
+		peers: make(map[string]map[string]int),
+	}
+}
+
+// SetEndpoints takes all endpoints that may get work.
+func (s *Selector) SetEndpoints(all []registrar.Endpoint) {
+	named := make(map[string]bool, len(all))
+	for _, e := range all {
+		named[e.ID] = true
+		if known, ok := s.byID[e.ID]; ok {
+			known.Endpoint = e
+			continue
+		}
+		s.add(e)
+	}
+	for id, e := range s.byID {
+		if !named[id] {
+			s.remove(e)
+		}
+	}
+}
+
+func (s *Selector) add(e registrar.Endpoint) {
+	p, known := s.pools[e.Service]
+	if !known {
+		p = &pool{health: ejector.NewPool(s.cfg.Ejector)}
+		s.pools[e.Service] = p
+	}
+	added := &endpoint{Endpoint: e, hash: xxhash.Sum64String(e.ID), pool: p}
+	for _, tokens := range s.peers {
+		added.peerTokens += tokens[e.ID]
+	}
+	p.endpoints = append(p.endpoints, added)
+	p.health.Add()
+	s.byID[e.ID] = added
+}
+
+func (s *Selector) remove(e *endpoint) {
+	e.pool.health.Remove(&e.health)
+	e.pool.endpoints = slices.DeleteFunc(e.pool.endpoints, func(other *endpoint) bool { return other == e })
+	delete(s.byID, e.ID)
+}
+
+// Count tells how many endpoints of the service may get work.
+func (s *Selector) Count(service string) int {
+	p, known := s.pools[service]
+	if !known {
+		return 0
+	}
+	return len(p.endpoints)
+}
+
+// Choose names the endpoint with the least predicted work, or none if all were tried or are ejected.
+func (s *Selector) Choose(ask Ask, now time.Time) (Choice, bool) {
+	p, known := s.pools[ask.Service]
+	if !known {
+		return Choice{}, false
+	}
+	candidates := p.candidates(&ask, now)
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	keys := chainKeys(ask.Parts)
+	home := s.homesOf(p, &ask, keys)
+	best, bestScore := Choice{}, 0.0
+	start := s.cfg.Rand.IntN(len(candidates))
+	for i := range candidates {
+		e := candidates[(start+i)%len(candidates)]
+		choice, score := s.weigh(e, &ask, keys, home)
+		if best.Endpoint.ID == "" || score < bestScore {
+			best, bestScore = choice, score
+		}
+	}
+	return best, true
+}
+
+// candidates are the endpoints that may take the call: those in use, or one whose probe is due.
+func (p *pool) candidates(ask *Ask, now time.Time) []*endpoint {
+	var usable, probing, out []*endpoint
+	for _, e := range p.endpoints {
+		p.health.Advance(&e.health, now)
+		if slices.Contains(ask.Avoid, e.ID) {
+			continue
+		}
+		switch {
+		case e.health.State() == ejector.InUse:
+			usable = append(usable, e)
+		case e.health.State() == ejector.Probing && e.calls == 0:
+			probing = append(probing, e)
+		default:
+			out = append(out, e)
+		}
+	}
+	switch {
+	case len(probing) > 0 && !ask.NoProbe && len(ask.Avoid) == 0:
+		// A quiet pool would never try it again if better ones always went first.
+		return probing[:1]
+	case len(usable) > 0:
+		return usable
+	case len(probing) > 0:
+		return probing
+	default:
+		return out
+	}
+}
+
+// weigh gives the work that waits before the call's first token at the endpoint, in prompt tokens.
+func (s *Selector) weigh(e *endpoint, ask *Ask, keys []uint64, home map[*endpoint]bool) (Choice, float64) {
+	prompt, cached := 0, 0
+	for _, part := range ask.Parts {
+		prompt += part.Tokens
+	}
+	if len(keys) > 0 {
+		cached = e.cache.held(keys, ask.Parts)
+		if cached == 0 && home[e] {
+			// Nobody may have sent the parts here yet, but all entries send them here first.
+			cached = sharedTokens(ask.Parts) / 2
+		}
+	}
+	own := prompt - cached + s.cfg.CallTokens
+	score := float64(e.tokens + e.peerTokens + own)
+	score *= e.health.Slowness()
+	for zone, n := range ask.ZoneBytes {
+		if zone != e.Zone {
+			score += float64(n) / 1e6 * float64(s.cfg.FarTokens)
+		}
+	}
+	return Choice{Endpoint: e.Endpoint, Tokens: own, Cached: cached}, score
+}
+
+// homesOf gives the endpoints at which the prompt's largest shared beginning is kept, one for each zone: stage
+// results should not cross zones, and a prompt part is read again in each zone only once.
+func (s *Selector) homesOf(p *pool, ask *Ask, keys []uint64) map[*endpoint]bool {
+	if len(keys) == 0 {
+		return nil
+	}
+	key := keys[largestShared(ask.Parts)]
+	best := make(map[string]*endpoint)
+	rank := make(map[string]uint64)
+	for _, e := range p.endpoints {
+		r := hasher.Mix(e.hash ^ key)
+		if best[e.Zone] == nil || r > rank[e.Zone] {
+			best[e.Zone], rank[e.Zone] = e, r
+		}
+	}
+	home := make(map[*endpoint]bool, homes*len(best))
+	for _, e := range best {
+		home[e] = true
+	}
+	return home
+}
+
+// Started counts a call at an endpoint, and takes its prompt parts as held there from now on.
+func (s *Selector) Started(choice Choice, parts []Part) {
+	e, known := s.byID[choice.Endpoint.ID]
+	if !known {
+		return
+	}
+	e.calls++
+	e.tokens += choice.Tokens
+	e.cache.remember(chainKeys(parts))
+}
+
+// Read notes that the call's prompt has been read: only its own running is still work.
+func (s *Selector) Read(choice *Choice) {
+	e, known := s.byID[choice.Endpoint.ID]
+	left := min(choice.Tokens, s.cfg.CallTokens)
+	if known {
+		e.tokens -= choice.Tokens - left
+	}
+	choice.Tokens = left
+}
+
+// Ended takes a call's end and tells whether the endpoint was ejected, or let back, by it.
+func (s *Selector) Ended(choice Choice, end ejector.End, now time.Time) bool {
+	e, known := s.byID[choice.Endpoint.ID]
+	if !known {
+		return false
+	}
+	e.calls--
+	e.tokens -= choice.Tokens
+	return e.pool.health.Ended(&e.health, end, false, now)
+}
+
+// Cancelled takes the end of a call that says nothing of its endpoint.
+func (s *Selector) Cancelled(choice Choice) {
+	if e, known := s.byID[choice.Endpoint.ID]; known {
+		e.calls--
+		e.tokens -= choice.Tokens
+	}
+}
+
+// Judge compares the time of a good call with its pool's.
+func (s *Selector) Judge(id string, took, expected time.Duration) ejector.End {
+	e, known := s.byID[id]
+	if !known {
+		return ejector.Good
+	}
+	return e.pool.health.Took(&e.health, took, expected)
+}
+
+// Work gives the tokens of this entry's calls by endpoint, for peers.
+func (s *Selector) Work() map[string]int {
+	work := make(map[string]int)
+	for id, e := range s.byID {
+		if e.tokens > 0 {
+			work[id] = e.tokens
+		}
+	}
+	return work
+}
+
+// SetPeer takes the work that a peer has under way. A peer that has ended has none.
+func (s *Selector) SetPeer(peer string, work map[string]int) {
+	for id, tokens := range s.peers[peer] {
+		if e, known := s.byID[id]; known {
+			e.peerTokens -= tokens
+		}
+	}
+	delete(s.peers, peer)
+	if len(work) == 0 {
+		return
+	}
+	s.peers[peer] = work
+	for id, tokens := range work {
+		if e, known := s.byID[id]; known {
+			e.peerTokens += tokens
+		}
+	}
+}
