Keep stage results from lapsing, and shared prompts at one engine

Cause: in bursts, late groups went last at every stage. Their inputs then held the space of billing-desk's endpoints until they lapsed after 4 s: 125 pieces without inputs, 107 without room, endpoints idle at 0.47 while requests were late. Shared parts were kept once a zone, and entries that had not sent them guessed half. Ruled out: too few endpoints (busy 0.5 to 0.9 with calls of 2.5 to 5.8 pieces of 8). Change: groups that hold over 5% of a maker's space are not put last; lapsed results are made again; a shared prompt has one home over all zones, and large results are made in its zone while there is time.

--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -221,6 +221,8 @@
 	Priority       int32  `msg:"priority"`
 	Account        string `msg:"account,limit=128"`
 	ResultBytes    int64  `msg:"resultBytes"`
+	Zone           string `msg:"zone,limit=128"`
+	Holding        bool   `msg:"holding"`
 }
 
 // PieceTaken tells that a PieceAsk has come to an entry that collects.
@@ -247,10 +249,11 @@
 	Results []PieceResult `msg:"results,limit=4096"`
 }
 
-// PieceWithdraw tells that a request needs no more pieces of a service.
+// PieceWithdraw tells that pieces of a request's stage are not needed any more.
 type PieceWithdraw struct {
 	Service string `msg:"service,limit=128"`
 	Request string `msg:"request,limit=128"`
+	Stage   int32  `msg:"stage"`
 }
 
 // MadeResult is a result and the endpoint where it lies.
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -4263,6 +4263,18 @@
 				err = msgp.WrapError(err, "ResultBytes")
 				return
 			}
+		case "zone":
+			z.Zone, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "holding":
+			z.Holding, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Holding")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4276,9 +4288,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *PieceAsk) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 11
+	// map header, size 13
 	// write "service"
-	err = en.Append(0x8b, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	err = en.Append(0x8d, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
@@ -4401,15 +4413,35 @@
 		err = msgp.WrapError(err, "ResultBytes")
 		return
 	}
+	// write "zone"
+	err = en.Append(0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	// write "holding"
+	err = en.Append(0xa7, 0x68, 0x6f, 0x6c, 0x64, 0x69, 0x6e, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Holding)
+	if err != nil {
+		err = msgp.WrapError(err, "Holding")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *PieceAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
+	// map header, size 13
 	// string "service"
-	o = append(o, 0x8b, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0x8d, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "request"
 	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
@@ -4447,6 +4479,12 @@
 	// string "resultBytes"
 	o = append(o, 0xab, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
 	o = msgp.AppendInt64(o, z.ResultBytes)
+	// string "zone"
+	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendString(o, z.Zone)
+	// string "holding"
+	o = append(o, 0xa7, 0x68, 0x6f, 0x6c, 0x64, 0x69, 0x6e, 0x67)
+	o = msgp.AppendBool(o, z.Holding)
 	return
 }
 
@@ -4568,6 +4606,18 @@
 				err = msgp.WrapError(err, "ResultBytes")
 				return
 			}
+		case "zone":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "holding":
+			z.Holding, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Holding")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4586,7 +4636,7 @@
 	for za0002 := range z.Inputs {
 		s += msgp.StringPrefixSize + len(z.Inputs[za0002])
 	}
-	s += 10 + msgp.Int64Size + 15 + msgp.Int64Size + 9 + msgp.Int32Size + 8 + msgp.StringPrefixSize + len(z.Account) + 12 + msgp.Int64Size
+	s += 10 + msgp.Int64Size + 15 + msgp.Int64Size + 9 + msgp.Int32Size + 8 + msgp.StringPrefixSize + len(z.Account) + 12 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Zone) + 8 + msgp.BoolSize
 	return
 }
 
@@ -5359,6 +5409,12 @@
 				err = msgp.WrapError(err, "Request")
 				return
 			}
+		case "stage":
+			z.Stage, err = dc.ReadInt32()
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -5372,9 +5428,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z PieceWithdraw) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "service"
-	err = en.Append(0x82, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	err = en.Append(0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
@@ -5393,19 +5449,32 @@
 		err = msgp.WrapError(err, "Request")
 		return
 	}
+	// write "stage"
+	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt32(z.Stage)
+	if err != nil {
+		err = msgp.WrapError(err, "Stage")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z PieceWithdraw) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "service"
-	o = append(o, 0x82, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "request"
 	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 	o = msgp.AppendString(o, z.Request)
+	// string "stage"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+	o = msgp.AppendInt32(o, z.Stage)
 	return
 }
 
@@ -5439,6 +5508,12 @@
 				err = msgp.WrapError(err, "Request")
 				return
 			}
+		case "stage":
+			z.Stage, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -5453,7 +5528,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z PieceWithdraw) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request)
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 6 + msgp.Int32Size
 	return
 }
 
--- a/collector/call.go
+++ b/collector/call.go
@@ -73,8 +73,10 @@
 
 func (p *Pool) freeEndpoints(now time.Time) []*endpoint {
 	var free []*endpoint
+	p.inZone = make(map[string]bool)
 	for _, e := range p.endpoints {
 		p.health.Advance(&e.health, now)
+		p.inZone[e.Zone] = p.inZone[e.Zone] || e.health.State() == ejector.InUse
 		out := e.health.State() == ejector.Ejected || e.health.State() == ejector.Probing && e.calls > 0
 		if !out && e.free(p.cfg.Stage.Slots, now) {
 			free = append(free, e)
@@ -99,6 +101,9 @@
 	c := &call{endpoint: e, began: now}
 	var pieces []Piece
 	for _, g := range waiting {
+		if p.waitsForZone(g, e, now) {
+			continue
+		}
 		for len(g.waiting) > 0 && len(pieces) < p.cfg.Stage.Batch && g.ResultBytes <= room {
 			segment := g.waiting[0]
 			g.waiting = g.waiting[1:]
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -26,6 +26,11 @@
 	patienceMargin = 60 * time.Millisecond
 	// roomShare is the part of an endpoint's space that is planned for; frees are on their way for some ms.
 	roomShare = 0.95
+	// heavyBytes is the size of a result that should be made in the zone where it is wanted.
+	heavyBytes = 500_000
+	// zoneSlack is how many calls must fit before the results are due for a group to wait for an endpoint of its
+	// zone: the wait for the next free one takes half a call at most times, and one is for the call itself.
+	zoneSlack = 2.5
 	// refusedPause is how long an endpoint that was full gets no call: about half of a usual call.
 	refusedPause = 80 * time.Millisecond
 )
@@ -46,7 +51,9 @@
 	calls     map[uint64]*call
 	results   map[string]*result
 	lastCall  uint64
-	effects   []Effect
+	// inZone tells in which zones an endpoint is in use.
+	inZone  map[string]bool
+	effects []Effect
 }
 
 // New makes a pool without endpoints.
@@ -70,7 +77,7 @@
 	case Arrived:
 		p.takeGroup(e.Group)
 	case Withdrawn:
-		p.withdraw(func(id GroupID) bool { return id.Origin == e.Origin && id.Request == e.Request })
+		p.withdraw(func(id GroupID) bool { return id == e.ID })
 	case OriginLost:
 		p.withdraw(func(id GroupID) bool { return id.Origin == e.Origin })
 	case CallEnded:
--- a/collector/event.go
+++ b/collector/event.go
@@ -29,6 +29,10 @@
 	Account  string
 	// ResultBytes is the size of one result.
 	ResultBytes int64
+	// Zone is where large results are wanted; empty where that is all the same.
+	Zone string
+	// Holding groups keep much of the space of the endpoints that made their inputs.
+	Holding bool
 }
 
 // Piece is one piece within a call.
@@ -104,8 +108,8 @@
 // Arrived brings pieces to be made.
 type Arrived struct{ Group Group }
 
-// Withdrawn tells that a request needs no more pieces.
-type Withdrawn struct{ Origin, Request string }
+// Withdrawn tells that pieces are not needed any more.
+type Withdrawn struct{ ID GroupID }
 
 // CallEnded brings the end of a call.
 type CallEnded struct {
--- a/collector/group.go
+++ b/collector/group.go
@@ -83,7 +83,9 @@
 // ordered lists the groups that wait, first what should be made first.
 //
 // Groups that can no longer be on time go last: under a surge, work in the order of arrival or of due times alone makes
-// every answer late, since each call then serves what is just too late already.
+// every answer late, since each call then serves what is just too late already. Groups that hold much of their makers'
+// space are never put last: the makers would have no room for new results, stand idle, and the held results would
+// lapse before they are used.
 func (p *Pool) ordered(now time.Time) []*group {
 	list := make([]*group, 0, len(p.groups))
 	for _, g := range p.groups {
@@ -93,7 +95,7 @@
 	}
 	soonest := now.Add(p.cfg.Stage.CallDuration(1))
 	slices.SortFunc(list, func(a, b *group) int {
-		lateA, lateB := a.Due.Before(soonest), b.Due.Before(soonest)
+		lateA, lateB := a.yields(soonest), b.yields(soonest)
 		if lateA != lateB {
 			if lateB {
 				return -1
@@ -110,3 +112,15 @@
 	})
 	return list
 }
+
+// yields tells whether a group goes behind those that can be on time.
+func (g *group) yields(soonest time.Time) bool { return !g.Holding && g.Due.Before(soonest) }
+
+// waitsForZone tells whether the group should wait for an endpoint of the zone where its large results are wanted.
+func (p *Pool) waitsForZone(g *group, e *endpoint, now time.Time) bool {
+	if g.Zone == "" || g.Zone == e.Zone || g.ResultBytes < heavyBytes || !p.inZone[g.Zone] {
+		return false
+	}
+	slack := time.Duration(zoneSlack * float64(p.cfg.Stage.CallDuration(len(g.Segments))))
+	return now.Add(slack).Before(g.Due)
+}
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -120,6 +120,8 @@
 		Priority:       int32(g.Priority),
 		Account:        g.Account,
 		ResultBytes:    g.ResultBytes,
+		Zone:           g.Zone,
+		Holding:        g.Holding,
 	}
 	for _, s := range g.Segments {
 		m.Numbers = append(m.Numbers, int32(s))
@@ -160,9 +162,10 @@
 			return nil
 		}
 		if a.owner != f.cfg.Name {
-			return []func(){f.sendTo(a.owner, &carrier.PieceWithdraw{Service: a.service, Request: a.group.ID.Request})}
+			m := &carrier.PieceWithdraw{Service: a.service, Request: a.group.ID.Request, Stage: int32(a.group.ID.Stage)}
+			return []func(){f.sendTo(a.owner, m)}
 		}
-		return f.reduce(a.service, collector.Withdrawn{Origin: f.cfg.Name, Request: a.group.ID.Request}, now)
+		return f.reduce(a.service, collector.Withdrawn{ID: a.group.ID}, now)
 	})
 }
 
@@ -229,6 +232,8 @@
 		Priority:    int(m.Priority),
 		Account:     m.Account,
 		ResultBytes: m.ResultBytes,
+		Zone:        m.Zone,
+		Holding:     m.Holding,
 	}
 	for _, n := range m.Numbers {
 		g.Segments = append(g.Segments, int(n))
@@ -261,7 +266,8 @@
 	if _, known := f.pools[m.Service]; !known {
 		return nil
 	}
-	return f.reduce(m.Service, collector.Withdrawn{Origin: from, Request: m.Request}, now)
+	id := collector.GroupID{Origin: from, Request: m.Request, Stage: int(m.Stage)}
+	return f.reduce(m.Service, collector.Withdrawn{ID: id}, now)
 }
 
 func (f *Forwarder) takeFree(m *carrier.PieceFree, now time.Time) []func() {
@@ -337,8 +343,15 @@
 
 // callPieces makes a call for pieces and tells the pool how it ended.
 func (f *Forwarder) callPieces(service string, p *collector.Pool, e collector.SendCall) {
+	began := time.Now()
 	end, results := f.exchangePieces(service, e)
 	now := time.Now()
+	f.log.Debug("call for pieces ended",
+		zap.String("service", service),
+		zap.String("endpoint", e.Endpoint.ID),
+		zap.Int("pieces", len(e.Pieces)),
+		zap.Uint8("end", uint8(end)),
+		zap.Duration("took", now.Sub(began)))
 	f.locked(func() []func() {
 		return f.performAll(service, p, p.Reduce(collector.CallEnded{Call: e.Call, End: end, Results: results}, now))
 	})
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -8,6 +8,13 @@
 	"geraniumline/collector"
 )
 
+const (
+	// maxRemakes is how often a request's lapsed stage results are made again.
+	maxRemakes = 2
+	// holdingShare is the part of an endpoint's space from which a request's results there hold others up.
+	holdingShare = 0.05
+)
+
 // modelTime is kept for the model engine after the last stage: the reading of a prompt that is half cached.
 const modelTime = 250 * time.Millisecond
 
@@ -21,13 +28,18 @@
 	missing []int
 	asked   []bool
 	freed   []bool
+	// asks are the latest for each stage.
 	asks    []*ask
 	zones   map[string]int64
+	remakes int
+	// homeZone is where the model engine that holds the prompt's shared parts is.
+	homeZone string
 }
 
 // stageEnd is the result of one piece of any of the request's stages.
 type stageEnd struct {
 	stage int
+	ask   *ask
 	collector.Deliver
 }
 
@@ -52,8 +64,12 @@
 		missing: make([]int, n),
 		asked:   make([]bool, n),
 		freed:   make([]bool, n),
+		asks:    make([]*ask, n),
 		zones:   make(map[string]int64),
 	}
+	x.f.mu.Lock()
+	s.homeZone = x.f.selector.HomeZone(x.service.Name, x.req.Parts)
+	x.f.mu.Unlock()
 	for i, count := range s.counts {
 		s.made[i] = make([]collector.Made, count)
 		s.missing[i] = count
@@ -99,7 +115,7 @@
 		}
 		s.asked[i] = true
 		a := s.x.f.askPieces(s.x.route.Stages[i].Service, s.group(i))
-		s.asks = append(s.asks, a)
+		s.asks[i] = a
 		go pump(i, a, ends, quit)
 	}
 }
@@ -110,7 +126,7 @@
 		select {
 		case d := <-a.results:
 			select {
-			case ends <- stageEnd{stage: stage, Deliver: d}:
+			case ends <- stageEnd{stage: stage, ask: a, Deliver: d}:
 			case <-quit:
 				return
 			}
@@ -138,6 +154,8 @@
 		Priority:    x.priority,
 		Account:     x.account,
 		ResultBytes: x.route.Stages[stage].ResultBytes,
+		Zone:        s.homeZone,
+		Holding:     s.holding(stage),
 	}
 	for n := range s.counts[stage] {
 		g.Segments = append(g.Segments, n)
@@ -154,6 +172,24 @@
 	return g
 }
 
+// holding tells whether the stage's inputs hold much of the space of their makers.
+func (s *stageWork) holding(stage int) bool {
+	s.x.f.mu.Lock()
+	defer s.x.f.mu.Unlock()
+	for _, before := range s.x.route.Stages[stage].After {
+		made := s.x.route.Stages[before]
+		service, known := s.x.f.stageService(made.Service)
+		if !known || service.Stage.RoomBytes <= 0 {
+			continue
+		}
+		bytes := made.ResultBytes * int64(s.counts[before])
+		if float64(bytes) > holdingShare*float64(service.Stage.RoomBytes) {
+			return true
+		}
+	}
+	return false
+}
+
 // after is the least time of the stages that follow one.
 func (s *stageWork) after(stage int) time.Duration {
 	longest := time.Duration(0)
@@ -182,6 +218,13 @@
 
 // take takes one piece's result.
 func (s *stageWork) take(end stageEnd) *Failure {
+	if end.ask != s.asks[end.stage] {
+		// The stage was asked for anew since, and this result is of no use: its inputs had lapsed.
+		return nil
+	}
+	if end.Result.Reason == collector.InputGone && s.remake(end.stage) {
+		return nil
+	}
 	if end.Result.Handle == "" {
 		s.x.f.log.Info("stage failed",
 			zap.String("request", s.x.req.ID),
@@ -198,6 +241,33 @@
 	return nil
 }
 
+// remake has a stage's inputs made again that have lapsed, and then the stage itself. Without it a request that waited
+// for longer than results are kept would fail, although there is time left.
+func (s *stageWork) remake(stage int) bool {
+	if s.remakes >= maxRemakes {
+		return false
+	}
+	s.remakes++
+	s.reset(stage)
+	for _, before := range s.x.route.Stages[stage].After {
+		s.reset(before)
+	}
+	s.x.f.log.Info("stage results made again", zap.String("request", s.x.req.ID), zap.Int("stage", stage))
+	return true
+}
+
+// reset forgets what a stage has made.
+func (s *stageWork) reset(stage int) {
+	if a := s.asks[stage]; a != nil {
+		s.x.f.endAsk(a)
+	}
+	s.free(stage)
+	s.freed[stage] = false
+	s.asked[stage] = false
+	s.made[stage] = make([]collector.Made, s.counts[stage])
+	s.missing[stage] = s.counts[stage]
+}
+
 // freeInputs frees the results that only a stage which is done has needed.
 func (s *stageWork) freeInputs(stage int) {
 	for _, before := range s.x.route.Stages[stage].After {
@@ -230,7 +300,9 @@
 // freeAll ends the request's stages: nothing of them is needed any more.
 func (s *stageWork) freeAll() {
 	for _, a := range s.asks {
-		s.x.f.endAsk(a)
+		if a != nil {
+			s.x.f.endAsk(a)
+		}
 	}
 	for i := range s.counts {
 		s.free(i)
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -19,10 +19,16 @@
 	// about as much as this many prompt tokens, at a step of 5 ms and 40 prompt tokens a millisecond.
 	DefaultCallTokens = 400
 	// DefaultFarTokens is what a megabyte of stage results that must cross availability zones counts, in prompt
-	// tokens: a result of 3 MB should not move unless a second of prompt reading is saved.
-	DefaultFarTokens = 2000
-	// homes is how many endpoints of a zone a prompt's shared parts are kept at while nothing else is known.
-	homes = 1
+	// tokens: the users' sheets price the crossing of a megabyte like the reading of some 450 tokens.
+	DefaultFarTokens = 450
+	// rereadWeight is what the reading of a shared token counts more than a token that waits: a prompt of 13,000
+	// shared tokens goes to the endpoint that holds it until some 30,000 tokens, under a second, wait there.
+	rereadWeight = 2.5
+	// homes is how many endpoints a prompt's shared parts are kept at: the first takes all while it can, the second
+	// what the first can't, so that it does not spread over all endpoints.
+	homes = 2
+	// homeShared is the size of shared parts from which a prompt has a home worth waiting for.
+	homeShared = 1000
 	// maxRemembered bounds the prompt parts that are remembered of one endpoint.
 	maxRemembered = 512
 )
@@ -208,20 +214,21 @@
 }
 
 // weigh gives the work that waits before the call's first token at the endpoint, in prompt tokens.
-func (s *Selector) weigh(e *endpoint, ask *Ask, keys []uint64, home map[*endpoint]bool) (Choice, float64) {
-	prompt, cached := 0, 0
+func (s *Selector) weigh(e *endpoint, ask *Ask, keys []uint64, home []*endpoint) (Choice, float64) {
+	prompt := 0
 	for _, part := range ask.Parts {
 		prompt += part.Tokens
 	}
-	if len(keys) > 0 {
-		cached = e.cache.held(keys, ask.Parts)
-		if cached == 0 && home[e] {
-			// Nobody may have sent the parts here yet, but all entries send them here first.
-			cached = sharedTokens(ask.Parts) / 2
+	shared := sharedTokens(ask.Parts)
+	cached := min(e.cache.held(keys, ask.Parts), shared)
+	for rank, h := range home {
+		if h == e {
+			// This entry may not have sent the parts here yet, but all entries send them here first.
+			cached = max(cached, shared>>rank)
 		}
 	}
 	own := prompt - cached + s.cfg.CallTokens
-	score := float64(e.tokens + e.peerTokens + own)
+	score := float64(e.tokens+e.peerTokens+own) + (rereadWeight-1)*float64(shared-cached)
 	score *= e.health.Slowness()
 	for zone, n := range ask.ZoneBytes {
 		if zone != e.Zone {
@@ -231,28 +238,45 @@
 	return Choice{Endpoint: e.Endpoint, Tokens: own, Cached: cached}, score
 }
 
-// homesOf gives the endpoints at which the prompt's largest shared beginning is kept, one for each zone: stage
-// results should not cross zones, and a prompt part is read again in each zone only once.
-func (s *Selector) homesOf(p *pool, ask *Ask, keys []uint64) map[*endpoint]bool {
-	if len(keys) == 0 {
+// homesOf gives the endpoints at which the prompt's largest shared beginning is kept, in their order.
+func (s *Selector) homesOf(p *pool, ask *Ask, keys []uint64) []*endpoint {
+	if len(keys) < 2 {
 		return nil
 	}
 	key := keys[largestShared(ask.Parts)]
-	best := make(map[string]*endpoint)
-	rank := make(map[string]uint64)
-	for _, e := range p.endpoints {
-		r := hasher.Mix(e.hash ^ key)
-		if best[e.Zone] == nil || r > rank[e.Zone] {
-			best[e.Zone], rank[e.Zone] = e, r
+	home := make([]*endpoint, 0, homes)
+	for len(home) < homes && len(home) < len(p.endpoints) {
+		var best *endpoint
+		for _, e := range p.endpoints {
+			if slices.Contains(home, e) || e.health.State() != ejector.InUse {
+				continue
+			}
+			if best == nil || hasher.Mix(e.hash^key) > hasher.Mix(best.hash^key) {
+				best = e
+			}
 		}
-	}
-	home := make(map[*endpoint]bool, homes*len(best))
-	for _, e := range best {
-		home[e] = true
+		if best == nil {
+			break
+		}
+		home = append(home, best)
 	}
 	return home
 }
 
+// HomeZone gives the zone where a prompt's shared parts are kept, if they are large enough for stage results to be
+// made there.
+func (s *Selector) HomeZone(service string, parts []Part) string {
+	p, known := s.pools[service]
+	if !known || sharedTokens(parts) < homeShared {
+		return ""
+	}
+	home := s.homesOf(p, &Ask{Parts: parts}, chainKeys(parts))
+	if len(home) == 0 {
+		return ""
+	}
+	return home[0].Zone
+}
+
 // Started counts a call at an endpoint, and takes its prompt parts as held there from now on.
 func (s *Selector) Started(choice Choice, parts []Part) {
 	e, known := s.byID[choice.Endpoint.ID]
