Finish started groups first

Cause: with space for 21 results an endpoint, parts of many groups filled the pool and none was whole (151 pieces without room, 210 without inputs in one burst). Change: a group of which a part is made or in a call goes before all others.

--- a/collector/group.go
+++ b/collector/group.go
@@ -85,7 +85,8 @@
 // Groups that can no longer be on time go last: under a surge, work in the order of arrival or of due times alone makes
 // every answer late, since each call then serves what is just too late already. Groups that hold much of their makers'
 // space are never put last: the makers would have no room for new results, stand idle, and the held results would
-// lapse before they are used.
+// lapse before they are used. Groups of which a part is made go first for the same reason: a pool whose space is full
+// of parts of many groups finishes none of them.
 func (p *Pool) ordered(now time.Time) []*group {
 	list := make([]*group, 0, len(p.groups))
 	for _, g := range p.groups {
@@ -95,6 +96,12 @@
 	}
 	soonest := now.Add(p.cfg.Stage.CallDuration(1))
 	slices.SortFunc(list, func(a, b *group) int {
+		if a.started() != b.started() {
+			if a.started() {
+				return -1
+			}
+			return 1
+		}
 		lateA, lateB := a.yields(soonest), b.yields(soonest)
 		if lateA != lateB {
 			if lateB {
@@ -113,6 +120,9 @@
 	return list
 }
 
+// started tells whether a part of the group is made or in a call.
+func (g *group) started() bool { return len(g.waiting) < len(g.Segments) }
+
 // yields tells whether a group goes behind those that can be on time.
 func (g *group) yields(soonest time.Time) bool { return !g.Holding && g.Due.Before(soonest) }
 
