Count freed space when the endpoint has freed it, and wait for space for half a call

Cause: calls sent beside a free met full endpoints (108 pieces without room in a burst), and calls of 3 to 5 pieces were sent into the little space that was left, each with its 150 ms. Change: space counts from the answer to the free; an endpoint with space for less than half a call waits up to 100 ms; a group counts as late by the time of its own call.

--- a/collector/call.go
+++ b/collector/call.go
@@ -18,7 +18,9 @@
 	used int64
 	// pausedUntil keeps calls from an endpoint that was full.
 	pausedUntil time.Time
-	gone        bool
+	// roomSince is when the endpoint began to wait for space.
+	roomSince time.Time
+	gone      bool
 }
 
 func (e *endpoint) free(slots int, now time.Time) bool {
@@ -97,7 +99,11 @@
 
 // fillCall takes waiting pieces in their order for as long as the call and the endpoint's space have room.
 func (p *Pool) fillCall(e *endpoint, waiting []*group, now time.Time) {
-	room := int64(float64(p.cfg.Stage.RoomBytes)*roomShare) - e.used
+	room := p.cfg.Stage.RoomBytes - e.used
+	if p.waitsForRoom(e, waiting, room, now) {
+		return
+	}
+	e.roomSince = time.Time{}
 	c := &call{endpoint: e, began: now}
 	var pieces []Piece
 	for _, g := range waiting {
@@ -127,6 +133,31 @@
 	p.emit(SendCall{Call: c.id, Endpoint: e.Endpoint, Pieces: pieces, Timeout: timeoutFactor * c.expected})
 }
 
+// waitsForRoom tells whether the endpoint should wait for space, since the pieces that find space would fill less than
+// half of the call that the waiting ones could fill.
+func (p *Pool) waitsForRoom(e *endpoint, waiting []*group, room int64, now time.Time) bool {
+	fits, wanted := 0, 0
+	for _, g := range waiting {
+		wanted += len(g.waiting)
+		n := len(g.waiting)
+		if g.ResultBytes > 0 {
+			n = min(n, int(max(room, 0)/g.ResultBytes))
+		}
+		fits += n
+		room -= int64(n) * g.ResultBytes
+		if wanted >= p.cfg.Stage.Batch {
+			break
+		}
+	}
+	if 2*fits >= min(wanted, p.cfg.Stage.Batch) {
+		return false
+	}
+	if e.roomSince.IsZero() {
+		e.roomSince = now
+	}
+	return fits == 0 || now.Sub(e.roomSince) < roomWait
+}
+
 func (g *group) piece(segment int) Piece {
 	return Piece{
 		Request:  g.ID.Request,
@@ -254,10 +285,6 @@
 	byMaker := make(map[string][]string)
 	var order []string
 	for _, m := range made {
-		if r, known := p.results[m.Handle]; known {
-			r.maker.used -= r.bytes
-			delete(p.results, m.Handle)
-		}
 		if len(byMaker[m.Address]) == 0 {
 			order = append(order, m.Address)
 		}
@@ -267,3 +294,14 @@
 		p.emit(FreeResults{Address: address, Handles: byMaker[address]})
 	}
 }
+
+// takeFreed counts the space of freed results as free, and not before: a call that is sent at the same time as the free
+// would reach the endpoint first, and its pieces would find no space.
+func (p *Pool) takeFreed(made []Made) {
+	for _, m := range made {
+		if r, known := p.results[m.Handle]; known {
+			r.maker.used -= r.bytes
+			delete(p.results, m.Handle)
+		}
+	}
+}
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -24,8 +24,9 @@
 	timeoutFactor = 6
 	// patienceMargin covers the way there and back and the fetching of inputs.
 	patienceMargin = 60 * time.Millisecond
-	// roomShare is the part of an endpoint's space that is planned for; frees are on their way for some ms.
-	roomShare = 0.95
+	// roomWait is how long a free endpoint may wait for space for half a call. A call takes long before its first
+	// piece: one that is sent with the few pieces that find space costs more of the endpoint than the wait.
+	roomWait = 100 * time.Millisecond
 	// heavyBytes is the size of a result that should be made in the zone where it is wanted.
 	heavyBytes = 500_000
 	// zoneSlack is how many calls must fit before the results are due for a group to wait for an endpoint of its
@@ -84,6 +85,8 @@
 		p.takeEnd(e, now)
 	case Freed:
 		p.free(e.Results)
+	case FreeEnded:
+		p.takeFreed(e.Results)
 	case EndpointsChanged:
 		p.setEndpoints(e.Endpoints)
 	case Ticked:
--- a/collector/event.go
+++ b/collector/event.go
@@ -128,6 +128,9 @@
 // Freed names results that are not needed any more.
 type Freed struct{ Results []Made }
 
+// FreeEnded tells that a call that freed results is over, well or not.
+type FreeEnded struct{ Results []Made }
+
 // EndpointsChanged brings the endpoints that may get work.
 type EndpointsChanged struct{ Endpoints []registrar.Endpoint }
 
@@ -141,6 +144,7 @@
 func (Withdrawn) event()        {}
 func (CallEnded) event()        {}
 func (Freed) event()            {}
+func (FreeEnded) event()        {}
 func (EndpointsChanged) event() {}
 func (OriginLost) event()       {}
 func (Ticked) event()           {}
--- a/collector/group.go
+++ b/collector/group.go
@@ -94,7 +94,6 @@
 			list = append(list, g)
 		}
 	}
-	soonest := now.Add(p.cfg.Stage.CallDuration(1))
 	slices.SortFunc(list, func(a, b *group) int {
 		if a.started() != b.started() {
 			if a.started() {
@@ -102,7 +101,7 @@
 			}
 			return 1
 		}
-		lateA, lateB := a.yields(soonest), b.yields(soonest)
+		lateA, lateB := p.yields(a, now), p.yields(b, now)
 		if lateA != lateB {
 			if lateB {
 				return -1
@@ -124,7 +123,13 @@
 func (g *group) started() bool { return len(g.waiting) < len(g.Segments) }
 
 // yields tells whether a group goes behind those that can be on time.
-func (g *group) yields(soonest time.Time) bool { return !g.Holding && g.Due.Before(soonest) }
+func (p *Pool) yields(g *group, now time.Time) bool {
+	if g.Holding {
+		return false
+	}
+	call := p.cfg.Stage.CallDuration(min(len(g.waiting), p.cfg.Stage.Batch))
+	return g.Due.Before(now.Add(call))
+}
 
 // waitsForZone tells whether the group should wait for an endpoint of the zone where its large results are wanted.
 func (p *Pool) waitsForZone(g *group, e *endpoint, now time.Time) bool {
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -307,7 +307,7 @@
 		case collector.SendCall:
 			todo = append(todo, func() { go f.callPieces(service, p, e) })
 		case collector.FreeResults:
-			todo = append(todo, func() { go f.callFree(e) })
+			todo = append(todo, func() { go f.callFree(service, p, e) })
 		case collector.Judged:
 			f.logJudged(service, e.Endpoint, e.Out)
 		case collector.Deliver:
@@ -414,8 +414,21 @@
 		zap.Error(err))
 }
 
-// callFree gives results back at their maker. A failure costs their space until they lapse.
-func (f *Forwarder) callFree(e collector.FreeResults) {
+// callFree gives results back at their maker. After a failure their space is taken until they lapse, which the endpoint
+// tells by refusing pieces.
+func (f *Forwarder) callFree(service string, p *collector.Pool, e collector.FreeResults) {
+	f.exchangeFree(e)
+	freed := make([]collector.Made, len(e.Handles))
+	for i, handle := range e.Handles {
+		freed[i] = collector.Made{Handle: handle, Address: e.Address}
+	}
+	now := time.Now()
+	f.locked(func() []func() {
+		return f.performAll(service, p, p.Reduce(collector.FreeEnded{Results: freed}, now))
+	})
+}
+
+func (f *Forwarder) exchangeFree(e collector.FreeResults) {
 	body, err := f.cfg.Wire.EncodeFree(e.Handles)
 	if err != nil {
 		f.log.Warn("results not freed", zap.String("address", e.Address), zap.Error(err))
