Do stages where their inputs lie, while there is time

Ruled out: the model engine's fetches (1.75 of 2.06 GB of last results lay in its zone already). Change: a group names the zone of its inputs, or where its results are wanted, with the bytes at stake; it waits for an endpoint there while two and a half calls still fit before it is due.

--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -222,6 +222,7 @@
 	Account        string `msg:"account,limit=128"`
 	ResultBytes    int64  `msg:"resultBytes"`
 	Zone           string `msg:"zone,limit=128"`
+	FarBytes       int64  `msg:"farBytes"`
 	Holding        bool   `msg:"holding"`
 }
 
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -4269,6 +4269,12 @@
 				err = msgp.WrapError(err, "Zone")
 				return
 			}
+		case "farBytes":
+			z.FarBytes, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "FarBytes")
+				return
+			}
 		case "holding":
 			z.Holding, err = dc.ReadBool()
 			if err != nil {
@@ -4288,9 +4294,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *PieceAsk) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 13
+	// map header, size 14
 	// write "service"
-	err = en.Append(0x8d, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	err = en.Append(0x8e, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
@@ -4423,6 +4429,16 @@
 		err = msgp.WrapError(err, "Zone")
 		return
 	}
+	// write "farBytes"
+	err = en.Append(0xa8, 0x66, 0x61, 0x72, 0x42, 0x79, 0x74, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.FarBytes)
+	if err != nil {
+		err = msgp.WrapError(err, "FarBytes")
+		return
+	}
 	// write "holding"
 	err = en.Append(0xa7, 0x68, 0x6f, 0x6c, 0x64, 0x69, 0x6e, 0x67)
 	if err != nil {
@@ -4439,9 +4455,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PieceAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 14
 	// string "service"
-	o = append(o, 0x8d, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0x8e, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "request"
 	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
@@ -4482,6 +4498,9 @@
 	// string "zone"
 	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
 	o = msgp.AppendString(o, z.Zone)
+	// string "farBytes"
+	o = append(o, 0xa8, 0x66, 0x61, 0x72, 0x42, 0x79, 0x74, 0x65, 0x73)
+	o = msgp.AppendInt64(o, z.FarBytes)
 	// string "holding"
 	o = append(o, 0xa7, 0x68, 0x6f, 0x6c, 0x64, 0x69, 0x6e, 0x67)
 	o = msgp.AppendBool(o, z.Holding)
@@ -4612,6 +4631,12 @@
 				err = msgp.WrapError(err, "Zone")
 				return
 			}
+		case "farBytes":
+			z.FarBytes, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FarBytes")
+				return
+			}
 		case "holding":
 			z.Holding, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -4636,7 +4661,7 @@
 	for za0002 := range z.Inputs {
 		s += msgp.StringPrefixSize + len(z.Inputs[za0002])
 	}
-	s += 10 + msgp.Int64Size + 15 + msgp.Int64Size + 9 + msgp.Int32Size + 8 + msgp.StringPrefixSize + len(z.Account) + 12 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Zone) + 8 + msgp.BoolSize
+	s += 10 + msgp.Int64Size + 15 + msgp.Int64Size + 9 + msgp.Int32Size + 8 + msgp.StringPrefixSize + len(z.Account) + 12 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Zone) + 9 + msgp.Int64Size + 8 + msgp.BoolSize
 	return
 }
 
--- a/collector/call.go
+++ b/collector/call.go
@@ -118,6 +118,10 @@
 			c.bytes += g.ResultBytes
 			c.pieces = append(c.pieces, member{id: g.ID, segment: segment, bytes: g.ResultBytes})
 			pieces = append(pieces, g.piece(segment))
+			if g.Zone == "" {
+				// The group's other pieces should be made beside these.
+				g.Zone = e.Zone
+			}
 		}
 	}
 	if len(pieces) == 0 {
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -27,7 +27,7 @@
 	// roomWait is how long a free endpoint may wait for space for half a call. A call takes long before its first
 	// piece: one that is sent with the few pieces that find space costs more of the endpoint than the wait.
 	roomWait = 100 * time.Millisecond
-	// heavyBytes is the size of a result that should be made in the zone where it is wanted.
+	// heavyBytes is what must cross zones for a group to wait for an endpoint of its own zone.
 	heavyBytes = 500_000
 	// zoneSlack is how many calls must fit before the results are due for a group to wait for an endpoint of its
 	// zone: the wait for the next free one takes half a call at most times, and one is for the call itself.
--- a/collector/event.go
+++ b/collector/event.go
@@ -29,8 +29,11 @@
 	Account  string
 	// ResultBytes is the size of one result.
 	ResultBytes int64
-	// Zone is where large results are wanted; empty where that is all the same.
+	// Zone is where the pieces should be made: where their inputs lie or their results are wanted. It is empty where
+	// that is all the same.
 	Zone string
+	// FarBytes are what crosses availability zones if the pieces are made in another one, or in several.
+	FarBytes int64
 	// Holding groups keep much of the space of the endpoints that made their inputs.
 	Holding bool
 }
--- a/collector/group.go
+++ b/collector/group.go
@@ -131,9 +131,9 @@
 	return g.Due.Before(now.Add(call))
 }
 
-// waitsForZone tells whether the group should wait for an endpoint of the zone where its large results are wanted.
+// waitsForZone tells whether the group should wait for an endpoint of its own zone.
 func (p *Pool) waitsForZone(g *group, e *endpoint, now time.Time) bool {
-	if g.Zone == "" || g.Zone == e.Zone || g.ResultBytes < heavyBytes || !p.inZone[g.Zone] {
+	if g.Zone == "" || g.Zone == e.Zone || g.FarBytes < heavyBytes || !p.inZone[g.Zone] {
 		return false
 	}
 	slack := time.Duration(zoneSlack * float64(p.cfg.Stage.CallDuration(len(g.Segments))))
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -121,6 +121,7 @@
 		Account:        g.Account,
 		ResultBytes:    g.ResultBytes,
 		Zone:           g.Zone,
+		FarBytes:       g.FarBytes,
 		Holding:        g.Holding,
 	}
 	for _, s := range g.Segments {
@@ -233,6 +234,7 @@
 		Account:     m.Account,
 		ResultBytes: m.ResultBytes,
 		Zone:        m.Zone,
+		FarBytes:    m.FarBytes,
 		Holding:     m.Holding,
 	}
 	for _, n := range m.Numbers {
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,8 +30,9 @@
 	asked   []bool
 	freed   []bool
 	// asks are the latest for each stage.
-	asks    []*ask
-	zones   map[string]int64
+	asks []*ask
+	// zonesOf holds the zone of each stage's results by segment.
+	zonesOf [][]string
 	remakes int
 	// homeZone is where the model engine that holds the prompt's shared parts is.
 	homeZone string
@@ -65,13 +67,14 @@
 		asked:   make([]bool, n),
 		freed:   make([]bool, n),
 		asks:    make([]*ask, n),
-		zones:   make(map[string]int64),
+		zonesOf: make([][]string, n),
 	}
 	x.f.mu.Lock()
 	s.homeZone = x.f.selector.HomeZone(x.service.Name, x.req.Parts)
 	x.f.mu.Unlock()
 	for i, count := range s.counts {
 		s.made[i] = make([]collector.Made, count)
+		s.zonesOf[i] = make([]string, count)
 		s.missing[i] = count
 	}
 	return s
@@ -154,9 +157,9 @@
 		Priority:    x.priority,
 		Account:     x.account,
 		ResultBytes: x.route.Stages[stage].ResultBytes,
-		Zone:        s.homeZone,
 		Holding:     s.holding(stage),
 	}
+	g.Zone, g.FarBytes = s.wantedZone(stage)
 	for n := range s.counts[stage] {
 		g.Segments = append(g.Segments, n)
 	}
@@ -172,6 +175,46 @@
 	return g
 }
 
+// wantedZone gives the zone where a stage's pieces should be made and what crosses zones if they are made elsewhere.
+// Each piece fetches all inputs, so a stage should be done where its inputs lie. Else its results should lie where the
+// model engine that holds the prompt's shared parts will fetch them, or at least together: each piece of a following
+// stage fetches them all.
+func (s *stageWork) wantedZone(stage int) (string, int64) {
+	results := s.x.route.Stages[stage].ResultBytes * int64(s.counts[stage])
+	readers := int64(0)
+	for i, next := range s.x.route.Stages {
+		if slices.Contains(next.After, stage) {
+			readers += int64(s.counts[i])
+		}
+	}
+	zone, inputs := "", int64(0)
+	for z, bytes := range s.inputZones(stage) {
+		if bytes > inputs || bytes == inputs && z < zone {
+			zone, inputs = z, bytes
+		}
+	}
+	inputs *= int64(s.counts[stage])
+	switch {
+	case readers == 0 && results > inputs:
+		return s.homeZone, results
+	case readers > 0 && results*readers > inputs:
+		return "", results * readers
+	default:
+		return zone, inputs
+	}
+}
+
+// inputZones gives the bytes of a stage's inputs by the zone where they lie.
+func (s *stageWork) inputZones(stage int) map[string]int64 {
+	zones := make(map[string]int64)
+	for _, before := range s.x.route.Stages[stage].After {
+		for _, zone := range s.zonesOf[before] {
+			zones[zone] += s.x.route.Stages[before].ResultBytes
+		}
+	}
+	return zones
+}
+
 // holding tells whether the stage's inputs hold much of the space of their makers.
 func (s *stageWork) holding(stage int) bool {
 	s.x.f.mu.Lock()
@@ -234,7 +277,7 @@
 	}
 	s.made[end.stage][end.Segment] = collector.Made{Handle: end.Result.Handle, Address: end.Address}
 	s.missing[end.stage]--
-	s.zones[end.Zone] += s.x.route.Stages[end.stage].ResultBytes
+	s.zonesOf[end.stage][end.Segment] = end.Zone
 	if s.missing[end.stage] == 0 {
 		s.freeInputs(end.stage)
 	}
@@ -320,5 +363,13 @@
 	return handles
 }
 
-// zoneBytes tells where the inputs lie.
-func (s *stageWork) zoneBytes() map[string]int64 { return s.zones }
+// zoneBytes tells where the inputs of the request itself lie.
+func (s *stageWork) zoneBytes() map[string]int64 {
+	zones := make(map[string]int64)
+	for _, stage := range s.x.route.LastStages(s.counts) {
+		for _, zone := range s.zonesOf[stage] {
+			zones[zone] += s.x.route.Stages[stage].ResultBytes
+		}
+	}
+	return zones
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -63,6 +63,14 @@
 	began := time.Now()
 	x.sends++
 	x.tried = append(x.tried, choice.Endpoint.ID)
+	x.f.log.Debug("model chosen",
+		zap.String("request", x.req.ID),
+		zap.String("endpoint", choice.Endpoint.ID),
+		zap.String("zone", choice.Endpoint.Zone),
+		zap.Int("cached", choice.Cached),
+		zap.Int("tokens", choice.Tokens),
+		zap.String("homeZone", s.stages.homeZone),
+		zap.Any("resultBytes", s.stages.zoneBytes()))
 	info := x.callInfo(choice.Endpoint, began)
 	info.Inputs = s.stages.inputs()
 	if s.hasLast {
