--- /dev/null
+++ b/assembler/forwarding_test.go
@@ -0,0 +1,415 @@
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"geraniumline/platform"
+	"geraniumline/platform/imitator"
+)
+
+const forwardPatience = 20 * time.Second
+
+// node is one entry that runs in the test's process.
+type node struct {
+	callers, ready, addresses, peers string
+	stop                             context.CancelFunc
+	done                             chan error
+}
+
+// fleet is entries before a platform of stand-ins.
+type fleet struct {
+	t     *testing.T
+	site  *imitator.Site
+	nodes []*node
+}
+
+// newFleet starts n entries and waits until all are ready and know of each other.
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, site: imitator.NewSite()}
+	t.Cleanup(f.close)
+	for range n {
+		f.start("")
+	}
+	f.await()
+	return f
+}
+
+// start starts one more entry; a store address replaces the site's.
+func (f *fleet) start(store string) *node {
+	f.t.Helper()
+	var seeds []string
+	for _, n := range f.nodes {
+		seeds = append(seeds, n.peers)
+	}
+	nd := &node{done: make(chan error, 1)}
+	var file string
+	name := fmt.Sprintf("entry-%d", len(f.nodes))
+	file, nd.callers, nd.ready, nd.addresses, nd.peers = f.site.Settings(f.t, name, seeds...)
+	settings, err := platform.LoadSettings(file)
+	require.NoError(f.t, err)
+	if store != "" {
+		settings.StoreAddress = store
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	nd.stop = cancel
+	go func() { nd.done <- RunForwarding(ctx, settings, zap.NewNop()) }()
+	f.nodes = append(f.nodes, nd)
+	return nd
+}
+
+// await waits until each entry is ready and names all of them to callers.
+func (f *fleet) await() {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool {
+		for _, nd := range f.nodes {
+			addresses, err := imitator.Addresses(f.t.Context(), nd.addresses)
+			if err != nil || len(addresses) != len(f.nodes) || !imitator.Ready(f.t.Context(), nd.ready) {
+				return false
+			}
+		}
+		return true
+	}, forwardPatience, 10*time.Millisecond)
+}
+
+func (f *fleet) close() {
+	var group sync.WaitGroup
+	for _, nd := range f.nodes {
+		nd.stop()
+		group.Go(func() { require.NoError(f.t, <-nd.done) })
+	}
+	group.Wait()
+	f.site.Close()
+}
+
+// ask gives a request of the account to an entry.
+func (f *fleet) ask(entry int, path, id string) imitator.Ask {
+	return imitator.Ask{Address: f.nodes[entry].callers, Path: path, ID: id, Key: imitator.Key}
+}
+
+func (f *fleet) call(a imitator.Ask) imitator.Reply {
+	f.t.Helper()
+	reply, err := a.Call(f.t.Context())
+	require.NoError(f.t, err)
+	return reply
+}
+
+// runs lists the runs of an attempt at all endpoints.
+func (f *fleet) runs(id string) []imitator.Run {
+	var all []imitator.Run
+	for _, e := range f.site.Endpoints {
+		for _, run := range e.Runs() {
+			if run.Attempt == id {
+				all = append(all, run)
+			}
+		}
+	}
+	return all
+}
+
+// fail lets both endpoints of a service fail.
+func (f *fleet) fail(service string, fault imitator.Fault, n int) {
+	for i := range 2 {
+		f.site.Endpoint(fmt.Sprintf("i-%s-%d", service, i)).Fail(fault, n)
+	}
+}
+
+func stream(id string, n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d of %s\n\n", i, i, id)
+	}
+	return b.String()
+}
+
+func TestRequestsAreForwarded(t *testing.T) {
+	f := newFleet(t, 2)
+	t.Run("plain", func(t *testing.T) {
+		a := f.ask(0, imitator.OncePath+"a//b%2Fc?q=1", "plain-1")
+		a.Body = "the whole body, in chunks"
+		a.Header = http.Header{"Geraniumline-Tenant": {"forged"}, "X-Mine": {"1"}}
+		reply := f.call(a)
+		require.Equal(t, http.StatusOK, reply.Status)
+		require.Equal(t, "answer to plain-1", reply.Body)
+		require.NotEmpty(t, reply.Stamp)
+		runs := f.runs("plain-1")
+		require.Len(t, runs, 1)
+		require.Equal(t, a.Path, runs[0].Target)
+		require.Equal(t, a.Body, runs[0].Body)
+		require.Equal(t, imitator.Account, runs[0].Header.Get("Geraniumline-Tenant"))
+		require.Equal(t, runs[0].Endpoint, runs[0].Header.Get("Geraniumline-Expect-Instance"))
+		require.Equal(t, "1", runs[0].Header.Get("X-Mine"))
+		require.Empty(t, runs[0].Header.Get("Authorization"))
+		require.NotEmpty(t, runs[0].Header.Get("Geraniumline-Deadline-Ms"))
+	})
+	t.Run("stream", func(t *testing.T) {
+		reply := f.call(f.ask(1, imitator.StreamPath, "stream-1"))
+		require.False(t, reply.Cut)
+		require.Equal(t, stream("stream-1", 5), reply.Body)
+	})
+	t.Run("stages", func(t *testing.T) {
+		for entry := range 2 {
+			id := fmt.Sprintf("stages-%d", entry)
+			a := f.ask(entry, imitator.StagesPath, id)
+			a.Pieces = "3,12"
+			reply := f.call(a)
+			require.Equal(t, stream(id, 5), reply.Body)
+			runs := f.runs(id)
+			require.Len(t, runs, 1)
+			require.Len(t, runs[0].Inputs(), 12, "all pieces of the last stage")
+			for _, e := range []string{"i-rank-0", "i-rank-1"} {
+				for _, inputs := range f.site.Endpoint(e).PieceInputs(id, 1) {
+					require.Len(t, inputs, 3, "each piece takes all results of the stage before")
+				}
+			}
+		}
+		require.Eventually(t, func() bool {
+			held := 0
+			for _, e := range f.site.Endpoints {
+				held += e.Held()
+			}
+			return held == 0
+		}, forwardPatience, 10*time.Millisecond, "results are freed")
+	})
+	t.Run("a stage without pieces is passed over", func(t *testing.T) {
+		a := f.ask(0, imitator.StagesPath, "stages-none")
+		a.Pieces = "2,0"
+		require.Equal(t, http.StatusOK, f.call(a).Status)
+		require.Len(t, f.runs("stages-none")[0].Inputs(), 2)
+	})
+}
+
+func TestBadRequestsGetAClearAnswer(t *testing.T) {
+	f := newFleet(t, 1)
+	for _, tc := range []struct {
+		name   string
+		status int
+		change func(a *imitator.Ask)
+	}{
+		{"no route", http.StatusNotFound, func(a *imitator.Ask) { a.Path = "/nowhere/" }},
+		{"unknown key", http.StatusUnauthorized, func(a *imitator.Ask) { a.Key = "guess" }},
+		{"no key", http.StatusUnauthorized, func(a *imitator.Ask) { a.Key = "" }},
+		{"no attempt", http.StatusBadRequest, func(a *imitator.Ask) { a.ID = "" }},
+		{"body too large", http.StatusRequestEntityTooLarge, func(a *imitator.Ask) { a.Body = strings.Repeat("x", 70_000) }},
+		{"bad header", http.StatusBadRequest, func(a *imitator.Ask) { a.Pieces = "many" }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			a := f.ask(0, imitator.PlainPath, "bad")
+			tc.change(&a)
+			reply := f.call(a)
+			require.Equal(t, tc.status, reply.Status)
+			require.Empty(t, reply.Stamp)
+			require.Empty(t, f.runs("bad"))
+		})
+	}
+	require.Equal(t, http.StatusOK, f.call(f.ask(0, imitator.PlainPath, "good")).Status)
+}
+
+// Both endpoints run the request and break off. The caller hears that it may have run, and it is not sent again.
+func TestARequestThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	f := newFleet(t, 1)
+	f.fail("plain", imitator.Broken, -1)
+	reply := f.call(f.ask(0, imitator.OncePath, "once"))
+	require.Equal(t, http.StatusBadGateway, reply.Status)
+	require.Len(t, f.runs("once"), 1)
+	f.fail("model", imitator.Broken, -1)
+	reply = f.call(f.ask(0, imitator.StreamPath, "stream"))
+	require.Equal(t, http.StatusBadGateway, reply.Status)
+	require.Len(t, f.runs("stream"), 1)
+}
+
+// An idempotent request meets an endpoint that breaks off, fails, or hangs, and is answered by the other one.
+func TestAnIdempotentRequestIsTriedElsewhere(t *testing.T) {
+	for name, fault := range map[string]imitator.Fault{
+		"broken": imitator.Broken, "erring": imitator.Erring, "hanging": imitator.Hanging,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.site.Endpoint("i-plain-0").Fail(fault, -1)
+			for i := range 4 {
+				id := fmt.Sprint(i)
+				reply := f.call(f.ask(0, imitator.PlainPath, id))
+				require.Equal(t, http.StatusOK, reply.Status)
+				require.LessOrEqual(t, len(f.runs(id)), 2)
+			}
+		})
+	}
+}
+
+// All endpoints refuse unrun. The caller hears at once that nothing ran, and when to come back.
+func TestFullEndpointsAreARefusalThatIsTrue(t *testing.T) {
+	f := newFleet(t, 1)
+	f.fail("plain", imitator.Full, -1)
+	began := time.Now()
+	reply := f.call(f.ask(0, imitator.OncePath, "full"))
+	require.Equal(t, http.StatusServiceUnavailable, reply.Status)
+	require.NotEmpty(t, reply.RetryAfter)
+	require.Empty(t, f.runs("full"))
+	require.Less(t, time.Since(began), 2*time.Second)
+	f.fail("plain", imitator.Sound, 0)
+	require.Equal(t, http.StatusOK, f.call(f.ask(0, imitator.OncePath, "full")).Status)
+}
+
+// The endpoint breaks off in the middle of an event. Where the stream may be resumed the caller gets it whole, once
+// each event; else it sees that it is not whole.
+func TestABrokenStream(t *testing.T) {
+	f := newFleet(t, 1)
+	f.site.Endpoint("i-model-0").Fail(imitator.Halved, -1)
+	resumed := 0
+	for i := range 10 {
+		id := fmt.Sprintf("resumed-%d", i)
+		reply := f.call(f.ask(0, imitator.ResumePath, id))
+		require.False(t, reply.Cut)
+		require.Equal(t, stream(id, 5), reply.Body)
+		resumed += len(f.runs(id)) - 1
+	}
+	require.Positive(t, resumed)
+
+	f.fail("model", imitator.Halved, -1)
+	reply := f.call(f.ask(0, imitator.StreamPath, "cut"))
+	require.True(t, reply.Cut)
+	require.Equal(t, stream("cut", 2), reply.Body)
+	require.Len(t, f.runs("cut"), 1)
+}
+
+// An endpoint answers twice, or without a length. Each caller gets its own whole answer.
+func TestOddAnswersReachTheirOwnCaller(t *testing.T) {
+	f := newFleet(t, 1)
+	for name, fault := range map[string]imitator.Fault{"twice": imitator.Doubling, "no length": imitator.Unframed} {
+		f.fail("plain", fault, -1)
+		for i := range 6 {
+			id := fmt.Sprintf("%s-%d", name, i)
+			require.Equal(t, "answer to "+id, f.call(f.ask(0, imitator.PlainPath, id)).Body)
+		}
+	}
+}
+
+// A caller leaves while an endpoint works on its request: the endpoint must notice.
+func TestWorkEndsWithItsCaller(t *testing.T) {
+	f := newFleet(t, 1)
+	f.fail("model", imitator.Hanging, -1)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := f.ask(0, imitator.StreamPath, "left").Call(ctx)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Eventually(t, func() bool {
+		return f.site.Endpoint("i-model-0").Gone()+f.site.Endpoint("i-model-1").Gone() == 1
+	}, forwardPatience, 5*time.Millisecond)
+}
+
+// The endpoint never answers: the caller hears so at its deadline, and not that the request has not run.
+func TestTheDeadlineEndsAnExchange(t *testing.T) {
+	f := newFleet(t, 1)
+	f.fail("plain", imitator.Hanging, -1)
+	a := f.ask(0, imitator.OncePath, "deadline")
+	a.Patience = 300 * time.Millisecond
+	require.Equal(t, http.StatusGatewayTimeout, f.call(a).Status)
+	require.Len(t, f.runs("deadline"), 1)
+}
+
+// An endpoint reports that it is leaving, another one's entry is taken away: neither gets new work.
+func TestLeavingEndpointsGetNoWork(t *testing.T) {
+	f := newFleet(t, 2)
+	f.site.Enter(f.site.Endpoint("i-plain-0"), "plain", "draining")
+	f.site.Remove(f.site.Endpoint("i-model-0"))
+	time.Sleep(time.Second) // one reading of the store and its pause
+	for i := range 10 {
+		id := fmt.Sprintf("after-%d", i)
+		require.Equal(t, "i-plain-1", firstRun(t, f, f.ask(i%2, imitator.PlainPath, id)))
+		require.Equal(t, "i-model-1", firstRun(t, f, f.ask(i%2, imitator.StreamPath, id+"-s")))
+	}
+}
+
+func firstRun(t *testing.T, f *fleet, a imitator.Ask) string {
+	t.Helper()
+	require.Equal(t, http.StatusOK, f.call(a).Status)
+	return f.runs(a.ID)[0].Endpoint
+}
+
+// A key is withdrawn while one entry can't reach the store. Its callers must be refused there too: the entry hears of
+// the configuration, and of the endpoints, from its peers.
+func TestAnEntryWithoutTheStoreLearnsFromPeers(t *testing.T) {
+	f := newFleet(t, 2)
+	cut := imitator.NewStore()
+	cut.SetOutage(imitator.Silent)
+	defer cut.Close()
+	f.start(cut.Address())
+	f.await()
+	require.Equal(t, http.StatusOK, f.call(f.ask(2, imitator.PlainPath, "before")).Status)
+	f.site.Tenants = []map[string]any{{"Name": "other", "ApiKeys": []string{"other-key"}}}
+	f.site.Configure()
+	require.Eventually(t, func() bool {
+		return f.call(f.ask(2, imitator.PlainPath, "after")).Status == http.StatusUnauthorized
+	}, forwardPatience, 20*time.Millisecond)
+	f.site.Remove(f.site.Endpoint("i-plain-0"))
+	require.Eventually(t, func() bool {
+		a := f.ask(2, imitator.PlainPath, "other")
+		a.Key = "other-key"
+		before := len(f.site.Endpoint("i-plain-0").Runs())
+		for range 6 {
+			require.Equal(t, http.StatusOK, f.call(a).Status)
+		}
+		return len(f.site.Endpoint("i-plain-0").Runs()) == before
+	}, forwardPatience, 20*time.Millisecond)
+}
+
+// An entry is told to stop while a stream runs. The stream ends whole, callers are sent elsewhere, and an open
+// connection is used to the last.
+func TestAPlannedStopCutsNothing(t *testing.T) {
+	f := newFleet(t, 2)
+	for _, e := range f.site.Endpoints {
+		e.Events = 1500
+	}
+	replies := make(chan imitator.Reply, 1)
+	go func() {
+		reply, err := f.ask(0, imitator.StreamPath, "long").Call(context.Background())
+		if err != nil {
+			reply.Cut = true
+		}
+		replies <- reply
+	}()
+	require.Eventually(t, func() bool { return len(f.runs("long")) == 1 }, forwardPatience, time.Millisecond)
+	client := &http.Client{}
+	reply, err := f.ask(0, imitator.PlainPath, "kept").CallWith(t.Context(), client)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, reply.Status)
+
+	f.nodes[0].stop()
+	require.Eventually(t, func() bool {
+		addresses, err := imitator.Addresses(t.Context(), f.nodes[1].addresses)
+		return err == nil && !slices.Contains(addresses, f.nodes[0].callers)
+	}, forwardPatience, 5*time.Millisecond)
+	require.False(t, imitator.Ready(t.Context(), f.nodes[0].ready))
+	reply, err = f.ask(0, imitator.PlainPath, "kept-2").CallWith(t.Context(), client)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, reply.Status)
+	require.True(t, reply.Closing, "the next request is to go elsewhere")
+	long := <-replies
+	require.False(t, long.Cut)
+	require.Equal(t, stream("long", 1500), long.Body)
+	require.NoError(t, <-f.nodes[0].done)
+	f.nodes[0].done <- nil
+}
+
+// The configuration goes on to a newer version while requests come: none is answered by an older one afterwards.
+func TestANewConfigurationIsInForceEverywhere(t *testing.T) {
+	f := newFleet(t, 3)
+	f.site.Routes = f.site.Routes[1:] // without the plain route
+	f.site.Configure()
+	for entry := range 3 {
+		require.Eventually(t, func() bool {
+			return f.call(f.ask(entry, imitator.PlainPath, "dropped")).Status == http.StatusNotFound
+		}, forwardPatience, 10*time.Millisecond)
+		require.Equal(t, http.StatusOK, f.call(f.ask(entry, imitator.OncePath, fmt.Sprint(entry))).Status)
+	}
+}
--- /dev/null
+++ b/cataloger/cataloger_test.go
@@ -0,0 +1,100 @@
+package cataloger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func route(name, prefix string) Route {
+	return Route{Name: name, Host: "a.example", PathPrefix: prefix, Targets: []Target{{Service: "s", Weight: 1}}}
+}
+
+func newCatalog(t *testing.T, cfg Config) *Catalog {
+	t.Helper()
+	c, err := New(cfg)
+	require.NoError(t, err)
+	return c
+}
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	c := newCatalog(t, Config{Routes: []Route{route("short", "/a/"), route("long", "/a/b/")}})
+	for _, tc := range []struct{ name, host, path, want string }{
+		{"longest", "a.example", "/a/b/c", "long"},
+		{"shorter", "a.example", "/a/c", "short"},
+		{"host in capitals with port", "A.Example:8080", "/a/c", "short"},
+		{"other host", "b.example", "/a/c", ""},
+		{"prefix without its last slash", "a.example", "/a", ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got, found := c.Match(tc.host, tc.path)
+			require.Equal(t, tc.want != "", found)
+			if found {
+				require.Equal(t, tc.want, got.Name)
+			}
+		})
+	}
+}
+
+func TestTargetFollowsTheWeights(t *testing.T) {
+	r := Route{Targets: []Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	n := 0
+	for seed := range uint64(10_000) {
+		require.Equal(t, r.Target(seed), r.Target(seed))
+		if r.Target(seed) == "b" {
+			n++
+		}
+	}
+	require.InDelta(t, 1000, n, 150)
+}
+
+func TestLastStagesAreThoseThatNothingFollows(t *testing.T) {
+	r := Route{Stages: []Stage{{}, {}, {After: []int{1}}, {After: []int{2}}}}
+	require.Equal(t, []int{0, 3}, r.LastStages([]int{2, 1, 6, 16}))
+	require.Equal(t, []int{3}, r.LastStages([]int{0, 1, 6, 16}))
+	require.Equal(t, []int{0, 2}, r.LastStages([]int{2, 1, 6, 0}))
+}
+
+func TestNewRefusesWhatCannotBeCarriedOut(t *testing.T) {
+	bad := route("r", "/a/")
+	bad.Stages = []Stage{{Service: "s", After: []int{0}}}
+	_, err := New(Config{Routes: []Route{bad}})
+	var stage *StageError
+	require.ErrorAs(t, err, &stage)
+	require.Equal(t, &StageError{Route: "r", Stage: 0, After: 0}, stage)
+
+	_, err = New(Config{Routes: []Route{{Name: "empty"}}})
+	var target *TargetError
+	require.ErrorAs(t, err, &target)
+}
+
+func TestRepeatable(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		route Route
+		want  bool
+	}{
+		{"idempotent", Route{Kind: Idempotent}, true},
+		{"not idempotent", Route{Kind: NonIdempotent, Resumable: true}, false},
+		{"stream", Route{Kind: Streaming}, false},
+		{"stream that may be resumed", Route{Kind: Streaming, Resumable: true}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) { require.Equal(t, tc.want, tc.route.Repeatable()) })
+	}
+}
+
+func TestKeysNameAccounts(t *testing.T) {
+	c := newCatalog(t, Config{Accounts: []Account{{Name: "small", Keys: []string{"k1", "k2"}}}})
+	require.True(t, c.NeedsKeys())
+	a, known := c.Account("k2")
+	require.True(t, known)
+	require.Equal(t, "small", a.Name)
+	_, known = c.Account("")
+	require.False(t, known)
+}
+
+func TestCallDuration(t *testing.T) {
+	p := StagePool{CallTime: 150 * time.Millisecond, ItemTime: 16 * time.Millisecond}
+	require.Equal(t, 278*time.Millisecond, p.CallDuration(8))
+}
--- /dev/null
+++ b/collector/collector_test.go
@@ -0,0 +1,292 @@
+package collector
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestPiecesOfManyRequestsShareCalls(t *testing.T) {
+	w := newWorld(usualStage(), 1)
+	for i := range 9 {
+		w.arrive(time.Duration(i)*time.Millisecond, fmt.Sprint(i), 1, nil)
+	}
+	w.run(time.Second)
+	require.Len(t, w.got, 9)
+	require.Len(t, w.calls, 2, "the first piece goes at once, the other eight together")
+	require.Len(t, w.calls[1].Pieces, 8)
+}
+
+func TestOrderOfWaitingGroups(t *testing.T) {
+	late := func(g *Group) { g.Due = start.Add(-time.Second) }
+	for _, tc := range []struct {
+		name          string
+		first, second func(g *Group)
+	}{
+		{"urgent before less urgent", nil, func(g *Group) { g.Priority = 1 }},
+		{"due sooner before due later", func(g *Group) { g.Due = start.Add(time.Second) }, nil},
+		{"on time before late", func(g *Group) { g.Priority = 5 }, late},
+		{"late but holding space before on time and less urgent",
+			func(g *Group) { late(g); g.Holding = true }, func(g *Group) { g.Priority = 1 }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(usualStage(), 1)
+			w.arrive(0, "busy", 8, nil)
+			second := w.arrive(time.Millisecond, "second", 8, tc.second)
+			first := w.arrive(2*time.Millisecond, "first", 8, tc.first)
+			w.run(2 * time.Second)
+			require.True(t, w.gotAt[first].Before(w.gotAt[second]))
+		})
+	}
+}
+
+// In a burst, groups of six pieces meet endpoints with space for 21 results. Were each call filled by due time alone,
+// parts of many groups would take all space, none would be whole, and all would lapse.
+func TestStartedGroupsAreFinishedFirst(t *testing.T) {
+	stage := usualStage()
+	stage.RoomBytes = 21 * 60_000
+	w := newWorld(stage, 1)
+	w.keepFor = 400 * time.Millisecond
+	rng := rand.New(rand.NewPCG(3, 4))
+	var ids []GroupID
+	for i := range 20 {
+		due := time.Duration(rng.IntN(2000)) * time.Millisecond
+		ids = append(ids, w.arrive(time.Duration(i)*50*time.Millisecond, fmt.Sprint(i), 6, func(g *Group) {
+			g.ResultBytes = 60_000
+			g.Due = start.Add(due)
+		}))
+	}
+	w.run(3 * time.Second)
+	whole, parts := 0, 0
+	for _, id := range ids {
+		switch n := w.made(id); {
+		case n == 6:
+			whole++
+		case n > 0:
+			parts++
+		}
+	}
+	require.LessOrEqual(t, parts, 2)
+	require.GreaterOrEqual(t, whole, 8)
+}
+
+// A call that is sent while a free is on its way reaches the endpoint first, and its pieces find no space.
+func TestSpaceIsFreeOnceTheFreeIsAnswered(t *testing.T) {
+	stage := usualStage()
+	stage.RoomBytes = 8 * 8_000
+	w := newWorld(stage, 1)
+	w.keepFor = -1
+	w.arrive(0, "a", 8, nil)
+	b := w.arrive(time.Millisecond, "b", 8, nil)
+	w.run(time.Second)
+	require.Equal(t, 0, w.made(b), "no space")
+	var made []Made
+	for _, d := range w.got {
+		made = append(made, Made{Handle: d.Result.Handle, Address: d.Address})
+	}
+	sent := len(w.calls)
+	w.reduce(Freed{Results: made})
+	require.Len(t, w.calls, sent)
+	w.run(2 * time.Second)
+	require.Equal(t, 8, w.made(b))
+}
+
+// A little space is left while many pieces wait: a call for two of them would take as long as one for seven.
+func TestAnEndpointWaitsForSpaceForHalfACall(t *testing.T) {
+	stage := usualStage()
+	stage.RoomBytes = 10 * 8_000
+	w := newWorld(stage, 1)
+	w.keepFor = 40 * time.Millisecond
+	w.arrive(0, "a", 8, nil)
+	w.arrive(time.Millisecond, "b", 8, nil)
+	w.run(2 * time.Second)
+	require.GreaterOrEqual(t, len(w.calls[1].Pieces), 4)
+	require.LessOrEqual(t, len(w.calls), 3)
+}
+
+func TestResultsThatAreNeverFreedGiveTheirSpaceBackWhenTheyLapse(t *testing.T) {
+	stage := usualStage()
+	stage.RoomBytes = 8 * 8_000
+	w := newWorld(stage, 1)
+	w.keepFor = -1
+	w.arrive(0, "a", 8, nil)
+	b := w.arrive(time.Millisecond, "b", 8, nil)
+	w.run(6 * time.Second)
+	require.Equal(t, 8, w.made(b))
+}
+
+// One endpoint of three takes calls and never answers. Its pieces are made elsewhere within three calls' time, and it
+// gets no further ones while others can take them.
+func TestASilentEndpointIsPassedBy(t *testing.T) {
+	w := newWorld(usualStage(), 3)
+	w.silent["e0"] = true
+	var ids []GroupID
+	for i := range 30 {
+		ids = append(ids, w.arrive(time.Duration(i)*100*time.Millisecond, fmt.Sprint(i), 2, nil))
+	}
+	w.run(8 * time.Second)
+	slowest := time.Duration(0)
+	for i, id := range ids {
+		require.Equal(t, 2, w.made(id))
+		slowest = max(slowest, w.gotAt[id].Sub(w.at(time.Duration(i)*100*time.Millisecond)))
+	}
+	require.Less(t, slowest, 1200*time.Millisecond)
+	met := 0
+	for _, c := range w.calls {
+		if c.Endpoint.ID == "e0" {
+			met++
+		}
+	}
+	require.LessOrEqual(t, met, 6)
+}
+
+func TestAFullOrUnreachableEndpointCostsNoTry(t *testing.T) {
+	for _, end := range []CallEnd{Refused, Unreachable} {
+		w := newWorld(usualStage(), 2)
+		w.ends["e0"] = end
+		id := w.arrive(0, "a", 4, nil)
+		w.run(time.Second)
+		require.Equal(t, 4, w.made(id))
+		require.Empty(t, w.reasons(id))
+	}
+}
+
+// All endpoints break each call: the pieces are given up after a few tries and not held until their deadline.
+func TestAPieceIsTriedAFewTimes(t *testing.T) {
+	w := newWorld(usualStage(), 3)
+	for _, id := range []string{"e0", "e1", "e2"} {
+		w.ends[id] = Broken
+	}
+	id := w.arrive(0, "a", 1, nil)
+	w.run(9 * time.Second)
+	require.Equal(t, []Reason{Failed}, w.reasons(id))
+	require.Len(t, w.calls, maxTries)
+}
+
+// A group can't be made before its deadline any more. The caller is told while it may still come back.
+func TestAPieceThatCannotBeInTimeIsToldAtOnce(t *testing.T) {
+	w := newWorld(usualStage(), 1)
+	w.arrive(0, "busy", 8, nil)
+	id := w.arrive(0, "a", 1, func(g *Group) { g.Priority = 1; g.Deadline = start.Add(400 * time.Millisecond) })
+	w.run(time.Second)
+	require.Equal(t, []Reason{Late}, w.reasons(id))
+	require.Less(t, w.gotAt[id].Sub(start), 250*time.Millisecond)
+}
+
+// A result comes after its request has ended, or a second time: it is freed at its maker at once.
+func TestResultsForNobodyAreFreed(t *testing.T) {
+	w := newWorld(usualStage(), 1)
+	id := w.arrive(0, "a", 3, nil)
+	w.plan(w.at(50*time.Millisecond), Withdrawn{ID: id})
+	w.run(time.Second)
+	require.Empty(t, w.got)
+	require.Len(t, w.freed, 1)
+	require.Len(t, w.freed[0].Handles, 3)
+}
+
+func TestPiecesOfALostEntryAreDropped(t *testing.T) {
+	w := newWorld(usualStage(), 1)
+	w.arrive(0, "busy", 8, func(g *Group) { g.ID.Origin = "other" })
+	w.arrive(0, "a", 3, nil)
+	w.plan(w.at(50*time.Millisecond), OriginLost{Origin: "entry"})
+	w.run(time.Second)
+	require.Len(t, w.calls, 1)
+	require.False(t, w.pool.Busy())
+}
+
+func TestAnAskThatComesTwiceIsMadeOnce(t *testing.T) {
+	w := newWorld(usualStage(), 2)
+	w.arrive(0, "a", 3, nil)
+	w.arrive(5*time.Millisecond, "a", 3, nil)
+	w.run(time.Second)
+	require.Len(t, w.got, 3)
+	require.Len(t, w.calls, 1)
+}
+
+// Large inputs lie in one zone. With time to spare the group waits for an endpoint there; with none it takes any.
+func TestAGroupWaitsForItsZoneWhileThereIsTime(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		due  time.Duration
+		want string
+	}{
+		{"time to spare", 2 * time.Second, "z0"},
+		{"none", 300 * time.Millisecond, "z1"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(usualStage(), 2)
+			w.arrive(0, "busy", 8, nil)
+			id := w.arrive(time.Millisecond, "a", 4, func(g *Group) {
+				g.Zone = "z0"
+				g.FarBytes = 3_000_000
+				g.Due = start.Add(tc.due)
+			})
+			w.run(time.Second)
+			require.Equal(t, 4, w.made(id))
+			for _, d := range w.got {
+				if d.ID == id {
+					require.Equal(t, tc.want, d.Zone)
+				}
+			}
+		})
+	}
+}
+
+// TestPolicyBurst replays a burst of 2.5 times the usual load on a pool that is half full at rest. Its baseline is each
+// of seven entries filling calls by itself.
+func TestPolicyBurst(t *testing.T) {
+	const entries = 7
+	inTime := func(pools int) (float64, float64) {
+		rng := rand.New(rand.NewPCG(5, 6))
+		worlds := make([]*world, pools)
+		busy := make(map[string]time.Time)
+		for i := range worlds {
+			worlds[i] = newWorld(usualStage(), 3)
+			worlds[i].busy = busy
+		}
+		type sent struct {
+			w  *world
+			id GroupID
+			at time.Duration
+		}
+		var all []sent
+		rate := 16.0
+		for at := time.Duration(0); at < 10*time.Second; {
+			burst := at > 2*time.Second && at < 8*time.Second
+			factor := 1.0
+			if burst {
+				factor = 2.5
+			}
+			at += time.Duration(rng.ExpFloat64() / (rate * factor) * float64(time.Second))
+			w := worlds[rng.IntN(pools)]
+			all = append(all, sent{w, w.arrive(at, fmt.Sprint(len(all)), 1+rng.IntN(2), nil), at})
+		}
+		good, calls, pieces := 0, 0, 0
+		for step := 10 * time.Millisecond; step < 14*time.Second; step += 10 * time.Millisecond {
+			for _, w := range worlds {
+				w.run(step)
+			}
+		}
+		for _, w := range worlds {
+			for _, c := range w.calls {
+				calls++
+				pieces += len(c.Pieces)
+			}
+		}
+		for _, s := range all {
+			if got, known := s.w.gotAt[s.id]; known && got.Sub(s.w.at(s.at)) < 600*time.Millisecond {
+				good++
+			}
+		}
+		return float64(good) / float64(len(all)), float64(pieces) / float64(calls)
+	}
+	together, batch := inTime(1)
+	alone, aloneBatch := inTime(entries)
+	t.Logf("one entry collects: %.2f in time, %.1f pieces a call; each for itself: %.2f, %.1f", together, batch, alone, aloneBatch)
+	require.Greater(t, together, 0.97)
+	require.Less(t, alone, 0.5)
+	require.Greater(t, batch, 2.0)
+}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -120,7 +120,7 @@
 	}
 	stop := context.AfterFunc(ctx, cn.abort)
 	cn.send(call)
-	resp, err := cn.receive(call)
+	resp, err := cn.receive(call) //nolint:bodyclose // the Answer reads it to its end or closes its connection
 	if err != nil {
 		stop()
 		cn.abort()
--- /dev/null
+++ b/connector/connector_test.go
@@ -0,0 +1,330 @@
+package connector
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// peer is an endpoint that a test writes by hand: serve gets each accepted connection.
+type peer struct {
+	address string
+	dials   atomic.Int32
+}
+
+func newPeer(t *testing.T, serve func(c net.Conn, br *bufio.Reader)) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &peer{address: l.Addr().String()}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.dials.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+	})
+	return p
+}
+
+func newClient(t *testing.T) *Client {
+	t.Helper()
+	c := New(Config{})
+	t.Cleanup(func() { c.Sweep(time.Now().Add(time.Hour)) })
+	return c
+}
+
+const idHeader = "Attempt-Id"
+
+func call(address, id string) *Call {
+	return &Call{
+		Address:    address,
+		Method:     http.MethodPost,
+		Target:     "/a//b%2Fc?q=1",
+		Host:       "a.example",
+		Header:     http.Header{idHeader: {id}},
+		Body:       []byte("body of " + id),
+		EchoHeader: idHeader,
+	}
+}
+
+func reply(c net.Conn, id, more, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", idHeader, id, more, len(body), body)
+}
+
+func readRequest(br *bufio.Reader) (*http.Request, string, error) {
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(r.Body)
+	return r, string(body), err
+}
+
+// echo answers each request with its own id.
+func echo(c net.Conn, br *bufio.Reader) {
+	for {
+		r, _, err := readRequest(br)
+		if err != nil {
+			return
+		}
+		reply(c, r.Header.Get(idHeader), "", "answer to "+r.Header.Get(idHeader))
+	}
+}
+
+func do(t *testing.T, c *Client, address, id string) (string, error) {
+	t.Helper()
+	answer, err := c.Do(t.Context(), call(address, id))
+	if err != nil {
+		return "", err
+	}
+	body, err := answer.ReadWhole(1 << 10)
+	return string(body), err
+}
+
+func TestARequestArrivesAsItIs(t *testing.T) {
+	got := make(chan string, 1)
+	p := newPeer(t, func(c net.Conn, br *bufio.Reader) {
+		r, body, err := readRequest(br)
+		if err != nil {
+			return
+		}
+		got <- r.Method + " " + r.RequestURI + " " + r.Host + " " + body
+		reply(c, "1", "", "x")
+	})
+	_, err := do(t, newClient(t), p.address, "1")
+	require.NoError(t, err)
+	require.Equal(t, "POST /a//b%2Fc?q=1 a.example body of 1", <-got)
+}
+
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	p := newPeer(t, echo)
+	c := newClient(t)
+	for i := range 5 {
+		body, err := do(t, c, p.address, fmt.Sprint(i))
+		require.NoError(t, err)
+		require.Equal(t, fmt.Sprintf("answer to %d", i), body)
+	}
+	require.Equal(t, int32(1), p.dials.Load())
+}
+
+func TestConnectionsThatMayNotBeUsedAgain(t *testing.T) {
+	for _, tc := range []struct{ name, more string }{
+		{"the endpoint says close", "Connection: close\r\n"},
+		{"its idle time is as good as over", "Keep-Alive: timeout=0\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPeer(t, func(c net.Conn, br *bufio.Reader) {
+				for {
+					r, _, err := readRequest(br)
+					if err != nil {
+						return
+					}
+					reply(c, r.Header.Get(idHeader), tc.more, "x")
+				}
+			})
+			c := newClient(t)
+			for i := range 3 {
+				_, err := do(t, c, p.address, fmt.Sprint(i))
+				require.NoError(t, err)
+			}
+			require.Equal(t, int32(3), p.dials.Load())
+		})
+	}
+}
+
+// An endpoint sends its answer twice. The second one stands where the next request's answer is due, and that caller
+// must not get it.
+func TestASecondAnswerIsNobodys(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, br *bufio.Reader) {
+		for {
+			r, _, err := readRequest(br)
+			if err != nil {
+				return
+			}
+			id := r.Header.Get(idHeader)
+			reply(c, id, "", "answer to "+id)
+			reply(c, id, "", "answer to "+id)
+		}
+	})
+	c := newClient(t)
+	for i := range 10 {
+		body, err := do(t, c, p.address, fmt.Sprint(i))
+		require.NoError(t, err)
+		require.Equal(t, fmt.Sprintf("answer to %d", i), body)
+	}
+}
+
+// The second answer comes only after the next request was sent on the connection.
+func TestALateAnswerIsPassedOver(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, br *bufio.Reader) {
+		last := ""
+		for {
+			r, _, err := readRequest(br)
+			if err != nil {
+				return
+			}
+			if last != "" {
+				reply(c, last, "", "answer to "+last)
+			}
+			last = r.Header.Get(idHeader)
+			reply(c, last, "", "answer to "+last)
+		}
+	})
+	c := newClient(t)
+	for i := range 4 {
+		body, err := do(t, c, p.address, fmt.Sprint(i))
+		require.NoError(t, err)
+		require.Equal(t, fmt.Sprintf("answer to %d", i), body)
+	}
+}
+
+func TestBrokenAnswers(t *testing.T) {
+	for _, tc := range []struct{ name, text string }{
+		{"cut body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"},
+		{"cut chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n"},
+		{"no answer", ""},
+		{"no HTTP", "garbage\r\n\r\n"},
+		{"too long", "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + strings.Repeat("x", 5000)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPeer(t, func(c net.Conn, br *bufio.Reader) {
+				if _, _, err := readRequest(br); err == nil {
+					_, _ = io.WriteString(c, tc.text)
+				}
+			})
+			_, err := do(t, newClient(t), p.address, "1")
+			var broken *BrokenError
+			require.ErrorAs(t, err, &broken)
+		})
+	}
+}
+
+func TestAnAnswerMayEndWithItsConnection(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, br *bufio.Reader) {
+		if _, _, err := readRequest(br); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nall of it")
+		}
+	})
+	body, err := do(t, newClient(t), p.address, "1")
+	require.NoError(t, err)
+	require.Equal(t, "all of it", body)
+}
+
+// An endpoint answers a long request before it has read it. The rest of the body must not be read as a next request,
+// nor a next request as the rest of the body.
+func TestAnEarlyAnswerEndsTheConnection(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		reply(c, r.Header.Get(idHeader), "", "early")
+		time.Sleep(50 * time.Millisecond)
+	})
+	c := newClient(t)
+	for i := range 2 {
+		long := call(p.address, fmt.Sprint(i))
+		long.Body = make([]byte, 16<<20)
+		answer, err := c.Do(t.Context(), long)
+		require.NoError(t, err)
+		body, err := answer.ReadWhole(1 << 10)
+		require.NoError(t, err)
+		require.Equal(t, "early", string(body))
+	}
+	require.Equal(t, int32(2), p.dials.Load())
+}
+
+func TestNobodyListens(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	_, err = do(t, newClient(t), address, "1")
+	var unsent *UnsentError
+	require.ErrorAs(t, err, &unsent)
+}
+
+// The endpoint closes an idle connection: the next request goes out on a new one and is not lost.
+func TestAClosedIdleConnectionIsNotUsed(t *testing.T) {
+	closed := make(chan struct{}, 1)
+	p := newPeer(t, func(c net.Conn, br *bufio.Reader) {
+		r, _, err := readRequest(br)
+		if err != nil {
+			return
+		}
+		reply(c, r.Header.Get(idHeader), "", "x")
+		_ = c.Close()
+		closed <- struct{}{}
+	})
+	c := newClient(t)
+	for i := range 3 {
+		_, err := do(t, c, p.address, fmt.Sprint(i))
+		require.NoError(t, err)
+		<-closed
+		require.Eventually(t, func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return len(c.idle) == 0
+		}, time.Second, time.Millisecond)
+	}
+}
+
+func TestACancelledExchangeClosesItsConnection(t *testing.T) {
+	gone := make(chan struct{})
+	p := newPeer(t, func(_ net.Conn, br *bufio.Reader) {
+		_, _, _ = readRequest(br)
+		_, _ = br.ReadByte()
+		close(gone)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err := newClient(t).Do(ctx, call(p.address, "1"))
+	var broken *BrokenError
+	require.ErrorAs(t, err, &broken)
+	require.ErrorIs(t, err, context.Canceled)
+	<-gone
+}
+
+func TestKeepAlive(t *testing.T) {
+	for _, tc := range []struct {
+		header string
+		want   time.Duration
+		ok     bool
+	}{
+		{"timeout=5, max=100", 5 * time.Second, true},
+		{"max=100", 0, false},
+		{"timeout=x", 0, false},
+		{"", 0, false},
+	} {
+		got, ok := keepAlive(tc.header)
+		require.Equal(t, tc.ok, ok, tc.header)
+		if ok {
+			require.Equal(t, tc.want, got)
+		}
+	}
+}
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// Failure is an answer of the system's own. Status 503 promises that the request has not run and never will; 502 and
+// FailureError is an answer of the system's own. Status 503 promises that the request has not run and never will; 502 and
 // 504 promise nothing.
-type Failure struct {
+type FailureError struct {
 	Status int
 	// Reason is a word for logs, metrics and callers.
 	Reason string
@@ -18,21 +18,21 @@
 	RetryAfter time.Duration
 }
 
-func (f *Failure) Error() string { return fmt.Sprintf("%d %s", f.Status, f.Reason) }
+func (f *FailureError) Error() string { return fmt.Sprintf("%d %s", f.Status, f.Reason) }
 
 // notRun promises that the request has not run.
-func notRun(reason string, retryAfter time.Duration) *Failure {
-	return &Failure{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: retryAfter}
+func notRun(reason string, retryAfter time.Duration) *FailureError {
+	return &FailureError{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: retryAfter}
 }
 
 // mayHaveRun promises nothing.
-func mayHaveRun(reason string) *Failure {
-	return &Failure{Status: http.StatusBadGateway, Reason: reason}
+func mayHaveRun(reason string) *FailureError {
+	return &FailureError{Status: http.StatusBadGateway, Reason: reason}
 }
 
 // timedOut promises nothing either: the request was with an endpoint when its time ended.
-func timedOut() *Failure {
-	return &Failure{Status: http.StatusGatewayTimeout, Reason: "timeout"}
+func timedOut() *FailureError {
+	return &FailureError{Status: http.StatusGatewayTimeout, Reason: "timeout"}
 }
 
 // statusError tells of an answer with a status that says nothing of what was asked.
@@ -41,7 +41,7 @@
 func (e *statusError) Error() string { return fmt.Sprintf("answered with status %d", e.status) }
 
 // send writes the failure as a whole answer.
-func (f *Failure) send(w http.ResponseWriter) {
+func (f *FailureError) send(w http.ResponseWriter) {
 	body, err := json.Marshal(struct {
 		Error string `json:"error"`
 	}{f.Reason})
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -81,7 +81,7 @@
 
 // serve carries the request out. It gives the failure that the caller is to be told, or nil once the caller has its
 // answer.
-func (x *exchange) serve() *Failure {
+func (x *exchange) serve() *FailureError {
 	if failure := x.check(); failure != nil {
 		return failure
 	}
@@ -98,28 +98,28 @@
 }
 
 // check finds the route, the client account and the deadline.
-func (x *exchange) check() *Failure {
+func (x *exchange) check() *FailureError {
 	if guarder.Ambiguous(x.in.Context()) {
 		// Two lengths of one body: where the next request begins is in doubt, and a hidden one could follow.
 		x.w.Header().Set("Connection", "close")
-		return &Failure{Status: http.StatusBadRequest, Reason: "ambiguousLength"}
+		return &FailureError{Status: http.StatusBadRequest, Reason: "ambiguousLength"}
 	}
 	x.f.mu.Lock()
 	catalog, known := x.f.catalog, x.f.registry.Known()
 	x.f.mu.Unlock()
 	if catalog == nil || !known {
-		return notRun("starting", spread(shortReturn))
+		return notRun("starting", soon())
 	}
 	x.version = catalog.Version()
 	path, _, _ := strings.Cut(x.in.RequestURI, "?")
 	route, found := catalog.Match(x.in.Host, path)
 	if !found {
-		return &Failure{Status: http.StatusNotFound, Reason: "noRoute"}
+		return &FailureError{Status: http.StatusNotFound, Reason: "noRoute"}
 	}
 	x.route = route
 	var err error
 	if x.req, err = x.f.cfg.Wire.ReadRequest(x.in.Header); err != nil {
-		return &Failure{Status: http.StatusBadRequest, Reason: "badHeader"}
+		return &FailureError{Status: http.StatusBadRequest, Reason: "badHeader"}
 	}
 	if failure := x.checkKey(catalog); failure != nil {
 		return failure
@@ -127,20 +127,20 @@
 	x.setTimes()
 	service, known := catalog.Service(route.Target(xxhash.Sum64String(x.req.ID)))
 	if !known {
-		return notRun("unknownService", spread(shortReturn))
+		return notRun("unknownService", soon())
 	}
 	x.service = service
 	if limit := catalog.Limits().BodyBytes; limit > 0 {
 		if x.in.ContentLength > limit {
 			x.w.Header().Set("Connection", "close")
-			return &Failure{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
+			return &FailureError{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
 		}
 		x.in.Body = http.MaxBytesReader(x.w, x.in.Body, limit)
 	}
 	return nil
 }
 
-func (x *exchange) checkKey(catalog *cataloger.Catalog) *Failure {
+func (x *exchange) checkKey(catalog *cataloger.Catalog) *FailureError {
 	x.priority = x.route.Priority
 	if !catalog.NeedsKeys() {
 		x.keepKey = true
@@ -151,7 +151,7 @@
 		if x.route.Anonymous {
 			return nil
 		}
-		return &Failure{Status: http.StatusUnauthorized, Reason: "unknownKey"}
+		return &FailureError{Status: http.StatusUnauthorized, Reason: "unknownKey"}
 	}
 	x.account = account.Name
 	if account.HasPriority {
@@ -172,7 +172,7 @@
 	x.due = x.began.Add(x.route.Objective)
 }
 
-func (x *exchange) readBody() *Failure {
+func (x *exchange) readBody() *FailureError {
 	if x.in.ContentLength == 0 {
 		return nil
 	}
@@ -183,20 +183,18 @@
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		x.w.Header().Set("Connection", "close")
-		return &Failure{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
+		return &FailureError{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
 	}
 	if err != nil {
 		x.w.Header().Set("Connection", "close")
-		return &Failure{Status: http.StatusBadRequest, Reason: "bodyCut"}
+		return &FailureError{Status: http.StatusBadRequest, Reason: "bodyCut"}
 	}
 	x.body = body
 	return nil
 }
 
-// spread gives a time between d and twice d.
-func spread(d time.Duration) time.Duration {
-	return d + rand.N(d)
-}
+// soon tells a caller to come back within a moment.
+func soon() time.Duration { return shortReturn + rand.N(shortReturn) }
 
 // choose picks the next endpoint for the request and counts the call there.
 func (x *exchange) choose(ask selector.Ask) (selector.Choice, bool) {
@@ -247,7 +245,7 @@
 func (x *exchange) callerGone() bool { return x.in.Context().Err() != nil }
 
 // log writes one line for the request's end.
-func (x *exchange) log(failure *Failure) {
+func (x *exchange) log(failure *FailureError) {
 	fields := []zap.Field{
 		zap.String("request", x.req.ID),
 		zap.Duration("took", time.Since(x.began)),
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -24,7 +24,7 @@
 )
 
 // servePlain passes a request on whose answer is one body.
-func (x *exchange) servePlain() *Failure {
+func (x *exchange) servePlain() *FailureError {
 	for {
 		if !x.mayTryAgain() {
 			return x.giveUp("noEndpointTook")
@@ -41,15 +41,15 @@
 }
 
 // giveUp tells the truth of a request that no further endpoint is tried for.
-func (x *exchange) giveUp(reason string) *Failure {
+func (x *exchange) giveUp(reason string) *FailureError {
 	if x.runs > 0 {
 		return mayHaveRun(reason)
 	}
-	return notRun(reason, spread(shortReturn))
+	return notRun(reason, soon())
 }
 
 // tryPlain sends the request to one endpoint. It tells whether the caller has its answer or its failure.
-func (x *exchange) tryPlain(choice selector.Choice) (bool, *Failure) {
+func (x *exchange) tryPlain(choice selector.Choice) (bool, *FailureError) {
 	began := time.Now()
 	x.sends++
 	x.tried = append(x.tried, choice.Endpoint.ID)
@@ -107,7 +107,7 @@
 }
 
 // failedPlain decides what follows an exchange without a whole answer.
-func (x *exchange) failedPlain(choice selector.Choice, err error) (bool, *Failure) {
+func (x *exchange) failedPlain(choice selector.Choice, err error) (bool, *FailureError) {
 	if x.callerGone() {
 		x.cancel(choice)
 		return true, mayHaveRun("callerGone")
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -81,7 +81,7 @@
 }
 
 // run has all stages done, each as soon as those before it are.
-func (s *stageWork) run() *Failure {
+func (s *stageWork) run() *FailureError {
 	ends := make(chan stageEnd, 1)
 	quit := make(chan struct{})
 	defer close(quit)
@@ -96,7 +96,7 @@
 				return failure
 			}
 		case <-s.x.ctx.Done():
-			return notRun("stagesTimedOut", spread(shortReturn))
+			return notRun("stagesTimedOut", soon())
 		}
 	}
 }
@@ -260,7 +260,7 @@
 }
 
 // take takes one piece's result.
-func (s *stageWork) take(end stageEnd) *Failure {
+func (s *stageWork) take(end stageEnd) *FailureError {
 	if end.ask != s.asks[end.stage] {
 		// The stage was asked for anew since, and this result is of no use: its inputs had lapsed.
 		return nil
@@ -273,7 +273,7 @@
 			zap.String("request", s.x.req.ID),
 			zap.Int("stage", end.stage),
 			zap.Stringer("reason", end.Result.Reason))
-		return notRun("stage"+end.Result.Reason.String(), spread(shortReturn))
+		return notRun("stage"+end.Result.Reason.String(), soon())
 	}
 	s.made[end.stage][end.Segment] = collector.Made{Handle: end.Result.Handle, Address: end.Address}
 	s.missing[end.stage]--
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -35,7 +35,7 @@
 }
 
 // serveStream has the stages done and passes the model's events on.
-func (x *exchange) serveStream() *Failure {
+func (x *exchange) serveStream() *FailureError {
 	stages := newStageWork(x)
 	defer stages.freeAll()
 	if failure := stages.run(); failure != nil {
@@ -58,7 +58,7 @@
 }
 
 // try has the stream from one endpoint. It tells whether the request has ended.
-func (s *streamer) try(choice selector.Choice) (bool, *Failure) {
+func (s *streamer) try(choice selector.Choice) (bool, *FailureError) {
 	x := s.x
 	began := time.Now()
 	x.sends++
@@ -112,7 +112,7 @@
 }
 
 // refused passes over an endpoint that did not run the request.
-func (s *streamer) refused(choice selector.Choice, answer *connector.Answer) (bool, *Failure) {
+func (s *streamer) refused(choice selector.Choice, answer *connector.Answer) (bool, *FailureError) {
 	info := s.x.f.cfg.Wire.ReadAnswer(answer.Status(), answer.Header())
 	if _, err := answer.ReadWhole(maxPlainAnswer); err != nil {
 		s.x.f.log.Debug("refusal cut short", zap.String("request", s.x.req.ID), zap.Error(err))
@@ -125,7 +125,7 @@
 }
 
 // other passes on an answer that is no stream.
-func (s *streamer) other(choice selector.Choice, answer *connector.Answer) (bool, *Failure) {
+func (s *streamer) other(choice selector.Choice, answer *connector.Answer) (bool, *FailureError) {
 	x := s.x
 	body, err := answer.ReadWhole(maxPlainAnswer)
 	if err != nil {
@@ -144,7 +144,7 @@
 }
 
 // failed decides what follows an attempt that broke off.
-func (s *streamer) failed(choice selector.Choice, err error) (bool, *Failure) {
+func (s *streamer) failed(choice selector.Choice, err error) (bool, *FailureError) {
 	x := s.x
 	if x.callerGone() {
 		x.cancel(choice)
@@ -176,7 +176,7 @@
 }
 
 // follow passes whole events on until the stream ends.
-func (s *streamer) follow(choice *selector.Choice, answer *connector.Answer, stall *time.Timer) (bool, *Failure) {
+func (s *streamer) follow(choice *selector.Choice, answer *connector.Answer, stall *time.Timer) (bool, *FailureError) {
 	split := splitter.New(0)
 	buf := make([]byte, streamBuffer)
 	first := true
@@ -246,7 +246,7 @@
 }
 
 // finish ends a whole stream.
-func (s *streamer) finish(choice selector.Choice, answer *connector.Answer, rest []byte, empty bool) (bool, *Failure) {
+func (s *streamer) finish(choice selector.Choice, answer *connector.Answer, rest []byte, empty bool) (bool, *FailureError) {
 	s.x.runs++
 	s.x.end(choice, ejector.Good, false)
 	s.head(answer)
--- /dev/null
+++ b/registrar/registrar_test.go
@@ -0,0 +1,93 @@
+package registrar
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func put(id string, offset int64, change func(e *Endpoint)) Change {
+	e := &Endpoint{ID: id, Service: "s", Address: "addr-" + id, Zone: "z"}
+	if change != nil {
+		change(e)
+	}
+	return Change{ID: id, Offset: offset, Endpoint: e}
+}
+
+func ids(r *Registry) []string {
+	list := []string{}
+	for _, e := range r.Usable() {
+		list = append(list, e.ID)
+	}
+	return list
+}
+
+func TestDrainingAndRemovedEndpointsTakeNoWork(t *testing.T) {
+	r := New(Config{})
+	r.Heard(start)
+	r.Replace([]Change{put("a", 0, nil), put("b", 1, nil), put("c", 2, nil)}, 3, start)
+	require.Equal(t, []string{"a", "b", "c"}, ids(r))
+	r.Apply([]Change{put("a", 3, func(e *Endpoint) { e.Draining = true }), {ID: "b", Offset: 4}}, 5, start)
+	require.Equal(t, []string{"c"}, ids(r))
+	require.Equal(t, int64(5), r.Next())
+}
+
+// The store goes away, and all entries lapse in it meanwhile. It comes back without them, and the endpoints, which
+// lived all along, write theirs again within two seconds. Requests that come in between must still find endpoints.
+func TestEntriesThatLapsedDuringAnOutageAreKeptUntilTheyAreBack(t *testing.T) {
+	r := New(Config{})
+	r.Heard(start)
+	r.Replace([]Change{put("a", 0, nil), put("b", 1, nil)}, 2, start)
+	r.Lost()
+	require.True(t, r.Heard(at(8*time.Second)))
+	r.Apply([]Change{{ID: "a", Offset: 2}, {ID: "b", Offset: 3}}, 4, at(8*time.Second))
+	require.Equal(t, []string{"a", "b"}, ids(r), "they may live")
+	r.Apply([]Change{put("a", 4, nil)}, 5, at(9*time.Second))
+	require.False(t, r.Tick(at(10*time.Second)), "two seconds are not over")
+	require.True(t, r.Tick(at(8*time.Second+DefaultReturnTime)))
+	require.Equal(t, []string{"a"}, ids(r), "the one that did not come back is gone")
+}
+
+// An endpoint crashes, and its address is given to a process of another service while the old entry still stands.
+func TestAnAddressBelongsToItsNewestEndpoint(t *testing.T) {
+	r := New(Config{})
+	r.Heard(start)
+	same := func(e *Endpoint) { e.Address = "10.0.0.1:80" }
+	r.Apply([]Change{put("old", 0, same), put("new", 1, same)}, 2, start)
+	require.Equal(t, []string{"new"}, ids(r))
+}
+
+// A stale read tells an older state: it must not bring a removed endpoint back, nor un-drain one.
+func TestOlderWordIsDropped(t *testing.T) {
+	r := New(Config{})
+	r.Heard(start)
+	r.Replace([]Change{put("a", 7, func(e *Endpoint) { e.Draining = true })}, 8, start)
+	r.Apply([]Change{put("a", 5, nil)}, 6, start)
+	require.Empty(t, ids(r))
+	r.Replace([]Change{put("a", 5, nil), put("b", 2, nil)}, 6, start)
+	require.Empty(t, ids(r))
+	require.Equal(t, int64(8), r.Next())
+}
+
+func TestAListWithoutAnEndpointRemovesIt(t *testing.T) {
+	r := New(Config{})
+	r.Heard(start)
+	r.Replace([]Change{put("a", 0, nil), put("b", 1, nil)}, 2, start)
+	r.Replace([]Change{put("b", 1, nil)}, 5, start)
+	require.Equal(t, []string{"b"}, ids(r))
+}
+
+func TestChangesCanBeHandedToAPeer(t *testing.T) {
+	r := New(Config{})
+	r.Heard(start)
+	r.Replace([]Change{put("a", 0, nil), put("b", 1, func(e *Endpoint) { e.Draining = true })}, 2, start)
+	other := New(Config{})
+	other.Replace(r.Changes(), r.Next(), at(time.Second))
+	require.Equal(t, ids(r), ids(other))
+	require.True(t, other.Known())
+}
--- /dev/null
+++ b/selector/selector_test.go
@@ -0,0 +1,135 @@
+package selector
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/ejector"
+	"geraniumline/registrar"
+)
+
+var now = time.Unix(1000, 0)
+
+func newSelector(n int) *Selector {
+	s := New(Config{Rand: rand.New(rand.NewPCG(1, 2))})
+	var all []registrar.Endpoint
+	for i := range n {
+		all = append(all, registrar.Endpoint{
+			ID:      fmt.Sprintf("e%d", i),
+			Service: "pool",
+			Address: fmt.Sprintf("10.0.0.%d:80", i),
+			Zone:    fmt.Sprintf("z%d", i%3),
+		})
+	}
+	s.SetEndpoints(all)
+	return s
+}
+
+func prompt(shared uint64, own uint64) []Part {
+	return []Part{{ID: shared, Tokens: 13_000}, {ID: own, Tokens: 3_000}}
+}
+
+func TestEntriesAgreeOnAPromptsHome(t *testing.T) {
+	a, b := newSelector(9), newSelector(9)
+	for shared := range uint64(40) {
+		ask := Ask{Service: "pool", Parts: prompt(shared, 1000+shared)}
+		first, found := a.Choose(ask, now)
+		require.True(t, found)
+		second, found := b.Choose(ask, now)
+		require.True(t, found)
+		require.Equal(t, first.Endpoint.ID, second.Endpoint.ID)
+		require.Equal(t, first.Endpoint.Zone, a.HomeZone("pool", ask.Parts))
+	}
+}
+
+// A third of all requests is about one subject: its home is full, and what it can't take goes to one other endpoint
+// and not to all of them, which would each read the shared part.
+func TestAHotPromptSpillsToFewEndpoints(t *testing.T) {
+	s := newSelector(9)
+	used := map[string]int{}
+	for own := range uint64(30) {
+		choice, found := s.Choose(Ask{Service: "pool", Parts: prompt(7, 100+own)}, now)
+		require.True(t, found)
+		s.Started(choice, prompt(7, 100+own))
+		used[choice.Endpoint.ID]++
+	}
+	require.GreaterOrEqual(t, len(used), 2)
+	require.LessOrEqual(t, len(used), 4)
+}
+
+func TestPeersWorkCounts(t *testing.T) {
+	s := newSelector(3)
+	s.SetPeer("peer", map[string]int{"e0": 50_000, "e1": 50_000})
+	for range 20 {
+		choice, found := s.Choose(Ask{Service: "pool"}, now)
+		require.True(t, found)
+		require.Equal(t, "e2", choice.Endpoint.ID)
+	}
+	s.SetPeer("peer", nil)
+	seen := map[string]bool{}
+	for range 50 {
+		choice, _ := s.Choose(Ask{Service: "pool"}, now)
+		seen[choice.Endpoint.ID] = true
+	}
+	require.Len(t, seen, 3)
+}
+
+func TestResultsThatLieInAZoneDrawTheCallThere(t *testing.T) {
+	s := newSelector(9)
+	for range 20 {
+		choice, found := s.Choose(Ask{Service: "pool", ZoneBytes: map[string]int64{"z1": 9_000_000}}, now)
+		require.True(t, found)
+		require.Equal(t, "z1", choice.Endpoint.Zone)
+	}
+}
+
+func TestTriedEndpointsAreAvoided(t *testing.T) {
+	s := newSelector(2)
+	choice, found := s.Choose(Ask{Service: "pool", Avoid: []string{"e0"}}, now)
+	require.True(t, found)
+	require.Equal(t, "e1", choice.Endpoint.ID)
+	_, found = s.Choose(Ask{Service: "pool", Avoid: []string{"e0", "e1"}}, now)
+	require.False(t, found)
+	_, found = s.Choose(Ask{Service: "unknown"}, now)
+	require.False(t, found)
+}
+
+// An endpoint refuses connections: callers must not meet it again before it is probed, and not with a request that
+// may run only once.
+func TestARefusingEndpointIsPassedOver(t *testing.T) {
+	s := newSelector(3)
+	down := Choice{Endpoint: registrar.Endpoint{ID: "e1"}}
+	s.Started(down, nil)
+	require.True(t, s.Ended(down, ejector.Down, now))
+	for range 50 {
+		choice, found := s.Choose(Ask{Service: "pool", NoProbe: true}, now.Add(2*time.Second))
+		require.True(t, found)
+		require.NotEqual(t, "e1", choice.Endpoint.ID)
+	}
+	choice, _ := s.Choose(Ask{Service: "pool"}, now.Add(2*time.Second))
+	require.Equal(t, "e1", choice.Endpoint.ID, "a request that may run twice is the probe")
+}
+
+func TestWorkIsGivenBack(t *testing.T) {
+	s := newSelector(1)
+	choice, _ := s.Choose(Ask{Service: "pool", Parts: prompt(1, 2)}, now)
+	s.Started(choice, prompt(1, 2))
+	require.Equal(t, choice.Tokens, s.Work()["e0"])
+	s.Read(&choice)
+	require.Equal(t, DefaultCallTokens, s.Work()["e0"])
+	s.Ended(choice, ejector.Good, now)
+	require.Empty(t, s.Work())
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	var m memory
+	for i := range uint64(10 * maxRemembered) {
+		m.remember([]uint64{i})
+	}
+	require.Len(t, m.keys, maxRemembered)
+	require.Len(t, m.order, maxRemembered)
+}
--- /dev/null
+++ b/splitter/splitter_test.go
@@ -0,0 +1,56 @@
+package splitter
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestEventsAreCutWhereverTheBytesAre(t *testing.T) {
+	text := "id: 1\ndata: a\n\nweight: 3\nid: 2\r\ndata: b\r\n\r\ndata: no id\n\nid: 4\ndata: ha"
+	for size := 1; size < len(text); size++ {
+		s := New(0)
+		var events []Event
+		for rest := []byte(text); len(rest) > 0; {
+			n := min(size, len(rest))
+			more, err := s.Feed(rest[:n])
+			require.NoError(t, err)
+			events = append(events, more...)
+			rest = rest[n:]
+		}
+		require.Len(t, events, 3)
+		require.Equal(t, Event{Data: []byte("id: 1\ndata: a\n\n"), ID: 1, HasID: true}, events[0])
+		require.Equal(t, int64(2), events[1].ID)
+		require.False(t, events[2].HasID)
+		require.Equal(t, "id: 4\ndata: ha", string(s.Rest()))
+	}
+}
+
+func TestAnEndlessEventIsRefused(t *testing.T) {
+	s := New(100)
+	_, err := s.Feed([]byte(strings.Repeat("x", 101)))
+	var size *SizeError
+	require.ErrorAs(t, err, &size)
+	require.Equal(t, 100, size.Limit)
+}
+
+func FuzzNoByteIsLost(f *testing.F) {
+	f.Add([]byte("id: 1\n\n"), 3)
+	f.Add([]byte("\n\n\r\n\r\ndata"), 1)
+	f.Fuzz(func(t *testing.T, data []byte, size int) {
+		s := New(1 << 20)
+		var whole []byte
+		for rest := data; len(rest) > 0; {
+			n := min(max(size, 1), len(rest))
+			events, err := s.Feed(rest[:n])
+			require.NoError(t, err)
+			for _, e := range events {
+				whole = append(whole, e.Data...)
+			}
+			rest = rest[n:]
+		}
+		require.True(t, bytes.Equal(data, append(whole, s.Rest()...)))
+	})
+}
