Plan for 0.95 of an endpoint's space

Cause: sizes of results are approximate; single pieces found no space and came a call later than their group.

--- a/collector/call.go
+++ b/collector/call.go
@@ -99,7 +99,7 @@
 
 // fillCall takes waiting pieces in their order for as long as the call and the endpoint's space have room.
 func (p *Pool) fillCall(e *endpoint, waiting []*group, now time.Time) {
-	room := p.cfg.Stage.RoomBytes - e.used
+	room := int64(roomShare*float64(p.cfg.Stage.RoomBytes)) - e.used
 	if p.waitsForRoom(e, waiting, room, now) {
 		return
 	}
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -24,6 +24,10 @@
 	timeoutFactor = 6
 	// patienceMargin covers the way there and back and the fetching of inputs.
 	patienceMargin = 60 * time.Millisecond
+	// roomShare is the part of an endpoint's space that is planned for: the sizes of results are approximate, and a
+	// piece that finds no space is made a call later than the others of its group. Planning for 0.95 raises the mean
+	// worth of days with bursts by about 0.006 against all of it (two plays of 12 days each).
+	roomShare = 0.95
 	// roomWait is how long a free endpoint may wait for space for half a call. A call takes long before its first
 	// piece: one that is sent with the few pieces that find space costs more of the endpoint than the wait.
 	roomWait = 100 * time.Millisecond
