--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -251,6 +251,7 @@
 		zap.Duration("took", time.Since(x.began)),
 		zap.Int64("version", x.version),
 		zap.Int("sends", x.sends),
+		zap.String("target", x.in.RequestURI),
 	}
 	if x.route != nil {
 		fields = append(fields, zap.String("route", x.route.Name), zap.String("account", x.account))
