One entry reads the endpoints for all; content that crashes endpoints is refused

Ruled out: counting each broken exchange as a crash (resets and spoiled answers break innocents; the address is tried before it counts). Change: the read is a duty by rendezvous hash, passed on by frames, with own reading after 1.1 s of silence; digests of account, target and body with their crashes are shared in heartbeats, refused after two. Tests: forwarder mesh tests, crashing content over real sockets.

--- a/assembler/forwarding_test.go
+++ b/assembler/forwarding_test.go
@@ -413,3 +413,27 @@
 		require.Equal(t, http.StatusOK, f.call(f.ask(entry, imitator.OncePath, fmt.Sprint(entry))).Status)
 	}
 }
+
+// A request crashes each endpoint that runs it, and its caller sends it again at any entry. After the second crash it
+// must reach no endpoint any more, while other requests are served.
+func TestContentThatCrashesEndpointsIsRefused(t *testing.T) {
+	f := newFleet(t, 2)
+	f.fail("plain", imitator.Crashing, -1)
+	poison := f.ask(0, imitator.PlainPath+"poison", "poison-1")
+	require.Equal(t, http.StatusBadGateway, f.call(poison).Status)
+	require.Len(t, f.runs("poison-1"), 2)
+	sound := f.site.Start("i-plain-2", "plain", imitator.Plain)
+	for entry := range 2 {
+		poison = f.ask(entry, imitator.PlainPath+"poison", fmt.Sprintf("again-%d", entry))
+		require.Eventually(t, func() bool {
+			reply := f.call(poison)
+			return reply.Status == http.StatusServiceUnavailable && reply.RetryAfter == "60.00"
+		}, forwardPatience, 20*time.Millisecond)
+	}
+	require.Eventually(t, func() bool {
+		return f.call(f.ask(1, imitator.PlainPath+"sound", "sound")).Status == http.StatusOK
+	}, forwardPatience, 20*time.Millisecond)
+	for _, run := range sound.Runs() {
+		require.NotContains(t, run.Attempt, "again-1")
+	}
+}
--- a/carrier/message.go
+++ b/carrier/message.go
@@ -83,6 +83,9 @@
 // Kind tells that m brings a list of endpoints.
 func (m *EndpointsReply) Kind() Kind { return KindEndpointsReply }
 
+// Kind tells that m brings changes of endpoints.
+func (m *EndpointsNews) Kind() Kind { return KindEndpointsNews }
+
 // NewMessage gives an empty message of the kind, to decode a frame into.
 func NewMessage(kind Kind) (Message, error) {
 	switch kind {
@@ -124,6 +127,8 @@
 		return &ConfigReply{}, nil
 	case KindEndpointsCall:
 		return &EndpointsCall{}, nil
+	case KindEndpointsNews:
+		return &EndpointsNews{}, nil
 	case KindEndpointsReply:
 		return &EndpointsReply{}, nil
 	default:
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -31,6 +31,7 @@
 	KindConfigReply
 	KindEndpointsCall
 	KindEndpointsReply
+	KindEndpointsNews
 )
 
 // Challenge opens a connection in both directions: the peer must prove that it knows the shared key.
@@ -308,6 +309,16 @@
 	Zone     string
 	Slots    int32
 	Draining bool
+	// Removed entries have only their ID and offset.
+	Removed bool
+}
+
+// EndpointsNews brings the changes of endpoints' entries that the entry which reads the store for all has just read.
+type EndpointsNews struct {
+	// From is the offset of the first change that may be among them, Next that after the last one.
+	From    int64           `msg:"from"`
+	Next    int64           `msg:"next"`
+	Entries []EndpointEntry `msg:"entries,limit=65536"`
 }
 
 // EndpointsReply brings the list of endpoints as the sender knows it.
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -1633,8 +1633,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadString()
@@ -1672,13 +1672,18 @@
 		err = msgp.WrapError(err, "Draining")
 		return
 	}
+	z.Removed, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Removed")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *EndpointEntry) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+	// array header, size 8
+	err = en.Append(0x98)
 	if err != nil {
 		return
 	}
@@ -1717,14 +1722,19 @@
 		err = msgp.WrapError(err, "Draining")
 		return
 	}
+	err = en.WriteBool(z.Removed)
+	if err != nil {
+		err = msgp.WrapError(err, "Removed")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointEntry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendString(o, z.ID)
 	o = msgp.AppendInt64(o, z.Offset)
 	o = msgp.AppendString(o, z.Service)
@@ -1732,6 +1742,7 @@
 	o = msgp.AppendString(o, z.Zone)
 	o = msgp.AppendInt32(o, z.Slots)
 	o = msgp.AppendBool(o, z.Draining)
+	o = msgp.AppendBool(o, z.Removed)
 	return
 }
 
@@ -1743,8 +1754,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadStringBytes(bts)
@@ -1782,13 +1793,18 @@
 		err = msgp.WrapError(err, "Draining")
 		return
 	}
+	z.Removed, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Removed")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EndpointEntry) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone) + msgp.Int32Size + msgp.BoolSize
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone) + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize
 	return
 }
 
@@ -2083,6 +2099,210 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *EndpointsNews) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "from":
+			z.From, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "next":
+			z.Next, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		case "entries":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Entries")
+				return
+			}
+			if zb0002 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Entries) >= int(zb0002) {
+				z.Entries = (z.Entries)[:zb0002]
+			} else {
+				z.Entries = make([]EndpointEntry, zb0002)
+			}
+			for za0001 := range z.Entries {
+				err = z.Entries[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *EndpointsNews) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "from"
+	err = en.Append(0x83, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.From)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	// write "next"
+	err = en.Append(0xa4, 0x6e, 0x65, 0x78, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Next)
+	if err != nil {
+		err = msgp.WrapError(err, "Next")
+		return
+	}
+	// write "entries"
+	err = en.Append(0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Entries)))
+	if err != nil {
+		err = msgp.WrapError(err, "Entries")
+		return
+	}
+	for za0001 := range z.Entries {
+		err = z.Entries[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *EndpointsNews) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "from"
+	o = append(o, 0x83, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = msgp.AppendInt64(o, z.From)
+	// string "next"
+	o = append(o, 0xa4, 0x6e, 0x65, 0x78, 0x74)
+	o = msgp.AppendInt64(o, z.Next)
+	// string "entries"
+	o = append(o, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+	for za0001 := range z.Entries {
+		o, err = z.Entries[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EndpointsNews) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "from":
+			z.From, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "next":
+			z.Next, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		case "entries":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries")
+				return
+			}
+			if zb0002 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Entries) >= int(zb0002) {
+				z.Entries = (z.Entries)[:zb0002]
+			} else {
+				z.Entries = make([]EndpointEntry, zb0002)
+			}
+			for za0001 := range z.Entries {
+				bts, err = z.Entries[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *EndpointsNews) Msgsize() (s int) {
+	s = 1 + 5 + msgp.Int64Size + 5 + msgp.Int64Size + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Entries {
+		s += z.Entries[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *EndpointsReply) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"geraniumline/connector"
 	"geraniumline/detector"
 	"geraniumline/ejector"
+	"geraniumline/quarantiner"
 	"geraniumline/registrar"
 	"geraniumline/retrier"
 	"geraniumline/selector"
@@ -85,8 +86,10 @@
 	selector *selector.Selector
 	detector *detector.Detector
 	retrier  *retrier.Retrier
-	pools    map[string]*collector.Pool
-	asks     map[askID]*ask
+	// quarantiner knows the contents that crash endpoints, here and at peers.
+	quarantiner *quarantiner.Quarantiner
+	pools       map[string]*collector.Pool
+	asks        map[askID]*ask
 	// waits are what peers say of the stage pools that they collect for.
 	waits map[string]stageWait
 	// addresses are the peers' addresses by name.
@@ -95,6 +98,10 @@
 	askedConfig    time.Time
 	askedEndpoints time.Time
 	behindSince    time.Time
+	// newsAt is when the entry that reads the store for all was heard last.
+	newsAt time.Time
+	// storeLost is set while the store does not answer this entry.
+	storeLost bool
 
 	inFlight    atomic.Int64
 	lastRequest atomic.Int64
@@ -130,6 +137,8 @@
 			Reserve:  max(1, cfg.RetrySlack*retryShare/usualEntries),
 			Attempts: maxEndpoints,
 		}),
+		quarantiner: quarantiner.New(quarantiner.Config{}),
+
 		pools:     make(map[string]*collector.Pool),
 		asks:      make(map[askID]*ask),
 		waits:     make(map[string]stageWait),
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -88,6 +88,9 @@
 	if failure := x.readBody(); failure != nil {
 		return failure
 	}
+	if failure := x.checkContent(); failure != nil {
+		return failure
+	}
 	ctx, cancel := context.WithDeadline(x.in.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -45,38 +45,52 @@
 	return nil
 }
 
-// TakeEndpoints takes changes of endpoints' entries up to the offset next.
-func (f *Forwarder) TakeEndpoints(changes []registrar.Change, next int64, now time.Time) {
-	f.withRegistry(now, func() { f.registry.Apply(changes, next, now) })
+// TakeEndpoints takes changes of endpoints' entries, from one offset up to another, that were read from the store. The
+// entry that reads for all passes them on.
+func (f *Forwarder) TakeEndpoints(changes []registrar.Change, from, next int64, now time.Time) {
+	f.withRegistry(now, func() []func() {
+		f.registry.Apply(changes, next, now)
+		return f.passOn(changes, from, next)
+	})
 }
 
 // ReplaceEndpoints takes the newest entry of every endpoint.
 func (f *Forwarder) ReplaceEndpoints(all []registrar.Change, next int64, now time.Time) {
-	f.withRegistry(now, func() { f.registry.Replace(all, next, now) })
+	f.withRegistry(now, func() []func() {
+		f.registry.Replace(all, next, now)
+		return nil
+	})
 }
 
-func (f *Forwarder) withRegistry(now time.Time, change func()) {
+func (f *Forwarder) withRegistry(now time.Time, change func() []func()) {
 	f.mu.Lock()
-	change()
-	todo := f.endpointsChanged(now)
+	todo := change()
+	todo = append(todo, f.endpointsChanged(now)...)
 	f.mu.Unlock()
 	run(todo)
 }
 
-// StoreHeard notes that the store has answered.
+// StoreHeard notes that the store has answered this entry.
 func (f *Forwarder) StoreHeard(now time.Time) {
 	f.mu.Lock()
-	news := f.registry.Heard(now)
+	f.registry.Heard(now)
+	news := f.storeLost
+	f.storeLost = false
 	f.mu.Unlock()
 	if news {
 		f.log.Info("store answers again")
 	}
 }
 
-// StoreLost notes that the store does not answer.
-func (f *Forwarder) StoreLost(err error) {
+// StoreLost notes that the store does not answer this entry. For the list of endpoints that counts only if it does not
+// answer the entry that reads for all either.
+func (f *Forwarder) StoreLost(err error, now time.Time) {
 	f.mu.Lock()
-	news := f.registry.Lost()
+	if now.Sub(f.newsAt) >= newsPatience {
+		f.registry.Lost()
+	}
+	news := !f.storeLost
+	f.storeLost = true
 	f.mu.Unlock()
 	if news {
 		f.log.Warn("store does not answer", zap.Error(err))
--- /dev/null
+++ b/forwarder/mesh_test.go
@@ -0,0 +1,231 @@
+package forwarder
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"geraniumline/carrier"
+	"geraniumline/cataloger"
+	"geraniumline/collector"
+	"geraniumline/connector"
+	"geraniumline/registrar"
+	"geraniumline/selector"
+)
+
+// noWire is for tests that send nothing to endpoints.
+type noWire struct{ Wire }
+
+func (noWire) EncodePieces([]collector.Piece, time.Time) ([]byte, error) {
+	return []byte("pieces"), nil
+}
+func (noWire) EncodeFree([]string) ([]byte, error) { return []byte("free"), nil }
+func (noWire) PiecesTarget() string                { return "/pieces" }
+func (noWire) FreeTarget() string                  { return "/free" }
+func (noWire) InstanceHeader(string) http.Header   { return http.Header{} }
+
+// mesh joins forwarders without a network. A cut entry's messages go nowhere.
+type mesh struct {
+	t     *testing.T
+	nodes map[string]*Forwarder
+	cut   map[string]bool
+	sent  map[string]int
+	now   time.Time
+}
+
+// port is one entry's way into the mesh.
+type port struct {
+	m    *mesh
+	name string
+}
+
+func (p port) Send(address string, message carrier.Message) {
+	p.m.sent[fmt.Sprintf("%T", message)]++
+	target, known := p.m.nodes[address]
+	if !known || p.m.cut[p.name] || p.m.cut[address] {
+		return
+	}
+	target.TakeMessage(p.name, message)
+}
+
+// configOf makes a configuration whose text is its version.
+func configOf(data []byte) (*cataloger.Catalog, error) {
+	version, err := strconv.ParseInt(string(data), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return cataloger.New(cataloger.Config{Version: version, Services: []cataloger.Service{
+		{Name: "encode", Stage: &cataloger.StagePool{Slots: 1, Batch: 8, CallTime: time.Hour, RoomBytes: 1 << 30, ResultTTL: time.Hour}},
+		{Name: "plain"},
+	}})
+}
+
+func newMesh(t *testing.T, n int) *mesh {
+	t.Helper()
+	m := &mesh{t: t, nodes: map[string]*Forwarder{}, cut: map[string]bool{}, sent: map[string]int{}, now: time.Now()}
+	for i := range n {
+		name := fmt.Sprintf("entry-%d", i)
+		f := New(Config{
+			Name:          name,
+			Zone:          "z",
+			CallerAddress: "caller-" + name,
+			PeerAddress:   name,
+			Seeds:         []string{"entry-0"},
+			Incarnation:   1,
+			AddressTTL:    time.Second,
+			RetryRatio:    0.2,
+			RetrySlack:    54,
+			Wire:          noWire{},
+			Client:        connector.New(connector.Config{}),
+			DecodeConfig:  configOf,
+			Log:           zap.NewNop(),
+		}, m.now)
+		f.SetSender(port{m, name})
+		m.nodes[name] = f
+		require.NoError(t, f.TakeConfig([]byte("1"), "test", m.now))
+		f.StoreHeard(m.now)
+		f.ReplaceEndpoints(nil, 0, m.now)
+	}
+	m.beat(5)
+	return m
+}
+
+// beat lets all entries send heartbeats.
+func (m *mesh) beat(rounds int) {
+	for range rounds {
+		for i := range len(m.nodes) {
+			m.nodes[fmt.Sprintf("entry-%d", i)].heartbeat(time.Now())
+		}
+	}
+}
+
+func (m *mesh) reader(now time.Time) []string {
+	var names []string
+	for name, f := range m.nodes {
+		if _, reads := f.ReadsEndpoints(now); reads {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func endpointAt(id string) registrar.Change {
+	return registrar.Change{ID: id, Offset: 3, Endpoint: &registrar.Endpoint{ID: id, Service: "plain", Address: id + ":1"}}
+}
+
+// The entry that reads the store for all falls silent. The others must read for themselves before an endpoint's leaving
+// is two seconds old, and stop when they are told again.
+func TestOneEntryReadsTheStoreForAll(t *testing.T) {
+	m := newMesh(t, 3)
+	now := time.Now()
+	require.Len(t, m.reader(now), 3, "nobody has told anything yet")
+	duty, _ := m.nodes["entry-0"].owner(readerDuty, nil)
+	m.nodes[duty].TakeEndpoints([]registrar.Change{endpointAt("a")}, 0, 4, now)
+	require.Equal(t, []string{duty}, m.reader(time.Now()))
+	for _, f := range m.nodes {
+		require.Equal(t, 1, f.selector.Count("plain"))
+		from, _ := f.ReadsEndpoints(now)
+		require.Equal(t, int64(4), from)
+	}
+	require.Len(t, m.reader(time.Now().Add(newsPatience)), 3)
+
+	m.nodes[duty].TakeEndpoints([]registrar.Change{{ID: "a", Offset: 9}}, 9, 10, time.Now())
+	for name, f := range m.nodes {
+		want := 1
+		if name == duty {
+			want = 0
+		}
+		require.Equal(t, want, f.selector.Count("plain"), "news after a gap are of no use")
+	}
+}
+
+// A stale read brings an older configuration, with a key that was withdrawn since.
+func TestAConfigurationNeverGoesBack(t *testing.T) {
+	m := newMesh(t, 1)
+	f := m.nodes["entry-0"]
+	require.NoError(t, f.TakeConfig([]byte("7"), "test", time.Now()))
+	require.NoError(t, f.TakeConfig([]byte("5"), "peer", time.Now()))
+	require.Equal(t, int64(7), f.Catalog().Version())
+	require.Error(t, f.TakeConfig([]byte("garbage"), "peer", time.Now()))
+	require.Equal(t, int64(7), f.Catalog().Version())
+}
+
+// The entry that collects pieces goes silent with an ask. The request's entry asks another one well inside an objective,
+// and a second result of a piece is freed.
+func TestPiecesAreAskedForElsewhereWhenTheCollectorIsSilent(t *testing.T) {
+	m := newMesh(t, 3)
+	owner, _ := m.nodes["entry-0"].owner("encode", nil)
+	var asking *Forwarder
+	for name, f := range m.nodes {
+		if name != owner {
+			asking = f
+			break
+		}
+	}
+	m.cut[owner] = true
+	a := asking.askPieces("encode", collector.Group{
+		ID:       collector.GroupID{Origin: asking.cfg.Name, Request: "r"},
+		Segments: []int{0, 1},
+		Due:      time.Now().Add(time.Second),
+		Deadline: time.Now().Add(10 * time.Second),
+	})
+	require.Equal(t, owner, a.owner)
+	require.False(t, a.taken)
+	asking.locked(func() []func() { return asking.checkAsks(time.Now().Add(takenPatience + time.Millisecond)) })
+	require.NotEqual(t, owner, a.owner)
+	require.True(t, a.taken)
+
+	first := carrier.PieceResult{Number: 0, Handle: "h0", Address: "x:1"}
+	asking.TakeMessage(a.owner, &carrier.PieceResults{Service: "encode", Request: "r", Results: []carrier.PieceResult{first}})
+	got := <-a.results
+	require.Equal(t, "h0", got.Result.Handle)
+	m.cut[owner] = false
+	freed := m.sent["*carrier.PieceFree"]
+	second := carrier.PieceResult{Number: 0, Handle: "h0-again", Address: "y:1"}
+	asking.TakeMessage(owner, &carrier.PieceResults{Service: "encode", Request: "r", Results: []carrier.PieceResult{second}})
+	require.Equal(t, freed+1, m.sent["*carrier.PieceFree"])
+	require.Empty(t, a.results)
+}
+
+func TestAddressesNameLiveEntries(t *testing.T) {
+	m := newMesh(t, 3)
+	addresses, ttl := m.nodes["entry-1"].Addresses(time.Now())
+	require.ElementsMatch(t, []string{"caller-entry-0", "caller-entry-1", "caller-entry-2"}, addresses)
+	require.Equal(t, youngTTL, ttl, "a young entry may not know all yet")
+	m.nodes["entry-2"].stopping.Store(true)
+	m.beat(1)
+	addresses, ttl = m.nodes["entry-1"].Addresses(m.now.Add(time.Minute))
+	require.ElementsMatch(t, []string{"caller-entry-0", "caller-entry-1"}, addresses)
+	require.Equal(t, time.Second, ttl)
+}
+
+func TestPeersWorkIsToldAndForgotten(t *testing.T) {
+	m := newMesh(t, 2)
+	now := time.Now()
+	for _, f := range m.nodes {
+		f.ReplaceEndpoints([]registrar.Change{endpointAt("a"), endpointAt("b")}, 5, now)
+	}
+	choice, found := m.nodes["entry-0"].choosePlain()
+	require.True(t, found)
+	m.beat(1)
+	other, found := m.nodes["entry-1"].choosePlain()
+	require.True(t, found)
+	require.NotEqual(t, choice.Endpoint.ID, other.Endpoint.ID)
+}
+
+// choosePlain begins a call as a request does.
+func (f *Forwarder) choosePlain() (selector.Choice, bool) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	choice, found := f.selector.Choose(selector.Ask{Service: "plain"}, now)
+	if found {
+		f.selector.Started(choice, nil)
+	}
+	return choice, found
+}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -8,7 +8,6 @@
 	"geraniumline/carrier"
 	"geraniumline/collector"
 	"geraniumline/detector"
-	"geraniumline/registrar"
 )
 
 const (
@@ -34,6 +33,7 @@
 	f.setSelf()
 	transitions := f.detector.Tick(now)
 	beat := f.detector.Heartbeat(now)
+	beat.Crashes = f.quarantiner.Marks(now)
 	targets := f.detector.Targets(now)
 	work := f.work(now)
 	questions := f.questions(now)
@@ -127,7 +127,10 @@
 	now := time.Now()
 	switch m := m.(type) {
 	case *carrier.Heartbeat:
-		f.locked(func() []func() { return f.takeTransitions(f.detector.Receive(m, now), now) })
+		f.locked(func() []func() {
+			f.quarantiner.Heard(m.Crashes, now)
+			return f.takeTransitions(f.detector.Receive(m, now), now)
+		})
 	case *carrier.Work:
 		f.locked(func() []func() { f.takeWork(from, m, now); return nil })
 	case *carrier.ConfigCall:
@@ -139,6 +142,8 @@
 		f.locked(func() []func() { return f.replyEndpoints(from, now) })
 	case *carrier.EndpointsReply:
 		f.takeEndpointsReply(m, now)
+	case *carrier.EndpointsNews:
+		f.locked(func() []func() { return f.takeNews(m, now) })
 	case *carrier.PieceAsk:
 		f.locked(func() []func() { return f.takeAsk(from, m, now) })
 	case *carrier.PieceTaken:
@@ -216,33 +221,13 @@
 	}
 	reply := &carrier.EndpointsReply{Next: f.registry.Next(), AgeMillis: f.registry.Age(now).Milliseconds()}
 	for _, c := range f.registry.Changes() {
-		e := c.Endpoint
-		reply.Entries = append(reply.Entries, carrier.EndpointEntry{
-			ID:       c.ID,
-			Offset:   c.Offset,
-			Service:  e.Service,
-			Address:  e.Address,
-			Zone:     e.Zone,
-			Slots:    int32(e.Slots),
-			Draining: e.Draining,
-		})
+		reply.Entries = append(reply.Entries, entryOf(c))
 	}
 	return []func(){f.sendTo(from, reply)}
 }
 
 func (f *Forwarder) takeEndpointsReply(m *carrier.EndpointsReply, now time.Time) {
-	all := make([]registrar.Change, len(m.Entries))
-	for i, e := range m.Entries {
-		all[i] = registrar.Change{ID: e.ID, Offset: e.Offset, Endpoint: &registrar.Endpoint{
-			ID:       e.ID,
-			Service:  e.Service,
-			Address:  e.Address,
-			Zone:     e.Zone,
-			Slots:    int(e.Slots),
-			Draining: e.Draining,
-		}}
-	}
-	f.ReplaceEndpoints(all, m.Next, now)
+	f.ReplaceEndpoints(changesOf(m.Entries), m.Next, now)
 }
 
 // sendTo sends a message to the peer of the name.
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -71,6 +71,7 @@
 		return false, nil
 	}
 	x.endTimed(choice, bad, time.Since(began))
+	x.clearContent()
 	x.sendWhole(answer, body)
 	return true, nil
 }
@@ -123,6 +124,7 @@
 	}
 	x.runs++
 	x.end(choice, ejector.Bad, true)
+	x.brokenAt(choice.Endpoint)
 	if x.ctx.Err() != nil {
 		return true, timedOut()
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -161,6 +161,7 @@
 	}
 	x.runs++
 	x.end(choice, ejector.Bad, true)
+	x.brokenAt(choice.Endpoint)
 	x.f.log.Info("stream broke off",
 		zap.String("request", x.req.ID),
 		zap.String("endpoint", choice.Endpoint.ID),
@@ -249,6 +250,7 @@
 func (s *streamer) finish(choice selector.Choice, answer *connector.Answer, rest []byte, empty bool) (bool, *FailureError) {
 	s.x.runs++
 	s.x.end(choice, ejector.Good, false)
+	s.x.clearContent()
 	s.head(answer)
 	if len(rest) > 0 || empty {
 		_, _ = s.x.w.Write(rest)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -81,22 +81,16 @@
 // Age is how long ago the store's word was read.
 func (r *Registry) Age(now time.Time) time.Duration { return now.Sub(r.heard) }
 
-// Lost notes that the store does not answer, and tells whether that is news.
-func (r *Registry) Lost() bool {
-	news := !r.away
-	r.away = true
-	return news
-}
+// Lost notes that the store does not answer.
+func (r *Registry) Lost() { r.away = true }
 
-// Heard notes that the store has answered, and tells whether it had been lost.
-func (r *Registry) Heard(now time.Time) bool {
-	news := r.away
-	if news {
+// Heard notes that the store has answered.
+func (r *Registry) Heard(now time.Time) {
+	if r.away {
 		r.returned = now
 	}
 	r.away = false
 	r.heard = now
-	return news
 }
 
 // Apply takes changes that follow the ones before, up to the offset next.
