Tell at once what can't be done before its deadline

Change: a group whose turn would come after its deadline even in full calls is told at once, and its caller when to come back; a request is refused at the door by the same figure.

--- a/collector/collector.go
+++ b/collector/collector.go
@@ -111,27 +111,8 @@
 	return n
 }
 
-// Wait predicts how long a piece that comes now would wait for its call to begin.
-func (p *Pool) Wait(now time.Time) time.Duration {
-	usable, free := 0, 0
-	for _, e := range p.endpoints {
-		if e.health.State() != ejector.InUse {
-			continue
-		}
-		usable++
-		if e.free(p.cfg.Stage.Slots, now) {
-			free++
-		}
-	}
-	if usable == 0 {
-		return p.cfg.Stage.CallDuration(p.cfg.Stage.Batch)
-	}
-	batches := (p.Waiting() + p.cfg.Stage.Batch) / p.cfg.Stage.Batch
-	if batches <= free {
-		return 0
-	}
-	return time.Duration(batches-free) * p.cfg.Stage.CallDuration(p.cfg.Stage.Batch) / time.Duration(usable)
-}
+// Wait predicts how long a piece that comes now, no more urgent than others, would wait for its call to begin.
+func (p *Pool) Wait() time.Duration { return p.queueTime(p.Waiting(), max(p.usable(), 1)) }
 
 func (p *Pool) setEndpoints(all []registrar.Endpoint) {
 	known := make(map[string]*endpoint, len(p.endpoints))
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -290,3 +290,21 @@
 	require.Less(t, alone, 0.5)
 	require.Greater(t, batch, 2.0)
 }
+
+// Under a load of three times the pool, urgent work takes all of it. Callers of the rest are told as soon as it is sure
+// that nothing will come before their deadline, and not when it has passed.
+func TestOverloadIsToldBeforeTheDeadline(t *testing.T) {
+	w := newWorld(usualStage(), 1)
+	for i := range 60 {
+		w.arrive(0, fmt.Sprint("urgent", i), 8, func(g *Group) { g.Deadline = start.Add(time.Minute) })
+	}
+	id := w.arrive(100*time.Millisecond, "patient", 8, func(g *Group) {
+		g.Priority = 1
+		g.Deadline = start.Add(8 * time.Second)
+	})
+	w.run(9 * time.Second)
+	require.Len(t, w.reasons(id), 8)
+	require.Equal(t, Overload, w.reasons(id)[0])
+	require.Less(t, w.gotAt[id].Sub(start), 200*time.Millisecond)
+	require.Greater(t, w.pool.Wait(), 5*time.Second)
+}
--- a/collector/group.go
+++ b/collector/group.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"geraniumline/ejector"
 )
 
 // group is a Group with how far its pieces are.
@@ -65,19 +67,50 @@
 	g.waiting = append(g.waiting, segment)
 }
 
-// expireGroups tells the pieces that can't be made before their deadline. Held until then they would only keep the
-// caller from coming back in time.
+// expireGroups tells the pieces that can't be made before their deadline: too little time is left for a call, or what
+// goes before them takes longer even in full calls. Held until then they would only keep the caller from coming back.
 func (p *Pool) expireGroups(now time.Time) {
-	shortest := p.cfg.Stage.CallDuration(1)
-	for _, g := range p.groups {
-		if len(g.waiting) == 0 || now.Add(shortest).Before(g.Deadline) {
-			continue
+	usable := p.usable()
+	before := 0
+	for _, g := range p.ordered(now) {
+		n := len(g.waiting)
+		before += n
+		call := p.cfg.Stage.CallDuration(min(n, p.cfg.Stage.Batch))
+		switch {
+		case g.Deadline.Before(now.Add(p.cfg.Stage.CallDuration(1))):
+			p.giveUp(g, Late)
+			before -= n
+		case !g.started() && usable > 0 && g.Deadline.Before(now.Add(p.queueTime(before-n, usable)+call)):
+			p.giveUp(g, Overload)
+			before -= n
 		}
-		for _, segment := range g.waiting {
-			p.deliver(g, segment, PieceResult{Reason: Late}, nil)
+	}
+}
+
+// giveUp tells that a group's waiting pieces are not made.
+func (p *Pool) giveUp(g *group, why Reason) {
+	waiting := g.waiting
+	g.waiting = nil
+	for _, segment := range waiting {
+		p.deliver(g, segment, PieceResult{Reason: why}, nil)
+	}
+}
+
+// queueTime is the least time in which so many pieces are made.
+func (p *Pool) queueTime(pieces, usable int) time.Duration {
+	calls := pieces / p.cfg.Stage.Batch
+	return time.Duration(calls/(usable*p.cfg.Stage.Slots)) * p.cfg.Stage.CallDuration(p.cfg.Stage.Batch)
+}
+
+// usable is how many endpoints are in use.
+func (p *Pool) usable() int {
+	n := 0
+	for _, e := range p.endpoints {
+		if e.health.State() == ejector.InUse {
+			n++
 		}
-		g.waiting = nil
 	}
+	return n
 }
 
 // ordered lists the groups that wait, first what should be made first.
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -21,12 +21,6 @@
 	askEvery = 500 * time.Millisecond
 )
 
-// stageWait is a peer's word on how long pieces of a service wait.
-type stageWait struct {
-	wait time.Duration
-	at   time.Time
-}
-
 // heartbeat tells peers of this entry and asks them for what it lacks.
 func (f *Forwarder) heartbeat(now time.Time) {
 	f.mu.Lock()
@@ -35,7 +29,7 @@
 	beat := f.detector.Heartbeat(now)
 	beat.Crashes = f.quarantiner.Marks(now)
 	targets := f.detector.Targets(now)
-	work := f.work(now)
+	work := f.work()
 	questions := f.questions(now)
 	todo := f.takeTransitions(transitions, now)
 	f.mu.Unlock()
@@ -71,14 +65,14 @@
 }
 
 // work tells what this entry has under way. The lock is held.
-func (f *Forwarder) work(now time.Time) *carrier.Work {
+func (f *Forwarder) work() *carrier.Work {
 	w := &carrier.Work{}
 	for id, tokens := range f.selector.Work() {
 		w.Endpoints = append(w.Endpoints, carrier.EndpointWork{ID: id, Tokens: int32(tokens)})
 	}
 	for service, p := range f.pools {
 		if owner, ok := f.owner(service, nil); ok && owner == f.cfg.Name {
-			wait := p.Wait(now).Milliseconds()
+			wait := p.Wait().Milliseconds()
 			w.Stages = append(w.Stages, carrier.StageWait{Service: service, Millis: int32(wait)})
 		}
 	}
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -80,6 +80,28 @@
 	return s
 }
 
+// checkTime refuses a request that can't be answered before its deadline, by what waits at the stages on its way.
+func (s *stageWork) checkTime(now time.Time) *FailureError {
+	longest, service := time.Duration(0), ""
+	total := modelTime
+	for i, stage := range s.x.route.Stages {
+		if s.counts[i] == 0 {
+			continue
+		}
+		wait := s.x.f.waitOf(stage.Service)
+		if wait > longest {
+			longest, service = wait, stage.Service
+		}
+		if len(stage.After) == 0 {
+			total = max(total, modelTime+s.callTime(i)+s.after(i))
+		}
+	}
+	if longest == 0 || now.Add(total+longest).Before(s.x.deadline) {
+		return nil
+	}
+	return notRun("overload", s.x.f.comeBack(service))
+}
+
 // run has all stages done, each as soon as those before it are.
 func (s *stageWork) run() *FailureError {
 	ends := make(chan stageEnd, 1)
@@ -273,7 +295,7 @@
 			zap.String("request", s.x.req.ID),
 			zap.Int("stage", end.stage),
 			zap.Stringer("reason", end.Result.Reason))
-		return notRun("stage"+end.Result.Reason.String(), soon())
+		return notRun("stage"+end.Result.Reason.String(), s.x.f.comeBack(s.x.route.Stages[end.stage].Service))
 	}
 	s.made[end.stage][end.Segment] = collector.Made{Handle: end.Result.Handle, Address: end.Address}
 	s.missing[end.stage]--
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -38,6 +38,9 @@
 func (x *exchange) serveStream() *FailureError {
 	stages := newStageWork(x)
 	defer stages.freeAll()
+	if failure := stages.checkTime(x.began); failure != nil {
+		return failure
+	}
 	if failure := stages.run(); failure != nil {
 		return failure
 	}
@@ -91,7 +94,7 @@
 	if answer.Status() != http.StatusOK {
 		return s.other(choice, answer)
 	}
-	return s.follow(&choice, answer, stall)
+	return s.follow(&choice, answer, stall, began)
 }
 
 // watch ends a silent attempt at a stream that may go on at another endpoint. An attempt that may not is left alone:
@@ -177,7 +180,7 @@
 }
 
 // follow passes whole events on until the stream ends.
-func (s *streamer) follow(choice *selector.Choice, answer *connector.Answer, stall *time.Timer) (bool, *FailureError) {
+func (s *streamer) follow(choice *selector.Choice, answer *connector.Answer, stall *time.Timer, sent time.Time) (bool, *FailureError) {
 	split := splitter.New(0)
 	buf := make([]byte, streamBuffer)
 	first := true
@@ -190,7 +193,7 @@
 			}
 			if len(events) > 0 && first {
 				first = false
-				s.begin(choice, answer)
+				s.begin(choice, answer, sent)
 			}
 			s.send(events)
 			if s.mayResume() {
@@ -208,8 +211,12 @@
 
 // begin passes the header on with the first event: until then another endpoint can take over unseen. The inputs have
 // been read by then, so their space is given back.
-func (s *streamer) begin(choice *selector.Choice, answer *connector.Answer) {
+func (s *streamer) begin(choice *selector.Choice, answer *connector.Answer, sent time.Time) {
 	x := s.x
+	x.f.log.Debug("first event",
+		zap.String("request", x.req.ID),
+		zap.Duration("afterStages", sent.Sub(x.began)),
+		zap.Duration("atModel", time.Since(sent)))
 	x.f.mu.Lock()
 	x.f.selector.Read(choice)
 	x.f.mu.Unlock()
