--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -20,6 +21,7 @@
 	"geraniumline/forwarder"
 	"geraniumline/guarder"
 	"geraniumline/messenger"
+	"geraniumline/meter"
 	"geraniumline/platform"
 )
 
@@ -43,20 +45,36 @@
 // secret; who may reach the peers' port is for its network to say.
 var peerSecret = sha256.Sum256([]byte("geraniumline entries on one platform"))
 
+// ForwardConfig holds what an entry on the users' platform is built from.
+type ForwardConfig struct {
+	Settings platform.Settings
+	Log      *zap.Logger
+	// MetricsPort serves the metrics on the VM's address; 0 serves none.
+	MetricsPort int
+}
+
+// MetricsPath is where the metrics are served in the Prometheus text form.
+const MetricsPath = "/metrics"
+
 // forwarding is the parts of an entry that forwards between the platform's callers and endpoints.
 type forwarding struct {
-	settings  platform.Settings
+	settings    platform.Settings
+	metricsPort int
+
 	log       *zap.Logger
 	forwarder *forwarder.Forwarder
 	messenger *messenger.Messenger
 	servers   []*http.Server
 	idle      *idleConnections
+	meter     *meter.Meter
 }
 
 // RunForwarding runs an entry on the users' platform until a planned stop, begun by SIGTERM, is done.
-func RunForwarding(ctx context.Context, settings platform.Settings, logger *zap.Logger) error {
+func RunForwarding(ctx context.Context, cfg ForwardConfig) error {
 	now := time.Now()
-	e := &forwarding{settings: settings, log: logger, idle: newIdleConnections()}
+	settings := cfg.Settings
+	logger := cfg.Log.With(zap.String("entry", settings.Name))
+	e := &forwarding{settings: settings, log: logger, idle: newIdleConnections(), meter: meter.New(), metricsPort: cfg.MetricsPort}
 	e.forwarder = forwarder.New(forwarder.Config{
 		Name:          settings.Name,
 		Zone:          settings.Zone,
@@ -71,6 +89,7 @@
 		Client:        connector.New(connector.Config{}),
 		DecodeConfig:  platform.DecodeConfig,
 		Log:           logger,
+		Meter:         e.meter,
 	}, now)
 	if err := e.openPeers(); err != nil {
 		return err
@@ -94,6 +113,8 @@
 		Handler: e.forwarder.TakeMessage,
 		Refused: e.forwarder.RefusedPeer,
 		Log:     e.log,
+
+		Registry: e.meter.Registry(),
 	})
 	e.forwarder.SetSender(e.messenger)
 	return nil
@@ -138,6 +159,10 @@
 		muxes[address].Handle(path, h)
 	}
 	add(e.settings.ReadyAddress, platform.ReadyPath, http.HandlerFunc(e.forwarder.ServeReady))
+	if e.metricsPort > 0 {
+		address := net.JoinHostPort(e.settings.IP, strconv.Itoa(e.metricsPort))
+		add(address, MetricsPath, e.meter.PrometheusHandler())
+	}
 	add(e.settings.AddressesAddress, platform.AddressesPath, platform.AddressesHandler(e.forwarder.Addresses))
 	return muxes
 }
@@ -191,6 +216,7 @@
 		Store: platform.NewStore(e.settings.StoreAddress),
 		Sink:  e.forwarder,
 		Log:   e.log,
+		Meter: e.meter,
 	}
 	background.Go(func() { watcher.WatchConfig(ctx) })
 	background.Go(func() { watcher.WatchEndpoints(ctx) })
--- a/assembler/forwarding_test.go
+++ b/assembler/forwarding_test.go
@@ -31,12 +31,13 @@
 	t     *testing.T
 	site  *imitator.Site
 	nodes []*node
+	log   *zap.Logger
 }
 
 // newFleet starts n entries and waits until all are ready and know of each other.
 func newFleet(t *testing.T, n int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, site: imitator.NewSite()}
+	f := &fleet{t: t, site: imitator.NewSite(), log: zap.NewNop()}
 	t.Cleanup(f.close)
 	for range n {
 		f.start("")
@@ -63,7 +64,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	nd.stop = cancel
-	go func() { nd.done <- RunForwarding(ctx, settings, zap.NewNop()) }()
+	go func() { nd.done <- RunForwarding(ctx, ForwardConfig{Settings: settings, Log: f.log}) }()
 	f.nodes = append(f.nodes, nd)
 	return nd
 }
--- a/collector/event.go
+++ b/collector/event.go
@@ -105,6 +105,20 @@
 	Broken
 )
 
+// String gives the end as logs name it.
+func (e CallEnd) String() string {
+	switch e {
+	case Answered:
+		return "answered"
+	case Refused:
+		return "refused"
+	case Unreachable:
+		return "unreachable"
+	default:
+		return "broken"
+	}
+}
+
 // Event is what can happen to a pool.
 type Event interface{ event() }
 
--- /dev/null
+++ b/explainer/cause.go
@@ -0,0 +1,46 @@
+package explainer
+
+// causes tells what each reason in the line of a request's end means, and what to do. A test compares them with the
+// reasons that requests end with.
+var causes = map[string]string{
+	"starting":         "the entry did not know the configuration or the endpoints yet; it has not run. Look for 'store does not answer'.",
+	"noRoute":          "no route of the version in force has this host and path. Compare 'version' with the operator's newest.",
+	"badHeader":        "the caller's header can't be used.",
+	"unknownKey":       "the key is in no client account of the version in force. Was it withdrawn?",
+	"ambiguousLength":  "the request told its length in two ways; it was refused and its connection closed.",
+	"bodyTooLarge":     "the body is over the configuration's limit.",
+	"bodyCut":          "the caller's body did not come whole.",
+	"unknownService":   "the route names a service that the version in force does not have; it has not run.",
+	"crashesEndpoints": "the same content crashed two endpoints that ran it; it has not run. See 'endpoint crashed with a request'.",
+	"overload":         "what waited at the stages would have taken until after its deadline; it has not run. See piece_waiting.",
+	"stageoverload":    "more urgent pieces would have taken the stage until after its deadline; it has not run. See piece_waiting.",
+	"stagelate":        "its pieces waited until too little time was left for a call; it has not run. See 'waits' in 'stage failed'.",
+	"stageinputGone":   "results of an earlier stage lapsed before they were used, more than twice; it has not run.",
+	"stagenoRoom":      "no endpoint of the stage had space for its results; it has not run.",
+	"stagefailed":      "its pieces failed in several calls; it has not run. See 'call for pieces failed' for the endpoints.",
+	"stagesTimedOut":   "its deadline or its route's timeout passed while stages were done; it has not run.",
+	"stageResultGone":  "the model engine found a stage's result lapsed; it has not run.",
+	"noEndpoint":       "all endpoints of the service were tried, or none is in use.",
+	"noEndpointTook":   "several endpoints turned it away, or the budget of extra calls was used up.",
+	"endpointBroke":    "an endpoint broke off after it had the request: it may have run, and was not sent again.",
+	"endpointFailed":   "an endpoint failed in the middle of the stream.",
+	"timeout":          "its deadline or its route's timeout passed while an endpoint had it: it may have run.",
+	"callerGone":       "the caller left before the answer; the endpoint's work was ended.",
+}
+
+// Explain tells what a reason means.
+func Explain(reason string) string {
+	if text, known := causes[reason]; known {
+		return text
+	}
+	return "this version knows no such reason"
+}
+
+// Reasons lists the reasons that Explain knows.
+func Reasons() []string {
+	list := make([]string, 0, len(causes))
+	for reason := range causes {
+		list = append(list, reason)
+	}
+	return list
+}
--- /dev/null
+++ b/explainer/explainer_test.go
@@ -0,0 +1,64 @@
+package explainer
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+)
+
+const logs = `0.2 entry-b {"level":"info","time":"2026-01-01T00:00:00.3Z","msg":"call for pieces","entry":"entry-b","requests":["id-1","id-2"],"pieces":2}
+{"level":"info","time":"2026-01-01T00:00:00.1Z","msg":"endpoint chosen","entry":"entry-a","request":"id-1","endpoint":"i-1"}
+{"level":"info","time":"2026-01-01T00:00:00.2Z","msg":"endpoint chosen","entry":"entry-a","request":"id-10","endpoint":"i-1"}
+not a log line of id-1
+{"level":"warn","time":"2026-01-01T00:00:00.5Z","msg":"request failed","entry":"entry-a","request":"id-1","reason":"stagelate","status":503}
+`
+
+func TestReport(t *testing.T) {
+	report, err := Read(strings.NewReader(logs), "id-1")
+	require.NoError(t, err)
+	require.Equal(t, "stagelate", report.Cause)
+	require.Equal(t, 1, report.Bad)
+	var b strings.Builder
+	require.NoError(t, report.Write(&b))
+	goldie.New(t).Assert(t, "report", []byte(b.String()))
+}
+
+func TestNothingOnRecord(t *testing.T) {
+	report, err := Read(strings.NewReader(logs), "id-7")
+	require.NoError(t, err)
+	var b strings.Builder
+	require.NoError(t, report.Write(&b))
+	require.Contains(t, b.String(), "no line names id-7")
+}
+
+// Each reason in the forwarder's sources must be explained, and each that is explained must exist.
+func TestEachReasonIsExplained(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join("..", "forwarder", "*.go"))
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	found := map[string]bool{}
+	pattern := regexp.MustCompile(`(?:notRun|mayHaveRun|giveUp)\("([A-Za-z]+)"|Reason: "([A-Za-z]+)"`)
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		text, err := os.ReadFile(file)
+		require.NoError(t, err)
+		for _, m := range pattern.FindAllStringSubmatch(string(text), -1) {
+			found[m[1]+m[2]] = true
+		}
+	}
+	delete(found, "stage") // completed by a piece's reason
+	for _, piece := range []string{"late", "inputGone", "noRoom", "failed", "overload"} {
+		found["stage"+piece] = true
+	}
+	for reason := range found {
+		require.Contains(t, causes, reason)
+	}
+	require.Len(t, Reasons(), len(found))
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"geraniumline/connector"
 	"geraniumline/detector"
 	"geraniumline/ejector"
+	"geraniumline/meter"
 	"geraniumline/quarantiner"
 	"geraniumline/registrar"
 	"geraniumline/retrier"
@@ -69,12 +70,14 @@
 	// DecodeConfig decodes a configuration as the operator wrote it.
 	DecodeConfig func(data []byte) (*cataloger.Catalog, error)
 	Log          *zap.Logger
+	Meter        *meter.Meter
 }
 
 // Forwarder is one entry's state and request path.
 type Forwarder struct {
 	cfg    Config
 	log    *zap.Logger
+	notes  *notes
 	sender Sender
 	began  time.Time
 
@@ -110,10 +113,14 @@
 
 // New makes a forwarder that knows nothing yet.
 func New(cfg Config, now time.Time) *Forwarder {
+	if cfg.Meter == nil {
+		cfg.Meter = meter.New()
+	}
 	random := rand.New(rand.NewPCG(cfg.Incarnation, uint64(len(cfg.Name))))
 	return &Forwarder{
 		cfg:      cfg,
 		log:      cfg.Log,
+		notes:    newNotes(cfg.Log, cfg.Meter),
 		began:    now,
 		registry: registrar.New(registrar.Config{}),
 		selector: selector.New(selector.Config{Rand: random, Ejector: ejector.Config{MaxShare: maxOut}}),
@@ -178,6 +185,8 @@
 		if now.Sub(sweep) >= sweepEvery {
 			sweep = now
 			f.cfg.Client.Sweep(now)
+			f.measure(now)
+			f.tellSampled(now)
 		}
 	}
 }
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -14,6 +14,7 @@
 
 	"geraniumline/cataloger"
 	"geraniumline/guarder"
+	"geraniumline/meter"
 	"geraniumline/registrar"
 	"geraniumline/selector"
 )
@@ -55,6 +56,8 @@
 	sends int
 	// headed is set once the answer's header has gone to the caller.
 	headed bool
+	// status is that of the endpoint's answer.
+	status int
 }
 
 // ServeHTTP answers callers' requests.
@@ -202,15 +205,28 @@
 // choose picks the next endpoint for the request and counts the call there.
 func (x *exchange) choose(ask selector.Ask) (selector.Choice, bool) {
 	now := time.Now()
-	x.f.mu.Lock()
-	defer x.f.mu.Unlock()
 	ask.Service = x.service.Name
 	ask.Avoid = x.tried
 	ask.NoProbe = !x.route.Repeatable()
+	x.f.mu.Lock()
 	choice, found := x.f.selector.Choose(ask, now)
 	if found {
 		x.f.selector.Started(choice, ask.Parts)
 	}
+	age := x.f.registry.Age(now)
+	count := x.f.selector.Count(ask.Service)
+	x.f.mu.Unlock()
+	x.f.cfg.Meter.Counter(meter.ForwardCalls, ask.Service).Inc(1)
+	x.f.note("endpoint chosen",
+		zap.String("request", x.req.ID),
+		zap.String("service", ask.Service),
+		zap.Bool("found", found),
+		zap.String("endpoint", choice.Endpoint.ID),
+		zap.String("zone", choice.Endpoint.Zone),
+		zap.Int("tokens", choice.Tokens),
+		zap.Int("cached", choice.Cached),
+		zap.Int("known", count),
+		zap.Duration("age", age))
 	return choice, found
 }
 
@@ -226,7 +242,17 @@
 		x.f.retrier.First(x.service.Name, false, now)
 		return true
 	}
-	return x.f.retrier.Retry(x.service.Name, x.sends, now)
+	allowed := x.f.retrier.Retry(x.service.Name, x.sends, now)
+	if allowed {
+		x.f.cfg.Meter.Counter(meter.ForwardRepeats, x.service.Name).Inc(1)
+	}
+	x.f.log.Info("another endpoint",
+		zap.String("request", x.req.ID),
+		zap.String("service", x.service.Name),
+		zap.Bool("allowed", allowed),
+		zap.Int("sends", x.sends),
+		zap.Int("runs", x.runs))
+	return allowed
 }
 
 // callInfo is what a call to the endpoint says.
@@ -249,11 +275,14 @@
 
 // log writes one line for the request's end.
 func (x *exchange) log(failure *FailureError) {
+	took := time.Since(x.began)
+	x.f.cfg.Meter.Histogram(meter.ForwardMicros).Update(took.Microseconds())
 	fields := []zap.Field{
 		zap.String("request", x.req.ID),
-		zap.Duration("took", time.Since(x.began)),
+		zap.Duration("took", took),
 		zap.Int64("version", x.version),
 		zap.Int("sends", x.sends),
+		zap.Int("runs", x.runs),
 		zap.String("target", x.in.RequestURI),
 	}
 	if x.route != nil {
@@ -262,13 +291,16 @@
 	if len(x.tried) > 0 {
 		fields = append(fields, zap.Strings("endpoints", x.tried))
 	}
-	switch {
-	case failure == nil:
-		x.f.log.Debug("request answered", fields...)
-	case x.callerGone():
-		x.f.log.Info("request left by its caller", fields...)
-	default:
-		fields = append(fields, zap.Int("status", failure.Status), zap.String("reason", failure.Reason))
-		x.f.log.Info("request failed", fields...)
+	if failure == nil {
+		x.f.cfg.Meter.Counter(meter.ForwardRequests, answeredOK).Inc(1)
+		x.f.note("request answered", append(fields, zap.Int("status", x.status))...)
+		return
 	}
+	x.f.cfg.Meter.Counter(meter.ForwardRequests, failure.Reason).Inc(1)
+	fields = append(fields,
+		zap.Int("status", failure.Status),
+		zap.String("reason", failure.Reason),
+		zap.Duration("retryAfter", failure.RetryAfter),
+		zap.Bool("callerGone", x.callerGone()))
+	x.f.log.Warn("request failed", fields...)
 }
--- /dev/null
+++ b/forwarder/note.go
@@ -0,0 +1,77 @@
+package forwarder
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"geraniumline/meter"
+)
+
+const (
+	// ordinaryRate bounds the lines a second on decisions of ordinary requests, ordinaryBurst what may come at once.
+	// An entry at today's sizes writes some 30; at 200 a line of 10 us takes 0.2% of a core.
+	ordinaryRate  = 200
+	ordinaryBurst = 400
+	// sampledEvery is how often the number of lines left out is told.
+	sampledEvery = 5 * time.Second
+)
+
+// The reasons for which log lines are not written.
+const (
+	overRate   = "rate"
+	answeredOK = "answered"
+)
+
+// notes writes decisions of ordinary requests as far as their rate allows. Failures and changes of belief go to the
+// logger itself.
+type notes struct {
+	log     *zap.Logger
+	limiter *rate.Limiter
+	left    int64
+	told    time.Time
+	meter   *meter.Meter
+}
+
+func newNotes(log *zap.Logger, m *meter.Meter) *notes {
+	return &notes{log: log, limiter: rate.NewLimiter(ordinaryRate, ordinaryBurst), meter: m}
+}
+
+// note writes a line on an ordinary decision.
+func (f *Forwarder) note(msg string, fields ...zap.Field) {
+	if f.notes.limiter.Allow() {
+		f.log.Info(msg, fields...)
+		return
+	}
+	f.notes.meter.Counter(meter.LogLinesDropped, overRate).Inc(1)
+}
+
+// tellSampled tells how many lines were left out since it was last told.
+func (f *Forwarder) tellSampled(now time.Time) {
+	if now.Sub(f.notes.told) < sampledEvery {
+		return
+	}
+	f.notes.told = now
+	total := f.notes.meter.Counter(meter.LogLinesDropped, overRate).Count()
+	if n := total - f.notes.left; n > 0 {
+		f.log.Warn("lines on ordinary requests left out", zap.Int64("lines", n))
+	}
+	f.notes.left = total
+}
+
+// measure sets the gauges.
+func (f *Forwarder) measure(now time.Time) {
+	m := f.cfg.Meter
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.Gauge(meter.ForwardInFlight).Update(f.inFlight.Load())
+	m.Gauge(meter.ConfigVersion).Update(f.version())
+	m.Gauge(meter.PeersLive).Update(int64(f.livePeers()))
+	if f.registry.Known() {
+		m.Gauge(meter.EndpointsAge).Update(f.registry.Age(now).Milliseconds())
+	}
+	for service, p := range f.pools {
+		m.Gauge(meter.PieceWaiting, service).Update(int64(p.Waiting()))
+	}
+}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -57,6 +57,17 @@
 	f.detector.SetSelf(state, f.version(), int32(f.inFlight.Load()))
 }
 
+// livePeers counts the other live entries. The lock is held.
+func (f *Forwarder) livePeers() int {
+	n := 0
+	for _, m := range f.detector.Members() {
+		if m.Name != f.cfg.Name && m.State == detector.Live {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *Forwarder) version() int64 {
 	if f.catalog == nil {
 		return 0
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -16,7 +16,7 @@
 	"geraniumline/connector"
 	"geraniumline/detector"
 	"geraniumline/hasher"
-	"geraniumline/registrar"
+	"geraniumline/meter"
 )
 
 const (
@@ -143,6 +143,7 @@
 		if !lost && !silent {
 			continue
 		}
+		f.cfg.Meter.Counter(meter.PieceMoved).Inc(1)
 		f.log.Warn("pieces asked for elsewhere",
 			zap.String("request", a.group.ID.Request),
 			zap.String("service", a.service),
@@ -307,12 +308,7 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case collector.SendCall:
-			f.log.Debug("call for pieces",
-				zap.String("service", service),
-				zap.String("endpoint", e.Endpoint.ID),
-				zap.Int("pieces", len(e.Pieces)),
-				zap.Int("waiting", p.Waiting()),
-				zap.Int("free", e.Free))
+			f.noteCall(service, p, e)
 			todo = append(todo, func() { go f.callPieces(service, p, e) })
 		case collector.FreeResults:
 			todo = append(todo, func() { go f.callFree(service, p, e) })
@@ -341,42 +337,17 @@
 	return todo
 }
 
-func (f *Forwarder) logJudged(service string, e registrar.Endpoint, out bool) {
-	f.log.Warn("endpoint judged",
-		zap.String("service", service),
-		zap.String("endpoint", e.ID),
-		zap.String("address", e.Address),
-		zap.Bool("out", out))
-}
-
 // callPieces makes a call for pieces and tells the pool how it ended.
 func (f *Forwarder) callPieces(service string, p *collector.Pool, e collector.SendCall) {
 	began := time.Now()
 	end, results := f.exchangePieces(service, e)
 	now := time.Now()
-	f.log.Debug("call for pieces ended",
-		zap.String("service", service),
-		zap.String("endpoint", e.Endpoint.ID),
-		zap.Int("pieces", len(e.Pieces)),
-		zap.Uint8("end", uint8(end)),
-		zap.Any("reasons", reasonsOf(results)),
-		zap.Duration("took", now.Sub(began)))
+	f.noteCallEnd(service, e, end, results, now.Sub(began))
 	f.locked(func() []func() {
 		return f.performAll(service, p, p.Reduce(collector.CallEnded{Call: e.Call, End: end, Results: results}, now))
 	})
 }
 
-// reasonsOf counts why pieces have no result.
-func reasonsOf(results []collector.PieceResult) map[string]int {
-	counts := make(map[string]int)
-	for _, r := range results {
-		if r.Handle == "" {
-			counts[r.Reason.String()]++
-		}
-	}
-	return counts
-}
-
 func (f *Forwarder) exchangePieces(service string, e collector.SendCall) (collector.CallEnd, []collector.PieceResult) {
 	body, err := f.cfg.Wire.EncodePieces(e.Pieces, time.Now())
 	if err != nil {
@@ -422,18 +393,6 @@
 	return collector.Answered, results
 }
 
-func (f *Forwarder) logPieces(service string, e collector.SendCall, err error) {
-	requests := make([]string, 0, len(e.Pieces))
-	for _, p := range e.Pieces {
-		requests = append(requests, p.Request)
-	}
-	f.log.Warn("call for pieces failed",
-		zap.String("service", service),
-		zap.String("endpoint", e.Endpoint.ID),
-		zap.Strings("requests", slices.Compact(requests)),
-		zap.Error(err))
-}
-
 // callFree gives results back at their maker. After a failure their space is taken until they lapse, which the endpoint
 // tells by refusing pieces.
 func (f *Forwarder) callFree(service string, p *collector.Pool, e collector.FreeResults) {
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -173,6 +173,7 @@
 	x.copyHeader(answer.Header())
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.headed = true
+	x.status = answer.Status()
 	x.w.WriteHeader(answer.Status())
 	// An error means that the caller has gone.
 	_, _ = x.w.Write(body)
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"geraniumline/meter"
 	"geraniumline/quarantiner"
 	"geraniumline/registrar"
 )
@@ -63,6 +64,7 @@
 		f.mu.Lock()
 		verdict := f.quarantiner.Crashed(digest, e.Address, now)
 		f.mu.Unlock()
+		f.cfg.Meter.Counter(meter.ForwardCrashes).Inc(1)
 		f.log.Warn("endpoint crashed with a request",
 			zap.String("request", id),
 			zap.String("endpoint", e.ID),
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -139,7 +139,16 @@
 			continue
 		}
 		s.asked[i] = true
-		a := s.x.f.askPieces(s.x.route.Stages[i].Service, s.group(i))
+		g := s.group(i)
+		a := s.x.f.askPieces(s.x.route.Stages[i].Service, g)
+		s.x.f.note("stage asked for",
+			zap.String("request", s.x.req.ID),
+			zap.Int("stage", i),
+			zap.String("service", s.x.route.Stages[i].Service),
+			zap.String("collector", a.owner),
+			zap.Int("pieces", len(g.Segments)),
+			zap.String("zone", g.Zone),
+			zap.Duration("dueIn", time.Until(g.Due)))
 		s.asks[i] = a
 		go pump(i, a, ends, quit)
 	}
@@ -291,16 +300,24 @@
 		return nil
 	}
 	if end.Result.Handle == "" {
-		s.x.f.log.Info("stage failed",
+		s.x.f.log.Warn("stage failed",
 			zap.String("request", s.x.req.ID),
 			zap.Int("stage", end.stage),
-			zap.Stringer("reason", end.Result.Reason))
+			zap.Int("piece", end.Segment),
+			zap.String("service", s.x.route.Stages[end.stage].Service),
+			zap.String("collector", end.ask.owner),
+			zap.Stringer("reason", end.Result.Reason),
+			zap.Duration("waits", s.x.f.waitOf(s.x.route.Stages[end.stage].Service)))
 		return notRun("stage"+end.Result.Reason.String(), s.x.f.comeBack(s.x.route.Stages[end.stage].Service))
 	}
 	s.made[end.stage][end.Segment] = collector.Made{Handle: end.Result.Handle, Address: end.Address}
 	s.missing[end.stage]--
 	s.zonesOf[end.stage][end.Segment] = end.Zone
 	if s.missing[end.stage] == 0 {
+		s.x.f.note("stage done",
+			zap.String("request", s.x.req.ID),
+			zap.Int("stage", end.stage),
+			zap.Duration("since", time.Since(s.x.began)))
 		s.freeInputs(end.stage)
 	}
 	return nil
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -12,6 +12,7 @@
 
 	"geraniumline/connector"
 	"geraniumline/ejector"
+	"geraniumline/meter"
 	"geraniumline/selector"
 	"geraniumline/splitter"
 )
@@ -66,17 +67,10 @@
 	began := time.Now()
 	x.sends++
 	x.tried = append(x.tried, choice.Endpoint.ID)
-	x.f.log.Debug("model chosen",
-		zap.String("request", x.req.ID),
-		zap.String("endpoint", choice.Endpoint.ID),
-		zap.String("zone", choice.Endpoint.Zone),
-		zap.Int("cached", choice.Cached),
-		zap.Int("tokens", choice.Tokens),
-		zap.String("homeZone", s.stages.homeZone),
-		zap.Any("resultBytes", s.stages.zoneBytes()))
 	info := x.callInfo(choice.Endpoint, began)
 	info.Inputs = s.stages.inputs()
 	if s.hasLast {
+		x.f.cfg.Meter.Counter(meter.ForwardResumes).Inc(1)
 		info.LastEvent = strconv.FormatInt(s.last, 10)
 	}
 	ctx, cancel := context.WithCancel(x.ctx)
@@ -213,10 +207,14 @@
 // been read by then, so their space is given back.
 func (s *streamer) begin(choice *selector.Choice, answer *connector.Answer, sent time.Time) {
 	x := s.x
-	x.f.log.Debug("first event",
+	took := time.Since(sent)
+	x.f.cfg.Meter.Histogram(meter.ForwardFirstMicros).Update(took.Microseconds())
+	x.f.cfg.Meter.Histogram(meter.ForwardStageMicros).Update(sent.Sub(x.began).Microseconds())
+	x.f.note("first event",
 		zap.String("request", x.req.ID),
-		zap.Duration("afterStages", sent.Sub(x.began)),
-		zap.Duration("atModel", time.Since(sent)))
+		zap.String("endpoint", choice.Endpoint.ID),
+		zap.Duration("stagesTook", sent.Sub(x.began)),
+		zap.Duration("modelTook", took))
 	x.f.mu.Lock()
 	x.f.selector.Observe(*choice, time.Since(sent))
 	x.f.selector.Read(choice)
@@ -232,6 +230,7 @@
 		return
 	}
 	s.x.headed = true
+	s.x.status = answer.Status()
 	s.x.copyHeader(answer.Header())
 	s.x.w.WriteHeader(answer.Status())
 }
--- a/launcher/forward.go
+++ b/launcher/forward.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 
 	"github.com/urfave/cli/v3"
 
+	"geraniumline/assembler"
 	"geraniumline/platform"
 	"geraniumline/spooler"
 )
 
+// maxPort is the highest TCP port.
+const maxPort = 65535
+
 func (a *app) forwardCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "forward",
@@ -28,6 +33,8 @@
 				Sources: cli.EnvVars(platform.SettingsVariable),
 			},
 			&cli.StringFlag{Name: "log-level", Usage: "least `LEVEL` of log lines: debug, info, warn, error", Value: "info"},
+			&cli.IntFlag{Name: "log-lines", Usage: "most log `LINES` that wait to be written; more are dropped and counted", Value: spooler.DefaultLines},
+			&cli.IntFlag{Name: "metrics-port", Usage: "`PORT` on the VM's address that serves /metrics; 0 serves none"},
 		},
 		OnUsageError: usageError,
 		Action:       action(a.runForward),
@@ -35,15 +42,21 @@
 }
 
 func (a *app) runForward(ctx context.Context, cmd *cli.Command) error {
-	settings, err := platform.LoadSettings(cmd.String("settings"))
-	if err != nil {
+	cfg := assembler.ForwardConfig{MetricsPort: cmd.Int("metrics-port")}
+	if cfg.MetricsPort < 0 || cfg.MetricsPort > maxPort {
+		return &UsageError{Message: fmt.Sprintf("--metrics-port is from 0 to %d", maxPort)}
+	}
+	if cmd.Int("log-lines") < 1 {
+		return &UsageError{Message: "--log-lines is at least 1"}
+	}
+	var err error
+	if cfg.Settings, err = platform.LoadSettings(cmd.String("settings")); err != nil {
 		return err
 	}
-	lines := spooler.New(a.out, 0)
+	lines := spooler.New(a.out, cmd.Int("log-lines"))
 	defer lines.Close()
-	log, err := newLog(cmd.String("log-level"), lines)
-	if err != nil {
-		return err
+	if cfg.Log, err = newLog(cmd.String("log-level"), lines); err != nil {
+		return &UsageError{Message: err.Error()}
 	}
-	return a.cfg.RunForward(ctx, settings, log)
+	return a.cfg.RunForward(ctx, cfg)
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -12,8 +12,8 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
+	"geraniumline/assembler"
 	"geraniumline/loader"
-	"geraniumline/platform"
 )
 
 // Config is what the command line gets from its surroundings.
@@ -22,7 +22,7 @@
 	// RunEntry runs an entry until its planned stop is done.
 	RunEntry func(ctx context.Context, settings loader.Settings, log *zap.Logger) error
 	// RunForward runs an entry on the users' platform until its planned stop is done.
-	RunForward func(ctx context.Context, settings platform.Settings, log *zap.Logger) error
+	RunForward func(ctx context.Context, cfg assembler.ForwardConfig) error
 
 	Stdin  io.Reader
 	Stdout io.Writer
@@ -99,6 +99,7 @@
 		Commands: []*cli.Command{
 			a.entryCommand(),
 			a.forwardCommand(),
+			a.explainCommand(),
 			a.checkCommand(),
 			a.configCommand(),
 			a.contractCommand(),
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -91,6 +91,30 @@
 	ConfigFromPeers  Name = "config_from_peers"
 )
 
+// Requests that are forwarded between the platform's callers and endpoints.
+const (
+	ForwardRequests    Name = "forward_requests"
+	ForwardMicros      Name = "forward_micros"
+	ForwardFirstMicros Name = "forward_first_event_micros"
+	ForwardStageMicros Name = "forward_stages_micros"
+	ForwardInFlight    Name = "forward_in_flight"
+	ForwardCalls       Name = "forward_calls"
+	ForwardRepeats     Name = "forward_repeats"
+	ForwardResumes     Name = "forward_resumes"
+	ForwardCrashes     Name = "forward_crashes"
+	PieceCalls         Name = "piece_calls"
+	PieceCallMicros    Name = "piece_call_micros"
+	PieceBatch         Name = "piece_batch"
+	PieceWaiting       Name = "piece_waiting"
+	PieceFailures      Name = "piece_failures"
+	PieceMoved         Name = "piece_asks_moved"
+	EndpointJudgements Name = "endpoint_judgements"
+	EndpointsAge       Name = "endpoints_age_millis"
+	ConfigVersion      Name = "config_version"
+	StoreCalls         Name = "store_calls"
+	LogLinesDropped    Name = "log_lines_dropped"
+)
+
 // Peers.
 const (
 	HeartbeatsSent     Name = "heartbeats_sent"
@@ -135,6 +159,9 @@
 	byStream  = "stream"
 	bySocket  = "socket"
 	byPool    = "pool"
+	byReason  = "reason"
+	byService = "service"
+	byOutcome = "outcome"
 )
 
 // definitions are listed in the order of the page.
@@ -191,6 +218,27 @@
 	{ConfigRecordsBad, KindCounter, "records", "", "A record of configuration that could not be read and was passed over.", ""},
 	{ConfigFromPeers, KindCounter, "messages", "", "A peer's message that brought configuration up to a higher offset than the log had yet.", ""},
 
+	{ForwardRequests, KindCounter, "requests", byReason, "A forwarded request that has ended: answered, or the reason of its failure.", ""},
+	{ForwardMicros, KindHistogram, "microseconds", "", "From a forwarded request's arrival to its end.", ""},
+	{ForwardFirstMicros, KindHistogram, "microseconds", "", "From a call to a model engine to its first event.", ""},
+	{ForwardStageMicros, KindHistogram, "microseconds", "", "From a request's arrival to the end of its stages.", ""},
+	{ForwardInFlight, KindGauge, "requests", "", "Forwarded requests under way.", ""},
+	{ForwardCalls, KindCounter, "calls", byService, "A forwarded request sent to an endpoint.", ""},
+	{ForwardRepeats, KindCounter, "calls", byService, "A call beyond the first of its request. The system's budget bounds them.", ""},
+	{ForwardResumes, KindCounter, "streams", "", "A stream that went on at another endpoint.", ""},
+	{ForwardCrashes, KindCounter, "endpoints", "", "An endpoint that crashed while it ran a forwarded request.", ""},
+	{PieceCalls, KindCounter, "calls", byService, "A call for pieces of a stage.", ""},
+	{PieceCallMicros, KindHistogram, "microseconds", byService, "From a call for pieces to its answer.", ""},
+	{PieceBatch, KindHistogram, "pieces", byService, "Pieces of one call.", ""},
+	{PieceWaiting, KindGauge, "pieces", byService, "Pieces that wait for a call at this entry.", ""},
+	{PieceFailures, KindCounter, "pieces", byReason, "A piece that a call did not make.", ""},
+	{PieceMoved, KindCounter, "asks", "", "Pieces asked for at another entry since the first one was silent.", ""},
+	{EndpointJudgements, KindCounter, "judgements", byOutcome, "An endpoint taken out of use or let back.", ""},
+	{EndpointsAge, KindGauge, "milliseconds", "", "Age of the list of endpoints.", ""},
+	{ConfigVersion, KindGauge, "version", "", "Version of the configuration that requests are forwarded by.", ""},
+	{StoreCalls, KindCounter, "calls", byOutcome, "A reading of the platform's store.", ""},
+	{LogLinesDropped, KindCounter, "lines", byReason, "A log line not written: ordinary over the rate, or any over the buffer.", ""},
+
 	{HeartbeatsSent, KindCounter, "heartbeats", "", "A heartbeat sent to a peer.", ""},
 	{HeartbeatsReceived, KindCounter, "heartbeats", "", "A heartbeat taken from a peer.", ""},
 	{HeartbeatsReplaced, KindCounter, "heartbeats", "", "A heartbeat that gave way to a newer one before it was sent.", "peers.heartbeatsReplaced"},
--- a/spooler/spooler.go
+++ b/spooler/spooler.go
@@ -6,10 +6,17 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// DefaultLines bounds the lines that wait; at some 300 bytes each they take 1.2 MB.
-const DefaultLines = 4096
+const (
+	// DefaultLines bounds the lines that wait; at some 300 bytes each they take 1.2 MB.
+	DefaultLines = 4096
+	// gatherTime is how long lines wait for others: a write for each line costs more than making the line.
+	gatherTime = 20 * time.Millisecond
+	// maxBlock is the size from which a block of lines is written at once.
+	maxBlock = 64 << 10
+)
 
 // Spooler is an io.Writer that never waits. It implements zapcore.WriteSyncer.
 type Spooler struct {
@@ -65,12 +72,32 @@
 func (s *Spooler) run(w io.Writer) {
 	defer close(s.done)
 	told := int64(0)
+	var block []byte
 	for line := range s.lines {
-		// An error here means that nobody reads the logs; the process serves on without them.
-		_, _ = w.Write(line)
+		block = s.gather(append(block[:0], line...))
 		if n := s.dropped.Load(); n > told && len(s.lines) == 0 {
-			_, _ = fmt.Fprintf(w, `{"level":"warn","msg":"log lines dropped","lines":%d}`+"\n", n-told)
+			block = fmt.Appendf(block, `{"level":"warn","msg":"log lines dropped","lines":%d}`+"\n", n-told)
 			told = n
 		}
+		// An error here means that nobody reads the logs; the process serves on without them.
+		_, _ = w.Write(block)
+	}
+}
+
+// gather adds the lines that come within gatherTime, so that one write takes them all.
+func (s *Spooler) gather(block []byte) []byte {
+	timer := time.NewTimer(gatherTime)
+	defer timer.Stop()
+	for len(block) < maxBlock {
+		select {
+		case line, open := <-s.lines:
+			if !open {
+				return block
+			}
+			block = append(block, line...)
+		case <-timer.C:
+			return block
+		}
 	}
+	return block
 }
