--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -81,6 +81,7 @@
 		CallerAddress: settings.CallerAddress,
 		PeerAddress:   settings.PeerAddress,
 		Seeds:         settings.Seeds,
+		Capacity:      forwarder.CapacityOf(settings.Cores, settings.LinkMbps),
 		Incarnation:   uint64(now.UnixNano()),
 		AddressTTL:    min(addressTTL, settings.AddressTTL),
 		RetryRatio:    settings.RetryRatio,
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -284,6 +284,8 @@
 
 // Work is what an entry has under way. It replaces the sender's earlier word.
 type Work struct {
+	// Capacity is the sender's processor and link as one figure, in thousandths of a core.
+	Capacity  int32          `msg:"capacity"`
 	Endpoints []EndpointWork `msg:"endpoints,limit=16384"`
 	Stages    []StageWait    `msg:"stages,limit=1024"`
 }
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -6887,6 +6887,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "capacity":
+			z.Capacity, err = dc.ReadInt32()
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
+			}
 		case "endpoints":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -6984,9 +6990,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Work) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
+	// write "capacity"
+	err = en.Append(0x83, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt32(z.Capacity)
+	if err != nil {
+		err = msgp.WrapError(err, "Capacity")
+		return
+	}
 	// write "endpoints"
-	err = en.Append(0x82, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
+	err = en.Append(0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
 	if err != nil {
 		return
 	}
@@ -7045,9 +7061,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Work) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
+	// string "capacity"
+	o = append(o, 0x83, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	o = msgp.AppendInt32(o, z.Capacity)
 	// string "endpoints"
-	o = append(o, 0x82, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
+	o = append(o, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
 	for za0001 := range z.Endpoints {
 		// array header, size 2
@@ -7085,6 +7104,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "capacity":
+			z.Capacity, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
+			}
 		case "endpoints":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -7175,7 +7200,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Work) Msgsize() (s int) {
-	s = 1 + 10 + msgp.ArrayHeaderSize
+	s = 1 + 9 + msgp.Int32Size + 10 + msgp.ArrayHeaderSize
 	for za0001 := range z.Endpoints {
 		s += 1 + msgp.StringPrefixSize + len(z.Endpoints[za0001].ID) + msgp.Int32Size
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -59,6 +59,8 @@
 	Seeds         []string
 	// Incarnation tells the processes of this name apart; a later start has a higher one.
 	Incarnation uint64
+	// Capacity is this VM's processor and link as one figure, see CapacityOf.
+	Capacity int
 	// AddressTTL is how long callers may keep the answer to which entries to use.
 	AddressTTL time.Duration
 	// RetryRatio and RetrySlack bound the extra calls of all entries together.
@@ -95,6 +97,8 @@
 	asks        map[askID]*ask
 	// waits are what peers say of the stage pools that they collect for.
 	waits map[string]stageWait
+	// capacities are what entries say of their VMs, by name.
+	capacities map[string]int
 	// addresses are the peers' addresses by name.
 	addresses map[string]string
 	// asked is when each kind of question to peers was last put.
@@ -150,6 +154,8 @@
 		asks:      make(map[askID]*ask),
 		waits:     make(map[string]stageWait),
 		addresses: make(map[string]string),
+
+		capacities: map[string]int{cfg.Name: cfg.Capacity},
 	}
 }
 
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -229,3 +229,28 @@
 	}
 	return choice, found
 }
+
+// Duties go to large VMs while one lives: a small one would be late with the work of all.
+func TestDutiesGoToLargeVMs(t *testing.T) {
+	m := newMesh(t, 5)
+	for name, f := range m.nodes {
+		f.cfg.Capacity = 100
+		if name == "entry-3" {
+			f.cfg.Capacity = 800
+		}
+		f.capacities[name] = f.cfg.Capacity
+	}
+	m.beat(2)
+	for _, f := range m.nodes {
+		for _, duty := range []string{"a", "b", "c", "d"} {
+			owner, known := f.owner(duty, nil)
+			require.True(t, known)
+			require.Equal(t, "entry-3", owner)
+			owner, known = f.owner(duty, []string{"entry-3"})
+			require.True(t, known)
+			require.NotEqual(t, "entry-3", owner)
+		}
+	}
+	require.Equal(t, 192, CapacityOf(0.192, 10))
+	require.Equal(t, 50, CapacityOf(0.8, 1))
+}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -77,7 +77,7 @@
 
 // work tells what this entry has under way. The lock is held.
 func (f *Forwarder) work() *carrier.Work {
-	w := &carrier.Work{}
+	w := &carrier.Work{Capacity: int32(f.cfg.Capacity)}
 	for id, tokens := range f.selector.Work() {
 		w.Endpoints = append(w.Endpoints, carrier.EndpointWork{ID: id, Tokens: int32(tokens)})
 	}
@@ -207,6 +207,7 @@
 		tokens[e.ID] = int(e.Tokens)
 	}
 	f.selector.SetPeer(from, tokens)
+	f.capacities[from] = int(m.Capacity)
 	for _, s := range m.Stages {
 		f.waits[s.Service] = stageWait{wait: time.Duration(s.Millis) * time.Millisecond, at: now}
 	}
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -5,17 +5,14 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"geraniumline/carrier"
 	"geraniumline/collector"
 	"geraniumline/connector"
 	"geraniumline/detector"
-	"geraniumline/hasher"
 	"geraniumline/meter"
 )
 
@@ -50,22 +47,6 @@
 	results chan collector.Deliver
 }
 
-// owner gives the entry that collects for a service: the live one with the highest rank. The lock is held.
-func (f *Forwarder) owner(service string, avoid []string) (string, bool) {
-	seed := xxhash.Sum64String(service)
-	best, bestRank := "", uint64(0)
-	for _, m := range f.detector.Members() {
-		if m.State != detector.Live || slices.Contains(avoid, m.Name) {
-			continue
-		}
-		rank := hasher.Mix(seed ^ xxhash.Sum64String(m.Name))
-		if best == "" || rank > bestRank {
-			best, bestRank = m.Name, rank
-		}
-	}
-	return best, best != ""
-}
-
 // askPieces asks for the pieces of one stage. The results come on the ask's channel.
 func (f *Forwarder) askPieces(service string, g collector.Group) *ask {
 	a := &ask{
