Give waiting pieces back when an entry stops, and tell late groups by half of their time

Change: a stopping collector hands what has not begun back, and it is asked for elsewhere; a late group whose turn comes after its deadline at the rate late groups were served lately is told once half of its time is over.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -190,7 +190,7 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	e.log.Info("started", zap.String("entry", e.settings.Name), zap.String("callers", e.settings.CallerAddress))
+	e.log.Info("started", zap.String("callers", e.settings.CallerAddress))
 	background := e.startBackground(ctx, listeners)
 	for {
 		select {
@@ -206,7 +206,7 @@
 	e.stop(ctx)
 	cancel()
 	background.Wait()
-	e.log.Info("stopped", zap.String("entry", e.settings.Name))
+	e.log.Info("stopped")
 	return nil
 }
 
--- a/collector/call.go
+++ b/collector/call.go
@@ -110,11 +110,15 @@
 		if p.waitsForZone(g, e, now) {
 			continue
 		}
+		late := p.yields(g, now)
 		for len(g.waiting) > 0 && len(pieces) < p.cfg.Stage.Batch && g.ResultBytes <= room {
 			segment := g.waiting[0]
 			g.waiting = g.waiting[1:]
 			g.tries[segment]++
 			room -= g.ResultBytes
+			if late {
+				p.late.add(1, now)
+			}
 			c.bytes += g.ResultBytes
 			c.pieces = append(c.pieces, member{id: g.ID, segment: segment, bytes: g.ResultBytes})
 			pieces = append(pieces, g.piece(segment))
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -56,6 +56,10 @@
 	calls     map[uint64]*call
 	results   map[string]*result
 	lastCall  uint64
+	// closing is set once this entry stops.
+	closing bool
+	// late counts the pieces of late groups that calls took lately.
+	late pastRate
 	// inZone tells in which zones an endpoint is in use.
 	inZone  map[string]bool
 	effects []Effect
@@ -80,7 +84,7 @@
 	p.effects = nil
 	switch e := ev.(type) {
 	case Arrived:
-		p.takeGroup(e.Group)
+		p.takeGroup(e.Group, now)
 	case Withdrawn:
 		p.withdraw(func(id GroupID) bool { return id == e.ID })
 	case OriginLost:
@@ -93,9 +97,14 @@
 		p.takeFreed(e.Results)
 	case EndpointsChanged:
 		p.setEndpoints(e.Endpoints)
+	case Closing:
+		p.closing = true
 	case Ticked:
 		p.tick(now)
 	}
+	if p.closing {
+		p.moveAway()
+	}
 	p.sendCalls(now)
 	return p.effects
 }
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -308,3 +308,37 @@
 	require.Less(t, w.gotAt[id].Sub(start), 200*time.Millisecond)
 	require.Greater(t, w.pool.Wait(), 5*time.Second)
 }
+
+// The entry that collects is told to stop while pieces wait. They are asked for elsewhere at once; what is in a call is
+// still delivered from here.
+func TestWaitingPiecesMoveAwayWhenTheEntryStops(t *testing.T) {
+	w := newWorld(usualStage(), 1)
+	inCall := w.arrive(0, "a", 8, nil)
+	waiting := w.arrive(time.Millisecond, "b", 3, nil)
+	w.plan(w.at(20*time.Millisecond), Closing{})
+	after := w.arrive(30*time.Millisecond, "c", 2, nil)
+	w.run(time.Second)
+	require.Equal(t, 8, w.made(inCall))
+	require.Equal(t, []Reason{Moved, Moved, Moved}, w.reasons(waiting))
+	require.Equal(t, []Reason{Moved, Moved}, w.reasons(after))
+	require.Less(t, w.gotAt[waiting].Sub(start), 30*time.Millisecond)
+	require.False(t, w.pool.Busy())
+}
+
+// Urgent work keeps taking the whole pool, more of it all the time. A patient request that is late already is told when
+// half of its time is over, so that its caller can use the other half.
+func TestALateGroupIsToldByHalfOfItsTime(t *testing.T) {
+	w := newWorld(usualStage(), 1)
+	for at := time.Duration(0); at < 20*time.Second; at += 250 * time.Millisecond {
+		w.arrive(at, fmt.Sprint("urgent", at), 8, func(g *Group) { g.Due = w.at(at + 20*time.Second); g.Deadline = w.at(time.Minute) })
+	}
+	id := w.arrive(100*time.Millisecond, "patient", 8, func(g *Group) {
+		g.Priority = 1
+		g.Due = w.at(time.Second)
+		g.Deadline = w.at(15 * time.Second)
+	})
+	w.run(16 * time.Second)
+	require.Len(t, w.reasons(id), 8)
+	require.Equal(t, Overload, w.reasons(id)[0])
+	require.InDelta(t, 7.5, w.gotAt[id].Sub(start).Seconds(), 0.3)
+}
--- a/collector/event.go
+++ b/collector/event.go
@@ -64,6 +64,8 @@
 	Failed
 	// Overload pieces would wait longer than their deadline allows.
 	Overload
+	// Moved pieces are to be asked for at another entry: this one stops.
+	Moved
 )
 
 // String gives the reason as logs and metrics name it.
@@ -79,6 +81,8 @@
 		return "failed"
 	case Overload:
 		return "overload"
+	case Moved:
+		return "moved"
 	default:
 		return "none"
 	}
@@ -154,6 +158,9 @@
 // OriginLost tells that an entry has ended: its requests need no more pieces.
 type OriginLost struct{ Origin string }
 
+// Closing tells that this entry stops: what has not begun is asked for elsewhere.
+type Closing struct{}
+
 // Ticked lets time pass.
 type Ticked struct{}
 
@@ -164,6 +171,7 @@
 func (FreeEnded) event()        {}
 func (EndpointsChanged) event() {}
 func (OriginLost) event()       {}
+func (Closing) event()          {}
 func (Ticked) event()           {}
 
 // Effect is what is to be done.
--- a/collector/group.go
+++ b/collector/group.go
@@ -16,10 +16,11 @@
 	// made are the segments whose result was delivered.
 	made map[int]bool
 	// tries counts the calls of each segment.
-	tries map[int]int
+	tries   map[int]int
+	arrived time.Time
 }
 
-func (p *Pool) takeGroup(g Group) {
+func (p *Pool) takeGroup(g Group, now time.Time) {
 	if _, known := p.groups[g.ID]; known {
 		// The entry asks again since it missed the word that the first ask has come.
 		return
@@ -29,6 +30,7 @@
 		waiting: slices.Clone(g.Segments),
 		made:    make(map[int]bool, len(g.Segments)),
 		tries:   make(map[int]int, len(g.Segments)),
+		arrived: now,
 	}
 }
 
@@ -71,7 +73,7 @@
 // goes before them takes longer even in full calls. Held until then they would only keep the caller from coming back.
 func (p *Pool) expireGroups(now time.Time) {
 	usable := p.usable()
-	before := 0
+	before, late := 0, 0
 	for _, g := range p.ordered(now) {
 		n := len(g.waiting)
 		before += n
@@ -83,6 +85,35 @@
 		case !g.started() && usable > 0 && g.Deadline.Before(now.Add(p.queueTime(before-n, usable)+call)):
 			p.giveUp(g, Overload)
 			before -= n
+		case p.yields(g, now):
+			late += n
+			if p.hopeless(g, late, now) {
+				p.giveUp(g, Overload)
+				before -= n
+				late -= n
+			}
+		}
+	}
+}
+
+// hopeless tells whether a late group will most likely not be made: half of its time is over, and at the rate at which
+// late groups were made lately its turn comes after its deadline. Its caller can still come back in the other half.
+func (p *Pool) hopeless(g *group, late int, now time.Time) bool {
+	if g.started() || now.Sub(g.arrived) < g.Deadline.Sub(now) {
+		return false
+	}
+	rate := p.late.perSecond(now)
+	return float64(late) > rate*g.Deadline.Sub(now).Seconds()
+}
+
+// moveAway hands the pieces that are in no call back to their entries, which ask another one. Held here, they would keep
+// this entry from stopping, or be lost with it.
+func (p *Pool) moveAway() {
+	for _, g := range p.groups {
+		waiting := g.waiting
+		g.waiting = nil
+		for _, segment := range waiting {
+			p.deliver(g, segment, PieceResult{Reason: Moved}, nil)
 		}
 	}
 }
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -254,3 +254,33 @@
 	require.Equal(t, 192, CapacityOf(0.192, 10))
 	require.Equal(t, 50, CapacityOf(0.8, 1))
 }
+
+// The entry that collects stops and gives an ask back. The request's entry asks another one.
+func TestPiecesAreAskedForElsewhereWhenTheCollectorStops(t *testing.T) {
+	m := newMesh(t, 3)
+	owner, _ := m.nodes["entry-0"].owner("encode", nil)
+	var asking *Forwarder
+	for name, f := range m.nodes {
+		if name != owner {
+			asking = f
+			break
+		}
+	}
+	a := asking.askPieces("encode", collector.Group{
+		ID:       collector.GroupID{Origin: asking.cfg.Name, Request: "r"},
+		Segments: []int{0},
+		Due:      time.Now().Add(time.Second),
+		Deadline: time.Now().Add(10 * time.Second),
+	})
+	require.True(t, a.taken)
+	stopping := m.nodes[owner]
+	stopping.stopping.Store(true)
+	stopping.heartbeat(time.Now())
+	stopping.handOver(time.Now())
+	require.False(t, stopping.collecting())
+	require.True(t, a.moved)
+	asking.locked(func() []func() { return asking.checkAsks(time.Now()) })
+	require.NotEqual(t, owner, a.owner)
+	require.True(t, a.taken)
+	require.Empty(t, a.results)
+}
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -43,6 +43,8 @@
 	avoid []string
 	sent  time.Time
 	taken bool
+	// moved is set when the owner stops and gives its pieces back.
+	moved bool
 	// results takes one Deliver for each segment.
 	results chan collector.Deliver
 }
@@ -115,7 +117,13 @@
 func (f *Forwarder) checkAsks(now time.Time) []func() {
 	var todo []func()
 	for _, a := range f.asks {
-		if a.owner == f.cfg.Name {
+		if a.owner == f.cfg.Name && !a.moved {
+			continue
+		}
+		if a.moved {
+			a.moved = false
+			a.avoid = append(a.avoid, a.owner)
+			todo = append(todo, f.place(a, now)...)
 			continue
 		}
 		m, known := f.detector.Member(a.owner)
@@ -266,6 +274,12 @@
 // after its request had ended. The lock is held.
 func (f *Forwarder) takeDelivery(service string, d collector.Deliver, from string) []func() {
 	a, known := f.asks[askID{d.ID.Request, d.ID.Stage}]
+	if d.Result.Reason == collector.Moved {
+		if known {
+			a.moved = true
+		}
+		return nil
+	}
 	if known && a.left[d.Segment] {
 		delete(a.left, d.Segment)
 		a.results <- d
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"geraniumline/collector"
 )
 
 const (
@@ -22,6 +24,7 @@
 	f.stopping.Store(true)
 	f.log.Info("planned stop begun", zap.Int64("inFlight", f.inFlight.Load()))
 	f.heartbeat(begun)
+	f.handOver(begun)
 	lapse := begun.Add(f.cfg.AddressTTL + quietTime)
 	poll := time.NewTicker(stopPoll)
 	defer poll.Stop()
@@ -58,3 +61,17 @@
 	}
 	return false
 }
+
+// handOver gives the pieces that have not begun back to their entries, if another entry can collect them.
+func (f *Forwarder) handOver(now time.Time) {
+	f.locked(func() []func() {
+		var todo []func()
+		for service, p := range f.pools {
+			if _, other := f.owner(service, []string{f.cfg.Name}); !other {
+				continue
+			}
+			todo = append(todo, f.performAll(service, p, p.Reduce(collector.Closing{}, now))...)
+		}
+		return todo
+	})
+}
