Small accounts first in a surge; probe silent connections

Cause: under a surge of one large account, due time alone made all accounts late together; a connection on which only reading is left does not end when its path goes dark. Change: accounts over their fair share lately yield by up to 0.6 s within their priority; keep-alive probes end a dark connection after 2.5 s; the garbage collector has the memory limit.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"syscall"
@@ -36,6 +37,9 @@
 	defaultIdle = 75 * time.Second
 	// idlePoll is how often callers' idle connections are looked at.
 	idlePoll = time.Second
+	// memoryShare is the part of the memory allowed at which the collector of garbage works harder. What the kernel
+	// holds for the process counts too, and a process over the limit is killed.
+	memoryShare = 0.7
 	// addressTTL is how long callers keep the addresses of entries, some of them three times as long. A stopping
 	// entry serves until most answers have lapsed, and must end well inside the time before it is killed.
 	addressTTL = time.Second
@@ -73,6 +77,9 @@
 func RunForwarding(ctx context.Context, cfg ForwardConfig) error {
 	now := time.Now()
 	settings := cfg.Settings
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	}
 	logger := cfg.Log.With(zap.String("entry", settings.Name))
 	e := &forwarding{settings: settings, log: logger, idle: newIdleConnections(), meter: meter.New(), metricsPort: cfg.MetricsPort}
 	e.forwarder = forwarder.New(forwarder.Config{
--- a/collector/call.go
+++ b/collector/call.go
@@ -116,6 +116,7 @@
 			g.waiting = g.waiting[1:]
 			g.tries[segment]++
 			room -= g.ResultBytes
+			p.shares.add(g.Account, now)
 			if late {
 				p.late.add(1, now)
 			}
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -60,6 +60,8 @@
 	closing bool
 	// late counts the pieces of late groups that calls took lately.
 	late pastRate
+	// shares are what client accounts have had lately.
+	shares shares
 	// inZone tells in which zones an endpoint is in use.
 	inZone  map[string]bool
 	effects []Effect
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -342,3 +342,37 @@
 	require.Equal(t, Overload, w.reasons(id)[0])
 	require.InDelta(t, 7.5, w.gotAt[id].Sub(start).Seconds(), 0.3)
 }
+
+// One large account sends ten times what each of four small ones does, all together twice what the pool can do. The small
+// accounts' callers must not pay for the surge.
+func TestPolicySmallAccountsInASurge(t *testing.T) {
+	w := newWorld(usualStage(), 2)
+	rng := rand.New(rand.NewPCG(7, 8))
+	type sent struct {
+		id    GroupID
+		due   time.Time
+		small bool
+	}
+	var all []sent
+	for at := time.Duration(0); at < 8*time.Second; {
+		at += time.Duration(rng.ExpFloat64() / 40 * float64(time.Second))
+		account := "large"
+		if n := rng.IntN(14); n < 4 {
+			account = fmt.Sprint("small", n)
+		}
+		due := w.at(at + 800*time.Millisecond)
+		id := w.arrive(at, fmt.Sprint(len(all)), 3, func(g *Group) { g.Account = account; g.Due = due })
+		all = append(all, sent{id, due, account != "large"})
+	}
+	w.run(14 * time.Second)
+	good, count := map[bool]float64{}, map[bool]float64{}
+	for _, s := range all {
+		count[s.small]++
+		if got, known := w.gotAt[s.id]; known && !got.After(s.due) {
+			good[s.small]++
+		}
+	}
+	small, large := good[true]/count[true], good[false]/count[false]
+	t.Logf("in time: small accounts %.2f, the large one %.2f", small, large)
+	require.Greater(t, small, large+0.2)
+}
--- a/collector/group.go
+++ b/collector/group.go
@@ -150,7 +150,8 @@
 // every answer late, since each call then serves what is just too late already. Groups that hold much of their makers'
 // space are never put last: the makers would have no room for new results, stand idle, and the held results would
 // lapse before they are used. Groups of which a part is made go first for the same reason: a pool whose space is full
-// of parts of many groups finishes none of them.
+// of parts of many groups finishes none of them. Accounts that had more than their fair share lately yield by a part of
+// an objective.
 func (p *Pool) ordered(now time.Time) []*group {
 	list := make([]*group, 0, len(p.groups))
 	for _, g := range p.groups {
@@ -158,6 +159,7 @@
 			list = append(list, g)
 		}
 	}
+	delays := p.shares.delays(now)
 	slices.SortFunc(list, func(a, b *group) int {
 		if a.started() != b.started() {
 			if a.started() {
@@ -175,7 +177,8 @@
 		if a.Priority != b.Priority {
 			return a.Priority - b.Priority
 		}
-		if c := a.Due.Compare(b.Due); c != 0 {
+		dueA, dueB := a.Due.Add(delays[a.Account]), b.Due.Add(delays[b.Account])
+		if c := dueA.Compare(dueB); c != 0 {
 			return c
 		}
 		return strings.Compare(a.ID.Request, b.ID.Request)
--- a/dialer/silence_linux_test.go
+++ b/dialer/silence_linux_test.go
@@ -24,5 +24,11 @@
 		millis, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
 		require.NoError(t, err)
 		require.Equal(t, 3000, millis)
+		alive, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_KEEPALIVE)
+		require.NoError(t, err)
+		require.Equal(t, 1, alive)
+		count, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT)
+		require.NoError(t, err)
+		require.Equal(t, keepAliveCount, count)
 	}))
 }
