Take only refused connections for an endpoint's end, and answer what waits when an entry stops

Requests whose stages waited when a planned stop reached its limit were cut with the process. Change: a connection that comes to nothing counts as one bad call; crashes are proved by a refusal; 0.5 s before its limit a stopping entry tells what waits that it has not run.

--- a/assembler/forwarding_test.go
+++ b/assembler/forwarding_test.go
@@ -438,3 +438,28 @@
 		require.NotContains(t, run.Attempt, "again-1")
 	}
 }
+
+// An entry stops while a request waits for a stage that nobody serves. Its caller hears that it has not run, and is not
+// cut with the process.
+func TestAPlannedStopAnswersWhatWaits(t *testing.T) {
+	f := newFleet(t, 2)
+	f.fail("encode", imitator.Full, -1)
+	f.site.Routes[4]["TimeoutMs"] = 60_000
+	f.site.Configure()
+	a := f.ask(0, imitator.StagesPath, "waits")
+	a.Pieces = "1,1"
+	a.Patience = time.Minute
+	require.Eventually(t, func() bool {
+		for _, nd := range f.nodes {
+			if f.call(imitator.Ask{Address: nd.callers, Path: "/none/", ID: "x"}).Status != http.StatusNotFound {
+				return false
+			}
+		}
+		return true
+	}, forwardPatience, 10*time.Millisecond)
+	time.AfterFunc(300*time.Millisecond, f.nodes[0].stop)
+	reply := f.call(a)
+	require.Equal(t, http.StatusServiceUnavailable, reply.Status)
+	require.NotEmpty(t, reply.RetryAfter)
+	require.Empty(t, f.runs("waits"))
+}
--- a/collector/call.go
+++ b/collector/call.go
@@ -209,7 +209,7 @@
 	p.judgeFailure(c, e.End, now)
 	for _, m := range c.pieces {
 		if g, known := p.groups[m.id]; known {
-			if e.End == Refused || e.End == Unreachable {
+			if e.End == Refused || e.End == Unreachable || e.End == Unanswered {
 				// The endpoint took no work on, so the try does not count.
 				g.tries[m.segment]--
 			}
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -144,7 +144,7 @@
 }
 
 func TestAFullOrUnreachableEndpointCostsNoTry(t *testing.T) {
-	for _, end := range []CallEnd{Refused, Unreachable} {
+	for _, end := range []CallEnd{Refused, Unreachable, Unanswered} {
 		w := newWorld(usualStage(), 2)
 		w.ends["e0"] = end
 		id := w.arrive(0, "a", 4, nil)
--- a/collector/event.go
+++ b/collector/event.go
@@ -103,8 +103,10 @@
 	Answered CallEnd = iota
 	// Refused calls were turned away unrun by an endpoint that is full or leaving.
 	Refused
-	// Unreachable endpoints take no connection.
+	// Unreachable endpoints refuse connections.
 	Unreachable
+	// Unanswered endpoints let connections come to nothing.
+	Unanswered
 	// Broken calls ended without an answer.
 	Broken
 )
@@ -118,6 +120,8 @@
 		return "refused"
 	case Unreachable:
 		return "unreachable"
+	case Unanswered:
+		return "unanswered"
 	default:
 		return "broken"
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -6,10 +6,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"geraniumline/dialer"
@@ -69,6 +71,10 @@
 // Unwrap gives the cause.
 func (e *UnsentError) Unwrap() error { return e.Err }
 
+// Refused tells that the address refused the connection: no process listens there. A connection that does not come to
+// stand may as well be this VM's own loss of its network.
+func (e *UnsentError) Refused() bool { return errors.Is(e.Err, syscall.ECONNREFUSED) }
+
 // BrokenError tells that an exchange failed after something was sent: the request may have run.
 type BrokenError struct {
 	Address string
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -267,6 +267,8 @@
 	_, err = do(t, newClient(t), address, "1")
 	var unsent *UnsentError
 	require.ErrorAs(t, err, &unsent)
+	require.True(t, unsent.Refused())
+	require.False(t, (&UnsentError{Err: context.DeadlineExceeded}).Refused())
 }
 
 // The endpoint closes an idle connection: the next request goes out on a new one and is not lost.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -113,6 +113,8 @@
 	inFlight    atomic.Int64
 	lastRequest atomic.Int64
 	stopping    atomic.Bool
+	// ending is closed shortly before a stopping entry ends.
+	ending chan struct{}
 }
 
 // New makes a forwarder that knows nothing yet.
@@ -148,6 +150,7 @@
 			Reserve:  max(1, cfg.RetrySlack*retryShare/usualEntries),
 			Attempts: maxEndpoints,
 		}),
+		ending:      make(chan struct{}),
 		quarantiner: quarantiner.New(quarantiner.Config{}),
 
 		pools:     make(map[string]*collector.Pool),
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -362,7 +362,10 @@
 	var unsent *connector.UnsentError
 	if errors.As(err, &unsent) {
 		f.logPieces(service, e, err)
-		return collector.Unreachable, nil
+		if unsent.Refused() {
+			return collector.Unreachable, nil
+		}
+		return collector.Unanswered, nil
 	}
 	if err != nil {
 		f.logPieces(service, e, err)
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -115,7 +115,7 @@
 	}
 	var unsent *connector.UnsentError
 	if errors.As(err, &unsent) {
-		x.end(choice, ejector.Down, true)
+		x.endUnsent(choice, unsent)
 		x.sends--
 		if x.ctx.Err() != nil {
 			return true, x.giveUp("timeout")
@@ -150,6 +150,17 @@
 	}
 }
 
+// endUnsent judges an endpoint that could not be connected to. Only a refused connection proves that nothing serves
+// there: when this VM loses its network, calls to all endpoints come to nothing, and taken for dead they would stay out
+// of use for seconds after its return.
+func (x *exchange) endUnsent(choice selector.Choice, unsent *connector.UnsentError) {
+	end := ejector.Bad
+	if unsent.Refused() {
+		end = ejector.Down
+	}
+	x.end(choice, end, true)
+}
+
 // endTimed judges an answered call by its time.
 func (x *exchange) endTimed(choice selector.Choice, bad bool, took time.Duration) {
 	end := ejector.Bad
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -2,8 +2,10 @@
 
 import (
 	"crypto/sha256"
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,7 +19,7 @@
 	// crashCheckDelay is how long after a broken exchange the endpoint's address is tried: a process that has crashed
 	// has closed its socket by then.
 	crashCheckDelay = 20 * time.Millisecond
-	// crashCheckTimeout bounds the try; a crashed VM does not answer at all.
+	// crashCheckTimeout bounds the try.
 	crashCheckTimeout = 300 * time.Millisecond
 	// quarantineReturn is when the caller of content that crashes endpoints may come back.
 	quarantineReturn = time.Minute
@@ -48,8 +50,9 @@
 	return nil
 }
 
-// brokenAt looks into an exchange that an endpoint broke off: if nothing listens at its address any more, the endpoint
-// has crashed while it ran the content. A reset connection or a spoiled answer alone proves nothing.
+// brokenAt looks into an exchange that an endpoint broke off: if its address refuses connections now, the endpoint has
+// crashed while it ran the content. A reset connection or a spoiled answer alone proves nothing, nor does an address that
+// does not answer: this VM may have lost its network, and the content would be refused everywhere for minutes.
 func (x *exchange) brokenAt(e registrar.Endpoint) {
 	digest := x.digest()
 	id := x.req.ID
@@ -60,6 +63,9 @@
 			_ = conn.Close()
 			return
 		}
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			return
+		}
 		now := time.Now()
 		f.mu.Lock()
 		verdict := f.quarantiner.Crashed(digest, e.Address, now)
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -117,6 +117,8 @@
 			if failure := s.take(end); failure != nil {
 				return failure
 			}
+		case <-s.x.f.ending:
+			return notRun("entryStops", soon())
 		case <-s.x.ctx.Done():
 			return notRun("stagesTimedOut", soon())
 		}
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -13,6 +13,9 @@
 	// quietTime is how long no request may have come before a stopping entry ends: callers with old addresses still
 	// come.
 	quietTime = 400 * time.Millisecond
+	// lastCall is how long before its limit a stopping entry answers requests whose stages are not done: cut with the
+	// process, their callers would not know whether they have run.
+	lastCall = 500 * time.Millisecond
 	// stopPoll is how often a stopping entry looks whether it may end.
 	stopPoll = 25 * time.Millisecond
 )
@@ -28,6 +31,8 @@
 	lapse := begun.Add(f.cfg.AddressTTL + quietTime)
 	poll := time.NewTicker(stopPoll)
 	defer poll.Stop()
+	last := time.AfterFunc(limit-lastCall, func() { close(f.ending) })
+	defer last.Stop()
 	for {
 		select {
 		case <-ctx.Done():
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -149,7 +149,7 @@
 	}
 	var unsent *connector.UnsentError
 	if errors.As(err, &unsent) {
-		x.end(choice, ejector.Down, true)
+		x.endUnsent(choice, unsent)
 		x.sends--
 		if x.ctx.Err() != nil {
 			return true, x.giveUp("timeout")
