One place for what follows a failed attempt

Cause: plain calls and streams decided alike in two places. Change: attempt.go holds it; the stream adds its own log line.

--- /dev/null
+++ b/forwarder/attempt.go
@@ -0,0 +1,90 @@
+package forwarder
+
+import (
+	"errors"
+	"time"
+
+	"geraniumline/connector"
+	"geraniumline/ejector"
+	"geraniumline/selector"
+)
+
+// giveUp tells the truth of a request that no further endpoint is tried for.
+func (x *exchange) giveUp(reason string) *FailureError {
+	if x.runs > 0 {
+		return mayHaveRun(reason)
+	}
+	return notRun(reason, soon())
+}
+
+// failed decides what follows an exchange without a whole answer. It tells whether the request has ended.
+func (x *exchange) failed(choice selector.Choice, err error) (bool, *FailureError) {
+	if x.callerGone() {
+		x.cancel(choice)
+		return true, mayHaveRun("callerGone")
+	}
+	var unsent *connector.UnsentError
+	if errors.As(err, &unsent) {
+		x.endUnsent(choice, unsent)
+		x.sends--
+		if x.ctx.Err() != nil {
+			return true, x.giveUp("timeout")
+		}
+		return false, nil
+	}
+	x.runs++
+	x.end(choice, ejector.Bad, true)
+	x.brokenAt(choice.Endpoint)
+	if x.ctx.Err() != nil {
+		return true, timedOut()
+	}
+	if x.againAfterRun() {
+		return false, nil
+	}
+	return true, mayHaveRun("endpointBroke")
+}
+
+// againAfterRun tells whether the request may run once more.
+func (x *exchange) againAfterRun() bool {
+	return x.route.Repeatable() && x.runs < x.route.MaxAttempts && x.left(time.Now()) > 0
+}
+
+// end gives an endpoint's call back, and logs a change of its state.
+func (x *exchange) end(choice selector.Choice, end ejector.End, bad bool) {
+	now := time.Now()
+	x.f.mu.Lock()
+	changed := x.f.selector.Ended(choice, end, now)
+	x.f.mu.Unlock()
+	if changed {
+		x.f.logJudged(x.service.Name, choice.Endpoint, bad)
+	}
+}
+
+// endUnsent judges an endpoint that could not be connected to. Only a refused connection proves that nothing serves
+// there: when this VM loses its network, calls to all endpoints come to nothing, and taken for dead they would stay out
+// of use for seconds after its return.
+func (x *exchange) endUnsent(choice selector.Choice, unsent *connector.UnsentError) {
+	end := ejector.Bad
+	if unsent.Refused() {
+		end = ejector.Down
+	}
+	x.end(choice, end, true)
+}
+
+// endTimed judges an answered call by its time.
+func (x *exchange) endTimed(choice selector.Choice, bad bool, took time.Duration) {
+	end := ejector.Bad
+	if !bad {
+		x.f.mu.Lock()
+		end = x.f.selector.Judge(choice.Endpoint.ID, took, x.route.Objective)
+		x.f.mu.Unlock()
+	}
+	x.end(choice, end, end != ejector.Good)
+}
+
+// cancel gives an endpoint's call back that says nothing of the endpoint.
+func (x *exchange) cancel(choice selector.Choice) {
+	x.f.mu.Lock()
+	x.f.selector.Cancelled(choice)
+	x.f.mu.Unlock()
+}
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -104,6 +104,16 @@
 	}
 }
 
+// other gives an entry that is not the named one.
+func (m *mesh) other(name string) *Forwarder {
+	for n, f := range m.nodes {
+		if n != name {
+			return f
+		}
+	}
+	return nil
+}
+
 func (m *mesh) reader(now time.Time) []string {
 	var names []string
 	for name, f := range m.nodes {
@@ -160,13 +170,7 @@
 func TestPiecesAreAskedForElsewhereWhenTheCollectorIsSilent(t *testing.T) {
 	m := newMesh(t, 3)
 	owner, _ := m.nodes["entry-0"].owner("encode", nil)
-	var asking *Forwarder
-	for name, f := range m.nodes {
-		if name != owner {
-			asking = f
-			break
-		}
-	}
+	asking := m.other(owner)
 	m.cut[owner] = true
 	a := asking.askPieces("encode", collector.Group{
 		ID:       collector.GroupID{Origin: asking.cfg.Name, Request: "r"},
@@ -259,13 +263,7 @@
 func TestPiecesAreAskedForElsewhereWhenTheCollectorStops(t *testing.T) {
 	m := newMesh(t, 3)
 	owner, _ := m.nodes["entry-0"].owner("encode", nil)
-	var asking *Forwarder
-	for name, f := range m.nodes {
-		if name != owner {
-			asking = f
-			break
-		}
-	}
+	asking := m.other(owner)
 	a := asking.askPieces("encode", collector.Group{
 		ID:       collector.GroupID{Origin: asking.cfg.Name, Request: "r"},
 		Segments: []int{0},
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -40,14 +39,6 @@
 	}
 }
 
-// giveUp tells the truth of a request that no further endpoint is tried for.
-func (x *exchange) giveUp(reason string) *FailureError {
-	if x.runs > 0 {
-		return mayHaveRun(reason)
-	}
-	return notRun(reason, soon())
-}
-
 // tryPlain sends the request to one endpoint. It tells whether the caller has its answer or its failure.
 func (x *exchange) tryPlain(choice selector.Choice) (bool, *FailureError) {
 	began := time.Now()
@@ -57,7 +48,7 @@
 	defer cancel()
 	answer, body, err := x.exchangePlain(ctx, choice, began)
 	if err != nil {
-		return x.failedPlain(choice, err)
+		return x.failed(choice, err)
 	}
 	info := x.f.cfg.Wire.ReadAnswer(answer.Status(), answer.Header())
 	if info.NotRun {
@@ -107,78 +98,6 @@
 	}
 }
 
-// failedPlain decides what follows an exchange without a whole answer.
-func (x *exchange) failedPlain(choice selector.Choice, err error) (bool, *FailureError) {
-	if x.callerGone() {
-		x.cancel(choice)
-		return true, mayHaveRun("callerGone")
-	}
-	var unsent *connector.UnsentError
-	if errors.As(err, &unsent) {
-		x.endUnsent(choice, unsent)
-		x.sends--
-		if x.ctx.Err() != nil {
-			return true, x.giveUp("timeout")
-		}
-		return false, nil
-	}
-	x.runs++
-	x.end(choice, ejector.Bad, true)
-	x.brokenAt(choice.Endpoint)
-	if x.ctx.Err() != nil {
-		return true, timedOut()
-	}
-	if x.againAfterRun() {
-		return false, nil
-	}
-	return true, mayHaveRun("endpointBroke")
-}
-
-// againAfterRun tells whether the request may run once more.
-func (x *exchange) againAfterRun() bool {
-	return x.route.Repeatable() && x.runs < x.route.MaxAttempts && x.left(time.Now()) > 0
-}
-
-// end gives an endpoint's call back, and logs a change of its state.
-func (x *exchange) end(choice selector.Choice, end ejector.End, bad bool) {
-	now := time.Now()
-	x.f.mu.Lock()
-	changed := x.f.selector.Ended(choice, end, now)
-	x.f.mu.Unlock()
-	if changed {
-		x.f.logJudged(x.service.Name, choice.Endpoint, bad)
-	}
-}
-
-// endUnsent judges an endpoint that could not be connected to. Only a refused connection proves that nothing serves
-// there: when this VM loses its network, calls to all endpoints come to nothing, and taken for dead they would stay out
-// of use for seconds after its return.
-func (x *exchange) endUnsent(choice selector.Choice, unsent *connector.UnsentError) {
-	end := ejector.Bad
-	if unsent.Refused() {
-		end = ejector.Down
-	}
-	x.end(choice, end, true)
-}
-
-// endTimed judges an answered call by its time.
-func (x *exchange) endTimed(choice selector.Choice, bad bool, took time.Duration) {
-	end := ejector.Bad
-	if !bad {
-		x.f.mu.Lock()
-		end = x.f.selector.Judge(choice.Endpoint.ID, took, x.route.Objective)
-		x.f.mu.Unlock()
-	}
-	x.end(choice, end, end != ejector.Good)
-}
-
-// cancel gives an endpoint's call back that says nothing of the endpoint.
-func (x *exchange) cancel(choice selector.Choice) {
-	x.f.mu.Lock()
-	x.f.selector.Cancelled(choice)
-	x.f.mu.Unlock()
-}
-
 // sendWhole passes an endpoint's whole answer on.
 func (x *exchange) sendWhole(answer *connector.Answer, body []byte) {
 	x.copyHeader(answer.Header())
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -142,35 +142,13 @@
 
 // failed decides what follows an attempt that broke off.
 func (s *streamer) failed(choice selector.Choice, err error) (bool, *FailureError) {
-	x := s.x
-	if x.callerGone() {
-		x.cancel(choice)
-		return true, mayHaveRun("callerGone")
-	}
-	var unsent *connector.UnsentError
-	if errors.As(err, &unsent) {
-		x.endUnsent(choice, unsent)
-		x.sends--
-		if x.ctx.Err() != nil {
-			return true, x.giveUp("timeout")
-		}
-		return false, nil
-	}
-	x.runs++
-	x.end(choice, ejector.Bad, true)
-	x.brokenAt(choice.Endpoint)
-	x.f.log.Info("stream broke off",
-		zap.String("request", x.req.ID),
+	s.x.f.log.Info("stream broke off",
+		zap.String("request", s.x.req.ID),
 		zap.String("endpoint", choice.Endpoint.ID),
 		zap.Int64("lastEvent", s.last),
+		zap.Bool("callerGone", s.x.callerGone()),
 		zap.Error(err))
-	if x.ctx.Err() != nil {
-		return true, timedOut()
-	}
-	if x.againAfterRun() {
-		return false, nil
-	}
-	return true, mayHaveRun("endpointBroke")
+	return s.x.failed(choice, err)
 }
 
 // follow passes whole events on until the stream ends.
