Bound writes to callers that do not read

Cause: a request's context does not end a write that waits for its caller; such a request was held without end, and a planned stop waited for it. Tests: TestACallerThatDoesNotReadHoldsNothing, TestALargeFleetTellsAPartInEachRound.

--- a/assembler/forwarding_test.go
+++ b/assembler/forwarding_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -22,8 +25,10 @@
 // node is one entry that runs in the test's process.
 type node struct {
 	callers, ready, addresses, peers string
-	stop                             context.CancelFunc
-	done                             chan error
+	// metrics is where the entry serves its metrics.
+	metrics string
+	stop    context.CancelFunc
+	done    chan error
 }
 
 // fleet is entries before a platform of stand-ins.
@@ -64,7 +69,13 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	nd.stop = cancel
-	go func() { nd.done <- RunForwarding(ctx, ForwardConfig{Settings: settings, Log: f.log}) }()
+	nd.metrics = imitator.FreeAddress(f.t)
+	_, port, err := net.SplitHostPort(nd.metrics)
+	require.NoError(f.t, err)
+	cfg := ForwardConfig{Settings: settings, Log: f.log}
+	cfg.MetricsPort, err = strconv.Atoi(port)
+	require.NoError(f.t, err)
+	go func() { nd.done <- RunForwarding(ctx, cfg) }()
 	f.nodes = append(f.nodes, nd)
 	return nd
 }
@@ -463,3 +474,41 @@
 	require.NotEmpty(t, reply.RetryAfter)
 	require.Empty(t, f.runs("waits"))
 }
+
+// metric reads one metric of an entry.
+func (f *fleet) metric(entry int, name string) string {
+	f.t.Helper()
+	resp, err := http.Get("http://" + f.nodes[entry].metrics + MetricsPath)
+	require.NoError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(f.t, err)
+	for line := range strings.Lines(string(text)) {
+		if value, found := strings.CutPrefix(line, name+" "); found {
+			return strings.TrimSpace(value)
+		}
+	}
+	return ""
+}
+
+// A caller asks for a long stream and reads none of it. After its deadline the endpoint's work must end, and the entry
+// must hold nothing for it, although its write to the caller never comes to an end.
+func TestACallerThatDoesNotReadHoldsNothing(t *testing.T) {
+	f := newFleet(t, 1)
+	for i := range 2 {
+		e := f.site.Endpoint(fmt.Sprintf("i-model-%d", i))
+		e.Events, e.Pause, e.Padding = 1_000_000, 0, 4<<10
+	}
+	conn, err := net.Dial("tcp", f.nodes[0].callers)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	a := f.ask(0, imitator.StreamPath, "unread")
+	a.Patience = 500 * time.Millisecond
+	require.NoError(t, a.Send(t.Context(), conn))
+	require.Eventually(t, func() bool {
+		return f.site.Endpoint("i-model-0").Gone()+f.site.Endpoint("i-model-1").Gone() == 1
+	}, forwardPatience, 20*time.Millisecond)
+	require.Eventually(t, func() bool {
+		return f.metric(0, "geraniumline_forward_in_flight") == "0"
+	}, forwardPatience, 50*time.Millisecond)
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -105,6 +105,8 @@
 	askedConfig    time.Time
 	askedEndpoints time.Time
 	behindSince    time.Time
+	// round counts the rounds of heartbeats.
+	round int
 	// newsAt is when the entry that reads the store for all was heard last.
 	newsAt time.Time
 	// storeLost is set while the store does not answer this entry.
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -25,6 +25,9 @@
 	// shortReturn is when a caller may come back that was refused for what is over in a moment: a start, a full
 	// endpoint. It is spread by as much again, so that callers refused together do not come back together.
 	shortReturn = 250 * time.Millisecond
+	// writeGrace is how long after a request's deadline its answer may still be written: an answer that is ready is
+	// delivered, also late.
+	writeGrace = 2 * time.Second
 	// bodyTimeout bounds the reading of a request's body.
 	bodyTimeout = 10 * time.Second
 )
@@ -70,6 +73,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{f: f, w: w, in: r, ctx: r.Context(), began: now}
+	x.boundWrites(now.Add(defaultTimeout))
 	failure := x.serve()
 	x.log(failure)
 	if failure == nil {
@@ -166,6 +170,13 @@
 	return nil
 }
 
+// boundWrites ends writing to a caller that does not read. Its request's context does not end a write that waits for the
+// caller, and the endpoint's connection and the request's memory would be held for as long as the caller likes.
+func (x *exchange) boundWrites(deadline time.Time) {
+	// An error means that the connection takes no deadline, as in tests of the handler alone.
+	_ = http.NewResponseController(x.w).SetWriteDeadline(deadline.Add(writeGrace))
+}
+
 func (x *exchange) setTimes() {
 	timeout := x.route.Timeout
 	if timeout <= 0 {
@@ -176,6 +187,7 @@
 	}
 	x.deadline = x.began.Add(timeout)
 	x.due = x.began.Add(x.route.Objective)
+	x.boundWrites(x.deadline)
 }
 
 func (x *exchange) readBody() *FailureError {
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -31,7 +31,7 @@
 
 // mesh joins forwarders without a network. A cut entry's messages go nowhere.
 type mesh struct {
-	t     *testing.T
+	t     testing.TB
 	nodes map[string]*Forwarder
 	cut   map[string]bool
 	sent  map[string]int
@@ -65,7 +65,7 @@
 	}})
 }
 
-func newMesh(t *testing.T, n int) *mesh {
+func newMesh(t testing.TB, n int) *mesh {
 	t.Helper()
 	m := &mesh{t: t, nodes: map[string]*Forwarder{}, cut: map[string]bool{}, sent: map[string]int{}, now: time.Now()}
 	for i := range n {
@@ -282,3 +282,17 @@
 	require.True(t, a.taken)
 	require.Empty(t, a.results)
 }
+
+// In a large fleet each entry tells a part of its peers in a round. All must
+// still know of all after a few rounds.
+func TestALargeFleetTellsAPartInEachRound(t *testing.T) {
+	m := newMesh(t, 60)
+	f := m.nodes["entry-0"]
+	before := m.sent["*carrier.Heartbeat"]
+	f.heartbeat(time.Now())
+	require.LessOrEqual(t, m.sent["*carrier.Heartbeat"]-before, peersEachRound)
+	m.beat(3)
+	for name, f := range m.nodes {
+		require.Equal(t, 59, f.livePeers(), name)
+	}
+}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -17,6 +17,9 @@
 	// endpointsPatience is the age of the own list of endpoints from which peers are asked for theirs: two readings
 	// of the store were missed.
 	endpointsPatience = 1500 * time.Millisecond
+	// peersEachRound is how many peers are told in one round. With some 80 entries each hears of its peers' work
+	// every 0.6 s, and of their lives from others within two rounds.
+	peersEachRound = 20
 	// askEvery is how often peers are asked.
 	askEvery = 500 * time.Millisecond
 )
@@ -28,7 +31,7 @@
 	transitions := f.detector.Tick(now)
 	beat := f.detector.Heartbeat(now)
 	beat.Crashes = f.quarantiner.Marks(now)
-	targets := f.detector.Targets(now)
+	targets := f.shareOf(f.detector.Targets(now))
 	work := f.work()
 	questions := f.questions(now)
 	todo := f.takeTransitions(transitions, now)
@@ -45,6 +48,24 @@
 	}
 }
 
+// shareOf gives the part of the peers that are told in this round. Told all in each round, what an entry sends grows
+// with the square of their number: 465 KB a second at 80 entries, 9 at 7. Each heartbeat carries the newest word on all
+// members, so that one of a part each round still tells of everybody. The lock is held.
+func (f *Forwarder) shareOf(targets []string) []string {
+	parts := (len(targets) + peersEachRound - 1) / peersEachRound
+	if parts <= 1 {
+		return targets
+	}
+	f.round++
+	share := make([]string, 0, peersEachRound)
+	for i, address := range targets {
+		if (i+f.round)%parts == 0 {
+			share = append(share, address)
+		}
+	}
+	return share
+}
+
 // setSelf sets what this entry says of itself. The lock is held.
 func (f *Forwarder) setSelf() {
 	state := detector.Live
--- /dev/null
+++ b/selector/bench_test.go
@@ -0,0 +1,22 @@
+package selector
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkChoose is one choice of an endpoint by work and shared prompt parts.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{9, 90, 900} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := newSelector(n)
+			own := uint64(0)
+			for b.Loop() {
+				own++
+				choice, _ := s.Choose(Ask{Service: "pool", Parts: prompt(own%40, 1000+own)}, now)
+				s.Started(choice, prompt(own%40, 1000+own))
+				s.Cancelled(choice)
+			}
+		})
+	}
+}
