One state for each stage of a request, and free results that nobody takes

Cause: six lists in step held a request's stages; an ask's owner was read without the lock for a log line; results that came after a stage was asked for anew were not freed. Change: stageState; stageplan.go holds times and zones; the owner is read under the lock; what has come and was not taken is freed.

--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -149,6 +149,13 @@
 	return todo
 }
 
+// ownerOf is the entry that an ask is placed at.
+func (f *Forwarder) ownerOf(a *ask) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return a.owner
+}
+
 // endAsk withdraws what is left of an ask.
 func (f *Forwarder) endAsk(a *ask) {
 	now := time.Now()
--- /dev/null
+++ b/forwarder/stageplan.go
@@ -0,0 +1,120 @@
+package forwarder
+
+import (
+	"slices"
+	"time"
+)
+
+// holdingShare is the part of an endpoint's space from which a request's results there hold others up.
+const holdingShare = 0.05
+
+// checkTime refuses a request that can't be answered before its deadline, by what waits at the stages on its way.
+func (s *stageWork) checkTime(now time.Time) *FailureError {
+	longest, service := time.Duration(0), ""
+	total := s.modelTime
+	for i, stage := range s.x.route.Stages {
+		if s.states[i].count == 0 {
+			continue
+		}
+		wait := s.x.f.waitOf(stage.Service)
+		if wait > longest {
+			longest, service = wait, stage.Service
+		}
+		if len(stage.After) == 0 {
+			total = max(total, s.modelTime+s.callTime(i)+s.after(i))
+		}
+	}
+	if longest == 0 || now.Add(total+longest).Before(s.x.deadline) {
+		return nil
+	}
+	return notRun("overload", s.x.f.comeBack(service))
+}
+
+// wantedZone gives the zone where a stage's pieces should be made and what crosses zones if they are made elsewhere.
+// Each piece fetches all inputs, so a stage should be done where its inputs lie. Else its results should lie where the
+// model engine that holds the prompt's shared parts will fetch them, or at least together: each piece of a following
+// stage fetches them all.
+func (s *stageWork) wantedZone(stage int) (string, int64) {
+	results := s.config(stage).ResultBytes * int64(s.states[stage].count)
+	readers := int64(0)
+	for i, next := range s.x.route.Stages {
+		if slices.Contains(next.After, stage) {
+			readers += int64(s.states[i].count)
+		}
+	}
+	zone, inputs := "", int64(0)
+	for z, bytes := range s.inputZones(stage) {
+		if bytes > inputs || bytes == inputs && z < zone {
+			zone, inputs = z, bytes
+		}
+	}
+	inputs *= int64(s.states[stage].count)
+	switch {
+	case readers == 0 && results > inputs:
+		return s.homeZone, results
+	case readers > 0 && results*readers > inputs:
+		return "", results * readers
+	default:
+		return zone, inputs
+	}
+}
+
+// inputZones gives the bytes of a stage's inputs by the zone where they lie.
+func (s *stageWork) inputZones(stage int) map[string]int64 {
+	zones := make(map[string]int64)
+	for _, before := range s.config(stage).After {
+		for _, zone := range s.states[before].zones {
+			zones[zone] += s.config(before).ResultBytes
+		}
+	}
+	return zones
+}
+
+// holding tells whether the stage's inputs hold much of the space of their makers.
+func (s *stageWork) holding(stage int) bool {
+	s.x.f.mu.Lock()
+	defer s.x.f.mu.Unlock()
+	for _, before := range s.config(stage).After {
+		service, known := s.x.f.stageService(s.config(before).Service)
+		if !known || service.Stage.RoomBytes <= 0 {
+			continue
+		}
+		bytes := s.config(before).ResultBytes * int64(s.states[before].count)
+		if float64(bytes) > holdingShare*float64(service.Stage.RoomBytes) {
+			return true
+		}
+	}
+	return false
+}
+
+// after is the least time of the stages that follow one.
+func (s *stageWork) after(stage int) time.Duration {
+	longest := time.Duration(0)
+	for i, next := range s.x.route.Stages {
+		if s.states[i].count > 0 && slices.Contains(next.After, stage) {
+			longest = max(longest, s.callTime(i)+s.after(i))
+		}
+	}
+	return longest
+}
+
+func (s *stageWork) callTime(stage int) time.Duration {
+	s.x.f.mu.Lock()
+	defer s.x.f.mu.Unlock()
+	service, known := s.x.f.stageService(s.config(stage).Service)
+	if !known {
+		return 0
+	}
+	return service.Stage.CallDuration(min(s.states[stage].count, service.Stage.Batch))
+}
+
+// zoneBytes tells where the inputs of the request itself lie.
+func (s *stageWork) zoneBytes() map[string]int64 {
+	zones := make(map[string]int64)
+	for _, stage := range s.x.route.LastStages(s.counts()) {
+		for _, zone := range s.states[stage].zones {
+			zones[zone] += s.config(stage).ResultBytes
+		}
+	}
+	return zones
+}
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -6,30 +6,30 @@
 
 	"go.uber.org/zap"
 
+	"geraniumline/cataloger"
 	"geraniumline/collector"
 )
 
-const (
-	// maxRemakes is how often a request's lapsed stage results are made again.
-	maxRemakes = 2
-	// holdingShare is the part of an endpoint's space from which a request's results there hold others up.
-	holdingShare = 0.05
-)
+// maxRemakes is how often a request's lapsed stage results are made again.
+const maxRemakes = 2
+
+// stageState is how far one stage of a request is.
+type stageState struct {
+	// count is the number of its pieces, missing how many have no result.
+	count   int
+	missing int
+	// made and zones hold the results and where they lie, by segment.
+	made  []collector.Made
+	zones []string
+	// ask is the latest for the stage; nil before it.
+	ask   *ask
+	freed bool
+}
 
 // stageWork is the stages of one request.
 type stageWork struct {
-	x      *exchange
-	counts []int
-	// made holds each stage's results by segment.
-	made [][]collector.Made
-	// missing is how many results each stage lacks.
-	missing []int
-	asked   []bool
-	freed   []bool
-	// asks are the latest for each stage.
-	asks []*ask
-	// zonesOf holds the zone of each stage's results by segment.
-	zonesOf [][]string
+	x       *exchange
+	states  []stageState
 	remakes int
 	// homeZone is where the model engine that holds the prompt's shared parts is.
 	homeZone string
@@ -44,64 +44,43 @@
 	collector.Deliver
 }
 
-// counts gives the pieces of each stage. A stage that the caller names no number for has one piece.
-func (x *exchange) counts() []int {
-	counts := make([]int, len(x.route.Stages))
-	for i := range counts {
-		counts[i] = 1
-		if i < len(x.req.PieceCounts) {
-			counts[i] = x.req.PieceCounts[i]
-		}
-	}
-	return counts
-}
-
 func newStageWork(x *exchange) *stageWork {
-	n := len(x.route.Stages)
-	s := &stageWork{
-		x:       x,
-		counts:  x.counts(),
-		made:    make([][]collector.Made, n),
-		missing: make([]int, n),
-		asked:   make([]bool, n),
-		freed:   make([]bool, n),
-		asks:    make([]*ask, n),
-		zonesOf: make([][]string, n),
-	}
+	s := &stageWork{x: x, states: make([]stageState, len(x.route.Stages))}
 	x.f.mu.Lock()
 	s.homeZone = x.f.selector.HomeZone(x.service.Name, x.req.Parts)
 	s.modelTime = x.f.selector.FirstEvent(x.service.Name, x.req.Parts)
 	x.f.mu.Unlock()
-	for i, count := range s.counts {
-		s.made[i] = make([]collector.Made, count)
-		s.zonesOf[i] = make([]string, count)
-		s.missing[i] = count
+	for i := range s.states {
+		s.states[i].count = 1 // of a stage that the caller names no number for
+		if i < len(x.req.PieceCounts) {
+			s.states[i].count = x.req.PieceCounts[i]
+		}
+		s.states[i].clear()
 	}
 	return s
 }
 
-// checkTime refuses a request that can't be answered before its deadline, by what waits at the stages on its way.
-func (s *stageWork) checkTime(now time.Time) *FailureError {
-	longest, service := time.Duration(0), ""
-	total := s.modelTime
-	for i, stage := range s.x.route.Stages {
-		if s.counts[i] == 0 {
-			continue
-		}
-		wait := s.x.f.waitOf(stage.Service)
-		if wait > longest {
-			longest, service = wait, stage.Service
-		}
-		if len(stage.After) == 0 {
-			total = max(total, s.modelTime+s.callTime(i)+s.after(i))
-		}
-	}
-	if longest == 0 || now.Add(total+longest).Before(s.x.deadline) {
-		return nil
+// clear forgets what the stage has made.
+func (t *stageState) clear() {
+	t.made = make([]collector.Made, t.count)
+	t.zones = make([]string, t.count)
+	t.missing = t.count
+	t.ask = nil
+	t.freed = false
+}
+
+// counts are the numbers of pieces of all stages.
+func (s *stageWork) counts() []int {
+	counts := make([]int, len(s.states))
+	for i := range s.states {
+		counts[i] = s.states[i].count
 	}
-	return notRun("overload", s.x.f.comeBack(service))
+	return counts
 }
 
+// config is what the route says of a stage.
+func (s *stageWork) config(stage int) *cataloger.Stage { return &s.x.route.Stages[stage] }
+
 // run has all stages done, each as soon as those before it are.
 func (s *stageWork) run() *FailureError {
 	ends := make(chan stageEnd, 1)
@@ -126,8 +105,8 @@
 }
 
 func (s *stageWork) done() bool {
-	for _, n := range s.missing {
-		if n > 0 {
+	for i := range s.states {
+		if s.states[i].missing > 0 {
 			return false
 		}
 	}
@@ -136,23 +115,22 @@
 
 // askReady asks for the pieces of each stage whose inputs are all made.
 func (s *stageWork) askReady(ends chan<- stageEnd, quit <-chan struct{}) {
-	for i := range s.counts {
-		if s.asked[i] || s.counts[i] == 0 || !s.ready(i) {
+	for i := range s.states {
+		t := &s.states[i]
+		if t.ask != nil || t.count == 0 || !s.ready(i) {
 			continue
 		}
-		s.asked[i] = true
 		g := s.group(i)
-		a := s.x.f.askPieces(s.x.route.Stages[i].Service, g)
+		t.ask = s.x.f.askPieces(s.config(i).Service, g)
 		s.x.f.note("stage asked for",
 			zap.String("request", s.x.req.ID),
 			zap.Int("stage", i),
-			zap.String("service", s.x.route.Stages[i].Service),
-			zap.String("collector", a.owner),
+			zap.String("service", s.config(i).Service),
+			zap.String("collector", s.x.f.ownerOf(t.ask)),
 			zap.Int("pieces", len(g.Segments)),
 			zap.String("zone", g.Zone),
 			zap.Duration("dueIn", time.Until(g.Due)))
-		s.asks[i] = a
-		go pump(i, a, ends, quit)
+		go pump(i, t.ask, ends, quit)
 	}
 }
 
@@ -173,8 +151,8 @@
 }
 
 func (s *stageWork) ready(stage int) bool {
-	for _, before := range s.x.route.Stages[stage].After {
-		if s.missing[before] > 0 {
+	for _, before := range s.config(stage).After {
+		if s.states[before].missing > 0 {
 			return false
 		}
 	}
@@ -189,133 +167,43 @@
 		Deadline:    x.deadline.Add(-s.after(stage)),
 		Priority:    x.priority,
 		Account:     x.account,
-		ResultBytes: x.route.Stages[stage].ResultBytes,
+		ResultBytes: s.config(stage).ResultBytes,
 		Holding:     s.holding(stage),
 	}
 	g.Zone, g.FarBytes = s.wantedZone(stage)
-	for n := range s.counts[stage] {
+	for n := range s.states[stage].count {
 		g.Segments = append(g.Segments, n)
 	}
-	after := x.route.Stages[stage].After
+	after := s.config(stage).After
 	if len(after) == 0 {
 		g.Key = x.req.PieceKey
 	}
 	for _, before := range after {
-		for _, made := range s.made[before] {
+		for _, made := range s.states[before].made {
 			g.Inputs = append(g.Inputs, made.Handle)
 		}
 	}
 	return g
 }
 
-// wantedZone gives the zone where a stage's pieces should be made and what crosses zones if they are made elsewhere.
-// Each piece fetches all inputs, so a stage should be done where its inputs lie. Else its results should lie where the
-// model engine that holds the prompt's shared parts will fetch them, or at least together: each piece of a following
-// stage fetches them all.
-func (s *stageWork) wantedZone(stage int) (string, int64) {
-	results := s.x.route.Stages[stage].ResultBytes * int64(s.counts[stage])
-	readers := int64(0)
-	for i, next := range s.x.route.Stages {
-		if slices.Contains(next.After, stage) {
-			readers += int64(s.counts[i])
-		}
-	}
-	zone, inputs := "", int64(0)
-	for z, bytes := range s.inputZones(stage) {
-		if bytes > inputs || bytes == inputs && z < zone {
-			zone, inputs = z, bytes
-		}
-	}
-	inputs *= int64(s.counts[stage])
-	switch {
-	case readers == 0 && results > inputs:
-		return s.homeZone, results
-	case readers > 0 && results*readers > inputs:
-		return "", results * readers
-	default:
-		return zone, inputs
-	}
-}
-
-// inputZones gives the bytes of a stage's inputs by the zone where they lie.
-func (s *stageWork) inputZones(stage int) map[string]int64 {
-	zones := make(map[string]int64)
-	for _, before := range s.x.route.Stages[stage].After {
-		for _, zone := range s.zonesOf[before] {
-			zones[zone] += s.x.route.Stages[before].ResultBytes
-		}
-	}
-	return zones
-}
-
-// holding tells whether the stage's inputs hold much of the space of their makers.
-func (s *stageWork) holding(stage int) bool {
-	s.x.f.mu.Lock()
-	defer s.x.f.mu.Unlock()
-	for _, before := range s.x.route.Stages[stage].After {
-		made := s.x.route.Stages[before]
-		service, known := s.x.f.stageService(made.Service)
-		if !known || service.Stage.RoomBytes <= 0 {
-			continue
-		}
-		bytes := made.ResultBytes * int64(s.counts[before])
-		if float64(bytes) > holdingShare*float64(service.Stage.RoomBytes) {
-			return true
-		}
-	}
-	return false
-}
-
-// after is the least time of the stages that follow one.
-func (s *stageWork) after(stage int) time.Duration {
-	longest := time.Duration(0)
-	for i, next := range s.x.route.Stages {
-		if s.counts[i] == 0 {
-			continue
-		}
-		for _, before := range next.After {
-			if before == stage {
-				longest = max(longest, s.callTime(i)+s.after(i))
-			}
-		}
-	}
-	return longest
-}
-
-func (s *stageWork) callTime(stage int) time.Duration {
-	s.x.f.mu.Lock()
-	defer s.x.f.mu.Unlock()
-	service, known := s.x.f.stageService(s.x.route.Stages[stage].Service)
-	if !known {
-		return 0
-	}
-	return service.Stage.CallDuration(min(s.counts[stage], service.Stage.Batch))
-}
-
 // take takes one piece's result.
 func (s *stageWork) take(end stageEnd) *FailureError {
-	if end.ask != s.asks[end.stage] {
-		// The stage was asked for anew since, and this result is of no use: its inputs had lapsed.
+	t := &s.states[end.stage]
+	made := collector.Made{Handle: end.Result.Handle, Address: end.Address}
+	switch {
+	case end.ask != t.ask:
+		// The stage was asked for anew since, as its inputs had lapsed: this result is of no use.
+		s.freeMade(end.stage, made)
 		return nil
-	}
-	if end.Result.Reason == collector.InputGone && s.remake(end.stage) {
+	case end.Result.Reason == collector.InputGone && s.remake(end.stage):
 		return nil
+	case end.Result.Handle == "":
+		return s.failed(end)
 	}
-	if end.Result.Handle == "" {
-		s.x.f.log.Warn("stage failed",
-			zap.String("request", s.x.req.ID),
-			zap.Int("stage", end.stage),
-			zap.Int("piece", end.Segment),
-			zap.String("service", s.x.route.Stages[end.stage].Service),
-			zap.String("collector", end.ask.owner),
-			zap.Stringer("reason", end.Result.Reason),
-			zap.Duration("waits", s.x.f.waitOf(s.x.route.Stages[end.stage].Service)))
-		return notRun("stage"+end.Result.Reason.String(), s.x.f.comeBack(s.x.route.Stages[end.stage].Service))
-	}
-	s.made[end.stage][end.Segment] = collector.Made{Handle: end.Result.Handle, Address: end.Address}
-	s.missing[end.stage]--
-	s.zonesOf[end.stage][end.Segment] = end.Zone
-	if s.missing[end.stage] == 0 {
+	t.made[end.Segment] = made
+	t.zones[end.Segment] = end.Zone
+	t.missing--
+	if t.missing == 0 {
 		s.x.f.note("stage done",
 			zap.String("request", s.x.req.ID),
 			zap.Int("stage", end.stage),
@@ -325,6 +213,20 @@
 	return nil
 }
 
+// failed ends the request, which has not run.
+func (s *stageWork) failed(end stageEnd) *FailureError {
+	service := s.config(end.stage).Service
+	s.x.f.log.Warn("stage failed",
+		zap.String("request", s.x.req.ID),
+		zap.Int("stage", end.stage),
+		zap.Int("piece", end.Segment),
+		zap.String("service", service),
+		zap.String("collector", s.x.f.ownerOf(end.ask)),
+		zap.Stringer("reason", end.Result.Reason),
+		zap.Duration("waits", s.x.f.waitOf(service)))
+	return notRun("stage"+end.Result.Reason.String(), s.x.f.comeBack(service))
+}
+
 // remake has a stage's inputs made again that have lapsed, and then the stage itself. Without it a request that waited
 // for longer than results are kept would fail, although there is time left.
 func (s *stageWork) remake(stage int) bool {
@@ -333,84 +235,89 @@
 	}
 	s.remakes++
 	s.reset(stage)
-	for _, before := range s.x.route.Stages[stage].After {
+	for _, before := range s.config(stage).After {
 		s.reset(before)
 	}
 	s.x.f.log.Info("stage results made again", zap.String("request", s.x.req.ID), zap.Int("stage", stage))
 	return true
 }
 
-// reset forgets what a stage has made.
+// reset withdraws a stage and forgets what it has made.
 func (s *stageWork) reset(stage int) {
-	if a := s.asks[stage]; a != nil {
-		s.x.f.endAsk(a)
-	}
+	s.withdraw(stage)
+	s.states[stage].clear()
+}
+
+// withdraw ends a stage's ask and frees its results, those too that have come and were not taken yet.
+func (s *stageWork) withdraw(stage int) {
+	t := &s.states[stage]
 	s.free(stage)
-	s.freed[stage] = false
-	s.asked[stage] = false
-	s.made[stage] = make([]collector.Made, s.counts[stage])
-	s.missing[stage] = s.counts[stage]
+	if t.ask == nil {
+		return
+	}
+	s.x.f.endAsk(t.ask)
+	for {
+		select {
+		case d := <-t.ask.results:
+			s.freeMade(stage, collector.Made{Handle: d.Result.Handle, Address: d.Address})
+		default:
+			return
+		}
+	}
 }
 
 // freeInputs frees the results that only a stage which is done has needed.
 func (s *stageWork) freeInputs(stage int) {
-	for _, before := range s.x.route.Stages[stage].After {
-		needed := false
-		for i, next := range s.x.route.Stages {
-			for _, b := range next.After {
-				needed = needed || b == before && s.counts[i] > 0 && s.missing[i] > 0
-			}
-		}
-		if !needed {
+	for _, before := range s.config(stage).After {
+		if !s.needed(before) {
 			s.free(before)
 		}
 	}
 }
 
-func (s *stageWork) free(stage int) {
-	if s.freed[stage] {
-		return
-	}
-	s.freed[stage] = true
-	var made []collector.Made
-	for _, m := range s.made[stage] {
-		if m.Handle != "" {
-			made = append(made, m)
+// needed tells whether a stage that is not done takes the results of this one.
+func (s *stageWork) needed(stage int) bool {
+	for i, next := range s.x.route.Stages {
+		if s.states[i].missing > 0 && slices.Contains(next.After, stage) {
+			return true
 		}
 	}
-	s.x.f.freePieces(s.x.route.Stages[stage].Service, made)
+	return false
+}
+
+func (s *stageWork) free(stage int) {
+	if t := &s.states[stage]; !t.freed {
+		t.freed = true
+		s.freeMade(stage, t.made...)
+	}
+}
+
+func (s *stageWork) freeMade(stage int, made ...collector.Made) {
+	made = slices.DeleteFunc(slices.Clone(made), func(m collector.Made) bool { return m.Handle == "" })
+	s.x.f.freePieces(s.config(stage).Service, made)
 }
 
 // freeAll ends the request's stages: nothing of them is needed any more.
 func (s *stageWork) freeAll() {
-	for _, a := range s.asks {
-		if a != nil {
-			s.x.f.endAsk(a)
-		}
+	for i := range s.states {
+		s.withdraw(i)
 	}
-	for i := range s.counts {
-		s.free(i)
+}
+
+// freeLast frees the results that the request itself took.
+func (s *stageWork) freeLast() {
+	for _, stage := range s.x.route.LastStages(s.counts()) {
+		s.free(stage)
 	}
 }
 
 // inputs lists the results that the request itself takes.
 func (s *stageWork) inputs() []string {
 	var handles []string
-	for _, stage := range s.x.route.LastStages(s.counts) {
-		for _, m := range s.made[stage] {
+	for _, stage := range s.x.route.LastStages(s.counts()) {
+		for _, m := range s.states[stage].made {
 			handles = append(handles, m.Handle)
 		}
 	}
 	return handles
 }
-
-// zoneBytes tells where the inputs of the request itself lie.
-func (s *stageWork) zoneBytes() map[string]int64 {
-	zones := make(map[string]int64)
-	for _, stage := range s.x.route.LastStages(s.counts) {
-		for _, zone := range s.zonesOf[stage] {
-			zones[zone] += s.x.route.Stages[stage].ResultBytes
-		}
-	}
-	return zones
-}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -197,9 +197,7 @@
 	x.f.selector.Observe(*choice, time.Since(sent))
 	x.f.selector.Read(choice)
 	x.f.mu.Unlock()
-	for _, stage := range x.route.LastStages(s.stages.counts) {
-		s.stages.free(stage)
-	}
+	s.stages.freeLast()
 	s.head(answer)
 }
 
