Share the slack of the retry budget among the entries that live

Cause: each entry's reserve was the slack over seven; 80 entries together could have made eleven times the bound's extra calls. Found by reading the code; without the change the test counts 240 extra calls of 60 entries, 60 allowed. Tests: TestSetReserveTakesBackWhatWasSaved, TestALargeFleetTellsAPartInEachRound.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -151,7 +151,7 @@
 		}),
 		retrier: retrier.New(retrier.Config{
 			Ratio:    cfg.RetryRatio * retryShare,
-			Reserve:  max(1, cfg.RetrySlack*retryShare/usualEntries),
+			Reserve:  reserveFor(cfg.RetrySlack, usualEntries),
 			Attempts: maxEndpoints,
 		}),
 		ending:      make(chan struct{}),
@@ -169,12 +169,17 @@
 const (
 	// maxOut is the part of a pool that may be out of use for serving badly.
 	maxOut = 0.5
-	// usualEntries divides the slack of the retry budget: the entries of today's deployments.
+	// usualEntries divides the slack of the retry budget until peers are known: the entries of today's deployments.
 	usualEntries = 7
 	// maxEndpoints bounds the endpoints that one request is offered to, those that turn it away too.
 	maxEndpoints = 6
 )
 
+// reserveFor is one entry's part of the slack that all entries share.
+func reserveFor(slack float64, entries int) float64 {
+	return max(1, slack*retryShare/float64(entries))
+}
+
 // SetSender sets where messages to peers go. It must be called before Run.
 func (f *Forwarder) SetSender(s Sender) { f.sender = s }
 
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -292,9 +292,14 @@
 	f.heartbeat(time.Now())
 	require.LessOrEqual(t, m.sent["*carrier.Heartbeat"]-before, peersEachRound)
 	m.beat(3)
+	extra := 0
 	for name, f := range m.nodes {
 		require.Equal(t, 59, f.livePeers(), name)
+		for f.retrier.Retry("plain", 1, time.Now()) {
+			extra++
+		}
 	}
+	require.LessOrEqual(t, extra, 60, "all together stay about the slack of 54")
 }
 
 // Words of the collecting entry take long under load. Its asks must not be placed elsewhere too: two entries would fill
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -28,6 +28,7 @@
 func (f *Forwarder) heartbeat(now time.Time) {
 	f.mu.Lock()
 	f.setSelf()
+	f.retrier.SetReserve(reserveFor(f.cfg.RetrySlack, max(usualEntries, f.livePeers()+1)))
 	transitions := f.detector.Tick(now)
 	beat := f.detector.Heartbeat(now)
 	beat.Crashes = f.quarantiner.Marks(now)
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -49,6 +49,15 @@
 	return &Retrier{cfg: cfg, budgets: map[string]*budget{}}
 }
 
+// SetReserve changes the most extra calls that quiet times may save up; what is saved beyond it is lost. Where several
+// share a bound, each one's part changes with their number.
+func (r *Retrier) SetReserve(reserve float64) {
+	r.cfg.Reserve = reserve
+	for _, b := range r.budgets {
+		b.left = min(b.left, reserve)
+	}
+}
+
 func (r *Retrier) budget(pool string) *budget {
 	b, known := r.budgets[pool]
 	if !known {
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -36,3 +36,22 @@
 	require.False(t, r.Allows("other", 3))
 	require.True(t, r.Allows("other", 1))
 }
+
+// Four of five entries are found to share the bound: what this one had saved for itself alone must not be spent.
+func TestSetReserveTakesBackWhatWasSaved(t *testing.T) {
+	r := retrier.New(retrier.Config{Ratio: 0.2, Reserve: 10, Attempts: 100})
+	require.True(t, r.Retry("a", 1, time.Time{}))
+	r.SetReserve(2)
+	require.True(t, r.Retry("a", 1, time.Time{}))
+	require.True(t, r.Retry("a", 1, time.Time{}))
+	require.False(t, r.Retry("a", 1, time.Time{}))
+	require.True(t, r.Retry("b", 1, time.Time{}))
+	require.True(t, r.Retry("b", 1, time.Time{}))
+	require.False(t, r.Retry("b", 1, time.Time{}))
+	for range 100 {
+		r.First("a", false, time.Time{})
+	}
+	require.True(t, r.Retry("a", 1, time.Time{}))
+	require.True(t, r.Retry("a", 1, time.Time{}))
+	require.False(t, r.Retry("a", 1, time.Time{}))
+}
