Remove twins and dead methods of the forwarding path

Cause: a read of the whole change found the same loop in moveAway and giveUp, the placing of an ask twice in checkAsks, a comparison by hand, and two methods of connector that nobody calls (Forget, Length). Change: each stands once; ownerFails says why an ask moves. No change of behaviour.

--- a/collector/call.go
+++ b/collector/call.go
@@ -1,6 +1,7 @@
 package collector
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -96,14 +97,7 @@
 		}
 	}
 	slices.SortStableFunc(free, func(a, b *endpoint) int {
-		switch {
-		case a.health.Slowness() < b.health.Slowness():
-			return -1
-		case a.health.Slowness() > b.health.Slowness():
-			return 1
-		default:
-			return 0
-		}
+		return cmp.Compare(a.health.Slowness(), b.health.Slowness())
 	})
 	return free
 }
--- a/collector/group.go
+++ b/collector/group.go
@@ -110,11 +110,7 @@
 // this entry from stopping, or be lost with it.
 func (p *Pool) moveAway() {
 	for _, g := range p.groups {
-		waiting := g.waiting
-		g.waiting = nil
-		for _, segment := range waiting {
-			p.deliver(g, segment, PieceResult{Reason: Moved}, nil)
-		}
+		p.giveUp(g, Moved)
 	}
 }
 
--- a/connector/answer.go
+++ b/connector/answer.go
@@ -28,9 +28,6 @@
 // Header is the answer's header.
 func (a *Answer) Header() http.Header { return a.resp.Header }
 
-// Length is the body's length, or -1 where it is not told ahead.
-func (a *Answer) Length() int64 { return a.resp.ContentLength }
-
 // Read reads the body.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.resp.Body.Read(p)
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -209,20 +209,6 @@
 	return true
 }
 
-// Forget closes the idle connections to an address whose endpoint is gone.
-func (c *Client) Forget(address string) {
-	c.mu.Lock()
-	list := c.idle[address]
-	delete(c.idle, address)
-	for _, cn := range list {
-		cn.idle = false
-	}
-	c.mu.Unlock()
-	for _, cn := range list {
-		cn.abort()
-	}
-}
-
 // Sweep closes the idle connections that are past their time.
 func (c *Client) Sweep(now time.Time) {
 	c.mu.Lock()
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -122,33 +122,36 @@
 func (f *Forwarder) checkAsks(now time.Time) []func() {
 	var todo []func()
 	for _, a := range f.asks {
-		if a.owner == f.cfg.Name && !a.moved {
+		if !a.moved && !f.ownerFails(a, now) {
 			continue
 		}
-		if a.moved {
-			a.moved = false
-			a.avoid = append(a.avoid, a.owner)
-			todo = append(todo, f.place(a, now)...)
-			continue
-		}
-		m, known := f.detector.Member(a.owner)
-		lost := !known || m.State != detector.Live && m.State != detector.Stopping
-		silent := !a.taken && now.Sub(a.sent) > takenPatience+takenFactor*f.takenTime
-		if !lost && !silent {
-			continue
-		}
-		f.cfg.Meter.Counter(meter.PieceMoved).Inc(1)
-		f.log.Warn("pieces asked for elsewhere",
-			zap.String("request", a.group.ID.Request),
-			zap.String("service", a.service),
-			zap.String("peer", a.owner),
-			zap.Bool("lost", lost))
+		a.moved = false
 		a.avoid = append(a.avoid, a.owner)
 		todo = append(todo, f.place(a, now)...)
 	}
 	return todo
 }
 
+// ownerFails tells whether the entry that collects for an ask is gone, or leaves it without a word. The lock is held.
+func (f *Forwarder) ownerFails(a *ask, now time.Time) bool {
+	if a.owner == f.cfg.Name {
+		return false
+	}
+	m, known := f.detector.Member(a.owner)
+	lost := !known || m.State != detector.Live && m.State != detector.Stopping
+	silent := !a.taken && now.Sub(a.sent) > takenPatience+takenFactor*f.takenTime
+	if !lost && !silent {
+		return false
+	}
+	f.cfg.Meter.Counter(meter.PieceMoved).Inc(1)
+	f.log.Warn("pieces asked for elsewhere",
+		zap.String("request", a.group.ID.Request),
+		zap.String("service", a.service),
+		zap.String("peer", a.owner),
+		zap.Bool("lost", lost))
+	return true
+}
+
 // ownerOf is the entry that an ask is placed at.
 func (f *Forwarder) ownerOf(a *ask) string {
 	f.mu.Lock()
