Ask three peers for endpoints in a store outage, and answer only with news

Cause: as soon as the store was down, the list of endpoints of every entry grew old at once, each asked all its peers every 0.5 s, and each answered with its whole list: 75 x 76 lists of 130 endpoints in a round. Ruled out: the killed entries at 5.5 s (their 2,640 changes are what 11 deaths and returns at 75 observers are); a slow collector (calls were full before). Change: three live peers are asked, any of them; one answers if its word of the store is fresher by 0.5 s, and only says so if the lists are the same. A newer configuration is asked of any that has it, not of the first of them.

--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -299,8 +299,13 @@
 	Data    []byte `msg:"data,limit=8388608"`
 }
 
-// EndpointsCall asks a peer for the list of endpoints.
-type EndpointsCall struct{}
+// EndpointsCall asks a peer for the list of endpoints, if it has newer word of the store than the sender.
+type EndpointsCall struct {
+	// Next is the offset up to which the sender's own list is whole, below 0 if it has none. AgeMillis is how long ago
+	// the store's word was read that it goes by.
+	Next      int64 `msg:"next"`
+	AgeMillis int64 `msg:"ageMillis"`
+}
 
 // EndpointEntry is the newest entry of one endpoint.
 type EndpointEntry struct {
@@ -326,7 +331,9 @@
 // EndpointsReply brings the list of endpoints as the sender knows it.
 type EndpointsReply struct {
 	// Next is the offset up to which the list is whole, AgeMillis how long ago the store's word was read.
-	Next      int64           `msg:"next"`
-	AgeMillis int64           `msg:"ageMillis"`
+	Next      int64 `msg:"next"`
+	AgeMillis int64 `msg:"ageMillis"`
+	// Unchanged tells that the asking entry's list is the same; Entries is empty then.
+	Unchanged bool            `msg:"unchanged"`
 	Entries   []EndpointEntry `msg:"entries,limit=65536"`
 }
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -2032,6 +2032,18 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "next":
+			z.Next, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		case "ageMillis":
+			z.AgeMillis, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMillis")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2045,21 +2057,40 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z EndpointsCall) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 0
-	_ = z
-	err = en.Append(0x80)
+	// map header, size 2
+	// write "next"
+	err = en.Append(0x82, 0xa4, 0x6e, 0x65, 0x78, 0x74)
 	if err != nil {
 		return
 	}
+	err = en.WriteInt64(z.Next)
+	if err != nil {
+		err = msgp.WrapError(err, "Next")
+		return
+	}
+	// write "ageMillis"
+	err = en.Append(0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z EndpointsCall) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 0
-	_ = z
-	o = append(o, 0x80)
+	// map header, size 2
+	// string "next"
+	o = append(o, 0x82, 0xa4, 0x6e, 0x65, 0x78, 0x74)
+	o = msgp.AppendInt64(o, z.Next)
+	// string "ageMillis"
+	o = append(o, 0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.AgeMillis)
 	return
 }
 
@@ -2081,6 +2112,18 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "next":
+			z.Next, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		case "ageMillis":
+			z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMillis")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2095,7 +2138,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z EndpointsCall) Msgsize() (s int) {
-	s = 1
+	s = 1 + 5 + msgp.Int64Size + 10 + msgp.Int64Size
 	return
 }
 
@@ -2333,6 +2376,12 @@
 				err = msgp.WrapError(err, "AgeMillis")
 				return
 			}
+		case "unchanged":
+			z.Unchanged, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Unchanged")
+				return
+			}
 		case "entries":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -2369,9 +2418,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EndpointsReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 4
 	// write "next"
-	err = en.Append(0x83, 0xa4, 0x6e, 0x65, 0x78, 0x74)
+	err = en.Append(0x84, 0xa4, 0x6e, 0x65, 0x78, 0x74)
 	if err != nil {
 		return
 	}
@@ -2390,6 +2439,16 @@
 		err = msgp.WrapError(err, "AgeMillis")
 		return
 	}
+	// write "unchanged"
+	err = en.Append(0xa9, 0x75, 0x6e, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Unchanged)
+	if err != nil {
+		err = msgp.WrapError(err, "Unchanged")
+		return
+	}
 	// write "entries"
 	err = en.Append(0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
 	if err != nil {
@@ -2413,13 +2472,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointsReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "next"
-	o = append(o, 0x83, 0xa4, 0x6e, 0x65, 0x78, 0x74)
+	o = append(o, 0x84, 0xa4, 0x6e, 0x65, 0x78, 0x74)
 	o = msgp.AppendInt64(o, z.Next)
 	// string "ageMillis"
 	o = append(o, 0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.AgeMillis)
+	// string "unchanged"
+	o = append(o, 0xa9, 0x75, 0x6e, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Unchanged)
 	// string "entries"
 	o = append(o, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
@@ -2463,6 +2525,12 @@
 				err = msgp.WrapError(err, "AgeMillis")
 				return
 			}
+		case "unchanged":
+			z.Unchanged, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unchanged")
+				return
+			}
 		case "entries":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -2500,7 +2568,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EndpointsReply) Msgsize() (s int) {
-	s = 1 + 5 + msgp.Int64Size + 10 + msgp.Int64Size + 8 + msgp.ArrayHeaderSize
+	s = 1 + 5 + msgp.Int64Size + 10 + msgp.Int64Size + 10 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Entries {
 		s += z.Entries[za0001].Msgsize()
 	}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,6 +23,12 @@
 	peersEachRound = 20
 	// askEvery is how often peers are asked.
 	askEvery = 500 * time.Millisecond
+	// askedPeers is how many peers an entry asks for their list of endpoints at a time. A store outage makes all
+	// entries ask at once; asked of all 75 peers, with whole lists as answers, that filled links of 10 Mbit/s, so that
+	// heartbeats were late and entries took each other for dead (47,000 changes of peers' states in 8 s).
+	askedPeers = 3
+	// freshMargin is how much fresher a peer's word of the store must be to be passed on: nearly one reading.
+	freshMargin = 500 * time.Millisecond
 )
 
 // heartbeat tells peers of this entry and asks them for what it lacks.
@@ -116,37 +123,72 @@
 // The lock is held.
 func (f *Forwarder) questions(now time.Time) map[string][]carrier.Message {
 	asked := make(map[string][]carrier.Message)
-	newest, offset := "", f.version()
-	var anyPeer string
+	if address, ok := f.configQuestion(now); ok {
+		asked[address] = append(asked[address], &carrier.ConfigCall{})
+	}
+	for _, address := range f.endpointsQuestion(now) {
+		asked[address] = append(asked[address], f.endpointsCall(now))
+	}
+	return asked
+}
+
+// configQuestion names the peer to ask for its configuration, if one has a newer one. It is any of those that have the
+// newest: all entries would ask the same one otherwise. The lock is held.
+func (f *Forwarder) configQuestion(now time.Time) (string, bool) {
+	var newest []string
+	version := f.version()
 	for _, m := range f.detector.Members() {
 		if m.Name == f.cfg.Name || m.State == detector.Dead || m.State == detector.Stopped {
 			continue
 		}
-		anyPeer = m.PeerAddress
-		if m.ConfigOffset > offset {
-			newest, offset = m.PeerAddress, m.ConfigOffset
+		if m.ConfigOffset > version {
+			newest, version = nil, m.ConfigOffset
+		}
+		if m.ConfigOffset == version && version > f.version() {
+			newest = append(newest, m.PeerAddress)
 		}
 	}
-	if newest == "" {
+	if len(newest) == 0 {
 		f.behindSince = time.Time{}
-	} else if f.behindSince.IsZero() {
+		return "", false
+	}
+	if f.behindSince.IsZero() {
 		f.behindSince = now
 	}
-	behind := newest != "" && (f.catalog == nil || now.Sub(f.behindSince) >= configPatience)
-	if behind && now.Sub(f.askedConfig) >= askEvery {
-		f.askedConfig = now
-		asked[newest] = append(asked[newest], &carrier.ConfigCall{})
+	patient := f.catalog != nil && now.Sub(f.behindSince) < configPatience
+	if patient || now.Sub(f.askedConfig) < askEvery {
+		return "", false
 	}
+	f.askedConfig = now
+	return newest[rand.IntN(len(newest))], true
+}
+
+// endpointsQuestion names the peers to ask for their list of endpoints while the own one is old. The lock is held.
+func (f *Forwarder) endpointsQuestion(now time.Time) []string {
 	stale := !f.registry.Known() || f.registry.Age(now) > endpointsPatience
-	if stale && anyPeer != "" && now.Sub(f.askedEndpoints) >= askEvery {
-		f.askedEndpoints = now
-		for _, m := range f.detector.Members() {
-			if m.Name != f.cfg.Name && m.State == detector.Live {
-				asked[m.PeerAddress] = append(asked[m.PeerAddress], &carrier.EndpointsCall{})
-			}
+	if !stale || now.Sub(f.askedEndpoints) < askEvery {
+		return nil
+	}
+	var live []string
+	for _, m := range f.detector.Members() {
+		if m.Name != f.cfg.Name && m.State == detector.Live {
+			live = append(live, m.PeerAddress)
 		}
 	}
-	return asked
+	if len(live) == 0 {
+		return nil
+	}
+	f.askedEndpoints = now
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(len(live), askedPeers)]
+}
+
+// endpointsCall tells peers what this entry knows of the endpoints. The lock is held.
+func (f *Forwarder) endpointsCall(now time.Time) *carrier.EndpointsCall {
+	if !f.registry.Known() {
+		return &carrier.EndpointsCall{Next: -1}
+	}
+	return &carrier.EndpointsCall{Next: f.registry.Next(), AgeMillis: f.registry.Age(now).Milliseconds()}
 }
 
 // TakeMessage takes a message from the peer that proved the name.
@@ -166,9 +208,9 @@
 		// An error was logged, and the next heartbeat asks again.
 		_ = f.TakeConfig(m.Data, from, now)
 	case *carrier.EndpointsCall:
-		f.locked(func() []func() { return f.replyEndpoints(from, now) })
+		f.locked(func() []func() { return f.replyEndpoints(from, m, now) })
 	case *carrier.EndpointsReply:
-		f.takeEndpointsReply(m, now)
+		f.locked(func() []func() { return f.takeEndpointsReply(m, now) })
 	case *carrier.EndpointsNews:
 		f.locked(func() []func() { return f.takeNews(m, now) })
 	case *carrier.PieceAsk:
@@ -243,19 +285,41 @@
 	return []func(){f.sendTo(from, reply)}
 }
 
-func (f *Forwarder) replyEndpoints(from string, now time.Time) []func() {
+// replyEndpoints answers a peer that asks for the list of endpoints, unless its word of the store is as fresh. The lock is
+// held.
+func (f *Forwarder) replyEndpoints(from string, asked *carrier.EndpointsCall, now time.Time) []func() {
 	if !f.registry.Known() {
 		return nil
 	}
-	reply := &carrier.EndpointsReply{Next: f.registry.Next(), AgeMillis: f.registry.Age(now).Milliseconds()}
-	for _, c := range f.registry.Changes() {
-		reply.Entries = append(reply.Entries, entryOf(c))
+	age := f.registry.Age(now)
+	theirs := time.Duration(asked.AgeMillis) * time.Millisecond
+	if asked.Next >= 0 && age+freshMargin > theirs {
+		return nil
+	}
+	reply := &carrier.EndpointsReply{
+		Next:      f.registry.Next(),
+		AgeMillis: age.Milliseconds(),
+		Unchanged: asked.Next == f.registry.Next(),
+	}
+	if !reply.Unchanged {
+		for _, c := range f.registry.Changes() {
+			reply.Entries = append(reply.Entries, entryOf(c))
+		}
 	}
 	return []func(){f.sendTo(from, reply)}
 }
 
-func (f *Forwarder) takeEndpointsReply(m *carrier.EndpointsReply, now time.Time) {
-	f.ReplaceEndpoints(changesOf(m.Entries), m.Next, now)
+// takeEndpointsReply takes a peer's list of endpoints. The lock is held.
+func (f *Forwarder) takeEndpointsReply(m *carrier.EndpointsReply, now time.Time) []func() {
+	if m.Next < f.registry.Next() || m.Unchanged && m.Next != f.registry.Next() {
+		return nil
+	}
+	f.registry.HeardAt(now.Add(-time.Duration(m.AgeMillis) * time.Millisecond))
+	if m.Unchanged {
+		return nil
+	}
+	f.registry.Replace(changesOf(m.Entries), m.Next, now)
+	return f.endpointsChanged(now)
 }
 
 // sendTo sends a message to the peer of the name.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -93,6 +93,14 @@
 	r.heard = now
 }
 
+// HeardAt notes that a peer passed on the store's word as of a time. It says nothing of the store's return: that the
+// entry sees for itself.
+func (r *Registry) HeardAt(at time.Time) {
+	if at.After(r.heard) {
+		r.heard = at
+	}
+}
+
 // Apply takes changes that follow the ones before, up to the offset next.
 func (r *Registry) Apply(changes []Change, next int64, now time.Time) {
 	for _, c := range changes {
