End a stream's stages when its caller would leave, not at its deadline

Cause: callers leave a stream that is silent for four objectives, also before its first event (4 s of 15 s for short chats).

--- a/assembler/forwarding_test.go
+++ b/assembler/forwarding_test.go
@@ -355,6 +355,26 @@
 	require.Empty(t, f.runs("waits"))
 }
 
+// All endpoints of a stage are full for as long as the caller waits. Callers leave a stream without its first event after
+// some objectives, long before their deadline: the refusal must come before that, or the caller waits for nothing and
+// learns neither that its request has not run nor when to come back.
+func TestAStreamThatCannotBeginIsToldBeforeItsCallerLeaves(t *testing.T) {
+	f := newFleet(t, 1)
+	f.fail("encode", imitator.Full, -1)
+	f.site.Routes[4]["TimeoutMs"] = 60_000
+	f.site.Configure()
+	a := f.ask(0, imitator.StagesPath, "waits")
+	a.Pieces = "1,1"
+	a.Patience = time.Minute
+	ctx, leave := context.WithTimeout(t.Context(), 10*time.Second)
+	defer leave()
+	reply, err := a.Call(ctx)
+	require.NoError(t, err, "the caller has left before it was told")
+	require.Equal(t, http.StatusServiceUnavailable, reply.Status)
+	require.NotEmpty(t, reply.RetryAfter)
+	require.Empty(t, f.runs("waits"))
+}
+
 // A caller asks for a long stream and reads none of it. After its deadline the endpoint's work must end, and the entry
 // must hold nothing for it, although its write to the caller never comes to an end.
 func TestACallerThatDoesNotReadHoldsNothing(t *testing.T) {
--- a/cataloger/route.go
+++ b/cataloger/route.go
@@ -59,6 +59,9 @@
 	Resumable bool
 	// EventGap is the longest pause between events for which a stream counts as on time.
 	EventGap time.Duration
+	// FirstEventPatience is how long callers wait for a stream's first event before they leave; 0 where they wait until
+	// their deadline.
+	FirstEventPatience time.Duration
 }
 
 // Repeatable tells whether a request may be sent again after it may have run.
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -51,6 +51,8 @@
 	// due is when an answer is on time, deadline when it must be final.
 	due      time.Time
 	deadline time.Time
+	// firstBy is when a stream's caller leaves that has no event yet.
+	firstBy time.Time
 
 	tried []string
 	// runs is how many endpoints may have run the request.
@@ -187,6 +189,10 @@
 	}
 	x.deadline = x.began.Add(timeout)
 	x.due = x.began.Add(x.route.Objective)
+	x.firstBy = x.deadline
+	if patience := x.route.FirstEventPatience; patience > 0 && patience < timeout {
+		x.firstBy = x.began.Add(patience)
+	}
 	x.boundWrites(x.deadline)
 }
 
--- a/forwarder/stageplan.go
+++ b/forwarder/stageplan.go
@@ -8,7 +8,7 @@
 // holdingShare is the part of an endpoint's space from which a request's results there hold others up.
 const holdingShare = 0.05
 
-// checkTime refuses a request that can't be answered before its deadline, by what waits at the stages on its way.
+// checkTime refuses a request whose first event can't come before its caller leaves, by what waits at the stages on its way.
 func (s *stageWork) checkTime(now time.Time) *FailureError {
 	longest, service := time.Duration(0), ""
 	total := s.modelTime
@@ -24,7 +24,7 @@
 			total = max(total, s.modelTime+s.callTime(i)+s.after(i))
 		}
 	}
-	if longest == 0 || now.Add(total+longest).Before(s.x.deadline) {
+	if longest == 0 || now.Add(total+longest).Before(s.x.firstBy) {
 		return nil
 	}
 	return notRun("overload", s.x.f.comeBack(service))
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -78,6 +78,10 @@
 	return counts
 }
 
+// lastStart is when the model engine must have the request for its first event to find the caller still there. Results
+// that come later are of no use to anybody, and a caller that is told before it leaves can still come back.
+func (s *stageWork) lastStart() time.Time { return s.x.firstBy.Add(-s.modelTime) }
+
 // config is what the route says of a stage.
 func (s *stageWork) config(stage int) *cataloger.Stage { return &s.x.route.Stages[stage] }
 
@@ -86,6 +90,8 @@
 	ends := make(chan stageEnd, 1)
 	quit := make(chan struct{})
 	defer close(quit)
+	late := time.NewTimer(time.Until(s.lastStart()))
+	defer late.Stop()
 	for {
 		s.askReady(ends, quit)
 		if s.done() {
@@ -98,6 +104,8 @@
 			}
 		case <-s.x.f.ending:
 			return notRun("entryStops", soon())
+		case <-late.C:
+			return notRun("stagesTimedOut", soon())
 		case <-s.x.ctx.Done():
 			return notRun("stagesTimedOut", soon())
 		}
@@ -164,7 +172,7 @@
 	g := collector.Group{
 		ID:          collector.GroupID{Origin: x.f.cfg.Name, Request: x.req.ID, Stage: stage},
 		Due:         x.due.Add(-s.modelTime - s.after(stage)),
-		Deadline:    x.deadline.Add(-s.after(stage)),
+		Deadline:    s.lastStart().Add(-s.after(stage)),
 		Priority:    x.priority,
 		Account:     x.account,
 		ResultBytes: s.config(stage).ResultBytes,
