Tell fewer peers of lives in a round, and other ones than the next entry does

Cause: small VMs (0.192 of a core) took 41 to 52 ms at the median for a plain call of 15 ms, large ones 13 ms: heartbeats, not requests, took their processor. Each round an entry told 20 of 75 peers, two frames and two writes each, and all entries told the same peers in the same round, so that those got 75 heartbeats at once. Ruled out: the endpoints (four of them, 0.15 busy); usage caps (mean use 0.037 of 0.192 of a core). Change: heartbeats go to 10 peers a round, work to 20; each entry begins at a number of its own; all frames that wait for a peer go in one write. Seen to fail first: TestEntriesTellDifferentPeersInARound.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"geraniumline/carrier"
@@ -107,7 +108,7 @@
 	behindSince    time.Time
 	// takenTime is what collecting entries' words on asks have taken lately.
 	takenTime time.Duration
-	// round counts the rounds of heartbeats.
+	// round counts the rounds of heartbeats, from a number of the entry's own.
 	round int
 	// newsAt is when the entry that reads the store for all was heard last.
 	newsAt time.Time
@@ -156,6 +157,7 @@
 		}),
 		ending:      make(chan struct{}),
 		quarantiner: quarantiner.New(quarantiner.Config{}),
+		round:       int(uint32(xxhash.Sum64String(cfg.Name))),
 
 		pools:     make(map[string]*collector.Pool),
 		asks:      make(map[askID]*ask),
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -35,6 +35,8 @@
 	nodes map[string]*Forwarder
 	cut   map[string]bool
 	sent  map[string]int
+	// heard counts the heartbeats that came to each entry.
+	heard map[string]int
 	now   time.Time
 }
 
@@ -50,6 +52,9 @@
 	if !known || p.m.cut[p.name] || p.m.cut[address] {
 		return
 	}
+	if _, ok := message.(*carrier.Heartbeat); ok {
+		p.m.heard[address]++
+	}
 	target.TakeMessage(p.name, message)
 }
 
@@ -67,7 +72,7 @@
 
 func newMesh(t testing.TB, n int) *mesh {
 	t.Helper()
-	m := &mesh{t: t, nodes: map[string]*Forwarder{}, cut: map[string]bool{}, sent: map[string]int{}, now: time.Now()}
+	m := &mesh{t: t, nodes: map[string]*Forwarder{}, cut: map[string]bool{}, sent: map[string]int{}, heard: map[string]int{}, now: time.Now()}
 	for i := range n {
 		name := fmt.Sprintf("entry-%d", i)
 		f := New(Config{
@@ -290,7 +295,7 @@
 	f := m.nodes["entry-0"]
 	before := m.sent["*carrier.Heartbeat"]
 	f.heartbeat(time.Now())
-	require.LessOrEqual(t, m.sent["*carrier.Heartbeat"]-before, peersEachRound)
+	require.LessOrEqual(t, m.sent["*carrier.Heartbeat"]-before, heartbeatsEachRound)
 	m.beat(3)
 	extra := 0
 	for name, f := range m.nodes {
@@ -329,3 +334,18 @@
 	asking.locked(func() []func() { return asking.checkAsks(a.sent.Add(time.Second)) })
 	require.NotEqual(t, owner, a.owner)
 }
+
+// In a large fleet all entries send their heartbeats at about the same times. If all told the same peers in one round, each
+// peer would hear nothing for the rounds between, suspect everybody, and callers would see pieces asked for anew at one
+// entry after the other. In each round a peer must hear from some.
+func TestEntriesTellDifferentPeersInARound(t *testing.T) {
+	const entries = 80
+	m := newMesh(t, entries)
+	for range 4 {
+		m.heard = map[string]int{}
+		m.beat(1)
+		for name := range m.nodes {
+			require.Positive(t, m.heard[name], name)
+		}
+	}
+}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -18,9 +18,13 @@
 	// endpointsPatience is the age of the own list of endpoints from which peers are asked for theirs: two readings
 	// of the store were missed.
 	endpointsPatience = 1500 * time.Millisecond
-	// peersEachRound is how many peers are told in one round. With some 80 entries each hears of its peers' work
-	// every 0.6 s, and of their lives from others within two rounds.
-	peersEachRound = 20
+	// toldWhole is up to how many peers all are told in each round.
+	toldWhole = 20
+	// heartbeatsEachRound and worksEachRound are how many peers hear of others' lives and of this entry's work in one
+	// round where there are more. Word of a life reaches some 80 entries within two or three rounds, well inside
+	// suspectAfter; work is not passed on, so that each must hear it from the entry itself, every 0.6 s.
+	heartbeatsEachRound = 10
+	worksEachRound      = 20
 	// askEvery is how often peers are asked.
 	askEvery = 500 * time.Millisecond
 	// askedPeers is how many peers an entry asks for their list of endpoints at a time. A store outage makes all
@@ -39,14 +43,17 @@
 	transitions := f.detector.Tick(now)
 	beat := f.detector.Heartbeat(now)
 	beat.Crashes = f.quarantiner.Marks(now)
-	targets := f.shareOf(f.detector.Targets(now))
+	f.round++
+	targets := f.detector.Targets(now)
 	work := f.work()
 	questions := f.questions(now)
 	todo := f.takeTransitions(transitions, now)
 	f.mu.Unlock()
 	run(todo)
-	for _, address := range targets {
+	for _, address := range f.shareOf(targets, heartbeatsEachRound) {
 		f.sender.Send(address, beat)
+	}
+	for _, address := range f.shareOf(targets, worksEachRound) {
 		f.sender.Send(address, work)
 	}
 	for address, list := range questions {
@@ -58,14 +65,14 @@
 
 // shareOf gives the part of the peers that are told in this round. Told all in each round, what an entry sends grows
 // with the square of their number: 465 KB a second at 80 entries, 9 at 7. Each heartbeat carries the newest word on all
-// members, so that one of a part each round still tells of everybody. The lock is held.
-func (f *Forwarder) shareOf(targets []string) []string {
-	parts := (len(targets) + peersEachRound - 1) / peersEachRound
-	if parts <= 1 {
+// members, so that one of a part each round still tells of everybody. Entries tell different parts in the same round:
+// told by all at once, a peer would hear nothing for the rounds between, and take everybody for dead.
+func (f *Forwarder) shareOf(targets []string, each int) []string {
+	if len(targets) <= toldWhole {
 		return targets
 	}
-	f.round++
-	share := make([]string, 0, peersEachRound)
+	parts := (len(targets) + each - 1) / each
+	share := make([]string, 0, each)
 	for i, address := range targets {
 		if (i+f.round)%parts == 0 {
 			share = append(share, address)
--- a/messenger/sender.go
+++ b/messenger/sender.go
@@ -72,21 +72,24 @@
 			items = append([]item{{kind: hb.Kind(), body: body}}, items...)
 		}
 	}
-	for i, it := range items {
-		if err := s.write(it); err != nil {
-			s.m.counts.lost.Inc(int64(len(items) - i))
-			s.disconnect()
-			return
-		}
+	if err := s.write(items); err != nil {
+		s.m.counts.lost.Inc(int64(len(items)))
+		s.disconnect()
 	}
 }
 
-func (s *sender) write(it item) error {
-	if kindSize+len(it.body)+tagSize > s.m.cfg.MaxFrame {
-		s.m.counts.dropped.Inc(1)
-		return nil
+// write sends all items in one write: on small VMs the system call costs more than the frame.
+func (s *sender) write(items []item) error {
+	s.buf = s.buf[:0]
+	sent := 0
+	for _, it := range items {
+		if kindSize+len(it.body)+tagSize > s.m.cfg.MaxFrame {
+			s.m.counts.dropped.Inc(1)
+			continue
+		}
+		s.buf = appendFrame(s.buf, it.kind, it.body, s.sealer)
+		sent++
 	}
-	s.buf = appendFrame(s.buf[:0], it.kind, it.body, s.sealer)
 	if err := s.conn.SetWriteDeadline(time.Now().Add(s.m.cfg.WriteTimeout)); err != nil {
 		return err
 	}
@@ -95,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	s.m.counts.sent.Inc(1)
+	s.m.counts.sent.Inc(int64(sent))
 	if cap(s.buf) > keptBuffer {
 		s.buf = nil
 	}
