Find peers in the platform's store when none is heard

Cause: settings name three seeds at most, and VMs are removed for good: an entry whose seeds are all gone served by itself. Callers that asked it were told of it alone, it collected pieces beside the others, and heard of withdrawn keys from nobody. Ruled out: a read of the store at each start (each call is priced, and seeds answer within some heartbeats). Change: each entry writes its address once, at its start (keyed.entries), and reads the others' only while it hears no peer, after 1 s, then less and less often. Seen to fail first: TestAnEntryWhoseSeedsAreGoneFindsItsPeers.

--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -50,12 +50,27 @@
 	return f
 }
 
+// startOptions tells in what an entry's settings differ from the others'.
+type startOptions struct {
+	// store is the address of another store than the site's.
+	store string
+	// seedless names none of the living entries.
+	seedless bool
+}
+
 // start starts one more entry; a store address replaces the site's.
 func (f *fleet) start(store string) *node {
+	f.t.Helper()
+	return f.startWith(startOptions{store: store})
+}
+
+func (f *fleet) startWith(o startOptions) *node {
 	f.t.Helper()
 	var seeds []string
 	for _, n := range f.nodes {
-		seeds = append(seeds, n.peers)
+		if !o.seedless {
+			seeds = append(seeds, n.peers)
+		}
 	}
 	nd := &node{done: make(chan error, 1)}
 	var file string
@@ -63,8 +78,8 @@
 	file, nd.callers, nd.ready, nd.addresses, nd.peers = f.site.Settings(f.t, name, seeds...)
 	settings, err := platform.LoadSettings(file)
 	require.NoError(f.t, err)
-	if store != "" {
-		settings.StoreAddress = store
+	if o.store != "" {
+		settings.StoreAddress = o.store
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	nd.stop = cancel
--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -220,14 +220,23 @@
 // startBackground starts all that runs beside the requests.
 func (e *forwarding) startBackground(ctx context.Context, listeners []net.Listener) *sync.WaitGroup {
 	var background sync.WaitGroup
+	store := platform.NewStore(e.settings.StoreAddress)
+	directory := &platform.Directory{
+		Store: store,
+		Self:  platform.Peer{Name: e.settings.Name, Address: e.settings.PeerAddress, Zone: e.settings.Zone},
+		Sink:  e.forwarder,
+		Log:   e.log,
+		Meter: e.meter,
+	}
 	watcher := &platform.Watcher{
-		Store: platform.NewStore(e.settings.StoreAddress),
+		Store: store,
 		Sink:  e.forwarder,
 		Log:   e.log,
 		Meter: e.meter,
 	}
 	background.Go(func() { watcher.WatchConfig(ctx) })
 	background.Go(func() { watcher.WatchEndpoints(ctx) })
+	background.Go(func() { directory.Run(ctx) })
 	background.Go(func() { e.forwarder.Run(ctx) })
 	background.Go(func() { e.closeIdle(ctx) })
 	background.Go(func() {
--- a/assembler/forwarding_test.go
+++ b/assembler/forwarding_test.go
@@ -396,3 +396,12 @@
 		return f.metric(0, "geraniumline_forward_in_flight") == "0"
 	}, forwardPatience, 50*time.Millisecond)
 }
+
+// All seeds that the settings name are gone for good when an entry starts. Its callers would be told of it alone, and it
+// would collect pieces beside the others. It must find them by the addresses that they left in the platform's store, and
+// they it.
+func TestAnEntryWhoseSeedsAreGoneFindsItsPeers(t *testing.T) {
+	f := newFleet(t, 2)
+	f.startWith(startOptions{seedless: true})
+	f.await()
+}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -81,6 +81,20 @@
 	return share
 }
 
+// Alone tells whether this entry hears no other one.
+func (f *Forwarder) Alone() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.livePeers() == 0
+}
+
+// TakePeer takes the address of an entry that may live: heartbeats to it show whether it does.
+func (f *Forwarder) TakePeer(address, zone string, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.detector.Hint(address, zone, false, now)
+}
+
 // setSelf sets what this entry says of itself. The lock is held.
 func (f *Forwarder) setSelf() {
 	state := detector.Live
