--- a/forwarder/stageplan.go
+++ b/forwarder/stageplan.go
@@ -100,22 +100,13 @@
 // is given up at another stage has made them for nothing. In a play of a loaded day with 76 entries 0.59 of the credit was
 // earned with this and 0.51 without.
 func (s *stageWork) tooEarly(stage int, now time.Time) bool {
-	if s.followed(stage) || !s.large(stage) {
+	last := slices.Contains(s.x.route.LastStages(s.counts()), stage)
+	if !last || !s.large(stage) {
 		return false
 	}
 	return s.othersNeed(stage, now) > time.Duration(earlyFactor*float64(s.usualTime(stage)))
 }
 
-// followed tells whether another stage takes the stage's results.
-func (s *stageWork) followed(stage int) bool {
-	for i, next := range s.x.route.Stages {
-		if s.states[i].count > 0 && slices.Contains(next.After, stage) {
-			return true
-		}
-	}
-	return false
-}
-
 // othersNeed predicts how long the request's other stages will still take. One that waits for longer than usual is
 // expected to wait for as long again as it is late: what holds it up is not over yet.
 func (s *stageWork) othersNeed(stage int, now time.Time) time.Duration {
