Take the start that endpoints tell, and pass over entries of other writers

Cause: an endpoint may start again under its id; the space, calls, prompt parts, health and peers' work that were remembered of it belonged to the earlier start. An entry may come from another writer: a record without some field or with an unknown state was taken for an endpoint, and one whose key could not be read kept the whole topic from being read. A whole list left such an entry's endpoint in use and a tail did not. Change: Endpoint.Started, told to peers too; selector and collector take a later start for another endpoint; late words of an earlier start are dropped. Unusable entries are kept as such, by tail and list alike, until a newer record; entries of services that nobody configured take no address.

--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -318,8 +318,11 @@
 	Zone     string
 	Slots    int32
 	Draining bool
-	// Removed entries have only their ID and offset.
-	Removed bool
+	// Removed and unusable entries have only their ID and offset.
+	Removed  bool
+	Unusable bool
+	// StartedMillis is when the endpoint started, by its own word in Unix milliseconds; 0 where it does not say.
+	StartedMillis int64
 }
 
 // EndpointsNews brings the changes of endpoints' entries that the entry which reads the store for all has just read.
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -1633,8 +1633,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadString()
@@ -1677,13 +1677,23 @@
 		err = msgp.WrapError(err, "Removed")
 		return
 	}
+	z.Unusable, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Unusable")
+		return
+	}
+	z.StartedMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *EndpointEntry) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 8
-	err = en.Append(0x98)
+	// array header, size 10
+	err = en.Append(0x9a)
 	if err != nil {
 		return
 	}
@@ -1727,14 +1737,24 @@
 		err = msgp.WrapError(err, "Removed")
 		return
 	}
+	err = en.WriteBool(z.Unusable)
+	if err != nil {
+		err = msgp.WrapError(err, "Unusable")
+		return
+	}
+	err = en.WriteInt64(z.StartedMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointEntry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendString(o, z.ID)
 	o = msgp.AppendInt64(o, z.Offset)
 	o = msgp.AppendString(o, z.Service)
@@ -1743,6 +1763,8 @@
 	o = msgp.AppendInt32(o, z.Slots)
 	o = msgp.AppendBool(o, z.Draining)
 	o = msgp.AppendBool(o, z.Removed)
+	o = msgp.AppendBool(o, z.Unusable)
+	o = msgp.AppendInt64(o, z.StartedMillis)
 	return
 }
 
@@ -1754,8 +1776,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadStringBytes(bts)
@@ -1798,13 +1820,23 @@
 		err = msgp.WrapError(err, "Removed")
 		return
 	}
+	z.Unusable, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Unusable")
+		return
+	}
+	z.StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EndpointEntry) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone) + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone) + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.Int64Size
 	return
 }
 
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -143,7 +143,8 @@
 	}
 	list := make([]*endpoint, 0, len(all))
 	for _, e := range all {
-		if old, ok := known[e.ID]; ok {
+		// One that has started again is another endpoint: the space and the calls of its earlier start are gone.
+		if old, ok := known[e.ID]; ok && old.SameStart(&e) {
 			old.Endpoint = e
 			list = append(list, old)
 			delete(known, e.ID)
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"geraniumline/registrar"
 )
 
 func TestPiecesOfManyRequestsShareCalls(t *testing.T) {
@@ -388,3 +390,22 @@
 	w.run(6 * time.Second)
 	require.Equal(t, 4, w.made(id))
 }
+
+// An endpoint whose space is full of results starts again under its id: nothing of them lies there any more. Counted on,
+// the pool would send it no call until they lapse, four seconds later.
+func TestAnEndpointThatStartsAgainHasAllItsSpace(t *testing.T) {
+	stage := usualStage()
+	stage.RoomBytes = 8 * 60_000
+	w := newWorld(stage, 1)
+	w.keepFor = -1
+	large := func(g *Group) { g.ResultBytes = 60_000; g.Due = w.at(9 * time.Second) }
+	w.arrive(0, "first", 7, large)
+	second := w.arrive(300*time.Millisecond, "second", 7, large)
+	w.run(time.Second)
+	require.Zero(t, w.made(second), "no space is left")
+	again := w.pool.endpoints[0].Endpoint
+	again.Started = w.now
+	w.reduce(EndpointsChanged{Endpoints: []registrar.Endpoint{again}})
+	w.run(2 * time.Second)
+	require.Equal(t, 7, w.made(second))
+}
--- a/collector/world_test.go
+++ b/collector/world_test.go
@@ -82,7 +82,7 @@
 	var all []registrar.Endpoint
 	for i := range n {
 		id := fmt.Sprintf("e%d", i)
-		all = append(all, registrar.Endpoint{ID: id, Address: id + ":80", Zone: fmt.Sprintf("z%d", i%3)})
+		all = append(all, registrar.Endpoint{ID: id, Address: id + ":80", Zone: fmt.Sprintf("z%d", i%3), Started: start})
 	}
 	w.reduce(EndpointsChanged{Endpoints: all})
 	return w
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -76,7 +76,7 @@
 	end := ejector.Bad
 	if !bad {
 		x.f.mu.Lock()
-		end = x.f.selector.Judge(choice.Endpoint.ID, took, x.route.Objective)
+		end = x.f.selector.Judge(choice, took, x.route.Objective)
 		x.f.mu.Unlock()
 	}
 	x.end(choice, end, end != ejector.Good)
--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,6 +32,7 @@
 	f.catalog = catalog
 	f.raw = data
 	f.behindSince = time.Time{}
+	f.registry.SetServices(slices.Collect(maps.Keys(catalog.Services())))
 	for service, p := range f.pools {
 		if s, known := catalog.Service(service); known && s.Stage != nil {
 			p.SetStage(*s.Stage)
--- a/forwarder/reader.go
+++ b/forwarder/reader.go
@@ -62,9 +62,9 @@
 
 func entryOf(c registrar.Change) carrier.EndpointEntry {
 	if c.Endpoint == nil {
-		return carrier.EndpointEntry{ID: c.ID, Offset: c.Offset, Removed: true}
+		return carrier.EndpointEntry{ID: c.ID, Offset: c.Offset, Removed: true, Unusable: c.Unusable}
 	}
-	return carrier.EndpointEntry{
+	entry := carrier.EndpointEntry{
 		ID:       c.ID,
 		Offset:   c.Offset,
 		Service:  c.Endpoint.Service,
@@ -73,12 +73,16 @@
 		Slots:    int32(c.Endpoint.Slots),
 		Draining: c.Endpoint.Draining,
 	}
+	if !c.Endpoint.Started.IsZero() {
+		entry.StartedMillis = c.Endpoint.Started.UnixMilli()
+	}
+	return entry
 }
 
 func changesOf(entries []carrier.EndpointEntry) []registrar.Change {
 	changes := make([]registrar.Change, len(entries))
 	for i, e := range entries {
-		changes[i] = registrar.Change{ID: e.ID, Offset: e.Offset}
+		changes[i] = registrar.Change{ID: e.ID, Offset: e.Offset, Unusable: e.Unusable}
 		if e.Removed {
 			continue
 		}
@@ -90,6 +94,9 @@
 			Slots:    int(e.Slots),
 			Draining: e.Draining,
 		}
+		if e.StartedMillis > 0 {
+			changes[i].Endpoint.Started = time.UnixMilli(e.StartedMillis)
+		}
 	}
 	return changes
 }
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -112,6 +112,7 @@
 	EndpointsAge       Name = "endpoints_age_millis"
 	ConfigVersion      Name = "config_version"
 	StoreCalls         Name = "store_calls"
+	EntriesUnusable    Name = "entries_unusable"
 	LogLinesDropped    Name = "log_lines_dropped"
 )
 
@@ -236,6 +237,7 @@
 	{EndpointJudgements, KindCounter, "judgements", byOutcome, "An endpoint taken out of use or let back.", ""},
 	{EndpointsAge, KindGauge, "milliseconds", "", "Age of the list of endpoints.", ""},
 	{ConfigVersion, KindGauge, "version", "", "Version of the configuration that requests are forwarded by.", ""},
+	{EntriesUnusable, KindCounter, "records", "", "An endpoint's entry in the store that can't be used.", ""},
 	{StoreCalls, KindCounter, "calls", byOutcome, "A reading of the platform's store.", ""},
 	{LogLinesDropped, KindCounter, "lines", byReason, "A log line not written: ordinary over the rate, or any over the buffer.", ""},
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -15,8 +15,10 @@
 
 // Endpoint is one process that takes calls.
 type Endpoint struct {
-	// ID names this start of the process; a restart has another.
-	ID      string
+	// ID names the endpoint. It may start again under the same one.
+	ID string
+	// Started is when this start of it began, by its own word; zero where it does not say.
+	Started time.Time
 	Service string
 	Address string
 	Zone    string
@@ -27,13 +29,24 @@
 	ColdUntil time.Time
 }
 
+// SameStart tells whether both are one start of one endpoint. A later start holds nothing that an earlier one held: prompt
+// parts, stage results, calls. Work placed by what the earlier one held would wait for what is not there.
+func (e *Endpoint) SameStart(other *Endpoint) bool {
+	if e.ID != other.ID {
+		return false
+	}
+	return e.Started.IsZero() || other.Started.IsZero() || e.Started.Equal(other.Started)
+}
+
 // Change is one record of an endpoint's entry.
 type Change struct {
 	ID string
 	// Offset orders the changes.
 	Offset int64
-	// Endpoint is nil where the entry was removed.
+	// Endpoint is nil where the entry was removed or can't be used.
 	Endpoint *Endpoint
+	// Unusable entries can't be read as an endpoint's: another writer wrote them.
+	Unusable bool
 }
 
 // Config sets a Registry up.
@@ -48,6 +61,8 @@
 	offset   int64
 	// removedAt is set while the entry is missing but not yet believed to be gone.
 	removedAt time.Time
+	// unusable entries name no endpoint until a newer record does.
+	unusable bool
 }
 
 // Registry is the list of endpoints as the store's records tell it.
@@ -62,6 +77,8 @@
 	// heard is when the store's word was last read, here or by the peer that passed it on.
 	heard time.Time
 	known bool
+	// services are those that the configuration names; nil before it is known.
+	services map[string]bool
 }
 
 // New makes a registry that knows no endpoint.
@@ -130,24 +147,46 @@
 	r.known = true
 }
 
+// SetServices takes the names of the services that the configuration has.
+func (r *Registry) SetServices(names []string) {
+	r.services = make(map[string]bool, len(names))
+	for _, name := range names {
+		r.services[name] = true
+	}
+	for id, e := range r.entries {
+		r.evict(id, e)
+	}
+}
+
 func (r *Registry) apply(c Change, now time.Time) {
-	if c.Endpoint == nil {
+	e, known := r.entries[c.ID]
+	switch {
+	case known && c.Offset < e.offset:
+		return
+	case c.Unusable:
+		r.entries[c.ID] = &entry{offset: c.Offset, unusable: true}
+		return
+	case c.Endpoint == nil:
 		r.remove(c.ID, c.Offset, now)
 		return
-	}
-	e, known := r.entries[c.ID]
-	if known && c.Offset < e.offset {
+	case known && c.Endpoint.Started.Before(e.endpoint.Started) && !c.Endpoint.Started.IsZero():
+		// The late word of an earlier start under the same id, which says nothing of the present one.
 		return
 	}
-	r.evict(c)
-	r.entries[c.ID] = &entry{endpoint: *c.Endpoint, offset: c.Offset}
+	taken := &entry{endpoint: *c.Endpoint, offset: c.Offset}
+	r.evict(c.ID, taken)
+	r.entries[c.ID] = taken
 }
 
-// evict drops an older endpoint at the change's address. Addresses are used again after an endpoint has ended, also
-// by other services; its old entry may stay until it lapses, and calls would go to the wrong process.
-func (r *Registry) evict(c Change) {
+// evict drops older endpoints at an entry's address. Addresses are used again after an endpoint has ended, also by other
+// services; its old entry may stay until it lapses, and calls would go to the wrong process. An entry of a service that
+// the configuration does not name evicts none: anybody may have written it, and sound endpoints would be lost to it.
+func (r *Registry) evict(newerID string, newer *entry) {
+	if newer.unusable || r.services != nil && !r.services[newer.endpoint.Service] {
+		return
+	}
 	for id, e := range r.entries {
-		if id != c.ID && e.endpoint.Address == c.Endpoint.Address && e.offset < c.Offset {
+		if id != newerID && e.endpoint.Address == newer.endpoint.Address && e.offset < newer.offset {
 			delete(r.entries, id)
 		}
 	}
@@ -159,7 +198,7 @@
 		return
 	}
 	e.offset = offset
-	if !r.doubtful(now) {
+	if e.unusable || !r.doubtful(now) {
 		delete(r.entries, id)
 		return
 	}
@@ -192,7 +231,7 @@
 func (r *Registry) Usable() []Endpoint {
 	usable := make([]Endpoint, 0, len(r.entries))
 	for _, e := range r.entries {
-		if !e.endpoint.Draining {
+		if !e.unusable && !e.endpoint.Draining {
 			usable = append(usable, e.endpoint)
 		}
 	}
@@ -205,8 +244,12 @@
 func (r *Registry) Changes() []Change {
 	all := make([]Change, 0, len(r.entries))
 	for id, e := range r.entries {
-		endpoint := e.endpoint
-		all = append(all, Change{ID: id, Offset: e.offset, Endpoint: &endpoint})
+		c := Change{ID: id, Offset: e.offset, Unusable: e.unusable}
+		if !e.unusable {
+			endpoint := e.endpoint
+			c.Endpoint = &endpoint
+		}
+		all = append(all, c)
 	}
 	slices.SortFunc(all, func(a, b Change) int { return strings.Compare(a.ID, b.ID) })
 	return all
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -91,3 +91,59 @@
 	require.Equal(t, ids(r), ids(other))
 	require.True(t, other.Known())
 }
+
+// Another writer puts something under an endpoint's key that can't be read. The endpoint gets no calls until its own next
+// word, whether the record came in a tail or in a whole list, and also while the store is away, when entries that are
+// merely missing are kept. All other endpoints go on.
+func TestAnUnusableEntryNamesNoEndpointAndTheOthersHold(t *testing.T) {
+	bad := Change{ID: "a", Offset: 2, Unusable: true}
+	for _, tc := range []struct {
+		name string
+		take func(r *Registry)
+	}{
+		{"tail", func(r *Registry) { r.Apply([]Change{bad}, 3, start) }},
+		{"whole list", func(r *Registry) { r.Replace([]Change{bad, put("b", 1, nil)}, 3, start) }},
+		{"tail while the store is away", func(r *Registry) { r.Lost(); r.Apply([]Change{bad}, 3, start) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := New(Config{})
+			r.Heard(start)
+			r.Replace([]Change{put("a", 0, nil), put("b", 1, nil)}, 2, start)
+			tc.take(r)
+			require.Equal(t, []string{"b"}, ids(r))
+			other := New(Config{})
+			other.Replace(r.Changes(), r.Next(), start)
+			require.Equal(t, []string{"b"}, ids(other), "a peer is told so too")
+			r.Apply([]Change{put("a", 1, nil)}, 3, start)
+			require.Equal(t, []string{"b"}, ids(r), "an older word does not bring it back")
+			r.Apply([]Change{put("a", 3, nil)}, 4, start)
+			require.Equal(t, []string{"a", "b"}, ids(r))
+		})
+	}
+}
+
+// Another writer's entry gives a sound endpoint's address and a service that nobody configured. Taken for a new owner of
+// the address, it would put the sound endpoint out of use.
+func TestAnEntryOfAnUnknownServiceTakesNoAddress(t *testing.T) {
+	r := New(Config{})
+	r.Heard(start)
+	r.SetServices([]string{"s"})
+	same := func(e *Endpoint) { e.Address = "10.0.0.1:80" }
+	foreign := func(e *Endpoint) { same(e); e.Service = "nowhere" }
+	r.Apply([]Change{put("sound", 0, same), put("foreign", 1, foreign)}, 2, start)
+	require.Contains(t, ids(r), "sound")
+	r.SetServices([]string{"s", "nowhere"})
+	require.Equal(t, []string{"foreign"}, ids(r), "a service that is configured later is one")
+}
+
+// An endpoint starts again under its id, and a word of its earlier start, that it was leaving, arrives after the first one
+// of the new start. The new one must go on getting calls.
+func TestTheLateWordOfAnEarlierStartIsDropped(t *testing.T) {
+	r := New(Config{})
+	r.Heard(start)
+	first := func(e *Endpoint) { e.Started = start; e.Draining = true }
+	second := func(e *Endpoint) { e.Started = at(time.Second) }
+	r.Apply([]Change{put("a", 0, second), put("a", 1, first)}, 2, start)
+	require.Equal(t, []string{"a"}, ids(r))
+	require.Equal(t, at(time.Second), r.Usable()[0].Started)
+}
--- a/selector/pace.go
+++ b/selector/pace.go
@@ -15,7 +15,7 @@
 
 // Observe takes the time from a call's sending to its first event.
 func (s *Selector) Observe(choice Choice, took time.Duration) {
-	e, known := s.byID[choice.Endpoint.ID]
+	e, known := s.chosen(&choice)
 	if !known || choice.Tokens < leastTokens || took <= firstStep {
 		return
 	}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -118,10 +118,14 @@
 	named := make(map[string]bool, len(all))
 	for _, e := range all {
 		named[e.ID] = true
-		if known, ok := s.byID[e.ID]; ok {
+		known, ok := s.byID[e.ID]
+		if ok && known.SameStart(&e) {
 			known.Endpoint = e
 			continue
 		}
+		if ok {
+			s.forget(known)
+		}
 		s.add(e)
 	}
 	for id, e := range s.byID {
@@ -152,6 +156,23 @@
 	delete(s.byID, e.ID)
 }
 
+// forget drops an endpoint that has started again, with what peers said of their work at its earlier start.
+func (s *Selector) forget(e *endpoint) {
+	s.remove(e)
+	for _, work := range s.peers {
+		delete(work, e.ID)
+	}
+}
+
+// chosen gives the endpoint that a choice named, unless it has ended or started again since.
+func (s *Selector) chosen(choice *Choice) (*endpoint, bool) {
+	e, known := s.byID[choice.Endpoint.ID]
+	if !known || !e.SameStart(&choice.Endpoint) {
+		return nil, false
+	}
+	return e, true
+}
+
 // Count tells how many endpoints of the service may get work.
 func (s *Selector) Count(service string) int {
 	p, known := s.pools[service]
@@ -281,7 +302,7 @@
 
 // Started counts a call at an endpoint, and takes its prompt parts as held there from now on.
 func (s *Selector) Started(choice Choice, parts []Part) {
-	e, known := s.byID[choice.Endpoint.ID]
+	e, known := s.chosen(&choice)
 	if !known {
 		return
 	}
@@ -292,7 +313,7 @@
 
 // Read notes that the call's prompt has been read: only its own running is still work.
 func (s *Selector) Read(choice *Choice) {
-	e, known := s.byID[choice.Endpoint.ID]
+	e, known := s.chosen(choice)
 	left := min(choice.Tokens, s.cfg.CallTokens)
 	if known {
 		e.tokens -= choice.Tokens - left
@@ -302,7 +323,7 @@
 
 // Ended takes a call's end and tells whether the endpoint was ejected, or let back, by it.
 func (s *Selector) Ended(choice Choice, end ejector.End, now time.Time) bool {
-	e, known := s.byID[choice.Endpoint.ID]
+	e, known := s.chosen(&choice)
 	if !known {
 		return false
 	}
@@ -313,15 +334,15 @@
 
 // Cancelled takes the end of a call that says nothing of its endpoint.
 func (s *Selector) Cancelled(choice Choice) {
-	if e, known := s.byID[choice.Endpoint.ID]; known {
+	if e, known := s.chosen(&choice); known {
 		e.calls--
 		e.tokens -= choice.Tokens
 	}
 }
 
 // Judge compares the time of a good call with its pool's.
-func (s *Selector) Judge(id string, took, expected time.Duration) ejector.End {
-	e, known := s.byID[id]
+func (s *Selector) Judge(choice Choice, took, expected time.Duration) ejector.End {
+	e, known := s.chosen(&choice)
 	if !known {
 		return ejector.Good
 	}
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -23,6 +23,7 @@
 			Service: "pool",
 			Address: fmt.Sprintf("10.0.0.%d:80", i),
 			Zone:    fmt.Sprintf("z%d", i%3),
+			Started: now.Add(-time.Minute),
 		})
 	}
 	s.SetEndpoints(all)
@@ -147,3 +148,31 @@
 	s.Observe(Choice{Endpoint: registrar.Endpoint{ID: "e0"}, Tokens: 10}, time.Minute)
 	require.Equal(t, after, s.FirstEvent("pool", prompt(1, 2)), "a short prompt tells nothing of the pace")
 }
+
+// An endpoint crashes under load and starts again under the same id. It holds no prompt parts and has no calls; what ends
+// of its earlier start must not count for the new one, or its work would fall below none and draw all calls there.
+func TestAnEndpointThatStartsAgainBeginsAnew(t *testing.T) {
+	s := newSelector(1)
+	ask := Ask{Service: "pool", Parts: prompt(7, 100)}
+	before, found := s.Choose(ask, now)
+	require.True(t, found)
+	s.Started(before, ask.Parts)
+	s.SetPeer("peer", map[string]int{"e0": 5_000})
+	for range 20 {
+		s.Ended(before, ejector.Bad, now)
+		s.Started(before, ask.Parts)
+	}
+	again := before.Endpoint
+	again.Started = now.Add(time.Second)
+	s.SetEndpoints([]registrar.Endpoint{again})
+	s.SetEndpoints([]registrar.Endpoint{again})
+	require.Empty(t, s.Work())
+	require.Zero(t, s.byID["e0"].peerTokens)
+	require.Equal(t, ejector.InUse, s.byID["e0"].health.State())
+	require.Zero(t, s.byID["e0"].cache.held(chainKeys(ask.Parts), ask.Parts))
+	require.False(t, s.Ended(before, ejector.Bad, now))
+	s.Cancelled(before)
+	s.SetPeer("peer", nil)
+	require.Zero(t, s.byID["e0"].calls)
+	require.Zero(t, s.byID["e0"].peerTokens)
+}
