Name zones in the lines on calls for pieces and on finished stages

Cause: the dearest price of the new deployment is results that cross zones, and no line told where results lie. Ruled out: counting by metrics, which would not tell which request. Change: "zone" of a call's endpoint, "zones" of a finished stage's pieces.

--- a/forwarder/piecelog.go
+++ b/forwarder/piecelog.go
@@ -20,6 +20,7 @@
 		zap.String("service", service),
 		zap.Uint64("call", e.Call),
 		zap.String("endpoint", e.Endpoint.ID),
+		zap.String("zone", e.Endpoint.Zone),
 		zap.Int("pieces", len(e.Pieces)),
 		zap.Int("waiting", p.Waiting()),
 		zap.Int("space", e.Free))
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -232,6 +232,7 @@
 		s.x.f.note("stage done",
 			zap.String("request", s.x.req.ID),
 			zap.Int("stage", end.stage),
+			zap.Strings("zones", t.zones),
 			zap.Duration("since", time.Since(s.x.began)))
 		s.freeInputs(end.stage)
 	}
