Free a stage's inputs once fetched while space is short; near groups first

Cause: in bursts of the three-stage kind the second stage sent calls of 20 of 30 pieces with 300 to 500 pieces waiting: its space was full. A result lay there for 850 ms at the mean, 343 in its own call, 116 and 391 while the third stage waited and worked, although an endpoint fetches its inputs at the beginning of its call. What crosses zones crossed while pieces waited: an idle endpoint took the first group, from any zone. Change: collector tells when a group's inputs are fetched (InputsRead), if its entry asked for that; entries ask while the inputs' pool is short of space, as heartbeats tell. Groups of the endpoint's own zone go first within one round of calls, and wait for their zone only while that fills half of the zone's next calls. Remaking keeps what is made.

--- a/carrier/message.go
+++ b/carrier/message.go
@@ -86,6 +86,9 @@
 // Kind tells that m brings changes of endpoints.
 func (m *EndpointsNews) Kind() Kind { return KindEndpointsNews }
 
+// Kind tells that m says that inputs were fetched.
+func (m *PieceRead) Kind() Kind { return KindPieceRead }
+
 // NewMessage gives an empty message of the kind, to decode a frame into.
 func NewMessage(kind Kind) (Message, error) {
 	switch kind {
@@ -129,6 +132,8 @@
 		return &EndpointsCall{}, nil
 	case KindEndpointsNews:
 		return &EndpointsNews{}, nil
+	case KindPieceRead:
+		return &PieceRead{}, nil
 	case KindEndpointsReply:
 		return &EndpointsReply{}, nil
 	default:
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -32,6 +32,7 @@
 	KindEndpointsCall
 	KindEndpointsReply
 	KindEndpointsNews
+	KindPieceRead
 )
 
 // Challenge opens a connection in both directions: the peer must prove that it knows the shared key.
@@ -225,6 +226,16 @@
 	Zone           string `msg:"zone,limit=128"`
 	FarBytes       int64  `msg:"farBytes"`
 	Holding        bool   `msg:"holding"`
+	// InputBytes is the size of all inputs of one piece. TellRead asks for a PieceRead.
+	InputBytes int64 `msg:"inputBytes"`
+	TellRead   bool  `msg:"tellRead"`
+}
+
+// PieceRead tells that the endpoints have fetched the inputs of all pieces of a PieceAsk.
+type PieceRead struct {
+	Service string `msg:"service,limit=128"`
+	Request string `msg:"request,limit=128"`
+	Stage   int32  `msg:"stage"`
 }
 
 // PieceTaken tells that a PieceAsk has come to an entry that collects.
@@ -282,6 +293,8 @@
 	Service       string
 	Millis        int32
 	PassageMillis int32
+	// Short tells that space for results, and not time, holds calls back.
+	Short bool
 }
 
 // Work is what an entry has under way. It replaces the sender's earlier word.
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -4601,6 +4601,18 @@
 				err = msgp.WrapError(err, "Holding")
 				return
 			}
+		case "inputBytes":
+			z.InputBytes, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "InputBytes")
+				return
+			}
+		case "tellRead":
+			z.TellRead, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "TellRead")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4614,9 +4626,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *PieceAsk) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 14
+	// map header, size 16
 	// write "service"
-	err = en.Append(0x8e, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	err = en.Append(0xde, 0x0, 0x10, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
@@ -4769,15 +4781,35 @@
 		err = msgp.WrapError(err, "Holding")
 		return
 	}
+	// write "inputBytes"
+	err = en.Append(0xaa, 0x69, 0x6e, 0x70, 0x75, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.InputBytes)
+	if err != nil {
+		err = msgp.WrapError(err, "InputBytes")
+		return
+	}
+	// write "tellRead"
+	err = en.Append(0xa8, 0x74, 0x65, 0x6c, 0x6c, 0x52, 0x65, 0x61, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.TellRead)
+	if err != nil {
+		err = msgp.WrapError(err, "TellRead")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *PieceAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
+	// map header, size 16
 	// string "service"
-	o = append(o, 0x8e, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0xde, 0x0, 0x10, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "request"
 	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
@@ -4824,6 +4856,12 @@
 	// string "holding"
 	o = append(o, 0xa7, 0x68, 0x6f, 0x6c, 0x64, 0x69, 0x6e, 0x67)
 	o = msgp.AppendBool(o, z.Holding)
+	// string "inputBytes"
+	o = append(o, 0xaa, 0x69, 0x6e, 0x70, 0x75, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
+	o = msgp.AppendInt64(o, z.InputBytes)
+	// string "tellRead"
+	o = append(o, 0xa8, 0x74, 0x65, 0x6c, 0x6c, 0x52, 0x65, 0x61, 0x64)
+	o = msgp.AppendBool(o, z.TellRead)
 	return
 }
 
@@ -4963,6 +5001,18 @@
 				err = msgp.WrapError(err, "Holding")
 				return
 			}
+		case "inputBytes":
+			z.InputBytes, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "InputBytes")
+				return
+			}
+		case "tellRead":
+			z.TellRead, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TellRead")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4977,11 +5027,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PieceAsk) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 6 + msgp.Int32Size + 8 + msgp.ArrayHeaderSize + (len(z.Numbers) * (msgp.Int32Size)) + 4 + msgp.StringPrefixSize + len(z.Key) + 7 + msgp.ArrayHeaderSize
+	s = 3 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 6 + msgp.Int32Size + 8 + msgp.ArrayHeaderSize + (len(z.Numbers) * (msgp.Int32Size)) + 4 + msgp.StringPrefixSize + len(z.Key) + 7 + msgp.ArrayHeaderSize
 	for za0002 := range z.Inputs {
 		s += msgp.StringPrefixSize + len(z.Inputs[za0002])
 	}
-	s += 10 + msgp.Int64Size + 15 + msgp.Int64Size + 9 + msgp.Int32Size + 8 + msgp.StringPrefixSize + len(z.Account) + 12 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Zone) + 9 + msgp.Int64Size + 8 + msgp.BoolSize
+	s += 10 + msgp.Int64Size + 15 + msgp.Int64Size + 9 + msgp.Int32Size + 8 + msgp.StringPrefixSize + len(z.Account) + 12 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Zone) + 9 + msgp.Int64Size + 8 + msgp.BoolSize + 11 + msgp.Int64Size + 9 + msgp.BoolSize
 	return
 }
 
@@ -5207,6 +5257,159 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *PieceRead) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "request":
+			z.Request, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "stage":
+			z.Stage, err = dc.ReadInt32()
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z PieceRead) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "service"
+	err = en.Append(0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	// write "request"
+	err = en.Append(0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Request)
+	if err != nil {
+		err = msgp.WrapError(err, "Request")
+		return
+	}
+	// write "stage"
+	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt32(z.Stage)
+	if err != nil {
+		err = msgp.WrapError(err, "Stage")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z PieceRead) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "service"
+	o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "request"
+	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	o = msgp.AppendString(o, z.Request)
+	// string "stage"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+	o = msgp.AppendInt32(o, z.Stage)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PieceRead) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "request":
+			z.Request, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "stage":
+			z.Stage, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z PieceRead) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 6 + msgp.Int32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *PieceResult) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -6890,8 +7093,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Service, err = dc.ReadString()
@@ -6909,13 +7112,18 @@
 		err = msgp.WrapError(err, "PassageMillis")
 		return
 	}
+	z.Short, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Short")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z StageWait) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *StageWait) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -6934,17 +7142,23 @@
 		err = msgp.WrapError(err, "PassageMillis")
 		return
 	}
+	err = en.WriteBool(z.Short)
+	if err != nil {
+		err = msgp.WrapError(err, "Short")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z StageWait) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StageWait) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendInt32(o, z.Millis)
 	o = msgp.AppendInt32(o, z.PassageMillis)
+	o = msgp.AppendBool(o, z.Short)
 	return
 }
 
@@ -6956,8 +7170,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Service, bts, err = msgp.ReadStringBytes(bts)
@@ -6975,13 +7189,18 @@
 		err = msgp.WrapError(err, "PassageMillis")
 		return
 	}
+	z.Short, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Short")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z StageWait) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Int32Size + msgp.Int32Size
+func (z *StageWait) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Int32Size + msgp.Int32Size + msgp.BoolSize
 	return
 }
 
@@ -7068,35 +7287,11 @@
 				z.Stages = make([]StageWait, zb0004)
 			}
 			for za0002 := range z.Stages {
-				var zb0005 uint32
-				zb0005, err = dc.ReadArrayHeader()
+				err = z.Stages[za0002].DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Stages", za0002)
 					return
 				}
-				if zb0005 > 1024 {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				if zb0005 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0005}
-					return
-				}
-				z.Stages[za0002].Service, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Stages", za0002, "Service")
-					return
-				}
-				z.Stages[za0002].Millis, err = dc.ReadInt32()
-				if err != nil {
-					err = msgp.WrapError(err, "Stages", za0002, "Millis")
-					return
-				}
-				z.Stages[za0002].PassageMillis, err = dc.ReadInt32()
-				if err != nil {
-					err = msgp.WrapError(err, "Stages", za0002, "PassageMillis")
-					return
-				}
 			}
 		default:
 			err = dc.Skip()
@@ -7160,24 +7355,9 @@
 		return
 	}
 	for za0002 := range z.Stages {
-		// array header, size 3
-		err = en.Append(0x93)
+		err = z.Stages[za0002].EncodeMsg(en)
 		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Stages[za0002].Service)
-		if err != nil {
-			err = msgp.WrapError(err, "Stages", za0002, "Service")
-			return
-		}
-		err = en.WriteInt32(z.Stages[za0002].Millis)
-		if err != nil {
-			err = msgp.WrapError(err, "Stages", za0002, "Millis")
-			return
-		}
-		err = en.WriteInt32(z.Stages[za0002].PassageMillis)
-		if err != nil {
-			err = msgp.WrapError(err, "Stages", za0002, "PassageMillis")
+			err = msgp.WrapError(err, "Stages", za0002)
 			return
 		}
 	}
@@ -7204,11 +7384,11 @@
 	o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x67, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Stages)))
 	for za0002 := range z.Stages {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendString(o, z.Stages[za0002].Service)
-		o = msgp.AppendInt32(o, z.Stages[za0002].Millis)
-		o = msgp.AppendInt32(o, z.Stages[za0002].PassageMillis)
+		o, err = z.Stages[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0002)
+			return
+		}
 	}
 	return
 }
@@ -7292,31 +7472,11 @@
 				z.Stages = make([]StageWait, zb0004)
 			}
 			for za0002 := range z.Stages {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				bts, err = z.Stages[za0002].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Stages", za0002)
 					return
 				}
-				if zb0005 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0005}
-					return
-				}
-				z.Stages[za0002].Service, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Stages", za0002, "Service")
-					return
-				}
-				z.Stages[za0002].Millis, bts, err = msgp.ReadInt32Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Stages", za0002, "Millis")
-					return
-				}
-				z.Stages[za0002].PassageMillis, bts, err = msgp.ReadInt32Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Stages", za0002, "PassageMillis")
-					return
-				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -7338,7 +7498,7 @@
 	}
 	s += 7 + msgp.ArrayHeaderSize
 	for za0002 := range z.Stages {
-		s += 1 + msgp.StringPrefixSize + len(z.Stages[za0002].Service) + msgp.Int32Size + msgp.Int32Size
+		s += z.Stages[za0002].Msgsize()
 	}
 	return
 }
--- a/cataloger/service.go
+++ b/cataloger/service.go
@@ -16,6 +16,8 @@
 	RoomBytes int64
 	// ResultTTL is how long a result is kept that is not freed.
 	ResultTTL time.Duration
+	// LinkBytes is what an endpoint's link carries in a second; 0 where the configuration does not say.
+	LinkBytes int64
 }
 
 // CallDuration is the usual time of a call with n pieces.
@@ -23,6 +25,14 @@
 	return p.CallTime + time.Duration(n)*p.ItemTime
 }
 
+// FetchTime is how long an endpoint takes to fetch inputs of so many bytes; 0 where its link is not known.
+func (p *StagePool) FetchTime(bytes int64) time.Duration {
+	if p.LinkBytes <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / float64(p.LinkBytes) * float64(time.Second))
+}
+
 // ModelPool says what a model engine holds.
 type ModelPool struct {
 	// Slots is how many requests run at a time in one engine.
--- a/collector/call.go
+++ b/collector/call.go
@@ -50,6 +50,9 @@
 	// patience is when the pieces are asked for elsewhere.
 	patience time.Time
 	overdue  bool
+	// fetchedAt is when its inputs lie at the endpoint; fetched is set from then on.
+	fetchedAt time.Time
+	fetched   bool
 }
 
 // member is a piece as part of a call.
@@ -87,10 +90,12 @@
 
 func (p *Pool) freeEndpoints(now time.Time) []*endpoint {
 	var free []*endpoint
-	p.inZone = make(map[string]bool)
+	p.inZone = make(map[string]int)
 	for _, e := range p.endpoints {
 		p.health.Advance(&e.health, now)
-		p.inZone[e.Zone] = p.inZone[e.Zone] || e.health.State() == ejector.InUse
+		if e.health.State() == ejector.InUse {
+			p.inZone[e.Zone]++
+		}
 		out := e.health.State() == ejector.Ejected || e.health.State() == ejector.Probing && e.calls > 0
 		if !out && e.free(p.cfg.Stage.Slots, now) {
 			free = append(free, e)
@@ -111,8 +116,12 @@
 	e.roomSince = time.Time{}
 	c := &call{endpoint: e, began: now}
 	var pieces []Piece
-	for _, g := range waiting {
-		if p.waitsForZone(g, e, now) {
+	inputBytes := int64(0)
+	ahead := make(map[string]int)
+	for _, g := range p.nearFirst(e, waiting) {
+		before := ahead[g.Zone]
+		ahead[g.Zone] += len(g.waiting)
+		if p.waitsForZone(g, e, before, now) {
 			continue
 		}
 		late := p.yields(g, now)
@@ -126,6 +135,7 @@
 				p.late.add(1, now)
 			}
 			c.bytes += g.ResultBytes
+			inputBytes += g.InputBytes
 			c.pieces = append(c.pieces, member{id: g.ID, segment: segment, bytes: g.ResultBytes})
 			pieces = append(pieces, g.piece(segment))
 			if g.Zone == "" {
@@ -133,6 +143,9 @@
 				g.Zone = e.Zone
 			}
 		}
+		if len(g.waiting) > 0 && len(pieces) < p.cfg.Stage.Batch && g.ResultBytes > room {
+			p.shortAt = now
+		}
 	}
 	if len(pieces) == 0 {
 		return
@@ -140,6 +153,7 @@
 	p.lastCall++
 	c.id = p.lastCall
 	c.expected = p.cfg.Stage.CallDuration(len(pieces))
+	c.fetchedAt = p.fetched(inputBytes, now)
 	c.patience = now.Add(patienceFactor*c.expected + patienceMargin)
 	e.calls++
 	e.used += c.bytes
@@ -151,6 +165,26 @@
 	p.emit(SendCall{Call: c.id, Endpoint: e.Endpoint, Pieces: pieces, Timeout: timeoutFactor * c.expected, Free: left})
 }
 
+// nearFirst puts those groups first, of the ones that would all be in calls within about a call's time, whose results are
+// wanted in the endpoint's zone.
+func (p *Pool) nearFirst(e *endpoint, waiting []*group) []*group {
+	window := p.cfg.Stage.Batch * max(p.usable(), 1)
+	var near, far []*group
+	for i, g := range waiting {
+		if window <= 0 {
+			far = append(far, waiting[i:]...)
+			break
+		}
+		window -= len(g.waiting)
+		if g.started() || g.FarBytes < heavyBytes || g.Zone == "" || g.Zone == e.Zone {
+			near = append(near, g)
+			continue
+		}
+		far = append(far, g)
+	}
+	return append(near, far...)
+}
+
 // waitsForRoom tells whether the endpoint should wait for space, since the pieces that find space would fill less than
 // half of the call that the waiting ones could fill.
 func (p *Pool) waitsForRoom(e *endpoint, waiting []*group, room int64, now time.Time) bool {
@@ -258,7 +292,7 @@
 	for i, r := range results {
 		m := c.pieces[i]
 		g, wanted := p.groups[m.id]
-		wanted = wanted && !g.made[m.segment]
+		wanted = wanted && g.wants(m.segment)
 		if r.Handle == "" {
 			p.takeReason(g, wanted, m.segment, r.Reason)
 			continue
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -36,6 +36,9 @@
 	// zoneSlack is how many calls must fit before the results are due for a group to wait for an endpoint of its
 	// zone: the wait for the next free one takes half a call at most times, and one is for the call itself.
 	zoneSlack = 2.5
+	// zoneCalls is how much of each of a zone's next calls groups may fill that wait for them. What would wait for longer
+	// goes to other zones: endpoints there would stand idle beside a queue.
+	zoneCalls = 0.5
 	// refusedPause is how long an endpoint that was full gets no call, about half of a usual one; each further refusal
 	// doubles it, up to maxPause. Another entry may collect for the same endpoints for a while, and two that ask again
 	// as fast as they are refused keep each other out.
@@ -63,14 +66,16 @@
 	closing bool
 	// waiting is how many pieces were in no call when the present event came.
 	waiting int
+	// shortAt is when a call was last kept from being full by space.
+	shortAt time.Time
 	// passage is how long groups that came in time took lately.
 	passage passage
 	// late counts the pieces of late groups that calls took lately.
 	late pastRate
 	// shares are what client accounts have had lately.
 	shares shares
-	// inZone tells in which zones an endpoint is in use.
-	inZone  map[string]bool
+	// inZone counts the endpoints in use by zone.
+	inZone  map[string]int
 	effects []Effect
 }
 
@@ -167,6 +172,7 @@
 			p.takeOverdue(c, now)
 		}
 	}
+	p.tellRead(now)
 	p.expireGroups(now)
 	for handle, r := range p.results {
 		if now.After(r.expires) {
--- a/collector/event.go
+++ b/collector/event.go
@@ -34,6 +34,10 @@
 	Zone string
 	// FarBytes are what crosses availability zones if the pieces are made in another one, or in several.
 	FarBytes int64
+	// InputBytes is the size of all inputs of one piece.
+	InputBytes int64
+	// TellRead asks for an InputsRead.
+	TellRead bool
 	// Holding groups keep much of the space of the endpoints that made their inputs.
 	Holding bool
 }
@@ -208,6 +212,9 @@
 	Handles []string
 }
 
+// InputsRead tells the entry that has the request that the endpoints have fetched the inputs of all of a group's pieces.
+type InputsRead struct{ ID GroupID }
+
 // Judged tells that an endpoint was taken out of use or let back.
 type Judged struct {
 	Endpoint registrar.Endpoint
@@ -218,4 +225,5 @@
 func (SendCall) effect()    {}
 func (Deliver) effect()     {}
 func (FreeResults) effect() {}
+func (InputsRead) effect()  {}
 func (Judged) effect()      {}
--- /dev/null
+++ b/collector/fetch.go
@@ -0,0 +1,48 @@
+package collector
+
+import "time"
+
+const (
+	// fetchFactor is how many times its links' time a call's fetching of inputs is taken for: many calls fetch from one
+	// maker at a time.
+	fetchFactor = 3
+	// fetchMargin covers the way to the endpoint and the asking for each input.
+	fetchMargin = 40 * time.Millisecond
+	// shortLife is how long a pool is taken to be short of space after a call that space kept from being full: longer
+	// than a usual call, so that it holds between the calls of a surge.
+	shortLife = 500 * time.Millisecond
+)
+
+// fetched is when the inputs of a call that is sent now will lie at the endpoint.
+func (p *Pool) fetched(inputBytes int64, now time.Time) time.Time {
+	return now.Add(fetchMargin + fetchFactor*p.cfg.Stage.FetchTime(inputBytes))
+}
+
+// tellRead tells entries whose groups' inputs are all fetched.
+func (p *Pool) tellRead(now time.Time) {
+	for _, c := range p.calls {
+		if c.fetched || now.Before(c.fetchedAt) {
+			continue
+		}
+		c.fetched = true
+		for _, m := range c.pieces {
+			if g, known := p.groups[m.id]; known && g.TellRead {
+				p.noteRead(g, m.segment)
+			}
+		}
+	}
+}
+
+func (p *Pool) noteRead(g *group, segment int) {
+	g.read[segment] = true
+	if g.readTold || len(g.read) < len(g.Segments) {
+		return
+	}
+	g.readTold = true
+	p.emit(InputsRead{ID: g.ID})
+}
+
+// Short tells whether space for results, and not time, held calls back lately.
+func (p *Pool) Short(now time.Time) bool {
+	return !p.shortAt.IsZero() && now.Sub(p.shortAt) < shortLife
+}
--- a/collector/group.go
+++ b/collector/group.go
@@ -15,6 +15,9 @@
 	waiting []int
 	// made are the segments whose result was delivered.
 	made map[int]bool
+	// read are the segments whose inputs an endpoint has fetched, readTold is set once that was told of all.
+	read     map[int]bool
+	readTold bool
 	// tries counts the calls of each segment.
 	tries   map[int]int
 	arrived time.Time
@@ -31,6 +34,7 @@
 		Group:   g,
 		waiting: slices.Clone(g.Segments),
 		made:    make(map[int]bool, len(g.Segments)),
+		read:    make(map[int]bool, len(g.Segments)),
 		tries:   make(map[int]int, len(g.Segments)),
 		arrived: now,
 	}
@@ -63,7 +67,7 @@
 // requeue lets a piece wait again after a call that did not make it. The last reason is told when its tries are used
 // up.
 func (p *Pool) requeue(g *group, segment int, why Reason) {
-	if g.made[segment] || slices.Contains(g.waiting, segment) {
+	if !g.wants(segment) || slices.Contains(g.waiting, segment) {
 		return
 	}
 	if g.tries[segment] >= maxTries {
@@ -197,6 +201,12 @@
 	return g.Due
 }
 
+// wants tells whether a piece is still to be made. A call that was sent for an earlier ask of the same request may bring
+// pieces that this one does not ask for.
+func (g *group) wants(segment int) bool {
+	return !g.made[segment] && slices.Contains(g.Segments, segment)
+}
+
 // started tells whether a part of the group is made or in a call.
 func (g *group) started() bool { return len(g.waiting) < len(g.Segments) }
 
@@ -215,9 +225,13 @@
 	return p.cfg.Stage.CallDuration(min(max(pieces, p.waiting), p.cfg.Stage.Batch))
 }
 
-// waitsForZone tells whether the group should wait for an endpoint of its own zone.
-func (p *Pool) waitsForZone(g *group, e *endpoint, now time.Time) bool {
-	if g.Zone == "" || g.Zone == e.Zone || g.FarBytes < heavyBytes || !p.inZone[g.Zone] {
+// waitsForZone tells whether the group should wait for an endpoint of its own zone, where so many pieces go before its own.
+func (p *Pool) waitsForZone(g *group, e *endpoint, before int, now time.Time) bool {
+	if g.Zone == "" || g.Zone == e.Zone || g.FarBytes < heavyBytes {
+		return false
+	}
+	next := zoneCalls * float64(p.inZone[g.Zone]*p.cfg.Stage.Batch)
+	if float64(before+len(g.waiting)) > next {
 		return false
 	}
 	slack := time.Duration(zoneSlack * float64(p.cfg.Stage.CallDuration(len(g.Segments))))
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -45,7 +45,7 @@
 	beat.Crashes = f.quarantiner.Marks(now)
 	f.round++
 	targets := f.detector.Targets(now)
-	work := f.work()
+	work := f.work(now)
 	questions := f.questions(now)
 	todo := f.takeTransitions(transitions, now)
 	f.mu.Unlock()
@@ -126,7 +126,7 @@
 }
 
 // work tells what this entry has under way. The lock is held.
-func (f *Forwarder) work() *carrier.Work {
+func (f *Forwarder) work(now time.Time) *carrier.Work {
 	w := &carrier.Work{Capacity: int32(f.cfg.Capacity)}
 	for id, tokens := range f.selector.Work() {
 		w.Endpoints = append(w.Endpoints, carrier.EndpointWork{ID: id, Tokens: int32(tokens)})
@@ -137,6 +137,7 @@
 				Service:       service,
 				Millis:        int32(p.Wait().Milliseconds()),
 				PassageMillis: int32(p.Passage().Milliseconds()),
+				Short:         p.Short(now),
 			})
 		}
 	}
@@ -241,6 +242,8 @@
 		f.locked(func() []func() { return f.takeAsk(from, m, now) })
 	case *carrier.PieceTaken:
 		f.locked(func() []func() { f.takeTaken(from, m, now); return nil })
+	case *carrier.PieceRead:
+		f.locked(func() []func() { f.takeRead(collector.GroupID{Request: m.Request, Stage: int(m.Stage)}); return nil })
 	case *carrier.PieceResults:
 		f.locked(func() []func() { return f.takeResults(from, m) })
 	case *carrier.PieceWithdraw:
@@ -300,6 +303,7 @@
 		f.waits[s.Service] = stageWait{
 			wait:    time.Duration(s.Millis) * time.Millisecond,
 			passage: time.Duration(s.PassageMillis) * time.Millisecond,
+			short:   s.Short,
 			at:      now,
 		}
 	}
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -43,6 +43,9 @@
 	moved bool
 	// results takes one Deliver for each segment.
 	results chan collector.Deliver
+	// read is closed when the inputs of all pieces were fetched.
+	read     chan struct{}
+	readOnce bool
 }
 
 // askPieces asks for the pieces of one stage. The results come on the ask's channel.
@@ -52,6 +55,7 @@
 		group:   g,
 		left:    make(map[int]bool, len(g.Segments)),
 		results: make(chan collector.Deliver, len(g.Segments)),
+		read:    make(chan struct{}),
 	}
 	for _, s := range g.Segments {
 		a.left[s] = true
@@ -102,6 +106,8 @@
 		Zone:           g.Zone,
 		FarBytes:       g.FarBytes,
 		Holding:        g.Holding,
+		InputBytes:     g.InputBytes,
+		TellRead:       g.TellRead,
 	}
 	for _, s := range g.Segments {
 		m.Numbers = append(m.Numbers, int32(s))
@@ -232,6 +238,8 @@
 		Zone:        m.Zone,
 		FarBytes:    m.FarBytes,
 		Holding:     m.Holding,
+		InputBytes:  m.InputBytes,
+		TellRead:    m.TellRead,
 	}
 	for _, n := range m.Numbers {
 		g.Segments = append(g.Segments, int(n))
@@ -249,6 +257,14 @@
 	f.takenTime += time.Duration(takenWeight * float64(now.Sub(a.sent)-f.takenTime))
 }
 
+// takeRead notes that the inputs of a stage were fetched. The lock is held.
+func (f *Forwarder) takeRead(id collector.GroupID) {
+	if a, known := f.asks[askID{id.Request, id.Stage}]; known && !a.readOnce {
+		a.readOnce = true
+		close(a.read)
+	}
+}
+
 func (f *Forwarder) takeResults(from string, m *carrier.PieceResults) []func() {
 	var todo []func()
 	for _, r := range m.Results {
@@ -316,6 +332,13 @@
 			todo = append(todo, func() { go f.callPieces(service, p, e) })
 		case collector.FreeResults:
 			todo = append(todo, func() { go f.callFree(service, p, e) })
+		case collector.InputsRead:
+			if e.ID.Origin == f.cfg.Name {
+				f.takeRead(e.ID)
+				continue
+			}
+			m := &carrier.PieceRead{Service: service, Request: e.ID.Request, Stage: int32(e.ID.Stage)}
+			todo = append(todo, f.sendTo(e.ID.Origin, m))
 		case collector.Judged:
 			f.logJudged(service, e.Endpoint, e.Out)
 		case collector.Deliver:
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -24,7 +24,9 @@
 	// ask is the latest for the stage, put at askedAt; nil before it.
 	ask     *ask
 	askedAt time.Time
-	freed   bool
+	// read is set once endpoints have fetched its inputs.
+	read  bool
+	freed bool
 }
 
 // stageWork is the stages of one request.
@@ -42,6 +44,8 @@
 type stageEnd struct {
 	stage int
 	ask   *ask
+	// read tells that the stage's inputs were fetched; then there is no piece.
+	read bool
 	collector.Deliver
 }
 
@@ -67,6 +71,7 @@
 	t.zones = make([]string, t.count)
 	t.missing = t.count
 	t.ask = nil
+	t.read = false
 	t.freed = false
 }
 
@@ -161,14 +166,20 @@
 
 // pump passes an ask's results on.
 func pump(stage int, a *ask, ends chan<- stageEnd, quit <-chan struct{}) {
-	for range cap(a.results) {
+	read := a.read
+	for left := cap(a.results); left > 0; {
+		end := stageEnd{stage: stage, ask: a}
 		select {
-		case d := <-a.results:
-			select {
-			case ends <- stageEnd{stage: stage, ask: a, Deliver: d}:
-			case <-quit:
-				return
-			}
+		case end.Deliver = <-a.results:
+			left--
+		case <-read:
+			read = nil
+			end.read = true
+		case <-quit:
+			return
+		}
+		select {
+		case ends <- end:
 		case <-quit:
 			return
 		}
@@ -196,8 +207,10 @@
 		Holding:     s.holding(stage),
 	}
 	g.Zone, g.FarBytes = s.wantedZone(stage)
-	for n := range s.states[stage].count {
-		g.Segments = append(g.Segments, n)
+	for n, made := range s.states[stage].made {
+		if made.Handle == "" {
+			g.Segments = append(g.Segments, n)
+		}
 	}
 	after := s.config(stage).After
 	if len(after) == 0 {
@@ -206,7 +219,9 @@
 	for _, before := range after {
 		for _, made := range s.states[before].made {
 			g.Inputs = append(g.Inputs, made.Handle)
+			g.InputBytes += s.config(before).ResultBytes
 		}
+		g.TellRead = g.TellRead || s.x.f.shortOfSpace(s.config(before).Service)
 	}
 	return g
 }
@@ -220,14 +235,17 @@
 		// The stage was asked for anew since, as its inputs had lapsed: this result is of no use.
 		s.freeMade(end.stage, made)
 		return nil
+	case end.read:
+		// Its inputs are of no more use unless a piece fails, one in some hundred; they are then made again.
+		t.read = true
+		s.freeInputs(end.stage)
+		return nil
 	case end.Result.Reason == collector.InputGone && s.remake(end.stage):
 		return nil
 	case end.Result.Handle == "":
 		return s.failed(end)
 	}
-	t.made[end.Segment] = made
-	t.zones[end.Segment] = end.Zone
-	t.missing--
+	s.keep(end.stage, end.Deliver)
 	if t.missing == 0 {
 		s.x.f.note("stage done",
 			zap.String("request", s.x.req.ID),
@@ -260,12 +278,55 @@
 		return false
 	}
 	s.remakes++
-	s.reset(stage)
+	s.askAgain(stage)
+	s.resetInputs(stage)
+	s.x.f.log.Info("stage results made again", zap.String("request", s.x.req.ID), zap.Int("stage", stage))
+	return true
+}
+
+// resetInputs has the inputs of a stage made anew, and theirs where those were given back already.
+func (s *stageWork) resetInputs(stage int) {
 	for _, before := range s.config(stage).After {
 		s.reset(before)
+		if slices.ContainsFunc(s.config(before).After, func(i int) bool { return s.states[i].freed }) {
+			s.resetInputs(before)
+		}
+	}
+}
+
+// askAgain withdraws a stage's ask and keeps what it has made, so that only the rest is asked for anew.
+func (s *stageWork) askAgain(stage int) {
+	t := &s.states[stage]
+	if t.ask != nil {
+		s.x.f.endAsk(t.ask)
+		s.drain(t.ask, func(d collector.Deliver) {
+			if d.Result.Handle != "" && t.made[d.Segment].Handle == "" {
+				s.keep(stage, d)
+			}
+		})
+	}
+	t.ask = nil
+	t.read = false
+}
+
+// keep takes a piece's result.
+func (s *stageWork) keep(stage int, d collector.Deliver) {
+	t := &s.states[stage]
+	t.made[d.Segment] = collector.Made{Handle: d.Result.Handle, Address: d.Address}
+	t.zones[d.Segment] = d.Zone
+	t.missing--
+}
+
+// drain hands out the results of an ended ask that were not taken yet.
+func (s *stageWork) drain(a *ask, take func(d collector.Deliver)) {
+	for {
+		select {
+		case d := <-a.results:
+			take(d)
+		default:
+			return
+		}
 	}
-	s.x.f.log.Info("stage results made again", zap.String("request", s.x.req.ID), zap.Int("stage", stage))
-	return true
 }
 
 // reset withdraws a stage and forgets what it has made.
@@ -282,14 +343,9 @@
 		return
 	}
 	s.x.f.endAsk(t.ask)
-	for {
-		select {
-		case d := <-t.ask.results:
-			s.freeMade(stage, collector.Made{Handle: d.Result.Handle, Address: d.Address})
-		default:
-			return
-		}
-	}
+	s.drain(t.ask, func(d collector.Deliver) {
+		s.freeMade(stage, collector.Made{Handle: d.Result.Handle, Address: d.Address})
+	})
 }
 
 // freeInputs frees the results that only a stage which is done has needed.
@@ -304,7 +360,8 @@
 // needed tells whether a stage that is not done takes the results of this one.
 func (s *stageWork) needed(stage int) bool {
 	for i, next := range s.x.route.Stages {
-		if s.states[i].missing > 0 && slices.Contains(next.After, stage) {
+		t := &s.states[i]
+		if t.missing > 0 && !t.read && slices.Contains(next.After, stage) {
 			return true
 		}
 	}
--- a/forwarder/wait.go
+++ b/forwarder/wait.go
@@ -11,14 +11,16 @@
 	wait time.Duration
 	// passage is how long groups of pieces take there.
 	passage time.Duration
-	at      time.Time
+	// short tells that it is short of space for results.
+	short bool
+	at    time.Time
 }
 
 // poolWait gives the newest word on a service's pool, or nothing. The lock is held.
 func (f *Forwarder) poolWait(service string, now time.Time) stageWait {
 	if owner, known := f.owner(service, nil); known && owner == f.cfg.Name {
 		if p, collects := f.pools[service]; collects {
-			return stageWait{wait: p.Wait(), passage: p.Passage(), at: now}
+			return stageWait{wait: p.Wait(), passage: p.Passage(), short: p.Short(now), at: now}
 		}
 		return stageWait{}
 	}
@@ -38,3 +40,10 @@
 // comeBack tells when a refused caller should come back: once what waits now is done, spread so that callers who were
 // refused together do not come back together.
 func (f *Forwarder) comeBack(service string) time.Duration { return f.waitOf(service) + soon() }
+
+// shortOfSpace tells whether a service's pool is held back by the space for its results.
+func (f *Forwarder) shortOfSpace(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.poolWait(service, time.Now()).short
+}
