Find peers sooner after a start, and let waiting pieces follow the duty

Cause: after a loss of all power each entry collected for itself: no peer was heard for 1.0 to 1.5 s after the start, since tries to reach VMs that were still down took a second and the next came 0.7 s later. In those seconds 39 of 70 calls to one pool found the endpoint full, the others held two pieces, and what had been asked for there stayed there.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -27,6 +27,10 @@
 )
 
 const (
+	// peerDialTimeout bounds the opening of a connection to a peer, some twenty times the way there and back in a region.
+	// VMs that are down do not answer at all: tries of a second each kept entries that had all lost power at once from
+	// hearing each other for 1.5 s after their start.
+	peerDialTimeout = 250 * time.Millisecond
 	// headerTimeout bounds the reading of a request's header; the platform's callers take less.
 	headerTimeout = 5 * time.Second
 	// maxHeader bounds a request's header; the platform allows 16 KB.
@@ -122,7 +126,8 @@
 		Refused: e.forwarder.RefusedPeer,
 		Log:     e.log,
 
-		Registry: e.meter.Registry(),
+		DialTimeout: peerDialTimeout,
+		Registry:    e.meter.Registry(),
 	})
 	e.forwarder.SetSender(e.messenger)
 	return nil
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -114,6 +114,8 @@
 		p.setEndpoints(e.Endpoints)
 	case Closing:
 		p.closing = true
+	case HandedBack:
+		p.moveAway()
 	case Ticked:
 		p.tick(now)
 	}
--- a/collector/event.go
+++ b/collector/event.go
@@ -169,6 +169,9 @@
 // Closing tells that this entry stops: what has not begun is asked for elsewhere.
 type Closing struct{}
 
+// HandedBack tells that another entry collects now: what waits is asked for there.
+type HandedBack struct{}
+
 // Ticked lets time pass.
 type Ticked struct{}
 
@@ -180,6 +183,7 @@
 func (EndpointsChanged) event() {}
 func (OriginLost) event()       {}
 func (Closing) event()          {}
+func (HandedBack) event()       {}
 func (Ticked) event()           {}
 
 // Effect is what is to be done.
--- a/collector/world_test.go
+++ b/collector/world_test.go
@@ -26,6 +26,8 @@
 	got   []Deliver
 	gotAt map[GroupID]time.Time
 	freed []FreeResults
+	// read are the groups whose inputs were told as fetched.
+	read []GroupID
 	// keepFor is how long a result is held before it is freed; below 0 it never is.
 	keepFor time.Duration
 	order   int
@@ -105,6 +107,8 @@
 				made := Made{Handle: e.Result.Handle, Address: e.Address}
 				w.plan(w.now.Add(w.keepFor), Freed{Results: []Made{made}})
 			}
+		case InputsRead:
+			w.read = append(w.read, e.ID)
 		case FreeResults:
 			w.freed = append(w.freed, e)
 			var made []Made
--- a/forwarder/duty.go
+++ b/forwarder/duty.go
@@ -2,13 +2,63 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"geraniumline/collector"
 	"geraniumline/detector"
 	"geraniumline/hasher"
 )
 
+const (
+	// settleTime is the longest that an entry waits after its start to hear its peers before it gives duties to anybody:
+	// twice what tries to reach VMs that are down take. calmTime is how long no peer may have become live for it to give
+	// them sooner, two heartbeats. After a loss of all power each entry would else collect for itself: 39 of 70 calls
+	// found the endpoint full, and the rest held two pieces each.
+	settleTime = time.Second
+	calmTime   = 300 * time.Millisecond
+	// handBackAfter is how long another entry must have had a duty before this one gives its waiting pieces back: a peer
+	// that is suspected for a moment comes back within it.
+	handBackAfter = 250 * time.Millisecond
+)
+
+// settling tells whether this entry has begun so lately that it may not know its peers yet, and none that it hears has
+// been there for longer: such a one tells of all others. The lock is held.
+func (f *Forwarder) settling(now time.Time) bool {
+	if now.Sub(f.began) >= settleTime || !f.peerLiveAt.IsZero() && now.Sub(f.peerLiveAt) >= calmTime {
+		return false
+	}
+	for _, m := range f.detector.Members() {
+		if m.Name != f.cfg.Name && m.State == detector.Live && m.Incarnation+uint64(settleTime) < f.cfg.Incarnation {
+			return false
+		}
+	}
+	return true
+}
+
+// handBack gives the pieces that wait here back to their entries once another one has the duty of collecting them. Two
+// that fill the same endpoints keep each other's calls short and their space full. The lock is held.
+func (f *Forwarder) handBack(now time.Time) []func() {
+	var todo []func()
+	for service, p := range f.pools {
+		owner, known := f.owner(service, nil)
+		if !known || owner == f.cfg.Name {
+			delete(f.otherSince, service)
+			continue
+		}
+		since, noted := f.otherSince[service]
+		if !noted {
+			f.otherSince[service] = now
+			continue
+		}
+		if now.Sub(since) >= handBackAfter && p.Waiting() > 0 {
+			todo = append(todo, f.performAll(service, p, p.Reduce(collector.HandedBack{}, now))...)
+		}
+	}
+	return todo
+}
+
 // linkWeight is the capacity that a Mbit/s of a VM's link counts for. A collecting entry's frames and calls take some
 // 5 Mbit/s at a processor's quarter core.
 const linkWeight = 50
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -35,6 +35,9 @@
 	// suspectAfter and deadAfter are the silences after which a peer gets no work and is taken for dead.
 	suspectAfter = 700 * time.Millisecond
 	deadAfter    = 2 * time.Second
+	// probeEvery is how often seeds and peers that are not heard are tried: two heartbeats. After a loss of all power
+	// entries start within half a second of each other, and most first tries come too early.
+	probeEvery = 300 * time.Millisecond
 	// forgetAfter is how long a dead peer's name is kept.
 	forgetAfter = time.Minute
 	// fullMesh is up to how many entries each hears all others directly.
@@ -106,6 +109,10 @@
 	askedConfig    time.Time
 	askedEndpoints time.Time
 	behindSince    time.Time
+	// peerLiveAt is when a peer was last found to live.
+	peerLiveAt time.Time
+	// otherSince is since when another entry has had the duty of collecting for a service that this one has a pool of.
+	otherSince map[string]time.Time
 	// takenTime is what collecting entries' words on asks have taken lately.
 	takenTime time.Duration
 	// round counts the rounds of heartbeats, from a number of the entry's own.
@@ -147,6 +154,7 @@
 			Seeds:        cfg.Seeds,
 			SuspectAfter: suspectAfter,
 			DeadAfter:    deadAfter,
+			ProbeEvery:   probeEvery,
 			ForgetAfter:  forgetAfter,
 			FullMesh:     fullMesh,
 		}),
@@ -159,10 +167,12 @@
 		quarantiner: quarantiner.New(quarantiner.Config{}),
 		round:       int(uint32(xxhash.Sum64String(cfg.Name))),
 
-		pools:     make(map[string]*collector.Pool),
-		asks:      make(map[askID]*ask),
-		waits:     make(map[string]stageWait),
-		addresses: make(map[string]string),
+		pools: make(map[string]*collector.Pool),
+		asks:  make(map[askID]*ask),
+		waits: make(map[string]stageWait),
+
+		otherSince: make(map[string]time.Time),
+		addresses:  make(map[string]string),
 
 		capacities: map[string]int{cfg.Name: cfg.Capacity},
 	}
@@ -217,6 +227,7 @@
 	for service, p := range f.pools {
 		todo = append(todo, f.performAll(service, p, p.Reduce(collector.Ticked{}, now))...)
 	}
+	todo = append(todo, f.handBack(now)...)
 	todo = append(todo, f.checkAsks(now)...)
 	if f.registry.Tick(now) {
 		todo = append(todo, f.endpointsChanged(now)...)
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -89,7 +89,7 @@
 			Client:        connector.New(connector.Config{}),
 			DecodeConfig:  configOf,
 			Log:           zap.NewNop(),
-		}, m.now)
+		}, m.now.Add(-settleTime))
 		f.SetSender(port{m, name})
 		m.nodes[name] = f
 		require.NoError(t, f.TakeConfig([]byte("1"), "test", m.now))
@@ -349,3 +349,58 @@
 		}
 	}
 }
+
+// All entries have lost power and start again at about the same time. Until they hear each other, each would take itself
+// for the one that collects, and nine of them fill five endpoints. Asks wait until a peer has been live for a moment, or a
+// second is over.
+func TestAsksWaitUntilANewEntryKnowsItsPeers(t *testing.T) {
+	m := newMesh(t, 3)
+	owner, _ := m.nodes["entry-0"].owner("encode", nil)
+	asking := m.other(owner)
+	now := time.Now()
+	asking.began = now
+	asking.peerLiveAt = now
+	a := asking.askPieces("encode", collector.Group{
+		ID:       collector.GroupID{Origin: asking.cfg.Name, Request: "r"},
+		Segments: []int{0},
+		Deadline: now.Add(time.Minute),
+	})
+	require.True(t, a.held)
+	require.False(t, a.taken)
+	asking.locked(func() []func() { return asking.checkAsks(now.Add(calmTime / 2)) })
+	require.True(t, a.held)
+	asking.locked(func() []func() { return asking.checkAsks(now.Add(calmTime + time.Millisecond)) })
+	require.False(t, a.held)
+	require.Equal(t, owner, a.owner)
+	require.True(t, a.taken)
+	asking.peerLiveAt = time.Time{}
+	require.True(t, asking.settling(now.Add(settleTime-time.Millisecond)), "alone")
+	require.False(t, asking.settling(now.Add(settleTime)))
+}
+
+// An entry has collected while it did not know the one that has the duty. What still waits there must follow the duty, or
+// two would fill the same endpoints for as long as the queue lasts.
+func TestWaitingPiecesFollowTheDuty(t *testing.T) {
+	m := newMesh(t, 3)
+	owner, _ := m.nodes["entry-0"].owner("encode", nil)
+	other := m.other(owner)
+	now := time.Now()
+	group := collector.Group{
+		ID:       collector.GroupID{Origin: other.cfg.Name, Request: "r"},
+		Segments: []int{0},
+		Deadline: now.Add(time.Minute),
+	}
+	a := other.askPieces("encode", group)
+	other.locked(func() []func() {
+		a.owner = other.cfg.Name
+		return other.collect("encode", group, now)
+	})
+	require.True(t, other.collecting())
+	other.locked(func() []func() { return other.handBack(now) })
+	require.True(t, other.collecting(), "a peer may be back in a moment")
+	other.locked(func() []func() { return other.handBack(now.Add(handBackAfter)) })
+	require.False(t, other.collecting())
+	require.True(t, a.moved)
+	other.locked(func() []func() { return other.checkAsks(now.Add(handBackAfter)) })
+	require.Equal(t, owner, a.owner)
+}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -280,6 +280,9 @@
 			zap.Stringer("to", t.To),
 			zap.Bool("refused", t.Refused),
 			zap.Duration("away", t.Away))
+		if t.To == detector.Live && t.Member.Name != f.cfg.Name {
+			f.peerLiveAt = now
+		}
 		if t.To != detector.Dead && t.To != detector.Stopped {
 			continue
 		}
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -41,6 +41,8 @@
 	taken bool
 	// moved is set when the owner stops and gives its pieces back.
 	moved bool
+	// held is set while this entry does not know its peers yet.
+	held bool
 	// results takes one Deliver for each segment.
 	results chan collector.Deliver
 	// read is closed when the inputs of all pieces were fetched.
@@ -70,6 +72,11 @@
 
 // place gives an ask to the entry that collects. With no other one left, this entry does it itself. The lock is held.
 func (f *Forwarder) place(a *ask, now time.Time) []func() {
+	a.held = f.settling(now)
+	if a.held {
+		a.owner = f.cfg.Name
+		return nil
+	}
 	owner, known := f.owner(a.service, a.avoid)
 	if !known {
 		owner = f.cfg.Name
@@ -119,6 +126,10 @@
 func (f *Forwarder) checkAsks(now time.Time) []func() {
 	var todo []func()
 	for _, a := range f.asks {
+		if a.held {
+			todo = append(todo, f.place(a, now)...)
+			continue
+		}
 		if !a.moved && !f.ownerFails(a, now) {
 			continue
 		}
