--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -24,6 +24,7 @@
 	"geraniumline/messenger"
 	"geraniumline/meter"
 	"geraniumline/platform"
+	"geraniumline/switcher"
 )
 
 const (
@@ -57,6 +58,8 @@
 type ForwardConfig struct {
 	Settings platform.Settings
 	Log      *zap.Logger
+	// Off are the mechanisms of policy that are switched off.
+	Off switcher.Off
 	// MetricsPort serves the metrics on the VM's address; 0 serves none.
 	MetricsPort int
 }
@@ -85,6 +88,9 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
 	logger := cfg.Log.With(zap.String("entry", settings.Name))
+	if names := cfg.Off.Names(); len(names) > 0 {
+		logger.Warn("mechanisms are switched off", zap.Strings("mechanisms", names))
+	}
 	e := &forwarding{settings: settings, log: logger, idle: newIdleConnections(), meter: meter.New(), metricsPort: cfg.MetricsPort}
 	e.forwarder = forwarder.New(forwarder.Config{
 		Name:          settings.Name,
@@ -97,6 +103,7 @@
 		AddressTTL:    min(addressTTL, settings.AddressTTL),
 		RetryRatio:    settings.RetryRatio,
 		RetrySlack:    settings.RetrySlack,
+		Off:           cfg.Off,
 		Wire:          platform.Dialect{},
 		Client:        connector.New(connector.Config{}),
 		DecodeConfig:  platform.DecodeConfig,
--- a/collector/call.go
+++ b/collector/call.go
@@ -7,6 +7,7 @@
 
 	"geraniumline/ejector"
 	"geraniumline/registrar"
+	"geraniumline/switcher"
 )
 
 // endpoint is one endpoint of the pool.
@@ -168,6 +169,9 @@
 // nearFirst puts those groups first, of the ones that would all be in calls within about a call's time, whose results are
 // wanted in the endpoint's zone.
 func (p *Pool) nearFirst(e *endpoint, waiting []*group) []*group {
+	if p.cfg.Off.Has(switcher.NearFirst) {
+		return waiting
+	}
 	window := p.cfg.Stage.Batch * max(p.usable(), 1)
 	var near, far []*group
 	for i, g := range waiting {
@@ -188,6 +192,9 @@
 // waitsForRoom tells whether the endpoint should wait for space, since the pieces that find space would fill less than
 // half of the call that the waiting ones could fill.
 func (p *Pool) waitsForRoom(e *endpoint, waiting []*group, room int64, now time.Time) bool {
+	if p.cfg.Off.Has(switcher.RoomWait) {
+		return false
+	}
 	fits, wanted := 0, 0
 	for _, g := range waiting {
 		wanted += len(g.waiting)
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -12,6 +12,7 @@
 	"geraniumline/cataloger"
 	"geraniumline/ejector"
 	"geraniumline/registrar"
+	"geraniumline/switcher"
 )
 
 const (
@@ -51,6 +52,8 @@
 	Service string
 	Stage   cataloger.StagePool
 	Ejector ejector.Config
+	// Off are the mechanisms that are switched off.
+	Off switcher.Off
 }
 
 // Pool is the state of one stage service.
--- a/collector/group.go
+++ b/collector/group.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumline/ejector"
+	"geraniumline/switcher"
 )
 
 // group is a Group with how far its pieces are.
@@ -107,7 +108,7 @@
 // hopeless tells whether a late group will most likely not be made: half of its time is over, and at the rate at which
 // late groups were made lately its turn comes after its deadline. Its caller can still come back in the other half.
 func (p *Pool) hopeless(g *group, late int, now time.Time) bool {
-	if g.started() || now.Sub(g.arrived) < g.Deadline.Sub(now) {
+	if p.cfg.Off.Has(switcher.LateGivenUp) || g.started() || now.Sub(g.arrived) < g.Deadline.Sub(now) {
 		return false
 	}
 	rate := p.late.perSecond(now)
@@ -163,9 +164,12 @@
 			list = append(list, g)
 		}
 	}
-	delays := p.shares.delays(now)
+	var delays map[string]time.Duration
+	if !p.cfg.Off.Has(switcher.FairShare) {
+		delays = p.shares.delays(now)
+	}
 	slices.SortFunc(list, func(a, b *group) int {
-		if a.started() != b.started() {
+		if a.started() != b.started() && !p.cfg.Off.Has(switcher.StartedFirst) {
 			if a.started() {
 				return -1
 			}
@@ -195,7 +199,7 @@
 // still be on time (0.56 against 0.82 of a load of four thirds in time, in model time).
 func (p *Pool) turn(g *group, now time.Time) time.Time {
 	patient := g.arrived.Add(p.cfg.Stage.ResultTTL / 2)
-	if p.cannotBeInTime(g, now) && patient.After(g.Due) {
+	if !p.cfg.Off.Has(switcher.LatePatience) && p.cannotBeInTime(g, now) && patient.After(g.Due) {
 		return patient
 	}
 	return g.Due
@@ -212,7 +216,7 @@
 
 // yields tells whether a group goes behind those that can be on time.
 func (p *Pool) yields(g *group, now time.Time) bool {
-	return !g.Holding && p.cannotBeInTime(g, now)
+	return !g.Holding && !p.cfg.Off.Has(switcher.LateLast) && p.cannotBeInTime(g, now)
 }
 
 func (p *Pool) cannotBeInTime(g *group, now time.Time) bool {
@@ -227,7 +231,7 @@
 
 // waitsForZone tells whether the group should wait for an endpoint of its own zone, where so many pieces go before its own.
 func (p *Pool) waitsForZone(g *group, e *endpoint, before int, now time.Time) bool {
-	if g.Zone == "" || g.Zone == e.Zone || g.FarBytes < heavyBytes {
+	if p.cfg.Off.Has(switcher.ZoneWait) || g.Zone == "" || g.Zone == e.Zone || g.FarBytes < heavyBytes {
 		return false
 	}
 	next := zoneCalls * float64(p.inZone[g.Zone]*p.cfg.Stage.Batch)
--- a/forwarder/duty.go
+++ b/forwarder/duty.go
@@ -9,6 +9,7 @@
 	"geraniumline/collector"
 	"geraniumline/detector"
 	"geraniumline/hasher"
+	"geraniumline/switcher"
 )
 
 const (
@@ -26,6 +27,9 @@
 // settling tells whether this entry has begun so lately that it may not know its peers yet, and none that it hears has
 // been there for longer: such a one tells of all others. The lock is held.
 func (f *Forwarder) settling(now time.Time) bool {
+	if f.cfg.Off.Has(switcher.SettledDuty) {
+		return false
+	}
 	if now.Sub(f.began) >= settleTime || !f.peerLiveAt.IsZero() && now.Sub(f.peerLiveAt) >= calmTime {
 		return false
 	}
@@ -40,6 +44,9 @@
 // handBack gives the pieces that wait here back to their entries once another one has the duty of collecting them. Two
 // that fill the same endpoints keep each other's calls short and their space full. The lock is held.
 func (f *Forwarder) handBack(now time.Time) []func() {
+	if f.cfg.Off.Has(switcher.DutyFollowed) || f.cfg.Off.Has(switcher.OneCollector) {
+		return nil
+	}
 	var todo []func()
 	for service, p := range f.pools {
 		owner, known := f.owner(service, nil)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -25,6 +25,7 @@
 	"geraniumline/registrar"
 	"geraniumline/retrier"
 	"geraniumline/selector"
+	"geraniumline/switcher"
 )
 
 const (
@@ -71,6 +72,9 @@
 	RetryRatio float64
 	RetrySlack float64
 
+	// Off are the mechanisms of policy that are switched off.
+	Off switcher.Off
+
 	Wire   Wire
 	Client *connector.Client
 	// DecodeConfig decodes a configuration as the operator wrote it.
@@ -141,7 +145,7 @@
 		notes:    newNotes(cfg.Log, cfg.Meter),
 		began:    now,
 		registry: registrar.New(registrar.Config{}),
-		selector: selector.New(selector.Config{Rand: random, Ejector: ejector.Config{MaxShare: maxOut}}),
+		selector: selector.New(selector.Config{Rand: random, Ejector: ejectorConfig(cfg.Off), Off: cfg.Off}),
 		detector: detector.New(detector.Config{
 			Self: carrier.Member{
 				Name:          cfg.Name,
@@ -181,12 +185,22 @@
 const (
 	// maxOut is the part of a pool that may be out of use for serving badly.
 	maxOut = 0.5
+	// noneOut keeps all endpoints in use.
+	noneOut = -1
 	// usualEntries divides the slack of the retry budget until peers are known: the entries of today's deployments.
 	usualEntries = 7
 	// maxEndpoints bounds the endpoints that one request is offered to, those that turn it away too.
 	maxEndpoints = 6
 )
 
+// ejectorConfig says how endpoints are taken out of use.
+func ejectorConfig(off switcher.Off) ejector.Config {
+	if off.Has(switcher.Ejection) {
+		return ejector.Config{MaxShare: noneOut}
+	}
+	return ejector.Config{MaxShare: maxOut}
+}
+
 // reserveFor is one entry's part of the slack that all entries share.
 func reserveFor(slack float64, entries int) float64 {
 	return max(1, slack*retryShare/float64(entries))
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -9,6 +9,7 @@
 	"geraniumline/collector"
 	"geraniumline/detector"
 	"geraniumline/meter"
+	"geraniumline/switcher"
 )
 
 const (
@@ -78,7 +79,7 @@
 		return nil
 	}
 	owner, known := f.owner(a.service, a.avoid)
-	if !known {
+	if !known || f.cfg.Off.Has(switcher.OneCollector) {
 		owner = f.cfg.Name
 	}
 	a.owner = owner
@@ -225,7 +226,7 @@
 	if !known {
 		return nil, false
 	}
-	p := collector.New(collector.Config{Service: service, Stage: *s.Stage})
+	p := collector.New(collector.Config{Service: service, Stage: *s.Stage, Ejector: ejectorConfig(f.cfg.Off), Off: f.cfg.Off})
 	p.Reduce(collector.EndpointsChanged{Endpoints: f.stageEndpoints(service)}, now)
 	f.pools[service] = p
 	return p, true
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -9,6 +9,7 @@
 	"geraniumline/connector"
 	"geraniumline/ejector"
 	"geraniumline/selector"
+	"geraniumline/switcher"
 )
 
 const (
@@ -69,7 +70,7 @@
 
 // patience bounds the wait for an endpoint, if the request may be sent to another one after it.
 func (x *exchange) patience(now time.Time) (context.Context, context.CancelFunc) {
-	if !x.route.Repeatable() || x.runs+1 >= x.route.MaxAttempts {
+	if x.f.cfg.Off.Has(switcher.Hedging) || !x.route.Repeatable() || x.runs+1 >= x.route.MaxAttempts {
 		return context.WithCancel(x.ctx)
 	}
 	wait := max(leastPatience, time.Duration(patienceShare*float64(x.route.Objective)))
--- a/forwarder/stageplan.go
+++ b/forwarder/stageplan.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"geraniumline/switcher"
 )
 
 const (
@@ -17,6 +19,9 @@
 
 // checkTime refuses a request whose first event can't come before its caller leaves, by what waits at the stages on its way.
 func (s *stageWork) checkTime(now time.Time) *FailureError {
+	if s.x.f.cfg.Off.Has(switcher.OverloadRefused) {
+		return nil
+	}
 	longest, service := time.Duration(0), ""
 	total := s.modelTime
 	for i, stage := range s.x.route.Stages {
@@ -101,7 +106,7 @@
 // earned with this and 0.51 without.
 func (s *stageWork) tooEarly(stage int, now time.Time) bool {
 	last := slices.Contains(s.x.route.LastStages(s.counts()), stage)
-	if !last || !s.large(stage) {
+	if !last || !s.large(stage) || s.x.f.cfg.Off.Has(switcher.LargeLate) {
 		return false
 	}
 	return s.othersNeed(stage, now) > time.Duration(earlyFactor*float64(s.usualTime(stage)))
@@ -156,6 +161,9 @@
 
 // usualTime is how long groups take at the stage's service at present.
 func (s *stageWork) usualTime(stage int) time.Duration {
+	if s.x.f.cfg.Off.Has(switcher.PassageLeft) {
+		return s.callTime(stage)
+	}
 	s.x.f.mu.Lock()
 	passage := s.x.f.poolWait(s.config(stage).Service, time.Now()).passage
 	s.x.f.mu.Unlock()
--- a/forwarder/wait.go
+++ b/forwarder/wait.go
@@ -1,6 +1,10 @@
 package forwarder
 
-import "time"
+import (
+	"time"
+
+	"geraniumline/switcher"
+)
 
 // waitLife is how long a peer's word on a stage's queue holds: some heartbeats.
 const waitLife = time.Second
@@ -43,6 +47,9 @@
 
 // shortOfSpace tells whether a service's pool is held back by the space for its results.
 func (f *Forwarder) shortOfSpace(service string) bool {
+	if f.cfg.Off.Has(switcher.FetchedFreed) {
+		return false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.poolWait(service, time.Now()).short
--- a/launcher/forward.go
+++ b/launcher/forward.go
@@ -10,6 +10,7 @@
 	"geraniumline/assembler"
 	"geraniumline/platform"
 	"geraniumline/spooler"
+	"geraniumline/switcher"
 )
 
 // maxPort is the highest TCP port.
@@ -34,6 +35,7 @@
 			},
 			&cli.StringFlag{Name: "log-level", Usage: "least `LEVEL` of log lines: debug, info, warn, error", Value: "info"},
 			&cli.IntFlag{Name: "log-lines", Usage: "most log `LINES` that wait to be written; more are dropped and counted", Value: spooler.DefaultLines},
+			&cli.StringSliceFlag{Name: "without", Usage: "switch a `MECHANISM` of policy off, to measure what it is worth"},
 			&cli.IntFlag{Name: "metrics-port", Usage: "`PORT` on the VM's address that serves /metrics; 0 serves none"},
 		},
 		OnUsageError: usageError,
@@ -50,6 +52,9 @@
 		return &UsageError{Message: "--log-lines is at least 1"}
 	}
 	var err error
+	if cfg.Off, err = switcher.Without(cmd.StringSlice("without")...); err != nil {
+		return &UsageError{Message: "--without: " + err.Error()}
+	}
 	if cfg.Settings, err = platform.LoadSettings(cmd.String("settings")); err != nil {
 		return err
 	}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -10,6 +10,7 @@
 	"geraniumline/ejector"
 	"geraniumline/hasher"
 	"geraniumline/registrar"
+	"geraniumline/switcher"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -68,6 +69,8 @@
 	CallTokens int
 	FarTokens  int
 	Ejector    ejector.Config
+	// Off are the mechanisms that are switched off.
+	Off switcher.Off
 }
 
 // Selector knows the endpoints of all services and the work under way at each.
@@ -254,7 +257,7 @@
 	score := float64(e.tokens+e.peerTokens+own) + (rereadWeight-1)*float64(shared-cached)
 	score *= e.health.Slowness()
 	for zone, n := range ask.ZoneBytes {
-		if zone != e.Zone {
+		if zone != e.Zone && !s.cfg.Off.Has(switcher.NearResults) {
 			score += float64(n) / 1e6 * float64(s.cfg.FarTokens)
 		}
 	}
@@ -263,7 +266,7 @@
 
 // homesOf gives the endpoints at which the prompt's largest shared beginning is kept, in their order.
 func (s *Selector) homesOf(p *pool, ask *Ask, keys []uint64) []*endpoint {
-	if len(keys) < 2 {
+	if len(keys) < 2 || s.cfg.Off.Has(switcher.PromptHomes) {
 		return nil
 	}
 	key := keys[largestShared(ask.Parts)]
