Judge groups of first stages late by the fastest way only

Cause: due times leave what groups take at the later stages at present. Under a surge over capacity that is over a second, so that groups of the three-stage kind came to the first stage late, went behind all less urgent ones, and then were late. Change: Group.Latest, for stages whose pieces need no input: objective less the later stages' calls alone.

--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -219,6 +219,7 @@
 	Inputs  []string `msg:"inputs,limit=4096"`
 	// DueMillis and DeadlineMillis are counted from the sending: clocks of entries differ.
 	DueMillis      int64  `msg:"dueMillis"`
+	LatestMillis   int64  `msg:"latestMillis"`
 	DeadlineMillis int64  `msg:"deadlineMillis"`
 	Priority       int32  `msg:"priority"`
 	Account        string `msg:"account,limit=128"`
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -4559,6 +4559,12 @@
 				err = msgp.WrapError(err, "DueMillis")
 				return
 			}
+		case "latestMillis":
+			z.LatestMillis, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "LatestMillis")
+				return
+			}
 		case "deadlineMillis":
 			z.DeadlineMillis, err = dc.ReadInt64()
 			if err != nil {
@@ -4626,9 +4632,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *PieceAsk) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 16
+	// map header, size 17
 	// write "service"
-	err = en.Append(0xde, 0x0, 0x10, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	err = en.Append(0xde, 0x0, 0x11, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
@@ -4711,6 +4717,16 @@
 		err = msgp.WrapError(err, "DueMillis")
 		return
 	}
+	// write "latestMillis"
+	err = en.Append(0xac, 0x6c, 0x61, 0x74, 0x65, 0x73, 0x74, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.LatestMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "LatestMillis")
+		return
+	}
 	// write "deadlineMillis"
 	err = en.Append(0xae, 0x64, 0x65, 0x61, 0x64, 0x6c, 0x69, 0x6e, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	if err != nil {
@@ -4807,9 +4823,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PieceAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 16
+	// map header, size 17
 	// string "service"
-	o = append(o, 0xde, 0x0, 0x10, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0xde, 0x0, 0x11, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "request"
 	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
@@ -4835,6 +4851,9 @@
 	// string "dueMillis"
 	o = append(o, 0xa9, 0x64, 0x75, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.DueMillis)
+	// string "latestMillis"
+	o = append(o, 0xac, 0x6c, 0x61, 0x74, 0x65, 0x73, 0x74, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.LatestMillis)
 	// string "deadlineMillis"
 	o = append(o, 0xae, 0x64, 0x65, 0x61, 0x64, 0x6c, 0x69, 0x6e, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.DeadlineMillis)
@@ -4959,6 +4978,12 @@
 				err = msgp.WrapError(err, "DueMillis")
 				return
 			}
+		case "latestMillis":
+			z.LatestMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LatestMillis")
+				return
+			}
 		case "deadlineMillis":
 			z.DeadlineMillis, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -5031,7 +5056,7 @@
 	for za0002 := range z.Inputs {
 		s += msgp.StringPrefixSize + len(z.Inputs[za0002])
 	}
-	s += 10 + msgp.Int64Size + 15 + msgp.Int64Size + 9 + msgp.Int32Size + 8 + msgp.StringPrefixSize + len(z.Account) + 12 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Zone) + 9 + msgp.Int64Size + 8 + msgp.BoolSize + 11 + msgp.Int64Size + 9 + msgp.BoolSize
+	s += 10 + msgp.Int64Size + 13 + msgp.Int64Size + 15 + msgp.Int64Size + 9 + msgp.Int32Size + 8 + msgp.StringPrefixSize + len(z.Account) + 12 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Zone) + 9 + msgp.Int64Size + 8 + msgp.BoolSize + 11 + msgp.Int64Size + 9 + msgp.BoolSize
 	return
 }
 
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -409,3 +409,18 @@
 	w.run(2 * time.Second)
 	require.Equal(t, 7, w.made(second))
 }
+
+// Under a surge groups take long at the later stages, and a group of the first one seems late as soon as it comes. Its
+// pieces are small and the later stages take the most urgent first, so it must not go behind groups of less urgency.
+func TestAGroupIsLateOnlyIfTheFastestWayIsTooSlow(t *testing.T) {
+	w := newWorld(usualStage(), 1)
+	w.arrive(0, "busy", 8, nil)
+	w.arrive(time.Millisecond, "less urgent", 8, func(g *Group) { g.Priority = 1 })
+	urgent := w.arrive(2*time.Millisecond, "urgent", 8, func(g *Group) {
+		g.Due = w.at(100 * time.Millisecond)
+		g.Latest = w.at(800 * time.Millisecond)
+	})
+	w.run(2 * time.Second)
+	require.Equal(t, 1, w.made(urgent)/8)
+	require.Equal(t, "urgent", w.calls[1].Pieces[0].Request)
+}
--- a/collector/event.go
+++ b/collector/event.go
@@ -22,8 +22,10 @@
 	// Key is the input of pieces whose stage comes first; Inputs are the results that all others take.
 	Key    string
 	Inputs []string
-	// Due is when the results are needed for an answer on time, Deadline when they are of no use any more.
+	// Due is when the results are needed for an answer on time at the usual pace of the later stages, Latest at their
+	// fastest; it is Due where it is not set. Deadline is when they are of no use any more.
 	Due      time.Time
+	Latest   time.Time
 	Deadline time.Time
 	Priority int
 	Account  string
--- a/collector/group.go
+++ b/collector/group.go
@@ -220,7 +220,11 @@
 }
 
 func (p *Pool) cannotBeInTime(g *group, now time.Time) bool {
-	return g.Due.Before(now.Add(p.callTime(len(g.waiting))))
+	latest := g.Latest
+	if latest.IsZero() {
+		latest = g.Due
+	}
+	return latest.Before(now.Add(p.callTime(len(g.waiting))))
 }
 
 // callTime predicts the call that takes so many pieces: while others wait too, calls are filled up with theirs. Taken for
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -213,8 +213,10 @@
 		}
 	}
 	after := s.config(stage).After
+	g.Latest = g.Due
 	if len(after) == 0 {
 		g.Key = x.req.PieceKey
+		g.Latest = x.due.Add(-s.modelTime - s.leastAfter(stage))
 	}
 	for _, before := range after {
 		for _, made := range s.states[before].made {
