Plan stages in a pure package, and play loads on a model with the real deciders

Cause: forwarder decided when, where and by when stages are done between locks and clocks: no table test reached most of it, and no model could call it. Ruled out: a model with policies of its own: it calls planner, collector, selector, ejector and hasher, and copies none. Change: package planner (from forwarder/stages.go and stageplan.go, which go; their table test moved with all its cases); hasher.Owner for duties; planner.ReturnAfter for when refused callers return; calls of a pool are gone through in order, so that the same events give the same effects. Package experimenter and command experiment: list, run, compare, ablate, bound; twelve scenarios as JSON with comments, checked by loader.Decode. Not modelled: plain calls, hanging endpoints, settling duties; the five switches that need those are told as such.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands a contributor needs. `make test` is the whole of CI.
-.PHONY: all build vet format lint test generate demo faults policy capacity bench
+.PHONY: all build vet format lint test generate demo faults policy capacity bench experiment
 
 all: build
 
@@ -35,3 +35,6 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
+
+experiment: build
+	./scripts/experiment.sh
--- /dev/null
+++ b/cmd/experiment/tool.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync/atomic"
+
+	"github.com/urfave/cli/v3"
+
+	"geraniumline/experimenter"
+	"geraniumline/switcher"
+)
+
+// tool carries the commands out.
+type tool struct {
+	out, progress io.Writer
+}
+
+// print writes a part of the answer.
+func (t *tool) print(format string, args ...any) error {
+	_, err := fmt.Fprintf(t.out, format, args...)
+	return err
+}
+
+// tell writes on progress, which nothing depends on.
+func (t *tool) tell(format string, args ...any) {
+	_, _ = fmt.Fprintf(t.progress, format, args...)
+}
+
+func (t *tool) list(_ context.Context, _ *cli.Command) error {
+	for _, name := range experimenter.Shipped() {
+		s, err := experimenter.Named(name)
+		if err != nil {
+			return err
+		}
+		if err := t.print("%-22s %s\n", name, s.Purpose); err != nil {
+			return err
+		}
+	}
+	for _, m := range switcher.All() {
+		if err := t.print("mechanism %s\n", m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// scenario finds a shipped scenario or reads a file, and changes it as --set says.
+func scenario(name string, changes []string) (experimenter.Scenario, error) {
+	src, err := os.ReadFile(name)
+	if errors.Is(err, os.ErrNotExist) {
+		src, err = experimenter.Source(name)
+	}
+	if err != nil {
+		return experimenter.Scenario{}, err
+	}
+	if src, err = experimenter.Change(src, changes); err != nil {
+		return experimenter.Scenario{}, &UsageError{Message: "--set: " + err.Error()}
+	}
+	return experimenter.ParseScenario(src)
+}
+
+func seedsOf(cmd *cli.Command) (int, error) {
+	n := cmd.Int("seeds")
+	if n < 1 || n > maxSeeds {
+		return 0, &UsageError{Message: fmt.Sprintf("--seeds is from 1 to %d", maxSeeds)}
+	}
+	return n, nil
+}
+
+// series plays a scenario and tells how far it is.
+func (t *tool) series(s experimenter.Scenario, n int, off switcher.Off) []*experimenter.Result {
+	var done atomic.Int64
+	results := experimenter.Series(s, n, off, func() {
+		t.tell("\r%s %s %d of %d ", s.Name, strings.Join(off.Names(), ","), done.Add(1), n)
+	})
+	t.tell("\n")
+	return results
+}
+
+func (t *tool) run(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() != 1 {
+		return &UsageError{Message: "run takes one scenario"}
+	}
+	s, err := scenario(cmd.Args().First(), cmd.StringSlice("set"))
+	if err != nil {
+		return err
+	}
+	off, err := switcher.Without(cmd.StringSlice("without")...)
+	if err != nil {
+		return err
+	}
+	n, err := seedsOf(cmd)
+	if err != nil {
+		return err
+	}
+	report := &experimenter.Report{
+		Scenario: s.Name, Purpose: s.Purpose, Without: off.Names(), Bound: experimenter.Bound(s), Results: t.series(s, n, off),
+	}
+	if dir := cmd.String("out"); dir != "" {
+		if err := report.Save(dir); err != nil {
+			return err
+		}
+	}
+	return report.WriteText(t.out)
+}
+
+func (t *tool) compare(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() != 2 {
+		return &UsageError{Message: "compare takes the data of two reports"}
+	}
+	a, err := experimenter.Read(cmd.Args().Get(0))
+	if err != nil {
+		return err
+	}
+	b, err := experimenter.Read(cmd.Args().Get(1))
+	if err != nil {
+		return err
+	}
+	c := experimenter.Compare(a.Results, b.Results)
+	if c.N == 0 {
+		return &UsageError{Message: "the reports have no seed in common"}
+	}
+	return t.print("seeds %d, mean %.4f and %.4f, difference %+.4f +- %.4f, won %d\n",
+		c.N, c.MeanA, c.MeanB, c.Difference, c.Interval, c.Won)
+}
+
+func (t *tool) ablate(_ context.Context, cmd *cli.Command) error {
+	n, err := seedsOf(cmd)
+	if err != nil {
+		return err
+	}
+	var scenarios []experimenter.Scenario
+	for _, name := range cmd.Args().Slice() {
+		s, err := scenario(name, cmd.StringSlice("set"))
+		if err != nil {
+			return err
+		}
+		scenarios = append(scenarios, s)
+	}
+	if len(scenarios) == 0 {
+		return &UsageError{Message: "ablate takes one scenario or more"}
+	}
+	whole := make([][]*experimenter.Result, len(scenarios))
+	head := "| without |"
+	for i, s := range scenarios {
+		whole[i] = t.series(s, n, switcher.Off{})
+		head += " " + s.Name + " |"
+	}
+	if err := t.print("%s\n|---|%s\n", head, strings.Repeat("---|", len(scenarios))); err != nil {
+		return err
+	}
+	for _, m := range switcher.All() {
+		if !experimenter.Modelled(m) {
+			continue
+		}
+		if err := t.ablateOne(m, scenarios, whole, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ablateOne writes the row of one mechanism.
+func (t *tool) ablateOne(m switcher.Mechanism, scenarios []experimenter.Scenario, whole [][]*experimenter.Result, n int) error {
+	off, err := switcher.Without(string(m))
+	if err != nil {
+		return err
+	}
+	row := "| " + string(m) + " |"
+	for i, s := range scenarios {
+		c := experimenter.Compare(whole[i], t.series(s, n, off))
+		row += fmt.Sprintf(" %+.4f +- %.4f |", c.Difference, c.Interval)
+	}
+	return t.print("%s\n", row)
+}
+
+func (t *tool) bound(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() != 1 {
+		return &UsageError{Message: "bound takes one scenario"}
+	}
+	s, err := scenario(cmd.Args().First(), cmd.StringSlice("set"))
+	if err != nil {
+		return err
+	}
+	return t.print("%s: the stages allow %.3f of the worth\n", s.Name, experimenter.Bound(s))
+}
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -7,6 +7,8 @@
 package collector
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"geraniumline/cataloger"
@@ -118,12 +120,12 @@
 	case Closing:
 		p.closing = true
 	case HandedBack:
-		p.moveAway()
+		p.moveAway(now)
 	case Ticked:
 		p.tick(now)
 	}
 	if p.closing {
-		p.moveAway()
+		p.moveAway(now)
 	}
 	p.sendCalls(now)
 	return p.effects
@@ -172,7 +174,7 @@
 
 // tick ends what has waited too long, and gives back the space of results that have lapsed.
 func (p *Pool) tick(now time.Time) {
-	for _, c := range p.calls {
+	for _, c := range p.callsInOrder() {
 		if !c.overdue && now.After(c.patience) {
 			p.takeOverdue(c, now)
 		}
@@ -187,5 +189,15 @@
 	}
 }
 
+// callsInOrder lists the calls under way in the order in which they were sent, so that the same events give the same effects
+// in the same order.
+func (p *Pool) callsInOrder() []*call {
+	list := make([]*call, 0, len(p.calls))
+	for _, id := range slices.Sorted(maps.Keys(p.calls)) {
+		list = append(list, p.calls[id])
+	}
+	return list
+}
+
 // Busy tells whether any piece is wanted.
 func (p *Pool) Busy() bool { return len(p.groups) > 0 }
--- a/collector/fetch.go
+++ b/collector/fetch.go
@@ -20,7 +20,7 @@
 
 // tellRead tells entries whose groups' inputs are all fetched.
 func (p *Pool) tellRead(now time.Time) {
-	for _, c := range p.calls {
+	for _, c := range p.callsInOrder() {
 		if c.fetched || now.Before(c.fetchedAt) {
 			continue
 		}
--- a/collector/group.go
+++ b/collector/group.go
@@ -117,8 +117,8 @@
 
 // moveAway hands the pieces that are in no call back to their entries, which ask another one. Held here, they would keep
 // this entry from stopping, or be lost with it.
-func (p *Pool) moveAway() {
-	for _, g := range p.groups {
+func (p *Pool) moveAway(now time.Time) {
+	for _, g := range p.ordered(now) {
 		p.giveUp(g, Moved)
 	}
 }
--- /dev/null
+++ b/experimenter/entry.go
@@ -0,0 +1,174 @@
+package experimenter
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"geraniumline/cataloger"
+	"geraniumline/collector"
+	"geraniumline/hasher"
+	"geraniumline/planner"
+	"geraniumline/selector"
+)
+
+const (
+	// heartbeatEvery and tickEvery are those of the product's entries.
+	heartbeatEvery = 150 * time.Millisecond
+	tickEvery      = 10 * time.Millisecond
+	// lookAgain is how often a stage that waits for others is looked at.
+	lookAgain = 15 * time.Millisecond
+)
+
+// entry is one entry: what it knows, as old as heartbeats make it.
+type entry struct {
+	w        *world
+	name     string
+	zone     string
+	selector *selector.Selector
+	pools    map[string]*collector.Pool
+	loads    map[string]planner.Load
+	gone     bool
+}
+
+// Pool implements planner.View.
+func (e *entry) Pool(service string) (cataloger.StagePool, bool) {
+	p, known := e.w.pools[service]
+	if !known {
+		return cataloger.StagePool{}, false
+	}
+	return p.stage, true
+}
+
+// Load implements planner.View.
+func (e *entry) Load(service string) planner.Load {
+	if p, collects := e.pools[service]; collects && e.w.owner(service) == e {
+		return planner.Load{Wait: p.Wait(), Passage: p.Passage(), Short: p.Short(e.w.now)}
+	}
+	return e.loads[service]
+}
+
+// beat tells the other entries of this one's work and pools.
+func (e *entry) beat() {
+	if !e.gone {
+		work := e.selector.Work()
+		for _, other := range e.w.entries {
+			if other != e && !other.gone {
+				e.w.after(e.w.way(e.zone, other.zone), func() { other.selector.SetPeer(e.name, work) })
+			}
+		}
+		for _, pool := range e.w.scenario.Pools {
+			if e.w.owner(pool.Name) == e {
+				load := e.Load(pool.Name)
+				for _, other := range e.w.entries {
+					e.w.after(e.w.way(e.zone, other.zone), func() { other.loads[pool.Name] = load })
+				}
+			}
+		}
+	}
+	e.w.after(heartbeatEvery, e.beat)
+}
+
+// tick lets time pass for the pools that this entry has.
+func (e *entry) tick() {
+	for _, pool := range e.w.scenario.Pools {
+		if p, collects := e.pools[pool.Name]; collects && !e.gone {
+			e.perform(pool.Name, p.Reduce(collector.Ticked{}, e.w.now))
+		}
+	}
+	e.w.after(tickEvery, e.tick)
+}
+
+// reduce hands an event to this entry's pool of a service.
+func (e *entry) reduce(service string, ev collector.Event) {
+	if e.gone {
+		return
+	}
+	p, known := e.pools[service]
+	if !known {
+		p = collector.New(collector.Config{Service: service, Stage: e.w.pools[service].stage, Off: e.w.off})
+		p.Reduce(collector.EndpointsChanged{Endpoints: e.w.endpointsOf(service)}, e.w.now)
+		e.pools[service] = p
+	}
+	e.perform(service, p.Reduce(ev, e.w.now))
+}
+
+// perform carries a pool's effects out.
+func (e *entry) perform(service string, effects []collector.Effect) {
+	for _, effect := range effects {
+		switch f := effect.(type) {
+		case collector.SendCall:
+			e.send(service, f)
+		case collector.Deliver:
+			r := e.w.requests[f.ID.Request]
+			e.w.after(e.wayTo(r), func() { e.w.deliver(service, f) })
+		case collector.InputsRead:
+			r := e.w.requests[f.ID.Request]
+			e.w.after(e.wayTo(r), func() { e.w.inputsRead(f.ID) })
+		case collector.FreeResults:
+			e.freeResults(service, f)
+		case collector.Judged:
+		}
+	}
+}
+
+func (e *entry) wayTo(r *request) time.Duration {
+	if r == nil || r.entry == e {
+		return 0
+	}
+	return e.w.way(e.zone, r.entry.zone)
+}
+
+func (e *entry) send(service string, call collector.SendCall) {
+	m := e.w.pools[service].byAddr[call.Endpoint.Address]
+	way := e.w.way(e.zone, m.zone)
+	e.w.after(way, func() {
+		m.call(call, func(end collector.CallEnd, results []collector.PieceResult) {
+			e.w.after(way, func() {
+				e.reduce(service, collector.CallEnded{Call: call.Call, End: end, Results: results})
+			})
+		})
+	})
+}
+
+func (e *entry) freeResults(service string, f collector.FreeResults) {
+	m := e.w.pools[service].byAddr[f.Address]
+	way := e.w.way(e.zone, m.zone)
+	made := make([]collector.Made, len(f.Handles))
+	for i, handle := range f.Handles {
+		made[i] = collector.Made{Handle: handle, Address: f.Address}
+	}
+	e.w.after(way, func() {
+		for _, handle := range f.Handles {
+			e.w.free(handle)
+		}
+		e.w.after(way, func() { e.reduce(service, collector.FreeEnded{Results: made}) })
+	})
+}
+
+// owner is the entry that collects for a service.
+func (w *world) owner(service string) *entry {
+	if e, known := w.owners[service]; known && !e.gone {
+		return e
+	}
+	names := make([]string, 0, len(w.entries))
+	for _, e := range w.entries {
+		if !e.gone {
+			names = append(names, e.name)
+		}
+	}
+	name, _ := hasher.Owner(service, names)
+	for _, e := range w.entries {
+		if e.name == name {
+			w.owners[service] = e
+			return e
+		}
+	}
+	return nil
+}
+
+// newSelector makes an entry's selector with a random source of its own.
+func newSelector(w *world, n int) *selector.Selector {
+	s := selector.New(selector.Config{Rand: rand.New(rand.NewPCG(w.seed, uint64(n))), Off: w.off})
+	s.SetEndpoints(w.endpointsOf(modelPool))
+	return s
+}
--- a/forwarder/duty.go
+++ b/forwarder/duty.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"geraniumline/collector"
 	"geraniumline/detector"
 	"geraniumline/hasher"
@@ -80,7 +78,6 @@
 // half the largest one's capacity get duties only if no other is left: a duty's work does not shrink with its VM. The lock
 // is held.
 func (f *Forwarder) owner(duty string, avoid []string) (string, bool) {
-	seed := xxhash.Sum64String(duty)
 	live := make([]string, 0, len(f.capacities))
 	largest := 0
 	for _, m := range f.detector.Members() {
@@ -90,12 +87,6 @@
 		live = append(live, m.Name)
 		largest = max(largest, f.capacities[m.Name])
 	}
-	best, bestRank := "", uint64(0)
-	for _, name := range live {
-		rank := hasher.Mix(seed ^ xxhash.Sum64String(name))
-		if 2*f.capacities[name] >= largest && (best == "" || rank > bestRank) {
-			best, bestRank = name, rank
-		}
-	}
-	return best, best != ""
+	able := slices.DeleteFunc(live, func(name string) bool { return 2*f.capacities[name] < largest })
+	return hasher.Owner(duty, able)
 }
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -22,9 +21,6 @@
 const (
 	// defaultTimeout holds for routes that name none.
 	defaultTimeout = 30 * time.Second
-	// shortReturn is when a caller may come back that was refused for what is over in a moment: a start, a full
-	// endpoint. It is spread by as much again, so that callers refused together do not come back together.
-	shortReturn = 250 * time.Millisecond
 	// writeGrace is how long after a request's deadline its answer may still be written: an answer that is ready is
 	// delivered, also late.
 	writeGrace = 2 * time.Second
@@ -217,9 +213,6 @@
 	return nil
 }
 
-// soon tells a caller to come back within a moment.
-func soon() time.Duration { return shortReturn + rand.N(shortReturn) }
-
 // choose picks the next endpoint for the request and counts the call there.
 func (x *exchange) choose(ask selector.Ask) (selector.Choice, bool) {
 	now := time.Now()
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -9,6 +9,7 @@
 	"geraniumline/carrier"
 	"geraniumline/collector"
 	"geraniumline/detector"
+	"geraniumline/planner"
 )
 
 const (
@@ -303,12 +304,11 @@
 	f.selector.SetPeer(from, tokens)
 	f.capacities[from] = int(m.Capacity)
 	for _, s := range m.Stages {
-		f.waits[s.Service] = stageWait{
-			wait:    time.Duration(s.Millis) * time.Millisecond,
-			passage: time.Duration(s.PassageMillis) * time.Millisecond,
-			short:   s.Short,
-			at:      now,
-		}
+		f.waits[s.Service] = stageWait{at: now, load: planner.Load{
+			Wait:    time.Duration(s.Millis) * time.Millisecond,
+			Passage: time.Duration(s.PassageMillis) * time.Millisecond,
+			Short:   s.Short,
+		}}
 	}
 }
 
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -1,43 +1,25 @@
 package forwarder
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"geraniumline/cataloger"
 	"geraniumline/collector"
+	"geraniumline/planner"
 )
 
-// maxRemakes is how often a request's lapsed stage results are made again.
-const maxRemakes = 2
+// lookAgain is how often a stage that waits for others is looked at: a tenth of what a call takes at least.
+const lookAgain = 15 * time.Millisecond
 
-// stageState is how far one stage of a request is.
-type stageState struct {
-	// count is the number of its pieces, missing how many have no result.
-	count   int
-	missing int
-	// made and zones hold the results and where they lie, by segment.
-	made  []collector.Made
-	zones []string
-	// ask is the latest for the stage, put at askedAt; nil before it.
-	ask     *ask
-	askedAt time.Time
-	// read is set once endpoints have fetched its inputs.
-	read  bool
-	freed bool
-}
-
-// stageWork is the stages of one request.
+// stageWork has the stages of one request done as its plan says.
 type stageWork struct {
-	x       *exchange
-	states  []stageState
-	remakes int
-	// homeZone is where the model engine that holds the prompt's shared parts is.
-	homeZone string
-	// modelTime is what the model engine is predicted to take after the last stage.
-	modelTime time.Duration
+	x    *exchange
+	plan *planner.Plan
+	view poolView
+	// asks are the latest for each stage; nil before it.
+	asks []*ask
 }
 
 // stageEnd is the result of one piece of any of the request's stages.
@@ -50,57 +32,71 @@
 }
 
 func newStageWork(x *exchange) *stageWork {
-	s := &stageWork{x: x, states: make([]stageState, len(x.route.Stages))}
 	x.f.mu.Lock()
-	s.homeZone = x.f.selector.HomeZone(x.service.Name, x.req.Parts)
-	s.modelTime = x.f.selector.FirstEvent(x.service.Name, x.req.Parts)
+	homeZone := x.f.selector.HomeZone(x.service.Name, x.req.Parts)
+	modelTime := x.f.selector.FirstEvent(x.service.Name, x.req.Parts)
 	x.f.mu.Unlock()
-	for i := range s.states {
-		s.states[i].count = 1 // of a stage that the caller names no number for
-		if i < len(x.req.PieceCounts) {
-			s.states[i].count = x.req.PieceCounts[i]
-		}
-		s.states[i].clear()
+	return &stageWork{
+		x:    x,
+		view: poolView{x.f},
+		asks: make([]*ask, len(x.route.Stages)),
+		plan: planner.New(planner.Config{
+			Origin:    x.f.cfg.Name,
+			Request:   x.req.ID,
+			Stages:    x.route.Stages,
+			Counts:    x.req.PieceCounts,
+			Key:       x.req.PieceKey,
+			Priority:  x.priority,
+			Account:   x.account,
+			Due:       x.due,
+			FirstBy:   x.firstBy,
+			HomeZone:  homeZone,
+			ModelTime: modelTime,
+			Off:       x.f.cfg.Off,
+		}),
 	}
-	return s
 }
 
-// clear forgets what the stage has made.
-func (t *stageState) clear() {
-	t.made = make([]collector.Made, t.count)
-	t.zones = make([]string, t.count)
-	t.missing = t.count
-	t.ask = nil
-	t.read = false
-	t.freed = false
-}
+// poolView is what this entry knows of the stages' pools.
+type poolView struct{ f *Forwarder }
 
-// counts are the numbers of pieces of all stages.
-func (s *stageWork) counts() []int {
-	counts := make([]int, len(s.states))
-	for i := range s.states {
-		counts[i] = s.states[i].count
+// Pool implements planner.View.
+func (v poolView) Pool(service string) (cataloger.StagePool, bool) {
+	v.f.mu.Lock()
+	defer v.f.mu.Unlock()
+	s, known := v.f.stageService(service)
+	if !known {
+		return cataloger.StagePool{}, false
 	}
-	return counts
+	return *s.Stage, true
 }
 
-// lastStart is when the model engine must have the request for its first event to find the caller still there. Results
-// that come later are of no use to anybody, and a caller that is told before it leaves can still come back.
-func (s *stageWork) lastStart() time.Time { return s.x.firstBy.Add(-s.modelTime) }
+// Load implements planner.View.
+func (v poolView) Load(service string) planner.Load {
+	v.f.mu.Lock()
+	defer v.f.mu.Unlock()
+	return v.f.poolLoad(service, time.Now())
+}
 
-// config is what the route says of a stage.
-func (s *stageWork) config(stage int) *cataloger.Stage { return &s.x.route.Stages[stage] }
+// checkTime refuses a request whose first event can't come before its caller leaves.
+func (s *stageWork) checkTime(now time.Time) *FailureError {
+	service, over := s.plan.Overload(s.view, now)
+	if !over {
+		return nil
+	}
+	return notRun("overload", s.x.f.comeBack(service))
+}
 
 // run has all stages done, each as soon as those before it are.
 func (s *stageWork) run() *FailureError {
 	ends := make(chan stageEnd, 1)
 	quit := make(chan struct{})
 	defer close(quit)
-	late := time.NewTimer(time.Until(s.lastStart()))
+	late := time.NewTimer(time.Until(s.plan.LastStart()))
 	defer late.Stop()
 	for {
-		again := s.askReady(ends, quit)
-		if s.done() {
+		again := s.askNext(ends, quit)
+		if s.plan.Done() {
 			return nil
 		}
 		select {
@@ -119,46 +115,31 @@
 	}
 }
 
-func (s *stageWork) done() bool {
-	for i := range s.states {
-		if s.states[i].missing > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// askReady asks for the pieces of each stage whose inputs are all made, unless they would only lie there until other
-// stages are done. The channel tells when to look again at those; it is nil where none waits.
-func (s *stageWork) askReady(ends chan<- stageEnd, quit <-chan struct{}) <-chan time.Time {
+// askNext asks for the pieces of the stages whose turn it is. The channel tells when to look again at those that wait for
+// others; it is nil where none does.
+func (s *stageWork) askNext(ends chan<- stageEnd, quit <-chan struct{}) <-chan time.Time {
 	now := time.Now()
-	var again <-chan time.Time
-	for i := range s.states {
-		t := &s.states[i]
-		if t.ask != nil || t.count == 0 || !s.ready(i) {
-			continue
-		}
-		if s.tooEarly(i, now) {
-			again = time.After(lookAgain)
-			continue
-		}
-		s.askFor(i, now)
-		go pump(i, t.ask, ends, quit)
+	next, again := s.plan.Next(s.view, now)
+	for _, stage := range next {
+		s.askFor(stage, now)
+		go pump(stage, s.asks[stage], ends, quit)
 	}
-	return again
+	if !again {
+		return nil
+	}
+	return time.After(lookAgain)
 }
 
 // askFor asks for a stage's pieces.
 func (s *stageWork) askFor(stage int, now time.Time) {
-	g := s.group(stage)
-	t := &s.states[stage]
-	t.ask = s.x.f.askPieces(s.config(stage).Service, g)
-	t.askedAt = now
+	g := s.plan.Ask(stage, s.view, now)
+	service := s.plan.Service(stage)
+	s.asks[stage] = s.x.f.askPieces(service, g)
 	s.x.f.note("stage asked for",
 		zap.String("request", s.x.req.ID),
 		zap.Int("stage", stage),
-		zap.String("service", s.config(stage).Service),
-		zap.String("collector", s.x.f.ownerOf(t.ask)),
+		zap.String("service", service),
+		zap.String("collector", s.x.f.ownerOf(s.asks[stage])),
 		zap.Int("pieces", len(g.Segments)),
 		zap.String("zone", g.Zone),
 		zap.Duration("dueIn", g.Due.Sub(now)))
@@ -186,82 +167,35 @@
 	}
 }
 
-func (s *stageWork) ready(stage int) bool {
-	for _, before := range s.config(stage).After {
-		if s.states[before].missing > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-func (s *stageWork) group(stage int) collector.Group {
-	x := s.x
-	g := collector.Group{
-		ID:          collector.GroupID{Origin: x.f.cfg.Name, Request: x.req.ID, Stage: stage},
-		Due:         x.due.Add(-s.modelTime - s.usualAfter(stage)),
-		Deadline:    s.lastStart().Add(-s.leastAfter(stage)),
-		Priority:    x.priority,
-		Account:     x.account,
-		ResultBytes: s.config(stage).ResultBytes,
-		Holding:     s.holding(stage),
-	}
-	g.Zone, g.FarBytes = s.wantedZone(stage)
-	for n, made := range s.states[stage].made {
-		if made.Handle == "" {
-			g.Segments = append(g.Segments, n)
-		}
-	}
-	after := s.config(stage).After
-	g.Latest = g.Due
-	if len(after) == 0 {
-		g.Key = x.req.PieceKey
-		g.Latest = x.due.Add(-s.modelTime - s.leastAfter(stage))
-	}
-	for _, before := range after {
-		for _, made := range s.states[before].made {
-			g.Inputs = append(g.Inputs, made.Handle)
-			g.InputBytes += s.config(before).ResultBytes
-		}
-		g.TellRead = g.TellRead || s.x.f.shortOfSpace(s.config(before).Service)
-	}
-	return g
-}
-
 // take takes one piece's result.
 func (s *stageWork) take(end stageEnd) *FailureError {
-	t := &s.states[end.stage]
-	made := collector.Made{Handle: end.Result.Handle, Address: end.Address}
 	switch {
-	case end.ask != t.ask:
+	case end.ask != s.asks[end.stage]:
 		// The stage was asked for anew since, as its inputs had lapsed: this result is of no use.
-		s.freeMade(end.stage, made)
+		s.freeDelivered(end.stage, end.Deliver)
 		return nil
 	case end.read:
-		// Its inputs are of no more use unless a piece fails, one in some hundred; they are then made again.
-		t.read = true
-		s.freeInputs(end.stage)
+		s.free(s.plan.InputsRead(end.stage))
 		return nil
 	case end.Result.Reason == collector.InputGone && s.remake(end.stage):
 		return nil
 	case end.Result.Handle == "":
 		return s.failed(end)
 	}
-	s.keep(end.stage, end.Deliver)
-	if t.missing == 0 {
+	s.free(s.plan.Took(end.stage, end.Deliver))
+	if s.plan.StageDone(end.stage) {
 		s.x.f.note("stage done",
 			zap.String("request", s.x.req.ID),
 			zap.Int("stage", end.stage),
-			zap.Strings("zones", t.zones),
+			zap.Strings("zones", s.plan.Zones(end.stage)),
 			zap.Duration("since", time.Since(s.x.began)))
-		s.freeInputs(end.stage)
 	}
 	return nil
 }
 
 // failed ends the request, which has not run.
 func (s *stageWork) failed(end stageEnd) *FailureError {
-	service := s.config(end.stage).Service
+	service := s.plan.Service(end.stage)
 	s.x.f.log.Warn("stage failed",
 		zap.String("request", s.x.req.ID),
 		zap.Int("stage", end.stage),
@@ -273,136 +207,59 @@
 	return notRun("stage"+end.Result.Reason.String(), s.x.f.comeBack(service))
 }
 
-// remake has a stage's inputs made again that have lapsed, and then the stage itself. Without it a request that waited
-// for longer than results are kept would fail, although there is time left.
+// remake has lapsed inputs of a stage made again.
 func (s *stageWork) remake(stage int) bool {
-	if s.remakes >= maxRemakes {
+	ended, freed, again := s.plan.Remake(stage)
+	if !again {
 		return false
 	}
-	s.remakes++
-	s.askAgain(stage)
-	s.resetInputs(stage)
+	s.free(freed)
+	for _, i := range ended {
+		s.endAsk(i, i == stage)
+	}
 	s.x.f.log.Info("stage results made again", zap.String("request", s.x.req.ID), zap.Int("stage", stage))
 	return true
 }
 
-// resetInputs has the inputs of a stage made anew, and theirs where those were given back already.
-func (s *stageWork) resetInputs(stage int) {
-	for _, before := range s.config(stage).After {
-		s.reset(before)
-		if slices.ContainsFunc(s.config(before).After, func(i int) bool { return s.states[i].freed }) {
-			s.resetInputs(before)
-		}
-	}
-}
-
-// askAgain withdraws a stage's ask and keeps what it has made, so that only the rest is asked for anew.
-func (s *stageWork) askAgain(stage int) {
-	t := &s.states[stage]
-	if t.ask != nil {
-		s.x.f.endAsk(t.ask)
-		s.drain(t.ask, func(d collector.Deliver) {
-			if d.Result.Handle != "" && t.made[d.Segment].Handle == "" {
-				s.keep(stage, d)
-			}
-		})
+// endAsk ends a stage's ask. Results that have come and were not taken yet are kept if they are still of use.
+func (s *stageWork) endAsk(stage int, keep bool) {
+	a := s.asks[stage]
+	if a == nil {
+		return
 	}
-	t.ask = nil
-	t.read = false
-}
-
-// keep takes a piece's result.
-func (s *stageWork) keep(stage int, d collector.Deliver) {
-	t := &s.states[stage]
-	t.made[d.Segment] = collector.Made{Handle: d.Result.Handle, Address: d.Address}
-	t.zones[d.Segment] = d.Zone
-	t.missing--
-}
-
-// drain hands out the results of an ended ask that were not taken yet.
-func (s *stageWork) drain(a *ask, take func(d collector.Deliver)) {
+	s.asks[stage] = nil
+	s.x.f.endAsk(a)
 	for {
 		select {
 		case d := <-a.results:
-			take(d)
+			if keep && d.Result.Handle != "" {
+				s.free(s.plan.Took(stage, d))
+				continue
+			}
+			s.freeDelivered(stage, d)
 		default:
 			return
 		}
 	}
 }
 
-// reset withdraws a stage and forgets what it has made.
-func (s *stageWork) reset(stage int) {
-	s.withdraw(stage)
-	s.states[stage].clear()
-}
-
-// withdraw ends a stage's ask and frees its results, those too that have come and were not taken yet.
-func (s *stageWork) withdraw(stage int) {
-	t := &s.states[stage]
-	s.free(stage)
-	if t.ask == nil {
+func (s *stageWork) freeDelivered(stage int, d collector.Deliver) {
+	if d.Result.Handle == "" {
 		return
 	}
-	s.x.f.endAsk(t.ask)
-	s.drain(t.ask, func(d collector.Deliver) {
-		s.freeMade(stage, collector.Made{Handle: d.Result.Handle, Address: d.Address})
-	})
+	s.x.f.freePieces(s.plan.Service(stage), []collector.Made{{Handle: d.Result.Handle, Address: d.Address}})
 }
 
-// freeInputs frees the results that only a stage which is done has needed.
-func (s *stageWork) freeInputs(stage int) {
-	for _, before := range s.config(stage).After {
-		if !s.needed(before) {
-			s.free(before)
-		}
+func (s *stageWork) free(freed []planner.Freed) {
+	for _, f := range freed {
+		s.x.f.freePieces(f.Service, f.Made)
 	}
 }
 
-// needed tells whether a stage that is not done takes the results of this one.
-func (s *stageWork) needed(stage int) bool {
-	for i, next := range s.x.route.Stages {
-		t := &s.states[i]
-		if t.missing > 0 && !t.read && slices.Contains(next.After, stage) {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *stageWork) free(stage int) {
-	if t := &s.states[stage]; !t.freed {
-		t.freed = true
-		s.freeMade(stage, t.made...)
-	}
-}
-
-func (s *stageWork) freeMade(stage int, made ...collector.Made) {
-	made = slices.DeleteFunc(slices.Clone(made), func(m collector.Made) bool { return m.Handle == "" })
-	s.x.f.freePieces(s.config(stage).Service, made)
-}
-
 // freeAll ends the request's stages: nothing of them is needed any more.
 func (s *stageWork) freeAll() {
-	for i := range s.states {
-		s.withdraw(i)
-	}
-}
-
-// freeLast frees the results that the request itself took.
-func (s *stageWork) freeLast() {
-	for _, stage := range s.x.route.LastStages(s.counts()) {
-		s.free(stage)
-	}
-}
-
-// inputs lists the results that the request itself takes.
-func (s *stageWork) inputs() []string {
-	var handles []string
-	for _, stage := range s.x.route.LastStages(s.counts()) {
-		for _, m := range s.states[stage].made {
-			handles = append(handles, m.Handle)
-		}
+	s.free(s.plan.FreeAll())
+	for i := range s.asks {
+		s.endAsk(i, false)
 	}
-	return handles
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -50,7 +50,7 @@
 		if !x.mayTryAgain() {
 			return x.giveUp("noEndpointTook")
 		}
-		choice, found := x.choose(selector.Ask{Parts: x.req.Parts, ZoneBytes: stages.zoneBytes()})
+		choice, found := x.choose(selector.Ask{Parts: x.req.Parts, ZoneBytes: stages.plan.ZoneBytes()})
 		if !found {
 			return x.giveUp("noEndpoint")
 		}
@@ -68,7 +68,7 @@
 	x.sends++
 	x.tried = append(x.tried, choice.Endpoint.ID)
 	info := x.callInfo(choice.Endpoint, began)
-	info.Inputs = s.stages.inputs()
+	info.Inputs = s.stages.plan.Inputs()
 	if s.hasLast {
 		x.f.cfg.Meter.Counter(meter.ForwardResumes).Inc(1)
 		info.LastEvent = strconv.FormatInt(s.last, 10)
@@ -197,7 +197,7 @@
 	x.f.selector.Observe(*choice, time.Since(sent))
 	x.f.selector.Read(choice)
 	x.f.mu.Unlock()
-	s.stages.freeLast()
+	s.stages.free(s.stages.plan.FreeLast())
 	s.head(answer)
 }
 
--- a/loader/load.go
+++ b/loader/load.go
@@ -61,6 +61,24 @@
 	return settings, nil
 }
 
+// Decode reads JSON with comments into the target, a pointer to a struct of texts, int64s, lists and structs, and checks it
+// by its tags as settings are. Fields that the text does not give stay as they are. Faults come as one *FaultsError.
+func Decode(src []byte, target any) error {
+	tree, err := parseTree(src, maxFileBytes)
+	if err != nil {
+		return err
+	}
+	d := decoder{src: src, positions: map[string]int{}}
+	value := reflect.ValueOf(target).Elem()
+	d.value("", tree, value)
+	d.checkStruct("", value)
+	if len(d.faults) > 0 {
+		sortFaults(d.faults)
+		return &FaultsError{Faults: d.faults}
+	}
+	return nil
+}
+
 // parseTree fails with a *FaultsError for a text that is too long or no JSON with comments.
 func parseTree(src []byte, maxBytes int) (hujson.Value, error) {
 	if len(src) > maxBytes {
--- /dev/null
+++ b/planner/plan.go
@@ -0,0 +1,341 @@
+// Package planner decides how the stages of one request are done: which stage is asked for when, what its pieces need, where
+// they should be made, when they are due, what is made again, and whose results are given back. It is pure: the present time
+// and what is known of the pools are given to it.
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"geraniumline/cataloger"
+	"geraniumline/collector"
+	"geraniumline/switcher"
+)
+
+// maxRemakes is how often a request's lapsed stage results are made again.
+const maxRemakes = 2
+
+// Config says what a request's stages are planned by.
+type Config struct {
+	// Origin is the entry that has the request, Request its id.
+	Origin  string
+	Request string
+	Stages  []cataloger.Stage
+	// Counts are the numbers of the stages' pieces; a stage that has none named has one.
+	Counts []int
+	// Key is the input of the first stages' pieces.
+	Key      string
+	Priority int
+	Account  string
+	// Due is when the first event is on time, FirstBy when the caller leaves that has none.
+	Due     time.Time
+	FirstBy time.Time
+	// HomeZone is where the model engine that holds the prompt's shared parts is.
+	HomeZone string
+	// ModelTime is what the model engine is predicted to take after the last stage.
+	ModelTime time.Duration
+	// Off are the mechanisms of policy that are switched off.
+	Off switcher.Off
+}
+
+// View is what is known of the stages' pools at present.
+type View interface {
+	// Pool says how a service's endpoints take calls.
+	Pool(service string) (cataloger.StagePool, bool)
+	// Load is the newest word on a service's pool; zero where there is none.
+	Load(service string) Load
+}
+
+// Load is what is said of a pool at the entry that collects for it.
+type Load struct {
+	// Wait is how long a piece that comes now would wait for its call.
+	Wait time.Duration
+	// Passage is how long groups of pieces take there.
+	Passage time.Duration
+	// Short tells that it is short of space for results.
+	Short bool
+}
+
+// Freed are results of one stage that nothing needs any more.
+type Freed struct {
+	Service string
+	Made    []collector.Made
+}
+
+// stage is how far one stage of a request is.
+type stage struct {
+	// count is the number of its pieces, missing how many have no result.
+	count   int
+	missing int
+	// made and zones hold the results and where they lie, by segment.
+	made  []collector.Made
+	zones []string
+	// asked is set while its pieces are asked for, since askedAt.
+	asked   bool
+	askedAt time.Time
+	// read is set once endpoints have fetched its inputs, freed once its results were given back.
+	read  bool
+	freed bool
+}
+
+// Plan is the stages of one request.
+type Plan struct {
+	cfg     Config
+	stages  []stage
+	remakes int
+}
+
+// New makes the plan of a request none of whose stages is done.
+func New(cfg Config) *Plan {
+	p := &Plan{cfg: cfg, stages: make([]stage, len(cfg.Stages))}
+	for i := range p.stages {
+		p.stages[i].count = 1
+		if i < len(cfg.Counts) {
+			p.stages[i].count = cfg.Counts[i]
+		}
+		p.stages[i].clear()
+	}
+	return p
+}
+
+// clear forgets what the stage has made.
+func (t *stage) clear() {
+	*t = stage{
+		count:   t.count,
+		missing: t.count,
+		made:    make([]collector.Made, t.count),
+		zones:   make([]string, t.count),
+	}
+}
+
+// Service is that of a stage.
+func (p *Plan) Service(stage int) string { return p.cfg.Stages[stage].Service }
+
+// Zones are where the results of a stage lie, by piece.
+func (p *Plan) Zones(stage int) []string { return p.stages[stage].zones }
+
+// StageDone tells whether all pieces of a stage are made.
+func (p *Plan) StageDone(stage int) bool { return p.stages[stage].missing == 0 }
+
+// Done tells whether all stages are.
+func (p *Plan) Done() bool {
+	for i := range p.stages {
+		if !p.StageDone(i) {
+			return false
+		}
+	}
+	return true
+}
+
+// counts are the numbers of pieces of all stages.
+func (p *Plan) counts() []int {
+	counts := make([]int, len(p.stages))
+	for i := range p.stages {
+		counts[i] = p.stages[i].count
+	}
+	return counts
+}
+
+// last are the stages whose results the request itself takes.
+func (p *Plan) last() []int {
+	route := cataloger.Route{Stages: p.cfg.Stages}
+	return route.LastStages(p.counts())
+}
+
+// Next lists the stages whose pieces should be asked for now: those whose inputs are all made, unless their results would
+// only lie there until other stages are done. It tells whether to look again later for such.
+func (p *Plan) Next(view View, now time.Time) (next []int, again bool) {
+	for i := range p.stages {
+		t := &p.stages[i]
+		if t.asked || t.missing == 0 || !p.ready(i) {
+			continue
+		}
+		if p.tooEarly(i, view, now) {
+			again = true
+			continue
+		}
+		next = append(next, i)
+	}
+	return next, again
+}
+
+func (p *Plan) ready(stage int) bool {
+	for _, before := range p.cfg.Stages[stage].After {
+		if p.stages[before].missing > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Ask gives the pieces of a stage that are to be asked for, and takes them as asked for.
+func (p *Plan) Ask(stage int, view View, now time.Time) collector.Group {
+	t := &p.stages[stage]
+	t.asked = true
+	t.askedAt = now
+	cfg := &p.cfg.Stages[stage]
+	g := collector.Group{
+		ID:          collector.GroupID{Origin: p.cfg.Origin, Request: p.cfg.Request, Stage: stage},
+		Due:         p.cfg.Due.Add(-p.cfg.ModelTime - p.usualAfter(stage, view)),
+		Deadline:    p.LastStart().Add(-p.leastAfter(stage, view)),
+		Priority:    p.cfg.Priority,
+		Account:     p.cfg.Account,
+		ResultBytes: cfg.ResultBytes,
+		Holding:     p.holding(stage, view),
+	}
+	g.Zone, g.FarBytes = p.wantedZone(stage)
+	for n, made := range t.made {
+		if made.Handle == "" {
+			g.Segments = append(g.Segments, n)
+		}
+	}
+	g.Latest = g.Due
+	if len(cfg.After) == 0 {
+		g.Key = p.cfg.Key
+		g.Latest = p.cfg.Due.Add(-p.cfg.ModelTime - p.leastAfter(stage, view))
+	}
+	p.addInputs(&g, stage, view)
+	return g
+}
+
+func (p *Plan) addInputs(g *collector.Group, stage int, view View) {
+	for _, before := range p.cfg.Stages[stage].After {
+		for _, made := range p.stages[before].made {
+			g.Inputs = append(g.Inputs, made.Handle)
+			g.InputBytes += p.cfg.Stages[before].ResultBytes
+		}
+		short := view.Load(p.Service(before)).Short && !p.cfg.Off.Has(switcher.FetchedFreed)
+		g.TellRead = g.TellRead || short
+	}
+}
+
+// Took takes a piece's result.
+func (p *Plan) Took(stage int, d collector.Deliver) []Freed {
+	t := &p.stages[stage]
+	if t.made[d.Segment].Handle != "" {
+		return p.give(stage, collector.Made{Handle: d.Result.Handle, Address: d.Address})
+	}
+	t.made[d.Segment] = collector.Made{Handle: d.Result.Handle, Address: d.Address}
+	t.zones[d.Segment] = d.Zone
+	t.missing--
+	if t.missing > 0 {
+		return nil
+	}
+	return p.freeInputs(stage)
+}
+
+// InputsRead notes that the inputs of a stage were fetched. They are of no more use unless a piece fails, one in some
+// hundred; they are then made again.
+func (p *Plan) InputsRead(stage int) []Freed {
+	p.stages[stage].read = true
+	return p.freeInputs(stage)
+}
+
+// Remake has a stage's inputs made again that have lapsed, and then what is missing of the stage itself. Without it a
+// request that waited for longer than results are kept would fail, although there is time left. It lists the stages that
+// are no longer asked for, and tells whether it may be done.
+func (p *Plan) Remake(stage int) (ended []int, freed []Freed, again bool) {
+	if p.remakes >= maxRemakes {
+		return nil, nil, false
+	}
+	p.remakes++
+	p.stages[stage].asked = false
+	p.stages[stage].read = false
+	ended, freed = p.resetInputs(stage)
+	return append(ended, stage), freed, true
+}
+
+// resetInputs has the inputs of a stage made anew, and theirs where those were given back already.
+func (p *Plan) resetInputs(stage int) (ended []int, freed []Freed) {
+	for _, before := range p.cfg.Stages[stage].After {
+		ended = append(ended, before)
+		freed = append(freed, p.free(before)...)
+		p.stages[before].clear()
+		if slices.ContainsFunc(p.cfg.Stages[before].After, func(i int) bool { return p.stages[i].freed }) {
+			moreEnded, moreFreed := p.resetInputs(before)
+			ended = append(ended, moreEnded...)
+			freed = append(freed, moreFreed...)
+		}
+	}
+	return ended, freed
+}
+
+// freeInputs gives back the results that only a stage which is done, or has fetched them, has needed.
+func (p *Plan) freeInputs(stage int) []Freed {
+	var freed []Freed
+	for _, before := range p.cfg.Stages[stage].After {
+		if !p.needed(before) {
+			freed = append(freed, p.free(before)...)
+		}
+	}
+	return freed
+}
+
+// needed tells whether a stage that is not done still has to fetch the results of this one.
+func (p *Plan) needed(stage int) bool {
+	for i, next := range p.cfg.Stages {
+		t := &p.stages[i]
+		if t.missing > 0 && !t.read && slices.Contains(next.After, stage) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Plan) free(stage int) []Freed {
+	t := &p.stages[stage]
+	if t.freed {
+		return nil
+	}
+	t.freed = true
+	return p.give(stage, t.made...)
+}
+
+// give lists results to be given back; pieces that were not made have none.
+func (p *Plan) give(stage int, made ...collector.Made) []Freed {
+	made = slices.DeleteFunc(slices.Clone(made), func(m collector.Made) bool { return m.Handle == "" })
+	if len(made) == 0 {
+		return nil
+	}
+	return []Freed{{Service: p.Service(stage), Made: made}}
+}
+
+// FreeLast gives back what the request itself took.
+func (p *Plan) FreeLast() []Freed {
+	var freed []Freed
+	for _, stage := range p.last() {
+		freed = append(freed, p.free(stage)...)
+	}
+	return freed
+}
+
+// FreeAll gives everything back: nothing of the stages is needed any more.
+func (p *Plan) FreeAll() []Freed {
+	var freed []Freed
+	for i := range p.stages {
+		freed = append(freed, p.free(i)...)
+	}
+	return freed
+}
+
+// Inputs lists the results that the request itself takes.
+func (p *Plan) Inputs() []string {
+	var handles []string
+	for _, stage := range p.last() {
+		for _, m := range p.stages[stage].made {
+			handles = append(handles, m.Handle)
+		}
+	}
+	return handles
+}
+
+// ZoneBytes tells where the inputs of the request itself lie.
+func (p *Plan) ZoneBytes() map[string]int64 {
+	zones := make(map[string]int64)
+	for _, stage := range p.last() {
+		for _, zone := range p.stages[stage].zones {
+			zones[zone] += p.cfg.Stages[stage].ResultBytes
+		}
+	}
+	return zones
+}
