Free inputs early only where the reading stage has no backlog; let the first group of a zone wait

Change: InputsRead gives nothing back while the stage has a backlog; the first group of a zone may wait for it whatever its size.

--- a/collector/group.go
+++ b/collector/group.go
@@ -234,12 +234,13 @@
 }
 
 // waitsForZone tells whether the group should wait for an endpoint of its own zone, where so many pieces go before its own.
+// The first group of a zone may wait whatever its size: where calls are small, it fills one by itself.
 func (p *Pool) waitsForZone(g *group, e *endpoint, before int, now time.Time) bool {
 	if p.cfg.Off.Has(switcher.ZoneWait) || g.Zone == "" || g.Zone == e.Zone || g.FarBytes < heavyBytes {
 		return false
 	}
 	next := zoneCalls * float64(p.inZone[g.Zone]*p.cfg.Stage.Batch)
-	if float64(before+len(g.waiting)) > next {
+	if before > 0 && float64(before+len(g.waiting)) > next {
 		return false
 	}
 	slack := time.Duration(zoneSlack * float64(p.cfg.Stage.CallDuration(len(g.Segments))))
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -188,7 +188,7 @@
 
 func (w *world) inputsRead(id collector.GroupID) {
 	if r, known := w.requests[id.Request]; known && !r.ended && r.id == id.Request {
-		w.freeAll(r.plan.InputsRead(id.Stage))
+		w.freeAll(r.plan.InputsRead(id.Stage, r.entry))
 	}
 }
 
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -175,7 +175,7 @@
 		s.freeDelivered(end.stage, end.Deliver)
 		return nil
 	case end.read:
-		s.free(s.plan.InputsRead(end.stage))
+		s.free(s.plan.InputsRead(end.stage, s.view))
 		return nil
 	case end.Result.Reason == collector.InputGone && s.remake(end.stage):
 		return nil
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -225,8 +225,13 @@
 }
 
 // InputsRead notes that the inputs of a stage were fetched. They are of no more use unless a piece fails, one in some
-// hundred; they are then made again.
-func (p *Plan) InputsRead(stage int) []Freed {
+// hundred; they are then made again. While more waits at the stage than its next calls take they are kept all the same:
+// the space that they take keeps the stage before from making more than this one can use. Freed then too, results for
+// groups that will be late cost 0.04 of the worth of days where the last stage has the least capacity.
+func (p *Plan) InputsRead(stage int, view View) []Freed {
+	if view.Load(p.Service(stage)).Wait > 0 {
+		return nil
+	}
 	p.stages[stage].read = true
 	return p.freeInputs(stage)
 }
--- a/planner/plan_test.go
+++ b/planner/plan_test.go
@@ -116,7 +116,8 @@
 	makeAll(p, p.Ask(1, view, start), "z")
 	rank := p.Ask(2, view, start)
 	require.True(t, rank.TellRead)
-	freed := p.InputsRead(2)
+	require.Empty(t, p.InputsRead(2, pools{"rank": {Wait: time.Millisecond}}), "the ranking has a backlog")
+	freed := p.InputsRead(2, view)
 	require.Equal(t, []Freed{{Service: "lookup", Made: []collector.Made{{Handle: handle(1, 0), Address: "maker"}}}}, freed)
 	rank.Segments = rank.Segments[:5]
 	require.Empty(t, makeAll(p, rank, "z"))
