Join the two times for looking again, and ask an entry's way by the entry

Cause: read-through of the change. planner.Plan.Next says that a stage should be looked at again, and forwarder and experimenter each had their own copy of when; the model made up a request to ask how far an entry is. Ruled out: joining what only looks alike: import blocks, set-ups of tests, structs of settings and of scenarios. Change: planner.LookAgain, used by both; wayTo takes an entry, wayToOrigin finds it for a group.

--- a/experimenter/entry.go
+++ b/experimenter/entry.go
@@ -15,8 +15,6 @@
 	// heartbeatEvery and tickEvery are those of the product's entries.
 	heartbeatEvery = 150 * time.Millisecond
 	tickEvery      = 10 * time.Millisecond
-	// lookAgain is how often a stage that waits for others is looked at.
-	lookAgain = 15 * time.Millisecond
 )
 
 // entry is one entry: what it knows, as old as heartbeats make it.
@@ -99,11 +97,9 @@
 		case collector.SendCall:
 			e.send(service, f)
 		case collector.Deliver:
-			r := e.w.requests[f.ID.Request]
-			e.w.after(e.wayTo(r), func() { e.w.deliver(service, f) })
+			e.w.after(e.wayToOrigin(f.ID), func() { e.w.deliver(service, f) })
 		case collector.InputsRead:
-			r := e.w.requests[f.ID.Request]
-			e.w.after(e.wayTo(r), func() { e.w.inputsRead(f.ID) })
+			e.w.after(e.wayToOrigin(f.ID), func() { e.w.inputsRead(f.ID) })
 		case collector.FreeResults:
 			e.freeResults(service, f)
 		case collector.Judged:
@@ -111,11 +107,21 @@
 	}
 }
 
-func (e *entry) wayTo(r *request) time.Duration {
-	if r == nil || r.entry == e {
+// wayToOrigin is the time to the entry that has a group's request; none where the request is forgotten.
+func (e *entry) wayToOrigin(id collector.GroupID) time.Duration {
+	r, known := e.w.requests[id.Request]
+	if !known {
+		return 0
+	}
+	return e.wayTo(r.entry)
+}
+
+// wayTo is the time to another entry.
+func (e *entry) wayTo(other *entry) time.Duration {
+	if other == e {
 		return 0
 	}
-	return e.w.way(e.zone, r.entry.zone)
+	return e.w.way(e.zone, other.zone)
 }
 
 func (e *entry) send(service string, call collector.SendCall) {
--- a/experimenter/request.go
+++ b/experimenter/request.go
@@ -76,11 +76,11 @@
 		g := r.plan.Ask(stage, r.entry, r.w.now)
 		service := r.plan.Service(stage)
 		collecting := r.w.owner(service)
-		r.w.after(r.entry.wayTo(&request{entry: collecting}), func() { collecting.reduce(service, collector.Arrived{Group: g}) })
+		r.w.after(r.entry.wayTo(collecting), func() { collecting.reduce(service, collector.Arrived{Group: g}) })
 	}
 	if again {
 		id := r.id
-		r.w.after(lookAgain, func() {
+		r.w.after(planner.LookAgain, func() {
 			if r.id == id {
 				r.goOn()
 			}
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -10,9 +10,6 @@
 	"geraniumline/planner"
 )
 
-// lookAgain is how often a stage that waits for others is looked at: a tenth of what a call takes at least.
-const lookAgain = 15 * time.Millisecond
-
 // stageWork has the stages of one request done as its plan says.
 type stageWork struct {
 	x    *exchange
@@ -127,7 +124,7 @@
 	if !again {
 		return nil
 	}
-	return time.After(lookAgain)
+	return time.After(planner.LookAgain)
 }
 
 // askFor asks for a stage's pieces.
--- a/planner/timing.go
+++ b/planner/timing.go
@@ -13,6 +13,8 @@
 	// earlyFactor is how many times its usual time before the others are done a stage with large results is begun: nine
 	// of ten groups take at most about twice the usual time.
 	earlyFactor = 1.5
+	// LookAgain is how often a stage that waits for others should be looked at: a tenth of what a call takes at least.
+	LookAgain = 15 * time.Millisecond
 	// shortReturn is when a caller may come back that was refused for what is over in a moment: a start, a full endpoint.
 	// It is spread by as much again, so that callers refused together do not come back together.
 	shortReturn = 250 * time.Millisecond
