Let few entries read the store for all, and keep asks at a collector that is heard

Each also waited for changes of the configuration, and the reader told all 194 peers every endpoint's entry, 16 Mbit/s. Change: four entries follow the configuration, the age of the store's word goes round, and the next in order take over one by one; the reading one tells only news, and whoever reads while it is silent tells all; eight addresses are left; a first start waits for the word of those that have the duties; an ask moves after 600 ms where its collector is heard by others.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -100,6 +100,7 @@
 		Seeds:         settings.Seeds,
 		Capacity:      forwarder.CapacityOf(settings.Cores, settings.LinkMbps),
 		Incarnation:   uint64(now.UnixNano()),
+		FirstStart:    settings.FirstStart,
 		AddressTTL:    min(addressTTL, settings.AddressTTL),
 		RetryRatio:    settings.RetryRatio,
 		RetrySlack:    settings.RetrySlack,
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -118,6 +118,9 @@
 	Crashes   []CrashMark    `msg:"crashes,limit=1024"`
 	// Stages are the newest waits that the sender knows.
 	Stages []StageWait `msg:"stages,limit=1024"`
+	// ConfigAgeMillis is how long ago the store last answered a reading of the configuration, by the newest word that the
+	// sender knows.
+	ConfigAgeMillis int64 `msg:"configAgeMillis"`
 }
 
 // Record is one log record that a peer passes on.
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -3026,6 +3026,12 @@
 					return
 				}
 			}
+		case "configAgeMillis":
+			z.ConfigAgeMillis, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigAgeMillis")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3039,9 +3045,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
+	// map header, size 9
 	// write "from"
-	err = en.Append(0x88, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	err = en.Append(0x89, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	if err != nil {
 		return
 	}
@@ -3195,15 +3201,25 @@
 			return
 		}
 	}
+	// write "configAgeMillis"
+	err = en.Append(0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.ConfigAgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigAgeMillis")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "from"
-	o = append(o, 0x88, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = append(o, 0x89, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -3280,6 +3296,9 @@
 			return
 		}
 	}
+	// string "configAgeMillis"
+	o = append(o, 0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.ConfigAgeMillis)
 	return
 }
 
@@ -3532,6 +3551,12 @@
 					return
 				}
 			}
+		case "configAgeMillis":
+			z.ConfigAgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigAgeMillis")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3573,6 +3598,7 @@
 	for za0007 := range z.Stages {
 		s += z.Stages[za0007].Msgsize()
 	}
+	s += 16 + msgp.Int64Size
 	return
 }
 
--- a/detector/gossip.go
+++ b/detector/gossip.go
@@ -48,7 +48,8 @@
 
 // told tells whether a heartbeat names the member. Beyond the full mesh each entry tells of its own availability zone, which
 // it knows best, and of those of other zones that it has just heard itself. So what is sent grows with the zone and not
-// with the fleet: 19 KB a second an entry at 195, against 290 with everybody named to as many.
+// with the fleet: 36 KB a second an entry at 195 entries in three zones (TestALargeFleetDoubtsNobody), where a list of all
+// to ten peers a round takes 187.
 func (d *Detector) told(r *record, now time.Time) bool {
 	if r.member.State == Dead {
 		return false
--- a/forwarder/duty.go
+++ b/forwarder/duty.go
@@ -84,6 +84,7 @@
 	}
 	if f.duties.owners == nil {
 		f.duties.owners = make(map[string]string)
+		f.duties.ranks = make(map[string]int)
 		f.duties.able = f.able(nil)
 	}
 	if owner, found := f.duties.owners[duty]; found {
@@ -94,22 +95,47 @@
 	return owner, found
 }
 
+// rank tells how many live entries a duty falls to before this one. Those on small VMs come after all others. The lock is
+// held.
+func (f *Forwarder) rank(duty string) int {
+	owner, known := f.owner(duty, nil)
+	if !known || owner == f.cfg.Name {
+		return 0
+	}
+	if rank, found := f.duties.ranks[duty]; found {
+		return rank
+	}
+	rank := hasher.Rank(duty, f.duties.able, f.cfg.Name)
+	if !slices.Contains(f.duties.able, f.cfg.Name) {
+		rank += len(f.duties.able)
+	}
+	f.duties.ranks[duty] = rank
+	return rank
+}
+
 // duties remembers which entries can have duties and who has which, until something that decides it changes. Worked out
 // for each ask, each freed result and each tick of each pool, 195 members were ranked some 500 times a second.
 type duties struct {
 	able   []string
 	owners map[string]string
+	ranks  map[string]int
 }
 
 // forget has everything worked out anew.
 func (d *duties) forget() { *d = duties{} }
 
+// canHaveDuty tells whether a duty may fall to an entry. Until this one knows a configuration, those that know none count
+// too: at a start of all nobody is live yet, and each would else take itself for the only one. The lock is held.
+func (f *Forwarder) canHaveDuty(m *detector.Member) bool {
+	return m.State == detector.Live || f.catalog == nil && m.State == detector.Suspect
+}
+
 // able names the live entries on large VMs, but for those to avoid. The lock is held.
 func (f *Forwarder) able(avoid []string) []string {
 	var live []detector.Member
 	largest := int32(0)
 	for _, m := range f.detector.Members() {
-		if m.State != detector.Live || slices.Contains(avoid, m.Name) {
+		if !f.canHaveDuty(&m) || slices.Contains(avoid, m.Name) {
 			continue
 		}
 		live = append(live, m)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -70,6 +70,8 @@
 	Incarnation uint64
 	// Capacity is this VM's processor and link as one figure, see CapacityOf.
 	Capacity int
+	// FirstStart is set at the first start of the whole system.
+	FirstStart bool
 	// AddressTTL is how long callers may keep the answer to which entries to use.
 	AddressTTL time.Duration
 	// RetryRatio and RetrySlack bound the extra calls of all entries together.
@@ -129,6 +131,8 @@
 	round int
 	// newsAt is when the entry that reads the store for all was heard last.
 	newsAt time.Time
+	// configHeard is when the store last answered a reading of the configuration, here or at a peer.
+	configHeard time.Time
 	// storeLost is set while the store does not answer this entry.
 	storeLost bool
 
--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -30,6 +30,7 @@
 		return nil
 	}
 	f.catalog = catalog
+	f.duties.forget()
 	f.raw = data
 	f.behindSince = time.Time{}
 	f.registry.SetServices(slices.Collect(maps.Keys(catalog.Services())))
@@ -52,8 +53,9 @@
 // entry that reads for all passes them on.
 func (f *Forwarder) TakeEndpoints(changes []registrar.Change, from, next int64, now time.Time) {
 	f.withRegistry(now, func() []func() {
+		news := f.registry.News(changes)
 		f.registry.Apply(changes, next, now)
-		return f.passOn(changes, from, next)
+		return f.passOn(news, from, next)
 	})
 }
 
@@ -61,6 +63,7 @@
 func (f *Forwarder) ReplaceEndpoints(all []registrar.Change, next int64, now time.Time) {
 	f.withRegistry(now, func() []func() {
 		f.registry.Replace(all, next, now)
+		f.newsAt = now
 		return nil
 	})
 }
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,6 +29,8 @@
 	// workLife is how long a peer's word on its work under way counts: most prompts are read by then. Where word goes to few
 	// peers a round the next one may come seconds later.
 	workLife = time.Second
+	// maxConfigAge is the age that stands for any longer one, and for never.
+	maxConfigAge = time.Hour
 	// askEvery is how often peers are asked.
 	askEvery = 500 * time.Millisecond
 	// askedPeers is how many peers an entry asks for their list of endpoints at a time. A store outage makes all
@@ -49,6 +52,7 @@
 	beat := f.detector.Heartbeat(now)
 	beat.Crashes = f.quarantiner.Marks(now)
 	beat.Stages = f.stageWaits(now)
+	beat.ConfigAgeMillis = min(now.Sub(f.configHeard), maxConfigAge).Milliseconds()
 	f.round++
 	targets := f.detector.Targets(now)
 	beatTargets, workTargets := targets, targets
@@ -92,11 +96,14 @@
 	return share
 }
 
-// Alone tells whether this entry hears no other one.
+// Alone tells whether this entry hears no other one, be it ready or not.
 func (f *Forwarder) Alone() bool {
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.livePeers() == 0
+	return !slices.ContainsFunc(f.detector.Members(), func(m detector.Member) bool {
+		return m.Name != f.cfg.Name && m.State != detector.Dead && m.State != detector.Stopped && now.Sub(m.LastHeard) < suspectAfter
+	})
 }
 
 // TakePeer takes the address of an entry that may live: heartbeats to it show whether it does.
@@ -181,7 +188,7 @@
 	if f.behindSince.IsZero() {
 		f.behindSince = now
 	}
-	patient := f.catalog != nil && now.Sub(f.behindSince) < configPatience
+	patient := f.catalog != nil && f.readsConfig(now) && now.Sub(f.behindSince) < configPatience
 	if patient || now.Sub(f.askedConfig) < askEvery {
 		return "", false
 	}
@@ -225,6 +232,7 @@
 		f.locked(func() []func() {
 			f.quarantiner.Heard(m.Crashes, now)
 			f.takeStageWaits(m.Stages, now)
+			f.takeConfigAge(m.ConfigAgeMillis, now)
 			return f.takeTransitions(f.detector.Receive(m, now), now)
 		})
 	case *carrier.Work:
@@ -304,6 +312,13 @@
 	f.workAt[from] = now
 }
 
+// takeConfigAge notes how lately the store has answered a reading of the configuration, by a peer's word. The lock is held.
+func (f *Forwarder) takeConfigAge(millis int64, now time.Time) {
+	if at := now.Add(-time.Duration(millis) * time.Millisecond); at.After(f.configHeard) {
+		f.configHeard = at
+	}
+}
+
 // dropOldWork forgets what peers had under way once their word is old. The lock is held.
 func (f *Forwarder) dropOldWork(now time.Time) {
 	for peer, at := range f.workAt {
@@ -351,7 +366,12 @@
 	if m.Next < f.registry.Next() || m.Unchanged && m.Next != f.registry.Next() {
 		return nil
 	}
-	f.registry.HeardAt(now.Add(-time.Duration(m.AgeMillis) * time.Millisecond))
+	at := now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)
+	f.registry.HeardAt(at)
+	if at.After(f.newsAt) {
+		// Somebody reads the store for all, though its word has not come here yet.
+		f.newsAt = at
+	}
 	if m.Unchanged {
 		return nil
 	}
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -14,11 +14,16 @@
 
 const (
 	// takenPatience is how long the entry that collects may leave an ask without a word, beside takenFactor times what
-	// words have taken lately. It is some thirty times the way there and back. Under load words take longer, and
-	// asking a second entry then lets two of them fill the same endpoints, which turn away what they can't hold:
-	// 53,607 of 62,354 calls on a loaded day of 76 entries.
+	// words have taken lately, where it was not heard lately either. It is some thirty times the way there and back.
 	takenPatience = 150 * time.Millisecond
 	takenFactor   = 4
+	// heardPatience is the same while peers hear it: its words are late since it is loaded, or what is between the two is
+	// cut. Asking a second entry under load lets two of them fill the same endpoints, which turn away what they can't
+	// hold: in the burst of a day with 82 entries 31 of 94 calls of one second came from second ones, without any being
+	// lost; with 76 entries 53,607 of 62,354 calls of a day were turned away.
+	heardPatience = 600 * time.Millisecond
+	// heardLately is how old the newest step of an entry may be that counts as heard: two heartbeats, and one for the way.
+	heardLately = 3 * heartbeatEvery
 	// takenWeight is the weight of the newest word in what words take.
 	takenWeight = 0.1
 )
@@ -149,7 +154,11 @@
 	}
 	m, known := f.detector.Member(a.owner)
 	lost := !known || m.State != detector.Live && m.State != detector.Stopping
-	silent := !a.taken && now.Sub(a.sent) > takenPatience+takenFactor*f.takenTime
+	patience := takenPatience + takenFactor*f.takenTime
+	if now.Sub(m.LastHeard) < heardLately {
+		patience = max(patience, heardPatience)
+	}
+	silent := !a.taken && now.Sub(a.sent) > patience
 	if !lost && !silent {
 		return false
 	}
--- a/forwarder/reader.go
+++ b/forwarder/reader.go
@@ -16,8 +16,70 @@
 // and half of the next; with its own reading an endpoint that leaves is known well within two seconds.
 const newsPatience = 1100 * time.Millisecond
 
+const (
+	// configDuty is the duty of following the operator's configuration for all.
+	configDuty = "config"
+	// configReaders is how many entries follow the configuration in the store; the others hear of a newer version from
+	// them. That all of them are cut from the store while a third of the entries are has a chance of 1.5%.
+	configReaders = 4
+	// configSilence is how old the newest word of the store on the configuration may be, which a reading gives every 5 s,
+	// before more entries read for themselves.
+	configSilence = 7 * time.Second
+	// rankStep is how much longer each further entry in the order of a duty waits before it takes the duty up. The first
+	// one that the store answers tells all others, so that in an outage of 8 s some 35 of 195 entries ask the store and
+	// not all.
+	rankStep = 200 * time.Millisecond
+	// firstStartPatience is how long an entry waits for the word of its peers at the first start of all: until they have
+	// found each other, one has read, and its word has gone round.
+	firstStartPatience = 3 * time.Second
+	// addressDuty is the duty of leaving one's address in the store for those who hear no peer; addressKeepers entries have
+	// it, so that a few are there after any loss but that of all.
+	addressDuty    = "addresses"
+	addressKeepers = 8
+)
+
+// ReadsConfig tells whether this entry is to follow the configuration in the store now.
+func (f *Forwarder) ReadsConfig(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readsConfig(now)
+}
+
+// readsConfig is ReadsConfig with the lock held.
+func (f *Forwarder) readsConfig(now time.Time) bool {
+	rank := f.rank(configDuty)
+	if f.catalog == nil {
+		return rank < configReaders && !f.settling(now) || !f.patient(now)
+	}
+	if rank < configReaders {
+		return true
+	}
+	return now.Sub(f.configHeard) >= configSilence+time.Duration(rank-configReaders)*rankStep
+}
+
+// patient tells whether an entry that knows nothing waits for the word of its peers before it asks the store. At the first
+// start of all no caller waits yet, and each that reads for itself is two calls; at any other start callers do wait. The
+// lock is held.
+func (f *Forwarder) patient(now time.Time) bool {
+	return f.cfg.FirstStart && now.Sub(f.began) < firstStartPatience
+}
+
+// ConfigHeard notes that the store has answered a reading of the configuration.
+func (f *Forwarder) ConfigHeard(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.configHeard = now
+}
+
+// LeavesAddress tells whether this entry is to leave its address in the store.
+func (f *Forwarder) LeavesAddress(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.settling(now) && f.rank(addressDuty) < addressKeepers
+}
+
 // ReadsEndpoints tells whether this entry is to read the endpoints' entries from the store now, and from which offset.
-// The one that the duty falls to does; any other only while it hears nothing.
+// The one that the duty falls to does; any other only while it hears nothing, one after the other.
 func (f *Forwarder) ReadsEndpoints(now time.Time) (int64, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -25,16 +87,16 @@
 	if f.registry.Known() {
 		from = f.registry.Next()
 	}
-	reader, known := f.owner(readerDuty, nil)
-	told := f.registry.Known() && now.Sub(f.newsAt) < newsPatience
-	return from, !known || reader == f.cfg.Name || !told
+	rank := f.rank(readerDuty)
+	if !f.registry.Known() {
+		return from, rank == 0 && !f.settling(now) || !f.patient(now)
+	}
+	told := now.Sub(f.newsAt) < newsPatience+time.Duration(rank)*rankStep
+	return from, rank == 0 && !f.settling(now) || !told
 }
 
 // passOn tells all peers what was read. An empty word is sent too: it says that nothing has changed. The lock is held.
 func (f *Forwarder) passOn(changes []registrar.Change, from, next int64) []func() {
-	if reader, known := f.owner(readerDuty, nil); !known || reader != f.cfg.Name {
-		return nil
-	}
 	news := &carrier.EndpointsNews{From: from, Next: next}
 	for _, c := range changes {
 		news.Entries = append(news.Entries, entryOf(c))
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -126,6 +126,42 @@
 	r.next = max(r.next, next)
 }
 
+// News gives those of the changes that say more than that an endpoint is still there, in their order. Endpoints write their
+// entries every second or so with nothing new but a count: told to 194 peers, 216 endpoints' entries took 16 Mbit/s.
+func (r *Registry) News(changes []Change) []Change {
+	named := make(map[string]bool)
+	for _, c := range changes {
+		if !r.says(&c) {
+			named[c.ID] = true
+		}
+	}
+	var news []Change
+	for _, c := range changes {
+		if named[c.ID] {
+			news = append(news, c)
+		}
+	}
+	return news
+}
+
+// says tells whether this list says the same as a change, but for its offset.
+func (r *Registry) says(c *Change) bool {
+	e, known := r.entries[c.ID]
+	if !known || e.unusable || !e.removedAt.IsZero() || c.Unusable || c.Endpoint == nil {
+		return false
+	}
+	told := *c.Endpoint
+	// The end of a slow start is no news: it is worked out anew from each entry.
+	told.ColdUntil = e.endpoint.ColdUntil
+	return told.SameStart(&e.endpoint) && told.Started.Equal(e.endpoint.Started) && told == withStart(e.endpoint, told.Started)
+}
+
+// withStart gives an endpoint with a time of its start that is equal but may be of another form.
+func withStart(e Endpoint, started time.Time) Endpoint {
+	e.Started = started
+	return e
+}
+
 // Replace takes the newest change of every endpoint. One that it lacks has been removed, unless its change is
 // newer than the list's end.
 func (r *Registry) Replace(all []Change, next int64, now time.Time) {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -53,6 +53,33 @@
 	require.Equal(t, []string{"a"}, ids(r), "the one that did not come back is gone")
 }
 
+// 216 endpoints write their entries every 1.2 s, nearly always with nothing new. The entry that reads for all tells only
+// what is new; a list that misses any of that would send work to an endpoint that leaves, or lack one that came back.
+func TestOnlyNewsIsTold(t *testing.T) {
+	r := New(Config{})
+	r.Heard(start)
+	r.Replace([]Change{put("a", 0, nil), put("b", 1, nil), put("c", 2, nil), {ID: "odd", Offset: 3, Unusable: true}}, 4, start)
+	draining := func(e *Endpoint) { e.Draining = true }
+	cold := func(e *Endpoint) { e.ColdUntil = at(time.Hour) }
+	later := func(e *Endpoint) { e.Started = at(time.Second) }
+	none := []Change(nil)
+	for name, c := range map[string]struct{ read, news []Change }{
+		"a count":                {[]Change{put("a", 5, nil), put("b", 6, cold)}, none},
+		"leaving":                {[]Change{put("a", 5, draining)}, []Change{put("a", 5, draining)}},
+		"removed":                {[]Change{{ID: "b", Offset: 5}}, []Change{{ID: "b", Offset: 5}}},
+		"new":                    {[]Change{put("d", 5, nil)}, []Change{put("d", 5, nil)}},
+		"started again":          {[]Change{put("a", 5, later)}, []Change{put("a", 5, later)}},
+		"unusable":               {[]Change{{ID: "a", Offset: 5, Unusable: true}}, []Change{{ID: "a", Offset: 5, Unusable: true}}},
+		"usable again":           {[]Change{put("odd", 5, nil)}, []Change{put("odd", 5, nil)}},
+		"away and back, a count": {[]Change{{ID: "a", Offset: 5}, put("b", 6, nil), put("a", 7, nil)}, []Change{{ID: "a", Offset: 5}, put("a", 7, nil)}},
+	} {
+		require.Equal(t, c.news, r.News(c.read), name)
+	}
+	r.Lost()
+	r.Apply([]Change{{ID: "c", Offset: 8}}, 9, start)
+	require.Equal(t, []Change{put("c", 10, nil)}, r.News([]Change{put("c", 10, nil)}), "its removal was in doubt")
+}
+
 // An endpoint crashes, and its address is given to a process of another service while the old entry still stands.
 func TestAnAddressBelongsToItsNewestEndpoint(t *testing.T) {
 	r := New(Config{})
