--- a/detector/fleet_test.go
+++ b/detector/fleet_test.go
@@ -62,11 +62,7 @@
 func TestALargeFleetFindsAZoneAgain(t *testing.T) {
 	m := fleet(195)
 	m.run(4 * time.Second)
-	for i := range m.nodes {
-		for j := range m.nodes {
-			m.cut[[2]int{i, j}] = (i%3 == 2) != (j%3 == 2)
-		}
-	}
+	m.cutZone(2)
 	m.run(6 * time.Second)
 	require.Equal(t, Dead, m.state(0, 2))
 	require.Equal(t, Live, m.state(5, 2))
--- a/detector/gossip_test.go
+++ b/detector/gossip_test.go
@@ -100,11 +100,7 @@
 func TestRegionFindsAZoneAgain(t *testing.T) {
 	m := region(60)
 	m.run(time.Minute)
-	for i := range m.nodes {
-		for j := range m.nodes {
-			m.cut[[2]int{i, j}] = (i%3 == 2) != (j%3 == 2)
-		}
-	}
+	m.cutZone(2)
 	m.run(2 * time.Minute)
 	require.Equal(t, Dead, m.state(0, 2))
 	require.Equal(t, Live, m.state(5, 2))
--- a/detector/mesh_test.go
+++ b/detector/mesh_test.go
@@ -98,6 +98,15 @@
 	*m.nodes[i] = node{d: New(cfg), running: true, nextBeat: m.now.Add(phase)}
 }
 
+// cutZone cuts one of the three zones off from the others, both ways.
+func (m *mesh) cutZone(zone int) {
+	for i := range m.nodes {
+		for j := range m.nodes {
+			m.cut[[2]int{i, j}] = (i%3 == zone) != (j%3 == zone)
+		}
+	}
+}
+
 func (m *mesh) kill(i int) { m.nodes[i].running = false }
 
 func (m *mesh) freeze(i int, d time.Duration) { m.nodes[i].frozenUntil = m.now.Add(d) }
