--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -1,10 +1,12 @@
-// Command capacity measures slopes, and writes docs/capacity.json and docs/CAPACITY.md from them.
+// Command capacity makes docs/CAPACITY.md from what sweeps of deployments have printed.
 package main
 
 import (
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -13,13 +15,11 @@
 
 func main() {
 	app := &cli.Command{
-		Name:  "capacity",
-		Usage: "measure what each kind of state costs and work out the size that the system is designed for",
+		Name:      "capacity",
+		Usage:     "make the page of capacity from the output of sweeps, one file each",
+		ArgsUsage: "SWEEP...",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "survey", Value: "docs/capacity.json", Usage: "file for the measured slopes"},
-			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "folder with geraniumline and standin"},
 			&cli.StringFlag{Name: "page", Value: "docs/CAPACITY.md", Usage: "file for the page"},
-			&cli.BoolFlag{Name: "page-only", Usage: "make the page from the survey as it is"},
 		},
 		Action: run,
 	}
@@ -29,27 +29,41 @@
 	}
 }
 
-func run(ctx context.Context, cmd *cli.Command) error {
-	survey, err := surveyor.Load(cmd.String("survey"))
-	if !cmd.Bool("page-only") {
-		survey, err = measure(ctx, cmd)
+// noSweepsError tells that no file was named.
+type noSweepsError struct{}
+
+func (noSweepsError) Error() string { return "name the files that hold the output of sweeps" }
+
+// pageMode lets everybody read the page.
+const pageMode = 0o644
+
+func run(_ context.Context, cmd *cli.Command) error {
+	var sweeps []surveyor.Sweep
+	for _, file := range cmd.Args().Slice() {
+		s, err := readSweep(file)
+		if err != nil {
+			return err
+		}
+		sweeps = append(sweeps, s)
 	}
+	if len(sweeps) == 0 {
+		return noSweepsError{}
+	}
+	page, err := surveyor.Page(sweeps)
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(cmd.String("page"), []byte(survey.Page()), pageMode)
+	return os.WriteFile(cmd.String("page"), []byte(page), pageMode)
 }
 
-// pageMode lets everybody read the page.
-const pageMode = 0o644
-
-func measure(ctx context.Context, cmd *cli.Command) (surveyor.Survey, error) {
-	progress := func(s surveyor.Slope) { fmt.Println(s) }
-	survey := surveyor.Run(progress)
-	fleet, err := surveyor.RunFleet(ctx, cmd.String("bin"), progress)
+func readSweep(file string) (surveyor.Sweep, error) {
+	f, err := os.Open(file)
 	if err != nil {
-		return survey, err
+		return surveyor.Sweep{}, err
+	}
+	s, err := surveyor.Parse(strings.TrimSuffix(filepath.Base(file), ".txt"), f)
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
 	}
-	survey.Slopes = append(survey.Slopes, fleet...)
-	return survey, survey.Save(cmd.String("survey"))
+	return s, err
 }
