--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -19,19 +19,6 @@
 	// endpointsPatience is the age of the own list of endpoints from which peers are asked for theirs: two readings
 	// of the store were missed.
 	endpointsPatience = 1500 * time.Millisecond
-	// toldWhole is up to how many peers all are told in each round.
-	toldWhole = 20
-	// heartbeatsEachRound and worksEachRound are how many peers hear of others' lives and of this entry's work in one
-	// round where there are more. Word of a life reaches some 80 entries within two or three rounds, well inside
-	// suspectAfter; work is not passed on, so that each must hear it from the entry itself, every 0.6 s.
-	heartbeatsEachRound = 10
-	worksEachRound      = 20
-	// maxWorkPeers is up to how many peers each tells all others in turn of its work. Beyond it word comes from each of them
-	// once in over a second, and says little that is still true.
-	maxWorkPeers = 128
-	// workLife is how long a peer's word on its work under way counts: most prompts are read by then. Where word goes to few
-	// peers a round the next one may come seconds later.
-	workLife = time.Second
 	// maxConfigAge is the age that stands for any longer one, and for never.
 	maxConfigAge = time.Hour
 	// askEvery is how often peers are asked.
@@ -77,42 +64,6 @@
 	}
 }
 
-// targets gives those of the detector's targets that get a heartbeat in this round, and the peers that get this entry's
-// work. The lock is held.
-func (f *Forwarder) targets(detected []string) (beats, works []string) {
-	if !f.detector.Spreads() {
-		return f.shareOf(detected, heartbeatsEachRound), f.shareOf(detected, worksEachRound)
-	}
-	var peers []string
-	for _, m := range f.detector.Members() {
-		if m.Name != f.cfg.Name && m.State == detector.Live {
-			peers = append(peers, m.PeerAddress)
-		}
-	}
-	if len(peers) > maxWorkPeers {
-		return detected, detected
-	}
-	return detected, f.shareOf(peers, worksEachRound)
-}
-
-// shareOf gives the part of the peers that are told in this round. Told all in each round, what an entry sends grows
-// with the square of their number: 465 KB a second at 80 entries, 9 at 7. Each heartbeat carries the newest word on all
-// members, so that one of a part each round still tells of everybody. Entries tell different parts in the same round:
-// told by all at once, a peer would hear nothing for the rounds between, and take everybody for dead.
-func (f *Forwarder) shareOf(targets []string, each int) []string {
-	if len(targets) <= toldWhole {
-		return targets
-	}
-	parts := (len(targets) + each - 1) / each
-	share := make([]string, 0, each)
-	for i, address := range targets {
-		if (i+f.round)%parts == 0 {
-			share = append(share, address)
-		}
-	}
-	return share
-}
-
 // Alone tells whether this entry hears no other one, be it ready or not.
 func (f *Forwarder) Alone() bool {
 	now := time.Now()
@@ -160,15 +111,6 @@
 	return f.catalog.Version()
 }
 
-// work tells what this entry has under way. The lock is held.
-func (f *Forwarder) work() *carrier.Work {
-	w := &carrier.Work{}
-	for id, tokens := range f.selector.Work() {
-		w.Endpoints = append(w.Endpoints, carrier.EndpointWork{ID: id, Tokens: int32(tokens)})
-	}
-	return w
-}
-
 // questions asks peers for a newer configuration, or for the list of endpoints while the store can't be read here.
 // The lock is held.
 func (f *Forwarder) questions(now time.Time) map[string][]carrier.Message {
@@ -320,15 +262,6 @@
 	return todo
 }
 
-func (f *Forwarder) takeWork(from string, m *carrier.Work, now time.Time) {
-	tokens := make(map[string]int, len(m.Endpoints))
-	for _, e := range m.Endpoints {
-		tokens[e.ID] = int(e.Tokens)
-	}
-	f.selector.SetPeer(from, tokens)
-	f.workAt[from] = now
-}
-
 // takeConfigAge notes how lately the store has answered a reading of the configuration, by a peer's word. The lock is held.
 func (f *Forwarder) takeConfigAge(millis int64, now time.Time) {
 	if at := now.Add(-time.Duration(millis) * time.Millisecond); at.After(f.configHeard) {
@@ -336,16 +269,6 @@
 	}
 }
 
-// dropOldWork forgets what peers had under way once their word is old. The lock is held.
-func (f *Forwarder) dropOldWork(now time.Time) {
-	for peer, at := range f.workAt {
-		if now.Sub(at) >= workLife {
-			f.selector.SetPeer(peer, nil)
-			delete(f.workAt, peer)
-		}
-	}
-}
-
 func (f *Forwarder) replyConfig(from string) []func() {
 	if f.catalog == nil {
 		return nil
