--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -121,6 +121,10 @@
 	// ConfigAgeMillis is how long ago the store last answered a reading of the configuration, by the newest word that the
 	// sender knows.
 	ConfigAgeMillis int64 `msg:"configAgeMillis"`
+	// Evacuated are the availability zones whose endpoints get no new work, by the operator's records up to the offset
+	// EvacuatedNext; that is 0 where the sender knows none.
+	EvacuatedNext int64    `msg:"evacuatedNext"`
+	Evacuated     []string `msg:"evacuated,limit=4096"`
 }
 
 // Record is one log record that a peer passes on.
@@ -233,7 +237,9 @@
 	ResultBytes    int64  `msg:"resultBytes"`
 	Zone           string `msg:"zone,limit=128"`
 	FarBytes       int64  `msg:"farBytes"`
-	Holding        bool   `msg:"holding"`
+	// Regions are those where the pieces may be made; empty where all are.
+	Regions []string `msg:"regions,limit=256"`
+	Holding bool     `msg:"holding"`
 	// InputBytes is the size of all inputs of one piece. TellRead asks for a PieceRead.
 	InputBytes int64 `msg:"inputBytes"`
 	TellRead   bool  `msg:"tellRead"`
@@ -345,6 +351,8 @@
 	Unusable bool
 	// StartedMillis is when the endpoint started, by its own word in Unix milliseconds; 0 where it does not say.
 	StartedMillis int64
+	// ColdLeftMillis is how much longer the endpoint is in its slow start, counted from the sending.
+	ColdLeftMillis int64
 }
 
 // EndpointsNews brings the changes of endpoints' entries that the entry which reads the store for all has just read.
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -1633,8 +1633,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadString()
@@ -1687,13 +1687,18 @@
 		err = msgp.WrapError(err, "StartedMillis")
 		return
 	}
+	z.ColdLeftMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "ColdLeftMillis")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *EndpointEntry) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 10
-	err = en.Append(0x9a)
+	// array header, size 11
+	err = en.Append(0x9b)
 	if err != nil {
 		return
 	}
@@ -1747,14 +1752,19 @@
 		err = msgp.WrapError(err, "StartedMillis")
 		return
 	}
+	err = en.WriteInt64(z.ColdLeftMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "ColdLeftMillis")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointEntry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendString(o, z.ID)
 	o = msgp.AppendInt64(o, z.Offset)
 	o = msgp.AppendString(o, z.Service)
@@ -1765,6 +1775,7 @@
 	o = msgp.AppendBool(o, z.Removed)
 	o = msgp.AppendBool(o, z.Unusable)
 	o = msgp.AppendInt64(o, z.StartedMillis)
+	o = msgp.AppendInt64(o, z.ColdLeftMillis)
 	return
 }
 
@@ -1776,8 +1787,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadStringBytes(bts)
@@ -1830,13 +1841,18 @@
 		err = msgp.WrapError(err, "StartedMillis")
 		return
 	}
+	z.ColdLeftMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ColdLeftMillis")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EndpointEntry) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone) + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone) + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
@@ -3032,6 +3048,35 @@
 				err = msgp.WrapError(err, "ConfigAgeMillis")
 				return
 			}
+		case "evacuatedNext":
+			z.EvacuatedNext, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "EvacuatedNext")
+				return
+			}
+		case "evacuated":
+			var zb0011 uint32
+			zb0011, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuated")
+				return
+			}
+			if zb0011 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Evacuated) >= int(zb0011) {
+				z.Evacuated = (z.Evacuated)[:zb0011]
+			} else {
+				z.Evacuated = make([]string, zb0011)
+			}
+			for za0008 := range z.Evacuated {
+				z.Evacuated[za0008], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuated", za0008)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3045,9 +3090,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
+	// map header, size 11
 	// write "from"
-	err = en.Append(0x89, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	err = en.Append(0x8b, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	if err != nil {
 		return
 	}
@@ -3211,15 +3256,42 @@
 		err = msgp.WrapError(err, "ConfigAgeMillis")
 		return
 	}
+	// write "evacuatedNext"
+	err = en.Append(0xad, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64, 0x4e, 0x65, 0x78, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.EvacuatedNext)
+	if err != nil {
+		err = msgp.WrapError(err, "EvacuatedNext")
+		return
+	}
+	// write "evacuated"
+	err = en.Append(0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Evacuated)))
+	if err != nil {
+		err = msgp.WrapError(err, "Evacuated")
+		return
+	}
+	for za0008 := range z.Evacuated {
+		err = en.WriteString(z.Evacuated[za0008])
+		if err != nil {
+			err = msgp.WrapError(err, "Evacuated", za0008)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 11
 	// string "from"
-	o = append(o, 0x89, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = append(o, 0x8b, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -3299,6 +3371,15 @@
 	// string "configAgeMillis"
 	o = append(o, 0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.ConfigAgeMillis)
+	// string "evacuatedNext"
+	o = append(o, 0xad, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64, 0x4e, 0x65, 0x78, 0x74)
+	o = msgp.AppendInt64(o, z.EvacuatedNext)
+	// string "evacuated"
+	o = append(o, 0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
+	for za0008 := range z.Evacuated {
+		o = msgp.AppendString(o, z.Evacuated[za0008])
+	}
 	return
 }
 
@@ -3557,6 +3638,35 @@
 				err = msgp.WrapError(err, "ConfigAgeMillis")
 				return
 			}
+		case "evacuatedNext":
+			z.EvacuatedNext, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EvacuatedNext")
+				return
+			}
+		case "evacuated":
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuated")
+				return
+			}
+			if zb0012 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Evacuated) >= int(zb0012) {
+				z.Evacuated = (z.Evacuated)[:zb0012]
+			} else {
+				z.Evacuated = make([]string, zb0012)
+			}
+			for za0008 := range z.Evacuated {
+				z.Evacuated[za0008], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuated", za0008)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3598,7 +3708,10 @@
 	for za0007 := range z.Stages {
 		s += z.Stages[za0007].Msgsize()
 	}
-	s += 16 + msgp.Int64Size
+	s += 16 + msgp.Int64Size + 14 + msgp.Int64Size + 10 + msgp.ArrayHeaderSize
+	for za0008 := range z.Evacuated {
+		s += msgp.StringPrefixSize + len(z.Evacuated[za0008])
+	}
 	return
 }
 
@@ -4720,6 +4833,29 @@
 				err = msgp.WrapError(err, "FarBytes")
 				return
 			}
+		case "regions":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Regions")
+				return
+			}
+			if zb0004 > 256 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Regions) >= int(zb0004) {
+				z.Regions = (z.Regions)[:zb0004]
+			} else {
+				z.Regions = make([]string, zb0004)
+			}
+			for za0003 := range z.Regions {
+				z.Regions[za0003], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Regions", za0003)
+					return
+				}
+			}
 		case "holding":
 			z.Holding, err = dc.ReadBool()
 			if err != nil {
@@ -4751,9 +4887,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *PieceAsk) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 17
+	// map header, size 18
 	// write "service"
-	err = en.Append(0xde, 0x0, 0x11, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	err = en.Append(0xde, 0x0, 0x12, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
@@ -4906,6 +5042,23 @@
 		err = msgp.WrapError(err, "FarBytes")
 		return
 	}
+	// write "regions"
+	err = en.Append(0xa7, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Regions)))
+	if err != nil {
+		err = msgp.WrapError(err, "Regions")
+		return
+	}
+	for za0003 := range z.Regions {
+		err = en.WriteString(z.Regions[za0003])
+		if err != nil {
+			err = msgp.WrapError(err, "Regions", za0003)
+			return
+		}
+	}
 	// write "holding"
 	err = en.Append(0xa7, 0x68, 0x6f, 0x6c, 0x64, 0x69, 0x6e, 0x67)
 	if err != nil {
@@ -4942,9 +5095,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PieceAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 17
+	// map header, size 18
 	// string "service"
-	o = append(o, 0xde, 0x0, 0x11, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0xde, 0x0, 0x12, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "request"
 	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
@@ -4991,6 +5144,12 @@
 	// string "farBytes"
 	o = append(o, 0xa8, 0x66, 0x61, 0x72, 0x42, 0x79, 0x74, 0x65, 0x73)
 	o = msgp.AppendInt64(o, z.FarBytes)
+	// string "regions"
+	o = append(o, 0xa7, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Regions)))
+	for za0003 := range z.Regions {
+		o = msgp.AppendString(o, z.Regions[za0003])
+	}
 	// string "holding"
 	o = append(o, 0xa7, 0x68, 0x6f, 0x6c, 0x64, 0x69, 0x6e, 0x67)
 	o = msgp.AppendBool(o, z.Holding)
@@ -5139,6 +5298,29 @@
 				err = msgp.WrapError(err, "FarBytes")
 				return
 			}
+		case "regions":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Regions")
+				return
+			}
+			if zb0004 > 256 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Regions) >= int(zb0004) {
+				z.Regions = (z.Regions)[:zb0004]
+			} else {
+				z.Regions = make([]string, zb0004)
+			}
+			for za0003 := range z.Regions {
+				z.Regions[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Regions", za0003)
+					return
+				}
+			}
 		case "holding":
 			z.Holding, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -5175,7 +5357,11 @@
 	for za0002 := range z.Inputs {
 		s += msgp.StringPrefixSize + len(z.Inputs[za0002])
 	}
-	s += 10 + msgp.Int64Size + 13 + msgp.Int64Size + 15 + msgp.Int64Size + 9 + msgp.Int32Size + 8 + msgp.StringPrefixSize + len(z.Account) + 12 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Zone) + 9 + msgp.Int64Size + 8 + msgp.BoolSize + 11 + msgp.Int64Size + 9 + msgp.BoolSize
+	s += 10 + msgp.Int64Size + 13 + msgp.Int64Size + 15 + msgp.Int64Size + 9 + msgp.Int32Size + 8 + msgp.StringPrefixSize + len(z.Account) + 12 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Zone) + 9 + msgp.Int64Size + 8 + msgp.ArrayHeaderSize
+	for za0003 := range z.Regions {
+		s += msgp.StringPrefixSize + len(z.Regions[za0003])
+	}
+	s += 8 + msgp.BoolSize + 11 + msgp.Int64Size + 9 + msgp.BoolSize
 	return
 }
 
--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -99,6 +99,17 @@
 // Limits are the bounds of callers' connections.
 func (c *Catalog) Limits() Limits { return c.limits }
 
+// Homes gives the regions that a host's routes may be served in, in the order of their names; none where all of them may be
+// in any.
+func (c *Catalog) Homes(host string) []string {
+	var homes []string
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		homes = append(homes, r.Homes...)
+	}
+	slices.Sort(homes)
+	return slices.Compact(homes)
+}
+
 // Match gives the route of the host whose prefix is the longest that begins the path.
 func (c *Catalog) Match(host, path string) (*Route, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/cataloger/route.go
+++ b/cataloger/route.go
@@ -59,6 +59,8 @@
 	Resumable bool
 	// EventGap is the longest pause between events for which a stream counts as on time.
 	EventGap time.Duration
+	// Homes are the regions that requests of the route may be served in; empty where all are.
+	Homes []string
 	// FirstEventPatience is how long callers wait for a stream's first event before they leave; 0 where they wait until
 	// their deadline.
 	FirstEventPatience time.Duration
--- a/cataloger/service.go
+++ b/cataloger/service.go
@@ -46,6 +46,10 @@
 	Name string
 	// HealthPath answers health checks.
 	HealthPath string
+	// ColdTime is how long an endpoint stays cold after its start, ColdPerSecond how many requests a second it bears
+	// meanwhile. Both are 0 where the endpoints are never cold.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 	// MaxConnections is what one endpoint accepts from all entries together.
 	MaxConnections int
 	// Model is set for model engines, Stage for services that work on stages; neither for plain services.
@@ -69,4 +73,6 @@
 	// Priority goes before the route's where HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Homes are the regions that the account's requests may be served in; empty where all are.
+	Homes []string
 }
--- a/collector/call.go
+++ b/collector/call.go
@@ -110,6 +110,7 @@
 
 // fillCall takes waiting pieces in their order for as long as the call and the endpoint's space have room.
 func (p *Pool) fillCall(e *endpoint, waiting []*group, now time.Time) {
+	waiting = allowedAt(e, waiting)
 	room := int64(roomShare*float64(p.cfg.Stage.RoomBytes)) - e.used
 	if p.waitsForRoom(e, waiting, room, now) {
 		return
@@ -166,6 +167,13 @@
 	p.emit(SendCall{Call: c.id, Endpoint: e.Endpoint, Pieces: pieces, Timeout: timeoutFactor * c.expected, Free: left})
 }
 
+// allowedAt leaves the groups whose pieces may be made at the endpoint.
+func allowedAt(e *endpoint, waiting []*group) []*group {
+	return slices.DeleteFunc(slices.Clone(waiting), func(g *group) bool {
+		return len(g.Regions) > 0 && !slices.Contains(g.Regions, e.Region)
+	})
+}
+
 // nearFirst puts those groups first, of the ones that would all be in calls within about a call's time, whose results are
 // wanted in the endpoint's zone. While pieces wait, an endpoint that takes the first of the queue makes over half of them in
 // another zone; with this a third fewer bytes cross zones, and 0.010 of the worth of days with bursts is gained (40 pairs of
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -77,6 +77,8 @@
 	lastCall  uint64
 	// closing is set once this entry stops.
 	closing bool
+	// evacuated is set while none of the service's endpoints may get new work, by the operator's order.
+	evacuated bool
 	// waiting is how many pieces were in no call when the present event came.
 	waiting int
 	// shortAt is when a call was last kept from being full by space.
@@ -118,6 +120,9 @@
 	switch e := ev.(type) {
 	case Arrived:
 		p.takeGroup(e.Group, now)
+		if p.evacuated {
+			p.giveUpAll(Evacuated, now)
+		}
 	case Withdrawn:
 		p.withdraw(func(id GroupID) bool { return id == e.ID })
 	case OriginLost:
@@ -130,15 +135,19 @@
 		p.takeFreed(e.Results)
 	case EndpointsChanged:
 		p.setEndpoints(e.Endpoints)
+		p.evacuated = e.Evacuated
+		if p.evacuated {
+			p.giveUpAll(Evacuated, now)
+		}
 	case Closing:
 		p.closing = true
 	case HandedBack:
-		p.moveAway(now)
+		p.giveUpAll(Moved, now)
 	case Ticked:
 		p.tick(now)
 	}
 	if p.closing {
-		p.moveAway(now)
+		p.giveUpAll(Moved, now)
 	}
 	p.sendCalls(now)
 	return p.effects
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -327,6 +327,56 @@
 	require.False(t, w.pool.Busy())
 }
 
+// All zones of a stage's endpoints are evacuated while pieces wait. What is in a call ends whole; what waits, and what comes
+// after, is told at once and not at its deadline.
+func TestWaitingPiecesAreToldOfAnEvacuation(t *testing.T) {
+	w := newWorld(usualStage(), 1)
+	inCall := w.arrive(0, "a", 8, nil)
+	waiting := w.arrive(time.Millisecond, "b", 3, nil)
+	w.plan(w.at(20*time.Millisecond), EndpointsChanged{Evacuated: true})
+	after := w.arrive(30*time.Millisecond, "c", 2, nil)
+	w.run(time.Second)
+	require.Equal(t, 8, w.made(inCall))
+	require.Equal(t, []Reason{Evacuated, Evacuated, Evacuated}, w.reasons(waiting))
+	require.Equal(t, []Reason{Evacuated, Evacuated}, w.reasons(after))
+	require.Less(t, w.gotAt[waiting].Sub(start), 30*time.Millisecond)
+}
+
+// The zone where a group's inputs lie has no endpoint any more. It must not wait for one there.
+func TestAGroupDoesNotWaitForAZoneWithoutEndpoints(t *testing.T) {
+	w := newWorld(usualStage(), 2)
+	id := w.arrive(0, "a", 4, func(g *Group) {
+		g.Zone = "evacuated"
+		g.FarBytes = 3_000_000
+		g.Due = start.Add(2 * time.Second)
+	})
+	w.run(time.Second)
+	require.Equal(t, 4, w.made(id))
+	require.Less(t, w.gotAt[id].Sub(start), 300*time.Millisecond)
+}
+
+// Pieces that may be made in one region only wait for an endpoint there, and let those behind them pass.
+func TestPiecesStayInTheirRegions(t *testing.T) {
+	w := newWorld(usualStage(), 2)
+	far := []registrar.Endpoint{{ID: "near", Zone: "z0", Region: "home", Address: "near:1"}, {ID: "far", Zone: "z1", Region: "far", Address: "far:1"}}
+	w.plan(start, EndpointsChanged{Endpoints: far})
+	var ids []GroupID
+	for i := range 4 {
+		ids = append(ids, w.arrive(time.Duration(i+1)*time.Millisecond, fmt.Sprint(i), 8, func(g *Group) { g.Regions = []string{"far"} }))
+	}
+	free := w.arrive(10*time.Millisecond, "free", 8, nil)
+	w.run(3 * time.Second)
+	for _, id := range ids {
+		require.Equal(t, 8, w.made(id))
+	}
+	for _, d := range w.got {
+		if d.ID != free {
+			require.Equal(t, "z1", d.Zone)
+		}
+	}
+	require.Less(t, w.gotAt[free].Sub(start), 400*time.Millisecond)
+}
+
 // Urgent work keeps taking the whole pool, more of it all the time. A patient request that is late already is told when
 // half of its time is over, so that its caller can use the other half.
 func TestALateGroupIsToldByHalfOfItsTime(t *testing.T) {
--- a/collector/event.go
+++ b/collector/event.go
@@ -34,6 +34,8 @@
 	// Zone is where the pieces should be made: where their inputs lie or their results are wanted. It is empty where
 	// that is all the same.
 	Zone string
+	// Regions are those where the pieces may be made; empty where all are.
+	Regions []string
 	// FarBytes are what crosses availability zones if the pieces are made in another one, or in several.
 	FarBytes int64
 	// InputBytes is the size of all inputs of one piece.
@@ -72,6 +74,8 @@
 	Overload
 	// Moved pieces are to be asked for at another entry: this one stops.
 	Moved
+	// Evacuated pieces have no endpoint that may get new work.
+	Evacuated
 )
 
 // String gives the reason as logs and metrics name it.
@@ -89,6 +93,8 @@
 		return "overload"
 	case Moved:
 		return "moved"
+	case Evacuated:
+		return "evacuated"
 	default:
 		return "none"
 	}
@@ -163,7 +169,12 @@
 type FreeEnded struct{ Results []Made }
 
 // EndpointsChanged brings the endpoints that may get work.
-type EndpointsChanged struct{ Endpoints []registrar.Endpoint }
+type EndpointsChanged struct {
+	Endpoints []registrar.Endpoint
+	// Evacuated tells that there are others, which the operator lets have no new work, and none besides: what waits is told
+	// so at once.
+	Evacuated bool
+}
 
 // OriginLost tells that an entry has ended: its requests need no more pieces.
 type OriginLost struct{ Origin string }
--- a/collector/group.go
+++ b/collector/group.go
@@ -120,11 +120,12 @@
 	return float64(late) > rate*g.Deadline.Sub(now).Seconds()
 }
 
-// moveAway hands the pieces that are in no call back to their entries, which ask another one. Held here, they would keep
-// this entry from stopping, or be lost with it.
-func (p *Pool) moveAway(now time.Time) {
+// giveUpAll hands the pieces that are in no call back to their entries. Where this entry stops or another one collects, they
+// ask that one: held here, they would keep this entry from stopping, or be lost with it. Where no endpoint may get work,
+// their callers are told so at once and not at their deadline.
+func (p *Pool) giveUpAll(why Reason, now time.Time) {
 	for _, g := range p.ordered(now) {
-		p.giveUp(g, Moved)
+		p.giveUp(g, why)
 	}
 }
 
@@ -272,6 +273,9 @@
 	if p.cfg.Off.Has(switcher.ZoneWait) || g.Zone == "" || g.Zone == e.Zone || g.FarBytes < heavyBytes {
 		return false
 	}
+	if p.inZone[g.Zone] == 0 {
+		return false
+	}
 	next := zoneCalls * float64(p.inZone[g.Zone]*p.cfg.Stage.Batch)
 	if before > 0 && float64(before+len(g.waiting)) > next {
 		return false
--- /dev/null
+++ b/evacuator/evacuator_test.go
@@ -0,0 +1,82 @@
+package evacuator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestZonesAreEvacuatedAndTakenBack(t *testing.T) {
+	e := New()
+	now := time.Unix(1000, 0)
+	require.True(t, e.Apply([]Change{{Zone: "a", Offset: 3, Evacuated: true}}, 4, now))
+	require.True(t, e.Evacuated("a"))
+	require.False(t, e.Evacuated("b"))
+	require.True(t, e.Apply([]Change{{Zone: "b", Offset: 4, Evacuated: true}, {Zone: "a", Offset: 5}}, 6, now.Add(time.Second)))
+	require.Equal(t, State{Next: 6, Zones: []string{"b"}}, e.State())
+	require.Equal(t, now.Add(time.Second), e.EndedAt("a"))
+	require.Zero(t, e.EndedAt("b"))
+	require.True(t, e.Apply([]Change{{Zone: "a", Offset: 6, Evacuated: true}}, 7, now.Add(2*time.Second)))
+	require.Zero(t, e.EndedAt("a"))
+}
+
+// The operator ends an evacuation and begins another. A stale read of the store, a reader that follows from far behind and
+// a peer that has not heard yet bring the first one again: endpoints that are to get nothing would get requests.
+func TestAnOlderStateNeverComesBack(t *testing.T) {
+	e := New()
+	now := time.Unix(1000, 0)
+	records := []Change{{Zone: "a", Offset: 1, Evacuated: true}, {Zone: "a", Offset: 2}, {Zone: "b", Offset: 3, Evacuated: true}}
+	require.True(t, e.Apply(records, 4, now))
+	want := State{Next: 4, Zones: []string{"b"}}
+	require.False(t, e.Take(State{Next: 2, Zones: []string{"a"}}, now))
+	require.False(t, e.Apply(records[:1], 2, now))
+	require.Equal(t, want, e.State())
+	require.True(t, e.Take(State{Next: 9, Zones: []string{"b", "c"}}, now))
+	require.True(t, e.Apply([]Change{{Zone: "c", Offset: 5, Evacuated: true}, {Zone: "c", Offset: 9}}, 10, now))
+	require.Equal(t, State{Next: 10, Zones: []string{"b"}}, e.State())
+}
+
+// The history was forgotten while an evacuation was taken back: only the newest records are left, and the one that was
+// deleted is not among them.
+func TestADeletedRecordIsATakenBackOne(t *testing.T) {
+	e := New()
+	now := time.Unix(1000, 0)
+	require.True(t, e.Take(State{Next: 4, Zones: []string{"a", "b"}}, now))
+	require.True(t, e.Take(State{Next: 8, Zones: []string{"b"}}, now))
+	require.False(t, e.Evacuated("a"))
+	require.Equal(t, now, e.EndedAt("a"))
+}
+
+// Entries that heard any words in any order agree as soon as they have heard the newest.
+func TestEntriesAgreeOnTheNewestWord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		n := rapid.IntRange(1, 20).Draw(t, "records")
+		records := make([]Change, n)
+		states := make([]State, n+1)
+		whole := New()
+		for i := range records {
+			records[i] = Change{
+				Zone:      rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"),
+				Offset:    int64(i),
+				Evacuated: rapid.Bool().Draw(t, "evacuated"),
+			}
+			whole.Apply(records[i:i+1], int64(i)+1, now)
+			states[i+1] = whole.State()
+		}
+		e := New()
+		for range rapid.IntRange(0, 10).Draw(t, "words") {
+			if to := rapid.IntRange(0, n).Draw(t, "to"); rapid.Bool().Draw(t, "peer") {
+				e.Take(states[to], now)
+			} else {
+				from := rapid.IntRange(0, min(to, int(e.next))).Draw(t, "from")
+				e.Apply(records[from:to], int64(to), now)
+			}
+			require.Equal(t, states[e.next].Zones, e.State().Zones)
+		}
+		e.Apply(records, int64(n), now)
+		require.Equal(t, whole.State(), e.State())
+	})
+}
--- a/experimenter/request.go
+++ b/experimenter/request.go
@@ -45,7 +45,7 @@
 		Account:   "account",
 		Due:       r.began.Add(millis(r.kind.ObjectiveMillis)),
 		FirstBy:   r.began.Add(millis(r.kind.PatienceMillis)),
-		HomeZone:  e.selector.HomeZone(modelPool, r.parts),
+		HomeZone:  e.selector.HomeZone(modelPool, r.parts, nil, r.w.now),
 		ModelTime: e.selector.FirstEvent(modelPool, r.parts),
 		Off:       r.w.off,
 	})
@@ -127,7 +127,7 @@
 		r.stats.Failed++
 		return
 	}
-	r.entry.selector.Started(choice, r.parts)
+	r.entry.selector.Started(choice, r.parts, r.w.now)
 	engine := r.w.engines[choice.Endpoint.ID]
 	for zone, bytes := range r.plan.ZoneBytes() {
 		r.w.cross(zone, engine.zone, bytes)
--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -21,6 +21,8 @@
 	"stagesTimedOut":   "its caller would have left, or its deadline passed, before the stages were done; it has not run.",
 	"entryStops":       "the entry ended its planned stop before the stages were done; it has not run.",
 	"stageResultGone":  "the model engine found a stage's result lapsed; it has not run.",
+	"noOpenEndpoint":   "the endpoints that could serve it are in evacuated zones, or outside its homes; it has not run. Look for 'evacuated zones changed'.",
+	"stageevacuated":   "the zones of all endpoints of a stage were evacuated while its pieces waited; it has not run. Look for 'evacuated zones changed'.",
 	"noEndpoint":       "all endpoints of the service were tried, or none is in use.",
 	"noEndpointTook":   "several endpoints turned it away, or the budget of extra calls was used up.",
 	"endpointBroke":    "an endpoint broke off after it had the request: it may have run, and was not sent again.",
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -54,7 +54,7 @@
 		}
 	}
 	delete(found, "stage") // completed by a piece's reason
-	for _, piece := range []string{"late", "inputGone", "noRoom", "failed", "overload"} {
+	for _, piece := range []string{"late", "inputGone", "noRoom", "failed", "overload", "evacuated"} {
 		found["stage"+piece] = true
 	}
 	for reason := range found {
--- a/forwarder/addresses.go
+++ b/forwarder/addresses.go
@@ -17,24 +17,48 @@
 	youngTTL  = 500 * time.Millisecond
 )
 
-// Addresses gives callers the addresses of entries to use and how long they may keep them.
-func (f *Forwarder) Addresses(now time.Time) ([]string, time.Duration) {
+// nearest leaves the entries in the caller's region, if there are any: a body that may not leave its homes must not be sent
+// to an entry that is neither there nor where its caller is. Without one there the host's homes are next, then all.
+func (f *Forwarder) nearest(members []detector.Member, region string, homes []string) []detector.Member {
+	for _, regions := range [][]string{{region}, homes} {
+		var near []detector.Member
+		for _, m := range members {
+			if at := f.cfg.Regions[m.Zone]; at != "" && slices.Contains(regions, at) {
+				near = append(near, m)
+			}
+		}
+		if len(near) > 0 {
+			return near
+		}
+	}
+	return members
+}
+
+// Addresses gives the addresses of entries that callers of a host in a region should use, and how long they may keep them.
+func (f *Forwarder) Addresses(host, region string, now time.Time) ([]string, time.Duration) {
 	f.mu.Lock()
 	members := f.detector.Members()
+	catalog := f.catalog
 	f.mu.Unlock()
-	var live, stopping []string
+	var live, stopping []detector.Member
 	for _, m := range members {
 		switch m.State {
 		case detector.Live:
-			live = append(live, m.CallerAddress)
+			live = append(live, m)
 		case detector.Stopping:
-			stopping = append(stopping, m.CallerAddress)
+			stopping = append(stopping, m)
 		}
 	}
-	addresses := live
-	if len(addresses) == 0 {
+	if len(live) == 0 {
 		// Entries in a planned stop still answer; with no other one that is better than nothing.
-		addresses = stopping
+		live = stopping
+	}
+	if catalog != nil {
+		live = f.nearest(live, region, catalog.Homes(host))
+	}
+	addresses := make([]string, len(live))
+	for i, m := range live {
+		addresses[i] = m.CallerAddress
 	}
 	ttl := f.cfg.AddressTTL
 	if now.Sub(f.began) < youngTime {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,12 +20,14 @@
 	"geraniumline/connector"
 	"geraniumline/detector"
 	"geraniumline/ejector"
+	"geraniumline/evacuator"
 	"geraniumline/meter"
 	"geraniumline/quarantiner"
 	"geraniumline/registrar"
 	"geraniumline/retrier"
 	"geraniumline/selector"
 	"geraniumline/switcher"
+	"geraniumline/warmer"
 )
 
 const (
@@ -74,6 +76,12 @@
 	Capacity int
 	// FirstStart is set at the first start of the whole system.
 	FirstStart bool
+	// Regions gives the region of each availability zone.
+	Regions map[string]string
+	// ColdExcess and ColdSlack bound the calls that a cold endpoint may get in one second from all entries together:
+	// ColdExcess times what it bears, and ColdSlack more.
+	ColdExcess float64
+	ColdSlack  float64
 	// AddressTTL is how long callers may keep the answer to which entries to use.
 	AddressTTL time.Duration
 	// RetryRatio and RetrySlack bound the extra calls of all entries together.
@@ -109,8 +117,13 @@
 	retrier  *retrier.Retrier
 	// quarantiner knows the contents that crash endpoints, here and at peers.
 	quarantiner *quarantiner.Quarantiner
-	pools       map[string]*collector.Pool
-	asks        map[askID]*ask
+	// evacuator knows the zones whose endpoints get no new work, warmer which calls cold endpoints may get from here, and
+	// openness what follows for each service.
+	evacuator *evacuator.Evacuator
+	warmer    *warmer.Warmer
+	openness  openness
+	pools     map[string]*collector.Pool
+	asks      map[askID]*ask
 	// waits are the newest words on the stage pools that peers collect for.
 	waits map[string]stageWait
 	// workAt is when each peer's word on its work came.
@@ -151,13 +164,14 @@
 		cfg.Meter = meter.New()
 	}
 	random := rand.New(rand.NewPCG(cfg.Incarnation, uint64(len(cfg.Name))))
+	gate := warmer.New(warmer.Config{Self: cfg.Name, Excess: cfg.ColdExcess, Slack: cfg.ColdSlack})
 	return &Forwarder{
 		cfg:      cfg,
 		log:      cfg.Log,
 		notes:    newNotes(cfg.Log, cfg.Meter),
 		began:    now,
 		registry: registrar.New(registrar.Config{}),
-		selector: selector.New(selector.Config{Rand: random, Ejector: ejectorConfig(cfg.Off), Off: cfg.Off}),
+		selector: selector.New(selector.Config{Rand: random, Ejector: ejectorConfig(cfg.Off), Gate: gate, Off: cfg.Off}),
 		detector: detector.New(detector.Config{
 			Self: carrier.Member{
 				Name:          cfg.Name,
@@ -186,6 +200,8 @@
 		}),
 		ending:      make(chan struct{}),
 		quarantiner: quarantiner.New(quarantiner.Config{}),
+		evacuator:   evacuator.New(),
+		warmer:      gate,
 		round:       int(uint32(xxhash.Sum64String(cfg.Name))),
 
 		pools: make(map[string]*collector.Pool),
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -39,6 +39,8 @@
 	version int64
 	service *cataloger.Service
 	account string
+	// homes are the regions that the request may be served in, nil where it may be in all.
+	homes []string
 	// priority is the client account's or the route's, 0 first.
 	priority int
 	keepKey  bool
@@ -96,6 +98,9 @@
 	if failure := x.checkContent(); failure != nil {
 		return failure
 	}
+	if failure := x.checkOpen(); failure != nil {
+		return failure
+	}
 	ctx, cancel := context.WithDeadline(x.in.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
@@ -150,6 +155,7 @@
 
 func (x *exchange) checkKey(catalog *cataloger.Catalog) *FailureError {
 	x.priority = x.route.Priority
+	x.homes = homesOf(x.route, nil)
 	if !catalog.NeedsKeys() {
 		x.keepKey = true
 		return nil
@@ -162,6 +168,7 @@
 		return &FailureError{Status: http.StatusUnauthorized, Reason: "unknownKey"}
 	}
 	x.account = account.Name
+	x.homes = homesOf(x.route, account)
 	if account.HasPriority {
 		x.priority = account.Priority
 	}
@@ -218,11 +225,12 @@
 	now := time.Now()
 	ask.Service = x.service.Name
 	ask.Avoid = x.tried
+	ask.Regions = x.homes
 	ask.NoProbe = !x.route.Repeatable()
 	x.f.mu.Lock()
 	choice, found := x.f.selector.Choose(ask, now)
 	if found {
-		x.f.selector.Started(choice, ask.Parts)
+		x.f.selector.Started(choice, ask.Parts, now)
 	}
 	age := x.f.registry.Age(now)
 	count := x.f.selector.Count(ask.Service)
--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -30,6 +30,11 @@
 		return nil
 	}
 	f.catalog = catalog
+	for name, service := range catalog.Services() {
+		if service.Stage == nil {
+			f.selector.SetCold(name, service.ColdPerSecond)
+		}
+	}
 	f.duties.forget()
 	f.raw = data
 	f.behindSince = time.Time{}
@@ -55,7 +60,7 @@
 	f.withRegistry(now, func() []func() {
 		news := f.registry.News(changes)
 		f.registry.Apply(changes, next, now)
-		return f.passOn(news, from, next)
+		return f.passOn(news, from, next, now)
 	})
 }
 
@@ -105,7 +110,7 @@
 
 // endpointsChanged hands the usable endpoints to those that choose among them. The lock is held.
 func (f *Forwarder) endpointsChanged(now time.Time) []func() {
-	usable := f.registry.Usable()
+	usable := f.usable(now)
 	if f.catalog == nil {
 		return nil
 	}
@@ -122,16 +127,17 @@
 	f.selector.SetEndpoints(direct)
 	var todo []func()
 	for service, p := range f.pools {
-		effects := p.Reduce(collector.EndpointsChanged{Endpoints: byStage[service]}, now)
+		evacuated := !f.openness.serves(service, nil)
+		effects := p.Reduce(collector.EndpointsChanged{Endpoints: byStage[service], Evacuated: evacuated}, now)
 		todo = append(todo, f.performAll(service, p, effects)...)
 	}
 	return todo
 }
 
-// stageEndpoints lists the usable endpoints of a stage's service. The lock is held.
-func (f *Forwarder) stageEndpoints(service string) []registrar.Endpoint {
+// stageEndpoints lists the endpoints of a stage's service that may get new work. The lock is held.
+func (f *Forwarder) stageEndpoints(service string, now time.Time) []registrar.Endpoint {
 	var list []registrar.Endpoint
-	for _, e := range f.registry.Usable() {
+	for _, e := range f.usable(now) {
 		if e.Service == service {
 			list = append(list, e)
 		}
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -38,6 +38,9 @@
 	// heard counts the heartbeats that came to each entry.
 	heard map[string]int
 	now   time.Time
+	// deferred holds what is sent back until the round is over, where each message is to take a round.
+	defers   bool
+	deferred []func()
 }
 
 // port is one entry's way into the mesh.
@@ -55,6 +58,10 @@
 	if _, ok := message.(*carrier.Heartbeat); ok {
 		p.m.heard[address]++
 	}
+	if p.m.defers {
+		p.m.deferred = append(p.m.deferred, func() { target.TakeMessage(p.name, message) })
+		return
+	}
 	target.TakeMessage(p.name, message)
 }
 
@@ -75,15 +82,21 @@
 	return newMeshOf(t, n, func(string) int { return 0 })
 }
 
-// newMeshOf makes a mesh of entries on VMs of the given capacities.
+// newMeshOf makes a mesh of entries on VMs of the given capacities, all in one zone.
 func newMeshOf(t testing.TB, n int, capacity func(name string) int) *mesh {
+	t.Helper()
+	return newMeshIn(t, n, 1, capacity)
+}
+
+// newMeshIn makes a mesh of entries that are spread over so many availability zones.
+func newMeshIn(t testing.TB, n, zones int, capacity func(name string) int) *mesh {
 	t.Helper()
 	m := &mesh{t: t, nodes: map[string]*Forwarder{}, cut: map[string]bool{}, sent: map[string]int{}, heard: map[string]int{}, now: time.Now()}
 	for i := range n {
 		name := fmt.Sprintf("entry-%d", i)
 		f := New(Config{
 			Name:          name,
-			Zone:          "z",
+			Zone:          fmt.Sprintf("z%d", i%zones),
 			CallerAddress: "caller-" + name,
 			PeerAddress:   name,
 			Seeds:         []string{"entry-0"},
@@ -293,12 +306,12 @@
 
 func TestAddressesNameLiveEntries(t *testing.T) {
 	m := newMesh(t, 3)
-	addresses, ttl := m.nodes["entry-1"].Addresses(time.Now())
+	addresses, ttl := m.nodes["entry-1"].Addresses("", "", time.Now())
 	require.ElementsMatch(t, []string{"caller-entry-0", "caller-entry-1", "caller-entry-2"}, addresses)
 	require.Equal(t, youngTTL, ttl, "a young entry may not know all yet")
 	m.nodes["entry-2"].stopping.Store(true)
 	m.beat(1)
-	addresses, ttl = m.nodes["entry-1"].Addresses(m.now.Add(time.Minute))
+	addresses, ttl = m.nodes["entry-1"].Addresses("", "", m.now.Add(time.Minute))
 	require.ElementsMatch(t, []string{"caller-entry-0", "caller-entry-1"}, addresses)
 	require.Equal(t, time.Second, ttl)
 }
@@ -324,7 +337,7 @@
 	defer f.mu.Unlock()
 	choice, found := f.selector.Choose(selector.Ask{Service: "plain"}, now)
 	if found {
-		f.selector.Started(choice, nil)
+		f.selector.Started(choice, nil, now)
 	}
 	return choice, found
 }
--- /dev/null
+++ b/forwarder/openness_test.go
@@ -0,0 +1,108 @@
+package forwarder
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/cataloger"
+	"geraniumline/evacuator"
+)
+
+// deliver hands over what was sent in the round, but for a part that is lost.
+func (m *mesh) deliver(loss float64, rnd *rand.Rand) {
+	todo := m.deferred
+	m.deferred = nil
+	for _, do := range todo {
+		if rnd.Float64() >= loss {
+			do()
+		}
+	}
+}
+
+// knowing counts the entries that take a zone for evacuated.
+func (m *mesh) knowing(zone string) (n int) {
+	for _, f := range m.nodes {
+		if f.evacuator.Evacuated(zone) {
+			n++
+		}
+	}
+	return n
+}
+
+// The operator evacuates a zone, and the few entries that follow the store hear of it. Every other entry sends requests there
+// until a heartbeat tells it, so that word must be everywhere well inside the time that the operator grants: at 95% of the
+// entries a second after it is acknowledged, and soon at all where a tenth of the frames is lost.
+func TestWordOfAnEvacuationIsEverywhereWithinASecond(t *testing.T) {
+	for _, n := range []int{7, 65, 195, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			m := newMeshIn(t, n, 3, func(string) int { return 0 })
+			m.defers = true
+			rnd := rand.New(rand.NewPCG(uint64(n), 1))
+			now := time.Now()
+			for range 4 {
+				m.beat(1)
+				m.deliver(0, rnd)
+			}
+			for _, f := range m.nodes {
+				if f.rank(configDuty) < configReaders {
+					f.TakeEvacuations([]evacuator.Change{{Zone: "z0", Offset: 7, Evacuated: true}}, 8, now)
+				}
+			}
+			rounds, most := 0, 0
+			for ; m.knowing("z0") < n; rounds++ {
+				if 100*m.knowing("z0") < 95*n {
+					most = rounds + 1
+				}
+				require.Less(t, rounds, 20)
+				m.beat(1)
+				m.deliver(0.1, rnd)
+			}
+			t.Logf("%d entries: 95%% after %v, all after %v", n, time.Duration(most)*heartbeatEvery, time.Duration(rounds)*heartbeatEvery)
+			require.LessOrEqual(t, time.Duration(most)*heartbeatEvery, time.Second)
+			require.LessOrEqual(t, time.Duration(rounds)*heartbeatEvery, 2*time.Second)
+		})
+	}
+}
+
+func TestHomesOfRouteAndAccountBothBind(t *testing.T) {
+	for _, tc := range []struct {
+		name                 string
+		route, account, want []string
+	}{
+		{"none", nil, nil, nil},
+		{"the route's", []string{"a"}, nil, []string{"a"}},
+		{"the account's", nil, []string{"b"}, []string{"b"}},
+		{"both", []string{"a", "b"}, []string{"b", "c"}, []string{"b"}},
+		{"nothing in common", []string{"a"}, []string{"c"}, []string{}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			route, account := &cataloger.Route{Homes: tc.route}, &cataloger.Account{Homes: tc.account}
+			require.Equal(t, tc.want, homesOf(route, account))
+		})
+	}
+	require.Equal(t, []string{"a"}, homesOf(&cataloger.Route{Homes: []string{"a"}}, nil))
+}
+
+// A caller asks where to connect. An entry outside the homes of its request's route and outside its own region must not get
+// its body, so the caller is told those in its region, then those at home.
+func TestAddressesAreNearestFirst(t *testing.T) {
+	m := newMeshIn(t, 3, 3, func(string) int { return 0 })
+	f := m.nodes["entry-0"]
+	f.cfg.Regions = map[string]string{"z0": "east", "z1": "west", "z2": "north"}
+	f.catalog, _ = cataloger.New(cataloger.Config{Version: 9, Routes: []cataloger.Route{{
+		Name: "r", Host: "h.example", Targets: []cataloger.Target{{Service: "plain"}}, Homes: []string{"north"},
+	}}})
+	for _, tc := range []struct{ host, region, want string }{
+		{"h.example", "west", "caller-entry-1"},
+		{"h.example", "south", "caller-entry-2"},
+	} {
+		addresses, _ := f.Addresses(tc.host, tc.region, time.Now())
+		require.Equal(t, []string{tc.want}, addresses)
+	}
+	addresses, _ := f.Addresses("other.example", "south", time.Now())
+	require.Len(t, addresses, 3)
+}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -35,6 +35,7 @@
 func (f *Forwarder) heartbeat(now time.Time) {
 	f.mu.Lock()
 	f.setSelf()
+	f.setWarmers()
 	f.retrier.SetReserve(reserveFor(f.cfg.RetrySlack, max(usualEntries, f.livePeers()+1)))
 	transitions := f.detector.Tick(now)
 	f.duties.forget()
@@ -42,6 +43,8 @@
 	beat := f.detector.Heartbeat(now)
 	beat.Crashes = f.quarantiner.Marks(now)
 	beat.Stages = f.stageWaits(now)
+	evacuated := f.evacuator.State()
+	beat.EvacuatedNext, beat.Evacuated = evacuated.Next, evacuated.Zones
 	beat.ConfigAgeMillis = min(now.Sub(f.configHeard), maxConfigAge).Milliseconds()
 	f.round++
 	targets := f.detector.Targets(now)
@@ -190,7 +193,8 @@
 			f.quarantiner.Heard(m.Crashes, now)
 			f.takeStageWaits(m.Stages, now)
 			f.takeConfigAge(m.ConfigAgeMillis, now)
-			return f.takeTransitions(f.detector.Receive(m, now), now)
+			todo := f.takeEvacuated(m, now)
+			return append(todo, f.takeTransitions(f.detector.Receive(m, now), now)...)
 		})
 	case *carrier.Work:
 		f.locked(func() []func() { f.takeWork(from, m, now); return nil })
@@ -293,7 +297,7 @@
 	}
 	if !reply.Unchanged {
 		for _, c := range f.registry.Changes() {
-			reply.Entries = append(reply.Entries, entryOf(c))
+			reply.Entries = append(reply.Entries, entryOf(c, now))
 		}
 	}
 	return []func(){f.sendTo(from, reply)}
@@ -313,7 +317,7 @@
 	if m.Unchanged {
 		return nil
 	}
-	f.registry.Replace(changesOf(m.Entries), m.Next, now)
+	f.registry.Replace(changesOf(m.Entries, now), m.Next, now)
 	return f.endpointsChanged(now)
 }
 
--- a/forwarder/piececalls.go
+++ b/forwarder/piececalls.go
@@ -82,7 +82,13 @@
 // callFree gives results back at their maker. After a failure their space is taken until they lapse, which the endpoint
 // tells by refusing pieces.
 func (f *Forwarder) callFree(service string, p *collector.Pool, e collector.FreeResults) {
-	f.exchangeFree(e)
+	f.mu.Lock()
+	barred := f.barred(e.Address)
+	f.mu.Unlock()
+	if !barred {
+		// Where nothing more may be sent, results lapse by themselves.
+		f.exchangeFree(e)
+	}
 	freed := make([]collector.Made, len(e.Handles))
 	for i, handle := range e.Handles {
 		freed[i] = collector.Made{Handle: handle, Address: e.Address}
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -119,6 +119,7 @@
 		ResultBytes:    g.ResultBytes,
 		Zone:           g.Zone,
 		FarBytes:       g.FarBytes,
+		Regions:        g.Regions,
 		Holding:        g.Holding,
 		InputBytes:     g.InputBytes,
 		TellRead:       g.TellRead,
@@ -237,7 +238,8 @@
 		return nil, false
 	}
 	p := collector.New(collector.Config{Service: service, Stage: *s.Stage, Ejector: ejectorConfig(f.cfg.Off), Off: f.cfg.Off})
-	p.Reduce(collector.EndpointsChanged{Endpoints: f.stageEndpoints(service)}, now)
+	endpoints := f.stageEndpoints(service, now)
+	p.Reduce(collector.EndpointsChanged{Endpoints: endpoints, Evacuated: !f.openness.serves(service, nil)}, now)
 	f.pools[service] = p
 	return p, true
 }
@@ -260,6 +262,7 @@
 		ResultBytes: m.ResultBytes,
 		Zone:        m.Zone,
 		FarBytes:    m.FarBytes,
+		Regions:     m.Regions,
 		Holding:     m.Holding,
 		InputBytes:  m.InputBytes,
 		TellRead:    m.TellRead,
--- a/forwarder/reader.go
+++ b/forwarder/reader.go
@@ -98,10 +98,10 @@
 }
 
 // passOn tells all peers what was read. An empty word is sent too: it says that nothing has changed. The lock is held.
-func (f *Forwarder) passOn(changes []registrar.Change, from, next int64) []func() {
+func (f *Forwarder) passOn(changes []registrar.Change, from, next int64, now time.Time) []func() {
 	news := &carrier.EndpointsNews{From: from, Next: next}
 	for _, c := range changes {
-		news.Entries = append(news.Entries, entryOf(c))
+		news.Entries = append(news.Entries, entryOf(c, now))
 	}
 	var todo []func()
 	for _, m := range f.detector.Members() {
@@ -120,11 +120,11 @@
 	}
 	f.newsAt = now
 	f.registry.Heard(now)
-	f.registry.Apply(changesOf(m.Entries), m.Next, now)
+	f.registry.Apply(changesOf(m.Entries, now), m.Next, now)
 	return f.endpointsChanged(now)
 }
 
-func entryOf(c registrar.Change) carrier.EndpointEntry {
+func entryOf(c registrar.Change, now time.Time) carrier.EndpointEntry {
 	if c.Endpoint == nil {
 		return carrier.EndpointEntry{ID: c.ID, Offset: c.Offset, Removed: true, Unusable: c.Unusable}
 	}
@@ -140,10 +140,13 @@
 	if !c.Endpoint.Started.IsZero() {
 		entry.StartedMillis = c.Endpoint.Started.UnixMilli()
 	}
+	if c.Endpoint.Cold(now) {
+		entry.ColdLeftMillis = c.Endpoint.ColdUntil.Sub(now).Milliseconds()
+	}
 	return entry
 }
 
-func changesOf(entries []carrier.EndpointEntry) []registrar.Change {
+func changesOf(entries []carrier.EndpointEntry, now time.Time) []registrar.Change {
 	changes := make([]registrar.Change, len(entries))
 	for i, e := range entries {
 		changes[i] = registrar.Change{ID: e.ID, Offset: e.Offset, Unusable: e.Unusable}
@@ -161,6 +164,9 @@
 		if e.StartedMillis > 0 {
 			changes[i].Endpoint.Started = time.UnixMilli(e.StartedMillis)
 		}
+		if e.ColdLeftMillis > 0 {
+			changes[i].Endpoint.ColdUntil = now.Add(time.Duration(e.ColdLeftMillis) * time.Millisecond)
+		}
 	}
 	return changes
 }
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -30,7 +30,7 @@
 
 func newStageWork(x *exchange) *stageWork {
 	x.f.mu.Lock()
-	homeZone := x.f.selector.HomeZone(x.service.Name, x.req.Parts)
+	homeZone := x.f.selector.HomeZone(x.service.Name, x.req.Parts, x.homes, time.Now())
 	modelTime := x.f.selector.FirstEvent(x.service.Name, x.req.Parts)
 	x.f.mu.Unlock()
 	return &stageWork{
@@ -45,6 +45,7 @@
 			Key:       x.req.PieceKey,
 			Priority:  x.priority,
 			Account:   x.account,
+			Regions:   x.homes,
 			Due:       x.due,
 			FirstBy:   x.firstBy,
 			HomeZone:  homeZone,
@@ -201,6 +202,9 @@
 		zap.String("collector", s.x.f.ownerOf(end.ask)),
 		zap.Stringer("reason", end.Result.Reason),
 		zap.Duration("waits", s.x.f.waitOf(service)))
+	if end.Result.Reason == collector.Evacuated {
+		return notRun("stageevacuated", evacuatedReturn)
+	}
 	return notRun("stage"+end.Result.Reason.String(), s.x.f.comeBack(service))
 }
 
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -132,6 +132,8 @@
 	PeersEvicted       Name = "peers_evicted"
 	PeerAcceptErrors   Name = "peer_accept_errors"
 	PeersLive          Name = "peers_live"
+	ZonesEvacuated     Name = "zones_evacuated"
+	EndpointsCold      Name = "endpoints_cold"
 	PausesNoticed      Name = "pauses_noticed"
 )
 
@@ -255,6 +257,8 @@
 	{PeersEvicted, KindCounter, "connections", "", "A connection at the peers' socket closed in favour of a newer one.", "peers.connectionsEvicted"},
 	{PeerAcceptErrors, KindCounter, "failures", "", "A failure to accept a connection at the peers' socket.", "peers.acceptFailures"},
 	{PeersLive, KindGauge, "entries", "", "Other entries heard of lately.", ""},
+	{ZonesEvacuated, KindGauge, "zones", "", "Availability zones whose endpoints get no new work, by the operator's order.", ""},
+	{EndpointsCold, KindGauge, "endpoints", "", "Endpoints in their slow start, which get few requests from all entries together.", ""},
 	{PausesNoticed, KindCounter, "pauses", "", "A pause of this entry that was so long that its peers may have taken it for dead.", ""},
 
 	{ConnectionsOpen, KindGauge, "connections", bySocket, "Open connections.", ""},
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -27,6 +27,8 @@
 	Key      string
 	Priority int
 	Account  string
+	// Regions are those where the stages may be done; empty where all are.
+	Regions []string
 	// Due is when the first event is on time, FirstBy when the caller leaves that has none.
 	Due     time.Time
 	FirstBy time.Time
@@ -187,6 +189,7 @@
 		Deadline:    p.LastStart().Add(-p.leastAfter(stage, view)),
 		Priority:    p.cfg.Priority,
 		Account:     p.cfg.Account,
+		Regions:     p.cfg.Regions,
 		ResultBytes: cfg.ResultBytes,
 		Holding:     p.holding(stage, view),
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -25,10 +25,24 @@
 	Slots   int
 	// Draining endpoints take no new work.
 	Draining bool
-	// ColdUntil is when the endpoint's slow start ends.
+	// Region is that of the zone; empty where it is not known.
+	Region string
+	// ColdUntil is when the endpoint's slow start ends, zero where its own word is that it is over.
 	ColdUntil time.Time
 }
 
+// Cold tells whether the endpoint is in its slow start: it bears few calls, and holds no prompt parts.
+func (e *Endpoint) Cold(now time.Time) bool { return now.Before(e.ColdUntil) }
+
+// coldAgain is how much later than known the end of a slow start must be for the endpoint to have become cold anew. It is
+// worked out anew from each entry, and differs by the time that the entry was on its way.
+const coldAgain = 500 * time.Millisecond
+
+// ColderThan tells whether the endpoint has become cold since its earlier word.
+func (e *Endpoint) ColderThan(earlier *Endpoint) bool {
+	return e.ColdUntil.Sub(earlier.ColdUntil) > coldAgain
+}
+
 // SameStart tells whether both are one start of one endpoint. A later start holds nothing that an earlier one held: prompt
 // parts, stage results, calls. Work placed by what the earlier one held would wait for what is not there.
 func (e *Endpoint) SameStart(other *Endpoint) bool {
@@ -152,7 +166,9 @@
 		return false
 	}
 	told := *c.Endpoint
-	// The end of a slow start is no news: it is worked out anew from each entry.
+	if told.ColderThan(&e.endpoint) {
+		return false
+	}
 	told.ColdUntil = e.endpoint.ColdUntil
 	if !told.Started.Equal(e.endpoint.Started) {
 		return false
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -57,14 +57,17 @@
 // what is new; a list that misses any of that would send work to an endpoint that leaves, or lack one that came back.
 func TestOnlyNewsIsTold(t *testing.T) {
 	r := New(Config{})
-	r.Heard(start)
-	r.Replace([]Change{put("a", 0, nil), put("b", 1, nil), put("c", 2, nil), {ID: "odd", Offset: 3, Unusable: true}}, 4, start)
 	draining := func(e *Endpoint) { e.Draining = true }
 	cold := func(e *Endpoint) { e.ColdUntil = at(time.Hour) }
+	coldStill := func(e *Endpoint) { e.ColdUntil = at(time.Hour + coldAgain) }
 	later := func(e *Endpoint) { e.Started = at(time.Second) }
+	r.Heard(start)
+	r.Replace([]Change{put("a", 0, nil), put("b", 1, nil), put("c", 2, cold), {ID: "odd", Offset: 3, Unusable: true}}, 4, start)
 	none := []Change(nil)
 	for name, c := range map[string]struct{ read, news []Change }{
-		"a count":                {[]Change{put("a", 5, nil), put("b", 6, cold)}, none},
+		"a count":                {[]Change{put("a", 5, nil), put("c", 6, coldStill)}, none},
+		"warm":                   {[]Change{put("c", 5, nil)}, none},
+		"cold":                   {[]Change{put("b", 6, cold)}, []Change{put("b", 6, cold)}},
 		"leaving":                {[]Change{put("a", 5, draining)}, []Change{put("a", 5, draining)}},
 		"removed":                {[]Change{{ID: "b", Offset: 5}}, []Change{{ID: "b", Offset: 5}}},
 		"new":                    {[]Change{put("d", 5, nil)}, []Change{put("d", 5, nil)}},
--- a/selector/bench_test.go
+++ b/selector/bench_test.go
@@ -14,7 +14,7 @@
 			for b.Loop() {
 				own++
 				choice, _ := s.Choose(Ask{Service: "pool", Parts: prompt(own%40, 1000+own)}, now)
-				s.Started(choice, prompt(own%40, 1000+own))
+				s.Started(choice, prompt(own%40, 1000+own), now)
 				s.Cancelled(choice)
 			}
 		})
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -50,6 +50,8 @@
 	// NoProbe keeps the call from an endpoint on probe: the failure of a call that must not be repeated would
 	// reach its caller.
 	NoProbe bool
+	// Regions are those that the call may go to; nil where all are.
+	Regions []string
 	// ZoneBytes are the stage results that the endpoint will fetch, by the zone in which they lie.
 	ZoneBytes map[string]int64
 }
@@ -61,10 +63,22 @@
 	Tokens int
 	// Cached is how much of the prompt the endpoint is believed to hold.
 	Cached int
+	// turn is that of the endpoint's presence.
+	turn uint64
+}
+
+// Gate says which calls may go to cold endpoints.
+type Gate interface {
+	// Allows tells whether a call may go now to a cold endpoint that bears so many calls a second.
+	Allows(endpoint string, perSecond float64, now time.Time) bool
+	// Sent notes a call to a cold endpoint.
+	Sent(endpoint string, now time.Time)
 }
 
 // Config sets a Selector up. Zero fields take the defaults above.
 type Config struct {
+	// Gate bounds the calls to cold endpoints; nil sends to them as to any other.
+	Gate       Gate
 	Rand       *rand.Rand
 	CallTokens int
 	FarTokens  int
@@ -79,6 +93,7 @@
 	pools map[string]*pool
 	byID  map[string]*endpoint
 	peers map[string]map[string]int
+	turns uint64
 }
 
 type pool struct {
@@ -86,11 +101,15 @@
 	health    ejector.Pool
 	// pace is the time for a prompt token, as seen, in nanoseconds.
 	pace float64
+	// coldPerSecond is how many calls a second a cold endpoint bears.
+	coldPerSecond float64
 }
 
 type endpoint struct {
 	registrar.Endpoint
-	hash   uint64
+	hash uint64
+	// turn tells this presence of the endpoint from earlier ones.
+	turn   uint64
 	pool   *pool
 	health ejector.Record
 	// calls and tokens are this entry's own work there; peerTokens is that of the others.
@@ -123,6 +142,9 @@
 		named[e.ID] = true
 		known, ok := s.byID[e.ID]
 		if ok && known.SameStart(&e) {
+			if e.ColderThan(&known.Endpoint) {
+				known.cache = memory{}
+			}
 			known.Endpoint = e
 			continue
 		}
@@ -138,13 +160,24 @@
 	}
 }
 
-func (s *Selector) add(e registrar.Endpoint) {
-	p, known := s.pools[e.Service]
+// SetCold takes how many calls a second a cold endpoint of the service bears.
+func (s *Selector) SetCold(service string, perSecond float64) {
+	s.pool(service).coldPerSecond = perSecond
+}
+
+func (s *Selector) pool(service string) *pool {
+	p, known := s.pools[service]
 	if !known {
 		p = &pool{health: ejector.NewPool(s.cfg.Ejector), pace: float64(usualPace)}
-		s.pools[e.Service] = p
+		s.pools[service] = p
 	}
-	added := &endpoint{Endpoint: e, hash: xxhash.Sum64String(e.ID), pool: p}
+	return p
+}
+
+func (s *Selector) add(e registrar.Endpoint) {
+	p := s.pool(e.Service)
+	s.turns++
+	added := &endpoint{Endpoint: e, hash: xxhash.Sum64String(e.ID), turn: s.turns, pool: p}
 	for _, tokens := range s.peers {
 		added.peerTokens += tokens[e.ID]
 	}
@@ -167,10 +200,11 @@
 	}
 }
 
-// chosen gives the endpoint that a choice named, unless it has ended or started again since.
+// chosen gives the endpoint that a choice named, unless it has ended, started again or been out of use as a whole since: its
+// calls of before are not counted any more then, and must not be taken off.
 func (s *Selector) chosen(choice *Choice) (*endpoint, bool) {
 	e, known := s.byID[choice.Endpoint.ID]
-	if !known || !e.SameStart(&choice.Endpoint) {
+	if !known || e.turn != choice.turn {
 		return nil, false
 	}
 	return e, true
@@ -185,18 +219,28 @@
 	return len(p.endpoints)
 }
 
+// Cold counts the endpoints that are in their slow start.
+func (s *Selector) Cold(now time.Time) (n int) {
+	for _, e := range s.byID {
+		if e.Cold(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // Choose names the endpoint with the least predicted work, or none if all were tried or are ejected.
 func (s *Selector) Choose(ask Ask, now time.Time) (Choice, bool) {
 	p, known := s.pools[ask.Service]
 	if !known {
 		return Choice{}, false
 	}
-	candidates := p.candidates(&ask, now)
+	candidates := p.candidates(&ask, s.cfg.Gate, now)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
 	keys := chainKeys(ask.Parts)
-	home := s.homesOf(p, &ask, keys)
+	home := s.homesOf(p, &ask, keys, now)
 	best, bestScore := Choice{}, 0.0
 	start := s.cfg.Rand.IntN(len(candidates))
 	for i := range candidates {
@@ -209,12 +253,20 @@
 	return best, true
 }
 
+// allowed tells whether the call may go to the endpoint at all.
+func (p *pool) allowed(e *endpoint, ask *Ask, gate Gate, now time.Time) bool {
+	if slices.Contains(ask.Avoid, e.ID) || ask.Regions != nil && !slices.Contains(ask.Regions, e.Region) {
+		return false
+	}
+	return gate == nil || !e.Cold(now) || gate.Allows(e.ID, p.coldPerSecond, now)
+}
+
 // candidates are the endpoints that may take the call: those in use, or one whose probe is due.
-func (p *pool) candidates(ask *Ask, now time.Time) []*endpoint {
+func (p *pool) candidates(ask *Ask, gate Gate, now time.Time) []*endpoint {
 	var usable, probing, out []*endpoint
 	for _, e := range p.endpoints {
 		p.health.Advance(&e.health, now)
-		if slices.Contains(ask.Avoid, e.ID) {
+		if !p.allowed(e, ask, gate, now) {
 			continue
 		}
 		switch {
@@ -261,11 +313,12 @@
 			score += float64(n) / 1e6 * float64(s.cfg.FarTokens)
 		}
 	}
-	return Choice{Endpoint: e.Endpoint, Tokens: own, Cached: cached}, score
+	return Choice{Endpoint: e.Endpoint, Tokens: own, Cached: cached, turn: e.turn}, score
 }
 
-// homesOf gives the endpoints at which the prompt's largest shared beginning is kept, in their order.
-func (s *Selector) homesOf(p *pool, ask *Ask, keys []uint64) []*endpoint {
+// homesOf gives the endpoints at which the prompt's largest shared beginning is kept, in their order. A cold endpoint is none
+// until it is warm: it holds no parts, and bears few of the calls that would come for them.
+func (s *Selector) homesOf(p *pool, ask *Ask, keys []uint64, now time.Time) []*endpoint {
 	if len(keys) < 2 || s.cfg.Off.Has(switcher.PromptHomes) {
 		return nil
 	}
@@ -274,7 +327,10 @@
 	for len(home) < homes && len(home) < len(p.endpoints) {
 		var best *endpoint
 		for _, e := range p.endpoints {
-			if slices.Contains(home, e) || e.health.State() != ejector.InUse {
+			if slices.Contains(home, e) || e.health.State() != ejector.InUse || e.Cold(now) {
+				continue
+			}
+			if ask.Regions != nil && !slices.Contains(ask.Regions, e.Region) {
 				continue
 			}
 			if best == nil || hasher.Mix(e.hash^key) > hasher.Mix(best.hash^key) {
@@ -291,12 +347,12 @@
 
 // HomeZone gives the zone where a prompt's shared parts are kept, if they are large enough for stage results to be
 // made there.
-func (s *Selector) HomeZone(service string, parts []Part) string {
+func (s *Selector) HomeZone(service string, parts []Part, regions []string, now time.Time) string {
 	p, known := s.pools[service]
 	if !known || sharedTokens(parts) < homeShared {
 		return ""
 	}
-	home := s.homesOf(p, &Ask{Parts: parts}, chainKeys(parts))
+	home := s.homesOf(p, &Ask{Parts: parts, Regions: regions}, chainKeys(parts), now)
 	if len(home) == 0 {
 		return ""
 	}
@@ -304,11 +360,14 @@
 }
 
 // Started counts a call at an endpoint, and takes its prompt parts as held there from now on.
-func (s *Selector) Started(choice Choice, parts []Part) {
+func (s *Selector) Started(choice Choice, parts []Part, now time.Time) {
 	e, known := s.chosen(&choice)
 	if !known {
 		return
 	}
+	if s.cfg.Gate != nil && e.Cold(now) {
+		s.cfg.Gate.Sent(e.ID, now)
+	}
 	e.calls++
 	e.tokens += choice.Tokens
 	e.cache.remember(chainKeys(parts))
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -34,6 +34,11 @@
 	return []Part{{ID: shared, Tokens: 13_000}, {ID: own, Tokens: 3_000}}
 }
 
+// callTo is a call to the endpoint of the id.
+func (s *Selector) callTo(id string, tokens int) Choice {
+	return Choice{Endpoint: s.byID[id].Endpoint, Tokens: tokens, turn: s.byID[id].turn}
+}
+
 func TestEntriesAgreeOnAPromptsHome(t *testing.T) {
 	a, b := newSelector(9), newSelector(9)
 	for shared := range uint64(40) {
@@ -43,7 +48,7 @@
 		second, found := b.Choose(ask, now)
 		require.True(t, found)
 		require.Equal(t, first.Endpoint.ID, second.Endpoint.ID)
-		require.Equal(t, first.Endpoint.Zone, a.HomeZone("pool", ask.Parts))
+		require.Equal(t, first.Endpoint.Zone, a.HomeZone("pool", ask.Parts, nil, now))
 	}
 }
 
@@ -55,7 +60,7 @@
 	for own := range uint64(30) {
 		choice, found := s.Choose(Ask{Service: "pool", Parts: prompt(7, 100+own)}, now)
 		require.True(t, found)
-		s.Started(choice, prompt(7, 100+own))
+		s.Started(choice, prompt(7, 100+own), now)
 		used[choice.Endpoint.ID]++
 	}
 	require.GreaterOrEqual(t, len(used), 2)
@@ -103,8 +108,8 @@
 // may run only once.
 func TestARefusingEndpointIsPassedOver(t *testing.T) {
 	s := newSelector(3)
-	down := Choice{Endpoint: registrar.Endpoint{ID: "e1"}}
-	s.Started(down, nil)
+	down := s.callTo("e1", 0)
+	s.Started(down, nil, now)
 	require.True(t, s.Ended(down, ejector.Down, now))
 	for range 50 {
 		choice, found := s.Choose(Ask{Service: "pool", NoProbe: true}, now.Add(2*time.Second))
@@ -118,7 +123,7 @@
 func TestWorkIsGivenBack(t *testing.T) {
 	s := newSelector(1)
 	choice, _ := s.Choose(Ask{Service: "pool", Parts: prompt(1, 2)}, now)
-	s.Started(choice, prompt(1, 2))
+	s.Started(choice, prompt(1, 2), now)
 	require.Equal(t, choice.Tokens, s.Work()["e0"])
 	s.Read(&choice)
 	require.Equal(t, DefaultCallTokens, s.Work()["e0"])
@@ -139,13 +144,13 @@
 func TestFirstEventFollowsThePace(t *testing.T) {
 	s := newSelector(1)
 	before := s.FirstEvent("pool", prompt(1, 2))
-	choice := Choice{Endpoint: registrar.Endpoint{ID: "e0"}, Tokens: 10_000}
+	choice := s.callTo("e0", 10_000)
 	for range 60 {
 		s.Observe(choice, time.Second+firstStep)
 	}
 	after := s.FirstEvent("pool", prompt(1, 2))
 	require.InDelta(t, 4, float64(after-firstStep)/float64(before-firstStep), 0.2)
-	s.Observe(Choice{Endpoint: registrar.Endpoint{ID: "e0"}, Tokens: 10}, time.Minute)
+	s.Observe(s.callTo("e0", 10), time.Minute)
 	require.Equal(t, after, s.FirstEvent("pool", prompt(1, 2)), "a short prompt tells nothing of the pace")
 }
 
@@ -156,11 +161,11 @@
 	ask := Ask{Service: "pool", Parts: prompt(7, 100)}
 	before, found := s.Choose(ask, now)
 	require.True(t, found)
-	s.Started(before, ask.Parts)
+	s.Started(before, ask.Parts, now)
 	s.SetPeer("peer", map[string]int{"e0": 5_000})
 	for range 20 {
 		s.Ended(before, ejector.Bad, now)
-		s.Started(before, ask.Parts)
+		s.Started(before, ask.Parts, now)
 	}
 	again := before.Endpoint
 	again.Started = now.Add(time.Second)
@@ -176,3 +181,78 @@
 	require.Zero(t, s.byID["e0"].calls)
 	require.Zero(t, s.byID["e0"].peerTokens)
 }
+
+// An endpoint's zone is evacuated while it has calls, and taken back before they end. What ends then was not counted at its
+// new presence: taken off there, its work would fall below none and draw all calls.
+func TestCallsOfBeforeAnAbsenceDoNotCount(t *testing.T) {
+	s := newSelector(2)
+	all := []registrar.Endpoint{s.byID["e0"].Endpoint, s.byID["e1"].Endpoint}
+	before := s.callTo("e0", 1000)
+	s.Started(before, nil, now)
+	s.SetEndpoints(all[1:])
+	require.Zero(t, s.Count("pool")-1)
+	s.SetEndpoints(all)
+	s.Ended(before, ejector.Good, now)
+	require.Zero(t, s.byID["e0"].calls)
+	require.Zero(t, s.byID["e0"].tokens)
+}
+
+// gate lets so many calls go to cold endpoints.
+type gate struct{ left int }
+
+func (g *gate) Allows(string, float64, time.Time) bool { return g.left > 0 }
+func (g *gate) Sent(string, time.Time)                 { g.left-- }
+
+// A prompt's home becomes cold: it holds nothing any more and bears few calls. The prompt goes to another home meanwhile, the
+// cold endpoint takes only what the gate allows, and it has its prompts back once it is warm.
+func TestAColdEndpointIsNoHome(t *testing.T) {
+	s := newSelector(9)
+	g := &gate{}
+	s.cfg.Gate = g
+	ask := Ask{Service: "pool", Parts: prompt(7, 100)}
+	first, found := s.Choose(ask, now)
+	require.True(t, found)
+	s.Started(first, ask.Parts, now)
+	s.Ended(first, ejector.Good, now)
+	all := make([]registrar.Endpoint, 0, 9)
+	for _, e := range s.byID {
+		all = append(all, e.Endpoint)
+	}
+	for i := range all {
+		if all[i].ID == first.Endpoint.ID {
+			all[i].ColdUntil = now.Add(3 * time.Second)
+		}
+	}
+	s.SetEndpoints(all)
+	require.Equal(t, 1, s.Cold(now))
+	require.Zero(t, s.byID[first.Endpoint.ID].cache.held(chainKeys(ask.Parts), ask.Parts))
+	second, found := s.Choose(ask, now)
+	require.True(t, found)
+	require.NotEqual(t, first.Endpoint.ID, second.Endpoint.ID)
+	g.left = 1
+	for range 40 {
+		choice, found := s.Choose(Ask{Service: "pool", Parts: prompt(8, 100)}, now)
+		require.True(t, found)
+		s.Started(choice, nil, now)
+	}
+	require.Equal(t, 0, g.left, "what the gate allows is used, and no more")
+	require.Equal(t, 1, s.byID[first.Endpoint.ID].calls)
+	warm, found := s.Choose(ask, now.Add(3*time.Second))
+	require.True(t, found)
+	require.Equal(t, first.Endpoint.ID, warm.Endpoint.ID)
+}
+
+// A request may be served in one region only.
+func TestACallStaysInItsRegions(t *testing.T) {
+	s := newSelector(2)
+	far := s.byID["e1"].Endpoint
+	far.Region = "far"
+	s.SetEndpoints([]registrar.Endpoint{s.byID["e0"].Endpoint, far})
+	for range 10 {
+		choice, found := s.Choose(Ask{Service: "pool", Regions: []string{"far"}}, now)
+		require.True(t, found)
+		require.Equal(t, "e1", choice.Endpoint.ID)
+	}
+	_, found := s.Choose(Ask{Service: "pool", Regions: []string{"nowhere"}}, now)
+	require.False(t, found)
+}
--- /dev/null
+++ b/warmer/warmer_test.go
@@ -0,0 +1,144 @@
+package warmer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	bears   = 5.9
+	entries = 65
+)
+
+// zone is an availability zone whose endpoints are all cold, and the entries that send to it.
+type zone struct {
+	warmers []*Warmer
+	// clocks are how far the entries' times of day are off.
+	clocks   []time.Duration
+	arrivals map[string][]time.Time
+	rnd      *rand.Rand
+}
+
+func newZone(way Way, n int, seed uint64) *zone {
+	z := &zone{arrivals: make(map[string][]time.Time), rnd: rand.New(rand.NewPCG(seed, 1))}
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("entry-%03d", i)
+	}
+	for _, name := range names {
+		w := New(Config{Self: name, Excess: 1.5, Slack: 5, Way: way})
+		w.SetEntries(names, n)
+		z.warmers = append(z.warmers, w)
+		z.clocks = append(z.clocks, 0)
+	}
+	return z
+}
+
+// run has so many requests a second come to entries at random, each of which sends to any cold endpoint that it may.
+func (z *zone) run(endpoints, rate int, length time.Duration) (served int) {
+	at := time.Unix(1_000_000, 0)
+	for end := at.Add(length); at.Before(end); at = at.Add(time.Duration(z.rnd.ExpFloat64() * float64(time.Second) / float64(rate))) {
+		i := z.rnd.IntN(len(z.warmers))
+		w, now := z.warmers[i], at.Add(z.clocks[i])
+		first := z.rnd.IntN(endpoints)
+		for k := range endpoints {
+			id := fmt.Sprintf("endpoint-%d", (first+k)%endpoints)
+			if w.Allows(id, bears, now) {
+				w.Sent(id, now)
+				z.arrivals[id] = append(z.arrivals[id], at)
+				served++
+				break
+			}
+		}
+	}
+	return served
+}
+
+// most is the most arrivals of any endpoint within one second.
+func (z *zone) most() int {
+	most := 0
+	for _, list := range z.arrivals {
+		first := 0
+		for i := range list {
+			for list[i].Sub(list[first]) > time.Second {
+				first++
+			}
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
+
+func (z *zone) bound() int {
+	cfg := Config{Excess: 1.5, Slack: 5}
+	return int(cfg.Bound(bears))
+}
+
+var ways = map[string]Way{"sponsors": Sponsors{}, "turns": Turns{}}
+
+// An availability zone returns with twenty cold endpoints in a burst. All entries find them empty and would send all they
+// have there at once; the endpoints would crash, come back cold and crash again. Between them the entries must stay within
+// what each bears, whatever they believe of each other.
+func TestAColdZoneIsNotOverrun(t *testing.T) {
+	for name, way := range ways {
+		for _, tc := range []struct {
+			name      string
+			endpoints int
+			disturb   func(z *zone)
+		}{
+			{"all agree", 20, func(*zone) {}},
+			{"one endpoint", 1, func(*zone) {}},
+			{"a third is cut off", 20, func(z *zone) { z.split(0, 22); z.split(22, entries) }},
+			{"a third of the clocks is ahead", 20, func(z *zone) {
+				for i := range 22 {
+					z.clocks[i] = 2400 * time.Millisecond
+				}
+			}},
+			{"each of a third is cut off by itself, one endpoint", 1, func(z *zone) {
+				for i := range 22 {
+					z.split(i, i+1)
+				}
+				z.split(22, entries)
+			}},
+		} {
+			t.Run(name+", "+tc.name, func(t *testing.T) {
+				for seed := range uint64(20) {
+					z := newZone(way, entries, seed)
+					tc.disturb(z)
+					served := z.run(tc.endpoints, 300, 10*time.Second)
+					require.LessOrEqual(t, z.most(), z.bound())
+					if seed == 0 {
+						t.Logf("at most %d in one second, %.1f a second at each endpoint", z.most(), float64(served)/10/float64(tc.endpoints))
+					}
+				}
+			})
+		}
+	}
+}
+
+// split has the entries of a part hear each other only.
+func (z *zone) split(from, to int) {
+	var names []string
+	for _, w := range z.warmers[from:to] {
+		names = append(names, w.cfg.Self)
+	}
+	for _, w := range z.warmers[from:to] {
+		w.SetEntries(names, entries)
+	}
+}
+
+// All endpoints of a small system are cold at once. What they bear must be used, or callers are turned away.
+func TestColdEndpointsAreUsed(t *testing.T) {
+	for name, way := range ways {
+		t.Run(name, func(t *testing.T) {
+			z := newZone(way, 7, 1)
+			served := z.run(9, 100, 10*time.Second)
+			t.Logf("%.1f a second at each endpoint, at most %d in one", float64(served)/10/9, z.most())
+			require.Greater(t, float64(served)/10/9, bears/2)
+		})
+	}
+}
