Let the next collecting entry keep the asks of one that fell silent

Cause: where the entry that collects for a service loses power, asks that it leaves without a word go to the next one after 0.15 to 0.6 s, well before anybody takes the first one for gone (1.2 s from 64 entries on).

Change: an ask that is moved since its collecting entry is silent or lost says so (PieceAsk.Kept), and is not given back but at a planned stop. An ask that is given back avoids only the entry that gave it back.

Failed first: TestAsksOfADeadCollectorGoToOneOther, 8 of 8 entries collected at 9, 15 of 86 at 87; now one.

--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -239,7 +239,9 @@
 	FarBytes       int64  `msg:"farBytes"`
 	// Regions are those where the pieces may be made; empty where all are.
 	Regions []string `msg:"regions,limit=256"`
-	Holding bool     `msg:"holding"`
+	// Kept tells that the entry with the duty left the sender without a word: the receiver does not give the pieces back to it.
+	Kept    bool `msg:"kept"`
+	Holding bool `msg:"holding"`
 	// InputBytes is the size of all inputs of one piece. TellRead asks for a PieceRead.
 	InputBytes int64 `msg:"inputBytes"`
 	TellRead   bool  `msg:"tellRead"`
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -4856,6 +4856,12 @@
 					return
 				}
 			}
+		case "kept":
+			z.Kept, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
 		case "holding":
 			z.Holding, err = dc.ReadBool()
 			if err != nil {
@@ -4887,9 +4893,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *PieceAsk) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 18
+	// map header, size 19
 	// write "service"
-	err = en.Append(0xde, 0x0, 0x12, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	err = en.Append(0xde, 0x0, 0x13, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
@@ -5059,6 +5065,16 @@
 			return
 		}
 	}
+	// write "kept"
+	err = en.Append(0xa4, 0x6b, 0x65, 0x70, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Kept)
+	if err != nil {
+		err = msgp.WrapError(err, "Kept")
+		return
+	}
 	// write "holding"
 	err = en.Append(0xa7, 0x68, 0x6f, 0x6c, 0x64, 0x69, 0x6e, 0x67)
 	if err != nil {
@@ -5095,9 +5111,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PieceAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 18
+	// map header, size 19
 	// string "service"
-	o = append(o, 0xde, 0x0, 0x12, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0xde, 0x0, 0x13, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "request"
 	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
@@ -5150,6 +5166,9 @@
 	for za0003 := range z.Regions {
 		o = msgp.AppendString(o, z.Regions[za0003])
 	}
+	// string "kept"
+	o = append(o, 0xa4, 0x6b, 0x65, 0x70, 0x74)
+	o = msgp.AppendBool(o, z.Kept)
 	// string "holding"
 	o = append(o, 0xa7, 0x68, 0x6f, 0x6c, 0x64, 0x69, 0x6e, 0x67)
 	o = msgp.AppendBool(o, z.Holding)
@@ -5321,6 +5340,12 @@
 					return
 				}
 			}
+		case "kept":
+			z.Kept, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
 		case "holding":
 			z.Holding, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -5361,7 +5386,7 @@
 	for za0003 := range z.Regions {
 		s += msgp.StringPrefixSize + len(z.Regions[za0003])
 	}
-	s += 8 + msgp.BoolSize + 11 + msgp.Int64Size + 9 + msgp.BoolSize
+	s += 5 + msgp.BoolSize + 8 + msgp.BoolSize + 11 + msgp.Int64Size + 9 + msgp.BoolSize
 	return
 }
 
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -121,7 +121,7 @@
 	case Arrived:
 		p.takeGroup(e.Group, now)
 		if p.evacuated {
-			p.giveUpAll(Evacuated, now)
+			p.giveUpAll(Evacuated, everyGroup, now)
 		}
 	case Withdrawn:
 		p.withdraw(func(id GroupID) bool { return id == e.ID })
@@ -137,17 +137,17 @@
 		p.setEndpoints(e.Endpoints)
 		p.evacuated = e.Evacuated
 		if p.evacuated {
-			p.giveUpAll(Evacuated, now)
+			p.giveUpAll(Evacuated, everyGroup, now)
 		}
 	case Closing:
 		p.closing = true
 	case HandedBack:
-		p.giveUpAll(Moved, now)
+		p.giveUpAll(Moved, notKept, now)
 	case Ticked:
 		p.tick(now)
 	}
 	if p.closing {
-		p.giveUpAll(Moved, now)
+		p.giveUpAll(Moved, everyGroup, now)
 	}
 	p.sendCalls(now)
 	return p.effects
--- a/collector/event.go
+++ b/collector/event.go
@@ -34,6 +34,8 @@
 	// Zone is where the pieces should be made: where their inputs lie or their results are wanted. It is empty where
 	// that is all the same.
 	Zone string
+	// Kept groups stay here though another entry is said to have the duty: that one left their origin without a word.
+	Kept bool
 	// Regions are those where the pieces may be made; empty where all are.
 	Regions []string
 	// FarBytes are what crosses availability zones if the pieces are made in another one, or in several.
@@ -182,7 +184,7 @@
 // Closing tells that this entry stops: what has not begun is asked for elsewhere.
 type Closing struct{}
 
-// HandedBack tells that another entry collects now: what waits is asked for there.
+// HandedBack tells that another entry collects now: what waits is asked for there, but for what is kept here.
 type HandedBack struct{}
 
 // Ticked lets time pass.
--- a/collector/group.go
+++ b/collector/group.go
@@ -123,12 +123,18 @@
 // giveUpAll hands the pieces that are in no call back to their entries. Where this entry stops or another one collects, they
 // ask that one: held here, they would keep this entry from stopping, or be lost with it. Where no endpoint may get work,
 // their callers are told so at once and not at their deadline.
-func (p *Pool) giveUpAll(why Reason, now time.Time) {
+func (p *Pool) giveUpAll(why Reason, which func(*group) bool, now time.Time) {
 	for _, g := range p.ordered(now) {
-		p.giveUp(g, why)
+		if which(g) {
+			p.giveUp(g, why)
+		}
 	}
 }
 
+func everyGroup(*group) bool { return true }
+
+func notKept(g *group) bool { return !g.Kept }
+
 // giveUpOver tells that a group's waiting pieces are not made since others go before them.
 func (p *Pool) giveUpOver(g *group, now time.Time) {
 	if p.Over(now) == 0 {
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -41,6 +43,9 @@
 	// deferred holds what is sent back until the round is over, where each message is to take a round.
 	defers   bool
 	deferred []func()
+	// modelTime has messages taken at the mesh's own time, beaten is when it last let entries send heartbeats.
+	modelTime bool
+	beaten    time.Time
 }
 
 // port is one entry's way into the mesh.
@@ -58,11 +63,36 @@
 	if _, ok := message.(*carrier.Heartbeat); ok {
 		p.m.heard[address]++
 	}
+	now := time.Now()
+	if p.m.modelTime {
+		now = p.m.now
+	}
 	if p.m.defers {
-		p.m.deferred = append(p.m.deferred, func() { target.TakeMessage(p.name, message) })
+		p.m.deferred = append(p.m.deferred, func() { target.takeMessage(p.name, message, now) })
 		return
 	}
-	target.TakeMessage(p.name, message)
+	target.takeMessage(p.name, message, now)
+}
+
+// step lets model time pass, with the ticks and heartbeats of all entries that are not cut.
+func (m *mesh) step(d time.Duration) {
+	m.modelTime = true
+	for end := m.now.Add(d); m.now.Before(end); m.now = m.now.Add(tickEvery) {
+		beats := m.now.Sub(m.beaten) >= heartbeatEvery
+		if beats {
+			m.beaten = m.now
+		}
+		for i := range len(m.nodes) {
+			name := fmt.Sprintf("entry-%d", i)
+			if m.cut[name] {
+				continue
+			}
+			m.nodes[name].tick(m.now)
+			if beats {
+				m.nodes[name].heartbeat(m.now)
+			}
+		}
+	}
 }
 
 // configOf makes a configuration whose text is its version.
@@ -304,6 +334,48 @@
 	require.NotEqual(t, owner, a.owner)
 }
 
+// The entry that collects loses power under load, and the asks that it leaves without a word are moved to the next one well
+// before anybody believes that it is gone. That one must keep them, though another is still said to have the duty: given back
+// and asked for at ever further entries, which gave them back too, they were collected by dozens at once, whose calls the
+// endpoints turned away for five seconds.
+func TestAsksOfADeadCollectorGoToOneOther(t *testing.T) {
+	for _, n := range []int{9, 87} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			m := newMeshIn(t, n, 3, func(string) int { return 1000 })
+			m.now = time.Now()
+			m.step(time.Second)
+			dead, _ := m.nodes["entry-0"].owner("encode", nil)
+			collecting := make(map[string]bool)
+			m.cut[dead] = true
+			for i := range 40 {
+				for name, f := range m.nodes {
+					if name == dead {
+						continue
+					}
+					f.locked(func() []func() { return f.begin(newAsk("encode", groupOf(name, i, m.now)), m.now) })
+				}
+				m.step(100 * time.Millisecond)
+				for name, f := range m.nodes {
+					if p, found := f.pools["encode"]; found && p.Waiting() > 0 && name != dead {
+						collecting[name] = true
+					}
+				}
+			}
+			require.Len(t, collecting, 1, "collected at %v", slices.Sorted(maps.Keys(collecting)))
+		})
+	}
+}
+
+// groupOf is a group of one of an entry's requests.
+func groupOf(origin string, i int, now time.Time) collector.Group {
+	return collector.Group{
+		ID:       collector.GroupID{Origin: origin, Request: fmt.Sprint(origin, i)},
+		Segments: []int{0, 1},
+		Due:      now.Add(time.Second),
+		Deadline: now.Add(10 * time.Hour),
+	}
+}
+
 func TestAddressesNameLiveEntries(t *testing.T) {
 	m := newMesh(t, 3)
 	addresses, ttl := m.nodes["entry-1"].Addresses("", "", time.Now())
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -185,8 +185,9 @@
 }
 
 // TakeMessage takes a message from the peer that proved the name.
-func (f *Forwarder) TakeMessage(from string, m carrier.Message) {
-	now := time.Now()
+func (f *Forwarder) TakeMessage(from string, m carrier.Message) { f.takeMessage(from, m, time.Now()) }
+
+func (f *Forwarder) takeMessage(from string, m carrier.Message, now time.Time) {
 	switch m := m.(type) {
 	case *carrier.Heartbeat:
 		f.locked(func() []func() {
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -40,9 +40,13 @@
 	group   collector.Group
 	// left are the segments without a result.
 	left map[int]bool
-	// owner is the entry that was asked, avoid those that did not answer.
+	// owner is the entry that was asked, avoid those that did not answer, or the one that gave the pieces back.
 	owner string
 	avoid []string
+	// kept is set once an entry that was asked left it without a word: the next one keeps the pieces, whoever it takes for
+	// the one with the duty. It may not know yet that this one is gone; given back, the pieces would go on to a third entry
+	// and from there to a fourth, and dozens would fill the same endpoints at once.
+	kept  bool
 	sent  time.Time
 	taken bool
 	// moved is set when the owner stops and gives its pieces back.
@@ -58,6 +62,13 @@
 
 // askPieces asks for the pieces of one stage. The results come on the ask's channel.
 func (f *Forwarder) askPieces(service string, g collector.Group) *ask {
+	a := newAsk(service, g)
+	now := time.Now()
+	f.locked(func() []func() { return f.begin(a, now) })
+	return a
+}
+
+func newAsk(service string, g collector.Group) *ask {
 	a := &ask{
 		service: service,
 		group:   g,
@@ -68,14 +79,15 @@
 	for _, s := range g.Segments {
 		a.left[s] = true
 	}
-	now := time.Now()
-	f.locked(func() []func() {
-		f.asks[askID{g.ID.Request, g.ID.Stage}] = a
-		return f.place(a, now)
-	})
 	return a
 }
 
+// begin places an ask for the first time. The lock is held.
+func (f *Forwarder) begin(a *ask, now time.Time) []func() {
+	f.asks[askID{a.group.ID.Request, a.group.ID.Stage}] = a
+	return f.place(a, now)
+}
+
 // place gives an ask to the entry that collects. With no other one left, this entry does it itself. The lock is held.
 func (f *Forwarder) place(a *ask, now time.Time) []func() {
 	a.held = f.settling(now)
@@ -91,6 +103,7 @@
 	a.sent = now
 	a.taken = false
 	g := a.group
+	g.Kept = a.kept
 	g.Segments = make([]int, 0, len(a.left))
 	for _, s := range a.group.Segments {
 		if a.left[s] {
@@ -119,6 +132,7 @@
 		ResultBytes:    g.ResultBytes,
 		Zone:           g.Zone,
 		FarBytes:       g.FarBytes,
+		Kept:           g.Kept,
 		Regions:        g.Regions,
 		Holding:        g.Holding,
 		InputBytes:     g.InputBytes,
@@ -138,11 +152,17 @@
 			todo = append(todo, f.place(a, now)...)
 			continue
 		}
-		if !a.moved && !f.ownerFails(a, now) {
+		switch {
+		case a.moved:
+			// Those that were silent or stopped before may have the duty again.
+			a.moved = false
+			a.avoid = []string{a.owner}
+		case f.ownerFails(a, now):
+			a.kept = true
+			a.avoid = append(a.avoid, a.owner)
+		default:
 			continue
 		}
-		a.moved = false
-		a.avoid = append(a.avoid, a.owner)
 		todo = append(todo, f.place(a, now)...)
 	}
 	return todo
@@ -262,6 +282,7 @@
 		ResultBytes: m.ResultBytes,
 		Zone:        m.Zone,
 		FarBytes:    m.FarBytes,
+		Kept:        m.Kept,
 		Regions:     m.Regions,
 		Holding:     m.Holding,
 		InputBytes:  m.InputBytes,
