Send callers of entries that wait for the store back later

Ruled out: serving without a configuration (none is known by then). Change: an entry that knows nothing tells callers to come back after two seconds once the store has left it without an answer for 0.15 s or a reading has failed; before that within half a second, as at any start. Failed first: TestCallersOfAnEntryWithoutTheStoreComeBackLater (no such decision was there).

--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -119,9 +119,10 @@
 	}
 	x.f.mu.Lock()
 	catalog, known := x.f.catalog, x.f.registry.Known()
+	start := x.f.startReturn(x.began)
 	x.f.mu.Unlock()
 	if catalog == nil || !known {
-		return notRun("starting", soon())
+		return notRun("starting", start)
 	}
 	x.version = catalog.Version()
 	path, _, _ := strings.Cut(x.in.RequestURI, "?")
--- a/forwarder/openness_test.go
+++ b/forwarder/openness_test.go
@@ -1,12 +1,14 @@
 package forwarder
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"geraniumline/cataloger"
 	"geraniumline/evacuator"
@@ -68,6 +70,20 @@
 	}
 }
 
+// All entries have lost power, and the store is away when they are back. Nobody can serve before it answers, and a caller
+// tries once more: told to come back at once it is refused twice. An entry that starts while the store answers has it back
+// within a moment.
+func TestCallersOfAnEntryWithoutTheStoreComeBackLater(t *testing.T) {
+	now := time.Now()
+	f := New(Config{Name: "entry-0", Log: zap.NewNop()}, now)
+	require.Less(t, f.startReturn(now.Add(50*time.Millisecond)), time.Second)
+	require.GreaterOrEqual(t, f.startReturn(now.Add(storeAnswers)), storeAwayReturn)
+	f.StoreLost(errors.New("no answer"), now)
+	require.GreaterOrEqual(t, f.startReturn(now.Add(50*time.Millisecond)), storeAwayReturn)
+	f.StoreHeard(now)
+	require.Less(t, f.startReturn(now.Add(50*time.Millisecond)), time.Second)
+}
+
 func TestHomesOfRouteAndAccountBothBind(t *testing.T) {
 	for _, tc := range []struct {
 		name                 string
--- a/forwarder/wait.go
+++ b/forwarder/wait.go
@@ -91,5 +91,24 @@
 	return planner.ReturnAfter(poolView{f}.Load(service), rand.Float64())
 }
 
+const (
+	// storeAnswers is how long after its start an entry has heard the store, if that answers: some ten times its usual answer.
+	storeAnswers = 150 * time.Millisecond
+	// storeAwayReturn is when the caller of an entry that knows nothing comes back while the store is away. Most callers try
+	// once more: told to come back within a moment, all that came in an outage of three seconds were refused twice, and lost.
+	// Outages last for seconds; two of them leave most callers time for an answer.
+	storeAwayReturn = 2 * time.Second
+)
+
+// startReturn tells when a caller should come back to an entry that does not know the configuration or the endpoints yet: soon
+// after a start, later if the store has left it without an answer. The lock is held.
+func (f *Forwarder) startReturn(now time.Time) time.Duration {
+	load := planner.Load{}
+	if f.storeLost || now.Sub(f.began) >= storeAnswers {
+		load.Wait = storeAwayReturn
+	}
+	return planner.ReturnAfter(load, rand.Float64())
+}
+
 // soon tells a caller to come back within a moment.
 func soon() time.Duration { return planner.ReturnAfter(planner.Load{}, rand.Float64()) }
