Make stage results again for a stream that goes on at another engine

Cause: a model engine's inputs are given back with its first event. Where it then broke off and the stream could be resumed, the next engine was sent handles that no longer exist and refused (409), so that the caller was left with the beginning of its answer. Ruled out: keeping the results until the stream's end; they lapse after 4 s and bind the space of the last stages (86 results an endpoint).

--- a/assembler/forwarding_test.go
+++ b/assembler/forwarding_test.go
@@ -174,6 +174,29 @@
 	require.Len(t, f.runs("cut"), 1)
 }
 
+// An engine breaks off in the middle of a stream whose stage results it has had, and which were freed with its first event.
+// Another engine goes on with the stream, for which the results are made again; without them it would refuse, and the caller
+// be left with the beginning.
+func TestABrokenStreamWithStagesGoesOn(t *testing.T) {
+	f := newFleet(t, 2)
+	f.site.Endpoint("i-model-0").Fail(imitator.Halved, -1)
+	resumed := 0
+	for i := range 10 {
+		id := fmt.Sprintf("resumed-%d", i)
+		a := f.ask(i%2, imitator.ResumeStagesPath, id)
+		a.Pieces = "3,5"
+		reply := f.call(a)
+		require.False(t, reply.Cut)
+		require.Equal(t, stream(id, 5), reply.Body)
+		runs := f.runs(id)
+		for _, run := range runs {
+			require.Len(t, run.Inputs(), 5)
+		}
+		resumed += len(runs) - 1
+	}
+	require.Positive(t, resumed)
+}
+
 // An endpoint answers twice, or without a length. Each caller gets its own whole answer.
 func TestOddAnswersReachTheirOwnCaller(t *testing.T) {
 	f := newFleet(t, 1)
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -222,6 +222,29 @@
 	return true
 }
 
+// restore has the results made again that the request itself takes, where an endpoint that broke off has had them already.
+// Without them the next endpoint would refuse the rest of the stream, and its caller would be left with the beginning.
+func (s *stageWork) restore() *FailureError {
+	if !s.plan.LastFreed() {
+		return nil
+	}
+	now := time.Now()
+	firstBy := s.x.deadline
+	if patience := s.x.route.FirstEventPatience; patience > 0 && now.Add(patience).Before(firstBy) {
+		firstBy = now.Add(patience)
+	}
+	ended, freed, again := s.plan.RemakeLast(now.Add(s.x.route.Objective), firstBy)
+	if !again {
+		return notRun("stageResultGone", soon())
+	}
+	s.free(freed)
+	for _, i := range ended {
+		s.endAsk(i, false)
+	}
+	s.x.f.log.Info("stage results made again for another endpoint", zap.String("request", s.x.req.ID))
+	return s.run()
+}
+
 // endAsk ends a stage's ask. Results that have come and were not taken yet are kept if they are still of use.
 func (s *stageWork) endAsk(stage int, keep bool) {
 	a := s.asks[stage]
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -50,6 +50,9 @@
 		if !x.mayTryAgain() {
 			return x.giveUp("noEndpointTook")
 		}
+		if failure := stages.restore(); failure != nil {
+			return x.giveUp(failure.Reason)
+		}
 		choice, found := x.choose(selector.Ask{Parts: x.req.Parts, ZoneBytes: stages.plan.ZoneBytes()})
 		if !found {
 			return x.giveUp("noEndpoint")
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -262,6 +262,35 @@
 	return append(ended, stage), freed, true
 }
 
+// LastFreed tells whether results that the request itself takes were given back: another endpoint can't be sent it before they
+// are made again.
+func (p *Plan) LastFreed() bool {
+	return slices.ContainsFunc(p.last(), func(i int) bool { return p.stages[i].freed })
+}
+
+// RemakeLast has the results made again that the request itself takes and that were given back, to be due by other times than
+// before. It lists the stages that are no longer asked for, and tells whether it may be done.
+func (p *Plan) RemakeLast(due, firstBy time.Time) (ended []int, freed []Freed, again bool) {
+	if p.remakes >= maxRemakes {
+		return nil, nil, false
+	}
+	p.remakes++
+	p.cfg.Due, p.cfg.FirstBy = due, firstBy
+	for _, stage := range p.last() {
+		if !p.stages[stage].freed {
+			continue
+		}
+		ended = append(ended, stage)
+		p.stages[stage].clear()
+		if slices.ContainsFunc(p.cfg.Stages[stage].After, func(i int) bool { return p.stages[i].freed }) {
+			moreEnded, moreFreed := p.resetInputs(stage)
+			ended = append(ended, moreEnded...)
+			freed = append(freed, moreFreed...)
+		}
+	}
+	return ended, freed, true
+}
+
 // resetInputs has the inputs of a stage made anew, and theirs where those were given back already.
 func (p *Plan) resetInputs(stage int) (ended []int, freed []Freed) {
 	for _, before := range p.cfg.Stages[stage].After {
