Rank the entries on small VMs among themselves

Cause: an entry on a small VM had as its rank the number of large VMs' entries plus its rank among those same entries, so that dozens shared one. Ruled out: readings by entries that are not told (one entry read the endpoints all the while). Change: those on small VMs are ranked among themselves, after all others. Failed first: TestSmallVMsTakeDutiesUpOneAfterTheOther (11 entries of rank 6).

--- a/forwarder/duty.go
+++ b/forwarder/duty.go
@@ -80,12 +80,13 @@
 // is held.
 func (f *Forwarder) owner(duty string, avoid []string) (string, bool) {
 	if len(avoid) > 0 {
-		return hasher.Owner(duty, without(f.able(avoid), f.busyFor(duty)))
+		able, _ := f.able(avoid)
+		return hasher.Owner(duty, without(able, f.busyFor(duty)))
 	}
 	if f.duties.owners == nil {
 		f.duties.owners = make(map[string]string)
 		f.duties.ranks = make(map[string]int)
-		f.duties.able = f.able(nil)
+		f.duties.able, f.duties.small = f.able(nil)
 	}
 	if owner, found := f.duties.owners[duty]; found {
 		return owner, owner != ""
@@ -137,7 +138,8 @@
 	}
 	rank := hasher.Rank(duty, f.duties.able, f.cfg.Name)
 	if !slices.Contains(f.duties.able, f.cfg.Name) {
-		rank += len(f.duties.able)
+		// Ranked among the large VMs' entries, dozens of small ones would have the same rank and take a duty up together.
+		rank = len(f.duties.able) + hasher.Rank(duty, f.duties.small, f.cfg.Name)
 	}
 	f.duties.ranks[duty] = rank
 	return rank
@@ -146,7 +148,9 @@
 // duties remembers which entries can have duties and who has which, until something that decides it changes: it is asked
 // for each ask, each freed result and each tick of each pool.
 type duties struct {
+	// able are on large VMs, small are all others that live.
 	able   []string
+	small  []string
 	owners map[string]string
 	ranks  map[string]int
 }
@@ -160,8 +164,8 @@
 	return m.State == detector.Live || f.catalog == nil && m.State == detector.Suspect
 }
 
-// able names the live entries on large VMs, but for those to avoid. The lock is held.
-func (f *Forwarder) able(avoid []string) []string {
+// able names the live entries on large VMs, but for those to avoid, and those on small ones. The lock is held.
+func (f *Forwarder) able(avoid []string) (large, small []string) {
 	var live []detector.Member
 	largest := int32(0)
 	for _, m := range f.detector.Members() {
@@ -171,11 +175,12 @@
 		live = append(live, m)
 		largest = max(largest, m.Capacity)
 	}
-	var names []string
 	for _, m := range live {
 		if 2*m.Capacity >= largest {
-			names = append(names, m.Name)
+			large = append(large, m.Name)
+		} else {
+			small = append(small, m.Name)
 		}
 	}
-	return names
+	return large, small
 }
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -263,6 +263,30 @@
 	require.Equal(t, configReaders, reading(silent.Add(5*rankStep)), "one was answered")
 }
 
+// Six of 65 entries are on large VMs, which have the duties first. The configuration is followed by eight all the same, the two
+// others being those that come next: where small VMs' entries shared ranks, 43 of them asked the store every four seconds, and
+// all of them at once in its outages.
+func TestSmallVMsTakeDutiesUpOneAfterTheOther(t *testing.T) {
+	m := newMeshIn(t, 65, 3, func(name string) int {
+		if len(name) == len("entry-0") && name <= "entry-5" {
+			return 800
+		}
+		return 192
+	})
+	for range 8 {
+		m.beat(1)
+	}
+	ranks := make(map[int]int)
+	for _, f := range m.nodes {
+		f.mu.Lock()
+		ranks[f.rank(configDuty)]++
+		f.mu.Unlock()
+	}
+	for rank := range 65 {
+		require.Equal(t, 1, ranks[rank], "entries of rank %d", rank)
+	}
+}
+
 // A stale read brings an older configuration, with a key that was withdrawn since.
 func TestAConfigurationNeverGoesBack(t *testing.T) {
 	m := newMesh(t, 1)
