Collect large services by availability zones

Cause: one entry collects for a service. Some 2,000 streams a second ask for 38,000 pieces a second at the last stage. Ruled out: heartbeats (0.5 ms of processor time a round at 300 entries, 1.2 kB each), processor time of the other entries (46% of their share at the middle).

Change: divider. From 48 endpoints on a service is collected by zones; a request's pieces go to the pool where their inputs lie or the model engine is, else where its id is drawn by endpoints, else to the shortest wait. A pool's duty stays in its zone. An entry that hears of a divided pool divides. Failed first: TestALargeServiceIsCollectedByZones, the divider's tests.

--- a/assembler/openness_test.go
+++ b/assembler/openness_test.go
@@ -166,3 +166,54 @@
 	require.False(t, f.site.Endpoint(cold).Overrun())
 	require.Positive(t, f.site.Endpoint(cold).ColdArrivals())
 }
+
+// A stage's service has so many endpoints that it is collected by zones. Each request's pieces are made in one zone, both zones
+// are used, and an evacuation of one sends all to the other.
+func TestALargeServiceIsCollectedByZones(t *testing.T) {
+	f := newFleet(t, 3)
+	zones := map[string]string{}
+	for i := range 50 {
+		id := fmt.Sprintf("i-encode-more-%d", i)
+		f.site.Zones[id] = []string{imitator.ZoneA, imitator.ZoneB}[i%2]
+		f.site.Start(id, "encode", imitator.Stage)
+	}
+	for _, e := range f.site.Endpoints {
+		zones[e.ID] = f.site.Zones[e.ID]
+	}
+	made := func(attempt string) map[string]int {
+		in := map[string]int{}
+		for _, e := range f.site.Endpoints {
+			in[zones[e.ID]] += len(e.PieceInputs(attempt, 0))
+		}
+		return in
+	}
+	used := func(name string) map[string]int {
+		all := map[string]int{}
+		for i := range 12 {
+			a := f.ask(i%3, imitator.StagesPath, fmt.Sprintf("%s-%d", name, i))
+			a.Pieces = "6,2"
+			require.Equal(t, http.StatusOK, f.call(a).Status)
+			in := made(a.ID)
+			if len(in) == 1 || in[imitator.ZoneB] == 6 || in[imitator.ZoneB] == 0 {
+				all["whole"]++
+			}
+			if in[imitator.ZoneB] > 0 {
+				all[imitator.ZoneB]++
+			} else {
+				all[imitator.ZoneA]++
+			}
+		}
+		return all
+	}
+	round := 0
+	require.Eventually(t, func() bool {
+		round++
+		all := used(fmt.Sprint("both", round))
+		return all["whole"] == 12 && all[imitator.ZoneA] > 0 && all[imitator.ZoneB] > 0
+	}, forwardPatience, 20*time.Millisecond)
+	f.site.Evacuate(imitator.ZoneB)
+	require.Eventually(t, func() bool {
+		round++
+		return used(fmt.Sprint("one", round))[imitator.ZoneB] == 0
+	}, forwardPatience, 20*time.Millisecond)
+}
--- /dev/null
+++ b/divider/divider_test.go
@@ -0,0 +1,109 @@
+package divider
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/registrar"
+)
+
+// endpoints makes so many endpoints of the service in each zone.
+func endpoints(service string, inZone ...int) []registrar.Endpoint {
+	var list []registrar.Endpoint
+	for zone, n := range inZone {
+		for i := range n {
+			list = append(list, registrar.Endpoint{ID: fmt.Sprint(zone, "-", i), Service: service, Zone: fmt.Sprintf("z%d", zone)})
+		}
+	}
+	return list
+}
+
+func idle(Pool) time.Duration { return 0 }
+
+func TestNamesAreReadBack(t *testing.T) {
+	for _, p := range []Pool{{Service: "encode"}, {Service: "encode", Zone: "z0"}, {Service: "a@b"}, {Service: "a@b", Zone: "z0"}, {Service: "a%40b+c"}} {
+		require.Equal(t, p, Parse(p.String()))
+	}
+	require.Equal(t, Pool{Service: "%zz"}, Parse("%zz"))
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("encode", "z0")
+	f.Fuzz(func(t *testing.T, service, zone string) {
+		p := Pool{Service: service, Zone: zone}
+		require.Equal(t, p, Parse(p.String()))
+	})
+}
+
+func TestLargeServicesAreDividedByZones(t *testing.T) {
+	d := New()
+	set := func(inZone ...int) int {
+		list := endpoints("s", inZone...)
+		d.SetEndpoints(list, list)
+		return len(d.Pools("s"))
+	}
+	require.Equal(t, 1, set(6, 6, 6))
+	require.Equal(t, 1, set(divideFrom+1), "one zone")
+	require.Equal(t, 1, set(divideFrom, leastInZone-1), "a zone with few endpoints")
+	require.Equal(t, 3, set(divideFrom/3, divideFrom/3, divideFrom/3))
+	require.Equal(t, 3, set(divideFrom/3-1, divideFrom/3, divideFrom/3), "one that leaves does not join it")
+	require.Equal(t, 1, set(2, 2, joinBelow-5))
+	d.Told("s")
+	require.Equal(t, 1, set(2, 2, joinBelow-5), "a peer's word does not divide what is small")
+	require.Equal(t, 1, set(joinBelow/3, joinBelow/3, joinBelow/3))
+	d.Told("s")
+	require.Equal(t, 3, set(joinBelow/3, joinBelow/3, joinBelow/3), "one that a peer has divided")
+	require.Equal(t, []Pool{{Service: "other"}}, d.Pools("other"))
+}
+
+// A zone is evacuated. The others stay as they are, and the zone gets nothing: collected anew, all that waits anywhere would
+// move at the moment when there is least to serve it.
+func TestAnEvacuationMovesNoOtherZone(t *testing.T) {
+	d := New()
+	all := endpoints("s", 20, 20, 20)
+	d.SetEndpoints(all, all[20:])
+	require.Equal(t, []Pool{{"s", "z1"}, {"s", "z2"}}, d.Pools("s"))
+	for draw := range uint64(100) {
+		require.NotEqual(t, "z0", d.Choose(Ask{Service: "s", Draw: draw, Near: "z0"}, idle).Zone)
+	}
+}
+
+// Requests are spread by the endpoints of the zones, and the stages of one are done in one zone as far as each has endpoints.
+func TestWorkIsSpreadByEndpoints(t *testing.T) {
+	d := New()
+	all := append(endpoints("first", 24, 12, 12), endpoints("second", 40, 20, 20)...)
+	d.SetEndpoints(all, all)
+	in := make(map[string]int)
+	const draws = 10_000
+	for draw := range uint64(draws) {
+		first := d.Choose(Ask{Service: "first", Draw: draw}, idle)
+		require.Equal(t, first.Zone, d.Choose(Ask{Service: "second", Draw: draw}, idle).Zone)
+		in[first.Zone]++
+	}
+	require.InDelta(t, draws/2, in["z0"], draws/50)
+	require.InDelta(t, draws/4, in["z1"], draws/50)
+	require.Equal(t, "z2", d.Choose(Ask{Service: "first", Near: "z2"}, idle).Zone)
+}
+
+// One zone has lost endpoints and a queue grows there. What comes goes to the others once its wait is longer by the patience,
+// and not before.
+func TestALoadedZoneIsPassedOver(t *testing.T) {
+	d := New()
+	all := endpoints("s", 20, 20, 20)
+	d.SetEndpoints(all, all)
+	queue := time.Duration(0)
+	wait := func(p Pool) time.Duration {
+		if p.Zone == "z0" {
+			return queue
+		}
+		return 0
+	}
+	ask := Ask{Service: "s", Near: "z0", Patience: 100 * time.Millisecond}
+	queue = 100 * time.Millisecond
+	require.Equal(t, "z0", d.Choose(ask, wait).Zone)
+	queue = 101 * time.Millisecond
+	require.NotEqual(t, "z0", d.Choose(ask, wait).Zone)
+}
--- a/forwarder/duty.go
+++ b/forwarder/duty.go
@@ -6,6 +6,7 @@
 
 	"geraniumline/collector"
 	"geraniumline/detector"
+	"geraniumline/divider"
 	"geraniumline/hasher"
 	"geraniumline/switcher"
 )
@@ -81,7 +82,7 @@
 func (f *Forwarder) owner(duty string, avoid []string) (string, bool) {
 	if len(avoid) > 0 {
 		able, _ := f.able(avoid)
-		return hasher.Owner(duty, without(able, f.busyFor(duty)))
+		return hasher.Owner(duty, without(f.inZoneOf(duty, able), f.busyFor(duty)))
 	}
 	if f.duties.owners == nil {
 		f.duties.owners = make(map[string]string)
@@ -91,7 +92,7 @@
 	if owner, found := f.duties.owners[duty]; found {
 		return owner, owner != ""
 	}
-	owner, found := hasher.Owner(duty, without(f.duties.able, f.busyFor(duty)))
+	owner, found := hasher.Owner(duty, without(f.inZoneOf(duty, f.duties.able), f.busyFor(duty)))
 	f.duties.owners[duty] = owner
 	return owner, found
 }
@@ -103,18 +104,35 @@
 	if f.catalog == nil {
 		return nil
 	}
-	services := f.catalog.StageServices()
-	place := slices.Index(services, duty)
-	if place < 0 {
-		return nil
-	}
 	var busy []string
-	for _, service := range services[:place] {
-		if owner, known := f.owner(service, nil); known {
-			busy = append(busy, owner)
+	for _, service := range f.catalog.StageServices() {
+		for _, pool := range f.divider.Pools(service) {
+			if pool.String() == duty {
+				return busy
+			}
+			if owner, known := f.owner(pool.String(), nil); known {
+				busy = append(busy, owner)
+			}
 		}
 	}
-	return busy
+	return nil
+}
+
+// inZoneOf leaves the entries in the zone whose endpoints a duty collects for, if there are any: calls and frees stay in the
+// zone, and a zone that is lost takes no other zone's collecting entry with it. The lock is held.
+func (f *Forwarder) inZoneOf(duty string, names []string) []string {
+	zone := divider.Parse(duty).Zone
+	if zone == "" {
+		return names
+	}
+	near := slices.DeleteFunc(slices.Clone(names), func(name string) bool {
+		m, known := f.detector.Member(name)
+		return !known || m.Zone != zone
+	})
+	if len(near) == 0 {
+		return names
+	}
+	return near
 }
 
 // without leaves names out, if any other is left.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"geraniumline/collector"
 	"geraniumline/connector"
 	"geraniumline/detector"
+	"geraniumline/divider"
 	"geraniumline/ejector"
 	"geraniumline/evacuator"
 	"geraniumline/meter"
@@ -122,8 +123,10 @@
 	evacuator *evacuator.Evacuator
 	warmer    *warmer.Warmer
 	openness  openness
-	pools     map[string]*collector.Pool
-	asks      map[askID]*ask
+	// divider says by which pools the stages' services are collected.
+	divider *divider.Divider
+	pools   map[string]*collector.Pool
+	asks    map[askID]*ask
 	// waits are the newest words on the stage pools that peers collect for.
 	waits map[string]stageWait
 	// workAt is when each peer's word on its work came.
@@ -202,6 +205,7 @@
 		quarantiner: quarantiner.New(quarantiner.Config{}),
 		evacuator:   evacuator.New(),
 		warmer:      gate,
+		divider:     divider.New(),
 		round:       int(uint32(xxhash.Sum64String(cfg.Name))),
 
 		pools: make(map[string]*collector.Pool),
--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -9,6 +9,7 @@
 
 	"geraniumline/cataloger"
 	"geraniumline/collector"
+	"geraniumline/divider"
 	"geraniumline/registrar"
 )
 
@@ -39,8 +40,8 @@
 	f.raw = data
 	f.behindSince = time.Time{}
 	f.registry.SetServices(slices.Collect(maps.Keys(catalog.Services())))
-	for service, p := range f.pools {
-		if s, known := catalog.Service(service); known && s.Stage != nil {
+	for name, p := range f.pools {
+		if s, known := f.stageService(divider.Parse(name).Service); known {
 			p.SetStage(*s.Stage)
 		}
 	}
@@ -114,35 +115,31 @@
 	if f.catalog == nil {
 		return nil
 	}
+	f.duties.forget()
 	var direct []registrar.Endpoint
-	byStage := make(map[string][]registrar.Endpoint)
 	for _, e := range usable {
-		service, known := f.catalog.Service(e.Service)
-		if known && service.Stage != nil {
-			byStage[e.Service] = append(byStage[e.Service], e)
-			continue
+		if _, isStage := f.stageService(e.Service); !isStage {
+			direct = append(direct, e)
 		}
-		direct = append(direct, e)
 	}
 	f.selector.SetEndpoints(direct)
 	var todo []func()
-	for service, p := range f.pools {
-		evacuated := !f.openness.serves(service, nil)
-		effects := p.Reduce(collector.EndpointsChanged{Endpoints: byStage[service], Evacuated: evacuated}, now)
-		todo = append(todo, f.performAll(service, p, effects)...)
+	for name, p := range f.pools {
+		todo = append(todo, f.performAll(name, p, p.Reduce(f.endpointsOf(name, usable), now))...)
 	}
 	return todo
 }
 
-// stageEndpoints lists the endpoints of a stage's service that may get new work. The lock is held.
-func (f *Forwarder) stageEndpoints(service string, now time.Time) []registrar.Endpoint {
-	var list []registrar.Endpoint
-	for _, e := range f.usable(now) {
-		if e.Service == service {
-			list = append(list, e)
+// endpointsOf gives the endpoints of a pool that may get new work. The lock is held.
+func (f *Forwarder) endpointsOf(pool string, usable []registrar.Endpoint) collector.EndpointsChanged {
+	own := divider.Parse(pool)
+	changed := collector.EndpointsChanged{Evacuated: !f.openness.serves(own.Service, nil)}
+	for i := range usable {
+		if own.Takes(&usable[i]) {
+			changed.Endpoints = append(changed.Endpoints, usable[i])
 		}
 	}
-	return list
+	return changed
 }
 
 // stageService gives what the configuration says of a stage's service. The lock is held.
--- a/forwarder/openness.go
+++ b/forwarder/openness.go
@@ -58,6 +58,7 @@
 		f.openness.open[e.Service][e.Region]++
 		list = append(list, e)
 	}
+	f.divider.SetEndpoints(all, list)
 	return list
 }
 
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -8,6 +8,7 @@
 	"geraniumline/carrier"
 	"geraniumline/collector"
 	"geraniumline/detector"
+	"geraniumline/divider"
 	"geraniumline/meter"
 	"geraniumline/switcher"
 )
@@ -249,18 +250,18 @@
 	return f.performAll(service, p, p.Reduce(ev, now))
 }
 
-func (f *Forwarder) pool(service string, now time.Time) (*collector.Pool, bool) {
-	if p, known := f.pools[service]; known {
+// pool gives this entry's pool of the name, a new one if need be. The lock is held.
+func (f *Forwarder) pool(name string, now time.Time) (*collector.Pool, bool) {
+	if p, known := f.pools[name]; known {
 		return p, true
 	}
-	s, known := f.stageService(service)
+	s, known := f.stageService(divider.Parse(name).Service)
 	if !known {
 		return nil, false
 	}
-	p := collector.New(collector.Config{Service: service, Stage: *s.Stage, Ejector: ejectorConfig(f.cfg.Off), Off: f.cfg.Off})
-	endpoints := f.stageEndpoints(service, now)
-	p.Reduce(collector.EndpointsChanged{Endpoints: endpoints, Evacuated: !f.openness.serves(service, nil)}, now)
-	f.pools[service] = p
+	p := collector.New(collector.Config{Service: name, Stage: *s.Stage, Ejector: ejectorConfig(f.cfg.Off), Off: f.cfg.Off})
+	p.Reduce(f.endpointsOf(name, f.usable(now)), now)
+	f.pools[name] = p
 	return p, true
 }
 
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -4,10 +4,12 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"geraniumline/cataloger"
 	"geraniumline/collector"
+	"geraniumline/divider"
 	"geraniumline/planner"
 )
 
@@ -16,6 +18,8 @@
 	x    *exchange
 	plan *planner.Plan
 	view poolView
+	// pools are the names of those that each stage was last asked for at.
+	pools []string
 	// asks are the latest for each stage; nil before it.
 	asks []*ask
 	// mu guards the giving back of what the request itself takes, which a timer does too. sent counts the times that the
@@ -39,9 +43,10 @@
 	modelTime := x.f.selector.FirstEvent(x.service.Name, x.req.Parts)
 	x.f.mu.Unlock()
 	return &stageWork{
-		x:    x,
-		view: poolView{x.f},
-		asks: make([]*ask, len(x.route.Stages)),
+		x:     x,
+		view:  poolView{f: x.f, draw: xxhash.Sum64String(x.req.ID), near: homeZone, asked: make(map[string]string)},
+		pools: make([]string, len(x.route.Stages)),
+		asks:  make([]*ask, len(x.route.Stages)),
 		plan: planner.New(planner.Config{
 			Origin:    x.f.cfg.Name,
 			Request:   x.req.ID,
@@ -60,8 +65,15 @@
 	}
 }
 
-// poolView is what this entry knows of the stages' pools.
-type poolView struct{ f *Forwarder }
+// poolView is what this entry knows of the stages' pools that a request's pieces would be asked for at.
+type poolView struct {
+	f *Forwarder
+	// draw and near choose among the pools of a service.
+	draw uint64
+	near string
+	// asked are the pools by service that the request's pieces were asked for at.
+	asked map[string]string
+}
 
 // Pool implements planner.View.
 func (v poolView) Pool(service string) (cataloger.StagePool, bool) {
@@ -78,7 +90,56 @@
 func (v poolView) Load(service string) planner.Load {
 	v.f.mu.Lock()
 	defer v.f.mu.Unlock()
-	return v.f.poolLoad(service, time.Now())
+	now := time.Now()
+	pool, asked := v.asked[service]
+	if !asked {
+		pool = v.pool(service, now)
+	}
+	return v.f.poolLoad(pool, now)
+}
+
+// pool names the pool that pieces of a service are asked for at now. The lock is held.
+func (v poolView) pool(service string, now time.Time) string {
+	return v.poolNear(service, v.near, 0, now)
+}
+
+const (
+	// farPieces is what must cross zones for a request's pieces to wait longer for the pool in the zone where they should be
+	// made, in bytes.
+	farPieces = 500_000
+	// nearCalls and farCalls are how many full calls longer than elsewhere pieces wait there: with less and with more than that
+	// to cross zones. Two calls are most of what an objective leaves beside the calls themselves.
+	nearCalls = 0.5
+	farCalls  = 2
+)
+
+// poolNear names the pool for pieces that should be made in a zone, and of which so many bytes cross zones elsewhere. The lock is
+// held.
+func (v poolView) poolNear(service, near string, farBytes int64, now time.Time) string {
+	calls := nearCalls
+	if farBytes >= farPieces {
+		calls = farCalls
+	}
+	patience := time.Duration(0)
+	if s, known := v.f.stageService(service); known {
+		patience = time.Duration(calls * float64(s.Stage.CallDuration(s.Stage.Batch)))
+	}
+	ask := divider.Ask{Service: service, Draw: v.draw, Near: near, Patience: patience}
+	chosen := v.f.divider.Choose(ask, func(p divider.Pool) time.Duration {
+		return v.f.poolLoad(p.String(), now).Wait
+	})
+	return chosen.String()
+}
+
+// poolOf names the pool that a group of pieces of a service is asked for at.
+func (v poolView) poolOf(service string, g *collector.Group, now time.Time) string {
+	near := g.Zone
+	if near == "" {
+		near = v.near
+	}
+	v.f.mu.Lock()
+	defer v.f.mu.Unlock()
+	return v.poolNear(service, near, g.FarBytes, now)
 }
 
 // checkTime refuses a request whose first event can't come before its caller leaves.
@@ -87,7 +148,7 @@
 	if !over {
 		return nil
 	}
-	return notRun("overload", s.x.f.comeBack(service))
+	return notRun("overload", s.view.comeBack(service))
 }
 
 // run has all stages done, each as soon as those before it are.
@@ -136,7 +197,9 @@
 // askFor asks for a stage's pieces.
 func (s *stageWork) askFor(stage int, now time.Time) {
 	g := s.plan.Ask(stage, s.view, now)
-	service := s.plan.Service(stage)
+	service := s.view.poolOf(s.plan.Service(stage), &g, now)
+	s.pools[stage] = service
+	s.view.asked[s.plan.Service(stage)] = service
 	s.asks[stage] = s.x.f.askPieces(service, g)
 	s.x.f.note("stage asked for",
 		zap.String("request", s.x.req.ID),
@@ -206,11 +269,11 @@
 		zap.String("service", service),
 		zap.String("collector", s.x.f.ownerOf(end.ask)),
 		zap.Stringer("reason", end.Result.Reason),
-		zap.Duration("waits", s.x.f.waitOf(service)))
+		zap.Duration("waits", s.view.Load(service).Wait))
 	if end.Result.Reason == collector.Evacuated {
 		return notRun("stageevacuated", evacuatedReturn)
 	}
-	return notRun("stage"+end.Result.Reason.String(), s.x.f.comeBack(service))
+	return notRun("stage"+end.Result.Reason.String(), s.view.comeBack(service))
 }
 
 // remake has lapsed inputs of a stage made again.
@@ -307,12 +370,12 @@
 	if d.Result.Handle == "" {
 		return
 	}
-	s.x.f.freePieces(s.plan.Service(stage), []collector.Made{{Handle: d.Result.Handle, Address: d.Address}})
+	s.x.f.freePieces(s.pools[stage], []collector.Made{{Handle: d.Result.Handle, Address: d.Address}})
 }
 
 func (s *stageWork) free(freed []planner.Freed) {
 	for _, f := range freed {
-		s.x.f.freePieces(f.Service, f.Made)
+		s.x.f.freePieces(s.pools[f.Stage], f.Made)
 	}
 }
 
--- a/forwarder/wait.go
+++ b/forwarder/wait.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"geraniumline/carrier"
+	"geraniumline/divider"
 	"geraniumline/planner"
 )
 
@@ -54,6 +55,9 @@
 // of a peer, 0.22 s at the mean. The lock is held.
 func (f *Forwarder) takeStageWaits(list []carrier.StageWait, now time.Time) {
 	for _, s := range list {
+		if pool := divider.Parse(s.Service); pool.Zone != "" {
+			f.divider.Told(pool.Service)
+		}
 		at := now.Add(-time.Duration(s.AgeMillis) * time.Millisecond)
 		if known, found := f.waits[s.Service]; found && !at.After(known.at) {
 			continue
@@ -82,13 +86,10 @@
 	return planner.Load{}
 }
 
-// waitOf predicts how long pieces of a service wait at the entry that collects them.
-func (f *Forwarder) waitOf(service string) time.Duration { return poolView{f}.Load(service).Wait }
-
 // comeBack tells when a refused caller should come back: once what waits now is done, spread so that callers who were
 // refused together do not come back together.
-func (f *Forwarder) comeBack(service string) time.Duration {
-	return planner.ReturnAfter(poolView{f}.Load(service), rand.Float64())
+func (v poolView) comeBack(service string) time.Duration {
+	return planner.ReturnAfter(v.Load(service), rand.Float64())
 }
 
 const (
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -68,6 +68,7 @@
 // Freed are results of one stage that nothing needs any more.
 type Freed struct {
 	Service string
+	Stage   int
 	Made    []collector.Made
 }
 
@@ -358,7 +359,7 @@
 	if len(made) == 0 {
 		return nil
 	}
-	return []Freed{{Service: p.Service(stage), Made: made}}
+	return []Freed{{Service: p.Service(stage), Stage: stage, Made: made}}
 }
 
 // FreeLast gives back what the request itself took.
--- a/planner/plan_test.go
+++ b/planner/plan_test.go
@@ -118,7 +118,7 @@
 	require.True(t, rank.TellRead)
 	require.Empty(t, p.InputsRead(2, pools{"rank": {Wait: time.Millisecond}}), "the ranking has a backlog")
 	freed := p.InputsRead(2, view)
-	require.Equal(t, []Freed{{Service: "lookup", Made: []collector.Made{{Handle: handle(1, 0), Address: "maker"}}}}, freed)
+	require.Equal(t, []Freed{{Service: "lookup", Stage: 1, Made: []collector.Made{{Handle: handle(1, 0), Address: "maker"}}}}, freed)
 	rank.Segments = rank.Segments[:5]
 	require.Empty(t, makeAll(p, rank, "z"))
 	ended, freed, again := p.Remake(2)
