Send nothing to a zone none of whose entries is heard

An entry that hears nobody is cut off from its peers alone and goes on as before. Failed first: TestALostZoneIsNotSentTo (endpoints of the zone stay in use).

--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -52,6 +52,9 @@
 	work := f.work()
 	questions := f.questions(now)
 	todo := f.takeTransitions(transitions, now)
+	if f.findLostZones(now) {
+		todo = append(todo, f.endpointsChanged(now)...)
+	}
 	f.mu.Unlock()
 	run(todo)
 	for _, address := range beatTargets {
