--- a/collector/call.go
+++ b/collector/call.go
@@ -176,8 +176,7 @@
 
 // nearFirst puts those groups first, of the ones that would all be in calls within about a call's time, whose results are
 // wanted in the endpoint's zone. While pieces wait, an endpoint that takes the first of the queue makes over half of them in
-// another zone; with this a third fewer bytes cross zones, and 0.010 of the worth of days with bursts is gained (40 pairs of
-// runs of nine entries).
+// another zone, and all inputs cross with them.
 func (p *Pool) nearFirst(e *endpoint, waiting []*group) []*group {
 	if p.cfg.Off.Has(switcher.NearFirst) {
 		return waiting
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -28,8 +28,7 @@
 	// patienceMargin covers the way there and back and the fetching of inputs.
 	patienceMargin = 60 * time.Millisecond
 	// roomShare is the part of an endpoint's space that is planned for: the sizes of results are approximate, and a
-	// piece that finds no space is made a call later than the others of its group. Planning for 0.95 raises the mean
-	// worth of days with bursts by about 0.006 against all of it (two plays of 12 days each).
+	// piece that finds no space is made a call later than the others of its group.
 	roomShare = 0.95
 	// roomWait is how long a free endpoint may wait for space for half a call. A call takes long before its first
 	// piece: one that is sent with the few pieces that find space costs more of the endpoint than the wait.
@@ -40,15 +39,14 @@
 	// zone: the wait for the next free one takes half a call at most times, and one is for the call itself.
 	zoneSlack = 2.5
 	// expireEvery is how often groups are looked for that can't be made while more than backlogGroups wait, a tenth of a
-	// call; else it is at each tick. A backlog that was ordered every 10 ms took a collecting entry of half a core so much
-	// of it that its words came 0.5 s late.
+	// call; else it is at each tick. Ordered that often, a backlog takes so much of a collecting entry's processor that its
+	// words come late, and others are asked in its place.
 	expireEvery   = 30 * time.Millisecond
 	backlogGroups = 50
 	// overLife is how long after a group was last given up more is still believed to come than can be made: three calls.
 	overLife = time.Second
 	// zoneCalls is how much of each of a zone's next calls groups may fill that wait for them. What would wait for longer
-	// goes to other zones: endpoints there would stand idle beside a queue. Half gains 0.005 of the worth against waiting
-	// without a bound, and 0.011 against whole calls (20 pairs of runs each).
+	// goes to other zones: endpoints there would stand idle beside a queue.
 	zoneCalls = 0.5
 	// refusedPause is how long an endpoint that was full gets no call, about half of a usual one; each further refusal
 	// doubles it, up to maxPause. Another entry may collect for the same endpoints for a while, and two that ask again
--- a/collector/fetch.go
+++ b/collector/fetch.go
@@ -28,9 +28,7 @@
 }
 
 // tellRead tells entries whose groups' inputs are all fetched, so that they can give them back. In a surge the space for a
-// stage's results, and not its time, bounds it: a result lay there for 850 ms, of which the next stage needs it for some 30
-// after the wait for its turn. 0.010 of the worth of days with bursts is gained (20 pairs of runs of nine entries), and
-// over capacity 0.035 in model time.
+// stage's results, and not its time, bounds it: most of the time that a result lies there the next stage has read it already.
 func (p *Pool) tellRead(now time.Time) {
 	for _, c := range p.callsInOrder() {
 		if c.fetched || now.Before(c.fetchedAt) {
--- a/collector/group.go
+++ b/collector/group.go
@@ -197,8 +197,8 @@
 	return list
 }
 
-// place is what a group is ordered by. It is worked out once for each and not in each comparison: a backlog of 500 groups
-// is ordered in 0.21 ms and not in 0.64 (BenchmarkOrdered), and a loaded collecting entry orders it dozens of times a second.
+// place is what a group is ordered by. It is worked out once for each and not in each comparison: a loaded collecting entry
+// orders a backlog of hundreds of groups dozens of times a second.
 type place struct {
 	group *group
 	// rank puts groups of which a part is made before others, and among each those that yield behind those that don't.
@@ -236,7 +236,7 @@
 
 // turn is when a group is due among those of its rank. A late group that holds space is not put last, but lets others pass
 // for half of the time that its inputs live: put first, as the oldest of all, the late ones make those late too that could
-// still be on time (0.56 against 0.82 of a load of four thirds in time, in model time).
+// still be on time.
 func (p *Pool) turn(g *group, now time.Time) time.Time {
 	patient := g.arrived.Add(p.cfg.Stage.ResultTTL / 2)
 	if !p.cfg.Off.Has(switcher.LatePatience) && p.cannotBeInTime(g, now) && patient.After(g.Due) {
--- a/detector/gossip.go
+++ b/detector/gossip.go
@@ -30,9 +30,8 @@
 func (d *Detector) Spreads() bool { return !d.fullMesh() }
 
 // suspectAfter and deadAfter are the silences that doubt and end a member. Beyond the full mesh word of a step takes some
-// rounds: at 195 entries and 150 ms a heartbeat it is 0.22 s old at the mean and 0.72 s at the worst, 1.1 s where a tenth of
-// the frames is lost (TestALargeFleetDoubtsNobody). Judged by the times of a full mesh while word was older, live entries
-// flapped: 125,900 changes to suspect in 21 s, and 28 entries that took one duty at once.
+// rounds, more where frames are lost (TestALargeFleetDoubtsNobody). Judged by the times of a full mesh while word is older,
+// live entries flap, and many take one duty at once.
 func (d *Detector) suspectAfter() time.Duration {
 	if d.fullMesh() {
 		return d.cfg.SuspectAfter
@@ -49,8 +48,7 @@
 
 // told tells whether a heartbeat names the member. Beyond the full mesh each entry tells of its own availability zone, which
 // it knows best, and of those of other zones that it has just heard itself. So what is sent grows with the zone and not
-// with the fleet: 36 KB a second an entry at 195 entries in three zones (TestALargeFleetDoubtsNobody); a list of all members
-// to ten peers a round would take 187.
+// with the fleet.
 func (d *Detector) told(r *record, now time.Time) bool {
 	if r.member.State == Dead {
 		return false
--- a/forwarder/duty.go
+++ b/forwarder/duty.go
@@ -14,9 +14,8 @@
 const (
 	// settleTime is the longest that an entry waits after its start to hear its peers before it gives duties to anybody:
 	// four tries to reach a VM that is down. calmTime is how long no peer may have become live for it to give them sooner,
-	// two heartbeats. After a loss of all power each entry would else collect for itself: 39 of 70 calls found the endpoint
-	// full, and the rest held two pieces each. With handBack and sooner tries it gains 0.010 of the worth of days that end
-	// so (20 pairs of runs of nine entries).
+	// two heartbeats. After a loss of all power each entry would else collect for itself: calls find endpoints full, and the
+	// others hold a piece or two each.
 	settleTime = time.Second
 	calmTime   = 300 * time.Millisecond
 	// handBackAfter is how long another entry must have had a duty before this one gives its waiting pieces back: a peer
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -39,8 +39,8 @@
 	// suspectAfter and deadAfter are the silences after which a peer gets no work and is taken for dead.
 	suspectAfter = 700 * time.Millisecond
 	deadAfter    = 2 * time.Second
-	// spreadSuspectAfter and spreadDeadAfter are the same where word of a peer comes by others: the oldest word of a live
-	// one is 0.72 s old at 195 entries, and 1.11 s with a tenth of the frames lost.
+	// spreadSuspectAfter and spreadDeadAfter are the same where word of a peer comes by others: they leave room for the oldest
+	// word of a live one while a tenth of the frames is lost.
 	spreadSuspectAfter = 1200 * time.Millisecond
 	spreadDeadAfter    = 2500 * time.Millisecond
 	// probeEvery is how often seeds and peers that are not heard are tried: two heartbeats. After a loss of all power
@@ -48,9 +48,8 @@
 	probeEvery = 300 * time.Millisecond
 	// forgetAfter is how long a dead peer's name is kept.
 	forgetAfter = time.Minute
-	// fullMesh is up to how many entries each hears all others, directly or by lists of all. At 82 entries, lists of all to
-	// ten peers every 150 ms and the rest took 0.90 GB between zones in a day of 34 s, word by zones and the rest 0.40 GB
-	// (one run each).
+	// fullMesh is up to how many entries each hears all others, directly or by lists of all: what is sent between zones grows
+	// with the square of their number.
 	fullMesh = 64
 	// sweepEvery is how often idle connections are looked at.
 	sweepEvery = 500 * time.Millisecond
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -24,8 +24,8 @@
 	// askEvery is how often peers are asked.
 	askEvery = 500 * time.Millisecond
 	// askedPeers is how many peers an entry asks for their list of endpoints at a time. A store outage makes all
-	// entries ask at once; asked of all 75 peers, with whole lists as answers, that filled links of 10 Mbit/s, so that
-	// heartbeats were late and entries took each other for dead (35,700 changes of peers' states in 6 s).
+	// entries ask at once; asked of all peers, with whole lists as answers, that fills the links of small VMs, so that
+	// heartbeats are late and entries take each other for dead.
 	askedPeers = 3
 	// freshMargin is how much fresher a peer's word of the store must be to be passed on: nearly one reading.
 	freshMargin = 500 * time.Millisecond
--- a/forwarder/pieces.go
+++ b/forwarder/pieces.go
@@ -20,8 +20,7 @@
 	takenFactor   = 4
 	// heardPatience is the same while peers hear it: its words are late since it is loaded, or what is between the two is
 	// cut. Asking a second entry under load lets two of them fill the same endpoints, which turn away what they can't
-	// hold: in the burst of a day with 82 entries 31 of 94 calls of one second came from second ones, without any being
-	// lost; with 76 entries 53,607 of 62,354 calls of a day were turned away.
+	// hold.
 	heardPatience = 600 * time.Millisecond
 	// heardLately is how old the newest step of an entry may be that counts as heard: two heartbeats, and one for the way.
 	heardLately = 3 * heartbeatEvery
--- a/forwarder/reader.go
+++ b/forwarder/reader.go
@@ -21,15 +21,14 @@
 	configDuty = "config"
 	// configReaders is how many entries follow the configuration in the store; the others hear of a newer version from
 	// them. The store may turn entries away, and a key be withdrawn meanwhile, which must be in force everywhere within
-	// seconds: that it serves none of the eight, while it turns three of five entries away, has a chance of 1.7%. With
-	// eight entries or less each follows it.
+	// seconds: that it serves none of the eight, while it turns three of five entries away, has a chance of two in a hundred.
+	// With eight entries or less each follows it.
 	configReaders = 8
 	// configSilence is how old the newest word of the store on the configuration may be, which each reading gives every 4 s,
 	// before more entries read for themselves.
 	configSilence = 5 * time.Second
 	// rankStep is how much longer each further entry in the order of a duty waits before it takes the duty up. The first
-	// one that the store answers tells all others, so that in an outage of 8 s some 35 of 195 entries ask the store and
-	// not all.
+	// one that the store answers tells all others, so that in an outage a few entries ask the store and not all.
 	rankStep = 200 * time.Millisecond
 	// firstStartPatience is how long an entry waits for the word of its peers at the first start of all: until they have
 	// found each other, one has read, and its word has gone round.
--- a/forwarder/target.go
+++ b/forwarder/target.go
@@ -27,7 +27,7 @@
 }
 
 // shareOf gives the part of the peers that are told in this round. Told all in each round, what an entry sends grows
-// with the square of their number: 465 KB a second at 80 entries, 9 at 7. Each heartbeat carries the newest word on all
+// with the square of their number. Each heartbeat carries the newest word on all
 // members, so that one of a part each round still tells of everybody. Entries tell different parts in the same round:
 // told by all at once, a peer would hear nothing for the rounds between, and take everybody for dead.
 func (f *Forwarder) shareOf(targets []string, each int) []string {
--- a/forwarder/wait.go
+++ b/forwarder/wait.go
@@ -51,8 +51,8 @@
 }
 
 // takeStageWaits takes a peer's words on stage pools where they are newer than those known. Told by the collecting entry
-// alone, in 20 frames a round, its word would come to each of 195 entries once in 1.5 s; told on by all it is as old as word
-// of a peer, 0.22 s at the mean. The lock is held.
+// alone its word would come to each of many entries once in seconds; told on by all it is as old as word of a peer. The lock is
+// held.
 func (f *Forwarder) takeStageWaits(list []carrier.StageWait, now time.Time) {
 	for _, s := range list {
 		if pool := divider.Parse(s.Service); pool.Zone != "" {
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -203,7 +203,7 @@
 	g.Latest = g.Due
 	if len(cfg.After) == 0 {
 		// Later stages take the most urgent first, so that what groups take there at present says little of one that comes
-		// late. Judged by it, first stages put most groups last under a surge: 0.015 of the worth at 22 entries (20 pairs).
+		// late. Judged by it, first stages put most groups last under a surge.
 		g.Key = p.cfg.Key
 		g.Latest = p.cfg.Due.Add(-p.cfg.ModelTime - p.leastAfter(stage, view))
 	}
@@ -239,8 +239,7 @@
 
 // InputsRead notes that the inputs of a stage were fetched. They are of no more use unless a piece fails, one in some
 // hundred; they are then made again. While more waits at the stage than its next calls take they are kept all the same:
-// the space that they take keeps the stage before from making more than this one can use. Freed then too, results for
-// groups that will be late cost 0.04 of the worth of days where the last stage has the least capacity.
+// the space that they take keeps the stage before from making more than this one can use, for groups that will be late.
 func (p *Plan) InputsRead(stage int, view View) []Freed {
 	if view.Load(p.Service(stage)).Wait > 0 {
 		return nil
--- a/planner/timing.go
+++ b/planner/timing.go
@@ -115,9 +115,8 @@
 
 // tooEarly tells whether a stage's results would only take space until other stages of the request are done. Made as soon
 // as they can be, large results lie at their makers for as long as the longest way through the other stages takes, and for
-// seconds where the request waits there: the space is full while the endpoints are idle for a third of the time, and what
-// is given up at another stage has made them for nothing. In a play of a loaded day with 76 entries 0.59 of the credit was
-// earned with this and 0.51 without.
+// seconds where the request waits there: the space is full while the endpoints are idle, and what is given up at another
+// stage has made them for nothing.
 func (p *Plan) tooEarly(stage int, view View, now time.Time) bool {
 	if !slices.Contains(p.last(), stage) || !p.large(stage, view) || p.cfg.Off.Has(switcher.LargeLate) {
 		return false
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -141,8 +141,8 @@
 }
 
 // News gives those of the changes that say more than that an endpoint is still there, in their order. Endpoints write their
-// entries every second or so with nothing new but a count: those of 216 endpoints, told to 194 peers every 0.7 s, would take
-// some 16 Mbit/s of the reading entry's link (60 bytes each).
+// entries every second or so with nothing new but a count: told of all endpoints to all peers, those would fill the reading
+// entry's link.
 func (r *Registry) News(changes []Change) []Change {
 	named := make(map[string]bool)
 	for _, c := range changes {
