Split the tests of the mesh by subject, and start cut entries in one place

What two tests of entries without the store did alike is fleet.startCut. No test or assertion is changed.

--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -64,6 +64,15 @@
 	return f.startWith(startOptions{store: store})
 }
 
+// startCut starts one more entry, which the store leaves without an answer.
+func (f *fleet) startCut() *node {
+	f.t.Helper()
+	cut := imitator.NewStore()
+	cut.SetOutage(imitator.Silent)
+	f.t.Cleanup(cut.Close)
+	return f.start(cut.Address())
+}
+
 func (f *fleet) startWith(o startOptions) *node {
 	f.t.Helper()
 	var seeds []string
--- a/assembler/forwarding_test.go
+++ b/assembler/forwarding_test.go
@@ -255,10 +255,7 @@
 // the configuration, and of the endpoints, from its peers.
 func TestAnEntryWithoutTheStoreLearnsFromPeers(t *testing.T) {
 	f := newFleet(t, 2)
-	cut := imitator.NewStore()
-	cut.SetOutage(imitator.Silent)
-	defer cut.Close()
-	f.start(cut.Address())
+	f.startCut()
 	f.await()
 	require.Equal(t, http.StatusOK, f.call(f.ask(2, imitator.PlainPath, "before")).Status)
 	f.site.Tenants = []map[string]any{{"Name": "other", "ApiKeys": []string{"other-key"}}}
--- a/assembler/openness_test.go
+++ b/assembler/openness_test.go
@@ -56,10 +56,7 @@
 // callers notice nothing; afterwards they are used again. An entry that can't reach the store hears of both from its peers.
 func TestAnEvacuatedZoneGetsNothing(t *testing.T) {
 	f := newFleet(t, 2)
-	cut := imitator.NewStore()
-	cut.SetOutage(imitator.Silent)
-	defer cut.Close()
-	f.start(cut.Address())
+	f.startCut()
 	f.await()
 	f.splitZones(imitator.ZoneB)
 	for entry := range 3 {
--- /dev/null
+++ b/forwarder/duty_test.go
@@ -0,0 +1,191 @@
+package forwarder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/cataloger"
+	"geraniumline/registrar"
+)
+
+func (m *mesh) reader(now time.Time) []string {
+	var names []string
+	for name, f := range m.nodes {
+		if _, reads := f.ReadsEndpoints(now); reads {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// The entry that reads the store for all falls silent. The others must read for themselves before an endpoint's leaving
+// is two seconds old, and stop when they are told again.
+func TestOneEntryReadsTheStoreForAll(t *testing.T) {
+	m := newMesh(t, 3)
+	now := time.Now()
+	require.Len(t, m.reader(now), 1, "all have just read the list")
+	duty, _ := m.nodes["entry-0"].owner(readerDuty, nil)
+	m.nodes[duty].TakeEndpoints([]registrar.Change{endpointAt("a")}, 0, 4, now)
+	require.Equal(t, []string{duty}, m.reader(time.Now()))
+	for _, f := range m.nodes {
+		require.Equal(t, 1, f.selector.Count("plain"))
+		from, _ := f.ReadsEndpoints(now)
+		require.Equal(t, int64(4), from)
+	}
+	require.Len(t, m.reader(time.Now().Add(newsPatience-time.Millisecond)), 1)
+	require.Len(t, m.reader(time.Now().Add(newsPatience+rankStep)), 2, "the next one first: if the store answers it, it tells the others")
+	require.Len(t, m.reader(time.Now().Add(newsPatience+2*rankStep)), 3)
+
+	m.nodes[duty].TakeEndpoints([]registrar.Change{{ID: "a", Offset: 9}}, 9, 10, time.Now())
+	for name, f := range m.nodes {
+		want := 1
+		if name == duty {
+			want = 0
+		}
+		require.Equal(t, want, f.selector.Count("plain"), "news after a gap are of no use")
+	}
+}
+
+// The entry that reads for all is cut from the store while its peers still hear it. The next one takes the duty up, and
+// what it reads must end the wait of all: each that reads for itself is a call more to a store that serves few.
+func TestTheNextReaderTellsAll(t *testing.T) {
+	m := newMesh(t, 9)
+	duty, _ := m.nodes["entry-0"].owner(readerDuty, nil)
+	later := time.Now().Add(newsPatience + rankStep)
+	readers := m.reader(later)
+	require.Len(t, readers, 2)
+	for _, name := range readers {
+		if name != duty {
+			m.nodes[name].TakeEndpoints([]registrar.Change{endpointAt("a")}, 0, 4, later)
+		}
+	}
+	for name, f := range m.nodes {
+		require.Equal(t, 1, f.selector.Count("plain"), name)
+	}
+	require.Contains(t, m.reader(time.Now().Add(newsPatience+rankStep/2)), duty, "it asks on")
+}
+
+// Twenty entries, of which a few follow the configuration in the store. They are all cut from it without a word, and a
+// key is withdrawn meanwhile. Others must take the duty up one after the other, and the word of the first that the store
+// answers must be enough for all.
+func TestAFewFollowTheConfiguration(t *testing.T) {
+	m := newMesh(t, 20)
+	now := time.Now()
+	reading := func(now time.Time) (n int) {
+		for _, f := range m.nodes {
+			if f.ReadsConfig(now) {
+				n++
+			}
+		}
+		return n
+	}
+	for _, f := range m.nodes {
+		f.ConfigHeard(now)
+	}
+	require.Equal(t, configReaders, reading(now))
+	silent := now.Add(configSilence)
+	require.Equal(t, configReaders+1, reading(silent))
+	require.Equal(t, configReaders+3, reading(silent.Add(2*rankStep)))
+	for _, f := range m.nodes {
+		if f.rank(configDuty) == configReaders {
+			f.ConfigHeard(now.Add(configSilence))
+		}
+	}
+	m.beat(2)
+	require.Equal(t, configReaders, reading(silent.Add(5*rankStep)), "one was answered")
+}
+
+// Six of 65 entries are on large VMs, which have the duties first. The configuration is followed by eight all the same, the two
+// others being those that come next: where small VMs' entries shared ranks, 43 of them asked the store every four seconds, and
+// all of them at once in its outages.
+func TestSmallVMsTakeDutiesUpOneAfterTheOther(t *testing.T) {
+	m := newMeshIn(t, 65, 3, func(name string) int {
+		if len(name) == len("entry-0") && name <= "entry-5" {
+			return 800
+		}
+		return 192
+	})
+	for range 8 {
+		m.beat(1)
+	}
+	ranks := make(map[int]int)
+	for _, f := range m.nodes {
+		f.mu.Lock()
+		ranks[f.rank(configDuty)]++
+		f.mu.Unlock()
+	}
+	for rank := range 65 {
+		require.Equal(t, 1, ranks[rank], "entries of rank %d", rank)
+	}
+}
+
+// A stale read brings an older configuration, with a key that was withdrawn since.
+func TestAConfigurationNeverGoesBack(t *testing.T) {
+	m := newMesh(t, 1)
+	f := m.nodes["entry-0"]
+	require.NoError(t, f.TakeConfig([]byte("7"), "test", time.Now()))
+	require.NoError(t, f.TakeConfig([]byte("5"), "peer", time.Now()))
+	require.Equal(t, int64(7), f.Catalog().Version())
+	require.Error(t, f.TakeConfig([]byte("garbage"), "peer", time.Now()))
+	require.Equal(t, int64(7), f.Catalog().Version())
+}
+
+// Duties go to large VMs while one lives: a small one would be late with the work of all.
+func TestDutiesGoToLargeVMs(t *testing.T) {
+	m := newMeshOf(t, 5, func(name string) int {
+		if name == "entry-3" {
+			return 800
+		}
+		return 100
+	})
+	m.beat(2)
+	for _, f := range m.nodes {
+		for _, duty := range []string{"a", "b", "c", "d"} {
+			owner, known := f.owner(duty, nil)
+			require.True(t, known)
+			require.Equal(t, "entry-3", owner)
+			owner, known = f.owner(duty, []string{"entry-3"})
+			require.True(t, known)
+			require.NotEqual(t, "entry-3", owner)
+		}
+	}
+	require.Equal(t, 192, CapacityOf(0.192, 10))
+	require.Equal(t, 50, CapacityOf(0.8, 1))
+}
+
+// Three services, and VMs enough. One entry that collects for two of them has twice the work of a burst to do, and is late
+// with both. Each service has a collecting entry of its own, the same by all views; where one is avoided the next one is
+// free of the others' duties too, and with few VMs left duties are shared all the same.
+func TestEachServiceHasItsOwnCollector(t *testing.T) {
+	stage := &cataloger.StagePool{Slots: 1, Batch: 8, CallTime: time.Hour}
+	services := []cataloger.Service{{Name: "a", Stage: stage}, {Name: "b", Stage: stage}, {Name: "c", Stage: stage}}
+	catalog, err := cataloger.New(cataloger.Config{Version: 2, Services: services})
+	require.NoError(t, err)
+	for _, n := range []int{1, 2, 3, 9} {
+		m := newMesh(t, n)
+		owners := make(map[string]string)
+		for name, f := range m.nodes {
+			f.catalog = catalog
+			f.duties.forget()
+			for _, s := range services {
+				owner, known := f.owner(s.Name, nil)
+				require.True(t, known)
+				if owners[s.Name] == "" {
+					owners[s.Name] = owner
+				}
+				require.Equal(t, owners[s.Name], owner, "as %s sees it", name)
+			}
+			if n > len(services) {
+				next, _ := f.owner("c", []string{owners["c"]})
+				require.NotContains(t, []string{owners["a"], owners["b"], owners["c"]}, next)
+			}
+		}
+		different := make(map[string]bool)
+		for _, owner := range owners {
+			different[owner] = true
+		}
+		require.Len(t, different, min(n, len(services)))
+	}
+}
