--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -10,7 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"geraniumline/surveyor"
+	"geraniumline/platform/surveyor"
 )
 
 func main() {
