Look only at missing endpoints at each tick, and only at news of changes

Change: the registry keeps the ids of missing entries; readings without news change nothing; the selector keeps the endpoints where it has work; addresses of evacuated endpoints are worked out with the list.

--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -58,30 +58,26 @@
 // TakeEndpoints takes changes of endpoints' entries, from one offset up to another, that were read from the store. The
 // entry that reads for all passes them on.
 func (f *Forwarder) TakeEndpoints(changes []registrar.Change, from, next int64, now time.Time) {
-	f.withRegistry(now, func() []func() {
+	f.locked(func() []func() {
 		news := f.registry.News(changes)
 		f.registry.Apply(changes, next, now)
-		return f.passOn(news, from, next, now)
+		todo := f.passOn(news, from, next, now)
+		if len(news) == 0 {
+			return todo
+		}
+		return append(todo, f.endpointsChanged(now)...)
 	})
 }
 
 // ReplaceEndpoints takes the newest entry of every endpoint.
 func (f *Forwarder) ReplaceEndpoints(all []registrar.Change, next int64, now time.Time) {
-	f.withRegistry(now, func() []func() {
+	f.locked(func() []func() {
 		f.registry.Replace(all, next, now)
 		f.newsAt = now
-		return nil
+		return f.endpointsChanged(now)
 	})
 }
 
-func (f *Forwarder) withRegistry(now time.Time, change func() []func()) {
-	f.mu.Lock()
-	todo := change()
-	todo = append(todo, f.endpointsChanged(now)...)
-	f.mu.Unlock()
-	run(todo)
-}
-
 // StoreHeard notes that the store has answered this entry.
 func (f *Forwarder) StoreHeard(now time.Time) {
 	f.mu.Lock()
--- a/forwarder/openness.go
+++ b/forwarder/openness.go
@@ -24,6 +24,8 @@
 	// registered counts a service's endpoints that take work by their own word, open those of them by region that may get it.
 	registered map[string]int
 	open       map[string]map[string]int
+	// barred are the addresses of evacuated endpoints.
+	barred map[string]bool
 }
 
 // serves tells whether a service has an endpoint that may get new work in one of the regions; nil stands for all. A service
@@ -44,7 +46,11 @@
 // evacuated zone is not among them, though it takes work by its own word. The lock is held.
 func (f *Forwarder) usable(now time.Time) []registrar.Endpoint {
 	all := f.registry.Usable()
-	f.openness = openness{registered: make(map[string]int), open: make(map[string]map[string]int)}
+	f.openness = openness{
+		registered: make(map[string]int),
+		open:       make(map[string]map[string]int),
+		barred:     make(map[string]bool),
+	}
 	list := make([]registrar.Endpoint, 0, len(all))
 	for _, e := range all {
 		if f.lostZones[e.Zone] {
@@ -52,6 +58,7 @@
 		}
 		f.openness.registered[e.Service]++
 		if f.evacuator.Evacuated(e.Zone) {
+			f.openness.barred[e.Address] = true
 			continue
 		}
 		e.Region = f.cfg.Regions[e.Zone]
@@ -154,14 +161,7 @@
 }
 
 // barred tells whether an address is that of an endpoint which gets nothing more. The lock is held.
-func (f *Forwarder) barred(address string) bool {
-	if len(f.evacuator.State().Zones) == 0 {
-		return false
-	}
-	return slices.ContainsFunc(f.registry.Usable(), func(e registrar.Endpoint) bool {
-		return e.Address == address && f.evacuator.Evacuated(e.Zone)
-	})
-}
+func (f *Forwarder) barred(address string) bool { return f.openness.barred[address] }
 
 // setWarmers tells the warmer which entries send to cold endpoints. The lock is held.
 func (f *Forwarder) setWarmers() {
--- a/forwarder/reader.go
+++ b/forwarder/reader.go
@@ -120,6 +120,9 @@
 	f.newsAt = now
 	f.registry.Heard(now)
 	f.registry.Apply(changesOf(m.Entries, now), m.Next, now)
+	if len(m.Entries) == 0 {
+		return nil
+	}
 	return f.endpointsChanged(now)
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -83,6 +83,8 @@
 type Registry struct {
 	returnTime time.Duration
 	entries    map[string]*entry
+	// missing are the ids of entries that lack in the store and are not yet believed to be gone.
+	missing map[string]bool
 	// next is the offset after the newest change.
 	next int64
 	// away is set while the store does not answer; returned is when it last began to answer again.
@@ -100,7 +102,7 @@
 	if cfg.ReturnTime == 0 {
 		cfg.ReturnTime = DefaultReturnTime
 	}
-	return &Registry{returnTime: cfg.ReturnTime, entries: make(map[string]*entry)}
+	return &Registry{returnTime: cfg.ReturnTime, entries: make(map[string]*entry), missing: make(map[string]bool)}
 }
 
 // Next is the offset from which changes are not yet known.
@@ -256,6 +258,7 @@
 	}
 	if e.removedAt.IsZero() {
 		e.removedAt = now
+		r.missing[id] = true
 	}
 }
 
@@ -264,18 +267,20 @@
 	return r.away || !r.returned.IsZero() && now.Sub(r.returned) < r.returnTime
 }
 
-// Tick drops the endpoints whose removal is no longer in doubt, and tells whether there were any.
+// Tick drops the endpoints whose removal is no longer in doubt, and tells whether there were any. It looks at the missing ones
+// only: it is called a hundred times a second, and with thousands of endpoints a walk over all is half of an entry's work.
 func (r *Registry) Tick(now time.Time) bool {
-	if r.doubtful(now) {
+	if len(r.missing) == 0 || r.doubtful(now) {
 		return false
 	}
 	dropped := false
-	for id, e := range r.entries {
-		if !e.removedAt.IsZero() {
+	for id := range r.missing {
+		if e, known := r.entries[id]; known && !e.removedAt.IsZero() {
 			delete(r.entries, id)
 			dropped = true
 		}
 	}
+	clear(r.missing)
 	return dropped
 }
 
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -94,6 +94,8 @@
 	byID  map[string]*endpoint
 	peers map[string]map[string]int
 	turns uint64
+	// busy are the endpoints where this entry has work.
+	busy map[*endpoint]bool
 }
 
 type pool struct {
@@ -132,6 +134,7 @@
 		pools: make(map[string]*pool),
 		byID:  make(map[string]*endpoint),
 		peers: make(map[string]map[string]int),
+		busy:  make(map[*endpoint]bool),
 	}
 }
 
@@ -187,6 +190,7 @@
 }
 
 func (s *Selector) remove(e *endpoint) {
+	delete(s.busy, e)
 	e.pool.health.Remove(&e.health)
 	e.pool.endpoints = slices.DeleteFunc(e.pool.endpoints, func(other *endpoint) bool { return other == e })
 	delete(s.byID, e.ID)
@@ -369,7 +373,7 @@
 		s.cfg.Gate.Sent(e.ID, now)
 	}
 	e.calls++
-	e.tokens += choice.Tokens
+	s.addWork(e, choice.Tokens)
 	e.cache.remember(chainKeys(parts))
 }
 
@@ -378,7 +382,7 @@
 	e, known := s.chosen(choice)
 	left := min(choice.Tokens, s.cfg.CallTokens)
 	if known {
-		e.tokens -= choice.Tokens - left
+		s.addWork(e, left-choice.Tokens)
 	}
 	choice.Tokens = left
 }
@@ -390,7 +394,7 @@
 		return false
 	}
 	e.calls--
-	e.tokens -= choice.Tokens
+	s.addWork(e, -choice.Tokens)
 	return e.pool.health.Ended(&e.health, end, false, now)
 }
 
@@ -398,7 +402,7 @@
 func (s *Selector) Cancelled(choice Choice) {
 	if e, known := s.chosen(&choice); known {
 		e.calls--
-		e.tokens -= choice.Tokens
+		s.addWork(e, -choice.Tokens)
 	}
 }
 
@@ -413,15 +417,24 @@
 
 // Work gives the tokens of this entry's calls by endpoint, for peers.
 func (s *Selector) Work() map[string]int {
-	work := make(map[string]int)
-	for id, e := range s.byID {
-		if e.tokens > 0 {
-			work[id] = e.tokens
-		}
+	work := make(map[string]int, len(s.busy))
+	for e := range s.busy {
+		work[e.ID] = e.tokens
 	}
 	return work
 }
 
+// addWork counts this entry's own work at an endpoint. The busy ones are kept apart: they are told several times a second, and
+// are few of the thousands that an entry may know.
+func (s *Selector) addWork(e *endpoint, tokens int) {
+	e.tokens += tokens
+	if e.tokens > 0 {
+		s.busy[e] = true
+	} else {
+		delete(s.busy, e)
+	}
+}
+
 // SetPeer takes the work that a peer has under way. A peer that has ended has none.
 func (s *Selector) SetPeer(peer string, work map[string]int) {
 	for id, tokens := range s.peers[peer] {
