--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -227,7 +227,7 @@
 	m.beat(3)
 	extra := 0
 	for name, f := range m.nodes {
-		require.Equal(t, 59, f.livePeers(), name)
+		require.Len(t, f.liveAddresses(f.detector.Members()), 59, name)
 		for f.retrier.Retry("plain", 1, time.Now()) {
 			extra++
 		}
--- a/forwarder/note.go
+++ b/forwarder/note.go
@@ -93,7 +93,7 @@
 	m.Gauge(meter.ForwardInFlight).Update(f.inFlight.Load())
 	m.Gauge(meter.ConfigVersion).Update(f.version())
 	m.Gauge(meter.EndpointsCold).Update(int64(f.selector.Cold(now)))
-	m.Gauge(meter.PeersLive).Update(int64(f.livePeers()))
+	m.Gauge(meter.PeersLive).Update(int64(len(f.liveAddresses(f.detector.Members()))))
 	if f.registry.Known() {
 		m.Gauge(meter.EndpointsAge).Update(f.registry.Age(now).Milliseconds())
 	}
--- a/forwarder/openness.go
+++ b/forwarder/openness.go
@@ -132,10 +132,10 @@
 // findLostZones finds the other zones none of whose entries is heard any more, and tells whether that has changed. Calls to the
 // endpoints of a zone that has lost power or is cut off come to nothing one after the other, each after its timeout, until their
 // entries in the store have lapsed some five seconds later; its entries are missed within a second or two. The lock is held.
-func (f *Forwarder) findLostZones(now time.Time) bool {
+func (f *Forwarder) findLostZones(members []detector.Member, now time.Time) bool {
 	known, heard := make(map[string]int), make(map[string]int)
 	alone := true
-	for _, m := range f.detector.Members() {
+	for _, m := range members {
 		if m.Name == f.cfg.Name {
 			continue
 		}
@@ -164,8 +164,7 @@
 func (f *Forwarder) barred(address string) bool { return f.openness.barred[address] }
 
 // setWarmers tells the warmer which entries send to cold endpoints. The lock is held.
-func (f *Forwarder) setWarmers() {
-	members := f.detector.Members()
+func (f *Forwarder) setWarmers(members []detector.Member) {
 	live := make([]string, 0, len(members))
 	for _, m := range members {
 		if m.Name == f.cfg.Name || m.State == detector.Live {
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -35,9 +35,12 @@
 func (f *Forwarder) heartbeat(now time.Time) {
 	f.mu.Lock()
 	f.setSelf()
-	f.setWarmers()
-	f.retrier.SetReserve(reserveFor(f.cfg.RetrySlack, max(usualEntries, f.livePeers()+1)))
 	transitions := f.detector.Tick(now)
+	// Listed once for all below: with hundreds of members each list is a part of the heartbeat's work.
+	members := f.detector.Members()
+	peers := f.liveAddresses(members)
+	f.setWarmers(members)
+	f.retrier.SetReserve(reserveFor(f.cfg.RetrySlack, max(usualEntries, len(peers)+1)))
 	f.duties.forget()
 	f.dropOldWork(now)
 	beat := f.detector.Heartbeat(now)
@@ -48,11 +51,11 @@
 	beat.ConfigAgeMillis = min(now.Sub(f.configHeard), maxConfigAge).Milliseconds()
 	f.round++
 	targets := f.detector.Targets(now)
-	beatTargets, workTargets := f.targets(targets)
+	beatTargets, workTargets := f.targets(targets, peers)
 	work := f.work()
-	questions := f.questions(now)
+	questions := f.questions(members, now)
 	todo := f.takeTransitions(transitions, now)
-	if f.findLostZones(now) {
+	if f.findLostZones(members, now) {
 		todo = append(todo, f.endpointsChanged(now)...)
 	}
 	f.mu.Unlock()
@@ -99,13 +102,10 @@
 	f.detector.SetSelf(state, f.version(), int32(f.inFlight.Load()))
 }
 
-// livePeers counts the other live entries. The lock is held.
-func (f *Forwarder) livePeers() int { return len(f.liveAddresses()) }
-
-// liveAddresses gives the peer addresses of the other live entries. The lock is held.
-func (f *Forwarder) liveAddresses() []string {
+// liveAddresses gives the peer addresses of the other live ones of the members. The lock is held.
+func (f *Forwarder) liveAddresses(members []detector.Member) []string {
 	var live []string
-	for _, m := range f.detector.Members() {
+	for _, m := range members {
 		if m.Name != f.cfg.Name && m.State == detector.Live {
 			live = append(live, m.PeerAddress)
 		}
@@ -122,12 +122,12 @@
 
 // questions asks peers for a newer configuration, or for the list of endpoints while the store can't be read here.
 // The lock is held.
-func (f *Forwarder) questions(now time.Time) map[string][]carrier.Message {
+func (f *Forwarder) questions(members []detector.Member, now time.Time) map[string][]carrier.Message {
 	asked := make(map[string][]carrier.Message)
-	if address, ok := f.configQuestion(now); ok {
+	if address, ok := f.configQuestion(members, now); ok {
 		asked[address] = append(asked[address], &carrier.ConfigCall{})
 	}
-	for _, address := range f.endpointsQuestion(now) {
+	for _, address := range f.endpointsQuestion(members, now) {
 		asked[address] = append(asked[address], f.endpointsCall(now))
 	}
 	return asked
@@ -135,10 +135,10 @@
 
 // configQuestion names the peer to ask for its configuration, if one has a newer one. It is any of those that have the
 // newest: all entries would ask the same one otherwise. The lock is held.
-func (f *Forwarder) configQuestion(now time.Time) (string, bool) {
+func (f *Forwarder) configQuestion(members []detector.Member, now time.Time) (string, bool) {
 	var newest []string
 	version := f.version()
-	for _, m := range f.detector.Members() {
+	for _, m := range members {
 		if m.Name == f.cfg.Name || m.State == detector.Dead || m.State == detector.Stopped {
 			continue
 		}
@@ -165,12 +165,12 @@
 }
 
 // endpointsQuestion names the peers to ask for their list of endpoints while the own one is old. The lock is held.
-func (f *Forwarder) endpointsQuestion(now time.Time) []string {
+func (f *Forwarder) endpointsQuestion(members []detector.Member, now time.Time) []string {
 	stale := !f.registry.Known() || f.registry.Age(now) > endpointsPatience
 	if !stale || now.Sub(f.askedEndpoints) < askEvery {
 		return nil
 	}
-	live := f.liveAddresses()
+	live := f.liveAddresses(members)
 	if len(live) == 0 {
 		return nil
 	}
--- a/forwarder/target.go
+++ b/forwarder/target.go
@@ -15,11 +15,10 @@
 
 // targets gives those of the detector's targets that get a heartbeat in this round, and the peers that get this entry's
 // work. The lock is held.
-func (f *Forwarder) targets(detected []string) (beats, works []string) {
+func (f *Forwarder) targets(detected, peers []string) (beats, works []string) {
 	if !f.detector.Spreads() {
 		return f.shareOf(detected, heartbeatsEachRound), f.shareOf(detected, worksEachRound)
 	}
-	peers := f.liveAddresses()
 	if len(peers) > maxWorkPeers {
 		return detected, detected
 	}
