Keep sponsors alone for cold endpoints, and bound only where a bound is named

An endpoint that says it is cold, of a service for which the operator names no bound, got nothing while it was cold: earlier deployments have the one without the other. Found by reading; TestWithoutABoundColdEndpointsAreLikeOthers fails on the code before.

--- a/warmer/warmer.go
+++ b/warmer/warmer.go
@@ -6,7 +6,6 @@
 import (
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"geraniumline/hasher"
@@ -20,22 +19,8 @@
 	// bears, and Slack more.
 	Excess float64
 	Slack  float64
-	// Way is how entries share what a cold endpoint bears; nil takes Sponsors.
-	Way Way
 }
 
-// Way is how entries share what a cold endpoint bears.
-type Way interface{ way() }
-
-// Sponsors lets a few entries send to each cold endpoint, which follow from the names of the live ones.
-type Sponsors struct{}
-
-// Turns lets each live entry send to a cold endpoint in its own short times of the day.
-type Turns struct{}
-
-func (Sponsors) way() {}
-func (Turns) way()    {}
-
 // views is how many sets of entries may each take themselves for all that live, as while a part of them is cut off: what a
 // cold endpoint bears is divided among so many.
 const views = 2
@@ -55,9 +40,6 @@
 
 // New makes a warmer that knows of no other entry.
 func New(cfg Config) *Warmer {
-	if cfg.Way == nil {
-		cfg.Way = Sponsors{}
-	}
 	return &Warmer{cfg: cfg, live: []string{cfg.Self}, sent: make(map[string]time.Time), ranks: make(map[string]int)}
 }
 
@@ -71,17 +53,24 @@
 	w.ranks = make(map[string]int)
 }
 
-// Allows tells whether this entry may send a call now to a cold endpoint that bears so many calls a second.
+// Allows tells whether this entry may send a call now to a cold endpoint that bears so many calls a second. A few entries, its
+// sponsors, send to each, with a pause between two calls of one. In one second they send one call each at once and then what
+// they send in it: with two sets of sponsors that is the bound. It hangs on no clock that entries share.
 func (w *Warmer) Allows(endpoint string, perSecond float64, now time.Time) bool {
-	if w.few || perSecond <= 0 {
+	if perSecond <= 0 {
+		// Nobody has said that cold endpoints of the service bear little.
+		return true
+	}
+	if w.few {
 		return false
 	}
-	switch w.cfg.Way.(type) {
-	case Turns:
-		return w.hasTurn(endpoint, perSecond, now)
-	default:
-		return w.sponsors(endpoint, perSecond, now)
+	sponsors := max(1, int(w.cfg.Slack/views))
+	if w.rank(endpoint) >= sponsors {
+		return false
 	}
+	rate := w.cfg.Excess * perSecond / views
+	pause := time.Duration(float64(sponsors) / rate * float64(time.Second))
+	return now.Sub(w.sent[endpoint]) >= pause
 }
 
 // Sent notes a call to a cold endpoint.
@@ -97,18 +86,6 @@
 // forgetAfter is how long a call to a cold endpoint counts: longer than any pause between two.
 const forgetAfter = time.Minute
 
-// sponsors allows calls to few entries, with a pause between two calls of each. In one second so many entries send one call
-// each at once and then what they send in it: with two sets of sponsors that is the bound.
-func (w *Warmer) sponsors(endpoint string, perSecond float64, now time.Time) bool {
-	n := max(1, int(w.cfg.Slack/views))
-	if w.rank(endpoint) >= n {
-		return false
-	}
-	rate := w.cfg.Excess * perSecond / views
-	pause := time.Duration(float64(n) / rate * float64(time.Second))
-	return now.Sub(w.sent[endpoint]) >= pause
-}
-
 func (w *Warmer) rank(endpoint string) int {
 	rank, known := w.ranks[endpoint]
 	if !known {
@@ -118,16 +95,6 @@
 	return rank
 }
 
-// hasTurn allows one call in each of this entry's times, which go round among the live entries. Entries whose clocks
-// differ have other times, but as few of them.
-func (w *Warmer) hasTurn(endpoint string, perSecond float64, now time.Time) bool {
-	length := time.Duration(float64(time.Second) / (w.cfg.Excess * perSecond))
-	place, _ := slices.BinarySearchFunc(w.live, w.cfg.Self, strings.Compare)
-	turn := uint64(now.UnixNano() / int64(length))
-	own := (turn+uint64(hasher.Rank(endpoint, w.live, "")))%uint64(len(w.live)) == uint64(place)
-	return own && now.Sub(w.sent[endpoint]) >= length
-}
-
 // Bound is how many calls a cold endpoint that bears so many a second may get in one second.
 func (c *Config) Bound(perSecond float64) float64 {
 	return math.Floor(perSecond*c.Excess + c.Slack)
--- a/warmer/warmer_test.go
+++ b/warmer/warmer_test.go
@@ -23,14 +23,14 @@
 	rnd      *rand.Rand
 }
 
-func newZone(way Way, n int, seed uint64) *zone {
+func newZone(n int, seed uint64) *zone {
 	z := &zone{arrivals: make(map[string][]time.Time), rnd: rand.New(rand.NewPCG(seed, 1))}
 	names := make([]string, n)
 	for i := range names {
 		names[i] = fmt.Sprintf("entry-%03d", i)
 	}
 	for _, name := range names {
-		w := New(Config{Self: name, Excess: 1.5, Slack: 5, Way: way})
+		w := New(Config{Self: name, Excess: 1.5, Slack: 5})
 		w.SetEntries(names, n)
 		z.warmers = append(z.warmers, w)
 		z.clocks = append(z.clocks, 0)
@@ -78,45 +78,41 @@
 	return int(cfg.Bound(bears))
 }
 
-var ways = map[string]Way{"sponsors": Sponsors{}, "turns": Turns{}}
-
 // An availability zone returns with twenty cold endpoints in a burst. All entries find them empty and would send all they
 // have there at once; the endpoints would crash, come back cold and crash again. Between them the entries must stay within
 // what each bears, whatever they believe of each other.
 func TestAColdZoneIsNotOverrun(t *testing.T) {
-	for name, way := range ways {
-		for _, tc := range []struct {
-			name      string
-			endpoints int
-			disturb   func(z *zone)
-		}{
-			{"all agree", 20, func(*zone) {}},
-			{"one endpoint", 1, func(*zone) {}},
-			{"a third is cut off", 20, func(z *zone) { z.split(0, 22); z.split(22, entries) }},
-			{"a third of the clocks is ahead", 20, func(z *zone) {
-				for i := range 22 {
-					z.clocks[i] = 2400 * time.Millisecond
-				}
-			}},
-			{"each of a third is cut off by itself, one endpoint", 1, func(z *zone) {
-				for i := range 22 {
-					z.split(i, i+1)
-				}
-				z.split(22, entries)
-			}},
-		} {
-			t.Run(name+", "+tc.name, func(t *testing.T) {
-				for seed := range uint64(20) {
-					z := newZone(way, entries, seed)
-					tc.disturb(z)
-					served := z.run(tc.endpoints, 300, 10*time.Second)
-					require.LessOrEqual(t, z.most(), z.bound())
-					if seed == 0 {
-						t.Logf("at most %d in one second, %.1f a second at each endpoint", z.most(), float64(served)/10/float64(tc.endpoints))
-					}
+	for _, tc := range []struct {
+		name      string
+		endpoints int
+		disturb   func(z *zone)
+	}{
+		{"all agree", 20, func(*zone) {}},
+		{"one endpoint", 1, func(*zone) {}},
+		{"a third is cut off", 20, func(z *zone) { z.split(0, 22); z.split(22, entries) }},
+		{"a third of the clocks is ahead", 20, func(z *zone) {
+			for i := range 22 {
+				z.clocks[i] = 2400 * time.Millisecond
+			}
+		}},
+		{"each of a third is cut off by itself, one endpoint", 1, func(z *zone) {
+			for i := range 22 {
+				z.split(i, i+1)
+			}
+			z.split(22, entries)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				z := newZone(entries, seed)
+				tc.disturb(z)
+				served := z.run(tc.endpoints, 300, 10*time.Second)
+				require.LessOrEqual(t, z.most(), z.bound())
+				if seed == 0 {
+					t.Logf("at most %d in one second, %.1f a second at each endpoint", z.most(), float64(served)/10/float64(tc.endpoints))
 				}
-			})
-		}
+			}
+		})
 	}
 }
 
@@ -131,14 +127,23 @@
 	}
 }
 
+// A service's endpoints say that they are cold, and the operator names no bound: they are slow and no more. Passed over, a
+// service whose endpoints are all replaced would refuse everything for seconds.
+func TestWithoutABoundColdEndpointsAreLikeOthers(t *testing.T) {
+	w := New(Config{Self: "entry", Excess: 1.5, Slack: 5})
+	w.SetEntries([]string{"entry"}, 9)
+	now := time.Unix(1000, 0)
+	for range 20 {
+		require.True(t, w.Allows("endpoint", 0, now))
+		w.Sent("endpoint", now)
+	}
+	require.False(t, w.Allows("endpoint", bears, now))
+}
+
 // All endpoints of a small system are cold at once. What they bear must be used, or callers are turned away.
 func TestColdEndpointsAreUsed(t *testing.T) {
-	for name, way := range ways {
-		t.Run(name, func(t *testing.T) {
-			z := newZone(way, 7, 1)
-			served := z.run(9, 100, 10*time.Second)
-			t.Logf("%.1f a second at each endpoint, at most %d in one", float64(served)/10/9, z.most())
-			require.Greater(t, float64(served)/10/9, bears/2)
-		})
-	}
+	z := newZone(7, 1)
+	served := z.run(9, 100, 10*time.Second)
+	t.Logf("%.1f a second at each endpoint, at most %d in one", float64(served)/10/9, z.most())
+	require.Greater(t, float64(served)/10/9, bears/2)
 }
