Keep pieces in their homes where services are divided, and giving back in order

Found by reading the diff: a request whose homes are one region could be asked for at the pool of a zone elsewhere, where its pieces would have waited until their deadline; and the timer that gives results back could still be at it while they are made again. TestPiecesStayInZonesThatAreAllowed failed first.

--- a/divider/divider.go
+++ b/divider/divider.go
@@ -151,6 +151,8 @@
 	Draw uint64
 	// Near is the zone where the results are wanted; empty where that is all the same.
 	Near string
+	// Allows tells whether the pieces may be made in a zone; nil where they may be in all.
+	Allows func(zone string) bool
 	// Patience is how much longer the chosen pool may keep pieces waiting than the least loaded one.
 	Patience time.Duration
 }
@@ -163,6 +165,13 @@
 	if len(pools) == 1 {
 		return pools[0]
 	}
+	if ask.Allows != nil {
+		pools = slices.DeleteFunc(pools, func(p Pool) bool { return !ask.Allows(p.Zone) })
+	}
+	if len(pools) == 0 {
+		// Nothing may be made anywhere: the pool of all endpoints finds none that may get the pieces.
+		return Pool{Service: ask.Service}
+	}
 	chosen := d.drawn(pools, ask.Draw)
 	if near := (Pool{Service: ask.Service, Zone: ask.Near}); slices.Contains(pools, near) {
 		chosen = near
--- a/divider/divider_test.go
+++ b/divider/divider_test.go
@@ -88,6 +88,24 @@
 	require.Equal(t, "z2", d.Choose(Ask{Service: "first", Near: "z2"}, idle).Zone)
 }
 
+// A request may be served in one region, whose zones' pools are loaded. It must wait there all the same.
+func TestPiecesStayInZonesThatAreAllowed(t *testing.T) {
+	d := New()
+	all := endpoints("s", 20, 20, 20)
+	d.SetEndpoints(all, all)
+	busy := func(p Pool) time.Duration {
+		if p.Zone == "z1" {
+			return time.Second
+		}
+		return 0
+	}
+	for draw := range uint64(50) {
+		ask := Ask{Service: "s", Draw: draw, Near: "z0", Allows: func(zone string) bool { return zone == "z1" }}
+		require.Equal(t, "z1", d.Choose(ask, busy).Zone)
+	}
+	require.Equal(t, Pool{Service: "s"}, d.Choose(Ask{Service: "s", Allows: func(string) bool { return false }}, idle))
+}
+
 // One zone has lost endpoints and a queue grows there. What comes goes to the others once its wait is longer by the patience,
 // and not before.
 func TestALoadedZoneIsPassedOver(t *testing.T) {
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -44,7 +45,7 @@
 	x.f.mu.Unlock()
 	return &stageWork{
 		x:     x,
-		view:  poolView{f: x.f, draw: xxhash.Sum64String(x.req.ID), near: homeZone, asked: make(map[string]string)},
+		view:  poolView{f: x.f, draw: xxhash.Sum64String(x.req.ID), near: homeZone, homes: x.homes, asked: make(map[string]string)},
 		pools: make([]string, len(x.route.Stages)),
 		asks:  make([]*ask, len(x.route.Stages)),
 		plan: planner.New(planner.Config{
@@ -71,6 +72,8 @@
 	// draw and near choose among the pools of a service.
 	draw uint64
 	near string
+	// homes are the regions where the request's pieces may be made, nil where they may be in all.
+	homes []string
 	// asked are the pools by service that the request's pieces were asked for at.
 	asked map[string]string
 }
@@ -124,13 +127,18 @@
 	if s, known := v.f.stageService(service); known {
 		patience = time.Duration(calls * float64(s.Stage.CallDuration(s.Stage.Batch)))
 	}
-	ask := divider.Ask{Service: service, Draw: v.draw, Near: near, Patience: patience}
+	ask := divider.Ask{Service: service, Draw: v.draw, Near: near, Allows: v.allows, Patience: patience}
 	chosen := v.f.divider.Choose(ask, func(p divider.Pool) time.Duration {
 		return v.f.poolLoad(p.String(), now).Wait
 	})
 	return chosen.String()
 }
 
+// allows tells whether the request's pieces may be made in a zone.
+func (v poolView) allows(zone string) bool {
+	return v.homes == nil || slices.Contains(v.homes, v.f.cfg.Regions[zone])
+}
+
 // poolOf names the pool that a group of pieces of a service is asked for at.
 func (v poolView) poolOf(service string, g *collector.Group, now time.Time) string {
 	near := g.Zone
@@ -311,14 +319,14 @@
 	}
 }
 
+// freeLast gives the results back, unless the sending that it belongs to is over. It holds the lock until it is done, so that
+// nothing is made again meanwhile.
 func (s *stageWork) freeLast(sent int) {
 	s.mu.Lock()
-	var freed []planner.Freed
+	defer s.mu.Unlock()
 	if s.sent == sent {
-		freed = s.plan.FreeLast()
+		s.free(s.plan.FreeLast())
 	}
-	s.mu.Unlock()
-	s.free(freed)
 }
 
 // restore has the results made again that the request itself takes, where an endpoint that broke off has had them already.
