--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -122,8 +122,6 @@
 	evacuator *evacuator.Evacuator
 	warmer    *warmer.Warmer
 	openness  openness
-	// lostZones are the other zones none of whose entries is heard.
-	lostZones map[string]bool
 	// divider says by which pools the stages' services are collected.
 	divider *divider.Divider
 	pools   map[string]*collector.Pool
--- a/forwarder/openness.go
+++ b/forwarder/openness.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -53,9 +52,6 @@
 	}
 	list := make([]registrar.Endpoint, 0, len(all))
 	for _, e := range all {
-		if f.lostZones[e.Zone] {
-			continue
-		}
 		f.openness.registered[e.Service]++
 		if f.evacuator.Evacuated(e.Zone) {
 			f.openness.barred[e.Address] = true
@@ -125,41 +121,6 @@
 	return f.endpointsChanged(now)
 }
 
-// leastHeardBy is how many entries of a zone must be known for their silence to say that the zone is lost: a few may be killed
-// at once by chance, while the endpoints beside them live.
-const leastHeardBy = 8
-
-// findLostZones finds the other zones none of whose entries is heard any more, and tells whether that has changed. Calls to the
-// endpoints of a zone that has lost power or is cut off come to nothing one after the other, each after its timeout, until their
-// entries in the store have lapsed some five seconds later; its entries are missed within a second or two. The lock is held.
-func (f *Forwarder) findLostZones(members []detector.Member, now time.Time) bool {
-	known, heard := make(map[string]int), make(map[string]int)
-	alone := true
-	for _, m := range members {
-		if m.Name == f.cfg.Name {
-			continue
-		}
-		known[m.Zone]++
-		if now.Sub(m.LastHeard) < spreadSuspectAfter {
-			heard[m.Zone]++
-			alone = false
-		}
-	}
-	lost := make(map[string]bool)
-	for zone, n := range known {
-		// An entry that hears nobody is cut off from its peers, and may reach the endpoints all the same.
-		if zone != f.cfg.Zone && !alone && n >= leastHeardBy && heard[zone] == 0 {
-			lost[zone] = true
-		}
-	}
-	if maps.Equal(lost, f.lostZones) {
-		return false
-	}
-	f.lostZones = lost
-	f.log.Warn("zones whose entries are not heard changed", zap.Strings("lost", slices.Sorted(maps.Keys(lost))))
-	return true
-}
-
 // barred tells whether an address is that of an endpoint which gets nothing more. The lock is held.
 func (f *Forwarder) barred(address string) bool { return f.openness.barred[address] }
 
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -55,9 +55,6 @@
 	work := f.work()
 	questions := f.questions(members, now)
 	todo := f.takeTransitions(transitions, now)
-	if f.findLostZones(members, now) {
-		todo = append(todo, f.endpointsChanged(now)...)
-	}
 	f.mu.Unlock()
 	run(todo)
 	for _, address := range beatTargets {
