--- a/assembler/openness_test.go
+++ b/assembler/openness_test.go
@@ -68,13 +68,13 @@
 	}
 	// A newer configuration and a forgotten history change nothing of it.
 	f.site.Configure()
-	f.site.Store.Forget("keyed.op")
+	f.site.ForgetOperator()
 	time.Sleep(200 * time.Millisecond)
 	for entry := range 3 {
 		require.True(t, f.idle(entry, 1))
 	}
 	f.site.TakeBack(imitator.ZoneB)
-	f.site.Store.Forget("keyed.op")
+	f.site.ForgetOperator()
 	for entry := range 3 {
 		require.Eventually(t, func() bool { return !f.idle(entry, 1) }, forwardPatience, 20*time.Millisecond)
 	}
--- a/warmer/warmer.go
+++ b/warmer/warmer.go
@@ -4,7 +4,6 @@
 package warmer
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -94,8 +93,3 @@
 	}
 	return rank
 }
-
-// Bound is how many calls a cold endpoint that bears so many a second may get in one second.
-func (c *Config) Bound(perSecond float64) float64 {
-	return math.Floor(perSecond*c.Excess + c.Slack)
-}
--- a/warmer/warmer_test.go
+++ b/warmer/warmer_test.go
@@ -73,9 +73,10 @@
 	return most
 }
 
+// bound is how many calls a cold endpoint may get in one second.
 func (z *zone) bound() int {
-	cfg := Config{Excess: 1.5, Slack: 5}
-	return int(cfg.Bound(bears))
+	cfg := z.warmers[0].cfg
+	return int(bears*cfg.Excess + cfg.Slack)
 }
 
 // An availability zone returns with twenty cold endpoints in a burst. All entries find them empty and would send all they
