Take one bound for heavy crossings, and filter by regions only where there are homes

Found by the last reading: forwarder/stages.go had collector's bound of what must cross zones a second time, and each free endpoint's call copied the list of waiting groups to filter it by regions, which nearly no group has. No behaviour changes; tests as they were but for the constant's name.

--- a/collector/call.go
+++ b/collector/call.go
@@ -169,6 +169,9 @@
 
 // allowedAt leaves the groups whose pieces may be made at the endpoint.
 func allowedAt(e *endpoint, waiting []*group) []*group {
+	if !slices.ContainsFunc(waiting, func(g *group) bool { return len(g.Regions) > 0 }) {
+		return waiting
+	}
 	return slices.DeleteFunc(slices.Clone(waiting), func(g *group) bool {
 		return len(g.Regions) > 0 && !slices.Contains(g.Regions, e.Region)
 	})
@@ -189,7 +192,7 @@
 			break
 		}
 		window -= len(g.waiting)
-		if g.started() || g.FarBytes < heavyBytes || g.Zone == "" || g.Zone == e.Zone {
+		if g.started() || g.FarBytes < HeavyBytes || g.Zone == "" || g.Zone == e.Zone {
 			near = append(near, g)
 			continue
 		}
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -33,8 +33,8 @@
 	// roomWait is how long a free endpoint may wait for space for half a call. A call takes long before its first
 	// piece: one that is sent with the few pieces that find space costs more of the endpoint than the wait.
 	roomWait = 100 * time.Millisecond
-	// heavyBytes is what must cross zones for a group to wait for an endpoint of its own zone.
-	heavyBytes = 500_000
+	// HeavyBytes is what must cross zones for a group to wait for an endpoint of its own zone.
+	HeavyBytes = 500_000
 	// zoneSlack is how many calls must fit before the results are due for a group to wait for an endpoint of its
 	// zone: the wait for the next free one takes half a call at most times, and one is for the call itself.
 	zoneSlack = 2.5
--- a/collector/fetch_test.go
+++ b/collector/fetch_test.go
@@ -144,7 +144,7 @@
 	for i := range 60 {
 		ids = append(ids, w.arrive(time.Duration(i)*5*time.Millisecond, fmt.Sprint(i), 3, func(g *Group) {
 			g.Zone = fmt.Sprintf("z%d", i%3)
-			g.FarBytes = heavyBytes
+			g.FarBytes = HeavyBytes
 		}))
 	}
 	w.run(5 * time.Second)
@@ -165,7 +165,7 @@
 func TestOnlyWhatTheNextCallsTakeWaitsForAZone(t *testing.T) {
 	w := newWorld(usualStage(), 3)
 	for i := range 6 {
-		w.arrive(0, fmt.Sprint(i), 4, func(g *Group) { g.Zone = "z0"; g.FarBytes = heavyBytes; g.Due = w.at(time.Minute) })
+		w.arrive(0, fmt.Sprint(i), 4, func(g *Group) { g.Zone = "z0"; g.FarBytes = HeavyBytes; g.Due = w.at(time.Minute) })
 	}
 	w.run(20 * time.Millisecond)
 	used := make(map[string]bool)
--- a/collector/group.go
+++ b/collector/group.go
@@ -276,7 +276,7 @@
 // waitsForZone tells whether the group should wait for an endpoint of its own zone, where so many pieces go before its own.
 // The first group of a zone may wait whatever its size: where calls are small, it fills one by itself.
 func (p *Pool) waitsForZone(g *group, e *endpoint, before int, now time.Time) bool {
-	if p.cfg.Off.Has(switcher.ZoneWait) || g.Zone == "" || g.Zone == e.Zone || g.FarBytes < heavyBytes {
+	if p.cfg.Off.Has(switcher.ZoneWait) || g.Zone == "" || g.Zone == e.Zone || g.FarBytes < HeavyBytes {
 		return false
 	}
 	if p.inZone[g.Zone] == 0 {
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -107,11 +107,8 @@
 }
 
 const (
-	// farPieces is what must cross zones for a request's pieces to wait longer for the pool in the zone where they should be
-	// made, in bytes.
-	farPieces = 500_000
-	// nearCalls and farCalls are how many full calls longer than elsewhere pieces wait there: with less and with more than that
-	// to cross zones. Two calls are most of what an objective leaves beside the calls themselves.
+	// nearCalls and farCalls are how many full calls longer than elsewhere pieces wait for the pool in the zone where they
+	// should be made: with less and with more than collector.HeavyBytes to cross zones. Two calls are most of what an objective leaves beside the calls themselves.
 	nearCalls = 0.5
 	farCalls  = 2
 )
@@ -120,7 +117,7 @@
 // held.
 func (v poolView) poolNear(service, near string, farBytes int64, now time.Time) string {
 	calls := nearCalls
-	if farBytes >= farPieces {
+	if farBytes >= collector.HeavyBytes {
 		calls = farCalls
 	}
 	patience := time.Duration(0)
