--- a/forwarder/note.go
+++ b/forwarder/note.go
@@ -92,6 +92,9 @@
 	defer f.mu.Unlock()
 	m.Gauge(meter.ForwardInFlight).Update(f.inFlight.Load())
 	m.Gauge(meter.ConfigVersion).Update(f.version())
+	if !f.configHeard.IsZero() {
+		m.Gauge(meter.ConfigAge).Update(now.Sub(f.configHeard).Milliseconds())
+	}
 	m.Gauge(meter.EndpointsCold).Update(int64(f.selector.Cold(now)))
 	m.Gauge(meter.PeersLive).Update(int64(len(f.liveAddresses(f.detector.Members()))))
 	if f.registry.Known() {
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -111,6 +111,7 @@
 	EndpointJudgements Name = "endpoint_judgements"
 	EndpointsAge       Name = "endpoints_age_millis"
 	ConfigVersion      Name = "config_version"
+	ConfigAge          Name = "config_age_millis"
 	StoreCalls         Name = "store_calls"
 	EntriesUnusable    Name = "entries_unusable"
 	LogLinesDropped    Name = "log_lines_dropped"
@@ -239,6 +240,7 @@
 	{EndpointJudgements, KindCounter, "judgements", byOutcome, "An endpoint taken out of use or let back.", ""},
 	{EndpointsAge, KindGauge, "milliseconds", "", "Age of the list of endpoints.", ""},
 	{ConfigVersion, KindGauge, "version", "", "Version of the configuration that requests are forwarded by.", ""},
+	{ConfigAge, KindGauge, "milliseconds", "", "Time since the store last answered a reading of the configuration, here or at a peer.", ""},
 	{EntriesUnusable, KindCounter, "records", "", "An endpoint's entry in the store that can't be used.", ""},
 	{StoreCalls, KindCounter, "calls", byOutcome, "A reading of the platform's store.", ""},
 	{LogLinesDropped, KindCounter, "lines", byReason, "A log line not written: ordinary over the rate, or any over the buffer.", ""},
