--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -249,6 +249,8 @@
 		Sink:  e.forwarder,
 		Log:   e.log,
 		Meter: e.meter,
+
+		RecoveryTime: e.settings.RecoveryTime,
 	}
 	background.Go(func() { watcher.WatchConfig(ctx) })
 	background.Go(func() { watcher.WatchEndpoints(ctx) })
