--- a/appender/appender_test.go
+++ b/appender/appender_test.go
@@ -27,6 +27,8 @@
 	// status is the error that calls get, 0 for none; failures is how many get it.
 	status   int
 	failures int
+	// waits are those that reads have asked for.
+	waits []int
 	// after is called once the call has taken effect and before it is answered.
 	after func()
 }
@@ -58,6 +60,9 @@
 }
 
 func (l *fakeLog) ReadRecords(_ context.Context, p platformserver.ReadRecordsParams) (*platformserver.RecordPage, error) {
+	l.mu.Lock()
+	l.waits = append(l.waits, p.WaitMillis.Or(0))
+	l.mu.Unlock()
 	if err := l.fail(); err != nil {
 		return nil, err
 	}
@@ -226,3 +231,17 @@
 	require.Equal(t, 3, failed)
 	require.Equal(t, 1, back)
 }
+
+// Guards against a tail that hangs for a whole wait on a log that has come back.
+func TestReadsAfterAFailureDoNotWait(t *testing.T) {
+	l := &fakeLog{status: http.StatusServiceUnavailable, failures: 2}
+	a, _ := serve(t, l)
+	ctx, cancel := context.WithCancel(t.Context())
+	pages := 0
+	a.Tail(ctx, "claims", 0, func(Page) {
+		if pages++; pages == 2 {
+			cancel()
+		}
+	}, func(error) {})
+	require.Equal(t, []int{1, 0, 0, 1}, l.waits)
+}
--- a/appender/tail.go
+++ b/appender/tail.go
@@ -13,7 +13,12 @@
 	backoff := a.cfg.MinBackoff
 	failing := false
 	for ctx.Err() == nil {
-		page, err := a.Read(ctx, stream, from, a.cfg.PageRecords, a.cfg.PollWait)
+		wait := a.cfg.PollWait
+		if failing {
+			// A log that comes back may leave reads of its outage unanswered. Without a wait such a read is given up sooner.
+			wait = 0
+		}
+		page, err := a.Read(ctx, stream, from, a.cfg.PageRecords, wait)
 		if ctx.Err() != nil {
 			return
 		}
