--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -236,7 +236,7 @@
 // startBackground starts all that runs beside the requests.
 func (e *forwarding) startBackground(ctx context.Context, listeners []net.Listener) *sync.WaitGroup {
 	var background sync.WaitGroup
-	store := platform.NewStore(platform.StoreConfig{Address: e.settings.StoreAddress})
+	store := platform.NewStore(platform.StoreConfig{Address: e.settings.StoreAddress, Log: e.log})
 	directory := &platform.Directory{
 		Store: store,
 		Self:  platform.Peer{Name: e.settings.Name, Address: e.settings.PeerAddress, Zone: e.settings.Zone},
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -122,9 +122,15 @@
 	// sender knows.
 	ConfigAgeMillis int64 `msg:"configAgeMillis"`
 	// Evacuated are the availability zones whose endpoints get no new work, by the operator's records up to the offset
-	// EvacuatedNext; that is 0 where the sender knows none.
-	EvacuatedNext int64    `msg:"evacuatedNext"`
-	Evacuated     []string `msg:"evacuated,limit=4096"`
+	// EvacuatedNext in the era EvacuatedEra of the store; both are 0 where the sender knows none. EvacuationsHeld are zones
+	// evacuated in the era before, which the store does not name in this one.
+	EvacuatedEra    int64    `msg:"evacuatedEra"`
+	EvacuatedNext   int64    `msg:"evacuatedNext"`
+	Evacuated       []string `msg:"evacuated,limit=4096"`
+	EvacuationsHeld []string `msg:"evacuationsHeld,limit=4096"`
+	// StoreEra is the newest era of the store that the sender knows, EndpointsEra that of its list of endpoints.
+	StoreEra     int64 `msg:"storeEra"`
+	EndpointsEra int64 `msg:"endpointsEra"`
 }
 
 // Record is one log record that a peer passes on.
@@ -333,16 +339,20 @@
 
 // EndpointsCall asks a peer for the list of endpoints, if it has newer word of the store than the sender.
 type EndpointsCall struct {
-	// Next is the offset up to which the sender's own list is whole, below 0 if it has none. AgeMillis is how long ago
-	// the store's word was read that it goes by.
+	// Next is the offset in the era Era up to which the sender's own list is whole, below 0 if it has none. AgeMillis is how
+	// long ago the store's word was read that it goes by.
+	Era       int64 `msg:"era"`
 	Next      int64 `msg:"next"`
 	AgeMillis int64 `msg:"ageMillis"`
 }
 
 // EndpointEntry is the newest entry of one endpoint.
 type EndpointEntry struct {
-	ID       string
+	ID string
+	// Era and Offset are the position of the record, Sequence counts the endpoint's records by its own word.
+	Era      int64
 	Offset   int64
+	Sequence int64
 	Service  string
 	Address  string
 	Zone     string
@@ -359,7 +369,8 @@
 
 // EndpointsNews brings the changes of endpoints' entries that the entry which reads the store for all has just read.
 type EndpointsNews struct {
-	// From is the offset of the first change that may be among them, Next that after the last one.
+	// From is the offset of the first change that may be among them, Next that after the last one, both in the era Era.
+	Era     int64           `msg:"era"`
 	From    int64           `msg:"from"`
 	Next    int64           `msg:"next"`
 	Entries []EndpointEntry `msg:"entries,limit=65536"`
@@ -367,7 +378,8 @@
 
 // EndpointsReply brings the list of endpoints as the sender knows it.
 type EndpointsReply struct {
-	// Next is the offset up to which the list is whole, AgeMillis how long ago the store's word was read.
+	// Next is the offset in the era Era up to which the list is whole, AgeMillis how long ago the store's word was read.
+	Era       int64 `msg:"era"`
 	Next      int64 `msg:"next"`
 	AgeMillis int64 `msg:"ageMillis"`
 	// Unchanged tells that the asking entry's list is the same; Entries is empty then.
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -1633,8 +1633,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 13 {
+		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadString()
@@ -1642,11 +1642,21 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
+	z.Era, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	z.Offset, err = dc.ReadInt64()
 	if err != nil {
 		err = msgp.WrapError(err, "Offset")
 		return
 	}
+	z.Sequence, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
 	z.Service, err = dc.ReadString()
 	if err != nil {
 		err = msgp.WrapError(err, "Service")
@@ -1697,8 +1707,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EndpointEntry) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 11
-	err = en.Append(0x9b)
+	// array header, size 13
+	err = en.Append(0x9d)
 	if err != nil {
 		return
 	}
@@ -1707,11 +1717,21 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
+	err = en.WriteInt64(z.Era)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	err = en.WriteInt64(z.Offset)
 	if err != nil {
 		err = msgp.WrapError(err, "Offset")
 		return
 	}
+	err = en.WriteInt64(z.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
 	err = en.WriteString(z.Service)
 	if err != nil {
 		err = msgp.WrapError(err, "Service")
@@ -1763,10 +1783,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointEntry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 13
+	o = append(o, 0x9d)
 	o = msgp.AppendString(o, z.ID)
+	o = msgp.AppendInt64(o, z.Era)
 	o = msgp.AppendInt64(o, z.Offset)
+	o = msgp.AppendInt64(o, z.Sequence)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendString(o, z.Address)
 	o = msgp.AppendString(o, z.Zone)
@@ -1787,8 +1809,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 13 {
+		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadStringBytes(bts)
@@ -1796,11 +1818,21 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
+	z.Era, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	z.Offset, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Offset")
 		return
 	}
+	z.Sequence, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
 	z.Service, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Service")
@@ -1852,7 +1884,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EndpointEntry) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone) + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.Int64Size + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone) + msgp.Int32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
@@ -2080,6 +2112,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "era":
+			z.Era, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Era")
+				return
+			}
 		case "next":
 			z.Next, err = dc.ReadInt64()
 			if err != nil {
@@ -2105,9 +2143,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z EndpointsCall) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
+	// write "era"
+	err = en.Append(0x83, 0xa3, 0x65, 0x72, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Era)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	// write "next"
-	err = en.Append(0x82, 0xa4, 0x6e, 0x65, 0x78, 0x74)
+	err = en.Append(0xa4, 0x6e, 0x65, 0x78, 0x74)
 	if err != nil {
 		return
 	}
@@ -2132,9 +2180,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z EndpointsCall) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
+	// string "era"
+	o = append(o, 0x83, 0xa3, 0x65, 0x72, 0x61)
+	o = msgp.AppendInt64(o, z.Era)
 	// string "next"
-	o = append(o, 0x82, 0xa4, 0x6e, 0x65, 0x78, 0x74)
+	o = append(o, 0xa4, 0x6e, 0x65, 0x78, 0x74)
 	o = msgp.AppendInt64(o, z.Next)
 	// string "ageMillis"
 	o = append(o, 0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
@@ -2160,6 +2211,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "era":
+			z.Era, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Era")
+				return
+			}
 		case "next":
 			z.Next, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -2186,7 +2243,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z EndpointsCall) Msgsize() (s int) {
-	s = 1 + 5 + msgp.Int64Size + 10 + msgp.Int64Size
+	s = 1 + 4 + msgp.Int64Size + 5 + msgp.Int64Size + 10 + msgp.Int64Size
 	return
 }
 
@@ -2208,6 +2265,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "era":
+			z.Era, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Era")
+				return
+			}
 		case "from":
 			z.From, err = dc.ReadInt64()
 			if err != nil {
@@ -2256,9 +2319,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EndpointsNews) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 4
+	// write "era"
+	err = en.Append(0x84, 0xa3, 0x65, 0x72, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Era)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	// write "from"
-	err = en.Append(0x83, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	err = en.Append(0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	if err != nil {
 		return
 	}
@@ -2300,9 +2373,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointsNews) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
+	// string "era"
+	o = append(o, 0x84, 0xa3, 0x65, 0x72, 0x61)
+	o = msgp.AppendInt64(o, z.Era)
 	// string "from"
-	o = append(o, 0x83, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	o = msgp.AppendInt64(o, z.From)
 	// string "next"
 	o = append(o, 0xa4, 0x6e, 0x65, 0x78, 0x74)
@@ -2338,6 +2414,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "era":
+			z.Era, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Era")
+				return
+			}
 		case "from":
 			z.From, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -2387,7 +2469,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EndpointsNews) Msgsize() (s int) {
-	s = 1 + 5 + msgp.Int64Size + 5 + msgp.Int64Size + 8 + msgp.ArrayHeaderSize
+	s = 1 + 4 + msgp.Int64Size + 5 + msgp.Int64Size + 5 + msgp.Int64Size + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Entries {
 		s += z.Entries[za0001].Msgsize()
 	}
@@ -2412,6 +2494,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "era":
+			z.Era, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Era")
+				return
+			}
 		case "next":
 			z.Next, err = dc.ReadInt64()
 			if err != nil {
@@ -2466,9 +2554,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EndpointsReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
+	// write "era"
+	err = en.Append(0x85, 0xa3, 0x65, 0x72, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Era)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	// write "next"
-	err = en.Append(0x84, 0xa4, 0x6e, 0x65, 0x78, 0x74)
+	err = en.Append(0xa4, 0x6e, 0x65, 0x78, 0x74)
 	if err != nil {
 		return
 	}
@@ -2520,9 +2618,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointsReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
+	// string "era"
+	o = append(o, 0x85, 0xa3, 0x65, 0x72, 0x61)
+	o = msgp.AppendInt64(o, z.Era)
 	// string "next"
-	o = append(o, 0x84, 0xa4, 0x6e, 0x65, 0x78, 0x74)
+	o = append(o, 0xa4, 0x6e, 0x65, 0x78, 0x74)
 	o = msgp.AppendInt64(o, z.Next)
 	// string "ageMillis"
 	o = append(o, 0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
@@ -2561,6 +2662,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "era":
+			z.Era, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Era")
+				return
+			}
 		case "next":
 			z.Next, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -2616,7 +2723,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EndpointsReply) Msgsize() (s int) {
-	s = 1 + 5 + msgp.Int64Size + 10 + msgp.Int64Size + 10 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
+	s = 1 + 4 + msgp.Int64Size + 5 + msgp.Int64Size + 10 + msgp.Int64Size + 10 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Entries {
 		s += z.Entries[za0001].Msgsize()
 	}
@@ -3048,6 +3155,12 @@
 				err = msgp.WrapError(err, "ConfigAgeMillis")
 				return
 			}
+		case "evacuatedEra":
+			z.EvacuatedEra, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "EvacuatedEra")
+				return
+			}
 		case "evacuatedNext":
 			z.EvacuatedNext, err = dc.ReadInt64()
 			if err != nil {
@@ -3077,6 +3190,41 @@
 					return
 				}
 			}
+		case "evacuationsHeld":
+			var zb0012 uint32
+			zb0012, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "EvacuationsHeld")
+				return
+			}
+			if zb0012 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.EvacuationsHeld) >= int(zb0012) {
+				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0012]
+			} else {
+				z.EvacuationsHeld = make([]string, zb0012)
+			}
+			for za0009 := range z.EvacuationsHeld {
+				z.EvacuationsHeld[za0009], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "EvacuationsHeld", za0009)
+					return
+				}
+			}
+		case "storeEra":
+			z.StoreEra, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "StoreEra")
+				return
+			}
+		case "endpointsEra":
+			z.EndpointsEra, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "EndpointsEra")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3090,9 +3238,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 11
+	// map header, size 15
 	// write "from"
-	err = en.Append(0x8b, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	err = en.Append(0x8f, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	if err != nil {
 		return
 	}
@@ -3256,6 +3404,16 @@
 		err = msgp.WrapError(err, "ConfigAgeMillis")
 		return
 	}
+	// write "evacuatedEra"
+	err = en.Append(0xac, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64, 0x45, 0x72, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.EvacuatedEra)
+	if err != nil {
+		err = msgp.WrapError(err, "EvacuatedEra")
+		return
+	}
 	// write "evacuatedNext"
 	err = en.Append(0xad, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64, 0x4e, 0x65, 0x78, 0x74)
 	if err != nil {
@@ -3283,15 +3441,52 @@
 			return
 		}
 	}
+	// write "evacuationsHeld"
+	err = en.Append(0xaf, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x48, 0x65, 0x6c, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.EvacuationsHeld)))
+	if err != nil {
+		err = msgp.WrapError(err, "EvacuationsHeld")
+		return
+	}
+	for za0009 := range z.EvacuationsHeld {
+		err = en.WriteString(z.EvacuationsHeld[za0009])
+		if err != nil {
+			err = msgp.WrapError(err, "EvacuationsHeld", za0009)
+			return
+		}
+	}
+	// write "storeEra"
+	err = en.Append(0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.StoreEra)
+	if err != nil {
+		err = msgp.WrapError(err, "StoreEra")
+		return
+	}
+	// write "endpointsEra"
+	err = en.Append(0xac, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73, 0x45, 0x72, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.EndpointsEra)
+	if err != nil {
+		err = msgp.WrapError(err, "EndpointsEra")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
+	// map header, size 15
 	// string "from"
-	o = append(o, 0x8b, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = append(o, 0x8f, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -3371,6 +3566,9 @@
 	// string "configAgeMillis"
 	o = append(o, 0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.ConfigAgeMillis)
+	// string "evacuatedEra"
+	o = append(o, 0xac, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64, 0x45, 0x72, 0x61)
+	o = msgp.AppendInt64(o, z.EvacuatedEra)
 	// string "evacuatedNext"
 	o = append(o, 0xad, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64, 0x4e, 0x65, 0x78, 0x74)
 	o = msgp.AppendInt64(o, z.EvacuatedNext)
@@ -3380,6 +3578,18 @@
 	for za0008 := range z.Evacuated {
 		o = msgp.AppendString(o, z.Evacuated[za0008])
 	}
+	// string "evacuationsHeld"
+	o = append(o, 0xaf, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x48, 0x65, 0x6c, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.EvacuationsHeld)))
+	for za0009 := range z.EvacuationsHeld {
+		o = msgp.AppendString(o, z.EvacuationsHeld[za0009])
+	}
+	// string "storeEra"
+	o = append(o, 0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
+	o = msgp.AppendInt64(o, z.StoreEra)
+	// string "endpointsEra"
+	o = append(o, 0xac, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73, 0x45, 0x72, 0x61)
+	o = msgp.AppendInt64(o, z.EndpointsEra)
 	return
 }
 
@@ -3638,6 +3848,12 @@
 				err = msgp.WrapError(err, "ConfigAgeMillis")
 				return
 			}
+		case "evacuatedEra":
+			z.EvacuatedEra, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EvacuatedEra")
+				return
+			}
 		case "evacuatedNext":
 			z.EvacuatedNext, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -3667,6 +3883,41 @@
 					return
 				}
 			}
+		case "evacuationsHeld":
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EvacuationsHeld")
+				return
+			}
+			if zb0013 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.EvacuationsHeld) >= int(zb0013) {
+				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0013]
+			} else {
+				z.EvacuationsHeld = make([]string, zb0013)
+			}
+			for za0009 := range z.EvacuationsHeld {
+				z.EvacuationsHeld[za0009], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "EvacuationsHeld", za0009)
+					return
+				}
+			}
+		case "storeEra":
+			z.StoreEra, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StoreEra")
+				return
+			}
+		case "endpointsEra":
+			z.EndpointsEra, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EndpointsEra")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3708,10 +3959,15 @@
 	for za0007 := range z.Stages {
 		s += z.Stages[za0007].Msgsize()
 	}
-	s += 16 + msgp.Int64Size + 14 + msgp.Int64Size + 10 + msgp.ArrayHeaderSize
+	s += 16 + msgp.Int64Size + 13 + msgp.Int64Size + 14 + msgp.Int64Size + 10 + msgp.ArrayHeaderSize
 	for za0008 := range z.Evacuated {
 		s += msgp.StringPrefixSize + len(z.Evacuated[za0008])
 	}
+	s += 16 + msgp.ArrayHeaderSize
+	for za0009 := range z.EvacuationsHeld {
+		s += msgp.StringPrefixSize + len(z.EvacuationsHeld[za0009])
+	}
+	s += 9 + msgp.Int64Size + 13 + msgp.Int64Size
 	return
 }
 
--- a/evacuator/evacuator_test.go
+++ b/evacuator/evacuator_test.go
@@ -6,19 +6,24 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"geraniumline/locator"
 )
 
+// at is a position in a store that tells no era.
+func at(offset int64) locator.Position { return locator.At(0, offset) }
+
 func TestZonesAreEvacuatedAndTakenBack(t *testing.T) {
 	e := New()
 	now := time.Unix(1000, 0)
-	require.True(t, e.Apply([]Change{{Zone: "a", Offset: 3, Evacuated: true}}, 4, now))
+	require.True(t, e.Apply([]Change{{Zone: "a", Position: at(3), Evacuated: true}}, at(4), now))
 	require.True(t, e.Evacuated("a"))
 	require.False(t, e.Evacuated("b"))
-	require.True(t, e.Apply([]Change{{Zone: "b", Offset: 4, Evacuated: true}, {Zone: "a", Offset: 5}}, 6, now.Add(time.Second)))
-	require.Equal(t, State{Next: 6, Zones: []string{"b"}}, e.State())
+	require.True(t, e.Apply([]Change{{Zone: "b", Position: at(4), Evacuated: true}, {Zone: "a", Position: at(5)}}, at(6), now.Add(time.Second)))
+	require.Equal(t, State{Next: at(6), Zones: []string{"b"}}, e.State())
 	require.Equal(t, now.Add(time.Second), e.EndedAt("a"))
 	require.Zero(t, e.EndedAt("b"))
-	require.True(t, e.Apply([]Change{{Zone: "a", Offset: 6, Evacuated: true}}, 7, now.Add(2*time.Second)))
+	require.True(t, e.Apply([]Change{{Zone: "a", Position: at(6), Evacuated: true}}, at(7), now.Add(2*time.Second)))
 	require.Zero(t, e.EndedAt("a"))
 }
 
@@ -27,15 +32,15 @@
 func TestAnOlderStateNeverComesBack(t *testing.T) {
 	e := New()
 	now := time.Unix(1000, 0)
-	records := []Change{{Zone: "a", Offset: 1, Evacuated: true}, {Zone: "a", Offset: 2}, {Zone: "b", Offset: 3, Evacuated: true}}
-	require.True(t, e.Apply(records, 4, now))
-	want := State{Next: 4, Zones: []string{"b"}}
-	require.False(t, e.Take(State{Next: 2, Zones: []string{"a"}}, now))
-	require.False(t, e.Apply(records[:1], 2, now))
+	records := []Change{{Zone: "a", Position: at(1), Evacuated: true}, {Zone: "a", Position: at(2)}, {Zone: "b", Position: at(3), Evacuated: true}}
+	require.True(t, e.Apply(records, at(4), now))
+	want := State{Next: at(4), Zones: []string{"b"}}
+	require.False(t, e.Take(State{Next: at(2), Zones: []string{"a"}}, now))
+	require.False(t, e.Apply(records[:1], at(2), now))
 	require.Equal(t, want, e.State())
-	require.True(t, e.Take(State{Next: 9, Zones: []string{"b", "c"}}, now))
-	require.True(t, e.Apply([]Change{{Zone: "c", Offset: 5, Evacuated: true}, {Zone: "c", Offset: 9}}, 10, now))
-	require.Equal(t, State{Next: 10, Zones: []string{"b"}}, e.State())
+	require.True(t, e.Take(State{Next: at(9), Zones: []string{"b", "c"}}, now))
+	require.True(t, e.Apply([]Change{{Zone: "c", Position: at(5), Evacuated: true}, {Zone: "c", Position: at(9)}}, at(10), now))
+	require.Equal(t, State{Next: at(10), Zones: []string{"b"}}, e.State())
 }
 
 // The history was forgotten while an evacuation was taken back: only the newest records are left, and the one that was
@@ -43,8 +48,8 @@
 func TestADeletedRecordIsATakenBackOne(t *testing.T) {
 	e := New()
 	now := time.Unix(1000, 0)
-	require.True(t, e.Take(State{Next: 4, Zones: []string{"a", "b"}}, now))
-	require.True(t, e.Take(State{Next: 8, Zones: []string{"b"}}, now))
+	require.True(t, e.Take(State{Next: at(4), Zones: []string{"a", "b"}}, now))
+	require.True(t, e.Take(State{Next: at(8), Zones: []string{"b"}}, now))
 	require.False(t, e.Evacuated("a"))
 	require.Equal(t, now, e.EndedAt("a"))
 }
@@ -60,10 +65,10 @@
 		for i := range records {
 			records[i] = Change{
 				Zone:      rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"),
-				Offset:    int64(i),
+				Position:  at(int64(i)),
 				Evacuated: rapid.Bool().Draw(t, "evacuated"),
 			}
-			whole.Apply(records[i:i+1], int64(i)+1, now)
+			whole.Apply(records[i:i+1], at(int64(i)+1), now)
 			states[i+1] = whole.State()
 		}
 		e := New()
@@ -71,12 +76,12 @@
 			if to := rapid.IntRange(0, n).Draw(t, "to"); rapid.Bool().Draw(t, "peer") {
 				e.Take(states[to], now)
 			} else {
-				from := rapid.IntRange(0, min(to, int(e.next))).Draw(t, "from")
-				e.Apply(records[from:to], int64(to), now)
+				from := rapid.IntRange(0, min(to, int(e.next.Offset()))).Draw(t, "from")
+				e.Apply(records[from:to], at(int64(to)), now)
 			}
-			require.Equal(t, states[e.next].Zones, e.State().Zones)
+			require.Equal(t, states[e.next.Offset()].Zones, e.State().Zones)
 		}
-		e.Apply(records, int64(n), now)
+		e.Apply(records, at(int64(n)), now)
 		require.Equal(t, whole.State(), e.State())
 	})
 }
--- a/forwarder/duty_test.go
+++ b/forwarder/duty_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"geraniumline/cataloger"
+	"geraniumline/locator"
 	"geraniumline/registrar"
 )
 
@@ -27,18 +28,18 @@
 	now := time.Now()
 	require.Len(t, m.reader(now), 1, "all have just read the list")
 	duty, _ := m.nodes["entry-0"].owner(readerDuty, nil)
-	m.nodes[duty].TakeEndpoints([]registrar.Change{endpointAt("a")}, 0, 4, now)
+	m.nodes[duty].TakeEndpoints([]registrar.Change{endpointAt("a")}, locator.At(0, 0), locator.At(0, 4), now)
 	require.Equal(t, []string{duty}, m.reader(time.Now()))
 	for _, f := range m.nodes {
 		require.Equal(t, 1, f.selector.Count("plain"))
 		from, _ := f.ReadsEndpoints(now)
-		require.Equal(t, int64(4), from)
+		require.Equal(t, locator.At(0, 4), from)
 	}
 	require.Len(t, m.reader(time.Now().Add(newsPatience-time.Millisecond)), 1)
 	require.Len(t, m.reader(time.Now().Add(newsPatience+rankStep)), 2, "the next one first: if the store answers it, it tells the others")
 	require.Len(t, m.reader(time.Now().Add(newsPatience+2*rankStep)), 3)
 
-	m.nodes[duty].TakeEndpoints([]registrar.Change{{ID: "a", Offset: 9}}, 9, 10, time.Now())
+	m.nodes[duty].TakeEndpoints([]registrar.Change{{ID: "a", Position: locator.At(0, 9)}}, locator.At(0, 9), locator.At(0, 10), time.Now())
 	for name, f := range m.nodes {
 		want := 1
 		if name == duty {
@@ -58,7 +59,7 @@
 	require.Len(t, readers, 2)
 	for _, name := range readers {
 		if name != duty {
-			m.nodes[name].TakeEndpoints([]registrar.Change{endpointAt("a")}, 0, 4, later)
+			m.nodes[name].TakeEndpoints([]registrar.Change{endpointAt("a")}, locator.At(0, 0), locator.At(0, 4), later)
 		}
 	}
 	for name, f := range m.nodes {
--- /dev/null
+++ b/forwarder/era_test.go
@@ -0,0 +1,85 @@
+package forwarder
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/evacuator"
+	"geraniumline/locator"
+	"geraniumline/registrar"
+)
+
+// Guards against a herd of readings, and against entries that stay behind, when the store begins a new era.
+func TestANewEraIsKnownEverywhereFromTheWordOfAFew(t *testing.T) {
+	// A platform of each size holds entries to its bounds again after the recovery time.
+	for n, recovery := range map[int]time.Duration{7: 3 * time.Second, 65: 4 * time.Second, 300: 5 * time.Second} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			m := newMeshIn(t, n, 3, func(string) int { return 0 })
+			m.defers, m.modelTime = true, true
+			m.now = time.Now()
+			rnd := rand.New(rand.NewPCG(uint64(n), 2))
+			for range 4 {
+				m.beat(1)
+				m.deliver(0, rnd)
+			}
+			for _, f := range m.nodes {
+				f.StoreHeard(0, m.now)
+				f.ReplaceEndpoints([]registrar.Change{endpointAt("a")}, locator.At(0, 9), m.now)
+			}
+			duty, _ := m.nodes["entry-0"].owner(readerDuty, nil)
+			reader := m.nodes[duty]
+			fresh := endpointAt("b")
+			fresh.Position = locator.At(1, 4)
+			reader.StoreHeard(1, m.now)
+			reader.ReplaceEndpoints([]registrar.Change{fresh}, locator.At(1, 5), m.now)
+			reader.ReplaceEvacuations(evacuator.State{Next: locator.At(1, 2), Zones: []string{"z0"}}, m.now)
+			behind := func() (list []string) {
+				for name, f := range m.nodes {
+					if f.registry.Next().Era() != 1 || f.storeEra != 1 || !f.evacuator.Evacuated("z0") {
+						list = append(list, name)
+					}
+				}
+				return list
+			}
+			rounds, readings := 0, 0
+			for ; len(behind()) > 0; rounds++ {
+				require.Less(t, rounds, 40, "behind: %v", behind())
+				for _, name := range behind() {
+					if _, reads := m.nodes[name].ReadsEndpoints(m.now); reads {
+						readings++
+					}
+				}
+				m.beat(1)
+				m.deliver(0.1, rnd)
+			}
+			t.Logf("%d entries: all after %v, %d readings", n, time.Duration(rounds)*heartbeatEvery, readings)
+			require.LessOrEqual(t, time.Duration(rounds)*heartbeatEvery, recovery)
+			for name, f := range m.nodes {
+				ids := []string{}
+				for _, e := range f.registry.Usable() {
+					ids = append(ids, e.ID)
+				}
+				require.True(t, slices.Contains(ids, "a"), "%s dropped an endpoint that may write again", name)
+				require.True(t, slices.Contains(ids, "b"), name)
+			}
+		})
+	}
+}
+
+// Guards against an evacuation that ends at an entry which starts while the store lacks it.
+func TestANewEntryHoldsAnEvacuationThatTheStoreHasLost(t *testing.T) {
+	m := newMesh(t, 2)
+	old, young := m.nodes["entry-0"], m.nodes["entry-1"]
+	old.ReplaceEvacuations(evacuator.State{Next: locator.At(0, 9), Zones: []string{"z0"}}, m.now)
+	old.ReplaceEvacuations(evacuator.State{Next: locator.At(1, 3)}, m.now)
+	m.beat(1)
+	require.True(t, young.evacuator.Evacuated("z0"))
+	later := m.now.Add(2 * evacuator.HoldTime)
+	young.tick(later)
+	require.False(t, young.evacuator.Evacuated("z0"), "the operator has not written it again")
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -152,6 +152,9 @@
 	configHeard time.Time
 	// storeLost is set while the store does not answer this entry.
 	storeLost bool
+	// storeEra is the newest era of the store that was heard of; eraKnown is set once one was.
+	storeEra int64
+	eraKnown bool
 
 	inFlight    atomic.Int64
 	lastRequest atomic.Int64
@@ -278,7 +281,10 @@
 	}
 	todo = append(todo, f.handBack(now)...)
 	todo = append(todo, f.checkAsks(now)...)
-	if f.registry.Tick(now) {
+	endpointsLeft := f.registry.Tick(now)
+	if f.evacuator.Tick(now) {
+		todo = append(todo, f.evacuationsTaken(true, "lapse", now)...)
+	} else if endpointsLeft {
 		todo = append(todo, f.endpointsChanged(now)...)
 	}
 	f.mu.Unlock()
--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -10,6 +10,7 @@
 	"geraniumline/cataloger"
 	"geraniumline/collector"
 	"geraniumline/divider"
+	"geraniumline/locator"
 	"geraniumline/registrar"
 )
 
@@ -55,9 +56,9 @@
 	return nil
 }
 
-// TakeEndpoints takes changes of endpoints' entries, from one offset up to another, that were read from the store. The
+// TakeEndpoints takes changes of endpoints' entries, from one position up to another, that were read from the store. The
 // entry that reads for all passes them on.
-func (f *Forwarder) TakeEndpoints(changes []registrar.Change, from, next int64, now time.Time) {
+func (f *Forwarder) TakeEndpoints(changes []registrar.Change, from, next locator.Position, now time.Time) {
 	f.locked(func() []func() {
 		news := f.registry.News(changes)
 		f.registry.Apply(changes, next, now)
@@ -70,7 +71,7 @@
 }
 
 // ReplaceEndpoints takes the newest entry of every endpoint.
-func (f *Forwarder) ReplaceEndpoints(all []registrar.Change, next int64, now time.Time) {
+func (f *Forwarder) ReplaceEndpoints(all []registrar.Change, next locator.Position, now time.Time) {
 	f.locked(func() []func() {
 		f.registry.Replace(all, next, now)
 		f.newsAt = now
@@ -78,10 +79,11 @@
 	})
 }
 
-// StoreHeard notes that the store has answered this entry.
-func (f *Forwarder) StoreHeard(now time.Time) {
+// StoreHeard notes that the store has answered this entry, in which era.
+func (f *Forwarder) StoreHeard(era int64, now time.Time) {
 	f.mu.Lock()
 	f.registry.Heard(now)
+	f.takeEra(era, "store")
 	news := f.storeLost
 	f.storeLost = false
 	f.mu.Unlock()
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -14,6 +14,7 @@
 	"geraniumline/cataloger"
 	"geraniumline/collector"
 	"geraniumline/connector"
+	"geraniumline/locator"
 	"geraniumline/registrar"
 	"geraniumline/selector"
 )
@@ -145,8 +146,8 @@
 		f.SetSender(port{m, name})
 		m.nodes[name] = f
 		require.NoError(t, f.TakeConfig([]byte("1"), "test", m.now))
-		f.StoreHeard(m.now)
-		f.ReplaceEndpoints(nil, 0, m.now)
+		f.StoreHeard(0, m.now)
+		f.ReplaceEndpoints(nil, locator.At(0, 0), m.now)
 	}
 	m.beat(5)
 	return m
@@ -179,7 +180,7 @@
 }
 
 func endpointAt(id string) registrar.Change {
-	return registrar.Change{ID: id, Offset: 3, Endpoint: &registrar.Endpoint{ID: id, Service: "plain", Address: id + ":1"}}
+	return registrar.Change{ID: id, Position: locator.At(0, 3), Endpoint: &registrar.Endpoint{ID: id, Service: "plain", Address: id + ":1"}}
 }
 
 func TestAddressesNameLiveEntries(t *testing.T) {
@@ -198,7 +199,7 @@
 	m := newMesh(t, 2)
 	now := time.Now()
 	for _, f := range m.nodes {
-		f.ReplaceEndpoints([]registrar.Change{endpointAt("a"), endpointAt("b")}, 5, now)
+		f.ReplaceEndpoints([]registrar.Change{endpointAt("a"), endpointAt("b")}, locator.At(0, 5), now)
 	}
 	choice, found := m.nodes["entry-0"].choosePlain()
 	require.True(t, found)
--- a/forwarder/openness.go
+++ b/forwarder/openness.go
@@ -10,6 +10,7 @@
 	"geraniumline/cataloger"
 	"geraniumline/detector"
 	"geraniumline/evacuator"
+	"geraniumline/locator"
 	"geraniumline/meter"
 	"geraniumline/registrar"
 )
@@ -87,8 +88,8 @@
 	return e.ColdUntil
 }
 
-// TakeEvacuations takes the operator's records on availability zones that follow those known, up to an offset.
-func (f *Forwarder) TakeEvacuations(changes []evacuator.Change, next int64, now time.Time) {
+// TakeEvacuations takes the operator's records on availability zones that follow those known, up to a position.
+func (f *Forwarder) TakeEvacuations(changes []evacuator.Change, next locator.Position, now time.Time) {
 	f.locked(func() []func() {
 		return f.evacuationsTaken(f.evacuator.Apply(changes, next, now), "store", now)
 	})
@@ -103,7 +104,11 @@
 
 // takeEvacuated takes a peer's word on evacuated zones. The lock is held.
 func (f *Forwarder) takeEvacuated(m *carrier.Heartbeat, now time.Time) []func() {
-	state := evacuator.State{Next: m.EvacuatedNext, Zones: m.Evacuated}
+	state := evacuator.State{
+		Next:  locator.At(m.EvacuatedEra, m.EvacuatedNext),
+		Zones: m.Evacuated,
+		Held:  m.EvacuationsHeld,
+	}
 	return f.evacuationsTaken(f.evacuator.Take(state, now), m.From.Name, now)
 }
 
@@ -113,10 +118,11 @@
 		return nil
 	}
 	state := f.evacuator.State()
-	f.cfg.Meter.Gauge(meter.ZonesEvacuated).Update(int64(len(state.Zones)))
+	f.cfg.Meter.Gauge(meter.ZonesEvacuated).Update(int64(len(state.Zones) + len(state.Held)))
 	f.log.Info("evacuated zones changed",
 		zap.Strings("zones", state.Zones),
-		zap.Int64("offset", state.Next),
+		zap.Strings("held", state.Held),
+		zap.Stringer("position", state.Next),
 		zap.String("source", source))
 	return f.endpointsChanged(now)
 }
--- a/forwarder/openness_test.go
+++ b/forwarder/openness_test.go
@@ -12,6 +12,7 @@
 
 	"geraniumline/cataloger"
 	"geraniumline/evacuator"
+	"geraniumline/locator"
 )
 
 // deliver hands over what was sent in the round, but for a part that is lost.
@@ -51,7 +52,7 @@
 			}
 			for _, f := range m.nodes {
 				if f.rank(configDuty) < configReaders {
-					f.TakeEvacuations([]evacuator.Change{{Zone: "z0", Offset: 7, Evacuated: true}}, 8, m.now)
+					f.TakeEvacuations([]evacuator.Change{{Zone: "z0", Position: locator.At(0, 7), Evacuated: true}}, locator.At(0, 8), m.now)
 				}
 			}
 			rounds, most := 0, 0
@@ -80,7 +81,7 @@
 	require.GreaterOrEqual(t, f.startReturn(now.Add(storeAnswers)), storeAwayReturn)
 	f.StoreLost(errors.New("no answer"), now)
 	require.GreaterOrEqual(t, f.startReturn(now.Add(50*time.Millisecond)), storeAwayReturn)
-	f.StoreHeard(now)
+	f.StoreHeard(0, now)
 	require.Less(t, f.startReturn(now.Add(50*time.Millisecond)), time.Second)
 }
 
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -10,6 +10,7 @@
 	"geraniumline/carrier"
 	"geraniumline/collector"
 	"geraniumline/detector"
+	"geraniumline/locator"
 )
 
 const (
@@ -47,7 +48,9 @@
 	beat.Crashes = f.quarantiner.Marks(now)
 	beat.Stages = f.stageWaits(now)
 	evacuated := f.evacuator.State()
-	beat.EvacuatedNext, beat.Evacuated = evacuated.Next, evacuated.Zones
+	beat.EvacuatedEra, beat.EvacuatedNext = evacuated.Next.Era(), evacuated.Next.Offset()
+	beat.Evacuated, beat.EvacuationsHeld = evacuated.Zones, evacuated.Held
+	beat.StoreEra, beat.EndpointsEra = f.storeEra, f.registry.Next().Era()
 	beat.ConfigAgeMillis = min(now.Sub(f.configHeard), maxConfigAge).Milliseconds()
 	f.round++
 	targets := f.detector.Targets(now)
@@ -181,7 +184,8 @@
 	if !f.registry.Known() {
 		return &carrier.EndpointsCall{Next: -1}
 	}
-	return &carrier.EndpointsCall{Next: f.registry.Next(), AgeMillis: f.registry.Age(now).Milliseconds()}
+	next := f.registry.Next()
+	return &carrier.EndpointsCall{Era: next.Era(), Next: next.Offset(), AgeMillis: f.registry.Age(now).Milliseconds()}
 }
 
 // TakeMessage takes a message from the peer that proved the name.
@@ -194,7 +198,11 @@
 			f.quarantiner.Heard(m.Crashes, now)
 			f.takeStageWaits(m.Stages, now)
 			f.takeConfigAge(m.ConfigAgeMillis, now)
-			todo := f.takeEvacuated(m, now)
+			if m.StoreEra > 0 {
+				// Entries that know no era say 0.
+				f.takeEra(m.StoreEra, m.From.Name)
+			}
+			todo := append(f.takeEvacuated(m, now), f.askForEra(from, m.EndpointsEra, now)...)
 			return append(todo, f.takeTransitions(f.detector.Receive(m, now), now)...)
 		})
 	case *carrier.Work:
@@ -286,15 +294,18 @@
 	if !f.registry.Known() {
 		return nil
 	}
+	next := f.registry.Next()
+	known := locator.At(asked.Era, asked.Next)
 	age := f.registry.Age(now)
 	theirs := time.Duration(asked.AgeMillis) * time.Millisecond
-	if asked.Next >= 0 && age+freshMargin > theirs {
+	if asked.Next >= 0 && asked.Era >= next.Era() && age+freshMargin > theirs {
 		return nil
 	}
 	reply := &carrier.EndpointsReply{
-		Next:      f.registry.Next(),
+		Era:       next.Era(),
+		Next:      next.Offset(),
 		AgeMillis: age.Milliseconds(),
-		Unchanged: asked.Next == f.registry.Next(),
+		Unchanged: known == next,
 	}
 	if !reply.Unchanged {
 		for _, c := range f.registry.Changes() {
@@ -306,7 +317,8 @@
 
 // takeEndpointsReply takes a peer's list of endpoints. The lock is held.
 func (f *Forwarder) takeEndpointsReply(m *carrier.EndpointsReply, now time.Time) []func() {
-	if m.Next < f.registry.Next() || m.Unchanged && m.Next != f.registry.Next() {
+	next := locator.At(m.Era, m.Next)
+	if next.Before(f.registry.Next()) || m.Unchanged && next != f.registry.Next() {
 		return nil
 	}
 	at := now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)
@@ -318,7 +330,7 @@
 	if m.Unchanged {
 		return nil
 	}
-	f.registry.Replace(changesOf(m.Entries, now), m.Next, now)
+	f.registry.Replace(changesOf(m.Entries, now), next, now)
 	return f.endpointsChanged(now)
 }
 
--- a/forwarder/reader.go
+++ b/forwarder/reader.go
@@ -5,6 +5,7 @@
 
 	"geraniumline/carrier"
 	"geraniumline/detector"
+	"geraniumline/locator"
 	"geraniumline/registrar"
 )
 
@@ -81,10 +82,10 @@
 
 // ReadsEndpoints tells whether this entry is to read the endpoints' entries from the store now, and from which offset.
 // The one that the duty falls to does; any other only while it hears nothing, one after the other.
-func (f *Forwarder) ReadsEndpoints(now time.Time) (int64, bool) {
+func (f *Forwarder) ReadsEndpoints(now time.Time) (locator.Position, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	from := int64(-1)
+	from := locator.Nowhere
 	if f.registry.Known() {
 		from = f.registry.Next()
 	}
@@ -97,8 +98,8 @@
 }
 
 // passOn tells all peers what was read. An empty word is sent too: it says that nothing has changed. The lock is held.
-func (f *Forwarder) passOn(changes []registrar.Change, from, next int64, now time.Time) []func() {
-	news := &carrier.EndpointsNews{From: from, Next: next}
+func (f *Forwarder) passOn(changes []registrar.Change, from, next locator.Position, now time.Time) []func() {
+	news := &carrier.EndpointsNews{Era: next.Era(), From: from.Offset(), Next: next.Offset()}
 	for _, c := range changes {
 		news.Entries = append(news.Entries, entryOf(c, now))
 	}
@@ -111,15 +112,16 @@
 	return todo
 }
 
-// takeNews takes what the reading entry has read. After a gap it is of no use, and this entry reads itself. The lock is
-// held.
+// takeNews takes what the reading entry has read. After a gap, such as a new era of the store, it is of no use, and this entry
+// asks for the list or reads itself. The lock is held.
 func (f *Forwarder) takeNews(m *carrier.EndpointsNews, now time.Time) []func() {
-	if !f.registry.Known() || m.From > f.registry.Next() {
+	next := f.registry.Next()
+	if !f.registry.Known() || m.Era != next.Era() || m.From > next.Offset() {
 		return nil
 	}
 	f.newsAt = now
 	f.registry.Heard(now)
-	f.registry.Apply(changesOf(m.Entries, now), m.Next, now)
+	f.registry.Apply(changesOf(m.Entries, now), locator.At(m.Era, m.Next), now)
 	if len(m.Entries) == 0 {
 		return nil
 	}
@@ -127,18 +129,16 @@
 }
 
 func entryOf(c registrar.Change, now time.Time) carrier.EndpointEntry {
+	entry := carrier.EndpointEntry{ID: c.ID, Era: c.Position.Era(), Offset: c.Position.Offset(), Sequence: c.Sequence}
 	if c.Endpoint == nil {
-		return carrier.EndpointEntry{ID: c.ID, Offset: c.Offset, Removed: true, Unusable: c.Unusable}
-	}
-	entry := carrier.EndpointEntry{
-		ID:       c.ID,
-		Offset:   c.Offset,
-		Service:  c.Endpoint.Service,
-		Address:  c.Endpoint.Address,
-		Zone:     c.Endpoint.Zone,
-		Slots:    int32(c.Endpoint.Slots),
-		Draining: c.Endpoint.Draining,
+		entry.Removed, entry.Unusable = true, c.Unusable
+		return entry
 	}
+	entry.Service = c.Endpoint.Service
+	entry.Address = c.Endpoint.Address
+	entry.Zone = c.Endpoint.Zone
+	entry.Slots = int32(c.Endpoint.Slots)
+	entry.Draining = c.Endpoint.Draining
 	if !c.Endpoint.Started.IsZero() {
 		entry.StartedMillis = c.Endpoint.Started.UnixMilli()
 	}
@@ -151,7 +151,9 @@
 func changesOf(entries []carrier.EndpointEntry, now time.Time) []registrar.Change {
 	changes := make([]registrar.Change, len(entries))
 	for i, e := range entries {
-		changes[i] = registrar.Change{ID: e.ID, Offset: e.Offset, Unusable: e.Unusable}
+		changes[i] = registrar.Change{
+			ID: e.ID, Position: locator.At(e.Era, e.Offset), Sequence: e.Sequence, Unusable: e.Unusable,
+		}
 		if e.Removed {
 			continue
 		}
--- a/forwarder/storm_test.go
+++ b/forwarder/storm_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"geraniumline/locator"
 	"geraniumline/registrar"
 )
 
@@ -22,8 +23,8 @@
 		all = append(all, endpointAt(fmt.Sprintf("i-%d", i)))
 	}
 	for _, f := range m.nodes {
-		f.ReplaceEndpoints(all, 4, time.Now())
-		f.StoreHeard(time.Now().Add(-endpointsPatience - time.Second))
+		f.ReplaceEndpoints(all, locator.At(0, 4), time.Now())
+		f.StoreHeard(0, time.Now().Add(-endpointsPatience-time.Second))
 	}
 	m.sent = map[string]int{}
 	m.beat(1)
@@ -37,16 +38,16 @@
 func TestAStaleEntryIsToldOnce(t *testing.T) {
 	m := newMesh(t, 3)
 	stale := m.nodes["entry-2"]
-	stale.StoreHeard(time.Now().Add(-endpointsPatience - time.Second))
+	stale.StoreHeard(0, time.Now().Add(-endpointsPatience-time.Second))
 	for _, name := range []string{"entry-0", "entry-1"} {
 		f := m.nodes[name]
-		f.ReplaceEndpoints([]registrar.Change{endpointAt("a")}, 4, time.Now())
-		f.StoreHeard(time.Now())
+		f.ReplaceEndpoints([]registrar.Change{endpointAt("a")}, locator.At(0, 4), time.Now())
+		f.StoreHeard(0, time.Now())
 	}
 	m.sent = map[string]int{}
 	stale.heartbeat(time.Now())
 	require.Equal(t, 2, m.sent["*carrier.EndpointsCall"])
-	require.Equal(t, int64(4), stale.registry.Next())
+	require.Equal(t, locator.At(0, 4), stale.registry.Next())
 	require.Less(t, stale.registry.Age(time.Now()), endpointsPatience)
 
 	stale.askedEndpoints = time.Time{}
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -113,6 +113,7 @@
 	ConfigVersion      Name = "config_version"
 	ConfigAge          Name = "config_age_millis"
 	StoreCalls         Name = "store_calls"
+	StoreReturns       Name = "store_returns"
 	EntriesUnusable    Name = "entries_unusable"
 	LogLinesDropped    Name = "log_lines_dropped"
 )
@@ -243,6 +244,7 @@
 	{ConfigAge, KindGauge, "milliseconds", "", "Time since the store last answered a reading of the configuration, here or at a peer.", ""},
 	{EntriesUnusable, KindCounter, "records", "", "An endpoint's entry in the store that can't be used.", ""},
 	{StoreCalls, KindCounter, "calls", byOutcome, "A reading of the platform's store.", ""},
+	{StoreReturns, KindCounter, "returns", "", "A return of the store from an older copy.", ""},
 	{LogLinesDropped, KindCounter, "lines", byReason, "A log line not written: ordinary over the rate, or any over the buffer.", ""},
 
 	{HeartbeatsSent, KindCounter, "heartbeats", "", "A heartbeat sent to a peer.", ""},
--- a/registrar/bench_test.go
+++ b/registrar/bench_test.go
@@ -12,7 +12,7 @@
 			r := New(Config{})
 			r.Heard(start)
 			for i := range n {
-				r.Apply([]Change{put(fmt.Sprint(i), int64(i), nil)}, int64(i)+1, start)
+				r.Apply([]Change{put(fmt.Sprint(i), int64(i), nil)}, pos(int64(i)+1), start)
 			}
 			for b.Loop() {
 				r.Tick(start)
--- /dev/null
+++ b/registrar/era_test.go
@@ -0,0 +1,145 @@
+package registrar
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"geraniumline/locator"
+)
+
+// storeModel is a store that may return from an older copy, and the endpoints that write there.
+type storeModel struct {
+	era     int64
+	records []Change
+	copied  []Change
+	// written counts each endpoint's records; draining and left are what is true of it now.
+	written  map[string]int64
+	draining map[string]bool
+	left     map[string]bool
+}
+
+func newStoreModel() *storeModel {
+	return &storeModel{written: make(map[string]int64), draining: make(map[string]bool), left: make(map[string]bool)}
+}
+
+func (s *storeModel) end() locator.Position { return locator.At(s.era, int64(len(s.records))) }
+
+// write has an endpoint write its entry, or the store remove it.
+func (s *storeModel) write(id string, removed bool) {
+	c := Change{ID: id}
+	if !removed {
+		s.written[id]++
+		c = put(id, 0, func(e *Endpoint) { e.Draining = s.draining[id] })
+		c.Sequence = s.written[id]
+	}
+	s.records = append(s.records, c)
+}
+
+func (s *storeModel) at(i int) Change {
+	c := s.records[i]
+	c.Position = locator.At(s.era, int64(i))
+	return c
+}
+
+// newest gives the newest record of each endpoint that was not removed.
+func (s *storeModel) newest() []Change {
+	last := make(map[string]Change)
+	for i := range s.records {
+		c := s.at(i)
+		if c.Endpoint == nil {
+			delete(last, c.ID)
+			continue
+		}
+		last[c.ID] = c
+	}
+	return slices.SortedFunc(maps.Values(last), func(a, b Change) int { return a.Position.Compare(b.Position) })
+}
+
+// read lets a registry read on, or the whole list in a new era.
+func (s *storeModel) read(r *Registry, now time.Time) {
+	r.Heard(now)
+	next := r.Next()
+	if !r.Known() || next.Era() != s.era || next.Offset() > int64(len(s.records)) {
+		r.Replace(s.newest(), s.end(), now)
+		return
+	}
+	var changes []Change
+	for i := int(next.Offset()); i < len(s.records); i++ {
+		changes = append(changes, s.at(i))
+	}
+	r.Apply(changes, s.end(), now)
+}
+
+func (s *storeModel) serving() []string {
+	list := []string{}
+	for id := range s.written {
+		if !s.draining[id] && !s.left[id] {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Endpoints write, drain and leave while the store returns from older copies again and again. What an entry has seen leave
+// must not take work again, what it has seen serve must not be dropped before it can have written again, and with all
+// written again the list is right.
+func TestAListOutlivesOlderCopies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, r, now := newStoreModel(), New(Config{}), start
+		for i := range 4 {
+			s.write(fmt.Sprint("e", i), false)
+		}
+		s.copied = slices.Clone(s.records)
+		s.read(r, now)
+		seenServing, seenOut := make(map[string]bool), make(map[string]bool)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			id := rapid.SampledFrom([]string{"e0", "e1", "e2", "e3"}).Draw(t, "endpoint")
+			switch step := rapid.SampledFrom([]string{"write", "drain", "leave", "copy", "return", "read", "read"}).Draw(t, "step"); {
+			case step == "copy":
+				s.copied = slices.Clone(s.records)
+			case step == "return":
+				s.records = slices.Clone(s.copied)
+				s.era++
+			case step == "read":
+				s.read(r, now)
+				for _, id := range ids(r) {
+					seenServing[id] = true
+				}
+				for id := range s.written {
+					seenOut[id] = seenOut[id] || !slices.Contains(ids(r), id)
+				}
+			case s.left[id]:
+			case step == "write":
+				s.write(id, false)
+			case step == "drain":
+				s.draining[id] = true
+				s.write(id, false)
+			case step == "leave":
+				s.left[id] = true
+				s.write(id, true)
+			}
+			now = now.Add(10 * time.Millisecond)
+			r.Tick(now)
+			for _, id := range ids(r) {
+				require.False(t, seenOut[id], "%s was seen to leave and takes work", id)
+			}
+			for _, id := range s.serving() {
+				require.True(t, !seenServing[id] || slices.Contains(ids(r), id), "%s serves and was dropped", id)
+			}
+		}
+		for id := range s.written {
+			s.write(id, s.left[id])
+		}
+		s.read(r, now)
+		now = now.Add(DefaultReturnTime)
+		r.Tick(now)
+		require.Equal(t, s.serving(), ids(r))
+	})
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -3,9 +3,13 @@
 package registrar
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
+
+	"geraniumline/locator"
 )
 
 // DefaultReturnTime is how long after the store's return an endpoint's missing entry is not yet believed.
@@ -13,6 +17,10 @@
 // about two seconds of its return. Without the wait an outage would empty the pools of a healthy system.
 const DefaultReturnTime = 2200 * time.Millisecond
 
+// goneTime is how long an endpoint that has left is remembered: an older copy of the store may bring its entry back. Copies
+// are some seconds old.
+const goneTime = time.Minute
+
 // Endpoint is one process that takes calls.
 type Endpoint struct {
 	// ID names the endpoint. It may start again under the same one.
@@ -55,8 +63,10 @@
 // Change is one record of an endpoint's entry.
 type Change struct {
 	ID string
-	// Offset orders the changes.
-	Offset int64
+	// Position orders the changes.
+	Position locator.Position
+	// Sequence counts the records of one start of the endpoint; 0 where it is not known.
+	Sequence int64
 	// Endpoint is nil where the entry was removed or can't be used.
 	Endpoint *Endpoint
 	// Unusable entries can't be read as an endpoint's: another writer wrote them.
@@ -72,21 +82,33 @@
 // entry is what is known of one endpoint.
 type entry struct {
 	endpoint Endpoint
-	offset   int64
+	position locator.Position
+	sequence int64
 	// removedAt is set while the entry is missing but not yet believed to be gone.
 	removedAt time.Time
 	// unusable entries name no endpoint until a newer record does.
 	unusable bool
 }
 
+// gone is what is remembered of an endpoint that has left.
+type gone struct {
+	started  time.Time
+	position locator.Position
+	sequence int64
+	at       time.Time
+}
+
 // Registry is the list of endpoints as the store's records tell it.
 type Registry struct {
 	returnTime time.Duration
 	entries    map[string]*entry
 	// missing are the ids of entries that lack in the store and are not yet believed to be gone.
 	missing map[string]bool
-	// next is the offset after the newest change.
-	next int64
+	// gone are the endpoints that have left lately.
+	gone map[string]gone
+	// next is the position after the newest change, renewed when a list of its era was first read.
+	next    locator.Position
+	renewed time.Time
 	// away is set while the store does not answer; returned is when it last began to answer again.
 	away     bool
 	returned time.Time
@@ -102,11 +124,11 @@
 	if cfg.ReturnTime == 0 {
 		cfg.ReturnTime = DefaultReturnTime
 	}
-	return &Registry{returnTime: cfg.ReturnTime, entries: make(map[string]*entry), missing: make(map[string]bool)}
+	return &Registry{returnTime: cfg.ReturnTime, entries: make(map[string]*entry), missing: make(map[string]bool), gone: make(map[string]gone)}
 }
 
-// Next is the offset from which changes are not yet known.
-func (r *Registry) Next() int64 { return r.next }
+// Next is the position from which changes are not yet known.
+func (r *Registry) Next() locator.Position { return r.next }
 
 // Known tells whether a whole list was ever read.
 func (r *Registry) Known() bool { return r.known }
@@ -134,12 +156,16 @@
 	}
 }
 
-// Apply takes changes that follow the ones before, up to the offset next.
-func (r *Registry) Apply(changes []Change, next int64, now time.Time) {
+// Apply takes changes that follow the ones before, up to the position next. Those of another era than the list's are passed
+// over: they leave a gap, and only a whole list closes it.
+func (r *Registry) Apply(changes []Change, next locator.Position, now time.Time) {
+	if next.Era() != r.next.Era() {
+		return
+	}
 	for _, c := range changes {
 		r.apply(c, now)
 	}
-	r.next = max(r.next, next)
+	r.next = locator.Later(r.next, next)
 }
 
 // News gives those of the changes that say more than that an endpoint is still there, in their order. Endpoints write their
@@ -155,12 +181,21 @@
 	var news []Change
 	for _, c := range changes {
 		if named[c.ID] {
-			news = append(news, c)
+			news = append(news, r.withSequence(c))
 		}
 	}
 	return news
 }
 
+// withSequence completes the change of an entry that was removed. The last record that the endpoint wrote itself is known to
+// the entry that reads for all only, and tells it from what an older copy of the store brings back.
+func (r *Registry) withSequence(c Change) Change {
+	if e, known := r.entries[c.ID]; known && c.Endpoint == nil && !c.Unusable {
+		c.Sequence = e.sequence
+	}
+	return c
+}
+
 // says tells whether this list says the same as a change, but for its offset.
 func (r *Registry) says(c *Change) bool {
 	e, known := r.entries[c.ID]
@@ -182,25 +217,58 @@
 
 // Replace takes the newest change of every endpoint. One that it lacks has been removed, unless its change is
 // newer than the list's end.
-func (r *Registry) Replace(all []Change, next int64, now time.Time) {
-	if next < r.next {
+func (r *Registry) Replace(all []Change, next locator.Position, now time.Time) {
+	if r.known && next.Before(r.next) {
 		// The answer is older than what is known: a stale read would bring removed endpoints back.
 		return
 	}
+	newEra := r.known && next.Era() > r.next.Era()
+	if newEra {
+		r.renewed = now
+	}
 	named := make(map[string]bool, len(all))
 	for _, c := range all {
 		named[c.ID] = true
+		if newEra && r.outdated(&c) {
+			continue
+		}
 		r.apply(c, now)
 	}
 	for id, e := range r.entries {
-		if !named[id] && e.offset < next {
-			r.remove(id, next-1, now)
+		if !named[id] && e.position.Before(next) {
+			r.remove(Change{ID: id, Position: locator.At(next.Era(), next.Offset()-1)}, now)
 		}
 	}
 	r.next = next
 	r.known = true
 }
 
+// outdated tells whether a change of a new era is one that was known in the era before, or an older one. The first list of an
+// era is that of an older copy of the store, but for what was written again so far: taken as it is, it brings back endpoints
+// that have left.
+func (r *Registry) outdated(c *Change) bool {
+	if c.Endpoint == nil {
+		return false
+	}
+	if e, known := r.entries[c.ID]; known && !e.unusable {
+		return c.follows(e.endpoint.Started, e.sequence) < 0
+	}
+	if g, known := r.gone[c.ID]; known {
+		return c.follows(g.started, g.sequence) <= 0
+	}
+	return false
+}
+
+// follows compares a change with a record that the endpoint wrote before: below 0 where it is older, 0 where it is the same
+// one.
+func (c *Change) follows(started time.Time, sequence int64) int {
+	own := c.Endpoint.Started
+	if !own.IsZero() && !started.IsZero() && !own.Equal(started) {
+		return own.Compare(started)
+	}
+	return cmp.Compare(c.Sequence, sequence)
+}
+
 // SetServices takes the names of the services that the configuration has.
 func (r *Registry) SetServices(names []string) {
 	r.services = make(map[string]bool, len(names))
@@ -214,22 +282,24 @@
 
 func (r *Registry) apply(c Change, now time.Time) {
 	e, known := r.entries[c.ID]
+	g, hasLeft := r.gone[c.ID]
 	switch {
-	case known && c.Offset < e.offset:
+	case known && c.Position.Before(e.position), hasLeft && c.Position.Before(g.position):
 		return
 	case c.Unusable:
-		r.entries[c.ID] = &entry{offset: c.Offset, unusable: true}
+		r.entries[c.ID] = &entry{position: c.Position, unusable: true}
 		return
 	case c.Endpoint == nil:
-		r.remove(c.ID, c.Offset, now)
+		r.remove(c, now)
 		return
 	case known && c.Endpoint.Started.Before(e.endpoint.Started) && !c.Endpoint.Started.IsZero():
 		// The late word of an earlier start under the same id, which says nothing of the present one.
 		return
 	}
-	taken := &entry{endpoint: *c.Endpoint, offset: c.Offset}
+	taken := &entry{endpoint: *c.Endpoint, position: c.Position, sequence: c.Sequence}
 	r.evict(c.ID, taken)
 	r.entries[c.ID] = taken
+	delete(r.gone, c.ID)
 }
 
 // evict drops older endpoints at an entry's address. Addresses are used again after an endpoint has ended, also by other
@@ -240,31 +310,46 @@
 		return
 	}
 	for id, e := range r.entries {
-		if id != newerID && e.endpoint.Address == newer.endpoint.Address && e.offset < newer.offset {
+		if id != newerID && e.endpoint.Address == newer.endpoint.Address && e.position.Before(newer.position) {
 			delete(r.entries, id)
 		}
 	}
 }
 
-func (r *Registry) remove(id string, offset int64, now time.Time) {
-	e, known := r.entries[id]
-	if !known || offset < e.offset {
+func (r *Registry) remove(c Change, now time.Time) {
+	e, known := r.entries[c.ID]
+	if !known || c.Position.Before(e.position) {
 		return
 	}
-	e.offset = offset
+	e.position = c.Position
+	e.sequence = max(e.sequence, c.Sequence)
 	if e.unusable || !r.doubtful(now) {
-		delete(r.entries, id)
+		r.drop(c.ID, e, now)
 		return
 	}
 	if e.removedAt.IsZero() {
 		e.removedAt = now
-		r.missing[id] = true
+		r.missing[c.ID] = true
+	}
+}
+
+// drop forgets an endpoint but for what tells its records from later ones.
+func (r *Registry) drop(id string, e *entry, now time.Time) {
+	delete(r.entries, id)
+	maps.DeleteFunc(r.gone, func(_ string, g gone) bool { return now.Sub(g.at) >= goneTime })
+	if !e.unusable {
+		r.gone[id] = gone{started: e.endpoint.Started, position: e.position, sequence: e.sequence, at: now}
 	}
 }
 
 // doubtful tells that a missing entry may belong to an endpoint that lives.
 func (r *Registry) doubtful(now time.Time) bool {
-	return r.away || !r.returned.IsZero() && now.Sub(r.returned) < r.returnTime
+	return r.away || r.lately(r.returned, now) || r.lately(r.renewed, now)
+}
+
+// lately tells whether a return of the store is so short ago that endpoints may not have written their entries again.
+func (r *Registry) lately(at, now time.Time) bool {
+	return !at.IsZero() && now.Sub(at) < r.returnTime
 }
 
 // Tick drops the endpoints whose removal is no longer in doubt, and tells whether there were any. It looks at the missing ones
@@ -276,7 +361,7 @@
 	dropped := false
 	for id := range r.missing {
 		if e, known := r.entries[id]; known && !e.removedAt.IsZero() {
-			delete(r.entries, id)
+			r.drop(id, e, now)
 			dropped = true
 		}
 	}
@@ -301,7 +386,7 @@
 func (r *Registry) Changes() []Change {
 	all := make([]Change, 0, len(r.entries))
 	for id, e := range r.entries {
-		c := Change{ID: id, Offset: e.offset, Unusable: e.unusable}
+		c := Change{ID: id, Position: e.position, Sequence: e.sequence, Unusable: e.unusable}
 		if !e.unusable {
 			endpoint := e.endpoint
 			c.Endpoint = &endpoint
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -5,18 +5,23 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"geraniumline/locator"
 )
 
 var start = time.Unix(1000, 0)
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
+// pos is a position in a store that tells no era.
+func pos(offset int64) locator.Position { return locator.At(0, offset) }
+
 func put(id string, offset int64, change func(e *Endpoint)) Change {
 	e := &Endpoint{ID: id, Service: "s", Address: "addr-" + id, Zone: "z"}
 	if change != nil {
 		change(e)
 	}
-	return Change{ID: id, Offset: offset, Endpoint: e}
+	return Change{ID: id, Position: pos(offset), Endpoint: e}
 }
 
 func ids(r *Registry) []string {
@@ -30,11 +35,11 @@
 func TestDrainingAndRemovedEndpointsTakeNoWork(t *testing.T) {
 	r := New(Config{})
 	r.Heard(start)
-	r.Replace([]Change{put("a", 0, nil), put("b", 1, nil), put("c", 2, nil)}, 3, start)
+	r.Replace([]Change{put("a", 0, nil), put("b", 1, nil), put("c", 2, nil)}, pos(3), start)
 	require.Equal(t, []string{"a", "b", "c"}, ids(r))
-	r.Apply([]Change{put("a", 3, func(e *Endpoint) { e.Draining = true }), {ID: "b", Offset: 4}}, 5, start)
+	r.Apply([]Change{put("a", 3, func(e *Endpoint) { e.Draining = true }), {ID: "b", Position: pos(4)}}, pos(5), start)
 	require.Equal(t, []string{"c"}, ids(r))
-	require.Equal(t, int64(5), r.Next())
+	require.Equal(t, pos(5), r.Next())
 }
 
 // The store goes away, and all entries lapse in it meanwhile. It comes back without them, and the endpoints, which
@@ -42,12 +47,12 @@
 func TestEntriesThatLapsedDuringAnOutageAreKeptUntilTheyAreBack(t *testing.T) {
 	r := New(Config{})
 	r.Heard(start)
-	r.Replace([]Change{put("a", 0, nil), put("b", 1, nil)}, 2, start)
+	r.Replace([]Change{put("a", 0, nil), put("b", 1, nil)}, pos(2), start)
 	r.Lost()
 	r.Heard(at(8 * time.Second))
-	r.Apply([]Change{{ID: "a", Offset: 2}, {ID: "b", Offset: 3}}, 4, at(8*time.Second))
+	r.Apply([]Change{{ID: "a", Position: pos(2)}, {ID: "b", Position: pos(3)}}, pos(4), at(8*time.Second))
 	require.Equal(t, []string{"a", "b"}, ids(r), "they may live")
-	r.Apply([]Change{put("a", 4, nil)}, 5, at(9*time.Second))
+	r.Apply([]Change{put("a", 4, nil)}, pos(5), at(9*time.Second))
 	require.False(t, r.Tick(at(10*time.Second)), "two seconds are not over")
 	require.True(t, r.Tick(at(8*time.Second+DefaultReturnTime)))
 	require.Equal(t, []string{"a"}, ids(r), "the one that did not come back is gone")
@@ -62,24 +67,24 @@
 	coldStill := func(e *Endpoint) { e.ColdUntil = at(time.Hour + coldAgain) }
 	later := func(e *Endpoint) { e.Started = at(time.Second) }
 	r.Heard(start)
-	r.Replace([]Change{put("a", 0, nil), put("b", 1, nil), put("c", 2, cold), {ID: "odd", Offset: 3, Unusable: true}}, 4, start)
+	r.Replace([]Change{put("a", 0, nil), put("b", 1, nil), put("c", 2, cold), {ID: "odd", Position: pos(3), Unusable: true}}, pos(4), start)
 	none := []Change(nil)
 	for name, c := range map[string]struct{ read, news []Change }{
 		"a count":                {[]Change{put("a", 5, nil), put("c", 6, coldStill)}, none},
 		"warm":                   {[]Change{put("c", 5, nil)}, none},
 		"cold":                   {[]Change{put("b", 6, cold)}, []Change{put("b", 6, cold)}},
 		"leaving":                {[]Change{put("a", 5, draining)}, []Change{put("a", 5, draining)}},
-		"removed":                {[]Change{{ID: "b", Offset: 5}}, []Change{{ID: "b", Offset: 5}}},
+		"removed":                {[]Change{{ID: "b", Position: pos(5)}}, []Change{{ID: "b", Position: pos(5)}}},
 		"new":                    {[]Change{put("d", 5, nil)}, []Change{put("d", 5, nil)}},
 		"started again":          {[]Change{put("a", 5, later)}, []Change{put("a", 5, later)}},
-		"unusable":               {[]Change{{ID: "a", Offset: 5, Unusable: true}}, []Change{{ID: "a", Offset: 5, Unusable: true}}},
+		"unusable":               {[]Change{{ID: "a", Position: pos(5), Unusable: true}}, []Change{{ID: "a", Position: pos(5), Unusable: true}}},
 		"usable again":           {[]Change{put("odd", 5, nil)}, []Change{put("odd", 5, nil)}},
-		"away and back, a count": {[]Change{{ID: "a", Offset: 5}, put("b", 6, nil), put("a", 7, nil)}, []Change{{ID: "a", Offset: 5}, put("a", 7, nil)}},
+		"away and back, a count": {[]Change{{ID: "a", Position: pos(5)}, put("b", 6, nil), put("a", 7, nil)}, []Change{{ID: "a", Position: pos(5)}, put("a", 7, nil)}},
 	} {
 		require.Equal(t, c.news, r.News(c.read), name)
 	}
 	r.Lost()
-	r.Apply([]Change{{ID: "c", Offset: 8}}, 9, start)
+	r.Apply([]Change{{ID: "c", Position: pos(8)}}, pos(9), start)
 	require.Equal(t, []Change{put("c", 10, nil)}, r.News([]Change{put("c", 10, nil)}), "its removal was in doubt")
 }
 
@@ -88,7 +93,7 @@
 	r := New(Config{})
 	r.Heard(start)
 	same := func(e *Endpoint) { e.Address = "10.0.0.1:80" }
-	r.Apply([]Change{put("old", 0, same), put("new", 1, same)}, 2, start)
+	r.Apply([]Change{put("old", 0, same), put("new", 1, same)}, pos(2), start)
 	require.Equal(t, []string{"new"}, ids(r))
 }
 
@@ -96,26 +101,26 @@
 func TestOlderWordIsDropped(t *testing.T) {
 	r := New(Config{})
 	r.Heard(start)
-	r.Replace([]Change{put("a", 7, func(e *Endpoint) { e.Draining = true })}, 8, start)
-	r.Apply([]Change{put("a", 5, nil)}, 6, start)
+	r.Replace([]Change{put("a", 7, func(e *Endpoint) { e.Draining = true })}, pos(8), start)
+	r.Apply([]Change{put("a", 5, nil)}, pos(6), start)
 	require.Empty(t, ids(r))
-	r.Replace([]Change{put("a", 5, nil), put("b", 2, nil)}, 6, start)
+	r.Replace([]Change{put("a", 5, nil), put("b", 2, nil)}, pos(6), start)
 	require.Empty(t, ids(r))
-	require.Equal(t, int64(8), r.Next())
+	require.Equal(t, pos(8), r.Next())
 }
 
 func TestAListWithoutAnEndpointRemovesIt(t *testing.T) {
 	r := New(Config{})
 	r.Heard(start)
-	r.Replace([]Change{put("a", 0, nil), put("b", 1, nil)}, 2, start)
-	r.Replace([]Change{put("b", 1, nil)}, 5, start)
+	r.Replace([]Change{put("a", 0, nil), put("b", 1, nil)}, pos(2), start)
+	r.Replace([]Change{put("b", 1, nil)}, pos(5), start)
 	require.Equal(t, []string{"b"}, ids(r))
 }
 
 func TestChangesCanBeHandedToAPeer(t *testing.T) {
 	r := New(Config{})
 	r.Heard(start)
-	r.Replace([]Change{put("a", 0, nil), put("b", 1, func(e *Endpoint) { e.Draining = true })}, 2, start)
+	r.Replace([]Change{put("a", 0, nil), put("b", 1, func(e *Endpoint) { e.Draining = true })}, pos(2), start)
 	other := New(Config{})
 	other.Replace(r.Changes(), r.Next(), at(time.Second))
 	require.Equal(t, ids(r), ids(other))
@@ -126,27 +131,27 @@
 // word, whether the record came in a tail or in a whole list, and also while the store is away, when entries that are
 // merely missing are kept. All other endpoints go on.
 func TestAnUnusableEntryNamesNoEndpointAndTheOthersHold(t *testing.T) {
-	bad := Change{ID: "a", Offset: 2, Unusable: true}
+	bad := Change{ID: "a", Position: pos(2), Unusable: true}
 	for _, tc := range []struct {
 		name string
 		take func(r *Registry)
 	}{
-		{"tail", func(r *Registry) { r.Apply([]Change{bad}, 3, start) }},
-		{"whole list", func(r *Registry) { r.Replace([]Change{bad, put("b", 1, nil)}, 3, start) }},
-		{"tail while the store is away", func(r *Registry) { r.Lost(); r.Apply([]Change{bad}, 3, start) }},
+		{"tail", func(r *Registry) { r.Apply([]Change{bad}, pos(3), start) }},
+		{"whole list", func(r *Registry) { r.Replace([]Change{bad, put("b", 1, nil)}, pos(3), start) }},
+		{"tail while the store is away", func(r *Registry) { r.Lost(); r.Apply([]Change{bad}, pos(3), start) }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := New(Config{})
 			r.Heard(start)
-			r.Replace([]Change{put("a", 0, nil), put("b", 1, nil)}, 2, start)
+			r.Replace([]Change{put("a", 0, nil), put("b", 1, nil)}, pos(2), start)
 			tc.take(r)
 			require.Equal(t, []string{"b"}, ids(r))
 			other := New(Config{})
 			other.Replace(r.Changes(), r.Next(), start)
 			require.Equal(t, []string{"b"}, ids(other), "a peer is told so too")
-			r.Apply([]Change{put("a", 1, nil)}, 3, start)
+			r.Apply([]Change{put("a", 1, nil)}, pos(3), start)
 			require.Equal(t, []string{"b"}, ids(r), "an older word does not bring it back")
-			r.Apply([]Change{put("a", 3, nil)}, 4, start)
+			r.Apply([]Change{put("a", 3, nil)}, pos(4), start)
 			require.Equal(t, []string{"a", "b"}, ids(r))
 		})
 	}
@@ -160,7 +165,7 @@
 	r.SetServices([]string{"s"})
 	same := func(e *Endpoint) { e.Address = "10.0.0.1:80" }
 	foreign := func(e *Endpoint) { same(e); e.Service = "nowhere" }
-	r.Apply([]Change{put("sound", 0, same), put("foreign", 1, foreign)}, 2, start)
+	r.Apply([]Change{put("sound", 0, same), put("foreign", 1, foreign)}, pos(2), start)
 	require.Contains(t, ids(r), "sound")
 	r.SetServices([]string{"s", "nowhere"})
 	require.Equal(t, []string{"foreign"}, ids(r), "a service that is configured later is one")
@@ -173,7 +178,7 @@
 	r.Heard(start)
 	first := func(e *Endpoint) { e.Started = start; e.Draining = true }
 	second := func(e *Endpoint) { e.Started = at(time.Second) }
-	r.Apply([]Change{put("a", 0, second), put("a", 1, first)}, 2, start)
+	r.Apply([]Change{put("a", 0, second), put("a", 1, first)}, pos(2), start)
 	require.Equal(t, []string{"a"}, ids(r))
 	require.Equal(t, at(time.Second), r.Usable()[0].Started)
 }
