--- a/registrar/bench_test.go
+++ b/registrar/bench_test.go
@@ -20,3 +20,26 @@
 		})
 	}
 }
+
+// BenchmarkRenewals is one reading in which every endpoint of a large deployment has written its entry again.
+func BenchmarkRenewals(b *testing.B) {
+	for _, n := range []int{100, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := New(Config{})
+			r.Heard(start)
+			changes := make([]Change, n)
+			for i := range changes {
+				changes[i] = put(fmt.Sprint(i), int64(i), nil)
+			}
+			r.Replace(changes, pos(int64(n)), start)
+			next := int64(n)
+			for b.Loop() {
+				for i := range changes {
+					changes[i].Position = pos(next)
+					next++
+				}
+				r.Apply(changes, pos(next), start)
+			}
+		})
+	}
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -102,6 +102,8 @@
 type Registry struct {
 	returnTime time.Duration
 	entries    map[string]*entry
+	// atAddress are the ids of the entries at each address; usually one.
+	atAddress map[string][]string
 	// missing are the ids of entries that lack in the store and are not yet believed to be gone.
 	missing map[string]bool
 	// gone are the endpoints that have left lately.
@@ -124,7 +126,13 @@
 	if cfg.ReturnTime == 0 {
 		cfg.ReturnTime = DefaultReturnTime
 	}
-	return &Registry{returnTime: cfg.ReturnTime, entries: make(map[string]*entry), missing: make(map[string]bool), gone: make(map[string]gone)}
+	return &Registry{
+		returnTime: cfg.ReturnTime,
+		entries:    make(map[string]*entry),
+		atAddress:  make(map[string][]string),
+		missing:    make(map[string]bool),
+		gone:       make(map[string]gone),
+	}
 }
 
 // Next is the position from which changes are not yet known.
@@ -275,8 +283,10 @@
 	for _, name := range names {
 		r.services[name] = true
 	}
-	for id, e := range r.entries {
-		r.evict(id, e)
+	for _, id := range slices.Collect(maps.Keys(r.entries)) {
+		if e, known := r.entries[id]; known {
+			r.evict(id, e)
+		}
 	}
 }
 
@@ -287,7 +297,7 @@
 	case known && c.Position.Before(e.position), hasLeft && c.Position.Before(g.position):
 		return
 	case c.Unusable:
-		r.entries[c.ID] = &entry{position: c.Position, unusable: true}
+		r.set(c.ID, &entry{position: c.Position, unusable: true})
 		return
 	case c.Endpoint == nil:
 		r.remove(c, now)
@@ -297,11 +307,39 @@
 		return
 	}
 	taken := &entry{endpoint: *c.Endpoint, position: c.Position, sequence: c.Sequence}
+	r.set(c.ID, taken)
 	r.evict(c.ID, taken)
-	r.entries[c.ID] = taken
 	delete(r.gone, c.ID)
 }
 
+// set takes an entry in the place of an earlier one of the id.
+func (r *Registry) set(id string, e *entry) {
+	r.unset(id)
+	r.entries[id] = e
+	if !e.unusable {
+		r.atAddress[e.endpoint.Address] = append(r.atAddress[e.endpoint.Address], id)
+	}
+}
+
+// unset takes the entry of an id away, if there is one.
+func (r *Registry) unset(id string) {
+	e, known := r.entries[id]
+	if !known {
+		return
+	}
+	delete(r.entries, id)
+	if e.unusable {
+		return
+	}
+	address := e.endpoint.Address
+	others := slices.DeleteFunc(r.atAddress[address], func(other string) bool { return other == id })
+	if len(others) == 0 {
+		delete(r.atAddress, address)
+		return
+	}
+	r.atAddress[address] = others
+}
+
 // evict drops older endpoints at an entry's address. Addresses are used again after an endpoint has ended, also by other
 // services; its old entry may stay until it lapses, and calls would go to the wrong process. An entry of a service that
 // the configuration does not name evicts none: anybody may have written it, and sound endpoints would be lost to it.
@@ -309,9 +347,13 @@
 	if newer.unusable || r.services != nil && !r.services[newer.endpoint.Service] {
 		return
 	}
-	for id, e := range r.entries {
-		if id != newerID && e.endpoint.Address == newer.endpoint.Address && e.position.Before(newer.position) {
-			delete(r.entries, id)
+	ids := r.atAddress[newer.endpoint.Address]
+	if len(ids) < 2 {
+		return
+	}
+	for _, id := range slices.Clone(ids) {
+		if id != newerID && r.entries[id].position.Before(newer.position) {
+			r.unset(id)
 		}
 	}
 }
@@ -335,7 +377,7 @@
 
 // drop forgets an endpoint but for what tells its records from later ones.
 func (r *Registry) drop(id string, e *entry, now time.Time) {
-	delete(r.entries, id)
+	r.unset(id)
 	maps.DeleteFunc(r.gone, func(_ string, g gone) bool { return now.Sub(g.at) >= goneTime })
 	if !e.unusable {
 		r.gone[id] = gone{started: e.endpoint.Started, position: e.position, sequence: e.sequence, at: now}
