--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands a contributor needs. `make test` is the whole of CI.
-.PHONY: all build vet format lint test generate demo faults policy capacity bench experiment
+.PHONY: all build vet format lint test generate demo faults policy capacity bench experiment soak
 
 all: build
 
@@ -38,3 +38,8 @@
 
 experiment: build
 	./scripts/experiment.sh
+
+# Plays so many seeds; further flags of the command by SOAK, such as SOAK="--seed 7 --processes 100".
+SEEDS ?= 5
+soak: build
+	./bin/soak --bin bin --seeds $(SEEDS) $(SOAK)
--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,74 @@
+// Command soak plays random faults against entries that run as separate processes, seed by seed.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"geraniumline/soaker"
+)
+
+func main() {
+	app := &cli.Command{
+		Name:  "soak",
+		Usage: "play random faults against entries on loopback and check the promises, seed by seed",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "folder with geraniumline"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "how many seeds to play, one after the other"},
+			&cli.DurationFlag{Name: "length", Value: 10 * time.Second, Usage: "until when faults begin"},
+			&cli.DurationFlag{Name: "settle", Value: 5 * time.Second, Usage: "time after the last fault until all is in order"},
+			&cli.IntFlag{Name: "processes", Value: 5, Usage: "how many entries"},
+		},
+		Action: soak,
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+// failedError tells how many seeds broke a promise.
+type failedError struct{ seeds int }
+
+func (e *failedError) Error() string { return fmt.Sprintf("%d seeds broke a promise", e.seeds) }
+
+func soak(ctx context.Context, cmd *cli.Command) error {
+	failed := 0
+	fmt.Println("seed  faults  requests  answered  broken")
+	for i := range cmd.Int("seeds") {
+		seed := cmd.Uint64("seed") + uint64(i)
+		dir, err := os.MkdirTemp("", fmt.Sprintf("geraniumline-soak-%d-", seed))
+		if err != nil {
+			return err
+		}
+		result, err := soaker.Play(ctx, soaker.Config{
+			Seed: seed, Bin: cmd.String("bin"), Dir: dir, Entries: cmd.Int("processes"),
+			Length: cmd.Duration("length"), Settle: cmd.Duration("settle"),
+		})
+		if err != nil {
+			return fmt.Errorf("seed %d (logs are in %s): %w", seed, dir, err)
+		}
+		fmt.Printf("%4d  %6d  %8d  %8d  %6d\n", seed, result.Faults, result.Requests, result.Answered, len(result.Violations))
+		if len(result.Violations) == 0 {
+			if err := os.RemoveAll(dir); err != nil {
+				return err
+			}
+			continue
+		}
+		failed++
+		for _, v := range result.Violations {
+			fmt.Println("     ", v)
+		}
+		fmt.Println("      plan and logs:", filepath.Clean(dir))
+	}
+	if failed > 0 {
+		return &failedError{seeds: failed}
+	}
+	return nil
+}
--- /dev/null
+++ b/soaker/check_test.go
@@ -0,0 +1,69 @@
+package soaker
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// sound is a record in which every promise holds.
+func sound() *Record {
+	at := func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+	return &Record{
+		Attempts: []Attempt{
+			{ID: "a", Once: true, Sent: at(0), Ended: at(10), Status: http.StatusOK, Body: "x", Want: "x", Stamp: "s"},
+			{ID: "b", Once: true, Sent: at(20), Ended: at(30), Status: http.StatusServiceUnavailable},
+			{ID: "c", Sent: at(40), Ended: at(50), Status: http.StatusOK, Body: "y", Want: "y", Stamp: "s"},
+			{ID: "d", Sent: at(60), Ended: at(70)},
+			{ID: "e", Sent: at(80), Ended: at(90), Status: http.StatusOK, Body: "z", Want: "z", Stamp: "s", Final: true},
+		},
+		Executions: []Execution{
+			{Attempt: "a", Version: 1}, {Attempt: "c", Version: 1}, {Attempt: "c", Version: 2}, {Attempt: "e", Version: 2},
+		},
+		Newest: 2,
+	}
+}
+
+// Each planted fault must be found, or the check guards nothing.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	require.Empty(t, Check(sound()))
+	for name, tc := range map[string]struct {
+		plant func(r *Record)
+		want  string
+	}{
+		"another's answer":     {func(r *Record) { r.Attempts[0].Body = "y" }, promiseWhole},
+		"half an answer":       {func(r *Record) { r.Attempts[2].Body = "" }, promiseWhole},
+		"an answer of no run":  {func(r *Record) { r.Executions = r.Executions[1:] }, promiseWhole},
+		"no stamp":             {func(r *Record) { r.Attempts[2].Stamp = "" }, promiseWhole},
+		"run twice":            {func(r *Record) { r.Executions = append(r.Executions, Execution{Attempt: "a", Version: 2}) }, promiseOnce},
+		"not run, but it ran":  {func(r *Record) { r.Executions = append(r.Executions, Execution{Attempt: "b", Version: 2}) }, promiseTruth},
+		"nobody's request":     {func(r *Record) { r.Executions = append(r.Executions, Execution{Attempt: "f"}) }, promiseOwn},
+		"an older version":     {func(r *Record) { r.Executions[0].Version = 3 }, promiseForward},
+		"late configuration":   {func(r *Record) { r.Newest = 3 }, promiseCurrent},
+		"refused after faults": {func(r *Record) { r.Attempts[4].Status = http.StatusServiceUnavailable }, promiseRecovery},
+		"an evacuated zone": {func(r *Record) {
+			r.Evacuations = []Span{{From: time.Second, To: 2 * time.Second}}
+			r.Executions[0].Evacuated, r.Executions[0].At = true, 1500*time.Millisecond
+		}, promiseZone},
+		"a stop without end": {func(r *Record) { r.Overdue = []string{"entry-0"} }, promiseStop},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := sound()
+			tc.plant(r)
+			found := Check(r)
+			require.NotEmpty(t, found)
+			require.Equal(t, tc.want, found[0].Promise)
+		})
+	}
+}
+
+func TestAPlanFollowsFromItsSeed(t *testing.T) {
+	cfg := PlanConfig{Seed: 7, Entries: 3, Endpoints: 8, Length: time.Minute}
+	plan := NewPlan(cfg)
+	require.Equal(t, plan, NewPlan(cfg))
+	require.Greater(t, len(plan), 20)
+	cfg.Seed = 8
+	require.NotEqual(t, plan, NewPlan(cfg))
+}
--- /dev/null
+++ b/soaker/soaker.go
@@ -0,0 +1,344 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"geraniumline/platform/imitator"
+	"geraniumline/relayer"
+)
+
+// Config says what one seed is played with.
+type Config struct {
+	Seed uint64
+	// Bin is the folder with the program, Dir one for the plan, settings and logs.
+	Bin, Dir string
+	Entries  int
+	// Length is until when faults begin.
+	Length time.Duration
+	// Settle is how long after the last fault everything must be in order again.
+	Settle time.Duration
+}
+
+// Result is what the play of one seed has shown.
+type Result struct {
+	Seed       uint64
+	Faults     int
+	Requests   int
+	Answered   int
+	Violations []Violation
+}
+
+const (
+	// startPatience bounds the start of all entries.
+	startPatience = 30 * time.Second
+	readyPoll     = 50 * time.Millisecond
+	// rewriteWithin is within which what an older copy lacks is written again.
+	rewriteWithin = 2 * time.Second
+	// copyEvery is how old a copy of the store may be.
+	copyEvery = 2 * time.Second
+	// evacuateTime is how long after the operator's word a request may still reach an evacuated zone, disturbances of the
+	// store and of entries included.
+	evacuateTime = 11 * time.Second
+	// finalRequests are sent to each entry at the end.
+	finalRequests = 6
+)
+
+// StartError tells that the entries were not ready in time.
+type StartError struct{ Entry string }
+
+func (e *StartError) Error() string { return e.Entry + " was not ready in time" }
+
+// Play plays the plan of one seed.
+func Play(ctx context.Context, cfg Config) (Result, error) {
+	f, err := newFleet(&cfg)
+	if err != nil {
+		return Result{}, err
+	}
+	defer f.close()
+	plan := NewPlan(PlanConfig{Seed: cfg.Seed, Entries: cfg.Entries, Endpoints: len(f.site.Endpoints), Length: cfg.Length})
+	if err := write(plan, cfg.Dir); err != nil {
+		return Result{}, err
+	}
+	for i, e := range f.site.Endpoints {
+		if i%2 == 1 {
+			f.site.Move(e.ID, serviceOf(e), evacuatedZone)
+		}
+	}
+	w := &world{cfg: cfg, fleet: f, traffic: &traffic{fleet: f}}
+	w.configure()
+	if err := w.awaitReady(ctx); err != nil {
+		return Result{}, err
+	}
+	w.traffic.began = time.Now()
+	w.play(ctx, plan)
+	record := w.traffic.record(w.newest)
+	record.Overdue, record.Evacuations = w.overdue, w.evacuations
+	r := Result{Seed: cfg.Seed, Faults: len(plan), Requests: len(record.Attempts), Violations: Check(record)}
+	for i := range record.Attempts {
+		if record.Attempts[i].Status == http.StatusOK {
+			r.Answered++
+		}
+	}
+	return r, ctx.Err()
+}
+
+// write keeps the plan beside the logs.
+func write(plan []Step, dir string) error {
+	var text strings.Builder
+	for _, step := range plan {
+		fmt.Fprintln(&text, step)
+	}
+	return os.WriteFile(filepath.Join(dir, "plan.txt"), []byte(text.String()), 0o600)
+}
+
+// world is a fleet under a plan.
+type world struct {
+	cfg     Config
+	fleet   *fleet
+	traffic *traffic
+
+	mu sync.Mutex
+	// newest is the version of the configuration written last.
+	newest int
+	// older is a copy of the store, taken at copied.
+	older   imitator.Copy
+	copied  time.Time
+	overdue []string
+	// evacuated counts the evacuations under way, evacuations are the spans of those that have ended.
+	evacuated   int
+	evacuatedAt time.Time
+	evacuations []Span
+	// storeFaults are the faults of the whole store under way.
+	storeFaults int
+}
+
+// configure writes the next version of the configuration.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	site := w.fleet.site
+	site.Tenants = []map[string]any{{
+		"Name": fmt.Sprintf("%s%d", accountPrefix, w.newest+1), "ApiKeys": []string{imitator.Key},
+	}}
+	w.newest++
+	site.Configure()
+}
+
+func (w *world) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+	for _, e := range w.fleet.entries {
+		for !imitator.Ready(ctx, e.listening.Ready) {
+			if ctx.Err() != nil {
+				return &StartError{Entry: e.name}
+			}
+			time.Sleep(readyPoll)
+		}
+	}
+	return nil
+}
+
+// play lets the plan's faults strike while callers send, and asks each entry at the end.
+func (w *world) play(ctx context.Context, plan []Step) {
+	sending, stop := context.WithCancel(ctx)
+	var background, faults sync.WaitGroup
+	background.Go(func() { w.traffic.run(sending) })
+	background.Go(func() { w.takeCopies(sending) })
+	for _, step := range plan {
+		if sleep(ctx, time.Until(w.traffic.began.Add(step.At))) != nil {
+			break
+		}
+		faults.Go(func() { w.strike(ctx, step) })
+	}
+	faults.Wait()
+	for _, e := range w.fleet.site.Endpoints {
+		e.Fail(imitator.Sound, 0)
+	}
+	w.configure()
+	// It fails with the end of the context, which ends the play too.
+	_ = sleep(ctx, w.cfg.Settle)
+	stop()
+	background.Wait()
+	w.askFinally()
+}
+
+func (w *world) askFinally() {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for i := range w.fleet.entries {
+		for n := range finalRequests {
+			w.traffic.send(client, i, n, fmt.Sprintf("final-%d-%d", i, n), true)
+		}
+	}
+}
+
+// takeCopies keeps a copy of the store that is some seconds old.
+func (w *world) takeCopies(ctx context.Context) {
+	for sleep(ctx, copyEvery) == nil {
+		w.mu.Lock()
+		w.older, w.copied = w.fleet.site.Store.TakeCopy(), time.Now()
+		w.mu.Unlock()
+	}
+}
+
+// strike carries out one fault and ends it.
+func (w *world) strike(ctx context.Context, step Step) {
+	last := func() { _ = sleep(ctx, step.For) }
+	switch f := step.Fault.(type) {
+	case KillEntry, PauseEntry, StopEntry:
+		w.strikeProcess(f, last)
+	case StoreOutage:
+		w.storeAway(f.How)
+		last()
+		w.storeBack()
+	case StoreReturn:
+		w.returnStore(last)
+	case StoreForgets:
+		w.mu.Lock()
+		w.fleet.site.ForgetOperator()
+		w.mu.Unlock()
+	case CutStore:
+		w.fleet.entries[f.Entry].store.Set(f.How)
+		last()
+		w.fleet.entries[f.Entry].store.Set(relayer.Open)
+	case CutCallers:
+		w.fleet.entries[f.Entry].callers.Set(f.How)
+		last()
+		w.fleet.entries[f.Entry].callers.Set(relayer.Open)
+	case EndpointFails:
+		w.fleet.site.Endpoints[f.Endpoint].Fail(f.How, f.Requests)
+	case EndpointDrains:
+		w.setState(f.Endpoint, "draining")
+		last()
+		w.setState(f.Endpoint, "in_service")
+	case EvacuateZone:
+		w.evacuate(f.Zone)
+		_ = sleep(ctx, step.For+evacuateTime)
+		w.takeBack(f.Zone)
+	case ConfigChange:
+		w.configure()
+	}
+}
+
+// evacuate begins an evacuation; the zone is in use again when the last one has ended.
+func (w *world) evacuate(zone string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.evacuated++
+	if w.evacuated == 1 {
+		w.fleet.site.Evacuate(zone)
+		w.evacuatedAt = time.Now()
+	}
+}
+
+func (w *world) takeBack(zone string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.evacuated--
+	if w.evacuated > 0 {
+		return
+	}
+	began := w.traffic.began
+	w.evacuations = append(w.evacuations, Span{From: w.evacuatedAt.Add(evacuateTime).Sub(began), To: time.Since(began)})
+	w.fleet.site.TakeBack(zone)
+}
+
+// storeAway begins a fault of the store; the store serves again when the last one has ended.
+func (w *world) storeAway(how imitator.Outage) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.storeFaults++
+	w.fleet.site.Store.SetOutage(how)
+}
+
+func (w *world) storeBack() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.storeFaults--; w.storeFaults == 0 {
+		w.fleet.site.Store.SetOutage(imitator.Up)
+	}
+}
+
+// returnStore has the store return from the last copy, and what it lacks written again.
+func (w *world) returnStore(last func()) {
+	w.storeAway(imitator.Silent)
+	last()
+	w.mu.Lock()
+	if !w.copied.IsZero() {
+		w.fleet.site.Store.ReturnFrom(w.older)
+	}
+	w.mu.Unlock()
+	w.storeBack()
+	time.Sleep(rewriteWithin / 2)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fleet.site.WriteAgain()
+}
+
+func (w *world) setState(endpoint int, state string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.fleet.site.Endpoints[endpoint]
+	w.fleet.site.Enter(e, serviceOf(e), state)
+}
+
+// serviceOf gives the service that an endpoint's id names.
+func serviceOf(e *imitator.Endpoint) string { return strings.Split(e.ID, "-")[1] }
+
+// strikeProcess carries out a fault of an entry's process, unless another one is under way there.
+func (w *world) strikeProcess(f Fault, last func()) {
+	var index int
+	switch f := f.(type) {
+	case KillEntry:
+		index = f.Entry
+	case PauseEntry:
+		index = f.Entry
+	case StopEntry:
+		index = f.Entry
+	}
+	e := w.fleet.entries[index]
+	if !e.take() {
+		return
+	}
+	defer e.release()
+	process, _ := e.present()
+	switch f.(type) {
+	case PauseEntry:
+		if process.Freeze() == nil {
+			last()
+			_ = process.Thaw()
+		}
+		return
+	case StopEntry:
+		_ = process.Terminate()
+		if _, ended := process.Wait(stopGrace); !ended {
+			w.mu.Lock()
+			w.overdue = append(w.overdue, e.name)
+			w.mu.Unlock()
+		}
+	}
+	_ = process.Kill()
+	time.Sleep(restartPause)
+	if err := e.start(); err != nil {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.overdue = append(w.overdue, err.Error())
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/soaker/soaker_test.go
@@ -0,0 +1,25 @@
+package soaker
+
+import (
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestShortSoak plays one seed on real processes. The time to settle is that of a busy machine.
+func TestShortSoak(t *testing.T) {
+	bin := t.TempDir()
+	build := exec.Command("go", "build", "-o", bin, "./cmd/geraniumline")
+	build.Dir = ".."
+	output, err := build.CombinedOutput()
+	require.NoError(t, err, string(output))
+	result, err := Play(t.Context(), Config{
+		Seed: 2, Bin: bin, Dir: t.TempDir(), Entries: 3, Length: 6 * time.Second, Settle: 12 * time.Second,
+	})
+	require.NoError(t, err)
+	require.Empty(t, result.Violations)
+	require.Positive(t, result.Answered)
+	t.Logf("%+v", result)
+}
--- /dev/null
+++ b/soaker/traffic.go
@@ -0,0 +1,111 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"geraniumline/platform/imitator"
+)
+
+const (
+	// callerPause is the wait of a caller between two requests, callerPatience its deadline.
+	callerPause    = 20 * time.Millisecond
+	callerPatience = 2 * time.Second
+	// callersPerEntry is how many callers hold a connection to each entry.
+	callersPerEntry = 2
+)
+
+// kinds are the requests that callers send in turn.
+var kinds = []struct {
+	path string
+	once bool
+	want func(id string) string
+}{
+	{imitator.PlainPath, false, imitator.PlainAnswer},
+	{imitator.OncePath, true, imitator.PlainAnswer},
+	{imitator.StreamPath, true, imitator.StreamAnswer},
+}
+
+// traffic is what callers send, and what they were answered.
+type traffic struct {
+	fleet *fleet
+	began time.Time
+
+	mu       sync.Mutex
+	attempts []Attempt
+}
+
+// run lets callers send until the context ends.
+func (t *traffic) run(ctx context.Context) {
+	var callers sync.WaitGroup
+	for i := range t.fleet.entries {
+		for n := range callersPerEntry {
+			callers.Go(func() { t.call(ctx, i, n) })
+		}
+	}
+	callers.Wait()
+}
+
+// call is one caller, which keeps its connection for as long as it is open.
+func (t *traffic) call(ctx context.Context, entry, caller int) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	for n := 0; ctx.Err() == nil; n++ {
+		t.send(client, entry, n, fmt.Sprintf("r-%d-%d-%d", entry, caller, n), false)
+		time.Sleep(callerPause)
+	}
+}
+
+// send sends one request and notes its end. It is sent to its end although the traffic is over.
+func (t *traffic) send(client *http.Client, i, kind int, id string, final bool) {
+	e := t.fleet.entries[i]
+	_, boot := e.present()
+	k := kinds[kind%len(kinds)]
+	a := Attempt{ID: id, Entry: i, Boot: boot, Once: k.once, Sent: time.Since(t.began), Want: k.want(id), Final: final}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*callerPatience)
+	defer cancel()
+	ask := imitator.Ask{
+		Address: e.callers.Address(), Path: k.path, ID: id, Key: imitator.Key, Body: "body of " + id, Patience: callerPatience,
+	}
+	if reply, err := ask.CallWith(ctx, client); err == nil && !reply.Cut {
+		a.Status, a.Body, a.Stamp = reply.Status, reply.Body, reply.Stamp
+	}
+	a.Ended = time.Since(t.began)
+	if _, now := e.present(); now != boot {
+		a.Boot = unknownBoot
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.attempts = append(t.attempts, a)
+}
+
+// record gives all that was seen.
+func (t *traffic) record(newest int) *Record {
+	r := &Record{Attempts: t.attempts, Newest: newest}
+	for _, endpoint := range t.fleet.site.Endpoints {
+		for _, run := range endpoint.Runs() {
+			r.Executions = append(r.Executions, Execution{
+				Attempt: run.Attempt, Endpoint: endpoint.ID, Version: versionOf(run.Account()),
+				At: run.At.Sub(t.began), Evacuated: t.fleet.site.Zones[endpoint.ID] == evacuatedZone,
+			})
+		}
+	}
+	return r
+}
+
+// accountPrefix begins the account's name, which the version of the configuration follows.
+const accountPrefix = "account-v"
+
+func versionOf(account string) int {
+	version, err := strconv.Atoi(strings.TrimPrefix(account, accountPrefix))
+	if err != nil {
+		// No configuration of the soak has such an account: it counts as older than all.
+		return -1
+	}
+	return version
+}
--- a/starter/process.go
+++ b/starter/process.go
@@ -80,6 +80,17 @@
 	return p, nil
 }
 
+// StartForward starts an entry on a platform, with the file of its settings named in an environment variable. Its logs go to a
+// file of its own in the folder.
+func StartForward(binary, dir, name, variable, settings string) (*Process, error) {
+	p := &Process{name: name, command: exec.Command(binary, "forward"), done: make(chan struct{})}
+	p.command.Env = append(os.Environ(), variable+"="+settings)
+	if err := p.start(dir); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
 // start runs the command with its errors written to a file of its own.
 func (p *Process) start(dir string) error {
 	file, err := os.OpenFile(filepath.Join(dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -87,6 +98,9 @@
 		return &StartError{Name: p.name, Err: err}
 	}
 	p.command.Stderr = file
+	if p.command.Stdout == nil {
+		p.command.Stdout = file
+	}
 	if err := p.command.Start(); err != nil {
 		return &StartError{Name: p.name, Err: errors.Join(err, file.Close())}
 	}
