--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -49,6 +49,18 @@
 
 const messageFailed = "request failed"
 
+// knowledge are the messages on what an entry knows. A request was handled by that, and its own lines don't repeat it.
+var knowledge = map[string]bool{
+	"configuration in force":  true,
+	"evacuated zones changed": true,
+	"store answers again":     true,
+	"store does not answer":   true,
+	"store has returned from an older copy; what was written since may be lost": true,
+}
+
+// knowledgeSpan is how long before a request's first line a change of knowledge is told of.
+const knowledgeSpan = 5 * time.Second
+
 // Read reads logs and keeps what concerns the request. Text before a line's JSON is passed over: collectors of logs put
 // a host's name and a time there.
 func Read(r io.Reader, request string) (Report, error) {
@@ -56,20 +68,25 @@
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLine)
 	name := []byte(request)
+	var known []Line
 	for scanner.Scan() {
 		text := scanner.Bytes()
-		if !bytes.Contains(text, name) {
+		named := bytes.Contains(text, name)
+		if !named && !tellsKnowledge(text) {
 			continue
 		}
 		line, err := parse(text)
-		if err != nil {
+		switch {
+		case err != nil && named:
 			report.Bad++
-			continue
-		}
-		if line.concerns(request) {
+		case err != nil:
+		case line.concerns(request):
 			report.Lines = append(report.Lines, line)
+		case knowledge[line.Message]:
+			known = append(known, line)
 		}
 	}
+	report.addKnowledge(known)
 	slices.SortStableFunc(report.Lines, func(a, b Line) int { return a.At.Compare(b.At) })
 	for _, line := range report.Lines {
 		if reason, ok := line.Fields[fieldReason].(string); ok && line.Message == messageFailed {
@@ -79,6 +96,39 @@
 	return report, scanner.Err()
 }
 
+// tellsKnowledge tells whether a log line may be one on what an entry knows, without reading all of it.
+func tellsKnowledge(text []byte) bool {
+	for message := range knowledge {
+		if bytes.Contains(text, []byte(message)) {
+			return true
+		}
+	}
+	return false
+}
+
+// addKnowledge adds what the entries of the request's lines came to know shortly before it and in its course.
+func (r *Report) addKnowledge(known []Line) {
+	if len(r.Lines) == 0 {
+		return
+	}
+	entries := make(map[string]bool)
+	first, last := r.Lines[0].At, r.Lines[0].At
+	for _, line := range r.Lines {
+		entries[line.Entry] = true
+		if line.At.Before(first) {
+			first = line.At
+		}
+		if line.At.After(last) {
+			last = line.At
+		}
+	}
+	for _, line := range known {
+		if entries[line.Entry] && !line.At.Before(first.Add(-knowledgeSpan)) && !line.At.After(last) {
+			r.Lines = append(r.Lines, line)
+		}
+	}
+}
+
 // NoObjectError tells of a line without JSON.
 type NoObjectError struct{}
 
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -28,6 +28,19 @@
 	goldie.New(t).Assert(t, "report", []byte(b.String()))
 }
 
+func TestWhatEntriesKnewIsTold(t *testing.T) {
+	report, err := Read(strings.NewReader(logs+
+		`{"level":"warn","time":"2025-12-31T23:59:58Z","msg":"store has returned from an older copy; what was written since may be lost","entry":"entry-a","era":2}
+{"level":"info","time":"2026-01-01T00:00:00.2Z","msg":"configuration in force","entry":"entry-b","version":7}
+{"level":"info","time":"2025-12-31T23:59:50Z","msg":"configuration in force","entry":"entry-a","version":5}
+{"level":"info","time":"2026-01-01T00:00:00.2Z","msg":"configuration in force","entry":"entry-c","version":7}
+`), "id-1")
+	require.NoError(t, err)
+	var b strings.Builder
+	require.NoError(t, report.Write(&b))
+	goldie.New(t).Assert(t, "knowledge", []byte(b.String()))
+}
+
 func TestNothingOnRecord(t *testing.T) {
 	report, err := Read(strings.NewReader(logs), "id-7")
 	require.NoError(t, err)
@@ -62,3 +75,18 @@
 	}
 	require.Len(t, Reasons(), len(found))
 }
+
+// A message that the forwarder no longer writes would be missing from reports without a word.
+func TestMessagesOnKnowledgeExist(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join("..", "forwarder", "*.go"))
+	require.NoError(t, err)
+	var sources strings.Builder
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		require.NoError(t, err)
+		sources.Write(text)
+	}
+	for message := range knowledge {
+		require.Contains(t, sources.String(), `"`+message+`"`)
+	}
+}
