--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -22,7 +22,8 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "how many seeds to play, one after the other"},
 			&cli.DurationFlag{Name: "length", Value: 10 * time.Second, Usage: "until when faults begin"},
-			&cli.DurationFlag{Name: "settle", Value: 5 * time.Second, Usage: "time after the last fault until all is in order"},
+			&cli.DurationFlag{Name: "config-time", Value: 2 * time.Second, Usage: "time within which the last configuration must be in force"},
+			&cli.DurationFlag{Name: "settle", Value: 6 * time.Second, Usage: "time after the last fault until all is in order"},
 			&cli.IntFlag{Name: "processes", Value: 5, Usage: "how many entries"},
 		},
 		Action: soak,
@@ -49,7 +50,7 @@
 		}
 		result, err := soaker.Play(ctx, soaker.Config{
 			Seed: seed, Bin: cmd.String("bin"), Dir: dir, Entries: cmd.Int("processes"),
-			Length: cmd.Duration("length"), Settle: cmd.Duration("settle"),
+			Length: cmd.Duration("length"), ConfigTime: cmd.Duration("config-time"), Settle: cmd.Duration("settle"),
 		})
 		if err != nil {
 			return fmt.Errorf("seed %d (logs are in %s): %w", seed, dir, err)
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -23,11 +23,20 @@
 	Body   string
 	Stamp  string
 	// Want is the body of a whole answer.
-	Want string
-	// Final is set for requests after the last fault.
-	Final bool
+	Want  string
+	Phase Phase
 }
 
+// Phase is a part of a play.
+type Phase int
+
+// The phases: while faults strike, once the last configuration must be in force, and once all must be in order.
+const (
+	phaseFaults Phase = iota
+	phaseConfigured
+	phaseSettled
+)
+
 // unknownBoot stands for either of two processes of an entry.
 const unknownBoot = -1
 
@@ -128,12 +137,11 @@
 	if a.Once && saysNotRun[a.Status] && len(runs) > 0 {
 		add(promiseTruth, "ran and was answered %d", a.Status)
 	}
-	if !a.Final {
+	if a.Phase == phaseFaults {
 		return found
 	}
-	if a.Status != http.StatusOK {
+	if a.Phase == phaseSettled && a.Status != http.StatusOK {
 		add(promiseRecovery, "was answered %d after the last fault", a.Status)
-		return found
 	}
 	for _, run := range runs {
 		if run.Version < newest {
--- a/soaker/check_test.go
+++ b/soaker/check_test.go
@@ -17,7 +17,7 @@
 			{ID: "b", Once: true, Sent: at(20), Ended: at(30), Status: http.StatusServiceUnavailable},
 			{ID: "c", Sent: at(40), Ended: at(50), Status: http.StatusOK, Body: "y", Want: "y", Stamp: "s"},
 			{ID: "d", Sent: at(60), Ended: at(70)},
-			{ID: "e", Sent: at(80), Ended: at(90), Status: http.StatusOK, Body: "z", Want: "z", Stamp: "s", Final: true},
+			{ID: "e", Sent: at(80), Ended: at(90), Status: http.StatusOK, Body: "z", Want: "z", Stamp: "s", Phase: phaseSettled},
 		},
 		Executions: []Execution{
 			{Attempt: "a", Version: 1}, {Attempt: "c", Version: 1}, {Attempt: "c", Version: 2}, {Attempt: "e", Version: 2},
@@ -33,15 +33,18 @@
 		plant func(r *Record)
 		want  string
 	}{
-		"another's answer":     {func(r *Record) { r.Attempts[0].Body = "y" }, promiseWhole},
-		"half an answer":       {func(r *Record) { r.Attempts[2].Body = "" }, promiseWhole},
-		"an answer of no run":  {func(r *Record) { r.Executions = r.Executions[1:] }, promiseWhole},
-		"no stamp":             {func(r *Record) { r.Attempts[2].Stamp = "" }, promiseWhole},
-		"run twice":            {func(r *Record) { r.Executions = append(r.Executions, Execution{Attempt: "a", Version: 2}) }, promiseOnce},
-		"not run, but it ran":  {func(r *Record) { r.Executions = append(r.Executions, Execution{Attempt: "b", Version: 2}) }, promiseTruth},
-		"nobody's request":     {func(r *Record) { r.Executions = append(r.Executions, Execution{Attempt: "f"}) }, promiseOwn},
-		"an older version":     {func(r *Record) { r.Executions[0].Version = 3 }, promiseForward},
-		"late configuration":   {func(r *Record) { r.Newest = 3 }, promiseCurrent},
+		"another's answer":    {func(r *Record) { r.Attempts[0].Body = "y" }, promiseWhole},
+		"half an answer":      {func(r *Record) { r.Attempts[2].Body = "" }, promiseWhole},
+		"an answer of no run": {func(r *Record) { r.Executions = r.Executions[1:] }, promiseWhole},
+		"no stamp":            {func(r *Record) { r.Attempts[2].Stamp = "" }, promiseWhole},
+		"run twice":           {func(r *Record) { r.Executions = append(r.Executions, Execution{Attempt: "a", Version: 2}) }, promiseOnce},
+		"not run, but it ran": {func(r *Record) { r.Executions = append(r.Executions, Execution{Attempt: "b", Version: 2}) }, promiseTruth},
+		"nobody's request":    {func(r *Record) { r.Executions = append(r.Executions, Execution{Attempt: "f"}) }, promiseOwn},
+		"an older version":    {func(r *Record) { r.Executions[0].Version = 3 }, promiseForward},
+		"late configuration":  {func(r *Record) { r.Newest = 3 }, promiseCurrent},
+		"late for its time": {func(r *Record) {
+			r.Newest, r.Attempts[4].Phase = 3, phaseConfigured
+		}, promiseCurrent},
 		"refused after faults": {func(r *Record) { r.Attempts[4].Status = http.StatusServiceUnavailable }, promiseRecovery},
 		"an evacuated zone": {func(r *Record) {
 			r.Evacuations = []Span{{From: time.Second, To: 2 * time.Second}}
@@ -63,7 +66,7 @@
 	cfg := PlanConfig{Seed: 7, Entries: 3, Endpoints: 8, Length: time.Minute}
 	plan := NewPlan(cfg)
 	require.Equal(t, plan, NewPlan(cfg))
-	require.Greater(t, len(plan), 20)
+	require.Greater(t, len(plan.Steps), 20)
 	cfg.Seed = 8
 	require.NotEqual(t, plan, NewPlan(cfg))
 }
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -101,6 +101,7 @@
 	faultNames  = map[imitator.Fault]string{
 		imitator.Full: "refused", imitator.Broken: "broken off", imitator.Hanging: "never answered", imitator.Erring: "failed",
 		imitator.Doubling: "answered twice", imitator.Unframed: "answered without a length",
+		imitator.Halved: "broken off in an event",
 	}
 )
 
@@ -128,20 +129,30 @@
 	// meanGap is the mean time between two faults, maxFor the longest time that one lasts: several overlap.
 	meanGap = 700 * time.Millisecond
 	maxFor  = 3 * time.Second
+	// maxLast is the longest time of a plan's last outage.
+	maxLast = 7 * time.Second
 	// maxFailing bounds the requests that one fault of an endpoint strikes.
 	maxFailing = 6
 )
 
+// Plan is the faults of one seed.
+type Plan struct {
+	Steps []Step
+	// Last strikes alone, once all others have ended and just after a change of the configuration, which sets off the
+	// readings of all entries at the same moment.
+	Last Step
+}
+
 // NewPlan draws a plan.
-func NewPlan(cfg PlanConfig) []Step {
+func NewPlan(cfg PlanConfig) Plan {
 	rnd := rand.New(rand.NewPCG(cfg.Seed, 1))
-	var plan []Step
+	plan := Plan{Last: Step{For: time.Duration(rnd.Int64N(int64(maxLast))), Fault: StoreOutage{How: imitator.Silent}}}
 	for at := time.Duration(0); ; {
 		at += time.Duration(rnd.Int64N(int64(2 * meanGap)))
 		if at >= cfg.Length {
 			return plan
 		}
-		plan = append(plan, Step{At: at, For: time.Duration(rnd.Int64N(int64(maxFor))), Fault: draw(rnd, &cfg)})
+		plan.Steps = append(plan.Steps, Step{At: at, For: time.Duration(rnd.Int64N(int64(maxFor))), Fault: draw(rnd, &cfg)})
 	}
 }
 
@@ -149,7 +160,7 @@
 func draw(rnd *rand.Rand, cfg *PlanConfig) Fault {
 	entry, endpoint := rnd.IntN(cfg.Entries), rnd.IntN(cfg.Endpoints)
 	mode := []relayer.Mode{relayer.Closed, relayer.Stalled, relayer.NoReplies}[rnd.IntN(3)]
-	switch rnd.IntN(16) {
+	switch rnd.IntN(18) {
 	case 0:
 		return KillEntry{Entry: entry}
 	case 1:
@@ -171,7 +182,8 @@
 	case 10, 11:
 		how := []imitator.Fault{
 			imitator.Full, imitator.Broken, imitator.Hanging, imitator.Erring, imitator.Doubling, imitator.Unframed,
-		}[rnd.IntN(6)]
+			imitator.Halved,
+		}[rnd.IntN(7)]
 		return EndpointFails{Endpoint: endpoint, How: how, Requests: 1 + rnd.IntN(maxFailing)}
 	case 12, 13:
 		return EvacuateZone{Zone: evacuatedZone}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -22,6 +22,8 @@
 	Entries  int
 	// Length is until when faults begin.
 	Length time.Duration
+	// ConfigTime is within which a configuration must be in force that is written a second after the last fault.
+	ConfigTime time.Duration
 	// Settle is how long after the last fault everything must be in order again.
 	Settle time.Duration
 }
@@ -42,12 +44,16 @@
 	// rewriteWithin is within which what an older copy lacks is written again.
 	rewriteWithin = 2 * time.Second
 	// copyEvery is how old a copy of the store may be.
-	copyEvery = 2 * time.Second
+	copyEvery = 4 * time.Second
 	// evacuateTime is how long after the operator's word a request may still reach an evacuated zone, disturbances of the
 	// store and of entries included.
 	evacuateTime = 11 * time.Second
-	// finalRequests are sent to each entry at the end.
-	finalRequests = 6
+	// finalRequests are sent to each entry at the end, of each kind two.
+	finalRequests = 10
+	// lastPause leaves entries the time to read the change before the last fault.
+	lastPause = 100 * time.Millisecond
+	// quiet is how long after the last fault the last version of the configuration is written.
+	quiet = time.Second
 )
 
 // StartError tells that the entries were not ready in time.
@@ -80,7 +86,7 @@
 	w.play(ctx, plan)
 	record := w.traffic.record(w.newest)
 	record.Overdue, record.Evacuations = w.overdue, w.evacuations
-	r := Result{Seed: cfg.Seed, Faults: len(plan), Requests: len(record.Attempts), Violations: Check(record)}
+	r := Result{Seed: cfg.Seed, Faults: len(plan.Steps) + 1, Requests: len(record.Attempts), Violations: Check(record)}
 	for i := range record.Attempts {
 		if record.Attempts[i].Status == http.StatusOK {
 			r.Answered++
@@ -90,11 +96,13 @@
 }
 
 // write keeps the plan beside the logs.
-func write(plan []Step, dir string) error {
+func write(plan Plan, dir string) error {
 	var text strings.Builder
-	for _, step := range plan {
+	for _, step := range plan.Steps {
 		fmt.Fprintln(&text, step)
 	}
+	fmt.Fprintln(&text, "then, alone and after a change of the configuration:")
+	fmt.Fprintln(&text, plan.Last)
 	return os.WriteFile(filepath.Join(dir, "plan.txt"), []byte(text.String()), 0o600)
 }
 
@@ -146,12 +154,12 @@
 }
 
 // play lets the plan's faults strike while callers send, and asks each entry at the end.
-func (w *world) play(ctx context.Context, plan []Step) {
+func (w *world) play(ctx context.Context, plan Plan) {
 	sending, stop := context.WithCancel(ctx)
 	var background, faults sync.WaitGroup
 	background.Go(func() { w.traffic.run(sending) })
 	background.Go(func() { w.takeCopies(sending) })
-	for _, step := range plan {
+	for _, step := range plan.Steps {
 		if sleep(ctx, time.Until(w.traffic.began.Add(step.At))) != nil {
 			break
 		}
@@ -162,18 +170,26 @@
 		e.Fail(imitator.Sound, 0)
 	}
 	w.configure()
-	// It fails with the end of the context, which ends the play too.
-	_ = sleep(ctx, w.cfg.Settle)
+	_ = sleep(ctx, lastPause)
+	w.strike(ctx, plan.Last)
+	over := time.Now()
+	// The pauses fail with the end of the context, which ends the play too.
+	_ = sleep(ctx, quiet)
+	w.configure()
+	_ = sleep(ctx, w.cfg.ConfigTime)
+	w.ask(phaseConfigured)
+	_ = sleep(ctx, time.Until(over.Add(w.cfg.Settle)))
 	stop()
 	background.Wait()
-	w.askFinally()
+	w.ask(phaseSettled)
 }
 
-func (w *world) askFinally() {
+// ask sends requests of all kinds to each entry.
+func (w *world) ask(phase Phase) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for i := range w.fleet.entries {
 		for n := range finalRequests {
-			w.traffic.send(client, i, n, fmt.Sprintf("final-%d-%d", i, n), true)
+			w.traffic.send(client, i, n, fmt.Sprintf("last-%d-%d-%d", phase, i, n), phase)
 		}
 	}
 }
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestShortSoak plays one seed on real processes. The time to settle is that of a busy machine.
+// TestShortSoak plays one seed on real processes. The times to settle are those of a busy machine.
 func TestShortSoak(t *testing.T) {
 	bin := t.TempDir()
 	build := exec.Command("go", "build", "-o", bin, "./cmd/geraniumline")
@@ -16,7 +16,8 @@
 	output, err := build.CombinedOutput()
 	require.NoError(t, err, string(output))
 	result, err := Play(t.Context(), Config{
-		Seed: 2, Bin: bin, Dir: t.TempDir(), Entries: 3, Length: 6 * time.Second, Settle: 12 * time.Second,
+		Seed: 2, Bin: bin, Dir: t.TempDir(), Entries: 3, Length: 6 * time.Second,
+		ConfigTime: 10 * time.Second, Settle: 14 * time.Second,
 	})
 	require.NoError(t, err)
 	require.Empty(t, result.Violations)
--- a/soaker/traffic.go
+++ b/soaker/traffic.go
@@ -24,11 +24,15 @@
 var kinds = []struct {
 	path string
 	once bool
-	want func(id string) string
+	// pieces are the numbers of pieces of the stages.
+	pieces string
+	want   func(id string) string
 }{
-	{imitator.PlainPath, false, imitator.PlainAnswer},
-	{imitator.OncePath, true, imitator.PlainAnswer},
-	{imitator.StreamPath, true, imitator.StreamAnswer},
+	{path: imitator.PlainPath, want: imitator.PlainAnswer},
+	{path: imitator.OncePath, once: true, want: imitator.PlainAnswer},
+	{path: imitator.StreamPath, once: true, want: imitator.StreamAnswer},
+	{path: imitator.ResumePath, want: imitator.StreamAnswer},
+	{path: imitator.StagesPath, once: true, pieces: "3,2", want: imitator.StreamAnswer},
 }
 
 // traffic is what callers send, and what they were answered.
@@ -56,21 +60,22 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	defer client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
-		t.send(client, entry, n, fmt.Sprintf("r-%d-%d-%d", entry, caller, n), false)
+		t.send(client, entry, n, fmt.Sprintf("r-%d-%d-%d", entry, caller, n), phaseFaults)
 		time.Sleep(callerPause)
 	}
 }
 
 // send sends one request and notes its end. It is sent to its end although the traffic is over.
-func (t *traffic) send(client *http.Client, i, kind int, id string, final bool) {
+func (t *traffic) send(client *http.Client, i, kind int, id string, phase Phase) {
 	e := t.fleet.entries[i]
 	_, boot := e.present()
 	k := kinds[kind%len(kinds)]
-	a := Attempt{ID: id, Entry: i, Boot: boot, Once: k.once, Sent: time.Since(t.began), Want: k.want(id), Final: final}
+	a := Attempt{ID: id, Entry: i, Boot: boot, Once: k.once, Sent: time.Since(t.began), Want: k.want(id), Phase: phase}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*callerPatience)
 	defer cancel()
 	ask := imitator.Ask{
-		Address: e.callers.Address(), Path: k.path, ID: id, Key: imitator.Key, Body: "body of " + id, Patience: callerPatience,
+		Address: e.callers.Address(), Path: k.path, ID: id, Key: imitator.Key, Body: "body of " + id,
+		Patience: callerPatience, Pieces: k.pieces,
 	}
 	if reply, err := ask.CallWith(ctx, client); err == nil && !reply.Cut {
 		a.Status, a.Body, a.Stamp = reply.Status, reply.Body, reply.Stamp
