--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -40,7 +40,7 @@
 	f.duties.forget()
 	f.raw = data
 	f.behindSince = time.Time{}
-	f.registry.SetServices(slices.Collect(maps.Keys(catalog.Services())))
+	f.registry.SetServices(slices.Collect(maps.Keys(catalog.Services())), now)
 	for name, p := range f.pools {
 		if s, known := f.stageService(divider.Parse(name).Service); known {
 			p.SetStage(*s.Stage)
--- a/registrar/era_test.go
+++ b/registrar/era_test.go
@@ -143,3 +143,15 @@
 		require.Equal(t, s.serving(), ids(r))
 	})
 }
+
+// Guards against an address that goes back to its former endpoint, which has ended, with an older copy of the store.
+func TestAnAddressStaysWithItsNewestEndpointThroughAnOlderCopy(t *testing.T) {
+	same := func(e *Endpoint) { e.Address = "shared" }
+	r := New(Config{})
+	r.Replace([]Change{put("old", 0, same)}, pos(1), start)
+	r.Apply([]Change{put("new", 1, same)}, pos(2), start)
+	copied := put("old", 0, same)
+	copied.Position = locator.At(1, 0)
+	r.Replace([]Change{copied}, locator.At(1, 1), start)
+	require.Equal(t, []string{"new"}, ids(r))
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -17,9 +17,13 @@
 // about two seconds of its return. Without the wait an outage would empty the pools of a healthy system.
 const DefaultReturnTime = 2200 * time.Millisecond
 
-// goneTime is how long an endpoint that has left is remembered: an older copy of the store may bring its entry back. Copies
-// are some seconds old.
-const goneTime = time.Minute
+const (
+	// goneTime is how long an endpoint that has left is remembered: an older copy of the store may bring its entry back.
+	// Copies are some seconds old.
+	goneTime = time.Minute
+	// pruneEvery is how often those that left longer ago are forgotten. All endpoints may leave at once.
+	pruneEvery = 10 * time.Second
+)
 
 // Endpoint is one process that takes calls.
 type Endpoint struct {
@@ -106,8 +110,9 @@
 	atAddress map[string][]string
 	// missing are the ids of entries that lack in the store and are not yet believed to be gone.
 	missing map[string]bool
-	// gone are the endpoints that have left lately.
-	gone map[string]gone
+	// gone are the endpoints that have left lately, pruned at prunedAt.
+	gone     map[string]gone
+	prunedAt time.Time
 	// next is the position after the newest change, renewed when a list of its era was first read.
 	next    locator.Position
 	renewed time.Time
@@ -204,7 +209,7 @@
 	return c
 }
 
-// says tells whether this list says the same as a change, but for its offset.
+// says tells whether this list says the same as a change, but for its position.
 func (r *Registry) says(c *Change) bool {
 	e, known := r.entries[c.ID]
 	if !known || e.unusable || !e.removedAt.IsZero() || c.Unusable || c.Endpoint == nil {
@@ -278,14 +283,14 @@
 }
 
 // SetServices takes the names of the services that the configuration has.
-func (r *Registry) SetServices(names []string) {
+func (r *Registry) SetServices(names []string, now time.Time) {
 	r.services = make(map[string]bool, len(names))
 	for _, name := range names {
 		r.services[name] = true
 	}
 	for _, id := range slices.Collect(maps.Keys(r.entries)) {
 		if e, known := r.entries[id]; known {
-			r.evict(id, e)
+			r.evict(id, e, now)
 		}
 	}
 }
@@ -308,7 +313,7 @@
 	}
 	taken := &entry{endpoint: *c.Endpoint, position: c.Position, sequence: c.Sequence}
 	r.set(c.ID, taken)
-	r.evict(c.ID, taken)
+	r.evict(c.ID, taken, now)
 	delete(r.gone, c.ID)
 }
 
@@ -343,7 +348,7 @@
 // evict drops older endpoints at an entry's address. Addresses are used again after an endpoint has ended, also by other
 // services; its old entry may stay until it lapses, and calls would go to the wrong process. An entry of a service that
 // the configuration does not name evicts none: anybody may have written it, and sound endpoints would be lost to it.
-func (r *Registry) evict(newerID string, newer *entry) {
+func (r *Registry) evict(newerID string, newer *entry, now time.Time) {
 	if newer.unusable || r.services != nil && !r.services[newer.endpoint.Service] {
 		return
 	}
@@ -352,8 +357,8 @@
 		return
 	}
 	for _, id := range slices.Clone(ids) {
-		if id != newerID && r.entries[id].position.Before(newer.position) {
-			r.unset(id)
+		if e := r.entries[id]; id != newerID && e.position.Before(newer.position) {
+			r.drop(id, e, now)
 		}
 	}
 }
@@ -378,7 +383,10 @@
 // drop forgets an endpoint but for what tells its records from later ones.
 func (r *Registry) drop(id string, e *entry, now time.Time) {
 	r.unset(id)
-	maps.DeleteFunc(r.gone, func(_ string, g gone) bool { return now.Sub(g.at) >= goneTime })
+	if now.Sub(r.prunedAt) >= pruneEvery {
+		maps.DeleteFunc(r.gone, func(_ string, g gone) bool { return now.Sub(g.at) >= goneTime })
+		r.prunedAt = now
+	}
 	if !e.unusable {
 		r.gone[id] = gone{started: e.endpoint.Started, position: e.position, sequence: e.sequence, at: now}
 	}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -162,12 +162,12 @@
 func TestAnEntryOfAnUnknownServiceTakesNoAddress(t *testing.T) {
 	r := New(Config{})
 	r.Heard(start)
-	r.SetServices([]string{"s"})
+	r.SetServices([]string{"s"}, start)
 	same := func(e *Endpoint) { e.Address = "10.0.0.1:80" }
 	foreign := func(e *Endpoint) { same(e); e.Service = "nowhere" }
 	r.Apply([]Change{put("sound", 0, same), put("foreign", 1, foreign)}, pos(2), start)
 	require.Contains(t, ids(r), "sound")
-	r.SetServices([]string{"s", "nowhere"})
+	r.SetServices([]string{"s", "nowhere"}, start)
 	require.Equal(t, []string{"foreign"}, ids(r), "a service that is configured later is one")
 }
 
