--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 experiment: build
 	./scripts/experiment.sh
 
-# Plays so many seeds; further flags of the command by SOAK, such as SOAK="--seed 7 --processes 100".
+# Plays so many seeds; further flags of the command by SOAK, such as SOAK="--seed 7 --processes 10".
 SEEDS ?= 5
 soak: build
 	./bin/soak --bin bin --seeds $(SEEDS) $(SOAK)
