--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -41,7 +41,13 @@
 // newFleet starts n entries and waits until all are ready and know of each other.
 func newFleet(t *testing.T, n int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, site: imitator.NewSite(), log: zap.NewNop()}
+	return newFleetBefore(t, imitator.NewSite(), n)
+}
+
+// newFleetBefore starts n entries before a site that the test has set up.
+func newFleetBefore(t *testing.T, site *imitator.Site, n int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, site: site, log: zap.NewNop()}
 	t.Cleanup(f.close)
 	for range n {
 		f.start("")
--- a/assembler/forwarding_test.go
+++ b/assembler/forwarding_test.go
@@ -278,7 +278,11 @@
 // An entry is told to stop while a stream runs. The stream ends whole, callers are sent elsewhere, and an open
 // connection is used to the last.
 func TestAPlannedStopCutsNothing(t *testing.T) {
-	f := newFleet(t, 2)
+	site := imitator.NewSite()
+	// On a busy machine the stream takes longer than the site's usual routes may.
+	site.SetTimeouts(time.Minute)
+	site.Configure()
+	f := newFleetBefore(t, site, 2)
 	for _, e := range f.site.Endpoints {
 		e.Events = 1500
 	}
