Log and count the limits that endpoints name in their answers

No log line or metric tells whether an entry has read a limit at all, keeps to it by itself, or learns it too late.

Each change is logged, endpoints_limited counts the endpoints, notices_unusable the headers that can't be read. Nothing is decided by the limit yet.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -25,6 +25,7 @@
 	"geraniumline/meter"
 	"geraniumline/quarantiner"
 	"geraniumline/registrar"
+	"geraniumline/regulator"
 	"geraniumline/retrier"
 	"geraniumline/selector"
 	"geraniumline/switcher"
@@ -122,6 +123,8 @@
 	evacuator *evacuator.Evacuator
 	warmer    *warmer.Warmer
 	openness  openness
+	// regulator knows which endpoints have asked for less work.
+	regulator *regulator.Regulator
 	// divider says by which pools the stages' services are collected.
 	divider *divider.Divider
 	pools   map[string]*collector.Pool
@@ -207,6 +210,7 @@
 		quarantiner: quarantiner.New(quarantiner.Config{}),
 		evacuator:   evacuator.New(),
 		warmer:      gate,
+		regulator:   regulator.New(),
 		divider:     divider.New(),
 		round:       int(uint32(xxhash.Sum64String(cfg.Name))),
 
--- a/forwarder/openness.go
+++ b/forwarder/openness.go
@@ -52,7 +52,9 @@
 		barred:     make(map[string]bool),
 	}
 	list := make([]registrar.Endpoint, 0, len(all))
+	ids := make(map[string]bool, len(all))
 	for _, e := range all {
+		ids[e.ID] = true
 		f.openness.registered[e.Service]++
 		if f.evacuator.Evacuated(e.Zone) {
 			f.openness.barred[e.Address] = true
@@ -66,6 +68,7 @@
 		f.openness.open[e.Service][e.Region]++
 		list = append(list, e)
 	}
+	f.regulator.Keep(ids)
 	f.divider.SetEndpoints(all, list)
 	return list
 }
--- a/forwarder/piececalls.go
+++ b/forwarder/piececalls.go
@@ -59,12 +59,13 @@
 		f.logPieces(service, e, err)
 		return collector.Broken, nil
 	}
+	info := f.readAnswer(&e.Endpoint, answer)
 	data, err := answer.ReadWhole(maxPiecesAnswer)
 	if err != nil {
 		f.logPieces(service, e, err)
 		return collector.Broken, nil
 	}
-	if f.cfg.Wire.ReadAnswer(answer.Status(), answer.Header()).NotRun {
+	if info.NotRun {
 		return collector.Refused, nil
 	}
 	if answer.Status() != http.StatusOK {
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -47,11 +47,10 @@
 	x.tried = append(x.tried, choice.Endpoint.ID)
 	ctx, cancel := x.patience(began)
 	defer cancel()
-	answer, body, err := x.exchangePlain(ctx, choice, began)
+	answer, info, body, err := x.exchangePlain(ctx, choice, began)
 	if err != nil {
 		return x.failed(choice, err)
 	}
-	info := x.f.cfg.Wire.ReadAnswer(answer.Status(), answer.Header())
 	if info.NotRun {
 		x.end(choice, ejector.Good, false)
 		return false, nil
@@ -77,13 +76,14 @@
 	return context.WithDeadline(x.ctx, now.Add(wait))
 }
 
-func (x *exchange) exchangePlain(ctx context.Context, choice selector.Choice, now time.Time) (*connector.Answer, []byte, error) {
+func (x *exchange) exchangePlain(ctx context.Context, choice selector.Choice, now time.Time) (*connector.Answer, AnswerInfo, []byte, error) {
 	answer, err := x.f.cfg.Client.Do(ctx, x.call(choice, x.callInfo(choice.Endpoint, now)))
 	if err != nil {
-		return nil, nil, err
+		return nil, AnswerInfo{}, nil, err
 	}
+	info := x.f.readAnswer(&choice.Endpoint, answer)
 	body, err := answer.ReadWhole(maxPlainAnswer)
-	return answer, body, err
+	return answer, info, body, err
 }
 
 // call is the request as it goes to an endpoint.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -87,8 +87,8 @@
 		return s.failed(choice, err)
 	}
 	defer answer.Close()
-	if x.f.cfg.Wire.ReadAnswer(answer.Status(), answer.Header()).NotRun {
-		return s.refused(choice, answer)
+	if info := x.f.readAnswer(&choice.Endpoint, answer); info.NotRun {
+		return s.refused(choice, answer, info)
 	}
 	if answer.Status() != http.StatusOK {
 		return s.other(choice, answer)
@@ -114,8 +114,7 @@
 }
 
 // refused passes over an endpoint that did not run the request.
-func (s *streamer) refused(choice selector.Choice, answer *connector.Answer) (bool, *FailureError) {
-	info := s.x.f.cfg.Wire.ReadAnswer(answer.Status(), answer.Header())
+func (s *streamer) refused(choice selector.Choice, answer *connector.Answer, info AnswerInfo) (bool, *FailureError) {
 	if _, err := answer.ReadWhole(maxPlainAnswer); err != nil {
 		s.x.f.log.Debug("refusal cut short", zap.String("request", s.x.req.ID), zap.Error(err))
 	}
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"geraniumline/collector"
+	"geraniumline/regulator"
 	"geraniumline/selector"
 )
 
@@ -49,6 +50,9 @@
 	NotRun bool
 	// InputGone tells that a stage's result is no longer there.
 	InputGone bool
+	// Notice is what the answer says of the work that the endpoint takes. NoticeErr tells of a part that can't be used.
+	Notice    regulator.Notice
+	NoticeErr error
 }
 
 // Wire translates between the header names and bodies of callers and endpoints and the types above.
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -115,6 +115,7 @@
 	StoreCalls         Name = "store_calls"
 	StoreReturns       Name = "store_returns"
 	EntriesUnusable    Name = "entries_unusable"
+	NoticesUnusable    Name = "notices_unusable"
 	LogLinesDropped    Name = "log_lines_dropped"
 )
 
@@ -136,6 +137,7 @@
 	PeersLive          Name = "peers_live"
 	ZonesEvacuated     Name = "zones_evacuated"
 	EndpointsCold      Name = "endpoints_cold"
+	EndpointsLimited   Name = "endpoints_limited"
 	PausesNoticed      Name = "pauses_noticed"
 )
 
@@ -243,6 +245,7 @@
 	{ConfigVersion, KindGauge, "version", "", "Version of the configuration that requests are forwarded by.", ""},
 	{ConfigAge, KindGauge, "milliseconds", "", "Time since the store last answered a reading of the configuration, here or at a peer.", ""},
 	{EntriesUnusable, KindCounter, "records", "", "An endpoint's entry in the store that can't be used.", ""},
+	{NoticesUnusable, KindCounter, "answers", byService, "An endpoint's answer whose header on the work that the endpoint takes can't be used.", ""},
 	{StoreCalls, KindCounter, "calls", byOutcome, "A reading of the platform's store.", ""},
 	{StoreReturns, KindCounter, "returns", "", "A return of the store from an older copy.", ""},
 	{LogLinesDropped, KindCounter, "lines", byReason, "A log line not written: ordinary over the rate, or any over the buffer.", ""},
@@ -263,6 +266,7 @@
 	{PeersLive, KindGauge, "entries", "", "Other entries heard of lately.", ""},
 	{ZonesEvacuated, KindGauge, "zones", "", "Availability zones whose endpoints get no new work, by the operator's order.", ""},
 	{EndpointsCold, KindGauge, "endpoints", "", "Endpoints in their slow start, which get few requests from all entries together.", ""},
+	{EndpointsLimited, KindGauge, "endpoints", "", "Endpoints that name a limit on the requests that they take from all entries together.", ""},
 	{PausesNoticed, KindCounter, "pauses", "", "A pause of this entry that was so long that its peers may have taken it for dead.", ""},
 
 	{ConnectionsOpen, KindGauge, "connections", bySocket, "Open connections.", ""},
--- /dev/null
+++ b/regulator/notice.go
@@ -0,0 +1,9 @@
+package regulator
+
+// Notice is what an endpoint's answer says of the work that the endpoint takes.
+type Notice struct {
+	// Limited is set where the endpoint names a limit.
+	Limited bool
+	// PerSecond is that limit: the calls a second that the endpoint takes from all entries together.
+	PerSecond float64
+}
