--- /dev/null
+++ b/forwarder/limit_test.go
@@ -0,0 +1,180 @@
+package forwarder
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/ejector"
+	"geraniumline/locator"
+	"geraniumline/registrar"
+	"geraniumline/regulator"
+	"geraniumline/selector"
+)
+
+const (
+	// limitWindow is the span in which the requests at a limited endpoint are counted, limitExcess and limitSlack what it
+	// may get in it: limitExcess times its limit, and limitSlack more.
+	limitWindow = 4 * time.Second
+	limitExcess = 1.5
+	limitSlack  = 5
+	// limitTold is how long after an entry's first answer that names the limit its requests count, limitContact how long
+	// after the endpoint first named it.
+	limitTold    = 500 * time.Millisecond
+	limitContact = 3 * time.Second
+	// answerTime is how long the endpoints of these tests take.
+	answerTime = 200 * time.Millisecond
+)
+
+// limitedPool is one service's endpoints before a mesh of entries that get requests at random.
+type limitedPool struct {
+	m   *mesh
+	rnd *rand.Rand
+	// loss is the part of the frames between entries that is lost.
+	loss float64
+	// limits are those that the endpoints name at present, since is when each began to.
+	limits map[string]float64
+	since  map[string]time.Time
+	// told is when an entry first had an answer that names an endpoint's limit.
+	told map[[2]string]time.Time
+	// counted are the arrivals at each endpoint that count for its limit, arrived all of them.
+	counted map[string][]time.Time
+	arrived map[string][]time.Time
+	refused int
+	answers []pendingAnswer
+}
+
+type pendingAnswer struct {
+	at     time.Time
+	entry  string
+	choice selector.Choice
+	notice regulator.Notice
+}
+
+func newLimitedPool(t *testing.T, entries int, endpoints ...string) *limitedPool {
+	t.Helper()
+	m, rnd := newLossyMesh(t, entries, 7)
+	all := make([]registrar.Change, len(endpoints))
+	for i, id := range endpoints {
+		all[i] = endpointAt(id)
+	}
+	for _, f := range m.nodes {
+		f.ReplaceEndpoints(all, locator.At(0, 5), m.now)
+	}
+	return &limitedPool{
+		m: m, rnd: rnd,
+		limits: map[string]float64{}, since: map[string]time.Time{}, told: map[[2]string]time.Time{},
+		counted: map[string][]time.Time{}, arrived: map[string][]time.Time{},
+	}
+}
+
+// limit has an endpoint name a limit from now on; 0 ends it.
+func (p *limitedPool) limit(endpoint string, perSecond float64) {
+	if perSecond == 0 {
+		delete(p.limits, endpoint)
+		return
+	}
+	p.limits[endpoint] = perSecond
+	p.since[endpoint] = p.m.now
+}
+
+// run has so many requests a second come to the entries, each at a random one.
+func (p *limitedPool) run(d time.Duration, perSecond float64) {
+	for end := p.m.now.Add(d); p.m.now.Before(end); {
+		p.m.step(tickEvery)
+		p.m.deliver(p.loss, p.rnd)
+		p.answer()
+		for n := p.poisson(perSecond * tickEvery.Seconds()); n > 0; n-- {
+			p.request(fmt.Sprintf("entry-%d", p.rnd.IntN(len(p.m.nodes))))
+		}
+	}
+}
+
+func (p *limitedPool) poisson(mean float64) (n int) {
+	for t := p.rnd.ExpFloat64(); t < mean; t += p.rnd.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// request sends one request as the entry would.
+func (p *limitedPool) request(entry string) {
+	f, now := p.m.nodes[entry], p.m.now
+	f.mu.Lock()
+	choice, found := f.selector.Choose(selector.Ask{Service: "plain"}, now)
+	if found {
+		f.selector.Started(choice, nil, now)
+	}
+	f.mu.Unlock()
+	if !found {
+		p.refused++
+		return
+	}
+	id := choice.Endpoint.ID
+	p.arrived[id] = append(p.arrived[id], now)
+	told, knows := p.told[[2]string{entry, id}]
+	if knows && now.Sub(told) >= limitTold && now.Sub(p.since[id]) >= limitContact {
+		p.counted[id] = append(p.counted[id], now)
+	}
+	limit, limited := p.limits[id]
+	p.answers = append(p.answers, pendingAnswer{
+		at: now.Add(answerTime), entry: entry, choice: choice, notice: regulator.Notice{Limited: limited, PerSecond: limit},
+	})
+}
+
+// answer has the answers come that are due.
+func (p *limitedPool) answer() {
+	for len(p.answers) > 0 && !p.answers[0].at.After(p.m.now) {
+		a := p.answers[0]
+		p.answers = p.answers[1:]
+		f := p.m.nodes[a.entry]
+		key := [2]string{a.entry, a.choice.Endpoint.ID}
+		if _, knows := p.told[key]; a.notice.Limited && !knows {
+			p.told[key] = p.m.now
+		}
+		f.takeNotice(&a.choice.Endpoint, a.notice, p.m.now)
+		f.mu.Lock()
+		f.selector.Ended(a.choice, ejector.Good, p.m.now)
+		f.mu.Unlock()
+	}
+}
+
+// mostWithin is the most of the times in any span of the length.
+func mostWithin(times []time.Time, length time.Duration) int {
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) > length {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func limitBound(perSecond float64) int {
+	return int(limitExcess*perSecond*limitWindow.Seconds() + limitSlack)
+}
+
+// Guards against entries that each send a limited endpoint all that it takes, so that it gets many times its limit.
+func TestALimitHoldsForAllEntriesTogether(t *testing.T) {
+	for _, tc := range []struct {
+		entries   int
+		perSecond float64
+		loss      float64
+	}{
+		{7, 1, 0}, {7, 0.5, 0.1}, {7, 10, 0}, {65, 1, 0.1},
+	} {
+		t.Run(fmt.Sprintf("%d entries, %g a second", tc.entries, tc.perSecond), func(t *testing.T) {
+			p := newLimitedPool(t, tc.entries, "a", "b")
+			p.loss = tc.loss
+			p.run(time.Second, 70)
+			p.limit("a", tc.perSecond)
+			p.run(15*time.Second, 70)
+			require.LessOrEqual(t, mostWithin(p.counted["a"], limitWindow), limitBound(tc.perSecond))
+			require.Zero(t, p.refused, "the other endpoint takes the rest")
+		})
+	}
+}
