Split the division of calls among entries from the warmer

A cold endpoint gets calls from a few entries, found by rendezvous hashing, each with a pause between two calls. A limited endpoint needs the same with other figures. The part that does not speak of cold endpoints moves to rationer; nothing is decided otherwise, and the tests of warmer are as they were.

--- a/warmer/warmer.go
+++ b/warmer/warmer.go
@@ -4,10 +4,9 @@
 package warmer
 
 import (
-	"slices"
 	"time"
 
-	"geraniumline/hasher"
+	"geraniumline/rationer"
 )
 
 // Config sets a Warmer up.
@@ -26,30 +25,19 @@
 
 // Warmer holds what this entry may send to cold endpoints.
 type Warmer struct {
-	cfg Config
-	// live are the entries that live, this one among them, in the order of their names.
-	live []string
+	cfg      Config
+	rationer *rationer.Rationer
 	// few is set while so many entries are not heard that the others may be on the far side of a cut.
 	few bool
-	// sent is when calls went to each cold endpoint lately.
-	sent map[string]time.Time
-	// ranks remembers this entry's rank among the sponsors of an endpoint.
-	ranks map[string]int
 }
 
 // New makes a warmer that knows of no other entry.
-func New(cfg Config) *Warmer {
-	return &Warmer{cfg: cfg, live: []string{cfg.Self}, sent: make(map[string]time.Time), ranks: make(map[string]int)}
-}
+func New(cfg Config) *Warmer { return &Warmer{cfg: cfg, rationer: rationer.New(cfg.Self)} }
 
 // SetEntries takes the names of the entries that live, this one among them, and how many are known, dead ones too.
 func (w *Warmer) SetEntries(live []string, known int) {
 	w.few = len(live)*views < known
-	if slices.Equal(live, w.live) {
-		return
-	}
-	w.live = live
-	w.ranks = make(map[string]int)
+	w.rationer.SetEntries(live)
 }
 
 // Allows tells whether this entry may send a call now to a cold endpoint that bears so many calls a second. A few entries, its
@@ -63,33 +51,9 @@
 	if w.few {
 		return false
 	}
-	sponsors := max(1, int(w.cfg.Slack/views))
-	if w.rank(endpoint) >= sponsors {
-		return false
-	}
-	rate := w.cfg.Excess * perSecond / views
-	pause := time.Duration(float64(sponsors) / rate * float64(time.Second))
-	return now.Sub(w.sent[endpoint]) >= pause
+	ration := rationer.Ration{Senders: max(1, int(w.cfg.Slack/views)), PerSecond: w.cfg.Excess * perSecond / views}
+	return w.rationer.Allows(endpoint, ration, now)
 }
 
 // Sent notes a call to a cold endpoint.
-func (w *Warmer) Sent(endpoint string, now time.Time) {
-	for id, at := range w.sent {
-		if now.Sub(at) > forgetAfter {
-			delete(w.sent, id)
-		}
-	}
-	w.sent[endpoint] = now
-}
-
-// forgetAfter is how long a call to a cold endpoint counts: longer than any pause between two.
-const forgetAfter = time.Minute
-
-func (w *Warmer) rank(endpoint string) int {
-	rank, known := w.ranks[endpoint]
-	if !known {
-		rank = hasher.Rank(endpoint, w.live, w.cfg.Self)
-		w.ranks[endpoint] = rank
-	}
-	return rank
-}
+func (w *Warmer) Sent(endpoint string, now time.Time) { w.rationer.Sent(endpoint, now) }
