Keep to an endpoint's limit with all entries together

Cause: nothing read the limit, and no entry knows by itself what the others send. Class: a bound on the sum over all entries that each can only keep alone.

Change: regulator keeps each endpoint's limit; a few entries by rendezvous hash, one for each call a second and two more, share it with a pause between two calls of one. Were all of them replaced at once, the endpoint would get 6 a second of its limit and 4 more in 4 s, which is inside the bound. The entry that collects for a stage's service has its endpoints' limits alone. Heartbeats tell limits with their age, and for 10 s that one has ended, so that most entries need no answer of their own; a new start of the endpoint or its end forgets them. Where no answer comes for 5 s further entries send too, one more each second. Prompts have no home at a limited endpoint. Results are not freed there, which would be further requests; they lapse.

Ruled out: that each entry keeps to the limit alone (seven would send seven a second), and that it is learned too late (arrivals never fell).

TestALimitInAnswersIsKept drives answers, streams and calls for pieces through three entries and HTTP; before, no entry heard of a limit. TestALimitIsUsedWhereThereIsDemand: over 0.8 of it; TestALimitThatHasEndedIsForgottenEverywhere.

--- /dev/null
+++ b/assembler/notice_test.go
@@ -0,0 +1,62 @@
+package assembler
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/platform/imitator"
+)
+
+// limitWindow is the span in which requests at a limited endpoint are counted.
+const limitWindow = 4 * time.Second
+
+// mostWithin is the most of the times in any span of the length.
+func mostWithin(times []time.Time, length time.Duration) int {
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) > length {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Guards against entries that pass over the limit in an endpoint's answers: plain ones, streams and calls for pieces.
+func TestALimitInAnswersIsKept(t *testing.T) {
+	const limit = 1
+	f := newFleet(t, 3)
+	for _, service := range services {
+		f.site.Endpoint(fmt.Sprintf("i-%s-0", service)).SetLimit(limit)
+	}
+	serve := func(round string) {
+		for entry := range f.nodes {
+			f.serveAll(entry, fmt.Sprintf("%s-%d", round, entry))
+		}
+	}
+	require.Eventually(t, func() bool {
+		serve("told")
+		for entry := range f.nodes {
+			if f.metric(entry, "geraniumline_endpoints_limited") != fmt.Sprint(len(services)) {
+				return false
+			}
+		}
+		return true
+	}, forwardPatience, 10*time.Millisecond, "every entry hears of all limits, by answers or from its peers")
+	before := make(map[string]int)
+	for _, service := range services {
+		before[service] = len(f.site.Endpoint(fmt.Sprintf("i-%s-0", service)).Requests())
+	}
+	for round := range 5 {
+		serve(fmt.Sprint(round))
+	}
+	for _, service := range services {
+		got := f.site.Endpoint(fmt.Sprintf("i-%s-0", service)).Requests()[before[service]:]
+		require.LessOrEqual(t, mostWithin(got, limitWindow), 3*limit*4/2+5, service)
+	}
+	require.Equal(t, http.StatusOK, f.call(f.ask(0, imitator.PlainPath, "last")).Status)
+}
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -file schema.go -o schema_gen.go -tests=false
 
-//msgp:tuple PieceResult MadeResult EndpointWork StageWait EndpointEntry ModelDemand AccountBill StageBill Member Pulse EndpointLoad AccountUse Record CrashLoss
+//msgp:tuple EndpointLimit PieceResult MadeResult EndpointWork StageWait EndpointEntry ModelDemand AccountBill StageBill Member Pulse EndpointLoad AccountUse Record CrashLoss
 
 // Kind tells which message a frame carries.
 type Kind uint8
@@ -118,6 +118,8 @@
 	Crashes   []CrashMark    `msg:"crashes,limit=1024"`
 	// Stages are the newest waits that the sender knows.
 	Stages []StageWait `msg:"stages,limit=1024"`
+	// Limits are those that endpoints have named, by the newest word that the sender knows.
+	Limits []EndpointLimit `msg:"limits,limit=16384"`
 	// ConfigAgeMillis is how long ago the store last answered a reading of the configuration, by the newest word that the
 	// sender knows.
 	ConfigAgeMillis int64 `msg:"configAgeMillis"`
@@ -323,6 +325,17 @@
 	AgeMillis uint32
 }
 
+// EndpointLimit is a limit that an endpoint has named in an answer. Entries tell it on.
+type EndpointLimit struct {
+	ID string
+	// StartedMillis is when the start of the endpoint began that named it, in Unix milliseconds; 0 where it does not say.
+	StartedMillis int64
+	// PerSecond is the calls a second that the endpoint takes from all entries together; 0 where the limit has ended.
+	PerSecond float64
+	// AgeMillis is how long ago the endpoint said so.
+	AgeMillis uint32
+}
+
 // Work is what an entry has under way. It replaces the sender's earlier word.
 type Work struct {
 	Endpoints []EndpointWork `msg:"endpoints,limit=16384"`
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -1888,6 +1888,125 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *EndpointLimit) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.StartedMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
+	z.PerSecond, err = dc.ReadFloat64()
+	if err != nil {
+		err = msgp.WrapError(err, "PerSecond")
+		return
+	}
+	z.AgeMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *EndpointLimit) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteInt64(z.StartedMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
+	err = en.WriteFloat64(z.PerSecond)
+	if err != nil {
+		err = msgp.WrapError(err, "PerSecond")
+		return
+	}
+	err = en.WriteUint32(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *EndpointLimit) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendString(o, z.ID)
+	o = msgp.AppendInt64(o, z.StartedMillis)
+	o = msgp.AppendFloat64(o, z.PerSecond)
+	o = msgp.AppendUint32(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EndpointLimit) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
+	z.PerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PerSecond")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *EndpointLimit) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Int64Size + msgp.Float64Size + msgp.Uint32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *EndpointLoad) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -3149,6 +3268,29 @@
 					return
 				}
 			}
+		case "limits":
+			var zb0011 uint32
+			zb0011, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+			if zb0011 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Limits) >= int(zb0011) {
+				z.Limits = (z.Limits)[:zb0011]
+			} else {
+				z.Limits = make([]EndpointLimit, zb0011)
+			}
+			for za0008 := range z.Limits {
+				err = z.Limits[za0008].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0008)
+					return
+				}
+			}
 		case "configAgeMillis":
 			z.ConfigAgeMillis, err = dc.ReadInt64()
 			if err != nil {
@@ -3168,48 +3310,48 @@
 				return
 			}
 		case "evacuated":
-			var zb0011 uint32
-			zb0011, err = dc.ReadArrayHeader()
+			var zb0012 uint32
+			zb0012, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-			if zb0011 > 4096 {
+			if zb0012 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Evacuated) >= int(zb0011) {
-				z.Evacuated = (z.Evacuated)[:zb0011]
+			if cap(z.Evacuated) >= int(zb0012) {
+				z.Evacuated = (z.Evacuated)[:zb0012]
 			} else {
-				z.Evacuated = make([]string, zb0011)
+				z.Evacuated = make([]string, zb0012)
 			}
-			for za0008 := range z.Evacuated {
-				z.Evacuated[za0008], err = dc.ReadString()
+			for za0009 := range z.Evacuated {
+				z.Evacuated[za0009], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Evacuated", za0008)
+					err = msgp.WrapError(err, "Evacuated", za0009)
 					return
 				}
 			}
 		case "evacuationsHeld":
-			var zb0012 uint32
-			zb0012, err = dc.ReadArrayHeader()
+			var zb0013 uint32
+			zb0013, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "EvacuationsHeld")
 				return
 			}
-			if zb0012 > 4096 {
+			if zb0013 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.EvacuationsHeld) >= int(zb0012) {
-				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0012]
+			if cap(z.EvacuationsHeld) >= int(zb0013) {
+				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0013]
 			} else {
-				z.EvacuationsHeld = make([]string, zb0012)
+				z.EvacuationsHeld = make([]string, zb0013)
 			}
-			for za0009 := range z.EvacuationsHeld {
-				z.EvacuationsHeld[za0009], err = dc.ReadString()
+			for za0010 := range z.EvacuationsHeld {
+				z.EvacuationsHeld[za0010], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "EvacuationsHeld", za0009)
+					err = msgp.WrapError(err, "EvacuationsHeld", za0010)
 					return
 				}
 			}
@@ -3238,9 +3380,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 15
+	// map header, size 16
 	// write "from"
-	err = en.Append(0x8f, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	err = en.Append(0xde, 0x0, 0x10, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	if err != nil {
 		return
 	}
@@ -3394,6 +3536,23 @@
 			return
 		}
 	}
+	// write "limits"
+	err = en.Append(0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Limits)))
+	if err != nil {
+		err = msgp.WrapError(err, "Limits")
+		return
+	}
+	for za0008 := range z.Limits {
+		err = z.Limits[za0008].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0008)
+			return
+		}
+	}
 	// write "configAgeMillis"
 	err = en.Append(0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	if err != nil {
@@ -3434,10 +3593,10 @@
 		err = msgp.WrapError(err, "Evacuated")
 		return
 	}
-	for za0008 := range z.Evacuated {
-		err = en.WriteString(z.Evacuated[za0008])
+	for za0009 := range z.Evacuated {
+		err = en.WriteString(z.Evacuated[za0009])
 		if err != nil {
-			err = msgp.WrapError(err, "Evacuated", za0008)
+			err = msgp.WrapError(err, "Evacuated", za0009)
 			return
 		}
 	}
@@ -3451,10 +3610,10 @@
 		err = msgp.WrapError(err, "EvacuationsHeld")
 		return
 	}
-	for za0009 := range z.EvacuationsHeld {
-		err = en.WriteString(z.EvacuationsHeld[za0009])
+	for za0010 := range z.EvacuationsHeld {
+		err = en.WriteString(z.EvacuationsHeld[za0010])
 		if err != nil {
-			err = msgp.WrapError(err, "EvacuationsHeld", za0009)
+			err = msgp.WrapError(err, "EvacuationsHeld", za0010)
 			return
 		}
 	}
@@ -3484,9 +3643,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 16
 	// string "from"
-	o = append(o, 0x8f, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = append(o, 0xde, 0x0, 0x10, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -3563,6 +3722,16 @@
 			return
 		}
 	}
+	// string "limits"
+	o = append(o, 0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+	for za0008 := range z.Limits {
+		o, err = z.Limits[za0008].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0008)
+			return
+		}
+	}
 	// string "configAgeMillis"
 	o = append(o, 0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.ConfigAgeMillis)
@@ -3575,14 +3744,14 @@
 	// string "evacuated"
 	o = append(o, 0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
-	for za0008 := range z.Evacuated {
-		o = msgp.AppendString(o, z.Evacuated[za0008])
+	for za0009 := range z.Evacuated {
+		o = msgp.AppendString(o, z.Evacuated[za0009])
 	}
 	// string "evacuationsHeld"
 	o = append(o, 0xaf, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x48, 0x65, 0x6c, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.EvacuationsHeld)))
-	for za0009 := range z.EvacuationsHeld {
-		o = msgp.AppendString(o, z.EvacuationsHeld[za0009])
+	for za0010 := range z.EvacuationsHeld {
+		o = msgp.AppendString(o, z.EvacuationsHeld[za0010])
 	}
 	// string "storeEra"
 	o = append(o, 0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
@@ -3842,6 +4011,29 @@
 					return
 				}
 			}
+		case "limits":
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+			if zb0012 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Limits) >= int(zb0012) {
+				z.Limits = (z.Limits)[:zb0012]
+			} else {
+				z.Limits = make([]EndpointLimit, zb0012)
+			}
+			for za0008 := range z.Limits {
+				bts, err = z.Limits[za0008].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0008)
+					return
+				}
+			}
 		case "configAgeMillis":
 			z.ConfigAgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -3861,48 +4053,48 @@
 				return
 			}
 		case "evacuated":
-			var zb0012 uint32
-			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-			if zb0012 > 4096 {
+			if zb0013 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Evacuated) >= int(zb0012) {
-				z.Evacuated = (z.Evacuated)[:zb0012]
+			if cap(z.Evacuated) >= int(zb0013) {
+				z.Evacuated = (z.Evacuated)[:zb0013]
 			} else {
-				z.Evacuated = make([]string, zb0012)
+				z.Evacuated = make([]string, zb0013)
 			}
-			for za0008 := range z.Evacuated {
-				z.Evacuated[za0008], bts, err = msgp.ReadStringBytes(bts)
+			for za0009 := range z.Evacuated {
+				z.Evacuated[za0009], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Evacuated", za0008)
+					err = msgp.WrapError(err, "Evacuated", za0009)
 					return
 				}
 			}
 		case "evacuationsHeld":
-			var zb0013 uint32
-			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0014 uint32
+			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "EvacuationsHeld")
 				return
 			}
-			if zb0013 > 4096 {
+			if zb0014 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.EvacuationsHeld) >= int(zb0013) {
-				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0013]
+			if cap(z.EvacuationsHeld) >= int(zb0014) {
+				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0014]
 			} else {
-				z.EvacuationsHeld = make([]string, zb0013)
+				z.EvacuationsHeld = make([]string, zb0014)
 			}
-			for za0009 := range z.EvacuationsHeld {
-				z.EvacuationsHeld[za0009], bts, err = msgp.ReadStringBytes(bts)
+			for za0010 := range z.EvacuationsHeld {
+				z.EvacuationsHeld[za0010], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "EvacuationsHeld", za0009)
+					err = msgp.WrapError(err, "EvacuationsHeld", za0010)
 					return
 				}
 			}
@@ -3932,7 +4124,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + 5 + z.From.Msgsize() + 9 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize
+	s = 3 + 5 + z.From.Msgsize() + 9 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Members {
 		s += z.Members[za0001].Msgsize()
 	}
@@ -3959,13 +4151,17 @@
 	for za0007 := range z.Stages {
 		s += z.Stages[za0007].Msgsize()
 	}
+	s += 7 + msgp.ArrayHeaderSize
+	for za0008 := range z.Limits {
+		s += z.Limits[za0008].Msgsize()
+	}
 	s += 16 + msgp.Int64Size + 13 + msgp.Int64Size + 14 + msgp.Int64Size + 10 + msgp.ArrayHeaderSize
-	for za0008 := range z.Evacuated {
-		s += msgp.StringPrefixSize + len(z.Evacuated[za0008])
+	for za0009 := range z.Evacuated {
+		s += msgp.StringPrefixSize + len(z.Evacuated[za0009])
 	}
 	s += 16 + msgp.ArrayHeaderSize
-	for za0009 := range z.EvacuationsHeld {
-		s += msgp.StringPrefixSize + len(z.EvacuationsHeld[za0009])
+	for za0010 := range z.EvacuationsHeld {
+		s += msgp.StringPrefixSize + len(z.EvacuationsHeld[za0010])
 	}
 	s += 9 + msgp.Int64Size + 13 + msgp.Int64Size
 	return
--- a/collector/call.go
+++ b/collector/call.go
@@ -98,7 +98,7 @@
 			p.inZone[e.Zone]++
 		}
 		out := e.health.State() == ejector.Ejected || e.health.State() == ejector.Probing && e.calls > 0
-		if !out && e.free(p.cfg.Stage.Slots, now) {
+		if !out && e.free(p.cfg.Stage.Slots, now) && p.allows(e, now) {
 			free = append(free, e)
 		}
 	}
@@ -108,6 +108,10 @@
 	return free
 }
 
+func (p *Pool) allows(e *endpoint, now time.Time) bool {
+	return p.cfg.Gate == nil || p.cfg.Gate.AllowsSole(e.ID, now)
+}
+
 // fillCall takes waiting pieces in their order for as long as the call and the endpoint's space have room.
 func (p *Pool) fillCall(e *endpoint, waiting []*group, now time.Time) {
 	waiting = allowedAt(e, waiting)
@@ -164,6 +168,9 @@
 	if last := c.pieces[len(c.pieces)-1].bytes; last > 0 {
 		left = int(room / last)
 	}
+	if p.cfg.Gate != nil {
+		p.cfg.Gate.Sent(e.ID, now)
+	}
 	p.emit(SendCall{Call: c.id, Endpoint: e.Endpoint, Pieces: pieces, Timeout: timeoutFactor * c.expected, Free: left})
 }
 
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -55,11 +55,23 @@
 	maxPause     = 640 * time.Millisecond
 )
 
+// Gate says which calls may go to endpoints that ask for few.
+type Gate interface {
+	// AllowsSole tells whether a call may go now to an endpoint that no other entry sends to.
+	AllowsSole(endpoint string, now time.Time) bool
+	// Limit gives the calls a second that an endpoint takes, if it has named a limit.
+	Limit(endpoint string) (perSecond float64, limited bool)
+	// Sent notes a call to an endpoint.
+	Sent(endpoint string, now time.Time)
+}
+
 // Config sets a Pool up.
 type Config struct {
 	Service string
 	Stage   cataloger.StagePool
 	Ejector ejector.Config
+	// Gate bounds the calls to endpoints that ask for few; nil sends to them as to any other.
+	Gate Gate
 	// Off are the mechanisms that are switched off.
 	Off switcher.Off
 }
--- a/collector/group.go
+++ b/collector/group.go
@@ -163,13 +163,22 @@
 func (p *Pool) usable() int {
 	n := 0
 	for _, e := range p.endpoints {
-		if e.health.State() == ejector.InUse {
+		if e.health.State() == ejector.InUse && !p.bearsFew(e) {
 			n++
 		}
 	}
 	return n
 }
 
+// bearsFew tells whether an endpoint takes so few calls that it stands idle for most of the time.
+func (p *Pool) bearsFew(e *endpoint) bool {
+	if p.cfg.Gate == nil {
+		return false
+	}
+	perSecond, limited := p.cfg.Gate.Limit(e.ID)
+	return limited && 2*perSecond*p.cfg.Stage.CallDuration(p.cfg.Stage.Batch).Seconds() < 1
+}
+
 // ordered lists the groups that wait, first what should be made first.
 //
 // Groups that can no longer be on time go last: under a surge, work in the order of arrival or of due times alone makes
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -172,14 +172,17 @@
 		cfg.Meter = meter.New()
 	}
 	random := rand.New(rand.NewPCG(cfg.Incarnation, uint64(len(cfg.Name))))
-	gate := warmer.New(warmer.Config{Self: cfg.Name, Excess: cfg.ColdExcess, Slack: cfg.ColdSlack})
+	bounds := &gate{
+		warmer:    warmer.New(warmer.Config{Self: cfg.Name, Excess: cfg.ColdExcess, Slack: cfg.ColdSlack}),
+		regulator: regulator.New(regulator.Config{Self: cfg.Name}),
+	}
 	return &Forwarder{
 		cfg:      cfg,
 		log:      cfg.Log,
 		notes:    newNotes(cfg.Log, cfg.Meter),
 		began:    now,
 		registry: registrar.New(registrar.Config{}),
-		selector: selector.New(selector.Config{Rand: random, Ejector: ejectorConfig(cfg.Off), Gate: gate, Off: cfg.Off}),
+		selector: selector.New(selector.Config{Rand: random, Ejector: ejectorConfig(cfg.Off), Gate: bounds, Off: cfg.Off}),
 		detector: detector.New(detector.Config{
 			Self: carrier.Member{
 				Name:          cfg.Name,
@@ -209,8 +212,8 @@
 		ending:      make(chan struct{}),
 		quarantiner: quarantiner.New(quarantiner.Config{}),
 		evacuator:   evacuator.New(),
-		warmer:      gate,
-		regulator:   regulator.New(),
+		warmer:      bounds.warmer,
+		regulator:   bounds.regulator,
 		divider:     divider.New(),
 		round:       int(uint32(xxhash.Sum64String(cfg.Name))),
 
--- /dev/null
+++ b/forwarder/gate.go
@@ -0,0 +1,37 @@
+package forwarder
+
+import (
+	"time"
+
+	"geraniumline/registrar"
+	"geraniumline/regulator"
+	"geraniumline/warmer"
+)
+
+// gate joins what bounds the calls to an endpoint: its slow start, and what it has asked for in its answers.
+type gate struct {
+	warmer    *warmer.Warmer
+	regulator *regulator.Regulator
+}
+
+// Allows implements selector.Gate.
+func (g *gate) Allows(e *registrar.Endpoint, coldPerSecond float64, now time.Time) bool {
+	if e.Cold(now) && !g.warmer.Allows(e.ID, coldPerSecond, now) {
+		return false
+	}
+	return g.regulator.Allows(e.ID, now)
+}
+
+// BearsFew implements selector.Gate.
+func (g *gate) BearsFew(e *registrar.Endpoint) bool {
+	_, limited := g.regulator.Limit(e.ID)
+	return limited
+}
+
+// Sent implements selector.Gate.
+func (g *gate) Sent(e *registrar.Endpoint, now time.Time) {
+	if e.Cold(now) {
+		g.warmer.Sent(e.ID, now)
+	}
+	g.regulator.Sent(e.ID, now)
+}
--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -178,3 +178,46 @@
 		})
 	}
 }
+
+// used is the part of a limit that the endpoint got in the last so many seconds.
+func (p *limitedPool) used(endpoint string, perSecond float64, last time.Duration) float64 {
+	n := 0
+	for _, at := range p.arrived[endpoint] {
+		if p.m.now.Sub(at) < last {
+			n++
+		}
+	}
+	return float64(n) / (perSecond * last.Seconds())
+}
+
+func TestALimitIsUsedWhereThereIsDemand(t *testing.T) {
+	for _, tc := range []struct {
+		entries   int
+		perSecond float64
+	}{{7, 1}, {7, 10}, {65, 10}} {
+		t.Run(fmt.Sprintf("%d entries, %g a second", tc.entries, tc.perSecond), func(t *testing.T) {
+			p := newLimitedPool(t, tc.entries, "a", "b")
+			p.limit("a", tc.perSecond)
+			p.run(25*time.Second, 10*float64(tc.entries))
+			require.Greater(t, p.used("a", tc.perSecond, 20*time.Second), 0.8)
+		})
+	}
+}
+
+// Guards against an endpoint that stays out of use after its limit has ended, since most entries never hear so themselves.
+func TestALimitThatHasEndedIsForgottenEverywhere(t *testing.T) {
+	for _, entries := range []int{7, 65} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			p := newLimitedPool(t, entries, "a", "b")
+			p.loss = 0.1
+			p.limit("a", 1)
+			p.run(10*time.Second, 70)
+			p.limit("a", 0)
+			p.run(5*time.Second, 70)
+			for name, f := range p.m.nodes {
+				require.Zero(t, f.regulator.Limited(), name)
+			}
+			require.Greater(t, p.used("a", 70, time.Second), 0.3, "half of the pool's requests, give or take")
+		})
+	}
+}
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -1,10 +1,12 @@
 package forwarder
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"geraniumline/carrier"
 	"geraniumline/connector"
 	"geraniumline/meter"
 	"geraniumline/registrar"
@@ -27,13 +29,52 @@
 // takeNotice takes what an endpoint's answer says of the work that it takes.
 func (f *Forwarder) takeNotice(e *registrar.Endpoint, n regulator.Notice, now time.Time) {
 	f.mu.Lock()
-	changed := f.regulator.Heard(e.ID, n, now)
+	changed := f.regulator.Heard(e, n, now)
 	f.mu.Unlock()
 	if changed {
-		f.note("endpoint's limit changed",
-			zap.String("endpoint", e.ID),
-			zap.String("service", e.Service),
-			zap.Bool("limited", n.Limited),
-			zap.Float64("perSecond", n.PerSecond))
+		f.noteLimit(e.ID, n.PerSecond, e.ID)
+	}
+}
+
+// noteLimit writes a line on the change of an endpoint's limit, by its own answer or a peer's word.
+func (f *Forwarder) noteLimit(endpoint string, perSecond float64, source string) {
+	f.note("endpoint's limit changed",
+		zap.String("endpoint", endpoint),
+		zap.Float64("perSecond", perSecond),
+		zap.String("source", source))
+}
+
+// limitedAt tells whether an endpoint at the address has named a limit. The lock is held.
+func (f *Forwarder) limitedAt(address string) bool {
+	return slices.ContainsFunc(f.registry.At(address), func(id string) bool {
+		_, limited := f.regulator.Limit(id)
+		return limited
+	})
+}
+
+// limits tells peers the limits that endpoints have named. The lock is held.
+func (f *Forwarder) limits(now time.Time) []carrier.EndpointLimit {
+	var list []carrier.EndpointLimit
+	for _, l := range f.regulator.Limits(now) {
+		m := carrier.EndpointLimit{ID: l.Endpoint, PerSecond: l.PerSecond, AgeMillis: uint32(now.Sub(l.At).Milliseconds())}
+		if !l.Started.IsZero() {
+			m.StartedMillis = l.Started.UnixMilli()
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+// takeLimits takes a peer's word on endpoints' limits. The lock is held.
+func (f *Forwarder) takeLimits(list []carrier.EndpointLimit, from string, now time.Time) {
+	for _, m := range list {
+		l := regulator.Limit{Endpoint: m.ID, PerSecond: m.PerSecond, At: now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)}
+		if m.StartedMillis > 0 {
+			l.Started = time.UnixMilli(m.StartedMillis)
+		}
+		usable := l.PerSecond >= 0 && f.registry.Lists(l.Endpoint, l.Started)
+		if usable && f.regulator.Told(l) {
+			f.noteLimit(l.Endpoint, l.PerSecond, from)
+		}
 	}
 }
--- a/forwarder/openness.go
+++ b/forwarder/openness.go
@@ -52,9 +52,7 @@
 		barred:     make(map[string]bool),
 	}
 	list := make([]registrar.Endpoint, 0, len(all))
-	ids := make(map[string]bool, len(all))
 	for _, e := range all {
-		ids[e.ID] = true
 		f.openness.registered[e.Service]++
 		if f.evacuator.Evacuated(e.Zone) {
 			f.openness.barred[e.Address] = true
@@ -68,7 +66,7 @@
 		f.openness.open[e.Service][e.Region]++
 		list = append(list, e)
 	}
-	f.regulator.Keep(ids)
+	f.regulator.SetEndpoints(all)
 	f.divider.SetEndpoints(all, list)
 	return list
 }
@@ -133,8 +131,8 @@
 // barred tells whether an address is that of an endpoint which gets nothing more. The lock is held.
 func (f *Forwarder) barred(address string) bool { return f.openness.barred[address] }
 
-// setWarmers tells the warmer which entries send to cold endpoints. The lock is held.
-func (f *Forwarder) setWarmers(members []detector.Member) {
+// setSenders tells which entries may send to endpoints that bear few calls. The lock is held.
+func (f *Forwarder) setSenders(members []detector.Member) {
 	live := make([]string, 0, len(members))
 	for _, m := range members {
 		if m.Name == f.cfg.Name || m.State == detector.Live {
@@ -142,6 +140,7 @@
 		}
 	}
 	f.warmer.SetEntries(live, len(members))
+	f.regulator.SetEntries(live)
 }
 
 // homesOf gives the regions that a request may be served in; nil where it may be in all. Where the route and the client
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -40,7 +40,7 @@
 	// Listed once for all below: with hundreds of members each list is a part of the heartbeat's work.
 	members := f.detector.Members()
 	peers := f.liveAddresses(members)
-	f.setWarmers(members)
+	f.setSenders(members)
 	f.retrier.SetReserve(reserveFor(f.cfg.RetrySlack, max(usualEntries, len(peers)+1)))
 	f.duties.forget()
 	f.dropOldWork(now)
@@ -50,6 +50,7 @@
 	evacuated := f.evacuator.State()
 	beat.EvacuatedEra, beat.EvacuatedNext = evacuated.Next.Era(), evacuated.Next.Offset()
 	beat.Evacuated, beat.EvacuationsHeld = evacuated.Zones, evacuated.Held
+	beat.Limits = f.limits(now)
 	beat.StoreEra, beat.EndpointsEra = f.storeEra, f.registry.Next().Era()
 	beat.ConfigAgeMillis = min(now.Sub(f.configHeard), maxConfigAge).Milliseconds()
 	f.round++
@@ -197,6 +198,7 @@
 		f.locked(func() []func() {
 			f.quarantiner.Heard(m.Crashes, now)
 			f.takeStageWaits(m.Stages, now)
+			f.takeLimits(m.Limits, m.From.Name, now)
 			f.takeConfigAge(m.ConfigAgeMillis, now)
 			if m.StoreEra > 0 {
 				// Entries that know no era say 0.
--- a/forwarder/piececalls.go
+++ b/forwarder/piececalls.go
@@ -84,8 +84,12 @@
 // tells by refusing pieces.
 func (f *Forwarder) callFree(service string, p *collector.Pool, e collector.FreeResults) {
 	f.mu.Lock()
-	barred := f.barred(e.Address)
+	barred, limited := f.barred(e.Address), f.limitedAt(e.Address)
 	f.mu.Unlock()
+	if limited {
+		// The few calls that the endpoint takes are for pieces. Its space counts as taken until the results lapse.
+		return
+	}
 	if !barred {
 		// Where nothing more may be sent, results lapse by themselves.
 		f.exchangeFree(e)
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -59,6 +59,11 @@
 	return r.rank(endpoint) < n.Senders && now.Sub(r.sent[endpoint]) >= n.pause()
 }
 
+// AllowsSole tells the same where no other entry sends to the endpoint.
+func (r *Rationer) AllowsSole(endpoint string, perSecond float64, now time.Time) bool {
+	return now.Sub(r.sent[endpoint]) >= Ration{Senders: 1, PerSecond: perSecond}.pause()
+}
+
 // Sent notes a call to an endpoint.
 func (r *Rationer) Sent(endpoint string, now time.Time) {
 	for id, at := range r.sent {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -419,6 +419,15 @@
 	return dropped
 }
 
+// Lists tells whether an endpoint is known, in the start that began at a time; a zero one is that of any start.
+func (r *Registry) Lists(id string, started time.Time) bool {
+	e, known := r.entries[id]
+	return known && !e.unusable && e.endpoint.SameStart(&Endpoint{ID: id, Started: started})
+}
+
+// At gives the ids of the endpoints at an address; usually one.
+func (r *Registry) At(address string) []string { return r.atAddress[address] }
+
 // Usable lists the endpoints that may take work, in the order of their ids.
 func (r *Registry) Usable() []Endpoint {
 	usable := make([]Endpoint, 0, len(r.entries))
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -1,43 +1,171 @@
-// Package regulator keeps what endpoints say in their answers of the work that they take. It is pure: the present time is
-// given to it.
+// Package regulator decides which calls may go to endpoints that ask for fewer in their answers. It is pure: the present time
+// is given to it.
 package regulator
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
 
-// Regulator holds the newest notice of each endpoint that asks for less work.
+	"geraniumline/rationer"
+	"geraniumline/registrar"
+)
+
+const (
+	// extraSenders is how many entries send to a limited endpoint beside one for each call a second that it takes.
+	extraSenders = 2
+	// renewAfter is how old the newest answer of a limited endpoint may be before further entries send to it, one more for
+	// each widenEvery: its senders may have no calls for it or not reach it, and only an answer tells that its limit has ended.
+	renewAfter = 5 * time.Second
+	widenEvery = time.Second
+	// endedLife is how long peers are told that an endpoint's limit has ended.
+	endedLife = 10 * time.Second
+)
+
+// Config sets a Regulator up.
+type Config struct {
+	// Self is this entry's name.
+	Self string
+}
+
+// Regulator holds the newest notice of each endpoint that asks for fewer calls.
 type Regulator struct {
-	limits map[string]limit
+	rationer *rationer.Rationer
+	limits   map[string]*limit
 }
 
-// limit is a limit that an endpoint has named.
+// limit is the limit that an endpoint has named.
 type limit struct {
+	started time.Time
+	// perSecond is 0 once the endpoint has said that there is none any more.
 	perSecond float64
-	// at is when the endpoint last named it.
+	// at is when the endpoint last said so.
 	at time.Time
 }
 
-// New makes a regulator that knows of no limit.
-func New() *Regulator { return &Regulator{limits: make(map[string]limit)} }
+// Limit is a limit as entries tell it to each other.
+type Limit struct {
+	Endpoint string
+	// Started is when the start of the endpoint began that named it; zero where the endpoint does not say.
+	Started time.Time
+	// PerSecond is 0 where the limit has ended.
+	PerSecond float64
+	// At is when the endpoint said so.
+	At time.Time
+}
+
+// New makes a regulator that knows of no limit and of no other entry.
+func New(cfg Config) *Regulator {
+	return &Regulator{rationer: rationer.New(cfg.Self), limits: make(map[string]*limit)}
+}
+
+// SetEntries takes the names of the entries that live, this one among them, in their order.
+func (r *Regulator) SetEntries(live []string) { r.rationer.SetEntries(live) }
+
+// SetEndpoints takes all endpoints that may get work. What others have said is forgotten, and what an earlier start of one
+// has.
+func (r *Regulator) SetEndpoints(all []registrar.Endpoint) {
+	if len(r.limits) == 0 {
+		return
+	}
+	known := make(map[string]*registrar.Endpoint, len(all))
+	for i := range all {
+		known[all[i].ID] = &all[i]
+	}
+	for id, l := range r.limits {
+		if e, lives := known[id]; !lives || !sameStart(e.Started, l.started) {
+			delete(r.limits, id)
+		}
+	}
+}
+
+// sameStart tells whether two times may be those of one start; a zero one is not known.
+func sameStart(a, b time.Time) bool { return a.IsZero() || b.IsZero() || a.Equal(b) }
 
-// Heard takes the notice of an endpoint's answer and tells whether it changes what was known.
-func (r *Regulator) Heard(endpoint string, n Notice, now time.Time) bool {
-	known, limited := r.limits[endpoint]
-	if !n.Limited {
-		delete(r.limits, endpoint)
-		return limited
+// Heard takes the notice of an endpoint's answer, and tells whether it changes what was known.
+func (r *Regulator) Heard(e *registrar.Endpoint, n Notice, now time.Time) bool {
+	if l, known := r.limits[e.ID]; !n.Limited && (!known || l.perSecond == 0) {
+		return false
 	}
-	r.limits[endpoint] = limit{perSecond: n.PerSecond, at: now}
-	return !limited || known.perSecond != n.PerSecond
+	return r.take(Limit{Endpoint: e.ID, Started: e.Started, PerSecond: n.PerSecond, At: now})
 }
 
-// Limited counts the endpoints that name a limit.
-func (r *Regulator) Limited() int { return len(r.limits) }
+// Told takes a peer's word on an endpoint's limit, and tells whether it changes what was known.
+func (r *Regulator) Told(m Limit) bool {
+	l, known := r.limits[m.Endpoint]
+	if known && (!m.At.After(l.at) || !sameStart(m.Started, l.started)) {
+		return false
+	}
+	return r.take(m)
+}
 
-// Keep forgets all endpoints but those of the ids.
-func (r *Regulator) Keep(ids map[string]bool) {
-	for id := range r.limits {
-		if !ids[id] {
+func (r *Regulator) take(m Limit) bool {
+	before := 0.0
+	if l, known := r.limits[m.Endpoint]; known {
+		before = l.perSecond
+	}
+	r.limits[m.Endpoint] = &limit{started: m.Started, perSecond: m.PerSecond, at: m.At}
+	return before != m.PerSecond
+}
+
+// Limits lists what peers are to be told, in the order of the endpoints' ids.
+func (r *Regulator) Limits(now time.Time) []Limit {
+	list := make([]Limit, 0, len(r.limits))
+	for id, l := range r.limits {
+		if l.perSecond == 0 && now.Sub(l.at) >= endedLife {
 			delete(r.limits, id)
+			continue
+		}
+		list = append(list, Limit{Endpoint: id, Started: l.started, PerSecond: l.perSecond, At: l.at})
+	}
+	slices.SortFunc(list, func(a, b Limit) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return list
+}
+
+// Limit gives the calls a second that an endpoint takes from all entries together, if it has named a limit.
+func (r *Regulator) Limit(endpoint string) (perSecond float64, limited bool) {
+	l, known := r.limits[endpoint]
+	if !known || l.perSecond == 0 {
+		return 0, false
+	}
+	return l.perSecond, true
+}
+
+// Limited counts the endpoints that name a limit.
+func (r *Regulator) Limited() (n int) {
+	for _, l := range r.limits {
+		if l.perSecond > 0 {
+			n++
 		}
 	}
+	return n
+}
+
+// Allows tells whether a call may go now to an endpoint that many entries send to. A few of them share its limit, one more for
+// each call a second that it takes: were they all replaced by others, which begin with a call each, the endpoint would get
+// 6 calls for each a second of its limit and 4 more in four seconds.
+func (r *Regulator) Allows(endpoint string, now time.Time) bool {
+	l, limited := r.limits[endpoint]
+	if !limited || l.perSecond == 0 {
+		return true
+	}
+	senders := int(l.perSecond) + extraSenders
+	if age := now.Sub(l.at); age > renewAfter {
+		senders += 1 + int((age-renewAfter)/widenEvery)
+	}
+	ration := rationer.Ration{Senders: min(senders, r.rationer.Entries()), PerSecond: l.perSecond}
+	return r.rationer.Allows(endpoint, ration, now)
+}
+
+// AllowsSole tells whether a call may go now to an endpoint that only this entry sends to.
+func (r *Regulator) AllowsSole(endpoint string, now time.Time) bool {
+	perSecond, limited := r.Limit(endpoint)
+	return !limited || r.rationer.AllowsSole(endpoint, perSecond, now)
+}
+
+// Sent notes a call to an endpoint.
+func (r *Regulator) Sent(endpoint string, now time.Time) {
+	if _, limited := r.Limit(endpoint); limited {
+		r.rationer.Sent(endpoint, now)
+	}
 }
--- /dev/null
+++ b/regulator/regulator_test.go
@@ -0,0 +1,126 @@
+package regulator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/registrar"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+func names(n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprintf("entry-%03d", i)
+	}
+	return list
+}
+
+func newRegulator(self string, live []string) *Regulator {
+	r := New(Config{Self: self})
+	r.SetEntries(live)
+	return r
+}
+
+// senders counts the entries that may send to a limited endpoint, whose limit each has just heard.
+func senders(n int, perSecond float64, at time.Time) (count int) {
+	live := names(n)
+	for _, name := range live {
+		r := newRegulator(name, live)
+		r.Told(Limit{Endpoint: "a", PerSecond: perSecond, At: now})
+		if r.Allows("a", at) {
+			count++
+		}
+	}
+	return count
+}
+
+func TestAFewEntriesShareALimit(t *testing.T) {
+	require.Equal(t, 2, senders(300, 0.5, now))
+	require.Equal(t, 3, senders(300, 1, now))
+	require.Equal(t, 12, senders(300, 10, now))
+	require.Equal(t, 7, senders(7, 10, now))
+	require.Equal(t, 1, senders(1, 1, now))
+}
+
+// Guards against a limit that is never found to have ended, since none of those that may send has a call for the endpoint.
+func TestFurtherEntriesSendWhereNobodyHears(t *testing.T) {
+	require.Equal(t, 3, senders(300, 1, now.Add(renewAfter)))
+	require.Equal(t, 4, senders(300, 1, now.Add(renewAfter+widenEvery/2)))
+	require.Equal(t, 13, senders(300, 1, now.Add(renewAfter+9*widenEvery+widenEvery/2)))
+}
+
+func TestASenderPausesBetweenTwoCalls(t *testing.T) {
+	e := &registrar.Endpoint{ID: "a"}
+	r := newRegulator("entry", []string{"entry"})
+	require.True(t, r.Heard(e, Notice{Limited: true, PerSecond: 2}, now))
+	require.False(t, r.Heard(e, Notice{Limited: true, PerSecond: 2}, now), "nothing new")
+	for _, allows := range []func(string, time.Time) bool{r.Allows, r.AllowsSole} {
+		require.True(t, allows("a", now.Add(time.Second)))
+	}
+	r.Sent("a", now)
+	for _, allows := range []func(string, time.Time) bool{r.Allows, r.AllowsSole} {
+		require.False(t, allows("a", now.Add(400*time.Millisecond)))
+		require.True(t, allows("a", now.Add(500*time.Millisecond)))
+	}
+	require.True(t, r.Allows("b", now), "an endpoint without a limit")
+}
+
+func TestWhatEndsALimit(t *testing.T) {
+	started := time.UnixMilli(1000)
+	limited := func() *Regulator {
+		r := newRegulator("entry-001", names(300))
+		require.True(t, r.Heard(&registrar.Endpoint{ID: "a", Started: started}, Notice{Limited: true, PerSecond: 1}, now))
+		require.Equal(t, 1, r.Limited())
+		return r
+	}
+	t.Run("an answer without one", func(t *testing.T) {
+		r := limited()
+		require.True(t, r.Heard(&registrar.Endpoint{ID: "a", Started: started}, Notice{}, now.Add(time.Second)))
+		require.Zero(t, r.Limited())
+		require.True(t, r.Allows("a", now.Add(time.Second)))
+	})
+	t.Run("a peer's word on such an answer", func(t *testing.T) {
+		r := limited()
+		require.True(t, r.Told(Limit{Endpoint: "a", Started: started, At: now.Add(time.Second)}))
+		require.Zero(t, r.Limited())
+	})
+	t.Run("not an older word", func(t *testing.T) {
+		r := limited()
+		require.False(t, r.Told(Limit{Endpoint: "a", Started: started, At: now.Add(-time.Second)}))
+		require.Equal(t, 1, r.Limited())
+	})
+	t.Run("not the word of an earlier start", func(t *testing.T) {
+		r := limited()
+		require.False(t, r.Told(Limit{Endpoint: "a", Started: started.Add(-time.Hour), At: now.Add(time.Second)}))
+		require.Equal(t, 1, r.Limited())
+	})
+	t.Run("a new start", func(t *testing.T) {
+		r := limited()
+		r.SetEndpoints([]registrar.Endpoint{{ID: "a", Started: started}})
+		require.Equal(t, 1, r.Limited())
+		r.SetEndpoints([]registrar.Endpoint{{ID: "a", Started: started.Add(time.Second)}})
+		require.Zero(t, r.Limited())
+	})
+	t.Run("the endpoint's end", func(t *testing.T) {
+		r := limited()
+		r.SetEndpoints(nil)
+		require.Zero(t, r.Limited())
+	})
+}
+
+// Guards against peers that go on to tell of a limit which has ended: they must hear so, but not for ever.
+func TestPeersAreToldThatALimitHasEnded(t *testing.T) {
+	r := newRegulator("entry", []string{"entry"})
+	require.Empty(t, r.Limits(now))
+	e := &registrar.Endpoint{ID: "a"}
+	r.Heard(e, Notice{Limited: true, PerSecond: 1}, now)
+	require.Equal(t, []Limit{{Endpoint: "a", PerSecond: 1, At: now}}, r.Limits(now.Add(time.Minute)))
+	r.Heard(e, Notice{}, now)
+	require.Equal(t, []Limit{{Endpoint: "a", At: now}}, r.Limits(now.Add(endedLife-1)))
+	require.Empty(t, r.Limits(now.Add(endedLife)))
+}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -67,17 +67,20 @@
 	turn uint64
 }
 
-// Gate says which calls may go to cold endpoints.
+// Gate says which calls may go to endpoints that bear few.
 type Gate interface {
-	// Allows tells whether a call may go now to a cold endpoint that bears so many calls a second.
-	Allows(endpoint string, perSecond float64, now time.Time) bool
-	// Sent notes a call to a cold endpoint.
-	Sent(endpoint string, now time.Time)
+	// Allows tells whether a call may go now to an endpoint that bears so many calls a second while it is cold.
+	Allows(e *registrar.Endpoint, coldPerSecond float64, now time.Time) bool
+	// BearsFew tells whether an endpoint takes only a few of the calls that would come for the prompt parts that it holds, cold
+	// or not.
+	BearsFew(e *registrar.Endpoint) bool
+	// Sent notes a call to an endpoint.
+	Sent(e *registrar.Endpoint, now time.Time)
 }
 
 // Config sets a Selector up. Zero fields take the defaults above.
 type Config struct {
-	// Gate bounds the calls to cold endpoints; nil sends to them as to any other.
+	// Gate bounds the calls to endpoints that bear few; nil sends to them as to any other.
 	Gate       Gate
 	Rand       *rand.Rand
 	CallTokens int
@@ -262,7 +265,7 @@
 	if slices.Contains(ask.Avoid, e.ID) || ask.Regions != nil && !slices.Contains(ask.Regions, e.Region) {
 		return false
 	}
-	return gate == nil || !e.Cold(now) || gate.Allows(e.ID, p.coldPerSecond, now)
+	return gate == nil || gate.Allows(&e.Endpoint, p.coldPerSecond, now)
 }
 
 // candidates are the endpoints that may take the call: those in use, or one whose probe is due.
@@ -320,8 +323,8 @@
 	return Choice{Endpoint: e.Endpoint, Tokens: own, Cached: cached, turn: e.turn}, score
 }
 
-// homesOf gives the endpoints at which the prompt's largest shared beginning is kept, in their order. A cold endpoint is none
-// until it is warm: it holds no parts, and bears few of the calls that would come for them.
+// homesOf gives the endpoints at which the prompt's largest shared beginning is kept, in their order. An endpoint that bears
+// few of the calls that would come for the parts is none.
 func (s *Selector) homesOf(p *pool, ask *Ask, keys []uint64, now time.Time) []*endpoint {
 	if len(keys) < 2 || s.cfg.Off.Has(switcher.PromptHomes) {
 		return nil
@@ -331,7 +334,7 @@
 	for len(home) < homes && len(home) < len(p.endpoints) {
 		var best *endpoint
 		for _, e := range p.endpoints {
-			if slices.Contains(home, e) || e.health.State() != ejector.InUse || e.Cold(now) {
+			if slices.Contains(home, e) || e.health.State() != ejector.InUse || s.bearsFew(e, now) {
 				continue
 			}
 			if ask.Regions != nil && !slices.Contains(ask.Regions, e.Region) {
@@ -349,6 +352,10 @@
 	return home
 }
 
+func (s *Selector) bearsFew(e *endpoint, now time.Time) bool {
+	return e.Cold(now) || s.cfg.Gate != nil && s.cfg.Gate.BearsFew(&e.Endpoint)
+}
+
 // HomeZone gives the zone where a prompt's shared parts are kept, if they are large enough for stage results to be
 // made there.
 func (s *Selector) HomeZone(service string, parts []Part, regions []string, now time.Time) string {
@@ -369,8 +376,8 @@
 	if !known {
 		return
 	}
-	if s.cfg.Gate != nil && e.Cold(now) {
-		s.cfg.Gate.Sent(e.ID, now)
+	if s.cfg.Gate != nil {
+		s.cfg.Gate.Sent(&e.Endpoint, now)
 	}
 	e.calls++
 	s.addWork(e, choice.Tokens)
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -200,8 +200,17 @@
 // gate lets so many calls go to cold endpoints.
 type gate struct{ left int }
 
-func (g *gate) Allows(string, float64, time.Time) bool { return g.left > 0 }
-func (g *gate) Sent(string, time.Time)                 { g.left-- }
+func (g *gate) Allows(e *registrar.Endpoint, _ float64, now time.Time) bool {
+	return !e.Cold(now) || g.left > 0
+}
+
+func (g *gate) BearsFew(*registrar.Endpoint) bool { return false }
+
+func (g *gate) Sent(e *registrar.Endpoint, now time.Time) {
+	if e.Cold(now) {
+		g.left--
+	}
+}
 
 // A prompt's home becomes cold: it holds nothing any more and bears few calls. The prompt goes to another home meanwhile, the
 // cold endpoint takes only what the gate allows, and it has its prompts back once it is warm.
