Log and count the endpoints that say in their answers that they leave

Logs show the age of the list that the choice went by, not whether the answer was read.

Nothing is decided by it yet.

--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -29,11 +29,14 @@
 // takeNotice takes what an endpoint's answer says of the work that it takes.
 func (f *Forwarder) takeNotice(e *registrar.Endpoint, n regulator.Notice, now time.Time) {
 	f.mu.Lock()
-	changed := f.regulator.Heard(e, n, now)
+	change := f.regulator.Heard(e, n, now)
 	f.mu.Unlock()
-	if changed {
+	if change.Limit {
 		f.noteLimit(e.ID, n.PerSecond, e.ID)
 	}
+	if change.Leaving {
+		f.note("endpoint leaves", zap.String("endpoint", e.ID), zap.String("source", e.ID))
+	}
 }
 
 // noteLimit writes a line on the change of an endpoint's limit, by its own answer or a peer's word.
--- a/forwarder/openness.go
+++ b/forwarder/openness.go
@@ -66,7 +66,7 @@
 		f.openness.open[e.Service][e.Region]++
 		list = append(list, e)
 	}
-	f.regulator.SetEndpoints(all)
+	f.regulator.Keep(f.registry.Lists)
 	f.divider.SetEndpoints(all, list)
 	return list
 }
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -138,6 +138,7 @@
 	ZonesEvacuated     Name = "zones_evacuated"
 	EndpointsCold      Name = "endpoints_cold"
 	EndpointsLimited   Name = "endpoints_limited"
+	EndpointsLeaving   Name = "endpoints_leaving"
 	PausesNoticed      Name = "pauses_noticed"
 )
 
@@ -267,6 +268,7 @@
 	{ZonesEvacuated, KindGauge, "zones", "", "Availability zones whose endpoints get no new work, by the operator's order.", ""},
 	{EndpointsCold, KindGauge, "endpoints", "", "Endpoints in their slow start, which get few requests from all entries together.", ""},
 	{EndpointsLimited, KindGauge, "endpoints", "", "Endpoints that name a limit on the requests that they take from all entries together.", ""},
+	{EndpointsLeaving, KindGauge, "endpoints", "", "Endpoints that say in their answers that they leave, and are still listed.", ""},
 	{PausesNoticed, KindCounter, "pauses", "", "A pause of this entry that was so long that its peers may have taken it for dead.", ""},
 
 	{ConnectionsOpen, KindGauge, "connections", bySocket, "Open connections.", ""},
--- a/regulator/notice.go
+++ b/regulator/notice.go
@@ -6,4 +6,6 @@
 	Limited bool
 	// PerSecond is that limit: the calls a second that the endpoint takes from all entries together.
 	PerSecond float64
+	// Leaving is set where the endpoint is to end and takes no new work.
+	Leaving bool
 }
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -32,6 +32,8 @@
 type Regulator struct {
 	rationer *rationer.Rationer
 	limits   map[string]*limit
+	// leaving are the endpoints that have said that they leave, by when they began.
+	leaving map[string]time.Time
 }
 
 // limit is the limit that an endpoint has named.
@@ -56,34 +58,57 @@
 
 // New makes a regulator that knows of no limit and of no other entry.
 func New(cfg Config) *Regulator {
-	return &Regulator{rationer: rationer.New(cfg.Self), limits: make(map[string]*limit)}
+	return &Regulator{
+		rationer: rationer.New(cfg.Self),
+		limits:   make(map[string]*limit),
+		leaving:  make(map[string]time.Time),
+	}
 }
 
 // SetEntries takes the names of the entries that live, this one among them, in their order.
 func (r *Regulator) SetEntries(live []string) { r.rationer.SetEntries(live) }
 
-// SetEndpoints takes all endpoints that may get work. What others have said is forgotten, and what an earlier start of one
-// has.
-func (r *Regulator) SetEndpoints(all []registrar.Endpoint) {
-	if len(r.limits) == 0 {
-		return
-	}
-	known := make(map[string]*registrar.Endpoint, len(all))
-	for i := range all {
-		known[all[i].ID] = &all[i]
-	}
+// Keep forgets what endpoints have said that are not listed any more in the start that said so; a zero time is that of any
+// start.
+func (r *Regulator) Keep(lists func(endpoint string, started time.Time) bool) {
 	for id, l := range r.limits {
-		if e, lives := known[id]; !lives || !sameStart(e.Started, l.started) {
+		if !lists(id, l.started) {
 			delete(r.limits, id)
 		}
 	}
+	for id, started := range r.leaving {
+		if !lists(id, started) {
+			delete(r.leaving, id)
+		}
+	}
 }
 
 // sameStart tells whether two times may be those of one start; a zero one is not known.
 func sameStart(a, b time.Time) bool { return a.IsZero() || b.IsZero() || a.Equal(b) }
 
-// Heard takes the notice of an endpoint's answer, and tells whether it changes what was known.
-func (r *Regulator) Heard(e *registrar.Endpoint, n Notice, now time.Time) bool {
+// Change tells what a notice changes of what was known.
+type Change struct {
+	Limit   bool
+	Leaving bool
+}
+
+// Heard takes the notice of an endpoint's answer.
+func (r *Regulator) Heard(e *registrar.Endpoint, n Notice, now time.Time) Change {
+	return Change{Limit: r.heardLimit(e, n, now), Leaving: n.Leaving && r.leaves(e.ID, e.Started)}
+}
+
+// leaves notes an endpoint that leaves, and tells whether that was not known. An answer that says nothing of it does not take
+// it back: it may have been on its way for longer.
+func (r *Regulator) leaves(endpoint string, started time.Time) bool {
+	_, known := r.leaving[endpoint]
+	r.leaving[endpoint] = started
+	return !known
+}
+
+// Leaving counts the endpoints that have said that they leave.
+func (r *Regulator) Leaving() int { return len(r.leaving) }
+
+func (r *Regulator) heardLimit(e *registrar.Endpoint, n Notice, now time.Time) bool {
 	if l, known := r.limits[e.ID]; !n.Limited && (!known || l.perSecond == 0) {
 		return false
 	}
--- a/regulator/regulator_test.go
+++ b/regulator/regulator_test.go
@@ -57,8 +57,8 @@
 func TestASenderPausesBetweenTwoCalls(t *testing.T) {
 	e := &registrar.Endpoint{ID: "a"}
 	r := newRegulator("entry", []string{"entry"})
-	require.True(t, r.Heard(e, Notice{Limited: true, PerSecond: 2}, now))
-	require.False(t, r.Heard(e, Notice{Limited: true, PerSecond: 2}, now), "nothing new")
+	require.True(t, r.Heard(e, Notice{Limited: true, PerSecond: 2}, now).Limit)
+	require.False(t, r.Heard(e, Notice{Limited: true, PerSecond: 2}, now).Limit, "nothing new")
 	for _, allows := range []func(string, time.Time) bool{r.Allows, r.AllowsSole} {
 		require.True(t, allows("a", now.Add(time.Second)))
 	}
@@ -74,13 +74,13 @@
 	started := time.UnixMilli(1000)
 	limited := func() *Regulator {
 		r := newRegulator("entry-001", names(300))
-		require.True(t, r.Heard(&registrar.Endpoint{ID: "a", Started: started}, Notice{Limited: true, PerSecond: 1}, now))
+		require.True(t, r.Heard(&registrar.Endpoint{ID: "a", Started: started}, Notice{Limited: true, PerSecond: 1}, now).Limit)
 		require.Equal(t, 1, r.Limited())
 		return r
 	}
 	t.Run("an answer without one", func(t *testing.T) {
 		r := limited()
-		require.True(t, r.Heard(&registrar.Endpoint{ID: "a", Started: started}, Notice{}, now.Add(time.Second)))
+		require.True(t, r.Heard(&registrar.Endpoint{ID: "a", Started: started}, Notice{}, now.Add(time.Second)).Limit)
 		require.Zero(t, r.Limited())
 		require.True(t, r.Allows("a", now.Add(time.Second)))
 	})
@@ -101,18 +101,25 @@
 	})
 	t.Run("a new start", func(t *testing.T) {
 		r := limited()
-		r.SetEndpoints([]registrar.Endpoint{{ID: "a", Started: started}})
+		r.Keep(listed("a", started))
 		require.Equal(t, 1, r.Limited())
-		r.SetEndpoints([]registrar.Endpoint{{ID: "a", Started: started.Add(time.Second)}})
+		r.Keep(listed("a", started.Add(time.Second)))
 		require.Zero(t, r.Limited())
 	})
 	t.Run("the endpoint's end", func(t *testing.T) {
 		r := limited()
-		r.SetEndpoints(nil)
+		r.Keep(listed("b", started))
 		require.Zero(t, r.Limited())
 	})
 }
 
+// listed is a list of one endpoint.
+func listed(id string, started time.Time) func(string, time.Time) bool {
+	return func(asked string, at time.Time) bool {
+		return (&registrar.Endpoint{ID: id, Started: started}).SameStart(&registrar.Endpoint{ID: asked, Started: at})
+	}
+}
+
 // Guards against peers that go on to tell of a limit which has ended: they must hear so, but not for ever.
 func TestPeersAreToldThatALimitHasEnded(t *testing.T) {
 	r := newRegulator("entry", []string{"entry"})
