Send nothing new to endpoints whose answers say that they leave

Cause: entries know of a leave by the store's record alone, and the store was away. Class: a fact that has one slow source though a faster one is at hand.

Change: an endpoint that says so in any answer leaves the one list of endpoints that may get work, as with the store's record: requests, retries, hedges, pieces and homes of prompts follow that list. Heartbeats name these endpoints with the start that said so, so that no entry needs an answer of its own. A new start or the endpoint's end takes it back, and nothing else: an answer that says nothing of it may be the older one.

--- a/assembler/notice_test.go
+++ b/assembler/notice_test.go
@@ -60,3 +60,23 @@
 	}
 	require.Equal(t, http.StatusOK, f.call(f.ask(0, imitator.PlainPath, "last")).Status)
 }
+
+// Guards against requests and pieces that go to endpoints whose answers say that they leave, as while the store is away.
+func TestEndpointsWhoseAnswersSayThatTheyLeaveGetNothing(t *testing.T) {
+	f := newFleet(t, 3)
+	for _, service := range services {
+		f.site.Endpoint(fmt.Sprintf("i-%s-0", service)).SayLeaving()
+	}
+	require.Eventually(t, func() bool {
+		for entry := range f.nodes {
+			if !f.idle(entry, 0) {
+				return false
+			}
+		}
+		return true
+	}, forwardPatience, 20*time.Millisecond)
+	for entry := range f.nodes {
+		require.True(t, f.idle(entry, 0))
+		require.Equal(t, fmt.Sprint(len(services)), f.metric(entry, "geraniumline_endpoints_leaving"))
+	}
+}
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -1888,6 +1888,93 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *EndpointLeave) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.StartedMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z EndpointLeave) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteInt64(z.StartedMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z EndpointLeave) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.ID)
+	o = msgp.AppendInt64(o, z.StartedMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EndpointLeave) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z EndpointLeave) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Int64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *EndpointLimit) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -3291,6 +3378,48 @@
 					return
 				}
 			}
+		case "leaving":
+			var zb0012 uint32
+			zb0012, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+			if zb0012 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Leaving) >= int(zb0012) {
+				z.Leaving = (z.Leaving)[:zb0012]
+			} else {
+				z.Leaving = make([]EndpointLeave, zb0012)
+			}
+			for za0009 := range z.Leaving {
+				var zb0013 uint32
+				zb0013, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Leaving", za0009)
+					return
+				}
+				if zb0013 > 16384 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0013 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0013}
+					return
+				}
+				z.Leaving[za0009].ID, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Leaving", za0009, "ID")
+					return
+				}
+				z.Leaving[za0009].StartedMillis, err = dc.ReadInt64()
+				if err != nil {
+					err = msgp.WrapError(err, "Leaving", za0009, "StartedMillis")
+					return
+				}
+			}
 		case "configAgeMillis":
 			z.ConfigAgeMillis, err = dc.ReadInt64()
 			if err != nil {
@@ -3310,48 +3439,48 @@
 				return
 			}
 		case "evacuated":
-			var zb0012 uint32
-			zb0012, err = dc.ReadArrayHeader()
+			var zb0014 uint32
+			zb0014, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-			if zb0012 > 4096 {
+			if zb0014 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Evacuated) >= int(zb0012) {
-				z.Evacuated = (z.Evacuated)[:zb0012]
+			if cap(z.Evacuated) >= int(zb0014) {
+				z.Evacuated = (z.Evacuated)[:zb0014]
 			} else {
-				z.Evacuated = make([]string, zb0012)
+				z.Evacuated = make([]string, zb0014)
 			}
-			for za0009 := range z.Evacuated {
-				z.Evacuated[za0009], err = dc.ReadString()
+			for za0010 := range z.Evacuated {
+				z.Evacuated[za0010], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Evacuated", za0009)
+					err = msgp.WrapError(err, "Evacuated", za0010)
 					return
 				}
 			}
 		case "evacuationsHeld":
-			var zb0013 uint32
-			zb0013, err = dc.ReadArrayHeader()
+			var zb0015 uint32
+			zb0015, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "EvacuationsHeld")
 				return
 			}
-			if zb0013 > 4096 {
+			if zb0015 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.EvacuationsHeld) >= int(zb0013) {
-				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0013]
+			if cap(z.EvacuationsHeld) >= int(zb0015) {
+				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0015]
 			} else {
-				z.EvacuationsHeld = make([]string, zb0013)
+				z.EvacuationsHeld = make([]string, zb0015)
 			}
-			for za0010 := range z.EvacuationsHeld {
-				z.EvacuationsHeld[za0010], err = dc.ReadString()
+			for za0011 := range z.EvacuationsHeld {
+				z.EvacuationsHeld[za0011], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "EvacuationsHeld", za0010)
+					err = msgp.WrapError(err, "EvacuationsHeld", za0011)
 					return
 				}
 			}
@@ -3380,9 +3509,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 16
+	// map header, size 17
 	// write "from"
-	err = en.Append(0xde, 0x0, 0x10, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	err = en.Append(0xde, 0x0, 0x11, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	if err != nil {
 		return
 	}
@@ -3553,6 +3682,33 @@
 			return
 		}
 	}
+	// write "leaving"
+	err = en.Append(0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Leaving)))
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
+	for za0009 := range z.Leaving {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Leaving[za0009].ID)
+		if err != nil {
+			err = msgp.WrapError(err, "Leaving", za0009, "ID")
+			return
+		}
+		err = en.WriteInt64(z.Leaving[za0009].StartedMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "Leaving", za0009, "StartedMillis")
+			return
+		}
+	}
 	// write "configAgeMillis"
 	err = en.Append(0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	if err != nil {
@@ -3593,10 +3749,10 @@
 		err = msgp.WrapError(err, "Evacuated")
 		return
 	}
-	for za0009 := range z.Evacuated {
-		err = en.WriteString(z.Evacuated[za0009])
+	for za0010 := range z.Evacuated {
+		err = en.WriteString(z.Evacuated[za0010])
 		if err != nil {
-			err = msgp.WrapError(err, "Evacuated", za0009)
+			err = msgp.WrapError(err, "Evacuated", za0010)
 			return
 		}
 	}
@@ -3610,10 +3766,10 @@
 		err = msgp.WrapError(err, "EvacuationsHeld")
 		return
 	}
-	for za0010 := range z.EvacuationsHeld {
-		err = en.WriteString(z.EvacuationsHeld[za0010])
+	for za0011 := range z.EvacuationsHeld {
+		err = en.WriteString(z.EvacuationsHeld[za0011])
 		if err != nil {
-			err = msgp.WrapError(err, "EvacuationsHeld", za0010)
+			err = msgp.WrapError(err, "EvacuationsHeld", za0011)
 			return
 		}
 	}
@@ -3643,9 +3799,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 16
+	// map header, size 17
 	// string "from"
-	o = append(o, 0xde, 0x0, 0x10, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = append(o, 0xde, 0x0, 0x11, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -3732,6 +3888,15 @@
 			return
 		}
 	}
+	// string "leaving"
+	o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Leaving)))
+	for za0009 := range z.Leaving {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Leaving[za0009].ID)
+		o = msgp.AppendInt64(o, z.Leaving[za0009].StartedMillis)
+	}
 	// string "configAgeMillis"
 	o = append(o, 0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 	o = msgp.AppendInt64(o, z.ConfigAgeMillis)
@@ -3744,14 +3909,14 @@
 	// string "evacuated"
 	o = append(o, 0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
-	for za0009 := range z.Evacuated {
-		o = msgp.AppendString(o, z.Evacuated[za0009])
+	for za0010 := range z.Evacuated {
+		o = msgp.AppendString(o, z.Evacuated[za0010])
 	}
 	// string "evacuationsHeld"
 	o = append(o, 0xaf, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x48, 0x65, 0x6c, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.EvacuationsHeld)))
-	for za0010 := range z.EvacuationsHeld {
-		o = msgp.AppendString(o, z.EvacuationsHeld[za0010])
+	for za0011 := range z.EvacuationsHeld {
+		o = msgp.AppendString(o, z.EvacuationsHeld[za0011])
 	}
 	// string "storeEra"
 	o = append(o, 0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
@@ -4034,6 +4199,44 @@
 					return
 				}
 			}
+		case "leaving":
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+			if zb0013 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Leaving) >= int(zb0013) {
+				z.Leaving = (z.Leaving)[:zb0013]
+			} else {
+				z.Leaving = make([]EndpointLeave, zb0013)
+			}
+			for za0009 := range z.Leaving {
+				var zb0014 uint32
+				zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Leaving", za0009)
+					return
+				}
+				if zb0014 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0014}
+					return
+				}
+				z.Leaving[za0009].ID, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Leaving", za0009, "ID")
+					return
+				}
+				z.Leaving[za0009].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Leaving", za0009, "StartedMillis")
+					return
+				}
+			}
 		case "configAgeMillis":
 			z.ConfigAgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -4053,48 +4256,48 @@
 				return
 			}
 		case "evacuated":
-			var zb0013 uint32
-			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0015 uint32
+			zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-			if zb0013 > 4096 {
+			if zb0015 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Evacuated) >= int(zb0013) {
-				z.Evacuated = (z.Evacuated)[:zb0013]
+			if cap(z.Evacuated) >= int(zb0015) {
+				z.Evacuated = (z.Evacuated)[:zb0015]
 			} else {
-				z.Evacuated = make([]string, zb0013)
+				z.Evacuated = make([]string, zb0015)
 			}
-			for za0009 := range z.Evacuated {
-				z.Evacuated[za0009], bts, err = msgp.ReadStringBytes(bts)
+			for za0010 := range z.Evacuated {
+				z.Evacuated[za0010], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Evacuated", za0009)
+					err = msgp.WrapError(err, "Evacuated", za0010)
 					return
 				}
 			}
 		case "evacuationsHeld":
-			var zb0014 uint32
-			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0016 uint32
+			zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "EvacuationsHeld")
 				return
 			}
-			if zb0014 > 4096 {
+			if zb0016 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.EvacuationsHeld) >= int(zb0014) {
-				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0014]
+			if cap(z.EvacuationsHeld) >= int(zb0016) {
+				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0016]
 			} else {
-				z.EvacuationsHeld = make([]string, zb0014)
+				z.EvacuationsHeld = make([]string, zb0016)
 			}
-			for za0010 := range z.EvacuationsHeld {
-				z.EvacuationsHeld[za0010], bts, err = msgp.ReadStringBytes(bts)
+			for za0011 := range z.EvacuationsHeld {
+				z.EvacuationsHeld[za0011], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "EvacuationsHeld", za0010)
+					err = msgp.WrapError(err, "EvacuationsHeld", za0011)
 					return
 				}
 			}
@@ -4155,13 +4358,17 @@
 	for za0008 := range z.Limits {
 		s += z.Limits[za0008].Msgsize()
 	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0009 := range z.Leaving {
+		s += 1 + msgp.StringPrefixSize + len(z.Leaving[za0009].ID) + msgp.Int64Size
+	}
 	s += 16 + msgp.Int64Size + 13 + msgp.Int64Size + 14 + msgp.Int64Size + 10 + msgp.ArrayHeaderSize
-	for za0009 := range z.Evacuated {
-		s += msgp.StringPrefixSize + len(z.Evacuated[za0009])
+	for za0010 := range z.Evacuated {
+		s += msgp.StringPrefixSize + len(z.Evacuated[za0010])
 	}
 	s += 16 + msgp.ArrayHeaderSize
-	for za0010 := range z.EvacuationsHeld {
-		s += msgp.StringPrefixSize + len(z.EvacuationsHeld[za0010])
+	for za0011 := range z.EvacuationsHeld {
+		s += msgp.StringPrefixSize + len(z.EvacuationsHeld[za0011])
 	}
 	s += 9 + msgp.Int64Size + 13 + msgp.Int64Size
 	return
--- a/forwarder/leaving_test.go
+++ b/forwarder/leaving_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"geraniumline/carrier"
 	"geraniumline/locator"
 	"geraniumline/registrar"
 	"geraniumline/regulator"
@@ -71,3 +73,27 @@
 		})
 	}
 }
+
+// Guards against the late word of an earlier process, which would keep a new one out of use.
+func TestAStartedEndpointIsUsedThoughItsEarlierProcessLeft(t *testing.T) {
+	m, _ := newLossyMesh(t, 2, 10)
+	first, second := time.UnixMilli(1000), time.UnixMilli(5000)
+	started := func(at time.Time) registrar.Change {
+		c := endpointAt("a")
+		c.Endpoint.Started = at
+		return c
+	}
+	f := m.nodes["entry-0"]
+	f.ReplaceEndpoints([]registrar.Change{started(first)}, locator.At(0, 5), m.now)
+	f.takeNotice(started(first).Endpoint, regulator.Notice{Leaving: true}, m.now)
+	require.Empty(t, m.chosenAt("entry-0", 5))
+	again := started(second)
+	again.Position = locator.At(0, 8)
+	f.TakeEndpoints([]registrar.Change{again}, locator.At(0, 5), locator.At(0, 9), m.now)
+	require.Len(t, m.chosenAt("entry-0", 5), 1)
+	f.takeNotice(started(first).Endpoint, regulator.Notice{Leaving: true}, m.now)
+	f.takeMessage("entry-1", &carrier.Heartbeat{
+		From: carrier.Member{Name: "entry-1"}, Leaving: []carrier.EndpointLeave{{ID: "a", StartedMillis: first.UnixMilli()}},
+	}, m.now)
+	require.Len(t, m.chosenAt("entry-0", 5), 1)
+}
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -28,15 +28,25 @@
 
 // takeNotice takes what an endpoint's answer says of the work that it takes.
 func (f *Forwarder) takeNotice(e *registrar.Endpoint, n regulator.Notice, now time.Time) {
-	f.mu.Lock()
-	change := f.regulator.Heard(e, n, now)
-	f.mu.Unlock()
-	if change.Limit {
-		f.noteLimit(e.ID, n.PerSecond, e.ID)
-	}
-	if change.Leaving {
-		f.note("endpoint leaves", zap.String("endpoint", e.ID), zap.String("source", e.ID))
-	}
+	f.locked(func() []func() {
+		if !f.registry.Lists(e.ID, e.Started) {
+			return nil
+		}
+		change := f.regulator.Heard(e, n, now)
+		if change.Limit {
+			f.noteLimit(e.ID, n.PerSecond, e.ID)
+		}
+		if !change.Leaving {
+			return nil
+		}
+		f.noteLeaving(e.ID, e.ID)
+		return f.endpointsChanged(now)
+	})
+}
+
+// noteLeaving writes a line on an endpoint that leaves, by its own answer or a peer's word.
+func (f *Forwarder) noteLeaving(endpoint, source string) {
+	f.note("endpoint leaves", zap.String("endpoint", endpoint), zap.String("source", source))
 }
 
 // noteLimit writes a line on the change of an endpoint's limit, by its own answer or a peer's word.
@@ -59,11 +69,12 @@
 func (f *Forwarder) limits(now time.Time) []carrier.EndpointLimit {
 	var list []carrier.EndpointLimit
 	for _, l := range f.regulator.Limits(now) {
-		m := carrier.EndpointLimit{ID: l.Endpoint, PerSecond: l.PerSecond, AgeMillis: uint32(now.Sub(l.At).Milliseconds())}
-		if !l.Started.IsZero() {
-			m.StartedMillis = l.Started.UnixMilli()
-		}
-		list = append(list, m)
+		list = append(list, carrier.EndpointLimit{
+			ID:            l.Endpoint,
+			StartedMillis: unixMillis(l.Started),
+			PerSecond:     l.PerSecond,
+			AgeMillis:     uint32(now.Sub(l.At).Milliseconds()),
+		})
 	}
 	return list
 }
@@ -71,9 +82,11 @@
 // takeLimits takes a peer's word on endpoints' limits. The lock is held.
 func (f *Forwarder) takeLimits(list []carrier.EndpointLimit, from string, now time.Time) {
 	for _, m := range list {
-		l := regulator.Limit{Endpoint: m.ID, PerSecond: m.PerSecond, At: now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)}
-		if m.StartedMillis > 0 {
-			l.Started = time.UnixMilli(m.StartedMillis)
+		l := regulator.Limit{
+			Endpoint:  m.ID,
+			Started:   timeOf(m.StartedMillis),
+			PerSecond: m.PerSecond,
+			At:        now.Add(-time.Duration(m.AgeMillis) * time.Millisecond),
 		}
 		usable := l.PerSecond >= 0 && f.registry.Lists(l.Endpoint, l.Started)
 		if usable && f.regulator.Told(l) {
@@ -81,3 +94,44 @@
 		}
 	}
 }
+
+// leaving tells peers which endpoints have said that they leave. The lock is held.
+func (f *Forwarder) leaving() []carrier.EndpointLeave {
+	var list []carrier.EndpointLeave
+	for _, l := range f.regulator.Leaves() {
+		list = append(list, carrier.EndpointLeave{ID: l.Endpoint, StartedMillis: unixMillis(l.Started)})
+	}
+	return list
+}
+
+// takeLeaving takes a peer's word on endpoints that leave. The lock is held.
+func (f *Forwarder) takeLeaving(list []carrier.EndpointLeave, from string, now time.Time) []func() {
+	changed := false
+	for _, m := range list {
+		l := regulator.Leave{Endpoint: m.ID, Started: timeOf(m.StartedMillis)}
+		if f.registry.Lists(l.Endpoint, l.Started) && f.regulator.ToldLeaving(l) {
+			changed = true
+			f.noteLeaving(l.Endpoint, from)
+		}
+	}
+	if !changed {
+		return nil
+	}
+	return f.endpointsChanged(now)
+}
+
+// unixMillis gives a time as peers tell it; 0 stands for the zero time.
+func unixMillis(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+// timeOf is the time that a peer has told.
+func timeOf(millis int64) time.Time {
+	if millis == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(millis)
+}
--- a/forwarder/openness.go
+++ b/forwarder/openness.go
@@ -43,9 +43,11 @@
 }
 
 // usable lists the endpoints that may get new work: every call, piece and retry goes to one of these. An endpoint of an
-// evacuated zone is not among them, though it takes work by its own word. The lock is held.
+// evacuated zone is not among them, though it takes work by its own word, nor one whose answers say that it leaves: the store
+// may not know so yet. The lock is held.
 func (f *Forwarder) usable(now time.Time) []registrar.Endpoint {
-	all := f.registry.Usable()
+	f.regulator.Keep(f.registry.Lists)
+	all := slices.DeleteFunc(f.registry.Usable(), func(e registrar.Endpoint) bool { return f.regulator.Leaving(e.ID) })
 	f.openness = openness{
 		registered: make(map[string]int),
 		open:       make(map[string]map[string]int),
@@ -66,7 +68,6 @@
 		f.openness.open[e.Service][e.Region]++
 		list = append(list, e)
 	}
-	f.regulator.Keep(f.registry.Lists)
 	f.divider.SetEndpoints(all, list)
 	return list
 }
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -50,7 +50,7 @@
 	evacuated := f.evacuator.State()
 	beat.EvacuatedEra, beat.EvacuatedNext = evacuated.Next.Era(), evacuated.Next.Offset()
 	beat.Evacuated, beat.EvacuationsHeld = evacuated.Zones, evacuated.Held
-	beat.Limits = f.limits(now)
+	beat.Limits, beat.Leaving = f.limits(now), f.leaving()
 	beat.StoreEra, beat.EndpointsEra = f.storeEra, f.registry.Next().Era()
 	beat.ConfigAgeMillis = min(now.Sub(f.configHeard), maxConfigAge).Milliseconds()
 	f.round++
@@ -205,6 +205,7 @@
 				f.takeEra(m.StoreEra, m.From.Name)
 			}
 			todo := append(f.takeEvacuated(m, now), f.askForEra(from, m.EndpointsEra, now)...)
+			todo = append(todo, f.takeLeaving(m.Leaving, m.From.Name, now)...)
 			return append(todo, f.takeTransitions(f.detector.Receive(m, now), now)...)
 		})
 	case *carrier.Work:
--- a/forwarder/reader.go
+++ b/forwarder/reader.go
@@ -139,9 +139,7 @@
 	entry.Zone = c.Endpoint.Zone
 	entry.Slots = int32(c.Endpoint.Slots)
 	entry.Draining = c.Endpoint.Draining
-	if !c.Endpoint.Started.IsZero() {
-		entry.StartedMillis = c.Endpoint.Started.UnixMilli()
-	}
+	entry.StartedMillis = unixMillis(c.Endpoint.Started)
 	if c.Endpoint.Cold(now) {
 		entry.ColdLeftMillis = c.Endpoint.ColdUntil.Sub(now).Milliseconds()
 	}
@@ -164,9 +162,7 @@
 			Zone:     e.Zone,
 			Slots:    int(e.Slots),
 			Draining: e.Draining,
-		}
-		if e.StartedMillis > 0 {
-			changes[i].Endpoint.Started = time.UnixMilli(e.StartedMillis)
+			Started:  timeOf(e.StartedMillis),
 		}
 		if e.ColdLeftMillis > 0 {
 			changes[i].Endpoint.ColdUntil = now.Add(time.Duration(e.ColdLeftMillis) * time.Millisecond)
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -94,19 +94,39 @@
 
 // Heard takes the notice of an endpoint's answer.
 func (r *Regulator) Heard(e *registrar.Endpoint, n Notice, now time.Time) Change {
-	return Change{Limit: r.heardLimit(e, n, now), Leaving: n.Leaving && r.leaves(e.ID, e.Started)}
+	return Change{Limit: r.heardLimit(e, n, now), Leaving: n.Leaving && r.ToldLeaving(Leave{Endpoint: e.ID, Started: e.Started})}
 }
 
-// leaves notes an endpoint that leaves, and tells whether that was not known. An answer that says nothing of it does not take
-// it back: it may have been on its way for longer.
-func (r *Regulator) leaves(endpoint string, started time.Time) bool {
-	_, known := r.leaving[endpoint]
-	r.leaving[endpoint] = started
+// Leave is an endpoint that leaves.
+type Leave struct {
+	Endpoint string
+	// Started is when the start of it began that said so; zero where it does not say.
+	Started time.Time
+}
+
+// ToldLeaving notes an endpoint that leaves, and tells whether that was not known. No answer takes it back: one that says
+// nothing of it may have been on its way for longer.
+func (r *Regulator) ToldLeaving(m Leave) bool {
+	_, known := r.leaving[m.Endpoint]
+	r.leaving[m.Endpoint] = m.Started
 	return !known
 }
 
-// Leaving counts the endpoints that have said that they leave.
-func (r *Regulator) Leaving() int { return len(r.leaving) }
+// Leaving tells whether an endpoint has said that it leaves.
+func (r *Regulator) Leaving(endpoint string) bool {
+	_, known := r.leaving[endpoint]
+	return known
+}
+
+// Leaves lists the endpoints that have said that they leave, in the order of their ids.
+func (r *Regulator) Leaves() []Leave {
+	list := make([]Leave, 0, len(r.leaving))
+	for id, started := range r.leaving {
+		list = append(list, Leave{Endpoint: id, Started: started})
+	}
+	slices.SortFunc(list, func(a, b Leave) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return list
+}
 
 func (r *Regulator) heardLimit(e *registrar.Endpoint, n Notice, now time.Time) bool {
 	if l, known := r.limits[e.ID]; !n.Limited && (!known || l.perSecond == 0) {
