--- a/forwarder/note.go
+++ b/forwarder/note.go
@@ -98,6 +98,7 @@
 	m.Gauge(meter.EndpointsCold).Update(int64(f.selector.Cold(now)))
 	m.Gauge(meter.EndpointsLimited).Update(int64(f.regulator.Limited()))
 	m.Gauge(meter.EndpointsLeaving).Update(int64(len(f.regulator.Leaves())))
+	m.Gauge(meter.EndpointsResting).Update(int64(f.regulator.Resting(now)))
 	m.Gauge(meter.PeersLive).Update(int64(len(f.liveAddresses(f.detector.Members()))))
 	if f.registry.Known() {
 		m.Gauge(meter.EndpointsAge).Update(f.registry.Age(now).Milliseconds())
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -36,6 +36,9 @@
 		if change.Limit {
 			f.noteLimit(e.ID, n.PerSecond, e.ID)
 		}
+		if change.Rest {
+			f.note("endpoint asks for rest", zap.String("endpoint", e.ID), zap.Duration("rest", n.Rest))
+		}
 		if !change.Leaving {
 			return nil
 		}
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -139,6 +139,7 @@
 	EndpointsCold      Name = "endpoints_cold"
 	EndpointsLimited   Name = "endpoints_limited"
 	EndpointsLeaving   Name = "endpoints_leaving"
+	EndpointsResting   Name = "endpoints_resting"
 	PausesNoticed      Name = "pauses_noticed"
 )
 
@@ -269,6 +270,7 @@
 	{EndpointsCold, KindGauge, "endpoints", "", "Endpoints in their slow start, which get few requests from all entries together.", ""},
 	{EndpointsLimited, KindGauge, "endpoints", "", "Endpoints that name a limit on the requests that they take from all entries together.", ""},
 	{EndpointsLeaving, KindGauge, "endpoints", "", "Endpoints that say in their answers that they leave, and are still listed.", ""},
+	{EndpointsResting, KindGauge, "endpoints", "", "Endpoints that have turned this entry away and asked it for a time of rest, which is not over.", ""},
 	{PausesNoticed, KindCounter, "pauses", "", "A pause of this entry that was so long that its peers may have taken it for dead.", ""},
 
 	{ConnectionsOpen, KindGauge, "connections", bySocket, "Open connections.", ""},
--- a/regulator/notice.go
+++ b/regulator/notice.go
@@ -1,5 +1,7 @@
 package regulator
 
+import "time"
+
 // Notice is what an endpoint's answer says of the work that the endpoint takes.
 type Notice struct {
 	// Limited is set where the endpoint names a limit.
@@ -8,4 +10,6 @@
 	PerSecond float64
 	// Leaving is set where the endpoint is to end and takes no new work.
 	Leaving bool
+	// Rest is how long the endpoint wants nothing from the entry that it has turned away; 0 where it does not say.
+	Rest time.Duration
 }
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -22,18 +22,32 @@
 	endedLife = 10 * time.Second
 )
 
+// DefaultMaxRest is the longest time of rest that an endpoint gets: one that asks for more by mistake is tried again.
+const DefaultMaxRest = time.Minute
+
 // Config sets a Regulator up.
 type Config struct {
 	// Self is this entry's name.
 	Self string
+	// MaxRest is the longest time of rest that an endpoint gets; 0 takes DefaultMaxRest.
+	MaxRest time.Duration
 }
 
 // Regulator holds the newest notice of each endpoint that asks for fewer calls.
 type Regulator struct {
+	cfg      Config
 	rationer *rationer.Rationer
 	limits   map[string]*limit
 	// leaving are the endpoints that have said that they leave, by when they began.
 	leaving map[string]time.Time
+	// rests are the times of rest that endpoints have asked this entry for.
+	rests map[string]rest
+}
+
+// rest is a time of rest.
+type rest struct {
+	started time.Time
+	until   time.Time
 }
 
 // limit is the limit that an endpoint has named.
@@ -58,10 +72,15 @@
 
 // New makes a regulator that knows of no limit and of no other entry.
 func New(cfg Config) *Regulator {
+	if cfg.MaxRest == 0 {
+		cfg.MaxRest = DefaultMaxRest
+	}
 	return &Regulator{
+		cfg:      cfg,
 		rationer: rationer.New(cfg.Self),
 		limits:   make(map[string]*limit),
 		leaving:  make(map[string]time.Time),
+		rests:    make(map[string]rest),
 	}
 }
 
@@ -76,6 +95,11 @@
 			delete(r.limits, id)
 		}
 	}
+	for id, known := range r.rests {
+		if !lists(id, known.started) {
+			delete(r.rests, id)
+		}
+	}
 	for id, started := range r.leaving {
 		if !lists(id, started) {
 			delete(r.leaving, id)
@@ -90,11 +114,39 @@
 type Change struct {
 	Limit   bool
 	Leaving bool
+	Rest    bool
 }
 
 // Heard takes the notice of an endpoint's answer.
 func (r *Regulator) Heard(e *registrar.Endpoint, n Notice, now time.Time) Change {
-	return Change{Limit: r.heardLimit(e, n, now), Leaving: n.Leaving && r.ToldLeaving(Leave{Endpoint: e.ID, Started: e.Started})}
+	return Change{
+		Limit:   r.heardLimit(e, n, now),
+		Leaving: n.Leaving && r.ToldLeaving(Leave{Endpoint: e.ID, Started: e.Started}),
+		Rest:    n.Rest > 0 && r.heardRest(e, now.Add(min(n.Rest, r.cfg.MaxRest)), now),
+	}
+}
+
+// heardRest notes the end of a time of rest, and tells whether the endpoint was not resting. A later refusal does not shorten
+// what an earlier one has asked for.
+func (r *Regulator) heardRest(e *registrar.Endpoint, until, now time.Time) bool {
+	known, rested := r.rests[e.ID]
+	if rested && known.until.After(until) {
+		return false
+	}
+	r.rests[e.ID] = rest{started: e.Started, until: until}
+	return !rested || !known.until.After(now)
+}
+
+// Resting counts the endpoints that have asked this entry for rest.
+func (r *Regulator) Resting(now time.Time) (n int) {
+	for id, known := range r.rests {
+		if !known.until.After(now) {
+			delete(r.rests, id)
+			continue
+		}
+		n++
+	}
+	return n
 }
 
 // Leave is an endpoint that leaves.
