--- a/assembler/notice_test.go
+++ b/assembler/notice_test.go
@@ -80,3 +80,28 @@
 		require.Equal(t, fmt.Sprint(len(services)), f.metric(entry, "geraniumline_endpoints_leaving"))
 	}
 }
+
+// Guards against an endpoint that gets one request after the other while it turns all away and asks for rest, and against
+// callers that are refused though its sibling has room.
+func TestAnEndpointThatAsksForRestGetsIt(t *testing.T) {
+	f := newFleet(t, 3)
+	for _, service := range services {
+		f.site.Endpoint(fmt.Sprintf("i-%s-0", service)).AskForRest(time.Minute)
+	}
+	for entry := range f.nodes {
+		f.serveAll(entry, fmt.Sprintf("first-%d", entry))
+	}
+	before := make(map[string]int)
+	for _, service := range services {
+		before[service] = len(f.site.Endpoint(fmt.Sprintf("i-%s-0", service)).Requests())
+	}
+	for round := range 5 {
+		for entry := range f.nodes {
+			f.serveAll(entry, fmt.Sprintf("%d-%d", round, entry))
+		}
+	}
+	for _, service := range services {
+		e := f.site.Endpoint(fmt.Sprintf("i-%s-0", service))
+		require.LessOrEqual(t, len(e.Requests())-before[service], 2*len(f.nodes), service)
+	}
+}
