Give an endpoint the rest that it asks an entry for

Cause: the time of rest was not read, and a refusal counts as a good end of a call: refused at once, the endpoint looks idle and is chosen first. Class: a refusal that attracts work.

Results are not freed there meanwhile. It is between the endpoint and one entry: peers are not told.

--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -60,12 +60,9 @@
 		zap.String("source", source))
 }
 
-// limitedAt tells whether an endpoint at the address has named a limit. The lock is held.
-func (f *Forwarder) limitedAt(address string) bool {
-	return slices.ContainsFunc(f.registry.At(address), func(id string) bool {
-		_, limited := f.regulator.Limit(id)
-		return limited
-	})
+// sparedAt tells whether an endpoint at the address has asked for few calls. The lock is held.
+func (f *Forwarder) sparedAt(address string, now time.Time) bool {
+	return slices.ContainsFunc(f.registry.At(address), func(id string) bool { return f.regulator.Spared(id, now) })
 }
 
 // limits tells peers the limits that endpoints have named. The lock is held.
--- a/forwarder/piececalls.go
+++ b/forwarder/piececalls.go
@@ -84,9 +84,9 @@
 // tells by refusing pieces.
 func (f *Forwarder) callFree(service string, p *collector.Pool, e collector.FreeResults) {
 	f.mu.Lock()
-	barred, limited := f.barred(e.Address), f.limitedAt(e.Address)
+	barred, spared := f.barred(e.Address), f.sparedAt(e.Address, time.Now())
 	f.mu.Unlock()
-	if limited {
+	if spared {
 		// The few calls that the endpoint takes are for pieces. Its space counts as taken until the results lapse.
 		return
 	}
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -242,6 +242,9 @@
 // each call a second that it takes: were they all replaced by others, which begin with a call each, the endpoint would get
 // 6 calls for each a second of its limit and 4 more in four seconds.
 func (r *Regulator) Allows(endpoint string, now time.Time) bool {
+	if r.rests[endpoint].until.After(now) {
+		return false
+	}
 	l, limited := r.limits[endpoint]
 	if !limited || l.perSecond == 0 {
 		return true
@@ -256,10 +259,19 @@
 
 // AllowsSole tells whether a call may go now to an endpoint that only this entry sends to.
 func (r *Regulator) AllowsSole(endpoint string, now time.Time) bool {
+	if r.rests[endpoint].until.After(now) {
+		return false
+	}
 	perSecond, limited := r.Limit(endpoint)
 	return !limited || r.rationer.AllowsSole(endpoint, perSecond, now)
 }
 
+// Spared tells whether an endpoint has asked for so few calls that none should go there which can be left out.
+func (r *Regulator) Spared(endpoint string, now time.Time) bool {
+	_, limited := r.Limit(endpoint)
+	return limited || r.rests[endpoint].until.After(now)
+}
+
 // Sent notes a call to an endpoint.
 func (r *Regulator) Sent(endpoint string, now time.Time) {
 	if _, limited := r.Limit(endpoint); limited {
