Split the pause after refusals from the stages' pools

Plain calls and streams need the same pause for endpoints that refuse without naming a time of rest. Nothing is decided otherwise; the tests of collector are as they were.

--- a/collector/call.go
+++ b/collector/call.go
@@ -7,6 +7,7 @@
 
 	"geraniumline/ejector"
 	"geraniumline/registrar"
+	"geraniumline/regulator"
 	"geraniumline/switcher"
 )
 
@@ -18,26 +19,15 @@
 	calls int
 	// used is the space that results take there, those of calls under way too.
 	used int64
-	// pausedUntil keeps calls from an endpoint that was full.
-	pausedUntil time.Time
-	// refusals counts those in a row.
-	refusals int
+	// backoff keeps calls from an endpoint that has no place or no space.
+	backoff regulator.Backoff
 	// roomSince is when the endpoint began to wait for space.
 	roomSince time.Time
 	gone      bool
 }
 
-// pause keeps calls from an endpoint that has no place or no space, longer with each refusal in a row.
-func (e *endpoint) pause(now time.Time) {
-	e.pausedUntil = now.Add(min(maxPause, refusedPause<<min(e.refusals, maxDoublings)))
-	e.refusals++
-}
-
-// maxDoublings keeps the shift in bounds; maxPause is reached before.
-const maxDoublings = 8
-
 func (e *endpoint) free(slots int, now time.Time) bool {
-	return e.calls < slots && !now.Before(e.pausedUntil)
+	return e.calls < slots && !e.backoff.Holds(now)
 }
 
 // call is one call under way.
@@ -286,7 +276,7 @@
 func (p *Pool) judgeFailure(c *call, end CallEnd, now time.Time) {
 	switch end {
 	case Refused:
-		c.endpoint.pause(now)
+		c.endpoint.backoff.Refused(refusedPauses, now)
 	case Unreachable:
 		p.judge(c.endpoint, ejector.Down, end, now)
 	default:
@@ -310,9 +300,9 @@
 		p.judge(c.endpoint, p.health.Took(&c.endpoint.health, now.Sub(c.began), c.expected), Answered, now)
 	}
 	if noneFits(results) {
-		c.endpoint.pause(now)
+		c.endpoint.backoff.Refused(refusedPauses, now)
 	} else {
-		c.endpoint.refusals = 0
+		c.endpoint.backoff.Served()
 	}
 	var unused []string
 	for i, r := range results {
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -14,6 +14,7 @@
 	"geraniumline/cataloger"
 	"geraniumline/ejector"
 	"geraniumline/registrar"
+	"geraniumline/regulator"
 	"geraniumline/switcher"
 )
 
@@ -48,13 +49,12 @@
 	// zoneCalls is how much of each of a zone's next calls groups may fill that wait for them. What would wait for longer
 	// goes to other zones: endpoints there would stand idle beside a queue.
 	zoneCalls = 0.5
-	// refusedPause is how long an endpoint that was full gets no call, about half of a usual one; each further refusal
-	// doubles it, up to maxPause. Another entry may collect for the same endpoints for a while, and two that ask again
-	// as fast as they are refused keep each other out.
-	refusedPause = 80 * time.Millisecond
-	maxPause     = 640 * time.Millisecond
 )
 
+// refusedPauses are how long an endpoint that was full gets no call; the first one is about half of a usual call. Another entry
+// may collect for the same endpoints for a while, and two that ask again as fast as they are refused keep each other out.
+var refusedPauses = regulator.Pauses{First: 80 * time.Millisecond, Longest: 640 * time.Millisecond}
+
 // Gate says which calls may go to endpoints that ask for few.
 type Gate interface {
 	// AllowsSole tells whether a call may go now to an endpoint that no other entry sends to.
