Have work go to a sibling of an endpoint that refuses it

Cause: a refused call ends at once, so that the endpoint looks idle; each is tried elsewhere at the cost of the budget of extra calls, until that is used up.

Change: an endpoint that has refused a call gets none from this entry while another can take it, for 80 ms, twice as long with each refusal in a row, up to 1 s. After three in a row peers are told and leave it for 1 s too. Where all refuse they are chosen among as before, so nothing is forbidden by a guess. An answer of a call that was sent after the last refusal ends the row.

--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -file schema.go -o schema_gen.go -tests=false
 
-//msgp:tuple EndpointLeave EndpointLimit PieceResult MadeResult EndpointWork StageWait EndpointEntry ModelDemand AccountBill StageBill Member Pulse EndpointLoad AccountUse Record CrashLoss
+//msgp:tuple EndpointRefusal EndpointLeave EndpointLimit PieceResult MadeResult EndpointWork StageWait EndpointEntry ModelDemand AccountBill StageBill Member Pulse EndpointLoad AccountUse Record CrashLoss
 
 // Kind tells which message a frame carries.
 type Kind uint8
@@ -120,6 +120,8 @@
 	Stages []StageWait `msg:"stages,limit=1024"`
 	// Limits are those that endpoints have named, by the newest word that the sender knows.
 	Limits []EndpointLimit `msg:"limits,limit=16384"`
+	// Refusing are the endpoints that refuse the sender's calls in a row. It is not told on.
+	Refusing []EndpointRefusal `msg:"refusing,limit=16384"`
 	// Leaving are the endpoints that have said in an answer that they leave.
 	Leaving []EndpointLeave `msg:"leaving,limit=16384"`
 	// ConfigAgeMillis is how long ago the store last answered a reading of the configuration, by the newest word that the
@@ -345,6 +347,14 @@
 	StartedMillis int64
 }
 
+// EndpointRefusal names an endpoint that refuses calls, the start of it in Unix milliseconds (0 where it does not say), and how
+// long ago it last refused one.
+type EndpointRefusal struct {
+	ID            string
+	StartedMillis int64
+	AgeMillis     uint32
+}
+
 // Work is what an entry has under way. It replaces the sender's earlier word.
 type Work struct {
 	Endpoints []EndpointWork `msg:"endpoints,limit=16384"`
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -2213,6 +2213,109 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *EndpointRefusal) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.StartedMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
+	z.AgeMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z EndpointRefusal) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteInt64(z.StartedMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
+	err = en.WriteUint32(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z EndpointRefusal) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.ID)
+	o = msgp.AppendInt64(o, z.StartedMillis)
+	o = msgp.AppendUint32(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EndpointRefusal) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z EndpointRefusal) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Int64Size + msgp.Uint32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *EndpointWork) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -3378,45 +3481,92 @@
 					return
 				}
 			}
-		case "leaving":
+		case "refusing":
 			var zb0012 uint32
 			zb0012, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Leaving")
+				err = msgp.WrapError(err, "Refusing")
 				return
 			}
 			if zb0012 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Leaving) >= int(zb0012) {
-				z.Leaving = (z.Leaving)[:zb0012]
+			if cap(z.Refusing) >= int(zb0012) {
+				z.Refusing = (z.Refusing)[:zb0012]
 			} else {
-				z.Leaving = make([]EndpointLeave, zb0012)
+				z.Refusing = make([]EndpointRefusal, zb0012)
 			}
-			for za0009 := range z.Leaving {
+			for za0009 := range z.Refusing {
 				var zb0013 uint32
 				zb0013, err = dc.ReadArrayHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0009)
+					err = msgp.WrapError(err, "Refusing", za0009)
 					return
 				}
 				if zb0013 > 16384 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if zb0013 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0013}
+				if zb0013 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0013}
+					return
+				}
+				z.Refusing[za0009].ID, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0009, "ID")
+					return
+				}
+				z.Refusing[za0009].StartedMillis, err = dc.ReadInt64()
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0009, "StartedMillis")
+					return
+				}
+				z.Refusing[za0009].AgeMillis, err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0009, "AgeMillis")
+					return
+				}
+			}
+		case "leaving":
+			var zb0014 uint32
+			zb0014, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+			if zb0014 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Leaving) >= int(zb0014) {
+				z.Leaving = (z.Leaving)[:zb0014]
+			} else {
+				z.Leaving = make([]EndpointLeave, zb0014)
+			}
+			for za0010 := range z.Leaving {
+				var zb0015 uint32
+				zb0015, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Leaving", za0010)
+					return
+				}
+				if zb0015 > 16384 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0015 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0015}
 					return
 				}
-				z.Leaving[za0009].ID, err = dc.ReadString()
+				z.Leaving[za0010].ID, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0009, "ID")
+					err = msgp.WrapError(err, "Leaving", za0010, "ID")
 					return
 				}
-				z.Leaving[za0009].StartedMillis, err = dc.ReadInt64()
+				z.Leaving[za0010].StartedMillis, err = dc.ReadInt64()
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0009, "StartedMillis")
+					err = msgp.WrapError(err, "Leaving", za0010, "StartedMillis")
 					return
 				}
 			}
@@ -3439,48 +3589,48 @@
 				return
 			}
 		case "evacuated":
-			var zb0014 uint32
-			zb0014, err = dc.ReadArrayHeader()
+			var zb0016 uint32
+			zb0016, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-			if zb0014 > 4096 {
+			if zb0016 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Evacuated) >= int(zb0014) {
-				z.Evacuated = (z.Evacuated)[:zb0014]
+			if cap(z.Evacuated) >= int(zb0016) {
+				z.Evacuated = (z.Evacuated)[:zb0016]
 			} else {
-				z.Evacuated = make([]string, zb0014)
+				z.Evacuated = make([]string, zb0016)
 			}
-			for za0010 := range z.Evacuated {
-				z.Evacuated[za0010], err = dc.ReadString()
+			for za0011 := range z.Evacuated {
+				z.Evacuated[za0011], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Evacuated", za0010)
+					err = msgp.WrapError(err, "Evacuated", za0011)
 					return
 				}
 			}
 		case "evacuationsHeld":
-			var zb0015 uint32
-			zb0015, err = dc.ReadArrayHeader()
+			var zb0017 uint32
+			zb0017, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "EvacuationsHeld")
 				return
 			}
-			if zb0015 > 4096 {
+			if zb0017 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.EvacuationsHeld) >= int(zb0015) {
-				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0015]
+			if cap(z.EvacuationsHeld) >= int(zb0017) {
+				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0017]
 			} else {
-				z.EvacuationsHeld = make([]string, zb0015)
+				z.EvacuationsHeld = make([]string, zb0017)
 			}
-			for za0011 := range z.EvacuationsHeld {
-				z.EvacuationsHeld[za0011], err = dc.ReadString()
+			for za0012 := range z.EvacuationsHeld {
+				z.EvacuationsHeld[za0012], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "EvacuationsHeld", za0011)
+					err = msgp.WrapError(err, "EvacuationsHeld", za0012)
 					return
 				}
 			}
@@ -3509,9 +3659,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 17
+	// map header, size 18
 	// write "from"
-	err = en.Append(0xde, 0x0, 0x11, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	err = en.Append(0xde, 0x0, 0x12, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	if err != nil {
 		return
 	}
@@ -3682,6 +3832,38 @@
 			return
 		}
 	}
+	// write "refusing"
+	err = en.Append(0xa8, 0x72, 0x65, 0x66, 0x75, 0x73, 0x69, 0x6e, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Refusing)))
+	if err != nil {
+		err = msgp.WrapError(err, "Refusing")
+		return
+	}
+	for za0009 := range z.Refusing {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Refusing[za0009].ID)
+		if err != nil {
+			err = msgp.WrapError(err, "Refusing", za0009, "ID")
+			return
+		}
+		err = en.WriteInt64(z.Refusing[za0009].StartedMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "Refusing", za0009, "StartedMillis")
+			return
+		}
+		err = en.WriteUint32(z.Refusing[za0009].AgeMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "Refusing", za0009, "AgeMillis")
+			return
+		}
+	}
 	// write "leaving"
 	err = en.Append(0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
 	if err != nil {
@@ -3692,20 +3874,20 @@
 		err = msgp.WrapError(err, "Leaving")
 		return
 	}
-	for za0009 := range z.Leaving {
+	for za0010 := range z.Leaving {
 		// array header, size 2
 		err = en.Append(0x92)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Leaving[za0009].ID)
+		err = en.WriteString(z.Leaving[za0010].ID)
 		if err != nil {
-			err = msgp.WrapError(err, "Leaving", za0009, "ID")
+			err = msgp.WrapError(err, "Leaving", za0010, "ID")
 			return
 		}
-		err = en.WriteInt64(z.Leaving[za0009].StartedMillis)
+		err = en.WriteInt64(z.Leaving[za0010].StartedMillis)
 		if err != nil {
-			err = msgp.WrapError(err, "Leaving", za0009, "StartedMillis")
+			err = msgp.WrapError(err, "Leaving", za0010, "StartedMillis")
 			return
 		}
 	}
@@ -3749,10 +3931,10 @@
 		err = msgp.WrapError(err, "Evacuated")
 		return
 	}
-	for za0010 := range z.Evacuated {
-		err = en.WriteString(z.Evacuated[za0010])
+	for za0011 := range z.Evacuated {
+		err = en.WriteString(z.Evacuated[za0011])
 		if err != nil {
-			err = msgp.WrapError(err, "Evacuated", za0010)
+			err = msgp.WrapError(err, "Evacuated", za0011)
 			return
 		}
 	}
@@ -3766,10 +3948,10 @@
 		err = msgp.WrapError(err, "EvacuationsHeld")
 		return
 	}
-	for za0011 := range z.EvacuationsHeld {
-		err = en.WriteString(z.EvacuationsHeld[za0011])
+	for za0012 := range z.EvacuationsHeld {
+		err = en.WriteString(z.EvacuationsHeld[za0012])
 		if err != nil {
-			err = msgp.WrapError(err, "EvacuationsHeld", za0011)
+			err = msgp.WrapError(err, "EvacuationsHeld", za0012)
 			return
 		}
 	}
@@ -3799,9 +3981,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 17
+	// map header, size 18
 	// string "from"
-	o = append(o, 0xde, 0x0, 0x11, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = append(o, 0xde, 0x0, 0x12, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -3888,14 +4070,24 @@
 			return
 		}
 	}
+	// string "refusing"
+	o = append(o, 0xa8, 0x72, 0x65, 0x66, 0x75, 0x73, 0x69, 0x6e, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Refusing)))
+	for za0009 := range z.Refusing {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Refusing[za0009].ID)
+		o = msgp.AppendInt64(o, z.Refusing[za0009].StartedMillis)
+		o = msgp.AppendUint32(o, z.Refusing[za0009].AgeMillis)
+	}
 	// string "leaving"
 	o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Leaving)))
-	for za0009 := range z.Leaving {
+	for za0010 := range z.Leaving {
 		// array header, size 2
 		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Leaving[za0009].ID)
-		o = msgp.AppendInt64(o, z.Leaving[za0009].StartedMillis)
+		o = msgp.AppendString(o, z.Leaving[za0010].ID)
+		o = msgp.AppendInt64(o, z.Leaving[za0010].StartedMillis)
 	}
 	// string "configAgeMillis"
 	o = append(o, 0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
@@ -3909,14 +4101,14 @@
 	// string "evacuated"
 	o = append(o, 0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
-	for za0010 := range z.Evacuated {
-		o = msgp.AppendString(o, z.Evacuated[za0010])
+	for za0011 := range z.Evacuated {
+		o = msgp.AppendString(o, z.Evacuated[za0011])
 	}
 	// string "evacuationsHeld"
 	o = append(o, 0xaf, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x48, 0x65, 0x6c, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.EvacuationsHeld)))
-	for za0011 := range z.EvacuationsHeld {
-		o = msgp.AppendString(o, z.EvacuationsHeld[za0011])
+	for za0012 := range z.EvacuationsHeld {
+		o = msgp.AppendString(o, z.EvacuationsHeld[za0012])
 	}
 	// string "storeEra"
 	o = append(o, 0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
@@ -4199,41 +4391,84 @@
 					return
 				}
 			}
-		case "leaving":
+		case "refusing":
 			var zb0013 uint32
 			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Leaving")
+				err = msgp.WrapError(err, "Refusing")
 				return
 			}
 			if zb0013 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Leaving) >= int(zb0013) {
-				z.Leaving = (z.Leaving)[:zb0013]
+			if cap(z.Refusing) >= int(zb0013) {
+				z.Refusing = (z.Refusing)[:zb0013]
 			} else {
-				z.Leaving = make([]EndpointLeave, zb0013)
+				z.Refusing = make([]EndpointRefusal, zb0013)
 			}
-			for za0009 := range z.Leaving {
+			for za0009 := range z.Refusing {
 				var zb0014 uint32
 				zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0009)
+					err = msgp.WrapError(err, "Refusing", za0009)
+					return
+				}
+				if zb0014 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0014}
+					return
+				}
+				z.Refusing[za0009].ID, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0009, "ID")
+					return
+				}
+				z.Refusing[za0009].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0009, "StartedMillis")
+					return
+				}
+				z.Refusing[za0009].AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0009, "AgeMillis")
+					return
+				}
+			}
+		case "leaving":
+			var zb0015 uint32
+			zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+			if zb0015 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Leaving) >= int(zb0015) {
+				z.Leaving = (z.Leaving)[:zb0015]
+			} else {
+				z.Leaving = make([]EndpointLeave, zb0015)
+			}
+			for za0010 := range z.Leaving {
+				var zb0016 uint32
+				zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Leaving", za0010)
 					return
 				}
-				if zb0014 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0014}
+				if zb0016 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0016}
 					return
 				}
-				z.Leaving[za0009].ID, bts, err = msgp.ReadStringBytes(bts)
+				z.Leaving[za0010].ID, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0009, "ID")
+					err = msgp.WrapError(err, "Leaving", za0010, "ID")
 					return
 				}
-				z.Leaving[za0009].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+				z.Leaving[za0010].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0009, "StartedMillis")
+					err = msgp.WrapError(err, "Leaving", za0010, "StartedMillis")
 					return
 				}
 			}
@@ -4256,48 +4491,48 @@
 				return
 			}
 		case "evacuated":
-			var zb0015 uint32
-			zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0017 uint32
+			zb0017, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-			if zb0015 > 4096 {
+			if zb0017 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Evacuated) >= int(zb0015) {
-				z.Evacuated = (z.Evacuated)[:zb0015]
+			if cap(z.Evacuated) >= int(zb0017) {
+				z.Evacuated = (z.Evacuated)[:zb0017]
 			} else {
-				z.Evacuated = make([]string, zb0015)
+				z.Evacuated = make([]string, zb0017)
 			}
-			for za0010 := range z.Evacuated {
-				z.Evacuated[za0010], bts, err = msgp.ReadStringBytes(bts)
+			for za0011 := range z.Evacuated {
+				z.Evacuated[za0011], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Evacuated", za0010)
+					err = msgp.WrapError(err, "Evacuated", za0011)
 					return
 				}
 			}
 		case "evacuationsHeld":
-			var zb0016 uint32
-			zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0018 uint32
+			zb0018, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "EvacuationsHeld")
 				return
 			}
-			if zb0016 > 4096 {
+			if zb0018 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.EvacuationsHeld) >= int(zb0016) {
-				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0016]
+			if cap(z.EvacuationsHeld) >= int(zb0018) {
+				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0018]
 			} else {
-				z.EvacuationsHeld = make([]string, zb0016)
+				z.EvacuationsHeld = make([]string, zb0018)
 			}
-			for za0011 := range z.EvacuationsHeld {
-				z.EvacuationsHeld[za0011], bts, err = msgp.ReadStringBytes(bts)
+			for za0012 := range z.EvacuationsHeld {
+				z.EvacuationsHeld[za0012], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "EvacuationsHeld", za0011)
+					err = msgp.WrapError(err, "EvacuationsHeld", za0012)
 					return
 				}
 			}
@@ -4358,17 +4593,21 @@
 	for za0008 := range z.Limits {
 		s += z.Limits[za0008].Msgsize()
 	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0009 := range z.Refusing {
+		s += 1 + msgp.StringPrefixSize + len(z.Refusing[za0009].ID) + msgp.Int64Size + msgp.Uint32Size
+	}
 	s += 8 + msgp.ArrayHeaderSize
-	for za0009 := range z.Leaving {
-		s += 1 + msgp.StringPrefixSize + len(z.Leaving[za0009].ID) + msgp.Int64Size
+	for za0010 := range z.Leaving {
+		s += 1 + msgp.StringPrefixSize + len(z.Leaving[za0010].ID) + msgp.Int64Size
 	}
 	s += 16 + msgp.Int64Size + 13 + msgp.Int64Size + 14 + msgp.Int64Size + 10 + msgp.ArrayHeaderSize
-	for za0010 := range z.Evacuated {
-		s += msgp.StringPrefixSize + len(z.Evacuated[za0010])
+	for za0011 := range z.Evacuated {
+		s += msgp.StringPrefixSize + len(z.Evacuated[za0011])
 	}
 	s += 16 + msgp.ArrayHeaderSize
-	for za0011 := range z.EvacuationsHeld {
-		s += msgp.StringPrefixSize + len(z.EvacuationsHeld[za0011])
+	for za0012 := range z.EvacuationsHeld {
+		s += msgp.StringPrefixSize + len(z.EvacuationsHeld[za0012])
 	}
 	s += 9 + msgp.Int64Size + 13 + msgp.Int64Size
 	return
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -60,6 +60,17 @@
 	}
 }
 
+// endRefused gives back a call that its endpoint has refused unrun.
+func (x *exchange) endRefused(choice selector.Choice) {
+	now := time.Now()
+	x.f.mu.Lock()
+	changed := x.f.selector.Refused(choice, now)
+	x.f.mu.Unlock()
+	if changed {
+		x.f.logJudged(x.service.Name, choice.Endpoint, false)
+	}
+}
+
 // endUnsent judges an endpoint that could not be connected to. Only a refused connection proves that nothing serves
 // there: when this VM loses its network, calls to all endpoints come to nothing, and taken for dead they would stay out
 // of use for seconds after its return.
--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -38,11 +38,15 @@
 	// limits are those that the endpoints name at present, since is when each began to.
 	limits map[string]float64
 	since  map[string]time.Time
+	// refuses are the endpoints that turn all away at once, unrun, and ask for a time of rest where it is not 0.
+	refuses map[string]time.Duration
 	// told is when an entry first had an answer that names an endpoint's limit.
 	told map[[2]string]time.Time
 	// counted are the arrivals at each endpoint that count for its limit, arrived all of them.
 	counted map[string][]time.Time
 	arrived map[string][]time.Time
+	// served and refused count the requests.
+	served  int
 	refused int
 	answers []pendingAnswer
 }
@@ -66,7 +70,8 @@
 	}
 	return &limitedPool{
 		m: m, rnd: rnd,
-		limits: map[string]float64{}, since: map[string]time.Time{}, told: map[[2]string]time.Time{},
+		refuses: map[string]time.Duration{},
+		limits:  map[string]float64{}, since: map[string]time.Time{}, told: map[[2]string]time.Time{},
 		counted: map[string][]time.Time{}, arrived: map[string][]time.Time{},
 	}
 }
@@ -100,29 +105,59 @@
 	return n
 }
 
-// request sends one request as the entry would.
+// request sends one request as the entry would, to one endpoint after the other while they refuse it.
 func (p *limitedPool) request(entry string) {
-	f, now := p.m.nodes[entry], p.m.now
+	f := p.m.nodes[entry]
+	ask := selector.Ask{Service: "plain"}
+	for sends := 0; ; sends++ {
+		choice, found := p.choose(f, ask, sends)
+		if !found {
+			p.refused++
+			return
+		}
+		id := choice.Endpoint.ID
+		p.arrive(entry, id)
+		rest, refuses := p.refuses[id]
+		if !refuses {
+			p.served++
+			limit, limited := p.limits[id]
+			p.answers = append(p.answers, pendingAnswer{
+				at: p.m.now.Add(answerTime), entry: entry, choice: choice, notice: regulator.Notice{Limited: limited, PerSecond: limit},
+			})
+			return
+		}
+		f.takeNotice(&choice.Endpoint, regulator.Notice{Rest: rest}, p.m.now)
+		f.mu.Lock()
+		f.selector.Refused(choice, p.m.now)
+		f.mu.Unlock()
+		ask.Avoid = append(ask.Avoid, id)
+	}
+}
+
+// choose picks the endpoint of an attempt, if the budget of extra calls allows it.
+func (p *limitedPool) choose(f *Forwarder, ask selector.Ask, sends int) (selector.Choice, bool) {
 	f.mu.Lock()
-	choice, found := f.selector.Choose(selector.Ask{Service: "plain"}, now)
-	if found {
-		f.selector.Started(choice, nil, now)
+	defer f.mu.Unlock()
+	if sends == 0 {
+		f.retrier.First(ask.Service, false, p.m.now)
+	} else if !f.retrier.Retry(ask.Service, sends, p.m.now) {
+		return selector.Choice{}, false
 	}
-	f.mu.Unlock()
-	if !found {
-		p.refused++
-		return
+	choice, found := f.selector.Choose(ask, p.m.now)
+	if found {
+		f.selector.Started(choice, nil, p.m.now)
 	}
-	id := choice.Endpoint.ID
+	return choice, found
+}
+
+// arrive counts a request at an endpoint.
+func (p *limitedPool) arrive(entry, id string) {
+	now := p.m.now
 	p.arrived[id] = append(p.arrived[id], now)
 	told, knows := p.told[[2]string{entry, id}]
 	if knows && now.Sub(told) >= limitTold && now.Sub(p.since[id]) >= limitContact {
 		p.counted[id] = append(p.counted[id], now)
 	}
-	limit, limited := p.limits[id]
-	p.answers = append(p.answers, pendingAnswer{
-		at: now.Add(answerTime), entry: entry, choice: choice, notice: regulator.Notice{Limited: limited, PerSecond: limit},
-	})
 }
 
 // answer has the answers come that are due.
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -120,6 +120,28 @@
 	return f.endpointsChanged(now)
 }
 
+// refusing tells peers which endpoints refuse this entry's calls in a row. The lock is held.
+func (f *Forwarder) refusing(now time.Time) []carrier.EndpointRefusal {
+	var list []carrier.EndpointRefusal
+	for _, r := range f.selector.Refusals(now) {
+		list = append(list, carrier.EndpointRefusal{
+			ID:            r.Endpoint.ID,
+			StartedMillis: unixMillis(r.Endpoint.Started),
+			AgeMillis:     uint32(now.Sub(r.At).Milliseconds()),
+		})
+	}
+	return list
+}
+
+// takeRefusing takes a peer's word on endpoints that refuse its calls. The lock is held.
+func (f *Forwarder) takeRefusing(list []carrier.EndpointRefusal, now time.Time) {
+	for _, m := range list {
+		if f.registry.Lists(m.ID, timeOf(m.StartedMillis)) {
+			f.selector.ToldRefusal(m.ID, now.Add(-time.Duration(m.AgeMillis)*time.Millisecond))
+		}
+	}
+}
+
 // unixMillis gives a time as peers tell it; 0 stands for the zero time.
 func unixMillis(t time.Time) int64 {
 	if t.IsZero() {
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -50,7 +50,7 @@
 	evacuated := f.evacuator.State()
 	beat.EvacuatedEra, beat.EvacuatedNext = evacuated.Next.Era(), evacuated.Next.Offset()
 	beat.Evacuated, beat.EvacuationsHeld = evacuated.Zones, evacuated.Held
-	beat.Limits, beat.Leaving = f.limits(now), f.leaving()
+	beat.Limits, beat.Leaving, beat.Refusing = f.limits(now), f.leaving(), f.refusing(now)
 	beat.StoreEra, beat.EndpointsEra = f.storeEra, f.registry.Next().Era()
 	beat.ConfigAgeMillis = min(now.Sub(f.configHeard), maxConfigAge).Milliseconds()
 	f.round++
@@ -199,6 +199,7 @@
 			f.quarantiner.Heard(m.Crashes, now)
 			f.takeStageWaits(m.Stages, now)
 			f.takeLimits(m.Limits, m.From.Name, now)
+			f.takeRefusing(m.Refusing, now)
 			f.takeConfigAge(m.ConfigAgeMillis, now)
 			if m.StoreEra > 0 {
 				// Entries that know no era say 0.
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -52,7 +52,7 @@
 		return x.failed(choice, err)
 	}
 	if info.NotRun {
-		x.end(choice, ejector.Good, false)
+		x.endRefused(choice)
 		return false, nil
 	}
 	x.runs++
--- /dev/null
+++ b/forwarder/refusal_test.go
@@ -0,0 +1,33 @@
+package forwarder
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an endpoint that draws the work since it refuses at once, until callers are refused though its sibling has room.
+func TestAnEndpointThatRefusesDrawsNoWork(t *testing.T) {
+	for _, tc := range []struct {
+		entries int
+		rest    time.Duration
+	}{{7, 0}, {7, 3 * time.Second}, {65, 0}, {65, 3 * time.Second}} {
+		t.Run(fmt.Sprint(tc.entries, tc.rest), func(t *testing.T) {
+			p := newLimitedPool(t, tc.entries, "a", "b")
+			each := 10.0
+			p.run(time.Second, each*float64(tc.entries))
+			p.served, p.refused = 0, 0
+			p.refuses["a"] = tc.rest
+			p.run(8*time.Second, each*float64(tc.entries))
+			t.Logf("served %d, refused %d, arrivals at the endpoint that refuses %d", p.served, p.refused, len(p.arrived["a"]))
+			// 540 of 560 served is what users ask for.
+			require.LessOrEqual(t, float64(p.refused), float64(p.served+p.refused)*20/560)
+			delete(p.refuses, "a")
+			p.run(tc.rest+time.Second, each*float64(tc.entries))
+			p.run(time.Second, each*float64(tc.entries))
+			require.Greater(t, p.used("a", each*float64(tc.entries), time.Second), 0.4, "it takes its share again")
+		})
+	}
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -118,7 +118,7 @@
 	if _, err := answer.ReadWhole(maxPlainAnswer); err != nil {
 		s.x.f.log.Debug("refusal cut short", zap.String("request", s.x.req.ID), zap.Error(err))
 	}
-	s.x.cancel(choice)
+	s.x.endRefused(choice)
 	if info.InputGone && !s.stages.plan.LastFreed() {
 		return true, s.x.giveUp("stageResultGone")
 	}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -5,11 +5,13 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"geraniumline/ejector"
 	"geraniumline/hasher"
 	"geraniumline/registrar"
+	"geraniumline/regulator"
 	"geraniumline/switcher"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,8 +65,9 @@
 	Tokens int
 	// Cached is how much of the prompt the endpoint is believed to hold.
 	Cached int
-	// turn is that of the endpoint's presence.
-	turn uint64
+	// turn is that of the endpoint's presence, refusals how many calls it had refused.
+	turn     uint64
+	refusals int
 }
 
 // Gate says which calls may go to endpoints that bear few.
@@ -97,8 +100,9 @@
 	byID  map[string]*endpoint
 	peers map[string]map[string]int
 	turns uint64
-	// busy are the endpoints where this entry has work.
-	busy map[*endpoint]bool
+	// busy are the endpoints where this entry has work, refusing those that may have refused calls in a row.
+	busy     map[*endpoint]bool
+	refusing map[*endpoint]bool
 }
 
 type pool struct {
@@ -122,8 +126,14 @@
 	tokens     int
 	peerTokens int
 	cache      memory
+	// backoff has calls go elsewhere for a while after refusals.
+	backoff regulator.Backoff
 }
 
+// refusedPauses are how long an endpoint that has refused a call gets none while another one takes them. An endpoint that has
+// room again has its share again within the longest one.
+var refusedPauses = regulator.Pauses{First: 80 * time.Millisecond, Longest: time.Second}
+
 // New makes a selector that knows no endpoint.
 func New(cfg Config) *Selector {
 	if cfg.CallTokens == 0 {
@@ -138,6 +148,8 @@
 		byID:  make(map[string]*endpoint),
 		peers: make(map[string]map[string]int),
 		busy:  make(map[*endpoint]bool),
+
+		refusing: make(map[*endpoint]bool),
 	}
 }
 
@@ -194,6 +206,7 @@
 
 func (s *Selector) remove(e *endpoint) {
 	delete(s.busy, e)
+	delete(s.refusing, e)
 	e.pool.health.Remove(&e.health)
 	e.pool.endpoints = slices.DeleteFunc(e.pool.endpoints, func(other *endpoint) bool { return other == e })
 	delete(s.byID, e.ID)
@@ -268,15 +281,17 @@
 	return gate == nil || gate.Allows(&e.Endpoint, p.coldPerSecond, now)
 }
 
-// candidates are the endpoints that may take the call: those in use, or one whose probe is due.
+// candidates are the endpoints that may take the call: those in use that have not just refused one, or one whose probe is due.
 func (p *pool) candidates(ask *Ask, gate Gate, now time.Time) []*endpoint {
-	var usable, probing, out []*endpoint
+	var usable, refusing, probing, out []*endpoint
 	for _, e := range p.endpoints {
 		p.health.Advance(&e.health, now)
 		if !p.allowed(e, ask, gate, now) {
 			continue
 		}
 		switch {
+		case e.health.State() == ejector.InUse && e.backoff.Holds(now):
+			refusing = append(refusing, e)
 		case e.health.State() == ejector.InUse:
 			usable = append(usable, e)
 		case e.health.State() == ejector.Probing && e.calls == 0:
@@ -291,6 +306,8 @@
 		return probing[:1]
 	case len(usable) > 0:
 		return usable
+	case len(refusing) > 0:
+		return refusing
 	case len(probing) > 0:
 		return probing
 	default:
@@ -320,7 +337,7 @@
 			score += float64(n) / 1e6 * float64(s.cfg.FarTokens)
 		}
 	}
-	return Choice{Endpoint: e.Endpoint, Tokens: own, Cached: cached, turn: e.turn}, score
+	return Choice{Endpoint: e.Endpoint, Tokens: own, Cached: cached, turn: e.turn, refusals: e.backoff.Total()}, score
 }
 
 // homesOf gives the endpoints at which the prompt's largest shared beginning is kept, in their order. An endpoint that bears
@@ -400,11 +417,66 @@
 	if !known {
 		return false
 	}
+	if choice.refusals == e.backoff.Total() {
+		// It has refused nothing since the call was sent.
+		e.backoff.Served()
+	}
 	e.calls--
 	s.addWork(e, -choice.Tokens)
 	return e.pool.health.Ended(&e.health, end, false, now)
 }
 
+// Refused takes the end of a call that its endpoint has refused unrun, and tells whether the endpoint was let back by it. With
+// its calls ended at once it looks idle, and would draw the pool's work.
+func (s *Selector) Refused(choice Choice, now time.Time) bool {
+	e, known := s.chosen(&choice)
+	if !known {
+		return false
+	}
+	e.backoff.Refused(refusedPauses, now)
+	s.refusing[e] = true
+	if e.health.State() != ejector.Probing {
+		s.Cancelled(choice)
+		return false
+	}
+	// It answers, which is what the probe was to find out.
+	return s.Ended(choice, ejector.Good, now)
+}
+
+// Refusal is an endpoint that refuses calls.
+type Refusal struct {
+	Endpoint registrar.Endpoint
+	// At is when it last refused one.
+	At time.Time
+}
+
+// persistentRefusals is how many calls in a row an endpoint must have refused for peers to be told: one that is full for a
+// moment serves some between.
+const persistentRefusals = 3
+
+// Refusals lists the endpoints that have lately refused this entry's calls in a row, in the order of their ids.
+func (s *Selector) Refusals(now time.Time) []Refusal {
+	var list []Refusal
+	for e := range s.refusing {
+		if now.Sub(e.backoff.At()) >= refusedPauses.Longest {
+			delete(s.refusing, e)
+			continue
+		}
+		if e.backoff.InRow() >= persistentRefusals {
+			list = append(list, Refusal{Endpoint: e.Endpoint, At: e.backoff.At()})
+		}
+	}
+	slices.SortFunc(list, func(a, b Refusal) int { return strings.Compare(a.Endpoint.ID, b.Endpoint.ID) })
+	return list
+}
+
+// ToldRefusal notes that an endpoint refuses a peer's calls, as of a time: while others can, it takes none from here either.
+func (s *Selector) ToldRefusal(endpoint string, at time.Time) {
+	if e, known := s.byID[endpoint]; known {
+		e.backoff.Told(refusedPauses, at)
+	}
+}
+
 // Cancelled takes the end of a call that says nothing of its endpoint.
 func (s *Selector) Cancelled(choice Choice) {
 	if e, known := s.chosen(&choice); known {
