Measure an endpoint's share after its recovery over four seconds

TestAnEndpointThatRefusesDrawsNoWork failed once at 65 entries with 0.395 of the pool's requests where over 0.4 are asked for. Traced: in one second the share swings with peers' word of their work, which comes every 0.15 s and more; 16 draws gave 0.39 to 0.64 around a half. Over the four seconds that follow the first one after the recovery 24 draws gave 0.45 to 0.51. The bound of 0.4 stands.

--- a/forwarder/refusal_test.go
+++ b/forwarder/refusal_test.go
@@ -26,8 +26,8 @@
 			require.LessOrEqual(t, float64(p.refused), float64(p.served+p.refused)*20/560)
 			delete(p.refuses, "a")
 			p.run(tc.rest+time.Second, each*float64(tc.entries))
-			p.run(time.Second, each*float64(tc.entries))
-			require.Greater(t, p.used("a", each*float64(tc.entries), time.Second), 0.4, "it takes its share again")
+			p.run(4*time.Second, each*float64(tc.entries))
+			require.Greater(t, p.used("a", each*float64(tc.entries), 4*time.Second), 0.4, "it takes its share again")
 		})
 	}
 }
