Refuse at once, and say until when, what endpoints that hold back can't serve

Change: a request whose service takes no call now is refused as not run (endpointsHeldBack), before its stages are done if it would be late. It comes back when the first endpoint takes a call again: after the rest's end, or by the rate of the limits divided by the entries. A stage's pool tells how long its endpoints hold back as its wait, gives pieces up at once that none takes before their deadline (stageheldBack), and counts a limited endpoint for the part of its time that its calls take.

The tests of the limits' pauses ask SoleFreeAt in place of AllowsSole, with the same times.

--- a/assembler/notice_test.go
+++ b/assembler/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -105,3 +106,40 @@
 		require.LessOrEqual(t, len(e.Requests())-before[service], 2*len(f.nodes), service)
 	}
 }
+
+// Guards against callers that are sent back within a moment, again and again, while all endpoints of a service rest.
+func TestARestingServiceRefusesAtOnceAndSaysUntilWhen(t *testing.T) {
+	f := newFleet(t, 1)
+	for i := range 2 {
+		f.site.Endpoint(fmt.Sprintf("i-plain-%d", i)).AskForRest(4 * time.Second)
+		f.site.Endpoint(fmt.Sprintf("i-model-%d", i)).AskForRest(4 * time.Second)
+		f.site.Endpoint(fmt.Sprintf("i-rank-%d", i)).AskForRest(4 * time.Second)
+	}
+	paths := []string{imitator.PlainPath, imitator.OncePath, imitator.StreamPath, imitator.StagesPath}
+	refuse := func(round string) []imitator.Reply {
+		var replies []imitator.Reply
+		for _, path := range paths {
+			a := f.ask(0, path, round+path)
+			a.Pieces = "3,5"
+			replies = append(replies, f.call(a))
+		}
+		return replies
+	}
+	refuse("first")
+	requests := func() (n int) {
+		for _, e := range f.site.Endpoints {
+			n += len(e.Requests())
+		}
+		return n
+	}
+	before := requests()
+	for i, reply := range refuse("second") {
+		require.Equal(t, http.StatusServiceUnavailable, reply.Status, paths[i])
+		seconds, err := strconv.ParseFloat(reply.RetryAfter, 64)
+		require.NoError(t, err)
+		require.Greater(t, seconds, 1.0, paths[i])
+		require.Less(t, seconds, 6.0, paths[i])
+	}
+	require.Equal(t, before, requests(), "nothing is sent that can't be served")
+	require.Empty(t, f.runs("second"+imitator.StagesPath))
+}
--- a/collector/call.go
+++ b/collector/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -99,7 +100,7 @@
 }
 
 func (p *Pool) allows(e *endpoint, now time.Time) bool {
-	return p.cfg.Gate == nil || p.cfg.Gate.AllowsSole(e.ID, now)
+	return p.cfg.Gate == nil || !p.cfg.Gate.SoleFreeAt(e.ID).After(now)
 }
 
 // fillCall takes waiting pieces in their order for as long as the call and the endpoint's space have room.
@@ -181,7 +182,7 @@
 	if p.cfg.Off.Has(switcher.NearFirst) {
 		return waiting
 	}
-	window := p.cfg.Stage.Batch * max(p.usable(), 1)
+	window := int(math.Ceil(float64(p.cfg.Stage.Batch) * max(p.capacity(), 1)))
 	var near, far []*group
 	for i, g := range waiting {
 		if window <= 0 {
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -308,7 +308,7 @@
 	require.Len(t, w.reasons(id), 8)
 	require.Equal(t, Overload, w.reasons(id)[0])
 	require.Less(t, w.gotAt[id].Sub(start), 200*time.Millisecond)
-	require.Greater(t, w.pool.Wait(), 5*time.Second)
+	require.Greater(t, w.pool.Wait(w.now), 5*time.Second)
 }
 
 // The entry that collects is told to stop while pieces wait. They are asked for elsewhere at once; what is in a call is
--- a/collector/event.go
+++ b/collector/event.go
@@ -78,6 +78,8 @@
 	Moved
 	// Evacuated pieces have no endpoint that may get new work.
 	Evacuated
+	// HeldBack pieces have no endpoint that takes calls before their deadline: all have asked for fewer.
+	HeldBack
 )
 
 // String gives the reason as logs and metrics name it.
@@ -97,6 +99,8 @@
 		return "moved"
 	case Evacuated:
 		return "evacuated"
+	case HeldBack:
+		return "heldBack"
 	default:
 		return "none"
 	}
--- /dev/null
+++ b/collector/gate_test.go
@@ -0,0 +1,67 @@
+package collector
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// stubGate has endpoints rest until a time, or take so many calls a second.
+type stubGate struct {
+	until  map[string]time.Time
+	limits map[string]float64
+}
+
+func (g *stubGate) SoleFreeAt(endpoint string) time.Time { return g.until[endpoint] }
+
+func (g *stubGate) Limit(endpoint string) (float64, bool) {
+	perSecond, limited := g.limits[endpoint]
+	return perSecond, limited
+}
+
+func (g *stubGate) Sent(endpoint string, now time.Time) {
+	if perSecond, limited := g.limits[endpoint]; limited {
+		g.until[endpoint] = now.Add(time.Duration(float64(time.Second) / perSecond))
+	}
+}
+
+func newStubGate() *stubGate {
+	return &stubGate{until: make(map[string]time.Time), limits: make(map[string]float64)}
+}
+
+// Guards against pieces that wait until their deadline for endpoints which have asked for a longer rest.
+func TestPiecesThatNoEndpointTakesInTimeAreGivenUpAtOnce(t *testing.T) {
+	w := newWorld(usualStage(), 2)
+	gate := newStubGate()
+	w.pool.cfg.Gate = gate
+	for _, e := range w.pool.endpoints {
+		gate.until[e.ID] = start.Add(3 * time.Second)
+	}
+	hopeless := w.arrive(0, "hopeless", 2, func(g *Group) { g.Deadline = start.Add(2 * time.Second) })
+	patient := w.arrive(0, "patient", 2, func(g *Group) { g.Due, g.Deadline = start.Add(5*time.Second), start.Add(5*time.Second) })
+	w.run(100 * time.Millisecond)
+	require.Equal(t, []Reason{HeldBack, HeldBack}, w.reasons(hopeless))
+	require.Equal(t, 2900*time.Millisecond, w.pool.Wait(w.now).Round(50*time.Millisecond))
+	require.Empty(t, w.calls)
+	w.run(4 * time.Second)
+	require.Equal(t, 2, w.made(patient))
+}
+
+// Guards against more calls than a limited endpoint takes, and against pieces that are let wait behind what it will never do.
+func TestALimitedEndpointGetsNoMoreCallsThanItTakes(t *testing.T) {
+	w := newWorld(usualStage(), 1)
+	gate := newStubGate()
+	w.pool.cfg.Gate = gate
+	gate.limits[w.pool.endpoints[0].ID] = 1
+	var last GroupID
+	for i := range 10 {
+		last = w.arrive(0, fmt.Sprint(i), 8, func(g *Group) { g.Due, g.Deadline = start.Add(4*time.Second), start.Add(4*time.Second) })
+	}
+	w.run(100 * time.Millisecond)
+	require.Equal(t, Overload, w.reasons(last)[0], "ten calls take ten seconds")
+	w.run(4 * time.Second)
+	require.LessOrEqual(t, len(w.calls), 4)
+	require.GreaterOrEqual(t, len(w.calls), 3)
+}
--- a/collector/group.go
+++ b/collector/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -86,7 +87,7 @@
 		return
 	}
 	p.expiredAt = now
-	usable := p.usable()
+	capacity, held := p.capacity(), p.heldUntil()
 	before, late := 0, 0
 	for _, g := range p.ordered(now) {
 		n := len(g.waiting)
@@ -96,7 +97,10 @@
 		case g.Deadline.Before(now.Add(p.cfg.Stage.CallDuration(1))):
 			p.giveUp(g, Late)
 			before -= n
-		case !g.started() && usable > 0 && g.Deadline.Before(now.Add(p.queueTime(before-n, usable)+call)):
+		case held.After(now) && g.Deadline.Before(held.Add(p.cfg.Stage.CallDuration(1))):
+			p.giveUp(g, HeldBack)
+			before -= n
+		case !g.started() && capacity > 0 && g.Deadline.Before(now.Add(p.queueTime(before-n, capacity)+call)):
 			p.giveUpOver(g, now)
 			before -= n
 		case p.yields(g, now):
@@ -153,30 +157,55 @@
 	}
 }
 
-// queueTime is the least time in which so many pieces are made.
-func (p *Pool) queueTime(pieces, usable int) time.Duration {
+// queueTime is the least time in which so many pieces are made by endpoints of a capacity.
+func (p *Pool) queueTime(pieces int, capacity float64) time.Duration {
+	if capacity <= 0 {
+		capacity = 1
+	}
 	calls := pieces / p.cfg.Stage.Batch
-	return time.Duration(calls/(usable*p.cfg.Stage.Slots)) * p.cfg.Stage.CallDuration(p.cfg.Stage.Batch)
+	rounds := math.Floor(float64(calls) / (capacity * float64(p.cfg.Stage.Slots)))
+	return time.Duration(rounds) * p.cfg.Stage.CallDuration(p.cfg.Stage.Batch)
 }
 
-// usable is how many endpoints are in use.
-func (p *Pool) usable() int {
-	n := 0
+// capacity is how many endpoints are in use. One that has named a limit counts for the part of its time that its calls take.
+func (p *Pool) capacity() float64 {
+	n := 0.0
 	for _, e := range p.endpoints {
-		if e.health.State() == ejector.InUse && !p.bearsFew(e) {
-			n++
+		if e.health.State() == ejector.InUse {
+			n += p.busyShare(e)
 		}
 	}
 	return n
 }
 
-// bearsFew tells whether an endpoint takes so few calls that it stands idle for most of the time.
-func (p *Pool) bearsFew(e *endpoint) bool {
+func (p *Pool) busyShare(e *endpoint) float64 {
 	if p.cfg.Gate == nil {
-		return false
+		return 1
 	}
 	perSecond, limited := p.cfg.Gate.Limit(e.ID)
-	return limited && 2*perSecond*p.cfg.Stage.CallDuration(p.cfg.Stage.Batch).Seconds() < 1
+	if !limited {
+		return 1
+	}
+	full := p.cfg.Stage.CallDuration(p.cfg.Stage.Batch) * time.Duration(p.cfg.Stage.Slots)
+	return min(1, perSecond*full.Seconds()/float64(p.cfg.Stage.Slots))
+}
+
+// heldUntil is when the first of the endpoints in use takes a call again, by what they have asked for; zero where one takes
+// calls now or none is in use.
+func (p *Pool) heldUntil() time.Time {
+	if p.cfg.Gate == nil {
+		return time.Time{}
+	}
+	var first time.Time
+	for _, e := range p.endpoints {
+		if e.health.State() != ejector.InUse {
+			continue
+		}
+		if at := p.cfg.Gate.SoleFreeAt(e.ID); first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first
 }
 
 // ordered lists the groups that wait, first what should be made first.
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -67,7 +67,7 @@
 		}
 	}
 	delete(found, "stage") // completed by a piece's reason
-	for _, piece := range []string{"late", "inputGone", "noRoom", "failed", "overload", "evacuated"} {
+	for _, piece := range []string{"late", "inputGone", "noRoom", "failed", "overload", "evacuated", "heldBack"} {
 		found["stage"+piece] = true
 	}
 	for reason := range found {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -17,6 +17,33 @@
 	return notRun(reason, soon())
 }
 
+// noEndpoint ends a request that no endpoint takes now.
+func (x *exchange) noEndpoint() *FailureError {
+	if x.runs > 0 {
+		return mayHaveRun("noEndpoint")
+	}
+	now := time.Now()
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	held, all := x.f.selector.HeldBack(x.service.Name, x.homes, now)
+	if !all {
+		return notRun("noEndpoint", soon())
+	}
+	return notRun("endpointsHeldBack", x.f.heldReturn(x.service.Name, held, x.priority, now))
+}
+
+// checkHeld refuses a request with stages before they are done whose service takes no call before it would be late.
+func (x *exchange) checkHeld() *FailureError {
+	now := time.Now()
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	held, all := x.f.selector.HeldBack(x.service.Name, x.homes, now)
+	if !all || held.Here && held.Until.Before(x.due) {
+		return nil
+	}
+	return notRun("endpointsHeldBack", x.f.heldReturn(x.service.Name, held, x.priority, now))
+}
+
 // failed decides what follows an exchange without a whole answer. It tells whether the request has ended.
 func (x *exchange) failed(choice selector.Choice, err error) (bool, *FailureError) {
 	if x.callerGone() {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -125,6 +125,8 @@
 	openness  openness
 	// regulator knows which endpoints have asked for less work.
 	regulator *regulator.Regulator
+	// returns are the times given to callers that were refused since a service's endpoints have asked for fewer calls.
+	returns map[string]*regulator.Returns
 	// divider says by which pools the stages' services are collected.
 	divider *divider.Divider
 	pools   map[string]*collector.Pool
@@ -221,6 +223,8 @@
 		asks:  make(map[askID]*ask),
 		waits: make(map[string]stageWait),
 
+		returns: make(map[string]*regulator.Returns),
+
 		otherSince: make(map[string]time.Time),
 		addresses:  make(map[string]string),
 		workAt:     make(map[string]time.Time),
--- a/forwarder/gate.go
+++ b/forwarder/gate.go
@@ -22,6 +22,11 @@
 	return g.regulator.Allows(e.ID, now)
 }
 
+// FreeAt implements selector.Gate.
+func (g *gate) FreeAt(e *registrar.Endpoint, now time.Time) (time.Time, bool) {
+	return g.regulator.FreeAt(e.ID, now)
+}
+
 // BearsFew implements selector.Gate.
 func (g *gate) BearsFew(e *registrar.Endpoint) bool {
 	_, limited := g.regulator.Limit(e.ID)
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -31,7 +31,7 @@
 		}
 		choice, found := x.choose(selector.Ask{})
 		if !found {
-			return x.giveUp("noEndpoint")
+			return x.noEndpoint()
 		}
 		done, failure := x.tryPlain(choice)
 		if done {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -42,6 +42,9 @@
 	if failure := stages.checkTime(x.began); failure != nil {
 		return failure
 	}
+	if failure := x.checkHeld(); failure != nil {
+		return failure
+	}
 	if failure := stages.run(); failure != nil {
 		return failure
 	}
@@ -55,7 +58,7 @@
 		}
 		choice, found := x.choose(selector.Ask{Parts: x.req.Parts, ZoneBytes: stages.plan.ZoneBytes()})
 		if !found {
-			return x.giveUp("noEndpoint")
+			return x.noEndpoint()
 		}
 		done, failure := s.try(choice)
 		if done {
--- a/forwarder/wait.go
+++ b/forwarder/wait.go
@@ -7,6 +7,8 @@
 	"geraniumline/carrier"
 	"geraniumline/divider"
 	"geraniumline/planner"
+	"geraniumline/regulator"
+	"geraniumline/selector"
 )
 
 // waitLife is how long a peer's word on a stage's queue holds: some heartbeats.
@@ -92,6 +94,34 @@
 	return planner.ReturnAfter(v.Load(service), rand.Float64())
 }
 
+// urgentPriority is up to which priority callers come back before all others.
+const urgentPriority = 0
+
+// heldReturn tells when a caller should come back whose service takes no call now, since all its endpoints have asked for fewer.
+// The lock is held.
+func (f *Forwarder) heldReturn(service string, held selector.Held, priority int, now time.Time) time.Duration {
+	r, known := f.returns[service]
+	if !known {
+		r = &regulator.Returns{}
+		f.returns[service] = r
+	}
+	return r.After(held.Until, f.returnRate(service), priority <= urgentPriority, now)
+}
+
+// returnRate is how many of the callers that come back the limits of a service's endpoints allow to each entry; 0 where one has
+// no limit. The lock is held.
+func (f *Forwarder) returnRate(service string) float64 {
+	total := 0.0
+	for _, id := range f.selector.Endpoints(service) {
+		perSecond, limited := f.regulator.Limit(id)
+		if !limited {
+			return 0
+		}
+		total += perSecond
+	}
+	return total / float64(f.regulator.Entries())
+}
+
 const (
 	// storeAnswers is how long after its start an entry has heard the store, if that answers: some ten times its usual answer.
 	storeAnswers = 150 * time.Millisecond
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -62,7 +62,7 @@
 
 // LoadOf gives the word on a pool of the entry that collects for it.
 func LoadOf(p *collector.Pool, now time.Time) Load {
-	return Load{Wait: p.Wait(), Passage: p.Passage(), Short: p.Short(now), Over: p.Over(now)}
+	return Load{Wait: max(0, p.Wait(now)), Passage: p.Passage(), Short: p.Short(now), Over: p.Over(now)}
 }
 
 // Freed are results of one stage that nothing needs any more.
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -56,12 +56,18 @@
 
 // Allows tells whether this entry may send a call to the endpoint now.
 func (r *Rationer) Allows(endpoint string, n Ration, now time.Time) bool {
-	return r.rank(endpoint) < n.Senders && now.Sub(r.sent[endpoint]) >= n.pause()
+	at, sends := r.FreeAt(endpoint, n)
+	return sends && !at.After(now)
 }
 
-// AllowsSole tells the same where no other entry sends to the endpoint.
-func (r *Rationer) AllowsSole(endpoint string, perSecond float64, now time.Time) bool {
-	return now.Sub(r.sent[endpoint]) >= Ration{Senders: 1, PerSecond: perSecond}.pause()
+// FreeAt tells from when on this entry may send a call to the endpoint, if it is one of the senders.
+func (r *Rationer) FreeAt(endpoint string, n Ration) (at time.Time, sends bool) {
+	return r.sent[endpoint].Add(n.pause()), r.rank(endpoint) < n.Senders
+}
+
+// SoleFreeAt tells the same where no other entry sends to the endpoint.
+func (r *Rationer) SoleFreeAt(endpoint string, perSecond float64) time.Time {
+	return r.sent[endpoint].Add(Ration{Senders: 1, PerSecond: perSecond}.pause())
 }
 
 // Sent notes a call to an endpoint.
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -238,34 +238,52 @@
 	return n
 }
 
-// Allows tells whether a call may go now to an endpoint that many entries send to. A few of them share its limit, one more for
-// each call a second that it takes: were they all replaced by others, which begin with a call each, the endpoint would get
-// 6 calls for each a second of its limit and 4 more in four seconds.
+// Allows tells whether a call may go now to an endpoint that many entries send to.
 func (r *Regulator) Allows(endpoint string, now time.Time) bool {
-	if r.rests[endpoint].until.After(now) {
-		return false
-	}
+	at, sends := r.FreeAt(endpoint, now)
+	return sends && !at.After(now)
+}
+
+// FreeAt tells from when on a call may go to an endpoint that many entries send to. Where this entry sends none, it is about when
+// others may. A few entries share a limit, one more for each call a second that the endpoint takes: were they all replaced by
+// others, which begin with a call each, it would get 6 calls for each a second of its limit and 4 more in four seconds.
+func (r *Regulator) FreeAt(endpoint string, now time.Time) (at time.Time, sends bool) {
+	at = r.rests[endpoint].until
 	l, limited := r.limits[endpoint]
 	if !limited || l.perSecond == 0 {
-		return true
+		return at, true
 	}
 	senders := int(l.perSecond) + extraSenders
 	if age := now.Sub(l.at); age > renewAfter {
 		senders += 1 + int((age-renewAfter)/widenEvery)
 	}
 	ration := rationer.Ration{Senders: min(senders, r.rationer.Entries()), PerSecond: l.perSecond}
-	return r.rationer.Allows(endpoint, ration, now)
+	next, sends := r.rationer.FreeAt(endpoint, ration)
+	if !sends {
+		next = now.Add(time.Duration(float64(time.Second) / l.perSecond))
+	}
+	return later(at, next), sends
 }
 
-// AllowsSole tells whether a call may go now to an endpoint that only this entry sends to.
-func (r *Regulator) AllowsSole(endpoint string, now time.Time) bool {
-	if r.rests[endpoint].until.After(now) {
-		return false
+// SoleFreeAt tells the same of an endpoint that only this entry sends to.
+func (r *Regulator) SoleFreeAt(endpoint string) time.Time {
+	at := r.rests[endpoint].until
+	if perSecond, limited := r.Limit(endpoint); limited {
+		at = later(at, r.rationer.SoleFreeAt(endpoint, perSecond))
 	}
-	perSecond, limited := r.Limit(endpoint)
-	return !limited || r.rationer.AllowsSole(endpoint, perSecond, now)
+	return at
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Entries counts the entries that live.
+func (r *Regulator) Entries() int { return r.rationer.Entries() }
+
 // Spared tells whether an endpoint has asked for so few calls that none should go there which can be left out.
 func (r *Regulator) Spared(endpoint string, now time.Time) bool {
 	_, limited := r.Limit(endpoint)
--- a/regulator/regulator_test.go
+++ b/regulator/regulator_test.go
@@ -59,15 +59,14 @@
 	r := newRegulator("entry", []string{"entry"})
 	require.True(t, r.Heard(e, Notice{Limited: true, PerSecond: 2}, now).Limit)
 	require.False(t, r.Heard(e, Notice{Limited: true, PerSecond: 2}, now).Limit, "nothing new")
-	for _, allows := range []func(string, time.Time) bool{r.Allows, r.AllowsSole} {
-		require.True(t, allows("a", now.Add(time.Second)))
-	}
+	require.True(t, r.Allows("a", now))
+	require.False(t, r.SoleFreeAt("a").After(now))
 	r.Sent("a", now)
-	for _, allows := range []func(string, time.Time) bool{r.Allows, r.AllowsSole} {
-		require.False(t, allows("a", now.Add(400*time.Millisecond)))
-		require.True(t, allows("a", now.Add(500*time.Millisecond)))
-	}
+	require.False(t, r.Allows("a", now.Add(400*time.Millisecond)))
+	require.True(t, r.Allows("a", now.Add(500*time.Millisecond)))
+	require.Equal(t, now.Add(500*time.Millisecond), r.SoleFreeAt("a"))
 	require.True(t, r.Allows("b", now), "an endpoint without a limit")
+	require.False(t, r.SoleFreeAt("b").After(now))
 }
 
 func TestWhatEndsALimit(t *testing.T) {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -74,6 +74,9 @@
 type Gate interface {
 	// Allows tells whether a call may go now to an endpoint that bears so many calls a second while it is cold.
 	Allows(e *registrar.Endpoint, coldPerSecond float64, now time.Time) bool
+	// FreeAt tells from when on a call may go to an endpoint by what the endpoint has asked for. Where this entry sends none,
+	// it is about when others may.
+	FreeAt(e *registrar.Endpoint, now time.Time) (at time.Time, sends bool)
 	// BearsFew tells whether an endpoint takes only a few of the calls that would come for the prompt parts that it holds, cold
 	// or not.
 	BearsFew(e *registrar.Endpoint) bool
@@ -239,6 +242,19 @@
 	return len(p.endpoints)
 }
 
+// Endpoints lists the ids of the service's endpoints that may get work.
+func (s *Selector) Endpoints(service string) []string {
+	p, known := s.pools[service]
+	if !known {
+		return nil
+	}
+	ids := make([]string, len(p.endpoints))
+	for i, e := range p.endpoints {
+		ids[i] = e.ID
+	}
+	return ids
+}
+
 // Cold counts the endpoints that are in their slow start.
 func (s *Selector) Cold(now time.Time) (n int) {
 	for _, e := range s.byID {
@@ -273,6 +289,35 @@
 	return best, true
 }
 
+// Held tells of a service whose endpoints have all asked for fewer calls.
+type Held struct {
+	// Until is about when the first of them takes a call again, Here whether from this entry.
+	Until time.Time
+	Here  bool
+}
+
+// HeldBack tells whether all endpoints in use that a call may go to take none now, by what they have asked for.
+func (s *Selector) HeldBack(service string, regions []string, now time.Time) (Held, bool) {
+	p, known := s.pools[service]
+	if !known || s.cfg.Gate == nil {
+		return Held{}, false
+	}
+	var first Held
+	for _, e := range p.endpoints {
+		if e.health.State() != ejector.InUse || regions != nil && !slices.Contains(regions, e.Region) {
+			continue
+		}
+		at, sends := s.cfg.Gate.FreeAt(&e.Endpoint, now)
+		if sends && !at.After(now) {
+			return Held{}, false
+		}
+		if first.Until.IsZero() || sends && !first.Here || sends == first.Here && at.Before(first.Until) {
+			first = Held{Until: at, Here: sends}
+		}
+	}
+	return first, !first.Until.IsZero()
+}
+
 // allowed tells whether the call may go to the endpoint at all.
 func (p *pool) allowed(e *endpoint, ask *Ask, gate Gate, now time.Time) bool {
 	if slices.Contains(ask.Avoid, e.ID) || ask.Regions != nil && !slices.Contains(ask.Regions, e.Region) {
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -204,6 +204,8 @@
 	return !e.Cold(now) || g.left > 0
 }
 
+func (g *gate) FreeAt(*registrar.Endpoint, time.Time) (time.Time, bool) { return time.Time{}, true }
+
 func (g *gate) BearsFew(*registrar.Endpoint) bool { return false }
 
 func (g *gate) Sent(e *registrar.Endpoint, now time.Time) {
