Share a limit among more entries, with what is left of the slack saved up

Change: as many entries share a limit as may each send a call at once, less two for those that may be replaced, and each may save up calls by what is left of the slack. Further entries send only once an answer is overdue by the limit's own rate.

Open: a pool whose endpoints are all limited before hundreds of entries.

--- a/collector/call.go
+++ b/collector/call.go
@@ -100,7 +100,7 @@
 }
 
 func (p *Pool) allows(e *endpoint, now time.Time) bool {
-	return p.cfg.Gate == nil || !p.cfg.Gate.SoleFreeAt(e.ID).After(now)
+	return p.cfg.Gate == nil || !p.cfg.Gate.SoleFreeAt(e.ID, now).After(now)
 }
 
 // fillCall takes waiting pieces in their order for as long as the call and the endpoint's space have room.
@@ -160,7 +160,7 @@
 		left = int(room / last)
 	}
 	if p.cfg.Gate != nil {
-		p.cfg.Gate.Sent(e.ID, now)
+		p.cfg.Gate.SentSole(e.ID, now)
 	}
 	p.emit(SendCall{Call: c.id, Endpoint: e.Endpoint, Pieces: pieces, Timeout: timeoutFactor * c.expected, Free: left})
 }
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -58,11 +58,11 @@
 // Gate says which calls may go to endpoints that ask for few.
 type Gate interface {
 	// SoleFreeAt tells from when on a call may go to an endpoint that no other entry sends to.
-	SoleFreeAt(endpoint string) time.Time
+	SoleFreeAt(endpoint string, now time.Time) time.Time
 	// Limit gives the calls a second that an endpoint takes, if it has named a limit.
 	Limit(endpoint string) (perSecond float64, limited bool)
-	// Sent notes a call to an endpoint.
-	Sent(endpoint string, now time.Time)
+	// SentSole notes a call to such an endpoint.
+	SentSole(endpoint string, now time.Time)
 }
 
 // Config sets a Pool up.
@@ -176,7 +176,7 @@
 
 // Wait predicts how long a piece that comes now, no more urgent than others, would wait for its call to begin.
 func (p *Pool) Wait(now time.Time) time.Duration {
-	return max(p.queueTime(p.Waiting(), p.capacity()), p.heldUntil().Sub(now))
+	return max(p.queueTime(p.Waiting(), p.capacity()), p.heldUntil(now).Sub(now))
 }
 
 // Over tells for how long more has come than can be made: groups were given up since others went before them. It is zero
--- a/collector/group.go
+++ b/collector/group.go
@@ -87,7 +87,7 @@
 		return
 	}
 	p.expiredAt = now
-	capacity, held := p.capacity(), p.heldUntil()
+	capacity, held := p.capacity(), p.heldUntil(now)
 	before, late := 0, 0
 	for _, g := range p.ordered(now) {
 		n := len(g.waiting)
@@ -192,7 +192,7 @@
 
 // heldUntil is when the first of the endpoints in use takes a call again, by what they have asked for; zero where one takes
 // calls now or none is in use.
-func (p *Pool) heldUntil() time.Time {
+func (p *Pool) heldUntil(now time.Time) time.Time {
 	if p.cfg.Gate == nil {
 		return time.Time{}
 	}
@@ -201,7 +201,7 @@
 		if e.health.State() != ejector.InUse {
 			continue
 		}
-		if at := p.cfg.Gate.SoleFreeAt(e.ID); first.IsZero() || at.Before(first) {
+		if at := p.cfg.Gate.SoleFreeAt(e.ID, now); first.IsZero() || at.Before(first) {
 			first = at
 		}
 	}
--- a/forwarder/gate.go
+++ b/forwarder/gate.go
@@ -34,9 +34,9 @@
 }
 
 // Sent implements selector.Gate.
-func (g *gate) Sent(e *registrar.Endpoint, now time.Time) {
+func (g *gate) Sent(e *registrar.Endpoint, coldPerSecond float64, now time.Time) {
 	if e.Cold(now) {
-		g.warmer.Sent(e.ID, now)
+		g.warmer.Sent(e.ID, coldPerSecond, now)
 	}
 	g.regulator.Sent(e.ID, now)
 }
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -1,6 +1,6 @@
 // Package rationer divides the calls that an endpoint bears among entries: a few of them, found by rendezvous hashing, send
-// to it, each with a pause between two calls. No clock is shared and nothing is agreed on. The package is pure: the present
-// time is given to it.
+// to it, each at an even part of the rate. No clock is shared and nothing is agreed on. The package is pure: the present time
+// is given to it.
 package rationer
 
 import (
@@ -19,27 +19,34 @@
 	Senders int
 	// PerSecond is how many calls a second it bears from all of them together.
 	PerSecond float64
+	// Burst is how many calls one sender may make at once after a pause.
+	Burst int
 }
 
-// pause is the least time between two calls of one sender.
+// pause is the time in which one sender may make a call more.
 func (n Ration) pause() time.Duration {
 	return time.Duration(float64(n.Senders) / n.PerSecond * float64(time.Second))
 }
 
+// bucket is what one sender may send, in calls, as of a time.
+type bucket struct {
+	level float64
+	at    time.Time
+}
+
 // Rationer knows which entries live, and what this one has sent lately.
 type Rationer struct {
 	self string
 	// live are the entries that live, this one among them, in the order of their names.
-	live []string
-	// sent is when the last call went to each endpoint.
-	sent map[string]time.Time
+	live    []string
+	buckets map[string]bucket
 	// ranks remembers this entry's rank among the senders of an endpoint.
 	ranks map[string]int
 }
 
 // New makes a rationer for the entry of the name, which knows of no other one.
 func New(self string) *Rationer {
-	return &Rationer{self: self, live: []string{self}, sent: make(map[string]time.Time), ranks: make(map[string]int)}
+	return &Rationer{self: self, live: []string{self}, buckets: make(map[string]bucket), ranks: make(map[string]int)}
 }
 
 // SetEntries takes the names of the entries that live, this one among them.
@@ -56,28 +63,40 @@
 
 // Allows tells whether this entry may send a call to the endpoint now.
 func (r *Rationer) Allows(endpoint string, n Ration, now time.Time) bool {
-	at, sends := r.FreeAt(endpoint, n)
+	at, sends := r.FreeAt(endpoint, n, now)
 	return sends && !at.After(now)
 }
 
 // FreeAt tells from when on this entry may send a call to the endpoint, if it is one of the senders.
-func (r *Rationer) FreeAt(endpoint string, n Ration) (at time.Time, sends bool) {
-	return r.sent[endpoint].Add(n.pause()), r.rank(endpoint) < n.Senders
+func (r *Rationer) FreeAt(endpoint string, n Ration, now time.Time) (at time.Time, sends bool) {
+	return r.SoleFreeAt(endpoint, n, now), r.rank(endpoint) < n.Senders
 }
 
 // SoleFreeAt tells the same where no other entry sends to the endpoint.
-func (r *Rationer) SoleFreeAt(endpoint string, perSecond float64) time.Time {
-	return r.sent[endpoint].Add(Ration{Senders: 1, PerSecond: perSecond}.pause())
+func (r *Rationer) SoleFreeAt(endpoint string, n Ration, now time.Time) time.Time {
+	level := r.level(endpoint, n, now)
+	if level >= 1 {
+		return now
+	}
+	return now.Add(time.Duration((1 - level) * float64(n.pause())))
+}
+
+func (r *Rationer) level(endpoint string, n Ration, now time.Time) float64 {
+	b, known := r.buckets[endpoint]
+	if !known {
+		return float64(n.Burst)
+	}
+	return min(float64(n.Burst), b.level+now.Sub(b.at).Seconds()/n.pause().Seconds())
 }
 
 // Sent notes a call to an endpoint.
-func (r *Rationer) Sent(endpoint string, now time.Time) {
-	for id, at := range r.sent {
-		if now.Sub(at) > forgetAfter {
-			delete(r.sent, id)
+func (r *Rationer) Sent(endpoint string, n Ration, now time.Time) {
+	for id, b := range r.buckets {
+		if now.Sub(b.at) > forgetAfter {
+			delete(r.buckets, id)
 		}
 	}
-	r.sent[endpoint] = now
+	r.buckets[endpoint] = bucket{level: max(0, r.level(endpoint, n, now)-1), at: now}
 }
 
 func (r *Rationer) rank(endpoint string) int {
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -12,11 +12,17 @@
 )
 
 const (
-	// extraSenders is how many entries send to a limited endpoint beside one for each call a second that it takes.
-	extraSenders = 2
-	// renewAfter is how old the newest answer of a limited endpoint may be before further entries send to it, one more for
-	// each widenEvery: its senders may have no calls for it or not reach it, and only an answer tells that its limit has ended.
+	// windowTime is the span in which the calls at a limited endpoint are judged, fixedSlack what it may get in it whatever its
+	// limit, beside one and a half times that.
+	windowTime = 4 * time.Second
+	fixedSlack = 5
+	// replacedSenders is how many of the entries that share a limit may be replaced by others within that span.
+	replacedSenders = 2
+	// renewAfter is how old the newest answer of a limited endpoint may be, beside the time of renewCalls calls, before further
+	// entries send to it, one more for each widenEvery: its senders may have no calls for it or not reach it, and only an
+	// answer tells that its limit has ended.
 	renewAfter = 5 * time.Second
+	renewCalls = 4
 	widenEvery = time.Second
 	// endedLife is how long peers are told that an endpoint's limit has ended.
 	endedLife = 10 * time.Second
@@ -245,35 +251,53 @@
 }
 
 // FreeAt tells from when on a call may go to an endpoint that many entries send to. Where this entry sends none, it is about when
-// others may. A few entries share a limit, one more for each call a second that the endpoint takes: were they all replaced by
-// others, which begin with a call each, it would get 6 calls for each a second of its limit and 4 more in four seconds.
+// others may.
 func (r *Regulator) FreeAt(endpoint string, now time.Time) (at time.Time, sends bool) {
 	at = r.rests[endpoint].until
-	l, limited := r.limits[endpoint]
-	if !limited || l.perSecond == 0 {
+	perSecond, limited := r.Limit(endpoint)
+	if !limited {
 		return at, true
 	}
-	senders := int(l.perSecond) + extraSenders
-	if age := now.Sub(l.at); age > renewAfter {
-		senders += 1 + int((age-renewAfter)/widenEvery)
-	}
-	ration := rationer.Ration{Senders: min(senders, r.rationer.Entries()), PerSecond: l.perSecond}
-	next, sends := r.rationer.FreeAt(endpoint, ration)
+	next, sends := r.rationer.FreeAt(endpoint, r.ration(endpoint, now), now)
 	if !sends {
-		next = now.Add(time.Duration(float64(time.Second) / l.perSecond))
+		next = now.Add(time.Duration(float64(time.Second) / perSecond))
 	}
 	return later(at, next), sends
 }
 
+// ration divides an endpoint's limit. In the spans that the limit is judged by (windowTime), the endpoint may get as many calls
+// more than the limit names as slack gives: that is what the senders may send at once, and replaced ones again.
+func (r *Regulator) ration(endpoint string, now time.Time) rationer.Ration {
+	l := r.limits[endpoint]
+	slack := slackFor(l.perSecond)
+	senders := slack - replacedSenders
+	renewed := l.at.Add(renewAfter + time.Duration(renewCalls/l.perSecond*float64(time.Second)))
+	if late := now.Sub(renewed); late > 0 {
+		senders += 1 + int(late/widenEvery)
+	}
+	senders = min(senders, r.rationer.Entries())
+	return rationer.Ration{Senders: senders, PerSecond: l.perSecond, Burst: max(1, slack/(senders+replacedSenders))}
+}
+
+// slackFor is how many calls more than a limit names an endpoint may get in a span of windowTime: half as many again, and fixedSlack.
+func slackFor(perSecond float64) int {
+	return int(perSecond*windowTime.Seconds()/2) + fixedSlack
+}
+
 // SoleFreeAt tells the same of an endpoint that only this entry sends to.
-func (r *Regulator) SoleFreeAt(endpoint string) time.Time {
+func (r *Regulator) SoleFreeAt(endpoint string, now time.Time) time.Time {
 	at := r.rests[endpoint].until
 	if perSecond, limited := r.Limit(endpoint); limited {
-		at = later(at, r.rationer.SoleFreeAt(endpoint, perSecond))
+		at = later(at, r.rationer.SoleFreeAt(endpoint, soleRation(perSecond), now))
 	}
 	return at
 }
 
+// soleRation leaves half of the slack to the entry that takes the duty over.
+func soleRation(perSecond float64) rationer.Ration {
+	return rationer.Ration{Senders: 1, PerSecond: perSecond, Burst: max(1, slackFor(perSecond)/2)}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -290,9 +314,16 @@
 	return limited || r.rests[endpoint].until.After(now)
 }
 
-// Sent notes a call to an endpoint.
+// Sent notes a call to an endpoint that many entries send to.
 func (r *Regulator) Sent(endpoint string, now time.Time) {
 	if _, limited := r.Limit(endpoint); limited {
-		r.rationer.Sent(endpoint, now)
+		r.rationer.Sent(endpoint, r.ration(endpoint, now), now)
+	}
+}
+
+// SentSole notes a call to an endpoint that only this entry sends to.
+func (r *Regulator) SentSole(endpoint string, now time.Time) {
+	if perSecond, limited := r.Limit(endpoint); limited {
+		r.rationer.Sent(endpoint, soleRation(perSecond), now)
 	}
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -80,8 +80,8 @@
 	// BearsFew tells whether an endpoint takes only a few of the calls that would come for the prompt parts that it holds, cold
 	// or not.
 	BearsFew(e *registrar.Endpoint) bool
-	// Sent notes a call to an endpoint.
-	Sent(e *registrar.Endpoint, now time.Time)
+	// Sent notes a call to an endpoint that bears so many calls a second while it is cold.
+	Sent(e *registrar.Endpoint, coldPerSecond float64, now time.Time)
 }
 
 // Config sets a Selector up. Zero fields take the defaults above.
@@ -439,7 +439,7 @@
 		return
 	}
 	if s.cfg.Gate != nil {
-		s.cfg.Gate.Sent(&e.Endpoint, now)
+		s.cfg.Gate.Sent(&e.Endpoint, e.pool.coldPerSecond, now)
 	}
 	e.calls++
 	s.addWork(e, choice.Tokens)
--- a/warmer/warmer.go
+++ b/warmer/warmer.go
@@ -51,9 +51,16 @@
 	if w.few {
 		return false
 	}
-	ration := rationer.Ration{Senders: max(1, int(w.cfg.Slack/views)), PerSecond: w.cfg.Excess * perSecond / views}
-	return w.rationer.Allows(endpoint, ration, now)
+	return w.rationer.Allows(endpoint, w.ration(perSecond), now)
 }
 
-// Sent notes a call to a cold endpoint.
-func (w *Warmer) Sent(endpoint string, now time.Time) { w.rationer.Sent(endpoint, now) }
+func (w *Warmer) ration(perSecond float64) rationer.Ration {
+	return rationer.Ration{Senders: max(1, int(w.cfg.Slack/views)), PerSecond: w.cfg.Excess * perSecond / views, Burst: 1}
+}
+
+// Sent notes a call to a cold endpoint that bears so many calls a second.
+func (w *Warmer) Sent(endpoint string, perSecond float64, now time.Time) {
+	if perSecond > 0 {
+		w.rationer.Sent(endpoint, w.ration(perSecond), now)
+	}
+}
