Play endpoints' notices in the soak, and check what comes of them

The soak draws such notices from a random stream of its own, so that the other faults of earlier seeds stay as they were, and checks the three rules with the users' bounds, by entry. TestPlantedFaultsAreFound plants a breach of each.

--- a/assembler/notice_test.go
+++ b/assembler/notice_test.go
@@ -15,11 +15,11 @@
 // limitWindow is the span in which requests at a limited endpoint are counted.
 const limitWindow = 4 * time.Second
 
-// mostWithin is the most of the times in any span of the length.
-func mostWithin(times []time.Time, length time.Duration) int {
+// mostWithin is the most of the arrivals in any span of the length.
+func mostWithin(arrivals []imitator.Arrival, length time.Duration) int {
 	most, first := 0, 0
-	for i, at := range times {
-		for at.Sub(times[first]) > length {
+	for i, a := range arrivals {
+		for a.At.Sub(arrivals[first].At) > length {
 			first++
 		}
 		most = max(most, i-first+1)
@@ -50,13 +50,13 @@
 	}, forwardPatience, 10*time.Millisecond, "every entry hears of all limits, by answers or from its peers")
 	before := make(map[string]int)
 	for _, service := range services {
-		before[service] = len(f.site.Endpoint(fmt.Sprintf("i-%s-0", service)).Requests())
+		before[service] = len(f.site.Endpoint(fmt.Sprintf("i-%s-0", service)).Arrivals())
 	}
 	for round := range 5 {
 		serve(fmt.Sprint(round))
 	}
 	for _, service := range services {
-		got := f.site.Endpoint(fmt.Sprintf("i-%s-0", service)).Requests()[before[service]:]
+		got := f.site.Endpoint(fmt.Sprintf("i-%s-0", service)).Arrivals()[before[service]:]
 		require.LessOrEqual(t, mostWithin(got, limitWindow), 3*limit*4/2+5, service)
 	}
 	require.Equal(t, http.StatusOK, f.call(f.ask(0, imitator.PlainPath, "last")).Status)
@@ -80,6 +80,14 @@
 		require.True(t, f.idle(entry, 0))
 		require.Equal(t, fmt.Sprint(len(services)), f.metric(entry, "geraniumline_endpoints_leaving"))
 	}
+	for _, service := range services {
+		e := f.site.Endpoint(fmt.Sprintf("i-%s-0", service))
+		e.StartAgain()
+		f.site.Enter(e, service, "in_service")
+	}
+	for entry := range f.nodes {
+		require.Eventually(t, func() bool { return !f.idle(entry, 0) }, forwardPatience, 20*time.Millisecond, "a new start is used")
+	}
 }
 
 // Guards against an endpoint that gets one request after the other while it turns all away and asks for rest, and against
@@ -94,7 +102,7 @@
 	}
 	before := make(map[string]int)
 	for _, service := range services {
-		before[service] = len(f.site.Endpoint(fmt.Sprintf("i-%s-0", service)).Requests())
+		before[service] = len(f.site.Endpoint(fmt.Sprintf("i-%s-0", service)).Arrivals())
 	}
 	for round := range 5 {
 		for entry := range f.nodes {
@@ -103,7 +111,7 @@
 	}
 	for _, service := range services {
 		e := f.site.Endpoint(fmt.Sprintf("i-%s-0", service))
-		require.LessOrEqual(t, len(e.Requests())-before[service], 2*len(f.nodes), service)
+		require.LessOrEqual(t, len(e.Arrivals())-before[service], 2*len(f.nodes), service)
 	}
 }
 
@@ -128,7 +136,7 @@
 	refuse("first")
 	requests := func() (n int) {
 		for _, e := range f.site.Endpoints {
-			n += len(e.Requests())
+			n += len(e.Arrivals())
 		}
 		return n
 	}
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -52,7 +52,8 @@
 	Evacuated bool
 }
 
-// Span is a time in which a zone was evacuated, by the store's acknowledgements, while nothing disturbed the store or an entry.
+// Span is a time from the plan's start: one in which a zone was evacuated, by the store's acknowledgements, while nothing
+// disturbed the store or an entry, or one in which an entry's process was disturbed.
 type Span struct{ From, To time.Duration }
 
 // Record is all that was seen in the play of a plan.
@@ -63,6 +64,9 @@
 	Evacuations []Span
 	// Newest is the version of the configuration at the end.
 	Newest int
+	// Endpoints are what the endpoints have got, Disturbed the times in which entries' processes were not left alone.
+	Endpoints []EndpointRecord
+	Disturbed map[int][]Span
 	// Overdue are the entries whose planned stop took too long, or which did not start again.
 	Overdue []string
 }
@@ -120,6 +124,7 @@
 	for _, name := range r.Overdue {
 		found = append(found, Violation{promiseStop, name})
 	}
+	found = append(found, checkNotices(r)...)
 	return append(found, checkForward(r.Attempts, runs)...)
 }
 
--- a/soaker/check_test.go
+++ b/soaker/check_test.go
@@ -50,6 +50,25 @@
 			r.Evacuations = []Span{{From: time.Second, To: 2 * time.Second}}
 			r.Executions[0].Evacuated, r.Executions[0].At = true, 1500*time.Millisecond
 		}, promiseZone},
+		"over its limit": {func(r *Record) {
+			e := EndpointRecord{ID: "x", Limits: []Limit{{At: 0, PerSecond: 1}}}
+			for i := range 12 {
+				e.Arrivals = append(e.Arrivals, EndpointArrival{At: limitContact + time.Duration(i)*100*time.Millisecond, Attempt: "a", Limited: true})
+			}
+			e.Arrivals = append([]EndpointArrival{{At: 0, Attempt: "a", Limited: true}}, e.Arrivals...)
+			r.Endpoints = []EndpointRecord{e}
+		}, promiseLimit},
+		"after its leave": {func(r *Record) {
+			r.Attempts[2].Sent = 3 * time.Second
+			r.Endpoints = []EndpointRecord{{Arrivals: []EndpointArrival{{Attempt: "a", Leaving: true}, {At: 3 * time.Second, Attempt: "c", Leaving: true}}}}
+		}, promiseDrain},
+		"in its rest": {func(r *Record) {
+			e := EndpointRecord{Arrivals: []EndpointArrival{{Attempt: "a", Rest: 3 * time.Second}}}
+			for i := range 3 {
+				e.Arrivals = append(e.Arrivals, EndpointArrival{At: time.Duration(i+1) * time.Second, Attempt: "c"})
+			}
+			r.Endpoints = []EndpointRecord{e}
+		}, promiseRest},
 		"a stop without end": {func(r *Record) { r.Overdue = []string{"entry-0"} }, promiseStop},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -3,8 +3,10 @@
 package soaker
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"geraniumline/platform/imitator"
@@ -57,24 +59,42 @@
 // EndpointDrains takes an endpoint out of service.
 type EndpointDrains struct{ Endpoint int }
 
+// EndpointLimited has an endpoint name a limit in its answers.
+type EndpointLimited struct {
+	Endpoint  int
+	PerSecond float64
+}
+
+// EndpointLeaves has an endpoint say in its answers that it leaves, while the store says nothing of it; it starts again.
+type EndpointLeaves struct{ Endpoint int }
+
+// EndpointRests has an endpoint turn all away and ask for a time of rest.
+type EndpointRests struct {
+	Endpoint int
+	Rest     time.Duration
+}
+
 // EvacuateZone has the operator evacuate a zone, and take that back later.
 type EvacuateZone struct{ Zone string }
 
 // ConfigChange writes a new version of the configuration.
 type ConfigChange struct{}
 
-func (KillEntry) fault()      {}
-func (PauseEntry) fault()     {}
-func (StopEntry) fault()      {}
-func (StoreOutage) fault()    {}
-func (StoreReturn) fault()    {}
-func (StoreForgets) fault()   {}
-func (CutStore) fault()       {}
-func (CutCallers) fault()     {}
-func (EndpointFails) fault()  {}
-func (EndpointDrains) fault() {}
-func (EvacuateZone) fault()   {}
-func (ConfigChange) fault()   {}
+func (KillEntry) fault()       {}
+func (PauseEntry) fault()      {}
+func (StopEntry) fault()       {}
+func (StoreOutage) fault()     {}
+func (StoreReturn) fault()     {}
+func (StoreForgets) fault()    {}
+func (CutStore) fault()        {}
+func (CutCallers) fault()      {}
+func (EndpointFails) fault()   {}
+func (EndpointDrains) fault()  {}
+func (EndpointLimited) fault() {}
+func (EndpointLeaves) fault()  {}
+func (EndpointRests) fault()   {}
+func (EvacuateZone) fault()    {}
+func (ConfigChange) fault()    {}
 
 func (f KillEntry) String() string    { return fmt.Sprintf("kill entry-%d", f.Entry) }
 func (f PauseEntry) String() string   { return fmt.Sprintf("pause entry-%d", f.Entry) }
@@ -92,8 +112,17 @@
 	return fmt.Sprintf("endpoint %d: %d requests %v", f.Endpoint, f.Requests, faultNames[f.How])
 }
 func (f EndpointDrains) String() string { return fmt.Sprintf("endpoint %d out of service", f.Endpoint) }
-func (f EvacuateZone) String() string   { return "evacuation of " + f.Zone }
-func (f ConfigChange) String() string   { return "configuration changes" }
+func (f EndpointLimited) String() string {
+	return fmt.Sprintf("endpoint %d names a limit of %g a second", f.Endpoint, f.PerSecond)
+}
+func (f EndpointLeaves) String() string {
+	return fmt.Sprintf("endpoint %d says that it leaves, and starts again", f.Endpoint)
+}
+func (f EndpointRests) String() string {
+	return fmt.Sprintf("endpoint %d refuses and asks for %v of rest", f.Endpoint, f.Rest)
+}
+func (f EvacuateZone) String() string { return "evacuation of " + f.Zone }
+func (f ConfigChange) String() string { return "configuration changes" }
 
 var (
 	outageNames = map[imitator.Outage]string{imitator.Busy: "busy", imitator.Silent: "silent", imitator.Reset: "reset"}
@@ -128,7 +157,9 @@
 const (
 	// meanGap is the mean time between two faults, maxFor the longest time that one lasts: several overlap.
 	meanGap = 700 * time.Millisecond
-	maxFor  = 3 * time.Second
+	// meanNoticeGap is the mean time between two notices of endpoints.
+	meanNoticeGap = 1200 * time.Millisecond
+	maxFor        = 3 * time.Second
 	// maxLast is the longest time of a plan's last outage.
 	maxLast = 7 * time.Second
 	// maxFailing bounds the requests that one fault of an endpoint strikes.
@@ -147,12 +178,35 @@
 func NewPlan(cfg PlanConfig) Plan {
 	rnd := rand.New(rand.NewPCG(cfg.Seed, 1))
 	plan := Plan{Last: Step{For: time.Duration(rnd.Int64N(int64(maxLast))), Fault: StoreOutage{How: imitator.Silent}}}
+	plan.Steps = drawSteps(rnd, &cfg, meanGap, draw)
+	// Of a stream of their own, so that the other faults of a seed are those that it had before there were notices.
+	plan.Steps = append(plan.Steps, drawSteps(rand.New(rand.NewPCG(cfg.Seed, 2)), &cfg, meanNoticeGap, drawNotice)...)
+	slices.SortStableFunc(plan.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+// drawSteps draws faults that begin with a mean time between two.
+func drawSteps(rnd *rand.Rand, cfg *PlanConfig, gap time.Duration, draw func(*rand.Rand, *PlanConfig) Fault) []Step {
+	var steps []Step
 	for at := time.Duration(0); ; {
-		at += time.Duration(rnd.Int64N(int64(2 * meanGap)))
+		at += time.Duration(rnd.Int64N(int64(2 * gap)))
 		if at >= cfg.Length {
-			return plan
+			return steps
 		}
-		plan.Steps = append(plan.Steps, Step{At: at, For: time.Duration(rnd.Int64N(int64(maxFor))), Fault: draw(rnd, &cfg)})
+		steps = append(steps, Step{At: at, For: time.Duration(rnd.Int64N(int64(maxFor))), Fault: draw(rnd, cfg)})
+	}
+}
+
+// drawNotice gives something that an endpoint says in its answers.
+func drawNotice(rnd *rand.Rand, cfg *PlanConfig) Fault {
+	endpoint := rnd.IntN(cfg.Endpoints)
+	switch rnd.IntN(3) {
+	case 0:
+		return EndpointLimited{Endpoint: endpoint, PerSecond: []float64{0.5, 1, 4}[rnd.IntN(3)]}
+	case 1:
+		return EndpointLeaves{Endpoint: endpoint}
+	default:
+		return EndpointRests{Endpoint: endpoint, Rest: []time.Duration{time.Second, 3 * time.Second}[rnd.IntN(2)]}
 	}
 }
 
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -54,7 +54,7 @@
 			f.site.Move(e.ID, serviceOf(e), evacuatedZone)
 		}
 	}
-	w := &world{cfg: cfg, fleet: f, traffic: &traffic{fleet: f}}
+	w := &world{cfg: cfg, fleet: f, traffic: &traffic{fleet: f}, disturbed: make(map[int][]Span)}
 	w.configure()
 	if err := w.awaitReady(ctx); err != nil {
 		return Result{}, err
@@ -62,7 +62,8 @@
 	w.traffic.began = time.Now()
 	w.play(ctx, plan)
 	record := w.traffic.record(w.newest)
-	record.Overdue, record.Evacuations = w.overdue, w.evacuations
+	record.Overdue, record.Evacuations, record.Disturbed = w.overdue, w.evacuations, w.disturbed
+	record.Endpoints = endpointRecords(f.site, w.traffic.began)
 	r := Result{Seed: cfg.Seed, Faults: len(plan.Steps) + 1, Requests: len(record.Attempts), Violations: Check(record)}
 	for i := range record.Attempts {
 		if record.Attempts[i].Status == http.StatusOK {
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -49,6 +49,8 @@
 	evacuated   int
 	evacuatedAt time.Time
 	evacuations []Span
+	// disturbed are the times in which entries' processes were ended, paused or started, by entry.
+	disturbed map[int][]Span
 	// storeFaults are the faults of the whole store under way.
 	storeFaults int
 }
@@ -168,6 +170,8 @@
 		w.setState(f.Endpoint, "draining")
 		last()
 		w.setState(f.Endpoint, "in_service")
+	case EndpointLimited, EndpointLeaves, EndpointRests:
+		w.notify(ctx, step)
 	case EvacuateZone:
 		w.evacuate(f.Zone)
 		_ = sleep(ctx, step.For+evacuateTime)
@@ -249,8 +253,12 @@
 		return
 	}
 	defer e.release()
+	from := time.Since(w.traffic.began)
 	process, _ := e.present()
 	strike(e, process)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.disturbed[index] = append(w.disturbed[index], Span{From: from, To: time.Since(w.traffic.began)})
 }
 
 // stop stops an entry's process as planned, and starts it again.
