--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -119,11 +119,11 @@
 	// Stages are the newest waits that the sender knows.
 	Stages []StageWait `msg:"stages,limit=1024"`
 	// Limits are those that endpoints have named, by the newest word that the sender knows.
-	Limits []EndpointLimit `msg:"limits,limit=16384"`
+	Limits []EndpointLimit `msg:"limits,omitempty,limit=16384"`
 	// Refusing are the endpoints that refuse the sender's calls in a row. It is not told on.
-	Refusing []EndpointRefusal `msg:"refusing,limit=16384"`
+	Refusing []EndpointRefusal `msg:"refusing,omitempty,limit=16384"`
 	// Leaving are the endpoints that have said in an answer that they leave.
-	Leaving []EndpointLeave `msg:"leaving,limit=16384"`
+	Leaving []EndpointLeave `msg:"leaving,omitempty,limit=16384"`
 	// ConfigAgeMillis is how long ago the store last answered a reading of the configuration, by the newest word that the
 	// sender knows.
 	ConfigAgeMillis int64 `msg:"configAgeMillis"`
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -3659,463 +3659,520 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 18
-	// write "from"
-	err = en.Append(0xde, 0x0, 0x12, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(18)
+	var zb0001Mask uint32 /* 18 bits */
+	_ = zb0001Mask
+	if z.Limits == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
 	}
-	err = z.From.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "sequence"
-	err = en.Append(0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Sequence)
-	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
-		return
+	if z.Refusing == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
 	}
-	// write "members"
-	err = en.Append(0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
-	if err != nil {
-		return
+	if z.Leaving == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Members)))
+	// variable map header, size zb0001Len
+	err = en.WriteMapHeader(zb0001Len)
 	if err != nil {
-		err = msgp.WrapError(err, "Members")
 		return
 	}
-	for za0001 := range z.Members {
-		err = z.Members[za0001].EncodeMsg(en)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "from"
+		err = en.Append(0xa4, 0x66, 0x72, 0x6f, 0x6d)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
 			return
 		}
-	}
-	// write "pulses"
-	err = en.Append(0xa6, 0x70, 0x75, 0x6c, 0x73, 0x65, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Pulses)))
-	if err != nil {
-		err = msgp.WrapError(err, "Pulses")
-		return
-	}
-	for za0002 := range z.Pulses {
-		err = z.Pulses[za0002].EncodeMsg(en)
+		err = z.From.EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Pulses", za0002)
+			err = msgp.WrapError(err, "From")
 			return
 		}
-	}
-	// write "endpoints"
-	err = en.Append(0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Endpoints)))
-	if err != nil {
-		err = msgp.WrapError(err, "Endpoints")
-		return
-	}
-	for za0003 := range z.Endpoints {
-		err = z.Endpoints[za0003].EncodeMsg(en)
+		// write "sequence"
+		err = en.Append(0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
 		if err != nil {
-			err = msgp.WrapError(err, "Endpoints", za0003)
 			return
 		}
-	}
-	// write "accounts"
-	err = en.Append(0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Accounts)))
-	if err != nil {
-		err = msgp.WrapError(err, "Accounts")
-		return
-	}
-	for za0004 := range z.Accounts {
-		err = z.Accounts[za0004].EncodeMsg(en)
+		err = en.WriteUint64(z.Sequence)
 		if err != nil {
-			err = msgp.WrapError(err, "Accounts", za0004)
+			err = msgp.WrapError(err, "Sequence")
 			return
 		}
-	}
-	// write "crashes"
-	err = en.Append(0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Crashes)))
-	if err != nil {
-		err = msgp.WrapError(err, "Crashes")
-		return
-	}
-	for za0005 := range z.Crashes {
-		// map header, size 2
-		// write "digest"
-		err = en.Append(0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+		// write "members"
+		err = en.Append(0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
 		if err != nil {
 			return
 		}
-		err = en.WriteBytes(z.Crashes[za0005].Digest)
+		err = en.WriteArrayHeader(uint32(len(z.Members)))
 		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0005, "Digest")
+			err = msgp.WrapError(err, "Members")
 			return
 		}
-		// write "losses"
-		err = en.Append(0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
+		for za0001 := range z.Members {
+			err = z.Members[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0001)
+				return
+			}
+		}
+		// write "pulses"
+		err = en.Append(0xa6, 0x70, 0x75, 0x6c, 0x73, 0x65, 0x73)
 		if err != nil {
 			return
 		}
-		err = en.WriteArrayHeader(uint32(len(z.Crashes[za0005].Losses)))
+		err = en.WriteArrayHeader(uint32(len(z.Pulses)))
 		if err != nil {
-			err = msgp.WrapError(err, "Crashes", za0005, "Losses")
+			err = msgp.WrapError(err, "Pulses")
 			return
 		}
-		for za0006 := range z.Crashes[za0005].Losses {
-			// array header, size 2
-			err = en.Append(0x92)
+		for za0002 := range z.Pulses {
+			err = z.Pulses[za0002].EncodeMsg(en)
 			if err != nil {
+				err = msgp.WrapError(err, "Pulses", za0002)
 				return
 			}
-			err = en.WriteString(z.Crashes[za0005].Losses[za0006].Address)
+		}
+		// write "endpoints"
+		err = en.Append(0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Endpoints)))
+		if err != nil {
+			err = msgp.WrapError(err, "Endpoints")
+			return
+		}
+		for za0003 := range z.Endpoints {
+			err = z.Endpoints[za0003].EncodeMsg(en)
 			if err != nil {
-				err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
+				err = msgp.WrapError(err, "Endpoints", za0003)
 				return
 			}
-			err = en.WriteInt64(z.Crashes[za0005].Losses[za0006].AgeMillis)
+		}
+		// write "accounts"
+		err = en.Append(0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Accounts)))
+		if err != nil {
+			err = msgp.WrapError(err, "Accounts")
+			return
+		}
+		for za0004 := range z.Accounts {
+			err = z.Accounts[za0004].EncodeMsg(en)
 			if err != nil {
-				err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
+				err = msgp.WrapError(err, "Accounts", za0004)
 				return
 			}
 		}
-	}
-	// write "stages"
-	err = en.Append(0xa6, 0x73, 0x74, 0x61, 0x67, 0x65, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Stages)))
-	if err != nil {
-		err = msgp.WrapError(err, "Stages")
-		return
-	}
-	for za0007 := range z.Stages {
-		err = z.Stages[za0007].EncodeMsg(en)
+		// write "crashes"
+		err = en.Append(0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
 		if err != nil {
-			err = msgp.WrapError(err, "Stages", za0007)
 			return
 		}
-	}
-	// write "limits"
-	err = en.Append(0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Limits)))
-	if err != nil {
-		err = msgp.WrapError(err, "Limits")
-		return
-	}
-	for za0008 := range z.Limits {
-		err = z.Limits[za0008].EncodeMsg(en)
+		err = en.WriteArrayHeader(uint32(len(z.Crashes)))
 		if err != nil {
-			err = msgp.WrapError(err, "Limits", za0008)
+			err = msgp.WrapError(err, "Crashes")
 			return
 		}
-	}
-	// write "refusing"
-	err = en.Append(0xa8, 0x72, 0x65, 0x66, 0x75, 0x73, 0x69, 0x6e, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Refusing)))
-	if err != nil {
-		err = msgp.WrapError(err, "Refusing")
-		return
-	}
-	for za0009 := range z.Refusing {
-		// array header, size 3
-		err = en.Append(0x93)
+		for za0005 := range z.Crashes {
+			// map header, size 2
+			// write "digest"
+			err = en.Append(0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+			if err != nil {
+				return
+			}
+			err = en.WriteBytes(z.Crashes[za0005].Digest)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes", za0005, "Digest")
+				return
+			}
+			// write "losses"
+			err = en.Append(0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Crashes[za0005].Losses)))
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes", za0005, "Losses")
+				return
+			}
+			for za0006 := range z.Crashes[za0005].Losses {
+				// array header, size 2
+				err = en.Append(0x92)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.Crashes[za0005].Losses[za0006].Address)
+				if err != nil {
+					err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
+					return
+				}
+				err = en.WriteInt64(z.Crashes[za0005].Losses[za0006].AgeMillis)
+				if err != nil {
+					err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
+					return
+				}
+			}
+		}
+		// write "stages"
+		err = en.Append(0xa6, 0x73, 0x74, 0x61, 0x67, 0x65, 0x73)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Refusing[za0009].ID)
+		err = en.WriteArrayHeader(uint32(len(z.Stages)))
+		if err != nil {
+			err = msgp.WrapError(err, "Stages")
+			return
+		}
+		for za0007 := range z.Stages {
+			err = z.Stages[za0007].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Stages", za0007)
+				return
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// write "limits"
+			err = en.Append(0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Limits)))
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+			for za0008 := range z.Limits {
+				err = z.Limits[za0008].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0008)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// write "refusing"
+			err = en.Append(0xa8, 0x72, 0x65, 0x66, 0x75, 0x73, 0x69, 0x6e, 0x67)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Refusing)))
+			if err != nil {
+				err = msgp.WrapError(err, "Refusing")
+				return
+			}
+			for za0009 := range z.Refusing {
+				// array header, size 3
+				err = en.Append(0x93)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.Refusing[za0009].ID)
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0009, "ID")
+					return
+				}
+				err = en.WriteInt64(z.Refusing[za0009].StartedMillis)
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0009, "StartedMillis")
+					return
+				}
+				err = en.WriteUint32(z.Refusing[za0009].AgeMillis)
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0009, "AgeMillis")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// write "leaving"
+			err = en.Append(0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Leaving)))
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+			for za0010 := range z.Leaving {
+				// array header, size 2
+				err = en.Append(0x92)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.Leaving[za0010].ID)
+				if err != nil {
+					err = msgp.WrapError(err, "Leaving", za0010, "ID")
+					return
+				}
+				err = en.WriteInt64(z.Leaving[za0010].StartedMillis)
+				if err != nil {
+					err = msgp.WrapError(err, "Leaving", za0010, "StartedMillis")
+					return
+				}
+			}
+		}
+		// write "configAgeMillis"
+		err = en.Append(0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
 		if err != nil {
-			err = msgp.WrapError(err, "Refusing", za0009, "ID")
 			return
 		}
-		err = en.WriteInt64(z.Refusing[za0009].StartedMillis)
+		err = en.WriteInt64(z.ConfigAgeMillis)
 		if err != nil {
-			err = msgp.WrapError(err, "Refusing", za0009, "StartedMillis")
+			err = msgp.WrapError(err, "ConfigAgeMillis")
 			return
 		}
-		err = en.WriteUint32(z.Refusing[za0009].AgeMillis)
+		// write "evacuatedEra"
+		err = en.Append(0xac, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64, 0x45, 0x72, 0x61)
 		if err != nil {
-			err = msgp.WrapError(err, "Refusing", za0009, "AgeMillis")
 			return
 		}
-	}
-	// write "leaving"
-	err = en.Append(0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Leaving)))
-	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
-		return
-	}
-	for za0010 := range z.Leaving {
-		// array header, size 2
-		err = en.Append(0x92)
+		err = en.WriteInt64(z.EvacuatedEra)
 		if err != nil {
+			err = msgp.WrapError(err, "EvacuatedEra")
 			return
 		}
-		err = en.WriteString(z.Leaving[za0010].ID)
+		// write "evacuatedNext"
+		err = en.Append(0xad, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64, 0x4e, 0x65, 0x78, 0x74)
 		if err != nil {
-			err = msgp.WrapError(err, "Leaving", za0010, "ID")
 			return
 		}
-		err = en.WriteInt64(z.Leaving[za0010].StartedMillis)
+		err = en.WriteInt64(z.EvacuatedNext)
 		if err != nil {
-			err = msgp.WrapError(err, "Leaving", za0010, "StartedMillis")
+			err = msgp.WrapError(err, "EvacuatedNext")
 			return
 		}
-	}
-	// write "configAgeMillis"
-	err = en.Append(0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.ConfigAgeMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "ConfigAgeMillis")
-		return
-	}
-	// write "evacuatedEra"
-	err = en.Append(0xac, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64, 0x45, 0x72, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.EvacuatedEra)
-	if err != nil {
-		err = msgp.WrapError(err, "EvacuatedEra")
-		return
-	}
-	// write "evacuatedNext"
-	err = en.Append(0xad, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64, 0x4e, 0x65, 0x78, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.EvacuatedNext)
-	if err != nil {
-		err = msgp.WrapError(err, "EvacuatedNext")
-		return
-	}
-	// write "evacuated"
-	err = en.Append(0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Evacuated)))
-	if err != nil {
-		err = msgp.WrapError(err, "Evacuated")
-		return
-	}
-	for za0011 := range z.Evacuated {
-		err = en.WriteString(z.Evacuated[za0011])
+		// write "evacuated"
+		err = en.Append(0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
 		if err != nil {
-			err = msgp.WrapError(err, "Evacuated", za0011)
 			return
 		}
-	}
-	// write "evacuationsHeld"
-	err = en.Append(0xaf, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x48, 0x65, 0x6c, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.EvacuationsHeld)))
-	if err != nil {
-		err = msgp.WrapError(err, "EvacuationsHeld")
-		return
-	}
-	for za0012 := range z.EvacuationsHeld {
-		err = en.WriteString(z.EvacuationsHeld[za0012])
+		err = en.WriteArrayHeader(uint32(len(z.Evacuated)))
 		if err != nil {
-			err = msgp.WrapError(err, "EvacuationsHeld", za0012)
+			err = msgp.WrapError(err, "Evacuated")
 			return
 		}
-	}
-	// write "storeEra"
-	err = en.Append(0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.StoreEra)
-	if err != nil {
-		err = msgp.WrapError(err, "StoreEra")
-		return
-	}
-	// write "endpointsEra"
-	err = en.Append(0xac, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73, 0x45, 0x72, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.EndpointsEra)
-	if err != nil {
-		err = msgp.WrapError(err, "EndpointsEra")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 18
-	// string "from"
-	o = append(o, 0xde, 0x0, 0x12, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
-	o, err = z.From.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// string "sequence"
-	o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
-	o = msgp.AppendUint64(o, z.Sequence)
-	// string "members"
-	o = append(o, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-	for za0001 := range z.Members {
-		o, err = z.Members[za0001].MarshalMsg(o)
+		for za0011 := range z.Evacuated {
+			err = en.WriteString(z.Evacuated[za0011])
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuated", za0011)
+				return
+			}
+		}
+		// write "evacuationsHeld"
+		err = en.Append(0xaf, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x48, 0x65, 0x6c, 0x64)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
 			return
 		}
-	}
-	// string "pulses"
-	o = append(o, 0xa6, 0x70, 0x75, 0x6c, 0x73, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Pulses)))
-	for za0002 := range z.Pulses {
-		o, err = z.Pulses[za0002].MarshalMsg(o)
+		err = en.WriteArrayHeader(uint32(len(z.EvacuationsHeld)))
 		if err != nil {
-			err = msgp.WrapError(err, "Pulses", za0002)
+			err = msgp.WrapError(err, "EvacuationsHeld")
 			return
 		}
-	}
-	// string "endpoints"
-	o = append(o, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
-	for za0003 := range z.Endpoints {
-		o, err = z.Endpoints[za0003].MarshalMsg(o)
+		for za0012 := range z.EvacuationsHeld {
+			err = en.WriteString(z.EvacuationsHeld[za0012])
+			if err != nil {
+				err = msgp.WrapError(err, "EvacuationsHeld", za0012)
+				return
+			}
+		}
+		// write "storeEra"
+		err = en.Append(0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
 		if err != nil {
-			err = msgp.WrapError(err, "Endpoints", za0003)
 			return
 		}
-	}
-	// string "accounts"
-	o = append(o, 0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Accounts)))
-	for za0004 := range z.Accounts {
-		o, err = z.Accounts[za0004].MarshalMsg(o)
+		err = en.WriteInt64(z.StoreEra)
 		if err != nil {
-			err = msgp.WrapError(err, "Accounts", za0004)
+			err = msgp.WrapError(err, "StoreEra")
 			return
 		}
-	}
-	// string "crashes"
-	o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
-	for za0005 := range z.Crashes {
-		// map header, size 2
-		// string "digest"
-		o = append(o, 0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
-		o = msgp.AppendBytes(o, z.Crashes[za0005].Digest)
-		// string "losses"
-		o = append(o, 0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes[za0005].Losses)))
-		for za0006 := range z.Crashes[za0005].Losses {
-			// array header, size 2
-			o = append(o, 0x92)
-			o = msgp.AppendString(o, z.Crashes[za0005].Losses[za0006].Address)
-			o = msgp.AppendInt64(o, z.Crashes[za0005].Losses[za0006].AgeMillis)
+		// write "endpointsEra"
+		err = en.Append(0xac, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73, 0x45, 0x72, 0x61)
+		if err != nil {
+			return
 		}
-	}
-	// string "stages"
-	o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x67, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Stages)))
-	for za0007 := range z.Stages {
-		o, err = z.Stages[za0007].MarshalMsg(o)
+		err = en.WriteInt64(z.EndpointsEra)
 		if err != nil {
-			err = msgp.WrapError(err, "Stages", za0007)
+			err = msgp.WrapError(err, "EndpointsEra")
 			return
 		}
 	}
-	// string "limits"
-	o = append(o, 0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
-	for za0008 := range z.Limits {
-		o, err = z.Limits[za0008].MarshalMsg(o)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(18)
+	var zb0001Mask uint32 /* 18 bits */
+	_ = zb0001Mask
+	if z.Limits == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Refusing == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.Leaving == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	// variable map header, size zb0001Len
+	o = msgp.AppendMapHeader(o, zb0001Len)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "from"
+		o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+		o, err = z.From.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Limits", za0008)
+			err = msgp.WrapError(err, "From")
 			return
 		}
+		// string "sequence"
+		o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+		o = msgp.AppendUint64(o, z.Sequence)
+		// string "members"
+		o = append(o, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+		for za0001 := range z.Members {
+			o, err = z.Members[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0001)
+				return
+			}
+		}
+		// string "pulses"
+		o = append(o, 0xa6, 0x70, 0x75, 0x6c, 0x73, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Pulses)))
+		for za0002 := range z.Pulses {
+			o, err = z.Pulses[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Pulses", za0002)
+				return
+			}
+		}
+		// string "endpoints"
+		o = append(o, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
+		for za0003 := range z.Endpoints {
+			o, err = z.Endpoints[za0003].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoints", za0003)
+				return
+			}
+		}
+		// string "accounts"
+		o = append(o, 0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Accounts)))
+		for za0004 := range z.Accounts {
+			o, err = z.Accounts[za0004].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Accounts", za0004)
+				return
+			}
+		}
+		// string "crashes"
+		o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+		for za0005 := range z.Crashes {
+			// map header, size 2
+			// string "digest"
+			o = append(o, 0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+			o = msgp.AppendBytes(o, z.Crashes[za0005].Digest)
+			// string "losses"
+			o = append(o, 0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes[za0005].Losses)))
+			for za0006 := range z.Crashes[za0005].Losses {
+				// array header, size 2
+				o = append(o, 0x92)
+				o = msgp.AppendString(o, z.Crashes[za0005].Losses[za0006].Address)
+				o = msgp.AppendInt64(o, z.Crashes[za0005].Losses[za0006].AgeMillis)
+			}
+		}
+		// string "stages"
+		o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x67, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Stages)))
+		for za0007 := range z.Stages {
+			o, err = z.Stages[za0007].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Stages", za0007)
+				return
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "limits"
+			o = append(o, 0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+			for za0008 := range z.Limits {
+				o, err = z.Limits[za0008].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0008)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "refusing"
+			o = append(o, 0xa8, 0x72, 0x65, 0x66, 0x75, 0x73, 0x69, 0x6e, 0x67)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Refusing)))
+			for za0009 := range z.Refusing {
+				// array header, size 3
+				o = append(o, 0x93)
+				o = msgp.AppendString(o, z.Refusing[za0009].ID)
+				o = msgp.AppendInt64(o, z.Refusing[za0009].StartedMillis)
+				o = msgp.AppendUint32(o, z.Refusing[za0009].AgeMillis)
+			}
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "leaving"
+			o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Leaving)))
+			for za0010 := range z.Leaving {
+				// array header, size 2
+				o = append(o, 0x92)
+				o = msgp.AppendString(o, z.Leaving[za0010].ID)
+				o = msgp.AppendInt64(o, z.Leaving[za0010].StartedMillis)
+			}
+		}
+		// string "configAgeMillis"
+		o = append(o, 0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+		o = msgp.AppendInt64(o, z.ConfigAgeMillis)
+		// string "evacuatedEra"
+		o = append(o, 0xac, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64, 0x45, 0x72, 0x61)
+		o = msgp.AppendInt64(o, z.EvacuatedEra)
+		// string "evacuatedNext"
+		o = append(o, 0xad, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64, 0x4e, 0x65, 0x78, 0x74)
+		o = msgp.AppendInt64(o, z.EvacuatedNext)
+		// string "evacuated"
+		o = append(o, 0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
+		for za0011 := range z.Evacuated {
+			o = msgp.AppendString(o, z.Evacuated[za0011])
+		}
+		// string "evacuationsHeld"
+		o = append(o, 0xaf, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x48, 0x65, 0x6c, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.EvacuationsHeld)))
+		for za0012 := range z.EvacuationsHeld {
+			o = msgp.AppendString(o, z.EvacuationsHeld[za0012])
+		}
+		// string "storeEra"
+		o = append(o, 0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
+		o = msgp.AppendInt64(o, z.StoreEra)
+		// string "endpointsEra"
+		o = append(o, 0xac, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73, 0x45, 0x72, 0x61)
+		o = msgp.AppendInt64(o, z.EndpointsEra)
 	}
-	// string "refusing"
-	o = append(o, 0xa8, 0x72, 0x65, 0x66, 0x75, 0x73, 0x69, 0x6e, 0x67)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Refusing)))
-	for za0009 := range z.Refusing {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendString(o, z.Refusing[za0009].ID)
-		o = msgp.AppendInt64(o, z.Refusing[za0009].StartedMillis)
-		o = msgp.AppendUint32(o, z.Refusing[za0009].AgeMillis)
-	}
-	// string "leaving"
-	o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Leaving)))
-	for za0010 := range z.Leaving {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Leaving[za0010].ID)
-		o = msgp.AppendInt64(o, z.Leaving[za0010].StartedMillis)
-	}
-	// string "configAgeMillis"
-	o = append(o, 0xaf, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x41, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	o = msgp.AppendInt64(o, z.ConfigAgeMillis)
-	// string "evacuatedEra"
-	o = append(o, 0xac, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64, 0x45, 0x72, 0x61)
-	o = msgp.AppendInt64(o, z.EvacuatedEra)
-	// string "evacuatedNext"
-	o = append(o, 0xad, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64, 0x4e, 0x65, 0x78, 0x74)
-	o = msgp.AppendInt64(o, z.EvacuatedNext)
-	// string "evacuated"
-	o = append(o, 0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
-	for za0011 := range z.Evacuated {
-		o = msgp.AppendString(o, z.Evacuated[za0011])
-	}
-	// string "evacuationsHeld"
-	o = append(o, 0xaf, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x48, 0x65, 0x6c, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.EvacuationsHeld)))
-	for za0012 := range z.EvacuationsHeld {
-		o = msgp.AppendString(o, z.EvacuationsHeld[za0012])
-	}
-	// string "storeEra"
-	o = append(o, 0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
-	o = msgp.AppendInt64(o, z.StoreEra)
-	// string "endpointsEra"
-	o = append(o, 0xac, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73, 0x45, 0x72, 0x61)
-	o = msgp.AppendInt64(o, z.EndpointsEra)
 	return
 }
 
