--- a/experimenter/endpoint.go
+++ b/experimenter/endpoint.go
@@ -6,11 +6,15 @@
 
 	"geraniumline/cataloger"
 	"geraniumline/collector"
+	"geraniumline/regulator"
 )
 
 // condition is what faults do to an endpoint.
 type condition struct {
 	gone bool
+	// refuses is set where it turns all away, notice is what it says in its answers.
+	refuses bool
+	notice  regulator.Notice
 	// factor is by how much its work takes longer; 0 counts as 1.
 	factor float64
 }
@@ -47,6 +51,11 @@
 		answer(collector.Unreachable, nil)
 		return
 	}
+	if m.refuses {
+		m.pool.result.CallsRefused++
+		answer(collector.Refused, nil)
+		return
+	}
 	if len(m.waiting) > m.pool.stage.Queue {
 		m.pool.result.CallsRefused++
 		answer(collector.Refused, nil)
--- a/experimenter/entry.go
+++ b/experimenter/entry.go
@@ -8,6 +8,8 @@
 	"geraniumline/collector"
 	"geraniumline/hasher"
 	"geraniumline/planner"
+	"geraniumline/registrar"
+	"geraniumline/regulator"
 	"geraniumline/selector"
 )
 
@@ -23,9 +25,11 @@
 	name     string
 	zone     string
 	selector *selector.Selector
-	pools    map[string]*collector.Pool
-	loads    map[string]planner.Load
-	gone     bool
+	// regulator keeps to what endpoints ask for in their answers.
+	regulator *regulator.Regulator
+	pools     map[string]*collector.Pool
+	loads     map[string]planner.Load
+	gone      bool
 }
 
 // Pool implements planner.View.
@@ -48,10 +52,18 @@
 // beat tells the other entries of this one's work and pools.
 func (e *entry) beat() {
 	if !e.gone {
-		work := e.selector.Work()
+		work, limits, refusals := e.selector.Work(), e.regulator.Limits(e.w.now), e.selector.Refusals(e.w.now)
 		for _, other := range e.w.entries {
 			if other != e && !other.gone {
-				e.w.after(e.w.way(e.zone, other.zone), func() { other.selector.SetPeer(e.name, work) })
+				e.w.after(e.w.way(e.zone, other.zone), func() {
+					other.selector.SetPeer(e.name, work)
+					for _, l := range limits {
+						other.regulator.Told(l)
+					}
+					for _, r := range refusals {
+						other.selector.ToldRefusal(r.Endpoint.ID, r.At)
+					}
+				})
 			}
 		}
 		for _, pool := range e.w.scenario.Pools {
@@ -83,7 +95,7 @@
 	}
 	p, known := e.pools[service]
 	if !known {
-		p = collector.New(collector.Config{Service: service, Stage: e.w.pools[service].stage, Off: e.w.off})
+		p = collector.New(collector.Config{Service: service, Stage: e.w.pools[service].stage, Gate: e.regulator, Off: e.w.off})
 		p.Reduce(collector.EndpointsChanged{Endpoints: e.w.endpointsOf(service)}, e.w.now)
 		e.pools[service] = p
 	}
@@ -129,7 +141,9 @@
 	way := e.w.way(e.zone, m.zone)
 	e.w.after(way, func() {
 		m.call(call, func(end collector.CallEnd, results []collector.PieceResult) {
+			notice := m.notice
 			e.w.after(way, func() {
+				e.regulator.Heard(&call.Endpoint, notice, e.w.now)
 				e.reduce(service, collector.CallEnded{Call: call.Call, End: end, Results: results})
 			})
 		})
@@ -172,9 +186,27 @@
 	return nil
 }
 
+// gate implements selector.Gate by what endpoints ask for. Endpoints of the model are never cold.
+type gate struct{ regulator *regulator.Regulator }
+
+func (g gate) Allows(e *registrar.Endpoint, _ float64, now time.Time) bool {
+	return g.regulator.Allows(e.ID, now)
+}
+
+func (g gate) FreeAt(e *registrar.Endpoint, now time.Time) (time.Time, bool) {
+	return g.regulator.FreeAt(e.ID, now)
+}
+
+func (g gate) BearsFew(e *registrar.Endpoint) bool {
+	_, limited := g.regulator.Limit(e.ID)
+	return limited
+}
+
+func (g gate) Sent(e *registrar.Endpoint, _ float64, now time.Time) { g.regulator.Sent(e.ID, now) }
+
 // newSelector makes an entry's selector with a random source of its own.
-func newSelector(w *world, n int) *selector.Selector {
-	s := selector.New(selector.Config{Rand: rand.New(rand.NewPCG(w.seed, uint64(n))), Off: w.off})
+func newSelector(w *world, n int, reg *regulator.Regulator) *selector.Selector {
+	s := selector.New(selector.Config{Rand: rand.New(rand.NewPCG(w.seed, uint64(n))), Gate: gate{reg}, Off: w.off})
 	s.SetEndpoints(w.endpointsOf(modelPool))
 	return s
 }
--- a/experimenter/request.go
+++ b/experimenter/request.go
@@ -22,6 +22,8 @@
 	began   time.Time
 	plan    *planner.Plan
 	parts   []selector.Part
+	// refusedBy are the model engines that have refused the present try.
+	refusedBy []string
 	// attempts counts the caller's tries; ended is set once the present one is over.
 	attempts int
 	ended    bool
@@ -31,6 +33,7 @@
 func (r *request) attempt() {
 	r.attempts++
 	r.ended = false
+	r.refusedBy = nil
 	r.entry = r.w.anyEntry()
 	r.id = fmt.Sprintf("%s-%d", r.id, r.attempts)
 	r.w.requests[r.id] = r
@@ -122,7 +125,8 @@
 // run chooses a model engine and follows its answer.
 func (r *request) run() {
 	r.ended = true
-	choice, found := r.entry.selector.Choose(selector.Ask{Service: modelPool, Parts: r.parts, ZoneBytes: r.plan.ZoneBytes()}, r.w.now)
+	ask := selector.Ask{Service: modelPool, Parts: r.parts, ZoneBytes: r.plan.ZoneBytes(), Avoid: r.refusedBy}
+	choice, found := r.entry.selector.Choose(ask, r.w.now)
 	if !found {
 		r.stats.Failed++
 		return
@@ -144,7 +148,15 @@
 		r.w.after(way+after, func() { r.w.freeAll(r.plan.FreeLast()) })
 	}
 	r.w.after(way, func() {
+		if engine.refuses {
+			r.refusedBy = append(r.refusedBy, engine.id)
+			e.selector.Refused(choice, r.w.now)
+			e.regulator.Heard(&choice.Endpoint, engine.notice, r.w.now)
+			r.run()
+			return
+		}
 		engine.take(r, func() {
+			e.regulator.Heard(&choice.Endpoint, engine.notice, r.w.now)
 			e.selector.Observe(choice, r.w.now.Sub(sent))
 			e.selector.Read(&choice)
 			r.w.freeAll(r.plan.FreeLast())
--- a/experimenter/scenario.go
+++ b/experimenter/scenario.go
@@ -118,8 +118,9 @@
 
 // Fault is a fault for a while.
 type Fault struct {
-	// What is gone (endpoints of Pool refuse connections), slow (they take longer by FactorPercent) or entry (entries
-	// are gone, with all that they had under way).
+	// What is gone (endpoints of Pool refuse connections), slow (they take longer by FactorPercent), refusing (they turn all
+	// away), resting (they ask for rest besides), limited (they name a limit of FactorPercent hundredths of a call a second) or
+	// entry (entries are gone, with all that they had under way).
 	What string `json:"what" check:"label"`
 	// Pool is that of the endpoints; "model" is the model engines'.
 	Pool          string `json:"pool" check:"label,optional"`
@@ -133,6 +134,9 @@
 const (
 	gone      = "gone"
 	slow      = "slow"
+	refusing  = "refusing"
+	resting   = "resting"
+	limited   = "limited"
 	entryGone = "entry"
 	modelPool = "model"
 )
@@ -175,7 +179,7 @@
 		}
 	}
 	for i, f := range s.Faults {
-		if !slices.Contains([]string{gone, slow, entryGone}, f.What) {
+		if !slices.Contains([]string{gone, slow, refusing, resting, limited, entryGone}, f.What) {
 			return &ReferenceError{Field: fmt.Sprintf("faults[%d].what", i), Name: f.What}
 		}
 		if f.What != entryGone && f.Pool != modelPool && !pool(f.Pool) {
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -10,6 +10,7 @@
 	"geraniumline/hasher"
 	"geraniumline/planner"
 	"geraniumline/registrar"
+	"geraniumline/regulator"
 	"geraniumline/selector"
 	"geraniumline/switcher"
 )
@@ -79,14 +80,31 @@
 		w.order = append(w.order, e)
 	}
 	for i := range s.Entries {
+		name := fmt.Sprintf("entry-%d", i)
+		reg := regulator.New(regulator.Config{Self: name})
 		w.entries = append(w.entries, &entry{
-			w: w, name: fmt.Sprintf("entry-%d", i), zone: w.zone(i), selector: newSelector(w, int(i)),
+			w: w, name: name, zone: w.zone(i), selector: newSelector(w, int(i), reg), regulator: reg,
 			pools: make(map[string]*collector.Pool), loads: make(map[string]planner.Load),
 		})
 	}
+	w.tellLive()
 	return w
 }
 
+// tellLive tells all entries which of them live.
+func (w *world) tellLive() {
+	var live []string
+	for _, e := range w.entries {
+		if !e.gone {
+			live = append(live, e.name)
+		}
+	}
+	slices.Sort(live)
+	for _, e := range w.entries {
+		e.regulator.SetEntries(live)
+	}
+}
+
 func (w *world) addPool(cfg *Pool, result *PoolResult) {
 	p := &poolModel{cfg: cfg, stage: cfg.stage(), byAddr: make(map[string]*maker), result: result}
 	for i := range cfg.Endpoints {
@@ -227,10 +245,7 @@
 	w.random.Shuffle(len(struck), func(i, j int) { struck[i], struck[j] = struck[j], struck[i] })
 	struck = struck[:shareOf(len(struck), f.SharePercent)]
 	for _, c := range struck {
-		c.gone = c.gone || f.What == gone
-		if f.What == slow {
-			c.factor = float64(f.FactorPercent) / 100
-		}
+		c.strike(f)
 	}
 	w.after(millis(f.ForMillis), func() {
 		for _, c := range struck {
@@ -248,6 +263,7 @@
 		e.gone = true
 		clear(e.pools)
 	}
+	w.tellLive()
 	for _, e := range w.entries {
 		for _, lost := range struck {
 			for _, pool := range w.scenario.Pools {
@@ -261,8 +277,28 @@
 		for _, e := range struck {
 			e.gone = false
 		}
+		w.tellLive()
 		clear(w.owners)
 	})
 }
 
+// strike has a fault begin.
+func (c *condition) strike(f *Fault) {
+	switch f.What {
+	case gone:
+		c.gone = true
+	case slow:
+		c.factor = float64(f.FactorPercent) / 100
+	case refusing:
+		c.refuses = true
+	case resting:
+		c.refuses, c.notice.Rest = true, modelRest
+	case limited:
+		c.notice.Limited, c.notice.PerSecond = true, float64(f.FactorPercent)/100
+	}
+}
+
+// modelRest is the time of rest that endpoints ask for.
+const modelRest = 3 * time.Second
+
 func shareOf(n int, percent int64) int { return max(1, min(n-1, int(int64(n)*percent/100))) }
