Name the availability of services, and split it from evacuations

The file is split by concern: availability, evacuations, and the gate for endpoints that bear few calls. No behaviour changes; the reason noOpenEndpoint stays, as it is told to callers and in metrics.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -119,10 +119,10 @@
 	// quarantiner knows the contents that crash endpoints, here and at peers.
 	quarantiner *quarantiner.Quarantiner
 	// evacuator knows the zones whose endpoints get no new work, warmer which calls cold endpoints may get from here, and
-	// openness what follows for each service.
-	evacuator *evacuator.Evacuator
-	warmer    *warmer.Warmer
-	openness  openness
+	// availability what follows for each service.
+	evacuator    *evacuator.Evacuator
+	warmer       *warmer.Warmer
+	availability availability
 	// regulator knows which endpoints have asked for less work.
 	regulator *regulator.Regulator
 	// returns are the times given to callers that were refused since a service's endpoints have asked for fewer calls.
--- a/forwarder/gate.go
+++ b/forwarder/gate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"geraniumline/detector"
 	"geraniumline/registrar"
 	"geraniumline/regulator"
 	"geraniumline/warmer"
@@ -40,3 +41,15 @@
 	}
 	g.regulator.Sent(e.ID, now)
 }
+
+// setSenders tells which entries may send to endpoints that bear few calls. The lock is held.
+func (f *Forwarder) setSenders(members []detector.Member) {
+	live := make([]string, 0, len(members))
+	for _, m := range members {
+		if m.Name == f.cfg.Name || m.State == detector.Live {
+			live = append(live, m.Name)
+		}
+	}
+	f.warmer.SetEntries(live, len(members))
+	f.regulator.SetEntries(live)
+}
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -98,7 +98,7 @@
 	if failure := x.checkContent(); failure != nil {
 		return failure
 	}
-	if failure := x.checkOpen(); failure != nil {
+	if failure := x.checkAvailable(); failure != nil {
 		return failure
 	}
 	ctx, cancel := context.WithDeadline(x.in.Context(), x.deadline)
--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -131,7 +131,7 @@
 // endpointsOf gives the endpoints of a pool that may get new work. The lock is held.
 func (f *Forwarder) endpointsOf(pool string, usable []registrar.Endpoint) collector.EndpointsChanged {
 	own := divider.Parse(pool)
-	changed := collector.EndpointsChanged{Evacuated: !f.openness.serves(own.Service, nil)}
+	changed := collector.EndpointsChanged{Evacuated: !f.availability.serves(own.Service, nil)}
 	for i := range usable {
 		if own.Takes(&usable[i]) {
 			changed.Endpoints = append(changed.Endpoints, usable[i])
--- a/forwarder/piececalls.go
+++ b/forwarder/piececalls.go
@@ -84,13 +84,13 @@
 // tells by refusing pieces.
 func (f *Forwarder) callFree(service string, p *collector.Pool, e collector.FreeResults) {
 	f.mu.Lock()
-	barred, spared := f.barred(e.Address), f.sparedAt(e.Address, time.Now())
+	evacuated, spared := f.evacuatedAt(e.Address), f.sparedAt(e.Address, time.Now())
 	f.mu.Unlock()
 	if spared {
 		// The few calls that the endpoint takes are for pieces. Its space counts as taken until the results lapse.
 		return
 	}
-	if !barred {
+	if !evacuated {
 		// Where nothing more may be sent, results lapse by themselves.
 		f.exchangeFree(e)
 	}
