--- a/carrier/message.go
+++ b/carrier/message.go
@@ -54,10 +54,10 @@
 func (d *Demand) Kind() Kind { return KindDemand }
 
 // Kind tells that m asks for pieces.
-func (m *PieceAsk) Kind() Kind { return KindPieceAsk }
+func (m *PieceRequest) Kind() Kind { return KindPieceRequest }
 
 // Kind tells that m acknowledges an ask for pieces.
-func (m *PieceTaken) Kind() Kind { return KindPieceTaken }
+func (m *PieceAccepted) Kind() Kind { return KindPieceAccepted }
 
 // Kind tells that m brings results of pieces.
 func (m *PieceResults) Kind() Kind { return KindPieceResults }
@@ -112,10 +112,10 @@
 		return &Bills{}, nil
 	case KindDemand:
 		return &Demand{}, nil
-	case KindPieceAsk:
-		return &PieceAsk{}, nil
-	case KindPieceTaken:
-		return &PieceTaken{}, nil
+	case KindPieceRequest:
+		return &PieceRequest{}, nil
+	case KindPieceAccepted:
+		return &PieceAccepted{}, nil
 	case KindPieceResults:
 		return &PieceResults{}, nil
 	case KindPieceWithdraw:
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -21,8 +21,8 @@
 	KindHandover
 	KindBills
 	KindDemand
-	KindPieceAsk
-	KindPieceTaken
+	KindPieceRequest
+	KindPieceAccepted
 	KindPieceResults
 	KindPieceWithdraw
 	KindPieceFree
@@ -232,8 +232,8 @@
 	Models []ModelDemand `msg:"models,limit=4096"`
 }
 
-// PieceAsk asks the entry that collects for a stage's service for pieces of a request.
-type PieceAsk struct {
+// PieceRequest asks the entry that collects for a stage's service for pieces of a request.
+type PieceRequest struct {
 	Service string   `msg:"service,limit=128"`
 	Request string   `msg:"request,limit=128"`
 	Stage   int32    `msg:"stage"`
@@ -259,15 +259,15 @@
 	TellRead   bool  `msg:"tellRead"`
 }
 
-// PieceRead tells that the endpoints have fetched the inputs of all pieces of a PieceAsk.
+// PieceRead tells that the endpoints have fetched the inputs of all pieces of a PieceRequest.
 type PieceRead struct {
 	Service string `msg:"service,limit=128"`
 	Request string `msg:"request,limit=128"`
 	Stage   int32  `msg:"stage"`
 }
 
-// PieceTaken tells that a PieceAsk has come to an entry that collects.
-type PieceTaken struct {
+// PieceAccepted tells that a PieceRequest has come to an entry that collects.
+type PieceAccepted struct {
 	Service string `msg:"service,limit=128"`
 	Request string `msg:"request,limit=128"`
 	Stage   int32  `msg:"stage"`
@@ -318,9 +318,9 @@
 // StageWait is how long a piece would wait at the entry that collects for the service, and how long groups of pieces take
 // there from their arrival to their last result. Entries tell it on.
 type StageWait struct {
-	Service       string
-	Millis        int32
-	PassageMillis int32
+	Service          string
+	Millis           int32
+	TurnaroundMillis int32
 	// Short tells that space for results, and not time, holds calls back.
 	Short bool
 	// OverMillis is for how long more has come than can be made.
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -5653,7 +5653,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *PieceAsk) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *PieceAccepted) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5688,153 +5688,6 @@
 				err = msgp.WrapError(err, "Stage")
 				return
 			}
-		case "numbers":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Numbers")
-				return
-			}
-			if zb0002 > 4096 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Numbers) >= int(zb0002) {
-				z.Numbers = (z.Numbers)[:zb0002]
-			} else {
-				z.Numbers = make([]int32, zb0002)
-			}
-			for za0001 := range z.Numbers {
-				z.Numbers[za0001], err = dc.ReadInt32()
-				if err != nil {
-					err = msgp.WrapError(err, "Numbers", za0001)
-					return
-				}
-			}
-		case "key":
-			z.Key, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "inputs":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Inputs")
-				return
-			}
-			if zb0003 > 4096 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Inputs) >= int(zb0003) {
-				z.Inputs = (z.Inputs)[:zb0003]
-			} else {
-				z.Inputs = make([]string, zb0003)
-			}
-			for za0002 := range z.Inputs {
-				z.Inputs[za0002], err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Inputs", za0002)
-					return
-				}
-			}
-		case "dueMillis":
-			z.DueMillis, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "DueMillis")
-				return
-			}
-		case "latestMillis":
-			z.LatestMillis, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "LatestMillis")
-				return
-			}
-		case "deadlineMillis":
-			z.DeadlineMillis, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "DeadlineMillis")
-				return
-			}
-		case "priority":
-			z.Priority, err = dc.ReadInt32()
-			if err != nil {
-				err = msgp.WrapError(err, "Priority")
-				return
-			}
-		case "account":
-			z.Account, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Account")
-				return
-			}
-		case "resultBytes":
-			z.ResultBytes, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "ResultBytes")
-				return
-			}
-		case "zone":
-			z.Zone, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "farBytes":
-			z.FarBytes, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "FarBytes")
-				return
-			}
-		case "regions":
-			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Regions")
-				return
-			}
-			if zb0004 > 256 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Regions) >= int(zb0004) {
-				z.Regions = (z.Regions)[:zb0004]
-			} else {
-				z.Regions = make([]string, zb0004)
-			}
-			for za0003 := range z.Regions {
-				z.Regions[za0003], err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Regions", za0003)
-					return
-				}
-			}
-		case "kept":
-			z.Kept, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Kept")
-				return
-			}
-		case "holding":
-			z.Holding, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Holding")
-				return
-			}
-		case "inputBytes":
-			z.InputBytes, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "InputBytes")
-				return
-			}
-		case "tellRead":
-			z.TellRead, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "TellRead")
-				return
-			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -5847,10 +5700,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *PieceAsk) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 19
+func (z PieceAccepted) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
 	// write "service"
-	err = en.Append(0xde, 0x0, 0x13, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	err = en.Append(0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
@@ -5879,196 +5732,390 @@
 		err = msgp.WrapError(err, "Stage")
 		return
 	}
-	// write "numbers"
-	err = en.Append(0xa7, 0x6e, 0x75, 0x6d, 0x62, 0x65, 0x72, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Numbers)))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z PieceAccepted) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "service"
+	o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "request"
+	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	o = msgp.AppendString(o, z.Request)
+	// string "stage"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+	o = msgp.AppendInt32(o, z.Stage)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PieceAccepted) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Numbers")
+		err = msgp.WrapError(err)
 		return
 	}
-	for za0001 := range z.Numbers {
-		err = en.WriteInt32(z.Numbers[za0001])
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Numbers", za0001)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "request":
+			z.Request, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "stage":
+			z.Stage, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	// write "key"
-	err = en.Append(0xa3, 0x6b, 0x65, 0x79)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Key)
-	if err != nil {
-		err = msgp.WrapError(err, "Key")
-		return
-	}
-	// write "inputs"
-	err = en.Append(0xa6, 0x69, 0x6e, 0x70, 0x75, 0x74, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Inputs)))
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z PieceAccepted) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 6 + msgp.Int32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *PieceFree) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Inputs")
+		err = msgp.WrapError(err)
 		return
 	}
-	for za0002 := range z.Inputs {
-		err = en.WriteString(z.Inputs[za0002])
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
 		if err != nil {
-			err = msgp.WrapError(err, "Inputs", za0002)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "results":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Results")
+				return
+			}
+			if zb0002 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Results) >= int(zb0002) {
+				z.Results = (z.Results)[:zb0002]
+			} else {
+				z.Results = make([]MadeResult, zb0002)
+			}
+			for za0001 := range z.Results {
+				var zb0003 uint32
+				zb0003, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001)
+					return
+				}
+				if zb0003 > 4096 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Results[za0001].Handle, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001, "Handle")
+					return
+				}
+				z.Results[za0001].Address, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001, "Address")
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	// write "dueMillis"
-	err = en.Append(0xa9, 0x64, 0x75, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.DueMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "DueMillis")
-		return
-	}
-	// write "latestMillis"
-	err = en.Append(0xac, 0x6c, 0x61, 0x74, 0x65, 0x73, 0x74, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.LatestMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "LatestMillis")
-		return
-	}
-	// write "deadlineMillis"
-	err = en.Append(0xae, 0x64, 0x65, 0x61, 0x64, 0x6c, 0x69, 0x6e, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.DeadlineMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "DeadlineMillis")
-		return
-	}
-	// write "priority"
-	err = en.Append(0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt32(z.Priority)
-	if err != nil {
-		err = msgp.WrapError(err, "Priority")
-		return
-	}
-	// write "account"
-	err = en.Append(0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *PieceFree) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "service"
+	err = en.Append(0x82, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Account)
+	err = en.WriteString(z.Service)
 	if err != nil {
-		err = msgp.WrapError(err, "Account")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	// write "resultBytes"
-	err = en.Append(0xab, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
+	// write "results"
+	err = en.Append(0xa7, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt64(z.ResultBytes)
+	err = en.WriteArrayHeader(uint32(len(z.Results)))
 	if err != nil {
-		err = msgp.WrapError(err, "ResultBytes")
+		err = msgp.WrapError(err, "Results")
 		return
 	}
-	// write "zone"
-	err = en.Append(0xa4, 0x7a, 0x6f, 0x6e, 0x65)
-	if err != nil {
-		return
+	for za0001 := range z.Results {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Results[za0001].Handle)
+		if err != nil {
+			err = msgp.WrapError(err, "Results", za0001, "Handle")
+			return
+		}
+		err = en.WriteString(z.Results[za0001].Address)
+		if err != nil {
+			err = msgp.WrapError(err, "Results", za0001, "Address")
+			return
+		}
 	}
-	err = en.WriteString(z.Zone)
-	if err != nil {
-		err = msgp.WrapError(err, "Zone")
-		return
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PieceFree) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "service"
+	o = append(o, 0x82, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "results"
+	o = append(o, 0xa7, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Results)))
+	for za0001 := range z.Results {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Results[za0001].Handle)
+		o = msgp.AppendString(o, z.Results[za0001].Address)
 	}
-	// write "farBytes"
-	err = en.Append(0xa8, 0x66, 0x61, 0x72, 0x42, 0x79, 0x74, 0x65, 0x73)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PieceFree) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
+		err = msgp.WrapError(err)
 		return
 	}
-	err = en.WriteInt64(z.FarBytes)
-	if err != nil {
-		err = msgp.WrapError(err, "FarBytes")
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "results":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Results")
+				return
+			}
+			if zb0002 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Results) >= int(zb0002) {
+				z.Results = (z.Results)[:zb0002]
+			} else {
+				z.Results = make([]MadeResult, zb0002)
+			}
+			for za0001 := range z.Results {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001)
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Results[za0001].Handle, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001, "Handle")
+					return
+				}
+				z.Results[za0001].Address, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001, "Address")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	// write "regions"
-	err = en.Append(0xa7, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e, 0x73)
-	if err != nil {
-		return
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PieceFree) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Results {
+		s += 1 + msgp.StringPrefixSize + len(z.Results[za0001].Handle) + msgp.StringPrefixSize + len(z.Results[za0001].Address)
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Regions)))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *PieceRead) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Regions")
+		err = msgp.WrapError(err)
 		return
 	}
-	for za0003 := range z.Regions {
-		err = en.WriteString(z.Regions[za0003])
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
 		if err != nil {
-			err = msgp.WrapError(err, "Regions", za0003)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "request":
+			z.Request, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "stage":
+			z.Stage, err = dc.ReadInt32()
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	// write "kept"
-	err = en.Append(0xa4, 0x6b, 0x65, 0x70, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Kept)
-	if err != nil {
-		err = msgp.WrapError(err, "Kept")
-		return
-	}
-	// write "holding"
-	err = en.Append(0xa7, 0x68, 0x6f, 0x6c, 0x64, 0x69, 0x6e, 0x67)
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z PieceRead) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "service"
+	err = en.Append(0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Holding)
+	err = en.WriteString(z.Service)
 	if err != nil {
-		err = msgp.WrapError(err, "Holding")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	// write "inputBytes"
-	err = en.Append(0xaa, 0x69, 0x6e, 0x70, 0x75, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
+	// write "request"
+	err = en.Append(0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt64(z.InputBytes)
+	err = en.WriteString(z.Request)
 	if err != nil {
-		err = msgp.WrapError(err, "InputBytes")
+		err = msgp.WrapError(err, "Request")
 		return
 	}
-	// write "tellRead"
-	err = en.Append(0xa8, 0x74, 0x65, 0x6c, 0x6c, 0x52, 0x65, 0x61, 0x64)
+	// write "stage"
+	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.TellRead)
+	err = en.WriteInt32(z.Stage)
 	if err != nil {
-		err = msgp.WrapError(err, "TellRead")
+		err = msgp.WrapError(err, "Stage")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *PieceAsk) MarshalMsg(b []byte) (o []byte, err error) {
+func (z PieceRead) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 19
+	// map header, size 3
 	// string "service"
-	o = append(o, 0xde, 0x0, 0x13, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "request"
 	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
@@ -6076,68 +6123,11 @@
 	// string "stage"
 	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
 	o = msgp.AppendInt32(o, z.Stage)
-	// string "numbers"
-	o = append(o, 0xa7, 0x6e, 0x75, 0x6d, 0x62, 0x65, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Numbers)))
-	for za0001 := range z.Numbers {
-		o = msgp.AppendInt32(o, z.Numbers[za0001])
-	}
-	// string "key"
-	o = append(o, 0xa3, 0x6b, 0x65, 0x79)
-	o = msgp.AppendString(o, z.Key)
-	// string "inputs"
-	o = append(o, 0xa6, 0x69, 0x6e, 0x70, 0x75, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Inputs)))
-	for za0002 := range z.Inputs {
-		o = msgp.AppendString(o, z.Inputs[za0002])
-	}
-	// string "dueMillis"
-	o = append(o, 0xa9, 0x64, 0x75, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	o = msgp.AppendInt64(o, z.DueMillis)
-	// string "latestMillis"
-	o = append(o, 0xac, 0x6c, 0x61, 0x74, 0x65, 0x73, 0x74, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	o = msgp.AppendInt64(o, z.LatestMillis)
-	// string "deadlineMillis"
-	o = append(o, 0xae, 0x64, 0x65, 0x61, 0x64, 0x6c, 0x69, 0x6e, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	o = msgp.AppendInt64(o, z.DeadlineMillis)
-	// string "priority"
-	o = append(o, 0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
-	o = msgp.AppendInt32(o, z.Priority)
-	// string "account"
-	o = append(o, 0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
-	o = msgp.AppendString(o, z.Account)
-	// string "resultBytes"
-	o = append(o, 0xab, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
-	o = msgp.AppendInt64(o, z.ResultBytes)
-	// string "zone"
-	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
-	o = msgp.AppendString(o, z.Zone)
-	// string "farBytes"
-	o = append(o, 0xa8, 0x66, 0x61, 0x72, 0x42, 0x79, 0x74, 0x65, 0x73)
-	o = msgp.AppendInt64(o, z.FarBytes)
-	// string "regions"
-	o = append(o, 0xa7, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Regions)))
-	for za0003 := range z.Regions {
-		o = msgp.AppendString(o, z.Regions[za0003])
-	}
-	// string "kept"
-	o = append(o, 0xa4, 0x6b, 0x65, 0x70, 0x74)
-	o = msgp.AppendBool(o, z.Kept)
-	// string "holding"
-	o = append(o, 0xa7, 0x68, 0x6f, 0x6c, 0x64, 0x69, 0x6e, 0x67)
-	o = msgp.AppendBool(o, z.Holding)
-	// string "inputBytes"
-	o = append(o, 0xaa, 0x69, 0x6e, 0x70, 0x75, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
-	o = msgp.AppendInt64(o, z.InputBytes)
-	// string "tellRead"
-	o = append(o, 0xa8, 0x74, 0x65, 0x6c, 0x6c, 0x52, 0x65, 0x61, 0x64)
-	o = msgp.AppendBool(o, z.TellRead)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *PieceAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *PieceRead) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -6172,9 +6162,63 @@
 				err = msgp.WrapError(err, "Stage")
 				return
 			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z PieceRead) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 6 + msgp.Int32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *PieceRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "request":
+			z.Request, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "stage":
+			z.Stage, err = dc.ReadInt32()
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
 		case "numbers":
 			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Numbers")
 				return
@@ -6189,21 +6233,21 @@
 				z.Numbers = make([]int32, zb0002)
 			}
 			for za0001 := range z.Numbers {
-				z.Numbers[za0001], bts, err = msgp.ReadInt32Bytes(bts)
+				z.Numbers[za0001], err = dc.ReadInt32()
 				if err != nil {
 					err = msgp.WrapError(err, "Numbers", za0001)
 					return
 				}
 			}
 		case "key":
-			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			z.Key, err = dc.ReadString()
 			if err != nil {
 				err = msgp.WrapError(err, "Key")
 				return
 			}
 		case "inputs":
 			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Inputs")
 				return
@@ -6218,199 +6262,107 @@
 				z.Inputs = make([]string, zb0003)
 			}
 			for za0002 := range z.Inputs {
-				z.Inputs[za0002], bts, err = msgp.ReadStringBytes(bts)
+				z.Inputs[za0002], err = dc.ReadString()
 				if err != nil {
 					err = msgp.WrapError(err, "Inputs", za0002)
 					return
 				}
 			}
 		case "dueMillis":
-			z.DueMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			z.DueMillis, err = dc.ReadInt64()
 			if err != nil {
 				err = msgp.WrapError(err, "DueMillis")
 				return
 			}
 		case "latestMillis":
-			z.LatestMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			z.LatestMillis, err = dc.ReadInt64()
 			if err != nil {
 				err = msgp.WrapError(err, "LatestMillis")
 				return
 			}
 		case "deadlineMillis":
-			z.DeadlineMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			z.DeadlineMillis, err = dc.ReadInt64()
 			if err != nil {
 				err = msgp.WrapError(err, "DeadlineMillis")
 				return
 			}
 		case "priority":
-			z.Priority, bts, err = msgp.ReadInt32Bytes(bts)
+			z.Priority, err = dc.ReadInt32()
 			if err != nil {
 				err = msgp.WrapError(err, "Priority")
 				return
 			}
 		case "account":
-			z.Account, bts, err = msgp.ReadStringBytes(bts)
+			z.Account, err = dc.ReadString()
 			if err != nil {
 				err = msgp.WrapError(err, "Account")
 				return
 			}
 		case "resultBytes":
-			z.ResultBytes, bts, err = msgp.ReadInt64Bytes(bts)
+			z.ResultBytes, err = dc.ReadInt64()
 			if err != nil {
 				err = msgp.WrapError(err, "ResultBytes")
 				return
 			}
 		case "zone":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			z.Zone, err = dc.ReadString()
 			if err != nil {
 				err = msgp.WrapError(err, "Zone")
 				return
 			}
 		case "farBytes":
-			z.FarBytes, bts, err = msgp.ReadInt64Bytes(bts)
+			z.FarBytes, err = dc.ReadInt64()
 			if err != nil {
 				err = msgp.WrapError(err, "FarBytes")
 				return
-			}
-		case "regions":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Regions")
-				return
-			}
-			if zb0004 > 256 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Regions) >= int(zb0004) {
-				z.Regions = (z.Regions)[:zb0004]
-			} else {
-				z.Regions = make([]string, zb0004)
-			}
-			for za0003 := range z.Regions {
-				z.Regions[za0003], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Regions", za0003)
-					return
-				}
-			}
-		case "kept":
-			z.Kept, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Kept")
-				return
-			}
-		case "holding":
-			z.Holding, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Holding")
-				return
-			}
-		case "inputBytes":
-			z.InputBytes, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "InputBytes")
-				return
-			}
-		case "tellRead":
-			z.TellRead, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "TellRead")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *PieceAsk) Msgsize() (s int) {
-	s = 3 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 6 + msgp.Int32Size + 8 + msgp.ArrayHeaderSize + (len(z.Numbers) * (msgp.Int32Size)) + 4 + msgp.StringPrefixSize + len(z.Key) + 7 + msgp.ArrayHeaderSize
-	for za0002 := range z.Inputs {
-		s += msgp.StringPrefixSize + len(z.Inputs[za0002])
-	}
-	s += 10 + msgp.Int64Size + 13 + msgp.Int64Size + 15 + msgp.Int64Size + 9 + msgp.Int32Size + 8 + msgp.StringPrefixSize + len(z.Account) + 12 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Zone) + 9 + msgp.Int64Size + 8 + msgp.ArrayHeaderSize
-	for za0003 := range z.Regions {
-		s += msgp.StringPrefixSize + len(z.Regions[za0003])
-	}
-	s += 5 + msgp.BoolSize + 8 + msgp.BoolSize + 11 + msgp.Int64Size + 9 + msgp.BoolSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *PieceFree) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "service":
-			z.Service, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
-			}
-		case "results":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+			}
+		case "regions":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Results")
+				err = msgp.WrapError(err, "Regions")
 				return
 			}
-			if zb0002 > 4096 {
+			if zb0004 > 256 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Results) >= int(zb0002) {
-				z.Results = (z.Results)[:zb0002]
+			if cap(z.Regions) >= int(zb0004) {
+				z.Regions = (z.Regions)[:zb0004]
 			} else {
-				z.Results = make([]MadeResult, zb0002)
+				z.Regions = make([]string, zb0004)
 			}
-			for za0001 := range z.Results {
-				var zb0003 uint32
-				zb0003, err = dc.ReadArrayHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Results", za0001)
-					return
-				}
-				if zb0003 > 4096 {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				if zb0003 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-					return
-				}
-				z.Results[za0001].Handle, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Results", za0001, "Handle")
-					return
-				}
-				z.Results[za0001].Address, err = dc.ReadString()
+			for za0003 := range z.Regions {
+				z.Regions[za0003], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Results", za0001, "Address")
+					err = msgp.WrapError(err, "Regions", za0003)
 					return
 				}
 			}
+		case "kept":
+			z.Kept, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
+		case "holding":
+			z.Holding, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Holding")
+				return
+			}
+		case "inputBytes":
+			z.InputBytes, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "InputBytes")
+				return
+			}
+		case "tellRead":
+			z.TellRead, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "TellRead")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -6423,10 +6375,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *PieceFree) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+func (z *PieceRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 19
 	// write "service"
-	err = en.Append(0x82, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	err = en.Append(0xde, 0x0, 0x13, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
@@ -6435,57 +6387,285 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
-	// write "results"
-	err = en.Append(0xa7, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x73)
+	// write "request"
+	err = en.Append(0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Results)))
+	err = en.WriteString(z.Request)
 	if err != nil {
-		err = msgp.WrapError(err, "Results")
+		err = msgp.WrapError(err, "Request")
 		return
 	}
-	for za0001 := range z.Results {
-		// array header, size 2
-		err = en.Append(0x92)
+	// write "stage"
+	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt32(z.Stage)
+	if err != nil {
+		err = msgp.WrapError(err, "Stage")
+		return
+	}
+	// write "numbers"
+	err = en.Append(0xa7, 0x6e, 0x75, 0x6d, 0x62, 0x65, 0x72, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Numbers)))
+	if err != nil {
+		err = msgp.WrapError(err, "Numbers")
+		return
+	}
+	for za0001 := range z.Numbers {
+		err = en.WriteInt32(z.Numbers[za0001])
 		if err != nil {
+			err = msgp.WrapError(err, "Numbers", za0001)
 			return
 		}
-		err = en.WriteString(z.Results[za0001].Handle)
+	}
+	// write "key"
+	err = en.Append(0xa3, 0x6b, 0x65, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	// write "inputs"
+	err = en.Append(0xa6, 0x69, 0x6e, 0x70, 0x75, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Inputs)))
+	if err != nil {
+		err = msgp.WrapError(err, "Inputs")
+		return
+	}
+	for za0002 := range z.Inputs {
+		err = en.WriteString(z.Inputs[za0002])
 		if err != nil {
-			err = msgp.WrapError(err, "Results", za0001, "Handle")
+			err = msgp.WrapError(err, "Inputs", za0002)
 			return
 		}
-		err = en.WriteString(z.Results[za0001].Address)
+	}
+	// write "dueMillis"
+	err = en.Append(0xa9, 0x64, 0x75, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.DueMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "DueMillis")
+		return
+	}
+	// write "latestMillis"
+	err = en.Append(0xac, 0x6c, 0x61, 0x74, 0x65, 0x73, 0x74, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.LatestMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "LatestMillis")
+		return
+	}
+	// write "deadlineMillis"
+	err = en.Append(0xae, 0x64, 0x65, 0x61, 0x64, 0x6c, 0x69, 0x6e, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.DeadlineMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "DeadlineMillis")
+		return
+	}
+	// write "priority"
+	err = en.Append(0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt32(z.Priority)
+	if err != nil {
+		err = msgp.WrapError(err, "Priority")
+		return
+	}
+	// write "account"
+	err = en.Append(0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Account)
+	if err != nil {
+		err = msgp.WrapError(err, "Account")
+		return
+	}
+	// write "resultBytes"
+	err = en.Append(0xab, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.ResultBytes)
+	if err != nil {
+		err = msgp.WrapError(err, "ResultBytes")
+		return
+	}
+	// write "zone"
+	err = en.Append(0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	// write "farBytes"
+	err = en.Append(0xa8, 0x66, 0x61, 0x72, 0x42, 0x79, 0x74, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.FarBytes)
+	if err != nil {
+		err = msgp.WrapError(err, "FarBytes")
+		return
+	}
+	// write "regions"
+	err = en.Append(0xa7, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Regions)))
+	if err != nil {
+		err = msgp.WrapError(err, "Regions")
+		return
+	}
+	for za0003 := range z.Regions {
+		err = en.WriteString(z.Regions[za0003])
 		if err != nil {
-			err = msgp.WrapError(err, "Results", za0001, "Address")
+			err = msgp.WrapError(err, "Regions", za0003)
 			return
 		}
 	}
+	// write "kept"
+	err = en.Append(0xa4, 0x6b, 0x65, 0x70, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Kept)
+	if err != nil {
+		err = msgp.WrapError(err, "Kept")
+		return
+	}
+	// write "holding"
+	err = en.Append(0xa7, 0x68, 0x6f, 0x6c, 0x64, 0x69, 0x6e, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Holding)
+	if err != nil {
+		err = msgp.WrapError(err, "Holding")
+		return
+	}
+	// write "inputBytes"
+	err = en.Append(0xaa, 0x69, 0x6e, 0x70, 0x75, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.InputBytes)
+	if err != nil {
+		err = msgp.WrapError(err, "InputBytes")
+		return
+	}
+	// write "tellRead"
+	err = en.Append(0xa8, 0x74, 0x65, 0x6c, 0x6c, 0x52, 0x65, 0x61, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.TellRead)
+	if err != nil {
+		err = msgp.WrapError(err, "TellRead")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *PieceFree) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *PieceRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 19
 	// string "service"
-	o = append(o, 0x82, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0xde, 0x0, 0x13, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
-	// string "results"
-	o = append(o, 0xa7, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Results)))
-	for za0001 := range z.Results {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Results[za0001].Handle)
-		o = msgp.AppendString(o, z.Results[za0001].Address)
+	// string "request"
+	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	o = msgp.AppendString(o, z.Request)
+	// string "stage"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+	o = msgp.AppendInt32(o, z.Stage)
+	// string "numbers"
+	o = append(o, 0xa7, 0x6e, 0x75, 0x6d, 0x62, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Numbers)))
+	for za0001 := range z.Numbers {
+		o = msgp.AppendInt32(o, z.Numbers[za0001])
+	}
+	// string "key"
+	o = append(o, 0xa3, 0x6b, 0x65, 0x79)
+	o = msgp.AppendString(o, z.Key)
+	// string "inputs"
+	o = append(o, 0xa6, 0x69, 0x6e, 0x70, 0x75, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Inputs)))
+	for za0002 := range z.Inputs {
+		o = msgp.AppendString(o, z.Inputs[za0002])
+	}
+	// string "dueMillis"
+	o = append(o, 0xa9, 0x64, 0x75, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.DueMillis)
+	// string "latestMillis"
+	o = append(o, 0xac, 0x6c, 0x61, 0x74, 0x65, 0x73, 0x74, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.LatestMillis)
+	// string "deadlineMillis"
+	o = append(o, 0xae, 0x64, 0x65, 0x61, 0x64, 0x6c, 0x69, 0x6e, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.DeadlineMillis)
+	// string "priority"
+	o = append(o, 0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
+	o = msgp.AppendInt32(o, z.Priority)
+	// string "account"
+	o = append(o, 0xa7, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendString(o, z.Account)
+	// string "resultBytes"
+	o = append(o, 0xab, 0x72, 0x65, 0x73, 0x75, 0x6c, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
+	o = msgp.AppendInt64(o, z.ResultBytes)
+	// string "zone"
+	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendString(o, z.Zone)
+	// string "farBytes"
+	o = append(o, 0xa8, 0x66, 0x61, 0x72, 0x42, 0x79, 0x74, 0x65, 0x73)
+	o = msgp.AppendInt64(o, z.FarBytes)
+	// string "regions"
+	o = append(o, 0xa7, 0x72, 0x65, 0x67, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Regions)))
+	for za0003 := range z.Regions {
+		o = msgp.AppendString(o, z.Regions[za0003])
 	}
+	// string "kept"
+	o = append(o, 0xa4, 0x6b, 0x65, 0x70, 0x74)
+	o = msgp.AppendBool(o, z.Kept)
+	// string "holding"
+	o = append(o, 0xa7, 0x68, 0x6f, 0x6c, 0x64, 0x69, 0x6e, 0x67)
+	o = msgp.AppendBool(o, z.Holding)
+	// string "inputBytes"
+	o = append(o, 0xaa, 0x69, 0x6e, 0x70, 0x75, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
+	o = msgp.AppendInt64(o, z.InputBytes)
+	// string "tellRead"
+	o = append(o, 0xa8, 0x74, 0x65, 0x6c, 0x6c, 0x52, 0x65, 0x61, 0x64)
+	o = msgp.AppendBool(o, z.TellRead)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *PieceFree) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *PieceRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -6508,198 +6688,163 @@
 				err = msgp.WrapError(err, "Service")
 				return
 			}
-		case "results":
+		case "request":
+			z.Request, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "stage":
+			z.Stage, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
+		case "numbers":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Results")
+				err = msgp.WrapError(err, "Numbers")
 				return
 			}
 			if zb0002 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Results) >= int(zb0002) {
-				z.Results = (z.Results)[:zb0002]
+			if cap(z.Numbers) >= int(zb0002) {
+				z.Numbers = (z.Numbers)[:zb0002]
 			} else {
-				z.Results = make([]MadeResult, zb0002)
+				z.Numbers = make([]int32, zb0002)
 			}
-			for za0001 := range z.Results {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Results", za0001)
-					return
-				}
-				if zb0003 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-					return
-				}
-				z.Results[za0001].Handle, bts, err = msgp.ReadStringBytes(bts)
+			for za0001 := range z.Numbers {
+				z.Numbers[za0001], bts, err = msgp.ReadInt32Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Results", za0001, "Handle")
+					err = msgp.WrapError(err, "Numbers", za0001)
 					return
 				}
-				z.Results[za0001].Address, bts, err = msgp.ReadStringBytes(bts)
+			}
+		case "key":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "inputs":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Inputs")
+				return
+			}
+			if zb0003 > 4096 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Inputs) >= int(zb0003) {
+				z.Inputs = (z.Inputs)[:zb0003]
+			} else {
+				z.Inputs = make([]string, zb0003)
+			}
+			for za0002 := range z.Inputs {
+				z.Inputs[za0002], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Results", za0001, "Address")
+					err = msgp.WrapError(err, "Inputs", za0002)
 					return
 				}
 			}
-		default:
-			bts, err = msgp.Skip(bts)
+		case "dueMillis":
+			z.DueMillis, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "DueMillis")
 				return
 			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *PieceFree) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.ArrayHeaderSize
-	for za0001 := range z.Results {
-		s += 1 + msgp.StringPrefixSize + len(z.Results[za0001].Handle) + msgp.StringPrefixSize + len(z.Results[za0001].Address)
-	}
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *PieceRead) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "service":
-			z.Service, err = dc.ReadString()
+		case "latestMillis":
+			z.LatestMillis, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Service")
+				err = msgp.WrapError(err, "LatestMillis")
 				return
 			}
-		case "request":
-			z.Request, err = dc.ReadString()
+		case "deadlineMillis":
+			z.DeadlineMillis, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Request")
+				err = msgp.WrapError(err, "DeadlineMillis")
 				return
 			}
-		case "stage":
-			z.Stage, err = dc.ReadInt32()
+		case "priority":
+			z.Priority, bts, err = msgp.ReadInt32Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stage")
+				err = msgp.WrapError(err, "Priority")
 				return
 			}
-		default:
-			err = dc.Skip()
+		case "account":
+			z.Account, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Account")
+				return
+			}
+		case "resultBytes":
+			z.ResultBytes, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ResultBytes")
+				return
+			}
+		case "zone":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "farBytes":
+			z.FarBytes, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FarBytes")
+				return
+			}
+		case "regions":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Regions")
+				return
+			}
+			if zb0004 > 256 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Regions) >= int(zb0004) {
+				z.Regions = (z.Regions)[:zb0004]
+			} else {
+				z.Regions = make([]string, zb0004)
+			}
+			for za0003 := range z.Regions {
+				z.Regions[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Regions", za0003)
+					return
+				}
+			}
+		case "kept":
+			z.Kept, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "Kept")
 				return
 			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z PieceRead) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "service"
-	err = en.Append(0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Service)
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	// write "request"
-	err = en.Append(0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Request)
-	if err != nil {
-		err = msgp.WrapError(err, "Request")
-		return
-	}
-	// write "stage"
-	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt32(z.Stage)
-	if err != nil {
-		err = msgp.WrapError(err, "Stage")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z PieceRead) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "service"
-	o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	o = msgp.AppendString(o, z.Service)
-	// string "request"
-	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
-	o = msgp.AppendString(o, z.Request)
-	// string "stage"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
-	o = msgp.AppendInt32(o, z.Stage)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *PieceRead) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "service":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
+		case "holding":
+			z.Holding, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Service")
+				err = msgp.WrapError(err, "Holding")
 				return
 			}
-		case "request":
-			z.Request, bts, err = msgp.ReadStringBytes(bts)
+		case "inputBytes":
+			z.InputBytes, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Request")
+				err = msgp.WrapError(err, "InputBytes")
 				return
 			}
-		case "stage":
-			z.Stage, bts, err = msgp.ReadInt32Bytes(bts)
+		case "tellRead":
+			z.TellRead, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stage")
+				err = msgp.WrapError(err, "TellRead")
 				return
 			}
 		default:
@@ -6715,8 +6860,16 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z PieceRead) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 6 + msgp.Int32Size
+func (z *PieceRequest) Msgsize() (s int) {
+	s = 3 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 6 + msgp.Int32Size + 8 + msgp.ArrayHeaderSize + (len(z.Numbers) * (msgp.Int32Size)) + 4 + msgp.StringPrefixSize + len(z.Key) + 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Inputs {
+		s += msgp.StringPrefixSize + len(z.Inputs[za0002])
+	}
+	s += 10 + msgp.Int64Size + 13 + msgp.Int64Size + 15 + msgp.Int64Size + 9 + msgp.Int32Size + 8 + msgp.StringPrefixSize + len(z.Account) + 12 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Zone) + 9 + msgp.Int64Size + 8 + msgp.ArrayHeaderSize
+	for za0003 := range z.Regions {
+		s += msgp.StringPrefixSize + len(z.Regions[za0003])
+	}
+	s += 5 + msgp.BoolSize + 8 + msgp.BoolSize + 11 + msgp.Int64Size + 9 + msgp.BoolSize
 	return
 }
 
@@ -7084,159 +7237,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *PieceTaken) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "service":
-			z.Service, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
-			}
-		case "request":
-			z.Request, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Request")
-				return
-			}
-		case "stage":
-			z.Stage, err = dc.ReadInt32()
-			if err != nil {
-				err = msgp.WrapError(err, "Stage")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z PieceTaken) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "service"
-	err = en.Append(0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Service)
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	// write "request"
-	err = en.Append(0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Request)
-	if err != nil {
-		err = msgp.WrapError(err, "Request")
-		return
-	}
-	// write "stage"
-	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt32(z.Stage)
-	if err != nil {
-		err = msgp.WrapError(err, "Stage")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z PieceTaken) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "service"
-	o = append(o, 0x83, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	o = msgp.AppendString(o, z.Service)
-	// string "request"
-	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
-	o = msgp.AppendString(o, z.Request)
-	// string "stage"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
-	o = msgp.AppendInt32(o, z.Stage)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *PieceTaken) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "service":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
-			}
-		case "request":
-			z.Request, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Request")
-				return
-			}
-		case "stage":
-			z.Stage, bts, err = msgp.ReadInt32Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Stage")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z PieceTaken) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Request) + 6 + msgp.Int32Size
-	return
-}
-
 // DecodeMsg implements msgp.Decodable
 func (z *PieceWithdraw) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -8417,9 +8417,9 @@
 		err = msgp.WrapError(err, "Millis")
 		return
 	}
-	z.PassageMillis, err = dc.ReadInt32()
+	z.TurnaroundMillis, err = dc.ReadInt32()
 	if err != nil {
-		err = msgp.WrapError(err, "PassageMillis")
+		err = msgp.WrapError(err, "TurnaroundMillis")
 		return
 	}
 	z.Short, err = dc.ReadBool()
@@ -8457,9 +8457,9 @@
 		err = msgp.WrapError(err, "Millis")
 		return
 	}
-	err = en.WriteInt32(z.PassageMillis)
+	err = en.WriteInt32(z.TurnaroundMillis)
 	if err != nil {
-		err = msgp.WrapError(err, "PassageMillis")
+		err = msgp.WrapError(err, "TurnaroundMillis")
 		return
 	}
 	err = en.WriteBool(z.Short)
@@ -8487,7 +8487,7 @@
 	o = append(o, 0x96)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendInt32(o, z.Millis)
-	o = msgp.AppendInt32(o, z.PassageMillis)
+	o = msgp.AppendInt32(o, z.TurnaroundMillis)
 	o = msgp.AppendBool(o, z.Short)
 	o = msgp.AppendInt32(o, z.OverMillis)
 	o = msgp.AppendUint32(o, z.AgeMillis)
@@ -8516,9 +8516,9 @@
 		err = msgp.WrapError(err, "Millis")
 		return
 	}
-	z.PassageMillis, bts, err = msgp.ReadInt32Bytes(bts)
+	z.TurnaroundMillis, bts, err = msgp.ReadInt32Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "PassageMillis")
+		err = msgp.WrapError(err, "TurnaroundMillis")
 		return
 	}
 	z.Short, bts, err = msgp.ReadBoolBytes(bts)
--- a/collector/call.go
+++ b/collector/call.go
@@ -322,7 +322,7 @@
 		p.dropWaiting(g, m.segment)
 		p.deliver(g, m.segment, r, c.endpoint)
 		if _, open := p.groups[m.id]; !open && !g.cameLate {
-			p.passage.add(now.Sub(g.arrived))
+			p.turnaround.add(now.Sub(g.arrived))
 		}
 	}
 	if len(unused) > 0 {
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -98,8 +98,8 @@
 	// overSince is when groups began to be given up since others go before them, overAt when one last was.
 	overSince time.Time
 	overAt    time.Time
-	// passage is how long groups that came in time took lately.
-	passage passage
+	// turnaround is how long groups that came in time took lately.
+	turnaround turnaround
 	// late counts the pieces of late groups that calls took lately.
 	late pastRate
 	// shares are what client accounts have had lately.
@@ -188,8 +188,8 @@
 	return now.Sub(p.overSince)
 }
 
-// Passage is how long a group takes from its arrival to its last result, as seen lately; 0 before any was seen.
-func (p *Pool) Passage() time.Duration { return p.passage.mean }
+// Turnaround is how long a group takes from its arrival to its last result, as seen lately; 0 before any was seen.
+func (p *Pool) Turnaround() time.Duration { return p.turnaround.mean }
 
 func (p *Pool) setEndpoints(all []registrar.Endpoint) {
 	known := make(map[string]*endpoint, len(p.endpoints))
--- a/collector/passage_test.go
+++ b/collector/turnaround_test.go
@@ -113,9 +113,9 @@
 		return float64(good) / float64(n)
 	}
 	call := newPipeline(nil).second.pool.cfg.Stage.CallDuration(16)
-	ours := inTime(func(second *Pool) time.Duration { return max(call, second.Passage()) })
+	ours := inTime(func(second *Pool) time.Duration { return max(call, second.Turnaround()) })
 	baseline := inTime(func(*Pool) time.Duration { return call })
-	t.Logf("in time with the usual passage left: %.2f; with a call left: %.2f", ours, baseline)
+	t.Logf("in time with the usual turnaround left: %.2f; with a call left: %.2f", ours, baseline)
 	require.Greater(t, ours, 0.78)
 	require.Less(t, baseline, 0.72)
 }
--- a/divider/divider.go
+++ b/divider/divider.go
@@ -144,8 +144,8 @@
 	return pools
 }
 
-// Ask says for what a pool is chosen.
-type Ask struct {
+// Query says for what a pool is chosen.
+type Query struct {
 	Service string
 	// Draw is the same for all stages of a request, so that they are done in one zone as far as each has endpoints there.
 	Draw uint64
@@ -160,20 +160,20 @@
 // Choose gives the pool that a request's pieces are asked for at. Each zone gets its part of the work by its number of
 // endpoints; a pool with a longer wait than the others by more than the patience is passed over, so that a zone that has lost
 // endpoints, or has the large requests of a moment, does not make its part of all requests late.
-func (d *Divider) Choose(ask Ask, wait func(Pool) time.Duration) Pool {
-	pools := d.Pools(ask.Service)
+func (d *Divider) Choose(query Query, wait func(Pool) time.Duration) Pool {
+	pools := d.Pools(query.Service)
 	if len(pools) == 1 {
 		return pools[0]
 	}
-	if ask.Allows != nil {
-		pools = slices.DeleteFunc(pools, func(p Pool) bool { return !ask.Allows(p.Zone) })
+	if query.Allows != nil {
+		pools = slices.DeleteFunc(pools, func(p Pool) bool { return !query.Allows(p.Zone) })
 	}
 	if len(pools) == 0 {
 		// Nothing may be made anywhere: the pool of all endpoints finds none that may get the pieces.
-		return Pool{Service: ask.Service}
+		return Pool{Service: query.Service}
 	}
-	chosen := d.drawn(pools, ask.Draw)
-	if near := (Pool{Service: ask.Service, Zone: ask.Near}); slices.Contains(pools, near) {
+	chosen := d.drawn(pools, query.Draw)
+	if near := (Pool{Service: query.Service, Zone: query.Near}); slices.Contains(pools, near) {
 		chosen = near
 	}
 	best, least := chosen, wait(chosen)
@@ -182,7 +182,7 @@
 			best, least = p, w
 		}
 	}
-	if wait(chosen) > least+ask.Patience {
+	if wait(chosen) > least+query.Patience {
 		return best
 	}
 	return chosen
--- a/divider/divider_test.go
+++ b/divider/divider_test.go
@@ -67,7 +67,7 @@
 	d.SetEndpoints(all, all[20:])
 	require.Equal(t, []Pool{{"s", "z1"}, {"s", "z2"}}, d.Pools("s"))
 	for draw := range uint64(100) {
-		require.NotEqual(t, "z0", d.Choose(Ask{Service: "s", Draw: draw, Near: "z0"}, idle).Zone)
+		require.NotEqual(t, "z0", d.Choose(Query{Service: "s", Draw: draw, Near: "z0"}, idle).Zone)
 	}
 }
 
@@ -79,13 +79,13 @@
 	in := make(map[string]int)
 	const draws = 10_000
 	for draw := range uint64(draws) {
-		first := d.Choose(Ask{Service: "first", Draw: draw}, idle)
-		require.Equal(t, first.Zone, d.Choose(Ask{Service: "second", Draw: draw}, idle).Zone)
+		first := d.Choose(Query{Service: "first", Draw: draw}, idle)
+		require.Equal(t, first.Zone, d.Choose(Query{Service: "second", Draw: draw}, idle).Zone)
 		in[first.Zone]++
 	}
 	require.InDelta(t, draws/2, in["z0"], draws/50)
 	require.InDelta(t, draws/4, in["z1"], draws/50)
-	require.Equal(t, "z2", d.Choose(Ask{Service: "first", Near: "z2"}, idle).Zone)
+	require.Equal(t, "z2", d.Choose(Query{Service: "first", Near: "z2"}, idle).Zone)
 }
 
 // A request may be served in one region, whose zones' pools are loaded. It must wait there all the same.
@@ -100,10 +100,10 @@
 		return 0
 	}
 	for draw := range uint64(50) {
-		ask := Ask{Service: "s", Draw: draw, Near: "z0", Allows: func(zone string) bool { return zone == "z1" }}
-		require.Equal(t, "z1", d.Choose(ask, busy).Zone)
+		query := Query{Service: "s", Draw: draw, Near: "z0", Allows: func(zone string) bool { return zone == "z1" }}
+		require.Equal(t, "z1", d.Choose(query, busy).Zone)
 	}
-	require.Equal(t, Pool{Service: "s"}, d.Choose(Ask{Service: "s", Allows: func(string) bool { return false }}, idle))
+	require.Equal(t, Pool{Service: "s"}, d.Choose(Query{Service: "s", Allows: func(string) bool { return false }}, idle))
 }
 
 // One zone has lost endpoints and a queue grows there. What comes goes to the others once its wait is longer by the patience,
@@ -119,9 +119,9 @@
 		}
 		return 0
 	}
-	ask := Ask{Service: "s", Near: "z0", Patience: 100 * time.Millisecond}
+	query := Query{Service: "s", Near: "z0", Patience: 100 * time.Millisecond}
 	queue = 100 * time.Millisecond
-	require.Equal(t, "z0", d.Choose(ask, wait).Zone)
+	require.Equal(t, "z0", d.Choose(query, wait).Zone)
 	queue = 101 * time.Millisecond
-	require.NotEqual(t, "z0", d.Choose(ask, wait).Zone)
+	require.NotEqual(t, "z0", d.Choose(query, wait).Zone)
 }
--- a/experimenter/request.go
+++ b/experimenter/request.go
@@ -76,7 +76,7 @@
 	}
 	next, again := r.plan.Next(r.entry, r.w.now)
 	for _, stage := range next {
-		g := r.plan.Ask(stage, r.entry, r.w.now)
+		g := r.plan.Group(stage, r.entry, r.w.now)
 		service := r.plan.Service(stage)
 		collecting := r.w.owner(service)
 		r.w.after(r.entry.wayTo(collecting), func() { collecting.reduce(service, collector.Arrived{Group: g}) })
@@ -125,7 +125,7 @@
 // run chooses a model engine and follows its answer.
 func (r *request) run() {
 	r.ended = true
-	ask := selector.Ask{Service: modelPool, Parts: r.parts, ZoneBytes: r.plan.ZoneBytes(), Avoid: r.refusedBy}
+	ask := selector.Query{Service: modelPool, Parts: r.parts, ZoneBytes: r.plan.ZoneBytes(), Avoid: r.refusedBy}
 	choice, found := r.entry.selector.Choose(ask, r.w.now)
 	if !found {
 		r.stats.Failed++
--- a/forwarder/duty.go
+++ b/forwarder/duty.go
@@ -163,7 +163,7 @@
 }
 
 // duties remembers which entries can have duties and who has which, until something that decides it changes: it is asked
-// for each ask, each freed result and each tick of each pool.
+// for each delegation, each freed result and each tick of each pool.
 type duties struct {
 	// able are on large VMs, small are all others that live.
 	able   []string
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -128,9 +128,9 @@
 	// returns are the times given to callers that were refused since a service's endpoints have asked for fewer calls.
 	returns map[string]*regulator.Returns
 	// divider says by which pools the stages' services are collected.
-	divider *divider.Divider
-	pools   map[string]*collector.Pool
-	asks    map[askID]*ask
+	divider     *divider.Divider
+	pools       map[string]*collector.Pool
+	delegations map[delegationID]*delegation
 	// waits are the newest words on the stage pools that peers collect for.
 	waits map[string]stageWait
 	// workAt is when each peer's word on its work came.
@@ -147,8 +147,8 @@
 	peerLiveAt time.Time
 	// otherSince is since when another entry has had the duty of collecting for a service that this one has a pool of.
 	otherSince map[string]time.Time
-	// takenTime is what collecting entries' words on asks have taken lately.
-	takenTime time.Duration
+	// acceptTime is what collecting entries' answers to requests for pieces have taken lately.
+	acceptTime time.Duration
 	// round counts the rounds of heartbeats, from a number of the entry's own.
 	round int
 	// newsAt is when the entry that reads the store for all was heard last.
@@ -219,9 +219,9 @@
 		divider:     divider.New(),
 		round:       int(uint32(xxhash.Sum64String(cfg.Name))),
 
-		pools: make(map[string]*collector.Pool),
-		asks:  make(map[askID]*ask),
-		waits: make(map[string]stageWait),
+		pools:       make(map[string]*collector.Pool),
+		delegations: make(map[delegationID]*delegation),
+		waits:       make(map[string]stageWait),
 
 		returns: make(map[string]*regulator.Returns),
 
@@ -291,7 +291,7 @@
 		todo = append(todo, f.performAll(service, p, p.Reduce(collector.Ticked{}, now))...)
 	}
 	todo = append(todo, f.handBack(now)...)
-	todo = append(todo, f.checkAsks(now)...)
+	todo = append(todo, f.checkDelegations(now)...)
 	endpointsLeft := f.registry.Tick(now)
 	if f.evacuator.Tick(now) {
 		todo = append(todo, f.evacuationsTaken(true, "lapse", now)...)
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -222,24 +222,24 @@
 }
 
 // choose picks the next endpoint for the request and counts the call there.
-func (x *exchange) choose(ask selector.Ask) (selector.Choice, bool) {
+func (x *exchange) choose(query selector.Query) (selector.Choice, bool) {
 	now := time.Now()
-	ask.Service = x.service.Name
-	ask.Avoid = x.tried
-	ask.Regions = x.homes
-	ask.NoProbe = !x.route.Repeatable()
+	query.Service = x.service.Name
+	query.Avoid = x.tried
+	query.Regions = x.homes
+	query.NoProbe = !x.route.Repeatable()
 	x.f.mu.Lock()
-	choice, found := x.f.selector.Choose(ask, now)
+	choice, found := x.f.selector.Choose(query, now)
 	if found {
-		x.f.selector.Started(choice, ask.Parts, now)
+		x.f.selector.Started(choice, query.Parts, now)
 	}
 	age := x.f.registry.Age(now)
-	count := x.f.selector.Count(ask.Service)
+	count := x.f.selector.Count(query.Service)
 	x.f.mu.Unlock()
-	x.f.cfg.Meter.Counter(meter.ForwardCalls, ask.Service).Inc(1)
+	x.f.cfg.Meter.Counter(meter.ForwardCalls, query.Service).Inc(1)
 	x.f.note("endpoint chosen",
 		zap.String("request", x.req.ID),
-		zap.String("service", ask.Service),
+		zap.String("service", query.Service),
 		zap.Bool("found", found),
 		zap.String("endpoint", choice.Endpoint.ID),
 		zap.String("zone", choice.Endpoint.Zone),
--- a/forwarder/leaving_test.go
+++ b/forwarder/leaving_test.go
@@ -26,7 +26,7 @@
 	defer f.mu.Unlock()
 	chosen := map[string]int{}
 	for range n {
-		if choice, found := f.selector.Choose(selector.Ask{Service: "plain"}, m.now); found {
+		if choice, found := f.selector.Choose(selector.Query{Service: "plain"}, m.now); found {
 			chosen[choice.Endpoint.ID]++
 		}
 	}
--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -116,9 +116,9 @@
 // request sends one request as the entry would, to one endpoint after the other while they refuse it.
 func (p *limitedPool) request(entry string) {
 	f := p.m.nodes[entry]
-	ask := selector.Ask{Service: "plain"}
+	query := selector.Query{Service: "plain"}
 	for sends := 0; ; sends++ {
-		choice, found := p.choose(f, ask, sends)
+		choice, found := p.choose(f, query, sends)
 		if !found {
 			p.refused++
 			return
@@ -139,20 +139,20 @@
 		f.mu.Lock()
 		f.selector.Refused(choice, p.m.now)
 		f.mu.Unlock()
-		ask.Avoid = append(ask.Avoid, id)
+		query.Avoid = append(query.Avoid, id)
 	}
 }
 
 // choose picks the endpoint of an attempt, if the budget of extra calls allows it.
-func (p *limitedPool) choose(f *Forwarder, ask selector.Ask, sends int) (selector.Choice, bool) {
+func (p *limitedPool) choose(f *Forwarder, query selector.Query, sends int) (selector.Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if sends == 0 {
-		f.retrier.First(ask.Service, false, p.m.now)
-	} else if !f.retrier.Retry(ask.Service, sends, p.m.now) {
+		f.retrier.First(query.Service, false, p.m.now)
+	} else if !f.retrier.Retry(query.Service, sends, p.m.now) {
 		return selector.Choice{}, false
 	}
-	choice, found := f.selector.Choose(ask, p.m.now)
+	choice, found := f.selector.Choose(query, p.m.now)
 	if found {
 		f.selector.Started(choice, nil, p.m.now)
 	}
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -214,7 +214,7 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	choice, found := f.selector.Choose(selector.Ask{Service: "plain"}, now)
+	choice, found := f.selector.Choose(selector.Query{Service: "plain"}, now)
 	if found {
 		f.selector.Started(choice, nil, now)
 	}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -222,10 +222,10 @@
 		f.locked(func() []func() { return f.takeEndpointsReply(m, now) })
 	case *carrier.EndpointsNews:
 		f.locked(func() []func() { return f.takeNews(m, now) })
-	case *carrier.PieceAsk:
-		f.locked(func() []func() { return f.takeAsk(from, m, now) })
-	case *carrier.PieceTaken:
-		f.locked(func() []func() { f.takeTaken(from, m, now); return nil })
+	case *carrier.PieceRequest:
+		f.locked(func() []func() { return f.takePieceRequest(from, m, now) })
+	case *carrier.PieceAccepted:
+		f.locked(func() []func() { f.takePieceAccepted(from, m, now); return nil })
 	case *carrier.PieceRead:
 		f.locked(func() []func() { f.takeRead(collector.GroupID{Request: m.Request, Stage: int(m.Stage)}); return nil })
 	case *carrier.PieceResults:
--- a/forwarder/pieces_test.go
+++ b/forwarder/pieces_test.go
@@ -13,24 +13,24 @@
 	"geraniumline/collector"
 )
 
-// The entry that collects pieces goes silent with an ask. The request's entry asks another one well inside an objective,
+// The entry that collects pieces goes silent with a delegation. The request's entry asks another one well inside an objective,
 // and a second result of a piece is freed.
 func TestPiecesAreAskedForElsewhereWhenTheCollectorIsSilent(t *testing.T) {
 	m := newMesh(t, 3)
 	owner, _ := m.nodes["entry-0"].owner("encode", nil)
 	asking := m.other(owner)
 	m.cut[owner] = true
-	a := asking.askPieces("encode", collector.Group{
+	a := asking.delegate("encode", collector.Group{
 		ID:       collector.GroupID{Origin: asking.cfg.Name, Request: "r"},
 		Segments: []int{0, 1},
 		Due:      time.Now().Add(time.Second),
 		Deadline: time.Now().Add(10 * time.Second),
 	})
 	require.Equal(t, owner, a.owner)
-	require.False(t, a.taken)
-	asking.locked(func() []func() { return asking.checkAsks(time.Now().Add(heardLately + time.Millisecond)) })
+	require.False(t, a.accepted)
+	asking.locked(func() []func() { return asking.checkDelegations(time.Now().Add(heardLately + time.Millisecond)) })
 	require.NotEqual(t, owner, a.owner)
-	require.True(t, a.taken)
+	require.True(t, a.accepted)
 
 	first := carrier.PieceResult{Number: 0, Handle: "h0", Address: "x:1"}
 	asking.TakeMessage(a.owner, &carrier.PieceResults{Service: "encode", Request: "r", Results: []carrier.PieceResult{first}})
@@ -44,7 +44,7 @@
 	require.Empty(t, a.results)
 }
 
-// A burst loads the entry that collects, and its word on an ask comes later than any before. Its peers hear it all the
+// A burst loads the entry that collects, and its word on a delegation comes later than any before. Its peers hear it all the
 // while. Asked in its place, a second one would fill the same endpoints, each turns calls away, and the burst is lost. Only
 // when the word is late beyond any load, as where one way between the two is cut, another one is asked.
 func TestALoadedCollectorKeepsItsAsks(t *testing.T) {
@@ -53,7 +53,7 @@
 	asking := m.other(owner)
 	m.cut[owner] = true
 	sent := time.Now()
-	a := asking.askPieces("encode", collector.Group{
+	a := asking.delegate("encode", collector.Group{
 		ID:       collector.GroupID{Origin: asking.cfg.Name, Request: "r"},
 		Segments: []int{0, 1},
 		Due:      sent.Add(time.Second),
@@ -61,7 +61,7 @@
 	})
 	m.cut[owner] = false
 	check := func(after time.Duration) {
-		asking.locked(func() []func() { return asking.checkAsks(sent.Add(after)) })
+		asking.locked(func() []func() { return asking.checkDelegations(sent.Add(after)) })
 	}
 	for after := 10 * time.Millisecond; after < heardPatience; after += 10 * time.Millisecond {
 		m.nodes[owner].detector.Tick(sent.Add(after))
@@ -73,7 +73,7 @@
 	require.NotEqual(t, owner, a.owner)
 }
 
-// The entry that collects loses power under load, and the asks that it leaves without a word are moved to the next one well
+// The entry that collects loses power under load, and the delegations that it leaves without a word are moved to the next one well
 // before anybody believes that it is gone. That one must keep them, though another is still said to have the duty: given back
 // and asked for at ever further entries, which gave them back too, they were collected by dozens at once, whose calls the
 // endpoints turned away for five seconds.
@@ -91,7 +91,7 @@
 					if name == dead {
 						continue
 					}
-					f.locked(func() []func() { return f.begin(newAsk("encode", groupOf(name, i, m.now)), m.now) })
+					f.locked(func() []func() { return f.begin(newDelegation("encode", groupOf(name, i, m.now)), m.now) })
 				}
 				m.step(100 * time.Millisecond)
 				for name, f := range m.nodes {
@@ -115,31 +115,31 @@
 	}
 }
 
-// The entry that collects stops and gives an ask back. The request's entry asks another one.
+// The entry that collects stops and gives a delegation back. The request's entry asks another one.
 func TestPiecesAreAskedForElsewhereWhenTheCollectorStops(t *testing.T) {
 	m := newMesh(t, 3)
 	owner, _ := m.nodes["entry-0"].owner("encode", nil)
 	asking := m.other(owner)
-	a := asking.askPieces("encode", collector.Group{
+	a := asking.delegate("encode", collector.Group{
 		ID:       collector.GroupID{Origin: asking.cfg.Name, Request: "r"},
 		Segments: []int{0},
 		Due:      time.Now().Add(time.Second),
 		Deadline: time.Now().Add(10 * time.Second),
 	})
-	require.True(t, a.taken)
+	require.True(t, a.accepted)
 	stopping := m.nodes[owner]
 	stopping.stopping.Store(true)
 	stopping.heartbeat(time.Now())
 	stopping.handOver(time.Now())
 	require.False(t, stopping.collecting())
 	require.True(t, a.moved)
-	asking.locked(func() []func() { return asking.checkAsks(time.Now()) })
+	asking.locked(func() []func() { return asking.checkDelegations(time.Now()) })
 	require.NotEqual(t, owner, a.owner)
-	require.True(t, a.taken)
+	require.True(t, a.accepted)
 	require.Empty(t, a.results)
 }
 
-// Words of the collecting entry take long under load. Its asks must not be placed elsewhere too: two entries would fill
+// Words of the collecting entry take long under load. Its delegations must not be placed elsewhere too: two entries would fill
 // the same endpoints.
 func TestSlowWordsDoNotMoveAsks(t *testing.T) {
 	m := newMesh(t, 2)
@@ -148,22 +148,22 @@
 	m.cut[owner] = true
 	now := time.Now()
 	for i := range 50 {
-		a := asking.askPieces("encode", collector.Group{
+		a := asking.delegate("encode", collector.Group{
 			ID:       collector.GroupID{Origin: asking.cfg.Name, Request: fmt.Sprint(i)},
 			Segments: []int{0},
 			Deadline: now.Add(time.Minute),
 		})
-		taken := &carrier.PieceTaken{Service: "encode", Request: fmt.Sprint(i)}
-		asking.locked(func() []func() { asking.takeTaken(owner, taken, a.sent.Add(140*time.Millisecond)); return nil })
+		taken := &carrier.PieceAccepted{Service: "encode", Request: fmt.Sprint(i)}
+		asking.locked(func() []func() { asking.takePieceAccepted(owner, taken, a.sent.Add(140*time.Millisecond)); return nil })
 	}
-	a := asking.askPieces("encode", collector.Group{
+	a := asking.delegate("encode", collector.Group{
 		ID:       collector.GroupID{Origin: asking.cfg.Name, Request: "last"},
 		Segments: []int{0},
 		Deadline: now.Add(time.Minute),
 	})
-	asking.locked(func() []func() { return asking.checkAsks(a.sent.Add(400 * time.Millisecond)) })
+	asking.locked(func() []func() { return asking.checkDelegations(a.sent.Add(400 * time.Millisecond)) })
 	require.Equal(t, owner, a.owner)
-	asking.locked(func() []func() { return asking.checkAsks(a.sent.Add(time.Second)) })
+	asking.locked(func() []func() { return asking.checkDelegations(a.sent.Add(time.Second)) })
 	require.NotEqual(t, owner, a.owner)
 }
 
@@ -177,19 +177,19 @@
 	now := time.Now()
 	asking.began = now
 	asking.peerLiveAt = now
-	a := asking.askPieces("encode", collector.Group{
+	a := asking.delegate("encode", collector.Group{
 		ID:       collector.GroupID{Origin: asking.cfg.Name, Request: "r"},
 		Segments: []int{0},
 		Deadline: now.Add(time.Minute),
 	})
 	require.True(t, a.held)
-	require.False(t, a.taken)
-	asking.locked(func() []func() { return asking.checkAsks(now.Add(calmTime / 2)) })
+	require.False(t, a.accepted)
+	asking.locked(func() []func() { return asking.checkDelegations(now.Add(calmTime / 2)) })
 	require.True(t, a.held)
-	asking.locked(func() []func() { return asking.checkAsks(now.Add(calmTime + time.Millisecond)) })
+	asking.locked(func() []func() { return asking.checkDelegations(now.Add(calmTime + time.Millisecond)) })
 	require.False(t, a.held)
 	require.Equal(t, owner, a.owner)
-	require.True(t, a.taken)
+	require.True(t, a.accepted)
 	asking.peerLiveAt = time.Time{}
 	require.True(t, asking.settling(now.Add(settleTime-time.Millisecond)), "alone")
 	require.False(t, asking.settling(now.Add(settleTime)))
@@ -207,7 +207,7 @@
 		Segments: []int{0},
 		Deadline: now.Add(time.Minute),
 	}
-	a := other.askPieces("encode", group)
+	a := other.delegate("encode", group)
 	other.locked(func() []func() {
 		a.owner = other.cfg.Name
 		return other.collect("encode", group, now)
@@ -218,6 +218,6 @@
 	other.locked(func() []func() { return other.handBack(now.Add(handBackAfter)) })
 	require.False(t, other.collecting())
 	require.True(t, a.moved)
-	other.locked(func() []func() { return other.checkAsks(now.Add(handBackAfter)) })
+	other.locked(func() []func() { return other.checkDelegations(now.Add(handBackAfter)) })
 	require.Equal(t, owner, a.owner)
 }
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -29,7 +29,7 @@
 		if !x.mayTryAgain() {
 			return x.giveUp("noEndpointTook")
 		}
-		choice, found := x.choose(selector.Ask{})
+		choice, found := x.choose(selector.Query{})
 		if !found {
 			return x.noEndpoint()
 		}
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -21,8 +21,8 @@
 	view poolView
 	// pools are the names of those that each stage was last asked for at.
 	pools []string
-	// asks are the latest for each stage; nil before it.
-	asks []*ask
+	// delegations are the latest for each stage; nil before it.
+	delegations []*delegation
 	// mu guards the giving back of what the request itself takes, which a timer does too. sent counts the times that the
 	// request was sent, by which the timer of an earlier time is known.
 	mu   sync.Mutex
@@ -31,8 +31,8 @@
 
 // stageEnd is the result of one piece of any of the request's stages.
 type stageEnd struct {
-	stage int
-	ask   *ask
+	stage      int
+	delegation *delegation
 	// read tells that the stage's inputs were fetched; then there is no piece.
 	read bool
 	collector.Deliver
@@ -44,10 +44,10 @@
 	modelTime := x.f.selector.FirstEvent(x.service.Name, x.req.Parts)
 	x.f.mu.Unlock()
 	return &stageWork{
-		x:     x,
-		view:  poolView{f: x.f, draw: xxhash.Sum64String(x.req.ID), near: homeZone, homes: x.homes, asked: make(map[string]string)},
-		pools: make([]string, len(x.route.Stages)),
-		asks:  make([]*ask, len(x.route.Stages)),
+		x:           x,
+		view:        poolView{f: x.f, draw: xxhash.Sum64String(x.req.ID), near: homeZone, homes: x.homes, asked: make(map[string]string)},
+		pools:       make([]string, len(x.route.Stages)),
+		delegations: make([]*delegation, len(x.route.Stages)),
 		plan: planner.New(planner.Config{
 			Origin:    x.f.cfg.Name,
 			Request:   x.req.ID,
@@ -124,8 +124,8 @@
 	if s, known := v.f.stageService(service); known {
 		patience = time.Duration(calls * float64(s.Stage.CallDuration(s.Stage.Batch)))
 	}
-	ask := divider.Ask{Service: service, Draw: v.draw, Near: near, Allows: v.allows, Patience: patience}
-	chosen := v.f.divider.Choose(ask, func(p divider.Pool) time.Duration {
+	query := divider.Query{Service: service, Draw: v.draw, Near: near, Allows: v.allows, Patience: patience}
+	chosen := v.f.divider.Choose(query, func(p divider.Pool) time.Duration {
 		return v.f.poolLoad(p.String(), now).Wait
 	})
 	return chosen.String()
@@ -164,7 +164,7 @@
 	late := time.NewTimer(time.Until(s.plan.LastStart()))
 	defer late.Stop()
 	for {
-		again := s.askNext(ends, quit)
+		again := s.delegateNext(ends, quit)
 		if s.plan.Done() {
 			return nil
 		}
@@ -184,14 +184,14 @@
 	}
 }
 
-// askNext asks for the pieces of the stages whose turn it is. The channel tells when to look again at those that wait for
+// delegateNext asks for the pieces of the stages whose turn it is. The channel tells when to look again at those that wait for
 // others; it is nil where none does.
-func (s *stageWork) askNext(ends chan<- stageEnd, quit <-chan struct{}) <-chan time.Time {
+func (s *stageWork) delegateNext(ends chan<- stageEnd, quit <-chan struct{}) <-chan time.Time {
 	now := time.Now()
 	next, again := s.plan.Next(s.view, now)
 	for _, stage := range next {
-		s.askFor(stage, now)
-		go pump(stage, s.asks[stage], ends, quit)
+		s.delegateStage(stage, now)
+		go pump(stage, s.delegations[stage], ends, quit)
 	}
 	if !again {
 		return nil
@@ -199,28 +199,28 @@
 	return time.After(planner.LookAgain)
 }
 
-// askFor asks for a stage's pieces.
-func (s *stageWork) askFor(stage int, now time.Time) {
-	g := s.plan.Ask(stage, s.view, now)
+// delegateStage asks for a stage's pieces.
+func (s *stageWork) delegateStage(stage int, now time.Time) {
+	g := s.plan.Group(stage, s.view, now)
 	service := s.view.poolOf(s.plan.Service(stage), &g, now)
 	s.pools[stage] = service
 	s.view.asked[s.plan.Service(stage)] = service
-	s.asks[stage] = s.x.f.askPieces(service, g)
+	s.delegations[stage] = s.x.f.delegate(service, g)
 	s.x.f.note("stage asked for",
 		zap.String("request", s.x.req.ID),
 		zap.Int("stage", stage),
 		zap.String("service", service),
-		zap.String("collector", s.x.f.ownerOf(s.asks[stage])),
+		zap.String("collector", s.x.f.ownerOf(s.delegations[stage])),
 		zap.Int("pieces", len(g.Segments)),
 		zap.String("zone", g.Zone),
 		zap.Duration("dueIn", g.Due.Sub(now)))
 }
 
-// pump passes an ask's results on.
-func pump(stage int, a *ask, ends chan<- stageEnd, quit <-chan struct{}) {
+// pump passes a delegation's results on.
+func pump(stage int, a *delegation, ends chan<- stageEnd, quit <-chan struct{}) {
 	read := a.read
 	for left := cap(a.results); left > 0; {
-		end := stageEnd{stage: stage, ask: a}
+		end := stageEnd{stage: stage, delegation: a}
 		select {
 		case end.Deliver = <-a.results:
 			left--
@@ -241,7 +241,7 @@
 // take takes one piece's result.
 func (s *stageWork) take(end stageEnd) *FailureError {
 	switch {
-	case end.ask != s.asks[end.stage]:
+	case end.delegation != s.delegations[end.stage]:
 		// The stage was asked for anew since, as its inputs had lapsed: this result is of no use.
 		s.freeDelivered(end.stage, end.Deliver)
 		return nil
@@ -272,7 +272,7 @@
 		zap.Int("stage", end.stage),
 		zap.Int("piece", end.Segment),
 		zap.String("service", service),
-		zap.String("collector", s.x.f.ownerOf(end.ask)),
+		zap.String("collector", s.x.f.ownerOf(end.delegation)),
 		zap.Stringer("reason", end.Result.Reason),
 		zap.Duration("waits", s.view.Load(service).Wait))
 	if end.Result.Reason == collector.Evacuated {
@@ -289,7 +289,7 @@
 	}
 	s.free(freed)
 	for _, i := range ended {
-		s.endAsk(i, i == stage)
+		s.endDelegation(i, i == stage)
 	}
 	s.x.f.log.Info("stage results made again", zap.String("request", s.x.req.ID), zap.Int("stage", stage))
 	return true
@@ -343,20 +343,20 @@
 	}
 	s.free(freed)
 	for _, i := range ended {
-		s.endAsk(i, false)
+		s.endDelegation(i, false)
 	}
 	s.x.f.log.Info("stage results made again for another endpoint", zap.String("request", s.x.req.ID))
 	return s.run()
 }
 
-// endAsk ends a stage's ask. Results that have come and were not taken yet are kept if they are still of use.
-func (s *stageWork) endAsk(stage int, keep bool) {
-	a := s.asks[stage]
+// endDelegation ends a stage's delegation. Results that have come and were not taken yet are kept if they are still of use.
+func (s *stageWork) endDelegation(stage int, keep bool) {
+	a := s.delegations[stage]
 	if a == nil {
 		return
 	}
-	s.asks[stage] = nil
-	s.x.f.endAsk(a)
+	s.delegations[stage] = nil
+	s.x.f.endDelegation(a)
 	for {
 		select {
 		case d := <-a.results:
@@ -387,7 +387,7 @@
 // freeAll ends the request's stages: nothing of them is needed any more.
 func (s *stageWork) freeAll() {
 	s.free(s.plan.FreeAll())
-	for i := range s.asks {
-		s.endAsk(i, false)
+	for i := range s.delegations {
+		s.endDelegation(i, false)
 	}
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -56,7 +56,7 @@
 		if failure := stages.restore(); failure != nil {
 			return x.giveUp(failure.Reason)
 		}
-		choice, found := x.choose(selector.Ask{Parts: x.req.Parts, ZoneBytes: stages.plan.ZoneBytes()})
+		choice, found := x.choose(selector.Query{Parts: x.req.Parts, ZoneBytes: stages.plan.ZoneBytes()})
 		if !found {
 			return x.noEndpoint()
 		}
--- a/forwarder/wait.go
+++ b/forwarder/wait.go
@@ -43,12 +43,12 @@
 
 func waitMessage(service string, load planner.Load, age time.Duration) carrier.StageWait {
 	return carrier.StageWait{
-		Service:       service,
-		Millis:        int32(load.Wait.Milliseconds()),
-		PassageMillis: int32(load.Passage.Milliseconds()),
-		Short:         load.Short,
-		OverMillis:    int32(load.Over.Milliseconds()),
-		AgeMillis:     uint32(age.Milliseconds()),
+		Service:          service,
+		Millis:           int32(load.Wait.Milliseconds()),
+		TurnaroundMillis: int32(load.Turnaround.Milliseconds()),
+		Short:            load.Short,
+		OverMillis:       int32(load.Over.Milliseconds()),
+		AgeMillis:        uint32(age.Milliseconds()),
 	}
 }
 
@@ -65,10 +65,10 @@
 			continue
 		}
 		f.waits[s.Service] = stageWait{at: at, load: planner.Load{
-			Wait:    time.Duration(s.Millis) * time.Millisecond,
-			Passage: time.Duration(s.PassageMillis) * time.Millisecond,
-			Short:   s.Short,
-			Over:    time.Duration(s.OverMillis) * time.Millisecond,
+			Wait:       time.Duration(s.Millis) * time.Millisecond,
+			Turnaround: time.Duration(s.TurnaroundMillis) * time.Millisecond,
+			Short:      s.Short,
+			Over:       time.Duration(s.OverMillis) * time.Millisecond,
 		}}
 	}
 }
--- a/messenger/fuzz_test.go
+++ b/messenger/fuzz_test.go
@@ -20,7 +20,7 @@
 		&carrier.OutcomeCall{CallID: 2, Account: "wards", Key: "k"},
 		&carrier.Outcome{CallID: 2, Answer: "done"},
 		&carrier.Handover{CallID: 3, Outcomes: make([]carrier.Outcome, 2)},
-		&carrier.PieceAsk{Service: "s", Request: "r", Numbers: []int32{0, 1}, Inputs: []string{"h"}},
+		&carrier.PieceRequest{Service: "s", Request: "r", Numbers: []int32{0, 1}, Inputs: []string{"h"}},
 		&carrier.PieceResults{Service: "s", Results: make([]carrier.PieceResult, 2)},
 		&carrier.Work{Endpoints: make([]carrier.EndpointWork, 1)},
 		&carrier.Heartbeat{From: carrier.Member{Name: "a"}, Stages: make([]carrier.StageWait, 2), ConfigAgeMillis: 1},
--- a/planner/fetched_test.go
+++ b/planner/fetched_test.go
@@ -25,7 +25,7 @@
 	now := time.Unix(1000, 0)
 	p := New(Config{Request: "r", Stages: []cataloger.Stage{{Service: "images", ResultBytes: 3_000_000}}, Counts: []int{2}, Due: now.Add(time.Second), FirstBy: now.Add(6 * time.Second)})
 	made := func() {
-		require.Len(t, p.Ask(0, shortView{}, now).Segments, 2)
+		require.Len(t, p.Group(0, shortView{}, now).Segments, 2)
 		for n := range 2 {
 			p.Took(0, collector.Deliver{Segment: n, Result: collector.PieceResult{Handle: "h"}, Address: "a"})
 		}
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -52,8 +52,8 @@
 type Load struct {
 	// Wait is how long a piece that comes now would wait for its call.
 	Wait time.Duration
-	// Passage is how long groups of pieces take there.
-	Passage time.Duration
+	// Turnaround is how long groups of pieces take there.
+	Turnaround time.Duration
 	// Short tells that it is short of space for results.
 	Short bool
 	// Over is for how long more has come there than can be made.
@@ -62,7 +62,7 @@
 
 // LoadOf gives the word on a pool of the entry that collects for it.
 func LoadOf(p *collector.Pool, now time.Time) Load {
-	return Load{Wait: max(0, p.Wait(now)), Passage: p.Passage(), Short: p.Short(now), Over: p.Over(now)}
+	return Load{Wait: max(0, p.Wait(now)), Turnaround: p.Turnaround(), Short: p.Short(now), Over: p.Over(now)}
 }
 
 // Freed are results of one stage that nothing needs any more.
@@ -178,8 +178,8 @@
 	return true
 }
 
-// Ask gives the pieces of a stage that are to be asked for, and takes them as asked for.
-func (p *Plan) Ask(stage int, view View, now time.Time) collector.Group {
+// Group gives the pieces of a stage that are to be asked for, and takes them as asked for.
+func (p *Plan) Group(stage int, view View, now time.Time) collector.Group {
 	t := &p.stages[stage]
 	t.asked = true
 	t.askedAt = now
--- a/planner/plan_test.go
+++ b/planner/plan_test.go
@@ -74,7 +74,7 @@
 			p := withImages(c.bytes)
 			view := pools{}
 			if c.asked > 0 || c.done {
-				g := p.Ask(1, view, start.Add(-c.asked))
+				g := p.Group(1, view, start.Add(-c.asked))
 				if c.done {
 					makeAll(p, g, "z")
 				}
@@ -90,15 +90,15 @@
 
 func TestAGroupIsDueAtTheUsualPaceAndLateAtTheFastest(t *testing.T) {
 	p := withImages(8_000)
-	view := pools{"rank": {Passage: 600 * time.Millisecond}}
-	g := p.Ask(1, view, start)
+	view := pools{"rank": {Turnaround: 600 * time.Millisecond}}
+	g := p.Group(1, view, start)
 	due := start.Add(1400 * time.Millisecond)
 	require.Equal(t, due.Add(-600*time.Millisecond), g.Due)
 	require.Equal(t, due.Add(-246*time.Millisecond), g.Latest)
 	require.Equal(t, start.Add(5900*time.Millisecond-246*time.Millisecond), g.Deadline)
 	require.Equal(t, "key", g.Key)
 	makeAll(p, g, "z")
-	rank := p.Ask(2, view, start)
+	rank := p.Group(2, view, start)
 	require.Equal(t, due, rank.Due)
 	require.Equal(t, rank.Due, rank.Latest)
 	require.Equal(t, []string{handle(1, 0)}, rank.Inputs)
@@ -113,8 +113,8 @@
 func TestFetchedInputsAreFreedAndMadeAgainForWhatFails(t *testing.T) {
 	p := withImages(8_000)
 	view := pools{"lookup": {Short: true}}
-	makeAll(p, p.Ask(1, view, start), "z")
-	rank := p.Ask(2, view, start)
+	makeAll(p, p.Group(1, view, start), "z")
+	rank := p.Group(2, view, start)
 	require.True(t, rank.TellRead)
 	require.Empty(t, p.InputsRead(2, pools{"rank": {Wait: time.Millisecond}}), "the ranking has a backlog")
 	freed := p.InputsRead(2, view)
@@ -127,8 +127,8 @@
 	require.Empty(t, freed, "they were given back")
 	next, _ := p.Next(view, start)
 	require.Equal(t, []int{0, 1}, next)
-	makeAll(p, p.Ask(1, view, start), "z")
-	once := p.Ask(2, view, start)
+	makeAll(p, p.Group(1, view, start), "z")
+	once := p.Group(2, view, start)
 	require.Equal(t, []int{5}, once.Segments)
 	require.NotEmpty(t, makeAll(p, once, "z"))
 	require.True(t, p.StageDone(2))
@@ -142,9 +142,9 @@
 		{Service: "a", ResultBytes: 8}, {Service: "b", After: []int{0}, ResultBytes: 8}, {Service: "c", After: []int{1}, ResultBytes: 8},
 	}})
 	view := pools{}
-	makeAll(p, p.Ask(0, view, start), "z")
-	require.NotEmpty(t, makeAll(p, p.Ask(1, view, start), "z"))
-	p.Ask(2, view, start)
+	makeAll(p, p.Group(0, view, start), "z")
+	require.NotEmpty(t, makeAll(p, p.Group(1, view, start), "z"))
+	p.Group(2, view, start)
 	_, _, again := p.Remake(2)
 	require.True(t, again)
 	next, _ := p.Next(view, start)
@@ -198,7 +198,7 @@
 func TestAllIsGivenBackOnce(t *testing.T) {
 	p := withImages(8_000)
 	view := pools{}
-	makeAll(p, p.Ask(0, view, start), "z")
+	makeAll(p, p.Group(0, view, start), "z")
 	require.Len(t, p.FreeAll(), 1)
 	require.Empty(t, p.FreeAll())
 	require.Equal(t, map[string]int64{"z": 16_000, "": 48_000}, p.ZoneBytes())
--- a/planner/timing.go
+++ b/planner/timing.go
@@ -179,5 +179,5 @@
 	if p.cfg.Off.Has(switcher.PassageLeft) {
 		return call
 	}
-	return max(view.Load(p.Service(stage)).Passage, call)
+	return max(view.Load(p.Service(stage)).Turnaround, call)
 }
--- a/selector/bench_test.go
+++ b/selector/bench_test.go
@@ -13,7 +13,7 @@
 			own := uint64(0)
 			for b.Loop() {
 				own++
-				choice, _ := s.Choose(Ask{Service: "pool", Parts: prompt(own%40, 1000+own)}, now)
+				choice, _ := s.Choose(Query{Service: "pool", Parts: prompt(own%40, 1000+own)}, now)
 				s.Started(choice, prompt(own%40, 1000+own), now)
 				s.Cancelled(choice)
 			}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -42,8 +42,8 @@
 	Tokens int
 }
 
-// Ask says what a call needs.
-type Ask struct {
+// Query says what a call needs.
+type Query struct {
 	Service string
 	// Parts are the prompt's parts in order; empty for plain calls.
 	Parts []Part
@@ -266,22 +266,22 @@
 }
 
 // Choose names the endpoint with the least predicted work, or none if all were tried or are ejected.
-func (s *Selector) Choose(ask Ask, now time.Time) (Choice, bool) {
-	p, known := s.pools[ask.Service]
+func (s *Selector) Choose(query Query, now time.Time) (Choice, bool) {
+	p, known := s.pools[query.Service]
 	if !known {
 		return Choice{}, false
 	}
-	candidates := p.candidates(&ask, s.cfg.Gate, now)
+	candidates := p.candidates(&query, s.cfg.Gate, now)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	keys := chainKeys(ask.Parts)
-	home := s.homesOf(p, &ask, keys, now)
+	keys := chainKeys(query.Parts)
+	home := s.homesOf(p, &query, keys, now)
 	best, bestScore := Choice{}, 0.0
 	start := s.cfg.Rand.IntN(len(candidates))
 	for i := range candidates {
 		e := candidates[(start+i)%len(candidates)]
-		choice, score := s.weigh(e, &ask, keys, home)
+		choice, score := s.weigh(e, &query, keys, home)
 		if best.Endpoint.ID == "" || score < bestScore {
 			best, bestScore = choice, score
 		}
@@ -319,19 +319,19 @@
 }
 
 // allowed tells whether the call may go to the endpoint at all.
-func (p *pool) allowed(e *endpoint, ask *Ask, gate Gate, now time.Time) bool {
-	if slices.Contains(ask.Avoid, e.ID) || ask.Regions != nil && !slices.Contains(ask.Regions, e.Region) {
+func (p *pool) allowed(e *endpoint, query *Query, gate Gate, now time.Time) bool {
+	if slices.Contains(query.Avoid, e.ID) || query.Regions != nil && !slices.Contains(query.Regions, e.Region) {
 		return false
 	}
 	return gate == nil || gate.Allows(&e.Endpoint, p.coldPerSecond, now)
 }
 
 // candidates are the endpoints that may take the call: those in use that have not just refused one, or one whose probe is due.
-func (p *pool) candidates(ask *Ask, gate Gate, now time.Time) []*endpoint {
+func (p *pool) candidates(query *Query, gate Gate, now time.Time) []*endpoint {
 	var usable, refusing, probing, out []*endpoint
 	for _, e := range p.endpoints {
 		p.health.Advance(&e.health, now)
-		if !p.allowed(e, ask, gate, now) {
+		if !p.allowed(e, query, gate, now) {
 			continue
 		}
 		switch {
@@ -346,7 +346,7 @@
 		}
 	}
 	switch {
-	case len(probing) > 0 && !ask.NoProbe && len(ask.Avoid) == 0:
+	case len(probing) > 0 && !query.NoProbe && len(query.Avoid) == 0:
 		// A quiet pool would never try it again if better ones always went first.
 		return probing[:1]
 	case len(usable) > 0:
@@ -361,13 +361,13 @@
 }
 
 // weigh gives the work that waits before the call's first token at the endpoint, in prompt tokens.
-func (s *Selector) weigh(e *endpoint, ask *Ask, keys []uint64, home []*endpoint) (Choice, float64) {
+func (s *Selector) weigh(e *endpoint, query *Query, keys []uint64, home []*endpoint) (Choice, float64) {
 	prompt := 0
-	for _, part := range ask.Parts {
+	for _, part := range query.Parts {
 		prompt += part.Tokens
 	}
-	shared := sharedTokens(ask.Parts)
-	cached := min(e.cache.held(keys, ask.Parts), shared)
+	shared := sharedTokens(query.Parts)
+	cached := min(e.cache.held(keys, query.Parts), shared)
 	for rank, h := range home {
 		if h == e {
 			// This entry may not have sent the parts here yet, but all entries send them here first.
@@ -377,7 +377,7 @@
 	own := prompt - cached + s.cfg.CallTokens
 	score := float64(e.tokens+e.peerTokens+own) + (rereadWeight-1)*float64(shared-cached)
 	score *= e.health.Slowness()
-	for zone, n := range ask.ZoneBytes {
+	for zone, n := range query.ZoneBytes {
 		if zone != e.Zone && !s.cfg.Off.Has(switcher.NearResults) {
 			score += float64(n) / 1e6 * float64(s.cfg.FarTokens)
 		}
@@ -387,11 +387,11 @@
 
 // homesOf gives the endpoints at which the prompt's largest shared beginning is kept, in their order. An endpoint that bears
 // few of the calls that would come for the parts is none.
-func (s *Selector) homesOf(p *pool, ask *Ask, keys []uint64, now time.Time) []*endpoint {
+func (s *Selector) homesOf(p *pool, query *Query, keys []uint64, now time.Time) []*endpoint {
 	if len(keys) < 2 || s.cfg.Off.Has(switcher.PromptHomes) {
 		return nil
 	}
-	key := keys[largestShared(ask.Parts)]
+	key := keys[largestShared(query.Parts)]
 	home := make([]*endpoint, 0, homes)
 	for len(home) < homes && len(home) < len(p.endpoints) {
 		var best *endpoint
@@ -399,7 +399,7 @@
 			if slices.Contains(home, e) || e.health.State() != ejector.InUse || s.bearsFew(e, now) {
 				continue
 			}
-			if ask.Regions != nil && !slices.Contains(ask.Regions, e.Region) {
+			if query.Regions != nil && !slices.Contains(query.Regions, e.Region) {
 				continue
 			}
 			if best == nil || hasher.Mix(e.hash^key) > hasher.Mix(best.hash^key) {
@@ -425,7 +425,7 @@
 	if !known || sharedTokens(parts) < homeShared {
 		return ""
 	}
-	home := s.homesOf(p, &Ask{Parts: parts, Regions: regions}, chainKeys(parts), now)
+	home := s.homesOf(p, &Query{Parts: parts, Regions: regions}, chainKeys(parts), now)
 	if len(home) == 0 {
 		return ""
 	}
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -42,13 +42,13 @@
 func TestEntriesAgreeOnAPromptsHome(t *testing.T) {
 	a, b := newSelector(9), newSelector(9)
 	for shared := range uint64(40) {
-		ask := Ask{Service: "pool", Parts: prompt(shared, 1000+shared)}
-		first, found := a.Choose(ask, now)
+		query := Query{Service: "pool", Parts: prompt(shared, 1000+shared)}
+		first, found := a.Choose(query, now)
 		require.True(t, found)
-		second, found := b.Choose(ask, now)
+		second, found := b.Choose(query, now)
 		require.True(t, found)
 		require.Equal(t, first.Endpoint.ID, second.Endpoint.ID)
-		require.Equal(t, first.Endpoint.Zone, a.HomeZone("pool", ask.Parts, nil, now))
+		require.Equal(t, first.Endpoint.Zone, a.HomeZone("pool", query.Parts, nil, now))
 	}
 }
 
@@ -58,7 +58,7 @@
 	s := newSelector(9)
 	used := map[string]int{}
 	for own := range uint64(30) {
-		choice, found := s.Choose(Ask{Service: "pool", Parts: prompt(7, 100+own)}, now)
+		choice, found := s.Choose(Query{Service: "pool", Parts: prompt(7, 100+own)}, now)
 		require.True(t, found)
 		s.Started(choice, prompt(7, 100+own), now)
 		used[choice.Endpoint.ID]++
@@ -71,14 +71,14 @@
 	s := newSelector(3)
 	s.SetPeer("peer", map[string]int{"e0": 50_000, "e1": 50_000})
 	for range 20 {
-		choice, found := s.Choose(Ask{Service: "pool"}, now)
+		choice, found := s.Choose(Query{Service: "pool"}, now)
 		require.True(t, found)
 		require.Equal(t, "e2", choice.Endpoint.ID)
 	}
 	s.SetPeer("peer", nil)
 	seen := map[string]bool{}
 	for range 50 {
-		choice, _ := s.Choose(Ask{Service: "pool"}, now)
+		choice, _ := s.Choose(Query{Service: "pool"}, now)
 		seen[choice.Endpoint.ID] = true
 	}
 	require.Len(t, seen, 3)
@@ -87,7 +87,7 @@
 func TestResultsThatLieInAZoneDrawTheCallThere(t *testing.T) {
 	s := newSelector(9)
 	for range 20 {
-		choice, found := s.Choose(Ask{Service: "pool", ZoneBytes: map[string]int64{"z1": 9_000_000}}, now)
+		choice, found := s.Choose(Query{Service: "pool", ZoneBytes: map[string]int64{"z1": 9_000_000}}, now)
 		require.True(t, found)
 		require.Equal(t, "z1", choice.Endpoint.Zone)
 	}
@@ -95,12 +95,12 @@
 
 func TestTriedEndpointsAreAvoided(t *testing.T) {
 	s := newSelector(2)
-	choice, found := s.Choose(Ask{Service: "pool", Avoid: []string{"e0"}}, now)
+	choice, found := s.Choose(Query{Service: "pool", Avoid: []string{"e0"}}, now)
 	require.True(t, found)
 	require.Equal(t, "e1", choice.Endpoint.ID)
-	_, found = s.Choose(Ask{Service: "pool", Avoid: []string{"e0", "e1"}}, now)
+	_, found = s.Choose(Query{Service: "pool", Avoid: []string{"e0", "e1"}}, now)
 	require.False(t, found)
-	_, found = s.Choose(Ask{Service: "unknown"}, now)
+	_, found = s.Choose(Query{Service: "unknown"}, now)
 	require.False(t, found)
 }
 
@@ -112,17 +112,17 @@
 	s.Started(down, nil, now)
 	require.True(t, s.Ended(down, ejector.Down, now))
 	for range 50 {
-		choice, found := s.Choose(Ask{Service: "pool", NoProbe: true}, now.Add(2*time.Second))
+		choice, found := s.Choose(Query{Service: "pool", NoProbe: true}, now.Add(2*time.Second))
 		require.True(t, found)
 		require.NotEqual(t, "e1", choice.Endpoint.ID)
 	}
-	choice, _ := s.Choose(Ask{Service: "pool"}, now.Add(2*time.Second))
+	choice, _ := s.Choose(Query{Service: "pool"}, now.Add(2*time.Second))
 	require.Equal(t, "e1", choice.Endpoint.ID, "a request that may run twice is the probe")
 }
 
 func TestWorkIsGivenBack(t *testing.T) {
 	s := newSelector(1)
-	choice, _ := s.Choose(Ask{Service: "pool", Parts: prompt(1, 2)}, now)
+	choice, _ := s.Choose(Query{Service: "pool", Parts: prompt(1, 2)}, now)
 	s.Started(choice, prompt(1, 2), now)
 	require.Equal(t, choice.Tokens, s.Work()["e0"])
 	s.Read(&choice)
@@ -158,14 +158,14 @@
 // of its earlier start must not count for the new one, or its work would fall below none and draw all calls there.
 func TestAnEndpointThatStartsAgainBeginsAnew(t *testing.T) {
 	s := newSelector(1)
-	ask := Ask{Service: "pool", Parts: prompt(7, 100)}
-	before, found := s.Choose(ask, now)
+	query := Query{Service: "pool", Parts: prompt(7, 100)}
+	before, found := s.Choose(query, now)
 	require.True(t, found)
-	s.Started(before, ask.Parts, now)
+	s.Started(before, query.Parts, now)
 	s.SetPeer("peer", map[string]int{"e0": 5_000})
 	for range 20 {
 		s.Ended(before, ejector.Bad, now)
-		s.Started(before, ask.Parts, now)
+		s.Started(before, query.Parts, now)
 	}
 	again := before.Endpoint
 	again.Started = now.Add(time.Second)
@@ -174,7 +174,7 @@
 	require.Empty(t, s.Work())
 	require.Zero(t, s.byID["e0"].peerTokens)
 	require.Equal(t, ejector.InUse, s.byID["e0"].health.State())
-	require.Zero(t, s.byID["e0"].cache.held(chainKeys(ask.Parts), ask.Parts))
+	require.Zero(t, s.byID["e0"].cache.held(chainKeys(query.Parts), query.Parts))
 	require.False(t, s.Ended(before, ejector.Bad, now))
 	s.Cancelled(before)
 	s.SetPeer("peer", nil)
@@ -220,10 +220,10 @@
 	s := newSelector(9)
 	g := &gate{}
 	s.cfg.Gate = g
-	ask := Ask{Service: "pool", Parts: prompt(7, 100)}
-	first, found := s.Choose(ask, now)
+	query := Query{Service: "pool", Parts: prompt(7, 100)}
+	first, found := s.Choose(query, now)
 	require.True(t, found)
-	s.Started(first, ask.Parts, now)
+	s.Started(first, query.Parts, now)
 	s.Ended(first, ejector.Good, now)
 	all := make([]registrar.Endpoint, 0, 9)
 	for _, e := range s.byID {
@@ -236,19 +236,19 @@
 	}
 	s.SetEndpoints(all)
 	require.Equal(t, 1, s.Cold(now))
-	require.Zero(t, s.byID[first.Endpoint.ID].cache.held(chainKeys(ask.Parts), ask.Parts))
-	second, found := s.Choose(ask, now)
+	require.Zero(t, s.byID[first.Endpoint.ID].cache.held(chainKeys(query.Parts), query.Parts))
+	second, found := s.Choose(query, now)
 	require.True(t, found)
 	require.NotEqual(t, first.Endpoint.ID, second.Endpoint.ID)
 	g.left = 1
 	for range 40 {
-		choice, found := s.Choose(Ask{Service: "pool", Parts: prompt(8, 100)}, now)
+		choice, found := s.Choose(Query{Service: "pool", Parts: prompt(8, 100)}, now)
 		require.True(t, found)
 		s.Started(choice, nil, now)
 	}
 	require.Equal(t, 0, g.left, "what the gate allows is used, and no more")
 	require.Equal(t, 1, s.byID[first.Endpoint.ID].calls)
-	warm, found := s.Choose(ask, now.Add(3*time.Second))
+	warm, found := s.Choose(query, now.Add(3*time.Second))
 	require.True(t, found)
 	require.Equal(t, first.Endpoint.ID, warm.Endpoint.ID)
 }
@@ -260,10 +260,10 @@
 	far.Region = "far"
 	s.SetEndpoints([]registrar.Endpoint{s.byID["e0"].Endpoint, far})
 	for range 10 {
-		choice, found := s.Choose(Ask{Service: "pool", Regions: []string{"far"}}, now)
+		choice, found := s.Choose(Query{Service: "pool", Regions: []string{"far"}}, now)
 		require.True(t, found)
 		require.Equal(t, "e1", choice.Endpoint.ID)
 	}
-	_, found := s.Choose(Ask{Service: "pool", Regions: []string{"nowhere"}}, now)
+	_, found := s.Choose(Query{Service: "pool", Regions: []string{"nowhere"}}, now)
 	require.False(t, found)
 }
