--- a/carrier/message.go
+++ b/carrier/message.go
@@ -69,7 +69,7 @@
 func (m *PieceFree) Kind() Kind { return KindPieceFree }
 
 // Kind tells that m tells the sender's work under way.
-func (m *Work) Kind() Kind { return KindWork }
+func (m *LoadReport) Kind() Kind { return KindLoadReport }
 
 // Kind tells that m calls for the configuration.
 func (m *ConfigCall) Kind() Kind { return KindConfigCall }
@@ -122,8 +122,8 @@
 		return &PieceWithdraw{}, nil
 	case KindPieceFree:
 		return &PieceFree{}, nil
-	case KindWork:
-		return &Work{}, nil
+	case KindLoadReport:
+		return &LoadReport{}, nil
 	case KindConfigCall:
 		return &ConfigCall{}, nil
 	case KindConfigReply:
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -26,7 +26,7 @@
 	KindPieceResults
 	KindPieceWithdraw
 	KindPieceFree
-	KindWork
+	KindLoadReport
 	KindConfigCall
 	KindConfigReply
 	KindEndpointsCall
@@ -355,8 +355,8 @@
 	AgeMillis     uint32
 }
 
-// Work is what an entry has under way. It replaces the sender's earlier word.
-type Work struct {
+// LoadReport is what an entry has under way. It replaces the sender's earlier one.
+type LoadReport struct {
 	Endpoints []EndpointWork `msg:"endpoints,limit=16384"`
 }
 
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -4722,6 +4722,203 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *LoadReport) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "endpoints":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoints")
+				return
+			}
+			if zb0002 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Endpoints) >= int(zb0002) {
+				z.Endpoints = (z.Endpoints)[:zb0002]
+			} else {
+				z.Endpoints = make([]EndpointWork, zb0002)
+			}
+			for za0001 := range z.Endpoints {
+				var zb0003 uint32
+				zb0003, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0001)
+					return
+				}
+				if zb0003 > 16384 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Endpoints[za0001].ID, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0001, "ID")
+					return
+				}
+				z.Endpoints[za0001].Tokens, err = dc.ReadInt32()
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0001, "Tokens")
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "endpoints"
+	err = en.Append(0x81, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Endpoints)))
+	if err != nil {
+		err = msgp.WrapError(err, "Endpoints")
+		return
+	}
+	for za0001 := range z.Endpoints {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Endpoints[za0001].ID)
+		if err != nil {
+			err = msgp.WrapError(err, "Endpoints", za0001, "ID")
+			return
+		}
+		err = en.WriteInt32(z.Endpoints[za0001].Tokens)
+		if err != nil {
+			err = msgp.WrapError(err, "Endpoints", za0001, "Tokens")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "endpoints"
+	o = append(o, 0x81, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
+	for za0001 := range z.Endpoints {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Endpoints[za0001].ID)
+		o = msgp.AppendInt32(o, z.Endpoints[za0001].Tokens)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "endpoints":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoints")
+				return
+			}
+			if zb0002 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Endpoints) >= int(zb0002) {
+				z.Endpoints = (z.Endpoints)[:zb0002]
+			} else {
+				z.Endpoints = make([]EndpointWork, zb0002)
+			}
+			for za0001 := range z.Endpoints {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0001)
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Endpoints[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0001, "ID")
+					return
+				}
+				z.Endpoints[za0001].Tokens, bts, err = msgp.ReadInt32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0001, "Tokens")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LoadReport) Msgsize() (s int) {
+	s = 1 + 10 + msgp.ArrayHeaderSize
+	for za0001 := range z.Endpoints {
+		s += 1 + msgp.StringPrefixSize + len(z.Endpoints[za0001].ID) + msgp.Int32Size
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *MadeResult) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -8545,200 +8742,3 @@
 	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Int32Size + msgp.Int32Size + msgp.BoolSize + msgp.Int32Size + msgp.Uint32Size
 	return
 }
-
-// DecodeMsg implements msgp.Decodable
-func (z *Work) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "endpoints":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Endpoints")
-				return
-			}
-			if zb0002 > 16384 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Endpoints) >= int(zb0002) {
-				z.Endpoints = (z.Endpoints)[:zb0002]
-			} else {
-				z.Endpoints = make([]EndpointWork, zb0002)
-			}
-			for za0001 := range z.Endpoints {
-				var zb0003 uint32
-				zb0003, err = dc.ReadArrayHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Endpoints", za0001)
-					return
-				}
-				if zb0003 > 16384 {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				if zb0003 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-					return
-				}
-				z.Endpoints[za0001].ID, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Endpoints", za0001, "ID")
-					return
-				}
-				z.Endpoints[za0001].Tokens, err = dc.ReadInt32()
-				if err != nil {
-					err = msgp.WrapError(err, "Endpoints", za0001, "Tokens")
-					return
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Work) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "endpoints"
-	err = en.Append(0x81, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Endpoints)))
-	if err != nil {
-		err = msgp.WrapError(err, "Endpoints")
-		return
-	}
-	for za0001 := range z.Endpoints {
-		// array header, size 2
-		err = en.Append(0x92)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Endpoints[za0001].ID)
-		if err != nil {
-			err = msgp.WrapError(err, "Endpoints", za0001, "ID")
-			return
-		}
-		err = en.WriteInt32(z.Endpoints[za0001].Tokens)
-		if err != nil {
-			err = msgp.WrapError(err, "Endpoints", za0001, "Tokens")
-			return
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Work) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "endpoints"
-	o = append(o, 0x81, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
-	for za0001 := range z.Endpoints {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Endpoints[za0001].ID)
-		o = msgp.AppendInt32(o, z.Endpoints[za0001].Tokens)
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Work) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "endpoints":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Endpoints")
-				return
-			}
-			if zb0002 > 16384 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Endpoints) >= int(zb0002) {
-				z.Endpoints = (z.Endpoints)[:zb0002]
-			} else {
-				z.Endpoints = make([]EndpointWork, zb0002)
-			}
-			for za0001 := range z.Endpoints {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Endpoints", za0001)
-					return
-				}
-				if zb0003 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-					return
-				}
-				z.Endpoints[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Endpoints", za0001, "ID")
-					return
-				}
-				z.Endpoints[za0001].Tokens, bts, err = msgp.ReadInt32Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Endpoints", za0001, "Tokens")
-					return
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Work) Msgsize() (s int) {
-	s = 1 + 10 + msgp.ArrayHeaderSize
-	for za0001 := range z.Endpoints {
-		s += 1 + msgp.StringPrefixSize + len(z.Endpoints[za0001].ID) + msgp.Int32Size
-	}
-	return
-}
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -41,7 +41,7 @@
 	zoneSlack = 2.5
 	// expireEvery is how often groups are looked for that can't be made while more than backlogGroups wait, a tenth of a
 	// call; else it is at each tick. Ordered that often, a backlog takes so much of a collecting entry's processor that its
-	// words come late, and others are asked in its place.
+	// answers come late, and others get the pieces in its place.
 	expireEvery   = 30 * time.Millisecond
 	backlogGroups = 50
 	// overLife is how long after a group was last given up more is still believed to come than can be made: three calls.
--- a/collector/event.go
+++ b/collector/event.go
@@ -34,7 +34,7 @@
 	// Zone is where the pieces should be made: where their inputs lie or their results are wanted. It is empty where
 	// that is all the same.
 	Zone string
-	// Kept groups stay here though another entry is said to have the duty: that one left their origin without a word.
+	// Kept groups stay here though another entry is said to have the duty: that one left their origin without an answer.
 	Kept bool
 	// Regions are those where the pieces may be made; empty where all are.
 	Regions []string
--- a/collector/group.go
+++ b/collector/group.go
@@ -30,7 +30,7 @@
 
 func (p *Pool) takeGroup(g Group, now time.Time) {
 	if _, known := p.groups[g.ID]; known {
-		// The entry asks again since it missed the word that the first ask has come.
+		// The entry sends it again since it missed the answer to the first time.
 		return
 	}
 	taken := &group{
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -41,7 +41,7 @@
 	// else a heartbeat carries then reaches only its targets, and must be told on by them. Zero means always.
 	FullMesh int
 	// SpreadSuspectAfter and SpreadDeadAfter stand for SuspectAfter and DeadAfter beyond FullMesh, where they are longer:
-	// word of a step takes some rounds of heartbeats.
+	// news of a step take some rounds of heartbeats.
 	SpreadSuspectAfter time.Duration
 	SpreadDeadAfter    time.Duration
 	// HeartbeatEvery is the time between heartbeats, by which entries agree on the number of a round beyond FullMesh.
@@ -155,7 +155,7 @@
 	return wireMember(&d.self)
 }
 
-// Digest gives what this entry knows of the other members. Dead ones are left out: no word of them is news.
+// Digest gives what this entry knows of the other members. Dead ones are left out: there is no news of them.
 func (d *Detector) Digest(now time.Time) []carrier.Member {
 	out := make([]carrier.Member, 0, len(d.order))
 	for _, r := range d.order {
--- a/detector/evidence.go
+++ b/detector/evidence.go
@@ -133,7 +133,7 @@
 	return append(out, Transition{Member: r.member, From: from, To: to, Refused: to == Dead && d.refused(r, now)})
 }
 
-// Refuse takes the word of the network that no process listens at a peer address.
+// Refuse notes that the network says that no process listens at a peer address.
 func (d *Detector) Refuse(peerAddress string, now time.Time) []Transition {
 	var out []Transition
 	for _, r := range d.order {
@@ -148,7 +148,7 @@
 
 // refused tells whether a member's process has ended, by two signs that no silence alone gives: its address refuses
 // connections, and nobody has heard a step of it since, nor for half of the time that makes it suspect. A firewall
-// between two entries may refuse as well; then a third still hears the member, and its word keeps it alive.
+// between two entries may refuse as well; then a third still hears the member, and what it tells keeps it alive.
 func (d *Detector) refused(r *record, now time.Time) bool {
 	return r.refusedAt.After(r.member.LastHeard) && now.Sub(r.member.LastHeard) > d.suspectAfter()/2
 }
@@ -180,7 +180,7 @@
 	return append(out, Transition{Member: d.self, From: from, To: to})
 }
 
-// assessSelf judges this entry. If no peer's word shows a recent own step, either no peer hears this entry or it
+// assessSelf judges this entry. If no peer tells of a recent own step, either no peer hears this entry or it
 // hears no peer: it can't take part in limits or learn of configuration, although the other direction may still
 // work. It says Suspect of itself, so that neither peers nor it give it to callers.
 func (d *Detector) assessSelf(now time.Time) State {
--- a/detector/gossip.go
+++ b/detector/gossip.go
@@ -17,7 +17,7 @@
 	// a zone don't spend their links on a large one.
 	maxEachZone = 4
 	// directPart is the part of SuspectAfter for which a member of another zone that was heard directly is told on: its
-	// word of what it heard of this entry need not come back by its own zone.
+	// news of what it heard of this entry need not come back by its own zone.
 	directPart = 3
 )
 
@@ -26,11 +26,11 @@
 	return d.cfg.FullMesh == 0 || len(d.order) < d.cfg.FullMesh
 }
 
-// Spreads tells whether there are so many members that word of them spreads by gossip, and heartbeats go to few.
+// Spreads tells whether there are so many members that news of them spread by gossip, and heartbeats go to few.
 func (d *Detector) Spreads() bool { return !d.fullMesh() }
 
-// suspectAfter and deadAfter are the silences that doubt and end a member. Beyond the full mesh word of a step takes some
-// rounds, more where frames are lost (TestALargeFleetDoubtsNobody). Judged by the times of a full mesh while word is older,
+// suspectAfter and deadAfter are the silences that doubt and end a member. Beyond the full mesh news of a step take some
+// rounds, more where frames are lost (TestALargeFleetDoubtsNobody). Judged by the times of a full mesh while news are older,
 // live entries flap, and many take one duty at once.
 func (d *Detector) suspectAfter() time.Duration {
 	if d.fullMesh() {
--- a/evacuator/evacuator.go
+++ b/evacuator/evacuator.go
@@ -33,7 +33,7 @@
 	Held []string
 }
 
-// Evacuator folds the operator's records. Word from the store and word from peers go by one position, so that a stale read or
+// Evacuator folds the operator's records. What the store and what peers tell go by one position, so that a stale read or
 // a peer that has not heard yet never brings back a state that the operator has ended.
 type Evacuator struct {
 	next  locator.Position
@@ -77,7 +77,7 @@
 func (e *Evacuator) EndedAt(zone string) time.Time { return e.endedAt[zone] }
 
 // Apply takes the records that follow those known, up to the position next, and tells whether any zone's state changed. Those
-// that a peer's word has brought already are passed over, and so are those of another era: they leave a gap.
+// that a peer has told already are passed over, and so are those of another era: they leave a gap.
 func (e *Evacuator) Apply(changes []Change, next locator.Position, now time.Time) bool {
 	if !e.next.Before(next) || next.Era() != e.next.Era() {
 		return false
@@ -100,7 +100,7 @@
 
 // Take takes a whole state, from the store's newest records or from a peer, and tells whether any zone's state changed. An
 // older one than that known is dropped. Of a new era, what was evacuated in the era before is held: the store may have
-// returned from a copy that is older than the operator's word.
+// returned from a copy that is older than the operator's record.
 func (e *Evacuator) Take(s State, now time.Time) bool {
 	if !e.next.Before(s.Next) {
 		return false
--- a/forwarder/duty.go
+++ b/forwarder/duty.go
@@ -98,7 +98,7 @@
 
 // busyFor names the entries that collect for the stages' services before this one in the order of their names. Each service
 // gets a collecting entry of its own: one that collected for two of three services in a burst stood still for half a second
-// at a time on its half a core, and entries that waited for its word asked others. The lock is held.
+// at a time on its half a core, and entries that waited for its answer delegated to others. The lock is held.
 func (f *Forwarder) busyFor(duty string) []string {
 	if f.catalog == nil {
 		return nil
--- a/forwarder/era.go
+++ b/forwarder/era.go
@@ -8,7 +8,7 @@
 	"geraniumline/meter"
 )
 
-// takeEra notes an era of the store, by its own word or a peer's. The lock is held.
+// takeEra notes an era of the store, told by the store or a peer. The lock is held.
 func (f *Forwarder) takeEra(era int64, source string) {
 	if !f.eraKnown {
 		// The first era that an entry hears of says nothing of a return.
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -12,7 +12,7 @@
 // 504 promise nothing.
 type FailureError struct {
 	Status int
-	// Reason is a word for logs, metrics and callers.
+	// Reason is a short name for logs, metrics and callers.
 	Reason string
 	// RetryAfter tells the caller when to come back; 0 says nothing.
 	RetryAfter time.Duration
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -40,8 +40,8 @@
 	// suspectAfter and deadAfter are the silences after which a peer gets no work and is taken for dead.
 	suspectAfter = 700 * time.Millisecond
 	deadAfter    = 2 * time.Second
-	// spreadSuspectAfter and spreadDeadAfter are the same where word of a peer comes by others: they leave room for the oldest
-	// word of a live one while a tenth of the frames is lost.
+	// spreadSuspectAfter and spreadDeadAfter are the same where news of a peer come by others: they leave room for the oldest
+	// news of a live one while a tenth of the frames is lost.
 	spreadSuspectAfter = 1200 * time.Millisecond
 	spreadDeadAfter    = 2500 * time.Millisecond
 	// probeEvery is how often seeds and peers that are not heard are tried: two heartbeats. After a loss of all power
@@ -131,10 +131,10 @@
 	divider     *divider.Divider
 	pools       map[string]*collector.Pool
 	delegations map[delegationID]*delegation
-	// waits are the newest words on the stage pools that peers collect for.
+	// waits are the newest loads told of the stage pools that peers collect for.
 	waits map[string]stageWait
-	// workAt is when each peer's word on its work came.
-	workAt map[string]time.Time
+	// reportedAt is when each peer's load report came.
+	reportedAt map[string]time.Time
 	// duties remembers who has which duty.
 	duties duties
 	// addresses are the peers' addresses by name.
@@ -227,7 +227,7 @@
 
 		otherSince: make(map[string]time.Time),
 		addresses:  make(map[string]string),
-		workAt:     make(map[string]time.Time),
+		reportedAt: make(map[string]time.Time),
 	}
 }
 
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -47,12 +47,12 @@
 	})
 }
 
-// noteLeaving writes a line on an endpoint that leaves, by its own answer or a peer's word.
+// noteLeaving writes a line on an endpoint that leaves; the source is the endpoint itself or a peer.
 func (f *Forwarder) noteLeaving(endpoint, source string) {
 	f.noteNotice("endpoint leaves", zap.String("endpoint", endpoint), zap.String("source", source))
 }
 
-// noteLimit writes a line on the change of an endpoint's limit, by its own answer or a peer's word.
+// noteLimit writes a line on the change of an endpoint's limit; the source is the endpoint itself or a peer.
 func (f *Forwarder) noteLimit(endpoint string, perSecond float64, source string) {
 	f.noteNotice("endpoint's limit changed",
 		zap.String("endpoint", endpoint),
@@ -79,7 +79,7 @@
 	return list
 }
 
-// takeLimits takes a peer's word on endpoints' limits. The lock is held.
+// takeLimits takes endpoints' limits that a peer tells. The lock is held.
 func (f *Forwarder) takeLimits(list []carrier.EndpointLimit, from string, now time.Time) {
 	for _, m := range list {
 		l := regulator.Limit{
@@ -104,7 +104,7 @@
 	return list
 }
 
-// takeLeaving takes a peer's word on endpoints that leave. The lock is held.
+// takeLeaving takes the endpoints that leave as a peer tells. The lock is held.
 func (f *Forwarder) takeLeaving(list []carrier.EndpointLeave, from string, now time.Time) []func() {
 	changed := false
 	for _, m := range list {
@@ -133,7 +133,7 @@
 	return list
 }
 
-// takeRefusing takes a peer's word on endpoints that refuse its calls. The lock is held.
+// takeRefusing takes the endpoints that refuse a peer's calls. The lock is held.
 func (f *Forwarder) takeRefusing(list []carrier.EndpointRefusal, now time.Time) {
 	for _, m := range list {
 		if f.registry.Lists(m.ID, timeOf(m.StartedMillis)) {
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -28,7 +28,7 @@
 	// entries ask at once; asked of all peers, with whole lists as answers, that fills the links of small VMs, so that
 	// heartbeats are late and entries take each other for dead.
 	askedPeers = 3
-	// freshMargin is how much fresher a peer's word of the store must be to be passed on: nearly one reading.
+	// freshMargin is how much fresher a peer's reading of the store must be to be passed on: nearly one interval.
 	freshMargin = 500 * time.Millisecond
 )
 
@@ -43,7 +43,7 @@
 	f.setSenders(members)
 	f.retrier.SetReserve(reserveFor(f.cfg.RetrySlack, max(usualEntries, len(peers)+1)))
 	f.duties.forget()
-	f.dropOldWork(now)
+	f.dropOldReports(now)
 	beat := f.detector.Heartbeat(now)
 	beat.Crashes = f.quarantiner.Marks(now)
 	beat.Stages = f.stageWaits(now)
@@ -55,16 +55,16 @@
 	beat.ConfigAgeMillis = min(now.Sub(f.configHeard), maxConfigAge).Milliseconds()
 	f.round++
 	targets := f.detector.Targets(now)
-	beatTargets, workTargets := f.targets(targets, peers)
-	work := f.work()
+	heartbeatTargets, reportTargets := f.targets(targets, peers)
+	work := f.loadReport()
 	questions := f.questions(members, now)
 	todo := f.takeTransitions(transitions, now)
 	f.mu.Unlock()
 	run(todo)
-	for _, address := range beatTargets {
+	for _, address := range heartbeatTargets {
 		f.sender.Send(address, beat)
 	}
-	for _, address := range workTargets {
+	for _, address := range reportTargets {
 		f.sender.Send(address, work)
 	}
 	for address, list := range questions {
@@ -209,8 +209,8 @@
 			todo = append(todo, f.takeLeaving(m.Leaving, m.From.Name, now)...)
 			return append(todo, f.takeTransitions(f.detector.Receive(m, now), now)...)
 		})
-	case *carrier.Work:
-		f.locked(func() []func() { f.takeWork(from, m, now); return nil })
+	case *carrier.LoadReport:
+		f.locked(func() []func() { f.takeLoadReport(from, m, now); return nil })
 	case *carrier.ConfigCall:
 		f.locked(func() []func() { return f.replyConfig(from) })
 	case *carrier.ConfigReply:
@@ -247,7 +247,7 @@
 	run(todo)
 }
 
-// RefusedPeer takes the word of the network that no process listens at a peer address.
+// RefusedPeer notes that the network says that no process listens at a peer address.
 func (f *Forwarder) RefusedPeer(address string) {
 	now := time.Now()
 	f.locked(func() []func() { return f.takeTransitions(f.detector.Refuse(address, now), now) })
@@ -277,7 +277,7 @@
 	return todo
 }
 
-// takeConfigAge notes how lately the store has answered a reading of the configuration, by a peer's word. The lock is held.
+// takeConfigAge notes how lately the store has answered a reading of the configuration, as a peer tells. The lock is held.
 func (f *Forwarder) takeConfigAge(millis int64, now time.Time) {
 	if at := now.Add(-time.Duration(millis) * time.Millisecond); at.After(f.configHeard) {
 		f.configHeard = at
@@ -292,7 +292,7 @@
 	return []func(){f.sendTo(from, reply)}
 }
 
-// replyEndpoints answers a peer that asks for the list of endpoints, unless its word of the store is as fresh. The lock is
+// replyEndpoints answers a peer that asks for the list of endpoints, unless its own is as fresh. The lock is
 // held.
 func (f *Forwarder) replyEndpoints(from string, asked *carrier.EndpointsCall, now time.Time) []func() {
 	if !f.registry.Known() {
@@ -328,7 +328,7 @@
 	at := now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)
 	f.registry.HeardAt(at)
 	if at.After(f.newsAt) {
-		// Somebody reads the store for all, though its word has not come here yet.
+		// Somebody reads the store for all, though its news have not come here yet.
 		f.newsAt = at
 	}
 	if m.Unchanged {
--- a/forwarder/reader.go
+++ b/forwarder/reader.go
@@ -13,7 +13,7 @@
 // priced and limited over all entries, and the entries change with every heartbeat of an endpoint.
 const readerDuty = "endpoints"
 
-// newsPatience is how long an entry goes without word from the one that reads before it reads itself. It is one reading
+// newsPatience is how long an entry goes without news from the one that reads before it reads itself. It is one reading
 // and half of the next; with its own reading an endpoint that leaves is known well within two seconds.
 const newsPatience = 1100 * time.Millisecond
 
@@ -25,14 +25,14 @@
 	// seconds: that it serves none of the eight, while it turns three of five entries away, has a chance of two in a hundred.
 	// With eight entries or less each follows it.
 	configReaders = 8
-	// configSilence is how old the newest word of the store on the configuration may be, which each reading gives every 4 s,
+	// configSilence is how long ago the store may last have answered a reading of the configuration
 	// before more entries read for themselves.
 	configSilence = 5 * time.Second
 	// rankStep is how much longer each further entry in the order of a duty waits before it takes the duty up. The first
 	// one that the store answers tells all others, so that in an outage a few entries ask the store and not all.
 	rankStep = 200 * time.Millisecond
-	// firstStartPatience is how long an entry waits for the word of its peers at the first start of all: until they have
-	// found each other, one has read, and its word has gone round.
+	// firstStartPatience is how long an entry waits for news from its peers at the first start of all: until they have
+	// found each other, one has read, and what it read has gone round.
 	firstStartPatience = 3 * time.Second
 	// addressDuty is the duty of leaving one's address in the store for those who hear no peer; addressKeepers entries have
 	// it, so that a few are there after any loss but that of all.
@@ -59,7 +59,7 @@
 	return now.Sub(f.configHeard) >= configSilence+time.Duration(rank-configReaders)*rankStep
 }
 
-// patient tells whether an entry that knows nothing waits for the word of its peers before it asks the store. At the first
+// patient tells whether an entry that knows nothing waits for news from its peers before it asks the store. At the first
 // start of all no caller waits yet, and each that reads for itself is two calls; at any other start callers do wait. The
 // lock is held.
 func (f *Forwarder) patient(now time.Time) bool {
@@ -97,7 +97,7 @@
 	return from, rank == 0 && !f.settling(now) || !told
 }
 
-// passOn tells all peers what was read. An empty word is sent too: it says that nothing has changed. The lock is held.
+// passOn tells all peers what was read. Empty news are sent too: they say that nothing has changed. The lock is held.
 func (f *Forwarder) passOn(changes []registrar.Change, from, next locator.Position, now time.Time) []func() {
 	news := &carrier.EndpointsNews{Era: next.Era(), From: from.Offset(), Next: next.Offset()}
 	for _, c := range changes {
--- a/forwarder/wait.go
+++ b/forwarder/wait.go
@@ -11,7 +11,7 @@
 	"geraniumline/selector"
 )
 
-// waitLife is how long a peer's word on a stage's queue holds: some heartbeats.
+// waitLife is how long what a peer tells of a stage's queue holds: some heartbeats.
 const waitLife = time.Second
 
 // stageWait is what a peer said of a service's pool that it collects for.
@@ -20,7 +20,7 @@
 	at   time.Time
 }
 
-// stageWaits gives the newest words on stage pools: of those that this entry collects for, and those that it was told. The
+// stageWaits gives the newest waits of stage pools: of those that this entry collects for, and those that it was told. The
 // lock is held.
 func (f *Forwarder) stageWaits(now time.Time) []carrier.StageWait {
 	var list []carrier.StageWait
@@ -52,9 +52,8 @@
 	}
 }
 
-// takeStageWaits takes a peer's words on stage pools where they are newer than those known. Told by the collecting entry
-// alone its word would come to each of many entries once in seconds; told on by all it is as old as word of a peer. The lock is
-// held.
+// takeStageWaits takes the waits that a peer tells where they are newer than those known. Told by the collecting entry alone they
+// would come to each of many entries once in seconds; passed on by all they are as old as news of a peer. The lock is held.
 func (f *Forwarder) takeStageWaits(list []carrier.StageWait, now time.Time) {
 	for _, s := range list {
 		if pool := divider.Parse(s.Service); pool.Zone != "" {
@@ -73,7 +72,7 @@
 	}
 }
 
-// poolLoad gives the newest word on a service's pool, or nothing. The lock is held.
+// poolLoad gives the newest load known of a service's pool, or nothing. The lock is held.
 func (f *Forwarder) poolLoad(service string, now time.Time) planner.Load {
 	if owner, known := f.owner(service, nil); known && owner == f.cfg.Name {
 		p, collects := f.pools[service]
--- a/messenger/fuzz_test.go
+++ b/messenger/fuzz_test.go
@@ -22,7 +22,7 @@
 		&carrier.Handover{CallID: 3, Outcomes: make([]carrier.Outcome, 2)},
 		&carrier.PieceRequest{Service: "s", Request: "r", Numbers: []int32{0, 1}, Inputs: []string{"h"}},
 		&carrier.PieceResults{Service: "s", Results: make([]carrier.PieceResult, 2)},
-		&carrier.Work{Endpoints: make([]carrier.EndpointWork, 1)},
+		&carrier.LoadReport{Endpoints: make([]carrier.EndpointWork, 1)},
 		&carrier.Heartbeat{From: carrier.Member{Name: "a"}, Stages: make([]carrier.StageWait, 2), ConfigAgeMillis: 1},
 		&carrier.EndpointsNews{From: 1, Next: 2, Entries: make([]carrier.EndpointEntry, 1)},
 	} {
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -44,7 +44,7 @@
 type View interface {
 	// Pool says how a service's endpoints take calls.
 	Pool(service string) (cataloger.StagePool, bool)
-	// Load is the newest word on a service's pool; zero where there is none.
+	// Load is the newest load known of a service's pool; zero where there is none.
 	Load(service string) Load
 }
 
@@ -60,7 +60,7 @@
 	Over time.Duration
 }
 
-// LoadOf gives the word on a pool of the entry that collects for it.
+// LoadOf gives the load of a pool at the entry that collects for it.
 func LoadOf(p *collector.Pool, now time.Time) Load {
 	return Load{Wait: max(0, p.Wait(now)), Turnaround: p.Turnaround(), Short: p.Short(now), Over: p.Over(now)}
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -29,7 +29,7 @@
 type Endpoint struct {
 	// ID names the endpoint. It may start again under the same one.
 	ID string
-	// Started is when this start of it began, by its own word; zero where it does not say.
+	// Started is when this start of it began, as its entry says; zero where it does not.
 	Started time.Time
 	Service string
 	Address string
@@ -39,7 +39,7 @@
 	Draining bool
 	// Region is that of the zone; empty where it is not known.
 	Region string
-	// ColdUntil is when the endpoint's slow start ends, zero where its own word is that it is over.
+	// ColdUntil is when the endpoint's slow start ends, zero where its entry says that it is over.
 	ColdUntil time.Time
 }
 
@@ -50,7 +50,7 @@
 // worked out anew from each entry, and differs by the time that the entry was on its way.
 const coldAgain = 500 * time.Millisecond
 
-// ColderThan tells whether the endpoint has become cold since its earlier word.
+// ColderThan tells whether the endpoint has become cold since its earlier entry.
 func (e *Endpoint) ColderThan(earlier *Endpoint) bool {
 	return e.ColdUntil.Sub(earlier.ColdUntil) > coldAgain
 }
@@ -119,7 +119,7 @@
 	// away is set while the store does not answer; returned is when it last began to answer again.
 	away     bool
 	returned time.Time
-	// heard is when the store's word was last read, here or by the peer that passed it on.
+	// heard is when the store was last read, here or by the peer that passed it on.
 	heard time.Time
 	known bool
 	// services are those that the configuration names; nil before it is known.
@@ -146,7 +146,7 @@
 // Known tells whether a whole list was ever read.
 func (r *Registry) Known() bool { return r.known }
 
-// Age is how long ago the store's word was read.
+// Age is how long ago the store was read.
 func (r *Registry) Age(now time.Time) time.Duration { return now.Sub(r.heard) }
 
 // Lost notes that the store does not answer.
@@ -161,7 +161,7 @@
 	r.heard = now
 }
 
-// HeardAt notes that a peer passed on the store's word as of a time. It says nothing of the store's return: that the
+// HeardAt notes that a peer passed on what the store had as of a time. It says nothing of the store's return: that the
 // entry sees for itself.
 func (r *Registry) HeardAt(at time.Time) {
 	if at.After(r.heard) {
@@ -308,7 +308,7 @@
 		r.remove(c, now)
 		return
 	case known && c.Endpoint.Started.Before(e.endpoint.Started) && !c.Endpoint.Started.IsZero():
-		// The late word of an earlier start under the same id, which says nothing of the present one.
+		// A late record of an earlier start under the same id, which says nothing of the present one.
 		return
 	}
 	taken := &entry{endpoint: *c.Endpoint, position: c.Position, sequence: c.Sequence}
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -194,7 +194,7 @@
 	return r.take(Limit{Endpoint: e.ID, Started: e.Started, PerSecond: n.PerSecond, At: now})
 }
 
-// Told takes a peer's word on an endpoint's limit, and tells whether it changes what was known.
+// Told takes an endpoint's limit that a peer tells, and tells whether it changes what was known.
 func (r *Regulator) Told(m Limit) bool {
 	l, known := r.limits[m.Endpoint]
 	if known && (!m.At.After(l.at) || !sameStart(m.Started, l.started)) {
