Run no request twice whose claim the log has lost

An entry that had not read it won the key again and the request ran a second time; entries that had read on waited at offsets that are given out again, and took no claim at all.

Change: pages of the log name their era (the log's interface, the stand-in, the client). In a new era a stream is read anew; the table of claims keeps what it holds and proves only keys born after the era's first mark, which an entry appends, and MaxSkew.

Open: configuration and leases on that path go by offsets alone.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -117,6 +117,8 @@
 	Records []recorder.Record
 	First   int64
 	Next    int64
+	// Era counts the returns of the log from an older copy. Offsets of another era say nothing of this one's records.
+	Era int64
 }
 
 // Read gives the records from an offset on, up to limit. It waits up to wait for the first one.
@@ -132,7 +134,7 @@
 	if err != nil {
 		return Page{}, &ReadError{Stream: stream, From: from, RetryAfter: retryAfter(err), Cause: err}
 	}
-	page := Page{Records: make([]recorder.Record, len(reply.Records)), First: reply.First, Next: reply.Next}
+	page := Page{Records: make([]recorder.Record, len(reply.Records)), First: reply.First, Next: reply.Next, Era: reply.Era.Or(0)}
 	for i, r := range reply.Records {
 		page.Records[i] = recorder.Record{Offset: r.Offset, AtMillis: r.AtMillis, Data: r.Data}
 	}
--- a/appender/appender_test.go
+++ b/appender/appender_test.go
@@ -27,6 +27,8 @@
 	// status is the error that calls get, 0 for none; failures is how many get it.
 	status   int
 	failures int
+	// era is told with each page.
+	era int64
 	// waits are those that reads have asked for.
 	waits []int
 	// after is called once the call has taken effect and before it is answered.
@@ -69,6 +71,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	page := &platformserver.RecordPage{Records: []platformserver.LogRecord{}, First: 3, Next: p.From}
+	page.Era.SetTo(l.era)
 	for _, r := range l.records {
 		if r.Offset >= p.From && len(page.Records) < p.Limit.Or(1) {
 			page.Records = append(page.Records, r)
@@ -245,3 +248,43 @@
 	}, func(error) {})
 	require.Equal(t, []int{1, 0, 0, 1}, l.waits)
 }
+
+// Guards against records of a new era of the log that are never read, since their offsets were read in the era before.
+func TestAStreamIsReadAnewInANewEra(t *testing.T) {
+	l := &fakeLog{}
+	a, _ := serve(t, l)
+	for range 3 {
+		_, err := a.Append(t.Context(), "claims", []byte("old"))
+		require.NoError(t, err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var offsets []int64
+	var eras []int64
+	stale := 0
+	a.Tail(ctx, "claims", 0, func(p Page) {
+		for _, r := range p.Records {
+			offsets = append(offsets, r.Offset)
+			eras = append(eras, p.Era)
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		switch {
+		case len(offsets) == 3:
+			l.records = l.records[:1]
+			l.records = append(l.records, platformserver.LogRecord{Offset: 6, AtMillis: 6, Data: []byte("new")})
+			l.era = 1
+		case len(offsets) == 5 && l.era == 1:
+			// A late answer of the era before.
+			l.era = 0
+		}
+	}, func(err error) {
+		var old *StaleEraError
+		if errors.As(err, &old) {
+			stale++
+			cancel()
+		}
+	})
+	require.Equal(t, []int64{3, 6, 9, 3, 6}, offsets)
+	require.Equal(t, []int64{0, 0, 0, 1, 1}, eras)
+	require.Equal(t, 1, stale)
+}
--- a/appender/errors.go
+++ b/appender/errors.go
@@ -54,6 +54,16 @@
 // Unwrap gives the client's error.
 func (e *ReadError) Unwrap() error { return e.Cause }
 
+// StaleEraError tells of a page from before the log returned from an older copy.
+type StaleEraError struct {
+	Known int64
+	Told  int64
+}
+
+func (e *StaleEraError) Error() string {
+	return fmt.Sprintf("page of era %d after one of era %d", e.Told, e.Known)
+}
+
 // appendError sorts a failed append. Only two kinds are sure: a connection that was never made, and a reply
 // that says so by its status. Anything else, a server error included, may hide an append that took effect;
 // a caller who took it for a refusal would say "not run" of a request that then runs.
--- a/appender/tail.go
+++ b/appender/tail.go
@@ -7,11 +7,16 @@
 	"time"
 )
 
+// unknownEra is below that of any page.
+const unknownEra = -1
+
 // Tail reads a stream from an offset on until ctx ends. Each page goes to sink, in order, empty ones included,
 // since First matters in each. Status is told of each failed read, and with nil of the first good one after.
+// When the log has returned from an older copy, the stream is read anew from its beginning.
 func (a *Appender) Tail(ctx context.Context, stream string, from int64, sink func(Page), status func(error)) {
 	backoff := a.cfg.MinBackoff
 	failing := false
+	era := int64(unknownEra)
 	for ctx.Err() == nil {
 		wait := a.cfg.PollWait
 		if failing {
@@ -22,6 +27,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil && page.Era < era {
+			err = &ReadError{Stream: stream, From: from, Cause: &StaleEraError{Known: era, Told: page.Era}}
+		}
 		if err != nil {
 			failing = true
 			status(err)
@@ -34,6 +42,15 @@
 			status(nil)
 		}
 		backoff = a.cfg.MinBackoff
+		if page.Era > era {
+			renewed := era != unknownEra
+			era = page.Era
+			if renewed {
+				// The page is of offsets that the era before has given.
+				from = 0
+				continue
+			}
+		}
 		sink(page)
 		from = max(from, page.Next)
 	}
--- a/claimer/property_test.go
+++ b/claimer/property_test.go
@@ -44,6 +44,35 @@
 	}
 }
 
+// The same while the log returns from copies some seconds old, again and again: claims, releases, outcomes and closings that it had
+// acknowledged are gone, their offsets are given out again, and appends of before land after it.
+func TestAtMostOnceWhileTheLogReturnsFromOlderCopies(t *testing.T) {
+	totals := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		retention := rapid.SampledFrom([]time.Duration{13 * time.Minute, 3 * time.Minute}).Draw(t, "retention")
+		w := newWorld(retention, "a", "b", "c")
+		w.newKey(0)
+		all := actions(w, totals)
+		all["return"] = func(t *rapid.T) {
+			if seldom(t, 4) {
+				age := time.Duration(rapid.IntRange(0, 6000).Draw(t, "age")) * time.Millisecond
+				w.faults["lostRecords"] += w.log.returnFrom(w.now.Add(-age))
+			}
+		}
+		t.Repeat(all)
+		for name, n := range w.faults {
+			totals[name] += n
+		}
+		for _, runs := range w.ledger {
+			totals["runs"] += len(runs)
+		}
+	})
+	t.Logf("steps and faults tried: %v", totals)
+	for _, name := range []string{"runs", "renewed", "lostRecords", "kill", "freeze", "late", "closeLive", "unproved"} {
+		require.NotZero(t, totals[name], "the run must have tried %s", name)
+	}
+}
+
 func actions(w *world, totals map[string]int) map[string]func(*rapid.T) {
 	step := func(f func(t *rapid.T, p *process)) func(*rapid.T) {
 		return func(t *rapid.T) {
--- a/claimer/record.go
+++ b/claimer/record.go
@@ -6,7 +6,7 @@
 	"geraniumline/recorder"
 )
 
-// ClaimRecord is one of the records that a batch holds: Claim, Release, Outcome or Closed.
+// ClaimRecord is one of the records that a batch holds: Claim, Release, Outcome, Closed or Mark.
 type ClaimRecord interface {
 	claimRecord()
 }
@@ -58,6 +58,13 @@
 	Incarnation uint64
 }
 
+// Mark says that its writer knew of an era of the log when it appended the batch. Whatever the log lost when the era began was
+// appended before.
+type Mark struct {
+	Era int64
+}
+
+func (Mark) claimRecord()    {}
 func (Claim) claimRecord()   {}
 func (Release) claimRecord() {}
 func (Outcome) claimRecord() {}
@@ -142,6 +149,8 @@
 		})
 	case Closed:
 		wire.Closed = append(wire.Closed, recorder.Closed{Entry: r.Entry, Incarnation: r.Incarnation})
+	case Mark:
+		wire.EraMark = max(wire.EraMark, r.Era)
 	}
 }
 
@@ -222,5 +231,8 @@
 	for _, r := range wire.Claims {
 		batch.Records = append(batch.Records, Claim{Key: Key{r.Account, r.Key}, Digest: r.Digest, ClaimID: r.ClaimID})
 	}
+	if wire.EraMark > 0 {
+		batch.Records = append(batch.Records, Mark{Era: wire.EraMark})
+	}
 	return batch
 }
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -42,9 +42,13 @@
 	lapsed bool
 	// afterGap tells that the next record is the first one that was kept.
 	afterGap bool
-	closed   map[owner]bool
-	slots    map[slot]*holding
-	expiries expiries
+	// era is that of the log's pages, awaitsMark is set until a Mark of it was read, at the log time markMillis.
+	era        int64
+	awaitsMark bool
+	markMillis int64
+	closed     map[owner]bool
+	slots      map[slot]*holding
+	expiries   expiries
 	// expired is the last range of expiries that was forgotten.
 	expired int64
 	answers answers
@@ -69,6 +73,25 @@
 	}
 }
 
+// Renew takes the era of the log's next page, and tells whether it is a new one: then a Mark of it must be appended, and the
+// stream is read anew from its beginning. In a new era the log may have lost claims whose requests ran. Their keys were born before
+// it began, so this table proves none that is older than the era's first Mark. What it holds stands; which incarnations are
+// closed is for the new era's records to say, as it is for tables that know no others.
+// Symptom without it: an entry that has not read a lost claim wins its key, and the request runs twice.
+func (t *Table) Renew(era int64) bool {
+	if era <= t.era {
+		return false
+	}
+	t.era = era
+	t.awaitsMark = true
+	t.sinceMillis = never
+	t.next = 0
+	t.started = false
+	t.afterGap = false
+	clear(t.closed)
+	return true
+}
+
 // Gap takes the log's oldest kept offset, once before each page's records. It tells whether records were cut
 // before this table could read them: from then on the table proves nothing about older keys.
 // If that happens after the start, the incarnation itself may have been closed in the part that is lost.
@@ -78,12 +101,12 @@
 	fresh := !t.started
 	t.started = true
 	if first <= max(t.next, 1) {
-		if fresh {
+		if fresh && !t.awaitsMark {
 			t.sinceMillis = math.MinInt64
 		}
 		return false
 	}
-	t.lapsed = !fresh
+	t.lapsed = t.lapsed || !fresh
 	t.afterGap = true
 	t.next = first
 	return true
@@ -99,7 +122,9 @@
 	if t.afterGap {
 		// Records that were cut may bear the same millisecond as the first one kept.
 		t.afterGap = false
-		t.sinceMillis = t.logMillis
+		if !t.awaitsMark {
+			t.sinceMillis = t.logMillis
+		}
 	}
 	t.expire()
 	batch, err := Decode(r.Data)
@@ -121,6 +146,8 @@
 			d = t.applyRelease(by, r)
 		case Outcome:
 			d = t.applyOutcome(offset, by, own, r)
+		case Mark:
+			t.applyMark(r)
 		case Closed:
 			d = t.applyClosed(r)
 		case Claim:
@@ -136,6 +163,21 @@
 	return out
 }
 
+// applyMark has keys proved from the first mark of the present era on. One of an earlier era was appended before this one's losses.
+func (t *Table) applyMark(m Mark) {
+	if t.awaitsMark && m.Era == t.era {
+		t.awaitsMark = false
+		t.markMillis = t.logMillis
+		t.sinceMillis = t.logMillis
+	}
+}
+
+// BeforeEra tells whether a key may have been used before the log last returned from an older copy, so that a claim of it may be
+// lost. Keys of callers whose clocks are ahead may be older than they say; their claims are not won either.
+func (t *Table) BeforeEra(birth time.Time) bool {
+	return t.era > 0 && (t.awaitsMark || birth.UnixMilli() <= t.markMillis)
+}
+
 func (t *Table) applyClosed(r Closed) Decision {
 	o := owner{entry: t.names.id(r.Entry), incarnation: r.Incarnation}
 	if t.closed[o] {
--- a/faker/control.go
+++ b/faker/control.go
@@ -11,6 +11,7 @@
 	ledgerPath  = "/control/ledger"
 	vmsPath     = "/control/vms"
 	trimPath    = "/control/trim"
+	returnPath  = "/control/return"
 	controlBody = 1 << 20
 )
 
--- a/faker/driver.go
+++ b/faker/driver.go
@@ -69,6 +69,11 @@
 	return d.call(ctx, http.MethodPost, trimPath, call, nil)
 }
 
+// Return has the log return from an older copy.
+func (d *Driver) Return(ctx context.Context, call ReturnCall) error {
+	return d.call(ctx, http.MethodPost, returnPath, call, nil)
+}
+
 func (d *Driver) call(ctx context.Context, method, path string, in, out any) (err error) {
 	var body bytes.Buffer
 	if in != nil {
--- a/faker/log.go
+++ b/faker/log.go
@@ -55,6 +55,8 @@
 	streams map[string]*logStream
 	rng     *rand.Rand
 	ledger  LogLedger
+	// era counts the returns from an older copy.
+	era int64
 }
 
 // NewLog starts a log service without records.
@@ -199,7 +201,20 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return s.read(params.From, params.Limit.Or(defaultPageRecords), now), s.changed, nil
+	page := s.read(params.From, params.Limit.Or(defaultPageRecords), now)
+	page.Era.SetTo(l.era)
+	return page, s.changed, nil
+}
+
+// ReturnFromCopy has the log return from a copy of so long ago: the records since are gone, and their offsets are given out
+// again.
+func (l *Log) ReturnFromCopy(age time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.era++
+	for _, s := range l.streams {
+		s.cutAfter(now.Add(-age).UnixMilli())
+	}
 }
 
 func (l *Log) waitForChange(ctx context.Context, appended, switched <-chan struct{}) bool {
--- a/faker/log_test.go
+++ b/faker/log_test.go
@@ -243,3 +243,24 @@
 	require.Equal(t, http.StatusTooManyRequests, failed.StatusCode)
 	require.Positive(t, failed.Response.RetryAfterMillis.Or(0))
 }
+
+// A log that returns from an older copy lacks what was appended since, and gives those offsets out again in a new era.
+func TestTheLogReturnsFromACopy(t *testing.T) {
+	l := faker.NewLog(faker.LogConfig{})
+	t.Cleanup(l.Close)
+	appendOne := func() int64 {
+		reply, err := l.AppendRecord(t.Context(), &platformserver.AppendCall{Data: []byte("x")}, platformserver.AppendRecordParams{Stream: "s"})
+		require.NoError(t, err)
+		return reply.Offset
+	}
+	for range 4 {
+		appendOne()
+	}
+	// The copy is older than all of them.
+	l.ReturnFromCopy(time.Minute, time.Now())
+	require.Equal(t, int64(1), appendOne())
+	page, err := l.ReadRecords(t.Context(), platformserver.ReadRecordsParams{Stream: "s", From: 1})
+	require.NoError(t, err)
+	require.Equal(t, int64(1), page.Era.Value)
+	require.Len(t, page.Records, 1)
+}
--- a/faker/logledger.go
+++ b/faker/logledger.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 )
 
 // LogLedger counts what the log service did since its start or the last clearing.
@@ -61,6 +62,11 @@
 	return ledger
 }
 
+// ReturnCall has the log return from a copy of so long ago.
+type ReturnCall struct {
+	AgeMillis int64 `json:"ageMillis"`
+}
+
 // ClearLedger sets the counts to 0; the streams stay.
 func (l *Log) ClearLedger() {
 	l.count(func(ledger *LogLedger) { *ledger = LogLedger{} })
@@ -91,4 +97,12 @@
 		l.Trim(call)
 		w.WriteHeader(http.StatusNoContent)
 	})
+	mux.HandleFunc("POST "+returnPath, func(w http.ResponseWriter, r *http.Request) {
+		var call ReturnCall
+		if !readJSON(w, r, &call) {
+			return
+		}
+		l.ReturnFromCopy(millis(call.AgeMillis), time.Now())
+		w.WriteHeader(http.StatusNoContent)
+	})
 }
--- a/faker/logstream.go
+++ b/faker/logstream.go
@@ -65,6 +65,17 @@
 	}
 }
 
+// cutAfter drops the records that were appended after a time, and gives their offsets out again. Reads that wait are answered.
+func (s *logStream) cutAfter(millis int64) {
+	for n := len(s.records); n > 0 && s.records[n-1].AtMillis > millis; n = len(s.records) {
+		s.next = s.records[n-1].Offset
+		s.bytes -= int64(len(s.records[n-1].Data))
+		s.records = s.records[:n-1]
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // trim drops the records below an offset, as if retention had run.
 func (s *logStream) trim(before int64) {
 	for len(s.records) > 0 && s.records[0].Offset < before {
--- a/performer/readers.go
+++ b/performer/readers.go
@@ -50,6 +50,7 @@
 		Records: page.Records,
 		First:   page.First,
 		Next:    page.Next,
+		Era:     page.Era,
 		AtEnd:   len(page.Records) < appender.DefaultPageRecords,
 	}
 }
--- a/platformserver/oas_client_gen.go
+++ b/platformserver/oas_client_gen.go
@@ -46,7 +46,9 @@
 	ListVms(ctx context.Context) (*VmList, error)
 	// ReadRecords invokes readRecords operation.
 	//
-	// Records from an offset on. Waits up to waitMillis for the first. Offsets grow and have holes.
+	// Records from an offset on. Waits up to waitMillis for the first. Offsets grow and have holes. When
+	// the log returns from an older copy, era rises, records are gone, and their offsets are given out
+	// again.
 	//
 	// GET /v1/logs/{stream}/records
 	ReadRecords(ctx context.Context, params ReadRecordsParams) (*RecordPage, error)
@@ -389,7 +391,9 @@
 
 // ReadRecords invokes readRecords operation.
 //
-// Records from an offset on. Waits up to waitMillis for the first. Offsets grow and have holes.
+// Records from an offset on. Waits up to waitMillis for the first. Offsets grow and have holes. When
+// the log returns from an older copy, era rises, records are gone, and their offsets are given out
+// again.
 //
 // GET /v1/logs/{stream}/records
 func (c *Client) ReadRecords(ctx context.Context, params ReadRecordsParams) (*RecordPage, error) {
--- a/platformserver/oas_handlers_gen.go
+++ b/platformserver/oas_handlers_gen.go
@@ -495,7 +495,9 @@
 
 // handleReadRecordsRequest handles readRecords operation.
 //
-// Records from an offset on. Waits up to waitMillis for the first. Offsets grow and have holes.
+// Records from an offset on. Waits up to waitMillis for the first. Offsets grow and have holes. When
+// the log returns from an older copy, era rises, records are gone, and their offsets are given out
+// again.
 //
 // GET /v1/logs/{stream}/records
 func (s *Server) handleReadRecordsRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
--- a/platformserver/oas_json_gen.go
+++ b/platformserver/oas_json_gen.go
@@ -523,12 +523,19 @@
 		e.FieldStart("next")
 		e.Int64(s.Next)
 	}
+	{
+		if s.Era.Set {
+			e.FieldStart("era")
+			s.Era.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfRecordPage = [3]string{
+var jsonFieldsNameOfRecordPage = [4]string{
 	0: "records",
 	1: "first",
 	2: "next",
+	3: "era",
 }
 
 // Decode decodes RecordPage from json.
@@ -582,6 +589,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"next\"")
 			}
+		case "era":
+			if err := func() error {
+				s.Era.Reset()
+				if err := s.Era.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"era\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/platformserver/oas_schemas_gen.go
+++ b/platformserver/oas_schemas_gen.go
@@ -241,6 +241,8 @@
 	First int64 `json:"first"`
 	// The offset to read from next.
 	Next int64 `json:"next"`
+	// How often the log has returned from an older copy; 0 where it does not say.
+	Era OptInt64 `json:"era"`
 }
 
 // GetRecords returns the value of Records.
@@ -258,6 +260,11 @@
 	return s.Next
 }
 
+// GetEra returns the value of Era.
+func (s *RecordPage) GetEra() OptInt64 {
+	return s.Era
+}
+
 // SetRecords sets the value of Records.
 func (s *RecordPage) SetRecords(val []LogRecord) {
 	s.Records = val
@@ -273,6 +280,11 @@
 	s.Next = val
 }
 
+// SetEra sets the value of Era.
+func (s *RecordPage) SetEra(val OptInt64) {
+	s.Era = val
+}
+
 // Ref: #/components/schemas/Vm
 type VM struct {
 	// Host:port.
--- a/platformserver/oas_server_gen.go
+++ b/platformserver/oas_server_gen.go
@@ -26,7 +26,9 @@
 	ListVms(ctx context.Context) (*VmList, error)
 	// ReadRecords implements readRecords operation.
 	//
-	// Records from an offset on. Waits up to waitMillis for the first. Offsets grow and have holes.
+	// Records from an offset on. Waits up to waitMillis for the first. Offsets grow and have holes. When
+	// the log returns from an older copy, era rises, records are gone, and their offsets are given out
+	// again.
 	//
 	// GET /v1/logs/{stream}/records
 	ReadRecords(ctx context.Context, params ReadRecordsParams) (*RecordPage, error)
--- a/platformserver/oas_unimplemented_gen.go
+++ b/platformserver/oas_unimplemented_gen.go
@@ -40,7 +40,9 @@
 
 // ReadRecords implements readRecords operation.
 //
-// Records from an offset on. Waits up to waitMillis for the first. Offsets grow and have holes.
+// Records from an offset on. Waits up to waitMillis for the first. Offsets grow and have holes. When
+// the log returns from an older copy, era rises, records are gone, and their offsets are given out
+// again.
 //
 // GET /v1/logs/{stream}/records
 func (UnimplementedHandler) ReadRecords(ctx context.Context, params ReadRecordsParams) (r *RecordPage, _ error) {
--- a/platformserver/oas_validators_gen.go
+++ b/platformserver/oas_validators_gen.go
@@ -61,6 +61,34 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if value, ok := s.Era.Get(); ok {
+			if err := func() error {
+				if err := (validate.Int{
+					MinSet:        true,
+					Min:           0,
+					MaxSet:        false,
+					Max:           0,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    0,
+					Pattern:       nil,
+				}).Validate(int64(value)); err != nil {
+					return errors.Wrap(err, "int")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "era",
+			Error: err,
+		})
+	}
 	if len(failures) > 0 {
 		return &validate.Error{Fields: failures}
 	}
--- a/recorder/schema.go
+++ b/recorder/schema.go
@@ -60,6 +60,8 @@
 	Outcomes    []Outcome `msg:"outcomes,limit=8192,omitempty"`
 	Closed      []Closed  `msg:"closed,limit=8192,omitempty"`
 	Claims      []Claim   `msg:"claims,limit=8192,omitempty"`
+	// EraMark is the era of the log that the writer knew of when it appended the batch to mark that era's beginning; else 0.
+	EraMark int64 `msg:"eraMark,omitempty"`
 }
 
 // Change is one operator's change of one configuration object.
--- a/recorder/schema_gen.go
+++ b/recorder/schema_gen.go
@@ -498,6 +498,12 @@
 					return
 				}
 			}
+		case "eraMark":
+			z.EraMark, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "EraMark")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -512,8 +518,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *ClaimBatch) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.Releases == nil {
 		zb0001Len--
@@ -531,6 +537,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.EraMark == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -670,6 +680,18 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "eraMark"
+			err = en.Append(0xa7, 0x65, 0x72, 0x61, 0x4d, 0x61, 0x72, 0x6b)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt64(z.EraMark)
+			if err != nil {
+				err = msgp.WrapError(err, "EraMark")
+				return
+			}
+		}
 	}
 	return
 }
@@ -678,8 +700,8 @@
 func (z *ClaimBatch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.Releases == nil {
 		zb0001Len--
@@ -697,6 +719,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.EraMark == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -758,6 +784,11 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "eraMark"
+			o = append(o, 0xa7, 0x65, 0x72, 0x61, 0x4d, 0x61, 0x72, 0x6b)
+			o = msgp.AppendInt64(o, z.EraMark)
+		}
 	}
 	return
 }
@@ -925,6 +956,12 @@
 					return
 				}
 			}
+		case "eraMark":
+			z.EraMark, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EraMark")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -955,6 +992,7 @@
 	for za0004 := range z.Claims {
 		s += z.Claims[za0004].Msgsize()
 	}
+	s += 8 + msgp.Int64Size
 	return
 }
 
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -100,6 +100,8 @@
 	// First is the oldest offset that the log still keeps, Next the one to read next.
 	First int64
 	Next  int64
+	// Era counts the returns of the log from an older copy. The first page of a new era is from the stream's beginning.
+	Era int64
 	// AtEnd tells that there was nothing more to read.
 	AtEnd bool
 }
--- a/reducer/log.go
+++ b/reducer/log.go
@@ -1,8 +1,10 @@
 package reducer
 
 import (
+	"strconv"
 	"time"
 
+	"geraniumline/claimer"
 	"geraniumline/publisher"
 	"geraniumline/recorder"
 )
@@ -27,6 +29,11 @@
 }
 
 func (c *Core) foldClaims(e LogRead, now time.Time) {
+	if c.table.Renew(e.Era) {
+		c.batcher.Add(claimer.Mark{Era: e.Era})
+		c.logs[StreamClaims].caughtUp = e.AtEnd
+		c.emit(LogChange{Message: "the log has returned from an older copy; claims may be lost", Subject: string(StreamClaims), To: strconv.FormatInt(e.Era, 10)})
+	}
 	if c.table.Gap(e.First) {
 		c.emit(LogChange{Message: "the log cut claims before they were read", Subject: string(StreamClaims)})
 	}
--- a/reducer/refusal.go
+++ b/reducer/refusal.go
@@ -88,11 +88,19 @@
 		c.sendOutcome(ask.id, ask.key, best)
 	case best.State == StateRunning || best.State == StateUnknown || ask.lost || ask.waiting > 0:
 		c.tellRefusal(ask.id, ask.refused, mayHaveRun(ask.key, ask.refusal.RetryAfter))
+	case c.beforeEra(ask.key):
+		c.tellRefusal(ask.id, ask.refused, mayHaveRun(ask.key, ask.refusal.RetryAfter))
 	default:
 		c.tellRefusal(ask.id, ask.refused, *ask.refusal)
 	}
 }
 
+// beforeEra tells whether the log may have lost a claim of the key when it returned from an older copy.
+func (c *Core) beforeEra(key claimer.Key) bool {
+	birth, err := claimer.Birth(key.Key)
+	return err == nil && c.table.BeforeEra(birth)
+}
+
 // mayHaveRun is the truth about a refused key that another entry may have served.
 func mayHaveRun(key claimer.Key, retryAfter time.Duration) Failure {
 	return Failure{
