--- a/assembler/notice_test.go
+++ b/assembler/notice_test.go
@@ -9,22 +9,20 @@
 
 	"github.com/stretchr/testify/require"
 
+	"geraniumline/measurer"
 	"geraniumline/platform/imitator"
 )
 
 // limitWindow is the span in which requests at a limited endpoint are counted.
 const limitWindow = 4 * time.Second
 
-// mostWithin is the most of the arrivals in any span of the length.
-func mostWithin(arrivals []imitator.Arrival, length time.Duration) int {
-	most, first := 0, 0
+// timesOf lists when arrivals came.
+func timesOf(arrivals []imitator.Arrival) []time.Time {
+	times := make([]time.Time, len(arrivals))
 	for i, a := range arrivals {
-		for a.At.Sub(arrivals[first].At) > length {
-			first++
-		}
-		most = max(most, i-first+1)
+		times[i] = a.At
 	}
-	return most
+	return times
 }
 
 // countsOne tells whether an entry counts one endpoint of each service by a gauge.
@@ -67,7 +65,7 @@
 	}
 	for _, service := range services {
 		got := f.site.Endpoint(fmt.Sprintf("i-%s-0", service)).Arrivals()[before[service]:]
-		require.LessOrEqual(t, mostWithin(got, limitWindow), 3*limit*4/2+5, service)
+		require.LessOrEqual(t, measurer.MostWithin(timesOf(got), limitWindow), 3*limit*4/2+5, service)
 	}
 	require.Equal(t, http.StatusOK, f.call(f.ask(0, imitator.PlainPath, "last")).Status)
 }
--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -10,6 +10,7 @@
 
 	"geraniumline/ejector"
 	"geraniumline/locator"
+	"geraniumline/measurer"
 	"geraniumline/registrar"
 	"geraniumline/regulator"
 	"geraniumline/selector"
@@ -186,18 +187,6 @@
 	}
 }
 
-// mostWithin is the most of the times in any span of the length.
-func mostWithin(times []time.Time, length time.Duration) int {
-	most, first := 0, 0
-	for i, at := range times {
-		for at.Sub(times[first]) > length {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 func limitBound(perSecond float64) int {
 	return int(limitExcess*perSecond*limitWindow.Seconds() + limitSlack)
 }
@@ -217,7 +206,7 @@
 			p.run(time.Second, 70)
 			p.limit("a", tc.perSecond)
 			p.run(15*time.Second, 70)
-			require.LessOrEqual(t, mostWithin(p.counted["a"], limitWindow), limitBound(tc.perSecond))
+			require.LessOrEqual(t, measurer.MostWithin(p.counted["a"], limitWindow), limitBound(tc.perSecond))
 			require.Zero(t, p.refused, "the other endpoint takes the rest")
 		})
 	}
--- a/regulator/policy_test.go
+++ b/regulator/policy_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"geraniumline/hasher"
+	"geraniumline/measurer"
 	"geraniumline/rationer"
 	"geraniumline/registrar"
 )
@@ -246,17 +247,6 @@
 	return slices.DeleteFunc(slices.Clone(m.arrived), func(t time.Time) bool { return t.Before(at) })
 }
 
-func mostWithin(times []time.Time, length time.Duration) int {
-	most, first := 0, 0
-	for i, at := range times {
-		for at.Sub(times[first]) > length {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // The ways to share a limit, at sizes of today and later; docs/design/LIMITS.md has the table. A limit is named, two of the
 // entries that share it end, it is raised fourfold, and ends.
 func TestPolicySharedLimit(t *testing.T) {
@@ -274,7 +264,7 @@
 					used += float64(len(m.since(began.Add(5*time.Second)))) / (15 * limit) / seeds
 					m.kill(2)
 					m.run(10 * time.Second)
-					most = max(most, mostWithin(m.since(began.Add(contactTime)), window))
+					most = max(most, measurer.MostWithin(m.since(began.Add(contactTime)), window))
 					if p, ok := m.way.(*permitsWay); ok {
 						messages += p.messages / 30 / seeds
 					}
