--- a/divider/divider.go
+++ b/divider/divider.go
@@ -75,7 +75,7 @@
 	return &Divider{open: make(map[string]map[string]int), divided: make(map[string]bool), total: make(map[string]int)}
 }
 
-// Told takes a peer's word that a service is divided. An entry that starts while endpoints are few would else take it for one
+// Told notes that a peer says that a service is divided. An entry that starts while endpoints are few would else take it for one
 // pool beside those that know it as divided, and two would collect for each endpoint.
 func (d *Divider) Told(service string) {
 	if d.total[service] >= joinBelow {
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -43,7 +43,7 @@
 	// AddressTTL is how long callers may keep an address answer.
 	AddressTTL time.Duration
 	// Grace is added to AddressTTL: peers give this entry's address out until they hear of the stop (up to the
-	// detector's SuspectAfter if this entry's word doesn't reach them), and a caller's last request takes time.
+	// detector's SuspectAfter if this entry's heartbeats don't reach them), and a caller's last request takes time.
 	Grace time.Duration
 	// HandoverLimit is how long results may wait for a peer that takes them. Zero waits without limit.
 	HandoverLimit time.Duration
--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -135,7 +135,7 @@
 	}
 }
 
-// Alive notes a word from the endpoint itself. One that refused connections is probed at once after it,
+// Alive notes a sign of life from the endpoint itself. One that refused connections is probed at once after it,
 // and not only when its ejection ends, and tells whether it is.
 func (p *Pool) Alive(r *Record) bool {
 	if r.state != Ejected || !r.down {
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -103,7 +103,7 @@
 	// Time between two readings of an endpoint's load.
 	LoadReportMillis Millis `json:"loadReportMillis" min:"10" max:"600000"`
 	// How much longer than addressTtlMillis a planned stop goes on serving. Peers give this entry's address
-	// out until they hear of the stop: up to suspectMillis, where its own word does not reach them.
+	// out until they hear of the stop: up to suspectMillis, where its own heartbeats do not reach them.
 	DrainMillis Millis `json:"drainMillis" min:"100" max:"86400000"`
 
 	// Largest body of a caller's or an operator's request.
--- a/performer/endpoints.go
+++ b/performer/endpoints.go
@@ -51,7 +51,7 @@
 }
 
 // listed takes the list of VMs. An endpoint that it lacks is still asked while it answers: the list
-// lags, and the endpoint's own word is better evidence.
+// lags, and the endpoint's own report is better evidence.
 func (l *endpointReader) listed(vms []router.VM, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/performer/readers.go
+++ b/performer/readers.go
@@ -85,7 +85,7 @@
 }
 
 // RefusePeer tells the core that no process listens at a peer address. It does not wait: the messenger's senders
-// must go on, and the word comes again with their next try.
+// must go on, and the event comes again with their next try.
 func (p *Performer) RefusePeer(address string) {
 	select {
 	case p.events <- reducer.PeerRefused{Address: address}:
--- a/publisher/change.go
+++ b/publisher/change.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// Verdict is the fold's word on one change; it is the same at every entry.
+// Verdict is the fold's decision on one change; it is the same at every entry.
 type Verdict struct {
 	OperationID string
 	Operator    string
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -22,7 +22,7 @@
 const (
 	// finalCrashes is the count from which content is not run any more.
 	finalCrashes = 2
-	// sameLoss is the time within which one endpoint is lost but once. It is longer than a peer's word
+	// sameLoss is the time within which one endpoint is lost but once. It is longer than a peer's news
 	// may be held up on its way; Lost keeps the content from the endpoint meanwhile.
 	sameLoss = 10 * time.Second
 	// maxLosses bounds the losses that one mark names.
@@ -176,7 +176,7 @@
 }
 
 // expire drops the marks that are too many, and those that have been dead for as long as they lived.
-// Until then they are kept, so that the words of slower peers do not bring them back for ever.
+// Until then they are kept, so that the news of slower peers do not bring them back for ever.
 func (q *Quarantiner) expire(now time.Time) {
 	for len(q.order) > 0 {
 		m := q.marks[q.order[0]]
--- a/recorder/schema.go
+++ b/recorder/schema.go
@@ -85,7 +85,7 @@
 	Body    []byte `msg:",limit=262144"`
 }
 
-// Verdict is the fold's word on one change.
+// Verdict is the fold's decision on one change.
 type Verdict struct {
 	OperationID string
 	Operator    string
--- a/reducer/ask.go
+++ b/reducer/ask.go
@@ -44,7 +44,7 @@
 }
 
 // takeOutcomeAsked answers by what this entry knows, else by what its peers know. That a request ended here
-// without an answer is not the last word: its caller may have sent it again to another entry, where it ran.
+// without an answer is not final: its caller may have sent it again to another entry, where it ran.
 func (c *Core) takeOutcomeAsked(e OutcomeAsked, now time.Time) {
 	if _, failure := c.authenticate(e.Credentials); failure != nil {
 		c.refuse(e.ID, e.Key, *failure)
@@ -64,7 +64,7 @@
 	c.askPeers(ask, now.Add(outcomeWait), now)
 }
 
-// better tells which of two entries' words on a key says more: an answer, that it runs, that it may have run,
+// better tells which of two entries' answers on a key says more: an answer, that it runs, that it may have run,
 // that it did not run, nothing.
 func better(a, b Outcome) Outcome {
 	rank := map[State]int{StateAnswered: 4, StateRunning: 3, StateUnknown: 2, StateNotRun: 1}
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -140,7 +140,7 @@
 	Leaving     bool
 }
 
-// LoadReported is an endpoint's word on its load.
+// LoadReported is an endpoint's report of its load.
 type LoadReported struct {
 	Address string
 	Report  router.Report
--- a/reducer/order.go
+++ b/reducer/order.go
@@ -25,7 +25,7 @@
 	// orderTimeout bounds one order, and leastOrderTime is what must be left of the lease to begin one.
 	orderTimeout   = 2 * time.Second
 	leastOrderTime = 500 * time.Millisecond
-	// demandKept is how long a peer's word on its demand is believed.
+	// demandKept is how long the demand that a peer tells is believed.
 	demandKept = 5 * time.Second
 )
 
--- a/reducer/refusal.go
+++ b/reducer/refusal.go
@@ -14,10 +14,10 @@
 
 // refuseKey answers callers whose request with side effects is refused or given up before its claim was won.
 //
-// "Not run" is a word on the key, not on this attempt: the caller may have sent the key to another entry
+// "Not run" speaks of the key, not of this attempt: the caller may have sent the key to another entry
 // before, where it ran. While the claims stream is current the table would show that. While it is not, a
 // caller told notRun would send a new key and have its ticket twice; so the peers are asked, and where one
-// that may have served the key can't answer, the word is unknown.
+// that may have served the key can't answer, the answer is unknown.
 func (c *Core) refuseKey(ids []uint64, refused refusedKey, failure Failure, now time.Time) {
 	failure.Key = refused.key.Key
 	for _, id := range ids {
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -35,7 +35,7 @@
 	listed    time.Time
 	waiting   int
 
-	// listLeaving is the VM list's word, selfLeaving the endpoint's own as of selfLeavingAt,
+	// listLeaving is what the VM list says, selfLeaving what the endpoint says as of selfLeavingAt,
 	// peerLeaving counts the peers that know it at first hand.
 	listLeaving   bool
 	selfLeaving   bool
@@ -102,7 +102,7 @@
 
 // free tells whether the endpoint can take a call of an entry that shares it with others.
 //
-// What peers have in flight is as old as their heartbeats. Taken at its word it would leave slots idle
+// What peers have in flight is as old as their heartbeats. Taken as current it would leave slots idle
 // that they freed since, and could keep one entry from an endpoint for ever; so each entry may have its
 // even share of the slots in flight whatever the peers say.
 func (e *endpoint) free(entries int) bool {
--- a/router/peer.go
+++ b/router/peer.go
@@ -19,8 +19,8 @@
 	ejected  bool
 }
 
-// PeerLoads takes a peer's calls in flight and its word on endpoints. It replaces the peer's earlier
-// word in time that grows with what the peer lists, not with the pools.
+// PeerLoads takes a peer's calls in flight and its opinion of endpoints. It replaces the peer's earlier
+// report in time that grows with what the peer lists, not with the pools.
 func (r *Router) PeerLoads(name string, loads []carrier.EndpointLoad, now time.Time) {
 	p, known := r.peers[name]
 	if !known {
@@ -48,10 +48,10 @@
 	p.loads = p.loads[:0]
 }
 
-// heartbeatEvery is about how old a peer's word is.
+// heartbeatEvery is about how old a peer's report is.
 const heartbeatEvery = 200 * time.Millisecond
 
-// settle moves the smoothed count of peers' calls towards their word since it was last changed.
+// settle moves the smoothed count of peers' calls towards their last report since it was last changed.
 //
 // Where calls are shorter than heartbeats are apart, the calls that a heartbeat counted have ended when
 // it is used. Entries that all follow the newest count then send to the endpoints that were light a
@@ -101,7 +101,7 @@
 	delete(r.peers, name)
 }
 
-// Loads is what this entry tells its peers: its calls in flight, and its own word on endpoints.
+// Loads is what this entry tells its peers: its calls in flight, and its own opinion of endpoints.
 func (r *Router) Loads(_ time.Time) []carrier.EndpointLoad {
 	if len(r.active.all) == 0 {
 		return nil
--- a/router/report.go
+++ b/router/report.go
@@ -15,7 +15,7 @@
 	reportSkew = time.Second
 )
 
-// Report is an endpoint's word on its load as it was at AsOf.
+// Report is an endpoint's load as it was at AsOf, as it tells.
 type Report struct {
 	AsOf    time.Time
 	Running int
@@ -24,7 +24,7 @@
 	Leaving bool
 }
 
-// Report takes an endpoint's own, lagging word on its load.
+// Report takes an endpoint's own, lagging load report.
 //
 // The count itself is old, and entries that all follow it would send to the same endpoint. So it is
 // compared with what this entry knew at that time: what is over are calls that no entry answers for,
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -21,7 +21,7 @@
 	rewriteAfter = time.Second
 	// copyEvery is how old a copy of the store may be.
 	copyEvery = 4 * time.Second
-	// evacuateTime is how long after the operator's word a request may still reach an evacuated zone, disturbances of the
+	// evacuateTime is how long after the operator's record a request may still reach an evacuated zone, disturbances of the
 	// store and of entries included.
 	evacuateTime = 11 * time.Second
 	// finalRequests are sent to each entry at the end, of each kind two.
