Lapse in a new era of the log where the incarnation may have been closed

The record that closed its incarnation had been cut. A table that starts may pass over such a cut, since nobody can have closed a new incarnation; a table that begins anew may not, and it won a claim that all others held void.

Change: a table that reads the stream anew lapses if the first record kept is not older than the first one that it has ever read. Until its process is replaced it wins nothing, as after any cut.

Tests: TestARenewedTableLapsesWhereItMayHaveBeenClosed, TestANewEraProvesKeysFromItsMarkOn.

--- /dev/null
+++ b/claimer/era_test.go
@@ -0,0 +1,63 @@
+package claimer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/recorder"
+)
+
+// batchAt gives a record that holds a batch of an entry.
+func batchAt(t *testing.T, offset, millis int64, batch Batch) recorder.Record {
+	t.Helper()
+	data, err := Encode(batch)
+	require.NoError(t, err)
+	return recorder.Record{Offset: offset, AtMillis: millis, Data: data}
+}
+
+// Guards against an incarnation that goes on to win claims in a new era of the log although the record that closed it was cut before
+// the stream was read anew: others hold its claims void.
+func TestARenewedTableLapsesWhereItMayHaveBeenClosed(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		firstKept int64
+		lapsed    bool
+	}{
+		{"records of its life were cut", 2000, true},
+		{"at the moment of its first record", 1000, true},
+		{"none of its life were cut", 999, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table := New(Config{Entry: "b", Incarnation: 2})
+			table.Gap(0)
+			table.Apply(batchAt(t, 1, 1000, Batch{Entry: "a", Incarnation: 1}))
+			require.True(t, table.Renew(1))
+			require.True(t, table.Gap(5))
+			table.Apply(batchAt(t, 5, tc.firstKept, Batch{Entry: "a", Incarnation: 1}))
+			require.Equal(t, tc.lapsed, table.Lapsed())
+		})
+	}
+}
+
+// Guards against keys that are proved in a new era before its mark, or that are as old as what the log has lost.
+func TestANewEraProvesKeysFromItsMarkOn(t *testing.T) {
+	table := New(Config{Entry: "a", Incarnation: 1})
+	table.Gap(0)
+	at := func(millis int64) time.Time { return time.UnixMilli(millis) }
+	require.NoError(t, table.CheckProvable(at(1000)))
+	require.True(t, table.Renew(2))
+	require.False(t, table.Renew(2))
+	require.False(t, table.Renew(1), "a late page")
+	table.Gap(0)
+	table.Apply(batchAt(t, 1, 500, Batch{Entry: "b", Incarnation: 1, Records: []ClaimRecord{Mark{Era: 1}}}))
+	require.Error(t, table.CheckProvable(at(time.Hour.Milliseconds())), "a mark of an earlier era")
+	require.True(t, table.BeforeEra(at(time.Hour.Milliseconds())))
+	table.Apply(batchAt(t, 2, 2000, Batch{Entry: "b", Incarnation: 1, Records: []ClaimRecord{Mark{Era: 2}}}))
+	first := 2000 + MaxSkew.Milliseconds()
+	require.Error(t, table.CheckProvable(at(first)))
+	require.NoError(t, table.CheckProvable(at(first+1)))
+	require.True(t, table.BeforeEra(at(2000)))
+	require.False(t, table.BeforeEra(at(2001)))
+}
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -42,6 +42,10 @@
 	lapsed bool
 	// afterGap tells that the next record is the first one that was kept.
 	afterGap bool
+	// firstMillis is the log time of the first record that this table has read in its life; never before that.
+	firstMillis int64
+	// renewed tells that the stream is read anew.
+	renewed bool
 	// era is that of the log's pages, awaitsMark is set until a Mark of it was read, at the log time markMillis.
 	era        int64
 	awaitsMark bool
@@ -67,6 +71,7 @@
 		cfg:         cfg,
 		names:       newNames(),
 		sinceMillis: never,
+		firstMillis: never,
 		closed:      make(map[owner]bool),
 		slots:       make(map[slot]*holding),
 		expiries:    make(expiries),
@@ -86,12 +91,19 @@
 	t.awaitsMark = true
 	t.sinceMillis = never
 	t.next = 0
+	t.renewed = t.renewed || t.started
 	t.started = false
 	t.afterGap = false
 	clear(t.closed)
 	return true
 }
 
+// mayHaveBeenClosed tells whether the own incarnation may have been closed in records that were cut before the first one kept: in
+// those that came after this table's first one.
+func (t *Table) mayHaveBeenClosed(firstKept int64) bool {
+	return t.renewed && (t.firstMillis == never || firstKept >= t.firstMillis)
+}
+
 // Gap takes the log's oldest kept offset, once before each page's records. It tells whether records were cut
 // before this table could read them: from then on the table proves nothing about older keys.
 // If that happens after the start, the incarnation itself may have been closed in the part that is lost.
@@ -119,6 +131,10 @@
 	}
 	t.next = r.Offset + 1
 	t.logMillis = max(t.logMillis, r.AtMillis)
+	if t.afterGap && t.mayHaveBeenClosed(r.AtMillis) {
+		t.lapsed = true
+	}
+	t.firstMillis = min(t.firstMillis, r.AtMillis)
 	if t.afterGap {
 		// Records that were cut may bear the same millisecond as the first one kept.
 		t.afterGap = false
