--- a/claimer/era_test.go
+++ b/claimer/era_test.go
@@ -45,7 +45,7 @@
 func TestANewEraProvesKeysFromItsMarkOn(t *testing.T) {
 	table := New(Config{Entry: "a", Incarnation: 1})
 	table.Gap(0)
-	at := func(millis int64) time.Time { return time.UnixMilli(millis) }
+	at := time.UnixMilli
 	require.NoError(t, table.CheckProvable(at(1000)))
 	require.True(t, table.Renew(2))
 	require.False(t, table.Renew(2))
