--- a/reducer/claim.go
+++ b/reducer/claim.go
@@ -27,6 +27,15 @@
 	readAt   time.Time
 	failing  bool
 	reason   string
+	// era is that of the pages read; renewed tells that it has changed while this process read the stream.
+	era     int64
+	renewed bool
+}
+
+// takeEra notes the era of a page.
+func (h *logHealth) takeEra(era int64) {
+	h.renewed = h.renewed || era > h.era && !h.readAt.IsZero()
+	h.era = max(h.era, era)
 }
 
 // claimsReady tells whether this entry may claim: it has read the stream to its end, so that it knows
--- a/reducer/era_test.go
+++ b/reducer/era_test.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -119,3 +120,16 @@
 	require.Equal(t, 1, w.ticketRuns(key))
 	require.NotEqual(t, StateNotRun, state)
 }
+
+// Guards against an operator who is not told that an entry passes over changes which the log has at offsets given out again.
+func TestAReturnOfTheConfigurationsLogIsAnAlarm(t *testing.T) {
+	w := serving(t, 2)
+	w.run(time.Second)
+	require.Empty(t, w.nodes[0].core.alarms(w.now))
+	w.returnLog(w.now)
+	w.run(time.Second)
+	require.Contains(t, strings.Join(w.nodes[0].core.alarms(w.now), "\n"), "older copy")
+	w.start(0)
+	w.run(time.Second)
+	require.Empty(t, w.nodes[0].core.alarms(w.now))
+}
--- a/reducer/log.go
+++ b/reducer/log.go
@@ -16,6 +16,11 @@
 		c.emit(LogChange{Message: "log stream", Subject: string(e.Stream), From: "failing", To: "readable"})
 	}
 	health.failing = false
+	before := health.renewed
+	health.takeEra(e.Era)
+	if health.renewed && !before {
+		c.emit(LogChange{Message: "the log has returned from an older copy", Subject: string(e.Stream), To: strconv.FormatInt(e.Era, 10)})
+	}
 	health.readAt = now
 	health.caughtUp = health.caughtUp || e.AtEnd
 	switch e.Stream {
@@ -32,7 +37,7 @@
 	if c.table.Renew(e.Era) {
 		c.batcher.Add(claimer.Mark{Era: e.Era})
 		c.logs[StreamClaims].caughtUp = e.AtEnd
-		c.emit(LogChange{Message: "the log has returned from an older copy; claims may be lost", Subject: string(StreamClaims), To: strconv.FormatInt(e.Era, 10)})
+		c.emit(LogChange{Message: "claims are proved from a mark of the log's era on", Subject: string(StreamClaims), To: strconv.FormatInt(e.Era, 10)})
 	}
 	if c.table.Gap(e.First) {
 		c.emit(LogChange{Message: "the log cut claims before they were read", Subject: string(StreamClaims)})
