--- a/regulator/regulator_test.go
+++ b/regulator/regulator_test.go
@@ -56,6 +56,16 @@
 	require.Equal(t, 15, senders(300, 1, late.Add(9*widenEvery+widenEvery/2)))
 }
 
+// Guards against an endpoint that nobody sends to since its limit is beyond what counts of entries hold.
+func TestAHugeLimitBoundsNothing(t *testing.T) {
+	r := newRegulator("entry-001", names(300))
+	r.Told(Limit{Endpoint: "a", PerSecond: 1e6, At: now})
+	for range 1000 {
+		require.True(t, r.Allows("a", now))
+		r.Sent("a", now)
+	}
+}
+
 func TestASenderKeepsToItsPart(t *testing.T) {
 	e := &registrar.Endpoint{ID: "a"}
 	r := newRegulator("entry", []string{"entry"})
