--- a/reducer/status.go
+++ b/reducer/status.go
@@ -142,7 +142,7 @@
 		alarms = append(alarms, "the log cut claims before this entry read them: it serves no side effects until its process is replaced")
 	}
 	if c.logs[StreamConfig].renewed {
-		alarms = append(alarms, "the log has returned from an older copy: changes at offsets that this entry has read before are not in force; replace its process")
+		alarms = append(alarms, "the log has returned from an older copy: changes at offsets that this entry has read before are not in force")
 	}
 	if !c.fold.Complete() {
 		alarms = append(alarms, "the log cut configuration that no snapshot covers: newer changes wait for a snapshot")
