Bound the traffic of the soak over all entries

Two callers an entry without a bound made the soak's own stand-ins the bottleneck with many entries: 100 did not come to an end in four minutes. The wait between two requests now grows with the entries; with five it is as it was.

--- a/soaker/traffic.go
+++ b/soaker/traffic.go
@@ -13,13 +13,20 @@
 )
 
 const (
-	// callerPause is the wait of a caller between two requests, callerPatience its deadline.
-	callerPause    = 20 * time.Millisecond
+	// mostPerSecond bounds the requests a second of all callers together, by the wait of a caller between two requests: the
+	// stand-ins of all endpoints run in one process.
+	mostPerSecond = 500
+	// callerPatience is a caller's deadline.
 	callerPatience = 2 * time.Second
 	// callersPerEntry is how many callers hold a connection to each entry.
 	callersPerEntry = 2
 )
 
+// callerPause is the wait of a caller between two requests before so many entries.
+func callerPause(entries int) time.Duration {
+	return time.Duration(entries*callersPerEntry) * time.Second / mostPerSecond
+}
+
 // kinds are the requests that callers send in turn.
 var kinds = []struct {
 	path string
@@ -61,7 +68,7 @@
 	defer client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		t.send(client, entry, n, fmt.Sprintf("r-%d-%d-%d", entry, caller, n), phaseFaults)
-		time.Sleep(callerPause)
+		time.Sleep(callerPause(len(t.fleet.entries)))
 	}
 }
 
