Correct comments that named other things than they stand over

Ruled out: nothing but comments changes; the program is the same. Change: comments only, and lines within the width of the rest.

--- a/forwarder/loadreport.go
+++ b/forwarder/loadreport.go
@@ -10,7 +10,7 @@
 // peers a round the next one may come seconds later.
 const reportLife = time.Second
 
-// work tells what this entry has under way. The lock is held.
+// loadReport tells peers what this entry has under way. The lock is held.
 func (f *Forwarder) loadReport() *carrier.LoadReport {
 	w := &carrier.LoadReport{}
 	for id, tokens := range f.selector.Work() {
--- a/forwarder/note.go
+++ b/forwarder/note.go
@@ -12,11 +12,10 @@
 
 const (
 	// ordinaryRate bounds the lines a second on decisions of ordinary requests, ordinaryBurst what may come at once.
-	// An entry at today's sizes writes some 30; at 200 a line of 10 us takes 0.2% of a core.
 	ordinaryRate  = 200
 	ordinaryBurst = 400
-	// peerRate bounds the lines a second on changes of peers' states, and on endpoints' notices, peerBurst what may come at once: all of 195 peers
-	// lost and back. An entry that can't hear its peers well has written 230 a second.
+	// peerRate bounds the lines a second on changes of peers' states, and on endpoints' notices; peerBurst what may come
+	// at once, such as when all peers are lost and come back.
 	peerRate  = 20
 	peerBurst = 400
 	// sampledEvery is how often the number of lines left out is told.
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -108,7 +108,8 @@
 
 const (
 	// nearCalls and farCalls are how many full calls longer than elsewhere pieces wait for the pool in the zone where they
-	// should be made: with less and with more than collector.HeavyBytes to cross zones. Two calls are most of what an objective leaves beside the calls themselves.
+	// should be made: with less and with more than collector.HeavyBytes to cross zones. Two calls are most of what an
+	// objective leaves beside the calls themselves.
 	nearCalls = 0.5
 	farCalls  = 2
 )
