Give the selector's gate and its refusals a file each

Cause: with the endpoints' notices the selector's file had grown past what one reads at once, with three concerns in it. Ruled out: nothing but places changes; no line of code differs. Change: the gate and what it holds back stand in selector/gate.go, refusals in selector/refusal.go.

--- a/selector/selector.go
+++ b/selector/selector.go
@@ -5,7 +5,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"geraniumline/ejector"
@@ -70,20 +69,6 @@
 	refusals int
 }
 
-// Gate says which calls may go to endpoints that bear few.
-type Gate interface {
-	// Allows tells whether a call may go now to an endpoint that bears so many calls a second while it is cold.
-	Allows(e *registrar.Endpoint, coldPerSecond float64, now time.Time) bool
-	// FreeAt tells from when on a call may go to an endpoint by what the endpoint has asked for. Where this entry sends none,
-	// it is about when others may.
-	FreeAt(e *registrar.Endpoint, now time.Time) (at time.Time, sends bool)
-	// BearsFew tells whether an endpoint takes only a few of the calls that would come for the prompt parts that it holds, cold
-	// or not.
-	BearsFew(e *registrar.Endpoint) bool
-	// Sent notes a call to an endpoint that bears so many calls a second while it is cold.
-	Sent(e *registrar.Endpoint, coldPerSecond float64, now time.Time)
-}
-
 // Config sets a Selector up. Zero fields take the defaults above.
 type Config struct {
 	// Gate bounds the calls to endpoints that bear few; nil sends to them as to any other.
@@ -133,10 +118,6 @@
 	backoff regulator.Backoff
 }
 
-// refusedPauses are how long an endpoint that has refused a call gets none while another one takes them. An endpoint that has
-// room again has its share again within the longest one.
-var refusedPauses = regulator.Pauses{First: 80 * time.Millisecond, Longest: time.Second}
-
 // New makes a selector that knows no endpoint.
 func New(cfg Config) *Selector {
 	if cfg.CallTokens == 0 {
@@ -289,35 +270,6 @@
 	return best, true
 }
 
-// Held tells of a service whose endpoints have all asked for fewer calls.
-type Held struct {
-	// Until is about when the first of them takes a call again, Here whether from this entry.
-	Until time.Time
-	Here  bool
-}
-
-// HeldBack tells whether all endpoints in use that a call may go to take none now, by what they have asked for.
-func (s *Selector) HeldBack(service string, regions []string, now time.Time) (Held, bool) {
-	p, known := s.pools[service]
-	if !known || s.cfg.Gate == nil {
-		return Held{}, false
-	}
-	var first Held
-	for _, e := range p.endpoints {
-		if e.health.State() != ejector.InUse || regions != nil && !slices.Contains(regions, e.Region) {
-			continue
-		}
-		at, sends := s.cfg.Gate.FreeAt(&e.Endpoint, now)
-		if sends && !at.After(now) {
-			return Held{}, false
-		}
-		if first.Until.IsZero() || sends && !first.Here || sends == first.Here && at.Before(first.Until) {
-			first = Held{Until: at, Here: sends}
-		}
-	}
-	return first, !first.Until.IsZero()
-}
-
 // allowed tells whether the call may go to the endpoint at all.
 func (p *pool) allowed(e *endpoint, query *Query, gate Gate, now time.Time) bool {
 	if slices.Contains(query.Avoid, e.ID) || query.Regions != nil && !slices.Contains(query.Regions, e.Region) {
@@ -414,10 +366,6 @@
 	return home
 }
 
-func (s *Selector) bearsFew(e *endpoint, now time.Time) bool {
-	return e.Cold(now) || s.cfg.Gate != nil && s.cfg.Gate.BearsFew(&e.Endpoint)
-}
-
 // HomeZone gives the zone where a prompt's shared parts are kept, if they are large enough for stage results to be
 // made there.
 func (s *Selector) HomeZone(service string, parts []Part, regions []string, now time.Time) string {
@@ -471,57 +419,6 @@
 	return e.pool.health.Ended(&e.health, end, false, now)
 }
 
-// Refused takes the end of a call that its endpoint has refused unrun, and tells whether the endpoint was let back by it. With
-// its calls ended at once it looks idle, and would draw the pool's work.
-func (s *Selector) Refused(choice Choice, now time.Time) bool {
-	e, known := s.chosen(&choice)
-	if !known {
-		return false
-	}
-	e.backoff.Refused(refusedPauses, now)
-	s.refusing[e] = true
-	if e.health.State() != ejector.Probing {
-		s.Cancelled(choice)
-		return false
-	}
-	// It answers, which is what the probe was to find out.
-	return s.Ended(choice, ejector.Good, now)
-}
-
-// Refusal is an endpoint that refuses calls.
-type Refusal struct {
-	Endpoint registrar.Endpoint
-	// At is when it last refused one.
-	At time.Time
-}
-
-// persistentRefusals is how many calls in a row an endpoint must have refused for peers to be told: one that is full for a
-// moment serves some between.
-const persistentRefusals = 3
-
-// Refusals lists the endpoints that have lately refused this entry's calls in a row, in the order of their ids.
-func (s *Selector) Refusals(now time.Time) []Refusal {
-	var list []Refusal
-	for e := range s.refusing {
-		if now.Sub(e.backoff.At()) >= refusedPauses.Longest {
-			delete(s.refusing, e)
-			continue
-		}
-		if e.backoff.InRow() >= persistentRefusals {
-			list = append(list, Refusal{Endpoint: e.Endpoint, At: e.backoff.At()})
-		}
-	}
-	slices.SortFunc(list, func(a, b Refusal) int { return strings.Compare(a.Endpoint.ID, b.Endpoint.ID) })
-	return list
-}
-
-// ToldRefusal notes that an endpoint refuses a peer's calls, as of a time: while others can, it takes none from here either.
-func (s *Selector) ToldRefusal(endpoint string, at time.Time) {
-	if e, known := s.byID[endpoint]; known {
-		e.backoff.Told(refusedPauses, at)
-	}
-}
-
 // Cancelled takes the end of a call that says nothing of its endpoint.
 func (s *Selector) Cancelled(choice Choice) {
 	if e, known := s.chosen(&choice); known {
