Tell of endpoints' notices in turn, some in each heartbeat

Cause: a heartbeat listed all endpoints that name a limit, leave or refuse, so that it grew with them: 19,984 bytes with 500, 417,984 with 10,000, and past 16,384 of a kind no peer could decode it. Going in turn alone tells a peer that gets each tenth heartbeat the same part each time where the counts divide. Change: a heartbeat carries at most 32 of each kind, in turn, and each pass through the list begins at a random place. With 32 endpoints or fewer of a kind, nothing changes.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -110,6 +110,7 @@
 
 	// mu guards all deciders below.
 	mu       sync.Mutex
+	random   *rand.Rand
 	catalog  *cataloger.Catalog
 	raw      []byte
 	registry *registrar.Registry
@@ -123,6 +124,8 @@
 	evacuator    *evacuator.Evacuator
 	warmer       *warmer.Warmer
 	availability availability
+	// limitsTold, leavesTold and refusalsTold are how far heartbeats have told of what endpoints ask for.
+	limitsTold, leavesTold, refusalsTold rotation
 	// regulator knows which endpoints have asked for less work.
 	regulator *regulator.Regulator
 	// returns are the times given to callers that were refused since a service's endpoints have asked for fewer calls.
@@ -183,6 +186,7 @@
 		log:      cfg.Log,
 		notes:    newNotes(cfg.Log, cfg.Meter),
 		began:    now,
+		random:   random,
 		registry: registrar.New(registrar.Config{}),
 		selector: selector.New(selector.Config{Rand: random, Ejector: ejectorConfig(cfg.Off), Gate: bounds, Off: cfg.Off}),
 		detector: detector.New(detector.Config{
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -68,7 +68,7 @@
 // limits tells peers the limits that endpoints have named. The lock is held.
 func (f *Forwarder) limits(now time.Time) []carrier.EndpointLimit {
 	var list []carrier.EndpointLimit
-	for _, l := range f.regulator.Limits(now) {
+	for _, l := range nextPart(&f.limitsTold, f.regulator.Limits(now), f.random) {
 		list = append(list, carrier.EndpointLimit{
 			ID:            l.Endpoint,
 			StartedMillis: unixMillis(l.Started),
@@ -98,7 +98,7 @@
 // leaving tells peers which endpoints have said that they leave. The lock is held.
 func (f *Forwarder) leaving() []carrier.EndpointLeave {
 	var list []carrier.EndpointLeave
-	for _, l := range f.regulator.Leaves() {
+	for _, l := range nextPart(&f.leavesTold, f.regulator.Leaves(), f.random) {
 		list = append(list, carrier.EndpointLeave{ID: l.Endpoint, StartedMillis: unixMillis(l.Started)})
 	}
 	return list
@@ -123,7 +123,7 @@
 // refusing tells peers which endpoints refuse this entry's calls in a row. The lock is held.
 func (f *Forwarder) refusing(now time.Time) []carrier.EndpointRefusal {
 	var list []carrier.EndpointRefusal
-	for _, r := range f.selector.Refusals(now) {
+	for _, r := range nextPart(&f.refusalsTold, f.selector.Refusals(now), f.random) {
 		list = append(list, carrier.EndpointRefusal{
 			ID:            r.Endpoint.ID,
 			StartedMillis: unixMillis(r.Endpoint.Started),
