Test that late notices draw no further senders to a limit, failing

With many limited endpoints each notice is told less often. An entry that has not heard of an endpoint's answer for some seconds takes it that its senders can't reach it, and sends too; with 1,500 limited endpoints at 20 entries 9 send where 7 share the limit (model time, a tenth of the frames lost). Beyond that size more would.

--- a/forwarder/crowd_test.go
+++ b/forwarder/crowd_test.go
@@ -83,3 +83,55 @@
 		})
 	}
 }
+
+// sendersOf counts the entries that may send to a limited endpoint.
+func (m *mesh) sendersOf(endpoint string) (n int) {
+	for _, f := range m.nodes {
+		if _, sends := f.regulator.FreeAt(endpoint, m.now); sends {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against further entries that send to a limited endpoint since its answers come late to them, one notice among many.
+func TestLateNoticesDrawNoFurtherSenders(t *testing.T) {
+	const (
+		entries   = 20
+		endpoints = 1500
+		// senders is how many entries share the limit that crowdedMesh has endpoints name.
+		senders    = 7
+		callEvery  = time.Second
+		settleTime = 20 * time.Second
+	)
+	m, rnd := crowdedMesh(t, entries, endpoints)
+	began, called, most := m.now, m.now, 0
+	for m.now.Sub(began) < settleTime {
+		m.beat(1)
+		m.deliver(0.1, rnd)
+		if m.now.Sub(called) < callEvery {
+			continue
+		}
+		called = m.now
+		for i := range endpoints {
+			n := m.callFromSenders(endpointAt(fmt.Sprintf("endpoint-%d", i)).Endpoint)
+			if m.now.Sub(began) > 2*callEvery {
+				most = max(most, n)
+			}
+		}
+	}
+	require.LessOrEqual(t, most, senders)
+}
+
+// callFromSenders has all entries that may send to a limited endpoint do so, and counts them.
+func (m *mesh) callFromSenders(e *registrar.Endpoint) (n int) {
+	for _, f := range m.nodes {
+		f.mu.Lock()
+		if _, sends := f.regulator.FreeAt(e.ID, m.now); sends {
+			f.regulator.Heard(e, regulator.Notice{Limited: true, PerSecond: 2}, m.now)
+			n++
+		}
+		f.mu.Unlock()
+	}
+	return n
+}
