Wait longer for the notices of many limited endpoints

Cause: an entry that has not heard for 5 s that a limited endpoint has answered sends to it too, in case its senders can't. With many limited endpoints heartbeats tell of each in turn, so that what is heard of each is older than that in good order. Ruled out: more notices in a heartbeat (that grows with the endpoints, which is what the turns mend). Change: the wait grows by 15 ms for each limited endpoint, about three times what its share of a heartbeat takes. With the few of today's deployments it grows by tenths of a second. The tests of the limit's bound, use and end pass as before.

--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -20,9 +20,11 @@
 	replacedSenders = 2
 	// renewAfter is how old the newest answer of a limited endpoint may be, beside the time of renewCalls calls, before further
 	// entries send to it, one more for each widenEvery: its senders may have no calls for it or not reach it, and only an
-	// answer tells that its limit has ended.
+	// answer tells that its limit has ended. Entries tell each other of limits in turn, so that what is heard of each is older by
+	// toldEach for each further one: about three times what its share of a heartbeat takes.
 	renewAfter = 5 * time.Second
 	renewCalls = 4
+	toldEach   = 15 * time.Millisecond
 	widenEvery = time.Second
 	// endedLife is how long peers are told that an endpoint's limit has ended.
 	endedLife = 10 * time.Second
@@ -273,7 +275,7 @@
 	l := r.limits[endpoint]
 	slack := slackFor(l.perSecond)
 	senders := slack - replacedSenders
-	renewed := l.at.Add(renewAfter + time.Duration(renewCalls/l.perSecond*float64(time.Second)))
+	renewed := l.at.Add(renewAfter + time.Duration(len(r.limits))*toldEach + time.Duration(renewCalls/l.perSecond*float64(time.Second)))
 	if late := now.Sub(renewed); late > 0 {
 		senders += 1 + int(late/widenEvery)
 	}
