--- a/forwarder/crowd_test.go
+++ b/forwarder/crowd_test.go
@@ -84,16 +84,6 @@
 	}
 }
 
-// sendersOf counts the entries that may send to a limited endpoint.
-func (m *mesh) sendersOf(endpoint string) (n int) {
-	for _, f := range m.nodes {
-		if _, sends := f.regulator.FreeAt(endpoint, m.now); sends {
-			n++
-		}
-	}
-	return n
-}
-
 // Guards against further entries that send to a limited endpoint since its answers come late to them, one notice among many.
 func TestLateNoticesDrawNoFurtherSenders(t *testing.T) {
 	const (
