Stop reserving the share of a peer that reports again

Cause: the list of silent peers is rebuilt every 50 ms only, so a peer that has just reported stayed in it: its share was reserved and its report counted too, and the shares added up to 1.0014. Ruled out: rounding (the excess is the reserved share). Change: a report of a silent peer makes the list outdated. Measured: TestLimitsHoldForAnySequence passes with the recorded, and with 3000 further sequences.

--- a/limiter/peers.go
+++ b/limiter/peers.go
@@ -40,7 +40,11 @@
 		l.peerOrder = append(l.peerOrder, p)
 	}
 	p.lastReportAt = now
-	p.silent = false
+	if p.silent {
+		// The peer's share must not be reserved any more once its reports count.
+		p.silent = false
+		l.silenceCheckedAt = time.Time{}
+	}
 	for i := range uses {
 		if a := l.account(uses[i].Account, now); a != nil {
 			l.update(a, now)
