Bound the connections and member lists of a large fleet

Cause: at a start of 985 entries each one opened connections to some 330 peers within seconds, as the members that receive a heartbeat were drawn anew in every round, and the seeds answered each new process with the whole list of members: bytes grew with the square of the fleet, and memory with the connections.

Change: the distances in a zone repeat after five rounds, and an entry alternates between four members of each other zone. A new process gets an introduction of at most 24 members, most of them of its own zone, and asks for the members whose pulses it doesn't know, 64 at a time, at whoever sent them. New members are announced in three heartbeats by pulse, also outside of their zone. The number of receivers in a zone grows so that a step spreads within three rounds, and members of other zones get one heartbeat more before they are suspected if the zone is that large.

--- a/carrier/message.go
+++ b/carrier/message.go
@@ -89,6 +89,12 @@
 // Kind returns KindPieceRead.
 func (m *PieceRead) Kind() Kind { return KindPieceRead }
 
+// Kind returns KindMembersCall.
+func (m *MembersCall) Kind() Kind { return KindMembersCall }
+
+// Kind returns KindMembersReply.
+func (m *MembersReply) Kind() Kind { return KindMembersReply }
+
 // NewMessage returns an empty message of the kind, to decode a frame into, or an *UnknownKindError.
 func NewMessage(kind Kind) (Message, error) {
 	switch kind {
@@ -134,6 +140,10 @@
 		return &EndpointsNews{}, nil
 	case KindPieceRead:
 		return &PieceRead{}, nil
+	case KindMembersCall:
+		return &MembersCall{}, nil
+	case KindMembersReply:
+		return &MembersReply{}, nil
 	case KindEndpointsReply:
 		return &EndpointsReply{}, nil
 	default:
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -33,6 +33,8 @@
 	KindEndpointsReply
 	KindEndpointsNews
 	KindPieceRead
+	KindMembersCall
+	KindMembersReply
 )
 
 // Challenge is the first message of a connection in each direction: the peer must prove that it knows the shared key.
@@ -74,6 +76,16 @@
 	State     uint8
 }
 
+// MembersCall requests the descriptions of members whose pulses the sender received but doesn't know.
+type MembersCall struct {
+	IDs []uint32 `msg:"ids,limit=1024"`
+}
+
+// MembersReply answers a MembersCall with those of the members that the sender knows.
+type MembersReply struct {
+	Members []Member `msg:"members,limit=1024"`
+}
+
 // EndpointLoad is one entry's number of calls in flight to an endpoint and its view of the endpoint's state.
 type EndpointLoad struct {
 	Address  string
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -5237,6 +5237,307 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *MembersCall) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "ids":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "IDs")
+				return
+			}
+			if zb0002 > 1024 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.IDs) >= int(zb0002) {
+				z.IDs = (z.IDs)[:zb0002]
+			} else {
+				z.IDs = make([]uint32, zb0002)
+			}
+			for za0001 := range z.IDs {
+				z.IDs[za0001], err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "IDs", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *MembersCall) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "ids"
+	err = en.Append(0x81, 0xa3, 0x69, 0x64, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.IDs)))
+	if err != nil {
+		err = msgp.WrapError(err, "IDs")
+		return
+	}
+	for za0001 := range z.IDs {
+		err = en.WriteUint32(z.IDs[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "IDs", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *MembersCall) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "ids"
+	o = append(o, 0x81, 0xa3, 0x69, 0x64, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.IDs)))
+	for za0001 := range z.IDs {
+		o = msgp.AppendUint32(o, z.IDs[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *MembersCall) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "ids":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "IDs")
+				return
+			}
+			if zb0002 > 1024 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.IDs) >= int(zb0002) {
+				z.IDs = (z.IDs)[:zb0002]
+			} else {
+				z.IDs = make([]uint32, zb0002)
+			}
+			for za0001 := range z.IDs {
+				z.IDs[za0001], bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "IDs", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *MembersCall) Msgsize() (s int) {
+	s = 1 + 4 + msgp.ArrayHeaderSize + (len(z.IDs) * (msgp.Uint32Size))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *MembersReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "members":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if zb0002 > 1024 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Members) >= int(zb0002) {
+				z.Members = (z.Members)[:zb0002]
+			} else {
+				z.Members = make([]Member, zb0002)
+			}
+			for za0001 := range z.Members {
+				err = z.Members[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *MembersReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "members"
+	err = en.Append(0x81, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Members)))
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	for za0001 := range z.Members {
+		err = z.Members[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *MembersReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "members"
+	o = append(o, 0x81, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+	for za0001 := range z.Members {
+		o, err = z.Members[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *MembersReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "members":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if zb0002 > 1024 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Members) >= int(zb0002) {
+				z.Members = (z.Members)[:zb0002]
+			} else {
+				z.Members = make([]Member, zb0002)
+			}
+			for za0001 := range z.Members {
+				bts, err = z.Members[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *MembersReply) Msgsize() (s int) {
+	s = 1 + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Members {
+		s += z.Members[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *ModelDemand) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
--- a/detector/bench_test.go
+++ b/detector/bench_test.go
@@ -36,7 +36,7 @@
 
 // steadyStateHeartbeat skips the heartbeats that describe all members in full.
 func steadyStateHeartbeat(d *Detector, now time.Time) *carrier.Heartbeat {
-	for range fullRepeats + 1 {
+	for range announcements + 1 {
 		d.Heartbeat(now)
 	}
 	return d.Heartbeat(now)
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -11,6 +11,7 @@
 package detector
 
 import (
+	"iter"
 	"slices"
 	"strings"
 	"time"
@@ -65,15 +66,23 @@
 	hints  map[string]*hint
 	// id is the pulse ID of this entry.
 	id uint32
-	// sendFull is set when a heartbeat arrives from an unknown process: the next heartbeat describes all members in
-	// full.
+	// sendFull is set when a heartbeat arrives from an unknown process: up to MaxFullMesh members, the next heartbeat
+	// describes all of them in full.
 	sendFull bool
-	// newPeers holds the addresses of new members, which always receive the next heartbeat.
-	newPeers []string
+	// newPeers are the processes that may not know this entry yet. They receive the next heartbeat, or above
+	// MaxFullMesh an introduction.
+	newPeers []newPeer
+	// introduced is the index of the member up to which introductions have gone through d.sorted.
+	introduced int
+	// requested holds the pulse IDs of unknown members whose descriptions were requested from a peer, and when.
+	requested map[uint32]time.Time
 	// heartbeats counts the heartbeats built. phase staggers entries so that they describe different members in full.
 	heartbeats, phase uint64
 	// gossipRound counts the target selections above MaxFullMesh.
 	gossipRound uint64
+	// zoneSize is the number of entries of the own zone that receive heartbeats, including this one, as of the latest
+	// target selection above MaxFullMesh.
+	zoneSize int
 	// lastCall is the latest time passed to any call; zero before the first.
 	lastCall time.Time
 	acks     ackTracker
@@ -83,6 +92,11 @@
 	superseded bool
 }
 
+// newPeer is a process that may not know this entry yet.
+type newPeer struct {
+	address, zone string
+}
+
 // New returns a Detector that knows only its own entry.
 func New(cfg Config) *Detector {
 	if cfg.ProbeInterval <= 0 {
@@ -92,13 +106,14 @@
 		cfg.Fanout = defaultFanout
 	}
 	d := &Detector{
-		cfg:      cfg,
-		members:  make(map[string]*record),
-		index:    newIndex(),
-		id:       pulseID(cfg.Self.Name, cfg.Self.Incarnation),
-		phase:    hasher.Mix(xxhash.Sum64String(cfg.Self.Name)) >> phaseShift,
-		hints:    make(map[string]*hint),
-		declared: Live,
+		cfg:       cfg,
+		members:   make(map[string]*record),
+		index:     newIndex(),
+		id:        pulseID(cfg.Self.Name, cfg.Self.Incarnation),
+		phase:     hasher.Mix(xxhash.Sum64String(cfg.Self.Name)) >> phaseShift,
+		hints:     make(map[string]*hint),
+		requested: make(map[uint32]time.Time),
+		declared:  Live,
 		self: Member{
 			Name:          cfg.Self.Name,
 			Zone:          cfg.Self.Zone,
@@ -130,7 +145,7 @@
 // Receive processes a heartbeat from a peer and returns the resulting state changes.
 func (d *Detector) Receive(hb *carrier.Heartbeat, now time.Time) []Transition {
 	out := d.detectPause(now)
-	out = d.mergeSender(&hb.From, now, out)
+	out = d.mergeSender(hb, now, out)
 	for i := range hb.Members {
 		out = d.mergeMember(&hb.Members[i], now, out)
 	}
@@ -152,6 +167,7 @@
 	}
 	d.forget(now)
 	d.dropHints(now)
+	d.expireQueries(now)
 	return d.updateSelf(now, out)
 }
 
@@ -171,16 +187,32 @@
 	return out
 }
 
-// Members returns all known members, including this entry, ordered by name.
+// All iterates over all known members, including this entry, in the order of their names. The members must not be
+// changed, and are valid only until the next call of another method.
+func (d *Detector) All() iter.Seq[*Member] {
+	return func(yield func(*Member) bool) {
+		own, _ := d.find(d.self.Name)
+		for _, r := range d.sorted[:own] {
+			if !yield(&r.member) {
+				return
+			}
+		}
+		if !yield(&d.self) {
+			return
+		}
+		for _, r := range d.sorted[own:] {
+			if !yield(&r.member) {
+				return
+			}
+		}
+	}
+}
+
+// Members returns copies of all known members, including this entry, ordered by name.
 func (d *Detector) Members() []Member {
 	out := make([]Member, 0, len(d.sorted)+1)
-	own, _ := d.find(d.self.Name)
-	for _, r := range d.sorted[:own] {
-		out = append(out, r.member)
-	}
-	out = append(out, d.self)
-	for _, r := range d.sorted[own:] {
-		out = append(out, r.member)
+	for m := range d.All() {
+		out = append(out, *m)
 	}
 	return out
 }
--- a/detector/evidence.go
+++ b/detector/evidence.go
@@ -42,7 +42,8 @@
 }
 
 // mergeSender merges what the sender of a heartbeat reports about itself.
-func (d *Detector) mergeSender(w *carrier.Member, now time.Time, out []Transition) []Transition {
+func (d *Detector) mergeSender(hb *carrier.Heartbeat, now time.Time, out []Transition) []Transition {
+	w := &hb.From
 	if w.Name == d.self.Name {
 		d.mergeSelf(w)
 		return out
@@ -54,7 +55,9 @@
 	if !known || w.Incarnation != r.member.Incarnation {
 		// A newer process knows no members yet, and an older one must learn that it was replaced.
 		d.sendFull = true
-		d.newPeers = append(d.newPeers, w.PeerAddress)
+		if !d.describedBy(hb) {
+			d.newPeers = append(d.newPeers, newPeer{address: w.PeerAddress, zone: w.Zone})
+		}
 	}
 	if known && !r.newer(w) {
 		return out
@@ -108,8 +111,9 @@
 	r.member.Incarnation = incarnation
 	r.member.LastDirectHeartbeat = time.Time{}
 	r.id = pulseID(r.member.Name, incarnation)
-	r.fullRemaining = fullRepeats
+	r.announcements = announcements
 	d.index.put(r)
+	delete(d.requested, r.id)
 }
 
 // mergeSelf processes what a peer reports about this entry: either the latest own step that the peer knows, or that a
@@ -158,7 +162,7 @@
 }
 
 func (d *Detector) assess(r *record, now time.Time) State {
-	silence := now.Sub(r.member.LastHeard)
+	silence := now.Sub(r.member.LastHeard) - d.extraDelay(r)
 	switch {
 	case r.declared == Stopped:
 		return Stopped
--- a/detector/gossip.go
+++ b/detector/gossip.go
@@ -1,6 +1,7 @@
 package detector
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -9,15 +10,24 @@
 
 const (
 	// defaultFanout is the number of entries in the own availability zone that receive each heartbeat above
-	// MaxFullMesh. After each round up to five times as many entries know a step, so a zone of 65 takes about three
-	// rounds.
+	// MaxFullMesh, unless the zone is so large that a step would take more than spreadRounds rounds to reach it.
 	defaultFanout = 4
+	spreadRounds  = 3
+	// zoneRounds is the number of rounds after which an entry sends to the same members of its zone again. A step
+	// reaches a zone of several hundred within as many.
+	zoneRounds = 5
 	// maxForeignZones is the number of other zones that an entry sends to in one round. If there are more, it rotates
 	// through them.
 	maxForeignZones = 4
 	// maxEachZone limits how many members of another zone one entry sends to in a round, so that the few remaining
 	// entries of a zone don't spend their bandwidth on a large one.
 	maxEachZone = 4
+	// foreignPartners is the number of members of another zone between which an entry alternates. With several, the loss
+	// of one entry does not isolate its partners from its whole zone.
+	foreignPartners = 4
+	// maxForeignMembers limits the members of other zones in one heartbeat. A seed hears all entries directly when a whole
+	// fleet starts.
+	maxForeignMembers = 128
 	// directRelayDivisor sets for how long a member of another zone is relayed after a direct heartbeat: SuspectAfter
 	// divided by this. The member then learns which of its own steps arrived without a detour through its own zone.
 	directRelayDivisor = 3
@@ -49,14 +59,23 @@
 	return max(d.cfg.DeadAfter, d.cfg.GossipDeadAfter)
 }
 
+// extraDelay returns how much longer than usual the steps of a member may take to arrive: in large zones, each round
+// brings the steps of another zone from a single entry there, so that a lost frame delays them by a round.
+func (d *Detector) extraDelay(r *record) time.Duration {
+	if d.usesFullMesh() || r.member.Zone == d.self.Zone || d.fanout(d.zoneSize) == d.cfg.Fanout {
+		return 0
+	}
+	return d.cfg.HeartbeatInterval
+}
+
 // inHeartbeat reports whether heartbeats include the member. Above MaxFullMesh each entry reports the members of its
-// own availability zone, which it knows best, and those of other zones that it has just heard directly. The traffic
-// thus grows with the size of the zone rather than of the fleet.
+// own availability zone, which it knows best, and those of other zones that it has just heard directly or learned of.
+// The traffic thus grows with the size of the zone rather than of the fleet.
 func (d *Detector) inHeartbeat(r *record, now time.Time) bool {
 	if r.member.State == Dead {
 		return false
 	}
-	return d.usesFullMesh() || r.member.Zone == d.self.Zone || now.Sub(r.member.LastDirectHeartbeat) < d.suspectAfter()/directRelayDivisor
+	return d.usesFullMesh() || r.member.Zone == d.self.Zone || r.announcements > 0 || now.Sub(r.member.LastDirectHeartbeat) < d.suspectAfter()/directRelayDivisor
 }
 
 // gossipTargets returns the members that receive the next heartbeat in a system too large for a full mesh: a few of
@@ -66,12 +85,13 @@
 	round := d.roundNumber(now)
 	zones, names := d.reachableByZone()
 	own := zones[d.self.Zone]
+	d.zoneSize = len(own) + 1
 	ownIndex, _ := slices.BinarySearchFunc(own, d.self.Name, compareName)
 	out := d.zoneTargets(own, ownIndex, round)
 	size := len(own) + 1
 	for i := range min(len(names), maxForeignZones) {
 		foreign := zones[names[(int(round%uint64(len(names)))*maxForeignZones+i)%len(names)]]
-		at := (ownIndex + int(round%uint64(size))) % size
+		at := (ownIndex + int(round%foreignPartners)) % size
 		for n := 0; at < len(foreign) && n < maxEachZone; n++ {
 			out = append(out, foreign[at])
 			at += size
@@ -90,16 +110,25 @@
 	return uint64(now.UnixNano()) / uint64(d.cfg.HeartbeatInterval)
 }
 
-// zoneTargets returns Fanout members of the own zone. They are chosen by distance in name order; the distances are
-// drawn from the round number and so are the same for all entries. Each entry thus receives from Fanout others, and
-// passes a step on to different entries than its sender did.
+// fanout returns the number of entries of the own zone that receive each heartbeat: as many that a step reaches a zone
+// of the given size within spreadRounds rounds, if each round multiplies the entries that know it by one more than that.
+// With a fixed number, steps in a larger zone would be older on arrival, and lost frames would delay them too long.
+func (d *Detector) fanout(size int) int {
+	return max(d.cfg.Fanout, int(math.Ceil(math.Pow(float64(size), 1.0/spreadRounds)))-1)
+}
+
+// zoneTargets returns some members of the own zone. They are chosen by distance in name order; the distances are
+// drawn from the round number and so are the same for all entries. Each entry thus receives from as many others, and
+// passes a step on to different entries than its sender did. The distances repeat after zoneRounds rounds, so that the
+// number of connections does not grow with the zone.
 func (d *Detector) zoneTargets(own []*record, ownIndex int, round uint64) []*record {
-	if len(own) <= d.cfg.Fanout {
+	fanout := d.fanout(len(own) + 1)
+	if len(own) <= fanout {
 		return slices.Clone(own)
 	}
-	out := make([]*record, 0, d.cfg.Fanout)
-	for i := uint64(0); len(out) < d.cfg.Fanout; i++ {
-		distance := int(hasher.Mix(hasher.Mix(round)+i) % uint64(len(own)))
+	out := make([]*record, 0, fanout)
+	for i := uint64(0); len(out) < fanout; i++ {
+		distance := int(hasher.Mix(hasher.Mix(round%zoneRounds)+i) % uint64(len(own)))
 		r := own[(ownIndex+distance)%len(own)]
 		if !slices.Contains(out, r) {
 			out = append(out, r)
--- a/detector/member.go
+++ b/detector/member.go
@@ -58,8 +58,9 @@
 	refusedAt time.Time
 	// id is the pulse ID of the member's current process.
 	id uint32
-	// fullRemaining is the number of further heartbeats that describe the member in full.
-	fullRemaining int
+	// announcements is the number of further heartbeats that announce the member: they describe it in full, or above
+	// MaxFullMesh contain its pulse although it is in another zone.
+	announcements int
 }
 
 func (r *record) wire(now time.Time) carrier.Member {
--- a/detector/mesh_test.go
+++ b/detector/mesh_test.go
@@ -30,7 +30,9 @@
 	// heartbeatInterval is the time between heartbeats; stepInterval is the time by which each simulation step
 	// advances.
 	heartbeatInterval, stepInterval time.Duration
-	// sent counts the encoded bytes of all heartbeats if it isn't nil.
+	// zones is the number of availability zones.
+	zones int
+	// sent counts the encoded bytes of all messages if it isn't nil.
 	sent        *int
 	transitions []observedTransition
 }
@@ -43,11 +45,15 @@
 	frozenUntil   time.Time
 	nextHeartbeat time.Time
 	inbox         []delivery
+	// bytesSent and lastSent are the encoded bytes that the process has sent, and when it last sent to each address.
+	bytesSent int
+	lastSent  map[string]time.Time
 }
 
 type delivery struct {
-	at time.Time
-	hb *carrier.Heartbeat
+	at   time.Time
+	from int
+	msg  carrier.Message
 }
 
 // observedTransition is a transition with its observer and time.
@@ -57,7 +63,10 @@
 	Transition
 }
 
-func newMesh(n int, seed uint64, cfg Config) *mesh {
+func newMesh(n int, seed uint64, cfg Config) *mesh { return newMeshInZones(n, 3, seed, cfg) }
+
+// newMeshInZones is newMesh with the given number of zones.
+func newMeshInZones(n, zones int, seed uint64, cfg Config) *mesh {
 	m := &mesh{
 		now:               time.Unix(1_700_000_000, 0),
 		rnd:               rand.New(rand.NewPCG(seed, 1)),
@@ -66,6 +75,7 @@
 		cut:               make(map[[2]int]bool),
 		heartbeatInterval: meshHeartbeat,
 		stepInterval:      meshStep,
+		zones:             zones,
 	}
 	m.start = m.now
 	m.delay = func() time.Duration { return time.Duration(1+m.rnd.IntN(5)) * time.Millisecond }
@@ -87,16 +97,17 @@
 	}
 }
 
-func name(i int) string    { return "entry-" + strconv.Itoa(100+i) }
-func zone(i int) string    { return "zone-" + strconv.Itoa(i%3) }
-func address(i int) string { return "10.0.0." + strconv.Itoa(i) + ":7003" }
+func name(i int) string     { return "entry-" + strconv.Itoa(100+i) }
+func zone(i int) string     { return zoneName(i % 3) }
+func zoneName(i int) string { return "zone-" + strconv.Itoa(i) }
+func address(i int) string  { return "10.0.0." + strconv.Itoa(i) + ":7003" }
 
 // boot starts a new process for entry i that knows only the seeds.
 func (m *mesh) boot(i int, incarnation uint64) {
 	cfg := m.cfg
-	cfg.Self = carrier.Member{Name: name(i), Zone: zone(i), PeerAddress: address(i), Incarnation: incarnation}
+	cfg.Self = carrier.Member{Name: name(i), Zone: zoneName(i % m.zones), PeerAddress: address(i), Incarnation: incarnation}
 	phase := time.Duration(m.rnd.Int64N(int64(m.heartbeatInterval)))
-	*m.nodes[i] = node{d: New(cfg), running: true, nextHeartbeat: m.now.Add(phase)}
+	*m.nodes[i] = node{d: New(cfg), running: true, nextHeartbeat: m.now.Add(phase), lastSent: make(map[string]time.Time)}
 }
 
 // cutZone isolates one of the three zones from the others in both directions.
@@ -153,11 +164,51 @@
 			later = append(later, x)
 			continue
 		}
-		m.recordTransitions(i, n.d.Receive(x.hb, m.now))
+		m.receive(i, x)
 	}
 	n.inbox = later
 }
 
+func (m *mesh) receive(i int, x delivery) {
+	d := m.nodes[i].d
+	switch msg := x.msg.(type) {
+	case *carrier.Heartbeat:
+		m.recordTransitions(i, d.Receive(msg, m.now))
+		if query, unknown := d.MemberQuery(msg, m.now); unknown {
+			m.send(i, address(x.from), query, m.size(query))
+		}
+	case *carrier.MembersCall:
+		reply := d.DescribeMembers(msg, m.now)
+		m.send(i, address(x.from), reply, m.size(reply))
+	case *carrier.MembersReply:
+		m.recordTransitions(i, d.ReceiveMembers(msg, m.now))
+	}
+}
+
+// size returns the encoded size of a message if bytes are counted.
+func (m *mesh) size(msg carrier.Message) int {
+	if m.sent == nil {
+		return 0
+	}
+	body, _ := msg.MarshalMsg(nil)
+	return len(body)
+}
+
+// send sends a message of the given size, unless the link drops it.
+func (m *mesh) send(from int, to string, msg carrier.Message, size int) {
+	sender := m.nodes[from]
+	sender.bytesSent += size
+	sender.lastSent[to] = m.now
+	if m.sent != nil {
+		*m.sent += size
+	}
+	j, ok := m.byAddr[to]
+	if !ok || m.cut[[2]int{from, j}] || !m.nodes[j].running || m.loss > 0 && m.rnd.Float64() < m.loss {
+		return
+	}
+	m.nodes[j].inbox = append(m.nodes[j].inbox, delivery{at: m.now.Add(m.delay()), from: from, msg: msg})
+}
+
 func (m *mesh) sendDue(i int) {
 	n := m.nodes[i]
 	if m.now.Before(n.nextHeartbeat) {
@@ -166,20 +217,12 @@
 	n.nextHeartbeat = m.now.Add(m.heartbeatInterval)
 	m.recordTransitions(i, n.d.Tick(m.now))
 	hb := n.d.Heartbeat(m.now)
-	size := 0
-	if m.sent != nil {
-		body, _ := hb.MarshalMsg(nil)
-		size = len(body)
-	}
+	size := m.size(hb)
 	for _, to := range n.d.Targets(m.now) {
-		if m.sent != nil {
-			*m.sent += size
-		}
-		j, ok := m.byAddr[to]
-		if !ok || m.cut[[2]int{i, j}] || !m.nodes[j].running || m.loss > 0 && m.rnd.Float64() < m.loss {
-			continue
-		}
-		m.nodes[j].inbox = append(m.nodes[j].inbox, delivery{at: m.now.Add(m.delay()), hb: hb})
+		m.send(i, to, hb, size)
+	}
+	for _, x := range n.d.Introductions(m.now) {
+		m.send(i, x.Address, x.Members, m.size(x.Members))
 	}
 }
 
--- a/detector/pulse.go
+++ b/detector/pulse.go
@@ -13,8 +13,8 @@
 	// fullPerHeartbeat is the number of known members that each heartbeat describes in full, in rotation. An entry
 	// that missed the first full descriptions of a member eventually learns of it this way.
 	fullPerHeartbeat = 1
-	// fullRepeats is the number of heartbeats that describe a member in full after it becomes known.
-	fullRepeats = 3
+	// announcements is the number of heartbeats that announce a member after it becomes known.
+	announcements = 3
 )
 
 // pulseID returns the short ID of one process of a member. It depends on the incarnation, so pulses of an old process
@@ -51,21 +51,33 @@
 }
 
 // Heartbeat builds the heartbeat of one round, to be sent to all Targets. Members that peers already know are sent in
-// short form. If a new member has appeared, all members are described in full.
+// short form. If a new member has appeared, all members are described in full, unless there are more than MaxFullMesh:
+// receivers then ask for those that they don't know.
 func (d *Detector) Heartbeat(now time.Time) *carrier.Heartbeat {
 	hb := &carrier.Heartbeat{From: d.Self(), Sequence: d.self.Sequence}
-	if d.sendFull {
-		d.sendFull = false
+	sendFull := d.sendFull && d.usesFullMesh()
+	d.sendFull = false
+	if sendFull {
 		hb.Members = d.Digest(now)
 		return hb
 	}
 	d.heartbeats++
-	for i, r := range d.sorted {
-		switch {
-		case !d.inHeartbeat(r, now):
-		case d.describedInFull(r, i):
+	foreign := 0
+	for k := range d.sorted {
+		// Starting at another member each time gives all foreign members their turn.
+		i := int((d.phase + d.heartbeats + uint64(k)) % uint64(len(d.sorted)))
+		r := d.sorted[i]
+		if !d.inHeartbeat(r, now) {
+			continue
+		}
+		if !d.usesFullMesh() && r.member.Zone != d.self.Zone {
+			if foreign++; foreign > maxForeignMembers {
+				continue
+			}
+		}
+		if d.describedInFull(r, i) {
 			hb.Members = append(hb.Members, r.wire(now))
-		default:
+		} else {
 			hb.Pulses = append(hb.Pulses, r.pulse(now))
 		}
 	}
@@ -74,9 +86,11 @@
 
 // describedInFull reports whether the member at index i is described in full in this heartbeat.
 func (d *Detector) describedInFull(r *record, i int) bool {
-	if r.fullRemaining > 0 {
-		r.fullRemaining--
-		return true
+	if r.announcements > 0 {
+		r.announcements--
+		if d.usesFullMesh() {
+			return true
+		}
 	}
 	inTurn := (uint64(i)+d.phase+d.heartbeats*fullPerHeartbeat)%uint64(len(d.sorted)) < fullPerHeartbeat
 	return inTurn || d.index.collisions[r.id]
--- a/detector/target.go
+++ b/detector/target.go
@@ -34,11 +34,11 @@
 func (d *Detector) Targets(now time.Time) []string {
 	t := targets{seen: make(map[string]bool, len(d.sorted)+1)}
 	t.seen[d.self.PeerAddress] = true
-	for _, address := range d.newPeers {
-		t.add(address)
-	}
-	d.newPeers = nil
 	if d.usesFullMesh() {
+		for _, p := range d.newPeers {
+			t.add(p.address)
+		}
+		d.newPeers = nil
 		t.addAll(d.reachable())
 	} else {
 		t.addAll(d.gossipTargets(now))
--- a/forwarder/gate.go
+++ b/forwarder/gate.go
@@ -43,13 +43,15 @@
 }
 
 // setSendingEntries sets which entries share the limits of cold and limited endpoints. The lock must be held.
-func (f *Forwarder) setSendingEntries(members []detector.Member) {
-	live := make([]string, 0, len(members))
-	for _, m := range members {
+func (f *Forwarder) setSendingEntries() {
+	var live []string
+	known := 0
+	for m := range f.detector.All() {
+		known++
 		if m.Name == f.cfg.Name || m.State == detector.Live {
 			live = append(live, m.Name)
 		}
 	}
-	f.warmer.SetEntries(live, len(members))
+	f.warmer.SetEntries(live, known)
 	f.regulator.SetEntries(live)
 }
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -231,7 +231,7 @@
 	m.sendHeartbeats(3)
 	extra := 0
 	for name, f := range m.nodes {
-		require.Len(t, f.liveAddresses(f.detector.Members()), 59, name)
+		require.Len(t, f.liveAddresses(), 59, name)
 		for f.retrier.TakeRetry("plain", 1, time.Now()) {
 			extra++
 		}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -38,11 +37,8 @@
 	f.mu.Lock()
 	f.setSelf()
 	transitions := f.detector.Tick(now)
-	// The list is shared by all steps below: with hundreds of members, building it is a significant part of a
-	// heartbeat's cost.
-	members := f.detector.Members()
-	peers := f.liveAddresses(members)
-	f.setSendingEntries(members)
+	peers := f.liveAddresses()
+	f.setSendingEntries()
 	f.retrier.SetReserve(retryReserve(f.cfg.RetrySlack, max(typicalEntries, len(peers)+1)))
 	f.duties.reset()
 	f.expireReports(now)
@@ -59,7 +55,8 @@
 	targets := f.detector.Targets(now)
 	heartbeatTargets, reportTargets := f.targets(targets, peers)
 	report := f.loadReport()
-	peerQueries := f.peerQueries(members, now)
+	introductions := f.detector.Introductions(now)
+	peerQueries := f.peerQueries(peers, now)
 	actions := f.applyTransitions(transitions, now)
 	f.mu.Unlock()
 	runActions(actions)
@@ -69,6 +66,9 @@
 	for _, address := range reportTargets {
 		f.sender.Send(address, report)
 	}
+	for _, i := range introductions {
+		f.sender.Send(i.Address, i.Members)
+	}
 	for address, list := range peerQueries {
 		for _, m := range list {
 			f.sender.Send(address, m)
@@ -81,9 +81,17 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !slices.ContainsFunc(f.detector.Members(), func(m detector.Member) bool {
-		return m.Name != f.cfg.Name && m.State != detector.Dead && m.State != detector.Stopped && now.Sub(m.LastHeard) < suspectAfter
-	})
+	for m := range f.detector.All() {
+		if f.isRunningPeer(m) && now.Sub(m.LastHeard) < suspectAfter {
+			return false
+		}
+	}
+	return true
+}
+
+// isRunningPeer reports whether a member is another entry that may be running, ready or not.
+func (f *Forwarder) isRunningPeer(m *detector.Member) bool {
+	return m.Name != f.cfg.Name && m.State != detector.Dead && m.State != detector.Stopped
 }
 
 // AddPeerAddress adds the address of an entry that may be running. Heartbeats sent to it show whether it is.
@@ -106,9 +114,9 @@
 }
 
 // liveAddresses returns the peer addresses of the live members other than this entry. The lock must be held.
-func (f *Forwarder) liveAddresses(members []detector.Member) []string {
+func (f *Forwarder) liveAddresses() []string {
 	var live []string
-	for _, m := range members {
+	for m := range f.detector.All() {
 		if m.Name != f.cfg.Name && m.State == detector.Live {
 			live = append(live, m.PeerAddress)
 		}
@@ -124,13 +132,13 @@
 }
 
 // peerQueries returns the queries to send by peer address: for a newer configuration, and for the list of endpoints
-// while the store can't be read here. The lock must be held.
-func (f *Forwarder) peerQueries(members []detector.Member, now time.Time) map[string][]carrier.Message {
+// while the store can't be read here. live holds the addresses of the live peers. The lock must be held.
+func (f *Forwarder) peerQueries(live []string, now time.Time) map[string][]carrier.Message {
 	queries := make(map[string][]carrier.Message)
-	if address, ok := f.configQueryTarget(members, now); ok {
+	if address, ok := f.configQueryTarget(now); ok {
 		queries[address] = append(queries[address], &carrier.ConfigCall{})
 	}
-	for _, address := range f.endpointsQueryTargets(members, now) {
+	for _, address := range f.endpointsQueryTargets(live, now) {
 		queries[address] = append(queries[address], f.endpointsCall(now))
 	}
 	return queries
@@ -138,11 +146,11 @@
 
 // configQueryTarget returns the peer to ask for its configuration if one has a newer version. It is selected at
 // random among the peers with the newest version, so that not all entries ask the same one. The lock must be held.
-func (f *Forwarder) configQueryTarget(members []detector.Member, now time.Time) (string, bool) {
+func (f *Forwarder) configQueryTarget(now time.Time) (string, bool) {
 	var newest []string
 	version := f.version()
-	for _, m := range members {
-		if m.Name == f.cfg.Name || m.State == detector.Dead || m.State == detector.Stopped {
+	for m := range f.detector.All() {
+		if !f.isRunningPeer(m) {
 			continue
 		}
 		if m.ConfigOffset > version {
@@ -169,13 +177,9 @@
 
 // endpointsQueryTargets returns the peers to ask for their list of endpoints while this entry's list is stale. The
 // lock must be held.
-func (f *Forwarder) endpointsQueryTargets(members []detector.Member, now time.Time) []string {
+func (f *Forwarder) endpointsQueryTargets(live []string, now time.Time) []string {
 	stale := !f.registry.Loaded() || f.registry.Age(now) > maxEndpointsAge
-	if !stale || now.Sub(f.endpointsQueriedAt) < queryInterval {
-		return nil
-	}
-	live := f.liveAddresses(members)
-	if len(live) == 0 {
+	if !stale || len(live) == 0 || now.Sub(f.endpointsQueriedAt) < queryInterval {
 		return nil
 	}
 	f.endpointsQueriedAt = now
@@ -212,8 +216,16 @@
 			}
 			actions := append(f.applyPeerEvacuations(m, now), f.queryNewerEra(from, m.EndpointsEra, now)...)
 			actions = append(actions, f.applyLeaving(m.Leaving, m.From.Name, now)...)
-			return append(actions, f.applyTransitions(f.detector.Receive(m, now), now)...)
+			actions = append(actions, f.applyTransitions(f.detector.Receive(m, now), now)...)
+			if query, unknown := f.detector.MemberQuery(m, now); unknown {
+				actions = append(actions, f.sendTo(from, query))
+			}
+			return actions
 		})
+	case *carrier.MembersCall:
+		f.withLock(func() []func() { return []func(){f.sendTo(from, f.detector.DescribeMembers(m, now))} })
+	case *carrier.MembersReply:
+		f.withLock(func() []func() { return f.applyTransitions(f.detector.ReceiveMembers(m, now), now) })
 	case *carrier.LoadReport:
 		f.withLock(func() []func() { f.applyLoadReport(from, m, now); return nil })
 	case *carrier.ConfigCall:
