Encode a heartbeat once, and close peers' unused connections sooner

Cause: each connection to a peer encoded the same heartbeat for itself and kept a buffer of up to 64 KiB a side, and stayed open for a minute after its last use, although an entry exchanges messages with many more peers while a fleet starts than later. Ruled out: closing at the same moment on both sides (the listener would lose what is sent meanwhile; it now waits twice as long).

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -32,6 +32,9 @@
 	// do not answer at all: with attempts of a second each, entries that had all lost power at once did not reach each
 	// other until 1.5 s after their start.
 	peerDialTimeout = 250 * time.Millisecond
+	// peerIdleTimeout closes unused connections to peers. When a large fleet starts, an entry exchanges messages with many
+	// more peers than later.
+	peerIdleTimeout = 10 * time.Second
 	// headerTimeout bounds reading a request header; the platform's callers need less.
 	headerTimeout = 5 * time.Second
 	// maxHeaderBytes bounds the size of a request header; the platform allows 16 KB.
@@ -139,6 +142,7 @@
 		Log:       e.log,
 
 		DialTimeout: peerDialTimeout,
+		IdleTimeout: peerIdleTimeout,
 		Registry:    e.meter.Registry(),
 	})
 	e.forwarder.SetSender(e.messenger)
--- a/messenger/config.go
+++ b/messenger/config.go
@@ -68,7 +68,8 @@
 	WriteTimeout     time.Duration
 	// SilenceTimeout closes a connection if the peer's kernel doesn't acknowledge sent bytes.
 	SilenceTimeout time.Duration
-	// IdleTimeout closes a connection that receives nothing, and ends a sender without messages.
+	// IdleTimeout ends a sender without messages. An accepted connection that receives nothing is closed after twice
+	// as long.
 	IdleTimeout time.Duration
 	BackoffMin  time.Duration
 	BackoffMax  time.Duration
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -16,7 +16,7 @@
 	// maxHandshakeFrame is the maximum size of a frame from an unauthenticated peer, in bytes.
 	maxHandshakeFrame = 1 << 10
 	// maxReusedBuffer is the largest buffer that is reused for the next frame, in bytes.
-	maxReusedBuffer = 64 << 10
+	maxReusedBuffer = 16 << 10
 )
 
 // FrameSizeError reports a frame whose length is out of the range that the connection allows. Its fields are in bytes.
--- a/messenger/listener.go
+++ b/messenger/listener.go
@@ -14,6 +14,9 @@
 	acceptPause = 50 * time.Millisecond
 	// refusalLogInterval is the time without refusals after which the next refusal is logged.
 	refusalLogInterval = time.Minute
+	// listenerPatience is how many idle timeouts a listener waits, so that the sender closes an idle connection first
+	// and loses no message that it sends meanwhile.
+	listenerPatience = 2
 )
 
 // Serve accepts peers until ctx is done or the messenger is closed, and then returns nil. It returns a KeyError if a
@@ -69,7 +72,7 @@
 		return
 	}
 	defer m.unregister(name, conn)
-	r := &timedReader{conn: conn, timeout: m.cfg.IdleTimeout, count: m.counters.bytesReceived}
+	r := &timedReader{conn: conn, timeout: listenerPatience * m.cfg.IdleTimeout, count: m.counters.bytesReceived}
 	frames := &frameReader{r: r, limit: m.cfg.MaxFrame, opener: opener}
 	for {
 		msg, err := frames.next()
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -33,6 +33,30 @@
 	conns     map[net.Conn]struct{}
 	inbound   map[string]net.Conn
 	refusedAt time.Time
+
+	heartbeat encodedHeartbeat
+}
+
+// encodedHeartbeat is the newest heartbeat and its encoding, which all its receivers share.
+type encodedHeartbeat struct {
+	mu      sync.Mutex
+	message *carrier.Heartbeat
+	body    []byte
+}
+
+// encode returns the encoding of a heartbeat. It must not be changed.
+func (e *encodedHeartbeat) encode(hb *carrier.Heartbeat) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.message == hb {
+		return e.body, nil
+	}
+	body, err := hb.MarshalMsg(nil)
+	if err != nil {
+		return nil, err
+	}
+	e.message, e.body = hb, body
+	return body, nil
 }
 
 // New returns a Messenger that can send at once. Call Serve to accept peers.
--- a/messenger/sender.go
+++ b/messenger/sender.go
@@ -68,7 +68,7 @@
 	hb, items := s.queue.take()
 	defer s.queue.done()
 	if hb != nil {
-		if body, err := hb.MarshalMsg(nil); err == nil {
+		if body, err := s.m.heartbeat.encode(hb); err == nil {
 			items = append([]item{{kind: hb.Kind(), body: body}}, items...)
 		}
 	}
