--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -436,6 +436,9 @@
 	Next      int64 `msg:"next"`
 	AgeMillis int64 `msg:"ageMillis"`
 	// Unchanged is set if the list of the requesting entry is the same; Entries is then empty.
-	Unchanged bool            `msg:"unchanged"`
-	Entries   []EndpointEntry `msg:"entries,limit=65536"`
+	Unchanged bool `msg:"unchanged"`
+	// Part is the index of this message among the Parts that contain the whole list.
+	Part    int32           `msg:"part"`
+	Parts   int32           `msg:"parts"`
+	Entries []EndpointEntry `msg:"entries,limit=65536"`
 }
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -2827,6 +2827,18 @@
 				err = msgp.WrapError(err, "Unchanged")
 				return
 			}
+		case "part":
+			z.Part, err = dc.ReadInt32()
+			if err != nil {
+				err = msgp.WrapError(err, "Part")
+				return
+			}
+		case "parts":
+			z.Parts, err = dc.ReadInt32()
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
 		case "entries":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -2863,9 +2875,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EndpointsReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 7
 	// write "era"
-	err = en.Append(0x85, 0xa3, 0x65, 0x72, 0x61)
+	err = en.Append(0x87, 0xa3, 0x65, 0x72, 0x61)
 	if err != nil {
 		return
 	}
@@ -2904,6 +2916,26 @@
 		err = msgp.WrapError(err, "Unchanged")
 		return
 	}
+	// write "part"
+	err = en.Append(0xa4, 0x70, 0x61, 0x72, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt32(z.Part)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	// write "parts"
+	err = en.Append(0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt32(z.Parts)
+	if err != nil {
+		err = msgp.WrapError(err, "Parts")
+		return
+	}
 	// write "entries"
 	err = en.Append(0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
 	if err != nil {
@@ -2927,9 +2959,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointsReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 7
 	// string "era"
-	o = append(o, 0x85, 0xa3, 0x65, 0x72, 0x61)
+	o = append(o, 0x87, 0xa3, 0x65, 0x72, 0x61)
 	o = msgp.AppendInt64(o, z.Era)
 	// string "next"
 	o = append(o, 0xa4, 0x6e, 0x65, 0x78, 0x74)
@@ -2940,6 +2972,12 @@
 	// string "unchanged"
 	o = append(o, 0xa9, 0x75, 0x6e, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Unchanged)
+	// string "part"
+	o = append(o, 0xa4, 0x70, 0x61, 0x72, 0x74)
+	o = msgp.AppendInt32(o, z.Part)
+	// string "parts"
+	o = append(o, 0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
+	o = msgp.AppendInt32(o, z.Parts)
 	// string "entries"
 	o = append(o, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
@@ -2995,6 +3033,18 @@
 				err = msgp.WrapError(err, "Unchanged")
 				return
 			}
+		case "part":
+			z.Part, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Part")
+				return
+			}
+		case "parts":
+			z.Parts, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
 		case "entries":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -3032,7 +3082,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EndpointsReply) Msgsize() (s int) {
-	s = 1 + 4 + msgp.Int64Size + 5 + msgp.Int64Size + 10 + msgp.Int64Size + 10 + msgp.BoolSize + 8 + msgp.ArrayHeaderSize
+	s = 1 + 4 + msgp.Int64Size + 5 + msgp.Int64Size + 10 + msgp.Int64Size + 10 + msgp.BoolSize + 5 + msgp.Int32Size + 6 + msgp.Int32Size + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Entries {
 		s += z.Entries[za0001].Msgsize()
 	}
--- a/forwarder/duty.go
+++ b/forwarder/duty.go
@@ -178,11 +178,12 @@
 // reset clears the cache.
 func (d *duties) reset() { *d = duties{} }
 
-// eligibleForDuty reports whether an entry may own a duty. Until this entry has a configuration, peers without one
-// count too: when all entries start together none is live yet, and each would otherwise consider itself the only one.
-// The lock must be held.
+// eligibleForDuty reports whether an entry may own a duty. Until this entry has a configuration and the list of
+// endpoints, peers without them count too: when all entries start together none is live yet, and each would otherwise
+// consider itself the only one. The lock must be held.
 func (f *Forwarder) eligibleForDuty(m *detector.Member) bool {
-	return m.State == detector.Live || f.catalog == nil && m.State == detector.Suspect
+	starting := f.catalog == nil || !f.registry.Loaded()
+	return m.State == detector.Live || starting && m.State == detector.Suspect
 }
 
 // eligibleEntries returns the live entries on large and on small VMs, except those to avoid. The lock must be held.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -150,6 +150,9 @@
 	configQueriedAt    time.Time
 	endpointsQueriedAt time.Time
 	behindSince        time.Time
+	// partialLists holds lists of endpoints of which only some parts have arrived, and sentLists limits those sent.
+	partialLists partialLists
+	sentLists    sentLists
 	// peerLiveAt is when a peer last became live.
 	peerLiveAt time.Time
 	// otherOwnerSince is when another entry became the owner of the collecting duty for a service that this entry has
@@ -161,6 +164,8 @@
 	round int
 	// updateReceivedAt is when the last update from the entry that reads the store for all arrived.
 	updateReceivedAt time.Time
+	// longList is set once a single call to the store has not returned the whole list of endpoints.
+	longList bool
 	// configReadAt is when the store last answered a configuration read, here or at a peer.
 	configReadAt time.Time
 	// storeLost is set while the store does not answer this entry.
@@ -231,6 +236,7 @@
 		pools:         make(map[string]*collector.Pool),
 		delegations:   make(map[delegationID]*delegation),
 		reportedLoads: make(map[string]reportedLoad),
+		partialLists:  make(partialLists),
 
 		retrySchedules: make(map[string]*regulator.ReturnSchedule),
 
--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -71,12 +71,18 @@
 	})
 }
 
-// ReplaceEndpoints replaces the list of endpoints with the newest record of every endpoint.
+// ReplaceEndpoints replaces the list of endpoints with the newest record of every endpoint. An entry that has followed
+// the changes so far broadcasts the differences: each of its peers would otherwise miss some changes, and ask for a whole
+// list.
 func (f *Forwarder) ReplaceEndpoints(all []registrar.Change, next locator.Position, now time.Time) {
 	f.withLock(func() []func() {
+		var actions []func()
+		if from := f.registry.Next(); f.registry.Loaded() && from.Era() == next.Era() && from.Before(next) {
+			actions = f.broadcastChanges(f.registry.Differences(all, next), from, next, now)
+		}
 		f.registry.Replace(all, next, now)
 		f.updateReceivedAt = now
-		return f.endpointsChanged(now)
+		return append(actions, f.endpointsChanged(now)...)
 	})
 }
 
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -9,27 +9,16 @@
 	"geraniumline/carrier"
 	"geraniumline/collector"
 	"geraniumline/detector"
-	"geraniumline/locator"
 )
 
 const (
 	// configWait is how long this entry waits after a peer reported a newer configuration before it requests it: its
 	// own read of the store usually returns it first.
 	configWait = 150 * time.Millisecond
-	// maxEndpointsAge is the age of this entry's list of endpoints from which it asks peers for theirs: two reads of
-	// the store were missed.
-	maxEndpointsAge = 1500 * time.Millisecond
 	// maxConfigAge is reported for any longer age, and if the configuration was never read.
 	maxConfigAge = time.Hour
 	// queryInterval is the minimum time between two queries of the same kind.
 	queryInterval = 500 * time.Millisecond
-	// queriedPeers is how many peers an entry asks for their list of endpoints at a time. In a store outage all
-	// entries ask at once. If they asked all peers and received whole lists, the links of small VMs would fill,
-	// heartbeats would be late and entries would consider each other dead.
-	queriedPeers = 3
-	// freshnessMargin is how much more recent a peer's read of the store must be to be sent: nearly one read
-	// interval.
-	freshnessMargin = 500 * time.Millisecond
 )
 
 // heartbeat sends this entry's state to its peers and queries them for missing data.
@@ -42,6 +31,7 @@
 	f.retrier.SetReserve(retryReserve(f.cfg.RetrySlack, max(typicalEntries, len(peers)+1)))
 	f.duties.reset()
 	f.expireReports(now)
+	f.partialLists.expire(now)
 	message := f.detector.Heartbeat(now)
 	message.Crashes = f.quarantiner.Marks(now)
 	message.Stages = f.stageWaits(now)
@@ -56,7 +46,7 @@
 	heartbeatTargets, reportTargets := f.targets(targets, peers)
 	report := f.loadReport()
 	introductions := f.detector.Introductions(now)
-	peerQueries := f.peerQueries(peers, now)
+	peerQueries := f.peerQueries(now)
 	actions := f.applyTransitions(transitions, now)
 	f.mu.Unlock()
 	runActions(actions)
@@ -132,13 +122,13 @@
 }
 
 // peerQueries returns the queries to send by peer address: for a newer configuration, and for the list of endpoints
-// while the store can't be read here. live holds the addresses of the live peers. The lock must be held.
-func (f *Forwarder) peerQueries(live []string, now time.Time) map[string][]carrier.Message {
+// while the store can't be read here. The lock must be held.
+func (f *Forwarder) peerQueries(now time.Time) map[string][]carrier.Message {
 	queries := make(map[string][]carrier.Message)
 	if address, ok := f.configQueryTarget(now); ok {
 		queries[address] = append(queries[address], &carrier.ConfigCall{})
 	}
-	for _, address := range f.endpointsQueryTargets(live, now) {
+	for _, address := range f.endpointsQueryTargets(now) {
 		queries[address] = append(queries[address], f.endpointsCall(now))
 	}
 	return queries
@@ -175,27 +165,6 @@
 	return newest[rand.IntN(len(newest))], true
 }
 
-// endpointsQueryTargets returns the peers to ask for their list of endpoints while this entry's list is stale. The
-// lock must be held.
-func (f *Forwarder) endpointsQueryTargets(live []string, now time.Time) []string {
-	stale := !f.registry.Loaded() || f.registry.Age(now) > maxEndpointsAge
-	if !stale || len(live) == 0 || now.Sub(f.endpointsQueriedAt) < queryInterval {
-		return nil
-	}
-	f.endpointsQueriedAt = now
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	return live[:min(len(live), queriedPeers)]
-}
-
-// endpointsCall returns a query that states which list of endpoints this entry has. The lock must be held.
-func (f *Forwarder) endpointsCall(now time.Time) *carrier.EndpointsCall {
-	if !f.registry.Loaded() {
-		return &carrier.EndpointsCall{Next: -1}
-	}
-	next := f.registry.Next()
-	return &carrier.EndpointsCall{Era: next.Era(), Next: next.Offset(), AgeMillis: f.registry.Age(now).Milliseconds()}
-}
-
 // HandleMessage handles a message from the authenticated peer of the given name.
 func (f *Forwarder) HandleMessage(from string, m carrier.Message) {
 	f.handleMessage(from, m, time.Now())
@@ -236,7 +205,7 @@
 	case *carrier.EndpointsCall:
 		f.withLock(func() []func() { return f.replyEndpoints(from, m, now) })
 	case *carrier.EndpointsReply:
-		f.withLock(func() []func() { return f.applyEndpointsReply(m, now) })
+		f.withLock(func() []func() { return f.applyEndpointsReply(from, m, now) })
 	case *carrier.EndpointsNews:
 		f.withLock(func() []func() { return f.applyEndpointsNews(m, now) })
 	case *carrier.PieceRequest:
@@ -313,52 +282,6 @@
 	return []func(){f.sendTo(from, reply)}
 }
 
-// replyEndpoints answers a peer's query for the list of endpoints, unless the peer's list is as recent. The lock must
-// be held.
-func (f *Forwarder) replyEndpoints(from string, query *carrier.EndpointsCall, now time.Time) []func() {
-	if !f.registry.Loaded() {
-		return nil
-	}
-	next := f.registry.Next()
-	known := locator.At(query.Era, query.Next)
-	age := f.registry.Age(now)
-	peerAge := time.Duration(query.AgeMillis) * time.Millisecond
-	if query.Next >= 0 && query.Era >= next.Era() && age+freshnessMargin > peerAge {
-		return nil
-	}
-	reply := &carrier.EndpointsReply{
-		Era:       next.Era(),
-		Next:      next.Offset(),
-		AgeMillis: age.Milliseconds(),
-		Unchanged: known == next,
-	}
-	if !reply.Unchanged {
-		for _, c := range f.registry.Changes() {
-			reply.Entries = append(reply.Entries, entryFromChange(c, now))
-		}
-	}
-	return []func(){f.sendTo(from, reply)}
-}
-
-// applyEndpointsReply applies a peer's list of endpoints. The lock must be held.
-func (f *Forwarder) applyEndpointsReply(m *carrier.EndpointsReply, now time.Time) []func() {
-	next := locator.At(m.Era, m.Next)
-	if next.Before(f.registry.Next()) || m.Unchanged && next != f.registry.Next() {
-		return nil
-	}
-	at := now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)
-	f.registry.StoreReadAt(at)
-	if at.After(f.updateReceivedAt) {
-		// An entry is reading the store for all, although its updates have not arrived here yet.
-		f.updateReceivedAt = at
-	}
-	if m.Unchanged {
-		return nil
-	}
-	f.registry.Replace(changesFromEntries(m.Entries, now), next, now)
-	return f.endpointsChanged(now)
-}
-
 // sendTo returns an action that sends a message to the named peer.
 func (f *Forwarder) sendTo(name string, m carrier.Message) func() {
 	address := f.peerAddress(name)
--- a/forwarder/reader.go
+++ b/forwarder/reader.go
@@ -32,8 +32,8 @@
 	// rankDelay is how much longer each further entry in the order for a duty waits before it takes up the duty. The
 	// first one that the store answers informs all others, so that in an outage only a few entries query the store.
 	rankDelay = 200 * time.Millisecond
-	// firstStartWait is how long an entry waits for updates from its peers at the first start of the system: until
-	// they have discovered each other, one has read the store, and its data has spread.
+	// firstStartWait is how long an entry waits for updates from its peers at the first start of the system, or if the
+	// list of endpoints is long: until they have discovered each other, one has read the store, and its data has spread.
 	firstStartWait = 3 * time.Second
 	// addressDuty is the duty of registering one's address in the store for entries that hear no peer. addressOwners
 	// entries own it, so that a few remain after any loss short of all entries.
@@ -51,20 +51,14 @@
 // shouldReadConfig is ShouldReadConfig for callers that hold the lock.
 func (f *Forwarder) shouldReadConfig(now time.Time) bool {
 	rank := f.rank(configDuty)
+	turn := time.Duration(max(0, rank-configReaders)) * rankDelay
 	if f.catalog == nil {
-		return rank < configReaders && !f.settling(now) || !f.waitsForPeers(now)
+		// At the first start of the system there are no waiting callers yet, and each entry that reads for itself costs
+		// two calls; at any other start callers do wait.
+		return rank < configReaders && !f.settling(now) || !f.cfg.FirstStart ||
+			now.Sub(f.startTime) >= firstStartWait+turn && now.Sub(f.configReadAt) >= configReadTimeout+turn
 	}
-	if rank < configReaders {
-		return true
-	}
-	return now.Sub(f.configReadAt) >= configReadTimeout+time.Duration(rank-configReaders)*rankDelay
-}
-
-// waitsForPeers reports whether an entry without data waits for updates from its peers before it queries the store.
-// At the first start of the system there are no waiting callers yet, and each entry that reads for itself costs two
-// calls; at any other start callers do wait. The lock must be held.
-func (f *Forwarder) waitsForPeers(now time.Time) bool {
-	return f.cfg.FirstStart && now.Sub(f.startTime) < firstStartWait
+	return rank < configReaders || now.Sub(f.configReadAt) >= configReadTimeout+turn
 }
 
 // RecordConfigRead records that the store answered a configuration read.
@@ -91,14 +85,32 @@
 	if f.registry.Loaded() {
 		from = f.registry.Next()
 	}
-	rank := f.rank(endpointsDuty)
 	if !f.registry.Loaded() {
-		return from, rank == 0 && !f.settling(now) || !f.waitsForPeers(now)
+		return from, !f.cfg.FirstStart && !f.longList || f.shouldReadLongList(now)
 	}
+	rank := f.rank(endpointsDuty)
 	updated := now.Sub(f.updateReceivedAt) < updateTimeout+time.Duration(rank)*rankDelay
 	return from, rank == 0 && !f.settling(now) || !updated
 }
 
+// shouldReadLongList reports whether an entry without a list of endpoints reads it from the store although that takes
+// many calls. Only the owner of the duty does so at once. The others wait for peers that have the list, and then read
+// one after the other: if all entries of a large fleet started and read at once, the store would refuse most of their
+// calls, and callers would wait longer. The lock must be held.
+func (f *Forwarder) shouldReadLongList(now time.Time) bool {
+	rank := f.rank(endpointsDuty)
+	return rank == 0 && !f.settling(now) || now.Sub(f.startTime) >= firstStartWait+time.Duration(rank)*rankDelay
+}
+
+// ContinueLongRead reports whether this entry should read the rest of the list of endpoints, of which one call has
+// returned only a part.
+func (f *Forwarder) ContinueLongRead(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.longList = true
+	return f.registry.Loaded() || f.shouldReadLongList(now)
+}
+
 // broadcastChanges sends the changes that were read to all peers. Empty updates are sent too, since they confirm that
 // nothing has changed. The lock must be held.
 func (f *Forwarder) broadcastChanges(changes []registrar.Change, from, next locator.Position, now time.Time) []func() {
--- a/forwarder/storm_test.go
+++ b/forwarder/storm_test.go
@@ -39,11 +39,13 @@
 	m := newMesh(t, 3)
 	stale := m.nodes["entry-2"]
 	stale.RecordStoreResponse(0, time.Now().Add(-maxEndpointsAge-time.Second))
+	m.cut["entry-2"] = true
 	for _, name := range []string{"entry-0", "entry-1"} {
 		f := m.nodes[name]
 		f.ReplaceEndpoints([]registrar.Change{endpointChange("a")}, locator.At(0, 4), time.Now())
 		f.RecordStoreResponse(0, time.Now())
 	}
+	m.cut["entry-2"] = false
 	m.sent = map[string]int{}
 	stale.heartbeat(time.Now())
 	require.Equal(t, 2, m.sent["*carrier.EndpointsCall"])
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -150,6 +150,9 @@
 // Loaded reports whether a complete list has been read.
 func (r *Registry) Loaded() bool { return r.loaded }
 
+// Len returns the number of known registrations, usable or not.
+func (r *Registry) Len() int { return len(r.registrations) }
+
 // Age returns the time since the store was last read.
 func (r *Registry) Age(now time.Time) time.Duration { return now.Sub(r.lastRead) }
 
@@ -204,6 +207,34 @@
 	return significant
 }
 
+// Differences returns, in the order of their IDs, the changes that turn the known registrations into the complete list
+// up to position next: those that do more than confirm that an endpoint still exists, and the removals of endpoints that
+// are missing from it.
+func (r *Registry) Differences(all []Change, next locator.Position) []Change {
+	differences := r.SignificantChanges(all)
+	for _, c := range r.removals(all, next) {
+		differences = append(differences, r.withSequence(c))
+	}
+	slices.SortFunc(differences, func(a, b Change) int { return strings.Compare(a.ID, b.ID) })
+	return differences
+}
+
+// removals returns changes that remove the endpoints missing from the complete list up to position next, unless their
+// known change is newer.
+func (r *Registry) removals(all []Change, next locator.Position) []Change {
+	listed := make(map[string]bool, len(all))
+	for _, c := range all {
+		listed[c.ID] = true
+	}
+	var removals []Change
+	for id, reg := range r.registrations {
+		if !listed[id] && reg.position.Before(next) {
+			removals = append(removals, Change{ID: id, Position: locator.At(next.Era(), next.Offset()-1)})
+		}
+	}
+	return removals
+}
+
 // withSequence adds the sequence number to the change of a removed registration. Only the entry that reads the store
 // for all others knows the last record written by the endpoint itself, which distinguishes the removal from records
 // restored by an older copy of the store.
@@ -244,18 +275,14 @@
 	if eraChanged {
 		r.eraChangedAt = now
 	}
-	listed := make(map[string]bool, len(all))
 	for _, c := range all {
-		listed[c.ID] = true
 		if eraChanged && r.outdated(&c) {
 			continue
 		}
 		r.apply(c, now)
 	}
-	for id, reg := range r.registrations {
-		if !listed[id] && reg.position.Before(next) {
-			r.remove(Change{ID: id, Position: locator.At(next.Era(), next.Offset()-1)}, now)
-		}
+	for _, c := range r.removals(all, next) {
+		r.remove(c, now)
 	}
 	r.next = next
 	r.loaded = true
