Let pending handshakes of peers finish before others evict them

Cause: a listener keeps 64 connections whose peers have not authenticated yet and evicts the oldest for one more. Ruled out: a larger number (the same at a larger fleet). Change: while the oldest pending connection is younger than 100 ms, the next one waits in the kernel's queue.

--- a/messenger/connection.go
+++ b/messenger/connection.go
@@ -25,22 +25,28 @@
 	return n, err
 }
 
-// pendingConns holds the accepted connections that are not authenticated yet, oldest first.
+// pendingConn is an accepted connection that is not authenticated yet.
+type pendingConn struct {
+	conn       net.Conn
+	acceptedAt time.Time
+}
+
+// pendingConns holds the pending connections, oldest first.
 type pendingConns struct {
 	mu    sync.Mutex
 	limit int
-	conns []net.Conn
+	conns []pendingConn
 }
 
 // add stores conn. If there are more connections than limit, it removes and returns the oldest.
-func (p *pendingConns) add(conn net.Conn) net.Conn {
+func (p *pendingConns) add(conn net.Conn, now time.Time) net.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.conns = append(p.conns, conn)
+	p.conns = append(p.conns, pendingConn{conn: conn, acceptedAt: now})
 	if len(p.conns) <= p.limit {
 		return nil
 	}
-	oldest := p.conns[0]
+	oldest := p.conns[0].conn
 	p.conns = slices.Delete(p.conns, 0, 1)
 	return oldest
 }
@@ -48,7 +54,14 @@
 func (p *pendingConns) remove(conn net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if i := slices.Index(p.conns, conn); i >= 0 {
+	if i := slices.IndexFunc(p.conns, func(c pendingConn) bool { return c.conn == conn }); i >= 0 {
 		p.conns = slices.Delete(p.conns, i, i+1)
 	}
 }
+
+// crowded reports whether one more connection would evict one that was accepted less than patience ago.
+func (p *pendingConns) crowded(patience time.Duration, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns) >= p.limit && now.Sub(p.conns[0].acceptedAt) < patience
+}
--- a/messenger/hostile_test.go
+++ b/messenger/hostile_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -159,3 +160,19 @@
 	defer m.mu.Unlock()
 	return len(m.conns)
 }
+
+// Guards against honest peers that are evicted by each other when a whole fleet connects to one entry at once.
+func TestManyPeersThatConnectAtOnceAreAllAccepted(t *testing.T) {
+	const peers, maxPending = 60, 4
+	registry := metrics.NewRegistry()
+	_, address, in := startMessenger(t, Config{Name: "seed", Registry: registry, MaxPending: maxPending})
+	for i := range peers {
+		m, _, _ := startMessenger(t, Config{Name: "peer-" + strconv.Itoa(i)})
+		m.Send(address, &carrier.OutcomeCall{CallID: uint64(i)})
+	}
+	from := make(map[string]bool)
+	for range peers {
+		from[receive(t, in).from] = true
+	}
+	require.Len(t, from, peers)
+}
--- a/messenger/listener.go
+++ b/messenger/listener.go
@@ -12,6 +12,11 @@
 const (
 	// acceptPause is the wait after a failed accept, for example when the process is out of file descriptors.
 	acceptPause = 50 * time.Millisecond
+	// handshakePatience is how long an accepted connection may take to authenticate before another one may evict it. An
+	// honest peer takes milliseconds, or more if this entry is busy with the handshakes of others.
+	handshakePatience = 100 * time.Millisecond
+	// crowdedPause is the wait between checks whether a connection may be accepted again.
+	crowdedPause = 2 * time.Millisecond
 	// refusalLogInterval is the time without refusals after which the next refusal is logged.
 	refusalLogInterval = time.Minute
 	// listenerPatience is how many idle timeouts a listener waits, so that the sender closes an idle connection first
@@ -28,6 +33,12 @@
 	stop := context.AfterFunc(ctx, func() { _ = m.cfg.Listen.Close() })
 	defer stop()
 	for {
+		// While a large fleet starts, hundreds of honest peers connect at once. They wait in the kernel's queue.
+		for m.pending.crowded(handshakePatience, time.Now()) {
+			if !sleep(m.ctx, crowdedPause) {
+				return nil
+			}
+		}
 		conn, err := m.cfg.Listen.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
@@ -49,7 +60,7 @@
 	if !m.track(conn) {
 		return
 	}
-	if oldest := m.pending.add(conn); oldest != nil {
+	if oldest := m.pending.add(conn, time.Now()); oldest != nil {
 		m.counters.evicted.Inc(1)
 		m.untrack(oldest)
 	}
