Share endpoints between the registry and the selector, and follow their changes without copies

Ruled out: applying only the changed endpoints (the usable ones also depend on evacuations and on what endpoints say, which change without a record). Change: the registry keeps the sorted list of usable endpoints until a registration changes and hands out shared, immutable endpoints; the selector refers to them and marks those that are listed. Regions are set when an endpoint is registered. Tests pass pointers where they passed values and check the same.

--- a/divider/divider.go
+++ b/divider/divider.go
@@ -86,7 +86,7 @@
 
 // SetEndpoints sets all registered endpoints of stage services and those of them that may receive new work. The division
 // depends on all registered ones, so that the evacuation of one zone does not change the pools of the others.
-func (d *Divider) SetEndpoints(registered, available []registrar.Endpoint) {
+func (d *Divider) SetEndpoints(registered, available []*registrar.Endpoint) {
 	all := countByZone(registered)
 	d.available = countByZone(available)
 	d.registered = make(map[string]int, len(all))
@@ -117,10 +117,9 @@
 	return d.registered[service] >= divideThreshold && smallestZone >= minZoneEndpoints
 }
 
-func countByZone(endpoints []registrar.Endpoint) map[string]map[string]int {
+func countByZone(endpoints []*registrar.Endpoint) map[string]map[string]int {
 	counts := make(map[string]map[string]int)
-	for i := range endpoints {
-		e := &endpoints[i]
+	for _, e := range endpoints {
 		if counts[e.Service] == nil {
 			counts[e.Service] = make(map[string]int)
 		}
--- a/divider/divider_test.go
+++ b/divider/divider_test.go
@@ -11,11 +11,11 @@
 )
 
 // endpoints returns the given number of endpoints of the service in each zone.
-func endpoints(service string, inZone ...int) []registrar.Endpoint {
-	var list []registrar.Endpoint
+func endpoints(service string, inZone ...int) []*registrar.Endpoint {
+	var list []*registrar.Endpoint
 	for zone, n := range inZone {
 		for i := range n {
-			list = append(list, registrar.Endpoint{ID: fmt.Sprint(zone, "-", i), Service: service, Zone: fmt.Sprintf("z%d", zone)})
+			list = append(list, &registrar.Endpoint{ID: fmt.Sprint(zone, "-", i), Service: service, Zone: fmt.Sprintf("z%d", zone)})
 		}
 	}
 	return list
--- a/experimenter/entry.go
+++ b/experimenter/entry.go
@@ -209,6 +209,10 @@
 // newSelector returns a selector for entry n with its own random source.
 func newSelector(sim *simulation, n int, reg *regulator.Regulator) *selector.Selector {
 	s := selector.New(selector.Config{Rand: rand.New(rand.NewPCG(sim.seed, uint64(n))), Gate: gate{reg}, Disabled: sim.disabled})
-	s.SetEndpoints(sim.endpointsOf(modelPool))
+	var endpoints []*registrar.Endpoint
+	for _, e := range sim.endpointsOf(modelPool) {
+		endpoints = append(endpoints, &e)
+	}
+	s.SetEndpoints(endpoints)
 	return s
 }
--- a/forwarder/availability.go
+++ b/forwarder/availability.go
@@ -39,23 +39,29 @@
 // usable returns the endpoints that may receive new work, and updates the availability of the services. All calls,
 // pieces and retries go to these endpoints. Endpoints in evacuated zones are excluded, and so are those whose
 // responses announce that they leave, which the store may not show yet. The lock must be held.
-func (f *Forwarder) usable(now time.Time) []registrar.Endpoint {
+func (f *Forwarder) usable(now time.Time) []*registrar.Endpoint {
 	f.regulator.Retain(f.registry.Contains)
-	all := slices.DeleteFunc(f.registry.Usable(), func(e registrar.Endpoint) bool { return f.regulator.IsLeaving(e.ID) })
+	all := f.registry.Usable()
+	if f.regulator.LeavingCount() > 0 {
+		all = slices.DeleteFunc(slices.Clone(all), func(e *registrar.Endpoint) bool { return f.regulator.IsLeaving(e.ID) })
+	}
 	f.availability = availability{
 		inService: make(map[string]int),
 		usable:    make(map[string]map[string]int),
 		evacuated: make(map[string]bool),
 	}
-	list := make([]registrar.Endpoint, 0, len(all))
+	list := make([]*registrar.Endpoint, 0, len(all))
 	for _, e := range all {
 		f.availability.inService[e.Service]++
 		if f.evacuator.Evacuated(e.Zone) {
 			f.availability.evacuated[e.Address] = true
 			continue
 		}
-		e.Region = f.cfg.Regions[e.Zone]
-		e.ColdUntil = f.coldUntil(&e, now)
+		if until := f.coldUntil(e, now); !until.Equal(e.ColdUntil) {
+			cold := *e
+			cold.ColdUntil = until
+			e = &cold
+		}
 		if f.availability.usable[e.Service] == nil {
 			f.availability.usable[e.Service] = make(map[string]int)
 		}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -197,7 +197,7 @@
 		sampledLog: newSampledLog(cfg.Log, cfg.Meter),
 		startTime:  now,
 		random:     random,
-		registry:   registrar.New(registrar.Config{}),
+		registry:   registrar.New(registrar.Config{Regions: cfg.Regions}),
 		selector:   selector.New(selector.Config{Rand: random, Ejector: ejectorConfig(cfg.Disabled), Gate: g, Disabled: cfg.Disabled}),
 		detector: detector.New(detector.Config{
 			Self: carrier.Member{
--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -121,7 +121,7 @@
 		return nil
 	}
 	f.duties.reset()
-	var direct []registrar.Endpoint
+	direct := make([]*registrar.Endpoint, 0, len(usable))
 	for _, e := range usable {
 		if _, isStage := f.stageService(e.Service); !isStage {
 			direct = append(direct, e)
@@ -136,12 +136,12 @@
 }
 
 // endpointsOf returns the endpoints of a pool that may receive new work. The lock must be held.
-func (f *Forwarder) endpointsOf(pool string, usable []registrar.Endpoint) collector.EndpointsChanged {
+func (f *Forwarder) endpointsOf(pool string, usable []*registrar.Endpoint) collector.EndpointsChanged {
 	parsed := divider.Parse(pool)
 	changed := collector.EndpointsChanged{Evacuated: !f.availability.serves(parsed.Service, nil)}
-	for i := range usable {
-		if parsed.Contains(&usable[i]) {
-			changed.Endpoints = append(changed.Endpoints, usable[i])
+	for _, e := range usable {
+		if parsed.Contains(e) {
+			changed.Endpoints = append(changed.Endpoints, *e)
 		}
 	}
 	return changed
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -85,6 +85,8 @@
 	// RecoveryGrace is how long after the store recovers missing registrations are kept; 0 means
 	// DefaultRecoveryGrace.
 	RecoveryGrace time.Duration
+	// Regions maps each availability zone to its region.
+	Regions map[string]string
 }
 
 // registration is the known state of one endpoint's registration.
@@ -109,7 +111,10 @@
 // Registry is the list of endpoints according to the store's records.
 type Registry struct {
 	recoveryGrace time.Duration
+	regions       map[string]string
 	registrations map[string]*registration
+	// usable is the result of Usable, or nil if registrations have changed since.
+	usable []*Endpoint
 	// idsByAddress maps each address to the IDs registered there; usually one.
 	idsByAddress map[string][]string
 	// missing holds the IDs of registrations that are missing from the store but whose removal is still uncertain.
@@ -137,6 +142,7 @@
 	}
 	return &Registry{
 		recoveryGrace: cfg.RecoveryGrace,
+		regions:       cfg.Regions,
 		registrations: make(map[string]*registration),
 		idsByAddress:  make(map[string][]string),
 		missing:       make(map[string]bool),
@@ -261,6 +267,7 @@
 	}
 	// Equal times may have different representations.
 	updated.Started = reg.endpoint.Started
+	updated.Region = reg.endpoint.Region
 	return updated == reg.endpoint
 }
 
@@ -344,6 +351,7 @@
 		return
 	}
 	added := &registration{endpoint: *c.Endpoint, position: c.Position, sequence: c.Sequence}
+	added.endpoint.Region = r.regions[added.endpoint.Zone]
 	r.set(c.ID, added)
 	r.evict(c.ID, added, now)
 	delete(r.departed, c.ID)
@@ -352,6 +360,7 @@
 // set stores a registration, replacing any earlier one with this ID.
 func (r *Registry) set(id string, reg *registration) {
 	r.unset(id)
+	r.usable = nil
 	r.registrations[id] = reg
 	if !reg.unusable {
 		r.idsByAddress[reg.endpoint.Address] = append(r.idsByAddress[reg.endpoint.Address], id)
@@ -365,6 +374,7 @@
 		return
 	}
 	delete(r.registrations, id)
+	r.usable = nil
 	if reg.unusable {
 		return
 	}
@@ -471,16 +481,20 @@
 // IDsAt returns the IDs of the endpoints at an address; usually one.
 func (r *Registry) IDsAt(address string) []string { return r.idsByAddress[address] }
 
-// Usable returns the endpoints that may receive work, sorted by ID.
-func (r *Registry) Usable() []Endpoint {
-	usable := make([]Endpoint, 0, len(r.registrations))
+// Usable returns the endpoints that may receive work, sorted by ID. The result is shared and must not be changed;
+// neither are the endpoints in it ever changed.
+func (r *Registry) Usable() []*Endpoint {
+	if r.usable != nil {
+		return r.usable
+	}
+	r.usable = make([]*Endpoint, 0, len(r.registrations))
 	for _, reg := range r.registrations {
 		if !reg.unusable && !reg.endpoint.Draining {
-			usable = append(usable, reg.endpoint)
+			r.usable = append(r.usable, &reg.endpoint)
 		}
 	}
-	slices.SortFunc(usable, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
-	return usable
+	slices.SortFunc(r.usable, func(a, b *Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	return r.usable
 }
 
 // Changes returns the newest change of every endpoint, sorted by ID, for a peer that can't reach the store. It
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -184,6 +184,9 @@
 	return known
 }
 
+// LeavingCount returns the number of endpoints that have announced their shutdown.
+func (r *Regulator) LeavingCount() int { return len(r.leaving) }
+
 // LeavingEndpoints lists the endpoints that have announced their shutdown, sorted by ID.
 func (r *Regulator) LeavingEndpoints() []LeavingEndpoint {
 	list := make([]LeavingEndpoint, 0, len(r.leaving))
--- a/selector/gate.go
+++ b/selector/gate.go
@@ -24,7 +24,7 @@
 }
 
 func (s *Selector) lowCapacity(e *endpoint, now time.Time) bool {
-	return e.Cold(now) || s.cfg.Gate != nil && s.cfg.Gate.Limited(&e.Endpoint)
+	return e.Cold(now) || s.cfg.Gate != nil && s.cfg.Gate.Limited(e.Endpoint)
 }
 
 // Throttle describes a service whose endpoints have all asked for fewer calls.
@@ -47,7 +47,7 @@
 		if e.health.State() != ejector.InUse || regions != nil && !slices.Contains(regions, e.Region) {
 			continue
 		}
-		at, sends := s.cfg.Gate.NextSendTime(&e.Endpoint, now)
+		at, sends := s.cfg.Gate.NextSendTime(e.Endpoint, now)
 		if sends && !at.After(now) {
 			return Throttle{}, false
 		}
--- a/selector/refusal.go
+++ b/selector/refusal.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		if e.backoff.ConsecutiveRefusals() >= minReportedRefusals {
-			list = append(list, Refusal{Endpoint: e.Endpoint, At: e.backoff.LastRefusal()})
+			list = append(list, Refusal{Endpoint: *e.Endpoint, At: e.backoff.LastRefusal()})
 		}
 	}
 	slices.SortFunc(list, func(a, b Refusal) int { return strings.Compare(a.Endpoint.ID, b.Endpoint.ID) })
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -92,6 +92,8 @@
 	byID        map[string]*endpoint
 	peerWork    map[string]map[string]int
 	generations uint64
+	// listings counts the calls of SetEndpoints.
+	listings uint64
 	// busy holds the endpoints with work from this entry, and refusing those that may have refused consecutive calls.
 	busy     map[*endpoint]bool
 	refusing map[*endpoint]bool
@@ -107,8 +109,10 @@
 }
 
 type endpoint struct {
-	registrar.Endpoint
-	hash uint64
+	*registrar.Endpoint
+	// listing is the latest call of SetEndpoints that contained the endpoint.
+	listing uint64
+	hash    uint64
 	// generation distinguishes this endpoint from earlier ones with the same ID that were removed.
 	generation uint64
 	pool       *pool
@@ -142,16 +146,17 @@
 }
 
 // SetEndpoints replaces the set of endpoints that may get work.
-func (s *Selector) SetEndpoints(all []registrar.Endpoint) {
-	named := make(map[string]bool, len(all))
+// The endpoints must not be changed afterwards.
+func (s *Selector) SetEndpoints(all []*registrar.Endpoint) {
+	s.listings++
 	for _, e := range all {
-		named[e.ID] = true
 		known, ok := s.byID[e.ID]
-		if ok && known.SameIncarnation(&e) {
-			if e.BecameColdSince(&known.Endpoint) {
+		if ok && known.SameIncarnation(e) {
+			if e.BecameColdSince(known.Endpoint) {
 				known.cache = prefixSet{}
 			}
 			known.Endpoint = e
+			known.listing = s.listings
 			continue
 		}
 		if ok {
@@ -159,8 +164,8 @@
 		}
 		s.add(e)
 	}
-	for id, e := range s.byID {
-		if !named[id] {
+	for _, e := range s.byID {
+		if e.listing != s.listings {
 			s.remove(e)
 		}
 	}
@@ -180,10 +185,10 @@
 	return p
 }
 
-func (s *Selector) add(e registrar.Endpoint) {
+func (s *Selector) add(e *registrar.Endpoint) {
 	p := s.pool(e.Service)
 	s.generations++
-	added := &endpoint{Endpoint: e, hash: xxhash.Sum64String(e.ID), generation: s.generations, pool: p}
+	added := &endpoint{Endpoint: e, listing: s.listings, hash: xxhash.Sum64String(e.ID), generation: s.generations, pool: p}
 	for _, tokens := range s.peerWork {
 		added.peerTokens += tokens[e.ID]
 	}
@@ -281,7 +286,7 @@
 	if slices.Contains(query.Exclude, e.ID) || query.Regions != nil && !slices.Contains(query.Regions, e.Region) {
 		return false
 	}
-	return gate == nil || gate.Allows(&e.Endpoint, p.coldPerSecond, now)
+	return gate == nil || gate.Allows(e.Endpoint, p.coldPerSecond, now)
 }
 
 // candidates returns the endpoints that may take the call: either those that are in use and have not just refused a
@@ -341,7 +346,7 @@
 			score += float64(n) / 1e6 * float64(s.cfg.CrossZoneTokens)
 		}
 	}
-	return Choice{Endpoint: e.Endpoint, Tokens: own, Cached: cached, generation: e.generation, refusals: e.backoff.TotalRefusals()}, score
+	return Choice{Endpoint: *e.Endpoint, Tokens: own, Cached: cached, generation: e.generation, refusals: e.backoff.TotalRefusals()}, score
 }
 
 // homeEndpoints returns the endpoints that cache the prompt's largest shared part, in order of preference. Endpoints
@@ -394,7 +399,7 @@
 		return
 	}
 	if s.cfg.Gate != nil {
-		s.cfg.Gate.RecordSend(&e.Endpoint, e.pool.coldPerSecond, now)
+		s.cfg.Gate.RecordSend(e.Endpoint, e.pool.coldPerSecond, now)
 	}
 	e.calls++
 	s.addWork(e, choice.Tokens)
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -16,9 +16,9 @@
 
 func newSelector(n int) *Selector {
 	s := New(Config{Rand: rand.New(rand.NewPCG(1, 2))})
-	var all []registrar.Endpoint
+	var all []*registrar.Endpoint
 	for i := range n {
-		all = append(all, registrar.Endpoint{
+		all = append(all, &registrar.Endpoint{
 			ID:      fmt.Sprintf("e%d", i),
 			Service: "pool",
 			Address: fmt.Sprintf("10.0.0.%d:80", i),
@@ -36,7 +36,7 @@
 
 // choiceOf returns a choice of the endpoint with the given ID.
 func (s *Selector) choiceOf(id string, tokens int) Choice {
-	return Choice{Endpoint: s.byID[id].Endpoint, Tokens: tokens, generation: s.byID[id].generation}
+	return Choice{Endpoint: *s.byID[id].Endpoint, Tokens: tokens, generation: s.byID[id].generation}
 }
 
 func TestEntriesAgreeOnPromptHome(t *testing.T) {
@@ -169,8 +169,8 @@
 	}
 	again := before.Endpoint
 	again.Started = now.Add(time.Second)
-	s.SetEndpoints([]registrar.Endpoint{again})
-	s.SetEndpoints([]registrar.Endpoint{again})
+	s.SetEndpoints([]*registrar.Endpoint{&again})
+	s.SetEndpoints([]*registrar.Endpoint{&again})
 	require.Empty(t, s.OwnWork())
 	require.Zero(t, s.byID["e0"].peerTokens)
 	require.Equal(t, ejector.InUse, s.byID["e0"].health.State())
@@ -186,7 +186,7 @@
 // subtracted from the returned endpoint: its work would become negative and attract all calls.
 func TestCallsFromBeforeRemovalAreNotCounted(t *testing.T) {
 	s := newSelector(2)
-	all := []registrar.Endpoint{s.byID["e0"].Endpoint, s.byID["e1"].Endpoint}
+	all := []*registrar.Endpoint{s.byID["e0"].Endpoint, s.byID["e1"].Endpoint}
 	before := s.choiceOf("e0", 1000)
 	s.RecordStart(before, nil, now)
 	s.SetEndpoints(all[1:])
@@ -227,13 +227,15 @@
 	require.True(t, found)
 	s.RecordStart(first, query.Parts, now)
 	s.RecordEnd(first, ejector.Good, now)
-	all := make([]registrar.Endpoint, 0, 9)
+	all := make([]*registrar.Endpoint, 0, 9)
 	for _, e := range s.byID {
 		all = append(all, e.Endpoint)
 	}
 	for i := range all {
 		if all[i].ID == first.Endpoint.ID {
-			all[i].ColdUntil = now.Add(3 * time.Second)
+			cold := first.Endpoint
+			cold.ColdUntil = now.Add(3 * time.Second)
+			all[i] = &cold
 		}
 	}
 	s.SetEndpoints(all)
@@ -258,9 +260,9 @@
 // A request that may be served in one region only must not leave it.
 func TestCallStaysInAllowedRegions(t *testing.T) {
 	s := newSelector(2)
-	far := s.byID["e1"].Endpoint
+	far := *s.byID["e1"].Endpoint
 	far.Region = "far"
-	s.SetEndpoints([]registrar.Endpoint{s.byID["e0"].Endpoint, far})
+	s.SetEndpoints([]*registrar.Endpoint{s.byID["e0"].Endpoint, &far})
 	for range 10 {
 		choice, found := s.Choose(Query{Service: "pool", Regions: []string{"far"}}, now)
 		require.True(t, found)
