--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -7,30 +7,30 @@
 	"noRoute":           "no route of the version in force has this host and path. Compare 'version' with the operator's newest.",
 	"badHeader":         "the caller's header can't be used.",
 	"unknownKey":        "the key is in no client account of the version in force. Was it withdrawn?",
-	"ambiguousLength":   "the request told its length in two ways; it was refused and its connection closed.",
+	"ambiguousLength":   "the request states its length in two ways; it was refused and its connection closed.",
 	"bodyTooLarge":      "the body is over the configuration's limit.",
-	"bodyCut":           "the caller's body did not come whole.",
+	"bodyCut":           "the caller's body was incomplete.",
 	"unknownService":    "the route names a service that the version in force does not have; it has not run.",
 	"crashesEndpoints":  "the same content crashed two endpoints that ran it; it has not run. See 'endpoint crashed with a request'.",
-	"overload":          "what waited at the stages would have taken until after its deadline; it has not run. See piece_waiting.",
+	"overload":          "the pieces queued at the stages would have taken until after its deadline; it has not run. See piece_waiting.",
 	"stageoverload":     "more urgent pieces would have taken the stage until after its deadline; it has not run. See piece_waiting.",
 	"stagelate":         "its pieces waited until too little time was left for a call; it has not run. See 'waits' in 'stage failed'.",
-	"stageinputGone":    "results of an earlier stage lapsed before they were used, more than twice; it has not run.",
+	"stageinputGone":    "results of an earlier stage expired before they were used, more than twice; it has not run.",
 	"stagenoRoom":       "no endpoint of the stage had space for its results; it has not run.",
 	"stagefailed":       "its pieces failed in several calls; it has not run. See 'call for pieces failed' for the endpoints.",
-	"stagesTimedOut":    "its caller would have left, or its deadline passed, before the stages were done; it has not run.",
+	"stagesTimedOut":    "its caller would have disconnected, or its deadline passed, before the stages were done; it has not run.",
 	"entryStops":        "the entry ended its planned stop before the stages were done; it has not run.",
-	"stageResultGone":   "the model engine found a stage's result lapsed; it has not run.",
-	"noOpenEndpoint":    "the endpoints that could serve it are in evacuated zones, or outside its homes; it has not run. Look for 'evacuated zones changed'.",
+	"stageResultGone":   "a stage's result had expired when the model engine fetched it; it has not run.",
+	"noOpenEndpoint":    "the endpoints that could serve it are in evacuated zones, or outside its home regions; it has not run. Look for 'evacuated zones changed'.",
 	"stageevacuated":    "the zones of all endpoints of a stage were evacuated while its pieces waited; it has not run. Look for 'evacuated zones changed'.",
-	"stageheldBack":     "all endpoints of a stage had asked for rest or named limits, so that its pieces could not be made in time; it has not run. Look for 'endpoint asks for rest' and 'endpoint's limit changed'.",
-	"endpointsHeldBack": "all endpoints of the service had asked for rest or named limits; it has not run. Look for 'endpoint asks for rest' and 'endpoint's limit changed'.",
+	"stageheldBack":     "all endpoints of a stage had asked for a pause or stated limits, so that its pieces could not be computed in time; it has not run. Look for 'endpoint asks for rest' and 'endpoint's limit changed'.",
+	"endpointsHeldBack": "all endpoints of the service had asked for a pause or stated limits; it has not run. Look for 'endpoint asks for rest' and 'endpoint's limit changed'.",
 	"noEndpoint":        "all endpoints of the service were tried, or none is in use.",
-	"noEndpointTook":    "several endpoints turned it away, or the budget of extra calls was used up.",
-	"endpointBroke":     "an endpoint broke off after it had the request: it may have run, and was not sent again.",
+	"noEndpointTook":    "several endpoints rejected it, or the retry budget was used up.",
+	"endpointBroke":     "an endpoint closed the connection after it had received the request: it may have run, and was not sent again.",
 	"endpointFailed":    "an endpoint failed in the middle of the stream.",
-	"timeout":           "its deadline or its route's timeout passed while an endpoint had it: it may have run.",
-	"callerGone":        "the caller left before the answer; the endpoint's work was ended.",
+	"timeout":           "its deadline or its route's timeout passed while an endpoint was processing it: it may have run.",
+	"callerGone":        "the caller disconnected before the response; the endpoint's work was cancelled.",
 }
 
 // Explain returns the meaning of a reason, or a text saying that the reason is unknown.
@@ -38,7 +38,7 @@
 	if text, known := causes[reason]; known {
 		return text
 	}
-	return "this version knows no such reason"
+	return "unknown reason"
 }
 
 // Reasons returns the reasons that Explain knows, in no particular order.
--- a/launcher/config.go
+++ b/launcher/config.go
@@ -72,7 +72,7 @@
 		},
 		&cli.Command{
 			Name:      "operation",
-			Usage:     "tell what became of a change whose reply was lost",
+			Usage:     "show the outcome of a change whose reply was lost",
 			ArgsUsage: "OPERATION-ID",
 			Description: `Example:
   geraniumline config operation 0190a1b2-7c3d-7e4f-8a5b-6c7d8e9f0a1b`,
--- a/launcher/explain.go
+++ b/launcher/explain.go
@@ -11,7 +11,7 @@
 func (a *app) explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
-		Usage:     "tell from logs what happened to a request, and why it failed",
+		Usage:     "show from logs what happened to a request, and why it failed",
 		ArgsUsage: "ID",
 		Description: `Reads the log lines of all entries from the standard input, in any order, and prints those that concern the
 request in the order of their times, then the cause of its failure and what to look at.
--- a/launcher/request.go
+++ b/launcher/request.go
@@ -33,7 +33,7 @@
 		Usage:     "send one request and follow it to its outcome",
 		ArgsUsage: "[INPUT...]",
 		Description: `Asks which entries to use, sends the request to the best, and goes on to the next where one does not answer,
-always under the same key, so that it runs at most once. A request told notRun with a time to come back is
+always under the same key, so that it runs at most once. A request that is answered notRun with a retry time is
 sent again while its deadline lasts. A request whose answer was cut off is asked after by its key.
 Exits 0 with the answer, 3 for notRun and 4 for unknown; the key is printed to the standard error output.
 
