Count an ejected endpoint as available from the end of its ejection on

Cause: whether all endpoints of a service have asked for a pause was judged by those in use only. While one endpoint rested for a minute and its sibling was ejected for a second, since its calls took long, every piece failed at once and every request was refused for the length of the rest, although the sibling was about to be probed. Ruled out: using ejected endpoints at once (that is already the last resort of a choice). Change: while all endpoints in use have asked for a pause, the end of an ejection counts like the end of a pause, in the collector and the selector.

--- a/collector/gate_test.go
+++ b/collector/gate_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"geraniumline/ejector"
 )
 
 // stubGate is a Gate that pauses endpoints until a given time or limits their calls per second.
@@ -64,6 +66,24 @@
 	}
 }
 
+// Guards against refusing callers for the length of one endpoint's pause although another endpoint is used again within a
+// second: it was ejected for calls that took long.
+func TestAPoolIsNotThrottledBeyondAnEjection(t *testing.T) {
+	w := newSimulation(defaultStage(), 2)
+	gate := newStubGate()
+	w.pool.cfg.Gate = gate
+	paused, slow := w.pool.endpoints[0], w.pool.endpoints[1]
+	gate.until[paused.ID] = start.Add(time.Minute)
+	for slow.health.State() == ejector.InUse {
+		w.pool.recordHealth(slow, ejector.Bad, Broken, w.now)
+	}
+	id := w.arrive(0, "request", 2, func(g *Group) { g.Due, g.Deadline = start.Add(4*time.Second), start.Add(4*time.Second) })
+	w.run(10 * time.Millisecond)
+	require.LessOrEqual(t, w.pool.PredictedWait(w.now), time.Second)
+	w.run(3 * time.Second)
+	require.Equal(t, 2, w.resultCount(id))
+}
+
 // Guards against exceeding an endpoint's rate limit, and against keeping pieces that the endpoint cannot process in time.
 func TestEndpointRateLimitsAreRespected(t *testing.T) {
 	w := newSimulation(defaultStage(), 1)
--- a/collector/group.go
+++ b/collector/group.go
@@ -190,26 +190,44 @@
 	return min(1, perSecond*p.cfg.Stage.CallDuration(p.cfg.Stage.Batch).Seconds()/float64(p.cfg.Stage.Slots))
 }
 
-// throttledUntil returns the earliest time when one of the endpoints in use accepts calls again, by their own requests. It
-// is zero if one accepts calls now or none is in use.
+// throttledUntil returns the earliest time when an endpoint accepts calls again if all endpoints in use have asked for a
+// pause: when one of the pauses ends, or an ejected endpoint is probed. It returns zero if one of those in use accepts calls
+// now, or none is in use.
 func (p *Pool) throttledUntil(now time.Time) time.Time {
 	if p.cfg.Gate == nil {
 		return time.Time{}
 	}
-	var earliest time.Time
+	var inUse, others time.Time
 	for _, e := range p.endpoints {
+		at := p.cfg.Gate.SoleNextSendTime(e.ID, now)
 		if e.health.State() != ejector.InUse {
+			others = earlier(others, later(at, e.health.Until()))
 			continue
 		}
-		at := p.cfg.Gate.SoleNextSendTime(e.ID, now)
 		if !at.After(now) {
 			return time.Time{}
 		}
-		if earliest.IsZero() || at.Before(earliest) {
-			earliest = at
-		}
+		inUse = earlier(inUse, at)
+	}
+	if inUse.IsZero() {
+		return time.Time{}
+	}
+	return earlier(inUse, others)
+}
+
+// earlier returns the earlier of two times, or the other one if one is zero.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	return earliest
+	return a
 }
 
 // orderedGroups returns the groups with waiting pieces, most urgent first.
--- a/selector/gate.go
+++ b/selector/gate.go
@@ -36,24 +36,31 @@
 }
 
 // Throttled reports whether every endpoint of the service that is in use and in one of the regions has asked for no
-// calls at this time. A nil regions allows all regions.
+// calls at this time. A nil regions allows all regions. An ejected endpoint counts as one that accepts calls from the end
+// of its ejection on.
 func (s *Selector) Throttled(service string, regions []string, now time.Time) (Throttle, bool) {
 	p, known := s.pools[service]
 	if !known || s.cfg.Gate == nil {
 		return Throttle{}, false
 	}
 	var first Throttle
+	inUse := false
 	for _, e := range p.endpoints {
-		if e.health.State() != ejector.InUse || regions != nil && !slices.Contains(regions, e.Region) {
+		if regions != nil && !slices.Contains(regions, e.Region) {
 			continue
 		}
 		at, sends := s.cfg.Gate.NextSendTime(e.Endpoint, now)
-		if sends && !at.After(now) {
-			return Throttle{}, false
+		if e.health.State() == ejector.InUse {
+			inUse = true
+			if sends && !at.After(now) {
+				return Throttle{}, false
+			}
+		} else if until := e.health.Until(); until.After(at) {
+			at = until
 		}
 		if first.Until.IsZero() || sends && !first.Local || sends == first.Local && at.Before(first.Until) {
 			first = Throttle{Until: at, Local: sends}
 		}
 	}
-	return first, !first.Until.IsZero()
+	return first, inUse && !first.Until.IsZero()
 }
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -271,3 +271,32 @@
 	_, found := s.Choose(Query{Service: "pool", Regions: []string{"nowhere"}}, now)
 	require.False(t, found)
 }
+
+// restGate allows no calls to one endpoint until a given time.
+type restGate struct {
+	gate
+	resting string
+	until   time.Time
+}
+
+func (g *restGate) NextSendTime(e *registrar.Endpoint, now time.Time) (time.Time, bool) {
+	if e.ID == g.resting {
+		return g.until, true
+	}
+	return now, true
+}
+
+// Guards against refusing callers for the length of one endpoint's rest although another endpoint is used again within
+// seconds: it was ejected for calls that took long.
+func TestAServiceIsNotThrottledBeyondAnEjection(t *testing.T) {
+	s := newSelector(2)
+	s.cfg.Gate = &restGate{resting: "e0", until: now.Add(time.Minute)}
+	slow := s.byID["e1"]
+	for slow.health.State() == ejector.InUse {
+		slow.pool.health.RecordOutcome(&slow.health, ejector.Bad, false, now)
+	}
+	held, all := s.Throttled("pool", nil, now)
+	require.True(t, all)
+	require.True(t, held.Local)
+	require.Equal(t, slow.health.Until(), held.Until)
+}
