Choose a prompt's home by its last shared part while peers' work is unknown

These prompts begin with one of four parts, the largest shared one of many prompts, and all entries send them to its home; above 128 entries they don't report their work to each other, so that none sees the home's queue. Ruled out: the stages before the engine (another kind passes the same ones and is not late); refusals at the home (379 of all arrivals were rejected, most of its own were served late). Two ways weighed: reports to those that place at the same engines (985 entries before 6,893 engines: a message for each call), or a home that few prompts share. Change: above 128 entries the last shared part determines the home, which caches the parts before it too.

Below 128 entries nothing changes.

--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -27,6 +27,7 @@
 	f.setSelf()
 	transitions := f.detector.Tick(now)
 	peers := f.liveAddresses()
+	f.selector.SetPeerWorkUnknown(f.detector.UsesGossip() && len(peers) > maxReportPeers)
 	f.setSendingEntries()
 	f.retrier.SetReserve(retryReserve(f.cfg.RetrySlack, max(typicalEntries, len(peers)+1)))
 	f.duties.reset()
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -94,6 +94,8 @@
 	generations uint64
 	// listings counts the calls of SetEndpoints.
 	listings uint64
+	// peerWorkUnknown is set if peers don't report their work to this entry.
+	peerWorkUnknown bool
 	// busy holds the endpoints with work from this entry, and refusing those that may have refused consecutive calls.
 	busy     map[*endpoint]bool
 	refusing map[*endpoint]bool
@@ -355,7 +357,7 @@
 	if len(keys) < 2 || s.cfg.Disabled.Has(switcher.PromptHomes) {
 		return nil
 	}
-	key := keys[largestSharedPart(query.Parts)]
+	key := keys[s.homePart(query.Parts)]
 	home := make([]*endpoint, 0, homeCount)
 	for len(home) < homeCount && len(home) < len(p.endpoints) {
 		var best *endpoint
@@ -378,6 +380,20 @@
 	return home
 }
 
+// SetPeerWorkUnknown sets whether most peers do not report their work to this entry, because there are too many of them.
+func (s *Selector) SetPeerWorkUnknown(unknown bool) { s.peerWorkUnknown = unknown }
+
+// homePart returns the index of the part that determines the prompt's home endpoints. A part that most prompts of a kind
+// begin with attracts more calls than an endpoint can take, and only an entry that knows its peers' work there can send
+// the overflow elsewhere. Without that knowledge, the last shared part is used: the fewest prompts have it, and its home
+// caches the parts before it too.
+func (s *Selector) homePart(parts []Part) int {
+	if s.peerWorkUnknown && len(parts) > 1 {
+		return len(parts) - 2
+	}
+	return largestSharedPart(parts)
+}
+
 // HomeZone returns the zone that caches a prompt's shared parts, or "" if they are too small for stage results to be
 // produced there.
 func (s *Selector) HomeZone(service string, parts []Part, regions []string, now time.Time) string {
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -300,3 +300,42 @@
 	require.True(t, held.Local)
 	require.Equal(t, slow.health.Until(), held.Until)
 }
+
+// Guards against hundreds of entries that send most prompts of a kind to one endpoint, the home of the part that these
+// begin with, since none of them knows the others' work there. The load is that of a large fleet: 65 prompts a second
+// that begin with one of four parts, one of which is in half of the prompts, followed by one of 850.
+func TestPromptsSpreadWhilePeersWorkIsUnknown(t *testing.T) {
+	const (
+		entries, endpoints = 100, 1000
+		perSecond, seconds = 65, 20
+		// tokensPerSecond is what an engine reads; at over half of it, first events are late.
+		tokensPerSecond = 62_400
+	)
+	rnd := rand.New(rand.NewPCG(3, 4))
+	selectors := make([]*Selector, entries)
+	for i := range selectors {
+		selectors[i] = newSelector(endpoints)
+		selectors[i].SetPeerWorkUnknown(true)
+	}
+	read := make(map[string]int)
+	for range perSecond * seconds {
+		s := selectors[rnd.IntN(entries)]
+		first := rnd.IntN(8) / 2 * rnd.IntN(2)
+		second := rnd.IntN(850)
+		parts := []Part{
+			{ID: uint64(first + 1), Tokens: 2520},
+			{ID: uint64(1000 + second), Tokens: 1500 + 4*second},
+			{ID: rnd.Uint64(), Tokens: 2890},
+		}
+		choice, found := s.Choose(Query{Service: "pool", Parts: parts}, now)
+		require.True(t, found)
+		s.RecordStart(choice, parts, now)
+		read[choice.Endpoint.ID] += 2890 + 2520
+	}
+	busiest := 0
+	for _, tokens := range read {
+		busiest = max(busiest, tokens)
+	}
+	t.Logf("the busiest of %d endpoints reads %d tokens a second", endpoints, busiest/seconds)
+	require.Less(t, busiest/seconds, tokensPerSecond/2)
+}
