--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -file schema.go -o schema_gen.go -tests=false
 
-//msgp:tuple EndpointRefusal EndpointLeave EndpointLimit PieceResult MadeResult EndpointWork StageWait EndpointEntry ModelDemand AccountBill StageBill Member Pulse EndpointLoad AccountUse Record CrashLoss
+//msgp:tuple EndpointRefusal EndpointLeave EndpointLimit PieceResult MadeResult EndpointWork StageWait EndpointEntry ModelDemand AccountBill StageBill Member EndpointLoad AccountUse Record CrashLoss
 
 // Kind identifies the type of the message in a frame.
 type Kind uint8
@@ -67,15 +67,6 @@
 	AgeMillis uint32
 }
 
-// Pulse is the short form of a Member, sent if the receiver already knows the member.
-type Pulse struct {
-	// ID is a hash of the member's name and incarnation.
-	ID        uint32
-	Sequence  uint64
-	AgeMillis uint32
-	State     uint8
-}
-
 // MembersCall requests the descriptions of members whose pulses the sender received but doesn't know.
 type MembersCall struct {
 	IDs []uint32 `msg:"ids,limit=1024"`
@@ -125,7 +116,7 @@
 	From      Member         `msg:"from"`
 	Sequence  uint64         `msg:"sequence"`
 	Members   []Member       `msg:"members,limit=4096"`
-	Pulses    []Pulse        `msg:"pulses,limit=4096"`
+	Pulses    PulseList      `msg:"pulses"`
 	Endpoints []EndpointLoad `msg:"endpoints,limit=16384"`
 	Accounts  []AccountUse   `msg:"accounts,limit=65536"`
 	Crashes   []CrashMark    `msg:"crashes,limit=1024"`
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -3322,301 +3322,284 @@
 				}
 			}
 		case "pulses":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+			err = z.Pulses.DecodeMsg(dc)
 			if err != nil {
 				err = msgp.WrapError(err, "Pulses")
 				return
 			}
-			if zb0003 > 4096 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Pulses) >= int(zb0003) {
-				z.Pulses = (z.Pulses)[:zb0003]
-			} else {
-				z.Pulses = make([]Pulse, zb0003)
-			}
-			for za0002 := range z.Pulses {
-				err = z.Pulses[za0002].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Pulses", za0002)
-					return
-				}
-			}
 		case "endpoints":
-			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Endpoints")
 				return
 			}
-			if zb0004 > 16384 {
+			if zb0003 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Endpoints) >= int(zb0004) {
-				z.Endpoints = (z.Endpoints)[:zb0004]
+			if cap(z.Endpoints) >= int(zb0003) {
+				z.Endpoints = (z.Endpoints)[:zb0003]
 			} else {
-				z.Endpoints = make([]EndpointLoad, zb0004)
+				z.Endpoints = make([]EndpointLoad, zb0003)
 			}
-			for za0003 := range z.Endpoints {
-				err = z.Endpoints[za0003].DecodeMsg(dc)
+			for za0002 := range z.Endpoints {
+				err = z.Endpoints[za0002].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Endpoints", za0003)
+					err = msgp.WrapError(err, "Endpoints", za0002)
 					return
 				}
 			}
 		case "accounts":
-			var zb0005 uint32
-			zb0005, err = dc.ReadArrayHeader()
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Accounts")
 				return
 			}
-			if zb0005 > 65536 {
+			if zb0004 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Accounts) >= int(zb0005) {
-				z.Accounts = (z.Accounts)[:zb0005]
+			if cap(z.Accounts) >= int(zb0004) {
+				z.Accounts = (z.Accounts)[:zb0004]
 			} else {
-				z.Accounts = make([]AccountUse, zb0005)
+				z.Accounts = make([]AccountUse, zb0004)
 			}
-			for za0004 := range z.Accounts {
-				err = z.Accounts[za0004].DecodeMsg(dc)
+			for za0003 := range z.Accounts {
+				err = z.Accounts[za0003].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Accounts", za0004)
+					err = msgp.WrapError(err, "Accounts", za0003)
 					return
 				}
 			}
 		case "crashes":
-			var zb0006 uint32
-			zb0006, err = dc.ReadArrayHeader()
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Crashes")
 				return
 			}
-			if zb0006 > 1024 {
+			if zb0005 > 1024 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Crashes) >= int(zb0006) {
-				z.Crashes = (z.Crashes)[:zb0006]
+			if cap(z.Crashes) >= int(zb0005) {
+				z.Crashes = (z.Crashes)[:zb0005]
 			} else {
-				z.Crashes = make([]CrashMark, zb0006)
+				z.Crashes = make([]CrashMark, zb0005)
 			}
-			for za0005 := range z.Crashes {
-				var zb0007 uint32
-				zb0007, err = dc.ReadMapHeader()
+			for za0004 := range z.Crashes {
+				var zb0006 uint32
+				zb0006, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Crashes", za0005)
+					err = msgp.WrapError(err, "Crashes", za0004)
 					return
 				}
-				if zb0007 > 1024 {
+				if zb0006 > 1024 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0007 > 0 {
-					zb0007--
+				for zb0006 > 0 {
+					zb0006--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "Crashes", za0005)
+						err = msgp.WrapError(err, "Crashes", za0004)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "digest":
-						z.Crashes[za0005].Digest, err = dc.ReadBytesLimit(z.Crashes[za0005].Digest, 32)
-						if err == nil && z.Crashes[za0005].Digest == nil {
-							z.Crashes[za0005].Digest = []byte{}
+						z.Crashes[za0004].Digest, err = dc.ReadBytesLimit(z.Crashes[za0004].Digest, 32)
+						if err == nil && z.Crashes[za0004].Digest == nil {
+							z.Crashes[za0004].Digest = []byte{}
 						}
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0005, "Digest")
+							err = msgp.WrapError(err, "Crashes", za0004, "Digest")
 							return
 						}
 					case "losses":
-						var zb0008 uint32
-						zb0008, err = dc.ReadArrayHeader()
+						var zb0007 uint32
+						zb0007, err = dc.ReadArrayHeader()
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0005, "Losses")
+							err = msgp.WrapError(err, "Crashes", za0004, "Losses")
 							return
 						}
-						if zb0008 > 16 {
+						if zb0007 > 16 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
-						if cap(z.Crashes[za0005].Losses) >= int(zb0008) {
-							z.Crashes[za0005].Losses = (z.Crashes[za0005].Losses)[:zb0008]
+						if cap(z.Crashes[za0004].Losses) >= int(zb0007) {
+							z.Crashes[za0004].Losses = (z.Crashes[za0004].Losses)[:zb0007]
 						} else {
-							z.Crashes[za0005].Losses = make([]CrashLoss, zb0008)
+							z.Crashes[za0004].Losses = make([]CrashLoss, zb0007)
 						}
-						for za0006 := range z.Crashes[za0005].Losses {
-							var zb0009 uint32
-							zb0009, err = dc.ReadArrayHeader()
+						for za0005 := range z.Crashes[za0004].Losses {
+							var zb0008 uint32
+							zb0008, err = dc.ReadArrayHeader()
 							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006)
+								err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005)
 								return
 							}
-							if zb0009 > 16 {
+							if zb0008 > 16 {
 								err = msgp.ErrLimitExceeded
 								return
 							}
-							if zb0009 != 2 {
-								err = msgp.ArrayError{Wanted: 2, Got: zb0009}
+							if zb0008 != 2 {
+								err = msgp.ArrayError{Wanted: 2, Got: zb0008}
 								return
 							}
-							z.Crashes[za0005].Losses[za0006].Address, err = dc.ReadString()
+							z.Crashes[za0004].Losses[za0005].Address, err = dc.ReadString()
 							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
+								err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005, "Address")
 								return
 							}
-							z.Crashes[za0005].Losses[za0006].AgeMillis, err = dc.ReadInt64()
+							z.Crashes[za0004].Losses[za0005].AgeMillis, err = dc.ReadInt64()
 							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
+								err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005, "AgeMillis")
 								return
 							}
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0005)
+							err = msgp.WrapError(err, "Crashes", za0004)
 							return
 						}
 					}
 				}
 			}
 		case "stages":
-			var zb0010 uint32
-			zb0010, err = dc.ReadArrayHeader()
+			var zb0009 uint32
+			zb0009, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Stages")
 				return
 			}
-			if zb0010 > 1024 {
+			if zb0009 > 1024 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Stages) >= int(zb0010) {
-				z.Stages = (z.Stages)[:zb0010]
+			if cap(z.Stages) >= int(zb0009) {
+				z.Stages = (z.Stages)[:zb0009]
 			} else {
-				z.Stages = make([]StageWait, zb0010)
+				z.Stages = make([]StageWait, zb0009)
 			}
-			for za0007 := range z.Stages {
-				err = z.Stages[za0007].DecodeMsg(dc)
+			for za0006 := range z.Stages {
+				err = z.Stages[za0006].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Stages", za0007)
+					err = msgp.WrapError(err, "Stages", za0006)
 					return
 				}
 			}
 		case "limits":
-			var zb0011 uint32
-			zb0011, err = dc.ReadArrayHeader()
+			var zb0010 uint32
+			zb0010, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Limits")
 				return
 			}
-			if zb0011 > 16384 {
+			if zb0010 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Limits) >= int(zb0011) {
-				z.Limits = (z.Limits)[:zb0011]
+			if cap(z.Limits) >= int(zb0010) {
+				z.Limits = (z.Limits)[:zb0010]
 			} else {
-				z.Limits = make([]EndpointLimit, zb0011)
+				z.Limits = make([]EndpointLimit, zb0010)
 			}
-			for za0008 := range z.Limits {
-				err = z.Limits[za0008].DecodeMsg(dc)
+			for za0007 := range z.Limits {
+				err = z.Limits[za0007].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Limits", za0008)
+					err = msgp.WrapError(err, "Limits", za0007)
 					return
 				}
 			}
 		case "refusing":
-			var zb0012 uint32
-			zb0012, err = dc.ReadArrayHeader()
+			var zb0011 uint32
+			zb0011, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Refusing")
 				return
 			}
-			if zb0012 > 16384 {
+			if zb0011 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Refusing) >= int(zb0012) {
-				z.Refusing = (z.Refusing)[:zb0012]
+			if cap(z.Refusing) >= int(zb0011) {
+				z.Refusing = (z.Refusing)[:zb0011]
 			} else {
-				z.Refusing = make([]EndpointRefusal, zb0012)
+				z.Refusing = make([]EndpointRefusal, zb0011)
 			}
-			for za0009 := range z.Refusing {
-				var zb0013 uint32
-				zb0013, err = dc.ReadArrayHeader()
+			for za0008 := range z.Refusing {
+				var zb0012 uint32
+				zb0012, err = dc.ReadArrayHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0009)
+					err = msgp.WrapError(err, "Refusing", za0008)
 					return
 				}
-				if zb0013 > 16384 {
+				if zb0012 > 16384 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if zb0013 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0013}
+				if zb0012 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0012}
 					return
 				}
-				z.Refusing[za0009].ID, err = dc.ReadString()
+				z.Refusing[za0008].ID, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0009, "ID")
+					err = msgp.WrapError(err, "Refusing", za0008, "ID")
 					return
 				}
-				z.Refusing[za0009].StartedMillis, err = dc.ReadInt64()
+				z.Refusing[za0008].StartedMillis, err = dc.ReadInt64()
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0009, "StartedMillis")
+					err = msgp.WrapError(err, "Refusing", za0008, "StartedMillis")
 					return
 				}
-				z.Refusing[za0009].AgeMillis, err = dc.ReadUint32()
+				z.Refusing[za0008].AgeMillis, err = dc.ReadUint32()
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0009, "AgeMillis")
+					err = msgp.WrapError(err, "Refusing", za0008, "AgeMillis")
 					return
 				}
 			}
 		case "leaving":
-			var zb0014 uint32
-			zb0014, err = dc.ReadArrayHeader()
+			var zb0013 uint32
+			zb0013, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-			if zb0014 > 16384 {
+			if zb0013 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Leaving) >= int(zb0014) {
-				z.Leaving = (z.Leaving)[:zb0014]
+			if cap(z.Leaving) >= int(zb0013) {
+				z.Leaving = (z.Leaving)[:zb0013]
 			} else {
-				z.Leaving = make([]EndpointLeave, zb0014)
+				z.Leaving = make([]EndpointLeave, zb0013)
 			}
-			for za0010 := range z.Leaving {
-				var zb0015 uint32
-				zb0015, err = dc.ReadArrayHeader()
+			for za0009 := range z.Leaving {
+				var zb0014 uint32
+				zb0014, err = dc.ReadArrayHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0010)
+					err = msgp.WrapError(err, "Leaving", za0009)
 					return
 				}
-				if zb0015 > 16384 {
+				if zb0014 > 16384 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if zb0015 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0015}
+				if zb0014 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0014}
 					return
 				}
-				z.Leaving[za0010].ID, err = dc.ReadString()
+				z.Leaving[za0009].ID, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0010, "ID")
+					err = msgp.WrapError(err, "Leaving", za0009, "ID")
 					return
 				}
-				z.Leaving[za0010].StartedMillis, err = dc.ReadInt64()
+				z.Leaving[za0009].StartedMillis, err = dc.ReadInt64()
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0010, "StartedMillis")
+					err = msgp.WrapError(err, "Leaving", za0009, "StartedMillis")
 					return
 				}
 			}
@@ -3639,48 +3622,48 @@
 				return
 			}
 		case "evacuated":
-			var zb0016 uint32
-			zb0016, err = dc.ReadArrayHeader()
+			var zb0015 uint32
+			zb0015, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-			if zb0016 > 4096 {
+			if zb0015 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Evacuated) >= int(zb0016) {
-				z.Evacuated = (z.Evacuated)[:zb0016]
+			if cap(z.Evacuated) >= int(zb0015) {
+				z.Evacuated = (z.Evacuated)[:zb0015]
 			} else {
-				z.Evacuated = make([]string, zb0016)
+				z.Evacuated = make([]string, zb0015)
 			}
-			for za0011 := range z.Evacuated {
-				z.Evacuated[za0011], err = dc.ReadString()
+			for za0010 := range z.Evacuated {
+				z.Evacuated[za0010], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Evacuated", za0011)
+					err = msgp.WrapError(err, "Evacuated", za0010)
 					return
 				}
 			}
 		case "evacuationsHeld":
-			var zb0017 uint32
-			zb0017, err = dc.ReadArrayHeader()
+			var zb0016 uint32
+			zb0016, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "EvacuationsHeld")
 				return
 			}
-			if zb0017 > 4096 {
+			if zb0016 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.EvacuationsHeld) >= int(zb0017) {
-				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0017]
+			if cap(z.EvacuationsHeld) >= int(zb0016) {
+				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0016]
 			} else {
-				z.EvacuationsHeld = make([]string, zb0017)
+				z.EvacuationsHeld = make([]string, zb0016)
 			}
-			for za0012 := range z.EvacuationsHeld {
-				z.EvacuationsHeld[za0012], err = dc.ReadString()
+			for za0011 := range z.EvacuationsHeld {
+				z.EvacuationsHeld[za0011], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "EvacuationsHeld", za0012)
+					err = msgp.WrapError(err, "EvacuationsHeld", za0011)
 					return
 				}
 			}
@@ -3775,18 +3758,11 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteArrayHeader(uint32(len(z.Pulses)))
+		err = z.Pulses.EncodeMsg(en)
 		if err != nil {
 			err = msgp.WrapError(err, "Pulses")
 			return
 		}
-		for za0002 := range z.Pulses {
-			err = z.Pulses[za0002].EncodeMsg(en)
-			if err != nil {
-				err = msgp.WrapError(err, "Pulses", za0002)
-				return
-			}
-		}
 		// write "endpoints"
 		err = en.Append(0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
 		if err != nil {
@@ -3797,10 +3773,10 @@
 			err = msgp.WrapError(err, "Endpoints")
 			return
 		}
-		for za0003 := range z.Endpoints {
-			err = z.Endpoints[za0003].EncodeMsg(en)
+		for za0002 := range z.Endpoints {
+			err = z.Endpoints[za0002].EncodeMsg(en)
 			if err != nil {
-				err = msgp.WrapError(err, "Endpoints", za0003)
+				err = msgp.WrapError(err, "Endpoints", za0002)
 				return
 			}
 		}
@@ -3814,10 +3790,10 @@
 			err = msgp.WrapError(err, "Accounts")
 			return
 		}
-		for za0004 := range z.Accounts {
-			err = z.Accounts[za0004].EncodeMsg(en)
+		for za0003 := range z.Accounts {
+			err = z.Accounts[za0003].EncodeMsg(en)
 			if err != nil {
-				err = msgp.WrapError(err, "Accounts", za0004)
+				err = msgp.WrapError(err, "Accounts", za0003)
 				return
 			}
 		}
@@ -3831,16 +3807,16 @@
 			err = msgp.WrapError(err, "Crashes")
 			return
 		}
-		for za0005 := range z.Crashes {
+		for za0004 := range z.Crashes {
 			// map header, size 2
 			// write "digest"
 			err = en.Append(0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
 			if err != nil {
 				return
 			}
-			err = en.WriteBytes(z.Crashes[za0005].Digest)
+			err = en.WriteBytes(z.Crashes[za0004].Digest)
 			if err != nil {
-				err = msgp.WrapError(err, "Crashes", za0005, "Digest")
+				err = msgp.WrapError(err, "Crashes", za0004, "Digest")
 				return
 			}
 			// write "losses"
@@ -3848,25 +3824,25 @@
 			if err != nil {
 				return
 			}
-			err = en.WriteArrayHeader(uint32(len(z.Crashes[za0005].Losses)))
+			err = en.WriteArrayHeader(uint32(len(z.Crashes[za0004].Losses)))
 			if err != nil {
-				err = msgp.WrapError(err, "Crashes", za0005, "Losses")
+				err = msgp.WrapError(err, "Crashes", za0004, "Losses")
 				return
 			}
-			for za0006 := range z.Crashes[za0005].Losses {
+			for za0005 := range z.Crashes[za0004].Losses {
 				// array header, size 2
 				err = en.Append(0x92)
 				if err != nil {
 					return
 				}
-				err = en.WriteString(z.Crashes[za0005].Losses[za0006].Address)
+				err = en.WriteString(z.Crashes[za0004].Losses[za0005].Address)
 				if err != nil {
-					err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
+					err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005, "Address")
 					return
 				}
-				err = en.WriteInt64(z.Crashes[za0005].Losses[za0006].AgeMillis)
+				err = en.WriteInt64(z.Crashes[za0004].Losses[za0005].AgeMillis)
 				if err != nil {
-					err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
+					err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005, "AgeMillis")
 					return
 				}
 			}
@@ -3881,10 +3857,10 @@
 			err = msgp.WrapError(err, "Stages")
 			return
 		}
-		for za0007 := range z.Stages {
-			err = z.Stages[za0007].EncodeMsg(en)
+		for za0006 := range z.Stages {
+			err = z.Stages[za0006].EncodeMsg(en)
 			if err != nil {
-				err = msgp.WrapError(err, "Stages", za0007)
+				err = msgp.WrapError(err, "Stages", za0006)
 				return
 			}
 		}
@@ -3899,10 +3875,10 @@
 				err = msgp.WrapError(err, "Limits")
 				return
 			}
-			for za0008 := range z.Limits {
-				err = z.Limits[za0008].EncodeMsg(en)
+			for za0007 := range z.Limits {
+				err = z.Limits[za0007].EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Limits", za0008)
+					err = msgp.WrapError(err, "Limits", za0007)
 					return
 				}
 			}
@@ -3918,25 +3894,25 @@
 				err = msgp.WrapError(err, "Refusing")
 				return
 			}
-			for za0009 := range z.Refusing {
+			for za0008 := range z.Refusing {
 				// array header, size 3
 				err = en.Append(0x93)
 				if err != nil {
 					return
 				}
-				err = en.WriteString(z.Refusing[za0009].ID)
+				err = en.WriteString(z.Refusing[za0008].ID)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0009, "ID")
+					err = msgp.WrapError(err, "Refusing", za0008, "ID")
 					return
 				}
-				err = en.WriteInt64(z.Refusing[za0009].StartedMillis)
+				err = en.WriteInt64(z.Refusing[za0008].StartedMillis)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0009, "StartedMillis")
+					err = msgp.WrapError(err, "Refusing", za0008, "StartedMillis")
 					return
 				}
-				err = en.WriteUint32(z.Refusing[za0009].AgeMillis)
+				err = en.WriteUint32(z.Refusing[za0008].AgeMillis)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0009, "AgeMillis")
+					err = msgp.WrapError(err, "Refusing", za0008, "AgeMillis")
 					return
 				}
 			}
@@ -3952,20 +3928,20 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-			for za0010 := range z.Leaving {
+			for za0009 := range z.Leaving {
 				// array header, size 2
 				err = en.Append(0x92)
 				if err != nil {
 					return
 				}
-				err = en.WriteString(z.Leaving[za0010].ID)
+				err = en.WriteString(z.Leaving[za0009].ID)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0010, "ID")
+					err = msgp.WrapError(err, "Leaving", za0009, "ID")
 					return
 				}
-				err = en.WriteInt64(z.Leaving[za0010].StartedMillis)
+				err = en.WriteInt64(z.Leaving[za0009].StartedMillis)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0010, "StartedMillis")
+					err = msgp.WrapError(err, "Leaving", za0009, "StartedMillis")
 					return
 				}
 			}
@@ -4010,10 +3986,10 @@
 			err = msgp.WrapError(err, "Evacuated")
 			return
 		}
-		for za0011 := range z.Evacuated {
-			err = en.WriteString(z.Evacuated[za0011])
+		for za0010 := range z.Evacuated {
+			err = en.WriteString(z.Evacuated[za0010])
 			if err != nil {
-				err = msgp.WrapError(err, "Evacuated", za0011)
+				err = msgp.WrapError(err, "Evacuated", za0010)
 				return
 			}
 		}
@@ -4027,10 +4003,10 @@
 			err = msgp.WrapError(err, "EvacuationsHeld")
 			return
 		}
-		for za0012 := range z.EvacuationsHeld {
-			err = en.WriteString(z.EvacuationsHeld[za0012])
+		for za0011 := range z.EvacuationsHeld {
+			err = en.WriteString(z.EvacuationsHeld[za0011])
 			if err != nil {
-				err = msgp.WrapError(err, "EvacuationsHeld", za0012)
+				err = msgp.WrapError(err, "EvacuationsHeld", za0011)
 				return
 			}
 		}
@@ -4104,59 +4080,56 @@
 		}
 		// string "pulses"
 		o = append(o, 0xa6, 0x70, 0x75, 0x6c, 0x73, 0x65, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Pulses)))
-		for za0002 := range z.Pulses {
-			o, err = z.Pulses[za0002].MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Pulses", za0002)
-				return
-			}
+		o, err = z.Pulses.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Pulses")
+			return
 		}
 		// string "endpoints"
 		o = append(o, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
-		for za0003 := range z.Endpoints {
-			o, err = z.Endpoints[za0003].MarshalMsg(o)
+		for za0002 := range z.Endpoints {
+			o, err = z.Endpoints[za0002].MarshalMsg(o)
 			if err != nil {
-				err = msgp.WrapError(err, "Endpoints", za0003)
+				err = msgp.WrapError(err, "Endpoints", za0002)
 				return
 			}
 		}
 		// string "accounts"
 		o = append(o, 0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Accounts)))
-		for za0004 := range z.Accounts {
-			o, err = z.Accounts[za0004].MarshalMsg(o)
+		for za0003 := range z.Accounts {
+			o, err = z.Accounts[za0003].MarshalMsg(o)
 			if err != nil {
-				err = msgp.WrapError(err, "Accounts", za0004)
+				err = msgp.WrapError(err, "Accounts", za0003)
 				return
 			}
 		}
 		// string "crashes"
 		o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
-		for za0005 := range z.Crashes {
+		for za0004 := range z.Crashes {
 			// map header, size 2
 			// string "digest"
 			o = append(o, 0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
-			o = msgp.AppendBytes(o, z.Crashes[za0005].Digest)
+			o = msgp.AppendBytes(o, z.Crashes[za0004].Digest)
 			// string "losses"
 			o = append(o, 0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes[za0005].Losses)))
-			for za0006 := range z.Crashes[za0005].Losses {
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes[za0004].Losses)))
+			for za0005 := range z.Crashes[za0004].Losses {
 				// array header, size 2
 				o = append(o, 0x92)
-				o = msgp.AppendString(o, z.Crashes[za0005].Losses[za0006].Address)
-				o = msgp.AppendInt64(o, z.Crashes[za0005].Losses[za0006].AgeMillis)
+				o = msgp.AppendString(o, z.Crashes[za0004].Losses[za0005].Address)
+				o = msgp.AppendInt64(o, z.Crashes[za0004].Losses[za0005].AgeMillis)
 			}
 		}
 		// string "stages"
 		o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x67, 0x65, 0x73)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Stages)))
-		for za0007 := range z.Stages {
-			o, err = z.Stages[za0007].MarshalMsg(o)
+		for za0006 := range z.Stages {
+			o, err = z.Stages[za0006].MarshalMsg(o)
 			if err != nil {
-				err = msgp.WrapError(err, "Stages", za0007)
+				err = msgp.WrapError(err, "Stages", za0006)
 				return
 			}
 		}
@@ -4164,10 +4137,10 @@
 			// string "limits"
 			o = append(o, 0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
-			for za0008 := range z.Limits {
-				o, err = z.Limits[za0008].MarshalMsg(o)
+			for za0007 := range z.Limits {
+				o, err = z.Limits[za0007].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Limits", za0008)
+					err = msgp.WrapError(err, "Limits", za0007)
 					return
 				}
 			}
@@ -4176,23 +4149,23 @@
 			// string "refusing"
 			o = append(o, 0xa8, 0x72, 0x65, 0x66, 0x75, 0x73, 0x69, 0x6e, 0x67)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Refusing)))
-			for za0009 := range z.Refusing {
+			for za0008 := range z.Refusing {
 				// array header, size 3
 				o = append(o, 0x93)
-				o = msgp.AppendString(o, z.Refusing[za0009].ID)
-				o = msgp.AppendInt64(o, z.Refusing[za0009].StartedMillis)
-				o = msgp.AppendUint32(o, z.Refusing[za0009].AgeMillis)
+				o = msgp.AppendString(o, z.Refusing[za0008].ID)
+				o = msgp.AppendInt64(o, z.Refusing[za0008].StartedMillis)
+				o = msgp.AppendUint32(o, z.Refusing[za0008].AgeMillis)
 			}
 		}
 		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "leaving"
 			o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Leaving)))
-			for za0010 := range z.Leaving {
+			for za0009 := range z.Leaving {
 				// array header, size 2
 				o = append(o, 0x92)
-				o = msgp.AppendString(o, z.Leaving[za0010].ID)
-				o = msgp.AppendInt64(o, z.Leaving[za0010].StartedMillis)
+				o = msgp.AppendString(o, z.Leaving[za0009].ID)
+				o = msgp.AppendInt64(o, z.Leaving[za0009].StartedMillis)
 			}
 		}
 		// string "configAgeMillis"
@@ -4207,14 +4180,14 @@
 		// string "evacuated"
 		o = append(o, 0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
-		for za0011 := range z.Evacuated {
-			o = msgp.AppendString(o, z.Evacuated[za0011])
+		for za0010 := range z.Evacuated {
+			o = msgp.AppendString(o, z.Evacuated[za0010])
 		}
 		// string "evacuationsHeld"
 		o = append(o, 0xaf, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x48, 0x65, 0x6c, 0x64)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.EvacuationsHeld)))
-		for za0012 := range z.EvacuationsHeld {
-			o = msgp.AppendString(o, z.EvacuationsHeld[za0012])
+		for za0011 := range z.EvacuationsHeld {
+			o = msgp.AppendString(o, z.EvacuationsHeld[za0011])
 		}
 		// string "storeEra"
 		o = append(o, 0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
@@ -4280,302 +4253,285 @@
 				}
 			}
 		case "pulses":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			bts, err = z.Pulses.UnmarshalMsg(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Pulses")
 				return
 			}
-			if zb0003 > 4096 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Pulses) >= int(zb0003) {
-				z.Pulses = (z.Pulses)[:zb0003]
-			} else {
-				z.Pulses = make([]Pulse, zb0003)
-			}
-			for za0002 := range z.Pulses {
-				bts, err = z.Pulses[za0002].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Pulses", za0002)
-					return
-				}
-			}
 		case "endpoints":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Endpoints")
 				return
 			}
-			if zb0004 > 16384 {
+			if zb0003 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Endpoints) >= int(zb0004) {
-				z.Endpoints = (z.Endpoints)[:zb0004]
+			if cap(z.Endpoints) >= int(zb0003) {
+				z.Endpoints = (z.Endpoints)[:zb0003]
 			} else {
-				z.Endpoints = make([]EndpointLoad, zb0004)
+				z.Endpoints = make([]EndpointLoad, zb0003)
 			}
-			for za0003 := range z.Endpoints {
-				bts, err = z.Endpoints[za0003].UnmarshalMsg(bts)
+			for za0002 := range z.Endpoints {
+				bts, err = z.Endpoints[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Endpoints", za0003)
+					err = msgp.WrapError(err, "Endpoints", za0002)
 					return
 				}
 			}
 		case "accounts":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Accounts")
 				return
 			}
-			if zb0005 > 65536 {
+			if zb0004 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Accounts) >= int(zb0005) {
-				z.Accounts = (z.Accounts)[:zb0005]
+			if cap(z.Accounts) >= int(zb0004) {
+				z.Accounts = (z.Accounts)[:zb0004]
 			} else {
-				z.Accounts = make([]AccountUse, zb0005)
+				z.Accounts = make([]AccountUse, zb0004)
 			}
-			for za0004 := range z.Accounts {
-				bts, err = z.Accounts[za0004].UnmarshalMsg(bts)
+			for za0003 := range z.Accounts {
+				bts, err = z.Accounts[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Accounts", za0004)
+					err = msgp.WrapError(err, "Accounts", za0003)
 					return
 				}
 			}
 		case "crashes":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Crashes")
 				return
 			}
-			if zb0006 > 1024 {
+			if zb0005 > 1024 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Crashes) >= int(zb0006) {
-				z.Crashes = (z.Crashes)[:zb0006]
+			if cap(z.Crashes) >= int(zb0005) {
+				z.Crashes = (z.Crashes)[:zb0005]
 			} else {
-				z.Crashes = make([]CrashMark, zb0006)
+				z.Crashes = make([]CrashMark, zb0005)
 			}
-			for za0005 := range z.Crashes {
-				var zb0007 uint32
-				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0004 := range z.Crashes {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Crashes", za0005)
+					err = msgp.WrapError(err, "Crashes", za0004)
 					return
 				}
-				if zb0007 > 1024 {
+				if zb0006 > 1024 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0007 > 0 {
-					zb0007--
+				for zb0006 > 0 {
+					zb0006--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Crashes", za0005)
+						err = msgp.WrapError(err, "Crashes", za0004)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "digest":
-						var zb0008 uint32
-						zb0008, bts, err = msgp.ReadBytesHeader(bts)
+						var zb0007 uint32
+						zb0007, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0005, "Digest")
+							err = msgp.WrapError(err, "Crashes", za0004, "Digest")
 							return
 						}
-						if zb0008 > 32 {
+						if zb0007 > 32 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
-						if z.Crashes[za0005].Digest == nil || uint32(cap(z.Crashes[za0005].Digest)) < zb0008 {
-							z.Crashes[za0005].Digest = make([]byte, zb0008)
+						if z.Crashes[za0004].Digest == nil || uint32(cap(z.Crashes[za0004].Digest)) < zb0007 {
+							z.Crashes[za0004].Digest = make([]byte, zb0007)
 						} else {
-							z.Crashes[za0005].Digest = z.Crashes[za0005].Digest[:zb0008]
+							z.Crashes[za0004].Digest = z.Crashes[za0004].Digest[:zb0007]
 						}
-						if uint32(len(bts)) < zb0008 {
+						if uint32(len(bts)) < zb0007 {
 							err = msgp.ErrShortBytes
 							return
 						}
-						copy(z.Crashes[za0005].Digest, bts[:zb0008])
-						bts = bts[zb0008:]
+						copy(z.Crashes[za0004].Digest, bts[:zb0007])
+						bts = bts[zb0007:]
 					case "losses":
-						var zb0009 uint32
-						zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						var zb0008 uint32
+						zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0005, "Losses")
+							err = msgp.WrapError(err, "Crashes", za0004, "Losses")
 							return
 						}
-						if zb0009 > 16 {
+						if zb0008 > 16 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
-						if cap(z.Crashes[za0005].Losses) >= int(zb0009) {
-							z.Crashes[za0005].Losses = (z.Crashes[za0005].Losses)[:zb0009]
+						if cap(z.Crashes[za0004].Losses) >= int(zb0008) {
+							z.Crashes[za0004].Losses = (z.Crashes[za0004].Losses)[:zb0008]
 						} else {
-							z.Crashes[za0005].Losses = make([]CrashLoss, zb0009)
+							z.Crashes[za0004].Losses = make([]CrashLoss, zb0008)
 						}
-						for za0006 := range z.Crashes[za0005].Losses {
-							var zb0010 uint32
-							zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						for za0005 := range z.Crashes[za0004].Losses {
+							var zb0009 uint32
+							zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006)
+								err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005)
 								return
 							}
-							if zb0010 != 2 {
-								err = msgp.ArrayError{Wanted: 2, Got: zb0010}
+							if zb0009 != 2 {
+								err = msgp.ArrayError{Wanted: 2, Got: zb0009}
 								return
 							}
-							z.Crashes[za0005].Losses[za0006].Address, bts, err = msgp.ReadStringBytes(bts)
+							z.Crashes[za0004].Losses[za0005].Address, bts, err = msgp.ReadStringBytes(bts)
 							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "Address")
+								err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005, "Address")
 								return
 							}
-							z.Crashes[za0005].Losses[za0006].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
+							z.Crashes[za0004].Losses[za0005].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
 							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0005, "Losses", za0006, "AgeMillis")
+								err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005, "AgeMillis")
 								return
 							}
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0005)
+							err = msgp.WrapError(err, "Crashes", za0004)
 							return
 						}
 					}
 				}
 			}
 		case "stages":
-			var zb0011 uint32
-			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Stages")
 				return
 			}
-			if zb0011 > 1024 {
+			if zb0010 > 1024 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Stages) >= int(zb0011) {
-				z.Stages = (z.Stages)[:zb0011]
+			if cap(z.Stages) >= int(zb0010) {
+				z.Stages = (z.Stages)[:zb0010]
 			} else {
-				z.Stages = make([]StageWait, zb0011)
+				z.Stages = make([]StageWait, zb0010)
 			}
-			for za0007 := range z.Stages {
-				bts, err = z.Stages[za0007].UnmarshalMsg(bts)
+			for za0006 := range z.Stages {
+				bts, err = z.Stages[za0006].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stages", za0007)
+					err = msgp.WrapError(err, "Stages", za0006)
 					return
 				}
 			}
 		case "limits":
-			var zb0012 uint32
-			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Limits")
 				return
 			}
-			if zb0012 > 16384 {
+			if zb0011 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Limits) >= int(zb0012) {
-				z.Limits = (z.Limits)[:zb0012]
+			if cap(z.Limits) >= int(zb0011) {
+				z.Limits = (z.Limits)[:zb0011]
 			} else {
-				z.Limits = make([]EndpointLimit, zb0012)
+				z.Limits = make([]EndpointLimit, zb0011)
 			}
-			for za0008 := range z.Limits {
-				bts, err = z.Limits[za0008].UnmarshalMsg(bts)
+			for za0007 := range z.Limits {
+				bts, err = z.Limits[za0007].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Limits", za0008)
+					err = msgp.WrapError(err, "Limits", za0007)
 					return
 				}
 			}
 		case "refusing":
-			var zb0013 uint32
-			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Refusing")
 				return
 			}
-			if zb0013 > 16384 {
+			if zb0012 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Refusing) >= int(zb0013) {
-				z.Refusing = (z.Refusing)[:zb0013]
+			if cap(z.Refusing) >= int(zb0012) {
+				z.Refusing = (z.Refusing)[:zb0012]
 			} else {
-				z.Refusing = make([]EndpointRefusal, zb0013)
+				z.Refusing = make([]EndpointRefusal, zb0012)
 			}
-			for za0009 := range z.Refusing {
-				var zb0014 uint32
-				zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			for za0008 := range z.Refusing {
+				var zb0013 uint32
+				zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0009)
+					err = msgp.WrapError(err, "Refusing", za0008)
 					return
 				}
-				if zb0014 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0014}
+				if zb0013 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0013}
 					return
 				}
-				z.Refusing[za0009].ID, bts, err = msgp.ReadStringBytes(bts)
+				z.Refusing[za0008].ID, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0009, "ID")
+					err = msgp.WrapError(err, "Refusing", za0008, "ID")
 					return
 				}
-				z.Refusing[za0009].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+				z.Refusing[za0008].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0009, "StartedMillis")
+					err = msgp.WrapError(err, "Refusing", za0008, "StartedMillis")
 					return
 				}
-				z.Refusing[za0009].AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+				z.Refusing[za0008].AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0009, "AgeMillis")
+					err = msgp.WrapError(err, "Refusing", za0008, "AgeMillis")
 					return
 				}
 			}
 		case "leaving":
-			var zb0015 uint32
-			zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0014 uint32
+			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-			if zb0015 > 16384 {
+			if zb0014 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Leaving) >= int(zb0015) {
-				z.Leaving = (z.Leaving)[:zb0015]
+			if cap(z.Leaving) >= int(zb0014) {
+				z.Leaving = (z.Leaving)[:zb0014]
 			} else {
-				z.Leaving = make([]EndpointLeave, zb0015)
+				z.Leaving = make([]EndpointLeave, zb0014)
 			}
-			for za0010 := range z.Leaving {
-				var zb0016 uint32
-				zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			for za0009 := range z.Leaving {
+				var zb0015 uint32
+				zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0010)
+					err = msgp.WrapError(err, "Leaving", za0009)
 					return
 				}
-				if zb0016 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0016}
+				if zb0015 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0015}
 					return
 				}
-				z.Leaving[za0010].ID, bts, err = msgp.ReadStringBytes(bts)
+				z.Leaving[za0009].ID, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0010, "ID")
+					err = msgp.WrapError(err, "Leaving", za0009, "ID")
 					return
 				}
-				z.Leaving[za0010].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+				z.Leaving[za0009].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0010, "StartedMillis")
+					err = msgp.WrapError(err, "Leaving", za0009, "StartedMillis")
 					return
 				}
 			}
@@ -4598,48 +4554,48 @@
 				return
 			}
 		case "evacuated":
-			var zb0017 uint32
-			zb0017, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0016 uint32
+			zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-			if zb0017 > 4096 {
+			if zb0016 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Evacuated) >= int(zb0017) {
-				z.Evacuated = (z.Evacuated)[:zb0017]
+			if cap(z.Evacuated) >= int(zb0016) {
+				z.Evacuated = (z.Evacuated)[:zb0016]
 			} else {
-				z.Evacuated = make([]string, zb0017)
+				z.Evacuated = make([]string, zb0016)
 			}
-			for za0011 := range z.Evacuated {
-				z.Evacuated[za0011], bts, err = msgp.ReadStringBytes(bts)
+			for za0010 := range z.Evacuated {
+				z.Evacuated[za0010], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Evacuated", za0011)
+					err = msgp.WrapError(err, "Evacuated", za0010)
 					return
 				}
 			}
 		case "evacuationsHeld":
-			var zb0018 uint32
-			zb0018, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0017 uint32
+			zb0017, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "EvacuationsHeld")
 				return
 			}
-			if zb0018 > 4096 {
+			if zb0017 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.EvacuationsHeld) >= int(zb0018) {
-				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0018]
+			if cap(z.EvacuationsHeld) >= int(zb0017) {
+				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0017]
 			} else {
-				z.EvacuationsHeld = make([]string, zb0018)
+				z.EvacuationsHeld = make([]string, zb0017)
 			}
-			for za0012 := range z.EvacuationsHeld {
-				z.EvacuationsHeld[za0012], bts, err = msgp.ReadStringBytes(bts)
+			for za0011 := range z.EvacuationsHeld {
+				z.EvacuationsHeld[za0011], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "EvacuationsHeld", za0012)
+					err = msgp.WrapError(err, "EvacuationsHeld", za0011)
 					return
 				}
 			}
@@ -4673,48 +4629,44 @@
 	for za0001 := range z.Members {
 		s += z.Members[za0001].Msgsize()
 	}
-	s += 7 + msgp.ArrayHeaderSize
-	for za0002 := range z.Pulses {
-		s += z.Pulses[za0002].Msgsize()
-	}
-	s += 10 + msgp.ArrayHeaderSize
-	for za0003 := range z.Endpoints {
-		s += z.Endpoints[za0003].Msgsize()
+	s += 7 + z.Pulses.Msgsize() + 10 + msgp.ArrayHeaderSize
+	for za0002 := range z.Endpoints {
+		s += z.Endpoints[za0002].Msgsize()
 	}
 	s += 9 + msgp.ArrayHeaderSize
-	for za0004 := range z.Accounts {
-		s += z.Accounts[za0004].Msgsize()
+	for za0003 := range z.Accounts {
+		s += z.Accounts[za0003].Msgsize()
 	}
 	s += 8 + msgp.ArrayHeaderSize
-	for za0005 := range z.Crashes {
-		s += 1 + 7 + msgp.BytesPrefixSize + len(z.Crashes[za0005].Digest) + 7 + msgp.ArrayHeaderSize
-		for za0006 := range z.Crashes[za0005].Losses {
-			s += 1 + msgp.StringPrefixSize + len(z.Crashes[za0005].Losses[za0006].Address) + msgp.Int64Size
+	for za0004 := range z.Crashes {
+		s += 1 + 7 + msgp.BytesPrefixSize + len(z.Crashes[za0004].Digest) + 7 + msgp.ArrayHeaderSize
+		for za0005 := range z.Crashes[za0004].Losses {
+			s += 1 + msgp.StringPrefixSize + len(z.Crashes[za0004].Losses[za0005].Address) + msgp.Int64Size
 		}
 	}
 	s += 7 + msgp.ArrayHeaderSize
-	for za0007 := range z.Stages {
-		s += z.Stages[za0007].Msgsize()
+	for za0006 := range z.Stages {
+		s += z.Stages[za0006].Msgsize()
 	}
 	s += 7 + msgp.ArrayHeaderSize
-	for za0008 := range z.Limits {
-		s += z.Limits[za0008].Msgsize()
+	for za0007 := range z.Limits {
+		s += z.Limits[za0007].Msgsize()
 	}
 	s += 9 + msgp.ArrayHeaderSize
-	for za0009 := range z.Refusing {
-		s += 1 + msgp.StringPrefixSize + len(z.Refusing[za0009].ID) + msgp.Int64Size + msgp.Uint32Size
+	for za0008 := range z.Refusing {
+		s += 1 + msgp.StringPrefixSize + len(z.Refusing[za0008].ID) + msgp.Int64Size + msgp.Uint32Size
 	}
 	s += 8 + msgp.ArrayHeaderSize
-	for za0010 := range z.Leaving {
-		s += 1 + msgp.StringPrefixSize + len(z.Leaving[za0010].ID) + msgp.Int64Size
+	for za0009 := range z.Leaving {
+		s += 1 + msgp.StringPrefixSize + len(z.Leaving[za0009].ID) + msgp.Int64Size
 	}
 	s += 16 + msgp.Int64Size + 13 + msgp.Int64Size + 14 + msgp.Int64Size + 10 + msgp.ArrayHeaderSize
-	for za0011 := range z.Evacuated {
-		s += msgp.StringPrefixSize + len(z.Evacuated[za0011])
+	for za0010 := range z.Evacuated {
+		s += msgp.StringPrefixSize + len(z.Evacuated[za0010])
 	}
 	s += 16 + msgp.ArrayHeaderSize
-	for za0012 := range z.EvacuationsHeld {
-		s += msgp.StringPrefixSize + len(z.EvacuationsHeld[za0012])
+	for za0011 := range z.EvacuationsHeld {
+		s += msgp.StringPrefixSize + len(z.EvacuationsHeld[za0011])
 	}
 	s += 9 + msgp.Int64Size + 13 + msgp.Int64Size
 	return
@@ -8060,125 +8012,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Pulse) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	z.ID, err = dc.ReadUint32()
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Sequence, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
-		return
-	}
-	z.AgeMillis, err = dc.ReadUint32()
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
-	}
-	z.State, err = dc.ReadUint8()
-	if err != nil {
-		err = msgp.WrapError(err, "State")
-		return
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Pulse) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	err = en.WriteUint64(z.Sequence)
-	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
-		return
-	}
-	err = en.WriteUint32(z.AgeMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
-	}
-	err = en.WriteUint8(z.State)
-	if err != nil {
-		err = msgp.WrapError(err, "State")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Pulse) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
-	o = msgp.AppendUint32(o, z.ID)
-	o = msgp.AppendUint64(o, z.Sequence)
-	o = msgp.AppendUint32(o, z.AgeMillis)
-	o = msgp.AppendUint8(o, z.State)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Pulse) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
-		return
-	}
-	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
-	}
-	z.State, bts, err = msgp.ReadUint8Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "State")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Pulse) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint8Size
-	return
-}
-
 // DecodeMsg implements msgp.Decodable
 func (z *Record) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
--- a/messenger/bench_test.go
+++ b/messenger/bench_test.go
@@ -14,7 +14,7 @@
 func BenchmarkFrame(b *testing.B) {
 	for _, n := range []int{7, 50, 200} {
 		b.Run(strconv.Itoa(n)+" members", func(b *testing.B) {
-			body, _ := (&carrier.Heartbeat{Pulses: make([]carrier.Pulse, n)}).MarshalMsg(nil)
+			body, _ := (&carrier.Heartbeat{Pulses: make(carrier.PulseList, n)}).MarshalMsg(nil)
 			sealer, opener := newSealer([]byte(testKey)), newSealer([]byte(testKey))
 			var frame []byte
 			b.ReportAllocs()
