--- a/carrier/pulse.go
+++ b/carrier/pulse.go
@@ -93,9 +93,9 @@
 		if len(list) == maxPulses {
 			return nil, &PulseError{Offset: at, Reason: "too many pulses"}
 		}
-		p, size, err := decodePulse(data[at:])
-		if err != "" {
-			return nil, &PulseError{Offset: at, Reason: err}
+		p, size, reason := decodePulse(data[at:])
+		if reason != "" {
+			return nil, &PulseError{Offset: at, Reason: reason}
 		}
 		list = append(list, p)
 		at += size
--- a/detector/introduction.go
+++ b/detector/introduction.go
@@ -85,11 +85,12 @@
 // with other members, so that new processes spread over the whole fleet.
 func (d *Detector) introduce(zone string, now time.Time) *carrier.MembersReply {
 	reply := &carrier.MembersReply{Members: []carrier.Member{d.Self()}}
+	// left holds how many more members of each zone are described.
 	left := make(map[string]int)
 	for range d.sorted {
 		d.introduced = (d.introduced + 1) % len(d.sorted)
 		r := d.sorted[d.introduced]
-		if r.member.State == Dead || r.member.State == Stopped {
+		if !r.receivesHeartbeats() {
 			continue
 		}
 		n, counted := left[r.member.Zone]
