--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -file schema.go -o schema_gen.go -tests=false
 
-//msgp:tuple EndpointRefusal EndpointLeave EndpointLimit PieceResult MadeResult EndpointWork StageWait EndpointEntry ModelDemand AccountBill StageBill Member EndpointLoad AccountUse Record CrashLoss
+//msgp:tuple EndpointTiming RetryUse StageClassWait EndpointRefusal EndpointLeave EndpointLimit PieceResult MadeResult EndpointWork StageWait EndpointEntry ModelDemand AccountBill StageBill Member EndpointLoad AccountUse Record CrashLoss
 
 // Kind identifies the type of the message in a frame.
 type Kind uint8
@@ -122,6 +122,11 @@
 	Crashes   []CrashMark    `msg:"crashes,limit=1024"`
 	// Stages are the newest loads of stage pools known to the sender.
 	Stages []StageWait `msg:"stages,limit=1024"`
+	// StageClasses are the newest loads of stage pools by priority. An entry whose release does not send them is known by
+	// Stages alone.
+	StageClasses []StageClassWait `msg:"stageClasses,omitempty,limit=8192"`
+	// Unreachable lists the endpoints whose address refused the sender's connections. Receivers don't pass it on.
+	Unreachable []EndpointRefusal `msg:"unreachable,omitempty,limit=16384"`
 	// Limits are the newest limits stated by endpoints that the sender knows.
 	Limits []EndpointLimit `msg:"limits,omitempty,limit=16384"`
 	// Refusing lists the endpoints that have refused consecutive calls of the sender. Receivers don't pass it on.
@@ -336,6 +341,19 @@
 	AgeMillis uint32
 }
 
+// StageClassWait is the load of a service's pool for the pieces of one priority, at the entry that collects for it. Entries
+// pass it on.
+type StageClassWait struct {
+	Service  string
+	Priority int32
+	// Millis is how long a piece of this priority that arrives now would wait. TurnaroundMillis is how long groups of
+	// this priority take from their arrival to their last result; 0 if none was done recently.
+	Millis           int32
+	TurnaroundMillis int32
+	// AgeMillis is the time since the collecting entry reported this load.
+	AgeMillis uint32
+}
+
 // EndpointLimit is a limit that an endpoint has stated in a response. Entries pass it on.
 type EndpointLimit struct {
 	ID string
@@ -364,9 +382,33 @@
 	AgeMillis     uint32
 }
 
+// EndpointTiming is one observation of an endpoint's speed by the sender.
+type EndpointTiming struct {
+	ID string
+	// StartedMillis is the start time of the endpoint process in Unix milliseconds; 0 if it does not report one.
+	StartedMillis int64
+	// Sequence numbers the sender's observations. A receiver counts each of them once.
+	Sequence uint64
+	// LogRatio is the natural logarithm of the observed time to the first event divided by the time that is usual in the
+	// endpoint's pool for such a call, in thousandths.
+	LogRatio int32
+}
+
+// RetryUse is the sender's use of the retry budget of one service within the budget's window.
+type RetryUse struct {
+	Service string
+	// Requests is the number of the sender's first attempts, Retries that of its further attempts.
+	Requests int32
+	Retries  int32
+}
+
 // LoadReport is the work that an entry has in flight. It replaces the sender's previous report.
 type LoadReport struct {
 	Endpoints []EndpointWork `msg:"endpoints,limit=16384"`
+	// Timings are the sender's most recent observations of endpoints' speeds.
+	Timings []EndpointTiming `msg:"timings,omitempty,limit=1024"`
+	// Retries is the sender's use of the services' retry budgets.
+	Retries []RetryUse `msg:"retries,omitempty,limit=1024"`
 }
 
 // ConfigCall requests the newest configuration that the peer knows.
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -2316,6 +2316,125 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *EndpointTiming) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.StartedMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
+	z.Sequence, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.LogRatio, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "LogRatio")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *EndpointTiming) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteInt64(z.StartedMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
+	err = en.WriteUint64(z.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	err = en.WriteInt32(z.LogRatio)
+	if err != nil {
+		err = msgp.WrapError(err, "LogRatio")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *EndpointTiming) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendString(o, z.ID)
+	o = msgp.AppendInt64(o, z.StartedMillis)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendInt32(o, z.LogRatio)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EndpointTiming) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.LogRatio, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LogRatio")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *EndpointTiming) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Int64Size + msgp.Uint64Size + msgp.Int32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *EndpointWork) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -3491,50 +3610,50 @@
 					return
 				}
 			}
-		case "limits":
+		case "stageClasses":
 			var zb0010 uint32
 			zb0010, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Limits")
+				err = msgp.WrapError(err, "StageClasses")
 				return
 			}
-			if zb0010 > 16384 {
+			if zb0010 > 8192 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Limits) >= int(zb0010) {
-				z.Limits = (z.Limits)[:zb0010]
+			if cap(z.StageClasses) >= int(zb0010) {
+				z.StageClasses = (z.StageClasses)[:zb0010]
 			} else {
-				z.Limits = make([]EndpointLimit, zb0010)
+				z.StageClasses = make([]StageClassWait, zb0010)
 			}
-			for za0007 := range z.Limits {
-				err = z.Limits[za0007].DecodeMsg(dc)
+			for za0007 := range z.StageClasses {
+				err = z.StageClasses[za0007].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Limits", za0007)
+					err = msgp.WrapError(err, "StageClasses", za0007)
 					return
 				}
 			}
-		case "refusing":
+		case "unreachable":
 			var zb0011 uint32
 			zb0011, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Refusing")
+				err = msgp.WrapError(err, "Unreachable")
 				return
 			}
 			if zb0011 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Refusing) >= int(zb0011) {
-				z.Refusing = (z.Refusing)[:zb0011]
+			if cap(z.Unreachable) >= int(zb0011) {
+				z.Unreachable = (z.Unreachable)[:zb0011]
 			} else {
-				z.Refusing = make([]EndpointRefusal, zb0011)
+				z.Unreachable = make([]EndpointRefusal, zb0011)
 			}
-			for za0008 := range z.Refusing {
+			for za0008 := range z.Unreachable {
 				var zb0012 uint32
 				zb0012, err = dc.ReadArrayHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0008)
+					err = msgp.WrapError(err, "Unreachable", za0008)
 					return
 				}
 				if zb0012 > 16384 {
@@ -3545,61 +3664,131 @@
 					err = msgp.ArrayError{Wanted: 3, Got: zb0012}
 					return
 				}
-				z.Refusing[za0008].ID, err = dc.ReadString()
+				z.Unreachable[za0008].ID, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0008, "ID")
+					err = msgp.WrapError(err, "Unreachable", za0008, "ID")
 					return
 				}
-				z.Refusing[za0008].StartedMillis, err = dc.ReadInt64()
+				z.Unreachable[za0008].StartedMillis, err = dc.ReadInt64()
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0008, "StartedMillis")
+					err = msgp.WrapError(err, "Unreachable", za0008, "StartedMillis")
 					return
 				}
-				z.Refusing[za0008].AgeMillis, err = dc.ReadUint32()
+				z.Unreachable[za0008].AgeMillis, err = dc.ReadUint32()
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0008, "AgeMillis")
+					err = msgp.WrapError(err, "Unreachable", za0008, "AgeMillis")
 					return
 				}
 			}
-		case "leaving":
+		case "limits":
 			var zb0013 uint32
 			zb0013, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Leaving")
+				err = msgp.WrapError(err, "Limits")
 				return
 			}
 			if zb0013 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Leaving) >= int(zb0013) {
-				z.Leaving = (z.Leaving)[:zb0013]
+			if cap(z.Limits) >= int(zb0013) {
+				z.Limits = (z.Limits)[:zb0013]
+			} else {
+				z.Limits = make([]EndpointLimit, zb0013)
+			}
+			for za0009 := range z.Limits {
+				err = z.Limits[za0009].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0009)
+					return
+				}
+			}
+		case "refusing":
+			var zb0014 uint32
+			zb0014, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Refusing")
+				return
+			}
+			if zb0014 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Refusing) >= int(zb0014) {
+				z.Refusing = (z.Refusing)[:zb0014]
+			} else {
+				z.Refusing = make([]EndpointRefusal, zb0014)
+			}
+			for za0010 := range z.Refusing {
+				var zb0015 uint32
+				zb0015, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0010)
+					return
+				}
+				if zb0015 > 16384 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0015 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0015}
+					return
+				}
+				z.Refusing[za0010].ID, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0010, "ID")
+					return
+				}
+				z.Refusing[za0010].StartedMillis, err = dc.ReadInt64()
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0010, "StartedMillis")
+					return
+				}
+				z.Refusing[za0010].AgeMillis, err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0010, "AgeMillis")
+					return
+				}
+			}
+		case "leaving":
+			var zb0016 uint32
+			zb0016, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+			if zb0016 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Leaving) >= int(zb0016) {
+				z.Leaving = (z.Leaving)[:zb0016]
 			} else {
-				z.Leaving = make([]EndpointLeave, zb0013)
+				z.Leaving = make([]EndpointLeave, zb0016)
 			}
-			for za0009 := range z.Leaving {
-				var zb0014 uint32
-				zb0014, err = dc.ReadArrayHeader()
+			for za0011 := range z.Leaving {
+				var zb0017 uint32
+				zb0017, err = dc.ReadArrayHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0009)
+					err = msgp.WrapError(err, "Leaving", za0011)
 					return
 				}
-				if zb0014 > 16384 {
+				if zb0017 > 16384 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if zb0014 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0014}
+				if zb0017 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0017}
 					return
 				}
-				z.Leaving[za0009].ID, err = dc.ReadString()
+				z.Leaving[za0011].ID, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0009, "ID")
+					err = msgp.WrapError(err, "Leaving", za0011, "ID")
 					return
 				}
-				z.Leaving[za0009].StartedMillis, err = dc.ReadInt64()
+				z.Leaving[za0011].StartedMillis, err = dc.ReadInt64()
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0009, "StartedMillis")
+					err = msgp.WrapError(err, "Leaving", za0011, "StartedMillis")
 					return
 				}
 			}
@@ -3622,48 +3811,48 @@
 				return
 			}
 		case "evacuated":
-			var zb0015 uint32
-			zb0015, err = dc.ReadArrayHeader()
+			var zb0018 uint32
+			zb0018, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-			if zb0015 > 4096 {
+			if zb0018 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Evacuated) >= int(zb0015) {
-				z.Evacuated = (z.Evacuated)[:zb0015]
+			if cap(z.Evacuated) >= int(zb0018) {
+				z.Evacuated = (z.Evacuated)[:zb0018]
 			} else {
-				z.Evacuated = make([]string, zb0015)
+				z.Evacuated = make([]string, zb0018)
 			}
-			for za0010 := range z.Evacuated {
-				z.Evacuated[za0010], err = dc.ReadString()
+			for za0012 := range z.Evacuated {
+				z.Evacuated[za0012], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Evacuated", za0010)
+					err = msgp.WrapError(err, "Evacuated", za0012)
 					return
 				}
 			}
 		case "evacuationsHeld":
-			var zb0016 uint32
-			zb0016, err = dc.ReadArrayHeader()
+			var zb0019 uint32
+			zb0019, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "EvacuationsHeld")
 				return
 			}
-			if zb0016 > 4096 {
+			if zb0019 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.EvacuationsHeld) >= int(zb0016) {
-				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0016]
+			if cap(z.EvacuationsHeld) >= int(zb0019) {
+				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0019]
 			} else {
-				z.EvacuationsHeld = make([]string, zb0016)
+				z.EvacuationsHeld = make([]string, zb0019)
 			}
-			for za0011 := range z.EvacuationsHeld {
-				z.EvacuationsHeld[za0011], err = dc.ReadString()
+			for za0013 := range z.EvacuationsHeld {
+				z.EvacuationsHeld[za0013], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "EvacuationsHeld", za0011)
+					err = msgp.WrapError(err, "EvacuationsHeld", za0013)
 					return
 				}
 			}
@@ -3693,21 +3882,29 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(18)
-	var zb0001Mask uint32 /* 18 bits */
+	zb0001Len := uint32(20)
+	var zb0001Mask uint32 /* 20 bits */
 	_ = zb0001Mask
-	if z.Limits == nil {
+	if z.StageClasses == nil {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.Refusing == nil {
+	if z.Unreachable == nil {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.Leaving == nil {
+	if z.Limits == nil {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
+	if z.Refusing == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.Leaving == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	err = en.WriteMapHeader(zb0001Len)
 	if err != nil {
@@ -3865,6 +4062,59 @@
 			}
 		}
 		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// write "stageClasses"
+			err = en.Append(0xac, 0x73, 0x74, 0x61, 0x67, 0x65, 0x43, 0x6c, 0x61, 0x73, 0x73, 0x65, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.StageClasses)))
+			if err != nil {
+				err = msgp.WrapError(err, "StageClasses")
+				return
+			}
+			for za0007 := range z.StageClasses {
+				err = z.StageClasses[za0007].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "StageClasses", za0007)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// write "unreachable"
+			err = en.Append(0xab, 0x75, 0x6e, 0x72, 0x65, 0x61, 0x63, 0x68, 0x61, 0x62, 0x6c, 0x65)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Unreachable)))
+			if err != nil {
+				err = msgp.WrapError(err, "Unreachable")
+				return
+			}
+			for za0008 := range z.Unreachable {
+				// array header, size 3
+				err = en.Append(0x93)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.Unreachable[za0008].ID)
+				if err != nil {
+					err = msgp.WrapError(err, "Unreachable", za0008, "ID")
+					return
+				}
+				err = en.WriteInt64(z.Unreachable[za0008].StartedMillis)
+				if err != nil {
+					err = msgp.WrapError(err, "Unreachable", za0008, "StartedMillis")
+					return
+				}
+				err = en.WriteUint32(z.Unreachable[za0008].AgeMillis)
+				if err != nil {
+					err = msgp.WrapError(err, "Unreachable", za0008, "AgeMillis")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// write "limits"
 			err = en.Append(0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
 			if err != nil {
@@ -3875,15 +4125,15 @@
 				err = msgp.WrapError(err, "Limits")
 				return
 			}
-			for za0007 := range z.Limits {
-				err = z.Limits[za0007].EncodeMsg(en)
+			for za0009 := range z.Limits {
+				err = z.Limits[za0009].EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Limits", za0007)
+					err = msgp.WrapError(err, "Limits", za0009)
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// write "refusing"
 			err = en.Append(0xa8, 0x72, 0x65, 0x66, 0x75, 0x73, 0x69, 0x6e, 0x67)
 			if err != nil {
@@ -3894,30 +4144,30 @@
 				err = msgp.WrapError(err, "Refusing")
 				return
 			}
-			for za0008 := range z.Refusing {
+			for za0010 := range z.Refusing {
 				// array header, size 3
 				err = en.Append(0x93)
 				if err != nil {
 					return
 				}
-				err = en.WriteString(z.Refusing[za0008].ID)
+				err = en.WriteString(z.Refusing[za0010].ID)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0008, "ID")
+					err = msgp.WrapError(err, "Refusing", za0010, "ID")
 					return
 				}
-				err = en.WriteInt64(z.Refusing[za0008].StartedMillis)
+				err = en.WriteInt64(z.Refusing[za0010].StartedMillis)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0008, "StartedMillis")
+					err = msgp.WrapError(err, "Refusing", za0010, "StartedMillis")
 					return
 				}
-				err = en.WriteUint32(z.Refusing[za0008].AgeMillis)
+				err = en.WriteUint32(z.Refusing[za0010].AgeMillis)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0008, "AgeMillis")
+					err = msgp.WrapError(err, "Refusing", za0010, "AgeMillis")
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// write "leaving"
 			err = en.Append(0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
 			if err != nil {
@@ -3928,20 +4178,20 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-			for za0009 := range z.Leaving {
+			for za0011 := range z.Leaving {
 				// array header, size 2
 				err = en.Append(0x92)
 				if err != nil {
 					return
 				}
-				err = en.WriteString(z.Leaving[za0009].ID)
+				err = en.WriteString(z.Leaving[za0011].ID)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0009, "ID")
+					err = msgp.WrapError(err, "Leaving", za0011, "ID")
 					return
 				}
-				err = en.WriteInt64(z.Leaving[za0009].StartedMillis)
+				err = en.WriteInt64(z.Leaving[za0011].StartedMillis)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0009, "StartedMillis")
+					err = msgp.WrapError(err, "Leaving", za0011, "StartedMillis")
 					return
 				}
 			}
@@ -3986,10 +4236,10 @@
 			err = msgp.WrapError(err, "Evacuated")
 			return
 		}
-		for za0010 := range z.Evacuated {
-			err = en.WriteString(z.Evacuated[za0010])
+		for za0012 := range z.Evacuated {
+			err = en.WriteString(z.Evacuated[za0012])
 			if err != nil {
-				err = msgp.WrapError(err, "Evacuated", za0010)
+				err = msgp.WrapError(err, "Evacuated", za0012)
 				return
 			}
 		}
@@ -4003,10 +4253,10 @@
 			err = msgp.WrapError(err, "EvacuationsHeld")
 			return
 		}
-		for za0011 := range z.EvacuationsHeld {
-			err = en.WriteString(z.EvacuationsHeld[za0011])
+		for za0013 := range z.EvacuationsHeld {
+			err = en.WriteString(z.EvacuationsHeld[za0013])
 			if err != nil {
-				err = msgp.WrapError(err, "EvacuationsHeld", za0011)
+				err = msgp.WrapError(err, "EvacuationsHeld", za0013)
 				return
 			}
 		}
@@ -4038,21 +4288,29 @@
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(18)
-	var zb0001Mask uint32 /* 18 bits */
+	zb0001Len := uint32(20)
+	var zb0001Mask uint32 /* 20 bits */
 	_ = zb0001Mask
-	if z.Limits == nil {
+	if z.StageClasses == nil {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.Refusing == nil {
+	if z.Unreachable == nil {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.Leaving == nil {
+	if z.Limits == nil {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
+	if z.Refusing == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.Leaving == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -4134,38 +4392,62 @@
 			}
 		}
 		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "stageClasses"
+			o = append(o, 0xac, 0x73, 0x74, 0x61, 0x67, 0x65, 0x43, 0x6c, 0x61, 0x73, 0x73, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.StageClasses)))
+			for za0007 := range z.StageClasses {
+				o, err = z.StageClasses[za0007].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "StageClasses", za0007)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "unreachable"
+			o = append(o, 0xab, 0x75, 0x6e, 0x72, 0x65, 0x61, 0x63, 0x68, 0x61, 0x62, 0x6c, 0x65)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Unreachable)))
+			for za0008 := range z.Unreachable {
+				// array header, size 3
+				o = append(o, 0x93)
+				o = msgp.AppendString(o, z.Unreachable[za0008].ID)
+				o = msgp.AppendInt64(o, z.Unreachable[za0008].StartedMillis)
+				o = msgp.AppendUint32(o, z.Unreachable[za0008].AgeMillis)
+			}
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "limits"
 			o = append(o, 0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
-			for za0007 := range z.Limits {
-				o, err = z.Limits[za0007].MarshalMsg(o)
+			for za0009 := range z.Limits {
+				o, err = z.Limits[za0009].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Limits", za0007)
+					err = msgp.WrapError(err, "Limits", za0009)
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "refusing"
 			o = append(o, 0xa8, 0x72, 0x65, 0x66, 0x75, 0x73, 0x69, 0x6e, 0x67)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Refusing)))
-			for za0008 := range z.Refusing {
+			for za0010 := range z.Refusing {
 				// array header, size 3
 				o = append(o, 0x93)
-				o = msgp.AppendString(o, z.Refusing[za0008].ID)
-				o = msgp.AppendInt64(o, z.Refusing[za0008].StartedMillis)
-				o = msgp.AppendUint32(o, z.Refusing[za0008].AgeMillis)
+				o = msgp.AppendString(o, z.Refusing[za0010].ID)
+				o = msgp.AppendInt64(o, z.Refusing[za0010].StartedMillis)
+				o = msgp.AppendUint32(o, z.Refusing[za0010].AgeMillis)
 			}
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "leaving"
 			o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Leaving)))
-			for za0009 := range z.Leaving {
+			for za0011 := range z.Leaving {
 				// array header, size 2
 				o = append(o, 0x92)
-				o = msgp.AppendString(o, z.Leaving[za0009].ID)
-				o = msgp.AppendInt64(o, z.Leaving[za0009].StartedMillis)
+				o = msgp.AppendString(o, z.Leaving[za0011].ID)
+				o = msgp.AppendInt64(o, z.Leaving[za0011].StartedMillis)
 			}
 		}
 		// string "configAgeMillis"
@@ -4180,14 +4462,14 @@
 		// string "evacuated"
 		o = append(o, 0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
-		for za0010 := range z.Evacuated {
-			o = msgp.AppendString(o, z.Evacuated[za0010])
+		for za0012 := range z.Evacuated {
+			o = msgp.AppendString(o, z.Evacuated[za0012])
 		}
 		// string "evacuationsHeld"
 		o = append(o, 0xaf, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x48, 0x65, 0x6c, 0x64)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.EvacuationsHeld)))
-		for za0011 := range z.EvacuationsHeld {
-			o = msgp.AppendString(o, z.EvacuationsHeld[za0011])
+		for za0013 := range z.EvacuationsHeld {
+			o = msgp.AppendString(o, z.EvacuationsHeld[za0013])
 		}
 		// string "storeEra"
 		o = append(o, 0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
@@ -4431,107 +4713,173 @@
 					return
 				}
 			}
-		case "limits":
+		case "stageClasses":
 			var zb0011 uint32
 			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Limits")
+				err = msgp.WrapError(err, "StageClasses")
 				return
 			}
-			if zb0011 > 16384 {
+			if zb0011 > 8192 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Limits) >= int(zb0011) {
-				z.Limits = (z.Limits)[:zb0011]
+			if cap(z.StageClasses) >= int(zb0011) {
+				z.StageClasses = (z.StageClasses)[:zb0011]
 			} else {
-				z.Limits = make([]EndpointLimit, zb0011)
+				z.StageClasses = make([]StageClassWait, zb0011)
 			}
-			for za0007 := range z.Limits {
-				bts, err = z.Limits[za0007].UnmarshalMsg(bts)
+			for za0007 := range z.StageClasses {
+				bts, err = z.StageClasses[za0007].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Limits", za0007)
+					err = msgp.WrapError(err, "StageClasses", za0007)
 					return
 				}
 			}
-		case "refusing":
+		case "unreachable":
 			var zb0012 uint32
 			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Refusing")
+				err = msgp.WrapError(err, "Unreachable")
 				return
 			}
 			if zb0012 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Refusing) >= int(zb0012) {
-				z.Refusing = (z.Refusing)[:zb0012]
+			if cap(z.Unreachable) >= int(zb0012) {
+				z.Unreachable = (z.Unreachable)[:zb0012]
 			} else {
-				z.Refusing = make([]EndpointRefusal, zb0012)
+				z.Unreachable = make([]EndpointRefusal, zb0012)
 			}
-			for za0008 := range z.Refusing {
+			for za0008 := range z.Unreachable {
 				var zb0013 uint32
 				zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0008)
+					err = msgp.WrapError(err, "Unreachable", za0008)
 					return
 				}
 				if zb0013 != 3 {
 					err = msgp.ArrayError{Wanted: 3, Got: zb0013}
 					return
 				}
-				z.Refusing[za0008].ID, bts, err = msgp.ReadStringBytes(bts)
+				z.Unreachable[za0008].ID, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0008, "ID")
+					err = msgp.WrapError(err, "Unreachable", za0008, "ID")
 					return
 				}
-				z.Refusing[za0008].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+				z.Unreachable[za0008].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0008, "StartedMillis")
+					err = msgp.WrapError(err, "Unreachable", za0008, "StartedMillis")
 					return
 				}
-				z.Refusing[za0008].AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+				z.Unreachable[za0008].AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0008, "AgeMillis")
+					err = msgp.WrapError(err, "Unreachable", za0008, "AgeMillis")
 					return
 				}
 			}
-		case "leaving":
+		case "limits":
 			var zb0014 uint32
 			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Leaving")
+				err = msgp.WrapError(err, "Limits")
 				return
 			}
 			if zb0014 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Leaving) >= int(zb0014) {
-				z.Leaving = (z.Leaving)[:zb0014]
+			if cap(z.Limits) >= int(zb0014) {
+				z.Limits = (z.Limits)[:zb0014]
 			} else {
-				z.Leaving = make([]EndpointLeave, zb0014)
+				z.Limits = make([]EndpointLimit, zb0014)
 			}
-			for za0009 := range z.Leaving {
-				var zb0015 uint32
-				zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			for za0009 := range z.Limits {
+				bts, err = z.Limits[za0009].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0009)
+					return
+				}
+			}
+		case "refusing":
+			var zb0015 uint32
+			zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Refusing")
+				return
+			}
+			if zb0015 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Refusing) >= int(zb0015) {
+				z.Refusing = (z.Refusing)[:zb0015]
+			} else {
+				z.Refusing = make([]EndpointRefusal, zb0015)
+			}
+			for za0010 := range z.Refusing {
+				var zb0016 uint32
+				zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0010)
+					return
+				}
+				if zb0016 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0016}
+					return
+				}
+				z.Refusing[za0010].ID, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0010, "ID")
+					return
+				}
+				z.Refusing[za0010].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0009)
+					err = msgp.WrapError(err, "Refusing", za0010, "StartedMillis")
 					return
 				}
-				if zb0015 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0015}
+				z.Refusing[za0010].AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Refusing", za0010, "AgeMillis")
 					return
 				}
-				z.Leaving[za0009].ID, bts, err = msgp.ReadStringBytes(bts)
+			}
+		case "leaving":
+			var zb0017 uint32
+			zb0017, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+			if zb0017 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Leaving) >= int(zb0017) {
+				z.Leaving = (z.Leaving)[:zb0017]
+			} else {
+				z.Leaving = make([]EndpointLeave, zb0017)
+			}
+			for za0011 := range z.Leaving {
+				var zb0018 uint32
+				zb0018, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Leaving", za0011)
+					return
+				}
+				if zb0018 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0018}
+					return
+				}
+				z.Leaving[za0011].ID, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0009, "ID")
+					err = msgp.WrapError(err, "Leaving", za0011, "ID")
 					return
 				}
-				z.Leaving[za0009].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+				z.Leaving[za0011].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0009, "StartedMillis")
+					err = msgp.WrapError(err, "Leaving", za0011, "StartedMillis")
 					return
 				}
 			}
@@ -4554,48 +4902,48 @@
 				return
 			}
 		case "evacuated":
-			var zb0016 uint32
-			zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0019 uint32
+			zb0019, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-			if zb0016 > 4096 {
+			if zb0019 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Evacuated) >= int(zb0016) {
-				z.Evacuated = (z.Evacuated)[:zb0016]
+			if cap(z.Evacuated) >= int(zb0019) {
+				z.Evacuated = (z.Evacuated)[:zb0019]
 			} else {
-				z.Evacuated = make([]string, zb0016)
+				z.Evacuated = make([]string, zb0019)
 			}
-			for za0010 := range z.Evacuated {
-				z.Evacuated[za0010], bts, err = msgp.ReadStringBytes(bts)
+			for za0012 := range z.Evacuated {
+				z.Evacuated[za0012], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Evacuated", za0010)
+					err = msgp.WrapError(err, "Evacuated", za0012)
 					return
 				}
 			}
 		case "evacuationsHeld":
-			var zb0017 uint32
-			zb0017, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0020 uint32
+			zb0020, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "EvacuationsHeld")
 				return
 			}
-			if zb0017 > 4096 {
+			if zb0020 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.EvacuationsHeld) >= int(zb0017) {
-				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0017]
+			if cap(z.EvacuationsHeld) >= int(zb0020) {
+				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0020]
 			} else {
-				z.EvacuationsHeld = make([]string, zb0017)
+				z.EvacuationsHeld = make([]string, zb0020)
 			}
-			for za0011 := range z.EvacuationsHeld {
-				z.EvacuationsHeld[za0011], bts, err = msgp.ReadStringBytes(bts)
+			for za0013 := range z.EvacuationsHeld {
+				z.EvacuationsHeld[za0013], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "EvacuationsHeld", za0011)
+					err = msgp.WrapError(err, "EvacuationsHeld", za0013)
 					return
 				}
 			}
@@ -4648,25 +4996,33 @@
 	for za0006 := range z.Stages {
 		s += z.Stages[za0006].Msgsize()
 	}
+	s += 13 + msgp.ArrayHeaderSize
+	for za0007 := range z.StageClasses {
+		s += z.StageClasses[za0007].Msgsize()
+	}
+	s += 12 + msgp.ArrayHeaderSize
+	for za0008 := range z.Unreachable {
+		s += 1 + msgp.StringPrefixSize + len(z.Unreachable[za0008].ID) + msgp.Int64Size + msgp.Uint32Size
+	}
 	s += 7 + msgp.ArrayHeaderSize
-	for za0007 := range z.Limits {
-		s += z.Limits[za0007].Msgsize()
+	for za0009 := range z.Limits {
+		s += z.Limits[za0009].Msgsize()
 	}
 	s += 9 + msgp.ArrayHeaderSize
-	for za0008 := range z.Refusing {
-		s += 1 + msgp.StringPrefixSize + len(z.Refusing[za0008].ID) + msgp.Int64Size + msgp.Uint32Size
+	for za0010 := range z.Refusing {
+		s += 1 + msgp.StringPrefixSize + len(z.Refusing[za0010].ID) + msgp.Int64Size + msgp.Uint32Size
 	}
 	s += 8 + msgp.ArrayHeaderSize
-	for za0009 := range z.Leaving {
-		s += 1 + msgp.StringPrefixSize + len(z.Leaving[za0009].ID) + msgp.Int64Size
+	for za0011 := range z.Leaving {
+		s += 1 + msgp.StringPrefixSize + len(z.Leaving[za0011].ID) + msgp.Int64Size
 	}
 	s += 16 + msgp.Int64Size + 13 + msgp.Int64Size + 14 + msgp.Int64Size + 10 + msgp.ArrayHeaderSize
-	for za0010 := range z.Evacuated {
-		s += msgp.StringPrefixSize + len(z.Evacuated[za0010])
+	for za0012 := range z.Evacuated {
+		s += msgp.StringPrefixSize + len(z.Evacuated[za0012])
 	}
 	s += 16 + msgp.ArrayHeaderSize
-	for za0011 := range z.EvacuationsHeld {
-		s += msgp.StringPrefixSize + len(z.EvacuationsHeld[za0011])
+	for za0013 := range z.EvacuationsHeld {
+		s += msgp.StringPrefixSize + len(z.EvacuationsHeld[za0013])
 	}
 	s += 9 + msgp.Int64Size + 13 + msgp.Int64Size
 	return
@@ -4784,6 +5140,76 @@
 					return
 				}
 			}
+		case "timings":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Timings")
+				return
+			}
+			if zb0004 > 1024 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Timings) >= int(zb0004) {
+				z.Timings = (z.Timings)[:zb0004]
+			} else {
+				z.Timings = make([]EndpointTiming, zb0004)
+			}
+			for za0002 := range z.Timings {
+				err = z.Timings[za0002].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Timings", za0002)
+					return
+				}
+			}
+		case "retries":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Retries")
+				return
+			}
+			if zb0005 > 1024 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Retries) >= int(zb0005) {
+				z.Retries = (z.Retries)[:zb0005]
+			} else {
+				z.Retries = make([]RetryUse, zb0005)
+			}
+			for za0003 := range z.Retries {
+				var zb0006 uint32
+				zb0006, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003)
+					return
+				}
+				if zb0006 > 1024 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0006 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0006}
+					return
+				}
+				z.Retries[za0003].Service, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003, "Service")
+					return
+				}
+				z.Retries[za0003].Requests, err = dc.ReadInt32()
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003, "Requests")
+					return
+				}
+				z.Retries[za0003].Retries, err = dc.ReadInt32()
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003, "Retries")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4797,32 +5223,105 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "endpoints"
-	err = en.Append(0x81, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Timings == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Endpoints)))
+	if z.Retries == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Endpoints")
 		return
 	}
-	for za0001 := range z.Endpoints {
-		// array header, size 2
-		err = en.Append(0x92)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "endpoints"
+		err = en.Append(0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Endpoints[za0001].ID)
+		err = en.WriteArrayHeader(uint32(len(z.Endpoints)))
 		if err != nil {
-			err = msgp.WrapError(err, "Endpoints", za0001, "ID")
+			err = msgp.WrapError(err, "Endpoints")
 			return
 		}
-		err = en.WriteInt32(z.Endpoints[za0001].Tokens)
-		if err != nil {
-			err = msgp.WrapError(err, "Endpoints", za0001, "Tokens")
-			return
+		for za0001 := range z.Endpoints {
+			// array header, size 2
+			err = en.Append(0x92)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Endpoints[za0001].ID)
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoints", za0001, "ID")
+				return
+			}
+			err = en.WriteInt32(z.Endpoints[za0001].Tokens)
+			if err != nil {
+				err = msgp.WrapError(err, "Endpoints", za0001, "Tokens")
+				return
+			}
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// write "timings"
+			err = en.Append(0xa7, 0x74, 0x69, 0x6d, 0x69, 0x6e, 0x67, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Timings)))
+			if err != nil {
+				err = msgp.WrapError(err, "Timings")
+				return
+			}
+			for za0002 := range z.Timings {
+				err = z.Timings[za0002].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Timings", za0002)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "retries"
+			err = en.Append(0xa7, 0x72, 0x65, 0x74, 0x72, 0x69, 0x65, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Retries)))
+			if err != nil {
+				err = msgp.WrapError(err, "Retries")
+				return
+			}
+			for za0003 := range z.Retries {
+				// array header, size 3
+				err = en.Append(0x93)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.Retries[za0003].Service)
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003, "Service")
+					return
+				}
+				err = en.WriteInt32(z.Retries[za0003].Requests)
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003, "Requests")
+					return
+				}
+				err = en.WriteInt32(z.Retries[za0003].Retries)
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003, "Retries")
+					return
+				}
+			}
 		}
 	}
 	return
@@ -4831,15 +5330,56 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "endpoints"
-	o = append(o, 0x81, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
-	for za0001 := range z.Endpoints {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Endpoints[za0001].ID)
-		o = msgp.AppendInt32(o, z.Endpoints[za0001].Tokens)
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Timings == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Retries == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "endpoints"
+		o = append(o, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
+		for za0001 := range z.Endpoints {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendString(o, z.Endpoints[za0001].ID)
+			o = msgp.AppendInt32(o, z.Endpoints[za0001].Tokens)
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "timings"
+			o = append(o, 0xa7, 0x74, 0x69, 0x6d, 0x69, 0x6e, 0x67, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Timings)))
+			for za0002 := range z.Timings {
+				o, err = z.Timings[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Timings", za0002)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "retries"
+			o = append(o, 0xa7, 0x72, 0x65, 0x74, 0x72, 0x69, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Retries)))
+			for za0003 := range z.Retries {
+				// array header, size 3
+				o = append(o, 0x93)
+				o = msgp.AppendString(o, z.Retries[za0003].Service)
+				o = msgp.AppendInt32(o, z.Retries[za0003].Requests)
+				o = msgp.AppendInt32(o, z.Retries[za0003].Retries)
+			}
+		}
 	}
 	return
 }
@@ -4900,6 +5440,72 @@
 					return
 				}
 			}
+		case "timings":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Timings")
+				return
+			}
+			if zb0004 > 1024 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Timings) >= int(zb0004) {
+				z.Timings = (z.Timings)[:zb0004]
+			} else {
+				z.Timings = make([]EndpointTiming, zb0004)
+			}
+			for za0002 := range z.Timings {
+				bts, err = z.Timings[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Timings", za0002)
+					return
+				}
+			}
+		case "retries":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Retries")
+				return
+			}
+			if zb0005 > 1024 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Retries) >= int(zb0005) {
+				z.Retries = (z.Retries)[:zb0005]
+			} else {
+				z.Retries = make([]RetryUse, zb0005)
+			}
+			for za0003 := range z.Retries {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003)
+					return
+				}
+				if zb0006 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0006}
+					return
+				}
+				z.Retries[za0003].Service, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003, "Service")
+					return
+				}
+				z.Retries[za0003].Requests, bts, err = msgp.ReadInt32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003, "Requests")
+					return
+				}
+				z.Retries[za0003].Retries, bts, err = msgp.ReadInt32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0003, "Retries")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4918,6 +5524,14 @@
 	for za0001 := range z.Endpoints {
 		s += 1 + msgp.StringPrefixSize + len(z.Endpoints[za0001].ID) + msgp.Int32Size
 	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Timings {
+		s += z.Timings[za0002].Msgsize()
+	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0003 := range z.Retries {
+		s += 1 + msgp.StringPrefixSize + len(z.Retries[za0003].Service) + msgp.Int32Size + msgp.Int32Size
+	}
 	return
 }
 
@@ -8673,6 +9287,109 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *RetryUse) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Requests, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Requests")
+		return
+	}
+	z.Retries, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Retries")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z RetryUse) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	err = en.WriteInt32(z.Requests)
+	if err != nil {
+		err = msgp.WrapError(err, "Requests")
+		return
+	}
+	err = en.WriteInt32(z.Retries)
+	if err != nil {
+		err = msgp.WrapError(err, "Retries")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RetryUse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendInt32(o, z.Requests)
+	o = msgp.AppendInt32(o, z.Retries)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RetryUse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Requests, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Requests")
+		return
+	}
+	z.Retries, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Retries")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RetryUse) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Int32Size + msgp.Int32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *StageBill) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -8776,6 +9493,141 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *StageClassWait) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Priority, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Priority")
+		return
+	}
+	z.Millis, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	z.TurnaroundMillis, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "TurnaroundMillis")
+		return
+	}
+	z.AgeMillis, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StageClassWait) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 5
+	err = en.Append(0x95)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	err = en.WriteInt32(z.Priority)
+	if err != nil {
+		err = msgp.WrapError(err, "Priority")
+		return
+	}
+	err = en.WriteInt32(z.Millis)
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	err = en.WriteInt32(z.TurnaroundMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "TurnaroundMillis")
+		return
+	}
+	err = en.WriteUint32(z.AgeMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StageClassWait) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendInt32(o, z.Priority)
+	o = msgp.AppendInt32(o, z.Millis)
+	o = msgp.AppendInt32(o, z.TurnaroundMillis)
+	o = msgp.AppendUint32(o, z.AgeMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StageClassWait) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Priority, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Priority")
+		return
+	}
+	z.Millis, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Millis")
+		return
+	}
+	z.TurnaroundMillis, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TurnaroundMillis")
+		return
+	}
+	z.AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StageClassWait) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Int32Size + msgp.Int32Size + msgp.Int32Size + msgp.Uint32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *StageWait) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
--- /dev/null
+++ b/selector/homes.go
@@ -0,0 +1,72 @@
+package selector
+
+import (
+	"slices"
+	"time"
+
+	"geraniumline/ejector"
+	"geraniumline/hasher"
+	"geraniumline/switcher"
+)
+
+const (
+	// homeCount is the number of endpoints that cache a prompt's shared parts. The first one takes all calls it can and
+	// the second the overflow, so that the prompt does not spread to all endpoints.
+	homeCount = 2
+	// minHomeTokens is the minimum size of a prompt's shared parts, in tokens, for a home that is worth waiting for.
+	minHomeTokens = 1000
+)
+
+// homeEndpoints returns the endpoints that cache the prompt's largest shared part, in order of preference. Endpoints
+// that accept only some of the calls for the prompt are skipped.
+func (s *Selector) homeEndpoints(p *pool, query *Query, keys []uint64, now time.Time) []*endpoint {
+	if len(keys) < 2 || s.cfg.Disabled.Has(switcher.PromptHomes) {
+		return nil
+	}
+	key := keys[s.homePart(query.Parts)]
+	home := make([]*endpoint, 0, homeCount)
+	for len(home) < homeCount && len(home) < len(p.endpoints) {
+		var best *endpoint
+		for _, e := range p.endpoints {
+			if slices.Contains(home, e) || e.health.State() != ejector.InUse || s.lowCapacity(e, now) {
+				continue
+			}
+			if query.Regions != nil && !slices.Contains(query.Regions, e.Region) {
+				continue
+			}
+			if best == nil || hasher.Mix(e.hash^key) > hasher.Mix(best.hash^key) {
+				best = e
+			}
+		}
+		if best == nil {
+			break
+		}
+		home = append(home, best)
+	}
+	return home
+}
+
+// homePart returns the index of the part that determines the prompt's home endpoints. A part that most prompts of a kind
+// begin with attracts more calls than an endpoint can take, and only an entry that knows its peers' work there can send
+// the overflow elsewhere. Without that knowledge, the last shared part is used: the fewest prompts have it, and its home
+// caches the parts before it too.
+func (s *Selector) homePart(parts []Part) int {
+	if s.peerWorkUnknown && len(parts) > 1 {
+		return len(parts) - 2
+	}
+	return largestSharedPart(parts)
+}
+
+// HomeZone returns the zone that caches a prompt's shared parts, or "" if they are too small for stage results to be
+// produced there.
+func (s *Selector) HomeZone(service string, parts []Part, regions []string, now time.Time) string {
+	p, known := s.pools[service]
+	if !known || sharedTokens(parts) < minHomeTokens {
+		return ""
+	}
+	home := s.homeEndpoints(p, &Query{Parts: parts, Regions: regions}, prefixKeys(parts), now)
+	if len(home) == 0 {
+		return ""
+	}
+	return home[0].Zone
+}
