Wait for a first event as long as the prompt and the queue call for

Cause: a resumable stream without an event was canceled after half of its objective, at least a second, whatever the size of its prompt and the work queued at its endpoint.

Weighed: no limit before the first event (a hung endpoint keeps the stream until the caller gives up); a limit from the prompt alone (the queue at the endpoint is as large); leaving a live endpoint to keep time for another one (the other one needs as long, so both are late).

Change: the selector predicts the time to the first event at the endpoint that it chooses, from the work queued there. The silence limit is three times that, earlier if another endpoint needs the time before the caller gives up, but not before one and a half times the prediction, and never below the former limit. A new counter, forward_stalls, tells how many streams are left for silence.

--- /dev/null
+++ b/forwarder/silence.go
@@ -0,0 +1,39 @@
+package forwarder
+
+import "time"
+
+const (
+	// silenceFactor is how many times the predicted time to the first event an endpoint may be silent. It covers
+	// the queue that this entry doesn't know and an engine that is slow for a moment.
+	silenceFactor = 3
+	// minSilenceFactor is the least such multiple. An endpoint that serves as predicted is not left, even if the time
+	// that remains would not suffice at another one afterwards.
+	minSilenceFactor = 1.5
+)
+
+// The values of the label of meter.ForwardStalls.
+const (
+	stalledBeforeFirstEvent = "beforeFirstEvent"
+	stalledBetweenEvents    = "betweenEvents"
+)
+
+// firstEventSilence decides how long an endpoint may be silent before the first event of a stream that may resume
+// elsewhere. It answers the load of long prompts at busy endpoints: each stream that is left too early is read again at
+// another endpoint, which makes the next ones late.
+type firstEventSilence struct {
+	// min is the least limit, for prompts that are read within a moment.
+	min time.Duration
+	// predicted is the predicted time to the first event at the endpoint, and elsewhere that at an idle endpoint
+	// without any part of the prompt.
+	predicted time.Duration
+	elsewhere time.Duration
+	// left is the time until the caller gives up waiting for a first event.
+	left time.Duration
+}
+
+// limit returns the longest silence. A hung endpoint is left in time for another one.
+func (s firstEventSilence) limit() time.Duration {
+	limit := min(silenceFactor*s.predicted, s.left-s.elsewhere)
+	limit = max(limit, time.Duration(minSilenceFactor*float64(s.predicted)))
+	return max(limit, s.min)
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -33,6 +34,8 @@
 	// last is the ID of the last event written to the caller.
 	last    int64
 	hasLast bool
+	// sawEvent is set once the present attempt has received an event.
+	sawEvent atomic.Bool
 }
 
 // serveStream runs the stages and relays the events of the model.
@@ -73,6 +76,7 @@
 	startTime := time.Now()
 	x.attempts++
 	x.tried = append(x.tried, choice.Endpoint.ID)
+	s.sawEvent.Store(false)
 	info := x.callInfo(choice.Endpoint, startTime)
 	info.Inputs = s.stages.plan.RequestInputs()
 	if s.hasLast {
@@ -81,7 +85,7 @@
 	}
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	stall := s.startStallTimer(cancel, startTime)
+	stall := s.startStallTimer(cancel, choice, startTime)
 	defer stall.Stop()
 	stopFreeing := s.stages.freeAfterFetch()
 	resp, err := x.f.cfg.Client.Do(ctx, x.call(choice, info))
@@ -101,11 +105,28 @@
 
 // startStallTimer starts a timer that cancels a silent attempt if the stream may resume at another endpoint. An
 // attempt that may not be resumed is not cancelled, as silence alone is no reason to end the response.
-func (s *streamer) startStallTimer(cancel context.CancelFunc, now time.Time) *time.Timer {
+func (s *streamer) startStallTimer(cancel context.CancelFunc, choice selector.Choice, now time.Time) *time.Timer {
+	x := s.x
 	if !s.mayResume() {
-		return time.NewTimer(s.x.remaining(now) + time.Hour)
+		return time.NewTimer(x.remaining(now) + time.Hour)
 	}
-	return time.AfterFunc(max(minStallTime, s.x.route.Objective/2), cancel)
+	x.f.mu.Lock()
+	elsewhere := x.f.selector.PredictUncached(x.service.Name, x.req.Parts)
+	x.f.mu.Unlock()
+	limit := firstEventSilence{
+		min:       max(minStallTime, x.route.Objective/2),
+		predicted: choice.FirstEvent,
+		elsewhere: elsewhere,
+		left:      x.firstEventDeadline.Sub(now),
+	}.limit()
+	return time.AfterFunc(limit, func() {
+		reason := stalledBeforeFirstEvent
+		if s.sawEvent.Load() {
+			reason = stalledBetweenEvents
+		}
+		x.f.cfg.Meter.Counter(meter.ForwardStalls, reason).Inc(1)
+		cancel()
+	})
 }
 
 func (s *streamer) mayResume() bool {
@@ -172,6 +193,7 @@
 			}
 			if len(events) > 0 && first {
 				first = false
+				s.sawEvent.Store(true)
 				s.beginResponse(choice, resp, sent)
 			}
 			s.writeEvents(events)
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -102,6 +102,7 @@
 	ForwardCalls            Name = "forward_calls"
 	ForwardRepeats          Name = "forward_repeats"
 	ForwardResumes          Name = "forward_resumes"
+	ForwardStalls           Name = "forward_stalls"
 	ForwardCrashes          Name = "forward_crashes"
 	PieceCalls              Name = "piece_calls"
 	PieceCallMicros         Name = "piece_call_micros"
@@ -237,6 +238,7 @@
 	{ForwardCalls, KindCounter, "calls", byService, "A forwarded request sent to an endpoint.", ""},
 	{ForwardRepeats, KindCounter, "calls", byService, "A call beyond the first of its request. The system's budget bounds them.", ""},
 	{ForwardResumes, KindCounter, "streams", "", "A stream that went on at another endpoint.", ""},
+	{ForwardStalls, KindCounter, "streams", byReason, "A call of a resumable stream that was canceled because its endpoint was silent, beforeFirstEvent or betweenEvents.", ""},
 	{ForwardCrashes, KindCounter, "endpoints", "", "An endpoint that crashed while it ran a forwarded request.", ""},
 	{PieceCalls, KindCounter, "calls", byService, "A call for pieces of a stage.", ""},
 	{PieceCallMicros, KindHistogram, "microseconds", byService, "From a call for pieces to its answer.", ""},
--- a/selector/memory.go
+++ b/selector/memory.go
@@ -26,6 +26,15 @@
 	return best
 }
 
+// promptTokens returns the total size of a prompt, in tokens.
+func promptTokens(parts []Part) int {
+	n := 0
+	for _, part := range parts {
+		n += part.Tokens
+	}
+	return n
+}
+
 // sharedTokens returns the total size of the parts that other requests may share, in tokens.
 func sharedTokens(parts []Part) int {
 	n := 0
--- a/selector/pace.go
+++ b/selector/pace.go
@@ -27,13 +27,25 @@
 
 // PredictFirstEvent predicts the time to the first event of a prompt whose shared parts are cached.
 func (s *Selector) PredictFirstEvent(service string, parts []Part) time.Duration {
+	return s.predictIdle(service, promptTokens(parts)-sharedTokens(parts))
+}
+
+// PredictUncached predicts the time to the first event of a prompt at an idle endpoint that has no part of it cached.
+func (s *Selector) PredictUncached(service string, parts []Part) time.Duration {
+	return s.predictIdle(service, promptTokens(parts))
+}
+
+// predictIdle predicts the time to the first event at an idle endpoint that reads a number of prompt tokens.
+func (s *Selector) predictIdle(service string, tokens int) time.Duration {
 	tokenTime := float64(defaultTokenTime)
 	if p, known := s.pools[service]; known {
 		tokenTime = p.tokenTime
 	}
-	tokens := s.cfg.CallTokens - sharedTokens(parts)
-	for _, part := range parts {
-		tokens += part.Tokens
-	}
-	return firstEventOverhead + time.Duration(tokenTime*float64(tokens))
+	return firstEventOverhead + time.Duration(tokenTime*float64(tokens+s.cfg.CallTokens))
+}
+
+// predict predicts the time to the first event of a call with the given work at an endpoint with its present queue.
+func (p *pool) predict(e *endpoint, tokens int) time.Duration {
+	work := float64(e.tokens+e.peerTokens+tokens) * e.health.Slowness()
+	return firstEventOverhead + time.Duration(p.tokenTime*work)
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -62,6 +62,8 @@
 	Tokens int
 	// Cached is the number of prompt tokens that the endpoint is believed to have cached.
 	Cached int
+	// FirstEvent is the predicted time to the first event, with the work that is queued at the endpoint.
+	FirstEvent time.Duration
 	// generation is that of the endpoint when it was chosen, and refusals the number of calls that it had refused by
 	// then.
 	generation uint64
@@ -280,6 +282,7 @@
 			chosen, best, bestScore = e, choice, score
 		}
 	}
+	best.FirstEvent = p.predict(chosen, best.Tokens)
 	return best, true
 }
 
