Log objective, priority and the times of a request's steps at its end

Cause: whether a request was late, and at which step, could be told only from several sampled lines and the configuration of the time. Weighed: only the objective, with the steps joined from "first event" and "endpoint chosen". These lines are sampled one by one, so that a request may have an end without them. Change: the line of the end has priority, objective and eventGap of the route, the service, the entry's zone, when the first and the last endpoint were chosen, when the first event was sent, the longest pause between two events, and how many requests the entry has answered, by which a reader counts the lines that the rate limit left out. Names and flow are as before.

--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -60,7 +60,8 @@
 	// headerSent is set once the response header was written to the caller.
 	headerSent bool
 	// status is the status of the endpoint's response.
-	status int
+	status   int
+	progress progress
 }
 
 // ServeHTTP serves callers' requests.
@@ -233,6 +234,7 @@
 	choice, found := x.f.selector.Choose(query, now)
 	if found {
 		x.f.selector.RecordStart(choice, query.Parts, now)
+		x.progress.recordSend(now)
 	}
 	age := x.f.registry.Age(now)
 	count := x.f.selector.EndpointCount(query.Service)
@@ -295,7 +297,22 @@
 // callerGone reports whether the caller has disconnected.
 func (x *exchange) callerGone() bool { return x.in.Context().Err() != nil }
 
-// log records metrics and writes one log line at the end of the request.
+// routeFields returns the log fields of the request's route and client account.
+func (x *exchange) routeFields() []zap.Field {
+	fields := []zap.Field{
+		zap.String("route", x.route.Name),
+		zap.String("account", x.account),
+		zap.Int("priority", x.priority),
+		zap.Duration("objective", x.route.Objective),
+	}
+	if x.route.Kind == cataloger.Streaming {
+		fields = append(fields, zap.Duration("eventGap", x.route.EventGap))
+	}
+	return fields
+}
+
+// log records metrics and writes one log line at the end of the request. "answered" is the number of requests that
+// this entry has answered, by which a reader of the log notices lines that the rate limit left out.
 func (x *exchange) log(failure *FailureError) {
 	took := time.Since(x.startTime)
 	x.f.cfg.Meter.Histogram(meter.ForwardMicros).Update(took.Microseconds())
@@ -306,20 +323,27 @@
 		zap.Int("sends", x.attempts),
 		zap.Int("runs", x.runs),
 		zap.String("target", x.in.RequestURI),
+		zap.String("zone", x.f.cfg.Zone),
 	}
 	if x.route != nil {
-		fields = append(fields, zap.String("route", x.route.Name), zap.String("account", x.account))
+		fields = append(fields, x.routeFields()...)
+	}
+	if x.service != nil {
+		fields = append(fields, zap.String("service", x.service.Name))
 	}
 	if len(x.tried) > 0 {
 		fields = append(fields, zap.Strings("endpoints", x.tried))
 	}
+	fields = append(fields, x.progress.fields(x.startTime)...)
+	answered := x.f.cfg.Meter.Counter(meter.ForwardRequests, outcomeAnswered)
 	if failure == nil {
-		x.f.cfg.Meter.Counter(meter.ForwardRequests, outcomeAnswered).Inc(1)
-		x.f.logSampled("request answered", append(fields, zap.Int("status", x.status))...)
+		answered.Inc(1)
+		x.f.logSampled("request answered", append(fields, zap.Int("status", x.status), zap.Int64("answered", answered.Count()))...)
 		return
 	}
 	x.f.cfg.Meter.Counter(meter.ForwardRequests, failure.Reason).Inc(1)
 	fields = append(fields,
+		zap.Int64("answered", answered.Count()),
 		zap.Int("status", failure.Status),
 		zap.String("reason", failure.Reason),
 		zap.Duration("retryAfter", failure.RetryAfter),
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -232,6 +232,7 @@
 		}
 		// An error means that the caller has disconnected; the request's context then ends the exchange.
 		_, _ = s.x.w.Write(e.Data)
+		s.x.progress.recordEvent(time.Now())
 	}
 	_ = http.NewResponseController(s.x.w).Flush()
 }
