Count requests' outcomes from logs by the decision that made them so

Cause: an operator could tell why many requests were late, refused or lost only by reading lines one by one, or by a script of his own for each question. Weighed: metrics alone (they count reasons of failures, but not which step made a request late, and not by endpoint or account); one report that extrapolates sampled lines (it would hide how much of the load it has seen). Change: `geraniumline outcomes` reads the logs of all entries in one pass and prints requests by outcome, and those that were not on time by step, reason, service, the mean time, the wait at the stage that the entry knew of and the age of its list of endpoints; by route, account, priority, zone, endpoint or time, as text or JSON.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -1,5 +1,5 @@
-// Package explainer reads the logs of several entries and reports in order what happened to one request, and why it
-// failed.
+// Package explainer reads the logs of several entries. Read reports in order what happened to one request, and why it
+// failed; a Tally counts the outcomes of all requests by the decision that made them so.
 package explainer
 
 import (
@@ -141,12 +141,12 @@
 func (*NoObjectError) Error() string { return "the line contains no JSON object" }
 
 func parse(text []byte) (Line, error) {
-	start := bytes.IndexByte(text, '{')
-	if start < 0 {
-		return Line{}, &NoObjectError{}
+	object, err := jsonObject(text)
+	if err != nil {
+		return Line{}, err
 	}
 	line := Line{Fields: make(map[string]any)}
-	if err := json.Unmarshal(text[start:], &line.Fields); err != nil {
+	if err := json.Unmarshal(object, &line.Fields); err != nil {
 		return Line{}, err
 	}
 	at, _ := line.Fields[fieldTime].(string)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -100,6 +100,7 @@
 			a.entryCommand(),
 			a.forwardCommand(),
 			a.explainCommand(),
+			a.outcomesCommand(),
 			a.checkCommand(),
 			a.configCommand(),
 			a.contractCommand(),
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -68,7 +68,7 @@
 
 func TestHelp(t *testing.T) {
 	commands := []string{
-		"", "entry", "check", "config", "config publish", "config get", "config diff", "config history",
+		"", "entry", "explain", "outcomes", "check", "config", "config publish", "config get", "config diff", "config history",
 		"config remove", "config operation", "contract", "contract set", "contract get", "contract list",
 		"stop", "status", "request", "trace", "credential new", "key new",
 	}
