--- a/explainer/outcomes.go
+++ b/explainer/outcomes.go
@@ -1,6 +1,7 @@
 package explainer
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
@@ -116,21 +117,20 @@
 }
 
 func (o *Outcomes) writeGroups(b *strings.Builder, rows int) {
-	b.WriteByte('\n')
-	w := newTableWriter(b)
-	fmt.Fprintf(w, "%s\t%8s\t%8s\t%8s\t%8s\t%8s\t%8s\t%8s\t%8s\n",
+	var table strings.Builder
+	fmt.Fprintf(&table, "%s\t%8s\t%8s\t%8s\t%8s\t%8s\t%8s\t%8s\t%8s\n",
 		o.By, "requests", "onTime", "late", "refused", "lost", "gaveUp", "invalid", "unjudged")
 	shown, more := firstOf(o.Groups, rows)
 	for _, g := range shown {
-		writeCounts(w, g.Name, g.Counts)
+		writeCounts(&table, g.Name, g.Counts)
 	}
-	writeCounts(w, "total", o.Total)
-	_ = w.Flush() // a strings.Builder returns no error
+	writeCounts(&table, "total", o.Total)
+	writeAligned(b, table.String())
 	writeMore(b, more, "groups")
 }
 
-func writeCounts(w io.Writer, name string, c Counts) {
-	fmt.Fprintf(w, "%s\t%8d\t%8d\t%8d\t%8d\t%8d\t%8d\t%8d\t%8d\n",
+func writeCounts(table *strings.Builder, name string, c Counts) {
+	fmt.Fprintf(table, "%s\t%8d\t%8d\t%8d\t%8d\t%8d\t%8d\t%8d\t%8d\n",
 		printable(name), c.Requests, c.OnTime, c.Late, c.Refused, c.Lost, c.GaveUp, c.Invalid, c.Unjudged)
 }
 
@@ -141,46 +141,65 @@
 }
 
 func (o *Outcomes) writeDecisions(b *strings.Builder, rows int) {
-	var all []groupDecision
-	for _, g := range o.Groups {
-		for _, d := range g.Decisions {
-			all = append(all, groupDecision{g.Name, d})
-		}
-	}
+	all := o.decisions()
 	if len(all) == 0 {
 		return
 	}
-	slices.SortStableFunc(all, func(a, b groupDecision) int { return b.Requests - a.Requests })
-	b.WriteByte('\n')
-	w := newTableWriter(b)
-	fmt.Fprintf(w, "%s\toutcome\tstep\treason\tafter\twhere\t%8s\t%7s\t%9s\t%7s\t%7s\n",
+	var table strings.Builder
+	fmt.Fprintf(&table, "%s\toutcome\tstep\treason\tafter\twhere\t%8s\t%7s\t%9s\t%7s\t%7s\n",
 		o.By, "requests", "mean s", "knownWait", "listAge", "max")
 	shown, more := firstOf(all, rows)
 	for _, d := range shown {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%8d\t%7.2f\t%9s\t%7s\t%7s\n",
-			printable(d.group), d.Outcome, d.Step, printable(orNone(d.Reason)), orNone(string(d.After)), printable(orNone(d.Where)), d.Requests, d.MeanSeconds,
-			optional(d.KnownWaitMeanSeconds), optional(d.ListAgeMeanSeconds), optional(d.ListAgeMaxSeconds))
+		fmt.Fprintf(&table, "%s\t%s\t%s\t%s\t%s\t%s\t%8d\t%7.2f\t%9s\t%7s\t%7s\n",
+			printable(d.group), d.Outcome, d.Step, printable(orNone(d.Reason)), orNone(string(d.After)), printable(orNone(d.Where)),
+			d.Requests, d.MeanSeconds, optional(d.KnownWaitMeanSeconds), optional(d.ListAgeMeanSeconds), optional(d.ListAgeMaxSeconds))
 	}
-	_ = w.Flush() // a strings.Builder returns no error
+	writeAligned(b, table.String())
 	writeMore(b, more, "decisions")
 	writeMeanings(b, shown)
 }
 
+// decisions returns the decisions of all groups by their counts. Those on invalid requests come last: the callers have
+// to change these.
+func (o *Outcomes) decisions() []groupDecision {
+	var all []groupDecision
+	for _, g := range o.Groups {
+		for _, d := range g.Decisions {
+			all = append(all, groupDecision{g.Name, d})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b groupDecision) int {
+		if (a.Outcome == Invalid) != (b.Outcome == Invalid) {
+			if a.Outcome == Invalid {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(b.Requests, a.Requests)
+	})
+	return all
+}
+
 // writeMeanings prints the meaning of each step in the table.
 func writeMeanings(b *strings.Builder, shown []groupDecision) {
-	b.WriteByte('\n')
-	w := newTableWriter(b)
+	var table strings.Builder
 	var seen []Step
 	for _, d := range shown {
 		if !slices.Contains(seen, d.Step) {
 			seen = append(seen, d.Step)
-			fmt.Fprintf(w, "%s\t%s\n", d.Step, d.Step.Explain())
+			fmt.Fprintf(&table, "%s\t%s\n", d.Step, d.Step.Explain())
 		}
 	}
-	_ = w.Flush() // a strings.Builder returns no error
+	writeAligned(b, table.String())
 }
 
-func newTableWriter(w io.Writer) *tabwriter.Writer { return tabwriter.NewWriter(w, 0, 0, 2, ' ', 0) }
+// writeAligned writes a blank line and a table whose cells end with tabs.
+func writeAligned(b *strings.Builder, table string) {
+	b.WriteByte('\n')
+	w := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
+	_, _ = io.WriteString(w, table) // a strings.Builder returns no error
+	_ = w.Flush()
+}
 
 func writeMore(b *strings.Builder, n int, what string) {
 	if n > 0 {
--- a/explainer/outcomes_test.go
+++ b/explainer/outcomes_test.go
@@ -386,6 +386,16 @@
 	require.Equal(t, 2+strings.Count(a, "\n"), failed.Lines)
 }
 
+// Scanners without a key must not push the causes that the operator can mend out of the table.
+func TestInvalidRequestsComeLast(t *testing.T) {
+	invalid := logLine("entry-a", 1, messageRequestFailed, `"request":"","status":404,"reason":"noRoute"`)
+	refused := logLine("entry-a", 2, messageRequestFailed, `"request":"id-1","status":503,"reason":"overload","route":"r-1"`)
+	var text strings.Builder
+	require.NoError(t, tally(t, TallyConfig{By: ByRoute}, strings.Repeat(invalid, 5)+refused).Write(&text, 1))
+	require.Contains(t, text.String(), "overload")
+	require.NotContains(t, text.String(), "noRoute")
+}
+
 func TestEmptyLog(t *testing.T) {
 	var text strings.Builder
 	require.NoError(t, tally(t, TallyConfig{By: ByRoute}).Write(&text, 0))
