--- a/explainer/openrequest.go
+++ b/explainer/openrequest.go
@@ -207,7 +207,7 @@
 func (o *openRequest) judgeFailure(end *record) verdict {
 	v := verdict{outcome: Lost, reason: end.Reason, took: end.Took}
 	switch {
-	case end.CallerGone:
+	case end.CallerGone || end.Reason == "callerGone":
 		v.outcome = GaveUp
 		v.step, v.where = o.position(end)
 		return v
@@ -246,8 +246,6 @@
 	switch end.Reason {
 	case "stagesTimedOut":
 		return StepStages, o.slowestStage()
-	case "stageResultGone":
-		return StepPool, o.slowestStage()
 	case "entryStops":
 		return StepEntryStop, ""
 	case "noEndpointTook":
@@ -259,6 +257,11 @@
 		return StepLostEndpoint, end.Service
 	case "noEndpoint":
 		return StepNoEndpoint, end.Service
+	case "endpointsHeldBack":
+		if end.Sends == 0 && len(o.stages) == 0 {
+			return StepDoor, end.Service
+		}
+		return StepNoEndpoint, end.Service
 	case "timeout":
 		if end.Status == http.StatusServiceUnavailable {
 			return StepUnreachable, end.Service
@@ -268,10 +271,8 @@
 	switch {
 	case strings.HasPrefix(end.Reason, "stage"):
 		return StepPool, o.failedPool
-	case end.Sends > 0:
+	case end.Sends > 0 || len(o.stages) > 0:
 		return StepUnknown, end.Service
-	case end.Reason == "endpointsHeldBack":
-		return StepDoor, end.Service
 	}
 	return StepDoor, ""
 }
--- a/explainer/outcome.go
+++ b/explainer/outcome.go
@@ -49,7 +49,7 @@
 // steps maps each step to its meaning and to what to check next.
 var steps = map[Step]string{
 	StepDoor:          "refused at the entry before any stage began. The reason says why; see 'geraniumline explain'.",
-	StepPool:          "refused by the pool of a stage. knownWait 0 means that the entry knew of no queue there. See piece_waiting.",
+	StepPool:          "the pool of a stage refused it or lost its results. knownWait 0 means that the entry knew of no queue there. See piece_waiting.",
 	StepStages:        "waited at a stage; where is the service that took longest. See piece_waiting and 'call for pieces'.",
 	StepModelEngine:   "waited for the first event of the last endpoint. See --by endpoint and tokens, cached in 'endpoint chosen'.",
 	StepEndpoint:      "waited for the answer of the last endpoint. See --by endpoint.",
--- a/explainer/outcomes_test.go
+++ b/explainer/outcomes_test.go
@@ -137,6 +137,13 @@
 		{"refused at the door as all endpoints asked for rest", []string{
 			requestLine(1, failed, streamRoute+`,"took":0.001,"sends":0,"runs":0,"status":503,"reason":"endpointsHeldBack"`),
 		}},
+		{"all endpoints asked for rest while its stages ran", []string{
+			requestLine(0, "stage delegated", `"stage":0,"service":"fetch"`),
+			requestLine(400, failed, streamRoute+`,"took":0.4,"sends":0,"runs":0,"status":503,"reason":"endpointsHeldBack"`),
+		}},
+		{"the last endpoint rejected it and all others asked for rest", []string{
+			requestLine(1, failed, plainRoute+`,"endpoints":["i-1"],"took":0.001,"sends":1,"runs":0,"status":503,"reason":"endpointsHeldBack"`),
+		}},
 		{"refused in a pool", []string{
 			requestLine(0, "stage delegated", `"stage":0,"service":"fetch"`),
 			requestLine(900, "stage failed", `"stage":0,"service":"fetch","reason":"late","waits":0.7`),
@@ -235,6 +242,16 @@
 	}
 }
 
+// Each reason of a failure must stand for a step, or its requests would be counted as unknown.
+func TestEachReasonHasAStep(t *testing.T) {
+	for _, reason := range Reasons() {
+		o := &openRequest{}
+		v := o.judge(&record{recordHeader: recordHeader{Message: messageRequestFailed}, Status: 503, Reason: reason})
+		require.NotEqual(t, StepUnknown, v.step, reason)
+		require.NotEmpty(t, v.step.Explain(), reason)
+	}
+}
+
 // mixedLogs returns the logs of two entries.
 func mixedLogs() (a, b string) {
 	a = logLine("entry-a", 0, "started", `"callers":"10.0.0.1:80"`) +
