--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -1,6 +1,7 @@
 package explainer
 
 import (
+	"bufio"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -49,6 +50,21 @@
 	require.Contains(t, b.String(), "no line names id-7")
 }
 
+// A reason of a newer release must not be explained as another one.
+func TestUnknownReason(t *testing.T) {
+	report, err := Read(strings.NewReader(strings.ReplaceAll(logs, "stagelate", "brandNew")), "id-1")
+	require.NoError(t, err)
+	var b strings.Builder
+	require.NoError(t, report.Write(&b))
+	require.Contains(t, b.String(), "cause: brandNew: unknown reason")
+}
+
+// A line that is too long must not end the report as if the log ended there.
+func TestLineTooLong(t *testing.T) {
+	_, err := Read(strings.NewReader(strings.Repeat("x", maxLine+1)+"\n"+logs), "id-1")
+	require.ErrorIs(t, err, bufio.ErrTooLong)
+}
+
 // Each reason in the forwarder's sources must have an explanation, and each explained reason must exist there.
 func TestEachReasonIsExplained(t *testing.T) {
 	files, err := filepath.Glob(filepath.Join("..", "forwarder", "*.go"))
