Estimate the speed of each endpoint, and place calls by predicted time

Cause: placement compared work alone.

Weighed: own observations alone (an entry sees an endpoint twice a minute); engines' reports (a call each, and they don't tell the speed); a plain average of observed over usual times (one disturbance sticks, and in pools whose endpoints are alike noise changes choices); weighting prompts' homes by speed (not tried yet: entries must agree on homes).

Change: package estimator fits the time to the first event of a pool (base, uncached tokens, attention, known queue) and compares endpoints by the logarithm of observed over usual time, with ageing, shrunk by what noise explains. Entries send their observations of the last second in load reports; each is counted once. Work is multiplied by the endpoint's speed in placement and in the silence limit. The selector's prediction for the planner uses the fit. A gauge shows the spread of speeds, a log line says when an endpoint becomes slow or usual again.

Where endpoints are alike, 3,000 choices are the same one by one. A loaded endpoint isn't found slow, a slow one with little load is. Predictions are within a quarter for prompts of 1,000 to 90,000 tokens.

--- a/experimenter/request.go
+++ b/experimenter/request.go
@@ -157,7 +157,7 @@
 		}
 		engine.start(r, func() {
 			e.regulator.ApplyNotice(&choice.Endpoint, engine.notice, r.sim.now)
-			e.selector.ObserveFirstEvent(choice, r.sim.now.Sub(sent))
+			e.selector.ObserveFirstEvent(choice, r.sim.now.Sub(sent), r.sim.now)
 			e.selector.RecordPromptRead(&choice)
 			r.sim.releaseResults(r.plan.FreeFinalResults())
 			r.recordFirstEvent()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -141,6 +141,8 @@
 	reportedLoads map[string]reportedLoad
 	// reportedAt is when the load report of each peer arrived.
 	reportedAt map[string]time.Time
+	// timings holds observations of endpoints' speeds, for and from peers.
+	timings timings
 	// duties caches which entry owns which duty.
 	duties duties
 	// addresses holds the addresses of peers by name.
--- a/forwarder/loadreport.go
+++ b/forwarder/loadreport.go
@@ -10,9 +10,10 @@
 // per round, the next one may arrive seconds later.
 const reportTTL = time.Second
 
-// loadReport returns the work that this entry has in flight at each endpoint. The lock must be held.
-func (f *Forwarder) loadReport() *carrier.LoadReport {
-	w := &carrier.LoadReport{}
+// loadReport returns the work that this entry has in flight at each endpoint, and its recent observations of their
+// speeds. The lock must be held.
+func (f *Forwarder) loadReport(now time.Time) *carrier.LoadReport {
+	w := &carrier.LoadReport{Timings: f.timings.report(now)}
 	for id, tokens := range f.selector.OwnWork() {
 		w.Endpoints = append(w.Endpoints, carrier.EndpointWork{ID: id, Tokens: int32(tokens)})
 	}
@@ -25,6 +26,7 @@
 		tokens[e.ID] = int(e.Tokens)
 	}
 	f.selector.SetPeerWork(from, tokens)
+	f.applyTimings(from, m.Timings, now)
 	f.reportedAt[from] = now
 }
 
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -45,7 +45,7 @@
 	f.round++
 	targets := f.detector.Targets(now)
 	heartbeatTargets, reportTargets := f.targets(targets, peers)
-	report := f.loadReport()
+	report := f.loadReport(now)
 	introductions := f.detector.Introductions(now)
 	peerQueries := f.peerQueries(now)
 	actions := f.applyTransitions(transitions, now)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -223,7 +223,7 @@
 		zap.Duration("stagesTook", sent.Sub(x.startTime)),
 		zap.Duration("modelTook", took))
 	x.f.mu.Lock()
-	x.f.selector.ObserveFirstEvent(*choice, time.Since(sent))
+	x.f.observeFirstEvent(*choice, took, sent.Add(took))
 	x.f.selector.RecordPromptRead(choice)
 	x.f.mu.Unlock()
 	s.stages.free(s.stages.plan.FreeFinalResults())
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -103,6 +103,7 @@
 	ForwardRepeats          Name = "forward_repeats"
 	ForwardResumes          Name = "forward_resumes"
 	ForwardStalls           Name = "forward_stalls"
+	ForwardSpeedSpread      Name = "forward_speed_spread"
 	ForwardCrashes          Name = "forward_crashes"
 	PieceCalls              Name = "piece_calls"
 	PieceCallMicros         Name = "piece_call_micros"
@@ -239,6 +240,7 @@
 	{ForwardRepeats, KindCounter, "calls", byService, "A call beyond the first of its request. The system's budget bounds them.", ""},
 	{ForwardResumes, KindCounter, "streams", "", "A stream that went on at another endpoint.", ""},
 	{ForwardStalls, KindCounter, "streams", byReason, "A call of a resumable stream that was canceled because its endpoint was silent, beforeFirstEvent or betweenEvents.", ""},
+	{ForwardSpeedSpread, KindGauge, "thousandths", byService, "The standard deviation of the endpoints' speeds as a part of the usual one; 0 if noise explains all differences.", ""},
 	{ForwardCrashes, KindCounter, "endpoints", "", "An endpoint that crashed while it ran a forwarded request.", ""},
 	{PieceCalls, KindCounter, "calls", byService, "A call for pieces of a stage.", ""},
 	{PieceCallMicros, KindHistogram, "microseconds", byService, "From a call for pieces to its answer.", ""},
--- a/selector/pace.go
+++ b/selector/pace.go
@@ -1,51 +1,117 @@
 package selector
 
-import "time"
-
-const (
-	// tokenTimeWeight is the weight of the newest call in a pool's moving average of the time per prompt token.
-	tokenTimeWeight = 0.1
-	// defaultTokenTime is the time per prompt token before any call has been observed: 40 tokens a millisecond.
-	defaultTokenTime = 25 * time.Microsecond
-	// firstEventOverhead is the part of the time to the first event that does not depend on the prompt: the network
-	// round trip and one step of the engine.
-	firstEventOverhead = 40 * time.Millisecond
-	// minObservedTokens is the minimum size of a call that updates the token time. In smaller calls, the engine steps
-	// of other calls dominate the duration.
-	minObservedTokens = 1000
+import (
+	"time"
+
+	"geraniumline/estimator"
+	"geraniumline/registrar"
 )
 
-// ObserveFirstEvent records the time from sending a call to receiving its first event.
-func (s *Selector) ObserveFirstEvent(choice Choice, took time.Duration) {
+// minObservedTokens is the minimum size of a call that tells the speed of its pool and endpoint. In smaller calls, the
+// engine steps of other calls dominate the duration.
+const minObservedTokens = 1000
+
+// Timing is one observation of an endpoint's speed.
+type Timing struct {
+	Endpoint registrar.Endpoint
+	// LogRatio is the natural logarithm of the observed over the usual time to the first event.
+	LogRatio float64
+}
+
+// ObserveFirstEvent records the time from sending a call to receiving its first event. It returns the observation of the
+// endpoint's speed for peers; measured is false if the call tells nothing about it.
+func (s *Selector) ObserveFirstEvent(choice Choice, took time.Duration, now time.Time) (t Timing, measured bool) {
 	e, known := s.chosenEndpoint(&choice)
-	if !known || choice.Tokens < minObservedTokens || took <= firstEventOverhead {
+	if !known || choice.Tokens < minObservedTokens {
+		return Timing{}, false
+	}
+	logRatio, measured := e.pool.fit.Observe(choice.work(), took)
+	if !measured {
+		return Timing{}, false
+	}
+	e.pool.speeds.Observe(&e.speed, logRatio, now)
+	return Timing{Endpoint: *e.Endpoint, LogRatio: logRatio}, true
+}
+
+// RecordPeerTiming records a peer's observation of an endpoint process. It is dropped if another process has taken the
+// endpoint's place.
+func (s *Selector) RecordPeerTiming(id string, started time.Time, logRatio float64, now time.Time) {
+	e, known := s.byID[id]
+	if !known || !e.SameIncarnation(&registrar.Endpoint{ID: id, Started: started}) {
 		return
 	}
-	observed := float64(took-firstEventOverhead) / float64(choice.Tokens)
-	e.pool.tokenTime += tokenTimeWeight * (observed - e.pool.tokenTime)
+	e.pool.speeds.Observe(&e.speed, logRatio, now)
+}
+
+// SpeedChange is an endpoint that was found to be slow or usual again.
+type SpeedChange struct {
+	Endpoint registrar.Endpoint
+	Slow     bool
+	// Factor is how many times as long as usual calls take there.
+	Factor float64
+}
+
+// UpdateSpeeds compares the endpoints of each pool by their observations and returns those that have become slow or usual
+// again. It must be called regularly.
+func (s *Selector) UpdateSpeeds(now time.Time) []SpeedChange {
+	var changes []SpeedChange
+	for _, p := range s.pools {
+		all := make([]*estimator.Speed, len(p.endpoints))
+		for i, e := range p.endpoints {
+			all[i] = &e.speed
+		}
+		p.speeds.Update(all, now, func(i int) {
+			e := p.endpoints[i]
+			changes = append(changes, SpeedChange{Endpoint: *e.Endpoint, Slow: e.speed.Slow(), Factor: e.speed.Factor()})
+		})
+	}
+	return changes
+}
+
+// SpeedSpread returns the standard deviation of the speeds of a service's endpoints, as a part of the usual speed.
+func (s *Selector) SpeedSpread(service string) float64 {
+	if p, known := s.pools[service]; known {
+		return p.speeds.Spread()
+	}
+	return 0
+}
+
+// Services lists the services that have endpoints or had some.
+func (s *Selector) Services() []string {
+	list := make([]string, 0, len(s.pools))
+	for service := range s.pools {
+		list = append(list, service)
+	}
+	return list
+}
+
+// speedFactor returns how many times as long as usual work takes at the endpoint. Entries that don't know their peers'
+// work can't tell a slow endpoint from a loaded one.
+func (s *Selector) speedFactor(e *endpoint) float64 {
+	if s.peerWorkUnknown {
+		return 1
+	}
+	return e.speed.Factor()
+}
+
+func (c *Choice) work() estimator.Work {
+	return estimator.Work{Queued: c.queued, Uncached: c.Tokens, Cached: c.Cached}
 }
 
 // PredictFirstEvent predicts the time to the first event of a prompt whose shared parts are cached.
 func (s *Selector) PredictFirstEvent(service string, parts []Part) time.Duration {
-	return s.predictIdle(service, promptTokens(parts)-sharedTokens(parts))
+	shared := sharedTokens(parts)
+	return s.predict(service, estimator.Work{Uncached: promptTokens(parts) - shared + s.cfg.CallTokens, Cached: shared})
 }
 
 // PredictUncached predicts the time to the first event of a prompt at an idle endpoint that has no part of it cached.
 func (s *Selector) PredictUncached(service string, parts []Part) time.Duration {
-	return s.predictIdle(service, promptTokens(parts))
+	return s.predict(service, estimator.Work{Uncached: promptTokens(parts) + s.cfg.CallTokens})
 }
 
-// predictIdle predicts the time to the first event at an idle endpoint that reads a number of prompt tokens.
-func (s *Selector) predictIdle(service string, tokens int) time.Duration {
-	tokenTime := float64(defaultTokenTime)
+func (s *Selector) predict(service string, w estimator.Work) time.Duration {
 	if p, known := s.pools[service]; known {
-		tokenTime = p.tokenTime
+		return p.fit.Predict(w)
 	}
-	return firstEventOverhead + time.Duration(tokenTime*float64(tokens+s.cfg.CallTokens))
-}
-
-// predict predicts the time to the first event of a call with the given work at an endpoint with its present queue.
-func (p *pool) predict(e *endpoint, tokens int) time.Duration {
-	work := float64(e.tokens+e.peerTokens+tokens) * e.health.Slowness()
-	return firstEventOverhead + time.Duration(p.tokenTime*work)
+	return (&estimator.Fit{}).Predict(w)
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"geraniumline/ejector"
+	"geraniumline/estimator"
 	"geraniumline/hasher"
 	"geraniumline/registrar"
 	"geraniumline/regulator"
@@ -64,6 +65,8 @@
 	Cached int
 	// FirstEvent is the predicted time to the first event, with the work that is queued at the endpoint.
 	FirstEvent time.Duration
+	// queued is the work that was known to be at the endpoint, in tokens.
+	queued int
 	// generation is that of the endpoint when it was chosen, and refusals the number of calls that it had refused by
 	// then.
 	generation uint64
@@ -104,8 +107,9 @@
 type pool struct {
 	endpoints []*endpoint
 	health    ejector.Pool
-	// tokenTime is the observed time per prompt token, in nanoseconds.
-	tokenTime float64
+	// fit predicts the usual time to the first event, and speeds compares the endpoints by it.
+	fit    estimator.Fit
+	speeds estimator.Speeds
 	// coldPerSecond is the number of calls a second that a cold endpoint accepts.
 	coldPerSecond float64
 }
@@ -124,6 +128,7 @@
 	tokens     int
 	peerTokens int
 	cache      prefixSet
+	speed      estimator.Speed
 	// backoff diverts calls to other endpoints for a while after refusals.
 	backoff regulator.Backoff
 }
@@ -182,7 +187,7 @@
 func (s *Selector) pool(service string) *pool {
 	p, known := s.pools[service]
 	if !known {
-		p = &pool{health: ejector.NewPool(s.cfg.Ejector), tokenTime: float64(defaultTokenTime)}
+		p = &pool{health: ejector.NewPool(s.cfg.Ejector)}
 		s.pools[service] = p
 	}
 	return p
@@ -259,7 +264,7 @@
 	return n
 }
 
-// Choose returns the endpoint with the least predicted work. It returns false if the service is unknown or no endpoint
+// Choose returns the endpoint with the least predicted time. It returns false if the service is unknown or no endpoint
 // is eligible.
 func (s *Selector) Choose(query Query, now time.Time) (Choice, bool) {
 	p, known := s.pools[query.Service]
@@ -282,7 +287,8 @@
 			chosen, best, bestScore = e, choice, score
 		}
 	}
-	best.FirstEvent = p.predict(chosen, best.Tokens)
+	best.queued = chosen.tokens + chosen.peerTokens
+	best.FirstEvent = time.Duration(float64(p.fit.Predict(best.work())) * chosen.health.Slowness() * s.speedFactor(chosen))
 	return best, true
 }
 
@@ -336,7 +342,9 @@
 	}
 }
 
-// score returns the work queued before the call's first token at the endpoint, in prompt tokens.
+// score returns the work before the call's first token at the endpoint, in prompt tokens of an endpoint of the usual
+// speed. A prompt leaves a home that is slow or loaded once reading its shared parts elsewhere takes less, weighed with
+// rereadWeight.
 func (s *Selector) score(e *endpoint, query *Query, keys []uint64, home []*endpoint) (Choice, float64) {
 	prompt := 0
 	for _, part := range query.Parts {
@@ -352,7 +360,7 @@
 	}
 	own := prompt - cached + s.cfg.CallTokens
 	score := float64(e.tokens+e.peerTokens+own) + (rereadWeight-1)*float64(shared-cached)
-	score *= e.health.Slowness()
+	score *= e.health.Slowness() * s.speedFactor(e)
 	for zone, n := range query.ZoneBytes {
 		if zone != e.Zone && !s.cfg.Disabled.Has(switcher.NearResults) {
 			score += float64(n) / 1e6 * float64(s.cfg.CrossZoneTokens)
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -146,15 +146,17 @@
 
 // The engines are four times as slow as assumed. Predictions must follow the observed calls.
 func TestFirstEventPredictionFollowsObservations(t *testing.T) {
+	// overhead is the part of the time that does not depend on the prompt.
+	const overhead = 40 * time.Millisecond
 	s := newSelector(1)
 	before := s.PredictFirstEvent("pool", prompt(1, 2))
 	choice := s.choiceOf("e0", 10_000)
 	for range 60 {
-		s.ObserveFirstEvent(choice, time.Second+firstEventOverhead)
+		s.ObserveFirstEvent(choice, time.Second+overhead, now)
 	}
 	after := s.PredictFirstEvent("pool", prompt(1, 2))
-	require.InDelta(t, 4, float64(after-firstEventOverhead)/float64(before-firstEventOverhead), 0.2)
-	s.ObserveFirstEvent(s.choiceOf("e0", 10), time.Minute)
+	require.InDelta(t, 4, float64(after-overhead)/float64(before-overhead), 0.2)
+	s.ObserveFirstEvent(s.choiceOf("e0", 10), time.Minute, now)
 	require.Equal(t, after, s.PredictFirstEvent("pool", prompt(1, 2)), "a short prompt does not change the token time")
 }
 
