--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -221,7 +221,8 @@
 		zap.String("request", x.req.ID),
 		zap.String("endpoint", choice.Endpoint.ID),
 		zap.Duration("stagesTook", sent.Sub(x.startTime)),
-		zap.Duration("modelTook", took))
+		zap.Duration("modelTook", took),
+		zap.Duration("predicted", choice.FirstEvent))
 	x.f.mu.Lock()
 	x.f.observeFirstEvent(*choice, took, sent.Add(took))
 	x.f.selector.RecordPromptRead(choice)
--- a/selector/homes.go
+++ b/selector/homes.go
@@ -24,26 +24,29 @@
 		return nil
 	}
 	key := keys[s.homePart(query.Parts)]
-	home := make([]*endpoint, 0, homeCount)
-	for len(home) < homeCount && len(home) < len(p.endpoints) {
-		var best *endpoint
-		for _, e := range p.endpoints {
-			if slices.Contains(home, e) || e.health.State() != ejector.InUse || s.lowCapacity(e, now) {
-				continue
-			}
-			if query.Regions != nil && !slices.Contains(query.Regions, e.Region) {
-				continue
-			}
-			if best == nil || hasher.Mix(e.hash^key) > hasher.Mix(best.hash^key) {
-				best = e
-			}
+	var home [homeCount]*endpoint
+	var ranks [homeCount]uint64
+	n := 0
+	for _, e := range p.endpoints {
+		rank := hasher.Mix(e.hash ^ key)
+		if n == homeCount && rank <= ranks[n-1] || !s.mayBeHome(e, query, now) {
+			continue
 		}
-		if best == nil {
-			break
+		n = min(n+1, homeCount)
+		i := n - 1
+		for ; i > 0 && rank > ranks[i-1]; i-- {
+			home[i], ranks[i] = home[i-1], ranks[i-1]
 		}
-		home = append(home, best)
+		home[i], ranks[i] = e, rank
 	}
-	return home
+	return home[:n]
+}
+
+func (s *Selector) mayBeHome(e *endpoint, query *Query, now time.Time) bool {
+	if e.health.State() != ejector.InUse || s.lowCapacity(e, now) {
+		return false
+	}
+	return query.Regions == nil || slices.Contains(query.Regions, e.Region)
 }
 
 // homePart returns the index of the part that determines the prompt's home endpoints. A part that most prompts of a kind
--- a/selector/memory.go
+++ b/selector/memory.go
@@ -71,6 +71,9 @@
 // heldTokens returns the size of the longest prefix that the endpoint is believed to hold, in tokens.
 func (m *prefixSet) heldTokens(keys []uint64, parts []Part) int {
 	n := 0
+	if len(m.keys) == 0 {
+		return n
+	}
 	for i, key := range keys {
 		if _, known := m.keys[key]; !known {
 			return n
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -106,6 +106,7 @@
 
 type pool struct {
 	endpoints []*endpoint
+	lists     candidateLists
 	health    ejector.Pool
 	// fit predicts the usual time to the first event, and speeds compares the endpoints by it.
 	fit    estimator.Fit
@@ -275,19 +276,30 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	keys := prefixKeys(query.Parts)
-	home := s.homeEndpoints(p, &query, keys, now)
+	call := callOf(&query)
+	home := s.homeEndpoints(p, &query, call.keys, now)
 	var chosen *endpoint
-	best, bestScore := Choice{}, 0.0
+	bestScore, bestCached := 0.0, 0
 	start := s.cfg.Rand.IntN(len(candidates))
 	for i := range candidates {
-		e := candidates[(start+i)%len(candidates)]
-		choice, score := s.score(e, &query, keys, home)
+		at := start + i
+		if at >= len(candidates) {
+			at -= len(candidates)
+		}
+		e := candidates[at]
+		cached, score := s.score(e, &call, home)
 		if chosen == nil || score < bestScore || score == bestScore && s.preferred(e, chosen) {
-			chosen, best, bestScore = e, choice, score
+			chosen, bestScore, bestCached = e, score, cached
 		}
 	}
-	best.queued = chosen.tokens + chosen.peerTokens
+	best := Choice{
+		Endpoint:   *chosen.Endpoint,
+		Tokens:     call.prompt - bestCached + s.cfg.CallTokens,
+		Cached:     bestCached,
+		queued:     chosen.tokens + chosen.peerTokens,
+		generation: chosen.generation,
+		refusals:   chosen.backoff.TotalRefusals(),
+	}
 	best.FirstEvent = time.Duration(float64(p.fit.Predict(best.work())) * chosen.health.Slowness() * s.speedFactor(chosen))
 	return best, true
 }
@@ -308,9 +320,10 @@
 }
 
 // candidates returns the endpoints that may take the call: either those that are in use and have not just refused a
-// call, or one that is due for a probe.
+// call, or one that is due for a probe. The result is valid until the next call.
 func (p *pool) candidates(query *Query, gate Gate, now time.Time) []*endpoint {
-	var usable, refusing, probing, unavailable []*endpoint
+	l := &p.lists
+	l.reset()
 	for _, e := range p.endpoints {
 		p.health.StartDueProbe(&e.health, now)
 		if !p.allowed(e, query, gate, now) {
@@ -318,53 +331,75 @@
 		}
 		switch {
 		case e.health.State() == ejector.InUse && e.backoff.Active(now):
-			refusing = append(refusing, e)
+			l.refusing = append(l.refusing, e)
 		case e.health.State() == ejector.InUse:
-			usable = append(usable, e)
+			l.usable = append(l.usable, e)
 		case e.health.State() == ejector.Probing && e.calls == 0:
-			probing = append(probing, e)
+			l.probing = append(l.probing, e)
 		default:
-			unavailable = append(unavailable, e)
+			l.unavailable = append(l.unavailable, e)
 		}
 	}
 	switch {
-	case len(probing) > 0 && !query.NoProbe && len(query.Exclude) == 0:
+	case len(l.probing) > 0 && !query.NoProbe && len(query.Exclude) == 0:
 		// If healthy endpoints always went first, an idle pool would never probe this one.
-		return probing[:1]
-	case len(usable) > 0:
-		return usable
-	case len(refusing) > 0:
-		return refusing
-	case len(probing) > 0:
-		return probing
+		return l.probing[:1]
+	case len(l.usable) > 0:
+		return l.usable
+	case len(l.refusing) > 0:
+		return l.refusing
+	case len(l.probing) > 0:
+		return l.probing
 	default:
-		return unavailable
+		return l.unavailable
 	}
 }
 
-// score returns the work before the call's first token at the endpoint, in prompt tokens of an endpoint of the usual
-// speed. A prompt leaves a home that is slow or loaded once reading its shared parts elsewhere takes less, weighed with
-// rereadWeight.
-func (s *Selector) score(e *endpoint, query *Query, keys []uint64, home []*endpoint) (Choice, float64) {
-	prompt := 0
-	for _, part := range query.Parts {
-		prompt += part.Tokens
+// candidateLists are the endpoints of a pool by their availability for a call. They are kept to reuse their memory.
+type candidateLists struct {
+	usable, refusing, probing, unavailable []*endpoint
+}
+
+func (l *candidateLists) reset() {
+	for _, list := range []*[]*endpoint{&l.usable, &l.refusing, &l.probing, &l.unavailable} {
+		clear(*list)
+		*list = (*list)[:0]
 	}
-	shared := sharedTokens(query.Parts)
-	cached := min(e.cache.heldTokens(keys, query.Parts), shared)
+}
+
+// call is a query with what is the same for all endpoints.
+type call struct {
+	*Query
+	keys []uint64
+	// prompt and shared are the sizes of the whole prompt and of the parts that other requests may share, in tokens.
+	prompt, shared int
+}
+
+func callOf(query *Query) call {
+	return call{Query: query, keys: prefixKeys(query.Parts), prompt: promptTokens(query.Parts), shared: sharedTokens(query.Parts)}
+}
+
+// score returns the work before the call's first token at the endpoint, in prompt tokens of an endpoint of the usual
+// speed, and the number of prompt tokens that it is believed to have cached. A prompt leaves a home that is slow or loaded
+// once reading its shared parts elsewhere takes less, weighed with rereadWeight.
+func (s *Selector) score(e *endpoint, c *call, home []*endpoint) (cached int, score float64) {
+	cached = min(e.cache.heldTokens(c.keys, c.Parts), c.shared)
 	for rank, h := range home {
 		if h == e {
 			// This entry may not have sent the parts here yet, but every entry sends them here first.
-			cached = max(cached, shared>>rank)
+			cached = max(cached, c.shared>>rank)
 		}
 	}
-	own := prompt - cached + s.cfg.CallTokens
-	score := float64(e.tokens+e.peerTokens+own) + (rereadWeight-1)*float64(shared-cached)
+	own := c.prompt - cached + s.cfg.CallTokens
+	score = float64(e.tokens+e.peerTokens+own) + (rereadWeight-1)*float64(c.shared-cached)
 	score *= e.health.Slowness() * s.speedFactor(e)
-	for zone, n := range query.ZoneBytes {
+	if len(c.ZoneBytes) == 0 {
+		return cached, score
+	}
+	for zone, n := range c.ZoneBytes {
 		if zone != e.Zone && !s.cfg.Disabled.Has(switcher.NearResults) {
 			score += float64(n) / 1e6 * float64(s.cfg.CrossZoneTokens)
 		}
 	}
-	return Choice{Endpoint: *e.Endpoint, Tokens: own, Cached: cached, generation: e.generation, refusals: e.backoff.TotalRefusals()}, score
+	return cached, score
 }
