--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -221,9 +221,10 @@
 		zap.String("request", x.req.ID),
 		zap.String("endpoint", choice.Endpoint.ID),
 		zap.Duration("stagesTook", sent.Sub(x.startTime)),
-		zap.Duration("modelTook", took))
+		zap.Duration("modelTook", took),
+		zap.Duration("predicted", choice.FirstEvent))
 	x.f.mu.Lock()
-	x.f.selector.ObserveFirstEvent(*choice, time.Since(sent))
+	x.f.observeFirstEvent(*choice, took, sent.Add(took))
 	x.f.selector.RecordPromptRead(choice)
 	x.f.mu.Unlock()
 	s.stages.free(s.stages.plan.FreeFinalResults())
