Send nothing more to an endpoint at whose address another process answers

Cause: an answer 421 proves that the process that a call names has ended, but was handled like that of a full endpoint: the endpoint paused for some 80 ms, and a probe that was answered so returned it to use. Until the list of endpoints named its successor, each further call was rejected and counted against the shared retry budget.

Weighed: using the process that answers at once, under the ID that it reports. So the address waits for the list.

Change: ResponseInfo.Misdirected; regulator keeps the endpoints that have ended and Forwarder.usable leaves them out, as it does those that leave: requests, pieces' calls and homes of prompts alike. A new start ends it at once, a registration newer than the answer too, and five seconds end it in any case, in case that a process rejects wrongly. registrar tells the position of a registration for this. Counter endpoints_ended, and log lines.

Tests: with the endpoints left in use, TestAnEndedEndpointRejectsOneSendOfEachEntry and TestAnEndedEndpointIsUsedAgain fail; the first has entries send twice to one ended endpoint.

--- a/forwarder/availability.go
+++ b/forwarder/availability.go
@@ -38,12 +38,14 @@
 
 // usable returns the endpoints that may receive new work, and updates the availability of the services. All calls,
 // pieces and retries go to these endpoints. Endpoints in evacuated zones are excluded, and so are those whose
-// responses announce that they leave, which the store may not show yet. The lock must be held.
+// responses announce that they leave and those that have ended, which the store may not show yet. The lock must be held.
 func (f *Forwarder) usable(now time.Time) []*registrar.Endpoint {
 	f.regulator.Retain(f.registry.Contains)
 	all := f.registry.Usable()
-	if f.regulator.LeavingCount() > 0 {
-		all = slices.DeleteFunc(slices.Clone(all), func(e *registrar.Endpoint) bool { return f.regulator.IsLeaving(e.ID) })
+	if f.regulator.LeavingCount()+f.regulator.EndedCount() > 0 {
+		all = slices.DeleteFunc(slices.Clone(all), func(e *registrar.Endpoint) bool {
+			return f.regulator.IsLeaving(e.ID) || f.regulator.HasEnded(e.ID)
+		})
 	}
 	f.availability = availability{
 		inService: make(map[string]int),
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -309,9 +309,10 @@
 	actions = append(actions, f.returnWaitingPieces(now)...)
 	actions = append(actions, f.checkDelegations(now)...)
 	endpointsLeft := f.registry.Tick(now)
+	endpointsReturned := f.returnEnded(now)
 	if f.evacuator.Tick(now) {
 		actions = append(actions, f.evacuationsChanged(true, "lapse", now)...)
-	} else if endpointsLeft {
+	} else if endpointsLeft || endpointsReturned {
 		actions = append(actions, f.endpointsChanged(now)...)
 	}
 	f.mu.Unlock()
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -13,10 +13,14 @@
 	"geraniumline/regulator"
 )
 
-// readResponse decodes the header of an endpoint's response, and applies its notice about the work that the endpoint
-// accepts.
+// readResponse decodes the header of an endpoint's response, and applies what it says about the endpoint: that its
+// process has ended, or the work that it accepts.
 func (f *Forwarder) readResponse(e *registrar.Endpoint, resp *connector.Response) ResponseInfo {
 	info := f.cfg.Wire.ReadResponse(resp.Status(), resp.Header())
+	if info.Misdirected {
+		f.markEnded(e, time.Now())
+		return info
+	}
 	if info.NoticeErr != nil {
 		f.cfg.Meter.Counter(meter.NoticesUnusable, e.Service).Inc(1)
 		f.logNotice("invalid endpoint notice", zap.String("endpoint", e.ID), zap.Error(info.NoticeErr))
@@ -48,6 +52,28 @@
 	})
 }
 
+// markEnded stops all work for an endpoint at whose address another process has answered. The list of endpoints names
+// the other one, with its service, only later; until then nothing is sent there.
+func (f *Forwarder) markEnded(e *registrar.Endpoint, now time.Time) {
+	f.withLock(func() []func() {
+		if !f.registry.Contains(e.ID, e.Started) || !f.regulator.MarkEnded(e, f.registry.Next(), now) {
+			return nil
+		}
+		f.cfg.Meter.Counter(meter.EndpointsEnded, e.Service).Inc(1)
+		f.logNotice("endpoint has ended", zap.String("endpoint", e.ID), zap.String("address", e.Address))
+		return f.endpointsChanged(now)
+	})
+}
+
+// returnEnded reports whether an endpoint that was found to have ended gets calls again. The lock must be held.
+func (f *Forwarder) returnEnded(now time.Time) bool {
+	ids := f.regulator.ReturnEnded(f.registry.PositionOf, now)
+	for _, id := range ids {
+		f.logNotice("ended endpoint is still listed", zap.String("endpoint", id))
+	}
+	return len(ids) > 0
+}
+
 // logLeaving logs that an endpoint leaves; the source is the endpoint itself or a peer.
 func (f *Forwarder) logLeaving(endpoint, source string) {
 	f.logNotice("endpoint leaves", zap.String("endpoint", endpoint), zap.String("source", source))
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -49,6 +49,8 @@
 type ResponseInfo struct {
 	// NotRun is set if the endpoint did not run the request and will not.
 	NotRun bool
+	// Misdirected is set if another process than the addressed one answered: the addressed one has ended.
+	Misdirected bool
 	// InputGone is set if a stage's result no longer exists.
 	InputGone bool
 	// Notice is the endpoint's notice about the work that it accepts. NoticeErr reports an invalid part of it.
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -141,6 +141,7 @@
 	EndpointsLimited    Name = "endpoints_limited"
 	EndpointsLeaving    Name = "endpoints_leaving"
 	EndpointsResting    Name = "endpoints_resting"
+	EndpointsEnded      Name = "endpoints_ended"
 	PausesNoticed       Name = "pauses_noticed"
 )
 
@@ -273,6 +274,7 @@
 	{EndpointsLimited, KindGauge, "endpoints", byService, "Endpoints that name a limit on the requests that they take from all entries together.", ""},
 	{EndpointsLeaving, KindGauge, "endpoints", byService, "Endpoints that say in their answers that they leave, and are still listed.", ""},
 	{EndpointsResting, KindGauge, "endpoints", byService, "Endpoints that have turned this entry away and asked it for a time of rest, which is not over.", ""},
+	{EndpointsEnded, KindCounter, "endpoints", byService, "An endpoint found to have ended, as another process answered at its address while it was still listed.", ""},
 	{PausesNoticed, KindCounter, "pauses", "", "A pause of this entry that was so long that its peers may have taken it for dead.", ""},
 
 	{ConnectionsOpen, KindGauge, "connections", bySocket, "Open connections.", ""},
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -478,6 +478,15 @@
 	return ""
 }
 
+// PositionOf returns the position of an endpoint's registration in the store, and whether the endpoint is registered.
+func (r *Registry) PositionOf(id string) (locator.Position, bool) {
+	reg, known := r.registrations[id]
+	if !known {
+		return locator.Position{}, false
+	}
+	return reg.position, true
+}
+
 // IDsAt returns the IDs of the endpoints at an address; usually one.
 func (r *Registry) IDsAt(address string) []string { return r.idsByAddress[address] }
 
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -1,5 +1,5 @@
-// Package regulator decides which calls may go to endpoints whose answers ask for fewer calls. It has no clock of its
-// own: callers pass in the current time.
+// Package regulator decides which calls may go to endpoints whose answers ask for fewer calls or show that the endpoint
+// has ended. It has no clock of its own: callers pass in the current time.
 package regulator
 
 import (
@@ -53,6 +53,8 @@
 	leaving map[string]time.Time
 	// rests holds the rests that endpoints have asked this entry for.
 	rests map[string]rest
+	// ended holds the listed endpoints whose process has ended.
+	ended map[string]ended
 }
 
 // rest is a period in which an endpoint wants no calls.
@@ -93,6 +95,7 @@
 		limits:   make(map[string]*limit),
 		leaving:  make(map[string]time.Time),
 		rests:    make(map[string]rest),
+		ended:    make(map[string]ended),
 	}
 }
 
@@ -117,6 +120,11 @@
 			delete(r.leaving, id)
 		}
 	}
+	for id, m := range r.ended {
+		if !listed(id, m.started) {
+			delete(r.ended, id)
+		}
+	}
 }
 
 // sameStart reports whether two start times may belong to the same start. A zero time means unknown.
