Tell peers of endpoints that refuse connections, and leave these alone for longer

A refused connection proves that the process is gone; a probe a second later reaches nobody or its successor.

Weighed: to forbid what a peer reports (an entry without a network would empty the pool); to pass reports on (their age would have to be kept, and they would go round); time-outs and resets as reports (no proof).

Change: Heartbeat.Unreachable lists the endpoints that refused this entry's connections in the last three seconds, found by calls or by the check after a broken exchange, and those that have ended, at most 32 in turn. A receiver uses them only while no other endpoint of the pool is in use, gives them no prompt's home and sends no probe, for three seconds after the refusal or until a call is answered there. regulator.PeerReports ignores a peer that reports over half of a pool, and such an entry reports nothing. An endpoint that refused a connection is ejected for three seconds at first instead of one. Gauge endpoints_avoided, a log line for each endpoint that is avoided from now on.

--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -44,6 +44,9 @@
 	// BaseEjection is the duration of the first ejection. Each further one doubles it, up to MaxEjection.
 	BaseEjection time.Duration
 	MaxEjection  time.Duration
+	// DownEjection is the duration of the first ejection of an endpoint that refused a connection: its process has
+	// ended, and most processes that are started at its address are other endpoints. 0 means BaseEjection.
+	DownEjection time.Duration
 }
 
 // Pool holds the statistics of all endpoints of a pool.
@@ -68,6 +71,9 @@
 	if cfg.MaxEjection == 0 {
 		cfg.MaxEjection = defaultMaxEjection
 	}
+	if cfg.DownEjection == 0 {
+		cfg.DownEjection = cfg.BaseEjection
+	}
 	return Pool{cfg: cfg}
 }
 
@@ -213,7 +219,11 @@
 	if now.Sub(r.ejectedUntil) > resetEjectionsAfter {
 		r.ejections = 0
 	}
-	length := p.cfg.BaseEjection << min(r.ejections, 16)
+	first := p.cfg.BaseEjection
+	if r.down {
+		first = p.cfg.DownEjection
+	}
+	length := first << min(r.ejections, 16)
 	r.ejectedAt = now
 	r.ejectedUntil = now.Add(min(length, p.cfg.MaxEjection))
 	r.ejections++
--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -79,6 +79,19 @@
 	require.Zero(t, p.OutCount())
 }
 
+// An endpoint that refused a connection stays out for longer than one that served badly.
+func TestDownEjection(t *testing.T) {
+	p := ejector.NewPool(ejector.Config{DownEjection: 3 * time.Second})
+	records := []*ejector.Record{{}, {}}
+	p.Add()
+	p.Add()
+	recordAll(&p, records[:1], ejector.Down, 1, start)
+	require.Equal(t, start.Add(3*time.Second), records[0].Until())
+	recordAll(&p, records[1:], ejector.Good, 10, start)
+	recordAll(&p, records[1:], ejector.Bad, 3, start)
+	require.Equal(t, ejector.InUse, records[1].State(), "it is the last one in use")
+}
+
 // The calls of a slow endpoint count as bad compared with the pool's own median, whatever the expected duration of the
 // stage.
 func TestRecordDurationComparesWithPoolMedian(t *testing.T) {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -63,7 +63,7 @@
 	}
 	x.runs++
 	x.endCall(choice, ejector.Bad, true)
-	x.checkCrash(choice.Endpoint)
+	x.checkCrash(choice)
 	if x.ctx.Err() != nil {
 		return true, timedOut()
 	}
@@ -111,6 +111,16 @@
 	x.endCall(choice, end, true)
 }
 
+// recordUnreachable records that an endpoint refuses connections.
+func (f *Forwarder) recordUnreachable(choice selector.Choice, now time.Time) {
+	f.mu.Lock()
+	changed := f.selector.RecordUnreachable(choice, now)
+	f.mu.Unlock()
+	if changed {
+		f.logHealthChange(choice.Endpoint.Service, choice.Endpoint, true)
+	}
+}
+
 // endTimedCall records a completed call, judged by its duration.
 func (x *exchange) endTimedCall(choice selector.Choice, bad bool, took time.Duration) {
 	end := ejector.Bad
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -126,8 +126,9 @@
 	evacuator    *evacuator.Evacuator
 	warmer       *warmer.Warmer
 	availability availability
-	// limitsRotation, leavesRotation and refusalsRotation track which endpoint notices the next heartbeat carries.
-	limitsRotation, leavesRotation, refusalsRotation rotation
+	// limitsRotation, leavesRotation, refusalsRotation and unreachableRotation track which endpoint notices the next
+	// heartbeat carries.
+	limitsRotation, leavesRotation, refusalsRotation, unreachableRotation rotation
 	// regulator tracks the endpoints that asked for less work.
 	regulator *regulator.Regulator
 	// retrySchedules spread the retries of callers that were refused because a service's endpoints asked for fewer
@@ -249,6 +250,9 @@
 const (
 	// maxEjectedShare is the largest share of a pool that may be ejected for bad responses.
 	maxEjectedShare = 0.5
+	// downEjection is how long an endpoint that refused a connection gets no calls at first: about as long as the store
+	// lists an endpoint that has ended. An earlier call would mostly reach nobody, or another process that rejects it.
+	downEjection = 3 * time.Second
 	// noEjection keeps all endpoints in use.
 	noEjection = -1
 	// typicalEntries divides the slack of the retry budget until peers are known. It is the number of entries in
@@ -263,7 +267,7 @@
 	if disabled.Has(switcher.Ejection) {
 		return ejector.Config{MaxEjectedShare: noEjection}
 	}
-	return ejector.Config{MaxEjectedShare: maxEjectedShare}
+	return ejector.Config{MaxEjectedShare: maxEjectedShare, DownEjection: downEjection}
 }
 
 // retryReserve returns one entry's part of the slack that all entries share.
--- a/forwarder/lost_test.go
+++ b/forwarder/lost_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"geraniumline/carrier"
 	"geraniumline/ejector"
 	"geraniumline/locator"
 	"geraniumline/registrar"
@@ -140,6 +141,25 @@
 	}
 }
 
+// Guards against reports that have no effect: compares the sends to lost endpoints with and without messages between
+// entries.
+func TestPeersReportsReduceSendsToLostEndpoints(t *testing.T) {
+	for _, entries := range []int{7, 65} {
+		refusedConnections, rejected := map[float64]int{}, map[float64]int{}
+		for _, loss := range []float64{0, 1} {
+			for seed := range uint64(3) {
+				p := crashSome(t, entries, loss, seed)
+				refusedConnections[loss] += p.refusedConnections
+				rejected[loss] += p.rejectedTotal()
+			}
+		}
+		t.Logf("%d entries: refused connections %d with reports and %d without, rejected sends %d and %d",
+			entries, refusedConnections[0], refusedConnections[1], rejected[0], rejected[1])
+		require.Less(t, refusedConnections[0], refusedConnections[1])
+		require.Less(t, rejected[0], rejected[1])
+	}
+}
+
 // startedAt returns the change of an endpoint that started at the given time, at the given offset.
 func startedAt(id string, at time.Time, offset int64) registrar.Change {
 	c := endpointChange(id)
@@ -179,3 +199,33 @@
 		})
 	}
 }
+
+// Guards against late reports about an earlier process, which would hold back its successor.
+func TestLateReportsDoNotConcernANewStart(t *testing.T) {
+	m, _ := newLossyMesh(t, 2, 14)
+	f := m.nodes["entry-0"]
+	first, second := time.UnixMilli(1000), time.UnixMilli(5000)
+	f.ReplaceEndpoints([]registrar.Change{startedAt("a", first, 3), endpointChange("b")}, locator.At(0, 5), m.now)
+	report := &carrier.Heartbeat{
+		From: carrier.Member{Name: "entry-1"}, Unreachable: []carrier.EndpointRefusal{{ID: "a", StartedMillis: first.UnixMilli()}},
+	}
+	f.handleMessage("entry-1", report, m.now)
+	require.Equal(t, map[string]int{"b": 50}, m.countChosen("entry-0", 50))
+	f.ApplyEndpoints([]registrar.Change{startedAt("a", second, 7)}, locator.At(0, 5), locator.At(0, 8), m.now)
+	require.Len(t, m.countChosen("entry-0", 50), 2, "a new start is used at once")
+	m.now = m.now.Add(2 * time.Second)
+	f.handleMessage("entry-1", report, m.now)
+	require.Len(t, m.countChosen("entry-0", 50), 2, "a heartbeat that arrives two seconds late")
+}
+
+// Guards against reports about endpoints that are not lost, which would change choices where nothing has happened.
+func TestHeartbeatsReportOnlyLostEndpoints(t *testing.T) {
+	p := newEndpointPool(t, 7, "a", "b", "c")
+	p.refuses["a"] = 0
+	p.run(2*time.Second, 70)
+	f := p.m.nodes["entry-0"]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	require.Empty(t, f.unreachable(p.m.now))
+	require.Empty(t, f.selector.AvoidedCounts(p.m.now))
+}
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -170,6 +170,39 @@
 	}
 }
 
+// unreachable returns the part of the endpoints that this entry could not reach to send in the next heartbeat: those that
+// refused its connections, and those that have ended. Timeouts are left out, since this entry's network may cause them.
+// The lock must be held.
+func (f *Forwarder) unreachable(now time.Time) []carrier.EndpointRefusal {
+	var list []carrier.EndpointRefusal
+	for _, r := range f.selector.Unreachable(now) {
+		list = append(list, unreachableMessage(r.Endpoint.ID, r.Endpoint.Started, now.Sub(r.At)))
+	}
+	for _, e := range f.regulator.EndedEndpoints() {
+		if age := now.Sub(e.At); age < regulator.PeerReportTTL {
+			list = append(list, unreachableMessage(e.Endpoint, e.Started, age))
+		}
+	}
+	return nextPart(&f.unreachableRotation, list, f.random)
+}
+
+func unreachableMessage(id string, started time.Time, age time.Duration) carrier.EndpointRefusal {
+	return carrier.EndpointRefusal{ID: id, StartedMillis: toUnixMillis(started), AgeMillis: uint32(age.Milliseconds())}
+}
+
+// applyUnreachable applies a peer's report of endpoints that it could not reach. The lock must be held.
+func (f *Forwarder) applyUnreachable(list []carrier.EndpointRefusal, from string, now time.Time) {
+	for _, m := range list {
+		if !f.registry.Contains(m.ID, fromUnixMillis(m.StartedMillis)) {
+			continue
+		}
+		at := now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)
+		if f.selector.RecordPeerUnreachable(from, m.ID, at, now) {
+			f.logNotice("endpoint avoided, peer could not reach it", zap.String("endpoint", m.ID), zap.String("peer", from))
+		}
+	}
+}
+
 // toUnixMillis converts a time to the form used between peers; 0 stands for the zero time.
 func toUnixMillis(t time.Time) int64 {
 	if t.IsZero() {
@@ -186,12 +219,16 @@
 	return time.UnixMilli(millis)
 }
 
-// updateNoticeGauges sets the gauges of limited, leaving and resting endpoints for each service. The lock must be
+// updateNoticeGauges sets the gauges of avoided, limited, leaving and resting endpoints for each service. The lock must be
 // held.
 func (f *Forwarder) updateNoticeGauges(now time.Time) {
 	if f.catalog == nil {
 		return
 	}
+	avoided := f.selector.AvoidedCounts(now)
+	for service := range f.catalog.Services() {
+		f.cfg.Meter.Gauge(meter.EndpointsAvoided, service).Update(avoided[service])
+	}
 	leaving := make([]string, 0)
 	for _, l := range f.regulator.LeavingEndpoints() {
 		leaving = append(leaving, l.Endpoint)
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -40,6 +40,7 @@
 	message.EvacuatedEra, message.EvacuatedNext = evacuated.Next.Era(), evacuated.Next.Offset()
 	message.Evacuated, message.EvacuationsHeld = evacuated.Zones, evacuated.Held
 	message.Limits, message.Leaving, message.Refusing = f.limits(now), f.leaving(), f.refusals(now)
+	message.Unreachable = f.unreachable(now)
 	message.StoreEra, message.EndpointsEra = f.storeEra, f.registry.Next().Era()
 	message.ConfigAgeMillis = min(now.Sub(f.configReadAt), maxConfigAge).Milliseconds()
 	f.round++
@@ -179,6 +180,7 @@
 			f.applyStageWaits(m.Stages, now)
 			f.applyLimits(m.Limits, m.From.Name, now)
 			f.applyRefusals(m.Refusing, now)
+			f.applyUnreachable(m.Unreachable, m.From.Name, now)
 			f.applyConfigAge(m.ConfigAgeMillis, now)
 			if m.StoreEra > 0 {
 				// Entries that have no era yet send 0.
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -12,7 +12,7 @@
 
 	"geraniumline/meter"
 	"geraniumline/quarantiner"
-	"geraniumline/registrar"
+	"geraniumline/selector"
 )
 
 const (
@@ -54,7 +54,8 @@
 // crashed while it ran the content. A connection reset or an invalid response alone proves nothing. Neither does an
 // address that does not answer: this VM may have lost its network, and the content would be refused everywhere for
 // minutes.
-func (x *exchange) checkCrash(e registrar.Endpoint) {
+func (x *exchange) checkCrash(choice selector.Choice) {
+	e := choice.Endpoint
 	digest := x.digest()
 	id := x.req.ID
 	f := x.f
@@ -68,6 +69,7 @@
 			return
 		}
 		now := time.Now()
+		f.recordUnreachable(choice, now)
 		f.mu.Lock()
 		verdict := f.quarantiner.RecordCrash(digest, e.Address, now)
 		f.mu.Unlock()
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -142,6 +142,7 @@
 	EndpointsLeaving    Name = "endpoints_leaving"
 	EndpointsResting    Name = "endpoints_resting"
 	EndpointsEnded      Name = "endpoints_ended"
+	EndpointsAvoided    Name = "endpoints_avoided"
 	PausesNoticed       Name = "pauses_noticed"
 )
 
@@ -275,6 +276,7 @@
 	{EndpointsLeaving, KindGauge, "endpoints", byService, "Endpoints that say in their answers that they leave, and are still listed.", ""},
 	{EndpointsResting, KindGauge, "endpoints", byService, "Endpoints that have turned this entry away and asked it for a time of rest, which is not over.", ""},
 	{EndpointsEnded, KindCounter, "endpoints", byService, "An endpoint found to have ended, as another process answered at its address while it was still listed.", ""},
+	{EndpointsAvoided, KindGauge, "endpoints", byService, "Endpoints that get work only while no other is in use, as peers could not reach them.", ""},
 	{PausesNoticed, KindCounter, "pauses", "", "A pause of this entry that was so long that its peers may have taken it for dead.", ""},
 
 	{ConnectionsOpen, KindGauge, "connections", bySocket, "Open connections.", ""},
--- a/selector/call.go
+++ b/selector/call.go
@@ -43,6 +43,7 @@
 	}
 	e.calls--
 	s.addWork(e, -choice.Tokens)
+	s.recordReachability(e, outcome, now)
 	return e.pool.health.RecordOutcome(&e.health, outcome, false, now)
 }
 
--- a/selector/gate.go
+++ b/selector/gate.go
@@ -23,8 +23,9 @@
 	RecordSend(e *registrar.Endpoint, coldPerSecond float64, now time.Time)
 }
 
+// lowCapacity reports whether e takes only some of the calls that its cached prompt parts would attract, or none.
 func (s *Selector) lowCapacity(e *endpoint, now time.Time) bool {
-	return e.Cold(now) || s.cfg.Gate != nil && s.cfg.Gate.Limited(e.Endpoint)
+	return e.Cold(now) || e.avoided(now) || s.cfg.Gate != nil && s.cfg.Gate.Limited(e.Endpoint)
 }
 
 // Throttle describes a service whose endpoints have all asked for fewer calls.
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -97,6 +97,8 @@
 	// busy holds the endpoints with work from this entry, and refusing those that may have refused consecutive calls.
 	busy     map[*endpoint]bool
 	refusing map[*endpoint]bool
+	// unreachable holds the endpoints that may recently have refused a connection of this entry.
+	unreachable map[*endpoint]bool
 }
 
 type pool struct {
@@ -106,6 +108,8 @@
 	tokenTime float64
 	// coldPerSecond is the number of calls a second that a cold endpoint accepts.
 	coldPerSecond float64
+	// reports holds the endpoints that peers have reported as unreachable.
+	reports regulator.PeerReports
 }
 
 type endpoint struct {
@@ -124,6 +128,10 @@
 	cache      prefixSet
 	// backoff diverts calls to other endpoints for a while after refusals.
 	backoff regulator.Backoff
+	// unreachableAt is when the endpoint's address last refused a connection of this entry.
+	unreachableAt time.Time
+	// report is the latest report of a peer that the endpoint is unreachable.
+	report unreachableReport
 }
 
 // New returns a selector without endpoints.
@@ -142,7 +150,8 @@
 		selfHash: xxhash.Sum64String(cfg.Self),
 		busy:     make(map[*endpoint]bool),
 
-		refusing: make(map[*endpoint]bool),
+		refusing:    make(map[*endpoint]bool),
+		unreachable: make(map[*endpoint]bool),
 	}
 }
 
@@ -201,6 +210,7 @@
 func (s *Selector) remove(e *endpoint) {
 	delete(s.busy, e)
 	delete(s.refusing, e)
+	delete(s.unreachable, e)
 	e.pool.health.Remove(&e.health)
 	e.pool.endpoints = slices.DeleteFunc(e.pool.endpoints, func(other *endpoint) bool { return other == e })
 	delete(s.byID, e.ID)
@@ -298,30 +308,33 @@
 	return gate == nil || gate.Allows(e.Endpoint, p.coldPerSecond, now)
 }
 
-// candidates returns the endpoints that may take the call: either those that are in use and have not just refused a
-// call, or one that is due for a probe.
+// candidates returns the endpoints that may take the call: either those that are in use, have not just refused a call
+// and are reachable to peers, or one that is due for a probe.
 func (p *pool) candidates(query *Query, gate Gate, now time.Time) []*endpoint {
-	var usable, refusing, probing, unavailable []*endpoint
+	var usable, refusing, due, probing, unavailable []*endpoint
 	for _, e := range p.endpoints {
 		p.health.StartDueProbe(&e.health, now)
 		if !p.allowed(e, query, gate, now) {
 			continue
 		}
 		switch {
-		case e.health.State() == ejector.InUse && e.backoff.Active(now):
+		case e.health.State() == ejector.InUse && (e.backoff.Active(now) || e.avoided(now)):
 			refusing = append(refusing, e)
 		case e.health.State() == ejector.InUse:
 			usable = append(usable, e)
 		case e.health.State() == ejector.Probing && e.calls == 0:
 			probing = append(probing, e)
+			if !e.avoided(now) {
+				due = append(due, e)
+			}
 		default:
 			unavailable = append(unavailable, e)
 		}
 	}
 	switch {
-	case len(probing) > 0 && !query.NoProbe && len(query.Exclude) == 0:
+	case len(due) > 0 && !query.NoProbe && len(query.Exclude) == 0:
 		// If healthy endpoints always went first, an idle pool would never probe this one.
-		return probing[:1]
+		return due[:1]
 	case len(usable) > 0:
 		return usable
 	case len(refusing) > 0:
