Defer endpoints that peers cannot reach in one case of the choice

Change: an endpoint that refuses calls, or that peers cannot reach, in use or due for a probe, is deferred: one case, tested as before (TestNoProbeWhilePeersCannotReachTheEndpoint, TestReportedEndpointIsUsedIfNoOtherIs).

--- a/selector/selector.go
+++ b/selector/selector.go
@@ -311,30 +311,27 @@
 // candidates returns the endpoints that may take the call: either those that are in use, have not just refused a call
 // and are reachable to peers, or one that is due for a probe.
 func (p *pool) candidates(query *Query, gate Gate, now time.Time) []*endpoint {
-	var usable, refusing, due, probing, unavailable []*endpoint
+	var usable, refusing, probing, unavailable []*endpoint
 	for _, e := range p.endpoints {
 		p.health.StartDueProbe(&e.health, now)
 		if !p.allowed(e, query, gate, now) {
 			continue
 		}
 		switch {
-		case e.health.State() == ejector.InUse && (e.backoff.Active(now) || e.avoided(now)):
+		case e.deferred(now):
 			refusing = append(refusing, e)
 		case e.health.State() == ejector.InUse:
 			usable = append(usable, e)
 		case e.health.State() == ejector.Probing && e.calls == 0:
 			probing = append(probing, e)
-			if !e.avoided(now) {
-				due = append(due, e)
-			}
 		default:
 			unavailable = append(unavailable, e)
 		}
 	}
 	switch {
-	case len(due) > 0 && !query.NoProbe && len(query.Exclude) == 0:
+	case len(probing) > 0 && !query.NoProbe && len(query.Exclude) == 0:
 		// If healthy endpoints always went first, an idle pool would never probe this one.
-		return due[:1]
+		return probing[:1]
 	case len(usable) > 0:
 		return usable
 	case len(refusing) > 0:
--- a/selector/unreachable.go
+++ b/selector/unreachable.go
@@ -18,6 +18,18 @@
 // avoided reports whether peers have recently failed to reach the endpoint. It is used while no other endpoint is.
 func (e *endpoint) avoided(now time.Time) bool { return now.Before(e.report.until) }
 
+// deferred reports whether the endpoint gets calls, or the probe that it is due for, only while no other one is usable.
+func (e *endpoint) deferred(now time.Time) bool {
+	switch e.health.State() {
+	case ejector.InUse:
+		return e.backoff.Active(now) || e.avoided(now)
+	case ejector.Probing:
+		return e.calls == 0 && e.avoided(now)
+	case ejector.Ejected:
+	}
+	return false
+}
+
 // recordReachability records whether a call of this entry reached the endpoint.
 func (s *Selector) recordReachability(e *endpoint, outcome ejector.Outcome, now time.Time) {
 	switch outcome {
