--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -111,6 +111,22 @@
 	x.endCall(choice, end, true)
 }
 
+// endpointQuery completes the query for the request's next endpoint.
+func (x *exchange) endpointQuery(query selector.Query) selector.Query {
+	query.Service = x.service.Name
+	query.Exclude = x.tried
+	query.Regions = x.allowedRegions
+	query.NoProbe = !x.route.Repeatable()
+	return query
+}
+
+// hasEndpoint reports whether an endpoint accepts a request now.
+func (f *Forwarder) hasEndpoint(query selector.Query, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.selector.HasEndpoint(query, now)
+}
+
 // recordUnreachable records that an endpoint refuses connections.
 func (f *Forwarder) recordUnreachable(choice selector.Choice, now time.Time) {
 	f.mu.Lock()
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -225,10 +225,7 @@
 // chooseEndpoint selects the next endpoint for the request and counts the call to it.
 func (x *exchange) chooseEndpoint(query selector.Query) (selector.Choice, bool) {
 	now := time.Now()
-	query.Service = x.service.Name
-	query.Exclude = x.tried
-	query.Regions = x.allowedRegions
-	query.NoProbe = !x.route.Repeatable()
+	query = x.endpointQuery(query)
 	x.f.mu.Lock()
 	choice, found := x.f.selector.Choose(query, now)
 	if found {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -293,6 +293,12 @@
 	return best, true
 }
 
+// HasEndpoint reports whether an endpoint is eligible for the call.
+func (s *Selector) HasEndpoint(query Query, now time.Time) bool {
+	p, known := s.pools[query.Service]
+	return known && len(p.candidates(&query, s.cfg.Gate, now)) > 0
+}
+
 // preferred reports whether this entry sends to e rather than to another endpoint with as little work. While peers' work
 // is unknown, each entry has an order of preference of its own, so that it uses a few endpoints over connections that
 // are open already and all entries together use all endpoints. Otherwise the choice is random.
