--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -63,7 +63,7 @@
 	}
 	x.runs++
 	x.endCall(choice, ejector.Bad, true)
-	x.checkCrash(choice.Endpoint)
+	x.checkCrash(choice)
 	if x.ctx.Err() != nil {
 		return true, timedOut()
 	}
@@ -111,6 +111,32 @@
 	x.endCall(choice, end, true)
 }
 
+// endpointQuery completes the query for the request's next endpoint.
+func (x *exchange) endpointQuery(query selector.Query) selector.Query {
+	query.Service = x.service.Name
+	query.Exclude = x.tried
+	query.Regions = x.allowedRegions
+	query.NoProbe = !x.route.Repeatable()
+	return query
+}
+
+// hasEndpoint reports whether an endpoint accepts a request now.
+func (f *Forwarder) hasEndpoint(query selector.Query, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.selector.HasEndpoint(query, now)
+}
+
+// recordUnreachable records that an endpoint refuses connections.
+func (f *Forwarder) recordUnreachable(choice selector.Choice, now time.Time) {
+	f.mu.Lock()
+	changed := f.selector.RecordUnreachable(choice, now)
+	f.mu.Unlock()
+	if changed {
+		f.logHealthChange(choice.Endpoint.Service, choice.Endpoint, true)
+	}
+}
+
 // endTimedCall records a completed call, judged by its duration.
 func (x *exchange) endTimedCall(choice selector.Choice, bad bool, took time.Duration) {
 	end := ejector.Bad
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -126,8 +126,9 @@
 	evacuator    *evacuator.Evacuator
 	warmer       *warmer.Warmer
 	availability availability
-	// limitsRotation, leavesRotation and refusalsRotation track which endpoint notices the next heartbeat carries.
-	limitsRotation, leavesRotation, refusalsRotation rotation
+	// limitsRotation, leavesRotation, refusalsRotation and unreachableRotation track which endpoint notices the next
+	// heartbeat carries.
+	limitsRotation, leavesRotation, refusalsRotation, unreachableRotation rotation
 	// regulator tracks the endpoints that asked for less work.
 	regulator *regulator.Regulator
 	// retrySchedules spread the retries of callers that were refused because a service's endpoints asked for fewer
@@ -251,6 +252,9 @@
 const (
 	// maxEjectedShare is the largest share of a pool that may be ejected for bad responses.
 	maxEjectedShare = 0.5
+	// downEjection is how long an endpoint that refused a connection gets no calls at first: about as long as the store
+	// lists an endpoint that has ended. An earlier call would mostly reach nobody, or another process that rejects it.
+	downEjection = 3 * time.Second
 	// noEjection keeps all endpoints in use.
 	noEjection = -1
 	// typicalEntries divides the slack of the retry budget until peers are known. It is the number of entries in
@@ -265,7 +269,7 @@
 	if disabled.Has(switcher.Ejection) {
 		return ejector.Config{MaxEjectedShare: noEjection}
 	}
-	return ejector.Config{MaxEjectedShare: maxEjectedShare}
+	return ejector.Config{MaxEjectedShare: maxEjectedShare, DownEjection: downEjection}
 }
 
 // retryReserve returns one entry's part of the slack that all entries share.
@@ -311,9 +315,10 @@
 	actions = append(actions, f.returnWaitingPieces(now)...)
 	actions = append(actions, f.checkDelegations(now)...)
 	endpointsLeft := f.registry.Tick(now)
+	endpointsReturned := f.returnEnded(now)
 	if f.evacuator.Tick(now) {
 		actions = append(actions, f.evacuationsChanged(true, "lapse", now)...)
-	} else if endpointsLeft {
+	} else if endpointsLeft || endpointsReturned {
 		actions = append(actions, f.endpointsChanged(now)...)
 	}
 	f.mu.Unlock()
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -102,6 +102,8 @@
 	// busy holds the endpoints with work from this entry, and refusing those that may have refused consecutive calls.
 	busy     map[*endpoint]bool
 	refusing map[*endpoint]bool
+	// unreachable holds the endpoints that may recently have refused a connection of this entry.
+	unreachable map[*endpoint]bool
 }
 
 type pool struct {
@@ -113,6 +115,8 @@
 	speeds estimator.Speeds
 	// coldPerSecond is the number of calls a second that a cold endpoint accepts.
 	coldPerSecond float64
+	// reports holds the endpoints that peers have reported as unreachable.
+	reports regulator.PeerReports
 }
 
 type endpoint struct {
@@ -132,6 +136,10 @@
 	speed      estimator.Speed
 	// backoff diverts calls to other endpoints for a while after refusals.
 	backoff regulator.Backoff
+	// unreachableAt is when the endpoint's address last refused a connection of this entry.
+	unreachableAt time.Time
+	// report is the latest report of a peer that the endpoint is unreachable.
+	report unreachableReport
 }
 
 // New returns a selector without endpoints.
@@ -150,7 +158,8 @@
 		selfHash: xxhash.Sum64String(cfg.Self),
 		busy:     make(map[*endpoint]bool),
 
-		refusing: make(map[*endpoint]bool),
+		refusing:    make(map[*endpoint]bool),
+		unreachable: make(map[*endpoint]bool),
 	}
 }
 
@@ -209,6 +218,7 @@
 func (s *Selector) remove(e *endpoint) {
 	delete(s.busy, e)
 	delete(s.refusing, e)
+	delete(s.unreachable, e)
 	e.pool.health.Remove(&e.health)
 	e.pool.endpoints = slices.DeleteFunc(e.pool.endpoints, func(other *endpoint) bool { return other == e })
 	delete(s.byID, e.ID)
@@ -304,6 +314,12 @@
 	return best, true
 }
 
+// HasEndpoint reports whether an endpoint is eligible for the call.
+func (s *Selector) HasEndpoint(query Query, now time.Time) bool {
+	p, known := s.pools[query.Service]
+	return known && len(p.candidates(&query, s.cfg.Gate, now)) > 0
+}
+
 // preferred reports whether this entry sends to e rather than to another endpoint with as little work. While peers' work
 // is unknown, each entry has an order of preference of its own, so that it uses a few endpoints over connections that
 // are open already and all entries together use all endpoints. Otherwise the choice is random.
@@ -319,8 +335,8 @@
 	return gate == nil || gate.Allows(e.Endpoint, p.coldPerSecond, now)
 }
 
-// candidates returns the endpoints that may take the call: either those that are in use and have not just refused a
-// call, or one that is due for a probe. The result is valid until the next call.
+// candidates returns the endpoints that may take the call: either those that are in use, have not just refused a call
+// and are reachable to peers, or one that is due for a probe. The result is valid until the next call.
 func (p *pool) candidates(query *Query, gate Gate, now time.Time) []*endpoint {
 	l := &p.lists
 	l.reset()
@@ -330,7 +346,7 @@
 			continue
 		}
 		switch {
-		case e.health.State() == ejector.InUse && e.backoff.Active(now):
+		case e.deferred(now):
 			l.refusing = append(l.refusing, e)
 		case e.health.State() == ejector.InUse:
 			l.usable = append(l.usable, e)
