Find slow endpoints sooner, give them fewer homes, and plan with their queue

A third of all prompts' homes were at slow engines, which read them for longest and pause the streams beside them. The planner's prediction left out the queue at the engine, which the former estimate contained by its error: stages of the dearest kind took 0.68 s at the ninth decile instead of 0.53 s.

Change: noise counts by the weight of observations. Where endpoints differ, homes are weighted by speeds rounded to half as slow again, which an estimate leaves only when it is clearly in another step. The planner and the silence limit use a typical wait at the engine.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -16,6 +16,9 @@
 	// ownShare is the least part of a predicted time that must be the call's own for an observation of the endpoint's
 	// speed. Otherwise a queue that has grown since would count as slowness.
 	ownShare = 0.5
+	// waitRate is how far one call moves the mean wait, and maxWait bounds its effect.
+	waitRate = 0.1
+	maxWait  = time.Second
 )
 
 // The terms of the prediction before any call has been observed: 40 prompt tokens a millisecond after a network round
@@ -49,6 +52,8 @@
 	known bool
 	// base, token, pair and queued are the fitted terms, in nanoseconds.
 	base, token, pair, queued float64
+	// wait is the mean time that calls waited beyond their own time.
+	wait float64
 }
 
 func (f *Fit) init() {
@@ -70,6 +75,12 @@
 	return time.Duration(f.own(w) + f.queued*float64(w.Queued))
 }
 
+// PredictTypical returns the mean time to the first event at an endpoint that isn't known yet, with a typical queue.
+func (f *Fit) PredictTypical(w Work) time.Duration {
+	f.init()
+	return time.Duration(f.own(w) + f.wait)
+}
+
 // own returns the time that the call takes at an idle endpoint, in nanoseconds.
 func (f *Fit) own(w Work) float64 {
 	return f.base + f.token*float64(w.Uncached) + f.pair*w.pairs()
@@ -85,6 +96,7 @@
 	f.init()
 	own, queued := f.own(w), f.queued*float64(w.Queued)
 	predicted := own + queued
+	f.wait += waitRate * (min(max(float64(took)-own, 0), float64(maxWait)) - f.wait)
 	deviation := math.Log(max(float64(took), float64(time.Millisecond)) / predicted)
 	terms := []*float64{&f.base, &f.token, &f.pair, &f.queued}
 	sizes := []float64{1, float64(w.Uncached), w.pairs(), float64(w.Queued)}
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -263,3 +263,36 @@
 		})
 	}
 }
+
+// Guards against moving prompts back and forth because an endpoint's estimate wavers between two steps.
+func TestRoundedFactorDoesNotWaver(t *testing.T) {
+	var s Speed
+	require.Equal(t, 1.0, s.RoundedFactor())
+	changes, before := 0, 1.0
+	for i := range 100 {
+		s.setFactor([]float64{0.15, 0.25}[i%2])
+		if s.RoundedFactor() != before {
+			changes++
+		}
+		before = s.RoundedFactor()
+	}
+	require.Zero(t, changes)
+	s.setFactor(0.45)
+	require.InDelta(t, math.Exp(roundingStep), s.RoundedFactor(), 1e-9)
+	s.setFactor(0.15)
+	require.InDelta(t, math.Exp(roundingStep), s.RoundedFactor(), 1e-9)
+	s.setFactor(0)
+	require.Equal(t, 1.0, s.RoundedFactor())
+}
+
+// Guards against plans that leave no time for the queue at the engines, which is only known once an endpoint is chosen.
+func TestTypicalPredictionIncludesTheWait(t *testing.T) {
+	p := newPool(2, repeat(1, 10)...)
+	p.unknownQueues = 0.5
+	p.serve(20*time.Second, 150*time.Millisecond, 1)
+	wait := func() time.Duration { return p.fit.PredictTypical(Work{}) - p.fit.Predict(Work{}) }
+	loaded := wait()
+	require.Greater(t, loaded, 50*time.Millisecond)
+	p.serve(40*time.Second, 3*time.Second, 1)
+	require.Less(t, wait(), loaded/2)
+}
--- a/estimator/speed.go
+++ b/estimator/speed.go
@@ -20,9 +20,9 @@
 	minWeight = 2.0
 	// updateInterval is how often a pool's speeds are computed.
 	updateInterval = 500 * time.Millisecond
-	// noiseRate is how far one observation moves the pool's noise, and defaultNoise is the variance of the logarithm of
-	// observed times before that: calls usually take between half and twice the predicted time.
-	noiseRate    = 0.02
+	// noiseRate is how far one observation moves the pool's noise, and defaultNoise is the noise before that: calls
+	// usually take between half and twice the predicted time.
+	noiseRate    = 0.04
 	defaultNoise = 0.25
 	// significance is how many standard errors the spread of endpoints must exceed noise by.
 	significance = 2.0
@@ -36,6 +36,10 @@
 	// does.
 	slowFactor  = 1.3
 	usualFactor = 1.15
+	// roundingStep is the step of rounded factors, in logarithms: half as slow again. A factor keeps its step until it is
+	// keepStep away from it.
+	roundingStep = 0.4
+	keepStep     = 0.3
 )
 
 // Speed is the speed of one endpoint process. Its zero value has no observations.
@@ -46,7 +50,10 @@
 	// factor is the logarithm of Factor.
 	factor float64
 	ratio  float64
-	slow   bool
+	// rounded is the logarithm of RoundedFactor.
+	rounded      float64
+	roundedRatio float64
+	slow         bool
 }
 
 // Factor returns how many times as long as usual calls take at the endpoint. It is 1 unless the endpoints of the pool
@@ -58,6 +65,15 @@
 	return s.ratio
 }
 
+// RoundedFactor returns Factor rounded to a few steps, for choices that observers with estimates of their own should
+// agree on.
+func (s *Speed) RoundedFactor() float64 {
+	if s.rounded == 0 {
+		return 1
+	}
+	return s.roundedRatio
+}
+
 // Slow reports whether the endpoint is much slower than usual.
 func (s *Speed) Slow() bool { return s.slow }
 
@@ -74,7 +90,8 @@
 type Speeds struct {
 	// level is the recent mean of all observations. It follows a load that all endpoints have in common and the
 	// observers' predictions, which are still inexact after their start.
-	level     float64
+	level float64
+	// noise is the variance of an endpoint's mean at a weight of 1. Observations of lower weight add less to it.
 	noise     float64
 	updatedAt time.Time
 	spread    float64
@@ -88,16 +105,16 @@
 	logRatio = clamp(logRatio, maxDeviation)
 	p.level += levelRate * (logRatio - p.level)
 	logRatio -= p.level
-	weight := 1.0
+	weight, deviation := 1.0, logRatio-s.mean
 	if s.weight > 0 {
 		weight = min(max(float64(now.Sub(s.at))/float64(independentAfter), minObservationWeight), 1)
 		s.age(now)
+		if deviation > 0 {
+			weight *= aboveWeight
+		}
 		// A deviation from a mean of few observations contains the error of the mean.
-		deviation := logRatio - s.mean
-		p.noise += noiseRate * weight * (deviation*deviation*s.weight/(1+s.weight) - p.noise)
-	}
-	if logRatio > s.mean {
-		weight *= aboveWeight
+		square := deviation * deviation * s.weight / (weight + s.weight)
+		p.noise += noiseRate * weight * (weight*square - p.noise)
 	}
 	s.at = now
 	s.weight += weight
@@ -112,16 +129,16 @@
 // endpoint that has become slow or usual.
 func (p *Speeds) Update(all []*Speed, now time.Time, changed func(i int)) {
 	p.updatedAt = now
-	mean, weight := 0.0, 0.0
+	mean, n := 0.0, 0.0
 	for _, s := range all {
 		s.age(now)
 		if s.weight >= minWeight {
-			mean += s.weight * s.mean
-			weight += s.weight
+			mean += s.mean
+			n++
 		}
 	}
-	if weight > 0 {
-		mean /= weight
+	if n > 0 {
+		mean /= n
 	}
 	p.spread = math.Sqrt(p.variance(all, mean))
 	for i, s := range all {
@@ -167,6 +184,10 @@
 func (s *Speed) setFactor(factor float64) {
 	s.factor = clamp(factor, math.Log(maxSpeedFactor))
 	s.ratio = math.Exp(s.factor)
+	if math.Abs(s.factor-s.rounded) > keepStep || s.factor == 0 {
+		s.rounded = math.Round(s.factor/roundingStep) * roundingStep
+		s.roundedRatio = math.Exp(s.rounded)
+	}
 }
 
 // Spread returns the standard deviation of the endpoints' speeds, as a part of the usual one. It is 0 if noise explains
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -23,8 +23,8 @@
 type firstEventSilence struct {
 	// min is the least limit, for prompts that are read within a moment.
 	min time.Duration
-	// predicted is the predicted time to the first event at the endpoint, and elsewhere that at an idle endpoint
-	// without any part of the prompt.
+	// predicted is the predicted time to the first event at the endpoint, and elsewhere that at another one without any
+	// part of the prompt.
 	predicted time.Duration
 	elsewhere time.Duration
 	// left is the time until the caller gives up waiting for a first event.
--- a/selector/homes.go
+++ b/selector/homes.go
@@ -1,6 +1,7 @@
 package selector
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -25,10 +26,11 @@
 	}
 	key := keys[s.homePart(query.Parts)]
 	var home [homeCount]*endpoint
-	var ranks [homeCount]uint64
+	var ranks [homeCount]float64
+	weigh := p.speeds.Spread() > 0 && !s.peerWorkUnknown
 	n := 0
 	for _, e := range p.endpoints {
-		rank := hasher.Mix(e.hash ^ key)
+		rank := homeRank(e, key, weigh)
 		if n == homeCount && rank <= ranks[n-1] || !s.mayBeHome(e, query, now) {
 			continue
 		}
@@ -42,6 +44,17 @@
 	return home[:n]
 }
 
+// homeRank ranks the endpoint for a prompt part. Weighed by speed, endpoints are homes of as many parts as they read in
+// the same time: an entry with a rank for each moves only parts whose home has changed its speed. Speeds are rounded, so
+// that entries agree on most homes although each has its own estimate.
+func homeRank(e *endpoint, key uint64, weigh bool) float64 {
+	hash := hasher.Mix(e.hash ^ key)
+	if !weigh {
+		return float64(hash)
+	}
+	return -1 / (e.speed.RoundedFactor() * math.Log((float64(hash)+1)/(1<<64)))
+}
+
 func (s *Selector) mayBeHome(e *endpoint, query *Query, now time.Time) bool {
 	if e.health.State() != ejector.InUse || s.lowCapacity(e, now) {
 		return false
--- a/selector/pace.go
+++ b/selector/pace.go
@@ -98,20 +98,21 @@
 	return estimator.Work{Queued: c.queued, Uncached: c.Tokens, Cached: c.Cached}
 }
 
-// PredictFirstEvent predicts the time to the first event of a prompt whose shared parts are cached.
+// PredictFirstEvent predicts the time to the first event of a prompt whose shared parts are cached, at an endpoint with a
+// typical queue.
 func (s *Selector) PredictFirstEvent(service string, parts []Part) time.Duration {
 	shared := sharedTokens(parts)
 	return s.predict(service, estimator.Work{Uncached: promptTokens(parts) - shared + s.cfg.CallTokens, Cached: shared})
 }
 
-// PredictUncached predicts the time to the first event of a prompt at an idle endpoint that has no part of it cached.
+// PredictUncached predicts the time to the first event of a prompt at an endpoint that has no part of it cached.
 func (s *Selector) PredictUncached(service string, parts []Part) time.Duration {
 	return s.predict(service, estimator.Work{Uncached: promptTokens(parts) + s.cfg.CallTokens})
 }
 
 func (s *Selector) predict(service string, w estimator.Work) time.Duration {
 	if p, known := s.pools[service]; known {
-		return p.fit.Predict(w)
+		return p.fit.PredictTypical(w)
 	}
-	return (&estimator.Fit{}).Predict(w)
+	return (&estimator.Fit{}).PredictTypical(w)
 }
--- a/selector/pace_test.go
+++ b/selector/pace_test.go
@@ -88,6 +88,26 @@
 	require.Greater(t, counts["e1"], 30, "it still serves its share")
 }
 
+// Answers the load of prompts with large shared parts where endpoints differ in speed: with as many homes at each
+// endpoint, the slow ones read for longest.
+func TestPromptsHaveFewerHomesAtSlowEndpoints(t *testing.T) {
+	before, after := newSelector(9), newSelector(9)
+	after.observe("e1", 2.5, now)
+	after.UpdateSpeeds(now.Add(20 * time.Second))
+	homes := make(map[string]int)
+	for part := range uint64(3000) {
+		query := Query{Service: "pool", Parts: prompt(part, 5000+part)}
+		a, _ := before.Choose(query, now)
+		b, _ := after.Choose(query, now)
+		homes[b.Endpoint.ID]++
+		if a.Endpoint.ID != "e1" {
+			require.Equal(t, a.Endpoint.ID, b.Endpoint.ID, "only parts at the slow endpoint move")
+		}
+	}
+	require.Less(t, homes["e1"], 220)
+	require.Greater(t, homes["e1"], 80)
+}
+
 // Guards against waiting at the home of a prompt, which has become slow, for longer than another endpoint takes to read
 // the shared parts again.
 func TestPromptLeavesASlowLoadedHome(t *testing.T) {
