Share the retry budget of all entries over a sliding window

Cause: each entry has a token bucket of 0.6 of its even share, whose reserve is 1.56 calls at 67 entries. When a part of the endpoints ends at once, the streams interrupted there all need a retry in the same moment, and most are denied although all entries together use a quarter of the budget.

Weighed: the largest of an entry's own counts (its sum over the entries exceeds what was requested of the system when callers move between entries, or by chance alone), permits from one entry (a round trip before each retry), an even share of what is left of the whole and no guarantee (an entry that had no failures finds nothing when it needs it).

Change: retrier.Shared counts requests and retries in buckets of a fortieth of the window. An entry may always use 0.6 of its even share, all at once, and may borrow an even part of what heard peers leave unused, again each 2.5 s. The requests counted are the least in any window that ended within the last one. Peers that aren't heard lend nothing, and the largest recent number of entries divides the slack. Nothing uses it yet.

Measured: the property test (loads, lost reports, a restart in two windows, partitions of any length) and the table of moments in which all entries use their most hold; they fail when reports stay valid for a window, when the number of entries is forgotten after a second, when a loan may be taken again within the age of reports, and when the requests of the present window are counted instead of the least.

--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -1,5 +1,6 @@
-// Package retrier decides whether a stage call may be retried, or hedged by a second concurrent call, from one budget
-// of extra calls per pool. It has no clock of its own: callers pass in the current time.
+// Package retrier decides whether a call may be retried, or hedged by a second concurrent call. A Retrier has one token
+// bucket of extra calls per pool; a Shared is one entry's view of budgets that all entries share. It has no clock of its
+// own: callers pass in the current time.
 package retrier
 
 import "time"
