Retry by the budget that all entries share

Change: forwarded requests use retrier.Shared in place of the token bucket, and entries report their use in load reports. The window comes from the settings. A retry that met an endpoint which could not be connected to is not paid twice, as nothing arrived there. Requests that would be lost and urgent ones may borrow all that is lent, others half of it. A hedge gives an endpoint up only if more than half of the budget is left at that moment; before, it cancelled the call and then found no budget to send it elsewhere. New metrics: forward_retries_left, forward_retries_denied.

Tests: limit_test.go and mesh_test.go call the new type where they took retries from the bucket; what they require is the same. go test -race of forwarder, meter, documenter, retrier, platform, assembler and reducer passed.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -115,6 +115,7 @@
 		AddressTTL:    min(addressTTL, settings.AddressTTL),
 		RetryRatio:    settings.RetryRatio,
 		RetrySlack:    settings.RetrySlack,
+		RetryWindow:   settings.RetryWindow,
 		Disabled:      cfg.Disabled,
 		Wire:          platform.Dialect{},
 		Client:        connector.New(connector.Config{}),
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -56,9 +56,6 @@
 	fullMeshLimit = 64
 	// sweepInterval is how often idle connections are checked.
 	sweepInterval = 500 * time.Millisecond
-	// retryShare is the part of the shared retry budget that entries plan with: their counts of each other's retries
-	// lag, and a restarted entry starts with empty counts.
-	retryShare = 0.6
 )
 
 // Sender sends messages to peers without blocking.
@@ -87,9 +84,10 @@
 	ColdSlack  float64
 	// AddressTTL is how long callers may cache the list of entry addresses.
 	AddressTTL time.Duration
-	// RetryRatio and RetrySlack bound the retries and hedges of all entries together.
-	RetryRatio float64
-	RetrySlack float64
+	// RetryRatio and RetrySlack bound the retries and hedges of all entries together in any RetryWindow.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 
 	// Disabled lists the policy mechanisms that are switched off.
 	Disabled switcher.Disabled
@@ -118,7 +116,7 @@
 	registry  *registrar.Registry
 	selector  *selector.Selector
 	detector  *detector.Detector
-	retrier   *retrier.Retrier
+	retries   *retrier.Shared
 	// quarantiner tracks content that crashes endpoints, as seen here and by peers.
 	quarantiner *quarantiner.Quarantiner
 	// evacuator tracks the zones whose endpoints receive no new work, warmer limits the calls from this entry to cold
@@ -220,11 +218,13 @@
 			GossipDeadAfter:    gossipDeadAfter,
 			HeartbeatInterval:  heartbeatInterval,
 		}),
-		retrier: retrier.New(retrier.Config{
-			Ratio:       cfg.RetryRatio * retryShare,
-			Reserve:     retryReserve(cfg.RetrySlack, typicalEntries),
-			MaxAttempts: maxEndpointsPerRequest,
-		}),
+		retries: retrier.NewShared(retrier.SharedConfig{
+			Ratio:        cfg.RetryRatio,
+			Slack:        cfg.RetrySlack,
+			Window:       cfg.RetryWindow,
+			MinEntries:   typicalEntries,
+			MaxReporting: maxReportPeers + 1,
+		}, now),
 		ending:      make(chan struct{}),
 		quarantiner: quarantiner.New(quarantiner.Config{}),
 		evacuator:   evacuator.New(),
@@ -266,11 +266,6 @@
 	return ejector.Config{MaxEjectedShare: maxEjectedShare}
 }
 
-// retryReserve returns one entry's part of the slack that all entries share.
-func retryReserve(slack float64, entries int) float64 {
-	return max(1, slack*retryShare/float64(entries))
-}
-
 // SetSender sets the transport for messages to peers. It must be called before Run.
 func (f *Forwarder) SetSender(s Sender) { f.sender = s }
 
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -57,6 +57,8 @@
 	runs int
 	// attempts counts the endpoints that the request was sent to.
 	attempts int
+	// paidRetries counts the retries taken from the budget for this request.
+	paidRetries int
 	// headerSent is set once the response header was written to the caller.
 	headerSent bool
 	// status is the status of the endpoint's response.
@@ -252,7 +254,7 @@
 }
 
 // allowAttempt reports whether the request may be sent to one more endpoint. Each attempt after the first uses up
-// retry budget.
+// retry budget, once an endpoint was reached.
 func (x *exchange) allowAttempt() bool {
 	if x.attempts >= maxEndpointsPerRequest {
 		return false
@@ -260,21 +262,13 @@
 	now := time.Now()
 	x.f.mu.Lock()
 	defer x.f.mu.Unlock()
-	if x.attempts == 0 {
-		x.f.retrier.RecordFirstAttempt(x.service.Name, false, now)
-		return true
+	if len(x.tried) == 0 {
+		x.f.retries.RecordRequest(x.service.Name, now)
 	}
-	allowed := x.f.retrier.TakeRetry(x.service.Name, x.attempts, now)
-	if allowed {
-		x.f.cfg.Meter.Counter(meter.ForwardRepeats, x.service.Name).Inc(1)
+	if x.attempts <= x.paidRetries {
+		return true
 	}
-	x.f.log.Info("retry requested",
-		zap.String("request", x.req.ID),
-		zap.String("service", x.service.Name),
-		zap.Bool("allowed", allowed),
-		zap.Int("sends", x.attempts),
-		zap.Int("runs", x.runs))
-	return allowed
+	return x.takeRetry(now)
 }
 
 // callInfo returns the call metadata for an endpoint.
--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -13,6 +13,7 @@
 	"geraniumline/measurer"
 	"geraniumline/registrar"
 	"geraniumline/regulator"
+	"geraniumline/retrier"
 	"geraniumline/selector"
 )
 
@@ -150,8 +151,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if sends == 0 {
-		f.retrier.RecordFirstAttempt(query.Service, false, p.m.now)
-	} else if !f.retrier.TakeRetry(query.Service, sends, p.m.now) {
+		f.retries.RecordRequest(query.Service, p.m.now)
+	} else if sends >= maxEndpointsPerRequest || !f.retries.TakeRetry(query.Service, retrier.Deferrable, p.m.now) {
 		return selector.Choice{}, false
 	}
 	choice, found := f.selector.Choose(query, p.m.now)
--- a/forwarder/loadreport.go
+++ b/forwarder/loadreport.go
@@ -11,8 +11,8 @@
 const reportTTL = time.Second
 
 // loadReport returns the work that this entry has in flight at each endpoint. The lock must be held.
-func (f *Forwarder) loadReport() *carrier.LoadReport {
-	w := &carrier.LoadReport{}
+func (f *Forwarder) loadReport(now time.Time) *carrier.LoadReport {
+	w := &carrier.LoadReport{Retries: f.retryUse(now)}
 	for id, tokens := range f.selector.OwnWork() {
 		w.Endpoints = append(w.Endpoints, carrier.EndpointWork{ID: id, Tokens: int32(tokens)})
 	}
@@ -26,6 +26,7 @@
 	}
 	f.selector.SetPeerWork(from, tokens)
 	f.reportedAt[from] = now
+	f.applyRetryUse(from, m.Retries, now)
 }
 
 // expireReports discards peers' load reports that have expired. The lock must be held.
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -16,6 +16,7 @@
 	"geraniumline/connector"
 	"geraniumline/locator"
 	"geraniumline/registrar"
+	"geraniumline/retrier"
 	"geraniumline/selector"
 )
 
@@ -232,7 +233,7 @@
 	extra := 0
 	for name, f := range m.nodes {
 		require.Len(t, f.liveAddresses(), 59, name)
-		for f.retrier.TakeRetry("plain", 1, time.Now()) {
+		for f.retries.TakeRetry("plain", retrier.Pressing, time.Now()) {
 			extra++
 		}
 	}
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -46,7 +46,7 @@
 	startTime := time.Now()
 	x.attempts++
 	x.tried = append(x.tried, choice.Endpoint.ID)
-	ctx, cancel := x.hedgeContext(startTime)
+	ctx, cancel := x.hedgeContext()
 	defer cancel()
 	resp, info, body, err := x.exchangePlain(ctx, choice, startTime)
 	if err != nil {
@@ -69,13 +69,19 @@
 }
 
 // hedgeContext returns a context that bounds the wait for an endpoint if the request may be sent to another one
-// afterwards.
-func (x *exchange) hedgeContext(now time.Time) (context.Context, context.CancelFunc) {
+// afterwards, and if the retry budget has enough left by then.
+func (x *exchange) hedgeContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(x.ctx)
 	if x.f.cfg.Disabled.Has(switcher.Hedging) || !x.route.Repeatable() || x.runs+1 >= x.route.MaxAttempts {
-		return context.WithCancel(x.ctx)
+		return ctx, cancel
 	}
 	wait := max(minHedgeDelay, time.Duration(hedgeShare*float64(x.route.Objective)))
-	return context.WithDeadline(x.ctx, now.Add(wait))
+	timer := time.AfterFunc(wait, func() {
+		if x.f.allowsHedge(x.service.Name, time.Now()) {
+			cancel()
+		}
+	})
+	return ctx, func() { timer.Stop(); cancel() }
 }
 
 func (x *exchange) exchangePlain(ctx context.Context, choice selector.Choice, now time.Time) (*connector.Response, ResponseInfo, []byte, error) {
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -101,6 +101,8 @@
 	ForwardInFlight         Name = "forward_in_flight"
 	ForwardCalls            Name = "forward_calls"
 	ForwardRepeats          Name = "forward_repeats"
+	ForwardRetriesDenied    Name = "forward_retries_denied"
+	ForwardRetriesLeft      Name = "forward_retries_left"
 	ForwardResumes          Name = "forward_resumes"
 	ForwardCrashes          Name = "forward_crashes"
 	PieceCalls              Name = "piece_calls"
@@ -236,6 +238,8 @@
 	{ForwardInFlight, KindGauge, "requests", "", "Forwarded requests under way.", ""},
 	{ForwardCalls, KindCounter, "calls", byService, "A forwarded request sent to an endpoint.", ""},
 	{ForwardRepeats, KindCounter, "calls", byService, "A call beyond the first of its request. The system's budget bounds them.", ""},
+	{ForwardRetriesDenied, KindCounter, "calls", byService, "A call beyond the first of its request that the budget did not allow.", ""},
+	{ForwardRetriesLeft, KindGauge, "calls", byService, "Calls beyond the first of their request that this entry may still make.", ""},
 	{ForwardResumes, KindCounter, "streams", "", "A stream that went on at another endpoint.", ""},
 	{ForwardCrashes, KindCounter, "endpoints", "", "An endpoint that crashed while it ran a forwarded request.", ""},
 	{PieceCalls, KindCounter, "calls", byService, "A call for pieces of a stage.", ""},
