Lend more retries to the few entries that have used theirs up

Cause: the loan is divided by the number of all entries, as all may need it at once. Where an entry's part of it is less than one call, nothing could be borrowed a second time, however much the others left unused (40 entries, slack 54: one retry each).

Change: a tenth of the loan is divided only among entries that have used their own share up for longer than reports take. All heard peers know them by then, so that none of them counts fewer of them than there are.

--- a/retrier/shared.go
+++ b/retrier/shared.go
@@ -12,6 +12,9 @@
 	// restartedPart is the part of the entries whose retries may be forgotten, as they restarted within a window. One
 	// entry at least may restart.
 	restartedPart = 0.05
+	// borrowersPart is the part of the loan for entries that have used their own shares up and are known to have. The
+	// rest is for all entries alike, as all may need it at once.
+	borrowersPart = 0.1
 	// deferrablePart is the part of the loan that is open to retries of deferrable requests.
 	deferrablePart = 0.5
 	// hedgePart is the part of the limit that must be left for a hedge.
@@ -159,19 +162,33 @@
 	if n > s.cfg.MaxReporting {
 		return plannedPart * share, 0
 	}
-	settled := float64(c.retries() - c.borrowedWithin(loanInterval, s.bucket))
-	even = max(evenPart*share, settled)
+	retries := c.retries()
+	recent, borrowed := c.recent(int(loanInterval / s.bucket))
+	even = max(evenPart*share, float64(retries-borrowed))
 	unused := plannedPart*share - even
+	borrows, borrowers := usedUp(retries-recent, share), 1
 	for _, p := range s.peers {
 		u := p.uses[service]
 		share := s.share(u.Requests, n)
 		if p.reports(now) {
 			unused += plannedPart*share - max(evenPart*share, float64(u.Retries))
+			if usedUp(u.Retries, share) {
+				borrowers++
+			}
 		} else {
 			unused -= max(0, float64(u.Retries)-plannedPart*share)
 		}
 	}
-	return even, max(0, unused/float64(n))
+	loan = max(0, unused) * (1 - borrowersPart) / float64(n)
+	if borrows {
+		loan += max(0, unused) * borrowersPart / float64(borrowers)
+	}
+	return even, loan
+}
+
+// usedUp reports whether an entry that has made the given number of retries can make no more of its own share.
+func usedUp(retries int, share float64) bool {
+	return retries > 0 && float64(retries+1) > evenPart*share
 }
 
 // plannedPart returns the part of the total that all entries together may use.
@@ -300,11 +317,13 @@
 	return n
 }
 
-func (c *counts) borrowedWithin(d, bucket time.Duration) (n int) {
-	for age := range min(int(d/bucket)+1, bucketsPerWindow) + 1 {
-		n += c.at(age).borrowed
+// recent counts the retries in the given number of buckets at least, and the borrowed ones of them.
+func (c *counts) recent(buckets int) (retries, borrowed int) {
+	for age := range min(buckets+1, bucketsPerWindow) + 1 {
+		retries += c.at(age).retries
+		borrowed += c.at(age).borrowed
 	}
-	return n
+	return retries, borrowed
 }
 
 // leastRequests returns the least number of requests in one of the windows that ended up to the given number of
