--- a/forwarder/loadreport.go
+++ b/forwarder/loadreport.go
@@ -10,10 +10,10 @@
 // per round, the next one may arrive seconds later.
 const reportTTL = time.Second
 
-// loadReport returns the work that this entry has in flight at each endpoint, and its recent observations of their
-// speeds. The lock must be held.
+// loadReport returns the work that this entry has in flight at each endpoint, its recent observations of their speeds,
+// and its use of the retry budgets. The lock must be held.
 func (f *Forwarder) loadReport(now time.Time) *carrier.LoadReport {
-	w := &carrier.LoadReport{Timings: f.timings.report(now)}
+	w := &carrier.LoadReport{Timings: f.timings.report(now), Retries: f.retryUse(now)}
 	for id, tokens := range f.selector.OwnWork() {
 		w.Endpoints = append(w.Endpoints, carrier.EndpointWork{ID: id, Tokens: int32(tokens)})
 	}
@@ -28,6 +28,7 @@
 	f.selector.SetPeerWork(from, tokens)
 	f.applyTimings(from, m.Timings, now)
 	f.reportedAt[from] = now
+	f.applyRetryUse(from, m.Retries, now)
 }
 
 // expireReports discards peers' load reports that have expired. The lock must be held.
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -69,7 +69,8 @@
 }
 
 // hedgeContext returns a context that bounds the wait for an endpoint if the request may be sent to another one
-// afterwards. If no other one accepts it by then, because all rest or are limited, the silent endpoint may still answer.
+// afterwards. If no other one accepts it by then, because all rest or are limited, or too little of the retry budget is
+// left, the silent endpoint may still answer.
 func (x *exchange) hedgeContext() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(x.ctx)
 	if x.f.cfg.Disabled.Has(switcher.Hedging) || !x.route.Repeatable() || x.runs+1 >= x.route.MaxAttempts {
@@ -78,7 +79,8 @@
 	wait := max(minHedgeDelay, time.Duration(hedgeShare*float64(x.route.Objective)))
 	query := x.endpointQuery(selector.Query{})
 	timer := time.AfterFunc(wait, func() {
-		if x.f.hasEndpoint(query, time.Now()) {
+		now := time.Now()
+		if x.f.hasEndpoint(query, now) && x.f.allowsHedge(x.service.Name, now) {
 			cancel()
 		}
 	})
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -101,6 +101,8 @@
 	ForwardInFlight         Name = "forward_in_flight"
 	ForwardCalls            Name = "forward_calls"
 	ForwardRepeats          Name = "forward_repeats"
+	ForwardRetriesDenied    Name = "forward_retries_denied"
+	ForwardRetriesLeft      Name = "forward_retries_left"
 	ForwardResumes          Name = "forward_resumes"
 	ForwardStalls           Name = "forward_stalls"
 	ForwardSpeedSpread      Name = "forward_speed_spread"
@@ -240,6 +242,8 @@
 	{ForwardInFlight, KindGauge, "requests", "", "Forwarded requests under way.", ""},
 	{ForwardCalls, KindCounter, "calls", byService, "A forwarded request sent to an endpoint.", ""},
 	{ForwardRepeats, KindCounter, "calls", byService, "A call beyond the first of its request. The system's budget bounds them.", ""},
+	{ForwardRetriesDenied, KindCounter, "calls", byService, "A call beyond the first of its request that the budget did not allow.", ""},
+	{ForwardRetriesLeft, KindGauge, "calls", byService, "Calls beyond the first of their request that this entry may still make.", ""},
 	{ForwardResumes, KindCounter, "streams", "", "A stream that went on at another endpoint.", ""},
 	{ForwardStalls, KindCounter, "streams", byReason, "A call of a resumable stream that was canceled because its endpoint was silent, beforeFirstEvent or betweenEvents.", ""},
 	{ForwardSpeedSpread, KindGauge, "thousandths", byService, "The standard deviation of the endpoints' speeds as a part of the usual one; 0 if noise explains all differences.", ""},
