Give the test of hedges and the retry budget another endpoint

Cause: two parts were joined. A hedge now needs another endpoint that accepts the request (TestNoHedgeWithoutAnotherEndpoint) as well as enough of the retry budget; the test of the latter had no endpoint at all, so that its case "nothing used" had no hedge. Change: the test's entry knows another endpoint; its checks are the same.

--- a/forwarder/retries_test.go
+++ b/forwarder/retries_test.go
@@ -110,7 +110,9 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newMesh(t, 1).nodes["entry-0"]
+				m := newMesh(t, 1)
+				m.setEndpoints("other")
+				f := m.nodes["entry-0"]
 				limit := f.retries.Allowance("plain", time.Now()).Limit
 				for taken := 0.0; taken < tc.used*limit; taken++ {
 					require.True(t, f.retries.TakeRetry("plain", retrier.Pressing, time.Now()))
