Tell peers where prompts are sent, and compare few endpoints of a large pool

Cause: an entry knew only the prompts that it had sent itself. Others counted as cached at their home endpoint, although nobody had read most of them: of 1,587 prompts in 3,002 requests at 67 entries an entry meets most once. So the work of reading them was missing in all entries' loads, calls crowded at homes, stage due times assumed that it takes no time, and a prompt that had overflowed to another endpoint was read a third time at its home.

Change: load reports carry the sender's placements of the last second, each applied once. Where peers report, a prompt counts as cached where it was sent, a new one prefers its home a little, homes go by the last shared part, stage results are made where the prompt is cached, and predictions count the reading of a prompt that nobody sent. Pools of over 16 endpoints compare few of them. Without peers, or with more than 128, choices are as before (TestUnknownPromptsLeaveChoicesAsTheyAre).

--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -file schema.go -o schema_gen.go -tests=false
 
-//msgp:tuple EndpointTiming RetryUse StageClassWait EndpointRefusal EndpointLeave EndpointLimit PieceResult MadeResult EndpointWork StageWait EndpointEntry ModelDemand AccountBill StageBill Member EndpointLoad AccountUse Record CrashLoss
+//msgp:tuple PromptPlacement EndpointTiming RetryUse StageClassWait EndpointRefusal EndpointLeave EndpointLimit PieceResult MadeResult EndpointWork StageWait EndpointEntry ModelDemand AccountBill StageBill Member EndpointLoad AccountUse Record CrashLoss
 
 // Kind identifies the type of the message in a frame.
 type Kind uint8
@@ -394,6 +394,17 @@
 	LogRatio int32
 }
 
+// PromptPlacement is a prompt that the sender has sent to an endpoint, which caches its shared parts from then on.
+type PromptPlacement struct {
+	ID string
+	// StartedMillis is the start time of the endpoint process in Unix milliseconds; 0 if it does not report one.
+	StartedMillis int64
+	// Sequence numbers the sender's placements. A receiver applies each of them once.
+	Sequence uint64
+	// Prefixes are the keys of the prompt's shared prefixes, from the shortest to the longest.
+	Prefixes []uint64 `msg:"prefixes,limit=64"`
+}
+
 // RetryUse is the sender's use of the retry budget of one service within the budget's window.
 type RetryUse struct {
 	Service string
@@ -407,6 +418,8 @@
 	Endpoints []EndpointWork `msg:"endpoints,limit=16384"`
 	// Timings are the sender's most recent observations of endpoints' speeds.
 	Timings []EndpointTiming `msg:"timings,omitempty,limit=1024"`
+	// Prompts are the sender's most recent placements of prompts.
+	Prompts []PromptPlacement `msg:"prompts,omitempty,limit=1024"`
 	// Retries is the sender's use of the services' retry budgets.
 	Retries []RetryUse `msg:"retries,omitempty,limit=1024"`
 }
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -5163,50 +5163,73 @@
 					return
 				}
 			}
-		case "retries":
+		case "prompts":
 			var zb0005 uint32
 			zb0005, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Retries")
+				err = msgp.WrapError(err, "Prompts")
 				return
 			}
 			if zb0005 > 1024 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Retries) >= int(zb0005) {
-				z.Retries = (z.Retries)[:zb0005]
+			if cap(z.Prompts) >= int(zb0005) {
+				z.Prompts = (z.Prompts)[:zb0005]
 			} else {
-				z.Retries = make([]RetryUse, zb0005)
+				z.Prompts = make([]PromptPlacement, zb0005)
 			}
-			for za0003 := range z.Retries {
-				var zb0006 uint32
-				zb0006, err = dc.ReadArrayHeader()
+			for za0003 := range z.Prompts {
+				err = z.Prompts[za0003].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Retries", za0003)
+					err = msgp.WrapError(err, "Prompts", za0003)
 					return
 				}
-				if zb0006 > 1024 {
+			}
+		case "retries":
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Retries")
+				return
+			}
+			if zb0006 > 1024 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Retries) >= int(zb0006) {
+				z.Retries = (z.Retries)[:zb0006]
+			} else {
+				z.Retries = make([]RetryUse, zb0006)
+			}
+			for za0004 := range z.Retries {
+				var zb0007 uint32
+				zb0007, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Retries", za0004)
+					return
+				}
+				if zb0007 > 1024 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if zb0006 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0006}
+				if zb0007 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0007}
 					return
 				}
-				z.Retries[za0003].Service, err = dc.ReadString()
+				z.Retries[za0004].Service, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Retries", za0003, "Service")
+					err = msgp.WrapError(err, "Retries", za0004, "Service")
 					return
 				}
-				z.Retries[za0003].Requests, err = dc.ReadInt32()
+				z.Retries[za0004].Requests, err = dc.ReadInt32()
 				if err != nil {
-					err = msgp.WrapError(err, "Retries", za0003, "Requests")
+					err = msgp.WrapError(err, "Retries", za0004, "Requests")
 					return
 				}
-				z.Retries[za0003].Retries, err = dc.ReadInt32()
+				z.Retries[za0004].Retries, err = dc.ReadInt32()
 				if err != nil {
-					err = msgp.WrapError(err, "Retries", za0003, "Retries")
+					err = msgp.WrapError(err, "Retries", za0004, "Retries")
 					return
 				}
 			}
@@ -5224,17 +5247,21 @@
 // EncodeMsg implements msgp.Encodable
 func (z *LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
 	if z.Timings == nil {
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
-	if z.Retries == nil {
+	if z.Prompts == nil {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.Retries == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -5290,6 +5317,25 @@
 			}
 		}
 		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "prompts"
+			err = en.Append(0xa7, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Prompts)))
+			if err != nil {
+				err = msgp.WrapError(err, "Prompts")
+				return
+			}
+			for za0003 := range z.Prompts {
+				err = z.Prompts[za0003].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Prompts", za0003)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// write "retries"
 			err = en.Append(0xa7, 0x72, 0x65, 0x74, 0x72, 0x69, 0x65, 0x73)
 			if err != nil {
@@ -5300,25 +5346,25 @@
 				err = msgp.WrapError(err, "Retries")
 				return
 			}
-			for za0003 := range z.Retries {
+			for za0004 := range z.Retries {
 				// array header, size 3
 				err = en.Append(0x93)
 				if err != nil {
 					return
 				}
-				err = en.WriteString(z.Retries[za0003].Service)
+				err = en.WriteString(z.Retries[za0004].Service)
 				if err != nil {
-					err = msgp.WrapError(err, "Retries", za0003, "Service")
+					err = msgp.WrapError(err, "Retries", za0004, "Service")
 					return
 				}
-				err = en.WriteInt32(z.Retries[za0003].Requests)
+				err = en.WriteInt32(z.Retries[za0004].Requests)
 				if err != nil {
-					err = msgp.WrapError(err, "Retries", za0003, "Requests")
+					err = msgp.WrapError(err, "Retries", za0004, "Requests")
 					return
 				}
-				err = en.WriteInt32(z.Retries[za0003].Retries)
+				err = en.WriteInt32(z.Retries[za0004].Retries)
 				if err != nil {
-					err = msgp.WrapError(err, "Retries", za0003, "Retries")
+					err = msgp.WrapError(err, "Retries", za0004, "Retries")
 					return
 				}
 			}
@@ -5331,17 +5377,21 @@
 func (z *LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
 	if z.Timings == nil {
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
-	if z.Retries == nil {
+	if z.Prompts == nil {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.Retries == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -5369,15 +5419,27 @@
 			}
 		}
 		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "prompts"
+			o = append(o, 0xa7, 0x70, 0x72, 0x6f, 0x6d, 0x70, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Prompts)))
+			for za0003 := range z.Prompts {
+				o, err = z.Prompts[za0003].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Prompts", za0003)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// string "retries"
 			o = append(o, 0xa7, 0x72, 0x65, 0x74, 0x72, 0x69, 0x65, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Retries)))
-			for za0003 := range z.Retries {
+			for za0004 := range z.Retries {
 				// array header, size 3
 				o = append(o, 0x93)
-				o = msgp.AppendString(o, z.Retries[za0003].Service)
-				o = msgp.AppendInt32(o, z.Retries[za0003].Requests)
-				o = msgp.AppendInt32(o, z.Retries[za0003].Retries)
+				o = msgp.AppendString(o, z.Retries[za0004].Service)
+				o = msgp.AppendInt32(o, z.Retries[za0004].Requests)
+				o = msgp.AppendInt32(o, z.Retries[za0004].Retries)
 			}
 		}
 	}
@@ -5463,46 +5525,69 @@
 					return
 				}
 			}
-		case "retries":
+		case "prompts":
 			var zb0005 uint32
 			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Retries")
+				err = msgp.WrapError(err, "Prompts")
 				return
 			}
 			if zb0005 > 1024 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Retries) >= int(zb0005) {
-				z.Retries = (z.Retries)[:zb0005]
+			if cap(z.Prompts) >= int(zb0005) {
+				z.Prompts = (z.Prompts)[:zb0005]
 			} else {
-				z.Retries = make([]RetryUse, zb0005)
+				z.Prompts = make([]PromptPlacement, zb0005)
 			}
-			for za0003 := range z.Retries {
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			for za0003 := range z.Prompts {
+				bts, err = z.Prompts[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Prompts", za0003)
+					return
+				}
+			}
+		case "retries":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Retries")
+				return
+			}
+			if zb0006 > 1024 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Retries) >= int(zb0006) {
+				z.Retries = (z.Retries)[:zb0006]
+			} else {
+				z.Retries = make([]RetryUse, zb0006)
+			}
+			for za0004 := range z.Retries {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Retries", za0003)
+					err = msgp.WrapError(err, "Retries", za0004)
 					return
 				}
-				if zb0006 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0006}
+				if zb0007 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0007}
 					return
 				}
-				z.Retries[za0003].Service, bts, err = msgp.ReadStringBytes(bts)
+				z.Retries[za0004].Service, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Retries", za0003, "Service")
+					err = msgp.WrapError(err, "Retries", za0004, "Service")
 					return
 				}
-				z.Retries[za0003].Requests, bts, err = msgp.ReadInt32Bytes(bts)
+				z.Retries[za0004].Requests, bts, err = msgp.ReadInt32Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Retries", za0003, "Requests")
+					err = msgp.WrapError(err, "Retries", za0004, "Requests")
 					return
 				}
-				z.Retries[za0003].Retries, bts, err = msgp.ReadInt32Bytes(bts)
+				z.Retries[za0004].Retries, bts, err = msgp.ReadInt32Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Retries", za0003, "Retries")
+					err = msgp.WrapError(err, "Retries", za0004, "Retries")
 					return
 				}
 			}
@@ -5529,8 +5614,12 @@
 		s += z.Timings[za0002].Msgsize()
 	}
 	s += 8 + msgp.ArrayHeaderSize
-	for za0003 := range z.Retries {
-		s += 1 + msgp.StringPrefixSize + len(z.Retries[za0003].Service) + msgp.Int32Size + msgp.Int32Size
+	for za0003 := range z.Prompts {
+		s += z.Prompts[za0003].Msgsize()
+	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0004 := range z.Retries {
+		s += 1 + msgp.StringPrefixSize + len(z.Retries[za0004].Service) + msgp.Int32Size + msgp.Int32Size
 	}
 	return
 }
@@ -8504,6 +8593,169 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *PromptPlacement) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.StartedMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
+	z.Sequence, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Prefixes")
+		return
+	}
+	if zb0002 > 64 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Prefixes) >= int(zb0002) {
+		z.Prefixes = (z.Prefixes)[:zb0002]
+	} else {
+		z.Prefixes = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Prefixes {
+		z.Prefixes[za0001], err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Prefixes", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *PromptPlacement) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteInt64(z.StartedMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
+	err = en.WriteUint64(z.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Prefixes)))
+	if err != nil {
+		err = msgp.WrapError(err, "Prefixes")
+		return
+	}
+	for za0001 := range z.Prefixes {
+		err = en.WriteUint64(z.Prefixes[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Prefixes", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PromptPlacement) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendString(o, z.ID)
+	o = msgp.AppendInt64(o, z.StartedMillis)
+	o = msgp.AppendUint64(o, z.Sequence)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Prefixes)))
+	for za0001 := range z.Prefixes {
+		o = msgp.AppendUint64(o, z.Prefixes[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PromptPlacement) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMillis")
+		return
+	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Prefixes")
+		return
+	}
+	if zb0002 > 64 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Prefixes) >= int(zb0002) {
+		z.Prefixes = (z.Prefixes)[:zb0002]
+	} else {
+		z.Prefixes = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Prefixes {
+		z.Prefixes[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Prefixes", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PromptPlacement) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Int64Size + msgp.Uint64Size + msgp.ArrayHeaderSize + (len(z.Prefixes) * (msgp.Uint64Size))
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Proof) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -142,6 +142,8 @@
 	reportedAt map[string]time.Time
 	// timings holds observations of endpoints' speeds, for and from peers.
 	timings timings
+	// prompts tracks where prompts were sent.
+	prompts prompts
 	// duties caches which entry owns which duty.
 	duties duties
 	// addresses holds the addresses of peers by name.
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -233,6 +233,7 @@
 	choice, found := x.f.selector.Choose(query, now)
 	if found {
 		x.f.selector.RecordStart(choice, query.Parts, now)
+		x.f.prompts.add(&choice, query.Parts, now)
 		x.progress.recordSend(now)
 	}
 	age := x.f.registry.Age(now)
--- a/forwarder/loadreport.go
+++ b/forwarder/loadreport.go
@@ -11,9 +11,13 @@
 const reportTTL = time.Second
 
 // loadReport returns the work that this entry has in flight at each endpoint, its recent observations of their speeds,
-// and its use of the retry budgets. The lock must be held.
+// where it has sent prompts, and its use of the retry budgets. The lock must be held.
 func (f *Forwarder) loadReport(now time.Time) *carrier.LoadReport {
-	w := &carrier.LoadReport{Timings: f.timings.report(now), Retries: f.retryUse(now)}
+	w := &carrier.LoadReport{
+		Timings: f.timings.report(now),
+		Prompts: f.prompts.report(now),
+		Retries: f.retryUse(now),
+	}
 	for id, tokens := range f.selector.OwnWork() {
 		w.Endpoints = append(w.Endpoints, carrier.EndpointWork{ID: id, Tokens: int32(tokens)})
 	}
@@ -27,6 +31,7 @@
 	}
 	f.selector.SetPeerWork(from, tokens)
 	f.applyTimings(from, m.Timings, now)
+	f.applyPrompts(from, m.Prompts)
 	f.reportedAt[from] = now
 	f.applyRetryUse(from, m.Retries, now)
 }
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -32,6 +32,7 @@
 	f.retries.SetEntries(len(peers)+1, now)
 	f.duties.reset()
 	f.expireReports(now)
+	f.updatePromptsKnown(len(peers))
 	f.retries.Expire(now)
 	f.partialLists.expire(now)
 	message := f.detector.Heartbeat(now)
--- a/selector/homes.go
+++ b/selector/homes.go
@@ -67,7 +67,7 @@
 // the overflow elsewhere. Without that knowledge, the last shared part is used: the fewest prompts have it, and its home
 // caches the parts before it too.
 func (s *Selector) homePart(parts []Part) int {
-	if s.peerWorkUnknown && len(parts) > 1 {
+	if (s.peerWorkUnknown || s.promptsKnown) && len(parts) > 1 {
 		return len(parts) - 2
 	}
 	return largestSharedPart(parts)
@@ -80,7 +80,13 @@
 	if !known || sharedTokens(parts) < minHomeTokens {
 		return ""
 	}
-	home := s.homeEndpoints(p, &Query{Parts: parts, Regions: regions}, prefixKeys(parts), now)
+	call := callOf(&Query{Parts: parts, Regions: regions})
+	if s.promptsKnown {
+		if e, found := s.holder(p, &call); found {
+			return e.Zone
+		}
+	}
+	home := s.homeEndpoints(p, call.Query, call.keys, now)
 	if len(home) == 0 {
 		return ""
 	}
--- a/selector/pace.go
+++ b/selector/pace.go
@@ -98,10 +98,16 @@
 	return estimator.Work{Queued: c.queued, Uncached: c.Tokens, Cached: c.Cached}
 }
 
-// PredictFirstEvent predicts the time to the first event of a prompt whose shared parts are cached, at an endpoint with a
-// typical queue.
+// PredictFirstEvent predicts the time to the first event of a prompt at an endpoint with a typical queue. Its shared parts
+// count as cached, unless peers report where they send prompts and nobody has sent this one.
 func (s *Selector) PredictFirstEvent(service string, parts []Part) time.Duration {
 	shared := sharedTokens(parts)
+	if p, known := s.pools[service]; known && s.promptsKnown && shared > 0 {
+		call := callOf(&Query{Parts: parts})
+		if _, held := s.holder(p, &call); !held {
+			return s.PredictUncached(service, parts)
+		}
+	}
 	return s.predict(service, estimator.Work{Uncached: promptTokens(parts) - shared + s.cfg.CallTokens, Cached: shared})
 }
 
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -99,6 +99,8 @@
 	selfHash uint64
 	// peerWorkUnknown is set if peers don't report their work to this entry.
 	peerWorkUnknown bool
+	// promptsKnown is set if peers report to this entry where they send prompts.
+	promptsKnown bool
 	// busy holds the endpoints with work from this entry, and refusing those that may have refused consecutive calls.
 	busy     map[*endpoint]bool
 	refusing map[*endpoint]bool
@@ -290,6 +292,7 @@
 	home := s.homeEndpoints(p, &query, call.keys, now)
 	var chosen *endpoint
 	bestScore, bestCached := 0.0, 0
+	sampled, sample := s.promptsKnown && len(candidates) > smallPool, newSample(&call, home)
 	start := s.cfg.Rand.IntN(len(candidates))
 	for i := range candidates {
 		at := start + i
@@ -297,6 +300,9 @@
 			at -= len(candidates)
 		}
 		e := candidates[at]
+		if sampled && !sample.includes(e) {
+			continue
+		}
 		cached, score := s.score(e, &call, home)
 		if chosen == nil || score < bestScore || score == bestScore && s.preferred(e, chosen) {
 			chosen, bestScore, bestCached = e, score, cached
@@ -399,15 +405,9 @@
 // speed, and the number of prompt tokens that it is believed to have cached. A prompt leaves a home that is slow or loaded
 // once reading its shared parts elsewhere takes less, weighed with rereadWeight.
 func (s *Selector) score(e *endpoint, c *call, home []*endpoint) (cached int, score float64) {
-	cached = min(e.cache.heldTokens(c.keys, c.Parts), c.shared)
-	for rank, h := range home {
-		if h == e {
-			// This entry may not have sent the parts here yet, but every entry sends them here first.
-			cached = max(cached, c.shared>>rank)
-		}
-	}
-	own := c.prompt - cached + s.cfg.CallTokens
-	score = float64(e.tokens+e.peerTokens+own) + (rereadWeight-1)*float64(c.shared-cached)
+	cached, assumed := s.cachedTokens(e, c, slices.Index(home, e))
+	own := c.prompt - assumed + s.cfg.CallTokens
+	score = float64(e.tokens+e.peerTokens+own) + (rereadWeight-1)*float64(c.shared-assumed)
 	score *= e.health.Slowness() * s.speedFactor(e)
 	if len(c.ZoneBytes) == 0 {
 		return cached, score
