Count prompts by whether their endpoint has cached them, and name two switches

Cause: an operator could not see the placement of prompts at work, nor switch it or the comparison of endpoints' speeds off to measure them. Change: counters of calls whose endpoint has cached the prompt's shared parts or reads them, a gauge of whether peers report their placements, and the mechanisms promptReports and endpointSpeeds.

--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -234,6 +234,7 @@
 	if found {
 		x.f.selector.RecordStart(choice, query.Parts, now)
 		x.f.prompts.add(&choice, query.Parts, now)
+		x.f.countPrompt(&choice, query.Parts)
 		x.progress.recordSend(now)
 	}
 	age := x.f.registry.Age(now)
--- a/forwarder/prompts.go
+++ b/forwarder/prompts.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"geraniumline/carrier"
+	"geraniumline/meter"
 	"geraniumline/selector"
+	"geraniumline/switcher"
 )
 
 const (
@@ -41,12 +43,7 @@
 
 // add stores a placement by this entry.
 func (p *prompts) add(choice *selector.Choice, parts []selector.Part, now time.Time) {
-	prefixes := selector.SharedPrefixes(parts)
-	tokens := 0
-	for _, part := range parts[:len(prefixes)] {
-		tokens += part.Tokens
-	}
-	if tokens < minReportedTokens {
+	if selector.SharedTokens(parts) < minReportedTokens {
 		return
 	}
 	p.sequence++
@@ -54,7 +51,7 @@
 		ID:            choice.Endpoint.ID,
 		StartedMillis: toUnixMillis(choice.Endpoint.Started),
 		Sequence:      p.sequence,
-		Prefixes:      prefixes,
+		Prefixes:      selector.SharedPrefixes(parts),
 	}})
 	if len(p.recent) > maxPrompts {
 		p.recent = p.recent[len(p.recent)-maxPrompts:]
@@ -105,6 +102,19 @@
 	}
 }
 
+// countPrompt counts a call by whether its endpoint has to read the shared parts of the prompt.
+func (f *Forwarder) countPrompt(choice *selector.Choice, parts []selector.Part) {
+	shared := selector.SharedTokens(parts)
+	if shared == 0 {
+		return
+	}
+	name := meter.ForwardPromptsRead
+	if choice.Cached >= shared {
+		name = meter.ForwardPromptsCached
+	}
+	f.cfg.Meter.Counter(name, choice.Endpoint.Service).Inc(1)
+}
+
 // applyPrompts applies a peer's placements of prompts. The lock must be held.
 func (f *Forwarder) applyPrompts(from string, list []carrier.PromptPlacement) {
 	member, known := f.detector.Member(from)
@@ -120,6 +130,11 @@
 // prompts for cached at their homes. The lock must be held.
 func (f *Forwarder) updatePromptsKnown(livePeers int) {
 	f.prompts.forget(func(peer string) bool { _, known := f.detector.Member(peer); return known })
-	known := livePeers > 0 && livePeers <= maxReportPeers && float64(len(f.reportedAt)) >= minReportingShare*float64(livePeers)
+	known := !f.cfg.Disabled.Has(switcher.PromptReports) && livePeers > 0 && livePeers <= maxReportPeers && float64(len(f.reportedAt)) >= minReportingShare*float64(livePeers)
 	f.selector.SetPromptsKnown(known)
+	reported := int64(0)
+	if known {
+		reported = 1
+	}
+	f.cfg.Meter.Gauge(meter.PromptsReported).Update(reported)
 }
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -105,6 +105,9 @@
 	ForwardRetriesLeft      Name = "forward_retries_left"
 	ForwardResumes          Name = "forward_resumes"
 	ForwardStalls           Name = "forward_stalls"
+	ForwardPromptsCached    Name = "forward_prompts_cached"
+	ForwardPromptsRead      Name = "forward_prompts_read"
+	PromptsReported         Name = "prompts_reported"
 	ForwardSpeedSpread      Name = "forward_speed_spread"
 	ForwardCrashes          Name = "forward_crashes"
 	PieceCalls              Name = "piece_calls"
@@ -246,6 +249,9 @@
 	{ForwardRetriesLeft, KindGauge, "calls", byService, "Calls beyond the first of their request that this entry may still make.", ""},
 	{ForwardResumes, KindCounter, "streams", "", "A stream that went on at another endpoint.", ""},
 	{ForwardStalls, KindCounter, "streams", byReason, "A call of a resumable stream that was canceled because its endpoint was silent, beforeFirstEvent or betweenEvents.", ""},
+	{ForwardPromptsCached, KindCounter, "calls", byService, "A call whose endpoint has most likely cached all shared parts of the prompt.", ""},
+	{ForwardPromptsRead, KindCounter, "calls", byService, "A call whose endpoint most likely reads shared parts of the prompt.", ""},
+	{PromptsReported, KindGauge, "1 or 0", "", "Whether enough peers report to this entry where they send prompts. Otherwise it takes prompts for cached at their home endpoints.", ""},
 	{ForwardSpeedSpread, KindGauge, "thousandths", byService, "The standard deviation of the endpoints' speeds as a part of the usual one; 0 if noise explains all differences.", ""},
 	{ForwardCrashes, KindCounter, "endpoints", "", "An endpoint that crashed while it ran a forwarded request.", ""},
 	{PieceCalls, KindCounter, "calls", byService, "A call for pieces of a stage.", ""},
--- a/selector/homes.go
+++ b/selector/homes.go
@@ -77,7 +77,7 @@
 // produced there.
 func (s *Selector) HomeZone(service string, parts []Part, regions []string, now time.Time) string {
 	p, known := s.pools[service]
-	if !known || sharedTokens(parts) < minHomeTokens {
+	if !known || SharedTokens(parts) < minHomeTokens {
 		return ""
 	}
 	call := callOf(&Query{Parts: parts, Regions: regions})
--- a/selector/memory.go
+++ b/selector/memory.go
@@ -35,8 +35,8 @@
 	return n
 }
 
-// sharedTokens returns the total size of the parts that other requests may share, in tokens.
-func sharedTokens(parts []Part) int {
+// SharedTokens returns the total size of the parts of a prompt that other requests may share, in tokens.
+func SharedTokens(parts []Part) int {
 	n := 0
 	for _, part := range parts[:max(len(parts)-1, 0)] {
 		n += part.Tokens
--- a/selector/pace.go
+++ b/selector/pace.go
@@ -5,6 +5,7 @@
 
 	"geraniumline/estimator"
 	"geraniumline/registrar"
+	"geraniumline/switcher"
 )
 
 // minObservedTokens is the minimum size of a call that tells the speed of its pool and endpoint. In smaller calls, the
@@ -88,7 +89,7 @@
 // speedFactor returns how many times as long as usual work takes at the endpoint. Entries that don't know their peers'
 // work can't tell a slow endpoint from a loaded one.
 func (s *Selector) speedFactor(e *endpoint) float64 {
-	if s.peerWorkUnknown {
+	if s.peerWorkUnknown || s.cfg.Disabled.Has(switcher.EndpointSpeeds) {
 		return 1
 	}
 	return e.speed.Factor()
@@ -101,7 +102,7 @@
 // PredictFirstEvent predicts the time to the first event of a prompt at an endpoint with a typical queue. Its shared parts
 // count as cached, unless peers report where they send prompts and nobody has sent this one.
 func (s *Selector) PredictFirstEvent(service string, parts []Part) time.Duration {
-	shared := sharedTokens(parts)
+	shared := SharedTokens(parts)
 	if p, known := s.pools[service]; known && s.promptsKnown && shared > 0 {
 		call := callOf(&Query{Parts: parts})
 		if _, held := s.holder(p, &call); !held {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -398,7 +398,7 @@
 }
 
 func callOf(query *Query) call {
-	return call{Query: query, keys: prefixKeys(query.Parts), prompt: promptTokens(query.Parts), shared: sharedTokens(query.Parts)}
+	return call{Query: query, keys: prefixKeys(query.Parts), prompt: promptTokens(query.Parts), shared: SharedTokens(query.Parts)}
 }
 
 // score returns the work before the call's first token at the endpoint, in prompt tokens of an endpoint of the usual
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -47,6 +47,10 @@
 	DutyFollowed Mechanism = "dutyFollowed"
 	// PromptHomes keeps the shared parts of a prompt at one or two model engines.
 	PromptHomes Mechanism = "promptHomes"
+	// PromptReports places prompts where peers report to have sent them.
+	PromptReports Mechanism = "promptReports"
+	// EndpointSpeeds compares endpoints by their estimated speeds.
+	EndpointSpeeds Mechanism = "endpointSpeeds"
 	// NearResults considers results that must cross availability zones when choosing a model engine.
 	NearResults Mechanism = "nearResults"
 	// Ejection stops using endpoints that fail or are slow.
@@ -60,8 +64,8 @@
 func All() []Mechanism {
 	return []Mechanism{
 		OverloadRefused, OneCollector, SettledDuty, DutyFollowed, PassageLeft, LargeLate, StartedFirst, LateLast,
-		LatePatience, LateGivenUp, FairShare, RoomWait, NearFirst, ZoneWait, FetchedFreed, PromptHomes, NearResults,
-		Ejection, Hedging,
+		LatePatience, LateGivenUp, FairShare, RoomWait, NearFirst, ZoneWait, FetchedFreed, PromptHomes, PromptReports,
+		EndpointSpeeds, NearResults, Ejection, Hedging,
 	}
 }
 
