Make a request's inputs again if the process that made one has ended

Cause: a model endpoint that finds an input gone answers 409; the request then ended with 503 stageResultGone, although its stages can run again.

Weighed: to make only the lost result again (nobody says which one it is, and its maker may not be known to have ended yet).

Change: such a request frees its inputs and goes the way of a request whose inputs were freed before its endpoint broke off: they are computed again, at most twice, within the retry budget, unless the caller waits for its first event no longer.

Test: TestLostResultsAreMadeAgain fails without the change (503).

--- a/assembler/lost_test.go
+++ b/assembler/lost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"testing"
 	"time"
@@ -11,6 +12,18 @@
 	"geraniumline/platform/imitator"
 )
 
+// Guards against refusing callers because a process that made a result has ended: the result can be made again.
+func TestLostResultsAreMadeAgain(t *testing.T) {
+	f := newFleet(t, 2)
+	f.site.Endpoint("i-model-0").InjectFault(imitator.InputsLost, -1)
+	for i := range 10 {
+		request := f.newRequest(i%2, imitator.StagesPath, fmt.Sprint("lost-", i))
+		request.Pieces = "3,5"
+		require.Equal(t, http.StatusOK, f.call(request).Status)
+	}
+	require.NotEmpty(t, f.site.Endpoint("i-model-0").Arrivals())
+}
+
 // endedTime is how long an endpoint that is found to have ended gets nothing if it is still listed.
 const endedTime = 5 * time.Second
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -116,15 +116,21 @@
 	return max(minStallTime, stallFactor*s.x.route.EventGap)
 }
 
-// handleRefusal handles an endpoint that refused the request without running it.
+// handleRefusal handles an endpoint that refused the request without running it. If one of its inputs is gone, since the
+// process that made it has ended, all are freed here and computed again before the next attempt, while the caller still
+// waits for its first event.
 func (s *streamer) handleRefusal(choice selector.Choice, resp *connector.Response, info ResponseInfo) (bool, *FailureError) {
 	if _, err := resp.ReadAll(maxPlainResponse); err != nil {
 		s.x.f.log.Debug("reading refusal body failed", zap.String("request", s.x.req.ID), zap.Error(err))
 	}
 	s.x.endRefusedCall(choice)
-	if info.InputGone && !s.stages.plan.FinalResultsFreed() {
+	if !info.InputGone || s.stages.plan.FinalResultsFreed() {
+		return false, nil
+	}
+	if !s.x.headerSent && !time.Now().Before(s.x.firstEventDeadline) {
 		return true, s.x.giveUp("stageResultGone")
 	}
+	s.stages.free(s.stages.plan.FreeFinalResults())
 	return false, nil
 }
 
