--- a/forwarder/crowd_test.go
+++ b/forwarder/crowd_test.go
@@ -39,6 +39,7 @@
 	defer f.mu.Unlock()
 	for i := range all {
 		f.regulator.ApplyNotice(all[i].Endpoint, regulator.Notice{Limited: true, PerSecond: 2, Leaving: true}, m.now)
+		f.regulator.MarkEnded(all[i].Endpoint, locator.At(0, 5), m.now)
 	}
 	return m, rnd
 }
@@ -48,7 +49,7 @@
 	f := m.nodes[entry]
 	for range rounds {
 		f.mu.Lock()
-		heartbeat := carrier.Heartbeat{Limits: f.limits(m.now), Leaving: f.leaving(), Refusing: f.refusals(m.now)}
+		heartbeat := carrier.Heartbeat{Limits: f.limits(m.now), Leaving: f.leaving(), Refusing: f.refusals(m.now), Unreachable: f.unreachable(m.now)}
 		f.mu.Unlock()
 		encoded, err := heartbeat.MarshalMsg(nil)
 		require.NoError(m.t, err)
