Count requests that have just begun towards the retry budget

An entry counted the least requests of any window that ended within the last one, which is none until two windows after the load began.

Weighed: the larger of this window's requests and the last one's (with 67 entries and 33 requests in a window it exceeds what was requested by a tenth by chance alone); fixed parts of both (never above a half at once, since the requests that follow a retry aren't known).

Change: three quarters of the requests in the present window count where the least of the last windows is below. If the requests cease, three quarters of them are still in one of the three windows by which the limit is computed. Peers that were silent for a while, or have just been heard for the first time, lend nothing for a window: while partitions change, they may have lent the same to others. Deferrable requests may use three quarters of the loan.

--- a/retrier/shared.go
+++ b/retrier/shared.go
@@ -7,6 +7,9 @@
 	// evenPart is what each entry may use of its even share whatever the others do. The rest of what is planned with is
 	// lent to whoever needs it.
 	evenPart = 0.6
+	// risingPart is the part of the requests in the present window that counts while load rises. If they cease, three
+	// quarters of them are still in one of the windows by which the limit is computed.
+	risingPart = 0.75
 	// stalePart is not planned with: requests may have ceased since they were reported.
 	stalePart = 0.04
 	// restartedPart is the part of the entries whose retries may be forgotten, as they restarted within a window. One
@@ -16,7 +19,7 @@
 	// rest is for all entries alike, as all may need it at once.
 	borrowersPart = 0.1
 	// deferrablePart is the part of the loan that is open to retries of deferrable requests.
-	deferrablePart = 0.5
+	deferrablePart = 0.75
 	// hedgePart is the part of the limit that must be left for a hedge.
 	hedgePart = 0.5
 )
@@ -28,6 +31,8 @@
 	keptBuckets = 2*bucketsPerWindow + 1
 	// maxReportAge is how long a peer's report is valid. An older one counts as if the peer had used its even share.
 	maxReportAge = 1250 * time.Millisecond
+	// maxReportGap is the silence after which a peer lends nothing for a window: it may have lent to others meanwhile.
+	maxReportGap = 2 * time.Second
 	// loanInterval is the time in which an entry may borrow one part of the loan. Within it, all entries have
 	// seen what was borrowed in its first half, or consider the borrower silent.
 	loanInterval = 2 * maxReportAge
@@ -91,8 +96,10 @@
 
 // peerUse is the newest report of a peer.
 type peerUse struct {
-	at   time.Time
-	uses map[string]Use
+	at time.Time
+	// since is when the first of its reports that arrived without a gap did.
+	since time.Time
+	uses  map[string]Use
 }
 
 // NewShared returns the view of an entry that has just started.
@@ -157,7 +164,7 @@
 // before, and how many it may borrow in addition.
 func (s *Shared) limits(service string, c *counts, now time.Time) (even, loan float64) {
 	n := s.entryCount(now)
-	share := s.share(s.basis(c, now), n)
+	share := s.share(s.basis(c), n)
 	plannedPart := plannedPart(n)
 	if n > s.cfg.MaxReporting {
 		return plannedPart * share, 0
@@ -170,7 +177,7 @@
 	for _, p := range s.peers {
 		u := p.uses[service]
 		share := s.share(u.Requests, n)
-		if p.reports(now) {
+		if p.lends(s.cfg.Window, now) {
 			unused += plannedPart*share - max(evenPart*share, float64(u.Retries))
 			if usedUp(u.Retries, share) {
 				borrowers++
@@ -206,13 +213,11 @@
 	return max(s.cfg.MinEntries, s.entries.largest(s.index(now, entriesMemory)), len(s.peers)+1)
 }
 
-// basis returns the number of requests that this entry's share is computed from: the least in any window that ended
-// within the last one. Those of all entries add up to no more than the requests in any single one of these windows, one
-// of which precedes each window that a retry made now is counted in.
-func (s *Shared) basis(c *counts, now time.Time) int {
-	// Only windows since the start count. Until there is one, the requests so far do.
-	positions := int(now.Sub(s.startTime)/s.bucket) - bucketsPerWindow
-	return c.leastRequests(min(max(0, positions), bucketsPerWindow))
+// basis returns the number of requests that this entry's share is computed from. Each window that a retry made now is
+// counted in has another one before it that ended within the last window; the least of these is safe whatever follows.
+// When load rises it is far below what arrives now, of which a part is safe as well.
+func (s *Shared) basis(c *counts) int {
+	return max(c.leastRequests(), int(risingPart*float64(c.requests(0))))
 }
 
 // Uses returns what this entry reports to its peers.
@@ -223,7 +228,7 @@
 	uses := make(map[string]Use, len(s.services))
 	for service := range s.services {
 		c := s.counts(service, now)
-		if u := (Use{Requests: s.basis(c, now), Retries: c.retries()}); u != (Use{}) {
+		if u := (Use{Requests: s.basis(c), Retries: c.retries()}); u != (Use{}) {
 			uses[service] = u
 		}
 	}
@@ -232,7 +237,12 @@
 
 // SetPeerUses replaces the reported use of a peer.
 func (s *Shared) SetPeerUses(peer string, uses map[string]Use, now time.Time) {
-	s.peers[peer] = &peerUse{at: now, uses: uses}
+	p, known := s.peers[peer]
+	if !known || now.Sub(p.at) > maxReportGap {
+		p = &peerUse{since: now}
+		s.peers[peer] = p
+	}
+	p.at, p.uses = now, uses
 }
 
 // Expire discards counts and reports whose retries have left the window.
@@ -274,7 +284,10 @@
 	return max(0, int64(now.Sub(s.startTime)/period))
 }
 
-func (p *peerUse) reports(now time.Time) bool { return now.Sub(p.at) <= maxReportAge }
+// lends reports whether the peer's report is recent and this entry has known its use for a whole window.
+func (p *peerUse) lends(window time.Duration, now time.Time) bool {
+	return now.Sub(p.at) <= maxReportAge && now.Sub(p.since) >= window
+}
 
 // bucket holds the counts of a part of a window.
 type bucket struct {
@@ -326,15 +339,19 @@
 	return retries, borrowed
 }
 
-// leastRequests returns the least number of requests in one of the windows that ended up to the given number of
-// buckets ago.
-func (c *counts) leastRequests(buckets int) int {
-	sum := 0
+// requests counts the requests in the window that ended the given number of buckets ago, or less of them.
+func (c *counts) requests(end int) (n int) {
 	for age := range bucketsPerWindow {
-		sum += c.at(age).requests
+		n += c.at(end + age).requests
 	}
+	return n
+}
+
+// leastRequests returns the least number of requests in any window that ended within the last one.
+func (c *counts) leastRequests() int {
+	sum := c.requests(0)
 	least := sum
-	for end := 1; end <= buckets; end++ {
+	for end := 1; end <= bucketsPerWindow; end++ {
 		sum += c.at(end+bucketsPerWindow-1).requests - c.at(end-1).requests
 		least = min(least, sum)
 	}
