Tell the waits and turnarounds of stages by priority

Cause: a pool's wait and turnaround were means over all priorities. In an overload by less urgent requests the planner subtracted that turnaround from the due times of middle stages, so urgent groups counted as unable to be on time and went after less urgent ones.

Change: the collecting entry predicts both by priority, reports them in Heartbeat.StageClasses beside Stages, and the planner uses the load of its request's priority for due times, refusal at the door and Retry-After. While several priorities contend, a turnaround is at most the wait and two full calls: the mean of the groups of a surge that is over kept new ones late and behind its backlog. One load serves all, as before, for a single priority, without a backlog, and for a load from an entry of the release before. Mechanism classLoads switches it off.

--- a/collector/call.go
+++ b/collector/call.go
@@ -324,6 +324,7 @@
 		p.deliver(g, m.segment, r, c.endpoint)
 		if _, open := p.groups[m.id]; !open && !g.arrivedLate {
 			p.turnaround.add(now.Sub(g.arrived))
+			p.classes.recordTurnaround(g.Priority, now.Sub(g.arrived), now)
 		}
 	}
 	if len(unused) > 0 {
--- /dev/null
+++ b/collector/class.go
@@ -0,0 +1,169 @@
+package collector
+
+import (
+	"time"
+
+	"geraniumline/switcher"
+)
+
+const (
+	// MaxPriority is the largest priority with a load of its own; larger ones share it.
+	MaxPriority = 9
+	// classExpiry is how long a priority without new groups or results keeps a load of its own: some heartbeats longer than
+	// a reported load is valid, so that no report outlives the priority's last one.
+	classExpiry = 2 * time.Second
+	// turnaroundCalls is the number of full calls that a group takes once its turn has come: the rest of a call in progress,
+	// which is half on average, its own call, and half a call for one that is slow.
+	turnaroundCalls = 2
+)
+
+// class is the recent use of a pool by the groups of one priority.
+type class struct {
+	// turnaround is the mean time from arrival to last result of groups that did not arrive late, measuredAt the time of
+	// the newest one. usedAt is when a group of the priority last arrived or was done.
+	turnaround turnaround
+	measuredAt time.Time
+	usedAt     time.Time
+}
+
+// classes holds the use of a pool by priority.
+type classes [MaxPriority + 1]class
+
+func classIndex(priority int) int { return min(max(priority, 0), MaxPriority) }
+
+func (c *classes) recordArrival(priority int, now time.Time) { c[classIndex(priority)].usedAt = now }
+
+func (c *classes) recordTurnaround(priority int, took time.Duration, now time.Time) {
+	k := &c[classIndex(priority)]
+	k.turnaround.add(took)
+	k.measuredAt, k.usedAt = now, now
+}
+
+func (k *class) used(now time.Time) bool {
+	return !k.usedAt.IsZero() && now.Sub(k.usedAt) < classExpiry
+}
+
+// several reports whether groups of more than one priority use the pool.
+func (c *classes) several(now time.Time) bool {
+	n := 0
+	for i := range c {
+		if c[i].used(now) {
+			n++
+		}
+	}
+	return n > 1
+}
+
+func (k *class) measured(now time.Time) bool {
+	return k.turnaround.mean > 0 && now.Sub(k.measuredAt) < classExpiry
+}
+
+// turnaroundOf returns the recent turnaround of a priority, or that of the whole pool if it has none. It is at most that of
+// any less urgent priority, since groups of that one wait for it.
+func (c *classes) turnaroundOf(priority int, pool time.Duration, now time.Time) time.Duration {
+	i := classIndex(priority)
+	mean := pool
+	if c[i].measured(now) {
+		mean = c[i].turnaround.mean
+	}
+	for j := i + 1; j < len(c); j++ {
+		if c[j].measured(now) {
+			mean = min(mean, c[j].turnaround.mean)
+		}
+	}
+	return mean
+}
+
+// ClassLoad is the load of a pool for the pieces of one priority.
+type ClassLoad struct {
+	Priority   int
+	Wait       time.Duration
+	Turnaround time.Duration
+}
+
+// PredictedWaitOf estimates how long a piece of a priority that arrives now would wait for its call to begin. In an overload
+// by less urgent requests, PredictedWait counts their pieces too, and urgent callers would be refused because of them.
+func (p *Pool) PredictedWaitOf(priority int, now time.Time) time.Duration {
+	if p.cfg.Disabled.Has(switcher.ClassLoads) {
+		return p.PredictedWait(now)
+	}
+	return p.waitBehind(p.piecesAhead()[classIndex(priority)], now)
+}
+
+// TurnaroundOf returns the recent mean time from a group's arrival to its last result for groups of a priority. Due times
+// that leave the mean of all priorities for later stages make urgent groups count as late in an overload by less urgent ones.
+func (p *Pool) TurnaroundOf(priority int, now time.Time) time.Duration {
+	if p.cfg.Disabled.Has(switcher.ClassLoads) {
+		return p.Turnaround()
+	}
+	return p.expectedTurnaround(priority, p.PredictedWaitOf(priority, now), now)
+}
+
+// expectedTurnaround returns the turnaround of a priority. While several priorities contend for the pool, it is at most the
+// wait and freeTurnaround: after a surge, the mean of the less urgent groups would otherwise make new ones count as late, and go behind
+// the backlog of those that are late.
+func (p *Pool) expectedTurnaround(priority int, wait time.Duration, now time.Time) time.Duration {
+	if !p.contended(now) {
+		return p.Turnaround()
+	}
+	return min(p.classes.turnaroundOf(priority, p.Turnaround(), now), wait+p.freeTurnaround())
+}
+
+// freeTurnaround is the longest usual turnaround of a pool where nothing waits for more than the next calls.
+func (p *Pool) freeTurnaround() time.Duration {
+	return turnaroundCalls * p.cfg.Stage.CallDuration(p.cfg.Stage.Batch)
+}
+
+// contended reports whether groups of several priorities use the pool and take longer than in a pool without a backlog.
+// Otherwise one turnaround serves all.
+func (p *Pool) contended(now time.Time) bool {
+	return p.Turnaround() > p.freeTurnaround() && p.classes.several(now)
+}
+
+// ClassLoads returns the loads by priority: of the most urgent one, and of those used recently. Any other one waits as long as
+// the next more urgent one in the list. It returns none while one load serves all.
+func (p *Pool) ClassLoads(now time.Time) []ClassLoad {
+	if p.cfg.Disabled.Has(switcher.ClassLoads) {
+		return nil
+	}
+	if p.PredictedWait(now) <= 0 && !p.contended(now) {
+		return nil
+	}
+	var list []ClassLoad
+	ahead := p.piecesAhead()
+	for priority := range p.classes {
+		waits := priority > 0 && ahead[priority] > ahead[priority-1]
+		if priority > 0 && !waits && !p.classes[priority].used(now) {
+			continue
+		}
+		wait := p.waitBehind(ahead[priority], now)
+		list = append(list, ClassLoad{
+			Priority:   priority,
+			Wait:       wait,
+			Turnaround: p.expectedTurnaround(priority, wait, now),
+		})
+	}
+	return list
+}
+
+// HadPriority reports whether any group of a priority has arrived.
+func (p *Pool) HadPriority(priority int) bool {
+	return !p.classes[classIndex(priority)].usedAt.IsZero()
+}
+
+// piecesAhead returns for each priority the number of waiting pieces that go before a new one of that priority: those of
+// groups that are no less urgent or partly processed.
+func (p *Pool) piecesAhead() [MaxPriority + 1]int {
+	var ahead [MaxPriority + 1]int
+	for _, g := range p.groups {
+		first := classIndex(g.Priority)
+		if g.started() && !p.cfg.Disabled.Has(switcher.StartedFirst) {
+			first = 0
+		}
+		ahead[first] += len(g.waiting)
+	}
+	for i := 1; i < len(ahead); i++ {
+		ahead[i] += ahead[i-1]
+	}
+	return ahead
+}
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -103,6 +103,8 @@
 	lastOverload  time.Time
 	// turnaround is the recent mean time from arrival to last result of groups that did not arrive late.
 	turnaround turnaround
+	// classes holds the recent use by priority.
+	classes classes
 	// lateRate is the recent rate at which pieces of late groups were added to calls.
 	lateRate recentRate
 	// shares holds the recent usage of each client account.
@@ -179,7 +181,12 @@
 
 // PredictedWait estimates how long a piece that arrives now, no more urgent than others, would wait for its call to begin.
 func (p *Pool) PredictedWait(now time.Time) time.Duration {
-	return max(p.queueTime(p.WaitingPieces(), p.capacity()), p.throttledUntil(now).Sub(now))
+	return p.waitBehind(p.WaitingPieces(), now)
+}
+
+// waitBehind estimates how long a piece that arrives now would wait behind the given number of pieces.
+func (p *Pool) waitBehind(pieces int, now time.Time) time.Duration {
+	return max(p.queueTime(pieces, p.capacity()), p.throttledUntil(now).Sub(now))
 }
 
 // OverloadedFor returns how long groups have been failing because others go before them. It returns zero once none has
--- a/collector/group.go
+++ b/collector/group.go
@@ -43,6 +43,7 @@
 		arrived:       now,
 	}
 	added.arrivedLate = p.deprioritized(added, now)
+	p.classes.recordArrival(g.Priority, now)
 	p.groups[g.ID] = added
 }
 
--- a/experimenter/entry.go
+++ b/experimenter/entry.go
@@ -28,7 +28,7 @@
 	// regulator enforces the limits and rests that endpoints request in their answers.
 	regulator *regulator.Regulator
 	pools     map[string]*collector.Pool
-	loads     map[string]planner.Load
+	loads     map[string]poolLoad
 	down      bool
 }
 
@@ -41,12 +41,19 @@
 	return p.stage, true
 }
 
+// poolLoad is the load of a pool, also by priority.
+type poolLoad struct {
+	all     planner.Load
+	classes []collector.ClassLoad
+}
+
 // Load implements planner.View.
-func (e *entry) Load(service string) planner.Load {
+func (e *entry) Load(service string, priority int) planner.Load {
 	if p, ok := e.pools[service]; ok && e.sim.collectorFor(service) == e {
-		return planner.LoadOf(p, e.sim.now)
+		return planner.LoadFor(p, priority, e.sim.now)
 	}
-	return e.loads[service]
+	load := e.loads[service]
+	return planner.ClassOf(load.all, load.classes, priority)
 }
 
 // sendHeartbeat sends this entry's work, limits, refusals and pool loads to the other entries.
@@ -68,7 +75,10 @@
 		}
 		for _, pool := range e.sim.scenario.Pools {
 			if e.sim.collectorFor(pool.Name) == e {
-				load := e.Load(pool.Name)
+				var load poolLoad
+				if p, ok := e.pools[pool.Name]; ok {
+					load = poolLoad{all: planner.LoadOf(p, e.sim.now), classes: p.ClassLoads(e.sim.now)}
+				}
 				for _, other := range e.sim.entries {
 					e.sim.schedule(e.sim.latency(e.zone, other.zone), func() { other.loads[pool.Name] = load })
 				}
--- a/experimenter/request.go
+++ b/experimenter/request.go
@@ -184,7 +184,7 @@
 	for i := range r.kind.Stages {
 		r.withdrawGroup(i)
 	}
-	delay := planner.RetryAfter(r.entry.Load(service), r.sim.random.Float64())
+	delay := planner.RetryAfter(r.entry.Load(service, int(r.kind.Priority)), r.sim.random.Float64())
 	remaining := r.arrived.Add(millis(r.kind.PatienceMillis)).Sub(r.sim.now)
 	if r.attempts > 1 || delay > remaining/3 {
 		r.stats.Refused++
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -84,7 +84,7 @@
 		reg := regulator.New(regulator.Config{Self: name})
 		sim.entries = append(sim.entries, &entry{
 			sim: sim, name: name, zone: sim.zone(i), selector: newSelector(sim, int(i), reg), regulator: reg,
-			pools: make(map[string]*collector.Pool), loads: make(map[string]planner.Load),
+			pools: make(map[string]*collector.Pool), loads: make(map[string]poolLoad),
 		})
 	}
 	sim.updateLiveEntries()
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -36,6 +36,7 @@
 	message := f.detector.Heartbeat(now)
 	message.Crashes = f.quarantiner.Marks(now)
 	message.Stages = f.stageWaits(now)
+	message.StageClasses = f.stageClasses(now)
 	evacuated := f.evacuator.State()
 	message.EvacuatedEra, message.EvacuatedNext = evacuated.Next.Era(), evacuated.Next.Offset()
 	message.Evacuated, message.EvacuationsHeld = evacuated.Zones, evacuated.Held
@@ -177,6 +178,7 @@
 		f.withLock(func() []func() {
 			f.quarantiner.Merge(m.Crashes, now)
 			f.applyStageWaits(m.Stages, now)
+			f.applyStageClasses(m.StageClasses, now)
 			f.applyLimits(m.Limits, m.From.Name, now)
 			f.applyRefusals(m.Refusing, now)
 			f.applyConfigAge(m.ConfigAgeMillis, now)
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -11,6 +11,7 @@
 	"geraniumline/cataloger"
 	"geraniumline/collector"
 	"geraniumline/divider"
+	"geraniumline/meter"
 	"geraniumline/planner"
 )
 
@@ -45,7 +46,7 @@
 	x.f.mu.Unlock()
 	return &stageRunner{
 		x:           x,
-		view:        poolView{f: x.f, hash: xxhash.Sum64String(x.req.ID), preferredZone: homeZone, allowedRegions: x.allowedRegions, usedPools: make(map[string]string)},
+		view:        poolView{f: x.f, hash: xxhash.Sum64String(x.req.ID), preferredZone: homeZone, priority: x.priority, allowedRegions: x.allowedRegions, usedPools: make(map[string]string)},
 		pools:       make([]string, len(x.route.Stages)),
 		delegations: make([]*delegation, len(x.route.Stages)),
 		plan: planner.New(planner.Config{
@@ -72,6 +73,8 @@
 	// hash and preferredZone select among the pools of a service.
 	hash          uint64
 	preferredZone string
+	// priority is the request's priority, whose loads apply to it.
+	priority int
 	// allowedRegions are the regions in which the request's pieces may run; nil allows all.
 	allowedRegions []string
 	// usedPools maps each service to the pool that the request's pieces were delegated to.
@@ -90,7 +93,7 @@
 }
 
 // Load implements planner.View.
-func (v poolView) Load(service string) planner.Load {
+func (v poolView) Load(service string, priority int) planner.Load {
 	v.f.mu.Lock()
 	defer v.f.mu.Unlock()
 	now := time.Now()
@@ -98,7 +101,7 @@
 	if !used {
 		pool = v.pool(service, now)
 	}
-	return v.f.poolLoad(pool, now)
+	return v.f.poolLoad(pool, priority, now)
 }
 
 // pool returns the pool to which pieces of a service would be delegated at present. The lock must be held.
@@ -127,7 +130,7 @@
 	}
 	query := divider.Query{Service: service, Seed: v.hash, PreferredZone: zone, ZoneAllowed: v.allows, MaxExtraWait: slack}
 	chosen := v.f.divider.Choose(query, func(p divider.Pool) time.Duration {
-		return v.f.poolLoad(p.String(), now).Wait
+		return v.f.poolLoad(p.String(), v.priority, now).Wait
 	})
 	return chosen.String()
 }
@@ -154,6 +157,7 @@
 	if !over {
 		return nil
 	}
+	s.x.f.cfg.Meter.Counter(meter.ForwardOverloadRefusals, service).Inc(1)
 	return notRun("overload", s.view.retryDelay(service))
 }
 
@@ -275,7 +279,7 @@
 		zap.String("service", service),
 		zap.String("collector", s.x.f.ownerOf(event.delegation)),
 		zap.Stringer("reason", event.Result.Reason),
-		zap.Duration("waits", s.view.Load(service).Wait))
+		zap.Duration("waits", s.view.Load(service, s.view.priority).Wait))
 	if event.Result.Reason == collector.Evacuated {
 		return notRun("stageevacuated", evacuatedRetryDelay)
 	}
--- a/forwarder/wait.go
+++ b/forwarder/wait.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"geraniumline/carrier"
+	"geraniumline/collector"
 	"geraniumline/divider"
 	"geraniumline/planner"
 	"geraniumline/regulator"
@@ -18,6 +19,8 @@
 type reportedLoad struct {
 	load planner.Load
 	at   time.Time
+	// classes are the loads by priority that were reported with it.
+	classes []collector.ClassLoad
 }
 
 // stageWaits returns the newest loads of stage pools: of those that this entry collects for, and of those reported by
@@ -73,17 +76,17 @@
 	}
 }
 
-// poolLoad returns the newest known load of a pool, or the zero value. The lock must be held.
-func (f *Forwarder) poolLoad(service string, now time.Time) planner.Load {
+// poolLoad returns the newest known load of a pool for pieces of a priority, or the zero value. The lock must be held.
+func (f *Forwarder) poolLoad(service string, priority int, now time.Time) planner.Load {
 	if owner, known := f.owner(service, nil); known && owner == f.cfg.Name {
 		p, collects := f.pools[service]
 		if !collects {
 			return planner.Load{}
 		}
-		return planner.LoadOf(p, now)
+		return planner.LoadFor(p, priority, now)
 	}
 	if w, known := f.reportedLoads[service]; known && now.Sub(w.at) < loadTTL {
-		return w.load
+		return planner.ClassOf(w.load, w.classes, priority)
 	}
 	return planner.Load{}
 }
@@ -91,7 +94,7 @@
 // retryDelay returns when a refused caller should retry: once the present queue is done, with jitter so that callers
 // refused together do not retry together.
 func (v poolView) retryDelay(service string) time.Duration {
-	return planner.RetryAfter(v.Load(service), rand.Float64())
+	return planner.RetryAfter(v.Load(service, v.priority), rand.Float64())
 }
 
 // urgentPriority is the largest priority value whose callers are scheduled to retry before all others.
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -103,10 +103,12 @@
 	ForwardRepeats          Name = "forward_repeats"
 	ForwardResumes          Name = "forward_resumes"
 	ForwardCrashes          Name = "forward_crashes"
+	ForwardOverloadRefusals Name = "forward_overload_refusals"
 	PieceCalls              Name = "piece_calls"
 	PieceCallMicros         Name = "piece_call_micros"
 	PieceBatch              Name = "piece_batch"
 	PieceWaiting            Name = "piece_waiting"
+	PieceClassWaitMillis    Name = "piece_class_wait_millis"
 	PieceFailures           Name = "piece_failures"
 	PieceAsksMoved          Name = "piece_asks_moved"
 	EndpointJudgements      Name = "endpoint_judgements"
@@ -173,6 +175,8 @@
 	byReason  = "reason"
 	byService = "service"
 	byOutcome = "outcome"
+	// byClass is a service's pool and a priority, such as encode/0.
+	byClass = "class"
 )
 
 // definitions holds all metrics in the order of docs/METRICS.md.
@@ -238,10 +242,12 @@
 	{ForwardRepeats, KindCounter, "calls", byService, "A call beyond the first of its request. The system's budget bounds them.", ""},
 	{ForwardResumes, KindCounter, "streams", "", "A stream that went on at another endpoint.", ""},
 	{ForwardCrashes, KindCounter, "endpoints", "", "An endpoint that crashed while it ran a forwarded request.", ""},
+	{ForwardOverloadRefusals, KindCounter, "requests", byService, "A request refused before its first stage, since the wait at this service leaves its caller no time.", ""},
 	{PieceCalls, KindCounter, "calls", byService, "A call for pieces of a stage.", ""},
 	{PieceCallMicros, KindHistogram, "microseconds", byService, "From a call for pieces to its answer.", ""},
 	{PieceBatch, KindHistogram, "pieces", byService, "Pieces of one call.", ""},
 	{PieceWaiting, KindGauge, "pieces", byService, "Pieces that wait for a call at this entry.", ""},
+	{PieceClassWaitMillis, KindGauge, "milliseconds", byClass, "How long a piece of a priority that arrives at this collecting entry now would wait, by pool/priority.", ""},
 	{PieceFailures, KindCounter, "pieces", byReason, "A piece that a call did not make.", ""},
 	{PieceAsksMoved, KindCounter, "asks", "", "Pieces asked for at another entry since the first one was silent.", ""},
 	{EndpointJudgements, KindCounter, "judgements", byOutcome, "An endpoint taken out of use or let back.", ""},
--- /dev/null
+++ b/planner/class_test.go
@@ -0,0 +1,92 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/cataloger"
+	"geraniumline/collector"
+	"geraniumline/registrar"
+)
+
+func TestClassOf(t *testing.T) {
+	all := Load{Wait: 3 * time.Second, Turnaround: 2 * time.Second, OverloadedFor: time.Second, ShortOfSpace: true}
+	classes := []collector.ClassLoad{
+		{Priority: 0, Turnaround: 500 * time.Millisecond},
+		{Priority: 2, Wait: time.Second, Turnaround: 1500 * time.Millisecond},
+		{Priority: 4, Wait: 3 * time.Second, Turnaround: 4 * time.Second},
+	}
+	for priority, want := range map[int]Load{
+		0:           {Turnaround: 500 * time.Millisecond, ShortOfSpace: true},
+		1:           {Turnaround: 1500 * time.Millisecond, ShortOfSpace: true},
+		2:           {Wait: time.Second, Turnaround: 1500 * time.Millisecond, ShortOfSpace: true},
+		3:           {Wait: time.Second, Turnaround: 2 * time.Second, ShortOfSpace: true},
+		4:           {Wait: 3 * time.Second, Turnaround: 4 * time.Second, ShortOfSpace: true, OverloadedFor: time.Second},
+		leastUrgent: {Wait: 3 * time.Second, Turnaround: 2 * time.Second, ShortOfSpace: true, OverloadedFor: time.Second},
+	} {
+		require.Equal(t, want, ClassOf(all, classes, priority), priority)
+		require.Equal(t, all, ClassOf(all, nil, priority), "entries of the release before report none")
+	}
+}
+
+// classView is a View of one contended service with loads by priority.
+type classView struct {
+	uniformView
+	classes []collector.ClassLoad
+}
+
+func (v classView) Load(service string, priority int) Load {
+	return ClassOf(v.uniformView[service], v.classes, priority)
+}
+
+// Guards against urgent groups that go behind less urgent ones, and urgent callers that are refused, because of the wait of the
+// less urgent ones at a later stage.
+func TestUrgentRequestsAreNotJudgedByTheWaitOfOthers(t *testing.T) {
+	view := classView{uniformView: uniformView{"c": {Wait: 6 * time.Second, Turnaround: 3 * time.Second, OverloadedFor: time.Second}}, classes: []collector.ClassLoad{
+		{Priority: 0, Turnaround: 400 * time.Millisecond}, {Priority: 2, Wait: 6 * time.Second, Turnaround: 5 * time.Second},
+	}}
+	planOf := func(priority int) *Plan {
+		return New(Config{
+			Request: "r", Priority: priority, PieceCounts: []int{1, 1, 1},
+			Due: start.Add(1500 * time.Millisecond), FirstEventDeadline: start.Add(6 * time.Second),
+			Stages: []cataloger.Stage{{Service: "a"}, {Service: "b", DependsOn: []int{0}}, {Service: "c", DependsOn: []int{1}}},
+		})
+	}
+	for priority, want := range map[int]struct {
+		due        time.Duration
+		refused    bool
+		retryAfter time.Duration
+	}{
+		0: {due: 1100 * time.Millisecond, retryAfter: minRetryDelay},
+		2: {due: -3500 * time.Millisecond, refused: true, retryAfter: 7*time.Second + minRetryDelay},
+	} {
+		p := planOf(priority)
+		_, refused := p.Overloaded(view, start)
+		require.Equal(t, want.refused, refused)
+		addResults(p, p.StartStage(0, view, start), "z")
+		g := p.StartStage(1, view, start)
+		require.Equal(t, start.Add(want.due), g.Due)
+		require.Equal(t, start.Add(want.due), g.LatestDue)
+		require.Equal(t, want.retryAfter, RetryAfter(view.Load("c", priority), 0))
+	}
+}
+
+// An entry that collects for a pool and its peers must judge alike.
+func TestReportedLoadsAgreeWithThePools(t *testing.T) {
+	stage, _ := uniformView{}.Pool("a")
+	p := collector.New(collector.Config{Stage: stage})
+	p.Reduce(collector.EndpointsChanged{Endpoints: []registrar.Endpoint{{ID: "e", Address: "e:80"}}}, start)
+	for i := range 40 {
+		p.Reduce(collector.GroupArrived{Group: collector.Group{
+			ID: collector.GroupID{Request: fmt.Sprint(i)}, Segments: []int{0, 1, 2, 3}, Priority: 3 * (i % 3),
+			Due: start.Add(time.Second), Deadline: start.Add(time.Minute),
+		}}, start)
+		for priority := range 10 {
+			require.Equal(t, LoadFor(p, priority, start), ClassOf(LoadOf(p, start), p.ClassLoads(start), priority))
+		}
+	}
+	require.NotEmpty(t, p.ClassLoads(start))
+}
--- a/planner/fetched_test.go
+++ b/planner/fetched_test.go
@@ -17,7 +17,7 @@
 	return cataloger.StagePool{Batch: 8, CallOverhead: 150 * time.Millisecond, ResultSpaceBytes: 46_000_000, LinkBytesPerSecond: 1_250_000_000}, true
 }
 
-func (v stubView) Load(string) Load { return Load{ShortOfSpace: v.shortOfSpace} }
+func (v stubView) Load(string, int) Load { return Load{ShortOfSpace: v.shortOfSpace} }
 
 // The input results of a request are freed while space is short, and then its engine breaks off. The results are recomputed for
 // the next engine, at most twice, with the due times of the rest of the answer.
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -4,6 +4,7 @@
 package planner
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -45,11 +46,11 @@
 type View interface {
 	// Pool returns the settings of a service's endpoints.
 	Pool(service string) (cataloger.StagePool, bool)
-	// Load returns the most recent load of a service's pool, or the zero value if there is none.
-	Load(service string) Load
+	// Load returns the most recent load of a service's pool for pieces of a priority, or the zero value if there is none.
+	Load(service string, priority int) Load
 }
 
-// Load is the load of a pool as reported by the entry that collects for it.
+// Load is the load of a pool for pieces of one priority, as reported by the entry that collects for it.
 type Load struct {
 	// Wait is how long a piece that arrives now would wait for its call.
 	Wait time.Duration
@@ -61,11 +62,45 @@
 	OverloadedFor time.Duration
 }
 
-// LoadOf returns the load of a pool that this entry collects for.
+// LoadOf returns the load of a pool that this entry collects for, for all priorities together.
 func LoadOf(p *collector.Pool, now time.Time) Load {
 	return Load{Wait: max(0, p.PredictedWait(now)), Turnaround: p.Turnaround(), ShortOfSpace: p.ShortOfSpace(now), OverloadedFor: p.OverloadedFor(now)}
 }
 
+// LoadFor returns the load of a pool that this entry collects for, for pieces of one priority.
+func LoadFor(p *collector.Pool, priority int, now time.Time) Load {
+	return LoadOf(p, now).ForClass(p.PredictedWaitOf(priority, now), p.TurnaroundOf(priority, now))
+}
+
+// ForClass returns the load with the wait and turnaround of one priority. A priority that waits less than others is not
+// overloaded: a refused caller need not wait for the end of the others' surge.
+func (l Load) ForClass(wait, turnaround time.Duration) Load {
+	wait = max(0, wait)
+	if wait < l.Wait {
+		l.OverloadedFor = 0
+	}
+	l.Wait, l.Turnaround = wait, turnaround
+	return l
+}
+
+// ClassOf returns the load for one priority from a reported load and the loads by priority that were reported with it, sorted
+// by priority. A priority that was not reported waits as long as the next more urgent one, since none of its own pieces wait.
+func ClassOf(all Load, classes []collector.ClassLoad, priority int) Load {
+	load := all
+	for _, c := range classes {
+		switch {
+		case c.Priority < priority:
+			load = all.ForClass(c.Wait, all.Turnaround)
+		case c.Priority == priority:
+			return all.ForClass(c.Wait, c.Turnaround)
+		default:
+			load.Turnaround = min(load.Turnaround, c.Turnaround)
+			return load
+		}
+	}
+	return load
+}
+
 // ReleasedResults holds results of one stage that are no longer needed.
 type ReleasedResults struct {
 	Service string
@@ -119,6 +154,12 @@
 	}
 }
 
+// leastUrgent is a priority that waits for all others.
+const leastUrgent = math.MaxInt32
+
+// load returns the load that the request's pieces meet at a stage.
+func (p *Plan) load(stage int, view View) Load { return view.Load(p.Service(stage), p.cfg.Priority) }
+
 // Service returns the service of a stage.
 func (p *Plan) Service(stage int) string { return p.cfg.Stages[stage].Service }
 
@@ -219,7 +260,7 @@
 			g.Inputs = append(g.Inputs, result.Handle)
 			g.InputBytes += p.cfg.Stages[input].ResultBytes
 		}
-		shortOfSpace := view.Load(p.Service(input)).ShortOfSpace && !p.cfg.Disabled.Has(switcher.FetchedFreed)
+		shortOfSpace := p.load(input, view).ShortOfSpace && !p.cfg.Disabled.Has(switcher.FetchedFreed)
 		g.NotifyInputsFetched = g.NotifyInputsFetched || shortOfSpace
 	}
 }
@@ -244,7 +285,7 @@
 // its next calls, the inputs are kept: the space that they occupy keeps the previous stage from producing more than this one
 // can use, for groups that will be late.
 func (p *Plan) InputsFetched(stage int, view View) []ReleasedResults {
-	if view.Load(p.Service(stage)).Wait > 0 {
+	if view.Load(p.Service(stage), leastUrgent).Wait > 0 {
 		return nil
 	}
 	p.stages[stage].inputsFetched = true
@@ -275,7 +316,7 @@
 		}
 		bytes := p.cfg.Stages[i].ResultBytes * int64(p.stages[i].pieceCount)
 		delay = max(delay, collector.FetchDelay(&pool, bytes))
-		shortOfSpace = shortOfSpace || view.Load(p.Service(i)).ShortOfSpace
+		shortOfSpace = shortOfSpace || p.load(i, view).ShortOfSpace
 	}
 	return delay, shortOfSpace && !p.cfg.Disabled.Has(switcher.FetchedFreed)
 }
--- a/planner/plan_test.go
+++ b/planner/plan_test.go
@@ -22,7 +22,7 @@
 	}, service != "unknown"
 }
 
-func (p uniformView) Load(service string) Load { return p[service] }
+func (p uniformView) Load(service string, _ int) Load { return p[service] }
 
 // planWithImages returns the plan of a request with images, whose results are large and go to the model, and a lookup whose
 // results are ranked. A call for the images takes 182 ms, for the lookup 166 ms, for the ranking 246 ms.
--- a/planner/timing.go
+++ b/planner/timing.go
@@ -47,7 +47,7 @@
 		if p.stages[i].pieceCount == 0 {
 			continue
 		}
-		if wait := view.Load(stage.Service).Wait; wait > longest {
+		if wait := p.load(i, view).Wait; wait > longest {
 			longest, service = wait, stage.Service
 		}
 		if len(stage.DependsOn) == 0 {
@@ -180,5 +180,5 @@
 	if p.cfg.Disabled.Has(switcher.PassageLeft) {
 		return call
 	}
-	return max(view.Load(p.Service(stage)).Turnaround, call)
+	return max(p.load(stage, view).Turnaround, call)
 }
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -34,6 +34,8 @@
 	FetchedFreed Mechanism = "fetchedFreed"
 	// PassageLeft reserves the current turnaround of the later stages in due times.
 	PassageLeft Mechanism = "passageLeft"
+	// ClassLoads predicts the waits and turnarounds of stages by priority.
+	ClassLoads Mechanism = "classLoads"
 	// LargeLate delays large results that no stage consumes until the other stages are nearly done.
 	LargeLate Mechanism = "largeLate"
 	// OverloadRefused refuses requests immediately if, given the queues at the stages, they can't be served before
@@ -59,7 +61,7 @@
 // All returns the mechanisms in the order in which a request encounters them.
 func All() []Mechanism {
 	return []Mechanism{
-		OverloadRefused, OneCollector, SettledDuty, DutyFollowed, PassageLeft, LargeLate, StartedFirst, LateLast,
+		OverloadRefused, OneCollector, SettledDuty, DutyFollowed, PassageLeft, ClassLoads, LargeLate, StartedFirst, LateLast,
 		LatePatience, LateGivenUp, FairShare, RoomWait, NearFirst, ZoneWait, FetchedFreed, PromptHomes, NearResults,
 		Ejection, Hedging,
 	}
