Put the more urgent route first among client accounts of equal priority

An urgent request that isn't taken within 0.3 s counts as late, and goes behind everything for 3 to 4 s.

Change: a group's class is its request's priority and, within it, its route's. Loads are told by class. Where its class goes before others, a group is late at a middle stage only if the later stages' waits for it and their calls leave it no time. "stage delegated" names the priority. Mechanism routeRank switches the order off.

--- a/collector/class.go
+++ b/collector/class.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// MaxPriority is the largest priority with a load of its own; larger ones share it.
-	MaxPriority = 9
 	// classExpiry is how long a priority without new groups or results keeps a load of its own: some heartbeats longer than
 	// a reported load is valid, so that no report outlives the priority's last one.
 	classExpiry = 2 * time.Second
@@ -17,24 +15,22 @@
 	turnaroundCalls = 2
 )
 
-// class is the recent use of a pool by the groups of one priority.
+// class is the recent use of a pool by the groups of one class.
 type class struct {
 	// turnaround is the mean time from arrival to last result of groups that did not arrive late, measuredAt the time of
-	// the newest one. usedAt is when a group of the priority last arrived or was done.
+	// the newest one. usedAt is when a group of the class last arrived or was done.
 	turnaround turnaround
 	measuredAt time.Time
 	usedAt     time.Time
 }
 
-// classes holds the use of a pool by priority.
-type classes [MaxPriority + 1]class
+// classes holds the use of a pool by class.
+type classes [ClassCount]class
 
-func classIndex(priority int) int { return min(max(priority, 0), MaxPriority) }
-
-func (c *classes) recordArrival(priority int, now time.Time) { c[classIndex(priority)].usedAt = now }
+func (c *classes) recordArrival(priority int, now time.Time) { c[Class(priority)].usedAt = now }
 
 func (c *classes) recordTurnaround(priority int, took time.Duration, now time.Time) {
-	k := &c[classIndex(priority)]
+	k := &c[Class(priority)]
 	k.turnaround.add(took)
 	k.measuredAt, k.usedAt = now, now
 }
@@ -58,10 +54,9 @@
 	return k.turnaround.mean > 0 && now.Sub(k.measuredAt) < classExpiry
 }
 
-// turnaroundOf returns the recent turnaround of a priority, or that of the whole pool if it has none. It is at most that of
-// any less urgent priority, since groups of that one wait for it.
-func (c *classes) turnaroundOf(priority int, pool time.Duration, now time.Time) time.Duration {
-	i := classIndex(priority)
+// turnaroundOf returns the recent turnaround of a class, or that of the whole pool if it has none. It is at most that of
+// any less urgent class, since groups of that one wait for it.
+func (c *classes) turnaroundOf(i int, pool time.Duration, now time.Time) time.Duration {
 	mean := pool
 	if c[i].measured(now) {
 		mean = c[i].turnaround.mean
@@ -74,9 +69,10 @@
 	return mean
 }
 
-// ClassLoad is the load of a pool for the pieces of one priority.
+// ClassLoad is the load of a pool for the pieces of one class.
 type ClassLoad struct {
-	Priority   int
+	// Class is the index that Class returns for the priority.
+	Class      int
 	Wait       time.Duration
 	Turnaround time.Duration
 }
@@ -87,7 +83,7 @@
 	if p.cfg.Disabled.Has(switcher.ClassLoads) {
 		return p.PredictedWait(now)
 	}
-	return p.waitBehind(p.piecesAhead()[classIndex(priority)], now)
+	return p.waitBehind(p.piecesAhead()[Class(priority)], now)
 }
 
 // TurnaroundOf returns the recent mean time from a group's arrival to its last result for groups of a priority. Due times
@@ -96,17 +92,17 @@
 	if p.cfg.Disabled.Has(switcher.ClassLoads) {
 		return p.Turnaround()
 	}
-	return p.expectedTurnaround(priority, p.PredictedWaitOf(priority, now), now)
+	return p.expectedTurnaround(Class(priority), p.PredictedWaitOf(priority, now), now)
 }
 
 // expectedTurnaround returns the turnaround of a priority. While several priorities contend for the pool, it is at most the
 // wait and freeTurnaround: after a surge, the mean of the less urgent groups would otherwise make new ones count as late, and go behind
 // the backlog of those that are late.
-func (p *Pool) expectedTurnaround(priority int, wait time.Duration, now time.Time) time.Duration {
+func (p *Pool) expectedTurnaround(class int, wait time.Duration, now time.Time) time.Duration {
 	if !p.contended(now) {
 		return p.Turnaround()
 	}
-	return min(p.classes.turnaroundOf(priority, p.Turnaround(), now), wait+p.freeTurnaround())
+	return min(p.classes.turnaroundOf(class, p.Turnaround(), now), wait+p.freeTurnaround())
 }
 
 // freeTurnaround is the longest usual turnaround of a pool where nothing waits for more than the next calls.
@@ -131,32 +127,37 @@
 	}
 	var list []ClassLoad
 	ahead := p.piecesAhead()
-	for priority := range p.classes {
-		waits := priority > 0 && ahead[priority] > ahead[priority-1]
-		if priority > 0 && !waits && !p.classes[priority].used(now) {
+	for i := range p.classes {
+		waits := i > 0 && ahead[i] > ahead[i-1]
+		if i > 0 && !waits && !p.classes[i].used(now) {
 			continue
 		}
-		wait := p.waitBehind(ahead[priority], now)
+		wait := p.waitBehind(ahead[i], now)
 		list = append(list, ClassLoad{
-			Priority:   priority,
+			Class:      i,
 			Wait:       wait,
-			Turnaround: p.expectedTurnaround(priority, wait, now),
+			Turnaround: p.expectedTurnaround(i, wait, now),
 		})
 	}
 	return list
 }
 
-// HadPriority reports whether any group of a priority has arrived.
+// HadPriority reports whether any group of a request's priority has arrived.
 func (p *Pool) HadPriority(priority int) bool {
-	return !p.classes[classIndex(priority)].usedAt.IsZero()
+	for i := range p.classes {
+		if PriorityOf(i) == priority && !p.classes[i].usedAt.IsZero() {
+			return true
+		}
+	}
+	return false
 }
 
-// piecesAhead returns for each priority the number of waiting pieces that go before a new one of that priority: those of
+// piecesAhead returns for each class the number of waiting pieces that go before a new one of that class: those of
 // groups that are no less urgent or partly processed.
-func (p *Pool) piecesAhead() [MaxPriority + 1]int {
-	var ahead [MaxPriority + 1]int
+func (p *Pool) piecesAhead() [ClassCount]int {
+	var ahead [ClassCount]int
 	for _, g := range p.groups {
-		first := classIndex(g.Priority)
+		first := g.class
 		if g.started() && !p.cfg.Disabled.Has(switcher.StartedFirst) {
 			first = 0
 		}
--- a/collector/event.go
+++ b/collector/event.go
@@ -27,8 +27,9 @@
 	Due       time.Time
 	LatestDue time.Time
 	Deadline  time.Time
-	Priority  int
-	Account   string
+	// Priority is as returned by Rank.
+	Priority int
+	Account  string
 	// ResultBytes is the expected size of one result.
 	ResultBytes int64
 	// PreferredZone is the availability zone where the pieces should be processed: the one that holds their inputs or
--- a/collector/group.go
+++ b/collector/group.go
@@ -25,6 +25,8 @@
 	// tries is the number of calls that included each segment.
 	tries   map[int]int
 	arrived time.Time
+	// class is the class of the group's priority.
+	class int
 	// arrivedLate is set for groups that were deprioritized on arrival.
 	arrivedLate bool
 }
@@ -41,6 +43,7 @@
 		inputsFetched: make(map[int]bool, len(g.Segments)),
 		tries:         make(map[int]int, len(g.Segments)),
 		arrived:       now,
+		class:         Class(g.Priority),
 	}
 	added.arrivedLate = p.deprioritized(added, now)
 	p.classes.recordArrival(g.Priority, now)
@@ -286,8 +289,8 @@
 	switch {
 	case a.rank != b.rank:
 		return a.rank - b.rank
-	case a.group.Priority != b.group.Priority:
-		return a.group.Priority - b.group.Priority
+	case a.group.class != b.group.class:
+		return a.group.class - b.group.class
 	case a.due != b.due:
 		return cmp.Compare(a.due, b.due)
 	default:
--- a/forwarder/classes.go
+++ b/forwarder/classes.go
@@ -42,8 +42,8 @@
 		}
 		wait := time.Duration(0)
 		for _, c := range classes {
-			if c.Priority == priority {
-				wait = c.Wait
+			if collector.PriorityOf(c.Class) == priority {
+				wait = max(wait, c.Wait)
 			}
 		}
 		f.cfg.Meter.Gauge(meter.PieceClassWaitMillis, service+"/"+strconv.Itoa(priority)).Update(wait.Milliseconds())
@@ -54,7 +54,7 @@
 	for _, c := range classes {
 		list = append(list, carrier.StageClassWait{
 			Service:          service,
-			Priority:         int32(c.Priority),
+			Priority:         int32(c.Class),
 			Millis:           int32(c.Wait.Milliseconds()),
 			TurnaroundMillis: int32(c.Turnaround.Milliseconds()),
 			AgeMillis:        uint32(age.Milliseconds()),
@@ -73,20 +73,20 @@
 	for _, s := range list {
 		w, known := f.reportedLoads[s.Service]
 		at := now.Add(-time.Duration(s.AgeMillis) * time.Millisecond)
-		if !known || w.classes != nil || !w.at.Equal(at) || s.Priority < 0 || s.Priority > collector.MaxPriority {
+		if !known || w.classes != nil || !w.at.Equal(at) || s.Priority < 0 || s.Priority >= collector.ClassCount {
 			continue
 		}
 		added[s.Service] = append(added[s.Service], collector.ClassLoad{
-			Priority:   int(s.Priority),
+			Class:      int(s.Priority),
 			Wait:       time.Duration(s.Millis) * time.Millisecond,
 			Turnaround: time.Duration(s.TurnaroundMillis) * time.Millisecond,
 		})
 	}
 	for service, classes := range added {
-		byPriority := func(a, b collector.ClassLoad) int { return cmp.Compare(a.Priority, b.Priority) }
-		slices.SortFunc(classes, byPriority)
+		byClass := func(a, b collector.ClassLoad) int { return cmp.Compare(a.Class, b.Class) }
+		slices.SortFunc(classes, byClass)
 		w := f.reportedLoads[service]
-		w.classes = slices.CompactFunc(classes, func(a, b collector.ClassLoad) bool { return a.Priority == b.Priority })
+		w.classes = slices.CompactFunc(classes, func(a, b collector.ClassLoad) bool { return a.Class == b.Class })
 		f.reportedLoads[service] = w
 	}
 }
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -44,9 +44,9 @@
 	homeZone := x.f.selector.HomeZone(x.service.Name, x.req.Parts, x.allowedRegions, time.Now())
 	modelTime := x.f.selector.PredictFirstEvent(x.service.Name, x.req.Parts)
 	x.f.mu.Unlock()
-	return &stageRunner{
+	s := &stageRunner{
 		x:           x,
-		view:        poolView{f: x.f, hash: xxhash.Sum64String(x.req.ID), preferredZone: homeZone, priority: x.priority, allowedRegions: x.allowedRegions, usedPools: make(map[string]string)},
+		view:        poolView{f: x.f, hash: xxhash.Sum64String(x.req.ID), preferredZone: homeZone, allowedRegions: x.allowedRegions, usedPools: make(map[string]string)},
 		pools:       make([]string, len(x.route.Stages)),
 		delegations: make([]*delegation, len(x.route.Stages)),
 		plan: planner.New(planner.Config{
@@ -56,6 +56,7 @@
 			PieceCounts:        x.req.PieceCounts,
 			Key:                x.req.PieceKey,
 			Priority:           x.priority,
+			RoutePriority:      x.route.Priority,
 			Account:            x.account,
 			Regions:            x.allowedRegions,
 			Due:                x.due,
@@ -65,6 +66,8 @@
 			Disabled:           x.f.cfg.Disabled,
 		}),
 	}
+	s.view.rank = s.plan.Rank()
+	return s
 }
 
 // poolView provides a request's plan with the state of the stage pools as known to this entry.
@@ -73,8 +76,8 @@
 	// hash and preferredZone select among the pools of a service.
 	hash          uint64
 	preferredZone string
-	// priority is the request's priority, whose loads apply to it.
-	priority int
+	// rank is the rank of the request's pieces, whose loads apply to it.
+	rank int
 	// allowedRegions are the regions in which the request's pieces may run; nil allows all.
 	allowedRegions []string
 	// usedPools maps each service to the pool that the request's pieces were delegated to.
@@ -93,7 +96,7 @@
 }
 
 // Load implements planner.View.
-func (v poolView) Load(service string, priority int) planner.Load {
+func (v poolView) Load(service string, rank int) planner.Load {
 	v.f.mu.Lock()
 	defer v.f.mu.Unlock()
 	now := time.Now()
@@ -101,7 +104,7 @@
 	if !used {
 		pool = v.pool(service, now)
 	}
-	return v.f.poolLoad(pool, priority, now)
+	return v.f.poolLoad(pool, rank, now)
 }
 
 // pool returns the pool to which pieces of a service would be delegated at present. The lock must be held.
@@ -130,7 +133,7 @@
 	}
 	query := divider.Query{Service: service, Seed: v.hash, PreferredZone: zone, ZoneAllowed: v.allows, MaxExtraWait: slack}
 	chosen := v.f.divider.Choose(query, func(p divider.Pool) time.Duration {
-		return v.f.poolLoad(p.String(), v.priority, now).Wait
+		return v.f.poolLoad(p.String(), v.rank, now).Wait
 	})
 	return chosen.String()
 }
@@ -217,6 +220,7 @@
 		zap.String("service", service),
 		zap.String("collector", s.x.f.ownerOf(s.delegations[stage])),
 		zap.Int("pieces", len(g.Segments)),
+		zap.Int("priority", s.x.priority),
 		zap.String("zone", g.PreferredZone),
 		zap.Duration("dueIn", g.Due.Sub(now)))
 }
@@ -279,7 +283,7 @@
 		zap.String("service", service),
 		zap.String("collector", s.x.f.ownerOf(event.delegation)),
 		zap.Stringer("reason", event.Result.Reason),
-		zap.Duration("waits", s.view.Load(service, s.view.priority).Wait))
+		zap.Duration("waits", s.view.Load(service, s.view.rank).Wait))
 	if event.Result.Reason == collector.Evacuated {
 		return notRun("stageevacuated", evacuatedRetryDelay)
 	}
--- a/forwarder/wait.go
+++ b/forwarder/wait.go
@@ -76,17 +76,17 @@
 	}
 }
 
-// poolLoad returns the newest known load of a pool for pieces of a priority, or the zero value. The lock must be held.
-func (f *Forwarder) poolLoad(service string, priority int, now time.Time) planner.Load {
+// poolLoad returns the newest known load of a pool for pieces of a rank, or the zero value. The lock must be held.
+func (f *Forwarder) poolLoad(service string, rank int, now time.Time) planner.Load {
 	if owner, known := f.owner(service, nil); known && owner == f.cfg.Name {
 		p, collects := f.pools[service]
 		if !collects {
 			return planner.Load{}
 		}
-		return planner.LoadFor(p, priority, now)
+		return planner.LoadFor(p, rank, now)
 	}
 	if w, known := f.reportedLoads[service]; known && now.Sub(w.at) < loadTTL {
-		return planner.ClassOf(w.load, w.classes, priority)
+		return planner.ClassOf(w.load, w.classes, rank)
 	}
 	return planner.Load{}
 }
@@ -94,7 +94,7 @@
 // retryDelay returns when a refused caller should retry: once the present queue is done, with jitter so that callers
 // refused together do not retry together.
 func (v poolView) retryDelay(service string) time.Duration {
-	return planner.RetryAfter(v.Load(service, v.priority), rand.Float64())
+	return planner.RetryAfter(v.Load(service, v.rank), rand.Float64())
 }
 
 // urgentPriority is the largest priority value whose callers are scheduled to retry before all others.
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -25,9 +25,11 @@
 	// PieceCounts holds the number of pieces of each stage; stages beyond its end have one piece.
 	PieceCounts []int
 	// Key is the input of pieces of first stages.
-	Key      string
-	Priority int
-	Account  string
+	Key string
+	// Priority is the request's priority, RoutePriority that of its route.
+	Priority      int
+	RoutePriority int
+	Account       string
 	// Regions are the regions where the stages may run; empty allows all.
 	Regions []string
 	// Due is the time until which the first event is on time. The caller disconnects if it has no event by
@@ -46,8 +48,8 @@
 type View interface {
 	// Pool returns the settings of a service's endpoints.
 	Pool(service string) (cataloger.StagePool, bool)
-	// Load returns the most recent load of a service's pool for pieces of a priority, or the zero value if there is none.
-	Load(service string, priority int) Load
+	// Load returns the most recent load of a service's pool for pieces of a rank, or the zero value if there is none.
+	Load(service string, rank int) Load
 }
 
 // Load is the load of a pool for pieces of one priority, as reported by the entry that collects for it.
@@ -56,6 +58,8 @@
 	Wait time.Duration
 	// Turnaround is the mean time that groups of pieces take there.
 	Turnaround time.Duration
+	// Ahead is set if the priority takes less time than the mean of all, since its pieces go before others.
+	Ahead bool
 	// ShortOfSpace is set if the pool lacks space for results.
 	ShortOfSpace bool
 	// OverloadedFor is how long more pieces have been arriving than the pool can process.
@@ -67,9 +71,9 @@
 	return Load{Wait: max(0, p.PredictedWait(now)), Turnaround: p.Turnaround(), ShortOfSpace: p.ShortOfSpace(now), OverloadedFor: p.OverloadedFor(now)}
 }
 
-// LoadFor returns the load of a pool that this entry collects for, for pieces of one priority.
-func LoadFor(p *collector.Pool, priority int, now time.Time) Load {
-	return LoadOf(p, now).ForClass(p.PredictedWaitOf(priority, now), p.TurnaroundOf(priority, now))
+// LoadFor returns the load of a pool that this entry collects for, for pieces of one rank.
+func LoadFor(p *collector.Pool, rank int, now time.Time) Load {
+	return LoadOf(p, now).ForClass(p.PredictedWaitOf(rank, now), p.TurnaroundOf(rank, now))
 }
 
 // ForClass returns the load with the wait and turnaround of one priority. A priority that waits less than others is not
@@ -79,23 +83,23 @@
 	if wait < l.Wait {
 		l.OverloadedFor = 0
 	}
+	l.Ahead = turnaround < l.Turnaround
 	l.Wait, l.Turnaround = wait, turnaround
 	return l
 }
 
-// ClassOf returns the load for one priority from a reported load and the loads by priority that were reported with it, sorted
-// by priority. A priority that was not reported waits as long as the next more urgent one, since none of its own pieces wait.
-func ClassOf(all Load, classes []collector.ClassLoad, priority int) Load {
-	load := all
+// ClassOf returns the load for one rank from a reported load and the loads by class that were reported with it, sorted by
+// class. A class that was not reported waits as long as the next more urgent one, since none of its own pieces wait.
+func ClassOf(all Load, classes []collector.ClassLoad, rank int) Load {
+	load, class := all, collector.Class(rank)
 	for _, c := range classes {
 		switch {
-		case c.Priority < priority:
+		case c.Class < class:
 			load = all.ForClass(c.Wait, all.Turnaround)
-		case c.Priority == priority:
+		case c.Class == class:
 			return all.ForClass(c.Wait, c.Turnaround)
 		default:
-			load.Turnaround = min(load.Turnaround, c.Turnaround)
-			return load
+			return load.ForClass(load.Wait, min(load.Turnaround, c.Turnaround))
 		}
 	}
 	return load
@@ -154,11 +158,19 @@
 	}
 }
 
-// leastUrgent is a priority that waits for all others.
+// leastUrgent is a rank that waits for all others.
 const leastUrgent = math.MaxInt32
 
+// Rank returns the priority of the request's pieces, as collector.Rank does.
+func (p *Plan) Rank() int {
+	if p.cfg.Disabled.Has(switcher.RouteRank) {
+		return collector.Rank(p.cfg.Priority, p.cfg.Priority)
+	}
+	return collector.Rank(p.cfg.Priority, p.cfg.RoutePriority)
+}
+
 // load returns the load that the request's pieces meet at a stage.
-func (p *Plan) load(stage int, view View) Load { return view.Load(p.Service(stage), p.cfg.Priority) }
+func (p *Plan) load(stage int, view View) Load { return view.Load(p.Service(stage), p.Rank()) }
 
 // Service returns the service of a stage.
 func (p *Plan) Service(stage int) string { return p.cfg.Stages[stage].Service }
@@ -231,7 +243,7 @@
 		ID:          collector.GroupID{Origin: p.cfg.Origin, Request: p.cfg.Request, Stage: stage},
 		Due:         p.cfg.Due.Add(-p.cfg.ModelTime - p.usualTimeAfter(stage, view)),
 		Deadline:    p.LatestModelStart().Add(-p.minTimeAfter(stage, view)),
-		Priority:    p.cfg.Priority,
+		Priority:    p.Rank(),
 		Account:     p.cfg.Account,
 		Regions:     p.cfg.Regions,
 		ResultBytes: cfg.ResultBytes,
@@ -243,7 +255,7 @@
 			g.Segments = append(g.Segments, n)
 		}
 	}
-	g.LatestDue = g.Due
+	g.LatestDue = p.cfg.Due.Add(-p.cfg.ModelTime - p.fastestTimeAfter(stage, view))
 	if len(cfg.DependsOn) == 0 {
 		// Later stages process the most urgent groups first, so their current turnaround says little about a late group. Based
 		// on it, first stages would put most groups last in a surge.
--- a/planner/timing.go
+++ b/planner/timing.go
@@ -154,6 +154,19 @@
 	return p.longestPathAfter(stage, func(i int) time.Duration { return p.usualTime(i, view) })
 }
 
+// fastestTimeAfter returns the time that the stages that depend on a stage take for a group with the least time left. Where the
+// request's priority goes before others, and its own pieces are processed by due time, such a group waits for its own priority
+// only. By the usual time, requests with long prompts would be late at middle stages in each overload by others, and go last.
+func (p *Plan) fastestTimeAfter(stage int, view View) time.Duration {
+	return p.longestPathAfter(stage, func(i int) time.Duration {
+		load, usual := p.load(i, view), p.usualTime(i, view)
+		if !load.Ahead {
+			return usual
+		}
+		return min(usual, load.Wait+p.callTime(i, view))
+	})
+}
+
 // longestPathAfter returns the duration of the longest path through the stages that depend on a stage.
 func (p *Plan) longestPathAfter(stage int, stageTime func(stage int) time.Duration) time.Duration {
 	longest := time.Duration(0)
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -36,6 +36,8 @@
 	PassageLeft Mechanism = "passageLeft"
 	// ClassLoads predicts the waits and turnarounds of stages by priority.
 	ClassLoads Mechanism = "classLoads"
+	// RouteRank puts requests of more urgent routes first among those whose client accounts have the same priority.
+	RouteRank Mechanism = "routeRank"
 	// LargeLate delays large results that no stage consumes until the other stages are nearly done.
 	LargeLate Mechanism = "largeLate"
 	// OverloadRefused refuses requests immediately if, given the queues at the stages, they can't be served before
@@ -61,7 +63,7 @@
 // All returns the mechanisms in the order in which a request encounters them.
 func All() []Mechanism {
 	return []Mechanism{
-		OverloadRefused, OneCollector, SettledDuty, DutyFollowed, PassageLeft, ClassLoads, LargeLate, StartedFirst, LateLast,
+		OverloadRefused, OneCollector, SettledDuty, DutyFollowed, PassageLeft, ClassLoads, RouteRank, LargeLate, StartedFirst, LateLast,
 		LatePatience, LateGivenUp, FairShare, RoomWait, NearFirst, ZoneWait, FetchedFreed, PromptHomes, NearResults,
 		Ejection, Hedging,
 	}
