Test that no route and no client account starves in a lasting overload

Cause: the order by class could starve the least urgent route or a large account.

Change: a generated overload of four thirds of a pool's capacity, of which the urgent route needs half: each route and each account is served at least a quarter as often as all, and the urgent route is on time. A second test shows the order of late groups: behind those that can be on time, the urgent ones first.

--- a/collector/class_test.go
+++ b/collector/class_test.go
@@ -160,3 +160,73 @@
 		require.Equal(t, w.pool.Turnaround(), w.pool.TurnaroundOf(priority, w.now))
 	}
 }
+
+// Guards against starving a route or a client account in a lasting overload: with four thirds of the capacity asked for, of which
+// the urgent route needs half, each is served at least a quarter as often as all, and the urgent route on time.
+func TestNoneStarvesInALastingOverload(t *testing.T) {
+	const accounts, seconds = 8, 12
+	w := newSimulation(defaultStage(), 6)
+	perSecond := 6 / w.pool.cfg.Stage.CallDuration(8).Seconds()
+	rng := rand.New(rand.NewPCG(3, 4))
+	type origin struct {
+		account string
+		urgent  bool
+		due     time.Time
+	}
+	groups := make(map[GroupID]origin)
+	for at, n := time.Duration(0), 0; at < seconds*time.Second; n++ {
+		o := origin{account: fmt.Sprint(min(rng.IntN(accounts), rng.IntN(accounts))), urgent: rng.IntN(8) < 3, due: w.at(at + 1500*time.Millisecond)}
+		id := w.arrive(at, fmt.Sprint(n), 8, func(g *Group) {
+			g.Account, g.Priority = o.account, Rank(1, 2)
+			if o.urgent {
+				g.Priority = Rank(1, 0)
+			}
+			g.Due, g.Deadline = o.due, w.at(at+4*time.Second)
+		})
+		groups[id] = o
+		at += time.Duration(rng.ExpFloat64() / (perSecond * 4 / 3) * float64(time.Second))
+	}
+	w.run((seconds + 4) * time.Second)
+	served := make(map[string]float64)
+	asked := make(map[string]float64)
+	late := 0
+	for id, o := range groups {
+		done := w.resultCount(id) == 8
+		for _, name := range []string{"all", "account " + o.account, fmt.Sprint("urgent ", o.urgent)} {
+			asked[name]++
+			if done {
+				served[name]++
+			}
+		}
+		if o.urgent && (!done || w.deliveredAt[id].After(o.due)) {
+			late++
+		}
+	}
+	mean := served["all"] / asked["all"]
+	require.Less(t, mean, 0.95, "it is an overload")
+	require.Len(t, asked, accounts+3)
+	for name := range asked {
+		require.Greater(t, 4*served[name]/asked[name], mean, name)
+	}
+	require.Less(t, float64(late)/asked["urgent true"], 0.02)
+}
+
+// Late urgent groups must not make groups late that can be on time, and go before other late ones.
+func TestLateUrgentGroupsGoBehindThoseThatCanBeOnTime(t *testing.T) {
+	stage := defaultStage()
+	stage.Batch = 1
+	w := newSimulation(stage, 1)
+	w.arrive(0, "running", 1, nil)
+	order := []struct {
+		priority int
+		due      time.Duration
+	}{{0, 5 * time.Second}, {2, 5 * time.Second}, {0, -time.Second}, {2, -2 * time.Second}}
+	var ids []GroupID
+	for i, o := range order {
+		ids = append(ids, w.arrive(10*time.Millisecond, fmt.Sprint(i), 1, func(g *Group) { g.Priority, g.Due = o.priority, w.at(o.due) }))
+	}
+	w.run(2 * time.Second)
+	for i := 1; i < len(ids); i++ {
+		require.True(t, w.deliveredAt[ids[i-1]].Before(w.deliveredAt[ids[i]]), i)
+	}
+}
