--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -38,6 +38,7 @@
 	message := f.detector.Heartbeat(now)
 	message.Crashes = f.quarantiner.Marks(now)
 	message.Stages = f.stageWaits(now)
+	message.StageClasses = f.stageClasses(now)
 	evacuated := f.evacuator.State()
 	message.EvacuatedEra, message.EvacuatedNext = evacuated.Next.Era(), evacuated.Next.Offset()
 	message.Evacuated, message.EvacuationsHeld = evacuated.Zones, evacuated.Held
@@ -180,6 +181,7 @@
 		f.withLock(func() []func() {
 			f.quarantiner.Merge(m.Crashes, now)
 			f.applyStageWaits(m.Stages, now)
+			f.applyStageClasses(m.StageClasses, now)
 			f.applyLimits(m.Limits, m.From.Name, now)
 			f.applyRefusals(m.Refusing, now)
 			f.applyUnreachable(m.Unreachable, m.From.Name, now)
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -11,6 +11,7 @@
 	"geraniumline/cataloger"
 	"geraniumline/collector"
 	"geraniumline/divider"
+	"geraniumline/meter"
 	"geraniumline/planner"
 )
 
@@ -43,7 +44,7 @@
 	homeZone := x.f.selector.HomeZone(x.service.Name, x.req.Parts, x.allowedRegions, time.Now())
 	modelTime := x.f.selector.PredictFirstEvent(x.service.Name, x.req.Parts)
 	x.f.mu.Unlock()
-	return &stageRunner{
+	s := &stageRunner{
 		x:           x,
 		view:        poolView{f: x.f, hash: xxhash.Sum64String(x.req.ID), preferredZone: homeZone, allowedRegions: x.allowedRegions, usedPools: make(map[string]string)},
 		pools:       make([]string, len(x.route.Stages)),
@@ -55,6 +56,7 @@
 			PieceCounts:        x.req.PieceCounts,
 			Key:                x.req.PieceKey,
 			Priority:           x.priority,
+			RoutePriority:      x.route.Priority,
 			Account:            x.account,
 			Regions:            x.allowedRegions,
 			Due:                x.due,
@@ -64,6 +66,8 @@
 			Disabled:           x.f.cfg.Disabled,
 		}),
 	}
+	s.view.rank = s.plan.Rank()
+	return s
 }
 
 // poolView provides a request's plan with the state of the stage pools as known to this entry.
@@ -72,6 +76,8 @@
 	// hash and preferredZone select among the pools of a service.
 	hash          uint64
 	preferredZone string
+	// rank is the rank of the request's pieces, whose loads apply to it.
+	rank int
 	// allowedRegions are the regions in which the request's pieces may run; nil allows all.
 	allowedRegions []string
 	// usedPools maps each service to the pool that the request's pieces were delegated to.
@@ -90,7 +96,7 @@
 }
 
 // Load implements planner.View.
-func (v poolView) Load(service string) planner.Load {
+func (v poolView) Load(service string, rank int) planner.Load {
 	v.f.mu.Lock()
 	defer v.f.mu.Unlock()
 	now := time.Now()
@@ -98,7 +104,7 @@
 	if !used {
 		pool = v.pool(service, now)
 	}
-	return v.f.poolLoad(pool, now)
+	return v.f.poolLoad(pool, rank, now)
 }
 
 // pool returns the pool to which pieces of a service would be delegated at present. The lock must be held.
@@ -127,7 +133,7 @@
 	}
 	query := divider.Query{Service: service, Seed: v.hash, PreferredZone: zone, ZoneAllowed: v.allows, MaxExtraWait: slack}
 	chosen := v.f.divider.Choose(query, func(p divider.Pool) time.Duration {
-		return v.f.poolLoad(p.String(), now).Wait
+		return v.f.poolLoad(p.String(), v.rank, now).Wait
 	})
 	return chosen.String()
 }
@@ -154,6 +160,7 @@
 	if !over {
 		return nil
 	}
+	s.x.f.cfg.Meter.Counter(meter.ForwardOverloadRefusals, service).Inc(1)
 	return notRun("overload", s.view.retryDelay(service))
 }
 
@@ -213,6 +220,7 @@
 		zap.String("service", service),
 		zap.String("collector", s.x.f.ownerOf(s.delegations[stage])),
 		zap.Int("pieces", len(g.Segments)),
+		zap.Int("priority", s.x.priority),
 		zap.String("zone", g.PreferredZone),
 		zap.Duration("dueIn", g.Due.Sub(now)))
 }
@@ -275,7 +283,7 @@
 		zap.String("service", service),
 		zap.String("collector", s.x.f.ownerOf(event.delegation)),
 		zap.Stringer("reason", event.Result.Reason),
-		zap.Duration("waits", s.view.Load(service).Wait))
+		zap.Duration("waits", s.view.Load(service, s.view.rank).Wait))
 	if event.Result.Reason == collector.Evacuated {
 		return notRun("stageevacuated", evacuatedRetryDelay)
 	}
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -110,10 +110,12 @@
 	PromptsReported         Name = "prompts_reported"
 	ForwardSpeedSpread      Name = "forward_speed_spread"
 	ForwardCrashes          Name = "forward_crashes"
+	ForwardOverloadRefusals Name = "forward_overload_refusals"
 	PieceCalls              Name = "piece_calls"
 	PieceCallMicros         Name = "piece_call_micros"
 	PieceBatch              Name = "piece_batch"
 	PieceWaiting            Name = "piece_waiting"
+	PieceClassWaitMillis    Name = "piece_class_wait_millis"
 	PieceFailures           Name = "piece_failures"
 	PieceAsksMoved          Name = "piece_asks_moved"
 	EndpointJudgements      Name = "endpoint_judgements"
@@ -182,6 +184,8 @@
 	byReason  = "reason"
 	byService = "service"
 	byOutcome = "outcome"
+	// byClass is a service's pool and a priority, such as encode/0.
+	byClass = "class"
 )
 
 // definitions holds all metrics in the order of docs/METRICS.md.
@@ -254,10 +258,12 @@
 	{PromptsReported, KindGauge, "1 or 0", "", "Whether enough peers report to this entry where they send prompts. Otherwise it takes prompts for cached at their home endpoints.", ""},
 	{ForwardSpeedSpread, KindGauge, "thousandths", byService, "The standard deviation of the endpoints' speeds as a part of the usual one; 0 if noise explains all differences.", ""},
 	{ForwardCrashes, KindCounter, "endpoints", "", "An endpoint that crashed while it ran a forwarded request.", ""},
+	{ForwardOverloadRefusals, KindCounter, "requests", byService, "A request refused before its first stage, since the wait at this service leaves its caller no time.", ""},
 	{PieceCalls, KindCounter, "calls", byService, "A call for pieces of a stage.", ""},
 	{PieceCallMicros, KindHistogram, "microseconds", byService, "From a call for pieces to its answer.", ""},
 	{PieceBatch, KindHistogram, "pieces", byService, "Pieces of one call.", ""},
 	{PieceWaiting, KindGauge, "pieces", byService, "Pieces that wait for a call at this entry.", ""},
+	{PieceClassWaitMillis, KindGauge, "milliseconds", byClass, "How long a piece of a priority that arrives at this collecting entry now would wait, by pool/priority.", ""},
 	{PieceFailures, KindCounter, "pieces", byReason, "A piece that a call did not make.", ""},
 	{PieceAsksMoved, KindCounter, "asks", "", "Pieces asked for at another entry since the first one was silent.", ""},
 	{EndpointJudgements, KindCounter, "judgements", byOutcome, "An endpoint taken out of use or let back.", ""},
--- a/planner/timing.go
+++ b/planner/timing.go
@@ -47,7 +47,7 @@
 		if p.stages[i].pieceCount == 0 {
 			continue
 		}
-		if wait := view.Load(stage.Service).Wait; wait > longest {
+		if wait := p.load(i, view).Wait; wait > longest {
 			longest, service = wait, stage.Service
 		}
 		if len(stage.DependsOn) == 0 {
@@ -154,6 +154,19 @@
 	return p.longestPathAfter(stage, func(i int) time.Duration { return p.usualTime(i, view) })
 }
 
+// fastestTimeAfter returns the time that the stages that depend on a stage take for a group with the least time left. Where the
+// request's priority goes before others, and its own pieces are processed by due time, such a group waits for its own priority
+// only. By the usual time, requests with long prompts would be late at middle stages in each overload by others, and go last.
+func (p *Plan) fastestTimeAfter(stage int, view View) time.Duration {
+	return p.longestPathAfter(stage, func(i int) time.Duration {
+		load, usual := p.load(i, view), p.usualTime(i, view)
+		if !load.Ahead {
+			return usual
+		}
+		return min(usual, load.Wait+p.callTime(i, view))
+	})
+}
+
 // longestPathAfter returns the duration of the longest path through the stages that depend on a stage.
 func (p *Plan) longestPathAfter(stage int, stageTime func(stage int) time.Duration) time.Duration {
 	longest := time.Duration(0)
@@ -180,5 +193,5 @@
 	if p.cfg.Disabled.Has(switcher.PassageLeft) {
 		return call
 	}
-	return max(view.Load(p.Service(stage)).Turnaround, call)
+	return max(p.load(stage, view).Turnaround, call)
 }
