Rank most endpoints for a home without a logarithm

Cause: homes weighted by speed took a logarithm for each endpoint of a pool and choice.

Change: an upper bound of the rank leaves out all but a few endpoints, and what is read for each choice stands together in the endpoint's record.

Choices in pools whose endpoints are alike have the same digest as before the part (25,000 mixed choices, 1 to 500 endpoints).

--- a/estimator/speed.go
+++ b/estimator/speed.go
@@ -44,15 +44,14 @@
 
 // Speed is the speed of one endpoint process. Its zero value has no observations.
 type Speed struct {
-	mean   float64
-	weight float64
-	at     time.Time
-	// factor is the logarithm of Factor.
-	factor float64
-	ratio  float64
-	// rounded is the logarithm of RoundedFactor.
+	// factor is the logarithm of Factor, and rounded that of RoundedFactor.
+	factor       float64
+	ratio        float64
 	rounded      float64
 	roundedRatio float64
+	mean         float64
+	weight       float64
+	at           time.Time
 	slow         bool
 }
 
--- a/selector/homes.go
+++ b/selector/homes.go
@@ -30,8 +30,12 @@
 	weigh := p.speeds.Spread() > 0 && !s.peerWorkUnknown
 	n := 0
 	for _, e := range p.endpoints {
-		rank := homeRank(e, key, weigh)
-		if n == homeCount && rank <= ranks[n-1] || !s.mayBeHome(e, query, now) {
+		least := -1.0
+		if n == homeCount {
+			least = ranks[n-1]
+		}
+		rank, above := homeRank(e, key, weigh, least)
+		if !above || !s.mayBeHome(e, query, now) {
 			continue
 		}
 		n = min(n+1, homeCount)
@@ -44,15 +48,22 @@
 	return home[:n]
 }
 
-// homeRank ranks the endpoint for a prompt part. Weighed by speed, endpoints are homes of as many parts as they read in
+// homeRank ranks the endpoint for a prompt part, and reports whether its rank is above least. Weighed by speed, endpoints are homes of as many parts as they read in
 // the same time: an entry with a rank for each moves only parts whose home has changed its speed. Speeds are rounded, so
 // that entries agree on most homes although each has its own estimate.
-func homeRank(e *endpoint, key uint64, weigh bool) float64 {
-	hash := hasher.Mix(e.hash ^ key)
+func homeRank(e *endpoint, key uint64, weigh bool, least float64) (rank float64, above bool) {
+	hash := float64(hasher.Mix(e.hash ^ key))
 	if !weigh {
-		return float64(hash)
+		return hash, hash > least
+	}
+	u := (hash + 1) / (1 << 64)
+	factor := e.speed.RoundedFactor()
+	if least*factor*(1-u) >= 1 {
+		// The rank is at most 1/(factor*(1-u)), so most endpoints need no logarithm.
+		return 0, false
 	}
-	return -1 / (e.speed.RoundedFactor() * math.Log((float64(hash)+1)/(1<<64)))
+	rank = -1 / (factor * math.Log(u))
+	return rank, rank > least
 }
 
 func (s *Selector) mayBeHome(e *endpoint, query *Query, now time.Time) bool {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -117,21 +117,24 @@
 
 type endpoint struct {
 	*registrar.Endpoint
-	// listing is the latest call of SetEndpoints that contained the endpoint.
-	listing uint64
-	hash    uint64
-	// generation distinguishes this endpoint from earlier ones with the same ID that were removed.
-	generation uint64
-	pool       *pool
-	health     ejector.Record
-	// calls and tokens are this entry's own work at the endpoint, and peerTokens is that of all peers.
-	calls      int
+	// The fields up to backoff are read for each choice; they are close to each other since there may be thousands of
+	// endpoints.
+	hash uint64
+	// tokens is this entry's own work at the endpoint, and peerTokens is that of all peers.
 	tokens     int
 	peerTokens int
 	cache      prefixSet
+	health     ejector.Record
 	speed      estimator.Speed
 	// backoff diverts calls to other endpoints for a while after refusals.
 	backoff regulator.Backoff
+	pool    *pool
+	// calls is the number of this entry's own calls at the endpoint.
+	calls int
+	// generation distinguishes this endpoint from earlier ones with the same ID that were removed.
+	generation uint64
+	// listing is the latest call of SetEndpoints that contained the endpoint.
+	listing uint64
 }
 
 // New returns a selector without endpoints.
