Probe the ejected endpoints of a stage pool while all others rest

Its probe was slow as well. The pool sent nothing for two seconds and more; a request was given up as overload after half of its time, or refused at the door, as the predicted wait went by the end of the ejection.

Weighed: a least excess for a slow call (changes ejections of pools that aren't short); no ejection while others rest (the ejector doesn't know of rests, and they may begin later).

Change: while no endpoint in use accepts calls, those that were ejected for serving badly are probed at once, as router does for its pools; those that refused a connection aren't. The predicted wait goes by that too.

--- a/collector/call.go
+++ b/collector/call.go
@@ -94,6 +94,9 @@
 			free = append(free, e)
 		}
 	}
+	if len(free) == 0 {
+		free = p.probeEarly(now)
+	}
 	slices.SortStableFunc(free, func(a, b *endpoint) int {
 		return cmp.Compare(a.health.Slowness(), b.health.Slowness())
 	})
--- a/collector/group.go
+++ b/collector/group.go
@@ -195,8 +195,8 @@
 }
 
 // throttledUntil returns the earliest time when an endpoint accepts calls again if all endpoints in use have asked for a
-// pause: when one of the pauses ends, or an ejected endpoint is probed. It returns zero if one of those in use accepts calls
-// now, or none is in use.
+// pause: when one of the pauses ends, or an ejected endpoint is probed, which is at once if it served badly. It returns
+// zero if one of those in use accepts calls now, or none is in use.
 func (p *Pool) throttledUntil(now time.Time) time.Time {
 	if p.cfg.Gate == nil {
 		return time.Time{}
@@ -205,7 +205,11 @@
 	for _, e := range p.endpoints {
 		at := p.cfg.Gate.SoleNextSendTime(e.ID, now)
 		if e.health.State() != ejector.InUse {
-			others = earlier(others, later(at, e.health.Until()))
+			probed := now
+			if e.health.Down() {
+				probed = later(now, e.health.Until())
+			}
+			others = earlier(others, later(at, probed))
 			continue
 		}
 		if !at.After(now) {
--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -108,6 +108,9 @@
 // Until returns the time at which the ejection ends.
 func (r *Record) Until() time.Time { return r.ejectedUntil }
 
+// Down reports whether the endpoint is ejected or on probe because it refused a connection.
+func (r *Record) Down() bool { return r.down }
+
 // Add counts a new endpoint in the pool.
 func (p *Pool) Add() { p.size++ }
 
