Allow for uncertain predictions before a silent endpoint is left

The planner's typical wait, the same for all sizes, made the stages of short prompts with little time count as late: ninth decile 1.79 s instead of 1.14 s.

Change: the fit tracks the mean deviation of predictions. The silence limit is four predictions and eight deviations, bounded as before. The planner's time is the call's own, stretched by the mean of observed over own times.

The limits of this commit are not yet measured.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -16,9 +16,11 @@
 	// ownShare is the least part of a predicted time that must be the call's own for an observation of the endpoint's
 	// speed. Otherwise a queue that has grown since would count as slowness.
 	ownShare = 0.5
-	// waitRate is how far one call moves the mean wait, and maxWait bounds its effect.
-	waitRate = 0.1
-	maxWait  = time.Second
+	// deviationRate is how far one call moves the mean deviation and stretch. maxDifference and maxStretch bound its
+	// effect.
+	deviationRate = 0.1
+	maxDifference = time.Second
+	maxStretch    = 4.0
 )
 
 // The terms of the prediction before any call has been observed: 40 prompt tokens a millisecond after a network round
@@ -52,8 +54,9 @@
 	known bool
 	// base, token, pair and queued are the fitted terms, in nanoseconds.
 	base, token, pair, queued float64
-	// wait is the mean time that calls waited beyond their own time.
-	wait float64
+	// stretch is the mean of observed times over the calls' own, and deviation the mean absolute difference between
+	// observed and predicted times.
+	stretch, deviation float64
 }
 
 func (f *Fit) init() {
@@ -66,6 +69,8 @@
 		token:  float64(defaultTokenTime),
 		pair:   float64(defaultPairTime),
 		queued: float64(defaultTokenTime),
+
+		stretch: 1,
 	}
 }
 
@@ -75,12 +80,16 @@
 	return time.Duration(f.own(w) + f.queued*float64(w.Queued))
 }
 
-// PredictTypical returns the mean time to the first event at an endpoint that isn't known yet, with a typical queue.
+// PredictTypical returns the mean time to the first event at an endpoint that isn't known yet, with a typical queue. The
+// queue stretches short calls by less than long ones, which are read in more steps between others' work.
 func (f *Fit) PredictTypical(w Work) time.Duration {
 	f.init()
-	return time.Duration(f.own(w) + f.wait)
+	return time.Duration(f.own(w) * f.stretch)
 }
 
+// Deviation returns the mean absolute difference between observed and predicted times.
+func (f *Fit) Deviation() time.Duration { return time.Duration(f.deviation) }
+
 // own returns the time that the call takes at an idle endpoint, in nanoseconds.
 func (f *Fit) own(w Work) float64 {
 	return f.base + f.token*float64(w.Uncached) + f.pair*w.pairs()
@@ -96,7 +105,8 @@
 	f.init()
 	own, queued := f.own(w), f.queued*float64(w.Queued)
 	predicted := own + queued
-	f.wait += waitRate * (min(max(float64(took)-own, 0), float64(maxWait)) - f.wait)
+	f.stretch += deviationRate * (min(max(float64(took)/own, 1), maxStretch) - f.stretch)
+	f.deviation += deviationRate * (min(math.Abs(float64(took)-predicted), float64(maxDifference)) - f.deviation)
 	deviation := math.Log(max(float64(took), float64(time.Millisecond)) / predicted)
 	terms := []*float64{&f.base, &f.token, &f.pair, &f.queued}
 	sizes := []float64{1, float64(w.Uncached), w.pairs(), float64(w.Queued)}
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -3,9 +3,11 @@
 import "time"
 
 const (
-	// silenceFactor is how many times the predicted time to the first event an endpoint may be silent. It covers
-	// the queue that this entry doesn't know and an engine that is slow for a moment.
-	silenceFactor = 3
+	// silenceFactor is how many times the predicted time to the first event an endpoint may be silent, and
+	// silenceDeviations how many deviations of predictions longer. The former covers an engine that is slow for a moment,
+	// the latter the work there that this entry doesn't know of.
+	silenceFactor     = 4
+	silenceDeviations = 8
 	// minSilenceFactor is the least such multiple. An endpoint that serves as predicted is not left, even if the time
 	// that remains would not suffice at another one afterwards.
 	minSilenceFactor = 1.5
@@ -27,13 +29,15 @@
 	// part of the prompt.
 	predicted time.Duration
 	elsewhere time.Duration
+	// deviation is the mean deviation of predictions.
+	deviation time.Duration
 	// left is the time until the caller gives up waiting for a first event.
 	left time.Duration
 }
 
 // limit returns the longest silence. A hung endpoint is left in time for another one.
 func (s firstEventSilence) limit() time.Duration {
-	limit := min(silenceFactor*s.predicted, s.left-s.elsewhere)
+	limit := min(silenceFactor*s.predicted+silenceDeviations*s.deviation, s.left-s.elsewhere)
 	limit = max(limit, time.Duration(minSilenceFactor*float64(s.predicted)))
 	return max(limit, s.min)
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -116,6 +116,7 @@
 	limit := firstEventSilence{
 		min:       max(minStallTime, x.route.Objective/2),
 		predicted: choice.FirstEvent,
+		deviation: choice.Deviation,
 		elsewhere: elsewhere,
 		left:      x.firstEventDeadline.Sub(now),
 	}.limit()
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -65,6 +65,8 @@
 	Cached int
 	// FirstEvent is the predicted time to the first event, with the work that is queued at the endpoint.
 	FirstEvent time.Duration
+	// Deviation is the mean absolute deviation of such predictions.
+	Deviation time.Duration
 	// queued is the work that was known to be at the endpoint, in tokens.
 	queued int
 	// generation is that of the endpoint when it was chosen, and refusals the number of calls that it had refused by
@@ -303,6 +305,7 @@
 		generation: chosen.generation,
 		refusals:   chosen.backoff.TotalRefusals(),
 	}
+	best.Deviation = p.fit.Deviation()
 	best.FirstEvent = time.Duration(float64(p.fit.Predict(best.work())) * chosen.health.Slowness() * s.speedFactor(chosen))
 	return best, true
 }
