--- a/collector/class.go
+++ b/collector/class.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// classExpiry is how long a priority without new groups or results keeps a load of its own: some heartbeats longer than
-	// a reported load is valid, so that no report outlives the priority's last one.
+	// classExpiry is how long a class without new groups or results keeps a load of its own. It is longer than a reported
+	// load is valid, so that no entry knows a load of a class that is no longer reported.
 	classExpiry = 2 * time.Second
 	// turnaroundCalls is the number of full calls that a group takes once its turn has come: the rest of a call in progress,
 	// which is half on average, its own call, and half a call for one that is slow.
@@ -39,7 +39,7 @@
 	return !k.usedAt.IsZero() && now.Sub(k.usedAt) < classExpiry
 }
 
-// several reports whether groups of more than one priority use the pool.
+// several reports whether groups of more than one class use the pool.
 func (c *classes) several(now time.Time) bool {
 	n := 0
 	for i := range c {
@@ -95,8 +95,8 @@
 	return p.expectedTurnaround(Class(priority), p.PredictedWaitOf(priority, now), now)
 }
 
-// expectedTurnaround returns the turnaround of a priority. While several priorities contend for the pool, it is at most the
-// wait and freeTurnaround: after a surge, the mean of the less urgent groups would otherwise make new ones count as late, and go behind
+// expectedTurnaround returns the turnaround of a class. While several classes contend for the pool, it is at most the wait and
+// freeTurnaround: after a surge, the mean of the less urgent groups would otherwise make new ones count as late, and go behind
 // the backlog of those that are late.
 func (p *Pool) expectedTurnaround(class int, wait time.Duration, now time.Time) time.Duration {
 	if !p.contended(now) {
@@ -105,19 +105,19 @@
 	return min(p.classes.turnaroundOf(class, p.Turnaround(), now), wait+p.freeTurnaround())
 }
 
-// freeTurnaround is the longest usual turnaround of a pool where nothing waits for more than the next calls.
+// freeTurnaround is the longest usual turnaround in a pool without a backlog.
 func (p *Pool) freeTurnaround() time.Duration {
 	return turnaroundCalls * p.cfg.Stage.CallDuration(p.cfg.Stage.Batch)
 }
 
-// contended reports whether groups of several priorities use the pool and take longer than in a pool without a backlog.
+// contended reports whether groups of several classes use the pool and take longer than in a pool without a backlog.
 // Otherwise one turnaround serves all.
 func (p *Pool) contended(now time.Time) bool {
 	return p.Turnaround() > p.freeTurnaround() && p.classes.several(now)
 }
 
-// ClassLoads returns the loads by priority: of the most urgent one, and of those used recently. Any other one waits as long as
-// the next more urgent one in the list. It returns none while one load serves all.
+// ClassLoads returns the loads by class: of the most urgent one, and of those used recently. Any other one waits as long as the
+// next more urgent one in the list. It returns none while one load serves all.
 func (p *Pool) ClassLoads(now time.Time) []ClassLoad {
 	if p.cfg.Disabled.Has(switcher.ClassLoads) {
 		return nil
--- a/planner/class_test.go
+++ b/planner/class_test.go
@@ -10,6 +10,7 @@
 	"geraniumline/cataloger"
 	"geraniumline/collector"
 	"geraniumline/registrar"
+	"geraniumline/switcher"
 )
 
 func TestClassOf(t *testing.T) {
@@ -91,3 +92,23 @@
 	}
 	require.NotEmpty(t, p.ClassLoads(start))
 }
+
+// Where client accounts have no priority of their own, the pieces' priority is the request's, as entries of the release before
+// send it.
+func TestRankOfAPlan(t *testing.T) {
+	without, err := switcher.Disable(string(switcher.RouteRank))
+	require.NoError(t, err)
+	for _, c := range []struct {
+		priority, route int
+		disabled        switcher.Disabled
+		want            int
+	}{
+		{priority: 2, route: 2, want: 2},
+		{priority: 1, route: 2, want: collector.Rank(1, 2)},
+		{priority: 1, route: 2, disabled: without, want: 1},
+	} {
+		p := New(Config{Priority: c.priority, RoutePriority: c.route, Disabled: c.disabled, Stages: []cataloger.Stage{{Service: "a"}}})
+		require.Equal(t, c.want, p.Rank())
+		require.Equal(t, c.want, p.StartStage(0, uniformView{}, start).Priority)
+	}
+}
