Leave a silent stream only if it may go on elsewhere

Weighed: taking the retry before the attempt ends (a cancel that comes too late would have to give it back). Change: the timer looks again each 250 ms until the budget has a retry and another endpoint accepts the request. Test: TestSilentStreamIsLeftOnlyIfItMayGoOnElsewhere.

--- a/forwarder/retries.go
+++ b/forwarder/retries.go
@@ -8,6 +8,7 @@
 	"geraniumline/carrier"
 	"geraniumline/meter"
 	"geraniumline/retrier"
+	"geraniumline/selector"
 )
 
 // takeRetry takes one retry from the budget of the request's service, and reports whether it is allowed. The lock must
@@ -47,6 +48,13 @@
 	return f.retries.AllowsHedge(service, now)
 }
 
+// mayRetry reports whether a request may be given up at a silent endpoint and sent to another one.
+func (f *Forwarder) mayRetry(query selector.Query, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.retries.Allowance(query.Service, now).Left >= 1 && f.selector.HasEndpoint(query, now)
+}
+
 // retryUse returns this entry's use of the retry budgets. The lock must be held.
 func (f *Forwarder) retryUse(now time.Time) []carrier.RetryUse {
 	uses := f.retries.Uses(now)
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -11,6 +11,8 @@
 	// minSilenceFactor is the least such multiple. An endpoint that serves as predicted is not left, even if the time
 	// that remains would not suffice at another one afterwards.
 	minSilenceFactor = 1.5
+	// silenceRecheck is how often it is checked whether a silent stream may go on elsewhere.
+	silenceRecheck = 250 * time.Millisecond
 )
 
 // The values of the label of meter.ForwardStalls.
--- a/forwarder/silence_test.go
+++ b/forwarder/silence_test.go
@@ -1,10 +1,15 @@
 package forwarder
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"geraniumline/cataloger"
+	"geraniumline/selector"
 )
 
 func TestFirstEventSilence(t *testing.T) {
@@ -27,3 +32,39 @@
 		})
 	}
 }
+
+// Guards against losing a stream at a silent endpoint that may still answer, because the retry budget is used up or no
+// other endpoint accepts it.
+func TestSilentStreamIsLeftOnlyIfItMayGoOnElsewhere(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		endpoints []string
+		exhausted bool
+		left      bool
+	}{
+		{"another endpoint and budget", []string{"a", "b"}, false, true},
+		{"no budget", []string{"a", "b"}, true, false},
+		{"no other endpoint", []string{"a"}, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(t, 1)
+				m.setEndpoints(tc.endpoints...)
+				x := newExchange(m.nodes["entry-0"], 0)
+				x.route = &cataloger.Route{Kind: cataloger.Streaming, Resumable: true, MaxAttempts: 2, Objective: time.Second}
+				x.tried = []string{"a"}
+				x.firstEventDeadline = time.Now().Add(4 * time.Second)
+				if tc.exhausted {
+					x.f.takeAll("plain", time.Now())
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s := &streamer{x: x}
+				defer s.startStallTimer(ctx, cancel, selector.Choice{}, time.Now()).Stop()
+				time.Sleep(2 * time.Second)
+				synctest.Wait()
+				require.Equal(t, tc.left, ctx.Err() != nil)
+			})
+		})
+	}
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -85,7 +85,7 @@
 	}
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	stall := s.startStallTimer(cancel, choice, startTime)
+	stall := s.startStallTimer(ctx, cancel, choice, startTime)
 	defer stall.Stop()
 	stopFreeing := s.stages.freeAfterFetch()
 	resp, err := x.f.cfg.Client.Do(ctx, x.call(choice, info))
@@ -103,9 +103,10 @@
 	return s.relay(&choice, resp, stall, startTime)
 }
 
-// startStallTimer starts a timer that cancels a silent attempt if the stream may resume at another endpoint. An
-// attempt that may not be resumed is not cancelled, as silence alone is no reason to end the response.
-func (s *streamer) startStallTimer(cancel context.CancelFunc, choice selector.Choice, now time.Time) *time.Timer {
+// startStallTimer starts a timer that cancels a silent attempt once the stream may resume at another endpoint: a silent
+// endpoint may still answer, a request that no endpoint may take is lost. An attempt that may not be resumed is not
+// cancelled, as silence alone is no reason to end the response.
+func (s *streamer) startStallTimer(ctx context.Context, cancel context.CancelFunc, choice selector.Choice, now time.Time) *time.Timer {
 	x := s.x
 	if !s.mayResume() {
 		return time.NewTimer(x.remaining(now) + time.Hour)
@@ -120,14 +121,24 @@
 		elsewhere: elsewhere,
 		left:      x.firstEventDeadline.Sub(now),
 	}.limit()
-	return time.AfterFunc(limit, func() {
+	query := x.endpointQuery(selector.Query{})
+	var timer atomic.Pointer[time.Timer]
+	timer.Store(time.AfterFunc(limit, func() {
+		if ctx.Err() != nil {
+			return
+		}
+		if t := timer.Load(); t != nil && !x.f.mayRetry(query, time.Now()) {
+			t.Reset(silenceRecheck)
+			return
+		}
 		reason := stalledBeforeFirstEvent
 		if s.sawEvent.Load() {
 			reason = stalledBetweenEvents
 		}
 		x.f.cfg.Meter.Counter(meter.ForwardStalls, reason).Inc(1)
 		cancel()
-	})
+	}))
+	return timer.Load()
 }
 
 func (s *streamer) mayResume() bool {
