Keep peers' numbered observations in one type

Cause: observations of endpoints' speeds and placements of prompts each had their own list of what was recently seen, and their own record of what peers had reported; the code was the same. Change: observations[T] holds both; timings and prompts say only what is reported. A report carries at most 128 observations of a kind (64 speeds before; an entry makes a few a second). Tests keep their checks.

--- a/forwarder/prompts.go
+++ b/forwarder/prompts.go
@@ -10,11 +10,6 @@
 )
 
 const (
-	// promptWindow is how long a placement is reported. Within it, each peer receives a report, also where reports go to a
-	// part of the peers in each round.
-	promptWindow = time.Second
-	// maxPrompts bounds the placements in one report. An entry that makes more reports the newest ones.
-	maxPrompts = 128
 	// minReportedTokens is the least size of the shared parts of a prompt that is reported. Shorter ones are read within a few
 	// milliseconds.
 	minReportedTokens = 500
@@ -22,23 +17,10 @@
 	minReportingShare = 0.5
 )
 
-// prompts holds this entry's recent placements of prompts, and which placements of peers it has applied. It answers the load of
-// thousands of prompts that are each sent a few times: an entry alone meets most of them once.
+// prompts holds placements of prompts. It answers the load of thousands of prompts that are each sent a few times: an entry
+// alone meets most of them once.
 type prompts struct {
-	sequence uint64
-	recent   []recentPrompt
-	applied  map[string]appliedPrompts
-}
-
-type recentPrompt struct {
-	placement carrier.PromptPlacement
-	at        time.Time
-}
-
-// appliedPrompts is the number of a peer's last placement that was applied.
-type appliedPrompts struct {
-	incarnation uint64
-	sequence    uint64
+	observations[carrier.PromptPlacement]
 }
 
 // add stores a placement by this entry.
@@ -46,60 +28,17 @@
 	if selector.SharedTokens(parts) < minReportedTokens {
 		return
 	}
-	p.sequence++
-	p.recent = append(p.recent, recentPrompt{at: now, placement: carrier.PromptPlacement{
+	p.observations.add(carrier.PromptPlacement{
 		ID:            choice.Endpoint.ID,
 		StartedMillis: toUnixMillis(choice.Endpoint.Started),
-		Sequence:      p.sequence,
+		Sequence:      p.next(),
 		Prefixes:      selector.SharedPrefixes(parts),
-	}})
-	if len(p.recent) > maxPrompts {
-		p.recent = p.recent[len(p.recent)-maxPrompts:]
-	}
+	}, now)
 }
 
-// report returns the placements of the last moment.
-func (p *prompts) report(now time.Time) []carrier.PromptPlacement {
-	for len(p.recent) > 0 && now.Sub(p.recent[0].at) > promptWindow {
-		p.recent = p.recent[1:]
-	}
-	list := make([]carrier.PromptPlacement, len(p.recent))
-	for i, r := range p.recent {
-		list[i] = r.placement
-	}
-	return list
-}
-
-// unapplied returns those of a peer's placements that have not been applied yet, and marks them as applied. A peer that has
-// restarted numbers its placements from the start.
+// unapplied returns those of a peer's placements that have not been applied yet, and marks them as applied.
 func (p *prompts) unapplied(peer string, incarnation uint64, list []carrier.PromptPlacement) []carrier.PromptPlacement {
-	applied := p.applied[peer]
-	if applied.incarnation != incarnation {
-		applied = appliedPrompts{incarnation: incarnation}
-	}
-	var fresh []carrier.PromptPlacement
-	last := applied.sequence
-	for _, m := range list {
-		if m.Sequence > applied.sequence {
-			fresh = append(fresh, m)
-			last = max(last, m.Sequence)
-		}
-	}
-	applied.sequence = last
-	if p.applied == nil {
-		p.applied = make(map[string]appliedPrompts)
-	}
-	p.applied[peer] = applied
-	return fresh
-}
-
-// forget drops the state of peers that are no longer known.
-func (p *prompts) forget(known func(peer string) bool) {
-	for peer := range p.applied {
-		if !known(peer) {
-			delete(p.applied, peer)
-		}
-	}
+	return p.observations.unapplied(peer, incarnation, list, func(m *carrier.PromptPlacement) uint64 { return m.Sequence })
 }
 
 // countPrompt counts a call by whether its endpoint has to read the shared parts of the prompt.
--- a/forwarder/prompts_test.go
+++ b/forwarder/prompts_test.go
@@ -20,16 +20,16 @@
 	choice := selector.Choice{Endpoint: registrar.Endpoint{ID: "a", Started: time.UnixMilli(5)}}
 	p.add(&choice, longPrompt(1), at)
 	p.add(&choice, []selector.Part{{ID: 9, Tokens: 5000}}, at)
-	list := p.report(at.Add(promptWindow))
+	list := p.report(at.Add(observationWindow))
 	require.Len(t, list, 1, "a prompt without shared parts is not reported")
 	require.Equal(t, "a", list[0].ID)
 	require.Equal(t, int64(5), list[0].StartedMillis)
 	require.Equal(t, selector.SharedPrefixes(longPrompt(1)), list[0].Prefixes)
-	require.Empty(t, p.report(at.Add(promptWindow+time.Millisecond)))
-	for range 2 * maxPrompts {
+	require.Empty(t, p.report(at.Add(observationWindow+time.Millisecond)))
+	for range 2 * maxObservations {
 		p.add(&choice, longPrompt(1), at)
 	}
-	require.Len(t, p.report(at), maxPrompts)
+	require.Len(t, p.report(at), maxObservations)
 }
 
 // Guards against placements of a restarted peer that are dropped, since it numbers them from the start.
--- a/forwarder/timings_test.go
+++ b/forwarder/timings_test.go
@@ -22,13 +22,13 @@
 func TestTimingsAreReportedForAMoment(t *testing.T) {
 	var own timings
 	now := time.Now()
-	for i := range 3 * maxTimings {
+	for i := range 3 * maxObservations {
 		own.add(timingOf(fmt.Sprint(i)), now)
 	}
-	report := own.report(now.Add(timingWindow))
-	require.Len(t, report, maxTimings)
-	require.Equal(t, carrier.EndpointTiming{ID: "191", Sequence: 192, LogRatio: 500}, report[maxTimings-1])
-	require.Empty(t, own.report(now.Add(timingWindow+1)))
+	report := own.report(now.Add(observationWindow))
+	require.Len(t, report, maxObservations)
+	require.Equal(t, carrier.EndpointTiming{ID: "383", Sequence: 384, LogRatio: 500}, report[maxObservations-1])
+	require.Empty(t, own.report(now.Add(observationWindow+1)))
 }
 
 // Guards against counting an observation once per report, and against ignoring a peer that has restarted.
@@ -36,19 +36,19 @@
 	var peer, receiver timings
 	now := time.Now()
 	peer.add(timingOf("a"), now)
-	require.Len(t, receiver.uncounted("peer", 1, peer.report(now)), 1)
-	require.Empty(t, receiver.uncounted("peer", 1, peer.report(now)))
+	require.Len(t, receiver.unapplied("peer", 1, peer.report(now)), 1)
+	require.Empty(t, receiver.unapplied("peer", 1, peer.report(now)))
 	peer.add(timingOf("b"), now)
-	fresh := receiver.uncounted("peer", 1, peer.report(now))
+	fresh := receiver.unapplied("peer", 1, peer.report(now))
 	require.Len(t, fresh, 1)
 	require.Equal(t, "b", fresh[0].ID)
-	require.Len(t, receiver.uncounted("other", 1, peer.report(now)), 2)
+	require.Len(t, receiver.unapplied("other", 1, peer.report(now)), 2)
 
 	var restarted timings
 	restarted.add(timingOf("c"), now)
-	require.Len(t, receiver.uncounted("peer", 2, restarted.report(now)), 1)
+	require.Len(t, receiver.unapplied("peer", 2, restarted.report(now)), 1)
 	receiver.forget(func(string) bool { return false })
-	require.Empty(t, receiver.counted)
+	require.Empty(t, receiver.applied)
 }
 
 // Guards against a slow endpoint that no entry finds because each of them sees it a few times a minute.
