Show what is found of endpoints in the explanation of a request

Cause: endpoints that ended, are slow, or are avoided on peers' reports affect a request, and its own lines don't say so. Change: explain prints these changes with the request's lines, and the reason stageResultGone says what it now means.

--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -20,7 +20,7 @@
 	"stagefailed":       "its pieces failed in several calls; it has not run. See 'call for pieces failed' for the endpoints.",
 	"stagesTimedOut":    "its caller would have disconnected, or its deadline passed, before the stages were done; it has not run.",
 	"entryStops":        "the entry ended its planned stop before the stages were done; it has not run.",
-	"stageResultGone":   "a stage's result had expired when the model engine fetched it; it has not run.",
+	"stageResultGone":   "results of a stage had expired, or the process that held them had ended, when the model engine fetched them, and could not be computed again in time; it has not run.",
 	"noOpenEndpoint":    "the endpoints that could serve it are in evacuated zones, or outside its home regions; it has not run. Look for 'evacuated zones changed'.",
 	"stageevacuated":    "the zones of all endpoints of a stage were evacuated while its pieces waited; it has not run. Look for 'evacuated zones changed'.",
 	"stageheldBack":     "all endpoints of a stage had asked for a pause or stated limits, so that its pieces could not be computed in time; it has not run. Look for 'endpoint asks for rest' and 'endpoint's limit changed'.",
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -52,13 +52,18 @@
 // stateMessages lists the messages that report a change of an entry's state, such as its configuration. This state
 // affects how a request is handled, and the request's own lines don't repeat it.
 var stateMessages = map[string]bool{
-	"configuration in force":   true,
-	"endpoint asks for rest":   true,
-	"endpoint leaves":          true,
-	"endpoint's limit changed": true,
-	"evacuated zones changed":  true,
-	"store answers again":      true,
-	"store does not answer":    true,
+	"configuration in force":                    true,
+	"endpoint asks for rest":                    true,
+	"endpoint avoided, peer could not reach it": true,
+	"endpoint has ended":                        true,
+	"endpoint is slow":                          true,
+	"endpoint leaves":                           true,
+	"endpoint serves at the usual speed again":  true,
+	"endpoint's limit changed":                  true,
+	"ended endpoint is still listed":            true,
+	"evacuated zones changed":                   true,
+	"store answers again":                       true,
+	"store does not answer":                     true,
 	"store has returned from an older copy; what was written since may be lost": true,
 }
 
