Judge a silent endpoint by the whole prompt, and weigh rare observations fully

And an endpoint's time of the last observation was moved by each comparison of the pool, so that a rare observation weighed half.

Weighed: not believing that a home has the parts (placement rests on it).

Change: the silence limit counts the whole prompt as uncached, with three predictions and four deviations again. Ageing and the time of the last observation are kept apart; the comparison's interval is the caller's.

--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -59,6 +59,8 @@
 	speeds  Speeds
 	engines []*engine
 	now     time.Time
+	// updatedAt is when the speeds were last compared.
+	updatedAt time.Time
 	// noisy engines share their machines: each is disturbed for moments, 15% of the time.
 	noisy bool
 	// unknownQueues is the share of calls before which the queue at the engine isn't known.
@@ -108,7 +110,8 @@
 		if logRatio, measures := p.fit.Observe(w, took); measures {
 			p.speeds.Observe(&e.speed, logRatio, p.now)
 		}
-		if p.speeds.UpdateDue(p.now) {
+		if p.now.Sub(p.updatedAt) >= 500*time.Millisecond {
+			p.updatedAt = p.now
 			p.update()
 		}
 	}
--- a/estimator/speed.go
+++ b/estimator/speed.go
@@ -18,8 +18,6 @@
 	aboveWeight = 0.4
 	// minWeight is the least weight of an endpoint's observations for the comparison with others.
 	minWeight = 2.0
-	// updateInterval is how often a pool's speeds are computed.
-	updateInterval = 500 * time.Millisecond
 	// noiseRate is how far one observation moves the pool's noise, and defaultNoise is the noise before that: calls
 	// usually take between half and twice the predicted time.
 	noiseRate    = 0.04
@@ -49,10 +47,13 @@
 	ratio        float64
 	rounded      float64
 	roundedRatio float64
-	mean         float64
-	weight       float64
-	at           time.Time
-	slow         bool
+	// mean and weight are those of the observations, of which the last one was made at observedAt. The weight is that at
+	// agedAt.
+	mean       float64
+	weight     float64
+	observedAt time.Time
+	agedAt     time.Time
+	slow       bool
 }
 
 // Factor returns how many times as long as usual calls take at the endpoint. It is 1 unless the endpoints of the pool
@@ -78,9 +79,9 @@
 
 // age reduces the weight of the observations by their age.
 func (s *Speed) age(now time.Time) {
-	if passed := now.Sub(s.at); passed > 0 {
+	if passed := now.Sub(s.agedAt); passed > 0 {
 		s.weight *= math.Exp2(-float64(passed) / float64(halfLife))
-		s.at = now
+		s.agedAt = now
 	}
 }
 
@@ -91,9 +92,8 @@
 	// observers' predictions, which are still inexact after their start.
 	level float64
 	// noise is the variance of an endpoint's mean at a weight of 1. Observations of lower weight add less to it.
-	noise     float64
-	updatedAt time.Time
-	spread    float64
+	noise  float64
+	spread float64
 }
 
 // Observe counts an observation of an endpoint: the logarithm of its time over the usual one.
@@ -106,7 +106,7 @@
 	logRatio -= p.level
 	weight, deviation := 1.0, logRatio-s.mean
 	if s.weight > 0 {
-		weight = min(max(float64(now.Sub(s.at))/float64(independentAfter), minObservationWeight), 1)
+		weight = min(max(float64(now.Sub(s.observedAt))/float64(independentAfter), minObservationWeight), 1)
 		s.age(now)
 		if deviation > 0 {
 			weight *= aboveWeight
@@ -115,19 +115,15 @@
 		square := deviation * deviation * s.weight / (weight + s.weight)
 		p.noise += noiseRate * weight * (weight*square - p.noise)
 	}
-	s.at = now
+	s.observedAt, s.agedAt = now, now
 	s.weight += weight
 	s.mean += weight / s.weight * (logRatio - s.mean)
 }
 
-// UpdateDue reports whether the speeds should be computed again.
-func (p *Speeds) UpdateDue(now time.Time) bool { return now.Sub(p.updatedAt) >= updateInterval }
-
 // Update computes the speeds of all endpoints of the pool. Each one is its mean shrunk toward the pool's by how much of
 // the endpoints' spread noise explains: to exactly the pool's if noise explains all of it. changed is called for each
 // endpoint that has become slow or usual.
 func (p *Speeds) Update(all []*Speed, now time.Time, changed func(i int)) {
-	p.updatedAt = now
 	mean, n := 0.0, 0.0
 	for _, s := range all {
 		s.age(now)
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -6,8 +6,8 @@
 	// silenceFactor is how many times the predicted time to the first event an endpoint may be silent, and
 	// silenceDeviations how many deviations of predictions longer. The former covers an engine that is slow for a moment,
 	// the latter the work there that this entry doesn't know of.
-	silenceFactor     = 4
-	silenceDeviations = 8
+	silenceFactor     = 3
+	silenceDeviations = 4
 	// minSilenceFactor is the least such multiple. An endpoint that serves as predicted is not left, even if the time
 	// that remains would not suffice at another one afterwards.
 	minSilenceFactor = 1.5
@@ -25,8 +25,8 @@
 type firstEventSilence struct {
 	// min is the least limit, for prompts that are read within a moment.
 	min time.Duration
-	// predicted is the predicted time to the first event at the endpoint, and elsewhere that at another one without any
-	// part of the prompt.
+	// predicted is the predicted time to the first event at the endpoint, and elsewhere that at another one, both
+	// without any part of the prompt cached: which parts an endpoint has is only a belief.
 	predicted time.Duration
 	elsewhere time.Duration
 	// deviation is the mean deviation of predictions.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -115,7 +115,7 @@
 	x.f.mu.Unlock()
 	limit := firstEventSilence{
 		min:       max(minStallTime, x.route.Objective/2),
-		predicted: choice.FirstEvent,
+		predicted: choice.UncachedFirstEvent,
 		deviation: choice.Deviation,
 		elsewhere: elsewhere,
 		left:      x.firstEventDeadline.Sub(now),
--- a/selector/pace.go
+++ b/selector/pace.go
@@ -98,6 +98,11 @@
 	return estimator.Work{Queued: c.queued, Uncached: c.Tokens, Cached: c.Cached}
 }
 
+// uncachedWork is the work of the call if the endpoint has nothing of the prompt cached.
+func (c *Choice) uncachedWork() estimator.Work {
+	return estimator.Work{Queued: c.queued, Uncached: c.Tokens + c.Cached}
+}
+
 // PredictFirstEvent predicts the time to the first event of a prompt whose shared parts are cached, at an endpoint with a
 // typical queue.
 func (s *Selector) PredictFirstEvent(service string, parts []Part) time.Duration {
--- a/selector/pace_test.go
+++ b/selector/pace_test.go
@@ -108,6 +108,16 @@
 	require.Greater(t, homes["e1"], 80)
 }
 
+// Guards against leaving an endpoint that reads parts of the prompt which it was believed to have cached.
+func TestPredictionWithoutCachedParts(t *testing.T) {
+	s := newSelector(9)
+	choice, found := s.Choose(Query{Service: "pool", Parts: []Part{{ID: 1, Tokens: 40_000}, {ID: 2, Tokens: 3000}}}, now)
+	require.True(t, found)
+	require.Equal(t, 40_000, choice.Cached)
+	require.Less(t, choice.FirstEvent, 300*time.Millisecond)
+	require.Greater(t, choice.UncachedFirstEvent, 43_000*25*time.Microsecond)
+}
+
 // Guards against waiting at the home of a prompt, which has become slow, for longer than another endpoint takes to read
 // the shared parts again.
 func TestPromptLeavesASlowLoadedHome(t *testing.T) {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -65,6 +65,9 @@
 	Cached int
 	// FirstEvent is the predicted time to the first event, with the work that is queued at the endpoint.
 	FirstEvent time.Duration
+	// UncachedFirstEvent is the same for the case that the endpoint has nothing of the prompt cached, although that is
+	// believed.
+	UncachedFirstEvent time.Duration
 	// Deviation is the mean absolute deviation of such predictions.
 	Deviation time.Duration
 	// queued is the work that was known to be at the endpoint, in tokens.
@@ -306,7 +309,9 @@
 		refusals:   chosen.backoff.TotalRefusals(),
 	}
 	best.Deviation = p.fit.Deviation()
-	best.FirstEvent = time.Duration(float64(p.fit.Predict(best.work())) * chosen.health.Slowness() * s.speedFactor(chosen))
+	factor := chosen.health.Slowness() * s.speedFactor(chosen)
+	best.FirstEvent = time.Duration(factor * float64(p.fit.Predict(best.work())))
+	best.UncachedFirstEvent = time.Duration(factor * float64(p.fit.Predict(best.uncachedWork())))
 	return best, true
 }
 
