Leave a restarted entry little of the retry budget for its first window

Cause: found by reading. The budget's bound covered a twentieth of the entries that restart and forget their retries; after a loss of power all of them do, and both what was used before and 0.6 of the shares after it fall into one window. Change: within its first window a restarted entry has only the part of the ratio that is not planned with, and what peers lend that know their use; 0.12 of the total is not planned with (0.04 before). The tests' meshes are systems at their first start.

--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -341,13 +341,14 @@
 	AgeMillis uint32
 }
 
-// StageClassWait is the load of a service's pool for the pieces of one priority, at the entry that collects for it. Entries
-// pass it on.
+// StageClassWait is the load of a service's pool for the pieces of one class, at the entry that collects for it. Entries pass
+// it on.
 type StageClassWait struct {
-	Service  string
+	Service string
+	// Priority is the class: ten times the request's priority plus its route's.
 	Priority int32
-	// Millis is how long a piece of this priority that arrives now would wait. TurnaroundMillis is how long groups of
-	// this priority take from their arrival to their last result; 0 if none was done recently.
+	// Millis is how long a piece of this class that arrives now would wait. TurnaroundMillis is how long groups of this
+	// class take from their arrival to their last result; 0 if none was done recently.
 	Millis           int32
 	TurnaroundMillis int32
 	// AgeMillis is the time since the collecting entry reported this load.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -229,6 +229,7 @@
 			Window:       cfg.RetryWindow,
 			MinEntries:   typicalEntries,
 			MaxReporting: maxReportPeers + 1,
+			Restarted:    !cfg.FirstStart,
 		}, now),
 		ending:      make(chan struct{}),
 		quarantiner: quarantiner.New(quarantiner.Config{}),
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -139,6 +139,7 @@
 			AddressTTL:    time.Second,
 			RetryRatio:    0.2,
 			RetrySlack:    54,
+			FirstStart:    true,
 			Wire:          noWire{},
 			Client:        connector.New(connector.Config{}),
 			DecodeConfig:  decodeTestConfig,
--- a/retrier/shared.go
+++ b/retrier/shared.go
@@ -10,8 +10,9 @@
 	// risingPart is the part of the requests in the present window that counts while load rises. If they cease, three
 	// quarters of them are still in one of the windows by which the limit is computed.
 	risingPart = 0.75
-	// stalePart is not planned with: requests may have ceased since they were reported.
-	stalePart = 0.04
+	// stalePart is not planned with: requests may have ceased since they were reported, and entries that restart at once
+	// have forgotten what they used.
+	stalePart = 0.12
 	// restartedPart is the part of the entries whose retries may be forgotten, as they restarted within a window. One
 	// entry at least may restart.
 	restartedPart = 0.05
@@ -55,6 +56,9 @@
 	// MaxReporting is the largest number of entries that all report to each other. With more, nothing is lent, and each
 	// entry may use all of its even share.
 	MaxReporting int
+	// Restarted is set if an earlier process of the entry may have used the budget. Within its first window the entry then
+	// has little of its own, and what peers lend that know their use.
+	Restarted bool
 }
 
 // Use is what one entry has used of the budget of one service.
@@ -166,12 +170,18 @@
 	n := s.entryCount(now)
 	share := s.share(s.basis(c), n)
 	plannedPart := plannedPart(n)
+	ownPart, wholePart := evenPart, plannedPart
+	if s.cfg.Restarted && now.Sub(s.startTime) < s.cfg.Window {
+		// All entries may have restarted at once, after they used what is planned with.
+		share = s.cfg.Ratio * float64(s.basis(c))
+		ownPart, wholePart = 1-plannedPart, 1-plannedPart
+	}
 	if n > s.cfg.MaxReporting {
-		return plannedPart * share, 0
+		return wholePart * share, 0
 	}
 	retries := c.retries()
 	recent, borrowed := c.recent(int(loanInterval / s.bucket))
-	even = max(evenPart*share, float64(retries-borrowed))
+	even = max(ownPart*share, float64(retries-borrowed))
 	unused := plannedPart*share - even
 	borrows, borrowers := usedUp(retries-recent, share), 1
 	for _, p := range s.peers {
