--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -116,7 +116,7 @@
 	x.f.mu.Unlock()
 	limit := firstEventSilence{
 		min:       max(minStallTime, x.route.Objective/2),
-		predicted: choice.FirstEvent,
+		predicted: choice.UncachedFirstEvent,
 		deviation: choice.Deviation,
 		elsewhere: elsewhere,
 		left:      x.firstEventDeadline.Sub(now),
--- a/selector/pace.go
+++ b/selector/pace.go
@@ -99,6 +99,11 @@
 	return estimator.Work{Queued: c.queued, Uncached: c.Tokens, Cached: c.Cached}
 }
 
+// uncachedWork is the work of the call if the endpoint has nothing of the prompt cached.
+func (c *Choice) uncachedWork() estimator.Work {
+	return estimator.Work{Queued: c.queued, Uncached: c.Tokens + c.Cached}
+}
+
 // PredictFirstEvent predicts the time to the first event of a prompt at an endpoint with a typical queue. Its shared parts
 // count as cached, unless peers report where they send prompts and nobody has sent this one.
 func (s *Selector) PredictFirstEvent(service string, parts []Part) time.Duration {
