--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -20,7 +20,7 @@
 	// effect.
 	deviationRate = 0.1
 	maxDifference = time.Second
-	maxStretch    = 4.0
+	maxStretch    = 2.0
 )
 
 // The terms of the prediction before any call has been observed: 40 prompt tokens a millisecond after a network round
