Keep a restarted entry's part of the slack of the retry budget

Weighed: one retry at least (too few for a process that starts at a crash of endpoints); entries that tell a restart of all from their own (they can't know what was used before). Tests: TestAllEntriesUseTheirMostAtOnce with all entries restarted holds; assembler passes with the race detector, retrier and forwarder pass.

--- a/retrier/shared.go
+++ b/retrier/shared.go
@@ -12,7 +12,7 @@
 	risingPart = 0.75
 	// stalePart is not planned with: requests may have ceased since they were reported, and entries that restart at once
 	// have forgotten what they used.
-	stalePart = 0.12
+	stalePart = 0.14
 	// restartedPart is the part of the entries whose retries may be forgotten, as they restarted within a window. One
 	// entry at least may restart.
 	restartedPart = 0.05
@@ -57,7 +57,7 @@
 	// entry may use all of its even share.
 	MaxReporting int
 	// Restarted is set if an earlier process of the entry may have used the budget. Within its first window the entry then
-	// has little of its own, and what peers lend that know their use.
+	// has its part of the slack, little of the ratio, and what peers lend that know their use.
 	Restarted bool
 }
 
@@ -170,18 +170,18 @@
 	n := s.entryCount(now)
 	share := s.share(s.basis(c), n)
 	plannedPart := plannedPart(n)
-	ownPart, wholePart := evenPart, plannedPart
+	own, whole := evenPart*share, plannedPart*share
 	if s.cfg.Restarted && now.Sub(s.startTime) < s.cfg.Window {
 		// All entries may have restarted at once, after they used what is planned with.
-		share = s.cfg.Ratio * float64(s.basis(c))
-		ownPart, wholePart = 1-plannedPart, 1-plannedPart
+		own = evenPart*s.cfg.Slack/float64(n) + (1-plannedPart)/2*s.cfg.Ratio*float64(s.basis(c))
+		whole = own
 	}
 	if n > s.cfg.MaxReporting {
-		return wholePart * share, 0
+		return whole, 0
 	}
 	retries := c.retries()
 	recent, borrowed := c.recent(int(loanInterval / s.bucket))
-	even = max(ownPart*share, float64(retries-borrowed))
+	even = max(own, float64(retries-borrowed))
 	unused := plannedPart*share - even
 	borrows, borrowers := usedUp(retries-recent, share), 1
 	for _, p := range s.peers {
