Keep routes with little work from being put behind a surge

Change: a class goes behind more urgent ones of the same request priority only while it has more than an eighth of the pool's recent pieces. Tests: TestRouteWithLittleWorkIsNotPutBehindASurge; TestAmongEqualPrioritiesTheMoreUrgentRouteGoesFirst gives its classes an even share of the pool first, its checks are the same.

--- a/collector/call.go
+++ b/collector/call.go
@@ -132,6 +132,7 @@
 			g.tries[segment]++
 			space -= g.ResultBytes
 			p.shares.add(g.Account, now)
+			p.classes.recordPiece(g.class, now)
 			if late {
 				p.lateRate.add(1, now)
 			}
--- a/collector/class.go
+++ b/collector/class.go
@@ -13,6 +13,8 @@
 	// turnaroundCalls is the number of full calls that a group takes once its turn has come: the rest of a call in progress,
 	// which is half on average, its own call, and half a call for one that is slow.
 	turnaroundCalls = 2
+	// smallShare is the share of a pool's pieces up to which a class is not put behind more urgent routes.
+	smallShare = 0.125
 )
 
 // class is the recent use of a pool by the groups of one class.
@@ -22,6 +24,8 @@
 	turnaround turnaround
 	measuredAt time.Time
 	usedAt     time.Time
+	// rate is the recent rate at which pieces of the class were added to calls.
+	rate recentRate
 }
 
 // classes holds the use of a pool by class.
@@ -35,6 +39,30 @@
 	k.measuredAt, k.usedAt = now, now
 }
 
+func (c *classes) recordPiece(class int, now time.Time) { c[class].rate.add(1, now) }
+
+// order returns the position of each class in the order of groups. A class goes behind more urgent ones of the same request
+// priority only while it has more than smallShare of the pool: a route with few requests takes little time from others, and
+// behind a surge of them its callers would get nothing.
+func (c *classes) order(now time.Time) [ClassCount]int {
+	var rates [ClassCount]float64
+	total := 0.0
+	for i := range c {
+		if c[i].used(now) {
+			rates[i] = c[i].rate.perSecond(now)
+			total += rates[i]
+		}
+	}
+	var order [ClassCount]int
+	for i := range order {
+		order[i] = i
+		if total > 0 && rates[i] <= smallShare*total {
+			order[i] = pairOf(PriorityOf(i), 0)
+		}
+	}
+	return order
+}
+
 func (k *class) used(now time.Time) bool {
 	return !k.usedAt.IsZero() && now.Sub(k.usedAt) < classExpiry
 }
--- a/collector/group.go
+++ b/collector/group.go
@@ -252,9 +252,10 @@
 	if !p.cfg.Disabled.Has(switcher.FairShare) {
 		delays = p.shares.delays(now)
 	}
+	order := p.classes.order(now)
 	for _, g := range p.groups {
 		if len(g.waiting) > 0 {
-			keys = append(keys, p.sortKeyOf(g, delays[g.Account], now))
+			keys = append(keys, p.sortKeyOf(g, &order, delays[g.Account], now))
 		}
 	}
 	slices.SortFunc(keys, sortKey.compare)
@@ -271,11 +272,13 @@
 	group *group
 	// rank puts partly processed groups before the rest, and within each, deprioritized groups after others.
 	rank int
+	// class is the position of the group's class.
+	class int
 	// due is in Unix nanoseconds, which compare faster than times.
 	due int64
 }
 
-func (p *Pool) sortKeyOf(g *group, delay time.Duration, now time.Time) sortKey {
+func (p *Pool) sortKeyOf(g *group, order *[ClassCount]int, delay time.Duration, now time.Time) sortKey {
 	rank := 0
 	if !g.started() && !p.cfg.Disabled.Has(switcher.StartedFirst) {
 		rank = startedRanks
@@ -283,7 +286,7 @@
 	if p.deprioritized(g, now) {
 		rank++
 	}
-	return sortKey{group: g, rank: rank, due: p.effectiveDue(g, now).Add(delay).UnixNano()}
+	return sortKey{group: g, rank: rank, class: order[g.class], due: p.effectiveDue(g, now).Add(delay).UnixNano()}
 }
 
 // startedRanks is the number of ranks of partly processed groups: on time and late.
@@ -293,8 +296,8 @@
 	switch {
 	case a.rank != b.rank:
 		return a.rank - b.rank
-	case a.group.class != b.group.class:
-		return a.group.class - b.group.class
+	case a.class != b.class:
+		return a.class - b.class
 	case a.due != b.due:
 		return cmp.Compare(a.due, b.due)
 	default:
--- a/collector/rank_test.go
+++ b/collector/rank_test.go
@@ -53,8 +53,35 @@
 			g.Priority, g.Due = Rank(o.priority, o.route), w.at(o.due)
 		})}, ids...)
 	}
+	for _, o := range order {
+		// All of them have an even share of the pool.
+		w.pool.classes.recordPiece(Class(Rank(o.priority, o.route)), w.now)
+	}
 	w.run(2 * time.Second)
 	for i := 1; i < len(ids); i++ {
 		require.True(t, w.deliveredAt[ids[i-1]].Before(w.deliveredAt[ids[i]]), ids[i].Request)
 	}
 }
+
+// Load: a surge of the most urgent route, and a few requests of the least urgent one, which would wait for its end.
+func TestRouteWithLittleWorkIsNotPutBehindASurge(t *testing.T) {
+	var c classes
+	now := start
+	surge, few, other := Class(Rank(1, 0)), Class(Rank(1, 2)), Class(Rank(2, 0))
+	for _, class := range []int{surge, few, other} {
+		c[class].usedAt = now
+	}
+	record := func(class, pieces int) {
+		for range pieces {
+			c.recordPiece(class, now)
+		}
+	}
+	record(surge, 90)
+	record(few, 10)
+	order := c.order(now)
+	require.Equal(t, order[surge], order[few])
+	require.Greater(t, order[other], order[few], "a less urgent account stays behind")
+	record(few, 10)
+	order = c.order(now)
+	require.Greater(t, order[few], order[surge], "it has more than a small share")
+}
