--- a/assembler/lost_test.go
+++ b/assembler/lost_test.go
@@ -27,14 +27,6 @@
 // endedTime is how long an endpoint that is found to have ended gets nothing if it is still listed.
 const endedTime = 5 * time.Second
 
-// listAtAddressOf writes an entry in the store for an endpoint that has ended: another process answers at its address.
-func (f *fleet) listAtAddressOf(successor *imitator.Endpoint, id, service string) {
-	f.site.Store.PutJSON("keyed.servers", id, map[string]any{
-		"Service": service, "Address": successor.Address(), "Zone": imitator.ZoneA, "Version": "v1", "Slots": 8, "State": "in_service",
-		"ColdLeftMs": 0, "SeqNo": 1, "born": time.Now().UnixMilli(),
-	})
-}
-
 // Guards against requests and pieces that are sent again and again to an endpoint whose process has ended, because the
 // store still lists it while another process rejects them at its address.
 func TestAnEndpointWhoseProcessHasEndedIsLeftAlone(t *testing.T) {
@@ -44,7 +36,7 @@
 	for _, service := range services {
 		successors[service] = imitator.NewEndpoint("successor-"+service, kinds[service])
 		t.Cleanup(successors[service].Close)
-		f.listAtAddressOf(successors[service], "ended-"+service, service)
+		f.site.RegisterEnded("ended-"+service, service, successors[service])
 	}
 	// endedAt returns how often an entry has found the endpoint of a service to have ended.
 	endedAt := func(entry int, service string) int {
--- a/assembler/silence_test.go
+++ b/assembler/silence_test.go
@@ -15,9 +15,7 @@
 func newReadingFleet(t *testing.T, silence time.Duration) *fleet {
 	site := imitator.NewSite()
 	site.SetTimeouts(10 * time.Second)
-	for _, route := range site.Routes {
-		route["GoalMs"] = 1000
-	}
+	site.SetObjectives(time.Second)
 	site.Configure()
 	for _, id := range []string{"i-model-0", "i-model-1"} {
 		site.Endpoint(id).FirstEventDelay = silence
@@ -27,7 +25,7 @@
 
 func longPromptRequest(f *fleet, id string) imitator.Request {
 	request := f.newRequest(0, imitator.ResumePath, id)
-	request.Header = http.Header{"Geraniumline-Prompt-Prefix": {"a1:40000,b2:20000"}}
+	request.Prompt = "a1:40000,b2:20000"
 	return request
 }
 
