Log how responses end: with a length, chunks or their connection

The log of a stream that broke off and was taken for a complete one doesn't tell whether its response ended with its connection or whether a reset was lost on the way.

The end of a request and of an interrupted stream now say whether the response ended with its connection, and a stream that ends inside an event is logged with the bytes that are left. Peers that relay a response pass on how it was framed; an entry of the release before leaves the field out, which reads as framed. No behaviour changes.

--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -524,6 +524,8 @@
 type RelayResponse struct {
 	Status int32               `msg:"status"`
 	Header map[string][]string `msg:"header,limit=1024"`
+	// UntilClose is set if the endpoint's body has neither a length nor chunks, so that it ends with its connection.
+	UntilClose bool `msg:"untilClose"`
 }
 
 // RelayEnd ends a complete response.
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -10446,6 +10446,12 @@
 				}
 				z.Header[za0001] = za0002
 			}
+		case "untilClose":
+			z.UntilClose, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "UntilClose")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -10459,9 +10465,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *RelayResponse) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "status"
-	err = en.Append(0x82, 0xa6, 0x73, 0x74, 0x61, 0x74, 0x75, 0x73)
+	err = en.Append(0x83, 0xa6, 0x73, 0x74, 0x61, 0x74, 0x75, 0x73)
 	if err != nil {
 		return
 	}
@@ -10499,15 +10505,25 @@
 			}
 		}
 	}
+	// write "untilClose"
+	err = en.Append(0xaa, 0x75, 0x6e, 0x74, 0x69, 0x6c, 0x43, 0x6c, 0x6f, 0x73, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.UntilClose)
+	if err != nil {
+		err = msgp.WrapError(err, "UntilClose")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *RelayResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "status"
-	o = append(o, 0x82, 0xa6, 0x73, 0x74, 0x61, 0x74, 0x75, 0x73)
+	o = append(o, 0x83, 0xa6, 0x73, 0x74, 0x61, 0x74, 0x75, 0x73)
 	o = msgp.AppendInt32(o, z.Status)
 	// string "header"
 	o = append(o, 0xa6, 0x68, 0x65, 0x61, 0x64, 0x65, 0x72)
@@ -10519,6 +10535,9 @@
 			o = msgp.AppendString(o, za0002[za0003])
 		}
 	}
+	// string "untilClose"
+	o = append(o, 0xaa, 0x75, 0x6e, 0x74, 0x69, 0x6c, 0x43, 0x6c, 0x6f, 0x73, 0x65)
+	o = msgp.AppendBool(o, z.UntilClose)
 	return
 }
 
@@ -10595,6 +10614,12 @@
 				}
 				z.Header[za0001] = za0002
 			}
+		case "untilClose":
+			z.UntilClose, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "UntilClose")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -10619,6 +10644,7 @@
 			}
 		}
 	}
+	s += 11 + msgp.BoolSize
 	return
 }
 
--- a/connector/answer.go
+++ b/connector/answer.go
@@ -20,7 +20,8 @@
 }
 
 // NewResponse returns a response that was received in another way than by a Client. Closing it closes the body, whose
-// Read must return io.EOF only at the end of a complete body.
+// Read must return io.EOF only at the end of a complete body. ContentLength is below 0 if the endpoint's body ended with
+// its connection.
 func NewResponse(address string, resp *http.Response) *Response {
 	return &Response{address: address, resp: resp, end: func(bool) { _ = resp.Body.Close() }}
 }
@@ -46,6 +47,11 @@
 // Header returns the header.
 func (r *Response) Header() http.Header { return r.resp.Header }
 
+// UntilClose reports whether the body has neither a length nor chunks, so that it ends where its connection is closed.
+func (r *Response) UntilClose() bool {
+	return r.resp.ContentLength < 0 && len(r.resp.TransferEncoding) == 0
+}
+
 // Read implements io.Reader for the body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -62,8 +62,10 @@
 	// headerSent is set once the response header was written to the caller.
 	headerSent bool
 	// status is the status of the endpoint's response.
-	status   int
-	progress progress
+	status int
+	// untilClose is set if the body of the last response of an endpoint ends with its connection.
+	untilClose bool
+	progress   progress
 }
 
 // ServeHTTP serves callers' requests.
@@ -324,7 +326,7 @@
 		fields = append(fields, zap.String("service", x.service.Name))
 	}
 	if len(x.tried) > 0 {
-		fields = append(fields, zap.Strings("endpoints", x.tried))
+		fields = append(fields, zap.Strings("endpoints", x.tried), zap.Bool("untilClose", x.untilClose))
 	}
 	fields = append(fields, x.progress.fields(x.startTime)...)
 	answered := x.f.cfg.Meter.Counter(meter.ForwardRequests, outcomeAnswered)
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -94,6 +94,7 @@
 	if err != nil {
 		return nil, ResponseInfo{}, nil, err
 	}
+	x.untilClose = resp.UntilClose()
 	info := x.f.readResponse(&choice.Endpoint, resp)
 	body, err := resp.ReadAll(maxPlainResponse)
 	return resp, info, body, err
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -91,6 +91,7 @@
 		return s.handleFailure(choice, err)
 	}
 	defer resp.Close()
+	x.untilClose = resp.UntilClose()
 	if info := x.f.readResponse(&choice.Endpoint, resp); info.NotRun {
 		return s.handleRefusal(choice, resp, info)
 	}
@@ -199,6 +200,7 @@
 		zap.String("request", s.x.req.ID),
 		zap.String("endpoint", choice.Endpoint.ID),
 		zap.Int64("lastEvent", s.last),
+		zap.Bool("untilClose", s.x.untilClose),
 		zap.Bool("callerGone", s.x.callerGone()),
 		zap.Error(err))
 	return s.x.handleFailure(choice, err)
@@ -287,6 +289,14 @@
 
 // finish ends a complete stream.
 func (s *streamer) finish(choice selector.Choice, resp *connector.Response, rest []byte, empty bool) (bool, *FailureError) {
+	if len(rest) > 0 {
+		s.x.f.log.Info("stream ended inside an event",
+			zap.String("request", s.x.req.ID),
+			zap.String("endpoint", choice.Endpoint.ID),
+			zap.Int64("lastEvent", s.last),
+			zap.Int("unfinishedBytes", len(rest)),
+			zap.Bool("untilClose", s.x.untilClose))
+	}
 	s.x.runs++
 	s.x.endCall(choice, ejector.Good, false)
 	s.x.recordContentServed()
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -108,11 +108,11 @@
 	case *carrier.RelayFailure:
 		return nil, &NotSentError{Reason: m.Reason}
 	case *carrier.RelayResponse:
-		return connector.NewResponse(call.Address, &http.Response{
-			StatusCode: int(m.Status),
-			Header:     m.Header,
-			Body:       &responseBody{stream: s},
-		}), nil
+		resp := &http.Response{StatusCode: int(m.Status), Header: m.Header, Body: &responseBody{stream: s}}
+		if m.UntilClose {
+			resp.ContentLength = -1
+		}
+		return connector.NewResponse(call.Address, resp), nil
 	default:
 		return nil, &MessageError{Kind: m.Kind()}
 	}
@@ -180,7 +180,8 @@
 // Respond sends an endpoint's response to the peer as it arrives. Without an error the response is complete; otherwise
 // the caller must close the stream.
 func Respond(s Stream, resp *connector.Response) error {
-	if err := s.Send(&carrier.RelayResponse{Status: int32(resp.Status()), Header: resp.Header()}); err != nil {
+	head := &carrier.RelayResponse{Status: int32(resp.Status()), Header: resp.Header(), UntilClose: resp.UntilClose()}
+	if err := s.Send(head); err != nil {
 		return err
 	}
 	buf := make([]byte, chunkSize)
