Add a failing test of streams that end inside an event

An endpoint answers with neither a length nor chunks, sends two events and a part of a third, and closes its connection. The caller's answer is framed as complete. The test fails on the direct and on the relayed path at its first check (the answer must be broken off); its other checks are that a stream that may be resumed goes on at another endpoint, that nothing runs more often than allowed, and that a whole answer without a length stays whole.

--- /dev/null
+++ b/assembler/truncation_test.go
@@ -0,0 +1,41 @@
+package assembler
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/platform/imitator"
+)
+
+// Guards against streams that reach their callers as complete although the endpoint broke off inside an event, in a
+// response that ends with its connection.
+func TestAStreamThatEndsInsideAnEventIsBrokenOff(t *testing.T) {
+	f, partitioned := newPartitionedFleet(t)
+	for name, entry := range map[string]int{"direct": 0, "relayed": partitioned} {
+		t.Run(name, func(t *testing.T) {
+			f.injectFault("model", imitator.UnframedTruncated, -1)
+			for i, path := range []string{imitator.StreamPath, imitator.StagesPath, imitator.ResumePath} {
+				request := f.newRequest(entry, path, fmt.Sprintf("%s-cut-%d", name, i))
+				if path == imitator.StagesPath {
+					request.Pieces = "3,5"
+				}
+				broken := f.call(request)
+				require.True(t, broken.Truncated, path)
+				require.Equal(t, eventStream(request.ID, 2), broken.Body)
+				require.LessOrEqual(t, len(f.runs(request.ID)), 2)
+			}
+			f.injectFault("model", imitator.Healthy, 0)
+			f.site.Endpoint("i-model-0").InjectFault(imitator.UnframedTruncated, -1)
+			for i := range 4 {
+				id := fmt.Sprintf("%s-resumed-%d", name, i)
+				require.Equal(t, eventStream(id, 5), f.call(f.newRequest(entry, imitator.ResumePath, id)).Body)
+			}
+			f.injectFault("model", imitator.Unframed, -1)
+			whole := f.call(f.newRequest(entry, imitator.StreamPath, name+"-whole"))
+			require.False(t, whole.Truncated)
+			require.Equal(t, eventStream(name+"-whole", 5), whole.Body)
+		})
+	}
+}
