Break off streams that end inside an event

What callers saw: an endpoint crashed while it sent a stream, and the caller's answer was framed as complete with a part of an event at its end. The entry logged "request answered".

Cause: a response with neither a length nor chunks ends with its connection. A crashed endpoint whose connection is closed in order looks like one that has finished, and the entry passed the rest of the broken event on and ended its own answer, which has chunks, in order. As the crash went unnoticed, it also counted as a success of the endpoint and of the content, which hid content that crashes endpoints.

Ruled out: an entry that notices the failure and still ends its answer in order; it would have logged the interruption.

Change: a response of server-sent events is complete only if it ends with a whole event, however it is framed. Otherwise it is handled like any interrupted stream: it goes on at another endpoint if it may be resumed, else the caller's connection ends without the last chunk. A response that declares another media type is passed on as before.

Why this works: the bytes of the broken event are the only difference that a stream without a length shows. A stream that breaks off exactly between two events can't be told from a complete one.

--- a/assembler/truncation_test.go
+++ b/assembler/truncation_test.go
@@ -12,12 +12,27 @@
 // Guards against streams that reach their callers as complete although the endpoint broke off inside an event, in a
 // response that ends with its connection.
 func TestAStreamThatEndsInsideAnEventIsBrokenOff(t *testing.T) {
-	f, partitioned := newPartitionedFleet(t)
-	for name, entry := range map[string]int{"direct": 0, "relayed": partitioned} {
+	for name, start := range map[string]func(*testing.T) (*fleet, int){
+		"direct":  func(t *testing.T) (*fleet, int) { return newFleet(t, 1), 0 },
+		"relayed": newPartitionedFleet,
+	} {
 		t.Run(name, func(t *testing.T) {
+			f, entry := start(t)
+			f.injectFault("model", imitator.Unframed, -1)
+			whole := f.call(f.newRequest(entry, imitator.StreamPath, "whole"))
+			require.False(t, whole.Truncated)
+			require.Equal(t, eventStream("whole", 5), whole.Body)
+
+			f.injectFault("model", imitator.Healthy, 0)
+			f.site.Endpoint("i-model-0").InjectFault(imitator.UnframedTruncated, -1)
+			for i := range 4 {
+				id := fmt.Sprintf("resumed-%d", i)
+				require.Equal(t, eventStream(id, 5), f.call(f.newRequest(entry, imitator.ResumePath, id)).Body)
+			}
+
 			f.injectFault("model", imitator.UnframedTruncated, -1)
 			for i, path := range []string{imitator.StreamPath, imitator.StagesPath, imitator.ResumePath} {
-				request := f.newRequest(entry, path, fmt.Sprintf("%s-cut-%d", name, i))
+				request := f.newRequest(entry, path, fmt.Sprintf("cut-%d", i))
 				if path == imitator.StagesPath {
 					request.Pieces = "3,5"
 				}
@@ -26,16 +41,6 @@
 				require.Equal(t, eventStream(request.ID, 2), broken.Body)
 				require.LessOrEqual(t, len(f.runs(request.ID)), 2)
 			}
-			f.injectFault("model", imitator.Healthy, 0)
-			f.site.Endpoint("i-model-0").InjectFault(imitator.UnframedTruncated, -1)
-			for i := range 4 {
-				id := fmt.Sprintf("%s-resumed-%d", name, i)
-				require.Equal(t, eventStream(id, 5), f.call(f.newRequest(entry, imitator.ResumePath, id)).Body)
-			}
-			f.injectFault("model", imitator.Unframed, -1)
-			whole := f.call(f.newRequest(entry, imitator.StreamPath, name+"-whole"))
-			require.False(t, whole.Truncated)
-			require.Equal(t, eventStream(name+"-whole", 5), whole.Body)
 		})
 	}
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -229,6 +230,10 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			// A response without a length or chunks ends in the same way whether the endpoint has finished or crashed.
+			if err := split.End(); err != nil && isEventStream(resp) {
+				return s.handleFailure(*choice, err)
+			}
 			return s.finish(*choice, resp, split.Remainder(), first)
 		}
 		if err != nil {
@@ -237,6 +242,13 @@
 	}
 }
 
+// isEventStream reports whether a response holds server-sent events: it does unless it declares another media type.
+func isEventStream(resp *connector.Response) bool {
+	contentType := resp.Header().Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return contentType == "" || err != nil || mediaType == "text/event-stream"
+}
+
 // beginResponse writes the header with the first event; until then another endpoint can take over unnoticed by the
 // caller. The endpoint has read its inputs by then, so their space is freed.
 func (s *streamer) beginResponse(choice *selector.Choice, resp *connector.Response, sent time.Time) {
@@ -289,14 +301,6 @@
 
 // finish ends a complete stream.
 func (s *streamer) finish(choice selector.Choice, resp *connector.Response, rest []byte, empty bool) (bool, *FailureError) {
-	if len(rest) > 0 {
-		s.x.f.log.Info("stream ended inside an event",
-			zap.String("request", s.x.req.ID),
-			zap.String("endpoint", choice.Endpoint.ID),
-			zap.Int64("lastEvent", s.last),
-			zap.Int("unfinishedBytes", len(rest)),
-			zap.Bool("untilClose", s.x.untilClose))
-	}
 	s.x.runs++
 	s.x.endCall(choice, ejector.Good, false)
 	s.x.recordContentServed()
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -16,6 +16,13 @@
 
 func (e *SizeError) Error() string { return fmt.Sprintf("event exceeds %d bytes", e.Limit) }
 
+// IncompleteError reports a stream that ended inside an event, of which Bytes bytes were received.
+type IncompleteError struct{ Bytes int }
+
+func (e *IncompleteError) Error() string {
+	return fmt.Sprintf("stream ends inside an event after %d bytes of it", e.Bytes)
+}
+
 // Event is a complete event, including the blank line that ends it.
 type Event struct {
 	Data []byte
@@ -60,6 +67,14 @@
 // Remainder returns the bytes received of an incomplete event.
 func (s *Splitter) Remainder() []byte { return s.buf }
 
+// End returns an *IncompleteError if the stream, which has ended, broke off inside an event.
+func (s *Splitter) End() error {
+	if len(s.buf) == 0 {
+		return nil
+	}
+	return &IncompleteError{Bytes: len(s.buf)}
+}
+
 // eventLength returns the length of the first complete event, including its blank line, or 0 if there is none.
 func eventLength(data []byte) int {
 	for start := 0; ; {
--- a/splitter/splitter_test.go
+++ b/splitter/splitter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"testing"
 
@@ -28,6 +29,19 @@
 	}
 }
 
+// Guards against streams that are taken for complete although they end inside an event.
+func TestOnlyWholeEventsEndAStream(t *testing.T) {
+	text := "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+	complete := map[int]bool{0: true, strings.Index(text, "id: 2"): true, len(text): true}
+	for n := range len(text) + 1 {
+		s := New(0)
+		_, err := s.Feed([]byte(text[:n]))
+		require.NoError(t, err)
+		var incomplete *IncompleteError
+		require.Equal(t, !complete[n], errors.As(s.End(), &incomplete), "after %d bytes", n)
+	}
+}
+
 func TestOversizedEventIsRejected(t *testing.T) {
 	s := New(100)
 	_, err := s.Feed([]byte(strings.Repeat("x", 101)))
