Notice a reset that the write of the request got

Found while looking for the cause of streams without a length that were taken for complete: a response without a length or chunks is complete when its connection ends in order, and one that is reset is not. The kernel reports a reset once. If the request is still being written then, the write may get it, and the read of the response finds the end of the stream: a response that broke off counted as complete, in streams, plain answers and stage calls alike.

Change: the end of a response without a length counts only once the request has been written without an error.

An endpoint that answers without a length before it has read the whole request, and closes the connection with bytes unread, resets it: such an answer now counts as broken off, as the two can't be told apart.

--- a/connector/answer.go
+++ b/connector/answer.go
@@ -13,10 +13,12 @@
 	address string
 	resp    *http.Response
 	// end ends the exchange. complete states whether the whole body has been read.
-	end      func(complete bool)
-	dialed   bool
-	once     sync.Once
-	complete bool
+	end func(complete bool)
+	// awaitSent waits until the request has been written and returns the error of that; nil if it is known to be sent.
+	awaitSent func() error
+	dialed    bool
+	once      sync.Once
+	complete  bool
 }
 
 // NewResponse returns a response that was received in another way than by a Client. Closing it closes the body, whose
@@ -35,7 +37,7 @@
 		}
 		cn.release(resp, time.Now())
 	}
-	return &Response{address: cn.address, resp: resp, end: end, dialed: cn.firstRead == nil}
+	return &Response{address: cn.address, resp: resp, end: end, awaitSent: cn.awaitSent, dialed: cn.firstRead == nil}
 }
 
 // Dialed reports whether the connection was opened for this exchange.
@@ -55,9 +57,16 @@
 // Read implements io.Reader for the body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
-	if errors.Is(err, io.EOF) {
-		r.complete = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if r.UntilClose() && r.awaitSent != nil {
+		// The error of a reset is reported once. If the write got it, the read finds an end that looks regular.
+		if err := r.awaitSent(); err != nil {
+			return n, err
+		}
+	}
+	r.complete = true
 	return n, err
 }
 
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -60,6 +60,13 @@
 	}()
 }
 
+// awaitSent waits until the request has been written, and returns the error of that.
+func (cn *conn) awaitSent() error {
+	err := <-cn.written
+	cn.written <- err
+	return err
+}
+
 // encode returns the encoded request including its body, so that a single write sends it.
 func encode(call *Call) []byte {
 	var b bytes.Buffer
