Break off streams without a length that end before their first event

Found while looking for the cause of streams without a length that were taken for complete: an endpoint that sends the header of a response with neither a length nor chunks and then crashes ends the response before its first event. The entry answered its caller with a complete, empty stream.

Change: an event stream whose response ends with its connection and has no event is interrupted. It goes on at another endpoint if it may be resumed, else the caller gets 502, as it may have run. One that resumes a stream and has nothing left to send is treated so too, as the two look the same. A response with a length or chunks may be empty, as before.

TestAStreamWithoutAnyEventIsBrokenOff failed before on the direct and the relayed path: an empty answer instead of the resumed stream.

--- a/assembler/truncation_test.go
+++ b/assembler/truncation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -9,13 +10,16 @@
 	"geraniumline/platform/imitator"
 )
 
+// truncationFleets start a fleet and name the entry that calls endpoints directly or through a peer.
+var truncationFleets = map[string]func(*testing.T) (*fleet, int){
+	"direct":  func(t *testing.T) (*fleet, int) { return newFleet(t, 1), 0 },
+	"relayed": newPartitionedFleet,
+}
+
 // Guards against streams that reach their callers as complete although the endpoint broke off inside an event, in a
 // response that ends with its connection.
 func TestAStreamThatEndsInsideAnEventIsBrokenOff(t *testing.T) {
-	for name, start := range map[string]func(*testing.T) (*fleet, int){
-		"direct":  func(t *testing.T) (*fleet, int) { return newFleet(t, 1), 0 },
-		"relayed": newPartitionedFleet,
-	} {
+	for name, start := range truncationFleets {
 		t.Run(name, func(t *testing.T) {
 			f, entry := start(t)
 			f.injectFault("model", imitator.Unframed, -1)
@@ -44,3 +48,24 @@
 		})
 	}
 }
+
+// Guards against streams without a length that reach their callers as complete although the endpoint crashed before their
+// first event.
+func TestAStreamWithoutAnyEventIsBrokenOff(t *testing.T) {
+	for name, start := range truncationFleets {
+		t.Run(name, func(t *testing.T) {
+			f, entry := start(t)
+			f.site.Endpoint("i-model-0").InjectFault(imitator.UnframedEmpty, -1)
+			for i := range 4 {
+				id := fmt.Sprintf("resumed-%d", i)
+				require.Equal(t, eventStream(id, 5), f.call(f.newRequest(entry, imitator.ResumePath, id)).Body)
+			}
+			f.injectFault("model", imitator.UnframedEmpty, -1)
+			for i := range 2 {
+				request := f.newRequest(entry, imitator.StreamPath, fmt.Sprintf("empty-%d", i))
+				require.Equal(t, http.StatusBadGateway, f.call(request).Status)
+				require.Len(t, f.runs(request.ID), 1)
+			}
+		})
+	}
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -230,8 +230,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			// A response without a length or chunks ends in the same way whether the endpoint has finished or crashed.
-			if err := split.End(); err != nil && isEventStream(resp) {
+			if err := checkEnd(resp, split, first); err != nil {
 				return s.handleFailure(*choice, err)
 			}
 			return s.finish(*choice, resp, split.Remainder(), first)
@@ -242,6 +241,26 @@
 	}
 }
 
+// noEventError reports a response without a length or chunks that ended before its first event.
+type noEventError struct{}
+
+func (*noEventError) Error() string { return "stream without a length ends before its first event" }
+
+// checkEnd returns an error if a response that has ended is not a complete stream. A response without a length or chunks
+// ends in the same way whether the endpoint has finished or crashed, so only its events can tell.
+func checkEnd(resp *connector.Response, split *splitter.Splitter, empty bool) error {
+	if !isEventStream(resp) {
+		return nil
+	}
+	if err := split.End(); err != nil {
+		return err
+	}
+	if empty && resp.UntilClose() {
+		return &noEventError{}
+	}
+	return nil
+}
+
 // isEventStream reports whether a response holds server-sent events: it does unless it declares another media type.
 func isEventStream(resp *connector.Response) bool {
 	contentType := resp.Header().Get("Content-Type")
