Take a refusal whose body breaks off for a refusal

Found while looking at answers that end with their connection: an endpoint that refuses a request before it has read all of it, and closes the connection, resets it. The header of the refusal says that the request did not run, but an error in its body made plain requests and calls for pieces count as run: a request that may run only once failed with 502 instead of going to another endpoint.

Change: plain requests and calls for pieces, like streams before, go by the header alone; a broken body is logged.

At most once holds: an endpoint says this only in a complete header, and only of requests that it will not run either.

TestARefusalWithABrokenBodyIsARefusal failed before on the direct and the relayed path (502 for 200).

--- a/assembler/truncation_test.go
+++ b/assembler/truncation_test.go
@@ -69,3 +69,25 @@
 		})
 	}
 }
+
+// Guards against requests that count as run, and fail, although an endpoint refused them: the body of its refusal broke off.
+func TestARefusalWithABrokenBodyIsARefusal(t *testing.T) {
+	for name, start := range truncationFleets {
+		t.Run(name, func(t *testing.T) {
+			f, entry := start(t)
+			for _, id := range []string{"i-plain-0", "i-model-0", "i-encode-0"} {
+				f.site.Endpoint(id).InjectFault(imitator.FullReset, -1)
+			}
+			for i := range 6 {
+				for _, path := range []string{imitator.OncePath, imitator.StagesPath} {
+					request := f.newRequest(entry, path, fmt.Sprintf("once-%d%s", i, path))
+					if path == imitator.StagesPath {
+						request.Pieces = "3,5"
+					}
+					require.Equal(t, http.StatusOK, f.call(request).Status, path)
+					require.Len(t, f.runs(request.ID), 1)
+				}
+			}
+		})
+	}
+}
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -31,6 +31,14 @@
 	return info
 }
 
+// discardRefusal reads the body of a refusal, so that its connection can be reused. The header alone says that the
+// endpoint did not run the request, so it doesn't matter whether the body is whole.
+func (f *Forwarder) discardRefusal(e *registrar.Endpoint, resp *connector.Response) {
+	if _, err := resp.ReadAll(maxPlainResponse); err != nil {
+		f.log.Debug("reading refusal body failed", zap.String("endpoint", e.ID), zap.Error(err))
+	}
+}
+
 // applyNotice applies an endpoint's notice about the work that it accepts.
 func (f *Forwarder) applyNotice(e *registrar.Endpoint, n regulator.Notice, now time.Time) {
 	f.withLock(func() []func() {
--- a/forwarder/piececalls.go
+++ b/forwarder/piececalls.go
@@ -61,17 +61,18 @@
 		return collector.Broken, nil
 	}
 	info := f.readResponse(&e.Endpoint, resp)
-	data, err := resp.ReadAll(maxPiecesResponse)
-	if err != nil {
-		f.logCallFailure(service, e, err)
-		return collector.Broken, nil
-	}
 	if info.NotRun {
+		f.discardRefusal(&e.Endpoint, resp)
 		f.mu.Lock()
 		f.regulator.RecordRefusal(e.Endpoint.ID, time.Now())
 		f.mu.Unlock()
 		return collector.Refused, nil
 	}
+	data, err := resp.ReadAll(maxPiecesResponse)
+	if err != nil {
+		f.logCallFailure(service, e, err)
+		return collector.Broken, nil
+	}
 	if resp.Status() != http.StatusOK {
 		f.logCallFailure(service, e, &statusError{status: resp.Status()})
 		return collector.Broken, nil
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -96,6 +96,10 @@
 	}
 	x.untilClose = resp.UntilClose()
 	info := x.f.readResponse(&choice.Endpoint, resp)
+	if info.NotRun {
+		x.f.discardRefusal(&choice.Endpoint, resp)
+		return resp, info, nil, nil
+	}
 	body, err := resp.ReadAll(maxPlainResponse)
 	return resp, info, body, err
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -162,9 +162,7 @@
 // process that made it has ended, all are freed here and computed again before the next attempt, while the caller still
 // waits for its first event.
 func (s *streamer) handleRefusal(choice selector.Choice, resp *connector.Response, info ResponseInfo) (bool, *FailureError) {
-	if _, err := resp.ReadAll(maxPlainResponse); err != nil {
-		s.x.f.log.Debug("reading refusal body failed", zap.String("request", s.x.req.ID), zap.Error(err))
-	}
+	s.x.f.discardRefusal(&choice.Endpoint, resp)
 	s.x.endRefusedCall(choice)
 	if !info.InputGone || s.stages.plan.FinalResultsFreed() {
 		return false, nil
