Reset broken streams of callers that speak HTTP/1.0

Found while looking for the cause of streams without a length that were taken for complete: to a caller that speaks HTTP/1.0 our own stream has neither a length nor chunks. When it broke off the connection was closed in order, which such a caller takes for its end.

Change: the connection of such a stream is reset when it is closed, from its header until its last event is written, also when the process is killed. Plain answers have a length and need nothing; HTTP/1.1 callers are not affected.

TestABrokenStreamOverHTTP10IsReset failed before (no error for a stream of two out of five events).

--- a/assembler/truncation_test.go
+++ b/assembler/truncation_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -91,3 +94,26 @@
 		})
 	}
 }
+
+// Guards against broken streams that callers of HTTP/1.0 take for complete, as their responses have no chunks and end with
+// the connection.
+func TestABrokenStreamOverHTTP10IsReset(t *testing.T) {
+	f := newFleet(t, 1)
+	read := func(id string) (string, error) {
+		conn, err := net.Dial("tcp", f.nodes[0].callers)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: %s\r\nAuthorization: Bearer %s\r\nGeraniumline-Attempt-Id: %s\r\n\r\n",
+			imitator.StreamPath, imitator.Host, imitator.Key, id)
+		require.NoError(t, err)
+		text, err := io.ReadAll(conn)
+		return string(text), err
+	}
+	text, err := read("whole")
+	require.NoError(t, err)
+	require.Contains(t, text, eventStream("whole", 5))
+	f.injectFault("model", imitator.Truncated, -1)
+	text, err = read("cut")
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	require.NotContains(t, text, "id: 3")
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -14,6 +14,7 @@
 
 	"geraniumline/connector"
 	"geraniumline/ejector"
+	"geraniumline/guarder"
 	"geraniumline/meter"
 	"geraniumline/selector"
 	"geraniumline/splitter"
@@ -291,6 +292,7 @@
 	if s.x.headerSent {
 		return
 	}
+	s.x.setResetOnClose(true)
 	s.x.headerSent = true
 	s.x.status = resp.Status()
 	s.x.copyHeader(resp.Header())
@@ -325,5 +327,17 @@
 	if len(rest) > 0 || empty {
 		_, _ = s.x.w.Write(rest)
 	}
+	s.x.setResetOnClose(false)
 	return true, nil
 }
+
+// setResetOnClose sets whether the caller's connection is reset when it is closed, if the response has no chunks to mark
+// its end.
+func (x *exchange) setResetOnClose(reset bool) {
+	if x.in.ProtoAtLeast(1, 1) {
+		return
+	}
+	if err := guarder.SetResetOnClose(x.in.Context(), reset); err != nil {
+		x.f.log.Debug("caller's connection not set", zap.String("request", x.req.ID), zap.Error(err))
+	}
+}
--- a/guarder/framing.go
+++ b/guarder/framing.go
@@ -100,3 +100,20 @@
 	defer f.mu.Unlock()
 	return f.ambiguous
 }
+
+// SetResetOnClose sets whether the connection of a request is reset when it is closed, also by the end of the process. A
+// response that ends with its connection is then not taken for complete if it breaks off.
+func SetResetOnClose(ctx context.Context, reset bool) error {
+	f, ok := ctx.Value(framingKey{}).(*framing)
+	if !ok {
+		return nil
+	}
+	conn, ok := f.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return nil
+	}
+	if reset {
+		return conn.SetLinger(0)
+	}
+	return conn.SetLinger(-1)
+}
