Log software versions and the streams that callers take up

The log of streams with events of two software versions doesn't tell a resumption by the entry from one by the caller: it names neither the version of an endpoint nor what a request goes on with.

The log lines of first events and interrupted streams name it, and the end of a request says which event and which attempt it goes on after.

--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -482,6 +482,8 @@
 	From    int64           `msg:"from"`
 	Next    int64           `msg:"next"`
 	Entries []EndpointEntry `msg:"entries,limit=65536"`
+	// Versions are the software versions of the Entries, in the same order; nil if the sender's release does not know them.
+	Versions []string `msg:"versions,omitempty,limit=65536"`
 }
 
 // EndpointsReply contains the list of endpoints as known to the sender.
@@ -497,6 +499,8 @@
 	Part    int32           `msg:"part"`
 	Parts   int32           `msg:"parts"`
 	Entries []EndpointEntry `msg:"entries,limit=65536"`
+	// Versions are the software versions of the Entries, in the same order; nil if the sender's release does not know them.
+	Versions []string `msg:"versions,omitempty,limit=65536"`
 }
 
 // RelayCall asks the receiver to send one call to an endpoint that the sender can't reach. It is the first message of a
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -2734,6 +2734,29 @@
 					return
 				}
 			}
+		case "versions":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Versions")
+				return
+			}
+			if zb0003 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Versions) >= int(zb0003) {
+				z.Versions = (z.Versions)[:zb0003]
+			} else {
+				z.Versions = make([]string, zb0003)
+			}
+			for za0002 := range z.Versions {
+				z.Versions[za0002], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Versions", za0002)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2747,53 +2770,88 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EndpointsNews) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "era"
-	err = en.Append(0x84, 0xa3, 0x65, 0x72, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.Era)
-	if err != nil {
-		err = msgp.WrapError(err, "Era")
-		return
-	}
-	// write "from"
-	err = en.Append(0xa4, 0x66, 0x72, 0x6f, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "next"
-	err = en.Append(0xa4, 0x6e, 0x65, 0x78, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.Next)
-	if err != nil {
-		err = msgp.WrapError(err, "Next")
-		return
-	}
-	// write "entries"
-	err = en.Append(0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Versions == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Entries)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Entries")
 		return
 	}
-	for za0001 := range z.Entries {
-		err = z.Entries[za0001].EncodeMsg(en)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "era"
+		err = en.Append(0xa3, 0x65, 0x72, 0x61)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.Era)
+		if err != nil {
+			err = msgp.WrapError(err, "Era")
+			return
+		}
+		// write "from"
+		err = en.Append(0xa4, 0x66, 0x72, 0x6f, 0x6d)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.From)
+		if err != nil {
+			err = msgp.WrapError(err, "From")
+			return
+		}
+		// write "next"
+		err = en.Append(0xa4, 0x6e, 0x65, 0x78, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.Next)
+		if err != nil {
+			err = msgp.WrapError(err, "Next")
+			return
+		}
+		// write "entries"
+		err = en.Append(0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Entries)))
 		if err != nil {
-			err = msgp.WrapError(err, "Entries", za0001)
+			err = msgp.WrapError(err, "Entries")
 			return
 		}
+		for za0001 := range z.Entries {
+			err = z.Entries[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "versions"
+			err = en.Append(0xa8, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Versions)))
+			if err != nil {
+				err = msgp.WrapError(err, "Versions")
+				return
+			}
+			for za0002 := range z.Versions {
+				err = en.WriteString(z.Versions[za0002])
+				if err != nil {
+					err = msgp.WrapError(err, "Versions", za0002)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -2801,24 +2859,45 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointsNews) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "era"
-	o = append(o, 0x84, 0xa3, 0x65, 0x72, 0x61)
-	o = msgp.AppendInt64(o, z.Era)
-	// string "from"
-	o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
-	o = msgp.AppendInt64(o, z.From)
-	// string "next"
-	o = append(o, 0xa4, 0x6e, 0x65, 0x78, 0x74)
-	o = msgp.AppendInt64(o, z.Next)
-	// string "entries"
-	o = append(o, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
-	for za0001 := range z.Entries {
-		o, err = z.Entries[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Entries", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Versions == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "era"
+		o = append(o, 0xa3, 0x65, 0x72, 0x61)
+		o = msgp.AppendInt64(o, z.Era)
+		// string "from"
+		o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+		o = msgp.AppendInt64(o, z.From)
+		// string "next"
+		o = append(o, 0xa4, 0x6e, 0x65, 0x78, 0x74)
+		o = msgp.AppendInt64(o, z.Next)
+		// string "entries"
+		o = append(o, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+		for za0001 := range z.Entries {
+			o, err = z.Entries[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "versions"
+			o = append(o, 0xa8, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
+			for za0002 := range z.Versions {
+				o = msgp.AppendString(o, z.Versions[za0002])
+			}
 		}
 	}
 	return
@@ -2883,6 +2962,29 @@
 					return
 				}
 			}
+		case "versions":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Versions")
+				return
+			}
+			if zb0003 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Versions) >= int(zb0003) {
+				z.Versions = (z.Versions)[:zb0003]
+			} else {
+				z.Versions = make([]string, zb0003)
+			}
+			for za0002 := range z.Versions {
+				z.Versions[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Versions", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2901,6 +3003,10 @@
 	for za0001 := range z.Entries {
 		s += z.Entries[za0001].Msgsize()
 	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.Versions {
+		s += msgp.StringPrefixSize + len(z.Versions[za0002])
+	}
 	return
 }
 
@@ -2981,6 +3087,29 @@
 					return
 				}
 			}
+		case "versions":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Versions")
+				return
+			}
+			if zb0003 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Versions) >= int(zb0003) {
+				z.Versions = (z.Versions)[:zb0003]
+			} else {
+				z.Versions = make([]string, zb0003)
+			}
+			for za0002 := range z.Versions {
+				z.Versions[za0002], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Versions", za0002)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2994,83 +3123,118 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EndpointsReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
-	// write "era"
-	err = en.Append(0x87, 0xa3, 0x65, 0x72, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.Era)
-	if err != nil {
-		err = msgp.WrapError(err, "Era")
-		return
-	}
-	// write "next"
-	err = en.Append(0xa4, 0x6e, 0x65, 0x78, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.Next)
-	if err != nil {
-		err = msgp.WrapError(err, "Next")
-		return
-	}
-	// write "ageMillis"
-	err = en.Append(0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.AgeMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
-	}
-	// write "unchanged"
-	err = en.Append(0xa9, 0x75, 0x6e, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Unchanged)
-	if err != nil {
-		err = msgp.WrapError(err, "Unchanged")
-		return
-	}
-	// write "part"
-	err = en.Append(0xa4, 0x70, 0x61, 0x72, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt32(z.Part)
-	if err != nil {
-		err = msgp.WrapError(err, "Part")
-		return
-	}
-	// write "parts"
-	err = en.Append(0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt32(z.Parts)
-	if err != nil {
-		err = msgp.WrapError(err, "Parts")
-		return
-	}
-	// write "entries"
-	err = en.Append(0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.Versions == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Entries)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Entries")
 		return
 	}
-	for za0001 := range z.Entries {
-		err = z.Entries[za0001].EncodeMsg(en)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "era"
+		err = en.Append(0xa3, 0x65, 0x72, 0x61)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.Era)
+		if err != nil {
+			err = msgp.WrapError(err, "Era")
+			return
+		}
+		// write "next"
+		err = en.Append(0xa4, 0x6e, 0x65, 0x78, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.Next)
+		if err != nil {
+			err = msgp.WrapError(err, "Next")
+			return
+		}
+		// write "ageMillis"
+		err = en.Append(0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.AgeMillis)
+		if err != nil {
+			err = msgp.WrapError(err, "AgeMillis")
+			return
+		}
+		// write "unchanged"
+		err = en.Append(0xa9, 0x75, 0x6e, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Unchanged)
 		if err != nil {
-			err = msgp.WrapError(err, "Entries", za0001)
+			err = msgp.WrapError(err, "Unchanged")
 			return
 		}
+		// write "part"
+		err = en.Append(0xa4, 0x70, 0x61, 0x72, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt32(z.Part)
+		if err != nil {
+			err = msgp.WrapError(err, "Part")
+			return
+		}
+		// write "parts"
+		err = en.Append(0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt32(z.Parts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts")
+			return
+		}
+		// write "entries"
+		err = en.Append(0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Entries)))
+		if err != nil {
+			err = msgp.WrapError(err, "Entries")
+			return
+		}
+		for za0001 := range z.Entries {
+			err = z.Entries[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "versions"
+			err = en.Append(0xa8, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Versions)))
+			if err != nil {
+				err = msgp.WrapError(err, "Versions")
+				return
+			}
+			for za0002 := range z.Versions {
+				err = en.WriteString(z.Versions[za0002])
+				if err != nil {
+					err = msgp.WrapError(err, "Versions", za0002)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -3078,33 +3242,54 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointsReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "era"
-	o = append(o, 0x87, 0xa3, 0x65, 0x72, 0x61)
-	o = msgp.AppendInt64(o, z.Era)
-	// string "next"
-	o = append(o, 0xa4, 0x6e, 0x65, 0x78, 0x74)
-	o = msgp.AppendInt64(o, z.Next)
-	// string "ageMillis"
-	o = append(o, 0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	o = msgp.AppendInt64(o, z.AgeMillis)
-	// string "unchanged"
-	o = append(o, 0xa9, 0x75, 0x6e, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
-	o = msgp.AppendBool(o, z.Unchanged)
-	// string "part"
-	o = append(o, 0xa4, 0x70, 0x61, 0x72, 0x74)
-	o = msgp.AppendInt32(o, z.Part)
-	// string "parts"
-	o = append(o, 0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
-	o = msgp.AppendInt32(o, z.Parts)
-	// string "entries"
-	o = append(o, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
-	for za0001 := range z.Entries {
-		o, err = z.Entries[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Entries", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.Versions == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "era"
+		o = append(o, 0xa3, 0x65, 0x72, 0x61)
+		o = msgp.AppendInt64(o, z.Era)
+		// string "next"
+		o = append(o, 0xa4, 0x6e, 0x65, 0x78, 0x74)
+		o = msgp.AppendInt64(o, z.Next)
+		// string "ageMillis"
+		o = append(o, 0xa9, 0x61, 0x67, 0x65, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+		o = msgp.AppendInt64(o, z.AgeMillis)
+		// string "unchanged"
+		o = append(o, 0xa9, 0x75, 0x6e, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
+		o = msgp.AppendBool(o, z.Unchanged)
+		// string "part"
+		o = append(o, 0xa4, 0x70, 0x61, 0x72, 0x74)
+		o = msgp.AppendInt32(o, z.Part)
+		// string "parts"
+		o = append(o, 0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
+		o = msgp.AppendInt32(o, z.Parts)
+		// string "entries"
+		o = append(o, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+		for za0001 := range z.Entries {
+			o, err = z.Entries[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "versions"
+			o = append(o, 0xa8, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
+			for za0002 := range z.Versions {
+				o = msgp.AppendString(o, z.Versions[za0002])
+			}
 		}
 	}
 	return
@@ -3187,6 +3372,29 @@
 					return
 				}
 			}
+		case "versions":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Versions")
+				return
+			}
+			if zb0003 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Versions) >= int(zb0003) {
+				z.Versions = (z.Versions)[:zb0003]
+			} else {
+				z.Versions = make([]string, zb0003)
+			}
+			for za0002 := range z.Versions {
+				z.Versions[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Versions", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3205,6 +3413,10 @@
 	for za0001 := range z.Entries {
 		s += z.Entries[za0001].Msgsize()
 	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.Versions {
+		s += msgp.StringPrefixSize + len(z.Versions[za0002])
+	}
 	return
 }
 
--- a/forwarder/endpointlist.go
+++ b/forwarder/endpointlist.go
@@ -12,6 +12,7 @@
 	"geraniumline/carrier"
 	"geraniumline/detector"
 	"geraniumline/locator"
+	"geraniumline/registrar"
 )
 
 const (
@@ -129,6 +130,7 @@
 		}
 		for _, c := range changes[i*maxPartEntries : min(len(changes), (i+1)*maxPartEntries)] {
 			part.Entries = append(part.Entries, entryFromChange(c, now))
+			part.Versions = append(part.Versions, versionOf(c))
 		}
 		parts[i] = part
 	}
@@ -154,11 +156,15 @@
 		f.log.Warn("invalid part of a list of endpoints", zap.String("peer", from), zap.Int32("part", m.Part), zap.Int32("parts", m.Parts))
 		return nil
 	}
-	entries, complete := f.partialLists.add(from, m, now)
+	parts, complete := f.partialLists.add(from, m, now)
 	if !complete {
 		return nil
 	}
-	f.registry.Replace(changesFromEntries(entries, now), next, now)
+	var changes []registrar.Change
+	for _, part := range parts {
+		changes = append(changes, f.changesFromEntries(part.Entries, part.Versions, now)...)
+	}
+	f.registry.Replace(changes, next, now)
 	actions := f.endpointsChanged(now)
 	if m.Parts > 1 {
 		// The list has needed several times the memory that it takes from now on.
@@ -170,7 +176,7 @@
 // partialList holds the parts of a peer's list of endpoints that have arrived.
 type partialList struct {
 	next  locator.Position
-	parts map[int32][]carrier.EndpointEntry
+	parts map[int32]*carrier.EndpointsReply
 	// changedAt is when the latest part arrived.
 	changedAt time.Time
 }
@@ -178,24 +184,24 @@
 // partialLists holds the incomplete lists by the peer that sends them.
 type partialLists map[string]*partialList
 
-// add adds a part and returns the whole list if it is complete.
-func (l partialLists) add(from string, m *carrier.EndpointsReply, now time.Time) ([]carrier.EndpointEntry, bool) {
+// add adds a part and returns all parts if the list is complete.
+func (l partialLists) add(from string, m *carrier.EndpointsReply, now time.Time) ([]*carrier.EndpointsReply, bool) {
 	if m.Parts == 1 {
-		return m.Entries, true
+		return []*carrier.EndpointsReply{m}, true
 	}
 	next := locator.At(m.Era, m.Next)
 	list, known := l[from]
 	if !known || list.next != next {
-		list = &partialList{next: next, parts: make(map[int32][]carrier.EndpointEntry)}
+		list = &partialList{next: next, parts: make(map[int32]*carrier.EndpointsReply)}
 		l[from] = list
 	}
-	list.parts[m.Part] = m.Entries
+	list.parts[m.Part] = m
 	list.changedAt = now
 	if len(list.parts) < int(m.Parts) {
 		return nil, false
 	}
 	delete(l, from)
-	return slices.Concat(slices.Collect(maps.Values(list.parts))...), true
+	return slices.Collect(maps.Values(list.parts)), true
 }
 
 // expire discards the lists whose remaining parts have not arrived.
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -328,6 +328,9 @@
 	if len(x.tried) > 0 {
 		fields = append(fields, zap.Strings("endpoints", x.tried), zap.Bool("untilClose", x.untilClose))
 	}
+	if x.req.LastEvent != "" {
+		fields = append(fields, zap.String("resumesAfter", x.req.LastEvent), zap.String("resumes", x.req.Resumes))
+	}
 	fields = append(fields, x.progress.fields(x.startTime)...)
 	answered := x.f.cfg.Meter.Counter(meter.ForwardRequests, outcomeAnswered)
 	if failure == nil {
--- a/forwarder/reader.go
+++ b/forwarder/reader.go
@@ -117,6 +117,7 @@
 	news := &carrier.EndpointsNews{Era: next.Era(), From: from.Offset(), Next: next.Offset()}
 	for _, c := range changes {
 		news.Entries = append(news.Entries, entryFromChange(c, now))
+		news.Versions = append(news.Versions, versionOf(c))
 	}
 	var actions []func()
 	for m := range f.detector.All() {
@@ -136,7 +137,7 @@
 	}
 	f.updateReceivedAt = now
 	f.registry.StoreAvailable(now)
-	f.registry.Apply(changesFromEntries(m.Entries, now), locator.At(m.Era, m.Next), now)
+	f.registry.Apply(f.changesFromEntries(m.Entries, m.Versions, now), locator.At(m.Era, m.Next), now)
 	if len(m.Entries) == 0 {
 		return nil
 	}
@@ -161,7 +162,17 @@
 	return entry
 }
 
-func changesFromEntries(entries []carrier.EndpointEntry, now time.Time) []registrar.Change {
+// versionOf returns the software version of the endpoint in a change; empty if it has none.
+func versionOf(c registrar.Change) string {
+	if c.Endpoint == nil {
+		return ""
+	}
+	return c.Endpoint.Version
+}
+
+// changesFromEntries decodes a peer's entries and their software versions. A peer whose release does not send versions
+// leaves those that are known unchanged. The lock must be held.
+func (f *Forwarder) changesFromEntries(entries []carrier.EndpointEntry, versions []string, now time.Time) []registrar.Change {
 	changes := make([]registrar.Change, len(entries))
 	for i, e := range entries {
 		changes[i] = registrar.Change{
@@ -179,6 +190,11 @@
 			Draining: e.Draining,
 			Started:  fromUnixMillis(e.StartedMillis),
 		}
+		if len(versions) == len(entries) {
+			changes[i].Endpoint.Version = versions[i]
+		} else {
+			changes[i].Endpoint.Version = f.registry.VersionOf(e.ID)
+		}
 		if e.ColdLeftMillis > 0 {
 			changes[i].Endpoint.ColdUntil = now.Add(time.Duration(e.ColdLeftMillis) * time.Millisecond)
 		}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -199,6 +199,7 @@
 	s.x.f.log.Info("stream interrupted",
 		zap.String("request", s.x.req.ID),
 		zap.String("endpoint", choice.Endpoint.ID),
+		zap.String("endpointVersion", choice.Endpoint.Version),
 		zap.Int64("lastEvent", s.last),
 		zap.Bool("untilClose", s.x.untilClose),
 		zap.Bool("callerGone", s.x.callerGone()),
@@ -277,6 +278,8 @@
 	x.f.logSampled("first event",
 		zap.String("request", x.req.ID),
 		zap.String("endpoint", choice.Endpoint.ID),
+		zap.String("endpointVersion", choice.Endpoint.Version),
+		zap.Bool("resumed", s.hasLast || x.req.LastEvent != ""),
 		zap.Duration("stagesTook", sent.Sub(x.startTime)),
 		zap.Duration("modelTook", took),
 		zap.Duration("predicted", choice.FirstEvent))
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -25,6 +25,9 @@
 	// LastEvent is the ID of the last event that the caller received of a stream that it resumes; empty for a new
 	// one.
 	LastEvent string
+	// Resumes is the ID of the caller's attempt that brought the first event of a stream that it resumes; empty for a new
+	// stream, and for a caller that doesn't say.
+	Resumes string
 }
 
 // CallInfo is the metadata that a call to an endpoint carries in addition to the caller's own header.
--- a/registrar/lookup.go
+++ b/registrar/lookup.go
@@ -15,6 +15,14 @@
 	return ""
 }
 
+// VersionOf returns the software version of an endpoint, or "" if unknown.
+func (r *Registry) VersionOf(id string) string {
+	if reg, known := r.registrations[id]; known {
+		return reg.endpoint.Version
+	}
+	return ""
+}
+
 // PositionOf returns the position of an endpoint's registration in the store, and whether the endpoint is registered.
 func (r *Registry) PositionOf(id string) (locator.Position, bool) {
 	reg, known := r.registrations[id]
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -34,6 +34,8 @@
 	// Started is when this incarnation of the endpoint started, as stated in its registration; zero if not stated.
 	Started time.Time
 	Service string
+	// Version is the version of the endpoint's software; empty if not stated.
+	Version string
 	Address string
 	Zone    string
 	Slots   int
