Add failing tests of streams with events of two software versions

A service has two endpoints of each of two versions. A stream that breaks off goes on at an endpoint of the other version in one answer, and a caller that takes a stream up at another entry gets the rest of it from the other version, whether the first entry still serves or has ended.

--- /dev/null
+++ b/assembler/version_test.go
@@ -0,0 +1,107 @@
+package assembler
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/platform/imitator"
+)
+
+const secondVersion = "v2"
+
+// newVersionedFleet starts n entries before two model endpoints of each of two versions, whose events are eventInterval
+// apart.
+func newVersionedFleet(t *testing.T, n int, eventInterval time.Duration) *fleet {
+	site := imitator.NewSite()
+	for _, id := range []string{"i-model-2", "i-model-3"} {
+		site.Versions[id] = secondVersion
+		site.Start(id, "model", imitator.Model)
+	}
+	for _, e := range site.Endpoints {
+		e.EventInterval = eventInterval
+	}
+	return newFleetAt(t, site, n)
+}
+
+// injectVersionFault makes the model endpoints of one version fail all requests.
+func (f *fleet) injectVersionFault(version string, fault imitator.Fault) {
+	for _, e := range f.site.Endpoints {
+		if strings.HasPrefix(e.ID, "i-model-") && f.site.VersionOf(e.ID) == version {
+			e.InjectFault(fault, -1)
+		}
+	}
+}
+
+// requireVersion checks that the attempt has run, only at endpoints of the version.
+func (f *fleet) requireVersion(version, id string) {
+	f.t.Helper()
+	runs := f.runs(id)
+	require.NotEmpty(f.t, runs)
+	for _, run := range runs {
+		require.Equal(f.t, version, f.site.VersionOf(run.Endpoint), id)
+	}
+}
+
+// beginStream has an entry begin a stream at the first version, and disconnects after its second event. It returns the
+// caller's next attempt, at another entry.
+func (f *fleet) beginStream(entry, next int, id string) imitator.Request {
+	f.t.Helper()
+	f.injectVersionFault(secondVersion, imitator.Full)
+	conn, err := net.Dial("tcp", f.nodes[entry].callers)
+	require.NoError(f.t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(f.t, f.newRequest(entry, imitator.ResumePath, id).Send(f.t.Context(), conn))
+	for lines := bufio.NewScanner(conn); ; {
+		require.True(f.t, lines.Scan(), "the stream ended: %v", lines.Err())
+		if strings.HasPrefix(lines.Text(), "data: event 2") {
+			break
+		}
+	}
+	f.injectVersionFault(secondVersion, imitator.Healthy)
+	request := f.newRequest(next, imitator.ResumePath, id+"-again")
+	request.Header = imitator.TakeUp(id, "2")
+	return request
+}
+
+// Guards against answers that hold events of two software versions, because a broken stream goes on at another one.
+func TestAStreamGoesOnAtTheVersionThatBeganIt(t *testing.T) {
+	f := newVersionedFleet(t, 1, time.Millisecond)
+	for _, id := range []string{"i-model-0", "i-model-2"} {
+		f.site.Endpoint(id).InjectFault(imitator.Truncated, -1)
+	}
+	for i := range 12 {
+		id := fmt.Sprintf("stream-%d", i)
+		require.Equal(t, eventStream(id, 5), f.call(f.newRequest(0, imitator.ResumePath, id)).Body)
+		f.requireVersion(f.site.VersionOf(f.runs(id)[0].Endpoint), id)
+	}
+}
+
+// Guards against streams that a caller takes up at another entry, and that go on at another software version than the one
+// that began them.
+func TestCallersTakeStreamsUpAtTheVersionThatBeganThem(t *testing.T) {
+	for name, last := range map[string]int{"first entry serves": 0, "first entry has ended": 1} {
+		t.Run(name, func(t *testing.T) {
+			f := newVersionedFleet(t, 3, 50*time.Millisecond)
+			var attempts []imitator.Request
+			for i := range 6 {
+				attempts = append(attempts, f.beginStream(0, 1+i%2, fmt.Sprintf("stream-%d", i)))
+			}
+			if last > 0 {
+				f.nodes[0].stop()
+			}
+			for _, request := range attempts {
+				reply := f.call(request)
+				require.Equal(t, http.StatusOK, reply.Status)
+				require.False(t, reply.Truncated)
+				f.requireVersion(imitator.FirstVersion, request.ID)
+			}
+		})
+	}
+}
