Keep the rest of a broken stream at the version that began it

What callers saw: an answer with events of two software versions of an endpoint, which don't fit together. In the users' record a stream is cut at one endpoint and goes on 1 ms later at another, in one answer.

Change: from its first event on a stream has the version of the endpoint that sent it, and all questions about its next endpoint (choice, home of its prompt, whether another one may take it, whether all have asked for rest) keep to endpoints of that version. If there is none the answer breaks off. An endpoint that registers another version under its ID counts as another process. Services whose endpoints all have one version choose as before.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -26,7 +26,7 @@
 	now := time.Now()
 	x.f.mu.Lock()
 	defer x.f.mu.Unlock()
-	held, all := x.f.selector.Throttled(x.service.Name, x.allowedRegions, now)
+	held, all := x.f.selector.Throttled(x.endpointQuery(selector.Query{}), now)
 	if !all {
 		return notRun("noEndpoint", shortRetryDelay())
 	}
@@ -39,7 +39,7 @@
 	now := time.Now()
 	x.f.mu.Lock()
 	defer x.f.mu.Unlock()
-	held, all := x.f.selector.Throttled(x.service.Name, x.allowedRegions, now)
+	held, all := x.f.selector.Throttled(x.endpointQuery(selector.Query{}), now)
 	if !all || held.Local && held.Until.Before(x.due) {
 		return nil
 	}
@@ -117,6 +117,7 @@
 	query.Service = x.service.Name
 	query.Exclude = x.tried
 	query.Regions = x.allowedRegions
+	query.Version = x.streamVersion.Load()
 	query.NoProbe = !x.route.Repeatable()
 	return query
 }
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,7 +66,10 @@
 	status int
 	// untilClose is set if the body of the last response of an endpoint ends with its connection.
 	untilClose bool
-	progress   progress
+	// streamVersion is the software version of the endpoint that began the stream, at which alone it may go on; nil before
+	// the first event.
+	streamVersion atomic.Pointer[string]
+	progress      progress
 }
 
 // ServeHTTP serves callers' requests.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -137,6 +137,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		query.Version = x.streamVersion.Load()
 		if t := timer.Load(); t != nil && !x.f.mayRetry(query, time.Now()) {
 			t.Reset(silenceRecheck)
 			return
@@ -284,6 +285,9 @@
 		zap.Duration("modelTook", took),
 		zap.Duration("predicted", choice.FirstEvent))
 	x.f.mu.Lock()
+	if version := choice.Endpoint.Version; x.streamVersion.Load() == nil {
+		x.streamVersion.Store(&version)
+	}
 	x.f.observeFirstEvent(*choice, took, sent.Add(took))
 	x.f.selector.RecordPromptRead(choice)
 	x.f.mu.Unlock()
--- a/forwarder/turn.go
+++ b/forwarder/turn.go
@@ -27,7 +27,7 @@
 // limit. now is the time at which none accepted one: at a later time, one may accept it already.
 func (x *exchange) awaitTurn(limit, now time.Time) bool {
 	x.f.mu.Lock()
-	held, all := x.f.selector.Throttled(x.service.Name, x.allowedRegions, now)
+	held, all := x.f.selector.Throttled(x.endpointQuery(selector.Query{}), now)
 	x.f.mu.Unlock()
 	if !all || !held.Local || held.Until.After(limit) || !now.Before(limit) {
 		return false
--- a/forwarder/turn_test.go
+++ b/forwarder/turn_test.go
@@ -10,6 +10,7 @@
 	"geraniumline/cataloger"
 	"geraniumline/registrar"
 	"geraniumline/regulator"
+	"geraniumline/selector"
 )
 
 // Guards against refusing a request because its turn came between two looks at the clock.
@@ -21,7 +22,7 @@
 	f.regulator.ApplyNotice(e, regulator.Notice{Fragile: true, MaxRefusals: 1}, now)
 	f.regulator.RecordSend("e", now)
 	x := &exchange{f: f, ctx: context.Background(), service: &cataloger.Service{Name: "plain"}, route: &cataloger.Route{}}
-	held, all := f.selector.Throttled("plain", nil, now)
+	held, all := f.selector.Throttled(selector.Query{Service: "plain"}, now)
 	require.True(t, all)
 	time.Sleep(time.Until(held.Until))
 	require.True(t, x.awaitTurn(now.Add(maxTurnWait), now))
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -59,11 +59,11 @@
 	return e.ColdUntil.Sub(earlier.ColdUntil) > coldTolerance
 }
 
-// SameIncarnation reports whether both are the same incarnation of one endpoint. A later incarnation holds none of
+// SameIncarnation reports whether both are the same incarnation of one endpoint, which has one version. A later incarnation holds none of
 // the prompt parts, stage results and calls of an earlier one, so work placed according to those would wait for data
 // that no longer exists.
 func (e *Endpoint) SameIncarnation(other *Endpoint) bool {
-	if e.ID != other.ID {
+	if e.ID != other.ID || e.Version != other.Version && e.Version != "" && other.Version != "" {
 		return false
 	}
 	return e.Started.IsZero() || other.Started.IsZero() || e.Started.Equal(other.Started)
--- a/selector/gate.go
+++ b/selector/gate.go
@@ -1,7 +1,6 @@
 package selector
 
 import (
-	"slices"
 	"time"
 
 	"geraniumline/ejector"
@@ -36,18 +35,17 @@
 	Local bool
 }
 
-// Throttled reports whether every endpoint of the service that is in use and in one of the regions has asked for no
-// calls at this time. A nil regions allows all regions. An ejected endpoint counts as one that accepts calls from the end
-// of its ejection on.
-func (s *Selector) Throttled(service string, regions []string, now time.Time) (Throttle, bool) {
-	p, known := s.pools[service]
+// Throttled reports whether every endpoint that is in use, and of a region and version that the query allows, has asked for
+// no calls at this time. An ejected endpoint counts as one that accepts calls from the end of its ejection on.
+func (s *Selector) Throttled(query Query, now time.Time) (Throttle, bool) {
+	p, known := s.pools[query.Service]
 	if !known || s.cfg.Gate == nil {
 		return Throttle{}, false
 	}
 	var first Throttle
 	inUse := false
 	for _, e := range p.endpoints {
-		if regions != nil && !slices.Contains(regions, e.Region) {
+		if !query.admits(e.Endpoint) {
 			continue
 		}
 		at, sends := s.cfg.Gate.NextSendTime(e.Endpoint, now)
--- a/selector/homes.go
+++ b/selector/homes.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"geraniumline/ejector"
@@ -67,10 +66,7 @@
 }
 
 func (s *Selector) mayBeHome(e *endpoint, query *Query, now time.Time) bool {
-	if e.health.State() != ejector.InUse || s.lowCapacity(e, now) {
-		return false
-	}
-	return query.Regions == nil || slices.Contains(query.Regions, e.Region)
+	return e.health.State() == ejector.InUse && !s.lowCapacity(e, now) && query.admits(e.Endpoint)
 }
 
 // homePart returns the index of the part that determines the prompt's home endpoints. A part that most prompts of a kind
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -52,10 +52,20 @@
 	NoProbe bool
 	// Regions are the regions that the call may go to. Nil allows all regions.
 	Regions []string
+	// Version is the only version of endpoints' software that the call may go to. Nil allows all versions.
+	Version *string
 	// ZoneBytes is the size of the stage results that the endpoint will fetch, by the zone that stores them.
 	ZoneBytes map[string]int64
 }
 
+// admits reports whether the call may go to endpoints of e's region and version.
+func (q *Query) admits(e *registrar.Endpoint) bool {
+	if q.Version != nil && *q.Version != e.Version {
+		return false
+	}
+	return q.Regions == nil || slices.Contains(q.Regions, e.Region)
+}
+
 // Choice is the endpoint chosen for a call.
 type Choice struct {
 	Endpoint registrar.Endpoint
@@ -367,7 +377,7 @@
 
 // allowed reports whether the call may go to the endpoint at all.
 func (p *pool) allowed(e *endpoint, query *Query, gate Gate, now time.Time) bool {
-	if slices.Contains(query.Exclude, e.ID) || query.Regions != nil && !slices.Contains(query.Regions, e.Region) {
+	if slices.Contains(query.Exclude, e.ID) || !query.admits(e.Endpoint) {
 		return false
 	}
 	return gate == nil || gate.Allows(e.Endpoint, p.coldPerSecond, now)
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -301,7 +301,7 @@
 	for slow.health.State() == ejector.InUse {
 		slow.pool.health.RecordOutcome(&slow.health, ejector.Bad, false, now)
 	}
-	held, all := s.Throttled("pool", nil, now)
+	held, all := s.Throttled(Query{Service: "pool"}, now)
 	require.True(t, all)
 	require.True(t, held.Local)
 	require.Equal(t, slow.health.Until(), held.Until)
@@ -372,3 +372,41 @@
 	}
 	require.Less(t, busiest, 3*entries*calls/endpoints, "all entries together use all endpoints")
 }
+
+// Guards against streams that go on at another software version: every question about endpoints for a call keeps to the
+// version that it names.
+func TestOnlyEndpointsOfTheVersionAreChosen(t *testing.T) {
+	s := newSelector(6)
+	s.cfg.Gate = &restGate{resting: "e4", until: now.Add(time.Minute)}
+	all := plainEndpoints(6)
+	for i, e := range all {
+		e.Version = fmt.Sprintf("v%d", i/4)
+	}
+	s.SetEndpoints(all)
+	v0, v1, gone := "v0", "v1", "v2"
+	for i := range uint64(40) {
+		query := Query{Service: "pool", Parts: prompt(i, 1000+i), Version: &v1}
+		choice, found := s.Choose(query, now)
+		require.True(t, found)
+		require.Equal(t, v1, choice.Endpoint.Version)
+		query.Exclude = []string{"e4", "e5"}
+		_, found = s.Choose(query, now)
+		require.False(t, found)
+		require.False(t, s.HasEndpoint(query, now))
+	}
+	require.False(t, s.HasEndpoint(Query{Service: "pool", Version: &gone}, now))
+	_, all0 := s.Throttled(Query{Service: "pool", Version: &v0}, now)
+	require.False(t, all0)
+	s.remove(s.byID["e5"])
+	_, all1 := s.Throttled(Query{Service: "pool", Version: &v1}, now)
+	require.True(t, all1)
+}
+
+// Guards against an endpoint that starts again under its ID with another software version and keeps what was known of the
+// earlier one.
+func TestAnotherVersionIsAnotherIncarnation(t *testing.T) {
+	old := &registrar.Endpoint{ID: "e", Version: "v1"}
+	require.False(t, old.SameIncarnation(&registrar.Endpoint{ID: "e", Version: "v2"}))
+	require.True(t, old.SameIncarnation(&registrar.Endpoint{ID: "e", Version: "v1"}))
+	require.True(t, old.SameIncarnation(&registrar.Endpoint{ID: "e"}))
+}
