--- a/carrier/message.go
+++ b/carrier/message.go
@@ -110,6 +110,15 @@
 // Kind returns KindRelayFailure.
 func (m *RelayFailure) Kind() Kind { return KindRelayFailure }
 
+// Kind returns KindStreamOrigins.
+func (m *StreamOrigins) Kind() Kind { return KindStreamOrigins }
+
+// Kind returns KindOriginCall.
+func (m *OriginCall) Kind() Kind { return KindOriginCall }
+
+// Kind returns KindOriginReply.
+func (m *OriginReply) Kind() Kind { return KindOriginReply }
+
 // NewMessage returns an empty message of the kind, to decode a frame into, or an *UnknownKindError.
 func NewMessage(kind Kind) (Message, error) {
 	switch kind {
@@ -171,6 +180,12 @@
 		return &RelayEnd{}, nil
 	case KindRelayFailure:
 		return &RelayFailure{}, nil
+	case KindStreamOrigins:
+		return &StreamOrigins{}, nil
+	case KindOriginCall:
+		return &OriginCall{}, nil
+	case KindOriginReply:
+		return &OriginReply{}, nil
 	default:
 		return nil, &UnknownKindError{Value: kind}
 	}
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -file schema.go -o schema_gen.go -tests=false
 
-//msgp:tuple PromptPlacement EndpointTiming RetryUse StageClassWait EndpointRefusal EndpointLeave EndpointLimit PieceResult MadeResult EndpointWork StageWait EndpointEntry ModelDemand AccountBill StageBill Member EndpointLoad AccountUse Record CrashLoss
+//msgp:tuple StreamOrigin PromptPlacement EndpointTiming RetryUse StageClassWait EndpointRefusal EndpointLeave EndpointLimit PieceResult MadeResult EndpointWork StageWait EndpointEntry ModelDemand AccountBill StageBill Member EndpointLoad AccountUse Record CrashLoss
 
 // Kind identifies the type of the message in a frame.
 type Kind uint8
@@ -40,6 +40,9 @@
 	KindRelayResponse
 	KindRelayEnd
 	KindRelayFailure
+	KindStreamOrigins
+	KindOriginCall
+	KindOriginReply
 )
 
 // Challenge is the first message of a connection in each direction: the peer must prove that it knows the shared key.
@@ -153,6 +156,8 @@
 	EvacuatedNext   int64    `msg:"evacuatedNext"`
 	Evacuated       []string `msg:"evacuated,limit=4096"`
 	EvacuationsHeld []string `msg:"evacuationsHeld,limit=4096"`
+	// KeepsOrigins is set if the sender's release understands StreamOrigins and OriginCall.
+	KeepsOrigins bool `msg:"keepsOrigins,omitempty"`
 	// StoreEra is the newest era of the store known to the sender, EndpointsEra the era of its list of endpoints.
 	StoreEra     int64 `msg:"storeEra"`
 	EndpointsEra int64 `msg:"endpointsEra"`
@@ -561,3 +566,43 @@
 type RelayFailure struct {
 	Reason RelayReason `msg:"reason"`
 }
+
+// StreamOrigin is the software version that began a stream.
+type StreamOrigin struct {
+	// Key is derived from the stream's client account, service and first attempt.
+	Key     uint64
+	Version string
+	// Doubtful is set if the stream may have been begun by another version.
+	Doubtful bool
+	// LeftMillis is for how long the stream may still be taken up.
+	LeftMillis int64
+}
+
+// StreamOrigins tells the origins of streams to an entry that keeps them.
+type StreamOrigins struct {
+	Origins []StreamOrigin `msg:"origins,limit=1024"`
+}
+
+// OriginCall requests the origin of a stream that a caller takes up at the sender.
+type OriginCall struct {
+	CallID  uint64 `msg:"callId"`
+	Key     uint64 `msg:"key"`
+	Service string `msg:"service,limit=128"`
+	// WindowMillis is how long after its first event a stream of the route may be taken up.
+	WindowMillis int64 `msg:"windowMillis"`
+}
+
+// OriginReply answers an OriginCall.
+type OriginReply struct {
+	CallID uint64 `msg:"callId"`
+	// Known is set if the sender knows the stream, Version is then the version that began it unless Doubtful is set.
+	Known    bool   `msg:"known"`
+	Version  string `msg:"version,limit=65536"`
+	Doubtful bool   `msg:"doubtful"`
+	// Listed is set if the sender has seen any version listed for the service within the window, Several if there was more
+	// than one, and OnlyVersion is the only one. Whole is set if the sender has followed the list for the whole window.
+	Listed      bool   `msg:"listed"`
+	Several     bool   `msg:"several"`
+	OnlyVersion string `msg:"onlyVersion,limit=65536"`
+	Whole       bool   `msg:"whole"`
+}
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -4091,6 +4091,12 @@
 					return
 				}
 			}
+		case "keepsOrigins":
+			z.KeepsOrigins, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "KeepsOrigins")
+				return
+			}
 		case "storeEra":
 			z.StoreEra, err = dc.ReadInt64()
 			if err != nil {
@@ -4117,8 +4123,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(21)
-	var zb0001Mask uint32 /* 21 bits */
+	zb0001Len := uint32(22)
+	var zb0001Mask uint32 /* 22 bits */
 	_ = zb0001Mask
 	if z.StageClasses == nil {
 		zb0001Len--
@@ -4144,6 +4150,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
+	if z.KeepsOrigins == false {
+		zb0001Len--
+		zb0001Mask |= 0x80000
+	}
 	// variable map header, size zb0001Len
 	err = en.WriteMapHeader(zb0001Len)
 	if err != nil {
@@ -4518,6 +4528,18 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
+			// write "keepsOrigins"
+			err = en.Append(0xac, 0x6b, 0x65, 0x65, 0x70, 0x73, 0x4f, 0x72, 0x69, 0x67, 0x69, 0x6e, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.KeepsOrigins)
+			if err != nil {
+				err = msgp.WrapError(err, "KeepsOrigins")
+				return
+			}
+		}
 		// write "storeEra"
 		err = en.Append(0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
 		if err != nil {
@@ -4546,8 +4568,8 @@
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(21)
-	var zb0001Mask uint32 /* 21 bits */
+	zb0001Len := uint32(22)
+	var zb0001Mask uint32 /* 22 bits */
 	_ = zb0001Mask
 	if z.StageClasses == nil {
 		zb0001Len--
@@ -4573,6 +4595,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
+	if z.KeepsOrigins == false {
+		zb0001Len--
+		zb0001Mask |= 0x80000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -4745,6 +4771,11 @@
 		for za0014 := range z.EvacuationsHeld {
 			o = msgp.AppendString(o, z.EvacuationsHeld[za0014])
 		}
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
+			// string "keepsOrigins"
+			o = append(o, 0xac, 0x6b, 0x65, 0x65, 0x70, 0x73, 0x4f, 0x72, 0x69, 0x67, 0x69, 0x6e, 0x73)
+			o = msgp.AppendBool(o, z.KeepsOrigins)
+		}
 		// string "storeEra"
 		o = append(o, 0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
 		o = msgp.AppendInt64(o, z.StoreEra)
@@ -5244,6 +5275,12 @@
 					return
 				}
 			}
+		case "keepsOrigins":
+			z.KeepsOrigins, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "KeepsOrigins")
+				return
+			}
 		case "storeEra":
 			z.StoreEra, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -5325,7 +5362,7 @@
 	for za0014 := range z.EvacuationsHeld {
 		s += msgp.StringPrefixSize + len(z.EvacuationsHeld[za0014])
 	}
-	s += 9 + msgp.Int64Size + 13 + msgp.Int64Size
+	s += 13 + msgp.BoolSize + 9 + msgp.Int64Size + 13 + msgp.Int64Size
 	return
 }
 
@@ -6626,8 +6663,464 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ModelDemand) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Model) + msgp.Int64Size
+func (z ModelDemand) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Model) + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *OriginCall) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "callId":
+			z.CallID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "CallID")
+				return
+			}
+		case "key":
+			z.Key, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "windowMillis":
+			z.WindowMillis, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "WindowMillis")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *OriginCall) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "callId"
+	err = en.Append(0x84, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.CallID)
+	if err != nil {
+		err = msgp.WrapError(err, "CallID")
+		return
+	}
+	// write "key"
+	err = en.Append(0xa3, 0x6b, 0x65, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	// write "service"
+	err = en.Append(0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	// write "windowMillis"
+	err = en.Append(0xac, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.WindowMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "WindowMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *OriginCall) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "callId"
+	o = append(o, 0x84, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = msgp.AppendUint64(o, z.CallID)
+	// string "key"
+	o = append(o, 0xa3, 0x6b, 0x65, 0x79)
+	o = msgp.AppendUint64(o, z.Key)
+	// string "service"
+	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "windowMillis"
+	o = append(o, 0xac, 0x77, 0x69, 0x6e, 0x64, 0x6f, 0x77, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+	o = msgp.AppendInt64(o, z.WindowMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *OriginCall) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "callId":
+			z.CallID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CallID")
+				return
+			}
+		case "key":
+			z.Key, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "windowMillis":
+			z.WindowMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WindowMillis")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *OriginCall) Msgsize() (s int) {
+	s = 1 + 7 + msgp.Uint64Size + 4 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Service) + 13 + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *OriginReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "callId":
+			z.CallID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "CallID")
+				return
+			}
+		case "known":
+			z.Known, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Known")
+				return
+			}
+		case "version":
+			z.Version, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "doubtful":
+			z.Doubtful, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Doubtful")
+				return
+			}
+		case "listed":
+			z.Listed, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Listed")
+				return
+			}
+		case "several":
+			z.Several, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Several")
+				return
+			}
+		case "onlyVersion":
+			z.OnlyVersion, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "OnlyVersion")
+				return
+			}
+		case "whole":
+			z.Whole, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *OriginReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 8
+	// write "callId"
+	err = en.Append(0x88, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.CallID)
+	if err != nil {
+		err = msgp.WrapError(err, "CallID")
+		return
+	}
+	// write "known"
+	err = en.Append(0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Known)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	// write "version"
+	err = en.Append(0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	// write "doubtful"
+	err = en.Append(0xa8, 0x64, 0x6f, 0x75, 0x62, 0x74, 0x66, 0x75, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Doubtful)
+	if err != nil {
+		err = msgp.WrapError(err, "Doubtful")
+		return
+	}
+	// write "listed"
+	err = en.Append(0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Listed)
+	if err != nil {
+		err = msgp.WrapError(err, "Listed")
+		return
+	}
+	// write "several"
+	err = en.Append(0xa7, 0x73, 0x65, 0x76, 0x65, 0x72, 0x61, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Several)
+	if err != nil {
+		err = msgp.WrapError(err, "Several")
+		return
+	}
+	// write "onlyVersion"
+	err = en.Append(0xab, 0x6f, 0x6e, 0x6c, 0x79, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.OnlyVersion)
+	if err != nil {
+		err = msgp.WrapError(err, "OnlyVersion")
+		return
+	}
+	// write "whole"
+	err = en.Append(0xa5, 0x77, 0x68, 0x6f, 0x6c, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Whole)
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *OriginReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 8
+	// string "callId"
+	o = append(o, 0x88, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = msgp.AppendUint64(o, z.CallID)
+	// string "known"
+	o = append(o, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendBool(o, z.Known)
+	// string "version"
+	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Version)
+	// string "doubtful"
+	o = append(o, 0xa8, 0x64, 0x6f, 0x75, 0x62, 0x74, 0x66, 0x75, 0x6c)
+	o = msgp.AppendBool(o, z.Doubtful)
+	// string "listed"
+	o = append(o, 0xa6, 0x6c, 0x69, 0x73, 0x74, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Listed)
+	// string "several"
+	o = append(o, 0xa7, 0x73, 0x65, 0x76, 0x65, 0x72, 0x61, 0x6c)
+	o = msgp.AppendBool(o, z.Several)
+	// string "onlyVersion"
+	o = append(o, 0xab, 0x6f, 0x6e, 0x6c, 0x79, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.OnlyVersion)
+	// string "whole"
+	o = append(o, 0xa5, 0x77, 0x68, 0x6f, 0x6c, 0x65)
+	o = msgp.AppendBool(o, z.Whole)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *OriginReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "callId":
+			z.CallID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CallID")
+				return
+			}
+		case "known":
+			z.Known, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Known")
+				return
+			}
+		case "version":
+			z.Version, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "doubtful":
+			z.Doubtful, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Doubtful")
+				return
+			}
+		case "listed":
+			z.Listed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Listed")
+				return
+			}
+		case "several":
+			z.Several, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Several")
+				return
+			}
+		case "onlyVersion":
+			z.OnlyVersion, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OnlyVersion")
+				return
+			}
+		case "whole":
+			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *OriginReply) Msgsize() (s int) {
+	s = 1 + 7 + msgp.Uint64Size + 6 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Version) + 9 + msgp.BoolSize + 7 + msgp.BoolSize + 8 + msgp.BoolSize + 12 + msgp.StringPrefixSize + len(z.OnlyVersion) + 6 + msgp.BoolSize
 	return
 }
 
@@ -11351,3 +11844,276 @@
 	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Int32Size + msgp.Int32Size + msgp.BoolSize + msgp.Int32Size + msgp.Uint32Size
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *StreamOrigin) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Key, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Version, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Doubtful, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Doubtful")
+		return
+	}
+	z.LeftMillis, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "LeftMillis")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StreamOrigin) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	err = en.WriteString(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	err = en.WriteBool(z.Doubtful)
+	if err != nil {
+		err = msgp.WrapError(err, "Doubtful")
+		return
+	}
+	err = en.WriteInt64(z.LeftMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "LeftMillis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StreamOrigin) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint64(o, z.Key)
+	o = msgp.AppendString(o, z.Version)
+	o = msgp.AppendBool(o, z.Doubtful)
+	o = msgp.AppendInt64(o, z.LeftMillis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamOrigin) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Key, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Doubtful, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Doubtful")
+		return
+	}
+	z.LeftMillis, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LeftMillis")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StreamOrigin) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Version) + msgp.BoolSize + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *StreamOrigins) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "origins":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Origins")
+				return
+			}
+			if zb0002 > 1024 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Origins) >= int(zb0002) {
+				z.Origins = (z.Origins)[:zb0002]
+			} else {
+				z.Origins = make([]StreamOrigin, zb0002)
+			}
+			for za0001 := range z.Origins {
+				err = z.Origins[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Origins", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StreamOrigins) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "origins"
+	err = en.Append(0x81, 0xa7, 0x6f, 0x72, 0x69, 0x67, 0x69, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Origins)))
+	if err != nil {
+		err = msgp.WrapError(err, "Origins")
+		return
+	}
+	for za0001 := range z.Origins {
+		err = z.Origins[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Origins", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StreamOrigins) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "origins"
+	o = append(o, 0x81, 0xa7, 0x6f, 0x72, 0x69, 0x67, 0x69, 0x6e, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Origins)))
+	for za0001 := range z.Origins {
+		o, err = z.Origins[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Origins", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamOrigins) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "origins":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Origins")
+				return
+			}
+			if zb0002 > 1024 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Origins) >= int(zb0002) {
+				z.Origins = (z.Origins)[:zb0002]
+			} else {
+				z.Origins = make([]StreamOrigin, zb0002)
+			}
+			for za0001 := range z.Origins {
+				bts, err = z.Origins[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Origins", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StreamOrigins) Msgsize() (s int) {
+	s = 1 + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Origins {
+		s += z.Origins[za0001].Msgsize()
+	}
+	return
+}
--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -25,6 +25,8 @@
 	"stageevacuated":    "the zones of all endpoints of a stage were evacuated while its pieces waited; it has not run. Look for 'evacuated zones changed'.",
 	"stageheldBack":     "all endpoints of a stage had asked for a pause or stated limits, so that its pieces could not be computed in time; it has not run. Look for 'endpoint asks for rest' and 'endpoint's limit changed'.",
 	"endpointsHeldBack": "all endpoints of the service had asked for a pause or stated limits; it has not run. Look for 'endpoint asks for rest' and 'endpoint's limit changed'.",
+	"unknownVersion":    "the caller takes up a stream whose software version is not known, and its service has, or may have had, several; it has not run. See 'stream taken up'.",
+	"versionGone":       "the caller takes up a stream whose software version has no endpoint any more; it has not run. See 'stream taken up'.",
 	"noEndpoint":        "all endpoints of the service were tried, or none is in use.",
 	"noEndpointTook":    "several endpoints rejected it, or the retry budget was used up.",
 	"endpointBroke":     "an endpoint closed the connection after it had received the request: it may have run, and was not sent again.",
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -152,6 +152,8 @@
 	timings timings
 	// prompts tracks where prompts were sent.
 	prompts prompts
+	// origins holds which software versions began the streams that callers may take up.
+	origins origins
 	// duties caches which entry owns which duty.
 	duties duties
 	// addresses holds the addresses of peers by name.
@@ -240,6 +242,7 @@
 			Restarted:    !cfg.FirstStart,
 		}, now),
 		ending:      make(chan struct{}),
+		origins:     newOrigins(cfg.FirstStart),
 		paths:       pathfinder.New(),
 		quarantiner: quarantiner.New(quarantiner.Config{}),
 		evacuator:   evacuator.New(),
--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -117,8 +117,9 @@
 // endpointsChanged passes the usable endpoints to the selector and the pools. The lock must be held.
 func (f *Forwarder) endpointsChanged(now time.Time) []func() {
 	usable := f.usable(now)
+	actions := f.observeVersions(now)
 	if f.catalog == nil {
-		return nil
+		return actions
 	}
 	f.duties.reset()
 	direct := make([]*registrar.Endpoint, 0, len(usable))
@@ -128,7 +129,6 @@
 		}
 	}
 	f.selector.SetEndpoints(direct)
-	var actions []func()
 	for name, p := range f.pools {
 		actions = append(actions, f.performAll(name, p, p.Reduce(f.endpointsOf(name, usable), now))...)
 	}
--- /dev/null
+++ b/forwarder/origins.go
@@ -0,0 +1,252 @@
+package forwarder
+
+import (
+	"context"
+	"iter"
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumline/carrier"
+	"geraniumline/detector"
+	"geraniumline/hasher"
+	"geraniumline/meter"
+	"geraniumline/resumer"
+	"geraniumline/selector"
+)
+
+const (
+	// originKeepers is the number of peers that are told the origin of a stream.
+	originKeepers = 3
+	// maxOriginQueries is the number of peers that are asked for one. Some that rank among the first may not have been
+	// there, or known to the entry that told it.
+	maxOriginQueries = 2 * originKeepers
+	// originTimeout bounds the wait for their replies: many round trips. Peers that have just ended don't reply.
+	originTimeout = 100 * time.Millisecond
+	// maxToldOrigins is the number of origins in one message.
+	maxToldOrigins = 1024
+)
+
+// origins holds the origins of streams that callers may take up at any entry, and what was seen of services' versions. The
+// lock of the Forwarder guards it.
+type origins struct {
+	kept    *resumer.Origins
+	history *resumer.History
+	// untold holds the services of which this entry has begun streams without telling peers, as they had a single version.
+	untold map[string]bool
+	// keepers holds whether each peer that was heard directly keeps origins.
+	keepers map[string]bool
+	// calls holds where the replies to this entry's queries go, by the number of the query.
+	calls    map[uint64]chan<- *carrier.OriginReply
+	lastCall uint64
+}
+
+func newOrigins(firstStart bool) origins {
+	return origins{
+		kept:    resumer.NewOrigins(),
+		history: resumer.NewHistory(firstStart),
+		untold:  make(map[string]bool),
+		keepers: make(map[string]bool),
+		calls:   make(map[uint64]chan<- *carrier.OriginReply),
+	}
+}
+
+// single reports whether the origins of a service's streams need not be told to peers: it is known to have had the same
+// version for as long as one of its streams may be taken up.
+func (o *origins) single(service string, window time.Duration, now time.Time) bool {
+	sight := o.history.Sight(service, window, now)
+	return sight.Whole && sight.Single()
+}
+
+// listedVersions returns the service and version of each registered endpoint, also of those that accept no new work.
+func (f *Forwarder) listedVersions() iter.Seq2[string, string] {
+	return func(yield func(string, string) bool) {
+		for e := range f.registry.All() {
+			if !yield(e.Service, e.Version) {
+				return
+			}
+		}
+	}
+}
+
+// observeVersions records the listed versions of all services. It tells peers the origins of streams whose service has got
+// a second version, and of those whose endpoint has turned out to have another version. The lock must be held.
+func (f *Forwarder) observeVersions(now time.Time) []func() {
+	if !f.registry.Loaded() {
+		return nil
+	}
+	o := &f.origins
+	o.history.Observe(f.listedVersions(), now)
+	var changed []resumer.Origin
+	for _, origin := range o.kept.Own(f.startedElsewhere, now) {
+		origin.Doubtful = true
+		o.kept.Add(origin, now)
+		changed = append(changed, origin)
+	}
+	for service := range o.untold {
+		if o.history.Sight(service, 0, now).Several {
+			delete(o.untold, service)
+			changed = append(changed, o.kept.Own(func(origin *resumer.Origin) bool { return origin.Service == service }, now)...)
+		}
+	}
+	return f.tellOrigins(changed, now)
+}
+
+// startedElsewhere reports whether the endpoint that began a stream has another version than was known then. It may have
+// had that already.
+func (f *Forwarder) startedElsewhere(origin *resumer.Origin) bool {
+	return !origin.Doubtful && f.registry.Contains(origin.Endpoint, time.Time{}) && f.registry.VersionOf(origin.Endpoint) != origin.Version
+}
+
+// recordOrigin keeps the version of the endpoint that begins the request's stream, and tells it to peers if the service has
+// several versions. The lock must be held.
+func (x *exchange) recordOrigin(choice *selector.Choice, now time.Time) []func() {
+	if !x.route.Repeatable() || x.req.LastEvent != "" {
+		return nil
+	}
+	o := &x.f.origins
+	window := resumer.Window(x.route.Timeout)
+	origin := resumer.Origin{
+		Key:      resumer.KeyOf(x.account, x.service.Name, x.req.ID),
+		Service:  x.service.Name,
+		Version:  choice.Endpoint.Version,
+		Expires:  now.Add(window),
+		Own:      true,
+		Endpoint: choice.Endpoint.ID,
+	}
+	if !o.kept.Add(origin, now) {
+		x.f.cfg.Meter.Counter(meter.StreamOriginsDropped).Inc(1)
+	}
+	if o.single(x.service.Name, window, now) && !x.f.stopping.Load() {
+		o.untold[x.service.Name] = true
+		return nil
+	}
+	return x.f.tellOrigins([]resumer.Origin{origin}, now)
+}
+
+// tellOwnOrigins tells peers the origins of all streams that this entry has begun, before it ends.
+func (f *Forwarder) tellOwnOrigins(now time.Time) {
+	f.withLock(func() []func() {
+		return f.tellOrigins(f.origins.kept.Own(func(*resumer.Origin) bool { return true }, now), now)
+	})
+}
+
+// tellOrigins tells each origin to the peers that keep it. The lock must be held.
+func (f *Forwarder) tellOrigins(list []resumer.Origin, now time.Time) []func() {
+	if len(list) == 0 {
+		return nil
+	}
+	names := f.originPeers()
+	byPeer := make(map[string][]carrier.StreamOrigin)
+	for _, o := range list {
+		for _, name := range hasher.Top(uint64(o.Key), names, originKeepers) {
+			byPeer[name] = append(byPeer[name], carrier.StreamOrigin{
+				Key: uint64(o.Key), Version: o.Version, Doubtful: o.Doubtful, LeftMillis: o.Expires.Sub(now).Milliseconds(),
+			})
+		}
+	}
+	var actions []func()
+	for name, told := range byPeer {
+		for len(told) > 0 {
+			n := min(len(told), maxToldOrigins)
+			actions = append(actions, f.sendTo(name, &carrier.StreamOrigins{Origins: told[:n]}))
+			told = told[n:]
+		}
+	}
+	f.cfg.Meter.Counter(meter.StreamOriginsTold).Inc(int64(len(list)))
+	return actions
+}
+
+// originPeers returns the names of the live peers that keep origins. A peer that was not heard directly counts as one if no
+// other is known to be of a release that doesn't. The lock must be held.
+func (f *Forwarder) originPeers() []string {
+	unknownKeep := true
+	for _, keeps := range f.origins.keepers {
+		unknownKeep = unknownKeep && keeps
+	}
+	var names []string
+	for m := range f.detector.All() {
+		keeps, known := f.origins.keepers[m.Name]
+		if m.Name != f.cfg.Name && m.State == detector.Live && (keeps || !known && unknownKeep) {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// applyOrigins keeps the origins that a peer tells. The lock must be held.
+func (f *Forwarder) applyOrigins(m *carrier.StreamOrigins, now time.Time) {
+	for _, o := range m.Origins {
+		left := min(time.Duration(o.LeftMillis)*time.Millisecond, resumer.MaxWindow)
+		origin := resumer.Origin{Key: resumer.Key(o.Key), Version: o.Version, Doubtful: o.Doubtful, Expires: now.Add(left)}
+		if !f.origins.kept.Add(origin, now) {
+			f.cfg.Meter.Counter(meter.StreamOriginsDropped).Inc(1)
+		}
+	}
+}
+
+// answerOrigin answers a peer's query for the origin of a stream. The lock must be held.
+func (f *Forwarder) answerOrigin(from string, m *carrier.OriginCall, now time.Time) []func() {
+	window := min(time.Duration(m.WindowMillis)*time.Millisecond, resumer.MaxWindow)
+	sight := f.origins.history.Sight(m.Service, window, now)
+	reply := &carrier.OriginReply{
+		CallID: m.CallID, Listed: sight.Listed, Several: sight.Several, OnlyVersion: sight.Version, Whole: sight.Whole,
+	}
+	if origin, known := f.origins.kept.Find(resumer.Key(m.Key), now); known {
+		reply.Known, reply.Version, reply.Doubtful = true, origin.Version, origin.Doubtful
+	}
+	return []func(){f.sendTo(from, reply)}
+}
+
+// deliverOrigin passes a peer's reply to the request that waits for it. The lock must be held.
+func (f *Forwarder) deliverOrigin(from string, m *carrier.OriginReply) {
+	waiting, known := f.origins.calls[m.CallID]
+	if !known {
+		return
+	}
+	select {
+	case waiting <- m:
+	default:
+		f.log.Debug("origin of a stream repeated", zap.String("peer", from))
+	}
+}
+
+// askOrigin asks peers for the origin of a stream. It returns once one knows it, all have replied, or originTimeout has
+// passed.
+func (f *Forwarder) askOrigin(ctx context.Context, key resumer.Key, service string, window time.Duration) []*carrier.OriginReply {
+	f.mu.Lock()
+	asked := hasher.Top(uint64(key), f.originPeers(), maxOriginQueries)
+	f.origins.lastCall++
+	call := &carrier.OriginCall{CallID: f.origins.lastCall, Key: uint64(key), Service: service, WindowMillis: window.Milliseconds()}
+	replies := make(chan *carrier.OriginReply, len(asked))
+	f.origins.calls[call.CallID] = replies
+	var actions []func()
+	for _, name := range asked {
+		actions = append(actions, f.sendTo(name, call))
+	}
+	f.mu.Unlock()
+	defer f.withLock(func() []func() { delete(f.origins.calls, call.CallID); return nil })
+	runActions(actions)
+	return awaitReplies(ctx, replies, len(asked))
+}
+
+// awaitReplies returns the replies about the origin of a stream up to the first one that knows it.
+func awaitReplies(ctx context.Context, replies <-chan *carrier.OriginReply, asked int) []*carrier.OriginReply {
+	timeout := time.NewTimer(originTimeout)
+	defer timeout.Stop()
+	var list []*carrier.OriginReply
+	for len(list) < asked {
+		select {
+		case m := <-replies:
+			list = append(list, m)
+			if m.Known {
+				return list
+			}
+		case <-timeout.C:
+			return list
+		case <-ctx.Done():
+			return list
+		}
+	}
+	return list
+}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -45,6 +45,7 @@
 	message.Evacuated, message.EvacuationsHeld = evacuated.Zones, evacuated.Held
 	message.Limits, message.Leaving, message.Refusing = f.limits(now), f.leaving(), f.refusals(now)
 	message.Unreachable, message.Fragile = f.unreachable(now), f.fragile(now)
+	message.KeepsOrigins = true
 	message.StoreEra, message.EndpointsEra = f.storeEra, f.registry.Next().Era()
 	message.ConfigAgeMillis = min(now.Sub(f.configReadAt), maxConfigAge).Milliseconds()
 	f.round++
@@ -180,6 +181,7 @@
 	switch m := m.(type) {
 	case *carrier.Heartbeat:
 		f.withLock(func() []func() {
+			f.origins.keepers[from] = m.KeepsOrigins
 			f.quarantiner.Merge(m.Crashes, now)
 			f.applyStageWaits(m.Stages, now)
 			f.applyStageClasses(m.StageClasses, now)
@@ -232,6 +234,12 @@
 		f.withLock(func() []func() { return f.handleWithdraw(from, m, now) })
 	case *carrier.PieceFree:
 		f.withLock(func() []func() { return f.handleFree(m, now) })
+	case *carrier.StreamOrigins:
+		f.withLock(func() []func() { f.applyOrigins(m, now); return nil })
+	case *carrier.OriginCall:
+		f.withLock(func() []func() { return f.answerOrigin(from, m, now) })
+	case *carrier.OriginReply:
+		f.withLock(func() []func() { f.deliverOrigin(from, m); return nil })
 	default:
 		f.log.Warn("unexpected message kind from peer", zap.String("peer", from), zap.Uint8("kind", uint8(m.Kind())))
 	}
@@ -267,6 +275,7 @@
 			continue
 		}
 		f.selector.SetPeerWork(t.Member.Name, nil)
+		delete(f.origins.keepers, t.Member.Name)
 		for service, p := range f.pools {
 			effects := p.Reduce(collector.OriginLost{Origin: t.Member.Name}, now)
 			actions = append(actions, f.performAll(service, p, effects)...)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -42,6 +42,9 @@
 
 // serveStream runs the stages and relays the events of the model.
 func (x *exchange) serveStream() *FailureError {
+	if failure := x.takeUp(); failure != nil {
+		return failure
+	}
 	stages := newStageRunner(x)
 	defer stages.freeAll()
 	if failure := stages.checkOverload(x.startTime); failure != nil {
@@ -284,13 +287,16 @@
 		zap.Duration("stagesTook", sent.Sub(x.startTime)),
 		zap.Duration("modelTook", took),
 		zap.Duration("predicted", choice.FirstEvent))
-	x.f.mu.Lock()
-	if version := choice.Endpoint.Version; x.streamVersion.Load() == nil {
-		x.streamVersion.Store(&version)
-	}
-	x.f.observeFirstEvent(*choice, took, sent.Add(took))
-	x.f.selector.RecordPromptRead(choice)
-	x.f.mu.Unlock()
+	x.f.withLock(func() []func() {
+		now := sent.Add(took)
+		x.f.observeFirstEvent(*choice, took, now)
+		x.f.selector.RecordPromptRead(choice)
+		version := choice.Endpoint.Version
+		if !x.streamVersion.CompareAndSwap(nil, &version) {
+			return nil
+		}
+		return x.recordOrigin(choice, now)
+	})
 	s.stages.free(s.stages.plan.FreeFinalResults())
 	s.writeHeader(resp)
 }
--- a/registrar/lookup.go
+++ b/registrar/lookup.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"iter"
 	"slices"
 	"strings"
 
@@ -45,6 +46,18 @@
 	return nil, false
 }
 
+// All returns the registered endpoints, also those that accept no new work, in no particular order. They must not be
+// changed.
+func (r *Registry) All() iter.Seq[*Endpoint] {
+	return func(yield func(*Endpoint) bool) {
+		for _, reg := range r.registrations {
+			if !reg.unusable && !yield(&reg.endpoint) {
+				return
+			}
+		}
+	}
+}
+
 // Usable returns the endpoints that may receive work, sorted by ID. The result is shared and must not be changed;
 // neither are the endpoints in it ever changed.
 func (r *Registry) Usable() []*Endpoint {
--- /dev/null
+++ b/resumer/resumer_test.go
@@ -0,0 +1,153 @@
+package resumer
+
+import (
+	"iter"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+// list returns a list of endpoints of one service with the given versions.
+func list(versions ...string) iter.Seq2[string, string] {
+	return func(yield func(string, string) bool) {
+		for _, version := range versions {
+			if !yield("model", version) {
+				return
+			}
+		}
+	}
+}
+
+func at(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+
+func TestKeysTellStreamsApart(t *testing.T) {
+	key := KeyOf("account", "model", "attempt")
+	require.Equal(t, key, KeyOf("account", "model", "attempt"))
+	for _, other := range []Key{
+		KeyOf("other", "model", "attempt"), KeyOf("account", "other", "attempt"), KeyOf("account", "model", "other"),
+		KeyOf("accountmodel", "", "attempt"), KeyOf("account", "model", "attempt\x00"),
+	} {
+		require.NotEqual(t, key, other)
+	}
+}
+
+func TestWindowCoversLongTimeouts(t *testing.T) {
+	require.Equal(t, minWindow, Window(time.Second))
+	require.Equal(t, 2*time.Minute, Window(time.Minute))
+	require.Equal(t, MaxWindow, Window(time.Hour))
+}
+
+// Guards against streams that go on at a version that their own may not be: each case but those that go on has another
+// version that an entry may have used.
+func TestStreamsOfUnknownOriginGoOnOnlyWithASingleVersion(t *testing.T) {
+	single := Sight{Listed: true, Version: "v1", Whole: true}
+	restarted := Sight{Listed: true, Version: "v1"}
+	several := Sight{Listed: true, Several: true, Whole: true}
+	another := Sight{Listed: true, Version: "v2", Whole: true}
+	scenarios := []struct {
+		testName string
+		own      Sight
+		peers    []Sight
+		fresh    bool
+		goesOn   bool
+	}{
+		{"seen for the whole window", single, nil, true, true},
+		{"peers agree", single, []Sight{single, restarted}, true, true},
+		{"restarted, a peer has seen the whole window", restarted, []Sight{restarted, single}, true, true},
+		{"restarted, with peers that have restarted too", restarted, []Sight{restarted}, true, false},
+		{"restarted alone", restarted, nil, true, false},
+		{"stale list, a peer agrees", single, []Sight{single}, false, true},
+		{"stale list, no peer answers", single, nil, false, false},
+		{"several versions", several, []Sight{single}, true, false},
+		{"a peer has seen several", single, []Sight{single, several}, true, false},
+		{"a peer has seen another one", single, []Sight{another}, true, false},
+		{"restarted, a peer without a list of its own", restarted, []Sight{{Whole: true}}, true, false},
+		{"no endpoint listed", Sight{Whole: true}, []Sight{single}, true, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			var want Verdict = Unknown{}
+			if s.goesOn {
+				want = GoOn{Version: "v1"}
+			}
+			require.Equal(t, want, Judge(s.own, s.peers, s.fresh))
+		})
+	}
+}
+
+func TestHistoryRemembersVersionsThatHaveGone(t *testing.T) {
+	h := NewHistory(false)
+	require.Equal(t, Sight{}, h.Sight("model", minWindow, start))
+	h.Observe(list("v1", "v1"), at(0))
+	require.Equal(t, Sight{Listed: true, Version: "v1"}, h.Sight("model", minWindow, at(29)))
+	require.Equal(t, Sight{Listed: true, Version: "v1", Whole: true}, h.Sight("model", minWindow, at(30)))
+	h.Observe(list("v1", "v2"), at(40))
+	require.Equal(t, Sight{Listed: true, Several: true, Whole: true}, h.Sight("model", minWindow, at(41)))
+	h.Observe(list("v2"), at(50))
+	h.Observe(list("v2"), at(51))
+	require.True(t, h.Sight("model", minWindow, at(80)).Several)
+	require.Equal(t, Sight{Listed: true, Version: "v2", Whole: true}, h.Sight("model", minWindow, at(81)))
+	require.True(t, h.Sight("model", time.Minute, at(81)).Several, "a longer window")
+	require.Equal(t, Sight{Whole: true}, h.Sight("other", minWindow, at(81)))
+}
+
+// Guards against a version that replaces another one between two lists, of which each shows one version only.
+func TestVersionsThatReplaceEachOtherAreSeveral(t *testing.T) {
+	h := NewHistory(true)
+	h.Observe(list("v1"), at(0))
+	require.True(t, h.Sight("model", minWindow, at(1)).Whole, "no stream is older than the system")
+	h.Observe(list("v2"), at(2))
+	require.True(t, h.Sight("model", 0, at(2)).Several)
+	require.True(t, h.Sight("model", minWindow, at(3)).Several)
+}
+
+func TestHistoryForgets(t *testing.T) {
+	h := NewHistory(false)
+	h.Observe(list("v1"), at(0))
+	h.Observe(list(), at(1))
+	later := at(2).Add(MaxWindow)
+	h.Observe(list(), later)
+	require.Empty(t, h.services)
+}
+
+func TestOriginsAreKeptForTheirTime(t *testing.T) {
+	o := NewOrigins()
+	require.True(t, o.Add(Origin{Key: 1, Version: "v1", Expires: at(10)}, at(0)))
+	found, known := o.Find(1, at(10))
+	require.True(t, known)
+	require.Equal(t, "v1", found.Version)
+	_, known = o.Find(1, at(11))
+	require.False(t, known)
+	_, known = o.Find(2, at(0))
+	require.False(t, known)
+	require.True(t, o.Add(Origin{Key: 2, Version: "v1", Expires: at(30)}, at(20)))
+	require.Equal(t, 1, o.Len())
+}
+
+// Guards against a stream that goes on although two entries name different versions for it, such as for an attempt whose ID
+// a caller uses twice.
+func TestContradictingOriginsAreDoubtful(t *testing.T) {
+	o := NewOrigins()
+	o.Add(Origin{Key: 1, Version: "v1", Expires: at(10), Own: true}, at(0))
+	o.Add(Origin{Key: 1, Version: "v1", Expires: at(20)}, at(0))
+	found, _ := o.Find(1, at(15))
+	require.False(t, found.Doubtful)
+	require.True(t, found.Own)
+	o.Add(Origin{Key: 1, Version: "v2", Expires: at(10)}, at(1))
+	found, _ = o.Find(1, at(2))
+	require.True(t, found.Doubtful)
+}
+
+func TestOriginsAreBounded(t *testing.T) {
+	o := NewOrigins()
+	for key := range MaxOrigins {
+		require.True(t, o.Add(Origin{Key: Key(key), Expires: at(1)}, at(0)))
+	}
+	require.False(t, o.Add(Origin{Key: MaxOrigins, Expires: at(9)}, at(0)))
+	require.True(t, o.Add(Origin{Key: 1, Expires: at(9)}, at(0)))
+	require.True(t, o.Add(Origin{Key: MaxOrigins, Expires: at(9)}, at(2)))
+	require.Equal(t, 2, o.Len())
+}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -368,6 +368,13 @@
 	return known && len(p.candidates(&query, s.cfg.Gate, now)) > 0
 }
 
+// Lists reports whether the service has an endpoint of a region and version that the query allows, whether or not it takes
+// calls at present.
+func (s *Selector) Lists(query Query) bool {
+	p, known := s.pools[query.Service]
+	return known && slices.ContainsFunc(p.endpoints, func(e *endpoint) bool { return query.admits(e.Endpoint) })
+}
+
 // preferred reports whether this entry sends to e rather than to another endpoint with as little work. While peers' work
 // is unknown, each entry has an order of preference of its own, so that it uses a few endpoints over connections that
 // are open already and all entries together use all endpoints. Otherwise the choice is random.
