Take streams up at the service that began them

Found while looking for the cause of streams with events of two versions: the service of a split route is chosen by the ID of the caller's attempt, which is another one for each attempt. A stream that its caller takes up could go on at another service than the one that began it, with what that service's endpoints write.

Change: a request that takes a stream up and names the attempt that began it goes to the service of that attempt, as long as the route keeps its split. New requests are distributed as before.

--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"geraniumline/cataloger"
@@ -149,7 +148,7 @@
 		return failure
 	}
 	x.setDeadlines()
-	service, known := catalog.Service(route.Target(xxhash.Sum64String(x.req.ID)))
+	service, known := catalog.Service(route.Target(x.req.targetSeed()))
 	if !known {
 		return notRun("unknownService", shortRetryDelay())
 	}
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"geraniumline/collector"
 	"geraniumline/regulator"
 	"geraniumline/selector"
@@ -30,6 +32,15 @@
 	Resumes string
 }
 
+// targetSeed selects the service of a request whose route is split among several. A stream that is taken up goes to the
+// service that began it.
+func (r *Request) targetSeed() uint64 {
+	if r.LastEvent != "" && r.Resumes != "" {
+		return xxhash.Sum64String(r.Resumes)
+	}
+	return xxhash.Sum64String(r.ID)
+}
+
 // CallInfo is the metadata that a call to an endpoint carries in addition to the caller's own header.
 type CallInfo struct {
 	// Timeout is how long the endpoint may work.
