Don't trust old lists of endpoints for streams that are taken up

Change: a single version counts only if this entry's list of endpoints, or that of a peer that answers, is recent. In an outage of the store no list is: an entry whose list has become old tells the origins of the streams that it has begun, and of those that begin, so that they can go on all the same.

TestPartitionedEntriesRefuseToGoOn failed before (entry-2 and entry-3, cut off from the others, went on at v1); TestOriginsAreToldWhileTheStoreDoesNotAnswer guards the other side.

--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -600,9 +600,11 @@
 	Version  string `msg:"version,limit=65536"`
 	Doubtful bool   `msg:"doubtful"`
 	// Listed is set if the sender has seen any version listed for the service within the window, Several if there was more
-	// than one, and OnlyVersion is the only one. Whole is set if the sender has followed the list for the whole window.
+	// than one, and OnlyVersion is the only one. Whole is set if the sender has followed the list for the whole window, and
+	// Fresh if its list is recent.
 	Listed      bool   `msg:"listed"`
 	Several     bool   `msg:"several"`
 	OnlyVersion string `msg:"onlyVersion,limit=65536"`
 	Whole       bool   `msg:"whole"`
+	Fresh       bool   `msg:"fresh"`
 }
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -6912,6 +6912,12 @@
 				err = msgp.WrapError(err, "Whole")
 				return
 			}
+		case "fresh":
+			z.Fresh, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Fresh")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -6925,9 +6931,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *OriginReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
+	// map header, size 9
 	// write "callId"
-	err = en.Append(0x88, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	err = en.Append(0x89, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	if err != nil {
 		return
 	}
@@ -7006,15 +7012,25 @@
 		err = msgp.WrapError(err, "Whole")
 		return
 	}
+	// write "fresh"
+	err = en.Append(0xa5, 0x66, 0x72, 0x65, 0x73, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Fresh)
+	if err != nil {
+		err = msgp.WrapError(err, "Fresh")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *OriginReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "callId"
-	o = append(o, 0x88, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
+	o = append(o, 0x89, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x49, 0x64)
 	o = msgp.AppendUint64(o, z.CallID)
 	// string "known"
 	o = append(o, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
@@ -7037,6 +7053,9 @@
 	// string "whole"
 	o = append(o, 0xa5, 0x77, 0x68, 0x6f, 0x6c, 0x65)
 	o = msgp.AppendBool(o, z.Whole)
+	// string "fresh"
+	o = append(o, 0xa5, 0x66, 0x72, 0x65, 0x73, 0x68)
+	o = msgp.AppendBool(o, z.Fresh)
 	return
 }
 
@@ -7106,6 +7125,12 @@
 				err = msgp.WrapError(err, "Whole")
 				return
 			}
+		case "fresh":
+			z.Fresh, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fresh")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -7120,7 +7145,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *OriginReply) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size + 6 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Version) + 9 + msgp.BoolSize + 7 + msgp.BoolSize + 8 + msgp.BoolSize + 12 + msgp.StringPrefixSize + len(z.OnlyVersion) + 6 + msgp.BoolSize
+	s = 1 + 7 + msgp.Uint64Size + 6 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Version) + 9 + msgp.BoolSize + 7 + msgp.BoolSize + 8 + msgp.BoolSize + 12 + msgp.StringPrefixSize + len(z.OnlyVersion) + 6 + msgp.BoolSize + 6 + msgp.BoolSize
 	return
 }
 
--- a/forwarder/origins.go
+++ b/forwarder/origins.go
@@ -23,6 +23,8 @@
 	maxOriginQueries = 2 * originKeepers
 	// originTimeout bounds the wait for their replies: many round trips. Peers that have just ended don't reply.
 	originTimeout = 100 * time.Millisecond
+	// maxListAge is the greatest age of a list of endpoints that is recent: endpoints write their registrations more often.
+	maxListAge = 2 * time.Second
 	// maxToldOrigins is the number of origins in one message.
 	maxToldOrigins = 1024
 )
@@ -51,11 +53,11 @@
 	}
 }
 
-// single reports whether the origins of a service's streams need not be told to peers: it is known to have had the same
-// version for as long as one of its streams may be taken up.
-func (o *origins) single(service string, window time.Duration, now time.Time) bool {
-	sight := o.history.Sight(service, window, now)
-	return sight.Whole && sight.Single()
+// versionSight returns what this entry has seen of a service's versions within the window. The lock must be held.
+func (f *Forwarder) versionSight(service string, window time.Duration, now time.Time) resumer.Sight {
+	sight := f.origins.history.Sight(service, window, now)
+	sight.Fresh = f.registry.Age(now) <= maxListAge
+	return sight
 }
 
 // listedVersions returns the service and version of each registered endpoint, also of those that accept no new work.
@@ -69,8 +71,8 @@
 	}
 }
 
-// observeVersions records the listed versions of all services. It tells peers the origins of streams whose service has got
-// a second version, and of those whose endpoint has turned out to have another version. The lock must be held.
+// observeVersions records the listed versions of all services. It tells peers the origins of streams whose endpoint has
+// turned out to have another version, and those that were not told but now have to be. The lock must be held.
 func (f *Forwarder) observeVersions(now time.Time) []func() {
 	if !f.registry.Loaded() {
 		return nil
@@ -83,13 +85,21 @@
 		o.kept.Add(origin, now)
 		changed = append(changed, origin)
 	}
+	return append(f.tellOrigins(changed, now), f.tellUntold(now)...)
+}
+
+// tellUntold tells peers the origins of a service's streams that were not told, once it has a second version, or once this
+// entry's list is too old to know. The lock must be held.
+func (f *Forwarder) tellUntold(now time.Time) []func() {
+	o := &f.origins
+	var list []resumer.Origin
 	for service := range o.untold {
-		if o.history.Sight(service, 0, now).Several {
+		if sight := f.versionSight(service, 0, now); sight.Several || !sight.Fresh {
 			delete(o.untold, service)
-			changed = append(changed, o.kept.Own(func(origin *resumer.Origin) bool { return origin.Service == service }, now)...)
+			list = append(list, o.kept.Own(func(origin *resumer.Origin) bool { return origin.Service == service }, now)...)
 		}
 	}
-	return f.tellOrigins(changed, now)
+	return f.tellOrigins(list, now)
 }
 
 // startedElsewhere reports whether the endpoint that began a stream has another version than was known then. It may have
@@ -117,7 +127,8 @@
 	if !o.kept.Add(origin, now) {
 		x.f.cfg.Meter.Counter(meter.StreamOriginsDropped).Inc(1)
 	}
-	if o.single(x.service.Name, window, now) && !x.f.stopping.Load() {
+	sight := x.f.versionSight(x.service.Name, window, now)
+	if sight.Single() && sight.Whole && sight.Fresh && !x.f.stopping.Load() {
 		o.untold[x.service.Name] = true
 		return nil
 	}
@@ -188,9 +199,14 @@
 // answerOrigin answers a peer's query for the origin of a stream. The lock must be held.
 func (f *Forwarder) answerOrigin(from string, m *carrier.OriginCall, now time.Time) []func() {
 	window := min(time.Duration(m.WindowMillis)*time.Millisecond, resumer.MaxWindow)
-	sight := f.origins.history.Sight(m.Service, window, now)
+	sight := f.versionSight(m.Service, window, now)
 	reply := &carrier.OriginReply{
-		CallID: m.CallID, Listed: sight.Listed, Several: sight.Several, OnlyVersion: sight.Version, Whole: sight.Whole,
+		CallID:      m.CallID,
+		Listed:      sight.Listed,
+		Several:     sight.Several,
+		OnlyVersion: sight.Version,
+		Whole:       sight.Whole,
+		Fresh:       sight.Fresh,
 	}
 	if origin, known := f.origins.kept.Find(resumer.Key(m.Key), now); known {
 		reply.Known, reply.Version, reply.Doubtful = true, origin.Version, origin.Doubtful
--- a/forwarder/origins_test.go
+++ b/forwarder/origins_test.go
@@ -211,16 +211,41 @@
 	})
 }
 
-// Guards against an entry that trusts a list of endpoints that is old: it reaches neither the store nor peers.
-func TestAnIsolatedEntryRefusesToGoOn(t *testing.T) {
+// Guards against entries that trust a list of endpoints that is old: they reach neither the store nor entries that do, and
+// those may know a version that has just appeared.
+func TestPartitionedEntriesRefuseToGoOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newStreams(t, 3, "v1")
-		s.cut["entry-2"] = true
-		s.requireGoesOn("v1", "stream", "entry-2")
+		s := newStreams(t, 4, "v1")
+		read := func(entries ...string) {
+			time.Sleep(maxListAge + time.Second)
+			for _, entry := range entries {
+				s.list(entry)
+			}
+		}
+		s.requireGoesOn("v1", "stream", "entry-0", "entry-3")
+		read("entry-0", "entry-1")
+		s.requireGoesOn("v1", "stream", "entry-0", "entry-3")
+		s.cut["entry-0"], s.cut["entry-1"] = true, true
+		s.requireRefused("unknownVersion", "stream", "entry-2", "entry-3")
+		s.requireGoesOn("v1", "stream", "entry-0")
+		s.cut["entry-0"] = false
+		s.requireGoesOn("v1", "stream", "entry-3")
+	})
+}
+
+// Guards against refusing the streams of an outage of the store, in which no entry's list is recent.
+func TestOriginsAreToldWhileTheStoreDoesNotAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStreams(t, 4, "v1")
+		s.begin("entry-1", "before")
 		time.Sleep(maxListAge + time.Second)
-		s.requireRefused("unknownVersion", "stream", "entry-2")
-		s.cut["entry-2"] = false
-		s.requireGoesOn("v1", "stream", "entry-2")
+		s.sendHeartbeats(1)
+		s.begin("entry-2", "during")
+		s.restart("entry-1")
+		time.Sleep(maxListAge + time.Second)
+		s.sendHeartbeats(5)
+		s.requireGoesOn("v1", "before", "entry-0", "entry-1", "entry-2")
+		s.requireGoesOn("v1", "during", "entry-0", "entry-3")
 	})
 }
 
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -54,7 +54,7 @@
 	report := f.loadReport(now)
 	introductions := f.detector.Introductions(now)
 	peerQueries := f.peerQueries(now)
-	actions := f.applyTransitions(transitions, now)
+	actions := append(f.applyTransitions(transitions, now), f.tellUntold(now)...)
 	f.mu.Unlock()
 	runActions(actions)
 	for _, address := range heartbeatTargets {
--- a/forwarder/takeup.go
+++ b/forwarder/takeup.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// maxListAge is the greatest age of a list of endpoints that tells on its own which versions a service has: endpoints
-	// write their registrations more often.
-	maxListAge = 2 * time.Second
 	// versionGoneRetryDelay is the retry delay for a stream whose version has no endpoint: endpoints that have crashed are
 	// back within seconds.
 	versionGoneRetryDelay = time.Second
@@ -65,23 +62,24 @@
 	key := resumer.KeyOf(x.account, x.service.Name, x.req.Resumes)
 	named := x.req.Resumes != ""
 	f.mu.Lock()
-	own := f.origins.history.Sight(x.service.Name, window, now)
-	fresh := f.registry.Age(now) <= maxListAge
+	own := f.versionSight(x.service.Name, window, now)
 	origin, known := f.origins.kept.Find(key, now)
 	f.mu.Unlock()
 	if known && named {
 		return recordedVersion(origin.Version, origin.Doubtful)
 	}
 	var peers []resumer.Sight
-	if named || !own.Whole || !fresh {
+	if named || !own.Whole || !own.Fresh {
 		for _, m := range f.askOrigin(x.ctx, key, x.service.Name, window) {
 			if m.Known && named {
 				return recordedVersion(m.Version, m.Doubtful)
 			}
-			peers = append(peers, resumer.Sight{Listed: m.Listed, Several: m.Several, Version: m.OnlyVersion, Whole: m.Whole})
+			peers = append(peers, resumer.Sight{
+				Listed: m.Listed, Several: m.Several, Version: m.OnlyVersion, Whole: m.Whole, Fresh: m.Fresh,
+			})
 		}
 	}
-	switch verdict := resumer.Judge(own, peers, fresh).(type) {
+	switch verdict := resumer.Judge(own, peers).(type) {
 	case resumer.GoOn:
 		return verdict.Version, takeUpSingle
 	default:
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -41,8 +41,9 @@
 	Listed  bool
 	Several bool
 	Version string
-	// Whole is set if the entry has followed the list for the whole window.
+	// Whole is set if the entry has followed the list for the whole window, and Fresh if its list is recent.
 	Whole bool
+	Fresh bool
 }
 
 // Single reports whether there was only one version.
@@ -61,20 +62,21 @@
 func (Unknown) verdict() {}
 
 // Judge decides about a stream of which no origin was found, by what this entry and its peers have seen: it goes on if there
-// was only one version all the time. fresh states whether this entry's list of endpoints is recent. If it isn't, some peer
-// must have answered, as entries that this one doesn't reach may know another version.
-func Judge(own Sight, peers []Sight, fresh bool) Verdict {
-	if !own.Single() || !fresh && len(peers) == 0 {
+// was only one version all the time. Some entry must have followed the list all the time, and some entry must have a recent
+// one: those that others can't reach may know a version that has just appeared.
+func Judge(own Sight, peers []Sight) Verdict {
+	if !own.Single() {
 		return Unknown{}
 	}
-	whole := own.Whole
+	whole, fresh := own.Whole, own.Fresh
 	for _, peer := range peers {
 		if peer.Several || peer.Listed && peer.Version != own.Version {
 			return Unknown{}
 		}
-		whole = whole || peer.Whole && peer.Listed
+		whole = whole || peer.Listed && peer.Whole
+		fresh = fresh || peer.Listed && peer.Fresh
 	}
-	if !whole {
+	if !whole || !fresh {
 		return Unknown{}
 	}
 	return GoOn{Version: own.Version}
--- a/resumer/resumer_test.go
+++ b/resumer/resumer_test.go
@@ -43,29 +43,31 @@
 // Guards against streams that go on at a version that their own may not be: each case but those that go on has another
 // version that an entry may have used.
 func TestStreamsOfUnknownOriginGoOnOnlyWithASingleVersion(t *testing.T) {
-	single := Sight{Listed: true, Version: "v1", Whole: true}
-	restarted := Sight{Listed: true, Version: "v1"}
-	several := Sight{Listed: true, Several: true, Whole: true}
-	another := Sight{Listed: true, Version: "v2", Whole: true}
+	single := Sight{Listed: true, Version: "v1", Whole: true, Fresh: true}
+	restarted := Sight{Listed: true, Version: "v1", Fresh: true}
+	stale := Sight{Listed: true, Version: "v1", Whole: true}
+	several := Sight{Listed: true, Several: true, Whole: true, Fresh: true}
+	another := Sight{Listed: true, Version: "v2", Whole: true, Fresh: true}
 	scenarios := []struct {
 		testName string
 		own      Sight
 		peers    []Sight
-		fresh    bool
 		goesOn   bool
 	}{
-		{"seen for the whole window", single, nil, true, true},
-		{"peers agree", single, []Sight{single, restarted}, true, true},
-		{"restarted, a peer has seen the whole window", restarted, []Sight{restarted, single}, true, true},
-		{"restarted, with peers that have restarted too", restarted, []Sight{restarted}, true, false},
-		{"restarted alone", restarted, nil, true, false},
-		{"stale list, a peer agrees", single, []Sight{single}, false, true},
-		{"stale list, no peer answers", single, nil, false, false},
-		{"several versions", several, []Sight{single}, true, false},
-		{"a peer has seen several", single, []Sight{single, several}, true, false},
-		{"a peer has seen another one", single, []Sight{another}, true, false},
-		{"restarted, a peer without a list of its own", restarted, []Sight{{Whole: true}}, true, false},
-		{"no endpoint listed", Sight{Whole: true}, []Sight{single}, true, false},
+		{"seen for the whole window", single, nil, true},
+		{"peers agree", single, []Sight{single, restarted}, true},
+		{"restarted, a peer has seen the whole window", restarted, []Sight{restarted, single}, true},
+		{"restarted, with peers that have restarted too", restarted, []Sight{restarted}, false},
+		{"restarted alone", restarted, nil, false},
+		{"stale list, a peer has a recent one", stale, []Sight{stale, single}, true},
+		{"stale list, peers have no other", stale, []Sight{stale}, false},
+		{"stale list, no peer answers", stale, nil, false},
+		{"several versions", several, []Sight{single}, false},
+		{"a peer has seen several", single, []Sight{single, several}, false},
+		{"a peer has seen another one", single, []Sight{another}, false},
+		{"restarted, a peer without an endpoint", restarted, []Sight{{Whole: true, Fresh: true}}, false},
+		{"stale list, a peer without an endpoint", stale, []Sight{{Whole: true, Fresh: true}}, false},
+		{"no endpoint listed", Sight{Whole: true, Fresh: true}, []Sight{single}, false},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -73,7 +75,7 @@
 			if s.goesOn {
 				want = GoOn{Version: "v1"}
 			}
-			require.Equal(t, want, Judge(s.own, s.peers, s.fresh))
+			require.Equal(t, want, Judge(s.own, s.peers))
 		})
 	}
 }
