--- a/forwarder/origins.go
+++ b/forwarder/origins.go
@@ -198,7 +198,7 @@
 
 // answerOrigin answers a peer's query for the origin of a stream. The lock must be held.
 func (f *Forwarder) answerOrigin(from string, m *carrier.OriginCall, now time.Time) []func() {
-	window := min(time.Duration(m.WindowMillis)*time.Millisecond, resumer.MaxWindow)
+	window := min(max(0, time.Duration(m.WindowMillis)*time.Millisecond), resumer.MaxWindow)
 	sight := f.versionSight(m.Service, window, now)
 	reply := &carrier.OriginReply{
 		CallID:      m.CallID,
--- a/forwarder/takeup.go
+++ b/forwarder/takeup.go
@@ -10,11 +10,9 @@
 	"geraniumline/selector"
 )
 
-const (
-	// versionGoneRetryDelay is the retry delay for a stream whose version has no endpoint: endpoints that have crashed are
-	// back within seconds.
-	versionGoneRetryDelay = time.Second
-)
+// versionGoneRetryDelay is the retry delay for a stream whose version has no endpoint: endpoints that have crashed are back
+// within seconds.
+const versionGoneRetryDelay = time.Second
 
 // Label values of the counter of streams that callers take up.
 const (
@@ -87,6 +85,7 @@
 	}
 }
 
+// recordedVersion is the result of findVersion for a stream whose origin is known.
 func recordedVersion(version string, doubtful bool) (string, string) {
 	if doubtful {
 		return "", takeUpUnknown
