Let the soak play releases of endpoints and broken streams

Endpoints of a version leave, break off without a length inside an event or before the first one, or refuse and reset. Callers take broken resumable streams up at the next entries, naming the attempt that began them; what they receive over all attempts has to be one whole stream of one version.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,6 +23,7 @@
 			&cli.DurationFlag{Name: "length", Value: 10 * time.Second, Usage: "until when faults begin"},
 			&cli.DurationFlag{Name: "config-time", Value: 2 * time.Second, Usage: "time within which the last configuration must be in force"},
 			&cli.DurationFlag{Name: "settle", Value: 6 * time.Second, Usage: "time after the last fault until all is in order"},
+			&cli.BoolFlag{Name: "versions", Usage: "give half of the model endpoints a second version of their software"},
 			&cli.IntFlag{Name: "processes", Value: 5, Usage: "how many entries"},
 		},
 		Action: soak,
@@ -50,6 +51,7 @@
 		result, err := soaker.Run(ctx, soaker.Config{
 			Seed: seed, Bin: cmd.String("bin"), Dir: dir, Entries: cmd.Int("processes"),
 			Length: cmd.Duration("length"), ConfigTime: cmd.Duration("config-time"), SettleTime: cmd.Duration("settle"),
+			Versions: cmd.Bool("versions"),
 		})
 		if err != nil {
 			return fmt.Errorf("seed %d (logs are in %s): %w", seed, dir, err)
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -25,7 +26,9 @@
 	Stamp  string
 	// ExpectedBody is the body of a complete response.
 	ExpectedBody string
-	Phase        Phase
+	// Received holds the events that the caller has received so far of a stream that it takes up.
+	Received string
+	Phase    Phase
 }
 
 // Phase is the part of a plan run in which a request is sent.
@@ -140,6 +143,9 @@
 	if a.Status == http.StatusOK && (a.Body != a.ExpectedBody || a.Stamp == "" || len(executions) == 0) {
 		add(promiseWhole, "got %q of %q", a.Body, a.ExpectedBody)
 	}
+	if !strings.HasPrefix(a.ExpectedBody, a.Received) {
+		add(promiseWhole, "got %q so far, of %q", a.Received, a.ExpectedBody)
+	}
 	if a.AtMostOnce && len(executions) > 1 {
 		add(promiseOnce, "ran %d times", len(executions))
 	}
--- a/soaker/check_test.go
+++ b/soaker/check_test.go
@@ -34,9 +34,17 @@
 		inject func(r *Record)
 		want   string
 	}{
-		"answer of another request":           {func(r *Record) { r.Attempts[0].Body = "y" }, promiseWhole},
-		"incomplete answer":                   {func(r *Record) { r.Attempts[2].Body = "" }, promiseWhole},
-		"answer without an execution":         {func(r *Record) { r.Executions = r.Executions[1:] }, promiseWhole},
+		"answer of another request":   {func(r *Record) { r.Attempts[0].Body = "y" }, promiseWhole},
+		"incomplete answer":           {func(r *Record) { r.Attempts[2].Body = "" }, promiseWhole},
+		"answer without an execution": {func(r *Record) { r.Executions = r.Executions[1:] }, promiseWhole},
+		"stream of two versions": {func(r *Record) {
+			r.Attempts[3].Received = "id: 1\ndata: event 1 of a\n\nid: 2\ndata: event 2 of b.\n\n"
+			r.Attempts[3].ExpectedBody = expectedStream(r.Attempts[3].Received, "a", "b")
+		}, promiseWhole},
+		"stream with events of another attempt": {func(r *Record) {
+			r.Attempts[3].Received = "id: 1\ndata: event 1 of a.\n\nid: 2\ndata: event 2 of c.\n\n"
+			r.Attempts[3].ExpectedBody = expectedStream(r.Attempts[3].Received, "a", "b")
+		}, promiseWhole},
 		"missing stamp":                       {func(r *Record) { r.Attempts[2].Stamp = "" }, promiseWhole},
 		"executed twice":                      {func(r *Record) { r.Executions = append(r.Executions, Execution{Attempt: "a", Version: 2}) }, promiseOnce},
 		"reported as not run but executed":    {func(r *Record) { r.Executions = append(r.Executions, Execution{Attempt: "b", Version: 2}) }, promiseTruth},
@@ -91,3 +99,9 @@
 	cfg.Seed = 8
 	require.NotEqual(t, plan, NewPlan(cfg))
 }
+
+func TestExpectedStreamAllowsTheCallersOwnAttempts(t *testing.T) {
+	received := "id: 1\ndata: event 1 of a.\n\nid: 2\ndata: event 2 of b.\n\n"
+	require.Equal(t, received+"id: 3\ndata: event 3 of b.\n\nid: 4\ndata: event 4 of b.\n\nid: 5\ndata: event 5 of b.\n\n",
+		expectedStream(received, "a", "b"))
+}
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -46,6 +46,9 @@
 // newFleet creates the site and starts the entries.
 func newFleet(cfg *Config) (*fleet, error) {
 	f := &fleet{site: imitator.NewSite()}
+	if cfg.Versions {
+		addVersion(f.site)
+	}
 	var seeds []string
 	for i := range cfg.Entries {
 		e, err := f.add(cfg, fmt.Sprintf("entry-%d", i), seeds)
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -132,6 +132,9 @@
 		imitator.Full: "refused", imitator.Aborting: "broken off", imitator.Hanging: "never answered", imitator.ServerError: "failed",
 		imitator.Duplicating: "answered twice", imitator.Unframed: "answered without a length",
 		imitator.Truncated: "broken off in an event",
+
+		imitator.UnframedTruncated: "without a length, broken off in an event", imitator.UnframedEmpty: "without a length or events",
+		imitator.FullReset: "refused and reset",
 	}
 )
 
@@ -153,6 +156,8 @@
 	Endpoints int
 	// Length is the period, from the start of the plan, in which faults begin.
 	Length time.Duration
+	// Versions is set if half of the model endpoints have a second version.
+	Versions bool
 }
 
 const (
@@ -183,6 +188,9 @@
 	plan.Steps = drawSteps(rnd, &cfg, meanFaultGap, drawFault)
 	// Notices are drawn from a separate random stream so that they do not change the other faults of a seed.
 	plan.Steps = append(plan.Steps, drawSteps(rand.New(rand.NewPCG(cfg.Seed, 2)), &cfg, meanNoticeGap, drawNotice)...)
+	if cfg.Versions {
+		plan.Steps = append(plan.Steps, drawSteps(rand.New(rand.NewPCG(cfg.Seed, 3)), &cfg, meanVersionGap, drawVersionFault)...)
+	}
 	slices.SortStableFunc(plan.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -22,6 +22,8 @@
 	ConfigTime time.Duration
 	// SettleTime is the time after the last fault within which everything must have recovered.
 	SettleTime time.Duration
+	// Versions gives half of the model endpoints a second version of their software. Callers then take broken streams up.
+	Versions bool
 }
 
 // Result summarizes the run of one seed.
@@ -46,7 +48,7 @@
 		return Result{}, err
 	}
 	defer f.close()
-	plan := NewPlan(PlanConfig{Seed: cfg.Seed, Entries: cfg.Entries, Endpoints: len(f.site.Endpoints), Length: cfg.Length})
+	plan := NewPlan(PlanConfig{Seed: cfg.Seed, Entries: cfg.Entries, Endpoints: len(f.site.Endpoints), Length: cfg.Length, Versions: cfg.Versions})
 	if err := writePlan(plan, cfg.Dir); err != nil {
 		return Result{}, err
 	}
@@ -55,7 +57,7 @@
 			f.site.Move(e.ID, serviceOf(e), evacuatedZone)
 		}
 	}
-	runner := &planRunner{cfg: cfg, fleet: f, traffic: &traffic{fleet: f}, disturbed: make(map[int][]Span)}
+	runner := &planRunner{cfg: cfg, fleet: f, traffic: &traffic{fleet: f, takesUp: cfg.Versions}, disturbed: make(map[int][]Span)}
 	runner.writeConfiguration()
 	if err := runner.awaitReady(ctx); err != nil {
 		return Result{}, err
--- a/soaker/traffic.go
+++ b/soaker/traffic.go
@@ -46,6 +46,8 @@
 type traffic struct {
 	fleet     *fleet
 	startedAt time.Time
+	// takesUp is set if callers take broken streams up.
+	takesUp bool
 
 	mu       sync.Mutex
 	attempts []Attempt
@@ -85,13 +87,24 @@
 		Address: e.callerRelay.Address(), Path: k.path, ID: id, Key: imitator.Key, Body: "body of " + id,
 		Timeout: callerDeadline, Pieces: k.pieces,
 	}
-	if reply, err := ask.CallWith(ctx, client); err == nil && !reply.Truncated {
+	reply, err := ask.CallWith(ctx, client)
+	if err == nil && !reply.Truncated {
 		a.Status, a.Body, a.Stamp = reply.Status, reply.Body, reply.Stamp
 	}
+	if t.takesUp && strings.HasPrefix(reply.Body, "id: ") {
+		a.ExpectedBody = expectedStream(reply.Body, id)
+	}
 	a.Ended = time.Since(t.startedAt)
 	if _, currentIncarnation := e.current(); currentIncarnation != incarnation {
 		a.Incarnation = unknownIncarnation
 	}
+	t.add(a)
+	if t.takesUp && k.path == imitator.ResumePath && reply.Truncated && reply.Body != "" {
+		t.takeUp(ask, i, reply.Body, phase)
+	}
+}
+
+func (t *traffic) add(a Attempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.attempts = append(t.attempts, a)
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -174,6 +174,8 @@
 		r.setState(f.Endpoint, "in_service")
 	case EndpointLimited, EndpointLeaves, EndpointRests:
 		r.applyNotice(ctx, step)
+	case VersionLeaves, ModelFails:
+		r.applyVersionFault(ctx, step)
 	case EvacuateZone:
 		r.beginEvacuation(f.Zone)
 		_ = sleep(ctx, step.Duration+evacuationTimeout)
