--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -33,7 +33,7 @@
 type streamer struct {
 	x      *exchange
 	stages *stageRunner
-	// last is the ID of the last event written to the caller.
+	// last is the ID of the last event that the caller has, by this answer or by the one that it takes up.
 	last    int64
 	hasLast bool
 	// sawEvent is set once the present attempt has received an event.
@@ -57,6 +57,9 @@
 		return failure
 	}
 	s := &streamer{x: x, stages: stages}
+	if last, err := strconv.ParseInt(x.req.LastEvent, 10, 64); err == nil {
+		s.last, s.hasLast = last, true
+	}
 	for {
 		if !x.allowAttempt() {
 			return x.giveUp("noEndpointTook")
@@ -82,7 +85,7 @@
 	x.attempts++
 	x.tried = append(x.tried, choice.Endpoint.ID)
 	s.sawEvent.Store(false)
-	if s.hasLast {
+	if x.headerSent {
 		x.f.cfg.Meter.Counter(meter.ForwardResumes).Inc(1)
 	}
 	ctx, cancel := context.WithCancel(x.ctx)
