Ask peers that have just started for the origins of streams

Change: entries ask suspected peers too. The wait is 200 ms, as connecting to a peer on a busy VM takes some of it.

TestAnEntryThatHasJustStartedIsAsked failed before (unknownVersion). A test at 80 entries, where heartbeats go to some peers only, passes before and after.

--- a/forwarder/origins.go
+++ b/forwarder/origins.go
@@ -21,8 +21,9 @@
 	// maxOriginQueries is the number of peers that are asked for one. Some that rank among the first may not have been
 	// there, or known to the entry that told it.
 	maxOriginQueries = 2 * originKeepers
-	// originTimeout bounds the wait for their replies: many round trips. Peers that have just ended don't reply.
-	originTimeout = 100 * time.Millisecond
+	// originTimeout bounds the wait for their replies: many round trips, and connecting to them on a busy VM. Peers that have
+	// just ended don't reply.
+	originTimeout = 200 * time.Millisecond
 	// maxListAge is the greatest age of a list of endpoints that is recent: endpoints write their registrations more often.
 	maxListAge = 2 * time.Second
 	// maxToldOrigins is the number of origins in one message.
@@ -147,7 +148,7 @@
 	if len(list) == 0 {
 		return nil
 	}
-	names := f.originPeers()
+	names := f.originPeers(f.isLivePeer)
 	byPeer := make(map[string][]carrier.StreamOrigin)
 	for _, o := range list {
 		for _, name := range hasher.Top(uint64(o.Key), names, originKeepers) {
@@ -168,9 +169,9 @@
 	return actions
 }
 
-// originPeers returns the names of the live peers that keep origins. A peer that was not heard directly counts as one if no
-// other is known to be of a release that doesn't. The lock must be held.
-func (f *Forwarder) originPeers() []string {
+// originPeers returns the names of the peers that match and keep origins. A peer that was not heard directly counts as one
+// that keeps them if no other is known to be of a release that doesn't. The lock must be held.
+func (f *Forwarder) originPeers(match func(*detector.Member) bool) []string {
 	unknownKeep := true
 	for _, keeps := range f.origins.keepers {
 		unknownKeep = unknownKeep && keeps
@@ -178,13 +179,17 @@
 	var names []string
 	for m := range f.detector.All() {
 		keeps, known := f.origins.keepers[m.Name]
-		if m.Name != f.cfg.Name && m.State == detector.Live && (keeps || !known && unknownKeep) {
+		if match(m) && (keeps || !known && unknownKeep) {
 			names = append(names, m.Name)
 		}
 	}
 	return names
 }
 
+func (f *Forwarder) isLivePeer(m *detector.Member) bool {
+	return m.Name != f.cfg.Name && m.State == detector.Live
+}
+
 // applyOrigins keeps the origins that a peer tells. The lock must be held.
 func (f *Forwarder) applyOrigins(m *carrier.StreamOrigins, now time.Time) {
 	for _, o := range m.Origins {
@@ -231,7 +236,8 @@
 // passed.
 func (f *Forwarder) askOrigin(ctx context.Context, key resumer.Key, service string, window time.Duration) []*carrier.OriginReply {
 	f.mu.Lock()
-	asked := hasher.Top(uint64(key), f.originPeers(), maxOriginQueries)
+	// A peer that has just started or does not answer at present may have begun the stream.
+	asked := hasher.Top(uint64(key), f.originPeers(f.isRunningPeer), maxOriginQueries)
 	f.origins.lastCall++
 	call := &carrier.OriginCall{CallID: f.origins.lastCall, Key: uint64(key), Service: service, WindowMillis: window.Milliseconds()}
 	replies := make(chan *carrier.OriginReply, len(asked))
