Name origins, replicas and resumptions in the field's terms

File resumption.go (was takeup.go), metrics stream_resumptions and stream_origins_replicated, log line "stream resumed by caller".

--- a/assembler/truncation_test.go
+++ b/assembler/truncation_test.go
@@ -122,12 +122,12 @@
 }
 
 // Guards against events that a caller gets twice, from an endpoint that does not go on after the event at which the caller
-// takes a stream up.
-func TestATakenUpStreamRepeatsNoEvent(t *testing.T) {
+// resumes a stream.
+func TestAResumedStreamRepeatsNoEvent(t *testing.T) {
 	f := newFleet(t, 1)
 	require.Equal(t, http.StatusOK, f.call(f.newRequest(0, imitator.ResumePath, "first")).Status)
 	f.injectFault("model", imitator.FromStart, -1)
 	request := f.newRequest(0, imitator.ResumePath, "again")
-	request.Header = imitator.TakeUp("first", "2")
+	request.Header = imitator.Resumption("first", "2")
 	require.Equal(t, strings.TrimPrefix(eventStream("again", 5), eventStream("again", 2)), f.call(request).Body)
 }
--- a/assembler/version_test.go
+++ b/assembler/version_test.go
@@ -64,7 +64,7 @@
 	runs := f.runs(id)
 	require.Len(f.t, runs, 1)
 	request := f.newRequest(next, imitator.ResumePath, id+"-again")
-	request.Header = imitator.TakeUp(id, "2")
+	request.Header = imitator.Resumption(id, "2")
 	return brokenStream{version: f.site.VersionOf(runs[0].Endpoint), next: request}
 }
 
@@ -84,9 +84,9 @@
 	}
 }
 
-// Guards against streams that a caller takes up at another entry, and that go on at another software version than the one
+// Guards against streams that a caller resumes at another entry, and that go on at another software version than the one
 // that began them.
-func TestCallersTakeStreamsUpAtTheVersionThatBeganThem(t *testing.T) {
+func TestCallersResumeStreamsAtTheVersionThatBeganThem(t *testing.T) {
 	for name, last := range map[string]int{"first entry serves": 0, "first entry has ended": 1} {
 		t.Run(name, func(t *testing.T) {
 			f := newVersionedFleet(t, 3, 50*time.Millisecond)
@@ -120,7 +120,7 @@
 	for i, attempt := range []string{"", "unknown", strings.Repeat("x", 4<<10)} {
 		other := request
 		other.ID = fmt.Sprintf("unknown-%d", i)
-		other.Header = imitator.TakeUp(attempt, "2")
+		other.Header = imitator.Resumption(attempt, "2")
 		require.True(t, refused(other), "%.10s", attempt)
 	}
 	for _, e := range f.site.Endpoints {
@@ -137,7 +137,7 @@
 }
 
 // Guards against streams that go on at another version at an entry that reaches the endpoints through a peer only.
-func TestAPartitionedEntryTakesStreamsUpAtTheirVersion(t *testing.T) {
+func TestAPartitionedEntryResumesStreamsAtTheirVersion(t *testing.T) {
 	f := newVersionedFleet(t, 2, 50*time.Millisecond)
 	p := newPartition()
 	f.startWith(startOptions{partition: p})
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -156,8 +156,8 @@
 	EvacuatedNext   int64    `msg:"evacuatedNext"`
 	Evacuated       []string `msg:"evacuated,limit=4096"`
 	EvacuationsHeld []string `msg:"evacuationsHeld,limit=4096"`
-	// KeepsOrigins is set if the sender's release understands StreamOrigins and OriginCall.
-	KeepsOrigins bool `msg:"keepsOrigins,omitempty"`
+	// StoresOrigins is set if the sender's release understands StreamOrigins and OriginCall.
+	StoresOrigins bool `msg:"storesOrigins,omitempty"`
 	// StoreEra is the newest era of the store known to the sender, EndpointsEra the era of its list of endpoints.
 	StoreEra     int64 `msg:"storeEra"`
 	EndpointsEra int64 `msg:"endpointsEra"`
@@ -574,21 +574,21 @@
 	Version string
 	// Doubtful is set if the stream may have been begun by another version.
 	Doubtful bool
-	// LeftMillis is for how long the stream may still be taken up.
+	// LeftMillis is for how long the stream may still be resumed.
 	LeftMillis int64
 }
 
-// StreamOrigins tells the origins of streams to an entry that keeps them.
+// StreamOrigins replicates the origins of streams to an entry that stores them.
 type StreamOrigins struct {
 	Origins []StreamOrigin `msg:"origins,limit=1024"`
 }
 
-// OriginCall requests the origin of a stream that a caller takes up at the sender.
+// OriginCall requests the origin of a stream that a caller resumes at the sender.
 type OriginCall struct {
 	CallID  uint64 `msg:"callId"`
 	Key     uint64 `msg:"key"`
 	Service string `msg:"service,limit=128"`
-	// WindowMillis is how long after its first event a stream of the route may be taken up.
+	// WindowMillis is how long after its first event a stream of the route may be resumed.
 	WindowMillis int64 `msg:"windowMillis"`
 }
 
@@ -600,11 +600,11 @@
 	Version  string `msg:"version,limit=65536"`
 	Doubtful bool   `msg:"doubtful"`
 	// Listed is set if the sender has seen any version listed for the service within the window, Several if there was more
-	// than one, and OnlyVersion is the only one. Whole is set if the sender has followed the list for the whole window, and
+	// than one, and OnlyVersion is the only one. FullWindow is set if the sender has followed the list for the whole window, and
 	// Fresh if its list is recent.
 	Listed      bool   `msg:"listed"`
 	Several     bool   `msg:"several"`
 	OnlyVersion string `msg:"onlyVersion,limit=65536"`
-	Whole       bool   `msg:"whole"`
+	FullWindow  bool   `msg:"fullWindow"`
 	Fresh       bool   `msg:"fresh"`
 }
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -4091,10 +4091,10 @@
 					return
 				}
 			}
-		case "keepsOrigins":
-			z.KeepsOrigins, err = dc.ReadBool()
+		case "storesOrigins":
+			z.StoresOrigins, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "KeepsOrigins")
+				err = msgp.WrapError(err, "StoresOrigins")
 				return
 			}
 		case "storeEra":
@@ -4150,7 +4150,7 @@
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
-	if z.KeepsOrigins == false {
+	if z.StoresOrigins == false {
 		zb0001Len--
 		zb0001Mask |= 0x80000
 	}
@@ -4529,14 +4529,14 @@
 			}
 		}
 		if (zb0001Mask & 0x80000) == 0 { // if not omitted
-			// write "keepsOrigins"
-			err = en.Append(0xac, 0x6b, 0x65, 0x65, 0x70, 0x73, 0x4f, 0x72, 0x69, 0x67, 0x69, 0x6e, 0x73)
+			// write "storesOrigins"
+			err = en.Append(0xad, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x73, 0x4f, 0x72, 0x69, 0x67, 0x69, 0x6e, 0x73)
 			if err != nil {
 				return
 			}
-			err = en.WriteBool(z.KeepsOrigins)
+			err = en.WriteBool(z.StoresOrigins)
 			if err != nil {
-				err = msgp.WrapError(err, "KeepsOrigins")
+				err = msgp.WrapError(err, "StoresOrigins")
 				return
 			}
 		}
@@ -4595,7 +4595,7 @@
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
-	if z.KeepsOrigins == false {
+	if z.StoresOrigins == false {
 		zb0001Len--
 		zb0001Mask |= 0x80000
 	}
@@ -4772,9 +4772,9 @@
 			o = msgp.AppendString(o, z.EvacuationsHeld[za0014])
 		}
 		if (zb0001Mask & 0x80000) == 0 { // if not omitted
-			// string "keepsOrigins"
-			o = append(o, 0xac, 0x6b, 0x65, 0x65, 0x70, 0x73, 0x4f, 0x72, 0x69, 0x67, 0x69, 0x6e, 0x73)
-			o = msgp.AppendBool(o, z.KeepsOrigins)
+			// string "storesOrigins"
+			o = append(o, 0xad, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x73, 0x4f, 0x72, 0x69, 0x67, 0x69, 0x6e, 0x73)
+			o = msgp.AppendBool(o, z.StoresOrigins)
 		}
 		// string "storeEra"
 		o = append(o, 0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
@@ -5275,10 +5275,10 @@
 					return
 				}
 			}
-		case "keepsOrigins":
-			z.KeepsOrigins, bts, err = msgp.ReadBoolBytes(bts)
+		case "storesOrigins":
+			z.StoresOrigins, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "KeepsOrigins")
+				err = msgp.WrapError(err, "StoresOrigins")
 				return
 			}
 		case "storeEra":
@@ -5362,7 +5362,7 @@
 	for za0014 := range z.EvacuationsHeld {
 		s += msgp.StringPrefixSize + len(z.EvacuationsHeld[za0014])
 	}
-	s += 13 + msgp.BoolSize + 9 + msgp.Int64Size + 13 + msgp.Int64Size
+	s += 14 + msgp.BoolSize + 9 + msgp.Int64Size + 13 + msgp.Int64Size
 	return
 }
 
@@ -6906,10 +6906,10 @@
 				err = msgp.WrapError(err, "OnlyVersion")
 				return
 			}
-		case "whole":
-			z.Whole, err = dc.ReadBool()
+		case "fullWindow":
+			z.FullWindow, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "Whole")
+				err = msgp.WrapError(err, "FullWindow")
 				return
 			}
 		case "fresh":
@@ -7002,14 +7002,14 @@
 		err = msgp.WrapError(err, "OnlyVersion")
 		return
 	}
-	// write "whole"
-	err = en.Append(0xa5, 0x77, 0x68, 0x6f, 0x6c, 0x65)
+	// write "fullWindow"
+	err = en.Append(0xaa, 0x66, 0x75, 0x6c, 0x6c, 0x57, 0x69, 0x6e, 0x64, 0x6f, 0x77)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Whole)
+	err = en.WriteBool(z.FullWindow)
 	if err != nil {
-		err = msgp.WrapError(err, "Whole")
+		err = msgp.WrapError(err, "FullWindow")
 		return
 	}
 	// write "fresh"
@@ -7050,9 +7050,9 @@
 	// string "onlyVersion"
 	o = append(o, 0xab, 0x6f, 0x6e, 0x6c, 0x79, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendString(o, z.OnlyVersion)
-	// string "whole"
-	o = append(o, 0xa5, 0x77, 0x68, 0x6f, 0x6c, 0x65)
-	o = msgp.AppendBool(o, z.Whole)
+	// string "fullWindow"
+	o = append(o, 0xaa, 0x66, 0x75, 0x6c, 0x6c, 0x57, 0x69, 0x6e, 0x64, 0x6f, 0x77)
+	o = msgp.AppendBool(o, z.FullWindow)
 	// string "fresh"
 	o = append(o, 0xa5, 0x66, 0x72, 0x65, 0x73, 0x68)
 	o = msgp.AppendBool(o, z.Fresh)
@@ -7119,10 +7119,10 @@
 				err = msgp.WrapError(err, "OnlyVersion")
 				return
 			}
-		case "whole":
-			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+		case "fullWindow":
+			z.FullWindow, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Whole")
+				err = msgp.WrapError(err, "FullWindow")
 				return
 			}
 		case "fresh":
@@ -7145,7 +7145,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *OriginReply) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size + 6 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Version) + 9 + msgp.BoolSize + 7 + msgp.BoolSize + 8 + msgp.BoolSize + 12 + msgp.StringPrefixSize + len(z.OnlyVersion) + 6 + msgp.BoolSize + 6 + msgp.BoolSize
+	s = 1 + 7 + msgp.Uint64Size + 6 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Version) + 9 + msgp.BoolSize + 7 + msgp.BoolSize + 8 + msgp.BoolSize + 12 + msgp.StringPrefixSize + len(z.OnlyVersion) + 11 + msgp.BoolSize + 6 + msgp.BoolSize
 	return
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -152,7 +152,7 @@
 	timings timings
 	// prompts tracks where prompts were sent.
 	prompts prompts
-	// origins holds which software versions began the streams that callers may take up.
+	// origins holds which software versions began the streams that callers may resume.
 	origins origins
 	// duties caches which entry owns which duty.
 	duties duties
--- a/forwarder/origins.go
+++ b/forwarder/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"iter"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,29 +17,30 @@
 )
 
 const (
-	// originKeepers is the number of peers that are told the origin of a stream.
-	originKeepers = 3
-	// maxOriginQueries is the number of peers that are asked for one. Some that rank among the first may not have been
-	// there, or known to the entry that told it.
-	maxOriginQueries = 2 * originKeepers
+	// originReplicas is the number of peers that store the origin of a stream.
+	originReplicas = 3
+	// maxOriginQueries is the number of peers that are queried for it. Some of those that rank first now may have joined
+	// later, or have been unknown to the entry that sent it.
+	maxOriginQueries = 2 * originReplicas
 	// originTimeout bounds the wait for their replies: many round trips, and connecting to them on a busy VM. Peers that have
 	// just ended don't reply.
 	originTimeout = 200 * time.Millisecond
 	// maxListAge is the greatest age of a list of endpoints that is recent: endpoints write their registrations more often.
 	maxListAge = 2 * time.Second
-	// maxToldOrigins is the number of origins in one message.
-	maxToldOrigins = 1024
+	// maxOriginsPerMessage is the number of origins in one message.
+	maxOriginsPerMessage = 1024
 )
 
-// origins holds the origins of streams that callers may take up at any entry, and what was seen of services' versions. The
-// lock of the Forwarder guards it.
+// origins holds the origins of streams that callers may resume at any entry, and the history of services' versions. The lock
+// of the Forwarder guards it.
 type origins struct {
 	kept    *resumer.Origins
 	history *resumer.History
-	// untold holds the services of which this entry has begun streams without telling peers, as they had a single version.
-	untold map[string]bool
-	// keepers holds whether each peer that was heard directly keeps origins.
-	keepers map[string]bool
+	// unreplicated holds the services for which this entry has begun streams without replicating their origins, since they
+	// had a single version.
+	unreplicated map[string]bool
+	// storesOrigins holds whether the release of each peer that was heard directly stores origins.
+	storesOrigins map[string]bool
 	// calls holds where the replies to this entry's queries go, by the number of the query.
 	calls    map[uint64]chan<- *carrier.OriginReply
 	lastCall uint64
@@ -46,19 +48,19 @@
 
 func newOrigins(firstStart bool) origins {
 	return origins{
-		kept:    resumer.NewOrigins(),
-		history: resumer.NewHistory(firstStart),
-		untold:  make(map[string]bool),
-		keepers: make(map[string]bool),
-		calls:   make(map[uint64]chan<- *carrier.OriginReply),
+		kept:          resumer.NewOrigins(),
+		history:       resumer.NewHistory(firstStart),
+		unreplicated:  make(map[string]bool),
+		storesOrigins: make(map[string]bool),
+		calls:         make(map[uint64]chan<- *carrier.OriginReply),
 	}
 }
 
-// versionSight returns what this entry has seen of a service's versions within the window. The lock must be held.
-func (f *Forwarder) versionSight(service string, window time.Duration, now time.Time) resumer.Sight {
-	sight := f.origins.history.Sight(service, window, now)
-	sight.Fresh = f.registry.Age(now) <= maxListAge
-	return sight
+// versionView returns what this entry has seen of a service's versions within the window. The lock must be held.
+func (f *Forwarder) versionView(service string, window time.Duration, now time.Time) resumer.View {
+	view := f.origins.history.View(service, window, now)
+	view.Fresh = f.registry.Age(now) <= maxListAge
+	return view
 }
 
 // listedVersions returns the service and version of each registered endpoint, also of those that accept no new work.
@@ -72,8 +74,8 @@
 	}
 }
 
-// observeVersions records the listed versions of all services. It tells peers the origins of streams whose endpoint has
-// turned out to have another version, and those that were not told but now have to be. The lock must be held.
+// observeVersions records the listed versions of all services. It replicates the origins of streams whose endpoint turns out
+// to have another version, and those that now need replicas. The lock must be held.
 func (f *Forwarder) observeVersions(now time.Time) []func() {
 	if !f.registry.Loaded() {
 		return nil
@@ -81,35 +83,35 @@
 	o := &f.origins
 	o.history.Observe(f.listedVersions(), now)
 	var changed []resumer.Origin
-	for _, origin := range o.kept.Own(f.startedElsewhere, now) {
+	for _, origin := range o.kept.Own(f.changedVersion, now) {
 		origin.Doubtful = true
 		o.kept.Add(origin, now)
 		changed = append(changed, origin)
 	}
-	return append(f.tellOrigins(changed, now), f.tellUntold(now)...)
+	return append(f.replicateOrigins(changed, now), f.replicatePending(now)...)
 }
 
-// tellUntold tells peers the origins of a service's streams that were not told, once it has a second version, or once this
-// entry's list is too old to know. The lock must be held.
-func (f *Forwarder) tellUntold(now time.Time) []func() {
+// replicatePending replicates the origins of a service's streams once it has a second version, or once this entry's list is
+// too old to show one. The lock must be held.
+func (f *Forwarder) replicatePending(now time.Time) []func() {
 	o := &f.origins
 	var list []resumer.Origin
-	for service := range o.untold {
-		if sight := f.versionSight(service, 0, now); sight.Several || !sight.Fresh {
-			delete(o.untold, service)
+	for service := range o.unreplicated {
+		if view := f.versionView(service, 0, now); view.Several || !view.Fresh {
+			delete(o.unreplicated, service)
 			list = append(list, o.kept.Own(func(origin *resumer.Origin) bool { return origin.Service == service }, now)...)
 		}
 	}
-	return f.tellOrigins(list, now)
+	return f.replicateOrigins(list, now)
 }
 
-// startedElsewhere reports whether the endpoint that began a stream has another version than was known then. It may have
-// had that already.
-func (f *Forwarder) startedElsewhere(origin *resumer.Origin) bool {
+// changedVersion reports whether the endpoint that began a stream is now listed with another version, which it may have had
+// then already.
+func (f *Forwarder) changedVersion(origin *resumer.Origin) bool {
 	return !origin.Doubtful && f.registry.Contains(origin.Endpoint, time.Time{}) && f.registry.VersionOf(origin.Endpoint) != origin.Version
 }
 
-// recordOrigin keeps the version of the endpoint that begins the request's stream, and tells it to peers if the service has
+// recordOrigin stores the version of the endpoint that begins the request's stream, and replicates it if the service may have
 // several versions. The lock must be held.
 func (x *exchange) recordOrigin(choice *selector.Choice, now time.Time) []func() {
 	if !x.route.Repeatable() || x.req.LastEvent != "" {
@@ -128,58 +130,56 @@
 	if !o.kept.Add(origin, now) {
 		x.f.cfg.Meter.Counter(meter.StreamOriginsDropped).Inc(1)
 	}
-	sight := x.f.versionSight(x.service.Name, window, now)
-	if sight.Single() && sight.Whole && sight.Fresh && !x.f.stopping.Load() {
-		o.untold[x.service.Name] = true
+	view := x.f.versionView(x.service.Name, window, now)
+	if view.Single() && view.FullWindow && view.Fresh && !x.f.stopping.Load() {
+		o.unreplicated[x.service.Name] = true
 		return nil
 	}
-	return x.f.tellOrigins([]resumer.Origin{origin}, now)
+	return x.f.replicateOrigins([]resumer.Origin{origin}, now)
 }
 
-// tellOwnOrigins tells peers the origins of all streams that this entry has begun, before it ends.
-func (f *Forwarder) tellOwnOrigins(now time.Time) {
+// replicateOwnOrigins replicates the origins of all streams that this entry has begun.
+func (f *Forwarder) replicateOwnOrigins(now time.Time) {
 	f.withLock(func() []func() {
-		return f.tellOrigins(f.origins.kept.Own(func(*resumer.Origin) bool { return true }, now), now)
+		return f.replicateOrigins(f.origins.kept.Own(func(*resumer.Origin) bool { return true }, now), now)
 	})
 }
 
-// tellOrigins tells each origin to the peers that keep it. The lock must be held.
-func (f *Forwarder) tellOrigins(list []resumer.Origin, now time.Time) []func() {
+// replicateOrigins sends each origin to the peers that rank first for its key. The lock must be held.
+func (f *Forwarder) replicateOrigins(list []resumer.Origin, now time.Time) []func() {
 	if len(list) == 0 {
 		return nil
 	}
 	names := f.originPeers(f.isLivePeer)
 	byPeer := make(map[string][]carrier.StreamOrigin)
 	for _, o := range list {
-		for _, name := range hasher.Top(uint64(o.Key), names, originKeepers) {
+		for _, name := range hasher.Top(uint64(o.Key), names, originReplicas) {
 			byPeer[name] = append(byPeer[name], carrier.StreamOrigin{
 				Key: uint64(o.Key), Version: o.Version, Doubtful: o.Doubtful, LeftMillis: o.Expires.Sub(now).Milliseconds(),
 			})
 		}
 	}
 	var actions []func()
-	for name, told := range byPeer {
-		for len(told) > 0 {
-			n := min(len(told), maxToldOrigins)
-			actions = append(actions, f.sendTo(name, &carrier.StreamOrigins{Origins: told[:n]}))
-			told = told[n:]
+	for name, origins := range byPeer {
+		for part := range slices.Chunk(origins, maxOriginsPerMessage) {
+			actions = append(actions, f.sendTo(name, &carrier.StreamOrigins{Origins: part}))
 		}
 	}
-	f.cfg.Meter.Counter(meter.StreamOriginsTold).Inc(int64(len(list)))
+	f.cfg.Meter.Counter(meter.StreamOriginsReplicated).Inc(int64(len(list)))
 	return actions
 }
 
-// originPeers returns the names of the peers that match and keep origins. A peer that was not heard directly counts as one
-// that keeps them if no other is known to be of a release that doesn't. The lock must be held.
+// originPeers returns the names of the matching peers that store origins. A peer that was not heard directly counts as one if
+// no other is known to run a release that doesn't. The lock must be held.
 func (f *Forwarder) originPeers(match func(*detector.Member) bool) []string {
-	unknownKeep := true
-	for _, keeps := range f.origins.keepers {
-		unknownKeep = unknownKeep && keeps
+	unknownStore := true
+	for _, stores := range f.origins.storesOrigins {
+		unknownStore = unknownStore && stores
 	}
 	var names []string
 	for m := range f.detector.All() {
-		keeps, known := f.origins.keepers[m.Name]
-		if match(m) && (keeps || !known && unknownKeep) {
+		stores, known := f.origins.storesOrigins[m.Name]
+		if match(m) && (stores || !known && unknownStore) {
 			names = append(names, m.Name)
 		}
 	}
@@ -190,7 +190,7 @@
 	return m.Name != f.cfg.Name && m.State == detector.Live
 }
 
-// applyOrigins keeps the origins that a peer tells. The lock must be held.
+// applyOrigins stores origins that a peer replicates. The lock must be held.
 func (f *Forwarder) applyOrigins(m *carrier.StreamOrigins, now time.Time) {
 	for _, o := range m.Origins {
 		left := min(time.Duration(o.LeftMillis)*time.Millisecond, resumer.MaxWindow)
@@ -204,14 +204,14 @@
 // answerOrigin answers a peer's query for the origin of a stream. The lock must be held.
 func (f *Forwarder) answerOrigin(from string, m *carrier.OriginCall, now time.Time) []func() {
 	window := min(max(0, time.Duration(m.WindowMillis)*time.Millisecond), resumer.MaxWindow)
-	sight := f.versionSight(m.Service, window, now)
+	view := f.versionView(m.Service, window, now)
 	reply := &carrier.OriginReply{
 		CallID:      m.CallID,
-		Listed:      sight.Listed,
-		Several:     sight.Several,
-		OnlyVersion: sight.Version,
-		Whole:       sight.Whole,
-		Fresh:       sight.Fresh,
+		Listed:      view.Listed,
+		Several:     view.Several,
+		OnlyVersion: view.Version,
+		FullWindow:  view.FullWindow,
+		Fresh:       view.Fresh,
 	}
 	if origin, known := f.origins.kept.Find(resumer.Key(m.Key), now); known {
 		reply.Known, reply.Version, reply.Doubtful = true, origin.Version, origin.Doubtful
--- a/forwarder/origins_test.go
+++ b/forwarder/origins_test.go
@@ -108,10 +108,10 @@
 	return choice.Endpoint.Version
 }
 
-// takeUp has an entry take a stream up, and returns the version at which it goes on, or the reason why it does not.
-func (s *streams) takeUp(entry, resumes string) (version, reason string) {
+// resume has an entry resume a stream, and returns the version at which it goes on, or the reason why it does not.
+func (s *streams) resume(entry, resumes string) (version, reason string) {
 	x := s.exchange(entry, Request{ID: "again-" + resumes, LastEvent: "2", Resumes: resumes})
-	if failure := x.takeUp(); failure != nil {
+	if failure := x.bindResumption(); failure != nil {
 		require.Equal(s.t, 503, failure.Status)
 		require.Positive(s.t, failure.RetryAfter)
 		return "", failure.Reason
@@ -119,11 +119,11 @@
 	return *x.streamVersion.Load(), ""
 }
 
-// takeUpEverywhere checks that a stream goes on at the version at each of the entries.
+// requireGoesOn checks that a stream goes on at the version at each of the entries.
 func (s *streams) requireGoesOn(version, resumes string, entries ...string) {
 	s.t.Helper()
 	for _, entry := range entries {
-		got, reason := s.takeUp(entry, resumes)
+		got, reason := s.resume(entry, resumes)
 		require.Empty(s.t, reason, entry)
 		require.Equal(s.t, version, got, entry)
 	}
@@ -132,7 +132,7 @@
 func (s *streams) requireRefused(reason, resumes string, entries ...string) {
 	s.t.Helper()
 	for _, entry := range entries {
-		_, got := s.takeUp(entry, resumes)
+		_, got := s.resume(entry, resumes)
 		require.Equal(s.t, reason, got, entry)
 	}
 }
@@ -169,7 +169,7 @@
 			From: carrier.Member{
 				Name: "entry-1", PeerAddress: "entry-1", Incarnation: uint64(time.Now().UnixNano()) + 1, State: uint8(detector.Suspect),
 			},
-			KeepsOrigins: true,
+			StoresOrigins: true,
 		})
 		require.Equal(t, []string{"entry-2"}, s.nodes["entry-0"].liveAddresses())
 		s.requireGoesOn(version, "stream", "entry-0")
@@ -217,7 +217,7 @@
 		s.requireRefused("unknownVersion", "stream", "entry-0", "entry-1", "entry-2")
 		s.requireRefused("unknownVersion", "", "entry-0")
 		s.requireRefused("unknownVersion", strings.Repeat("x", 1<<20), "entry-0")
-		version, _ := s.takeUp("entry-0", "stream")
+		version, _ := s.resume("entry-0", "stream")
 		require.Empty(t, version)
 
 		// The version that is left may not be the one that began the stream.
@@ -284,8 +284,8 @@
 	})
 }
 
-// Guards against a stream that is lost for good because it is taken up before its origin has arrived.
-func TestAnOriginMayArriveAfterTheTakeUp(t *testing.T) {
+// Guards against a stream that is lost for good because it is resumed before its origin has arrived.
+func TestAnOriginMayArriveAfterTheResumption(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStreams(t, 3, "v1", "v2")
 		s.deferDelivery = true
@@ -333,7 +333,7 @@
 		s.begin("entry-1", "stream")
 		x := s.exchange("entry-0", Request{ID: "again", LastEvent: "2", Resumes: "stream"})
 		x.account = "other"
-		require.Equal(t, "unknownVersion", x.takeUp().Reason)
+		require.Equal(t, "unknownVersion", x.bindResumption().Reason)
 	})
 }
 
@@ -372,7 +372,7 @@
 					s.list(entry())
 				}
 				for id, version := range begun {
-					got, reason := s.takeUp(entry(), id)
+					got, reason := s.resume(entry(), id)
 					if reason != "" {
 						refused++
 						continue
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -45,7 +45,7 @@
 	message.Evacuated, message.EvacuationsHeld = evacuated.Zones, evacuated.Held
 	message.Limits, message.Leaving, message.Refusing = f.limits(now), f.leaving(), f.refusals(now)
 	message.Unreachable, message.Fragile = f.unreachable(now), f.fragile(now)
-	message.KeepsOrigins = true
+	message.StoresOrigins = true
 	message.StoreEra, message.EndpointsEra = f.storeEra, f.registry.Next().Era()
 	message.ConfigAgeMillis = min(now.Sub(f.configReadAt), maxConfigAge).Milliseconds()
 	f.round++
@@ -54,7 +54,7 @@
 	report := f.loadReport(now)
 	introductions := f.detector.Introductions(now)
 	peerQueries := f.peerQueries(now)
-	actions := append(f.applyTransitions(transitions, now), f.tellUntold(now)...)
+	actions := append(f.applyTransitions(transitions, now), f.replicatePending(now)...)
 	f.mu.Unlock()
 	runActions(actions)
 	for _, address := range heartbeatTargets {
@@ -181,7 +181,7 @@
 	switch m := m.(type) {
 	case *carrier.Heartbeat:
 		f.withLock(func() []func() {
-			f.origins.keepers[from] = m.KeepsOrigins
+			f.origins.storesOrigins[from] = m.StoresOrigins
 			f.quarantiner.Merge(m.Crashes, now)
 			f.applyStageWaits(m.Stages, now)
 			f.applyStageClasses(m.StageClasses, now)
@@ -275,7 +275,7 @@
 			continue
 		}
 		f.selector.SetPeerWork(t.Member.Name, nil)
-		delete(f.origins.keepers, t.Member.Name)
+		delete(f.origins.storesOrigins, t.Member.Name)
 		for service, p := range f.pools {
 			effects := p.Reduce(collector.OriginLost{Origin: t.Member.Name}, now)
 			actions = append(actions, f.performAll(service, p, effects)...)
--- a/forwarder/takeup.go
+++ b/forwarder/resumption.go
@@ -14,23 +14,23 @@
 // within seconds.
 const versionGoneRetryDelay = time.Second
 
-// Label values of the counter of streams that callers take up.
+// Label values of the counter of streams that callers resume.
 const (
-	takeUpRecorded = "recorded"
-	takeUpSingle   = "singleVersion"
-	takeUpUnknown  = "unknown"
-	takeUpGone     = "gone"
+	resumedRecorded      = "recorded"
+	resumedSingleVersion = "singleVersion"
+	refusedUnknown       = "unknown"
+	refusedGone          = "gone"
 )
 
-// takeUp determines the software version at which a stream goes on that its caller takes up again. It refuses a stream
-// whose version is not known or has no endpoint.
-func (x *exchange) takeUp() *FailureError {
+// bindResumption binds a stream that its caller resumes to the software version that began it. It refuses the stream if that
+// is not known or has no endpoint.
+func (x *exchange) bindResumption() *FailureError {
 	if x.req.LastEvent == "" {
 		return nil
 	}
 	version, source := x.findVersion()
-	if source == takeUpUnknown {
-		x.recordTakeUp(source, "")
+	if source == refusedUnknown {
+		x.logResumption(source, "")
 		return notRun("unknownVersion", shortRetryDelay())
 	}
 	x.streamVersion.Store(&version)
@@ -38,57 +38,57 @@
 	listed := x.f.selector.Lists(x.endpointQuery(selector.Query{}))
 	x.f.mu.Unlock()
 	if !listed {
-		x.recordTakeUp(takeUpGone, version)
+		x.logResumption(refusedGone, version)
 		return notRun("versionGone", versionGoneRetryDelay)
 	}
-	x.recordTakeUp(source, version)
+	x.logResumption(source, version)
 	return nil
 }
 
-func (x *exchange) recordTakeUp(result, version string) {
-	x.f.cfg.Meter.Counter(meter.StreamTakeUps, result).Inc(1)
-	x.f.logSampled("stream taken up",
+func (x *exchange) logResumption(result, version string) {
+	x.f.cfg.Meter.Counter(meter.StreamResumptions, result).Inc(1)
+	x.f.logSampled("stream resumed by caller",
 		zap.String("request", x.req.ID),
 		zap.String("resumes", x.req.Resumes),
 		zap.String("result", result),
 		zap.String("version", version))
 }
 
-// findVersion returns the software version that began the stream that the caller takes up, and how it was found.
+// findVersion returns the software version that began the stream that the caller resumes, and how it was found.
 func (x *exchange) findVersion() (version, source string) {
 	f, now, window := x.f, time.Now(), resumer.Window(x.route.Timeout)
 	key := resumer.KeyOf(x.account, x.service.Name, x.req.Resumes)
 	named := x.req.Resumes != ""
 	f.mu.Lock()
-	own := f.versionSight(x.service.Name, window, now)
+	own := f.versionView(x.service.Name, window, now)
 	origin, known := f.origins.kept.Find(key, now)
 	f.mu.Unlock()
 	if known && named {
 		return recordedVersion(origin.Version, origin.Doubtful)
 	}
-	var peers []resumer.Sight
-	if named || !own.Whole || !own.Fresh {
+	var peers []resumer.View
+	if named || !own.FullWindow || !own.Fresh {
 		for _, m := range f.askOrigin(x.ctx, key, x.service.Name, window) {
 			if m.Known && named {
 				return recordedVersion(m.Version, m.Doubtful)
 			}
-			peers = append(peers, resumer.Sight{
-				Listed: m.Listed, Several: m.Several, Version: m.OnlyVersion, Whole: m.Whole, Fresh: m.Fresh,
+			peers = append(peers, resumer.View{
+				Listed: m.Listed, Several: m.Several, Version: m.OnlyVersion, FullWindow: m.FullWindow, Fresh: m.Fresh,
 			})
 		}
 	}
-	switch verdict := resumer.Judge(own, peers).(type) {
-	case resumer.GoOn:
-		return verdict.Version, takeUpSingle
+	switch decision := resumer.Decide(own, peers).(type) {
+	case resumer.Resume:
+		return decision.Version, resumedSingleVersion
 	default:
-		return "", takeUpUnknown
+		return "", refusedUnknown
 	}
 }
 
 // recordedVersion is the result of findVersion for a stream whose origin is known.
 func recordedVersion(version string, doubtful bool) (string, string) {
 	if doubtful {
-		return "", takeUpUnknown
+		return "", refusedUnknown
 	}
-	return version, takeUpRecorded
+	return version, resumedRecorded
 }
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -28,7 +28,7 @@
 	f.log.Info("planned stop started", zap.Int64("inFlight", f.inFlight.Load()))
 	f.heartbeat(startTime)
 	f.returnUnstartedPieces(startTime)
-	f.tellOwnOrigins(startTime)
+	f.replicateOwnOrigins(startTime)
 	addressesExpired := startTime.Add(f.cfg.AddressTTL + quietTime)
 	poll := time.NewTicker(stopPollInterval)
 	defer poll.Stop()
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -31,7 +31,7 @@
 type streamer struct {
 	x      *exchange
 	stages *stageRunner
-	// last is the ID of the last event that the caller has, by this answer or by the one that it takes up.
+	// last is the ID of the last event that the caller has, by this answer or by the one that it resumes.
 	last    int64
 	hasLast bool
 	// sawEvent is set once the present attempt has received an event.
@@ -40,7 +40,7 @@
 
 // serveStream runs the stages and relays the events of the model.
 func (x *exchange) serveStream() *FailureError {
-	if failure := x.takeUp(); failure != nil {
+	if failure := x.bindResumption(); failure != nil {
 		return failure
 	}
 	stages := newStageRunner(x)
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -32,7 +32,7 @@
 	Resumes string
 }
 
-// targetSeed selects the service of a request whose route is split among several. A stream that is taken up goes to the
+// targetSeed selects the service of a request whose route is split among several. A stream that is resumed goes to the
 // service that began it.
 func (r *Request) targetSeed() uint64 {
 	if r.LastEvent != "" && r.Resumes != "" {
--- a/forwarder/wire_test.go
+++ b/forwarder/wire_test.go
@@ -9,7 +9,7 @@
 )
 
 // Guards against streams that go on at another service of a split route than the one that began them.
-func TestStreamsAreTakenUpAtTheirService(t *testing.T) {
+func TestStreamsAreResumedAtTheirService(t *testing.T) {
 	route := &cataloger.Route{Targets: []cataloger.Target{{Service: "a", Weight: 50}, {Service: "b", Weight: 50}}}
 	services := make(map[string]int)
 	for i := range 40 {
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -109,8 +109,8 @@
 	ForwardPromptsRead      Name = "forward_prompts_read"
 	PromptsReported         Name = "prompts_reported"
 	ForwardSpeedSpread      Name = "forward_speed_spread"
-	StreamTakeUps           Name = "stream_take_ups"
-	StreamOriginsTold       Name = "stream_origins_told"
+	StreamResumptions       Name = "stream_resumptions"
+	StreamOriginsReplicated Name = "stream_origins_replicated"
 	StreamOriginsDropped    Name = "stream_origins_dropped"
 	RelayedCalls            Name = "relayed_calls"
 	ServedRelays            Name = "served_relays"
@@ -265,8 +265,8 @@
 	{ForwardPromptsRead, KindCounter, "calls", byService, "A call whose endpoint most likely reads shared parts of the prompt.", ""},
 	{PromptsReported, KindGauge, "1 or 0", "", "Whether enough peers report to this entry where they send prompts. Otherwise it takes prompts for cached at their home endpoints.", ""},
 	{ForwardSpeedSpread, KindGauge, "thousandths", byService, "The standard deviation of the endpoints' speeds as a part of the usual one; 0 if noise explains all differences.", ""},
-	{StreamTakeUps, KindCounter, "streams", byOutcome, "A stream that its caller takes up again: recorded if the software version that began it was told by the entry that served it, singleVersion if its service has had only one, unknown and gone if it was refused because its version is not known or has no endpoint.", ""},
-	{StreamOriginsTold, KindCounter, "streams", "", "A stream whose beginning at this entry was told to peers, since its service has endpoints of several software versions.", ""},
+	{StreamResumptions, KindCounter, "streams", byOutcome, "A stream that its caller resumes: recorded if the software version that began it is stored at an entry, singleVersion if its service has had only one, unknown and gone if it was refused because its version is not known or has no endpoint.", ""},
+	{StreamOriginsReplicated, KindCounter, "streams", "", "A stream begun at this entry whose software version was sent to peers, since its service may have several.", ""},
 	{StreamOriginsDropped, KindCounter, "streams", "", "A stream whose origin was not kept, since too many are.", ""},
 	{RelayedCalls, KindCounter, "calls", byOutcome, "A call to an endpoint that this entry can't reach, sent through a peer: answered, failed, endpointDown, or noPeer if no peer took it.", ""},
 	{ServedRelays, KindCounter, "calls", byOutcome, "A call sent to an endpoint for a peer that can't reach it: answered, failed, or the reason why it was not sent.", ""},
--- a/resumer/history.go
+++ b/resumer/history.go
@@ -2,7 +2,6 @@
 
 import (
 	"iter"
-	"maps"
 	"time"
 )
 
@@ -64,20 +63,17 @@
 	}
 }
 
-// Sight returns what was listed for a service within the window up to now.
-func (h *History) Sight(service string, window time.Duration, now time.Time) Sight {
-	sight := Sight{Whole: h.known && now.Sub(h.since) >= window}
+// View returns what was listed for a service within the window up to now.
+func (h *History) View(service string, window time.Duration, now time.Time) View {
+	view := View{FullWindow: h.known && now.Sub(h.since) >= window}
 	for version, l := range h.services[service] {
 		if l.observation < h.observation && now.Sub(l.last) > window {
 			continue
 		}
-		if sight.Listed {
-			return Sight{Listed: true, Several: true, Whole: sight.Whole}
+		if view.Listed {
+			return View{Listed: true, Several: true, FullWindow: view.FullWindow}
 		}
-		sight.Listed, sight.Version = true, version
+		view.Listed, view.Version = true, version
 	}
-	return sight
+	return view
 }
-
-// Services lists the services of which versions are known.
-func (h *History) Services() iter.Seq[string] { return maps.Keys(h.services) }
--- a/resumer/origins.go
+++ b/resumer/origins.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// MaxOrigins limits the origins that are kept: several times those of an entry in a large fleet.
+	// MaxOrigins limits the origins that are kept: several times those at an entry of a large fleet.
 	MaxOrigins = 1 << 16
 	// expiryInterval is the time between removals of expired origins.
 	expiryInterval = time.Second
@@ -14,7 +14,7 @@
 	Key     Key
 	Service string
 	Version string
-	// Doubtful is set if the stream may have events of several versions, or its endpoint may have had another one.
+	// Doubtful is set if the stream may have been begun by another version.
 	Doubtful bool
 	Expires  time.Time
 	// Own is set if this entry served the stream's beginning, at Endpoint.
@@ -22,7 +22,7 @@
 	Endpoint string
 }
 
-// Origins holds the origins of streams that may be taken up.
+// Origins holds the origins of streams that may be resumed.
 type Origins struct {
 	byKey     map[Key]Origin
 	expiredAt time.Time
--- a/resumer/resumer_test.go
+++ b/resumer/resumer_test.go
@@ -40,70 +40,70 @@
 	require.Equal(t, MaxWindow, Window(time.Hour))
 }
 
-// Guards against streams that go on at a version that their own may not be: each case but those that go on has another
-// version that an entry may have used.
-func TestStreamsOfUnknownOriginGoOnOnlyWithASingleVersion(t *testing.T) {
-	single := Sight{Listed: true, Version: "v1", Whole: true, Fresh: true}
-	restarted := Sight{Listed: true, Version: "v1", Fresh: true}
-	stale := Sight{Listed: true, Version: "v1", Whole: true}
-	several := Sight{Listed: true, Several: true, Whole: true, Fresh: true}
-	another := Sight{Listed: true, Version: "v2", Whole: true, Fresh: true}
+// Guards against streams that are resumed at another version than the one that began them: in each case that is refused some
+// entry may have used another one.
+func TestStreamsOfUnknownOriginResumeOnlyWithASingleVersion(t *testing.T) {
+	single := View{Listed: true, Version: "v1", FullWindow: true, Fresh: true}
+	restarted := View{Listed: true, Version: "v1", Fresh: true}
+	stale := View{Listed: true, Version: "v1", FullWindow: true}
+	several := View{Listed: true, Several: true, FullWindow: true, Fresh: true}
+	another := View{Listed: true, Version: "v2", FullWindow: true, Fresh: true}
 	scenarios := []struct {
 		testName string
-		own      Sight
-		peers    []Sight
-		goesOn   bool
+		own      View
+		peers    []View
+		resumes  bool
 	}{
 		{"seen for the whole window", single, nil, true},
-		{"peers agree", single, []Sight{single, restarted}, true},
-		{"restarted, a peer has seen the whole window", restarted, []Sight{restarted, single}, true},
-		{"restarted, with peers that have restarted too", restarted, []Sight{restarted}, false},
+		{"peers agree", single, []View{single, restarted}, true},
+		{"restarted, a peer has seen the whole window", restarted, []View{restarted, single}, true},
+		{"restarted, with peers that have restarted too", restarted, []View{restarted}, false},
 		{"restarted alone", restarted, nil, false},
-		{"stale list, a peer has a recent one", stale, []Sight{stale, single}, true},
-		{"stale list, peers have no other", stale, []Sight{stale}, false},
+		{"stale list, a peer has a recent one", stale, []View{stale, single}, true},
+		{"stale list, peers have no other", stale, []View{stale}, false},
 		{"stale list, no peer answers", stale, nil, false},
-		{"several versions", several, []Sight{single}, false},
-		{"a peer has seen several", single, []Sight{single, several}, false},
-		{"a peer has seen another one", single, []Sight{another}, false},
-		{"restarted, a peer without an endpoint", restarted, []Sight{{Whole: true, Fresh: true}}, false},
-		{"stale list, a peer without an endpoint", stale, []Sight{{Whole: true, Fresh: true}}, false},
-		{"no endpoint listed", Sight{Whole: true, Fresh: true}, []Sight{single}, false},
+		{"several versions", several, []View{single}, false},
+		{"a peer has seen several", single, []View{single, several}, false},
+		{"a peer has seen another one", single, []View{another}, false},
+		{"restarted, a peer without an endpoint", restarted, []View{{FullWindow: true, Fresh: true}}, false},
+		{"stale list, a peer without an endpoint", stale, []View{{FullWindow: true, Fresh: true}}, false},
+		{"no endpoint listed", View{FullWindow: true, Fresh: true}, []View{single}, false},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
-			var want Verdict = Unknown{}
-			if s.goesOn {
-				want = GoOn{Version: "v1"}
+			var want Decision = UnknownOrigin{}
+			if s.resumes {
+				want = Resume{Version: "v1"}
 			}
-			require.Equal(t, want, Judge(s.own, s.peers))
+			require.Equal(t, want, Decide(s.own, s.peers))
 		})
 	}
 }
 
 func TestHistoryRemembersVersionsThatHaveGone(t *testing.T) {
 	h := NewHistory(false)
-	require.Equal(t, Sight{}, h.Sight("model", minWindow, start))
+	require.Equal(t, View{}, h.View("model", minWindow, start))
 	h.Observe(list("v1", "v1"), at(0))
-	require.Equal(t, Sight{Listed: true, Version: "v1"}, h.Sight("model", minWindow, at(29)))
-	require.Equal(t, Sight{Listed: true, Version: "v1", Whole: true}, h.Sight("model", minWindow, at(30)))
+	require.Equal(t, View{Listed: true, Version: "v1"}, h.View("model", minWindow, at(29)))
+	require.Equal(t, View{Listed: true, Version: "v1", FullWindow: true}, h.View("model", minWindow, at(30)))
 	h.Observe(list("v1", "v2"), at(40))
-	require.Equal(t, Sight{Listed: true, Several: true, Whole: true}, h.Sight("model", minWindow, at(41)))
+	require.Equal(t, View{Listed: true, Several: true, FullWindow: true}, h.View("model", minWindow, at(41)))
 	h.Observe(list("v2"), at(50))
 	h.Observe(list("v2"), at(51))
-	require.True(t, h.Sight("model", minWindow, at(80)).Several)
-	require.Equal(t, Sight{Listed: true, Version: "v2", Whole: true}, h.Sight("model", minWindow, at(81)))
-	require.True(t, h.Sight("model", time.Minute, at(81)).Several, "a longer window")
-	require.Equal(t, Sight{Whole: true}, h.Sight("other", minWindow, at(81)))
+	require.True(t, h.View("model", minWindow, at(80)).Several)
+	require.Equal(t, View{Listed: true, Version: "v2", FullWindow: true}, h.View("model", minWindow, at(81)))
+	require.True(t, h.View("model", time.Minute, at(81)).Several, "a longer window")
+	require.Equal(t, View{FullWindow: true}, h.View("other", minWindow, at(81)))
 }
 
 // Guards against a version that replaces another one between two lists, of which each shows one version only.
 func TestVersionsThatReplaceEachOtherAreSeveral(t *testing.T) {
 	h := NewHistory(true)
 	h.Observe(list("v1"), at(0))
-	require.True(t, h.Sight("model", minWindow, at(1)).Whole, "no stream is older than the system")
+	require.True(t, h.View("model", minWindow, at(1)).FullWindow, "no stream is older than the system")
 	h.Observe(list("v2"), at(2))
-	require.True(t, h.Sight("model", 0, at(2)).Several)
-	require.True(t, h.Sight("model", minWindow, at(3)).Several)
+	require.True(t, h.View("model", 0, at(2)).Several)
+	require.True(t, h.View("model", minWindow, at(3)).Several)
 }
 
 func TestHistoryForgets(t *testing.T) {
@@ -129,7 +129,7 @@
 	require.Equal(t, 1, o.Len())
 }
 
-// Guards against a stream that goes on although two entries name different versions for it, such as for an attempt whose ID
+// Guards against resuming a stream although two entries name different versions for it, such as for an attempt whose ID
 // a caller uses twice.
 func TestContradictingOriginsAreDoubtful(t *testing.T) {
 	o := NewOrigins()
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -26,7 +26,7 @@
 	Stamp  string
 	// ExpectedBody is the body of a complete response.
 	ExpectedBody string
-	// Received holds the events that the caller has received so far of a stream that it takes up.
+	// Received holds the events that the caller has received so far of a stream that it resumes.
 	Received string
 	Phase    Phase
 }
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -22,7 +22,7 @@
 	ConfigTime time.Duration
 	// SettleTime is the time after the last fault within which everything must have recovered.
 	SettleTime time.Duration
-	// Versions gives half of the model endpoints a second version of their software. Callers then take broken streams up.
+	// Versions gives half of the model endpoints a second version of their software. Callers then resume broken streams.
 	Versions bool
 }
 
@@ -57,7 +57,7 @@
 			f.site.Move(e.ID, serviceOf(e), evacuatedZone)
 		}
 	}
-	runner := &planRunner{cfg: cfg, fleet: f, traffic: &traffic{fleet: f, takesUp: cfg.Versions}, disturbed: make(map[int][]Span)}
+	runner := &planRunner{cfg: cfg, fleet: f, traffic: &traffic{fleet: f, resumes: cfg.Versions}, disturbed: make(map[int][]Span)}
 	runner.writeConfiguration()
 	if err := runner.awaitReady(ctx); err != nil {
 		return Result{}, err
--- a/soaker/traffic.go
+++ b/soaker/traffic.go
@@ -46,8 +46,8 @@
 type traffic struct {
 	fleet     *fleet
 	startedAt time.Time
-	// takesUp is set if callers take broken streams up.
-	takesUp bool
+	// resumes is set if callers resume broken streams.
+	resumes bool
 
 	mu       sync.Mutex
 	attempts []Attempt
@@ -91,7 +91,7 @@
 	if err == nil && !reply.Truncated {
 		a.Status, a.Body, a.Stamp = reply.Status, reply.Body, reply.Stamp
 	}
-	if t.takesUp && strings.HasPrefix(reply.Body, "id: ") {
+	if t.resumes && strings.HasPrefix(reply.Body, "id: ") {
 		a.ExpectedBody = expectedStream(reply.Body, id)
 	}
 	a.Ended = time.Since(t.startedAt)
@@ -99,8 +99,8 @@
 		a.Incarnation = unknownIncarnation
 	}
 	t.add(a)
-	if t.takesUp && k.path == imitator.ResumePath && reply.Truncated && reply.Body != "" {
-		t.takeUp(ask, i, reply.Body, phase)
+	if t.resumes && k.path == imitator.ResumePath && reply.Truncated && reply.Body != "" {
+		t.resume(ask, i, reply.Body, phase)
 	}
 }
 
--- a/soaker/version.go
+++ b/soaker/version.go
@@ -20,8 +20,8 @@
 	versionMark   = "."
 	// meanVersionGap is the mean time between two faults that concern the versions of endpoints.
 	meanVersionGap = 900 * time.Millisecond
-	// maxTakeUps is how often a caller takes a broken stream up.
-	maxTakeUps = 3
+	// maxResumptions is how often a caller resumes a broken stream.
+	maxResumptions = 3
 )
 
 // VersionLeaves makes all endpoints of a version leave for the duration of the step.
@@ -99,14 +99,14 @@
 	return list
 }
 
-// takeUp has the caller of a broken stream take it up at other entries, until it is complete.
-func (t *traffic) takeUp(ask imitator.Request, first int, received string, phase Phase) {
+// resume has the caller of a broken stream resume it at other entries, until it is complete.
+func (t *traffic) resume(ask imitator.Request, first int, received string, phase Phase) {
 	began := ask.ID
 	attempts := []string{began}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	for n := 1; n <= maxTakeUps; n++ {
+	for n := 1; n <= maxResumptions; n++ {
 		ask.ID = fmt.Sprintf("%s-up-%d", began, n)
-		ask.Header = imitator.TakeUp(began, strconv.Itoa(strings.Count(received, "id: ")))
+		ask.Header = imitator.Resumption(began, strconv.Itoa(strings.Count(received, "id: ")))
 		attempts = append(attempts, ask.ID)
 		entry := (first + n) % len(t.fleet.entries)
 		ask.Address = t.fleet.entries[entry].callerRelay.Address()
