Add a failing test of leaving endpoints whose registration returns

Its registration was removed, as in an outage of the store, and written again 1.4 s later by the same process: two requests reached it over 3 s after the entries had been told.

Cause: entries discard what an endpoint said once its registration is missing (Regulator.Retain), and know nothing of it when it is back with the same start.

--- a/forwarder/leaving_test.go
+++ b/forwarder/leaving_test.go
@@ -74,6 +74,28 @@
 	}
 }
 
+// Guards against requests to an endpoint that said that it leaves, once its registration expires and the same process writes
+// it again.
+func TestAnEndpointThatLeavesGetsNothingWhenItsRegistrationReturns(t *testing.T) {
+	m, _ := newLossyMesh(t, 2, 11)
+	f := m.nodes["entry-0"]
+	change := func(offset int64, registered bool) {
+		c := endpointChange("a")
+		c.Position, c.Endpoint.Started = locator.At(0, offset), time.UnixMilli(1000)
+		if !registered {
+			c.Endpoint = nil
+		}
+		f.ApplyEndpoints([]registrar.Change{c}, locator.At(0, offset), locator.At(0, offset+1), m.now)
+	}
+	m.setEndpoints("b")
+	change(5, true)
+	f.applyNotice(&registrar.Endpoint{ID: "a", Service: "plain", Started: time.UnixMilli(1000)}, regulator.Notice{Leaving: true}, m.now)
+	require.Equal(t, map[string]int{"b": 50}, m.countChosen("entry-0", 50))
+	change(6, false)
+	change(7, true)
+	require.Equal(t, map[string]int{"b": 50}, m.countChosen("entry-0", 50))
+}
+
 // Guards against a late announcement of an earlier process, which would keep its successor out of use.
 func TestAStartedEndpointIsUsedThoughItsEarlierProcessLeft(t *testing.T) {
 	m, _ := newLossyMesh(t, 2, 10)
