--- a/assembler/truncation_test.go
+++ b/assembler/truncation_test.go
@@ -106,9 +106,7 @@
 		conn, err := net.Dial("tcp", f.nodes[0].callers)
 		require.NoError(t, err)
 		defer func() { _ = conn.Close() }()
-		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: %s\r\nAuthorization: Bearer %s\r\nGeraniumline-Attempt-Id: %s\r\n\r\n",
-			imitator.StreamPath, imitator.Host, imitator.Key, id)
-		require.NoError(t, err)
+		require.NoError(t, f.newRequest(0, imitator.StreamPath, id).SendHTTP10(conn))
 		text, err := io.ReadAll(conn)
 		return string(text), err
 	}
