Log the evidence with which a crashed endpoint's request is counted

The logs of the incident could not tell evidence that is filed under whole requests from evidence that entries don't share. The line "endpoint crashed with a request" now names the content's digest, the client account, the parts of the prompt that other requests may share, whether the answer had begun, and how many losses are known for the content.

--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -63,6 +63,9 @@
 	headerSent bool
 	// status is the status of the endpoint's response.
 	status int
+	// answerBegan is set once the endpoint of the present attempt has begun its answer: with the first event of a stream, or
+	// with a whole response.
+	answerBegan bool
 	// untilClose is set if the body of the last response of an endpoint ends with its connection.
 	untilClose bool
 	// streamVersion is the software version of the endpoint that began the stream, at which alone it may go on; nil before
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -2,9 +2,11 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"io"
 	"net"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -23,6 +25,8 @@
 	crashCheckTimeout = 300 * time.Millisecond
 	// quarantineRetryDelay is the retry delay for content that crashes endpoints.
 	quarantineRetryDelay = time.Minute
+	// loggedDigestBytes is the part of a digest that log lines contain.
+	loggedDigestBytes = 8
 )
 
 // digest identifies a request's content by its client account, method, host, target and body. The same content arrives
@@ -59,6 +63,12 @@
 	digest := x.digest()
 	id := x.req.ID
 	f := x.f
+	evidence := []zap.Field{
+		zap.String("content", hex.EncodeToString(digest[:loggedDigestBytes])),
+		zap.String("account", x.account),
+		zap.Strings("parts", formatParts(x.sharedParts())),
+		zap.Bool("answerBegan", x.answerBegan),
+	}
 	time.AfterFunc(crashCheckDelay, func() {
 		conn, err := net.DialTimeout("tcp", e.Address, crashCheckTimeout)
 		if err == nil {
@@ -72,13 +82,15 @@
 		f.recordUnreachable(choice, now)
 		f.mu.Lock()
 		verdict := f.quarantiner.RecordCrash(digest, e.Address, now)
+		losses := len(f.quarantiner.CrashedEndpoints(digest))
 		f.mu.Unlock()
 		f.cfg.Meter.Counter(meter.ForwardCrashes).Inc(1)
-		f.log.Warn("endpoint crashed with a request",
+		f.log.Warn("endpoint crashed with a request", append(evidence,
 			zap.String("request", id),
 			zap.String("endpoint", e.ID),
 			zap.Uint8("verdict", uint8(verdict)),
-			zap.Error(err))
+			zap.Int("losses", losses),
+			zap.Error(err))...)
 	})
 }
 
@@ -89,3 +101,24 @@
 	x.f.quarantiner.RecordSuccess(x.digest(), now)
 	x.f.mu.Unlock()
 }
+
+// sharedParts returns the IDs of the prompt's parts that other requests may have too: all but the last.
+func (x *exchange) sharedParts() []uint64 {
+	if len(x.req.Parts) < 2 {
+		return nil
+	}
+	ids := make([]uint64, 0, len(x.req.Parts)-1)
+	for _, part := range x.req.Parts[:len(x.req.Parts)-1] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
+// formatParts formats the IDs of a prompt's parts for log lines.
+func formatParts(ids []uint64) []string {
+	list := make([]string, len(ids))
+	for i, id := range ids {
+		list[i] = strconv.FormatUint(id, 16)
+	}
+	return list
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -83,6 +83,7 @@
 	x.attempts++
 	x.tried = append(x.tried, choice.Endpoint.ID)
 	s.sawEvent.Store(false)
+	x.answerBegan = false
 	if x.headerSent {
 		x.f.cfg.Meter.Counter(meter.ForwardResumes).Inc(1)
 	}
@@ -250,6 +251,7 @@
 // caller. The endpoint has read its inputs by then, so their space is freed.
 func (s *streamer) beginResponse(choice *selector.Choice, resp *connector.Response, sent time.Time) {
 	x := s.x
+	x.answerBegan = true
 	took := time.Since(sent)
 	x.f.cfg.Meter.Histogram(meter.ForwardFirstEventMicros).Update(took.Microseconds())
 	x.f.cfg.Meter.Histogram(meter.ForwardStagesMicros).Update(sent.Sub(x.startTime).Microseconds())
