--- a/carrier/message.go
+++ b/carrier/message.go
@@ -119,6 +119,15 @@
 // Kind returns KindOriginReply.
 func (m *OriginReply) Kind() Kind { return KindOriginReply }
 
+// Kind returns KindPartCrashes.
+func (m *PartCrashes) Kind() Kind { return KindPartCrashes }
+
+// Kind returns KindTrialCall.
+func (m *TrialCall) Kind() Kind { return KindTrialCall }
+
+// Kind returns KindTrialReply.
+func (m *TrialReply) Kind() Kind { return KindTrialReply }
+
 // NewMessage returns an empty message of the kind, to decode a frame into, or an *UnknownKindError.
 func NewMessage(kind Kind) (Message, error) {
 	switch kind {
@@ -186,6 +195,12 @@
 		return &OriginCall{}, nil
 	case KindOriginReply:
 		return &OriginReply{}, nil
+	case KindPartCrashes:
+		return &PartCrashes{}, nil
+	case KindTrialCall:
+		return &TrialCall{}, nil
+	case KindTrialReply:
+		return &TrialReply{}, nil
 	default:
 		return nil, &UnknownKindError{Value: kind}
 	}
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -4,7 +4,7 @@
 
 //go:generate msgp -file schema.go -o schema_gen.go -tests=false
 
-//msgp:tuple StreamOrigin PromptPlacement EndpointTiming RetryUse StageClassWait EndpointRefusal EndpointLeave EndpointLimit PieceResult MadeResult EndpointWork StageWait EndpointEntry ModelDemand AccountBill StageBill Member EndpointLoad AccountUse Record CrashLoss
+//msgp:tuple StreamOrigin PromptPlacement EndpointTiming RetryUse StageClassWait EndpointRefusal EndpointLeave EndpointLimit PieceResult MadeResult EndpointWork StageWait EndpointEntry ModelDemand AccountBill StageBill Member EndpointLoad AccountUse Record
 
 // Kind identifies the type of the message in a frame.
 type Kind uint8
@@ -43,6 +43,9 @@
 	KindStreamOrigins
 	KindOriginCall
 	KindOriginReply
+	KindPartCrashes
+	KindTrialCall
+	KindTrialReply
 )
 
 // Challenge is the first message of a connection in each direction: the peer must prove that it knows the shared key.
@@ -105,29 +108,15 @@
 	Backlog  int32
 }
 
-// CrashLoss is the loss of one endpoint. Entries that observed the same loss report the same address and nearly the
-// same age.
-type CrashLoss struct {
-	Address   string
-	AgeMillis int64
-}
-
-// CrashMark lists the endpoints that were lost while a request with this digest ran there. The losses are listed
-// rather than counted, so that those observed by different entries add up and those passed on are not counted again.
-type CrashMark struct {
-	Digest []byte      `msg:"digest,limit=32"`
-	Losses []CrashLoss `msg:"losses,limit=16"`
-}
-
 // Heartbeat is the state that an entry sends to its peers several times per second.
 type Heartbeat struct {
 	From      Member         `msg:"from"`
 	Sequence  uint64         `msg:"sequence"`
 	Members   []Member       `msg:"members,limit=4096"`
 	Pulses    PulseList      `msg:"pulses"`
-	Endpoints []EndpointLoad `msg:"endpoints,limit=16384"`
-	Accounts  []AccountUse   `msg:"accounts,limit=65536"`
-	Crashes   []CrashMark    `msg:"crashes,limit=1024"`
+	Endpoints []EndpointLoad `msg:"endpoints,omitempty,limit=16384"`
+	Accounts  []AccountUse   `msg:"accounts,omitempty,limit=65536"`
+	Crashes   []CrashMark    `msg:"crashes,omitempty,limit=1024"`
 	// Stages are the newest loads of stage pools known to the sender.
 	Stages []StageWait `msg:"stages,limit=1024"`
 	// StageClasses are the newest loads of stage pools by priority. An entry whose release does not send them is known by
@@ -158,6 +147,9 @@
 	EvacuationsHeld []string `msg:"evacuationsHeld,limit=4096"`
 	// StoresOrigins is set if the sender's release understands StreamOrigins and OriginCall.
 	StoresOrigins bool `msg:"storesOrigins,omitempty"`
+	// PartCrashes is a checksum of what the sender knows of parts of prompts that crash endpoints, by which a receiver detects
+	// that it knows something else. It is never 0, except in a release that doesn't understand PartCrashes and TrialCall.
+	PartCrashes uint32 `msg:"partCrashes,omitempty"`
 	// StoreEra is the newest era of the store known to the sender, EndpointsEra the era of its list of endpoints.
 	StoreEra     int64 `msg:"storeEra"`
 	EndpointsEra int64 `msg:"endpointsEra"`
--- a/carrier/schema_gen.go
+++ b/carrier/schema_gen.go
@@ -1075,334 +1075,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *CrashLoss) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.Address, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "Address")
-		return
-	}
-	z.AgeMillis, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z CrashLoss) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Address)
-	if err != nil {
-		err = msgp.WrapError(err, "Address")
-		return
-	}
-	err = en.WriteInt64(z.AgeMillis)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z CrashLoss) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendString(o, z.Address)
-	o = msgp.AppendInt64(o, z.AgeMillis)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *CrashLoss) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	z.Address, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Address")
-		return
-	}
-	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMillis")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z CrashLoss) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.Int64Size
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *CrashMark) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "digest":
-			z.Digest, err = dc.ReadBytesLimit(z.Digest, 32)
-			if err == nil && z.Digest == nil {
-				z.Digest = []byte{}
-			}
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-		case "losses":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Losses")
-				return
-			}
-			if zb0002 > 16 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Losses) >= int(zb0002) {
-				z.Losses = (z.Losses)[:zb0002]
-			} else {
-				z.Losses = make([]CrashLoss, zb0002)
-			}
-			for za0001 := range z.Losses {
-				var zb0003 uint32
-				zb0003, err = dc.ReadArrayHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Losses", za0001)
-					return
-				}
-				if zb0003 > 16 {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				if zb0003 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-					return
-				}
-				z.Losses[za0001].Address, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Losses", za0001, "Address")
-					return
-				}
-				z.Losses[za0001].AgeMillis, err = dc.ReadInt64()
-				if err != nil {
-					err = msgp.WrapError(err, "Losses", za0001, "AgeMillis")
-					return
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *CrashMark) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "digest"
-	err = en.Append(0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Digest)
-	if err != nil {
-		err = msgp.WrapError(err, "Digest")
-		return
-	}
-	// write "losses"
-	err = en.Append(0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Losses)))
-	if err != nil {
-		err = msgp.WrapError(err, "Losses")
-		return
-	}
-	for za0001 := range z.Losses {
-		// array header, size 2
-		err = en.Append(0x92)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Losses[za0001].Address)
-		if err != nil {
-			err = msgp.WrapError(err, "Losses", za0001, "Address")
-			return
-		}
-		err = en.WriteInt64(z.Losses[za0001].AgeMillis)
-		if err != nil {
-			err = msgp.WrapError(err, "Losses", za0001, "AgeMillis")
-			return
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *CrashMark) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "digest"
-	o = append(o, 0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
-	o = msgp.AppendBytes(o, z.Digest)
-	// string "losses"
-	o = append(o, 0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Losses)))
-	for za0001 := range z.Losses {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Losses[za0001].Address)
-		o = msgp.AppendInt64(o, z.Losses[za0001].AgeMillis)
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *CrashMark) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "digest":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-			if zb0002 > 32 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Digest == nil || uint32(cap(z.Digest)) < zb0002 {
-				z.Digest = make([]byte, zb0002)
-			} else {
-				z.Digest = z.Digest[:zb0002]
-			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
-				return
-			}
-			copy(z.Digest, bts[:zb0002])
-			bts = bts[zb0002:]
-		case "losses":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Losses")
-				return
-			}
-			if zb0003 > 16 {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Losses) >= int(zb0003) {
-				z.Losses = (z.Losses)[:zb0003]
-			} else {
-				z.Losses = make([]CrashLoss, zb0003)
-			}
-			for za0001 := range z.Losses {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Losses", za0001)
-					return
-				}
-				if zb0004 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0004}
-					return
-				}
-				z.Losses[za0001].Address, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Losses", za0001, "Address")
-					return
-				}
-				z.Losses[za0001].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Losses", za0001, "AgeMillis")
-					return
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *CrashMark) Msgsize() (s int) {
-	s = 1 + 7 + msgp.BytesPrefixSize + len(z.Digest) + 7 + msgp.ArrayHeaderSize
-	for za0001 := range z.Losses {
-		s += 1 + msgp.StringPrefixSize + len(z.Losses[za0001].Address) + msgp.Int64Size
-	}
-	return
-}
-
 // DecodeMsg implements msgp.Decodable
 func (z *Demand) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -3721,309 +3393,237 @@
 				z.Crashes = make([]CrashMark, zb0005)
 			}
 			for za0004 := range z.Crashes {
-				var zb0006 uint32
-				zb0006, err = dc.ReadMapHeader()
+				err = z.Crashes[za0004].DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Crashes", za0004)
 					return
 				}
-				if zb0006 > 1024 {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0006 > 0 {
-					zb0006--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Crashes", za0004)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "digest":
-						z.Crashes[za0004].Digest, err = dc.ReadBytesLimit(z.Crashes[za0004].Digest, 32)
-						if err == nil && z.Crashes[za0004].Digest == nil {
-							z.Crashes[za0004].Digest = []byte{}
-						}
-						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004, "Digest")
-							return
-						}
-					case "losses":
-						var zb0007 uint32
-						zb0007, err = dc.ReadArrayHeader()
-						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004, "Losses")
-							return
-						}
-						if zb0007 > 16 {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if cap(z.Crashes[za0004].Losses) >= int(zb0007) {
-							z.Crashes[za0004].Losses = (z.Crashes[za0004].Losses)[:zb0007]
-						} else {
-							z.Crashes[za0004].Losses = make([]CrashLoss, zb0007)
-						}
-						for za0005 := range z.Crashes[za0004].Losses {
-							var zb0008 uint32
-							zb0008, err = dc.ReadArrayHeader()
-							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005)
-								return
-							}
-							if zb0008 > 16 {
-								err = msgp.ErrLimitExceeded
-								return
-							}
-							if zb0008 != 2 {
-								err = msgp.ArrayError{Wanted: 2, Got: zb0008}
-								return
-							}
-							z.Crashes[za0004].Losses[za0005].Address, err = dc.ReadString()
-							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005, "Address")
-								return
-							}
-							z.Crashes[za0004].Losses[za0005].AgeMillis, err = dc.ReadInt64()
-							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005, "AgeMillis")
-								return
-							}
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004)
-							return
-						}
-					}
-				}
 			}
 		case "stages":
-			var zb0009 uint32
-			zb0009, err = dc.ReadArrayHeader()
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Stages")
 				return
 			}
-			if zb0009 > 1024 {
+			if zb0006 > 1024 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Stages) >= int(zb0009) {
-				z.Stages = (z.Stages)[:zb0009]
+			if cap(z.Stages) >= int(zb0006) {
+				z.Stages = (z.Stages)[:zb0006]
 			} else {
-				z.Stages = make([]StageWait, zb0009)
+				z.Stages = make([]StageWait, zb0006)
 			}
-			for za0006 := range z.Stages {
-				err = z.Stages[za0006].DecodeMsg(dc)
+			for za0005 := range z.Stages {
+				err = z.Stages[za0005].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Stages", za0006)
+					err = msgp.WrapError(err, "Stages", za0005)
 					return
 				}
 			}
 		case "stageClasses":
-			var zb0010 uint32
-			zb0010, err = dc.ReadArrayHeader()
+			var zb0007 uint32
+			zb0007, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "StageClasses")
 				return
 			}
-			if zb0010 > 8192 {
+			if zb0007 > 8192 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.StageClasses) >= int(zb0010) {
-				z.StageClasses = (z.StageClasses)[:zb0010]
+			if cap(z.StageClasses) >= int(zb0007) {
+				z.StageClasses = (z.StageClasses)[:zb0007]
 			} else {
-				z.StageClasses = make([]StageClassWait, zb0010)
+				z.StageClasses = make([]StageClassWait, zb0007)
 			}
-			for za0007 := range z.StageClasses {
-				err = z.StageClasses[za0007].DecodeMsg(dc)
+			for za0006 := range z.StageClasses {
+				err = z.StageClasses[za0006].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "StageClasses", za0007)
+					err = msgp.WrapError(err, "StageClasses", za0006)
 					return
 				}
 			}
 		case "unreachable":
-			var zb0011 uint32
-			zb0011, err = dc.ReadArrayHeader()
+			var zb0008 uint32
+			zb0008, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Unreachable")
 				return
 			}
-			if zb0011 > 16384 {
+			if zb0008 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Unreachable) >= int(zb0011) {
-				z.Unreachable = (z.Unreachable)[:zb0011]
+			if cap(z.Unreachable) >= int(zb0008) {
+				z.Unreachable = (z.Unreachable)[:zb0008]
 			} else {
-				z.Unreachable = make([]EndpointRefusal, zb0011)
+				z.Unreachable = make([]EndpointRefusal, zb0008)
 			}
-			for za0008 := range z.Unreachable {
-				var zb0012 uint32
-				zb0012, err = dc.ReadArrayHeader()
+			for za0007 := range z.Unreachable {
+				var zb0009 uint32
+				zb0009, err = dc.ReadArrayHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Unreachable", za0008)
+					err = msgp.WrapError(err, "Unreachable", za0007)
 					return
 				}
-				if zb0012 > 16384 {
+				if zb0009 > 16384 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if zb0012 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0012}
+				if zb0009 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0009}
 					return
 				}
-				z.Unreachable[za0008].ID, err = dc.ReadString()
+				z.Unreachable[za0007].ID, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Unreachable", za0008, "ID")
+					err = msgp.WrapError(err, "Unreachable", za0007, "ID")
 					return
 				}
-				z.Unreachable[za0008].StartedMillis, err = dc.ReadInt64()
+				z.Unreachable[za0007].StartedMillis, err = dc.ReadInt64()
 				if err != nil {
-					err = msgp.WrapError(err, "Unreachable", za0008, "StartedMillis")
+					err = msgp.WrapError(err, "Unreachable", za0007, "StartedMillis")
 					return
 				}
-				z.Unreachable[za0008].AgeMillis, err = dc.ReadUint32()
+				z.Unreachable[za0007].AgeMillis, err = dc.ReadUint32()
 				if err != nil {
-					err = msgp.WrapError(err, "Unreachable", za0008, "AgeMillis")
+					err = msgp.WrapError(err, "Unreachable", za0007, "AgeMillis")
 					return
 				}
 			}
 		case "limits":
-			var zb0013 uint32
-			zb0013, err = dc.ReadArrayHeader()
+			var zb0010 uint32
+			zb0010, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Limits")
 				return
 			}
-			if zb0013 > 16384 {
+			if zb0010 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Limits) >= int(zb0013) {
-				z.Limits = (z.Limits)[:zb0013]
+			if cap(z.Limits) >= int(zb0010) {
+				z.Limits = (z.Limits)[:zb0010]
 			} else {
-				z.Limits = make([]EndpointLimit, zb0013)
+				z.Limits = make([]EndpointLimit, zb0010)
 			}
-			for za0009 := range z.Limits {
-				err = z.Limits[za0009].DecodeMsg(dc)
+			for za0008 := range z.Limits {
+				err = z.Limits[za0008].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Limits", za0009)
+					err = msgp.WrapError(err, "Limits", za0008)
 					return
 				}
 			}
 		case "fragile":
-			var zb0014 uint32
-			zb0014, err = dc.ReadArrayHeader()
+			var zb0011 uint32
+			zb0011, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Fragile")
 				return
 			}
-			if zb0014 > 16384 {
+			if zb0011 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Fragile) >= int(zb0014) {
-				z.Fragile = (z.Fragile)[:zb0014]
+			if cap(z.Fragile) >= int(zb0011) {
+				z.Fragile = (z.Fragile)[:zb0011]
 			} else {
-				z.Fragile = make([]EndpointLimit, zb0014)
+				z.Fragile = make([]EndpointLimit, zb0011)
 			}
-			for za0010 := range z.Fragile {
-				err = z.Fragile[za0010].DecodeMsg(dc)
+			for za0009 := range z.Fragile {
+				err = z.Fragile[za0009].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Fragile", za0010)
+					err = msgp.WrapError(err, "Fragile", za0009)
 					return
 				}
 			}
 		case "refusing":
-			var zb0015 uint32
-			zb0015, err = dc.ReadArrayHeader()
+			var zb0012 uint32
+			zb0012, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Refusing")
 				return
 			}
-			if zb0015 > 16384 {
+			if zb0012 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Refusing) >= int(zb0015) {
-				z.Refusing = (z.Refusing)[:zb0015]
+			if cap(z.Refusing) >= int(zb0012) {
+				z.Refusing = (z.Refusing)[:zb0012]
 			} else {
-				z.Refusing = make([]EndpointRefusal, zb0015)
+				z.Refusing = make([]EndpointRefusal, zb0012)
 			}
-			for za0011 := range z.Refusing {
-				var zb0016 uint32
-				zb0016, err = dc.ReadArrayHeader()
+			for za0010 := range z.Refusing {
+				var zb0013 uint32
+				zb0013, err = dc.ReadArrayHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0011)
+					err = msgp.WrapError(err, "Refusing", za0010)
 					return
 				}
-				if zb0016 > 16384 {
+				if zb0013 > 16384 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if zb0016 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0016}
+				if zb0013 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0013}
 					return
 				}
-				z.Refusing[za0011].ID, err = dc.ReadString()
+				z.Refusing[za0010].ID, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0011, "ID")
+					err = msgp.WrapError(err, "Refusing", za0010, "ID")
 					return
 				}
-				z.Refusing[za0011].StartedMillis, err = dc.ReadInt64()
+				z.Refusing[za0010].StartedMillis, err = dc.ReadInt64()
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0011, "StartedMillis")
+					err = msgp.WrapError(err, "Refusing", za0010, "StartedMillis")
 					return
 				}
-				z.Refusing[za0011].AgeMillis, err = dc.ReadUint32()
+				z.Refusing[za0010].AgeMillis, err = dc.ReadUint32()
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0011, "AgeMillis")
+					err = msgp.WrapError(err, "Refusing", za0010, "AgeMillis")
 					return
 				}
 			}
 		case "leaving":
-			var zb0017 uint32
-			zb0017, err = dc.ReadArrayHeader()
+			var zb0014 uint32
+			zb0014, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-			if zb0017 > 16384 {
+			if zb0014 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Leaving) >= int(zb0017) {
-				z.Leaving = (z.Leaving)[:zb0017]
+			if cap(z.Leaving) >= int(zb0014) {
+				z.Leaving = (z.Leaving)[:zb0014]
 			} else {
-				z.Leaving = make([]EndpointLeave, zb0017)
+				z.Leaving = make([]EndpointLeave, zb0014)
 			}
-			for za0012 := range z.Leaving {
-				var zb0018 uint32
-				zb0018, err = dc.ReadArrayHeader()
+			for za0011 := range z.Leaving {
+				var zb0015 uint32
+				zb0015, err = dc.ReadArrayHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0012)
+					err = msgp.WrapError(err, "Leaving", za0011)
 					return
 				}
-				if zb0018 > 16384 {
+				if zb0015 > 16384 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				if zb0018 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0018}
+				if zb0015 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0015}
 					return
 				}
-				z.Leaving[za0012].ID, err = dc.ReadString()
+				z.Leaving[za0011].ID, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0012, "ID")
+					err = msgp.WrapError(err, "Leaving", za0011, "ID")
 					return
 				}
-				z.Leaving[za0012].StartedMillis, err = dc.ReadInt64()
+				z.Leaving[za0011].StartedMillis, err = dc.ReadInt64()
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0012, "StartedMillis")
+					err = msgp.WrapError(err, "Leaving", za0011, "StartedMillis")
 					return
 				}
 			}
@@ -4046,48 +3646,48 @@
 				return
 			}
 		case "evacuated":
-			var zb0019 uint32
-			zb0019, err = dc.ReadArrayHeader()
+			var zb0016 uint32
+			zb0016, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-			if zb0019 > 4096 {
+			if zb0016 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Evacuated) >= int(zb0019) {
-				z.Evacuated = (z.Evacuated)[:zb0019]
+			if cap(z.Evacuated) >= int(zb0016) {
+				z.Evacuated = (z.Evacuated)[:zb0016]
 			} else {
-				z.Evacuated = make([]string, zb0019)
+				z.Evacuated = make([]string, zb0016)
 			}
-			for za0013 := range z.Evacuated {
-				z.Evacuated[za0013], err = dc.ReadString()
+			for za0012 := range z.Evacuated {
+				z.Evacuated[za0012], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Evacuated", za0013)
+					err = msgp.WrapError(err, "Evacuated", za0012)
 					return
 				}
 			}
 		case "evacuationsHeld":
-			var zb0020 uint32
-			zb0020, err = dc.ReadArrayHeader()
+			var zb0017 uint32
+			zb0017, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "EvacuationsHeld")
 				return
 			}
-			if zb0020 > 4096 {
+			if zb0017 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.EvacuationsHeld) >= int(zb0020) {
-				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0020]
+			if cap(z.EvacuationsHeld) >= int(zb0017) {
+				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0017]
 			} else {
-				z.EvacuationsHeld = make([]string, zb0020)
+				z.EvacuationsHeld = make([]string, zb0017)
 			}
-			for za0014 := range z.EvacuationsHeld {
-				z.EvacuationsHeld[za0014], err = dc.ReadString()
+			for za0013 := range z.EvacuationsHeld {
+				z.EvacuationsHeld[za0013], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "EvacuationsHeld", za0014)
+					err = msgp.WrapError(err, "EvacuationsHeld", za0013)
 					return
 				}
 			}
@@ -4097,6 +3697,12 @@
 				err = msgp.WrapError(err, "StoresOrigins")
 				return
 			}
+		case "partCrashes":
+			z.PartCrashes, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "PartCrashes")
+				return
+			}
 		case "storeEra":
 			z.StoreEra, err = dc.ReadInt64()
 			if err != nil {
@@ -4123,9 +3729,21 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(22)
-	var zb0001Mask uint32 /* 22 bits */
+	zb0001Len := uint32(23)
+	var zb0001Mask uint32 /* 23 bits */
 	_ = zb0001Mask
+	if z.Endpoints == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Accounts == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Crashes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	if z.StageClasses == nil {
 		zb0001Len--
 		zb0001Mask |= 0x100
@@ -4154,6 +3772,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x80000
 	}
+	if z.PartCrashes == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100000
+	}
 	// variable map header, size zb0001Len
 	err = en.WriteMapHeader(zb0001Len)
 	if err != nil {
@@ -4209,86 +3831,59 @@
 			err = msgp.WrapError(err, "Pulses")
 			return
 		}
-		// write "endpoints"
-		err = en.Append(0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteArrayHeader(uint32(len(z.Endpoints)))
-		if err != nil {
-			err = msgp.WrapError(err, "Endpoints")
-			return
-		}
-		for za0002 := range z.Endpoints {
-			err = z.Endpoints[za0002].EncodeMsg(en)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "endpoints"
+			err = en.Append(0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
 			if err != nil {
-				err = msgp.WrapError(err, "Endpoints", za0002)
 				return
 			}
-		}
-		// write "accounts"
-		err = en.Append(0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteArrayHeader(uint32(len(z.Accounts)))
-		if err != nil {
-			err = msgp.WrapError(err, "Accounts")
-			return
-		}
-		for za0003 := range z.Accounts {
-			err = z.Accounts[za0003].EncodeMsg(en)
+			err = en.WriteArrayHeader(uint32(len(z.Endpoints)))
 			if err != nil {
-				err = msgp.WrapError(err, "Accounts", za0003)
+				err = msgp.WrapError(err, "Endpoints")
 				return
 			}
+			for za0002 := range z.Endpoints {
+				err = z.Endpoints[za0002].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0002)
+					return
+				}
+			}
 		}
-		// write "crashes"
-		err = en.Append(0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteArrayHeader(uint32(len(z.Crashes)))
-		if err != nil {
-			err = msgp.WrapError(err, "Crashes")
-			return
-		}
-		for za0004 := range z.Crashes {
-			// map header, size 2
-			// write "digest"
-			err = en.Append(0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "accounts"
+			err = en.Append(0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
 			if err != nil {
 				return
 			}
-			err = en.WriteBytes(z.Crashes[za0004].Digest)
+			err = en.WriteArrayHeader(uint32(len(z.Accounts)))
 			if err != nil {
-				err = msgp.WrapError(err, "Crashes", za0004, "Digest")
+				err = msgp.WrapError(err, "Accounts")
 				return
 			}
-			// write "losses"
-			err = en.Append(0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
+			for za0003 := range z.Accounts {
+				err = z.Accounts[za0003].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0003)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "crashes"
+			err = en.Append(0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
 			if err != nil {
 				return
 			}
-			err = en.WriteArrayHeader(uint32(len(z.Crashes[za0004].Losses)))
+			err = en.WriteArrayHeader(uint32(len(z.Crashes)))
 			if err != nil {
-				err = msgp.WrapError(err, "Crashes", za0004, "Losses")
+				err = msgp.WrapError(err, "Crashes")
 				return
 			}
-			for za0005 := range z.Crashes[za0004].Losses {
-				// array header, size 2
-				err = en.Append(0x92)
-				if err != nil {
-					return
-				}
-				err = en.WriteString(z.Crashes[za0004].Losses[za0005].Address)
-				if err != nil {
-					err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005, "Address")
-					return
-				}
-				err = en.WriteInt64(z.Crashes[za0004].Losses[za0005].AgeMillis)
+			for za0004 := range z.Crashes {
+				err = z.Crashes[za0004].EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005, "AgeMillis")
+					err = msgp.WrapError(err, "Crashes", za0004)
 					return
 				}
 			}
@@ -4303,10 +3898,10 @@
 			err = msgp.WrapError(err, "Stages")
 			return
 		}
-		for za0006 := range z.Stages {
-			err = z.Stages[za0006].EncodeMsg(en)
+		for za0005 := range z.Stages {
+			err = z.Stages[za0005].EncodeMsg(en)
 			if err != nil {
-				err = msgp.WrapError(err, "Stages", za0006)
+				err = msgp.WrapError(err, "Stages", za0005)
 				return
 			}
 		}
@@ -4321,10 +3916,10 @@
 				err = msgp.WrapError(err, "StageClasses")
 				return
 			}
-			for za0007 := range z.StageClasses {
-				err = z.StageClasses[za0007].EncodeMsg(en)
+			for za0006 := range z.StageClasses {
+				err = z.StageClasses[za0006].EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "StageClasses", za0007)
+					err = msgp.WrapError(err, "StageClasses", za0006)
 					return
 				}
 			}
@@ -4340,25 +3935,25 @@
 				err = msgp.WrapError(err, "Unreachable")
 				return
 			}
-			for za0008 := range z.Unreachable {
+			for za0007 := range z.Unreachable {
 				// array header, size 3
 				err = en.Append(0x93)
 				if err != nil {
 					return
 				}
-				err = en.WriteString(z.Unreachable[za0008].ID)
+				err = en.WriteString(z.Unreachable[za0007].ID)
 				if err != nil {
-					err = msgp.WrapError(err, "Unreachable", za0008, "ID")
+					err = msgp.WrapError(err, "Unreachable", za0007, "ID")
 					return
 				}
-				err = en.WriteInt64(z.Unreachable[za0008].StartedMillis)
+				err = en.WriteInt64(z.Unreachable[za0007].StartedMillis)
 				if err != nil {
-					err = msgp.WrapError(err, "Unreachable", za0008, "StartedMillis")
+					err = msgp.WrapError(err, "Unreachable", za0007, "StartedMillis")
 					return
 				}
-				err = en.WriteUint32(z.Unreachable[za0008].AgeMillis)
+				err = en.WriteUint32(z.Unreachable[za0007].AgeMillis)
 				if err != nil {
-					err = msgp.WrapError(err, "Unreachable", za0008, "AgeMillis")
+					err = msgp.WrapError(err, "Unreachable", za0007, "AgeMillis")
 					return
 				}
 			}
@@ -4374,10 +3969,10 @@
 				err = msgp.WrapError(err, "Limits")
 				return
 			}
-			for za0009 := range z.Limits {
-				err = z.Limits[za0009].EncodeMsg(en)
+			for za0008 := range z.Limits {
+				err = z.Limits[za0008].EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Limits", za0009)
+					err = msgp.WrapError(err, "Limits", za0008)
 					return
 				}
 			}
@@ -4393,10 +3988,10 @@
 				err = msgp.WrapError(err, "Fragile")
 				return
 			}
-			for za0010 := range z.Fragile {
-				err = z.Fragile[za0010].EncodeMsg(en)
+			for za0009 := range z.Fragile {
+				err = z.Fragile[za0009].EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Fragile", za0010)
+					err = msgp.WrapError(err, "Fragile", za0009)
 					return
 				}
 			}
@@ -4412,25 +4007,25 @@
 				err = msgp.WrapError(err, "Refusing")
 				return
 			}
-			for za0011 := range z.Refusing {
+			for za0010 := range z.Refusing {
 				// array header, size 3
 				err = en.Append(0x93)
 				if err != nil {
 					return
 				}
-				err = en.WriteString(z.Refusing[za0011].ID)
+				err = en.WriteString(z.Refusing[za0010].ID)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0011, "ID")
+					err = msgp.WrapError(err, "Refusing", za0010, "ID")
 					return
 				}
-				err = en.WriteInt64(z.Refusing[za0011].StartedMillis)
+				err = en.WriteInt64(z.Refusing[za0010].StartedMillis)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0011, "StartedMillis")
+					err = msgp.WrapError(err, "Refusing", za0010, "StartedMillis")
 					return
 				}
-				err = en.WriteUint32(z.Refusing[za0011].AgeMillis)
+				err = en.WriteUint32(z.Refusing[za0010].AgeMillis)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0011, "AgeMillis")
+					err = msgp.WrapError(err, "Refusing", za0010, "AgeMillis")
 					return
 				}
 			}
@@ -4446,20 +4041,20 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-			for za0012 := range z.Leaving {
+			for za0011 := range z.Leaving {
 				// array header, size 2
 				err = en.Append(0x92)
 				if err != nil {
 					return
 				}
-				err = en.WriteString(z.Leaving[za0012].ID)
+				err = en.WriteString(z.Leaving[za0011].ID)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0012, "ID")
+					err = msgp.WrapError(err, "Leaving", za0011, "ID")
 					return
 				}
-				err = en.WriteInt64(z.Leaving[za0012].StartedMillis)
+				err = en.WriteInt64(z.Leaving[za0011].StartedMillis)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0012, "StartedMillis")
+					err = msgp.WrapError(err, "Leaving", za0011, "StartedMillis")
 					return
 				}
 			}
@@ -4504,10 +4099,10 @@
 			err = msgp.WrapError(err, "Evacuated")
 			return
 		}
-		for za0013 := range z.Evacuated {
-			err = en.WriteString(z.Evacuated[za0013])
+		for za0012 := range z.Evacuated {
+			err = en.WriteString(z.Evacuated[za0012])
 			if err != nil {
-				err = msgp.WrapError(err, "Evacuated", za0013)
+				err = msgp.WrapError(err, "Evacuated", za0012)
 				return
 			}
 		}
@@ -4521,10 +4116,10 @@
 			err = msgp.WrapError(err, "EvacuationsHeld")
 			return
 		}
-		for za0014 := range z.EvacuationsHeld {
-			err = en.WriteString(z.EvacuationsHeld[za0014])
+		for za0013 := range z.EvacuationsHeld {
+			err = en.WriteString(z.EvacuationsHeld[za0013])
 			if err != nil {
-				err = msgp.WrapError(err, "EvacuationsHeld", za0014)
+				err = msgp.WrapError(err, "EvacuationsHeld", za0013)
 				return
 			}
 		}
@@ -4540,6 +4135,18 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
+			// write "partCrashes"
+			err = en.Append(0xab, 0x70, 0x61, 0x72, 0x74, 0x43, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint32(z.PartCrashes)
+			if err != nil {
+				err = msgp.WrapError(err, "PartCrashes")
+				return
+			}
+		}
 		// write "storeEra"
 		err = en.Append(0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
 		if err != nil {
@@ -4568,9 +4175,21 @@
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(22)
-	var zb0001Mask uint32 /* 22 bits */
+	zb0001Len := uint32(23)
+	var zb0001Mask uint32 /* 23 bits */
 	_ = zb0001Mask
+	if z.Endpoints == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Accounts == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Crashes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	if z.StageClasses == nil {
 		zb0001Len--
 		zb0001Mask |= 0x100
@@ -4599,6 +4218,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x80000
 	}
+	if z.PartCrashes == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -4631,51 +4254,49 @@
 			err = msgp.WrapError(err, "Pulses")
 			return
 		}
-		// string "endpoints"
-		o = append(o, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
-		for za0002 := range z.Endpoints {
-			o, err = z.Endpoints[za0002].MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Endpoints", za0002)
-				return
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "endpoints"
+			o = append(o, 0xa9, 0x65, 0x6e, 0x64, 0x70, 0x6f, 0x69, 0x6e, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Endpoints)))
+			for za0002 := range z.Endpoints {
+				o, err = z.Endpoints[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Endpoints", za0002)
+					return
+				}
 			}
 		}
-		// string "accounts"
-		o = append(o, 0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Accounts)))
-		for za0003 := range z.Accounts {
-			o, err = z.Accounts[za0003].MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Accounts", za0003)
-				return
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "accounts"
+			o = append(o, 0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Accounts)))
+			for za0003 := range z.Accounts {
+				o, err = z.Accounts[za0003].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0003)
+					return
+				}
 			}
 		}
-		// string "crashes"
-		o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
-		for za0004 := range z.Crashes {
-			// map header, size 2
-			// string "digest"
-			o = append(o, 0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
-			o = msgp.AppendBytes(o, z.Crashes[za0004].Digest)
-			// string "losses"
-			o = append(o, 0xa6, 0x6c, 0x6f, 0x73, 0x73, 0x65, 0x73)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes[za0004].Losses)))
-			for za0005 := range z.Crashes[za0004].Losses {
-				// array header, size 2
-				o = append(o, 0x92)
-				o = msgp.AppendString(o, z.Crashes[za0004].Losses[za0005].Address)
-				o = msgp.AppendInt64(o, z.Crashes[za0004].Losses[za0005].AgeMillis)
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "crashes"
+			o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+			for za0004 := range z.Crashes {
+				o, err = z.Crashes[za0004].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Crashes", za0004)
+					return
+				}
 			}
 		}
 		// string "stages"
 		o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x67, 0x65, 0x73)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Stages)))
-		for za0006 := range z.Stages {
-			o, err = z.Stages[za0006].MarshalMsg(o)
+		for za0005 := range z.Stages {
+			o, err = z.Stages[za0005].MarshalMsg(o)
 			if err != nil {
-				err = msgp.WrapError(err, "Stages", za0006)
+				err = msgp.WrapError(err, "Stages", za0005)
 				return
 			}
 		}
@@ -4683,10 +4304,10 @@
 			// string "stageClasses"
 			o = append(o, 0xac, 0x73, 0x74, 0x61, 0x67, 0x65, 0x43, 0x6c, 0x61, 0x73, 0x73, 0x65, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.StageClasses)))
-			for za0007 := range z.StageClasses {
-				o, err = z.StageClasses[za0007].MarshalMsg(o)
+			for za0006 := range z.StageClasses {
+				o, err = z.StageClasses[za0006].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "StageClasses", za0007)
+					err = msgp.WrapError(err, "StageClasses", za0006)
 					return
 				}
 			}
@@ -4695,22 +4316,22 @@
 			// string "unreachable"
 			o = append(o, 0xab, 0x75, 0x6e, 0x72, 0x65, 0x61, 0x63, 0x68, 0x61, 0x62, 0x6c, 0x65)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Unreachable)))
-			for za0008 := range z.Unreachable {
+			for za0007 := range z.Unreachable {
 				// array header, size 3
 				o = append(o, 0x93)
-				o = msgp.AppendString(o, z.Unreachable[za0008].ID)
-				o = msgp.AppendInt64(o, z.Unreachable[za0008].StartedMillis)
-				o = msgp.AppendUint32(o, z.Unreachable[za0008].AgeMillis)
+				o = msgp.AppendString(o, z.Unreachable[za0007].ID)
+				o = msgp.AppendInt64(o, z.Unreachable[za0007].StartedMillis)
+				o = msgp.AppendUint32(o, z.Unreachable[za0007].AgeMillis)
 			}
 		}
 		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "limits"
 			o = append(o, 0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
-			for za0009 := range z.Limits {
-				o, err = z.Limits[za0009].MarshalMsg(o)
+			for za0008 := range z.Limits {
+				o, err = z.Limits[za0008].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Limits", za0009)
+					err = msgp.WrapError(err, "Limits", za0008)
 					return
 				}
 			}
@@ -4719,10 +4340,10 @@
 			// string "fragile"
 			o = append(o, 0xa7, 0x66, 0x72, 0x61, 0x67, 0x69, 0x6c, 0x65)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Fragile)))
-			for za0010 := range z.Fragile {
-				o, err = z.Fragile[za0010].MarshalMsg(o)
+			for za0009 := range z.Fragile {
+				o, err = z.Fragile[za0009].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Fragile", za0010)
+					err = msgp.WrapError(err, "Fragile", za0009)
 					return
 				}
 			}
@@ -4731,23 +4352,23 @@
 			// string "refusing"
 			o = append(o, 0xa8, 0x72, 0x65, 0x66, 0x75, 0x73, 0x69, 0x6e, 0x67)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Refusing)))
-			for za0011 := range z.Refusing {
+			for za0010 := range z.Refusing {
 				// array header, size 3
 				o = append(o, 0x93)
-				o = msgp.AppendString(o, z.Refusing[za0011].ID)
-				o = msgp.AppendInt64(o, z.Refusing[za0011].StartedMillis)
-				o = msgp.AppendUint32(o, z.Refusing[za0011].AgeMillis)
+				o = msgp.AppendString(o, z.Refusing[za0010].ID)
+				o = msgp.AppendInt64(o, z.Refusing[za0010].StartedMillis)
+				o = msgp.AppendUint32(o, z.Refusing[za0010].AgeMillis)
 			}
 		}
 		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// string "leaving"
 			o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Leaving)))
-			for za0012 := range z.Leaving {
+			for za0011 := range z.Leaving {
 				// array header, size 2
 				o = append(o, 0x92)
-				o = msgp.AppendString(o, z.Leaving[za0012].ID)
-				o = msgp.AppendInt64(o, z.Leaving[za0012].StartedMillis)
+				o = msgp.AppendString(o, z.Leaving[za0011].ID)
+				o = msgp.AppendInt64(o, z.Leaving[za0011].StartedMillis)
 			}
 		}
 		// string "configAgeMillis"
@@ -4762,20 +4383,25 @@
 		// string "evacuated"
 		o = append(o, 0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
-		for za0013 := range z.Evacuated {
-			o = msgp.AppendString(o, z.Evacuated[za0013])
+		for za0012 := range z.Evacuated {
+			o = msgp.AppendString(o, z.Evacuated[za0012])
 		}
 		// string "evacuationsHeld"
 		o = append(o, 0xaf, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x48, 0x65, 0x6c, 0x64)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.EvacuationsHeld)))
-		for za0014 := range z.EvacuationsHeld {
-			o = msgp.AppendString(o, z.EvacuationsHeld[za0014])
+		for za0013 := range z.EvacuationsHeld {
+			o = msgp.AppendString(o, z.EvacuationsHeld[za0013])
 		}
 		if (zb0001Mask & 0x80000) == 0 { // if not omitted
 			// string "storesOrigins"
 			o = append(o, 0xad, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x73, 0x4f, 0x72, 0x69, 0x67, 0x69, 0x6e, 0x73)
 			o = msgp.AppendBool(o, z.StoresOrigins)
 		}
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
+			// string "partCrashes"
+			o = append(o, 0xab, 0x70, 0x61, 0x72, 0x74, 0x43, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
+			o = msgp.AppendUint32(o, z.PartCrashes)
+		}
 		// string "storeEra"
 		o = append(o, 0xa8, 0x73, 0x74, 0x6f, 0x72, 0x65, 0x45, 0x72, 0x61)
 		o = msgp.AppendInt64(o, z.StoreEra)
@@ -4908,306 +4534,225 @@
 				z.Crashes = make([]CrashMark, zb0005)
 			}
 			for za0004 := range z.Crashes {
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Crashes[za0004].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Crashes", za0004)
 					return
 				}
-				if zb0006 > 1024 {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0006 > 0 {
-					zb0006--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Crashes", za0004)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "digest":
-						var zb0007 uint32
-						zb0007, bts, err = msgp.ReadBytesHeader(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004, "Digest")
-							return
-						}
-						if zb0007 > 32 {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if z.Crashes[za0004].Digest == nil || uint32(cap(z.Crashes[za0004].Digest)) < zb0007 {
-							z.Crashes[za0004].Digest = make([]byte, zb0007)
-						} else {
-							z.Crashes[za0004].Digest = z.Crashes[za0004].Digest[:zb0007]
-						}
-						if uint32(len(bts)) < zb0007 {
-							err = msgp.ErrShortBytes
-							return
-						}
-						copy(z.Crashes[za0004].Digest, bts[:zb0007])
-						bts = bts[zb0007:]
-					case "losses":
-						var zb0008 uint32
-						zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004, "Losses")
-							return
-						}
-						if zb0008 > 16 {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if cap(z.Crashes[za0004].Losses) >= int(zb0008) {
-							z.Crashes[za0004].Losses = (z.Crashes[za0004].Losses)[:zb0008]
-						} else {
-							z.Crashes[za0004].Losses = make([]CrashLoss, zb0008)
-						}
-						for za0005 := range z.Crashes[za0004].Losses {
-							var zb0009 uint32
-							zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005)
-								return
-							}
-							if zb0009 != 2 {
-								err = msgp.ArrayError{Wanted: 2, Got: zb0009}
-								return
-							}
-							z.Crashes[za0004].Losses[za0005].Address, bts, err = msgp.ReadStringBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005, "Address")
-								return
-							}
-							z.Crashes[za0004].Losses[za0005].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Crashes", za0004, "Losses", za0005, "AgeMillis")
-								return
-							}
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Crashes", za0004)
-							return
-						}
-					}
-				}
 			}
 		case "stages":
-			var zb0010 uint32
-			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Stages")
 				return
 			}
-			if zb0010 > 1024 {
+			if zb0006 > 1024 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Stages) >= int(zb0010) {
-				z.Stages = (z.Stages)[:zb0010]
+			if cap(z.Stages) >= int(zb0006) {
+				z.Stages = (z.Stages)[:zb0006]
 			} else {
-				z.Stages = make([]StageWait, zb0010)
+				z.Stages = make([]StageWait, zb0006)
 			}
-			for za0006 := range z.Stages {
-				bts, err = z.Stages[za0006].UnmarshalMsg(bts)
+			for za0005 := range z.Stages {
+				bts, err = z.Stages[za0005].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stages", za0006)
+					err = msgp.WrapError(err, "Stages", za0005)
 					return
 				}
 			}
 		case "stageClasses":
-			var zb0011 uint32
-			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "StageClasses")
 				return
 			}
-			if zb0011 > 8192 {
+			if zb0007 > 8192 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.StageClasses) >= int(zb0011) {
-				z.StageClasses = (z.StageClasses)[:zb0011]
+			if cap(z.StageClasses) >= int(zb0007) {
+				z.StageClasses = (z.StageClasses)[:zb0007]
 			} else {
-				z.StageClasses = make([]StageClassWait, zb0011)
+				z.StageClasses = make([]StageClassWait, zb0007)
 			}
-			for za0007 := range z.StageClasses {
-				bts, err = z.StageClasses[za0007].UnmarshalMsg(bts)
+			for za0006 := range z.StageClasses {
+				bts, err = z.StageClasses[za0006].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "StageClasses", za0007)
+					err = msgp.WrapError(err, "StageClasses", za0006)
 					return
 				}
 			}
 		case "unreachable":
-			var zb0012 uint32
-			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Unreachable")
 				return
 			}
-			if zb0012 > 16384 {
+			if zb0008 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Unreachable) >= int(zb0012) {
-				z.Unreachable = (z.Unreachable)[:zb0012]
+			if cap(z.Unreachable) >= int(zb0008) {
+				z.Unreachable = (z.Unreachable)[:zb0008]
 			} else {
-				z.Unreachable = make([]EndpointRefusal, zb0012)
+				z.Unreachable = make([]EndpointRefusal, zb0008)
 			}
-			for za0008 := range z.Unreachable {
-				var zb0013 uint32
-				zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			for za0007 := range z.Unreachable {
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Unreachable", za0008)
+					err = msgp.WrapError(err, "Unreachable", za0007)
 					return
 				}
-				if zb0013 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0013}
+				if zb0009 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0009}
 					return
 				}
-				z.Unreachable[za0008].ID, bts, err = msgp.ReadStringBytes(bts)
+				z.Unreachable[za0007].ID, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Unreachable", za0008, "ID")
+					err = msgp.WrapError(err, "Unreachable", za0007, "ID")
 					return
 				}
-				z.Unreachable[za0008].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+				z.Unreachable[za0007].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Unreachable", za0008, "StartedMillis")
+					err = msgp.WrapError(err, "Unreachable", za0007, "StartedMillis")
 					return
 				}
-				z.Unreachable[za0008].AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+				z.Unreachable[za0007].AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Unreachable", za0008, "AgeMillis")
+					err = msgp.WrapError(err, "Unreachable", za0007, "AgeMillis")
 					return
 				}
 			}
 		case "limits":
-			var zb0014 uint32
-			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Limits")
 				return
 			}
-			if zb0014 > 16384 {
+			if zb0010 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Limits) >= int(zb0014) {
-				z.Limits = (z.Limits)[:zb0014]
+			if cap(z.Limits) >= int(zb0010) {
+				z.Limits = (z.Limits)[:zb0010]
 			} else {
-				z.Limits = make([]EndpointLimit, zb0014)
+				z.Limits = make([]EndpointLimit, zb0010)
 			}
-			for za0009 := range z.Limits {
-				bts, err = z.Limits[za0009].UnmarshalMsg(bts)
+			for za0008 := range z.Limits {
+				bts, err = z.Limits[za0008].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Limits", za0009)
+					err = msgp.WrapError(err, "Limits", za0008)
 					return
 				}
 			}
 		case "fragile":
-			var zb0015 uint32
-			zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Fragile")
 				return
 			}
-			if zb0015 > 16384 {
+			if zb0011 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Fragile) >= int(zb0015) {
-				z.Fragile = (z.Fragile)[:zb0015]
+			if cap(z.Fragile) >= int(zb0011) {
+				z.Fragile = (z.Fragile)[:zb0011]
 			} else {
-				z.Fragile = make([]EndpointLimit, zb0015)
+				z.Fragile = make([]EndpointLimit, zb0011)
 			}
-			for za0010 := range z.Fragile {
-				bts, err = z.Fragile[za0010].UnmarshalMsg(bts)
+			for za0009 := range z.Fragile {
+				bts, err = z.Fragile[za0009].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Fragile", za0010)
+					err = msgp.WrapError(err, "Fragile", za0009)
 					return
 				}
 			}
 		case "refusing":
-			var zb0016 uint32
-			zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Refusing")
 				return
 			}
-			if zb0016 > 16384 {
+			if zb0012 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Refusing) >= int(zb0016) {
-				z.Refusing = (z.Refusing)[:zb0016]
+			if cap(z.Refusing) >= int(zb0012) {
+				z.Refusing = (z.Refusing)[:zb0012]
 			} else {
-				z.Refusing = make([]EndpointRefusal, zb0016)
+				z.Refusing = make([]EndpointRefusal, zb0012)
 			}
-			for za0011 := range z.Refusing {
-				var zb0017 uint32
-				zb0017, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			for za0010 := range z.Refusing {
+				var zb0013 uint32
+				zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0011)
+					err = msgp.WrapError(err, "Refusing", za0010)
 					return
 				}
-				if zb0017 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0017}
+				if zb0013 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0013}
 					return
 				}
-				z.Refusing[za0011].ID, bts, err = msgp.ReadStringBytes(bts)
+				z.Refusing[za0010].ID, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0011, "ID")
+					err = msgp.WrapError(err, "Refusing", za0010, "ID")
 					return
 				}
-				z.Refusing[za0011].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+				z.Refusing[za0010].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0011, "StartedMillis")
+					err = msgp.WrapError(err, "Refusing", za0010, "StartedMillis")
 					return
 				}
-				z.Refusing[za0011].AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
+				z.Refusing[za0010].AgeMillis, bts, err = msgp.ReadUint32Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Refusing", za0011, "AgeMillis")
+					err = msgp.WrapError(err, "Refusing", za0010, "AgeMillis")
 					return
 				}
 			}
 		case "leaving":
-			var zb0018 uint32
-			zb0018, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0014 uint32
+			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-			if zb0018 > 16384 {
+			if zb0014 > 16384 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Leaving) >= int(zb0018) {
-				z.Leaving = (z.Leaving)[:zb0018]
+			if cap(z.Leaving) >= int(zb0014) {
+				z.Leaving = (z.Leaving)[:zb0014]
 			} else {
-				z.Leaving = make([]EndpointLeave, zb0018)
+				z.Leaving = make([]EndpointLeave, zb0014)
 			}
-			for za0012 := range z.Leaving {
-				var zb0019 uint32
-				zb0019, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			for za0011 := range z.Leaving {
+				var zb0015 uint32
+				zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0012)
+					err = msgp.WrapError(err, "Leaving", za0011)
 					return
 				}
-				if zb0019 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0019}
+				if zb0015 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0015}
 					return
 				}
-				z.Leaving[za0012].ID, bts, err = msgp.ReadStringBytes(bts)
+				z.Leaving[za0011].ID, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0012, "ID")
+					err = msgp.WrapError(err, "Leaving", za0011, "ID")
 					return
 				}
-				z.Leaving[za0012].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
+				z.Leaving[za0011].StartedMillis, bts, err = msgp.ReadInt64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Leaving", za0012, "StartedMillis")
+					err = msgp.WrapError(err, "Leaving", za0011, "StartedMillis")
 					return
 				}
 			}
@@ -5230,48 +4775,48 @@
 				return
 			}
 		case "evacuated":
-			var zb0020 uint32
-			zb0020, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0016 uint32
+			zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-			if zb0020 > 4096 {
+			if zb0016 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Evacuated) >= int(zb0020) {
-				z.Evacuated = (z.Evacuated)[:zb0020]
+			if cap(z.Evacuated) >= int(zb0016) {
+				z.Evacuated = (z.Evacuated)[:zb0016]
 			} else {
-				z.Evacuated = make([]string, zb0020)
+				z.Evacuated = make([]string, zb0016)
 			}
-			for za0013 := range z.Evacuated {
-				z.Evacuated[za0013], bts, err = msgp.ReadStringBytes(bts)
+			for za0012 := range z.Evacuated {
+				z.Evacuated[za0012], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Evacuated", za0013)
+					err = msgp.WrapError(err, "Evacuated", za0012)
 					return
 				}
 			}
 		case "evacuationsHeld":
-			var zb0021 uint32
-			zb0021, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0017 uint32
+			zb0017, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "EvacuationsHeld")
 				return
 			}
-			if zb0021 > 4096 {
+			if zb0017 > 4096 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.EvacuationsHeld) >= int(zb0021) {
-				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0021]
+			if cap(z.EvacuationsHeld) >= int(zb0017) {
+				z.EvacuationsHeld = (z.EvacuationsHeld)[:zb0017]
 			} else {
-				z.EvacuationsHeld = make([]string, zb0021)
+				z.EvacuationsHeld = make([]string, zb0017)
 			}
-			for za0014 := range z.EvacuationsHeld {
-				z.EvacuationsHeld[za0014], bts, err = msgp.ReadStringBytes(bts)
+			for za0013 := range z.EvacuationsHeld {
+				z.EvacuationsHeld[za0013], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "EvacuationsHeld", za0014)
+					err = msgp.WrapError(err, "EvacuationsHeld", za0013)
 					return
 				}
 			}
@@ -5281,6 +4826,12 @@
 				err = msgp.WrapError(err, "StoresOrigins")
 				return
 			}
+		case "partCrashes":
+			z.PartCrashes, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PartCrashes")
+				return
+			}
 		case "storeEra":
 			z.StoreEra, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -5321,48 +4872,45 @@
 	}
 	s += 8 + msgp.ArrayHeaderSize
 	for za0004 := range z.Crashes {
-		s += 1 + 7 + msgp.BytesPrefixSize + len(z.Crashes[za0004].Digest) + 7 + msgp.ArrayHeaderSize
-		for za0005 := range z.Crashes[za0004].Losses {
-			s += 1 + msgp.StringPrefixSize + len(z.Crashes[za0004].Losses[za0005].Address) + msgp.Int64Size
-		}
+		s += z.Crashes[za0004].Msgsize()
 	}
 	s += 7 + msgp.ArrayHeaderSize
-	for za0006 := range z.Stages {
-		s += z.Stages[za0006].Msgsize()
+	for za0005 := range z.Stages {
+		s += z.Stages[za0005].Msgsize()
 	}
 	s += 13 + msgp.ArrayHeaderSize
-	for za0007 := range z.StageClasses {
-		s += z.StageClasses[za0007].Msgsize()
+	for za0006 := range z.StageClasses {
+		s += z.StageClasses[za0006].Msgsize()
 	}
 	s += 12 + msgp.ArrayHeaderSize
-	for za0008 := range z.Unreachable {
-		s += 1 + msgp.StringPrefixSize + len(z.Unreachable[za0008].ID) + msgp.Int64Size + msgp.Uint32Size
+	for za0007 := range z.Unreachable {
+		s += 1 + msgp.StringPrefixSize + len(z.Unreachable[za0007].ID) + msgp.Int64Size + msgp.Uint32Size
 	}
 	s += 7 + msgp.ArrayHeaderSize
-	for za0009 := range z.Limits {
-		s += z.Limits[za0009].Msgsize()
+	for za0008 := range z.Limits {
+		s += z.Limits[za0008].Msgsize()
 	}
 	s += 8 + msgp.ArrayHeaderSize
-	for za0010 := range z.Fragile {
-		s += z.Fragile[za0010].Msgsize()
+	for za0009 := range z.Fragile {
+		s += z.Fragile[za0009].Msgsize()
 	}
 	s += 9 + msgp.ArrayHeaderSize
-	for za0011 := range z.Refusing {
-		s += 1 + msgp.StringPrefixSize + len(z.Refusing[za0011].ID) + msgp.Int64Size + msgp.Uint32Size
+	for za0010 := range z.Refusing {
+		s += 1 + msgp.StringPrefixSize + len(z.Refusing[za0010].ID) + msgp.Int64Size + msgp.Uint32Size
 	}
 	s += 8 + msgp.ArrayHeaderSize
-	for za0012 := range z.Leaving {
-		s += 1 + msgp.StringPrefixSize + len(z.Leaving[za0012].ID) + msgp.Int64Size
+	for za0011 := range z.Leaving {
+		s += 1 + msgp.StringPrefixSize + len(z.Leaving[za0011].ID) + msgp.Int64Size
 	}
 	s += 16 + msgp.Int64Size + 13 + msgp.Int64Size + 14 + msgp.Int64Size + 10 + msgp.ArrayHeaderSize
-	for za0013 := range z.Evacuated {
-		s += msgp.StringPrefixSize + len(z.Evacuated[za0013])
+	for za0012 := range z.Evacuated {
+		s += msgp.StringPrefixSize + len(z.Evacuated[za0012])
 	}
 	s += 16 + msgp.ArrayHeaderSize
-	for za0014 := range z.EvacuationsHeld {
-		s += msgp.StringPrefixSize + len(z.EvacuationsHeld[za0014])
+	for za0013 := range z.EvacuationsHeld {
+		s += msgp.StringPrefixSize + len(z.EvacuationsHeld[za0013])
 	}
-	s += 14 + msgp.BoolSize + 9 + msgp.Int64Size + 13 + msgp.Int64Size
+	s += 14 + msgp.BoolSize + 12 + msgp.Uint32Size + 9 + msgp.Int64Size + 13 + msgp.Int64Size
 	return
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -125,6 +125,9 @@
 	retries   *retrier.Shared
 	// quarantiner tracks content that crashes endpoints, as seen here and by peers.
 	quarantiner *quarantiner.Quarantiner
+	// parts tracks parts of prompts that crash endpoints, as seen here and by peers.
+	parts     *quarantiner.Parts
+	partPeers partPeers
 	// paths decides whether calls go to endpoints directly or through peers.
 	paths *pathfinder.Finder
 	// evacuator tracks the zones whose endpoints receive no new work, warmer limits the calls from this entry to cold
@@ -245,6 +248,8 @@
 		origins:     newOrigins(cfg.FirstStart),
 		paths:       pathfinder.New(),
 		quarantiner: quarantiner.New(quarantiner.Config{}),
+		parts:       quarantiner.NewParts(quarantiner.PartsConfig{}),
+		partPeers:   newPartPeers(),
 		evacuator:   evacuator.New(),
 		warmer:      g.warmer,
 		regulator:   g.regulator,
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -14,6 +14,7 @@
 	"geraniumline/cataloger"
 	"geraniumline/guarder"
 	"geraniumline/meter"
+	"geraniumline/quarantiner"
 	"geraniumline/registrar"
 	"geraniumline/selector"
 )
@@ -63,9 +64,14 @@
 	headerSent bool
 	// status is the status of the endpoint's response.
 	status int
-	// answerBegan is set once the endpoint of the present attempt has begun its answer: with the first event of a stream, or
-	// with a whole response.
+	// parts are the parts of the prompt that other requests may have too.
+	parts []quarantiner.Part
+	// trial is set while the request is sent as the trial of a part that crashes endpoints.
+	trial bool
+	// answerBegan is set once the endpoint of the present attempt has sent the first event of a stream.
 	answerBegan bool
+	// crashChecked is closed once it was checked whether the endpoint of the last broken attempt crashed; nil if none broke.
+	crashChecked <-chan struct{}
 	// untilClose is set if the body of the last response of an endpoint ends with its connection.
 	untilClose bool
 	// streamVersion is the software version of the endpoint that began the stream, at which alone it may go on; nil before
@@ -109,6 +115,9 @@
 	if failure := x.checkQuarantine(); failure != nil {
 		return failure
 	}
+	if failure := x.checkParts(); failure != nil {
+		return failure
+	}
 	if failure := x.checkAvailable(); failure != nil {
 		return failure
 	}
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -126,35 +126,43 @@
 func newMeshInZones(t testing.TB, n, zones int, capacity func(name string) int) *mesh {
 	t.Helper()
 	m := &mesh{t: t, nodes: map[string]*Forwarder{}, cut: map[string]bool{}, sent: map[string]int{}, heartbeatsReceived: map[string]int{}, now: time.Now()}
-	for i := range n {
-		name := fmt.Sprintf("entry-%d", i)
-		f := New(Config{
-			Name:          name,
-			Zone:          fmt.Sprintf("z%d", i%zones),
-			CallerAddress: "caller-" + name,
-			PeerAddress:   name,
-			Seeds:         []string{"entry-0"},
-			Incarnation:   1,
-			Capacity:      capacity(name),
-			AddressTTL:    time.Second,
-			RetryRatio:    0.2,
-			RetrySlack:    54,
-			FirstStart:    true,
-			Wire:          noWire{},
-			Client:        connector.New(connector.Config{}),
-			DecodeConfig:  decodeTestConfig,
-			Log:           zap.NewNop(),
-		}, m.now.Add(-settleTime))
-		f.SetSender(port{m, name})
-		m.nodes[name] = f
-		require.NoError(t, f.ApplyConfig([]byte("1"), "test", m.now))
-		f.RecordStoreResponse(0, m.now)
-		f.ReplaceEndpoints(nil, locator.At(0, 0), m.now)
+	for range n {
+		m.add(zones, capacity)
 	}
 	m.sendHeartbeats(5)
 	return m
 }
 
+// add starts another entry, in one of the availability zones in turn.
+func (m *mesh) add(zones int, capacity func(name string) int) *Forwarder {
+	m.t.Helper()
+	i := len(m.nodes)
+	name := fmt.Sprintf("entry-%d", i)
+	f := New(Config{
+		Name:          name,
+		Zone:          fmt.Sprintf("z%d", i%zones),
+		CallerAddress: "caller-" + name,
+		PeerAddress:   name,
+		Seeds:         []string{"entry-0"},
+		Incarnation:   1,
+		Capacity:      capacity(name),
+		AddressTTL:    time.Second,
+		RetryRatio:    0.2,
+		RetrySlack:    54,
+		FirstStart:    true,
+		Wire:          noWire{},
+		Client:        connector.New(connector.Config{}),
+		DecodeConfig:  decodeTestConfig,
+		Log:           zap.NewNop(),
+	}, m.now.Add(-settleTime))
+	f.SetSender(port{m, name})
+	m.nodes[name] = f
+	require.NoError(m.t, f.ApplyConfig([]byte("1"), "test", m.now))
+	f.RecordStoreResponse(0, m.now)
+	f.ReplaceEndpoints(nil, locator.At(0, 0), m.now)
+	return f
+}
+
 // sendHeartbeats sends the heartbeats of all entries. In each round all of them are sent at the same time: with the
 // clock read for each entry, the heartbeats of 80 entries on a busy machine would fall in several rounds.
 func (m *mesh) sendHeartbeats(rounds int) {
--- a/forwarder/note.go
+++ b/forwarder/note.go
@@ -104,6 +104,7 @@
 	m.Gauge(meter.EndpointsCold).Update(int64(f.selector.ColdCount(now)))
 	f.updateNoticeGauges(now)
 	f.updatePathGauges()
+	f.updatePartGauges()
 	f.updateSpeeds(now)
 	f.updateRetryGauges(now)
 	m.Gauge(meter.PeersLive).Update(int64(len(f.liveAddresses())))
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -46,6 +46,8 @@
 	message.Limits, message.Leaving, message.Refusing = f.limits(now), f.leaving(), f.refusals(now)
 	message.Unreachable, message.Fragile = f.unreachable(now), f.fragile(now)
 	message.StoresOrigins = true
+	changedParts := f.partChanges(now)
+	message.PartCrashes = f.parts.Sum()
 	message.StoreEra, message.EndpointsEra = f.storeEra, f.registry.Next().Era()
 	message.ConfigAgeMillis = min(now.Sub(f.configReadAt), maxConfigAge).Milliseconds()
 	f.round++
@@ -55,8 +57,15 @@
 	introductions := f.detector.Introductions(now)
 	peerQueries := f.peerQueries(now)
 	actions := append(f.applyTransitions(transitions, now), f.replicatePending(now)...)
+	var partTargets []string
+	if changedParts != nil {
+		partTargets = f.partTargets(heartbeatTargets)
+	}
 	f.mu.Unlock()
 	runActions(actions)
+	for _, address := range partTargets {
+		f.sender.Send(address, changedParts)
+	}
 	for _, address := range heartbeatTargets {
 		f.sender.Send(address, message)
 	}
@@ -194,7 +203,9 @@
 				// Entries that have no era yet send 0.
 				f.applyEra(m.StoreEra, m.From.Name)
 			}
-			actions := append(f.applyPeerEvacuations(m, now), f.queryNewerEra(from, m.EndpointsEra, now)...)
+			actions := f.applyPartSum(from, m.PartCrashes, now)
+			actions = append(actions, f.applyPeerEvacuations(m, now)...)
+			actions = append(actions, f.queryNewerEra(from, m.EndpointsEra, now)...)
 			actions = append(actions, f.applyLeaving(m.Leaving, m.From.Name, now)...)
 			actions = append(actions, f.applyTransitions(f.detector.Receive(m, now), now)...)
 			if query, unknown := f.detector.MemberQuery(m, now); unknown {
@@ -240,6 +251,12 @@
 		f.withLock(func() []func() { return f.answerOrigin(from, m, now) })
 	case *carrier.OriginReply:
 		f.withLock(func() []func() { f.deliverOrigin(from, m); return nil })
+	case *carrier.PartCrashes:
+		f.withLock(func() []func() { f.applyPartCrashes(m, now); return nil })
+	case *carrier.TrialCall:
+		f.withLock(func() []func() { return f.answerTrialCall(from, m, now) })
+	case *carrier.TrialReply:
+		f.withLock(func() []func() { f.deliverTrialReply(m); return nil })
 	default:
 		f.log.Warn("unexpected message kind from peer", zap.String("peer", from), zap.Uint8("kind", uint8(m.Kind())))
 	}
@@ -276,6 +293,7 @@
 		}
 		f.selector.SetPeerWork(t.Member.Name, nil)
 		delete(f.origins.storesOrigins, t.Member.Name)
+		delete(f.partPeers.tracks, t.Member.Name)
 		for service, p := range f.pools {
 			effects := p.Reduce(collector.OriginLost{Origin: t.Member.Name}, now)
 			actions = append(actions, f.performAll(service, p, effects)...)
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -29,6 +29,9 @@
 		if !x.allowAttempt() {
 			return x.giveUp("noEndpointTook")
 		}
+		if failure := x.allowParts(); failure != nil {
+			return failure
+		}
 		choice, found := x.awaitEndpoint(selector.Query{})
 		if !found {
 			return x.noEndpoint()
@@ -64,6 +67,9 @@
 	}
 	x.endTimedCall(choice, bad, time.Since(startTime))
 	x.recordContentServed()
+	if isSuccess(resp.Status()) {
+		x.recordPartsAnswered(time.Now())
+	}
 	x.writeResponse(resp, body)
 	return true, nil
 }
@@ -134,3 +140,9 @@
 		h[name] = values
 	}
 }
+
+// isSuccess reports whether a status says that the request was answered. An endpoint may fail a request without beginning
+// to work on it.
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -65,7 +65,10 @@
 		if failure := stages.restoreInputs(); failure != nil {
 			return x.giveUp(failure.Reason)
 		}
-		choice, found := x.awaitEndpoint(selector.Query{Parts: x.req.Parts, ZoneBytes: stages.plan.InputBytesByZone()})
+		if failure := x.allowParts(); failure != nil {
+			return failure
+		}
+		choice, found := x.awaitEndpoint(x.promptQuery(stages.plan.InputBytesByZone()))
 		if !found {
 			return x.noEndpoint()
 		}
@@ -263,6 +266,7 @@
 		zap.Duration("stagesTook", sent.Sub(x.startTime)),
 		zap.Duration("modelTook", took),
 		zap.Duration("predicted", choice.FirstEvent))
+	x.recordPartsAnswered(time.Now())
 	x.f.withLock(func() []func() {
 		now := sent.Add(took)
 		x.f.observeFirstEvent(*choice, took, now)
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -10,4 +10,5 @@
 	"$bin/ogen" --config schema/ogen.yml --target "${api}server" --package "${api}server" --clean "schema/$api.yaml"
 done
 "$bin/msgp" -file carrier/schema.go -o carrier/schema_gen.go -tests=false
+"$bin/msgp" -file carrier/crash.go -o carrier/crash_gen.go -tests=false
 "$bin/msgp" -file recorder/schema.go -o recorder/schema_gen.go -tests=false
