Count crashes that only peers, or the next process at an address, show

Callers at an entry that can't reach endpoints directly saw a part of prompts crash one endpoint after the other. Cause: a broken exchange counted only if the entry itself was refused a connection 20 ms later. Behind a partition its own connection attempts time out, and an endpoint that is back at once, under another ID, accepts them. Refused connections behind a partition counted, though peers reach the endpoint.

Broken exchanges are now kept for 3 s, and count once their endpoint has ended: its address refuses a connection here, a peer reports that it does, or another process answers a call for it with 421. A peer that relays checks the address after a call that broke off and reports it in heartbeats, so that the entry which knows the request counts it. Refused connections don't count while peers reach the endpoint.

--- a/assembler/prompt_test.go
+++ b/assembler/prompt_test.go
@@ -32,20 +32,26 @@
 	path    string
 	// entries are those that the requests are sent to, in turn.
 	entries []int
-	sent    int
-	started int
+	// replaced makes another process answer at the address of an endpoint as soon as it has crashed.
+	replaced bool
+	sent     int
+	started  int
 }
 
 // startEndpoints starts endpoints of the service until n of them have not crashed.
 func (p *partTrial) startEndpoints(n int) {
 	for _, e := range p.f.site.Endpoints {
-		if e.Crashed() {
+		if e.Crashed() && !p.replaced {
 			p.f.site.Remove(e)
 		}
 	}
 	for alive := p.alive(); alive < n; alive++ {
 		p.started++
-		p.f.site.Start(fmt.Sprintf("i-%s-new-%d", p.service, p.started), p.service, p.kind).CrashOnPart(guiltyPart)
+		e := p.f.site.Start(fmt.Sprintf("i-%s-new-%d", p.service, p.started), p.service, p.kind)
+		e.CrashOnPart(guiltyPart)
+		if p.replaced {
+			e.KeepAddress()
+		}
 	}
 }
 
@@ -114,16 +120,18 @@
 		kind     imitator.Kind
 		path     string
 		relayed  bool
+		replaced bool
 	}{
-		{"stream", "model", imitator.Model, imitator.StreamPath, false},
-		{"resumableStream", "model", imitator.Model, imitator.ResumePath, false},
-		{"plain", "plain", imitator.Plain, imitator.PlainPath, false},
-		{"relayed", "model", imitator.Model, imitator.StreamPath, true},
+		{"stream", "model", imitator.Model, imitator.StreamPath, false, false},
+		{"resumableStream", "model", imitator.Model, imitator.ResumePath, false, false},
+		{"plain", "plain", imitator.Plain, imitator.PlainPath, false, false},
+		{"relayed", "model", imitator.Model, imitator.StreamPath, true, false},
+		{"replacedAtOnce", "model", imitator.Model, imitator.StreamPath, false, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.testName, func(t *testing.T) {
 			t.Parallel()
-			p := &partTrial{f: newFleet(t, 3), service: tt.service, kind: tt.kind, path: tt.path, entries: []int{0, 1, 2}}
+			p := &partTrial{f: newFleet(t, 3), service: tt.service, kind: tt.kind, path: tt.path, replaced: tt.replaced, entries: []int{0, 1, 2}}
 			if tt.relayed {
 				partition := newPartition()
 				p.f.startWith(startOptions{partition: partition})
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -108,6 +108,7 @@
 	end := ejector.Bad
 	if unsent.Refused() {
 		end = ejector.Down
+		x.f.recordRefusedConnection(&choice.Endpoint)
 	}
 	x.endCall(choice, end, true)
 }
--- /dev/null
+++ b/forwarder/crash_test.go
@@ -0,0 +1,63 @@
+package forwarder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"geraniumline/carrier"
+	"geraniumline/locator"
+	"geraniumline/quarantiner"
+	"geraniumline/registrar"
+)
+
+// Guards against crashes that count twice, or for requests that had nothing to do with them, when peers report the end of
+// an endpoint.
+func TestEndsReportedByPeersCountForBrokenExchanges(t *testing.T) {
+	tests := []struct {
+		testName string
+		// reportAge is the age of the peer's observation, reportedAfter when its heartbeat arrives after the exchange broke.
+		reportAge, reportedAfter time.Duration
+		want                     int
+	}{
+		{"after the exchange broke", 20 * time.Millisecond, 100 * time.Millisecond, 1},
+		{"long before the exchange broke", 2 * time.Second, 100 * time.Millisecond, 0},
+		{"long after the exchange broke", 0, 4 * time.Second, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.testName, func(t *testing.T) {
+			m := newMesh(t, 2)
+			f, broke := m.nodes["entry-0"], m.now
+			change := endpointChange("e1")
+			f.ReplaceEndpoints([]registrar.Change{change}, locator.At(0, 5), broke)
+			f.mu.Lock()
+			f.broken.add(&brokenExchange{endpoint: *change.Endpoint, parts: []quarantiner.Part{guiltyPart}, at: broke})
+			now := broke.Add(tt.reportedAfter)
+			f.partChanges(now)
+			report := []carrier.EndpointRefusal{{ID: "e1", AgeMillis: uint32(tt.reportAge.Milliseconds())}}
+			f.applyUnreachable(report, "entry-1", now)
+			f.applyUnreachable(report, "entry-1", now)
+			_, suspected := f.parts.Counts()
+			f.mu.Unlock()
+			require.Equal(t, tt.want, suspected)
+		})
+	}
+}
+
+// Guards against an entry that has lost its links to endpoints and takes all of them for crashed.
+func TestRefusedConnectionsBehindAPartitionCountForNothing(t *testing.T) {
+	m := newMesh(t, 2)
+	f := m.nodes["entry-0"]
+	change := endpointChange("e1")
+	f.mu.Lock()
+	f.paths.RecordFailed(change.Endpoint.Address, true, m.now)
+	f.paths.RecordRelayed(change.Endpoint.Address, "entry-1", m.now)
+	f.broken.add(&brokenExchange{endpoint: *change.Endpoint, parts: []quarantiner.Part{guiltyPart}, at: m.now})
+	f.mu.Unlock()
+	f.recordRefusedConnection(change.Endpoint)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, suspected := f.parts.Counts()
+	require.Zero(t, suspected)
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -128,6 +128,8 @@
 	// parts tracks parts of prompts that crash endpoints, as seen here and by peers.
 	parts     *quarantiner.Parts
 	partPeers partPeers
+	// broken holds the exchanges whose endpoint may have crashed.
+	broken brokenExchanges
 	// paths decides whether calls go to endpoints directly or through peers.
 	paths *pathfinder.Finder
 	// evacuator tracks the zones whose endpoints receive no new work, warmer limits the calls from this entry to cold
@@ -250,6 +252,7 @@
 		quarantiner: quarantiner.New(quarantiner.Config{}),
 		parts:       quarantiner.NewParts(quarantiner.PartsConfig{}),
 		partPeers:   newPartPeers(),
+		broken:      make(brokenExchanges),
 		evacuator:   evacuator.New(),
 		warmer:      g.warmer,
 		regulator:   g.regulator,
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -70,6 +70,7 @@
 		if !f.registry.Contains(e.ID, e.Started) || !f.regulator.MarkEnded(e, f.registry.Next(), now) {
 			return nil
 		}
+		f.recordProcessEnd(e.ID, e.Started, now)
 		f.cfg.Meter.Counter(meter.EndpointsEnded, e.Service).Inc(1)
 		f.logNotice("endpoint has ended", zap.String("endpoint", e.ID), zap.String("address", e.Address))
 		return f.endpointsChanged(now)
@@ -262,6 +263,7 @@
 			continue
 		}
 		at := now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)
+		f.recordProcessEnd(m.ID, fromUnixMillis(m.StartedMillis), at)
 		if f.selector.RecordPeerUnreachable(from, m.ID, at, now) {
 			f.logNotice("endpoint avoided, peer could not reach it", zap.String("endpoint", m.ID), zap.String("peer", from))
 		}
--- a/forwarder/relayserver.go
+++ b/forwarder/relayserver.go
@@ -87,6 +87,7 @@
 	}
 	if err != nil {
 		f.cfg.Meter.Counter(meter.ServedRelays, relayFailed).Inc(1)
+		f.checkRelayedCrash(endpoint)
 		f.log.Info("call of a peer failed", zap.String("peer", from), zap.String("endpoint", endpoint.ID), zap.Error(err))
 		return
 	}
--- a/forwarder/trial.go
+++ b/forwarder/trial.go
@@ -129,6 +129,7 @@
 // be held.
 func (f *Forwarder) partChanges(now time.Time) *carrier.PartCrashes {
 	f.partPeers.repairs = 0
+	f.broken.expire(now)
 	f.parts.Expire(now)
 	list := f.parts.Changes(now)
 	if len(list) == 0 {
--- a/selector/unreachable.go
+++ b/selector/unreachable.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumline/ejector"
+	"geraniumline/registrar"
 	"geraniumline/regulator"
 )
 
@@ -54,6 +55,15 @@
 	return e.pool.health.RecordOutcome(&e.health, ejector.Down, false, now)
 }
 
+// RecordProcessEnd records that no process listens any more at the address of an endpoint, which another entry's call has shown.
+func (s *Selector) RecordProcessEnd(id string, started, now time.Time) {
+	e, known := s.byID[id]
+	if known && e.SameIncarnation(&registrar.Endpoint{ID: id, Started: started}) {
+		s.recordReachability(e, ejector.Down, now)
+		e.pool.health.RecordOutcome(&e.health, ejector.Down, false, now)
+	}
+}
+
 // Unreachable lists the endpoints that recently refused connections of this entry, sorted by ID. Pools most of which are
 // unreachable are left out, since the cause then probably lies with this entry.
 func (s *Selector) Unreachable(now time.Time) []Refusal {
