Send crashes under parts to peers that are heard, not to the targets of heartbeats

In a mesh of 200 entries, some crashes reached only a part of the entries, and each entry took another one for the grantor of a part's trials. Cause: changes went to those targets of a heartbeat whose release is known to track parts; with gossip these are one or two of ten, as other peers are heard than are sent to, so that the spread often died out. The grantor was chosen among the peers heard directly, which differ from entry to entry.

Changes now go to ten random peers that are heard directly, the grantor is chosen among all live members.

--- a/forwarder/parts_test.go
+++ b/forwarder/parts_test.go
@@ -58,19 +58,23 @@
 
 // Guards against a trial of the same part at each entry.
 func TestOneEntryGrantsTheTrialsOfAPart(t *testing.T) {
-	m := newMesh(t, 7)
-	for crash := range 3 {
-		m.recordPartCrash(crash, crash)
-	}
-	m.step(contactTime)
-	granted := 0
-	for name := range m.nodes {
-		x := &exchange{f: m.nodes[name], ctx: t.Context(), parts: []quarantiner.Part{guiltyPart}}
-		if x.takeTrial(guiltyPart) {
-			granted++
-		}
+	for _, n := range []int{1, 7, 200} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			m := newMesh(t, n)
+			for crash := range 3 {
+				m.recordPartCrash(crash%n, crash)
+			}
+			m.step(contactTime)
+			granted := 0
+			for name := range m.nodes {
+				x := &exchange{f: m.nodes[name], ctx: t.Context(), parts: []quarantiner.Part{guiltyPart}}
+				if x.takeTrial(guiltyPart) {
+					granted++
+				}
+			}
+			require.Equal(t, 1, granted)
+		})
 	}
-	require.Equal(t, 1, granted)
 }
 
 // Guards against messages that a peer of an earlier release can't decode, which would end the connection to it.
@@ -79,9 +83,8 @@
 	f := m.nodes["entry-0"]
 	f.mu.Lock()
 	f.applyPartSum("entry-1", 0, m.now)
-	require.Equal(t, []string{"entry-2"}, f.partTargets([]string{"entry-1", "entry-2"}))
-	for part := range quarantiner.Part(100) {
-		require.NotEqual(t, "entry-1", f.trialOwner(part))
-	}
+	require.Equal(t, []string{"entry-2"}, f.partTargets())
+	require.False(t, f.grantsTrials("entry-1"))
+	require.True(t, f.grantsTrials("entry-2"))
 	f.mu.Unlock()
 }
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -59,7 +59,7 @@
 	actions := append(f.applyTransitions(transitions, now), f.replicatePending(now)...)
 	var partTargets []string
 	if changedParts != nil {
-		partTargets = f.partTargets(heartbeatTargets)
+		partTargets = f.partTargets()
 	}
 	f.mu.Unlock()
 	runActions(actions)
@@ -293,7 +293,7 @@
 		}
 		f.selector.SetPeerWork(t.Member.Name, nil)
 		delete(f.origins.storesOrigins, t.Member.Name)
-		delete(f.partPeers.tracks, t.Member.Name)
+		f.partPeers.forget(t.Member.Name)
 		for service, p := range f.pools {
 			effects := p.Reduce(collector.OriginLost{Origin: t.Member.Name}, now)
 			actions = append(actions, f.performAll(service, p, effects)...)
--- a/forwarder/trial.go
+++ b/forwarder/trial.go
@@ -30,6 +30,8 @@
 	// tracks holds the peers heard directly whose release tracks parts, with the time at which all parts were last sent to
 	// each.
 	tracks map[string]time.Time
+	// earlier holds the peers heard directly whose release doesn't track parts.
+	earlier map[string]bool
 	// repairs counts the peers that all parts were sent to since the last heartbeat.
 	repairs int
 	// calls holds where the replies to this entry's calls for trials go, by the number of the call.
@@ -38,7 +40,13 @@
 }
 
 func newPartPeers() partPeers {
-	return partPeers{tracks: make(map[string]time.Time), calls: make(map[uint64]chan<- bool)}
+	return partPeers{tracks: make(map[string]time.Time), earlier: make(map[string]bool), calls: make(map[uint64]chan<- bool)}
+}
+
+// forget drops what is known of a peer.
+func (p *partPeers) forget(peer string) {
+	delete(p.tracks, peer)
+	delete(p.earlier, peer)
 }
 
 // takeTrial asks the entry that grants the trials of a part for one. It decides alone, so that there is one in the whole
@@ -53,6 +61,11 @@
 		x.logTrial(part, owner, granted)
 		return granted
 	}
+	if !f.grantsTrials(owner) {
+		f.mu.Unlock()
+		x.logTrial(part, owner, false)
+		return false
+	}
 	f.partPeers.lastCall++
 	call := &carrier.TrialCall{CallID: f.partPeers.lastCall}
 	for _, p := range x.parts {
@@ -96,13 +109,20 @@
 func (f *Forwarder) trialOwner(part quarantiner.Part) string {
 	names := []string{f.cfg.Name}
 	for m := range f.detector.All() {
-		if _, tracks := f.partPeers.tracks[m.Name]; tracks && m.Name != f.cfg.Name && m.State == detector.Live {
+		if m.Name != f.cfg.Name && m.State == detector.Live {
 			names = append(names, m.Name)
 		}
 	}
 	return hasher.Top(uint64(part), names, 1)[0]
 }
 
+// grantsTrials reports whether a peer's release grants trials. Of a peer that was not heard directly this is only known if
+// all that were do. The lock must be held.
+func (f *Forwarder) grantsTrials(peer string) bool {
+	_, tracks := f.partPeers.tracks[peer]
+	return tracks || len(f.partPeers.earlier) == 0
+}
+
 // grantTrial grants a trial of parts if one is due. The lock must be held.
 func (f *Forwarder) grantTrial(parts []quarantiner.Part, now time.Time) bool {
 	return f.parts.TakeTrial(parts, f.random.Uint64(), now)
@@ -125,8 +145,7 @@
 	}
 }
 
-// partChanges returns the changes of parts to send to the peers that receive a heartbeat in this round, or nil. The lock must
-// be held.
+// partChanges returns the changes of parts to send to peers, or nil. The lock must be held.
 func (f *Forwarder) partChanges(now time.Time) *carrier.PartCrashes {
 	f.partPeers.repairs = 0
 	f.broken.expire(now)
@@ -138,28 +157,31 @@
 	return &carrier.PartCrashes{Parts: list}
 }
 
-// partTargets returns those of the addresses whose release tracks parts. The lock must be held.
-func (f *Forwarder) partTargets(addresses []string) []string {
-	tracking := make(map[string]bool, len(f.partPeers.tracks))
-	for name := range f.partPeers.tracks {
-		tracking[f.peerAddress(name)] = true
-	}
+// partTargets returns the peers that changes of parts are sent to: all whose release tracks parts, or some of many, which
+// pass on what is new to them. Not all peers that heartbeats go to are known to track them. The lock must be held.
+func (f *Forwarder) partTargets() []string {
 	var targets []string
-	for _, address := range addresses {
-		if tracking[address] {
-			targets = append(targets, address)
+	for m := range f.detector.All() {
+		if _, tracks := f.partPeers.tracks[m.Name]; tracks && f.isRunningPeer(m) {
+			targets = append(targets, m.PeerAddress)
 		}
 	}
-	return targets
+	if len(targets) <= fullRoundPeers {
+		return targets
+	}
+	f.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	return targets[:heartbeatsPerRound]
 }
 
 // applyPartSum compares a peer's checksum of parts with this entry's, and sends all parts to a peer that knows others: one
 // that has just started, or that has missed a change. The lock must be held.
 func (f *Forwarder) applyPartSum(from string, sum uint32, now time.Time) []func() {
 	if sum == 0 {
-		delete(f.partPeers.tracks, from)
+		f.partPeers.forget(from)
+		f.partPeers.earlier[from] = true
 		return nil
 	}
+	delete(f.partPeers.earlier, from)
 	sentAt := f.partPeers.tracks[from]
 	f.partPeers.tracks[from] = sentAt
 	unsettled := now.Sub(f.parts.ChangedAt()) < partSettleTime
