Count crashes of two processes at one address twice

The crash of content that had crashed the process before at the same address did not count, so that the content went on to a third endpoint. Cause: losses were named by the address, which other processes use again; within 10 s a second loss there counted as a report of the first one. Losses are now named by the process (its ID and start). TestCrashesOfTwoProcessesAtOneAddressCountTwice failed before. The stages of geraniumline entry still name addresses, as its endpoints have no other name. While a release is rolled out, a loss that entries of both releases saw for the same content counts twice.

--- a/carrier/crash.go
+++ b/carrier/crash.go
@@ -4,10 +4,11 @@
 
 //msgp:tuple CrashLoss PartObservation CrashedPart
 
-// CrashLoss is the loss of one endpoint. Entries that observed the same loss report the same address and nearly the
+// CrashLoss is the loss of one endpoint. Entries that observed the same loss report the same endpoint and nearly the
 // same age.
 type CrashLoss struct {
-	Address   string
+	// Endpoint is the endpoint's process, or its address where processes are not known.
+	Endpoint  string
 	AgeMillis int64
 }
 
--- a/carrier/crash_gen.go
+++ b/carrier/crash_gen.go
@@ -18,9 +18,9 @@
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
-	z.Address, err = dc.ReadString()
+	z.Endpoint, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "Address")
+		err = msgp.WrapError(err, "Endpoint")
 		return
 	}
 	z.AgeMillis, err = dc.ReadInt64()
@@ -38,9 +38,9 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Address)
+	err = en.WriteString(z.Endpoint)
 	if err != nil {
-		err = msgp.WrapError(err, "Address")
+		err = msgp.WrapError(err, "Endpoint")
 		return
 	}
 	err = en.WriteInt64(z.AgeMillis)
@@ -56,7 +56,7 @@
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 2
 	o = append(o, 0x92)
-	o = msgp.AppendString(o, z.Address)
+	o = msgp.AppendString(o, z.Endpoint)
 	o = msgp.AppendInt64(o, z.AgeMillis)
 	return
 }
@@ -73,9 +73,9 @@
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
-	z.Address, bts, err = msgp.ReadStringBytes(bts)
+	z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Address")
+		err = msgp.WrapError(err, "Endpoint")
 		return
 	}
 	z.AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
@@ -89,7 +89,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z CrashLoss) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Endpoint) + msgp.Int64Size
 	return
 }
 
@@ -151,9 +151,9 @@
 					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
 					return
 				}
-				z.Losses[za0001].Address, err = dc.ReadString()
+				z.Losses[za0001].Endpoint, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Losses", za0001, "Address")
+					err = msgp.WrapError(err, "Losses", za0001, "Endpoint")
 					return
 				}
 				z.Losses[za0001].AgeMillis, err = dc.ReadInt64()
@@ -202,9 +202,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Losses[za0001].Address)
+		err = en.WriteString(z.Losses[za0001].Endpoint)
 		if err != nil {
-			err = msgp.WrapError(err, "Losses", za0001, "Address")
+			err = msgp.WrapError(err, "Losses", za0001, "Endpoint")
 			return
 		}
 		err = en.WriteInt64(z.Losses[za0001].AgeMillis)
@@ -229,7 +229,7 @@
 	for za0001 := range z.Losses {
 		// array header, size 2
 		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Losses[za0001].Address)
+		o = msgp.AppendString(o, z.Losses[za0001].Endpoint)
 		o = msgp.AppendInt64(o, z.Losses[za0001].AgeMillis)
 	}
 	return
@@ -302,9 +302,9 @@
 					err = msgp.ArrayError{Wanted: 2, Got: zb0004}
 					return
 				}
-				z.Losses[za0001].Address, bts, err = msgp.ReadStringBytes(bts)
+				z.Losses[za0001].Endpoint, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Losses", za0001, "Address")
+					err = msgp.WrapError(err, "Losses", za0001, "Endpoint")
 					return
 				}
 				z.Losses[za0001].AgeMillis, bts, err = msgp.ReadInt64Bytes(bts)
@@ -329,7 +329,7 @@
 func (z *CrashMark) Msgsize() (s int) {
 	s = 1 + 7 + msgp.BytesPrefixSize + len(z.Digest) + 7 + msgp.ArrayHeaderSize
 	for za0001 := range z.Losses {
-		s += 1 + msgp.StringPrefixSize + len(z.Losses[za0001].Address) + msgp.Int64Size
+		s += 1 + msgp.StringPrefixSize + len(z.Losses[za0001].Endpoint) + msgp.Int64Size
 	}
 	return
 }
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -138,7 +138,7 @@
 func (f *Forwarder) recordProcessEnd(id string, started, now time.Time) {
 	process := quarantiner.ProcessOf(id, started)
 	for _, b := range f.broken.take(process, now) {
-		verdict := f.quarantiner.RecordCrash(b.content, b.endpoint.Address, now)
+		verdict := f.quarantiner.RecordCrash(b.content, process.String(), now)
 		f.logPartChanges(f.parts.RecordCrash(b.parts, process, b.at))
 		f.cfg.Meter.Counter(meter.ForwardCrashes).Inc(1)
 		f.log.Warn("endpoint crashed with a request",
--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -61,3 +61,17 @@
 	_, suspected := f.parts.Counts()
 	require.Zero(t, suspected)
 }
+
+// Guards against two crashes that count once since the second process had the address of the first.
+func TestCrashesOfTwoProcessesAtOneAddressCountTwice(t *testing.T) {
+	m := newMesh(t, 2)
+	f, content := m.nodes["entry-0"], quarantiner.Digest{1}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range []string{"e1", "e2"} {
+		e := registrar.Endpoint{ID: id, Service: "plain", Address: "10.0.0.1:80"}
+		f.broken.add(&brokenExchange{endpoint: e, content: content, at: m.now})
+		f.recordProcessEnd(id, e.Started, m.now)
+	}
+	require.Equal(t, quarantiner.Quarantined, f.quarantiner.Verdict(content, m.now))
+}
--- a/quarantiner/part.go
+++ b/quarantiner/part.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,6 +66,9 @@
 	return Process(hasher.Mix(xxhash.Sum64String(endpoint) ^ hasher.Mix(uint64(millis))))
 }
 
+// String returns the name under which a crash of the process is counted against whole contents.
+func (p Process) String() string { return strconv.FormatUint(uint64(p), 16) }
+
 // Parts tracks parts of prompts that crash each endpoint which begins to answer a request with them, whatever else the
 // request has. A crash accuses the parts of all requests that had no answer at the endpoint; an answer that begins later
 // on a part, at any endpoint, acquits it.
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -74,21 +74,21 @@
 
 // loss is the loss of one endpoint.
 type loss struct {
-	address string
-	at      time.Time
+	endpoint string
+	at       time.Time
 }
 
 // add records a loss and reports whether it is new.
-func (m *mark) add(address string, at time.Time) bool {
+func (m *mark) add(endpoint string, at time.Time) bool {
 	for _, l := range m.losses {
-		if l.address == address && l.at.Sub(at).Abs() < sameLossWindow {
+		if l.endpoint == endpoint && l.at.Sub(at).Abs() < sameLossWindow {
 			return false
 		}
 	}
 	if len(m.losses) == maxLosses {
 		return false
 	}
-	m.losses = append(m.losses, loss{address: address, at: at})
+	m.losses = append(m.losses, loss{endpoint: endpoint, at: at})
 	return true
 }
 
@@ -122,30 +122,30 @@
 }
 
 // RecordCrash records the loss of an endpoint that was running the content and returns the resulting verdict. Two
-// calls with the same content that were lost with one endpoint count once.
-func (q *Quarantiner) RecordCrash(digest Digest, address string, now time.Time) Verdict {
+// calls with the same content that were lost with one endpoint count once. The endpoint is named by its process, or by its
+// address where processes are not known.
+func (q *Quarantiner) RecordCrash(digest Digest, endpoint string, now time.Time) Verdict {
 	m := q.mark(digest, now)
 	if !now.Before(m.expires) {
 		m.losses = m.losses[:0]
 	}
-	if m.add(address, now) {
+	if m.add(endpoint, now) {
 		q.refresh(m, now)
 	}
 	return q.Verdict(digest, now)
 }
 
-// CrashedEndpoints returns the addresses of the endpoints that were lost with the content. They must not run it
-// again.
+// CrashedEndpoints returns the endpoints that were lost with the content, as they were named. They must not run it again.
 func (q *Quarantiner) CrashedEndpoints(digest Digest) []string {
 	m, marked := q.marks[digest]
 	if !marked {
 		return nil
 	}
-	addresses := make([]string, 0, len(m.losses))
+	endpoints := make([]string, 0, len(m.losses))
 	for _, l := range m.losses {
-		addresses = append(addresses, l.address)
+		endpoints = append(endpoints, l.endpoint)
 	}
-	return addresses
+	return endpoints
 }
 
 func (q *Quarantiner) refresh(m *mark, lostAt time.Time) {
@@ -200,7 +200,7 @@
 		}
 		sent := carrier.CrashMark{Digest: digest[:]}
 		for _, l := range m.losses {
-			sent.Losses = append(sent.Losses, carrier.CrashLoss{Address: l.address, AgeMillis: now.Sub(l.at).Milliseconds()})
+			sent.Losses = append(sent.Losses, carrier.CrashLoss{Endpoint: l.endpoint, AgeMillis: now.Sub(l.at).Milliseconds()})
 		}
 		marks = append(marks, sent)
 		if len(marks) == maxSentMarks {
@@ -223,7 +223,7 @@
 		m := q.mark(digest, now)
 		for _, l := range marks[i].Losses {
 			age := time.Duration(l.AgeMillis) * time.Millisecond
-			if age >= 0 && age < q.cfg.QuarantineFor && m.add(l.Address, now.Add(-age)) {
+			if age >= 0 && age < q.cfg.QuarantineFor && m.add(l.Endpoint, now.Add(-age)) {
 				q.refresh(m, now.Add(-age))
 			}
 		}
