--- a/forwarder/parts.go
+++ b/forwarder/parts.go
@@ -21,9 +21,6 @@
 	maxCrashCheckWait = 50 * time.Millisecond
 )
 
-// reasonCrashingPart is the reason of a failure if a part of the prompt crashes endpoints.
-const reasonCrashingPart = "crashingPart"
-
 // sharedParts returns the parts of the prompt that other requests may have too: all but the last.
 func (x *exchange) sharedParts() []quarantiner.Part {
 	if len(x.req.Parts) < 2 {
@@ -68,9 +65,9 @@
 
 func (x *exchange) giveUpFor(retryAfter time.Duration) *FailureError {
 	if x.runs > 0 {
-		return mayHaveRun(reasonCrashingPart)
+		return mayHaveRun("crashingPart")
 	}
-	return notRun(reasonCrashingPart, retryAfter)
+	return notRun("crashingPart", retryAfter)
 }
 
 // allowParts returns nil once the request may be sent to an endpoint as far as the parts of its prompt are concerned. A trial
