Send pieces that crash endpoints of a stage without those of other requests

A piece that crashes each endpoint took the pieces of other requests in its calls with it, four times for each attempt of its caller, and nothing was counted against the request. Cause: a call that broke off says nothing about its pieces; evidence of a crash was kept for the request to the model only.

A call whose endpoint refuses connections 20 ms after it broke off has crashed it. The pieces of a group that was in two such calls go without those of others; if that crashes the endpoint too, the group fails, its request ends as not run, and its content is refused everywhere. One crash alone changes nothing, as endpoints crash by chance and smaller calls cost their overhead.

TestContentThatCrashesStagesIsRefused: without the isolation the first attempt crashes four endpoints where three are allowed, and each further one four more; with it three, and none for further attempts.

--- a/assembler/prompt_test.go
+++ b/assembler/prompt_test.go
@@ -160,3 +160,36 @@
 		})
 	}
 }
+
+// Guards against a piece that crashes the endpoints of a stage, as often as its caller sends the request again.
+func TestContentThatCrashesStagesIsRefused(t *testing.T) {
+	f := newFleet(t, 2)
+	for i := range 6 {
+		f.site.Start(fmt.Sprintf("i-encode-new-%d", i), "encode", imitator.Stage)
+	}
+	for _, e := range f.site.Endpoints {
+		e.CrashOnKey("poison")
+	}
+	crashes := func() int {
+		n := 0
+		for _, e := range f.site.Endpoints {
+			n += e.Crashes()
+		}
+		return n
+	}
+	poison := f.newRequest(0, imitator.StagesPath+"document", "poison-1")
+	poison.Pieces = "2,1"
+	require.Equal(t, http.StatusServiceUnavailable, f.call(poison).Status)
+	lost := crashes()
+	require.LessOrEqual(t, lost, 3)
+	time.Sleep(contactTime)
+	for entry := range 2 {
+		again := f.newRequest(entry, imitator.StagesPath+"document", fmt.Sprintf("poison-again-%d", entry))
+		again.Pieces = poison.Pieces
+		require.Equal(t, "60.00", f.call(again).RetryAfter)
+	}
+	sound := f.newRequest(1, imitator.StagesPath+"document-2", "sound")
+	sound.Pieces = poison.Pieces
+	require.Equal(t, http.StatusOK, f.call(sound).Status)
+	require.Equal(t, lost, crashes())
+}
--- a/collector/call.go
+++ b/collector/call.go
@@ -37,6 +37,8 @@
 	id       uint64
 	endpoint *endpoint
 	pieces   []callPiece
+	// isolated is set if the pieces belong to a single group since they may crash endpoints.
+	isolated bool
 	bytes    int64
 	sentAt   time.Time
 	expected time.Duration
@@ -122,10 +124,14 @@
 	for _, g := range p.preferZone(e, waiting) {
 		queuedAhead := queuedByZone[g.PreferredZone]
 		queuedByZone[g.PreferredZone] += len(g.waiting)
+		if c.isolated || g.isolated() && len(pieces) > 0 {
+			continue
+		}
 		if p.waitsForZone(g, e, queuedAhead, now) {
 			continue
 		}
 		late := p.deprioritized(g, now)
+		before := len(pieces)
 		for len(g.waiting) > 0 && len(pieces) < p.cfg.Stage.Batch && g.ResultBytes <= space {
 			segment := g.waiting[0]
 			g.waiting = g.waiting[1:]
@@ -145,6 +151,7 @@
 				g.PreferredZone = e.Zone
 			}
 		}
+		c.isolated = g.isolated() && len(pieces) > before
 		if len(g.waiting) > 0 && len(pieces) < p.cfg.Stage.Batch && g.ResultBytes > space {
 			p.lastSpaceShortage = now
 		}
@@ -268,6 +275,10 @@
 		return
 	}
 	p.recordFailure(c, e.Outcome, now)
+	if e.Outcome == Crashed {
+		p.handleCrash(c)
+		return
+	}
 	for _, m := range c.pieces {
 		if g, known := p.groups[m.id]; known {
 			if e.Outcome == Refused || e.Outcome == Unreachable || e.Outcome == Unanswered {
@@ -279,11 +290,33 @@
 	}
 }
 
+// handleCrash queues the pieces of a call that crashed its endpoint again. A piece that crashes each endpoint would take the
+// others of its call with it each time, so groups that were in two such calls go without others; if that crashes the endpoint
+// too, they fail.
+func (p *Pool) handleCrash(c *call) {
+	counted := make(map[GroupID]bool)
+	for _, m := range c.pieces {
+		g, known := p.groups[m.id]
+		switch {
+		case !known || !g.wants(m.segment):
+		case c.isolated:
+			p.removeWaiting(g, m.segment)
+			p.deliver(g, m.segment, PieceResult{Reason: CrashesEndpoints}, nil)
+		default:
+			if !counted[m.id] {
+				counted[m.id] = true
+				g.crashes++
+			}
+			p.requeue(g, m.segment, Failed)
+		}
+	}
+}
+
 func (p *Pool) recordFailure(c *call, outcome CallOutcome, now time.Time) {
 	switch outcome {
 	case Refused:
 		c.endpoint.backoff.RecordRefusal(refusalBackoff, now)
-	case Unreachable:
+	case Unreachable, Crashed:
 		p.recordHealth(c.endpoint, ejector.Down, outcome, now)
 	default:
 		if !c.overdue {
--- a/collector/collector.go
+++ b/collector/collector.go
@@ -22,6 +22,9 @@
 const (
 	// maxTries is the maximum number of calls that include the same piece.
 	maxTries = 4
+	// isolateAfterCrashes is the number of calls that crashed their endpoints after which a group's pieces go without others.
+	// Endpoints also crash by chance, and each further call costs its overhead.
+	isolateAfterCrashes = 2
 	// overdueFactor is the multiple of a call's expected duration after which its pieces are queued for another
 	// endpoint. The slowest healthy endpoints take 1.6 times as long as the fastest.
 	overdueFactor = 2
--- a/collector/event.go
+++ b/collector/event.go
@@ -83,6 +83,8 @@
 	Evacuated
 	// Throttled pieces have no endpoint that accepts calls before their deadline: all have requested fewer calls.
 	Throttled
+	// CrashesEndpoints pieces were in calls that crashed their endpoints, the last time without pieces of other requests.
+	CrashesEndpoints
 )
 
 // String returns the reason's name in logs and metrics.
@@ -104,6 +106,8 @@
 		return "evacuated"
 	case Throttled:
 		return "heldBack"
+	case CrashesEndpoints:
+		return "crashed"
 	default:
 		return "none"
 	}
@@ -130,6 +134,8 @@
 	Unanswered
 	// Broken calls ended without a usable answer.
 	Broken
+	// Crashed calls broke since their endpoint crashed.
+	Crashed
 )
 
 // String returns the outcome's name in logs.
@@ -143,6 +149,8 @@
 		return "unreachable"
 	case Unanswered:
 		return "unanswered"
+	case Crashed:
+		return "crashed"
 	default:
 		return "broken"
 	}
--- a/collector/group.go
+++ b/collector/group.go
@@ -23,7 +23,9 @@
 	inputsFetched map[int]bool
 	fetchReported bool
 	// tries is the number of calls that included each segment.
-	tries   map[int]int
+	tries map[int]int
+	// crashes is the number of calls with pieces of the group that crashed their endpoints.
+	crashes int
 	arrived time.Time
 	// class is the class of the group's priority.
 	class int
@@ -322,6 +324,9 @@
 	return !g.delivered[segment] && slices.Contains(g.Segments, segment)
 }
 
+// isolated reports whether the group's pieces go in calls without others, since they may crash endpoints.
+func (g *group) isolated() bool { return g.crashes >= isolateAfterCrashes }
+
 // started reports whether any piece of the group is done or in a call.
 func (g *group) started() bool { return len(g.waiting) < len(g.Segments) }
 
--- a/collector/world_test.go
+++ b/collector/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"slices"
 	"time"
 
 	"geraniumline/cataloger"
@@ -21,6 +22,8 @@
 	silent   map[string]bool
 	// outcomes makes calls to endpoints end without results.
 	outcomes map[string]CallOutcome
+	// crashing holds the requests whose pieces crash the endpoint of each call with them.
+	crashing map[string]bool
 	// calls holds all calls sent, delivered all deliveries, deliveredAt the time of each group's last delivery.
 	calls       []SendCall
 	delivered   []Deliver
@@ -78,6 +81,7 @@
 		slowness:    make(map[string]float64),
 		silent:      make(map[string]bool),
 		outcomes:    make(map[string]CallOutcome),
+		crashing:    make(map[string]bool),
 		deliveredAt: make(map[GroupID]time.Time),
 		freeAfter:   300 * time.Millisecond,
 	}
@@ -131,6 +135,10 @@
 		return
 	}
 	took := w.pool.cfg.Stage.CallDuration(len(e.Pieces))
+	if slices.ContainsFunc(e.Pieces, func(p Piece) bool { return w.crashing[p.Request] }) {
+		w.schedule(w.now.Add(took), CallEnded{Call: e.Call, Outcome: Crashed})
+		return
+	}
 	if factor, slow := w.slowness[e.Endpoint.ID]; slow {
 		took = time.Duration(factor * float64(took))
 	}
--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -19,6 +19,7 @@
 	"stageinputGone":    "results of an earlier stage expired before they were used, more than twice; it has not run.",
 	"stagenoRoom":       "no endpoint of the stage had space for its results; it has not run.",
 	"stagefailed":       "its pieces failed in several calls; it has not run. See 'call for pieces failed' for the endpoints.",
+	"stagecrashed":      "its pieces were in calls that crashed endpoints of a stage, the last one without other pieces; it has not run, and its content is refused. See 'call for pieces ended' with end=crashed.",
 	"stagesTimedOut":    "its caller would have disconnected, or its deadline passed, before the stages were done; it has not run.",
 	"entryStops":        "the entry ended its planned stop before the stages were done; it has not run.",
 	"stageResultGone":   "results of a stage had expired, or the process that held them had ended, when the model engine fetched them, and could not be computed again in time; it has not run.",
--- a/forwarder/piececalls.go
+++ b/forwarder/piececalls.go
@@ -11,6 +11,7 @@
 
 	"geraniumline/collector"
 	"geraniumline/connector"
+	"geraniumline/meter"
 )
 
 const (
@@ -57,8 +58,7 @@
 		return collector.Unanswered, nil
 	}
 	if err != nil {
-		f.logCallFailure(service, e, err)
-		return collector.Broken, nil
+		return f.brokenCall(service, e, err), nil
 	}
 	info := f.readResponse(&e.Endpoint, resp)
 	if info.NotRun {
@@ -70,8 +70,7 @@
 	}
 	data, err := resp.ReadAll(maxPiecesResponse)
 	if err != nil {
-		f.logCallFailure(service, e, err)
-		return collector.Broken, nil
+		return f.brokenCall(service, e, err), nil
 	}
 	if resp.Status() != http.StatusOK {
 		f.logCallFailure(service, e, &statusError{status: resp.Status()})
@@ -85,6 +84,17 @@
 	return collector.Answered, results
 }
 
+// brokenCall returns the outcome of a call that broke off: whether its endpoint crashed.
+func (f *Forwarder) brokenCall(service string, e collector.SendCall, err error) collector.CallOutcome {
+	f.logCallFailure(service, e, err)
+	time.Sleep(crashCheckDelay)
+	if !f.refusesConnections(e.Endpoint.Address) {
+		return collector.Broken
+	}
+	f.cfg.Meter.Counter(meter.ForwardCrashes).Inc(1)
+	return collector.Crashed
+}
+
 // callFree frees results at the endpoint that made them. After a failure their space counts as occupied until they
 // expire, since the endpoint would refuse pieces that do not fit.
 func (f *Forwarder) callFree(service string, p *collector.Pool, e collector.FreeResults) {
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -36,6 +36,14 @@
 	return nil
 }
 
+// quarantineContent refuses the request's content everywhere: its pieces crashed endpoints of a stage that ran nothing else.
+func (x *exchange) quarantineContent() {
+	now := time.Now()
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	x.f.quarantiner.Quarantine(x.digest(), x.req.ID, now)
+}
+
 // recordContentServed records that an endpoint completed a request with this content.
 func (x *exchange) recordContentServed() {
 	now := time.Now()
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -284,8 +284,12 @@
 		zap.String("collector", s.x.f.ownerOf(event.delegation)),
 		zap.Stringer("reason", event.Result.Reason),
 		zap.Duration("waits", s.view.Load(service, s.view.rank).Wait))
-	if event.Result.Reason == collector.Evacuated {
+	switch event.Result.Reason {
+	case collector.Evacuated:
 		return notRun("stageevacuated", evacuatedRetryDelay)
+	case collector.CrashesEndpoints:
+		s.x.quarantineContent()
+		return notRun("stagecrashed", quarantineRetryDelay)
 	}
 	return notRun("stage"+event.Result.Reason.String(), s.view.retryDelay(service))
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -7,6 +7,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"geraniumline/carrier"
@@ -135,6 +136,14 @@
 	return q.Verdict(digest, now)
 }
 
+// Quarantine quarantines content that was proved to crash endpoints. The evidence names the proof; one that peers report
+// counts once.
+func (q *Quarantiner) Quarantine(digest Digest, evidence string, now time.Time) {
+	for i := range quarantineCrashes {
+		q.RecordCrash(digest, evidence+"/"+strconv.Itoa(i), now)
+	}
+}
+
 // CrashedEndpoints returns the endpoints that were lost with the content, as they were named. They must not run it again.
 func (q *Quarantiner) CrashedEndpoints(digest Digest) []string {
 	m, marked := q.marks[digest]
