Give what is known of peers that track parts a type of its own

Peers' checksums, capabilities and repairs were kept by the forwarder; the core of geraniumline entry needs the same. No behavior changes: tests of quarantiner and of the forwarder's parts pass.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -127,7 +127,9 @@
 	quarantiner *quarantiner.Quarantiner
 	// parts tracks parts of prompts that crash endpoints, as seen here and by peers.
 	parts     *quarantiner.Parts
-	partPeers partPeers
+	partPeers *quarantiner.PartPeers
+	// trialCalls holds the calls for trials of parts that wait for their reply.
+	trialCalls trialCalls
 	// broken holds the exchanges whose endpoint may have crashed.
 	broken brokenExchanges
 	// paths decides whether calls go to endpoints directly or through peers.
@@ -251,7 +253,8 @@
 		paths:       pathfinder.New(),
 		quarantiner: quarantiner.New(quarantiner.Config{}),
 		parts:       quarantiner.NewParts(quarantiner.PartsConfig{}),
-		partPeers:   newPartPeers(),
+		partPeers:   quarantiner.NewPartPeers(),
+		trialCalls:  trialCalls{waiting: make(map[uint64]chan<- bool)},
 		broken:      make(brokenExchanges),
 		evacuator:   evacuator.New(),
 		warmer:      g.warmer,
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -293,7 +293,7 @@
 		}
 		f.selector.SetPeerWork(t.Member.Name, nil)
 		delete(f.origins.storesOrigins, t.Member.Name)
-		f.partPeers.forget(t.Member.Name)
+		f.partPeers.Forget(t.Member.Name)
 		for service, p := range f.pools {
 			effects := p.Reduce(collector.OriginLost{Origin: t.Member.Name}, now)
 			actions = append(actions, f.performAll(service, p, effects)...)
--- a/forwarder/trial.go
+++ b/forwarder/trial.go
@@ -12,41 +12,14 @@
 	"geraniumline/quarantiner"
 )
 
-const (
-	// trialReplyTimeout bounds the wait for the grant of a trial: many round trips.
-	trialReplyTimeout = 150 * time.Millisecond
-	// partSettleTime is how long this entry's parts must be unchanged before it sends all of them to a peer that knows others:
-	// changes reach all peers within some rounds of heartbeats.
-	partSettleTime = 4 * heartbeatInterval
-	// partRepairInterval is the least time between two such messages to one peer, and maxPartRepairs the number of them between
-	// two heartbeats.
-	partRepairInterval = time.Second
-	maxPartRepairs     = 8
-)
-
-// partPeers is what this entry knows of its peers with regard to parts of prompts that crash endpoints. The lock of the
-// Forwarder guards it.
-type partPeers struct {
-	// tracks holds the peers heard directly whose release tracks parts, with the time at which all parts were last sent to
-	// each.
-	tracks map[string]time.Time
-	// earlier holds the peers heard directly whose release doesn't track parts.
-	earlier map[string]bool
-	// repairs counts the peers that all parts were sent to since the last heartbeat.
-	repairs int
-	// calls holds where the replies to this entry's calls for trials go, by the number of the call.
-	calls    map[uint64]chan<- bool
-	lastCall uint64
-}
-
-func newPartPeers() partPeers {
-	return partPeers{tracks: make(map[string]time.Time), earlier: make(map[string]bool), calls: make(map[uint64]chan<- bool)}
-}
-
-// forget drops what is known of a peer.
-func (p *partPeers) forget(peer string) {
-	delete(p.tracks, peer)
-	delete(p.earlier, peer)
+// trialReplyTimeout bounds the wait for the grant of a trial: many round trips.
+const trialReplyTimeout = 150 * time.Millisecond
+
+// trialCalls holds where the replies to this entry's calls for trials go, by the number of the call. The lock of the Forwarder
+// guards it.
+type trialCalls struct {
+	waiting map[uint64]chan<- bool
+	last    uint64
 }
 
 // takeTrial asks the entry that grants the trials of a part for one. It decides alone, so that there is one in the whole
@@ -66,16 +39,16 @@
 		x.logTrial(part, owner, false)
 		return false
 	}
-	f.partPeers.lastCall++
-	call := &carrier.TrialCall{CallID: f.partPeers.lastCall}
+	f.trialCalls.last++
+	call := &carrier.TrialCall{CallID: f.trialCalls.last}
 	for _, p := range x.parts {
 		call.Parts = append(call.Parts, uint64(p))
 	}
 	reply := make(chan bool, 1)
-	f.partPeers.calls[call.CallID] = reply
+	f.trialCalls.waiting[call.CallID] = reply
 	send := f.sendTo(owner, call)
 	f.mu.Unlock()
-	defer f.withLock(func() []func() { delete(f.partPeers.calls, call.CallID); return nil })
+	defer f.withLock(func() []func() { delete(f.trialCalls.waiting, call.CallID); return nil })
 	send()
 	timer := time.NewTimer(trialReplyTimeout)
 	defer timer.Stop()
@@ -119,8 +92,7 @@
 // grantsTrials reports whether a peer's release grants trials. Of a peer that was not heard directly this is only known if
 // all that were do. The lock must be held.
 func (f *Forwarder) grantsTrials(peer string) bool {
-	_, tracks := f.partPeers.tracks[peer]
-	return tracks || len(f.partPeers.earlier) == 0
+	return f.partPeers.Tracks(peer) || !f.partPeers.HasEarlier()
 }
 
 // grantTrial grants a trial of parts if one is due. The lock must be held.
@@ -139,15 +111,15 @@
 
 // deliverTrialReply passes the reply to a call for a trial to the request that waits for it. The lock must be held.
 func (f *Forwarder) deliverTrialReply(m *carrier.TrialReply) {
-	if waiting, known := f.partPeers.calls[m.CallID]; known {
-		delete(f.partPeers.calls, m.CallID)
+	if waiting, known := f.trialCalls.waiting[m.CallID]; known {
+		delete(f.trialCalls.waiting, m.CallID)
 		waiting <- m.Granted
 	}
 }
 
 // partChanges returns the changes of parts to send to peers, or nil. The lock must be held.
 func (f *Forwarder) partChanges(now time.Time) *carrier.PartCrashes {
-	f.partPeers.repairs = 0
+	f.partPeers.BeginRound()
 	f.broken.expire(now)
 	f.parts.Expire(now)
 	list := f.parts.Changes(now)
@@ -162,7 +134,7 @@
 func (f *Forwarder) partTargets() []string {
 	var targets []string
 	for m := range f.detector.All() {
-		if _, tracks := f.partPeers.tracks[m.Name]; tracks && f.isRunningPeer(m) {
+		if f.partPeers.Tracks(m.Name) && f.isRunningPeer(m) {
 			targets = append(targets, m.PeerAddress)
 		}
 	}
@@ -173,27 +145,12 @@
 	return targets[:heartbeatsPerRound]
 }
 
-// applyPartSum compares a peer's checksum of parts with this entry's, and sends all parts to a peer that knows others: one
-// that has just started, or that has missed a change. The lock must be held.
+// applyPartSum sends all parts to a peer whose checksum of them differs. The lock must be held.
 func (f *Forwarder) applyPartSum(from string, sum uint32, now time.Time) []func() {
-	if sum == 0 {
-		f.partPeers.forget(from)
-		f.partPeers.earlier[from] = true
-		return nil
-	}
-	delete(f.partPeers.earlier, from)
-	sentAt := f.partPeers.tracks[from]
-	f.partPeers.tracks[from] = sentAt
-	unsettled := now.Sub(f.parts.ChangedAt()) < partSettleTime
-	if sum == f.parts.Sum() || unsettled || now.Sub(sentAt) < partRepairInterval || f.partPeers.repairs >= maxPartRepairs {
-		return nil
-	}
-	all := f.parts.All(now)
+	all := f.partPeers.Receive(from, sum, f.parts, now)
 	if len(all) == 0 {
 		return nil
 	}
-	f.partPeers.tracks[from] = now
-	f.partPeers.repairs++
 	return []func(){f.sendTo(from, &carrier.PartCrashes{Parts: all})}
 }
 
--- a/quarantiner/partpeers.go
+++ b/quarantiner/partmessage.go
@@ -87,6 +87,3 @@
 	}
 	return h
 }
-
-// ChangedAt returns when the parts last changed.
-func (q *Parts) ChangedAt() time.Time { return q.changedAt }
