Hold back beginnings of inputs that crash endpoints of geraniumline entry

Inputs of which no two are alike crashed two endpoints each, as long as their common beginning came. Cause: the same as for forwarded requests: the evidence was filed under the digest of pipeline and input.

A connection that is lost before the first part of a reply now also accuses the prefixes of the stage's input by which engines cache prompts; a reply acquits them. A prefix with three open crashes is held back; one trial at a time runs isolated, at the entry that ranks first for it. Entries exchange the crashes as those that forward do. As endpoints have no process IDs here, losses at one address within 10 s are one crash. Nothing is hashed or sent while no endpoint is lost.

--- a/quarantiner/part.go
+++ b/quarantiner/part.go
@@ -211,7 +211,7 @@
 
 // RecordAnswer records that an answer began on the parts: a part that crashes endpoints would have crashed this one.
 func (q *Parts) RecordAnswer(parts []Part, at time.Time) []PartChange {
-	if len(q.records) == 0 {
+	if q.Empty() {
 		return nil
 	}
 	var changes []PartChange
@@ -281,6 +281,9 @@
 	q.changedAt = laterOf(q.changedAt, at)
 }
 
+// Empty reports whether no part has lately been accused.
+func (q *Parts) Empty() bool { return len(q.records) == 0 }
+
 // Expire drops parts that were not seen for long.
 func (q *Parts) Expire(now time.Time) {
 	for part, r := range q.records {
--- a/quarantiner/partpeer.go
+++ b/quarantiner/partpeer.go
@@ -62,7 +62,7 @@
 	sentAt := p.tracks[peer]
 	p.tracks[peer] = sentAt
 	unsettled := now.Sub(parts.changedAt) < partSettleTime
-	if len(parts.records) == 0 || unsettled || now.Sub(sentAt) < partRepairInterval || p.repairs >= maxPartRepairs || sum == parts.Sum() {
+	if parts.Empty() || unsettled || now.Sub(sentAt) < partRepairInterval || p.repairs >= maxPartRepairs || sum == parts.Sum() {
 		return nil
 	}
 	p.tracks[peer] = now
--- a/quarantiner/partverdict.go
+++ b/quarantiner/partverdict.go
@@ -31,7 +31,7 @@
 
 // Verdict returns how a request with the parts may be sent now.
 func (q *Parts) Verdict(parts []Part, now time.Time) PartVerdict {
-	if len(q.records) == 0 {
+	if q.Empty() {
 		return SendFreely{}
 	}
 	held := q.heldParts(parts)
--- a/reducer/core.go
+++ b/reducer/core.go
@@ -58,6 +58,8 @@
 	Router      router.Config
 	Retrier     retrier.Config
 	Quarantiner quarantiner.Config
+	// QuarantinedParts configures how prefixes of inputs that crash endpoints are held back.
+	QuarantinedParts quarantiner.PartsConfig
 	// Leaser and Placer configure the leases on pools and the orders to engines; zero values select the defaults.
 	Leaser leaser.Config
 	Placer placer.Config
@@ -94,6 +96,9 @@
 	biller    *biller.Biller
 
 	quarantiner *quarantiner.Quarantiner
+	// parts tracks prefixes of inputs that crash endpoints.
+	parts     *quarantiner.Parts
+	partPeers *quarantiner.PartPeers
 	// isolatedRuns are the runs of requests with suspect content, by pool.
 	isolatedRuns map[string][]isolatedRun
 
@@ -173,6 +178,8 @@
 		biller:    biller.New(),
 
 		quarantiner:  quarantiner.New(cfg.Quarantiner),
+		parts:        quarantiner.NewParts(cfg.QuarantinedParts),
+		partPeers:    quarantiner.NewPartPeers(),
 		isolatedRuns: map[string][]isolatedRun{},
 
 		leaser:      leaser.New(leaserConfig(cfg)),
--- a/reducer/fault.go
+++ b/reducer/fault.go
@@ -25,8 +25,11 @@
 		// not be repeated would run again. The failure is handled like a lost connection without resuming.
 		e.Fault.Kind = FaultConnectionLost
 	}
-	if e.Fault.Kind == FaultConnectionLost && c.recordCrash(r, address, now) {
-		return
+	if e.Fault.Kind == FaultConnectionLost {
+		c.recordPartCrash(r, call, now)
+		if c.recordCrash(r, address, now) {
+			return
+		}
 	}
 	hedgesLeft := len(r.calls) > 1
 	if certainlyNotRun(e.Fault.Kind) {
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -35,6 +35,8 @@
 		c.handleBills(message)
 	case *carrier.Demand:
 		c.handleDemand(e.From, message, now)
+	case *carrier.PartCrashes:
+		c.parts.Merge(message.Parts, now)
 	}
 }
 
@@ -45,6 +47,7 @@
 	c.failQueriesToEarlierOwner(message.From.Name, message.From.Incarnation)
 	c.router.UpdatePeerLoads(message.From.Name, message.Endpoints, now)
 	c.handleCrashMarks(message.Crashes, now)
+	c.handlePartSum(message.From, message.PartCrashes, now)
 	c.limiter.UpdatePeerUsage(message.From.Name, message.Accounts, now)
 	c.requestRecords(message.From, now)
 }
@@ -132,6 +135,7 @@
 			continue
 		}
 		c.router.RemovePeer(t.Member.Name)
+		c.partPeers.Forget(t.Member.Name)
 		c.failOwnerQueries(t.Member.Name)
 	}
 	if len(transitions) > 0 {
@@ -172,6 +176,8 @@
 	message.Endpoints = c.router.LocalLoads(now)
 	message.Accounts = c.limiter.UsageReports(now)
 	message.Crashes = c.quarantiner.Marks(now)
+	c.sendPartChanges(now)
+	message.PartCrashes = c.parts.Sum()
 	for _, address := range c.detector.Targets(now) {
 		c.counters.HeartbeatsSent++
 		c.emit(SendPeer{Address: address, Message: message})
--- a/reducer/quarantine.go
+++ b/reducer/quarantine.go
@@ -80,18 +80,25 @@
 		c.fail(r, CodeQuarantined, "the endpoints that ran this content were lost; it is not run again", 0, now)
 		return true
 	case quarantiner.Suspect:
-		r.phase = phaseQueued
-		r.queuedAt = now
-		pool := r.currentStage().Pool
-		from := now.Add(isolationDelay + time.Duration(c.router.IsolationTurn(pool))*c.isolatedTurn(r))
-		c.isolatedRuns[pool] = append(c.isolatedRuns[pool], isolatedRun{request: r.id, stage: r.stage, notBefore: from})
-		c.dispatchIsolated(pool, now)
+		if !c.applyPartVerdict(r, now) {
+			c.runIsolated(r, now)
+		}
 		return true
 	default:
-		return false
+		return c.applyPartVerdict(r, now)
 	}
 }
 
+// runIsolated queues the request for an endpoint of its own.
+func (c *Core) runIsolated(r *request, now time.Time) {
+	r.phase = phaseQueued
+	r.queuedAt = now
+	pool := r.currentStage().Pool
+	from := now.Add(isolationDelay + time.Duration(c.router.IsolationTurn(pool))*c.isolatedTurn(r))
+	c.isolatedRuns[pool] = append(c.isolatedRuns[pool], isolatedRun{request: r.id, stage: r.stage, notBefore: from})
+	c.dispatchIsolated(pool, now)
+}
+
 // isolatedTurn returns the time allotted to an isolated run of a request's current stage.
 func (c *Core) isolatedTurn(r *request) time.Duration {
 	_, high := c.stageTime(r)
--- a/reducer/stage.go
+++ b/reducer/stage.go
@@ -246,6 +246,9 @@
 // acceptPart appends the next part of a call and the buffered parts that follow it.
 func (c *Core) acceptPart(r *request, index int, part endpointserver.StagePart, now time.Time) {
 	call := &r.calls[index]
+	if call.nextSeq == 0 {
+		c.recordPartAnswer(r, now)
+	}
 	for {
 		call.nextSeq++
 		call.text.write(part.Text)
--- a/router/prefix.go
+++ b/router/prefix.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,6 +44,16 @@
 	return p
 }
 
+// SharedPrefixes returns the hashes of those prefixes of an input that other inputs may have too: all that are shorter than it.
+func SharedPrefixes(input string) []uint64 {
+	p := PrefixOf(input)
+	shared := p.hashes[:p.count]
+	if p.count > 0 && prefixLengths[p.count-1]*blockBytes == len(input) {
+		shared = shared[:p.count-1]
+	}
+	return slices.Clone(shared)
+}
+
 // homeHash returns the hash that selects the home endpoints of the prompt's prefix, for use when no
 // endpoint is known to cache it.
 func (p *Prefix) homeHash() uint64 { return p.hashes[min(homePrefixIndex, p.count-1)] }
