Keep what endpoints asked for while their registration is gone

An endpoint that had said that it leaves got requests again: its registration expired while the store was away, and the same process wrote it again. Cause: what endpoints say in responses was discarded with the registration. Processes whose start isn't known can't be told from later ones and are forgotten as before.

--- a/forwarder/availability.go
+++ b/forwarder/availability.go
@@ -40,7 +40,7 @@
 // pieces and retries go to these endpoints. Endpoints in evacuated zones are excluded, and so are those whose
 // responses announce that they leave and those that have ended, which the store may not show yet. The lock must be held.
 func (f *Forwarder) usable(now time.Time) []*registrar.Endpoint {
-	f.regulator.Retain(f.registry.Contains)
+	f.regulator.Retain(f.registry.Contains, now)
 	all := f.registry.Usable()
 	if f.regulator.LeavingCount()+f.regulator.EndedCount() > 0 {
 		all = slices.DeleteFunc(slices.Clone(all), func(e *registrar.Endpoint) bool {
--- a/regulator/ended_test.go
+++ b/regulator/ended_test.go
@@ -43,8 +43,8 @@
 	r := newRegulator("entry", []string{"entry"})
 	r.MarkEnded(&registrar.Endpoint{ID: "a", Started: started}, locator.At(0, 7), now)
 	require.False(t, r.MarkEnded(&registrar.Endpoint{ID: "a", Started: started}, locator.At(0, 7), now), "a second answer is no news")
-	r.Retain(listOf("a", started))
+	r.Retain(listOf("a", started), now)
 	require.Equal(t, []EndedEndpoint{{Endpoint: "a", Started: started, At: now}}, r.EndedEndpoints())
-	r.Retain(listOf("a", started.Add(time.Second)))
+	r.Retain(listOf("a", started.Add(time.Second)), now)
 	require.Zero(t, r.EndedCount())
 }
--- a/regulator/fragile_test.go
+++ b/regulator/fragile_test.go
@@ -218,6 +218,6 @@
 	require.Equal(t, []Limit{{Endpoint: "e", At: now.Add(1)}}, r.Fragile(now.Add(1)), "peers are told")
 	require.False(t, r.ApplyPeerFragile(Limit{Endpoint: "e", PerSecond: 2, At: now}), "an older word")
 	require.True(t, r.ApplyPeerFragile(Limit{Endpoint: "e", PerSecond: 2, At: now.Add(2)}))
-	r.Retain(func(string, time.Time) bool { return false })
+	r.Retain(func(string, time.Time) bool { return false }, now)
 	require.Empty(t, r.FragileEndpoints())
 }
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -62,6 +62,8 @@
 	rests map[string]rest
 	// ended holds the listed endpoints whose process has ended.
 	ended map[string]ended
+	// departed holds what endpoints without a registration have asked for.
+	departed map[string]*departed
 }
 
 // rest is a period in which an endpoint wants no calls.
@@ -96,6 +98,7 @@
 		leaving:  make(map[string]time.Time),
 		rests:    make(map[string]rest),
 		ended:    make(map[string]ended),
+		departed: make(map[string]*departed),
 	}
 }
 
@@ -103,8 +106,11 @@
 func (r *Regulator) SetEntries(live []string) { r.rationer.SetEntries(live) }
 
 // Retain discards the notices of endpoints for which listed returns false, because the endpoint is gone or has
-// restarted since. A zero start time matches any start.
-func (r *Regulator) Retain(listed func(endpoint string, started time.Time) bool) {
+// restarted since. A zero start time matches any start. If the registration of the same process returns, its notices apply
+// again.
+func (r *Regulator) Retain(listed func(endpoint string, started time.Time) bool, now time.Time) {
+	r.stash(listed, now)
+	defer r.restore(listed, now)
 	r.limits.retain(listed)
 	r.fragile.retain(listed)
 	maps.DeleteFunc(r.risks, func(id string, _ *risk) bool { _, fragile := r.fragile[id]; return !fragile })
--- a/regulator/regulator_test.go
+++ b/regulator/regulator_test.go
@@ -127,14 +127,14 @@
 	})
 	t.Run("restart", func(t *testing.T) {
 		r := limited()
-		r.Retain(listOf("a", started))
+		r.Retain(listOf("a", started), now)
 		require.Len(t, r.LimitedEndpoints(), 1)
-		r.Retain(listOf("a", started.Add(time.Second)))
+		r.Retain(listOf("a", started.Add(time.Second)), now)
 		require.Empty(t, r.LimitedEndpoints())
 	})
 	t.Run("end of the endpoint", func(t *testing.T) {
 		r := limited()
-		r.Retain(listOf("b", started))
+		r.Retain(listOf("b", started), now)
 		require.Empty(t, r.LimitedEndpoints())
 	})
 }
