Name the quarantine of parts in one term, and bound what it sends and counts

The code said held, held back and quarantined for one thing, and spoke of guilt. Three bounds were missing: peers whose parts differ for long, as when a caller invents more parts than are kept, were sent all parts each second; a prompt with over 256 parts made a call for a trial that the peer can't decode; and an exchange that the entry itself gave up counted if its endpoint ended within the next 3 s, which it hadn't waited for.

Change: one term, the same parts are sent to a peer again after 10 s at the earliest and to 4 peers in a round, 256 parts of a prompt count, exchanges given up here count for nothing. The core of geraniumline entry logs which prefixes it quarantines. Tests of the packages concerned pass; no check was changed but for names.

--- a/assembler/prompt_test.go
+++ b/assembler/prompt_test.go
@@ -14,13 +14,13 @@
 const (
 	// contactTime is the platform's ContactMs.
 	contactTime = 3 * time.Second
-	// knownCrashes is the number of crashes under a part after which the platform requires that it is held back, and
+	// knownCrashes is the number of crashes under a part after which the platform requires that it is quarantined, and
 	// allowedRequests the number of requests with it that may reach endpoints later than contactTime after the last of these.
 	knownCrashes    = 5
 	allowedRequests = 3
 
-	sharedPart = "5a17ed"
-	guiltyPart = "bad0bad"
+	sharedPart   = "5a17ed"
+	crashingPart = "bad0bad"
 )
 
 // partTrial sends requests with a part of the prompt that crashes endpoints, no two alike, and sound requests that share
@@ -48,7 +48,7 @@
 	for alive := p.alive(); alive < n; alive++ {
 		p.started++
 		e := p.f.site.Start(fmt.Sprintf("i-%s-new-%d", p.service, p.started), p.service, p.kind)
-		e.CrashOnPart(guiltyPart)
+		e.CrashOnPart(crashingPart)
 		if p.replaced {
 			e.KeepAddress()
 		}
@@ -70,7 +70,7 @@
 	p.startEndpoints(8)
 	for i := range 2 {
 		e := p.f.site.Endpoint(fmt.Sprintf("i-%s-%d", p.service, i))
-		e.CrashOnPart(guiltyPart)
+		e.CrashOnPart(crashingPart)
 	}
 }
 
@@ -79,7 +79,7 @@
 	n := 0
 	for _, e := range p.f.site.Endpoints {
 		for _, run := range e.Runs() {
-			if run.HasPart(guiltyPart) {
+			if run.HasPart(crashingPart) {
 				n++
 			}
 		}
@@ -95,9 +95,9 @@
 	return p.f.call(request)
 }
 
-// sendGuilty sends a request with the part, and starts a new endpoint for one that it crashes.
-func (p *partTrial) sendGuilty() {
-	reply := p.send(sharedPart + ":350," + guiltyPart + ":100")
+// sendCrashing sends a request with the part, and starts a new endpoint for one that it crashes.
+func (p *partTrial) sendCrashing() {
+	reply := p.send(sharedPart + ":350," + crashingPart + ":100")
 	require.NotEqual(p.f.t, http.StatusOK, reply.Status)
 	p.startEndpoints(8)
 }
@@ -142,7 +142,7 @@
 			p.begin()
 			for i := 0; i < 12 && p.reached() < knownCrashes; i++ {
 				p.awaitServing()
-				p.sendGuilty()
+				p.sendCrashing()
 			}
 			p.awaitServing()
 			if p.reached() >= knownCrashes {
@@ -150,7 +150,7 @@
 			}
 			before, refused := p.reached(), 0
 			for range 10 {
-				p.sendGuilty()
+				p.sendCrashing()
 				if !p.sendSound() {
 					refused++
 				}
--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -12,7 +12,7 @@
 	"bodyCut":           "the caller's body was incomplete.",
 	"unknownService":    "the route names a service that the version in force does not have; it has not run.",
 	"crashesEndpoints":  "the same content crashed two endpoints that ran it; it has not run. See 'endpoint crashed with a request'.",
-	"crashingPart":      "a part of its prompt crashed several endpoints that began to answer it, and is held back; it has not run unless runs is above 0. See 'part of prompts held back'.",
+	"crashingPart":      "a part of its prompt crashed several endpoints that began to answer it, and is quarantined; it has not run unless runs is above 0. See 'part of prompts quarantined'.",
 	"overload":          "the pieces queued at the stages would have taken until after its deadline; it has not run. See piece_waiting.",
 	"stageoverload":     "more urgent pieces would have taken the stage until after its deadline; it has not run. See piece_waiting.",
 	"stagelate":         "its pieces waited until too little time was left for a call; it has not run. See 'waits' in 'stage failed'.",
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -1,7 +1,9 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
+	"net"
 	"time"
 
 	"geraniumline/connector"
@@ -63,7 +65,9 @@
 	}
 	x.runs++
 	x.endCall(choice, ejector.Bad, true)
-	x.checkCrash(choice)
+	if !isCancellation(err) {
+		x.checkCrash(choice)
+	}
 	if x.ctx.Err() != nil {
 		return true, timedOut()
 	}
@@ -73,6 +77,11 @@
 	return true, mayHaveRun("endpointBroke")
 }
 
+// isCancellation reports whether an exchange broke since this entry gave it up.
+func isCancellation(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, net.ErrClosed)
+}
+
 // mayRetryAfterRun reports whether the request may run once more.
 func (x *exchange) mayRetryAfterRun() bool {
 	return x.route.Repeatable() && x.runs < x.route.MaxAttempts && x.remaining(time.Now()) > 0
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -148,6 +148,6 @@
 			zap.String("content", hex.EncodeToString(b.content[:loggedDigestBytes])),
 			zap.Uint8("verdict", uint8(verdict)),
 			zap.Int("losses", len(f.quarantiner.CrashedEndpoints(b.content))),
-			zap.Strings("accused", formatParts(b.parts)))
+			zap.Strings("suspectParts", formatParts(b.parts)))
 	}
 }
--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -32,7 +32,7 @@
 			change := endpointChange("e1")
 			f.ReplaceEndpoints([]registrar.Change{change}, locator.At(0, 5), broke)
 			f.mu.Lock()
-			f.broken.add(&brokenExchange{endpoint: *change.Endpoint, parts: []quarantiner.Part{guiltyPart}, at: broke})
+			f.broken.add(&brokenExchange{endpoint: *change.Endpoint, parts: []quarantiner.Part{crashingPart}, at: broke})
 			now := broke.Add(tt.reportedAfter)
 			f.partChanges(now)
 			report := []carrier.EndpointRefusal{{ID: "e1", AgeMillis: uint32(tt.reportAge.Milliseconds())}}
@@ -53,7 +53,7 @@
 	f.mu.Lock()
 	f.paths.RecordFailed(change.Endpoint.Address, true, m.now)
 	f.paths.RecordRelayed(change.Endpoint.Address, "entry-1", m.now)
-	f.broken.add(&brokenExchange{endpoint: *change.Endpoint, parts: []quarantiner.Part{guiltyPart}, at: m.now})
+	f.broken.add(&brokenExchange{endpoint: *change.Endpoint, parts: []quarantiner.Part{crashingPart}, at: m.now})
 	f.mu.Unlock()
 	f.recordRefusedConnection(change.Endpoint)
 	f.mu.Lock()
--- a/forwarder/parts.go
+++ b/forwarder/parts.go
@@ -19,6 +19,8 @@
 	// maxCrashCheckWait bounds how long a request that broke off waits to learn whether its endpoint crashed before it is sent
 	// to another one.
 	maxCrashCheckWait = 50 * time.Millisecond
+	// maxSharedParts bounds the parts of a prompt that are tracked, and asked for in a call for a trial.
+	maxSharedParts = 256
 )
 
 // sharedParts returns the parts of the prompt that other requests may have too: all but the last.
@@ -26,9 +28,10 @@
 	if len(x.req.Parts) < 2 {
 		return nil
 	}
-	parts := make([]quarantiner.Part, 0, len(x.req.Parts)-1)
-	for _, part := range x.req.Parts[:len(x.req.Parts)-1] {
-		parts = append(parts, quarantiner.PartOf(x.service.Name, part.ID))
+	shared := x.req.Parts[:min(len(x.req.Parts)-1, maxSharedParts)]
+	parts := make([]quarantiner.Part, len(shared))
+	for i, part := range shared {
+		parts[i] = quarantiner.PartOf(x.service.Name, part.ID)
 	}
 	return parts
 }
@@ -143,12 +146,12 @@
 	x.f.logPartChanges(x.f.parts.RecordAnswer(x.parts, now))
 }
 
-// logPartChanges logs which parts are held back from now on, and which no longer. The lock must be held.
+// logPartChanges logs which parts are quarantined from now on, and which no longer. The lock must be held.
 func (f *Forwarder) logPartChanges(changes []quarantiner.PartChange) {
 	for _, c := range changes {
 		message := "part of prompts released"
-		if c.Held {
-			message = "part of prompts held back, it crashes endpoints"
+		if c.Quarantined {
+			message = "part of prompts quarantined"
 		}
 		f.log.Warn(message, zap.String("part", formatPart(c.Part)), zap.Int("crashes", c.Crashes))
 	}
@@ -168,6 +171,6 @@
 // updatePartGauges sets the gauges of parts of prompts that crash endpoints. The lock must be held.
 func (f *Forwarder) updatePartGauges() {
 	held, suspected := f.parts.Counts()
-	f.cfg.Meter.Gauge(meter.PartsHeld).Update(int64(held))
+	f.cfg.Meter.Gauge(meter.PartsQuarantined).Update(int64(held))
 	f.cfg.Meter.Gauge(meter.PartsSuspected).Update(int64(suspected))
 }
--- a/forwarder/parts_test.go
+++ b/forwarder/parts_test.go
@@ -9,22 +9,22 @@
 	"geraniumline/quarantiner"
 )
 
-const guiltyPart quarantiner.Part = 7
+const crashingPart quarantiner.Part = 7
 
 // recordPartCrash records a crash under the part at an entry.
 func (m *mesh) recordPartCrash(entry, crash int) {
 	f := m.nodes[fmt.Sprintf("entry-%d", entry)]
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.parts.RecordCrash([]quarantiner.Part{guiltyPart}, quarantiner.Process(crash+1), m.now)
+	f.parts.RecordCrash([]quarantiner.Part{crashingPart}, quarantiner.Process(crash+1), m.now)
 }
 
-// holds reports whether an entry holds the part back.
+// holds reports whether an entry quarantines the part.
 func (m *mesh) holds(name string) bool {
 	f := m.nodes[name]
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, free := f.parts.Verdict([]quarantiner.Part{guiltyPart}, m.now).(quarantiner.SendFreely)
+	_, free := f.parts.Verdict([]quarantiner.Part{crashingPart}, m.now).(quarantiner.SendFreely)
 	return !free
 }
 
@@ -67,8 +67,8 @@
 			m.step(contactTime)
 			granted := 0
 			for name := range m.nodes {
-				x := &exchange{f: m.nodes[name], ctx: t.Context(), parts: []quarantiner.Part{guiltyPart}}
-				if x.takeTrial(guiltyPart) {
+				x := &exchange{f: m.nodes[name], ctx: t.Context(), parts: []quarantiner.Part{crashingPart}}
+				if x.takeTrial(crashingPart) {
 					granted++
 				}
 			}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -266,9 +266,9 @@
 		zap.Duration("stagesTook", sent.Sub(x.startTime)),
 		zap.Duration("modelTook", took),
 		zap.Duration("predicted", choice.FirstEvent))
-	x.recordPartsAnswered(time.Now())
 	x.f.withLock(func() []func() {
 		now := sent.Add(took)
+		x.f.logPartChanges(x.f.parts.RecordAnswer(x.parts, now))
 		x.f.observeFirstEvent(*choice, took, now)
 		x.f.selector.RecordPromptRead(choice)
 		version := choice.Endpoint.Version
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -117,7 +117,7 @@
 	EndpointDetours         Name = "endpoint_detours"
 	Partitioned             Name = "partitioned"
 	ForwardCrashes          Name = "forward_crashes"
-	PartsHeld               Name = "parts_held"
+	PartsQuarantined        Name = "parts_quarantined"
 	PartsSuspected          Name = "parts_suspected"
 	PartTrials              Name = "part_trials"
 	ForwardOverloadRefusals Name = "forward_overload_refusals"
@@ -276,9 +276,9 @@
 	{EndpointDetours, KindGauge, "endpoints", "", "Endpoints that this entry can't reach while a peer can.", ""},
 	{Partitioned, KindGauge, "1 or 0", "", "Whether this entry is considered partitioned from all endpoints, so that all its calls go through peers.", ""},
 	{ForwardCrashes, KindCounter, "endpoints", "", "An endpoint that crashed while it ran a forwarded request.", ""},
-	{PartsHeld, KindGauge, "parts", "", "Parts of prompts that are held back since they crash endpoints.", ""},
+	{PartsQuarantined, KindGauge, "parts", "", "Parts of prompts that are quarantined since they crash endpoints.", ""},
 	{PartsSuspected, KindGauge, "parts", "", "Parts of prompts with fewer crashes that no answer has cleared yet.", ""},
-	{PartTrials, KindCounter, "trials", byOutcome, "A request with a held part that asked to be sent as a trial: granted or denied.", ""},
+	{PartTrials, KindCounter, "trials", byOutcome, "A request with a quarantined part that asked to be sent as a trial: granted or denied.", ""},
 	{ForwardOverloadRefusals, KindCounter, "requests", byService, "A request refused before its first stage, since the wait at this service leaves its caller no time.", ""},
 	{PieceCalls, KindCounter, "calls", byService, "A call for pieces of a stage.", ""},
 	{PieceCallMicros, KindHistogram, "microseconds", byService, "From a call for pieces to its answer.", ""},
--- a/quarantiner/part.go
+++ b/quarantiner/part.go
@@ -18,14 +18,14 @@
 	defaultMaxParts    = 256
 )
 
-// defaultTrialDelays lets a sound part that was accused by chance go within moments, and keeps the endpoints lost by a part
+// defaultTrialDelays lets a sound part that was in crashes by chance go within moments, and keeps the endpoints lost by a part
 // that isn't sound to a few.
 var defaultTrialDelays = []time.Duration{0, 20 * time.Second, 10 * time.Minute}
 
 const (
 	// maxObservations bounds the observations kept of a part.
 	maxObservations = 16
-	// clearedFor is how long a part without open crashes is kept, so that late reports of peers don't accuse it again.
+	// clearedFor is how long a part without open crashes is kept, so that late reports of peers don't count against it again.
 	clearedFor = 30 * time.Second
 	// trialTime is how long a trial is waited for before the next one may be due.
 	trialTime = 3 * time.Second
@@ -35,9 +35,9 @@
 
 // PartsConfig configures Parts. Zero fields use the defaults above.
 type PartsConfig struct {
-	// Crashes is the number of crashes from which on a part is held back.
+	// Crashes is the number of crashes from which on a part is quarantined.
 	Crashes int
-	// TrialDelays are the times after the last crash at which a request with a held part is sent as a trial, one in the whole
+	// TrialDelays are the times after the last crash at which a request with a quarantined part is sent as a trial, one in the whole
 	// fleet. After the last trial there is no other one.
 	TrialDelays []time.Duration
 	// KeepFor is how long a part is kept after its last crash, or after a request was last refused for it.
@@ -70,8 +70,8 @@
 func (p Process) String() string { return strconv.FormatUint(uint64(p), 16) }
 
 // Parts tracks parts of prompts that crash each endpoint which begins to answer a request with them, whatever else the
-// request has. A crash accuses the parts of all requests that had no answer at the endpoint; an answer that begins later
-// on a part, at any endpoint, acquits it.
+// request has. A crash counts against the parts of all requests that had no answer at the endpoint; an answer that begins later
+// on a part, at any endpoint, clears it.
 type Parts struct {
 	cfg     PartsConfig
 	records map[Part]*partRecord
@@ -100,11 +100,11 @@
 	cleared bool
 }
 
-// PartChange reports that a part is held back from now on, or no longer.
+// PartChange reports that a part is quarantined from now on, or no longer.
 type PartChange struct {
-	Part    Part
-	Held    bool
-	Crashes int
+	Part        Part
+	Quarantined bool
+	Crashes     int
 }
 
 // NewParts returns Parts without any part.
@@ -241,7 +241,7 @@
 
 func (q *Parts) appendChange(changes []PartChange, part Part, before, after int) []PartChange {
 	if held := after >= q.cfg.Crashes; held != (before >= q.cfg.Crashes) {
-		changes = append(changes, PartChange{Part: part, Held: held, Crashes: after})
+		changes = append(changes, PartChange{Part: part, Quarantined: held, Crashes: after})
 	}
 	return changes
 }
@@ -281,7 +281,7 @@
 	q.changedAt = laterOf(q.changedAt, at)
 }
 
-// Empty reports whether no part has lately been accused.
+// Empty reports whether no part has lately been in a crash.
 func (q *Parts) Empty() bool { return len(q.records) == 0 }
 
 // Expire drops parts that were not seen for long.
@@ -297,7 +297,7 @@
 	}
 }
 
-// Counts returns the number of parts that are held back, and of those with fewer crashes.
+// Counts returns the number of parts that are quarantined, and of those with fewer crashes.
 func (q *Parts) Counts() (held, suspected int) {
 	for _, r := range q.records {
 		switch n := r.crashes; {
--- a/quarantiner/part_policy_test.go
+++ b/quarantiner/part_policy_test.go
@@ -37,9 +37,9 @@
 }
 
 type modelRequest struct {
-	parts  []quarantiner.Part
-	begins time.Time
-	guilty bool
+	parts    []quarantiner.Part
+	begins   time.Time
+	crashing bool
 }
 
 type modelReport struct {
@@ -53,10 +53,10 @@
 	return m.rnd.Float64() < perSecond*modelStep.Seconds()
 }
 
-func (m *partModel) arrive(guiltyRequest bool) {
-	r := modelRequest{guilty: guiltyRequest, parts: []quarantiner.Part{shared}}
-	if guiltyRequest {
-		r.parts = append(r.parts, guilty)
+func (m *partModel) arrive(crashingRequest bool) {
+	r := modelRequest{crashing: crashingRequest, parts: []quarantiner.Part{shared}}
+	if crashingRequest {
+		r.parts = append(r.parts, crashing)
 	} else {
 		r.parts = append(r.parts, quarantiner.Part(100+m.rnd.IntN(200)))
 		m.sound++
@@ -71,7 +71,7 @@
 		m.parts.RecordRefusal(v.Part, m.now)
 	}
 	if _, free := m.parts.Verdict(r.parts, m.now).(quarantiner.SendFreely); !free && !trial {
-		if !guiltyRequest {
+		if !crashingRequest {
 			m.soundRefused++
 		}
 		return
@@ -108,7 +108,7 @@
 			r := m.running[i][j]
 			switch {
 			case r.begins.After(m.now):
-			case r.guilty:
+			case r.crashing:
 				m.crashedByPart++
 				m.crash(i)
 			default:
@@ -120,10 +120,10 @@
 	}
 }
 
-// play plays two minutes, in which requests with the guilty part come once a second or not at all.
-func (m *partModel) play(guiltyPerSecond, soundPerSecond float64) {
+// play plays two minutes, in which requests with the crashing part come once a second or not at all.
+func (m *partModel) play(crashingPerSecond, soundPerSecond float64) {
 	for range int(2 * time.Minute / modelStep) {
-		if m.poisson(guiltyPerSecond) {
+		if m.poisson(crashingPerSecond) {
 			m.arrive(true)
 		}
 		if m.poisson(soundPerSecond) {
@@ -138,7 +138,7 @@
 	}
 }
 
-// Guards against parts that crash many endpoints before they are held back, and against sound parts that are held back for
+// Guards against parts that crash many endpoints before they are quarantined, and against sound parts that are quarantined for
 // long after crashes by chance.
 func TestPolicyCrashingPart(t *testing.T) {
 	immediate := []time.Duration{0, 20 * time.Second, 10 * time.Minute}
@@ -154,15 +154,15 @@
 		{"fiveCrashesLaterTrial", quarantiner.PartsConfig{Crashes: 5, TrialDelays: later}},
 	}
 	for _, load := range []struct {
-		guilty, sound float64
+		crashing, sound float64
 	}{{1, 1}, {1, 10}, {0, 1}, {0, 10}, {0, 100}} {
 		for _, way := range ways {
-			t.Run(fmt.Sprintf("%s/guilty%v/sound%v", way.testName, load.guilty, load.sound), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s/crashing%v/sound%v", way.testName, load.crashing, load.sound), func(t *testing.T) {
 				lost, mostLost, sound, refused := 0, 0, 0, 0
 				const seeds = 20
 				for seed := range uint64(seeds) {
 					m := &partModel{parts: quarantiner.NewParts(way.cfg), rnd: rand.New(rand.NewPCG(seed, 1)), now: start}
-					m.play(load.guilty, load.sound)
+					m.play(load.crashing, load.sound)
 					lost += m.crashedByPart
 					mostLost = max(mostLost, m.crashedByPart)
 					sound += m.sound
--- a/quarantiner/part_test.go
+++ b/quarantiner/part_test.go
@@ -11,7 +11,7 @@
 
 const (
 	shared quarantiner.Part = iota + 1
-	guilty
+	crashing
 	other
 )
 
@@ -41,7 +41,7 @@
 	}
 }
 
-// takeTrial takes a trial and lets it crash another process.
+// failTrial takes a trial and lets it crash another process.
 func (q partEntries) failTrial(t *testing.T, entry, n int, now time.Time, parts ...quarantiner.Part) {
 	t.Helper()
 	require.IsType(t, quarantiner.SendAsTrial{}, q[entry].Verdict(parts, now))
@@ -58,82 +58,82 @@
 		want     quarantiner.PartVerdict
 	}{
 		{"two crashes", func(_ *testing.T, q partEntries) {
-			q.crashes(0, 2, guilty)
-		}, []quarantiner.Part{guilty}, 3 * time.Second, quarantiner.SendFreely{}},
+			q.crashes(0, 2, crashing)
+		}, []quarantiner.Part{crashing}, 3 * time.Second, quarantiner.SendFreely{}},
 		{"three crashes", func(_ *testing.T, q partEntries) {
-			q.crashes(0, 3, guilty)
-		}, []quarantiner.Part{shared, guilty}, 3 * time.Second, quarantiner.SendAsTrial{Part: guilty}},
+			q.crashes(0, 3, crashing)
+		}, []quarantiner.Part{shared, crashing}, 3 * time.Second, quarantiner.SendAsTrial{Part: crashing}},
 		{"three requests lost with one process", func(_ *testing.T, q partEntries) {
 			for range 3 {
-				q.crash(0, 1, at(0), guilty)
+				q.crash(0, 1, at(0), crashing)
 			}
-		}, []quarantiner.Part{guilty}, time.Second, quarantiner.SendFreely{}},
+		}, []quarantiner.Part{crashing}, time.Second, quarantiner.SendFreely{}},
 		{"one crash at each of three entries", func(_ *testing.T, q partEntries) {
 			for i := range 3 {
-				q.crash(i, i, at(0), guilty)
+				q.crash(i, i, at(0), crashing)
 			}
 			q.send(2, 1, at(time.Second))
 			q.send(1, 0, at(2*time.Second))
-		}, []quarantiner.Part{guilty}, 3 * time.Second, quarantiner.SendAsTrial{Part: guilty}},
+		}, []quarantiner.Part{crashing}, 3 * time.Second, quarantiner.SendAsTrial{Part: crashing}},
 		{"one crash seen by three entries", func(_ *testing.T, q partEntries) {
 			for i := range 3 {
-				q.crash(i, 1, at(time.Duration(i)*time.Millisecond), guilty)
+				q.crash(i, 1, at(time.Duration(i)*time.Millisecond), crashing)
 			}
 			q.send(1, 0, at(time.Second))
 			q.send(2, 0, at(time.Second))
-		}, []quarantiner.Part{guilty}, 3 * time.Second, quarantiner.SendFreely{}},
+		}, []quarantiner.Part{crashing}, 3 * time.Second, quarantiner.SendFreely{}},
 		{"answered after two of three crashes", func(_ *testing.T, q partEntries) {
-			q.crashes(0, 2, guilty)
-			q[0].RecordAnswer([]quarantiner.Part{guilty}, at(1500*time.Millisecond))
-			q.crash(0, 2, at(2*time.Second), guilty)
-		}, []quarantiner.Part{guilty}, 3 * time.Second, quarantiner.SendFreely{}},
+			q.crashes(0, 2, crashing)
+			q[0].RecordAnswer([]quarantiner.Part{crashing}, at(1500*time.Millisecond))
+			q.crash(0, 2, at(2*time.Second), crashing)
+		}, []quarantiner.Part{crashing}, 3 * time.Second, quarantiner.SendFreely{}},
 		{"answered before the crashes", func(_ *testing.T, q partEntries) {
-			q[0].RecordAnswer([]quarantiner.Part{guilty}, at(-time.Second))
-			q.crashes(0, 3, guilty)
-		}, []quarantiner.Part{guilty}, 3 * time.Second, quarantiner.SendAsTrial{Part: guilty}},
+			q[0].RecordAnswer([]quarantiner.Part{crashing}, at(-time.Second))
+			q.crashes(0, 3, crashing)
+		}, []quarantiner.Part{crashing}, 3 * time.Second, quarantiner.SendAsTrial{Part: crashing}},
 		{"answered at an entry that did not see the crashes", func(_ *testing.T, q partEntries) {
-			q.crashes(0, 3, guilty)
+			q.crashes(0, 3, crashing)
 			q.send(0, 1, at(3*time.Second))
-			q[1].RecordAnswer([]quarantiner.Part{guilty}, at(4*time.Second))
+			q[1].RecordAnswer([]quarantiner.Part{crashing}, at(4*time.Second))
 			q.send(1, 0, at(5*time.Second))
-		}, []quarantiner.Part{guilty}, 6 * time.Second, quarantiner.SendFreely{}},
+		}, []quarantiner.Part{crashing}, 6 * time.Second, quarantiner.SendFreely{}},
 		{"answered, though a peer still reports the crashes", func(_ *testing.T, q partEntries) {
-			q.crashes(0, 3, guilty)
+			q.crashes(0, 3, crashing)
 			q.send(0, 1, at(3*time.Second))
-			q[0].RecordAnswer([]quarantiner.Part{guilty}, at(4*time.Second))
+			q[0].RecordAnswer([]quarantiner.Part{crashing}, at(4*time.Second))
 			q[0].Merge(q[1].All(at(5*time.Second)), at(5*time.Second))
-		}, []quarantiner.Part{guilty}, 6 * time.Second, quarantiner.SendFreely{}},
-		{"a request without the part that comes with the accused one", func(_ *testing.T, q partEntries) {
-			q.crashes(0, 3, shared, guilty)
+		}, []quarantiner.Part{crashing}, 6 * time.Second, quarantiner.SendFreely{}},
+		{"a request without the part that comes with the crashing one", func(_ *testing.T, q partEntries) {
+			q.crashes(0, 3, shared, crashing)
 		}, []quarantiner.Part{shared}, 3 * time.Second, quarantiner.SendFreely{}},
-		{"a part that crashes also where another accused one is missing", func(_ *testing.T, q partEntries) {
-			q.crashes(0, 3, shared, guilty)
+		{"a part that crashes also where another crashing one is missing", func(_ *testing.T, q partEntries) {
+			q.crashes(0, 3, shared, crashing)
 			for i := range 3 {
-				q.crash(0, 10+i, at(5*time.Second), guilty, other)
+				q.crash(0, 10+i, at(5*time.Second), crashing, other)
 			}
-		}, []quarantiner.Part{guilty, other}, 6 * time.Second, quarantiner.SendAsTrial{Part: other}},
+		}, []quarantiner.Part{crashing, other}, 6 * time.Second, quarantiner.SendAsTrial{Part: other}},
 		{"a trial under way", func(t *testing.T, q partEntries) {
-			q.crashes(0, 3, guilty)
-			require.True(t, q[0].TakeTrial([]quarantiner.Part{guilty}, 1, at(3*time.Second)))
-		}, []quarantiner.Part{guilty}, 4 * time.Second, quarantiner.AwaitTrial{Until: at(6 * time.Second)}},
+			q.crashes(0, 3, crashing)
+			require.True(t, q[0].TakeTrial([]quarantiner.Part{crashing}, 1, at(3*time.Second)))
+		}, []quarantiner.Part{crashing}, 4 * time.Second, quarantiner.AwaitTrial{Until: at(6 * time.Second)}},
 		{"a trial that failed", func(t *testing.T, q partEntries) {
-			q.crashes(0, 3, guilty)
-			q.failTrial(t, 0, 3, at(3*time.Second), guilty)
-		}, []quarantiner.Part{guilty}, 4 * time.Second, quarantiner.Refuse{Part: guilty, Crashes: 4, RetryAfter: 19*time.Second + 100*time.Millisecond}},
+			q.crashes(0, 3, crashing)
+			q.failTrial(t, 0, 3, at(3*time.Second), crashing)
+		}, []quarantiner.Part{crashing}, 4 * time.Second, quarantiner.Refuse{Part: crashing, Crashes: 4, RetryAfter: 19*time.Second + 100*time.Millisecond}},
 		{"a trial without a result", func(t *testing.T, q partEntries) {
-			q.crashes(0, 3, guilty)
-			require.True(t, q[0].TakeTrial([]quarantiner.Part{guilty}, 1, at(3*time.Second)))
-		}, []quarantiner.Part{guilty}, 7 * time.Second, quarantiner.SendAsTrial{Part: guilty}},
+			q.crashes(0, 3, crashing)
+			require.True(t, q[0].TakeTrial([]quarantiner.Part{crashing}, 1, at(3*time.Second)))
+		}, []quarantiner.Part{crashing}, 7 * time.Second, quarantiner.SendAsTrial{Part: crashing}},
 		{"a trial of which an entry learned that did not grant it", func(t *testing.T, q partEntries) {
-			q.crashes(0, 3, guilty)
-			q.failTrial(t, 0, 3, at(3*time.Second), guilty)
+			q.crashes(0, 3, crashing)
+			q.failTrial(t, 0, 3, at(3*time.Second), crashing)
 			q.send(0, 1, at(4*time.Second))
 			q[0] = q[1]
-		}, []quarantiner.Part{guilty}, 5 * time.Second, quarantiner.Refuse{Part: guilty, Crashes: 4, RetryAfter: 18*time.Second + 100*time.Millisecond}},
+		}, []quarantiner.Part{crashing}, 5 * time.Second, quarantiner.Refuse{Part: crashing, Crashes: 4, RetryAfter: 18*time.Second + 100*time.Millisecond}},
 		{"no request for a long time", func(_ *testing.T, q partEntries) {
-			q.crashes(0, 3, guilty)
+			q.crashes(0, 3, crashing)
 			q[0].Expire(at(11 * time.Minute))
-		}, []quarantiner.Part{guilty}, 11 * time.Minute, quarantiner.SendFreely{}},
+		}, []quarantiner.Part{crashing}, 11 * time.Minute, quarantiner.SendFreely{}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.testName, func(t *testing.T) {
@@ -147,34 +147,34 @@
 // Guards against a part that is tried again and again as long as requests with it come.
 func TestTrialsOfAPartAreFew(t *testing.T) {
 	q, now, trials := newPartEntries(), at(0), 0
-	q.crashes(0, 3, guilty)
+	q.crashes(0, 3, crashing)
 	for now.Before(at(2 * time.Hour)) {
 		now = now.Add(time.Second)
 		q[0].Expire(now)
-		switch v := q[0].Verdict([]quarantiner.Part{guilty}, now).(type) {
+		switch v := q[0].Verdict([]quarantiner.Part{crashing}, now).(type) {
 		case quarantiner.SendAsTrial:
 			trials++
-			q.failTrial(t, 0, 10+trials, now, guilty)
+			q.failTrial(t, 0, 10+trials, now, crashing)
 		case quarantiner.Refuse:
 			q[0].RecordRefusal(v.Part, now)
 		default:
-			require.Fail(t, "not held back", "%T after %v", v, now.Sub(at(0)))
+			require.Fail(t, "not quarantined", "%T after %v", v, now.Sub(at(0)))
 		}
 	}
 	require.Equal(t, 3, trials)
 }
 
-// Guards against a part that is held back at one entry and forgotten at others, where no request with it has come for long.
+// Guards against a part that is quarantined at one entry and forgotten at others, where no request with it has come for long.
 func TestAHeldPartStaysKnownToAllEntries(t *testing.T) {
 	q := newPartEntries()
-	q.crashes(0, 3, guilty)
+	q.crashes(0, 3, crashing)
 	for now := at(4 * time.Second); now.Before(at(time.Hour)); now = now.Add(time.Second) {
-		q[0].RecordRefusal(guilty, now)
+		q[0].RecordRefusal(crashing, now)
 		q.send(0, 1, now)
 		q.send(1, 2, now)
 		for i := range q {
 			q[i].Expire(now)
-			require.NotEqual(t, quarantiner.SendFreely{}, q[i].Verdict([]quarantiner.Part{guilty}, now))
+			require.NotEqual(t, quarantiner.SendFreely{}, q[i].Verdict([]quarantiner.Part{crashing}, now))
 		}
 	}
 }
@@ -184,7 +184,7 @@
 	q := newPartEntries()
 	require.NotZero(t, q[0].Sum())
 	for i := range 40 {
-		q.crash(i%3, i, at(time.Duration(i)*time.Millisecond), guilty, shared, other)
+		q.crash(i%3, i, at(time.Duration(i)*time.Millisecond), crashing, shared, other)
 	}
 	q[1].RecordAnswer([]quarantiner.Part{shared}, at(time.Second))
 	require.NotEqual(t, q[0].Sum(), q[1].Sum())
@@ -202,17 +202,17 @@
 	require.Equal(t, quarantiner.NewParts(quarantiner.PartsConfig{}).Sum(), q[0].Sum())
 }
 
-// Guards against memory that grows with parts that a caller invents, and against a held part that these push out.
+// Guards against memory that grows with parts that a caller invents, and against a quarantined part that these push out.
 func TestPartsAreBounded(t *testing.T) {
 	q := newPartEntries()
-	q.crashes(0, 3, guilty)
+	q.crashes(0, 3, crashing)
 	for i := range 1000 {
 		q.crash(0, 1000+i, at(3*time.Second), quarantiner.Part(1000+i))
 	}
 	require.Len(t, q[0].All(at(3*time.Second)), 256)
-	require.IsType(t, quarantiner.SendAsTrial{}, q[0].Verdict([]quarantiner.Part{guilty}, at(4*time.Second)))
+	require.IsType(t, quarantiner.SendAsTrial{}, q[0].Verdict([]quarantiner.Part{crashing}, at(4*time.Second)))
 	for i := range 1000 {
-		q.crash(0, 2000+i, at(4*time.Second), guilty)
+		q.crash(0, 2000+i, at(4*time.Second), crashing)
 	}
 	for _, m := range q[0].All(at(5 * time.Second)) {
 		require.LessOrEqual(t, len(m.Observations), 16)
--- a/quarantiner/partpeer.go
+++ b/quarantiner/partpeer.go
@@ -10,26 +10,41 @@
 	// partSettleTime is how long an entry's parts must be unchanged before it sends all of them to a peer that knows others:
 	// changes reach all peers within some rounds of heartbeats.
 	partSettleTime = 600 * time.Millisecond
-	// partRepairInterval is the least time between two such messages to one peer, and maxPartRepairs the number of them in one
-	// round of heartbeats.
+	// partRepairInterval is the least time between two such messages to one peer, and partRepeatInterval between two with the
+	// same parts. maxPartRepairs is the number of them in one round of heartbeats.
 	partRepairInterval = time.Second
-	maxPartRepairs     = 8
+	partRepeatInterval = 10 * time.Second
+	maxPartRepairs     = 4
 )
 
 // PartPeers tracks which peers of an entry understand messages about parts, and which of them know something else.
 type PartPeers struct {
-	// tracks holds the peers heard directly whose release tracks parts, with the time at which all parts were last sent to
-	// each.
-	tracks map[string]time.Time
+	// tracks holds the peers heard directly whose release tracks parts, with the last message of all parts to each.
+	tracks map[string]partRepair
 	// earlier holds the peers heard directly whose release doesn't.
 	earlier map[string]bool
 	// repairs counts the peers that all parts were sent to in this round.
 	repairs int
 }
 
+// partRepair is a message of all parts to a peer.
+type partRepair struct {
+	at  time.Time
+	sum uint32
+}
+
+// due reports whether the next such message, of parts with the checksum, may be sent.
+func (r partRepair) due(sum uint32, now time.Time) bool {
+	interval := partRepairInterval
+	if r.sum == sum {
+		interval = partRepeatInterval
+	}
+	return now.Sub(r.at) >= interval
+}
+
 // NewPartPeers returns PartPeers that knows no peer.
 func NewPartPeers() *PartPeers {
-	return &PartPeers{tracks: make(map[string]time.Time), earlier: make(map[string]bool)}
+	return &PartPeers{tracks: make(map[string]partRepair), earlier: make(map[string]bool)}
 }
 
 // BeginRound begins a round of heartbeats.
@@ -59,13 +74,16 @@
 		return nil
 	}
 	delete(p.earlier, peer)
-	sentAt := p.tracks[peer]
-	p.tracks[peer] = sentAt
-	unsettled := now.Sub(parts.changedAt) < partSettleTime
-	if parts.Empty() || unsettled || now.Sub(sentAt) < partRepairInterval || p.repairs >= maxPartRepairs || sum == parts.Sum() {
+	last := p.tracks[peer]
+	p.tracks[peer] = last
+	if parts.Empty() || now.Sub(parts.changedAt) < partSettleTime || p.repairs >= maxPartRepairs {
+		return nil
+	}
+	own := parts.Sum()
+	if sum == own || !last.due(own, now) {
 		return nil
 	}
-	p.tracks[peer] = now
+	p.tracks[peer] = partRepair{at: now, sum: own}
 	p.repairs++
 	return parts.All(now)
 }
--- a/quarantiner/partverdict.go
+++ b/quarantiner/partverdict.go
@@ -10,13 +10,13 @@
 
 // The verdicts on the parts of a prompt.
 type (
-	// SendFreely is the verdict if no part is held back.
+	// SendFreely is the verdict if no part is quarantined.
 	SendFreely struct{}
-	// SendAsTrial is the verdict if a trial is due of a part that is held back. The trial has to be granted first.
+	// SendAsTrial is the verdict if a trial is due of a part that is quarantined. The trial has to be granted first.
 	SendAsTrial struct{ Part Part }
 	// AwaitTrial is the verdict while a trial is under way.
 	AwaitTrial struct{ Until time.Time }
-	// Refuse is the verdict on a part that is held back.
+	// Refuse is the verdict on a part that is quarantined.
 	Refuse struct {
 		Part       Part
 		Crashes    int
@@ -34,7 +34,7 @@
 	if q.Empty() {
 		return SendFreely{}
 	}
-	held := q.heldParts(parts)
+	held := q.quarantinedParts(parts)
 	if len(held) == 0 {
 		return SendFreely{}
 	}
@@ -71,7 +71,7 @@
 	if _, due := q.Verdict(parts, now).(SendAsTrial); !due {
 		return false
 	}
-	for _, part := range q.heldParts(parts) {
+	for _, part := range q.quarantinedParts(parts) {
 		q.records[part].add(observation{id: id, at: now, trial: true})
 		q.touch(part, now)
 	}
@@ -90,9 +90,9 @@
 	}
 }
 
-// heldParts returns those of a request's parts that are held back, in order. Parts that come together are accused of the
-// same crashes; a request that has only some of them is sent, so that it acquits these if they are sound.
-func (q *Parts) heldParts(parts []Part) []Part {
+// quarantinedParts returns those of a request's parts that are quarantined, in order. Parts that come together are in the
+// same crashes; a request that has only some of them is sent, so that it clears these if they are sound.
+func (q *Parts) quarantinedParts(parts []Part) []Part {
 	var held []Part
 	for i, part := range parts {
 		r, known := q.records[part]
@@ -106,7 +106,7 @@
 	return held
 }
 
-// unexplained returns the number of a part's crashes for which no part outside the request is held back.
+// unexplained returns the number of a part's crashes for which no part outside the request is quarantined.
 func (q *Parts) unexplained(r *partRecord, parts []Part) int {
 	n := 0
 	for i := range r.observations {
@@ -117,7 +117,7 @@
 	return n
 }
 
-// explained reports whether a part that the request doesn't have is held back for a crash.
+// explained reports whether a part that the request doesn't have is quarantined for a crash.
 func (q *Parts) explained(crash uint64, parts []Part) bool {
 	for part, r := range q.records {
 		if r.crashes < q.cfg.Crashes || slices.Contains(parts, part) {
--- a/reducer/part.go
+++ b/reducer/part.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"geraniumline/carrier"
@@ -34,13 +35,25 @@
 	if call.nextSeq > 0 {
 		return
 	}
-	c.parts.RecordCrash(r.parts(), quarantiner.ProcessOf(call.address, now.Truncate(crashWindow)), now)
+	process := quarantiner.ProcessOf(call.address, now.Truncate(crashWindow))
+	c.logPartChanges(c.parts.RecordCrash(r.parts(), process, now))
 }
 
 // recordPartAnswer records that an endpoint began to reply to the request's current stage.
 func (c *Core) recordPartAnswer(r *request, now time.Time) {
 	if !c.parts.Empty() {
-		c.parts.RecordAnswer(r.parts(), now)
+		c.logPartChanges(c.parts.RecordAnswer(r.parts(), now))
+	}
+}
+
+// logPartChanges logs which prefixes of inputs are quarantined from now on, and which no longer.
+func (c *Core) logPartChanges(changes []quarantiner.PartChange) {
+	for _, change := range changes {
+		from, to := "quarantined", "released"
+		if change.Quarantined {
+			from, to = "used", "quarantined"
+		}
+		c.emit(LogChange{Message: "prefix of inputs", Subject: strconv.FormatUint(uint64(change.Part), 16), From: from, To: to})
 	}
 }
 
--- a/reducer/peer.go
+++ b/reducer/peer.go
@@ -36,7 +36,7 @@
 	case *carrier.Demand:
 		c.handleDemand(e.From, message, now)
 	case *carrier.PartCrashes:
-		c.parts.Merge(message.Parts, now)
+		c.logPartChanges(c.parts.Merge(message.Parts, now))
 	}
 }
 
