Check that refused requests with crashing parts have not run, and none runs twice

The test of parts that crash endpoints now looks at the endpoints' runs of each request: what was refused has not run, what must not be repeated has run once.

--- a/assembler/prompt_test.go
+++ b/assembler/prompt_test.go
@@ -92,7 +92,15 @@
 	request := p.f.newRequest(p.entries[p.sent%len(p.entries)], fmt.Sprintf("%sdocument-%d", p.path, p.sent), fmt.Sprintf("%s-%d", p.service, p.sent))
 	request.Body = fmt.Sprintf("question %d", p.sent)
 	request.Prompt = fmt.Sprintf("%s,own%d:20", prompt, p.sent)
-	return p.f.call(request)
+	reply := p.f.call(request)
+	runs := len(p.f.runs(request.ID))
+	if reply.Status == http.StatusServiceUnavailable {
+		require.Zero(p.f.t, runs, "a request that was refused as not run has not run")
+	}
+	if p.path == imitator.StreamPath {
+		require.LessOrEqual(p.f.t, runs, 1, "a request that must not be repeated runs once")
+	}
+	return reply
 }
 
 // sendCrashing sends a request with the part, and starts a new endpoint for one that it crashes.
