--- a/forwarder/parts.go
+++ b/forwarder/parts.go
@@ -98,7 +98,7 @@
 				break
 			}
 			askedAt = now
-			if x.takeTrial(verdict.Part) {
+			if x.takeTrial(verdict.Part, now) {
 				x.trial = true
 				return nil
 			}
--- a/forwarder/parts_test.go
+++ b/forwarder/parts_test.go
@@ -68,7 +68,7 @@
 			granted := 0
 			for name := range m.nodes {
 				x := &exchange{f: m.nodes[name], ctx: t.Context(), parts: []quarantiner.Part{crashingPart}}
-				if x.takeTrial(crashingPart) {
+				if x.takeTrial(crashingPart, m.now) {
 					granted++
 				}
 			}
--- a/forwarder/trial.go
+++ b/forwarder/trial.go
@@ -24,8 +24,8 @@
 
 // takeTrial asks the entry that grants the trials of a part for one. It decides alone, so that there is one in the whole
 // fleet at a time.
-func (x *exchange) takeTrial(part quarantiner.Part) bool {
-	f, now := x.f, time.Now()
+func (x *exchange) takeTrial(part quarantiner.Part, now time.Time) bool {
+	f := x.f
 	f.mu.Lock()
 	owner := f.trialOwner(part)
 	if owner == f.cfg.Name {
