--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -30,7 +30,7 @@
 	loggedDigestBytes = 8
 )
 
-// brokenExchange is an exchange that an endpoint interrupted, with what it may have crashed of.
+// brokenExchange is an exchange that an endpoint interrupted, with what may have crashed the endpoint.
 type brokenExchange struct {
 	endpoint registrar.Endpoint
 	request  string
@@ -72,9 +72,9 @@
 
 // checkCrash checks the address of an endpoint that interrupted an exchange: if it refuses connections, the endpoint
 // crashed while it ran the content. A connection reset or an invalid response alone proves nothing. Neither does an
-// address that does not answer, or that refuses connections while peers reach it: this VM may have lost its network, and the
-// content would be refused everywhere for minutes. In these cases the exchange counts once a peer, or the answer of another process at the
-// address, shows that the endpoint has ended.
+// address that does not answer, or that refuses connections while peers reach it: this VM may have lost its network, and
+// the content would be refused everywhere for minutes. In these cases the exchange counts once a peer, or the answer of
+// another process at the address, shows that the endpoint has ended.
 func (x *exchange) checkCrash(choice selector.Choice) {
 	b := &brokenExchange{endpoint: choice.Endpoint, request: x.req.ID, account: x.account, content: x.digest(), at: time.Now()}
 	if !x.answerBegan {
@@ -133,8 +133,8 @@
 	}
 }
 
-// recordProcessEnd counts the end of an endpoint's process against what it was running when exchanges with it broke. The lock must
-// be held.
+// recordProcessEnd counts the end of an endpoint's process against what it was running when exchanges with it broke. The
+// lock must be held.
 func (f *Forwarder) recordProcessEnd(id string, started, now time.Time) {
 	process := quarantiner.ProcessOf(id, started)
 	for _, b := range f.broken.take(process, now) {
--- a/quarantiner/part.go
+++ b/quarantiner/part.go
@@ -18,8 +18,8 @@
 	defaultMaxParts    = 256
 )
 
-// defaultTrialDelays lets a sound part that was in crashes by chance go within moments, and keeps the endpoints lost by a part
-// that isn't sound to a few.
+// defaultTrialDelays releases a sound part that was in crashes by chance within moments, and bounds the endpoints that are
+// lost by one that isn't.
 var defaultTrialDelays = []time.Duration{0, 20 * time.Second, 10 * time.Minute}
 
 const (
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -1,5 +1,5 @@
-// Package quarantiner counts the endpoints that were lost while running a request's content, and decides whether and
-// how that content may still be run. It is pure: callers pass in the current time.
+// Package quarantiner counts the endpoints that were lost while running a request's content, or prompts with a part, and
+// decides whether and how these may still be run. It is pure: callers pass in the current time.
 //
 // Content is identified by the digest of its pipeline and input, without key or account: the same content returns
 // under other keys and from other callers, and crashes endpoints just the same.
--- a/selector/unreachable.go
+++ b/selector/unreachable.go
@@ -55,7 +55,8 @@
 	return e.pool.health.RecordOutcome(&e.health, ejector.Down, false, now)
 }
 
-// RecordProcessEnd records that no process listens any more at the address of an endpoint, which another entry's call has shown.
+// RecordProcessEnd records that no process listens any more at the address of an endpoint, as a call of another entry has
+// shown.
 func (s *Selector) RecordProcessEnd(id string, started, now time.Time) {
 	e, known := s.byID[id]
 	if known && e.SameIncarnation(&registrar.Endpoint{ID: id, Started: started}) {
