Refuse every caller once no client account has a key left

Cause: Catalog.RequiresKeys was len(byKey) > 0, so whether keys are required was derived from the keys that are left. Ruled out: a configuration that is late or rejected, under which an unknown key would not run.

Change: keys are required unless the configuration lacks the field for accounts and the settings list rules in force without client accounts. Empty lists, null and accounts without keys refuse everybody, and so does a misspelt field where accounts are in force. The zero value of cataloger.Config requires keys. The log line of a new configuration names accounts and keys, and a warning says when none is left.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -123,7 +123,7 @@
 		Disabled:      cfg.Disabled,
 		Wire:          platform.Dialect{},
 		Client:        connector.New(connector.Config{Dial: cfg.DialEndpoint}),
-		DecodeConfig:  platform.DecodeConfig,
+		DecodeConfig:  platform.ConfigDecoder{AccountsOptional: settings.AccountsOptional}.Decode,
 		Log:           logger,
 		Meter:         e.meter,
 	}, now)
--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -17,6 +17,9 @@
 	Services []Service
 	Limits   Limits
 	Accounts []Account
+	// KeysOptional lets requests without a known key be served. It must be set only for a configuration that is meant to have
+	// no client accounts: one whose accounts have no keys left must refuse everybody.
+	KeysOptional bool
 }
 
 // Catalog looks up the routes, services and client accounts of a configuration.
@@ -28,6 +31,9 @@
 	// stages holds the sorted names of the stage services.
 	stages []string
 	byKey  map[string]*Account
+	// accountCount is the number of client accounts, with or without keys.
+	accountCount int
+	keysOptional bool
 }
 
 // StageError reports a stage that depends on a stage that does not precede it.
@@ -54,6 +60,9 @@
 		byHost:   make(map[string][]*Route),
 		services: make(map[string]*Service, len(cfg.Services)),
 		byKey:    make(map[string]*Account),
+
+		accountCount: len(cfg.Accounts),
+		keysOptional: cfg.KeysOptional,
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
@@ -142,4 +151,10 @@
 }
 
 // RequiresKeys reports whether requests must carry a key, except on anonymous routes.
-func (c *Catalog) RequiresKeys() bool { return len(c.byKey) > 0 }
+func (c *Catalog) RequiresKeys() bool { return !c.keysOptional }
+
+// AccountCount returns the number of client accounts.
+func (c *Catalog) AccountCount() int { return c.accountCount }
+
+// KeyCount returns the number of keys of all client accounts.
+func (c *Catalog) KeyCount() int { return len(c.byKey) }
--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -53,7 +53,13 @@
 	f.log.Info("configuration in force",
 		zap.Int64("version", catalog.Version()),
 		zap.Int64("before", before),
+		zap.Bool("requiresKeys", catalog.RequiresKeys()),
+		zap.Int("accounts", catalog.AccountCount()),
+		zap.Int("keys", catalog.KeyCount()),
 		zap.String("source", source))
+	if catalog.RequiresKeys() && catalog.KeyCount() == 0 {
+		f.log.Warn("no client account has a key: all requests that need one are refused", zap.Int64("version", catalog.Version()))
+	}
 	return nil
 }
 
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -55,7 +55,7 @@
 	Inputs []string
 	// LastEvent is the ID of the last relayed event if a stream resumes at another endpoint.
 	LastEvent string
-	// ForwardKey forwards the caller's credential. It is set only if the configuration has no keys.
+	// ForwardKey forwards the caller's credential. It is set only if the configuration requires no keys.
 	ForwardKey bool
 }
 
