Admit nobody by a key that doesn't identify one account

Callers could see: an empty key in the configuration lets requests without any key run; keys of an account without a name run for no account; a key of two accounts runs for the last one.

Keys were indexed as written, so that a missing key or name was an entry like any other. Found by reading; the platform's store accepts valid configurations only, so no caller has met it.

Change: such keys admit nobody. The catalog reports what it can't use, and each new configuration logs it. Accounts have a file of their own.

Evidence: TestKeysThatIdentifyNoAccountAdmitNobody failed in its four cases on the code before.

--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -34,6 +34,7 @@
 	// accountCount is the number of client accounts, with or without keys.
 	accountCount int
 	keysOptional bool
+	faults       []error
 }
 
 // StageError reports a stage that depends on a stage that does not precede it.
@@ -80,11 +81,7 @@
 		}
 	}
 	slices.Sort(c.stages)
-	for i := range cfg.Accounts {
-		for _, key := range cfg.Accounts[i].Keys {
-			c.byKey[key] = &cfg.Accounts[i]
-		}
-	}
+	c.indexKeys(cfg.Accounts)
 	return c, nil
 }
 
@@ -153,6 +150,9 @@
 // RequiresKeys reports whether requests must carry a key, except on anonymous routes.
 func (c *Catalog) RequiresKeys() bool { return !c.keysOptional }
 
+// Faults returns what can't be used in the configuration. Requests that need it are refused.
+func (c *Catalog) Faults() []error { return c.faults }
+
 // AccountCount returns the number of client accounts.
 func (c *Catalog) AccountCount() int { return c.accountCount }
 
--- a/cataloger/cataloger_test.go
+++ b/cataloger/cataloger_test.go
@@ -94,6 +94,37 @@
 	require.False(t, known)
 }
 
+// Guards against a key that lets callers in without a key, or without exactly one account: an endpoint would run their
+// requests for nobody, or for another account.
+func TestKeysThatIdentifyNoAccountAdmitNobody(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		accounts []Account
+		key      string
+	}{
+		{"empty key", []Account{{Name: "a", Keys: []string{""}}}, ""},
+		{"account without a name", []Account{{Keys: []string{"k"}}}, "k"},
+		{"key of two accounts", []Account{{Name: "a", Keys: []string{"k"}}, {Name: "b", Keys: []string{"k"}}}, "k"},
+		{"key of three accounts", []Account{{Name: "a", Keys: []string{"k"}}, {Name: "b", Keys: []string{"k"}}, {Name: "c", Keys: []string{"k"}}}, "k"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tc.accounts[0].Keys = append(tc.accounts[0].Keys, "usable")
+			c := newCatalog(t, Config{Accounts: tc.accounts})
+			_, known := c.Account(tc.key)
+			require.False(t, known)
+			var fault *AccountError
+			require.NotEmpty(t, c.Faults())
+			require.ErrorAs(t, c.Faults()[0], &fault)
+			_, known = c.Account("usable")
+			require.Equal(t, tc.accounts[0].Name != "", known)
+		})
+	}
+	repeated := newCatalog(t, Config{Accounts: []Account{{Name: "a", Keys: []string{"k", "k"}}}})
+	_, known := repeated.Account("k")
+	require.True(t, known)
+	require.Empty(t, repeated.Faults())
+}
+
 func TestCallDuration(t *testing.T) {
 	p := StagePool{CallOverhead: 150 * time.Millisecond, PieceTime: 16 * time.Millisecond}
 	require.Equal(t, 278*time.Millisecond, p.CallDuration(8))
--- a/cataloger/service.go
+++ b/cataloger/service.go
@@ -65,14 +65,3 @@
 	// IdleTimeout is how long a connection may stay open without a request.
 	IdleTimeout time.Duration
 }
-
-// Account is a client account with its keys.
-type Account struct {
-	Name string
-	Keys []string
-	// Priority overrides the route's priority if HasPriority is set.
-	Priority    int
-	HasPriority bool
-	// AllowedRegions are the regions where the account's requests may be processed; empty allows all.
-	AllowedRegions []string
-}
--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -57,6 +57,11 @@
 		zap.Int("accounts", catalog.AccountCount()),
 		zap.Int("keys", catalog.KeyCount()),
 		zap.String("source", source))
+	for _, fault := range catalog.Faults() {
+		f.log.Error("part of the configuration can't be used, requests that need it are refused",
+			zap.Int64("version", catalog.Version()),
+			zap.Error(fault))
+	}
 	if catalog.RequiresKeys() && catalog.KeyCount() == 0 {
 		f.log.Warn("no client account has a key: all requests that need one are refused", zap.Int64("version", catalog.Version()))
 	}
