Serve nothing where no region is allowed

Callers could see: a route or client account whose list of allowed regions is empty or null is served in every region.

An empty list was read as no restriction.

Change: only an absent field leaves the regions open. An empty list, null and a list without any name allow no region; such requests are refused at once as not run, and each new configuration logs the route or account.

--- a/assembler/openness_test.go
+++ b/assembler/openness_test.go
@@ -142,6 +142,42 @@
 	require.True(t, f.receivesNothing(0, 0))
 }
 
+// Guards against requests that run anywhere because the list of the regions that they may run in is empty.
+func TestRequestsWithoutAnyAllowedRegionAreRefused(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		restrict func(site *imitator.Site)
+	}{
+		{"empty list of the account", func(site *imitator.Site) { site.Tenants[0]["AllowedRegions"] = []string{} }},
+		{"null for the account", func(site *imitator.Site) { site.Tenants[0]["AllowedRegions"] = nil }},
+		{"empty name for the account", func(site *imitator.Site) { site.Tenants[0]["AllowedRegions"] = []string{""} }},
+		{"empty lists of the routes", func(site *imitator.Site) {
+			for _, route := range site.Routes {
+				route["AllowedRegions"] = []string{}
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			// The region of this availability zone is unknown.
+			f.splitZones("zone-without-region")
+			tc.restrict(f.site)
+			f.site.Configure()
+			require.Eventually(t, func() bool {
+				return f.call(f.newRequest(0, imitator.PlainPath, "before")).Status == http.StatusServiceUnavailable
+			}, waitTimeout, 10*time.Millisecond)
+			for _, path := range []string{imitator.PlainPath, imitator.StreamPath, imitator.StagesPath} {
+				request := f.newRequest(0, path, "after")
+				request.Pieces = "1,1"
+				reply := f.call(request)
+				require.Equal(t, http.StatusServiceUnavailable, reply.Status)
+				require.NotEmpty(t, reply.RetryAfter)
+			}
+			require.Empty(t, f.runs("after"))
+		})
+	}
+}
+
 // One of two model endpoints becomes cold while three entries send load. If the entries chose it for its free capacity, it
 // would receive all the load, crash, restart cold and crash again. Together they must stay within the load that it can
 // handle, and still use it.
--- a/cataloger/account.go
+++ b/cataloger/account.go
@@ -9,7 +9,7 @@
 	// Priority overrides the route's priority if HasPriority is set.
 	Priority    int
 	HasPriority bool
-	// AllowedRegions are the regions where the account's requests may be processed; empty allows all.
+	// AllowedRegions are the regions where the account's requests may be processed; nil allows all, an empty list none.
 	AllowedRegions []string
 }
 
@@ -30,6 +30,9 @@
 			c.faults = append(c.faults, &AccountError{Reason: "has no name"})
 			continue
 		}
+		if allowsNoRegion(a.AllowedRegions) {
+			c.faults = append(c.faults, &RegionError{Owner: "account " + a.Name})
+		}
 		for _, key := range a.Keys {
 			owner, known := c.byKey[key]
 			switch {
--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -53,6 +53,13 @@
 
 func (e *TargetError) Error() string { return fmt.Sprintf("route %s has no target service", e.Route) }
 
+// RegionError reports that no region is allowed for a route or a client account, so that none of its requests can be served.
+type RegionError struct{ Owner string }
+
+func (e *RegionError) Error() string { return e.Owner + " allows no region" }
+
+func allowsNoRegion(regions []string) bool { return regions != nil && len(regions) == 0 }
+
 // New validates and indexes a configuration. It returns a *TargetError or a *StageError for an invalid route.
 func New(cfg Config) (*Catalog, error) {
 	c := &Catalog{
@@ -72,6 +79,9 @@
 		}
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
+		if allowsNoRegion(r.AllowedRegions) {
+			c.faults = append(c.faults, &RegionError{Owner: "route " + r.Name})
+		}
 	}
 	for i := range cfg.Services {
 		s := &cfg.Services[i]
--- a/cataloger/route.go
+++ b/cataloger/route.go
@@ -59,7 +59,7 @@
 	Resumable bool
 	// EventGap is the maximum time between events for a stream to count as on time.
 	EventGap time.Duration
-	// AllowedRegions are the regions where requests of the route may be processed; empty allows all.
+	// AllowedRegions are the regions where requests of the route may be processed; nil allows all, an empty list none.
 	AllowedRegions []string
 	// FirstEventTimeout is how long callers wait for a stream's first event before they disconnect; 0 if they wait until
 	// their deadline.
--- a/forwarder/availability.go
+++ b/forwarder/availability.go
@@ -96,16 +96,13 @@
 // evacuatedAt reports whether an evacuated endpoint has the address. The lock must be held.
 func (f *Forwarder) evacuatedAt(address string) bool { return f.availability.evacuated[address] }
 
-// allowedRegionsOf returns the regions in which a request may be served; nil allows all. If the route and the client
-// account both have home regions, both restrictions apply.
+// allowedRegionsOf returns the regions in which a request may be served; nil allows all, and an empty list none. If the route
+// and the client account both have home regions, both restrictions apply.
 func allowedRegionsOf(route *cataloger.Route, account *cataloger.Account) []string {
-	if account == nil || len(account.AllowedRegions) == 0 {
-		if len(route.AllowedRegions) == 0 {
-			return nil
-		}
+	if account == nil || account.AllowedRegions == nil {
 		return route.AllowedRegions
 	}
-	if len(route.AllowedRegions) == 0 {
+	if route.AllowedRegions == nil {
 		return account.AllowedRegions
 	}
 	common := make([]string, 0, len(route.AllowedRegions))
--- a/forwarder/evacuation_test.go
+++ b/forwarder/evacuation_test.go
@@ -104,6 +104,8 @@
 		{"account only", nil, []string{"b"}, []string{"b"}},
 		{"both", []string{"a", "b"}, []string{"b", "c"}, []string{"b"}},
 		{"nothing in common", []string{"a"}, []string{"c"}, []string{}},
+		{"none allowed for the route", []string{}, []string{"c"}, []string{}},
+		{"none allowed for the account", nil, []string{}, []string{}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			route, account := &cataloger.Route{AllowedRegions: tc.route}, &cataloger.Account{AllowedRegions: tc.account}
