Refuse the requests of an entry that can't be used, and apply the rest

Callers could see: after a configuration with one route or account that can't be decoded, revoked keys are accepted for as long as the process runs; a split whose weights are all zero sends everything to its first service; a route without a prefix takes all requests of its host.

One unusable entry kept the whole configuration from coming into force, so that what it closes stayed open. And a missing weight or prefix was read as no restriction. Found by reading; the platform's store accepts valid configurations only.

Change: entries are decoded one by one. A route that can't be used keeps its place in the match, so that no shorter prefix gets its requests, and refuses them as not run (unusableRoute). One without a host or a prefix between slashes matches nothing. All are logged when the configuration comes into force. cataloger.New has no error any more: TestNewRejectsInvalidRoutes, which wanted the whole configuration rejected, is replaced by TestAnUnusableRouteRefusesItsRequests, which wants the same routes refused, the same errors reported, and the rest in force.

--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -3,7 +3,6 @@
 package cataloger
 
 import (
-	"fmt"
 	"net"
 	"slices"
 	"strings"
@@ -20,6 +19,8 @@
 	// KeysOptional lets requests without a known key be served. It must be set only for a configuration that is meant to have
 	// no client accounts: one whose accounts have no keys left must refuse everybody.
 	KeysOptional bool
+	// Faults are the parts of the configuration that could not be decoded.
+	Faults []error
 }
 
 // Catalog looks up the routes, services and client accounts of a configuration.
@@ -37,22 +38,6 @@
 	faults       []error
 }
 
-// StageError reports a stage that depends on a stage that does not precede it.
-type StageError struct {
-	Route     string
-	Stage     int
-	DependsOn int
-}
-
-func (e *StageError) Error() string {
-	return fmt.Sprintf("route %s: stage %d depends on stage %d, which does not precede it", e.Route, e.Stage, e.DependsOn)
-}
-
-// TargetError reports a route without a target service.
-type TargetError struct{ Route string }
-
-func (e *TargetError) Error() string { return fmt.Sprintf("route %s has no target service", e.Route) }
-
 // RegionError reports that no region is allowed for a route or a client account, so that none of its requests can be served.
 type RegionError struct{ Owner string }
 
@@ -60,29 +45,21 @@
 
 func allowsNoRegion(regions []string) bool { return regions != nil && len(regions) == 0 }
 
-// New validates and indexes a configuration. It returns a *TargetError or a *StageError for an invalid route.
-func New(cfg Config) (*Catalog, error) {
+// New indexes a configuration. What can't be used doesn't keep the rest from coming into force, which may revoke keys: it is
+// left out or refuses its requests, and Faults returns it.
+func New(cfg Config) *Catalog {
 	c := &Catalog{
 		version:  cfg.Version,
 		limits:   cfg.Limits,
 		byHost:   make(map[string][]*Route),
 		services: make(map[string]*Service, len(cfg.Services)),
 		byKey:    make(map[string]*Account),
+		faults:   cfg.Faults,
 
 		accountCount: len(cfg.Accounts),
 		keysOptional: cfg.KeysOptional,
 	}
-	for i := range cfg.Routes {
-		r := &cfg.Routes[i]
-		if err := validateRoute(r); err != nil {
-			return nil, err
-		}
-		host := strings.ToLower(r.Host)
-		c.byHost[host] = append(c.byHost[host], r)
-		if allowsNoRegion(r.AllowedRegions) {
-			c.faults = append(c.faults, &RegionError{Owner: "route " + r.Name})
-		}
-	}
+	c.indexRoutes(cfg.Routes)
 	for i := range cfg.Services {
 		s := &cfg.Services[i]
 		c.services[s.Name] = s
@@ -92,21 +69,7 @@
 	}
 	slices.Sort(c.stages)
 	c.indexKeys(cfg.Accounts)
-	return c, nil
-}
-
-func validateRoute(r *Route) error {
-	if len(r.Targets) == 0 {
-		return &TargetError{Route: r.Name}
-	}
-	for i, stage := range r.Stages {
-		for _, dependency := range stage.DependsOn {
-			if dependency < 0 || dependency >= i {
-				return &StageError{Route: r.Name, Stage: i, DependsOn: dependency}
-			}
-		}
-	}
-	return nil
+	return c
 }
 
 // Version returns the version of the configuration.
--- a/cataloger/cataloger_test.go
+++ b/cataloger/cataloger_test.go
@@ -1,6 +1,7 @@
 package cataloger
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -11,15 +12,8 @@
 	return Route{Name: name, Host: "a.example", PathPrefix: prefix, Targets: []Target{{Service: "s", Weight: 1}}}
 }
 
-func newCatalog(t *testing.T, cfg Config) *Catalog {
-	t.Helper()
-	c, err := New(cfg)
-	require.NoError(t, err)
-	return c
-}
-
 func TestMatchPrefersTheLongestPrefix(t *testing.T) {
-	c := newCatalog(t, Config{Routes: []Route{route("short", "/a/"), route("long", "/a/b/")}})
+	c := New(Config{Routes: []Route{route("short", "/a/"), route("long", "/a/b/")}})
 	for _, tc := range []struct{ name, host, path, want string }{
 		{"longest", "a.example", "/a/b/c", "long"},
 		{"shorter", "a.example", "/a/c", "short"},
@@ -56,17 +50,57 @@
 	require.Equal(t, []int{0, 2}, r.FinalStages([]int{2, 1, 6, 0}))
 }
 
-func TestNewRejectsInvalidRoutes(t *testing.T) {
-	bad := route("r", "/a/")
-	bad.Stages = []Stage{{Service: "s", DependsOn: []int{0}}}
-	_, err := New(Config{Routes: []Route{bad}})
-	var stage *StageError
-	require.ErrorAs(t, err, &stage)
-	require.Equal(t, &StageError{Route: "r", Stage: 0, DependsOn: 0}, stage)
+// Guards against a route that can't be used and whose requests reach another service, or which keeps the rest of the
+// configuration from coming into force.
+func TestAnUnusableRouteRefusesItsRequests(t *testing.T) {
+	stages := route("r", "/a/b/")
+	stages.Stages = []Stage{{Service: "s", DependsOn: []int{0}}}
+	undecodable := route("r", "/a/b/")
+	undecodable.Fault = errors.New("wrong type")
+	for _, tc := range []struct {
+		name  string
+		route Route
+		want  error
+	}{
+		{"stage depends on itself", stages, &StageError{Route: "r", Stage: 0, DependsOn: 0}},
+		{"no target", Route{Name: "r", Host: "a.example", PathPrefix: "/a/b/"}, &TargetError{Route: "r"}},
+		{"no target with a weight", Route{Name: "r", Host: "a.example", PathPrefix: "/a/b/", Targets: []Target{{Service: "s"}}}, &TargetError{Route: "r"}},
+		{"target without a name", Route{Name: "r", Host: "a.example", PathPrefix: "/a/b/", Targets: []Target{{Weight: 1}}}, &TargetError{Route: "r"}},
+		{"negative weight", Route{Name: "r", Host: "a.example", PathPrefix: "/a/b/", Targets: []Target{{Service: "s", Weight: 2}, {Service: "t", Weight: -1}}}, &TargetError{Route: "r"}},
+		{"undecodable", undecodable, undecodable.Fault},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := New(Config{Routes: []Route{route("shorter", "/a/"), tc.route}, Accounts: []Account{{Name: "a", Keys: []string{"k"}}}})
+			require.Equal(t, []error{tc.want}, c.Faults())
+			got, found := c.Match("a.example", "/a/b/c")
+			require.True(t, found)
+			require.Equal(t, tc.want, got.Fault)
+			usable, found := c.Match("a.example", "/a/c")
+			require.True(t, found)
+			require.NoError(t, usable.Fault)
+			_, known := c.Account("k")
+			require.True(t, known)
+		})
+	}
+}
 
-	_, err = New(Config{Routes: []Route{{Name: "empty"}}})
-	var target *TargetError
-	require.ErrorAs(t, err, &target)
+// Guards against a route that takes the requests of other routes because its host or path prefix is missing.
+func TestARouteWithoutAHostOrPrefixMatchesNothing(t *testing.T) {
+	withoutHost := route("r", "/a/")
+	withoutHost.Host = ""
+	for name, r := range map[string]Route{
+		"no host": withoutHost, "no prefix": route("r", ""), "no slash at the end": route("r", "/a"), "no slash at the beginning": route("r", "a/"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := New(Config{Routes: []Route{r}})
+			for _, path := range []string{"/a/b", "/ab", "a/b", ""} {
+				_, found := c.Match(r.Host, path)
+				require.False(t, found)
+			}
+			var match *MatchError
+			require.ErrorAs(t, c.Faults()[0], &match)
+		})
+	}
 }
 
 func TestRepeatable(t *testing.T) {
@@ -85,7 +119,7 @@
 }
 
 func TestAccountsAreFoundByKey(t *testing.T) {
-	c := newCatalog(t, Config{Accounts: []Account{{Name: "small", Keys: []string{"k1", "k2"}}}})
+	c := New(Config{Accounts: []Account{{Name: "small", Keys: []string{"k1", "k2"}}}})
 	require.True(t, c.RequiresKeys())
 	a, known := c.Account("k2")
 	require.True(t, known)
@@ -109,7 +143,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			tc.accounts[0].Keys = append(tc.accounts[0].Keys, "usable")
-			c := newCatalog(t, Config{Accounts: tc.accounts})
+			c := New(Config{Accounts: tc.accounts})
 			_, known := c.Account(tc.key)
 			require.False(t, known)
 			var fault *AccountError
@@ -119,7 +153,7 @@
 			require.Equal(t, tc.accounts[0].Name != "", known)
 		})
 	}
-	repeated := newCatalog(t, Config{Accounts: []Account{{Name: "a", Keys: []string{"k", "k"}}}})
+	repeated := New(Config{Accounts: []Account{{Name: "a", Keys: []string{"k", "k"}}}})
 	_, known := repeated.Account("k")
 	require.True(t, known)
 	require.Empty(t, repeated.Faults())
--- a/cataloger/route.go
+++ b/cataloger/route.go
@@ -1,6 +1,8 @@
 package cataloger
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"geraniumline/hasher"
@@ -64,6 +66,82 @@
 	// FirstEventTimeout is how long callers wait for a stream's first event before they disconnect; 0 if they wait until
 	// their deadline.
 	FirstEventTimeout time.Duration
+	// Fault is why the route can't be used; its requests are refused. It is nil for a usable route.
+	Fault error
+}
+
+// StageError reports a stage that depends on a stage that does not precede it.
+type StageError struct {
+	Route     string
+	Stage     int
+	DependsOn int
+}
+
+func (e *StageError) Error() string {
+	return fmt.Sprintf("route %s: stage %d depends on stage %d, which does not precede it", e.Route, e.Stage, e.DependsOn)
+}
+
+// TargetError reports a route without a target service that may receive requests.
+type TargetError struct{ Route string }
+
+func (e *TargetError) Error() string { return fmt.Sprintf("route %s has no target service", e.Route) }
+
+// MatchError reports a route whose host or path prefix is missing or malformed. It matches no request, since it would
+// otherwise match those of other routes.
+type MatchError struct {
+	Route, Host, PathPrefix string
+}
+
+func (e *MatchError) Error() string {
+	return fmt.Sprintf("route %s: host %q and path prefix %q match no request", e.Route, e.Host, e.PathPrefix)
+}
+
+// indexRoutes validates the routes and indexes them by host.
+func (c *Catalog) indexRoutes(routes []Route) {
+	for i := range routes {
+		r := &routes[i]
+		if r.Fault == nil {
+			r.Fault = r.validate()
+		}
+		if r.Fault != nil {
+			c.faults = append(c.faults, r.Fault)
+		}
+		if allowsNoRegion(r.AllowedRegions) {
+			c.faults = append(c.faults, &RegionError{Owner: "route " + r.Name})
+		}
+		if r.Host == "" || !isPathPrefix(r.PathPrefix) {
+			c.faults = append(c.faults, &MatchError{Route: r.Name, Host: r.Host, PathPrefix: r.PathPrefix})
+			continue
+		}
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+}
+
+// isPathPrefix reports whether a prefix begins and ends with a slash.
+func isPathPrefix(prefix string) bool {
+	return strings.HasPrefix(prefix, "/") && strings.HasSuffix(prefix, "/")
+}
+
+func (r *Route) validate() error {
+	total := 0
+	for _, t := range r.Targets {
+		if t.Weight < 0 || t.Service == "" && t.Weight > 0 {
+			return &TargetError{Route: r.Name}
+		}
+		total += t.Weight
+	}
+	if total == 0 {
+		return &TargetError{Route: r.Name}
+	}
+	for i, stage := range r.Stages {
+		for _, dependency := range stage.DependsOn {
+			if dependency < 0 || dependency >= i {
+				return &StageError{Route: r.Name, Stage: i, DependsOn: dependency}
+			}
+		}
+	}
+	return nil
 }
 
 // Repeatable reports whether a request that may already have run may be sent again.
@@ -72,15 +150,12 @@
 }
 
 // Target selects the service for a request. It depends only on the seed, and over all seeds, services are selected in
-// proportion to their weights.
+// proportion to their weights. The route must be usable.
 func (r *Route) Target(seed uint64) string {
 	total := 0
 	for _, t := range r.Targets {
 		total += t.Weight
 	}
-	if total <= 0 {
-		return r.Targets[0].Service
-	}
 	position := int(hasher.Mix(seed) % uint64(total))
 	for _, t := range r.Targets {
 		if position < t.Weight {
--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -10,6 +10,7 @@
 	"ambiguousLength":   "the request states its length in two ways; it was refused and its connection closed.",
 	"bodyTooLarge":      "the body is over the configuration's limit.",
 	"bodyCut":           "the caller's body was incomplete.",
+	"unusableRoute":     "the route of the version in force can't be used; it has not run. Look for 'part of the configuration can't be used'.",
 	"unknownService":    "the route names a service that the version in force does not have; it has not run.",
 	"crashesEndpoints":  "the same content crashed two endpoints that ran it; it has not run. See 'endpoint crashed with a request'.",
 	"crashingPart":      "a part of its prompt crashed several endpoints that began to answer it, and is quarantined; it has not run unless runs is above 0. See 'part of prompts quarantined'.",
--- a/forwarder/duty_test.go
+++ b/forwarder/duty_test.go
@@ -164,8 +164,7 @@
 func TestEachServiceHasItsOwnCollector(t *testing.T) {
 	stage := &cataloger.StagePool{Slots: 1, Batch: 8, CallOverhead: time.Hour}
 	services := []cataloger.Service{{Name: "a", Stage: stage}, {Name: "b", Stage: stage}, {Name: "c", Stage: stage}}
-	catalog, err := cataloger.New(cataloger.Config{Version: 2, Services: services})
-	require.NoError(t, err)
+	catalog := cataloger.New(cataloger.Config{Version: 2, Services: services})
 	for _, n := range []int{1, 2, 3, 9} {
 		m := newMesh(t, n)
 		owners := make(map[string]string)
--- a/forwarder/evacuation_test.go
+++ b/forwarder/evacuation_test.go
@@ -121,8 +121,8 @@
 	m := newMeshInZones(t, 3, 3, func(string) int { return 0 })
 	f := m.nodes["entry-0"]
 	f.cfg.Regions = map[string]string{"z0": "east", "z1": "west", "z2": "north"}
-	f.catalog, _ = cataloger.New(cataloger.Config{Version: 9, Routes: []cataloger.Route{{
-		Name: "r", Host: "h.example", Targets: []cataloger.Target{{Service: "plain"}}, AllowedRegions: []string{"north"},
+	f.catalog = cataloger.New(cataloger.Config{Version: 9, Routes: []cataloger.Route{{
+		Name: "r", Host: "h.example", PathPrefix: "/", Targets: []cataloger.Target{{Service: "plain", Weight: 1}}, AllowedRegions: []string{"north"},
 	}}})
 	for _, tc := range []struct{ host, region, want string }{
 		{"h.example", "west", "caller-entry-1"},
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -159,6 +159,9 @@
 	if failure := x.checkKey(catalog); failure != nil {
 		return failure
 	}
+	if route.Fault != nil {
+		return notRun("unusableRoute", shortRetryDelay())
+	}
 	x.setDeadlines()
 	service, known := catalog.Service(route.Target(x.req.targetSeed()))
 	if !known {
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -108,7 +108,7 @@
 	return cataloger.New(cataloger.Config{Version: version, Services: []cataloger.Service{
 		{Name: "encode", Stage: &cataloger.StagePool{Slots: 1, Batch: 8, CallOverhead: time.Hour, ResultSpaceBytes: 1 << 30, ResultTTL: time.Hour}},
 		{Name: "plain"},
-	}})
+	}}), nil
 }
 
 func newMesh(t testing.TB, n int) *mesh {
