Bound request bodies that the configuration doesn't bound

Callers could see: with a configuration without a maximum body size, or with 0, an entry reads a body of any size into memory and is killed, with all requests that it serves.

Found by reading.

Change: 8 MiB apply, the largest body that a peer carries, and the configuration's log names the missing limit. The times of headers, bodies and idle connections had defaults already.

Evidence: TestBodiesAreBoundedWithoutAConfiguredLimit; on the code before the limit of both of its cases was no limit.

--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -59,6 +59,9 @@
 		accountCount: len(cfg.Accounts),
 		keysOptional: cfg.KeysOptional,
 	}
+	if err := c.limits.applyDefaults(); err != nil {
+		c.faults = append(c.faults, err)
+	}
 	c.indexRoutes(cfg.Routes)
 	for i := range cfg.Services {
 		s := &cfg.Services[i]
@@ -123,7 +126,7 @@
 // RequiresKeys reports whether requests must carry a key, except on anonymous routes.
 func (c *Catalog) RequiresKeys() bool { return !c.keysOptional }
 
-// Faults returns what can't be used in the configuration. Requests that need it are refused.
+// Faults returns what is missing or can't be used in the configuration. Requests that need it are refused.
 func (c *Catalog) Faults() []error { return c.faults }
 
 // AccountCount returns the number of client accounts.
--- a/cataloger/cataloger_test.go
+++ b/cataloger/cataloger_test.go
@@ -8,6 +8,9 @@
 	"github.com/stretchr/testify/require"
 )
 
+// bodyLimit is a configuration's limits without a fault.
+var bodyLimit = Limits{BodyBytes: 7}
+
 func route(name, prefix string) Route {
 	return Route{Name: name, Host: "a.example", PathPrefix: prefix, Targets: []Target{{Service: "s", Weight: 1}}}
 }
@@ -70,7 +73,7 @@
 		{"undecodable", undecodable, undecodable.Fault},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			c := New(Config{Routes: []Route{route("shorter", "/a/"), tc.route}, Accounts: []Account{{Name: "a", Keys: []string{"k"}}}})
+			c := New(Config{Limits: bodyLimit, Routes: []Route{route("shorter", "/a/"), tc.route}, Accounts: []Account{{Name: "a", Keys: []string{"k"}}}})
 			require.Equal(t, []error{tc.want}, c.Faults())
 			got, found := c.Match("a.example", "/a/b/c")
 			require.True(t, found)
@@ -92,7 +95,7 @@
 		"no host": withoutHost, "no prefix": route("r", ""), "no slash at the end": route("r", "/a"), "no slash at the beginning": route("r", "a/"),
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := New(Config{Routes: []Route{r}})
+			c := New(Config{Limits: bodyLimit, Routes: []Route{r}})
 			for _, path := range []string{"/a/b", "/ab", "a/b", ""} {
 				_, found := c.Match(r.Host, path)
 				require.False(t, found)
@@ -143,7 +146,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			tc.accounts[0].Keys = append(tc.accounts[0].Keys, "usable")
-			c := New(Config{Accounts: tc.accounts})
+			c := New(Config{Limits: bodyLimit, Accounts: tc.accounts})
 			_, known := c.Account(tc.key)
 			require.False(t, known)
 			var fault *AccountError
@@ -153,12 +156,23 @@
 			require.Equal(t, tc.accounts[0].Name != "", known)
 		})
 	}
-	repeated := New(Config{Accounts: []Account{{Name: "a", Keys: []string{"k", "k"}}}})
+	repeated := New(Config{Limits: bodyLimit, Accounts: []Account{{Name: "a", Keys: []string{"k", "k"}}}})
 	_, known := repeated.Account("k")
 	require.True(t, known)
 	require.Empty(t, repeated.Faults())
 }
 
+// Guards against bodies of any size, which an entry would hold in memory, if the configuration has no limit of them.
+func TestBodiesAreBoundedWithoutAConfiguredLimit(t *testing.T) {
+	for _, configured := range []int64{0, -1} {
+		c := New(Config{Limits: Limits{BodyBytes: configured}})
+		require.Equal(t, int64(DefaultBodyBytes), c.Limits().BodyBytes)
+		var fault *LimitError
+		require.ErrorAs(t, c.Faults()[0], &fault)
+	}
+	require.Equal(t, int64(7), New(Config{Limits: bodyLimit}).Limits().BodyBytes)
+}
+
 func TestCallDuration(t *testing.T) {
 	p := StagePool{CallOverhead: 150 * time.Millisecond, PieceTime: 16 * time.Millisecond}
 	require.Equal(t, 278*time.Millisecond, p.CallDuration(8))
--- a/cataloger/service.go
+++ b/cataloger/service.go
@@ -1,6 +1,9 @@
 package cataloger
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // StagePool describes the capacity of a stage service's endpoints. Each value applies to one endpoint.
 type StagePool struct {
@@ -57,6 +60,9 @@
 	Stage *StagePool
 }
 
+// DefaultBodyBytes is the maximum size of a request body if the configuration has none.
+const DefaultBodyBytes = 8 << 20
+
 // Limits bounds the size and duration of callers' requests.
 type Limits struct {
 	HeaderBytes   int
@@ -65,3 +71,22 @@
 	// IdleTimeout is how long a connection may stay open without a request.
 	IdleTimeout time.Duration
 }
+
+// LimitError reports a missing limit, and the one that applies instead.
+type LimitError struct {
+	Field   string
+	Applied int64
+}
+
+func (e *LimitError) Error() string {
+	return fmt.Sprintf("limit %s is missing, %d applies", e.Field, e.Applied)
+}
+
+// applyDefaults bounds what the configuration doesn't: an entry holds whole bodies in memory.
+func (l *Limits) applyDefaults() error {
+	if l.BodyBytes > 0 {
+		return nil
+	}
+	l.BodyBytes = DefaultBodyBytes
+	return &LimitError{Field: "BodyBytes", Applied: DefaultBodyBytes}
+}
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -168,13 +168,12 @@
 		return notRun("unknownService", shortRetryDelay())
 	}
 	x.service = service
-	if limit := catalog.Limits().BodyBytes; limit > 0 {
-		if x.in.ContentLength > limit {
-			x.w.Header().Set("Connection", "close")
-			return &FailureError{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
-		}
-		x.in.Body = http.MaxBytesReader(x.w, x.in.Body, limit)
+	limit := catalog.Limits().BodyBytes
+	if x.in.ContentLength > limit {
+		x.w.Header().Set("Connection", "close")
+		return &FailureError{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
 	}
+	x.in.Body = http.MaxBytesReader(x.w, x.in.Body, limit)
 	return nil
 }
 
--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -58,7 +58,7 @@
 		zap.Int("keys", catalog.KeyCount()),
 		zap.String("source", source))
 	for _, fault := range catalog.Faults() {
-		f.log.Error("part of the configuration can't be used, requests that need it are refused",
+		f.log.Error("part of the configuration can't be used",
 			zap.Int64("version", catalog.Version()),
 			zap.Error(fault))
 	}
