Serve only once the evacuated zones are known

Callers could see: requests reach endpoints in an evacuated zone through an entry that has just started. In a fleet where entries learn of each other by lists of members, a new entry can get the configuration and the endpoints from peers before the first heartbeat that names the evacuated zones.

Read from the store, the zones were always applied before the configuration.

Change: an entry is ready, and counts as live for duties, only with the operator's records applied up to some position. Two test harnesses that applied a configuration without those records now apply both, as the watcher does.

Evidence: TestAnEntryServesOnlyOnceItKnowsTheEvacuatedZones fails without the condition in loaded; the other tests of forwarder pass with it.

--- a/evacuator/evacuator.go
+++ b/evacuator/evacuator.go
@@ -53,6 +53,10 @@
 	}
 }
 
+// Loaded reports whether the operator's records have been read, here or by a peer. No zone counts as evacuated before, which
+// doesn't mean that none is.
+func (e *Evacuator) Loaded() bool { return locator.Position{}.Before(e.next) }
+
 // State returns the current state.
 func (e *Evacuator) State() State {
 	return State{Next: e.next, Zones: slices.Sorted(maps.Keys(e.zones)), Held: slices.Sorted(maps.Keys(e.held))}
--- a/forwarder/duty.go
+++ b/forwarder/duty.go
@@ -178,11 +178,11 @@
 // reset clears the cache.
 func (d *duties) reset() { *d = duties{} }
 
-// eligibleForDuty reports whether an entry may own a duty. Until this entry has a configuration and the list of
-// endpoints, peers without them count too: when all entries start together none is live yet, and each would otherwise
+// eligibleForDuty reports whether an entry may own a duty. Until this entry has loaded what it needs,
+// peers that have not count too: when all entries start together none is live yet, and each would otherwise
 // consider itself the only one. The lock must be held.
 func (f *Forwarder) eligibleForDuty(m *detector.Member) bool {
-	starting := f.catalog == nil || !f.registry.Loaded()
+	starting := !f.loaded()
 	return m.State == detector.Live || starting && m.State == detector.Suspect
 }
 
--- a/forwarder/endpointlist_test.go
+++ b/forwarder/endpointlist_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"geraniumline/carrier"
+	"geraniumline/evacuator"
 	"geraniumline/locator"
 	"geraniumline/registrar"
 )
@@ -97,6 +98,7 @@
 		loaded = 0
 		for _, f := range m.nodes {
 			if m.now.Sub(started) > storeResponseTime {
+				f.ReplaceEvacuations(evacuator.State{Next: locator.At(0, 1)}, m.now)
 				require.NoError(t, f.ApplyConfig([]byte("1"), "store", m.now))
 			}
 			if f.registry.Loaded() {
--- a/forwarder/evacuation_test.go
+++ b/forwarder/evacuation_test.go
@@ -13,6 +13,7 @@
 	"geraniumline/cataloger"
 	"geraniumline/evacuator"
 	"geraniumline/locator"
+	"geraniumline/registrar"
 )
 
 // deliver delivers the messages of the round, except for a share that is lost at random.
@@ -94,6 +95,18 @@
 	require.Less(t, f.startupRetryDelay(now.Add(50*time.Millisecond)), time.Second)
 }
 
+// Guards against an entry that serves evacuated zones because it has the configuration and the endpoints from a peer that
+// has not yet told it which zones are evacuated.
+func TestAnEntryServesOnlyOnceItKnowsTheEvacuatedZones(t *testing.T) {
+	m := newMesh(t, 1)
+	f := New(Config{Name: "new", Incarnation: 1, Wire: noWire{}, DecodeConfig: decodeTestConfig, Log: zap.NewNop()}, m.now)
+	require.NoError(t, f.ApplyConfig([]byte("1"), "entry-0", m.now))
+	f.ReplaceEndpoints([]registrar.Change{endpointChange("a")}, locator.At(0, 9), m.now)
+	require.False(t, f.Ready())
+	f.ReplaceEvacuations(evacuator.State{Next: locator.At(0, 4), Zones: []string{"z"}}, m.now)
+	require.True(t, f.Ready())
+}
+
 func TestHomesOfRouteAndAccountBothBind(t *testing.T) {
 	for _, tc := range []struct {
 		name                 string
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -357,12 +357,17 @@
 	}
 }
 
-// Ready reports whether this entry can serve requests: it has a configuration and the list of endpoints, and is not
-// stopping.
+// loaded reports whether this entry knows what it needs to serve requests: a configuration, the list of endpoints and the
+// evacuated zones, which may arrive from different peers. The lock must be held.
+func (f *Forwarder) loaded() bool {
+	return f.catalog != nil && f.registry.Loaded() && f.evacuator.Loaded()
+}
+
+// Ready reports whether this entry can serve requests: it has loaded what it needs, and is not stopping.
 func (f *Forwarder) Ready() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.catalog != nil && f.registry.Loaded() && !f.stopping.Load()
+	return f.loaded() && !f.stopping.Load()
 }
 
 // ServeReady implements the readiness probe.
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -139,10 +139,10 @@
 		return &FailureError{Status: http.StatusBadRequest, Reason: "ambiguousLength"}
 	}
 	x.f.mu.Lock()
-	catalog, known := x.f.catalog, x.f.registry.Loaded()
+	catalog, loaded := x.f.catalog, x.f.loaded()
 	retryAfter := x.f.startupRetryDelay(x.startTime)
 	x.f.mu.Unlock()
-	if catalog == nil || !known {
+	if !loaded {
 		return notRun("starting", retryAfter)
 	}
 	x.version = catalog.Version()
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -14,6 +14,7 @@
 	"geraniumline/cataloger"
 	"geraniumline/collector"
 	"geraniumline/connector"
+	"geraniumline/evacuator"
 	"geraniumline/locator"
 	"geraniumline/registrar"
 	"geraniumline/retrier"
@@ -159,6 +160,7 @@
 	m.nodes[name] = f
 	require.NoError(m.t, f.ApplyConfig([]byte("1"), "test", m.now))
 	f.RecordStoreResponse(0, m.now)
+	f.ReplaceEvacuations(evacuator.State{Next: locator.At(0, 1)}, m.now)
 	f.ReplaceEndpoints(nil, locator.At(0, 0), m.now)
 	return f
 }
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -113,7 +113,7 @@
 	switch {
 	case f.stopping.Load():
 		state = detector.Stopping
-	case f.catalog == nil || !f.registry.Loaded():
+	case !f.loaded():
 		state = detector.Suspect
 	}
 	f.detector.SetSelf(state, f.version(), int32(f.inFlight.Load()))
