Bound the bytes that are read before a response begins

Callers could see: an endpoint in trouble sends bytes that are no answer, without end; the entry reads them into memory until the deadline, or until it is killed with all requests that it serves.

Cause: http.ReadResponse has no limit of a head. A line, the fields and the informational answers are held in memory as long as they come. A response to another request was skipped to its end, however long. Ruled out by the test's other cases: the size line, the extensions and the trailers of chunks, which net/http bounds, and bodies, which are read up to a limit.

Change: 64 KiB for a head with the informational answers before it, 1 MiB for a skipped body. A body that declares more than its limit is refused before it is read. What follows the head of the expected response has no such limit, so that long streams go on. The error says that the request may have run, as for each broken exchange.

Evidence: TestBytesWithoutEndAreBounded, without the limits, failed in 8 of 17 cases: six forms of heads and both of skipped bodies held the client for the 10 s of its deadline. With them all 17 pass within 2 s under the race detector.

--- a/connector/answer.go
+++ b/connector/answer.go
@@ -80,6 +80,9 @@
 // longer than limit bytes.
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
 	defer r.Close()
+	if r.resp.ContentLength > limit {
+		return nil, &ExchangeError{Address: r.address, Err: &SizeError{Limit: limit}}
+	}
 	data, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err != nil {
 		return nil, &ExchangeError{Address: r.address, Err: err}
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -21,6 +21,8 @@
 	client  *Client
 	address string
 	netConn net.Conn
+	// limited reads from netConn, and br buffers what it reads.
+	limited *limitedReader
 	br      *bufio.Reader
 	// idle is set between exchanges, while the connection is in the client's idle list. Client.mu guards it.
 	idle        bool
@@ -94,7 +96,9 @@
 		}
 	}
 	req := &http.Request{Method: call.Method}
+	defer cn.limited.setLimit(0)
 	for range maxUnmatchedResponses + 1 {
+		cn.limited.setLimit(maxHeadBytes)
 		resp, err := readResponse(cn.br, req)
 		if err != nil {
 			return nil, err
@@ -105,6 +109,7 @@
 		if resp.Close {
 			return nil, &UnmatchedResponseError{}
 		}
+		cn.limited.setLimit(maxSkippedBytes)
 		_, err = io.Copy(io.Discard, resp.Body)
 		if err := errors.Join(err, resp.Body.Close()); err != nil {
 			return nil, err
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -162,7 +162,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{client: c, address: address, netConn: netConn, br: bufio.NewReaderSize(netConn, readBufferSize)}, nil
+	limited := &limitedReader{r: netConn}
+	return &conn{client: c, address: address, netConn: netConn, limited: limited, br: bufio.NewReaderSize(limited, readBufferSize)}, nil
 }
 
 func (c *Client) takeIdle(address string, now time.Time) *conn {
