Search an event for its end only once

Callers could see: an endpoint that sends an event without end, in small pieces, holds a processor of the entry; other requests are late.

Cause: each piece of a stream made the splitter search all bytes of the incomplete event again, which grows with the square of the bytes up to the limit of 1 MiB.

Change: the splitter remembers where the last line begins and how far it has searched.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -35,6 +35,9 @@
 type Splitter struct {
 	maxEvent int
 	buf      []byte
+	// lineStart is the start of the last line in buf, and searched the length of buf that has been searched for its end. They
+	// keep the work in proportion to the bytes received, in whatever pieces these arrive.
+	lineStart, searched int
 }
 
 // New returns a Splitter for events of at most maxEvent bytes; 0 means DefaultMaxEvent.
@@ -51,12 +54,13 @@
 	s.buf = append(s.buf, data...)
 	var events []Event
 	for {
-		n := eventLength(s.buf)
+		n := s.eventLength()
 		if n == 0 {
 			break
 		}
 		events = append(events, parse(bytes.Clone(s.buf[:n])))
 		s.buf = s.buf[n:]
+		s.lineStart, s.searched = 0, 0
 	}
 	if len(s.buf) > s.maxEvent {
 		return events, &SizeError{Limit: s.maxEvent}
@@ -76,16 +80,18 @@
 }
 
 // eventLength returns the length of the first complete event, including its blank line, or 0 if there is none.
-func eventLength(data []byte) int {
-	for start := 0; ; {
-		end := bytes.IndexByte(data[start:], '\n')
+func (s *Splitter) eventLength() int {
+	for {
+		end := bytes.IndexByte(s.buf[s.searched:], '\n')
 		if end < 0 {
+			s.searched = len(s.buf)
 			return 0
 		}
-		line := bytes.TrimSuffix(data[start:start+end], []byte("\r"))
-		start += end + 1
+		next := s.searched + end + 1
+		line := bytes.TrimSuffix(s.buf[s.lineStart:next-1], []byte("\r"))
+		s.lineStart, s.searched = next, next
 		if len(line) == 0 {
-			return start
+			return next
 		}
 	}
 }
--- a/splitter/splitter_test.go
+++ b/splitter/splitter_test.go
@@ -68,3 +68,19 @@
 		require.True(t, bytes.Equal(data, append(split, s.Remainder()...)))
 	})
 }
+
+// Guards against an endpoint that holds a processor with bytes without end: the work of searching an event for its end must
+// not grow with the square of the bytes received.
+func TestAnEventWithoutEndIsSearchedOnce(t *testing.T) {
+	for _, repeated := range []string{"x", "x\n", "\r"} {
+		s := New(0)
+		var err error
+		n := 0
+		for ; err == nil; n++ {
+			_, err = s.Feed([]byte{repeated[n%len(repeated)]})
+		}
+		var size *SizeError
+		require.ErrorAs(t, err, &size)
+		require.Equal(t, DefaultMaxEvent+1, n)
+	}
+}
