Bound the memory of all incomplete responses together

Callers could see: several requests at endpoints that send bodies without end hold up to 8 MiB each, and an event without end 1 MiB; a few dozen of them exceed the memory of a small VM, and the entry is killed.

Cause: responses had limits of their own and none together.

Change: a budget of a tenth of the allowed memory, of which the responses of one address get half, so that the other endpoints' still fit. A response that doesn't fit has broken off, as one that is too long. Refusals' bodies are read to 64 KiB only, to reuse the connection.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -50,6 +50,8 @@
 	// memoryLimitRatio is the Go memory limit as a fraction of the allowed memory. It is below 1 because memory that the
 	// kernel holds for the process counts too, and a process over the limit is killed.
 	memoryLimitRatio = 0.7
+	// responseMemoryRatio is the share of the allowed memory that endpoints' incomplete responses may hold.
+	responseMemoryRatio = 0.1
 	// gcPercent lets the heap grow by half of the live data before it is collected. Most of an entry's data is the list of
 	// endpoints, which rarely changes, so that collections stay rare.
 	gcPercent = 50
@@ -120,12 +122,15 @@
 		RetryRatio:    settings.RetryRatio,
 		RetrySlack:    settings.RetrySlack,
 		RetryWindow:   settings.RetryWindow,
-		Disabled:      cfg.Disabled,
-		Wire:          platform.Dialect{},
-		Client:        connector.New(connector.Config{Dial: cfg.DialEndpoint}),
-		DecodeConfig:  platform.ConfigDecoder{AccountsOptional: settings.AccountsOptional}.Decode,
-		Log:           logger,
-		Meter:         e.meter,
+
+		ResponseMemory: int64(responseMemoryRatio * float64(settings.MemoryBytes)),
+
+		Disabled:     cfg.Disabled,
+		Wire:         platform.Dialect{},
+		Client:       connector.New(connector.Config{Dial: cfg.DialEndpoint}),
+		DecodeConfig: platform.ConfigDecoder{AccountsOptional: settings.AccountsOptional}.Decode,
+		Log:          logger,
+		Meter:        e.meter,
 	}, now)
 	if err := e.openPeers(); err != nil {
 		return err
--- a/connector/answer.go
+++ b/connector/answer.go
@@ -76,14 +76,16 @@
 	r.once.Do(func() { r.end(r.complete) })
 }
 
-// ReadAll reads the rest of the body and ends the exchange. It returns an *ExchangeError if the body breaks off or is
-// longer than limit bytes.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
+// ReadAll reads the rest of the body within a budget and ends the exchange. It returns an *ExchangeError if the body breaks
+// off, is longer than limit bytes, or doesn't fit into the budget.
+func (r *Response) ReadAll(b *Budget, limit int64) ([]byte, error) {
 	defer r.Close()
 	if r.resp.ContentLength > limit {
 		return nil, &ExchangeError{Address: r.address, Err: &SizeError{Limit: limit}}
 	}
-	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	hold := b.Hold(r.address)
+	defer hold.Release()
+	data, err := io.ReadAll(&heldReader{r: io.LimitReader(r, limit+1), hold: hold})
 	if err != nil {
 		return nil, &ExchangeError{Address: r.address, Err: err}
 	}
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return "", err
 	}
-	body, err := resp.ReadAll(1 << 10)
+	body, err := resp.ReadAll(NewBudget(0), 1<<10)
 	return string(body), err
 }
 
@@ -252,7 +252,7 @@
 		long.Body = make([]byte, 16<<20)
 		resp, err := c.Do(t.Context(), long)
 		require.NoError(t, err)
-		body, err := resp.ReadAll(1 << 10)
+		body, err := resp.ReadAll(NewBudget(0), 1<<10)
 		require.NoError(t, err)
 		require.Equal(t, "early", string(body))
 	}
--- a/connector/endless_test.go
+++ b/connector/endless_test.go
@@ -85,7 +85,7 @@
 				Address: "peer", Method: http.MethodPost, Target: "/", Host: "h", EchoHeader: "X-Id", Header: http.Header{"X-Id": {"1"}},
 			})
 			if err == nil {
-				_, err = resp.ReadAll(limit)
+				_, err = resp.ReadAll(NewBudget(0), limit)
 			}
 			var exchange *ExchangeError
 			require.ErrorAs(t, err, &exchange)
--- a/connector/reset_test.go
+++ b/connector/reset_test.go
@@ -48,7 +48,7 @@
 	long.Body = make([]byte, concurrentWriteBytes)
 	resp, err := c.Do(t.Context(), long)
 	require.NoError(t, err)
-	_, err = resp.ReadAll(1 << 10)
+	_, err = resp.ReadAll(NewBudget(0), 1<<10)
 	var broken *ExchangeError
 	require.ErrorAs(t, err, &broken)
 	require.ErrorIs(t, err, syscall.ECONNRESET)
@@ -68,7 +68,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		resp, err := newClient(t).Do(ctx, long)
 		require.NoError(t, err)
-		body, err := resp.ReadAll(1 << 10)
+		body, err := resp.ReadAll(NewBudget(0), 1<<10)
 		require.NoError(t, err)
 		require.Equal(t, "the whole", string(body))
 		cancel()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -93,6 +93,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// ResponseMemory bounds the memory of endpoints' responses that are incomplete, in bytes; 0 means the connector's default.
+	ResponseMemory int64
 
 	// Disabled lists the policy mechanisms that are switched off.
 	Disabled switcher.Disabled
@@ -113,6 +115,8 @@
 	sender     Sender
 	openStream StreamOpener
 	startTime  time.Time
+	// budget bounds the memory of endpoints' incomplete responses.
+	budget *connector.Budget
 
 	// mu guards all fields up to eraKnown.
 	mu        sync.Mutex
@@ -216,6 +220,7 @@
 		log:        cfg.Log,
 		sampledLog: newSampledLog(cfg.Log, cfg.Meter),
 		startTime:  now,
+		budget:     connector.NewBudget(cfg.ResponseMemory),
 		random:     random,
 		registry:   registrar.New(registrar.Config{Regions: cfg.Regions}),
 		selector:   selector.New(selector.Config{Self: cfg.Name, Rand: random, Ejector: ejectorConfig(cfg.Disabled), Gate: g, Disabled: cfg.Disabled}),
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -31,10 +31,13 @@
 	return info
 }
 
+// maxRefusalBody is the largest body of a refusal, in bytes, that is read to reuse its connection.
+const maxRefusalBody = 64 << 10
+
 // discardRefusal reads the body of a refusal, so that its connection can be reused. The header alone says that the
 // endpoint did not run the request, so it doesn't matter whether the body is whole.
 func (f *Forwarder) discardRefusal(e *registrar.Endpoint, resp *connector.Response) {
-	if _, err := resp.ReadAll(maxPlainResponse); err != nil {
+	if _, err := resp.ReadAll(f.budget, maxRefusalBody); err != nil {
 		f.log.Debug("reading refusal body failed", zap.String("endpoint", e.ID), zap.Error(err))
 	}
 }
--- a/forwarder/piececalls.go
+++ b/forwarder/piececalls.go
@@ -68,7 +68,7 @@
 		f.mu.Unlock()
 		return collector.Refused, nil
 	}
-	data, err := resp.ReadAll(maxPiecesResponse)
+	data, err := resp.ReadAll(f.budget, maxPiecesResponse)
 	if err != nil {
 		return f.brokenCall(service, e, err), nil
 	}
@@ -138,7 +138,7 @@
 		Body:    body,
 	})
 	if err == nil {
-		_, err = resp.ReadAll(maxPiecesResponse)
+		_, err = resp.ReadAll(f.budget, maxPiecesResponse)
 	}
 	if err != nil {
 		f.log.Debug("results not freed", zap.String("address", e.Address), zap.Error(err))
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -106,7 +106,7 @@
 		x.f.discardRefusal(&choice.Endpoint, resp)
 		return resp, info, nil, nil
 	}
-	body, err := resp.ReadAll(maxPlainResponse)
+	body, err := resp.ReadAll(x.f.budget, maxPlainResponse)
 	return resp, info, body, err
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -187,7 +188,7 @@
 // handleErrorResponse handles a response that is not a stream.
 func (s *streamer) handleErrorResponse(choice selector.Choice, resp *connector.Response) (bool, *FailureError) {
 	x := s.x
-	body, err := resp.ReadAll(maxPlainResponse)
+	body, err := resp.ReadAll(x.f.budget, maxPlainResponse)
 	if err != nil {
 		return s.handleFailure(choice, err)
 	}
@@ -219,12 +220,15 @@
 // relay writes complete events to the caller until the stream ends.
 func (s *streamer) relay(choice *selector.Choice, resp *connector.Response, stall *time.Timer, sent time.Time) (bool, *FailureError) {
 	split := splitter.New(0)
+	hold := s.x.f.budget.Hold(choice.Endpoint.Address)
+	defer hold.Release()
 	buf := make([]byte, streamBuffer)
 	first := true
 	for {
 		n, err := resp.Read(buf)
 		if n > 0 {
 			events, splitErr := split.Feed(buf[:n])
+			splitErr = cmp.Or(splitErr, hold.Resize(int64(len(split.Remainder()))))
 			if splitErr != nil {
 				return s.handleFailure(*choice, splitErr)
 			}
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -78,7 +78,7 @@
 			require.NoError(t, err)
 			require.Equal(t, 207, resp.Status())
 			require.Equal(t, http.Header{"X-B": {"3"}}, resp.Header())
-			got, err := resp.ReadAll(100)
+			got, err := resp.ReadAll(connector.NewBudget(0), 100)
 			require.NoError(t, err)
 			require.Equal(t, "abc", string(got))
 			require.True(t, here.closed)
@@ -105,7 +105,7 @@
 	} {
 		resp, err := Send(t.Context(), &fakeStream{received: received}, newCall(nil), time.Now())
 		require.NoError(t, err)
-		_, err = resp.ReadAll(100)
+		_, err = resp.ReadAll(connector.NewBudget(0), 100)
 		var broken *connector.ExchangeError
 		require.ErrorAs(t, err, &broken)
 	}
