End relayed calls whose body never comes

Callers could see: a peer that stops in the middle of a relayed call, or sends empty parts of its body, holds a connection of this entry without a bound, and a planned stop waits for it until the process is killed.

Cause: the time limit of a relayed call began after its body had been read, and an empty part was read as progress.

Change: the limit covers the whole call and closes the stream; an empty part is an unexpected message, also in responses.

--- a/forwarder/relayserver.go
+++ b/forwarder/relayserver.go
@@ -37,6 +37,15 @@
 func (f *Forwarder) ServeRelay(from string, call *carrier.RelayCall, s proxier.Stream) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
+	timeout := maxRelayTime
+	if call.TimeoutMillis > 0 {
+		timeout = min(timeout, time.Duration(call.TimeoutMillis)*time.Millisecond+relayGrace)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	// A peer that stops in the middle of its call must not hold this entry, also not a planned stop of it.
+	stopClosing := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stopClosing()
 	body, err := proxier.ReadBody(s, call)
 	if err != nil {
 		f.log.Warn("call of a peer not read", zap.String("peer", from), zap.Error(err))
@@ -47,12 +56,6 @@
 		f.refuseRelay(s, reason)
 		return
 	}
-	timeout := maxRelayTime
-	if call.TimeoutMillis > 0 {
-		timeout = min(timeout, time.Duration(call.TimeoutMillis)*time.Millisecond+relayGrace)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
 	go func() {
 		// The peer sends nothing more, so anything that ends the read means that it no longer needs the response.
 		_, _ = s.Receive()
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -140,6 +140,9 @@
 		}
 		switch m := m.(type) {
 		case *carrier.RelayBody:
+			if len(m.Data) == 0 {
+				return 0, &MessageError{Kind: m.Kind()}
+			}
 			b.unread = m.Data
 		case *carrier.RelayEnd:
 			b.complete = true
@@ -166,7 +169,7 @@
 			return nil, err
 		}
 		part, ok := m.(*carrier.RelayBody)
-		if !ok {
+		if !ok || len(part.Data) == 0 {
 			return nil, &MessageError{Kind: m.Kind()}
 		}
 		body = append(body, part.Data...)
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -185,3 +185,17 @@
 		endpoint.Close()
 	}
 }
+
+// emptyParts is a stream of which the peer sends empty parts of a body without end.
+type emptyParts struct{ fakeStream }
+
+func (s *emptyParts) Receive() (carrier.Message, error) { return &carrier.RelayBody{}, nil }
+
+// Guards against a peer that holds an entry with parts that never complete a body.
+func TestEmptyPartsEndTheExchange(t *testing.T) {
+	var message *MessageError
+	_, err := ReadBody(&emptyParts{}, &carrier.RelayCall{BodyBytes: 1})
+	require.ErrorAs(t, err, &message)
+	_, err = (&responseBody{stream: &emptyParts{}}).Read(make([]byte, 1))
+	require.ErrorAs(t, err, &message)
+}
