Stop reading a stage's reply after its final part

Cause: readParts read on after the final part, and what followed was decoded as a part.

Heads of endpoints' responses are bounded to 64 KiB.

--- a/performer/config.go
+++ b/performer/config.go
@@ -39,6 +39,9 @@
 	LoadReportEvery time.Duration
 }
 
+// maxHeadBytes limits the header of an endpoint's response.
+const maxHeadBytes = 64 << 10
+
 // EndpointTransport returns an HTTP transport for many calls to few endpoints.
 func EndpointTransport() *http.Transport {
 	return &http.Transport{
@@ -47,5 +50,7 @@
 		ResponseHeaderTimeout: 0,
 		DisableCompression:    true,
 		DialContext:           newDialer().DialContext,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
--- a/performer/stages.go
+++ b/performer/stages.go
@@ -239,12 +239,10 @@
 		}
 		s.post(event)
 		if event.Part.Final {
-			ended = true
+			// What follows belongs to no reply, and may have no end.
+			return reducer.StageFault{}, true
 		}
 	}
-	if ended {
-		return reducer.StageFault{}, true
-	}
 	message := "the reply ended before its final part"
 	if err := lines.Err(); err != nil {
 		message = err.Error()
