Bound the responses of the platform's log and list of VMs

Callers could see, at geraniumline entry: a log in trouble that sends a response without end fills the memory of the entry.

Cause: the generated clients read whole bodies.

Change: one HTTP client for the platform's services, with 32 MiB for a body, beyond which reading fails, and 64 KiB for a head. The list of VMs had the default client, without a limit of dialing.

Evidence: TestLogResponsesWithoutEndAreBounded; without the limit the read goes on until its deadline.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
@@ -45,7 +44,7 @@
 
 func (c Config) withDefaults() Config {
 	if c.HTTP == nil {
-		c.HTTP = &http.Client{Transport: newTransport()}
+		c.HTTP = NewHTTPClient()
 	}
 	if c.PageRecords <= 0 {
 		c.PageRecords = DefaultPageRecords
@@ -58,23 +57,6 @@
 	return c
 }
 
-// maxIdleConnections covers the tails of all streams and the appends that a batcher has in flight. With the default of
-// two, most appends would dial a new connection, at the cost of a round trip each.
-const maxIdleConnections = 16
-
-func newTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     idleTimeout,
-	}
-}
-
-const (
-	dialTimeout = time.Second
-	idleTimeout = 30 * time.Second
-)
-
 // Close closes the idle connections.
 func (a *Appender) Close() { a.cfg.HTTP.CloseIdleConnections() }
 
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -82,7 +82,7 @@
 		return oops.In("assembler").Wrap(err)
 	}
 	e.tracer = traces
-	vms, err := platformserver.NewClient(s.VMsURL)
+	vms, err := platformserver.NewClient(s.VMsURL, platformserver.WithClient(appender.NewHTTPClient()))
 	if err != nil {
 		return oops.In("assembler").Wrap(err)
 	}
