--- a/appender/endless_test.go
+++ b/appender/endless_test.go
@@ -1,7 +1,6 @@
 package appender
 
 import (
-	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -33,7 +32,7 @@
 	defer a.Close()
 	_, err = a.Read(t.Context(), "claims", 0, 1, 0)
 	var size *SizeError
-	require.True(t, errors.As(err, &size), "%v", err)
+	require.ErrorAs(t, err, &size)
 	// The sockets' buffers hold some more.
 	require.Less(t, <-sent, int64(2*maxResponseBytes))
 }
--- a/connector/endless_test.go
+++ b/connector/endless_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -133,7 +132,7 @@
 	p := &endlessPeer{beginning: "HTTP/1.1 200 OK\r\nX-Long: ", repeated: "x", closed: make(chan struct{})}
 	_, err := New(Config{Dial: p.dial}).Do(t.Context(), &Call{Address: "peer", Method: http.MethodGet, Target: "/", Host: "h"})
 	var size *HeadSizeError
-	require.True(t, errors.As(err, &size), "%v", err)
+	require.ErrorAs(t, err, &size)
 	require.Equal(t, int64(maxHeadBytes), size.Limit)
 	<-p.closed
 }
