Log why an exchange of a plain request broke

An operator could not tell from the logs that an endpoint had sent bytes without end, or broken off, to a plain request: the error was dropped, where streams and calls for pieces log theirs. One line for each broken exchange, as for streams.

--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"geraniumline/connector"
 	"geraniumline/ejector"
 	"geraniumline/selector"
@@ -53,6 +55,11 @@
 	defer cancel()
 	resp, info, body, err := x.exchangePlain(ctx, choice)
 	if err != nil {
+		x.f.log.Info("exchange broken",
+			zap.String("request", x.req.ID),
+			zap.String("endpoint", choice.Endpoint.ID),
+			zap.Bool("callerGone", x.callerGone()),
+			zap.Error(err))
 		return x.handleFailure(choice, err)
 	}
 	if info.NotRun {
