--- a/connector/answer.go
+++ b/connector/answer.go
@@ -80,7 +80,7 @@
 // off, is longer than limit bytes, or doesn't fit into the budget.
 func (r *Response) ReadAll(b *Budget, limit int64) ([]byte, error) {
 	defer r.Close()
-	if r.resp.ContentLength > limit {
+	if r.resp.ContentLength > limit && r.resp.Body != http.NoBody {
 		return nil, &ExchangeError{Address: r.address, Err: &SizeError{Limit: limit}}
 	}
 	hold := b.Hold(r.address)
--- a/connector/endless_test.go
+++ b/connector/endless_test.go
@@ -136,3 +136,17 @@
 	require.Equal(t, int64(maxHeadBytes), size.Limit)
 	<-p.closed
 }
+
+// Guards against a response without a body that is refused because of the length that it declares.
+func TestADeclaredLengthWithoutABodyIsNoBody(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n")
+		}
+	})
+	resp, err := newClient(t).Do(t.Context(), &Call{Address: p.address, Method: http.MethodHead, Target: "/", Host: "h"})
+	require.NoError(t, err)
+	body, err := resp.ReadAll(NewBudget(0), 1)
+	require.NoError(t, err)
+	require.Empty(t, body)
+}
