--- a/forwarder/relayserver.go
+++ b/forwarder/relayserver.go
@@ -43,7 +43,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	// A peer that stops in the middle of its call must not hold this entry, also not a planned stop of it.
+	// A peer that stops in the middle of its call must hold neither this entry nor its planned stop.
 	stopClosing := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stopClosing()
 	body, err := proxier.ReadBody(s, call)
