--- a/connector/endless_test.go
+++ b/connector/endless_test.go
@@ -7,43 +7,13 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-)
-
-// endlessPeer answers with a beginning and then repeats some bytes until the client closes the connection. The connection
-// has no buffer, so that sent counts the bytes that the client has read.
-type endlessPeer struct {
-	beginning, repeated string
-	sent                atomic.Int64
-	closed              chan struct{}
-}
 
-func (p *endlessPeer) dial(context.Context, string, string) (net.Conn, error) {
-	client, server := net.Pipe()
-	go func() {
-		defer close(p.closed)
-		defer func() { _ = server.Close() }()
-		req, err := http.ReadRequest(bufio.NewReader(server))
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, req.Body)
-		_, _ = io.WriteString(server, p.beginning)
-		chunk := strings.Repeat(p.repeated, max(1, 1<<10/len(p.repeated)))
-		for {
-			n, err := io.WriteString(server, chunk)
-			p.sent.Add(int64(n))
-			if err != nil {
-				return
-			}
-		}
-	}()
-	return client, nil
-}
+	"geraniumline/faker"
+)
 
 // Guards against an endpoint that sends bytes without end until the client runs out of memory, or is held until its
 // deadline.
@@ -76,8 +46,8 @@
 		{"trailers", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: 1\r\n", limit},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			p := &endlessPeer{beginning: tc.beginning, repeated: tc.repeated, closed: make(chan struct{})}
-			c := New(Config{Dial: p.dial})
+			p := &faker.Endless{Beginning: tc.beginning, Repeated: tc.repeated}
+			c := New(Config{Dial: p.Dial})
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
 			resp, err := c.Do(ctx, &Call{
@@ -89,8 +59,7 @@
 			var exchange *ExchangeError
 			require.ErrorAs(t, err, &exchange)
 			require.NoError(t, ctx.Err(), "the exchange ends before its deadline")
-			<-p.closed
-			require.LessOrEqual(t, p.sent.Load(), tc.most+2*readBufferSize)
+			require.LessOrEqual(t, p.Sent(), tc.most+2*readBufferSize)
 		})
 	}
 }
@@ -129,12 +98,11 @@
 
 // Guards against a limit error that is hidden by the parser's own errors.
 func TestHeadSizeIsReported(t *testing.T) {
-	p := &endlessPeer{beginning: "HTTP/1.1 200 OK\r\nX-Long: ", repeated: "x", closed: make(chan struct{})}
-	_, err := New(Config{Dial: p.dial}).Do(t.Context(), &Call{Address: "peer", Method: http.MethodGet, Target: "/", Host: "h"})
+	p := &faker.Endless{Beginning: "HTTP/1.1 200 OK\r\nX-Long: ", Repeated: "x"}
+	_, err := New(Config{Dial: p.Dial}).Do(t.Context(), &Call{Address: "peer", Method: http.MethodGet, Target: "/", Host: "h"})
 	var size *HeadSizeError
 	require.ErrorAs(t, err, &size)
 	require.Equal(t, int64(maxHeadBytes), size.Limit)
-	<-p.closed
 }
 
 // Guards against a response without a body that is refused because of the length that it declares.
