review: drop case 5 (late answers to calls for pieces), renumber the others; cases 4 and 7 restated

Case 4 is longer (110 bursts, a pause of 1 s between the spans of the disturbance), so that a run with few hits still shows it.

--- a/review/standin-2/lateshed.go
+++ b/review/standin-2/lateshed.go
@@ -18,10 +18,15 @@
 	// shedWork is within the work of the site's requests, 450 ms at most.
 	shedWork = 300 * time.Millisecond
 	// shedBursts is the number of bursts, each of so many requests that the servers are full for a moment.
-	shedBursts   = 46
+	shedBursts   = 110
 	shedRequests = 32
 	shedPause    = 700 * time.Millisecond
 	shedDeadline = 1500 * time.Millisecond
+	// extraEvery is the inverse of the share of answers that come twice, 0.03, in spans of extraFor with a pause of extraGap.
+	extraEvery = 33
+	extraFrom  = 3 * time.Second
+	extraFor   = 5 * time.Second
+	extraGap   = time.Second
 )
 
 // shedLedger counts the runs of each request.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,11 +22,11 @@
 
 // cases maps the name of each case to its function, which reports whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
-	"late-extra": runLateExtra,
-	"late-shed":  runLateShed,
-	"resume":     runResume,
-	"smuggle":    runSmuggle,
-	"bodies":     runBodies,
+	"late-shed": runLateShed,
+	"resume":    runResume,
+	"part":      runPart,
+	"smuggle":   runSmuggle,
+	"bodies":    runBodies,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin-2/model.go
+++ b/review/standin-2/model.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 )
 
@@ -28,15 +27,6 @@
 	return err == nil
 }
 
-// handles returns the handles of a request's inputs.
-func handles(r *http.Request) []string {
-	value := r.Header.Get("Geraniumline-Input-Count")
-	if value == "" {
-		return nil
-	}
-	return strings.Split(value, ",")
-}
-
 // modelService is the configuration of the service of model endpoints.
 func modelService() map[string]any {
 	return map[string]any{
