--- a/review/standin-2/bodies.go
+++ b/review/standin-2/bodies.go
@@ -17,8 +17,8 @@
 const (
 	// bodyBytes is MaxBodyBytes of the configuration.
 	bodyBytes = 4194304
-	// bodyClients and smallClients together are the clients of the small site, 31, times 1.7, the burst in its list of troubles.
-	bodyClients  = 40
+	// bodyClients and smallClients together are the clients of the small site, 31, times 2.6, the largest burst in its days.
+	bodyClients  = 68
 	smallClients = 12
 	bodySlots    = 6
 	// bodyWork is within the site's work of up to 450 ms.
@@ -106,6 +106,8 @@
 	var small sync.WaitGroup
 	for range smallClients {
 		small.Go(func() { l.sendSmall(w, stop) })
+		// So that their requests don't all end at the same moment.
+		time.Sleep(bodyWork / smallClients)
 	}
 	time.Sleep(time.Second)
 	for range bodyClients {
