--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -1,4 +1,4 @@
-// Command standin-2 runs the scripted cases 4 to 8 of the review. It holds the stand-ins for the platform's store, the
+// Command standin-2 runs the scripted cases 5, 6 and 8 of the review. It holds the stand-ins for the platform's store, the
 // endpoints and the callers, and starts the project's own entries as separate processes.
 package main
 
@@ -22,11 +22,9 @@
 
 // cases maps the name of each case to its function, which reports whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
-	"late-shed": runLateShed,
-	"resume":    runResume,
-	"part":      runPart,
-	"smuggle":   runSmuggle,
-	"bodies":    runBodies,
+	"resume":  runResume,
+	"part":    runPart,
+	"smuggle": runSmuggle,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -18,8 +18,6 @@
 	born    time.Time
 	// handle answers one request and reports whether the channel is kept.
 	handle func(c *channel, r *http.Request, body []byte) bool
-	// readBody reads the body of a request; nil reads it at once.
-	readBody func(r *http.Request) ([]byte, error)
 
 	mu    sync.Mutex
 	ln    net.Listener
@@ -31,8 +29,6 @@
 type channel struct {
 	net.Conn
 	br *bufio.Reader
-	// previous is an answer that is sent once more, late.
-	previous []byte
 }
 
 func newServer(w *world, id, service string) *server {
@@ -114,11 +110,7 @@
 		if err != nil {
 			return
 		}
-		read := s.readBody
-		if read == nil {
-			read = func(r *http.Request) ([]byte, error) { return io.ReadAll(r.Body) }
-		}
-		body, err := read(r)
+		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
 		}
