Bound the lines of the log that wait to be written in bytes

What callers saw: a process that ran out of memory while nobody read its log, and clients sent requests with long targets.

Cause: the spooler bounded its buffer in lines, and each refused request logs its target. A target of 14 KB that is not valid UTF-8 takes 84 KB of JSON, 4,096 of them 344 MB.

TestLongLinesFillTheBuffer covers the spooler alone.

Why this fix works: the buffer holds at most 1 KB for each of its lines (4 MB by default) and counts what it drops as before; texts of callers in log lines are cut at 512 bytes, so that ordinary lines aren't dropped for the sake of long ones.

Two cases of crowds join the list of those that fail: requests for many pieces, and calls of peers without their bodies. Queues of sockets in both directions now count as memory.

--- a/crowder/forward_test.go
+++ b/crowder/forward_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,6 +28,14 @@
 	bodyClients = 64
 	// idleClients need more descriptors than maxFds.
 	idleClients = 600
+	// pieceClients ask for 4,096 pieces of each of two stages.
+	pieceClients = 300
+	manyPieces   = "Geraniumline-Chunk-Count: 4096,4096\r\nGeraniumline-Chunk-Key: key\r\n"
+	// lineClients with lineRequests each, whose targets of lineBytes are logged at six times their length, fill the log's buffer
+	// with 344 MB.
+	lineClients  = 64
+	lineRequests = 100
+	lineBytes    = 14_000
 	// headClients with headBytes each hold 256 MB.
 	headClients = 300
 	headBytes   = 900 << 10
@@ -50,6 +59,12 @@
 // startForward starts an entry with the limits of the smallest VM and begins to watch it. All plain requests wait at their
 // endpoints; streams are answered.
 func startForward(t *testing.T) *process {
+	t.Helper()
+	return startForwardBy(t, starter.StartForward)
+}
+
+// startForwardBy is like startForward, and starts the process in the given way.
+func startForwardBy(t *testing.T, start func(binary, dir, name, variable, settings string) (*starter.Process, error)) *process {
 	t.Helper()
 	p := &process{t: t, site: imitator.NewSite()}
 	t.Cleanup(p.site.Close)
@@ -65,7 +80,7 @@
 	dir := t.TempDir()
 	settings, err := p.site.WriteSettings(dir, imitator.EntrySettings{Name: "entry", Listen: p.listen, MemoryMb: memoryMb, MaxFds: maxFds})
 	require.NoError(t, err)
-	p.process, err = starter.StartForward(filepath.Join(bin, "geraniumline"), dir, "entry", platform.SettingsVariable, settings)
+	p.process, err = start(filepath.Join(bin, "geraniumline"), dir, "entry", platform.SettingsVariable, settings)
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, p.process.Kill()) })
 	require.Eventually(t, func() bool { return imitator.Ready(t.Context(), p.listen.Ready) }, callTimeout, 20*time.Millisecond)
@@ -135,6 +150,7 @@
 		{"bodies over the limit sent", bodyClients, callers, ChunkedBody(plain, 64<<10, 64<<20)},
 		{"bodies of refused requests", idleClients, callers, Body(unknown, 1000, 10)},
 		{"requests sent ahead", idleClients, callers, Bytes(plain + "Content-Length: 0\r\n\r\n" + string(make([]byte, 512<<10)))},
+		{"requests for many pieces", pieceClients, callers, Bytes(head(imitator.StagesPath, imitator.Key) + manyPieces + "Content-Length: 0\r\n\r\n")},
 		{"unfinished heads of callers", idleClients, callers, UnfinishedHead(30 << 10)},
 		{"idle connections of callers", idleClients, callers, Idle},
 		{"unfinished heads at the readiness check", headClients, ready, UnfinishedHead(headBytes)},
@@ -173,6 +189,19 @@
 	p.requireBounds()
 }
 
+// Guards against log lines that pile up in memory, long as their senders have made them, because nobody reads the log.
+func TestForwardOutlivesALogThatIsNotRead(t *testing.T) {
+	p := startForwardBy(t, starter.StartUnread)
+	target := "/" + strings.Repeat("\xff", lineBytes)
+	request := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, imitator.Host)
+	crowd := Start(Config{Address: p.listen.Callers, Clients: lineClients, Script: Bytes(strings.Repeat(request, lineRequests))})
+	defer crowd.Close()
+	crowd.AwaitSent()
+	time.Sleep(settleTime)
+	p.requireAnswer("ordinary", "a question")
+	p.requireBounds()
+}
+
 // Guards against limits that leave no room for a request that the configuration allows.
 func TestForwardServesTheLongestBody(t *testing.T) {
 	p := startForward(t)
--- a/crowder/relay_test.go
+++ b/crowder/relay_test.go
@@ -20,11 +20,12 @@
 // Guards against bodies of clients that an entry without links to endpoints hands to a peer, which holds them all.
 func TestForwardOutlivesTheBodiesOfAPeersClients(t *testing.T) {
 	for _, tc := range []struct {
-		name string
-		sent int
+		name        string
+		calls, sent int
 	}{
-		{"whole bodies that wait", maxBody},
-		{"bodies that stop before their end", maxBody - 1},
+		{"whole bodies that wait", relayClients, maxBody},
+		{"bodies that stop before their end", relayClients, maxBody - 1},
+		{"calls without their bodies", idleClients, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			p := startForward(t)
@@ -32,7 +33,7 @@
 			p.requireAnswer("first", "a question")
 			m := newPeer(t)
 			var calls sync.WaitGroup
-			for range relayClients {
+			for range tc.calls {
 				calls.Go(func() { sendRelayCall(t, m, p, tc.sent) })
 			}
 			calls.Wait()
--- a/crowder/watch.go
+++ b/crowder/watch.go
@@ -16,7 +16,7 @@
 
 // Usage is what a process has held at most.
 type Usage struct {
-	// MemoryBytes is the resident memory and the bytes that were received on sockets and not read yet.
+	// MemoryBytes is the resident memory, and the bytes on sockets that were received and not read, or sent and not acknowledged.
 	MemoryBytes int64
 	// Descriptors is the number of open file descriptors.
 	Descriptors int
@@ -67,7 +67,7 @@
 		return
 	}
 	descriptors, sockets := w.descriptors()
-	memory := resident + w.unreadBytes(sockets)
+	memory := resident + w.queuedBytes(sockets)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.usage.MemoryBytes = max(w.usage.MemoryBytes, memory)
@@ -125,8 +125,8 @@
 	stateListening = "0A"
 )
 
-// unreadBytes returns the bytes that were received on sockets and not read yet.
-func (w *Watch) unreadBytes(sockets map[string]bool) int64 {
+// queuedBytes returns the bytes that were received on sockets and not read, or sent and not acknowledged.
+func (w *Watch) queuedBytes(sockets map[string]bool) int64 {
 	file, err := os.Open(filepath.Join(w.dir, "net", "tcp"))
 	if err != nil {
 		return 0
@@ -139,12 +139,11 @@
 		if len(fields) <= columnInode || fields[columnState] == stateListening || !sockets[fields[columnInode]] {
 			continue
 		}
-		_, received, _ := strings.Cut(fields[columnQueues], ":")
-		n, err := strconv.ParseInt(received, 16, 64)
-		if err != nil {
-			continue
+		for queue := range strings.SplitSeq(fields[columnQueues], ":") {
+			if n, err := strconv.ParseInt(queue, 16, 64); err == nil {
+				sum += n
+			}
 		}
-		sum += n
 	}
 	return sum
 }
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -333,7 +333,7 @@
 		zap.Int64("version", x.version),
 		zap.Int("sends", x.attempts),
 		zap.Int("runs", x.runs),
-		zap.String("target", x.in.RequestURI),
+		zap.String("target", clip(x.in.RequestURI)),
 		zap.String("zone", x.f.cfg.Zone),
 	}
 	if x.route != nil {
@@ -346,7 +346,7 @@
 		fields = append(fields, zap.Strings("endpoints", x.tried), zap.Bool("untilClose", x.untilClose))
 	}
 	if x.req.LastEvent != "" {
-		fields = append(fields, zap.String("resumesAfter", x.req.LastEvent), zap.String("resumes", x.req.Resumes))
+		fields = append(fields, zap.String("resumesAfter", clip(x.req.LastEvent)), zap.String("resumes", clip(x.req.Resumes)))
 	}
 	fields = append(fields, x.progress.fields(x.startTime)...)
 	answered := x.f.cfg.Meter.Counter(meter.ForwardRequests, outcomeAnswered)
--- a/forwarder/note.go
+++ b/forwarder/note.go
@@ -50,6 +50,12 @@
 	}
 }
 
+// maxLoggedText bounds the texts of callers in log lines, in bytes.
+const maxLoggedText = 512
+
+// clip returns the beginning of a caller's text.
+func clip(text string) string { return text[:min(len(text), maxLoggedText)] }
+
 // logPeerTransition logs the change of a peer's state.
 func (f *Forwarder) logPeerTransition(t detector.Transition) {
 	f.logWithin(f.sampledLog.peers, "peer state changed",
--- a/spooler/spooler.go
+++ b/spooler/spooler.go
@@ -13,6 +13,9 @@
 const (
 	// DefaultLines is the default size of the buffer in lines; at about 300 bytes each they take 1.2 MB.
 	DefaultLines = 4096
+	// lineBytes bounds the buffer in bytes: so many for each of its lines, but at least minBufferBytes.
+	lineBytes      = 1 << 10
+	minBufferBytes = 256 << 10
 	// batchDelay is how long lines wait to be written together: a write for each line costs more than formatting the line.
 	batchDelay = 20 * time.Millisecond
 	// maxBatchBytes is the size from which a batch of lines is written without further delay.
@@ -23,9 +26,12 @@
 type Spooler struct {
 	lines   chan []byte
 	dropped atomic.Int64
-	done    chan struct{}
-	mu      sync.RWMutex
-	closed  bool
+	// buffered is the size of the buffered lines in bytes, and maxBuffered its limit.
+	buffered    atomic.Int64
+	maxBuffered int64
+	done        chan struct{}
+	mu          sync.RWMutex
+	closed      bool
 }
 
 // New starts a Spooler that writes to w and buffers at most the given number of lines. If lines is 0 or less, it uses
@@ -34,7 +40,7 @@
 	if lines <= 0 {
 		lines = DefaultLines
 	}
-	s := &Spooler{lines: make(chan []byte, lines), done: make(chan struct{})}
+	s := &Spooler{lines: make(chan []byte, lines), done: make(chan struct{}), maxBuffered: max(int64(lines)*lineBytes, minBufferBytes)}
 	go s.run(w)
 	return s
 }
@@ -47,14 +53,23 @@
 	if s.closed {
 		return len(line), nil
 	}
+	if s.buffered.Add(int64(len(line))) > s.maxBuffered {
+		s.drop(line)
+		return len(line), nil
+	}
 	select {
 	case s.lines <- append([]byte(nil), line...):
 	default:
-		s.dropped.Add(1)
+		s.drop(line)
 	}
 	return len(line), nil
 }
 
+func (s *Spooler) drop(line []byte) {
+	s.buffered.Add(-int64(len(line)))
+	s.dropped.Add(1)
+}
+
 // Sync does nothing, since Close writes the buffered lines.
 func (s *Spooler) Sync() error { return nil }
 
@@ -77,6 +92,7 @@
 	reported := int64(0)
 	var batch []byte
 	for line := range s.lines {
+		s.buffered.Add(-int64(len(line)))
 		batch = s.fillBatch(append(batch[:0], line...))
 		if n := s.dropped.Load(); n > reported && len(s.lines) == 0 {
 			batch = fmt.Appendf(batch, `{"level":"warn","msg":"log lines dropped","lines":%d}`+"\n", n-reported)
@@ -97,6 +113,7 @@
 			if !open {
 				return batch
 			}
+			s.buffered.Add(-int64(len(line)))
 			batch = append(batch, line...)
 		case <-timer.C:
 			return batch
--- a/spooler/spooler_test.go
+++ b/spooler/spooler_test.go
@@ -40,3 +40,20 @@
 	_, err := s.Write([]byte("late"))
 	require.NoError(t, err)
 }
+
+// Guards against lines that are so long that the buffer, though bounded in lines, takes all memory while nobody reads the log.
+func TestLongLinesFillTheBuffer(t *testing.T) {
+	w := &stalledWriter{released: make(chan struct{})}
+	const lines = 1000
+	s := New(w, lines)
+	long := bytes.Repeat([]byte("x"), 10*lineBytes)
+	for range lines {
+		_, err := s.Write(long)
+		require.NoError(t, err)
+	}
+	require.LessOrEqual(t, s.buffered.Load(), int64(lines*lineBytes))
+	require.Positive(t, s.Dropped())
+	close(w.released)
+	s.Close()
+	require.Zero(t, s.buffered.Load())
+}
--- a/starter/process.go
+++ b/starter/process.go
@@ -91,6 +91,25 @@
 	return p, nil
 }
 
+// StartUnread is like StartForward, but nobody reads the logs.
+func StartUnread(binary, dir, name, variable, settings string) (*Process, error) {
+	r, w, err := os.Pipe()
+	if err != nil {
+		return nil, &StartError{Name: name, Err: err}
+	}
+	p := &Process{name: name, command: exec.Command(binary, "forward"), done: make(chan struct{})}
+	p.command.Env = append(os.Environ(), variable+"="+settings)
+	p.command.Stdout = w
+	if err := errors.Join(p.start(dir), w.Close()); err != nil {
+		return nil, errors.Join(err, r.Close())
+	}
+	go func() {
+		<-p.done
+		_ = r.Close()
+	}()
+	return p, nil
+}
+
 // start runs the command. Its standard error, and its standard output if it is not piped, are appended to a log file
 // in dir.
 func (p *Process) start(dir string) error {
