Hold a request's body once, in blocks

What callers saw: bodies of legal size took more memory than they have: 64 bodies of 4 MB held 410 MB.

Cause: a body was read into a buffer that grows by copying, encoded once more with the head of each call, and encoded twice for a peer that relays it, as all frames of a body were built before the first was sent.

Why this fix works: a body is a list of blocks that are filled as it arrives and never copied: they are written to an endpoint with the head in one call to the kernel, and to a peer in frames of 15 KB, which fit into the buffer that a stream uses again. Short bodies are still written in a single write.

Nothing bounds the bodies of all clients yet.

--- a/connector/answer.go
+++ b/connector/answer.go
@@ -43,6 +43,9 @@
 // Dialed reports whether the connection was opened for this exchange.
 func (r *Response) Dialed() bool { return r.dialed }
 
+// Address returns the endpoint's address.
+func (r *Response) Address() string { return r.address }
+
 // Status returns the status code.
 func (r *Response) Status() int { return r.resp.StatusCode }
 
@@ -76,23 +79,39 @@
 	r.once.Do(func() { r.end(r.complete) })
 }
 
-// ReadAll reads the rest of the body within a budget and ends the exchange. It returns an *ExchangeError if the body breaks
-// off, is longer than limit bytes, or doesn't fit into the budget.
+// ReadAll is like ReadBody, but returns the body in one piece and holds nothing of the budget afterwards.
 func (r *Response) ReadAll(b *Budget, limit int64) ([]byte, error) {
-	defer r.Close()
-	if r.resp.ContentLength > limit && r.resp.Body != http.NoBody {
-		return nil, &ExchangeError{Address: r.address, Err: &SizeError{Limit: limit}}
-	}
 	hold := b.Hold(r.address)
 	defer hold.Release()
-	data, err := io.ReadAll(&heldReader{r: io.LimitReader(r, limit+1), hold: hold})
+	body, err := r.ReadBody(hold, limit)
+	return body.Bytes(), err
+}
+
+// ReadBody reads the rest of the body, which the hold counts, and ends the exchange. It returns an *ExchangeError if the body
+// breaks off, is longer than limit bytes, or doesn't fit into the hold's budget; the hold is then empty.
+func (r *Response) ReadBody(hold *Hold, limit int64) (Body, error) {
+	defer r.Close()
+	body, err := r.readBody(hold, limit)
 	if err != nil {
+		hold.Release()
 		return nil, &ExchangeError{Address: r.address, Err: err}
 	}
-	if int64(len(data)) > limit {
-		return nil, &ExchangeError{Address: r.address, Err: &SizeError{Limit: limit}}
+	return body, nil
+}
+
+func (r *Response) readBody(hold *Hold, limit int64) (Body, error) {
+	if r.resp.ContentLength > limit && r.resp.Body != http.NoBody {
+		return nil, &SizeError{Limit: limit}
+	}
+	buffer := NewBodyBuffer(r.resp.ContentLength, hold.Grow)
+	n, err := buffer.ReadFrom(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if n > limit {
+		return nil, &SizeError{Limit: limit}
 	}
-	return data, nil
+	return buffer.Body(), nil
 }
 
 // SizeError reports a response body of more than Limit bytes.
--- a/connector/budget.go
+++ b/connector/budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"sync"
 )
 
@@ -72,23 +71,11 @@
 	return nil
 }
 
+// Grow adds n to the bytes that the response holds. Its errors are those of Resize.
+func (h *Hold) Grow(n int64) error { return h.Resize(h.n + n) }
+
 // Release gives everything back.
 func (h *Hold) Release() {
 	// Shrinking never fails.
 	_ = h.Resize(0)
 }
-
-// heldReader counts what is read against a hold.
-type heldReader struct {
-	r    io.Reader
-	hold *Hold
-}
-
-// Read implements io.Reader.
-func (r *heldReader) Read(p []byte) (int, error) {
-	n, err := r.r.Read(p)
-	if budgetErr := r.hold.Resize(r.hold.n + int64(n)); budgetErr != nil {
-		return n, budgetErr
-	}
-	return n, err
-}
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -50,14 +50,19 @@
 // send writes the request. Long bodies are written concurrently with reading the response.
 func (cn *conn) send(call *Call) {
 	cn.written = make(chan error, 1)
-	data := encode(call)
-	if len(call.Body) < concurrentWriteBytes {
-		_, err := cn.netConn.Write(data)
+	length := call.Body.Len()
+	head := encodeHead(call, length)
+	if length < concurrentWriteBytes {
+		for _, block := range call.Body {
+			head = append(head, block...)
+		}
+		_, err := cn.netConn.Write(head)
 		cn.written <- err
 		return
 	}
 	go func() {
-		_, err := cn.netConn.Write(data)
+		parts := append(net.Buffers{head}, call.Body...)
+		_, err := parts.WriteTo(cn.netConn)
 		cn.written <- err
 	}()
 }
@@ -69,17 +74,16 @@
 	return err
 }
 
-// encode returns the encoded request including its body, so that a single write sends it.
-func encode(call *Call) []byte {
+// encodeHead returns the encoded request up to its body, with room for a short body.
+func encodeHead(call *Call, length int) []byte {
 	var b bytes.Buffer
-	b.Grow(len(call.Body) + 1<<10)
+	b.Grow(min(length, concurrentWriteBytes) + 1<<10)
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", call.Method, call.Target, call.Host)
 	_ = call.Header.Write(&b) // a bytes.Buffer never returns an error
-	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(call.Body))
+	if length > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", length)
 	}
 	b.WriteString("\r\n")
-	b.Write(call.Body)
 	return b.Bytes()
 }
 
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -56,7 +56,7 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   Body
 	// EchoHeader names a request header that the endpoint echoes unchanged. A response with another value belongs to
 	// another exchange and is skipped.
 	EchoHeader string
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -67,7 +67,7 @@
 		Target:     "/a//b%2Fc?q=1",
 		Host:       "a.example",
 		Header:     http.Header{idHeader: {id}},
-		Body:       []byte("body of " + id),
+		Body:       NewBody([]byte("body of " + id)),
 		EchoHeader: idHeader,
 	}
 }
@@ -249,7 +249,7 @@
 	c := newClient(t)
 	for i := range 2 {
 		long := call(p.address, fmt.Sprint(i))
-		long.Body = make([]byte, 16<<20)
+		long.Body = NewBody(make([]byte, 16<<20))
 		resp, err := c.Do(t.Context(), long)
 		require.NoError(t, err)
 		body, err := resp.ReadAll(NewBudget(0), 1<<10)
--- a/connector/reset_test.go
+++ b/connector/reset_test.go
@@ -45,7 +45,7 @@
 		return &resetConn{response: strings.NewReader("HTTP/1.1 200 OK\r\n\r\nhalf of the"), reset: make(chan struct{})}, nil
 	}})
 	long := call("endpoint", "1")
-	long.Body = make([]byte, concurrentWriteBytes)
+	long.Body = NewBody(make([]byte, concurrentWriteBytes))
 	resp, err := c.Do(t.Context(), long)
 	require.NoError(t, err)
 	_, err = resp.ReadAll(NewBudget(0), 1<<10)
@@ -64,7 +64,7 @@
 	})
 	for range 20 {
 		long := call(p.address, "1")
-		long.Body = make([]byte, 1<<20)
+		long.Body = NewBody(make([]byte, 1<<20))
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		resp, err := newClient(t).Do(ctx, long)
 		require.NoError(t, err)
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -12,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"geraniumline/cataloger"
+	"geraniumline/connector"
 	"geraniumline/guarder"
 	"geraniumline/meter"
 	"geraniumline/quarantiner"
@@ -45,7 +45,7 @@
 	// priority is taken from the client account or the route; 0 is the highest.
 	priority   int
 	forwardKey bool
-	body       []byte
+	body       connector.Body
 	startTime  time.Time
 	// due is when the response should be delivered, and deadline when the request ends with a final result.
 	due      time.Time
@@ -229,7 +229,8 @@
 	}
 	// An error means that the connection does not support deadlines; the server's own limit applies then.
 	_ = http.NewResponseController(x.w).SetReadDeadline(x.startTime.Add(bodyTimeout))
-	body, err := io.ReadAll(x.in.Body)
+	buffer := connector.NewBodyBuffer(x.in.ContentLength, func(int64) error { return nil })
+	_, err := buffer.ReadFrom(x.in.Body)
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -240,7 +241,7 @@
 		x.w.Header().Set("Connection", "close")
 		return &FailureError{Status: http.StatusBadRequest, Reason: "bodyCut"}
 	}
-	x.body = body
+	x.body = buffer.Body()
 	return nil
 }
 
--- a/forwarder/piececalls.go
+++ b/forwarder/piececalls.go
@@ -47,7 +47,7 @@
 		Target:  f.cfg.Wire.PiecesTarget(),
 		Host:    e.Endpoint.Address,
 		Header:  f.cfg.Wire.InstanceHeader(e.Endpoint.ID),
-		Body:    body,
+		Body:    connector.NewBody(body),
 	}))
 	var unsent *connector.UnsentError
 	if errors.As(err, &unsent) {
@@ -135,7 +135,7 @@
 		Target:  f.cfg.Wire.FreeTarget(),
 		Host:    e.Address,
 		Header:  f.cfg.Wire.InstanceHeader(""),
-		Body:    body,
+		Body:    connector.NewBody(body),
 	})
 	if err == nil {
 		_, err = resp.ReadAll(f.budget, maxPiecesResponse)
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -19,7 +19,9 @@
 		_, _ = io.WriteString(h, part)
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(x.body)
+	for _, block := range x.body {
+		_, _ = h.Write(block)
+	}
 	return quarantiner.Digest(h.Sum(nil))
 }
 
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -118,7 +118,7 @@
 
 // relay sends a call through a peer. Its errors are those of connector.Client's Do, and *noRelayError.
 func (f *Forwarder) relay(ctx context.Context, build callBuilder) (*connector.Response, error) {
-	if f.openStream == nil || len(build(time.Now()).Body) > proxier.MaxBody {
+	if f.openStream == nil || build(time.Now()).Body.Len() > proxier.MaxBody {
 		return nil, &noRelayError{}
 	}
 	address := build(time.Now()).Address
--- a/forwarder/relayserver.go
+++ b/forwarder/relayserver.go
@@ -46,7 +46,7 @@
 	// A peer that stops in the middle of its call must hold neither this entry nor its planned stop.
 	stopClosing := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stopClosing()
-	body, err := proxier.ReadBody(s, call)
+	body, err := proxier.ReadBody(s, call, func(int64) error { return nil })
 	if err != nil {
 		f.log.Warn("call of a peer not read", zap.String("peer", from), zap.Error(err))
 		return
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -19,8 +20,8 @@
 const (
 	// MaxBody is the size in bytes of the largest request body that is carried; the peer holds it in memory.
 	MaxBody = 8 << 20
-	// chunkSize is the size in bytes of a part of a body.
-	chunkSize = 64 << 10
+	// chunkSize is the size in bytes of a part of a body. Its frame fits into the buffer that a stream uses again.
+	chunkSize = 15 << 10
 )
 
 // Stream carries messages between two entries in both directions.
@@ -86,18 +87,12 @@
 		Target:    call.Target,
 		Host:      call.Host,
 		Header:    call.Header,
-		BodyBytes: int64(len(call.Body)),
+		BodyBytes: int64(call.Body.Len()),
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		head.TimeoutMillis = deadline.Sub(now).Milliseconds()
 	}
-	messages := []carrier.Message{head}
-	for body := call.Body; len(body) > 0; {
-		n := min(len(body), chunkSize)
-		messages = append(messages, &carrier.RelayBody{Data: body[:n]})
-		body = body[n:]
-	}
-	if err := s.Send(messages...); err != nil {
+	if err := sendCall(s, head, call.Body); err != nil {
 		return nil, err
 	}
 	m, err := s.Receive()
@@ -118,6 +113,23 @@
 	}
 }
 
+// sendCall sends the head and the body of a call. Only the part that is being sent is encoded.
+func sendCall(s Stream, head *carrier.RelayCall, body connector.Body) error {
+	messages := []carrier.Message{head}
+	for _, block := range body {
+		for part := range slices.Chunk(block, chunkSize) {
+			if err := s.Send(append(messages, &carrier.RelayBody{Data: part})...); err != nil {
+				return err
+			}
+			messages = nil
+		}
+	}
+	if messages == nil {
+		return nil
+	}
+	return s.Send(messages...)
+}
+
 // responseBody reads the body of a relayed response.
 type responseBody struct {
 	stream   Stream
@@ -157,13 +169,24 @@
 
 func (b *responseBody) Close() error { return b.stream.Close() }
 
-// ReadBody reads the body of a peer's call.
-func ReadBody(s Stream, call *carrier.RelayCall) ([]byte, error) {
+// RoomError reports that there was no room for the body of a peer's call, which was read to its end all the same, so that the
+// peer can read the reply.
+type RoomError struct{ Err error }
+
+func (e *RoomError) Error() string { return fmt.Sprintf("body of a peer's call not held: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *RoomError) Unwrap() error { return e.Err }
+
+// ReadBody reads the body of a peer's call. It calls grow before it holds n more bytes; an error of that is returned as a
+// *RoomError.
+func ReadBody(s Stream, call *carrier.RelayCall, grow func(n int64) error) (connector.Body, error) {
 	if call.BodyBytes < 0 || call.BodyBytes > MaxBody {
 		return nil, &BodySizeError{Size: call.BodyBytes, Limit: MaxBody}
 	}
-	var body []byte
-	for int64(len(body)) < call.BodyBytes {
+	buffer := connector.NewBodyBuffer(call.BodyBytes, grow)
+	var roomErr error
+	for received := int64(0); received < call.BodyBytes; {
 		m, err := s.Receive()
 		if err != nil {
 			return nil, err
@@ -172,12 +195,21 @@
 		if !ok || len(part.Data) == 0 {
 			return nil, &MessageError{Kind: m.Kind()}
 		}
-		body = append(body, part.Data...)
+		received += int64(len(part.Data))
+		if received > call.BodyBytes {
+			return nil, &BodySizeError{Size: received, Limit: call.BodyBytes}
+		}
+		if roomErr != nil {
+			continue
+		}
+		if _, roomErr = buffer.Write(part.Data); roomErr != nil {
+			buffer = nil
+		}
 	}
-	if int64(len(body)) > call.BodyBytes {
-		return nil, &BodySizeError{Size: int64(len(body)), Limit: call.BodyBytes}
+	if roomErr != nil {
+		return nil, &RoomError{Err: roomErr}
 	}
-	return body, nil
+	return buffer.Body(), nil
 }
 
 // Respond sends an endpoint's response to the peer as it arrives. Without an error the response is complete; otherwise
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -23,14 +23,19 @@
 type fakeStream struct {
 	sent, received []carrier.Message
 	closed         bool
+	// largest is the most bytes that were sent at once.
+	largest int
 }
 
 func (s *fakeStream) Send(messages ...carrier.Message) error {
+	size := 0
+	defer func() { s.largest = max(s.largest, size) }()
 	for _, m := range messages {
 		encoded, err := m.MarshalMsg(nil)
 		if err != nil {
 			return err
 		}
+		size += len(encoded)
 		copied, err := carrier.NewMessage(m.Kind())
 		if err != nil {
 			return err
@@ -57,8 +62,11 @@
 	return nil
 }
 
+// unbounded grants a body all the memory that it needs.
+func unbounded(int64) error { return nil }
+
 func newCall(body []byte) *connector.Call {
-	return &connector.Call{Address: "10.0.0.1:80", Method: http.MethodPut, Target: "/a//b?c=%2F", Host: "a.example", Header: http.Header{"X-A": {"1", "2"}}, Body: body}
+	return &connector.Call{Address: "10.0.0.1:80", Method: http.MethodPut, Target: "/a//b?c=%2F", Host: "a.example", Header: http.Header{"X-A": {"1", "2"}}, Body: connector.NewBody(body)}
 }
 
 func TestACallArrivesAsItWasSent(t *testing.T) {
@@ -89,9 +97,9 @@
 				Address: "10.0.0.1:80", Method: http.MethodPut, Target: "/a//b?c=%2F", Host: "a.example",
 				Header: http.Header{"X-A": {"1", "2"}}, BodyBytes: int64(size), TimeoutMillis: 60_000,
 			}, call)
-			arrived, err := ReadBody(&fakeStream{received: here.sent[1:]}, call)
+			arrived, err := ReadBody(&fakeStream{received: here.sent[1:]}, call, unbounded)
 			require.NoError(t, err)
-			require.True(t, bytes.Equal(body, arrived))
+			require.True(t, bytes.Equal(body, arrived.Bytes()))
 		})
 	}
 }
@@ -150,7 +158,7 @@
 		if c.received != nil {
 			s.received = []carrier.Message{c.received}
 		}
-		_, err := ReadBody(s, &carrier.RelayCall{BodyBytes: c.claimed})
+		_, err := ReadBody(s, &carrier.RelayCall{BodyBytes: c.claimed}, unbounded)
 		require.Error(t, err)
 	}
 }
@@ -194,8 +202,29 @@
 // Guards against a peer that holds an entry with parts that never complete a body.
 func TestEmptyPartsEndTheExchange(t *testing.T) {
 	var message *MessageError
-	_, err := ReadBody(&emptyParts{}, &carrier.RelayCall{BodyBytes: 1})
+	_, err := ReadBody(&emptyParts{}, &carrier.RelayCall{BodyBytes: 1}, unbounded)
 	require.ErrorAs(t, err, &message)
 	_, err = (&responseBody{stream: &emptyParts{}}).Read(make([]byte, 1))
 	require.ErrorAs(t, err, &message)
 }
+
+// Guards against an entry that encodes the whole body of a relayed call, and so holds it twice.
+func TestOnlyOnePartOfABodyIsEncodedAtOnce(t *testing.T) {
+	s := &fakeStream{received: []carrier.Message{&carrier.RelayResponse{Status: 200}, &carrier.RelayEnd{}}}
+	_, err := Send(t.Context(), s, newCall(make([]byte, 1<<20)), time.Now())
+	require.NoError(t, err)
+	require.Less(t, s.largest, 2*chunkSize)
+}
+
+// Guards against a peer that can't read that its call was refused, since its body was not read, and takes it for one that may
+// have run.
+func TestABodyWithoutRoomIsReadToItsEnd(t *testing.T) {
+	part := &carrier.RelayBody{Data: make([]byte, 100)}
+	s := &fakeStream{received: []carrier.Message{part, part, part}}
+	full := errors.New("full")
+	_, err := ReadBody(s, &carrier.RelayCall{BodyBytes: 300}, func(int64) error { return full })
+	var room *RoomError
+	require.ErrorAs(t, err, &room)
+	require.ErrorIs(t, err, full)
+	require.Empty(t, s.received)
+}
