Bound what all callers make an entry hold

Cause: each connection, head and body was bounded, but nothing bounded them all: 3,900 connections may hold 4 MB each. A connection that waits for nothing was never closed for another one either, so that idle ones took all descriptors, with which the entry reaches endpoints, peers and the store.

Why this fix works: package guarder carries out what budgeter decides. Its listener admits connections, counts the bytes of heads as they are read, and what a caller sends ahead of a response; the forwarder counts each block of a body before it is filled. A body that yields or finds no room is answered 503 at once, as not run, with Retry-After; a service that already answers three quarters of the connections takes no more. The kernel's buffers of a connection have a fixed size.

A configuration whose longest body has no room is logged.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -18,6 +18,7 @@
 
 	"go.uber.org/zap"
 
+	"geraniumline/budgeter"
 	"geraniumline/carrier"
 	"geraniumline/connector"
 	"geraniumline/forwarder"
@@ -72,6 +73,9 @@
 	Disabled switcher.Disabled
 	// MetricsPort is the port on the VM's address that serves the metrics; 0 disables it.
 	MetricsPort int
+	// ClientMemoryShare and ClientSocketShare are the shares of the process's memory and sockets that clients may hold; 0 means
+	// the defaults of package budgeter.
+	ClientMemoryShare, ClientSocketShare float64
 	// DialEndpoint opens connections to endpoints; nil dials by TCP.
 	DialEndpoint func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -90,6 +94,8 @@
 	servers   []*http.Server
 	idle      *idleConnections
 	meter     *meter.Meter
+	// requests bounds what callers' requests hold.
+	requests *guarder.Admission
 }
 
 // RunForwarding runs an entry on the users' platform until a planned stop, started by SIGTERM, SIGINT or the end of
@@ -106,6 +112,7 @@
 		logger.Warn("mechanisms are switched off", zap.Strings("mechanisms", names))
 	}
 	e := &forwarding{settings: settings, log: logger, idle: newIdleConnections(), meter: meter.New(), metricsPort: cfg.MetricsPort}
+	e.admit(cfg)
 	e.forwarder = forwarder.New(forwarder.Config{
 		Name:          settings.Name,
 		Zone:          settings.Zone,
@@ -125,6 +132,7 @@
 
 		ResponseMemory: int64(responseMemoryRatio * float64(settings.MemoryBytes)),
 
+		Admission:    e.requests,
 		Disabled:     cfg.Disabled,
 		Wire:         platform.Dialect{},
 		Client:       connector.New(connector.Config{Dial: cfg.DialEndpoint}),
@@ -142,6 +150,21 @@
 	return e.run(ctx, listeners)
 }
 
+// admit divides the process's memory and sockets among what clients may connect to.
+func (e *forwarding) admit(cfg ForwardConfig) {
+	requests, _ := budgeter.Divide(budgeter.Limits{
+		MemoryBytes: e.settings.MemoryBytes,
+		Sockets:     e.settings.MaxSockets,
+		MemoryShare: cfg.ClientMemoryShare,
+		SocketShare: cfg.ClientSocketShare,
+	})
+	e.requests = guarder.NewAdmission(guarder.AdmissionConfig{Socket: socketCaller, Budget: requests, Meter: e.meter, Log: e.log})
+	e.log.Info("limits of clients",
+		zap.Int64("requestBytes", requests.Bytes),
+		zap.Int64("longestRequestBytes", requests.MaxBytes()),
+		zap.Int("requestConnections", requests.Connections))
+}
+
 func (e *forwarding) openPeers() error {
 	l, err := net.Listen("tcp", e.settings.PeerAddress)
 	if err != nil {
@@ -171,8 +194,9 @@
 
 // socket is a listen address and the server behind it.
 type socket struct {
-	address string
-	server  *http.Server
+	address   string
+	server    *http.Server
+	admission *guarder.Admission
 }
 
 func (e *forwarding) sockets() []socket {
@@ -185,12 +209,13 @@
 		ConnContext:       guarder.FramingContext,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			guarder.FramingState(c, state)
+			guarder.AdmissionState(c, state)
 			e.idle.track(c, state, time.Now())
 		},
 	}
-	list := []socket{{e.settings.CallerAddress, callers}}
+	list := []socket{{e.settings.CallerAddress, callers, e.requests}}
 	for address, mux := range e.auxiliaryHandlers() {
-		list = append(list, socket{address, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}})
+		list = append(list, socket{address, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, nil})
 	}
 	return list
 }
@@ -226,6 +251,9 @@
 			}
 			return nil, &guarder.ListenError{Field: "Listen", Address: s.address, Err: err}
 		}
+		if s.admission != nil {
+			l = s.admission.Listener(l)
+		}
 		listeners = append(listeners, guarder.FramingListener(l))
 		e.servers = append(e.servers, s.server)
 	}
--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -4,6 +4,8 @@
 // compares the keys with the reasons in the forwarder's sources.
 var causes = map[string]string{
 	"starting":          "the entry did not know the configuration or the endpoints yet; it has not run. Look for 'store does not answer'.",
+	"noMemory":          "the requests of callers held the memory that is set aside for them; it has not run. See 'no room for clients' and client_bytes.",
+	"serviceTooBusy":    "most connections of callers waited for its service already; it has not run. See connections_open.",
 	"noRoute":           "no route of the version in force has this host and path. Compare 'version' with the operator's newest.",
 	"badHeader":         "the caller's header can't be used.",
 	"unknownKey":        "the key is in no client account of the version in force. Was it withdrawn?",
--- /dev/null
+++ b/forwarder/body.go
@@ -0,0 +1,69 @@
+package forwarder
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"geraniumline/budgeter"
+	"geraniumline/connector"
+	"geraniumline/guarder"
+)
+
+// bodyTimeout bounds the time to read a request body.
+const bodyTimeout = 10 * time.Second
+
+// awaitBody bounds the time until the body has arrived. The deadline comes first, since a hold that yields replaces it.
+func (x *exchange) awaitBody() {
+	if x.in.ContentLength == 0 {
+		x.hold.Enter(budgeter.Serving, x.startTime)
+		return
+	}
+	x.setReadDeadline(x.startTime.Add(bodyTimeout))
+	x.hold.Enter(budgeter.Reading, x.startTime)
+}
+
+// setReadDeadline bounds reads from the caller. The zero time removes the bound.
+func (x *exchange) setReadDeadline(deadline time.Time) {
+	// An error means that the connection does not support deadlines; the server's own limit applies then.
+	_ = http.NewResponseController(x.w).SetReadDeadline(deadline)
+}
+
+// readBody reads the body as far as there is room for it.
+func (x *exchange) readBody() *FailureError {
+	if x.in.ContentLength == 0 {
+		return nil
+	}
+	buffer := connector.NewBodyBuffer(x.in.ContentLength, x.growBody)
+	_, err := buffer.ReadFrom(x.in.Body)
+	var tooLarge *http.MaxBytesError
+	var noRoom *guarder.HoldError
+	switch {
+	case err == nil:
+		x.setReadDeadline(time.Time{})
+		x.body = buffer.Body()
+		return nil
+	case errors.As(err, &tooLarge):
+		x.w.Header().Set("Connection", "close")
+		return &FailureError{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
+	case errors.As(err, &noRoom) || x.hold.Yielded():
+		x.w.Header().Set("Connection", "close")
+		return notRun("noMemory", shortRetryDelay())
+	default:
+		x.w.Header().Set("Connection", "close")
+		return &FailureError{Status: http.StatusBadRequest, Reason: "bodyCut"}
+	}
+}
+
+// growBody makes room for n more bytes of the body.
+func (x *exchange) growBody(n int64) error {
+	return x.hold.Grow(n, time.Now())
+}
+
+// endBody releases the body of a request that has failed.
+func (x *exchange) endBody(now time.Time) {
+	x.body = nil
+	if x.w.Header().Get("Connection") == "close" {
+		x.hold.Enter(budgeter.Ending, now)
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -22,6 +22,7 @@
 	"geraniumline/divider"
 	"geraniumline/ejector"
 	"geraniumline/evacuator"
+	"geraniumline/guarder"
 	"geraniumline/meter"
 	"geraniumline/pathfinder"
 	"geraniumline/proxier"
@@ -96,6 +97,9 @@
 	// ResponseMemory bounds the memory of endpoints' responses that are incomplete, in bytes; 0 means the connector's default.
 	ResponseMemory int64
 
+	// Admission bounds what callers' requests, and those that peers relay, may hold; nil bounds nothing.
+	Admission *guarder.Admission
+
 	// Disabled lists the policy mechanisms that are switched off.
 	Disabled switcher.Disabled
 
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -25,8 +24,6 @@
 	// writeGrace is how long after a request's deadline its response may still be written: a response that is ready
 	// is delivered even if it is late.
 	writeGrace = 2 * time.Second
-	// bodyTimeout bounds the time to read a request body.
-	bodyTimeout = 10 * time.Second
 )
 
 // exchange is the state of one request.
@@ -46,7 +43,9 @@
 	priority   int
 	forwardKey bool
 	body       connector.Body
-	startTime  time.Time
+	// hold is what the request holds of the memory for callers' requests.
+	hold      *guarder.Hold
+	startTime time.Time
 	// due is when the response should be delivered, and deadline when the request ends with a final result.
 	due      time.Time
 	deadline time.Time
@@ -89,13 +88,16 @@
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{f: f, w: w, in: r, ctx: r.Context(), startTime: now}
+	x := &exchange{f: f, w: w, in: r, ctx: r.Context(), startTime: now, hold: guarder.HoldOf(r.Context())}
 	x.setWriteDeadline(now.Add(defaultTimeout))
+	x.awaitBody()
 	failure := x.serve()
 	x.log(failure)
 	if failure == nil {
+		x.hold.RecordAnswered()
 		return
 	}
+	x.endBody(time.Now())
 	if x.headerSent {
 		// The header was already written: closing the connection is the only way to show that the response is
 		// incomplete.
@@ -112,6 +114,9 @@
 	if failure := x.readBody(); failure != nil {
 		return failure
 	}
+	if !x.hold.Serve(x.service.Name, time.Now()) {
+		return notRun("serviceTooBusy", shortRetryDelay())
+	}
 	if failure := x.checkQuarantine(); failure != nil {
 		return failure
 	}
@@ -173,6 +178,10 @@
 		x.w.Header().Set("Connection", "close")
 		return &FailureError{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
 	}
+	if admission := x.f.cfg.Admission; admission != nil && x.in.ContentLength > admission.MaxBytes() {
+		x.w.Header().Set("Connection", "close")
+		return notRun("noMemory", shortRetryDelay())
+	}
 	x.in.Body = http.MaxBytesReader(x.w, x.in.Body, limit)
 	return nil
 }
@@ -223,28 +232,6 @@
 	x.setWriteDeadline(x.deadline)
 }
 
-func (x *exchange) readBody() *FailureError {
-	if x.in.ContentLength == 0 {
-		return nil
-	}
-	// An error means that the connection does not support deadlines; the server's own limit applies then.
-	_ = http.NewResponseController(x.w).SetReadDeadline(x.startTime.Add(bodyTimeout))
-	buffer := connector.NewBodyBuffer(x.in.ContentLength, func(int64) error { return nil })
-	_, err := buffer.ReadFrom(x.in.Body)
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		x.w.Header().Set("Connection", "close")
-		return &FailureError{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
-	}
-	if err != nil {
-		x.w.Header().Set("Connection", "close")
-		return &FailureError{Status: http.StatusBadRequest, Reason: "bodyCut"}
-	}
-	x.body = buffer.Body()
-	return nil
-}
-
 // chooseEndpoint selects the next endpoint for the request and counts the call to it.
 func (x *exchange) chooseEndpoint(query selector.Query, now time.Time) (selector.Choice, bool) {
 	query = x.endpointQuery(query)
--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -65,6 +65,11 @@
 	if catalog.RequiresKeys() && catalog.KeyCount() == 0 {
 		f.log.Warn("no client account has a key: all requests that need one are refused", zap.Int64("version", catalog.Version()))
 	}
+	if limit := catalog.Limits().BodyBytes; f.cfg.Admission != nil && limit > f.cfg.Admission.MaxBytes() {
+		f.log.Warn("the longest body that the configuration allows has no room in memory",
+			zap.Int64("bytes", limit),
+			zap.Int64("longestRequestBytes", f.cfg.Admission.MaxBytes()))
+	}
 	return nil
 }
 
--- /dev/null
+++ b/guarder/admission_test.go
@@ -0,0 +1,87 @@
+package guarder
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"geraniumline/budgeter"
+	"geraniumline/meter"
+)
+
+// openAdmitted serves a handler on the connections of an Admission until the test ends.
+func openAdmitted(t *testing.T, budget budgeter.Config, handler http.HandlerFunc) (string, *Admission) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	a := NewAdmission(AdmissionConfig{Socket: "caller", Budget: budget, Meter: meter.New(), Log: zap.NewNop()})
+	server := &http.Server{Handler: handler, ConnContext: FramingContext, ConnState: AdmissionState}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(FramingListener(a.Listener(l)))
+	}()
+	t.Cleanup(func() {
+		require.NoError(t, server.Close())
+		<-done
+	})
+	return l.Addr().String(), a
+}
+
+// Guards against memory that stays counted after a connection has been closed, or after its request has ended.
+func TestWhatARequestHeldIsGivenBack(t *testing.T) {
+	address, a := openAdmitted(t, budgeter.ForMemory(0), func(w http.ResponseWriter, r *http.Request) {
+		if HoldOf(r.Context()).Grow(1000, time.Now()) != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	held := func() int64 {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.ledger.Bytes()
+	}
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	br := bufio.NewReader(conn)
+	for range 3 {
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: entry\r\n\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(br, nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Eventually(t, func() bool { return held() == budgeter.ConnectionBytes }, 10*time.Second, time.Millisecond)
+	}
+	require.NoError(t, conn.Close())
+	require.Eventually(t, func() bool { return held() == 0 }, 10*time.Second, time.Millisecond)
+}
+
+// Guards against a process that holds what callers send ahead while their first request is being served.
+func TestACallerThatSendsAheadIsCounted(t *testing.T) {
+	serving, release := make(chan struct{}), make(chan struct{})
+	address, a := openAdmitted(t, budgeter.ForMemory(0), func(_ http.ResponseWriter, r *http.Request) {
+		HoldOf(r.Context()).Enter(budgeter.Serving, time.Now())
+		close(serving)
+		<-release
+	})
+	defer close(release)
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, conn.Close()) }()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: entry\r\n\r\n")
+	require.NoError(t, err)
+	<-serving
+	_, err = conn.Write(make([]byte, 8<<10))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.ledger.Bytes() >= budgeter.ConnectionBytes+socketBuffer
+	}, 10*time.Second, time.Millisecond)
+}
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -190,3 +190,14 @@
 	require.Equal(t, ExitOK, code)
 	require.Regexp(t, `^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-`, stdout)
 }
+
+// Guards against a share that leaves clients or their requests nothing.
+func TestSharesOfClientsAreChecked(t *testing.T) {
+	for _, flag := range []string{"--client-memory-share", "--client-socket-share"} {
+		for _, share := range []string{"0", "0.04", "0.51", "-1", "NaN"} {
+			code, _, stderr := newConsole(t).run("forward", "--settings", "none.json", flag, share)
+			require.Equal(t, ExitUsage, code)
+			require.Contains(t, stderr, flag)
+		}
+	}
+}
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -174,6 +174,8 @@
 	CredentialsThrottled Name = "credentials_throttled"
 	BodiesTooLarge       Name = "bodies_too_large"
 	BodiesRefused        Name = "bodies_refused"
+	ClientBytes          Name = "client_bytes"
+	ClientsYielded       Name = "clients_yielded"
 )
 
 // Metrics of the process itself.
@@ -191,6 +193,7 @@
 	byStage   = "stage"
 	byStream  = "stream"
 	bySocket  = "socket"
+	byPhase   = "phase"
 	byPool    = "pool"
 	byReason  = "reason"
 	byService = "service"
@@ -327,6 +330,8 @@
 	{CredentialsThrottled, KindCounter, "requests", bySocket, "A request with a wrong credential from an address that had sent too many; its connection was closed.", ""},
 	{BodiesTooLarge, KindCounter, "requests", bySocket, "A request whose body was over the limit.", ""},
 	{BodiesRefused, KindCounter, "requests", bySocket, "A request refused because the bodies in memory left no room for its own.", ""},
+	{ClientBytes, KindGauge, "bytes", bySocket, "Memory counted for what callers' connections, requests and unread responses hold.", ""},
+	{ClientsYielded, KindCounter, "connections", byPhase, "A connection closed, or a body refused, to make room for others, by what it was doing.", ""},
 
 	{EventsReduced, KindCounter, "events", "", "An event given to the reducer.", ""},
 	{ReduceMicros, KindHistogram, "microseconds", "", "Time to reduce one event.", ""},
