Bound the sockets for readiness checks, addresses and metrics

What callers saw: heads without end on these sockets, 900 KB each, held 345 MB in the process; idle connections took all its descriptors. Callers then got neither addresses nor answers.

Cause: their servers had no limit of connections, the default limit of 1 MB for a head, and no time limits for idle connections and for responses that nobody reads.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -44,6 +44,9 @@
 	maxHeaderBytes = 32 << 10
 	// stopMargin is the part of the platform's stop time that is reserved for exiting before the process is killed.
 	stopMargin = 900 * time.Millisecond
+	// auxiliaryWriteTimeout and auxiliaryIdleTimeout bound connections for readiness checks, addresses and metrics.
+	auxiliaryWriteTimeout = 10 * time.Second
+	auxiliaryIdleTimeout  = 15 * time.Second
 	// defaultIdleTimeout is how long idle caller connections stay open as long as no configuration sets a timeout.
 	defaultIdleTimeout = 75 * time.Second
 	// idleCheckInterval is how often caller connections are checked for idleness.
@@ -94,8 +97,8 @@
 	servers   []*http.Server
 	idle      *idleConnections
 	meter     *meter.Meter
-	// requests bounds what callers' requests hold.
-	requests *guarder.Admission
+	// requests bounds what callers' requests hold, auxiliary what readiness checks, addresses and metrics do.
+	requests, auxiliary *guarder.Admission
 }
 
 // RunForwarding runs an entry on the users' platform until a planned stop, started by SIGTERM, SIGINT or the end of
@@ -152,17 +155,20 @@
 
 // admit divides the process's memory and sockets among what clients may connect to.
 func (e *forwarding) admit(cfg ForwardConfig) {
-	requests, _ := budgeter.Divide(budgeter.Limits{
+	requests, auxiliary := budgeter.Divide(budgeter.Limits{
 		MemoryBytes: e.settings.MemoryBytes,
 		Sockets:     e.settings.MaxSockets,
 		MemoryShare: cfg.ClientMemoryShare,
 		SocketShare: cfg.ClientSocketShare,
 	})
 	e.requests = guarder.NewAdmission(guarder.AdmissionConfig{Socket: socketCaller, Budget: requests, Meter: e.meter, Log: e.log})
+	e.auxiliary = guarder.NewAdmission(guarder.AdmissionConfig{Socket: socketAuxiliary, Budget: auxiliary, Meter: e.meter, Log: e.log})
 	e.log.Info("limits of clients",
 		zap.Int64("requestBytes", requests.Bytes),
 		zap.Int64("longestRequestBytes", requests.MaxBytes()),
-		zap.Int("requestConnections", requests.Connections))
+		zap.Int("requestConnections", requests.Connections),
+		zap.Int64("auxiliaryBytes", auxiliary.Bytes),
+		zap.Int("auxiliaryConnections", auxiliary.Connections))
 }
 
 func (e *forwarding) openPeers() error {
@@ -215,11 +221,28 @@
 	}
 	list := []socket{{e.settings.CallerAddress, callers, e.requests}}
 	for address, mux := range e.auxiliaryHandlers() {
-		list = append(list, socket{address, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, nil})
+		list = append(list, socket{address, auxiliaryServer(mux), e.auxiliary})
 	}
 	return list
 }
 
+// auxiliaryServer returns a server for short requests without bodies.
+func auxiliaryServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           guarder.AdmittedHandler(handler),
+		ReadHeaderTimeout: headerTimeout,
+		WriteTimeout:      auxiliaryWriteTimeout,
+		IdleTimeout:       auxiliaryIdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(io.Discard, "", 0),
+		ConnContext:       guarder.FramingContext,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			guarder.FramingState(c, state)
+			guarder.AdmissionState(c, state)
+		},
+	}
+}
+
 // auxiliaryHandlers returns the handlers for readiness, metrics and addresses by listen address. They may share a port.
 func (e *forwarding) auxiliaryHandlers() map[string]*http.ServeMux {
 	muxes := make(map[string]*http.ServeMux)
@@ -251,10 +274,7 @@
 			}
 			return nil, &guarder.ListenError{Field: "Listen", Address: s.address, Err: err}
 		}
-		if s.admission != nil {
-			l = s.admission.Listener(l)
-		}
-		listeners = append(listeners, guarder.FramingListener(l))
+		listeners = append(listeners, guarder.FramingListener(s.admission.Listener(l)))
 		e.servers = append(e.servers, s.server)
 	}
 	return listeners, nil
--- a/assembler/sockets.go
+++ b/assembler/sockets.go
@@ -22,6 +22,8 @@
 	socketCaller   = "caller"
 	socketOperator = "operator"
 	socketPeer     = "peer"
+	// socketAuxiliary is the label of the sockets for readiness checks, addresses and metrics.
+	socketAuxiliary = "auxiliary"
 )
 
 // sockets holds the servers for callers and operators.
--- a/guarder/admission.go
+++ b/guarder/admission.go
@@ -390,6 +390,19 @@
 	return holdOfConn(c)
 }
 
+// AdmittedHandler serves requests that have no body, such as readiness checks, on the connections of an Admission.
+func AdmittedHandler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h := HoldOf(r.Context())
+		h.Enter(budgeter.Serving, time.Now())
+		if r.ContentLength != 0 {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+		h.RecordAnswered()
+	})
+}
+
 // AdmissionState records when a connection becomes idle. Use it as http.Server.ConnState.
 func AdmissionState(c net.Conn, state http.ConnState) {
 	if h := holdOfConn(c); h != nil && state == http.StateIdle {
