Count complete responses until their callers have read them

What callers saw: clients that read no response held 517 MB in a process, 4 MB each.

Cause: only incomplete responses counted against a budget. A complete one stayed in memory, uncounted, for as long as its caller took to read it, up to the route's timeout.

Why this fix works: a complete response counts as what its caller holds, in the phase in which it yields to others once it has not been read for a second. If there is no room for that, it stays counted among the endpoints' responses, and its caller has two seconds. Responses are kept in blocks too.

--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"geraniumline/budgeter"
@@ -67,3 +68,39 @@
 		x.hold.Enter(budgeter.Ending, now)
 	}
 }
+
+// writeResponse writes a complete endpoint response to the caller.
+func (x *exchange) writeResponse(resp *connector.Response, body connector.Body) {
+	length := body.Len()
+	x.copyHeader(resp.Header())
+	x.w.Header().Set("Content-Length", strconv.Itoa(length))
+	x.headerSent = true
+	x.status = resp.Status()
+	x.holdAnswer(int64(length))
+	x.w.WriteHeader(resp.Status())
+	for _, block := range body {
+		if _, err := x.w.Write(block); err != nil {
+			// The caller has disconnected, or had to yield.
+			return
+		}
+	}
+}
+
+// holdAnswer counts a complete response among what callers hold until they have read it. If there is no room, it stays counted
+// among the responses of endpoints, and its caller has only the grace time to read it.
+func (x *exchange) holdAnswer(n int64) {
+	now := time.Now()
+	if err := x.hold.Grow(n, now); err != nil {
+		x.setWriteDeadline(now)
+		return
+	}
+	x.hold.Enter(budgeter.Answering, now)
+	x.releaseAnswer()
+}
+
+// releaseAnswer releases what the response holds of the memory for responses.
+func (x *exchange) releaseAnswer() {
+	if x.answerHold != nil {
+		x.answerHold.Release()
+	}
+}
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -43,9 +43,11 @@
 	priority   int
 	forwardKey bool
 	body       connector.Body
-	// hold is what the request holds of the memory for callers' requests.
-	hold      *guarder.Hold
-	startTime time.Time
+	// hold is what the request holds of the memory for callers' requests, answerHold what its complete response holds of that
+	// for responses.
+	hold       *guarder.Hold
+	answerHold *connector.Hold
+	startTime  time.Time
 	// due is when the response should be delivered, and deadline when the request ends with a final result.
 	due      time.Time
 	deadline time.Time
@@ -89,6 +91,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{f: f, w: w, in: r, ctx: r.Context(), startTime: now, hold: guarder.HoldOf(r.Context())}
+	defer x.releaseAnswer()
 	x.setWriteDeadline(now.Add(defaultTimeout))
 	x.awaitBody()
 	failure := x.serve()
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -100,7 +99,7 @@
 	return ctx, func() { timer.Stop(); cancel() }
 }
 
-func (x *exchange) exchangePlain(ctx context.Context, choice selector.Choice) (*connector.Response, ResponseInfo, []byte, error) {
+func (x *exchange) exchangePlain(ctx context.Context, choice selector.Choice) (*connector.Response, ResponseInfo, connector.Body, error) {
 	resp, err := x.f.send(ctx, func(now time.Time) *connector.Call {
 		return x.call(choice, x.callInfo(choice.Endpoint, now))
 	})
@@ -113,7 +112,7 @@
 		x.f.discardRefusal(&choice.Endpoint, resp)
 		return resp, info, nil, nil
 	}
-	body, err := resp.ReadAll(x.f.budget, maxPlainResponse)
+	body, err := x.readResponseBody(resp)
 	return resp, info, body, err
 }
 
@@ -130,15 +129,11 @@
 	}
 }
 
-// writeResponse writes a complete endpoint response to the caller.
-func (x *exchange) writeResponse(resp *connector.Response, body []byte) {
-	x.copyHeader(resp.Header())
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.headerSent = true
-	x.status = resp.Status()
-	x.w.WriteHeader(resp.Status())
-	// An error means that the caller has disconnected.
-	_, _ = x.w.Write(body)
+// readResponseBody reads the body of a response, which stays counted among the responses of endpoints.
+func (x *exchange) readResponseBody(resp *connector.Response) (connector.Body, error) {
+	x.releaseAnswer()
+	x.answerHold = x.f.budget.Hold(resp.Address())
+	return resp.ReadBody(x.answerHold, maxPlainResponse)
 }
 
 func (x *exchange) copyHeader(from http.Header) {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -188,7 +188,7 @@
 // handleErrorResponse handles a response that is not a stream.
 func (s *streamer) handleErrorResponse(choice selector.Choice, resp *connector.Response) (bool, *FailureError) {
 	x := s.x
-	body, err := resp.ReadAll(x.f.budget, maxPlainResponse)
+	body, err := x.readResponseBody(resp)
 	if err != nil {
 		return s.handleFailure(choice, err)
 	}
