Bound the calls that an entry relays for its peers

What callers saw: an entry without links to endpoints hands its callers' bodies to a peer, which held them all: 64 of 4 MB held 359 MB, while each entry kept to its own bounds. 600 calls without their bodies took 531 descriptors.

Cause: a peer's calls were bounded by 512 streams and 8 MB each, whatever the VM, and counted against nothing.

Why this fix works: a relayed call is admitted beside callers' requests, and its body grows within the same budget. Streams may take a tenth of the sockets. A call without room is answered with a new reason, noRoom, after its body was read to its end without being kept, so that the sender knows that nothing was sent and asks another peer.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -44,6 +44,10 @@
 	maxHeaderBytes = 32 << 10
 	// stopMargin is the part of the platform's stop time that is reserved for exiting before the process is killed.
 	stopMargin = 900 * time.Millisecond
+	// relaySocketShare is the share of the sockets for the connections on which peers have calls relayed, and minRelayStreams
+	// their least number.
+	relaySocketShare = 0.1
+	minRelayStreams  = 16
 	// auxiliaryWriteTimeout and auxiliaryIdleTimeout bound connections for readiness checks, addresses and metrics.
 	auxiliaryWriteTimeout = 10 * time.Second
 	auxiliaryIdleTimeout  = 15 * time.Second
@@ -187,6 +191,7 @@
 		},
 		Log: e.log,
 
+		MaxStreams:  maxRelayStreams(e.settings.MaxSockets),
 		DialTimeout: peerDialTimeout,
 		IdleTimeout: peerIdleTimeout,
 		Registry:    e.meter.Registry(),
@@ -198,6 +203,15 @@
 	return nil
 }
 
+// maxRelayStreams returns how many calls peers may have relayed at the same time, each with a connection to the peer and one to
+// an endpoint.
+func maxRelayStreams(sockets int) int {
+	if sockets == 0 {
+		sockets = budgeter.DefaultSockets
+	}
+	return max(int(relaySocketShare*float64(sockets)), minRelayStreams)
+}
+
 // socket is a listen address and the server behind it.
 type socket struct {
 	address   string
--- a/carrier/schema.go
+++ b/carrier/schema.go
@@ -551,6 +551,8 @@
 	RelayUnwanted
 	// RelayStopping means that the peer is stopping.
 	RelayStopping
+	// RelayNoRoom means that the peer has no memory left for the body of the call.
+	RelayNoRoom
 )
 
 // RelayFailure reports a call that was not sent to the endpoint. A connection that ends without it, after the call was
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -168,7 +168,7 @@
 		return nil, &connector.UnsentError{Address: call.Address, Err: notSent}
 	case carrier.RelayPartitioned, carrier.RelayStopping:
 		f.recordRelayFailed(peer)
-	case carrier.RelayUnwanted, carrier.RelayUnproven:
+	case carrier.RelayUnwanted, carrier.RelayUnproven, carrier.RelayNoRoom:
 	}
 	return nil, &noRelayError{}
 }
--- a/forwarder/relayserver.go
+++ b/forwarder/relayserver.go
@@ -7,8 +7,10 @@
 
 	"go.uber.org/zap"
 
+	"geraniumline/budgeter"
 	"geraniumline/carrier"
 	"geraniumline/connector"
+	"geraniumline/guarder"
 	"geraniumline/meter"
 	"geraniumline/proxier"
 	"geraniumline/registrar"
@@ -30,6 +32,7 @@
 	carrier.RelayPartitioned: "partitioned",
 	carrier.RelayUnwanted:    "unwanted",
 	carrier.RelayStopping:    "stopping",
+	carrier.RelayNoRoom:      "noRoom",
 }
 
 // ServeRelay sends a call to an endpoint for a peer that can't reach it, and the response back. It never relays the call
@@ -46,7 +49,19 @@
 	// A peer that stops in the middle of its call must hold neither this entry nor its planned stop.
 	stopClosing := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stopClosing()
-	body, err := proxier.ReadBody(s, call, func(int64) error { return nil })
+	hold, admitted := f.cfg.Admission.Open(budgeter.Serving, nil, time.Now())
+	defer hold.Close()
+	body, err := proxier.ReadBody(s, call, func(n int64) error {
+		if !admitted {
+			return &guarder.HoldError{Bytes: n}
+		}
+		return hold.Grow(n, time.Now())
+	})
+	var room *proxier.RoomError
+	if errors.As(err, &room) || err == nil && !admitted {
+		f.refuseRelay(s, carrier.RelayNoRoom)
+		return
+	}
 	if err != nil {
 		f.log.Warn("call of a peer not read", zap.String("peer", from), zap.Error(err))
 		return
--- a/messenger/stream.go
+++ b/messenger/stream.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"geraniumline/carrier"
 	"geraniumline/dialer"
 )
@@ -51,14 +53,19 @@
 // serveStream serves a stream that a peer has opened with a call.
 func (m *Messenger) serveStream(conn net.Conn, authenticated session, call *carrier.RelayCall) {
 	defer m.streams.Add(-1)
+	s := m.newStream(conn, authenticated.frames, authenticated.replies)
 	if m.streams.Add(1) > int64(m.cfg.MaxStreams) || m.cfg.StreamHandler == nil {
 		m.refuse(conn, &HandshakeError{Reason: "no stream is accepted"})
+		// The peer takes a call without a reply for one that may have run.
+		if err := s.Send(&carrier.RelayFailure{Reason: carrier.RelayNoRoom}); err != nil {
+			m.cfg.Log.Debug("refusal of a stream not sent", zap.Error(err))
+		}
 		return
 	}
 	if err := conn.SetReadDeadline(time.Time{}); err != nil {
 		return
 	}
-	m.cfg.StreamHandler(authenticated.peer, call, m.newStream(conn, authenticated.frames, authenticated.replies))
+	m.cfg.StreamHandler(authenticated.peer, call, s)
 }
 
 // Send sends messages in a single write.
