Let callers read the refusal of a request whose body they still send

What callers saw: a reset connection instead of 413 or 503 with Retry-After, if they were still sending when the entry refused their request. A refusal promises that the request has not run; a reset promises nothing, so that a request that must not be repeated was lost.

Cause: net/http half-closes a connection after an early response and waits half a second, so that the response arrives before the kernel resets the connection because of the unread data. It does so only for connections that have CloseWrite. The wrapper that detects ambiguous lengths hid it.

Evidence: TestARefusalIsReadWhileTheBodyIsSent (20 requests of 1 MB refused after their head) failed before.

Why this fix works: the wrapper passes CloseWrite on.

--- a/guarder/admission_test.go
+++ b/guarder/admission_test.go
@@ -34,6 +34,30 @@
 	return l.Addr().String(), a
 }
 
+// Guards against a refusal that its caller never reads, since the connection is reset while the caller still sends its body.
+func TestARefusalIsReadWhileTheBodyIsSent(t *testing.T) {
+	address, _ := openAdmitted(t, budgeter.ForMemory(0), func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	})
+	for range 20 {
+		conn, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: entry\r\nContent-Length: 1000000\r\n\r\n")
+		require.NoError(t, err)
+		_, err = conn.Write(make([]byte, 64<<10))
+		require.NoError(t, err)
+		time.Sleep(5 * time.Millisecond)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+		require.NoError(t, conn.Close())
+	}
+	// net/http's goroutines of such connections end after half a second.
+	time.Sleep(time.Second)
+}
+
 // Guards against memory that stays counted after a connection has been closed, or after its request has ended.
 func TestWhatARequestHeldIsGivenBack(t *testing.T) {
 	address, a := openAdmitted(t, budgeter.ForMemory(0), func(w http.ResponseWriter, r *http.Request) {
--- a/guarder/framing.go
+++ b/guarder/framing.go
@@ -42,6 +42,15 @@
 	return &framing{Conn: c, scanning: true}, nil
 }
 
+// CloseWrite closes the sending side. net/http needs it after an early response: without it the connection is closed at once,
+// and the kernel resets it because of the unread data, so that the caller sees a reset instead of the response.
+func (f *framing) CloseWrite() error {
+	if conn, ok := f.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
 // Read implements net.Conn.
 func (f *framing) Read(p []byte) (int, error) {
 	n, err := f.Conn.Read(p)
