Refuse a request without waiting for its body

What callers saw: no answer at all to a request that is refused by its head, such as one with an unknown key, while its body didn't come. Its connection was held without end, and was no idle one that a time limit closes.

Cause: net/http reads the rest of a body before it sends an early response, without a deadline.

Evidence: TestForwardRefusesARequestBeforeItsBody failed before: no response within a minute.

Why this fix works: what hasn't been read of a refused request's body has a tenth of a second to arrive, so that the connection of a caller that has sent it can be used again; then the refusal is sent and the connection closed.

--- a/crowder/forward_test.go
+++ b/crowder/forward_test.go
@@ -1,8 +1,10 @@
 package crowder
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"path/filepath"
 	"strings"
@@ -202,6 +204,21 @@
 	p.requireBounds()
 }
 
+// Guards against a refusal that waits for a body that never comes, and holds the connection meanwhile.
+func TestForwardRefusesARequestBeforeItsBody(t *testing.T) {
+	p := startForward(t)
+	conn, err := net.Dial("tcp", p.listen.Callers)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, conn.Close()) }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(callTimeout)))
+	require.NoError(t, Body(head(imitator.PlainPath, "unknown-key"), 1000, 10)(conn))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusUnauthorized, resp.StatusCode)
+	p.requireBounds()
+}
+
 // Guards against limits that leave no room for a request that the configuration allows.
 func TestForwardServesTheLongestBody(t *testing.T) {
 	p := startForward(t)
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -11,8 +11,13 @@
 	"geraniumline/guarder"
 )
 
-// bodyTimeout bounds the time to read a request body.
-const bodyTimeout = 10 * time.Second
+const (
+	// bodyTimeout bounds the time to read a request body.
+	bodyTimeout = 10 * time.Second
+	// unreadTimeout bounds the time to read the body of a request that is refused before it was read. The connection can be
+	// reused if it arrives by then.
+	unreadTimeout = 100 * time.Millisecond
+)
 
 // awaitBody bounds the time until the body has arrived. The deadline comes first, since a hold that yields replaces it.
 func (x *exchange) awaitBody() {
@@ -42,6 +47,7 @@
 	switch {
 	case err == nil:
 		x.setReadDeadline(time.Time{})
+		x.bodyRead = true
 		x.body = buffer.Body()
 		return nil
 	case errors.As(err, &tooLarge):
@@ -61,11 +67,15 @@
 	return x.hold.Grow(n, time.Now())
 }
 
-// endBody releases the body of a request that has failed.
+// endBody releases the body of a request that has failed, and bounds the time until what was not read of it has arrived.
 func (x *exchange) endBody(now time.Time) {
 	x.body = nil
 	if x.w.Header().Get("Connection") == "close" {
 		x.hold.Enter(budgeter.Ending, now)
+		return
+	}
+	if x.in.ContentLength != 0 && !x.bodyRead && !x.hold.Yielded() {
+		x.setReadDeadline(now.Add(unreadTimeout))
 	}
 }
 
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -79,6 +79,8 @@
 	// the first event.
 	streamVersion atomic.Pointer[string]
 	progress      progress
+	// bodyRead is set once the body is complete.
+	bodyRead bool
 }
 
 // ServeHTTP serves callers' requests.
