Count the pieces of requests' stages

What callers saw: nothing yet; found by reading. A request may ask for 4,096 pieces of each of its stages, each with a place in a call, a result and its handle, some 1 MB a stage, in a head of a few bytes.

Cause: only heads and bodies were counted.

Why this fix works: the pieces of a request count with 256 bytes each, before its stages begin. One without room is refused as not run.

--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -14,6 +14,8 @@
 const (
 	// bodyTimeout bounds the time to read a request body.
 	bodyTimeout = 10 * time.Second
+	// pieceBytes is what a piece of a stage holds until the request ends: its place in a call, and its result's handle.
+	pieceBytes = 256
 	// unreadTimeout bounds the time to read the body of a request that is refused before it was read. The connection can be
 	// reused if it arrives by then.
 	unreadTimeout = 100 * time.Millisecond
@@ -67,6 +69,18 @@
 	return x.hold.Grow(n, time.Now())
 }
 
+// holdPieces counts what the pieces of the request's stages hold.
+func (x *exchange) holdPieces() *FailureError {
+	pieces := 0
+	for _, n := range x.req.PieceCounts[:min(len(x.req.PieceCounts), len(x.route.Stages))] {
+		pieces += n
+	}
+	if pieces > 0 && x.hold.Grow(int64(pieces)*pieceBytes, time.Now()) != nil {
+		return notRun("noMemory", shortRetryDelay())
+	}
+	return nil
+}
+
 // endBody releases the body of a request that has failed, and bounds the time until what was not read of it has arrived.
 func (x *exchange) endBody(now time.Time) {
 	x.body = nil
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -44,6 +44,9 @@
 	if failure := x.bindResumption(); failure != nil {
 		return failure
 	}
+	if failure := x.holdPieces(); failure != nil {
+		return failure
+	}
 	stages := newStageRunner(x)
 	defer stages.freeAll()
 	if failure := stages.checkOverload(x.startTime); failure != nil {
