Bound the memory of all requests at an entry

What callers saw: `geraniumline entry` held 178 to 312 MB for 64 clients with bodies of 4 MB, whole, in chunks, or stopping just short of their end, whatever its VM has. A body that was refused for lack of memory in the middle was answered 400, which no caller sends again.

Cause: the limit of 64 MB for a socket's bodies counted them as announced or received, once; a body is held some five times, in a buffer that grows, copied, decoded and encoded for an endpoint. The operators' socket had the same limit again.

Why this fix works: the new setting memoryBytes (default 1 GiB) gives both sockets one budget, a quarter of it, decided by budgeter: requests count 48 KB, and their bodies five times as they are read. A body that yields, or has no room, is answered 503 tooManyBodies with Retry-After. The old limit stays beside it, as it gives one address at most half. memoryBytes must be at least 32 times maxBodyBytes, so that one body of that size is always served; settings with larger bodies get that fault and need a line. Kernel buffers of connections have a fixed size, HTTP/2 streams and connections hold at most 64 and 128 KB unread.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"geraniumline/appender"
 	"geraniumline/carrier"
+	"geraniumline/guarder"
 	"geraniumline/loader"
 	"geraniumline/messenger"
 	"geraniumline/meter"
@@ -54,10 +56,13 @@
 	tracer    *tracer.Tracer
 	messenger *messenger.Messenger
 	performer *performer.Performer
+	// admission bounds the memory of callers' and operators' requests.
+	admission *guarder.Admission
 }
 
 // Run serves until ctx ends or a planned stop, started by SIGTERM, SIGINT or an operator, is complete.
 func Run(ctx context.Context, cfg Config) error {
+	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(cfg.Settings.MemoryBytes)))
 	e := &entry{cfg: cfg, meter: meter.New()}
 	peers, err := e.openPeers()
 	if err != nil {
--- a/assembler/sockets.go
+++ b/assembler/sockets.go
@@ -9,6 +9,7 @@
 
 	"github.com/samber/oops"
 
+	"geraniumline/budgeter"
 	"geraniumline/guarder"
 	"geraniumline/loader"
 	"geraniumline/operatorserver"
@@ -22,6 +23,8 @@
 	socketCaller   = "caller"
 	socketOperator = "operator"
 	socketPeer     = "peer"
+	// socketRequests is the label of what callers' and operators' requests hold together.
+	socketRequests = "requests"
 	// socketAuxiliary is the label of the sockets for readiness checks, addresses and metrics.
 	socketAuxiliary = "auxiliary"
 )
@@ -52,6 +55,9 @@
 	}
 	s := e.cfg.Settings
 	credentialVerifier := verifier.New(verifier.Config{})
+	e.admission = guarder.NewAdmission(guarder.AdmissionConfig{
+		Socket: socketRequests, Budget: budgeter.ForMemory(s.MemoryBytes), Meter: e.meter, Log: e.cfg.Log,
+	})
 	var opened sockets
 	opened.callers, err = guarder.Open(e.socket("callerAddress", socketCaller, s.CallerAddress, s.TLS.Caller, credentialVerifier, callers))
 	if err != nil {
@@ -76,6 +82,7 @@
 		Certificate:  guarder.CertificateConfig{CertFile: certificate.CertFile, KeyFile: certificate.KeyFile},
 		Handler:      handler,
 		MaxBodyBytes: e.cfg.Settings.MaxBodyBytes,
+		Admission:    e.admission,
 		Verifier:     credentialVerifier,
 		Log:          e.cfg.Log,
 	}
--- a/crowder/entry_test.go
+++ b/crowder/entry_test.go
@@ -38,7 +38,7 @@
 			{Name: "slow", Kind: "plain", Endpoints: 1, Args: []string{"--service-time", "1m"}},
 			{Name: "quick", Kind: "plain", Endpoints: 1},
 		},
-		Settings: map[string]any{"maxBodyBytes": maxBody, "maxConnections": maxConnections},
+		Settings: map[string]any{"maxBodyBytes": maxBody, "maxConnections": maxConnections, "memoryBytes": memoryMb << 20},
 	})
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, fleet.Stop()) })
--- a/guarder/guard.go
+++ b/guarder/guard.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"geraniumline/budgeter"
 	"geraniumline/meter"
 	"geraniumline/verifier"
 )
@@ -65,11 +66,29 @@
 		refuse(w.ResponseWriter, http.StatusServiceUnavailable, tooManyBodies)
 		return
 	}
+	hold, admitted := g.cfg.Admission.Open(phaseOf(r), func() { _ = w.control.SetReadDeadline(time.Unix(0, 1)) }, time.Now())
+	if !admitted {
+		g.bodyQuota.release(address, declared)
+		g.bodiesRefused.Inc(1)
+		w.Header().Set("Retry-After", bodyRetrySeconds)
+		refuse(w.ResponseWriter, http.StatusServiceUnavailable, tooManyBodies)
+		return
+	}
+	defer hold.Close()
 	bounded := g.boundBody(w, r)
+	bounded.hold = hold
 	defer func() { g.bodyQuota.release(address, declared+bounded.acquired) }()
 	g.next.ServeHTTP(w, r)
 }
 
+// phaseOf returns what a request that has just arrived waits for.
+func phaseOf(r *http.Request) budgeter.Phase {
+	if r.ContentLength == 0 {
+		return budgeter.Serving
+	}
+	return budgeter.Reading
+}
+
 // boundBody limits the length of the body and the time until it has been read.
 //
 // http.Server's ReadTimeout would also limit the time, but it keeps running while the response is streamed and
@@ -99,34 +118,51 @@
 	chunked bool
 	// acquired is the quota held for a chunked body, in bytes.
 	acquired int64
+	hold     *Hold
 }
 
 // BodyQuotaError reports that the bodies in memory leave no quota for the rest of this one.
 type BodyQuotaError struct{}
 
+// RetryAfter is when the request may be sent again. By then some bodies are released.
+func (e *BodyQuotaError) RetryAfter() time.Duration { return bodyRetryDelay }
+
 func (e *BodyQuotaError) Error() string { return "too many request bodies are in memory" }
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if b.chunked && n > 0 {
 		if !b.guard.bodyQuota.acquire(b.address, int64(n)) {
-			b.guard.bodiesRefused.Inc(1)
-			// Without this, net/http reads the rest of the body before it sends the error response.
-			b.header.Set("Connection", "close")
-			return 0, &BodyQuotaError{}
+			return 0, b.refuse()
 		}
 		b.acquired += int64(n)
 	}
+	if b.hold.Grow(int64(n)*bodyCopies, time.Now()) != nil || b.hold.Yielded() {
+		return 0, b.refuse()
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, io.EOF):
 		_ = b.control.SetReadDeadline(time.Time{})
+		b.hold.Enter(budgeter.Serving, time.Now())
 	case errors.As(err, &tooLarge):
 		b.guard.bodiesTooLarge.Inc(1)
 	}
 	return n, err
 }
 
+// refuse returns the error of a body that there is no room for.
+func (b *body) refuse() error {
+	b.guard.bodiesRefused.Inc(1)
+	// Without this, net/http reads the rest of the body before it sends the error response.
+	b.header.Set("Connection", "close")
+	return &BodyQuotaError{}
+}
+
+// bodyCopies is how often a body is held in memory: as received in a buffer that grows, copied, decoded, and encoded for an
+// endpoint.
+const bodyCopies = 5
+
 // writer sets a deadline on each write, and replaces a 401 response to a throttled address with 429.
 type writer struct {
 	http.ResponseWriter
@@ -158,8 +194,11 @@
 // refilled.
 const credentialRetrySeconds = "60"
 
-// bodyRetrySeconds is the Retry-After value when the body quota is exhausted. By then some bodies are released.
-const bodyRetrySeconds = "1"
+// bodyRetryDelay and bodyRetrySeconds are when a request may be sent again for which there is no room.
+const (
+	bodyRetryDelay   = time.Second
+	bodyRetrySeconds = "1"
+)
 
 // Unwrap returns the underlying writer for http.ResponseController.
 func (w *writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/guarder/listener.go
+++ b/guarder/listener.go
@@ -97,6 +97,7 @@
 		}
 		address := remoteAddress(conn)
 		if l.acquire(address) {
+			setSocketBuffers(conn)
 			return &countedConn{TCPConn: conn, release: func() { l.release(address) }}, nil
 		}
 		l.refused.Inc(1)
--- a/guarder/server.go
+++ b/guarder/server.go
@@ -32,6 +32,12 @@
 // maxStreams limits the concurrent requests on one HTTP/2 connection.
 const maxStreams = 64
 
+// maxStreamBytes and maxConnectionBytes limit what is received on an HTTP/2 stream and connection and not read yet.
+const (
+	maxStreamBytes     = 64 << 10
+	maxConnectionBytes = 128 << 10
+)
+
 // Config configures one HTTP socket. Limits and timeouts of zero take the defaults above.
 type Config struct {
 	ListenConfig
@@ -41,9 +47,12 @@
 	Handler http.Handler
 	// MaxBodyBytes limits the body of one request.
 	MaxBodyBytes int64
-	// MaxTotalBodyBytes limits the sum of the bodies of all requests in flight. It is raised to at least
+	// MaxTotalBodyBytes limits the sum of the bodies of all requests in flight as they were announced, half of it for one
+	// address. It is raised to at least
 	// four times MaxBodyBytes, so that one body always fits.
 	MaxTotalBodyBytes int64
+	// Admission bounds the memory of all requests and their bodies; nil bounds nothing. Sockets may share one.
+	Admission *Admission
 	// Verifier counts wrong credentials per address. Sockets may share one.
 	Verifier *verifier.Verifier
 	// Log receives a line for each reload of the certificate.
@@ -105,7 +114,11 @@
 		ReadHeaderTimeout: cfg.HeaderTimeout,
 		IdleTimeout:       cfg.IdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxStreams,
+			MaxReceiveBufferPerStream:     maxStreamBytes,
+			MaxReceiveBufferPerConnection: maxConnectionBytes,
+		},
 		// net/http logs a line for each failed handshake and each panic. A port scan would fill the log
 		// with data chosen by the sender; connections are counted instead.
 		ErrorLog: log.New(io.Discard, "", 0),
--- a/loader/check.go
+++ b/loader/check.go
@@ -134,6 +134,7 @@
 	}, "callers, operators and peers need separate addresses")
 	d.checkTimeouts(s)
 	d.checkDrain(s)
+	d.checkMemory(s)
 	d.checkCertificate("tls.caller", s.TLS.Caller)
 	d.checkCertificate("tls.operator", s.TLS.Operator)
 	if s.SharedKey != "" && s.SharedKeyFile != "" {
@@ -173,6 +174,17 @@
 	}
 }
 
+// minMemoryBodies is how many bodies of maximum size the memory must have room for: one is held several times, by a part of it.
+const minMemoryBodies = 32
+
+// checkMemory requires that one body of maximum size can be served.
+func (d *decoder) checkMemory(s *Settings) {
+	if s.MemoryBytes < minMemoryBodies*s.MaxBodyBytes {
+		d.faultAt(d.firstPresent("memoryBytes", "maxBodyBytes"),
+			"memoryBytes (%d) must be at least %d times maxBodyBytes (%d)", s.MemoryBytes, minMemoryBodies, s.MaxBodyBytes)
+	}
+}
+
 // firstPresent returns path if the file contains it, otherwise other.
 func (d *decoder) firstPresent(path, other string) string {
 	if _, ok := d.positions[path]; ok {
--- a/loader/load_test.go
+++ b/loader/load_test.go
@@ -55,6 +55,7 @@
 		{"duplicate operator name", `"operators": [`, `"operators": [{"name": "asha", "credentialSha256": "12"}, {"nam": "x"}, `},
 		{"timeouts out of order", `"region"`, `"heartbeatMillis": 800, "deadMillis": 900, "region"`},
 		{"drain shorter than suspect time", `"region"`, `"drainMillis": 999, "region"`},
+		{"memory too small for a body", `"region"`, `"maxBodyBytes": 4194304, "memoryBytes": 134217727, "region"`},
 		{"certificate without its key", `"region"`, `"tls": {"caller": {"certFile": "c.pem"}}, "region"`},
 		{"field name with terminal escape", `"region"`, `"\u001b[31m` + strings.Repeat("x", 99) + `": 1, "region"`},
 	}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -107,6 +107,9 @@
 
 	// Maximum size of the body of a request from a caller or an operator.
 	MaxBodyBytes int64 `json:"maxBodyBytes" min:"1024" max:"67108864"`
+	// Memory that the process may use, of which about a quarter may be held by the requests of callers and operators and by
+	// their bodies. Must be at least 32 times maxBodyBytes, so that one body of that size can always be served.
+	MemoryBytes int64 `json:"memoryBytes" min:"67108864" max:"1099511627776"`
 	// Maximum number of open connections per listening socket.
 	MaxConnections int64 `json:"maxConnections" min:"8" max:"1000000"`
 	// Retention and export of traces.
@@ -165,6 +168,7 @@
 		LoadReportMillis:     250,
 		DrainMillis:          1500,
 		MaxBodyBytes:         1 << 20,
+		MemoryBytes:          1 << 30,
 		MaxConnections:       4096,
 		Traces:               Traces{QueueSize: 4096, Kept: 256},
 		LogLevel:             "info",
--- a/receiver/failure.go
+++ b/receiver/failure.go
@@ -10,6 +10,7 @@
 	"github.com/ogen-go/ogen/ogenerrors"
 
 	"geraniumline/callerserver"
+	"geraniumline/guarder"
 	"geraniumline/reducer"
 )
 
@@ -17,6 +18,7 @@
 const (
 	codeBadRequest   = "badRequest"
 	codeBodyTooLarge = "bodyTooLarge"
+	codeBodies       = "tooManyBodies"
 	codeNoCredential = "noCredential"
 	codeInternal     = "internal"
 	codeUnknownPath  = "unknownPath"
@@ -87,6 +89,12 @@
 	if errors.As(err, &failureErr) {
 		return failureOf(failureErr.Failure)
 	}
+	var noRoom *guarder.BodyQuotaError
+	if errors.As(err, &noRoom) {
+		failure := notRunFailure(http.StatusServiceUnavailable, codeBodies, err.Error())
+		failure.Response.RetryAfterMillis = callerserver.NewOptInt64(noRoom.RetryAfter().Milliseconds())
+		return failure
+	}
 	status, code := classify(err)
 	return notRunFailure(status, code, err.Error())
 }
