Leave sockets to peers when all crowds come at once

Cause, by arithmetic: with callers' share of the sockets at 0.4, one endpoint's connection for each, a tenth for relayed calls and as many for their endpoints, and a fixed 64 connections of peers that have not proved who they are, nothing was left for other peers and the store on a VM with few descriptors.

Change: 0.3 for callers, 7 in 100 for relayed calls, 3 in 100 for unproved peers, 64 at most.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"errors"
@@ -44,10 +45,11 @@
 	maxHeaderBytes = 32 << 10
 	// stopMargin is the part of the platform's stop time that is reserved for exiting before the process is killed.
 	stopMargin = 900 * time.Millisecond
-	// relaySocketShare is the share of the sockets for the connections on which peers have calls relayed, and minRelayStreams
-	// their least number.
-	relaySocketShare = 0.1
-	minRelayStreams  = 16
+	// relaySocketShare is the share of the sockets for the connections on which peers have calls relayed, and pendingSocketShare
+	// that for the ones of peers that have not proved yet who they are. minPeerSockets is the least number of each.
+	relaySocketShare   = 0.07
+	pendingSocketShare = 0.03
+	minPeerSockets     = 8
 	// auxiliaryWriteTimeout and auxiliaryIdleTimeout bound connections for readiness checks, addresses and metrics.
 	auxiliaryWriteTimeout = 10 * time.Second
 	auxiliaryIdleTimeout  = 15 * time.Second
@@ -191,7 +193,8 @@
 		},
 		Log: e.log,
 
-		MaxStreams:  maxRelayStreams(e.settings.MaxSockets),
+		MaxStreams:  e.peerSockets(relaySocketShare),
+		MaxPending:  min(e.peerSockets(pendingSocketShare), messenger.DefaultMaxPending),
 		DialTimeout: peerDialTimeout,
 		IdleTimeout: peerIdleTimeout,
 		Registry:    e.meter.Registry(),
@@ -203,13 +206,10 @@
 	return nil
 }
 
-// maxRelayStreams returns how many calls peers may have relayed at the same time, each with a connection to the peer and one to
-// an endpoint.
-func maxRelayStreams(sockets int) int {
-	if sockets == 0 {
-		sockets = budgeter.DefaultSockets
-	}
-	return max(int(relaySocketShare*float64(sockets)), minRelayStreams)
+// peerSockets returns a share of the process's sockets for connections of peers.
+func (e *forwarding) peerSockets(share float64) int {
+	sockets := cmp.Or(e.settings.MaxSockets, budgeter.DefaultSockets)
+	return max(int(share*float64(sockets)), minPeerSockets)
 }
 
 // socket is a listen address and the server behind it.
--- a/budgeter/divide.go
+++ b/budgeter/divide.go
@@ -6,7 +6,7 @@
 // served, and others with peers.
 const (
 	DefaultMemoryShare = 0.25
-	DefaultSocketShare = 0.4
+	DefaultSocketShare = 0.3
 )
 
 // Limits of a process whose VM has none, in bytes and in sockets.
@@ -21,7 +21,7 @@
 	// auxiliaryShare is the part of the clients' share that goes to sockets that serve no requests, such as readiness checks.
 	auxiliaryShare = 0.1
 	// minConnections is the least number of connections of a listener.
-	minConnections = 16
+	minConnections = 8
 )
 
 // Limits are the limits of a process.
--- a/crowder/forward_test.go
+++ b/crowder/forward_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -173,6 +174,38 @@
 	}
 }
 
+// Guards against crowds at several listeners that each stay within a limit of their own, and take too much together.
+func TestForwardOutlivesAllCrowdsTogether(t *testing.T) {
+	p := startForward(t)
+	p.requireAnswer("first", "a question")
+	plain := head(imitator.PlainPath, imitator.Key)
+	var crowds []*Crowd
+	for _, cfg := range []Config{
+		{Address: p.listen.Callers, Clients: bodyClients, Script: Body(plain, maxBody, maxBody)},
+		{Address: p.listen.Callers, Clients: bodyClients, Script: ChunkedBody(plain, 256<<10, maxBody-1)},
+		{Address: p.listen.Callers, Clients: idleClients, Script: Bytes(plain + "Content-Length: 0\r\n\r\n")},
+		{Address: p.listen.Callers, Clients: idleClients, Script: Idle},
+		{Address: p.listen.Ready, Clients: headClients, Script: UnfinishedHead(headBytes)},
+		{Address: p.listen.Addresses, Clients: idleClients, Script: Idle},
+		{Address: p.listen.Peers, Clients: idleClients, Script: Idle},
+	} {
+		crowds = append(crowds, Start(cfg))
+	}
+	m := newPeer(t)
+	var calls sync.WaitGroup
+	for range relayClients {
+		calls.Go(func() { sendRelayCall(t, m, p, maxBody-1) })
+	}
+	calls.Wait()
+	for _, crowd := range crowds {
+		defer crowd.Close()
+		crowd.AwaitSent()
+	}
+	time.Sleep(settleTime)
+	p.requireAnswer("ordinary", "a question")
+	p.requireBounds()
+}
+
 // Guards against complete responses that pile up in memory because nobody reads them.
 func TestForwardOutlivesClientsThatDontRead(t *testing.T) {
 	p := startForward(t)
--- a/messenger/config.go
+++ b/messenger/config.go
@@ -15,11 +15,13 @@
 // against it offline, so the key must be random and not a word.
 const minKeySize = 16
 
+// DefaultMaxPending is the default of Config.MaxPending.
+const DefaultMaxPending = 64
+
 const (
 	defaultMaxFrame         = 1 << 20
 	defaultMaxQueue         = 4 << 20
 	defaultMaxConnections   = 4096
-	defaultMaxPending       = 64
 	defaultMaxStreams       = 512
 	defaultMaxPeers         = 4096
 	defaultDialTimeout      = time.Second
@@ -110,7 +112,7 @@
 	setDefault(&c.MaxFrame, defaultMaxFrame)
 	setDefault(&c.MaxQueue, defaultMaxQueue)
 	setDefault(&c.MaxConnections, defaultMaxConnections)
-	setDefault(&c.MaxPending, defaultMaxPending)
+	setDefault(&c.MaxPending, DefaultMaxPending)
 	setDefault(&c.MaxStreams, defaultMaxStreams)
 	setDefault(&c.MaxPeers, defaultMaxPeers)
 	setDefault(&c.DialTimeout, defaultDialTimeout)
