Bound the connections of an entry by its memory

What callers saw: nothing yet; found by a further test. `geraniumline entry` with 64 MB held 89 MB for 2,000 unfinished heads of 15 KB.

Cause: its connections were bounded by maxConnections alone (4,096 by default), a number that knows nothing of the memory.

Why this fix works: callers' connections take at most a fifth of memoryBytes at 48 KB each, operators' a twentieth; maxConnections still applies. The limits are logged at the start.

--- a/assembler/sockets.go
+++ b/assembler/sockets.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/samber/oops"
+	"go.uber.org/zap"
 
 	"geraniumline/budgeter"
 	"geraniumline/guarder"
@@ -29,6 +30,12 @@
 	socketAuxiliary = "auxiliary"
 )
 
+// Shares of the memory that the connections of callers and of operators may hold without a request.
+const (
+	callerConnectionShare   = 0.2
+	operatorConnectionShare = 0.05
+)
+
 // sockets holds the servers for callers and operators.
 type sockets struct {
 	callers   *guarder.Server
@@ -55,29 +62,43 @@
 	}
 	s := e.cfg.Settings
 	credentialVerifier := verifier.New(verifier.Config{})
-	e.admission = guarder.NewAdmission(guarder.AdmissionConfig{
-		Socket: socketRequests, Budget: budgeter.ForMemory(s.MemoryBytes), Meter: e.meter, Log: e.cfg.Log,
-	})
+	requests := budgeter.ForMemory(s.MemoryBytes)
+	e.admission = guarder.NewAdmission(guarder.AdmissionConfig{Socket: socketRequests, Budget: requests, Meter: e.meter, Log: e.cfg.Log})
 	var opened sockets
-	opened.callers, err = guarder.Open(e.socket("callerAddress", socketCaller, s.CallerAddress, s.TLS.Caller, credentialVerifier, callers))
+	callerSocket := e.socket("callerAddress", socketCaller, s.CallerAddress, s.TLS.Caller, credentialVerifier, callers)
+	callerSocket.MaxConnections = e.connections(callerConnectionShare)
+	operatorSocket := e.socket("operatorAddress", socketOperator, s.OperatorAddress, s.TLS.Operator, credentialVerifier, operators)
+	operatorSocket.MaxConnections = e.connections(operatorConnectionShare)
+	e.cfg.Log.Info("limits of clients",
+		zap.Int64("requestBytes", requests.Bytes),
+		zap.Int64("longestRequestBytes", requests.MaxBytes()),
+		zap.Int("callerConnections", callerSocket.MaxConnections),
+		zap.Int("operatorConnections", operatorSocket.MaxConnections))
+	opened.callers, err = guarder.Open(callerSocket)
 	if err != nil {
 		return sockets{}, err
 	}
-	opened.operators, err = guarder.Open(e.socket("operatorAddress", socketOperator, s.OperatorAddress, s.TLS.Operator, credentialVerifier, operators))
+	opened.operators, err = guarder.Open(operatorSocket)
 	if err != nil {
 		return sockets{}, errors.Join(err, opened.callers.Close())
 	}
 	return opened, nil
 }
 
+// connections returns the connection limit of a socket whose connections may hold a share of the memory.
+func (e *entry) connections(share float64) int {
+	s := e.cfg.Settings
+	return min(int(s.MaxConnections), budgeter.ConnectionsWithin(s.MemoryBytes, share))
+}
+
+// socket returns the configuration of a socket but for its connection limit.
 func (e *entry) socket(field, label, address string, certificate loader.Certificate, credentialVerifier *verifier.Verifier, handler http.Handler) guarder.Config {
 	return guarder.Config{
 		ListenConfig: guarder.ListenConfig{
-			Field:          field,
-			Socket:         label,
-			Address:        address,
-			MaxConnections: int(e.cfg.Settings.MaxConnections),
-			Meter:          e.meter,
+			Field:   field,
+			Socket:  label,
+			Address: address,
+			Meter:   e.meter,
 		},
 		Certificate:  guarder.CertificateConfig{CertFile: certificate.CertFile, KeyFile: certificate.KeyFile},
 		Handler:      handler,
--- a/budgeter/divide.go
+++ b/budgeter/divide.go
@@ -39,6 +39,11 @@
 	return requests
 }
 
+// ConnectionsWithin returns how many connections without a request a share of the memory holds.
+func ConnectionsWithin(memoryBytes int64, share float64) int {
+	return max(int(share*float64(memoryBytes)/ConnectionBytes), minConnections)
+}
+
 // Divide returns the configuration of the ledger for requests, and of the one for all else that clients may connect to.
 func Divide(limits Limits) (requests, auxiliary Config) {
 	setDefault(&limits.MemoryBytes, DefaultMemoryBytes)
--- a/crowder/entry_test.go
+++ b/crowder/entry_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -24,21 +25,26 @@
 	maxConnections = 100
 	// otherDescriptors is what a quiet entry needs beside its listeners' connections.
 	otherDescriptors = 60
-	crowdAccount     = "crowd"
-	crowdCredential  = "credential-of-the-crowd"
+	// manyConnections are more than leastMemory has room for.
+	manyConnections = 2000
+	leastMemory     = 64 << 20
+	crowdAccount    = "crowd"
+	crowdCredential = "credential-of-the-crowd"
+	// runPath is the path of requests to a pipeline.
+	runPath = "/v1/pipelines/%s/requests"
 )
 
 // startEntry starts an entry of the product's own interface. Requests to the pipeline "slow" wait at their endpoint, those to
-// "quick" are answered.
-func startEntry(t *testing.T) (*starter.Fleet, *starter.Entry) {
+// "quick" are answered with their input.
+func startEntry(t *testing.T, settings map[string]any) *starter.Entry {
 	t.Helper()
 	fleet, err := starter.Start(t.Context(), starter.Config{
 		Bin: bin, Dir: t.TempDir(), Entries: 1, Zones: 1,
 		Pools: []starter.Pool{
 			{Name: "slow", Kind: "plain", Endpoints: 1, Args: []string{"--service-time", "1m"}},
-			{Name: "quick", Kind: "plain", Endpoints: 1},
+			{Name: "quick", Kind: "plain", Endpoints: 1, Args: []string{"--keep-prefix", strconv.Itoa(maxBody)}},
 		},
-		Settings: map[string]any{"maxBodyBytes": maxBody, "maxConnections": maxConnections, "memoryBytes": memoryMb << 20},
+		Settings: settings,
 	})
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, fleet.Stop()) })
@@ -62,7 +68,7 @@
 		Account: crowdAccount, CredentialSha256: verifier.HashCredential(crowdCredential), Weight: 1, RatePerSecond: 1e6, Burst: 1e6,
 		Concurrency: 100_000, CostPerSecond: 1e9, Urgency: publisher.Normal, Pipelines: pools,
 	})
-	return fleet, entry
+	return entry
 }
 
 func publish(t *testing.T, operator *operatorserver.Client, kind operatorserver.ConfigChangeKind, name string, object any) {
@@ -84,21 +90,18 @@
 
 // Guards against clients that make an entry hold more memory or descriptors than it may have.
 func TestEntryOutlivesACrowd(t *testing.T) {
-	const runPath = "/v1/pipelines/%s/requests"
 	callers := func(e *starter.Entry) string { return e.CallerAddress }
 	operators := func(e *starter.Entry) string { return e.OperatorAddress }
 	peers := func(e *starter.Entry) string { return e.PeerAddress }
 	slow := entryHead(fmt.Sprintf(runPath, "slow"), crowdCredential)
 	wrong := entryHead("/v1/config", "wrong")
-	request := `{"deadlineMillis":60000,"input":"`
-	whole := request + strings.Repeat("w", maxBody-len(request)-2) + `"}`
 	for _, tc := range []struct {
 		name    string
 		clients int
 		address func(*starter.Entry) string
 		script  Script
 	}{
-		{"whole bodies that wait", bodyClients, callers, Bytes(slow + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(whole)) + whole)},
+		{"whole bodies that wait", bodyClients, callers, Bytes(wholeRequest("slow"))},
 		{"bodies that stop before their end", bodyClients, callers, Body(slow, maxBody, maxBody-1)},
 		{"large chunks that stop before their end", bodyClients, callers, ChunkedBody(slow, 256<<10, maxBody-1)},
 		{"small chunks that stop before their end", bodyClients, callers, ChunkedBody(slow, 16, maxBody-1)},
@@ -110,28 +113,65 @@
 		{"idle connections of peers", idleClients, peers, Idle},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			_, entry := startEntry(t)
-			watch := NewWatch(entry.PID())
-			var sources []string
-			for i := range 8 {
-				sources = append(sources, fmt.Sprintf("127.0.0.%d", 10+i))
-			}
-			crowd := Start(Config{Address: tc.address(entry), Clients: tc.clients, Script: tc.script, Sources: sources})
-			defer crowd.Close()
-			crowd.AwaitSent()
-			time.Sleep(settleTime)
-			requireEntryAnswer(t, "http://"+entry.CallerAddress+fmt.Sprintf(runPath, "quick"))
-			_, ended := entry.Wait(0)
-			require.False(t, ended, "the process has ended")
-			usage, err := watch.Stop()
-			require.NoError(t, err)
-			t.Logf("held %d MB and %d descriptors at most", usage.MemoryBytes>>20, usage.Descriptors)
+			entry := startEntry(t, entrySettings())
+			usage := playEntry(t, entry, Config{Address: tc.address(entry), Clients: tc.clients, Script: tc.script})
 			require.Less(t, usage.MemoryBytes, int64(memoryMb)<<20, "bytes of memory")
 			require.Less(t, usage.Descriptors, 3*maxConnections+otherDescriptors, "descriptors")
 		})
 	}
 }
 
+// Guards against a limit of connections that the memory has no room for.
+func TestEntryOutlivesAsManyHeadsAsConnections(t *testing.T) {
+	settings := entrySettings()
+	settings["maxConnections"], settings["maxBodyBytes"], settings["memoryBytes"] = manyConnections, 1<<20, leastMemory
+	entry := startEntry(t, settings)
+	usage := playEntry(t, entry, Config{Address: entry.CallerAddress, Clients: manyConnections, Script: UnfinishedHead(15 << 10)})
+	require.Less(t, usage.MemoryBytes, int64(leastMemory), "bytes of memory")
+}
+
+// Guards against answers that pile up in memory because nobody reads them.
+func TestEntryOutlivesClientsThatDontRead(t *testing.T) {
+	entry := startEntry(t, entrySettings())
+	request := wholeRequest("quick")
+	usage := playEntry(t, entry, Config{
+		Address: entry.CallerAddress, Clients: bodyClients, ReceiveBuffer: 4 << 10, Script: Staggered(readerInterval, Bytes(request)),
+	})
+	require.Less(t, usage.MemoryBytes, int64(memoryMb)<<20, "bytes of memory")
+}
+
+func entrySettings() map[string]any {
+	return map[string]any{"maxBodyBytes": maxBody, "maxConnections": maxConnections, "memoryBytes": memoryMb << 20}
+}
+
+// playEntry plays a crowd of several addresses against an entry, and requires that an ordinary request is answered meanwhile. It
+// returns what the entry has held at most.
+func playEntry(t *testing.T, entry *starter.Entry, cfg Config) Usage {
+	t.Helper()
+	for i := range 8 {
+		cfg.Sources = append(cfg.Sources, fmt.Sprintf("127.0.0.%d", 10+i))
+	}
+	watch := NewWatch(entry.PID())
+	crowd := Start(cfg)
+	defer crowd.Close()
+	crowd.AwaitSent()
+	time.Sleep(settleTime)
+	requireEntryAnswer(t, "http://"+entry.CallerAddress+fmt.Sprintf(runPath, "quick"))
+	_, ended := entry.Wait(0)
+	require.False(t, ended, "the process has ended")
+	usage, err := watch.Stop()
+	require.NoError(t, err)
+	t.Logf("held %d MB and %d descriptors at most", usage.MemoryBytes>>20, usage.Descriptors)
+	return usage
+}
+
+// wholeRequest returns a request to a pipeline with the longest body.
+func wholeRequest(pipeline string) string {
+	input := `{"deadlineMillis":60000,"input":"`
+	body := input + strings.Repeat("w", maxBody-len(input)-2) + `"}`
+	return entryHead(fmt.Sprintf(runPath, pipeline), crowdCredential) + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body
+}
+
 // requireEntryAnswer sends ordinary requests, each after the one before was refused, until one is answered.
 func requireEntryAnswer(t *testing.T, url string) {
 	t.Helper()
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -110,7 +110,8 @@
 	// Memory that the process may use, of which about a quarter may be held by the requests of callers and operators and by
 	// their bodies. Must be at least 32 times maxBodyBytes, so that one body of that size can always be served.
 	MemoryBytes int64 `json:"memoryBytes" min:"67108864" max:"1099511627776"`
-	// Maximum number of open connections per listening socket.
+	// Maximum number of open connections per listening socket. Callers have no more than a fifth of memoryBytes holds at 48 KiB
+	// each, operators no more than a twentieth.
 	MaxConnections int64 `json:"maxConnections" min:"8" max:"1000000"`
 	// Retention and export of traces.
 	Traces Traces `json:"traces"`
