Close kept connections when most callers are ordinary ones

Cause, found by reading: at the limit of connections a newcomer was refused as long as any other connection waited for a head or a body. Among hundreds of connections that ordinary callers keep, some nearly always does, so that new callers were refused for the sake of idle connections.

Why this fix works: the connection that was kept longest is closed if there are more kept ones than connections that wait for a head or a body. In a crowd that sends nothing it is the other way round, and the crowd's newcomers are refused.

Evidence: a line in the table of TestConnectionsAreEvictedInOrder, which the code before would refuse; it was not run there.

A request whose hold was evicted before it was served is refused as noMemory, not as serviceTooBusy.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -1,10 +1,10 @@
 // Package budgeter decides what clients may make a process hold before their requests are served: how many connections, and
-// how much memory on all of them together. If there is no room, it decides who yields. It does no I/O: its caller closes the
-// connections of those that yield.
+// how much memory on all of them together. If there is no room, it decides which are evicted. It does no I/O: its caller closes
+// the evicted connections.
 //
-// What has cost its client least yields first. Connections without a request, bodies that don't come to their end and
-// responses that aren't read yield to others; a request that is being served never does. A part of the memory is reserved for
-// small requests, so that a few clients with long bodies can't keep out all others.
+// What has cost its client least is evicted first: connections without a request, bodies that don't come to their end and
+// responses that aren't read. A request that is being served never is. A part of the memory is
+// reserved for small requests, so that a few clients with long bodies can't keep out all others.
 package budgeter
 
 import (
@@ -18,9 +18,10 @@
 	ConnectionBytes = 48 << 10
 	// SmallBytes is the most that a small request holds beside its connection, in bytes.
 	SmallBytes = 128 << 10
-	// freshTime is how long a new connection has for the head of its first request before it yields.
+	// freshTime is how long a new connection has for the head of its first request before it may be evicted.
 	freshTime = 500 * time.Millisecond
-	// patience is how long the body of a request may take to arrive, and a response to be read, before it yields.
+	// patience is how long the body of a request may take to arrive, and a response to be read, before the connection may be
+	// evicted.
 	patience = time.Second
 	// largeShare is the share of the memory that large requests may hold together, and loneShare that of a single one.
 	largeShare = 0.5
@@ -29,7 +30,7 @@
 	ServiceShare = 0.75
 )
 
-// Phase is what a connection is doing. Phases other than Serving may have to yield.
+// Phase is what a connection is doing. It is never evicted in the phase Serving.
 type Phase int
 
 const (
@@ -114,22 +115,22 @@
 // MaxBytes returns the most that one request may hold beside its connection.
 func (c Config) MaxBytes() int64 { return int64(loneShare * float64(c.Bytes)) }
 
-// Verdict is the answer to a request for room. Those that yield have already given back what they held, whether or not room was
+// Verdict is the answer to a request for room. Evicted holders have already given back what they held, whether or not room was
 // granted; their connections must be closed.
 type Verdict struct {
 	Granted bool
-	Yielded []*Holder
+	Evicted []*Holder
 }
 
 // Open decides whether a connection may be opened. The Holder is nil if it may not.
 func (l *Ledger) Open(now time.Time) (*Holder, Verdict) {
 	var verdict Verdict
 	for l.connections >= l.cfg.Connections || l.bytes+ConnectionBytes > l.cfg.Bytes {
-		other := l.yieldToSmall(nil, now)
+		other := l.evictForSmall(nil, now)
 		if other == nil {
 			return nil, verdict
 		}
-		verdict.Yielded = append(verdict.Yielded, other)
+		verdict.Evicted = append(verdict.Evicted, other)
 		l.Close(other)
 	}
 	verdict.Granted = true
@@ -180,11 +181,11 @@
 		return verdict
 	}
 	for !l.fits(h, n) {
-		other := l.yieldToGrowth(h, n, now)
+		other := l.evictForGrowth(h, n, now)
 		if other == nil {
 			return verdict
 		}
-		verdict.Yielded = append(verdict.Yielded, other)
+		verdict.Evicted = append(verdict.Evicted, other)
 		l.Close(other)
 	}
 	verdict.Granted = true
@@ -221,21 +222,21 @@
 	return float64(sum) <= largeShare*float64(l.cfg.Bytes)
 }
 
-// yieldToGrowth returns who yields to a holder that wants n more bytes, or nil if nobody does.
-func (l *Ledger) yieldToGrowth(h *Holder, n int64, now time.Time) *Holder {
+// evictForGrowth returns which holder to evict for one that wants n more bytes, or nil if there is none.
+func (l *Ledger) evictForGrowth(h *Holder, n int64, now time.Time) *Holder {
 	switch {
 	case h.bytes+n <= SmallBytes:
-		return l.yieldToSmall(h, now)
+		return l.evictForSmall(h, now)
 	case l.fitsLarge(h, n):
-		return l.yieldToLarge(h, now)
+		return l.evictForLarge(h, now)
 	default:
-		return l.yieldAmongLarge(h, now)
+		return l.evictAmongLarge(h, now)
 	}
 }
 
-// yieldToSmall returns who yields to a connection or to a small request: long bodies before short ones.
-func (l *Ledger) yieldToSmall(h *Holder, now time.Time) *Holder {
-	if other := l.yieldUnserved(h, now); other != nil {
+// evictForSmall returns which holder to evict for a connection or a small request: long bodies before short ones.
+func (l *Ledger) evictForSmall(h *Holder, now time.Time) *Holder {
+	if other := l.evictUnserved(h, now); other != nil {
 		return other
 	}
 	if other := l.longest(Reading, true, h, 0, now); other != nil {
@@ -247,30 +248,30 @@
 	if other := l.longest(Answering, false, h, patience, now); other != nil {
 		return other
 	}
-	return l.yieldKept(h, now)
+	return l.evictKept(h, now)
 }
 
-// yieldToLarge returns who yields to a large request.
-func (l *Ledger) yieldToLarge(h *Holder, now time.Time) *Holder {
-	if other := l.yieldUnserved(h, now); other != nil {
+// evictForLarge returns which holder to evict for a large request.
+func (l *Ledger) evictForLarge(h *Holder, now time.Time) *Holder {
+	if other := l.evictUnserved(h, now); other != nil {
 		return other
 	}
 	if other := l.longest(Reading, true, h, patience, now); other != nil {
 		return other
 	}
-	return l.yieldKept(h, now)
+	return l.evictKept(h, now)
 }
 
-// yieldAmongLarge returns which other large request yields to a large one.
-func (l *Ledger) yieldAmongLarge(h *Holder, now time.Time) *Holder {
+// evictAmongLarge returns which other large request to evict for a large one.
+func (l *Ledger) evictAmongLarge(h *Holder, now time.Time) *Holder {
 	if other := l.longest(Answering, true, h, patience, now); other != nil {
 		return other
 	}
 	return l.longest(Reading, true, h, patience, now)
 }
 
-// yieldUnserved returns the first to yield to anyone.
-func (l *Ledger) yieldUnserved(h *Holder, now time.Time) *Holder {
+// evictUnserved returns the holder to evict before all others.
+func (l *Ledger) evictUnserved(h *Holder, now time.Time) *Holder {
 	for _, large := range []bool{true, false} {
 		if other := l.longest(Ending, large, h, 0, now); other != nil {
 			return other
@@ -284,17 +285,20 @@
 	return l.longest(Answering, true, h, patience, now)
 }
 
-// yieldKept returns the connection that has been kept longest. While others that never had a request answered are about to
-// yield, it is the newcomer that is refused.
-func (l *Ledger) yieldKept(h *Holder, now time.Time) *Holder {
-	for _, phase := range []Phase{Waiting, Reading} {
-		if l.longest(phase, false, h, 0, now) != nil || l.longest(phase, true, h, 0, now) != nil {
-			return nil
-		}
+// evictKept returns the connection that has been kept longest. While more connections are about to be evicted, as they never
+// had a request answered, the newcomer is refused instead.
+func (l *Ledger) evictKept(h *Holder, now time.Time) *Holder {
+	if l.count(Waiting)+l.count(Reading) >= l.count(Kept) {
+		return nil
 	}
 	return l.longest(Kept, false, h, 0, now)
 }
 
+// count returns the number of holders in a phase.
+func (l *Ledger) count(phase Phase) int {
+	return l.queues[phase].small.Len() + l.queues[phase].large.Len()
+}
+
 // longest returns the holder that has been in a phase longest, and for at least minTime, other than h.
 func (l *Ledger) longest(phase Phase, large bool, h *Holder, minTime time.Duration, now time.Time) *Holder {
 	queue := l.queues[phase].small
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -20,17 +20,17 @@
 	t.Helper()
 	h, verdict := l.Open(now)
 	require.True(t, verdict.Granted)
-	require.Empty(t, verdict.Yielded)
+	require.Empty(t, verdict.Evicted)
 	l.Enter(h, phase, now)
 	verdict = l.Grow(h, bytes, now)
 	require.True(t, verdict.Granted)
-	require.Empty(t, verdict.Yielded)
+	require.Empty(t, verdict.Evicted)
 	return h
 }
 
 // Guards against new callers that are refused, or kept ones that are closed, for the sake of connections that never had a
 // request answered.
-func TestTheLeastEarnedConnectionYields(t *testing.T) {
+func TestConnectionsAreEvictedInOrder(t *testing.T) {
 	later := epoch.Add(patience)
 	for _, tc := range []struct {
 		name   string
@@ -42,6 +42,7 @@
 		{"then waiting, longest first", []Phase{Reading, Kept, Waiting, Waiting}, patience, 2},
 		{"then unread responses and unfinished bodies", []Phase{Kept, Reading, Serving}, patience, 1},
 		{"kept if there is nothing else", []Phase{Serving, Kept, Kept}, patience, 1},
+		{"kept if it is more of them than of new ones", []Phase{Waiting, Kept, Kept}, 0, 1},
 		{"nobody that is being served", []Phase{Serving, Serving}, patience, -1},
 		{"nobody that has just come", []Phase{Waiting, Kept, Reading}, 0, -1},
 	} {
@@ -55,8 +56,8 @@
 			require.Equal(t, tc.want >= 0, verdict.Granted)
 			require.Equal(t, verdict.Granted, h != nil)
 			if tc.want >= 0 {
-				require.Equal(t, []*Holder{holders[tc.want]}, verdict.Yielded)
-				require.False(t, l.Grow(holders[tc.want], 1, later).Granted, "one that has yielded holds nothing more")
+				require.Equal(t, []*Holder{holders[tc.want]}, verdict.Evicted)
+				require.False(t, l.Grow(holders[tc.want], 1, later).Granted, "an evicted one holds nothing more")
 			}
 		})
 	}
@@ -84,10 +85,10 @@
 
 	l.Enter(held[0], Reading, epoch)
 	other := open(t, l, Reading, 0, epoch)
-	require.False(t, l.Grow(other, body, epoch.Add(patience/2)).Granted, "a body that has just begun doesn't yield to another one")
+	require.False(t, l.Grow(other, body, epoch.Add(patience/2)).Granted, "a body that has just begun isn't evicted for another one")
 	verdict := l.Grow(other, body, epoch.Add(patience))
 	require.True(t, verdict.Granted)
-	require.Equal(t, []*Holder{held[0]}, verdict.Yielded)
+	require.Equal(t, []*Holder{held[0]}, verdict.Evicted)
 }
 
 // Guards against limits under which the longest body that is allowed can't be served though nothing else is.
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -21,7 +21,7 @@
 	unreadTimeout = 100 * time.Millisecond
 )
 
-// awaitBody bounds the time until the body has arrived. The deadline comes first, since a hold that yields replaces it.
+// awaitBody bounds the time until the body has arrived. The deadline comes first, since an eviction replaces it.
 func (x *exchange) awaitBody() {
 	if x.in.ContentLength == 0 {
 		x.hold.Enter(budgeter.Serving, x.startTime)
@@ -55,7 +55,7 @@
 	case errors.As(err, &tooLarge):
 		x.w.Header().Set("Connection", "close")
 		return &FailureError{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
-	case errors.As(err, &noRoom) || x.hold.Yielded():
+	case errors.As(err, &noRoom) || x.hold.Evicted():
 		x.w.Header().Set("Connection", "close")
 		return notRun("noMemory", shortRetryDelay())
 	default:
@@ -69,6 +69,18 @@
 	return x.hold.Grow(n, time.Now())
 }
 
+// holdService counts the request among those that its service serves.
+func (x *exchange) holdService() *FailureError {
+	switch {
+	case x.hold.Serve(x.service.Name, time.Now()):
+		return nil
+	case x.hold.Evicted():
+		return notRun("noMemory", shortRetryDelay())
+	default:
+		return notRun("serviceTooBusy", shortRetryDelay())
+	}
+}
+
 // holdPieces counts what the pieces of the request's stages hold.
 func (x *exchange) holdPieces() *FailureError {
 	pieces := 0
@@ -88,7 +100,7 @@
 		x.hold.Enter(budgeter.Ending, now)
 		return
 	}
-	if x.in.ContentLength != 0 && !x.bodyRead && !x.hold.Yielded() {
+	if x.in.ContentLength != 0 && !x.bodyRead && !x.hold.Evicted() {
 		x.setReadDeadline(now.Add(unreadTimeout))
 	}
 }
@@ -104,7 +116,7 @@
 	x.w.WriteHeader(resp.Status())
 	for _, block := range body {
 		if _, err := x.w.Write(block); err != nil {
-			// The caller has disconnected, or had to yield.
+			// The caller has disconnected, or was evicted.
 			return
 		}
 	}
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -119,8 +119,8 @@
 	if failure := x.readBody(); failure != nil {
 		return failure
 	}
-	if !x.hold.Serve(x.service.Name, time.Now()) {
-		return notRun("serviceTooBusy", shortRetryDelay())
+	if failure := x.holdService(); failure != nil {
+		return failure
 	}
 	if failure := x.checkQuarantine(); failure != nil {
 		return failure
--- a/guarder/admission.go
+++ b/guarder/admission.go
@@ -26,7 +26,7 @@
 	endingBuffer = 4 << 10
 	// headCopies is how often the bytes of a request's head are held: as received, decoded, and encoded for an endpoint.
 	headCopies = 3
-	// admissionLineRate bounds the log lines a second on connections that yield or are refused.
+	// admissionLineRate bounds the log lines a second on connections that are evicted or refused.
 	admissionLineRate  = 1
 	admissionLineBurst = 5
 	// lineDropReason is the label of lines that are over the rate.
@@ -84,16 +84,16 @@
 	holder    *budgeter.Holder
 	// conn is nil for the hold of a request.
 	conn *heldConn
-	// cancel ends the request if the hold of a request yields; it may be nil.
+	// cancel ends the request if the hold of a request is evicted; it may be nil.
 	cancel func()
 	// answered is set once a request of the connection was answered.
 	answered atomic.Bool
-	// yielded is set once the hold had to yield.
-	yielded atomic.Bool
+	// evicted is set once the hold was evicted.
+	evicted atomic.Bool
 }
 
 // Open admits a request apart from its connection, in a phase. It returns false if there is no room for it. A nil Admission
-// admits all. If the request has to yield, cancel is called, which may be nil for one that is being served.
+// admits all. If the request is evicted, cancel is called, which may be nil for one that is being served.
 func (a *Admission) Open(phase budgeter.Phase, cancel func(), now time.Time) (*Hold, bool) {
 	if a == nil {
 		return nil, true
@@ -113,45 +113,45 @@
 		h.holder = holder
 		a.holds[holder] = h
 	}
-	yielded := a.remove(verdict.Yielded)
+	evicted := a.remove(verdict.Evicted)
 	a.mu.Unlock()
 	if holder == nil {
 		a.cfg.Meter.Counter(meter.ConnectionsRefused, a.cfg.Socket).Inc(1)
 		h = nil
 	}
-	a.settle("connection", yielded, holder != nil)
+	a.settle("connection", evicted, holder != nil)
 	return h, holder != nil
 }
 
-// remove returns the holds of those that have yielded, and what each was doing. The lock must be held.
-func (a *Admission) remove(holders []*budgeter.Holder) []yieldedHold {
-	var yielded []yieldedHold
+// remove returns the evicted holds, and what each was doing. The lock must be held.
+func (a *Admission) remove(holders []*budgeter.Holder) []evictedHold {
+	var evicted []evictedHold
 	for _, holder := range holders {
 		h := a.holds[holder]
 		delete(a.holds, holder)
-		h.yielded.Store(true)
-		yielded = append(yielded, yieldedHold{h, holder.Phase()})
+		h.evicted.Store(true)
+		evicted = append(evicted, evictedHold{h, holder.Phase()})
 	}
 	a.connections.Update(int64(a.ledger.Connections()))
 	a.bytes.Update(a.ledger.Bytes())
-	return yielded
+	return evicted
 }
 
-// yieldedHold is a hold that has yielded, and the phase in which it did.
-type yieldedHold struct {
+// evictedHold is an evicted hold, and the phase in which it was.
+type evictedHold struct {
 	*Hold
 	phase budgeter.Phase
 }
 
-// settle ends what has yielded, and logs the decision if there was no room.
-func (a *Admission) settle(wanted string, yielded []yieldedHold, granted bool) {
-	if granted && len(yielded) == 0 {
+// settle ends what was evicted, and logs the decision if there was no room.
+func (a *Admission) settle(wanted string, evicted []evictedHold, granted bool) {
+	if granted && len(evicted) == 0 {
 		return
 	}
 	phases := make(map[string]int)
-	for _, h := range yielded {
+	for _, h := range evicted {
 		phases[h.phase.String()]++
-		a.cfg.Meter.Counter(meter.ClientsYielded, h.phase.String()).Inc(1)
+		a.cfg.Meter.Counter(meter.ClientsEvicted, h.phase.String()).Inc(1)
 		h.end(h.phase)
 	}
 	if !a.lines.Allow() {
@@ -162,10 +162,10 @@
 		zap.String("socket", a.cfg.Socket),
 		zap.String("wanted", wanted),
 		zap.Bool("granted", granted),
-		zap.Any("yielded", phases))
+		zap.Any("evicted", phases))
 }
 
-// end ends a connection or a request that has yielded. A request whose body is being read is still answered: its reader fails.
+// end ends a connection or a request that was evicted. A request whose body is being read is still answered: its reader fails.
 func (h *Hold) end(phase budgeter.Phase) {
 	if h.conn == nil {
 		if h.cancel != nil {
@@ -189,12 +189,12 @@
 	a := h.admission
 	a.mu.Lock()
 	verdict := a.ledger.Grow(h.holder, n, now)
-	yielded := a.remove(verdict.Yielded)
+	evicted := a.remove(verdict.Evicted)
 	a.mu.Unlock()
 	if !verdict.Granted {
 		a.cfg.Meter.Counter(meter.BodiesRefused, a.cfg.Socket).Inc(1)
 	}
-	a.settle("memory", yielded, verdict.Granted)
+	a.settle("memory", evicted, verdict.Granted)
 	if !verdict.Granted {
 		return &HoldError{Bytes: n}
 	}
@@ -234,8 +234,8 @@
 	}
 }
 
-// Yielded reports whether the hold had to yield to another one.
-func (h *Hold) Yielded() bool { return h != nil && h.yielded.Load() }
+// Evicted reports whether the hold was evicted for another one.
+func (h *Hold) Evicted() bool { return h != nil && h.evicted.Load() }
 
 // Close gives back what the hold has.
 func (h *Hold) Close() {
--- a/guarder/guard.go
+++ b/guarder/guard.go
@@ -137,7 +137,7 @@
 		}
 		b.acquired += int64(n)
 	}
-	if b.hold.Grow(int64(n)*bodyCopies, time.Now()) != nil || b.hold.Yielded() {
+	if b.hold.Grow(int64(n)*bodyCopies, time.Now()) != nil || b.hold.Evicted() {
 		return 0, b.refuse()
 	}
 	var tooLarge *http.MaxBytesError
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -175,7 +175,7 @@
 	BodiesTooLarge       Name = "bodies_too_large"
 	BodiesRefused        Name = "bodies_refused"
 	ClientBytes          Name = "client_bytes"
-	ClientsYielded       Name = "clients_yielded"
+	ClientsEvicted       Name = "clients_evicted"
 )
 
 // Metrics of the process itself.
@@ -331,7 +331,7 @@
 	{BodiesTooLarge, KindCounter, "requests", bySocket, "A request whose body was over the limit.", ""},
 	{BodiesRefused, KindCounter, "requests", bySocket, "A request refused because the bodies in memory left no room for its own.", ""},
 	{ClientBytes, KindGauge, "bytes", bySocket, "Memory counted for what callers' connections, requests and unread responses hold.", ""},
-	{ClientsYielded, KindCounter, "connections", byPhase, "A connection closed, or a body refused, to make room for others, by what it was doing.", ""},
+	{ClientsEvicted, KindCounter, "connections", byPhase, "A connection closed, or a body refused, to make room for others, by what it was doing.", ""},
 
 	{EventsReduced, KindCounter, "events", "", "An event given to the reducer.", ""},
 	{ReduceMicros, KindHistogram, "microseconds", "", "Time to reduce one event.", ""},
