Don't wait for the rest of a refused body

What callers saw: `geraniumline entry` answered a request with a wrong credential only after its body had come, or after 20 s; a request refused for lack of room before its body was read could hold its connection without end. At `forward` a connection that was to be closed after a refusal in the middle of a body lived on for up to ten seconds, while net/http read what was left through the small receive buffer that it had been given.

Cause: net/http reads up to 256 KB of a body that a handler has left, before or after the response, under whatever deadline is set.

Evidence: TestARefusalDoesntWaitForTheBody failed before (no response within 10 s, with a body limit of an hour).

Why this fix works: whatever refuses a request, what is left of its body has a tenth of a second. The receive buffer is made small once nothing more is read, when net/http closes the sending side.

--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -16,9 +16,6 @@
 	bodyTimeout = 10 * time.Second
 	// pieceBytes is what a piece of a stage holds until the request ends: its place in a call, and its result's handle.
 	pieceBytes = 256
-	// unreadTimeout bounds the time to read the body of a request that is refused before it was read. The connection can be
-	// reused if it arrives by then.
-	unreadTimeout = 100 * time.Millisecond
 )
 
 // awaitBody bounds the time until the body has arrived. The deadline comes first, since an eviction replaces it.
@@ -98,10 +95,9 @@
 	x.body = nil
 	if x.w.Header().Get("Connection") == "close" {
 		x.hold.Enter(budgeter.Ending, now)
-		return
 	}
-	if x.in.ContentLength != 0 && !x.bodyRead && !x.hold.Evicted() {
-		x.setReadDeadline(now.Add(unreadTimeout))
+	if x.in.ContentLength != 0 && !x.bodyRead {
+		x.setReadDeadline(now.Add(guarder.UnreadBodyTimeout))
 	}
 }
 
--- a/guarder/admission.go
+++ b/guarder/admission.go
@@ -22,7 +22,7 @@
 	// socketBuffer is the size of each of the kernel's two buffers of a connection, in bytes. Without a size, the kernel lets
 	// them grow to megabytes with what a caller sends ahead or doesn't read.
 	socketBuffer = 128 << 10
-	// endingBuffer is the size of the receive buffer of a connection that is about to be closed.
+	// endingBuffer is the size of the receive buffer of a connection from which nothing more is read.
 	endingBuffer = 4 << 10
 	// headCopies is how often the bytes of a request's head are held: as received, decoded, and encoded for an endpoint.
 	headCopies = 3
@@ -330,10 +330,6 @@
 		c.counts.Store(countsHead)
 	case budgeter.Serving:
 		c.counts.Store(countsAhead)
-	case budgeter.Ending:
-		c.counts.Store(countsNothing)
-		// An error means that the connection is closed.
-		_ = c.SetReadBuffer(endingBuffer)
 	default:
 		c.counts.Store(countsNothing)
 	}
@@ -363,6 +359,11 @@
 	return n, err
 }
 
+// CloseWrite closes the sending side, after which nothing more is read.
+func (c *heldConn) CloseWrite() error {
+	return errors.Join(c.SetReadBuffer(endingBuffer), c.TCPConn.CloseWrite())
+}
+
 // Close implements net.Conn.
 func (c *heldConn) Close() error {
 	c.hold.Load().Close()
--- a/guarder/admission_test.go
+++ b/guarder/admission_test.go
@@ -34,6 +34,9 @@
 	return l.Addr().String(), a
 }
 
+// lingerTime is how long net/http's goroutine of a connection may live after an early response.
+const lingerTime = time.Second
+
 // Guards against a refusal that its caller never reads, since the connection is reset while the caller still sends its body.
 func TestARefusalIsReadWhileTheBodyIsSent(t *testing.T) {
 	address, _ := openAdmitted(t, budgeter.ForMemory(0), func(w http.ResponseWriter, _ *http.Request) {
@@ -54,8 +57,7 @@
 		require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
 		require.NoError(t, conn.Close())
 	}
-	// net/http's goroutines of such connections end after half a second.
-	time.Sleep(time.Second)
+	time.Sleep(lingerTime)
 }
 
 // Guards against memory that stays counted after a connection has been closed, or after its request has ended.
--- a/guarder/guard.go
+++ b/guarder/guard.go
@@ -46,6 +46,7 @@
 	defer writer.setWriteDeadline()
 	if r.ContentLength > g.cfg.MaxBodyBytes {
 		g.bodiesTooLarge.Inc(1)
+		writer.boundUnread()
 		refuse(w, http.StatusRequestEntityTooLarge, bodyTooLarge)
 		return
 	}
@@ -61,17 +62,13 @@
 	address := parseAddress(r.RemoteAddr)
 	declared := max(r.ContentLength, 0)
 	if !g.bodyQuota.acquire(address, declared) {
-		g.bodiesRefused.Inc(1)
-		w.Header().Set("Retry-After", bodyRetrySeconds)
-		refuse(w.ResponseWriter, http.StatusServiceUnavailable, tooManyBodies)
+		w.refuseBody()
 		return
 	}
 	hold, admitted := g.cfg.Admission.Open(phaseOf(r), func() { _ = w.control.SetReadDeadline(time.Unix(0, 1)) }, time.Now())
 	if !admitted {
 		g.bodyQuota.release(address, declared)
-		g.bodiesRefused.Inc(1)
-		w.Header().Set("Retry-After", bodyRetrySeconds)
-		refuse(w.ResponseWriter, http.StatusServiceUnavailable, tooManyBodies)
+		w.refuseBody()
 		return
 	}
 	defer hold.Close()
@@ -79,6 +76,9 @@
 	bounded.hold = hold
 	defer func() { g.bodyQuota.release(address, declared+bounded.acquired) }()
 	g.next.ServeHTTP(w, r)
+	if r.ContentLength != 0 && !bounded.complete {
+		w.boundUnread()
+	}
 }
 
 // phaseOf returns what a request that has just arrived waits for.
@@ -119,6 +119,8 @@
 	// acquired is the quota held for a chunked body, in bytes.
 	acquired int64
 	hold     *Hold
+	// complete is set once the last byte has been read.
+	complete bool
 }
 
 // BodyQuotaError reports that the bodies in memory leave no quota for the rest of this one.
@@ -144,6 +146,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		_ = b.control.SetReadDeadline(time.Time{})
+		b.complete = true
 		b.hold.Enter(budgeter.Serving, time.Now())
 	case errors.As(err, &tooLarge):
 		b.guard.bodiesTooLarge.Inc(1)
@@ -237,6 +240,20 @@
 	_ = w.control.Flush() // the next Write returns the error
 }
 
+// boundUnread bounds the time in which net/http reads what is left of the request's body.
+func (w *writer) boundUnread() {
+	// An error means that the connection is closed.
+	_ = w.control.SetReadDeadline(time.Now().Add(UnreadBodyTimeout))
+}
+
+// refuseBody refuses a request for whose body there is no room.
+func (w *writer) refuseBody() {
+	w.guard.bodiesRefused.Inc(1)
+	w.boundUnread()
+	w.Header().Set("Retry-After", bodyRetrySeconds)
+	refuse(w.ResponseWriter, http.StatusServiceUnavailable, tooManyBodies)
+}
+
 // setWriteDeadline makes writes fail after WriteTimeout from now.
 //
 // A caller that never reads its streamed response would otherwise hold its connection and its buffers forever.
--- a/guarder/guarder_test.go
+++ b/guarder/guarder_test.go
@@ -390,3 +390,25 @@
 	require.Equal(t, "first\nsecond\n", string(text))
 	wg.Wait()
 }
+
+// Guards against a refusal that waits for a body that never comes, and holds the connection meanwhile.
+func TestARefusalDoesntWaitForTheBody(t *testing.T) {
+	server := open(t, Config{ListenConfig: ListenConfig{Meter: meter.New()}, MaxBodyBytes: 1 << 20, BodyTimeout: time.Hour})
+	for _, tc := range []struct {
+		head string
+		want int
+	}{
+		{"Content-Length: 1000\r\n\r\nbegin", http.StatusUnauthorized},
+		{"Transfer-Encoding: chunked\r\n\r\n5\r\nbegin\r\n", http.StatusUnauthorized},
+		{"Content-Length: 1048577\r\n\r\nbegin", http.StatusRequestEntityTooLarge},
+	} {
+		conn := dial(t, server, friendly)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+		_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: entry\r\n"+tc.head)
+		require.NoError(t, err)
+		code, _ := readResponse(t, conn)
+		require.Equal(t, tc.want, code)
+		waitClosed(t, conn)
+	}
+	time.Sleep(lingerTime)
+}
--- a/guarder/server.go
+++ b/guarder/server.go
@@ -32,6 +32,10 @@
 // maxStreams limits the concurrent requests on one HTTP/2 connection.
 const maxStreams = 64
 
+// UnreadBodyTimeout bounds the time in which net/http reads what a handler has left of a request's body. The connection can be
+// used again if the body is complete by then, and a caller that still sends reads the response before the connection is closed.
+const UnreadBodyTimeout = 100 * time.Millisecond
+
 // maxStreamBytes and maxConnectionBytes limit what is received on an HTTP/2 stream and connection and not read yet.
 const (
 	maxStreamBytes     = 64 << 10
