Encode the crowds' requests in the platform's imitator

The crowds send the same heads as before, but the calls of a peer, whose head is empty now; bounds and numbers are unchanged.

--- a/crowder/forward_test.go
+++ b/crowder/forward_test.go
@@ -33,7 +33,6 @@
 	idleClients = 600
 	// pieceClients ask for 4,096 pieces of each of two stages.
 	pieceClients = 300
-	manyPieces   = "Geraniumline-Chunk-Count: 4096,4096\r\nGeraniumline-Chunk-Key: key\r\n"
 	// lineClients with lineRequests each, whose targets of lineBytes are logged at six times their length, fill the log's buffer
 	// with 344 MB.
 	lineClients  = 64
@@ -46,6 +45,8 @@
 	readerInterval = 30 * time.Millisecond
 	// settleTime is how long a crowd stays at least after it has sent all that it could.
 	settleTime = time.Second
+	// crowdTimeout is until when a crowd's requests wait for their responses.
+	crowdTimeout = 30 * time.Second
 	// callTimeout ends a test in which no request is answered.
 	callTimeout = time.Minute
 )
@@ -72,7 +73,7 @@
 	p := &process{t: t, site: imitator.NewSite()}
 	t.Cleanup(p.site.Close)
 	p.site.MaxBodyBytes = maxBody
-	p.site.SetTimeouts(30 * time.Second)
+	p.site.SetTimeouts(crowdTimeout)
 	p.site.Configure()
 	for _, e := range p.site.Endpoints[:2] {
 		e.InjectFault(imitator.Hanging, -1)
@@ -127,7 +128,7 @@
 
 // head returns the head of a request but for its body's length.
 func head(path, key string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nGeraniumline-Attempt-Id: crowd\r\nGeraniumline-Deadline-Ms: 30000\r\n", path, imitator.Host, key)
+	return imitator.Request{Path: path, ID: "crowd", Key: key, Timeout: crowdTimeout}.Head()
 }
 
 // Guards against clients that make a process hold more memory or descriptors than its VM has: what each may hold is bounded,
@@ -139,6 +140,7 @@
 	peers := func(l imitator.ListenAddresses) string { return l.Peers }
 	plain := head(imitator.PlainPath, imitator.Key)
 	unknown := head(imitator.PlainPath, "unknown-key")
+	manyPieces := imitator.Request{Path: imitator.StagesPath, ID: "crowd", Key: imitator.Key, Timeout: crowdTimeout, Pieces: "4096,4096"}
 	for _, tc := range []struct {
 		name    string
 		clients int
@@ -153,7 +155,7 @@
 		{"bodies over the limit sent", bodyClients, callers, ChunkedBody(plain, 64<<10, 64<<20)},
 		{"bodies of refused requests", idleClients, callers, Body(unknown, 1000, 10)},
 		{"requests sent ahead", idleClients, callers, Bytes(plain + "Content-Length: 0\r\n\r\n" + string(make([]byte, 512<<10)))},
-		{"requests for many pieces", pieceClients, callers, Bytes(head(imitator.StagesPath, imitator.Key) + manyPieces + "Content-Length: 0\r\n\r\n")},
+		{"requests for many pieces", pieceClients, callers, Bytes(manyPieces.Head() + "Content-Length: 0\r\n\r\n")},
 		{"unfinished heads of callers", idleClients, callers, UnfinishedHead(30 << 10)},
 		{"idle connections of callers", idleClients, callers, Idle},
 		{"unfinished heads at the readiness check", headClients, ready, UnfinishedHead(headBytes)},
--- a/crowder/relay_test.go
+++ b/crowder/relay_test.go
@@ -65,7 +65,7 @@
 	// What can't be sent because the process refuses it isn't held.
 	_ = s.Send(&carrier.RelayCall{
 		Address: p.site.Endpoints[0].Address(), Method: "POST", Target: imitator.PlainPath, Host: imitator.Host,
-		Header: map[string][]string{"Geraniumline-Attempt-Id": {"relayed"}}, BodyBytes: maxBody, TimeoutMillis: 30_000,
+		BodyBytes: maxBody, TimeoutMillis: 30_000,
 	})
 	part := make([]byte, writeSize)
 	for sent > 0 {
