Log why responses break off, panics and idle connections that are closed

What was missing: of the three hypotheses on streams that break while endpoints are silent, the logs could tell none. "request failed" now says brokenOff, "leaving a silent endpoint" names the silence, a panic of a handler leaves a line with its stack (net/http closed the connection and its own log is off), and so do connections that are closed as idle. Counters forward_broken, forward_panics, connections_expired.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -363,6 +363,7 @@
 func (e *forwarding) closeIdleConnections(ctx context.Context) {
 	ticker := time.NewTicker(idleCheckInterval)
 	defer ticker.Stop()
+	expired := e.meter.Counter(meter.ConnectionsExpired, socketCaller)
 	for {
 		select {
 		case <-ctx.Done():
@@ -372,7 +373,10 @@
 			if c := e.forwarder.Catalog(); c != nil && c.Limits().IdleTimeout > 0 {
 				limit = c.Limits().IdleTimeout
 			}
-			e.idle.closeExpired(now, limit)
+			if n := e.idle.closeExpired(now, limit); n > 0 {
+				expired.Inc(int64(n))
+				e.log.Info("idle connections closed", zap.Int("connections", n), zap.Duration("idleTimeout", limit))
+			}
 		}
 	}
 }
--- a/assembler/idle.go
+++ b/assembler/idle.go
@@ -29,8 +29,8 @@
 	delete(i.since, c)
 }
 
-// closeExpired closes the connections that have been idle for longer than limit.
-func (i *idleConnections) closeExpired(now time.Time, limit time.Duration) {
+// closeExpired closes the connections that have been idle for longer than limit, and returns their number.
+func (i *idleConnections) closeExpired(now time.Time, limit time.Duration) (n int) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for c, since := range i.since {
@@ -38,6 +38,8 @@
 			delete(i.since, c)
 			// An error means that the connection is closed already.
 			_ = c.Close()
+			n++
 		}
 	}
+	return n
 }
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -94,6 +95,7 @@
 	}
 	x := &exchange{f: f, w: w, in: r, ctx: r.Context(), startTime: now, hold: guarder.HoldOf(r.Context())}
 	defer x.releaseAnswer()
+	defer x.logPanic()
 	x.setWriteDeadline(now.Add(defaultTimeout))
 	x.awaitBody()
 	failure := x.serve()
@@ -111,6 +113,24 @@
 	failure.write(w)
 }
 
+// logPanic logs a panic of the handler and closes the caller's connection. net/http would close it without a trace, since its
+// own log, to which strangers can write, is off.
+func (x *exchange) logPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		x.f.cfg.Meter.Counter(meter.ForwardPanics).Inc(1)
+		x.f.log.Error("request handler panicked",
+			zap.String("request", x.req.ID),
+			zap.Int64("version", x.version),
+			zap.Any("cause", cause),
+			zap.Stack("stack"))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // serve handles the request. It returns the failure to report to the caller, or nil once the response was written.
 func (x *exchange) serve() *FailureError {
 	if failure := x.check(); failure != nil {
@@ -349,11 +369,15 @@
 		return
 	}
 	x.f.cfg.Meter.Counter(meter.ForwardRequests, failure.Reason).Inc(1)
+	if x.headerSent {
+		x.f.cfg.Meter.Counter(meter.ForwardBroken, failure.Reason).Inc(1)
+	}
 	fields = append(fields,
 		zap.Int64("answered", answered.Count()),
 		zap.Int("status", failure.Status),
 		zap.String("reason", failure.Reason),
 		zap.Duration("retryAfter", failure.RetryAfter),
+		zap.Bool("brokenOff", x.headerSent),
 		zap.Bool("callerGone", x.callerGone()))
 	x.f.log.Warn("request failed", fields...)
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -159,6 +159,11 @@
 			reason = stalledBetweenEvents
 		}
 		x.f.cfg.Meter.Counter(meter.ForwardStalls, reason).Inc(1)
+		x.f.log.Info("leaving a silent endpoint",
+			zap.String("request", x.req.ID),
+			zap.String("endpoint", choice.Endpoint.ID),
+			zap.String("reason", reason),
+			zap.Duration("sentFor", time.Since(now)))
 		cancel()
 	}))
 	return timer.Load()
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -105,6 +105,8 @@
 	ForwardRetriesLeft      Name = "forward_retries_left"
 	ForwardResumes          Name = "forward_resumes"
 	ForwardStalls           Name = "forward_stalls"
+	ForwardBroken           Name = "forward_broken"
+	ForwardPanics           Name = "forward_panics"
 	ForwardPromptsCached    Name = "forward_prompts_cached"
 	ForwardPromptsRead      Name = "forward_prompts_read"
 	PromptsReported         Name = "prompts_reported"
@@ -170,6 +172,7 @@
 const (
 	ConnectionsOpen      Name = "connections_open"
 	ConnectionsRefused   Name = "connections_refused"
+	ConnectionsExpired   Name = "connections_expired"
 	CredentialsWrong     Name = "credentials_wrong"
 	CredentialsThrottled Name = "credentials_throttled"
 	BodiesTooLarge       Name = "bodies_too_large"
@@ -267,6 +270,8 @@
 	{ForwardRetriesLeft, KindGauge, "calls", byService, "Calls beyond the first of their request that this entry may still make.", ""},
 	{ForwardResumes, KindCounter, "streams", "", "A stream that went on at another endpoint.", ""},
 	{ForwardStalls, KindCounter, "streams", byReason, "A call of a resumable stream that was canceled because its endpoint was silent, beforeFirstEvent or betweenEvents.", ""},
+	{ForwardBroken, KindCounter, "requests", byReason, "A response that had begun and was broken off, by the reason of the request's failure.", ""},
+	{ForwardPanics, KindCounter, "requests", "", "A request whose connection was closed because its handler panicked.", ""},
 	{ForwardPromptsCached, KindCounter, "calls", byService, "A call whose endpoint has most likely cached all shared parts of the prompt.", ""},
 	{ForwardPromptsRead, KindCounter, "calls", byService, "A call whose endpoint most likely reads shared parts of the prompt.", ""},
 	{PromptsReported, KindGauge, "1 or 0", "", "Whether enough peers report to this entry where they send prompts. Otherwise it takes prompts for cached at their home endpoints.", ""},
@@ -326,6 +331,7 @@
 
 	{ConnectionsOpen, KindGauge, "connections", bySocket, "Open connections.", ""},
 	{ConnectionsRefused, KindCounter, "connections", bySocket, "A connection closed at once because too many were open.", ""},
+	{ConnectionsExpired, KindCounter, "connections", bySocket, "A connection closed because it was idle for longer than the configuration allows.", ""},
 	{CredentialsWrong, KindCounter, "requests", bySocket, "A request with a wrong credential.", ""},
 	{CredentialsThrottled, KindCounter, "requests", bySocket, "A request with a wrong credential from an address that had sent too many; its connection was closed.", ""},
 	{BodiesTooLarge, KindCounter, "requests", bySocket, "A request whose body was over the limit.", ""},
