Leave a silent endpoint only once another one has taken the request

What callers saw: streams that had begun were closed without their end while their endpoint, though healthy, was silent for a second or so (LOST).

Cause: after a second without an event the call was canceled first; only then were a retry taken, the inputs made again and an endpoint chosen. Each of these could fail (many streams asked for the last retries at once, a stage was full, the other endpoints refused), and a stream that had begun was broken off, though its endpoint would have gone on. Class: giving up what still works before its replacement is secured; the check before was of a state that others change meanwhile.

Change: a takeover prepares the inputs, takes the retry, chooses the endpoint and sends it the request while the silent endpoint still has it. Only if the other one answers, or has not refused within 150 ms, the silent one is left; whatever arrives from it before ends the takeover. A stream that has left a silent endpoint and is refused afterwards goes on asking until its deadline. Repeatable requests without streams are hedged in the same way.

TestNoHedgeWithoutAnotherEndpoint, TestHedgesLeaveHalfOfTheRetryBudget and TestSilentStreamIsLeftOnlyIfItMayGoOnElsewhere ask the same as before of the new code; their endpoints now get the request, so they are given ones that are silent. The explainer takes interruptions up to the first event for those of earlier attempts.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -60,6 +60,9 @@
 	// EchoHeader names a request header that the endpoint echoes unchanged. A response with another value belongs to
 	// another exchange and is skipped.
 	EchoHeader string
+	// OnSent is called once there is a connection and the request is being written to it; nil for none. It may be called again if
+	// the call is sent in another way.
+	OnSent func()
 }
 
 // UnsentError reports that an exchange failed before anything was sent, so the request has not run.
@@ -126,6 +129,9 @@
 	}
 	stop := context.AfterFunc(ctx, cn.abort)
 	cn.send(call)
+	if call.OnSent != nil {
+		call.OnSent()
+	}
 	resp, err := cn.receive(call) //nolint:bodyclose // the Response reads it to its end or closes the connection
 	if err != nil {
 		stop()
--- a/explainer/openrequest.go
+++ b/explainer/openrequest.go
@@ -162,7 +162,7 @@
 
 // attemptStep returns the step at which the attempts before the last one spent most of their time.
 func (o *openRequest) attemptStep(end *record) Step {
-	from, until := sendTimes(end)
+	from, until := attemptTimes(end)
 	spent := make(map[Step]time.Duration)
 	longest := Step("")
 	for _, i := range o.interruptions {
@@ -186,10 +186,11 @@
 	return StepUnreachable
 }
 
-// sendTimes returns when the first endpoint was chosen, and the one that answered.
-func sendTimes(end *record) (first, last time.Time) {
+// attemptTimes returns when the first endpoint was chosen, and when the last one answered. A silent endpoint is left only after
+// the next one was sent the request.
+func attemptTimes(end *record) (first, last time.Time) {
 	start := end.Time.Add(-seconds(end.Took))
-	return start.Add(seconds(*end.FirstSendAfter)), start.Add(seconds(*end.LastSendAfter))
+	return start.Add(seconds(*end.FirstSendAfter)), start.Add(seconds(answerTime(end)))
 }
 
 // judgePause judges a stream that began on time and had a pause that was too long.
--- a/explainer/outcomes_test.go
+++ b/explainer/outcomes_test.go
@@ -103,6 +103,10 @@
 			requestLine(1100, "stream interrupted", `"callerGone":false,"error":"exchange with 10.0.0.1:80: context canceled"`),
 			requestLine(1900, answered, streamRoute+`,"took":1.9,"sends":2,"runs":2,"firstSendAfter":0.1,"lastSendAfter":1.1,"firstEventAfter":1.3,"status":200`),
 		}},
+		{"late after a silent endpoint that was left once another had the request", []string{
+			requestLine(1250, "stream interrupted", `"callerGone":false,"error":"exchange with 10.0.0.1:80: context canceled"`),
+			requestLine(1900, answered, streamRoute+`,"took":1.9,"sends":2,"runs":2,"firstSendAfter":0.1,"lastSendAfter":1.1,"firstEventAfter":1.3,"status":200`),
+		}},
 		{"late after a lost endpoint", []string{
 			requestLine(200, "stream interrupted", `"callerGone":false,"error":"connect to 10.0.0.1:80: dial tcp 10.0.0.1:80: connect: connection refused"`),
 			requestLine(1100, "stream interrupted", `"callerGone":false,"error":"exchange with 10.0.0.1:80: unexpected EOF"`),
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -87,6 +87,11 @@
 	return x.route.Repeatable() && x.runs < x.route.MaxAttempts && x.remaining(time.Now()) > 0
 }
 
+// mayRunAgain reports whether the request may be sent to another endpoint while the present one still has it.
+func (x *exchange) mayRunAgain() bool {
+	return x.route.Repeatable() && x.runs+1 < x.route.MaxAttempts && !x.trial
+}
+
 // endCall records the end of a call with the selector, and logs a change of the endpoint's health.
 func (x *exchange) endCall(choice selector.Choice, end ejector.Outcome, bad bool) {
 	now := time.Now()
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -297,10 +297,19 @@
 	if len(x.tried) == 0 {
 		x.f.retries.RecordRequest(x.service.Name, now)
 	}
-	if x.attempts <= x.paidRetries {
-		return true
-	}
-	return x.takeRetry(now)
+	return x.payLocked(now)
+}
+
+// payAttempt reports whether the retry budget allows one more attempt, and takes it.
+func (x *exchange) payAttempt(now time.Time) bool {
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	return x.payLocked(now)
+}
+
+// payLocked is payAttempt for callers that hold the lock.
+func (x *exchange) payLocked(now time.Time) bool {
+	return x.attempts <= x.paidRetries || x.takeRetry(now)
 }
 
 // callInfo returns the call metadata for an endpoint.
--- a/forwarder/hedge_test.go
+++ b/forwarder/hedge_test.go
@@ -1,6 +1,9 @@
 package forwarder
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,15 +30,19 @@
 				m.setEndpoints("a", "b")
 				f := m.nodes["entry-0"]
 				f.applyNotice(endpointChange("b").Endpoint, regulator.Notice{Rest: tc.rest}, time.Now())
+				respondWith(f, "")
 				x := &exchange{
 					f: f, ctx: t.Context(), tried: []string{"a"}, service: &cataloger.Service{Name: "plain"},
 					route: &cataloger.Route{Kind: cataloger.Idempotent, MaxAttempts: 2, Objective: 300 * time.Millisecond},
+					in:    httptest.NewRequest(http.MethodPost, "/", http.NoBody),
 				}
-				ctx, cancel := x.hedgeContext()
+				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
+				watch := x.watchPlain(cancel)
 				time.Sleep(time.Second)
 				synctest.Wait()
 				require.Equal(t, tc.hedged, ctx.Err() != nil)
+				x.dropAttempt(watch.stop())
 			})
 		})
 	}
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -26,81 +26,105 @@
 
 // servePlain forwards a request whose response is a single body.
 func (x *exchange) servePlain() *FailureError {
+	var next *attempt
+	defer func() { x.dropAttempt(next) }()
 	for {
-		if !x.allowAttempt() {
-			return x.giveUp("noEndpointTook")
+		a := next
+		next = nil
+		if a == nil {
+			var failure *FailureError
+			if a, failure = x.choosePlainAttempt(); failure != nil {
+				return failure
+			}
 		}
-		if failure := x.allowParts(); failure != nil {
-			return failure
-		}
-		choice, found := x.awaitEndpoint(selector.Query{})
-		if !found {
-			return x.noEndpoint()
-		}
-		done, failure := x.attemptPlain(choice)
-		if done {
+		var done bool
+		var failure *FailureError
+		if next, done, failure = x.attemptPlain(a); done {
 			return failure
 		}
 	}
 }
 
-// attemptPlain sends the request to one endpoint. It reports whether the request has ended, with a response or a
-// failure.
-func (x *exchange) attemptPlain(choice selector.Choice) (bool, *FailureError) {
-	startTime := time.Now()
+// choosePlainAttempt chooses the endpoint of the next attempt.
+func (x *exchange) choosePlainAttempt() (*attempt, *FailureError) {
+	if !x.allowAttempt() {
+		return nil, x.giveUp("noEndpointTook")
+	}
+	if failure := x.allowParts(); failure != nil {
+		return nil, failure
+	}
+	choice, found := x.awaitEndpoint(selector.Query{})
+	if !found {
+		return nil, x.noEndpoint()
+	}
 	x.attempts++
 	x.tried = append(x.tried, choice.Endpoint.ID)
-	ctx, cancel := x.hedgeContext()
+	return &attempt{choice: choice, sentAt: time.Now()}, nil
+}
+
+// attemptPlain sends the request to one endpoint. It reports whether the request has ended, with a response or a failure, and
+// returns the call to another endpoint that has taken the request, or nil.
+func (x *exchange) attemptPlain(a *attempt) (next *attempt, done bool, failure *FailureError) {
+	choice := a.choice
+	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	resp, info, body, err := x.exchangePlain(ctx, choice)
+	watch := x.watchPlain(cancel)
+	resp, info, body, err := x.exchangePlain(ctx, a)
+	next = watch.stop()
 	if err != nil {
 		x.f.log.Info("exchange broken",
 			zap.String("request", x.req.ID),
 			zap.String("endpoint", choice.Endpoint.ID),
 			zap.Bool("callerGone", x.callerGone()),
 			zap.Error(err))
-		return x.handleFailure(choice, err)
+		done, failure = x.handleFailure(choice, err)
+		return next, done, failure
 	}
 	if info.NotRun {
 		x.endRefusedCall(choice)
-		return false, nil
+		return next, false, nil
 	}
 	x.runs++
 	bad := resp.Status() >= http.StatusInternalServerError
-	if bad && x.mayRetryAfterRun() {
+	if bad && (next != nil || x.mayRetryAfterRun()) {
 		x.endCall(choice, ejector.Bad, true)
-		return false, nil
+		return next, false, nil
 	}
-	x.endTimedCall(choice, bad, time.Since(startTime))
+	x.endTimedCall(choice, bad, time.Since(a.sentAt))
 	x.recordContentServed()
 	if isSuccess(resp.Status()) {
 		x.recordPartsAnswered(time.Now())
 	}
 	x.writeResponse(resp, body)
-	return true, nil
+	return next, true, nil
 }
 
-// hedgeContext returns a context that bounds the wait for an endpoint if the request may be sent to another one
-// afterwards. If no other one accepts it by then, because all rest or are limited, or too little of the retry budget is
-// left, the silent endpoint may still answer.
-func (x *exchange) hedgeContext() (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(x.ctx)
-	if x.f.cfg.Disabled.Has(switcher.Hedging) || !x.route.Repeatable() || x.runs+1 >= x.route.MaxAttempts {
-		return ctx, cancel
+// watchPlain has another endpoint take the request if its endpoint is slow and the request may run twice. If no other one
+// accepts it by then, because all rest or are limited, or too little of the retry budget is left, the silent endpoint may still
+// answer.
+func (x *exchange) watchPlain(leave context.CancelFunc) *takeover {
+	if x.f.cfg.Disabled.Has(switcher.Hedging) || !x.mayRunAgain() {
+		return nil
 	}
-	wait := max(minHedgeDelay, time.Duration(hedgeShare*float64(x.route.Objective)))
-	query := x.endpointQuery(selector.Query{})
-	timer := time.AfterFunc(wait, func() {
-		now := time.Now()
-		if x.f.hasEndpoint(query, now) && x.f.allowsHedge(x.service.Name, now) {
-			cancel()
-		}
-	})
-	return ctx, func() { timer.Stop(); cancel() }
+	return x.watchSilence(takeoverConfig{
+		leave:    leave,
+		silence:  max(minHedgeDelay, time.Duration(hedgeShare*float64(x.route.Objective))),
+		mayLeave: x.mayHedge,
+		query:    func() selector.Query { return selector.Query{} },
+		call: func(choice selector.Choice) callBuilder {
+			return func(now time.Time) *connector.Call { return x.call(choice, x.callInfo(choice.Endpoint, now)) }
+		},
+		reason: func() string { return stalledBeforeResponse },
+	}, time.Now())
+}
+
+func (x *exchange) mayHedge(now time.Time) bool {
+	return x.f.hasEndpoint(x.endpointQuery(selector.Query{}), now) && x.f.allowsHedge(x.service.Name, now)
 }
 
-func (x *exchange) exchangePlain(ctx context.Context, choice selector.Choice) (*connector.Response, ResponseInfo, connector.Body, error) {
-	resp, err := x.f.send(ctx, func(now time.Time) *connector.Call {
+func (x *exchange) exchangePlain(ctx context.Context, a *attempt) (*connector.Response, ResponseInfo, connector.Body, error) {
+	choice := a.choice
+	resp, err := x.f.sendAttempt(ctx, a, func(now time.Time) *connector.Call {
 		return x.call(choice, x.callInfo(choice.Endpoint, now))
 	})
 	if err != nil {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -153,6 +153,9 @@
 	}
 	now := time.Now()
 	call := build(now)
+	if call.OnSent != nil {
+		call.OnSent()
+	}
 	resp, err := proxier.Send(ctx, s, call, now)
 	var notSent *proxier.NotSentError
 	switch {
--- a/forwarder/retries_test.go
+++ b/forwarder/retries_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -117,12 +119,16 @@
 				for taken := 0.0; taken < tc.used*limit; taken++ {
 					require.True(t, f.retries.TakeRetry("plain", retrier.Pressing, time.Now()))
 				}
+				respondWith(f, "")
 				x := newExchange(f, 0)
-				ctx, cancel := x.hedgeContext()
+				x.in = httptest.NewRequest(http.MethodPost, "/", http.NoBody)
+				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
+				watch := x.watchPlain(cancel)
 				time.Sleep(x.route.Objective)
 				synctest.Wait()
 				require.Equal(t, tc.hedged, errors.Is(ctx.Err(), context.Canceled))
+				x.dropAttempt(watch.stop())
 			})
 		})
 	}
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -19,6 +19,7 @@
 const (
 	stalledBeforeFirstEvent = "beforeFirstEvent"
 	stalledBetweenEvents    = "betweenEvents"
+	stalledBeforeResponse   = "beforeResponse"
 )
 
 // firstEventSilence decides how long an endpoint may be silent before the first event of a stream that may resume
--- a/forwarder/silence_test.go
+++ b/forwarder/silence_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,11 +61,14 @@
 				}
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				s := &streamer{x: x}
-				defer s.startStallTimer(ctx, cancel, selector.Choice{}, time.Now()).Stop()
+				respondWith(x.f, "")
+				x.in = httptest.NewRequest(http.MethodPost, "/", http.NoBody)
+				s := &streamer{x: x, stages: newStageRunner(x)}
+				watch := s.watchSilence(cancel, selector.Choice{}, time.Now())
 				time.Sleep(2 * time.Second)
 				synctest.Wait()
 				require.Equal(t, tc.left, ctx.Err() != nil)
+				x.dropAttempt(watch.stop())
 			})
 		})
 	}
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +29,8 @@
 	// attempt, so that the timer of an earlier attempt has no effect.
 	mu         sync.Mutex
 	generation int
+	// restored is set while there are inputs that were computed again for another endpoint than the present one.
+	restored bool
 }
 
 // stageEvent is the result of one piece of a stage, or the notice that the stage's inputs were fetched.
@@ -165,7 +168,7 @@
 }
 
 // run runs all stages, each as soon as the stages that it depends on are done.
-func (s *stageRunner) run() *FailureError {
+func (s *stageRunner) run(ctx context.Context) *FailureError {
 	events := make(chan stageEvent, 1)
 	quit := make(chan struct{})
 	defer close(quit)
@@ -186,7 +189,7 @@
 			return notRun("entryStops", shortRetryDelay())
 		case <-lastStart.C:
 			return notRun("stagesTimedOut", shortRetryDelay())
-		case <-s.x.ctx.Done():
+		case <-ctx.Done():
 			return notRun("stagesTimedOut", shortRetryDelay())
 		}
 	}
@@ -343,7 +346,7 @@
 // restoreInputs recomputes the request's own inputs if they were already freed for an endpoint whose stream was
 // interrupted. Without them the next endpoint would refuse the rest of the stream, and the caller would keep an
 // incomplete response.
-func (s *stageRunner) restoreInputs() *FailureError {
+func (s *stageRunner) restoreInputs(ctx context.Context) *FailureError {
 	if !s.plan.FinalResultsFreed() {
 		return nil
 	}
@@ -361,7 +364,24 @@
 		s.endDelegation(i, false)
 	}
 	s.x.f.log.Info("recomputing stage results for another endpoint", zap.String("request", s.x.req.ID))
-	return s.run()
+	return s.run(ctx)
+}
+
+// prepareInputs provides the request's own inputs for another endpoint, and reports whether it has them.
+func (s *stageRunner) prepareInputs(ctx context.Context) bool {
+	s.mu.Lock()
+	s.generation++
+	s.mu.Unlock()
+	s.restored = s.restored || s.plan.FinalResultsFreed()
+	return s.restoreInputs(ctx) == nil
+}
+
+// abandonInputs frees the inputs that were computed again for another endpoint. The present one has fetched its own.
+func (s *stageRunner) abandonInputs() {
+	if s.restored {
+		s.freeAll()
+	}
+	s.restored = false
 }
 
 // endDelegation ends the delegation of a stage. Results that have arrived but were not handled yet are kept if keep
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -37,6 +37,10 @@
 	hasLast bool
 	// sawEvent is set once the present attempt has received an event.
 	sawEvent atomic.Bool
+	// next is the call to the endpoint that has taken the stream from a silent one; nil if there is none.
+	next *attempt
+	// left is set once a silent endpoint was left.
+	left bool
 }
 
 // serveStream runs the stages and relays the events of the model.
@@ -55,40 +59,85 @@
 	if failure := x.checkHeldBack(); failure != nil {
 		return failure
 	}
-	if failure := stages.run(); failure != nil {
+	if failure := stages.run(x.ctx); failure != nil {
 		return failure
 	}
 	s := &streamer{x: x, stages: stages}
 	if last, err := strconv.ParseInt(x.req.LastEvent, 10, 64); err == nil && x.route.Repeatable() {
 		s.last, s.hasLast = last, true
 	}
+	defer func() { x.dropAttempt(s.next) }()
 	for {
-		if !x.allowAttempt() {
-			return x.giveUp("noEndpointTook")
-		}
-		if failure := stages.restoreInputs(); failure != nil {
-			return x.giveUp(failure.Reason)
-		}
-		if failure := x.allowParts(); failure != nil {
+		a, failure := s.nextAttempt()
+		if failure != nil {
 			return failure
 		}
-		choice, found := x.awaitEndpoint(x.promptQuery(stages.plan.InputBytesByZone()))
-		if !found {
-			return x.noEndpoint()
-		}
-		done, failure := s.attempt(choice)
+		done, failure := s.attempt(a)
 		if done {
 			return failure
 		}
 	}
 }
 
-// attempt requests the stream from one endpoint. It reports whether the request has ended.
-func (s *streamer) attempt(choice selector.Choice) (bool, *FailureError) {
+// nextAttempt returns the next attempt. Its call is under way already if the endpoint has taken the stream from a silent one.
+func (s *streamer) nextAttempt() (*attempt, *FailureError) {
+	x := s.x
+	if next := s.next; next != nil {
+		s.next, s.left = nil, true
+		return next, nil
+	}
+	for {
+		a, failure := s.chooseAttempt()
+		if failure == nil || !s.awaitReturn() {
+			return a, failure
+		}
+		// The endpoint that was left may go on, and those that have refused the stream may have room. The last one is asked
+		// again after another.
+		x.tried = x.tried[len(x.tried)-1:]
+		x.attempts, x.paidRetries = 1, 0
+	}
+}
+
+// awaitReturn waits for a moment if the stream has left a silent endpoint. It returns false if the stream ends, since its time
+// has passed or it has left none.
+func (s *streamer) awaitReturn() bool {
+	if !s.left {
+		return false
+	}
+	timer := time.NewTimer(silenceRecheck)
+	defer timer.Stop()
+	select {
+	case <-s.x.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// chooseAttempt chooses the endpoint of the next attempt.
+func (s *streamer) chooseAttempt() (*attempt, *FailureError) {
 	x := s.x
-	startTime := time.Now()
+	if !x.allowAttempt() {
+		return nil, x.giveUp("noEndpointTook")
+	}
+	if failure := s.stages.restoreInputs(x.ctx); failure != nil {
+		return nil, x.giveUp(failure.Reason)
+	}
+	if failure := x.allowParts(); failure != nil {
+		return nil, failure
+	}
+	choice, found := x.awaitEndpoint(x.promptQuery(s.stages.plan.InputBytesByZone()))
+	if !found {
+		return nil, x.noEndpoint()
+	}
 	x.attempts++
 	x.tried = append(x.tried, choice.Endpoint.ID)
+	return &attempt{choice: choice, sentAt: time.Now()}, nil
+}
+
+// attempt requests the stream from one endpoint. It reports whether the request has ended.
+func (s *streamer) attempt(a *attempt) (bool, *FailureError) {
+	x, choice := s.x, a.choice
 	s.sawEvent.Store(false)
 	x.answerBegan = false
 	if x.headerSent {
@@ -96,42 +145,50 @@
 	}
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	stall := s.startStallTimer(ctx, cancel, choice, startTime)
-	defer stall.Stop()
+	watch := s.watchSilence(cancel, choice, a.sentAt)
 	stopFreeing := s.stages.freeAfterFetch()
-	resp, err := x.f.send(ctx, func(now time.Time) *connector.Call { return x.call(choice, s.callInfo(choice, now)) })
+	resp, err := x.f.sendAttempt(ctx, a, s.callTo(choice))
 	stopFreeing()
 	if err != nil {
+		s.next = watch.stop()
 		return s.handleFailure(choice, err)
 	}
 	defer resp.Close()
 	x.untilClose = resp.UntilClose()
 	if info := x.f.readResponse(&choice.Endpoint, resp); info.NotRun {
+		s.next = watch.stop()
 		return s.handleRefusal(choice, resp, info)
 	}
 	if resp.Status() != http.StatusOK {
+		s.next = watch.stop()
 		return s.handleErrorResponse(choice, resp)
 	}
-	return s.relay(&choice, resp, stall, startTime)
+	end := s.relay(&choice, resp, watch, a.sentAt)
+	s.next = watch.stop()
+	return end()
 }
 
-// callInfo returns the call metadata for an endpoint, with which the stream goes on after the last event.
-func (s *streamer) callInfo(choice selector.Choice, now time.Time) CallInfo {
-	info := s.x.callInfo(choice.Endpoint, now)
-	info.Inputs = s.stages.plan.RequestInputs()
+// callTo returns the builder of the call to an endpoint, with which the stream goes on after the last event.
+func (s *streamer) callTo(choice selector.Choice) callBuilder {
+	last := ""
 	if s.hasLast {
-		info.LastEvent = strconv.FormatInt(s.last, 10)
+		last = strconv.FormatInt(s.last, 10)
+	}
+	inputs := s.stages.plan.RequestInputs()
+	return func(now time.Time) *connector.Call {
+		info := s.x.callInfo(choice.Endpoint, now)
+		info.Inputs, info.LastEvent = inputs, last
+		return s.x.call(choice, info)
 	}
-	return info
 }
 
-// startStallTimer starts a timer that cancels a silent attempt once the stream may resume at another endpoint: a silent
-// endpoint may still answer, a request that no endpoint may take is lost. An attempt that may not be resumed is not
-// cancelled, as silence alone is no reason to end the response.
-func (s *streamer) startStallTimer(ctx context.Context, cancel context.CancelFunc, choice selector.Choice, now time.Time) *time.Timer {
+// watchSilence has another endpoint take the stream if its endpoint is silent for long: a silent endpoint may still answer, a
+// request that no endpoint may take is lost. It returns nil for a stream that may not be resumed, which isn't left, as silence
+// alone is no reason to end the response.
+func (s *streamer) watchSilence(leave context.CancelFunc, choice selector.Choice, now time.Time) *takeover {
 	x := s.x
-	if !s.mayResume() {
-		return time.NewTimer(x.remaining(now) + time.Hour)
+	if !x.mayRunAgain() {
+		return nil
 	}
 	x.f.mu.Lock()
 	elsewhere := x.f.selector.PredictUncached(x.service.Name, x.req.Parts)
@@ -143,34 +200,24 @@
 		elsewhere: elsewhere,
 		left:      x.firstEventDeadline.Sub(now),
 	}.limit()
-	query := x.endpointQuery(selector.Query{})
-	var timer atomic.Pointer[time.Timer]
-	timer.Store(time.AfterFunc(limit, func() {
-		if ctx.Err() != nil {
-			return
-		}
-		query.Version = x.streamVersion.Load()
-		if t := timer.Load(); t != nil && !x.f.mayRetry(query, time.Now()) {
-			t.Reset(silenceRecheck)
-			return
-		}
-		reason := stalledBeforeFirstEvent
-		if s.sawEvent.Load() {
-			reason = stalledBetweenEvents
-		}
-		x.f.cfg.Meter.Counter(meter.ForwardStalls, reason).Inc(1)
-		x.f.log.Info("leaving a silent endpoint",
-			zap.String("request", x.req.ID),
-			zap.String("endpoint", choice.Endpoint.ID),
-			zap.String("reason", reason),
-			zap.Duration("sentFor", time.Since(now)))
-		cancel()
-	}))
-	return timer.Load()
+	return x.watchSilence(takeoverConfig{
+		leave:    leave,
+		silence:  limit,
+		recheck:  silenceRecheck,
+		mayLeave: func(now time.Time) bool { return x.f.mayRetry(x.endpointQuery(selector.Query{}), now) },
+		prepare:  s.stages.prepareInputs,
+		abandon:  s.stages.abandonInputs,
+		query:    func() selector.Query { return x.promptQuery(s.stages.plan.InputBytesByZone()) },
+		call:     s.callTo,
+		reason:   s.stallReason,
+	}, now)
 }
 
-func (s *streamer) mayResume() bool {
-	return s.x.route.Repeatable() && s.x.runs+1 < s.x.route.MaxAttempts
+func (s *streamer) stallReason() string {
+	if s.sawEvent.Load() {
+		return stalledBetweenEvents
+	}
+	return stalledBeforeFirstEvent
 }
 
 func (s *streamer) stallTimeout() time.Duration {
@@ -225,39 +272,42 @@
 	return s.x.handleFailure(choice, err)
 }
 
-// relay writes complete events to the caller until the stream ends.
-func (s *streamer) relay(choice *selector.Choice, resp *connector.Response, stall *time.Timer, sent time.Time) (bool, *FailureError) {
+// relay writes complete events to the caller until the stream ends. It returns what is to be done then.
+func (s *streamer) relay(choice *selector.Choice, resp *connector.Response, watch *takeover, sent time.Time) (end func() (bool, *FailureError)) {
 	split := splitter.New(0)
 	hold := s.x.f.budget.Hold(choice.Endpoint.Address)
 	defer hold.Release()
+	failed := func(err error) func() (bool, *FailureError) {
+		return func() (bool, *FailureError) { return s.handleFailure(*choice, err) }
+	}
 	buf := make([]byte, streamBuffer)
 	first := true
 	for {
 		n, err := resp.Read(buf)
 		if n > 0 {
+			watch.receiving()
 			events, splitErr := split.Feed(buf[:n])
 			splitErr = cmp.Or(splitErr, hold.Resize(int64(len(split.Remainder()))))
 			if splitErr != nil {
-				return s.handleFailure(*choice, splitErr)
+				return failed(splitErr)
 			}
 			if len(events) > 0 && first {
 				first = false
 				s.sawEvent.Store(true)
+				watch.settle()
 				s.beginResponse(choice, resp, sent)
 			}
 			s.writeEvents(events)
-			if s.mayResume() {
-				stall.Reset(s.stallTimeout())
-			}
+			watch.received(s.stallTimeout(), time.Now())
 		}
 		if errors.Is(err, io.EOF) {
 			if err := checkEnd(resp, split, first); err != nil {
-				return s.handleFailure(*choice, err)
+				return failed(err)
 			}
-			return s.finish(*choice, resp, split.Remainder(), first)
+			return func() (bool, *FailureError) { return s.finish(*choice, resp, split.Remainder(), first) }
 		}
 		if err != nil {
-			return s.handleFailure(*choice, err)
+			return failed(err)
 		}
 	}
 }
--- /dev/null
+++ b/forwarder/takeover.go
@@ -0,0 +1,376 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"geraniumline/connector"
+	"geraniumline/ejector"
+	"geraniumline/meter"
+	"geraniumline/selector"
+)
+
+// takeoverOverlap is how long an endpoint has to refuse a call before the silent endpoint is left. Refusals come within a round
+// trip. It is short, since both endpoints may work on the request meanwhile.
+const takeoverOverlap = 150 * time.Millisecond
+
+// takeoverConnectTime bounds the time until a call to another endpoint is sent.
+const takeoverConnectTime = connector.DefaultDialTimeout
+
+// attempt is one call of a request to an endpoint.
+type attempt struct {
+	choice selector.Choice
+	// sentAt is when the call was sent.
+	sentAt time.Time
+	// result receives the result of a call that is sent ahead of the end of the one before; nil for other calls. sent is closed
+	// once it has been sent.
+	result chan sendResult
+	sent   chan struct{}
+	// cancel ends a call that is sent ahead.
+	cancel context.CancelFunc
+}
+
+// sendResult is the result of Forwarder.send.
+type sendResult struct {
+	resp *connector.Response
+	err  error
+}
+
+// takeoverConfig configures a takeover.
+type takeoverConfig struct {
+	// leave ends the call to the silent endpoint.
+	leave context.CancelFunc
+	// silence is how long the endpoint may be silent at first.
+	silence time.Duration
+	// recheck is how often it is checked again whether another endpoint may take the request; 0 for only once.
+	recheck time.Duration
+	// mayLeave reports whether another endpoint may take the request as far as the retry budget is concerned.
+	mayLeave func(now time.Time) bool
+	// prepare provides what another endpoint needs, and reports whether it has; nil if it needs nothing.
+	prepare func(ctx context.Context) bool
+	// abandon gives back what prepare has provided.
+	abandon func()
+	query   func() selector.Query
+	// call returns the builder of the call to an endpoint. It is called while nothing arrives.
+	call func(choice selector.Choice) callBuilder
+	// reason names the silence in logs and metrics.
+	reason func() string
+}
+
+// takeover has another endpoint take a request from a silent one. The silent endpoint may still answer, so it is left only once
+// the other one has got the request and has not refused it: a response that has begun would otherwise be broken off if there is
+// no retry left, an input can't be made again, or all others refuse.
+//
+// The goroutine of the exchange calls receiving, received and stop; while it waits for the silent endpoint, the goroutine of the
+// timer may change the counts of the exchange.
+type takeover struct {
+	x   *exchange
+	cfg takeoverConfig
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// limit is how long the endpoint may be silent after silentSince.
+	limit       time.Duration
+	silentSince time.Time
+	// busy is set while the exchange handles what has arrived, ended once its attempt is over, and prepared while what another
+	// endpoint needs is provided.
+	busy, ended, prepared bool
+	// abort ends the preparation that is under way, done is closed at its end; both are nil if there is none.
+	abort context.CancelFunc
+	done  chan struct{}
+	// next is the call to the endpoint that has taken the request.
+	next *attempt
+}
+
+// watchSilence starts a takeover for the attempt that is sent now.
+func (x *exchange) watchSilence(cfg takeoverConfig, now time.Time) *takeover {
+	t := &takeover{x: x, cfg: cfg, limit: cfg.silence, silentSince: now}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(cfg.silence, t.expire)
+	return t
+}
+
+// receiving records that the endpoint has sent something, and ends a preparation.
+func (t *takeover) receiving() {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.busy = true
+	if t.abort != nil {
+		t.abort()
+	}
+}
+
+// settle waits until a preparation that receiving has ended is over.
+func (t *takeover) settle() {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	done := t.done
+	t.mu.Unlock()
+	if done != nil {
+		<-done
+	}
+}
+
+// received records that what has arrived is handled. The endpoint may be silent for limit from now on.
+func (t *takeover) received(limit time.Duration, now time.Time) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.busy = false
+	t.limit, t.silentSince = limit, now
+	if t.abort == nil && t.prepared {
+		t.giveBack()
+	}
+	if t.abort == nil && t.next == nil && t.x.mayRunAgain() {
+		t.timer.Reset(limit)
+	}
+}
+
+// stop ends the takeover with its attempt. It returns the call to the endpoint that has taken the request, or nil.
+func (t *takeover) stop() *attempt {
+	if t == nil {
+		return nil
+	}
+	t.mu.Lock()
+	t.ended = true
+	t.timer.Stop()
+	if t.abort != nil {
+		t.abort()
+	}
+	done := t.done
+	t.mu.Unlock()
+	if done != nil {
+		<-done
+	}
+	next := t.next
+	t.next = nil
+	return next
+}
+
+// expire looks for another endpoint once the present one has been silent for too long.
+func (t *takeover) expire() {
+	now := time.Now()
+	t.mu.Lock()
+	if t.ended || t.busy || t.abort != nil || !t.x.mayRunAgain() {
+		t.mu.Unlock()
+		return
+	}
+	if left := t.limit - now.Sub(t.silentSince); left > 0 {
+		t.timer.Reset(left)
+		t.mu.Unlock()
+		return
+	}
+	ctx, abort := context.WithCancel(t.x.ctx)
+	defer abort()
+	done := make(chan struct{})
+	t.abort, t.done = abort, done
+	t.mu.Unlock()
+
+	next := t.findAnother(ctx)
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	defer close(done)
+	t.abort, t.done = nil, nil
+	switch {
+	case next == nil:
+		t.rearm()
+	case ctx.Err() != nil:
+		t.x.dropAttempt(next)
+		t.rearm()
+	default:
+		t.next = next
+		t.logLeaving(next)
+		t.cfg.leave()
+	}
+}
+
+// rearm starts the timer again after a preparation that came to nothing. The lock must be held.
+func (t *takeover) rearm() {
+	switch {
+	case t.ended || t.busy:
+	case time.Since(t.silentSince) < t.limit:
+		t.timer.Reset(t.limit - time.Since(t.silentSince))
+	case t.cfg.recheck > 0:
+		t.timer.Reset(t.cfg.recheck)
+	}
+}
+
+func (t *takeover) logLeaving(next *attempt) {
+	x := t.x
+	reason := t.cfg.reason()
+	x.f.cfg.Meter.Counter(meter.ForwardStalls, reason).Inc(1)
+	x.f.log.Info("leaving a silent endpoint",
+		zap.String("request", x.req.ID),
+		zap.Strings("endpoints", x.tried),
+		zap.String("next", next.choice.Endpoint.ID),
+		zap.String("reason", reason),
+		zap.Duration("silentFor", time.Since(t.silentSince)))
+}
+
+// findAnother returns the call to another endpoint that has not refused the request, or nil.
+func (t *takeover) findAnother(ctx context.Context) *attempt {
+	if !t.cfg.mayLeave(time.Now()) {
+		return nil
+	}
+	if t.cfg.prepare != nil {
+		t.prepared = true
+		if !t.cfg.prepare(ctx) {
+			t.giveBack()
+			return nil
+		}
+	}
+	next := t.sendAhead(ctx)
+	if next == nil {
+		return nil
+	}
+	if result, ended := next.awaitRefusal(ctx); ended {
+		if !t.accepts(next, result) {
+			return nil
+		}
+		next.result <- result
+	}
+	return next
+}
+
+// awaitRefusal waits until an endpoint can have refused the call, and returns the call's result if it has ended by then.
+func (a *attempt) awaitRefusal(ctx context.Context) (result sendResult, ended bool) {
+	timer := time.NewTimer(takeoverConnectTime)
+	defer timer.Stop()
+	sent := a.sent
+	for {
+		select {
+		case <-sent:
+			sent = nil
+			timer.Reset(takeoverOverlap)
+		case <-timer.C:
+			return sendResult{}, false
+		case <-ctx.Done():
+			return sendResult{}, false
+		case result := <-a.result:
+			return result, true
+		}
+	}
+}
+
+// giveBack gives back what was provided for another endpoint.
+func (t *takeover) giveBack() {
+	t.cfg.abandon()
+	t.prepared = false
+}
+
+// sendAhead sends the request to another endpoint while the silent one still has it. It returns nil if there is none, or no
+// retry left.
+func (t *takeover) sendAhead(ctx context.Context) *attempt {
+	x := t.x
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if ctx.Err() != nil || x.attempts >= maxEndpointsPerRequest {
+		return nil
+	}
+	choice, found := x.chooseEndpoint(t.cfg.query(), now)
+	if !found {
+		return nil
+	}
+	if !x.payAttempt(now) {
+		x.cancelCall(choice)
+		return nil
+	}
+	x.attempts++
+	x.tried = append(x.tried, choice.Endpoint.ID)
+	callCtx, cancel := context.WithCancel(x.ctx)
+	next := &attempt{choice: choice, sentAt: now, result: make(chan sendResult, 1), sent: make(chan struct{}), cancel: cancel}
+	build := t.cfg.call(choice)
+	onSent := sync.OnceFunc(func() { close(next.sent) })
+	go func() {
+		resp, err := x.f.send(callCtx, func(now time.Time) *connector.Call {
+			call := build(now)
+			call.OnSent = onSent
+			return call
+		})
+		next.result <- sendResult{resp, err}
+	}()
+	return next
+}
+
+// accepts reports whether an endpoint has taken the request. If it hasn't, the end of the call is recorded.
+func (t *takeover) accepts(next *attempt, result sendResult) bool {
+	if result.err == nil && isSuccess(result.resp.Status()) && !t.x.f.cfg.Wire.ReadResponse(result.resp.Status(), result.resp.Header()).NotRun {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.x.endAhead(next, result)
+	return false
+}
+
+// endAhead records the end of a call that was sent ahead and is not needed, or has failed.
+func (x *exchange) endAhead(a *attempt, result sendResult) {
+	defer a.cancel()
+	var unsent *connector.UnsentError
+	switch {
+	case errors.As(result.err, &unsent):
+		x.endUnsentCall(a.choice, unsent)
+		x.attempts--
+		return
+	case result.err != nil && isCancellation(result.err):
+		x.cancelCall(a.choice)
+	case result.err != nil:
+		x.endCall(a.choice, ejector.Bad, true)
+	default:
+		info := x.f.readResponse(&a.choice.Endpoint, result.resp)
+		if info.NotRun {
+			x.f.discardRefusal(&a.choice.Endpoint, result.resp)
+			x.endRefusedCall(a.choice)
+			return
+		}
+		x.endCall(a.choice, outcomeOf(result.resp.Status()), !isSuccess(result.resp.Status()))
+		result.resp.Close()
+	}
+	x.runs++
+}
+
+// outcomeOf judges an endpoint by the status of its response.
+func outcomeOf(status int) ejector.Outcome {
+	if isSuccess(status) {
+		return ejector.Good
+	}
+	return ejector.Bad
+}
+
+// dropAttempt ends a call that was sent ahead and is not needed; nil is none.
+func (x *exchange) dropAttempt(a *attempt) {
+	if a == nil {
+		return
+	}
+	a.cancel()
+	x.endAhead(a, <-a.result)
+}
+
+// sendAttempt sends the call of an attempt, unless it is under way already.
+func (f *Forwarder) sendAttempt(ctx context.Context, a *attempt, build callBuilder) (*connector.Response, error) {
+	if a.result == nil {
+		return f.send(ctx, build)
+	}
+	return a.awaitResult(ctx)
+}
+
+// awaitResult returns the result of a call that was sent ahead. The call ends with ctx.
+func (a *attempt) awaitResult(ctx context.Context) (*connector.Response, error) {
+	context.AfterFunc(ctx, a.cancel)
+	result := <-a.result
+	return result.resp, result.err
+}
--- a/meter/definition.go
+++ b/meter/definition.go
@@ -269,7 +269,7 @@
 	{ForwardRetriesDenied, KindCounter, "calls", byService, "A call beyond the first of its request that the budget did not allow.", ""},
 	{ForwardRetriesLeft, KindGauge, "calls", byService, "Calls beyond the first of their request that this entry may still make.", ""},
 	{ForwardResumes, KindCounter, "streams", "", "A stream that went on at another endpoint.", ""},
-	{ForwardStalls, KindCounter, "streams", byReason, "A call of a resumable stream that was canceled because its endpoint was silent, beforeFirstEvent or betweenEvents.", ""},
+	{ForwardStalls, KindCounter, "calls", byReason, "A call that was canceled because its endpoint was silent, once another endpoint had taken the request: that of a resumable stream beforeFirstEvent or betweenEvents, that of another repeatable request beforeResponse.", ""},
 	{ForwardBroken, KindCounter, "requests", byReason, "A response that had begun and was broken off, by the reason of the request's failure.", ""},
 	{ForwardPanics, KindCounter, "requests", "", "A request whose connection was closed because its handler panicked.", ""},
 	{ForwardPromptsCached, KindCounter, "calls", byService, "A call whose endpoint has most likely cached all shared parts of the prompt.", ""},
