Don't close a connection as idle while its request arrives

What callers see: a request on a kept connection is served, by an endpoint too, and its connection is closed without an answer, in the moment in which the configuration's idle timeout has passed.

A request that was read in between ran on a closed connection. Class: a state that belongs to one side is judged by a copy of it that comes later.

Now the connection itself decides: bytes that are read end its idle time, and after it has expired nothing is read any more. Whether it caused the users' case isn't known.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -101,7 +101,6 @@
 	forwarder *forwarder.Forwarder
 	messenger *messenger.Messenger
 	servers   []*http.Server
-	idle      *idleConnections
 	meter     *meter.Meter
 	// requests bounds what callers' requests hold, auxiliary what readiness checks, addresses and metrics do.
 	requests, auxiliary *guarder.Admission
@@ -120,7 +119,7 @@
 	if names := cfg.Disabled.Names(); len(names) > 0 {
 		logger.Warn("mechanisms are switched off", zap.Strings("mechanisms", names))
 	}
-	e := &forwarding{settings: settings, log: logger, idle: newIdleConnections(), meter: meter.New(), metricsPort: cfg.MetricsPort}
+	e := &forwarding{settings: settings, log: logger, meter: meter.New(), metricsPort: cfg.MetricsPort}
 	e.admit(cfg)
 	e.forwarder = forwarder.New(forwarder.Config{
 		Name:          settings.Name,
@@ -230,7 +229,6 @@
 		ConnState: func(c net.Conn, state http.ConnState) {
 			guarder.FramingState(c, state)
 			guarder.AdmissionState(c, state)
-			e.idle.track(c, state, time.Now())
 		},
 	}
 	list := []socket{{e.settings.CallerAddress, callers, e.requests}}
@@ -373,7 +371,7 @@
 			if c := e.forwarder.Catalog(); c != nil && c.Limits().IdleTimeout > 0 {
 				limit = c.Limits().IdleTimeout
 			}
-			if n := e.idle.closeExpired(now, limit); n > 0 {
+			if n := e.requests.CloseIdle(limit, now); n > 0 {
 				expired.Inc(int64(n))
 				e.log.Info("idle connections closed", zap.Int("connections", n), zap.Duration("idleTimeout", limit))
 			}
--- a/guarder/admission.go
+++ b/guarder/admission.go
@@ -282,9 +282,11 @@
 		if !ok {
 			return nil, errors.Join(&connTypeError{conn}, conn.Close())
 		}
+		now := time.Now()
 		held := &heldConn{TCPConn: tcp}
 		held.enter(budgeter.Waiting)
-		hold, admitted := l.admission.open(&Hold{conn: held}, time.Now())
+		held.idle.rest(now)
+		hold, admitted := l.admission.open(&Hold{conn: held}, now)
 		if !admitted {
 			// Nothing was sent or received on it.
 			_ = conn.Close()
@@ -313,6 +315,7 @@
 	hold atomic.Pointer[Hold]
 	// counts is how what is read is counted.
 	counts atomic.Int32
+	idle   idleState
 }
 
 // How bytes that are read from a connection are counted: not at all, as the head of a request, or as sent ahead of the response
@@ -335,12 +338,15 @@
 	}
 }
 
-// Read implements net.Conn. It fails if there is no room for what the caller sends.
+// Read implements net.Conn. It fails if there is no room for what the caller sends, or if the connection was idle for too long.
 func (c *heldConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if n == 0 {
 		return n, err
 	}
+	if !c.idle.wake() {
+		return 0, net.ErrClosed
+	}
 	held := int64(0)
 	switch c.counts.Load() {
 	case countsHead:
@@ -403,10 +409,3 @@
 		h.RecordAnswered()
 	})
 }
-
-// AdmissionState records when a connection becomes idle. Use it as http.Server.ConnState.
-func AdmissionState(c net.Conn, state http.ConnState) {
-	if h := holdOfConn(c); h != nil && state == http.StateIdle {
-		h.becomeIdle(time.Now())
-	}
-}
--- a/guarder/admission_test.go
+++ b/guarder/admission_test.go
@@ -17,11 +17,16 @@
 
 // openAdmitted serves a handler on the connections of an Admission until the test ends.
 func openAdmitted(t *testing.T, budget budgeter.Config, handler http.HandlerFunc) (string, *Admission) {
+	t.Helper()
+	return openAdmittedWith(t, budget, &http.Server{Handler: handler, ConnState: AdmissionState})
+}
+
+func openAdmittedWith(t *testing.T, budget budgeter.Config, server *http.Server) (string, *Admission) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	a := NewAdmission(AdmissionConfig{Socket: "caller", Budget: budget, Meter: meter.New(), Log: zap.NewNop()})
-	server := &http.Server{Handler: handler, ConnContext: FramingContext, ConnState: AdmissionState}
+	server.ConnContext = FramingContext
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
