--- a/assembler/pause_test.go
+++ b/assembler/pause_test.go
@@ -148,3 +148,23 @@
 		require.Equal(t, http.StatusOK, (<-replies).Status)
 	}
 }
+
+// Guards against relayed streams that are broken off because their endpoint was silent for a moment.
+func TestAPauseBreaksNoRelayedStream(t *testing.T) {
+	for name, path := range map[string]string{"resumable": imitator.ResumePath, "once": imitator.StreamPath} {
+		t.Run(name, func(t *testing.T) {
+			f := newPausedFleet(t, 1)
+			p := newPartition()
+			f.startWith(startOptions{partition: p})
+			f.awaitReady()
+			p.set(resetting)
+			require.Eventually(t, func() bool {
+				return f.served(1, "partitioned") && f.metric(1, "geraniumline_partitioned") == "1"
+			}, waitTimeout, time.Millisecond)
+			f.begin(1, path, 8)
+			time.Sleep(300 * time.Millisecond)
+			f.pause(longestPause)
+			f.requireWhole()
+		})
+	}
+}
