--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -11,11 +11,7 @@
 // TestShortSoak runs one seed on real processes, with endpoints of one version and of two. Its recovery times allow for a
 // busy machine.
 func TestShortSoak(t *testing.T) {
-	bin := t.TempDir()
-	build := exec.Command("go", "build", "-o", bin, "./cmd/geraniumline")
-	build.Dir = ".."
-	output, err := build.CombinedOutput()
-	require.NoError(t, err, string(output))
+	bin := buildForward(t)
 	for name, versions := range map[string]bool{"one version": false, "two versions": true} {
 		t.Run(name, func(t *testing.T) {
 			result, err := Run(t.Context(), Config{
@@ -29,3 +25,14 @@
 		})
 	}
 }
+
+// buildForward builds the program and returns its directory.
+func buildForward(t *testing.T) string {
+	t.Helper()
+	bin := t.TempDir()
+	build := exec.Command("go", "build", "-o", bin, "./cmd/geraniumline")
+	build.Dir = ".."
+	output, err := build.CombinedOutput()
+	require.NoError(t, err, string(output))
+	return bin
+}
