Don't leave a silent endpoint for one that can't be connected to

Found on reading the takeovers again: a call to the other endpoint that wasn't sent within the time to connect was taken for one that the endpoint has. TestASilentEndpointIsNotLeftForAnUnreachableOne guards it. A stream that asks again after it has left a silent endpoint waits longer each time, as each attempt takes a retry of the entry's, and only if its caller has a part of it: other callers can send their request again.

--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -13,6 +13,9 @@
 	minSilenceFactor = 1.5
 	// silenceRecheck is how often it is checked whether a silent stream may go on elsewhere.
 	silenceRecheck = 250 * time.Millisecond
+	// maxReturnWait is the longest time between two attempts of a stream that has left a silent endpoint and that no other one
+	// has taken. Each takes a retry.
+	maxReturnWait = 2 * time.Second
 )
 
 // The values of the label of meter.ForwardStalls.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -86,9 +86,9 @@
 		s.next, s.left = nil, true
 		return next, nil
 	}
-	for {
+	for wait := silenceRecheck; ; wait = min(2*wait, maxReturnWait) {
 		a, failure := s.chooseAttempt()
-		if failure == nil || !s.awaitReturn() {
+		if failure == nil || !s.awaitReturn(wait) {
 			return a, failure
 		}
 		// The endpoint that was left may go on, and those that have refused the stream may have room. The last one is asked
@@ -98,13 +98,13 @@
 	}
 }
 
-// awaitReturn waits for a moment if the stream has left a silent endpoint. It returns false if the stream ends, since its time
-// has passed or it has left none.
-func (s *streamer) awaitReturn() bool {
-	if !s.left {
+// awaitReturn waits for a moment if the caller has a part of the stream, which has left a silent endpoint. It returns false if
+// the stream ends, since its time has passed or its caller can send it again.
+func (s *streamer) awaitReturn(wait time.Duration) bool {
+	if !s.left || !s.x.headerSent {
 		return false
 	}
-	timer := time.NewTimer(silenceRecheck)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-s.x.ctx.Done():
--- a/forwarder/takeover.go
+++ b/forwarder/takeover.go
@@ -18,8 +18,8 @@
 // trip. It is short, since both endpoints may work on the request meanwhile.
 const takeoverOverlap = 150 * time.Millisecond
 
-// takeoverConnectTime bounds the time until a call to another endpoint is sent.
-const takeoverConnectTime = connector.DefaultDialTimeout
+// takeoverConnectTime bounds the time until a call to another endpoint is sent, directly or through a peer.
+const takeoverConnectTime = 2 * connector.DefaultDialTimeout
 
 // attempt is one call of a request to an endpoint.
 type attempt struct {
@@ -236,16 +236,20 @@
 	if next == nil {
 		return nil
 	}
-	if result, ended := next.awaitRefusal(ctx); ended {
-		if !t.accepts(next, result) {
-			return nil
-		}
+	result, ended := next.awaitRefusal(ctx)
+	switch {
+	case !ended:
+		return next
+	case t.accepts(next, result):
 		next.result <- result
+		return next
+	default:
+		return nil
 	}
-	return next
 }
 
-// awaitRefusal waits until an endpoint can have refused the call, and returns the call's result if it has ended by then.
+// awaitRefusal waits until an endpoint can have refused the call, and returns the call's result if it has ended by then. A call
+// that can't be sent is ended.
 func (a *attempt) awaitRefusal(ctx context.Context) (result sendResult, ended bool) {
 	timer := time.NewTimer(takeoverConnectTime)
 	defer timer.Stop()
@@ -256,7 +260,11 @@
 			sent = nil
 			timer.Reset(takeoverOverlap)
 		case <-timer.C:
-			return sendResult{}, false
+			if sent == nil {
+				return sendResult{}, false
+			}
+			a.cancel()
+			return <-a.result, true
 		case <-ctx.Done():
 			return sendResult{}, false
 		case result := <-a.result:
@@ -323,8 +331,12 @@
 	var unsent *connector.UnsentError
 	switch {
 	case errors.As(result.err, &unsent):
-		x.endUnsentCall(a.choice, unsent)
 		x.attempts--
+		if errors.Is(unsent, context.Canceled) {
+			x.cancelCall(a.choice)
+		} else {
+			x.endUnsentCall(a.choice, unsent)
+		}
 		return
 	case result.err != nil && isCancellation(result.err):
 		x.cancelCall(a.choice)
--- a/forwarder/takeover_test.go
+++ b/forwarder/takeover_test.go
@@ -79,6 +79,26 @@
 	}
 }
 
+// Guards against a silent endpoint that is left for one that can't be connected to.
+func TestASilentEndpointIsNotLeftForAnUnreachableOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSilentExchange(t, "")
+		x.f.cfg.Client = connector.New(connector.Config{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		watch := x.watchPlain(cancel)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		require.NoError(t, ctx.Err())
+		require.Nil(t, watch.stop())
+		require.Equal(t, 1, x.attempts, "nothing was sent")
+		require.Zero(t, x.runs)
+	})
+}
+
 // newSilentExchange returns a request that a silent endpoint has, beside others that respond in one way.
 func newSilentExchange(t *testing.T, response string) *exchange {
 	m := newMesh(t, 1)
