Hand a stream over when its silent endpoint fails, and take nothing from one that was left

Now a failed or refused call waits for the verdict of the one that was sent ahead and goes on there; once the silent endpoint is left, its events are dropped; parts are asked first and crashes checked; refusals' bodies aren't read; preparations that come to nothing are bounded, give their recomputation and attempt back, and a paid retry stays paid.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -66,7 +66,7 @@
 	x.runs++
 	x.endCall(choice, ejector.Bad, true)
 	if !isCancellation(err) {
-		x.checkCrash(choice)
+		x.checkCrash(choice, x.answerBegan)
 	}
 	if x.ctx.Err() != nil {
 		return true, timedOut()
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -75,9 +75,9 @@
 // address that does not answer, or that refuses connections while peers reach it: this VM may have lost its network, and
 // the content would be refused everywhere for minutes. In these cases the exchange counts once a peer, or the answer of
 // another process at the address, shows that the endpoint has ended.
-func (x *exchange) checkCrash(choice selector.Choice) {
+func (x *exchange) checkCrash(choice selector.Choice, answerBegan bool) {
 	b := &brokenExchange{endpoint: choice.Endpoint, request: x.req.ID, account: x.account, content: x.digest(), at: time.Now()}
-	if !x.answerBegan {
+	if !answerBegan {
 		b.parts = x.parts
 	}
 	f := x.f
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -35,6 +35,16 @@
 	return &FailureError{Status: http.StatusGatewayTimeout, Reason: "timeout"}
 }
 
+// passes reports whether the failure may pass within moments, since no endpoint takes the request at present.
+func (f *FailureError) passes() bool {
+	switch f.Reason {
+	case "noEndpoint", "noEndpointTook", "endpointsHeldBack":
+		return true
+	default:
+		return false
+	}
+}
+
 // statusError reports a response with an unexpected status.
 type statusError struct{ status int }
 
--- a/forwarder/parts.go
+++ b/forwarder/parts.go
@@ -54,6 +54,16 @@
 	return x.f.parts.Verdict(x.parts, now)
 }
 
+// partsAreFree reports whether the request may be sent to one more endpoint while another one has it, as far as the parts of its
+// prompt are concerned.
+func (x *exchange) partsAreFree(now time.Time) bool {
+	if len(x.parts) == 0 {
+		return true
+	}
+	_, free := x.partVerdict(now).(quarantiner.SendFreely)
+	return free
+}
+
 // refuseForPart returns the failure for a request with a part that crashes endpoints.
 func (x *exchange) refuseForPart(refuse quarantiner.Refuse) *FailureError {
 	x.f.mu.Lock()
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -69,8 +69,12 @@
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	watch := x.watchPlain(cancel)
-	resp, info, body, err := x.exchangePlain(ctx, a)
-	next = watch.stop()
+	resp, info, body, err := x.exchangePlain(ctx, a, watch)
+	if err != nil || info.NotRun {
+		next = watch.handOver()
+	} else {
+		next = watch.stop()
+	}
 	if err != nil {
 		x.f.log.Info("exchange broken",
 			zap.String("request", x.req.ID),
@@ -122,7 +126,7 @@
 	return x.f.hasEndpoint(x.endpointQuery(selector.Query{}), now) && x.f.allowsHedge(x.service.Name, now)
 }
 
-func (x *exchange) exchangePlain(ctx context.Context, a *attempt) (*connector.Response, ResponseInfo, connector.Body, error) {
+func (x *exchange) exchangePlain(ctx context.Context, a *attempt, watch *takeover) (*connector.Response, ResponseInfo, connector.Body, error) {
 	choice := a.choice
 	resp, err := x.f.sendAttempt(ctx, a, func(now time.Time) *connector.Call {
 		return x.call(choice, x.callInfo(choice.Endpoint, now))
@@ -136,6 +140,10 @@
 		x.f.discardRefusal(&choice.Endpoint, resp)
 		return resp, info, nil, nil
 	}
+	if !watch.receiving() {
+		resp.Close()
+		return nil, ResponseInfo{}, nil, &connector.ExchangeError{Address: resp.Address(), Err: context.Canceled}
+	}
 	body, err := x.readResponseBody(resp)
 	return resp, info, body, err
 }
--- a/forwarder/stages.go
+++ b/forwarder/stages.go
@@ -372,7 +372,13 @@
 	s.mu.Lock()
 	s.generation++
 	s.mu.Unlock()
-	s.restored = s.restored || s.plan.FinalResultsFreed()
+	if !s.plan.FinalResultsFreed() {
+		return true
+	}
+	if !s.plan.MayRecompute() {
+		return false
+	}
+	s.restored = true
 	return s.restoreInputs(ctx) == nil
 }
 
@@ -380,6 +386,7 @@
 func (s *stageRunner) abandonInputs() {
 	if s.restored {
 		s.freeAll()
+		s.plan.RefundRecompute()
 	}
 	s.restored = false
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -88,20 +88,21 @@
 	}
 	for wait := silenceRecheck; ; wait = min(2*wait, maxReturnWait) {
 		a, failure := s.chooseAttempt()
-		if failure == nil || !s.awaitReturn(wait) {
+		if failure == nil || !s.awaitReturn(failure, wait) {
 			return a, failure
 		}
 		// The endpoint that was left may go on, and those that have refused the stream may have room. The last one is asked
-		// again after another.
+		// again after another. A retry that is paid and not used stays paid.
 		x.tried = x.tried[len(x.tried)-1:]
-		x.attempts, x.paidRetries = 1, 0
+		x.paidRetries -= x.attempts - 1
+		x.attempts = 1
 	}
 }
 
-// awaitReturn waits for a moment if the caller has a part of the stream, which has left a silent endpoint. It returns false if
-// the stream ends, since its time has passed or its caller can send it again.
-func (s *streamer) awaitReturn(wait time.Duration) bool {
-	if !s.left || !s.x.headerSent {
+// awaitReturn waits for a moment if the caller has a part of the stream, which has left a silent endpoint, and no endpoint takes
+// the rest at present. It returns false if the stream ends, since its time has passed or its caller can send it again.
+func (s *streamer) awaitReturn(failure *FailureError, wait time.Duration) bool {
+	if !s.left || !s.x.headerSent || !failure.passes() {
 		return false
 	}
 	timer := time.NewTimer(wait)
@@ -109,6 +110,8 @@
 	select {
 	case <-s.x.ctx.Done():
 		return false
+	case <-s.x.f.ending:
+		return false
 	case <-timer.C:
 		return true
 	}
@@ -150,22 +153,20 @@
 	resp, err := x.f.sendAttempt(ctx, a, s.callTo(choice))
 	stopFreeing()
 	if err != nil {
-		s.next = watch.stop()
+		s.next = watch.handOver()
 		return s.handleFailure(choice, err)
 	}
 	defer resp.Close()
 	x.untilClose = resp.UntilClose()
 	if info := x.f.readResponse(&choice.Endpoint, resp); info.NotRun {
-		s.next = watch.stop()
+		s.next = watch.handOver()
 		return s.handleRefusal(choice, resp, info)
 	}
 	if resp.Status() != http.StatusOK {
-		s.next = watch.stop()
+		s.next = watch.handOver()
 		return s.handleErrorResponse(choice, resp)
 	}
-	end := s.relay(&choice, resp, watch, a.sentAt)
-	s.next = watch.stop()
-	return end()
+	return s.relay(&choice, resp, watch, a.sentAt)
 }
 
 // callTo returns the builder of the call to an endpoint, with which the stream goes on after the last event.
@@ -230,6 +231,9 @@
 func (s *streamer) handleRefusal(choice selector.Choice, resp *connector.Response, info ResponseInfo) (bool, *FailureError) {
 	s.x.f.discardRefusal(&choice.Endpoint, resp)
 	s.x.endRefusedCall(choice)
+	if s.next != nil {
+		return false, nil
+	}
 	if !info.InputGone || s.stages.plan.FinalResultsFreed() {
 		return false, nil
 	}
@@ -249,7 +253,7 @@
 	}
 	x.runs++
 	x.endCall(choice, ejector.Bad, true)
-	if x.mayRetryAfterRun() {
+	if s.next != nil || x.mayRetryAfterRun() {
 		return false, nil
 	}
 	if x.headerSent {
@@ -272,20 +276,23 @@
 	return s.x.handleFailure(choice, err)
 }
 
-// relay writes complete events to the caller until the stream ends. It returns what is to be done then.
-func (s *streamer) relay(choice *selector.Choice, resp *connector.Response, watch *takeover, sent time.Time) (end func() (bool, *FailureError)) {
+// relay writes complete events to the caller until the stream ends.
+func (s *streamer) relay(choice *selector.Choice, resp *connector.Response, watch *takeover, sent time.Time) (bool, *FailureError) {
 	split := splitter.New(0)
 	hold := s.x.f.budget.Hold(choice.Endpoint.Address)
 	defer hold.Release()
-	failed := func(err error) func() (bool, *FailureError) {
-		return func() (bool, *FailureError) { return s.handleFailure(*choice, err) }
+	failed := func(err error) (bool, *FailureError) {
+		s.next = watch.handOver()
+		return s.handleFailure(*choice, err)
 	}
 	buf := make([]byte, streamBuffer)
 	first := true
 	for {
 		n, err := resp.Read(buf)
 		if n > 0 {
-			watch.receiving()
+			if !watch.receiving() {
+				return failed(context.Canceled)
+			}
 			events, splitErr := split.Feed(buf[:n])
 			splitErr = cmp.Or(splitErr, hold.Resize(int64(len(split.Remainder()))))
 			if splitErr != nil {
@@ -304,7 +311,8 @@
 			if err := checkEnd(resp, split, first); err != nil {
 				return failed(err)
 			}
-			return func() (bool, *FailureError) { return s.finish(*choice, resp, split.Remainder(), first) }
+			s.next = watch.stop()
+			return s.finish(*choice, resp, split.Remainder(), first)
 		}
 		if err != nil {
 			return failed(err)
--- a/forwarder/takeover.go
+++ b/forwarder/takeover.go
@@ -21,6 +21,9 @@
 // takeoverConnectTime bounds the time until a call to another endpoint is sent, directly or through a peer.
 const takeoverConnectTime = 2 * connector.DefaultDialTimeout
 
+// maxTakeoverTries bounds the preparations that come to nothing in one silence. Each may make a stage work, or use up a retry.
+const maxTakeoverTries = 2
+
 // attempt is one call of a request to an endpoint.
 type attempt struct {
 	choice selector.Choice
@@ -65,8 +68,8 @@
 // the other one has got the request and has not refused it: a response that has begun would otherwise be broken off if there is
 // no retry left, an input can't be made again, or all others refuse.
 //
-// The goroutine of the exchange calls receiving, received and stop; while it waits for the silent endpoint, the goroutine of the
-// timer may change the counts of the exchange.
+// The goroutine of the exchange calls the methods up to expire; while it waits for the silent endpoint, the goroutine of the timer
+// may change the counts of the exchange.
 type takeover struct {
 	x   *exchange
 	cfg takeoverConfig
@@ -79,6 +82,8 @@
 	// busy is set while the exchange handles what has arrived, ended once its attempt is over, and prepared while what another
 	// endpoint needs is provided.
 	busy, ended, prepared bool
+	// tries counts the preparations that came to nothing.
+	tries int
 	// abort ends the preparation that is under way, done is closed at its end; both are nil if there is none.
 	abort context.CancelFunc
 	done  chan struct{}
@@ -95,17 +100,22 @@
 	return t
 }
 
-// receiving records that the endpoint has sent something, and ends a preparation.
-func (t *takeover) receiving() {
+// receiving records that the endpoint has sent something, and ends a preparation. It returns false if another endpoint has taken
+// the request: what arrives then must not reach the caller, who gets the rest from the other one.
+func (t *takeover) receiving() bool {
 	if t == nil {
-		return
+		return true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.next != nil {
+		return false
+	}
 	t.busy = true
 	if t.abort != nil {
 		t.abort()
 	}
+	return true
 }
 
 // settle waits until a preparation that receiving has ended is over.
@@ -130,6 +140,9 @@
 	defer t.mu.Unlock()
 	t.busy = false
 	t.limit, t.silentSince = limit, now
+	if t.abort == nil {
+		t.tries = 0
+	}
 	if t.abort == nil && t.prepared {
 		t.giveBack()
 	}
@@ -138,22 +151,27 @@
 	}
 }
 
-// stop ends the takeover with its attempt. It returns the call to the endpoint that has taken the request, or nil.
+// stop ends the takeover with an attempt that has answered. It returns the call to the endpoint that has taken the request all
+// the same, or nil.
 func (t *takeover) stop() *attempt {
+	if t == nil {
+		return nil
+	}
+	t.receiving()
+	return t.handOver()
+}
+
+// handOver ends the takeover with an attempt that has failed. It returns the call to the endpoint that has taken the request, or
+// nil; one that is just being asked may still take it.
+func (t *takeover) handOver() *attempt {
 	if t == nil {
 		return nil
 	}
 	t.mu.Lock()
 	t.ended = true
 	t.timer.Stop()
-	if t.abort != nil {
-		t.abort()
-	}
-	done := t.done
 	t.mu.Unlock()
-	if done != nil {
-		<-done
-	}
+	t.settle()
 	next := t.next
 	t.next = nil
 	return next
@@ -163,7 +181,7 @@
 func (t *takeover) expire() {
 	now := time.Now()
 	t.mu.Lock()
-	if t.ended || t.busy || t.abort != nil || !t.x.mayRunAgain() {
+	if t.ended || t.busy || t.abort != nil || t.tries >= maxTakeoverTries || !t.x.mayRunAgain() {
 		t.mu.Unlock()
 		return
 	}
@@ -179,24 +197,33 @@
 	t.mu.Unlock()
 
 	next := t.findAnother(ctx)
+	taken := next != nil && t.take(ctx, next)
+	if !taken {
+		t.x.dropAttempt(next)
+	}
 
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer close(done)
 	t.abort, t.done = nil, nil
-	switch {
-	case next == nil:
+	if !taken {
 		t.rearm()
-	case ctx.Err() != nil:
-		t.x.dropAttempt(next)
-		t.rearm()
-	default:
-		t.next = next
-		t.logLeaving(next)
-		t.cfg.leave()
 	}
 }
 
+// take leaves the silent endpoint for one that has the request. It returns false if the silent one has gone on.
+func (t *takeover) take(ctx context.Context, next *attempt) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if ctx.Err() != nil {
+		return false
+	}
+	t.next = next
+	t.logLeaving(next)
+	t.cfg.leave()
+	return true
+}
+
 // rearm starts the timer again after a preparation that came to nothing. The lock must be held.
 func (t *takeover) rearm() {
 	switch {
@@ -222,12 +249,14 @@
 
 // findAnother returns the call to another endpoint that has not refused the request, or nil.
 func (t *takeover) findAnother(ctx context.Context) *attempt {
-	if !t.cfg.mayLeave(time.Now()) {
+	t.x.awaitCrashCheck()
+	if now := time.Now(); !t.x.partsAreFree(now) || !t.cfg.mayLeave(now) {
 		return nil
 	}
 	if t.cfg.prepare != nil {
 		t.prepared = true
 		if !t.cfg.prepare(ctx) {
+			t.tries++
 			t.giveBack()
 			return nil
 		}
@@ -240,10 +269,12 @@
 	switch {
 	case !ended:
 		return next
-	case t.accepts(next, result):
+	case t.accepts(result):
 		next.result <- result
 		return next
 	default:
+		t.tries++
+		t.x.endAhead(next, result)
 		return nil
 	}
 }
@@ -289,12 +320,12 @@
 	if ctx.Err() != nil || x.attempts >= maxEndpointsPerRequest {
 		return nil
 	}
-	choice, found := x.chooseEndpoint(t.cfg.query(), now)
-	if !found {
+	// A retry that is paid and not used is kept for the request's next attempt.
+	if !x.payAttempt(now) {
 		return nil
 	}
-	if !x.payAttempt(now) {
-		x.cancelCall(choice)
+	choice, found := x.chooseEndpoint(t.cfg.query(), now)
+	if !found {
 		return nil
 	}
 	x.attempts++
@@ -314,15 +345,10 @@
 	return next
 }
 
-// accepts reports whether an endpoint has taken the request. If it hasn't, the end of the call is recorded.
-func (t *takeover) accepts(next *attempt, result sendResult) bool {
-	if result.err == nil && isSuccess(result.resp.Status()) && !t.x.f.cfg.Wire.ReadResponse(result.resp.Status(), result.resp.Header()).NotRun {
-		return true
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.x.endAhead(next, result)
-	return false
+// accepts reports whether an endpoint has taken the request, by the result of its call.
+func (t *takeover) accepts(result sendResult) bool {
+	return result.err == nil && isSuccess(result.resp.Status()) &&
+		!t.x.f.cfg.Wire.ReadResponse(result.resp.Status(), result.resp.Header()).NotRun
 }
 
 // endAhead records the end of a call that was sent ahead and is not needed, or has failed.
@@ -342,15 +368,19 @@
 		x.cancelCall(a.choice)
 	case result.err != nil:
 		x.endCall(a.choice, ejector.Bad, true)
+		x.checkCrash(a.choice, false)
 	default:
 		info := x.f.readResponse(&a.choice.Endpoint, result.resp)
+		result.resp.Close()
 		if info.NotRun {
-			x.f.discardRefusal(&a.choice.Endpoint, result.resp)
 			x.endRefusedCall(a.choice)
+			// The retry is used up, but the refusal doesn't count against the endpoints that the request may still be sent to.
+			x.attempts--
+			x.paidRetries--
+			x.tried = x.tried[:len(x.tried)-1]
 			return
 		}
 		x.endCall(a.choice, outcomeOf(result.resp.Status()), !isSuccess(result.resp.Status()))
-		result.resp.Close()
 	}
 	x.runs++
 }
--- a/forwarder/takeover_test.go
+++ b/forwarder/takeover_test.go
@@ -16,6 +16,7 @@
 
 	"geraniumline/cataloger"
 	"geraniumline/connector"
+	"geraniumline/quarantiner"
 	"geraniumline/selector"
 )
 
@@ -110,25 +111,78 @@
 	return x
 }
 
+// newSilentStream returns a resumable stream with parts of prompts at a silent endpoint beside others, and its takeover.
+func newSilentStream(ctx context.Context, t *testing.T, cancel context.CancelFunc, parts ...quarantiner.Part) (*streamer, *takeover) {
+	x := newSilentExchange(t, "")
+	x.ctx, x.parts = ctx, parts
+	x.route = &cataloger.Route{Kind: cataloger.Streaming, Resumable: true, MaxAttempts: 2, Objective: time.Second}
+	x.firstEventDeadline = time.Now().Add(4 * time.Second)
+	s := &streamer{x: x, stages: newStageRunner(x)}
+	return s, s.watchSilence(cancel, selector.Choice{}, time.Now())
+}
+
 // Guards against two endpoints that work on a request for long, after the silent one went on.
 func TestAnEndpointThatGoesOnKeepsItsRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		x := newSilentExchange(t, "")
-		x.route = &cataloger.Route{Kind: cataloger.Streaming, Resumable: true, MaxAttempts: 2, Objective: time.Second}
-		x.firstEventDeadline = time.Now().Add(4 * time.Second)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		s := &streamer{x: x, stages: newStageRunner(x)}
-		watch := s.watchSilence(cancel, selector.Choice{}, time.Now())
+		s, watch := newSilentStream(ctx, t, cancel)
 		time.Sleep(minStallTime + takeoverOverlap/2)
 		synctest.Wait()
-		require.Equal(t, 2, x.attempts, "another endpoint was asked")
-		watch.receiving()
+		require.True(t, watch.receiving())
 		watch.settle()
 		watch.received(s.stallTimeout(), time.Now())
 		synctest.Wait()
 		require.NoError(t, ctx.Err())
 		require.Nil(t, watch.stop())
-		require.Equal(t, 1, x.runs, "the other endpoint may have begun")
+		require.Equal(t, 1, s.x.runs, "the other endpoint may have begun")
+	})
+}
+
+// Guards against a stream that is broken off because its silent endpoint fails while another one is being asked.
+func TestAFailedEndpointHandsOverToTheOneThatIsAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s, watch := newSilentStream(ctx, t, cancel)
+		time.Sleep(minStallTime + takeoverOverlap/2)
+		next := watch.handOver()
+		require.NotNil(t, next)
+		require.Zero(t, s.x.runs)
+		s.x.dropAttempt(next)
+	})
+}
+
+// Guards against events of a silent endpoint that reach the caller after another one has taken the stream, which may be of
+// another software version.
+func TestNothingIsReceivedFromAnEndpointThatWasLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s, watch := newSilentStream(ctx, t, cancel)
+		time.Sleep(minStallTime + 2*takeoverOverlap)
+		synctest.Wait()
+		require.False(t, watch.receiving())
+		s.x.dropAttempt(watch.handOver())
+	})
+}
+
+// Guards against requests with a part of prompts that crashes endpoints, which takeovers send on to others.
+func TestARequestWithACrashingPartIsNotTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s, watch := newSilentStream(ctx, t, cancel, 1)
+		s.x.f.withLock(func() []func() {
+			for _, id := range []string{"c", "d", "e", "f", "g"} {
+				s.x.f.parts.RecordCrash(s.x.parts, quarantiner.ProcessOf(id, time.Now()), time.Now())
+			}
+			return nil
+		})
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		require.NoError(t, ctx.Err())
+		require.Nil(t, watch.stop())
+		require.Equal(t, 1, s.x.attempts)
 	})
 }
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -362,6 +362,12 @@
 	return ended, freed, true
 }
 
+// MayRecompute reports whether RecomputeFinalResults is allowed.
+func (p *Plan) MayRecompute() bool { return p.recomputes < maxRecomputes }
+
+// RefundRecompute makes a recomputation not count, since its results were not used.
+func (p *Plan) RefundRecompute() { p.recomputes = max(0, p.recomputes-1) }
+
 // resetInputs resets the stages that produce a stage's inputs, and recursively their inputs if those were freed.
 func (p *Plan) resetInputs(stage int) (ended []int, freed []ReleasedResults) {
 	for _, input := range p.cfg.Stages[stage].DependsOn {
