Don't fail a piece while a call may still return it

What callers saw: requests were refused with 503 (not run) after all endpoints of a stage had been silent for 1.2 s, though they went on a moment later; a stream whose inputs were made again for another endpoint would have been broken off.

Found by the review of the takeovers.

Evidence: TestAPauseOfAllEndpointsFailsNoPiece, in model time, fails at pauses of 1.2 and 1.5 s with 3, 5 and 14 endpoints without the change, and holds with it.

--- a/collector/group.go
+++ b/collector/group.go
@@ -74,18 +74,32 @@
 	}
 }
 
-// requeue queues a piece again after a call without a result. Once its tries are used up, it fails with the last reason.
+// requeue queues a piece again after a call without a result. Once its tries are used up, it fails with the last reason, but not
+// while a call may still return its result: its endpoint may only be silent for a moment.
 func (p *Pool) requeue(g *group, segment int, reason Reason) {
 	if !g.wants(segment) || slices.Contains(g.waiting, segment) {
 		return
 	}
 	if g.tries[segment] >= maxTries {
+		if p.isCalled(g.ID, segment) {
+			return
+		}
 		p.deliver(g, segment, PieceResult{Reason: reason}, nil)
 		return
 	}
 	g.waiting = append(g.waiting, segment)
 }
 
+// isCalled reports whether a piece is part of a call in progress.
+func (p *Pool) isCalled(id GroupID, segment int) bool {
+	for _, c := range p.calls {
+		if slices.ContainsFunc(c.pieces, func(piece callPiece) bool { return piece.id == id && piece.segment == segment }) {
+			return true
+		}
+	}
+	return false
+}
+
 // expireGroups fails the pieces that cannot be processed before their deadline: too little time is left for a call, or
 // the pieces ahead of them take longer even in full calls. Failing them early lets the caller retry sooner.
 func (p *Pool) expireGroups(now time.Time) {
--- a/collector/world_test.go
+++ b/collector/world_test.go
@@ -14,9 +14,11 @@
 
 // simulation drives a pool in simulated time. Calls take the configured time multiplied by the endpoint's slowness.
 type simulation struct {
-	pool    *Pool
-	now     time.Time
-	pending eventQueue
+	// pausedUntil is the end of a pause of all endpoints, which answer their calls after it.
+	pausedUntil time.Time
+	pool        *Pool
+	now         time.Time
+	pending     eventQueue
 	// slowness holds factors by endpoint; a silent endpoint never answers.
 	slowness map[string]float64
 	silent   map[string]bool
@@ -126,6 +128,18 @@
 
 func (w *simulation) call(e SendCall) {
 	w.calls = append(w.calls, e)
+	if answeredAt := w.pausedUntil.Add(w.pool.cfg.Stage.CallDuration(len(e.Pieces))); w.now.Before(w.pausedUntil) {
+		if answeredAt.After(w.now.Add(e.Timeout)) {
+			w.schedule(w.now.Add(e.Timeout), CallEnded{Call: e.Call, Outcome: Broken})
+			return
+		}
+		results := make([]PieceResult, len(e.Pieces))
+		for i := range results {
+			results[i].Handle = fmt.Sprint(e.Call, i)
+		}
+		w.schedule(answeredAt, CallEnded{Call: e.Call, Outcome: Answered, Results: results})
+		return
+	}
 	if w.silent[e.Endpoint.ID] {
 		w.schedule(w.now.Add(e.Timeout), CallEnded{Call: e.Call, Outcome: Broken})
 		return
