Answer every request before the end of a planned stop

Callers saw: requests that came late in a planned stop were taken, passed on, and cut without an answer when the process exited, also ones that may not be repeated.

Cause: a stopping entry served every new request until 0.9 s before it is killed, and at that time cut what was in flight: only requests that waited for stages got an answer. A request that came seconds after the last cached address had expired was served as if there were time, and one at an endpoint was never given up.

Change: drainer.Schedule decides when new requests are refused (three times the TTL of an address answer, at most half of the time in which requests are served), when those in flight get a final answer, and when the process exits. Refusals come before anything is sent, with 503, Retry-After and Connection: close, and are in force before idle connections are closed. At the end the context of each request ends: 502 if an endpoint may have run it, 503 if not; streams that have begun are broken off. Calls for peers end at the same time, and their peers take them for run. What is left at the exit is closed.

--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -64,6 +65,10 @@
 	withoutSeeds bool
 	// partition is the link between the entry and all endpoints.
 	partition *partition
+	// stopTime and addressTTL replace the platform's times if they are positive.
+	stopTime, addressTTL time.Duration
+	// wrapCallers wraps the entry's listener for callers; nil leaves it as it is.
+	wrapCallers func(net.Listener) net.Listener
 }
 
 // start starts another entry. A non-empty storeAddress replaces the address of the site's store.
@@ -98,12 +103,14 @@
 	if o.storeAddress != "" {
 		settings.StoreAddress = o.storeAddress
 	}
+	settings.StopTime = cmp.Or(o.stopTime, settings.StopTime)
+	settings.AddressTTL = cmp.Or(o.addressTTL, settings.AddressTTL)
 	ctx, cancel := context.WithCancel(context.Background())
 	nd.stop = cancel
 	nd.metrics = imitator.FreeAddress(f.t)
 	_, port, err := net.SplitHostPort(nd.metrics)
 	require.NoError(f.t, err)
-	cfg := ForwardConfig{Settings: settings, Log: f.log}
+	cfg := ForwardConfig{Settings: settings, Log: f.log, wrapCallers: o.wrapCallers}
 	if o.partition != nil {
 		cfg.DialEndpoint = o.partition.dial
 	}
--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -43,8 +43,8 @@
 	headerTimeout = 5 * time.Second
 	// maxHeaderBytes bounds the size of a request header; the platform allows 16 KB.
 	maxHeaderBytes = 32 << 10
-	// stopMargin is the part of the platform's stop time that is reserved for exiting before the process is killed.
-	stopMargin = 900 * time.Millisecond
+	// minStopTime is the least time that a planned stop takes if there is work, whatever the platform allows.
+	minStopTime = time.Second
 	// relaySocketShare is the share of the sockets for the connections on which peers have calls relayed, and pendingSocketShare
 	// that for the ones of peers that have not proved yet who they are. minPeerSockets is the least number of each.
 	relaySocketShare   = 0.07
@@ -87,6 +87,8 @@
 	ClientMemoryShare, ClientSocketShare float64
 	// DialEndpoint opens connections to endpoints; nil dials by TCP.
 	DialEndpoint func(ctx context.Context, network, address string) (net.Conn, error)
+	// wrapCallers wraps the listener for callers; nil leaves it as it is.
+	wrapCallers func(net.Listener) net.Listener
 }
 
 // MetricsPath is the path that serves the metrics in the Prometheus text format.
@@ -152,7 +154,7 @@
 	if err := e.openPeers(); err != nil {
 		return err
 	}
-	listeners, err := e.listen()
+	listeners, err := e.listen(cfg.wrapCallers)
 	if err != nil {
 		return errors.Join(err, e.messenger.Close())
 	}
@@ -278,7 +280,8 @@
 	return muxes
 }
 
-func (e *forwarding) listen() ([]net.Listener, error) {
+// listen opens all sockets. wrapCallers wraps the listener for callers, unless it is nil.
+func (e *forwarding) listen(wrapCallers func(net.Listener) net.Listener) ([]net.Listener, error) {
 	var listeners []net.Listener
 	for _, s := range e.sockets() {
 		l, err := net.Listen("tcp", s.address)
@@ -288,7 +291,11 @@
 			}
 			return nil, &guarder.ListenError{Field: "Listen", Address: s.address, Err: err}
 		}
-		listeners = append(listeners, guarder.FramingListener(s.admission.Listener(l)))
+		l = guarder.FramingListener(s.admission.Listener(l))
+		if wrapCallers != nil && s.address == e.settings.CallerAddress {
+			l = wrapCallers(l)
+		}
+		listeners = append(listeners, l)
 		e.servers = append(e.servers, s.server)
 	}
 	return listeners, nil
@@ -313,7 +320,7 @@
 		}
 		break
 	}
-	e.stop(ctx)
+	e.stop()
 	cancel()
 	background.Wait()
 	e.log.Info("stopped")
@@ -381,15 +388,22 @@
 	}
 }
 
-// stop drains the entry, then closes the servers and the messenger. Requests may finish within the stop time.
-func (e *forwarding) stop(ctx context.Context) {
-	timeout := max(e.settings.StopTime-stopMargin, time.Second)
-	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout+stopMargin/2)
+// stop drains the entry, then closes the servers and the messenger.
+func (e *forwarding) stop() {
+	stopTime := max(e.settings.StopTime, minStopTime)
+	killTime := time.Now().Add(stopTime)
+	e.forwarder.Stop(forwarder.StopConfig{
+		StopTime: stopTime,
+		// The server for callers is the first of the sockets.
+		CloseIdle: func() { e.servers[0].SetKeepAlivesEnabled(false) },
+	})
+	stopCtx, cancel := context.WithTimeout(context.Background(), time.Until(killTime)/2)
 	defer cancel()
-	e.forwarder.Stop(stopCtx, timeout)
 	for _, s := range e.servers {
 		if err := s.Shutdown(stopCtx); err != nil {
 			e.log.Warn("HTTP server did not shut down cleanly; requests may still have been in flight", zap.Error(err))
+			// An error means that a connection is closed already.
+			_ = s.Close()
 		}
 	}
 	if err := e.messenger.Close(); err != nil {
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -14,6 +14,8 @@
 	Withdrawing
 	// Draining entries accept no new work and finish requests in flight.
 	Draining
+	// Ending entries are about to be killed and give up the requests in flight with a final answer.
+	Ending
 	// HandingOver entries have nothing in flight and transfer their results to peers.
 	HandingOver
 	// Done entries may exit.
@@ -29,6 +31,8 @@
 		return "withdrawing"
 	case Draining:
 		return "draining"
+	case Ending:
+		return "ending"
 	case HandingOver:
 		return "handingOver"
 	case Done:
--- a/explainer/openrequest.go
+++ b/explainer/openrequest.go
@@ -246,7 +246,7 @@
 	switch end.Reason {
 	case "stagesTimedOut":
 		return StepStages, o.slowestStage()
-	case "entryStops":
+	case "entryStops", "endedByStop":
 		return StepEntryStop, ""
 	case "noEndpointTook":
 		if o.retryDenied {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -69,7 +69,7 @@
 		x.checkCrash(choice)
 	}
 	if x.ctx.Err() != nil {
-		return true, timedOut()
+		return true, x.cutShort(time.Now())
 	}
 	if x.mayRetryAfterRun() {
 		return false, nil
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strconv"
@@ -40,7 +41,9 @@
 		return nil
 	}
 	buffer := connector.NewBodyBuffer(x.in.ContentLength, x.growBody)
+	keepReading := context.AfterFunc(x.f.endContext, func() { x.setReadDeadline(time.Now()) })
 	_, err := buffer.ReadFrom(x.in.Body)
+	keepReading()
 	var tooLarge *http.MaxBytesError
 	var noRoom *guarder.HoldError
 	switch {
@@ -55,6 +58,8 @@
 	case errors.As(err, &noRoom) || x.hold.Evicted():
 		x.w.Header().Set("Connection", "close")
 		return notRun("noMemory", shortRetryDelay())
+	case x.f.ends():
+		return x.refuseStopping()
 	default:
 		x.w.Header().Set("Connection", "close")
 		return &FailureError{Status: http.StatusBadRequest, Reason: "bodyCut"}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -205,8 +205,12 @@
 	inFlight    atomic.Int64
 	lastRequest atomic.Int64
 	stopping    atomic.Bool
-	// ending is closed shortly before a stopping entry exits.
-	ending chan struct{}
+	// refusing is set once a stopping entry serves no new requests.
+	refusing atomic.Bool
+	// endContext ends shortly before a stopping entry exits, by a call of end; ending is its channel.
+	endContext context.Context
+	end        context.CancelFunc
+	ending     <-chan struct{}
 }
 
 // New returns a forwarder without configuration, endpoints or known peers.
@@ -219,6 +223,7 @@
 		warmer:    warmer.New(warmer.Config{Self: cfg.Name, Excess: cfg.ColdExcess, Slack: cfg.ColdSlack}),
 		regulator: regulator.New(regulator.Config{Self: cfg.Name}),
 	}
+	endContext, end := context.WithCancel(context.Background())
 	return &Forwarder{
 		cfg:        cfg,
 		log:        cfg.Log,
@@ -257,7 +262,9 @@
 			MaxReporting: maxReportPeers + 1,
 			Restarted:    !cfg.FirstStart,
 		}, now),
-		ending:      make(chan struct{}),
+		endContext:  endContext,
+		end:         end,
+		ending:      endContext.Done(),
 		origins:     newOrigins(cfg.FirstStart),
 		paths:       pathfinder.New(),
 		quarantiner: quarantiner.New(quarantiner.Config{}),
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -133,6 +133,9 @@
 
 // serve handles the request. It returns the failure to report to the caller, or nil once the response was written.
 func (x *exchange) serve() *FailureError {
+	if x.f.refusing.Load() {
+		return x.refuseStopping()
+	}
 	if failure := x.check(); failure != nil {
 		return failure
 	}
@@ -153,6 +156,7 @@
 	}
 	ctx, cancel := context.WithDeadline(x.in.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.f.endContext, cancel)()
 	x.ctx = ctx
 	if x.route.Kind == cataloger.Streaming {
 		return x.serveStream()
--- a/forwarder/relayserver.go
+++ b/forwarder/relayserver.go
@@ -44,7 +44,7 @@
 	if call.TimeoutMillis > 0 {
 		timeout = min(timeout, time.Duration(call.TimeoutMillis)*time.Millisecond+relayGrace)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithTimeout(f.endContext, timeout)
 	defer cancel()
 	// A peer that stops in the middle of its call must hold neither this entry nor its planned stop.
 	stopClosing := context.AfterFunc(ctx, func() { _ = s.Close() })
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -1,59 +1,97 @@
 package forwarder
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
 
 	"geraniumline/collector"
+	"geraniumline/drainer"
 )
 
 const (
+	// addressAgeFactor is how many times the TTL of an address answer the slowest callers use it.
+	addressAgeFactor = 3
 	// quietTime is how long no request may have arrived before a stopping entry exits, since callers with expired
 	// addresses still send requests.
 	quietTime = 400 * time.Millisecond
-	// finalAnswerMargin is how long before its limit a stopping entry fails requests whose stages are not done. If
-	// they were cut off with the process, their callers would not know whether they have run.
-	finalAnswerMargin = 500 * time.Millisecond
 	// stopPollInterval is how often a stopping entry checks whether it may exit.
 	stopPollInterval = 25 * time.Millisecond
 )
 
-// Stop begins a planned stop and waits until no request is in flight and the addresses cached by callers have
-// expired, or until limit has passed or the context ends. New requests are served meanwhile.
-func (f *Forwarder) Stop(ctx context.Context, limit time.Duration) {
+// StopConfig configures a planned stop.
+type StopConfig struct {
+	// StopTime is the time from the start of the stop until the process is killed.
+	StopTime time.Duration
+	// CloseIdle closes the callers' idle connections. It is called once new requests are refused.
+	CloseIdle func()
+}
+
+// Stop carries out a planned stop and returns when the process may exit. New requests are served until cached addresses
+// have expired, and refused from then on. Requests in flight are served until shortly before the process is killed; then they
+// get a final answer.
+func (f *Forwarder) Stop(cfg StopConfig) {
 	startTime := time.Now()
 	f.stopping.Store(true)
 	f.log.Info("planned stop started", zap.Int64("inFlight", f.inFlight.Load()))
 	f.heartbeat(startTime)
 	f.returnUnstartedPieces(startTime)
 	f.replicateOwnOrigins(startTime)
-	addressesExpired := startTime.Add(f.cfg.AddressTTL + quietTime)
+	schedule := drainer.NewSchedule(drainer.ScheduleConfig{
+		AddressTTL:    f.cfg.AddressTTL,
+		MaxAddressAge: addressAgeFactor * f.cfg.AddressTTL,
+		QuietTime:     quietTime,
+		StopTime:      cfg.StopTime,
+	}, startTime)
 	poll := time.NewTicker(stopPollInterval)
 	defer poll.Stop()
-	failTimer := time.AfterFunc(limit-finalAnswerMargin, func() { close(f.ending) })
-	defer failTimer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-poll.C:
-			if f.canStop(now, addressesExpired) || now.Sub(startTime) >= limit {
-				f.log.Info("planned stop finished",
-					zap.Duration("took", now.Sub(startTime)),
-					zap.Int64("inFlight", f.inFlight.Load()))
-				return
-			}
+	for phase := drainer.Withdrawing; phase != drainer.Done; {
+		now := <-poll.C
+		next := schedule.Next(phase, f.stopLoad(), now)
+		if next == phase {
+			continue
 		}
+		phase = next
+		f.log.Info("planned stop",
+			zap.Stringer("phase", phase),
+			zap.Duration("since", now.Sub(startTime)),
+			zap.Int64("inFlight", f.inFlight.Load()))
+		switch phase {
+		case drainer.Draining:
+			// The order matters: a request that is read from a connection that is being closed must not be passed on.
+			f.refusing.Store(true)
+			cfg.CloseIdle()
+		case drainer.Ending:
+			f.end()
+		default:
+		}
+	}
+}
+
+// stopLoad returns what is in flight here.
+func (f *Forwarder) stopLoad() drainer.Load {
+	load := drainer.Load{InFlight: int(f.inFlight.Load()), LastRequest: time.Unix(0, f.lastRequest.Load())}
+	if f.hasPendingPieces() {
+		load.InFlight++
 	}
+	return load
+}
+
+// ends reports whether this entry is about to exit.
+func (f *Forwarder) ends() bool { return f.endContext.Err() != nil }
+
+// refuseStopping refuses a request that has come when this entry stops.
+func (x *exchange) refuseStopping() *FailureError {
+	x.w.Header().Set("Connection", "close")
+	return notRun("entryStops", shortRetryDelay())
 }
 
-func (f *Forwarder) canStop(now, addressesExpired time.Time) bool {
-	if f.inFlight.Load() > 0 || now.Before(addressesExpired) || f.hasPendingPieces() {
-		return false
+// cutShort returns the failure of a request whose time has passed, and that an endpoint may have run.
+func (x *exchange) cutShort(now time.Time) *FailureError {
+	if x.f.ends() && now.Before(x.deadline) {
+		return mayHaveRun("endedByStop")
 	}
-	return now.UnixNano()-f.lastRequest.Load() >= int64(quietTime)
+	return timedOut()
 }
 
 // hasPendingPieces reports whether pieces collected here are still pending.
