Answer callers whose request reaches a stopped entry's core too late

Callers of `geraniumline entry` saw: a request whose body was complete only after the planned stop had ended got no answer. The HTTP server waits for it for 5 s, then the process exits and the connection closes.

Cause: the body is read before the core learns of the request, so that the core may finish its stop meanwhile. Events that are posted after that are dropped, and the handler waits for a reply that never comes.

Change: handlers of the caller API see that the core has exited and answer 503 `stopping`: not run after a planned stop, which ends only when all requests are answered, unknown if the process ends otherwise. Queries for an outcome always get unknown. The operator API is unchanged, since `geraniumline stop` takes the end of the connection for the end of the stop.

--- a/performer/loop.go
+++ b/performer/loop.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -32,7 +33,9 @@
 	stages  *stageCaller
 	orders  *orderSender
 	log     *zap.Logger
+	// exited is closed when Run returns, and stopped is set before that if the core has finished its planned stop.
 	exited  chan struct{}
+	stopped atomic.Bool
 	ids     idSource
 
 	// published holds the counts that were last copied to the registry, at publishedAt.
@@ -72,6 +75,12 @@
 	}
 }
 
+// Exited returns a channel that is closed when Run has returned, after which nothing is answered any more.
+func (p *Performer) Exited() <-chan struct{} { return p.exited }
+
+// Stopped reports whether the core has finished its planned stop, by which it has answered all requests that it began.
+func (p *Performer) Stopped() bool { return p.stopped.Load() }
+
 // Run processes events until ctx is done, and returns ctx.Err(), or until the core has finished its planned stop, and
 // returns nil.
 func (p *Performer) Run(ctx context.Context) error {
@@ -99,6 +108,7 @@
 		p.measure(event, now)
 		for _, effect := range effects {
 			if _, exit := effect.(reducer.Exit); exit {
+				p.stopped.Store(true)
 				return nil
 			}
 			p.perform(effect)
--- a/receiver/callers.go
+++ b/receiver/callers.go
@@ -52,9 +52,14 @@
 	return credentials
 }
 
+// stoppedFailure returns the failure of a request that the core did not process before it exited.
+func stoppedFailure(state reducer.State) reducer.Failure {
+	return reducer.Failure{Code: reducer.CodeStopping, Message: "this entry has stopped; ask for addresses again", State: state}
+}
+
 // ListAddresses returns the entries that the account should use.
 func (c *CallerAPI) ListAddresses(ctx context.Context) (*callerserver.AddressAnswer, error) {
-	effect, err := postAndWait(ctx, c.core, func(id uint64) reducer.Event {
+	effect, err := postAndWait(ctx, c.core, c.core.Exited(), func(id uint64) reducer.Event {
 		return reducer.AddressesRequested{ID: id, Credentials: credentialsOf(ctx)}
 	})
 	if err != nil {
@@ -74,7 +79,7 @@
 
 // GetOutcome returns the known outcome of the request with the given key.
 func (c *CallerAPI) GetOutcome(ctx context.Context, params callerserver.GetOutcomeParams) (*callerserver.Outcome, error) {
-	effect, err := postAndWait(ctx, c.core, func(id uint64) reducer.Event {
+	effect, err := postAndWait(ctx, c.core, c.core.Exited(), func(id uint64) reducer.Event {
 		return reducer.OutcomeRequested{ID: id, Credentials: credentialsOf(ctx), Key: params.Key}
 	})
 	if err != nil {
@@ -146,13 +151,21 @@
 	metrics := newRequestMetrics(c.meter, credentials.Account, deadline, now())
 	out := newWriter(w, req.Stream.Value, span.TraceID())
 	for {
+		exited := false
 		select {
 		case <-ctx.Done():
 			c.core.Post(reducer.CallerDisconnected{ID: id})
 			return ctx.Err()
 		case <-reply.Signal():
+		case <-c.core.Exited():
+			exited = true
+		}
+		effects := reply.Take()
+		if exited {
+			// It ends the response only if the core's own answer is not among the effects.
+			effects = append(effects, reducer.SendFailure{ID: id, Failure: c.lastFailure(params.IdempotencyKey)})
 		}
-		for _, effect := range reply.Take() {
+		for _, effect := range effects {
 			metrics.record(effect, now())
 			authenticated = authenticated && !isUnauthorized(effect)
 			if done, err := out.write(effect); done || err != nil {
@@ -162,6 +175,17 @@
 	}
 }
 
+// lastFailure returns the failure of a request that the core has left unanswered. After a planned stop that is one which it has
+// not begun.
+func (c *CallerAPI) lastFailure(key string) reducer.Failure {
+	if c.core.Stopped() {
+		return stoppedFailure(reducer.StateNotRun)
+	}
+	failure := stoppedFailure(reducer.StateUnknown)
+	failure.Key = key
+	return failure
+}
+
 // endIfAuthenticated ends the span of a request whose caller is authenticated. A span that is not ended is neither
 // kept nor exported; otherwise a flood of wrong credentials would evict the traces of valid requests.
 func endIfAuthenticated(span *tracer.Span, authenticated bool) {
--- a/receiver/operators.go
+++ b/receiver/operators.go
@@ -92,13 +92,13 @@
 		Remove:      req.Remove.Value,
 		Body:        json.RawMessage(req.Body),
 	}
-	effect, err := postAndWait(ctx, o.core, func(id uint64) reducer.Event { return reducer.ChangeRequested{ID: id, Change: change} })
+	effect, err := postAndWait(ctx, o.core, nil, func(id uint64) reducer.Event { return reducer.ChangeRequested{ID: id, Change: change} })
 	return verdictOf(effect, err)
 }
 
 // GetOperation returns the verdict on an earlier change.
 func (o *OperatorAPI) GetOperation(ctx context.Context, params operatorserver.GetOperationParams) (*operatorserver.ConfigVerdict, error) {
-	effect, err := postAndWait(ctx, o.core, func(id uint64) reducer.Event {
+	effect, err := postAndWait(ctx, o.core, nil, func(id uint64) reducer.Event {
 		return reducer.OperationRequested{ID: id, OperationID: params.OperationId}
 	})
 	return verdictOf(effect, err)
@@ -123,7 +123,7 @@
 
 // GetConfig returns the configuration objects in force.
 func (o *OperatorAPI) GetConfig(ctx context.Context, params operatorserver.GetConfigParams) (*operatorserver.ConfigView, error) {
-	effect, err := postAndWait(ctx, o.core, func(id uint64) reducer.Event {
+	effect, err := postAndWait(ctx, o.core, nil, func(id uint64) reducer.Event {
 		return reducer.ConfigRequested{ID: id, ObjectKind: params.Kind.Value, Name: params.Name.Value}
 	})
 	if err != nil {
@@ -140,7 +140,7 @@
 
 // GetHistory returns recent changes.
 func (o *OperatorAPI) GetHistory(ctx context.Context, params operatorserver.GetHistoryParams) (*operatorserver.ConfigHistory, error) {
-	effect, err := postAndWait(ctx, o.core, func(id uint64) reducer.Event {
+	effect, err := postAndWait(ctx, o.core, nil, func(id uint64) reducer.Event {
 		return reducer.HistoryRequested{ID: id, Limit: params.Limit.Or(defaultHistoryLimit)}
 	})
 	if err != nil {
@@ -163,7 +163,7 @@
 }
 
 func (o *OperatorAPI) stopProgress(ctx context.Context, begin bool) (*operatorserver.StopProgress, error) {
-	effect, err := postAndWait(ctx, o.core, func(id uint64) reducer.Event { return reducer.StopRequested{ID: id, Begin: begin} })
+	effect, err := postAndWait(ctx, o.core, nil, func(id uint64) reducer.Event { return reducer.StopRequested{ID: id, Begin: begin} })
 	if err != nil {
 		return nil, err
 	}
@@ -175,7 +175,7 @@
 
 // GetStatus returns the state of the system as seen by this entry.
 func (o *OperatorAPI) GetStatus(ctx context.Context) (*operatorserver.Status, error) {
-	effect, err := postAndWait(ctx, o.core, func(id uint64) reducer.Event { return reducer.StatusRequested{ID: id} })
+	effect, err := postAndWait(ctx, o.core, nil, func(id uint64) reducer.Event { return reducer.StatusRequested{ID: id} })
 	if err != nil {
 		return nil, err
 	}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -16,11 +16,15 @@
 	Post(event reducer.Event)
 	Open(span *tracer.Span) (uint64, *performer.ReplyQueue)
 	Close(id uint64)
+	// Exited returns a channel that is closed once events are no longer processed. Stopped then reports whether all requests
+	// that the core began have been answered.
+	Exited() <-chan struct{}
+	Stopped() bool
 }
 
 // postAndWait posts the event built for a new id and returns the first effect that answers it. It returns
-// ctx's error if ctx ends first.
-func postAndWait(ctx context.Context, core Core, newEvent func(id uint64) reducer.Event) (reducer.Effect, error) {
+// ctx's error if ctx ends first, and a *FailureError if exited is closed before the effect; a nil channel never is.
+func postAndWait(ctx context.Context, core Core, exited <-chan struct{}, newEvent func(id uint64) reducer.Event) (reducer.Effect, error) {
 	id, reply := core.Open(nil)
 	defer core.Close(id)
 	core.Post(newEvent(id))
@@ -33,6 +37,11 @@
 			if effects := reply.Take(); len(effects) > 0 {
 				return effects[0], nil
 			}
+		case <-exited:
+			if effects := reply.Take(); len(effects) > 0 {
+				return effects[0], nil
+			}
+			return nil, &FailureError{Failure: stoppedFailure(reducer.StateUnknown)}
 		}
 	}
 }
