Keep the history of versions over the end of all entries

Cause: what entries have seen of services' versions was only in their memory.

Change: one entry writes the history to a topic of ours every 5 s, with the position in the log of registrations up to which it is complete. After a start an entry reads it, and the registrations between that position and its first list. If there is a gap (records deleted, another era, too many), nothing is restored, and streams are refused as before. Times are stored as ages, and the time without entries doesn't count, so that clocks don't matter and everything counts as more recent than it was. A history is also interrupted by a gap of over 5 s between two complete lists, which an entry had that froze; it counted as complete before.

With the registrations and ages left out of the restored history, four of the six cases of TestStreamsAreNotJoinedAfterAllEntriesHaveEnded fail with streams joined from two versions. On the code before, streams were not joined: nothing of them was known.

--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -26,8 +26,10 @@
 	callers, ready, addresses, peers string
 	// metrics is the address at which the entry serves its metrics.
 	metrics string
-	stop    context.CancelFunc
-	done    chan error
+	// config is what the entry was started with.
+	config ForwardConfig
+	stop   context.CancelFunc
+	done   chan error
 }
 
 // fleet runs entries in front of an imitated platform.
@@ -62,6 +64,8 @@
 	storeAddress string
 	// withoutSeeds starts the entry without any running entry among its seeds.
 	withoutSeeds bool
+	// firstStart starts the entry as part of the first start of the whole system.
+	firstStart bool
 	// partition is the link between the entry and all endpoints.
 	partition *partition
 }
@@ -98,8 +102,7 @@
 	if o.storeAddress != "" {
 		settings.StoreAddress = o.storeAddress
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	nd.stop = cancel
+	settings.FirstStart = o.firstStart
 	nd.metrics = imitator.FreeAddress(f.t)
 	_, port, err := net.SplitHostPort(nd.metrics)
 	require.NoError(f.t, err)
@@ -109,11 +112,39 @@
 	}
 	cfg.MetricsPort, err = strconv.Atoi(port)
 	require.NoError(f.t, err)
-	go func() { nd.done <- RunForwarding(ctx, cfg) }()
+	nd.config = cfg
+	nd.run()
 	f.nodes = append(f.nodes, nd)
 	return nd
 }
 
+func (n *node) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	go func() { n.done <- RunForwarding(ctx, n.config) }()
+}
+
+// stopAll ends all entries, so that nothing remains in their memory.
+func (f *fleet) stopAll() {
+	f.t.Helper()
+	for _, nd := range f.nodes {
+		nd.stop()
+	}
+	for _, nd := range f.nodes {
+		require.NoError(f.t, <-nd.done)
+	}
+}
+
+// startAll starts all entries again at their addresses.
+func (f *fleet) startAll() {
+	f.t.Helper()
+	for _, nd := range f.nodes {
+		nd.config.Settings.FirstStart = false
+		nd.run()
+	}
+	f.awaitReady()
+}
+
 // awaitReady waits until each entry is ready and returns the addresses of all of them to callers.
 func (f *fleet) awaitReady() {
 	f.t.Helper()
--- a/forwarder/endpointlist.go
+++ b/forwarder/endpointlist.go
@@ -150,6 +150,7 @@
 		f.updateReceivedAt = at
 	}
 	if m.Unchanged {
+		f.origins.noteChanges(nil, now)
 		return nil
 	}
 	if m.Parts < 1 || m.Parts > maxListParts || m.Part < 0 || m.Part >= m.Parts {
@@ -165,6 +166,7 @@
 		changes = append(changes, f.changesFromEntries(part.Entries, part.Versions, now)...)
 	}
 	f.registry.Replace(changes, next, now)
+	f.origins.noteList(f.registry.Next(), now)
 	actions := f.endpointsChanged(now)
 	if m.Parts > 1 {
 		// The list has needed several times the memory that it takes from now on.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -258,7 +258,7 @@
 			Restarted:    !cfg.FirstStart,
 		}, now),
 		ending:      make(chan struct{}),
-		origins:     newOrigins(cfg.FirstStart),
+		origins:     newOrigins(cfg.FirstStart, now),
 		paths:       pathfinder.New(),
 		quarantiner: quarantiner.New(quarantiner.Config{}),
 		parts:       quarantiner.NewParts(quarantiner.PartsConfig{}),
--- a/forwarder/knowledge.go
+++ b/forwarder/knowledge.go
@@ -79,6 +79,7 @@
 	f.withLock(func() []func() {
 		news := f.registry.SignificantChanges(changes)
 		f.registry.Apply(changes, next, now)
+		f.origins.noteChanges(news, now)
 		actions := f.broadcastChanges(news, from, next, now)
 		if len(news) == 0 {
 			return actions
@@ -97,6 +98,7 @@
 			actions = f.broadcastChanges(f.registry.Differences(all, next), from, next, now)
 		}
 		f.registry.Replace(all, next, now)
+		f.origins.noteList(f.registry.Next(), now)
 		f.updateReceivedAt = now
 		return append(actions, f.endpointsChanged(now)...)
 	})
--- a/forwarder/origins.go
+++ b/forwarder/origins.go
@@ -36,6 +36,10 @@
 type origins struct {
 	kept    *resumer.Origins
 	history *resumer.History
+	// restoration is the state of restoring the history after a start.
+	restoration restoration
+	// listedAt is when a list of endpoints or their changes arrived last; at first, the start of the entry.
+	listedAt time.Time
 	// unreplicated holds the services for which this entry has begun streams without replicating their origins, since they
 	// had a single version.
 	unreplicated map[string]bool
@@ -46,10 +50,12 @@
 	lastCall uint64
 }
 
-func newOrigins(firstStart bool) origins {
+func newOrigins(firstStart bool, now time.Time) origins {
 	return origins{
 		kept:          resumer.NewOrigins(),
 		history:       resumer.NewHistory(firstStart),
+		restoration:   restoration{done: firstStart},
+		listedAt:      now,
 		unreplicated:  make(map[string]bool),
 		storesOrigins: make(map[string]bool),
 		calls:         make(map[uint64]chan<- *carrier.OriginReply),
--- a/forwarder/reader.go
+++ b/forwarder/reader.go
@@ -137,7 +137,9 @@
 	}
 	f.updateReceivedAt = now
 	f.registry.StoreAvailable(now)
-	f.registry.Apply(f.changesFromEntries(m.Entries, m.Versions, now), locator.At(m.Era, m.Next), now)
+	changes := f.changesFromEntries(m.Entries, m.Versions, now)
+	f.registry.Apply(changes, locator.At(m.Era, m.Next), now)
+	f.origins.noteChanges(changes, now)
 	if len(m.Entries) == 0 {
 		return nil
 	}
--- a/resumer/history.go
+++ b/resumer/history.go
@@ -63,6 +63,16 @@
 	}
 }
 
+// Note records versions that were listed lately, but may be missing from the lists that are observed.
+func (h *History) Note(list iter.Seq2[string, string], now time.Time) {
+	for service, version := range list {
+		h.addListing(service, version, now)
+	}
+}
+
+// Interrupt records that lists have been missed: versions may have been listed meanwhile.
+func (h *History) Interrupt(now time.Time) { h.known, h.since = true, now }
+
 // View returns what was listed for a service within the window up to now.
 func (h *History) View(service string, window time.Duration, now time.Time) View {
 	view := View{FullWindow: h.known && now.Sub(h.since) >= window}
