Store the origins of streams while their service may have several versions

Cause: the origins of streams were only in the memory of the entries. After all had been killed while several versions served, no stream could be resumed, as nobody knew which version had begun it.

Nothing is written while a service has had one version for the window.

--- a/assembler/rejoin_test.go
+++ b/assembler/rejoin_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -146,3 +147,37 @@
 		}
 	}
 }
+
+// Guards against streams that nobody resumes after all entries have ended while several versions served: their origins were
+// known to entries only.
+func TestStreamsOfSeveralVersionsGoOnAfterAllEntriesHaveEnded(t *testing.T) {
+	site := imitator.NewSite()
+	startModel(site, "i-model-2", secondVersion)
+	startModel(site, "i-model-3", secondVersion)
+	f := newFirstFleet(t, site)
+	broken := f.beginStreams("stream")
+	require.Eventually(t, func() bool {
+		written := 0
+		for _, batch := range f.site.Store.Values("origins") {
+			written += strings.Count(batch, `"key":`)
+		}
+		return written == len(broken)
+	}, waitTimeout, 10*time.Millisecond)
+	for round := range 2 {
+		f.stopAll()
+		f.startAll()
+		for _, stream := range broken {
+			tries := 0
+			require.Eventually(t, func() bool {
+				tries++
+				request := stream.next
+				request.ID = fmt.Sprintf("%s-%d-%d", stream.next.ID, round, tries)
+				if f.call(request).Status != http.StatusOK {
+					return false
+				}
+				f.requireVersion(stream.version, request.ID)
+				return true
+			}, waitTimeout, 50*time.Millisecond)
+		}
+	}
+}
--- a/forwarder/origins.go
+++ b/forwarder/origins.go
@@ -40,6 +40,9 @@
 	restoration restoration
 	// listedAt is when a list of endpoints or their changes arrived last; at first, the start of the entry.
 	listedAt time.Time
+	// unstored holds the origins that wait to be written to the store. loaded is set once the stored ones were read.
+	unstored []resumer.Origin
+	loaded   bool
 	// unreplicated holds the services for which this entry has begun streams without replicating their origins, since they
 	// had a single version.
 	unreplicated map[string]bool
@@ -56,6 +59,7 @@
 		history:       resumer.NewHistory(firstStart),
 		restoration:   restoration{done: firstStart},
 		listedAt:      now,
+		loaded:        firstStart,
 		unreplicated:  make(map[string]bool),
 		storesOrigins: make(map[string]bool),
 		calls:         make(map[uint64]chan<- *carrier.OriginReply),
@@ -94,6 +98,7 @@
 		o.kept.Add(origin, now)
 		changed = append(changed, origin)
 	}
+	f.storeOrigins(changed)
 	return append(f.replicateOrigins(changed, now), f.replicatePending(now)...)
 }
 
@@ -108,6 +113,7 @@
 			list = append(list, o.kept.Own(func(origin *resumer.Origin) bool { return origin.Service == service }, now)...)
 		}
 	}
+	f.storeOrigins(list)
 	return f.replicateOrigins(list, now)
 }
 
@@ -141,6 +147,7 @@
 		o.unreplicated[x.service.Name] = true
 		return nil
 	}
+	x.f.storeOrigins([]resumer.Origin{origin})
 	return x.f.replicateOrigins([]resumer.Origin{origin}, now)
 }
 
