--- a/assembler/rejoin_test.go
+++ b/assembler/rejoin_test.go
@@ -104,17 +104,16 @@
 	}
 }
 
-// requireNotJoined has callers resume streams, with and without the attempt that began them, and checks that they go on at
-// the version that began them or are refused.
+// requireNotJoined has callers resume streams, which name the attempt that began them, none, or one that resumed them, and
+// checks that they go on at the version that began them or are refused.
 func (f *fleet) requireNotJoined(broken []brokenStream, round int) {
 	f.t.Helper()
 	for _, stream := range broken {
-		for _, named := range []bool{true, false} {
+		resumed := fmt.Sprintf("%s-%d-0", stream.next.ID, round)
+		for i, header := range []http.Header{stream.next.Header, imitator.Resumption("", "2"), imitator.Resumption(resumed, "3")} {
 			request := stream.next
-			request.ID = fmt.Sprintf("%s-%d-%t", stream.next.ID, round, named)
-			if !named {
-				request.Header = imitator.Resumption("", "2")
-			}
+			request.ID = fmt.Sprintf("%s-%d-%d", stream.next.ID, round, i)
+			request.Header = header
 			reply := f.call(request)
 			if reply.Status == http.StatusOK {
 				f.requireVersion(stream.version, request.ID)
