Bound the kernel's buffers of streams between entries

What was found: an entry that relays calls for a peer held up to 4 MB for each in the kernel's send buffer when an endpoint sent without end and the peer read more slowly (16 connections of 0.3 to 4 MB in one sample of /proc/net/tcp, while 24 calls were relayed); the reading side has no bound below that of the kernel either (33 MB here). The kernel's memory counts as the process's.

Cause: only connections of callers have buffers of a fixed size; the kernel's own sizes grow.

Change: 128 KiB for each direction, as for callers. Sizes are set before anything but the handshake is sent.

--- a/messenger/stream.go
+++ b/messenger/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -12,6 +13,10 @@
 	"geraniumline/dialer"
 )
 
+// streamBuffer is the size of each of the kernel's two buffers of a stream, in bytes. Without a size, the kernel lets them grow
+// to megabytes with what an endpoint sends faster than it is read.
+const streamBuffer = 128 << 10
+
 // Stream is a connection between two entries that carries the messages of one exchange in both directions. Send and
 // Receive may be called concurrently, but each by one goroutine at a time.
 type Stream struct {
@@ -24,6 +29,10 @@
 }
 
 func (m *Messenger) newStream(conn net.Conn, in, out *sealer) *Stream {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// An error means that the connection is closed, which the next read or write reports.
+		_ = errors.Join(tcp.SetReadBuffer(streamBuffer), tcp.SetWriteBuffer(streamBuffer))
+	}
 	r := &countedReader{conn: conn, count: m.counters.bytesReceived}
 	return &Stream{m: m, conn: conn, in: &frameReader{r: r, limit: m.cfg.MaxFrame, opener: in}, out: out}
 }
