--- a/crowder/forward_test.go
+++ b/crowder/forward_test.go
@@ -60,6 +60,16 @@
 	watch   *Watch
 }
 
+// startFunc starts an entry's process.
+type startFunc func(binary, dir, name, variable, settings string) (*starter.Process, error)
+
+// startConfig configures the start of a process.
+type startConfig struct {
+	start startFunc
+	// seeds are the addresses of peers.
+	seeds []string
+}
+
 // startForward starts an entry with the limits of the smallest VM and begins to watch it. All plain requests wait at their
 // endpoints; streams are answered.
 func startForward(t *testing.T) *process {
@@ -68,9 +78,18 @@
 }
 
 // startForwardBy is like startForward, and starts the process in the given way.
-func startForwardBy(t *testing.T, start func(binary, dir, name, variable, settings string) (*starter.Process, error)) *process {
+func startForwardBy(t *testing.T, start startFunc) *process {
+	t.Helper()
+	return startForwardAt(t, imitator.NewSite(), startConfig{start: start})
+}
+
+// startForwardAt is like startForward, at a site that the test has set up.
+func startForwardAt(t *testing.T, site *imitator.Site, cfg startConfig) *process {
 	t.Helper()
-	p := &process{t: t, site: imitator.NewSite()}
+	if cfg.start == nil {
+		cfg.start = starter.StartForward
+	}
+	p := &process{t: t, site: site}
 	t.Cleanup(p.site.Close)
 	p.site.MaxBodyBytes = maxBody
 	p.site.SetTimeouts(crowdTimeout)
@@ -82,9 +101,11 @@
 	p.listen, err = imitator.FreeListenAddresses()
 	require.NoError(t, err)
 	dir := t.TempDir()
-	settings, err := p.site.WriteSettings(dir, imitator.EntrySettings{Name: "entry", Listen: p.listen, MemoryMb: memoryMb, MaxFds: maxFds})
+	settings, err := p.site.WriteSettings(dir, imitator.EntrySettings{
+		Name: "entry", Seeds: cfg.seeds, Listen: p.listen, MemoryMb: memoryMb, MaxFds: maxFds,
+	})
 	require.NoError(t, err)
-	p.process, err = start(filepath.Join(bin, "geraniumline"), dir, "entry", platform.SettingsVariable, settings)
+	p.process, err = cfg.start(filepath.Join(bin, "geraniumline"), dir, "entry", platform.SettingsVariable, settings)
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, p.process.Kill()) })
 	require.Eventually(t, func() bool { return imitator.Ready(t.Context(), p.listen.Ready) }, callTimeout, 20*time.Millisecond)
