Bound all responses of the platform's services together

What was found: `geraniumline entry` reads whole responses of the log and of the list of VMs, each up to 32 MiB, with no bound over all of them, and the kernel's receive buffers grow beside that.

Cause: the bound was thought of for one response.

A page that doesn't fit is not read, as one over 32 MiB before; at the default of 1 GiB of memory nothing below 32 MiB is refused.

go test -race ./appender ./connector ./dialer pass.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"geraniumline/connector"
 	"geraniumline/platformserver"
 	"geraniumline/recorder"
 )
@@ -44,7 +45,7 @@
 
 func (c Config) withDefaults() Config {
 	if c.HTTP == nil {
-		c.HTTP = NewHTTPClient()
+		c.HTTP = NewHTTPClient(connector.NewBudget(2 * maxResponseBytes))
 	}
 	if c.PageRecords <= 0 {
 		c.PageRecords = DefaultPageRecords
--- a/appender/transport.go
+++ b/appender/transport.go
@@ -6,6 +6,9 @@
 	"net"
 	"net/http"
 	"time"
+
+	"geraniumline/connector"
+	"geraniumline/dialer"
 )
 
 const (
@@ -19,11 +22,11 @@
 	maxResponseBytes = 32 << 20
 )
 
-// NewHTTPClient returns a client for the platform's services, whose responses are bounded: the generated clients read whole
-// bodies into memory.
-func NewHTTPClient() *http.Client {
-	return &http.Client{Transport: boundedTransport{&http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+// NewHTTPClient returns a client for the platform's services, whose responses are bounded one by one and together: the
+// generated clients read whole bodies into memory.
+func NewHTTPClient(budget *connector.Budget) *http.Client {
+	return &http.Client{Transport: boundedTransport{budget: budget, Transport: &http.Transport{
+		DialContext:            dialer.Bounded(&net.Dialer{Timeout: dialTimeout}),
 		MaxIdleConnsPerHost:    maxIdleConnections,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
@@ -36,7 +39,10 @@
 func (e *SizeError) Error() string { return fmt.Sprintf("response body exceeds %d bytes", e.Limit) }
 
 // boundedTransport bounds the bodies of responses.
-type boundedTransport struct{ *http.Transport }
+type boundedTransport struct {
+	*http.Transport
+	budget *connector.Budget
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t boundedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
@@ -44,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp.Body = &boundedBody{ReadCloser: resp.Body, left: maxResponseBytes}
+	resp.Body = &boundedBody{ReadCloser: resp.Body, left: maxResponseBytes, hold: t.budget.Hold(req.URL.Host)}
 	return resp, nil
 }
 
@@ -52,6 +58,7 @@
 type boundedBody struct {
 	io.ReadCloser
 	left int64
+	hold *connector.Hold
 }
 
 // Read implements io.Reader.
@@ -61,5 +68,14 @@
 	if b.left < 0 {
 		return 0, &SizeError{Limit: maxResponseBytes}
 	}
+	if growErr := b.hold.Grow(int64(n)); growErr != nil {
+		return 0, growErr
+	}
 	return n, err
 }
+
+// Close implements io.Closer.
+func (b *boundedBody) Close() error {
+	b.hold.Release()
+	return b.ReadCloser.Close()
+}
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -18,6 +18,7 @@
 
 	"geraniumline/appender"
 	"geraniumline/carrier"
+	"geraniumline/connector"
 	"geraniumline/guarder"
 	"geraniumline/loader"
 	"geraniumline/messenger"
@@ -41,6 +42,9 @@
 	// pollWait is how long one read of the log waits for a record. It is well below the silence after which
 	// the core considers the log unreadable.
 	pollWait = time.Second
+	// serviceMemoryRatio is the share of the allowed memory that responses of the platform's services may hold; one of them may
+	// hold half of it.
+	serviceMemoryRatio = 0.2
 )
 
 // Config holds the settings and the logger of an entry.
@@ -87,11 +91,12 @@
 		return oops.In("assembler").Wrap(err)
 	}
 	e.tracer = traces
-	vms, err := platformserver.NewClient(s.VMsURL, platformserver.WithClient(appender.NewHTTPClient()))
+	services := appender.NewHTTPClient(connector.NewBudget(int64(serviceMemoryRatio * float64(s.MemoryBytes))))
+	vms, err := platformserver.NewClient(s.VMsURL, platformserver.WithClient(services))
 	if err != nil {
 		return oops.In("assembler").Wrap(err)
 	}
-	logs, err := appender.New(appender.Config{URL: s.LogURL, AppendTimeout: appendTimeout, PollWait: pollWait})
+	logs, err := appender.New(appender.Config{URL: s.LogURL, HTTP: services, AppendTimeout: appendTimeout, PollWait: pollWait})
 	if err != nil {
 		return oops.In("assembler").Wrap(err)
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -31,9 +31,6 @@
 	idleMargin = 300 * time.Millisecond
 	// DefaultMaxIdle limits the idle connections to one endpoint.
 	DefaultMaxIdle = 8
-	// DefaultReceiveBuffer is the size in bytes of the kernel's receive buffer of a connection. Left to itself, the kernel lets
-	// an endpoint that sends faster than it is read fill many megabytes on each connection.
-	DefaultReceiveBuffer = 128 << 10
 	// readBufferSize is the buffer size of a connection's reader, in bytes.
 	readBufferSize = 4 << 10
 	// concurrentWriteBytes is the minimum size of a body that is written concurrently with reading the response. An
@@ -47,8 +44,6 @@
 	AckTimeout  time.Duration
 	IdleTimeout time.Duration
 	MaxIdle     int
-	// ReceiveBuffer is the size in bytes of the kernel's receive buffer of each connection.
-	ReceiveBuffer int
 	// Dial opens connections; nil dials by TCP with the timeouts above.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -115,9 +110,6 @@
 	if cfg.MaxIdle == 0 {
 		cfg.MaxIdle = DefaultMaxIdle
 	}
-	if cfg.ReceiveBuffer == 0 {
-		cfg.ReceiveBuffer = DefaultReceiveBuffer
-	}
 	if cfg.Dial == nil {
 		cfg.Dial = dialer.New(cfg.DialTimeout, cfg.AckTimeout).DialContext
 	}
@@ -170,10 +162,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if tcp, ok := netConn.(*net.TCPConn); ok {
-		// An error means that the connection is closed, which the next read reports.
-		_ = tcp.SetReadBuffer(c.cfg.ReceiveBuffer)
-	}
+	dialer.SetReceiveBuffer(netConn, dialer.ReceiveBuffer)
 	limited := &limitedReader{r: netConn}
 	return &conn{client: c, address: address, netConn: netConn, limited: limited, br: bufio.NewReaderSize(limited, readBufferSize)}, nil
 }
