Bound the replies of an entry's endpoints

What was found: `geraniumline entry` kept each part of a stage's reply until the call ended, with no bound on a reply or on all of them: an endpoint that goes on sending valid parts filled the memory.

Cause: a line was bounded (4 MiB), but neither the lines of a reply nor the replies of all calls.

Change: a tenth of the allowed memory for all replies that have not ended and for endpoints' reports, half of that for one address. A reply counts with its text and with what a long line needs. One that doesn't fit ends with the fault of an endpoint that may have acted on the call, which isn't resumed. Connections to endpoints have the bounded receive buffer.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -119,6 +119,7 @@
 		VMs:             vms,
 		Messenger:       e.messenger,
 		Endpoints:       &http.Client{Transport: performer.EndpointTransport()},
+		Responses:       connector.NewBudget(int64(responseMemoryRatio * float64(s.MemoryBytes))),
 		Meter:           e.meter,
 		Tracer:          traces,
 		Log:             e.cfg.Log,
--- a/crowder/entry_test.go
+++ b/crowder/entry_test.go
@@ -37,6 +37,15 @@
 // startEntry starts an entry of the product's own interface. Requests to the pipeline "slow" wait at their endpoint, those to
 // "quick" are answered with their input.
 func startEntry(t *testing.T, settings map[string]any) *starter.Entry {
+	t.Helper()
+	entry, _ := startEntryAt(t, settings, nil)
+	return entry
+}
+
+// startEntryAt is like startEntry, and returns the entry's fleet. override, if set, returns settings to override.
+func startEntryAt(
+	t *testing.T, settings map[string]any, override func(*starter.Fleet, *starter.Entry) (map[string]any, error),
+) (*starter.Entry, *starter.Fleet) {
 	t.Helper()
 	fleet, err := starter.Start(t.Context(), starter.Config{
 		Bin: bin, Dir: t.TempDir(), Entries: 1, Zones: 1,
@@ -44,7 +53,7 @@
 			{Name: "slow", Kind: "plain", Endpoints: 1, Args: []string{"--service-time", "1m"}},
 			{Name: "quick", Kind: "plain", Endpoints: 1, Args: []string{"--keep-prefix", strconv.Itoa(maxBody)}},
 		},
-		Settings: settings,
+		Settings: settings, EntrySettings: override,
 	})
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, fleet.Stop()) })
@@ -68,7 +77,7 @@
 		Account: crowdAccount, CredentialSha256: verifier.HashCredential(crowdCredential), Weight: 1, RatePerSecond: 1e6, Burst: 1e6,
 		Concurrency: 100_000, CostPerSecond: 1e9, Urgency: publisher.Normal, Pipelines: pools,
 	})
-	return entry
+	return entry, fleet
 }
 
 func publish(t *testing.T, operator *operatorserver.Client, kind operatorserver.ConfigChangeKind, name string, object any) {
--- a/performer/config.go
+++ b/performer/config.go
@@ -8,6 +8,8 @@
 
 	"geraniumline/appender"
 	"geraniumline/carrier"
+	"geraniumline/connector"
+	"geraniumline/dialer"
 	"geraniumline/meter"
 	"geraniumline/platformserver"
 	"geraniumline/tracer"
@@ -30,6 +32,8 @@
 	Messenger Sender
 	// Endpoints is the HTTP client for endpoints; its transport pools connections.
 	Endpoints *http.Client
+	// Responses limits the memory of endpoints' replies that have not ended; nil takes a default.
+	Responses *connector.Budget
 	Meter     *meter.Meter
 	Tracer    *tracer.Tracer
 	Log       *zap.Logger
@@ -39,6 +43,13 @@
 	LoadReportEvery time.Duration
 }
 
+func (c Config) withDefaults() Config {
+	if c.Responses == nil {
+		c.Responses = connector.NewBudget(0)
+	}
+	return c
+}
+
 // maxHeadBytes limits the header of an endpoint's response.
 const maxHeadBytes = 64 << 10
 
@@ -49,7 +60,7 @@
 		IdleConnTimeout:       endpointIdleTimeout,
 		ResponseHeaderTimeout: 0,
 		DisableCompression:    true,
-		DialContext:           newDialer().DialContext,
+		DialContext:           dialer.Bounded(newDialer()),
 
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
--- a/performer/endless_test.go
+++ b/performer/endless_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"geraniumline/connector"
 	"geraniumline/endpointserver"
 	"geraniumline/reducer"
 )
@@ -29,7 +30,7 @@
 	part, err := (&endpointserver.StagePart{RequestId: "r", Stage: "s", Seq: 1, Final: true}).MarshalJSON()
 	require.NoError(t, err)
 	body := io.MultiReader(bytes.NewReader(append(part, '\n')), blankLines{})
-	_, ended := s.readParts(reducer.CallID{}, body)
+	_, ended := s.readParts(reducer.CallID{}, body, connector.NewBudget(0).Hold("endpoint"))
 	require.True(t, ended)
 	require.Equal(t, 1, posted)
 }
--- a/performer/endpoints.go
+++ b/performer/endpoints.go
@@ -144,7 +144,9 @@
 	if response.StatusCode != http.StatusOK {
 		return &StatusError{Status: response.StatusCode}
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxReport)).Decode(report)
+	hold := p.performer.cfg.Responses.Hold(request.URL.Host)
+	defer hold.Release()
+	return json.NewDecoder(&heldReader{r: io.LimitReader(response.Body, maxReport), hold: hold}).Decode(report)
 }
 
 // readLoad requests an endpoint's load report and posts it.
--- a/performer/loop.go
+++ b/performer/loop.go
@@ -47,6 +47,7 @@
 
 // New returns a Performer for a core. Run starts it.
 func New(cfg Config, core *reducer.Core) *Performer {
+	cfg = cfg.withDefaults()
 	p := &Performer{
 		cfg:     cfg,
 		core:    core,
--- a/performer/stages.go
+++ b/performer/stages.go
@@ -1,7 +1,6 @@
 package performer
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -17,6 +16,7 @@
 
 	"github.com/go-faster/jx"
 
+	"geraniumline/connector"
 	"geraniumline/endpointserver"
 	"geraniumline/meter"
 	"geraniumline/reducer"
@@ -29,8 +29,6 @@
 	endpointDialTimeout     = time.Second
 	// cancelTimeout limits the request that cancels a stream at its endpoint.
 	cancelTimeout = 2 * time.Second
-	// maxLine is the maximum size of one part of a reply, in bytes.
-	maxLine = 4 << 20
 	// maxRefusal is the maximum size of the body of a refusal, in bytes.
 	maxRefusal = 64 << 10
 )
@@ -45,6 +43,7 @@
 	post    func(reducer.Event)
 	replies *replyQueues
 	meter   *meter.Meter
+	budget  *connector.Budget
 	ctx     context.Context
 
 	mu      sync.Mutex
@@ -65,6 +64,7 @@
 func newStageCaller(cfg Config, post func(reducer.Event), replies *replyQueues) *stageCaller {
 	return &stageCaller{
 		client:  cfg.Endpoints,
+		budget:  cfg.Responses,
 		post:    post,
 		replies: replies,
 		meter:   cfg.Meter,
@@ -207,7 +207,9 @@
 		return refusalFault(response), false
 	}
 	s.setStreamID(id, response.Header.Get(streamHeader))
-	return s.readParts(id, response.Body)
+	hold := s.budget.Hold(request.URL.Host)
+	defer hold.Release()
+	return s.readParts(id, response.Body, hold)
 }
 
 // sendFault distinguishes a call that was never sent, because there was no connection, from one that the endpoint may
@@ -229,25 +231,42 @@
 }
 
 // readParts posts the parts of a reply. ended is set if the final part was posted.
-func (s *stageCaller) readParts(id reducer.CallID, body io.Reader) (fault reducer.StageFault, ended bool) {
-	lines := bufio.NewScanner(body)
-	lines.Buffer(nil, maxLine)
-	for lines.Scan() {
+//
+// The hold counts the text, which the core keeps until the call ends, and what long lines need.
+func (s *stageCaller) readParts(id reducer.CallID, body io.Reader, hold *connector.Hold) (fault reducer.StageFault, ended bool) {
+	lines := newLineReader(body, hold.Grow)
+	for {
+		line, err := lines.next()
+		if err != nil {
+			return brokenReply(err), false
+		}
 		event := &reducer.StagePartArrived{Call: id}
-		if err := event.Part.UnmarshalJSON(lines.Bytes()); err != nil {
+		if err := event.Part.UnmarshalJSON(line); err != nil {
 			return reducer.StageFault{Kind: reducer.FaultError, Message: "the endpoint's reply is malformed"}, false
 		}
+		if err := hold.Grow(int64(len(event.Part.Text))); err != nil {
+			return brokenReply(err), false
+		}
 		s.post(event)
 		if event.Part.Final {
 			// What follows belongs to no reply, and may have no end.
 			return reducer.StageFault{}, true
 		}
 	}
-	message := "the reply ended before its final part"
-	if err := lines.Err(); err != nil {
-		message = err.Error()
+}
+
+// brokenReply returns the fault for a reply that ended before its final part. One that is too long is not resumed: the rest
+// would need as much memory.
+func brokenReply(err error) reducer.StageFault {
+	var memory *connector.BudgetError
+	switch {
+	case errors.As(err, &memory):
+		return reducer.StageFault{Kind: reducer.FaultError, Message: err.Error()}
+	case errors.Is(err, io.EOF):
+		return reducer.StageFault{Kind: reducer.FaultConnectionLost, Message: "the reply ended before its final part"}
+	default:
+		return reducer.StageFault{Kind: reducer.FaultConnectionLost, Message: err.Error()}
 	}
-	return reducer.StageFault{Kind: reducer.FaultConnectionLost, Message: message}, false
 }
 
 // refusalFault returns the fault for a call that an endpoint refused.
--- a/performer/stages_test.go
+++ b/performer/stages_test.go
@@ -45,7 +45,7 @@
 			}
 		}
 	}
-	s = newStageCaller(Config{Endpoints: server.Client(), Meter: meter.New()}, post, newReplyQueues())
+	s = newStageCaller(Config{Endpoints: server.Client(), Meter: meter.New()}.withDefaults(), post, newReplyQueues())
 	s.ctx = context.Background()
 	s.call(&reducer.CallStage{Call: id, Address: address, Body: &endpointserver.StageCall{RequestId: "r", Stage: "s", Attempt: 1}})
 	select {
--- a/starter/fleet.go
+++ b/starter/fleet.go
@@ -252,6 +252,9 @@
 // LogAddress returns the address of the log's stand-in.
 func (f *Fleet) LogAddress() string { return f.log.address }
 
+// VMsAddress returns the address of the stand-in of the list of VMs.
+func (f *Fleet) VMsAddress() string { return f.vms.address }
+
 // VMsDriver returns a driver for the stand-in of the list of VMs.
 func (f *Fleet) VMsDriver() *faker.ControlClient { return faker.NewControlClient(f.vms.address) }
 
