--- a/connector/connector.go
+++ b/connector/connector.go
@@ -168,6 +168,7 @@
 	if err != nil {
 		return nil, err
 	}
+	dialer.SetReceiveBuffer(netConn, dialer.ReceiveBuffer)
 	limited := &limitedReader{r: netConn}
 	return &conn{client: c, address: address, netConn: netConn, limited: limited, br: bufio.NewReaderSize(limited, readBufferSize)}, nil
 }
