--- a/assembler/entrystop_test.go
+++ b/assembler/entrystop_test.go
@@ -32,13 +32,9 @@
 }
 
 // readAnswer reads the response to a request of a pipeline.
-func readAnswer(response *http.Response, err error) answer {
-	if err != nil {
-		return answer{err: err}
-	}
-	defer func() { _ = response.Body.Close() }()
+func readAnswer(response *http.Response) answer {
 	var body struct{ Code, Outcome string }
-	err = json.NewDecoder(response.Body).Decode(&body)
+	err := json.NewDecoder(response.Body).Decode(&body)
 	return answer{status: response.StatusCode, outcome: body.Outcome, code: body.Code, err: err}
 }
 
@@ -52,7 +48,12 @@
 	request.Header.Set("Idempotency-Key", key)
 	request.Header.Set("Content-Type", "application/json")
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	return readAnswer(client.Do(request))
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	return readAnswer(response)
 }
 
 // Guards against requests that the planned stop of an entry cuts, and against late ones that it takes.
@@ -111,7 +112,10 @@
 	_, err = conn.Write([]byte(pipelineBody[10:]))
 	require.NoError(t, err)
 	require.NoError(t, conn.SetReadDeadline(time.Now().Add(waitTimeout)))
-	last := readAnswer(http.ReadResponse(bufio.NewReader(conn), request))
+	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	last := readAnswer(response)
 	require.NoError(t, last.err)
 	require.Equal(t, http.StatusServiceUnavailable, last.status)
 	require.Equal(t, "stopping", last.code)
