Look at every head of a connection for an ambiguous length

Cause: the scan looked at the bytes up to the first CRLFCRLF after the connection had been idle, and dropped the rest of the read. A head in a pipeline, or one with bare line feeds, was never looked at.

Change: frameScanner follows heads, bodies, chunks and trailers as net/http parses them, whatever reads they arrive in, and stops before the first head whose length is ambiguous (both lengths, different or malformed ones, folded ones, an encoding other than chunked or in HTTP/1.0) and after a malformed chunk. A request whose head the scanner has not passed is refused; those before it are served, which the old flag for the whole connection didn't do.

--- a/guarder/framing.go
+++ b/guarder/framing.go
@@ -1,7 +1,6 @@
 package guarder
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -11,10 +10,8 @@
 // framingKey is the context key for the connection of a request.
 type framingKey struct{}
 
-// maxScannedBytes bounds the bytes of one request header that are scanned.
-const maxScannedBytes = 32 << 10
-
-// framing is a connection that detects requests with both Transfer-Encoding and Content-Length headers.
+// framing is a connection that detects requests whose length is ambiguous, such as those with both Transfer-Encoding and
+// Content-Length headers.
 //
 // net/http uses the chunked encoding and ignores Content-Length, as the standard allows. A sender that uses
 // Content-Length disagrees about where the next request starts, so one side may parse as a request what the other
@@ -22,10 +19,10 @@
 // is parsed as a request.
 type framing struct {
 	net.Conn
-	mu        sync.Mutex
-	scanning  bool
-	header    []byte
-	ambiguous bool
+	mu      sync.Mutex
+	scanner frameScanner
+	// served is the number of requests that have ended.
+	served int
 }
 
 // FramingListener wraps the accepted connections so that HasAmbiguousLength can inspect their requests.
@@ -39,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &framing{Conn: c, scanning: true}, nil
+	return &framing{Conn: c}, nil
 }
 
 // CloseWrite closes the sending side. net/http needs it after an early response: without it the connection is closed at once,
@@ -56,50 +53,27 @@
 	n, err := f.Conn.Read(p)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if n > 0 && f.scanning {
-		f.scan(p[:n])
-	}
+	f.scanner.scan(p[:max(n, 0)])
 	return n, err
 }
 
-func (f *framing) scan(data []byte) {
-	f.header = append(f.header, data...)
-	end := bytes.Index(f.header, []byte("\r\n\r\n"))
-	if end < 0 && len(f.header) < maxScannedBytes {
-		return
-	}
-	if end < 0 {
-		end = len(f.header)
-	}
-	f.ambiguous = f.ambiguous || hasBothLengths(f.header[:end])
-	f.scanning = false
-	f.header = nil
-}
-
-func hasBothLengths(header []byte) bool {
-	lower := bytes.ToLower(header)
-	return bytes.Contains(lower, []byte("\ntransfer-encoding")) && bytes.Contains(lower, []byte("\ncontent-length"))
-}
-
 // FramingContext stores the connection in the context of its requests. Use it as http.Server.ConnContext.
 func FramingContext(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, framingKey{}, c)
 }
 
-// FramingState starts the scan of the next request's header when the connection becomes idle. Use it as
-// http.Server.ConnState.
+// FramingState counts the requests of a connection, which becomes idle after each. Use it as http.Server.ConnState.
 func FramingState(c net.Conn, state http.ConnState) {
 	f, ok := c.(*framing)
 	if !ok || state != http.StateIdle {
 		return
 	}
 	f.mu.Lock()
-	f.scanning = true
+	f.served++
 	f.mu.Unlock()
 }
 
-// HasAmbiguousLength reports whether any request on this request's connection had both Transfer-Encoding and
-// Content-Length headers.
+// HasAmbiguousLength reports whether the length of this request, or of one before it on its connection, is ambiguous.
 func HasAmbiguousLength(ctx context.Context) bool {
 	f, ok := ctx.Value(framingKey{}).(*framing)
 	if !ok {
@@ -107,7 +81,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.ambiguous
+	return f.scanner.heads <= f.served
 }
 
 // SetResetOnClose sets whether the connection of a request is reset when it is closed, also by the end of the process. A
