Check suspected links by connecting to another endpoint

Trace (trial with prints, the two failing runs of the subtest alone): after three endpoints had crashed within 40 ms, all three relaying peers suspected their own links, for over 2 s. Meanwhile no heartbeat tells of unreachable endpoints: the relays found these endpoints to have ended, reported none, and 0.7 s later the registrations were removed, and with them what could be reported. Concluded, not traced: each relay had failed to connect to two of the endpoints, which were still listed, when the partitioned entry asked it to. A suspicion lasts until a new connection is made, or 5 s; an idle entry with open connections makes none.

Change: while an entry suspects its links, and no peer has shown that they have failed, it connects to an endpoint that it has not failed to reach: at once, and up to ten times a second. If endpoints have crashed, the connection succeeds and ends the suspicion; in a partition that refuses, resets or drops connections, or lets open ones live on, it fails as well and is further evidence. Answers on open connections decide nothing, as before.

TestEndedEndpointsAreReportedWhileOthersAreReached failed before (not reported within 5 s) and holds.

The assembler's tests of partitions and relays hold with -race.

--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -1,12 +1,16 @@
 package forwarder
 
 import (
+	"fmt"
+	"net"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"geraniumline/carrier"
+	"geraniumline/connector"
 	"geraniumline/locator"
 	"geraniumline/quarantiner"
 	"geraniumline/registrar"
@@ -62,6 +66,49 @@
 	require.Zero(t, suspected)
 }
 
+// Guards against an entry that tells peers of no endpoint that has ended, since it takes two of them for a failure of its own
+// links.
+func TestEndedEndpointsAreReportedWhileOthersAreReached(t *testing.T) {
+	m := newMesh(t, 1)
+	f := m.nodes["entry-0"]
+	var changes []registrar.Change
+	var ended []string
+	var listeners []net.Listener
+	for i := range 5 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = listener.Close() }()
+		change := endpointChange(fmt.Sprint("e", i))
+		change.Endpoint.Address = listener.Addr().String()
+		changes = append(changes, change)
+		if i < 2 {
+			ended = append(ended, change.ID)
+			listeners = append(listeners, listener)
+		}
+	}
+	for _, listener := range listeners {
+		require.NoError(t, listener.Close())
+	}
+	f.ReplaceEndpoints(changes, locator.At(0, 5), m.now)
+	for _, change := range changes[:2] {
+		_, err := f.send(t.Context(), fixedCall(&connector.Call{Address: change.Endpoint.Address}))
+		require.Error(t, err)
+		f.selector.RecordProcessEnd(change.ID, change.Endpoint.Started, time.Now())
+	}
+	failedAt := time.Now()
+	reported := func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		var ids []string
+		for _, r := range f.unreachable(failedAt) {
+			ids = append(ids, r.ID)
+		}
+		slices.Sort(ids)
+		return slices.Equal(ended, ids)
+	}
+	require.Eventually(t, reported, time.Minute, time.Millisecond)
+}
+
 // Guards against two crashes that count once since the second process had the address of the first.
 func TestCrashesOfTwoProcessesAtOneAddressCountTwice(t *testing.T) {
 	m := newMesh(t, 2)
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"iter"
 	"slices"
 	"syscall"
 	"time"
@@ -102,9 +103,12 @@
 		if errors.Is(err, context.Canceled) && now.Sub(startTime) < minDialEvidence {
 			return false
 		}
-		return f.paths.RecordFailed(address, unsent.Refused(), now)
+		relay := f.paths.RecordFailed(address, unsent.Refused(), now)
+		f.checkLinks(now)
+		return relay
 	case errors.Is(err, syscall.ETIMEDOUT):
 		f.paths.RecordFailed(address, false, now)
+		f.checkLinks(now)
 	}
 	return false
 }
@@ -218,9 +222,36 @@
 	return f.paths.ChooseRelay(peers, f.cfg.Zone, len(asked) > 0, f.random, now)
 }
 
-// probePaths connects to an endpoint if calls are relayed, in order to detect that the direct path works again.
+// checkLinks connects to another endpoint if this entry's links are suspected to have failed. The lock must be held.
+func (f *Forwarder) checkLinks(now time.Time) {
+	if address, due := f.paths.DueCheck(f.addressesInService(), now); due {
+		go f.probePath(context.Background(), address)
+	}
+}
+
+// addressesInService yields the addresses of all endpoints outside of evacuated zones, from a random one on. The lock must be
+// held.
+func (f *Forwarder) addressesInService() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		all := f.registry.Usable()
+		if len(all) == 0 {
+			return
+		}
+		first := f.random.IntN(len(all))
+		for i := range all {
+			address := all[(first+i)%len(all)].Address
+			if !f.evacuatedAt(address) && !yield(address) {
+				return
+			}
+		}
+	}
+}
+
+// probePaths connects to an endpoint if calls are relayed, in order to detect that the direct path works again, or if this
+// entry's links are suspected to have failed.
 func (f *Forwarder) probePaths(ctx context.Context, now time.Time) {
 	f.mu.Lock()
+	f.checkLinks(now)
 	address, due := f.paths.DueProbe(now)
 	if due {
 		if _, listed := f.registry.UsableAt(address); !listed {
@@ -232,17 +263,20 @@
 	if !due {
 		return
 	}
-	go func() {
-		err := f.cfg.Client.Probe(ctx, address)
-		now := time.Now()
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if err != nil {
-			f.paths.RecordFailed(address, false, now)
-			return
-		}
-		f.recordReached(address, now)
-	}()
+	go f.probePath(ctx, address)
+}
+
+// probePath connects to an endpoint and records what this shows about this entry's links.
+func (f *Forwarder) probePath(ctx context.Context, address string) {
+	err := f.cfg.Client.Probe(ctx, address)
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.paths.RecordFailed(address, false, now)
+		return
+	}
+	f.recordReached(address, now)
 }
 
 // updatePathGauges sets the gauges of calls that go through peers. The lock must be held.
--- a/pathfinder/pathfinder.go
+++ b/pathfinder/pathfinder.go
@@ -3,7 +3,10 @@
 // has no clock of its own: callers pass in the current time.
 package pathfinder
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 const (
 	// failureTTL is how long a failed connection counts as evidence of a partition. Entries with few requests make new
@@ -14,6 +17,9 @@
 	minFailed = 2
 	// probeInterval is the minimum time between two direct probes while calls are relayed.
 	probeInterval = 500 * time.Millisecond
+	// checkInterval is the minimum time between two checks of suspected links. It is below the interval of heartbeats, as
+	// an entry reports ended endpoints to its peers only while it doesn't suspect its links.
+	checkInterval = 100 * time.Millisecond
 	// provenFor is how long a new connection to an endpoint proves that this entry's links work.
 	provenFor = 2 * time.Second
 	// relayPause is how long a peer that couldn't relay a call is not asked again, and zonePause how long the others in its
@@ -43,6 +49,8 @@
 	// probedAt holds the endpoints to probe, with the time of the last probe of each.
 	probedAt  map[string]time.Time
 	lastProbe time.Time
+	// lastCheck is the time of the last check of suspected links.
+	lastCheck time.Time
 	// pausedUntil and zonePausedUntil hold the peers that couldn't relay a call and their zones, relayedAt when a peer last
 	// relayed one.
 	pausedUntil, zonePausedUntil, relayedAt map[string]time.Time
@@ -189,3 +197,20 @@
 	f.lastProbe = now
 	return address, true
 }
+
+// DueCheck returns the endpoint to connect to next in order to find out whether this entry's links have failed or just the
+// endpoints that it couldn't connect to, if a check is due: the first of the addresses that this entry has not recently
+// failed to connect to. Answers on open connections don't decide this, since such connections may outlive the ability to
+// open others. A confirmed partition is not checked here but by probes.
+func (f *Finder) DueCheck(addresses iter.Seq[string], now time.Time) (address string, due bool) {
+	if f.partitioned || !f.Suspect(now) || now.Sub(f.lastCheck) < checkInterval {
+		return "", false
+	}
+	for address := range addresses {
+		if _, failed := f.failedAt[address]; !failed {
+			f.lastCheck = now
+			return address, true
+		}
+	}
+	return "", false
+}
--- a/pathfinder/pathfinder_test.go
+++ b/pathfinder/pathfinder_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,6 +34,49 @@
 	require.True(t, f.PrefersRelay(endpointC, at(time.Hour)), "until an endpoint is reached directly")
 }
 
+// Guards against an entry that takes endpoints which end one after the other for a failure of its own links.
+func TestASuspicionIsCheckedAtAnotherEndpoint(t *testing.T) {
+	all := slices.Values([]string{endpointA, endpointB, endpointC})
+	f := New()
+	f.RecordReached(endpointC, at(0))
+	f.RecordFailed(endpointA, true, at(time.Second))
+	_, due := f.DueCheck(all, at(time.Second))
+	require.False(t, due, "one endpoint is no suspicion")
+	f.RecordFailed(endpointB, true, at(time.Second))
+	require.True(t, f.Suspect(at(time.Second)))
+	address, due := f.DueCheck(all, at(time.Second))
+	require.True(t, due)
+	require.Equal(t, endpointC, address)
+	_, due = f.DueCheck(all, at(time.Second+checkInterval-1))
+	require.False(t, due, "not at once again")
+	_, due = f.DueCheck(all, at(time.Second+checkInterval))
+	require.True(t, due)
+	f.RecordReached(endpointC, at(time.Second+checkInterval))
+	require.False(t, f.Suspect(at(time.Second+checkInterval)))
+	require.True(t, f.Proven(at(time.Second+checkInterval)))
+}
+
+// Guards against an entry that is partitioned while its open connections still work, and takes that for a sign that its
+// links work.
+func TestAFailedCheckLeavesTheSuspicion(t *testing.T) {
+	all := slices.Values([]string{endpointA, endpointB, endpointC})
+	f := New()
+	f.RecordFailed(endpointA, true, at(0))
+	f.RecordFailed(endpointB, true, at(0))
+	address, due := f.DueCheck(all, at(0))
+	require.True(t, due)
+	f.RecordAnswered(address, at(0))
+	require.True(t, f.Suspect(at(0)))
+	f.RecordFailed(address, true, at(0))
+	require.True(t, f.Suspect(at(0)))
+	_, due = f.DueCheck(all, at(checkInterval))
+	require.False(t, due, "no endpoint is left to check")
+	f.RecordRelayed(endpointA, "peer", at(checkInterval))
+	require.True(t, f.Partitioned())
+	_, due = f.DueCheck(slices.Values([]string{"10.0.0.4:80"}), at(time.Second))
+	require.False(t, due, "a partition is probed, not checked")
+}
+
 // Guards against relaying all calls because a single endpoint has ended.
 func TestOneUnreachableEndpointIsNoPartition(t *testing.T) {
 	f := New()
