Count reported crashes of endpoints that are not listed any more

Change: a report counts for the broken exchanges of the very process that it names, whether or not it is listed. The entry's own observations counted like that already.

TestEndsReportedByPeersCountForBrokenExchanges failed before in its two new cases and holds.

--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -19,27 +19,36 @@
 // Guards against crashes that count twice, or for requests that had nothing to do with them, when peers report the end of
 // an endpoint.
 func TestEndsReportedByPeersCountForBrokenExchanges(t *testing.T) {
+	change, restarted := endpointChange("e1"), endpointChange("e1")
+	change.Endpoint.Started = time.UnixMilli(1000)
+	restarted.Endpoint.Started = time.UnixMilli(2000)
 	tests := []struct {
 		testName string
 		// reportAge is the age of the peer's observation, reportedAfter when its heartbeat arrives after the exchange broke.
 		reportAge, reportedAfter time.Duration
-		want                     int
+		// listed is what the registry lists by then.
+		listed []registrar.Change
+		want   int
 	}{
-		{"after the exchange broke", 20 * time.Millisecond, 100 * time.Millisecond, 1},
-		{"long before the exchange broke", 2 * time.Second, 100 * time.Millisecond, 0},
-		{"long after the exchange broke", 0, 4 * time.Second, 0},
+		{"after the exchange broke", 20 * time.Millisecond, 100 * time.Millisecond, []registrar.Change{change}, 1},
+		{"long before the exchange broke", 2 * time.Second, 100 * time.Millisecond, []registrar.Change{change}, 0},
+		{"long after the exchange broke", 0, 4 * time.Second, []registrar.Change{change}, 0},
+		{"after the registration was removed", 20 * time.Millisecond, 100 * time.Millisecond, nil, 1},
+		{"after the endpoint started again", 20 * time.Millisecond, 100 * time.Millisecond, []registrar.Change{restarted}, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.testName, func(t *testing.T) {
 			m := newMesh(t, 2)
 			f, broke := m.nodes["entry-0"], m.now
-			change := endpointChange("e1")
 			f.ReplaceEndpoints([]registrar.Change{change}, locator.At(0, 5), broke)
 			f.mu.Lock()
 			f.broken.add(&brokenExchange{endpoint: *change.Endpoint, parts: []quarantiner.Part{crashingPart}, at: broke})
+			f.mu.Unlock()
 			now := broke.Add(tt.reportedAfter)
+			f.ReplaceEndpoints(tt.listed, locator.At(0, 6), now)
+			f.mu.Lock()
 			f.partChanges(now)
-			report := []carrier.EndpointRefusal{{ID: "e1", AgeMillis: uint32(tt.reportAge.Milliseconds())}}
+			report := []carrier.EndpointRefusal{refusalMessage("e1", change.Endpoint.Started, tt.reportAge)}
 			f.applyUnreachable(report, "entry-1", now)
 			f.applyUnreachable(report, "entry-1", now)
 			_, suspected := f.parts.Counts()
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -262,11 +262,12 @@
 // applyUnreachable applies a peer's report of endpoints that it could not reach. The lock must be held.
 func (f *Forwarder) applyUnreachable(list []carrier.EndpointRefusal, from string, now time.Time) {
 	for _, m := range list {
-		if !f.registry.Contains(m.ID, fromUnixMillis(m.StartedMillis)) {
+		started, at := fromUnixMillis(m.StartedMillis), now.Add(-time.Duration(m.AgeMillis)*time.Millisecond)
+		// The registration of a process that has ended may be gone already.
+		f.recordProcessEnd(m.ID, started, at)
+		if !f.registry.Contains(m.ID, started) {
 			continue
 		}
-		at := now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)
-		f.recordProcessEnd(m.ID, fromUnixMillis(m.StartedMillis), at)
 		if f.selector.RecordPeerUnreachable(from, m.ID, at, now) {
 			f.logNotice("endpoint avoided, peer could not reach it", zap.String("endpoint", m.ID), zap.String("peer", from))
 		}
