--- a/guarder/framescan_test.go
+++ b/guarder/framescan_test.go
@@ -236,7 +236,7 @@
 	}
 	require.NoError(b, conn.Close())
 	require.NoError(b, server.Close())
-	<-served
+	require.ErrorIs(b, <-served, http.ErrServerClosed)
 }
 
 // piecesConn is a connection on which each read returns one piece. What is written is dropped.
