Keep parts of prompts that crash endpoints over the end of all entries

Cause: what entries know of such parts was only in their memory. After all had been killed once, requests with the part were sent to endpoints again, and crashed them.

Change: the entry that comes first for the duty writes the parts to a topic of ours when they have changed, once a second at most, and nothing while there are none. After a start each entry reads them, and merges them like a peer's.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -341,11 +341,13 @@
 	}
 	checkpoints := &platform.Checkpoints{Store: store, Sink: e.forwarder, Log: e.log, Meter: e.meter}
 	originLog := &platform.OriginLog{Store: store, Sink: e.forwarder, Name: e.settings.Name, Log: e.log, Meter: e.meter}
+	partLog := &platform.PartLog{Store: store, Sink: e.forwarder, Log: e.log, Meter: e.meter}
 	background.Go(func() { watcher.WatchConfig(ctx) })
 	background.Go(func() { watcher.WatchEndpoints(ctx) })
 	background.Go(func() { directory.Run(ctx) })
 	background.Go(func() { checkpoints.Run(ctx) })
 	background.Go(func() { originLog.Run(ctx) })
+	background.Go(func() { partLog.Run(ctx) })
 	background.Go(func() { e.forwarder.Run(ctx) })
 	background.Go(func() { e.closeIdleConnections(ctx) })
 	background.Go(func() {
--- a/assembler/prompt_test.go
+++ b/assembler/prompt_test.go
@@ -201,3 +201,26 @@
 	require.Equal(t, http.StatusOK, f.call(sound).Status)
 	require.Equal(t, lost, crashes())
 }
+
+// Guards against endpoints that a part of prompts crashes once more after all entries have ended, since nobody knows it then.
+func TestAPartIsHeldBackAfterAllEntriesHaveEnded(t *testing.T) {
+	p := &partTrial{f: newFleet(t, 3), service: "model", kind: imitator.Model, path: imitator.StreamPath, entries: []int{0, 1, 2}}
+	p.begin()
+	for i := 0; i < 12 && p.reached() < knownCrashes; i++ {
+		p.awaitServing()
+		p.sendCrashing()
+	}
+	require.Eventually(t, func() bool { return p.f.site.Store.End("keyed.parts") > 0 }, waitTimeout, 10*time.Millisecond)
+	time.Sleep(contactTime)
+	before := p.reached()
+	for range 2 {
+		p.f.stopAll()
+		p.f.startAll()
+		time.Sleep(contactTime)
+		for range 5 {
+			p.sendCrashing()
+			p.awaitServing()
+		}
+	}
+	require.LessOrEqual(t, p.reached()-before, allowedRequests)
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -136,6 +136,8 @@
 	// parts tracks parts of prompts that crash endpoints, as seen here and by peers.
 	parts     *quarantiner.Parts
 	partPeers *quarantiner.PartPeers
+	// partsLoaded is set once the stored parts were read, or at the first start of the system.
+	partsLoaded bool
 	// trialCalls holds the calls for trials of parts that wait for their reply.
 	trialCalls trialCalls
 	// broken holds the exchanges whose endpoint may have crashed.
@@ -263,6 +265,7 @@
 		quarantiner: quarantiner.New(quarantiner.Config{}),
 		parts:       quarantiner.NewParts(quarantiner.PartsConfig{}),
 		partPeers:   quarantiner.NewPartPeers(),
+		partsLoaded: cfg.FirstStart,
 		trialCalls:  trialCalls{waiting: make(map[uint64]chan<- bool)},
 		broken:      make(brokenExchanges),
 		evacuator:   evacuator.New(),
