--- a/assembler/prompt_test.go
+++ b/assembler/prompt_test.go
@@ -210,7 +210,7 @@
 		p.awaitServing()
 		p.sendCrashing()
 	}
-	require.Eventually(t, func() bool { return p.f.site.Store.End("keyed.parts") > 0 }, waitTimeout, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return p.f.site.Store.End(imitator.PartsTopic) > 0 }, waitTimeout, 10*time.Millisecond)
 	time.Sleep(contactTime)
 	before := p.reached()
 	for range 2 {
--- a/assembler/rejoin_test.go
+++ b/assembler/rejoin_test.go
@@ -37,8 +37,8 @@
 // awaitCheckpoint waits until the history of versions has been written since a call.
 func (f *fleet) awaitCheckpoint() {
 	f.t.Helper()
-	before := f.site.Store.End("keyed.versions")
-	require.Eventually(f.t, func() bool { return f.site.Store.End("keyed.versions") > before }, waitTimeout, 10*time.Millisecond)
+	before := f.site.Store.End(imitator.VersionsTopic)
+	require.Eventually(f.t, func() bool { return f.site.Store.End(imitator.VersionsTopic) > before }, waitTimeout, 10*time.Millisecond)
 }
 
 // startModel starts an endpoint with a version.
@@ -75,7 +75,7 @@
 		}},
 		"old version leaves and its registrations are deleted": {during: func(site *imitator.Site) {
 			removeModels(site, "i-model-0", "i-model-1")
-			site.Store.Compact("keyed.servers")
+			site.CompactEndpoints()
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -157,7 +157,7 @@
 	broken := f.beginStreams("stream")
 	require.Eventually(t, func() bool {
 		written := 0
-		for _, batch := range f.site.Store.Values("origins") {
+		for _, batch := range f.site.Store.Values(imitator.OriginsTopic) {
 			written += strings.Count(batch, `"key":`)
 		}
 		return written == len(broken)
