--- a/assembler/rejoin_test.go
+++ b/assembler/rejoin_test.go
@@ -179,3 +179,29 @@
 		}
 	}
 }
+
+// Guards against streams that are joined since the store has returned from a copy, in which a version that began some was
+// never registered.
+func TestStreamsAreNotJoinedByAnOlderCopyOfTheStore(t *testing.T) {
+	site := imitator.NewSite()
+	f := newFirstFleet(t, site)
+	f.awaitCheckpoint()
+	older := site.Store.Snapshot()
+	startModel(site, "i-model-2", secondVersion)
+	startModel(site, "i-model-3", secondVersion)
+	var broken []brokenStream
+	of := make(map[string]int)
+	for i := 0; of[secondVersion] < 3; i++ {
+		stream := f.beginStream(i%3, (i+1)%3, fmt.Sprintf("stream-%d", i))
+		of[stream.version]++
+		broken = append(broken, stream)
+	}
+	f.stopAll()
+	removeModels(site, "i-model-2", "i-model-3")
+	site.Store.Restore(older)
+	site.RewriteAll()
+	f.startAll()
+	f.requireNotJoined(broken, 0)
+	time.Sleep(contactTime)
+	f.requireNotJoined(broken, 1)
+}
