Take no response for a call that was sent before it

Cause: calls for pieces had no ID of their own, so that any response was taken for theirs; and a response without an ID was taken for the answer to any request.

Change: each call for pieces or freed results has its own ID, checked where it is echoed; on a connection whose endpoint has echoed IDs a success without one is not believed (refusals are); a connection on which bytes came before the call is written is closed and another taken; an endpoint that sent too much gets no kept connections for 10 s; a response with a handle that was given out for another piece is refused with its connection (endpoints that echo nothing).

Window left for endpoints that echo nothing: an extra response that comes after the next call's head and has handles not given out within 15 s.

--- a/connector/answer.go
+++ b/connector/answer.go
@@ -87,6 +87,24 @@
 	return body.Bytes(), err
 }
 
+// ReadChecked is like ReadAll, but gives the connection up if check returns an error, which it returns. The response then belongs
+// to another exchange, and its own may still come.
+func (r *Response) ReadChecked(b *Budget, limit int64, check func(body []byte) error) ([]byte, error) {
+	defer r.Close()
+	hold := b.Hold(r.address)
+	defer hold.Release()
+	body, err := r.readBody(hold, limit)
+	if err != nil {
+		return nil, &ExchangeError{Address: r.address, Err: err}
+	}
+	data := body.Bytes()
+	if err := check(data); err != nil {
+		r.complete = false
+		return nil, err
+	}
+	return data, nil
+}
+
 // ReadBody reads the rest of the body, which the hold counts, and ends the exchange. It returns an *ExchangeError if the body
 // breaks off, is longer than limit bytes, or doesn't fit into the hold's budget; the hold is then empty.
 func (r *Response) ReadBody(hold *Hold, limit int64) (Body, error) {
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -31,6 +31,8 @@
 	firstRead chan error
 	// written receives the result of writing the request.
 	written chan error
+	// echoes is set once the endpoint has echoed the ID of a call.
+	echoes bool
 }
 
 // abort closes the connection. Pending reads and writes fail.
@@ -41,12 +43,19 @@
 func (cn *conn) watchIdle() {
 	_, err := cn.br.Peek(1)
 	if cn.client.removeIdle(cn) {
+		if err == nil {
+			cn.client.recordSurplus(cn.address, time.Now())
+		}
 		cn.abort()
 		return
 	}
 	cn.firstRead <- err
 }
 
+// spoiled reports whether the endpoint has closed the connection, or sent bytes on it, since the last exchange. Nothing of the
+// next one has been sent yet.
+func (cn *conn) spoiled() bool { return cn.firstRead != nil && len(cn.firstRead) > 0 }
+
 // send writes the request. Long bodies are written concurrently with reading the response.
 func (cn *conn) send(call *Call) {
 	cn.written = make(chan error, 1)
@@ -107,9 +116,16 @@
 		if err != nil {
 			return nil, err
 		}
+		if call.lacksEcho(resp) && cn.echoes && resp.StatusCode < http.StatusMultipleChoices {
+			// An endpoint that echoes IDs does so in all its answers. Refusals are taken without, as they hold no result.
+			cn.client.recordSurplus(cn.address, time.Now())
+			return nil, &UnmatchedResponseError{}
+		}
 		if call.matches(resp) {
+			cn.echoes = cn.echoes || !call.lacksEcho(resp)
 			return resp, nil
 		}
+		cn.client.recordSurplus(cn.address, time.Now())
 		if resp.Close {
 			return nil, &UnmatchedResponseError{}
 		}
@@ -144,6 +160,11 @@
 	return echoed == "" || echoed == c.Header.Get(c.EchoHeader)
 }
 
+// lacksEcho reports whether the response doesn't say to which call it belongs.
+func (c *Call) lacksEcho(resp *http.Response) bool {
+	return c.EchoHeader == "" || resp.Header.Get(c.EchoHeader) == ""
+}
+
 // release returns the connection to the idle ones after a complete response, or closes it if it can't be reused.
 func (cn *conn) release(resp *http.Response, now time.Time) {
 	var fullySent bool
@@ -154,7 +175,10 @@
 		// The endpoint responded before it received the whole request. It would read the remaining bytes as the
 		// rest of this body or as the next request, so the connection can't be reused.
 	}
-	if !fullySent || resp.Close || cn.br.Buffered() > 0 {
+	if cn.br.Buffered() > 0 {
+		cn.client.recordSurplus(cn.address, now)
+	}
+	if !fullySent || resp.Close || cn.client.sendsSurplus(cn.address, now) {
 		cn.abort()
 		return
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -31,6 +31,9 @@
 	idleMargin = 300 * time.Millisecond
 	// DefaultMaxIdle limits the idle connections to one endpoint.
 	DefaultMaxIdle = 8
+	// surplusTime is how long connections to an endpoint are not kept after it has sent bytes that belong to no exchange. What
+	// else it sends late can then not arrive on a connection of another exchange.
+	surplusTime = 10 * time.Second
 	// readBufferSize is the buffer size of a connection's reader, in bytes.
 	readBufferSize = 4 << 10
 	// concurrentWriteBytes is the minimum size of a body that is written concurrently with reading the response. An
@@ -94,6 +97,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// surplusUntil is until when an address is one that sends more than it is asked for. Its connections are not kept.
+	surplusUntil map[string]time.Time
 }
 
 // New returns a Client without connections.
@@ -113,7 +118,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = dialer.New(cfg.DialTimeout, cfg.AckTimeout).DialContext
 	}
-	return &Client{cfg: cfg, idle: make(map[string][]*conn)}
+	return &Client{cfg: cfg, idle: make(map[string][]*conn), surplusUntil: make(map[string]time.Time)}
 }
 
 // Do sends the request and reads the response up to the end of its header. Cancelling the context ends the whole
@@ -151,10 +156,38 @@
 
 // acquire returns an idle connection or opens a new one.
 func (c *Client) acquire(ctx context.Context, address string) (*conn, error) {
-	if cn := c.takeIdle(address, time.Now()); cn != nil {
-		return cn, nil
+	for {
+		now := time.Now()
+		cn := c.takeIdle(address, now)
+		if cn == nil {
+			return c.dial(ctx, address)
+		}
+		if !cn.spoiled() {
+			return cn, nil
+		}
+		cn.abort()
+	}
+}
+
+// recordSurplus records that an endpoint sent bytes that belong to no exchange.
+func (c *Client) recordSurplus(address string, now time.Time) {
+	c.mu.Lock()
+	conns := c.idle[address]
+	delete(c.idle, address)
+	for _, cn := range conns {
+		cn.idle = false
+	}
+	c.surplusUntil[address] = now.Add(surplusTime)
+	c.mu.Unlock()
+	for _, cn := range conns {
+		cn.abort()
 	}
-	return c.dial(ctx, address)
+}
+
+func (c *Client) sendsSurplus(address string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(c.surplusUntil[address])
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
@@ -241,6 +274,11 @@
 		}
 		c.setIdle(address, kept)
 	}
+	for address, until := range c.surplusUntil {
+		if !now.Before(until) {
+			delete(c.surplusUntil, address)
+		}
+	}
 	c.mu.Unlock()
 	for _, cn := range expired {
 		cn.abort()
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -330,3 +330,86 @@
 		}
 	}
 }
+
+// Guards against bytes that arrived before a call was written and are taken for the response to it.
+func TestBytesBeforeACallAreNoResponse(t *testing.T) {
+	c := New(Config{})
+	client, server := net.Pipe()
+	defer func() { _ = server.Close() }()
+	stale := &conn{client: c, address: "a", netConn: client, idle: true, firstRead: make(chan error, 1), usableUntil: time.Now().Add(time.Minute)}
+	stale.firstRead <- nil
+	c.idle["a"] = []*conn{stale}
+	fresh, other := net.Pipe()
+	defer func() { _ = other.Close() }()
+	c.cfg.Dial = func(context.Context, string, string) (net.Conn, error) { return fresh, nil }
+	cn, err := c.acquire(t.Context(), "a")
+	require.NoError(t, err)
+	require.NotSame(t, stale, cn)
+	cn.abort()
+}
+
+// Guards against a response without an ID that is taken for the answer to any request, once the endpoint has echoed IDs.
+func TestAnEndpointThatEchoesIsNotBelievedWithout(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, br *bufio.Reader) {
+		for n := 0; ; n++ {
+			r, _, err := readRequest(br)
+			if err != nil {
+				return
+			}
+			if n == 0 {
+				reply(c, r.Header.Get(idHeader), "", "first")
+				continue
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+		}
+	})
+	client := newClient(t)
+	body, err := do(t, client, p.address, "1")
+	require.NoError(t, err)
+	require.Equal(t, "first", body)
+	_, err = do(t, client, p.address, "2")
+	var unmatched *UnmatchedResponseError
+	require.ErrorAs(t, err, &unmatched)
+}
+
+// Guards against an endpoint without IDs whose responses fail because others echo them.
+func TestAnEndpointThatNeverEchoesIsUsable(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, br *bufio.Reader) {
+		for {
+			if _, _, err := readRequest(br); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	client := newClient(t)
+	for _, id := range []string{"1", "2", "3"} {
+		body, err := do(t, client, p.address, id)
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+	}
+	require.EqualValues(t, 1, p.dials.Load())
+}
+
+// Guards against an endpoint that sends more than it is asked for, and whose late bytes meet the next call on their connection.
+func TestConnectionsOfAnEndpointThatSentSurplusAreNotKept(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, br *bufio.Reader) {
+		r, _, err := readRequest(br)
+		if err != nil {
+			return
+		}
+		id := r.Header.Get(idHeader)
+		if id == "1" {
+			reply(c, "0", "", "late")
+		}
+		reply(c, id, "", "response to "+id)
+		_, _ = br.ReadByte()
+	})
+	client := newClient(t)
+	for i, id := range []string{"1", "2", "3"} {
+		body, err := do(t, client, p.address, id)
+		require.NoError(t, err)
+		require.Equal(t, "response to "+id, body)
+		require.EqualValues(t, i+1, p.dials.Load())
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -121,6 +121,8 @@
 	startTime  time.Time
 	// budget bounds the memory of endpoints' incomplete responses.
 	budget *connector.Budget
+	// stageCalls counts the calls for pieces and freed results.
+	stageCalls atomic.Uint64
 
 	// mu guards all fields up to eraKnown.
 	mu        sync.Mutex
@@ -136,6 +138,8 @@
 	// parts tracks parts of prompts that crash endpoints, as seen here and by peers.
 	parts     *quarantiner.Parts
 	partPeers *quarantiner.PartPeers
+	// handles remembers the handles of results that endpoints have given out.
+	handles collector.HandleLog
 	// trialCalls holds the calls for trials of parts that wait for their reply.
 	trialCalls trialCalls
 	// broken holds the exchanges whose endpoint may have crashed.
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -24,6 +24,8 @@
 // noWire is for tests that send nothing to endpoints.
 type noWire struct{ Wire }
 
+func (noWire) EchoHeader() string { return "Attempt-Id" }
+
 func (noWire) EncodePieces([]collector.Piece, time.Time) ([]byte, error) {
 	return []byte("pieces"), nil
 }
--- a/forwarder/piececalls.go
+++ b/forwarder/piececalls.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -41,14 +42,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), e.Timeout)
 	defer cancel()
-	resp, err := f.send(ctx, fixedCall(&connector.Call{
-		Address: e.Endpoint.Address,
-		Method:  http.MethodPost,
-		Target:  f.cfg.Wire.PiecesTarget(),
-		Host:    e.Endpoint.Address,
-		Header:  f.cfg.Wire.InstanceHeader(e.Endpoint.ID),
-		Body:    connector.NewBody(body),
-	}))
+	resp, err := f.send(ctx, fixedCall(f.stageCall(e.Endpoint.Address, f.cfg.Wire.PiecesTarget(), e.Endpoint.ID, body)))
 	var unsent *connector.UnsentError
 	if errors.As(err, &unsent) {
 		f.logCallFailure(service, e, err)
@@ -68,15 +62,24 @@
 		f.mu.Unlock()
 		return collector.Refused, nil
 	}
-	data, err := resp.ReadAll(f.budget, maxPiecesResponse)
-	if err != nil {
+	var results []collector.PieceResult
+	var exchange *connector.ExchangeError
+	_, err = resp.ReadChecked(f.budget, maxPiecesResponse, func(data []byte) error {
+		if resp.Status() != http.StatusOK {
+			return nil
+		}
+		var err error
+		if results, err = f.cfg.Wire.DecodePieces(bytes.TrimSpace(data)); err != nil {
+			return err
+		}
+		return f.claimHandles(e, results)
+	})
+	if errors.As(err, &exchange) {
 		return f.brokenCall(service, e, err), nil
 	}
-	if resp.Status() != http.StatusOK {
-		f.logCallFailure(service, e, &statusError{status: resp.Status()})
-		return collector.Broken, nil
+	if err == nil && resp.Status() != http.StatusOK {
+		err = &statusError{status: resp.Status()}
 	}
-	results, err := f.cfg.Wire.DecodePieces(bytes.TrimSpace(data))
 	if err != nil {
 		f.logCallFailure(service, e, err)
 		return collector.Broken, nil
@@ -84,6 +87,37 @@
 	return collector.Answered, results
 }
 
+// stageCall returns a call to an endpoint of a stage. It has an ID of its own, so that a response to another call is recognized
+// if the endpoint echoes IDs.
+func (f *Forwarder) stageCall(address, target, instance string, body []byte) *connector.Call {
+	header := f.cfg.Wire.InstanceHeader(instance)
+	header.Set(f.cfg.Wire.EchoHeader(), fmt.Sprintf("%s-%x-%x", f.cfg.Name, f.cfg.Incarnation, f.stageCalls.Add(1)))
+	return &connector.Call{
+		Address:    address,
+		Method:     http.MethodPost,
+		Target:     target,
+		Host:       address,
+		Header:     header,
+		Body:       connector.NewBody(body),
+		EchoHeader: f.cfg.Wire.EchoHeader(),
+	}
+}
+
+// ForeignResultError reports a response to a call for pieces that holds another call's result.
+type ForeignResultError struct{}
+
+func (*ForeignResultError) Error() string { return "response holds a result of another call" }
+
+// claimHandles records the handles of a response. An endpoint that echoes no IDs is caught by them.
+func (f *Forwarder) claimHandles(e collector.SendCall, results []collector.PieceResult) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.handles.Claim(e.Endpoint.Address, e.Pieces, results, time.Now()) {
+		return &ForeignResultError{}
+	}
+	return nil
+}
+
 // brokenCall returns the outcome of a call that broke off: whether its endpoint crashed.
 func (f *Forwarder) brokenCall(service string, e collector.SendCall, err error) collector.CallOutcome {
 	f.logCallFailure(service, e, err)
@@ -129,14 +163,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
-	resp, err := f.cfg.Client.Do(ctx, &connector.Call{
-		Address: e.Address,
-		Method:  http.MethodPost,
-		Target:  f.cfg.Wire.FreeTarget(),
-		Host:    e.Address,
-		Header:  f.cfg.Wire.InstanceHeader(""),
-		Body:    connector.NewBody(body),
-	})
+	resp, err := f.cfg.Client.Do(ctx, f.stageCall(e.Address, f.cfg.Wire.FreeTarget(), "", body))
 	if err == nil {
 		_, err = resp.ReadAll(f.budget, maxPiecesResponse)
 	}
