--- a/connector/conn.go
+++ b/connector/conn.go
@@ -54,7 +54,7 @@
 
 // spoiled reports whether the endpoint has closed the connection, or sent bytes on it, since the last exchange. Nothing of the
 // next one has been sent yet.
-func (cn *conn) spoiled() bool { return cn.firstRead != nil && len(cn.firstRead) > 0 }
+func (cn *conn) spoiled() bool { return len(cn.firstRead) > 0 }
 
 // send writes the request. Long bodies are written concurrently with reading the response.
 func (cn *conn) send(call *Call) {
