Pay the retry before a takeover's inputs are made again

Cause: inputs were made again for each stream whose endpoint was silent for long, and only then was the retry taken that most of them didn't get. Before the takeovers the retry came first and bounded this work.

Now the retry is paid first; one that isn't used is kept for the request's next attempt.

--- a/forwarder/takeover.go
+++ b/forwarder/takeover.go
@@ -229,7 +229,12 @@
 // findAnother returns the call to another endpoint that has not refused the request, or nil.
 func (t *takeover) findAnother(ctx context.Context) *attempt {
 	t.x.awaitCrashCheck()
-	if now := time.Now(); !t.x.partsAreFree(now) || !t.cfg.mayLeave(now) {
+	now := time.Now()
+	if !t.x.partsAreFree(now) || !t.cfg.mayLeave(now) {
+		return nil
+	}
+	// The retry comes first: it bounds the work that preparations cause. One that is not used is kept for the next attempt.
+	if t.x.attempts >= maxEndpointsPerRequest || !t.x.payAttempt(now) {
 		return nil
 	}
 	if t.cfg.prepare != nil {
@@ -264,18 +269,13 @@
 	t.prepared = false
 }
 
-// sendAhead sends the request to another endpoint while the silent one still has it. It returns nil if there is none, or no
-// retry left.
+// sendAhead sends the request to another endpoint while the silent one still has it. It returns nil if there is none.
 func (t *takeover) sendAhead(ctx context.Context) *attempt {
 	x := t.x
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	if ctx.Err() != nil || x.attempts >= maxEndpointsPerRequest {
-		return nil
-	}
-	// A retry that is paid and not used is kept for the request's next attempt.
-	if !x.payAttempt(now) {
+	if ctx.Err() != nil {
 		return nil
 	}
 	choice, found := x.chooseEndpoint(t.cfg.query(), now)
