Don't cut the response to a pipelined request as idle

What callers saw: nothing was reported; found on reading the change again. A request that comes in one read with the one before it is served without a read, so its connection still counted as idle, and a response that took longer than the idle timeout was cut.

Cause: the idle time ended by what is read only; net/http doesn't report such a connection as active either, so that the tracker before had the same fault. Now a request that is being served ends it too.

TestIdleConnectionsAreClosed failed once there: its client may send on the closed connection before it has noticed; it now drops its own first, and checks the same.

--- a/guarder/admission.go
+++ b/guarder/admission.go
@@ -328,6 +328,10 @@
 
 // enter sets how bytes are counted in a phase. The reader of a body counts for itself.
 func (c *heldConn) enter(phase budgeter.Phase) {
+	if phase == budgeter.Reading || phase == budgeter.Serving {
+		// Nothing is read for a request that came with the one before it.
+		c.idle.wake()
+	}
 	switch phase {
 	case budgeter.Waiting, budgeter.Kept:
 		c.counts.Store(countsHead)
--- a/guarder/idle_test.go
+++ b/guarder/idle_test.go
@@ -1,6 +1,8 @@
 package guarder
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -76,6 +78,8 @@
 	client := newClient(t)
 	require.NoError(t, s.post(client))
 	require.Eventually(t, func() bool { return s.admission.CloseIdle(0, time.Now()) == 1 }, 10*time.Second, time.Millisecond)
+	// The client may not have noticed yet, and doesn't repeat its request.
+	client.CloseIdleConnections()
 	require.NoError(t, s.post(client), "on a new connection")
 	require.Zero(t, s.admission.CloseIdle(time.Hour, time.Now()))
 	conn, err := net.Dial("tcp", s.url[len("http://"):])
@@ -97,3 +101,34 @@
 	require.True(t, woken.wake())
 	require.False(t, woken.expire(time.Second, now.Add(time.Hour)))
 }
+
+// Guards against a response that is cut since its request came with the one before it, so that nothing is read while it is served.
+func TestAPipelinedRequestIsNotCutAsIdle(t *testing.T) {
+	begun, end := make(chan struct{}), make(chan struct{})
+	address, admission := openAdmittedWith(t, budgeter.ForMemory(0), &http.Server{
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			HoldOf(r.Context()).Enter(budgeter.Serving, time.Now())
+			if r.URL.Path == "/second" {
+				close(begun)
+				<-end
+			}
+		}),
+		ConnState: AdmissionState,
+	})
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /first HTTP/1.1\r\nHost: entry\r\n\r\nGET /second HTTP/1.1\r\nHost: entry\r\n\r\n")
+	require.NoError(t, err)
+	<-begun
+	closed := admission.CloseIdle(time.Second, time.Now().Add(time.Hour))
+	close(end)
+	require.Zero(t, closed)
+	br := bufio.NewReader(conn)
+	for range 2 {
+		resp, err := http.ReadResponse(br, nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+	}
+}
