--- a/crowder/endless_entry_test.go
+++ b/crowder/endless_entry_test.go
@@ -92,7 +92,7 @@
 		chunked = "Transfer-Encoding: chunked\r\n\r\n"
 	)
 	large := strings.Repeat("x", 0x4000)
-	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", int64(hugeLength))
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", int64(imitator.HugeLength))
 	part := func(size int) string {
 		return fmt.Sprintf("{\"requestId\":\"$request\",\"stage\":\"$stage\",\"attempt\":$attempt,\"streamId\":\"s\",\"seq\":$n,\"text\":\"%s\",\"final\":false}\n",
 			strings.Repeat("x", size))
--- a/crowder/endless_forward_test.go
+++ b/crowder/endless_forward_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -28,72 +27,12 @@
 	// endlessPlain and endlessStreams are the requests of one route at a time, as many as the endpoints take.
 	endlessPlain   = 24
 	endlessStreams = 5
-	// hugeLength is a declared length that no memory has room for.
-	hugeLength = 1 << 40
 )
 
-// endlessResponse is a response without end.
-type endlessResponse struct {
-	name string
-	imitator.Endless
-	// complete is set if a whole response comes before what has no end, refused if the response says that nothing has run.
-	complete, refused bool
-}
-
-// responds reports whether the response has a complete head.
-func (r *endlessResponse) responds() bool { return strings.Contains(r.Beginning, "\r\n\r\n") }
-
-// endlessResponses are the responses without end, whose attempts' IDs are echoed.
-func endlessResponses() []endlessResponse {
-	const (
-		fields  = "Geraniumline-Attempt-Id: $attempt\r\nGeraniumline-Server-Stamp: stamp\r\n"
-		ok      = "HTTP/1.1 200 OK\r\n" + fields
-		failed  = "HTTP/1.1 500 Internal Server Error\r\n" + fields
-		refused = "HTTP/1.1 503 Service Unavailable\r\nGeraniumline-Not-Executed: 1\r\n"
-		chunked = "Transfer-Encoding: chunked\r\n\r\n"
-		other   = "HTTP/1.1 200 OK\r\nGeraniumline-Attempt-Id: other\r\n"
-	)
-	large := strings.Repeat("x", 0x4000)
-	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", hugeLength)
-	script := func(name, beginning, repeated string) endlessResponse {
-		return endlessResponse{name: name, Endless: imitator.Endless{Beginning: beginning, Repeated: repeated}}
-	}
-	refusal := func(name, beginning, repeated string) endlessResponse {
-		return endlessResponse{name: name, Endless: imitator.Endless{Beginning: refused + beginning, Repeated: repeated}, refused: true}
-	}
-	whole := func(name, repeated string) endlessResponse {
-		beginning := ok + "Content-Length: 2\r\n\r\nok"
-		return endlessResponse{name: name, Endless: imitator.Endless{Beginning: beginning, Repeated: repeated}, complete: true}
-	}
-	return []endlessResponse{
-		script("no response", "", "x"),
-		script("head", ok, "X-More: 1\r\n"),
-		script("informational responses", "", "HTTP/1.1 102 Processing\r\n\r\n"),
-		script("body of a huge length", ok+length, large),
-		script("body without a length", ok+"\r\n", large),
-		script("chunked body", ok+chunked, "4000\r\n"+large+"\r\n"),
-		script("small chunks", ok+chunked, "1\r\nx\r\n"),
-		script("size line of a chunk", ok+chunked, "0"),
-		script("extension of a chunk", ok+chunked+"1;", "x"),
-		script("trailer", ok+chunked+"0\r\nX-More: ", "x"),
-		script("trailers", ok+chunked+"0\r\n", "X-More: 1\r\n"),
-		script("one event", ok+"Content-Type: text/event-stream\r\n\r\ndata: ", "x"),
-		script("events", ok+"Content-Type: text/event-stream\r\n\r\n", "data: x\n\n"),
-		script("blank events", ok+"Content-Type: text/event-stream\r\n\r\n", "\n\n"),
-		script("body of a failure", failed+"\r\n", large),
-		refusal("body of a refusal", "\r\n", large),
-		refusal("chunked body of a refusal", chunked, "4000\r\n"+large+"\r\n"),
-		script("body of another response", other+"\r\n", large),
-		script("other responses", "", other+"Content-Length: 0\r\n\r\n"),
-		whole("bytes after a response", "x"),
-		whole("responses after a response", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
-	}
-}
-
 // Guards against endpoints that send without end, and take the memory that other clients' requests need with it.
 func TestForwardOutlivesEndlessResponses(t *testing.T) {
-	for _, response := range endlessResponses() {
-		t.Run(response.name, func(t *testing.T) {
+	for _, response := range imitator.EndlessCases() {
+		t.Run(response.Name, func(t *testing.T) {
 			p := startForward(t)
 			p.requireAnswer("first", "a question")
 			p.playEndless(response, true)
@@ -103,11 +42,11 @@
 
 // Guards against the same when a peer passes the responses on. It passes on none without a head.
 func TestForwardOutlivesEndlessRelayedResponses(t *testing.T) {
-	for _, response := range endlessResponses() {
-		if !response.responds() {
+	for _, response := range imitator.EndlessCases() {
+		if !response.Responds() {
 			continue
 		}
-		t.Run(response.name, func(t *testing.T) {
+		t.Run(response.Name, func(t *testing.T) {
 			p := startRelayed(t)
 			p.requireAnswer("first", "a question")
 			p.playEndless(response, false)
@@ -117,7 +56,7 @@
 
 // playEndless makes all endpoints send a response without end to requests of all kinds, and requires that the process outlives
 // it. With peers, some of the requests come from a peer.
-func (p *process) playEndless(response endlessResponse, peers bool) {
+func (p *process) playEndless(response imitator.EndlessCase, peers bool) {
 	for _, e := range p.site.Endpoints {
 		e.SendEndlessly(response.Endless, -1)
 	}
@@ -160,7 +99,7 @@
 	}
 	require.Positive(p.t, sent, "bytes without end")
 	for i := range endlessPlain {
-		if response.refused {
+		if response.Refused {
 			break
 		}
 		require.LessOrEqual(p.t, runs[fmt.Sprintf("endless%s%d", imitator.OncePath, i)], 1, "a request that may run once")
@@ -170,7 +109,7 @@
 }
 
 // sendEndless sends a request and reads what comes back. It must not be a complete successful response, unless one was sent.
-func (p *process) sendEndless(response endlessResponse, path, id string) {
+func (p *process) sendEndless(response imitator.EndlessCase, path, id string) {
 	request := imitator.Request{Address: p.listen.Callers, Path: path, ID: id, Key: imitator.Key, Timeout: endlessTimeout, Body: "a question"}
 	if path == imitator.StagesPath {
 		request.Pieces = "64,64"
@@ -192,7 +131,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	_, err = io.Copy(io.Discard, resp.Body)
-	if !response.complete && resp.StatusCode == http.StatusOK && err == nil {
+	if !response.Complete && resp.StatusCode == http.StatusOK && err == nil {
 		p.t.Errorf("%s: a response without end is complete", id)
 	}
 	if ctx.Err() != nil {
